The whole path, thin: caller, entry, endpoint and back, settings by sill apply

Separate processes on loopback over real HTTP: a request is served whole and streamed, endpoints announce themselves, a settings change is synced to disk by sill-control, reaches sill-entry by a waiting call and changes what is served. Shared types of state/base and protocol/wire are laid down.

--- /dev/null
+++ b/bench/load/src/lib.rs
@@ -0,0 +1,5 @@
+//! The load and experiment tool.
+
+pub mod check;
+pub mod cli;
+pub mod run;
--- /dev/null
+++ b/bench/standin/src/cache.rs
@@ -0,0 +1,64 @@
+//! A prefix cache with limited memory, least recently used blocks dropped first.
+
+use std::collections::BTreeMap;
+
+use sill_base::Map;
+use sill_wire::endpoint::CacheEvent;
+use sill_wire::prefix::BLOCK_TOKENS;
+
+/// Blocks of prompts that need not be computed again.
+#[derive(Debug, Default)]
+pub struct PrefixCache {
+    capacity_blocks: usize,
+    used_at: Map<u64, u64>,
+    by_use: BTreeMap<u64, u64>,
+    uses: u64,
+}
+
+impl PrefixCache {
+    /// Makes an empty cache for that many tokens.
+    pub fn new(capacity_tokens: u64) -> Self {
+        let capacity_blocks = capacity_tokens as usize / BLOCK_TOKENS;
+        Self {
+            capacity_blocks,
+            ..Self::default()
+        }
+    }
+
+    /// Returns how many leading blocks are held.
+    pub fn longest_prefix(&self, blocks: &[u64]) -> usize {
+        blocks
+            .iter()
+            .take_while(|b| self.used_at.contains_key(b))
+            .count()
+    }
+
+    /// Holds all blocks of a prompt, and returns what changed.
+    pub fn insert(&mut self, blocks: &[u64]) -> Vec<CacheEvent> {
+        let mut events = Vec::new();
+        // Later blocks are useless without earlier ones, so the earliest count as used last.
+        for &block in blocks.iter().rev() {
+            self.uses += 1;
+            match self.used_at.insert(block, self.uses) {
+                Some(before) => {
+                    self.by_use.remove(&before);
+                }
+                None => events.push(CacheEvent::Stored { block }),
+            }
+            self.by_use.insert(self.uses, block);
+        }
+        while self.used_at.len() > self.capacity_blocks {
+            let Some((_, block)) = self.by_use.pop_first() else {
+                break;
+            };
+            self.used_at.remove(&block);
+            events.push(CacheEvent::Dropped { block });
+        }
+        events
+    }
+
+    /// Returns the tokens held.
+    pub fn tokens(&self) -> u64 {
+        (self.used_at.len() * BLOCK_TOKENS) as u64
+    }
+}
--- /dev/null
+++ b/bench/standin/src/cli.rs
@@ -0,0 +1,155 @@
+//! The command line of the stand-ins.
+
+use std::net::SocketAddr;
+
+use eyre::{Result, bail};
+use sill_base::{Findings, Millis, Name};
+use sill_setup::{Flag, Outcome, Program, Values};
+use sill_wire::Served;
+
+use crate::endpoint::{Endpoint, EndpointCfg};
+
+/// `sill-standin endpoint`.
+pub const ENDPOINT: Program = Program {
+    name: "sill-standin endpoint",
+    about: "a stand-in for a model engine or a plain service",
+    operands: "",
+    flags: &[
+        Flag::one("name", "NAME", "name of the endpoint"),
+        Flag::one("domain", "NAME", "its failure domain"),
+        Flag::with_default(
+            "listen",
+            "IP:PORT",
+            "127.0.0.1:0",
+            "where it takes requests",
+        ),
+        Flag::many("entry", "IP:PORT", "entry instance to announce itself to"),
+        Flag::one("join-token-file", "FILE", "file with the join token"),
+        Flag::with_default("model", "NAME", "desk-7b", "the model it serves"),
+        Flag::one(
+            "service",
+            "NAME",
+            "serve this plain service in place of a model",
+        ),
+        Flag::with_default("slots", "N", "8", "requests that run side by side"),
+        Flag::with_default(
+            "prefill-us-per-token",
+            "N",
+            "50",
+            "microseconds to compute a prompt token",
+        ),
+        Flag::with_default("decode-ms", "N", "10", "milliseconds between two tokens"),
+        Flag::with_default(
+            "cache-tokens",
+            "N",
+            "65536",
+            "tokens that the prefix cache holds",
+        ),
+        Flag::with_default(
+            "lag-ms",
+            "N",
+            "200",
+            "how old reports and events are when sent",
+        ),
+        Flag::with_default(
+            "lose-events",
+            "PERCENT",
+            "0",
+            "share of cache event batches that are lost",
+        ),
+        Flag::with_default("class", "NAME", "standard", "machine class"),
+        Flag::with_default(
+            "price",
+            "N",
+            "1000",
+            "price in thousandths of a currency unit an hour",
+        ),
+        Flag::switch("on-demand", "the platform never takes it back"),
+        Flag::switch("no-fencing", "carry out orders with an old fencing token"),
+    ],
+};
+
+/// Reads the settings of a stand-in endpoint.
+///
+/// # Errors
+///
+/// Returns every finding with its flag and variable.
+pub fn endpoint_cfg(values: &mut Values) -> Result<EndpointCfg, Findings> {
+    let name = values.name("name");
+    let domain = values.name("domain");
+    let listen = values.required("listen");
+    let entries: Vec<SocketAddr> = values.many("entry");
+    let join_token = values.secret("join-token-file");
+    let model: Option<String> = values.required("model");
+    let service: Option<String> = values.optional("service");
+    let slots = values.required("slots");
+    let prefill = values.required("prefill-us-per-token");
+    let decode = values.required("decode-ms");
+    let cache_tokens = values.required("cache-tokens");
+    let lag = values.required("lag-ms");
+    let lose_events: Option<u8> = values.required("lose-events");
+    let class: Option<String> = values.required("class");
+    let price = values.required("price");
+    let reclaimable = !values.switch("on-demand");
+    let checks_fencing = !values.switch("no-fencing");
+    if lose_events.is_some_and(|percent| percent > 100) {
+        values.finding("lose-events", "expected at most 100");
+    }
+    values.finish()?;
+    let defaults = EndpointCfg::default();
+    let served = match service {
+        Some(service) => Served::Service {
+            service: service.into(),
+        },
+        None => Served::Model {
+            model: model.unwrap_or_default().into(),
+            version: Name::default(),
+            adapters: Vec::new(),
+        },
+    };
+    Ok(EndpointCfg {
+        name: name.unwrap_or(defaults.name),
+        domain: domain.unwrap_or(defaults.domain),
+        listen: listen.unwrap_or(defaults.listen),
+        entries,
+        join_token: join_token.unwrap_or(defaults.join_token),
+        serves: vec![served],
+        slots: slots.unwrap_or(defaults.slots),
+        prefill_us_per_token: prefill.unwrap_or(defaults.prefill_us_per_token),
+        decode: decode.map_or(defaults.decode, Millis),
+        cache_tokens: cache_tokens.unwrap_or(defaults.cache_tokens),
+        lag: lag.map_or(defaults.lag, Millis),
+        lose_events: lose_events.unwrap_or(defaults.lose_events),
+        class: class.map_or(defaults.class, Name::from),
+        price: price.unwrap_or(defaults.price),
+        reclaimable,
+        checks_fencing,
+        exit_on_death: true,
+    })
+}
+
+/// Runs the stand-in that the command line asks for, until it is ended.
+///
+/// # Errors
+///
+/// Fails when a flag is wrong or the address can't be bound.
+pub fn run(mut words: Vec<String>) -> Result<()> {
+    if words.first().map(String::as_str) != Some("endpoint") {
+        bail!("expected `endpoint` and its flags; `sill-standin endpoint --help` lists them");
+    }
+    words.remove(0);
+    let mut values = match ENDPOINT.read(words)? {
+        Outcome::Help(text) => {
+            print!("{text}");
+            return Ok(());
+        }
+        Outcome::Values(values) => values,
+    };
+    let cfg = endpoint_cfg(&mut values)?;
+    sill_setup::logs::start(log::LevelFilter::Info)?;
+    let endpoint = Endpoint::start(cfg)?;
+    sill_base::event!(Info, "endpoint_listens", address = endpoint.address);
+    loop {
+        std::thread::park();
+    }
+}
--- /dev/null
+++ b/bench/standin/src/endpoint.rs
@@ -0,0 +1,608 @@
+//! An endpoint: a model engine or a plain service, with the habits that the brief describes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+
+use eyre::Result;
+use futures_util::stream;
+use ntex::http::Method;
+use ntex::util::Bytes;
+use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use sill_base::{Clock, Millis, Name, Secret, event};
+use sill_net::client;
+use sill_net::http::{self, Failure};
+use sill_wire::announce::AnnounceReply;
+use sill_wire::chat::{ChatSummary, Usage};
+use sill_wire::endpoint::{LedgerEntry, ReclaimNotice, Resume, RunEnd};
+use sill_wire::{Announcement, ErrorCode, Incarnation, Load, Served, header, prefix};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::answer::{Answer, chunk};
+use crate::cache::PrefixCache;
+use crate::ledger::{Ledger, RunId};
+
+/// Time between two announcements.
+const ANNOUNCE_EVERY: Millis = Millis(1000);
+
+/// The largest body taken, in bytes.
+const MAX_BODY: usize = 32 << 20;
+
+/// Settings of a stand-in endpoint.
+#[derive(Debug, Clone)]
+pub struct EndpointCfg {
+    /// Its name.
+    pub name: Name,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Where it listens; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Entry instances that it announces itself to.
+    pub entries: Vec<SocketAddr>,
+    /// The join token.
+    pub join_token: Secret,
+    /// What it serves.
+    pub serves: Vec<Served>,
+    /// Requests that it runs side by side.
+    pub slots: u32,
+    /// Microseconds to compute a prompt token.
+    pub prefill_us_per_token: u64,
+    /// Time between two tokens of an answer.
+    pub decode: Millis,
+    /// Tokens that its prefix cache holds.
+    pub cache_tokens: u64,
+    /// Whether it refuses orders with an old fencing token.
+    pub checks_fencing: bool,
+    /// How old its load reports and cache events are when they are sent.
+    pub lag: Millis,
+    /// Out of a hundred cache event batches, how many are lost.
+    pub lose_events: u8,
+    /// Machine class.
+    pub class: Name,
+    /// Whether the platform may take it back.
+    pub reclaimable: bool,
+    /// Price in thousandths of a currency unit an hour.
+    pub price: u64,
+    /// Whether the process ends when the endpoint dies.
+    pub exit_on_death: bool,
+}
+
+/// A running stand-in endpoint.
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    shared: Arc<Shared>,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+#[derive(Debug)]
+struct Shared {
+    cfg: EndpointCfg,
+    address: SocketAddr,
+    clock: Clock,
+    incarnation: Incarnation,
+    sequence: AtomicU64,
+    slots: Arc<Semaphore>,
+    running: AtomicU32,
+    queued: AtomicU32,
+    queued_tokens: AtomicU64,
+    cache: Mutex<PrefixCache>,
+    ledger: Ledger,
+    dies_at: Mutex<Option<Millis>>,
+    dead: AtomicBool,
+}
+
+impl Default for EndpointCfg {
+    fn default() -> Self {
+        Self {
+            name: "endpoint".into(),
+            domain: "local".into(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            entries: Vec::new(),
+            join_token: Secret::new(""),
+            serves: Vec::new(),
+            slots: 8,
+            prefill_us_per_token: 50,
+            decode: Millis(10),
+            cache_tokens: 65_536,
+            checks_fencing: true,
+            lag: Millis(200),
+            lose_events: 0,
+            class: "standard".into(),
+            reclaimable: true,
+            price: 1000,
+            exit_on_death: false,
+        }
+    }
+}
+
+impl Endpoint {
+    /// Starts the endpoint on a thread of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be bound.
+    pub fn start(cfg: EndpointCfg) -> Result<Self> {
+        let listener = http::bind(cfg.listen)?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            address,
+            clock: Clock::start(),
+            incarnation: Incarnation(Millis::wall().0),
+            sequence: AtomicU64::new(0),
+            slots: Arc::new(Semaphore::new(cfg.slots as usize)),
+            running: AtomicU32::new(0),
+            queued: AtomicU32::new(0),
+            queued_tokens: AtomicU64::new(0),
+            cache: Mutex::new(PrefixCache::new(cfg.cache_tokens)),
+            ledger: Ledger::default(),
+            dies_at: Mutex::new(None),
+            dead: AtomicBool::new(false),
+            cfg,
+        });
+        let name = format!("endpoint-{}", shared.cfg.name);
+        let main = shared.clone();
+        http::spawn_system(&name, move || serve(main, listener))?;
+        Ok(Self { shared, address })
+    }
+
+    /// Returns its runs.
+    pub fn ledger(&self) -> Vec<LedgerEntry> {
+        self.shared.ledger.runs()
+    }
+
+    /// Gives it notice; it dies hard after that time.
+    pub fn reclaim(&self, in_ms: Millis) {
+        self.shared.reclaim(in_ms);
+    }
+
+    /// Returns whether it is dead.
+    pub fn is_dead(&self) -> bool {
+        self.shared.dead.load(Ordering::Relaxed)
+    }
+}
+
+impl Shared {
+    fn reclaim(&self, in_ms: Millis) {
+        let at = self.clock.now() + in_ms;
+        let mut dies_at = self.dies_at.lock();
+        *dies_at = Some(dies_at.map_or(at, |before| before.min(at)));
+        event!(Info, "reclaim_notice", name = self.cfg.name, in_ms = in_ms);
+    }
+
+    fn announcement(&self) -> Announcement {
+        let cfg = &self.cfg;
+        let dies_at = *self.dies_at.lock();
+        Announcement {
+            name: cfg.name.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+            address: self.address.to_string().into(),
+            domain: cfg.domain.clone(),
+            class: cfg.class.clone(),
+            reclaimable: cfg.reclaimable,
+            price: cfg.price,
+            serves: cfg.serves.clone(),
+            role: Default::default(),
+            slots: cfg.slots,
+            prefill_tokens_per_s: (1_000_000 / cfg.prefill_us_per_token.max(1)) as u32,
+            decode_ms: cfg.decode.0 as u32,
+            cache_tokens: cfg.cache_tokens,
+            load: Load {
+                running: self.running.load(Ordering::Relaxed),
+                queued: self.queued.load(Ordering::Relaxed),
+                queued_tokens: self.queued_tokens.load(Ordering::Relaxed),
+                cached_tokens: self.cache.lock().tokens(),
+                age: cfg.lag,
+            },
+            leaving: dies_at.map(|at| at - self.clock.now()),
+            checks_fencing: cfg.checks_fencing,
+        }
+    }
+
+    /// Waits for a slot and for the prompt to be computed.
+    async fn admit(&self, blocks: &[u64], prompt_tokens: u64) -> Option<Admission> {
+        self.queued.fetch_add(1, Ordering::Relaxed);
+        self.queued_tokens
+            .fetch_add(prompt_tokens, Ordering::Relaxed);
+        let permit = self.slots.clone().acquire_owned().await.ok();
+        self.queued.fetch_sub(1, Ordering::Relaxed);
+        self.queued_tokens
+            .fetch_sub(prompt_tokens, Ordering::Relaxed);
+        let permit = permit?;
+        let held = self.cache.lock().longest_prefix(blocks);
+        let cached_tokens = ((held * prefix::BLOCK_TOKENS) as u64).min(prompt_tokens);
+        Some(Admission {
+            permit,
+            cached_tokens,
+        })
+    }
+
+    async fn prefill(&self, tokens: u64) {
+        let span = tokens * self.cfg.prefill_us_per_token / 1000;
+        if span > 0 {
+            ntex::time::sleep(ntex::time::Millis(span as u32)).await;
+        }
+    }
+
+    fn is_dead(&self) -> bool {
+        self.dead.load(Ordering::Relaxed)
+    }
+}
+
+struct Admission {
+    permit: OwnedSemaphorePermit,
+    cached_tokens: u64,
+}
+
+async fn serve(shared: Arc<Shared>, listener: std::net::TcpListener) -> io::Result<()> {
+    let app = shared.clone();
+    let server = HttpServer::new(async move || {
+        App::new()
+            .state(app.clone())
+            .state(web::types::PayloadConfig::new(MAX_BODY))
+            .service((
+                web::resource("/v1/chat/completions").route(web::post().to(chat)),
+                web::resource("/v1/completions").route(web::post().to(chat)),
+                web::resource("/ledger").route(web::get().to(ledger)),
+                web::resource("/reclaim").route(web::post().to(reclaim)),
+            ))
+            .default_service(web::route().to(plain))
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(listener)?
+    .run();
+    let announcer = ntex::rt::spawn(announce(shared.clone()));
+    let dying = server.clone();
+    ntex::rt::spawn(async move {
+        die_on_time(&shared).await;
+        dying.stop(false).await;
+        if shared.cfg.exit_on_death {
+            std::process::exit(137);
+        }
+    });
+    let ended = server.await;
+    announcer.cancel();
+    ended
+}
+
+async fn die_on_time(shared: &Shared) {
+    const POLL: ntex::time::Millis = ntex::time::Millis(5);
+    loop {
+        let due = shared
+            .dies_at
+            .lock()
+            .is_some_and(|at| at <= shared.clock.now());
+        if due {
+            shared.dead.store(true, Ordering::Relaxed);
+            event!(Info, "died", name = shared.cfg.name);
+            return;
+        }
+        ntex::time::sleep(POLL).await;
+    }
+}
+
+/// Announces itself to one entry instance after another until one takes it in.
+async fn announce(shared: Arc<Shared>) {
+    let Ok(http) = client::streaming(4).await else {
+        return;
+    };
+    let mut turn = 0;
+    let mut told_leaving = false;
+    while !shared.is_dead() {
+        let announcement = shared.announcement();
+        told_leaving = announcement.leaving.is_some();
+        for _ in 0..shared.cfg.entries.len() {
+            let entry = shared.cfg.entries[turn % shared.cfg.entries.len()];
+            if tell(&http, &shared, entry, &announcement).await {
+                break;
+            }
+            turn += 1;
+        }
+        // A notice must not wait for the next turn.
+        for _ in 0..ANNOUNCE_EVERY.0 / 20 {
+            ntex::time::sleep(ntex::time::Millis(20)).await;
+            if !told_leaving && shared.dies_at.lock().is_some() {
+                break;
+            }
+        }
+    }
+    let _ = told_leaving;
+}
+
+async fn tell(
+    http: &ntex::client::Client,
+    shared: &Shared,
+    entry: SocketAddr,
+    announcement: &Announcement,
+) -> bool {
+    const TIMEOUT: Millis = Millis(500);
+    let url = format!("http://{entry}/announce");
+    let token = Some(&shared.cfg.join_token);
+    let sent = client::send(
+        http,
+        Method::POST,
+        &url,
+        token,
+        &[],
+        Some(announcement),
+        TIMEOUT,
+    )
+    .await;
+    match sent {
+        Ok(reply) => reply.json::<AnnounceReply>().is_ok_and(|r| r.accepted),
+        Err(_) => false,
+    }
+}
+
+async fn ledger(app: web::types::State<Arc<Shared>>) -> HttpResponse {
+    http::json(200, &app.ledger.runs())
+}
+
+async fn reclaim(
+    app: web::types::State<Arc<Shared>>,
+    notice: web::types::Json<ReclaimNotice>,
+) -> HttpResponse {
+    app.reclaim(notice.in_ms);
+    http::json(200, &json!({ "accepted": true }))
+}
+
+/// Takes any call of a plain service, and answers with what was called.
+async fn plain(app: web::types::State<Arc<Shared>>, req: HttpRequest, body: Bytes) -> HttpResponse {
+    let request = request_header(&req, header::REQUEST_ID);
+    let run = app.ledger.open(LedgerEntry {
+        request: request.clone(),
+        attempt: attempt(&req),
+        idempotency_key: key(&req),
+        path: format!("{} {}", req.method(), req.path()),
+        ..LedgerEntry::default()
+    });
+    let Some(admission) = app.admit(&[], 0).await else {
+        return Failure::new(ErrorCode::NoCapacity, "stopping").response(&request);
+    };
+    app.running.fetch_add(1, Ordering::Relaxed);
+    ntex::time::sleep(ntex::time::Millis(app.cfg.decode.0 as u32)).await;
+    app.running.fetch_sub(1, Ordering::Relaxed);
+    drop(admission);
+    app.ledger.close(run, RunEnd::Finished);
+    let echo = blake3::hash(&body).to_hex();
+    http::json(
+        200,
+        &json!({ "method": req.method().as_str(), "path": req.path(), "body": echo.as_str() }),
+    )
+}
+
+async fn chat(app: web::types::State<Arc<Shared>>, req: HttpRequest, body: Bytes) -> HttpResponse {
+    let request = request_header(&req, header::REQUEST_ID);
+    let Ok(body) = serde_json::from_slice::<Value>(&body) else {
+        return Failure::new(ErrorCode::BadRequest, "not JSON").response(&request);
+    };
+    let summary = match ChatSummary::read(&body) {
+        Ok(summary) => summary,
+        Err(findings) => {
+            return Failure::new(ErrorCode::BadRequest, findings.to_string()).response(&request);
+        }
+    };
+    let resume = body
+        .get("sill_resume")
+        .cloned()
+        .and_then(|r| serde_json::from_value::<Resume>(r).ok());
+    let run = Run::begin(
+        app.get_ref().clone(),
+        &req,
+        request,
+        summary.clone(),
+        resume,
+    )
+    .await;
+    if summary.stream {
+        run.streamed()
+    } else {
+        run.whole().await
+    }
+}
+
+fn request_header(req: &HttpRequest, name: &str) -> Name {
+    req.headers()
+        .get(name)
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default()
+        .into()
+}
+
+fn attempt(req: &HttpRequest) -> u32 {
+    request_header(req, header::ATTEMPT)
+        .parse()
+        .unwrap_or_default()
+}
+
+fn key(req: &HttpRequest) -> Option<Name> {
+    Some(request_header(req, header::IDEMPOTENCY_KEY)).filter(|k| !k.is_empty())
+}
+
+/// One run of a model; leaving it early is noted as cancelled, or as killed when the endpoint died.
+struct Run {
+    shared: Arc<Shared>,
+    id: RunId,
+    request: Name,
+    summary: ChatSummary,
+    answer: Answer,
+    prompt_tokens: u64,
+    created: u64,
+    next: u32,
+    started: bool,
+    closing: u8,
+    _slot: Option<OwnedSemaphorePermit>,
+}
+
+impl Run {
+    async fn begin(
+        shared: Arc<Shared>,
+        req: &HttpRequest,
+        request: Name,
+        summary: ChatSummary,
+        resume: Option<Resume>,
+    ) -> Self {
+        let next = resume.as_ref().map_or(0, |r| r.at);
+        let prompt_tokens = prefix::tokens(&summary.prompt) + u64::from(next);
+        let id = shared.ledger.open(LedgerEntry {
+            request: request.clone(),
+            attempt: attempt(req),
+            idempotency_key: key(req),
+            prompt_tokens,
+            resumed_at: next,
+            ..LedgerEntry::default()
+        });
+        let answer = Answer::to(&summary);
+        let created = Millis::wall().0 / 1000;
+        shared.running.fetch_add(1, Ordering::Relaxed);
+        Self {
+            shared,
+            id,
+            request,
+            answer,
+            prompt_tokens,
+            created,
+            summary,
+            next,
+            started: false,
+            closing: 0,
+            _slot: None,
+        }
+    }
+
+    /// Waits for a slot and computes what the cache does not hold.
+    async fn prefill(&mut self) {
+        self.started = true;
+        let blocks = prefix::blocks(&self.summary.model, &self.summary.prompt);
+        let Some(admission) = self.shared.admit(&blocks, self.prompt_tokens).await else {
+            return;
+        };
+        let computed = self.prompt_tokens - admission.cached_tokens;
+        self.shared
+            .ledger
+            .computed(self.id, admission.cached_tokens, computed);
+        self.shared.prefill(computed).await;
+        self.shared.cache.lock().insert(&blocks);
+        self._slot = Some(admission.permit);
+    }
+
+    async fn decode(&mut self) -> Option<String> {
+        if self.next >= self.answer.tokens {
+            return None;
+        }
+        ntex::time::sleep(ntex::time::Millis(self.shared.cfg.decode.0 as u32)).await;
+        let token = self.answer.token(self.next);
+        self.next += 1;
+        self.shared.ledger.sent(self.id, self.next);
+        Some(token)
+    }
+
+    fn usage(&self) -> Usage {
+        let prompt_tokens = prefix::tokens(&self.summary.prompt) as u32;
+        Usage {
+            prompt_tokens,
+            completion_tokens: self.answer.tokens,
+            total_tokens: prompt_tokens + self.answer.tokens,
+        }
+    }
+
+    fn completion_id(&self) -> String {
+        format!("chatcmpl-{}", self.request)
+    }
+
+    fn streamed(self) -> HttpResponse {
+        let events = stream::unfold(self, |mut run| async move {
+            let event = run.next_event().await?;
+            Some((event, run))
+        });
+        HttpResponse::Ok()
+            .content_type(header::EVENT_STREAM)
+            .streaming(Box::pin(events))
+    }
+
+    async fn next_event(&mut self) -> Option<io::Result<Bytes>> {
+        if !self.started {
+            self.prefill().await;
+        }
+        if self.shared.is_dead() {
+            return Some(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        let index = self.next;
+        if let Some(token) = self.decode().await {
+            if self.shared.is_dead() {
+                return Some(Err(io::ErrorKind::ConnectionAborted.into()));
+            }
+            let data = self.chunk(Some(&token), None);
+            return Some(Ok(Bytes::from(format!("id: {index}\ndata: {data}\n\n"))));
+        }
+        self.closing += 1;
+        match self.closing {
+            1 => {
+                let data = self.chunk(None, Some("stop"));
+                Some(Ok(Bytes::from(format!("data: {data}\n\n"))))
+            }
+            2 if self.summary.include_usage => {
+                let mut data = self.chunk(None, None);
+                data["choices"] = json!([]);
+                data["usage"] = json!(self.usage());
+                Some(Ok(Bytes::from(format!("data: {data}\n\n"))))
+            }
+            2 | 3 if self.closing == 2 || self.summary.include_usage => {
+                self.shared.ledger.close(self.id, RunEnd::Finished);
+                Some(Ok(Bytes::from_static(b"data: [DONE]\n\n")))
+            }
+            _ => None,
+        }
+    }
+
+    fn chunk(&self, content: Option<&str>, finish: Option<&str>) -> Value {
+        chunk(
+            &self.completion_id(),
+            self.created,
+            &self.summary.model,
+            content,
+            finish,
+        )
+    }
+
+    async fn whole(mut self) -> HttpResponse {
+        self.prefill().await;
+        let mut text = String::new();
+        while let Some(token) = self.decode().await {
+            text.push_str(&token);
+        }
+        self.shared.ledger.close(self.id, RunEnd::Finished);
+        http::json(
+            200,
+            &json!({
+                "id": self.completion_id(),
+                "object": "chat.completion",
+                "created": self.created,
+                "model": self.summary.model,
+                "choices": [{
+                    "index": 0,
+                    "message": { "role": "assistant", "content": text },
+                    "finish_reason": "stop",
+                }],
+                "usage": self.usage(),
+            }),
+        )
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.shared.running.fetch_sub(1, Ordering::Relaxed);
+        let end = if self.shared.is_dead() {
+            RunEnd::Killed
+        } else {
+            RunEnd::Cancelled
+        };
+        self.shared.ledger.close(self.id, end);
+    }
+}
--- /dev/null
+++ b/bench/standin/src/lib.rs
@@ -0,0 +1,9 @@
+//! Stand-ins for the systems around ours: model endpoints and plain services.
+
+pub mod answer;
+pub mod cache;
+pub mod cli;
+pub mod endpoint;
+pub mod ledger;
+
+pub use endpoint::{Endpoint, EndpointCfg};
--- /dev/null
+++ b/coordination/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/daemons/control/src/cfg.rs
@@ -0,0 +1,144 @@
+//! Settings of a control instance.
+
+use std::error::Error;
+use std::fmt::{self, Display, Formatter};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use sill_base::{Findings, Name, Secret};
+use sill_setup::{Flag, Program, Values};
+
+/// `sill-control`.
+pub const CONTROL: Program = Program {
+    name: "sill-control",
+    about: "a control instance: keeps settings, claims and the audit trail",
+    operands: "",
+    flags: &[
+        Flag::one("name", "NAME", "name of this instance"),
+        Flag::one("domain", "NAME", "its failure domain"),
+        Flag::one("listen", "IP:PORT", "where operators reach it"),
+        Flag::one("listen-peer", "IP:PORT", "where our own processes reach it"),
+        Flag::many(
+            "voter",
+            "NAME@DOMAIN@IP:PORT",
+            "a voter and where its peers reach it",
+        ),
+        Flag::one("data", "DIR", "data folder"),
+        Flag::one(
+            "cluster-key-file",
+            "FILE",
+            "file with the key our own processes share",
+        ),
+        Flag::one(
+            "root-token-file",
+            "FILE",
+            "file with the token that owns the whole tree",
+        ),
+        Flag::with_default(
+            "log-level",
+            "LEVEL",
+            "info",
+            "error, warn, info, debug or trace",
+        ),
+    ],
+};
+
+/// Checked settings of a control instance.
+#[derive(Debug, Clone)]
+pub struct ControlCfg {
+    /// Its name.
+    pub name: Name,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Where operators reach it.
+    pub listen: SocketAddr,
+    /// Where our own processes reach it.
+    pub listen_peer: SocketAddr,
+    /// All voters, itself included.
+    pub voters: Vec<Voter>,
+    /// The data folder.
+    pub data: PathBuf,
+    /// The key that our own processes share.
+    pub cluster_key: Secret,
+    /// The token that owns the whole tree.
+    pub root_token: Secret,
+}
+
+/// A voter of the replicated log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Voter {
+    /// Its name.
+    pub name: Name,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+}
+
+/// A voter flag of the wrong shape.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadVoter;
+
+impl Display for BadVoter {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str("expected NAME@DOMAIN@IP:PORT")
+    }
+}
+
+impl Error for BadVoter {}
+
+impl FromStr for Voter {
+    type Err = BadVoter;
+
+    fn from_str(text: &str) -> Result<Self, BadVoter> {
+        let mut parts = text.splitn(3, '@');
+        let name = parts
+            .next()
+            .filter(|n| Name::is_well_formed(n))
+            .ok_or(BadVoter)?;
+        let domain = parts
+            .next()
+            .filter(|n| Name::is_well_formed(n))
+            .ok_or(BadVoter)?;
+        let address = parts.next().and_then(|a| a.parse().ok()).ok_or(BadVoter)?;
+        Ok(Self {
+            name: name.into(),
+            domain: domain.into(),
+            address,
+        })
+    }
+}
+
+impl ControlCfg {
+    /// Checks flags and variables.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding with its flag and variable.
+    pub fn read(values: &mut Values) -> Result<Self, Findings> {
+        let name = values.name("name");
+        let domain = values.name("domain");
+        let listen = values.required("listen");
+        let listen_peer = values.required("listen-peer");
+        let voters: Vec<Voter> = values.many("voter");
+        let data: Option<PathBuf> = values.required("data");
+        let cluster_key = values.secret("cluster-key-file");
+        let root_token = values.secret("root-token-file");
+        if voters.is_empty() {
+            values.finding("voter", "expected at least one voter");
+        }
+        values.finish()?;
+        let checked = "present once the check succeeded";
+        Ok(Self {
+            name: name.expect(checked),
+            domain: domain.expect(checked),
+            listen: listen.expect(checked),
+            listen_peer: listen_peer.expect(checked),
+            voters,
+            data: data.expect(checked),
+            cluster_key: cluster_key.expect(checked),
+            root_token: root_token.expect(checked),
+        })
+    }
+}
--- /dev/null
+++ b/daemons/control/src/cli.rs
@@ -0,0 +1,35 @@
+//! The command line of the control daemon.
+
+use eyre::Result;
+use sill_setup::{Outcome, logs, signal::Stops};
+
+use crate::cfg::{CONTROL, ControlCfg};
+use crate::daemon::Control;
+
+/// Runs the daemon until it is asked to stop.
+///
+/// # Errors
+///
+/// Fails when a flag is wrong or the daemon can't start.
+pub fn run(words: Vec<String>) -> Result<()> {
+    let mut values = match CONTROL.read(words)? {
+        Outcome::Help(text) => {
+            print!("{text}");
+            return Ok(());
+        }
+        Outcome::Values(values) => values,
+    };
+    let level = values.required("log-level");
+    let cfg = ControlCfg::read(&mut values)?;
+    logs::start(level.unwrap_or(log::LevelFilter::Info))?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let control = Control::start(cfg)?;
+    runtime.block_on(async {
+        let mut stops = Stops::listen()?;
+        stops.next().await;
+        control.stop().await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/daemons/entry/src/cli.rs
@@ -0,0 +1,39 @@
+//! The command line of the entry daemon.
+
+use eyre::Result;
+use sill_base::event;
+use sill_setup::{Outcome, logs, signal::Stops};
+
+use crate::cfg::{ENTRY, EntryCfg};
+use crate::daemon::Entry;
+
+/// Runs the daemon until it is asked to stop.
+///
+/// # Errors
+///
+/// Fails when a flag is wrong or the daemon can't start.
+pub fn run(words: Vec<String>) -> Result<()> {
+    let mut values = match ENTRY.read(words)? {
+        Outcome::Help(text) => {
+            print!("{text}");
+            return Ok(());
+        }
+        Outcome::Values(values) => values,
+    };
+    let level = values.required("log-level");
+    let cfg = EntryCfg::read(&mut values)?;
+    logs::start(level.unwrap_or(log::LevelFilter::Info))?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let entry = Entry::start(cfg)?;
+    runtime.block_on(async {
+        let mut stops = Stops::listen()?;
+        stops.next().await;
+        tokio::select! {
+            () = entry.stop() => {},
+            () = stops.next() => event!(Warn, "stop_cut", reason = "second signal"),
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/daemons/entry/src/main.rs
@@ -0,0 +1,7 @@
+//! The entry daemon.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sill_setup::exit_code(sill_entry::cli::run(std::env::args().skip(1).collect()))
+}
--- /dev/null
+++ b/daemons/sill/tests/system/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the whole system with real processes on loopback.
+
+mod harness;
+mod thin_path;
--- /dev/null
+++ b/protocol/wire/src/lib.rs
@@ -0,0 +1,20 @@
+//! Typed messages between callers, endpoints, operators and our own processes.
+
+pub mod announce;
+pub mod call;
+pub mod chat;
+pub mod claim;
+pub mod control;
+pub mod endpoint;
+pub mod error;
+pub mod feed;
+pub mod header;
+pub mod limits;
+pub mod member;
+pub mod prefix;
+pub mod priority;
+
+pub use announce::{Announcement, Incarnation, Load, Role, Served};
+pub use call::Call;
+pub use error::{ErrorBody, ErrorCode, ErrorDetail};
+pub use priority::Priority;
--- /dev/null
+++ b/state/base/src/event.rs
@@ -0,0 +1,33 @@
+//! Log lines of key=value pairs, one for each event.
+
+use std::fmt::{Display, Write};
+
+/// Adds ` key=value` to a line, quoted and escaped where needed.
+///
+/// Callers choose some of the values; an unescaped line break or quote would let them forge a line.
+pub fn push_pair<V>(line: &mut String, key: &str, value: V)
+where
+    V: Display,
+{
+    let start = line.len();
+    let _ = write!(line, " {key}={value}");
+    let value_start = start + key.len() + 2;
+    let is_plain = |c: char| c.is_ascii_graphic() && !"\"=\\".contains(c);
+    if value_start == line.len() || !line[value_start..].chars().all(is_plain) {
+        let value = line.split_off(value_start);
+        let _ = write!(line, "{value:?}");
+    }
+}
+
+/// Logs one event: `event!(Info, "endpoint_ready", name = x, domain = y)`.
+#[macro_export]
+macro_rules! event {
+    ($level:ident, $name:literal $(, $key:ident = $value:expr)* $(,)?) => {
+        if log::log_enabled!(log::Level::$level) {
+            #[allow(unused_mut)]
+            let mut line = String::from(concat!("event=", $name));
+            $( $crate::event::push_pair(&mut line, stringify!($key), &$value); )*
+            log::log!(log::Level::$level, "{line}");
+        }
+    };
+}
--- /dev/null
+++ b/state/base/src/lib.rs
@@ -0,0 +1,19 @@
+//! Ground types that every layer shares: clock, names, maps, findings, seeded randomness, promises.
+
+pub mod clock;
+pub mod event;
+pub mod findings;
+pub mod machine;
+pub mod map;
+pub mod name;
+pub mod promise;
+pub mod random;
+pub mod secret;
+
+pub use clock::{Clock, Millis};
+pub use findings::{Finding, Findings};
+pub use machine::Machine;
+pub use map::{Map, Set};
+pub use name::Name;
+pub use promise::Promise;
+pub use secret::Secret;
--- /dev/null
+++ b/state/tree/src/document.rs
@@ -0,0 +1,147 @@
+//! The typed settings document of one subtree.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use sill_base::{Millis, Name};
+
+/// The hash of a key or token, as `blake3:` and 64 hexadecimal digits. Settings never hold the
+/// secret itself.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct KeyHash(pub Name);
+
+/// What a settings file holds. Unknown fields are refused.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Document {
+    /// Hash of the token that may change this subtree; set by whoever owns the subtree above.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub owner: Option<KeyHash>,
+    /// Latency target, handed down.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub latency: Option<LatencyTarget>,
+    /// Highest price of an instance in thousandths of a currency unit an hour, handed down.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub price_cap: Option<u64>,
+    /// Where endpoints may run, handed down.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub placement: Option<Placement>,
+    /// Deadline of requests that name none, handed down.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub deadline_ms: Option<Millis>,
+    /// What all accounts of this subtree may use together; no smaller than what is promised below.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub limit: Option<Limit>,
+    /// Models and plain services by name.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub services: BTreeMap<Name, Service>,
+    /// Client accounts by name.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub accounts: BTreeMap<Name, Account>,
+}
+
+/// A language-model pool or a plain service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "lowercase", deny_unknown_fields)]
+pub enum Service {
+    /// A language model, asked for by the service's name.
+    Model {
+        /// The version of the weights.
+        #[serde(default)]
+        version: Name,
+        /// Adapters that are loaded on top.
+        #[serde(default)]
+        adapters: Vec<Name>,
+        /// Endpoints wanted at least.
+        #[serde(default)]
+        min_endpoints: u32,
+        /// Latency target, in place of the subtree's.
+        #[serde(default)]
+        latency: Option<LatencyTarget>,
+    },
+    /// A plain service, reached below `/s/NAME/`.
+    Plain {
+        /// Calls that may not be repeated.
+        #[serde(default)]
+        non_idempotent: Vec<CallRule>,
+        /// Endpoints wanted at least.
+        #[serde(default)]
+        min_endpoints: u32,
+    },
+}
+
+/// Marks calls of a plain service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallRule {
+    /// The method, or `*` for all.
+    pub method: Name,
+    /// A prefix of the path below the service, starting with `/`.
+    pub path: String,
+}
+
+/// A client account.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Account {
+    /// Hashes of its keys.
+    pub keys: Vec<KeyHash>,
+    /// What it may use over all entry instances.
+    pub limit: Option<Limit>,
+    /// Its share against others when capacity is short.
+    pub weight: Option<u32>,
+    /// The priority of requests that name none: `low`, `normal` or `high`.
+    pub priority: Option<Name>,
+    /// The highest priority that its requests may ask for.
+    pub max_priority: Option<Name>,
+    /// Models and services that it may use; all of its subtree when empty.
+    pub services: Vec<Name>,
+}
+
+/// A limit, over all entry instances.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limit {
+    /// Requests a second.
+    pub requests_per_s: Option<f64>,
+    /// Prompt and answer tokens a second.
+    pub tokens_per_s: Option<f64>,
+}
+
+/// A latency target at the 95th percentile.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LatencyTarget {
+    /// Time to the first token.
+    pub ttft_ms: Millis,
+    /// Time between two tokens.
+    pub between_tokens_ms: Millis,
+}
+
+/// Where endpoints may run.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Placement {
+    /// Failure domains; any when empty.
+    pub domains: Vec<Name>,
+    /// Machine classes; any when empty.
+    pub classes: Vec<Name>,
+    /// Whether reclaimable instances may be used.
+    pub reclaimable: Option<bool>,
+}
+
+impl KeyHash {
+    /// Hashes a key or token.
+    pub fn of(secret: &str) -> Self {
+        Self(format!("blake3:{}", blake3::hash(secret.as_bytes()).to_hex()).into())
+    }
+}
+
+impl CallRule {
+    /// Returns whether the rule marks a call.
+    pub fn marks(&self, method: &str, path: &str) -> bool {
+        (self.method.as_str() == "*" || self.method.eq_ignore_ascii_case(method))
+            && path.starts_with(&self.path)
+    }
+}
--- /dev/null
+++ b/transport/net/src/lib.rs
@@ -0,0 +1,8 @@
+//! HTTP towards the outside by ntex, and JSON-RPC between our own processes by jsonrpsee.
+
+pub mod client;
+pub mod http;
+pub mod peer;
+
+pub use client::Reply;
+pub use peer::{PeerClient, PeerError, PeerServer, PeerServerBuilder};
