--- a/bench/load/src/check.rs
+++ b/bench/load/src/check.rs
@@ -15,9 +15,7 @@
             continue;
         }
         let chunk: Value = serde_json::from_str(data).ok()?;
-        let content = chunk
-            .pointer("/choices/0/delta/content")
-            .and_then(Value::as_str);
+        let content = chunk.pointer("/choices/0/delta/content").and_then(Value::as_str);
         text.push_str(content.unwrap_or_default());
     }
     ended.then_some(text)
@@ -26,9 +24,7 @@
 /// Returns the text of a whole answer.
 pub fn whole_text(body: &[u8]) -> Option<String> {
     let body: Value = serde_json::from_slice(body).ok()?;
-    body.pointer("/choices/0/message/content")?
-        .as_str()
-        .map(str::to_owned)
+    body.pointer("/choices/0/message/content")?.as_str().map(str::to_owned)
 }
 
 /// Returns whether an answer's body is the whole answer to a request.
@@ -36,10 +32,6 @@
     let Ok(summary) = ChatSummary::read(request) else {
         return false;
     };
-    let text = if summary.stream {
-        streamed_text(body)
-    } else {
-        whole_text(body)
-    };
+    let text = if summary.stream { streamed_text(body) } else { whole_text(body) };
     text.is_some_and(|text| text == Answer::to(&summary).text())
 }
--- a/bench/load/src/cli.rs
+++ b/bench/load/src/cli.rs
@@ -66,16 +66,8 @@
     let system = System::build().name("load").build(DefaultRuntime);
     let report = system.block_on(run::run(cfg))?;
     let at = |quantile| report.total_us.value_at_quantile(quantile) as f64 / 1000.0;
-    println!(
-        "whole {}, broken {}, refused {}",
-        report.whole, report.broken, report.refused
-    );
-    println!(
-        "total time p50 {:.1} ms, p95 {:.1} ms, p99 {:.1} ms",
-        at(0.5),
-        at(0.95),
-        at(0.99)
-    );
+    println!("whole {}, broken {}, refused {}", report.whole, report.broken, report.refused);
+    println!("total time p50 {:.1} ms, p95 {:.1} ms, p99 {:.1} ms", at(0.5), at(0.95), at(0.99));
     if report.broken > 0 {
         bail!("{} answers were not whole", report.broken);
     }
--- a/bench/load/src/run.rs
+++ b/bench/load/src/run.rs
@@ -54,12 +54,7 @@
 /// Fails when no client can be made.
 pub async fn run(cfg: LoadCfg) -> Result<LoadReport> {
     let http = client::streaming(cfg.concurrency).await?;
-    let report = LoadReport {
-        whole: 0,
-        broken: 0,
-        refused: 0,
-        total_us: times()?,
-    };
+    let report = LoadReport { whole: 0, broken: 0, refused: 0, total_us: times()? };
     let report = Rc::new(RefCell::new(report));
     let started = Instant::now();
     let senders = (0..cfg.concurrency).map(|sender| {
@@ -74,9 +69,7 @@
         }
     });
     join_all(senders).await;
-    Ok(Rc::try_unwrap(report)
-        .expect("all senders have ended")
-        .into_inner())
+    Ok(Rc::try_unwrap(report).expect("all senders have ended").into_inner())
 }
 
 fn times() -> Result<Histogram<u64>> {
@@ -105,23 +98,13 @@
     const TIMEOUT: Millis = Millis(120_000);
     let url = format!("http://{entry}/v1/chat/completions");
     let began = Instant::now();
-    let sent = client::send(
-        http,
-        Method::POST,
-        &url,
-        Some(&cfg.key),
-        &[],
-        Some(request),
-        TIMEOUT,
-    )
-    .await;
+    let sent =
+        client::send(http, Method::POST, &url, Some(&cfg.key), &[], Some(request), TIMEOUT).await;
     let mut report = report.borrow_mut();
     match sent {
         Ok(reply) if reply.is_ok() && check::is_whole(request, &reply.body) => {
             report.whole += 1;
-            report
-                .total_us
-                .saturating_record(began.elapsed().as_micros() as u64);
+            report.total_us.saturating_record(began.elapsed().as_micros() as u64);
         }
         Ok(reply) if reply.is_ok() => report.broken += 1,
         Ok(_) | Err(_) => report.refused += 1,
--- a/bench/standin/src/answer.rs
+++ b/bench/standin/src/answer.rs
@@ -21,10 +21,7 @@
         let hash = hasher.finalize();
         let mut seed = [0; 8];
         seed.copy_from_slice(&hash.as_bytes()[..8]);
-        Self {
-            seed: u64::from_le_bytes(seed),
-            tokens: summary.max_tokens,
-        }
+        Self { seed: u64::from_le_bytes(seed), tokens: summary.max_tokens }
     }
 
     /// Returns the text of token `i`.
--- a/bench/standin/src/cache.rs
+++ b/bench/standin/src/cache.rs
@@ -19,18 +19,12 @@
     /// Makes an empty cache for that many tokens.
     pub fn new(capacity_tokens: u64) -> Self {
         let capacity_blocks = capacity_tokens as usize / BLOCK_TOKENS;
-        Self {
-            capacity_blocks,
-            ..Self::default()
-        }
+        Self { capacity_blocks, ..Self::default() }
     }
 
     /// Returns how many leading blocks are held.
     pub fn longest_prefix(&self, blocks: &[u64]) -> usize {
-        blocks
-            .iter()
-            .take_while(|b| self.used_at.contains_key(b))
-            .count()
+        blocks.iter().take_while(|b| self.used_at.contains_key(b)).count()
     }
 
     /// Holds all blocks of a prompt, and returns what changed.
--- a/bench/standin/src/cli.rs
+++ b/bench/standin/src/cli.rs
@@ -17,20 +17,11 @@
     flags: &[
         Flag::one("name", "NAME", "name of the endpoint"),
         Flag::one("domain", "NAME", "its failure domain"),
-        Flag::with_default(
-            "listen",
-            "IP:PORT",
-            "127.0.0.1:0",
-            "where it takes requests",
-        ),
+        Flag::with_default("listen", "IP:PORT", "127.0.0.1:0", "where it takes requests"),
         Flag::many("entry", "IP:PORT", "entry instance to announce itself to"),
         Flag::one("join-token-file", "FILE", "file with the join token"),
         Flag::with_default("model", "NAME", "desk-7b", "the model it serves"),
-        Flag::one(
-            "service",
-            "NAME",
-            "serve this plain service in place of a model",
-        ),
+        Flag::one("service", "NAME", "serve this plain service in place of a model"),
         Flag::with_default("slots", "N", "8", "requests that run side by side"),
         Flag::with_default(
             "prefill-us-per-token",
@@ -39,18 +30,8 @@
             "microseconds to compute a prompt token",
         ),
         Flag::with_default("decode-ms", "N", "10", "milliseconds between two tokens"),
-        Flag::with_default(
-            "cache-tokens",
-            "N",
-            "65536",
-            "tokens that the prefix cache holds",
-        ),
-        Flag::with_default(
-            "lag-ms",
-            "N",
-            "200",
-            "how old reports and events are when sent",
-        ),
+        Flag::with_default("cache-tokens", "N", "65536", "tokens that the prefix cache holds"),
+        Flag::with_default("lag-ms", "N", "200", "how old reports and events are when sent"),
         Flag::with_default(
             "lose-events",
             "PERCENT",
@@ -58,12 +39,7 @@
             "share of cache event batches that are lost",
         ),
         Flag::with_default("class", "NAME", "standard", "machine class"),
-        Flag::with_default(
-            "price",
-            "N",
-            "1000",
-            "price in thousandths of a currency unit an hour",
-        ),
+        Flag::with_default("price", "N", "1000", "price in thousandths of a currency unit an hour"),
         Flag::switch("on-demand", "the platform never takes it back"),
         Flag::switch("no-fencing", "carry out orders with an old fencing token"),
     ],
@@ -98,9 +74,7 @@
     values.finish()?;
     let defaults = EndpointCfg::default();
     let served = match service {
-        Some(service) => Served::Service {
-            service: service.into(),
-        },
+        Some(service) => Served::Service { service: service.into() },
         None => Served::Model {
             model: model.unwrap_or_default().into(),
             version: Name::default(),
--- a/bench/standin/src/endpoint.rs
+++ b/bench/standin/src/endpoint.rs
@@ -206,19 +206,14 @@
     /// Waits for a slot and for the prompt to be computed.
     async fn admit(&self, blocks: &[u64], prompt_tokens: u64) -> Option<Admission> {
         self.queued.fetch_add(1, Ordering::Relaxed);
-        self.queued_tokens
-            .fetch_add(prompt_tokens, Ordering::Relaxed);
+        self.queued_tokens.fetch_add(prompt_tokens, Ordering::Relaxed);
         let permit = self.slots.clone().acquire_owned().await.ok();
         self.queued.fetch_sub(1, Ordering::Relaxed);
-        self.queued_tokens
-            .fetch_sub(prompt_tokens, Ordering::Relaxed);
+        self.queued_tokens.fetch_sub(prompt_tokens, Ordering::Relaxed);
         let permit = permit?;
         let held = self.cache.lock().longest_prefix(blocks);
         let cached_tokens = ((held * prefix::BLOCK_TOKENS) as u64).min(prompt_tokens);
-        Some(Admission {
-            permit,
-            cached_tokens,
-        })
+        Some(Admission { permit, cached_tokens })
     }
 
     async fn prefill(&self, tokens: u64) {
@@ -273,10 +268,7 @@
 async fn die_on_time(shared: &Shared) {
     const POLL: ntex::time::Millis = ntex::time::Millis(5);
     loop {
-        let due = shared
-            .dies_at
-            .lock()
-            .is_some_and(|at| at <= shared.clock.now());
+        let due = shared.dies_at.lock().is_some_and(|at| at <= shared.clock.now());
         if due {
             shared.dead.store(true, Ordering::Relaxed);
             event!(Info, "died", name = shared.cfg.name);
@@ -323,16 +315,8 @@
     const TIMEOUT: Millis = Millis(500);
     let url = format!("http://{entry}/announce");
     let token = Some(&shared.cfg.join_token);
-    let sent = client::send(
-        http,
-        Method::POST,
-        &url,
-        token,
-        &[],
-        Some(announcement),
-        TIMEOUT,
-    )
-    .await;
+    let sent =
+        client::send(http, Method::POST, &url, token, &[], Some(announcement), TIMEOUT).await;
     match sent {
         Ok(reply) => reply.json::<AnnounceReply>().is_ok_and(|r| r.accepted),
         Err(_) => false,
@@ -387,37 +371,18 @@
             return Failure::new(ErrorCode::BadRequest, findings.to_string()).response(&request);
         }
     };
-    let resume = body
-        .get("sill_resume")
-        .cloned()
-        .and_then(|r| serde_json::from_value::<Resume>(r).ok());
-    let run = Run::begin(
-        app.get_ref().clone(),
-        &req,
-        request,
-        summary.clone(),
-        resume,
-    )
-    .await;
-    if summary.stream {
-        run.streamed()
-    } else {
-        run.whole().await
-    }
+    let resume =
+        body.get("sill_resume").cloned().and_then(|r| serde_json::from_value::<Resume>(r).ok());
+    let run = Run::begin(app.get_ref().clone(), &req, request, summary.clone(), resume).await;
+    if summary.stream { run.streamed() } else { run.whole().await }
 }
 
 fn request_header(req: &HttpRequest, name: &str) -> Name {
-    req.headers()
-        .get(name)
-        .and_then(|v| v.to_str().ok())
-        .unwrap_or_default()
-        .into()
+    req.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().into()
 }
 
 fn attempt(req: &HttpRequest) -> u32 {
-    request_header(req, header::ATTEMPT)
-        .parse()
-        .unwrap_or_default()
+    request_header(req, header::ATTEMPT).parse().unwrap_or_default()
 }
 
 fn key(req: &HttpRequest) -> Option<Name> {
@@ -483,9 +448,7 @@
             return;
         };
         let computed = self.prompt_tokens - admission.cached_tokens;
-        self.shared
-            .ledger
-            .computed(self.id, admission.cached_tokens, computed);
+        self.shared.ledger.computed(self.id, admission.cached_tokens, computed);
         self.shared.prefill(computed).await;
         self.shared.cache.lock().insert(&blocks);
         self._slot = Some(admission.permit);
@@ -520,9 +483,7 @@
             let event = run.next_event().await?;
             Some((event, run))
         });
-        HttpResponse::Ok()
-            .content_type(header::EVENT_STREAM)
-            .streaming(Box::pin(events))
+        HttpResponse::Ok().content_type(header::EVENT_STREAM).streaming(Box::pin(events))
     }
 
     async fn next_event(&mut self) -> Option<io::Result<Bytes>> {
@@ -561,13 +522,7 @@
     }
 
     fn chunk(&self, content: Option<&str>, finish: Option<&str>) -> Value {
-        chunk(
-            &self.completion_id(),
-            self.created,
-            &self.summary.model,
-            content,
-            finish,
-        )
+        chunk(&self.completion_id(), self.created, &self.summary.model, content, finish)
     }
 
     async fn whole(mut self) -> HttpResponse {
@@ -598,11 +553,7 @@
 impl Drop for Run {
     fn drop(&mut self) {
         self.shared.running.fetch_sub(1, Ordering::Relaxed);
-        let end = if self.shared.is_dead() {
-            RunEnd::Killed
-        } else {
-            RunEnd::Cancelled
-        };
+        let end = if self.shared.is_dead() { RunEnd::Killed } else { RunEnd::Cancelled };
         self.shared.ledger.close(self.id, end);
     }
 }
--- a/daemons/control/src/api.rs
+++ b/daemons/control/src/api.rs
@@ -23,9 +23,7 @@
         web::resource("/livez").route(web::get().to(livez)),
         web::resource("/readyz").route(web::get().to(livez)),
         web::resource("/fleet").route(web::get().to(fleet)),
-        web::resource("/tree")
-            .route(web::get().to(get_root))
-            .route(web::put().to(put_root)),
+        web::resource("/tree").route(web::get().to(get_root)).route(web::put().to(put_root)),
         web::resource("/tree/{path}*")
             .route(web::get().to(get_tree))
             .route(web::put().to(put_tree)),
@@ -98,23 +96,13 @@
         Ok(document) => document,
         Err(err) => return refused(400, "invalid", &format!("not JSON: {err}")),
     };
-    let base = text(req, "if-match")
-        .and_then(|t| t.trim_matches('"').parse().ok())
-        .map(Revision);
+    let base = text(req, "if-match").and_then(|t| t.trim_matches('"').parse().ok()).map(Revision);
     let change_id = text(req, header::CHANGE_ID).map(Name::from);
-    let result = app
-        .state
-        .lock()
-        .put(path.into(), base, change_id, author, document);
+    let result = app.state.lock().put(path.into(), base, change_id, author, document);
     match result {
         Ok(reply) => {
             app.newest.send_replace(reply.revision);
-            event!(
-                Info,
-                "change_accepted",
-                path = path,
-                revision = reply.revision.0
-            );
+            event!(Info, "change_accepted", path = path, revision = reply.revision.0);
             http::json(200, &reply)
         }
         Err(refusal) => refusal_response(refusal),
@@ -165,11 +153,7 @@
     let token = authorization.strip_prefix("Bearer ")?;
     let hash = KeyHash::of(token.trim());
     let state = app.state.lock();
-    let owners = state
-        .tree()
-        .subtrees
-        .iter()
-        .filter(|(p, _)| is_at_or_above(p, path));
+    let owners = state.tree().subtrees.iter().filter(|(p, _)| is_at_or_above(p, path));
     let owned = owners.filter(|(_, subtree)| subtree.document.owner.as_ref() == Some(&hash));
     owned.map(|(p, _)| Name::from(format!("owner:{p}"))).next()
 }
--- a/daemons/control/src/cfg.rs
+++ b/daemons/control/src/cfg.rs
@@ -19,28 +19,11 @@
         Flag::one("domain", "NAME", "its failure domain"),
         Flag::one("listen", "IP:PORT", "where operators reach it"),
         Flag::one("listen-peer", "IP:PORT", "where our own processes reach it"),
-        Flag::many(
-            "voter",
-            "NAME@DOMAIN@IP:PORT",
-            "a voter and where its peers reach it",
-        ),
+        Flag::many("voter", "NAME@DOMAIN@IP:PORT", "a voter and where its peers reach it"),
         Flag::one("data", "DIR", "data folder"),
-        Flag::one(
-            "cluster-key-file",
-            "FILE",
-            "file with the key our own processes share",
-        ),
-        Flag::one(
-            "root-token-file",
-            "FILE",
-            "file with the token that owns the whole tree",
-        ),
-        Flag::with_default(
-            "log-level",
-            "LEVEL",
-            "info",
-            "error, warn, info, debug or trace",
-        ),
+        Flag::one("cluster-key-file", "FILE", "file with the key our own processes share"),
+        Flag::one("root-token-file", "FILE", "file with the token that owns the whole tree"),
+        Flag::with_default("log-level", "LEVEL", "info", "error, warn, info, debug or trace"),
     ],
 };
 
@@ -93,20 +76,10 @@
 
     fn from_str(text: &str) -> Result<Self, BadVoter> {
         let mut parts = text.splitn(3, '@');
-        let name = parts
-            .next()
-            .filter(|n| Name::is_well_formed(n))
-            .ok_or(BadVoter)?;
-        let domain = parts
-            .next()
-            .filter(|n| Name::is_well_formed(n))
-            .ok_or(BadVoter)?;
+        let name = parts.next().filter(|n| Name::is_well_formed(n)).ok_or(BadVoter)?;
+        let domain = parts.next().filter(|n| Name::is_well_formed(n)).ok_or(BadVoter)?;
         let address = parts.next().and_then(|a| a.parse().ok()).ok_or(BadVoter)?;
-        Ok(Self {
-            name: name.into(),
-            domain: domain.into(),
-            address,
-        })
+        Ok(Self { name: name.into(), domain: domain.into(), address })
     }
 }
 
--- a/daemons/control/src/cli.rs
+++ b/daemons/control/src/cli.rs
@@ -22,9 +22,7 @@
     let level = values.required("log-level");
     let cfg = ControlCfg::read(&mut values)?;
     logs::start(level.unwrap_or(log::LevelFilter::Info))?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let control = Control::start(cfg)?;
     runtime.block_on(async {
         let mut stops = Stops::listen()?;
--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -54,17 +54,11 @@
         let address = listener.local_addr()?;
         let state = State::open(&cfg.data)?;
         let (newest, _) = watch::channel(state.revision());
-        let shared = Arc::new(Shared {
-            clock: Clock::start(),
-            state: Mutex::new(state),
-            newest,
-            cfg,
-        });
+        let shared =
+            Arc::new(Shared { clock: Clock::start(), state: Mutex::new(state), newest, cfg });
 
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(1)
-            .enable_all()
-            .build()?;
+        let runtime =
+            tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
         let mut peers = PeerServerBuilder::new(shared.cfg.cluster_key.clone());
         let feeding = shared.clone();
         peers.answer(move |poll| feed::poll(feeding.clone(), poll));
@@ -95,13 +89,7 @@
             address = address,
             peer_address = peer_address
         );
-        Ok(Self {
-            address,
-            peer_address,
-            server,
-            peers,
-            runtime,
-        })
+        Ok(Self { address, peer_address, server, peers, runtime })
     }
 
     /// Stops it; what was acknowledged lies synced on disk.
--- a/daemons/control/src/state.rs
+++ b/daemons/control/src/state.rs
@@ -61,11 +61,7 @@
     pub fn open(folder: &Path) -> io::Result<Self> {
         std::fs::create_dir_all(folder)?;
         let path = folder.join("changes.jsonl");
-        let log = OpenOptions::new()
-            .create(true)
-            .append(true)
-            .read(true)
-            .open(&path)?;
+        let log = OpenOptions::new().create(true).append(true).read(true).open(&path)?;
         File::open(folder)?.sync_all()?;
         let mut state = Self {
             tree: Tree::default(),
@@ -109,18 +105,10 @@
         let current_revision = Revision(current.map_or(0, |s| s.revision));
         if base.is_some_and(|base| base != current_revision) {
             let author = current.map(|s| s.author.clone()).unwrap_or_default();
-            return Err(Refusal::Conflict {
-                revision: current_revision,
-                author,
-            });
+            return Err(Refusal::Conflict { revision: current_revision, author });
         }
         let revision = Revision(self.tree.revision + 1);
-        let change = Change {
-            revision,
-            path,
-            author,
-            document: Some(document),
-        };
+        let change = Change { revision, path, author, document: Some(document) };
         let stored = StoredChange { change, change_id };
         let mut line = serde_json::to_vec(&stored).map_err(|err| Refusal::Storage(err.into()))?;
         line.push(b'\n');
@@ -136,14 +124,9 @@
         let document = change.document.clone().unwrap_or_default();
         let typed = serde_json::from_value(document)
             .map_err(|err| Findings::one(path.as_str(), err.to_string()))?;
-        self.tree
-            .put(path.clone(), revision.0, change.author.clone(), typed);
+        self.tree.put(path.clone(), revision.0, change.author.clone(), typed);
         self.changes.push(change);
-        let reply = ChangeReply {
-            revision,
-            path,
-            in_force: false,
-        };
+        let reply = ChangeReply { revision, path, in_force: false };
         if let Some(id) = stored.change_id {
             self.by_change_id.insert(id, reply.clone());
         }
@@ -157,23 +140,11 @@
 
     /// Notes what an entry instance runs, and returns what is newer.
     pub fn feed(&mut self, now: Millis, poll: &FeedPoll) -> FeedReply {
-        let heard = Heard {
-            domain: poll.domain.clone(),
-            revision: poll.have,
-            at: now,
-        };
+        let heard = Heard { domain: poll.domain.clone(), revision: poll.have, at: now };
         self.running.insert(poll.entry.clone(), heard);
-        let newer: Vec<Change> = self
-            .changes
-            .iter()
-            .filter(|c| c.revision > poll.have)
-            .cloned()
-            .collect();
-        if newer.is_empty() {
-            FeedReply::Current
-        } else {
-            FeedReply::Changes { changes: newer }
-        }
+        let newer: Vec<Change> =
+            self.changes.iter().filter(|c| c.revision > poll.have).cloned().collect();
+        if newer.is_empty() { FeedReply::Current } else { FeedReply::Changes { changes: newer } }
     }
 
     /// Returns what is known of entry instances.
--- a/daemons/entry/src/cli.rs
+++ b/daemons/entry/src/cli.rs
@@ -23,9 +23,7 @@
     let level = values.required("log-level");
     let cfg = EntryCfg::read(&mut values)?;
     logs::start(level.unwrap_or(log::LevelFilter::Info))?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let entry = Entry::start(cfg)?;
     runtime.block_on(async {
         let mut stops = Stops::listen()?;
--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -13,9 +13,10 @@
 use sill_wire::Incarnation;
 use tokio::runtime::Runtime;
 
-use crate::announce::Endpoints;
 use crate::cfg::EntryCfg;
+use crate::limits::Limits;
 use crate::metrics::Metrics;
+use crate::routing::Routing;
 use crate::settings::Settings;
 use crate::{api, feed};
 
@@ -33,8 +34,10 @@
     pub incarnation: Incarnation,
     /// The settings in force.
     pub settings: Settings,
-    /// Endpoints that were heard of.
-    pub endpoints: Endpoints,
+    /// Endpoints, and the choice among them.
+    pub routing: Routing,
+    /// Limits of client accounts.
+    pub limits: Limits,
     /// Its counters.
     pub metrics: Metrics,
     /// Whether a planned stop has begun.
@@ -82,17 +85,16 @@
             clock: Clock::start(),
             incarnation: Incarnation(Millis::wall().0),
             settings: Settings::default(),
-            endpoints: Endpoints::default(),
+            routing: Routing::new(&cfg),
+            limits: Limits::new(&cfg),
             metrics: Metrics::new(),
             stopping: AtomicBool::new(false),
             next_request: AtomicU64::new(1),
             cfg,
         });
 
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(1)
-            .enable_all()
-            .build()?;
+        let runtime =
+            tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
         let peers = PeerServerBuilder::new(shared.cfg.cluster_key.clone());
         let peers = {
             let _guard = runtime.enter();
@@ -109,14 +111,7 @@
             address = address,
             peer_address = peer_address
         );
-        Ok(Self {
-            address,
-            peer_address,
-            shared,
-            server,
-            peers,
-            runtime,
-        })
+        Ok(Self { address, peer_address, shared, server, peers, runtime })
     }
 
     /// Returns whether a request would be served.
@@ -135,12 +130,7 @@
         while shared.metrics.in_flight.get() > 0 && shared.clock.now() < end {
             tokio::time::sleep(POLL.into()).await;
         }
-        event!(
-            Info,
-            "stop_ended",
-            name = shared.cfg.name,
-            cut = shared.metrics.in_flight.get()
-        );
+        event!(Info, "stop_ended", name = shared.cfg.name, cut = shared.metrics.in_flight.get());
         self.server.stop(true).await;
         self.peers.stop();
         // Dropping it would block, which a caller inside another runtime may not do.
--- a/daemons/entry/src/feed.rs
+++ b/daemons/entry/src/feed.rs
@@ -41,12 +41,7 @@
                 }
             }
             Err(err) => {
-                event!(
-                    Debug,
-                    "control_unreachable",
-                    address = client.address(),
-                    error = err
-                );
+                event!(Debug, "control_unreachable", address = client.address(), error = err);
                 turn += 1;
                 tokio::time::sleep(RETRY.into()).await;
             }
--- a/daemons/entry/src/lib.rs
+++ b/daemons/entry/src/lib.rs
@@ -2,11 +2,14 @@
 
 pub mod announce;
 pub mod api;
+pub mod ask;
 pub mod cfg;
 pub mod cli;
 pub mod daemon;
 pub mod feed;
+pub mod limits;
 pub mod metrics;
+pub mod routing;
 pub mod settings;
 pub mod upstream;
 
--- a/daemons/entry/src/metrics.rs
+++ b/daemons/entry/src/metrics.rs
@@ -26,9 +26,7 @@
         let registry = Registry::new();
         let counter = |name: &str, help: &str| {
             let counter = IntCounter::new(name, help).expect("a valid metric name");
-            registry
-                .register(Box::new(counter.clone()))
-                .expect("metric names differ");
+            registry.register(Box::new(counter.clone())).expect("metric names differ");
             counter
         };
         let accepted = counter("sill_requests_accepted_total", "Requests accepted");
@@ -36,16 +34,8 @@
         let refused = counter("sill_requests_refused_total", "Requests refused");
         let in_flight =
             IntGauge::new("sill_requests_in_flight", "Requests in flight").expect("a valid name");
-        registry
-            .register(Box::new(in_flight.clone()))
-            .expect("metric names differ");
-        Self {
-            registry,
-            accepted,
-            answered,
-            refused,
-            in_flight,
-        }
+        registry.register(Box::new(in_flight.clone())).expect("metric names differ");
+        Self { registry, accepted, answered, refused, in_flight }
     }
 
     /// Returns all metrics as text.
--- /dev/null
+++ b/daemons/entry/src/routing.rs
@@ -0,0 +1,82 @@
+//! Routers of the entry instance, a shard for each model or service under its own lock.
+
+use std::hash::{Hash, Hasher};
+
+use parking_lot::Mutex;
+use rustc_hash::FxHasher;
+use sill_base::{Machine, Millis, Name};
+use sill_route::{Ask, Choice, Event, Router, RouterCfg, Target};
+use sill_wire::Served;
+
+use crate::cfg::EntryCfg;
+
+const SHARDS: usize = 8;
+
+/// Routers by target.
+#[derive(Debug)]
+pub struct Routing {
+    shards: Vec<Mutex<Router>>,
+}
+
+impl Routing {
+    /// Makes routers that know no endpoint.
+    pub fn new(cfg: &EntryCfg) -> Self {
+        let router =
+            |shard| Router::new(RouterCfg { domain: cfg.domain.clone(), seed: shard as u64 });
+        Self { shards: (0..SHARDS).map(|shard| Mutex::new(router(shard))).collect() }
+    }
+
+    /// Chooses an endpoint and counts the request as sent there, under one lock, so that two
+    /// requests can't both take the last slot.
+    pub fn choose(&self, now: Millis, ask: &Ask) -> Choice {
+        let mut router = self.shard(&ask.target).lock();
+        let choice = router.choose(now, ask);
+        if let Choice::Endpoint(chosen) = &choice {
+            let sent = Event::Sent { endpoint: chosen.endpoint.clone(), ask: ask.clone() };
+            router.step(now, sent, &mut Vec::new());
+        }
+        choice
+    }
+
+    /// Passes on what concerns one target.
+    pub fn hear_about(&self, now: Millis, target: &Target, event: Event) {
+        self.shard(target).lock().step(now, event, &mut Vec::new());
+    }
+
+    /// Passes on what concerns an endpoint with all that it serves.
+    pub fn hear(&self, now: Millis, event: Event) {
+        let Event::Announced { announcement, .. } = &event else {
+            for shard in &self.shards {
+                shard.lock().step(now, event.clone(), &mut Vec::new());
+            }
+            return;
+        };
+        let mut shards: Vec<usize> =
+            announcement.serves.iter().map(|s| index(&target(s))).collect();
+        shards.sort_unstable();
+        shards.dedup();
+        for shard in shards {
+            self.shards[shard].lock().step(now, event.clone(), &mut Vec::new());
+        }
+    }
+
+    fn shard(&self, target: &Target) -> &Mutex<Router> {
+        &self.shards[index(target)]
+    }
+}
+
+fn target(served: &Served) -> Target {
+    match served {
+        Served::Model { model, .. } => Target::Model(model.clone()),
+        Served::Service { service } => Target::Service(service.clone()),
+    }
+}
+
+fn index(target: &Target) -> usize {
+    let mut hasher = FxHasher::default();
+    let name: &Name = match target {
+        Target::Model(name) | Target::Service(name) => name,
+    };
+    name.hash(&mut hasher);
+    hasher.finish() as usize % SHARDS
+}
--- a/daemons/entry/src/upstream.rs
+++ b/daemons/entry/src/upstream.rs
@@ -4,41 +4,46 @@
 
 use futures_util::StreamExt;
 use ntex::client::{Client, ClientResponse};
-use ntex::util::Bytes;
-use ntex::web::{HttpRequest, HttpResponse};
-use prometheus::IntGauge;
-use serde_json::Value;
-use sill_base::Name;
+use ntex::web::HttpResponse;
+use sill_base::{Millis, Name};
 use sill_net::http::Failure;
-use sill_wire::chat::ChatSummary;
-use sill_wire::{Announcement, ErrorCode, header};
+use sill_route::{Ask, Choice, Chosen, Event, Outcome, Target};
+use sill_wire::{ErrorCode, header, prefix};
 
-use crate::api::PlainPath;
+use crate::ask::{ChatAsk, PlainAsk};
 use crate::daemon::Shared;
 
-/// A checked request for a model's answer.
-#[derive(Debug, Clone)]
-pub struct Ask {
-    /// What the system needs to know of it.
-    pub summary: ChatSummary,
-    /// The body as the caller sent it.
-    pub body: Value,
-}
-
 /// Counts a request as in flight until dropped.
-struct InFlight(IntGauge);
+struct InFlight {
+    app: Arc<Shared>,
+    target: Target,
+    endpoint: Name,
+    request: Name,
+}
 
 impl InFlight {
-    fn begin(app: &Shared) -> Self {
+    fn begin(app: &Arc<Shared>, ask: &Ask, chosen: &Chosen) -> Self {
         app.metrics.accepted.inc();
         app.metrics.in_flight.inc();
-        Self(app.metrics.in_flight.clone())
+        Self {
+            app: app.clone(),
+            target: ask.target.clone(),
+            endpoint: chosen.endpoint.clone(),
+            request: ask.request.clone(),
+        }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.dec();
+        self.app.metrics.in_flight.dec();
+        let ended = Event::Ended {
+            endpoint: self.endpoint.clone(),
+            request: self.request.clone(),
+            tokens: 0,
+            outcome: Outcome::Finished,
+        };
+        self.app.routing.hear_about(self.app.clock.now(), &self.target, ended);
     }
 }
 
@@ -51,18 +56,24 @@
     app: &Arc<Shared>,
     client: &Client,
     id: &Name,
-    ask: Ask,
+    ask: ChatAsk,
 ) -> Result<HttpResponse, Failure> {
-    let endpoint = choose(app, |a| a.has_model(&ask.summary.model))?;
-    let in_flight = InFlight::begin(app);
-    let url = format!("http://{}/v1/chat/completions", endpoint.address);
-    let sent = client
-        .post(url)
-        .set_header(header::REQUEST_ID, id.as_str())
-        .send_json(&ask.body);
-    let res = sent
-        .await
-        .map_err(|err| Failure::new(ErrorCode::UpstreamFailed, err.to_string()))?;
+    let blocks = prefix::blocks(&ask.summary.model, &ask.summary.prompt);
+    let routed = Ask {
+        request: id.clone(),
+        target: Target::Model(ask.summary.model.clone()),
+        blocks: blocks.into(),
+        prompt_tokens: prefix::tokens(&ask.summary.prompt),
+        max_tokens: ask.summary.max_tokens,
+        priority: ask.common.priority,
+        deadline: ask.common.deadline.map_or(Millis::MAX, |span| app.clock.now() + span),
+        exclude: Vec::new(),
+    };
+    let chosen = choose(app, &routed)?;
+    let in_flight = InFlight::begin(app, &routed, &chosen);
+    let url = format!("http://{}{}", chosen.address, ask.path);
+    let sent = client.post(url).set_header(header::REQUEST_ID, id.as_str()).send_json(&ask.body);
+    let res = sent.await.map_err(|err| Failure::new(ErrorCode::UpstreamFailed, err.to_string()))?;
     Ok(pass_on(app, id, res, in_flight))
 }
 
@@ -75,52 +86,41 @@
     app: &Arc<Shared>,
     client: &Client,
     id: &Name,
-    req: &HttpRequest,
-    path: &PlainPath,
-    body: Bytes,
+    ask: PlainAsk,
 ) -> Result<HttpResponse, Failure> {
-    let endpoint = choose(app, |a| a.has_service(&path.service))?;
-    let in_flight = InFlight::begin(app);
-    let query = if req.query_string().is_empty() {
-        ""
-    } else {
-        "?"
+    let routed = Ask {
+        request: id.clone(),
+        target: Target::Service(ask.service.clone()),
+        blocks: Arc::from([]),
+        prompt_tokens: 0,
+        max_tokens: 0,
+        priority: ask.common.priority,
+        deadline: ask.common.deadline.map_or(Millis::MAX, |span| app.clock.now() + span),
+        exclude: Vec::new(),
     };
-    let rest = path.path.trim_start_matches('/');
-    let url = format!(
-        "http://{}/{rest}{query}{}",
-        endpoint.address,
-        req.query_string()
-    );
-    let mut out = client
-        .request(req.method().clone(), url)
-        .set_header(header::REQUEST_ID, id.as_str());
-    if let Some(kind) = req.headers().get("content-type") {
-        out = out.set_header("content-type", kind.clone());
+    let chosen = choose(app, &routed)?;
+    let in_flight = InFlight::begin(app, &routed, &chosen);
+    let url = format!("http://{}{}", chosen.address, ask.path);
+    let mut out = client.request(ask.method, url).set_header(header::REQUEST_ID, id.as_str());
+    if let Some(kind) = ask.content_type {
+        out = out.set_header("content-type", kind);
     }
     let res = out
-        .send_body(body)
+        .send_body(ask.body)
         .await
         .map_err(|err| Failure::new(ErrorCode::UpstreamFailed, err.to_string()))?;
     Ok(pass_on(app, id, res, in_flight))
 }
 
-fn choose<F>(app: &Shared, serves: F) -> Result<Announcement, Failure>
-where
-    F: Fn(&Announcement) -> bool,
-{
-    let ready = app.endpoints.ready(app.clock.now(), serves);
-    ready
-        .into_iter()
-        .min_by_key(|a| (a.load.running + a.load.queued, a.name.clone()))
-        .ok_or_else(|| Failure {
+fn choose(app: &Shared, ask: &Ask) -> Result<Chosen, Failure> {
+    match app.routing.choose(app.clock.now(), ask) {
+        Choice::Endpoint(chosen) => Ok(chosen),
+        Choice::Refuse(refusal) => Err(Failure {
             not_run: true,
-            retry_after: Some(1),
-            ..Failure::new(
-                ErrorCode::NoCapacity,
-                "no endpoint can take the request now",
-            )
-        })
+            retry_after: Some(refusal.retry_after.0.div_ceil(1000) as u32),
+            ..Failure::new(ErrorCode::NoCapacity, "no endpoint can take the request now")
+        }),
+    }
 }
 
 fn pass_on(app: &Arc<Shared>, id: &Name, res: ClientResponse, in_flight: InFlight) -> HttpResponse {
--- a/daemons/setup/src/flags.rs
+++ b/daemons/setup/src/flags.rs
@@ -67,12 +67,7 @@
 impl Flag {
     /// Makes a flag with one value that has no default.
     pub const fn one(name: &'static str, hint: &'static str, help: &'static str) -> Self {
-        Self {
-            name,
-            kind: Kind::One(None),
-            hint,
-            help,
-        }
+        Self { name, kind: Kind::One(None), hint, help }
     }
 
     /// Makes a flag with one value and a default.
@@ -82,32 +77,17 @@
         default: &'static str,
         help: &'static str,
     ) -> Self {
-        Self {
-            name,
-            kind: Kind::One(Some(default)),
-            hint,
-            help,
-        }
+        Self { name, kind: Kind::One(Some(default)), hint, help }
     }
 
     /// Makes a flag that may stand more than once.
     pub const fn many(name: &'static str, hint: &'static str, help: &'static str) -> Self {
-        Self {
-            name,
-            kind: Kind::Many,
-            hint,
-            help,
-        }
+        Self { name, kind: Kind::Many, hint, help }
     }
 
     /// Makes a flag without a value.
     pub const fn switch(name: &'static str, help: &'static str) -> Self {
-        Self {
-            name,
-            kind: Kind::Switch,
-            hint: "",
-            help,
-        }
+        Self { name, kind: Kind::Switch, hint: "", help }
     }
 
     /// Returns the flag's environment variable.
@@ -135,19 +115,13 @@
                 Kind::Switch => options.optflag("", flag.name, flag.help),
             };
         }
-        let matches = options
-            .parse(words)
-            .map_err(|err| Findings::one("command line", err.to_string()))?;
+        let matches =
+            options.parse(words).map_err(|err| Findings::one("command line", err.to_string()))?;
         if matches.opt_present("help") {
             return Ok(Outcome::Help(self.help()));
         }
         let operands = matches.free.clone();
-        Ok(Outcome::Values(Values {
-            program: *self,
-            matches,
-            findings: Findings::new(),
-            operands,
-        }))
+        Ok(Outcome::Values(Values { program: *self, matches, findings: Findings::new(), operands }))
     }
 
     /// Returns the text of `--help`.
@@ -158,21 +132,12 @@
         );
         text.push_str("\nFlags, each with its environment variable:\n");
         for flag in self.flags {
-            let repeat = if flag.kind == Kind::Many {
-                " (may be repeated)"
-            } else {
-                ""
-            };
+            let repeat = if flag.kind == Kind::Many { " (may be repeated)" } else { "" };
             let default = match flag.kind {
                 Kind::One(Some(default)) => format!(" [default: {default}]"),
                 _ => String::new(),
             };
-            text.push_str(&format!(
-                "  --{} {}  ({})\n",
-                flag.name,
-                flag.hint,
-                flag.variable()
-            ));
+            text.push_str(&format!("  --{} {}  ({})\n", flag.name, flag.hint, flag.variable()));
             text.push_str(&format!("        {}{repeat}{default}\n", flag.help));
         }
         text
@@ -217,17 +182,10 @@
         let mut texts = self.matches.opt_strs(name);
         if texts.is_empty() {
             let listed = env::var(self.flag(name).variable()).unwrap_or_default();
-            texts = listed
-                .split(',')
-                .filter(|t| !t.is_empty())
-                .map(str::to_owned)
-                .collect();
+            texts = listed.split(',').filter(|t| !t.is_empty()).map(str::to_owned).collect();
         }
         let place = self.place(name);
-        texts
-            .iter()
-            .filter_map(|text| self.parse(&place, text))
-            .collect()
+        texts.iter().filter_map(|text| self.parse(&place, text)).collect()
     }
 
     /// Returns whether a switch is on.
@@ -249,10 +207,7 @@
             return Some(text.into());
         }
         let place = self.place(name);
-        self.findings.add(
-            place,
-            format!("{text:?}: expected 1 to 64 of letters, digits, `-_.`"),
-        );
+        self.findings.add(place, format!("{text:?}: expected 1 to 64 of letters, digits, `-_.`"));
         None
     }
 
@@ -263,8 +218,7 @@
         match fs::read_to_string(&path) {
             Ok(text) if !text.trim().is_empty() => Some(Secret::new(text.trim())),
             Ok(_) => {
-                self.findings
-                    .add(place, format!("{path}: the file is empty"));
+                self.findings.add(place, format!("{path}: the file is empty"));
                 None
             }
             Err(err) => {
@@ -300,10 +254,7 @@
 
     fn one(&self, name: &str) -> Option<(String, String)> {
         let flag = self.flag(name);
-        let given = self
-            .matches
-            .opt_str(name)
-            .or_else(|| env::var(flag.variable()).ok());
+        let given = self.matches.opt_str(name).or_else(|| env::var(flag.variable()).ok());
         let text = match flag.kind {
             Kind::One(default) => given.or(default.map(str::to_owned)),
             _ => given,
--- a/daemons/sill/src/operator.rs
+++ b/daemons/sill/src/operator.rs
@@ -39,10 +39,7 @@
             values.finding("control", "missing");
         }
         values.finish()?;
-        Ok(Self {
-            controls,
-            token: token.expect("present once the check succeeded"),
-        })
+        Ok(Self { controls, token: token.expect("present once the check succeeded") })
     }
 
     /// Calls the first control instance that can be reached.
--- a/daemons/sill/src/verbs/apply.rs
+++ b/daemons/sill/src/verbs/apply.rs
@@ -19,16 +19,8 @@
     flags: &[
         CONTROL_FLAG,
         TOKEN_FLAG,
-        Flag::one(
-            "if-match",
-            "REVISION",
-            "apply only if the subtree is at this revision",
-        ),
-        Flag::one(
-            "change-id",
-            "ID",
-            "name of the change, the same when it is sent again",
-        ),
+        Flag::one("if-match", "REVISION", "apply only if the subtree is at this revision"),
+        Flag::one("change-id", "ID", "name of the change, the same when it is sent again"),
     ],
 };
 
@@ -49,21 +41,13 @@
     let document: Value = serde_json::from_str(&text).wrap_err_with(|| file.clone())?;
     let mut headers = Vec::new();
     if let Some(revision) = revision {
-        headers.push(Header {
-            name: "if-match".into(),
-            value: revision.to_string(),
-        });
+        headers.push(Header { name: "if-match".into(), value: revision.to_string() });
     }
     if let Some(id) = change_id {
-        headers.push(Header {
-            name: header::CHANGE_ID.into(),
-            value: id,
-        });
+        headers.push(Header { name: header::CHANGE_ID.into(), value: id });
     }
     let url = format!("/tree/{path}");
-    let reply = operator
-        .call(Method::PUT, &url, &headers, Some(&document))
-        .await?;
+    let reply = operator.call(Method::PUT, &url, &headers, Some(&document)).await?;
     let text = String::from_utf8_lossy(&reply.body).into_owned();
     if !reply.is_ok() {
         bail!("{text}");
--- a/daemons/sill/src/verbs/get.rs
+++ b/daemons/sill/src/verbs/get.rs
@@ -22,9 +22,7 @@
 pub async fn run(mut values: Values) -> Result<()> {
     let path = values.operands.first().cloned().unwrap_or_default();
     let operator = Operator::read(&mut values)?;
-    let reply = operator
-        .call(Method::GET, &format!("/tree/{path}"), &[], None)
-        .await?;
+    let reply = operator.call(Method::GET, &format!("/tree/{path}"), &[], None).await?;
     let text = String::from_utf8_lossy(&reply.body).into_owned();
     if !reply.is_ok() {
         bail!("{text}");
--- a/daemons/sill/tests/system/harness.rs
+++ b/daemons/sill/tests/system/harness.rs
@@ -92,33 +92,21 @@
         .stderr(Stdio::piped())
         .spawn()
         .expect("sill can be started");
-    child
-        .stdin
-        .take()
-        .expect("a pipe")
-        .write_all(input.as_bytes())
-        .expect("sill reads its input");
+    child.stdin.take().expect("a pipe").write_all(input.as_bytes()).expect("sill reads its input");
     child.wait_with_output().expect("sill ends")
 }
 
 /// Returns the hash of a key as `sill hash` prints it.
 pub fn hash(key: &str) -> String {
     let output = sill(&["hash"], &format!("{key}\n"));
-    String::from_utf8(output.stdout)
-        .expect("text")
-        .trim()
-        .to_owned()
+    String::from_utf8(output.stdout).expect("text").trim().to_owned()
 }
 
 /// Returns free addresses. They are bound all at once, so that they differ.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
-        .collect();
-    listeners
-        .iter()
-        .map(|l| l.local_addr().expect("its address"))
-        .collect()
+    let listeners: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
+    listeners.iter().map(|l| l.local_addr().expect("its address")).collect()
 }
 
 /// Waits until a condition holds.
@@ -167,11 +155,8 @@
     let (head, body) = text.split_once("\r\n\r\n")?;
     let status = head.split(' ').nth(1)?.parse().ok()?;
     let head = head.to_lowercase();
-    let body = if head.contains("transfer-encoding: chunked") {
-        unchunk(body)?
-    } else {
-        body.to_owned()
-    };
+    let body =
+        if head.contains("transfer-encoding: chunked") { unchunk(body)? } else { body.to_owned() };
     Some(Answer { status, head, body })
 }
 
--- a/daemons/sill/tests/system/thin_path.rs
+++ b/daemons/sill/tests/system/thin_path.rs
@@ -6,9 +6,7 @@
 fn a_settings_change_makes_a_request_served_and_another_one_stops_it() {
     let folder = Folder::new("thin");
     let free = free_addresses(4);
-    let [operators, control, callers, _] = free[..] else {
-        unreachable!()
-    };
+    let [operators, control, callers, _] = free[..] else { unreachable!() };
     let addresses = free.iter().map(ToString::to_string).collect::<Vec<_>>();
     let (cluster_key, join_token) = (folder.file("cluster-key"), folder.file("join-token"));
     let root_token = folder.file("root-token");
@@ -74,14 +72,9 @@
         ],
     );
 
-    wait_until("the entry answers", || {
-        http(callers, "GET", "/livez", &[], "").is_some()
-    });
+    wait_until("the entry answers", || http(callers, "GET", "/livez", &[], "").is_some());
     let ready = http(callers, "GET", "/readyz", &[], "").expect("an answer");
-    assert_eq!(
-        ready.status, 503,
-        "an entry without settings must not be ready"
-    );
+    assert_eq!(ready.status, 503, "an entry without settings must not be ready");
 
     let key = hash(CALLER_KEY);
     let document = format!(
@@ -90,37 +83,22 @@
     let file = folder.write("ga.json", &document);
     let apply = |file: &str| {
         let operators = operators.to_string();
-        let words = [
-            "apply",
-            "--control",
-            &operators,
-            "--token-file",
-            &root_token,
-            "ga",
-            file,
-        ];
+        let words = ["apply", "--control", &operators, "--token-file", &root_token, "ga", file];
         sill(&words, "")
     };
     wait_until("the change is accepted", || apply(&file).status.success());
 
     let body = r#"{"model":"desk-7b","max_tokens":5,"messages":[{"role":"user","content":"hi"}]}"#;
     let ask = || call(callers, "/v1/chat/completions", &[], body);
-    wait_until("the request is served", || {
-        ask().is_some_and(|a| a.status == 200)
-    });
+    wait_until("the request is served", || ask().is_some_and(|a| a.status == 200));
     let whole = ask().expect("an answer");
     assert!(whole.head.contains("sill-request-id: "), "{whole:?}");
     assert!(whole.body.contains("\"completion_tokens\":5"), "{whole:?}");
     let streamed = body.replacen('{', r#"{"stream":true,"#, 1);
     let streamed = call(callers, "/v1/chat/completions", &[], &streamed).expect("an answer");
-    assert!(
-        streamed.body.trim_end().ends_with("data: [DONE]"),
-        "{streamed:?}"
-    );
+    assert!(streamed.body.trim_end().ends_with("data: [DONE]"), "{streamed:?}");
 
     let file = folder.write("none.json", "{}");
     assert!(apply(&file).status.success());
-    wait_until("the key is unknown again", || {
-        ask().is_some_and(|a| a.status == 401)
-    });
+    wait_until("the key is unknown again", || ask().is_some_and(|a| a.status == 401));
 }
--- a/protocol/wire/src/chat.rs
+++ b/protocol/wire/src/chat.rs
@@ -60,9 +60,7 @@
         };
         let stream = read_bool(fields.get("stream"), "stream", &mut findings);
         let include_usage = read_bool(
-            fields
-                .get("stream_options")
-                .and_then(|o| o.get("include_usage")),
+            fields.get("stream_options").and_then(|o| o.get("include_usage")),
             "stream_options.include_usage",
             &mut findings,
         );
@@ -79,13 +77,7 @@
                 String::new()
             }
         };
-        findings.into_result(Self {
-            model,
-            stream,
-            include_usage,
-            max_tokens,
-            prompt,
-        })
+        findings.into_result(Self { model, stream, include_usage, max_tokens, prompt })
     }
 }
 
@@ -108,10 +100,7 @@
         match value.as_u64() {
             Some(n) if (1..=u64::from(MAX_MAX_TOKENS)).contains(&n) => return n as u32,
             _ => {
-                findings.add(
-                    place,
-                    format!("expected a whole number from 1 to {MAX_MAX_TOKENS}"),
-                );
+                findings.add(place, format!("expected a whole number from 1 to {MAX_MAX_TOKENS}"));
                 return 1;
             }
         }
@@ -136,10 +125,7 @@
             Some(Value::String(text)) => prompt.push_str(text),
             Some(Value::Array(parts)) => read_parts(parts, i, &mut prompt, findings),
             Some(Value::Null) => {}
-            _ => findings.add(
-                format!("messages[{i}].content"),
-                "expected a string or a list",
-            ),
+            _ => findings.add(format!("messages[{i}].content"), "expected a string or a list"),
         }
         prompt.push('\n');
     }
@@ -150,10 +136,9 @@
     for (i, part) in parts.iter().enumerate() {
         match part.get("text").and_then(Value::as_str) {
             Some(text) => prompt.push_str(text),
-            None => findings.add(
-                format!("messages[{message}].content[{i}].text"),
-                "expected a string",
-            ),
+            None => {
+                findings.add(format!("messages[{message}].content[{i}].text"), "expected a string")
+            }
         }
     }
 }
--- a/state/base/src/clock.rs
+++ b/state/base/src/clock.rs
@@ -46,9 +46,7 @@
 
     /// Returns the wall-clock time since the Unix epoch, for people and audit records only.
     pub fn wall() -> Self {
-        let since_epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Self(since_epoch.as_millis() as u64)
     }
 }
@@ -98,9 +96,7 @@
 impl Clock {
     /// Starts a clock that reads zero now.
     pub fn start() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: Instant::now() }
     }
 
     /// Returns the time since the clock was started.
--- a/state/base/src/findings.rs
+++ b/state/base/src/findings.rs
@@ -42,10 +42,7 @@
         P: Into<String>,
         R: Into<String>,
     {
-        self.0.push(Finding {
-            place: place.into(),
-            reason: reason.into(),
-        });
+        self.0.push(Finding { place: place.into(), reason: reason.into() });
     }
 
     /// Adds all findings of another list.
@@ -74,11 +71,7 @@
     ///
     /// Returns the list itself when it holds any finding.
     pub fn into_result<T>(self, value: T) -> Result<T, Findings> {
-        if self.is_empty() {
-            Ok(value)
-        } else {
-            Err(self)
-        }
+        if self.is_empty() { Ok(value) } else { Err(self) }
     }
 }
 
--- a/state/base/src/name.rs
+++ b/state/base/src/name.rs
@@ -28,13 +28,8 @@
     /// Returns whether the text is fit for a name that people choose: 1 to 64 characters out of
     /// letters, digits, `-`, `_`, `.`, starting with a letter or digit.
     pub fn is_well_formed(text: &str) -> bool {
-        let first_ok = text
-            .chars()
-            .next()
-            .is_some_and(|c| c.is_ascii_alphanumeric());
-        let rest_ok = text
-            .chars()
-            .all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c));
+        let first_ok = text.chars().next().is_some_and(|c| c.is_ascii_alphanumeric());
+        let rest_ok = text.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c));
         first_ok && rest_ok && text.len() <= 64
     }
 }
--- a/state/base/src/secret.rs
+++ b/state/base/src/secret.rs
@@ -27,9 +27,7 @@
 
     /// Returns whether an `Authorization` header carries this secret as a bearer token.
     pub fn is_bearer(&self, header: &str) -> bool {
-        header
-            .strip_prefix("Bearer ")
-            .is_some_and(|token| self.matches(token.trim()))
+        header.strip_prefix("Bearer ").is_some_and(|token| self.matches(token.trim()))
     }
 }
 
--- a/state/tree/src/effective.rs
+++ b/state/tree/src/effective.rs
@@ -53,10 +53,7 @@
 impl Effective {
     /// Works out the settings in force.
     pub fn of(tree: &Tree) -> Self {
-        let mut effective = Self {
-            revision: tree.revision,
-            ..Self::default()
-        };
+        let mut effective = Self { revision: tree.revision, ..Self::default() };
         for (path, subtree) in &tree.subtrees {
             let inherited = Inherited::at(tree, path);
             for (name, service) in &subtree.document.services {
@@ -76,11 +73,8 @@
                 effective.services.insert(name.clone(), Arc::new(service));
             }
             for (name, account) in &subtree.document.accounts {
-                let full = if path.is_empty() {
-                    name.clone()
-                } else {
-                    format!("{path}/{name}").into()
-                };
+                let full =
+                    if path.is_empty() { name.clone() } else { format!("{path}/{name}").into() };
                 let account = Arc::new(EffectiveAccount {
                     name: full,
                     path: path.clone(),
@@ -106,9 +100,7 @@
 /// Returns whether `upper` is `lower` or one of the paths above it.
 pub fn is_at_or_above(upper: &str, lower: &str) -> bool {
     upper.is_empty()
-        || lower
-            .strip_prefix(upper)
-            .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+        || lower.strip_prefix(upper).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
 
 /// What a subtree gets from itself and those above it, the nearest first.
@@ -124,11 +116,7 @@
     fn at(tree: &Tree, path: &str) -> Self {
         let mut inherited = Self::default();
         let mut has_placement = false;
-        let above = tree
-            .subtrees
-            .iter()
-            .rev()
-            .filter(|(p, _)| is_at_or_above(p, path));
+        let above = tree.subtrees.iter().rev().filter(|(p, _)| is_at_or_above(p, path));
         for (_, subtree) in above {
             let document = &subtree.document;
             inherited.latency = inherited.latency.or(document.latency);
--- a/state/tree/src/tree.rs
+++ b/state/tree/src/tree.rs
@@ -49,14 +49,7 @@
     /// Puts a checked document in place as `revision`.
     pub fn put(&mut self, path: Name, revision: u64, author: Name, document: Document) {
         self.revision = revision;
-        self.subtrees.insert(
-            path,
-            Subtree {
-                revision,
-                author,
-                document,
-            },
-        );
+        self.subtrees.insert(path, Subtree { revision, author, document });
     }
 
     /// Removes a subtree as `revision`.
--- a/transport/net/src/client.rs
+++ b/transport/net/src/client.rs
@@ -37,10 +37,7 @@
 impl Reply {
     /// Returns the value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers
-            .iter()
-            .find(|h| h.name == name)
-            .map(|h| h.value.as_str())
+        self.headers.iter().find(|h| h.name == name).map(|h| h.value.as_str())
     }
 
     /// Reads the body as JSON.
@@ -115,11 +112,7 @@
         });
         let headers = headers.collect();
         let body = res.body().await.map_err(|err| eyre!("{url}: {err}"))?;
-        Ok(Reply {
-            status,
-            headers,
-            body: body.to_vec(),
-        })
+        Ok(Reply { status, headers, body: body.to_vec() })
     };
     let limit = NtexMillis(Duration::from(timeout).as_millis() as u32);
     ntex::time::timeout(limit, exchange)
--- a/transport/net/src/peer.rs
+++ b/transport/net/src/peer.rs
@@ -58,10 +58,7 @@
 impl PeerServerBuilder {
     /// Starts with no methods.
     pub fn new(key: Secret) -> Self {
-        Self {
-            module: RpcModule::new(()),
-            key,
-        }
+        Self { module: RpcModule::new(()), key }
     }
 
     /// Answers a call.
@@ -76,15 +73,13 @@
         Fut: Future<Output = Result<C::Reply, PeerError>> + Send + 'static,
         C::Reply: Clone,
     {
-        let registered = self
-            .module
-            .register_async_method(C::METHOD, move |params, _, _| {
-                let handler = handler.clone();
-                async move {
-                    let call: C = params.one()?;
-                    handler(call).await.map_err(ErrorObjectOwned::from)
-                }
-            });
+        let registered = self.module.register_async_method(C::METHOD, move |params, _, _| {
+            let handler = handler.clone();
+            async move {
+                let call: C = params.one()?;
+                handler(call).await.map_err(ErrorObjectOwned::from)
+            }
+        });
         registered.expect("each call is registered once");
         self
     }
@@ -106,10 +101,7 @@
         let server = ServerBuilder::with_config(cfg)
             .set_http_middleware(ServiceBuilder::new().layer(KeyLayer { key: self.key }))
             .build_from_tcp(listener)?;
-        Ok(PeerServer {
-            handle: server.start(self.module),
-            address,
-        })
+        Ok(PeerServer { handle: server.start(self.module), address })
     }
 }
 
@@ -170,13 +162,8 @@
         C: Call + Sync,
     {
         let mut params = ArrayParams::new();
-        params
-            .insert(call)
-            .map_err(|err| PeerError::Refused(err.to_string()))?;
-        self.http
-            .request(C::METHOD, params)
-            .await
-            .map_err(PeerError::from)
+        params.insert(call).map_err(|err| PeerError::Refused(err.to_string()))?;
+        self.http.request(C::METHOD, params).await.map_err(PeerError::from)
     }
 }
 
@@ -223,10 +210,7 @@
     type Service = KeyCheck<S>;
 
     fn layer(&self, inner: S) -> KeyCheck<S> {
-        KeyCheck {
-            inner,
-            key: self.key.clone(),
-        }
+        KeyCheck { inner, key: self.key.clone() }
     }
 }
 
@@ -244,10 +228,7 @@
     }
 
     fn call(&mut self, req: HttpRequest) -> Self::Future {
-        let header = req
-            .headers()
-            .get("authorization")
-            .and_then(|value| value.to_str().ok());
+        let header = req.headers().get("authorization").and_then(|value| value.to_str().ok());
         if header.is_some_and(|header| self.key.is_bearer(header)) {
             return Box::pin(self.inner.call(req));
         }
