--- /dev/null
+++ b/coordination/fleet/src/machine.rs
@@ -0,0 +1,648 @@
+//! The fleet of all services, as the leading control instance runs it.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use sill_base::random::{self, Rng};
+use sill_base::{Machine, Millis, Name};
+use sill_tree::Placement;
+
+use crate::backoff::{Backoff, BackoffCfg};
+use crate::demand::Demand;
+use crate::loads::{Load, LoadQueue};
+use crate::offer::{Offer, OfferKey};
+use crate::plan::{Candidate, Need, Plan, cheapest};
+
+/// How the mix of instances is chosen.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Policy {
+    /// The cheapest mix that survives the loss of any one failure domain.
+    #[default]
+    CheapestSurviving,
+    /// Baseline: on-demand instances only, surviving the loss of a domain.
+    AllOnDemand,
+    /// Baseline: reclaimable instances at the lowest price, wherever that is.
+    CheapestReclaimable,
+    /// Baseline: half reclaimable, half on-demand, even over the domains.
+    FixedShares,
+}
+
+/// Settings of the fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetCfg {
+    /// How the mix is chosen.
+    pub policy: Policy,
+    /// Capacity against the highest demand, in percent.
+    pub headroom_percent: u32,
+    /// How long a high demand counts.
+    pub demand_window: Millis,
+    /// How long capacity must have been too much before any is stopped, and how long an instance
+    /// stays at least.
+    pub min_stay: Millis,
+    /// How long a started instance may take to announce itself.
+    pub start_timeout: Millis,
+    /// How long a drained instance may take to finish.
+    pub drain_timeout: Millis,
+    /// What the work lost by a reclaim is worth, in thousandths of a currency unit.
+    pub cost_of_reclaim: u64,
+    /// Most starts asked for in one step.
+    pub starts_at_once: u32,
+    /// Rate of the weights store in megabytes a second.
+    pub store_megabytes_per_s: u64,
+    /// Back-off for refused offers.
+    pub backoff: BackoffCfg,
+    /// Seed of the jitter.
+    pub seed: u64,
+}
+
+impl Default for FleetCfg {
+    fn default() -> Self {
+        Self {
+            policy: Policy::default(),
+            headroom_percent: 115,
+            demand_window: Millis::from_secs(300),
+            min_stay: Millis::from_secs(600),
+            start_timeout: Millis::from_secs(180),
+            drain_timeout: Millis::from_secs(600),
+            cost_of_reclaim: 50,
+            starts_at_once: 32,
+            store_megabytes_per_s: 2000,
+            backoff: BackoffCfg::default(),
+            seed: 1,
+        }
+    }
+}
+
+/// What settings want of a service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServiceTarget {
+    /// The service.
+    pub service: Name,
+    /// Version of its weights; empty for a plain service.
+    pub version: Name,
+    /// Size of its weights in megabytes; zero for a plain service.
+    pub megabytes: u64,
+    /// Instances wanted at least.
+    pub min_instances: u32,
+    /// The highest price of an instance.
+    pub price_cap: Option<u64>,
+    /// Where instances may run.
+    pub placement: Placement,
+}
+
+/// Names a start, so that asking the platform again starts nothing twice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct StartId {
+    /// The leader's term.
+    pub term: u64,
+    /// Grows within the term.
+    pub sequence: u64,
+}
+
+/// What the fleet hears.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Event {
+    /// This instance leads.
+    Leads {
+        /// Its term.
+        term: u64,
+    },
+    /// This instance no longer leads.
+    Deposed,
+    /// Settings in force.
+    Settings(Vec<ServiceTarget>),
+    /// Offers of the platform.
+    Offers(Vec<Offer>),
+    /// Slots of a service in use or waited for, over all entries.
+    Demand {
+        /// The service.
+        service: Name,
+        /// The slots.
+        slots: u32,
+    },
+    /// A start that the log has, from this leader or one before.
+    StartLogged {
+        /// Its name.
+        id: StartId,
+        /// The offer.
+        key: OfferKey,
+        /// The service.
+        service: Name,
+    },
+    /// The platform granted a start.
+    StartGranted {
+        /// Its name.
+        id: StartId,
+        /// The new instance.
+        instance: Name,
+    },
+    /// The platform refused a start.
+    StartRefused {
+        /// Its name.
+        id: StartId,
+    },
+    /// An instance announced itself.
+    Announced {
+        /// The instance.
+        instance: Name,
+        /// The offer it is of.
+        key: OfferKey,
+        /// The service it is for.
+        service: Name,
+        /// Whether it has what it needs to serve.
+        loaded: bool,
+        /// Requests that run on it.
+        running: u32,
+        /// Time left, once the platform takes it back.
+        leaving: Option<Millis>,
+    },
+    /// An instance is gone.
+    Gone {
+        /// The instance.
+        instance: Name,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// What the fleet wants done. Every action tells why, for the audit trail.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Action {
+    /// Log the start, then ask the platform for an instance.
+    Start {
+        /// Its name.
+        id: StartId,
+        /// The offer.
+        key: OfferKey,
+        /// The service.
+        service: Name,
+        /// Why.
+        why: String,
+    },
+    /// Order an instance to finish what runs and take nothing new.
+    Drain {
+        /// The instance.
+        instance: Name,
+        /// Why.
+        why: String,
+    },
+    /// Ask the platform to stop an instance.
+    Stop {
+        /// The instance.
+        instance: Name,
+        /// Why.
+        why: String,
+    },
+    /// Order an instance to load weights.
+    LoadModel {
+        /// The instance.
+        instance: Name,
+        /// The model.
+        model: Name,
+        /// The version of its weights.
+        version: Name,
+        /// Why.
+        why: String,
+    },
+}
+
+/// Chooses, starts and stops instances.
+#[derive(Debug)]
+pub struct Fleet {
+    cfg: FleetCfg,
+    rng: Rng,
+    term: Option<u64>,
+    next_start: u64,
+    offers: BTreeMap<OfferKey, Offer>,
+    services: BTreeMap<Name, ServiceState>,
+    instances: BTreeMap<Name, Instance>,
+    starting: BTreeMap<StartId, Starting>,
+    backoff: Backoff,
+    loads: LoadQueue,
+}
+
+#[derive(Debug)]
+struct ServiceState {
+    target: ServiceTarget,
+    demand: Demand,
+    excess_since: Option<Millis>,
+    plan: Plan,
+}
+
+#[derive(Debug, Clone)]
+struct Instance {
+    service: Name,
+    key: OfferKey,
+    since: Millis,
+    loaded: bool,
+    running: u32,
+    stage: Stage,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Serving,
+    Reclaimed,
+    Draining { since: Millis },
+    Stopped,
+}
+
+#[derive(Debug, Clone)]
+struct Starting {
+    service: Name,
+    key: OfferKey,
+    since: Millis,
+    instance: Option<Name>,
+}
+
+impl Fleet {
+    /// Makes a fleet that knows nothing and does not lead.
+    pub fn new(cfg: FleetCfg) -> Self {
+        Self {
+            rng: random::seeded(cfg.seed),
+            term: None,
+            next_start: 1,
+            offers: BTreeMap::new(),
+            services: BTreeMap::new(),
+            instances: BTreeMap::new(),
+            starting: BTreeMap::new(),
+            backoff: Backoff::new(cfg.backoff),
+            loads: LoadQueue::new(cfg.store_megabytes_per_s),
+            cfg,
+        }
+    }
+
+    /// Returns the plan in force for a service.
+    pub fn plan(&self, service: &str) -> Option<&Plan> {
+        self.services.get(service).map(|s| &s.plan)
+    }
+
+    /// Returns whether an offer is left alone after refusals.
+    pub fn is_blocked(&self, now: Millis, key: &OfferKey) -> bool {
+        self.backoff.is_blocked(now, key)
+    }
+
+    fn act(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let Some(term) = self.term else {
+            return;
+        };
+        self.expire(now, out);
+        let names: Vec<Name> = self.services.keys().cloned().collect();
+        for service in names {
+            let plan = self.choose(now, &service);
+            self.start_missing(now, term, &service, &plan, out);
+            self.stop_excess(now, &service, &plan, out);
+            if let Some(state) = self.services.get_mut(&service) {
+                state.plan = plan;
+            }
+        }
+        self.load_next(now, out);
+    }
+
+    fn need(&self, service: &ServiceState) -> Need {
+        let slots = service.demand.highest() * self.cfg.headroom_percent / 100;
+        Need { slots, min_instances: service.target.min_instances }
+    }
+
+    fn choose(&self, now: Millis, name: &Name) -> Plan {
+        let service = &self.services[name];
+        let need = self.need(service);
+        let allowed =
+            |o: &&Offer| o.is_allowed(&service.target.placement, service.target.price_cap);
+        let candidate = |offer: &Offer| {
+            let running = self.count(name, &offer.key);
+            let blocked = self.backoff.is_blocked(now, &offer.key);
+            Candidate {
+                price: offer.price_with_risk(self.cfg.cost_of_reclaim),
+                running,
+                limit: if blocked { running } else { u32::MAX / 4 },
+                offer: offer.clone(),
+            }
+        };
+        let candidates: Vec<Candidate> =
+            self.offers.values().filter(allowed).map(candidate).collect();
+        baseline::plan(self.cfg.policy, &need, candidates)
+    }
+
+    /// Counts instances that serve or will, by offer.
+    fn count(&self, service: &Name, key: &OfferKey) -> u32 {
+        let serving = self
+            .instances
+            .values()
+            .filter(|i| i.service == *service && i.key == *key && i.stage == Stage::Serving);
+        let starting = self.starting.values().filter(|s| s.service == *service && s.key == *key);
+        (serving.count() + starting.count()) as u32
+    }
+
+    fn start_missing(
+        &mut self,
+        now: Millis,
+        term: u64,
+        service: &Name,
+        plan: &Plan,
+        out: &mut Vec<Action>,
+    ) {
+        let mut left = self.cfg.starts_at_once;
+        for (key, wanted) in &plan.counts {
+            let missing = wanted.saturating_sub(self.count(service, key)).min(left);
+            left -= missing;
+            for _ in 0..missing {
+                let id = StartId { term, sequence: self.next_start };
+                self.next_start += 1;
+                let starting = Starting {
+                    service: service.clone(),
+                    key: key.clone(),
+                    since: now,
+                    instance: None,
+                };
+                self.starting.insert(id, starting);
+                let why = format!(
+                    "{} slots needed without the largest domain; plan has {wanted} of this offer",
+                    self.need(&self.services[service]).slots
+                );
+                out.push(Action::Start { id, key: key.clone(), service: service.clone(), why });
+            }
+        }
+    }
+
+    /// Drains what the plan does not want, once that has held for the minimum stay and what is
+    /// ready carries the need without it.
+    fn stop_excess(&mut self, now: Millis, service: &Name, plan: &Plan, out: &mut Vec<Action>) {
+        let excess = self.excess(now, service, plan);
+        let state = self.services.get_mut(service).expect("the service is known");
+        if excess.is_empty() {
+            state.excess_since = None;
+            return;
+        }
+        let since = *state.excess_since.get_or_insert(now);
+        if now - since < self.cfg.min_stay {
+            return;
+        }
+        for name in excess {
+            if !self.can_spare(service, &name) {
+                continue;
+            }
+            let instance = self.instances.get_mut(&name).expect("the instance is known");
+            instance.stage = Stage::Draining { since: now };
+            let why = format!("not needed for {} ms", now - since);
+            out.push(Action::Drain { instance: name, why });
+        }
+    }
+
+    fn excess(&self, now: Millis, service: &Name, plan: &Plan) -> Vec<Name> {
+        let mut surplus: BTreeMap<&OfferKey, u32> = BTreeMap::new();
+        for key in self.offers.keys() {
+            let wanted = plan.counts.get(key).copied().unwrap_or(0);
+            surplus.insert(key, self.count(service, key).saturating_sub(wanted));
+        }
+        let mut candidates: Vec<_> = self
+            .instances
+            .iter()
+            .filter(|(_, i)| i.service == *service && i.stage == Stage::Serving)
+            .filter(|(_, i)| now - i.since >= self.cfg.min_stay)
+            .collect();
+        candidates.sort_by_key(|(_, i)| i.running);
+        let mut excess = Vec::new();
+        for (name, instance) in candidates {
+            if let Some(count) = surplus.get_mut(&instance.key).filter(|count| **count > 0) {
+                *count -= 1;
+                excess.push(name.clone());
+            }
+        }
+        excess
+    }
+
+    /// Returns whether what is ready carries the need of a service without an instance.
+    fn can_spare(&self, service: &Name, spared: &Name) -> bool {
+        let mut by_domain: BTreeMap<&Name, u32> = BTreeMap::new();
+        let mut instances = 0;
+        for (name, instance) in &self.instances {
+            let serves = instance.stage == Stage::Serving && instance.loaded;
+            if !serves || instance.service != *service || name == spared {
+                continue;
+            }
+            let slots = self.offers.get(&instance.key).map_or(0, |o| o.slots);
+            *by_domain.entry(&instance.key.domain).or_default() += slots;
+            instances += 1;
+        }
+        let total: u32 = by_domain.values().sum();
+        let largest = by_domain.values().copied().max().unwrap_or(0);
+        let need = self.need(&self.services[service]);
+        total - largest >= need.slots && instances >= need.min_instances
+    }
+
+    fn expire(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let limit = self.cfg.start_timeout;
+        let overdue: Vec<StartId> = self
+            .starting
+            .iter()
+            .filter(|(_, s)| now - s.since > limit)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in overdue {
+            let starting = self.starting.remove(&id).expect("the start is known");
+            self.backoff.refused(now, &starting.key, &mut self.rng);
+            if let Some(instance) = starting.instance {
+                let why = format!("did not announce itself in {limit} ms");
+                out.push(Action::Stop { instance, why });
+            }
+        }
+        for (name, instance) in &mut self.instances {
+            let Stage::Draining { since } = instance.stage else {
+                continue;
+            };
+            let why = if instance.running == 0 {
+                "drained"
+            } else if now - since > self.cfg.drain_timeout {
+                "did not drain in time"
+            } else {
+                continue;
+            };
+            instance.stage = Stage::Stopped;
+            out.push(Action::Stop { instance: name.clone(), why: why.to_owned() });
+        }
+    }
+
+    fn load_next(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let (instances, services) = (&self.instances, &self.services);
+        // Most needed is the service with the smallest share of its plan loaded.
+        let need = |load: &Load| {
+            let service =
+                &instances.get(&load.endpoint).map(|i| i.service.clone()).unwrap_or_default();
+            let loaded = instances.values().filter(|i| i.service == *service && i.loaded).count();
+            let wanted: u32 =
+                services.get(service).map_or(0, |s| s.plan.counts.values().sum::<u32>());
+            u64::from(wanted).saturating_sub(loaded as u64) * 1000 / u64::from(wanted.max(1))
+        };
+        if let Some(load) = self.loads.next(now, need) {
+            let why = format!("{} loads wait for the store", self.loads.len());
+            out.push(Action::LoadModel {
+                instance: load.endpoint,
+                model: load.model,
+                version: load.version,
+                why,
+            });
+        }
+    }
+
+    fn announced(&mut self, instance: Name, news: Instance) {
+        self.starting.retain(|_, s| s.instance.as_ref() != Some(&instance));
+        let known = self.instances.entry(instance.clone()).or_insert_with(|| news.clone());
+        known.loaded = news.loaded;
+        known.running = news.running;
+        // A notice is never taken back for the same instance.
+        if news.stage == Stage::Reclaimed {
+            known.stage = Stage::Reclaimed;
+        }
+        if news.loaded || known.stage != Stage::Serving {
+            self.loads.forget(&instance);
+            return;
+        }
+        if let Some(service) = self.services.get(&news.service).filter(|s| s.target.megabytes > 0) {
+            self.loads.add(Load {
+                endpoint: instance,
+                model: news.service,
+                version: service.target.version.clone(),
+                megabytes: service.target.megabytes,
+            });
+        }
+    }
+}
+
+impl Machine for Fleet {
+    type Action = Action;
+    type Event = Event;
+
+    fn step(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        let mut act = false;
+        match event {
+            Event::Leads { term } => {
+                self.term = Some(term);
+                self.next_start = 1;
+            }
+            Event::Deposed => self.term = None,
+            Event::Settings(targets) => self.set_targets(targets),
+            Event::Offers(offers) => {
+                self.offers = offers.into_iter().map(|o| (o.key.clone(), o)).collect();
+            }
+            Event::Demand { service, slots } => {
+                if let Some(service) = self.services.get_mut(&service) {
+                    service.demand.note(now, slots);
+                }
+            }
+            Event::StartLogged { id, key, service } => {
+                let starting = Starting { service, key, since: now, instance: None };
+                self.starting.entry(id).or_insert(starting);
+            }
+            Event::StartGranted { id, instance } => {
+                if let Some(starting) = self.starting.get_mut(&id) {
+                    self.backoff.granted(&starting.key);
+                    starting.instance = Some(instance.clone());
+                }
+                // The announcement may have come first; counted twice, one would be missing.
+                if self.instances.contains_key(&instance) {
+                    self.starting.remove(&id);
+                }
+            }
+            Event::StartRefused { id } => {
+                if let Some(starting) = self.starting.remove(&id) {
+                    self.backoff.refused(now, &starting.key, &mut self.rng);
+                    // Spill over to other offers at once.
+                    act = true;
+                }
+            }
+            Event::Announced { instance, key, service, loaded, running, leaving } => {
+                let stage = leaving.map_or(Stage::Serving, |_| Stage::Reclaimed);
+                let was_leaving =
+                    self.instances.get(&instance).is_some_and(|i| i.stage == Stage::Reclaimed);
+                // A replacement is ordered with the notice, not with the next tick.
+                act = leaving.is_some() && !was_leaving;
+                self.announced(
+                    instance,
+                    Instance { service, key, since: now, loaded, running, stage },
+                );
+            }
+            Event::Gone { instance } => {
+                self.loads.forget(&instance);
+                act = self.instances.remove(&instance).is_some_and(|i| i.stage == Stage::Serving);
+            }
+            Event::Tick => act = true,
+        }
+        if act {
+            self.act(now, out);
+        }
+    }
+}
+
+impl Fleet {
+    fn set_targets(&mut self, targets: Vec<ServiceTarget>) {
+        let mut services = BTreeMap::new();
+        for target in targets {
+            let before = self.services.remove(&target.service);
+            let state = match before {
+                Some(before) => ServiceState { target, ..before },
+                None => ServiceState {
+                    demand: Demand::new(self.cfg.demand_window),
+                    excess_since: None,
+                    plan: Plan::default(),
+                    target,
+                },
+            };
+            services.insert(state.target.service.clone(), state);
+        }
+        self.services = services;
+    }
+}
+
+/// The mixes to measure against.
+mod baseline {
+    use super::{Candidate, Need, Plan, Policy, cheapest};
+
+    pub(super) fn plan(policy: Policy, need: &Need, mut candidates: Vec<Candidate>) -> Plan {
+        match policy {
+            Policy::CheapestSurviving => cheapest(need, &candidates),
+            Policy::AllOnDemand => {
+                candidates.retain(|c| !c.offer.key.reclaimable);
+                cheapest(need, &candidates)
+            }
+            Policy::CheapestReclaimable => {
+                candidates.retain(|c| c.offer.key.reclaimable);
+                candidates.sort_by_key(|c| (c.offer.price, c.offer.key.clone()));
+                let mut plan = Plan::default();
+                for candidate in &candidates {
+                    let missing = need.slots.saturating_sub(plan.slots);
+                    take(&mut plan, candidate, missing.div_ceil(candidate.offer.slots));
+                }
+                plan
+            }
+            Policy::FixedShares => fixed_shares(need, &candidates),
+        }
+    }
+
+    fn fixed_shares(need: &Need, candidates: &[Candidate]) -> Plan {
+        let mut plan = Plan::default();
+        let domains =
+            super::BTreeMap::from_iter(candidates.iter().map(|c| (&c.offer.key.domain, ())));
+        let share = need.slots.div_ceil(2 * domains.len().max(1) as u32);
+        for reclaimable in [true, false] {
+            for domain in domains.keys() {
+                let of_domain = candidates.iter().filter(|c| {
+                    c.offer.key.domain == **domain && c.offer.key.reclaimable == reclaimable
+                });
+                if let Some(candidate) = of_domain.min_by_key(|c| c.offer.price) {
+                    take(&mut plan, candidate, share.div_ceil(candidate.offer.slots));
+                }
+            }
+        }
+        plan
+    }
+
+    fn take(plan: &mut Plan, candidate: &Candidate, count: u32) {
+        let count = count.min(candidate.limit);
+        if count > 0 {
+            *plan.counts.entry(candidate.offer.key.clone()).or_default() += count;
+            plan.slots += count * candidate.offer.slots;
+            plan.price += u64::from(count) * candidate.price;
+        }
+    }
+}
