--- a/coordination/flight/src/lib.rs
+++ b/coordination/flight/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! A request's life: claims, attempts, retries, resume and hand-off.
+
+pub mod claims;
--- /dev/null
+++ b/coordination/flight/tests/claims.rs
@@ -0,0 +1,225 @@
+//! The table of claims: who may send, and what a resent request is told.
+
+use sill_base::Millis;
+use sill_flight::claims::{ClaimBounds, ClaimTable};
+use sill_wire::Incarnation;
+use sill_wire::claim::{BodyHash, ClaimAsk, ClaimKey, ClaimOutcome, ClaimOwner, ClaimVerdict};
+
+struct Case {
+    name: &'static str,
+    asks: Vec<(u64, ClaimAsk)>,
+    last: ClaimVerdict,
+}
+
+fn key(name: &str) -> ClaimKey {
+    ClaimKey { account: "clerks".into(), key: name.into() }
+}
+
+fn owner(entry: &str) -> ClaimOwner {
+    ClaimOwner { entry: entry.into(), incarnation: Incarnation(1), request: "r1".into() }
+}
+
+fn take(name: &str, body: &str, by: &str) -> ClaimAsk {
+    let body = BodyHash(body.into());
+    ClaimAsk::Take { key: key(name), body, owner: owner(by), retention: Millis(1000) }
+}
+
+fn finish(name: &str, by: &str, body: &str) -> ClaimAsk {
+    ClaimAsk::Finish { key: key(name), owner: owner(by), outcome: answered(Some(body)) }
+}
+
+fn release(name: &str, by: &str) -> ClaimAsk {
+    ClaimAsk::Release { key: key(name), owner: owner(by) }
+}
+
+fn answered(body: Option<&str>) -> ClaimOutcome {
+    ClaimOutcome::Answered { status: 200, body: body.map(str::to_owned) }
+}
+
+fn taken(by: &str, outcome: Option<ClaimOutcome>) -> ClaimVerdict {
+    ClaimVerdict::Taken { owner: owner(by), outcome }
+}
+
+/// A caller sends a request again because its answer was lost: through another entry, while the
+/// first still runs, after it ended, or after its entry died. Were the key granted twice, the same
+/// notice would be sent twice.
+#[test]
+fn a_key_is_granted_to_one_owner() {
+    let cases = [
+        Case { name: "free", asks: vec![(0, take("k", "b", "e1"))], last: ClaimVerdict::Granted },
+        Case {
+            name: "another key",
+            asks: vec![(0, take("k", "b", "e1")), (0, take("l", "b", "e2"))],
+            last: ClaimVerdict::Granted,
+        },
+        Case {
+            name: "the same ask arrives twice",
+            asks: vec![(0, take("k", "b", "e1")), (5, take("k", "b", "e1"))],
+            last: ClaimVerdict::Granted,
+        },
+        Case {
+            name: "another entry",
+            asks: vec![(0, take("k", "b", "e1")), (5, take("k", "b", "e2"))],
+            last: taken("e1", None),
+        },
+        Case {
+            name: "another body",
+            asks: vec![(0, take("k", "b", "e1")), (5, take("k", "c", "e2"))],
+            last: ClaimVerdict::BodyMismatch,
+        },
+        Case {
+            name: "finished",
+            asks: vec![
+                (0, take("k", "b", "e1")),
+                (1, finish("k", "e1", "yes")),
+                (5, take("k", "b", "e2")),
+            ],
+            last: taken("e1", Some(answered(Some("yes")))),
+        },
+        Case {
+            name: "finished, then the first ask arrives again",
+            asks: vec![
+                (0, take("k", "b", "e1")),
+                (1, finish("k", "e1", "yes")),
+                (5, take("k", "b", "e1")),
+            ],
+            last: taken("e1", Some(answered(Some("yes")))),
+        },
+        Case {
+            name: "the first outcome stands",
+            asks: vec![
+                (0, take("k", "b", "e1")),
+                (1, finish("k", "e1", "yes")),
+                (2, finish("k", "e1", "no")),
+                (5, take("k", "b", "e2")),
+            ],
+            last: taken("e1", Some(answered(Some("yes")))),
+        },
+        Case {
+            name: "finished by another",
+            asks: vec![
+                (0, take("k", "b", "e1")),
+                (1, finish("k", "e2", "no")),
+                (5, take("k", "b", "e2")),
+            ],
+            last: taken("e1", None),
+        },
+        Case {
+            name: "a large answer is not kept, its status is",
+            asks: vec![
+                (0, take("k", "b", "e1")),
+                (1, finish("k", "e1", "too long to be kept")),
+                (5, take("k", "b", "e2")),
+            ],
+            last: taken("e1", Some(answered(None))),
+        },
+        Case {
+            name: "released",
+            asks: vec![
+                (0, take("k", "b", "e1")),
+                (1, release("k", "e1")),
+                (5, take("k", "c", "e2")),
+            ],
+            last: ClaimVerdict::Granted,
+        },
+        Case {
+            name: "released by another",
+            asks: vec![
+                (0, take("k", "b", "e1")),
+                (1, release("k", "e2")),
+                (5, take("k", "b", "e2")),
+            ],
+            last: taken("e1", None),
+        },
+        Case {
+            name: "released after the end",
+            asks: vec![
+                (0, take("k", "b", "e1")),
+                (1, finish("k", "e1", "yes")),
+                (2, release("k", "e1")),
+                (5, take("k", "b", "e2")),
+            ],
+            last: taken("e1", Some(answered(Some("yes")))),
+        },
+        Case {
+            name: "released before the delayed take arrives",
+            asks: vec![(0, release("k", "e1")), (1, take("k", "b", "e1"))],
+            last: ClaimVerdict::Unavailable,
+        },
+        Case {
+            name: "a late release does not touch the next owner",
+            asks: vec![
+                (0, take("k", "b", "e1")),
+                (1, release("k", "e1")),
+                (2, take("k", "b", "e2")),
+                (3, release("k", "e1")),
+                (4, take("k", "b", "e3")),
+            ],
+            last: taken("e2", None),
+        },
+        Case {
+            name: "just before the retention ends",
+            asks: vec![(0, take("k", "b", "e1")), (999, take("k", "b", "e2"))],
+            last: taken("e1", None),
+        },
+        Case {
+            name: "after the retention",
+            asks: vec![(0, take("k", "b", "e1")), (1000, take("k", "b", "e2"))],
+            last: ClaimVerdict::Granted,
+        },
+        Case {
+            name: "the log's clock goes back",
+            asks: vec![
+                (500, take("k", "b", "e1")),
+                (0, take("k", "b", "e2")),
+                (1499, take("k", "b", "e2")),
+            ],
+            last: taken("e1", None),
+        },
+        Case {
+            name: "full",
+            asks: vec![
+                (0, take("1", "b", "e1")),
+                (0, take("2", "b", "e1")),
+                (0, take("3", "b", "e1")),
+                (0, take("4", "b", "e1")),
+            ],
+            last: ClaimVerdict::Unavailable,
+        },
+        Case {
+            name: "full, but the oldest expired",
+            asks: vec![
+                (0, take("1", "b", "e1")),
+                (9, take("2", "b", "e1")),
+                (9, take("3", "b", "e1")),
+                (1001, take("4", "b", "e1")),
+            ],
+            last: ClaimVerdict::Granted,
+        },
+    ];
+    for case in cases {
+        let mut table = ClaimTable::new(ClaimBounds { claims: 3, answer: 8, answers: 16 });
+        let mut last = None;
+        for (at, ask) in &case.asks {
+            // A control instance may restart from its snapshot between any two asks.
+            let written = serde_json::to_string(&table).expect("a table can be written");
+            table = serde_json::from_str(&written).expect("and read");
+            last = Some(table.apply(Millis(*at), ask));
+        }
+        assert_eq!(last, Some(case.last), "{}", case.name);
+    }
+}
+
+/// The room for kept answers is given back when claims expire, else no answer would be kept after
+/// a while.
+#[test]
+fn the_room_for_answers_is_given_back() {
+    let mut table = ClaimTable::new(ClaimBounds { claims: 3, answer: 8, answers: 8 });
+    for (round, at) in [(1, 0), (2, 2000), (3, 4000)] {
+        table.apply(Millis(at), &take("k", "b", "e1"));
+        table.apply(Millis(at), &finish("k", "e1", "12345678"));
+        let verdict = table.apply(Millis(at + 1), &take("k", "b", "e2"));
+        assert_eq!(verdict, taken("e1", Some(answered(Some("12345678")))), "round {round}");
+    }
+    assert_eq!(table.len(), 1);
+}
