--- a/bench/load/src/cli.rs
+++ b/bench/load/src/cli.rs
@@ -7,6 +7,7 @@
 use sill_base::{Findings, Millis, Secret};
 use sill_setup::{Flag, Outcome, Program, Values};
 
+use crate::fleet;
 use crate::run::{self, LoadCfg};
 
 /// `sill-load`.
@@ -55,6 +56,9 @@
 ///
 /// Fails when a flag is wrong or an answer was not whole.
 pub fn run(words: Vec<String>) -> Result<()> {
+    if words.first().map(String::as_str) == Some("fleet") {
+        return fleet::run(words[1..].to_vec());
+    }
     let mut values = match LOAD.read(words)? {
         Outcome::Help(text) => {
             print!("{text}");
--- /dev/null
+++ b/bench/load/src/fleet/mod.rs
@@ -0,0 +1,98 @@
+//! Cost and recomputed tokens of the fleet's policies through a reclaim wave, in virtual time.
+
+mod plot;
+mod report;
+mod sizes;
+mod world;
+
+use std::fs;
+use std::path::PathBuf;
+
+use eyre::Result;
+use sill_fleet::Policy;
+use sill_setup::{Flag, Outcome, Program};
+
+use sizes::SIZES;
+use world::{Tally, World};
+
+/// `sill-load fleet`.
+pub const FLEET: Program = Program {
+    name: "sill-load fleet",
+    about: "compares the fleet's policies through a reclaim wave, in virtual time",
+    operands: "",
+    flags: &[
+        Flag::with_default("seeds", "N", "5", "runs for each policy, with seeds 1 to N"),
+        Flag::one("report", "DIR", "write the report and its plots there"),
+    ],
+};
+
+/// The policies compared; the first is the one in use.
+pub const POLICIES: [Policy; 4] = [
+    Policy::CheapestSurviving,
+    Policy::AllOnDemand,
+    Policy::CheapestReclaimable,
+    Policy::FixedShares,
+];
+
+/// What came of one policy at one size, over all seeds.
+#[derive(Debug, Clone)]
+pub struct Row {
+    /// Whose size it was.
+    pub size: &'static str,
+    /// The policy.
+    pub policy: Policy,
+    /// Sums over all runs.
+    pub tally: Tally,
+    /// Slots wanted and ready over time, in the run with seed 1.
+    pub trace: Vec<world::Sample>,
+}
+
+/// Runs the comparison.
+///
+/// # Errors
+///
+/// Fails when a flag is wrong or the report can't be written.
+pub fn run(words: Vec<String>) -> Result<()> {
+    let mut values = match FLEET.read(words)? {
+        Outcome::Help(text) => {
+            print!("{text}");
+            return Ok(());
+        }
+        Outcome::Values(values) => values,
+    };
+    let seeds: Option<u64> = values.required("seeds");
+    let folder: Option<PathBuf> = values.optional("report");
+    values.finish()?;
+    let seeds = seeds.unwrap_or(1).max(1);
+    let rows = rows(seeds);
+    let text = report::text(&rows, seeds);
+    print!("{text}");
+    if let Some(folder) = folder {
+        fs::create_dir_all(&folder)?;
+        fs::write(folder.join("fleet.md"), text)?;
+        for size in SIZES {
+            plot::capacity(&folder.join(format!("fleet-{}.svg", size.name)), size, &rows)?;
+        }
+    }
+    Ok(())
+}
+
+fn rows(seeds: u64) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for size in SIZES {
+        for policy in POLICIES {
+            let mut tally = Tally::default();
+            let mut trace = Vec::new();
+            for seed in 1..=seeds {
+                let mut world = World::new(size, policy, seed);
+                world.run();
+                tally.add(&world.tally);
+                if seed == 1 {
+                    trace = world.trace;
+                }
+            }
+            rows.push(Row { size: size.name, policy, tally, trace });
+        }
+    }
+    rows
+}
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -255,6 +255,29 @@
     instance: Option<Name>,
 }
 
+/// What of a service is ready to serve.
+#[derive(Debug, Default)]
+struct Ready {
+    by_domain: BTreeMap<Name, u32>,
+    instances: u32,
+}
+
+impl Ready {
+    /// Takes an instance out, unless the need would not be carried without it.
+    fn spare(&mut self, need: &Need, domain: &Name, slots: u32) -> bool {
+        let held = self.by_domain.get(domain).copied().unwrap_or(0);
+        self.by_domain.insert(domain.clone(), held.saturating_sub(slots));
+        let total: u32 = self.by_domain.values().sum();
+        let largest = self.by_domain.values().copied().max().unwrap_or(0);
+        if total - largest >= need.slots && self.instances > need.min_instances {
+            self.instances -= 1;
+            return true;
+        }
+        self.by_domain.insert(domain.clone(), held);
+        false
+    }
+}
+
 impl Fleet {
     /// Makes a fleet that knows nothing and does not lead.
     pub fn new(cfg: FleetCfg) -> Self {
@@ -309,8 +332,9 @@
         let need = self.need(service);
         let allowed =
             |o: &&Offer| o.is_allowed(&service.target.placement, service.target.price_cap);
+        let counts = self.counts(name);
         let candidate = |offer: &Offer| {
-            let running = self.count(name, &offer.key);
+            let running = counts.get(&offer.key).copied().unwrap_or(0);
             let blocked = self.backoff.is_blocked(now, &offer.key);
             Candidate {
                 price: offer.price_with_risk(self.cfg.cost_of_reclaim),
@@ -325,13 +349,20 @@
     }
 
     /// Counts instances that serve or will, by offer.
-    fn count(&self, service: &Name, key: &OfferKey) -> u32 {
-        let serving = self
-            .instances
-            .values()
-            .filter(|i| i.service == *service && i.key == *key && i.stage == Stage::Serving);
-        let starting = self.starting.values().filter(|s| s.service == *service && s.key == *key);
-        (serving.count() + starting.count()) as u32
+    fn counts(&self, service: &Name) -> BTreeMap<OfferKey, u32> {
+        let serving = self.instances.values().filter(|i| i.stage == Stage::Serving);
+        let serving = serving.filter(|i| i.service == *service).map(|i| &i.key);
+        let starting = self.starting.values().filter(|s| s.service == *service).map(|s| &s.key);
+        let mut counts = BTreeMap::new();
+        for key in serving.chain(starting) {
+            match counts.get_mut(key) {
+                Some(count) => *count += 1,
+                None => {
+                    counts.insert(key.clone(), 1);
+                }
+            }
+        }
+        counts
     }
 
     fn start_missing(
@@ -343,8 +374,9 @@
         out: &mut Vec<Action>,
     ) {
         let mut left = self.cfg.starts_at_once;
+        let counts = self.counts(service);
         for (key, wanted) in &plan.counts {
-            let missing = wanted.saturating_sub(self.count(service, key)).min(left);
+            let missing = wanted.saturating_sub(counts.get(key).copied().unwrap_or(0)).min(left);
             left -= missing;
             for _ in 0..missing {
                 let id = StartId { term, sequence: self.next_start };
@@ -378,11 +410,14 @@
         if now - since < self.cfg.min_stay {
             return;
         }
+        let need = self.need(&self.services[service]);
+        let mut ready = self.ready(service);
         for name in excess {
-            if !self.can_spare(service, &name) {
+            let instance = self.instances.get_mut(&name).expect("the instance is known");
+            let slots = self.offers.get(&instance.key).map_or(0, |o| o.slots);
+            if instance.loaded && !ready.spare(&need, &instance.key.domain, slots) {
                 continue;
             }
-            let instance = self.instances.get_mut(&name).expect("the instance is known");
             instance.stage = Stage::Draining { since: now };
             let why = format!("not needed for {} ms", now - since);
             out.push(Action::Drain { instance: name, why });
@@ -391,9 +426,10 @@
 
     fn excess(&self, now: Millis, service: &Name, plan: &Plan) -> Vec<Name> {
         let mut surplus: BTreeMap<&OfferKey, u32> = BTreeMap::new();
-        for key in self.offers.keys() {
+        let counts = self.counts(service);
+        for (key, count) in &counts {
             let wanted = plan.counts.get(key).copied().unwrap_or(0);
-            surplus.insert(key, self.count(service, key).saturating_sub(wanted));
+            surplus.insert(key, count.saturating_sub(wanted));
         }
         let mut candidates: Vec<_> = self
             .instances
@@ -412,23 +448,16 @@
         excess
     }
 
-    /// Returns whether what is ready carries the need of a service without an instance.
-    fn can_spare(&self, service: &Name, spared: &Name) -> bool {
-        let mut by_domain: BTreeMap<&Name, u32> = BTreeMap::new();
-        let mut instances = 0;
-        for (name, instance) in &self.instances {
-            let serves = instance.stage == Stage::Serving && instance.loaded;
-            if !serves || instance.service != *service || name == spared {
-                continue;
-            }
+    /// Returns what of a service is ready to serve.
+    fn ready(&self, service: &Name) -> Ready {
+        let mut ready = Ready::default();
+        let serving = self.instances.values().filter(|i| i.stage == Stage::Serving && i.loaded);
+        for instance in serving.filter(|i| i.service == *service) {
             let slots = self.offers.get(&instance.key).map_or(0, |o| o.slots);
-            *by_domain.entry(&instance.key.domain).or_default() += slots;
-            instances += 1;
+            *ready.by_domain.entry(instance.key.domain.clone()).or_default() += slots;
+            ready.instances += 1;
         }
-        let total: u32 = by_domain.values().sum();
-        let largest = by_domain.values().copied().max().unwrap_or(0);
-        let need = self.need(&self.services[service]);
-        total - largest >= need.slots && instances >= need.min_instances
+        ready
     }
 
     fn expire(&mut self, now: Millis, out: &mut Vec<Action>) {
@@ -486,16 +515,22 @@
     }
 
     fn announced(&mut self, instance: Name, news: Instance) {
-        self.starting.retain(|_, s| s.instance.as_ref() != Some(&instance));
+        if !self.instances.contains_key(&instance) {
+            self.starting.retain(|_, s| s.instance.as_ref() != Some(&instance));
+        }
+        let first = !self.instances.contains_key(&instance);
         let known = self.instances.entry(instance.clone()).or_insert_with(|| news.clone());
-        known.loaded = news.loaded;
+        let was_loaded = std::mem::replace(&mut known.loaded, news.loaded);
         known.running = news.running;
         // A notice is never taken back for the same instance.
         if news.stage == Stage::Reclaimed {
             known.stage = Stage::Reclaimed;
         }
-        if news.loaded || known.stage != Stage::Serving {
-            self.loads.forget(&instance);
+        let serving = known.stage == Stage::Serving;
+        if news.loaded || !serving {
+            if first || !was_loaded || !serving {
+                self.loads.forget(&instance);
+            }
             return;
         }
         if let Some(service) = self.services.get(&news.service).filter(|s| s.target.megabytes > 0) {
