sill try: the whole system in one process, and a checked workload

Cause: a newcomer had no way to see the system run, and nothing judged a run by the promises. `sill try` starts one control instance, two entries, four model endpoints and a plain service (one endpoint per failure domain, as entries do not yet spread announcements over domains). `--once` sends a mixed workload with a reclaim in mid-stream and checks answers and ledgers.

--- a/bench/load/src/lib.rs
+++ b/bench/load/src/lib.rs
@@ -2,4 +2,6 @@
 
 pub mod check;
 pub mod cli;
+pub mod exchange;
 pub mod run;
+pub mod sse;
--- a/daemons/sill/src/main.rs
+++ b/daemons/sill/src/main.rs
@@ -1,10 +1,7 @@
 //! The operators' command line.
 
-mod operator;
-mod verbs;
-
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    sill_setup::exit_code(verbs::run(std::env::args().skip(1).collect()))
+    sill_setup::exit_code(sill::verbs::run(std::env::args().skip(1).collect()))
 }
--- a/daemons/sill/src/verbs/mod.rs
+++ b/daemons/sill/src/verbs/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod get;
 mod hash;
+mod try_it;
 
 use std::future::Future;
 
@@ -15,6 +16,7 @@
 
 Usage: sill VERB [FLAGS] …; `sill VERB --help` tells more.
 
+  try       run the whole system in one process, for a first look
   get       print a subtree
   entry, control, standin, load
             run what the program of that name runs
@@ -39,6 +41,7 @@
         "control" => sill_control::cli::run(words),
         "standin" => sill_standin::cli::run(words),
         "load" => sill_load::cli::run(words),
+        "try" => with_values(&try_it::PROGRAM, words, try_it::run),
         "hash" => with_values(&hash::PROGRAM, words, hash::run),
         "help" | "--help" | "-h" => {
             print!("{USAGE}");
--- /dev/null
+++ b/daemons/sill/tests/system/product.rs
@@ -0,0 +1,71 @@
+//! The product as a newcomer meets it: `sill try`, and the verbs.
+
+use std::net::SocketAddr;
+use std::process::Command;
+
+use serde_json::Value;
+
+use crate::harness::{Folder, Program, http, wait_until};
+
+/// A running `sill try`, and what its ready file says.
+struct Try {
+    folder: Folder,
+    program: Program,
+    ready: Value,
+}
+
+impl Try {
+    fn start(test: &str) -> Self {
+        let folder = Folder::new(test);
+        let (file, data) = (folder.file("ready.json"), folder.file("data"));
+        let program = folder.start("try.log", &["try", "--ready-file", &file, "--data", &data]);
+        let read = || std::fs::read_to_string(&file);
+        wait_until("the ready file is there", || read().is_ok());
+        let ready = serde_json::from_str(&read().expect("a file")).expect("all of it at once");
+        Self { folder, program, ready }
+    }
+
+    fn text(&self, field: &str) -> &str {
+        self.ready[field].as_str().expect("a text")
+    }
+
+    fn addresses(&self, field: &str) -> Vec<SocketAddr> {
+        let list = self.ready[field].as_array().expect("a list");
+        list.iter().map(|a| a.as_str().expect("a text").parse().expect("an address")).collect()
+    }
+
+    fn stop(mut self) -> Option<i32> {
+        let pid = self.program.0.id().to_string();
+        Command::new("kill").args(["-TERM", &pid]).status().expect("the signal is sent");
+        self.program.0.wait().expect("it ends").code()
+    }
+}
+
+#[test]
+fn the_ready_file_appears_once_every_entry_serves_and_a_signal_ends_it_cleanly() {
+    let system = Try::start("try");
+    let key = format!("authorization: Bearer {}", system.text("caller_key"));
+    let entries = system.addresses("entries");
+    assert_eq!(entries.len(), 2);
+    assert!(system.addresses("endpoints").len() >= 4);
+    let model = system.text("model");
+    let body = format!(
+        r#"{{"model":"{model}","max_tokens":3,"messages":[{{"role":"user","content":"hi"}}]}}"#
+    );
+    let service = format!("/s/{}/pieces/1", system.text("service"));
+    for entry in entries {
+        let chat = http(entry, "POST", "/v1/chat/completions", &[&key], &body).expect("an answer");
+        assert_eq!(chat.status, 200, "the first request after the file is served: {chat:?}");
+        let plain = http(entry, "GET", &service, &[&key], "").expect("an answer");
+        assert_eq!(plain.status, 200, "{plain:?}");
+    }
+    let control = system.text("control").parse().expect("an address");
+    let token = format!("authorization: Bearer {}", system.text("operator_token"));
+    let tree = http(control, "GET", "/tree/ga", &[&token], "").expect("an answer");
+    assert_eq!(tree.status, 200, "{tree:?}");
+    let log = system.folder.file("try.log");
+    let secrets = [system.text("caller_key"), system.text("operator_token")].map(str::to_owned);
+    let text = std::fs::read_to_string(log).expect("its log");
+    assert!(secrets.iter().all(|secret| !text.contains(secret.as_str())), "a secret in the log");
+    assert_eq!(system.stop(), Some(0));
+}
