Settings tree: every fault at once, each with its place; owners; redaction

Cause: a document was read by serde, which stops at the first fault, gives no path and keeps the last of two equal names; references, sums of limits, caps and owners were not checked at all.

check_value reads the JSON by small readers that note every fault, then checks the tree as it would be. read_json sees names that stand twice. check_owner and redacted are there for the operators' API to call; it does not call them yet.

Accounts without a limit now inherit that of their subtree.

--- a/state/tree/src/document.rs
+++ b/state/tree/src/document.rs
@@ -136,6 +136,13 @@
     pub fn of(secret: &str) -> Self {
         Self(format!("blake3:{}", blake3::hash(secret.as_bytes()).to_hex()).into())
     }
+
+    /// Returns whether it has the shape of a hash.
+    pub fn is_well_formed(&self) -> bool {
+        let is_digit = |c: u8| c.is_ascii_digit() || (b'a'..=b'f').contains(&c);
+        let digits = self.0.strip_prefix("blake3:");
+        digits.is_some_and(|digits| digits.len() == 64 && digits.bytes().all(is_digit))
+    }
 }
 
 impl CallRule {
--- a/state/tree/src/effective.rs
+++ b/state/tree/src/effective.rs
@@ -79,7 +79,7 @@
                     name: full,
                     path: path.clone(),
                     account: account.clone(),
-                    limit: account.limit.unwrap_or_default(),
+                    limit: inherited.limit_of(account),
                 });
                 for key in &account.account.keys {
                     effective.accounts.insert(key.clone(), account.clone());
@@ -110,9 +110,19 @@
     price_cap: Option<u64>,
     placement: Placement,
     deadline: Option<Millis>,
+    limit: Limit,
 }
 
 impl Inherited {
+    /// An account without a limit of its own is held to that of its subtree.
+    fn limit_of(&self, account: &Account) -> Limit {
+        let own = account.limit.unwrap_or_default();
+        Limit {
+            requests_per_s: own.requests_per_s.or(self.limit.requests_per_s),
+            tokens_per_s: own.tokens_per_s.or(self.limit.tokens_per_s),
+        }
+    }
+
     fn at(tree: &Tree, path: &str) -> Self {
         let mut inherited = Self::default();
         let mut has_placement = false;
@@ -122,6 +132,10 @@
             inherited.latency = inherited.latency.or(document.latency);
             inherited.price_cap = inherited.price_cap.or(document.price_cap);
             inherited.deadline = inherited.deadline.or(document.deadline_ms);
+            let limit = document.limit.unwrap_or_default();
+            inherited.limit.requests_per_s =
+                inherited.limit.requests_per_s.or(limit.requests_per_s);
+            inherited.limit.tokens_per_s = inherited.limit.tokens_per_s.or(limit.tokens_per_s);
             if let (false, Some(placement)) = (has_placement, &document.placement) {
                 inherited.placement = placement.clone();
                 has_placement = true;
--- a/state/tree/src/lib.rs
+++ b/state/tree/src/lib.rs
@@ -1,11 +1,18 @@
 //! The settings tree: one subtree for each team, typed, inherited downwards, with revisions.
 
+pub mod check;
 pub mod document;
 pub mod effective;
+pub mod json;
+pub mod object;
+pub mod owner;
+pub mod read;
 pub mod tree;
 
 pub use document::{
     Account, CallRule, Document, KeyHash, LatencyTarget, Limit, Placement, Service,
 };
 pub use effective::{Effective, EffectiveAccount, EffectiveService};
+pub use json::read_json;
+pub use owner::{Operator, redacted};
 pub use tree::{Subtree, Tree};
--- /dev/null
+++ b/state/tree/src/read.rs
@@ -0,0 +1,196 @@
+//! Reads a settings document out of JSON and notes every fault, where serde stops at the first.
+
+use serde_json::Value;
+use sill_base::{Findings, Name};
+
+use crate::document::{
+    Account, CallRule, Document, KeyHash, LatencyTarget, Limit, Placement, Service,
+};
+use crate::object::{self, Object, Place};
+
+/// Priorities, from the lowest.
+pub const PRIORITIES: [&str; 3] = ["low", "normal", "high"];
+
+/// Methods that a call rule may name.
+const METHODS: [&str; 8] = ["*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
+
+/// Reads the document of a subtree; what could not be read is left out and noted.
+pub fn document(path: &str, value: &Value, findings: &mut Findings) -> Document {
+    let mut read = Document::default();
+    let Some(mut fields) = Object::open(value, Place::top(path), findings) else {
+        return read;
+    };
+    read.owner = fields.read("owner", findings, key_hash);
+    read.latency = fields.read("latency", findings, latency);
+    read.price_cap = fields.read("price_cap", findings, object::whole);
+    read.placement = fields.read("placement", findings, placement);
+    read.deadline_ms = fields.read("deadline_ms", findings, object::millis);
+    read.limit = fields.read("limit", findings, limit);
+    read.services.extend(fields.by_name("services", findings, |value, place, findings| {
+        // One that can't be read still stands there, so that references to it don't dangle.
+        let unreadable = Service::Plain { non_idempotent: Vec::new(), min_endpoints: 0 };
+        Some(service(value, place, findings).unwrap_or(unreadable))
+    }));
+    read.accounts.extend(fields.by_name("accounts", findings, account));
+    fields.close(findings);
+    read
+}
+
+fn service(value: &Value, place: Place, findings: &mut Findings) -> Option<Service> {
+    let mut fields = Object::open(value, place, findings)?;
+    let kind = fields.required("kind", findings, object::text)?;
+    let service = match kind.as_str() {
+        "model" => Service::Model {
+            version: fields.read("version", findings, version).unwrap_or_default(),
+            adapters: distinct(&mut fields, "adapters", findings, object::name),
+            min_endpoints: fields
+                .read("min_endpoints", findings, object::whole_u32)
+                .unwrap_or_default(),
+            latency: fields.read("latency", findings, latency),
+        },
+        "plain" => Service::Plain {
+            non_idempotent: fields.list("non_idempotent", findings, call_rule),
+            min_endpoints: fields
+                .read("min_endpoints", findings, object::whole_u32)
+                .unwrap_or_default(),
+        },
+        other => {
+            let reason = format!("expected `model` or `plain`, found {other:?}");
+            findings.add(fields.place("kind").text(), reason);
+            return None;
+        }
+    };
+    fields.close(findings);
+    Some(service)
+}
+
+fn account(value: &Value, place: Place, findings: &mut Findings) -> Option<Account> {
+    let mut fields = Object::open(value, place, findings)?;
+    let account = Account {
+        keys: distinct(&mut fields, "keys", findings, key_hash),
+        limit: fields.read("limit", findings, limit),
+        weight: fields.read("weight", findings, weight),
+        priority: fields.read("priority", findings, priority),
+        max_priority: fields.read("max_priority", findings, priority),
+        services: distinct(&mut fields, "services", findings, object::name),
+    };
+    let rank = |name: &Option<Name>| PRIORITIES.iter().position(|p| Some(*p) == name.as_deref());
+    if let (Some(usual), Some(highest)) = (rank(&account.priority), rank(&account.max_priority))
+        && usual > highest
+    {
+        findings.add(fields.place("priority").text(), "higher than max_priority");
+    }
+    fields.close(findings);
+    Some(account)
+}
+
+/// The version is empty where none is wanted.
+fn version(value: &Value, place: &Place, findings: &mut Findings) -> Option<Name> {
+    match value.as_str() {
+        Some("") => Some(Name::default()),
+        _ => object::name(value, place, findings),
+    }
+}
+
+fn weight(value: &Value, place: &Place, findings: &mut Findings) -> Option<u32> {
+    let weight = object::whole_u32(value, place, findings)?;
+    if weight == 0 {
+        findings.add(place.text(), "expected at least 1");
+    }
+    Some(weight)
+}
+
+fn priority(value: &Value, place: &Place, findings: &mut Findings) -> Option<Name> {
+    let text = object::text(value, place, findings)?;
+    if !PRIORITIES.contains(&text.as_str()) {
+        let known = PRIORITIES.join(", ");
+        findings.add(place.text(), format!("unknown priority {text:?}; expected one of {known}"));
+    }
+    Some(text.into())
+}
+
+fn latency(value: &Value, place: &Place, findings: &mut Findings) -> Option<LatencyTarget> {
+    let mut fields = Object::open(value, place.clone(), findings)?;
+    let ttft_ms = fields.required("ttft_ms", findings, object::millis);
+    let between_tokens_ms = fields.required("between_tokens_ms", findings, object::millis);
+    fields.close(findings);
+    Some(LatencyTarget { ttft_ms: ttft_ms?, between_tokens_ms: between_tokens_ms? })
+}
+
+fn limit(value: &Value, place: &Place, findings: &mut Findings) -> Option<Limit> {
+    let mut fields = Object::open(value, place.clone(), findings)?;
+    let limit = Limit {
+        requests_per_s: fields.read("requests_per_s", findings, object::rate),
+        tokens_per_s: fields.read("tokens_per_s", findings, object::rate),
+    };
+    fields.close(findings);
+    Some(limit)
+}
+
+fn placement(value: &Value, place: &Place, findings: &mut Findings) -> Option<Placement> {
+    let mut fields = Object::open(value, place.clone(), findings)?;
+    let placement = Placement {
+        domains: distinct(&mut fields, "domains", findings, object::name),
+        classes: distinct(&mut fields, "classes", findings, object::name),
+        reclaimable: fields.read("reclaimable", findings, object::switch),
+    };
+    fields.close(findings);
+    Some(placement)
+}
+
+fn call_rule(value: &Value, place: &Place, findings: &mut Findings) -> Option<CallRule> {
+    let mut fields = Object::open(value, place.clone(), findings)?;
+    let method = fields.required("method", findings, method);
+    let path = fields.required("path", findings, call_path);
+    fields.close(findings);
+    Some(CallRule { method: method?, path: path? })
+}
+
+fn method(value: &Value, place: &Place, findings: &mut Findings) -> Option<Name> {
+    let text = object::text(value, place, findings)?;
+    if !METHODS.contains(&text.as_str()) {
+        let known = METHODS.join(", ");
+        findings.add(place.text(), format!("unknown method {text:?}; expected one of {known}"));
+    }
+    Some(text.into())
+}
+
+fn call_path(value: &Value, place: &Place, findings: &mut Findings) -> Option<String> {
+    let text = object::text(value, place, findings)?;
+    if !text.starts_with('/') || text.contains(['?', '#']) {
+        findings.add(place.text(), "expected a path that starts with `/`, without `?` and `#`");
+    }
+    Some(text)
+}
+
+/// A key itself in place of its hash must be refused, and must not be repeated in the finding.
+fn key_hash(value: &Value, place: &Place, findings: &mut Findings) -> Option<KeyHash> {
+    let text = object::text(value, place, findings)?;
+    let hash = KeyHash(text.into());
+    if !hash.is_well_formed() {
+        let reason = "expected `blake3:` and 64 hexadecimal digits, as `sill hash` prints them";
+        findings.add(place.text(), reason);
+    }
+    Some(hash)
+}
+
+/// Reads a list and notes what stands in it twice.
+fn distinct<'a, T, F>(
+    fields: &mut Object<'a>,
+    name: &'static str,
+    findings: &mut Findings,
+    reader: F,
+) -> Vec<T>
+where
+    T: PartialEq,
+    F: FnMut(&'a Value, &Place, &mut Findings) -> Option<T>,
+{
+    let list = fields.list(name, findings, reader);
+    let place = fields.place(name);
+    for (i, element) in list.iter().enumerate() {
+        if list[..i].contains(element) {
+            findings.add(place.element(i).text(), "stands in the list twice");
+        }
+    }
+    list
+}
--- /dev/null
+++ b/state/tree/tests/findings.rs
@@ -0,0 +1,275 @@
+//! Every fault of a settings document is found, named by its place, and nothing is applied.
+
+use serde_json::{Value, json};
+use sill_base::Findings;
+use sill_tree::{KeyHash, Tree, read_json};
+
+/// A document for `ga/desk` with a fault, and where the finding must stand.
+struct Case {
+    name: &'static str,
+    document: &'static str,
+    place: &'static str,
+    reason: &'static str,
+}
+
+const CASES: [Case; 27] = [
+    Case {
+        name: "unknown field",
+        document: r#"{"acounts":{}}"#,
+        place: "ga/desk: acounts",
+        reason: "unknown field",
+    },
+    Case {
+        name: "unknown field of a service",
+        document: r#"{"services":{"chat":{"kind":"model","min":1}}}"#,
+        place: "ga/desk: services.chat.min",
+        reason: "unknown field",
+    },
+    Case {
+        name: "wrong unit in the name",
+        document: r#"{"latency":{"ttft_s":1,"ttft_ms":1,"between_tokens_ms":1}}"#,
+        place: "ga/desk: latency.ttft_s",
+        reason: "expected one of ttft_ms",
+    },
+    Case {
+        name: "wrong unit in the value",
+        document: r#"{"services":{"chat":{"kind":"model","latency":{"ttft_ms":"1s","between_tokens_ms":1}}}}"#,
+        place: "ga/desk: services.chat.latency.ttft_ms",
+        reason: "whole number of milliseconds",
+    },
+    Case {
+        name: "fraction of a millisecond",
+        document: r#"{"deadline_ms":0.5}"#,
+        place: "ga/desk: deadline_ms",
+        reason: "whole number of milliseconds",
+    },
+    Case {
+        name: "half a latency target",
+        document: r#"{"latency":{"ttft_ms":1}}"#,
+        place: "ga/desk: latency.between_tokens_ms",
+        reason: "missing",
+    },
+    Case {
+        name: "no deadline at all",
+        document: r#"{"deadline_ms":0}"#,
+        place: "ga/desk: deadline_ms",
+        reason: "more than 0",
+    },
+    Case {
+        name: "service without kind",
+        document: r#"{"services":{"chat":{}}}"#,
+        place: "ga/desk: services.chat.kind",
+        reason: "missing",
+    },
+    Case {
+        name: "unknown kind",
+        document: r#"{"services":{"chat":{"kind":"llm"}}}"#,
+        place: "ga/desk: services.chat.kind",
+        reason: "`model` or `plain`",
+    },
+    Case {
+        name: "negative count",
+        document: r#"{"services":{"chat":{"kind":"model","min_endpoints":-1}}}"#,
+        place: "ga/desk: services.chat.min_endpoints",
+        reason: "whole number",
+    },
+    Case {
+        name: "adapter twice",
+        document: r#"{"services":{"chat":{"kind":"model","adapters":["x","x"]}}}"#,
+        place: "ga/desk: services.chat.adapters[1]",
+        reason: "twice",
+    },
+    Case {
+        name: "unknown method",
+        document: r#"{"services":{"s":{"kind":"plain","non_idempotent":[{"method":"SEND","path":"/"}]}}}"#,
+        place: "ga/desk: services.s.non_idempotent[0].method",
+        reason: "unknown method",
+    },
+    Case {
+        name: "bad call path",
+        document: r#"{"services":{"s":{"kind":"plain","non_idempotent":[{"method":"POST","path":"x"}]}}}"#,
+        place: "ga/desk: services.s.non_idempotent[0].path",
+        reason: "starts with `/`",
+    },
+    Case {
+        name: "bad name",
+        document: r#"{"accounts":{"the clerks":{}}}"#,
+        place: "ga/desk: accounts.the clerks",
+        reason: "not a well-formed name",
+    },
+    Case {
+        name: "a key in place of its hash",
+        document: r#"{"accounts":{"clerks":{"keys":["secret"]}}}"#,
+        place: "ga/desk: accounts.clerks.keys[0]",
+        reason: "64 hexadecimal digits",
+    },
+    Case {
+        name: "unknown priority",
+        document: r#"{"accounts":{"clerks":{"priority":"urgent"}}}"#,
+        place: "ga/desk: accounts.clerks.priority",
+        reason: "unknown priority",
+    },
+    Case {
+        name: "priority above the highest allowed",
+        document: r#"{"accounts":{"clerks":{"priority":"high","max_priority":"low"}}}"#,
+        place: "ga/desk: accounts.clerks.priority",
+        reason: "higher than max_priority",
+    },
+    Case {
+        name: "limit of nothing",
+        document: r#"{"accounts":{"clerks":{"limit":{"requests_per_s":0}}}}"#,
+        place: "ga/desk: accounts.clerks.limit.requests_per_s",
+        reason: "more than 0",
+    },
+    Case {
+        name: "weight of nothing",
+        document: r#"{"accounts":{"clerks":{"weight":0}}}"#,
+        place: "ga/desk: accounts.clerks.weight",
+        reason: "at least 1",
+    },
+    Case {
+        name: "dangling reference",
+        document: r#"{"accounts":{"clerks":{"services":["chat"]}}}"#,
+        place: "ga/desk: accounts.clerks.services[0]",
+        reason: "no service of this subtree or one above",
+    },
+    Case {
+        name: "service of a subtree beside",
+        document: r#"{"accounts":{"clerks":{"services":["beside"]}}}"#,
+        place: "ga/desk: accounts.clerks.services[0]",
+        reason: "no service of this subtree or one above",
+    },
+    Case {
+        name: "a name that another subtree has",
+        document: r#"{"services":{"beside":{"kind":"plain"}}}"#,
+        place: "ga/desk: services.beside",
+        reason: "duplicate name; ga/other has it too",
+    },
+    Case {
+        name: "limits of accounts above their subtree's",
+        document: r#"{"limit":{"requests_per_s":5},"accounts":{"a":{"limit":{"requests_per_s":3}},"b":{"limit":{"requests_per_s":3}}}}"#,
+        place: "ga/desk: limit.requests_per_s",
+        reason: "below the sum of the limits under it, 6",
+    },
+    Case {
+        name: "more than is left of the limit above",
+        document: r#"{"accounts":{"a":{"limit":{"tokens_per_s":1001}}}}"#,
+        place: "ga: limit.tokens_per_s",
+        reason: "below the sum of the limits under it, 1001",
+    },
+    Case {
+        name: "price cap above that of the subtree above",
+        document: r#"{"price_cap":2001}"#,
+        place: "ga/desk: price_cap",
+        reason: "the cap of ga",
+    },
+    Case {
+        name: "unknown failure domain",
+        document: r#"{"placement":{"domains":["a","z"]}}"#,
+        place: "ga/desk: placement.domains[1]",
+        reason: "not among those of ga",
+    },
+    Case {
+        name: "reclaimable instances where none are allowed",
+        document: r#"{"placement":{"reclaimable":true}}"#,
+        place: "ga/desk: placement.reclaimable",
+        reason: "allows no reclaimable",
+    },
+];
+
+/// Returns a tree with a team's subtree and one beside the one under test.
+fn tree() -> Tree {
+    let mut tree = Tree::default();
+    let documents = [
+        (
+            "ga",
+            json!({
+                "limit": { "tokens_per_s": 1000 },
+                "price_cap": 2000,
+                "placement": { "domains": ["a", "b"], "reclaimable": false },
+                "services": { "desk-7b": { "kind": "model" } },
+            }),
+        ),
+        ("ga/other", json!({ "services": { "beside": { "kind": "plain" } } })),
+    ];
+    for (i, (path, document)) in documents.into_iter().enumerate() {
+        let document = tree.check_value(path, &document).expect("a sound document");
+        tree.put(path.into(), i as u64 + 1, "test".into(), document);
+    }
+    tree
+}
+
+fn check(document: &str) -> Result<(), Findings> {
+    let value = read_json("ga/desk", document.as_bytes())?;
+    tree().check_value("ga/desk", &value).map(|_| ())
+}
+
+#[test]
+fn each_fault_is_found_at_its_place() {
+    for case in CASES {
+        let findings = check(case.document).expect_err(case.name);
+        let fits = |place: &str, reason: &str| place == case.place && reason.contains(case.reason);
+        let found = findings.iter().any(|f| fits(&f.place, &f.reason));
+        assert!(found && findings.len() == 1, "{}: {findings}", case.name);
+    }
+}
+
+#[test]
+fn all_faults_of_a_document_are_found_at_once() {
+    let document = r#"{"x":1,"deadline_ms":"2s","services":{"chat":{"kind":"model","latency":{"ttft_ms":0,"between_tokens_ms":1}}},"accounts":{"clerks":{"keys":["k"],"services":["chat","gone"]}}}"#;
+    let findings = check(document).expect_err("faults");
+    let places: Vec<&str> = findings.iter().map(|f| f.place.as_str()).collect();
+    assert_eq!(
+        places,
+        [
+            "ga/desk: deadline_ms",
+            "ga/desk: services.chat.latency.ttft_ms",
+            "ga/desk: accounts.clerks.keys[0]",
+            "ga/desk: x",
+            "ga/desk: accounts.clerks.services[1]",
+        ]
+    );
+    assert!(!findings.to_string().contains("\"k\""), "a secret in a finding");
+}
+
+/// A merge of two edits leaves an account in the file twice. JSON libraries keep the last one, and
+/// the callers of the first would be refused with nothing in any log.
+#[test]
+fn a_name_that_stands_twice_is_found_in_the_text() {
+    let text = r#"{"accounts":{"a":{"weight":1,"weight":2},"a":{}},"accounts":{}}"#;
+    let findings = read_json("ga", text.as_bytes()).expect_err("duplicates");
+    let places: Vec<&str> = findings.iter().map(|f| f.place.as_str()).collect();
+    assert_eq!(places, ["ga: accounts.a.weight", "ga: accounts.a", "ga: accounts"]);
+}
+
+#[test]
+fn a_key_belongs_to_one_account() {
+    let key = KeyHash::of("k");
+    let document = json!({ "accounts": { "a": { "keys": [key] }, "b": { "keys": [key] } } });
+    let findings = tree().check_value("ga/desk", &document).expect_err("a shared key");
+    assert_eq!(findings.len(), 1, "{findings}");
+    assert!(!findings.to_string().contains("blake3:"), "a hash in a finding");
+}
+
+/// A team removes a service that accounts of a lower subtree still name.
+#[test]
+fn a_change_above_that_breaks_a_subtree_below_is_refused() {
+    let mut tree = tree();
+    let below = json!({ "accounts": { "clerks": { "services": ["desk-7b"] } } });
+    let below = tree.check_value("ga/desk", &below).expect("a sound document");
+    tree.put("ga/desk".into(), 3, "test".into(), below);
+    let findings = tree.check_value("ga", &json!({})).expect_err("a dangling reference");
+    assert_eq!(findings.iter().next().expect("one").place, "ga/desk: accounts.clerks.services[0]");
+}
+
+#[test]
+fn paths_are_checked() {
+    let cases = [("", true), ("ga", true), ("ga/desk", true), ("/ga", false), ("ga//x", false)];
+    for (path, sound) in cases {
+        assert_eq!(
+            tree().check_value(path, &Value::Object(Default::default())).is_ok(),
+            sound,
+            "{path}"
+        );
+    }
+}
