Process settings: all faults of words and values at once; panics as one log line

Cause: the parser stopped at the first wrong word; an empty variable counted as a value; a repeated flag hid every other fault; a library's line that began with event= was logged unescaped, and a panic's text came over several lines.

The parser is run again without each faulty word, so all are reported with flag and variable, without values that may be secrets.

--- a/daemons/setup/src/flags.rs
+++ b/daemons/setup/src/flags.rs
@@ -1,12 +1,13 @@
 //! Flags, each with an environment variable, checked and reported together.
 
 use std::env;
+use std::ffi::OsString;
 use std::fmt::Display;
 use std::fs;
 use std::str::FromStr;
 
-use getopts::{Matches, Options};
-use sill_base::{Findings, Name, Secret};
+use getopts::{Fail, Matches, Options};
+use sill_base::{Findings, Map, Name, Secret};
 
 /// How often a flag may stand, and whether it takes a value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,6 +47,8 @@
 }
 
 /// What came of reading a command line.
+// There is one for each process, so its size doesn't matter.
+#[allow(clippy::large_enum_variant)]
 #[derive(Debug)]
 pub enum Outcome {
     /// `--help` was asked for; this is the text.
@@ -54,11 +57,15 @@
     Values(Values),
 }
 
+/// Environment variables by name.
+pub type Variables = Map<String, OsString>;
+
 /// Values of flags and variables, and what was wrong with them so far.
 #[derive(Debug)]
 pub struct Values {
     program: Program,
     matches: Matches,
+    variables: Variables,
     findings: Findings,
     /// Words that are not flags.
     pub operands: Vec<String>,
@@ -94,18 +101,61 @@
     pub fn variable(&self) -> String {
         format!("SILL_{}", self.name.to_uppercase().replace('-', "_"))
     }
+
+    /// Returns the place of a finding about the flag.
+    pub fn place(&self) -> String {
+        format!("--{} ({})", self.name, self.variable())
+    }
 }
 
 impl Program {
-    /// Reads the words after the program's name.
+    /// Reads the words after the program's name, with the variables of this process.
     ///
     /// # Errors
     ///
-    /// Returns a finding for a flag that is unknown, stands twice or lacks its value.
+    /// Returns findings where nothing could be read at all.
     pub fn read<I>(&self, words: I) -> Result<Outcome, Findings>
     where
         I: IntoIterator<Item = String>,
     {
+        let text_names =
+            env::vars_os().filter_map(|(name, value)| Some((name.into_string().ok()?, value)));
+        self.read_with(words, text_names.collect())
+    }
+
+    /// Reads the words after the program's name, with the given variables. What is wrong with the
+    /// words is kept, to be reported together with what is wrong with the values.
+    ///
+    /// # Errors
+    ///
+    /// Returns findings where nothing could be read at all.
+    pub fn read_with<I>(&self, words: I, variables: Variables) -> Result<Outcome, Findings>
+    where
+        I: IntoIterator<Item = String>,
+    {
+        let options = self.options();
+        let mut words: Vec<String> = words.into_iter().collect();
+        let mut findings = Findings::new();
+        // The parser stops at the first fault; without the faulty word it goes on to the next.
+        let matches = loop {
+            match options.parse(&words) {
+                Ok(matches) => break matches,
+                Err(fault) => {
+                    findings.add(self.place_of_fault(&fault), reason(&fault));
+                    if !remove_fault(&mut words, &fault) {
+                        return Err(findings);
+                    }
+                }
+            }
+        };
+        if matches.opt_present("help") {
+            return Ok(Outcome::Help(self.help()));
+        }
+        let operands = matches.free.clone();
+        Ok(Outcome::Values(Values { program: *self, matches, variables, findings, operands }))
+    }
+
+    fn options(&self) -> Options {
         let mut options = Options::new();
         options.optflag("h", "help", "show this text");
         for flag in self.flags {
@@ -115,13 +165,15 @@
                 Kind::Switch => options.optflag("", flag.name, flag.help),
             };
         }
-        let matches =
-            options.parse(words).map_err(|err| Findings::one("command line", err.to_string()))?;
-        if matches.opt_present("help") {
-            return Ok(Outcome::Help(self.help()));
+        options
+    }
+
+    fn place_of_fault(&self, fault: &Fail) -> String {
+        let name = flag_of(fault);
+        match self.flags.iter().find(|flag| flag.name == name) {
+            Some(flag) => flag.place(),
+            None => format!("--{name}"),
         }
-        let operands = matches.free.clone();
-        Ok(Outcome::Values(Values { program: *self, matches, findings: Findings::new(), operands }))
     }
 
     /// Returns the text of `--help`.
@@ -151,8 +203,8 @@
         T: FromStr,
         T::Err: Display,
     {
-        let (place, text) = self.one(name)?;
-        self.parse(&place, &text)
+        let text = self.one(name)?;
+        self.parse(self.flag(name), &text)
     }
 
     /// Returns a value that must be given or has a default; notes a finding otherwise.
@@ -163,11 +215,14 @@
         T: FromStr,
         T::Err: Display,
     {
+        let flag = self.flag(name);
+        let faults = self.findings.len();
         match self.one(name) {
-            Some((place, text)) => self.parse(&place, &text),
+            Some(text) => self.parse(flag, &text),
             None => {
-                let place = self.place(name);
-                self.findings.add(place, "missing");
+                if self.findings.len() == faults {
+                    self.findings.add(flag.place(), "missing");
+                }
                 None
             }
         }
@@ -179,13 +234,13 @@
         T: FromStr,
         T::Err: Display,
     {
+        let flag = self.flag(name);
         let mut texts = self.matches.opt_strs(name);
         if texts.is_empty() {
-            let listed = env::var(self.flag(name).variable()).unwrap_or_default();
+            let listed = self.variable(flag).unwrap_or_default();
             texts = listed.split(',').filter(|t| !t.is_empty()).map(str::to_owned).collect();
         }
-        let place = self.place(name);
-        texts.iter().filter_map(|text| self.parse(&place, text)).collect()
+        texts.iter().filter_map(|text| self.parse(flag, text)).collect()
     }
 
     /// Returns whether a switch is on.
@@ -193,11 +248,9 @@
         if self.matches.opt_present(name) {
             return true;
         }
-        let place = self.place(name);
-        match env::var(self.flag(name).variable()) {
-            Ok(text) => self.parse(&place, &text).unwrap_or(false),
-            Err(_) => false,
-        }
+        let flag = self.flag(name);
+        let text = self.variable(flag);
+        text.and_then(|text| self.parse(flag, &text)).unwrap_or(false)
     }
 
     /// Returns a well-formed name.
@@ -206,7 +259,7 @@
         if Name::is_well_formed(&text) {
             return Some(text.into());
         }
-        let place = self.place(name);
+        let place = self.flag(name).place();
         self.findings.add(place, format!("{text:?}: expected 1 to 64 of letters, digits, `-_.`"));
         None
     }
@@ -214,7 +267,7 @@
     /// Returns the secret that stands in the file a flag names.
     pub fn secret(&mut self, name: &str) -> Option<Secret> {
         let path: String = self.required(name)?;
-        let place = self.place(name);
+        let place = self.flag(name).place();
         match fs::read_to_string(&path) {
             Ok(text) if !text.trim().is_empty() => Some(Secret::new(text.trim())),
             Ok(_) => {
@@ -230,7 +283,7 @@
 
     /// Notes a finding about a flag.
     pub fn finding(&mut self, name: &str, reason: impl Into<String>) {
-        let place = self.place(name);
+        let place = self.flag(name).place();
         self.findings.add(place, reason);
     }
 
@@ -248,31 +301,104 @@
         *flag.unwrap_or_else(|| panic!("flag --{name} is not declared"))
     }
 
-    fn place(&self, name: &str) -> String {
-        format!("--{name} ({})", self.flag(name).variable())
-    }
-
-    fn one(&self, name: &str) -> Option<(String, String)> {
+    /// Returns the text of a flag or variable, or its default.
+    fn one(&mut self, name: &str) -> Option<String> {
         let flag = self.flag(name);
-        let given = self.matches.opt_str(name).or_else(|| env::var(flag.variable()).ok());
-        let text = match flag.kind {
-            Kind::One(default) => given.or(default.map(str::to_owned)),
+        let faults = self.findings.len();
+        let given = self.matches.opt_str(name).or_else(|| self.variable(flag));
+        match flag.kind {
+            Kind::One(Some(default)) if self.findings.len() == faults => {
+                Some(given.unwrap_or_else(|| default.to_owned()))
+            }
             _ => given,
-        };
-        text.map(|text| (self.place(name), text))
+        }
+    }
+
+    /// Returns the text of a flag's variable. One that is set but empty is most often a script's
+    /// own variable that was never filled, so it is not taken for "not set".
+    fn variable(&mut self, flag: Flag) -> Option<String> {
+        let value = self.variables.get(&flag.variable())?;
+        match value.to_str() {
+            Some("") => {
+                self.findings.add(flag.place(), "the variable is set but empty");
+                None
+            }
+            Some(text) => Some(text.to_owned()),
+            None => {
+                self.findings.add(flag.place(), "the variable is not valid UTF-8");
+                None
+            }
+        }
     }
 
-    fn parse<T>(&mut self, place: &str, text: &str) -> Option<T>
+    fn parse<T>(&mut self, flag: Flag, text: &str) -> Option<T>
     where
         T: FromStr,
         T::Err: Display,
     {
+        if text.is_empty() {
+            self.findings.add(flag.place(), "empty");
+            return None;
+        }
         match text.parse() {
             Ok(value) => Some(value),
             Err(err) => {
-                self.findings.add(place, format!("{text:?}: {err}"));
+                let expected = if flag.hint.is_empty() { "true or false" } else { flag.hint };
+                self.findings.add(flag.place(), format!("{text:?}: {err}; expected {expected}"));
                 None
             }
         }
     }
 }
+
+/// Returns the flag that the parser stopped at, without dashes.
+fn flag_of(fault: &Fail) -> &str {
+    match fault {
+        Fail::ArgumentMissing(name)
+        | Fail::UnrecognizedOption(name)
+        | Fail::OptionMissing(name)
+        | Fail::OptionDuplicated(name)
+        | Fail::UnexpectedArgument(name) => name,
+    }
+}
+
+/// Tells what is wrong, without the value, which may be a secret.
+fn reason(fault: &Fail) -> &'static str {
+    match fault {
+        Fail::ArgumentMissing(_) => "the value is missing",
+        Fail::UnrecognizedOption(_) => "unknown flag",
+        Fail::OptionMissing(_) => "missing",
+        Fail::OptionDuplicated(_) => "stands more than once",
+        Fail::UnexpectedArgument(_) => "takes no value",
+    }
+}
+
+/// Removes the words that the parser stopped at; returns whether there were any.
+fn remove_fault(words: &mut Vec<String>, fault: &Fail) -> bool {
+    let name = flag_of(fault);
+    let is_it = |word: &String| {
+        let word = word.trim_start_matches('-');
+        word == name || word.strip_prefix(name).is_some_and(|rest| rest.starts_with('='))
+    };
+    let is_flag = |word: &String| word.starts_with('-') && is_it(word);
+    let at = match fault {
+        // A short flag can be one letter out of a word of several.
+        Fail::UnrecognizedOption(letter) if letter.chars().count() == 1 => {
+            words.iter().position(|word| is_flag(word) || is_short_with(word, letter))
+        }
+        _ => words.iter().rposition(is_flag),
+    };
+    let Some(at) = at else {
+        return false;
+    };
+    let word = words.remove(at);
+    let has_value_after = matches!(fault, Fail::OptionDuplicated(_)) && !word.contains('=');
+    if has_value_after && words.get(at).is_some_and(|next| !next.starts_with('-')) {
+        words.remove(at);
+    }
+    true
+}
+
+fn is_short_with(word: &str, letter: &str) -> bool {
+    word.starts_with('-') && !word.starts_with("--") && word.contains(letter)
+}
--- a/daemons/setup/src/lib.rs
+++ b/daemons/setup/src/lib.rs
@@ -4,7 +4,7 @@
 pub mod logs;
 pub mod signal;
 
-pub use flags::{Flag, Kind, Outcome, Program, Values};
+pub use flags::{Flag, Kind, Outcome, Program, Values, Variables};
 
 /// The exit code for wrong flags, variables or files.
 pub const EXIT_BAD_SETTINGS: u8 = 2;
--- a/daemons/setup/src/logs.rs
+++ b/daemons/setup/src/logs.rs
@@ -1,11 +1,12 @@
 //! Logs on standard error, one key=value line for each event.
 
-use std::io;
+use std::panic::{self, PanicHookInfo};
+use std::{io, thread};
 
 use eyre::Result;
 use log::LevelFilter;
-use sill_base::Millis;
 use sill_base::event::push_pair;
+use sill_base::{Millis, event};
 
 /// Starts logging.
 ///
@@ -18,7 +19,9 @@
             let text = message.to_string();
             let stamp = Millis::wall();
             let level = record.level();
-            if text.starts_with("event=") && !text.contains(['\n', '\r']) {
+            // Only our own lines are escaped pairs; a library may log a caller's text as it came.
+            let is_ours = record.target().starts_with("sill") && text.starts_with("event=");
+            if is_ours && !text.contains(['\n', '\r']) {
                 out.finish(format_args!("at={stamp} level={level} {text}"));
             } else {
                 // A library's free text becomes one escaped value, so that it stays one line.
@@ -38,5 +41,22 @@
         .level_for("sill", level)
         .chain(io::stderr())
         .apply()?;
+    panic::set_hook(Box::new(log_panic));
     Ok(())
 }
+
+/// Logs a panic as one line; the usual text of several lines could not be told from forged ones.
+fn log_panic(info: &PanicHookInfo<'_>) {
+    let payload = info.payload();
+    let text = payload.downcast_ref::<&str>().copied();
+    let text = text.or_else(|| payload.downcast_ref::<String>().map(String::as_str));
+    let thread = thread::current();
+    let place = info.location().map(ToString::to_string).unwrap_or_default();
+    event!(
+        Error,
+        "panic",
+        thread = thread.name().unwrap_or("unnamed"),
+        place = place,
+        text = text.unwrap_or_default()
+    );
+}
--- a/daemons/sill/tests/system/product.rs
+++ b/daemons/sill/tests/system/product.rs
@@ -5,7 +5,7 @@
 
 use serde_json::Value;
 
-use crate::harness::{Folder, Program, http, wait_until};
+use crate::harness::{Folder, Program, http, sill, wait_until};
 
 /// A running `sill try`, and what its ready file says.
 pub struct Try {
@@ -73,3 +73,17 @@
     assert!(secrets.iter().all(|secret| !text.contains(secret.as_str())), "a secret in the log");
     assert_eq!(system.stop(), Some(0));
 }
+
+#[test]
+fn a_daemon_with_wrong_settings_names_all_of_them_and_exits_with_2() {
+    let words =
+        ["entry", "--listen", "127.0.0.1:70000", "--workers", "0", "--join-token-file", "none"];
+    let output = sill(&words, "");
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).expect("text");
+    for name in ["name", "domain", "listen", "listen-peer", "control", "workers", "join-token-file"]
+    {
+        let variable = format!("SILL_{}", name.to_uppercase().replace('-', "_"));
+        assert!(text.contains(&format!("--{name} ({variable}): ")), "{name}: {text}");
+    }
+}
