Bad input: one error shape from the library's refusals too, and a test of each

Cause: what the HTTP library refused by itself (unknown path, wrong method, a body over the limit, one that ended early) came as text or without a body, and an oversized body as 400. Callers read error.code.

Entry: a body reader that answers 413 before it holds the body, and a middleware that reshapes errors no handler of ours made; not-run is certified on 4xx only. 19 cases, oversized and endless bodies, long and many headers, stalled and cut requests; after each a good request is served, nothing is in flight at the end, and the log holds no panic and no key. Requests that can't be read as HTTP get 400 or 431 without a body: the library answers before any code of ours.

--- a/daemons/entry/src/api.rs
+++ b/daemons/entry/src/api.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use ntex::client::Client;
-use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
 use serde_json::{Value, json};
 use sill_base::Name;
 use sill_net::http::{self, Failure};
 use sill_tree::{Effective, Service};
 
+use crate::body::Body;
 use crate::daemon::Shared;
 use crate::{announce, ask, upstream};
 
@@ -67,7 +67,7 @@
     http::json(200, &json!({ "object": "list", "data": data }))
 }
 
-async fn chat(app: AppState, client: ClientState, req: HttpRequest, body: Bytes) -> HttpResponse {
+async fn chat(app: AppState, client: ClientState, req: HttpRequest, body: Body) -> HttpResponse {
     let id = app.request_id();
     let result = match ask::chat(&app, &req, &body) {
         Ok(ask) => upstream::chat(&app, &client, &id, ask).await,
@@ -81,10 +81,10 @@
     client: ClientState,
     req: HttpRequest,
     path: web::types::Path<PlainPath>,
-    body: Bytes,
+    body: Body,
 ) -> HttpResponse {
     let id = app.request_id();
-    let result = match ask::plain(&app, &req, &path.service, &path.path, body) {
+    let result = match ask::plain(&app, &req, &path.service, &path.path, body.0) {
         Ok(ask) => upstream::plain(&app, &client, &id, ask).await,
         Err(failure) => Err(Failure { not_run: true, ..failure }),
     };
--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -14,6 +14,7 @@
 use tokio::runtime::Runtime;
 
 use crate::cfg::EntryCfg;
+use crate::errors::OneShape;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::routing::Routing;
@@ -150,6 +151,7 @@
         let server = HttpServer::new(async move || {
             let upstream = client::streaming(UPSTREAM_CONNECTIONS).await;
             App::new()
+                .middleware(OneShape)
                 .state(shared.clone())
                 .state(upstream.expect("a client without TLS can be made"))
                 .state(web::types::PayloadConfig::new(max_body))
--- a/daemons/entry/src/lib.rs
+++ b/daemons/entry/src/lib.rs
@@ -3,9 +3,11 @@
 pub mod announce;
 pub mod api;
 pub mod ask;
+pub mod body;
 pub mod cfg;
 pub mod cli;
 pub mod daemon;
+pub mod errors;
 pub mod feed;
 pub mod limits;
 pub mod metrics;
--- a/daemons/sill/tests/system/harness.rs
+++ b/daemons/sill/tests/system/harness.rs
@@ -151,7 +151,8 @@
     http(to, "POST", path, &all, body)
 }
 
-fn read_answer(text: &str) -> Option<Answer> {
+/// Reads an answer's text.
+pub fn read_answer(text: &str) -> Option<Answer> {
     let (head, body) = text.split_once("\r\n\r\n")?;
     let status = head.split(' ').nth(1)?.parse().ok()?;
     let head = head.to_lowercase();
--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the whole system with real processes on loopback.
 
+mod bad_input;
 mod harness;
 mod product;
 mod thin_path;
