sill-load: fixed rate or fixed concurrency, HDR histograms, mixes, plot

Cause: the tool only ran a closed loop and read whole bodies, so it knew neither the time to the first token nor the wait of requests that a slow answer held up.

At a fixed rate a request's times count from when it was due.

--- a/bench/load/src/cli.rs
+++ b/bench/load/src/cli.rs
@@ -1,54 +1,135 @@
 //! The command line of the load tool.
 
+use std::fs;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
-use eyre::{Result, bail};
-use ntex::rt::{DefaultRuntime, System};
+use eyre::{Context, Result, bail};
 use sill_base::{Findings, Millis, Secret};
 use sill_setup::{Flag, Outcome, Program, Values};
 
-use crate::run::{self, LoadCfg};
+use crate::mix::{Chat, Mix};
+use crate::plot;
+use crate::report::Report;
+use crate::run::{self, LoadCfg, Pace};
+
+/// Requests under way where neither a rate nor a number is asked for.
+const CONCURRENCY: usize = 8;
 
 /// `sill-load`.
 pub const LOAD: Program = Program {
     name: "sill-load",
-    about: "sends requests and checks every answer",
-    operands: "",
+    about: "sends requests and checks every answer; `plot F.json` draws a report into F.svg",
+    operands: "[plot F.json]",
     flags: &[
         Flag::many("entry", "IP:PORT", "entry instance to send to"),
-        Flag::one("key", "KEY", "the caller's key"),
-        Flag::with_default("model", "NAME", "desk-7b", "the model asked for"),
-        Flag::with_default("concurrency", "N", "8", "requests under way at once"),
-        Flag::with_default("seconds", "N", "10", "how long to send"),
-        Flag::with_default("max-tokens", "N", "32", "tokens of an answer"),
-        Flag::with_default("prompt-words", "N", "100", "words of a prompt"),
+        Flag::one("key", "KEY", "the caller's key; others on the machine can read it here"),
+        Flag::one("key-file", "FILE", "file with the caller's key"),
+        Flag::one("rate", "R", "requests a second, whether or not earlier ones are answered"),
+        Flag::one("concurrency", "N", "requests under way at once, in place of a rate"),
+        Flag::with_default("seconds", "S", "10", "how long to send"),
+        Flag::one("mix", "FILE", "JSON file with kinds of requests and their weights"),
+        Flag::one("json", "FILE", "file to write the report to"),
+        Flag::with_default("threads", "N", "1", "threads that send"),
+        Flag::with_default("model", "NAME", "desk-7b", "the model asked for, without a mix"),
+        Flag::with_default("max-tokens", "N", "32", "tokens of an answer, without a mix"),
+        Flag::with_default("prompt-words", "N", "100", "words of a prompt, without a mix"),
     ],
 };
 
 fn load_cfg(values: &mut Values) -> Result<LoadCfg, Findings> {
     let entries: Vec<SocketAddr> = values.many("entry");
-    let key: Option<String> = values.required("key");
-    let model = values.required("model");
-    let concurrency = values.required("concurrency");
-    let seconds: Option<u64> = values.required("seconds");
-    let max_tokens = values.required("max-tokens");
-    let prompt_words = values.required("prompt-words");
+    let key = key(values);
+    let pace = pace(values);
+    let seconds: Option<f64> = values.required("seconds");
+    let mix = mix(values);
+    let threads: Option<usize> = values.required("threads");
     if entries.is_empty() {
         values.finding("entry", "missing");
     }
+    if seconds.is_some_and(|seconds| !(seconds > 0.0 && seconds < 1e6)) {
+        values.finding("seconds", "expected more than 0");
+    }
+    if threads == Some(0) {
+        values.finding("threads", "expected at least 1");
+    }
     values.finish()?;
     let checked = "present once the check succeeded";
     Ok(LoadCfg {
         entries,
-        key: Secret::new(&key.expect(checked)),
-        model: model.expect(checked),
-        concurrency: concurrency.expect(checked),
-        length: Millis::from_secs(seconds.expect(checked)),
-        max_tokens: max_tokens.expect(checked),
-        prompt_words: prompt_words.expect(checked),
+        key: key.expect(checked),
+        pace: pace.expect(checked),
+        length: Millis((seconds.expect(checked) * 1000.0) as u64),
+        mix: mix.expect(checked),
+        threads: threads.expect(checked),
     })
 }
 
+fn key(values: &mut Values) -> Option<Secret> {
+    let key: Option<String> = values.optional("key");
+    let file: Option<String> = values.optional("key-file");
+    match (key, file) {
+        (Some(key), None) => Some(Secret::new(&key)),
+        (None, Some(_)) => values.secret("key-file"),
+        (Some(_), Some(_)) => {
+            values.finding("key-file", "expected either this or --key");
+            None
+        }
+        (None, None) => {
+            values.finding("key-file", "missing, and no --key (SILL_KEY) either");
+            None
+        }
+    }
+}
+
+fn pace(values: &mut Values) -> Option<Pace> {
+    let rate: Option<f64> = values.optional("rate");
+    let concurrency: Option<usize> = values.optional("concurrency");
+    match (rate, concurrency) {
+        (Some(rate), None) if rate > 0.0 && rate.is_finite() => Some(Pace::Rate(rate)),
+        (Some(_), None) => {
+            values.finding("rate", "expected more than 0");
+            None
+        }
+        (None, Some(0)) => {
+            values.finding("concurrency", "expected at least 1");
+            None
+        }
+        (None, concurrency) => Some(Pace::Concurrency(concurrency.unwrap_or(CONCURRENCY))),
+        (Some(_), Some(_)) => {
+            values.finding("rate", "expected either this or --concurrency");
+            None
+        }
+    }
+}
+
+fn mix(values: &mut Values) -> Option<Mix> {
+    let file: Option<String> = values.optional("mix");
+    let model: Option<String> = values.required("model");
+    let max_tokens: Option<u32> = values.required("max-tokens");
+    let prompt_words: Option<usize> = values.required("prompt-words");
+    let Some(file) = file else {
+        let chat = Chat {
+            model: model?,
+            max_tokens: max_tokens?,
+            prompt_words: prompt_words?,
+            ..Chat::default()
+        };
+        return Some(Mix::halves(&chat));
+    };
+    let read = fs::read_to_string(&file).map_err(|err| Findings::one("file", err.to_string()));
+    match read.and_then(|text| Mix::read(&text)) {
+        Ok(mix) => Some(mix),
+        Err(findings) => {
+            for finding in findings.iter() {
+                let reason = format!("{file}: {}: {}", finding.place, finding.reason);
+                values.finding("mix", reason);
+            }
+            None
+        }
+    }
+}
+
 /// Runs the tool.
 ///
 /// # Errors
@@ -62,14 +143,29 @@
         }
         Outcome::Values(values) => values,
     };
-    let cfg = load_cfg(&mut values)?;
-    let system = System::build().name("load").build(DefaultRuntime);
-    let report = system.block_on(run::run(cfg))?;
-    let at = |quantile| report.total_us.value_at_quantile(quantile) as f64 / 1000.0;
-    println!("whole {}, broken {}, refused {}", report.whole, report.broken, report.refused);
-    println!("total time p50 {:.1} ms, p95 {:.1} ms, p99 {:.1} ms", at(0.5), at(0.95), at(0.99));
-    if report.broken > 0 {
-        bail!("{} answers were not whole", report.broken);
+    match values.operands.as_slice() {
+        [] => {}
+        [verb, file] if verb == "plot" => return plot_file(&file.clone()),
+        _ => bail!("expected flags alone, or `plot F.json`"),
+    }
+    let json: Option<PathBuf> = values.optional("json");
+    let report = run::run(load_cfg(&mut values)?)?;
+    print!("{}", report.text());
+    if let Some(file) = json {
+        let text = serde_json::to_string_pretty(&report)?;
+        fs::write(&file, text).wrap_err_with(|| file.display().to_string())?;
+    }
+    if report.broken() > 0 {
+        bail!("{} accepted requests were not answered whole", report.broken());
     }
     Ok(())
 }
+
+fn plot_file(file: &str) -> Result<()> {
+    let text = fs::read_to_string(file).wrap_err_with(|| file.to_owned())?;
+    let report: Report = serde_json::from_str(&text).wrap_err_with(|| file.to_owned())?;
+    let picture = Path::new(file).with_extension("svg");
+    plot::draw(&report, &picture)?;
+    println!("{}", picture.display());
+    Ok(())
+}
--- a/bench/load/src/exchange.rs
+++ b/bench/load/src/exchange.rs
@@ -240,7 +240,8 @@
         return Ending::Cut;
     };
     let answer = Answer::to(summary);
-    let text = crate::check::whole_text(&body);
+    let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let text = body.pointer("/choices/0/message/content").and_then(Value::as_str);
     if text.is_some_and(|text| text == answer.text()) {
         exchange.tokens = answer.tokens;
         return Ending::Whole;
--- a/bench/load/src/lib.rs
+++ b/bench/load/src/lib.rs
@@ -1,7 +1,10 @@
 //! The load and experiment tool.
 
-pub mod check;
 pub mod cli;
-pub mod exchange;
 pub mod run;
+
+pub mod exchange;
+pub mod mix;
+pub mod plot;
+pub mod report;
 pub mod sse;
--- a/bench/load/src/run.rs
+++ b/bench/load/src/run.rs
@@ -1,19 +1,36 @@
-//! Sends requests in a closed loop and counts what came of them.
+//! Sends a load over several threads, at a fixed rate or with a fixed number of requests under way.
 
 use std::cell::RefCell;
+use std::io::{self, IsTerminal, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
 
-use eyre::Result;
+use eyre::{Result, eyre};
 use futures_util::future::join_all;
-use hdrhistogram::Histogram;
-use ntex::http::Method;
-use serde_json::{Value, json};
+use ntex::client::Client;
+use ntex::rt::{DefaultRuntime, System};
 use sill_base::{Millis, Secret};
 use sill_net::client;
 
-use crate::check;
+use crate::exchange;
+use crate::mix::Mix;
+use crate::report::{Record, Report};
+
+/// Connections of a thread that sends at a fixed rate.
+const CONNECTIONS: usize = 16_384;
+
+/// How requests follow each other.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Pace {
+    /// That many a second, whether or not earlier ones are answered.
+    Rate(f64),
+    /// That many under way, each followed by the next when it has ended.
+    Concurrency(usize),
+}
 
 /// What to send.
 #[derive(Debug, Clone)]
@@ -22,91 +39,152 @@
     pub entries: Vec<SocketAddr>,
     /// The caller's key.
     pub key: Secret,
-    /// The model asked for.
-    pub model: String,
-    /// Requests under way at once.
-    pub concurrency: usize,
+    /// How requests follow each other.
+    pub pace: Pace,
     /// How long to send.
     pub length: Millis,
-    /// Tokens of an answer.
-    pub max_tokens: u32,
-    /// Words of a prompt.
-    pub prompt_words: usize,
+    /// What to send.
+    pub mix: Mix,
+    /// Threads that send.
+    pub threads: usize,
 }
 
-/// What came of it.
+/// What the threads of a load share.
 #[derive(Debug)]
-pub struct LoadReport {
-    /// Answers that were whole.
-    pub whole: u64,
-    /// Answers with success status that were not whole.
-    pub broken: u64,
-    /// Refusals and failures.
-    pub refused: u64,
-    /// Times of whole answers in microseconds.
-    pub total_us: Histogram<u64>,
+struct Load {
+    cfg: LoadCfg,
+    run: u64,
+    next: AtomicU64,
+    ended: AtomicU64,
+    began: Instant,
 }
 
-/// Runs the load; must be called inside an ntex system.
+/// Runs a load to its end.
 ///
 /// # Errors
 ///
-/// Fails when no client can be made.
-pub async fn run(cfg: LoadCfg) -> Result<LoadReport> {
-    let http = client::streaming(cfg.concurrency).await?;
-    let report = LoadReport { whole: 0, broken: 0, refused: 0, total_us: times()? };
-    let report = Rc::new(RefCell::new(report));
-    let started = Instant::now();
-    let senders = (0..cfg.concurrency).map(|sender| {
-        let (cfg, http, report) = (cfg.clone(), http.clone(), report.clone());
+/// Fails when a thread or its client can't be started.
+pub fn run(cfg: LoadCfg) -> Result<Report> {
+    let threads = cfg.threads;
+    let load = Arc::new(Load {
+        cfg,
+        run: Millis::wall().0,
+        next: AtomicU64::new(0),
+        ended: AtomicU64::new(0),
+        began: Instant::now(),
+    });
+    let mut senders = Vec::new();
+    for thread in 0..threads {
+        let load = load.clone();
+        let sender = thread::Builder::new().name(format!("load-{thread}"));
+        senders.push(sender.spawn(move || send_on_one_thread(&load, thread))?);
+    }
+    show_progress(&load, || senders.iter().all(thread::JoinHandle::is_finished));
+    let mut record = Record::new()?;
+    for sender in senders {
+        record.merge(&sender.join().map_err(|_| eyre!("a sending thread panicked"))??)?;
+    }
+    Ok(record.report(load.began.elapsed()))
+}
+
+fn send_on_one_thread(load: &Arc<Load>, thread: usize) -> Result<Record> {
+    let system = System::build().name("load").build(DefaultRuntime);
+    system.block_on({
+        let load = load.clone();
         async move {
-            let mut turn = 0;
-            while Millis::from(started.elapsed()) < cfg.length {
-                let entry = cfg.entries[(sender + turn) % cfg.entries.len()];
-                send_one(&cfg, &http, entry, &request(&cfg, sender, turn), &report).await;
-                turn += 1;
+            let sender = Rc::new(Sender {
+                http: client::streaming(CONNECTIONS).await?,
+                record: RefCell::new(Record::new()?),
+                load: load.clone(),
+            });
+            match load.cfg.pace {
+                Pace::Rate(rate) => at_rate(&sender, rate, thread).await,
+                Pace::Concurrency(count) => under_way(&sender, share(count, &load, thread)).await,
             }
+            let record = sender.record.borrow().clone();
+            Ok(record)
         }
-    });
-    join_all(senders).await;
-    Ok(Rc::try_unwrap(report).expect("all senders have ended").into_inner())
+    })
 }
 
-fn times() -> Result<Histogram<u64>> {
-    const LONGEST_US: u64 = 600_000_000;
-    Ok(Histogram::new_with_bounds(1, LONGEST_US, 3)?)
+fn share(count: usize, load: &Load, thread: usize) -> usize {
+    count / load.cfg.threads + usize::from(thread < count % load.cfg.threads)
 }
 
-fn request(cfg: &LoadCfg, sender: usize, turn: usize) -> Value {
-    let words = (0..cfg.prompt_words).map(|i| format!("w{} ", (sender * 31 + i) % 997));
-    let prompt: String = words.chain([format!("turn {turn}")]).collect();
-    json!({
-        "model": cfg.model,
-        "stream": (sender + turn).is_multiple_of(2),
-        "max_tokens": cfg.max_tokens,
-        "messages": [{ "role": "user", "content": prompt }],
-    })
+/// Sends each request at its own time, and counts its times from then. A tool that waits for a slow
+/// answer before it sends the next request would leave out just the requests that had to wait.
+async fn at_rate(sender: &Rc<Sender>, rate: f64, thread: usize) {
+    let load = &sender.load;
+    let step = load.cfg.threads as f64 / rate;
+    let mut under_way = Vec::new();
+    for turn in 0.. {
+        let due =
+            Duration::from_secs_f64(step * (turn as f64 + thread as f64 / load.cfg.threads as f64));
+        if Millis::from(due) >= load.cfg.length {
+            break;
+        }
+        let due = load.began + due;
+        sleep_until(due).await;
+        let sender = sender.clone();
+        under_way.push(ntex::rt::spawn(async move { sender.send(due).await }));
+    }
+    join_all(under_way).await;
 }
 
-async fn send_one(
-    cfg: &LoadCfg,
-    http: &ntex::client::Client,
-    entry: SocketAddr,
-    request: &Value,
-    report: &RefCell<LoadReport>,
-) {
-    const TIMEOUT: Millis = Millis(120_000);
-    let url = format!("http://{entry}/v1/chat/completions");
-    let began = Instant::now();
-    let sent =
-        client::send(http, Method::POST, &url, Some(&cfg.key), &[], Some(request), TIMEOUT).await;
-    let mut report = report.borrow_mut();
-    match sent {
-        Ok(reply) if reply.is_ok() && check::is_whole(request, &reply.body) => {
-            report.whole += 1;
-            report.total_us.saturating_record(began.elapsed().as_micros() as u64);
+async fn under_way(sender: &Rc<Sender>, count: usize) {
+    let load = &sender.load;
+    let one = |_| async {
+        while Millis::from(load.began.elapsed()) < load.cfg.length {
+            sender.send(Instant::now()).await;
         }
-        Ok(reply) if reply.is_ok() => report.broken += 1,
-        Ok(_) | Err(_) => report.refused += 1,
+    };
+    join_all((0..count).map(one)).await;
+}
+
+async fn sleep_until(due: Instant) {
+    let left = due.saturating_duration_since(Instant::now());
+    if !left.is_zero() {
+        tokio::time::sleep(left).await;
+    }
+}
+
+/// Sends requests of one thread.
+struct Sender {
+    load: Arc<Load>,
+    http: Client,
+    record: RefCell<Record>,
+}
+
+impl Sender {
+    async fn send(&self, due: Instant) {
+        let Load { cfg, run, next, ended, .. } = &*self.load;
+        let number = next.fetch_add(1, Ordering::Relaxed);
+        let entry = cfg.entries[number as usize % cfg.entries.len()];
+        let request = cfg.mix.request(*run, number);
+        let exchange = exchange::run(&self.http, entry, &cfg.key, &request, due).await;
+        self.record.borrow_mut().add(&exchange);
+        ended.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Shows progress on a terminal, and nothing where the output goes into a file.
+fn show_progress(load: &Load, is_over: impl Fn() -> bool) {
+    const POLL: Duration = Duration::from_millis(20);
+    const SHOW_EVERY: u32 = 25;
+    let mut err = io::stderr();
+    let is_terminal = err.is_terminal();
+    let mut polls = 0_u32;
+    while !is_over() {
+        thread::sleep(POLL);
+        polls += 1;
+        if is_terminal && polls.is_multiple_of(SHOW_EVERY) {
+            let (sent, ended) =
+                (load.next.load(Ordering::Relaxed), load.ended.load(Ordering::Relaxed));
+            let secs = load.began.elapsed().as_secs();
+            let _ = write!(err, "\r{secs} s: {sent} sent, {ended} ended ");
+        }
+    }
+    if is_terminal {
+        let _ = writeln!(err);
     }
 }
