--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -1,4 +1,7 @@
 //! Tests of the whole system with real processes on loopback.
 
+mod bad_input;
 mod harness;
+mod product;
 mod thin_path;
+mod verbs;
