Entries: membership and the settings feed run; settings worked out beside the ones in force

Cause: an entry asked control instances only, refused nothing, and computed under the lock that requests wait for; a document of a later version stopped all changes for good.

Announcements and /events go through membership; the router chooses only while membership runs (Routing::trust), so a process that was frozen sends nothing before it asked its peers.

--- a/coordination/member/src/members.rs
+++ b/coordination/member/src/members.rs
@@ -136,6 +136,16 @@
         ranked(key, self.domain(now)).first().map(|info| (*info).clone())
     }
 
+    /// Returns the peer addresses of the domain's live entry instances in the order of a key, and
+    /// the place of this one among them; that is their number where this one is leaving.
+    pub fn ranked(&self, now: Millis, key: &str) -> (Vec<Name>, usize) {
+        let ranked = ranked(key, self.domain(now));
+        let place = ranked.iter().position(|info| info.name == self.own.name);
+        let addresses: Vec<Name> = ranked.iter().map(|info| info.peer_address.clone()).collect();
+        let place = place.unwrap_or(addresses.len());
+        (addresses, place)
+    }
+
     /// Returns the entry instances of the domain that speak with other domains.
     pub fn gateways(&self, now: Millis) -> Vec<EntryInfo> {
         let ranked = ranked("gateway", self.domain(now));
--- a/coordination/member/tests/sim/mod.rs
+++ b/coordination/member/tests/sim/mod.rs
@@ -15,6 +15,10 @@
 const CHECK_EVERY: Millis = Millis(50);
 const CALL_TIMEOUT: Millis = Millis(400);
 
+/// Peers of the own domain, and of others, that a process is started with. One whose peers are all
+/// down when it starts is alone, and can only believe what endpoints tell it.
+const SEEDS: usize = 6;
+
 /// No new work this long after an entry instance took in that an endpoint is leaving.
 const LEAVING_LIMIT: Millis = Millis(2000);
 
@@ -160,7 +164,7 @@
             self.after(Millis(10_000), Delivery::Fault);
         }
         self.run_until(self.now + faulty)?;
-        self.faults = Faults { rate: 0.0, loss: 0.0, inner_cuts: false };
+        self.faults = Faults { rate: 0.0, loss: 0.0, ..self.faults };
         self.run_until(self.now + calm)
     }
 
@@ -408,7 +412,11 @@
         self.lives += 1;
         let life = Incarnation(self.lives);
         let own = EntryInfo { incarnation: life, ..self.nodes[node].info.clone() };
-        let seeds = self.nodes.iter().take(4).map(|n| n.info.peer_address.clone()).collect();
+        let domain = self.nodes[node].info.domain.clone();
+        let (near, far): (Vec<&Node>, Vec<&Node>) =
+            self.nodes.iter().partition(|n| n.info.domain == domain);
+        let seeds = near.into_iter().take(SEEDS).chain(far.into_iter().take(SEEDS));
+        let seeds = seeds.map(|n| n.info.peer_address.clone()).collect();
         let mut cfg = MemberCfg::new(own, seeds, self.lives);
         cfg.weakening = self.weakening;
         let n = &mut self.nodes[node];
--- a/daemons/entry/src/api.rs
+++ b/daemons/entry/src/api.rs
@@ -25,6 +25,7 @@
         web::resource("/readyz").route(web::get().to(readyz)),
         web::resource("/metrics").route(web::get().to(metrics)),
         web::resource("/announce").route(web::post().to(announce::announce)),
+        web::resource("/events").route(web::post().to(announce::events)),
         web::resource("/v1/models").route(web::get().to(models)),
         web::resource("/v1/chat/completions").route(web::post().to(chat)),
         web::resource("/v1/completions").route(web::post().to(chat)),
--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -9,16 +9,19 @@
 use ntex::web::{self, App, HttpServer};
 use ntex::{SharedCfg, http::HttpServiceConfig};
 use sill_base::{Clock, Millis, Name, event};
-use sill_net::{PeerServer, PeerServerBuilder, client, http};
+use sill_net::{PeerServer, client, http};
 use sill_wire::Incarnation;
 use tokio::runtime::Runtime;
 
 use crate::cfg::EntryCfg;
+use crate::copy::SettingsCopy;
+use crate::feed::Feed;
 use crate::limits::Limits;
+use crate::members::Membership;
 use crate::metrics::Metrics;
 use crate::routing::Routing;
 use crate::settings::Settings;
-use crate::{api, feed};
+use crate::{api, feed, members, peer};
 
 /// Connections that a worker holds to endpoints.
 const UPSTREAM_CONNECTIONS: usize = 16_384;
@@ -34,6 +37,10 @@
     pub incarnation: Incarnation,
     /// The settings in force.
     pub settings: Settings,
+    /// How the settings get here, and on to peers.
+    pub feed: Feed,
+    /// Entry instances and endpoints.
+    pub members: Membership,
     /// Endpoints, and the choice among them.
     pub routing: Routing,
     /// Limits of client accounts.
@@ -81,10 +88,16 @@
         let listener = http::bind(cfg.listen)?;
         let peer_listener = http::bind(cfg.listen_peer)?;
         let address = listener.local_addr()?;
+        let peer_address = peer_listener.local_addr()?;
+        let clock = Clock::start();
+        let incarnation = Incarnation(Millis::wall().0);
+        let copy = cfg.data.as_deref().map(SettingsCopy::open).transpose()?;
         let shared = Arc::new(Shared {
-            clock: Clock::start(),
-            incarnation: Incarnation(Millis::wall().0),
-            settings: Settings::default(),
+            clock,
+            incarnation,
+            settings: Settings::new(feed::read_copy(copy.as_ref())),
+            feed: Feed::default(),
+            members: Membership::new(&cfg, clock, incarnation, address, peer_address),
             routing: Routing::new(&cfg),
             limits: Limits::new(&cfg),
             metrics: Metrics::new(),
@@ -95,15 +108,14 @@
 
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
-        let peers = PeerServerBuilder::new(shared.cfg.cluster_key.clone());
         let peers = {
             let _guard = runtime.enter();
-            peers.start(peer_listener)?
+            peer::server(&shared).start(peer_listener)?
         };
-        runtime.spawn(feed::run(shared.clone()));
+        runtime.spawn(feed::run(shared.clone(), copy));
+        runtime.spawn(members::run(shared.clone()));
 
         let server = serve_callers(shared.clone(), listener)?;
-        let peer_address = peers.address();
         event!(
             Info,
             "entry_started",
--- /dev/null
+++ b/daemons/entry/src/peer.rs
@@ -0,0 +1,18 @@
+//! What an entry instance answers to its peers.
+
+use std::sync::Arc;
+
+use sill_net::PeerServerBuilder;
+
+use crate::daemon::Shared;
+use crate::{feed, members};
+
+/// Makes the server with all calls that peers may make.
+pub fn server(shared: &Arc<Shared>) -> PeerServerBuilder {
+    let mut server = PeerServerBuilder::new(shared.cfg.cluster_key.clone());
+    let feeding = shared.clone();
+    server.answer(move |poll| feed::answer(feeding.clone(), poll));
+    let asked = shared.clone();
+    server.answer(move |sync| members::answer(asked.clone(), sync));
+    server
+}
--- a/daemons/entry/src/routing.rs
+++ b/daemons/entry/src/routing.rs
@@ -1,11 +1,12 @@
 //! Routers of the entry instance, a shard for each model or service under its own lock.
 
 use std::hash::{Hash, Hasher};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use parking_lot::Mutex;
 use rustc_hash::FxHasher;
 use sill_base::{Machine, Millis, Name};
-use sill_route::{Ask, Choice, Event, Router, RouterCfg, Target};
+use sill_route::{Ask, Choice, Event, Refusal, RefusalReason, Router, RouterCfg, Target};
 use sill_wire::Served;
 
 use crate::cfg::EntryCfg;
@@ -16,6 +17,7 @@
 #[derive(Debug)]
 pub struct Routing {
     shards: Vec<Mutex<Router>>,
+    trusted_until: AtomicU64,
 }
 
 impl Routing {
@@ -23,12 +25,23 @@
     pub fn new(cfg: &EntryCfg) -> Self {
         let router =
             |shard| Router::new(RouterCfg { domain: cfg.domain.clone(), seed: shard as u64 });
-        Self { shards: (0..SHARDS).map(|shard| Mutex::new(router(shard))).collect() }
+        let shards = (0..SHARDS).map(|shard| Mutex::new(router(shard))).collect();
+        Self { shards, trusted_until: AtomicU64::new(u64::MAX) }
+    }
+
+    /// Lets requests be sent until then. Membership moves it on; a process that was frozen finds it
+    /// in the past, and sends nothing before it has heard which endpoints are leaving.
+    pub fn trust(&self, until: Millis) {
+        self.trusted_until.store(until.0, Ordering::Relaxed);
     }
 
     /// Chooses an endpoint and counts the request as sent there, under one lock, so that two
     /// requests can't both take the last slot.
     pub fn choose(&self, now: Millis, ask: &Ask) -> Choice {
+        if now.0 > self.trusted_until.load(Ordering::Relaxed) {
+            let retry_after = Millis::from_secs(1);
+            return Choice::Refuse(Refusal { reason: RefusalReason::NoEndpoint, retry_after });
+        }
         let mut router = self.shard(&ask.target).lock();
         let choice = router.choose(now, ask);
         if let Choice::Endpoint(chosen) = &choice {
