--- a/daemons/entry/src/announce.rs
+++ b/daemons/entry/src/announce.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
+use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse};
+use serde::de::DeserializeOwned;
 use sill_base::{Name, event};
 use sill_net::http::{self, Failure};
 use sill_wire::endpoint::CacheEvents;
@@ -14,14 +16,13 @@
 pub async fn announce(
     app: web::types::State<Arc<Shared>>,
     req: HttpRequest,
-    announcement: web::types::Json<Announcement>,
+    body: Bytes,
 ) -> HttpResponse {
-    if !has_join_token(&app, &req) {
-        event!(Warn, "announcement_refused", name = announcement.name, reason = "wrong join token");
-        return wrong_token();
-    }
-    let heard = sill_member::Event::Announced(announcement.into_inner());
-    match app.members.step(&app.routing, heard).accept {
+    let announcement: Announcement = match checked(&app, &req, &body) {
+        Ok(announcement) => announcement,
+        Err(failure) => return refuse(&req, failure),
+    };
+    match app.members.step(&app.routing, sill_member::Event::Announced(announcement)).accept {
         Some(reply) => http::json(200, &reply),
         None => Failure::new(ErrorCode::Internal, "no answer").response(&Name::default()),
     }
@@ -31,21 +32,31 @@
 pub async fn events(
     app: web::types::State<Arc<Shared>>,
     req: HttpRequest,
-    events: web::types::Json<CacheEvents>,
+    body: Bytes,
 ) -> HttpResponse {
-    if !has_join_token(&app, &req) {
-        event!(Warn, "events_refused", name = events.name, reason = "wrong join token");
-        return wrong_token();
-    }
-    app.routing.hear(app.clock.now(), sill_route::Event::Cache(events.into_inner()));
+    let events: CacheEvents = match checked(&app, &req, &body) {
+        Ok(events) => events,
+        Err(failure) => return refuse(&req, failure),
+    };
+    app.routing.hear(app.clock.now(), sill_route::Event::Cache(events));
     HttpResponse::NoContent().finish()
 }
 
-fn has_join_token(app: &Shared, req: &HttpRequest) -> bool {
+/// Reads a body, of one who has the join token.
+fn checked<T>(app: &Shared, req: &HttpRequest, body: &[u8]) -> Result<T, Failure>
+where
+    T: DeserializeOwned,
+{
     let authorization = req.headers().get("authorization").and_then(|v| v.to_str().ok());
-    authorization.is_some_and(|header| app.cfg.join_token.is_bearer(header))
+    if !authorization.is_some_and(|header| app.cfg.join_token.is_bearer(header)) {
+        return Err(Failure::new(ErrorCode::Unauthorized, "wrong join token"));
+    }
+    serde_json::from_slice(body)
+        .map_err(|err| Failure::new(ErrorCode::BadRequest, format!("body: {err}")))
 }
 
-fn wrong_token() -> HttpResponse {
-    Failure::new(ErrorCode::Unauthorized, "wrong join token").response(&Name::default())
+fn refuse(req: &HttpRequest, failure: Failure) -> HttpResponse {
+    let from = req.peer_addr().map(|a| a.to_string()).unwrap_or_default();
+    event!(Warn, "announcement_refused", from = from, reason = failure.message);
+    failure.response(&Name::default())
 }
