--- a/coordination/member/src/foreign.rs
+++ b/coordination/member/src/foreign.rs
@@ -15,11 +15,17 @@
 /// How long a summary counts; a domain that is cut off for longer is asked like an unknown one.
 const SUMMARY_LEASE: Millis = Millis(60_000);
 
+/// How long an address that answered for another domain is left alone.
+const PLACED_FOR: Millis = Millis(300_000);
+
 /// What is known of other failure domains.
 #[derive(Debug, Default)]
 pub struct Foreign {
     domains: BTreeMap<Name, Domain>,
     offers: Map<Name, Offer>,
+    /// Addresses that are known to belong to other domains, and since when. Without them, an
+    /// address of the process settings would be tried every second for good.
+    placed: Map<Name, Millis>,
     turn: usize,
 }
 
@@ -41,7 +47,8 @@
 
 impl Foreign {
     /// Notes that an entry instance of another domain answered or asked.
-    pub fn note_contact(&mut self, info: &EntryInfo) {
+    pub fn note_contact(&mut self, now: Millis, info: &EntryInfo) {
+        self.placed.insert(info.peer_address.clone(), now);
         let domain = self.domains.entry(info.domain.clone()).or_default();
         if !domain.contacts.contains(&info.peer_address) {
             domain.contacts.push(info.peer_address.clone());
@@ -87,6 +94,7 @@
 
     /// Ends offers that are too old to be sure of.
     pub fn expire(&mut self, now: Millis, out: &mut Vec<Action>) {
+        self.placed.retain(|_, at| now - *at <= PLACED_FOR);
         let mut ended: Vec<Name> =
             self.offers.iter().filter(|(_, o)| o.until < now).map(|(n, _)| n.clone()).collect();
         ended.sort_unstable();
@@ -112,9 +120,9 @@
         best.and_then(Domain::contact).or_else(|| self.next_contact())
     }
 
-    /// Returns whether an address is a contact of a domain.
+    /// Returns whether an address is known to belong to another domain.
     pub fn has_address(&self, address: &Name) -> bool {
-        self.domains.values().any(|d| d.contacts.contains(address))
+        self.placed.contains_key(address)
     }
 
     /// Returns an address of a domain.
--- a/coordination/member/src/members.rs
+++ b/coordination/member/src/members.rs
@@ -57,7 +57,6 @@
     next_question: u64,
     last_step: Option<Millis>,
     next_ask: Millis,
-    next_ask_back: Millis,
     next_push: Millis,
     next_summary: Millis,
     next_summary_ask: Millis,
@@ -109,7 +108,6 @@
             next_question: 1,
             last_step: None,
             next_ask: Millis::ZERO,
-            next_ask_back: Millis::ZERO,
             next_push: Millis::ZERO,
             next_summary: Millis::ZERO,
             next_summary_ask: Millis::ZERO,
@@ -331,7 +329,14 @@
 
     fn question(&self, digest: Option<Digest>) -> MemberSync {
         let from = self.own.clone();
-        MemberSync { from, digest, leaving: Vec::new(), summaries: None, wants: Vec::new() }
+        MemberSync {
+            from,
+            digest,
+            back: false,
+            leaving: Vec::new(),
+            summaries: None,
+            wants: Vec::new(),
+        }
     }
 
     fn ask(
@@ -412,7 +417,7 @@
         if is_own_domain && sync.from.name != self.own.name {
             self.entries.take(now, sync.from.clone(), Millis::ZERO, out);
         } else if !is_own_domain {
-            self.foreign.note_contact(&sync.from);
+            self.foreign.note_contact(now, &sync.from);
         }
         let reply = self.reply(now, &sync, is_own_domain);
         out.push(Action::Reply(Box::new(reply)));
@@ -424,23 +429,23 @@
     /// Asks the one who asks, where its digest shows news or it can confirm what is known here.
     ///
     /// With questions to random peers alone, news at one instance would wait until somebody happens
-    /// to ask it, which over a third of them fail to do in any one interval.
+    /// to ask it, which over a third of the time nobody does in an interval. Each question is asked
+    /// back, for a limit here has kept news at one instance for longer than the lease.
     fn ask_back(&mut self, now: Millis, sync: &MemberSync, out: &mut Vec<Action>) {
         let Some(digest) = &sync.digest else { return };
-        let is_asking = self.questions.values().any(|q| q.kind == Kind::News);
-        let unconfirmed = self.confirmation.confirmed.is_none() && !is_asking;
-        if now < self.next_ask_back && !unconfirmed {
+        if sync.back {
             return;
         }
+        let is_asking = self.questions.values().any(|q| q.kind == Kind::News);
+        let unconfirmed = self.confirmation.confirmed.is_none() && !is_asking;
         let mut mine = Digest { salt: digest.salt, ..Digest::default() };
         self.mark_all(now, &mut mine);
         let own = &self.own;
         let shape = u64::from(own.leaving.is_some());
         digest::mark(&mut mine, Fact::Entry, &own.name, own.incarnation, shape, own.sequence);
         if unconfirmed || Marks::read(digest).is_ahead_of(&Marks::read(&mine)) {
-            self.next_ask_back = now + self.cfg.ask_every;
             let digest = self.digest(now);
-            let question = self.question(Some(digest));
+            let question = MemberSync { back: true, ..self.question(Some(digest)) };
             self.ask(now, sync.from.peer_address.clone(), question, Kind::News, out);
         }
     }
@@ -519,7 +524,7 @@
             self.foreign.take(now, summary, transit, &self.cfg, out);
         }
         if reply.from.domain != self.own.domain {
-            return self.foreign.note_contact(&reply.from);
+            return self.foreign.note_contact(now, &reply.from);
         }
         if reply.from.name == self.own.name {
             return;
--- a/protocol/wire/src/member.rs
+++ b/protocol/wire/src/member.rs
@@ -161,6 +161,9 @@
     /// What the caller knows already, where it wants news.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub digest: Option<Digest>,
+    /// Whether this answers a question by one, and must not be answered so again.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub back: bool,
     /// Endpoints that are leaving.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<LeavingNotice>,
