--- a/coordination/member/src/digest.rs
+++ b/coordination/member/src/digest.rs
@@ -77,6 +77,11 @@
         })
     }
 
+    /// Returns the hash that stands for a fact in this digest.
+    pub fn hash(&self, fact: Fact, name: &str, life: Incarnation, shape: u64) -> u32 {
+        hash(self.salt, fact, name, life, shape)
+    }
+
     /// Returns the lowest byte of the sequence number that the caller knows, if it knows the fact.
     pub fn sequence(&self, fact: Fact, name: &str, life: Incarnation, shape: u64) -> Option<u8> {
         self.sequences.get(&hash(self.salt, fact, name, life, shape)).copied()
@@ -88,7 +93,8 @@
     (1..128).contains(&(sequence as u8).wrapping_sub(known))
 }
 
-fn hash(salt: u64, fact: Fact, name: &str, life: Incarnation, shape: u64) -> u32 {
+/// Returns the hash that stands for a fact in a digest with this salt.
+pub fn hash(salt: u64, fact: Fact, name: &str, life: Incarnation, shape: u64) -> u32 {
     let mut hasher = Fnv::new();
     (salt, fact as u8, name, life.0, shape).hash(&mut hasher);
     (hasher.finish() >> 40) as u32
--- a/coordination/member/src/endpoints.rs
+++ b/coordination/member/src/endpoints.rs
@@ -2,7 +2,7 @@
 
 use sill_base::{Map, Millis, Name, Promise, keep};
 use sill_wire::member::{Digest, LeavingNotice, LoadUpdate, Relayed};
-use sill_wire::{Announcement, Incarnation, Load, Served};
+use sill_wire::{Announcement, Incarnation, Served};
 
 use crate::cfg::{MemberCfg, Weakening};
 use crate::digest::{self, Fact, Marks};
@@ -119,16 +119,24 @@
         Taken::New
     }
 
-    /// Takes in a load of an endpoint whose announcement is known; others are left out, and come
-    /// whole with the next answer, since the digest tells that they lack here.
-    pub fn take_load(&mut self, now: Millis, update: LoadUpdate, transit: Millis) {
-        let Some(record) = self.records.get_mut(&update.name) else { return };
+    /// Returns the names of known endpoints by the hashes that stand for them in a digest.
+    pub fn by_mark(&self, salt: u64) -> Map<u32, Name> {
+        let marked = self.records.iter().map(|(name, record)| {
+            let life = record.announcement.incarnation;
+            (digest::hash(salt, Fact::Endpoint, name, life, record.shape), name.clone())
+        });
+        marked.collect()
+    }
+
+    /// Takes in a load of a known endpoint.
+    pub fn take_load(&mut self, now: Millis, name: &Name, update: &LoadUpdate, transit: Millis) {
+        let Some(record) = self.records.get_mut(name) else { return };
         let known = &mut record.announcement;
-        if known.incarnation != update.incarnation || update.sequence <= known.sequence {
+        if update.sequence <= known.sequence {
             return;
         }
         known.sequence = update.sequence;
-        known.load = Load::from(update.load);
+        known.load = update.load;
         record.sent_at = now - (update.age + transit);
     }
 
@@ -247,19 +255,17 @@
 
     /// Returns the loads of which a peer has older ones.
     pub fn loads(&self, now: Millis, cfg: &MemberCfg, marks: &Marks) -> Vec<LoadUpdate> {
-        let newer = self.live(now, cfg).filter(|(name, record)| {
+        let newer = self.live(now, cfg).filter_map(|(name, record)| {
             let a = &record.announcement;
-            let known = marks.sequence(Fact::Endpoint, name, a.incarnation, record.shape);
-            known.is_some_and(|known| digest::is_newer(a.sequence, known))
-        });
-        let updates = newer.map(|(name, record)| LoadUpdate {
-            name: name.clone(),
-            incarnation: record.announcement.incarnation,
-            sequence: record.announcement.sequence,
-            age: now - record.sent_at,
-            load: record.announcement.load.into(),
+            let known = marks.sequence(Fact::Endpoint, name, a.incarnation, record.shape)?;
+            digest::is_newer(a.sequence, known).then(|| LoadUpdate {
+                mark: marks.hash(Fact::Endpoint, name, a.incarnation, record.shape),
+                sequence: a.sequence,
+                age: now - record.sent_at,
+                load: a.load,
+            })
         });
-        updates.collect()
+        newer.collect()
     }
 
     /// Returns the leaving lives of which a peer doesn't know.
--- a/coordination/member/src/entries.rs
+++ b/coordination/member/src/entries.rs
@@ -42,12 +42,23 @@
         self.records.insert(name, Record { info, heard_at, failed_at, is_suspect: false });
     }
 
-    /// Takes in a sign of life of a known entry instance.
-    pub fn take_heartbeat(&mut self, now: Millis, beat: Heartbeat, transit: Millis) {
-        let Some(record) = self.records.get_mut(&beat.name) else { return };
-        if record.info.incarnation == beat.incarnation && beat.sequence > record.info.sequence {
-            record.info.sequence = beat.sequence;
-            record.heard_at = now - (beat.age + transit);
+    /// Takes in signs of life of known entry instances, named by the hashes of a digest.
+    pub fn take_heartbeats(
+        &mut self,
+        now: Millis,
+        salt: u64,
+        beats: &[Heartbeat],
+        transit: Millis,
+    ) {
+        let by_mark: Map<u32, &Heartbeat> = beats.iter().map(|beat| (beat.mark, beat)).collect();
+        for record in self.records.values_mut() {
+            let info = &mut record.info;
+            let mark = digest::hash(salt, Fact::Entry, &info.name, info.incarnation, shape(info));
+            let Some(beat) = by_mark.get(&mark) else { continue };
+            if beat.sequence > info.sequence {
+                info.sequence = beat.sequence;
+                record.heard_at = now - (beat.age + transit);
+            }
         }
     }
 
@@ -113,8 +124,8 @@
     /// Adds what is known here to a digest.
     pub fn mark(&self, now: Millis, cfg: &MemberCfg, digest: &mut Digest) {
         for info in self.recent(now, cfg).map(|r| &r.info) {
-            let shape = u64::from(info.leaving.is_some());
-            digest::mark(digest, Fact::Entry, &info.name, info.incarnation, shape, info.sequence);
+            let (life, sequence) = (info.incarnation, info.sequence);
+            digest::mark(digest, Fact::Entry, &info.name, life, shape(info), sequence);
         }
     }
 
@@ -127,16 +138,15 @@
 
     /// Returns the signs of life of which a peer has older ones.
     pub fn heartbeats(&self, now: Millis, cfg: &MemberCfg, marks: &Marks) -> Vec<Heartbeat> {
-        let newer = self.recent(now, cfg).filter(|r| {
-            known(marks, &r.info).is_some_and(|known| digest::is_newer(r.info.sequence, known))
-        });
-        let beats = newer.map(|r| Heartbeat {
-            name: r.info.name.clone(),
-            incarnation: r.info.incarnation,
-            sequence: r.info.sequence,
-            age: now - r.heard_at,
+        let newer = self.recent(now, cfg).filter_map(|r| {
+            let info = &r.info;
+            digest::is_newer(info.sequence, known(marks, info)?).then(|| Heartbeat {
+                mark: marks.hash(Fact::Entry, &info.name, info.incarnation, shape(info)),
+                sequence: info.sequence,
+                age: now - r.heard_at,
+            })
         });
-        beats.collect()
+        newer.collect()
     }
 
     fn recent(&self, now: Millis, cfg: &MemberCfg) -> impl Iterator<Item = &Record> {
@@ -158,6 +168,10 @@
 }
 
 fn known(marks: &Marks, info: &EntryInfo) -> Option<u8> {
-    let shape = u64::from(info.leaving.is_some());
-    marks.sequence(Fact::Entry, &info.name, info.incarnation, shape)
+    marks.sequence(Fact::Entry, &info.name, info.incarnation, shape(info))
+}
+
+/// Returns what tells reports of one life apart that peers must get whole.
+pub fn shape(info: &EntryInfo) -> u64 {
+    u64::from(info.leaving.is_some())
 }
--- a/coordination/member/src/members.rs
+++ b/coordination/member/src/members.rs
@@ -14,7 +14,7 @@
 use crate::cfg::{MemberCfg, Weakening};
 use crate::digest::{self, Fact, Marks};
 use crate::endpoints::{Confirmation, Endpoints, Source, Taken, free_slots, served_name};
-use crate::entries::{Entries, ranked};
+use crate::entries::{Entries, ranked, shape};
 use crate::event::{Action, Event, Report};
 use crate::foreign::Foreign;
 
@@ -71,6 +71,8 @@
     peer: Name,
     asked: Millis,
     kind: Kind,
+    /// Of its digest, by which the answer names facts.
+    salt: u64,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -349,7 +351,8 @@
     ) {
         let id = self.next_question;
         self.next_question += 1;
-        self.questions.insert(id, Question { peer: peer.clone(), asked: now, kind });
+        let salt = sync.digest.as_ref().map_or(0, |digest| digest.salt);
+        self.questions.insert(id, Question { peer: peer.clone(), asked: now, kind, salt });
         out.push(Action::Ask { id, peer, sync });
     }
 
@@ -441,8 +444,8 @@
         let mut mine = Digest { salt: digest.salt, ..Digest::default() };
         self.mark_all(now, &mut mine);
         let own = &self.own;
-        let shape = u64::from(own.leaving.is_some());
-        digest::mark(&mut mine, Fact::Entry, &own.name, own.incarnation, shape, own.sequence);
+        let (life, sequence) = (own.incarnation, own.sequence);
+        digest::mark(&mut mine, Fact::Entry, &own.name, life, shape(own), sequence);
         if unconfirmed || Marks::read(digest).is_ahead_of(&Marks::read(&mine)) {
             let digest = self.digest(now);
             let question = MemberSync { back: true, ..self.question(Some(digest)) };
@@ -540,18 +543,20 @@
         for entry in reply.entries.into_iter().filter(|e| e.info.name != self.own.name) {
             self.entries.take(now, entry.info, entry.age + transit, out);
         }
-        for beat in reply.heartbeats {
-            self.entries.take_heartbeat(now, beat, transit);
-        }
+        self.entries.take_heartbeats(now, question.salt, &reply.heartbeats, transit);
         let mut touched: BTreeSet<Name> = reply.leaving.iter().map(|n| n.name.clone()).collect();
         for relayed in reply.endpoints {
             touched.insert(relayed.announcement.name.clone());
             let source = Source::Relayed(relayed.age + transit);
             self.endpoints.take(now, relayed.announcement, source, &self.cfg);
         }
-        for load in reply.loads {
-            touched.insert(load.name.clone());
-            self.endpoints.take_load(now, load, transit);
+        if !reply.loads.is_empty() {
+            let by_mark = self.endpoints.by_mark(question.salt);
+            for load in &reply.loads {
+                let Some(name) = by_mark.get(&load.mark) else { continue };
+                self.endpoints.take_load(now, name, load, transit);
+                touched.insert(name.clone());
+            }
         }
         let counts = reply.settled || now - self.confirmation.thawed >= self.cfg.unsettled;
         let is_after_thaw = question.asked >= self.confirmation.thawed;
--- a/protocol/wire/src/member.rs
+++ b/protocol/wire/src/member.rs
@@ -69,30 +69,22 @@
 
 /// News of an endpoint whose announcement the receiver holds already.
 ///
-/// Field names are one letter long on the wire, because these make up most of the traffic between
-/// entry instances.
+/// It is an array of numbers on the wire, because these make up most of the traffic between entry
+/// instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(from = "LoadNumbers", into = "LoadNumbers")]
 pub struct LoadUpdate {
-    /// The endpoint.
-    #[serde(rename = "n")]
-    pub name: Name,
-    /// Its life.
-    #[serde(rename = "i")]
-    pub incarnation: Incarnation,
+    /// The hash in the receiver's own digest that stands for the endpoint.
+    pub mark: u32,
     /// The number of the announcement that the load came with.
-    #[serde(rename = "s")]
     pub sequence: u64,
     /// How long ago the endpoint sent it, at most.
-    #[serde(rename = "a")]
     pub age: Millis,
     /// The load.
-    #[serde(rename = "l")]
-    pub load: CompactLoad,
+    pub load: Load,
 }
 
-/// A load as an array of five numbers.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct CompactLoad(u32, u32, u64, u64, Millis);
+type LoadNumbers = (u32, u64, Millis, u32, u32, u64, u64, Millis);
 
 /// An entry instance on its way between others.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -103,23 +95,20 @@
     pub age: Millis,
 }
 
-/// A sign of life of an entry instance that the receiver knows already.
+/// A sign of life of an entry instance that the receiver knows already, an array on the wire.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(from = "HeartbeatNumbers", into = "HeartbeatNumbers")]
 pub struct Heartbeat {
-    /// The entry instance.
-    #[serde(rename = "n")]
-    pub name: Name,
-    /// Its life.
-    #[serde(rename = "i")]
-    pub incarnation: Incarnation,
+    /// The hash in the receiver's own digest that stands for the entry instance.
+    pub mark: u32,
     /// The number of its report.
-    #[serde(rename = "s")]
     pub sequence: u64,
     /// How long ago it spoke for itself, at most.
-    #[serde(rename = "a")]
     pub age: Millis,
 }
 
+type HeartbeatNumbers = (u32, u64, Millis);
+
 /// Tells that a life of an endpoint takes no new work, ever again.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LeavingNotice {
@@ -208,15 +197,30 @@
     const METHOD: &'static str = "member_sync";
 }
 
-impl From<Load> for CompactLoad {
-    fn from(load: Load) -> Self {
-        Self(load.running, load.queued, load.queued_tokens, load.cached_tokens, load.age)
+impl From<LoadUpdate> for LoadNumbers {
+    fn from(update: LoadUpdate) -> Self {
+        let LoadUpdate { mark, sequence, age, load } = update;
+        let Load { running, queued, queued_tokens, cached_tokens, age: sampled } = load;
+        (mark, sequence, age, running, queued, queued_tokens, cached_tokens, sampled)
+    }
+}
+
+impl From<LoadNumbers> for LoadUpdate {
+    fn from(numbers: LoadNumbers) -> Self {
+        let (mark, sequence, age, running, queued, queued_tokens, cached_tokens, sampled) = numbers;
+        let load = Load { running, queued, queued_tokens, cached_tokens, age: sampled };
+        Self { mark, sequence, age, load }
+    }
+}
+
+impl From<Heartbeat> for HeartbeatNumbers {
+    fn from(beat: Heartbeat) -> Self {
+        (beat.mark, beat.sequence, beat.age)
     }
 }
 
-impl From<CompactLoad> for Load {
-    fn from(load: CompactLoad) -> Self {
-        let CompactLoad(running, queued, queued_tokens, cached_tokens, age) = load;
-        Self { running, queued, queued_tokens, cached_tokens, age }
+impl From<HeartbeatNumbers> for Heartbeat {
+    fn from((mark, sequence, age): HeartbeatNumbers) -> Self {
+        Self { mark, sequence, age }
     }
 }
