--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod harness;
+mod member;
 mod product;
 mod thin_path;
 mod verbs;
