--- /dev/null
+++ b/state/store/src/faulty.rs
@@ -0,0 +1,193 @@
+//! A disk in memory that fails on demand, for tests.
+
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+use std::ops::Range;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// A disk whose clones share one content, as a restarted process shares it with the one before.
+#[derive(Debug, Clone, Default)]
+pub struct FaultyDisk {
+    content: Arc<Mutex<Content>>,
+}
+
+/// What the next operation of its kind does wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DiskFault {
+    /// A write stores only this many bytes and fails, as on a full disk.
+    Full {
+        /// Bytes that are stored.
+        stored: usize,
+    },
+    /// A sync fails, and what it should have stored reads well until a crash, but is lost then,
+    /// even if later syncs succeed.
+    SyncFails,
+}
+
+#[derive(Debug, Default)]
+struct Content {
+    files: Vec<FileContent>,
+    names: BTreeMap<String, usize>,
+    durable_names: BTreeMap<String, usize>,
+    faults: Vec<DiskFault>,
+    full: bool,
+}
+
+#[derive(Debug, Default, Clone)]
+struct FileContent {
+    bytes: Vec<u8>,
+    durable: Vec<u8>,
+    dropped: Option<Range<usize>>,
+}
+
+impl FileContent {
+    fn sync(&mut self) {
+        self.durable = self.bytes.clone();
+        let Some(dropped) = self.dropped.clone() else { return };
+        for byte in self.durable.iter_mut().take(dropped.end).skip(dropped.start) {
+            *byte = 0;
+        }
+    }
+}
+
+impl FaultyDisk {
+    /// Makes an empty disk.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Arms a fault, for the next operation that it concerns.
+    pub fn arm(&self, fault: DiskFault) {
+        self.content().faults.push(fault);
+    }
+
+    /// Makes every write fail until further notice, or no longer.
+    pub fn set_full(&self, full: bool) {
+        self.content().full = full;
+    }
+
+    /// Crashes the machine: what was not synced is lost, but for `kept` bytes of each file's tail.
+    pub fn crash(&self, kept: usize) {
+        let mut content = self.content();
+        content.names = content.durable_names.clone();
+        for file in &mut content.files {
+            let synced = file.durable.len();
+            let mut survived = file.durable.clone();
+            if let Some(tail) = file.bytes.get(synced..) {
+                survived.extend(tail.iter().take(kept));
+            }
+            *file = FileContent { bytes: survived.clone(), durable: survived, dropped: None };
+        }
+        content.faults.clear();
+    }
+
+    /// Loses everything, as when the disk is replaced.
+    pub fn lose(&self) {
+        *self.content() = Content::default();
+    }
+
+    /// Flips a bit of a stored file.
+    pub fn damage(&self, name: &str, offset: usize) {
+        let mut content = self.content();
+        if let Some(byte) = content.file(name).and_then(|f| f.bytes.get_mut(offset)) {
+            *byte ^= 1;
+        }
+    }
+
+    /// Overwrites a file, durably.
+    pub fn overwrite(&self, name: &str, bytes: &[u8]) {
+        let mut content = self.content();
+        if let Some(file) = content.file(name) {
+            let (bytes, durable) = (bytes.to_vec(), bytes.to_vec());
+            *file = FileContent { bytes, durable, dropped: None };
+        }
+    }
+
+    fn content(&self) -> MutexGuard<'_, Content> {
+        self.content.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Content {
+    fn file(&mut self, name: &str) -> Option<&mut FileContent> {
+        let index = *self.names.get(name)?;
+        self.files.get_mut(index)
+    }
+
+    fn existing(&mut self, name: &str) -> io::Result<&mut FileContent> {
+        self.file(name).ok_or_else(|| ErrorKind::NotFound.into())
+    }
+
+    fn take_fault<F>(&mut self, concerns: F) -> Option<DiskFault>
+    where
+        F: Fn(&DiskFault) -> bool,
+    {
+        let index = self.faults.iter().position(concerns)?;
+        Some(self.faults.remove(index))
+    }
+}
+
+impl crate::Disk for FaultyDisk {
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        Ok(self.content().names.keys().cloned().collect())
+    }
+
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
+        Ok(self.content().existing(name)?.bytes.clone())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let mut content = self.content();
+        if content.file(name).is_none() {
+            let index = content.files.len();
+            content.files.push(FileContent::default());
+            content.names.insert(name.to_owned(), index);
+        }
+        let fault = content.take_fault(|fault| matches!(fault, DiskFault::Full { .. }));
+        let stored = match fault {
+            Some(DiskFault::Full { stored }) => stored,
+            _ if content.full && !bytes.is_empty() => 0,
+            _ => usize::MAX,
+        };
+        let file = content.existing(name)?;
+        file.bytes.extend(bytes.iter().take(stored));
+        if stored < bytes.len() { Err(ErrorKind::StorageFull.into()) } else { Ok(()) }
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        let mut content = self.content();
+        if content.take_fault(|fault| *fault == DiskFault::SyncFails).is_some() {
+            let file = content.existing(name)?;
+            let start = file.dropped.as_ref().map_or(file.durable.len(), |d| d.start);
+            file.dropped = Some(start.min(file.bytes.len())..file.bytes.len());
+            return Err(io::Error::other("sync failed"));
+        }
+        content.existing(name)?.sync();
+        Ok(())
+    }
+
+    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
+        self.content().existing(name)?.bytes.truncate(len as usize);
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        let mut content = self.content();
+        let index = content.names.remove(from).ok_or(ErrorKind::NotFound)?;
+        content.names.insert(to.to_owned(), index);
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.content().names.remove(name).map(|_| ()).ok_or_else(|| ErrorKind::NotFound.into())
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        let mut content = self.content();
+        if content.take_fault(|fault| *fault == DiskFault::SyncFails).is_some() {
+            return Err(io::Error::other("sync failed"));
+        }
+        content.durable_names = content.names.clone();
+        Ok(())
+    }
+}
--- a/state/store/src/lib.rs
+++ b/state/store/src/lib.rs
@@ -1,1 +1,12 @@
-//! Placeholder.
+//! A data folder: a checksummed log and snapshots, synced before they are acknowledged.
+
+pub mod disk;
+pub mod error;
+pub mod faulty;
+pub mod frame;
+pub mod store;
+
+pub use disk::{Disk, FolderDisk};
+pub use error::{OpenError, WriteError};
+pub use faulty::FaultyDisk;
+pub use store::{Recovered, Store, TornTail};
--- /dev/null
+++ b/state/store/tests/store.rs
@@ -0,0 +1,180 @@
+//! Faults of the disk: what was acknowledged is there afterwards, or the folder is refused.
+
+use std::fs;
+
+use rand::Rng;
+use sill_base::random::{cases, seed, seeded};
+use sill_store::faulty::DiskFault;
+use sill_store::{FaultyDisk, FolderDisk, OpenError, Store, WriteError};
+
+fn open(disk: &FaultyDisk) -> (Store<FaultyDisk>, Vec<Vec<u8>>) {
+    let (store, recovered) = Store::open(disk.clone()).expect("the folder opens");
+    (store, recovered.records)
+}
+
+#[test]
+fn a_crash_leaves_what_was_acknowledged() {
+    // The machine loses power while a record is written, so that none, a part or all of it is on
+    // the disk. An operator whose change was answered must find it after the restart.
+    struct Case {
+        name: &'static str,
+        kept: usize,
+        torn: bool,
+    }
+    let cases = [
+        Case { name: "nothing of the write is left", kept: 0, torn: false },
+        Case { name: "half a header is left", kept: 5, torn: true },
+        Case { name: "half the payload is left", kept: 16, torn: true },
+    ];
+    for case in cases {
+        let disk = FaultyDisk::new();
+        let (mut store, _) = open(&disk);
+        store.append(&[b"one", b"two"]).expect(case.name);
+        disk.arm(DiskFault::SyncFails);
+        assert!(store.append(&[b"never acknowledged"]).is_err(), "{}", case.name);
+        disk.crash(case.kept);
+        let (mut store, recovered) = Store::open(disk.clone()).expect(case.name);
+        assert_eq!(recovered.records, [b"one", b"two"], "{}", case.name);
+        assert_eq!(recovered.torn.is_some(), case.torn, "{}", case.name);
+        store.append(&[b"three"]).expect(case.name);
+        assert_eq!(open(&disk).1.len(), 3, "{}", case.name);
+    }
+}
+
+#[test]
+fn damage_to_an_acknowledged_record_is_refused_with_its_place() {
+    // A bit of an older record flips on the disk. Going on without that record would take back a
+    // change that an operator was told is in force, so the instance must not start with it.
+    let disk = FaultyDisk::new();
+    let (mut store, _) = open(&disk);
+    store.append(&[b"first"]).expect("written");
+    let second = store.log_size();
+    store.append(&[b"second"]).expect("written");
+    store.append(&[b"third"]).expect("written");
+    disk.damage("log-0", second as usize + 16);
+    match Store::open(disk) {
+        Err(OpenError::Damaged { offset, .. }) => assert_eq!(offset, second),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_full_disk_refuses_writes_and_takes_them_again_later() {
+    // Another program fills the disk in the middle of a write. Operators get their change refused,
+    // reads go on, and once there is room the same process takes changes again.
+    let disk = FaultyDisk::new();
+    let (mut store, _) = open(&disk);
+    store.append(&[b"before"]).expect("written");
+    disk.arm(DiskFault::Full { stored: 7 });
+    assert!(matches!(store.append(&[b"refused"]), Err(WriteError::Full)));
+    disk.set_full(true);
+    assert!(matches!(store.replace(b"state", &[b"x"]), Err(WriteError::Full)));
+    disk.set_full(false);
+    store.append(&[b"after"]).expect("written");
+    assert_eq!(open(&disk).1, [b"before".to_vec(), b"after".to_vec()]);
+}
+
+#[test]
+fn a_failed_sync_stops_all_writes_until_the_folder_is_opened_again() {
+    // The disk reports a failed sync once and success from then on, though the pages are gone. An
+    // acknowledgement based on the later success would be for a record that a crash takes away.
+    let disk = FaultyDisk::new();
+    let (mut store, _) = open(&disk);
+    disk.arm(DiskFault::SyncFails);
+    assert!(matches!(store.append(&[b"x"]), Err(WriteError::Io(_))));
+    assert!(matches!(store.append(&[b"y"]), Err(WriteError::Broken)));
+    assert!(matches!(store.replace(b"s", &[b"y"]), Err(WriteError::Broken)));
+    drop(store);
+    let (mut store, found) = open(&disk);
+    store.replace(b"state", &found).expect("written anew");
+    store.append(&[b"z"]).expect("written");
+    disk.crash(0);
+    let mut expected = found;
+    expected.push(b"z".to_vec());
+    assert_eq!(open(&disk).1, expected, "what was read and written anew must not vanish later");
+}
+
+#[test]
+fn a_second_process_and_another_format_get_clear_errors() {
+    // An operator starts a second instance on the same folder by mistake, or an older program on
+    // a folder of a newer one. Both must be told so, and must leave the folder as it is.
+    let path = std::env::temp_dir().join(format!("sill-store-{}", std::process::id()));
+    let (store, _) = Store::open(FolderDisk::open(&path).expect("locked")).expect("opens");
+    let second = FolderDisk::open(&path).map_err(OpenError::from);
+    assert!(matches!(second, Err(OpenError::InUse)), "{second:?}");
+    drop(store);
+    fs::write(path.join("format"), "sill-store 9\n").expect("written");
+    let other = Store::open(FolderDisk::open(&path).expect("locked again"));
+    let text = other.expect_err("refused").to_string();
+    assert!(text.contains("sill-store 9") && text.contains("sill-store 1"), "{text}");
+    fs::remove_dir_all(&path).expect("removed");
+}
+
+#[test]
+fn random_faults_never_lose_an_acknowledged_record() {
+    // Crashes, torn writes, full disks and failing syncs come in any order, also in the middle of
+    // a snapshot. What was acknowledged must be there after each restart, without gap or change.
+    let mut steps = 0;
+    for case in 0..cases(300) {
+        let mut rng = seeded(seed(11) + u64::from(case));
+        let disk = FaultyDisk::new();
+        let (mut store, _) = open(&disk);
+        let (mut state, mut written) = (0_u64, 0_u64);
+        let mut unsure = 0_u64;
+        for _ in 0..60 {
+            steps += 1;
+            match rng.random_range(0..10) {
+                0 => disk.arm(DiskFault::Full { stored: rng.random_range(0..40) }),
+                1 => disk.arm(DiskFault::SyncFails),
+                2 => {
+                    let snapshot = (state + written).to_le_bytes();
+                    if store.replace::<[u8; 8]>(&snapshot, &[]).is_ok() {
+                        state += written;
+                        written = 0;
+                    }
+                }
+                3 | 4 => {
+                    let is_crash = rng.random_bool(0.5);
+                    if is_crash {
+                        disk.crash(rng.random_range(0..30));
+                    }
+                    drop(store);
+                    let (opened, recovered) = loop {
+                        match Store::open(disk.clone()) {
+                            Ok(opened) => break opened,
+                            Err(OpenError::Io(_)) => continue,
+                            Err(err) => panic!("case {case}: {err}"),
+                        }
+                    };
+                    store = opened;
+                    let base = recovered.snapshot.map_or(0, |s| number(&s));
+                    let found = recovered.records.iter().map(|r| number(r));
+                    for (i, value) in found.enumerate() {
+                        assert_eq!(value, base + i as u64 + 1, "case {case}: a gap");
+                    }
+                    let total = base + recovered.records.len() as u64;
+                    let acknowledged = state + written;
+                    assert!(total >= acknowledged, "case {case}: {total} < {acknowledged}");
+                    assert!(total <= acknowledged + unsure, "case {case}: {total}");
+                    (state, written, unsure) = (total, 0, 0);
+                    while store.replace::<[u8; 8]>(&total.to_le_bytes(), &[]).is_err() {
+                        store = loop {
+                            if let Ok((opened, _)) = Store::open(disk.clone()) {
+                                break opened;
+                            }
+                        };
+                    }
+                }
+                _ => match store.append(&[(state + written + 1).to_le_bytes()]) {
+                    Ok(()) => written += 1,
+                    Err(_) => unsure = 1,
+                },
+            }
+        }
+    }
+    println!("steps={steps}");
+}
+
+fn number(bytes: &[u8]) -> u64 {
+    u64::from_le_bytes(bytes.try_into().expect("eight bytes"))
+}
