--- a/coordination/quorum/src/replica.rs
+++ b/coordination/quorum/src/replica.rs
@@ -206,6 +206,15 @@
         self.log.last_index()
     }
 
+    /// Returns when it has something to do if nothing happens before.
+    pub fn wake_at(&self) -> Millis {
+        match &self.role {
+            Role::Leader(leading) => leading.heartbeat_due,
+            _ if self.may_lead() => self.election_due,
+            _ => Millis::MAX,
+        }
+    }
+
     /// Returns the number of applied entries that lie in the log, to decide when to compact it.
     pub fn compactable(&self) -> u64 {
         self.applied.saturating_sub(self.log.base().0)
--- /dev/null
+++ b/daemons/control/src/api/drain.rs
@@ -0,0 +1,31 @@
+//! `/drain`.
+
+use ntex::web::{HttpRequest, HttpResponse, types};
+use sill_base::event;
+use sill_net::http;
+
+use crate::api::tree::{no_outcome, on_runtime, subject};
+use crate::api::{App, caller, refusal_status, refused};
+use crate::app::command::DrainAsk;
+use crate::app::{Ask, Outcome};
+use crate::submit;
+
+pub async fn post(app: App, req: HttpRequest, name: types::Path<String>) -> HttpResponse {
+    answer(&app, &req, &name).await.unwrap_or_else(|refusal| refusal)
+}
+
+async fn answer(app: &App, req: &HttpRequest, name: &str) -> Result<HttpResponse, HttpResponse> {
+    let holder = caller::holder(app, req)?;
+    let origin = caller::origin(holder, req)?;
+    let ask = Ask::Drain(DrainAsk { origin, subject: subject(name)? });
+    let outcome = on_runtime(app, async move |shared| submit::submit(&shared, &ask).await).await;
+    match outcome {
+        Ok(Outcome::Drained) => {
+            event!(Info, "drain_accepted", subject = name);
+            Ok(http::json(200, &serde_json::json!({ "draining": name })))
+        }
+        Ok(Outcome::Refused(refusal)) => Ok(http::json(refusal_status(&refusal), &refusal)),
+        Ok(_) => Err(refused(500, "internal", "an outcome of another kind")),
+        Err(failure) => Err(no_outcome(app, failure)),
+    }
+}
--- /dev/null
+++ b/daemons/control/src/api/health.rs
@@ -0,0 +1,46 @@
+//! `/livez`, `/readyz`, `/metrics` and `/fleet`.
+
+use ntex::web::{HttpRequest, HttpResponse};
+use sill_net::http;
+use sill_wire::control::FleetReply;
+
+use crate::api::{App, caller, refused};
+
+pub async fn livez() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+/// Tells whether changes can be made through this instance.
+pub async fn readyz(app: App) -> HttpResponse {
+    let status = app.log.status();
+    if let Some(fault) = status.disk_fault {
+        return refused(503, "storage_full", &fault);
+    }
+    match status.leader {
+        Some(_) => HttpResponse::Ok().body("ok\n"),
+        None => refused(503, "no_quorum", "no leader is known"),
+    }
+}
+
+pub async fn metrics(app: App) -> HttpResponse {
+    match app.metrics.text() {
+        Ok(text) => HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(text),
+        Err(err) => refused(500, "internal", &err.to_string()),
+    }
+}
+
+pub async fn fleet(app: App, req: HttpRequest) -> HttpResponse {
+    if let Err(refusal) = caller::holder(&app, &req) {
+        return refusal;
+    }
+    let status = app.log.status();
+    let reply = FleetReply {
+        control: app.cfg.name.clone(),
+        leader: status.leader,
+        term: status.term,
+        revision: app.log.app().read().revision(),
+        entries: app.running.entries(app.clock.now()),
+        endpoints: Vec::new(),
+    };
+    http::json(200, &reply)
+}
--- /dev/null
+++ b/daemons/control/src/app/state.rs
@@ -0,0 +1,355 @@
+//! The state that all control instances come to.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use sill_base::{Millis, Name, Promise, keep};
+use sill_flight::claims::ClaimTable;
+use sill_quorum::{Entry, Payload};
+use sill_tree::{Operator, Tree};
+use sill_wire::claim::ClaimAsk;
+use sill_wire::control::{AuditRecord, ChangeRefusal, ChangeReply, Revision};
+use sill_wire::feed::{Change, FeedReply};
+
+use crate::app::audit::{AuditFilter, AuditTrail, without_hashes};
+use crate::app::change_ids::{Answer, AskName, ChangeIds};
+use crate::app::command::{
+    ChangeAsk, Checked, Command, DrainAsk, Holder, Origin, Outcome, refusal,
+};
+use crate::app::history::History;
+
+/// Places of findings that an audit record names.
+const AUDITED_FINDINGS: usize = 20;
+
+/// Drains that are remembered.
+const MAX_DRAINS: usize = 10_000;
+
+/// The state after some entry of the log.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct App {
+    index: u64,
+    now: Millis,
+    tree: Tree,
+    history: History,
+    change_ids: ChangeIds,
+    audit: AuditTrail,
+    claims: ClaimTable,
+    drains: BTreeMap<Name, Drain>,
+}
+
+/// An instance that is to get no new work.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Drain {
+    /// Who asked for it.
+    pub author: Name,
+    /// When.
+    pub at: Millis,
+}
+
+/// Where in the log a command stands.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    index: u64,
+    term: u64,
+    at: Millis,
+}
+
+impl App {
+    /// Returns the last entry that was applied.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// Returns the tree.
+    pub fn tree(&self) -> &Tree {
+        &self.tree
+    }
+
+    /// Returns the newest revision.
+    pub fn revision(&self) -> Revision {
+        Revision(self.tree.revision)
+    }
+
+    /// Returns the number of claims.
+    pub fn claims(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Returns the instances that are to be drained.
+    pub fn drains(&self) -> &BTreeMap<Name, Drain> {
+        &self.drains
+    }
+
+    /// Returns what is newer than a revision.
+    pub fn newer_than(&self, have: Revision) -> FeedReply {
+        self.history.newer_than(&self.tree, have)
+    }
+
+    /// Returns the audit records that an operator may see and a filter lets through.
+    pub fn audit(&self, operator: &Operator, filter: &AuditFilter) -> Vec<AuditRecord> {
+        let is_root = *operator == Operator::Root;
+        let may_see = |record: &&AuditRecord| {
+            is_root
+                || (matches!(&*record.action, "change" | "refused")
+                    && self.tree.is_owned_by(operator, &record.subject))
+        };
+        self.audit.find(filter).filter(may_see).cloned().collect()
+    }
+
+    /// Returns whether a token is the root's or owns any subtree.
+    pub fn is_known(&self, operator: &Operator) -> bool {
+        let mut paths = self.tree.subtrees.keys();
+        *operator == Operator::Root || paths.any(|path| self.tree.is_owned_by(operator, path))
+    }
+
+    /// Returns the first answer to an ask that was sent before.
+    pub fn known(&self, origin: &Origin, content: &Name) -> Option<Outcome> {
+        let answer = self.change_ids.get(&ask_name(origin))?;
+        if answer.content == *content {
+            return Some(answer.outcome.clone());
+        }
+        let message = "this Change-Id was used for another change";
+        Some(Outcome::Refused(refusal("change_id_reused", message)))
+    }
+
+    /// Applies a committed entry.
+    ///
+    /// # Panics
+    ///
+    /// Panics on an entry that this version of the program can't read: going on without it would
+    /// make this instance's state differ from the others' for good.
+    pub fn apply(&mut self, index: u64, entry: &Entry) -> Option<Outcome> {
+        keep!(
+            Promise::AcceptedChangeStays,
+            index == self.index + 1,
+            "entry {index} applied after {}",
+            self.index
+        );
+        self.index = index;
+        let before = self.tree.revision;
+        let outcome = match &entry.payload {
+            Payload::Noop => None,
+            Payload::Members(members) => {
+                let voters: Vec<&str> = members.voters.iter().map(|id| &*id.name).collect();
+                let reason = format!("voters: {}", voters.join(", "));
+                let place = self.place(index, entry.term, Millis::ZERO);
+                self.audit.add(record(place, "control".into(), "voters", "".into(), reason));
+                None
+            }
+            Payload::Command(text) => {
+                let command = serde_json::from_str(text);
+                let command = command.unwrap_or_else(|err| {
+                    panic!("entry {index} is of a newer version of sill-control: {err}")
+                });
+                Some(self.carry_out(index, entry.term, command))
+            }
+        };
+        keep!(
+            Promise::AcceptedChangeStays,
+            self.tree.revision >= before,
+            "the tree went back from revision {before}"
+        );
+        outcome
+    }
+
+    fn carry_out(&mut self, index: u64, term: u64, command: Command) -> Outcome {
+        match command {
+            Command::Change { at, checked } => {
+                let place = self.place(index, term, at);
+                self.change(place, checked, None)
+            }
+            Command::Refuse { at, checked, refusal } => {
+                let place = self.place(index, term, at);
+                self.change(place, checked, Some(refusal))
+            }
+            Command::Drain { at, ask } => {
+                let place = self.place(index, term, at);
+                self.drain(place, ask)
+            }
+            Command::Claims { at, asks } => {
+                let at = self.place(index, term, at).at;
+                self.claim(at, &asks)
+            }
+        }
+    }
+
+    /// Returns the place of a command. Its time never goes back, also when a leader with a slower
+    /// clock takes over.
+    fn place(&mut self, index: u64, term: u64, at: Millis) -> Place {
+        self.now = self.now.max(at);
+        Place { index, term, at: self.now }
+    }
+
+    fn claim(&mut self, at: Millis, asks: &[ClaimAsk]) -> Outcome {
+        let verdicts = asks.iter().map(|ask| self.claims.apply(at, ask)).collect();
+        Outcome::Verdicts { verdicts }
+    }
+
+    fn change(
+        &mut self,
+        place: Place,
+        checked: Checked,
+        refused: Option<ChangeRefusal>,
+    ) -> Outcome {
+        let Checked { ask, content, against } = checked;
+        if let Some(outcome) = self.known(&ask.origin, &content) {
+            return outcome;
+        }
+        let author = self.author(&ask.origin.holder);
+        let outcome = match self.conflict(&ask) {
+            Some(conflict) => Outcome::Refused(conflict),
+            // Another change was committed between the check and this entry. The check may not
+            // hold any more, as with a limit that both changes raised by all that was left.
+            None if against != self.revision() => return Outcome::Recheck,
+            None => match refused {
+                Some(refusal) => Outcome::Refused(refusal),
+                None => Outcome::Changed(self.put(&ask, author.clone())),
+            },
+        };
+        self.note_change(place, &ask, &outcome, author);
+        let name = ask_name(&ask.origin);
+        self.change_ids.keep(Answer { name, content, outcome: outcome.clone() });
+        outcome
+    }
+
+    fn conflict(&self, ask: &ChangeAsk) -> Option<ChangeRefusal> {
+        let base = ask.base?;
+        let current = self.tree.subtrees.get(&ask.path);
+        let revision = Revision(current.map_or(0, |subtree| subtree.revision));
+        if base == revision {
+            return None;
+        }
+        let mut conflict = refusal("conflict", "another change came first");
+        conflict.revision = Some(revision);
+        conflict.author = current.map(|subtree| subtree.author.clone());
+        Some(conflict)
+    }
+
+    fn put(&mut self, ask: &ChangeAsk, author: Name) -> ChangeReply {
+        let revision = Revision(self.tree.revision + 1);
+        let (path, document) = (ask.path.clone(), ask.document.clone());
+        match &document {
+            None => self.tree.remove(&path, revision.0),
+            Some(document) => {
+                let typed = serde_json::from_value(document.clone()).unwrap_or_else(|err| {
+                    panic!("{path} is of a newer version of sill-control: {err}")
+                });
+                self.tree.put(path.clone(), revision.0, author.clone(), typed);
+            }
+        }
+        self.history.add(Change { revision, path: path.clone(), author, document });
+        ChangeReply { revision, path, in_force: false }
+    }
+
+    fn note_change(&mut self, place: Place, ask: &ChangeAsk, outcome: &Outcome, author: Name) {
+        let why = ask.origin.reason.clone();
+        let mut entry = record(place, author, "change", ask.path.clone(), why);
+        match outcome {
+            Outcome::Changed(reply) => {
+                entry.revision = Some(reply.revision);
+                entry.detail = Some(ask.document.as_ref().map_or(Value::Null, without_hashes));
+            }
+            Outcome::Refused(refusal) => {
+                entry.action = "refused".into();
+                entry.reason = audited_reason(refusal, &entry.reason);
+                entry.revision = refusal.revision;
+            }
+            _ => {}
+        }
+        self.audit.add(entry);
+    }
+
+    fn drain(&mut self, place: Place, ask: DrainAsk) -> Outcome {
+        let content = ask.content();
+        if let Some(outcome) = self.known(&ask.origin, &content) {
+            return outcome;
+        }
+        let name = ask_name(&ask.origin);
+        let author = self.author(&ask.origin.holder);
+        let (action, outcome) = if ask.origin.holder != Holder::Root {
+            let refusal = refusal("forbidden", "only the root's token may drain an instance");
+            ("refused", Outcome::Refused(refusal))
+        } else if self.drains.len() >= MAX_DRAINS {
+            let refusal = refusal("too_many", "too many drains are remembered");
+            ("refused", Outcome::Refused(refusal))
+        } else {
+            let drain = Drain { author: author.clone(), at: place.at };
+            self.drains.insert(ask.subject.clone(), drain);
+            ("drain", Outcome::Drained)
+        };
+        let why = ask.origin.reason.clone();
+        self.audit.add(record(place, author, action, ask.subject.clone(), why));
+        self.change_ids.keep(Answer { name, content, outcome: outcome.clone() });
+        outcome
+    }
+
+    fn author(&self, holder: &Holder) -> Name {
+        let Holder::Token(hash) = holder else { return "root".into() };
+        let owned = self
+            .tree
+            .subtrees
+            .iter()
+            .find(|(_, subtree)| subtree.document.owner.as_ref() == Some(hash));
+        owned.map_or_else(|| "unknown".into(), |(path, _)| format!("owner:{path}").into())
+    }
+}
+
+/// Names an ask by its token, not by what the token owns: the answer must be found again after the
+/// change itself has altered that.
+fn ask_name(origin: &Origin) -> AskName {
+    let author = match &origin.holder {
+        Holder::Root => "root".into(),
+        Holder::Token(hash) => hash.0.clone(),
+    };
+    AskName { author, change_id: origin.change_id.clone() }
+}
+
+impl ChangeAsk {
+    /// Returns a hash of what is asked for.
+    pub fn content(&self) -> Name {
+        content_hash(&(&self.path, self.base, &self.document))
+    }
+}
+
+impl DrainAsk {
+    /// Returns a hash of what is asked for.
+    pub fn content(&self) -> Name {
+        content_hash(&("drain", &self.subject))
+    }
+}
+
+fn content_hash<T>(content: &T) -> Name
+where
+    T: Serialize,
+{
+    let bytes = serde_json::to_vec(content).unwrap_or_default();
+    blake3::hash(&bytes).to_hex().as_str().into()
+}
+
+/// Returns why something was refused. Findings quote the document, which may hold a secret in a
+/// wrong place, so only their places are told.
+fn audited_reason(refusal: &ChangeRefusal, reason: &str) -> String {
+    let mut text = format!("{}: {}", refusal.code, refusal.message);
+    for finding in refusal.findings.iter().take(AUDITED_FINDINGS) {
+        text.push_str(&format!("; {}", finding.place));
+    }
+    if !reason.is_empty() {
+        text.push_str(&format!(" ({reason})"));
+    }
+    text
+}
+
+fn record(place: Place, author: Name, action: &str, subject: Name, reason: String) -> AuditRecord {
+    AuditRecord {
+        index: place.index,
+        term: place.term,
+        at: place.at,
+        author,
+        action: action.into(),
+        subject,
+        reason,
+        revision: None,
+        detail: None,
+    }
+}
--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -3,19 +3,27 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use eyre::Result;
+use eyre::{Result, eyre};
 use ntex::web::{App, HttpServer};
-use parking_lot::Mutex;
-use sill_base::{Clock, event};
-use sill_net::{PeerServer, PeerServerBuilder, http};
-use sill_wire::control::Revision;
-use tokio::runtime::Runtime;
-use tokio::sync::watch;
+use sill_base::{Clock, Millis, Name, event};
+use sill_net::{PeerClient, PeerServer, PeerServerBuilder, http};
+use sill_quorum::{Event, ReplicaId};
+use tokio::runtime::{Handle, Runtime};
 
-use crate::api;
 use crate::cfg::ControlCfg;
-use crate::feed;
-use crate::state::State;
+use crate::log::driver::Driver;
+use crate::log::peers::Peers;
+use crate::log::{LogHandle, hello};
+use crate::metrics::Metrics;
+use crate::rpc::{Ack, Hello, QuorumSend, ReadIndex, ReadIndexReply, RunningSync, Submit};
+use crate::running::{self, Running};
+use crate::{api, feed, submit};
+
+/// How long a call to another control instance may take.
+const QUICK: Millis = Millis(1000);
+
+/// How long a call may take that waits for a commit there.
+const PATIENT: Millis = Millis(3000);
 
 /// What the parts of a control instance share.
 #[derive(Debug)]
@@ -24,10 +32,29 @@
     pub cfg: ControlCfg,
     /// Its clock.
     pub clock: Clock,
-    /// Its state.
-    pub state: Mutex<State>,
-    /// The newest revision, for those who wait for one.
-    pub newest: watch::Sender<Revision>,
+    /// Its id in the replicated log.
+    pub id: ReplicaId,
+    /// The replicated log.
+    pub log: LogHandle,
+    /// What entry instances run.
+    pub running: Running,
+    /// The other control instances.
+    pub controls: Vec<ControlPeer>,
+    /// Its metrics.
+    pub metrics: Arc<Metrics>,
+    /// Where its tasks run.
+    pub runtime: Handle,
+}
+
+/// Another control instance.
+#[derive(Debug)]
+pub struct ControlPeer {
+    /// Its name.
+    pub name: Name,
+    /// For calls that are answered at once.
+    pub quick: PeerClient,
+    /// For calls that wait for a commit.
+    pub patient: PeerClient,
 }
 
 /// A running control instance.
@@ -39,9 +66,17 @@
     pub peer_address: SocketAddr,
     server: ntex::server::Server,
     peers: PeerServer,
+    log: LogHandle,
     runtime: Runtime,
 }
 
+impl Shared {
+    /// Returns another control instance by name.
+    pub fn control(&self, name: &Name) -> Option<&ControlPeer> {
+        self.controls.iter().find(|peer| peer.name == *name)
+    }
+}
+
 impl Control {
     /// Reads the data folder and starts to serve.
     ///
@@ -52,35 +87,17 @@
         let listener = http::bind(cfg.listen)?;
         let peer_listener = http::bind(cfg.listen_peer)?;
         let address = listener.local_addr()?;
-        let state = State::open(&cfg.data)?;
-        let (newest, _) = watch::channel(state.revision());
-        let shared =
-            Arc::new(Shared { clock: Clock::start(), state: Mutex::new(state), newest, cfg });
-
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
-        let mut peers = PeerServerBuilder::new(shared.cfg.cluster_key.clone());
-        let feeding = shared.clone();
-        peers.answer(move |poll| feed::poll(feeding.clone(), poll));
+        let shared = Arc::new(share(cfg, runtime.handle().clone())?);
         let peers = {
             let _guard = runtime.enter();
-            peers.start(peer_listener)?
+            answers(&shared).start(peer_listener)?
         };
-
-        let name = shared.cfg.name.clone();
-        let (tx, rx) = std::sync::mpsc::channel();
-        http::spawn_system("control", move || async move {
-            let server = HttpServer::new(async move || {
-                App::new().state(shared.clone()).configure(api::routes)
-            })
-            .workers(1)
-            .disable_signals()
-            .listen(listener)?
-            .run();
-            let _ = tx.send(server.clone());
-            server.await
-        })?;
-        let server = rx.recv()?;
+        runtime.spawn(hello::run(shared.clone()));
+        runtime.spawn(running::pass_on(shared.clone()));
+        let (name, log) = (shared.cfg.name.clone(), shared.log.clone());
+        let server = serve(shared, listener)?;
         let peer_address = peers.address();
         event!(
             Info,
@@ -89,14 +106,87 @@
             address = address,
             peer_address = peer_address
         );
-        Ok(Self { address, peer_address, server, peers, runtime })
+        Ok(Self { address, peer_address, server, peers, log, runtime })
     }
 
     /// Stops it; what was acknowledged lies synced on disk.
     pub async fn stop(self) {
         self.peers.stop();
         self.server.stop(true).await;
+        self.log.stop();
         // Dropping it would block, which a caller inside another runtime may not do.
         self.runtime.shutdown_background();
     }
 }
+
+fn share(cfg: ControlCfg, runtime: Handle) -> Result<Shared> {
+    let metrics = Arc::new(Metrics::new()?);
+    let clock = Clock::start();
+    let key = &cfg.cluster_key;
+    let (mut peers, mut controls) = (Peers::default(), Vec::new());
+    for voter in cfg.voters.iter().filter(|voter| voter.name != cfg.name) {
+        let (name, address) = (voter.name.clone(), voter.address);
+        peers.add(&runtime, name.clone(), address, key);
+        let quick = PeerClient::new(address, key, QUICK);
+        let patient = PeerClient::new(address, key, PATIENT);
+        controls.push(ControlPeer { name, quick, patient });
+    }
+    let mut driver = Driver::new(&cfg, clock, peers, metrics.clone());
+    driver.open()?;
+    let id = driver.id().cloned().ok_or_else(|| eyre!("the data folder is not open"))?;
+    let log = driver.start()?;
+    let running = Running::default();
+    Ok(Shared { cfg, clock, id, log, running, controls, metrics, runtime })
+}
+
+fn answers(shared: &Arc<Shared>) -> PeerServerBuilder {
+    let mut peers = PeerServerBuilder::new(shared.cfg.cluster_key.clone());
+    let own = shared.clone();
+    peers.answer(move |poll| feed::poll(own.clone(), poll));
+    let own = shared.clone();
+    peers.answer(move |batch| {
+        let own = own.clone();
+        async move { Ok(submit::claim(own, batch).await) }
+    });
+    let own = shared.clone();
+    peers.answer(move |QuorumSend { messages }| {
+        messages.into_iter().for_each(|msg| own.log.event(Event::Receive(msg)));
+        async { Ok(Ack {}) }
+    });
+    let own = shared.clone();
+    peers.answer(move |call: Hello| {
+        let reply = hello::answer(&own, call);
+        async move { Ok(reply) }
+    });
+    let own = shared.clone();
+    peers.answer(move |Submit { ask }| {
+        let own = own.clone();
+        async move { Ok(submit::lead(&own, &ask).await) }
+    });
+    let own = shared.clone();
+    peers.answer(move |_: ReadIndex| {
+        let index = submit::read_index(&own);
+        async move { Ok(ReadIndexReply { index }) }
+    });
+    let own = shared.clone();
+    peers.answer(move |sync: RunningSync| {
+        own.running.told(own.clock.now(), &sync);
+        async { Ok(Ack {}) }
+    });
+    peers
+}
+
+fn serve(shared: Arc<Shared>, listener: std::net::TcpListener) -> Result<ntex::server::Server> {
+    let (tx, rx) = std::sync::mpsc::channel();
+    http::spawn_system("control", move || async move {
+        let server =
+            HttpServer::new(async move || App::new().state(shared.clone()).configure(api::routes))
+                .workers(1)
+                .disable_signals()
+                .listen(listener)?
+                .run();
+        let _ = tx.send(server.clone());
+        server.await
+    })?;
+    Ok(rx.recv()?)
+}
--- a/daemons/control/src/lib.rs
+++ b/daemons/control/src/lib.rs
@@ -1,11 +1,17 @@
-//! The control instance: takes in settings changes, keeps them, and hands them to entry instances.
+//! The control instance: takes in settings changes and claims, keeps them in a replicated log, and
+//! hands settings to entry instances.
 
 pub mod api;
+pub mod app;
 pub mod cfg;
 pub mod cli;
 pub mod daemon;
 pub mod feed;
-pub mod state;
+pub mod log;
+pub mod metrics;
+pub mod rpc;
+pub mod running;
+pub mod submit;
 
 pub use cfg::ControlCfg;
 pub use daemon::Control;
--- /dev/null
+++ b/daemons/control/src/log/disk.rs
@@ -0,0 +1,121 @@
+//! The replicated log in a data folder.
+
+use std::io;
+use std::path::Path;
+
+use eyre::{Result, WrapErr, bail};
+use serde::{Deserialize, Serialize};
+use sill_base::{Millis, Name, event};
+use sill_quorum::{Persisted, ReplicaId, Write};
+use sill_store::{FolderDisk, Recovered, Store, WriteError};
+
+/// A record of the store.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(tag = "record", rename_all = "snake_case")]
+enum Record {
+    /// Whose disk this is.
+    Id(ReplicaId),
+    /// A write of the replica.
+    Write(Write),
+}
+
+/// A snapshot of the store.
+#[derive(Debug, Serialize, Deserialize)]
+struct Whole {
+    id: ReplicaId,
+    persisted: Persisted,
+}
+
+/// The open data folder of a replica.
+#[derive(Debug)]
+pub struct LogDisk {
+    store: Store<FolderDisk>,
+    id: ReplicaId,
+}
+
+impl LogDisk {
+    /// Opens a folder; an empty one makes a new incarnation of the instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder is in use, damaged, or another instance's.
+    pub fn open(folder: &Path, name: &Name) -> Result<(Self, Persisted)> {
+        let place = || folder.display().to_string();
+        let disk = FolderDisk::open(folder).map_err(sill_store::OpenError::from);
+        let (mut store, recovered) = disk.and_then(Store::open).wrap_err_with(place)?;
+        report(&recovered);
+        let (id, persisted) = match replay(recovered).wrap_err_with(place)? {
+            (Some(id), persisted) => (id, persisted),
+            (None, persisted) => {
+                let id = ReplicaId { name: name.clone(), incarnation: Millis::wall().0 };
+                store.append(&[serde_json::to_vec(&Record::Id(id.clone()))?])?;
+                (id, persisted)
+            }
+        };
+        if id.name != *name {
+            bail!("{}: the data folder belongs to {}, not to {name}", place(), id.name);
+        }
+        Ok((Self { store, id }, persisted))
+    }
+
+    /// Returns whose disk this is.
+    pub fn id(&self) -> &ReplicaId {
+        &self.id
+    }
+
+    /// Makes a write durable.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk is full or broken; the replica must not go on then.
+    pub fn write(&mut self, write: Write) -> Result<(), WriteError> {
+        if let Some(persisted) = write.whole {
+            return self.write_anew(*persisted);
+        }
+        let record = serde_json::to_vec(&Record::Write(write)).map_err(io::Error::from)?;
+        self.store.append(&[record])
+    }
+
+    /// Writes everything into new files.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk is full or broken.
+    pub fn write_anew(&mut self, persisted: Persisted) -> Result<(), WriteError> {
+        let whole = Whole { id: self.id.clone(), persisted };
+        let snapshot = serde_json::to_vec(&whole).map_err(io::Error::from)?;
+        self.store.replace::<Vec<u8>>(&snapshot, &[])
+    }
+
+    /// Returns the bytes of the log.
+    pub fn log_size(&self) -> u64 {
+        self.store.log_size()
+    }
+
+    /// Returns the bytes of log and snapshot.
+    pub fn size(&self) -> u64 {
+        self.store.size()
+    }
+}
+
+fn report(recovered: &Recovered) {
+    if let Some(torn) = &recovered.torn {
+        event!(Warn, "log_tail_cut", file = torn.file, offset = torn.offset, bytes = torn.len);
+    }
+}
+
+fn replay(recovered: Recovered) -> Result<(Option<ReplicaId>, Persisted)> {
+    let (mut id, mut persisted) = (None, Persisted::default());
+    if let Some(snapshot) = recovered.snapshot {
+        let whole: Whole = serde_json::from_slice(&snapshot).wrap_err("the snapshot")?;
+        (id, persisted) = (Some(whole.id), whole.persisted);
+    }
+    for (i, record) in recovered.records.into_iter().enumerate() {
+        let record = serde_json::from_slice(&record).wrap_err_with(|| format!("record {i}"))?;
+        match record {
+            Record::Id(found) => id = Some(found),
+            Record::Write(write) => persisted.take(write),
+        }
+    }
+    Ok((id, persisted))
+}
--- /dev/null
+++ b/daemons/control/src/log/driver.rs
@@ -0,0 +1,357 @@
+//! The thread that runs the replica and carries out its actions in order.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError};
+use std::thread;
+use std::time::Instant;
+
+use eyre::Result;
+use parking_lot::RwLock;
+use sill_base::{Clock, Machine, Map, Millis, Name, event};
+use sill_quorum::{Action, Cfg, Entry, Event, Replica, ReplicaId, RoleName, Snapshot};
+use sill_store::WriteError;
+use tokio::sync::oneshot;
+
+use crate::app::{App, Command};
+use crate::cfg::ControlCfg;
+use crate::log::disk::LogDisk;
+use crate::log::handle::{Input, LogHandle, News, Status, Submitted};
+use crate::log::peers::Peers;
+use crate::metrics::Metrics;
+
+/// Inputs that are taken in before the replica runs again, so that they share one write.
+const BATCH: usize = 512;
+
+/// The log is compacted when it is larger than this, in bytes, and than the snapshot.
+const COMPACT_SIZE: u64 = 8 << 20;
+
+/// Entries that a log is not compacted below.
+const COMPACT_ENTRIES: u64 = 1000;
+
+/// Pause before a folder that could not be written is opened again.
+const REOPEN: Millis = Millis(1000);
+
+/// The longest sleep without a look at the clock.
+const MAX_SLEEP: Millis = Millis(100);
+
+/// What the thread of the log works with.
+pub struct Driver {
+    clock: Clock,
+    cfg: Cfg,
+    folder: PathBuf,
+    name: Name,
+    disk: Option<LogDisk>,
+    replica: Option<Replica>,
+    app: Arc<RwLock<App>>,
+    status: Arc<RwLock<Status>>,
+    news: News,
+    peers: Peers,
+    metrics: Arc<Metrics>,
+    waiting: BTreeMap<u64, Waiting>,
+    proposed: Map<u64, Vec<oneshot::Sender<Submitted>>>,
+    next_tag: u64,
+    reopen_at: Millis,
+}
+
+/// Someone who waits for a command.
+#[derive(Debug)]
+pub(crate) struct Waiting {
+    term: u64,
+    done: oneshot::Sender<Submitted>,
+}
+
+impl Driver {
+    /// Makes what the thread works with; nothing is opened yet.
+    pub fn new(cfg: &ControlCfg, clock: Clock, peers: Peers, metrics: Arc<Metrics>) -> Self {
+        Self {
+            clock,
+            cfg: Cfg::default(),
+            folder: cfg.data.clone(),
+            name: cfg.name.clone(),
+            disk: None,
+            replica: None,
+            app: Arc::default(),
+            status: Arc::default(),
+            news: News::default(),
+            peers,
+            metrics,
+            waiting: BTreeMap::new(),
+            proposed: Map::default(),
+            next_tag: 0,
+            reopen_at: Millis::ZERO,
+        }
+    }
+
+    /// Returns the id of the open disk.
+    pub fn id(&self) -> Option<&ReplicaId> {
+        self.disk.as_ref().map(LogDisk::id)
+    }
+
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the thread can't be started.
+    pub fn start(self) -> io::Result<LogHandle> {
+        let (input, inputs) = mpsc::channel();
+        let handle = LogHandle {
+            input,
+            status: self.status.clone(),
+            app: self.app.clone(),
+            news: self.news.clone(),
+        };
+        thread::Builder::new().name("log".to_owned()).spawn(move || self.run(inputs))?;
+        Ok(handle)
+    }
+
+    /// Opens the folder and makes the replica.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder can't be used.
+    pub fn open(&mut self) -> Result<()> {
+        let (disk, persisted) = LogDisk::open(&self.folder, &self.name)?;
+        if let Some(snapshot) = &persisted.snapshot {
+            self.restore(snapshot)?;
+        }
+        let seed = Millis::wall().0 ^ blake3::hash(self.name.as_bytes()).as_bytes()[0] as u64;
+        let (cfg, id) = (self.cfg.clone(), disk.id().clone());
+        self.replica = Some(Replica::restore(cfg, id, persisted, seed, self.clock.now()));
+        self.disk = Some(disk);
+        Ok(())
+    }
+
+    /// Runs until the process stops.
+    fn run(mut self, input: Receiver<Input>) {
+        loop {
+            let mut batch = Vec::new();
+            match input.recv_timeout(self.sleep().into()) {
+                Ok(first) => batch.push(first),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            batch.extend(input.try_iter().take(BATCH));
+            if batch.iter().any(|input| matches!(input, Input::Stop)) {
+                return;
+            }
+            self.take(batch);
+            self.compact();
+            self.report();
+        }
+    }
+
+    fn sleep(&self) -> Millis {
+        let now = self.clock.now();
+        let due = self.replica.as_ref().map_or(self.reopen_at, Replica::wake_at);
+        (due - now).max(Millis(1)).min(MAX_SLEEP)
+    }
+
+    fn take(&mut self, batch: Vec<Input>) {
+        let (mut commands, mut waiters) = (Vec::new(), Vec::new());
+        for input in batch {
+            match input {
+                Input::Event(event) => self.step(event),
+                Input::Submit { command, done } => {
+                    commands.push(text_of(&command));
+                    waiters.push(done);
+                }
+                Input::Stop => {}
+            }
+        }
+        if commands.is_empty() {
+            self.step(Event::Tick);
+        } else {
+            self.next_tag += 1;
+            let tag = self.next_tag;
+            self.proposed.insert(tag, waiters);
+            self.step(Event::Propose { tag, commands });
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.clock.now();
+        if self.replica.is_none() && now >= self.reopen_at {
+            self.reopen(now);
+        }
+        let Some(replica) = &mut self.replica else {
+            if let Event::Propose { tag, .. } = event {
+                self.not_leader(tag);
+            }
+            return;
+        };
+        let mut actions = Vec::new();
+        replica.step(now, event, &mut actions);
+        for action in actions {
+            if let Err(err) = self.carry_out(action) {
+                self.stop_taking_part(now, &err);
+                return;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) -> Result<(), WriteError> {
+        match action {
+            Action::Persist(write) => {
+                let start = Instant::now();
+                let disk = self.disk.as_mut().ok_or(WriteError::Broken)?;
+                disk.write(write)?;
+                self.metrics.append_seconds.observe(start.elapsed().as_secs_f64());
+            }
+            Action::Send(msg) => self.peers.send(msg),
+            Action::Restore(snapshot) => {
+                if let Err(err) = self.restore(&snapshot) {
+                    panic!("a snapshot of a newer version of sill-control: {err:#}");
+                }
+            }
+            Action::Apply { index, entry } => self.apply(index, &entry),
+            Action::Proposed { tag, first, term } => {
+                let waiters = self.proposed.remove(&tag).unwrap_or_default();
+                for (index, done) in (first..).zip(waiters) {
+                    self.waiting.insert(index, Waiting { term, done });
+                }
+            }
+            Action::NotLeader { tag } => self.not_leader(tag),
+        }
+        Ok(())
+    }
+
+    fn not_leader(&mut self, tag: u64) {
+        for done in self.proposed.remove(&tag).unwrap_or_default() {
+            let _ = done.send(Submitted::NotLeader);
+        }
+    }
+
+    fn apply(&mut self, index: u64, entry: &Entry) {
+        // After a disk fault the replica starts again from its disk, behind the state.
+        if index <= self.app.read().index() {
+            return;
+        }
+        let outcome = self.app.write().apply(index, entry);
+        if let Some(waiting) = self.waiting.remove(&index) {
+            let result = match outcome {
+                Some(outcome) if waiting.term == entry.term => Submitted::Applied(outcome),
+                // Another leader's entry stands there; this one will never be committed.
+                _ => Submitted::NotLeader,
+            };
+            let _ = waiting.done.send(result);
+        }
+        self.news.tell(&self.app.read());
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) -> Result<()> {
+        if snapshot.index <= self.app.read().index() {
+            return Ok(());
+        }
+        let app: App = serde_json::from_str(&snapshot.data)?;
+        event!(Info, "snapshot_taken_in", index = snapshot.index, bytes = snapshot.data.len());
+        *self.app.write() = app;
+        self.waiting = self.waiting.split_off(&(snapshot.index + 1));
+        self.news.tell(&self.app.read());
+        Ok(())
+    }
+
+    fn compact(&mut self) {
+        let (Some(replica), Some(disk)) = (&self.replica, &self.disk) else { return };
+        let is_large = disk.log_size() > COMPACT_SIZE.max(disk.size() / 2);
+        if !is_large || replica.compactable() < COMPACT_ENTRIES {
+            return;
+        }
+        let start = Instant::now();
+        let (index, data) = {
+            let app = self.app.read();
+            (app.index(), serde_json::to_string(&*app))
+        };
+        let Ok(data) = data else { return };
+        let bytes = data.len();
+        self.step(Event::Compact { index, data: data.into() });
+        let ms = Millis::from(start.elapsed());
+        event!(Info, "log_compacted", index = index, bytes = bytes, ms = ms);
+    }
+
+    /// Leaves the replicated log until the disk can be written again.
+    ///
+    /// In memory the replica is ahead of its disk. To the others it must look as if it had been
+    /// killed before the write, so it is made anew from the disk; the applied state stays, and
+    /// serves reads.
+    fn stop_taking_part(&mut self, now: Millis, err: &WriteError) {
+        event!(Error, "disk_fault", error = err);
+        self.replica = None;
+        self.disk = None;
+        self.reopen_at = now + REOPEN;
+        self.status.write().disk_fault = Some(err.to_string());
+        for done in std::mem::take(&mut self.proposed).into_values().flatten() {
+            let _ = done.send(Submitted::NotLeader);
+        }
+        for waiting in std::mem::take(&mut self.waiting).into_values() {
+            let _ = waiting.done.send(Submitted::Unknown);
+        }
+    }
+
+    fn reopen(&mut self, now: Millis) {
+        self.reopen_at = now + REOPEN;
+        let reopened = self.open().and_then(|()| self.write_anew());
+        match reopened {
+            Ok(()) => {
+                event!(Info, "disk_usable_again");
+                self.status.write().disk_fault = None;
+            }
+            Err(err) => {
+                event!(Error, "disk_fault", error = format!("{err:#}"));
+                self.replica = None;
+                self.disk = None;
+                self.status.write().disk_fault = Some(format!("{err:#}"));
+            }
+        }
+    }
+
+    /// What was read after a failed sync may be lost in a crash, so it is written to new files.
+    fn write_anew(&mut self) -> Result<()> {
+        if let (Some(disk), Some(replica)) = (&mut self.disk, &self.replica) {
+            disk.write_anew(replica.persisted())?;
+        }
+        Ok(())
+    }
+
+    fn report(&mut self) {
+        let now = self.clock.now();
+        let mut status = self.status.write();
+        let before = (status.role, status.term, status.leader.clone());
+        match &self.replica {
+            Some(replica) => {
+                status.role = replica.role();
+                status.term = replica.term();
+                status.leader = replica.leader().map(|id| id.name.clone());
+                status.commit = replica.commit_index();
+                status.is_new = replica.is_new();
+                status.is_voter = replica.members().voters.contains(replica.id());
+                let lease = replica.lease_until(now).filter(|_| replica.can_read(now));
+                status.reads_until = lease.unwrap_or_default();
+            }
+            None => {
+                status.role = RoleName::Follower;
+                status.leader = None;
+                status.reads_until = Millis::ZERO;
+            }
+        }
+        let after = (status.role, status.term, status.leader.clone());
+        if before.0 == RoleName::Leader && after.0 != RoleName::Leader {
+            // Whether a later leader commits what this one wrote may not show for long.
+            for waiting in std::mem::take(&mut self.waiting).into_values() {
+                let _ = waiting.done.send(Submitted::Unknown);
+            }
+        }
+        self.metrics.report(&status, &self.app.read());
+        if before != after {
+            let (role, term, leader) = after;
+            let leader = leader.unwrap_or_default();
+            event!(Info, "role", role = format!("{role:?}"), term = term, leader = leader);
+        }
+    }
+}
+
+fn text_of(command: &Command) -> Arc<str> {
+    serde_json::to_string(command).expect("a command can always be written as JSON").into()
+}
--- /dev/null
+++ b/daemons/control/src/running.rs
@@ -0,0 +1,134 @@
+//! Which revision each entry instance runs.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use sill_base::{Map, Millis, Name};
+use sill_wire::control::{EntryStatus, Revision};
+use sill_wire::feed::FeedPoll;
+
+use crate::daemon::Shared;
+use crate::rpc::{RunningEntry, RunningSync};
+
+/// An entry instance not heard of for this long is not waited for.
+pub const LIVE: Millis = Millis(15_000);
+
+/// An entry instance not heard of for this long is forgotten.
+const KNOWN: Millis = Millis(600_000);
+
+/// How often news are passed on to the other control instances.
+const TICK: Millis = Millis(50);
+
+/// How often everything is passed on, so that they know who is alive.
+const REFRESH: Millis = Millis(4000);
+
+/// What is known of the entry instances, here and by the other control instances.
+#[derive(Debug, Default)]
+pub struct Running {
+    heard: Mutex<Map<Name, Heard>>,
+}
+
+#[derive(Debug, Clone)]
+struct Heard {
+    domain: Name,
+    revision: Revision,
+    at: Millis,
+    /// Whether it was heard of here, and not by another control instance.
+    is_own: bool,
+    is_new: bool,
+}
+
+impl Running {
+    /// Takes in a poll.
+    pub fn polled(&self, now: Millis, poll: &FeedPoll) {
+        let mut heard = self.heard.lock();
+        let mut note = |entry: &Name, domain: &Name, revision| {
+            let known = heard.get(entry);
+            let is_news = known.is_none_or(|known| known.revision != revision);
+            let is_new = is_news || known.is_some_and(|known| known.is_new);
+            let domain = domain.clone();
+            let now_heard = Heard { domain, revision, at: now, is_own: true, is_new };
+            heard.insert(entry.clone(), now_heard);
+        };
+        note(&poll.entry, &poll.domain, poll.have);
+        for below in &poll.below {
+            note(&below.entry, &below.domain, below.revision);
+        }
+    }
+
+    /// Takes in what another control instance heard.
+    pub fn told(&self, now: Millis, sync: &RunningSync) {
+        let mut heard = self.heard.lock();
+        for entry in &sync.entries {
+            let at = now - entry.age;
+            if heard.get(&entry.entry).is_some_and(|known| known.at > at) {
+                continue;
+            }
+            let (domain, revision) = (entry.domain.clone(), entry.revision);
+            let told = Heard { domain, revision, at, is_own: false, is_new: false };
+            heard.insert(entry.entry.clone(), told);
+        }
+        heard.retain(|_, known| now - known.at < KNOWN);
+    }
+
+    /// Returns whether all live entry instances run a revision.
+    pub fn all_run(&self, now: Millis, revision: Revision) -> bool {
+        let heard = self.heard.lock();
+        let mut live = heard.values().filter(|known| now - known.at < LIVE);
+        live.all(|known| known.revision >= revision)
+    }
+
+    /// Returns all that is known, by name.
+    pub fn entries(&self, now: Millis) -> Vec<EntryStatus> {
+        let heard = self.heard.lock();
+        let entries = heard.iter().map(|(name, known)| EntryStatus {
+            name: name.clone(),
+            domain: known.domain.clone(),
+            revision: known.revision,
+            heard_ago: now - known.at,
+        });
+        let mut entries: Vec<EntryStatus> = entries.collect();
+        entries.sort_by(|a, b| a.name.cmp(&b.name));
+        entries
+    }
+
+    fn own(&self, now: Millis, everything: bool) -> Vec<RunningEntry> {
+        let mut heard = self.heard.lock();
+        let told = heard.iter_mut().filter(|(_, known)| {
+            known.is_own && (known.is_new || everything && now - known.at < LIVE)
+        });
+        let entries = told.map(|(name, known)| {
+            known.is_new = false;
+            RunningEntry {
+                entry: name.clone(),
+                domain: known.domain.clone(),
+                revision: known.revision,
+                age: now - known.at,
+            }
+        });
+        entries.collect()
+    }
+}
+
+/// Passes on to the other control instances what entry instances run.
+pub async fn pass_on(shared: Arc<Shared>) {
+    if shared.controls.is_empty() {
+        return;
+    }
+    let mut refresh_at = Millis::ZERO;
+    loop {
+        tokio::time::sleep(TICK.into()).await;
+        let now = shared.clock.now();
+        let everything = now >= refresh_at;
+        if everything {
+            refresh_at = now + REFRESH;
+        }
+        let entries = shared.running.own(now, everything);
+        if entries.is_empty() {
+            continue;
+        }
+        let sync = RunningSync { entries };
+        let calls = shared.controls.iter().map(|peer| peer.quick.call(&sync));
+        futures_util::future::join_all(calls).await;
+    }
+}
--- /dev/null
+++ b/daemons/control/src/submit.rs
@@ -0,0 +1,151 @@
+//! Gets an ask to the leader and brings back what came of it.
+
+use std::sync::Arc;
+
+use sill_base::{Millis, event};
+use sill_quorum::RoleName;
+use sill_wire::claim::{ClaimAsk, ClaimBatch, ClaimReply, ClaimVerdict};
+
+use crate::app::judge::Judged;
+use crate::app::{Ask, Outcome};
+use crate::daemon::Shared;
+use crate::log::Submitted;
+use crate::rpc::{ReadIndex, Submit, SubmitReply};
+
+/// How long an operator's ask looks for a leader that commits it.
+const PATIENCE: Millis = Millis(6000);
+
+/// How long claims look for a leader while one is known. A request waits for them.
+const CLAIM_PATIENCE: Millis = Millis(1500);
+
+/// Pause before the next try.
+const PAUSE: Millis = Millis(50);
+
+/// How often a change is checked again because another one came between.
+const RECHECKS: usize = 20;
+
+/// Why an ask has no outcome.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoOutcome {
+    /// No leader was found; nothing was written.
+    NotWritten,
+    /// It was written, but whether it will be committed is unknown.
+    Unknown,
+}
+
+/// Gets an operator's ask committed, by whoever leads.
+///
+/// It has a `Change-Id`, so that trying again after an unknown outcome makes no second change.
+///
+/// # Errors
+///
+/// Fails when no leader commits it in time.
+pub async fn submit(shared: &Arc<Shared>, ask: &Ask) -> Result<Outcome, NoOutcome> {
+    let end = shared.clock.now() + PATIENCE;
+    let mut failure = NoOutcome::NotWritten;
+    while shared.clock.now() < end {
+        match attempt(shared, ask).await {
+            SubmitReply::Done { outcome } => return Ok(outcome),
+            SubmitReply::NotLeader => {}
+            SubmitReply::Unknown => failure = NoOutcome::Unknown,
+        }
+        tokio::time::sleep(PAUSE.into()).await;
+    }
+    Err(failure)
+}
+
+async fn attempt(shared: &Arc<Shared>, ask: &Ask) -> SubmitReply {
+    let status = shared.log.status();
+    if status.role == RoleName::Leader {
+        return lead(shared, ask).await;
+    }
+    let Some(peer) = status.leader.and_then(|name| shared.control(&name)) else {
+        return SubmitReply::NotLeader;
+    };
+    match peer.patient.call(&Submit { ask: ask.clone() }).await {
+        Ok(reply) => reply,
+        Err(err) => {
+            event!(Debug, "leader_unreachable", leader = peer.name, error = err);
+            SubmitReply::Unknown
+        }
+    }
+}
+
+/// Checks an ask and writes it, as the leader.
+pub async fn lead(shared: &Arc<Shared>, ask: &Ask) -> SubmitReply {
+    for _ in 0..RECHECKS {
+        let judged = shared.log.app().read().judge(Millis::wall(), ask);
+        let command = match judged {
+            Judged::Known(outcome) => return SubmitReply::Done { outcome },
+            Judged::Write(command) => command,
+        };
+        match shared.log.submit(command).await {
+            Submitted::Applied(Outcome::Recheck) => {}
+            Submitted::Applied(outcome) => return SubmitReply::Done { outcome },
+            Submitted::NotLeader => return SubmitReply::NotLeader,
+            Submitted::Unknown => return SubmitReply::Unknown,
+        }
+    }
+    SubmitReply::NotLeader
+}
+
+/// Waits until this instance's state holds everything that was answered before the call, and
+/// returns whether it does. Without a leader it may not, and what is read may be old.
+pub async fn catch_up(shared: &Arc<Shared>) -> bool {
+    let end = shared.clock.now() + PATIENCE;
+    while shared.clock.now() < end {
+        let status = shared.log.status();
+        // What is read after this is at least as new as what was newest now.
+        if shared.clock.now() < status.reads_until {
+            return true;
+        }
+        let leader = status.leader.and_then(|name| shared.control(&name));
+        if let Some(peer) = leader
+            && let Ok(reply) = peer.quick.call(&ReadIndex {}).await
+            && let Some(index) = reply.index
+            && applied(shared, index, end).await
+        {
+            return true;
+        }
+        if shared.log.status().disk_fault.is_some() {
+            return false;
+        }
+        tokio::time::sleep(PAUSE.into()).await;
+    }
+    false
+}
+
+/// Returns the entry that holds everything answered so far, if this instance holds the lease.
+pub fn read_index(shared: &Shared) -> Option<u64> {
+    let index = shared.log.app().read().index();
+    // The lease must still run after the state was looked at. A process that was stopped between
+    // the two would otherwise answer with a state that a later leader has already changed.
+    (shared.clock.now() < shared.log.status().reads_until).then_some(index)
+}
+
+async fn applied(shared: &Shared, index: u64, end: Millis) -> bool {
+    let mut applied = shared.log.applied();
+    let left = end - shared.clock.now();
+    let reached = applied.wait_for(|applied| *applied >= index);
+    tokio::time::timeout(left.into(), reached).await.is_ok_and(|reached| reached.is_ok())
+}
+
+/// Answers claims. They are refused at once when no leader is known.
+pub async fn claim(shared: Arc<Shared>, batch: ClaimBatch) -> ClaimReply {
+    shared.metrics.claim_asks.inc_by(batch.asks.len() as u64);
+    let end = shared.clock.now() + CLAIM_PATIENCE;
+    let unavailable = batch.asks.iter().map(|_: &ClaimAsk| ClaimVerdict::Unavailable);
+    let unavailable: Vec<ClaimVerdict> = unavailable.collect();
+    let ask = Ask::Claims { asks: batch.asks };
+    while shared.clock.now() < end && shared.log.status().leader.is_some() {
+        let reply = tokio::time::timeout(CLAIM_PATIENCE.into(), attempt(&shared, &ask)).await;
+        match reply {
+            Ok(SubmitReply::Done { outcome: Outcome::Verdicts { verdicts } }) => {
+                return ClaimReply { verdicts };
+            }
+            Ok(SubmitReply::NotLeader) => tokio::time::sleep(PAUSE.into()).await,
+            _ => break,
+        }
+    }
+    ClaimReply { verdicts: unavailable }
+}
--- /dev/null
+++ b/daemons/sill/tests/system/control.rs
@@ -0,0 +1,157 @@
+//! Control instances as real processes: killed, stopped, cut off, raced, and without their disk.
+
+use std::thread;
+
+use crate::control_cluster::{Cluster, SIZE};
+use crate::harness::wait_until;
+
+fn document(price: u64) -> String {
+    format!(r#"{{"price_cap":{price}}}"#)
+}
+
+#[test]
+fn a_killed_leader_loses_nothing_and_a_resent_change_gets_its_first_answer() {
+    // The leader is killed right after it answered a change, and the operator's tool, which lost
+    // the answer, sends the change again to another instance. It must not be made twice, and the
+    // operator must be told the revision that it made the first time.
+    let mut cluster = Cluster::start("kill");
+    let leader = cluster.leader();
+    let first = cluster.put(leader, "ga", &["change-id: one"], &document(1));
+    assert_eq!(first.status, 200, "{first:?}");
+    cluster.put(leader, "ga", &["change-id: two"], &document(2));
+    cluster.kill(leader);
+    let other = (leader + 1) % SIZE;
+    let again = cluster.put(other, "ga", &["change-id: one"], &document(1));
+    assert_eq!((again.status, again.revision()), (200, first.revision()), "{again:?}");
+    let reused = cluster.put(other, "ga", &["change-id: one"], &document(9));
+    assert_eq!(reused.status, 409, "{reused:?}");
+    let newer = cluster.put(other, "ga", &["change-id: three"], &document(3));
+    assert_eq!(newer.revision(), 3, "{newer:?}");
+    cluster.run(leader);
+    wait_until("the restarted instance is ready", || {
+        cluster.call(leader, "GET", "/readyz", &[], "").is_some_and(|answer| answer.status == 200)
+    });
+    let read = cluster.get(leader, "ga");
+    assert_eq!(read.json()["document"]["price_cap"], 3, "{read:?}");
+}
+
+#[test]
+fn a_stopped_leader_that_goes_on_neither_commits_nor_shows_old_settings() {
+    // The leader's machine stands still for some seconds while the others go on, and then it
+    // resumes as if nothing had happened. An operator who reads there must see the newest
+    // settings, and a change based on the old ones must be refused.
+    let cluster = Cluster::start("stop");
+    let leader = cluster.leader();
+    assert_eq!(cluster.put(leader, "ga", &[], &document(1)).status, 200);
+    cluster.signal(leader, "-STOP");
+    let other = cluster.leader_without(&[leader]);
+    let newer = cluster.put(other, "ga", &["if-match: 1"], &document(2));
+    assert_eq!(newer.status, 200, "{newer:?}");
+    cluster.signal(leader, "-CONT");
+    let read = cluster.get(leader, "ga");
+    assert_eq!(read.json()["document"]["price_cap"], 2, "{read:?}");
+    let late = cluster.put(leader, "ga", &["if-match: 1"], &document(3));
+    assert_eq!((late.status, late.revision()), (409, 2), "{late:?}");
+}
+
+#[test]
+fn a_cut_off_leader_takes_no_change_and_marks_what_it_shows_as_old() {
+    // The leader's failure domain is cut off. Operators on the other side go on; one inside gets
+    // no change through and is told that what is shown may be old. After the repair there is one
+    // history only.
+    let cluster = Cluster::start("cut");
+    let leader = cluster.leader();
+    assert_eq!(cluster.put(leader, "ga", &[], &document(1)).status, 200);
+    cluster.cut(leader, true);
+    let lost = cluster.put(leader, "ga", &["change-id: inside"], &document(7));
+    assert_eq!((lost.status, &lost.json()["code"]), (503, &"no_quorum".into()), "{lost:?}");
+    let read = cluster.get(leader, "ga");
+    assert!(read.head.contains("sill-stale: true"), "{read:?}");
+    assert_eq!(read.json()["document"]["price_cap"], 1, "{read:?}");
+    let other = cluster.leader_without(&[leader]);
+    assert_eq!(cluster.put(other, "ga", &["if-match: 1"], &document(2)).status, 200);
+    cluster.cut(leader, false);
+    cluster.leader();
+    let read = cluster.get(leader, "ga");
+    assert!(!read.head.contains("sill-stale"), "{read:?}");
+    assert_eq!(read.json()["document"]["price_cap"], 2, "{read:?}");
+}
+
+#[test]
+fn after_a_restart_of_all_everything_accepted_is_there() {
+    // Power fails in all domains at once. Every accepted change, the answers to resent ones, and
+    // the audit trail with what was refused must be there afterwards.
+    let mut cluster = Cluster::start("all");
+    for price in 1..=20 {
+        let id = format!("change-id: c{price}");
+        let answer = cluster.put(price as usize % SIZE, "ga", &[&id], &document(price));
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    let refused = cluster.put(0, "ga", &["sill-reason: try"], r#"{"price":1}"#);
+    assert_eq!(refused.status, 400, "{refused:?}");
+    (0..SIZE).for_each(|i| cluster.kill(i));
+    (0..SIZE).for_each(|i| cluster.run(i));
+    cluster.leader();
+    let read = cluster.get(1, "ga");
+    assert_eq!((read.revision(), &read.json()["document"]["price_cap"]), (20, &20.into()));
+    let again = cluster.put(2, "ga", &["change-id: c7"], &document(7));
+    assert_eq!(again.revision(), 7, "{again:?}");
+    let audit = cluster.call(0, "GET", "/audit?path=ga&author=root", &[], "").expect("an answer");
+    let audit = audit.json();
+    let records = audit.as_array().expect("a list");
+    assert_eq!(records.len(), 21, "{records:?}");
+    assert_eq!(records[20]["action"], "refused", "{records:?}");
+    assert!(records[20]["reason"].as_str().is_some_and(|why| why.contains("try")), "{records:?}");
+}
+
+#[test]
+fn of_racing_changes_with_equal_revisions_one_wins() {
+    // Three operators read revision 1 and change it at the same time through three instances. One
+    // must win, and the others must learn which revision and author came first.
+    let cluster = Cluster::start("race");
+    assert_eq!(cluster.put(0, "ga", &[], &document(1)).status, 200);
+    for round in 1..=10 {
+        let base = format!("if-match: {round}");
+        let answers: Vec<_> = thread::scope(|scope| {
+            let racing = (0..SIZE).map(|i| {
+                let (cluster, base) = (&cluster, &base);
+                scope.spawn(move || cluster.put(i, "ga", &[base], &document(100 + i as u64)))
+            });
+            let racing: Vec<_> = racing.collect();
+            racing.into_iter().map(|thread| thread.join().expect("an answer")).collect()
+        });
+        let won: Vec<_> = answers.iter().filter(|answer| answer.status == 200).collect();
+        assert_eq!(won.len(), 1, "{answers:?}");
+        for lost in answers.iter().filter(|answer| answer.status != 200) {
+            assert_eq!((lost.status, lost.revision()), (409, won[0].revision()), "{lost:?}");
+            assert_eq!(lost.json()["author"], "root", "{lost:?}");
+        }
+    }
+    for wrong in ["if-match: abc", "if-match: *", "if-match: "] {
+        let answer = cluster.put(0, "ga", &[wrong], &document(1));
+        assert_eq!(answer.status, 400, "{wrong}: {answer:?}");
+    }
+}
+
+#[test]
+fn a_lost_disk_is_repaired_and_the_next_loss_is_borne() {
+    // An instance loses its disk and comes back empty; right after it is a voter again, another
+    // one is killed. Operators must be able to go on with all that was accepted before.
+    let mut cluster = Cluster::start("disk");
+    let leader = cluster.leader();
+    let empty = (leader + 1) % SIZE;
+    assert_eq!(cluster.put(leader, "ga", &[], &document(1)).status, 200);
+    cluster.kill(empty);
+    let data = cluster.folder.0.join(format!("data-{empty}"));
+    std::fs::remove_dir_all(&data).expect("the folder is there");
+    assert_eq!(cluster.put(leader, "ga", &[], &document(2)).status, 200);
+    cluster.run(empty);
+    wait_until("the empty instance is a voter again", || {
+        cluster.metric(empty, "sill_control_voter") == Some(1.0)
+    });
+    cluster.kill(leader);
+    let read = cluster.get(empty, "ga");
+    assert_eq!(read.json()["document"]["price_cap"], 2, "{read:?}");
+    let answer = cluster.put(empty, "ga", &["if-match: 2"], &document(3));
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
