--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the whole system with real processes on loopback.
 
 mod bad_input;
+mod control;
+mod control_cluster;
 mod harness;
 mod member;
 mod product;
