Membership: questions for endpoints of other domains are spread and name what is held

Cause: all entries that lack an endpoint asked the two gateways of the domain with the most free slots, each second, and got three whole announcements for each model; gateways that lacked one never asked for whole summaries, so nobody knew which domain to keep to.

--- a/coordination/member/src/foreign.rs
+++ b/coordination/member/src/foreign.rs
@@ -4,9 +4,10 @@
 
 use sill_base::{Map, Millis, Name};
 use sill_wire::Announcement;
-use sill_wire::member::{DomainSummary, EntryInfo, SummaryAge};
+use sill_wire::member::{DomainSummary, EntryInfo, HeldOffer, SummaryAge};
 
 use crate::cfg::MemberCfg;
+use crate::digest;
 use crate::event::Action;
 
 /// A held summary must be older than the offered one by this much to be replaced.
@@ -18,6 +19,9 @@
 /// How long an address that answered for another domain is left alone.
 const PLACED_FOR: Millis = Millis(300_000);
 
+/// Numbers that spread entry instances over contacts are smaller than this.
+const SPREAD: usize = 1 << 24;
+
 /// What is known of other failure domains.
 #[derive(Debug, Default)]
 pub struct Foreign {
@@ -27,6 +31,8 @@
     /// address of the process settings would be tried every second for good.
     placed: Map<Name, Millis>,
     turn: usize,
+    /// Spreads entry instances over the contacts of a domain.
+    spread: usize,
 }
 
 #[derive(Debug, Default)]
@@ -46,6 +52,23 @@
 }
 
 impl Foreign {
+    /// Makes the state of an entry instance that knows no other domain.
+    pub fn new(own: &Name) -> Self {
+        let spread = digest::shape(own) as usize % SPREAD;
+        Self { spread, ..Self::default() }
+    }
+
+    /// Returns the endpoints of other domains that may be used now.
+    pub fn holds(&self) -> Vec<HeldOffer> {
+        let held = self.offers.iter().map(|(name, offer)| HeldOffer {
+            name: name.clone(),
+            incarnation: offer.announcement.incarnation,
+        });
+        let mut held: Vec<HeldOffer> = held.collect();
+        held.sort_unstable();
+        held
+    }
+
     /// Notes that an entry instance of another domain answered or asked.
     pub fn note_contact(&mut self, now: Millis, info: &EntryInfo) {
         self.placed.insert(info.peer_address.clone(), now);
@@ -68,6 +91,7 @@
         now: Millis,
         mut summary: DomainSummary,
         transit: Millis,
+        is_whole: bool,
         cfg: &MemberCfg,
         out: &mut Vec<Action>,
     ) {
@@ -80,6 +104,16 @@
                 self.offer(now, announcement, age, cfg, out);
             }
         }
+        for held in std::mem::take(&mut summary.still) {
+            let known = self.offers.get_mut(&held.name);
+            if let Some(offer) = known.filter(|o| o.announcement.incarnation == held.incarnation) {
+                offer.until = offer.until.max(now + (cfg.foreign_lease - age));
+            }
+        }
+        // An answer to a question for some models tells nothing of the others.
+        if !is_whole {
+            return;
+        }
         let made_at = now - age;
         let domain = self.domains.entry(summary.domain.clone()).or_default();
         if domain.summary.is_some() && domain.made_at >= made_at {
@@ -109,15 +143,21 @@
     pub fn next_contact(&mut self) -> Option<Name> {
         let count = self.domains.len().max(1);
         self.turn = (self.turn + 1) % count;
-        self.domains.values().nth(self.turn).and_then(Domain::contact)
+        self.domains.values().nth(self.turn).and_then(|d| d.contact(self.spread))
     }
 
-    /// Returns an address of the domain with the most free slots for any of these names, or of the
-    /// next domain in turn where no summary tells of any.
+    /// Returns an address of a domain with free slots for the most of these names, or of the next
+    /// domain in turn where no summary tells of any.
+    ///
+    /// Entry instances are spread over equal domains, and each keeps to its one: if all chose the
+    /// domain with the most free slots, they would fill it together and then move on together.
     pub fn contact_with(&mut self, now: Millis, wanted: &[Name]) -> Option<Name> {
-        let free = |domain: &Domain| domain.free_slots(now, wanted);
-        let best = self.domains.values().filter(|d| free(d) > 0).max_by_key(|d| free(d));
-        best.and_then(Domain::contact).or_else(|| self.next_contact())
+        let served = |domain: &Domain| domain.served(now, wanted);
+        let most = self.domains.values().map(served).max().filter(|most| *most > 0);
+        let Some(most) = most else { return self.next_contact() };
+        let best: Vec<&Domain> = self.domains.values().filter(|d| served(d) == most).collect();
+        // Other digits of the hash, or some contacts would be asked by nobody.
+        best[self.spread / 256 % best.len()].contact(self.spread)
     }
 
     /// Returns whether an address is known to belong to another domain.
@@ -127,7 +167,7 @@
 
     /// Returns an address of a domain.
     pub fn contact_of(&self, domain: &str) -> Option<Name> {
-        self.domains.get(domain).and_then(Domain::contact)
+        self.domains.get(domain).and_then(|d| d.contact(0))
     }
 
     /// Returns the domains that are known.
@@ -181,14 +221,15 @@
 }
 
 impl Domain {
-    fn contact(&self) -> Option<Name> {
+    fn contact(&self, spread: usize) -> Option<Name> {
         let count = self.contacts.len().max(1);
-        self.contacts.get(self.turn % count).cloned()
+        self.contacts.get((self.turn + spread) % count).cloned()
     }
 
-    fn free_slots(&self, now: Millis, wanted: &[Name]) -> u32 {
+    /// Returns for how many of these names the domain has free slots.
+    fn served(&self, now: Millis, wanted: &[Name]) -> usize {
         let summary = self.summary.as_ref().filter(|_| now - self.made_at <= SUMMARY_LEASE);
         let capacity = summary.into_iter().flat_map(|s| &s.capacity);
-        capacity.filter(|c| wanted.contains(&c.serves)).map(|c| c.free_slots).sum()
+        capacity.filter(|c| c.free_slots > 0 && wanted.contains(&c.serves)).count()
     }
 }
--- a/coordination/member/src/members.rs
+++ b/coordination/member/src/members.rs
@@ -7,7 +7,8 @@
 use sill_base::{Machine, Millis, Name};
 use sill_wire::announce::AnnounceReply;
 use sill_wire::member::{
-    Digest, DomainCapacity, DomainSummary, EntryInfo, LeavingNotice, MemberReply, MemberSync,
+    Digest, DomainCapacity, DomainSummary, EntryInfo, HeldOffer, LeavingNotice, MemberReply,
+    MemberSync,
 };
 use sill_wire::{Announcement, Incarnation};
 
@@ -30,6 +31,9 @@
 /// Questions without an end are forgotten after this time.
 const QUESTION_LIMIT: Millis = Millis(60_000);
 
+/// Entry instances named to other domains, over which these spread their questions.
+const NAMED_CONTACTS: usize = 8;
+
 /// Entry instances named to an endpoint.
 const NAMED_ENTRIES: usize = 4;
 
@@ -73,6 +77,8 @@
     kind: Kind,
     /// Of its digest, by which the answer names facts.
     salt: u64,
+    /// Whether it asked for some models and services only.
+    wanted: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -102,7 +108,7 @@
             rng: seeded(cfg.seed),
             endpoints: Endpoints::default(),
             entries: Entries::default(),
-            foreign: Foreign::default(),
+            foreign: Foreign::new(&cfg.own.name),
             confirmation: Confirmation { thawed: Millis::ZERO, confirmed: None },
             questions: BTreeMap::new(),
             pushes: BTreeMap::new(),
@@ -267,19 +273,22 @@
     }
 
     fn ask_other_domains(&mut self, now: Millis, out: &mut Vec<Action>) {
-        let needed = self.needed();
         let is_gateway = || self.gateways(now).iter().any(|g| g.name == self.own.name);
-        let contact = if !needed.is_empty() {
-            self.foreign.contact_with(now, &needed)
-        } else if now >= self.next_summary && is_gateway() {
+        if now >= self.next_summary && is_gateway() {
             self.next_summary = now + self.cfg.summary_every;
-            self.foreign.next_contact()
-        } else {
-            None
-        };
-        let Some(peer) = contact else { return };
-        let sync = MemberSync { wants: needed, ..self.question(None) };
-        self.ask(now, peer, sync, Kind::Summary, out);
+            if let Some(peer) = self.foreign.next_contact() {
+                self.ask(now, peer, self.question(None), Kind::Summary, out);
+            }
+        }
+        let wants = self.needed();
+        if wants.is_empty() {
+            return;
+        }
+        if let Some(peer) = self.foreign.contact_with(now, &wants) {
+            let holds = self.foreign.holds();
+            let sync = MemberSync { wants, holds, ..self.question(None) };
+            self.ask(now, peer, sync, Kind::Summary, out);
+        }
     }
 
     /// Returns what the settings name and no endpoint of the domain has a free slot for.
@@ -338,6 +347,7 @@
             leaving: Vec::new(),
             summaries: None,
             wants: Vec::new(),
+            holds: Vec::new(),
         }
     }
 
@@ -352,7 +362,9 @@
         let id = self.next_question;
         self.next_question += 1;
         let salt = sync.digest.as_ref().map_or(0, |digest| digest.salt);
-        self.questions.insert(id, Question { peer: peer.clone(), asked: now, kind, salt });
+        let wanted = !sync.wants.is_empty();
+        let question = Question { peer: peer.clone(), asked: now, kind, salt, wanted };
+        self.questions.insert(id, question);
         out.push(Action::Ask { id, peer, sync });
     }
 
@@ -465,7 +477,7 @@
             summaries: Vec::new(),
         };
         if !is_own_domain {
-            reply.summaries.push(self.summary(now, &sync.wants));
+            reply.summaries.push(self.summary(now, &sync.wants, &sync.holds));
             return reply;
         }
         if let Some(digest) = &sync.digest {
@@ -489,30 +501,45 @@
             || now - self.confirmation.thawed >= self.cfg.unsettled
     }
 
-    fn summary(&mut self, now: Millis, wants: &[Name]) -> DomainSummary {
+    fn summary(&mut self, now: Millis, wants: &[Name], holds: &[HeldOffer]) -> DomainSummary {
         self.summaries_made += 1;
         let mut by_name: BTreeMap<Name, DomainCapacity> = BTreeMap::new();
         let mut ready: Vec<&Announcement> = self.endpoints.ready().collect();
         ready.sort_by_key(|a| (std::cmp::Reverse(free_slots(a)), a.name.clone()));
+        let mut still = Vec::new();
         for announcement in ready {
-            for name in announcement.serves.iter().map(served_name) {
+            let (name, incarnation) = (announcement.name.clone(), announcement.incarnation);
+            let offer = HeldOffer { name, incarnation };
+            let is_free = free_slots(announcement) > 0;
+            let is_held = is_free && holds.contains(&offer);
+            if is_held {
+                still.push(offer);
+            }
+            let served = announcement.serves.iter().map(served_name);
+            for name in served.filter(|name| wants.is_empty() || wants.contains(name)) {
                 let capacity = by_name.entry(name.clone()).or_insert_with(|| empty(name));
                 capacity.slots += announcement.slots;
                 capacity.free_slots += free_slots(announcement);
-                let offers = wants.contains(name) && capacity.endpoints.len() < self.cfg.offered;
-                if offers && free_slots(announcement) > 0 {
+                let offers = !wants.is_empty() && capacity.endpoints.len() < self.cfg.offered;
+                if offers && is_free && !is_held {
                     capacity.endpoints.push(announcement.clone());
                 }
             }
         }
-        let gateways = self.gateways(now);
+        // What is held counts towards the number offered.
+        for capacity in by_name.values_mut() {
+            let spare = self.cfg.offered.saturating_sub(still.len());
+            capacity.endpoints.truncate(spare);
+        }
+        let named = ranked("gateway", self.domain(now)).into_iter().take(NAMED_CONTACTS);
         DomainSummary {
             domain: self.own.domain.clone(),
             sequence: self.summaries_made,
             author: self.own.name.clone(),
-            entries: gateways.into_iter().map(|info| info.peer_address).collect(),
+            entries: named.map(|info| info.peer_address.clone()).collect(),
             age: Millis::ZERO,
             capacity: by_name.into_values().collect(),
+            still,
         }
     }
 
@@ -524,7 +551,8 @@
             _ => now - question.asked,
         };
         for summary in reply.summaries {
-            self.foreign.take(now, summary, transit, &self.cfg, out);
+            let is_whole = !question.wanted;
+            self.foreign.take(now, summary, transit, is_whole, &self.cfg, out);
         }
         if reply.from.domain != self.own.domain {
             return self.foreign.note_contact(now, &reply.from);
--- a/protocol/wire/src/member.rs
+++ b/protocol/wire/src/member.rs
@@ -49,8 +49,22 @@
     /// How long ago it was made, at most.
     #[serde(default)]
     pub age: Millis,
-    /// Free capacity for each model or service.
+    /// Free capacity for each model or service; of those that the caller wants, where it names any.
     pub capacity: Vec<DomainCapacity>,
+    /// Endpoints that the caller holds already and that still have free slots.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub still: Vec<HeldOffer>,
+}
+
+/// An endpoint of another failure domain that an entry instance may use for a while.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct HeldOffer {
+    /// The endpoint.
+    #[serde(rename = "n")]
+    pub name: Name,
+    /// Its life.
+    #[serde(rename = "i")]
+    pub incarnation: Incarnation,
 }
 
 /// Free capacity of a failure domain for one model or service.
@@ -162,6 +176,9 @@
     /// Models and services for which the caller's own domain has no free endpoint.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub wants: Vec<Name>,
+    /// Endpoints of other failure domains that the caller holds, which need not be sent whole.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub holds: Vec<HeldOffer>,
 }
 
 /// The called entry's news.
