--- a/coordination/member/benches/scale.rs
+++ b/coordination/member/benches/scale.rs
@@ -13,9 +13,9 @@
 use sill_wire::member::{EntryInfo, MemberReply, MemberSync};
 use sill_wire::{Announcement, Incarnation, Load, Served};
 
-/// Bytes of HTTP and JSON-RPC around one question, and around its reply.
-const CALL_OVERHEAD: u64 = 230;
-const REPLY_OVERHEAD: u64 = 180;
+/// Bytes of HTTP and JSON-RPC around one question, with a key of 64 characters, and around its reply.
+const CALL_OVERHEAD: u64 = 270;
+const REPLY_OVERHEAD: u64 = 160;
 
 /// Bytes of HTTP around an announcement and around its answer.
 const ANNOUNCE_OVERHEAD: u64 = 220;
--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -22,7 +22,7 @@
 use crate::metrics::Metrics;
 use crate::routing::Routing;
 use crate::settings::Settings;
-use crate::{api, feed, members, peer};
+use crate::{api, feed, peer};
 
 /// Connections that a worker holds to endpoints.
 const UPSTREAM_CONNECTIONS: usize = 16_384;
@@ -67,6 +67,30 @@
 }
 
 impl Shared {
+    /// Makes the state of an instance that listens at these addresses.
+    pub fn new(
+        cfg: EntryCfg,
+        settings: Settings,
+        address: SocketAddr,
+        peer_address: SocketAddr,
+    ) -> Self {
+        let clock = Clock::start();
+        let incarnation = Incarnation(Millis::wall().0);
+        Self {
+            clock,
+            incarnation,
+            settings,
+            feed: Feed::default(),
+            members: Membership::new(&cfg, clock, incarnation, address, peer_address),
+            routing: Routing::new(&cfg),
+            limits: Limits::new(&cfg),
+            metrics: Metrics::new(),
+            stopping: AtomicBool::new(false),
+            next_request: AtomicU64::new(1),
+            cfg,
+        }
+    }
+
     /// Returns a name for a new request, unique over all instances and their lives.
     pub fn request_id(&self) -> Name {
         let number = self.next_request.fetch_add(1, Ordering::Relaxed);
@@ -90,31 +114,16 @@
         let peer_listener = http::bind(cfg.listen_peer)?;
         let address = listener.local_addr()?;
         let peer_address = peer_listener.local_addr()?;
-        let clock = Clock::start();
-        let incarnation = Incarnation(Millis::wall().0);
         let copy = cfg.data.as_deref().map(SettingsCopy::open).transpose()?;
-        let shared = Arc::new(Shared {
-            clock,
-            incarnation,
-            settings: Settings::new(feed::read_copy(copy.as_ref())),
-            feed: Feed::default(),
-            members: Membership::new(&cfg, clock, incarnation, address, peer_address),
-            routing: Routing::new(&cfg),
-            limits: Limits::new(&cfg),
-            metrics: Metrics::new(),
-            stopping: AtomicBool::new(false),
-            next_request: AtomicU64::new(1),
-            cfg,
-        });
+        let settings = Settings::new(feed::read_copy(copy.as_ref()));
+        let shared = Arc::new(Shared::new(cfg, settings, address, peer_address));
 
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
         let peers = {
             let _guard = runtime.enter();
-            peer::server(&shared).start(peer_listener)?
+            peer::start(&shared, peer_listener, copy)?
         };
-        runtime.spawn(feed::run(shared.clone(), copy));
-        runtime.spawn(members::run(shared.clone()));
 
         let server = serve_callers(shared.clone(), listener)?;
         event!(
--- a/daemons/entry/src/peer.rs
+++ b/daemons/entry/src/peer.rs
@@ -1,14 +1,33 @@
-//! What an entry instance answers to its peers.
+//! What an entry instance answers to its peers, and what it asks them.
 
+use std::io;
+use std::net::TcpListener;
 use std::sync::Arc;
 
-use sill_net::PeerServerBuilder;
+use sill_net::{PeerServer, PeerServerBuilder};
 
+use crate::copy::SettingsCopy;
 use crate::daemon::Shared;
 use crate::{feed, members};
 
+/// Serves peers, and starts to ask them; must be called inside a tokio runtime.
+///
+/// # Errors
+///
+/// Fails when the listener can't be used.
+pub fn start(
+    shared: &Arc<Shared>,
+    listener: TcpListener,
+    copy: Option<SettingsCopy>,
+) -> io::Result<PeerServer> {
+    let server = answers(shared).start(listener)?;
+    tokio::spawn(feed::run(shared.clone(), copy));
+    tokio::spawn(members::run(shared.clone()));
+    Ok(server)
+}
+
 /// Makes the server with all calls that peers may make.
-pub fn server(shared: &Arc<Shared>) -> PeerServerBuilder {
+fn answers(shared: &Arc<Shared>) -> PeerServerBuilder {
     let mut server = PeerServerBuilder::new(shared.cfg.cluster_key.clone());
     let feeding = shared.clone();
     server.answer(move |poll| feed::answer(feeding.clone(), poll));
