--- a/daemons/control/src/api/health.rs
+++ b/daemons/control/src/api/health.rs
@@ -40,7 +40,7 @@
         term: status.term,
         revision: app.log.app().read().revision(),
         entries: app.running.entries(app.clock.now()),
-        endpoints: Vec::new(),
+        endpoints: app.running.endpoints(app.clock.now()),
     };
     http::json(200, &reply)
 }
--- a/daemons/control/src/rpc.rs
+++ b/daemons/control/src/rpc.rs
@@ -5,6 +5,7 @@
 use sill_quorum::{Message, ReplicaId};
 use sill_wire::Call;
 use sill_wire::control::Revision;
+use sill_wire::feed::DomainEndpoints;
 
 use crate::app::{Ask, Outcome};
 
@@ -75,6 +76,9 @@
 pub struct RunningSync {
     /// The entry instances.
     pub entries: Vec<RunningEntry>,
+    /// The endpoints that they reported.
+    #[serde(default)]
+    pub endpoints: Vec<DomainEndpoints>,
 }
 
 /// What an entry instance runs.
--- a/daemons/control/src/running.rs
+++ b/daemons/control/src/running.rs
@@ -4,8 +4,8 @@
 
 use parking_lot::Mutex;
 use sill_base::{Map, Millis, Name};
-use sill_wire::control::{EntryStatus, Revision};
-use sill_wire::feed::FeedPoll;
+use sill_wire::control::{EndpointStatus, EntryStatus, Revision};
+use sill_wire::feed::{DomainEndpoints, FeedPoll};
 
 use crate::daemon::Shared;
 use crate::rpc::{RunningEntry, RunningSync};
@@ -16,6 +16,9 @@
 /// An entry instance not heard of for this long is forgotten.
 const KNOWN: Millis = Millis(600_000);
 
+/// A report of a failure domain's endpoints older than this is not shown.
+const REPORTED: Millis = Millis(30_000);
+
 /// How often news are passed on to the other control instances.
 const TICK: Millis = Millis(50);
 
@@ -26,6 +29,16 @@
 #[derive(Debug, Default)]
 pub struct Running {
     heard: Mutex<Map<Name, Heard>>,
+    reported: Mutex<Map<Name, Reported>>,
+}
+
+/// The endpoints of one failure domain.
+#[derive(Debug)]
+struct Reported {
+    domain: DomainEndpoints,
+    at: Millis,
+    /// Whether the other control instances have yet to be told.
+    is_new: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -41,23 +54,62 @@
 impl Running {
     /// Takes in a poll.
     pub fn polled(&self, now: Millis, poll: &FeedPoll) {
+        if let Some(domain) = &poll.endpoints {
+            self.reported(now, domain, true);
+        }
         let mut heard = self.heard.lock();
-        let mut note = |entry: &Name, domain: &Name, revision| {
+        let mut note = |entry: &Name, domain: &Name, revision, at| {
             let known = heard.get(entry);
+            // It may have said something newer by another parent since.
+            if known.is_some_and(|known| known.at > at) {
+                return;
+            }
             let is_news = known.is_none_or(|known| known.revision != revision);
             let is_new = is_news || known.is_some_and(|known| known.is_new);
             let domain = domain.clone();
-            let now_heard = Heard { domain, revision, at: now, is_own: true, is_new };
+            let now_heard = Heard { domain, revision, at, is_own: true, is_new };
             heard.insert(entry.clone(), now_heard);
         };
-        note(&poll.entry, &poll.domain, poll.have);
+        note(&poll.entry, &poll.domain, poll.have, now);
         for below in &poll.below {
-            note(&below.entry, &below.domain, below.revision);
+            note(&below.entry, &below.domain, below.revision, now - below.age);
         }
     }
 
+    fn reported(&self, now: Millis, domain: &DomainEndpoints, is_new: bool) {
+        let at = now - domain.age;
+        let mut reported = self.reported.lock();
+        if reported.get(&domain.domain).is_none_or(|known| known.at < at) {
+            let domain = domain.clone();
+            reported.insert(domain.domain.clone(), Reported { domain, at, is_new });
+        }
+    }
+
+    /// Returns the endpoints that were reported lately, by name.
+    pub fn endpoints(&self, now: Millis) -> Vec<EndpointStatus> {
+        let reported = self.reported.lock();
+        let fresh = reported.values().filter(|r| now - r.at < REPORTED);
+        let mut endpoints: Vec<EndpointStatus> =
+            fresh.flat_map(|r| r.domain.endpoints.iter().cloned()).collect();
+        endpoints.sort_by(|a, b| a.name.cmp(&b.name));
+        endpoints
+    }
+
+    fn new_reports(&self, now: Millis) -> Vec<DomainEndpoints> {
+        let mut reported = self.reported.lock();
+        let new = reported.values_mut().filter(|r| r.is_new);
+        let aged = new.map(|r| {
+            r.is_new = false;
+            DomainEndpoints { age: now - r.at, ..r.domain.clone() }
+        });
+        aged.collect()
+    }
+
     /// Takes in what another control instance heard.
     pub fn told(&self, now: Millis, sync: &RunningSync) {
+        for domain in &sync.endpoints {
+            self.reported(now, domain, false);
+        }
         let mut heard = self.heard.lock();
         for entry in &sync.entries {
             let at = now - entry.age;
@@ -124,10 +176,11 @@
             refresh_at = now + REFRESH;
         }
         let entries = shared.running.own(now, everything);
-        if entries.is_empty() {
+        let endpoints = shared.running.new_reports(now);
+        if entries.is_empty() && endpoints.is_empty() {
             continue;
         }
-        let sync = RunningSync { entries };
+        let sync = RunningSync { entries, endpoints };
         let calls = shared.controls.iter().map(|peer| peer.quick.call(&sync));
         futures_util::future::join_all(calls).await;
     }
--- a/daemons/entry/benches/settings.rs
+++ b/daemons/entry/benches/settings.rs
@@ -282,6 +282,7 @@
             have: settings.revision(),
             wait: Millis(2000),
             below: Vec::new(),
+            endpoints: None,
         };
         match client.call(&poll).await {
             Ok(reply) => {
@@ -436,6 +437,7 @@
             have: Revision(newest.0 - missed),
             wait: Millis::ZERO,
             below: Vec::new(),
+            endpoints: None,
         };
         let began = Instant::now();
         let reply = runtime.block_on(client.call(&poll))?;
--- a/daemons/entry/src/feed.rs
+++ b/daemons/entry/src/feed.rs
@@ -8,7 +8,10 @@
 use rustc_hash::FxHashMap;
 use sill_base::{Map, Millis, Name, event};
 use sill_net::{PeerClient, PeerError};
-use sill_wire::feed::{FeedPoll, FeedReply, RunningRevision};
+use sill_wire::Announcement;
+use sill_wire::control::EndpointStatus;
+use sill_wire::feed::{DomainEndpoints, FeedPoll, FeedReply, RunningRevision};
+use tokio::sync::Notify;
 
 use crate::copy::SettingsCopy;
 use crate::daemon::Shared;
@@ -29,6 +32,12 @@
 /// How long one that was fed itself tells those below that nothing is newer.
 const ATTACHED_FOR: Millis = Millis(4000);
 
+/// Time between two reports of the domain's endpoints.
+const REPORT_EVERY: Millis = Millis(5000);
+
+/// How long news from below are gathered before they are passed on.
+const GATHER: Millis = Millis(100);
+
 /// How long one that asked counts as fed from here.
 const BELOW_FOR: Millis = Millis(10_000);
 
@@ -38,17 +47,24 @@
     /// When a parent that is itself in touch last answered.
     fed_at: Mutex<Option<Millis>>,
     below: Mutex<Map<Name, Below>>,
+    news: Notify,
 }
 
+/// What one below runs, and when it said so.
 #[derive(Debug)]
 struct Below {
-    running: Vec<RunningRevision>,
-    heard_at: Millis,
+    running: RunningRevision,
+    said_at: Millis,
 }
 
 impl Feed {
+    /// Returns how long ago a parent that is itself in touch answered.
+    pub fn fed_ago(&self, now: Millis) -> Option<Millis> {
+        self.fed_at.lock().map(|at| now - at)
+    }
+
     fn is_attached(&self, now: Millis) -> bool {
-        self.fed_at.lock().is_some_and(|at| now - at <= ATTACHED_FOR)
+        self.fed_ago(now).is_some_and(|span| span <= ATTACHED_FOR)
     }
 
     fn note_below(&self, now: Millis, poll: &FeedPoll) {
@@ -56,22 +72,43 @@
             entry: poll.entry.clone(),
             domain: poll.domain.clone(),
             revision: poll.have,
+            age: Millis::ZERO,
         };
-        let mut running = vec![own];
-        running.extend(poll.below.iter().cloned());
-        self.below.lock().insert(poll.entry.clone(), Below { running, heard_at: now });
+        let mut below = self.below.lock();
+        let mut is_news = false;
+        for running in poll.below.iter().chain([&own]) {
+            let said_at = now - running.age;
+            let known = below.get(&running.entry);
+            if known.is_some_and(|k| k.said_at > said_at) {
+                continue;
+            }
+            is_news |= known.is_none_or(|k| k.running.revision != running.revision);
+            let noted = Below { running: running.clone(), said_at };
+            below.insert(running.entry.clone(), noted);
+        }
+        if is_news {
+            self.news.notify_one();
+        }
     }
 
-    /// Returns what those run that were fed from here lately, each once.
+    /// Returns what those run that were fed from here lately.
     fn below(&self, now: Millis) -> Vec<RunningRevision> {
         let mut below = self.below.lock();
-        below.retain(|_, b| now - b.heard_at <= BELOW_FOR);
-        let mut running: Vec<RunningRevision> =
-            below.values().flat_map(|b| b.running.iter().cloned()).collect();
-        running.sort_by(|a, b| (&a.entry, b.revision).cmp(&(&b.entry, a.revision)));
-        running.dedup_by(|a, b| a.entry == b.entry);
+        below.retain(|_, b| now - b.said_at <= BELOW_FOR);
+        let aged = |b: &Below| RunningRevision { age: now - b.said_at, ..b.running.clone() };
+        let mut running: Vec<RunningRevision> = below.values().map(aged).collect();
+        running.sort_by(|a, b| a.entry.cmp(&b.entry));
         running
     }
+
+    /// Waits until one below runs another revision, and a little longer for the others.
+    ///
+    /// An operator who waits until a change is in force would otherwise wait for the end of the
+    /// polls of each level.
+    async fn news_from_below(&self) {
+        self.news.notified().await;
+        tokio::time::sleep(GATHER.into()).await;
+    }
 }
 
 /// Reads the own copy, if there is one that can be read.
@@ -99,6 +136,8 @@
     let mut parents = Parents::new(cfg.control.len(), shared.incarnation.0);
     let mut clients: FxHashMap<SocketAddr, PeerClient> = FxHashMap::default();
     let mut pause = RETRY;
+    let mut was_cut = false;
+    let mut reported_at = None;
     loop {
         let Some(address) = next_address(&shared, &mut parents) else {
             parents.note(shared.clock.now(), Outcome::Failed);
@@ -108,7 +147,16 @@
         let client = clients
             .entry(address)
             .or_insert_with(|| PeerClient::new(address, &cfg.cluster_key, WAIT + GRACE));
-        let result = client.call(&poll(&shared)).await;
+        let poll = FeedPoll { endpoints: report_due(&shared, &mut reported_at), ..poll(&shared) };
+        // Two in a row are not cut short, or steady news from below would keep changes out.
+        let result = tokio::select! {
+            result = client.call(&poll) => result,
+            () = shared.feed.news_from_below(), if !was_cut => {
+                was_cut = true;
+                continue;
+            }
+        };
+        was_cut = false;
         let outcome = taken(&shared, copy.as_ref(), address, result).await;
         parents.note(shared.clock.now(), outcome);
         if outcome == Outcome::Fed {
@@ -137,9 +185,34 @@
         have: shared.settings.revision(),
         wait: WAIT,
         below: shared.feed.below(shared.clock.now()),
+        endpoints: None,
     }
 }
 
+/// Returns the endpoints of the domain, where this instance is the first in the tree and has not
+/// reported them for a while.
+fn report_due(shared: &Shared, reported_at: &mut Option<Millis>) -> Option<DomainEndpoints> {
+    let now = shared.clock.now();
+    let is_due = reported_at.is_none_or(|at| now - at >= REPORT_EVERY);
+    let (_, place) = shared.members.feed_tree();
+    if !is_due || place != 0 {
+        return None;
+    }
+    *reported_at = Some(now);
+    let status = |a: &Announcement, state: &str| EndpointStatus {
+        name: a.name.clone(),
+        domain: a.domain.clone(),
+        state: state.into(),
+        running: a.load.running,
+        slots: a.slots,
+    };
+    let (ready, leaving) = (shared.members.ready(), shared.members.leaving());
+    let ready = ready.iter().map(|a| status(a, "ready"));
+    let endpoints = ready.chain(leaving.iter().map(|a| status(a, "leaving")));
+    let (domain, age) = (shared.cfg.domain.clone(), Millis::ZERO);
+    Some(DomainEndpoints { domain, age, endpoints: endpoints.collect() })
+}
+
 async fn taken(
     shared: &Shared,
     copy: Option<&SettingsCopy>,
--- /dev/null
+++ b/daemons/entry/src/gauges.rs
@@ -0,0 +1,51 @@
+//! What an entry instance knows of its failure domain and of the settings, as gauges.
+
+use prometheus::{IntGauge, Registry};
+
+use crate::daemon::Shared;
+
+/// Gauges that each tick of membership sets.
+#[derive(Debug)]
+pub struct Gauges {
+    peers: IntGauge,
+    ready: IntGauge,
+    leaving: IntGauge,
+    revision: IntGauge,
+    fed_ago: IntGauge,
+}
+
+impl Gauges {
+    /// Makes and registers the gauges.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a name is taken in the registry.
+    pub fn new(registry: &Registry) -> Self {
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("a valid metric name");
+            registry.register(Box::new(gauge.clone())).expect("metric names differ");
+            gauge
+        };
+        Self {
+            peers: gauge("sill_member_peers", "Live entry instances of the domain beside this one"),
+            ready: gauge("sill_member_endpoints_ready", "Endpoints that may get requests"),
+            leaving: gauge("sill_member_endpoints_leaving", "Endpoints that are leaving"),
+            revision: gauge("sill_settings_revision", "Revision of the settings in force"),
+            fed_ago: gauge(
+                "sill_settings_fed_ago_ms",
+                "Time since someone in touch with control answered, -1 for never",
+            ),
+        }
+    }
+
+    /// Sets all of them.
+    pub fn set(&self, shared: &Shared) {
+        let counts = shared.members.counts();
+        self.peers.set(counts.peers as i64);
+        self.ready.set(counts.ready as i64);
+        self.leaving.set(counts.leaving as i64);
+        self.revision.set(shared.settings.revision().0 as i64);
+        let fed_ago = shared.feed.fed_ago(shared.clock.now());
+        self.fed_ago.set(fed_ago.map_or(-1, |span| span.0 as i64));
+    }
+}
--- a/daemons/entry/src/lib.rs
+++ b/daemons/entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod daemon;
 pub mod errors;
 pub mod feed;
+pub mod gauges;
 pub mod limits;
 pub mod members;
 pub mod metrics;
--- a/daemons/entry/src/members.rs
+++ b/daemons/entry/src/members.rs
@@ -37,6 +37,17 @@
     asked: Mutex<Option<UnboundedReceiver<Question>>>,
 }
 
+/// How many of each are known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Counts {
+    /// Live entry instances of the domain beside this one.
+    pub peers: usize,
+    /// Endpoints that may get requests.
+    pub ready: usize,
+    /// Endpoints that are leaving and not gone.
+    pub leaving: usize,
+}
+
 /// Answers that the core gave in one step.
 #[derive(Debug, Default)]
 pub struct Answers {
@@ -118,6 +129,16 @@
         self.core.lock().domains()
     }
 
+    /// Returns how many of each are known.
+    pub fn counts(&self) -> Counts {
+        let core = self.core.lock();
+        Counts {
+            peers: core.peers_of_domain(self.now()).len(),
+            ready: core.ready().len(),
+            leaving: core.leaving().len(),
+        }
+    }
+
     /// Returns the endpoints of the domain that requests may be sent to.
     pub fn ready(&self) -> Vec<Announcement> {
         self.core.lock().ready().into_iter().cloned().collect()
@@ -171,6 +192,7 @@
                 tell_wanted(&shared, &mut wanted_at);
                 tell_leaving(&shared, &mut is_leaving);
                 shared.members.step(&shared.routing, Event::Tick);
+                shared.metrics.gauges.set(&shared);
             }
             question = asked.recv() => {
                 let Some(question) = question else { return };
--- a/daemons/entry/src/metrics.rs
+++ b/daemons/entry/src/metrics.rs
@@ -2,6 +2,8 @@
 
 use prometheus::{Encoder, IntCounter, IntGauge, Registry, TextEncoder};
 
+use crate::gauges::Gauges;
+
 /// Counters and gauges.
 #[derive(Debug)]
 pub struct Metrics {
@@ -14,6 +16,8 @@
     pub refused: IntCounter,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// Membership and settings.
+    pub gauges: Gauges,
 }
 
 impl Metrics {
@@ -35,7 +39,8 @@
         let in_flight =
             IntGauge::new("sill_requests_in_flight", "Requests in flight").expect("a valid name");
         registry.register(Box::new(in_flight.clone())).expect("metric names differ");
-        Self { registry, accepted, answered, refused, in_flight }
+        let gauges = Gauges::new(&registry);
+        Self { registry, accepted, answered, refused, in_flight, gauges }
     }
 
     /// Returns all metrics as text.
--- a/daemons/sill/tests/system/member.rs
+++ b/daemons/sill/tests/system/member.rs
@@ -165,6 +165,11 @@
         log.unwrap_or_default().contains("event=endpoint_leaving name=m1")
     };
     wait_until("both entries know", || knows(0) && knows(1));
+    let metrics = |n: usize| http(system.callers[n], "GET", "/metrics", &[], "").map(|a| a.body);
+    wait_until("both entries count it", || {
+        let shown = |n| metrics(n).is_some_and(|m| m.contains("sill_member_endpoints_leaving 1"));
+        shown(0) && shown(1)
+    });
     wait_until("both entries use the other one", || system.is_served(0) && system.is_served(1));
     let before = runs(addresses[0]);
     assert!(before > 0, "it got requests before");
--- a/protocol/wire/src/feed.rs
+++ b/protocol/wire/src/feed.rs
@@ -7,7 +7,7 @@
 
 use crate::announce::Incarnation;
 use crate::call::Call;
-use crate::control::Revision;
+use crate::control::{EndpointStatus, Revision};
 
 /// Asks a control instance, or a peer entry, for settings newer than `have`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -25,6 +25,21 @@
     /// What the asker's own subscribers run, where it passes settings on.
     #[serde(default)]
     pub below: Vec<RunningRevision>,
+    /// The endpoints of the asker's failure domain, from one entry instance of it now and then.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub endpoints: Option<DomainEndpoints>,
+}
+
+/// The endpoints of a failure domain as one of its entry instances knows them.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DomainEndpoints {
+    /// The failure domain.
+    pub domain: Name,
+    /// How long ago this was so.
+    #[serde(default)]
+    pub age: Millis,
+    /// The endpoints by name.
+    pub endpoints: Vec<EndpointStatus>,
 }
 
 /// Which revision an entry instance runs.
@@ -36,6 +51,9 @@
     pub domain: Name,
     /// The revision.
     pub revision: Revision,
+    /// How long ago it said so.
+    #[serde(default)]
+    pub age: Millis,
 }
 
 /// One committed change.
