--- a/coordination/flight/src/home.rs
+++ b/coordination/flight/src/home.rs
@@ -3,9 +3,9 @@
 use std::collections::VecDeque;
 use std::hash::{Hash, Hasher};
 
-use serde::{Deserialize, Serialize};
-use sill_base::{Map, Millis, Name};
+use sill_base::{Map, Millis};
 use sill_wire::claim::{BodyHash, ClaimKey};
+use sill_wire::handoff::{Location, RunAt};
 
 /// Returns the member that is home to a key, by rendezvous hashing: when a member goes, only its
 /// own keys move.
@@ -50,27 +50,6 @@
     key: ClaimKey,
 }
 
-/// Where a keyed request runs or has run.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunAt {
-    /// The entry instance's peer address, `IP:PORT`.
-    pub address: Name,
-    /// The request.
-    pub request: Name,
-}
-
-/// What the home says of a key.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "located", rename_all = "snake_case")]
-pub enum Location {
-    /// Nobody runs it; the asker is noted as the one who does.
-    New,
-    /// It runs or ran there.
-    At(RunAt),
-    /// The key was used with another body.
-    BodyMismatch,
-}
-
 impl Directory {
     /// Makes an empty directory.
     pub fn new(capacity: usize, retention: Millis) -> Self {
--- a/coordination/flight/src/lib.rs
+++ b/coordination/flight/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod claims;
 pub mod drain;
 pub mod flight;
+pub mod handoff;
 pub mod home;
 pub mod journal;
 pub mod life;
--- a/coordination/flight/tests/cases.rs
+++ b/coordination/flight/tests/cases.rs
@@ -5,11 +5,12 @@
 use sill_base::{Machine, Millis, Name};
 use sill_flight::drain::{Drain, DrainAction, DrainCfg, DrainEvent};
 use sill_flight::flight::{Epoch, Kind};
-use sill_flight::home::{Directory, Location, RunAt, home};
+use sill_flight::home::{Directory, home};
 use sill_flight::journal::Journal;
 use sill_flight::sse::{self, Splitter};
 use sill_flight::{Action, Event, Flight, FlightCfg, Place, Spec, Transcript};
 use sill_wire::claim::{BodyHash, ClaimKey};
+use sill_wire::handoff::{Location, RunAt};
 use sill_wire::{ErrorCode, Incarnation};
 
 fn spec(idempotent: bool) -> Spec {
--- a/daemons/entry/src/api.rs
+++ b/daemons/entry/src/api.rs
@@ -7,11 +7,11 @@
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
 use serde_json::{Value, json};
 use sill_base::Name;
-use sill_net::http::{self, Failure};
+use sill_net::http;
 use sill_tree::{Effective, Service};
 
 use crate::daemon::Shared;
-use crate::{announce, ask, upstream};
+use crate::{announce, ask, explain, handoff, serve};
 
 /// The shared state, as handlers get it.
 pub type AppState = web::types::State<Arc<Shared>>;
@@ -25,6 +25,8 @@
         web::resource("/readyz").route(web::get().to(readyz)),
         web::resource("/metrics").route(web::get().to(metrics)),
         web::resource("/announce").route(web::post().to(announce::announce)),
+        web::resource("/reclaim").route(web::post().to(handoff::reclaim)),
+        web::resource("/explain/{id}").route(web::get().to(explain::explain)),
         web::resource("/v1/models").route(web::get().to(models)),
         web::resource("/v1/chat/completions").route(web::post().to(chat)),
         web::resource("/v1/completions").route(web::post().to(chat)),
@@ -69,11 +71,10 @@
 
 async fn chat(app: AppState, client: ClientState, req: HttpRequest, body: Bytes) -> HttpResponse {
     let id = app.request_id();
-    let result = match ask::chat(&app, &req, &body) {
-        Ok(ask) => upstream::chat(&app, &client, &id, ask).await,
-        Err(failure) => Err(Failure { not_run: true, ..failure }),
-    };
-    answer(&app, &id, result)
+    match ask::chat(&app, &req, &body) {
+        Ok(ask) => serve::chat(&app, &client, id, ask).await,
+        Err(failure) => serve::refuse_unread(&app, &id, failure),
+    }
 }
 
 async fn plain(
@@ -84,18 +85,10 @@
     body: Bytes,
 ) -> HttpResponse {
     let id = app.request_id();
-    let result = match ask::plain(&app, &req, &path.service, &path.path, body) {
-        Ok(ask) => upstream::plain(&app, &client, &id, ask).await,
-        Err(failure) => Err(Failure { not_run: true, ..failure }),
-    };
-    answer(&app, &id, result)
-}
-
-fn answer(app: &Shared, id: &Name, result: Result<HttpResponse, Failure>) -> HttpResponse {
-    result.unwrap_or_else(|failure| {
-        app.metrics.refused.inc();
-        failure.response(id)
-    })
+    match ask::plain(&app, &req, &path.service, &path.path, body) {
+        Ok(ask) => serve::plain(&app, &client, id, ask).await,
+        Err(failure) => serve::refuse_unread(&app, &id, failure),
+    }
 }
 
 /// The path of a plain service's call.
--- a/daemons/entry/src/ask.rs
+++ b/daemons/entry/src/ask.rs
@@ -29,6 +29,8 @@
     pub path: String,
     /// The body as the caller sent it.
     pub body: Value,
+    /// The first token that a caller who came back has not got.
+    pub from: u32,
 }
 
 /// A checked call of a plain service.
@@ -80,6 +82,9 @@
     let mut findings = Findings::new();
     let summary = ChatSummary::read(&body).map_err(|found| findings.extend(found)).ok();
     let common = common(req.headers(), account, content, &mut findings);
+    let last = read(req.headers(), header::LAST_EVENT_ID, &mut findings, |text| {
+        text.parse::<u32>().map_err(|_| "expected the id of the last event that came")
+    });
     let (Some(summary), true) = (summary, findings.is_empty()) else {
         return Err(bad_request(findings));
     };
@@ -87,7 +92,8 @@
     let service = service(&settings, &common.account, &summary.model, is_model)?;
     let deadline = common.deadline.or(service.deadline);
     let common = CommonAsk { deadline, ..common };
-    Ok(ChatAsk { common, summary, path: req.path().to_owned(), body })
+    let from = last.map_or(0, |last| last.saturating_add(1));
+    Ok(ChatAsk { common, summary, path: req.path().to_owned(), body, from })
 }
 
 /// Checks a call of a plain service.
@@ -145,7 +151,8 @@
 }
 
 fn check_running(app: &Shared) -> Result<(), Failure> {
-    if app.stopping.load(Ordering::Relaxed) {
+    // During the notice of a planned stop the balancer still sends requests, and they are served.
+    if app.closing.load(Ordering::Relaxed) || app.reclaimed.load(Ordering::Relaxed) {
         return Err(Failure {
             retry_after: Some(1),
             ..Failure::new(ErrorCode::Stopping, "stopping")
--- a/daemons/entry/src/cli.rs
+++ b/daemons/entry/src/cli.rs
@@ -28,9 +28,9 @@
     runtime.block_on(async {
         let mut stops = Stops::listen()?;
         stops.next().await;
-        tokio::select! {
-            () = entry.stop() => {},
-            () = stops.next() => event!(Warn, "stop_cut", reason = "second signal"),
+        let cut = entry.stop_unless(stops.next()).await;
+        if cut > 0 {
+            event!(Warn, "stop_cut", requests = cut);
         }
         Ok(())
     })
--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -5,24 +5,50 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use eyre::Result;
+use ntex::client::Client;
 use ntex::time::Seconds;
 use ntex::web::{self, App, HttpServer};
 use ntex::{SharedCfg, http::HttpServiceConfig};
-use sill_base::{Clock, Millis, Name, event};
+use parking_lot::Mutex;
+use sill_base::{Clock, Machine, Millis, Name, event};
+use sill_flight::drain::{Drain, DrainAction, DrainCfg, DrainEvent};
+use sill_flight::handoff::HandOff;
+use sill_flight::home::Directory;
+use sill_flight::journal::Journal;
 use sill_net::{PeerServer, PeerServerBuilder, client, http};
 use sill_wire::Incarnation;
-use tokio::runtime::Runtime;
+use sill_wire::handoff::{FollowReply, FollowRun, ForgetRun, LocateRun};
+use tokio::runtime::{Handle, Runtime};
+use tokio::sync::mpsc;
 
 use crate::cfg::EntryCfg;
+use crate::claims::{Claims, ControlClaims};
+use crate::handoff::{self, Takers};
 use crate::limits::Limits;
 use crate::metrics::Metrics;
+use crate::peers::Peers;
 use crate::routing::Routing;
+use crate::serve::run::Runs;
+use crate::serve::signals::Signals;
+use crate::serve::{self, attach};
 use crate::settings::Settings;
 use crate::{api, feed};
 
 /// Connections that a worker holds to endpoints.
 const UPSTREAM_CONNECTIONS: usize = 16_384;
 
+/// Keys that this instance is home to at most.
+const KEYS: usize = 100_000;
+
+/// How long the home of a key remembers where its request ran.
+const KEY_RETENTION: Millis = Millis(600_000);
+
+/// Requests whose records are kept.
+const RECORDS: usize = 20_000;
+
+/// Time between two looks at what is in flight during a stop.
+const DRAIN_POLL: Millis = Millis(20);
+
 /// What the parts of an entry instance share.
 #[derive(Debug)]
 pub struct Shared {
@@ -40,8 +66,30 @@
     pub limits: Limits,
     /// Its counters.
     pub metrics: Metrics,
-    /// Whether a planned stop has begun.
+    /// The claims' log.
+    pub claims: Box<dyn Claims>,
+    /// Keyed requests that run or ran here.
+    pub runs: Runs,
+    /// Where keyed requests run whose home this instance is.
+    pub directory: Mutex<Directory>,
+    /// What became of requests, and why.
+    pub journal: Mutex<Journal>,
+    /// What concerns all requests in flight.
+    pub signals: Signals,
+    /// Clients of peers.
+    pub peers: Peers,
+    /// Threads that can take requests over from peers.
+    pub takers: Takers,
+    /// Where calls to peers run.
+    pub runtime: Handle,
+    /// Where peers reach this instance, `IP:PORT`.
+    pub peer_address: Name,
+    /// Whether a planned stop or a reclaim has begun.
     pub stopping: AtomicBool,
+    /// Whether the notice of a planned stop is over, so that requests are refused.
+    pub closing: AtomicBool,
+    /// Whether this instance was given notice.
+    pub reclaimed: AtomicBool,
     next_request: AtomicU64,
 }
 
@@ -81,6 +129,13 @@
         let listener = http::bind(cfg.listen)?;
         let peer_listener = http::bind(cfg.listen_peer)?;
         let address = listener.local_addr()?;
+        let peer_address = peer_listener.local_addr()?;
+        let runtime =
+            tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
+        let claims = {
+            let _guard = runtime.enter();
+            Box::new(ControlClaims::start(&cfg))
+        };
         let shared = Arc::new(Shared {
             clock: Clock::start(),
             incarnation: Incarnation(Millis::wall().0),
@@ -88,14 +143,24 @@
             routing: Routing::new(&cfg),
             limits: Limits::new(&cfg),
             metrics: Metrics::new(),
+            claims,
+            runs: Runs::default(),
+            directory: Mutex::new(Directory::new(KEYS, KEY_RETENTION)),
+            journal: Mutex::new(Journal::new(RECORDS)),
+            signals: Signals::new(),
+            peers: Peers::default(),
+            takers: Takers::default(),
+            runtime: runtime.handle().clone(),
+            peer_address: peer_address.to_string().into(),
             stopping: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+            reclaimed: AtomicBool::new(false),
             next_request: AtomicU64::new(1),
             cfg,
         });
 
-        let runtime =
-            tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
-        let peers = PeerServerBuilder::new(shared.cfg.cluster_key.clone());
+        let mut peers = PeerServerBuilder::new(shared.cfg.cluster_key.clone());
+        answer_peers(&mut peers, &shared);
         let peers = {
             let _guard = runtime.enter();
             peers.start(peer_listener)?
@@ -103,7 +168,6 @@
         runtime.spawn(feed::run(shared.clone()));
 
         let server = serve_callers(shared.clone(), listener)?;
-        let peer_address = peers.address();
         event!(
             Info,
             "entry_started",
@@ -121,23 +185,100 @@
 
     /// Stops as planned: not ready first, then the listener closes, then all in flight finish.
     pub async fn stop(self) {
-        const POLL: Millis = Millis(20);
+        self.stop_unless(std::future::pending()).await;
+    }
+
+    /// Stops as planned, but ends at once when `again` comes first. Returns what was cut off.
+    pub async fn stop_unless<F>(self, again: F) -> u64
+    where
+        F: Future<Output = ()>,
+    {
         let shared = &self.shared;
-        shared.stopping.store(true, Ordering::Relaxed);
+        let limit = shared.cfg.drain_limit;
+        let cfg = DrainCfg { notice: shared.cfg.drain_notice, limit, cuts_in_flight: false };
+        let mut drain = Drain::new(cfg);
+        let mut actions = Vec::new();
+        let mut event = DrainEvent::Stop;
+        let mut again = std::pin::pin!(again);
         event!(Info, "stop_begun", name = shared.cfg.name);
-        tokio::time::sleep(shared.cfg.drain_notice.into()).await;
-        let end = shared.clock.now() + shared.cfg.drain_limit;
-        while shared.metrics.in_flight.get() > 0 && shared.clock.now() < end {
-            tokio::time::sleep(POLL.into()).await;
+        loop {
+            drain.step(shared.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                match action {
+                    DrainAction::NotReady => shared.stopping.store(true, Ordering::Relaxed),
+                    DrainAction::Close => {
+                        shared.closing.store(true, Ordering::Relaxed);
+                        self.server.pause().await;
+                    }
+                    DrainAction::Exit { cut, forced } => {
+                        event!(
+                            Info,
+                            "stop_ended",
+                            name = shared.cfg.name,
+                            cut = cut,
+                            forced = forced
+                        );
+                        self.end(!forced).await;
+                        return cut;
+                    }
+                }
+            }
+            event = tokio::select! {
+                () = &mut again => DrainEvent::Stop,
+                () = tokio::time::sleep(DRAIN_POLL.into()) => {
+                    let in_flight = shared.metrics.in_flight.get().max(0) as u64;
+                    DrainEvent::Tick { in_flight }
+                }
+            };
         }
-        event!(Info, "stop_ended", name = shared.cfg.name, cut = shared.metrics.in_flight.get());
-        self.server.stop(true).await;
+    }
+
+    async fn end(self, gracefully: bool) {
+        self.server.stop(gracefully).await;
         self.peers.stop();
         // Dropping it would block, which a caller inside another runtime may not do.
         self.runtime.shutdown_background();
     }
 }
 
+/// Registers what peers may ask.
+fn answer_peers(peers: &mut PeerServerBuilder, shared: &Arc<Shared>) {
+    let app = shared.clone();
+    peers.answer(move |call: HandOff| handoff::take(app.clone(), call));
+    let app = shared.clone();
+    peers.answer(move |call: LocateRun| {
+        let location = attach::locate(&app, &call);
+        async move { Ok(location) }
+    });
+    let app = shared.clone();
+    peers.answer(move |call: ForgetRun| {
+        app.directory.lock().forget(&call.key, &call.run);
+        async move { Ok(()) }
+    });
+    let app = shared.clone();
+    peers.answer(move |call: FollowRun| {
+        let run = app.runs.get(&call.key);
+        async move {
+            match run {
+                Some(run) => Ok(run.follow(call.from, call.wait).await),
+                None => Ok(FollowReply::Unknown),
+            }
+        }
+    });
+}
+
+/// Lets a worker thread take requests over from peers.
+fn take_over_here(shared: &Arc<Shared>, client: &Client) {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    shared.takers.lock().push(tx);
+    let (shared, client) = (shared.clone(), client.clone());
+    ntex::rt::spawn(async move {
+        while let Some(handed) = rx.recv().await {
+            ntex::rt::spawn(serve::take_over(shared.clone(), client.clone(), handed));
+        }
+    });
+}
+
 fn serve_callers(
     shared: Arc<Shared>,
     listener: std::net::TcpListener,
@@ -149,9 +290,11 @@
         let max_body = shared.cfg.max_body;
         let server = HttpServer::new(async move || {
             let upstream = client::streaming(UPSTREAM_CONNECTIONS).await;
+            let upstream = upstream.expect("a client without TLS can be made");
+            take_over_here(&shared, &upstream);
             App::new()
                 .state(shared.clone())
-                .state(upstream.expect("a client without TLS can be made"))
+                .state(upstream)
                 .state(web::types::PayloadConfig::new(max_body))
                 .configure(api::routes)
         })
--- a/daemons/entry/src/metrics.rs
+++ b/daemons/entry/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters of an entry instance, in the Prometheus text format.
 
-use prometheus::{Encoder, IntCounter, IntGauge, Registry, TextEncoder};
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use sill_flight::Cause;
 
 /// Counters and gauges.
 #[derive(Debug)]
@@ -12,8 +13,12 @@
     pub answered: IntCounter,
     /// Requests that were refused.
     pub refused: IntCounter,
+    /// Requests that were given up after they were sent.
+    pub failed: IntCounter,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    recomputed: IntCounterVec,
+    dropped: IntCounterVec,
 }
 
 impl Metrics {
@@ -32,10 +37,28 @@
         let accepted = counter("sill_requests_accepted_total", "Requests accepted");
         let answered = counter("sill_requests_answered_total", "Requests answered whole");
         let refused = counter("sill_requests_refused_total", "Requests refused");
+        let failed = counter("sill_requests_failed_total", "Requests given up after dispatch");
+        let by_label = |name: &str, help: &str, label: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label]).expect("valid");
+            registry.register(Box::new(counters.clone())).expect("metric names differ");
+            counters
+        };
+        let recomputed = by_label("sill_recomputed_tokens_total", "Tokens computed again", "cause");
+        let dropped = by_label("sill_dropped_chunks_total", "Chunks not passed on", "why");
         let in_flight =
             IntGauge::new("sill_requests_in_flight", "Requests in flight").expect("a valid name");
         registry.register(Box::new(in_flight.clone())).expect("metric names differ");
-        Self { registry, accepted, answered, refused, in_flight }
+        Self { registry, accepted, answered, refused, failed, in_flight, recomputed, dropped }
+    }
+
+    /// Counts tokens that are computed again.
+    pub fn recomputed(&self, cause: Cause, tokens: u64) {
+        self.recomputed.with_label_values(&[cause.name()]).inc_by(tokens);
+    }
+
+    /// Counts a chunk that was not passed on.
+    pub fn dropped(&self, why: &str) {
+        self.dropped.with_label_values(&[why]).inc();
     }
 
     /// Returns all metrics as text.
--- /dev/null
+++ b/daemons/entry/src/serve.rs
@@ -0,0 +1,316 @@
+//! Sees callers' requests through.
+
+pub mod attach;
+pub mod caller;
+pub mod chunk;
+pub mod driver;
+pub mod run;
+pub mod signals;
+mod tokens;
+pub mod upstream;
+
+use std::sync::Arc;
+
+use ntex::client::Client;
+use ntex::http::Method;
+use ntex::web::HttpResponse;
+use sill_base::{Millis, Name};
+use sill_flight::flight::{Claimant, Kind};
+use sill_flight::handoff::HandedRun;
+use sill_flight::life::{Life, NotRun, Received};
+use sill_flight::{Event, Flight, FlightCfg, Spec, Transcript};
+use sill_limit::{Cost, Verdict};
+use sill_net::http::Failure;
+use sill_wire::claim::{ClaimKey, ClaimOwner};
+use sill_wire::handoff::RunAt;
+use sill_wire::{ErrorCode, prefix};
+
+use self::attach::{Followed, Follower, Found, Source};
+use self::caller::Final;
+use self::driver::{Driver, Form, Order};
+use self::run::Run;
+use self::upstream::Outgoing;
+use crate::ask::{ChatAsk, CommonAsk, PlainAsk};
+use crate::daemon::Shared;
+
+/// The deadline of requests that name none, and the longest there is. A claim has to be kept for
+/// longer than any request can run.
+const LONGEST_DEADLINE: Millis = Millis(600_000);
+
+/// How long a claim is kept: the longest deadline, and as long again for resends.
+const CLAIM_RETENTION: Millis = Millis(1_200_000);
+
+/// When to come back after a refusal for want of room.
+const COME_BACK: Millis = Millis(1_000);
+
+/// Sees a model request through.
+pub async fn chat(app: &Arc<Shared>, client: &Client, id: Name, ask: ChatAsk) -> HttpResponse {
+    let ChatAsk { common, summary, path, body, from } = ask;
+    let form = if summary.stream {
+        Form::Streamed { include_usage: summary.include_usage }
+    } else {
+        Form::Whole
+    };
+    let prompt_tokens = prefix::tokens(&summary.prompt);
+    let spec = spec(app, &id, &common, Kind::Model, prompt_tokens, summary.max_tokens);
+    let outgoing = Outgoing {
+        method: Method::POST,
+        path: path.clone(),
+        request: id,
+        key: common.key.clone(),
+        content_type: Some("application/json".to_owned()),
+        body: Outgoing::streamed_body(body),
+    };
+    let blocks = prefix::blocks(&summary.model, &summary.prompt).into();
+    let run = run(&common, spec, path, summary.model);
+    let order = Order { run, outgoing, blocks, priority: common.priority, form, sink: None };
+    serve(app, client, order, from).await
+}
+
+/// Sees a call of a plain service through.
+pub async fn plain(app: &Arc<Shared>, client: &Client, id: Name, ask: PlainAsk) -> HttpResponse {
+    let PlainAsk { common, method, service, path, content_type, body } = ask;
+    let spec = spec(app, &id, &common, Kind::Plain, 0, 0);
+    let key = common.key.clone();
+    let outgoing = Outgoing { method, path: path.clone(), request: id, key, content_type, body };
+    let run = run(&common, spec, path, service);
+    let blocks = Arc::from([]);
+    let priority = common.priority;
+    let order = Order { run, outgoing, blocks, priority, form: Form::Whole, sink: None };
+    serve(app, client, order, 0).await
+}
+
+fn spec(
+    app: &Shared,
+    id: &Name,
+    common: &CommonAsk,
+    kind: Kind,
+    prompt_tokens: u64,
+    max_tokens: u32,
+) -> Spec {
+    let key = common.key.as_ref().filter(|_| !common.idempotent);
+    let claim = key.map(|key| Claimant {
+        key: ClaimKey { account: common.account.name.clone(), key: key.clone() },
+        body: common.content.clone(),
+        owner: ClaimOwner {
+            entry: app.cfg.name.clone(),
+            incarnation: app.incarnation,
+            request: id.clone(),
+        },
+        retention: CLAIM_RETENTION,
+    });
+    let span = common.deadline.map_or(LONGEST_DEADLINE, |d| d.min(LONGEST_DEADLINE));
+    Spec {
+        request: id.clone(),
+        kind,
+        idempotent: common.idempotent,
+        claim,
+        keyed: common.key.is_some(),
+        deadline: app.clock.now() + span,
+        prompt_tokens,
+        max_tokens,
+    }
+}
+
+/// An unkeyed request goes by its own name, so that its caller can come back after a hand-off.
+fn run(common: &CommonAsk, spec: Spec, path: String, target: Name) -> Arc<Run> {
+    let key = common.key.clone().unwrap_or_else(|| spec.request.clone());
+    let key = ClaimKey { account: common.account.name.clone(), key };
+    let body = common.content.clone();
+    Arc::new(Run::new(spec, key, body, path, target, Transcript::default()))
+}
+
+async fn serve(app: &Arc<Shared>, client: &Client, mut order: Order, from: u32) -> HttpResponse {
+    let run = order.run.clone();
+    let id = run.request().clone();
+    open_record(app, &run);
+    let (sink, source) = caller::pair();
+    let follower = Follower { run: run.clone(), form: order.form, from, sink: sink.clone() };
+    order.sink = Some(sink);
+    let life = Life::received(id.clone());
+    let found = if run.spec.keyed { attach::find(app, &run).await } else { Found::New };
+    let task = match found {
+        Found::BodyMismatch => {
+            let message = "the idempotency key was used with another body";
+            return refuse(app, life.refuse(ErrorCode::KeyReused, message, None));
+        }
+        Found::Here(there) => Task::Follow(Source::Here(there)),
+        Found::At(RunAt { address, .. }) => Task::Follow(Source::At(address)),
+        Found::New => Task::Drive { home_lost: false },
+        Found::HomeLost => Task::Drive { home_lost: true },
+    };
+    if let Some(refusal) = admit(app, &run, &task, life) {
+        abandon(app, &run);
+        return refuse(app, refusal);
+    }
+    ntex::rt::spawn(carry_out(app.clone(), client.clone(), order, follower, task));
+    caller::respond(&id, source).await
+}
+
+enum Task {
+    Follow(Source),
+    Drive { home_lost: bool },
+}
+
+fn open_record(app: &Shared, run: &Run) {
+    let now = app.clock.now();
+    app.journal.lock().open(now, run.request(), &run.key.account, &run.target);
+}
+
+/// Checks room and the account's limit; coming back for an answer costs nothing.
+fn admit(app: &Shared, run: &Run, task: &Task, life: Life<Received>) -> Option<NotRun> {
+    if matches!(task, Task::Follow(_)) {
+        return None;
+    }
+    if app.metrics.in_flight.get() >= app.cfg.max_in_flight as i64 {
+        let message = "this entry instance holds as many requests as it may";
+        return Some(life.refuse(ErrorCode::NoCapacity, message, Some(COME_BACK)));
+    }
+    let cost = Cost { tokens: run.spec.prompt_tokens + u64::from(run.spec.max_tokens) };
+    match app.limits.admit(app.clock.now(), &run.key.account, cost) {
+        Verdict::Admit => None,
+        Verdict::Refuse { retry_after } => {
+            let message = "the client account is over its limit";
+            Some(life.refuse(ErrorCode::LimitReached, message, Some(retry_after)))
+        }
+    }
+}
+
+fn abandon(app: &Arc<Shared>, run: &Arc<Run>) {
+    run.end(run::RunEnd::Abandoned);
+    app.runs.close(app.clock.now(), run);
+    forget_later(app, run);
+}
+
+/// Lets the key's home know that nothing runs, off the caller's path.
+pub(crate) fn forget_later(app: &Arc<Shared>, run: &Arc<Run>) {
+    if run.spec.keyed {
+        let (app, run) = (app.clone(), run.clone());
+        ntex::rt::spawn(async move { attach::forget(&app, &run.key, run.request()).await });
+    }
+}
+
+/// Refuses a request of which nothing has left.
+pub fn refuse(app: &Shared, refusal: NotRun) -> HttpResponse {
+    app.metrics.refused.inc();
+    let id = refusal.request().clone();
+    let what = format!("refused, not run: {}", refusal.message());
+    app.journal.lock().note(app.clock.now(), &id, what);
+    caller::whole(&id, Final::NotRun(refusal))
+}
+
+/// Refuses a request that could not even be read.
+pub fn refuse_unread(app: &Shared, id: &Name, failure: Failure) -> HttpResponse {
+    app.metrics.refused.inc();
+    // Reading a request sends nothing, so the certificate is due here as well.
+    let life = Life::received(id.clone());
+    let retry = failure.retry_after.map(|secs| Millis::from_secs(u64::from(secs)));
+    let refusal = life.refuse(failure.code, failure.message.clone(), retry);
+    Failure { not_run: refusal.request() == id, ..failure }.response(id)
+}
+
+async fn carry_out(app: Arc<Shared>, client: Client, order: Order, follower: Follower, task: Task) {
+    let run = order.run.clone();
+    match task {
+        Task::Follow(source) => {
+            let Followed::Lost(transcript) = follower.follow(&app, source).await else {
+                return;
+            };
+            go_on_alone(app, client, order, follower, transcript).await;
+        }
+        Task::Drive { home_lost } => {
+            if home_lost {
+                app.metrics.recomputed(sill_flight::Cause::HomeLost, 0);
+            }
+            let flight = Flight::new(FlightCfg::default(), run.spec.clone(), seed(&run));
+            let driver = Driver::new(app.clone(), client, order, flight);
+            if let Some(attach) = driver.run(Event::Admitted).await {
+                follower.attach(&app, attach).await;
+            }
+        }
+    }
+}
+
+/// Goes on with an answer whose instance was lost while it was followed.
+///
+/// A request that may be run once only is not begun again: the claims' log knows who owns it.
+async fn go_on_alone(
+    app: Arc<Shared>,
+    client: Client,
+    mut order: Order,
+    follower: Follower,
+    transcript: Transcript,
+) {
+    let run = Arc::new(Run::new(
+        order.run.spec.clone(),
+        order.run.key.clone(),
+        order.run.body_hash.clone(),
+        order.run.path.clone(),
+        order.run.target.clone(),
+        transcript,
+    ));
+    if let Some(there) = app.runs.open(&run) {
+        // Another caller of the same key was faster.
+        let _ = follower.follow(&app, Source::Here(there)).await;
+        return;
+    }
+    attach::note(&app, &run).await;
+    let next = run.with_transcript(|transcript| transcript.next());
+    order.run = run.clone();
+    let cfg = FlightCfg::default();
+    let (flight, first) = if next > 0 && run.spec.idempotent {
+        app.metrics.recomputed(sill_flight::Cause::HomeLost, 0);
+        let flight = Flight::taken_over(cfg, run.spec.clone(), next, seed(&run));
+        (flight, Event::TakenOver { from: None })
+    } else {
+        run.with_transcript(|transcript| *transcript = Transcript::default());
+        (Flight::new(cfg, run.spec.clone(), seed(&run)), Event::Admitted)
+    };
+    let driver = Driver::new(app.clone(), client, order, flight);
+    if let Some(attach) = driver.run(first).await {
+        follower.attach(&app, attach).await;
+    }
+}
+
+/// Goes on with a request that another entry instance handed over; its caller comes back later.
+pub async fn take_over(app: Arc<Shared>, client: Client, handed: HandedRun) {
+    let mut handed = handed.arrives(app.clock.now());
+    handed.spec.keyed = true;
+    let next = handed.transcript.next();
+    let run = Arc::new(Run::new(
+        handed.spec,
+        handed.key,
+        handed.body_hash,
+        handed.path.clone(),
+        handed.model.clone(),
+        handed.transcript,
+    ));
+    open_record(&app, &run);
+    if app.runs.open(&run).is_some() {
+        return;
+    }
+    attach::note(&app, &run).await;
+    let outgoing = Outgoing {
+        method: Method::POST,
+        path: handed.path,
+        request: run.request().clone(),
+        key: Some(run.key.key.clone()),
+        content_type: Some("application/json".to_owned()),
+        body: handed.body.into(),
+    };
+    let blocks = Arc::from([]);
+    let priority = sill_wire::Priority::High;
+    let order =
+        Order { run: run.clone(), outgoing, blocks, priority, form: Form::Whole, sink: None };
+    let flight = Flight::taken_over(FlightCfg::default(), run.spec.clone(), next, seed(&run));
+    let driver = Driver::new(app.clone(), client, order, flight);
+    driver.run(Event::TakenOver { from: handed.from }).await;
+}
+
+/// Differs from request to request, so that pauses do.
+fn seed(run: &Run) -> u64 {
+    let hash = blake3::hash(run.request().as_bytes());
+    let mut seed = [0; 8];
+    seed.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(seed)
+}
--- /dev/null
+++ b/daemons/entry/src/serve/attach.rs
@@ -0,0 +1,315 @@
+//! Finds a keyed request that runs or ran already, and gives its answer to a caller who came back.
+
+use std::sync::Arc;
+
+use ntex::util::Bytes;
+use serde_json::Value;
+use sill_base::{Millis, Name};
+use sill_flight::Transcript;
+use sill_net::PeerError;
+use sill_wire::ErrorCode;
+use sill_wire::claim::{ClaimKey, ClaimOutcome};
+use sill_wire::handoff::{
+    AnswerPart, FailedRun, FollowReply, FollowRun, ForgetRun, LocateRun, Location, ReplyBody,
+    RunAt, WholeReply,
+};
+
+use super::caller::{Final, Out, Sink};
+use super::chunk::{Frame, Shape};
+use super::driver::{Attach, Form};
+use super::run::Run;
+use super::tokens::completion_id;
+use crate::daemon::Shared;
+use crate::peers::{self, Home};
+
+/// How long one question for more waits at a peer.
+const WAIT: Millis = Millis(5_000);
+
+/// When to come back for an answer that is not there yet.
+const COME_BACK: Millis = Millis(2_000);
+
+/// Where a keyed request was found.
+#[derive(Debug)]
+pub enum Found {
+    /// Nowhere; it is to be run here.
+    New,
+    /// Its home could not be asked.
+    HomeLost,
+    /// Here.
+    Here(Arc<Run>),
+    /// At a peer.
+    At(RunAt),
+    /// The key was used with another body.
+    BodyMismatch,
+}
+
+/// Looks for a request with the same key: here, then at the key's home.
+pub async fn find(app: &Arc<Shared>, run: &Arc<Run>) -> Found {
+    if let Some(there) = app.runs.open(run) {
+        let same = there.body_hash == run.body_hash;
+        return if same { Found::Here(there) } else { Found::BodyMismatch };
+    }
+    let asker = RunAt { address: app.peer_address.clone(), request: run.request().clone() };
+    let call = LocateRun {
+        key: run.key.clone(),
+        body: run.body_hash.clone(),
+        asker: asker.clone(),
+        runs: false,
+    };
+    let location = match peers::home(app, &run.key) {
+        Home::Here => Ok(locate(app, &call)),
+        Home::At(address) => peers::call(app, &address, call).await,
+    };
+    match location {
+        Ok(Location::New) => Found::New,
+        // This very instance, in an earlier life or with a run that is over.
+        Ok(Location::At(at)) if at.address == asker.address => {
+            note(app, run).await;
+            Found::New
+        }
+        Ok(Location::At(at)) => {
+            close_unused(app, run);
+            Found::At(at)
+        }
+        Ok(Location::BodyMismatch) => {
+            close_unused(app, run);
+            Found::BodyMismatch
+        }
+        Err(_) => Found::HomeLost,
+    }
+}
+
+fn close_unused(app: &Shared, run: &Arc<Run>) {
+    run.end(super::run::RunEnd::Abandoned);
+    app.runs.close(app.clock.now(), run);
+}
+
+/// Answers as the home of a key.
+pub fn locate(app: &Shared, call: &LocateRun) -> Location {
+    let now = app.clock.now();
+    let mut directory = app.directory.lock();
+    if call.runs {
+        directory.moved(now, &call.key, &call.body, call.asker.clone());
+        return Location::New;
+    }
+    directory.locate(now, &call.key, &call.body, call.asker.clone())
+}
+
+/// Tells the home of a key that its request runs here.
+pub async fn note(app: &Arc<Shared>, run: &Run) {
+    let asker = RunAt { address: app.peer_address.clone(), request: run.request().clone() };
+    let (key, body) = (run.key.clone(), run.body_hash.clone());
+    let call = LocateRun { key, body, asker, runs: true };
+    match peers::home(app, &run.key) {
+        Home::Here => drop(locate(app, &call)),
+        Home::At(address) => drop(peers::call(app, &address, call).await),
+    }
+}
+
+/// Tells the home of a key that its request was refused, so that it can be sent again.
+pub async fn forget(app: &Arc<Shared>, key: &ClaimKey, request: &Name) {
+    let run = RunAt { address: app.peer_address.clone(), request: request.clone() };
+    match peers::home(app, key) {
+        Home::Here => app.directory.lock().forget(key, &run),
+        Home::At(address) => {
+            let call = ForgetRun { key: key.clone(), run };
+            drop(peers::call(app, &address, call).await);
+        }
+    }
+}
+
+/// Where an answer is followed.
+#[derive(Debug, Clone)]
+pub enum Source {
+    /// It runs here.
+    Here(Arc<Run>),
+    /// It runs at a peer.
+    At(Name),
+}
+
+/// A caller who came back.
+pub struct Follower {
+    /// The request, as the caller sent it again.
+    pub run: Arc<Run>,
+    /// How it wants its answer.
+    pub form: Form,
+    /// The first token that it has not got.
+    pub from: u32,
+    /// Where the answer goes.
+    pub sink: Sink,
+}
+
+/// How following ended.
+#[derive(Debug)]
+pub enum Followed {
+    /// The caller has its last word, or went away.
+    Ended,
+    /// The answer was lost on the way, or never known there.
+    Lost(Transcript),
+}
+
+impl Source {
+    async fn more(
+        &self,
+        app: &Arc<Shared>,
+        key: &ClaimKey,
+        from: u32,
+    ) -> Result<FollowReply, PeerError> {
+        match self {
+            Self::Here(run) => Ok(run.follow(from, WAIT).await),
+            Self::At(address) => {
+                let call = FollowRun { key: key.clone(), from, wait: WAIT };
+                peers::call(app, address, call).await
+            }
+        }
+    }
+}
+
+impl Follower {
+    /// Sends the answer on as it comes.
+    pub async fn follow(&self, app: &Arc<Shared>, source: Source) -> Followed {
+        let mut transcript = Transcript::default();
+        loop {
+            let next = transcript.next();
+            let more = tokio::select! {
+                more = source.more(app, &self.run.key, next) => more,
+                () = self.sink.closed() => return Followed::Ended,
+            };
+            match more {
+                Ok(FollowReply::More(part)) => {
+                    self.take(&mut transcript, &part).await;
+                    if part.whole {
+                        self.end(self.last_word(&transcript)).await;
+                        return Followed::Ended;
+                    }
+                }
+                Ok(FollowReply::Reply(reply)) => {
+                    self.end(Final::Reply(reply)).await;
+                    return Followed::Ended;
+                }
+                Ok(FollowReply::Failed(failed)) => {
+                    self.end(Final::Failed(failed)).await;
+                    return Followed::Ended;
+                }
+                Ok(FollowReply::Unknown) | Err(_) => return Followed::Lost(transcript),
+            }
+        }
+    }
+
+    async fn take(&self, transcript: &mut Transcript, part: &AnswerPart) {
+        transcript.id = part.id.clone();
+        transcript.created = part.created;
+        transcript.finish = part.finish.clone();
+        transcript.prompt_tokens = part.prompt_tokens;
+        let id = part.id.clone().unwrap_or_else(|| completion_id(self.run.request()));
+        let frame = self.frame(&id, part.created);
+        let mut out = Vec::new();
+        for escaped in &part.escaped {
+            let index = transcript.next();
+            transcript.push(index, escaped);
+            if self.form != Form::Whole && index >= self.from {
+                out.extend_from_slice(&frame.token(index, escaped));
+            }
+        }
+        transcript.whole = part.whole;
+        if let (true, Form::Streamed { include_usage }) = (part.whole, self.form) {
+            out.extend_from_slice(&frame.closing(part, transcript.next(), include_usage));
+        }
+        if !out.is_empty() {
+            let _ = self.sink.send(Out::Part(Bytes::from(out))).await;
+        }
+    }
+
+    fn frame<'a>(&'a self, id: &'a str, created: u64) -> Frame<'a> {
+        Frame { shape: Shape::of(&self.run.path), model: &self.run.target, id, created }
+    }
+
+    fn last_word(&self, transcript: &Transcript) -> Final {
+        if self.form != Form::Whole {
+            return Final::Whole;
+        }
+        let id = transcript.id.clone().unwrap_or_else(|| completion_id(self.run.request()));
+        let part = AnswerPart {
+            finish: transcript.finish.clone(),
+            prompt_tokens: transcript.prompt_tokens,
+            ..AnswerPart::default()
+        };
+        let frame = self.frame(&id, transcript.created);
+        Final::Reply(json_reply(&frame.whole(&part, &transcript.text(), transcript.next())))
+    }
+
+    async fn end(&self, end: Final) {
+        let _ = self.sink.send(Out::End(end)).await;
+        self.sink.closed().await;
+    }
+
+    /// Answers a request whose claim another one holds.
+    pub async fn attach(&self, app: &Arc<Shared>, attach: Attach) {
+        match attach.outcome {
+            Some(ClaimOutcome::Answered { status, body: Some(body) }) => {
+                self.replay(status, body).await;
+            }
+            Some(ClaimOutcome::Unknown) => self.unknown().await,
+            Some(ClaimOutcome::Answered { body: None, .. }) | None => {
+                let source = match peers::find_owner(app, &attach.owner) {
+                    Some(Home::Here) => app.runs.get(&self.run.key).map(Source::Here),
+                    Some(Home::At(address)) => Some(Source::At(address)),
+                    None => None,
+                };
+                match source {
+                    Some(source) => match self.follow(app, source).await {
+                        Followed::Ended => {}
+                        Followed::Lost(_) => self.unknown().await,
+                    },
+                    None => self.unknown().await,
+                }
+            }
+        }
+    }
+
+    /// Gives the kept answer again, as a stream where the caller wants one.
+    async fn replay(&self, status: u16, body: String) {
+        let whole: Option<Value> = serde_json::from_str(&body).ok();
+        let text = whole.as_ref().and_then(answer_text);
+        let (Form::Streamed { .. }, Some(text), Some(whole)) = (self.form, text, &whole) else {
+            let body = ReplyBody::Text(body);
+            let content_type = Some("application/json".to_owned());
+            self.end(Final::Reply(WholeReply { status, content_type, body })).await;
+            return;
+        };
+        let quoted = Value::from(text).to_string();
+        let part = AnswerPart {
+            id: whole["id"].as_str().map(str::to_owned),
+            created: whole["created"].as_u64().unwrap_or_default(),
+            escaped: vec![quoted[1..quoted.len() - 1].to_owned()],
+            finish: whole["choices"][0]["finish_reason"].as_str().map(str::to_owned),
+            prompt_tokens: whole["usage"]["prompt_tokens"].as_u64().map(|n| n as u32),
+            whole: true,
+        };
+        self.take(&mut Transcript::default(), &part).await;
+        self.end(Final::Whole).await;
+    }
+
+    async fn unknown(&self) {
+        self.end(Final::Failed(FailedRun {
+            code: ErrorCode::OutcomeUnknown,
+            message: "the request was sent once, and its answer is not known here".to_owned(),
+            retry_after: Some(COME_BACK),
+        }))
+        .await;
+    }
+}
+
+fn answer_text(whole: &Value) -> Option<&str> {
+    let choice = whole.pointer("/choices/0")?;
+    choice.pointer("/message/content").or_else(|| choice.get("text"))?.as_str()
+}
+
+/// Makes a JSON answer.
+pub fn json_reply(value: &Value) -> WholeReply {
+    WholeReply {
+        status: 200,
+        content_type: Some("application/json".to_owned()),
+        body: ReplyBody::Text(value.to_string()),
+    }
+}
--- /dev/null
+++ b/daemons/entry/src/serve/driver.rs
@@ -0,0 +1,603 @@
+//! Does what a request's machine asks for: claims, routes, sends, reads, and tells the caller.
+
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use ntex::client::Client;
+use ntex::util::Bytes;
+use sill_base::{Machine, Millis, Name, event};
+use sill_flight::flight::{Dropped, Ending, Epoch, Kind, ResumeAt};
+use sill_flight::handoff::HandedRun;
+use sill_flight::sse::Splitter;
+use sill_flight::{Action, Event, Flight, Place};
+use sill_route::{Ask, Choice, Outcome, RefusalReason, Target};
+use sill_wire::claim::{ClaimAsk, ClaimOutcome, ClaimOwner, ClaimVerdict};
+use sill_wire::handoff::WholeReply;
+use sill_wire::{ErrorCode, Priority};
+use tokio::sync::{oneshot, watch};
+
+use super::caller::{Final, Out, Sink};
+use super::run::{Run, RunEnd};
+use super::upstream::{Came, Outgoing, Upstream};
+use crate::daemon::Shared;
+
+/// Bytes that wait for a slow caller before the endpoint's answer is read on.
+const MAX_WAITING: usize = 64 << 10;
+
+/// The longest that a timer is set for.
+const LONGEST_SLEEP: Millis = Millis(3_600_000);
+
+/// How a streamed answer is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Form {
+    /// Every token as it comes.
+    Streamed {
+        /// Whether it closes with usage counts.
+        include_usage: bool,
+    },
+    /// At the end, in one piece.
+    Whole,
+}
+
+/// What the driver needs beside the machine.
+pub struct Order {
+    /// The request, as others see it.
+    pub run: Arc<Run>,
+    /// What an endpoint is sent.
+    pub outgoing: Outgoing,
+    /// Chained hashes of the prompt's blocks.
+    pub blocks: Arc<[u64]>,
+    /// The priority.
+    pub priority: Priority,
+    /// How the answer is told.
+    pub form: Form,
+    /// Where the answer goes.
+    pub sink: Option<Sink>,
+}
+
+/// Drives one request from admission to its end.
+pub struct Driver {
+    pub(super) app: Arc<Shared>,
+    pub(super) order: Order,
+    pub(super) flight: Flight,
+    pub(super) events: VecDeque<Event>,
+    pub(super) upstream: Option<Upstream>,
+    pub(super) splitter: Splitter,
+    pub(super) closing: ClosingPieces,
+    pub(super) waiting: Vec<u8>,
+    pub(super) head_of: Option<Epoch>,
+    client: Client,
+    actions: Vec<Action>,
+    claim: Option<oneshot::Receiver<ClaimVerdict>>,
+    offer: Option<oneshot::Receiver<Option<Name>>>,
+    signals: watch::Receiver<u64>,
+    timer: Timer,
+    ended: Option<RunEnd>,
+    reply: Option<WholeReply>,
+    attach: Option<Attach>,
+    first_at: Option<Millis>,
+    accepted: bool,
+}
+
+/// The closing pieces of an attempt, held until its end marker has come: were they sent at once, an
+/// attempt cut right then would make the caller see them twice.
+#[derive(Debug, Default)]
+pub(super) struct ClosingPieces {
+    pub(super) finish: Option<String>,
+    pub(super) prompt: Option<u32>,
+    pub(super) completion: Option<u32>,
+}
+
+/// A key that another request holds.
+#[derive(Debug)]
+pub struct Attach {
+    /// Who holds it.
+    pub owner: ClaimOwner,
+    /// What came of it.
+    pub outcome: Option<ClaimOutcome>,
+    /// The caller who waits.
+    pub sink: Option<Sink>,
+}
+
+/// A timer that is set again only when it went off too early, since most deadlines move on.
+struct Timer {
+    at: Millis,
+    sleep: Pin<Box<tokio::time::Sleep>>,
+}
+
+enum Happened {
+    Came(Came),
+    Verdict(ClaimVerdict),
+    Offered(Option<Name>),
+    CallerGone,
+    Room,
+    Signal,
+    Tick,
+}
+
+impl Driver {
+    /// Makes the driver of a request.
+    pub fn new(app: Arc<Shared>, client: Client, order: Order, flight: Flight) -> Self {
+        app.metrics.in_flight.inc();
+        let signals = app.signals.subscribe();
+        Self {
+            app,
+            order,
+            flight,
+            events: VecDeque::new(),
+            upstream: None,
+            splitter: Splitter::default(),
+            closing: ClosingPieces::default(),
+            waiting: Vec::new(),
+            head_of: None,
+            client,
+            actions: Vec::new(),
+            claim: None,
+            offer: None,
+            signals,
+            timer: Timer::new(),
+            ended: None,
+            reply: None,
+            attach: None,
+            first_at: None,
+            accepted: false,
+        }
+    }
+
+    /// Runs the request to its end; returns a key that another request holds.
+    pub async fn run(mut self, first: Event) -> Option<Attach> {
+        self.events.push_back(first);
+        loop {
+            self.settle_events();
+            self.flush();
+            if self.ended.is_some() || self.attach.is_some() {
+                break;
+            }
+            match self.wait().await {
+                Happened::Came(came) => self.came(came),
+                Happened::Verdict(verdict) => {
+                    self.claim = None;
+                    self.events.push_back(Event::Claimed(verdict));
+                }
+                Happened::Offered(taken_by) => self.offered(taken_by),
+                Happened::CallerGone => {
+                    self.order.sink = None;
+                    self.note("the caller went away".to_owned());
+                    self.events.push_back(Event::CallerGone);
+                }
+                Happened::Room => {}
+                Happened::Signal => self.signalled(),
+                Happened::Tick => self.events.push_back(Event::Tick),
+            }
+        }
+        self.finish().await
+    }
+
+    async fn wait(&mut self) -> Happened {
+        let now = self.app.clock.now();
+        self.timer.set(now, self.flight.wake_at());
+        let reads = self.waiting.len() < MAX_WAITING && self.offer.is_none();
+        tokio::select! {
+            biased;
+            came = next(&mut self.upstream), if reads => Happened::Came(came),
+            verdict = answer(&mut self.claim) => Happened::Verdict(verdict.unwrap_or(ClaimVerdict::Unavailable)),
+            taken_by = answer(&mut self.offer) => Happened::Offered(taken_by.flatten()),
+            () = room(&self.order.sink), if !self.waiting.is_empty() => Happened::Room,
+            () = closed(&self.order.sink) => Happened::CallerGone,
+            _ = self.signals.changed() => Happened::Signal,
+            () = self.timer.sleep.as_mut() => {
+                self.timer.at = Millis::MAX;
+                Happened::Tick
+            }
+        }
+    }
+
+    pub(super) fn now(&self) -> Millis {
+        self.app.clock.now()
+    }
+
+    pub(super) fn note(&self, what: String) {
+        self.app.journal.lock().note(self.now(), self.order.run.request(), what);
+    }
+
+    pub(super) fn settle_events(&mut self) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.flight.step(self.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+            self.actions = actions;
+        }
+    }
+
+    /// Steps a token, and returns whether it has to be forwarded.
+    pub(super) fn takes_token(&mut self, epoch: Epoch, index: u32) -> bool {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.flight.step(self.app.clock.now(), Event::Token { epoch, index }, &mut actions);
+        let mut forward = false;
+        for action in actions.drain(..) {
+            match action {
+                Action::Forward => forward = true,
+                action => self.act(action),
+            }
+        }
+        self.actions = actions;
+        if forward && self.first_at.is_none() {
+            self.first_token();
+        }
+        forward
+    }
+
+    fn first_token(&mut self) {
+        let now = self.now();
+        self.first_at = Some(now);
+        if let Some(place) = self.flight.place() {
+            let endpoint = place.endpoint.clone();
+            let request = self.order.run.request().clone();
+            let heard = sill_route::Event::FirstToken { endpoint, request };
+            self.app.routing.hear_about(now, &self.target(), heard);
+        }
+    }
+
+    fn target(&self) -> Target {
+        match self.order.run.spec.kind {
+            Kind::Model => Target::Model(self.order.run.target.clone()),
+            Kind::Plain => Target::Service(self.order.run.target.clone()),
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Claim(ask) => self.claim = Some(self.app.claims.ask(ask)),
+            Action::Settle(ask) => self.app.claims.settle(ask),
+            Action::Route { exclude, prompt_tokens, max_tokens } => {
+                self.route(exclude, prompt_tokens, max_tokens);
+            }
+            Action::Dispatch { epoch, place, resume } => self.dispatch(epoch, &place, resume),
+            Action::Cancel { epoch } => {
+                if self.upstream.as_ref().is_some_and(|u| u.epoch == epoch) {
+                    self.upstream = None;
+                }
+            }
+            Action::Ended { endpoint, how } => self.left(endpoint, how),
+            Action::Forward => {}
+            Action::Drop(dropped) => self.app.metrics.dropped(name_of(dropped)),
+            Action::Recomputed { cause, tokens } => {
+                self.app.metrics.recomputed(cause, tokens);
+                self.note(format!("{tokens} tokens computed again: {}", cause.name()));
+            }
+            Action::Attach { owner, outcome } => {
+                self.note(format!("the key is held by {} at {}", owner.request, owner.entry));
+                self.attach = Some(Attach { owner, outcome, sink: self.order.sink.take() });
+            }
+            Action::Finish => {
+                self.close_answer();
+                self.ended = Some(RunEnd::Whole);
+            }
+            Action::PassOn => {
+                let reply = self.reply.take();
+                self.ended = reply.map(RunEnd::Reply).or(Some(RunEnd::Abandoned));
+            }
+            Action::Refuse(refusal) => self.ended = Some(RunEnd::NotRun(refusal)),
+            Action::Fail(failed) => self.ended = Some(RunEnd::Failed(failed)),
+            Action::Abandon => self.ended = Some(RunEnd::Abandoned),
+        }
+    }
+
+    fn route(&mut self, exclude: Vec<Name>, prompt_tokens: u64, max_tokens: u32) {
+        let ask = Ask {
+            request: self.order.run.request().clone(),
+            target: self.target(),
+            blocks: self.order.blocks.clone(),
+            prompt_tokens,
+            max_tokens,
+            priority: self.order.priority,
+            deadline: self.order.run.spec.deadline,
+            exclude,
+        };
+        let event = match self.app.routing.choose(self.now(), &ask) {
+            Choice::Endpoint(chosen) => {
+                self.note(format!("sent to {}: {}", chosen.endpoint, chosen.why));
+                Event::Routed(Place {
+                    endpoint: chosen.endpoint,
+                    incarnation: chosen.incarnation,
+                    address: chosen.address,
+                    cached_tokens: chosen.cached_tokens,
+                })
+            }
+            Choice::Refuse(refusal) => {
+                self.note(format!("no endpoint: {:?}", refusal.reason));
+                let deadline = refusal.reason == RefusalReason::Deadline;
+                Event::NoRoute { deadline, retry_after: refusal.retry_after }
+            }
+        };
+        self.events.push_back(event);
+    }
+
+    fn dispatch(&mut self, epoch: Epoch, place: &Place, resume: Option<ResumeAt>) {
+        if !self.accepted {
+            self.accepted = true;
+            self.app.metrics.accepted.inc();
+        }
+        if let Some(at) = &resume {
+            let how = if at.kv_from.is_some() { "KV cache moved" } else { "computed again" };
+            self.note(format!("attempt {} goes on at token {}: {how}", epoch.0, at.next));
+        }
+        self.splitter = Splitter::default();
+        self.closing = ClosingPieces::default();
+        let streams = self.order.run.spec.kind == Kind::Model;
+        self.upstream = Some(self.order.run.with_transcript(|transcript| {
+            let outgoing = &self.order.outgoing;
+            Upstream::send(
+                &self.client,
+                outgoing,
+                epoch,
+                place,
+                resume.as_ref(),
+                transcript,
+                streams,
+            )
+        }));
+        // It may have been given notice since the router heard of it last.
+        self.check_notice();
+    }
+
+    fn left(&mut self, endpoint: Name, how: Ending) {
+        let outcome = match how {
+            Ending::Finished => Outcome::Finished,
+            Ending::Cancelled => Outcome::Cancelled,
+            Ending::Failed => Outcome::Failed,
+        };
+        let request = self.order.run.request().clone();
+        let tokens = self.flight.next();
+        let ended = sill_route::Event::Ended { endpoint, request, tokens, outcome };
+        self.app.routing.hear_about(self.now(), &self.target(), ended);
+        if how != Ending::Cancelled {
+            self.upstream = None;
+        }
+    }
+
+    fn came(&mut self, came: Came) {
+        let Some(epoch) = self.upstream.as_ref().map(|u| u.epoch) else {
+            return;
+        };
+        match came {
+            Came::Began => {}
+            Came::Part(part) => self.part(epoch, &part),
+            Came::NotConnected(why) => {
+                self.note(format!("attempt {} was not connected: {why}", epoch.0));
+                self.events.push_back(Event::ConnectFailed { epoch });
+            }
+            Came::Cut(why) => {
+                self.note(format!("attempt {} was cut: {why}", epoch.0));
+                self.events.push_back(Event::Cut { epoch });
+            }
+            Came::Whole(reply) => {
+                let status = reply.status;
+                if status >= 400 {
+                    self.note(format!("attempt {} got status {status}", epoch.0));
+                }
+                self.reply = Some(reply);
+                self.events.push_back(Event::Rejected { epoch, status });
+            }
+        }
+    }
+
+    fn signalled(&mut self) {
+        self.check_notice();
+        let model = self.order.run.spec.kind == Kind::Model;
+        if !model || self.offer.is_some() || !self.flight.was_sent() {
+            return;
+        }
+        let Some(offers) = self.app.signals.offers() else {
+            return;
+        };
+        let (taken_by, answer) = oneshot::channel();
+        let run = self.handed();
+        if offers.send(super::signals::Offer { run, taken_by }).is_ok() {
+            self.offer = Some(answer);
+        }
+    }
+
+    fn check_notice(&mut self) {
+        let Some(place) = self.flight.place() else {
+            return;
+        };
+        if let Some(notice) = self.app.signals.notice(&place.endpoint, place.incarnation) {
+            self.events.push_back(Event::Leaving {
+                endpoint: place.endpoint.clone(),
+                incarnation: place.incarnation,
+                left: notice.dies_at.since(self.now()),
+            });
+        }
+    }
+
+    fn handed(&self) -> HandedRun {
+        let run = &self.order.run;
+        HandedRun {
+            spec: run.spec.clone(),
+            account: run.key.account.clone(),
+            key: run.key.clone(),
+            body_hash: run.body_hash.clone(),
+            path: run.path.clone(),
+            model: run.target.clone(),
+            body: String::from_utf8_lossy(&self.order.outgoing.body).into_owned(),
+            transcript: run.with_transcript(|t| t.clone()),
+            from: self.flight.place().cloned(),
+        }
+        .leaves(self.now())
+    }
+
+    fn offered(&mut self, taken_by: Option<Name>) {
+        self.offer = None;
+        match taken_by {
+            Some(peer) => {
+                self.note(format!("handed over to {peer}"));
+                self.ended = Some(RunEnd::Moved(peer));
+            }
+            None => self.note("no peer took it over".to_owned()),
+        }
+    }
+
+    /// Sends what waits, as far as the caller takes it.
+    fn flush(&mut self) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let Some(sink) = &self.order.sink else {
+            self.waiting.clear();
+            return;
+        };
+        if let Ok(permit) = sink.try_reserve() {
+            permit.send(Out::Part(Bytes::from(std::mem::take(&mut self.waiting))));
+        }
+    }
+
+    /// Tells everyone how it ended.
+    async fn finish(mut self) -> Option<Attach> {
+        if let Some(attach) = self.attach.take() {
+            self.order.run.end(RunEnd::Abandoned);
+            self.app.runs.close(self.now(), &self.order.run);
+            return Some(attach);
+        }
+        let ended = self.ended.take().unwrap_or(RunEnd::Abandoned);
+        self.count(&ended);
+        self.settle_claim(&ended);
+        self.order.run.end(ended.clone());
+        self.app.runs.close(self.now(), &self.order.run);
+        // A key whose request has no answer may be sent again, and must not lead here.
+        if !matches!(ended, RunEnd::Whole | RunEnd::Reply(_) | RunEnd::Moved(_)) {
+            super::forget_later(&self.app, &self.order.run);
+        }
+        if let Some(sink) = self.order.sink.take() {
+            if !self.waiting.is_empty() {
+                let rest = Bytes::from(std::mem::take(&mut self.waiting));
+                let _ = sink.send(Out::Part(rest)).await;
+            }
+            let _ = sink.send(Out::End(self.last_word(ended))).await;
+            // Until the caller has taken it, it counts as in flight, else a planned stop cuts it.
+            sink.closed().await;
+        }
+        None
+    }
+
+    fn count(&self, ended: &RunEnd) {
+        let metrics = &self.app.metrics;
+        let what = match ended {
+            RunEnd::Whole => {
+                metrics.answered.inc();
+                "answered whole".to_owned()
+            }
+            RunEnd::Reply(reply) => {
+                metrics.answered.inc();
+                format!("answered with status {}", reply.status)
+            }
+            RunEnd::Failed(failed) => {
+                metrics.failed.inc();
+                event!(Info, "request_failed", request = failed.request, why = failed.message);
+                format!("given up: {}", failed.message)
+            }
+            RunEnd::NotRun(refusal) => {
+                metrics.refused.inc();
+                format!("refused, not run: {}", refusal.message())
+            }
+            RunEnd::Moved(peer) => format!("runs at {peer}"),
+            RunEnd::Abandoned => "nobody waits for it".to_owned(),
+        };
+        self.note(what);
+    }
+
+    fn settle_claim(&self, ended: &RunEnd) {
+        let Some(claim) = &self.order.run.spec.claim else {
+            return;
+        };
+        let outcome = match ended {
+            RunEnd::Reply(reply) => ClaimOutcome::Answered {
+                status: reply.status,
+                body: std::str::from_utf8(reply.body.as_bytes()).ok().map(str::to_owned),
+            },
+            RunEnd::Whole => {
+                ClaimOutcome::Answered { status: 200, body: Some(self.whole_answer().to_string()) }
+            }
+            // The machine has told the log of every other end.
+            _ => return,
+        };
+        let ask = ClaimAsk::Finish { key: claim.key.clone(), owner: claim.owner.clone(), outcome };
+        self.app.claims.settle(ask);
+    }
+
+    fn last_word(&self, ended: RunEnd) -> Final {
+        match ended {
+            RunEnd::Whole if self.order.form == Form::Whole => {
+                Final::Reply(super::attach::json_reply(&self.whole_answer()))
+            }
+            RunEnd::Whole => Final::Whole,
+            RunEnd::Reply(reply) => Final::Reply(reply),
+            RunEnd::Failed(failed) => failed.into(),
+            RunEnd::NotRun(refusal) => Final::NotRun(refusal),
+            RunEnd::Moved(_) => Final::Moved,
+            RunEnd::Abandoned => Final::Failed(sill_wire::handoff::FailedRun {
+                code: ErrorCode::Internal,
+                message: "nobody waits for it".to_owned(),
+                retry_after: Some(Millis(1000)),
+            }),
+        }
+    }
+}
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.app.metrics.in_flight.dec();
+    }
+}
+
+impl Timer {
+    fn new() -> Self {
+        Self { at: Millis::MAX, sleep: Box::pin(tokio::time::sleep(LONGEST_SLEEP.into())) }
+    }
+
+    fn set(&mut self, now: Millis, at: Millis) {
+        if at < self.at {
+            self.at = at;
+            let span = at.since(now).min(LONGEST_SLEEP);
+            self.sleep.as_mut().reset(tokio::time::Instant::now() + span.into());
+        }
+    }
+}
+
+fn name_of(dropped: Dropped) -> &'static str {
+    match dropped {
+        Dropped::Late => "late",
+        Dropped::Repeat => "repeat",
+    }
+}
+
+async fn next(upstream: &mut Option<Upstream>) -> Came {
+    match upstream {
+        Some(upstream) => upstream.next().await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn answer<T>(receiver: &mut Option<oneshot::Receiver<T>>) -> Option<T> {
+    match receiver {
+        Some(receiver) => receiver.await.ok(),
+        None => std::future::pending().await,
+    }
+}
+
+async fn room(sink: &Option<Sink>) {
+    match sink {
+        Some(sink) => drop(sink.reserve().await),
+        None => std::future::pending().await,
+    }
+}
+
+async fn closed(sink: &Option<Sink>) {
+    match sink {
+        Some(sink) => sink.closed().await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/daemons/entry/src/serve/upstream.rs
@@ -0,0 +1,186 @@
+//! One attempt at an endpoint: the request on its way, then its answer.
+
+use std::future::Future;
+use std::pin::Pin;
+
+use futures_util::StreamExt;
+use ntex::client::error::{ClientError, ConnectError};
+use ntex::client::{Client, ClientResponse};
+use ntex::http::{Method, Payload};
+use ntex::util::Bytes;
+use serde_json::{Value, json};
+use sill_base::Name;
+use sill_flight::flight::{Epoch, ResumeAt};
+use sill_flight::{Place, Transcript};
+use sill_wire::endpoint::{KvSource, Resume};
+use sill_wire::handoff::{ReplyBody, WholeReply};
+use sill_wire::header;
+
+/// The largest answer of a plain service, in bytes.
+const MAX_REPLY: usize = 16 << 20;
+
+/// What an endpoint is sent.
+#[derive(Debug, Clone)]
+pub struct Outgoing {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// The request's name.
+    pub request: Name,
+    /// The caller's key.
+    pub key: Option<Name>,
+    /// The content type.
+    pub content_type: Option<String>,
+    /// The body; a model's is JSON that asks for a stream with usage counts.
+    pub body: Bytes,
+}
+
+/// What an attempt brings.
+#[derive(Debug)]
+pub enum Came {
+    /// No connection was made, so that no byte left.
+    NotConnected(String),
+    /// The answer began, with the status for success.
+    Began,
+    /// A part of it.
+    Part(Bytes),
+    /// A whole answer: of a plain service, or an endpoint's error.
+    Whole(WholeReply),
+    /// It ended, or failed, before it was whole.
+    Cut(String),
+}
+
+/// An attempt.
+pub struct Upstream {
+    /// Its number.
+    pub epoch: Epoch,
+    state: State,
+}
+
+type Sending = Pin<Box<dyn Future<Output = Result<ClientResponse, ClientError>>>>;
+type Collecting = Pin<Box<dyn Future<Output = Came>>>;
+
+enum State {
+    Sending { sending: Sending, streams: bool },
+    Streaming(Payload),
+    Collecting(Collecting),
+    Over,
+}
+
+impl Outgoing {
+    /// Makes the body that asks an endpoint for a stream with usage counts.
+    pub fn streamed_body(mut body: Value) -> Bytes {
+        body["stream"] = json!(true);
+        body["stream_options"] = json!({ "include_usage": true });
+        body.to_string().into()
+    }
+
+    fn resumed_body(&self, at: &ResumeAt, transcript: &Transcript) -> Bytes {
+        let Ok(mut body) = serde_json::from_slice::<Value>(&self.body) else {
+            return self.body.clone();
+        };
+        let kv = at
+            .kv_from
+            .as_ref()
+            .map(|place| KvSource { address: place.address.clone(), prefix: self.request.clone() });
+        let mut emitted = transcript.tokens();
+        emitted.truncate(at.next as usize);
+        body["sill_resume"] = json!(Resume { at: at.next, emitted, kv, same_run: at.same_run });
+        body.to_string().into()
+    }
+}
+
+impl Upstream {
+    /// Sends the request.
+    pub fn send(
+        client: &Client,
+        outgoing: &Outgoing,
+        epoch: Epoch,
+        place: &Place,
+        resume: Option<&ResumeAt>,
+        transcript: &Transcript,
+        streams: bool,
+    ) -> Self {
+        let url = format!("http://{}{}", place.address, outgoing.path);
+        let mut req = client
+            .request(outgoing.method.clone(), url)
+            .set_header(header::REQUEST_ID, outgoing.request.as_str())
+            .set_header(header::ATTEMPT, epoch.0.to_string());
+        if let Some(key) = &outgoing.key {
+            req = req.set_header(header::IDEMPOTENCY_KEY, key.as_str());
+        }
+        if let Some(kind) = &outgoing.content_type {
+            req = req.set_header("content-type", kind.as_str());
+        }
+        let body = match resume {
+            Some(at) => outgoing.resumed_body(at, transcript),
+            None => outgoing.body.clone(),
+        };
+        let sending: Sending = Box::pin(async move { req.send_body(body).await });
+        Self { epoch, state: State::Sending { sending, streams } }
+    }
+
+    /// Waits for what comes next; may be dropped while it waits.
+    pub async fn next(&mut self) -> Came {
+        loop {
+            match &mut self.state {
+                State::Sending { sending, streams } => {
+                    let streams = *streams;
+                    match sending.await {
+                        Ok(res) if streams && res.status().is_success() => {
+                            self.state = State::Streaming(res.take_payload());
+                            return Came::Began;
+                        }
+                        Ok(res) => self.state = State::Collecting(Box::pin(collect(res))),
+                        Err(err) => {
+                            self.state = State::Over;
+                            return failed(&err);
+                        }
+                    }
+                }
+                State::Streaming(payload) => match payload.next().await {
+                    Some(Ok(part)) => return Came::Part(part),
+                    Some(Err(err)) => {
+                        self.state = State::Over;
+                        return Came::Cut(err.to_string());
+                    }
+                    None => {
+                        self.state = State::Over;
+                        return Came::Cut("the stream ended without its end marker".to_owned());
+                    }
+                },
+                State::Collecting(collecting) => {
+                    let came = collecting.await;
+                    self.state = State::Over;
+                    return came;
+                }
+                State::Over => std::future::pending().await,
+            }
+        }
+    }
+}
+
+/// Tells a connection that was never made from one that was lost.
+///
+/// Only errors of the connector count: the client reports a connection that ended before the
+/// answer's head as `Disconnected(None)`, though the whole request has left by then. Were that
+/// taken for "not connected", a caller would be told not-run of a request that ran.
+fn failed(err: &ClientError) -> Came {
+    match err {
+        ClientError::Connect(ConnectError::Disconnected(Some(_)) | ConnectError::Resolver(_)) => {
+            Came::NotConnected(err.to_string())
+        }
+        _ => Came::Cut(err.to_string()),
+    }
+}
+
+async fn collect(res: ClientResponse) -> Came {
+    let status = res.status().as_u16();
+    let content_type = res.headers().get("content-type").and_then(|v| v.to_str().ok());
+    let content_type = content_type.map(str::to_owned);
+    match res.body().limit(MAX_REPLY).await {
+        Ok(body) => Came::Whole(WholeReply { status, content_type, body: ReplyBody::new(&body) }),
+        Err(err) => Came::Cut(err.to_string()),
+    }
+}
--- a/protocol/wire/src/endpoint.rs
+++ b/protocol/wire/src/endpoint.rs
@@ -73,6 +73,9 @@
     /// The first token of the answer that this run was asked for.
     #[serde(default)]
     pub resumed_at: u32,
+    /// Where the run's KV cache was imported from, if it was.
+    #[serde(default)]
+    pub imported_from: Option<Name>,
     /// Tokens sent.
     pub sent_tokens: u32,
     /// How it ended.
@@ -141,6 +144,9 @@
     /// Prefix id of exported KV cache to import, and where to get it.
     #[serde(default)]
     pub kv: Option<KvSource>,
+    /// Whether to refuse rather than compute anything again, as for a run that may not be repeated.
+    #[serde(default)]
+    pub same_run: bool,
 }
 
 /// Where exported KV cache is found.
--- a/protocol/wire/src/header.rs
+++ b/protocol/wire/src/header.rs
@@ -32,3 +32,6 @@
 
 /// The content type of streamed answers.
 pub const EVENT_STREAM: &str = "text/event-stream";
+
+/// The id of the last event that a caller who came back has got.
+pub const LAST_EVENT_ID: &str = "last-event-id";
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod endpoint;
 pub mod error;
 pub mod feed;
+pub mod handoff;
 pub mod header;
 pub mod limits;
 pub mod member;
