--- a/daemons/entry/src/api.rs
+++ b/daemons/entry/src/api.rs
@@ -27,6 +27,7 @@
         web::resource("/announce").route(web::post().to(announce::announce)),
         web::resource("/reclaim").route(web::post().to(handoff::reclaim)),
         web::resource("/explain/{id}").route(web::get().to(explain::explain)),
+        web::resource("/events").route(web::post().to(announce::events)),
         web::resource("/v1/models").route(web::get().to(models)),
         web::resource("/v1/chat/completions").route(web::post().to(chat)),
         web::resource("/v1/completions").route(web::post().to(chat)),
--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -10,29 +10,29 @@
 use ntex::web::{self, App, HttpServer};
 use ntex::{SharedCfg, http::HttpServiceConfig};
 use parking_lot::Mutex;
-use sill_base::{Clock, Machine, Millis, Name, event};
-use sill_flight::drain::{Drain, DrainAction, DrainCfg, DrainEvent};
-use sill_flight::handoff::HandOff;
+use sill_base::{Clock, Millis, Name, event};
 use sill_flight::home::Directory;
 use sill_flight::journal::Journal;
-use sill_net::{PeerServer, PeerServerBuilder, client, http};
+use sill_net::{PeerServer, client, http};
 use sill_wire::Incarnation;
-use sill_wire::handoff::{FollowReply, FollowRun, ForgetRun, LocateRun};
 use tokio::runtime::{Handle, Runtime};
 use tokio::sync::mpsc;
 
 use crate::cfg::EntryCfg;
 use crate::claims::{Claims, ControlClaims};
-use crate::handoff::{self, Takers};
+use crate::copy::SettingsCopy;
+use crate::feed::Feed;
+use crate::handoff::Takers;
 use crate::limits::Limits;
+use crate::members::Membership;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::routing::Routing;
+use crate::serve;
 use crate::serve::run::Runs;
-use crate::serve::signals::Signals;
-use crate::serve::{self, attach};
+use crate::serve::signals::{self, Signals};
 use crate::settings::Settings;
-use crate::{api, feed};
+use crate::{api, feed, members, peer};
 
 /// Connections that a worker holds to endpoints.
 const UPSTREAM_CONNECTIONS: usize = 16_384;
@@ -46,9 +46,6 @@
 /// Requests whose records are kept.
 const RECORDS: usize = 20_000;
 
-/// Time between two looks at what is in flight during a stop.
-const DRAIN_POLL: Millis = Millis(20);
-
 /// What the parts of an entry instance share.
 #[derive(Debug)]
 pub struct Shared {
@@ -60,6 +57,10 @@
     pub incarnation: Incarnation,
     /// The settings in force.
     pub settings: Settings,
+    /// How the settings get here, and on to peers.
+    pub feed: Feed,
+    /// Entry instances and endpoints.
+    pub members: Membership,
     /// Endpoints, and the choice among them.
     pub routing: Routing,
     /// Limits of client accounts.
@@ -100,10 +101,10 @@
     pub address: SocketAddr,
     /// Where our own processes reach it.
     pub peer_address: SocketAddr,
-    shared: Arc<Shared>,
-    server: ntex::server::Server,
-    peers: PeerServer,
-    runtime: Runtime,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) server: ntex::server::Server,
+    pub(crate) peers: PeerServer,
+    pub(crate) runtime: Runtime,
 }
 
 impl Shared {
@@ -136,10 +137,15 @@
             let _guard = runtime.enter();
             Box::new(ControlClaims::start(&cfg))
         };
+        let clock = Clock::start();
+        let incarnation = Incarnation(Millis::wall().0);
+        let copy = cfg.data.as_deref().map(SettingsCopy::open).transpose()?;
         let shared = Arc::new(Shared {
-            clock: Clock::start(),
-            incarnation: Incarnation(Millis::wall().0),
-            settings: Settings::default(),
+            clock,
+            incarnation,
+            settings: Settings::new(feed::read_copy(copy.as_ref())),
+            feed: Feed::default(),
+            members: Membership::new(&cfg, clock, incarnation, address, peer_address),
             routing: Routing::new(&cfg),
             limits: Limits::new(&cfg),
             metrics: Metrics::new(),
@@ -159,13 +165,13 @@
             cfg,
         });
 
-        let mut peers = PeerServerBuilder::new(shared.cfg.cluster_key.clone());
-        answer_peers(&mut peers, &shared);
         let peers = {
             let _guard = runtime.enter();
-            peers.start(peer_listener)?
+            peer::server(&shared).start(peer_listener)?
         };
-        runtime.spawn(feed::run(shared.clone()));
+        runtime.spawn(feed::run(shared.clone(), copy));
+        runtime.spawn(members::run(shared.clone()));
+        runtime.spawn(signals::watch(shared.clone()));
 
         let server = serve_callers(shared.clone(), listener)?;
         event!(
@@ -182,89 +188,6 @@
     pub fn is_ready(&self) -> bool {
         self.shared.is_ready()
     }
-
-    /// Stops as planned: not ready first, then the listener closes, then all in flight finish.
-    pub async fn stop(self) {
-        self.stop_unless(std::future::pending()).await;
-    }
-
-    /// Stops as planned, but ends at once when `again` comes first. Returns what was cut off.
-    pub async fn stop_unless<F>(self, again: F) -> u64
-    where
-        F: Future<Output = ()>,
-    {
-        let shared = &self.shared;
-        let limit = shared.cfg.drain_limit;
-        let cfg = DrainCfg { notice: shared.cfg.drain_notice, limit, cuts_in_flight: false };
-        let mut drain = Drain::new(cfg);
-        let mut actions = Vec::new();
-        let mut event = DrainEvent::Stop;
-        let mut again = std::pin::pin!(again);
-        event!(Info, "stop_begun", name = shared.cfg.name);
-        loop {
-            drain.step(shared.clock.now(), event, &mut actions);
-            for action in actions.drain(..) {
-                match action {
-                    DrainAction::NotReady => shared.stopping.store(true, Ordering::Relaxed),
-                    DrainAction::Close => {
-                        shared.closing.store(true, Ordering::Relaxed);
-                        self.server.pause().await;
-                    }
-                    DrainAction::Exit { cut, forced } => {
-                        event!(
-                            Info,
-                            "stop_ended",
-                            name = shared.cfg.name,
-                            cut = cut,
-                            forced = forced
-                        );
-                        self.end(!forced).await;
-                        return cut;
-                    }
-                }
-            }
-            event = tokio::select! {
-                () = &mut again => DrainEvent::Stop,
-                () = tokio::time::sleep(DRAIN_POLL.into()) => {
-                    let in_flight = shared.metrics.in_flight.get().max(0) as u64;
-                    DrainEvent::Tick { in_flight }
-                }
-            };
-        }
-    }
-
-    async fn end(self, gracefully: bool) {
-        self.server.stop(gracefully).await;
-        self.peers.stop();
-        // Dropping it would block, which a caller inside another runtime may not do.
-        self.runtime.shutdown_background();
-    }
-}
-
-/// Registers what peers may ask.
-fn answer_peers(peers: &mut PeerServerBuilder, shared: &Arc<Shared>) {
-    let app = shared.clone();
-    peers.answer(move |call: HandOff| handoff::take(app.clone(), call));
-    let app = shared.clone();
-    peers.answer(move |call: LocateRun| {
-        let location = attach::locate(&app, &call);
-        async move { Ok(location) }
-    });
-    let app = shared.clone();
-    peers.answer(move |call: ForgetRun| {
-        app.directory.lock().forget(&call.key, &call.run);
-        async move { Ok(()) }
-    });
-    let app = shared.clone();
-    peers.answer(move |call: FollowRun| {
-        let run = app.runs.get(&call.key);
-        async move {
-            match run {
-                Some(run) => Ok(run.follow(call.from, call.wait).await),
-                None => Ok(FollowReply::Unknown),
-            }
-        }
-    });
 }
 
 /// Lets a worker thread take requests over from peers.
--- a/daemons/entry/src/peers.rs
+++ b/daemons/entry/src/peers.rs
@@ -7,6 +7,7 @@
 use sill_net::{PeerClient, PeerError};
 use sill_wire::Call;
 use sill_wire::claim::{ClaimKey, ClaimOwner};
+use sill_wire::member::EntryInfo;
 
 use crate::daemon::Shared;
 
@@ -31,24 +32,28 @@
 
 /// Returns the home of a key among the live entry instances of the domain.
 pub fn home(app: &Shared, key: &ClaimKey) -> Home {
-    let mut members = candidates(app);
-    members.push(app.peer_address.clone());
-    members.sort_unstable();
-    match sill_flight::home::home(key, &members) {
-        Some(address) if *address != app.peer_address => Home::At(address.clone()),
+    let key = format!("{}\n{}", key.account, key.key);
+    match app.members.home_for(&key) {
+        Some(info) if info.name != app.cfg.name => Home::At(info.peer_address),
         _ => Home::Here,
     }
 }
 
-/// Returns the peer addresses of the other entry instances of the domain.
+/// Returns the peer addresses of the other entry instances of the domain that stay.
 pub fn candidates(app: &Shared) -> Vec<Name> {
-    app.cfg.peers.iter().map(|address| address.to_string().into()).collect()
+    let peers = app.members.peers_of_domain().into_iter();
+    peers.filter(|info| info.leaving.is_none()).map(|info| info.peer_address).collect()
 }
 
 /// Returns where the owner of a claim is reached, if it lives still.
 pub fn find_owner(app: &Shared, owner: &ClaimOwner) -> Option<Home> {
-    let here = owner.entry == app.cfg.name && owner.incarnation == app.incarnation;
-    here.then_some(Home::Here)
+    if owner.entry == app.cfg.name {
+        return (owner.incarnation == app.incarnation).then_some(Home::Here);
+    }
+    let peers = app.members.peers_of_domain();
+    let is_owner =
+        |info: &EntryInfo| info.name == owner.entry && info.incarnation == owner.incarnation;
+    peers.into_iter().find(is_owner).map(|info| Home::At(info.peer_address))
 }
 
 /// Calls a peer, from any thread.
--- a/daemons/entry/src/serve.rs
+++ b/daemons/entry/src/serve.rs
@@ -2,6 +2,7 @@
 
 pub mod attach;
 pub mod caller;
+pub mod calls;
 pub mod chunk;
 pub mod driver;
 pub mod run;
--- a/daemons/entry/src/serve/signals.rs
+++ b/daemons/entry/src/serve/signals.rs
@@ -1,11 +1,20 @@
 //! What concerns requests in flight all at once: endpoints that are leaving, this instance's end.
 
+use std::sync::Arc;
+
 use parking_lot::RwLock;
 use sill_base::{Map, Millis, Name};
+use sill_flight::handoff::HandedRun;
 use sill_wire::{Announcement, Incarnation};
 use tokio::sync::{mpsc, oneshot, watch};
 
-use sill_flight::handoff::HandedRun;
+use crate::daemon::Shared;
+
+/// How often membership is asked which endpoints are leaving.
+const LOOK: Millis = Millis(50);
+
+/// A notice that moved by less is no news.
+const NEWS: Millis = Millis(500);
 
 /// Notices of endpoints, and the hand-off of this instance.
 #[derive(Debug)]
@@ -102,11 +111,16 @@
     }
 }
 
-/// A notice that moved by less is no news.
-const NEWS: Millis = Millis(500);
-
 impl Default for Signals {
     fn default() -> Self {
         Self::new()
     }
 }
+
+/// Passes on which endpoints are leaving, until the process ends.
+pub async fn watch(app: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(LOOK.into()).await;
+        app.signals.leaving(app.clock.now(), &app.members.leaving());
+    }
+}
