Requests survive reclaims of endpoints and entries, with real processes

Stand-in endpoints export and import KV cache, refuse to compute a run again that may run once, publish cache events late and with losses, and take orders with or without a check of fencing tokens. endpoint.rs was split by job.

Shown with real processes against the ledgers: an answer goes on at the exact token after a notice (KV cache moved), a notice that is too short, a kill, a freeze, and a successor that goes too; a planned stop serves during its notice and exits 0; after an entry's reclaim its peer goes on and the caller gets the whole answer by its key; a key sent again through another entry computes nothing twice.

--- a/bench/standin/src/cli.rs
+++ b/bench/standin/src/cli.rs
@@ -29,6 +29,7 @@
             "50",
             "microseconds to compute a prompt token",
         ),
+        Flag::with_default("kv-us-per-token", "N", "2", "microseconds to move a token's KV cache"),
         Flag::with_default("decode-ms", "N", "10", "milliseconds between two tokens"),
         Flag::with_default("cache-tokens", "N", "65536", "tokens that the prefix cache holds"),
         Flag::with_default("lag-ms", "N", "200", "how old reports and events are when sent"),
@@ -60,6 +61,7 @@
     let service: Option<String> = values.optional("service");
     let slots = values.required("slots");
     let prefill = values.required("prefill-us-per-token");
+    let kv = values.required("kv-us-per-token");
     let decode = values.required("decode-ms");
     let cache_tokens = values.required("cache-tokens");
     let lag = values.required("lag-ms");
@@ -90,6 +92,7 @@
         serves: vec![served],
         slots: slots.unwrap_or(defaults.slots),
         prefill_us_per_token: prefill.unwrap_or(defaults.prefill_us_per_token),
+        kv_us_per_token: kv.unwrap_or(defaults.kv_us_per_token),
         decode: decode.map_or(defaults.decode, Millis),
         cache_tokens: cache_tokens.unwrap_or(defaults.cache_tokens),
         lag: lag.map_or(defaults.lag, Millis),
--- a/bench/standin/src/endpoint.rs
+++ b/bench/standin/src/endpoint.rs
@@ -6,28 +6,32 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 
 use eyre::Result;
-use futures_util::stream;
 use ntex::http::Method;
 use ntex::util::Bytes;
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
 use parking_lot::Mutex;
-use serde_json::{Value, json};
-use sill_base::{Clock, Millis, Name, Secret, event};
+use serde_json::json;
+use sill_base::{Clock, Millis, Name, Secret, Set, event};
 use sill_net::client;
 use sill_net::http::{self, Failure};
 use sill_wire::announce::AnnounceReply;
-use sill_wire::chat::{ChatSummary, Usage};
-use sill_wire::endpoint::{LedgerEntry, ReclaimNotice, Resume, RunEnd};
+use sill_wire::endpoint::{LedgerEntry, ReclaimNotice, RunEnd};
 use sill_wire::{Announcement, ErrorCode, Incarnation, Load, Served, header, prefix};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-use crate::answer::{Answer, chunk};
 use crate::cache::PrefixCache;
-use crate::ledger::{Ledger, RunId};
+use crate::events::{self, Outbox};
+use crate::kv::{self, Exports};
+use crate::ledger::Ledger;
+use crate::orders::{self, Orders};
+use crate::run;
 
 /// Time between two announcements.
 const ANNOUNCE_EVERY: Millis = Millis(1000);
 
+/// KV imports under way at once.
+const IMPORTS: usize = 64;
+
 /// The largest body taken, in bytes.
 const MAX_BODY: usize = 32 << 20;
 
@@ -50,6 +54,8 @@
     pub slots: u32,
     /// Microseconds to compute a prompt token.
     pub prefill_us_per_token: u64,
+    /// Microseconds to move the KV cache of one token to another endpoint.
+    pub kv_us_per_token: u64,
     /// Time between two tokens of an answer.
     pub decode: Millis,
     /// Tokens that its prefix cache holds.
@@ -78,19 +84,24 @@
     pub address: SocketAddr,
 }
 
+/// What the parts of an endpoint share.
 #[derive(Debug)]
-struct Shared {
-    cfg: EndpointCfg,
-    address: SocketAddr,
-    clock: Clock,
-    incarnation: Incarnation,
+pub(crate) struct Shared {
+    pub(crate) cfg: EndpointCfg,
+    pub(crate) address: SocketAddr,
+    pub(crate) clock: Clock,
+    pub(crate) incarnation: Incarnation,
     sequence: AtomicU64,
     slots: Arc<Semaphore>,
-    running: AtomicU32,
+    pub(crate) running: AtomicU32,
     queued: AtomicU32,
     queued_tokens: AtomicU64,
     cache: Mutex<PrefixCache>,
-    ledger: Ledger,
+    pub(crate) ledger: Ledger,
+    pub(crate) exports: Mutex<Exports>,
+    pub(crate) outbox: Outbox,
+    pub(crate) orders: Orders,
+    cancelled: Mutex<Set<Name>>,
     dies_at: Mutex<Option<Millis>>,
     dead: AtomicBool,
 }
@@ -106,6 +117,7 @@
             serves: Vec::new(),
             slots: 8,
             prefill_us_per_token: 50,
+            kv_us_per_token: 2,
             decode: Millis(10),
             cache_tokens: 65_536,
             checks_fencing: true,
@@ -139,6 +151,10 @@
             queued_tokens: AtomicU64::new(0),
             cache: Mutex::new(PrefixCache::new(cfg.cache_tokens)),
             ledger: Ledger::default(),
+            exports: Mutex::new(Exports::default()),
+            outbox: Outbox::default(),
+            orders: Orders::new(cfg.serves.clone()),
+            cancelled: Mutex::default(),
             dies_at: Mutex::new(None),
             dead: AtomicBool::new(false),
             cfg,
@@ -185,8 +201,8 @@
             class: cfg.class.clone(),
             reclaimable: cfg.reclaimable,
             price: cfg.price,
-            serves: cfg.serves.clone(),
-            role: Default::default(),
+            serves: self.orders.serves(),
+            role: self.orders.role(),
             slots: cfg.slots,
             prefill_tokens_per_s: (1_000_000 / cfg.prefill_us_per_token.max(1)) as u32,
             decode_ms: cfg.decode.0 as u32,
@@ -204,7 +220,7 @@
     }
 
     /// Waits for a slot and for the prompt to be computed.
-    async fn admit(&self, blocks: &[u64], prompt_tokens: u64) -> Option<Admission> {
+    pub(crate) async fn admit(&self, blocks: &[u64], prompt_tokens: u64) -> Option<Admission> {
         self.queued.fetch_add(1, Ordering::Relaxed);
         self.queued_tokens.fetch_add(prompt_tokens, Ordering::Relaxed);
         let permit = self.slots.clone().acquire_owned().await.ok();
@@ -216,32 +232,50 @@
         Some(Admission { permit, cached_tokens })
     }
 
-    async fn prefill(&self, tokens: u64) {
+    pub(crate) async fn prefill(&self, tokens: u64) {
         let span = tokens * self.cfg.prefill_us_per_token / 1000;
         if span > 0 {
             ntex::time::sleep(ntex::time::Millis(span as u32)).await;
         }
     }
 
-    fn is_dead(&self) -> bool {
+    pub(crate) fn is_dead(&self) -> bool {
         self.dead.load(Ordering::Relaxed)
     }
+
+    /// Holds the blocks of a prompt in the prefix cache.
+    pub(crate) fn store(&self, blocks: &[u64]) {
+        let events = self.cache.lock().insert(blocks);
+        self.outbox.add(self.clock.now() + self.cfg.lag, events);
+    }
+
+    /// Returns whether a request was cancelled.
+    pub(crate) fn is_cancelled(&self, request: &Name) -> bool {
+        self.cancelled.lock().contains(request)
+    }
 }
 
-struct Admission {
-    permit: OwnedSemaphorePermit,
-    cached_tokens: u64,
+pub(crate) struct Admission {
+    pub(crate) permit: OwnedSemaphorePermit,
+    pub(crate) cached_tokens: u64,
 }
 
 async fn serve(shared: Arc<Shared>, listener: std::net::TcpListener) -> io::Result<()> {
     let app = shared.clone();
     let server = HttpServer::new(async move || {
+        let http = client::streaming(IMPORTS).await.expect("a client without TLS can be made");
         App::new()
             .state(app.clone())
+            .state(http)
             .state(web::types::PayloadConfig::new(MAX_BODY))
             .service((
-                web::resource("/v1/chat/completions").route(web::post().to(chat)),
-                web::resource("/v1/completions").route(web::post().to(chat)),
+                web::resource("/v1/chat/completions").route(web::post().to(run::chat)),
+                web::resource("/v1/completions").route(web::post().to(run::chat)),
+                web::resource("/kv/{prefix}").route(web::get().to(kv::export)),
+                web::resource("/cancel/{request}").route(web::post().to(cancel)),
+                web::resource("/orders")
+                    .route(web::post().to(orders::order))
+                    .route(web::get().to(orders::list)),
                 web::resource("/ledger").route(web::get().to(ledger)),
                 web::resource("/reclaim").route(web::post().to(reclaim)),
             ))
@@ -252,6 +286,7 @@
     .listen(listener)?
     .run();
     let announcer = ntex::rt::spawn(announce(shared.clone()));
+    let publisher = ntex::rt::spawn(events::publish(shared.clone()));
     let dying = server.clone();
     ntex::rt::spawn(async move {
         die_on_time(&shared).await;
@@ -262,6 +297,7 @@
     });
     let ended = server.await;
     announcer.cancel();
+    publisher.cancel();
     ended
 }
 
@@ -335,6 +371,15 @@
     http::json(200, &json!({ "accepted": true }))
 }
 
+/// `POST /cancel/REQUEST`.
+async fn cancel(
+    app: web::types::State<Arc<Shared>>,
+    request: web::types::Path<Name>,
+) -> HttpResponse {
+    app.cancelled.lock().insert(request.into_inner());
+    HttpResponse::NoContent().finish()
+}
+
 /// Takes any call of a plain service, and answers with what was called.
 async fn plain(app: web::types::State<Arc<Shared>>, req: HttpRequest, body: Bytes) -> HttpResponse {
     let request = request_header(&req, header::REQUEST_ID);
@@ -360,200 +405,14 @@
     )
 }
 
-async fn chat(app: web::types::State<Arc<Shared>>, req: HttpRequest, body: Bytes) -> HttpResponse {
-    let request = request_header(&req, header::REQUEST_ID);
-    let Ok(body) = serde_json::from_slice::<Value>(&body) else {
-        return Failure::new(ErrorCode::BadRequest, "not JSON").response(&request);
-    };
-    let summary = match ChatSummary::read(&body) {
-        Ok(summary) => summary,
-        Err(findings) => {
-            return Failure::new(ErrorCode::BadRequest, findings.to_string()).response(&request);
-        }
-    };
-    let resume =
-        body.get("sill_resume").cloned().and_then(|r| serde_json::from_value::<Resume>(r).ok());
-    let run = Run::begin(app.get_ref().clone(), &req, request, summary.clone(), resume).await;
-    if summary.stream { run.streamed() } else { run.whole().await }
-}
-
-fn request_header(req: &HttpRequest, name: &str) -> Name {
+pub(crate) fn request_header(req: &HttpRequest, name: &str) -> Name {
     req.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().into()
 }
 
-fn attempt(req: &HttpRequest) -> u32 {
+pub(crate) fn attempt(req: &HttpRequest) -> u32 {
     request_header(req, header::ATTEMPT).parse().unwrap_or_default()
 }
 
-fn key(req: &HttpRequest) -> Option<Name> {
+pub(crate) fn key(req: &HttpRequest) -> Option<Name> {
     Some(request_header(req, header::IDEMPOTENCY_KEY)).filter(|k| !k.is_empty())
 }
-
-/// One run of a model; leaving it early is noted as cancelled, or as killed when the endpoint died.
-struct Run {
-    shared: Arc<Shared>,
-    id: RunId,
-    request: Name,
-    summary: ChatSummary,
-    answer: Answer,
-    prompt_tokens: u64,
-    created: u64,
-    next: u32,
-    started: bool,
-    closing: u8,
-    _slot: Option<OwnedSemaphorePermit>,
-}
-
-impl Run {
-    async fn begin(
-        shared: Arc<Shared>,
-        req: &HttpRequest,
-        request: Name,
-        summary: ChatSummary,
-        resume: Option<Resume>,
-    ) -> Self {
-        let next = resume.as_ref().map_or(0, |r| r.at);
-        let prompt_tokens = prefix::tokens(&summary.prompt) + u64::from(next);
-        let id = shared.ledger.open(LedgerEntry {
-            request: request.clone(),
-            attempt: attempt(req),
-            idempotency_key: key(req),
-            prompt_tokens,
-            resumed_at: next,
-            ..LedgerEntry::default()
-        });
-        let answer = Answer::to(&summary);
-        let created = Millis::wall().0 / 1000;
-        shared.running.fetch_add(1, Ordering::Relaxed);
-        Self {
-            shared,
-            id,
-            request,
-            answer,
-            prompt_tokens,
-            created,
-            summary,
-            next,
-            started: false,
-            closing: 0,
-            _slot: None,
-        }
-    }
-
-    /// Waits for a slot and computes what the cache does not hold.
-    async fn prefill(&mut self) {
-        self.started = true;
-        let blocks = prefix::blocks(&self.summary.model, &self.summary.prompt);
-        let Some(admission) = self.shared.admit(&blocks, self.prompt_tokens).await else {
-            return;
-        };
-        let computed = self.prompt_tokens - admission.cached_tokens;
-        self.shared.ledger.computed(self.id, admission.cached_tokens, computed);
-        self.shared.prefill(computed).await;
-        self.shared.cache.lock().insert(&blocks);
-        self._slot = Some(admission.permit);
-    }
-
-    async fn decode(&mut self) -> Option<String> {
-        if self.next >= self.answer.tokens {
-            return None;
-        }
-        ntex::time::sleep(ntex::time::Millis(self.shared.cfg.decode.0 as u32)).await;
-        let token = self.answer.token(self.next);
-        self.next += 1;
-        self.shared.ledger.sent(self.id, self.next);
-        Some(token)
-    }
-
-    fn usage(&self) -> Usage {
-        let prompt_tokens = prefix::tokens(&self.summary.prompt) as u32;
-        Usage {
-            prompt_tokens,
-            completion_tokens: self.answer.tokens,
-            total_tokens: prompt_tokens + self.answer.tokens,
-        }
-    }
-
-    fn completion_id(&self) -> String {
-        format!("chatcmpl-{}", self.request)
-    }
-
-    fn streamed(self) -> HttpResponse {
-        let events = stream::unfold(self, |mut run| async move {
-            let event = run.next_event().await?;
-            Some((event, run))
-        });
-        HttpResponse::Ok().content_type(header::EVENT_STREAM).streaming(Box::pin(events))
-    }
-
-    async fn next_event(&mut self) -> Option<io::Result<Bytes>> {
-        if !self.started {
-            self.prefill().await;
-        }
-        if self.shared.is_dead() {
-            return Some(Err(io::ErrorKind::ConnectionAborted.into()));
-        }
-        let index = self.next;
-        if let Some(token) = self.decode().await {
-            if self.shared.is_dead() {
-                return Some(Err(io::ErrorKind::ConnectionAborted.into()));
-            }
-            let data = self.chunk(Some(&token), None);
-            return Some(Ok(Bytes::from(format!("id: {index}\ndata: {data}\n\n"))));
-        }
-        self.closing += 1;
-        match self.closing {
-            1 => {
-                let data = self.chunk(None, Some("stop"));
-                Some(Ok(Bytes::from(format!("data: {data}\n\n"))))
-            }
-            2 if self.summary.include_usage => {
-                let mut data = self.chunk(None, None);
-                data["choices"] = json!([]);
-                data["usage"] = json!(self.usage());
-                Some(Ok(Bytes::from(format!("data: {data}\n\n"))))
-            }
-            2 | 3 if self.closing == 2 || self.summary.include_usage => {
-                self.shared.ledger.close(self.id, RunEnd::Finished);
-                Some(Ok(Bytes::from_static(b"data: [DONE]\n\n")))
-            }
-            _ => None,
-        }
-    }
-
-    fn chunk(&self, content: Option<&str>, finish: Option<&str>) -> Value {
-        chunk(&self.completion_id(), self.created, &self.summary.model, content, finish)
-    }
-
-    async fn whole(mut self) -> HttpResponse {
-        self.prefill().await;
-        let mut text = String::new();
-        while let Some(token) = self.decode().await {
-            text.push_str(&token);
-        }
-        self.shared.ledger.close(self.id, RunEnd::Finished);
-        http::json(
-            200,
-            &json!({
-                "id": self.completion_id(),
-                "object": "chat.completion",
-                "created": self.created,
-                "model": self.summary.model,
-                "choices": [{
-                    "index": 0,
-                    "message": { "role": "assistant", "content": text },
-                    "finish_reason": "stop",
-                }],
-                "usage": self.usage(),
-            }),
-        )
-    }
-}
-
-impl Drop for Run {
-    fn drop(&mut self) {
-        self.shared.running.fetch_sub(1, Ordering::Relaxed);
-        let end = if self.shared.is_dead() { RunEnd::Killed } else { RunEnd::Cancelled };
-        self.shared.ledger.close(self.id, end);
-    }
-}
--- /dev/null
+++ b/bench/standin/src/events.rs
@@ -0,0 +1,100 @@
+//! Publishes cache events late, and loses some.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use ntex::http::Method;
+use parking_lot::Mutex;
+use sill_base::{Millis, event};
+use sill_net::client;
+use sill_wire::endpoint::{CacheEvent, CacheEvents};
+
+use crate::endpoint::Shared;
+
+/// Time between two batches.
+const EVERY: u32 = 100;
+
+/// Events that wait at most; when more happen, the oldest are lost.
+const MAX_WAITING: usize = 65_536;
+
+/// Events that wait to be published.
+#[derive(Debug, Default)]
+pub struct Outbox(Mutex<Waiting>);
+
+#[derive(Debug, Default)]
+struct Waiting {
+    events: VecDeque<Due>,
+    next: u64,
+    batches: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Due {
+    at: Millis,
+    event: CacheEvent,
+}
+
+impl Outbox {
+    /// Adds events that are to be published at that time.
+    pub fn add(&self, at: Millis, events: Vec<CacheEvent>) {
+        let mut waiting = self.0.lock();
+        waiting.events.extend(events.into_iter().map(|event| Due { at, event }));
+        while waiting.events.len() > MAX_WAITING {
+            waiting.events.pop_front();
+            waiting.next += 1;
+        }
+    }
+
+    /// Takes out what is due, with the number of its first event; the number moves on also where
+    /// the batch is lost then.
+    fn take(&self, now: Millis, lose_percent: u8) -> Option<Batch> {
+        let mut waiting = self.0.lock();
+        let due = waiting.events.iter().take_while(|due| due.at <= now).count();
+        if due == 0 {
+            return None;
+        }
+        let sequence = waiting.next;
+        waiting.next += due as u64;
+        waiting.batches += 1;
+        let events = waiting.events.drain(..due).map(|due| due.event).collect();
+        // Spreads the losses evenly, so that a run can be repeated.
+        let turn = (waiting.batches * 37) % 100;
+        (turn >= u64::from(lose_percent)).then_some(Batch { sequence, events })
+    }
+}
+
+struct Batch {
+    sequence: u64,
+    events: Vec<CacheEvent>,
+}
+
+/// Publishes to one entry instance after another until the endpoint is dead.
+pub(crate) async fn publish(shared: Arc<Shared>) {
+    const TIMEOUT: Millis = Millis(500);
+    let Ok(http) = client::streaming(2).await else {
+        return;
+    };
+    let mut turn = 0;
+    while !shared.is_dead() {
+        ntex::time::sleep(ntex::time::Millis(EVERY)).await;
+        let Some(batch) = shared.outbox.take(shared.clock.now(), shared.cfg.lose_events) else {
+            continue;
+        };
+        let Some(entry) = shared.cfg.entries.get(turn % shared.cfg.entries.len().max(1)) else {
+            continue;
+        };
+        let url = format!("http://{entry}/events");
+        let events = CacheEvents {
+            name: shared.cfg.name.clone(),
+            incarnation: shared.incarnation,
+            sequence: batch.sequence,
+            events: batch.events,
+        };
+        let token = Some(&shared.cfg.join_token);
+        let sent = client::send(&http, Method::POST, &url, token, &[], Some(&events), TIMEOUT);
+        if !sent.await.is_ok_and(|reply| reply.is_ok()) {
+            event!(Debug, "events_lost", name = shared.cfg.name, entry = entry);
+            turn += 1;
+        }
+    }
+}
--- a/bench/standin/src/ledger.rs
+++ b/bench/standin/src/ledger.rs
@@ -1,6 +1,7 @@
 //! What an endpoint ran: the evidence that answers are checked against.
 
 use parking_lot::Mutex;
+use sill_base::Name;
 use sill_wire::endpoint::{LedgerEntry, RunEnd};
 
 /// All runs of an endpoint, in the order they came.
@@ -26,6 +27,11 @@
         entry.computed_tokens = computed;
     }
 
+    /// Notes where a run's KV cache was imported from.
+    pub fn imported(&self, run: RunId, from: &Name) {
+        self.0.lock()[run.0].imported_from = Some(from.clone());
+    }
+
     /// Notes the tokens sent so far.
     pub fn sent(&self, run: RunId, tokens: u32) {
         self.0.lock()[run.0].sent_tokens = tokens;
--- a/bench/standin/src/lib.rs
+++ b/bench/standin/src/lib.rs
@@ -4,6 +4,10 @@
 pub mod cache;
 pub mod cli;
 pub mod endpoint;
+pub mod events;
+pub mod kv;
 pub mod ledger;
+pub mod orders;
+mod run;
 
 pub use endpoint::{Endpoint, EndpointCfg};
--- /dev/null
+++ b/bench/standin/src/orders.rs
@@ -0,0 +1,125 @@
+//! Carries out orders, with or without a check of fencing tokens.
+
+use std::sync::Arc;
+
+use ntex::web::{self, HttpResponse};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use sill_base::Name;
+use sill_net::http::{self, Failure};
+use sill_wire::endpoint::{Order, OrderAction};
+use sill_wire::{ErrorCode, Role, Served};
+
+use crate::endpoint::Shared;
+
+/// What orders made of the endpoint.
+#[derive(Debug)]
+pub struct Orders(Mutex<State>);
+
+#[derive(Debug)]
+struct State {
+    highest: Fence,
+    serves: Vec<Served>,
+    role: Role,
+    taken: Vec<TakenOrder>,
+}
+
+/// An order as it came, and whether it was carried out.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TakenOrder {
+    /// The order.
+    pub order: Order,
+    /// Whether it was carried out.
+    pub done: bool,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Fence {
+    term: u64,
+    sequence: u64,
+}
+
+impl Orders {
+    /// Starts with what the endpoint serves by itself.
+    pub fn new(serves: Vec<Served>) -> Self {
+        let (highest, role, taken) = (Fence::default(), Role::default(), Vec::new());
+        Self(Mutex::new(State { highest, serves, role, taken }))
+    }
+
+    /// Returns what the endpoint serves.
+    pub fn serves(&self) -> Vec<Served> {
+        self.0.lock().serves.clone()
+    }
+
+    /// Returns the role.
+    pub fn role(&self) -> Role {
+        self.0.lock().role
+    }
+
+    /// Returns all orders that came.
+    pub fn taken(&self) -> Vec<TakenOrder> {
+        self.0.lock().taken.clone()
+    }
+
+    /// Carries an order out, unless it is older than one that came before and that is checked. The
+    /// same order again is carried out again, which changes nothing.
+    pub fn take(&self, order: Order, checks_fencing: bool) -> bool {
+        let mut state = self.0.lock();
+        let fence = Fence { term: order.term, sequence: order.sequence };
+        let done = !checks_fencing || fence >= state.highest;
+        if done {
+            state.highest = state.highest.max(fence);
+            state.carry_out(&order.action);
+        }
+        state.taken.push(TakenOrder { order, done });
+        done
+    }
+}
+
+impl State {
+    fn carry_out(&mut self, action: &OrderAction) {
+        match action {
+            OrderAction::LoadModel { model, version } => {
+                self.unload(model);
+                self.serves.push(Served::Model {
+                    model: model.clone(),
+                    version: version.clone(),
+                    adapters: Vec::new(),
+                });
+            }
+            OrderAction::UnloadModel { model } => self.unload(model),
+            OrderAction::LoadAdapter { model: below, adapter } => {
+                for served in &mut self.serves {
+                    if let Served::Model { model, adapters, .. } = served
+                        && model == below
+                        && !adapters.contains(adapter)
+                    {
+                        adapters.push(adapter.clone());
+                    }
+                }
+            }
+            OrderAction::ChangeRole { role } => self.role = *role,
+            OrderAction::Drain => self.role = Role::Standby,
+        }
+    }
+
+    fn unload(&mut self, unwanted: &Name) {
+        self.serves.retain(|s| !matches!(s, Served::Model { model, .. } if model == unwanted));
+    }
+}
+
+/// `POST /orders`.
+pub(crate) async fn order(
+    app: web::types::State<Arc<Shared>>,
+    order: web::types::Json<Order>,
+) -> HttpResponse {
+    if app.orders.take(order.into_inner(), app.cfg.checks_fencing) {
+        return HttpResponse::NoContent().finish();
+    }
+    Failure::new(ErrorCode::Forbidden, "a newer order came before").response(&Name::default())
+}
+
+/// `GET /orders`.
+pub(crate) async fn list(app: web::types::State<Arc<Shared>>) -> HttpResponse {
+    http::json(200, &app.orders.taken())
+}
--- /dev/null
+++ b/bench/standin/src/run.rs
@@ -0,0 +1,246 @@
+//! Runs of a model: computed, resumed at a token, moved with their KV cache.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use futures_util::stream;
+use ntex::client::Client;
+use ntex::util::Bytes;
+use ntex::web::{self, HttpRequest, HttpResponse};
+use serde_json::{Value, json};
+use sill_base::{Millis, Name};
+use sill_net::http::{self, Failure};
+use sill_wire::chat::{ChatSummary, Usage};
+use sill_wire::endpoint::{LedgerEntry, Resume, RunEnd};
+use sill_wire::{ErrorCode, header, prefix};
+use tokio::sync::OwnedSemaphorePermit;
+
+use crate::answer::{Answer, chunk};
+use crate::endpoint::{Shared, attempt, key, request_header};
+use crate::kv;
+use crate::ledger::RunId;
+
+/// `POST /v1/chat/completions` and `POST /v1/completions`.
+pub(crate) async fn chat(
+    app: web::types::State<Arc<Shared>>,
+    client: web::types::State<Client>,
+    req: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
+    let request = request_header(&req, header::REQUEST_ID);
+    let Ok(body) = serde_json::from_slice::<Value>(&body) else {
+        return Failure::new(ErrorCode::BadRequest, "not JSON").response(&request);
+    };
+    let summary = match ChatSummary::read(&body) {
+        Ok(summary) => summary,
+        Err(findings) => {
+            return Failure::new(ErrorCode::BadRequest, findings.to_string()).response(&request);
+        }
+    };
+    let resume =
+        body.get("sill_resume").cloned().and_then(|r| serde_json::from_value::<Resume>(r).ok());
+    let app = app.get_ref().clone();
+    let mut run = Run::begin(app, &req, request.clone(), summary.clone(), resume.as_ref());
+    if let Some(resume) = &resume
+        && !run.import(&client, resume).await
+        && resume.same_run
+    {
+        return Failure::new(ErrorCode::OutcomeUnknown, "the run is not held here")
+            .response(&request);
+    }
+    if summary.stream { run.streamed() } else { run.whole().await }
+}
+
+/// One run of a model; leaving it early is noted as cancelled, or as killed when the endpoint died.
+struct Run {
+    shared: Arc<Shared>,
+    id: RunId,
+    request: Name,
+    summary: ChatSummary,
+    answer: Answer,
+    prompt_tokens: u64,
+    created: u64,
+    next: u32,
+    started: bool,
+    closing: u8,
+    imported: bool,
+    _slot: Option<OwnedSemaphorePermit>,
+}
+
+impl Run {
+    fn begin(
+        shared: Arc<Shared>,
+        req: &HttpRequest,
+        request: Name,
+        summary: ChatSummary,
+        resume: Option<&Resume>,
+    ) -> Self {
+        let next = resume.map_or(0, |r| r.at);
+        let prompt_tokens = prefix::tokens(&summary.prompt) + u64::from(next);
+        let id = shared.ledger.open(LedgerEntry {
+            request: request.clone(),
+            attempt: attempt(req),
+            idempotency_key: key(req),
+            prompt_tokens,
+            resumed_at: next,
+            ..LedgerEntry::default()
+        });
+        let answer = Answer::to(&summary);
+        let created = Millis::wall().0 / 1000;
+        shared.running.fetch_add(1, Ordering::Relaxed);
+        Self {
+            shared,
+            id,
+            request,
+            answer,
+            prompt_tokens,
+            created,
+            summary,
+            next,
+            started: false,
+            closing: 0,
+            imported: false,
+            _slot: None,
+        }
+    }
+
+    /// Imports the KV cache of the same request, and returns whether that worked.
+    async fn import(&mut self, client: &Client, resume: &Resume) -> bool {
+        let Some(source) = &resume.kv else {
+            return false;
+        };
+        let held = kv::fetch(&self.shared, client, source).await;
+        self.imported = held.is_some_and(|held| held.next >= resume.at);
+        if self.imported {
+            self.shared.ledger.imported(self.id, &source.address);
+        }
+        self.imported
+    }
+
+    /// Waits for a slot and computes what the cache does not hold.
+    async fn prefill(&mut self) {
+        self.started = true;
+        let blocks = prefix::blocks(&self.summary.model, &self.summary.prompt);
+        let Some(admission) = self.shared.admit(&blocks, self.prompt_tokens).await else {
+            return;
+        };
+        let cached = if self.imported { self.prompt_tokens } else { admission.cached_tokens };
+        let computed = self.prompt_tokens - cached;
+        self.shared.ledger.computed(self.id, cached, computed);
+        self.shared.prefill(computed).await;
+        self.shared.store(&blocks);
+        self.hold();
+        self._slot = Some(admission.permit);
+    }
+
+    async fn decode(&mut self) -> Option<String> {
+        if self.next >= self.answer.tokens {
+            return None;
+        }
+        ntex::time::sleep(ntex::time::Millis(self.shared.cfg.decode.0 as u32)).await;
+        let token = self.answer.token(self.next);
+        self.next += 1;
+        self.shared.ledger.sent(self.id, self.next);
+        self.hold();
+        Some(token)
+    }
+
+    /// Lets others import what was computed so far.
+    fn hold(&self) {
+        let tokens = prefix::tokens(&self.summary.prompt) + u64::from(self.next);
+        self.shared.exports.lock().hold(&self.request, kv::Held { tokens, next: self.next });
+    }
+
+    fn usage(&self) -> Usage {
+        let prompt_tokens = prefix::tokens(&self.summary.prompt) as u32;
+        Usage {
+            prompt_tokens,
+            completion_tokens: self.answer.tokens,
+            total_tokens: prompt_tokens + self.answer.tokens,
+        }
+    }
+
+    fn completion_id(&self) -> String {
+        format!("chatcmpl-{}", self.request)
+    }
+
+    fn streamed(self) -> HttpResponse {
+        let events = stream::unfold(self, |mut run| async move {
+            let event = run.next_event().await?;
+            Some((event, run))
+        });
+        HttpResponse::Ok().content_type(header::EVENT_STREAM).streaming(Box::pin(events))
+    }
+
+    async fn next_event(&mut self) -> Option<io::Result<Bytes>> {
+        if !self.started {
+            self.prefill().await;
+        }
+        if self.shared.is_dead() || self.shared.is_cancelled(&self.request) {
+            return Some(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        let index = self.next;
+        if let Some(token) = self.decode().await {
+            if self.shared.is_dead() {
+                return Some(Err(io::ErrorKind::ConnectionAborted.into()));
+            }
+            let data = self.chunk(Some(&token), None);
+            return Some(Ok(Bytes::from(format!("id: {index}\ndata: {data}\n\n"))));
+        }
+        self.closing += 1;
+        match self.closing {
+            1 => {
+                let data = self.chunk(None, Some("stop"));
+                Some(Ok(Bytes::from(format!("data: {data}\n\n"))))
+            }
+            2 if self.summary.include_usage => {
+                let mut data = self.chunk(None, None);
+                data["choices"] = json!([]);
+                data["usage"] = json!(self.usage());
+                Some(Ok(Bytes::from(format!("data: {data}\n\n"))))
+            }
+            2 | 3 if self.closing == 2 || self.summary.include_usage => {
+                self.shared.ledger.close(self.id, RunEnd::Finished);
+                Some(Ok(Bytes::from_static(b"data: [DONE]\n\n")))
+            }
+            _ => None,
+        }
+    }
+
+    fn chunk(&self, content: Option<&str>, finish: Option<&str>) -> Value {
+        chunk(&self.completion_id(), self.created, &self.summary.model, content, finish)
+    }
+
+    async fn whole(mut self) -> HttpResponse {
+        self.prefill().await;
+        let mut text = String::new();
+        while let Some(token) = self.decode().await {
+            text.push_str(&token);
+        }
+        self.shared.ledger.close(self.id, RunEnd::Finished);
+        http::json(
+            200,
+            &json!({
+                "id": self.completion_id(),
+                "object": "chat.completion",
+                "created": self.created,
+                "model": self.summary.model,
+                "choices": [{
+                    "index": 0,
+                    "message": { "role": "assistant", "content": text },
+                    "finish_reason": "stop",
+                }],
+                "usage": self.usage(),
+            }),
+        )
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.shared.running.fetch_sub(1, Ordering::Relaxed);
+        let end = if self.shared.is_dead() { RunEnd::Killed } else { RunEnd::Cancelled };
+        self.shared.ledger.close(self.id, end);
+    }
+}
--- /dev/null
+++ b/daemons/sill/tests/system/flight.rs
@@ -0,0 +1,395 @@
+//! Requests through failures of endpoints and entries, with real processes, checked against the
+//! stand-ins' ledgers.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use sill_standin::answer::Answer as Expected;
+use sill_wire::chat::ChatSummary;
+use sill_wire::endpoint::{LedgerEntry, RunEnd};
+
+use crate::harness::{
+    Answer, CALLER_KEY, Folder, Program, call, free_addresses, hash, http, sill, wait_until,
+};
+
+/// A control instance, entries of one failure domain, endpoints of a model and a plain service.
+struct Cluster {
+    folder: Folder,
+    entries: Vec<Instance>,
+    endpoints: Vec<Instance>,
+    gone: Vec<usize>,
+    _control: Program,
+}
+
+struct Instance {
+    address: SocketAddr,
+    program: Program,
+}
+
+impl Cluster {
+    fn start(test: &str, entries: usize, endpoints: usize, decode_ms: &str) -> Self {
+        let folder = Folder::new(test);
+        let free = free_addresses(2 + 2 * entries + endpoints + 1);
+        let text: Vec<String> = free.iter().map(ToString::to_string).collect();
+        let (cluster_key, join_token) = (folder.file("cluster-key"), folder.file("join-token"));
+        let (root_token, data) = (folder.file("root-token"), folder.file("data"));
+        let voter = format!("c1@a@{}", text[1]);
+        let control = [
+            "control",
+            "--name",
+            "c1",
+            "--domain",
+            "a",
+            "--listen",
+            &text[0],
+            "--listen-peer",
+            &text[1],
+            "--voter",
+            &voter,
+            "--data",
+            &data,
+            "--cluster-key-file",
+            &cluster_key,
+            "--root-token-file",
+            &root_token,
+        ];
+        let control = folder.start("control.log", &control);
+        let mut cluster =
+            Self { folder, entries: vec![], endpoints: vec![], gone: vec![], _control: control };
+        for i in 0..entries {
+            let (listen, peer) = (2 + 2 * i, 3 + 2 * i);
+            let name = format!("e{}", i + 1);
+            let mut words = vec![
+                "entry",
+                "--name",
+                &name,
+                "--domain",
+                "a",
+                "--listen",
+                &text[listen],
+                "--listen-peer",
+                &text[peer],
+                "--control",
+                &text[1],
+                "--cluster-key-file",
+                &cluster_key,
+                "--join-token-file",
+                &join_token,
+                "--drain-notice-ms",
+                "1500",
+            ];
+            for other in (0..entries).filter(|o| *o != i) {
+                words.extend(["--peer", &text[3 + 2 * other]]);
+            }
+            let program = cluster.folder.start(&format!("{name}.log"), &words);
+            cluster.entries.push(Instance { address: free[listen], program });
+        }
+        for i in 0..=endpoints {
+            let at = 2 + 2 * entries + i;
+            let name = format!("m{}", i + 1);
+            let mut words = vec![
+                "standin",
+                "endpoint",
+                "--name",
+                &name,
+                "--domain",
+                "a",
+                "--listen",
+                &text[at],
+                "--join-token-file",
+                &join_token,
+                "--decode-ms",
+                decode_ms,
+                "--entry",
+                &text[2],
+            ];
+            if i == endpoints {
+                words.extend(["--service", "notices"]);
+            }
+            let program = cluster.folder.start(&format!("{name}.log"), &words);
+            cluster.endpoints.push(Instance { address: free[at], program });
+        }
+        cluster.settle(&text[0], &root_token);
+        cluster
+    }
+
+    /// Waits until every entry instance serves the model and the plain service.
+    fn settle(&self, control: &str, root_token: &str) {
+        let key = hash(CALLER_KEY);
+        let document = json!({
+            "services": {
+                "desk-7b": { "kind": "model" },
+                "notices": {
+                    "kind": "plain",
+                    "non_idempotent": [{ "method": "POST", "path": "/send" }],
+                },
+            },
+            "accounts": { "clerks": { "keys": [key] } },
+        });
+        let file = self.folder.write("ga.json", &document.to_string());
+        let apply = ["apply", "--control", control, "--token-file", root_token, "ga", &file];
+        wait_until("the settings are accepted", || sill(&apply, "").status.success());
+        for entry in &self.entries {
+            wait_until("a model is served", || {
+                let answer =
+                    call(entry.address, "/v1/chat/completions", &[], &body("warm", 1, false));
+                answer.is_some_and(|a| a.status == 200)
+            });
+            wait_until("a plain service is served", || {
+                let answer = call(entry.address, "/s/notices/list", &[], "");
+                answer.is_some_and(|a| a.status == 200)
+            });
+        }
+    }
+
+    /// Returns an endpoint's runs; one that is dead or frozen tells none.
+    fn ledger(&self, endpoint: usize) -> Vec<LedgerEntry> {
+        if self.gone.contains(&endpoint) {
+            return Vec::new();
+        }
+        let answer = http(self.endpoints[endpoint].address, "GET", "/ledger", &[], "");
+        let runs = answer.and_then(|answer| serde_json::from_str(&answer.body).ok());
+        runs.unwrap_or_default()
+    }
+
+    /// Returns the endpoint that runs the request with so many prompt tokens now.
+    fn running(&self, wanted: u32) -> usize {
+        let mut found = None;
+        wait_until("the request runs", || {
+            found = (0..self.endpoints.len()).find(|endpoint| {
+                self.ledger(*endpoint)
+                    .iter()
+                    .any(|run| run.end == RunEnd::Running && run.sent_tokens >= wanted)
+            });
+            found.is_some()
+        });
+        found.expect("it was found")
+    }
+
+    fn model_runs(&self) -> Vec<LedgerEntry> {
+        let models = 0..self.endpoints.len() - 1;
+        models.flat_map(|e| self.ledger(e)).filter(|run| run.prompt_tokens > 8).collect()
+    }
+
+    fn reclaim(&self, address: SocketAddr, in_ms: u32) {
+        let headers = ["authorization: Bearer test-join-token", "content-type: application/json"];
+        let notice = json!({ "in_ms": in_ms }).to_string();
+        let answer = http(address, "POST", "/reclaim", &headers, &notice).expect("an answer");
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
+const PROMPT: &str = "Where would a parcel for the old lighthouse keeper be sent today?";
+
+fn body(prompt: &str, max_tokens: u32, stream: bool) -> String {
+    json!({
+        "model": "desk-7b",
+        "stream": stream,
+        "max_tokens": max_tokens,
+        "messages": [{ "role": "user", "content": prompt }],
+    })
+    .to_string()
+}
+
+/// Asks on a thread of its own.
+fn ask(entry: SocketAddr, headers: &[&str], body: &str) -> JoinHandle<Option<Answer>> {
+    let headers: Vec<String> = headers.iter().map(|h| (*h).to_owned()).collect();
+    let body = body.to_owned();
+    thread::spawn(move || {
+        let headers: Vec<&str> = headers.iter().map(String::as_str).collect();
+        call(entry, "/v1/chat/completions", &headers, &body)
+    })
+}
+
+/// Asserts that a stream is whole, of one piece and the answer to its request.
+fn assert_whole(body: &str, answer: &Answer) {
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let request: Value = serde_json::from_str(body).expect("JSON");
+    let expected = Expected::to(&ChatSummary::read(&request).expect("a request"));
+    let mut text = String::new();
+    let mut ids = Vec::new();
+    let mut heads = Vec::new();
+    for line in answer.body.lines() {
+        if let Some(id) = line.strip_prefix("id: ") {
+            ids.push(id.parse::<u32>().expect("an index"));
+        }
+        let Some(data) = line.strip_prefix("data: ").filter(|d| *d != "[DONE]") else {
+            continue;
+        };
+        let data: Value = serde_json::from_str(data).expect("JSON");
+        heads.push((data["id"].clone(), data["created"].clone()));
+        text.push_str(data["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
+    }
+    heads.dedup();
+    assert_eq!(text, expected.text());
+    assert_eq!(ids, (0..expected.tokens).collect::<Vec<_>>());
+    assert_eq!(heads.len(), 1, "the caller sees one answer, {heads:?}");
+    assert!(answer.body.trim_end().ends_with("data: [DONE]"));
+}
+
+fn signal(instance: &Instance, name: &str) {
+    let pid = instance.program.0.id().to_string();
+    let sent = Command::new("kill").args([name, &pid]).status().expect("kill runs");
+    assert!(sent.success());
+}
+
+enum Failure {
+    Reclaim(u32),
+    Kill,
+    Freeze,
+}
+
+struct EndpointCase {
+    name: &'static str,
+    failures: Vec<Failure>,
+    moves_kv: bool,
+}
+
+/// The endpoint goes in the middle of an answer: with a notice that is long enough to move the KV
+/// cache, with one that is too short, killed without any, frozen, and the successor goes as well.
+/// The user would see half an answer, or the same words twice.
+#[test]
+fn an_answer_goes_on_at_the_exact_token_when_its_endpoint_goes() {
+    let cases = [
+        EndpointCase { name: "notice", failures: vec![Failure::Reclaim(900)], moves_kv: true },
+        EndpointCase { name: "short", failures: vec![Failure::Reclaim(30)], moves_kv: false },
+        EndpointCase { name: "kill", failures: vec![Failure::Kill], moves_kv: false },
+        EndpointCase { name: "freeze", failures: vec![Failure::Freeze], moves_kv: false },
+        EndpointCase {
+            name: "successor",
+            failures: vec![Failure::Reclaim(900), Failure::Kill],
+            moves_kv: false,
+        },
+    ];
+    thread::scope(|scope| {
+        for case in &cases {
+            scope.spawn(|| goes_on(case));
+        }
+    });
+}
+
+fn goes_on(case: &EndpointCase) {
+    let mut cluster = Cluster::start(case.name, 1, 3, "10");
+    let entry = cluster.entries[0].address;
+    let body = body(PROMPT, 300, true);
+    let asked = ask(entry, &[], &body);
+    for (number, failure) in case.failures.iter().enumerate() {
+        let endpoint = cluster.running(30 + 60 * number as u32);
+        match failure {
+            Failure::Reclaim(in_ms) => {
+                cluster.reclaim(cluster.endpoints[endpoint].address, *in_ms);
+            }
+            Failure::Kill => {
+                let _ = cluster.endpoints[endpoint].program.0.kill();
+            }
+            Failure::Freeze => signal(&cluster.endpoints[endpoint], "-STOP"),
+        }
+        cluster.gone.push(endpoint);
+        if number + 1 < case.failures.len() {
+            wait_until("another endpoint goes on", || {
+                cluster.model_runs().iter().any(|run| run.resumed_at > 0)
+            });
+        }
+    }
+    let answer = asked.join().expect("no panic").expect("an answer");
+    assert_whole(&body, &answer);
+    let resumed: Vec<LedgerEntry> =
+        cluster.model_runs().into_iter().filter(|run| run.resumed_at > 0).collect();
+    assert!(!resumed.is_empty(), "{}: no endpoint went on", case.name);
+    let moved = resumed.iter().any(|run| run.imported_from.is_some());
+    assert_eq!(moved, case.moves_kv, "{}: {resumed:?}", case.name);
+}
+
+/// An operator stops an entry instance for an upgrade while answers run and the balancer has not
+/// looked yet. A stop that closes at once cuts answers off and refuses connections.
+#[test]
+fn a_planned_stop_serves_during_its_notice_and_cuts_nothing() {
+    let mut cluster = Cluster::start("stop", 1, 1, "10");
+    let entry = cluster.entries[0].address;
+    let long = body(PROMPT, 250, true);
+    let asked = ask(entry, &[], &long);
+    cluster.running(10);
+    signal(&cluster.entries[0], "-TERM");
+    wait_until("it turns not ready", || {
+        http(entry, "GET", "/readyz", &[], "").is_some_and(|a| a.status == 503)
+    });
+    let late = body("A request that the balancer still sends here.", 5, true);
+    let answer = call(entry, "/v1/chat/completions", &[], &late).expect("an answer");
+    assert_whole(&late, &answer);
+    assert_whole(&long, &asked.join().expect("no panic").expect("an answer"));
+    let status = cluster.entries[0].program.0.wait().expect("it ends");
+    assert_eq!(status.code(), Some(0));
+}
+
+/// Reads a stream until it breaks off.
+fn read_until_cut(entry: SocketAddr, key: &str, body: &str) -> String {
+    let mut stream = TcpStream::connect(entry).expect("a connection");
+    stream.set_read_timeout(Some(Duration::from_secs(60))).expect("a timeout");
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CALLER_KEY}\r\n\
+         idempotency-key: {key}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).expect("the request is sent");
+    let mut all = Vec::new();
+    let mut buf = [0; 4096];
+    while let Ok(n @ 1..) = stream.read(&mut buf) {
+        all.extend_from_slice(&buf[..n]);
+        if all.ends_with(b"0\r\n\r\n") {
+            break;
+        }
+    }
+    String::from_utf8_lossy(&all).into_owned()
+}
+
+/// The entry instance that holds a caller's stream is reclaimed. Its peer goes on with the answer;
+/// the caller, cut off, comes back through the peer with its key and gets the whole. Were the
+/// request begun again, its long prompt would be computed twice.
+#[test]
+fn a_caller_gets_the_whole_answer_after_its_entry_was_reclaimed() {
+    let cluster = Cluster::start("entry", 2, 2, "10");
+    let body = body(PROMPT, 300, true);
+    let (first, second) = (cluster.entries[0].address, cluster.entries[1].address);
+    let sent = body.clone();
+    let reader = thread::spawn(move || read_until_cut(first, "parcel-17", &sent));
+    let endpoint = cluster.running(30);
+    cluster.reclaim(first, 1000);
+    let cut = reader.join().expect("no panic");
+    assert!(cut.contains("id: 29"), "the first part came: {cut}");
+    assert!(!cut.contains("[DONE]"), "a cut answer must not look whole");
+    let answer = call(second, "/v1/chat/completions", &["idempotency-key: parcel-17"], &body);
+    assert_whole(&body, &answer.expect("an answer"));
+    let runs = cluster.model_runs();
+    let from_the_start = runs.iter().filter(|run| run.resumed_at == 0).count();
+    assert_eq!(from_the_start, 1, "{runs:?}");
+    assert!(runs.iter().any(|run| run.resumed_at > 0), "{runs:?}, first at {endpoint}");
+}
+
+/// A caller loses its connection and sends a keyed request again through another entry instance,
+/// while it runs and after it has ended. Nothing is computed a second time.
+#[test]
+fn a_key_sent_again_through_another_entry_gets_the_running_answer() {
+    let cluster = Cluster::start("again", 2, 2, "5");
+    let body = body(PROMPT, 100, true);
+    let asked = ask(cluster.entries[0].address, &["idempotency-key: k1"], &body);
+    cluster.running(10);
+    for stream in [true, false] {
+        let again = call(
+            cluster.entries[1].address,
+            "/v1/chat/completions",
+            &["idempotency-key: k1"],
+            &body,
+        );
+        assert_whole(&body, &again.expect("an answer"));
+        let other = self::body(PROMPT, 101, stream);
+        let refused = ask(cluster.entries[1].address, &["idempotency-key: k1"], &other);
+        let refused = refused.join().expect("no panic").expect("an answer");
+        assert_eq!(refused.status, 409, "{refused:?}");
+    }
+    assert_whole(&body, &asked.join().expect("no panic").expect("an answer"));
+    assert_eq!(cluster.model_runs().len(), 1);
+}
