Routing by expected cost, with bounded prefix knowledge and corrected load

Cause: the router chose the endpoint with the fewest of our own requests and knew nothing of caches, lagging reports, reclaims or priorities. The router now keeps the cached blocks of each endpoint in bounded memory, corrects reported load by its own dispatches since the sample, and picks the lowest expected cost. Baselines stay behind Policy.

--- /dev/null
+++ b/coordination/route/benches/choose.rs
@@ -0,0 +1,95 @@
+//! Time of one choice against the number of endpoints, and memory of the knowledge it rests on.
+
+use std::time::Instant;
+
+use sill_base::{Machine, Millis, Name};
+use sill_route::{Ask, Choice, Event, Policy, PolicyCfg, Router, RouterCfg, Target};
+use sill_wire::{Announcement, Incarnation, Load, Priority, Role, Served};
+
+const PREFIXES: u64 = 40;
+const BLOCKS: u64 = 60;
+const CHOICES: u64 = 20_000;
+
+fn announcement(number: usize) -> Announcement {
+    Announcement {
+        name: format!("lm-{number}").into(),
+        incarnation: Incarnation(1),
+        sequence: 1,
+        address: "127.0.0.1:1".into(),
+        domain: format!("d{}", number % 10).into(),
+        class: Name::default(),
+        reclaimable: !number.is_multiple_of(3),
+        price: 1000,
+        serves: vec![Served::Model {
+            model: "m".into(),
+            version: Name::default(),
+            adapters: vec![],
+        }],
+        role: Role::Mixed,
+        slots: 16,
+        prefill_tokens_per_s: 8000,
+        decode_ms: 20,
+        cache_tokens: 200_000,
+        load: Load::default(),
+        leaving: None,
+        checks_fencing: true,
+    }
+}
+
+fn ask(number: u64) -> Ask {
+    let prefix = number % PREFIXES;
+    Ask {
+        request: format!("r-{number}").into(),
+        target: Target::Model("m".into()),
+        blocks: (0..BLOCKS).map(|b| prefix << 32 | b).chain([number << 40]).collect(),
+        prompt_tokens: (BLOCKS + 1) * 64,
+        max_tokens: 64,
+        priority: Priority::Normal,
+        deadline: Millis::MAX,
+        exclude: Vec::new(),
+    }
+}
+
+fn measure(policy: Policy, endpoints: usize, warm: bool) -> f64 {
+    let policy = PolicyCfg { policy, ..PolicyCfg::default() };
+    let mut router = Router::with_policy(RouterCfg { domain: "d1".into(), seed: 1 }, policy);
+    let now = Millis(20_000);
+    for number in 0..endpoints {
+        let announced = Event::Announced { announcement: announcement(number), age: Millis(100) };
+        router.step(now - Millis(15_000), announced.clone(), &mut Vec::new());
+        let Event::Announced { mut announcement, age } = announced else { unreachable!() };
+        announcement.sequence = 2;
+        router.step(now, Event::Announced { announcement, age }, &mut Vec::new());
+        // Every prompt cached everywhere is the slowest case for the walk over the blocks.
+        for prefix in 0..if warm { PREFIXES } else { 0 } {
+            let (endpoint, ask) = (Name::from(format!("lm-{number}")), ask(prefix));
+            let request = ask.request.clone();
+            router.step(now, Event::Sent { endpoint: endpoint.clone(), ask }, &mut Vec::new());
+            let outcome = sill_route::Outcome::Finished;
+            let ended = Event::Ended { endpoint, request, tokens: 1, outcome };
+            router.step(now, ended, &mut Vec::new());
+        }
+    }
+    let asks: Vec<Ask> = (0..CHOICES).map(ask).collect();
+    let began = Instant::now();
+    let mut chosen = 0;
+    for ask in &asks {
+        chosen += u32::from(matches!(router.choose(now, ask), Choice::Endpoint(_)));
+    }
+    assert_eq!(u64::from(chosen), CHOICES);
+    began.elapsed().as_secs_f64() * 1e6 / CHOICES as f64
+}
+
+fn main() {
+    println!("microseconds for one choice; warm: every prompt is cached at every endpoint");
+    println!("endpoints  cost/cold  cost/warm  least-loaded  random");
+    for endpoints in [12, 60, 120, 300, 600] {
+        println!(
+            "{endpoints:>9}  {:>9.2}  {:>9.2}  {:>12.2}  {:>6.2}",
+            measure(Policy::Cost, endpoints, false),
+            measure(Policy::Cost, endpoints, true),
+            measure(Policy::LeastLoaded, endpoints, false),
+            measure(Policy::Random, endpoints, false),
+        );
+    }
+}
--- a/coordination/route/src/lib.rs
+++ b/coordination/route/src/lib.rs
@@ -1,7 +1,18 @@
 //! Choice of the endpoint for a request: prefix cache, lagging load, bounded load, reclaim risk, price.
 
 pub mod ask;
+mod endpoint;
+mod holders;
+pub mod policy;
+pub mod prefix;
+pub mod retry;
+mod risk;
 pub mod router;
+mod score;
+pub mod weaken;
 
 pub use ask::{Ask, Choice, Chosen, Event, Outcome, Refusal, RefusalReason, Target};
+pub use policy::{LoadFactor, Policy, PolicyCfg};
+pub use retry::{RetryBudget, RetryCfg};
 pub use router::{Router, RouterCfg};
+pub use weaken::Weakening;
--- /dev/null
+++ b/coordination/route/src/policy.rs
@@ -0,0 +1,112 @@
+//! How endpoints are compared, and the figures that the comparison uses.
+
+use sill_base::Millis;
+use sill_wire::Priority;
+
+/// How an endpoint is chosen among those that may be.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Policy {
+    /// The lowest expected cost; all others are baselines to measure it against.
+    #[default]
+    Cost,
+    /// Any endpoint.
+    Random,
+    /// The endpoint with the fewest requests for its slots.
+    LeastLoaded,
+    /// The longest cached prefix, however busy the endpoint is.
+    PrefixOnly,
+}
+
+/// Figures of the router.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PolicyCfg {
+    /// How endpoints are compared.
+    pub policy: Policy,
+    /// How long an announcement may be used after it was sent.
+    pub announcement_ttl: Millis,
+    /// How long the newest word of an endpoint that went is kept, against late copies.
+    pub tombstone_ttl: Millis,
+    /// How long a block is believed to be cached after it was last used.
+    pub block_ttl: Millis,
+    /// Cached blocks remembered over all endpoints.
+    pub max_blocks: usize,
+    /// Requests at an endpoint, in parts of its slots, up to which a request is sent there.
+    pub load_factor: LoadFactor,
+    /// Time in which a new endpoint comes up to its full slots.
+    pub slow_start: Millis,
+    /// Added cost of another failure domain.
+    pub elsewhere: Millis,
+    /// Weight of the cost of delaying the answers that an endpoint already generates.
+    pub slowdown_weight: f64,
+    /// Weight of an endpoint's price against the dearest, on the time that a request takes.
+    pub price_weight: f64,
+    /// Chance in a second that a reclaimable endpoint is reclaimed, while nothing points to it.
+    pub reclaim_per_s: f64,
+    /// How long one reclaim makes others of its failure domain likely.
+    pub wave_window: Millis,
+    /// Weight of the work lost by a reclaim.
+    pub risk_weight: f64,
+    /// Cost within which endpoints count as equal and the prompt's first block decides.
+    pub tie: Millis,
+    /// Prefill speed of endpoints that name none, in tokens a second.
+    pub prefill_tokens_per_s: u32,
+    /// Time between tokens of endpoints that name none.
+    pub decode: Millis,
+    /// Time for which an endpoint is passed over after it failed, doubled with each failure.
+    pub suspect: Millis,
+    /// Shortest time after which a refused caller may come back.
+    pub retry_after: Millis,
+}
+
+/// Load factors by priority: low is refused first.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LoadFactor {
+    /// For low priority.
+    pub low: f64,
+    /// For normal priority.
+    pub normal: f64,
+    /// For high priority.
+    pub high: f64,
+}
+
+impl LoadFactor {
+    /// Returns the factor of a priority.
+    pub fn of(&self, priority: Priority) -> f64 {
+        match priority {
+            Priority::Low => self.low,
+            Priority::Normal => self.normal,
+            Priority::High => self.high,
+        }
+    }
+}
+
+impl Default for LoadFactor {
+    fn default() -> Self {
+        Self { low: 1.0, normal: 1.25, high: 1.5 }
+    }
+}
+
+impl Default for PolicyCfg {
+    fn default() -> Self {
+        Self {
+            policy: Policy::Cost,
+            announcement_ttl: Millis(5_000),
+            tombstone_ttl: Millis(600_000),
+            block_ttl: Millis(600_000),
+            max_blocks: 1 << 18,
+            load_factor: LoadFactor::default(),
+            slow_start: Millis(10_000),
+            elsewhere: Millis(200),
+            slowdown_weight: 0.0,
+            price_weight: 0.1,
+            reclaim_per_s: 1.0 / 21_600.0,
+            wave_window: Millis(30_000),
+            risk_weight: 1.0,
+            tie: Millis(0),
+            prefill_tokens_per_s: 5_000,
+            decode: Millis(20),
+            suspect: Millis(1_000),
+            retry_after: Millis(1_000),
+        }
+    }
+}
--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -1,9 +1,19 @@
 //! The router of one entry instance.
 
-use sill_base::{Machine, Map, Millis, Name};
-use sill_wire::Announcement;
+use rand::Rng as _;
+use sill_base::random::{self, Rng};
+use sill_base::{Machine, Map, Millis, Name, Promise, keep};
+use sill_wire::endpoint::{CacheEvent, CacheEvents};
+use sill_wire::prefix::BLOCK_TOKENS;
+use sill_wire::{Announcement, Incarnation, Role};
 
 use crate::ask::{Ask, Choice, Chosen, Event, Refusal, RefusalReason, Target};
+use crate::endpoint::Endpoint;
+use crate::policy::PolicyCfg;
+use crate::prefix::{Depths, PrefixIndex};
+use crate::risk::Waves;
+use crate::score::{Candidate, Scorer};
+use crate::weaken::Weakening;
 
 /// Settings of a router.
 #[derive(Debug, Clone)]
@@ -18,46 +28,346 @@
 #[derive(Debug)]
 pub struct Router {
     cfg: RouterCfg,
+    policy: PolicyCfg,
+    rng: Rng,
     endpoints: Map<Name, Endpoint>,
+    newest: Map<Name, Word>,
+    prefixes: PrefixIndex,
+    free_slots: Vec<usize>,
+    slots: usize,
+    waves: Waves,
+    depths: Depths,
+    reclaimable_left: Map<Name, u32>,
+    dearest: u64,
+    weakening: Option<Weakening>,
 }
 
-#[derive(Debug)]
-struct Endpoint {
-    announcement: Announcement,
-    own: u32,
+/// The newest thing heard of an endpoint, kept apart from its state so that the promise is checked
+/// against what was heard and not against what was made of it.
+#[derive(Debug, Clone, Copy)]
+struct Word {
+    incarnation: Incarnation,
+    sequence: u64,
+    leaving: bool,
+    at: Millis,
+}
+
+/// Why an endpoint is not chosen.
+enum Unfit {
+    /// It does not serve the target, or may not be given work.
+    No,
+    /// It has all it may take.
+    Full,
+    /// It would be too late.
+    Late,
 }
 
 impl Router {
     /// Makes a router that knows no endpoint.
     pub fn new(cfg: RouterCfg) -> Self {
-        Self { cfg, endpoints: Map::default() }
+        Self::with_policy(cfg, PolicyCfg::default())
+    }
+
+    /// Makes a router with other figures than the default ones.
+    pub fn with_policy(cfg: RouterCfg, policy: PolicyCfg) -> Self {
+        Self {
+            rng: random::seeded(cfg.seed),
+            prefixes: PrefixIndex::new(policy.block_ttl),
+            cfg,
+            policy,
+            endpoints: Map::default(),
+            newest: Map::default(),
+            free_slots: Vec::new(),
+            slots: 0,
+            waves: Waves::default(),
+            depths: Depths::default(),
+            reclaimable_left: Map::default(),
+            dearest: 0,
+            weakening: None,
+        }
+    }
+
+    /// Leaves out one rule, for tests of the checks.
+    pub fn weaken(&mut self, weakening: Weakening) {
+        self.weakening = Some(weakening);
+    }
+
+    /// Returns the number of endpoints it knows.
+    pub fn endpoints(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Returns the number of cached blocks it remembers over all endpoints.
+    pub fn blocks(&self) -> usize {
+        self.prefixes.len()
+    }
+
+    /// Returns the leading prompt tokens that an endpoint is thought to hold.
+    pub fn cached_tokens(&self, endpoint: &str, blocks: &[u64]) -> u64 {
+        let Some(endpoint) = self.endpoints.get(endpoint) else {
+            return 0;
+        };
+        let mut depths = Depths::default();
+        self.prefixes.depths(blocks, self.slots, &mut depths);
+        u64::from(depths.of(endpoint.slot)) * BLOCK_TOKENS as u64
     }
 
     /// Chooses an endpoint, or says why there is none. The caller reports a request that it sends
     /// by [`Event::Sent`].
-    pub fn choose(&mut self, _now: Millis, ask: &Ask) -> Choice {
-        let may_take = |e: &&Endpoint| {
-            let a = &e.announcement;
-            a.leaving.is_none() && !ask.exclude.contains(&a.name) && ask.target.is_served_by(a)
+    pub fn choose(&mut self, now: Millis, ask: &Ask) -> Choice {
+        let mut depths = std::mem::take(&mut self.depths);
+        self.prefixes.depths(&ask.blocks, self.slots, &mut depths);
+        let choice = self.choose_by(now, ask, &depths);
+        self.depths = depths;
+        if let Choice::Endpoint(chosen) = &choice {
+            self.check_choice(now, chosen);
+        }
+        choice
+    }
+
+    fn choose_by(&mut self, now: Millis, ask: &Ask, depths: &Depths) -> Choice {
+        let mut scorer = Scorer::new(&self.policy, ask, self.dearest);
+        let mut reason = RefusalReason::NoEndpoint;
+        for endpoint in self.endpoints.values() {
+            let cached = u64::from(depths.of(endpoint.slot)) * BLOCK_TOKENS as u64;
+            let candidate = self.candidate(now, ask, endpoint, cached);
+            match self.check(now, ask, &candidate) {
+                Ok(()) => scorer.offer(candidate, &mut self.rng),
+                Err(Unfit::No) => {}
+                Err(Unfit::Full) => reason = RefusalReason::Full,
+                Err(Unfit::Late) if reason == RefusalReason::NoEndpoint => {
+                    reason = RefusalReason::Deadline;
+                }
+                Err(Unfit::Late) => {}
+            }
+        }
+        match scorer.best() {
+            Some(best) => Choice::Endpoint(best.chosen(ask)),
+            None => Choice::Refuse(self.refusal(reason)),
+        }
+    }
+
+    fn candidate<'a>(
+        &self,
+        now: Millis,
+        ask: &Ask,
+        endpoint: &'a Endpoint,
+        cached: u64,
+    ) -> Candidate<'a> {
+        let a = &endpoint.announcement;
+        let reclaim_per_s = if a.reclaimable {
+            let left = self.reclaimable_left.get(&a.domain).copied().unwrap_or(0);
+            self.waves.chance_per_s(&a.domain, left, now, &self.policy)
+        } else {
+            0.0
+        };
+        let active = match self.weakening {
+            Some(Weakening::TrustLaggingLoad) => a.load.running + a.load.queued,
+            _ => endpoint.active(),
+        };
+        Candidate {
+            endpoint,
+            cached: cached.min(ask.prompt_tokens),
+            active,
+            usable_slots: endpoint.usable_slots(now, &self.policy),
+            elsewhere: a.domain != self.cfg.domain,
+            suspect: endpoint.is_suspect(now),
+            reclaim_per_s,
+        }
+    }
+
+    fn check(&self, now: Millis, ask: &Ask, candidate: &Candidate<'_>) -> Result<(), Unfit> {
+        let endpoint = candidate.endpoint;
+        let a = &endpoint.announcement;
+        let skips = |weakening| self.weakening == Some(weakening);
+        let leaving = a.leaving.is_some() && !skips(Weakening::ChooseLeaving);
+        let expired = endpoint.is_expired(now, &self.policy) && !skips(Weakening::KeepExpired);
+        let role_fits = skips(Weakening::IgnoreRole) || takes(a.role, ask);
+        if leaving || expired || !role_fits || ask.exclude.contains(&a.name) {
+            return Err(Unfit::No);
+        }
+        if !ask.target.is_served_by(a) {
+            return Err(Unfit::No);
+        }
+        let factor = self.policy.load_factor.of(ask.priority);
+        let bound = (candidate.usable_slots * factor).max(1.0);
+        let over_bound = f64::from(candidate.active) >= bound;
+        if over_bound && !(skips(Weakening::UnboundedLoad) && candidate.cached > 0) {
+            return Err(Unfit::Full);
+        }
+        if ask.deadline != Millis::MAX {
+            let needed = Millis(candidate.answer_ms(&self.policy, ask) as u64);
+            if now + needed > ask.deadline {
+                return Err(Unfit::Late);
+            }
+        }
+        Ok(())
+    }
+
+    /// Jittered, because callers that were refused together would otherwise come back together.
+    fn refusal(&mut self, reason: RefusalReason) -> Refusal {
+        let base = self.policy.retry_after.0.max(1);
+        Refusal { reason, retry_after: Millis(base + self.rng.random_range(0..2 * base)) }
+    }
+
+    fn check_choice(&self, now: Millis, chosen: &Chosen) {
+        let Some(word) = self.newest.get(&chosen.endpoint) else {
+            return;
+        };
+        keep!(
+            Promise::LeavingGetsNothing,
+            !word.leaving && word.incarnation == chosen.incarnation,
+            "at {now} endpoint {} was chosen {} after it said that it is leaving",
+            chosen.endpoint,
+            now.since(word.at)
+        );
+    }
+
+    /// Takes in an announcement unless something newer is known of the endpoint: a late copy must
+    /// not bring back an endpoint that is leaving or gone.
+    fn announced(&mut self, now: Millis, announcement: Announcement, age: Millis) {
+        let (incarnation, sequence) = (announcement.incarnation, announcement.sequence);
+        let newest = self.newest.get(&announcement.name);
+        let is_news = newest.is_none_or(|w| (w.incarnation, w.sequence) < (incarnation, sequence));
+        let is_known = self.endpoints.contains_key(&announcement.name);
+        let is_taken = match self.weakening {
+            Some(Weakening::OldAnnouncementOverrides) => true,
+            Some(Weakening::NoTombstones) if !is_known => true,
+            _ => is_news,
+        };
+        if !is_taken {
+            return;
+        }
+        let leaving = announcement.leaving.is_some();
+        let was_leaving = newest.is_some_and(|w| w.leaving && w.incarnation == incarnation);
+        if leaving && !was_leaving && announcement.reclaimable {
+            self.waves.reclaimed(&announcement.domain, now, &self.policy);
+        }
+        if is_news {
+            let word = Word { incarnation, sequence, leaving, at: now };
+            self.newest.insert(announcement.name.clone(), word);
+        }
+        self.store(now, announcement, age);
+        self.survey();
+    }
+
+    fn store(&mut self, now: Millis, announcement: Announcement, age: Millis) {
+        let name = announcement.name.clone();
+        let cache_tokens = announcement.cache_tokens;
+        match self.endpoints.get_mut(&name) {
+            Some(known) if known.incarnation() == announcement.incarnation => {
+                known.update(announcement, now, age);
+            }
+            _ => {
+                self.drop_endpoint(&name);
+                let slot = self.take_slot();
+                let endpoint = Endpoint::new(announcement, slot, now, age);
+                self.endpoints.insert(name.clone(), endpoint);
+                self.share_memory();
+            }
+        }
+        let share = self.block_share();
+        let slot = self.endpoints[&name].slot;
+        self.prefixes.set_capacity(slot, share.min(cache_tokens as usize / BLOCK_TOKENS));
+    }
+
+    fn gone(&mut self, now: Millis, name: &Name, incarnation: Incarnation) {
+        let Some(endpoint) = self.endpoints.get(name) else {
+            return;
+        };
+        if endpoint.incarnation() > incarnation {
+            return;
+        }
+        let a = &endpoint.announcement;
+        if a.reclaimable && a.leaving.is_none() {
+            self.waves.reclaimed(&a.domain.clone(), now, &self.policy);
+        }
+        self.drop_endpoint(name);
+        self.survey();
+        self.forget_words(now);
+    }
+
+    fn drop_endpoint(&mut self, name: &Name) {
+        if let Some(endpoint) = self.endpoints.remove(name) {
+            self.prefixes.clear(endpoint.slot);
+            self.free_slots.push(endpoint.slot);
+        }
+    }
+
+    fn take_slot(&mut self) -> usize {
+        self.free_slots.pop().unwrap_or_else(|| {
+            self.slots += 1;
+            self.slots - 1
+        })
+    }
+
+    fn block_share(&self) -> usize {
+        self.policy.max_blocks / self.endpoints.len().max(1)
+    }
+
+    /// Lowers what is remembered of each endpoint to its share of the memory.
+    fn share_memory(&mut self) {
+        let share = self.block_share();
+        for endpoint in self.endpoints.values() {
+            let held = endpoint.announcement.cache_tokens as usize / BLOCK_TOKENS;
+            self.prefixes.set_capacity(endpoint.slot, share.min(held));
+        }
+    }
+
+    /// Counts over all endpoints what each choice needs.
+    fn survey(&mut self) {
+        self.reclaimable_left.clear();
+        self.dearest = 0;
+        for endpoint in self.endpoints.values() {
+            let a = &endpoint.announcement;
+            self.dearest = self.dearest.max(a.price);
+            if a.reclaimable && a.leaving.is_none() {
+                *self.reclaimable_left.entry(a.domain.clone()).or_default() += 1;
+            }
+        }
+    }
+
+    fn forget_words(&mut self, now: Millis) {
+        let (endpoints, ttl) = (&self.endpoints, self.policy.tombstone_ttl);
+        self.newest.retain(|name, word| endpoints.contains_key(name) || now.since(word.at) <= ttl);
+    }
+
+    fn sent(&mut self, now: Millis, name: &Name, ask: &Ask) {
+        let cached = self.cached_tokens(name, &ask.blocks);
+        let Some(endpoint) = self.endpoints.get_mut(name) else {
+            return;
         };
-        let candidates = self.endpoints.values().filter(may_take);
-        let best = candidates.min_by_key(|e| {
-            let elsewhere = e.announcement.domain != self.cfg.domain;
-            (elsewhere, e.own, e.announcement.name.clone())
-        });
-        match best {
-            Some(best) => Choice::Endpoint(Chosen {
-                endpoint: best.announcement.name.clone(),
-                incarnation: best.announcement.incarnation,
-                address: best.announcement.address.clone(),
-                cached_tokens: 0,
-                expected_ttft: Millis::ZERO,
-                why: "least loaded".into(),
-            }),
-            None => Choice::Refuse(Refusal {
-                reason: RefusalReason::NoEndpoint,
-                retry_after: Millis(1000),
-            }),
+        let prefill = ask.prompt_tokens.saturating_sub(cached);
+        endpoint.sent(now, ask.request.clone(), prefill);
+        self.prefixes.insert(endpoint.slot, &ask.blocks, now);
+    }
+
+    /// Applies cache events in order. Each lost event may have dropped one block, and caches drop
+    /// what was used longest ago, so a gap forgets as many of the oldest blocks.
+    fn cache_events(&mut self, now: Millis, batch: CacheEvents) {
+        let Some(endpoint) = self.endpoints.get_mut(&batch.name) else {
+            return;
+        };
+        if endpoint.incarnation() != batch.incarnation {
+            return;
+        }
+        let slot = endpoint.slot;
+        let expected = endpoint.next_event.unwrap_or(batch.sequence);
+        let end = batch.sequence + batch.events.len() as u64;
+        let is_late = batch.sequence < expected;
+        endpoint.next_event = Some(end.max(expected));
+        let lost = batch.sequence.saturating_sub(expected);
+        if self.weakening != Some(Weakening::IgnoreGaps) {
+            self.prefixes.forget_oldest(slot, lost as usize);
+        }
+        for event in batch.events {
+            match event {
+                // What a late batch says was stored may have been dropped since.
+                CacheEvent::Stored { .. } if is_late => {}
+                CacheEvent::Stored { block } => self.prefixes.insert(slot, &[block], now),
+                CacheEvent::Dropped { block } => self.prefixes.remove(slot, block),
+                CacheEvent::Cleared => self.prefixes.clear(slot),
+            }
         }
     }
 }
@@ -67,26 +377,22 @@
     type Action = ();
     type Event = Event;
 
-    fn step(&mut self, _now: Millis, event: Event, _out: &mut Vec<()>) {
+    fn step(&mut self, now: Millis, event: Event, _out: &mut Vec<()>) {
         match event {
-            Event::Announced { announcement, .. } => {
-                let own = self.endpoints.get(&announcement.name).map_or(0, |e| e.own);
-                self.endpoints.insert(announcement.name.clone(), Endpoint { announcement, own });
-            }
-            Event::Gone { endpoint, .. } => {
-                self.endpoints.remove(&endpoint);
-            }
-            Event::Sent { endpoint, .. } => {
+            Event::Announced { announcement, age } => self.announced(now, announcement, age),
+            Event::Gone { endpoint, incarnation } => self.gone(now, &endpoint, incarnation),
+            Event::Cache(batch) => self.cache_events(now, batch),
+            Event::Sent { endpoint, ask } => self.sent(now, &endpoint, &ask),
+            Event::FirstToken { endpoint, request } => {
                 if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
-                    endpoint.own += 1;
+                    endpoint.first_token(now, &request);
                 }
             }
-            Event::Ended { endpoint, .. } => {
+            Event::Ended { endpoint, request, outcome, .. } => {
                 if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
-                    endpoint.own = endpoint.own.saturating_sub(1);
+                    endpoint.ended(now, &request, outcome, &self.policy);
                 }
             }
-            Event::Cache(_) | Event::FirstToken { .. } => {}
         }
     }
 }
@@ -100,3 +406,12 @@
         }
     }
 }
+
+/// Returns whether a role takes a whole request. An answer of one token needs no decoding.
+fn takes(role: Role, ask: &Ask) -> bool {
+    match role {
+        Role::Mixed => true,
+        Role::Prefill => ask.max_tokens <= 1,
+        Role::Decode | Role::Standby => false,
+    }
+}
--- /dev/null
+++ b/coordination/route/src/score.rs
@@ -0,0 +1,165 @@
+//! Expected costs of sending a request to an endpoint, in milliseconds.
+
+use std::hash::{Hash, Hasher};
+
+use rand::Rng as _;
+use rustc_hash::FxHasher;
+use sill_base::Millis;
+use sill_base::random::Rng;
+
+use crate::ask::{Ask, Chosen};
+use crate::endpoint::Endpoint;
+use crate::policy::{Policy, PolicyCfg};
+
+/// An endpoint that may be chosen, with what the choice depends on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Candidate<'a> {
+    pub(crate) endpoint: &'a Endpoint,
+    /// Prompt tokens that it is thought to hold.
+    pub(crate) cached: u64,
+    /// Requests that it is thought to hold.
+    pub(crate) active: u32,
+    pub(crate) usable_slots: f64,
+    /// Whether it stands in another failure domain.
+    pub(crate) elsewhere: bool,
+    /// Whether it failed lately.
+    pub(crate) suspect: bool,
+    /// Chance of a reclaim in a second.
+    pub(crate) reclaim_per_s: f64,
+}
+
+/// Keeps the best candidate so far.
+pub(crate) struct Scorer<'a, 'p> {
+    cfg: &'p PolicyCfg,
+    ask: &'p Ask,
+    dearest: f64,
+    best: Option<Scored<'a>>,
+    offered: u32,
+}
+
+/// A candidate with its rank; lower is better.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Scored<'a> {
+    candidate: Candidate<'a>,
+    rank: Rank,
+    ttft_ms: f64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+struct Rank {
+    suspect: bool,
+    cost: f64,
+    tie_break: u64,
+}
+
+impl Candidate<'_> {
+    /// Returns the time until a slot is free, from the requests that stand before the others.
+    fn queue_ms(&self, cfg: &PolicyCfg, ask: &Ask) -> f64 {
+        let before = f64::from(self.active) + 1.0 - self.usable_slots;
+        let answer_ms = f64::from(ask.max_tokens) * self.endpoint.decode_ms(cfg);
+        let for_slot = before.max(0.0) * answer_ms / self.usable_slots;
+        for_slot + self.endpoint.prefill_ms(self.endpoint.pending_tokens(), cfg)
+    }
+
+    fn prefill_ms(&self, cfg: &PolicyCfg, ask: &Ask) -> f64 {
+        self.endpoint.prefill_ms(ask.prompt_tokens.saturating_sub(self.cached), cfg)
+    }
+
+    fn ttft_ms(&self, cfg: &PolicyCfg, ask: &Ask) -> f64 {
+        self.queue_ms(cfg, ask) + self.prefill_ms(cfg, ask)
+    }
+
+    /// Returns the expected time to the whole answer.
+    pub(crate) fn answer_ms(&self, cfg: &PolicyCfg, ask: &Ask) -> f64 {
+        self.ttft_ms(cfg, ask) + f64::from(ask.max_tokens) * self.endpoint.decode_ms(cfg)
+    }
+
+    /// Returns the expected cost: waiting, the prompt's rest, the delay of answers that run there,
+    /// the price of the time taken, and the work that a reclaim would destroy.
+    fn cost(&self, cfg: &PolicyCfg, ask: &Ask, dearest: f64) -> f64 {
+        let prefill = self.prefill_ms(cfg, ask);
+        let answer = self.answer_ms(cfg, ask);
+        let slowdown = prefill * f64::from(self.active) * cfg.slowdown_weight;
+        let price = self.endpoint.announcement.price as f64 / dearest.max(1.0);
+        let busy = prefill + (answer - prefill) / self.usable_slots;
+        let at_stake = ask.prompt_tokens + u64::from(ask.max_tokens) / 2;
+        let chance = (self.reclaim_per_s * answer / 1000.0).min(1.0);
+        let risk = chance * self.endpoint.prefill_ms(at_stake, cfg);
+        let elsewhere = if self.elsewhere { cfg.elsewhere.0 as f64 } else { 0.0 };
+        self.queue_ms(cfg, ask)
+            + prefill
+            + slowdown
+            + price * busy * cfg.price_weight
+            + risk * cfg.risk_weight
+            + elsewhere
+    }
+}
+
+impl<'a, 'p> Scorer<'a, 'p> {
+    pub(crate) fn new(cfg: &'p PolicyCfg, ask: &'p Ask, dearest: u64) -> Self {
+        Self { cfg, ask, dearest: dearest as f64, best: None, offered: 0 }
+    }
+
+    /// Keeps the candidate if it is the best so far.
+    pub(crate) fn offer(&mut self, candidate: Candidate<'a>, rng: &mut Rng) {
+        self.offered += 1;
+        let rank = self.rank(&candidate, rng);
+        if self.best.is_none_or(|best| rank < best.rank) {
+            let ttft_ms = candidate.ttft_ms(self.cfg, self.ask);
+            self.best = Some(Scored { candidate, rank, ttft_ms });
+        }
+    }
+
+    pub(crate) fn best(self) -> Option<Scored<'a>> {
+        self.best
+    }
+
+    fn rank(&self, candidate: &Candidate<'_>, rng: &mut Rng) -> Rank {
+        let fill = f64::from(candidate.active) / candidate.usable_slots;
+        let cost = match self.cfg.policy {
+            Policy::Cost => {
+                let cost = candidate.cost(self.cfg, self.ask, self.dearest);
+                // Costs are compared in steps, so that entry instances which see nearly the same
+                // costs agree on the endpoint for a new prompt, and it is computed once.
+                let step = self.cfg.tie.0 as f64;
+                if step > 0.0 { (cost / step).floor() } else { cost }
+            }
+            Policy::Random => 0.0,
+            Policy::LeastLoaded => fill,
+            Policy::PrefixOnly => -(candidate.cached as f64),
+        };
+        let tie_break = match self.cfg.policy {
+            Policy::Cost => rendezvous(self.ask, &candidate.endpoint.announcement.name),
+            _ => rng.random(),
+        };
+        Rank { suspect: candidate.suspect, cost, tie_break }
+    }
+}
+
+impl Scored<'_> {
+    /// Turns it into the router's answer.
+    pub(crate) fn chosen(&self, ask: &Ask) -> Chosen {
+        let Candidate { endpoint, cached, active, .. } = self.candidate;
+        let a = &endpoint.announcement;
+        let why = format!(
+            "cached {cached} of {} tokens, {active} active on {} slots, cost {:.0} ms",
+            ask.prompt_tokens, a.slots, self.rank.cost
+        );
+        Chosen {
+            endpoint: a.name.clone(),
+            incarnation: a.incarnation,
+            address: a.address.clone(),
+            cached_tokens: cached,
+            expected_ttft: Millis(self.ttft_ms as u64),
+            why,
+        }
+    }
+}
+
+/// Orders endpoints in the same way at every entry instance, by the prompt's first block.
+fn rendezvous(ask: &Ask, endpoint: &str) -> u64 {
+    let mut hasher = FxHasher::default();
+    ask.blocks.first().hash(&mut hasher);
+    endpoint.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/coordination/route/tests/choice.rs
@@ -0,0 +1,153 @@
+//! What the router prefers, as tables of cases.
+
+mod support;
+
+use sill_base::{Machine, Millis};
+use sill_route::{
+    Ask, Choice, Event, RefusalReason, RetryBudget, RetryCfg, Router, RouterCfg, Target,
+};
+use sill_wire::{Announcement, Load, Priority};
+
+use support::{ask, endpoint};
+
+const NOW: Millis = Millis(100_000);
+
+struct Case {
+    name: &'static str,
+    endpoints: Vec<Announcement>,
+    cached_at: Option<&'static str>,
+    ask: Ask,
+    expected: Result<&'static str, RefusalReason>,
+}
+
+fn busy(name: &str, domain: &str, running: u32) -> Announcement {
+    let load = Load { running, ..Load::default() };
+    Announcement { load, ..endpoint(name, domain) }
+}
+
+fn cases() -> Vec<Case> {
+    let plain = || ask(1, 1, 100);
+    vec![
+        Case {
+            name: "the cached prefix wins",
+            endpoints: vec![endpoint("x", "a"), endpoint("y", "a")],
+            cached_at: Some("y"),
+            ask: plain(),
+            expected: Ok("y"),
+        },
+        Case {
+            name: "own domain before others",
+            endpoints: vec![busy("x", "a", 3), endpoint("y", "b")],
+            cached_at: None,
+            ask: plain(),
+            expected: Ok("x"),
+        },
+        Case {
+            name: "others before refusal",
+            endpoints: vec![busy("x", "a", 6), endpoint("y", "b")],
+            cached_at: None,
+            ask: plain(),
+            expected: Ok("y"),
+        },
+        Case {
+            name: "low priority is refused first",
+            endpoints: vec![busy("x", "a", 4)],
+            cached_at: None,
+            ask: Ask { priority: Priority::Low, ..plain() },
+            expected: Err(RefusalReason::Full),
+        },
+        Case {
+            name: "normal priority may queue a little",
+            endpoints: vec![busy("x", "a", 4)],
+            cached_at: None,
+            ask: plain(),
+            expected: Ok("x"),
+        },
+        Case {
+            name: "a deadline that can't be met is refused at once",
+            endpoints: vec![endpoint("x", "a")],
+            cached_at: None,
+            ask: Ask { deadline: NOW + Millis(1000), ..plain() },
+            expected: Err(RefusalReason::Deadline),
+        },
+        Case {
+            name: "on-demand for a long prompt while its domain is being reclaimed",
+            endpoints: vec![
+                Announcement { leaving: Some(Millis(9000)), ..endpoint("w", "a") },
+                endpoint("x", "a"),
+                Announcement { reclaimable: false, price: 1500, ..endpoint("y", "a") },
+            ],
+            cached_at: None,
+            ask: ask(1, 1, 800),
+            expected: Ok("y"),
+        },
+        Case {
+            name: "nothing serves it",
+            endpoints: vec![endpoint("x", "a")],
+            cached_at: None,
+            ask: Ask { target: Target::Model("other".into()), ..plain() },
+            expected: Err(RefusalReason::NoEndpoint),
+        },
+    ]
+}
+
+#[test]
+fn preferences() {
+    for case in cases() {
+        let mut router = Router::new(RouterCfg { domain: "a".into(), seed: 1 });
+        for announcement in case.endpoints {
+            let first = Announcement { sequence: 0, leaving: None, ..announcement.clone() };
+            let long_ago = NOW - Millis(60_000);
+            router.step(
+                long_ago,
+                Event::Announced { announcement: first, age: Millis::ZERO },
+                &mut Vec::new(),
+            );
+            router.step(NOW, Event::Announced { announcement, age: Millis::ZERO }, &mut Vec::new());
+        }
+        if let Some(endpoint) = case.cached_at {
+            let sent = Event::Sent { endpoint: endpoint.into(), ask: ask(9, 1, 100) };
+            router.step(NOW, sent, &mut Vec::new());
+            let (endpoint, request) = (endpoint.into(), "r-9".into());
+            router.step(NOW, Event::FirstToken { endpoint, request }, &mut Vec::new());
+        }
+        let got = match router.choose(NOW, &case.ask) {
+            Choice::Endpoint(chosen) => Ok(chosen.endpoint),
+            Choice::Refuse(refusal) => Err(refusal.reason),
+        };
+        assert_eq!(got, case.expected.map(Into::into), "{}", case.name);
+    }
+}
+
+/// A failure domain is lost and hundreds of callers are refused in the same moment. Were all told
+/// the same time, they would come back as one wave and be refused again.
+#[test]
+fn refused_callers_come_back_spread_out() {
+    let mut router = Router::new(RouterCfg { domain: "a".into(), seed: 1 });
+    let mut times: Vec<Millis> = (0..200)
+        .map(|request| match router.choose(NOW, &ask(request, 1, 1)) {
+            Choice::Refuse(refusal) => refusal.retry_after,
+            Choice::Endpoint(chosen) => panic!("there is no endpoint, but got {chosen:?}"),
+        })
+        .collect();
+    times.sort_unstable();
+    let fullest_100_ms = times.chunk_by(|a, b| a.0 / 100 == b.0 / 100).map(<[_]>::len).max();
+    assert!(times[0] >= Millis(1000) && times[199] < Millis(3000));
+    assert!(fullest_100_ms.unwrap() < 25, "{fullest_100_ms:?} of 200 in the same 100 ms");
+}
+
+/// An endpoint pool fails every request for a while. Were each retried, the pool would get its own
+/// load twice and never come back.
+#[test]
+fn retries_are_a_share_of_successes() {
+    let mut budget = RetryBudget::new(RetryCfg { share: 0.1, reserve: 10.0, max_pairs: 2 });
+    let (account, target) = ("desk".into(), Target::Model("m".into()));
+    let allowed = (0..1000).filter(|_| budget.may_retry(&account, &target)).count();
+    assert_eq!(allowed, 10);
+    for _ in 0..100 {
+        budget.succeeded(&account, &target);
+    }
+    let allowed = (0..1000).filter(|_| budget.may_retry(&account, &target)).count();
+    assert!((9..=10).contains(&allowed), "{allowed}");
+    assert!(budget.may_retry(&"fleet".into(), &target), "accounts don't spend each other's");
+}
--- a/daemons/entry/src/routing.rs
+++ b/daemons/entry/src/routing.rs
@@ -5,7 +5,7 @@
 use parking_lot::Mutex;
 use rustc_hash::FxHasher;
 use sill_base::{Machine, Millis, Name};
-use sill_route::{Ask, Choice, Event, Router, RouterCfg, Target};
+use sill_route::{Ask, Choice, Event, RetryBudget, RetryCfg, Router, RouterCfg, Target};
 use sill_wire::Served;
 
 use crate::cfg::EntryCfg;
@@ -16,14 +16,18 @@
 #[derive(Debug)]
 pub struct Routing {
     shards: Vec<Mutex<Router>>,
+    retries: Mutex<RetryBudget>,
 }
 
 impl Routing {
     /// Makes routers that know no endpoint.
     pub fn new(cfg: &EntryCfg) -> Self {
         let router =
-            |shard| Router::new(RouterCfg { domain: cfg.domain.clone(), seed: shard as u64 });
-        Self { shards: (0..SHARDS).map(|shard| Mutex::new(router(shard))).collect() }
+            |shard| Router::new(RouterCfg { domain: cfg.domain.clone(), seed: seed(cfg, shard) });
+        Self {
+            shards: (0..SHARDS).map(|shard| Mutex::new(router(shard))).collect(),
+            retries: Mutex::new(RetryBudget::new(RetryCfg::default())),
+        }
     }
 
     /// Chooses an endpoint and counts the request as sent there, under one lock, so that two
@@ -60,11 +64,30 @@
         }
     }
 
+    /// Returns whether a failed attempt may be sent again, and counts it if so. Moving a stream off
+    /// an endpoint that announced its reclaim is no retry and needs no leave.
+    pub fn may_retry(&self, account: &Name, target: &Target) -> bool {
+        self.retries.lock().may_retry(account, target)
+    }
+
+    /// Notes an answer that came whole, which earns a share of a retry.
+    pub fn succeeded(&self, account: &Name, target: &Target) {
+        self.retries.lock().succeeded(account, target);
+    }
+
     fn shard(&self, target: &Target) -> &Mutex<Router> {
         &self.shards[index(target)]
     }
 }
 
+/// Differs between entry instances, so that their jittered answers don't fall together.
+fn seed(cfg: &EntryCfg, shard: usize) -> u64 {
+    let mut hasher = FxHasher::default();
+    cfg.name.hash(&mut hasher);
+    shard.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn target(served: &Served) -> Target {
     match served {
         Served::Model { model, .. } => Target::Model(model.clone()),
