Experiment on routing: policies against each other through a reclaim wave

The real routers of 8 entry instances drive small endpoint models in virtual time, on shared prompts and on case files.

--- a/bench/load/src/cli.rs
+++ b/bench/load/src/cli.rs
@@ -55,6 +55,9 @@
 ///
 /// Fails when a flag is wrong or an answer was not whole.
 pub fn run(words: Vec<String>) -> Result<()> {
+    if words.first().is_some_and(|word| word == "experiment") {
+        return crate::experiment::cli::run(words[1..].to_vec());
+    }
     let mut values = match LOAD.read(words)? {
         Outcome::Help(text) => {
             print!("{text}");
--- /dev/null
+++ b/bench/load/src/experiment/cli.rs
@@ -0,0 +1,59 @@
+//! The command line of the experiments.
+
+use std::path::PathBuf;
+
+use eyre::{Result, WrapErr, bail};
+use serde::Serialize;
+use sill_setup::{Flag, Outcome, Program};
+
+use super::route;
+
+/// `sill-load experiment`.
+pub const EXPERIMENT: Program = Program {
+    name: "sill-load experiment",
+    about: "measures the decision cores against small models, in virtual time",
+    operands: "route",
+    flags: &[
+        Flag::with_default("seed", "N", "1", "seed of everything that is random"),
+        Flag::one("json", "FILE", "write the figures there"),
+    ],
+};
+
+/// Runs one experiment.
+///
+/// # Errors
+///
+/// Fails when the words are wrong or the file can't be written.
+pub fn run(mut words: Vec<String>) -> Result<()> {
+    let which = if words.is_empty() { String::new() } else { words.remove(0) };
+    let mut values = match EXPERIMENT.read(words)? {
+        Outcome::Help(text) => {
+            print!("{text}");
+            return Ok(());
+        }
+        Outcome::Values(values) => values,
+    };
+    let seed: Option<u64> = values.required("seed");
+    let json: Option<PathBuf> = values.optional("json");
+    values.finish()?;
+    let seed = seed.expect("present once the check succeeded");
+    match which.as_str() {
+        "route" => {
+            let tables = route::run(seed);
+            route::print(&tables);
+            write(json, &tables)
+        }
+        _ => bail!("expected one of: {}", EXPERIMENT.operands),
+    }
+}
+
+fn write<T>(json: Option<PathBuf>, figures: &T) -> Result<()>
+where
+    T: Serialize,
+{
+    let Some(path) = json else {
+        return Ok(());
+    };
+    let text = serde_json::to_string_pretty(figures)?;
+    std::fs::write(&path, text).wrap_err_with(|| path.display().to_string())
+}
--- /dev/null
+++ b/bench/load/src/experiment/figures.rs
@@ -0,0 +1,213 @@
+//! Figures of one run.
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use sill_base::Millis;
+use sill_wire::Priority;
+
+use super::model::Micros;
+use super::traffic::Mix;
+
+/// The time between tokens that is aimed for, in microseconds.
+const TOKEN_TARGET: Micros = 29_000;
+
+/// Length of a span of the time line.
+const SPAN: Micros = 10_000_000;
+
+/// Tokens that had been computed before, by why they were computed again.
+#[derive(Debug, Default, Clone, Copy, Serialize)]
+pub struct Recompute {
+    /// Another endpoint held them.
+    pub elsewhere: u64,
+    /// No endpoint held them any more.
+    pub evicted: u64,
+    /// The request was moved off an endpoint that was reclaimed.
+    pub reclaim: u64,
+}
+
+/// What happened in one span of time.
+#[derive(Debug, Default, Clone, Copy, Serialize)]
+pub struct Span {
+    /// Requests that arrived for the first time.
+    pub arrived: u64,
+    /// Whole answers.
+    pub answered: u64,
+    /// Whole answers within the latency target.
+    pub in_time: u64,
+    /// Refusals, with callers that gave up waiting.
+    pub refused: u64,
+    /// Requests that were given up on for good.
+    pub lost: u64,
+    /// Slowest first token in milliseconds.
+    pub worst_ttft_ms: u64,
+    /// Highest load of an endpoint, in percent of its slots.
+    pub fullest: u64,
+}
+
+/// Figures of one run.
+#[derive(Debug)]
+pub struct Figures {
+    mix: Mix,
+    /// Times to the first token in microseconds.
+    pub ttft: Histogram<u64>,
+    /// Mean times between tokens of each answer in microseconds.
+    pub between: Histogram<u64>,
+    /// The time line.
+    pub spans: Vec<Span>,
+    /// Recomputed tokens.
+    pub recompute: Recompute,
+    /// Prompt tokens of all runs.
+    pub prompt_tokens: u64,
+    /// Prompt tokens that were computed.
+    pub computed_tokens: u64,
+    /// Refusals by priority: low, normal, high.
+    pub refused: [u64; 3],
+    /// Price of all endpoints over the run.
+    pub fleet_cost: f64,
+    /// Time of one choice in microseconds.
+    pub decision_us: f64,
+}
+
+/// The figures of a table's row.
+#[derive(Debug, Clone, Serialize)]
+pub struct Row {
+    /// What was run.
+    pub name: String,
+    /// Recomputed tokens by cause.
+    pub recompute: Recompute,
+    /// Their sum.
+    pub recomputed: u64,
+    /// Median time to the first token in milliseconds.
+    pub ttft_p50_ms: f64,
+    /// 95th percentile of it.
+    pub ttft_p95_ms: f64,
+    /// 95th percentile of the time between tokens in milliseconds.
+    pub between_p95_ms: f64,
+    /// Whole answers.
+    pub answered: u64,
+    /// Whole answers within the latency target.
+    pub in_time: u64,
+    /// Refusals.
+    pub refused: u64,
+    /// Requests given up on for good.
+    pub lost: u64,
+    /// Cost of the fleet for each thousand answers within the latency target.
+    pub cost_per_1000: f64,
+    /// Time of one choice in microseconds.
+    pub decision_us: f64,
+}
+
+impl Figures {
+    /// Starts with nothing counted.
+    pub fn new(mix: Mix, length: Millis) -> Self {
+        const LONGEST: Micros = 3_600_000_000;
+        let times = || Histogram::new_with_bounds(1, LONGEST, 3).expect("valid bounds");
+        Self {
+            mix,
+            ttft: times(),
+            between: times(),
+            spans: vec![Span::default(); (length.0 * 1000 / SPAN) as usize + 1],
+            recompute: Recompute::default(),
+            prompt_tokens: 0,
+            computed_tokens: 0,
+            refused: [0; 3],
+            fleet_cost: 0.0,
+            decision_us: 0.0,
+        }
+    }
+
+    pub(crate) fn arrived(&mut self, now: Micros) {
+        self.span(now).arrived += 1;
+    }
+
+    pub(crate) fn active(&mut self, now: Micros, active: usize, slots: u32) {
+        let percent = active as u64 * 100 / u64::from(slots);
+        let span = self.span(now);
+        span.fullest = span.fullest.max(percent);
+    }
+
+    pub(crate) fn first_token(&mut self, now: Micros, ttft: Micros) {
+        self.ttft.saturating_record(ttft);
+        let span = self.span(now);
+        span.worst_ttft_ms = span.worst_ttft_ms.max(ttft / 1000);
+    }
+
+    pub(crate) fn answered(&mut self, now: Micros, ttft: Micros, between: Micros) {
+        self.between.saturating_record(between);
+        let in_time = (ttft as f64) < self.mix.ttft_target_ms() * 1000.0 && between < TOKEN_TARGET;
+        let span = self.span(now);
+        span.answered += 1;
+        span.in_time += u64::from(in_time);
+    }
+
+    pub(crate) fn refused(&mut self, now: Micros, priority: Priority) {
+        self.refused[priority as usize] += 1;
+        self.span(now).refused += 1;
+    }
+
+    pub(crate) fn lost(&mut self, now: Micros) {
+        self.span(now).lost += 1;
+    }
+
+    pub(crate) fn computed(&mut self, prompt: u64, computed: u64, recompute: Recompute) {
+        self.prompt_tokens += prompt;
+        self.computed_tokens += computed;
+        self.recompute.elsewhere += recompute.elsewhere;
+        self.recompute.evicted += recompute.evicted;
+        self.recompute.reclaim += recompute.reclaim;
+    }
+
+    /// Sums up the run as a table's row.
+    pub fn row(&self, name: &str) -> Row {
+        let sum = |of: fn(&Span) -> u64| self.spans.iter().map(of).sum::<u64>();
+        let ms = |times: &Histogram<u64>, q| times.value_at_quantile(q) as f64 / 1000.0;
+        let Recompute { elsewhere, evicted, reclaim } = self.recompute;
+        let in_time = sum(|s| s.in_time);
+        Row {
+            name: name.to_owned(),
+            recompute: self.recompute,
+            recomputed: elsewhere + evicted + reclaim,
+            ttft_p50_ms: ms(&self.ttft, 0.5),
+            ttft_p95_ms: ms(&self.ttft, 0.95),
+            between_p95_ms: ms(&self.between, 0.95),
+            answered: sum(|s| s.answered),
+            in_time,
+            refused: sum(|s| s.refused),
+            lost: sum(|s| s.lost),
+            cost_per_1000: self.fleet_cost * 1000.0 / in_time.max(1) as f64,
+            decision_us: self.decision_us,
+        }
+    }
+
+    fn span(&mut self, now: Micros) -> &mut Span {
+        let last = self.spans.len() - 1;
+        &mut self.spans[((now / SPAN) as usize).min(last)]
+    }
+}
+
+impl Row {
+    /// The heading of the rows' columns.
+    pub const HEADING: &'static str = "policy                    recomputed  elsewhere    evicted    \
+        reclaim  ttft50  ttft95  token95  answered  in time  refused  lost  cost/1000";
+
+    /// Returns the row as a line of the table; tokens in thousands, times in milliseconds.
+    pub fn line(&self) -> String {
+        let k = |tokens: u64| tokens / 1000;
+        format!(
+            "{:<25} {:>9}k {:>9}k {:>9}k {:>9}k {:>7.0} {:>7.0} {:>8.1} {:>9} {:>8} {:>8} {:>5} {:>10.2}",
+            self.name,
+            k(self.recomputed),
+            k(self.recompute.elsewhere),
+            k(self.recompute.evicted),
+            k(self.recompute.reclaim),
+            self.ttft_p50_ms,
+            self.ttft_p95_ms,
+            self.between_p95_ms,
+            self.answered,
+            self.in_time,
+            self.refused,
+            self.lost,
+            self.cost_per_1000
+        )
+    }
+}
--- /dev/null
+++ b/bench/load/src/experiment/mod.rs
@@ -0,0 +1,8 @@
+//! Experiments: the real decision cores against small models of endpoints, in virtual time.
+
+pub mod cli;
+pub mod figures;
+pub mod model;
+pub mod pool;
+pub mod route;
+pub mod traffic;
--- /dev/null
+++ b/bench/load/src/experiment/traffic.rs
@@ -0,0 +1,161 @@
+//! What callers ask for: long shared prompts, or whole case files.
+
+use std::sync::Arc;
+
+use rand::Rng as _;
+use sill_base::random::Rng;
+use sill_wire::Priority;
+use sill_wire::prefix::BLOCK_TOKENS;
+
+use super::model::EndpointSpec;
+
+/// Which user's work is modelled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mix {
+    /// Waitaha: release-note and fault prompts that share long beginnings; 10 servers.
+    Shared,
+    /// Co-op: case files, each asked about several times within minutes; 12 servers.
+    CaseFiles,
+}
+
+/// A request to come.
+#[derive(Debug, Clone)]
+pub struct Wanted {
+    /// Whole blocks of the prompt.
+    pub blocks: Arc<[u64]>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of the answer.
+    pub tokens: u32,
+    /// Its priority.
+    pub priority: Priority,
+}
+
+/// Makes requests.
+#[derive(Debug)]
+pub struct Traffic {
+    mix: Mix,
+    next_unique: u64,
+    popularity: Vec<f64>,
+    cases: Vec<Case>,
+}
+
+#[derive(Debug, Clone)]
+struct Case {
+    id: u64,
+    blocks: u64,
+    left: u32,
+}
+
+impl Mix {
+    /// The mix's name in tables.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Shared => "shared prompts",
+            Self::CaseFiles => "case files",
+        }
+    }
+
+    /// Requests a second over all entry instances, which least-loaded routing can just answer.
+    pub const fn rate(self) -> f64 {
+        match self {
+            Self::Shared => 10.0,
+            Self::CaseFiles => 3.5,
+        }
+    }
+
+    /// One-way time between failure domains in microseconds.
+    pub const fn between_domains(self) -> u64 {
+        match self {
+            Self::Shared => 500,
+            Self::CaseFiles => 1500,
+        }
+    }
+
+    /// The time to the first token that is aimed for, in milliseconds.
+    pub const fn ttft_target_ms(self) -> f64 {
+        match self {
+            Self::Shared => 820.0,
+            Self::CaseFiles => 3000.0,
+        }
+    }
+
+    /// The endpoints of the pool, spread over four failure domains, two thirds reclaimable.
+    pub fn endpoints(self) -> Vec<EndpointSpec> {
+        let (count, cache_tokens) = match self {
+            Self::Shared => (10, 60_000),
+            Self::CaseFiles => (12, 200_000),
+        };
+        let endpoint = |number: usize| EndpointSpec {
+            domain: number % 4,
+            slots: 16,
+            prefill_tokens_per_s: 8000,
+            decode_ms: 12,
+            cache_tokens,
+            reclaimable: !number.is_multiple_of(3),
+            price: if number.is_multiple_of(3) { 3000 } else { 1000 },
+        };
+        (0..count).map(endpoint).collect()
+    }
+}
+
+impl Traffic {
+    /// Makes the traffic of a mix.
+    pub fn new(mix: Mix) -> Self {
+        const PROMPTS: u32 = 40;
+        let mut sum = 0.0;
+        let popularity = (1..=PROMPTS).map(|rank| {
+            sum += 1.0 / f64::from(rank).powf(0.8);
+            sum
+        });
+        let popularity = popularity.collect();
+        Self { mix, next_unique: 1 << 32, popularity, cases: Vec::new() }
+    }
+
+    /// Returns the next request.
+    pub fn next(&mut self, rng: &mut Rng) -> Wanted {
+        match self.mix {
+            Mix::Shared => self.shared(rng),
+            Mix::CaseFiles => self.case_file(rng),
+        }
+    }
+
+    fn shared(&mut self, rng: &mut Rng) -> Wanted {
+        let total = self.popularity.last().copied().unwrap_or(1.0);
+        let drawn = rng.random_range(0.0..total);
+        let prompt = self.popularity.partition_point(|sum| *sum < drawn) as u64;
+        let blocks = 80 + prompt * 7 % 30;
+        let own_blocks = rng.random_range(3..10);
+        self.wanted(prompt, blocks, own_blocks, rng.random_range(150..400), rng)
+    }
+
+    fn case_file(&mut self, rng: &mut Rng) -> Wanted {
+        const OPEN_CASES: usize = 60;
+        while self.cases.len() < OPEN_CASES {
+            self.next_unique += 1;
+            let (blocks, left) = (rng.random_range(180..320), rng.random_range(4..9));
+            self.cases.push(Case { id: self.next_unique, blocks, left });
+        }
+        let chosen = rng.random_range(0..OPEN_CASES);
+        self.cases[chosen].left -= 1;
+        let case = self.cases[chosen].clone();
+        if case.left == 0 {
+            self.cases.swap_remove(chosen);
+        }
+        self.wanted(case.id, case.blocks, 2, rng.random_range(100..300), rng)
+    }
+
+    fn wanted(&mut self, prefix: u64, shared: u64, own: u64, tokens: u32, rng: &mut Rng) -> Wanted {
+        self.next_unique += 1;
+        let unique = self.next_unique;
+        let own_blocks = (0..own).map(|b| unique << 16 | b);
+        let blocks: Arc<[u64]> = (0..shared).map(|b| prefix << 16 | b).chain(own_blocks).collect();
+        let priority = match rng.random_range(0..10) {
+            0..2 => Priority::Low,
+            2..8 => Priority::Normal,
+            _ => Priority::High,
+        };
+        let prompt_tokens = (blocks.len() * BLOCK_TOKENS) as u64;
+        Wanted { blocks, prompt_tokens, tokens, priority }
+    }
+}
--- a/bench/load/src/lib.rs
+++ b/bench/load/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod check;
 pub mod cli;
+pub mod experiment;
 pub mod run;
