--- a/bench/load/src/experiment/route.rs
+++ b/bench/load/src/experiment/route.rs
@@ -38,13 +38,17 @@
     }
 }
 
-fn policies() -> [(&'static str, PolicyCfg); 4] {
+fn policies() -> [(&'static str, PolicyCfg); 8] {
     let with = |policy| PolicyCfg { policy, ..PolicyCfg::default() };
     [
         ("random", with(Policy::Random)),
         ("least loaded", with(Policy::LeastLoaded)),
         ("prefix only", with(Policy::PrefixOnly)),
         ("cost", with(Policy::Cost)),
+        ("cost, no home", PolicyCfg { home_share: 0.0, ..PolicyCfg::default() }),
+        ("cost, no crowding", PolicyCfg { crowding: Millis::ZERO, ..PolicyCfg::default() }),
+        ("cost, no price", PolicyCfg { price_weight: 0.0, ..PolicyCfg::default() }),
+        ("cost, no risk", PolicyCfg { risk_weight: 0.0, ..PolicyCfg::default() }),
     ]
 }
 
--- a/coordination/route/src/endpoint.rs
+++ b/coordination/route/src/endpoint.rs
@@ -6,6 +6,7 @@
 use sill_wire::{Announcement, Incarnation};
 
 use crate::ask::Outcome;
+use crate::home;
 use crate::policy::PolicyCfg;
 
 /// Ended requests kept to correct a lagging report, at most.
@@ -19,6 +20,8 @@
     pub(crate) announced_at: Millis,
     /// When this life was first heard of.
     pub(crate) first_seen: Millis,
+    /// Hash of its name, for the rendezvous choice of a prompt's home.
+    pub(crate) name_hash: u64,
     /// Its number in the prefix index.
     pub(crate) slot: usize,
     /// The next cache event's number, once one has come.
@@ -50,6 +53,7 @@
 impl Endpoint {
     pub(crate) fn new(announcement: Announcement, slot: usize, now: Millis, age: Millis) -> Self {
         let mut endpoint = Self {
+            name_hash: home::hash(&announcement.name),
             announcement,
             announced_at: now - age,
             first_seen: now,
--- a/coordination/route/src/lib.rs
+++ b/coordination/route/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod ask;
 mod endpoint;
 mod holders;
+mod home;
 pub mod policy;
 pub mod prefix;
 pub mod retry;
--- a/coordination/route/src/policy.rs
+++ b/coordination/route/src/policy.rs
@@ -36,8 +36,8 @@
     pub slow_start: Millis,
     /// Added cost of another failure domain.
     pub elsewhere: Millis,
-    /// Weight of the cost of delaying the answers that an endpoint already generates.
-    pub slowdown_weight: f64,
+    /// Added cost of an endpoint whose slots are all taken, against an idle one.
+    pub crowding: Millis,
     /// Weight of an endpoint's price against the dearest, on the time that a request takes.
     pub price_weight: f64,
     /// Chance in a second that a reclaimable endpoint is reclaimed, while nothing points to it.
@@ -46,8 +46,8 @@
     pub wave_window: Millis,
     /// Weight of the work lost by a reclaim.
     pub risk_weight: f64,
-    /// Cost within which endpoints count as equal and the prompt's first block decides.
-    pub tie: Millis,
+    /// Part of a prompt that its home endpoint is presumed to hold, where nothing is known.
+    pub home_share: f64,
     /// Prefill speed of endpoints that name none, in tokens a second.
     pub prefill_tokens_per_s: u32,
     /// Time between tokens of endpoints that name none.
@@ -96,13 +96,13 @@
             max_blocks: 1 << 18,
             load_factor: LoadFactor::default(),
             slow_start: Millis(10_000),
-            elsewhere: Millis(200),
-            slowdown_weight: 0.0,
-            price_weight: 0.1,
+            elsewhere: Millis(50),
+            crowding: Millis(200),
+            price_weight: 0.02,
             reclaim_per_s: 1.0 / 21_600.0,
             wave_window: Millis(30_000),
             risk_weight: 1.0,
-            tie: Millis(0),
+            home_share: 0.7,
             prefill_tokens_per_s: 5_000,
             decode: Millis(20),
             suspect: Millis(1_000),
--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -9,6 +9,7 @@
 
 use crate::ask::{Ask, Choice, Chosen, Event, Refusal, RefusalReason, Target};
 use crate::endpoint::Endpoint;
+use crate::home;
 use crate::policy::PolicyCfg;
 use crate::prefix::{Depths, PrefixIndex};
 use crate::risk::Waves;
@@ -128,9 +129,10 @@
     fn choose_by(&mut self, now: Millis, ask: &Ask, depths: &Depths) -> Choice {
         let mut scorer = Scorer::new(&self.policy, ask, self.dearest);
         let mut reason = RefusalReason::NoEndpoint;
+        let home = self.home(now, ask);
         for endpoint in self.endpoints.values() {
             let cached = u64::from(depths.of(endpoint.slot)) * BLOCK_TOKENS as u64;
-            let candidate = self.candidate(now, ask, endpoint, cached);
+            let candidate = self.candidate(now, ask, endpoint, cached, home);
             match self.check(now, ask, &candidate) {
                 Ok(()) => scorer.offer(candidate, &mut self.rng),
                 Err(Unfit::No) => {}
@@ -147,12 +149,24 @@
         }
     }
 
+    /// Returns the number of the endpoint where all entry instances look for the prompt.
+    fn home(&self, now: Millis, ask: &Ask) -> Option<usize> {
+        let block = home::deciding_block(&ask.blocks)?;
+        let may_be = |e: &&Endpoint| {
+            let a = &e.announcement;
+            a.leaving.is_none() && !e.is_expired(now, &self.policy) && ask.target.is_served_by(a)
+        };
+        let homes = self.endpoints.values().filter(may_be);
+        homes.max_by_key(|e| home::draw(block, e.name_hash)).map(|e| e.slot)
+    }
+
     fn candidate<'a>(
         &self,
         now: Millis,
         ask: &Ask,
         endpoint: &'a Endpoint,
         cached: u64,
+        home: Option<usize>,
     ) -> Candidate<'a> {
         let a = &endpoint.announcement;
         let reclaim_per_s = if a.reclaimable {
@@ -168,6 +182,7 @@
         Candidate {
             endpoint,
             cached: cached.min(ask.prompt_tokens),
+            is_home: home == Some(endpoint.slot),
             active,
             usable_slots: endpoint.usable_slots(now, &self.policy),
             elsewhere: a.domain != self.cfg.domain,
--- a/coordination/route/src/score.rs
+++ b/coordination/route/src/score.rs
@@ -1,9 +1,6 @@
 //! Expected costs of sending a request to an endpoint, in milliseconds.
 
-use std::hash::{Hash, Hasher};
-
 use rand::Rng as _;
-use rustc_hash::FxHasher;
 use sill_base::Millis;
 use sill_base::random::Rng;
 
@@ -17,6 +14,8 @@
     pub(crate) endpoint: &'a Endpoint,
     /// Prompt tokens that it is thought to hold.
     pub(crate) cached: u64,
+    /// Whether it is the prompt's home.
+    pub(crate) is_home: bool,
     /// Requests that it is thought to hold.
     pub(crate) active: u32,
     pub(crate) usable_slots: f64,
@@ -34,7 +33,6 @@
     ask: &'p Ask,
     dearest: f64,
     best: Option<Scored<'a>>,
-    offered: u32,
 }
 
 /// A candidate with its rank; lower is better.
@@ -61,10 +59,22 @@
         for_slot + self.endpoint.prefill_ms(self.endpoint.pending_tokens(), cfg)
     }
 
+    /// Returns the time for the part of the prompt that is not known to be cached.
     fn prefill_ms(&self, cfg: &PolicyCfg, ask: &Ask) -> f64 {
         self.endpoint.prefill_ms(ask.prompt_tokens.saturating_sub(self.cached), cfg)
     }
 
+    /// Returns the time for the prompt with what its home is presumed to hold. A presumption may
+    /// order endpoints, but must not let in a request that then misses its deadline.
+    fn presumed_prefill_ms(&self, cfg: &PolicyCfg, ask: &Ask) -> f64 {
+        let presumed = match self.is_home {
+            true => (ask.prompt_tokens as f64 * cfg.home_share) as u64,
+            false => 0,
+        };
+        let cached = self.cached.max(presumed);
+        self.endpoint.prefill_ms(ask.prompt_tokens.saturating_sub(cached), cfg)
+    }
+
     fn ttft_ms(&self, cfg: &PolicyCfg, ask: &Ask) -> f64 {
         self.queue_ms(cfg, ask) + self.prefill_ms(cfg, ask)
     }
@@ -74,21 +84,21 @@
         self.ttft_ms(cfg, ask) + f64::from(ask.max_tokens) * self.endpoint.decode_ms(cfg)
     }
 
-    /// Returns the expected cost: waiting, the prompt's rest, the delay of answers that run there,
-    /// the price of the time taken, and the work that a reclaim would destroy.
+    /// Returns the expected cost: waiting, the prompt's rest, slower tokens in a fuller batch, the
+    /// price of the time taken, and the work that a reclaim would destroy.
     fn cost(&self, cfg: &PolicyCfg, ask: &Ask, dearest: f64) -> f64 {
-        let prefill = self.prefill_ms(cfg, ask);
+        let prefill = self.presumed_prefill_ms(cfg, ask);
         let answer = self.answer_ms(cfg, ask);
-        let slowdown = prefill * f64::from(self.active) * cfg.slowdown_weight;
+        let crowding = f64::from(self.active) / self.usable_slots * cfg.crowding.0 as f64;
         let price = self.endpoint.announcement.price as f64 / dearest.max(1.0);
-        let busy = prefill + (answer - prefill) / self.usable_slots;
+        let busy = prefill + answer / self.usable_slots;
         let at_stake = ask.prompt_tokens + u64::from(ask.max_tokens) / 2;
         let chance = (self.reclaim_per_s * answer / 1000.0).min(1.0);
         let risk = chance * self.endpoint.prefill_ms(at_stake, cfg);
         let elsewhere = if self.elsewhere { cfg.elsewhere.0 as f64 } else { 0.0 };
         self.queue_ms(cfg, ask)
             + prefill
-            + slowdown
+            + crowding
             + price * busy * cfg.price_weight
             + risk * cfg.risk_weight
             + elsewhere
@@ -97,12 +107,11 @@
 
 impl<'a, 'p> Scorer<'a, 'p> {
     pub(crate) fn new(cfg: &'p PolicyCfg, ask: &'p Ask, dearest: u64) -> Self {
-        Self { cfg, ask, dearest: dearest as f64, best: None, offered: 0 }
+        Self { cfg, ask, dearest: dearest as f64, best: None }
     }
 
     /// Keeps the candidate if it is the best so far.
     pub(crate) fn offer(&mut self, candidate: Candidate<'a>, rng: &mut Rng) {
-        self.offered += 1;
         let rank = self.rank(&candidate, rng);
         if self.best.is_none_or(|best| rank < best.rank) {
             let ttft_ms = candidate.ttft_ms(self.cfg, self.ask);
@@ -117,21 +126,12 @@
     fn rank(&self, candidate: &Candidate<'_>, rng: &mut Rng) -> Rank {
         let fill = f64::from(candidate.active) / candidate.usable_slots;
         let cost = match self.cfg.policy {
-            Policy::Cost => {
-                let cost = candidate.cost(self.cfg, self.ask, self.dearest);
-                // Costs are compared in steps, so that entry instances which see nearly the same
-                // costs agree on the endpoint for a new prompt, and it is computed once.
-                let step = self.cfg.tie.0 as f64;
-                if step > 0.0 { (cost / step).floor() } else { cost }
-            }
+            Policy::Cost => candidate.cost(self.cfg, self.ask, self.dearest),
             Policy::Random => 0.0,
             Policy::LeastLoaded => fill,
             Policy::PrefixOnly => -(candidate.cached as f64),
         };
-        let tie_break = match self.cfg.policy {
-            Policy::Cost => rendezvous(self.ask, &candidate.endpoint.announcement.name),
-            _ => rng.random(),
-        };
+        let tie_break = rng.random();
         Rank { suspect: candidate.suspect, cost, tie_break }
     }
 }
@@ -155,11 +155,3 @@
         }
     }
 }
-
-/// Orders endpoints in the same way at every entry instance, by the prompt's first block.
-fn rendezvous(ask: &Ask, endpoint: &str) -> u64 {
-    let mut hasher = FxHasher::default();
-    ask.blocks.first().hash(&mut hasher);
-    endpoint.hash(&mut hasher);
-    hasher.finish()
-}
--- a/coordination/route/tests/choice.rs
+++ b/coordination/route/tests/choice.rs
@@ -37,10 +37,17 @@
         },
         Case {
             name: "own domain before others",
+            endpoints: vec![busy("x", "a", 1), busy("y", "b", 1)],
+            cached_at: None,
+            ask: ask(1, 1, 0),
+            expected: Ok("x"),
+        },
+        Case {
+            name: "an idle endpoint elsewhere before a crowded one here",
             endpoints: vec![busy("x", "a", 3), endpoint("y", "b")],
             cached_at: None,
             ask: plain(),
-            expected: Ok("x"),
+            expected: Ok("y"),
         },
         Case {
             name: "others before refusal",
