Overload: refuse by the load of the pool, and keep prompts at their homes meanwhile

Cause: a wave that takes one failure domain of four at 70% load pushed the rest over for good. Now the load of the whole pool bounds what is taken (low 80%, normal 90%, high 105%), computing a prompt counts four times, and a request goes to a lesser endpoint only while the pool is below 60%. Tried and dropped: tighter bounds for each endpoint (0.7 to 1.0 of its slots; worse, they drive prompts off their homes), presuming that peers send what we send when counting requests (same).

--- a/bench/load/src/experiment/cli.rs
+++ b/bench/load/src/experiment/cli.rs
@@ -6,13 +6,13 @@
 use serde::Serialize;
 use sill_setup::{Flag, Outcome, Program};
 
-use super::route;
+use super::{overload, route};
 
 /// `sill-load experiment`.
 pub const EXPERIMENT: Program = Program {
     name: "sill-load experiment",
     about: "measures the decision cores against small models, in virtual time",
-    operands: "route",
+    operands: "route|overload",
     flags: &[
         Flag::with_default("seed", "N", "1", "seed of everything that is random"),
         Flag::one("json", "FILE", "write the figures there"),
@@ -43,6 +43,11 @@
             route::print(&tables);
             write(json, &tables)
         }
+        "overload" => {
+            let runs = overload::run(seed);
+            overload::print(&runs);
+            write(json, &runs)
+        }
         _ => bail!("expected one of: {}", EXPERIMENT.operands),
     }
 }
--- a/bench/load/src/experiment/figures.rs
+++ b/bench/load/src/experiment/figures.rs
@@ -40,6 +40,10 @@
     pub lost: u64,
     /// Slowest first token in milliseconds.
     pub worst_ttft_ms: u64,
+    /// Slots in use, summed over samples.
+    pub used_slots: u64,
+    /// Slots in all, summed over samples.
+    pub slots: u64,
     /// Highest load of an endpoint, in percent of its slots.
     pub fullest: u64,
 }
@@ -126,6 +130,12 @@
         span.fullest = span.fullest.max(percent);
     }
 
+    pub(crate) fn sampled(&mut self, now: Micros, running: u32, slots: u32) {
+        let span = self.span(now);
+        span.used_slots += u64::from(running);
+        span.slots += u64::from(slots);
+    }
+
     pub(crate) fn first_token(&mut self, now: Micros, ttft: Micros) {
         self.ttft.saturating_record(ttft);
         let span = self.span(now);
--- a/bench/load/src/experiment/mod.rs
+++ b/bench/load/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod figures;
 pub mod model;
+pub mod overload;
 pub mod pool;
 pub mod route;
 pub mod traffic;
--- /dev/null
+++ b/bench/load/src/experiment/overload.rs
@@ -0,0 +1,150 @@
+//! A wave that takes one failure domain of four at 70% load, with the overload rules left out one
+//! after the other.
+
+use serde::Serialize;
+use sill_base::Millis;
+use sill_route::{ByPriority, PolicyCfg};
+
+use super::figures::{Figures, Row, Span};
+use super::pool::{Callers, Pool, PoolCfg, Wave};
+use super::traffic::Mix;
+
+const LENGTH: Millis = Millis::from_secs(600);
+const WAVE_AT: Millis = Millis::from_secs(240);
+const REPLACED_AFTER: Millis = Millis::from_secs(180);
+
+/// Three in each failure domain, so that a quarter is lost.
+const ENDPOINTS: usize = 12;
+
+/// Seconds in a span of the time line.
+const SPAN_S: u64 = 10;
+
+/// Requests a second, in parts of the mix's rate, at which 70% of the slots are taken.
+const LOAD: f64 = 3.2;
+
+/// A way to meet overload.
+#[derive(Debug, Serialize)]
+pub struct OverloadRun {
+    /// What was left out.
+    pub name: &'static str,
+    /// Figures of the whole run.
+    pub row: Row,
+    /// Refusals by priority: low, normal, high.
+    pub refused: [u64; 3],
+    /// Before, while a domain is lost, and after it came back.
+    pub phases: [Phase; 3],
+}
+
+/// Figures of a part of the run.
+#[derive(Debug, Default, Clone, Copy, Serialize)]
+pub struct Phase {
+    /// Requests that arrived.
+    pub arrived: u64,
+    /// Whole answers, in percent of the arrived.
+    pub answered_percent: f64,
+    /// Whole answers within the latency target, in percent of the arrived.
+    pub in_time_percent: f64,
+    /// Mean load of the endpoints that are up, in percent of their slots.
+    pub mean_load: f64,
+    /// Highest load of an endpoint, in percent of its slots.
+    pub fullest: u64,
+}
+
+/// Runs all ways.
+pub fn run(seed: u64) -> Vec<OverloadRun> {
+    let no_refusal = PolicyCfg {
+        load_factor: ByPriority::UNBOUNDED,
+        wait_factor: ByPriority::UNBOUNDED,
+        pool_factor: ByPriority::UNBOUNDED,
+        ..PolicyCfg::default()
+    };
+    let impatient = Callers { patience: Millis(8_000), tries: 6, ..Callers::default() };
+    let careless = Callers { retry_budget: false, obey_retry_after: false, ..impatient };
+    let no_pool_bound = PolicyCfg { pool_factor: ByPriority::UNBOUNDED, ..PolicyCfg::default() };
+    let ways = [
+        ("all rules", PolicyCfg::default(), impatient),
+        ("no bound on the pool", no_pool_bound, impatient),
+        ("no early refusal", no_refusal.clone(), impatient),
+        ("no budget, all after 1 s", PolicyCfg::default(), careless),
+        ("none of them", no_refusal, careless),
+    ];
+    ways.into_iter().map(|(name, policy, callers)| one(name, policy, callers, seed)).collect()
+}
+
+/// Prints the table.
+pub fn print(runs: &[OverloadRun]) {
+    println!(
+        "shared prompts, one failure domain of four lost unannounced for {} s",
+        REPLACED_AFTER.as_secs_f64()
+    );
+    println!("{}", Row::HEADING);
+    for run in runs {
+        println!("{}", run.row.line());
+    }
+    println!("\nin time % (whole %) mean load %; fullest endpoint %; refusals by priority");
+    println!(
+        "{:<26} {:<17} {:<17} {:<17} {:>6} {:>4} {:>5} {:>5} {:>6} {:>4}",
+        "", "before", "lost", "after", "before", "lost", "after", "low", "normal", "high"
+    );
+    for run in runs {
+        let [before, lost, after] = run.phases;
+        let cell = |p: Phase| {
+            format!("{:>5.1} ({:>5.1}) {:>3.0}", p.in_time_percent, p.answered_percent, p.mean_load)
+        };
+        println!(
+            "{:<26} {} {} {} {:>6} {:>4} {:>5} {:>5} {:>6} {:>4}",
+            run.name,
+            cell(before),
+            cell(lost),
+            cell(after),
+            before.fullest,
+            lost.fullest,
+            after.fullest,
+            run.refused[0],
+            run.refused[1],
+            run.refused[2],
+        );
+    }
+}
+
+fn one(name: &'static str, policy: PolicyCfg, callers: Callers, seed: u64) -> OverloadRun {
+    let figures = Pool::new(PoolCfg {
+        mix: Mix::Shared,
+        endpoints: Mix::Shared.pool(ENDPOINTS),
+        policy,
+        load: LOAD,
+        entries: 8,
+        length: LENGTH,
+        warm_up: Millis::from_secs(60),
+        wave: Some(Wave {
+            domain: 1,
+            at: WAVE_AT,
+            notice: Millis::ZERO,
+            replaced_after: REPLACED_AFTER,
+        }),
+        callers,
+        seed,
+    })
+    .run();
+    OverloadRun { name, row: figures.row(name), refused: figures.refused, phases: phases(&figures) }
+}
+
+fn phases(figures: &Figures) -> [Phase; 3] {
+    let index = |at: Millis| (at.as_secs_f64() as u64 / SPAN_S) as usize;
+    let (lost, back) = (index(WAVE_AT), index(WAVE_AT + REPLACED_AFTER));
+    let spans = &figures.spans;
+    [&spans[..lost], &spans[lost..back], &spans[back..]].map(phase)
+}
+
+fn phase(spans: &[Span]) -> Phase {
+    let sum = |of: fn(&Span) -> u64| spans.iter().map(of).sum::<u64>();
+    let arrived = sum(|s| s.arrived);
+    let percent = |part: u64| part as f64 * 100.0 / arrived.max(1) as f64;
+    Phase {
+        arrived,
+        answered_percent: percent(sum(|s| s.answered)),
+        in_time_percent: percent(sum(|s| s.in_time)),
+        mean_load: sum(|s| s.used_slots) as f64 * 100.0 / sum(|s| s.slots).max(1) as f64,
+        fullest: spans.iter().map(|s| s.fullest).max().unwrap_or(0),
+    }
+}
--- a/bench/load/src/experiment/pool.rs
+++ b/bench/load/src/experiment/pool.rs
@@ -15,7 +15,7 @@
 use sill_wire::{Announcement, Incarnation, Load, Priority};
 
 use super::figures::{Figures, Recompute};
-use super::model::{EndpointModel, MODEL, Micros, Run, Signal};
+use super::model::{EndpointModel, EndpointSpec, MODEL, Micros, Run, Signal};
 use super::traffic::{Mix, Traffic, Wanted};
 
 const SECOND: Micros = 1_000_000;
@@ -38,6 +38,8 @@
 pub struct PoolCfg {
     /// Whose work.
     pub mix: Mix,
+    /// The endpoints.
+    pub endpoints: Vec<EndpointSpec>,
     /// How endpoints are chosen.
     pub policy: PolicyCfg,
     /// Requests a second, in parts of the mix's own rate.
@@ -153,7 +155,7 @@
     /// Makes a pool whose endpoints are all up.
     pub fn new(cfg: PoolCfg) -> Self {
         let endpoints: Vec<EndpointModel> =
-            (0..).zip(cfg.mix.endpoints()).map(|(n, s)| EndpointModel::new(n, s)).collect();
+            (0..).zip(cfg.endpoints.clone()).map(|(n, s)| EndpointModel::new(n, s)).collect();
         let router = |entry: usize| {
             let domain = domain_name(entry % 4);
             Router::with_policy(
@@ -461,6 +463,7 @@
     fn announce(&mut self, endpoint: usize) {
         if self.endpoints[endpoint].up {
             let load = self.endpoints[endpoint].load();
+            self.figures.sampled(self.now, load.running, self.endpoints[endpoint].spec.slots);
             self.announce_load(endpoint, load, LOAD_AGE);
         }
         self.at(self.now + ANNOUNCE_EVERY, Due::Announce(endpoint));
--- a/bench/load/src/experiment/route.rs
+++ b/bench/load/src/experiment/route.rs
@@ -38,13 +38,14 @@
     }
 }
 
-fn policies() -> [(&'static str, PolicyCfg); 8] {
+fn policies() -> [(&'static str, PolicyCfg); 9] {
     let with = |policy| PolicyCfg { policy, ..PolicyCfg::default() };
     [
         ("random", with(Policy::Random)),
         ("least loaded", with(Policy::LeastLoaded)),
         ("prefix only", with(Policy::PrefixOnly)),
         ("cost", with(Policy::Cost)),
+        ("cost, plain prefill", PolicyCfg { prefill_weight: 1.0, ..PolicyCfg::default() }),
         ("cost, no home", PolicyCfg { home_share: 0.0, ..PolicyCfg::default() }),
         ("cost, no crowding", PolicyCfg { crowding: Millis::ZERO, ..PolicyCfg::default() }),
         ("cost, no price", PolicyCfg { price_weight: 0.0, ..PolicyCfg::default() }),
@@ -55,6 +56,7 @@
 fn cfg(mix: Mix, policy: PolicyCfg, seed: u64) -> PoolCfg {
     PoolCfg {
         mix,
+        endpoints: mix.endpoints(),
         policy,
         load: 1.0,
         entries: 8,
--- a/bench/load/src/experiment/traffic.rs
+++ b/bench/load/src/experiment/traffic.rs
@@ -82,9 +82,17 @@
 
     /// The endpoints of the pool, spread over four failure domains, two thirds reclaimable.
     pub fn endpoints(self) -> Vec<EndpointSpec> {
-        let (count, cache_tokens) = match self {
-            Self::Shared => (10, 60_000),
-            Self::CaseFiles => (12, 200_000),
+        match self {
+            Self::Shared => self.pool(10),
+            Self::CaseFiles => self.pool(12),
+        }
+    }
+
+    /// A pool of another size.
+    pub fn pool(self, count: usize) -> Vec<EndpointSpec> {
+        let cache_tokens = match self {
+            Self::Shared => 60_000,
+            Self::CaseFiles => 200_000,
         };
         let endpoint = |number: usize| EndpointSpec {
             domain: number % 4,
--- a/coordination/route/src/endpoint.rs
+++ b/coordination/route/src/endpoint.rs
@@ -32,6 +32,10 @@
     ended: VecDeque<EndedDispatch>,
     others: u32,
     others_tokens: u64,
+    own_at_sample: u32,
+    sampled: Millis,
+    /// Prompt tokens that we sent since the sample.
+    own_tokens_since: u64,
     failures: u32,
     suspect_until: Millis,
 }
@@ -64,6 +68,9 @@
             ended: VecDeque::new(),
             others: 0,
             others_tokens: 0,
+            own_at_sample: 0,
+            sampled: Millis::ZERO,
+            own_tokens_since: 0,
             failures: 0,
             suspect_until: Millis::ZERO,
         };
@@ -87,9 +94,17 @@
         self.others + self.own.len() as u32
     }
 
-    /// Returns the prompt tokens that it is thought to have before it.
-    pub(crate) fn pending_tokens(&self) -> u64 {
-        self.others_tokens + self.own_pending
+    /// Returns the prompt tokens that it is thought to have before it: those of others are worked
+    /// off since the sample, and what we sent since, others are presumed to have sent too.
+    pub(crate) fn pending_tokens(&self, now: Millis, peers: f64, cfg: &PolicyCfg) -> u64 {
+        let worked_off = now.since(self.sampled).as_secs_f64() * self.prefill_rate(cfg);
+        let others = self.others_tokens as f64 + self.own_tokens_since as f64 * peers;
+        self.own_pending + (others - worked_off).max(0.0) as u64
+    }
+
+    /// Returns how many requests others had here at the sample, and how many we had.
+    pub(crate) fn shares(&self) -> (u32, u32) {
+        (self.others, self.own_at_sample)
     }
 
     /// Returns the slots that it may use now; a new endpoint comes up to its slots step by step,
@@ -110,9 +125,14 @@
     }
 
     pub(crate) fn prefill_ms(&self, tokens: u64, cfg: &PolicyCfg) -> f64 {
+        tokens as f64 * 1000.0 / self.prefill_rate(cfg)
+    }
+
+    /// Returns the prompt tokens that it computes in a second.
+    fn prefill_rate(&self, cfg: &PolicyCfg) -> f64 {
         let announced = self.announcement.prefill_tokens_per_s;
         let rate = if announced == 0 { cfg.prefill_tokens_per_s } else { announced };
-        tokens as f64 * 1000.0 / f64::from(rate.max(1))
+        f64::from(rate.max(1))
     }
 
     pub(crate) fn decode_ms(&self, cfg: &PolicyCfg) -> f64 {
@@ -125,6 +145,7 @@
     pub(crate) fn sent(&mut self, now: Millis, request: Name, prefill_tokens: u64) {
         let dispatch = Dispatch { sent: now, prefill_tokens, first_token: None };
         self.own_pending += prefill_tokens;
+        self.own_tokens_since += prefill_tokens;
         if let Some(replaced) = self.own.insert(request, dispatch) {
             self.own_pending -= replaced.pending();
         }
@@ -170,6 +191,10 @@
             own += 1;
             own_tokens += dispatch.pending_at(sampled);
         }
+        let since = self.own.values().filter(|d| d.sent > sampled);
+        self.own_tokens_since = since.map(|d| d.prefill_tokens).sum();
+        self.own_at_sample = own;
+        self.sampled = sampled;
         self.others = (load.running + load.queued).saturating_sub(own);
         self.others_tokens = load.queued_tokens.saturating_sub(own_tokens);
     }
--- a/coordination/route/src/lib.rs
+++ b/coordination/route/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod weaken;
 
 pub use ask::{Ask, Choice, Chosen, Event, Outcome, Refusal, RefusalReason, Target};
-pub use policy::{LoadFactor, Policy, PolicyCfg};
+pub use policy::{ByPriority, Policy, PolicyCfg};
 pub use retry::{RetryBudget, RetryCfg};
 pub use router::{Router, RouterCfg};
 pub use weaken::Weakening;
--- a/coordination/route/src/policy.rs
+++ b/coordination/route/src/policy.rs
@@ -30,8 +30,22 @@
     pub block_ttl: Millis,
     /// Cached blocks remembered over all endpoints.
     pub max_blocks: usize,
-    /// Requests at an endpoint, in parts of its slots, up to which a request is sent there.
-    pub load_factor: LoadFactor,
+    /// Requests at an endpoint, in parts of its slots, up to which a request is sent there. That of
+    /// high priority bounds what an endpoint is given at all.
+    pub load_factor: ByPriority,
+    /// Load of the pool, in parts of its slots, from which on requests are refused, so that those
+    /// which are taken still get their first token in time.
+    pub pool_factor: ByPriority,
+    /// Load of the pool, in parts of its slots, up to which a request goes to a lesser endpoint when
+    /// the best has no room for it.
+    pub spill_below: f64,
+    /// Expected waiting at an endpoint, in parts of the time that the whole prompt takes, up to
+    /// which a request is sent there.
+    pub wait_factor: ByPriority,
+    /// Added to the time that the whole prompt takes, for `wait_factor`.
+    pub wait_base: Millis,
+    /// Weight of computing a prompt, which also delays the prompts that come after it.
+    pub prefill_weight: f64,
     /// Time in which a new endpoint comes up to its full slots.
     pub slow_start: Millis,
     /// Added cost of another failure domain.
@@ -58,9 +72,9 @@
     pub retry_after: Millis,
 }
 
-/// Load factors by priority: low is refused first.
+/// A bound for each priority: low is refused first.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LoadFactor {
+pub struct ByPriority {
     /// For low priority.
     pub low: f64,
     /// For normal priority.
@@ -69,8 +83,12 @@
     pub high: f64,
 }
 
-impl LoadFactor {
-    /// Returns the factor of a priority.
+impl ByPriority {
+    /// No bound for any priority, to measure against.
+    pub const UNBOUNDED: Self =
+        Self { low: f64::INFINITY, normal: f64::INFINITY, high: f64::INFINITY };
+
+    /// Returns the bound of a priority.
     pub fn of(&self, priority: Priority) -> f64 {
         match priority {
             Priority::Low => self.low,
@@ -80,12 +98,6 @@
     }
 }
 
-impl Default for LoadFactor {
-    fn default() -> Self {
-        Self { low: 1.0, normal: 1.25, high: 1.5 }
-    }
-}
-
 impl Default for PolicyCfg {
     fn default() -> Self {
         Self {
@@ -94,7 +106,12 @@
             tombstone_ttl: Millis(600_000),
             block_ttl: Millis(600_000),
             max_blocks: 1 << 18,
-            load_factor: LoadFactor::default(),
+            load_factor: ByPriority { low: 1.0, normal: 1.25, high: 1.5 },
+            pool_factor: ByPriority { low: 0.8, normal: 0.9, high: 1.05 },
+            spill_below: 0.6,
+            wait_factor: ByPriority { low: 0.25, normal: 0.75, high: 1.5 },
+            wait_base: Millis(200),
+            prefill_weight: 4.0,
             slow_start: Millis(10_000),
             elsewhere: Millis(50),
             crowding: Millis(200),
--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -10,7 +10,7 @@
 use crate::ask::{Ask, Choice, Chosen, Event, Refusal, RefusalReason, Target};
 use crate::endpoint::Endpoint;
 use crate::home;
-use crate::policy::PolicyCfg;
+use crate::policy::{ByPriority, PolicyCfg};
 use crate::prefix::{Depths, PrefixIndex};
 use crate::risk::Waves;
 use crate::score::{Candidate, Scorer};
@@ -40,6 +40,9 @@
     depths: Depths,
     reclaimable_left: Map<Name, u32>,
     dearest: u64,
+    /// What others have at the endpoints for each request of our own.
+    peers: f64,
+    surveyed: Option<Millis>,
     weakening: Option<Weakening>,
 }
 
@@ -84,6 +87,8 @@
             depths: Depths::default(),
             reclaimable_left: Map::default(),
             dearest: 0,
+            peers: 0.0,
+            surveyed: None,
             weakening: None,
         }
     }
@@ -91,6 +96,11 @@
     /// Leaves out one rule, for tests of the checks.
     pub fn weaken(&mut self, weakening: Weakening) {
         self.weakening = Some(weakening);
+        if weakening == Weakening::UnboundedLoad {
+            self.policy.load_factor = ByPriority::UNBOUNDED;
+            self.policy.wait_factor = ByPriority::UNBOUNDED;
+            self.policy.pool_factor = ByPriority::UNBOUNDED;
+        }
     }
 
     /// Returns the number of endpoints it knows.
@@ -134,9 +144,15 @@
             let cached = u64::from(depths.of(endpoint.slot)) * BLOCK_TOKENS as u64;
             let candidate = self.candidate(now, ask, endpoint, cached, home);
             match self.check(now, ask, &candidate) {
-                Ok(()) => scorer.offer(candidate, &mut self.rng),
+                Ok(()) => {
+                    scorer.offer(candidate, &mut self.rng);
+                    reason = RefusalReason::Full;
+                }
                 Err(Unfit::No) => {}
-                Err(Unfit::Full) => reason = RefusalReason::Full,
+                Err(Unfit::Full) => {
+                    scorer.count(&candidate);
+                    reason = RefusalReason::Full;
+                }
                 Err(Unfit::Late) if reason == RefusalReason::NoEndpoint => {
                     reason = RefusalReason::Deadline;
                 }
@@ -144,7 +160,7 @@
             }
         }
         match scorer.best() {
-            Some(best) => Choice::Endpoint(best.chosen(ask)),
+            Some(best) => Choice::Endpoint(best.chosen(&self.policy, ask)),
             None => Choice::Refuse(self.refusal(reason)),
         }
     }
@@ -175,15 +191,16 @@
         } else {
             0.0
         };
-        let active = match self.weakening {
-            Some(Weakening::TrustLaggingLoad) => a.load.running + a.load.queued,
-            _ => endpoint.active(),
-        };
+        let reported = a.load.running + a.load.queued;
+        let trusts_report = self.weakening == Some(Weakening::TrustLaggingLoad);
+        let pending = |peers| endpoint.pending_tokens(now, peers, &self.policy);
         Candidate {
             endpoint,
             cached: cached.min(ask.prompt_tokens),
             is_home: home == Some(endpoint.slot),
-            active,
+            active: if trusts_report { reported } else { endpoint.active() },
+            pending_tokens: pending(0.0),
+            presumed_tokens: pending(self.peers),
             usable_slots: endpoint.usable_slots(now, &self.policy),
             elsewhere: a.domain != self.cfg.domain,
             suspect: endpoint.is_suspect(now),
@@ -204,10 +221,7 @@
         if !ask.target.is_served_by(a) {
             return Err(Unfit::No);
         }
-        let factor = self.policy.load_factor.of(ask.priority);
-        let bound = (candidate.usable_slots * factor).max(1.0);
-        let over_bound = f64::from(candidate.active) >= bound;
-        if over_bound && !(skips(Weakening::UnboundedLoad) && candidate.cached > 0) {
+        if candidate.is_full(&self.policy) {
             return Err(Unfit::Full);
         }
         if ask.deadline != Millis::MAX {
@@ -263,7 +277,7 @@
             self.newest.insert(announcement.name.clone(), word);
         }
         self.store(now, announcement, age);
-        self.survey();
+        self.survey(now);
     }
 
     fn store(&mut self, now: Millis, announcement: Announcement, age: Millis) {
@@ -298,7 +312,7 @@
             self.waves.reclaimed(&a.domain.clone(), now, &self.policy);
         }
         self.drop_endpoint(name);
-        self.survey();
+        self.survey(now);
         self.forget_words(now);
     }
 
@@ -329,17 +343,28 @@
         }
     }
 
-    /// Counts over all endpoints what each choice needs.
-    fn survey(&mut self) {
+    /// Counts over all endpoints what each choice needs, now and then, since a pass over all of
+    /// them for each announcement would grow with the square of their number.
+    fn survey(&mut self, now: Millis) {
+        const EVERY: Millis = Millis(100);
+        if self.surveyed.is_some_and(|last| now.since(last) < EVERY) {
+            return;
+        }
+        self.surveyed = Some(now);
         self.reclaimable_left.clear();
         self.dearest = 0;
+        let (mut others, mut own) = (0, 1);
         for endpoint in self.endpoints.values() {
             let a = &endpoint.announcement;
+            let shares = endpoint.shares();
+            others += shares.0;
+            own += shares.1;
             self.dearest = self.dearest.max(a.price);
             if a.reclaimable && a.leaving.is_none() {
                 *self.reclaimable_left.entry(a.domain.clone()).or_default() += 1;
             }
         }
+        self.peers = f64::from(others) / f64::from(own);
     }
 
     fn forget_words(&mut self, now: Millis) {
--- a/coordination/route/src/score.rs
+++ b/coordination/route/src/score.rs
@@ -16,8 +16,13 @@
     pub(crate) cached: u64,
     /// Whether it is the prompt's home.
     pub(crate) is_home: bool,
-    /// Requests that it is thought to hold.
+    /// Requests that it holds as far as was heard and sent.
     pub(crate) active: u32,
+    /// Prompt tokens that it has before it.
+    pub(crate) pending_tokens: u64,
+    /// The same if the other entry instances do as we do. It bounds what is sent there, but does
+    /// not order endpoints, since that drives every prompt off its home in turn.
+    pub(crate) presumed_tokens: u64,
     pub(crate) usable_slots: f64,
     /// Whether it stands in another failure domain.
     pub(crate) elsewhere: bool,
@@ -27,12 +32,16 @@
     pub(crate) reclaim_per_s: f64,
 }
 
-/// Keeps the best candidate so far.
+/// Keeps the best candidates so far.
 pub(crate) struct Scorer<'a, 'p> {
     cfg: &'p PolicyCfg,
     ask: &'p Ask,
     dearest: f64,
     best: Option<Scored<'a>>,
+    /// The best of those that are not late.
+    best_in_time: Option<Scored<'a>>,
+    active: f64,
+    slots: f64,
 }
 
 /// A candidate with its rank; lower is better.
@@ -40,7 +49,6 @@
 pub(crate) struct Scored<'a> {
     candidate: Candidate<'a>,
     rank: Rank,
-    ttft_ms: f64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
@@ -56,7 +64,23 @@
         let before = f64::from(self.active) + 1.0 - self.usable_slots;
         let answer_ms = f64::from(ask.max_tokens) * self.endpoint.decode_ms(cfg);
         let for_slot = before.max(0.0) * answer_ms / self.usable_slots;
-        for_slot + self.endpoint.prefill_ms(self.endpoint.pending_tokens(), cfg)
+        for_slot + self.endpoint.prefill_ms(self.pending_tokens, cfg)
+    }
+
+    /// Returns whether the endpoint holds so much that nothing more is sent there, whatever it has
+    /// cached.
+    pub(crate) fn is_full(&self, cfg: &PolicyCfg) -> bool {
+        f64::from(self.active) >= (self.usable_slots * cfg.load_factor.high).max(1.0)
+    }
+
+    /// Returns whether a request of this priority would find too little room, or wait too long for
+    /// the prompts before it.
+    fn is_late(&self, cfg: &PolicyCfg, ask: &Ask) -> bool {
+        let slots = (self.usable_slots * cfg.load_factor.of(ask.priority)).max(1.0);
+        let whole_ms = self.endpoint.prefill_ms(ask.prompt_tokens, cfg) + cfg.wait_base.0 as f64;
+        let wait_ms = self.endpoint.prefill_ms(self.presumed_tokens, cfg);
+        let waits = wait_ms > whole_ms * cfg.wait_factor.of(ask.priority);
+        f64::from(self.active) >= slots || (waits && cfg.policy == Policy::Cost)
     }
 
     /// Returns the time for the part of the prompt that is not known to be cached.
@@ -97,7 +121,7 @@
         let risk = chance * self.endpoint.prefill_ms(at_stake, cfg);
         let elsewhere = if self.elsewhere { cfg.elsewhere.0 as f64 } else { 0.0 };
         self.queue_ms(cfg, ask)
-            + prefill
+            + prefill * cfg.prefill_weight
             + crowding
             + price * busy * cfg.price_weight
             + risk * cfg.risk_weight
@@ -107,20 +131,54 @@
 
 impl<'a, 'p> Scorer<'a, 'p> {
     pub(crate) fn new(cfg: &'p PolicyCfg, ask: &'p Ask, dearest: u64) -> Self {
-        Self { cfg, ask, dearest: dearest as f64, best: None }
+        Self {
+            cfg,
+            ask,
+            dearest: dearest as f64,
+            best: None,
+            best_in_time: None,
+            active: 0.0,
+            slots: 0.0,
+        }
     }
 
     /// Keeps the candidate if it is the best so far.
     pub(crate) fn offer(&mut self, candidate: Candidate<'a>, rng: &mut Rng) {
+        self.count(&candidate);
         let rank = self.rank(&candidate, rng);
-        if self.best.is_none_or(|best| rank < best.rank) {
-            let ttft_ms = candidate.ttft_ms(self.cfg, self.ask);
-            self.best = Some(Scored { candidate, rank, ttft_ms });
+        let is_better = |best: Option<Scored<'_>>| best.is_none_or(|best| rank < best.rank);
+        let scored = Scored { candidate, rank };
+        if is_better(self.best) {
+            self.best = Some(scored);
         }
+        if is_better(self.best_in_time) && !candidate.is_late(self.cfg, self.ask) {
+            self.best_in_time = Some(scored);
+        }
+    }
+
+    /// Counts an endpoint's load towards that of the pool.
+    pub(crate) fn count(&mut self, candidate: &Candidate<'_>) {
+        self.active += f64::from(candidate.active);
+        self.slots += candidate.usable_slots;
     }
 
+    /// Returns the choice, if any.
+    ///
+    /// Where the best endpoint is late, the best of the others is taken only while the pool has
+    /// room. In a loaded pool that would drive prompts off their homes just when there is no time
+    /// to compute them elsewhere: every cache is overwritten, and the pool stays overloaded after
+    /// the cause has gone. The request is refused then.
     pub(crate) fn best(self) -> Option<Scored<'a>> {
-        self.best
+        let load = self.active / self.slots.max(1.0);
+        if load >= self.cfg.pool_factor.of(self.ask.priority) && self.cfg.policy == Policy::Cost {
+            return None;
+        }
+        let has_room = load < self.cfg.spill_below;
+        let best = self.best?;
+        match self.best_in_time {
+            Some(in_time) if has_room || in_time.rank == best.rank => Some(in_time),
+            _ => None,
+        }
     }
 
     fn rank(&self, candidate: &Candidate<'_>, rng: &mut Rng) -> Rank {
@@ -138,7 +196,7 @@
 
 impl Scored<'_> {
     /// Turns it into the router's answer.
-    pub(crate) fn chosen(&self, ask: &Ask) -> Chosen {
+    pub(crate) fn chosen(&self, cfg: &PolicyCfg, ask: &Ask) -> Chosen {
         let Candidate { endpoint, cached, active, .. } = self.candidate;
         let a = &endpoint.announcement;
         let why = format!(
@@ -150,7 +208,7 @@
             incarnation: a.incarnation,
             address: a.address.clone(),
             cached_tokens: cached,
-            expected_ttft: Millis(self.ttft_ms as u64),
+            expected_ttft: Millis(self.candidate.ttft_ms(cfg, ask) as u64),
             why,
         }
     }
--- a/coordination/route/src/weaken.rs
+++ b/coordination/route/src/weaken.rs
@@ -13,7 +13,7 @@
     KeepExpired,
     /// Standby endpoints are given work.
     IgnoreRole,
-    /// A cached prefix lets an endpoint take more than its bound.
+    /// Endpoints are given more than their bound.
     UnboundedLoad,
     /// A gap in the cache events leaves all knowledge in force.
     IgnoreGaps,
