--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -201,6 +201,7 @@
             active: if trusts_report { reported } else { endpoint.active() },
             pending_tokens: pending(0.0),
             presumed_tokens: pending(self.peers),
+            slots: f64::from(a.slots.max(1)),
             usable_slots: endpoint.usable_slots(now, &self.policy),
             elsewhere: a.domain != self.cfg.domain,
             suspect: endpoint.is_suspect(now),
@@ -254,10 +255,20 @@
 
     /// Takes in an announcement unless something newer is known of the endpoint: a late copy must
     /// not bring back an endpoint that is leaving or gone.
-    fn announced(&mut self, now: Millis, announcement: Announcement, age: Millis) {
+    fn announced(&mut self, now: Millis, mut announcement: Announcement, age: Millis) {
         let (incarnation, sequence) = (announcement.incarnation, announcement.sequence);
         let newest = self.newest.get(&announcement.name);
-        let is_news = newest.is_none_or(|w| (w.incarnation, w.sequence) < (incarnation, sequence));
+        let same_life = newest.filter(|w| w.incarnation == incarnation);
+        // Membership marks an announcement as leaving that came without, so it may have the number
+        // of the one before. A life that is leaving stays so, whatever a stale copy says.
+        let turns_leaving = announcement.leaving.is_some() && same_life.is_some_and(|w| !w.leaving);
+        if same_life.is_some_and(|w| w.leaving)
+            && self.weakening != Some(Weakening::OldAnnouncementOverrides)
+        {
+            announcement.leaving.get_or_insert(Millis::ZERO);
+        }
+        let is_news = turns_leaving
+            || newest.is_none_or(|w| (w.incarnation, w.sequence) < (incarnation, sequence));
         let is_known = self.endpoints.contains_key(&announcement.name);
         let is_taken = match self.weakening {
             Some(Weakening::OldAnnouncementOverrides) => true,
@@ -273,6 +284,9 @@
             self.waves.reclaimed(&announcement.domain, now, &self.policy);
         }
         if is_news {
+            let sequence = newest
+                .filter(|w| w.incarnation == incarnation)
+                .map_or(sequence, |w| sequence.max(w.sequence));
             let word = Word { incarnation, sequence, leaving, at: now };
             self.newest.insert(announcement.name.clone(), word);
         }
--- a/coordination/route/src/score.rs
+++ b/coordination/route/src/score.rs
@@ -23,6 +23,11 @@
     /// The same if the other entry instances do as we do. It bounds what is sent there, but does
     /// not order endpoints, since that drives every prompt off its home in turn.
     pub(crate) presumed_tokens: u64,
+    /// Requests that it runs side by side.
+    pub(crate) slots: f64,
+    /// The same, less while it has just started. It orders endpoints only: a new endpoint must not
+    /// be filled at once, but where others are full, or all are new to an entry instance that has
+    /// just started, refusing for its sake would waste what there is.
     pub(crate) usable_slots: f64,
     /// Whether it stands in another failure domain.
     pub(crate) elsewhere: bool,
@@ -70,13 +75,13 @@
     /// Returns whether the endpoint holds so much that nothing more is sent there, whatever it has
     /// cached.
     pub(crate) fn is_full(&self, cfg: &PolicyCfg) -> bool {
-        f64::from(self.active) >= (self.usable_slots * cfg.load_factor.high).max(1.0)
+        f64::from(self.active) >= (self.slots * cfg.load_factor.high).max(1.0)
     }
 
     /// Returns whether a request of this priority would find too little room, or wait too long for
     /// the prompts before it.
     fn is_late(&self, cfg: &PolicyCfg, ask: &Ask) -> bool {
-        let slots = (self.usable_slots * cfg.load_factor.of(ask.priority)).max(1.0);
+        let slots = (self.slots * cfg.load_factor.of(ask.priority)).max(1.0);
         let whole_ms = self.endpoint.prefill_ms(ask.prompt_tokens, cfg) + cfg.wait_base.0 as f64;
         let wait_ms = self.endpoint.prefill_ms(self.presumed_tokens, cfg);
         let waits = wait_ms > whole_ms * cfg.wait_factor.of(ask.priority);
@@ -159,7 +164,7 @@
     /// Counts an endpoint's load towards that of the pool.
     pub(crate) fn count(&mut self, candidate: &Candidate<'_>) {
         self.active += f64::from(candidate.active);
-        self.slots += candidate.usable_slots;
+        self.slots += candidate.slots;
     }
 
     /// Returns the choice, if any.
