--- a/daemons/entry/src/api.rs
+++ b/daemons/entry/src/api.rs
@@ -3,15 +3,15 @@
 use std::sync::Arc;
 
 use ntex::client::Client;
-use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
 use serde_json::{Value, json};
 use sill_base::Name;
-use sill_net::http::{self, Failure};
+use sill_net::http;
 use sill_tree::{Effective, Service};
 
+use crate::body::Body;
 use crate::daemon::Shared;
-use crate::{announce, ask, upstream};
+use crate::{announce, ask, explain, handoff, serve};
 
 /// The shared state, as handlers get it.
 pub type AppState = web::types::State<Arc<Shared>>;
@@ -25,6 +25,9 @@
         web::resource("/readyz").route(web::get().to(readyz)),
         web::resource("/metrics").route(web::get().to(metrics)),
         web::resource("/announce").route(web::post().to(announce::announce)),
+        web::resource("/reclaim").route(web::post().to(handoff::reclaim)),
+        web::resource("/explain/{id}").route(web::get().to(explain::explain)),
+        web::resource("/events").route(web::post().to(announce::events)),
         web::resource("/v1/models").route(web::get().to(models)),
         web::resource("/v1/chat/completions").route(web::post().to(chat)),
         web::resource("/v1/completions").route(web::post().to(chat)),
@@ -67,13 +70,12 @@
     http::json(200, &json!({ "object": "list", "data": data }))
 }
 
-async fn chat(app: AppState, client: ClientState, req: HttpRequest, body: Bytes) -> HttpResponse {
+async fn chat(app: AppState, client: ClientState, req: HttpRequest, body: Body) -> HttpResponse {
     let id = app.request_id();
-    let result = match ask::chat(&app, &req, &body) {
-        Ok(ask) => upstream::chat(&app, &client, &id, ask).await,
-        Err(failure) => Err(Failure { not_run: true, ..failure }),
-    };
-    answer(&app, &id, result)
+    match ask::chat(&app, &req, &body) {
+        Ok(ask) => serve::chat(&app, &client, id, ask).await,
+        Err(failure) => serve::refuse_unread(&app, &id, failure),
+    }
 }
 
 async fn plain(
@@ -81,21 +83,13 @@
     client: ClientState,
     req: HttpRequest,
     path: web::types::Path<PlainPath>,
-    body: Bytes,
+    body: Body,
 ) -> HttpResponse {
     let id = app.request_id();
-    let result = match ask::plain(&app, &req, &path.service, &path.path, body) {
-        Ok(ask) => upstream::plain(&app, &client, &id, ask).await,
-        Err(failure) => Err(Failure { not_run: true, ..failure }),
-    };
-    answer(&app, &id, result)
-}
-
-fn answer(app: &Shared, id: &Name, result: Result<HttpResponse, Failure>) -> HttpResponse {
-    result.unwrap_or_else(|failure| {
-        app.metrics.refused.inc();
-        failure.response(id)
-    })
+    match ask::plain(&app, &req, &path.service, &path.path, body.0) {
+        Ok(ask) => serve::plain(&app, &client, id, ask).await,
+        Err(failure) => serve::refuse_unread(&app, &id, failure),
+    }
 }
 
 /// The path of a plain service's call.
--- a/daemons/entry/src/lib.rs
+++ b/daemons/entry/src/lib.rs
@@ -3,15 +3,26 @@
 pub mod announce;
 pub mod api;
 pub mod ask;
+pub mod body;
 pub mod cfg;
+pub mod claims;
 pub mod cli;
+pub mod copy;
 pub mod daemon;
+pub mod errors;
+pub mod explain;
 pub mod feed;
+pub mod handoff;
 pub mod limits;
+pub mod members;
 pub mod metrics;
+pub mod parents;
+pub mod peer;
+pub mod peers;
 pub mod routing;
+pub mod serve;
 pub mod settings;
-pub mod upstream;
+pub mod stop;
 
 pub use cfg::EntryCfg;
 pub use daemon::Entry;
--- /dev/null
+++ b/daemons/entry/src/peers.rs
@@ -0,0 +1,87 @@
+//! Other entry instances of the failure domain, as homes of keys and takers of requests.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use sill_base::{Map, Millis, Name};
+use sill_net::{PeerClient, PeerError};
+use sill_wire::Call;
+use sill_wire::claim::{ClaimKey, ClaimOwner};
+use sill_wire::member::EntryInfo;
+
+use crate::daemon::Shared;
+
+/// How long a peer has to answer; calls that wait for news wait less than that.
+const TIMEOUT: Millis = Millis(7_000);
+
+/// Clients kept; beyond, all are made anew.
+const MAX_CLIENTS: usize = 1024;
+
+/// Clients of peers by address.
+#[derive(Debug, Default)]
+pub struct Peers(Mutex<Map<Name, PeerClient>>);
+
+/// Where something is kept.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Home {
+    /// At this instance.
+    Here,
+    /// At the peer with this address.
+    At(Name),
+}
+
+/// Returns the home of a key among the live entry instances of the domain.
+pub fn home(app: &Shared, key: &ClaimKey) -> Home {
+    let key = format!("{}\n{}", key.account, key.key);
+    match app.members.home_for(&key) {
+        Some(info) if info.name != app.cfg.name => Home::At(info.peer_address),
+        _ => Home::Here,
+    }
+}
+
+/// Returns the peer addresses of the other entry instances of the domain that stay.
+pub fn candidates(app: &Shared) -> Vec<Name> {
+    let peers = app.members.peers_of_domain().into_iter();
+    peers.filter(|info| info.leaving.is_none()).map(|info| info.peer_address).collect()
+}
+
+/// Returns where the owner of a claim is reached, if it lives still.
+pub fn find_owner(app: &Shared, owner: &ClaimOwner) -> Option<Home> {
+    if owner.entry == app.cfg.name {
+        return (owner.incarnation == app.incarnation).then_some(Home::Here);
+    }
+    let peers = app.members.peers_of_domain();
+    let is_owner =
+        |info: &EntryInfo| info.name == owner.entry && info.incarnation == owner.incarnation;
+    peers.into_iter().find(is_owner).map(|info| Home::At(info.peer_address))
+}
+
+/// Calls a peer, from any thread.
+///
+/// # Errors
+///
+/// Fails when the peer can't be reached or refuses.
+pub async fn call<C>(app: &Arc<Shared>, address: &Name, call: C) -> Result<C::Reply, PeerError>
+where
+    C: Call + Sync,
+{
+    let client = client(app, address)?;
+    // The connections belong to the runtime of the peers' server, not to the caller's thread.
+    let called = app.runtime.spawn(async move { client.call(&call).await });
+    called.await.unwrap_or_else(|err| Err(PeerError::Unreachable(err.to_string())))
+}
+
+fn client(app: &Shared, address: &Name) -> Result<PeerClient, PeerError> {
+    let mut clients = app.peers.0.lock();
+    if let Some(client) = clients.get(address) {
+        return Ok(client.clone());
+    }
+    if clients.len() > MAX_CLIENTS {
+        clients.clear();
+    }
+    let parsed =
+        address.parse().map_err(|_| PeerError::Refused(format!("{address}: no address")))?;
+    let client = PeerClient::new(parsed, &app.cfg.cluster_key, TIMEOUT);
+    clients.insert(address.clone(), client.clone());
+    Ok(client)
+}
--- /dev/null
+++ b/daemons/entry/src/serve/calls.rs
@@ -0,0 +1,37 @@
+//! What peers may ask about requests.
+
+use std::sync::Arc;
+
+use sill_flight::handoff::HandOff;
+use sill_net::PeerServerBuilder;
+use sill_wire::handoff::{FollowReply, FollowRun, ForgetRun, LocateRun};
+
+use super::attach;
+use crate::daemon::Shared;
+use crate::handoff;
+
+/// Registers the calls.
+pub fn register(peers: &mut PeerServerBuilder, shared: &Arc<Shared>) {
+    let app = shared.clone();
+    peers.answer(move |call: HandOff| handoff::take(app.clone(), call));
+    let app = shared.clone();
+    peers.answer(move |call: LocateRun| {
+        let location = attach::locate(&app, &call);
+        async move { Ok(location) }
+    });
+    let app = shared.clone();
+    peers.answer(move |call: ForgetRun| {
+        app.directory.lock().forget(&call.key, &call.run);
+        async move { Ok(()) }
+    });
+    let app = shared.clone();
+    peers.answer(move |call: FollowRun| {
+        let run = app.runs.get(&call.key);
+        async move {
+            match run {
+                Some(run) => Ok(run.follow(call.from, call.wait).await),
+                None => Ok(FollowReply::Unknown),
+            }
+        }
+    });
+}
--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -1,8 +1,11 @@
 //! Tests of the whole system with real processes on loopback.
 
+mod bad_input;
 mod control;
 mod control_cluster;
+mod flight;
 mod harness;
+mod member;
 mod product;
 mod thin_path;
 mod verbs;
