--- a/bench/load/src/lib.rs
+++ b/bench/load/src/lib.rs
@@ -1,6 +1,7 @@
 //! The load and experiment tool.
 
 pub mod cli;
+pub mod fleet;
 pub mod run;
 
 pub mod exchange;
