At most once through the entry's own I/O, and callers who come back

Cause of the failures found by the new tests: a keyed request that was followed while its first copy turned out to run elsewhere lost its caller ("lost inside the entry instance", 500). Ends now say where a request went (moved, failed, answered), followers move along, and one whose run is gone takes over with the tokens it has.

Shown in process, against endpoints on bare sockets and the claims' log of a fake control instance: not-run is said only where no byte has left (7 ways to fail); ten copies of a keyed notice through two entries run once; without a quorum, or with lost verdicts, only what needs a claim is refused, certified; a notice whose entry restarted is 409 outcome_unknown and not sent again; a stream without its end marker goes on elsewhere; a caller that goes away cancels its run.

--- a/daemons/entry/src/serve.rs
+++ b/daemons/entry/src/serve.rs
@@ -121,13 +121,12 @@
     Arc::new(Run::new(spec, key, body, path, target, Transcript::default()))
 }
 
-async fn serve(app: &Arc<Shared>, client: &Client, mut order: Order, from: u32) -> HttpResponse {
+async fn serve(app: &Arc<Shared>, client: &Client, order: Order, from: u32) -> HttpResponse {
     let run = order.run.clone();
     let id = run.request().clone();
     open_record(app, &run);
     let (sink, source) = caller::pair();
-    let follower = Follower { run: run.clone(), form: order.form, from, sink: sink.clone() };
-    order.sink = Some(sink);
+    let follower = Follower { run: run.clone(), form: order.form, from, sink };
     let life = Life::received(id.clone());
     let found = if run.spec.keyed { attach::find(app, &run).await } else { Found::New };
     let task = match found {
@@ -144,6 +143,9 @@
         abandon(app, &run);
         return refuse(app, refusal);
     }
+    if matches!(task, Task::Drive { home_lost: true }) {
+        app.metrics.recomputed(sill_flight::Cause::HomeLost, run.spec.prompt_tokens);
+    }
     ntex::rt::spawn(carry_out(app.clone(), client.clone(), order, follower, task));
     caller::respond(&id, source).await
 }
@@ -153,6 +155,10 @@
     Drive { home_lost: bool },
 }
 
+/// How often a request may change between following and running before its caller is told to come
+/// back.
+const MAX_TURNS: u32 = 4;
+
 fn open_record(app: &Shared, run: &Run) {
     let now = app.clock.now();
     app.journal.lock().open(now, run.request(), &run.key.account, &run.target);
@@ -210,67 +216,73 @@
     Failure { not_run: refusal.request() == id, ..failure }.response(id)
 }
 
-async fn carry_out(app: Arc<Shared>, client: Client, order: Order, follower: Follower, task: Task) {
-    let run = order.run.clone();
-    match task {
-        Task::Follow(source) => {
-            let Followed::Lost(transcript) = follower.follow(&app, source).await else {
-                return;
+async fn carry_out(
+    app: Arc<Shared>,
+    client: Client,
+    mut order: Order,
+    follower: Follower,
+    mut task: Task,
+) {
+    let mut transcript = Transcript::default();
+    for _ in 0..MAX_TURNS {
+        if let Task::Follow(source) = task {
+            transcript = match follower.follow(&app, source).await {
+                Followed::Ended => return,
+                Followed::Lost(transcript) => transcript,
             };
-            go_on_alone(app, client, order, follower, transcript).await;
-        }
-        Task::Drive { home_lost } => {
-            if home_lost {
-                app.metrics.recomputed(sill_flight::Cause::HomeLost, 0);
-            }
-            let flight = Flight::new(FlightCfg::default(), run.spec.clone(), seed(&run));
-            let driver = Driver::new(app.clone(), client, order, flight);
-            if let Some(attach) = driver.run(Event::Admitted).await {
-                follower.attach(&app, attach).await;
+            task = go_on_alone(&app, &mut order, transcript.clone()).await;
+        } else {
+            let driven = drive(&app, &client, &order, &follower, std::mem::take(&mut transcript));
+            match driven.await {
+                Some(source) => task = Task::Follow(source),
+                None => return,
             }
         }
     }
+    follower.lost().await;
 }
 
-/// Goes on with an answer whose instance was lost while it was followed.
-///
-/// A request that may be run once only is not begun again: the claims' log knows who owns it.
-async fn go_on_alone(
-    app: Arc<Shared>,
-    client: Client,
-    mut order: Order,
-    follower: Follower,
+/// Runs the request here; returns where its answer is followed, if another request has the key.
+async fn drive(
+    app: &Arc<Shared>,
+    client: &Client,
+    order: &Order,
+    follower: &Follower,
     transcript: Transcript,
-) {
-    let run = Arc::new(Run::new(
-        order.run.spec.clone(),
-        order.run.key.clone(),
-        order.run.body_hash.clone(),
-        order.run.path.clone(),
-        order.run.target.clone(),
-        transcript,
-    ));
-    if let Some(there) = app.runs.open(&run) {
-        // Another caller of the same key was faster.
-        let _ = follower.follow(&app, Source::Here(there)).await;
-        return;
-    }
-    attach::note(&app, &run).await;
-    let next = run.with_transcript(|transcript| transcript.next());
-    order.run = run.clone();
+) -> Option<Source> {
+    let run = &order.run;
+    let next = transcript.next();
     let cfg = FlightCfg::default();
+    // A request that may be run once only is not gone on with: the claims' log knows its owner.
     let (flight, first) = if next > 0 && run.spec.idempotent {
-        app.metrics.recomputed(sill_flight::Cause::HomeLost, 0);
-        let flight = Flight::taken_over(cfg, run.spec.clone(), next, seed(&run));
+        let flight = Flight::taken_over(cfg, run.spec.clone(), next, seed(run));
         (flight, Event::TakenOver { from: None })
     } else {
         run.with_transcript(|transcript| *transcript = Transcript::default());
-        (Flight::new(cfg, run.spec.clone(), seed(&run)), Event::Admitted)
+        (Flight::new(cfg, run.spec.clone(), seed(run)), Event::Admitted)
     };
-    let driver = Driver::new(app.clone(), client, order, flight);
-    if let Some(attach) = driver.run(first).await {
-        follower.attach(&app, attach).await;
+    let order = Order { sink: Some(follower.sink.clone()), ..order.clone() };
+    Driver::new(app.clone(), client.clone(), order, flight).run(first).await
+}
+
+/// Takes over an answer whose instance was lost while it was followed, unless another caller of the
+/// same key was faster.
+async fn go_on_alone(app: &Arc<Shared>, order: &mut Order, transcript: Transcript) -> Task {
+    let lost = &order.run;
+    let run = Arc::new(Run::new(
+        lost.spec.clone(),
+        lost.key.clone(),
+        lost.body_hash.clone(),
+        lost.path.clone(),
+        lost.target.clone(),
+        transcript,
+    ));
+    if let Some(there) = app.runs.open(&run) {
+        return Task::Follow(Source::Here(there));
     }
+    attach::note(app, &run).await;
+    order.run = run;
+    Task::Drive { home_lost: true }
 }
 
 /// Goes on with a request that another entry instance handed over; its caller comes back later.
--- a/daemons/entry/src/serve/attach.rs
+++ b/daemons/entry/src/serve/attach.rs
@@ -6,18 +6,19 @@
 use serde_json::Value;
 use sill_base::{Millis, Name};
 use sill_flight::Transcript;
+use sill_flight::life::Failed;
 use sill_net::PeerError;
-use sill_wire::ErrorCode;
-use sill_wire::claim::{ClaimKey, ClaimOutcome};
+use sill_wire::claim::{ClaimKey, ClaimOutcome, ClaimOwner};
 use sill_wire::handoff::{
     AnswerPart, FailedRun, FollowReply, FollowRun, ForgetRun, LocateRun, Location, ReplyBody,
     RunAt, WholeReply,
 };
+use sill_wire::{Call, ErrorCode};
 
 use super::caller::{Final, Out, Sink};
 use super::chunk::{Frame, Shape};
-use super::driver::{Attach, Form};
-use super::run::Run;
+use super::driver::Form;
+use super::run::{Run, RunEnd};
 use super::tokens::completion_id;
 use crate::daemon::Shared;
 use crate::peers::{self, Home};
@@ -25,6 +26,12 @@
 /// How long one question for more waits at a peer.
 const WAIT: Millis = Millis(5_000);
 
+/// How often an answer may move while it is followed.
+const MAX_HOPS: u32 = 5;
+
+/// How long the home of a key has to answer.
+const HOME_TIMEOUT: Millis = Millis(400);
+
 /// When to come back for an answer that is not there yet.
 const COME_BACK: Millis = Millis(2_000);
 
@@ -58,7 +65,7 @@
     };
     let location = match peers::home(app, &run.key) {
         Home::Here => Ok(locate(app, &call)),
-        Home::At(address) => peers::call(app, &address, call).await,
+        Home::At(address) => ask_home(app, &address, call).await,
     };
     match location {
         Ok(Location::New) => Found::New,
@@ -68,22 +75,40 @@
             Found::New
         }
         Ok(Location::At(at)) => {
-            close_unused(app, run);
+            close(app, run, RunEnd::Moved(at.address.clone()));
             Found::At(at)
         }
         Ok(Location::BodyMismatch) => {
-            close_unused(app, run);
+            close(app, run, RunEnd::Failed(key_reused(run)));
             Found::BodyMismatch
         }
         Err(_) => Found::HomeLost,
     }
 }
 
-fn close_unused(app: &Shared, run: &Arc<Run>) {
-    run.end(super::run::RunEnd::Abandoned);
+async fn ask_home<C>(app: &Arc<Shared>, address: &Name, call: C) -> Result<C::Reply, PeerError>
+where
+    C: Call + Sync,
+{
+    let called = tokio::time::timeout(HOME_TIMEOUT.into(), peers::call(app, address, call)).await;
+    called.unwrap_or_else(|_| Err(PeerError::Unreachable("no answer in time".to_owned())))
+}
+
+/// Ends a request that is not run here, for those who came for it in the meantime.
+fn close(app: &Shared, run: &Arc<Run>, end: RunEnd) {
+    run.end(end);
     app.runs.close(app.clock.now(), run);
 }
 
+fn key_reused(run: &Run) -> Failed {
+    Failed {
+        request: run.request().clone(),
+        code: ErrorCode::KeyReused,
+        message: "the idempotency key was used with another body".to_owned(),
+        retry_after: None,
+    }
+}
+
 /// Answers as the home of a key.
 pub fn locate(app: &Shared, call: &LocateRun) -> Location {
     let now = app.clock.now();
@@ -102,7 +127,7 @@
     let call = LocateRun { key, body, asker, runs: true };
     match peers::home(app, &run.key) {
         Home::Here => drop(locate(app, &call)),
-        Home::At(address) => drop(peers::call(app, &address, call).await),
+        Home::At(address) => drop(ask_home(app, &address, call).await),
     }
 }
 
@@ -113,7 +138,7 @@
         Home::Here => app.directory.lock().forget(key, &run),
         Home::At(address) => {
             let call = ForgetRun { key: key.clone(), run };
-            drop(peers::call(app, &address, call).await);
+            drop(ask_home(app, &address, call).await);
         }
     }
 }
@@ -167,9 +192,10 @@
 
 impl Follower {
     /// Sends the answer on as it comes.
-    pub async fn follow(&self, app: &Arc<Shared>, source: Source) -> Followed {
+    pub async fn follow(&self, app: &Arc<Shared>, mut source: Source) -> Followed {
         let mut transcript = Transcript::default();
-        loop {
+        let mut hops = 0;
+        while hops < MAX_HOPS {
             let next = transcript.next();
             let more = tokio::select! {
                 more = source.more(app, &self.run.key, next) => more,
@@ -184,9 +210,13 @@
                     }
                 }
                 Ok(FollowReply::Reply(reply)) => {
-                    self.end(Final::Reply(reply)).await;
+                    self.replay(reply).await;
                     return Followed::Ended;
                 }
+                Ok(FollowReply::Moved { address }) => {
+                    hops += 1;
+                    source = Source::At(address);
+                }
                 Ok(FollowReply::Failed(failed)) => {
                     self.end(Final::Failed(failed)).await;
                     return Followed::Ended;
@@ -194,6 +224,7 @@
                 Ok(FollowReply::Unknown) | Err(_) => return Followed::Lost(transcript),
             }
         }
+        Followed::Lost(transcript)
     }
 
     async fn take(&self, transcript: &mut Transcript, part: &AnswerPart) {
@@ -243,38 +274,12 @@
         self.sink.closed().await;
     }
 
-    /// Answers a request whose claim another one holds.
-    pub async fn attach(&self, app: &Arc<Shared>, attach: Attach) {
-        match attach.outcome {
-            Some(ClaimOutcome::Answered { status, body: Some(body) }) => {
-                self.replay(status, body).await;
-            }
-            Some(ClaimOutcome::Unknown) => self.unknown().await,
-            Some(ClaimOutcome::Answered { body: None, .. }) | None => {
-                let source = match peers::find_owner(app, &attach.owner) {
-                    Some(Home::Here) => app.runs.get(&self.run.key).map(Source::Here),
-                    Some(Home::At(address)) => Some(Source::At(address)),
-                    None => None,
-                };
-                match source {
-                    Some(source) => match self.follow(app, source).await {
-                        Followed::Ended => {}
-                        Followed::Lost(_) => self.unknown().await,
-                    },
-                    None => self.unknown().await,
-                }
-            }
-        }
-    }
-
-    /// Gives the kept answer again, as a stream where the caller wants one.
-    async fn replay(&self, status: u16, body: String) {
-        let whole: Option<Value> = serde_json::from_str(&body).ok();
+    /// Gives a whole answer, as a stream where the caller wants one.
+    async fn replay(&self, reply: WholeReply) {
+        let whole: Option<Value> = serde_json::from_slice(reply.body.as_bytes()).ok();
         let text = whole.as_ref().and_then(answer_text);
         let (Form::Streamed { .. }, Some(text), Some(whole)) = (self.form, text, &whole) else {
-            let body = ReplyBody::Text(body);
-            let content_type = Some("application/json".to_owned());
-            self.end(Final::Reply(WholeReply { status, content_type, body })).await;
+            self.end(Final::Reply(reply)).await;
             return;
         };
         let quoted = Value::from(text).to_string();
@@ -290,13 +295,49 @@
         self.end(Final::Whole).await;
     }
 
-    async fn unknown(&self) {
-        self.end(Final::Failed(FailedRun {
-            code: ErrorCode::OutcomeUnknown,
-            message: "the request was sent once, and its answer is not known here".to_owned(),
-            retry_after: Some(COME_BACK),
-        }))
-        .await;
+    /// Ends a request whose answer can't be found.
+    pub async fn lost(&self) {
+        let failed = if self.run.spec.idempotent {
+            FailedRun {
+                code: ErrorCode::InProgress,
+                message: "the request is on its way between entry instances".to_owned(),
+                retry_after: Some(COME_BACK),
+            }
+        } else {
+            unknown()
+        };
+        self.end(Final::Failed(failed)).await;
+    }
+}
+
+/// Returns where a request ended whose claim another one holds.
+pub fn resolve(
+    app: &Shared,
+    request: &Name,
+    owner: &ClaimOwner,
+    outcome: Option<ClaimOutcome>,
+) -> RunEnd {
+    let owner = peers::find_owner(app, owner);
+    match (outcome, owner) {
+        (Some(ClaimOutcome::Answered { status, body: Some(body) }), _) => {
+            let content_type = Some("application/json".to_owned());
+            RunEnd::Reply(WholeReply { status, content_type, body: ReplyBody::Text(body) })
+        }
+        (Some(ClaimOutcome::Answered { body: None, .. }) | None, Some(Home::At(address))) => {
+            RunEnd::Moved(address)
+        }
+        _ => {
+            let FailedRun { code, message, retry_after } = unknown();
+            RunEnd::Failed(Failed { request: request.clone(), code, message, retry_after })
+        }
+    }
+}
+
+fn unknown() -> FailedRun {
+    FailedRun {
+        code: ErrorCode::OutcomeUnknown,
+        message: "the request was sent once, and its answer is not known here".to_owned(),
+        retry_after: Some(COME_BACK),
     }
 }
 
--- a/daemons/entry/src/serve/driver.rs
+++ b/daemons/entry/src/serve/driver.rs
@@ -12,11 +12,12 @@
 use sill_flight::sse::Splitter;
 use sill_flight::{Action, Event, Flight, Place};
 use sill_route::{Ask, Choice, Outcome, RefusalReason, Target};
-use sill_wire::claim::{ClaimAsk, ClaimOutcome, ClaimOwner, ClaimVerdict};
+use sill_wire::claim::{ClaimAsk, ClaimOutcome, ClaimVerdict};
 use sill_wire::handoff::WholeReply;
 use sill_wire::{ErrorCode, Priority};
 use tokio::sync::{oneshot, watch};
 
+use super::attach::{self, Source};
 use super::caller::{Final, Out, Sink};
 use super::run::{Run, RunEnd};
 use super::upstream::{Came, Outgoing, Upstream};
@@ -41,6 +42,7 @@
 }
 
 /// What the driver needs beside the machine.
+#[derive(Debug, Clone)]
 pub struct Order {
     /// The request, as others see it.
     pub run: Arc<Run>,
@@ -75,9 +77,9 @@
     timer: Timer,
     ended: Option<RunEnd>,
     reply: Option<WholeReply>,
-    attach: Option<Attach>,
     first_at: Option<Millis>,
     accepted: bool,
+    elsewhere: bool,
 }
 
 /// The closing pieces of an attempt, held until its end marker has come: were they sent at once, an
@@ -89,17 +91,6 @@
     pub(super) completion: Option<u32>,
 }
 
-/// A key that another request holds.
-#[derive(Debug)]
-pub struct Attach {
-    /// Who holds it.
-    pub owner: ClaimOwner,
-    /// What came of it.
-    pub outcome: Option<ClaimOutcome>,
-    /// The caller who waits.
-    pub sink: Option<Sink>,
-}
-
 /// A timer that is set again only when it went off too early, since most deadlines move on.
 struct Timer {
     at: Millis,
@@ -139,19 +130,20 @@
             timer: Timer::new(),
             ended: None,
             reply: None,
-            attach: None,
             first_at: None,
             accepted: false,
+            elsewhere: false,
         }
     }
 
-    /// Runs the request to its end; returns a key that another request holds.
-    pub async fn run(mut self, first: Event) -> Option<Attach> {
+    /// Runs the request to its end; returns where its answer is followed, if another
+    /// request has the same key.
+    pub async fn run(mut self, first: Event) -> Option<Source> {
         self.events.push_back(first);
         loop {
             self.settle_events();
             self.flush();
-            if self.ended.is_some() || self.attach.is_some() {
+            if self.ended.is_some() {
                 break;
             }
             match self.wait().await {
@@ -270,7 +262,9 @@
             }
             Action::Attach { owner, outcome } => {
                 self.note(format!("the key is held by {} at {}", owner.request, owner.entry));
-                self.attach = Some(Attach { owner, outcome, sink: self.order.sink.take() });
+                let request = self.order.run.request();
+                self.ended = Some(attach::resolve(&self.app, request, &owner, outcome));
+                self.elsewhere = true;
             }
             Action::Finish => {
                 self.close_answer();
@@ -456,21 +450,25 @@
     }
 
     /// Tells everyone how it ended.
-    async fn finish(mut self) -> Option<Attach> {
-        if let Some(attach) = self.attach.take() {
-            self.order.run.end(RunEnd::Abandoned);
-            self.app.runs.close(self.now(), &self.order.run);
-            return Some(attach);
-        }
+    async fn finish(mut self) -> Option<Source> {
         let ended = self.ended.take().unwrap_or(RunEnd::Abandoned);
-        self.count(&ended);
-        self.settle_claim(&ended);
+        // What was found under another's claim is counted and settled there.
+        if !self.elsewhere {
+            self.count(&ended);
+            self.settle_claim(&ended);
+        }
         self.order.run.end(ended.clone());
         self.app.runs.close(self.now(), &self.order.run);
         // A key whose request has no answer may be sent again, and must not lead here.
         if !matches!(ended, RunEnd::Whole | RunEnd::Reply(_) | RunEnd::Moved(_)) {
             super::forget_later(&self.app, &self.order.run);
         }
+        if self.elsewhere {
+            return Some(match ended {
+                RunEnd::Moved(peer) => Source::At(peer),
+                _ => Source::Here(self.order.run.clone()),
+            });
+        }
         if let Some(sink) = self.order.sink.take() {
             if !self.waiting.is_empty() {
                 let rest = Bytes::from(std::mem::take(&mut self.waiting));
@@ -531,7 +529,7 @@
     fn last_word(&self, ended: RunEnd) -> Final {
         match ended {
             RunEnd::Whole if self.order.form == Form::Whole => {
-                Final::Reply(super::attach::json_reply(&self.whole_answer()))
+                Final::Reply(attach::json_reply(&self.whole_answer()))
             }
             RunEnd::Whole => Final::Whole,
             RunEnd::Reply(reply) => Final::Reply(reply),
--- a/daemons/entry/src/serve/run.rs
+++ b/daemons/entry/src/serve/run.rs
@@ -136,7 +136,8 @@
                 message: failed.message.clone(),
                 retry_after: failed.retry_after,
             }),
-            Some(RunEnd::NotRun(_) | RunEnd::Moved(_) | RunEnd::Abandoned) => FollowReply::Unknown,
+            Some(RunEnd::Moved(address)) => FollowReply::Moved { address: address.clone() },
+            Some(RunEnd::NotRun(_) | RunEnd::Abandoned) => FollowReply::Unknown,
             Some(RunEnd::Whole) | None => FollowReply::More(part(&state.transcript, from)),
         }
     }
--- /dev/null
+++ b/daemons/entry/tests/kit/mod.rs
@@ -0,0 +1,287 @@
+//! Entries inside the test's process, with a claims' log and endpoints that fail as they are told.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use serde_json::json;
+use sill_base::{Millis, Secret};
+use sill_entry::{Entry, EntryCfg};
+use sill_flight::ClaimTable;
+use sill_net::{PeerServer, PeerServerBuilder};
+use sill_tree::KeyHash;
+use sill_wire::claim::{ClaimBatch, ClaimReply, ClaimVerdict};
+use sill_wire::control::Revision;
+use sill_wire::feed::{Change, FeedPoll, FeedReply};
+
+const CLUSTER_KEY: &str = "test-cluster-key";
+const JOIN_TOKEN: &str = "test-join-token";
+const CALLER_KEY: &str = "test-caller-key";
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A control instance that serves one settings document and the claims' log.
+pub struct FakeControl {
+    pub address: SocketAddr,
+    /// Whether a quorum is reached.
+    pub quorum: Arc<AtomicBool>,
+    /// Whether verdicts are lost on their way back.
+    pub loses_verdicts: Arc<AtomicBool>,
+    _server: PeerServer,
+    _runtime: tokio::runtime::Runtime,
+}
+
+/// What a scripted endpoint does with each request.
+#[derive(Debug, Clone, Copy)]
+pub enum Script {
+    /// Takes the whole request and closes the connection.
+    Vanish,
+    /// Promises a longer body than it sends.
+    CutBody,
+    /// Ends a stream properly, but without its end marker.
+    NoMarker,
+}
+
+/// An endpoint on a bare socket.
+pub struct Scripted {
+    pub address: SocketAddr,
+    /// Whole requests that came.
+    pub requests: Arc<AtomicU32>,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl FakeControl {
+    pub fn start() -> Self {
+        let mut runtime = tokio::runtime::Builder::new_multi_thread();
+        let runtime = runtime.worker_threads(1).enable_all().build().expect("a runtime");
+        let quorum = Arc::new(AtomicBool::new(true));
+        let loses_verdicts = Arc::new(AtomicBool::new(false));
+        let table = Arc::new(Mutex::new(ClaimTable::default()));
+        let mut server = PeerServerBuilder::new(Secret::new(CLUSTER_KEY));
+        server.answer(|poll: FeedPoll| async move {
+            if poll.have >= Revision(1) {
+                tokio::time::sleep(poll.wait.into()).await;
+                return Ok(FeedReply::Current);
+            }
+            Ok(FeedReply::Changes { changes: vec![settings()] })
+        });
+        let (reached, loses) = (quorum.clone(), loses_verdicts.clone());
+        server.answer(move |batch: ClaimBatch| {
+            let mut verdicts: Vec<ClaimVerdict> = batch
+                .asks
+                .iter()
+                .map(|ask| match reached.load(Ordering::Relaxed) {
+                    true => table.lock().apply(Millis::wall(), ask),
+                    false => ClaimVerdict::Unavailable,
+                })
+                .collect();
+            if loses.load(Ordering::Relaxed) {
+                verdicts.fill(ClaimVerdict::Unavailable);
+            }
+            async move { Ok(ClaimReply { verdicts }) }
+        });
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let server = {
+            let _guard = runtime.enter();
+            server.start(listener).expect("it listens")
+        };
+        let address = server.address();
+        Self { address, quorum, loses_verdicts, _server: server, _runtime: runtime }
+    }
+}
+
+fn settings() -> Change {
+    let document = json!({
+        "services": {
+            "desk-7b": { "kind": "model" },
+            "notices": {
+                "kind": "plain",
+                "non_idempotent": [{ "method": "POST", "path": "/send" }],
+            },
+        },
+        "accounts": { "clerks": { "keys": [KeyHash::of(CALLER_KEY)] } },
+    });
+    let (path, author) = ("ga".into(), "test".into());
+    Change { revision: Revision(1), path, author, document: Some(document) }
+}
+
+/// Starts entry instances of one failure domain that know each other.
+pub fn entries(control: &FakeControl, count: usize) -> Vec<Entry> {
+    let free: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
+    let peers: Vec<SocketAddr> =
+        free.iter().map(|l| l.local_addr().expect("its address")).collect();
+    drop(free);
+    let started = (0..count).map(|i| {
+        Entry::start(EntryCfg {
+            name: format!("e{i}").into(),
+            domain: "a".into(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            listen_peer: peers[i],
+            control: vec![control.address],
+            peers: peers.iter().copied().filter(|p| *p != peers[i]).collect(),
+            data: None,
+            cluster_key: Secret::new(CLUSTER_KEY),
+            join_token: Secret::new(JOIN_TOKEN),
+            workers: 2,
+            max_body: 1 << 20,
+            max_in_flight: 1000,
+            drain_notice: Millis(100),
+            drain_limit: Millis(10_000),
+        })
+        .expect("an entry instance")
+    });
+    let started: Vec<Entry> = started.collect();
+    wait_until("entries are ready", || started.iter().all(Entry::is_ready));
+    started
+}
+
+impl Scripted {
+    pub fn start(script: Script) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("its address");
+        let requests = Arc::new(AtomicU32::new(0));
+        let count = requests.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let count = count.clone();
+                thread::spawn(move || serve(stream, script, &count));
+            }
+        });
+        Self { address, requests }
+    }
+
+    /// Announces itself to an entry instance for a model and a plain service.
+    pub fn announce(&self, entry: SocketAddr, name: &str) {
+        announce(entry, name, &self.address.to_string());
+    }
+}
+
+/// Announces an endpoint again and again until the entry instance is gone.
+pub fn announce(entry: SocketAddr, name: &str, address: &str) {
+    let (name, address) = (name.to_owned(), address.to_owned());
+    thread::spawn(move || {
+        for sequence in 1.. {
+            let announcement = json!({
+                "name": name, "incarnation": 1, "sequence": sequence, "address": address,
+                "domain": "a", "slots": 8,
+                "serves": [
+                    { "kind": "model", "model": "desk-7b" },
+                    { "kind": "service", "service": "notices" },
+                ],
+            });
+            let token = format!("authorization: Bearer {JOIN_TOKEN}");
+            let headers = [token.as_str(), "content-type: application/json"];
+            if http(entry, "POST", "/announce", &headers, &announcement.to_string()).is_none() {
+                return;
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+    });
+}
+
+fn serve(mut stream: TcpStream, script: Script, count: &AtomicU32) {
+    if read_request(&mut stream).is_none() {
+        return;
+    }
+    count.fetch_add(1, Ordering::Relaxed);
+    let answer = match script {
+        Script::Vanish => return,
+        Script::CutBody => "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf an ans".to_owned(),
+        Script::NoMarker => {
+            let event =
+                "id: 0\ndata: {\"id\":\"x\",\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
+            let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                        transfer-encoding: chunked\r\n\r\n";
+            format!("{head}{:x}\r\n{event}\r\n0\r\n\r\n", event.len())
+        }
+    };
+    let _ = stream.write_all(answer.as_bytes());
+}
+
+fn read_request(stream: &mut TcpStream) -> Option<()> {
+    let mut all = Vec::new();
+    let mut buf = [0; 4096];
+    loop {
+        let n = stream.read(&mut buf).ok().filter(|n| *n > 0)?;
+        all.extend_from_slice(&buf[..n]);
+        let text = String::from_utf8_lossy(&all).to_lowercase();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+        if body.len() >= length.and_then(|l| l.trim().parse().ok()).unwrap_or(0) {
+            return Some(());
+        }
+    }
+}
+
+/// Waits until a condition holds.
+pub fn wait_until<F>(what: &str, mut holds: F)
+where
+    F: FnMut() -> bool,
+{
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "never came true: {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Sends a caller's request.
+pub fn call(to: SocketAddr, path: &str, headers: &[&str], body: &str) -> Answer {
+    let authorization = format!("authorization: Bearer {CALLER_KEY}");
+    let mut all = vec![authorization.as_str(), "content-type: application/json"];
+    all.extend(headers);
+    http(to, "POST", path, &all, body).expect("an answer")
+}
+
+/// Sends a caller's request until the entry knows the endpoint and sends it there.
+pub fn call_routed(to: SocketAddr, path: &str, headers: &[&str], body: &str) -> Answer {
+    let mut answer = None;
+    wait_until("the request is routed", || {
+        let this = call(to, path, headers, body);
+        let id = this.head.lines().find_map(|line| line.strip_prefix("sill-request-id: "));
+        let explain = format!("/explain/{}", id.expect("a request id"));
+        let token = format!("authorization: Bearer {JOIN_TOKEN}");
+        let record = http(to, "GET", &explain, &[&token], "").expect("an answer");
+        answer = Some(this);
+        record.body.contains("sent to ")
+    });
+    answer.expect("an answer")
+}
+
+/// Reads a counter of an entry instance.
+pub fn metric(entry: SocketAddr, name: &str) -> u64 {
+    let text = http(entry, "GET", "/metrics", &[], "").expect("an answer").body;
+    let line = text.lines().find_map(|line| line.strip_prefix(name));
+    line.and_then(|value| value.trim().parse().ok()).unwrap_or_default()
+}
+
+fn http(to: SocketAddr, method: &str, path: &str, headers: &[&str], body: &str) -> Option<Answer> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    let headers: String = headers.iter().map(|h| format!("{h}\r\n")).collect();
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nhost: {to}\r\nconnection: close\r\n{headers}\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut answer = String::new();
+    // A stream that is broken off on purpose ends with an error; what came before counts.
+    let _ = stream.read_to_string(&mut answer);
+    let (head, body) = answer.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some(Answer { status, head: head.to_lowercase(), body: body.to_owned() })
+}
--- /dev/null
+++ b/daemons/entry/tests/serving.rs
@@ -0,0 +1,283 @@
+//! Requests through the entry's own I/O: what counts as sent, as whole, and as run once.
+
+mod kit;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use kit::{
+    Answer, FakeControl, Script, Scripted, announce, call, call_routed, entries, metric, wait_until,
+};
+use serde_json::json;
+use sill_base::{Millis, Secret};
+use sill_standin::{Endpoint, EndpointCfg};
+use sill_wire::Served;
+use sill_wire::endpoint::RunEnd;
+
+const CHAT: &str = "/v1/chat/completions";
+const SEND: &str = "/s/notices/send";
+
+fn body(max_tokens: u32, stream: bool) -> String {
+    let messages = json!([{ "role": "user", "content": "Draft the trace report." }]);
+    json!({
+        "model": "desk-7b", "max_tokens": max_tokens, "stream": stream, "messages": messages,
+    })
+    .to_string()
+}
+
+fn endpoint(entries: Vec<SocketAddr>, serves: Vec<Served>, decode: u64) -> Endpoint {
+    let cfg = EndpointCfg {
+        name: format!("real-{}", serves.len()).into(),
+        domain: "a".into(),
+        entries,
+        join_token: Secret::new("test-join-token"),
+        serves,
+        decode: Millis(decode),
+        ..EndpointCfg::default()
+    };
+    Endpoint::start(cfg).expect("an endpoint")
+}
+
+fn model() -> Served {
+    Served::Model { model: "desk-7b".into(), version: "".into(), adapters: vec![] }
+}
+
+fn service(entry: SocketAddr, decode: u64) -> Endpoint {
+    let served = Served::Service { service: "notices".into() };
+    let endpoint = endpoint(vec![entry], vec![served], decode);
+    wait_until("it is served", || call(entry, "/s/notices/warm", &[], "").status == 200);
+    endpoint
+}
+
+fn sends(endpoint: &Endpoint) -> usize {
+    endpoint.ledger().iter().filter(|run| run.path.ends_with("/send")).count()
+}
+
+fn is_not_run(answer: &Answer) -> bool {
+    answer.head.contains("sill-not-run: true")
+}
+
+struct Case {
+    name: &'static str,
+    script: Option<Script>,
+    path: &'static str,
+    headers: &'static [&'static str],
+    status: u16,
+    not_run: bool,
+    requests: u32,
+}
+
+/// The only endpoint fails in every way there is. A caller who is told not-run sends again; where
+/// the request has left, that is a second notice to the same widow.
+#[test]
+fn not_run_is_said_only_where_no_byte_has_left() {
+    const ONCE: &[&str] = &["sill-idempotent: false"];
+    let cases = [
+        Case {
+            name: "refused",
+            script: None,
+            path: SEND,
+            headers: &[],
+            status: 503,
+            not_run: true,
+            requests: 0,
+        },
+        Case {
+            name: "refused chat",
+            script: None,
+            path: CHAT,
+            headers: &[],
+            status: 503,
+            not_run: true,
+            requests: 0,
+        },
+        Case {
+            name: "vanished",
+            script: Some(Script::Vanish),
+            path: SEND,
+            headers: &[],
+            status: 409,
+            not_run: false,
+            requests: 1,
+        },
+        Case {
+            name: "vanished chat",
+            script: Some(Script::Vanish),
+            path: CHAT,
+            headers: ONCE,
+            status: 409,
+            not_run: false,
+            requests: 1,
+        },
+        Case {
+            name: "cut body",
+            script: Some(Script::CutBody),
+            path: SEND,
+            headers: &[],
+            status: 409,
+            not_run: false,
+            requests: 1,
+        },
+        Case {
+            name: "keyed",
+            script: Some(Script::CutBody),
+            path: SEND,
+            headers: &["idempotency-key: k"],
+            status: 409,
+            not_run: false,
+            requests: 1,
+        },
+        Case {
+            name: "no marker",
+            script: Some(Script::NoMarker),
+            path: CHAT,
+            headers: ONCE,
+            status: 409,
+            not_run: false,
+            requests: 1,
+        },
+    ];
+    for case in cases {
+        let control = FakeControl::start();
+        let entries = entries(&control, 1);
+        let entry = entries[0].address;
+        let scripted = case.script.map(Scripted::start);
+        match &scripted {
+            Some(scripted) => scripted.announce(entry, "scripted"),
+            None => {
+                let closed = TcpListener::bind("127.0.0.1:0").expect("a free port");
+                let address = closed.local_addr().expect("its address").to_string();
+                drop(closed);
+                announce(entry, "closed", &address);
+            }
+        }
+        let answer = call_routed(entry, case.path, case.headers, &body(3, false));
+        assert_eq!(answer.status, case.status, "{}: {answer:?}", case.name);
+        assert_eq!(is_not_run(&answer), case.not_run, "{}: {answer:?}", case.name);
+        assert!(answer.head.contains("retry-after: "), "{}: {answer:?}", case.name);
+        let requests = scripted.map_or(0, |s| s.requests.load(Ordering::Relaxed));
+        assert_eq!(requests, case.requests, "{}", case.name);
+        assert_eq!(metric(entry, "sill_requests_answered_total"), 0, "{}", case.name);
+        assert_eq!(metric(entry, "sill_requests_in_flight"), 0, "{}", case.name);
+    }
+}
+
+/// An endpoint ends its stream without the end marker. Passed off as whole, the clerk would file
+/// half a report; so it is resumed elsewhere.
+#[test]
+fn an_answer_without_its_end_marker_goes_on_elsewhere() {
+    let control = FakeControl::start();
+    let entries = entries(&control, 1);
+    let entry = entries[0].address;
+    let scripted = Scripted::start(Script::NoMarker);
+    scripted.announce(entry, "a-scripted");
+    let asked = thread::spawn(move || call_routed(entry, CHAT, &[], &body(3, true)));
+    wait_until("it was sent", || scripted.requests.load(Ordering::Relaxed) > 0);
+    let endpoint = endpoint(vec![entry], vec![model()], 1);
+    let answer = asked.join().expect("no panic");
+    assert!(answer.body.contains("[DONE]"), "{answer:?}");
+    let runs = endpoint.ledger();
+    assert_eq!(runs.len(), 1, "{runs:?}");
+    assert_eq!((runs[0].resumed_at, runs[0].end), (1, RunEnd::Finished));
+}
+
+/// A clerk's connection drops while a notice is being sent, and the application sends it again, at
+/// once, later, ten times at once, through another entry instance. It must run once.
+#[test]
+fn a_keyed_notice_runs_once_however_often_it_is_sent() {
+    let control = FakeControl::start();
+    let entries = entries(&control, 2);
+    let addresses: Vec<SocketAddr> = entries.iter().map(|e| e.address).collect();
+    let endpoint = service(addresses[0], 50);
+    wait_until("both serve it", || call(addresses[1], "/s/notices/warm", &[], "").status == 200);
+    let key = ["idempotency-key: notice-1"];
+    let asked: Vec<_> = (0..10)
+        .map(|i| {
+            let entry = addresses[i % 2];
+            thread::spawn(move || call(entry, SEND, &key, "to the widow"))
+        })
+        .collect();
+    let answers: Vec<Answer> = asked.into_iter().map(|a| a.join().expect("no panic")).collect();
+    for answer in &answers {
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(answer.body, answers[0].body);
+    }
+    for entry in &addresses {
+        let again = call(*entry, SEND, &key, "to the widow");
+        assert_eq!((again.status, &again.body), (200, &answers[0].body));
+        let reused = call(*entry, SEND, &key, "to another one");
+        assert_eq!(reused.status, 409, "{reused:?}");
+        assert!(reused.body.contains("key_reused"), "{reused:?}");
+    }
+    assert_eq!(sends(&endpoint), 1);
+}
+
+/// The failure domain is cut off from the quorum, or the verdict on a claim is lost. The notice is
+/// refused at once, certified, and everything else is served; the same key works once the cut ends.
+#[test]
+fn without_a_quorum_only_what_needs_a_claim_is_refused() {
+    let control = FakeControl::start();
+    let entries = entries(&control, 1);
+    let entry = entries[0].address;
+    let endpoint = service(entry, 1);
+    let key = ["idempotency-key: notice-2"];
+    for fault in [&control.quorum, &control.loses_verdicts] {
+        fault.fetch_xor(true, Ordering::Relaxed);
+        let refused = call(entry, SEND, &key, "to the widow");
+        assert_eq!(refused.status, 503, "{refused:?}");
+        assert!(is_not_run(&refused) && refused.body.contains("no_quorum"), "{refused:?}");
+        assert_eq!(call(entry, "/s/notices/list", &[], "").status, 200);
+        fault.fetch_xor(true, Ordering::Relaxed);
+    }
+    assert_eq!(sends(&endpoint), 0);
+    wait_until("the key works again", || call(entry, SEND, &key, "to the widow").status == 200);
+    assert_eq!(sends(&endpoint), 1);
+}
+
+/// The entry instance is restarted between the claim and the answer, so that nobody knows what came
+/// of the notice. It must not be sent a second time.
+#[test]
+fn a_notice_whose_entry_is_gone_is_not_sent_again() {
+    let control = FakeControl::start();
+    let first = entries(&control, 1);
+    let entry = first[0].address;
+    let endpoint = service(entry, 4_000);
+    let key = ["idempotency-key: notice-3"];
+    thread::spawn(move || call(entry, SEND, &key, "to the widow"));
+    wait_until("it was sent", || sends(&endpoint) == 1);
+    let second = entries(&control, 1);
+    let answer = call(second[0].address, SEND, &key, "to the widow");
+    assert_eq!(answer.status, 409, "{answer:?}");
+    assert!(answer.body.contains("outcome_unknown") && !is_not_run(&answer), "{answer:?}");
+    assert_eq!(sends(&endpoint), 1);
+}
+
+/// A reader closes the page in the middle of an answer. The endpoint must not go on computing it.
+#[test]
+fn a_caller_that_goes_away_cancels_its_request() {
+    let control = FakeControl::start();
+    let entries = entries(&control, 1);
+    let entry = entries[0].address;
+    let endpoint = endpoint(vec![entry], vec![model()], 10);
+    wait_until("it is served", || call(entry, CHAT, &[], &body(1, false)).status == 200);
+    for stream in [true, false] {
+        let body = body(3000, stream);
+        let mut caller = TcpStream::connect(entry).expect("a connection");
+        let request = format!(
+            "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer test-caller-key\r\n\
+             content-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        caller.write_all(request.as_bytes()).expect("it is sent");
+        if stream {
+            caller.read_exact(&mut [0; 1000]).expect("the answer begins");
+        }
+        let last = || endpoint.ledger().pop().expect("a run");
+        wait_until("it runs", || last().sent_tokens > 0 && last().end == RunEnd::Running);
+        drop(caller);
+        wait_until("it is cancelled", || last().end == RunEnd::Cancelled);
+        wait_until("nothing is in flight", || metric(entry, "sill_requests_in_flight") == 0);
+    }
+}
--- a/protocol/wire/src/handoff.rs
+++ b/protocol/wire/src/handoff.rs
@@ -74,6 +74,11 @@
     Reply(WholeReply),
     /// It was given up.
     Failed(FailedRun),
+    /// It runs at another entry instance.
+    Moved {
+        /// Its peer address, `IP:PORT`.
+        address: Name,
+    },
 }
 
 /// A part of a model's answer.
