--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::cfg::EntryCfg;
 use crate::claims::{Claims, ControlClaims};
 use crate::copy::SettingsCopy;
+use crate::errors::OneShape;
 use crate::feed::Feed;
 use crate::handoff::Takers;
 use crate::limits::Limits;
@@ -216,6 +217,7 @@
             let upstream = upstream.expect("a client without TLS can be made");
             take_over_here(&shared, &upstream);
             App::new()
+                .middleware(OneShape)
                 .state(shared.clone())
                 .state(upstream)
                 .state(web::types::PayloadConfig::new(max_body))
--- a/daemons/entry/src/lib.rs
+++ b/daemons/entry/src/lib.rs
@@ -3,11 +3,13 @@
 pub mod announce;
 pub mod api;
 pub mod ask;
+pub mod body;
 pub mod cfg;
 pub mod claims;
 pub mod cli;
 pub mod copy;
 pub mod daemon;
+pub mod errors;
 pub mod explain;
 pub mod feed;
 pub mod handoff;
