A key whose owner is dead no longer holds its next callers

Cause: a request that changed between following and running four times told its caller to come back, but left an entry among the running requests that nobody ran; the next caller of the key followed it forever (found by a process test: 60 s without an answer after an entry was killed and the control instance restarted). Ruled out: the peer client's time-outs and the claims' log, which answered in 20 ms in the same set-up. Such an entry is now closed, and a driver that ends in any way, a panic too, ends its request for those who follow it.

Shown: a notice whose entry was killed with SIGKILL is 409 outcome_unknown through the other entry, before and after the control instance restarts from its disk, and the ledger has it once.

--- a/daemons/entry/src/serve.rs
+++ b/daemons/entry/src/serve.rs
@@ -239,6 +239,8 @@
             }
         }
     }
+    // A request that nobody runs must not stay where the next caller of its key would wait for it.
+    abandon(&app, &order.run);
     follower.lost().await;
 }
 
--- a/daemons/entry/src/serve/driver.rs
+++ b/daemons/entry/src/serve/driver.rs
@@ -548,6 +548,11 @@
 impl Drop for Driver {
     fn drop(&mut self) {
         self.app.metrics.in_flight.dec();
+        // Also after a panic: whoever follows the request would wait for its end forever.
+        if self.order.run.ended().is_none() {
+            self.order.run.end(RunEnd::Abandoned);
+            self.app.runs.close(self.now(), &self.order.run);
+        }
     }
 }
 
--- a/daemons/sill/tests/system/flight.rs
+++ b/daemons/sill/tests/system/flight.rs
@@ -22,7 +22,8 @@
     entries: Vec<Instance>,
     endpoints: Vec<Instance>,
     gone: Vec<usize>,
-    _control: Program,
+    control: Program,
+    control_words: Vec<String>,
 }
 
 struct Instance {
@@ -57,9 +58,16 @@
             "--root-token-file",
             &root_token,
         ];
+        let control_words = control.map(str::to_owned).to_vec();
         let control = folder.start("control.log", &control);
-        let mut cluster =
-            Self { folder, entries: vec![], endpoints: vec![], gone: vec![], _control: control };
+        let mut cluster = Self {
+            folder,
+            entries: Vec::new(),
+            endpoints: Vec::new(),
+            gone: Vec::new(),
+            control,
+            control_words,
+        };
         for i in 0..entries {
             let (listen, peer) = (2 + 2 * i, 3 + 2 * i);
             let name = format!("e{}", i + 1);
@@ -175,6 +183,19 @@
         models.flat_map(|e| self.ledger(e)).filter(|run| run.prompt_tokens > 8).collect()
     }
 
+    /// Returns how many notices ran.
+    fn notices(&self) -> usize {
+        let service = self.endpoints.len() - 1;
+        self.ledger(service).iter().filter(|run| run.path == "POST /send").count()
+    }
+
+    fn restart_control(&mut self) {
+        let _ = self.control.0.kill();
+        let _ = self.control.0.wait();
+        let words: Vec<&str> = self.control_words.iter().map(String::as_str).collect();
+        self.control = self.folder.start("control-again.log", &words);
+    }
+
     fn reclaim(&self, address: SocketAddr, in_ms: u32) {
         let headers = ["authorization: Bearer test-join-token", "content-type: application/json"];
         let notice = json!({ "in_ms": in_ms }).to_string();
@@ -393,3 +414,30 @@
     assert_whole(&body, &asked.join().expect("no panic").expect("an answer"));
     assert_eq!(cluster.model_runs().len(), 1);
 }
+
+/// A clerk sends a notice, and the entry instance that sent it is killed before the answer came. The
+/// application sends it again through the other entry, and again after the control instance has
+/// restarted from its disk. Sent twice, the widow gets two letters.
+#[test]
+fn a_notice_is_not_sent_again_after_kills() {
+    let mut cluster = Cluster::start("once", 2, 1, "2500");
+    let (first, second) = (cluster.entries[0].address, cluster.entries[1].address);
+    let key = ["idempotency-key: notice-9"];
+    let lost = thread::spawn(move || call(first, "/s/notices/send", &key, "to the widow"));
+    wait_until("the notice is on its way", || cluster.notices() == 1);
+    let _ = cluster.entries[0].program.0.kill();
+    assert!(lost.join().expect("no panic").is_none(), "its caller gets no answer");
+    let again = || call(second, "/s/notices/send", &key, "to the widow").expect("an answer");
+    let answer = again();
+    assert_eq!(answer.status, 409, "{answer:?}");
+    assert!(answer.body.contains("outcome_unknown"), "{answer:?}");
+    assert!(!answer.head.contains("sill-not-run"), "{answer:?}");
+    cluster.restart_control();
+    wait_until("claims are answered again", || again().status != 503);
+    let answer = again();
+    assert_eq!(answer.status, 409, "{answer:?}");
+    let fresh = ["idempotency-key: notice-10"];
+    let answer = call(second, "/s/notices/send", &fresh, "to another one").expect("an answer");
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(cluster.notices(), 2);
+}
