--- a/bench/load/src/lib.rs
+++ b/bench/load/src/lib.rs
@@ -1,6 +1,7 @@
 //! The load and experiment tool.
 
 pub mod cli;
+pub mod experiment;
 pub mod fleet;
 pub mod run;
 
--- a/coordination/member/src/members.rs
+++ b/coordination/member/src/members.rs
@@ -109,7 +109,7 @@
             endpoints: Endpoints::default(),
             entries: Entries::default(),
             foreign: Foreign::new(&cfg.own.name),
-            confirmation: Confirmation { thawed: Millis::ZERO, confirmed: None },
+            confirmation: Confirmation { thawed: Millis::ZERO, confirmed: None, is_alone: true },
             questions: BTreeMap::new(),
             pushes: BTreeMap::new(),
             wanted: Vec::new(),
@@ -200,6 +200,7 @@
 
     fn tick(&mut self, now: Millis, out: &mut Vec<Action>) {
         self.entries.expire(now, &self.cfg, out);
+        self.confirmation.is_alone = self.entries.is_empty();
         self.foreign.expire(now, out);
         self.questions.retain(|_, q| now - q.asked <= QUESTION_LIMIT);
         if now >= self.next_ask {
@@ -215,7 +216,7 @@
         }
         let Self { endpoints, confirmation, cfg, .. } = self;
         endpoints.settle_all(now, confirmation, cfg, out);
-        out.push(Action::Trust { until: now + self.cfg.confirm_within });
+        out.push(Action::Trust { until: now + self.cfg.trust_for });
     }
 
     /// Notices that this process did not run, as after a SIGSTOP or a move of its machine.
@@ -227,9 +228,9 @@
         let started = self.last_step.is_none();
         self.last_step = Some(now);
         if started {
-            self.confirmation = Confirmation { thawed: now, confirmed: None };
+            self.confirmation = Confirmation { thawed: now, confirmed: None, is_alone: true };
         } else if span > self.cfg.frozen_after && self.cfg.weakening != Weakening::StaleTrusted {
-            self.confirmation = Confirmation { thawed: now, confirmed: None };
+            self.confirmation = Confirmation { thawed: now, confirmed: None, is_alone: true };
             self.endpoints.distrust();
             self.next_ask = now;
             out.push(Action::Report(Report::Frozen { span }));
--- a/daemons/entry/src/members.rs
+++ b/daemons/entry/src/members.rs
@@ -23,7 +23,7 @@
 const TICK: Millis = Millis(200);
 
 /// How long a peer has to answer; the core asks another one then.
-const TIMEOUT: Millis = Millis(400);
+const TIMEOUT: Millis = Millis(800);
 
 /// Clients kept at most; beyond, all are made anew.
 const MAX_CLIENTS: usize = 1024;
--- a/daemons/entry/src/peer.rs
+++ b/daemons/entry/src/peer.rs
@@ -8,7 +8,7 @@
 
 use crate::copy::SettingsCopy;
 use crate::daemon::Shared;
-use crate::{feed, members};
+use crate::{feed, members, serve};
 
 /// Serves peers, and starts to ask them; must be called inside a tokio runtime.
 ///
@@ -33,5 +33,6 @@
     server.answer(move |poll| feed::answer(feeding.clone(), poll));
     let asked = shared.clone();
     server.answer(move |sync| members::answer(asked.clone(), sync));
+    serve::calls::register(&mut server, shared);
     server
 }
--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod control;
 mod control_cluster;
+mod flight;
 mod harness;
 mod member;
 mod product;
