--- a/coordination/fleet/src/plan.rs
+++ b/coordination/fleet/src/plan.rs
@@ -57,7 +57,7 @@
 ///
 /// For each bound on the slots of one failure domain, instances are taken cheapest slot first until
 /// the need is met without the largest domain; the cheapest of these plans wins. With instances of
-/// one size and up to [`BOUNDS_A_ROUND`] steps this is exact. Larger needs are searched coarsely,
+/// one size and few enough steps this is exact. Larger needs are searched coarsely,
 /// then closely around the best, since a leader has a share of one core for all services.
 pub fn cheapest(need: &Need, candidates: &[Candidate]) -> Plan {
     let tranches = tranches(candidates);
--- a/daemons/entry/src/routing.rs
+++ b/daemons/entry/src/routing.rs
@@ -6,7 +6,9 @@
 use parking_lot::Mutex;
 use rustc_hash::FxHasher;
 use sill_base::{Machine, Millis, Name};
-use sill_route::{Ask, Choice, Event, Refusal, RefusalReason, Router, RouterCfg, Target};
+use sill_route::{
+    Ask, Choice, Event, Refusal, RefusalReason, RetryBudget, RetryCfg, Router, RouterCfg, Target,
+};
 use sill_wire::Served;
 
 use crate::cfg::EntryCfg;
@@ -18,15 +20,19 @@
 pub struct Routing {
     shards: Vec<Mutex<Router>>,
     trusted_until: AtomicU64,
+    retries: Mutex<RetryBudget>,
 }
 
 impl Routing {
     /// Makes routers that know no endpoint.
     pub fn new(cfg: &EntryCfg) -> Self {
         let router =
-            |shard| Router::new(RouterCfg { domain: cfg.domain.clone(), seed: shard as u64 });
-        let shards = (0..SHARDS).map(|shard| Mutex::new(router(shard))).collect();
-        Self { shards, trusted_until: AtomicU64::new(u64::MAX) }
+            |shard| Router::new(RouterCfg { domain: cfg.domain.clone(), seed: seed(cfg, shard) });
+        Self {
+            shards: (0..SHARDS).map(|shard| Mutex::new(router(shard))).collect(),
+            trusted_until: AtomicU64::new(u64::MAX),
+            retries: Mutex::new(RetryBudget::new(RetryCfg::default())),
+        }
     }
 
     /// Lets requests be sent until then. Membership moves it on; a process that was frozen finds it
@@ -73,11 +79,30 @@
         }
     }
 
+    /// Returns whether a failed attempt may be sent again, and counts it if so. Moving a stream off
+    /// an endpoint that announced its reclaim is no retry and needs no leave.
+    pub fn may_retry(&self, account: &Name, target: &Target) -> bool {
+        self.retries.lock().may_retry(account, target)
+    }
+
+    /// Notes an answer that came whole, which earns a share of a retry.
+    pub fn succeeded(&self, account: &Name, target: &Target) {
+        self.retries.lock().succeeded(account, target);
+    }
+
     fn shard(&self, target: &Target) -> &Mutex<Router> {
         &self.shards[index(target)]
     }
 }
 
+/// Differs between entry instances, so that their jittered answers don't fall together.
+fn seed(cfg: &EntryCfg, shard: usize) -> u64 {
+    let mut hasher = FxHasher::default();
+    cfg.name.hash(&mut hasher);
+    shard.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn target(served: &Served) -> Target {
     match served {
         Served::Model { model, .. } => Target::Model(model.clone()),
