--- a/daemons/sill/tests/replay.rs
+++ b/daemons/sill/tests/replay.rs
@@ -19,7 +19,7 @@
             traces += 1;
         }
     }
-    assert!(traces >= 2, "traces are missing");
+    assert!(traces >= 3, "traces are missing");
 }
 
 /// A trace and the finding that it must give.
