--- a/bench/entry.sh
+++ b/bench/entry.sh
@@ -52,7 +52,10 @@
 hash=$("$bin/sill" hash <"$dir/caller-key")
 echo "{\"services\":{\"desk-7b\":{\"kind\":\"model\"}},\"accounts\":{\"a\":{\"keys\":[\"$hash\"]}}}" >"$dir/ga.json"
 "$bin/sill" apply --control "$control" --token-file "$dir/root-token" --wait ga "$dir/ga.json"
-sleep 2
+# Announcements take a while to count; the first requests would be refused.
+until "$bin/sill-load" --key-file "$dir/caller-key" --entry "$entry" --concurrency 1 --seconds 0.2 |
+    grep -q 'sent \([0-9]*\): whole \1,'; do sleep 0.2; done
+sleep 3
 
 # Processor ticks of a process.
 ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
