Verbs tested against the other side: audit, drain, explain, watch; names twice at PUT

Cause: audit, drain and explain had no test, because the other side was not there when they were written. They work unchanged. The control instance read a document with JSON's last-name-wins; it reads by read_json now, so that a name that stands twice is refused there too (test by bare HTTP, run after the change only).

--- a/daemons/control/src/api/tree.rs
+++ b/daemons/control/src/api/tree.rs
@@ -11,7 +11,7 @@
 
 use crate::api::{App, STALE, caller, refusal_status, refused};
 use crate::app::command::{ChangeAsk, Holder};
-use crate::app::{Ask, Outcome};
+use crate::app::{Ask, Outcome, judge};
 use crate::daemon::Shared;
 use crate::submit::{self, NoOutcome};
 
@@ -116,8 +116,9 @@
 }
 
 async fn answer_put(app: &App, req: &HttpRequest, path: &str, body: &Bytes) -> Answer {
-    let document: Value = serde_json::from_slice(body)
-        .map_err(|err| refused(400, "invalid", &format!("not JSON: {err}")))?;
+    // A name that stands twice is seen in the text alone; the library keeps the last one.
+    let document: Value = sill_tree::read_json(path, body)
+        .map_err(|findings| http::json(400, &judge::invalid(findings)))?;
     answer_change(app, req, path, Some(document)).await
 }
 
--- a/daemons/control/src/app/judge.rs
+++ b/daemons/control/src/app/judge.rs
@@ -80,7 +80,8 @@
     }
 }
 
-fn invalid(findings: Findings) -> ChangeRefusal {
+/// Refuses a document with all its findings.
+pub fn invalid(findings: Findings) -> ChangeRefusal {
     let mut refusal = refusal("invalid", "the document has faults; nothing was applied");
     refusal.findings = findings.iter().cloned().collect();
     refusal
--- a/daemons/sill/tests/system/verbs.rs
+++ b/daemons/sill/tests/system/verbs.rs
@@ -2,7 +2,7 @@
 
 use std::process::Output;
 
-use crate::harness::{Folder, sill};
+use crate::harness::{Folder, http, sill};
 use crate::product::Try;
 
 /// A verb with its words, and what it must print.
@@ -18,7 +18,7 @@
 const FAULTY: &str =
     r#"{"deadline_ms":"2s","services":{"lookup":{"kind":"plan"}},"accounts":{},"accounts":{}}"#;
 
-const CASES: [Case; 14] = [
+const CASES: [Case; 17] = [
     Case { words: &["check", "sound.json"], code: 0, stdout: &["sound"], stderr: &[] },
     Case {
         words: &["check", "faulty.json", "nothing.json"],
@@ -96,6 +96,14 @@
         stdout: &["entry-a", "entry-b", "current", "every entry instance runs the newest"],
         stderr: &[],
     },
+    Case {
+        words: &["audit", "waitaha"],
+        code: 0,
+        stdout: &["AUTHOR", "change", "refused", "root"],
+        stderr: &[],
+    },
+    Case { words: &["drain", "model-a0"], code: 0, stdout: &["model-a0: drains"], stderr: &[] },
+    Case { words: &["audit", "model-a0", "--json"], code: 0, stdout: &["\"drain\""], stderr: &[] },
     Case { words: &["no-such-verb"], code: 1, stdout: &[], stderr: &["unknown verb"] },
 ];
 
@@ -119,6 +127,40 @@
     }
 }
 
+/// A caller asks what became of its request, by the name in the answer's headers.
+#[test]
+fn a_request_is_explained_to_its_caller_and_to_nobody_else() {
+    let system = Try::start("explain");
+    let key = format!("authorization: Bearer {}", system.text("caller_key"));
+    let body = r#"{"model":"desk-7b","max_tokens":2,"messages":[{"role":"user","content":"x"}]}"#;
+    let entries = system.addresses("entries");
+    let answer =
+        http(entries[1], "POST", "/v1/chat/completions", &[&key], body).expect("an answer");
+    let id = answer.head.lines().find_map(|line| line.strip_prefix("sill-request-id: "));
+    let id = id.expect("a name").trim().to_owned();
+    let asked: Vec<String> = entries.iter().map(ToString::to_string).collect();
+    let words = ["explain", &id, "--entry", &asked[0], "--entry", &asked[1], "--key-file"];
+    let explain = |file: &str| sill(&[&words[..], &[file]].concat(), "");
+    let own = explain(&system.folder.file("data/caller-key"));
+    let text = String::from_utf8_lossy(&own.stdout).into_owned();
+    assert_eq!(own.status.code(), Some(0), "{text}{}", String::from_utf8_lossy(&own.stderr));
+    assert!(text.contains("ga/desk/clerks") && text.contains("model-"), "{text}");
+    let other = explain(&system.folder.file("data/operator-token"));
+    assert_eq!(other.status.code(), Some(1), "{}", String::from_utf8_lossy(&other.stdout));
+}
+
+/// A script puts a document with an account twice by HTTP, without `sill` and its checks.
+#[test]
+fn a_name_that_stands_twice_is_refused_by_the_control_instance_too() {
+    let system = Try::start("twice");
+    let control = system.text("control").parse().expect("an address");
+    let token = format!("authorization: Bearer {}", system.text("operator_token"));
+    let body = r#"{"accounts":{"a":{"weight":1},"a":{"weight":2}},"x":1}"#;
+    let answer = http(control, "PUT", "/tree/waitaha", &[&token], body).expect("an answer");
+    assert_eq!(answer.status, 400, "{answer:?}");
+    assert!(answer.body.contains("waitaha: accounts.a"), "{answer:?}");
+}
+
 fn run(system: &Try, files: &Folder, words: &[&str]) -> Output {
     let control = system.text("control");
     let token = system.folder.file("data/operator-token");
