Control: a full or failing disk is tested with the whole instance

Cause: the path from a failed write to the operator's answer had no test. It answered storage_full after a failed sync too, though the change might be on the disk and be committed once the folder was read again.

Now: only a write that was cut off again counts as not made; after a failed sync the answer says that the outcome is unknown. A sole voter refuses at once.

--- a/daemons/control/src/api/tree.rs
+++ b/daemons/control/src/api/tree.rs
@@ -176,11 +176,12 @@
 
 /// Answers an ask that has no outcome.
 pub(super) fn no_outcome(app: &App, failure: NoOutcome) -> HttpResponse {
-    let status = app.log.status();
-    if let Some(fault) = status.disk_fault {
-        return refused(507, "storage_full", &format!("the disk can't be written: {fault}"));
-    }
+    let fault = app.log.status().disk_fault;
     let message = match failure {
+        NoOutcome::NotWritten if fault.is_some() => {
+            let fault = fault.unwrap_or_default();
+            return refused(507, "storage_full", &format!("nothing was changed: {fault}"));
+        }
         NoOutcome::NotWritten => "no quorum of control instances; nothing was changed",
         NoOutcome::Unknown => {
             "no quorum of control instances; whether the change was made is unknown: send it again \
--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -11,6 +11,7 @@
 use tokio::runtime::{Handle, Runtime};
 
 use crate::cfg::ControlCfg;
+use crate::log::disk::{OpenDisk, real_disk};
 use crate::log::driver::Driver;
 use crate::log::peers::Peers;
 use crate::log::{LogHandle, hello};
@@ -86,12 +87,21 @@
     ///
     /// Fails when the folder or an address can't be used.
     pub fn start(cfg: ControlCfg) -> Result<Self> {
+        Self::start_on(cfg, real_disk())
+    }
+
+    /// Starts on a disk of the caller's.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk or an address can't be used.
+    pub fn start_on(cfg: ControlCfg, open_disk: OpenDisk) -> Result<Self> {
         let listener = http::bind(cfg.listen)?;
         let peer_listener = http::bind(cfg.listen_peer)?;
         let address = listener.local_addr()?;
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
-        let shared = Arc::new(share(cfg, runtime.handle().clone())?);
+        let shared = Arc::new(share(cfg, open_disk, runtime.handle().clone())?);
         let peers = {
             let _guard = runtime.enter();
             answers(&shared).start(peer_listener)?
@@ -121,7 +131,7 @@
     }
 }
 
-fn share(cfg: ControlCfg, runtime: Handle) -> Result<Shared> {
+fn share(cfg: ControlCfg, open_disk: OpenDisk, runtime: Handle) -> Result<Shared> {
     let metrics = Arc::new(Metrics::new()?);
     let clock = Clock::start();
     let key = &cfg.cluster_key;
@@ -133,7 +143,7 @@
         let patient = PeerClient::new(address, key, PATIENT);
         controls.push(ControlPeer { name, quick, patient });
     }
-    let mut driver = Driver::new(&cfg, clock, peers, metrics.clone());
+    let mut driver = Driver::new(&cfg, open_disk, clock, peers, metrics.clone());
     driver.open()?;
     let id = driver.id().cloned().ok_or_else(|| eyre!("the data folder is not open"))?;
     let log = driver.start()?;
--- a/daemons/control/src/log/disk.rs
+++ b/daemons/control/src/log/disk.rs
@@ -7,7 +7,15 @@
 use serde::{Deserialize, Serialize};
 use sill_base::{Millis, Name, event};
 use sill_quorum::{Persisted, ReplicaId, Write};
-use sill_store::{FolderDisk, Recovered, Store, WriteError};
+use sill_store::{AnyDisk, FolderDisk, Recovered, Store, WriteError};
+
+/// Opens the disk under a data folder; tests give one that fails.
+pub type OpenDisk = Box<dyn Fn(&Path) -> io::Result<AnyDisk> + Send>;
+
+/// Opens the data folder itself.
+pub fn real_disk() -> OpenDisk {
+    Box::new(|folder| Ok(Box::new(FolderDisk::open(folder)?)))
+}
 
 /// A record of the store.
 #[derive(Debug, Serialize, Deserialize)]
@@ -30,7 +38,7 @@
 /// The open data folder of a replica.
 #[derive(Debug)]
 pub struct LogDisk {
-    store: Store<FolderDisk>,
+    store: Store<AnyDisk>,
     id: ReplicaId,
 }
 
@@ -40,9 +48,9 @@
     /// # Errors
     ///
     /// Fails when the folder is in use, damaged, or another instance's.
-    pub fn open(folder: &Path, name: &Name) -> Result<(Self, Persisted)> {
+    pub fn open(open_disk: &OpenDisk, folder: &Path, name: &Name) -> Result<(Self, Persisted)> {
         let place = || folder.display().to_string();
-        let disk = FolderDisk::open(folder).map_err(sill_store::OpenError::from);
+        let disk = open_disk(folder).map_err(sill_store::OpenError::from);
         let (mut store, recovered) = disk.and_then(Store::open).wrap_err_with(place)?;
         report(&recovered);
         let (id, persisted) = match replay(recovered).wrap_err_with(place)? {
--- a/daemons/control/src/log/driver.rs
+++ b/daemons/control/src/log/driver.rs
@@ -17,7 +17,7 @@
 
 use crate::app::{App, Command};
 use crate::cfg::ControlCfg;
-use crate::log::disk::LogDisk;
+use crate::log::disk::{LogDisk, OpenDisk};
 use crate::log::handle::{Input, LogHandle, News, Status, Submitted};
 use crate::log::peers::Peers;
 use crate::metrics::Metrics;
@@ -42,6 +42,7 @@
     clock: Clock,
     cfg: Cfg,
     folder: PathBuf,
+    open_disk: OpenDisk,
     name: Name,
     disk: Option<LogDisk>,
     replica: Option<Replica>,
@@ -68,12 +69,19 @@
 
 impl Driver {
     /// Makes what the thread works with; nothing is opened yet.
-    pub fn new(cfg: &ControlCfg, clock: Clock, peers: Peers, metrics: Arc<Metrics>) -> Self {
+    pub fn new(
+        cfg: &ControlCfg,
+        open_disk: OpenDisk,
+        clock: Clock,
+        peers: Peers,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         let (input, inputs) = mpsc::channel();
         Self {
             clock,
             cfg: Cfg::default(),
             folder: cfg.data.clone(),
+            open_disk,
             name: cfg.name.clone(),
             disk: None,
             replica: None,
@@ -119,7 +127,7 @@
     ///
     /// Fails when the folder can't be used.
     pub fn open(&mut self) -> Result<()> {
-        let (disk, persisted) = LogDisk::open(&self.folder, &self.name)?;
+        let (disk, persisted) = LogDisk::open(&self.open_disk, &self.folder, &self.name)?;
         if let Some(snapshot) = &persisted.snapshot {
             self.restore(snapshot)?;
         }
@@ -295,8 +303,13 @@
         self.disk = None;
         self.reopen_at = now + REOPEN;
         self.status.write().disk_fault = Some(err.to_string());
+        // After a failed sync the commands may be on the disk or not.
+        let of_proposed = match err {
+            WriteError::Full => Submitted::NotLeader,
+            WriteError::Io(_) | WriteError::Broken => Submitted::Unknown,
+        };
         for done in std::mem::take(&mut self.proposed).into_values().flatten() {
-            let _ = done.send(Submitted::NotLeader);
+            let _ = done.send(of_proposed.clone());
         }
         for waiting in std::mem::take(&mut self.waiting).into_values() {
             let _ = waiting.done.send(Submitted::Unknown);
--- a/daemons/control/src/submit.rs
+++ b/daemons/control/src/submit.rs
@@ -49,6 +49,10 @@
             SubmitReply::NotLeader => {}
             SubmitReply::Unknown => failure = NoOutcome::Unknown,
         }
+        let has_fault = shared.log.status().disk_fault.is_some();
+        if has_fault && shared.controls.is_empty() {
+            break;
+        }
         tokio::time::sleep(PAUSE.into()).await;
     }
     Err(failure)
--- a/daemons/control/tests/cluster.rs
+++ b/daemons/control/tests/cluster.rs
@@ -1,12 +1,15 @@
 //! Three control instances in one process: claims, the feed, and what is in force.
 
-use std::net::{SocketAddr, TcpListener};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use sill_base::{Millis, Name, Secret};
 use sill_control::{Control, ControlCfg};
 use sill_net::PeerClient;
+use sill_store::faulty::DiskFault;
+use sill_store::{FaultyDisk, Store};
 use sill_wire::Incarnation;
 use sill_wire::claim::{
     BodyHash, ClaimAsk, ClaimBatch, ClaimKey, ClaimOutcome, ClaimOwner, ClaimVerdict,
@@ -45,12 +48,16 @@
     }
 
     fn run(&mut self, i: usize) {
+        self.controls[i] = Some(Control::start(self.cfg(i)).expect("it starts"));
+    }
+
+    fn cfg(&self, i: usize) -> ControlCfg {
         let voters = self.peers.iter().enumerate().map(|(j, address)| sill_control::cfg::Voter {
             name: format!("c{j}").into(),
             domain: "a".into(),
             address: *address,
         });
-        let cfg = ControlCfg {
+        ControlCfg {
             name: format!("c{i}").into(),
             domain: "a".into(),
             listen: "127.0.0.1:0".parse().expect("an address"),
@@ -59,8 +66,7 @@
             data: self.folder.join(format!("data-{i}")),
             cluster_key: Secret::new("key"),
             root_token: Secret::new("root"),
-        };
-        self.controls[i] = Some(Control::start(cfg).expect("it starts"));
+        }
     }
 
     fn stop(&mut self, i: usize) {
@@ -109,6 +115,31 @@
     }
 }
 
+/// Sends one request of the root's operator, and returns the answer as text.
+fn http(to: SocketAddr, method: &str, path: &str, body: &str) -> String {
+    let mut stream = TcpStream::connect(to).expect("a connection");
+    let head = "host: c\r\nconnection: close\r\nauthorization: Bearer root";
+    let len = body.len();
+    let text = format!("{method} {path} HTTP/1.1\r\n{head}\r\ncontent-length: {len}\r\n\r\n{body}");
+    stream.write_all(text.as_bytes()).expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    answer
+}
+
+fn wait_until<F>(what: &str, mut holds: F)
+where
+    F: FnMut() -> bool,
+{
+    for _ in 0..TRIES {
+        if holds() {
+            return;
+        }
+        std::thread::sleep(Millis(50).into());
+    }
+    panic!("never came true: {what}");
+}
+
 fn key(key: &str) -> ClaimKey {
     ClaimKey { account: "desk".into(), key: key.into() }
 }
@@ -166,3 +197,73 @@
     }
     assert_eq!(reply, FeedReply::Empty);
 }
+
+#[test]
+fn an_instance_that_missed_more_than_the_log_keeps_gets_a_snapshot() {
+    // An instance is away while so much is written that the others drop old entries. It must come
+    // back with all claims, also after another restart, and not grant one of them again.
+    let mut cluster = Cluster::start();
+    cluster.claim(0, &[take("k", "e1")]);
+    cluster.stop(2);
+    let body = Some("x".repeat(15_000));
+    for i in 0..600 {
+        let name = format!("k{i}");
+        cluster.claim(0, &[take(&name, "e1")]);
+        let outcome = ClaimOutcome::Answered { status: 200, body: body.clone() };
+        let (key, owner) = (key(&name), owner("e1", "e1"));
+        cluster.claim(0, &[ClaimAsk::Finish { key, owner, outcome }]);
+    }
+    let compacted = cluster.folder.join("data-0/snapshot-1");
+    wait_until("the log is compacted", || compacted.exists());
+    for _ in 0..2 {
+        cluster.run(2);
+        let address = cluster.controls[2].as_ref().expect("it runs").address;
+        wait_until("all claims are there", || {
+            http(address, "GET", "/metrics", "").contains("\nsill_control_claims 601\n")
+        });
+        let taken = cluster.claim(2, &[take("k0", "e2")]);
+        assert!(matches!(taken[0], ClaimVerdict::Taken { .. }), "{taken:?}");
+        cluster.stop(2);
+    }
+}
+
+#[test]
+fn a_full_or_failing_disk_refuses_changes_and_keeps_serving_reads() {
+    // Another program fills the disk, and later a sync fails. Operators must get their change
+    // refused with the reason, and settings must still be handed to entry instances. Once the disk
+    // works, the same process must take changes again, and keep them through a crash.
+    let mut cluster = Cluster::start();
+    (0..SIZE).for_each(|i| cluster.stop(i));
+    let disk = FaultyDisk::new();
+    let mut cfg = ControlCfg { listen_peer: cluster.peers[0], ..cluster.cfg(0) };
+    cfg.voters.truncate(1);
+    let opened = disk.clone();
+    let control = Control::start_on(cfg, Box::new(move |_| Ok(Box::new(opened.clone()))));
+    let control = control.expect("it starts");
+    let put = |price: u64| {
+        http(control.address, "PUT", "/tree/ga", &format!("{{\"price_cap\":{price}}}"))
+    };
+    wait_until("a change is accepted", || put(1).starts_with("HTTP/1.1 200"));
+    let is_ready = || http(control.address, "GET", "/readyz", "").starts_with("HTTP/1.1 200");
+    disk.set_full(true);
+    let refused = put(7);
+    assert!(refused.contains("storage_full"), "{refused}");
+    let read = http(control.address, "GET", "/tree/ga", "");
+    assert!(read.contains("\"price_cap\":1"), "{read}");
+    assert_ne!(cluster.poll(0, 0, Millis(0)), FeedReply::Empty);
+    disk.set_full(false);
+    wait_until("the disk is used again", is_ready);
+    let read = http(control.address, "GET", "/tree/ga", "");
+    assert!(read.contains("\"price_cap\":1") && !read.contains("sill-stale"), "{read}");
+
+    disk.arm(DiskFault::SyncFails);
+    let unknown = put(2);
+    assert!(unknown.starts_with("HTTP/1.1 503") && unknown.contains("unknown"), "{unknown}");
+    wait_until("the disk is used again", is_ready);
+    assert!(put(3).starts_with("HTTP/1.1 200"));
+    disk.crash(0);
+    cluster.runtime.block_on(control.stop());
+    let (_, recovered) = Store::open(disk).expect("it opens");
+    let text = String::from_utf8(recovered.records.concat()).expect("text");
+    assert!(text.contains("price_cap\\\":3"), "what was accepted is on the disk: {text}");
+}
--- a/state/store/src/disk.rs
+++ b/state/store/src/disk.rs
@@ -1,5 +1,6 @@
 //! The few operations on files that the store needs.
 
+use std::fmt::Debug;
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -7,7 +8,7 @@
 use sill_base::Map;
 
 /// A folder of files, without folders inside.
-pub trait Disk {
+pub trait Disk: Debug {
     /// Returns the names of all files.
     ///
     /// # Errors
@@ -65,6 +66,43 @@
     fn sync_folder(&mut self) -> io::Result<()>;
 }
 
+/// Any disk, for programs that are tested on one that fails.
+pub type AnyDisk = Box<dyn Disk + Send>;
+
+impl Disk for AnyDisk {
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        (**self).list()
+    }
+
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
+        (**self).read(name)
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        (**self).append(name, bytes)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        (**self).sync(name)
+    }
+
+    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
+        (**self).truncate(name, len)
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        (**self).rename(from, to)
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        (**self).remove(name)
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        (**self).sync_folder()
+    }
+}
+
 /// The name of the file whose lock keeps a second process out.
 const LOCK: &str = "lock";
 
--- a/state/store/src/lib.rs
+++ b/state/store/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod frame;
 pub mod store;
 
-pub use disk::{Disk, FolderDisk};
+pub use disk::{AnyDisk, Disk, FolderDisk};
 pub use error::{OpenError, WriteError};
 pub use faulty::FaultyDisk;
 pub use store::{Recovered, Store, TornTail};
