--- a/daemons/control/benches/control.rs
+++ b/daemons/control/benches/control.rs
@@ -166,11 +166,11 @@
 }
 
 fn feed() {
-    let cluster = Cluster::start(3);
     let runtime = runtime();
-    let mut caller = Caller::new(cluster.api(cluster.leader()));
-    changes(&mut caller, 0, 1);
     for entries in [8_u64, 40, 100, 300] {
+        // A new cluster each time: entries of the round before would be waited for.
+        let cluster = Cluster::start(3);
+        changes(&mut Caller::new(cluster.api(cluster.leader())), 0, 1);
         let newest = Arc::new(AtomicU64::new(0));
         let idle = cluster.usage();
         let polls: Vec<_> = (0..entries)
@@ -207,7 +207,7 @@
         println!("  memory since no entries: {:?} kB", cluster.memory_since(&idle));
         polls.iter().for_each(tokio::task::JoinHandle::abort);
     }
-    catch_up(&cluster, &runtime);
+    catch_up(&Cluster::start(3), &runtime);
 }
 
 fn catch_up(cluster: &Cluster, runtime: &tokio::runtime::Runtime) {
