--- a/daemons/entry/src/cfg.rs
+++ b/daemons/entry/src/cfg.rs
@@ -26,6 +26,7 @@
         Flag::with_default("max-in-flight", "N", "20000", "requests held at once"),
         Flag::with_default("drain-notice-ms", "N", "3000", "time between readyz 503 and the close"),
         Flag::with_default("drain-limit-ms", "N", "600000", "longest wait for requests in flight"),
+        Flag::one("record", "FILE", "write what each router takes in and chooses to FILE.N"),
         Flag::with_default("log-level", "LEVEL", "info", "error, warn, info, debug or trace"),
     ],
 };
@@ -47,6 +48,8 @@
     pub peers: Vec<SocketAddr>,
     /// The data folder, on instances with a disk.
     pub data: Option<PathBuf>,
+    /// Where to write what the routers take in and choose, if anywhere.
+    pub record: Option<PathBuf>,
     /// The key that our own processes share.
     pub cluster_key: Secret,
     /// The token that endpoints join with.
@@ -77,6 +80,7 @@
         let control: Vec<SocketAddr> = values.many("control");
         let peers = values.many("peer");
         let data = values.optional("data");
+        let record = values.optional("record");
         let cluster_key = values.secret("cluster-key-file");
         let join_token = values.secret("join-token-file");
         let workers = values.required("workers");
@@ -100,6 +104,7 @@
             control,
             peers,
             data,
+            record,
             cluster_key: cluster_key.expect(checked),
             join_token: join_token.expect(checked),
             workers: workers.expect(checked),
--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -147,7 +147,7 @@
             settings: Settings::new(feed::read_copy(copy.as_ref())),
             feed: Feed::default(),
             members: Membership::new(&cfg, clock, incarnation, address, peer_address),
-            routing: Routing::new(&cfg),
+            routing: Routing::new(&cfg)?,
             limits: Limits::new(&cfg),
             metrics: Metrics::new(),
             claims,
--- a/daemons/entry/src/lib.rs
+++ b/daemons/entry/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod parents;
 pub mod peer;
 pub mod peers;
+pub mod record;
 pub mod routing;
 pub mod serve;
 pub mod settings;
--- a/daemons/entry/src/routing.rs
+++ b/daemons/entry/src/routing.rs
@@ -1,38 +1,48 @@
 //! Routers of the entry instance, a shard for each model or service under its own lock.
 
 use std::hash::{Hash, Hasher};
+use std::io;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use parking_lot::Mutex;
 use rustc_hash::FxHasher;
-use sill_base::{Machine, Millis, Name};
+use sill_base::{Millis, Name};
 use sill_route::{
-    Ask, Choice, Event, Refusal, RefusalReason, RetryBudget, RetryCfg, Router, RouterCfg, Target,
+    Ask, Choice, Event, Refusal, RefusalReason, RetryBudget, RetryCfg, RouterCfg, Target,
 };
 use sill_wire::Served;
 
 use crate::cfg::EntryCfg;
+use crate::record::RecordedRouter;
 
 const SHARDS: usize = 8;
 
 /// Routers by target.
 #[derive(Debug)]
 pub struct Routing {
-    shards: Vec<Mutex<Router>>,
+    shards: Vec<Mutex<RecordedRouter>>,
     trusted_until: AtomicU64,
     retries: Mutex<RetryBudget>,
 }
 
 impl Routing {
     /// Makes routers that know no endpoint.
-    pub fn new(cfg: &EntryCfg) -> Self {
-        let router =
-            |shard| Router::new(RouterCfg { domain: cfg.domain.clone(), seed: seed(cfg, shard) });
-        Self {
-            shards: (0..SHARDS).map(|shard| Mutex::new(router(shard))).collect(),
+    ///
+    /// # Errors
+    ///
+    /// Fails when a record is asked for and can't be written.
+    pub fn new(cfg: &EntryCfg) -> io::Result<Self> {
+        let router = |shard| {
+            let file = cfg.record.as_deref().map(|file| record_of(file, shard));
+            let router = RouterCfg { domain: cfg.domain.clone(), seed: seed(cfg, shard) };
+            RecordedRouter::new(router, file.as_deref()).map(Mutex::new)
+        };
+        Ok(Self {
+            shards: (0..SHARDS).map(router).collect::<io::Result<_>>()?,
             trusted_until: AtomicU64::new(u64::MAX),
             retries: Mutex::new(RetryBudget::new(RetryCfg::default())),
-        }
+        })
     }
 
     /// Lets requests be sent until then. Membership moves it on; a process that was frozen finds it
@@ -52,21 +62,21 @@
         let choice = router.choose(now, ask);
         if let Choice::Endpoint(chosen) = &choice {
             let sent = Event::Sent { endpoint: chosen.endpoint.clone(), ask: ask.clone() };
-            router.step(now, sent, &mut Vec::new());
+            router.step(now, sent);
         }
         choice
     }
 
     /// Passes on what concerns one target.
     pub fn hear_about(&self, now: Millis, target: &Target, event: Event) {
-        self.shard(target).lock().step(now, event, &mut Vec::new());
+        self.shard(target).lock().step(now, event);
     }
 
     /// Passes on what concerns an endpoint with all that it serves.
     pub fn hear(&self, now: Millis, event: Event) {
         let Event::Announced { announcement, .. } = &event else {
             for shard in &self.shards {
-                shard.lock().step(now, event.clone(), &mut Vec::new());
+                shard.lock().step(now, event.clone());
             }
             return;
         };
@@ -75,7 +85,7 @@
         shards.sort_unstable();
         shards.dedup();
         for shard in shards {
-            self.shards[shard].lock().step(now, event.clone(), &mut Vec::new());
+            self.shards[shard].lock().step(now, event.clone());
         }
     }
 
@@ -90,11 +100,18 @@
         self.retries.lock().succeeded(account, target);
     }
 
-    fn shard(&self, target: &Target) -> &Mutex<Router> {
+    fn shard(&self, target: &Target) -> &Mutex<RecordedRouter> {
         &self.shards[index(target)]
     }
 }
 
+/// Each shard is a core of its own and has its own trace: `FILE.0`, `FILE.1` and so on.
+fn record_of(file: &Path, shard: usize) -> PathBuf {
+    let mut name = file.as_os_str().to_owned();
+    name.push(format!(".{shard}"));
+    name.into()
+}
+
 /// Differs between entry instances, so that their jittered answers don't fall together.
 fn seed(cfg: &EntryCfg, shard: usize) -> u64 {
     let mut hasher = FxHasher::default();
--- a/daemons/entry/tests/kit/mod.rs
+++ b/daemons/entry/tests/kit/mod.rs
@@ -130,6 +130,7 @@
             listen_peer: peers[i],
             control: vec![control.address],
             peers: peers.iter().copied().filter(|p| *p != peers[i]).collect(),
+            record: None,
             data: None,
             cluster_key: Secret::new(CLUSTER_KEY),
             join_token: Secret::new(JOIN_TOKEN),
--- a/daemons/sill/src/replay/cores.rs
+++ b/daemons/sill/src/replay/cores.rs
@@ -2,8 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 use sill_base::{Machine, Millis, Name};
+use sill_entry::record::RouterInput;
 use sill_flight::claims::{ClaimBounds, ClaimTable};
-use sill_route::{Ask, Choice, Event, Router, RouterCfg};
+use sill_route::{Choice, Router, RouterCfg};
 use sill_wire::claim::{ClaimAsk, ClaimVerdict};
 
 /// The first line of a trace: which core it is of, and its settings.
@@ -21,16 +22,6 @@
     Claims {},
 }
 
-/// What a router takes in.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RouterInput {
-    /// It heard something.
-    Hear(Event),
-    /// It was asked for an endpoint.
-    Ask(Ask),
-}
-
 /// A router as a core whose actions are its choices.
 #[derive(Debug)]
 pub struct RouterCore(Router);
--- a/daemons/sill/tests/system/thin_path.rs
+++ b/daemons/sill/tests/system/thin_path.rs
@@ -52,6 +52,8 @@
             &cluster_key,
             "--join-token-file",
             &join_token,
+            "--record",
+            &folder.file("trace"),
         ],
     );
     let _endpoint = folder.start(
@@ -101,4 +103,10 @@
     let file = folder.write("none.json", "{}");
     assert!(apply(&file).status.success());
     wait_until("the key is unknown again", || ask().is_some_and(|a| a.status == 401));
+
+    let recorded = (0..8).map(|shard| folder.file(&format!("trace.{shard}")));
+    for trace in recorded {
+        let replayed = sill(&["replay", &trace], "");
+        assert!(replayed.status.success(), "{}", String::from_utf8_lossy(&replayed.stderr));
+    }
 }
