A longer accept queue, a hand-off past a dying peer, files split by job

Cause: the standard library's listeners queue 128 connections; 5,000 callers at once overflowed the queue (ListenOverflows in nstat), and 686 of them had no answer. Ruled out: the entry's connection limits and the file limit (20,000).

A peer that is killed or frozen (SIGSTOP) while an entry hands over no longer decides: the next one takes the requests, shown with real processes.

--- a/bench/standin/src/endpoint.rs
+++ b/bench/standin/src/endpoint.rs
@@ -233,10 +233,7 @@
     }
 
     pub(crate) async fn prefill(&self, tokens: u64) {
-        let span = tokens * self.cfg.prefill_us_per_token / 1000;
-        if span > 0 {
-            ntex::time::sleep(ntex::time::Millis(span as u32)).await;
-        }
+        pause(Millis(tokens * self.cfg.prefill_us_per_token / 1000)).await;
     }
 
     pub(crate) fn is_dead(&self) -> bool {
@@ -255,6 +252,14 @@
     }
 }
 
+/// Waits to the millisecond; the HTTP library's own timer is coarse, and would hide what an entry
+/// instance adds.
+pub(crate) async fn pause(span: Millis) {
+    if span > Millis::ZERO {
+        tokio::time::sleep(span.into()).await;
+    }
+}
+
 pub(crate) struct Admission {
     pub(crate) permit: OwnedSemaphorePermit,
     pub(crate) cached_tokens: u64,
@@ -394,7 +399,7 @@
         return Failure::new(ErrorCode::NoCapacity, "stopping").response(&request);
     };
     app.running.fetch_add(1, Ordering::Relaxed);
-    ntex::time::sleep(ntex::time::Millis(app.cfg.decode.0 as u32)).await;
+    pause(app.cfg.decode).await;
     app.running.fetch_sub(1, Ordering::Relaxed);
     drop(admission);
     app.ledger.close(run, RunEnd::Finished);
--- a/bench/standin/src/kv.rs
+++ b/bench/standin/src/kv.rs
@@ -13,7 +13,7 @@
 use sill_wire::ErrorCode;
 use sill_wire::endpoint::KvSource;
 
-use crate::endpoint::Shared;
+use crate::endpoint::{Shared, pause};
 
 /// Requests whose KV cache is held for export.
 const MAX_HELD: usize = 4096;
@@ -65,8 +65,7 @@
     let Some(held) = app.exports.lock().get(&prefix) else {
         return Failure::new(ErrorCode::NotFound, "no such prefix").response(&Name::default());
     };
-    let span = (held.tokens * app.cfg.kv_us_per_token).div_ceil(1000);
-    ntex::time::sleep(ntex::time::Millis(span as u32)).await;
+    pause(Millis((held.tokens * app.cfg.kv_us_per_token).div_ceil(1000))).await;
     http::json(200, &held)
 }
 
--- a/bench/standin/src/run.rs
+++ b/bench/standin/src/run.rs
@@ -17,7 +17,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 
 use crate::answer::{Answer, chunk};
-use crate::endpoint::{Shared, attempt, key, request_header};
+use crate::endpoint::{Shared, attempt, key, pause, request_header};
 use crate::kv;
 use crate::ledger::RunId;
 
@@ -138,7 +138,7 @@
         if self.next >= self.answer.tokens {
             return None;
         }
-        ntex::time::sleep(ntex::time::Millis(self.shared.cfg.decode.0 as u32)).await;
+        pause(self.shared.cfg.decode).await;
         let token = self.answer.token(self.next);
         self.next += 1;
         self.shared.ledger.sent(self.id, self.next);
--- a/coordination/flight/src/flight.rs
+++ b/coordination/flight/src/flight.rs
@@ -1,10 +1,11 @@
 //! One request as a pure state machine: from admission to its one answer.
 
 mod cfg;
+mod ending;
 mod event;
 mod resume;
+mod search;
 
-use rand::Rng as _;
 use sill_base::random::{Rng, seeded};
 use sill_base::{Machine, Millis, Name, Promise, keep};
 use sill_wire::ErrorCode;
@@ -14,7 +15,7 @@
 pub use self::event::{
     Action, Cause, Claimant, Dropped, Ending, Epoch, Event, Kind, Place, ResumeAt, Spec,
 };
-use crate::life::{Admitted, AfterConnect, Claimed, Dispatched, Life, Received};
+use crate::life::{Admitted, Claimed, Dispatched, Life, Received};
 
 /// When a caller should come back after a refusal that names no time.
 const COME_BACK: Millis = Millis(1000);
@@ -202,113 +203,6 @@
         }
     }
 
-    fn release(&self, out: &mut Vec<Action>) {
-        if let Some(claim) = &self.spec.claim {
-            out.push(Action::Settle(ClaimAsk::Release {
-                key: claim.key.clone(),
-                owner: claim.owner.clone(),
-            }));
-        }
-    }
-
-    fn search(&mut self, now: Millis, cause: Option<Cause>, out: &mut Vec<Action>) {
-        let pause = self.cfg.route_pause;
-        // Until the router has answered there is nothing to try again.
-        let retry_at = Millis::MAX;
-        self.search = Some(Search { cause, since: now, pause, retry_at });
-        self.route(out);
-    }
-
-    fn route(&mut self, out: &mut Vec<Action>) {
-        out.push(Action::Route {
-            exclude: self.excluded.clone(),
-            prompt_tokens: self.spec.prompt_tokens + u64::from(self.next),
-            max_tokens: self.spec.max_tokens.saturating_sub(self.next),
-        });
-    }
-
-    fn no_route(
-        &mut self,
-        now: Millis,
-        deadline: bool,
-        retry_after: Millis,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(search) = &mut self.search else {
-            return;
-        };
-        // An endpoint that failed once is better than none.
-        self.excluded.clear();
-        if let Some(attempt) = &self.attempt {
-            self.excluded.push(attempt.place.endpoint.clone());
-        }
-        if !matches!(self.stage, Stage::Dispatched(_)) {
-            let (code, message) = if deadline {
-                (ErrorCode::DeadlineUnmeetable, "no endpoint can meet the deadline")
-            } else {
-                (ErrorCode::NoCapacity, "no endpoint can take the request now")
-            };
-            self.give_up(now, code, message, retry_after, out);
-            return;
-        }
-        // Pauses differ, so that the requests of a lost failure domain don't all come back at once.
-        let jitter = self.rng.random_range(0..=search.pause.0);
-        search.retry_at = now + search.pause + Millis(jitter);
-        search.pause = (search.pause * 2).min(LONGEST_PAUSE);
-        let waited = now.since(search.since) >= self.cfg.route_patience;
-        let lost = self.attempt.is_none();
-        if lost && (waited || self.weakened(Weakening::NoPatience)) {
-            let message = "no endpoint can go on with the request";
-            self.give_up(now, ErrorCode::NoCapacity, message, retry_after, out);
-        }
-    }
-
-    fn routed(&mut self, now: Millis, place: Place, out: &mut Vec<Action>) {
-        let Some(search) = self.search.take() else {
-            // The answer became whole while the router was asked.
-            out.push(Action::Ended { endpoint: place.endpoint, how: Ending::Cancelled });
-            return;
-        };
-        let life = match std::mem::replace(&mut self.stage, Stage::Over) {
-            Stage::Admitted(life) => life.dispatch(),
-            Stage::Claimed(life) => life.dispatch(),
-            Stage::Dispatched(life)
-                if self.attempt.is_some() && !self.weakened(Weakening::MoveIsUnsent) =>
-            {
-                life.attempt_over()
-            }
-            Stage::Dispatched(life) => life,
-            stage @ (Stage::Received(_) | Stage::Over) => {
-                self.stage = stage;
-                return;
-            }
-        };
-        let resume = self.resume_at(&life, &place, search.cause, out);
-        keep!(
-            Promise::AtMostOnce,
-            self.spec.idempotent || !life.has_left() || resume.as_ref().is_some_and(|r| r.same_run),
-            "{} would be sent to {} as well",
-            self.spec.request,
-            place.endpoint
-        );
-        self.drop_attempt(Ending::Cancelled, out);
-        self.stage = Stage::Dispatched(life);
-        self.epoch.0 += 1;
-        let epoch = self.epoch;
-        self.attempt = Some(Attempt {
-            epoch,
-            place: place.clone(),
-            began: now,
-            first_token: None,
-            heard: now,
-            tokens: 0,
-            stays: false,
-            cause: search.cause,
-            kv_from: resume.as_ref().and_then(|r| r.kv_from.clone()),
-        });
-        out.push(Action::Dispatch { epoch, place, resume });
-    }
-
     fn drop_attempt(&mut self, how: Ending, out: &mut Vec<Action>) {
         let Some(attempt) = self.attempt.take() else {
             return;
@@ -367,162 +261,6 @@
         out.push(Action::Finish);
     }
 
-    fn end(&mut self, how: Ending, out: &mut Vec<Action>) {
-        if let Stage::Dispatched(life) = std::mem::replace(&mut self.stage, Stage::Over) {
-            let _answered = life.answer();
-        }
-        self.search = None;
-        self.drop_attempt(how, out);
-    }
-
-    fn connect_failed(&mut self, now: Millis, epoch: Epoch, out: &mut Vec<Action>) {
-        if !self.is_current(epoch) {
-            return;
-        }
-        self.exclude_current();
-        let attempt = self.attempt.as_ref();
-        let cause = attempt.and_then(|a| a.cause);
-        // Nothing was moved, so the next attempt can still import from the same source.
-        self.kv_from = attempt.and_then(|a| a.kv_from.clone());
-        self.drop_attempt(Ending::Failed, out);
-        self.stage = match std::mem::replace(&mut self.stage, Stage::Over) {
-            Stage::Dispatched(life) => match life.not_connected() {
-                AfterConnect::Admitted(life) => Stage::Admitted(life),
-                AfterConnect::Claimed(life) => Stage::Claimed(life),
-                AfterConnect::Dispatched(life) => Stage::Dispatched(life),
-            },
-            stage => stage,
-        };
-        self.failed(now, cause, out);
-    }
-
-    /// Ends an attempt whose bytes may have left, and goes on elsewhere where that is allowed.
-    fn lost(&mut self, now: Millis, epoch: Epoch, cause: Cause, out: &mut Vec<Action>) {
-        if !self.is_current(epoch) {
-            out.push(Action::Drop(Dropped::Late));
-            return;
-        }
-        if cause == Cause::Cut && self.weakened(Weakening::CutIsUnsent) {
-            self.connect_failed(now, epoch, out);
-            return;
-        }
-        self.exclude_current();
-        let gone = cause == Cause::Cut || cause == Cause::Rejected;
-        let how = if gone { Ending::Failed } else { Ending::Cancelled };
-        self.drop_attempt(how, out);
-        self.kv_from = None;
-        self.mark_left();
-        if !self.spec.idempotent && !self.weakened(Weakening::RepeatNonIdempotent) {
-            let message = "the request was sent once, and its answer was lost";
-            self.give_up(now, ErrorCode::OutcomeUnknown, message, COME_BACK, out);
-            return;
-        }
-        self.failed(now, Some(cause), out);
-    }
-
-    fn mark_left(&mut self) {
-        self.stage = match std::mem::replace(&mut self.stage, Stage::Over) {
-            Stage::Dispatched(life) => Stage::Dispatched(life.attempt_over()),
-            stage => stage,
-        };
-    }
-
-    fn exclude_current(&mut self) {
-        let Some(attempt) = &self.attempt else {
-            return;
-        };
-        if !self.excluded.contains(&attempt.place.endpoint) {
-            self.excluded.push(attempt.place.endpoint.clone());
-        }
-    }
-
-    fn failed(&mut self, now: Millis, cause: Option<Cause>, out: &mut Vec<Action>) {
-        self.failures += 1;
-        if self.failures >= self.cfg.max_failures {
-            let message = "one endpoint after the other failed the request";
-            self.give_up(now, ErrorCode::UpstreamFailed, message, COME_BACK, out);
-            return;
-        }
-        self.search(now, cause, out);
-    }
-
-    /// Ends the request for good, at once.
-    fn give_up(
-        &mut self,
-        now: Millis,
-        code: ErrorCode,
-        message: &str,
-        retry_after: Millis,
-        out: &mut Vec<Action>,
-    ) {
-        let retry = Some(retry_after);
-        let searched = self.search.take().map_or(Millis::ZERO, |s| now.since(s.since));
-        self.drop_attempt(Ending::Cancelled, out);
-        match std::mem::replace(&mut self.stage, Stage::Over) {
-            Stage::Received(life) => out.push(Action::Refuse(life.refuse(code, message, retry))),
-            // A claim that was asked for may be taken all the same.
-            Stage::Admitted(life) => {
-                self.release(out);
-                out.push(Action::Refuse(life.refuse(code, message, retry)));
-            }
-            Stage::Claimed(life) => {
-                self.release(out);
-                out.push(Action::Refuse(life.refuse(code, message, retry)));
-            }
-            Stage::Dispatched(life) => {
-                keep!(
-                    Promise::AcceptedSurvives,
-                    !self.spec.idempotent
-                        || now >= self.spec.deadline
-                        || searched >= self.cfg.route_patience
-                        || self.failures >= self.cfg.max_failures,
-                    "{} was given up: {message}",
-                    self.spec.request
-                );
-                self.settle(ClaimOutcome::Unknown, out);
-                out.push(Action::Fail(life.fail(code, message, retry)));
-            }
-            Stage::Over => {}
-        }
-    }
-
-    fn settle(&self, outcome: ClaimOutcome, out: &mut Vec<Action>) {
-        if let Some(claim) = &self.spec.claim {
-            out.push(Action::Settle(claim.finish(outcome)));
-        }
-    }
-
-    fn rejected(&mut self, now: Millis, epoch: Epoch, status: u16, out: &mut Vec<Action>) {
-        let elsewhere = match self.spec.kind {
-            Kind::Model => status >= 500 || status == 429,
-            Kind::Plain => (502..=504).contains(&status),
-        };
-        let may_retry = self.spec.idempotent && self.failures + 1 < self.cfg.max_failures;
-        let lost_run = !self.spec.idempotent && self.next > 0;
-        if !self.is_current(epoch) || (elsewhere && may_retry) || lost_run {
-            self.lost(now, epoch, Cause::Rejected, out);
-            return;
-        }
-        self.end(Ending::Finished, out);
-        out.push(Action::PassOn);
-    }
-
-    fn caller_gone(&mut self, out: &mut Vec<Action>) {
-        self.caller_gone = true;
-        let runs = matches!(self.stage, Stage::Dispatched(_));
-        if self.is_over() || (self.spec.keyed && runs) {
-            return;
-        }
-        match std::mem::replace(&mut self.stage, Stage::Over) {
-            Stage::Claimed(_) | Stage::Admitted(_) => self.release(out),
-            Stage::Dispatched(_) => self.settle(ClaimOutcome::Unknown, out),
-            Stage::Received(_) | Stage::Over => {}
-        }
-        self.search = None;
-        self.drop_attempt(Ending::Cancelled, out);
-        out.push(Action::Abandon);
-    }
-
     fn tick(&mut self, now: Millis, out: &mut Vec<Action>) {
         if self.is_over() {
             return;
--- a/daemons/entry/src/serve.rs
+++ b/daemons/entry/src/serve.rs
@@ -5,6 +5,7 @@
 pub mod calls;
 pub mod chunk;
 pub mod driver;
+mod ending;
 pub mod run;
 pub mod signals;
 mod tokens;
--- a/daemons/entry/src/serve/driver.rs
+++ b/daemons/entry/src/serve/driver.rs
@@ -6,19 +6,18 @@
 
 use ntex::client::Client;
 use ntex::util::Bytes;
-use sill_base::{Machine, Millis, Name, event};
+use sill_base::{Machine, Millis, Name};
 use sill_flight::flight::{Dropped, Ending, Epoch, Kind, ResumeAt};
-use sill_flight::handoff::HandedRun;
 use sill_flight::sse::Splitter;
 use sill_flight::{Action, Event, Flight, Place};
 use sill_route::{Ask, Choice, Outcome, RefusalReason, Target};
-use sill_wire::claim::{ClaimAsk, ClaimOutcome, ClaimVerdict};
+use sill_wire::Priority;
+use sill_wire::claim::ClaimVerdict;
 use sill_wire::handoff::WholeReply;
-use sill_wire::{ErrorCode, Priority};
 use tokio::sync::{oneshot, watch};
 
 use super::attach::{self, Source};
-use super::caller::{Final, Out, Sink};
+use super::caller::{Out, Sink};
 use super::run::{Run, RunEnd};
 use super::upstream::{Came, Outgoing, Upstream};
 use crate::daemon::Shared;
@@ -72,14 +71,14 @@
     client: Client,
     actions: Vec<Action>,
     claim: Option<oneshot::Receiver<ClaimVerdict>>,
-    offer: Option<oneshot::Receiver<Option<Name>>>,
+    pub(super) offer: Option<oneshot::Receiver<Option<Name>>>,
     signals: watch::Receiver<u64>,
     timer: Timer,
-    ended: Option<RunEnd>,
+    pub(super) ended: Option<RunEnd>,
     reply: Option<WholeReply>,
     first_at: Option<Millis>,
     accepted: bool,
-    elsewhere: bool,
+    pub(super) elsewhere: bool,
 }
 
 /// The closing pieces of an attempt, held until its end marker has come: were they sent at once, an
@@ -379,62 +378,6 @@
         }
     }
 
-    fn signalled(&mut self) {
-        self.check_notice();
-        let model = self.order.run.spec.kind == Kind::Model;
-        if !model || self.offer.is_some() || !self.flight.was_sent() {
-            return;
-        }
-        let Some(offers) = self.app.signals.offers() else {
-            return;
-        };
-        let (taken_by, answer) = oneshot::channel();
-        let run = self.handed();
-        if offers.send(super::signals::Offer { run, taken_by }).is_ok() {
-            self.offer = Some(answer);
-        }
-    }
-
-    fn check_notice(&mut self) {
-        let Some(place) = self.flight.place() else {
-            return;
-        };
-        if let Some(notice) = self.app.signals.notice(&place.endpoint, place.incarnation) {
-            self.events.push_back(Event::Leaving {
-                endpoint: place.endpoint.clone(),
-                incarnation: place.incarnation,
-                left: notice.dies_at.since(self.now()),
-            });
-        }
-    }
-
-    fn handed(&self) -> HandedRun {
-        let run = &self.order.run;
-        HandedRun {
-            spec: run.spec.clone(),
-            account: run.key.account.clone(),
-            key: run.key.clone(),
-            body_hash: run.body_hash.clone(),
-            path: run.path.clone(),
-            model: run.target.clone(),
-            body: String::from_utf8_lossy(&self.order.outgoing.body).into_owned(),
-            transcript: run.with_transcript(|t| t.clone()),
-            from: self.flight.place().cloned(),
-        }
-        .leaves(self.now())
-    }
-
-    fn offered(&mut self, taken_by: Option<Name>) {
-        self.offer = None;
-        match taken_by {
-            Some(peer) => {
-                self.note(format!("handed over to {peer}"));
-                self.ended = Some(RunEnd::Moved(peer));
-            }
-            None => self.note("no peer took it over".to_owned()),
-        }
-    }
-
     /// Sends what waits, as far as the caller takes it.
     fn flush(&mut self) {
         if self.waiting.is_empty() {
@@ -448,101 +391,6 @@
             permit.send(Out::Part(Bytes::from(std::mem::take(&mut self.waiting))));
         }
     }
-
-    /// Tells everyone how it ended.
-    async fn finish(mut self) -> Option<Source> {
-        let ended = self.ended.take().unwrap_or(RunEnd::Abandoned);
-        // What was found under another's claim is counted and settled there.
-        if !self.elsewhere {
-            self.count(&ended);
-            self.settle_claim(&ended);
-        }
-        self.order.run.end(ended.clone());
-        self.app.runs.close(self.now(), &self.order.run);
-        // A key whose request has no answer may be sent again, and must not lead here.
-        if !matches!(ended, RunEnd::Whole | RunEnd::Reply(_) | RunEnd::Moved(_)) {
-            super::forget_later(&self.app, &self.order.run);
-        }
-        if self.elsewhere {
-            return Some(match ended {
-                RunEnd::Moved(peer) => Source::At(peer),
-                _ => Source::Here(self.order.run.clone()),
-            });
-        }
-        if let Some(sink) = self.order.sink.take() {
-            if !self.waiting.is_empty() {
-                let rest = Bytes::from(std::mem::take(&mut self.waiting));
-                let _ = sink.send(Out::Part(rest)).await;
-            }
-            let _ = sink.send(Out::End(self.last_word(ended))).await;
-            // Until the caller has taken it, it counts as in flight, else a planned stop cuts it.
-            sink.closed().await;
-        }
-        None
-    }
-
-    fn count(&self, ended: &RunEnd) {
-        let metrics = &self.app.metrics;
-        let what = match ended {
-            RunEnd::Whole => {
-                metrics.answered.inc();
-                "answered whole".to_owned()
-            }
-            RunEnd::Reply(reply) => {
-                metrics.answered.inc();
-                format!("answered with status {}", reply.status)
-            }
-            RunEnd::Failed(failed) => {
-                metrics.failed.inc();
-                event!(Info, "request_failed", request = failed.request, why = failed.message);
-                format!("given up: {}", failed.message)
-            }
-            RunEnd::NotRun(refusal) => {
-                metrics.refused.inc();
-                format!("refused, not run: {}", refusal.message())
-            }
-            RunEnd::Moved(peer) => format!("runs at {peer}"),
-            RunEnd::Abandoned => "nobody waits for it".to_owned(),
-        };
-        self.note(what);
-    }
-
-    fn settle_claim(&self, ended: &RunEnd) {
-        let Some(claim) = &self.order.run.spec.claim else {
-            return;
-        };
-        let outcome = match ended {
-            RunEnd::Reply(reply) => ClaimOutcome::Answered {
-                status: reply.status,
-                body: std::str::from_utf8(reply.body.as_bytes()).ok().map(str::to_owned),
-            },
-            RunEnd::Whole => {
-                ClaimOutcome::Answered { status: 200, body: Some(self.whole_answer().to_string()) }
-            }
-            // The machine has told the log of every other end.
-            _ => return,
-        };
-        let ask = ClaimAsk::Finish { key: claim.key.clone(), owner: claim.owner.clone(), outcome };
-        self.app.claims.settle(ask);
-    }
-
-    fn last_word(&self, ended: RunEnd) -> Final {
-        match ended {
-            RunEnd::Whole if self.order.form == Form::Whole => {
-                Final::Reply(attach::json_reply(&self.whole_answer()))
-            }
-            RunEnd::Whole => Final::Whole,
-            RunEnd::Reply(reply) => Final::Reply(reply),
-            RunEnd::Failed(failed) => failed.into(),
-            RunEnd::NotRun(refusal) => Final::NotRun(refusal),
-            RunEnd::Moved(_) => Final::Moved,
-            RunEnd::Abandoned => Final::Failed(sill_wire::handoff::FailedRun {
-                code: ErrorCode::Internal,
-                message: "nobody waits for it".to_owned(),
-                retry_after: Some(Millis(1000)),
-            }),
-        }
-    }
 }
 
 impl Drop for Driver {
--- a/daemons/sill/tests/system/flight.rs
+++ b/daemons/sill/tests/system/flight.rs
@@ -390,6 +390,35 @@
     assert!(runs.iter().any(|run| run.resumed_at > 0), "{runs:?}, first at {endpoint}");
 }
 
+/// One of two peers is killed or frozen just as the reclaimed entry instance hands over. Whichever
+/// it asks first, the other one has to take the request; else the caller's answer is lost.
+#[test]
+fn a_hand_off_goes_on_when_a_peer_dies_in_it() {
+    thread::scope(|scope| {
+        for (name, how) in [("peer-kill", "-KILL"), ("peer-freeze", "-STOP")] {
+            scope.spawn(move || hands_off_past(name, how));
+        }
+    });
+}
+
+fn hands_off_past(name: &str, how: &str) {
+    let cluster = Cluster::start(name, 3, 2, "10");
+    let body = body(PROMPT, 300, true);
+    let (first, third) = (cluster.entries[0].address, cluster.entries[2].address);
+    let sent = body.clone();
+    let reader = thread::spawn(move || read_until_cut(first, "parcel-18", &sent));
+    cluster.running(30);
+    signal(&cluster.entries[1], how);
+    cluster.reclaim(first, 1000);
+    let cut = reader.join().expect("no panic");
+    assert!(!cut.contains("[DONE]"), "a cut answer must not look whole");
+    let answer = call(third, "/v1/chat/completions", &["idempotency-key: parcel-18"], &body);
+    assert_whole(&body, &answer.expect("an answer"));
+    let runs = cluster.model_runs();
+    assert!(runs.iter().any(|run| run.resumed_at > 0), "{runs:?}");
+    assert_eq!(runs.iter().filter(|run| run.resumed_at == 0).count(), 1, "{runs:?}");
+}
+
 /// A caller loses its connection and sends a keyed request again through another entry instance,
 /// while it runs and after it has ended. Nothing is computed a second time.
 #[test]
--- a/transport/net/src/http.rs
+++ b/transport/net/src/http.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::thread::{self, JoinHandle};
 
 use ntex::rt::{DefaultRuntime, System};
@@ -10,6 +10,10 @@
 use serde::Serialize;
 use sill_base::{Findings, Name};
 use sill_wire::{ErrorBody, ErrorCode, ErrorDetail, header};
+use socket2::{Domain, Protocol, Socket, Type};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 4096;
 
 /// Runs an ntex system with one future on a thread of its own.
 ///
@@ -35,11 +39,19 @@
 /// # Errors
 ///
 /// Fails when the address is taken or not ours.
-pub fn bind(address: std::net::SocketAddr) -> io::Result<TcpListener> {
-    let listener = TcpListener::bind(address)
-        .map_err(|err| io::Error::new(err.kind(), format!("{address}: {err}")))?;
-    listener.set_nonblocking(true)?;
-    Ok(listener)
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    listen(address).map_err(|err| io::Error::new(err.kind(), format!("{address}: {err}")))
+}
+
+/// The standard library's queue of 128 connections overflows when a balancer, or the callers of a
+/// lost entry instance, connect all at once; those beyond it wait for seconds or are given up.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
 }
 
 /// An error answer before it is sent.
