--- a/daemons/control/src/log/disk.rs
+++ b/daemons/control/src/log/disk.rs
@@ -7,7 +7,15 @@
 use serde::{Deserialize, Serialize};
 use sill_base::{Millis, Name, event};
 use sill_quorum::{Persisted, ReplicaId, Write};
-use sill_store::{FolderDisk, Recovered, Store, WriteError};
+use sill_store::{AnyDisk, FolderDisk, Recovered, Store, WriteError};
+
+/// Opens the disk under a data folder; tests give one that fails.
+pub type OpenDisk = Box<dyn Fn(&Path) -> io::Result<AnyDisk> + Send>;
+
+/// Opens the data folder itself.
+pub fn real_disk() -> OpenDisk {
+    Box::new(|folder| Ok(Box::new(FolderDisk::open(folder)?)))
+}
 
 /// A record of the store.
 #[derive(Debug, Serialize, Deserialize)]
@@ -19,7 +27,8 @@
     Write(Write),
 }
 
-/// A snapshot of the store.
+/// The first line of a snapshot of the store; the application's state follows as it is, since as a
+/// string inside of JSON a large one would take twice the time.
 #[derive(Debug, Serialize, Deserialize)]
 struct Whole {
     id: ReplicaId,
@@ -29,7 +38,7 @@
 /// The open data folder of a replica.
 #[derive(Debug)]
 pub struct LogDisk {
-    store: Store<FolderDisk>,
+    store: Store<AnyDisk>,
     id: ReplicaId,
 }
 
@@ -39,9 +48,9 @@
     /// # Errors
     ///
     /// Fails when the folder is in use, damaged, or another instance's.
-    pub fn open(folder: &Path, name: &Name) -> Result<(Self, Persisted)> {
+    pub fn open(open_disk: &OpenDisk, folder: &Path, name: &Name) -> Result<(Self, Persisted)> {
         let place = || folder.display().to_string();
-        let disk = FolderDisk::open(folder).map_err(sill_store::OpenError::from);
+        let disk = open_disk(folder).map_err(sill_store::OpenError::from);
         let (mut store, recovered) = disk.and_then(Store::open).wrap_err_with(place)?;
         report(&recovered);
         let (id, persisted) = match replay(recovered).wrap_err_with(place)? {
@@ -81,10 +90,13 @@
     /// # Errors
     ///
     /// Fails when the disk is full or broken.
-    pub fn write_anew(&mut self, persisted: Persisted) -> Result<(), WriteError> {
+    pub fn write_anew(&mut self, mut persisted: Persisted) -> Result<(), WriteError> {
+        let data = persisted.snapshot.as_mut().map(|snapshot| std::mem::take(&mut snapshot.data));
         let whole = Whole { id: self.id.clone(), persisted };
-        let snapshot = serde_json::to_vec(&whole).map_err(io::Error::from)?;
-        self.store.replace::<Vec<u8>>(&snapshot, &[])
+        let mut buf = serde_json::to_vec(&whole).map_err(io::Error::from)?;
+        buf.push(b'\n');
+        buf.extend_from_slice(data.unwrap_or_default().as_bytes());
+        self.store.replace::<Vec<u8>>(&buf, &[])
     }
 
     /// Returns the bytes of the log.
@@ -107,8 +119,13 @@
 fn replay(recovered: Recovered) -> Result<(Option<ReplicaId>, Persisted)> {
     let (mut id, mut persisted) = (None, Persisted::default());
     if let Some(snapshot) = recovered.snapshot {
-        let whole: Whole = serde_json::from_slice(&snapshot).wrap_err("the snapshot")?;
+        let text = String::from_utf8(snapshot).wrap_err("the snapshot")?;
+        let (head, data) = text.split_once('\n').unwrap_or((&text, ""));
+        let whole: Whole = serde_json::from_str(head).wrap_err("the snapshot")?;
         (id, persisted) = (Some(whole.id), whole.persisted);
+        if let Some(snapshot) = &mut persisted.snapshot {
+            snapshot.data = data.into();
+        }
     }
     for (i, record) in recovered.records.into_iter().enumerate() {
         let record = serde_json::from_slice(&record).wrap_err_with(|| format!("record {i}"))?;
