Limits over all entry instances: a tree of demand, and wiring in the entry

Cause: each entry instance admitted everything; limits of client accounts were not kept at all. Shares follow demand; demand is added up along a tree in each failure domain whose roots exchange sums, so a node's traffic does not grow with the fleet. What silent ones held stays reserved, so both sides of a cut keep at most their last share; dead ones are forgotten where their neighbours are heard.

--- a/bench/load/src/lib.rs
+++ b/bench/load/src/lib.rs
@@ -1,6 +1,12 @@
 //! The load and experiment tool.
 
-pub mod check;
 pub mod cli;
 pub mod experiment;
+pub mod fleet;
 pub mod run;
+
+pub mod exchange;
+pub mod mix;
+pub mod plot;
+pub mod report;
+pub mod sse;
--- a/coordination/limit/src/exchange.rs
+++ b/coordination/limit/src/exchange.rs
@@ -12,15 +12,14 @@
 
 use crate::demand::Rates;
 use crate::limiter::{Action, LimiterCfg, Split, SplitCfg};
-use crate::tree::{Place, Source};
+use crate::tree::{Members, Peer, Place};
 use crate::weaken::Weakening;
 
-pub use crate::tree::Member;
-
 /// The shares of one entry instance.
 #[derive(Debug)]
 pub(crate) struct Exchange {
-    own: Member,
+    entry: Name,
+    domain: Name,
     incarnation: Incarnation,
     cfg: SplitCfg,
     place: Place,
@@ -32,15 +31,13 @@
     reported: Sums,
     /// What was told before, the newest last, up to what the demand of all includes by now.
     told: VecDeque<Sums>,
-    received: Map<Source, Received>,
+    received: Map<Peer, Received>,
     /// Demand of all, as the parent or a peer told it.
     fleet: Option<Received>,
     /// Demand of all that shares are worked out from, while it is known.
     totals: Option<Sums>,
-    /// Whether this one has heard of all itself, so that others may rely on its totals.
-    knows_all: bool,
     /// Sources that are dead, and not just unheard of since the start.
-    dead: Set<Source>,
+    dead: Set<Peer>,
     shares: Map<Name, Rates>,
     weakening: Option<Weakening>,
 }
@@ -71,10 +68,10 @@
 
 impl Exchange {
     pub(crate) fn new(cfg: LimiterCfg, incarnation: Incarnation, split: SplitCfg) -> Self {
-        let own = Member { name: cfg.entry, domain: cfg.domain };
         Self {
-            place: Place::of(&own, std::slice::from_ref(&own), split.flat_max),
-            own,
+            place: Place::of(&cfg.entry, &cfg.domain, &Members::default()),
+            entry: cfg.entry,
+            domain: cfg.domain,
             incarnation,
             cfg: split,
             sequence: 0,
@@ -85,7 +82,6 @@
             received: Map::default(),
             fleet: None,
             totals: None,
-            knows_all: false,
             dead: Set::default(),
             shares: Map::default(),
             weakening: None,
@@ -96,27 +92,27 @@
         self.weakening = Some(weakening);
     }
 
-    /// Takes in who belongs to the system. Those that went keep their last share until they count
-    /// as dead; those below another parent now are counted there.
-    pub(crate) fn set_members(&mut self, mut members: Vec<Member>) {
-        members.push(self.own.clone());
-        members.sort_unstable();
-        members.dedup();
-        let place = Place::of(&self.own, &members, self.cfg.flat_max);
+    /// Takes in who lives. Those that went keep their last share until they count as dead; those
+    /// below another parent now are counted there.
+    pub(crate) fn set_members(&mut self, members: &Members) {
+        let place = Place::of(&self.entry, &self.domain, members);
         if place == self.place {
             return;
         }
-        let moved = |source: &Source, received: &Received| {
-            let member = members.iter().any(|m| m.name == received.entry);
-            member && !place.hears.iter().any(|heard| heard.source == *source)
+        let moved = |source: &Peer| match source {
+            Peer::Entry(name) => {
+                members.neighbours.contains(name)
+                    && !place.hears.iter().any(|heard| heard.source == *source)
+            }
+            Peer::Domain(_) => place.parent.is_some(),
         };
-        self.received.retain(|source, received| !moved(source, received));
+        self.received.retain(|source, _| !moved(source));
         self.place = place;
     }
 
     pub(crate) fn take_in(&mut self, now: Millis, reports: Vec<DemandReport>) {
         for report in reports {
-            if report.entry == self.own.name {
+            if report.entry == self.entry {
                 continue;
             }
             let mut received = Received::new(now, &report);
@@ -137,19 +133,14 @@
         }
     }
 
-    /// Returns what a caller is told: this one's own report, or the demand of all to those below.
+    /// Returns what a caller is told: the demand of all to those below, the sum here to others.
     pub(crate) fn reply(&self, caller: &DemandReport) -> Vec<DemandReport> {
-        let is_below = !self.place.flat && caller.domain == self.own.domain;
-        if is_below {
-            let totals = self.totals.as_ref();
-            return totals.map(|t| self.report(Name::default(), t)).into_iter().collect();
-        }
-        let mut reports = self.reports();
-        // One that restarted while others are cut off can't hear of what those hold.
-        if let (true, true, Some(totals)) = (caller.wants_totals, self.knows_all, &self.totals) {
-            reports.push(self.report(Name::default(), totals));
+        if caller.domain != self.domain {
+            // The sum of a subtree must not pass for that of the failure domain.
+            return self.sum().filter(|_| self.is_root()).into_iter().collect();
         }
-        reports
+        let totals = self.totals.as_ref();
+        totals.map(|t| self.report(Name::default(), t)).into_iter().collect()
     }
 
     /// Returns whether the sum of the demand here and below can be told. After a restart it can't
@@ -159,12 +150,9 @@
         self.waited || below.all(|h| !self.is_unheard(&h.source))
     }
 
-    /// Returns what others are told, or nothing while it isn't known.
-    fn reports(&self) -> Vec<DemandReport> {
-        if !self.knows_below() {
-            return Vec::new();
-        }
-        vec![self.report(self.own.domain.clone(), &self.subtree())]
+    /// Returns the demand here and below, unless it isn't known.
+    fn sum(&self) -> Option<DemandReport> {
+        self.knows_below().then(|| self.report(self.domain.clone(), &self.subtree()))
     }
 
     pub(crate) fn share(&self, account: &Name) -> Rates {
@@ -177,23 +165,21 @@
         self.waited = now.since(started) > self.cfg.dead_after;
         let present = sums(&demand);
         self.forget_dead(now);
-        self.knows_all = self.unheard() == 0.0;
         self.totals = self.work_out_totals(now);
         self.note_held();
         self.tell(present);
         self.set_shares(now);
         self.sequence += 1;
-        let reports = self.reports();
-        if reports.is_empty() {
+        let Some(report) = self.sum() else {
             return;
-        }
-        let is_root = !self.place.flat && self.place.parent.is_none();
+        };
+        let is_root = self.is_root();
         for (turn, with) in self.place.tells.iter().enumerate() {
             // A root talks to every second failure domain at a time, to bound what it sends.
             if is_root && !(turn as u64 + self.sequence).is_multiple_of(2) {
                 continue;
             }
-            out.push(Action::Exchange { with: with.clone(), reports: reports.clone() });
+            out.push(Action::Exchange { with: with.clone(), report: report.clone() });
         }
     }
 
@@ -225,7 +211,7 @@
             .map(|r| r.domain.clone())
             .collect();
         let keeps_dead = self.weakening == Some(Weakening::DeadKeepShares);
-        let own_domain = &self.own.domain;
+        let own_domain = &self.domain;
         let dead = &mut self.dead;
         let mut freed = Vec::new();
         self.received.retain(|source, received| {
@@ -235,9 +221,9 @@
             }
             // Where others of its failure domain are heard, it is dead rather than cut off.
             let neighbours_heard = match source {
-                Source::Entry(_) if received.domain == *own_domain => !heard.is_empty(),
-                Source::Entry(_) => heard.contains(&received.domain),
-                Source::Domain(_) => false,
+                Peer::Entry(_) if received.domain == *own_domain => !heard.is_empty(),
+                Peer::Entry(_) => heard.contains(&received.domain),
+                Peer::Domain(_) => false,
             };
             let limit = if neighbours_heard { cfg.dead_after } else { cfg.domain_dead_after };
             let is_kept = silent_for <= limit || keeps_dead;
@@ -266,14 +252,14 @@
     /// Returns the demand of all, raised so that the parts of silent ones stay free, or none while
     /// it isn't known.
     fn work_out_totals(&self, now: Millis) -> Option<Sums> {
-        let fleet = self.fleet.as_ref().filter(|f| f.is_fresh(now, &self.cfg));
         if self.place.parent.is_some() {
+            let fleet = self.fleet.as_ref().filter(|f| f.is_fresh(now, &self.cfg));
             return fleet.map(|f| f.sums.clone());
         }
         let unheard = self.unheard();
         let takes_all = self.weakening == Some(Weakening::RestartTakesAll);
-        if !self.knows_all && !takes_all && (fleet.is_some() || !self.waited) {
-            return fleet.map(|f| f.sums.clone());
+        if unheard > 0.0 && !takes_all && !self.waited {
+            return None;
         }
         let mut live = self.subtree();
         let mut frozen: Map<Name, Rates> = Map::default();
@@ -281,7 +267,7 @@
             if self.is_below(source) {
                 continue;
             }
-            let turns = if matches!(source, Source::Domain(_)) { 2 } else { 1 };
+            let turns = if matches!(source, Peer::Domain(_)) { 2 } else { 1 };
             if now.since(received.at) <= self.cfg.fresh_for * turns {
                 add(&mut live, &received.sums);
                 continue;
@@ -317,12 +303,12 @@
 
     /// Returns the part of the entry instances that have not been heard of in this life.
     fn unheard(&self) -> f64 {
-        let is_unheard = |s: &Source| !self.received.contains_key(s) && !self.dead.contains(s);
+        let is_unheard = |s: &Peer| !self.received.contains_key(s) && !self.dead.contains(s);
         let unheard = self.place.hears.iter().filter(|h| is_unheard(&h.source));
         unheard.map(|h| h.weight).sum::<usize>() as f64 / self.place.members as f64
     }
 
-    fn is_unheard(&self, source: &Source) -> bool {
+    fn is_unheard(&self, source: &Peer) -> bool {
         !self.received.contains_key(source) && !self.dead.contains(source)
     }
 
@@ -355,17 +341,18 @@
         self.shares = totals.iter().map(|(name, sum)| (name.clone(), share(name, sum))).collect();
     }
 
-    /// Returns whether the others count this one as dead by now and have shared out what it held.
+    /// Returns whether this one is alone, so that the others count it as dead and share out what it
+    /// held.
     fn is_given_up(&self, now: Millis) -> bool {
         let newest = self.received.values().chain(&self.fleet).map(|r| r.at).max();
         let Some(newest) = newest else {
             return false;
         };
         let limit = match self.place.has_neighbours {
-            true => self.cfg.dead_after,
-            false => self.cfg.domain_dead_after,
+            true => self.cfg.alone_after,
+            false => self.cfg.domain_dead_after - self.cfg.silent_after,
         };
-        now.since(newest) + self.cfg.silent_after > limit
+        now.since(newest) > limit
     }
 
     fn floor(&self) -> Rates {
@@ -387,15 +374,19 @@
         sums
     }
 
-    fn is_below(&self, source: &Source) -> bool {
-        !self.place.flat && matches!(source, Source::Entry(_))
+    pub(crate) fn is_root(&self) -> bool {
+        self.place.parent.is_none()
+    }
+
+    fn is_below(&self, source: &Peer) -> bool {
+        matches!(source, Peer::Entry(_))
     }
 
-    fn source(&self, report: &DemandReport) -> Source {
-        if self.place.flat || report.domain == self.own.domain {
-            Source::Entry(report.entry.clone())
+    fn source(&self, report: &DemandReport) -> Peer {
+        if report.domain == self.domain {
+            Peer::Entry(report.entry.clone())
         } else {
-            Source::Domain(report.domain.clone())
+            Peer::Domain(report.domain.clone())
         }
     }
 
@@ -411,12 +402,11 @@
             .collect();
         accounts.sort_by(|a, b| a.account.cmp(&b.account));
         DemandReport {
-            entry: self.own.name.clone(),
+            entry: self.entry.clone(),
             incarnation: self.incarnation,
             domain,
             sequence: self.sequence,
             age: Millis::ZERO,
-            wants_totals: self.place.flat && !self.knows_all,
             accounts,
         }
     }
--- a/daemons/entry/src/announce.rs
+++ b/daemons/entry/src/announce.rs
@@ -1,12 +1,13 @@
-//! Takes in announcements of endpoints.
+//! Takes in announcements and cache events of endpoints.
 
 use std::sync::Arc;
 
+use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse};
-use sill_base::{Millis, Name, event};
+use serde::de::DeserializeOwned;
+use sill_base::{Name, event};
 use sill_net::http::{self, Failure};
-use sill_route::Event;
-use sill_wire::announce::AnnounceReply;
+use sill_wire::endpoint::CacheEvents;
 use sill_wire::{Announcement, ErrorCode};
 
 use crate::daemon::Shared;
@@ -15,17 +16,47 @@
 pub async fn announce(
     app: web::types::State<Arc<Shared>>,
     req: HttpRequest,
-    announcement: web::types::Json<Announcement>,
+    body: Bytes,
 ) -> HttpResponse {
+    let announcement: Announcement = match checked(&app, &req, &body) {
+        Ok(announcement) => announcement,
+        Err(failure) => return refuse(&req, failure),
+    };
+    match app.members.step(&app.routing, sill_member::Event::Announced(announcement)).accept {
+        Some(reply) => http::json(200, &reply),
+        None => Failure::new(ErrorCode::Internal, "no answer").response(&Name::default()),
+    }
+}
+
+/// `POST /events`.
+pub async fn events(
+    app: web::types::State<Arc<Shared>>,
+    req: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
+    let events: CacheEvents = match checked(&app, &req, &body) {
+        Ok(events) => events,
+        Err(failure) => return refuse(&req, failure),
+    };
+    app.routing.hear(app.clock.now(), sill_route::Event::Cache(events));
+    HttpResponse::NoContent().finish()
+}
+
+/// Reads a body, of one who has the join token.
+fn checked<T>(app: &Shared, req: &HttpRequest, body: &[u8]) -> Result<T, Failure>
+where
+    T: DeserializeOwned,
+{
     let authorization = req.headers().get("authorization").and_then(|v| v.to_str().ok());
     if !authorization.is_some_and(|header| app.cfg.join_token.is_bearer(header)) {
-        event!(Warn, "announcement_refused", name = announcement.name, reason = "wrong join token");
-        return Failure::new(ErrorCode::Unauthorized, "wrong join token")
-            .response(&Name::default());
+        return Err(Failure::new(ErrorCode::Unauthorized, "wrong join token"));
     }
-    app.routing.hear(
-        app.clock.now(),
-        Event::Announced { announcement: announcement.into_inner(), age: Millis::ZERO },
-    );
-    http::json(200, &AnnounceReply { accepted: true, reason: None, entries: Vec::new() })
+    serde_json::from_slice(body)
+        .map_err(|err| Failure::new(ErrorCode::BadRequest, format!("body: {err}")))
+}
+
+fn refuse(req: &HttpRequest, failure: Failure) -> HttpResponse {
+    let from = req.peer_addr().map(|a| a.to_string()).unwrap_or_default();
+    event!(Warn, "announcement_refused", from = from, reason = failure.message);
+    failure.response(&Name::default())
 }
--- a/daemons/entry/src/routing.rs
+++ b/daemons/entry/src/routing.rs
@@ -1,11 +1,14 @@
 //! Routers of the entry instance, a shard for each model or service under its own lock.
 
 use std::hash::{Hash, Hasher};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use parking_lot::Mutex;
 use rustc_hash::FxHasher;
 use sill_base::{Machine, Millis, Name};
-use sill_route::{Ask, Choice, Event, RetryBudget, RetryCfg, Router, RouterCfg, Target};
+use sill_route::{
+    Ask, Choice, Event, Refusal, RefusalReason, RetryBudget, RetryCfg, Router, RouterCfg, Target,
+};
 use sill_wire::Served;
 
 use crate::cfg::EntryCfg;
@@ -16,6 +19,7 @@
 #[derive(Debug)]
 pub struct Routing {
     shards: Vec<Mutex<Router>>,
+    trusted_until: AtomicU64,
     retries: Mutex<RetryBudget>,
 }
 
@@ -26,13 +30,24 @@
             |shard| Router::new(RouterCfg { domain: cfg.domain.clone(), seed: seed(cfg, shard) });
         Self {
             shards: (0..SHARDS).map(|shard| Mutex::new(router(shard))).collect(),
+            trusted_until: AtomicU64::new(u64::MAX),
             retries: Mutex::new(RetryBudget::new(RetryCfg::default())),
         }
     }
 
+    /// Lets requests be sent until then. Membership moves it on; a process that was frozen finds it
+    /// in the past, and sends nothing before it has heard which endpoints are leaving.
+    pub fn trust(&self, until: Millis) {
+        self.trusted_until.store(until.0, Ordering::Relaxed);
+    }
+
     /// Chooses an endpoint and counts the request as sent there, under one lock, so that two
     /// requests can't both take the last slot.
     pub fn choose(&self, now: Millis, ask: &Ask) -> Choice {
+        if now.0 > self.trusted_until.load(Ordering::Relaxed) {
+            let retry_after = Millis::from_secs(1);
+            return Choice::Refuse(Refusal { reason: RefusalReason::NoEndpoint, retry_after });
+        }
         let mut router = self.shard(&ask.target).lock();
         let choice = router.choose(now, ask);
         if let Choice::Endpoint(chosen) = &choice {
