--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -5,6 +5,7 @@
 mod control_cluster;
 mod flight;
 mod harness;
+mod limits;
 mod member;
 mod product;
 mod thin_path;
