--- a/coordination/limit/tests/support/mod.rs
+++ b/coordination/limit/tests/support/mod.rs
@@ -3,7 +3,8 @@
 
 use sill_base::{Machine, Millis, Name};
 use sill_limit::{
-    AccountLimit, Action, Cost, Event, Limiter, LimiterCfg, Member, SplitCfg, Verdict, Weakening,
+    AccountLimit, Action, Cost, Event, Limiter, LimiterCfg, Members, Peer, SplitCfg, Verdict,
+    Weakening,
 };
 use sill_wire::Incarnation;
 
@@ -22,7 +23,10 @@
     pub side: Vec<u32>,
     /// Requests admitted in each step.
     pub admitted: Vec<u32>,
-    members: Vec<Member>,
+    domains: usize,
+    /// When each died, until membership has noticed.
+    died: Vec<Option<Millis>>,
+    live: Vec<bool>,
     due: Vec<f64>,
     lives: Vec<u64>,
     weakening: Option<Weakening>,
@@ -30,10 +34,6 @@
 
 impl Fleet {
     pub fn new(entries: usize, domains: usize, weakening: Option<Weakening>) -> Self {
-        let member = |i: usize| Member {
-            name: format!("entry-{i:03}").into(),
-            domain: format!("d{}", i % domains).into(),
-        };
         let mut fleet = Self {
             now: Millis(10_000),
             limiters: Vec::new(),
@@ -41,7 +41,9 @@
             demand: vec![0.0; entries],
             side: vec![0; entries],
             admitted: Vec::new(),
-            members: (0..entries).map(member).collect(),
+            domains,
+            died: vec![None; entries],
+            live: vec![true; entries],
             due: vec![0.0; entries],
             lives: vec![1; entries],
             weakening,
@@ -55,6 +57,16 @@
         self.lives[i] += 1;
         self.limiters[i] = self.start(i);
         self.up[i] = true;
+        self.died[i] = None;
+        if !self.live[i] {
+            self.live[i] = true;
+            self.tell_members();
+        }
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        self.up[i] = false;
+        self.died[i].get_or_insert(self.now);
     }
 
     pub fn cut(&mut self, domain: usize, domains: usize) {
@@ -71,6 +83,7 @@
         let end = self.now + span;
         while self.now < end {
             self.now = self.now + STEP;
+            self.notice_deaths();
             self.tick();
             self.offer();
         }
@@ -91,8 +104,7 @@
     }
 
     fn start(&self, i: usize) -> Limiter {
-        let Member { name, domain } = self.members[i].clone();
-        let cfg = LimiterCfg { entry: name, domain };
+        let cfg = LimiterCfg { entry: name(i), domain: domain(i % self.domains) };
         let incarnation = Incarnation(self.lives[i]);
         let mut limiter = Limiter::with_split(cfg, incarnation, SplitCfg::default());
         if let Some(weakening) = self.weakening {
@@ -101,10 +113,53 @@
         let limit =
             AccountLimit { account: account(), requests_per_s: Some(LIMIT), tokens_per_s: None };
         limiter.step(self.now, Event::Limits(vec![limit]), &mut Vec::new());
-        limiter.step(self.now, Event::Members(self.members.clone()), &mut Vec::new());
+        limiter.step(self.now, Event::Members(self.members(i)), &mut Vec::new());
         limiter
     }
 
+    /// The first of a failure domain that lives speaks for it.
+    fn members(&self, i: usize) -> Members {
+        let own = i % self.domains;
+        let neighbours = (own..self.live.len()).step_by(self.domains).filter(|n| self.live[*n]);
+        let domains = (0..self.domains).filter(|d| *d != own);
+        Members {
+            neighbours: neighbours.map(name).collect(),
+            domains: domains.map(domain).collect(),
+        }
+    }
+
+    fn tell_members(&mut self) {
+        for i in 0..self.limiters.len() {
+            let members = Event::Members(self.members(i));
+            self.limiters[i].step(self.now, members, &mut Vec::new());
+        }
+    }
+
+    /// Membership takes some seconds to notice a death.
+    fn notice_deaths(&mut self) {
+        const NOTICED_AFTER: Millis = Millis(6_000);
+        let noticed =
+            |died: &Option<Millis>| died.is_some_and(|at| self.now.since(at) == NOTICED_AFTER);
+        let noticed: Vec<usize> =
+            (0..self.died.len()).filter(|i| noticed(&self.died[*i])).collect();
+        if noticed.is_empty() {
+            return;
+        }
+        for i in noticed {
+            self.live[i] = false;
+        }
+        self.tell_members();
+    }
+
+    fn find(&self, peer: &Peer) -> Option<usize> {
+        match peer {
+            Peer::Entry(wanted) => (0..self.live.len()).find(|i| name(*i) == *wanted),
+            Peer::Domain(wanted) => {
+                (0..self.live.len()).find(|i| self.live[*i] && domain(i % self.domains) == *wanted)
+            }
+        }
+    }
+
     fn tick(&mut self) {
         for i in 0..self.limiters.len() {
             let at = (i as u64 * 70) % TICK / STEP.0 * STEP.0;
@@ -113,15 +168,15 @@
             }
             let mut actions = Vec::new();
             self.limiters[i].step(self.now, Event::Tick, &mut actions);
-            for Action::Exchange { with, reports } in actions {
-                let Some(peer) = self.members.iter().position(|m| m.name == with) else {
+            for Action::Exchange { with, report } in actions {
+                let Some(peer) = self.find(&with) else {
                     continue;
                 };
                 if !self.up[peer] || self.side[peer] != self.side[i] {
                     continue;
                 }
-                let reply = self.limiters[peer].reply(&reports);
-                let given = Event::Reports(reports);
+                let reply = self.limiters[peer].reply(&report);
+                let given = Event::Reports(vec![report]);
                 self.limiters[peer].step(self.now, given, &mut Vec::new());
                 self.limiters[i].step(self.now, Event::Reports(reply), &mut Vec::new());
             }
@@ -148,3 +203,11 @@
 fn account() -> Name {
     "desk".into()
 }
+
+fn name(i: usize) -> Name {
+    format!("entry-{i:03}").into()
+}
+
+fn domain(d: usize) -> Name {
+    format!("d{d}").into()
+}
--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -33,7 +33,7 @@
 use crate::serve::run::Runs;
 use crate::serve::signals::{self, Signals};
 use crate::settings::Settings;
-use crate::{api, feed, members, peer};
+use crate::{api, feed, limits, members, peer};
 
 /// Connections that a worker holds to endpoints.
 const UPSTREAM_CONNECTIONS: usize = 16_384;
@@ -148,7 +148,7 @@
             feed: Feed::default(),
             members: Membership::new(&cfg, clock, incarnation, address, peer_address),
             routing: Routing::new(&cfg)?,
-            limits: Limits::new(&cfg),
+            limits: Limits::new(&cfg, incarnation),
             metrics: Metrics::new(),
             claims,
             runs: Runs::default(),
@@ -172,6 +172,7 @@
         };
         runtime.spawn(feed::run(shared.clone(), copy));
         runtime.spawn(members::run(shared.clone()));
+        runtime.spawn(limits::run(shared.clone()));
         runtime.spawn(signals::watch(shared.clone()));
 
         let server = serve_callers(shared.clone(), listener)?;
