--- a/daemons/sill/tests/system/product.rs
+++ b/daemons/sill/tests/system/product.rs
@@ -115,5 +115,6 @@
         assert_eq!((sent, refused), (accepted + not_run, 0), "{kind}: {text}");
         assert!(accepted > 0, "{kind}: {text}");
     }
+    assert_eq!(row("streamed")[1..3], [16, 16], "refused callers came back: {text}");
     assert_eq!(row("unknown")[..4], [1, 0, 0, 1], "sent, accepted, whole, not run: {text}");
 }
