--- a/coordination/limit/src/limiter.rs
+++ b/coordination/limit/src/limiter.rs
@@ -7,7 +7,8 @@
 
 use crate::bucket::Bucket;
 use crate::demand::{Demand, Rates};
-use crate::exchange::{Exchange, Member};
+use crate::exchange::Exchange;
+use crate::tree::{Members, Peer};
 use crate::weaken::Weakening;
 
 /// Settings of a limiter.
@@ -50,12 +51,12 @@
     pub fresh_for: Millis,
     /// Time without a report after which an entry instance counts as silent.
     pub silent_after: Millis,
+    /// Time without any word after which an entry instance gives its share up, if it has neighbours.
+    pub alone_after: Millis,
     /// Time after which a silent one counts as dead, where others of its failure domain are heard.
     pub dead_after: Millis,
     /// Time after which a whole silent failure domain counts as dead.
     pub domain_dead_after: Millis,
-    /// Entry instances up to which all report to all.
-    pub flat_max: usize,
 }
 
 /// The limit of a client account over all entry instances; none where it is missing.
@@ -93,8 +94,8 @@
 pub enum Event {
     /// The limits in force, all of them.
     Limits(Vec<AccountLimit>),
-    /// All entry instances that belong to the system, with this one.
-    Members(Vec<Member>),
+    /// The entry instances that live.
+    Members(Members),
     /// Reports that a peer gave, its own first.
     Reports(Vec<DemandReport>),
     /// Time to work out shares anew and to tell others.
@@ -104,12 +105,12 @@
 /// What the limiter wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
-    /// Give reports to an entry instance and take in its answer.
+    /// Give a report to a peer and take in its answer.
     Exchange {
-        /// The entry instance.
-        with: Name,
-        /// The reports, the own one first.
-        reports: Vec<DemandReport>,
+        /// The peer.
+        with: Peer,
+        /// The report.
+        report: DemandReport,
     },
 }
 
@@ -190,8 +191,13 @@
     }
 
     /// Returns what a peer that calls is told.
-    pub fn reply(&self, reports: &[DemandReport]) -> Vec<DemandReport> {
-        reports.first().map(|caller| self.exchange.reply(caller)).unwrap_or_default()
+    pub fn reply(&self, caller: &DemandReport) -> Vec<DemandReport> {
+        self.exchange.reply(caller)
+    }
+
+    /// Returns whether this one adds up the demand of its failure domain.
+    pub fn speaks_for_domain(&self) -> bool {
+        self.exchange.is_root()
     }
 
     /// Returns the share of an account here, in parts of its limit.
@@ -274,7 +280,7 @@
     fn step(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Limits(limits) => self.set_limits(limits),
-            Event::Members(members) => self.exchange.set_members(members),
+            Event::Members(members) => self.exchange.set_members(&members),
             Event::Reports(reports) => self.exchange.take_in(now, reports),
             Event::Tick => self.tick(now, out),
         }
@@ -292,9 +298,9 @@
             burst: Millis(250),
             fresh_for: Millis(1_250),
             silent_after: Millis(3_000),
+            alone_after: Millis(5_000),
             dead_after: Millis(30_000),
-            domain_dead_after: Millis(3_600_000),
-            flat_max: 10,
+            domain_dead_after: Millis(21_600_000),
         }
     }
 }
--- a/coordination/limit/tests/shares.rs
+++ b/coordination/limit/tests/shares.rs
@@ -79,8 +79,9 @@
 /// rest of its limit from then on.
 fn dead_ones_give_back(mut fleet: Fleet) -> bool {
     fleet.demand = skewed(8);
+    fleet.demand.swap(0, 4);
     fleet.run(Millis(20_000));
-    fleet.up[0] = false;
+    fleet.kill(4);
     fleet.demand[1] *= 2.0;
     fleet.run(Millis(60_000));
     fleet.used(Millis(10_000)) > 0.98
@@ -127,7 +128,7 @@
 
 #[test]
 fn the_limit_is_used_and_kept() {
-    for (name, entries) in [("flat", 8), ("tree", 40)] {
+    for (name, entries) in [("today", 8), ("larger", 40)] {
         let mut fleet = Fleet::new(entries, DOMAINS, None);
         fleet.demand = skewed(entries);
         fleet.run(Millis(30_000));
@@ -150,7 +151,7 @@
         for _ in 0..20 {
             let chosen = rng.random_range(0..entries);
             match rng.random_range(0..6) {
-                0 => fleet.up[chosen] = false,
+                0 => fleet.kill(chosen),
                 1 => fleet.restart(chosen),
                 2 => fleet.cut(chosen % DOMAINS, DOMAINS),
                 3 => fleet.heal(),
--- a/daemons/entry/benches/settings.rs
+++ b/daemons/entry/benches/settings.rs
@@ -361,6 +361,7 @@
         control: vec![control],
         peers: seeds.iter().take(domains * 2).copied().collect(),
         data: None,
+        record: None,
         cluster_key: Secret::new(KEY),
         join_token: Secret::new("none"),
         workers: 1,
@@ -391,7 +392,7 @@
             address,
             address,
             runtime.handle().clone(),
-        ));
+        )?);
         let _guard = runtime.enter();
         let peers = peer::start(&shared, listener, None)?;
         nodes.push(Node { shared, _peers: peers });
--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -33,7 +33,7 @@
 use crate::serve::run::Runs;
 use crate::serve::signals::{self, Signals};
 use crate::settings::Settings;
-use crate::{api, feed, peer};
+use crate::{api, feed, limits, peer};
 
 /// Connections that a worker holds to endpoints.
 const UPSTREAM_CONNECTIONS: usize = 16_384;
@@ -110,27 +110,31 @@
 
 impl Shared {
     /// Makes the state of an instance that listens at these addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the routers can't be made.
     pub fn new(
         cfg: EntryCfg,
         settings: Settings,
         address: SocketAddr,
         peer_address: SocketAddr,
         runtime: Handle,
-    ) -> Self {
+    ) -> Result<Self> {
         let claims = {
             let _guard = runtime.enter();
             Box::new(ControlClaims::start(&cfg))
         };
         let clock = Clock::start();
         let incarnation = Incarnation(Millis::wall().0);
-        Self {
+        Ok(Self {
             clock,
             incarnation,
             settings,
             feed: Feed::default(),
             members: Membership::new(&cfg, clock, incarnation, address, peer_address),
-            routing: Routing::new(&cfg),
-            limits: Limits::new(&cfg),
+            routing: Routing::new(&cfg)?,
+            limits: Limits::new(&cfg, incarnation),
             metrics: Metrics::new(),
             claims,
             runs: Runs::default(),
@@ -146,7 +150,7 @@
             reclaimed: AtomicBool::new(false),
             next_request: AtomicU64::new(1),
             cfg,
-        }
+        })
     }
 
     /// Returns a name for a new request, unique over all instances and their lives.
@@ -177,12 +181,13 @@
         let copy = cfg.data.as_deref().map(SettingsCopy::open).transpose()?;
         let settings = Settings::new(feed::read_copy(copy.as_ref()));
         let handle = runtime.handle().clone();
-        let shared = Arc::new(Shared::new(cfg, settings, address, peer_address, handle));
+        let shared = Arc::new(Shared::new(cfg, settings, address, peer_address, handle)?);
 
         let peers = {
             let _guard = runtime.enter();
             peer::start(&shared, peer_listener, copy)?
         };
+        runtime.spawn(limits::run(shared.clone()));
         runtime.spawn(signals::watch(shared.clone()));
 
         let server = serve_callers(shared.clone(), listener)?;
--- a/daemons/entry/src/peer.rs
+++ b/daemons/entry/src/peer.rs
@@ -8,7 +8,7 @@
 
 use crate::copy::SettingsCopy;
 use crate::daemon::Shared;
-use crate::{feed, members, serve};
+use crate::{feed, limits, members, serve};
 
 /// Serves peers, and starts to ask them; must be called inside a tokio runtime.
 ///
@@ -33,6 +33,8 @@
     server.answer(move |poll| feed::answer(feeding.clone(), poll));
     let asked = shared.clone();
     server.answer(move |sync| members::answer(asked.clone(), sync));
+    let told = shared.clone();
+    server.answer(move |exchange| limits::answer(told.clone(), exchange));
     serve::calls::register(&mut server, shared);
     server
 }
