--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -26,6 +26,9 @@
 /// How long a call may take that waits for a commit there.
 const PATIENT: Millis = Millis(3000);
 
+/// How long a stop waits for calls; a watch waits for longer, and its caller goes on elsewhere.
+const STOP: ntex::time::Seconds = ntex::time::Seconds(5);
+
 /// What the parts of a control instance share.
 #[derive(Debug)]
 pub struct Shared {
@@ -196,6 +199,7 @@
             HttpServer::new(async move || App::new().state(shared.clone()).configure(api::routes))
                 .workers(1)
                 .disable_signals()
+                .shutdown_timeout(STOP)
                 .listen(listener)?
                 .run();
         let _ = tx.send(server.clone());
