Plain calls: headers pass, odd paths count as marked, queries are part of a key's content

Cause, found by reading: a call written as /x/../send or /%73end was not marked though a service takes it for /send, so a lost answer would have sent the notice again; and two calls that differ in their query only counted as the same under one key. Only the content type passed to and from plain services; an answer over 16 MiB was fetched up to eight times. Now: hop-by-hop headers and our own stay, all others pass; the path goes on as the caller wrote it; a too large answer is an error at once.

Also shown with real processes: after the reclaim of its entry a caller without a key comes back by the request's name, and Last-Event-ID gives the rest only.

--- a/daemons/entry/src/ask.rs
+++ b/daemons/entry/src/ask.rs
@@ -8,12 +8,15 @@
 use serde_json::Value;
 use sill_base::{Findings, Millis, Name};
 use sill_net::http::Failure;
+use sill_tree::document::CallRule;
 use sill_tree::{Effective, EffectiveAccount, EffectiveService, KeyHash, Service};
 use sill_wire::chat::ChatSummary;
 use sill_wire::claim::BodyHash;
+use sill_wire::handoff::PassedHeader;
 use sill_wire::{ErrorCode, Priority, header};
 
 use crate::daemon::Shared;
+use crate::serve::headers::passed_headers;
 
 /// The longest idempotency key, in bytes.
 const MAX_KEY: usize = 255;
@@ -44,8 +47,8 @@
     pub service: Name,
     /// Path and query below the service, starting with `/`.
     pub path: String,
-    /// The content type that the caller named.
-    pub content_type: Option<String>,
+    /// The caller's headers that are passed on.
+    pub headers: Vec<PassedHeader>,
     /// The body.
     pub body: ntex::util::Bytes,
 }
@@ -111,8 +114,10 @@
     check_running(app)?;
     let settings = app.settings.current();
     let account = account(&settings, req.headers())?;
-    let mut path = format!("/{}", rest.trim_start_matches('/'));
-    let content = content_hash(req.method().as_str(), req.path(), &body);
+    let mut path = below_service(req.uri().path());
+    // Two calls that differ in their query only are two calls.
+    let target = req.uri().path_and_query().map_or(req.path(), |whole| whole.as_str());
+    let content = content_hash(req.method().as_str(), target, &body);
     let mut findings = Findings::new();
     let mut common = common(req.headers(), account, content, &mut findings);
     if !findings.is_empty() {
@@ -121,17 +126,39 @@
     let is_plain = |s: &EffectiveService| matches!(s.kind, Service::Plain { .. });
     let service = service(&settings, &common.account, name, is_plain)?;
     if let Service::Plain { non_idempotent, .. } = &service.kind {
-        let marked = non_idempotent.iter().any(|rule| rule.marks(req.method().as_str(), &path));
-        common.idempotent &= !marked;
+        common.idempotent &= !is_marked(non_idempotent, req.method().as_str(), &path, rest);
     }
     common.deadline = common.deadline.or(service.deadline);
     if !req.query_string().is_empty() {
         path.push('?');
         path.push_str(req.query_string());
     }
-    let content_type = text(req.headers(), "content-type").map(str::to_owned);
+    let headers = passed_headers(req.headers());
     let method = req.method().clone();
-    Ok(PlainAsk { common, method, service: name.clone(), path, content_type, body })
+    Ok(PlainAsk { common, method, service: name.clone(), path, headers, body })
+}
+
+/// Returns the path below `/s/SERVICE` as the caller wrote it.
+fn below_service(path: &str) -> String {
+    let rest = path.trim_start_matches('/').splitn(3, '/').nth(2).unwrap_or_default();
+    format!("/{}", rest.trim_start_matches('/'))
+}
+
+/// Returns whether a call may not be repeated.
+///
+/// A service may take `/x/../send`, `//send` or `/%73end` for `/send`. Were such a call not marked,
+/// a lost answer would send the notice again; so what is written in an odd way counts as marked.
+fn is_marked(rules: &[CallRule], method: &str, path: &str, decoded: &str) -> bool {
+    let decoded = format!("/{}", decoded.trim_start_matches('/'));
+    let odd = ["//", "/./", "/../"].iter().any(|part| decoded.contains(part))
+        || decoded.ends_with("/..")
+        || decoded.contains('%');
+    let marks = |rule: &CallRule| {
+        rule.marks(method, path)
+            || rule.marks(method, &decoded)
+            || (odd && rule.marks(method, &rule.path))
+    };
+    rules.iter().any(marks)
 }
 
 /// Finds the client account by the key in the `Authorization` header.
--- a/daemons/entry/src/serve.rs
+++ b/daemons/entry/src/serve.rs
@@ -6,6 +6,7 @@
 pub mod chunk;
 pub mod driver;
 mod ending;
+pub mod headers;
 pub mod run;
 pub mod signals;
 mod tokens;
@@ -24,7 +25,7 @@
 use sill_limit::{Cost, Verdict};
 use sill_net::http::Failure;
 use sill_wire::claim::{ClaimKey, ClaimOwner};
-use sill_wire::handoff::RunAt;
+use sill_wire::handoff::{PassedHeader, RunAt};
 use sill_wire::{ErrorCode, prefix};
 
 use self::attach::{Followed, Follower, Found, Source};
@@ -60,7 +61,7 @@
         path: path.clone(),
         request: id,
         key: common.key.clone(),
-        content_type: Some("application/json".to_owned()),
+        headers: vec![PassedHeader::new("content-type", "application/json")],
         body: Outgoing::streamed_body(body),
     };
     let blocks = prefix::blocks(&summary.model, &summary.prompt).into();
@@ -71,10 +72,10 @@
 
 /// Sees a call of a plain service through.
 pub async fn plain(app: &Arc<Shared>, client: &Client, id: Name, ask: PlainAsk) -> HttpResponse {
-    let PlainAsk { common, method, service, path, content_type, body } = ask;
+    let PlainAsk { common, method, service, path, headers, body } = ask;
     let spec = spec(app, &id, &common, Kind::Plain, 0, 0);
     let key = common.key.clone();
-    let outgoing = Outgoing { method, path: path.clone(), request: id, key, content_type, body };
+    let outgoing = Outgoing { method, path: path.clone(), request: id, key, headers, body };
     let run = run(&common, spec, path, service);
     let blocks = Arc::from([]);
     let priority = common.priority;
@@ -311,7 +312,7 @@
         path: handed.path,
         request: run.request().clone(),
         key: Some(run.key.key.clone()),
-        content_type: Some("application/json".to_owned()),
+        headers: vec![PassedHeader::new("content-type", "application/json")],
         body: handed.body.into(),
     };
     let blocks = Arc::from([]);
--- a/daemons/entry/src/serve/attach.rs
+++ b/daemons/entry/src/serve/attach.rs
@@ -10,8 +10,8 @@
 use sill_net::PeerError;
 use sill_wire::claim::{ClaimKey, ClaimOutcome, ClaimOwner};
 use sill_wire::handoff::{
-    AnswerPart, FailedRun, FollowReply, FollowRun, ForgetRun, LocateRun, Location, ReplyBody,
-    RunAt, WholeReply,
+    AnswerPart, FailedRun, FollowReply, FollowRun, ForgetRun, LocateRun, Location, RunAt,
+    WholeReply,
 };
 use sill_wire::{Call, ErrorCode};
 
@@ -320,8 +320,7 @@
     let owner = peers::find_owner(app, owner);
     match (outcome, owner) {
         (Some(ClaimOutcome::Answered { status, body: Some(body) }), _) => {
-            let content_type = Some("application/json".to_owned());
-            RunEnd::Reply(WholeReply { status, content_type, body: ReplyBody::Text(body) })
+            RunEnd::Reply(WholeReply::json(status, body))
         }
         (Some(ClaimOutcome::Answered { body: None, .. }) | None, Some(Home::At(address))) => {
             RunEnd::Moved(address)
@@ -348,9 +347,5 @@
 
 /// Makes a JSON answer.
 pub fn json_reply(value: &Value) -> WholeReply {
-    WholeReply {
-        status: 200,
-        content_type: Some("application/json".to_owned()),
-        body: ReplyBody::Text(value.to_string()),
-    }
+    WholeReply::json(200, value.to_string())
 }
--- a/daemons/entry/src/serve/caller.rs
+++ b/daemons/entry/src/serve/caller.rs
@@ -141,8 +141,8 @@
             let status = status.unwrap_or(ntex::http::StatusCode::BAD_GATEWAY);
             let mut res = HttpResponse::build(status);
             res.set_header(header::REQUEST_ID, request.as_str());
-            if let Some(kind) = &reply.content_type {
-                res.set_header("content-type", kind.as_str());
+            for header in &reply.headers {
+                res.header(header.name.as_str(), header.value.as_str());
             }
             res.body(Bytes::from(reply.body.as_bytes().to_vec()))
         }
--- a/daemons/entry/src/serve/upstream.rs
+++ b/daemons/entry/src/serve/upstream.rs
@@ -6,6 +6,7 @@
 use futures_util::StreamExt;
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientResponse};
+use ntex::http::error::PayloadError;
 use ntex::http::{Method, Payload};
 use ntex::util::Bytes;
 use serde_json::{Value, json};
@@ -13,9 +14,11 @@
 use sill_flight::flight::{Epoch, ResumeAt};
 use sill_flight::{Place, Transcript};
 use sill_wire::endpoint::{KvSource, Resume};
-use sill_wire::handoff::{ReplyBody, WholeReply};
+use sill_wire::handoff::{PassedHeader, ReplyBody, WholeReply};
 use sill_wire::header;
 
+use super::headers::passed_headers;
+
 /// The largest answer of a plain service, in bytes.
 const MAX_REPLY: usize = 16 << 20;
 
@@ -30,8 +33,8 @@
     pub request: Name,
     /// The caller's key.
     pub key: Option<Name>,
-    /// The content type.
-    pub content_type: Option<String>,
+    /// Headers to pass on.
+    pub headers: Vec<PassedHeader>,
     /// The body; a model's is JSON that asks for a stream with usage counts.
     pub body: Bytes,
 }
@@ -110,8 +113,8 @@
         if let Some(key) = &outgoing.key {
             req = req.set_header(header::IDEMPOTENCY_KEY, key.as_str());
         }
-        if let Some(kind) = &outgoing.content_type {
-            req = req.set_header("content-type", kind.as_str());
+        for header in &outgoing.headers {
+            req = req.set_header(header.name.as_str(), header.value.as_str());
         }
         let body = match resume {
             Some(at) => outgoing.resumed_body(at, transcript),
@@ -177,10 +180,18 @@
 
 async fn collect(res: ClientResponse) -> Came {
     let status = res.status().as_u16();
-    let content_type = res.headers().get("content-type").and_then(|v| v.to_str().ok());
-    let content_type = content_type.map(str::to_owned);
+    let headers = passed_headers(res.headers());
     match res.body().limit(MAX_REPLY).await {
-        Ok(body) => Came::Whole(WholeReply { status, content_type, body: ReplyBody::new(&body) }),
+        Ok(body) => Came::Whole(WholeReply { status, headers, body: ReplyBody::new(&body) }),
+        // Sent again it would be as large; the caller has to know, and at once.
+        Err(PayloadError::Overflow) => Came::Whole(too_large()),
         Err(err) => Came::Cut(err.to_string()),
     }
 }
+
+fn too_large() -> WholeReply {
+    const STATUS: u16 = 500;
+    let message = format!("the answer is larger than {MAX_REPLY} bytes");
+    let error = json!({ "code": "upstream_failed", "message": message, "not_run": false });
+    WholeReply::json(STATUS, json!({ "error": error }).to_string())
+}
--- a/daemons/entry/tests/serving.rs
+++ b/daemons/entry/tests/serving.rs
@@ -111,6 +111,24 @@
             not_run: false,
             requests: 1,
         },
+        Case {
+            name: "odd path",
+            script: Some(Script::Vanish),
+            path: "/s/notices/list/../send",
+            headers: &[],
+            status: 409,
+            not_run: false,
+            requests: 1,
+        },
+        Case {
+            name: "escaped path",
+            script: Some(Script::Vanish),
+            path: "/s/notices/%73end",
+            headers: &[],
+            status: 409,
+            not_run: false,
+            requests: 1,
+        },
         Case {
             name: "cut body",
             script: Some(Script::CutBody),
@@ -207,9 +225,11 @@
     for entry in &addresses {
         let again = call(*entry, SEND, &key, "to the widow");
         assert_eq!((again.status, &again.body), (200, &answers[0].body));
-        let reused = call(*entry, SEND, &key, "to another one");
-        assert_eq!(reused.status, 409, "{reused:?}");
-        assert!(reused.body.contains("key_reused"), "{reused:?}");
+        for (path, body) in [(SEND, "to another one"), ("/s/notices/send?copy=2", "to the widow")] {
+            let reused = call(*entry, path, &key, body);
+            assert_eq!(reused.status, 409, "{reused:?}");
+            assert!(reused.body.contains("key_reused"), "{reused:?}");
+        }
     }
     assert_eq!(sends(&endpoint), 1);
 }
--- a/daemons/sill/tests/system/flight.rs
+++ b/daemons/sill/tests/system/flight.rs
@@ -347,12 +347,12 @@
 }
 
 /// Reads a stream until it breaks off.
-fn read_until_cut(entry: SocketAddr, key: &str, body: &str) -> String {
+fn read_until_cut(entry: SocketAddr, headers: &str, body: &str) -> String {
     let mut stream = TcpStream::connect(entry).expect("a connection");
     stream.set_read_timeout(Some(Duration::from_secs(60))).expect("a timeout");
     let request = format!(
         "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CALLER_KEY}\r\n\
-         idempotency-key: {key}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+         {headers}content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
     );
     stream.write_all(request.as_bytes()).expect("the request is sent");
@@ -368,22 +368,38 @@
 }
 
 /// The entry instance that holds a caller's stream is reclaimed. Its peer goes on with the answer;
-/// the caller, cut off, comes back through the peer with its key and gets the whole. Were the
-/// request begun again, its long prompt would be computed twice.
+/// the caller, cut off, comes back through the peer with its key, or the request's name where it had
+/// none, and gets the whole, or the rest. Were the request begun again, its long prompt would be
+/// computed twice.
 #[test]
 fn a_caller_gets_the_whole_answer_after_its_entry_was_reclaimed() {
+    thread::scope(|scope| {
+        for keyed in [true, false] {
+            scope.spawn(move || comes_back(keyed));
+        }
+    });
+}
+
+fn comes_back(keyed: bool) {
     let cluster = Cluster::start("entry", 2, 2, "10");
     let body = body(PROMPT, 300, true);
     let (first, second) = (cluster.entries[0].address, cluster.entries[1].address);
     let sent = body.clone();
-    let reader = thread::spawn(move || read_until_cut(first, "parcel-17", &sent));
+    let key = if keyed { "idempotency-key: parcel-17\r\n" } else { "" };
+    let reader = thread::spawn(move || read_until_cut(first, key, &sent));
     let endpoint = cluster.running(30);
     cluster.reclaim(first, 1000);
     let cut = reader.join().expect("no panic");
     assert!(cut.contains("id: 29"), "the first part came: {cut}");
     assert!(!cut.contains("[DONE]"), "a cut answer must not look whole");
-    let answer = call(second, "/v1/chat/completions", &["idempotency-key: parcel-17"], &body);
+    let name = cut.lines().find_map(|line| line.strip_prefix("sill-request-id: "));
+    let name = if keyed { "parcel-17" } else { name.expect("the request's name") };
+    let key = format!("idempotency-key: {}", name.trim());
+    let answer = call(second, "/v1/chat/completions", &[&key], &body);
     assert_whole(&body, &answer.expect("an answer"));
+    let rest = call(second, "/v1/chat/completions", &[&key, "last-event-id: 99"], &body);
+    let rest = rest.expect("an answer").body;
+    assert!(rest.starts_with("id: 100\n") && rest.contains("id: 299\n"), "{rest}");
     let runs = cluster.model_runs();
     let from_the_start = runs.iter().filter(|run| run.resumed_at == 0).count();
     assert_eq!(from_the_start, 1, "{runs:?}");
@@ -406,7 +422,8 @@
     let body = body(PROMPT, 300, true);
     let (first, third) = (cluster.entries[0].address, cluster.entries[2].address);
     let sent = body.clone();
-    let reader = thread::spawn(move || read_until_cut(first, "parcel-18", &sent));
+    let reader =
+        thread::spawn(move || read_until_cut(first, "idempotency-key: parcel-18\r\n", &sent));
     cluster.running(30);
     signal(&cluster.entries[1], how);
     cluster.reclaim(first, 1000);
--- a/protocol/wire/src/handoff.rs
+++ b/protocol/wire/src/handoff.rs
@@ -103,12 +103,21 @@
 pub struct WholeReply {
     /// The status code.
     pub status: u16,
-    /// The content type.
-    pub content_type: Option<String>,
-    /// The body, in base 16 where it is no text.
+    /// Headers that concern the caller.
+    pub headers: Vec<PassedHeader>,
+    /// The body.
     pub body: ReplyBody,
 }
 
+/// A header that is passed on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PassedHeader {
+    /// Its name in lower case.
+    pub name: String,
+    /// Its value.
+    pub value: String,
+}
+
 /// The body of a whole HTTP answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -130,6 +139,21 @@
     pub retry_after: Option<Millis>,
 }
 
+impl WholeReply {
+    /// Makes a JSON answer.
+    pub fn json(status: u16, body: String) -> Self {
+        let headers = vec![PassedHeader::new("content-type", "application/json")];
+        Self { status, headers, body: ReplyBody::Text(body) }
+    }
+}
+
+impl PassedHeader {
+    /// Makes a header.
+    pub fn new(name: &str, value: &str) -> Self {
+        Self { name: name.to_owned(), value: value.to_owned() }
+    }
+}
+
 impl ReplyBody {
     /// Makes a body of any bytes.
     pub fn new(bytes: &[u8]) -> Self {
