--- a/bench/load/src/experiment/limits.rs
+++ b/bench/load/src/experiment/limits.rs
@@ -5,7 +5,7 @@
 use sill_base::random::{self, Rng};
 use sill_base::{Machine, Millis, Name};
 use sill_limit::{
-    AccountLimit, Action, Cost, Event, Limiter, LimiterCfg, Member, Split, SplitCfg, Verdict,
+    AccountLimit, Action, Cost, Event, Limiter, LimiterCfg, Members, Peer, Split, SplitCfg, Verdict,
 };
 use sill_wire::Incarnation;
 use sill_wire::limits::DemandReport;
@@ -131,7 +131,7 @@
     now: Millis,
     rng: Rng,
     limiters: Vec<Limiter>,
-    members: Vec<Member>,
+    domains: usize,
     demand: Vec<f64>,
     cut_off: Vec<bool>,
     admitted: Vec<u32>,
@@ -140,21 +140,15 @@
 
 impl Fleet {
     fn new(split: Split, entries: usize, domains: usize, seed: u64) -> Self {
-        let member = |i: usize| Member {
-            name: format!("entry-{i:03}").into(),
-            domain: format!("domain-{}", i % domains).into(),
-        };
-        let members: Vec<Member> = (0..entries).map(member).collect();
-        let limiter = |member: &Member| limiter(split, member, &members);
         Self {
             now: Millis::ZERO,
             rng: random::seeded(seed),
-            limiters: members.iter().map(limiter).collect(),
+            limiters: (0..entries).map(|i| limiter(split, i, entries, domains)).collect(),
             demand: vec![0.0; entries],
             cut_off: vec![false; entries],
             admitted: Vec::new(),
             bytes: vec![0; entries],
-            members,
+            domains,
         }
     }
 
@@ -174,8 +168,7 @@
     }
 
     fn cut_domain(&mut self, domain: usize) {
-        let name = self.members[domain].domain.clone();
-        self.cut_off = self.members.iter().map(|m| m.domain == name).collect();
+        self.cut_off = (0..self.demand.len()).map(|i| i % self.domains == domain).collect();
     }
 
     fn run(&mut self, span: Millis) {
@@ -194,24 +187,32 @@
             }
             let mut actions = Vec::new();
             self.limiters[i].step(self.now, Event::Tick, &mut actions);
-            for Action::Exchange { with, reports } in actions {
-                let peer = self.members.iter().position(|m| m.name == with).expect("a member");
+            for Action::Exchange { with, report } in actions {
+                let peer = self.find(&with);
                 if self.cut_off[peer] == self.cut_off[i] {
-                    self.exchange(i, peer, reports);
+                    self.exchange(i, peer, report);
                 }
             }
         }
     }
 
-    fn exchange(&mut self, caller: usize, called: usize, reports: Vec<DemandReport>) {
-        let reply = self.limiters[called].reply(&reports);
-        let bytes = CALL_OVERHEAD + size(&reports) + size(&reply);
+    fn exchange(&mut self, caller: usize, called: usize, report: DemandReport) {
+        let reply = self.limiters[called].reply(&report);
+        let bytes = CALL_OVERHEAD + size(std::slice::from_ref(&report)) + size(&reply);
         self.bytes[caller] += bytes;
         self.bytes[called] += bytes;
-        self.limiters[called].step(self.now, Event::Reports(reports), &mut Vec::new());
+        self.limiters[called].step(self.now, Event::Reports(vec![report]), &mut Vec::new());
         self.limiters[caller].step(self.now, Event::Reports(reply), &mut Vec::new());
     }
 
+    fn find(&self, peer: &Peer) -> usize {
+        let is_it = |i: &usize| match peer {
+            Peer::Entry(wanted) => name(*i) == *wanted,
+            Peer::Domain(wanted) => domain_name(*i % self.domains) == *wanted,
+        };
+        (0..self.demand.len()).find(is_it).expect("nobody goes")
+    }
+
     /// Requests come at random times, and the other accounts ask for little.
     fn offer(&mut self) {
         let mut admitted = 0;
@@ -244,8 +245,9 @@
     }
 }
 
-fn limiter(split: Split, member: &Member, members: &[Member]) -> Limiter {
-    let cfg = LimiterCfg { entry: member.name.clone(), domain: member.domain.clone() };
+fn limiter(split: Split, i: usize, entries: usize, domains: usize) -> Limiter {
+    let own = i % domains;
+    let cfg = LimiterCfg { entry: name(i), domain: domain_name(own) };
     let split = SplitCfg { split, ..SplitCfg::default() };
     let mut limiter = Limiter::with_split(cfg, Incarnation(1), split);
     let limits = (0..ACCOUNTS).map(|number| AccountLimit {
@@ -254,7 +256,11 @@
         tokens_per_s: None,
     });
     limiter.step(Millis::ZERO, Event::Limits(limits.collect()), &mut Vec::new());
-    limiter.step(Millis::ZERO, Event::Members(members.to_vec()), &mut Vec::new());
+    let members = Members {
+        neighbours: (own..entries).step_by(domains).map(name).collect(),
+        domains: (0..domains).filter(|d| *d != own).map(domain_name).collect(),
+    };
+    limiter.step(Millis::ZERO, Event::Members(members), &mut Vec::new());
     limiter
 }
 
@@ -277,3 +283,11 @@
 fn account(number: usize) -> Name {
     format!("teams/desk/account-{number}").into()
 }
+
+fn name(i: usize) -> Name {
+    format!("entry-{i:03}").into()
+}
+
+fn domain_name(domain: usize) -> Name {
+    format!("domain-{domain}").into()
+}
--- a/coordination/limit/src/lib.rs
+++ b/coordination/limit/src/lib.rs
@@ -2,14 +2,14 @@
 
 mod bucket;
 pub mod demand;
-pub mod exchange;
+mod exchange;
 pub mod limiter;
-mod tree;
+pub mod tree;
 pub mod weaken;
 
 pub use demand::Rates;
-pub use exchange::Member;
 pub use limiter::{
     AccountLimit, Action, Cost, Event, Limiter, LimiterCfg, Split, SplitCfg, Verdict,
 };
+pub use tree::{Members, Peer};
 pub use weaken::Weakening;
--- a/protocol/wire/src/limits.rs
+++ b/protocol/wire/src/limits.rs
@@ -32,9 +32,6 @@
     pub sequence: u64,
     /// How old the oldest figure in it is.
     pub age: Millis,
-    /// Whether the reporter lacks the demand of some, as after a start, and wants sums from others.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub wants_totals: bool,
     /// Accounts with any demand.
     pub accounts: Vec<AccountDemand>,
 }
@@ -44,6 +41,10 @@
 pub struct DemandExchange {
     /// The reports that the caller passes on, its own first.
     pub reports: Vec<DemandReport>,
+    /// Whether it was passed on to the one that adds up its failure domain, which must not pass it
+    /// on again.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub forwarded: bool,
 }
 
 /// The reports that the called entry knows.
