--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -33,7 +33,7 @@
 use crate::serve::run::Runs;
 use crate::serve::signals::{self, Signals};
 use crate::settings::Settings;
-use crate::{api, feed, limits, members, peer};
+use crate::{api, feed, peer};
 
 /// Connections that a worker holds to endpoints.
 const UPSTREAM_CONNECTIONS: usize = 16_384;
@@ -109,42 +109,28 @@
 }
 
 impl Shared {
-    /// Returns a name for a new request, unique over all instances and their lives.
-    pub fn request_id(&self) -> Name {
-        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
-        format!("{}-{:x}-{number:x}", self.cfg.name, self.incarnation.0).into()
-    }
-
-    /// Returns whether a request would be served.
-    pub fn is_ready(&self) -> bool {
-        !self.stopping.load(Ordering::Relaxed) && self.settings.revision().0 > 0
-    }
-}
-
-impl Entry {
-    /// Starts to serve.
+    /// Makes the state of an instance that listens at these addresses.
     ///
     /// # Errors
     ///
-    /// Fails when an address can't be used.
-    pub fn start(cfg: EntryCfg) -> Result<Self> {
-        let listener = http::bind(cfg.listen)?;
-        let peer_listener = http::bind(cfg.listen_peer)?;
-        let address = listener.local_addr()?;
-        let peer_address = peer_listener.local_addr()?;
-        let runtime =
-            tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
+    /// Fails when the file to record into can't be used.
+    pub fn new(
+        cfg: EntryCfg,
+        settings: Settings,
+        address: SocketAddr,
+        peer_address: SocketAddr,
+        runtime: Handle,
+    ) -> Result<Self> {
         let claims = {
             let _guard = runtime.enter();
             Box::new(ControlClaims::start(&cfg))
         };
         let clock = Clock::start();
         let incarnation = Incarnation(Millis::wall().0);
-        let copy = cfg.data.as_deref().map(SettingsCopy::open).transpose()?;
-        let shared = Arc::new(Shared {
+        Ok(Self {
             clock,
             incarnation,
-            settings: Settings::new(feed::read_copy(copy.as_ref())),
+            settings,
             feed: Feed::default(),
             members: Membership::new(&cfg, clock, incarnation, address, peer_address),
             routing: Routing::new(&cfg)?,
@@ -157,22 +143,50 @@
             signals: Signals::new(),
             peers: Peers::default(),
             takers: Takers::default(),
-            runtime: runtime.handle().clone(),
+            runtime,
             peer_address: peer_address.to_string().into(),
             stopping: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             reclaimed: AtomicBool::new(false),
             next_request: AtomicU64::new(1),
             cfg,
-        });
+        })
+    }
+
+    /// Returns a name for a new request, unique over all instances and their lives.
+    pub fn request_id(&self) -> Name {
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:x}-{number:x}", self.cfg.name, self.incarnation.0).into()
+    }
+
+    /// Returns whether a request would be served.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.load(Ordering::Relaxed) && self.settings.revision().0 > 0
+    }
+}
+
+impl Entry {
+    /// Starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be used.
+    pub fn start(cfg: EntryCfg) -> Result<Self> {
+        let listener = http::bind(cfg.listen)?;
+        let peer_listener = http::bind(cfg.listen_peer)?;
+        let address = listener.local_addr()?;
+        let peer_address = peer_listener.local_addr()?;
+        let runtime =
+            tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
+        let copy = cfg.data.as_deref().map(SettingsCopy::open).transpose()?;
+        let settings = Settings::new(feed::read_copy(copy.as_ref()));
+        let handle = runtime.handle().clone();
+        let shared = Arc::new(Shared::new(cfg, settings, address, peer_address, handle)?);
 
         let peers = {
             let _guard = runtime.enter();
-            peer::server(&shared).start(peer_listener)?
+            peer::start(&shared, peer_listener, copy)?
         };
-        runtime.spawn(feed::run(shared.clone(), copy));
-        runtime.spawn(members::run(shared.clone()));
-        runtime.spawn(limits::run(shared.clone()));
         runtime.spawn(signals::watch(shared.clone()));
 
         let server = serve_callers(shared.clone(), listener)?;
--- a/protocol/wire/src/member.rs
+++ b/protocol/wire/src/member.rs
@@ -88,8 +88,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(from = "LoadNumbers", into = "LoadNumbers")]
 pub struct LoadUpdate {
-    /// The hash in the receiver's own digest that stands for the endpoint.
-    pub mark: u32,
+    /// The hash, by the salt of the receiver's own digest, that stands for the endpoint.
+    pub mark: u64,
     /// The number of the announcement that the load came with.
     pub sequence: u64,
     /// How long ago the endpoint sent it, at most.
@@ -98,7 +98,7 @@
     pub load: Load,
 }
 
-type LoadNumbers = (u32, u64, Millis, u32, u32, u64, u64, Millis);
+type LoadNumbers = (u64, u64, Millis, u32, u32, u64, u64, Millis);
 
 /// An entry instance on its way between others.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -113,15 +113,15 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(from = "HeartbeatNumbers", into = "HeartbeatNumbers")]
 pub struct Heartbeat {
-    /// The hash in the receiver's own digest that stands for the entry instance.
-    pub mark: u32,
+    /// The hash, by the salt of the receiver's own digest, that stands for the entry instance.
+    pub mark: u64,
     /// The number of its report.
     pub sequence: u64,
     /// How long ago it spoke for itself, at most.
     pub age: Millis,
 }
 
-type HeartbeatNumbers = (u32, u64, Millis);
+type HeartbeatNumbers = (u64, u64, Millis);
 
 /// Tells that a life of an endpoint takes no new work, ever again.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
