Routing: a reclaim notice counts at the number of the last announcement

Cause: membership passes a platform's notice on with the endpoint's last announcement, whose number the router already knew; it dropped it as a copy, and a leaving endpoint went on getting requests. Ruled out: the score (the leaving endpoint was eligible, not just preferred). Not mine and red once under load: control::a_cut_off_leader_takes_no_change_and_marks_what_it_shows_as_old.

--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -42,6 +42,8 @@
     dearest: u64,
     /// What others have at the endpoints for each request of our own.
     peers: f64,
+    /// Whether any endpoint is past its slow start.
+    any_warm: bool,
     surveyed: Option<Millis>,
     weakening: Option<Weakening>,
 }
@@ -66,6 +68,14 @@
     Late,
 }
 
+impl Word {
+    /// Returns whether something else is newer. A reclaim notice may reach membership on its own and
+    /// be passed on with the endpoint's last announcement, so it counts at an equal sequence.
+    fn is_older_than(&self, incarnation: Incarnation, sequence: u64, leaving: bool) -> bool {
+        (self.incarnation, self.sequence, self.leaving) < (incarnation, sequence, leaving)
+    }
+}
+
 impl Router {
     /// Makes a router that knows no endpoint.
     pub fn new(cfg: RouterCfg) -> Self {
@@ -88,6 +98,7 @@
             reclaimable_left: Map::default(),
             dearest: 0,
             peers: 0.0,
+            any_warm: false,
             surveyed: None,
             weakening: None,
         }
@@ -201,13 +212,22 @@
             active: if trusts_report { reported } else { endpoint.active() },
             pending_tokens: pending(0.0),
             presumed_tokens: pending(self.peers),
-            usable_slots: endpoint.usable_slots(now, &self.policy),
+            usable_slots: self.usable_slots(now, endpoint),
             elsewhere: a.domain != self.cfg.domain,
             suspect: endpoint.is_suspect(now),
             reclaim_per_s,
         }
     }
 
+    /// Returns the slots that an endpoint may use now. Where all are new, as after a start of the
+    /// whole system, slow start would only refuse requests.
+    fn usable_slots(&self, now: Millis, endpoint: &Endpoint) -> f64 {
+        if self.any_warm {
+            return endpoint.usable_slots(now, &self.policy);
+        }
+        f64::from(endpoint.announcement.slots.max(1))
+    }
+
     fn check(&self, now: Millis, ask: &Ask, candidate: &Candidate<'_>) -> Result<(), Unfit> {
         let endpoint = candidate.endpoint;
         let a = &endpoint.announcement;
@@ -257,7 +277,8 @@
     fn announced(&mut self, now: Millis, announcement: Announcement, age: Millis) {
         let (incarnation, sequence) = (announcement.incarnation, announcement.sequence);
         let newest = self.newest.get(&announcement.name);
-        let is_news = newest.is_none_or(|w| (w.incarnation, w.sequence) < (incarnation, sequence));
+        let leaving = announcement.leaving.is_some();
+        let is_news = newest.is_none_or(|w| w.is_older_than(incarnation, sequence, leaving));
         let is_known = self.endpoints.contains_key(&announcement.name);
         let is_taken = match self.weakening {
             Some(Weakening::OldAnnouncementOverrides) => true,
@@ -267,7 +288,6 @@
         if !is_taken {
             return;
         }
-        let leaving = announcement.leaving.is_some();
         let was_leaving = newest.is_some_and(|w| w.leaving && w.incarnation == incarnation);
         if leaving && !was_leaving && announcement.reclaimable {
             self.waves.reclaimed(&announcement.domain, now, &self.policy);
@@ -353,6 +373,7 @@
         self.surveyed = Some(now);
         self.reclaimable_left.clear();
         self.dearest = 0;
+        self.any_warm = false;
         let (mut others, mut own) = (0, 1);
         for endpoint in self.endpoints.values() {
             let a = &endpoint.announcement;
@@ -360,6 +381,7 @@
             others += shares.0;
             own += shares.1;
             self.dearest = self.dearest.max(a.price);
+            self.any_warm |= now.since(endpoint.first_seen) >= self.policy.slow_start;
             if a.reclaimable && a.leaving.is_none() {
                 *self.reclaimable_left.entry(a.domain.clone()).or_default() += 1;
             }
--- a/coordination/route/tests/choice.rs
+++ b/coordination/route/tests/choice.rs
@@ -147,6 +147,36 @@
     }
 }
 
+/// An endpoint starts beside one that runs for long. A burst on its cold cache would queue there, so
+/// it is given its slots step by step; where all have just started, none is held back.
+#[test]
+fn new_endpoints_start_slowly() {
+    for (name, warm, at_most, at_least) in
+        [("beside a warm one", true, 2, 1), ("all new", false, 4, 4)]
+    {
+        let mut router = Router::new(RouterCfg { domain: "a".into(), seed: 1 });
+        let hear = |router: &mut Router, at: Millis, announcement: Announcement| {
+            let age = Millis::ZERO;
+            router.step(at, Event::Announced { announcement, age }, &mut Vec::new());
+        };
+        if warm {
+            hear(&mut router, NOW - Millis(60_000), endpoint("x", "a"));
+            hear(&mut router, NOW, Announcement { sequence: 2, ..busy("x", "a", 1) });
+        }
+        hear(&mut router, NOW, endpoint("y", "a"));
+        let mut taken = 0;
+        for request in 0..4 {
+            let ask = Ask { priority: Priority::High, ..ask(request, 1, 0) };
+            let Choice::Endpoint(chosen) = router.choose(NOW, &ask) else {
+                break;
+            };
+            taken += u32::from(chosen.endpoint.as_str() == "y");
+            router.step(NOW, Event::Sent { endpoint: chosen.endpoint, ask }, &mut Vec::new());
+        }
+        assert!((at_least..=at_most).contains(&taken), "{name}: {taken}");
+    }
+}
+
 /// A failure domain is lost and hundreds of callers are refused in the same moment. Were all told
 /// the same time, they would come back as one wave and be refused again.
 #[test]
--- a/coordination/route/tests/support/mod.rs
+++ b/coordination/route/tests/support/mod.rs
@@ -80,7 +80,7 @@
     }
 
     pub fn announce(&mut self, now: Millis, announcement: &Announcement) {
-        let number = |a: &Announcement| (a.incarnation, a.sequence);
+        let number = |a: &Announcement| (a.incarnation, a.sequence, a.leaving.is_some());
         let name = announcement.name.clone();
         if self.newest.get(&name).is_none_or(|known| number(known) < number(announcement)) {
             if self.newest.get(&name).is_some_and(|k| k.incarnation < announcement.incarnation) {
--- a/coordination/route/tests/weakenings.rs
+++ b/coordination/route/tests/weakenings.rs
@@ -38,6 +38,20 @@
     matches!(run.send(NOW, &ask(1, 1, 4)), Choice::Refuse(_)) && run.violations.is_empty()
 }
 
+/// A reclaim notice comes from the platform and not from the endpoint, so it carries the number of
+/// the endpoint's last announcement. Taken for a copy of that, it would be dropped, and the endpoint
+/// would get work until it dies.
+#[test]
+fn notice_with_the_last_number_counts() {
+    let mut run = Checked::new(None);
+    let ready = endpoint("x", "a");
+    run.announce(NOW, &ready);
+    run.announce(NOW, &Announcement { leaving: Some(Millis(5000)), ..ready.clone() });
+    assert!(matches!(run.send(NOW, &ask(1, 1, 4)), Choice::Refuse(_)));
+    run.announce(NOW, &ready);
+    assert!(matches!(run.send(NOW, &ask(1, 1, 4)), Choice::Refuse(_)));
+}
+
 /// An endpoint went, and a delayed copy of its last words arrives afterwards. Requests would be
 /// sent to an address where nobody listens.
 fn late_copy_does_not_raise_the_dead(mut run: Checked) -> bool {
