Control: documents of up to 8 MB are taken

Cause: the HTTP library refuses bodies above 256 kB by closing the connection, which the accounts of a large team pass; the operator saw a reset.

Before: a document of 2 MB failed with a reset connection (the test, run with the library's limit). After: taken; 9 MB is refused with a 4xx status.

--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use eyre::{Result, eyre};
+use ntex::web::types::PayloadConfig;
 use ntex::web::{App, HttpServer};
 use sill_base::{Clock, Millis, Name, event};
 use sill_net::{PeerClient, PeerServer, PeerServerBuilder, http};
@@ -26,6 +27,10 @@
 /// How long a call may take that waits for a commit there.
 const PATIENT: Millis = Millis(3000);
 
+/// The largest settings document, in bytes; the library's own limit is 256 kB, which the accounts of
+/// a large team pass.
+const MAX_BODY: usize = 8 << 20;
+
 /// How long a stop waits for calls; a watch waits for longer, and its caller goes on elsewhere.
 const STOP: ntex::time::Seconds = ntex::time::Seconds(5);
 
@@ -195,13 +200,17 @@
 fn serve(shared: Arc<Shared>, listener: std::net::TcpListener) -> Result<ntex::server::Server> {
     let (tx, rx) = std::sync::mpsc::channel();
     http::spawn_system("control", move || async move {
-        let server =
-            HttpServer::new(async move || App::new().state(shared.clone()).configure(api::routes))
-                .workers(1)
-                .disable_signals()
-                .shutdown_timeout(STOP)
-                .listen(listener)?
-                .run();
+        let server = HttpServer::new(async move || {
+            App::new()
+                .state(shared.clone())
+                .state(PayloadConfig::new(MAX_BODY))
+                .configure(api::routes)
+        })
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(STOP)
+        .listen(listener)?
+        .run();
         let _ = tx.send(server.clone());
         server.await
     })?;
--- a/daemons/control/tests/cluster.rs
+++ b/daemons/control/tests/cluster.rs
@@ -266,3 +266,24 @@
     let text = String::from_utf8(recovered.records.concat()).expect("text");
     assert!(text.contains("price_cap\\\":3"), "what was accepted is on the disk: {text}");
 }
+
+#[test]
+fn a_large_document_is_taken_and_a_huge_one_refused() {
+    // A team's file grows with its accounts. It must not be refused at some limit of a library,
+    // and one that is huge by mistake must not fill the log.
+    let cluster = Cluster::start();
+    let address = cluster.controls[0].as_ref().expect("it runs").address;
+    let put = |kilobytes: usize| {
+        let document = format!("{{\"price_cap\":1{}}}", " ".repeat(kilobytes << 10));
+        http(address, "PUT", "/tree/ga", &document)
+    };
+    wait_until("a large one is taken", || put(2000).starts_with("HTTP/1.1 200"));
+    // Only announced: who sends on after the refusal may find the connection closed.
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    let head = "PUT /tree/ga HTTP/1.1\r\nhost: c\r\nauthorization: Bearer root\r\n";
+    let text = format!("{head}content-length: {}\r\n\r\n", 9000 << 10);
+    stream.write_all(text.as_bytes()).expect("sent");
+    let mut start = [0; 10];
+    stream.read_exact(&mut start).expect("an answer");
+    assert_eq!(&start, b"HTTP/1.1 4");
+}
