--- a/coordination/member/src/digest.rs
+++ b/coordination/member/src/digest.rs
@@ -35,7 +35,7 @@
 
 /// Adds a mark to a digest.
 pub fn mark(digest: &mut Digest, fact: Fact, name: &str, life: Incarnation, shape: u64, seq: u64) {
-    let hash = hash(digest.salt, fact, name, life, shape);
+    let hash = short(hash(digest.salt, fact, name, life, shape));
     let _ = write!(digest.marks, "{hash:06x}{:02x}", seq as u8);
 }
 
@@ -78,13 +78,16 @@
     }
 
     /// Returns the hash that stands for a fact in this digest.
-    pub fn hash(&self, fact: Fact, name: &str, life: Incarnation, shape: u64) -> u32 {
+    ///
+    /// It is longer than what the digest holds. With the short one, a fact that the caller lacks
+    /// would now and then pass for one that it knows, and overwrite it.
+    pub fn hash(&self, fact: Fact, name: &str, life: Incarnation, shape: u64) -> u64 {
         hash(self.salt, fact, name, life, shape)
     }
 
     /// Returns the lowest byte of the sequence number that the caller knows, if it knows the fact.
     pub fn sequence(&self, fact: Fact, name: &str, life: Incarnation, shape: u64) -> Option<u8> {
-        self.sequences.get(&hash(self.salt, fact, name, life, shape)).copied()
+        self.sequences.get(&short(hash(self.salt, fact, name, life, shape))).copied()
     }
 }
 
@@ -94,10 +97,15 @@
 }
 
 /// Returns the hash that stands for a fact in a digest with this salt.
-pub fn hash(salt: u64, fact: Fact, name: &str, life: Incarnation, shape: u64) -> u32 {
+pub fn hash(salt: u64, fact: Fact, name: &str, life: Incarnation, shape: u64) -> u64 {
     let mut hasher = Fnv::new();
     (salt, fact as u8, name, life.0, shape).hash(&mut hasher);
-    (hasher.finish() >> 40) as u32
+    hasher.finish() >> 16
+}
+
+/// Returns the part of a hash that stands in a digest.
+fn short(hash: u64) -> u32 {
+    (hash >> 24) as u32
 }
 
 impl Fnv {
--- a/daemons/control/benches/control.rs
+++ b/daemons/control/benches/control.rs
@@ -254,6 +254,7 @@
         have: Revision(have),
         wait,
         below: Vec::new(),
+        endpoints: None,
     }
 }
 
--- a/daemons/entry/src/lib.rs
+++ b/daemons/entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod errors;
 pub mod explain;
 pub mod feed;
+pub mod gauges;
 pub mod handoff;
 pub mod limits;
 pub mod members;
