Stand-ins of the cloud API and the weights store

Small HTTP+JSON stand-ins at the edges: offers with prices, starts that are refused when nothing is left and can be sent again, notices to a whole failure domain; reads of weights that share one rate. Tables for both, and for orders with and without a check of fencing tokens.

--- a/bench/standin/src/cli.rs
+++ b/bench/standin/src/cli.rs
@@ -1,13 +1,19 @@
 //! The command line of the stand-ins.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use eyre::{Result, bail};
 use sill_base::{Findings, Millis, Name};
 use sill_setup::{Flag, Outcome, Program, Values};
 use sill_wire::Served;
 
+use crate::cloud::{self, Cloud, Offer};
 use crate::endpoint::{Endpoint, EndpointCfg};
+use crate::weights::{self, Store, StoreCfg};
+
+/// How many times as dear an instance is that the platform never takes back.
+const ON_DEMAND: u64 = 4;
 
 /// `sill-standin endpoint`.
 pub const ENDPOINT: Program = Program {
@@ -46,6 +52,38 @@
     ],
 };
 
+/// `sill-standin cloud`.
+pub const CLOUD: Program = Program {
+    name: "sill-standin cloud",
+    about: "a stand-in for the platform's cloud API; PUT /offers sets what it offers",
+    operands: "",
+    flags: &[
+        Flag::with_default("listen", "IP:PORT", "127.0.0.1:0", "where it takes requests"),
+        Flag::many("domain", "NAME", "failure domain to offer instances in"),
+        Flag::with_default("class", "NAME", "standard", "machine class"),
+        Flag::with_default(
+            "price",
+            "N",
+            "300",
+            "price of a reclaimable instance; four times on demand",
+        ),
+        Flag::with_default("left", "N", "10", "instances of a kind that it starts in a domain"),
+    ],
+};
+
+/// `sill-standin weights`.
+pub const WEIGHTS: Program = Program {
+    name: "sill-standin weights",
+    about: "a stand-in for the weights store; all reads share one rate",
+    operands: "",
+    flags: &[
+        Flag::with_default("listen", "IP:PORT", "127.0.0.1:0", "where it takes requests"),
+        Flag::with_default("size", "BYTES", "16000000000", "size of a model's weights"),
+        Flag::with_default("rate", "BYTES", "2000000000", "bytes a second over all reads"),
+        Flag::with_default("waiting", "N", "16", "reads that may wait"),
+    ],
+};
+
 /// Reads the settings of a stand-in endpoint.
 ///
 /// # Errors
@@ -111,22 +149,70 @@
 ///
 /// Fails when a flag is wrong or the address can't be bound.
 pub fn run(mut words: Vec<String>) -> Result<()> {
-    if words.first().map(String::as_str) != Some("endpoint") {
-        bail!("expected `endpoint` and its flags; `sill-standin endpoint --help` lists them");
-    }
-    words.remove(0);
-    let mut values = match ENDPOINT.read(words)? {
+    let kind = if words.is_empty() { String::new() } else { words.remove(0) };
+    let program = match kind.as_str() {
+        "endpoint" => &ENDPOINT,
+        "cloud" => &CLOUD,
+        "weights" => &WEIGHTS,
+        _ => bail!("expected `endpoint`, `cloud` or `weights` and its flags; each has `--help`"),
+    };
+    let mut values = match program.read(words)? {
         Outcome::Help(text) => {
             print!("{text}");
             return Ok(());
         }
         Outcome::Values(values) => values,
     };
-    let cfg = endpoint_cfg(&mut values)?;
-    sill_setup::logs::start(log::LevelFilter::Info)?;
-    let endpoint = Endpoint::start(cfg)?;
-    sill_base::event!(Info, "endpoint_listens", address = endpoint.address);
+    let address = match kind.as_str() {
+        "endpoint" => {
+            let cfg = endpoint_cfg(&mut values)?;
+            sill_setup::logs::start(log::LevelFilter::Info)?;
+            Endpoint::start(cfg)?.address
+        }
+        "cloud" => start_cloud(&mut values)?,
+        _ => start_weights(&mut values)?,
+    };
+    sill_base::event!(Info, "standin_listens", kind = kind, address = address);
     loop {
         std::thread::park();
     }
 }
+
+fn start_cloud(values: &mut Values) -> Result<SocketAddr> {
+    let listen = values.required("listen");
+    let domains: Vec<String> = values.many("domain");
+    let class: Option<String> = values.required("class");
+    let price: Option<u64> = values.required("price");
+    let left: Option<u32> = values.required("left");
+    values.finish()?;
+    sill_setup::logs::start(log::LevelFilter::Info)?;
+    let class = Name::from(class.unwrap_or_default());
+    let price = price.unwrap_or_default();
+    let offers = domains.iter().flat_map(|domain| {
+        [(true, price), (false, price * ON_DEMAND)].map(|(reclaimable, price)| Offer {
+            domain: domain.as_str().into(),
+            class: class.clone(),
+            reclaimable,
+            price,
+            left: left.unwrap_or_default(),
+        })
+    });
+    let cloud = Arc::new(Cloud::new(offers.collect()));
+    cloud::serve(cloud, listen.unwrap_or(EndpointCfg::default().listen))
+}
+
+fn start_weights(values: &mut Values) -> Result<SocketAddr> {
+    let listen = values.required("listen");
+    let size: Option<u64> = values.required("size");
+    let rate: Option<u64> = values.required("rate");
+    let waiting: Option<u32> = values.required("waiting");
+    values.finish()?;
+    sill_setup::logs::start(log::LevelFilter::Info)?;
+    let cfg = StoreCfg {
+        size: size.unwrap_or_default(),
+        rate: rate.unwrap_or_default(),
+        waiting: waiting.unwrap_or_default(),
+    };
+    let store = Arc::new(Store::new(cfg));
+    weights::serve(store, listen.unwrap_or(EndpointCfg::default().listen))
+}
--- /dev/null
+++ b/bench/standin/src/cloud.rs
@@ -0,0 +1,226 @@
+//! A stand-in for the platform's cloud API: prices, starts with refusals, reclaim notices.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use eyre::Result;
+use ntex::web::{self, App, HttpResponse, HttpServer, ServiceConfig};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use sill_base::{Millis, Name};
+use sill_net::http::{self, Failure};
+use sill_wire::ErrorCode;
+
+/// What the platform offers in one failure domain.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Offer {
+    /// The failure domain.
+    pub domain: Name,
+    /// The machine class.
+    pub class: Name,
+    /// Whether the platform may take the instance back.
+    pub reclaimable: bool,
+    /// Price in thousandths of a currency unit an hour.
+    pub price: u64,
+    /// Instances that it still starts; beyond, starts are refused.
+    pub left: u32,
+}
+
+/// An instance that is wanted.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StartInstance {
+    /// The failure domain.
+    pub domain: Name,
+    /// The machine class.
+    pub class: Name,
+    /// Whether the platform may take it back.
+    pub reclaimable: bool,
+    /// Names the start, so that it can be sent again.
+    pub start: Name,
+}
+
+/// An instance that was started.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Its name.
+    pub name: Name,
+    /// What it was started as.
+    pub wanted: StartInstance,
+}
+
+/// A notice that an instance will be taken back.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Notice {
+    /// The instance.
+    pub instance: Name,
+    /// Time left.
+    pub in_ms: Millis,
+}
+
+/// Takes instances back: all reclaimable ones of a failure domain.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReclaimDomain {
+    /// The failure domain.
+    pub domain: Name,
+    /// Time left.
+    pub in_ms: Millis,
+}
+
+/// The state of the platform.
+#[derive(Debug, Default)]
+pub struct Cloud(Mutex<State>);
+
+#[derive(Debug, Default)]
+struct State {
+    offers: Vec<Offer>,
+    instances: BTreeMap<Name, Instance>,
+    notices: Vec<Notice>,
+    started: u64,
+}
+
+impl Cloud {
+    /// Starts with these offers.
+    pub fn new(offers: Vec<Offer>) -> Self {
+        Self(Mutex::new(State { offers, ..State::default() }))
+    }
+
+    /// Returns the offers.
+    pub fn offers(&self) -> Vec<Offer> {
+        self.0.lock().offers.clone()
+    }
+
+    /// Replaces the offers, as when prices change or capacity comes back.
+    pub fn set_offers(&self, offers: Vec<Offer>) {
+        self.0.lock().offers = offers;
+    }
+
+    /// Starts an instance, or none where the platform has none left. The same start again returns
+    /// the same instance.
+    pub fn start(&self, wanted: StartInstance) -> Option<Instance> {
+        let mut state = self.0.lock();
+        if let Some(there) = state.instances.values().find(|i| i.wanted.start == wanted.start) {
+            return Some(there.clone());
+        }
+        let offer = state.offers.iter_mut().find(|offer| {
+            offer.domain == wanted.domain
+                && offer.class == wanted.class
+                && offer.reclaimable == wanted.reclaimable
+        })?;
+        offer.left = offer.left.checked_sub(1)?;
+        state.started += 1;
+        let name: Name = format!("i-{}", state.started).into();
+        let instance = Instance { name: name.clone(), wanted };
+        state.instances.insert(name, instance.clone());
+        Some(instance)
+    }
+
+    /// Stops an instance; its place is free again.
+    pub fn stop(&self, name: &str) -> bool {
+        let mut state = self.0.lock();
+        let Some(stopped) = state.instances.remove(name) else {
+            return false;
+        };
+        let wanted = stopped.wanted;
+        for offer in &mut state.offers {
+            if offer.domain == wanted.domain
+                && offer.class == wanted.class
+                && offer.reclaimable == wanted.reclaimable
+            {
+                offer.left += 1;
+            }
+        }
+        true
+    }
+
+    /// Returns the instances.
+    pub fn instances(&self) -> Vec<Instance> {
+        self.0.lock().instances.values().cloned().collect()
+    }
+
+    /// Gives notice to all reclaimable instances of a domain, and starts no more of them there.
+    pub fn reclaim(&self, wave: &ReclaimDomain) -> usize {
+        let mut state = self.0.lock();
+        let hit = |domain: &Name, reclaimable: bool| reclaimable && *domain == wave.domain;
+        for offer in &mut state.offers {
+            if hit(&offer.domain, offer.reclaimable) {
+                offer.left = 0;
+            }
+        }
+        let taken = state.instances.values();
+        let taken = taken.filter(|i| hit(&i.wanted.domain, i.wanted.reclaimable));
+        let notices: Vec<Notice> =
+            taken.map(|i| Notice { instance: i.name.clone(), in_ms: wave.in_ms }).collect();
+        let count = notices.len();
+        state.notices.extend(notices);
+        count
+    }
+
+    /// Returns the notices from a number on.
+    pub fn notices(&self, from: usize) -> Vec<Notice> {
+        self.0.lock().notices.iter().skip(from).cloned().collect()
+    }
+}
+
+type AppState = web::types::State<Arc<Cloud>>;
+
+/// Serves the platform on a thread of its own, and returns where.
+///
+/// # Errors
+///
+/// Fails when the address can't be bound.
+pub fn serve(cloud: Arc<Cloud>, listen: SocketAddr) -> Result<SocketAddr> {
+    let listener = http::bind(listen)?;
+    let address = listener.local_addr()?;
+    http::spawn_system("cloud", move || async move {
+        HttpServer::new(async move || App::new().state(cloud.clone()).configure(routes))
+            .workers(1)
+            .disable_signals()
+            .listen(listener)?
+            .run()
+            .await
+    })?;
+    Ok(address)
+}
+
+fn routes(cfg: &mut ServiceConfig) {
+    cfg.service((
+        web::resource("/offers")
+            .route(web::get().to(async |cloud: AppState| http::json(200, &cloud.offers())))
+            .route(web::put().to(set_offers)),
+        web::resource("/instances")
+            .route(web::get().to(async |cloud: AppState| http::json(200, &cloud.instances())))
+            .route(web::post().to(start)),
+        web::resource("/instances/{name}").route(web::delete().to(stop)),
+        web::resource("/reclaim").route(web::post().to(reclaim)),
+        web::resource("/notices/{from}").route(web::get().to(notices)),
+    ));
+}
+
+async fn set_offers(cloud: AppState, offers: web::types::Json<Vec<Offer>>) -> HttpResponse {
+    cloud.set_offers(offers.into_inner());
+    HttpResponse::NoContent().finish()
+}
+
+async fn start(cloud: AppState, wanted: web::types::Json<StartInstance>) -> HttpResponse {
+    match cloud.start(wanted.into_inner()) {
+        Some(instance) => http::json(201, &instance),
+        None => Failure::new(ErrorCode::NoCapacity, "none left").response(&Name::default()),
+    }
+}
+
+async fn stop(cloud: AppState, name: web::types::Path<Name>) -> HttpResponse {
+    if cloud.stop(&name) {
+        return HttpResponse::NoContent().finish();
+    }
+    Failure::new(ErrorCode::NotFound, "no such instance").response(&Name::default())
+}
+
+async fn reclaim(cloud: AppState, wave: web::types::Json<ReclaimDomain>) -> HttpResponse {
+    let count = cloud.reclaim(&wave);
+    http::json(200, &serde_json::json!({ "notices": count }))
+}
+
+async fn notices(cloud: AppState, from: web::types::Path<usize>) -> HttpResponse {
+    http::json(200, &cloud.notices(from.into_inner()))
+}
--- a/bench/standin/src/lib.rs
+++ b/bench/standin/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 pub mod cache;
 pub mod cli;
+pub mod cloud;
 pub mod endpoint;
 pub mod events;
 pub mod kv;
@@ -10,5 +11,6 @@
 pub mod loopback;
 pub mod orders;
 mod run;
+pub mod weights;
 
 pub use endpoint::{Endpoint, EndpointCfg};
--- /dev/null
+++ b/bench/standin/src/weights.rs
@@ -0,0 +1,97 @@
+//! A stand-in for the weights store: reads share one rate.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use eyre::Result;
+use ntex::util::Bytes;
+use ntex::web::{self, App, HttpResponse, HttpServer};
+use parking_lot::Mutex;
+use sill_base::{Clock, Millis, Name};
+use sill_net::http::{self, Failure};
+use sill_wire::ErrorCode;
+
+use crate::endpoint::pause;
+
+/// Settings of the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoreCfg {
+    /// Bytes of each model's weights.
+    pub size: u64,
+    /// Bytes a second over all reads.
+    pub rate: u64,
+    /// Reads that may wait; further ones are refused.
+    pub waiting: u32,
+}
+
+/// The store; one read follows the other at its rate.
+#[derive(Debug)]
+pub struct Store {
+    cfg: StoreCfg,
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    free_at: Millis,
+    waiting: u32,
+}
+
+impl Store {
+    /// Makes a store.
+    pub fn new(cfg: StoreCfg) -> Self {
+        Self { cfg, clock: Clock::start(), state: Mutex::default() }
+    }
+
+    /// Takes a turn, and returns how long until its weights are read; none where too many wait.
+    pub fn turn(&self, now: Millis) -> Option<Millis> {
+        let mut state = self.state.lock();
+        if state.waiting >= self.cfg.waiting {
+            return None;
+        }
+        let span = Millis(self.cfg.size.saturating_mul(1000) / self.cfg.rate.max(1));
+        state.free_at = state.free_at.max(now) + span;
+        state.waiting += 1;
+        Some(state.free_at - now)
+    }
+
+    /// Ends a turn.
+    pub fn done(&self) {
+        let mut state = self.state.lock();
+        state.waiting = state.waiting.saturating_sub(1);
+    }
+}
+
+/// Serves the store on a thread of its own, and returns where.
+///
+/// # Errors
+///
+/// Fails when the address can't be bound.
+pub fn serve(store: Arc<Store>, listen: SocketAddr) -> Result<SocketAddr> {
+    let listener = http::bind(listen)?;
+    let address = listener.local_addr()?;
+    http::spawn_system("weights", move || async move {
+        HttpServer::new(async move || {
+            let weights = web::resource("/weights/{model}").route(web::get().to(read));
+            App::new().state(store.clone()).service(weights)
+        })
+        .workers(1)
+        .disable_signals()
+        .listen(listener)?
+        .run()
+        .await
+    })?;
+    Ok(address)
+}
+
+/// `GET /weights/MODEL`: answers once the weights would have been read, without the weights.
+async fn read(store: web::types::State<Arc<Store>>, model: web::types::Path<Name>) -> HttpResponse {
+    let Some(span) = store.turn(store.clock.now()) else {
+        return Failure { retry_after: Some(1), ..Failure::new(ErrorCode::NoCapacity, "busy") }
+            .response(&model);
+    };
+    pause(span).await;
+    store.done();
+    HttpResponse::Ok().body(Bytes::from(format!("weights of {}\n", *model)))
+}
--- /dev/null
+++ b/bench/standin/tests/platform.rs
@@ -0,0 +1,76 @@
+//! The stand-ins of the platform, and of orders to endpoints.
+
+use sill_base::Millis;
+use sill_standin::cloud::{Cloud, Offer, ReclaimDomain, StartInstance};
+use sill_standin::orders::Orders;
+use sill_standin::weights::{Store, StoreCfg};
+use sill_wire::Role;
+use sill_wire::endpoint::{Order, OrderAction};
+
+fn wanted(start: &str) -> StartInstance {
+    let (domain, class) = ("a".into(), "standard".into());
+    StartInstance { domain, class, reclaimable: true, start: start.into() }
+}
+
+/// A wave takes a failure domain's instances, and replacements are refused until capacity is back.
+#[test]
+fn a_wave_gives_notice_and_refuses_replacements() {
+    let offer = Offer {
+        domain: "a".into(),
+        class: "standard".into(),
+        reclaimable: true,
+        price: 300,
+        left: 2,
+    };
+    let cloud = Cloud::new(vec![offer.clone()]);
+    let first = cloud.start(wanted("s1")).expect("one is left");
+    assert_eq!(cloud.start(wanted("s1")), Some(first.clone()), "a start that was sent again");
+    assert!(cloud.start(wanted("s2")).is_some());
+    assert_eq!(cloud.start(wanted("s3")), None);
+    assert_eq!(cloud.reclaim(&ReclaimDomain { domain: "b".into(), in_ms: Millis(1) }), 0);
+    assert_eq!(cloud.reclaim(&ReclaimDomain { domain: "a".into(), in_ms: Millis(1) }), 2);
+    assert_eq!(cloud.notices(1).len(), 1);
+    assert!(cloud.stop(&first.name) && !cloud.stop(&first.name));
+    assert!(cloud.start(wanted("s4")).is_some(), "the place of the stopped one");
+    cloud.set_offers(vec![offer]);
+    assert!(cloud.start(wanted("s5")).is_some());
+}
+
+#[test]
+fn reads_of_weights_share_one_rate() {
+    let store = Store::new(StoreCfg { size: 1000, rate: 500, waiting: 3 });
+    assert_eq!(store.turn(Millis(0)), Some(Millis(2000)));
+    assert_eq!(store.turn(Millis(1000)), Some(Millis(3000)));
+    assert_eq!(store.turn(Millis(1000)), Some(Millis(5000)));
+    assert_eq!(store.turn(Millis(1000)), None, "too many wait");
+    store.done();
+    assert_eq!(store.turn(Millis(9000)), Some(Millis(2000)));
+}
+
+struct OrderCase {
+    checks: bool,
+    orders: [(u64, u64, Role); 2],
+    role: Role,
+}
+
+/// A superseded control instance sends a late order. Endpoints that check fencing tokens refuse it,
+/// the others carry it out.
+#[test]
+fn a_late_order_is_refused_where_fencing_is_checked() {
+    let (prefill, decode) = (Role::Prefill, Role::Decode);
+    let cases = [
+        OrderCase { checks: true, orders: [(2, 1, prefill), (1, 9, decode)], role: prefill },
+        OrderCase { checks: true, orders: [(2, 2, prefill), (2, 1, decode)], role: prefill },
+        OrderCase { checks: true, orders: [(2, 1, prefill), (3, 1, decode)], role: decode },
+        OrderCase { checks: false, orders: [(2, 1, prefill), (1, 9, decode)], role: decode },
+    ];
+    for case in cases {
+        let orders = Orders::new(Vec::new());
+        for (term, sequence, role) in case.orders {
+            let action = OrderAction::ChangeRole { role };
+            let order = Order { term, sequence, not_after: Millis(1000), action };
+            orders.take(order, case.checks);
+        }
+        assert_eq!(orders.role(), case.role);
+    }
+}
