A wave over three of four endpoints under forty answers; certificates all the way

Shown in process with two entries: every answer comes whole and with its own text, none is given up.

--- a/coordination/flight/tests/world/mod.rs
+++ b/coordination/flight/tests/world/mod.rs
@@ -64,11 +64,20 @@
     pub entry: usize,
 }
 
+/// An attempt that an endpoint sends tokens for.
+#[derive(Debug, Clone, Copy)]
+struct Stream {
+    flight: usize,
+    epoch: Epoch,
+    run: usize,
+    server: usize,
+}
+
 #[derive(Debug)]
 enum Due {
     Flight(usize, Event),
     Apply(usize, ClaimAsk, bool),
-    Send(usize, Epoch, usize),
+    Send(Stream),
     Notice(usize),
     Die(usize),
     Fault,
@@ -167,7 +176,7 @@
         match due {
             Due::Flight(flight, event) => self.step(flight, event),
             Due::Apply(flight, ask, lost) => self.apply(flight, &ask, lost),
-            Due::Send(flight, epoch, run) => self.send(flight, epoch, run),
+            Due::Send(stream) => self.send(stream),
             Due::Notice(server) => self.tell_leaving(server),
             Due::Die(server) => self.die(server),
             Due::Fault => self.fault(),
@@ -355,19 +364,18 @@
         let next = resume.map_or(0, |r| r.next);
         self.runs.push(Run { flight: number, same_run, next });
         let run = self.runs.len() - 1;
-        // The endpoint's number rides along so that its death cuts the run.
-        self.at(after, Due::Send(number, epoch, run << 8 | server));
+        self.at(after, Due::Send(Stream { flight: number, epoch, run, server }));
     }
 
-    fn send(&mut self, number: usize, epoch: Epoch, run_at: usize) {
-        let (run, server) = (run_at >> 8, run_at & 0xff);
+    fn send(&mut self, stream: Stream) {
+        let Stream { flight: number, epoch, run, server } = stream;
         let after = self.below(self.pace);
         if !self.servers[server].alive || self.broken(1) {
             self.at(after, Due::Flight(number, Event::Cut { epoch }));
             return;
         }
         if self.servers[server].frozen {
-            self.at(Millis(1000), Due::Send(number, epoch, run_at));
+            self.at(Millis(1000), Due::Send(stream));
             return;
         }
         let next = self.runs[run].next;
@@ -382,7 +390,7 @@
         }
         self.runs[run].next += if self.broken(1) { 2 } else { 1 };
         self.step(number, event);
-        self.at(after, Due::Send(number, epoch, run_at));
+        self.at(after, Due::Send(stream));
     }
 
     fn fault(&mut self) {
--- a/daemons/entry/src/serve.rs
+++ b/daemons/entry/src/serve.rs
@@ -212,10 +212,10 @@
 pub fn refuse_unread(app: &Shared, id: &Name, failure: Failure) -> HttpResponse {
     app.metrics.refused.inc();
     // Reading a request sends nothing, so the certificate is due here as well.
-    let life = Life::received(id.clone());
-    let retry = failure.retry_after.map(|secs| Millis::from_secs(u64::from(secs)));
-    let refusal = life.refuse(failure.code, failure.message.clone(), retry);
-    Failure { not_run: refusal.request() == id, ..failure }.response(id)
+    let Failure { code, message, findings, retry_after, .. } = failure;
+    let retry = retry_after.map(|secs| Millis::from_secs(u64::from(secs)));
+    let refusal = Life::received(id.clone()).refuse(code, message, retry);
+    Failure { findings, ..caller::failure(Final::NotRun(refusal)) }.response(id)
 }
 
 async fn carry_out(
--- a/daemons/entry/src/serve/caller.rs
+++ b/daemons/entry/src/serve/caller.rs
@@ -150,7 +150,8 @@
     }
 }
 
-fn failure(end: Final) -> Failure {
+/// Makes the error answer of an end.
+pub(super) fn failure(end: Final) -> Failure {
     let seconds = |after: Millis| after.0.div_ceil(1000).max(1) as u32;
     match end {
         Final::NotRun(refusal) => Failure {
--- a/daemons/entry/tests/serving.rs
+++ b/daemons/entry/tests/serving.rs
@@ -10,10 +10,12 @@
 use kit::{
     Answer, FakeControl, Script, Scripted, announce, call, call_routed, entries, metric, wait_until,
 };
-use serde_json::json;
+use serde_json::{Value, json};
 use sill_base::{Millis, Secret};
+use sill_standin::answer::Answer as Expected;
 use sill_standin::{Endpoint, EndpointCfg};
 use sill_wire::Served;
+use sill_wire::chat::ChatSummary;
 use sill_wire::endpoint::RunEnd;
 
 const CHAT: &str = "/v1/chat/completions";
@@ -28,8 +30,17 @@
 }
 
 fn endpoint(entries: Vec<SocketAddr>, serves: Vec<Served>, decode: u64) -> Endpoint {
+    named_endpoint("real", entries, serves, decode)
+}
+
+fn named_endpoint(
+    name: &str,
+    entries: Vec<SocketAddr>,
+    serves: Vec<Served>,
+    decode: u64,
+) -> Endpoint {
     let cfg = EndpointCfg {
-        name: format!("real-{}", serves.len()).into(),
+        name: name.into(),
         domain: "a".into(),
         entries,
         join_token: Secret::new("test-join-token"),
@@ -301,3 +312,63 @@
         wait_until("nothing is in flight", || metric(entry, "sill_requests_in_flight") == 0);
     }
 }
+
+/// A wave takes three of four endpoints, with notices from none to a second, while forty answers
+/// run through two entry instances. Every one of them comes whole, and the text is its own.
+#[test]
+fn a_wave_of_reclaims_leaves_every_answer_whole() {
+    let control = FakeControl::start();
+    let entries = entries(&control, 2);
+    let addresses: Vec<SocketAddr> = entries.iter().map(|e| e.address).collect();
+    let endpoints: Vec<Endpoint> = (0..4)
+        .map(|i| named_endpoint(&format!("m{i}"), addresses.clone(), vec![model()], 5))
+        .collect();
+    for entry in &addresses {
+        wait_until("it is served", || call(*entry, CHAT, &[], &body(1, false)).status == 200);
+    }
+    let prompts: Vec<String> = (0..40)
+        .map(|i| {
+            let messages = json!([{ "role": "user", "content": format!("Case file {i}.") }]);
+            let (model, stream) = ("desk-7b", i % 2 == 0);
+            json!({ "model": model, "max_tokens": 200, "stream": stream, "messages": messages })
+                .to_string()
+        })
+        .collect();
+    let asked: Vec<_> = prompts
+        .iter()
+        .enumerate()
+        .map(|(i, prompt)| {
+            let (entry, prompt) = (addresses[i % 2], prompt.clone());
+            thread::spawn(move || call(entry, CHAT, &[], &prompt))
+        })
+        .collect();
+    wait_until("answers run", || {
+        let runs = endpoints.iter().flat_map(Endpoint::ledger);
+        runs.filter(|run| run.end == RunEnd::Running && run.sent_tokens > 20).count() >= 20
+    });
+    for (endpoint, in_ms) in endpoints.iter().zip([0, 300, 1000]) {
+        endpoint.reclaim(Millis(in_ms));
+    }
+    for (prompt, asked) in prompts.iter().zip(asked) {
+        let answer = asked.join().expect("no panic");
+        assert_eq!(answer.status, 200, "{answer:?}");
+        let request: Value = serde_json::from_str(prompt).expect("JSON");
+        let expected = Expected::to(&ChatSummary::read(&request).expect("a request")).text();
+        assert_eq!(text(&answer), expected, "{prompt}");
+    }
+    assert_eq!(addresses.iter().map(|e| metric(*e, "sill_requests_failed_total")).sum::<u64>(), 0);
+}
+
+/// Returns the text of an answer, streamed or in one piece.
+fn text(answer: &Answer) -> String {
+    let data = answer.body.lines().map(|line| line.strip_prefix("data: ").unwrap_or(line));
+    let pieces = data.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    pieces
+        .filter(|piece| piece.is_object())
+        .map(|piece| {
+            let choice = &piece["choices"][0];
+            let text = choice["delta"]["content"].as_str();
+            text.or_else(|| choice["message"]["content"].as_str()).unwrap_or_default().to_owned()
+        })
+        .collect()
+}
