--- a/coordination/member/src/cfg.rs
+++ b/coordination/member/src/cfg.rs
@@ -22,6 +22,8 @@
     pub endpoint_lease: Millis,
     /// How long a relayed endpoint may be used after the last news from a peer.
     pub confirm_within: Millis,
+    /// How long the router may choose after a tick; one that was frozen longer has to ask first.
+    pub trust_for: Millis,
     /// How long after a start or a freeze announcements may still come out of a buffer.
     pub buffered: Millis,
     /// How long after a start or a freeze news of an unsettled peer don't count as confirmation.
@@ -75,9 +77,10 @@
             seed,
             ask_every: Millis(1000),
             push_every: Millis(200),
-            frozen_after: Millis(1000),
+            frozen_after: Millis(1800),
             endpoint_lease: Millis(10_000),
-            confirm_within: Millis(2000),
+            confirm_within: Millis(3000),
+            trust_for: Millis(2000),
             buffered: Millis(1000),
             unsettled: Millis(3000),
             suspect_after: Millis(10_000),
--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -42,6 +42,8 @@
     dearest: u64,
     /// What others have at the endpoints for each request of our own.
     peers: f64,
+    /// Whether any endpoint is past its slow start.
+    any_warm: bool,
     surveyed: Option<Millis>,
     weakening: Option<Weakening>,
 }
@@ -66,6 +68,25 @@
     Late,
 }
 
+impl Word {
+    /// Returns whether an announcement tells something newer.
+    ///
+    /// Membership learns of a reclaim by a notice of its own and marks an announcement that it has
+    /// passed on before, so what turns a life to leaving counts whatever its number.
+    fn is_older_than(&self, announcement: &Announcement) -> bool {
+        let same_life = self.incarnation == announcement.incarnation;
+        let turns_leaving = same_life && announcement.leaving.is_some() && !self.leaving;
+        let newer =
+            (self.incarnation, self.sequence) < (announcement.incarnation, announcement.sequence);
+        turns_leaving || newer
+    }
+
+    /// Returns whether this life was said to be leaving; it stays so, whatever a stale copy says.
+    fn is_leaving(&self, incarnation: Incarnation) -> bool {
+        self.leaving && self.incarnation == incarnation
+    }
+}
+
 impl Router {
     /// Makes a router that knows no endpoint.
     pub fn new(cfg: RouterCfg) -> Self {
@@ -88,6 +109,7 @@
             reclaimable_left: Map::default(),
             dearest: 0,
             peers: 0.0,
+            any_warm: false,
             surveyed: None,
             weakening: None,
         }
@@ -202,13 +224,22 @@
             pending_tokens: pending(0.0),
             presumed_tokens: pending(self.peers),
             slots: f64::from(a.slots.max(1)),
-            usable_slots: endpoint.usable_slots(now, &self.policy),
+            usable_slots: self.usable_slots(now, endpoint),
             elsewhere: a.domain != self.cfg.domain,
             suspect: endpoint.is_suspect(now),
             reclaim_per_s,
         }
     }
 
+    /// Returns the slots that an endpoint may use now. Where all are new, as after a start of the
+    /// whole system, slow start would only refuse requests.
+    fn usable_slots(&self, now: Millis, endpoint: &Endpoint) -> f64 {
+        if self.any_warm {
+            return endpoint.usable_slots(now, &self.policy);
+        }
+        f64::from(endpoint.announcement.slots.max(1))
+    }
+
     fn check(&self, now: Millis, ask: &Ask, candidate: &Candidate<'_>) -> Result<(), Unfit> {
         let endpoint = candidate.endpoint;
         let a = &endpoint.announcement;
@@ -256,19 +287,13 @@
     /// Takes in an announcement unless something newer is known of the endpoint: a late copy must
     /// not bring back an endpoint that is leaving or gone.
     fn announced(&mut self, now: Millis, mut announcement: Announcement, age: Millis) {
-        let (incarnation, sequence) = (announcement.incarnation, announcement.sequence);
-        let newest = self.newest.get(&announcement.name);
-        let same_life = newest.filter(|w| w.incarnation == incarnation);
-        // Membership marks an announcement as leaving that came without, so it may have the number
-        // of the one before. A life that is leaving stays so, whatever a stale copy says.
-        let turns_leaving = announcement.leaving.is_some() && same_life.is_some_and(|w| !w.leaving);
-        if same_life.is_some_and(|w| w.leaving)
-            && self.weakening != Some(Weakening::OldAnnouncementOverrides)
-        {
+        let incarnation = announcement.incarnation;
+        let newest = self.newest.get(&announcement.name).copied();
+        let was_leaving = newest.is_some_and(|w| w.is_leaving(incarnation));
+        if was_leaving && self.weakening != Some(Weakening::OldAnnouncementOverrides) {
             announcement.leaving.get_or_insert(Millis::ZERO);
         }
-        let is_news = turns_leaving
-            || newest.is_none_or(|w| (w.incarnation, w.sequence) < (incarnation, sequence));
+        let is_news = newest.is_none_or(|w| w.is_older_than(&announcement));
         let is_known = self.endpoints.contains_key(&announcement.name);
         let is_taken = match self.weakening {
             Some(Weakening::OldAnnouncementOverrides) => true,
@@ -279,14 +304,12 @@
             return;
         }
         let leaving = announcement.leaving.is_some();
-        let was_leaving = newest.is_some_and(|w| w.leaving && w.incarnation == incarnation);
         if leaving && !was_leaving && announcement.reclaimable {
             self.waves.reclaimed(&announcement.domain, now, &self.policy);
         }
         if is_news {
-            let sequence = newest
-                .filter(|w| w.incarnation == incarnation)
-                .map_or(sequence, |w| sequence.max(w.sequence));
+            let known = newest.filter(|w| w.incarnation == incarnation);
+            let sequence = known.map_or(0, |w| w.sequence).max(announcement.sequence);
             let word = Word { incarnation, sequence, leaving, at: now };
             self.newest.insert(announcement.name.clone(), word);
         }
@@ -367,6 +390,7 @@
         self.surveyed = Some(now);
         self.reclaimable_left.clear();
         self.dearest = 0;
+        self.any_warm = false;
         let (mut others, mut own) = (0, 1);
         for endpoint in self.endpoints.values() {
             let a = &endpoint.announcement;
@@ -374,6 +398,7 @@
             others += shares.0;
             own += shares.1;
             self.dearest = self.dearest.max(a.price);
+            self.any_warm |= now.since(endpoint.first_seen) >= self.policy.slow_start;
             if a.reclaimable && a.leaving.is_none() {
                 *self.reclaimable_left.entry(a.domain.clone()).or_default() += 1;
             }
--- a/daemons/control/tests/cluster.rs
+++ b/daemons/control/tests/cluster.rs
@@ -99,6 +99,7 @@
             have: Revision(have),
             wait,
             below: Vec::new(),
+            endpoints: None,
         };
         self.runtime.block_on(self.client(i).call(&poll)).expect("a reply")
     }
--- a/daemons/entry/src/metrics.rs
+++ b/daemons/entry/src/metrics.rs
@@ -3,6 +3,8 @@
 use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 use sill_flight::Cause;
 
+use crate::gauges::Gauges;
+
 /// Counters and gauges.
 #[derive(Debug)]
 pub struct Metrics {
@@ -17,6 +19,8 @@
     pub failed: IntCounter,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// Membership and settings.
+    pub gauges: Gauges,
     recomputed: IntCounterVec,
     dropped: IntCounterVec,
 }
@@ -48,7 +52,18 @@
         let in_flight =
             IntGauge::new("sill_requests_in_flight", "Requests in flight").expect("a valid name");
         registry.register(Box::new(in_flight.clone())).expect("metric names differ");
-        Self { registry, accepted, answered, refused, failed, in_flight, recomputed, dropped }
+        let gauges = Gauges::new(&registry);
+        Self {
+            registry,
+            accepted,
+            answered,
+            refused,
+            failed,
+            in_flight,
+            gauges,
+            recomputed,
+            dropped,
+        }
     }
 
     /// Counts tokens that are computed again.
