--- a/daemons/entry/benches/settings.rs
+++ b/daemons/entry/benches/settings.rs
@@ -369,7 +369,6 @@
         max_in_flight: 100,
         drain_notice: Millis::ZERO,
         drain_limit: Millis::ZERO,
-        record: None,
     }
 }
 
