Accepted requests outlast endpoints that cannot be reached

Dead endpoints look free until their leases end while the live one is full, so an accepted request met eight refused connections within a second and was given up, though nothing had run there. Ruled out: a lost answer or a wrong count; the message is max_failures. Before: the new case fails at attempt 8.

--- a/coordination/flight/src/flight.rs
+++ b/coordination/flight/src/flight.rs
@@ -60,11 +60,13 @@
     tokens: u32,
     stays: bool,
     cause: Option<Cause>,
+    /// The search that found it.
+    search: Search,
     kv_from: Option<Place>,
 }
 
 /// The search for an endpoint.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 struct Search {
     cause: Option<Cause>,
     since: Millis,
--- a/coordination/flight/src/flight/search.rs
+++ b/coordination/flight/src/flight/search.rs
@@ -18,6 +18,17 @@
         self.route(out);
     }
 
+    /// Goes on with a search whose endpoint could not be reached.
+    fn search_on(&mut self, now: Millis, search: Search, out: &mut Vec<Action>) {
+        self.search = Some(Search { retry_at: Millis::MAX, ..search });
+        if now.since(search.since) >= self.cfg.route_patience {
+            let message = "no endpoint can go on with the request";
+            self.give_up(now, ErrorCode::NoCapacity, message, COME_BACK, out);
+            return;
+        }
+        self.route(out);
+    }
+
     pub(super) fn route(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Route {
             exclude: self.excluded.clone(),
@@ -103,6 +114,7 @@
             tokens: 0,
             stays: false,
             cause: search.cause,
+            search,
             kv_from: resume.as_ref().and_then(|r| r.kv_from.clone()),
         });
         out.push(Action::Dispatch { epoch, place, resume });
@@ -115,6 +127,7 @@
         self.exclude_current();
         let attempt = self.attempt.as_ref();
         let cause = attempt.and_then(|a| a.cause);
+        let search = attempt.map(|a| a.search);
         // Nothing was moved, so the next attempt can still import from the same source.
         self.kv_from = attempt.and_then(|a| a.kv_from.clone());
         self.drop_attempt(Ending::Failed, out);
@@ -126,7 +139,13 @@
             },
             stage => stage,
         };
-        self.failed(now, cause, out);
+        // Dead endpoints look free until their lease ends. While the live ones are full, a request
+        // that was accepted would be sent to one dead endpoint after the other and be given up
+        // within a second; that nothing ran there must not count against it.
+        match search.filter(|_| matches!(self.stage, Stage::Dispatched(_))) {
+            Some(search) => self.search_on(now, search, out),
+            None => self.failed(now, cause, out),
+        }
     }
 
     pub(super) fn exclude_current(&mut self) {
--- a/coordination/flight/tests/cases.rs
+++ b/coordination/flight/tests/cases.rs
@@ -59,6 +59,32 @@
     assert!(matches!(out.last(), Some(Action::Route { .. })), "{out:?}");
 }
 
+/// Three of four endpoints are reclaimed under load. Until their leases end the dead ones look free,
+/// while the live one is full, so an accepted request finds only endpoints that refuse the
+/// connection. The caller would get 502 within a second, though nothing ran there and a slot is free
+/// soon after (a_wave_of_reclaims_leaves_every_answer_whole, on a busy machine).
+#[test]
+fn an_accepted_request_outlasts_endpoints_that_cannot_be_reached() {
+    let mut flight = Flight::new(FlightCfg::default(), spec(true), 1);
+    let lost = Event::Cut { epoch: Epoch(1) };
+    let begin = vec![
+        Event::Admitted,
+        Event::Routed(place("m1")),
+        Event::Token { epoch: Epoch(1), index: 0 },
+        lost,
+    ];
+    steps(&mut flight, begin);
+    for epoch in 2..40 {
+        let dead = place(&format!("dead{epoch}"));
+        let unreached = Event::ConnectFailed { epoch: Epoch(epoch) };
+        let out = steps(&mut flight, vec![Event::Routed(dead), unreached]);
+        assert!(matches!(out.last(), Some(Action::Route { .. })), "attempt {epoch}: {out:?}");
+    }
+    let out = steps(&mut flight, vec![Event::Routed(place("m2"))]);
+    let Some(Action::Dispatch { resume: Some(resume), .. }) = out.last() else { panic!("{out:?}") };
+    assert_eq!(resume.next, 1);
+}
+
 /// An entry is reclaimed while a request that may run once is between two endpoints. The peer that
 /// takes it over knows no run to go on with, and must not start another one (seed 5834).
 #[test]
