--- a/daemons/entry/benches/settings.rs
+++ b/daemons/entry/benches/settings.rs
@@ -361,6 +361,7 @@
         control: vec![control],
         peers: seeds.iter().take(domains * 2).copied().collect(),
         data: None,
+        record: None,
         cluster_key: Secret::new(KEY),
         join_token: Secret::new("none"),
         workers: 1,
@@ -368,7 +369,6 @@
         max_in_flight: 100,
         drain_notice: Millis::ZERO,
         drain_limit: Millis::ZERO,
-        record: None,
     }
 }
 
--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -33,7 +33,7 @@
 use crate::serve::run::Runs;
 use crate::serve::signals::{self, Signals};
 use crate::settings::Settings;
-use crate::{api, feed, peer};
+use crate::{api, feed, limits, peer};
 
 /// Connections that a worker holds to endpoints.
 const UPSTREAM_CONNECTIONS: usize = 16_384;
@@ -113,7 +113,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the file to record into can't be used.
+    /// Fails when the routers can't be made.
     pub fn new(
         cfg: EntryCfg,
         settings: Settings,
@@ -187,6 +187,7 @@
             let _guard = runtime.enter();
             peer::start(&shared, peer_listener, copy)?
         };
+        runtime.spawn(limits::run(shared.clone()));
         runtime.spawn(signals::watch(shared.clone()));
 
         let server = serve_callers(shared.clone(), listener)?;
