A planned stop waits for answers that run at a peer

Cause, found by reading: only requests driven here counted as in flight, so the stream of a caller who followed an answer from a peer was cut by a planned stop, and so was a request still being looked up. A request counts from its arrival until its caller has the last word.

--- a/daemons/entry/src/serve.rs
+++ b/daemons/entry/src/serve.rs
@@ -124,6 +124,7 @@
 }
 
 async fn serve(app: &Arc<Shared>, client: &Client, order: Order, from: u32) -> HttpResponse {
+    let in_flight = InFlight::begin(app);
     let run = order.run.clone();
     let id = run.request().clone();
     open_record(app, &run);
@@ -148,10 +149,27 @@
     if matches!(task, Task::Drive { home_lost: true }) {
         app.metrics.recomputed(sill_flight::Cause::HomeLost, run.spec.prompt_tokens);
     }
-    ntex::rt::spawn(carry_out(app.clone(), client.clone(), order, follower, task));
+    ntex::rt::spawn(carry_out(in_flight, client.clone(), order, follower, task));
     caller::respond(&id, source).await
 }
 
+/// Counts a request as in flight, from its arrival until its caller has the last word; one that only
+/// follows an answer from elsewhere counts too, else a planned stop would cut it off.
+struct InFlight(Arc<Shared>);
+
+impl InFlight {
+    fn begin(app: &Arc<Shared>) -> Self {
+        app.metrics.in_flight.inc();
+        Self(app.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.metrics.in_flight.dec();
+    }
+}
+
 enum Task {
     Follow(Source),
     Drive { home_lost: bool },
@@ -171,7 +189,7 @@
     if matches!(task, Task::Follow(_)) {
         return None;
     }
-    if app.metrics.in_flight.get() >= app.cfg.max_in_flight as i64 {
+    if app.metrics.in_flight.get() > app.cfg.max_in_flight as i64 {
         let message = "this entry instance holds as many requests as it may";
         return Some(life.refuse(ErrorCode::NoCapacity, message, Some(COME_BACK)));
     }
@@ -219,12 +237,13 @@
 }
 
 async fn carry_out(
-    app: Arc<Shared>,
+    in_flight: InFlight,
     client: Client,
     mut order: Order,
     follower: Follower,
     mut task: Task,
 ) {
+    let app = in_flight.0.clone();
     let mut transcript = Transcript::default();
     for _ in 0..MAX_TURNS {
         if let Task::Follow(source) = task {
@@ -291,6 +310,7 @@
 
 /// Goes on with a request that another entry instance handed over; its caller comes back later.
 pub async fn take_over(app: Arc<Shared>, client: Client, handed: HandedRun) {
+    let _in_flight = InFlight::begin(&app);
     let mut handed = handed.arrives(app.clock.now());
     handed.spec.keyed = true;
     let next = handed.transcript.next();
--- a/daemons/entry/src/serve/driver.rs
+++ b/daemons/entry/src/serve/driver.rs
@@ -109,7 +109,6 @@
 impl Driver {
     /// Makes the driver of a request.
     pub fn new(app: Arc<Shared>, client: Client, order: Order, flight: Flight) -> Self {
-        app.metrics.in_flight.inc();
         let signals = app.signals.subscribe();
         Self {
             app,
@@ -395,7 +394,6 @@
 
 impl Drop for Driver {
     fn drop(&mut self) {
-        self.app.metrics.in_flight.dec();
         // Also after a panic: whoever follows the request would wait for its end forever.
         if self.order.run.ended().is_none() {
             self.order.run.end(RunEnd::Abandoned);
--- a/daemons/sill/tests/system/flight.rs
+++ b/daemons/sill/tests/system/flight.rs
@@ -346,6 +346,25 @@
     assert_eq!(status.code(), Some(0));
 }
 
+/// A caller came back through an entry instance that is then stopped, while its answer runs at a
+/// peer. Nothing runs at the stopped one, yet its caller's stream is in flight there.
+#[test]
+fn a_planned_stop_waits_for_answers_that_run_at_a_peer() {
+    let mut cluster = Cluster::start("follow", 2, 1, "10");
+    let body = body(PROMPT, 400, true);
+    let key = ["idempotency-key: parcel-19"];
+    let owner = ask(cluster.entries[0].address, &key, &body);
+    cluster.running(10);
+    let follower = ask(cluster.entries[1].address, &key, &body);
+    thread::sleep(Duration::from_millis(300));
+    signal(&cluster.entries[1], "-TERM");
+    assert_whole(&body, &follower.join().expect("no panic").expect("an answer"));
+    assert_whole(&body, &owner.join().expect("no panic").expect("an answer"));
+    let status = cluster.entries[1].program.0.wait().expect("it ends");
+    assert_eq!(status.code(), Some(0));
+    assert_eq!(cluster.model_runs().len(), 1);
+}
+
 /// Reads a stream until it breaks off.
 fn read_until_cut(entry: SocketAddr, headers: &str, body: &str) -> String {
     let mut stream = TcpStream::connect(entry).expect("a connection");
