--- a/coordination/member/src/cfg.rs
+++ b/coordination/member/src/cfg.rs
@@ -75,7 +75,7 @@
             own,
             seeds,
             seed,
-            ask_every: Millis(1000),
+            ask_every: Millis(1200),
             push_every: Millis(200),
             frozen_after: Millis(1800),
             endpoint_lease: Millis(10_000),
--- a/daemons/entry/src/peer.rs
+++ b/daemons/entry/src/peer.rs
@@ -23,7 +23,6 @@
     let server = answers(shared).start(listener)?;
     tokio::spawn(feed::run(shared.clone(), copy));
     tokio::spawn(members::run(shared.clone()));
-    tokio::spawn(limits::run(shared.clone()));
     Ok(server)
 }
 
