--- a/bench/load/src/experiment/pool.rs
+++ b/bench/load/src/experiment/pool.rs
@@ -1,5 +1,7 @@
 //! A pool of endpoint models under several routers, in virtual time.
 
+mod endpoints;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
@@ -10,9 +12,10 @@
 use sill_route::{
     Ask, Choice, Event, Outcome, PolicyCfg, RetryBudget, RetryCfg, Router, RouterCfg, Target,
 };
-use sill_wire::endpoint::CacheEvents;
+use sill_wire::Priority;
 use sill_wire::prefix::BLOCK_TOKENS;
-use sill_wire::{Announcement, Incarnation, Load, Priority};
+
+use endpoints::{ANNOUNCE_EVERY, Message};
 
 use super::figures::{Figures, Recompute};
 use super::model::{EndpointModel, EndpointSpec, MODEL, Micros, Run, Signal};
@@ -21,15 +24,6 @@
 const SECOND: Micros = 1_000_000;
 const MILLI: Micros = 1_000;
 
-/// How often endpoints announce themselves, and how old the load in it is.
-const ANNOUNCE_EVERY: Micros = SECOND;
-const LOAD_AGE: Micros = SECOND / 2;
-
-/// How late cache events come, how often, and how many batches are lost, in percent.
-const EVENTS_EVERY: Micros = SECOND / 2;
-const EVENTS_LATE: Micros = SECOND / 5;
-const EVENTS_LOST: u32 = 5;
-
 /// Where a moved request waits when nothing takes it.
 const MOVE_AGAIN: Micros = SECOND / 5;
 
@@ -114,14 +108,6 @@
     Deliver(usize),
 }
 
-/// What reaches an entry instance later.
-#[derive(Debug)]
-enum Message {
-    Announced(Announcement, Micros),
-    Cache(CacheEvents, usize),
-    Gone(Name, Incarnation),
-}
-
 /// The pool.
 #[derive(Debug)]
 pub struct Pool {
@@ -460,66 +446,6 @@
         self.tell(entry, event);
     }
 
-    fn announce(&mut self, endpoint: usize) {
-        if self.endpoints[endpoint].up {
-            let load = self.endpoints[endpoint].load();
-            self.figures.sampled(self.now, load.running, self.endpoints[endpoint].spec.slots);
-            self.announce_load(endpoint, load, LOAD_AGE);
-        }
-        self.at(self.now + ANNOUNCE_EVERY, Due::Announce(endpoint));
-    }
-
-    /// Sends an announcement whose load was sampled now and which leaves after `age`.
-    fn announce_load(&mut self, endpoint: usize, load: Load, age: Micros) {
-        let domain = domain_name(self.endpoints[endpoint].spec.domain);
-        let load = Load { age: Millis(age / MILLI), ..load };
-        let said = self.endpoints[endpoint].announcement(self.now, load, domain);
-        let sent = self.now + age;
-        let spread = self.rng.random_range(0..200 * MILLI);
-        self.post(sent + spread, Message::Announced(said, sent));
-    }
-
-    fn publish_events(&mut self, endpoint: usize) {
-        let model = &mut self.endpoints[endpoint];
-        let events = std::mem::take(&mut model.events);
-        let sequence = model.next_event;
-        model.next_event += events.len() as u64;
-        if model.up && !events.is_empty() && self.rng.random_range(0..100) >= EVENTS_LOST {
-            let incarnation = Incarnation(model.incarnation);
-            let batch = CacheEvents { name: model.name.clone(), incarnation, sequence, events };
-            let domain = model.spec.domain;
-            self.post(self.now + EVENTS_LATE, Message::Cache(batch, domain));
-        }
-        self.at(self.now + EVENTS_EVERY, Due::PublishEvents(endpoint));
-    }
-
-    fn notice(&mut self, endpoint: usize, end: Micros) {
-        if end > self.now {
-            self.endpoints[endpoint].leaving = Some(end);
-            let load = self.endpoints[endpoint].load();
-            self.announce_load(endpoint, load, 0);
-        }
-    }
-
-    fn death(&mut self, endpoint: usize) {
-        let announced = self.endpoints[endpoint].leaving.is_some();
-        let incarnation = Incarnation(self.endpoints[endpoint].incarnation);
-        let lost = self.endpoints[endpoint].die(self.now);
-        let name = self.endpoints[endpoint].name.clone();
-        self.post(self.now + 3 * SECOND, Message::Gone(name, incarnation));
-        for (run, sent) in lost {
-            let job = &mut self.jobs[run.job];
-            let resumed = job.first_token.is_some() || announced;
-            job.emitted += sent;
-            if resumed {
-                self.ended(run.job, endpoint, Outcome::Failed);
-                self.move_job(run.job);
-            } else {
-                self.failed(run.job, endpoint);
-            }
-        }
-    }
-
     fn move_job(&mut self, job: usize) {
         self.jobs[job].moved = true;
         self.jobs[job].attempt += 1;
@@ -546,32 +472,6 @@
         }
     }
 
-    fn post(&mut self, at: Micros, message: Message) {
-        self.messages.push(Some(message));
-        self.at(at, Due::Deliver(self.messages.len() - 1));
-    }
-
-    /// Announcements reach every entry instance; cache events only one of the endpoint's domain.
-    fn deliver(&mut self, message: usize) {
-        let now = self.millis();
-        match self.messages[message].take().expect("delivered once") {
-            Message::Announced(announcement, sent) => {
-                let age = Millis((self.now - sent) / MILLI);
-                for router in &mut self.routers {
-                    let announcement = announcement.clone();
-                    router.step(now, Event::Announced { announcement, age }, &mut Vec::new());
-                }
-            }
-            Message::Cache(batch, domain) => self.tell(domain, Event::Cache(batch)),
-            Message::Gone(endpoint, incarnation) => {
-                for router in &mut self.routers {
-                    let endpoint = endpoint.clone();
-                    router.step(now, Event::Gone { endpoint, incarnation }, &mut Vec::new());
-                }
-            }
-        }
-    }
-
     fn tell(&mut self, entry: usize, event: Event) {
         let now = self.millis();
         self.routers[entry].step(now, event, &mut Vec::new());
