Accepted requests that move are routed with high priority

Cause: the router refuses low priority first by the load of the pool; a low-priority stream that had to leave a reclaimed endpoint would have been refused in the middle.

--- a/daemons/entry/src/serve/driver.rs
+++ b/daemons/entry/src/serve/driver.rs
@@ -286,7 +286,8 @@
             blocks: self.order.blocks.clone(),
             prompt_tokens,
             max_tokens,
-            priority: self.order.priority,
+            // What was accepted has to be seen through, so it goes before all that is new.
+            priority: if self.accepted { Priority::High } else { self.order.priority },
             deadline: self.order.run.spec.deadline,
             exclude,
         };
