--- a/daemons/entry/src/serve.rs
+++ b/daemons/entry/src/serve.rs
@@ -6,6 +6,7 @@
 pub mod chunk;
 pub mod driver;
 mod ending;
+pub mod headers;
 pub mod run;
 pub mod signals;
 mod tokens;
@@ -24,7 +25,7 @@
 use sill_limit::{Cost, Verdict};
 use sill_net::http::Failure;
 use sill_wire::claim::{ClaimKey, ClaimOwner};
-use sill_wire::handoff::RunAt;
+use sill_wire::handoff::{PassedHeader, RunAt};
 use sill_wire::{ErrorCode, prefix};
 
 use self::attach::{Followed, Follower, Found, Source};
@@ -60,7 +61,7 @@
         path: path.clone(),
         request: id,
         key: common.key.clone(),
-        content_type: Some("application/json".to_owned()),
+        headers: vec![PassedHeader::new("content-type", "application/json")],
         body: Outgoing::streamed_body(body),
     };
     let blocks = prefix::blocks(&summary.model, &summary.prompt).into();
@@ -71,10 +72,10 @@
 
 /// Sees a call of a plain service through.
 pub async fn plain(app: &Arc<Shared>, client: &Client, id: Name, ask: PlainAsk) -> HttpResponse {
-    let PlainAsk { common, method, service, path, content_type, body } = ask;
+    let PlainAsk { common, method, service, path, headers, body } = ask;
     let spec = spec(app, &id, &common, Kind::Plain, 0, 0);
     let key = common.key.clone();
-    let outgoing = Outgoing { method, path: path.clone(), request: id, key, content_type, body };
+    let outgoing = Outgoing { method, path: path.clone(), request: id, key, headers, body };
     let run = run(&common, spec, path, service);
     let blocks = Arc::from([]);
     let priority = common.priority;
@@ -123,6 +124,7 @@
 }
 
 async fn serve(app: &Arc<Shared>, client: &Client, order: Order, from: u32) -> HttpResponse {
+    let in_flight = InFlight::begin(app);
     let run = order.run.clone();
     let id = run.request().clone();
     open_record(app, &run);
@@ -147,10 +149,27 @@
     if matches!(task, Task::Drive { home_lost: true }) {
         app.metrics.recomputed(sill_flight::Cause::HomeLost, run.spec.prompt_tokens);
     }
-    ntex::rt::spawn(carry_out(app.clone(), client.clone(), order, follower, task));
+    ntex::rt::spawn(carry_out(in_flight, client.clone(), order, follower, task));
     caller::respond(&id, source).await
 }
 
+/// Counts a request as in flight, from its arrival until its caller has the last word; one that only
+/// follows an answer from elsewhere counts too, else a planned stop would cut it off.
+struct InFlight(Arc<Shared>);
+
+impl InFlight {
+    fn begin(app: &Arc<Shared>) -> Self {
+        app.metrics.in_flight.inc();
+        Self(app.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.metrics.in_flight.dec();
+    }
+}
+
 enum Task {
     Follow(Source),
     Drive { home_lost: bool },
@@ -170,7 +189,7 @@
     if matches!(task, Task::Follow(_)) {
         return None;
     }
-    if app.metrics.in_flight.get() >= app.cfg.max_in_flight as i64 {
+    if app.metrics.in_flight.get() > app.cfg.max_in_flight as i64 {
         let message = "this entry instance holds as many requests as it may";
         return Some(life.refuse(ErrorCode::NoCapacity, message, Some(COME_BACK)));
     }
@@ -211,19 +230,20 @@
 pub fn refuse_unread(app: &Shared, id: &Name, failure: Failure) -> HttpResponse {
     app.metrics.refused.inc();
     // Reading a request sends nothing, so the certificate is due here as well.
-    let life = Life::received(id.clone());
-    let retry = failure.retry_after.map(|secs| Millis::from_secs(u64::from(secs)));
-    let refusal = life.refuse(failure.code, failure.message.clone(), retry);
-    Failure { not_run: refusal.request() == id, ..failure }.response(id)
+    let Failure { code, message, findings, retry_after, .. } = failure;
+    let retry = retry_after.map(|secs| Millis::from_secs(u64::from(secs)));
+    let refusal = Life::received(id.clone()).refuse(code, message, retry);
+    Failure { findings, ..caller::failure(Final::NotRun(refusal)) }.response(id)
 }
 
 async fn carry_out(
-    app: Arc<Shared>,
+    in_flight: InFlight,
     client: Client,
     mut order: Order,
     follower: Follower,
     mut task: Task,
 ) {
+    let app = in_flight.0.clone();
     let mut transcript = Transcript::default();
     for _ in 0..MAX_TURNS {
         if let Task::Follow(source) = task {
@@ -290,6 +310,7 @@
 
 /// Goes on with a request that another entry instance handed over; its caller comes back later.
 pub async fn take_over(app: Arc<Shared>, client: Client, handed: HandedRun) {
+    let _in_flight = InFlight::begin(&app);
     let mut handed = handed.arrives(app.clock.now());
     handed.spec.keyed = true;
     let next = handed.transcript.next();
@@ -311,7 +332,7 @@
         path: handed.path,
         request: run.request().clone(),
         key: Some(run.key.key.clone()),
-        content_type: Some("application/json".to_owned()),
+        headers: vec![PassedHeader::new("content-type", "application/json")],
         body: handed.body.into(),
     };
     let blocks = Arc::from([]);
--- a/daemons/entry/src/serve/caller.rs
+++ b/daemons/entry/src/serve/caller.rs
@@ -141,8 +141,8 @@
             let status = status.unwrap_or(ntex::http::StatusCode::BAD_GATEWAY);
             let mut res = HttpResponse::build(status);
             res.set_header(header::REQUEST_ID, request.as_str());
-            if let Some(kind) = &reply.content_type {
-                res.set_header("content-type", kind.as_str());
+            for header in &reply.headers {
+                res.header(header.name.as_str(), header.value.as_str());
             }
             res.body(Bytes::from(reply.body.as_bytes().to_vec()))
         }
@@ -150,7 +150,8 @@
     }
 }
 
-fn failure(end: Final) -> Failure {
+/// Makes the error answer of an end.
+pub(super) fn failure(end: Final) -> Failure {
     let seconds = |after: Millis| after.0.div_ceil(1000).max(1) as u32;
     match end {
         Final::NotRun(refusal) => Failure {
--- a/daemons/entry/src/serve/driver.rs
+++ b/daemons/entry/src/serve/driver.rs
@@ -109,7 +109,6 @@
 impl Driver {
     /// Makes the driver of a request.
     pub fn new(app: Arc<Shared>, client: Client, order: Order, flight: Flight) -> Self {
-        app.metrics.in_flight.inc();
         let signals = app.signals.subscribe();
         Self {
             app,
@@ -286,7 +285,8 @@
             blocks: self.order.blocks.clone(),
             prompt_tokens,
             max_tokens,
-            priority: self.order.priority,
+            // What was accepted has to be seen through, so it goes before all that is new.
+            priority: if self.accepted { Priority::High } else { self.order.priority },
             deadline: self.order.run.spec.deadline,
             exclude,
         };
@@ -395,7 +395,6 @@
 
 impl Drop for Driver {
     fn drop(&mut self) {
-        self.app.metrics.in_flight.dec();
         // Also after a panic: whoever follows the request would wait for its end forever.
         if self.order.run.ended().is_none() {
             self.order.run.end(RunEnd::Abandoned);
