Routing: an endpoint that just failed is no way out while healthy ones are full

Cause: with three of four endpoints killed, moved requests went to those that had just failed, since the last healthy one was full and these were not; after four failures a caller got 502. The request is refused as full instead and tried again by flight.

--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -162,10 +162,13 @@
         let mut scorer = Scorer::new(&self.policy, ask, self.dearest);
         let mut reason = RefusalReason::NoEndpoint;
         let home = self.home(now, ask);
+        let mut has_healthy = false;
         for endpoint in self.endpoints.values() {
             let cached = u64::from(depths.of(endpoint.slot)) * BLOCK_TOKENS as u64;
             let candidate = self.candidate(now, ask, endpoint, cached, home);
-            match self.check(now, ask, &candidate) {
+            let fit = self.check(now, ask, &candidate);
+            has_healthy |= !candidate.suspect && !matches!(fit, Err(Unfit::No));
+            match fit {
                 Ok(()) => {
                     scorer.offer(candidate, &mut self.rng);
                     reason = RefusalReason::Full;
@@ -182,6 +185,10 @@
             }
         }
         match scorer.best() {
+            // While healthy ones are only full, one that just failed would fail the request again.
+            Some(best) if best.is_suspect() && has_healthy => {
+                Choice::Refuse(self.refusal(RefusalReason::Full))
+            }
             Some(best) => Choice::Endpoint(best.chosen(&self.policy, ask)),
             None => Choice::Refuse(self.refusal(reason)),
         }
--- a/coordination/route/src/score.rs
+++ b/coordination/route/src/score.rs
@@ -200,6 +200,11 @@
 }
 
 impl Scored<'_> {
+    /// Returns whether the endpoint failed lately.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.candidate.suspect
+    }
+
     /// Turns it into the router's answer.
     pub(crate) fn chosen(&self, cfg: &PolicyCfg, ask: &Ask) -> Chosen {
         let Candidate { endpoint, cached, active, .. } = self.candidate;
