--- a/bench/load/src/fleet/world.rs
+++ b/bench/load/src/fleet/world.rs
@@ -9,8 +9,7 @@
 use rand::Rng as _;
 use sill_base::random::{self, Rng};
 use sill_base::{Machine, Millis, Name};
-use sill_fleet::machine::{ServiceTarget, StartId};
-use sill_fleet::{Action, Event, Fleet, FleetCfg, Offer, OfferKey, Policy};
+use sill_fleet::{Action, Event, Fleet, FleetCfg, Offer, OfferKey, Policy, ServiceTarget, StartId};
 use sill_tree::Placement;
 
 use super::sizes::Size;
--- a/coordination/fleet/benches/decide.rs
+++ b/coordination/fleet/benches/decide.rs
@@ -3,8 +3,7 @@
 use std::time::{Duration, Instant};
 
 use sill_base::{Machine, Millis, Name};
-use sill_fleet::machine::ServiceTarget;
-use sill_fleet::{Action, Event, Fleet, FleetCfg, Offer, OfferKey};
+use sill_fleet::{Action, Event, Fleet, FleetCfg, Offer, OfferKey, ServiceTarget};
 use sill_tree::Placement;
 
 const SLOTS: u32 = 8;
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -1,14 +1,19 @@
 //! Capacity: what to start, stop, load and drain, where, and at what price.
 
 pub mod backoff;
+mod baseline;
+pub mod cfg;
 pub mod demand;
+pub mod event;
 pub mod loads;
 pub mod machine;
 pub mod offer;
 pub mod orders;
 pub mod plan;
 
-pub use machine::{Action, Event, Fleet, FleetCfg, Policy};
+pub use cfg::{FleetCfg, Policy};
+pub use event::{Action, Event, ServiceTarget, StartId};
+pub use machine::Fleet;
 pub use offer::{Offer, OfferKey};
 pub use orders::{FenceCheck, Issuer, OrderCfg, Weakening};
 pub use plan::{Need, Plan, cheapest};
--- a/coordination/fleet/tests/fleet.rs
+++ b/coordination/fleet/tests/fleet.rs
@@ -3,8 +3,7 @@
 use std::collections::BTreeMap;
 
 use sill_base::{Machine, Millis, Name};
-use sill_fleet::machine::{ServiceTarget, StartId};
-use sill_fleet::{Action, Event, Fleet, FleetCfg, Offer, OfferKey};
+use sill_fleet::{Action, Event, Fleet, FleetCfg, Offer, OfferKey, ServiceTarget, StartId};
 use sill_tree::Placement;
 
 const SLOTS: u32 = 8;
