sill drain says that nothing carries it out yet

It printed 'drains' and control answered 'draining', though the wish is only written to the audit trail and no entry instance or endpoint learns of it.

--- a/daemons/control/src/api/drain.rs
+++ b/daemons/control/src/api/drain.rs
@@ -22,7 +22,7 @@
     match outcome {
         Ok(Outcome::Drained) => {
             event!(Info, "drain_accepted", subject = name);
-            Ok(http::json(200, &serde_json::json!({ "draining": name })))
+            Ok(http::json(200, &serde_json::json!({ "noted": name, "carried_out": false })))
         }
         Ok(Outcome::Refused(refusal)) => Ok(http::json(refusal_status(&refusal), &refusal)),
         Ok(_) => Err(refused(500, "internal", "an outcome of another kind")),
--- a/daemons/sill/src/verbs/drain.rs
+++ b/daemons/sill/src/verbs/drain.rs
@@ -11,7 +11,7 @@
 /// The verb and its flags.
 pub const PROGRAM: Program = Program {
     name: "sill drain",
-    about: "let an endpoint finish what it runs and give it nothing new",
+    about: "note in the audit trail that an endpoint is to be drained; nothing carries it out yet",
     operands: "NAME",
     flags: &[
         CONTROL_FLAG,
@@ -35,6 +35,6 @@
     let headers = [Header { name: header::CHANGE_ID.into(), value: change_id }];
     let reply = operator.call(Method::POST, &format!("/drain/{name}"), &headers, None).await?;
     accepted(&reply)?;
-    println!("{name}: drains");
+    println!("{name}: noted in the audit trail; entry instances are not told yet");
     Ok(())
 }
--- a/daemons/sill/src/verbs/mod.rs
+++ b/daemons/sill/src/verbs/mod.rs
@@ -33,7 +33,7 @@
   watch     print each new revision of a subtree
   audit     print who changed or ordered what, when and why
   status    print who leads, who lags behind, and the endpoints
-  drain     let an endpoint finish what it runs and give it nothing new
+  drain     note that an endpoint is to be drained; nothing carries it out yet
   explain   tell what became of a request, and why
   replay    run recorded traces of decision cores and compare the stated outcomes
   hash      print the hash of a key or token for a settings file
--- a/daemons/sill/tests/system/verbs.rs
+++ b/daemons/sill/tests/system/verbs.rs
@@ -102,7 +102,12 @@
         stdout: &["AUTHOR", "change", "refused", "root"],
         stderr: &[],
     },
-    Case { words: &["drain", "model-a0"], code: 0, stdout: &["model-a0: drains"], stderr: &[] },
+    Case {
+        words: &["drain", "model-a0"],
+        code: 0,
+        stdout: &["model-a0: noted", "not told yet"],
+        stderr: &[],
+    },
     Case { words: &["audit", "model-a0", "--json"], code: 0, stdout: &["\"drain\""], stderr: &[] },
     Case { words: &["no-such-verb"], code: 1, stdout: &[], stderr: &["unknown verb"] },
 ];
