A resend in another failure domain waits up to a second for the outcome to be noted

Cause: an owner answers its caller before the claims' log has the outcome. A keyed notice sent again at once through another failure domain found its key held without an outcome by an instance it can't ask, and was told 409 outcome_unknown though the answer was known. Nothing ran twice. Ruled out: a lost Finish; a later resend got the answer. The new test fails with 409 where the log is not asked again. A request whose owner is gone is told 409 a second later than before.

--- a/daemons/entry/src/claims.rs
+++ b/daemons/entry/src/claims.rs
@@ -11,6 +11,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::cfg::EntryCfg;
+use crate::daemon::Shared;
+use crate::peers;
 
 /// How long asks are gathered.
 const TICK: Millis = Millis(2);
@@ -27,6 +29,12 @@
 /// How often the log is told before it is given up; the claim expires by itself then.
 const MAX_TELLS: u32 = 120;
 
+/// Pause before the log is asked again for the outcome of a key that another one holds.
+const OUTCOME_PAUSE: Millis = Millis(100);
+
+/// How often it is asked again.
+const OUTCOME_ASKS: u32 = 10;
+
 /// The claims' log, as requests see it.
 pub trait Claims: Debug + Send + Sync {
     /// Asks; a verdict that never comes reads as a closed channel.
@@ -75,6 +83,31 @@
     }
 }
 
+/// Asks, and asks again for up to a second while the key is held without an outcome by an entry
+/// instance that can't be asked itself.
+///
+/// An owner answers its caller before the log has the outcome. A caller that sends the request again
+/// at once, through another failure domain, would be told that its outcome is unknown.
+pub fn ask(app: &Arc<Shared>, ask: ClaimAsk) -> oneshot::Receiver<ClaimVerdict> {
+    let (tx, rx) = oneshot::channel();
+    let shared = app.clone();
+    app.runtime.spawn(async move {
+        let mut verdict = shared.claims.ask(ask.clone()).await;
+        for _ in 0..OUTCOME_ASKS {
+            let Ok(ClaimVerdict::Taken { owner, outcome: None }) = &verdict else {
+                break;
+            };
+            if tx.is_closed() || peers::find_owner(&shared, owner).is_some() {
+                break;
+            }
+            tokio::time::sleep(OUTCOME_PAUSE.into()).await;
+            verdict = shared.claims.ask(ask.clone()).await;
+        }
+        let _ = tx.send(verdict.unwrap_or(ClaimVerdict::Unavailable));
+    });
+    rx
+}
+
 async fn gather(
     clients: Arc<[PeerClient]>,
     mut asks: mpsc::UnboundedReceiver<Ask>,
--- a/daemons/entry/src/serve/driver.rs
+++ b/daemons/entry/src/serve/driver.rs
@@ -20,6 +20,7 @@
 use super::caller::{Out, Sink};
 use super::run::{Run, RunEnd};
 use super::upstream::{Came, Outgoing, Upstream};
+use crate::claims;
 use crate::daemon::Shared;
 
 /// Bytes that wait for a slow caller before the endpoint's answer is read on.
@@ -240,7 +241,7 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Claim(ask) => self.claim = Some(self.app.claims.ask(ask)),
+            Action::Claim(ask) => self.claim = Some(claims::ask(&self.app, ask)),
             Action::Settle(ask) => self.app.claims.settle(ask),
             Action::Route { exclude, prompt_tokens, max_tokens } => {
                 self.route(exclude, prompt_tokens, max_tokens);
--- a/daemons/entry/tests/kit/mod.rs
+++ b/daemons/entry/tests/kit/mod.rs
@@ -31,6 +31,8 @@
     pub quorum: Arc<AtomicBool>,
     /// Whether verdicts are lost on their way back.
     pub loses_verdicts: Arc<AtomicBool>,
+    /// Verdicts that still leave an outcome out, as before the log has it.
+    pub late_outcomes: Arc<AtomicU32>,
     _server: PeerServer,
     _runtime: tokio::runtime::Runtime,
 }
@@ -67,6 +69,7 @@
         let runtime = runtime.worker_threads(1).enable_all().build().expect("a runtime");
         let quorum = Arc::new(AtomicBool::new(true));
         let loses_verdicts = Arc::new(AtomicBool::new(false));
+        let late_outcomes = Arc::new(AtomicU32::new(0));
         let table = Arc::new(Mutex::new(ClaimTable::default()));
         let mut server = PeerServerBuilder::new(Secret::new(CLUSTER_KEY));
         server.answer(|poll: FeedPoll| async move {
@@ -77,6 +80,7 @@
             Ok(FeedReply::Changes { changes: vec![settings()] })
         });
         let (reached, loses) = (quorum.clone(), loses_verdicts.clone());
+        let late = late_outcomes.clone();
         server.answer(move |batch: ClaimBatch| {
             let mut verdicts: Vec<ClaimVerdict> = batch
                 .asks
@@ -86,6 +90,13 @@
                     false => ClaimVerdict::Unavailable,
                 })
                 .collect();
+            for verdict in &mut verdicts {
+                let ClaimVerdict::Taken { outcome, .. } = verdict else { continue };
+                let is_late = |left: u32| left.checked_sub(1);
+                if late.fetch_update(Ordering::Relaxed, Ordering::Relaxed, is_late).is_ok() {
+                    *outcome = None;
+                }
+            }
             if loses.load(Ordering::Relaxed) {
                 verdicts.fill(ClaimVerdict::Unavailable);
             }
@@ -97,7 +108,7 @@
             server.start(listener).expect("it listens")
         };
         let address = server.address();
-        Self { address, quorum, loses_verdicts, _server: server, _runtime: runtime }
+        Self { address, quorum, loses_verdicts, late_outcomes, _server: server, _runtime: runtime }
     }
 }
 
--- a/daemons/entry/tests/serving.rs
+++ b/daemons/entry/tests/serving.rs
@@ -245,6 +245,24 @@
     assert_eq!(sends(&endpoint), 1);
 }
 
+/// A notice is answered, and sent again at once through another failure domain, before the claims' log
+/// has its outcome. The clerk has the answer already and would now be told that it is unknown.
+#[test]
+fn a_resend_in_another_domain_waits_for_the_outcome_to_be_noted() {
+    let control = FakeControl::start();
+    // Two instances that don't know each other.
+    let (first, second) = (entries(&control, 1), entries(&control, 1));
+    let (here, there) = (first[0].address, second[0].address);
+    let endpoint = service(here, 1);
+    let key = ["idempotency-key: notice-3"];
+    let answer = call(here, SEND, &key, "to the widow");
+    assert_eq!(answer.status, 200, "{answer:?}");
+    control.late_outcomes.store(3, Ordering::Relaxed);
+    let again = call(there, SEND, &key, "to the widow");
+    assert_eq!((again.status, &again.body), (200, &answer.body), "{again:?}");
+    assert_eq!(sends(&endpoint), 1);
+}
+
 /// The failure domain is cut off from the quorum, or the verdict on a claim is lost. The notice is
 /// refused at once, certified, and everything else is served; the same key works once the cut ends.
 #[test]
