A broken promise ends the process

Cause: the panic of an assertion ended its task only. In the membership or settings task it would have left an instance serving with what it knew, silently. The panic hook of the daemons now ends the process with code 3 after the log line. Shown by a_broken_promise_ends_the_process, which ran on with code 0 before.

--- a/daemons/setup/src/logs.rs
+++ b/daemons/setup/src/logs.rs
@@ -1,14 +1,17 @@
 //! Logs on standard error, one key=value line for each event.
 
 use std::panic::{self, PanicHookInfo};
-use std::{io, thread};
+use std::{io, process, thread};
 
 use eyre::Result;
 use log::LevelFilter;
 use sill_base::event::push_pair;
 use sill_base::{Millis, event};
 
-/// Starts logging.
+/// The exit code of a process that found a promise broken.
+const EXIT_BROKEN_PROMISE: i32 = 3;
+
+/// Starts logging. From now on a broken promise ends the process.
 ///
 /// # Errors
 ///
@@ -41,15 +44,30 @@
         .level_for("sill", level)
         .chain(io::stderr())
         .apply()?;
-    panic::set_hook(Box::new(log_panic));
+    panic::set_hook(Box::new(|info| {
+        log_panic(info);
+        end_on_broken_promise(info);
+    }));
     Ok(())
 }
 
-/// Logs a panic as one line; the usual text of several lines could not be told from forged ones.
-fn log_panic(info: &PanicHookInfo<'_>) {
+/// Ends the process when a promise is broken. A panic alone ends only its task; the rest would go on
+/// with a state that is wrong, and without membership or settings if it was their task, silently.
+fn end_on_broken_promise(info: &PanicHookInfo<'_>) {
+    if text_of(info).is_some_and(|text| text.starts_with("promise=")) {
+        process::exit(EXIT_BROKEN_PROMISE);
+    }
+}
+
+fn text_of<'a>(info: &'a PanicHookInfo<'_>) -> Option<&'a str> {
     let payload = info.payload();
     let text = payload.downcast_ref::<&str>().copied();
-    let text = text.or_else(|| payload.downcast_ref::<String>().map(String::as_str));
+    text.or_else(|| payload.downcast_ref::<String>().map(String::as_str))
+}
+
+/// Logs a panic as one line; the usual text of several lines could not be told from forged ones.
+fn log_panic(info: &PanicHookInfo<'_>) {
+    let text = text_of(info);
     let thread = thread::current();
     let place = info.location().map(ToString::to_string).unwrap_or_default();
     event!(
--- a/daemons/setup/tests/panics.rs
+++ b/daemons/setup/tests/panics.rs
@@ -1,10 +1,20 @@
 //! What a log shows of a panic.
 
-use std::process::Command;
+use std::process::{Command, Output};
+
+use sill_base::{Promise, keep};
 
 /// Set for the process that panics.
 const CHILD: &str = "SILL_TEST_PANICS";
 
+fn run_again(test: &str) -> Output {
+    Command::new(std::env::current_exe().expect("this test"))
+        .args(["--exact", test, "--nocapture"])
+        .env(CHILD, "1")
+        .output()
+        .expect("the test runs again")
+}
+
 /// A fault of our own makes a thread panic, with a caller's text in the message. The usual report
 /// has several lines, of which a forged one could not be told; the log shows one.
 #[test]
@@ -17,14 +27,26 @@
         assert!(ended.is_err());
         return;
     }
-    let child = Command::new(std::env::current_exe().expect("this test"))
-        .args(["--exact", "a_panic_is_one_line", "--nocapture"])
-        .env(CHILD, "1")
-        .output()
-        .expect("the test runs again");
+    let child = run_again("a_panic_is_one_line");
     let log = String::from_utf8(child.stderr).expect("text");
     let lines: Vec<&str> = log.lines().collect();
     assert_eq!(lines.len(), 1, "{log}");
     assert!(lines[0].contains("event=panic thread=worker place="), "{log}");
     assert!(lines[0].contains(r#"\nevent=forged level=INFO""#), "{log}");
 }
+
+/// The task that keeps membership finds a promise broken. Were only the task to end, the instance would
+/// go on serving with what it knew at that moment, and nobody would notice.
+#[test]
+fn a_broken_promise_ends_the_process() {
+    if std::env::var_os(CHILD).is_some() {
+        sill_setup::logs::start(log::LevelFilter::Info).expect("the first logger");
+        let task = || keep!(Promise::LeavingGetsNothing, false, "endpoint m1 was offered");
+        let _ = std::thread::spawn(task).join();
+        return;
+    }
+    let child = run_again("a_broken_promise_ends_the_process");
+    let log = String::from_utf8_lossy(&child.stderr);
+    assert_eq!(child.status.code(), Some(3), "{log}");
+    assert!(log.contains("promise=leaving_gets_nothing"), "{log}");
+}
