--- a/bench/load/src/cli.rs
+++ b/bench/load/src/cli.rs
@@ -6,7 +6,7 @@
 
 use eyre::{Context, Result, bail};
 use sill_base::{Findings, Millis, Secret};
-use sill_setup::{Flag, Outcome, Program, Values};
+use sill_setup::{Flag, Program, Values};
 
 use crate::experiment;
 use crate::fleet;
@@ -143,12 +143,8 @@
         Some("experiment") => return experiment::cli::run(words[1..].to_vec()),
         _ => {}
     }
-    let mut values = match LOAD.read(words)? {
-        Outcome::Help(text) => {
-            print!("{text}");
-            return Ok(());
-        }
-        Outcome::Values(values) => values,
+    let Some(mut values) = LOAD.values_or_help(words)? else {
+        return Ok(());
     };
     match values.operands.as_slice() {
         [] => {}
--- a/bench/load/src/experiment/cli.rs
+++ b/bench/load/src/experiment/cli.rs
@@ -4,7 +4,7 @@
 
 use eyre::{Result, WrapErr, bail};
 use serde::Serialize;
-use sill_setup::{Flag, Outcome, Program};
+use sill_setup::{Flag, Program};
 
 use super::{limits, overload, route};
 
@@ -26,12 +26,8 @@
 /// Fails when the words are wrong or the file can't be written.
 pub fn run(mut words: Vec<String>) -> Result<()> {
     let which = if words.is_empty() { String::new() } else { words.remove(0) };
-    let mut values = match EXPERIMENT.read(words)? {
-        Outcome::Help(text) => {
-            print!("{text}");
-            return Ok(());
-        }
-        Outcome::Values(values) => values,
+    let Some(mut values) = EXPERIMENT.values_or_help(words)? else {
+        return Ok(());
     };
     let seed: Option<u64> = values.required("seed");
     let json: Option<PathBuf> = values.optional("json");
--- a/bench/load/src/fleet/mod.rs
+++ b/bench/load/src/fleet/mod.rs
@@ -10,7 +10,7 @@
 
 use eyre::Result;
 use sill_fleet::Policy;
-use sill_setup::{Flag, Outcome, Program};
+use sill_setup::{Flag, Program};
 
 use sizes::SIZES;
 use world::{Tally, World};
@@ -53,12 +53,8 @@
 ///
 /// Fails when a flag is wrong or the report can't be written.
 pub fn run(words: Vec<String>) -> Result<()> {
-    let mut values = match FLEET.read(words)? {
-        Outcome::Help(text) => {
-            print!("{text}");
-            return Ok(());
-        }
-        Outcome::Values(values) => values,
+    let Some(mut values) = FLEET.values_or_help(words)? else {
+        return Ok(());
     };
     let seeds: Option<u64> = values.required("seeds");
     let folder: Option<PathBuf> = values.optional("report");
--- a/bench/standin/src/cli.rs
+++ b/bench/standin/src/cli.rs
@@ -5,7 +5,7 @@
 
 use eyre::{Result, bail};
 use sill_base::{Findings, Millis, Name};
-use sill_setup::{Flag, Outcome, Program, Values};
+use sill_setup::{Flag, Program, Values};
 use sill_wire::Served;
 
 use crate::cloud::{self, Cloud, Offer};
@@ -156,12 +156,8 @@
         "weights" => &WEIGHTS,
         _ => bail!("expected `endpoint`, `cloud` or `weights` and its flags; each has `--help`"),
     };
-    let mut values = match program.read(words)? {
-        Outcome::Help(text) => {
-            print!("{text}");
-            return Ok(());
-        }
-        Outcome::Values(values) => values,
+    let Some(mut values) = program.values_or_help(words)? else {
+        return Ok(());
     };
     let address = match kind.as_str() {
         "endpoint" => {
--- a/daemons/control/src/cli.rs
+++ b/daemons/control/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line of the control daemon.
 
 use eyre::Result;
-use sill_setup::{Outcome, logs, signal::Stops};
+use sill_setup::{logs, signal::Stops};
 
 use crate::cfg::{CONTROL, ControlCfg};
 use crate::daemon::Control;
@@ -12,12 +12,8 @@
 ///
 /// Fails when a flag is wrong or the daemon can't start.
 pub fn run(words: Vec<String>) -> Result<()> {
-    let mut values = match CONTROL.read(words)? {
-        Outcome::Help(text) => {
-            print!("{text}");
-            return Ok(());
-        }
-        Outcome::Values(values) => values,
+    let Some(mut values) = CONTROL.values_or_help(words)? else {
+        return Ok(());
     };
     let level = values.required("log-level");
     let cfg = ControlCfg::read(&mut values)?;
--- a/daemons/entry/src/cli.rs
+++ b/daemons/entry/src/cli.rs
@@ -2,7 +2,7 @@
 
 use eyre::Result;
 use sill_base::event;
-use sill_setup::{Outcome, logs, signal::Stops};
+use sill_setup::{logs, signal::Stops};
 
 use crate::cfg::{ENTRY, EntryCfg};
 use crate::daemon::Entry;
@@ -13,12 +13,8 @@
 ///
 /// Fails when a flag is wrong or the daemon can't start.
 pub fn run(words: Vec<String>) -> Result<()> {
-    let mut values = match ENTRY.read(words)? {
-        Outcome::Help(text) => {
-            print!("{text}");
-            return Ok(());
-        }
-        Outcome::Values(values) => values,
+    let Some(mut values) = ENTRY.values_or_help(words)? else {
+        return Ok(());
     };
     let level = values.required("log-level");
     let cfg = EntryCfg::read(&mut values)?;
--- a/daemons/setup/src/flags.rs
+++ b/daemons/setup/src/flags.rs
@@ -155,6 +155,24 @@
         Ok(Outcome::Values(Values { program: *self, matches, variables, findings, operands }))
     }
 
+    /// Reads the words after the program's name, or prints the text of `--help` if they ask for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding in the words.
+    pub fn values_or_help<I>(&self, words: I) -> Result<Option<Values>, Findings>
+    where
+        I: IntoIterator<Item = String>,
+    {
+        match self.read(words)? {
+            Outcome::Help(text) => {
+                print!("{text}");
+                Ok(None)
+            }
+            Outcome::Values(values) => Ok(Some(values)),
+        }
+    }
+
     fn options(&self) -> Options {
         let mut options = Options::new();
         options.optflag("h", "help", "show this text");
--- a/daemons/sill/src/verbs/mod.rs
+++ b/daemons/sill/src/verbs/mod.rs
@@ -17,7 +17,7 @@
 
 use eyre::{Result, bail};
 use ntex::rt::{DefaultRuntime, System};
-use sill_setup::{Outcome, Program, Values};
+use sill_setup::{Program, Values};
 
 const USAGE: &str = "\
 sill: the operators' command line of buckthornsill
@@ -82,14 +82,9 @@
     F: FnOnce(Values) -> Fut + 'static,
     Fut: Future<Output = Result<()>> + 'static,
 {
-    match program.read(words)? {
-        Outcome::Help(text) => {
-            print!("{text}");
-            Ok(())
-        }
-        Outcome::Values(values) => System::build()
-            .name("sill")
-            .build(DefaultRuntime)
-            .block_on(async move { verb(values).await }),
-    }
+    let Some(values) = program.values_or_help(words)? else {
+        return Ok(());
+    };
+    let system = System::build().name("sill").build(DefaultRuntime);
+    system.block_on(async move { verb(values).await })
 }
