sill status lists the endpoints of every failure domain: a test

The way from the entry instances' reports to /fleet had none. The first report of an entry that has just started is empty and the next comes after five seconds, so that the list fills within seconds.

--- a/daemons/sill/tests/system/verbs.rs
+++ b/daemons/sill/tests/system/verbs.rs
@@ -2,7 +2,7 @@
 
 use std::process::Output;
 
-use crate::harness::{Folder, http, sill};
+use crate::harness::{Folder, http, sill, wait_until};
 use crate::product::Try;
 
 /// A verb with its words, and what it must print.
@@ -132,6 +132,22 @@
     }
 }
 
+/// Entry instances report the endpoints of their failure domains every few seconds; an operator sees
+/// the endpoints of all of them in one place.
+#[test]
+fn status_lists_the_endpoints_of_every_failure_domain() {
+    let system = Try::start("status");
+    let files = Folder::new("status-files");
+    let shown = || {
+        let output = run(&system, &files, &["status"]);
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    };
+    wait_until("both domains are reported", || {
+        let text = shown();
+        text.contains("model-a0") && text.contains("model-b1") && text.contains("ready")
+    });
+}
+
 /// A caller asks what became of its request, by the name in the answer's headers.
 #[test]
 fn a_request_is_explained_to_its_caller_and_to_nobody_else() {
