Read-through: derived state, a rule in three places, wiring that nothing used

An attempt kept the cause of its search beside the search itself. An endpoint's slots were worked out in three places; the comment on slow start spoke of refusals, which it no longer causes. The entry held a retry budget behind a lock that nothing asked; the core stays, its wiring comes with its use. Two benches of the router had the same announcement, and the control bench its own look for free addresses. No behaviour changes.

--- a/coordination/flight/src/flight.rs
+++ b/coordination/flight/src/flight.rs
@@ -59,7 +59,6 @@
     heard: Millis,
     tokens: u32,
     stays: bool,
-    cause: Option<Cause>,
     /// The search that found it.
     search: Search,
     kv_from: Option<Place>,
--- a/coordination/flight/src/flight/search.rs
+++ b/coordination/flight/src/flight/search.rs
@@ -113,7 +113,6 @@
             heard: now,
             tokens: 0,
             stays: false,
-            cause: search.cause,
             search,
             kv_from: resume.as_ref().and_then(|r| r.kv_from.clone()),
         });
@@ -126,7 +125,6 @@
         }
         self.exclude_current();
         let attempt = self.attempt.as_ref();
-        let cause = attempt.and_then(|a| a.cause);
         let search = attempt.map(|a| a.search);
         // Nothing was moved, so the next attempt can still import from the same source.
         self.kv_from = attempt.and_then(|a| a.kv_from.clone());
@@ -144,7 +142,7 @@
         // within a second; that nothing ran there must not count against it.
         match search.filter(|_| matches!(self.stage, Stage::Dispatched(_))) {
             Some(search) => self.search_on(now, search, out),
-            None => self.failed(now, cause, out),
+            None => self.failed(now, search.and_then(|s| s.cause), out),
         }
     }
 
--- a/coordination/route/benches/choose.rs
+++ b/coordination/route/benches/choose.rs
@@ -1,38 +1,25 @@
 //! Time of one choice against the number of endpoints, and memory of the knowledge it rests on.
 
+mod common;
+
 use std::time::Instant;
 
 use sill_base::{Machine, Millis, Name};
 use sill_route::{Ask, Choice, Event, Policy, PolicyCfg, Router, RouterCfg, Target};
-use sill_wire::{Announcement, Incarnation, Load, Priority, Role, Served};
+use sill_wire::{Announcement, Priority};
+
+use common::announcement;
 
 const PREFIXES: u64 = 40;
 const BLOCKS: u64 = 60;
 const CHOICES: u64 = 20_000;
 
-fn announcement(number: usize) -> Announcement {
+fn small(number: usize) -> Announcement {
     Announcement {
-        name: format!("lm-{number}").into(),
-        incarnation: Incarnation(1),
-        sequence: 1,
-        address: "127.0.0.1:1".into(),
-        domain: format!("d{}", number % 10).into(),
-        class: Name::default(),
-        reclaimable: !number.is_multiple_of(3),
-        price: 1000,
-        serves: vec![Served::Model {
-            model: "m".into(),
-            version: Name::default(),
-            adapters: vec![],
-        }],
-        role: Role::Mixed,
         slots: 16,
         prefill_tokens_per_s: 8000,
-        decode_ms: 20,
         cache_tokens: 200_000,
-        load: Load::default(),
-        leaving: None,
-        checks_fencing: true,
+        ..announcement(number, 1)
     }
 }
 
@@ -55,7 +42,7 @@
     let mut router = Router::with_policy(RouterCfg { domain: "d1".into(), seed: 1 }, policy);
     let now = Millis(20_000);
     for number in 0..endpoints {
-        let announced = Event::Announced { announcement: announcement(number), age: Millis(100) };
+        let announced = Event::Announced { announcement: small(number), age: Millis(100) };
         router.step(now - Millis(15_000), announced.clone(), &mut Vec::new());
         let Event::Announced { mut announcement, age } = announced else { unreachable!() };
         announcement.sequence = 2;
--- a/coordination/route/benches/state.rs
+++ b/coordination/route/benches/state.rs
@@ -1,39 +1,17 @@
 //! What a router's knowledge costs: memory for each block and endpoint, and processor time for a
 //! second of the design load.
 
+mod common;
+
 use std::time::Instant;
 
 use sill_base::{Machine, Millis, Name};
 use sill_route::{Ask, Choice, Event, Outcome, PolicyCfg, Router, RouterCfg, Target};
-use sill_wire::{Announcement, Incarnation, Load, Priority, Role, Served};
+use sill_wire::Priority;
 
-const PAGE: usize = 4096;
+use common::announcement;
 
-fn announcement(number: usize, sequence: u64) -> Announcement {
-    Announcement {
-        name: format!("lm-{number}").into(),
-        incarnation: Incarnation(1),
-        sequence,
-        address: "127.0.0.1:1".into(),
-        domain: format!("d{}", number % 10).into(),
-        class: Name::default(),
-        reclaimable: !number.is_multiple_of(3),
-        price: 1000,
-        serves: vec![Served::Model {
-            model: "m".into(),
-            version: Name::default(),
-            adapters: vec![],
-        }],
-        role: Role::Mixed,
-        slots: 64,
-        prefill_tokens_per_s: 30_000,
-        decode_ms: 20,
-        cache_tokens: 1 << 24,
-        load: Load::default(),
-        leaving: None,
-        checks_fencing: true,
-    }
-}
+const PAGE: usize = 4096;
 
 fn ask(number: u64, prompt: u64, blocks: u64) -> Ask {
     Ask {
--- a/coordination/route/src/endpoint.rs
+++ b/coordination/route/src/endpoint.rs
@@ -107,13 +107,17 @@
         (self.others, self.own_at_sample)
     }
 
+    /// Returns the requests that it runs side by side.
+    pub(crate) fn slots(&self) -> f64 {
+        f64::from(self.announcement.slots.max(1))
+    }
+
     /// Returns the slots that it may use now; a new endpoint comes up to its slots step by step,
     /// since a burst on cold caches would queue there while others have room.
     pub(crate) fn usable_slots(&self, now: Millis, cfg: &PolicyCfg) -> f64 {
-        let slots = f64::from(self.announcement.slots.max(1));
         let up = now.since(self.first_seen).as_secs_f64();
         let ramp = up / cfg.slow_start.as_secs_f64().max(0.001);
-        (slots * ramp.min(1.0)).max(1.0)
+        (self.slots() * ramp.min(1.0)).max(1.0)
     }
 
     pub(crate) fn is_suspect(&self, now: Millis) -> bool {
--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -230,7 +230,7 @@
             active: if trusts_report { reported } else { endpoint.active() },
             pending_tokens: pending(0.0),
             presumed_tokens: pending(self.peers),
-            slots: f64::from(a.slots.max(1)),
+            slots: endpoint.slots(),
             usable_slots: self.usable_slots(now, endpoint),
             elsewhere: a.domain != self.cfg.domain,
             suspect: endpoint.is_suspect(now),
@@ -239,12 +239,12 @@
     }
 
     /// Returns the slots that an endpoint may use now. Where all are new, as after a start of the
-    /// whole system, slow start would only refuse requests.
+    /// whole system, slow start would only make waits look longer than they are.
     fn usable_slots(&self, now: Millis, endpoint: &Endpoint) -> f64 {
         if self.any_warm {
             return endpoint.usable_slots(now, &self.policy);
         }
-        f64::from(endpoint.announcement.slots.max(1))
+        endpoint.slots()
     }
 
     fn check(&self, now: Millis, ask: &Ask, candidate: &Candidate<'_>) -> Result<(), Unfit> {
--- a/daemons/control/benches/support/mod.rs
+++ b/daemons/control/benches/support/mod.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -10,6 +10,7 @@
 
 use sill_base::Millis;
 use sill_net::PeerClient;
+use sill_standin::loopback::free_addresses;
 
 /// Control instances `c0`, `c1`, … as processes.
 pub struct Cluster {
@@ -45,11 +46,7 @@
         fs::create_dir_all(&folder).expect("a folder");
         fs::write(folder.join("key"), "bench-key").expect("a file");
         fs::write(folder.join("token"), "bench-token").expect("a file");
-        let listeners: Vec<TcpListener> =
-            (0..2 * voters).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
-        let free: Vec<SocketAddr> =
-            listeners.iter().map(|l| l.local_addr().expect("its address")).collect();
-        drop(listeners);
+        let free = free_addresses(2 * voters).expect("free ports");
         let running = (0..voters).map(|_| None).collect();
         let (api, peers) = (free[..voters].to_vec(), free[voters..].to_vec());
         let mut cluster = Self { folder, api, peers, running };
--- a/daemons/entry/src/routing.rs
+++ b/daemons/entry/src/routing.rs
@@ -8,9 +8,7 @@
 use parking_lot::Mutex;
 use rustc_hash::FxHasher;
 use sill_base::{Millis, Name};
-use sill_route::{
-    Ask, Choice, Event, Refusal, RefusalReason, RetryBudget, RetryCfg, RouterCfg, Target,
-};
+use sill_route::{Ask, Choice, Event, Refusal, RefusalReason, RouterCfg, Target};
 use sill_wire::Served;
 
 use crate::cfg::EntryCfg;
@@ -23,7 +21,6 @@
 pub struct Routing {
     shards: Vec<Mutex<RecordedRouter>>,
     trusted_until: AtomicU64,
-    retries: Mutex<RetryBudget>,
 }
 
 impl Routing {
@@ -41,7 +38,6 @@
         Ok(Self {
             shards: (0..SHARDS).map(router).collect::<io::Result<_>>()?,
             trusted_until: AtomicU64::new(u64::MAX),
-            retries: Mutex::new(RetryBudget::new(RetryCfg::default())),
         })
     }
 
@@ -89,17 +85,6 @@
         }
     }
 
-    /// Returns whether a failed attempt may be sent again, and counts it if so. Moving a stream off
-    /// an endpoint that announced its reclaim is no retry and needs no leave.
-    pub fn may_retry(&self, account: &Name, target: &Target) -> bool {
-        self.retries.lock().may_retry(account, target)
-    }
-
-    /// Notes an answer that came whole, which earns a share of a retry.
-    pub fn succeeded(&self, account: &Name, target: &Target) {
-        self.retries.lock().succeeded(account, target);
-    }
-
     fn shard(&self, target: &Target) -> &Mutex<RecordedRouter> {
         &self.shards[index(target)]
     }
