--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -63,6 +63,21 @@
     instance: Option<Name>,
 }
 
+/// The plan for a service, and the instances that serve or will, by offer, before it is carried out.
+///
+/// Starts bring no count over its plan, so the counts hold for the excess as well.
+#[derive(Debug)]
+struct Choice {
+    plan: Plan,
+    counts: BTreeMap<OfferKey, u32>,
+}
+
+impl Choice {
+    fn count(&self, key: &OfferKey) -> u32 {
+        self.counts.get(key).copied().unwrap_or(0)
+    }
+}
+
 /// What of a service is ready to serve.
 #[derive(Debug, Default)]
 struct Ready {
@@ -120,11 +135,11 @@
         self.expire(now, out);
         let names: Vec<Name> = self.services.keys().cloned().collect();
         for service in names {
-            let plan = self.choose(now, &service);
-            self.start_missing(now, term, &service, &plan, out);
-            self.stop_excess(now, &service, &plan, out);
+            let choice = self.choose(now, &service);
+            self.start_missing(now, term, &service, &choice, out);
+            self.stop_excess(now, &service, &choice, out);
             if let Some(state) = self.services.get_mut(&service) {
-                state.plan = plan;
+                state.plan = choice.plan;
             }
         }
         self.load_next(now, out);
@@ -135,7 +150,7 @@
         Need { slots, min_instances: service.target.min_instances }
     }
 
-    fn choose(&self, now: Millis, name: &Name) -> Plan {
+    fn choose(&self, now: Millis, name: &Name) -> Choice {
         let service = &self.services[name];
         let need = self.need(service);
         let allowed =
@@ -153,7 +168,7 @@
         };
         let candidates: Vec<Candidate> =
             self.offers.values().filter(allowed).map(candidate).collect();
-        baseline::plan(self.cfg.policy, &need, candidates)
+        Choice { plan: baseline::plan(self.cfg.policy, &need, candidates), counts }
     }
 
     /// Counts instances that serve or will, by offer.
@@ -178,13 +193,12 @@
         now: Millis,
         term: u64,
         service: &Name,
-        plan: &Plan,
+        choice: &Choice,
         out: &mut Vec<Action>,
     ) {
         let mut left = self.cfg.starts_at_once;
-        let counts = self.counts(service);
-        for (key, wanted) in &plan.counts {
-            let missing = wanted.saturating_sub(counts.get(key).copied().unwrap_or(0)).min(left);
+        for (key, wanted) in &choice.plan.counts {
+            let missing = wanted.saturating_sub(choice.count(key)).min(left);
             left -= missing;
             for _ in 0..missing {
                 let id = StartId { term, sequence: self.next_start };
@@ -207,8 +221,8 @@
 
     /// Drains what the plan does not want, once that has held for the minimum stay and what is
     /// ready carries the need without it.
-    fn stop_excess(&mut self, now: Millis, service: &Name, plan: &Plan, out: &mut Vec<Action>) {
-        let excess = self.excess(now, service, plan);
+    fn stop_excess(&mut self, now: Millis, service: &Name, choice: &Choice, out: &mut Vec<Action>) {
+        let excess = self.excess(now, service, choice);
         let state = self.services.get_mut(service).expect("the service is known");
         if excess.is_empty() {
             state.excess_since = None;
@@ -232,11 +246,10 @@
         }
     }
 
-    fn excess(&self, now: Millis, service: &Name, plan: &Plan) -> Vec<Name> {
+    fn excess(&self, now: Millis, service: &Name, choice: &Choice) -> Vec<Name> {
         let mut surplus: BTreeMap<&OfferKey, u32> = BTreeMap::new();
-        let counts = self.counts(service);
-        for (key, count) in &counts {
-            let wanted = plan.counts.get(key).copied().unwrap_or(0);
+        for (key, count) in &choice.counts {
+            let wanted = choice.plan.counts.get(key).copied().unwrap_or(0);
             surplus.insert(key, count.saturating_sub(wanted));
         }
         let mut candidates: Vec<_> = self
