--- /dev/null
+++ b/coordination/dispatch/src/lib.rs
@@ -0,0 +1,20 @@
+//! Decisions on calls of routes: which route and account, whether a call is admitted, where it goes,
+//! what follows from an attempt, and what is reported of it.
+
+pub mod attempt;
+pub mod events;
+pub mod pool;
+pub mod registry;
+pub mod share;
+pub mod table;
+pub mod true_time;
+pub mod usage;
+
+pub use attempt::{AttemptOutcome, Next, Progress};
+pub use events::EventTracker;
+pub use pool::{Place, PlaceAsk, Placed, Pool, PoolCfg, Prompt, PromptPart};
+pub use registry::Registry;
+pub use share::{LimitBounds, Shares};
+pub use table::{AccountEntry, RouteEntry, RouteTable};
+pub use true_time::TrueTime;
+pub use usage::{Ledger, UsageCounter};
--- /dev/null
+++ b/coordination/dispatch/src/table.rs
@@ -0,0 +1,105 @@
+//! Routes and accounts, looked up by what a call carries.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use sill_base::{Map, Name};
+use sill_tree::{Account, CallerBounds, Document, KeyHash, Pool, Route, Service, Share};
+
+/// The routes, pools and accounts of one revision.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    /// The revision.
+    pub revision: u64,
+    /// Bounds on what callers send.
+    pub bounds: CallerBounds,
+    /// Pools by name.
+    pub pools: BTreeMap<Name, Pool>,
+    /// Accounts by name.
+    pub accounts: BTreeMap<Name, Arc<AccountEntry>>,
+    by_host: Map<Name, Map<Name, Arc<RouteEntry>>>,
+    by_key: Map<KeyHash, Arc<AccountEntry>>,
+}
+
+/// A route with its name.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouteEntry {
+    /// Its name.
+    pub name: Name,
+    /// The route.
+    pub route: Route,
+}
+
+/// An account with its name.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AccountEntry {
+    /// Its name.
+    pub name: Name,
+    /// The account.
+    pub account: Account,
+}
+
+impl RouteTable {
+    /// Makes the table of a checked document.
+    pub fn of(revision: u64, document: &Document) -> Self {
+        let mut table = Self {
+            revision,
+            bounds: document.caller_bounds.unwrap_or_default(),
+            ..Self::default()
+        };
+        for (name, service) in &document.services {
+            if let Service::Pool(pool) = service {
+                table.pools.insert(name.clone(), pool.clone());
+            }
+        }
+        for (name, route) in &document.routes {
+            let entry = RouteEntry { name: name.clone(), route: route.clone() };
+            let of_host = table.by_host.entry(route.host.clone()).or_default();
+            of_host.insert(route.path.clone(), Arc::new(entry));
+        }
+        for (name, account) in &document.accounts {
+            let entry = Arc::new(AccountEntry { name: name.clone(), account: account.clone() });
+            for key in &account.keys {
+                table.by_key.insert(key.clone(), entry.clone());
+            }
+            table.accounts.insert(name.clone(), entry);
+        }
+        table
+    }
+
+    /// Finds the route of a host with the longest path that begins `path`.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteEntry>> {
+        let of_host = self.by_host.get(host)?;
+        let ends = path.char_indices().rev().filter(|(_, c)| *c == '/').map(|(i, _)| i + 1);
+        ends.filter_map(|end| of_host.get(&path[..end])).next()
+    }
+
+    /// Returns whether callers need keys.
+    pub fn has_accounts(&self) -> bool {
+        !self.accounts.is_empty()
+    }
+
+    /// Finds the account of a key.
+    pub fn account_of(&self, key: &str) -> Option<&Arc<AccountEntry>> {
+        self.by_key.get(&KeyHash::of(key))
+    }
+}
+
+impl RouteEntry {
+    /// Returns the service for a draw between 0 and 1.
+    ///
+    /// Weights are taken as they are, also where a service has no endpoint at the moment: the
+    /// operator set them to move calls, and others would get more than it allowed.
+    pub fn service(&self, draw: f64) -> &Name {
+        let split = &self.route.split;
+        let total: u32 = split.iter().map(|share| share.weight).sum();
+        let mut left = draw * f64::from(total);
+        for Share { service, weight } in split {
+            left -= f64::from(*weight);
+            if left < 0.0 {
+                return service;
+            }
+        }
+        &split.iter().rev().find(|share| share.weight > 0).unwrap_or(&split[0]).service
+    }
+}
--- /dev/null
+++ b/coordination/fleet/src/counts.rs
@@ -0,0 +1,295 @@
+//! How many endpoints of each kind to have in each failure domain, where the platform takes orders by
+//! count and not by instance.
+//!
+//! Reclaimable endpoints cost a fifth, and are taken back a whole failure domain at a time. They are
+//! spread so that what is left without any one domain still carries the load; on-demand endpoints
+//! stand in while no reclaimable ones are to be had.
+
+use std::collections::BTreeMap;
+
+use sill_base::{Map, Millis, Name};
+use sill_tree::CapacityRange;
+
+/// Figures of the planner.
+#[derive(Debug, Clone)]
+pub struct CountCfg {
+    /// Requests that an endpoint carries within its latency target, in parts of its slots.
+    pub slot_load: f64,
+    /// Prompt tokens that an endpoint computes in a second within its latency target.
+    pub fresh_tokens_per_s: f64,
+    /// How long a high need counts before endpoints are given up.
+    pub hold: Millis,
+    /// How long an order that the platform could not meet is not repeated.
+    pub refused_for: Millis,
+    /// How long what runs may differ from what was ordered before the order is repeated. It must
+    /// outlast a boot, and an order that is carried out late.
+    pub settle: Millis,
+}
+
+/// An endpoint that is alive.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LiveEndpoint {
+    /// Its failure domain.
+    pub domain: Name,
+    /// Whether the platform may take it back.
+    pub reclaimable: bool,
+    /// Whether it is on its way out.
+    pub is_leaving: bool,
+}
+
+/// The work of a service over all entry instances.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+pub struct Demand {
+    /// Requests at its endpoints.
+    pub running: u32,
+    /// Prompt tokens a second that were not cached.
+    pub fresh_tokens_per_s: f64,
+    /// Requests refused in a second for want of room.
+    pub refused_per_s: f64,
+}
+
+/// All that a decision on one service rests on.
+#[derive(Debug, Clone)]
+pub struct PoolView<'a> {
+    /// The service.
+    pub service: &'a Name,
+    /// What may be ordered.
+    pub range: &'a CapacityRange,
+    /// Requests that an endpoint runs side by side.
+    pub slots: u32,
+    /// Its endpoints.
+    pub live: &'a [LiveEndpoint],
+    /// Its work.
+    pub demand: Demand,
+}
+
+/// An order: so many endpoints of one kind in one failure domain.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CountOrder {
+    /// The service.
+    pub service: Name,
+    /// The failure domain.
+    pub domain: Name,
+    /// Whether the platform may take them back.
+    pub reclaimable: bool,
+    /// How many.
+    pub count: u32,
+    /// Why, for the log.
+    pub why: String,
+}
+
+/// Decides on orders by count, for all services.
+#[derive(Debug)]
+pub struct CountPlanner {
+    cfg: CountCfg,
+    cells: Map<Cell, Ordered>,
+    needs: Map<Name, Vec<Need>>,
+}
+
+/// What is ordered as one number.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Cell {
+    service: Name,
+    domain: Name,
+    reclaimable: bool,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Ordered {
+    count: Option<u32>,
+    at: Millis,
+    refused_until: Millis,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Need {
+    endpoints: u32,
+    at: Millis,
+}
+
+/// Endpoints of one failure domain that stay.
+#[derive(Debug, Default, Clone, Copy)]
+struct Staying {
+    reclaimable: u32,
+    on_demand: u32,
+}
+
+impl CountPlanner {
+    /// Makes a planner that has ordered nothing.
+    pub fn new(cfg: CountCfg) -> Self {
+        Self { cfg, cells: Map::default(), needs: Map::default() }
+    }
+
+    /// Returns the orders that are due for one service.
+    pub fn plan(&mut self, now: Millis, view: &PoolView<'_>) -> Vec<CountOrder> {
+        let need = self.need(now, view);
+        let staying = staying(view);
+        let wanted = self.wanted(now, view, need, &staying);
+        let mut orders = Vec::new();
+        for (domain, want) in &wanted {
+            let have = staying.get(domain).copied().unwrap_or_default();
+            let kinds = [
+                (true, want.reclaimable, have.reclaimable),
+                (false, want.on_demand, have.on_demand),
+            ];
+            for (reclaimable, count, live) in kinds {
+                let cell =
+                    Cell { service: view.service.clone(), domain: domain.clone(), reclaimable };
+                if !self.is_due(now, &cell, count, live) {
+                    continue;
+                }
+                let ordered = self.cells.entry(cell).or_default();
+                ordered.count = Some(count);
+                ordered.at = now;
+                let why = format!(
+                    "need {need}, running {}, fresh {:.0}/s, refused {:.1}/s, live {live}",
+                    view.demand.running, view.demand.fresh_tokens_per_s, view.demand.refused_per_s
+                );
+                let (service, domain) = (view.service.clone(), domain.clone());
+                orders.push(CountOrder { service, domain, reclaimable, count, why });
+            }
+        }
+        orders
+    }
+
+    /// Takes in that the platform had none to give.
+    pub fn refused(&mut self, now: Millis, order: &CountOrder) {
+        let ordered = self.cells.entry(cell_of(order)).or_default();
+        ordered.refused_until = now + self.cfg.refused_for;
+        ordered.count = None;
+    }
+
+    /// Takes in that it is unknown whether an order was heard.
+    pub fn unanswered(&mut self, order: &CountOrder) {
+        self.cells.entry(cell_of(order)).or_default().count = None;
+    }
+
+    /// Returns how many endpoints the load takes, as the highest need of the last while.
+    fn need(&mut self, now: Millis, view: &PoolView<'_>) -> u32 {
+        let cfg = &self.cfg;
+        let Demand { running, fresh_tokens_per_s, refused_per_s } = view.demand;
+        let carried = (f64::from(view.slots.max(1)) * cfg.slot_load).max(1.0);
+        let by_slots = f64::from(running) / carried;
+        let by_tokens = fresh_tokens_per_s / cfg.fresh_tokens_per_s;
+        let mut endpoints = by_slots.max(by_tokens).ceil().max(1.0) as u32;
+        if refused_per_s > 1.0 {
+            endpoints += 1;
+        }
+        let needs = self.needs.entry(view.service.clone()).or_default();
+        needs.retain(|need| now - need.at < cfg.hold);
+        // Only a rising need is worth keeping beside the newest one.
+        while needs.last().is_some_and(|need| need.endpoints <= endpoints) {
+            needs.pop();
+        }
+        needs.push(Need { endpoints, at: now });
+        needs.first().map_or(endpoints, |need| need.endpoints)
+    }
+
+    /// Returns what is wanted in each failure domain.
+    fn wanted(
+        &self,
+        now: Millis,
+        view: &PoolView<'_>,
+        need: u32,
+        staying: &BTreeMap<Name, Staying>,
+    ) -> BTreeMap<Name, Staying> {
+        let domains: Vec<&Name> = view.range.prices.keys().collect();
+        let others = domains.len().saturating_sub(1).max(1) as u32;
+        let each = need.div_ceil(others).clamp(view.range.min.max(1), view.range.max.max(1));
+        let has_reclaimable = view.range.reclaimable_price.is_some();
+        let mut wanted: BTreeMap<Name, Staying> = BTreeMap::new();
+        for domain in &domains {
+            let have = staying.get(*domain).copied().unwrap_or_default();
+            let is_refused = self.is_refused(now, view.service, domain, true);
+            let mut want = Staying::default();
+            if has_reclaimable {
+                want.reclaimable = if is_refused { have.reclaimable.min(each) } else { each };
+            }
+            // On-demand endpoints go once reclaimable ones have taken their place.
+            let missing = each.saturating_sub(have.reclaimable);
+            want.on_demand = have.on_demand.min(missing);
+            wanted.insert((*domain).clone(), want);
+        }
+        self.fill_up(now, view, need, staying, &mut wanted);
+        wanted
+    }
+
+    /// Orders on-demand endpoints where reclaimable ones are refused and the rest falls short.
+    fn fill_up(
+        &self,
+        now: Millis,
+        view: &PoolView<'_>,
+        need: u32,
+        staying: &BTreeMap<Name, Staying>,
+        wanted: &mut BTreeMap<Name, Staying>,
+    ) {
+        let mut by_price: Vec<(&Name, f64)> =
+            view.range.prices.iter().map(|(domain, price)| (domain, *price)).collect();
+        by_price.sort_by(|a, b| a.1.total_cmp(&b.1));
+        for (domain, want) in wanted.iter_mut() {
+            let have = staying.get(domain).copied().unwrap_or_default();
+            let least = view.range.min.saturating_sub(have.reclaimable.min(want.reclaimable));
+            if self.is_refused(now, view.service, domain, true)
+                || view.range.reclaimable_price.is_none()
+            {
+                want.on_demand = want.on_demand.max(least);
+            }
+        }
+        let expected: u32 = wanted.values().map(|want| want.reclaimable + want.on_demand).sum();
+        let mut short = need.saturating_sub(expected);
+        for (domain, _) in by_price {
+            let Some(want) = wanted.get_mut(domain) else { continue };
+            let is_refused = self.is_refused(now, view.service, domain, false);
+            let room = view.range.max.saturating_sub(want.reclaimable + want.on_demand);
+            let more = if is_refused { 0 } else { short.min(room) };
+            want.on_demand += more;
+            short -= more;
+        }
+    }
+
+    fn is_refused(&self, now: Millis, service: &Name, domain: &Name, reclaimable: bool) -> bool {
+        let cell = Cell { service: service.clone(), domain: domain.clone(), reclaimable };
+        self.cells.get(&cell).is_some_and(|ordered| now < ordered.refused_until)
+    }
+
+    /// Returns whether an order differs from the last one, or has had no effect for long.
+    fn is_due(&self, now: Millis, cell: &Cell, count: u32, live: u32) -> bool {
+        match self.cells.get(cell).and_then(|ordered| ordered.count.map(|c| (c, ordered.at))) {
+            Some((last, at)) if last == count => live != count && now - at >= self.cfg.settle,
+            Some(_) => true,
+            None => live != count,
+        }
+    }
+}
+
+fn cell_of(order: &CountOrder) -> Cell {
+    Cell {
+        service: order.service.clone(),
+        domain: order.domain.clone(),
+        reclaimable: order.reclaimable,
+    }
+}
+
+fn staying(view: &PoolView<'_>) -> BTreeMap<Name, Staying> {
+    let mut staying: BTreeMap<Name, Staying> = BTreeMap::new();
+    for endpoint in view.live.iter().filter(|endpoint| !endpoint.is_leaving) {
+        let of_domain = staying.entry(endpoint.domain.clone()).or_default();
+        match endpoint.reclaimable {
+            true => of_domain.reclaimable += 1,
+            false => of_domain.on_demand += 1,
+        }
+    }
+    staying
+}
+
+impl Default for CountCfg {
+    fn default() -> Self {
+        Self {
+            slot_load: 0.5,
+            fresh_tokens_per_s: 32_000.0,
+            hold: Millis(20_000),
+            refused_for: Millis(4000),
+            settle: Millis(8000),
+        }
+    }
+}
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod backoff;
 mod baseline;
 pub mod cfg;
+pub mod counts;
 pub mod demand;
 pub mod event;
 pub mod loads;
@@ -12,6 +13,7 @@
 pub mod plan;
 
 pub use cfg::{FleetCfg, Policy};
+pub use counts::{CountCfg, CountOrder, CountPlanner, Demand, LiveEndpoint, PoolView};
 pub use event::{Action, Event, ServiceTarget, StartId};
 pub use machine::Fleet;
 pub use offer::{Offer, OfferKey};
--- a/coordination/limit/src/bucket.rs
+++ b/coordination/limit/src/bucket.rs
@@ -12,7 +12,7 @@
 
 /// A bucket and, apart from it, a meter of what was admitted.
 #[derive(Debug, Clone)]
-pub(crate) struct Bucket {
+pub struct Bucket {
     balance: f64,
     rate: f64,
     filled: Millis,
@@ -28,32 +28,33 @@
 }
 
 impl Bucket {
-    pub(crate) fn new(now: Millis, rate: f64, burst: Millis) -> Self {
+    /// Makes a full bucket with a rate in units a second that saves up a burst.
+    pub fn new(now: Millis, rate: f64, burst: Millis) -> Self {
         let cap = rate * burst.as_secs_f64();
         let meter = Meter { level: 0.0, highest_cap: cap, largest: 0.0 };
         Self { balance: cap, rate, filled: now, meter }
     }
 
     /// Sets the rate from now on.
-    pub(crate) fn set_rate(&mut self, now: Millis, rate: f64, burst: Millis) {
+    pub fn set_rate(&mut self, now: Millis, rate: f64, burst: Millis) {
         self.fill(now, burst);
         self.rate = rate;
     }
 
     /// Returns whether a request may pass.
-    pub(crate) fn is_open(&mut self, now: Millis, burst: Millis) -> bool {
+    pub fn is_open(&mut self, now: Millis, burst: Millis) -> bool {
         self.fill(now, burst);
         self.balance > 0.0
     }
 
     /// Takes what a request costs.
-    pub(crate) fn take(&mut self, cost: f64) {
+    pub fn take(&mut self, cost: f64) {
         self.balance -= cost;
     }
 
     /// Meters what was let through, and checks that it is no more than a burst and one request
     /// beyond the share.
-    pub(crate) fn meter(&mut self, cost: f64) {
+    pub fn meter(&mut self, cost: f64) {
         let Meter { level, highest_cap, largest } = &mut self.meter;
         *level += cost;
         *largest = largest.max(cost);
@@ -65,7 +66,7 @@
     }
 
     /// Returns when the bucket holds something again.
-    pub(crate) fn open_in(&self) -> Millis {
+    pub fn open_in(&self) -> Millis {
         const LONGEST: f64 = 60_000.0;
         let missing = (-self.balance).max(0.0) / self.rate.max(1e-9);
         Millis((missing * 1000.0).min(LONGEST) as u64)
--- a/coordination/limit/src/lib.rs
+++ b/coordination/limit/src/lib.rs
@@ -1,12 +1,13 @@
 //! Limits of client accounts, shared by all entry instances.
 
-mod bucket;
+pub mod bucket;
 pub mod demand;
 mod exchange;
 pub mod limiter;
 pub mod tree;
 pub mod weaken;
 
+pub use bucket::Bucket;
 pub use demand::Rates;
 pub use limiter::{
     AccountLimit, Action, Cost, Event, Limiter, LimiterCfg, Split, SplitCfg, Verdict,
--- a/daemons/control/src/api/tree.rs
+++ b/daemons/control/src/api/tree.rs
@@ -131,7 +131,7 @@
     let holder = caller::holder(app, req)?;
     let base = base(req)?;
     let origin = caller::origin(holder, req)?;
-    let ask = Ask::Change(ChangeAsk { origin, path: path.into(), base, document });
+    let ask = Ask::Change(ChangeAsk { origin, path: path.into(), base, document, edition: None });
     let outcome = on_runtime(app, async move |shared| submit::submit(&shared, &ask).await).await;
     match outcome {
         Ok(Outcome::Changed(mut reply)) => {
@@ -199,9 +199,7 @@
     Fut: Future<Output = T> + Send + 'static,
     T: Send + 'static,
 {
-    let shared: Arc<Shared> = Arc::clone(app);
-    let running = app.runtime.spawn(task(shared));
-    running.await.expect("the task neither panics nor is cancelled while the server runs")
+    app.on_runtime(task(Arc::clone(app))).await
 }
 
 /// Names a subject by a part of a path.
--- a/daemons/control/src/app/command.rs
+++ b/daemons/control/src/app/command.rs
@@ -1,5 +1,8 @@
 //! What is asked of the replicated log, what is written to it, and what comes of it.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use sill_base::{Millis, Name};
@@ -20,6 +23,8 @@
         /// The asks.
         asks: Vec<ClaimAsk>,
     },
+    /// That the usage of a window is stated once and for all.
+    Usage(UsageStatement),
 }
 
 /// Who asks for something, and under which name.
@@ -54,6 +59,29 @@
     pub base: Option<Revision>,
     /// The new document, or none to remove the subtree.
     pub document: Option<Value>,
+    /// The edition of an outside system that the document stands for, if it is one's.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub edition: Option<Edition>,
+}
+
+/// One edition of a document that an outside system numbers by itself.
+///
+/// The highest number is in force, whatever the order in which editions arrive.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Edition {
+    /// Its number there.
+    pub number: u64,
+    /// Its text as it came, to be read back unchanged.
+    pub source: Arc<str>,
+}
+
+/// Requests by client account that began to run in one window of time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageStatement {
+    /// The number of the window.
+    pub window: u64,
+    /// Requests by account.
+    pub counts: BTreeMap<Name, u64>,
 }
 
 /// That an instance gets no new work.
@@ -99,6 +127,8 @@
         /// The asks.
         asks: Vec<ClaimAsk>,
     },
+    /// State the usage of a window; the first statement stays.
+    Usage(UsageStatement),
 }
 
 /// A change with what its check depended on.
@@ -127,6 +157,8 @@
         /// In the order of the asks.
         verdicts: Vec<ClaimVerdict>,
     },
+    /// The usage of a window as it is stated.
+    Usage(UsageStatement),
     /// The tree has changed since the change was checked; it must be checked again.
     Recheck,
 }
--- a/daemons/control/src/app/judge.rs
+++ b/daemons/control/src/app/judge.rs
@@ -20,24 +20,37 @@
     pub fn judge(&self, at: Millis, ask: &Ask) -> Judged {
         match ask {
             Ask::Claims { asks } => Judged::Write(Command::Claims { at, asks: asks.clone() }),
+            Ask::Usage(statement) => match self.usage(statement.window) {
+                Some(stated) => Judged::Known(Outcome::Usage(stated.clone())),
+                None => Judged::Write(Command::Usage(statement.clone())),
+            },
             Ask::Drain(ask) => match self.known(&ask.origin, &ask.content()) {
                 Some(outcome) => Judged::Known(outcome),
                 None => Judged::Write(Command::Drain { at, ask: ask.clone() }),
             },
             Ask::Change(ask) => match self.known(&ask.origin, &ask.content()) {
                 Some(outcome) => Judged::Known(outcome),
-                None => Judged::Write(self.judge_change(at, ask)),
+                None => self.judge_change(at, ask),
             },
         }
     }
 
-    fn judge_change(&self, at: Millis, ask: &ChangeAsk) -> Command {
+    fn judge_change(&self, at: Millis, ask: &ChangeAsk) -> Judged {
         let (content, against) = (ask.content(), self.revision());
         match self.check_change(ask) {
-            Ok(ask) => Command::Change { at, checked: Checked { ask, content, against } },
+            Ok(ask) => match self.overtaken(&ask) {
+                Some(reply) => Judged::Known(Outcome::Changed(reply)),
+                None => {
+                    let checked = Checked { ask, content, against };
+                    Judged::Write(Command::Change { at, checked })
+                }
+            },
+            // An outside system sends what is invalid as often as it likes; were each try written,
+            // it could fill the log.
+            Err(refusal) if ask.edition.is_some() => Judged::Known(Outcome::Refused(refusal)),
             Err(refusal) => {
                 let checked = Checked { ask: ask.clone(), content, against };
-                Command::Refuse { at, checked, refusal }
+                Judged::Write(Command::Refuse { at, checked, refusal })
             }
         }
     }
--- a/daemons/control/src/app/state.rs
+++ b/daemons/control/src/app/state.rs
@@ -15,7 +15,8 @@
 use crate::app::audit::{AuditFilter, AuditTrail, without_hashes};
 use crate::app::change_ids::{Answer, AskName, ChangeIds};
 use crate::app::command::{
-    ChangeAsk, Checked, Command, DrainAsk, Holder, Origin, Outcome, refusal,
+    ChangeAsk, Checked, Command, DrainAsk, Edition, Holder, Origin, Outcome, UsageStatement,
+    refusal,
 };
 use crate::app::history::History;
 
@@ -25,6 +26,9 @@
 /// Drains that are remembered.
 const MAX_DRAINS: usize = 10_000;
 
+/// Windows whose usage is remembered; at 5 s each they reach back for ten minutes.
+const MAX_WINDOWS: usize = 120;
+
 /// Claims that are held at once; each takes about 1 kB of memory here.
 const MAX_CLAIMS: usize = 300_000;
 
@@ -39,6 +43,12 @@
     audit: AuditTrail,
     claims: ClaimTable,
     drains: BTreeMap<Name, Drain>,
+    /// The edition in force, by the path of its subtree.
+    #[serde(default)]
+    editions: BTreeMap<Name, Edition>,
+    /// The stated usage of the newest windows.
+    #[serde(default)]
+    usage: BTreeMap<u64, UsageStatement>,
 }
 
 /// An instance that is to get no new work.
@@ -70,6 +80,8 @@
             audit: AuditTrail::default(),
             claims: ClaimTable::new(bounds),
             drains: BTreeMap::new(),
+            editions: BTreeMap::new(),
+            usage: BTreeMap::new(),
         }
     }
 }
@@ -100,6 +112,35 @@
         &self.drains
     }
 
+    /// Returns the edition in force of a subtree.
+    pub fn edition(&self, path: &str) -> Option<&Edition> {
+        self.editions.get(path)
+    }
+
+    /// Returns the stated usage of a window.
+    pub fn usage(&self, window: u64) -> Option<&UsageStatement> {
+        self.usage.get(&window)
+    }
+
+    /// Returns the windows whose usage was stated, the newest of them.
+    pub fn stated_windows(&self) -> impl Iterator<Item = &UsageStatement> {
+        self.usage.values()
+    }
+
+    /// Returns the answer to a change whose edition is not above the one in force. Nothing is done
+    /// about it, and it counts as accepted: the outside system need not know what came between.
+    pub fn overtaken(&self, ask: &ChangeAsk) -> Option<ChangeReply> {
+        let edition = ask.edition.as_ref()?;
+        let current = self.editions.get(&ask.path)?;
+        let subtree = self.tree.subtrees.get(&ask.path);
+        let revision = Revision(subtree.map_or(0, |subtree| subtree.revision));
+        (edition.number <= current.number).then(|| ChangeReply {
+            revision,
+            path: ask.path.clone(),
+            in_force: false,
+        })
+    }
+
     /// Returns what is newer than a revision.
     pub fn newer_than(&self, have: Revision) -> FeedReply {
         self.history.newer_than(&self.tree, have)
@@ -190,6 +231,7 @@
                 let at = self.place(index, term, at).at;
                 self.claim(at, &asks)
             }
+            Command::Usage(statement) => self.state_usage(statement),
         }
     }
 
@@ -205,6 +247,15 @@
         Outcome::Verdicts { verdicts }
     }
 
+    fn state_usage(&mut self, statement: UsageStatement) -> Outcome {
+        let window = statement.window;
+        let stated = self.usage.entry(window).or_insert(statement).clone();
+        while self.usage.len() > MAX_WINDOWS {
+            self.usage.pop_first();
+        }
+        Outcome::Usage(stated)
+    }
+
     fn change(
         &mut self,
         place: Place,
@@ -221,6 +272,9 @@
             // Another change was committed between the check and this entry. The check may not
             // hold any more, as with a limit that both changes raised by all that was left.
             None if against != self.revision() => return Outcome::Recheck,
+            None if self.overtaken(&ask).is_some() => {
+                self.overtaken(&ask).map_or(Outcome::Recheck, Outcome::Changed)
+            }
             None => match refused {
                 Some(refusal) => Outcome::Refused(refusal),
                 None => Outcome::Changed(self.put(&ask, author.clone())),
@@ -257,6 +311,12 @@
                 self.tree.put(path.clone(), revision.0, author.clone(), typed);
             }
         }
+        if let Some(edition) = &ask.edition {
+            self.editions.insert(path.clone(), edition.clone());
+            // It replaces the document as a whole, mostly the largest part of the tree. A thousand
+            // of them would take more memory than the instance has.
+            self.history = History::default();
+        }
         self.history.add(Change { revision, path: path.clone(), author, document });
         ChangeReply { revision, path, in_force: false }
     }
@@ -267,7 +327,13 @@
         match outcome {
             Outcome::Changed(reply) => {
                 entry.revision = Some(reply.revision);
-                entry.detail = Some(ask.document.as_ref().map_or(Value::Null, without_hashes));
+                match &ask.edition {
+                    Some(edition) => entry.reason = format!("edition {}", edition.number),
+                    None => {
+                        let detail = ask.document.as_ref().map_or(Value::Null, without_hashes);
+                        entry.detail = Some(detail);
+                    }
+                }
             }
             Outcome::Refused(refusal) => {
                 entry.action = "refused".into();
--- a/daemons/control/src/cfg.rs
+++ b/daemons/control/src/cfg.rs
@@ -6,9 +6,12 @@
 use std::path::PathBuf;
 use std::str::FromStr;
 
-use sill_base::{Findings, Name, Secret};
+use sill_base::{Findings, Millis, Name, Secret};
 use sill_setup::{Flag, Program, Values};
 
+/// How often endpoints make themselves heard where nothing else is said.
+const ENDPOINT_HEARTBEAT: Millis = Millis(1000);
+
 /// `sill-control`.
 pub const CONTROL: Program = Program {
     name: "sill-control",
@@ -20,6 +23,13 @@
         Flag::one("listen", "IP:PORT", "where operators reach it"),
         Flag::one("listen-peer", "IP:PORT", "where our own processes reach it"),
         Flag::many("voter", "NAME@DOMAIN@IP:PORT", "a voter and where its peers reach it"),
+        Flag::many(
+            "seed",
+            "IP:PORT",
+            "where a control instance is reached by its peers; in place of voters",
+        ),
+        Flag::switch("found", "start the log with the other seeds if none of them has one"),
+        Flag::with_default("voters", "N", "3", "voters that are wanted, with seeds"),
         Flag::one("data", "DIR", "data folder"),
         Flag::one("cluster-key-file", "FILE", "file with the key our own processes share"),
         Flag::one("root-token-file", "FILE", "file with the token that owns the whole tree"),
@@ -38,8 +48,12 @@
     pub listen: SocketAddr,
     /// Where our own processes reach it.
     pub listen_peer: SocketAddr,
-    /// All voters, itself included.
+    /// All voters, itself included; empty with seeds.
     pub voters: Vec<Voter>,
+    /// How the others are found, where the voters are not named.
+    pub seeds: Option<Seeds>,
+    /// How often endpoints make themselves heard here.
+    pub endpoint_heartbeat: Millis,
     /// The data folder.
     pub data: PathBuf,
     /// The key that our own processes share.
@@ -48,6 +62,19 @@
     pub root_token: Secret,
 }
 
+/// A few addresses by which control instances find each other.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seeds {
+    /// Where peers reach some control instances; the same everywhere at the first start.
+    pub peers: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time, so that the seeds start the log.
+    pub may_found: bool,
+    /// Voters that are wanted. More control instances than these stand by as learners: with three
+    /// voters and one that stands by, a cut into halves leaves a quorum on one side, which four
+    /// voters would not.
+    pub voters: usize,
+}
+
 /// A voter of the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Voter {
@@ -95,11 +122,14 @@
         let listen = values.required("listen");
         let listen_peer = values.required("listen-peer");
         let voters: Vec<Voter> = values.many("voter");
+        let peers: Vec<SocketAddr> = values.many("seed");
+        let may_found = values.switch("found");
+        let wanted = values.required("voters");
         let data: Option<PathBuf> = values.required("data");
         let cluster_key = values.secret("cluster-key-file");
         let root_token = values.secret("root-token-file");
-        if voters.is_empty() {
-            values.finding("voter", "expected at least one voter");
+        if voters.is_empty() == peers.is_empty() {
+            values.finding("voter", "expected at least one voter, or else at least one seed");
         }
         values.finish()?;
         let checked = "present once the check succeeded";
@@ -109,6 +139,12 @@
             listen: listen.expect(checked),
             listen_peer: listen_peer.expect(checked),
             voters,
+            seeds: (!peers.is_empty()).then(|| Seeds {
+                peers,
+                may_found,
+                voters: wanted.expect(checked),
+            }),
+            endpoint_heartbeat: ENDPOINT_HEARTBEAT,
             data: data.expect(checked),
             cluster_key: cluster_key.expect(checked),
             root_token: root_token.expect(checked),
--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -5,13 +5,17 @@
 
 use eyre::{Result, eyre};
 use ntex::web::types::PayloadConfig;
-use ntex::web::{App, HttpServer};
-use sill_base::{Clock, Millis, Name, event};
-use sill_net::{PeerClient, PeerServer, PeerServerBuilder, http};
+use ntex::web::{App, HttpServer, ServiceConfig};
+use sill_base::{Clock, event};
+use sill_net::{PeerServer, PeerServerBuilder, http};
 use sill_quorum::{Event, ReplicaId};
+use sill_wire::link::ControlPlace;
 use tokio::runtime::{Handle, Runtime};
 
-use crate::cfg::ControlCfg;
+use crate::cfg::{ControlCfg, Voter};
+use crate::directory::Directory;
+use crate::duty::{self, DutyCfg, Platform};
+use crate::link::{self, Link};
 use crate::log::disk::{OpenDisk, real_disk};
 use crate::log::driver::Driver;
 use crate::log::peers::Peers;
@@ -21,12 +25,6 @@
 use crate::running::{self, Running};
 use crate::{api, feed, submit};
 
-/// How long a call to another control instance may take.
-const QUICK: Millis = Millis(1000);
-
-/// How long a call may take that waits for a commit there.
-const PATIENT: Millis = Millis(3000);
-
 /// The largest settings document, in bytes; the library's own limit is 256 kB, which the accounts of
 /// a large team pass.
 const MAX_BODY: usize = 8 << 20;
@@ -48,7 +46,9 @@
     /// What entry instances run.
     pub running: Running,
     /// The other control instances.
-    pub controls: Vec<ControlPeer>,
+    pub directory: Directory,
+    /// What is known of endpoints, and of entry instances that serve routes.
+    pub link: Link,
     /// Its metrics.
     pub metrics: Arc<Metrics>,
     /// Held while a change is checked and committed here.
@@ -57,15 +57,15 @@
     pub runtime: Handle,
 }
 
-/// Another control instance.
-#[derive(Debug)]
-pub struct ControlPeer {
-    /// Its name.
-    pub name: Name,
-    /// For calls that are answered at once.
-    pub quick: PeerClient,
-    /// For calls that wait for a commit.
-    pub patient: PeerClient,
+/// What a program adds to a control instance.
+#[derive(Clone)]
+pub struct Extension {
+    /// Further routes of its HTTP server.
+    pub routes: fn(&mut ServiceConfig),
+    /// The platform that the leader reports to and orders from.
+    pub platform: Option<Arc<dyn Platform>>,
+    /// What it reports and orders, and how often.
+    pub duty: DutyCfg,
 }
 
 /// A running control instance.
@@ -77,14 +77,29 @@
     pub peer_address: SocketAddr,
     server: ntex::server::Server,
     peers: PeerServer,
-    log: LogHandle,
+    shared: Arc<Shared>,
     runtime: Runtime,
 }
 
+impl Default for Extension {
+    fn default() -> Self {
+        Self { routes: |_| {}, platform: None, duty: DutyCfg::default() }
+    }
+}
+
 impl Shared {
-    /// Returns another control instance by name.
-    pub fn control(&self, name: &Name) -> Option<&ControlPeer> {
-        self.controls.iter().find(|peer| peer.name == *name)
+    /// Runs something on the runtime of the peer calls; their clients work only there.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the task does.
+    pub async fn on_runtime<Fut, T>(&self, task: Fut) -> T
+    where
+        Fut: Future<Output = T> + Send + 'static,
+        T: Send + 'static,
+    {
+        let running = self.runtime.spawn(task);
+        running.await.expect("the task neither panics nor is cancelled while the server runs")
     }
 }
 
@@ -104,20 +119,33 @@
     ///
     /// Fails when the disk or an address can't be used.
     pub fn start_on(cfg: ControlCfg, open_disk: OpenDisk) -> Result<Self> {
+        Self::start_with(cfg, open_disk, Extension::default())
+    }
+
+    /// Starts with what a program adds.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk or an address can't be used.
+    pub fn start_with(cfg: ControlCfg, open_disk: OpenDisk, extension: Extension) -> Result<Self> {
         let listener = http::bind(cfg.listen)?;
         let peer_listener = http::bind(cfg.listen_peer)?;
         let address = listener.local_addr()?;
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
-        let shared = Arc::new(share(cfg, open_disk, runtime.handle().clone())?);
+        let shared = Arc::new(share(cfg, open_disk, runtime.handle().clone(), address)?);
         let peers = {
             let _guard = runtime.enter();
             answers(&shared).start(peer_listener)?
         };
         runtime.spawn(hello::run(shared.clone()));
         runtime.spawn(running::pass_on(shared.clone()));
-        let (name, log) = (shared.cfg.name.clone(), shared.log.clone());
-        let server = serve(shared, listener)?;
+        runtime.spawn(link::run(shared.clone()));
+        if let Some(platform) = extension.platform {
+            runtime.spawn(duty::run(shared.clone(), platform, extension.duty));
+        }
+        let name = shared.cfg.name.clone();
+        let server = serve(shared.clone(), listener, extension.routes)?;
         let peer_address = peers.address();
         event!(
             Info,
@@ -126,30 +154,44 @@
             address = address,
             peer_address = peer_address
         );
-        Ok(Self { address, peer_address, server, peers, log, runtime })
+        Ok(Self { address, peer_address, server, peers, shared, runtime })
+    }
+
+    /// Takes in other seeds.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        event!(Info, "seeds_changed", seeds = seeds.len());
+        self.shared.directory.set_seeds(seeds);
     }
 
     /// Stops it; what was acknowledged lies synced on disk.
     pub async fn stop(self) {
         self.peers.stop();
         self.server.stop(true).await;
-        self.log.stop();
+        self.shared.log.stop();
         // Dropping it would block, which a caller inside another runtime may not do.
         self.runtime.shutdown_background();
     }
 }
 
-fn share(cfg: ControlCfg, open_disk: OpenDisk, runtime: Handle) -> Result<Shared> {
+fn share(
+    cfg: ControlCfg,
+    open_disk: OpenDisk,
+    runtime: Handle,
+    address: SocketAddr,
+) -> Result<Shared> {
     let metrics = Arc::new(Metrics::new()?);
     let clock = Clock::start();
-    let key = &cfg.cluster_key;
-    let (mut peers, mut controls) = (Peers::default(), Vec::new());
-    for voter in cfg.voters.iter().filter(|voter| voter.name != cfg.name) {
-        let (name, address) = (voter.name.clone(), voter.address);
-        peers.add(&runtime, name.clone(), address, key);
-        let quick = PeerClient::new(address, key, QUICK);
-        let patient = PeerClient::new(address, key, PATIENT);
-        controls.push(ControlPeer { name, quick, patient });
+    let peers = Peers::default();
+    let own = ControlPlace {
+        name: cfg.name.clone(),
+        domain: cfg.domain.clone(),
+        peer: cfg.listen_peer,
+        address,
+    };
+    let directory = Directory::new(own, cfg.cluster_key.clone(), runtime.clone(), peers.clone());
+    directory.set_seeds(cfg.seeds.iter().flat_map(|seeds| seeds.peers.clone()).collect());
+    for Voter { name, domain, address } in cfg.voters.clone() {
+        directory.add(ControlPlace { name, domain, peer: address, address });
     }
     let mut driver = Driver::new(&cfg, open_disk, clock, peers, metrics.clone());
     driver.open()?;
@@ -157,7 +199,8 @@
     let log = driver.start()?;
     let running = Running::default();
     let change_turn = tokio::sync::Mutex::new(());
-    Ok(Shared { cfg, clock, id, log, running, controls, metrics, change_turn, runtime })
+    let link = Link::new(&cfg);
+    Ok(Shared { cfg, clock, id, log, running, directory, link, metrics, change_turn, runtime })
 }
 
 fn answers(shared: &Arc<Shared>) -> PeerServerBuilder {
@@ -190,6 +233,13 @@
         async move { Ok(ReadIndexReply { index }) }
     });
     let own = shared.clone();
+    peers.answer(move |poll| link::poll(own.clone(), poll));
+    let own = shared.clone();
+    peers.answer(move |sync| {
+        let reply = own.link.synced(own.clock.now(), sync);
+        async move { Ok(reply) }
+    });
+    let own = shared.clone();
     peers.answer(move |sync: RunningSync| {
         own.running.told(own.clock.now(), &sync);
         async { Ok(Ack {}) }
@@ -197,7 +247,11 @@
     peers
 }
 
-fn serve(shared: Arc<Shared>, listener: std::net::TcpListener) -> Result<ntex::server::Server> {
+fn serve(
+    shared: Arc<Shared>,
+    listener: std::net::TcpListener,
+    further: fn(&mut ServiceConfig),
+) -> Result<ntex::server::Server> {
     let (tx, rx) = std::sync::mpsc::channel();
     http::spawn_system("control", move || async move {
         let server = HttpServer::new(async move || {
@@ -205,6 +259,7 @@
                 .state(shared.clone())
                 .state(PayloadConfig::new(MAX_BODY))
                 .configure(api::routes)
+                .configure(further)
         })
         .workers(1)
         .disable_signals()
--- /dev/null
+++ b/daemons/control/src/directory.rs
@@ -0,0 +1,138 @@
+//! The control instances that are known, and the ways to them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use parking_lot::{Mutex, RwLock};
+use sill_base::{Map, Millis, Name, Secret, event};
+use sill_net::PeerClient;
+use sill_quorum::ReplicaId;
+use sill_wire::link::ControlPlace;
+use tokio::runtime::Handle;
+
+use crate::log::peers::Peers;
+
+/// How long a call to another control instance may take.
+pub const QUICK: Millis = Millis(1000);
+
+/// How long a call may take that waits for a commit there.
+const PATIENT: Millis = Millis(3000);
+
+/// Another control instance.
+#[derive(Debug)]
+pub struct ControlPeer {
+    /// Where it is.
+    pub place: ControlPlace,
+    /// For calls that are answered at once.
+    pub quick: PeerClient,
+    /// For calls that wait for a commit.
+    pub patient: PeerClient,
+    heard: Mutex<Option<Heard>>,
+}
+
+#[derive(Debug, Clone)]
+struct Heard {
+    id: ReplicaId,
+    at: Millis,
+}
+
+/// All control instances but the own one.
+#[derive(Debug)]
+pub struct Directory {
+    own: ControlPlace,
+    key: Secret,
+    runtime: Handle,
+    log_peers: Peers,
+    peers: RwLock<Map<Name, Arc<ControlPeer>>>,
+    seeds: RwLock<Vec<SocketAddr>>,
+}
+
+impl Directory {
+    /// Makes an empty directory.
+    pub fn new(own: ControlPlace, key: Secret, runtime: Handle, log_peers: Peers) -> Self {
+        let (peers, seeds) = (RwLock::default(), RwLock::default());
+        Self { own, key, runtime, log_peers, peers, seeds }
+    }
+
+    /// Takes in where some control instances may be found.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.write() = seeds;
+    }
+
+    /// Returns where some control instances may be found.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        self.seeds.read().clone()
+    }
+
+    /// Returns where this instance is.
+    pub fn own(&self) -> &ControlPlace {
+        &self.own
+    }
+
+    /// Makes a client for an address whose instance is not known yet.
+    pub fn client(&self, address: SocketAddr) -> PeerClient {
+        PeerClient::new(address, &self.key, QUICK)
+    }
+
+    /// Takes in where a control instance is.
+    pub fn add(&self, place: ControlPlace) {
+        if place.name == self.own.name {
+            return;
+        }
+        let known = self.peers.read().get(&place.name).cloned();
+        if known.as_ref().is_some_and(|known| known.place == place) {
+            return;
+        }
+        if known.as_ref().is_none_or(|known| known.place.peer != place.peer) {
+            event!(Info, "control_found", name = place.name, peer = place.peer);
+            let (name, address) = (place.name.clone(), place.peer);
+            self.log_peers.add(&self.runtime, name, address, &self.key);
+        }
+        let heard = known.and_then(|known| known.heard.lock().clone());
+        let peer = ControlPeer {
+            quick: PeerClient::new(place.peer, &self.key, QUICK),
+            patient: PeerClient::new(place.peer, &self.key, PATIENT),
+            heard: Mutex::new(heard),
+            place,
+        };
+        self.peers.write().insert(peer.place.name.clone(), Arc::new(peer));
+    }
+
+    /// Takes in that a control instance made itself heard.
+    pub fn heard(&self, now: Millis, place: ControlPlace, id: ReplicaId) {
+        let name = place.name.clone();
+        self.add(place);
+        if let Some(peer) = self.get(&name) {
+            *peer.heard.lock() = Some(Heard { id, at: now });
+        }
+    }
+
+    /// Returns a control instance by name.
+    pub fn get(&self, name: &Name) -> Option<Arc<ControlPeer>> {
+        self.peers.read().get(name).cloned()
+    }
+
+    /// Returns all others.
+    pub fn peers(&self) -> Vec<Arc<ControlPeer>> {
+        self.peers.read().values().cloned().collect()
+    }
+
+    /// Returns where all are, the own one included.
+    pub fn places(&self) -> Vec<ControlPlace> {
+        let others = self.peers.read();
+        let others = others.values().map(|peer| peer.place.clone());
+        others.chain([self.own.clone()]).collect()
+    }
+
+    /// Returns whether no other is known.
+    pub fn is_alone(&self) -> bool {
+        self.peers.read().is_empty()
+    }
+
+    /// Returns the ids of those that made themselves heard since a point in time.
+    pub fn heard_since(&self, since: Millis) -> Vec<ReplicaId> {
+        let peers = self.peers.read();
+        let heard = peers.values().filter_map(|peer| peer.heard.lock().clone());
+        heard.filter(|heard| heard.at >= since).map(|heard| heard.id).collect()
+    }
+}
--- /dev/null
+++ b/daemons/control/src/link.rs
@@ -0,0 +1,331 @@
+//! Entry instances that serve routes: what they are told of endpoints and settings, what they tell
+//! of their work; and how control instances share both.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use sill_base::{Map, Millis, Name, event};
+use sill_dispatch::{Ledger, Registry, TrueTime};
+use sill_net::PeerError;
+use sill_quorum::RoleName;
+use sill_wire::Incarnation;
+use sill_wire::control::Revision;
+use sill_wire::link::{
+    AccountTotal, ControlSync, ControlSyncReply, Cursor, EndpointFact, EndpointState, EntryReport,
+    LinkPoll, LinkReply, ServedSettings, Totals,
+};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::cfg::ControlCfg;
+use crate::daemon::Shared;
+use crate::directory::ControlPeer;
+
+/// The subtree that holds the routes.
+pub const SERVED: &str = "serving";
+
+/// How often news are passed on to the other control instances.
+const TICK: Millis = Millis(100);
+
+/// How often something is told to each other control instance, also without news.
+const REFRESH: Millis = Millis(1000);
+
+/// How often reports go to the leader, and totals from it. Entry instances admit by totals; what
+/// passes a limit grows with their age.
+const WITH_LEADER: Millis = Millis(400);
+
+/// The longest time a poll may wait.
+const MAX_WAIT: Millis = Millis(2000);
+
+/// Time for which the demand of an entry instance that fell silent still counts. It may be cut off
+/// and go on with its share of the limits; given to others at once, the limits would be passed.
+const SHARE_HELD: Millis = Millis(15_000);
+
+/// What a control instance knows of endpoints and of entry instances that serve routes.
+#[derive(Debug)]
+pub struct Link {
+    life: Incarnation,
+    name: Name,
+    registry: Mutex<Registry>,
+    ledger: Mutex<Ledger>,
+    time: Mutex<TrueTime>,
+    totals: Mutex<Option<TotalsHeard>>,
+    changes: watch::Sender<u64>,
+    urgent: tokio::sync::Notify,
+}
+
+#[derive(Debug, Clone)]
+struct TotalsHeard {
+    totals: Totals,
+    at: Millis,
+}
+
+/// What was told to one other control instance.
+#[derive(Debug, Default)]
+struct Told {
+    life: Option<Incarnation>,
+    at: Millis,
+    pending: Vec<EndpointFact>,
+    is_urgent: bool,
+    call: Option<JoinHandle<Option<ControlSyncReply>>>,
+}
+
+impl Link {
+    /// Makes a link that knows nothing.
+    pub fn new(cfg: &ControlCfg) -> Self {
+        let life = Incarnation(Millis::wall().0);
+        Self {
+            life,
+            name: cfg.name.clone(),
+            registry: Mutex::new(Registry::new(life, cfg.endpoint_heartbeat)),
+            ledger: Mutex::default(),
+            time: Mutex::default(),
+            totals: Mutex::default(),
+            changes: watch::Sender::new(0),
+            urgent: tokio::sync::Notify::new(),
+        }
+    }
+
+    /// Takes in a heartbeat of an endpoint.
+    pub fn heartbeat(&self, now: Millis, fact: EndpointFact) {
+        let (endpoint, state, sequence) = (fact.endpoint.clone(), fact.state, fact.sequence);
+        let (service, domain, address) = (fact.service.clone(), fact.domain.clone(), fact.address);
+        if self.registry.lock().heard(now, fact) {
+            event!(
+                Info,
+                "endpoint_heard",
+                endpoint = endpoint,
+                state = format!("{state:?}"),
+                sequence = sequence,
+                service = service,
+                domain = domain,
+                address = address,
+            );
+            self.changed();
+        }
+    }
+
+    /// Takes in that an endpoint says it ends.
+    pub fn ended(&self, now: Millis, endpoint: &Name) {
+        if self.registry.lock().ended(now, endpoint) {
+            event!(Info, "endpoint_heard", endpoint = endpoint, state = "Gone");
+            self.changed();
+        }
+    }
+
+    fn changed(&self) {
+        let change = self.registry.lock().cursor().change;
+        self.changes.send_replace(change);
+        self.urgent.notify_one();
+    }
+
+    /// Takes in what another control instance passes on.
+    pub fn synced(&self, now: Millis, sync: ControlSync) -> ControlSyncReply {
+        self.time.lock().read(now, &sync.from.name, sync.wall);
+        let mut is_changed = false;
+        {
+            let mut registry = self.registry.lock();
+            for fact in sync.endpoints {
+                is_changed |= registry.take(now, fact);
+            }
+        }
+        for report in sync.reports {
+            self.ledger.lock().take(now, report, false);
+        }
+        if let Some(totals) = sync.totals {
+            let at = now - totals.age;
+            *self.totals.lock() = Some(TotalsHeard { totals, at });
+        }
+        if is_changed {
+            let change = self.registry.lock().cursor().change;
+            self.changes.send_replace(change);
+        }
+        ControlSyncReply { life: self.life }
+    }
+
+    /// Returns true time of day.
+    pub fn true_time(&self, now: Millis) -> Millis {
+        let mut time = self.time.lock();
+        time.read(now, &self.name, Millis::wall());
+        time.at(now).unwrap_or_else(Millis::wall)
+    }
+
+    /// Returns all endpoints that are known.
+    pub fn endpoints(&self, now: Millis) -> Vec<EndpointFact> {
+        self.registry.lock().all(now)
+    }
+
+    /// Returns the newest reports of entry instances that are alive.
+    pub fn reports(&self, now: Millis) -> Vec<EntryReport> {
+        self.ledger.lock().live(now).into_iter().cloned().collect()
+    }
+
+    /// Sums the usage of a window over all entry instances.
+    pub fn usage(&self, window: u64) -> Option<std::collections::BTreeMap<Name, u64>> {
+        self.ledger.lock().total(window)
+    }
+
+    /// Takes in the report of an entry instance.
+    fn reported(&self, now: Millis, report: EntryReport) {
+        self.time.lock().read(now, &report.entry, report.wall);
+        self.ledger.lock().take(now, report, true);
+    }
+
+    /// Adds up the demand, as the leader.
+    fn add_up(&self, now: Millis) -> Totals {
+        let ledger = self.ledger.lock();
+        let mut by_account: Map<Name, AccountTotal> = Map::default();
+        for account in ledger.within(now, SHARE_HELD).iter().flat_map(|report| &report.accounts) {
+            let name = account.account.clone();
+            let none = AccountTotal { account: name.clone(), asked_per_s: 0.0, admitted: 0.0 };
+            let total = by_account.entry(name).or_insert(none);
+            total.asked_per_s += account.asked_per_s;
+            total.admitted += account.admitted;
+        }
+        let entries = ledger.live(now).len() as u32;
+        Totals { age: Millis::ZERO, entries, accounts: by_account.into_values().collect() }
+    }
+
+    fn totals(&self, now: Millis) -> Option<Totals> {
+        let heard = self.totals.lock().clone()?;
+        Some(Totals { age: now - heard.at, ..heard.totals })
+    }
+
+    fn news(&self, now: Millis, cursor: Cursor) -> (Cursor, Vec<EndpointFact>) {
+        let registry = self.registry.lock();
+        (registry.cursor(), registry.newer_than(now, cursor))
+    }
+}
+
+/// Answers a poll at once when something is new, else after its wait.
+///
+/// # Errors
+///
+/// Never fails; the type is what peer calls ask for.
+pub async fn poll(shared: Arc<Shared>, poll: LinkPoll) -> Result<LinkReply, PeerError> {
+    let LinkPoll { have, cursor, wait, report } = poll;
+    let link = &shared.link;
+    link.reported(shared.clock.now(), report);
+    let mut changes = link.changes.subscribe();
+    let mut revision = shared.log.revision();
+    let known = (cursor.life == link.life).then_some(cursor.change);
+    let news = async {
+        tokio::select! {
+            _ = changes.wait_for(|change| known != Some(*change)) => {},
+            _ = revision.wait_for(|_| served_revision(&shared) > have) => {},
+        }
+    };
+    let _ = tokio::time::timeout(wait.min(MAX_WAIT).into(), news).await;
+    let now = shared.clock.now();
+    let (cursor, endpoints) = link.news(now, cursor);
+    let status = shared.log.status();
+    Ok(LinkReply {
+        settings: settings_newer_than(&shared, have),
+        cursor,
+        endpoints,
+        controls: shared.directory.places(),
+        totals: link.totals(now),
+        true_time: link.true_time(now),
+        is_led: status.leader.is_some(),
+    })
+}
+
+fn served_revision(shared: &Shared) -> Revision {
+    let app = shared.log.app().read();
+    Revision(app.tree().subtrees.get(SERVED).map_or(0, |subtree| subtree.revision))
+}
+
+fn settings_newer_than(shared: &Shared, have: Revision) -> Option<ServedSettings> {
+    let app = shared.log.app().read();
+    let subtree = app.tree().subtrees.get(SERVED).filter(|s| s.revision > have.0)?;
+    let document = serde_json::to_value(&subtree.document).ok()?;
+    Some(ServedSettings { revision: Revision(subtree.revision), document })
+}
+
+/// Passes on to the other control instances what was heard here.
+pub async fn run(shared: Arc<Shared>) {
+    let mut told: Map<Name, Told> = Map::default();
+    let mut leader: Option<Name> = None;
+    loop {
+        let _ = tokio::time::timeout(TICK.into(), shared.link.urgent.notified()).await;
+        let now = shared.clock.now();
+        let link = &shared.link;
+        if link.registry.lock().expire(now) {
+            event!(Info, "endpoints_fell_silent");
+            link.changed();
+        }
+        link.time.lock().expire(now);
+        link.ledger.lock().expire(now);
+        let status = shared.log.status();
+        if status.leader != leader {
+            leader = status.leader.clone();
+            link.ledger.lock().tell_again();
+        }
+        let totals = (status.role == RoleName::Leader).then(|| link.add_up(now));
+        if let Some(totals) = &totals {
+            *link.totals.lock() = Some(TotalsHeard { totals: totals.clone(), at: now });
+        }
+        tell_all(&shared, &mut told, totals, leader.as_ref()).await;
+    }
+}
+
+/// Starts a call to each other control instance that is due one. One that can't be reached must not
+/// hold up the others: an endpoint that leaves would go on getting requests through them.
+async fn tell_all(
+    shared: &Arc<Shared>,
+    told: &mut Map<Name, Told>,
+    totals: Option<Totals>,
+    leader: Option<&Name>,
+) {
+    let (now, link) = (shared.clock.now(), &shared.link);
+    let fresh = link.registry.lock().fresh(now);
+    let is_urgent = fresh.iter().any(|fact| fact.state != EndpointState::Ready);
+    for peer in shared.directory.peers() {
+        let state = told.entry(peer.place.name.clone()).or_default();
+        state.pending.extend(fresh.iter().cloned());
+        state.is_urgent |= is_urgent;
+        if let Some(call) = state.call.take_if(|call| call.is_finished()) {
+            state.replied(shared, call.await.ok().flatten());
+        }
+        let to_leader = leader == Some(&peer.place.name);
+        let pause = if to_leader || totals.is_some() { WITH_LEADER } else { REFRESH };
+        let is_due = state.is_urgent || now - state.at >= pause;
+        if !is_due || state.call.is_some() {
+            continue;
+        }
+        let reports = if to_leader { link.ledger.lock().untold() } else { Vec::new() };
+        let sync = ControlSync {
+            from: shared.directory.own().clone(),
+            life: link.life,
+            wall: Millis::wall(),
+            endpoints: std::mem::take(&mut state.pending),
+            reports,
+            totals: totals.clone(),
+        };
+        state.at = now;
+        state.is_urgent = false;
+        state.call = Some(tokio::spawn(tell(peer, sync)));
+    }
+}
+
+impl Told {
+    fn replied(&mut self, shared: &Shared, reply: Option<ControlSyncReply>) {
+        let life = reply.map(|reply| reply.life);
+        if life.is_none() {
+            shared.link.ledger.lock().tell_again();
+        } else if life != self.life {
+            // It lacks what was told to its earlier life, or what was lost on the way.
+            self.pending = shared.link.registry.lock().all(shared.clock.now());
+            self.is_urgent = true;
+        }
+        self.life = life;
+    }
+}
+
+async fn tell(peer: Arc<ControlPeer>, sync: ControlSync) -> Option<ControlSyncReply> {
+    let reply = peer.quick.call(&sync).await;
+    if let Err(err) = &reply {
+        event!(Debug, "control_unreachable", name = peer.place.name, error = err);
+    }
+    reply.ok()
+}
--- a/daemons/control/src/log/driver.rs
+++ b/daemons/control/src/log/driver.rs
@@ -28,9 +28,16 @@
 /// The log is compacted when it is larger than this, in bytes, and than the snapshot.
 const COMPACT_SIZE: u64 = 8 << 20;
 
-/// Entries that a log is not compacted below.
+/// Entries that a log is not compacted below, unless it is very large.
 const COMPACT_ENTRIES: u64 = 1000;
 
+/// The log is compacted when it is larger than this, in bytes, however few entries it has. A served
+/// document with hundreds of routes takes half a megabyte an entry, and the smallest disks 128 MB.
+const COMPACT_ALWAYS: u64 = 24 << 20;
+
+/// Entries kept in memory behind a snapshot; with the largest documents they take 32 MB.
+const TRAILING: u64 = 64;
+
 /// Pause before a folder that could not be written is opened again.
 const REOPEN: Millis = Millis(1000);
 
@@ -79,7 +86,7 @@
         let (input, inputs) = mpsc::channel();
         Self {
             clock,
-            cfg: Cfg::default(),
+            cfg: Cfg { trailing: TRAILING, ..Cfg::default() },
             folder: cfg.data.clone(),
             open_disk,
             name: cfg.name.clone(),
@@ -277,7 +284,9 @@
     fn compact(&mut self) {
         let (Some(replica), Some(disk)) = (&self.replica, &self.disk) else { return };
         let is_large = disk.log_size() > COMPACT_SIZE.max(disk.size() / 2);
-        if self.is_compacting || !is_large || replica.compactable() < COMPACT_ENTRIES {
+        let is_worth_it = replica.compactable() >= COMPACT_ENTRIES
+            || disk.log_size() > COMPACT_ALWAYS && replica.compactable() > TRAILING;
+        if self.is_compacting || !is_large || !is_worth_it {
             return;
         }
         let start = Instant::now();
@@ -353,6 +362,7 @@
                 status.commit = replica.commit_index();
                 status.is_new = replica.is_new();
                 status.is_voter = replica.members().voters.contains(replica.id());
+                status.voters = replica.members().voters.iter().cloned().collect();
                 let lease = replica.lease_until(now).filter(|_| replica.can_read(now));
                 status.reads_until = lease.unwrap_or_default();
             }
--- a/daemons/control/src/log/handle.rs
+++ b/daemons/control/src/log/handle.rs
@@ -5,7 +5,7 @@
 
 use parking_lot::RwLock;
 use sill_base::{Millis, Name};
-use sill_quorum::{Event, RoleName};
+use sill_quorum::{Event, ReplicaId, RoleName};
 use sill_wire::control::Revision;
 use tokio::sync::{oneshot, watch};
 
@@ -55,6 +55,8 @@
     pub is_new: bool,
     /// Whether it is a voter.
     pub is_voter: bool,
+    /// The voters of the newest members.
+    pub voters: Vec<ReplicaId>,
     /// Why it can't write, if it can't.
     pub disk_fault: Option<String>,
 }
@@ -148,6 +150,7 @@
             reads_until: Millis::ZERO,
             is_new: true,
             is_voter: false,
+            voters: Vec::new(),
             disk_fault: None,
         }
     }
--- a/daemons/control/src/log/peers.rs
+++ b/daemons/control/src/log/peers.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 
+use std::sync::Arc;
+
+use parking_lot::RwLock;
 use sill_base::{Map, Millis, Name, Secret, event};
 use sill_net::PeerClient;
 use sill_quorum::{Body, Message};
@@ -19,10 +22,10 @@
 /// How long a call with a snapshot may take.
 const SNAPSHOT_TIMEOUT: Millis = Millis(30_000);
 
-/// The ways to all other control instances.
-#[derive(Debug, Default)]
+/// The ways to all other control instances. Clones share them.
+#[derive(Debug, Default, Clone)]
 pub struct Peers {
-    queues: Map<Name, Queues>,
+    queues: Arc<RwLock<Map<Name, Queues>>>,
 }
 
 /// A snapshot has a way of its own, so that it doesn't hold up heartbeats.
@@ -33,8 +36,8 @@
 }
 
 impl Peers {
-    /// Starts a task for a peer.
-    pub fn add(&mut self, runtime: &Handle, name: Name, address: SocketAddr, key: &Secret) {
+    /// Starts a task for a peer; one at an earlier address ends with its queue.
+    pub fn add(&self, runtime: &Handle, name: Name, address: SocketAddr, key: &Secret) {
         let start = |queue, timeout| {
             let (tx, rx) = mpsc::channel(queue);
             runtime.spawn(run(PeerClient::new(address, key, timeout), rx));
@@ -42,12 +45,13 @@
         };
         let messages = start(QUEUE, TIMEOUT);
         let snapshots = start(1, SNAPSHOT_TIMEOUT);
-        self.queues.insert(name, Queues { messages, snapshots });
+        self.queues.write().insert(name, Queues { messages, snapshots });
     }
 
     /// Sends a message, or loses it.
     pub fn send(&self, msg: Message) {
-        let Some(queues) = self.queues.get(&msg.to.name) else { return };
+        let queues = self.queues.read();
+        let Some(queues) = queues.get(&msg.to.name) else { return };
         let queue = match msg.body {
             Body::Install { .. } => &queues.snapshots,
             _ => &queues.messages,
--- a/daemons/control/src/rpc.rs
+++ b/daemons/control/src/rpc.rs
@@ -6,6 +6,7 @@
 use sill_wire::Call;
 use sill_wire::control::Revision;
 use sill_wire::feed::DomainEndpoints;
+use sill_wire::link::ControlPlace;
 
 use crate::app::{Ask, Outcome};
 
@@ -25,8 +26,10 @@
 pub struct Hello {
     /// Its id.
     pub id: ReplicaId,
-    /// Whether the flags name it as a voter.
+    /// Whether it wants to be a voter.
     pub as_voter: bool,
+    /// Where it is reached.
+    pub place: ControlPlace,
 }
 
 /// Who was reached.
@@ -36,6 +39,10 @@
     pub id: ReplicaId,
     /// Whether it has never taken part in a log.
     pub is_new: bool,
+    /// Where it is reached.
+    pub place: ControlPlace,
+    /// The other control instances that it knows.
+    pub known: Vec<ControlPlace>,
 }
 
 /// Hands an ask to the leader.
--- a/daemons/control/src/running.rs
+++ b/daemons/control/src/running.rs
@@ -164,9 +164,6 @@
 
 /// Passes on to the other control instances what entry instances run.
 pub async fn pass_on(shared: Arc<Shared>) {
-    if shared.controls.is_empty() {
-        return;
-    }
     let mut refresh_at = Millis::ZERO;
     loop {
         tokio::time::sleep(TICK.into()).await;
@@ -181,7 +178,8 @@
             continue;
         }
         let sync = RunningSync { entries, endpoints };
-        let calls = shared.controls.iter().map(|peer| peer.quick.call(&sync));
+        let peers = shared.directory.peers();
+        let calls = peers.iter().map(|peer| peer.quick.call(&sync));
         futures_util::future::join_all(calls).await;
     }
 }
--- a/daemons/control/src/submit.rs
+++ b/daemons/control/src/submit.rs
@@ -41,7 +41,20 @@
 ///
 /// Fails when no leader commits it in time.
 pub async fn submit(shared: &Arc<Shared>, ask: &Ask) -> Result<Outcome, NoOutcome> {
-    let end = shared.clock.now() + PATIENCE;
+    submit_within(shared, ask, PATIENCE).await
+}
+
+/// Does the same within a time of the caller's.
+///
+/// # Errors
+///
+/// Fails when no leader commits it in time.
+pub async fn submit_within(
+    shared: &Arc<Shared>,
+    ask: &Ask,
+    patience: Millis,
+) -> Result<Outcome, NoOutcome> {
+    let end = shared.clock.now() + patience;
     let mut failure = NoOutcome::NotWritten;
     while shared.clock.now() < end {
         match attempt(shared, ask).await {
@@ -50,7 +63,7 @@
             SubmitReply::Unknown => failure = NoOutcome::Unknown,
         }
         let has_fault = shared.log.status().disk_fault.is_some();
-        if has_fault && shared.controls.is_empty() {
+        if has_fault && shared.directory.is_alone() {
             break;
         }
         tokio::time::sleep(PAUSE.into()).await;
@@ -63,13 +76,13 @@
     if status.role == RoleName::Leader {
         return lead(shared, ask).await;
     }
-    let Some(peer) = status.leader.and_then(|name| shared.control(&name)) else {
+    let Some(peer) = status.leader.and_then(|name| shared.directory.get(&name)) else {
         return SubmitReply::NotLeader;
     };
     match peer.patient.call(&Submit { ask: ask.clone() }).await {
         Ok(reply) => reply,
         Err(err) => {
-            event!(Debug, "leader_unreachable", leader = peer.name, error = err);
+            event!(Debug, "leader_unreachable", leader = peer.place.name, error = err);
             SubmitReply::Unknown
         }
     }
@@ -81,7 +94,7 @@
     // counts, and the others would have to be checked and written again.
     let _turn = match ask {
         Ask::Change(_) => Some(shared.change_turn.lock().await),
-        Ask::Drain(_) | Ask::Claims { .. } => None,
+        Ask::Drain(_) | Ask::Claims { .. } | Ask::Usage(_) => None,
     };
     for _ in 0..RECHECKS {
         let judged = shared.log.app().read().judge(Millis::wall(), ask);
@@ -102,14 +115,19 @@
 /// Waits until this instance's state holds everything that was answered before the call, and
 /// returns whether it does. Without a leader it may not, and what is read may be old.
 pub async fn catch_up(shared: &Arc<Shared>) -> bool {
-    let end = shared.clock.now() + PATIENCE;
+    catch_up_within(shared, PATIENCE).await
+}
+
+/// Does the same within a time of the caller's.
+pub async fn catch_up_within(shared: &Arc<Shared>, patience: Millis) -> bool {
+    let end = shared.clock.now() + patience;
     while shared.clock.now() < end {
         let status = shared.log.status();
         // What is read after this is at least as new as what was newest now.
         if shared.clock.now() < status.reads_until {
             return true;
         }
-        let leader = status.leader.and_then(|name| shared.control(&name));
+        let leader = status.leader.and_then(|name| shared.directory.get(&name));
         if let Some(peer) = leader
             && let Ok(reply) = peer.quick.call(&ReadIndex {}).await
             && let Some(index) = reply.index
--- a/daemons/control/tests/app.rs
+++ b/daemons/control/tests/app.rs
@@ -20,7 +20,7 @@
 }
 
 fn change(holder: Holder, id: &str, path: &str, document: Option<Value>) -> ChangeAsk {
-    ChangeAsk { origin: origin(holder, id), path: path.into(), base: None, document }
+    ChangeAsk { origin: origin(holder, id), path: path.into(), base: None, document, edition: None }
 }
 
 fn command(app: &App, ask: &Ask) -> Command {
--- a/daemons/control/tests/cluster.rs
+++ b/daemons/control/tests/cluster.rs
@@ -56,6 +56,8 @@
             address: *address,
         });
         ControlCfg {
+            seeds: None,
+            endpoint_heartbeat: Millis(1000),
             name: format!("c{i}").into(),
             domain: "a".into(),
             listen: "127.0.0.1:0".parse().expect("an address"),
--- a/daemons/entry/benches/settings.rs
+++ b/daemons/entry/benches/settings.rs
@@ -86,6 +86,8 @@
         listen: free()?,
         listen_peer,
         voters: vec![voter],
+        seeds: None,
+        endpoint_heartbeat: sill_base::Millis(1000),
         data: PathBuf::from(folder),
         cluster_key: Secret::new(KEY),
         root_token: Secret::new(TOKEN),
--- /dev/null
+++ b/daemons/gateway/src/daemon.rs
@@ -0,0 +1,151 @@
+//! Starts the parts of an entry instance for routes, and stops them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use eyre::Result;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use sill_base::{Millis, event};
+use sill_net::h1::{self, AnyBody, ServerCfg, Stop, whole};
+use sill_net::http::bind;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::cfg::GatewayCfg;
+use crate::link::{FOLLOWED, Link};
+use crate::serve;
+use crate::state::State;
+
+/// Bytes of a caller's headers. Settings may ask for less, which the library cannot follow later.
+const HEADER_BYTES: usize = 32 << 10;
+
+/// Time that a caller's connection may stay unused. Callers use them for up to 12 s.
+const CALLER_IDLE: Millis = Millis(15_000);
+
+/// Time after which a caller's connection is given up that no longer acknowledges.
+const CALLER_SILENT: Millis = Millis(10_000);
+
+/// How often unused connections are looked at.
+const TIDY: Millis = Millis(1000);
+
+/// How often a stop looks whether all is done.
+const LOOK: Millis = Millis(50);
+
+/// A running entry instance.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Where callers reach it.
+    pub address: SocketAddr,
+    /// Where the balancer asks.
+    pub ready_address: SocketAddr,
+    state: Arc<State>,
+    link: Arc<Link>,
+    stop: watch::Sender<Stop>,
+}
+
+impl Gateway {
+    /// Starts to serve; must be called inside a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be used.
+    pub fn start(cfg: GatewayCfg) -> Result<Self> {
+        let listener = TcpListener::from_std(bind(cfg.listen)?)?;
+        let ready = TcpListener::from_std(bind(cfg.listen_ready)?)?;
+        let metrics = TcpListener::from_std(bind(cfg.listen_metrics)?)?;
+        let (address, ready_address) = (listener.local_addr()?, ready.local_addr()?);
+        let state = Arc::new(State::new(cfg)?);
+        let link = Arc::new(Link::new(state.clone()));
+        let (stop, _) = watch::channel(Stop::No);
+        for turn in 0..FOLLOWED {
+            tokio::spawn(link.clone().follow(turn));
+        }
+        tokio::spawn(callers(state.clone(), listener, stop.subscribe()));
+        tokio::spawn(internal(state.clone(), ready, stop.subscribe()));
+        tokio::spawn(internal(state.clone(), metrics, stop.subscribe()));
+        tokio::spawn(tidy(state.clone()));
+        event!(
+            Info,
+            "gateway_started",
+            name = state.cfg.name,
+            domain = state.cfg.domain,
+            address = address,
+            incarnation = state.incarnation.0
+        );
+        Ok(Self { address, ready_address, state, link, stop })
+    }
+
+    /// Takes in other seeds.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        event!(Info, "seeds_changed", seeds = seeds.len());
+        self.link.set_seeds(seeds);
+    }
+
+    /// Stops without cutting off a call, as long as the limit allows.
+    pub async fn stop(self) {
+        let began = self.state.clock.now();
+        let cfg = self.state.cfg.stop;
+        let open = || self.state.callers.load(Ordering::Relaxed);
+        event!(Info, "gateway_stops", connections = open());
+        self.state.begin_to_stop();
+        // New connections still come until the balancer has asked again; refused, they would fail.
+        tokio::time::sleep(cfg.notice.into()).await;
+        self.stop.send_replace(Stop::Closing);
+        while open() > 0 && self.state.clock.now() - began < cfg.limit {
+            tokio::time::sleep(LOOK.into()).await;
+        }
+        let took = self.state.clock.now() - began;
+        event!(Info, "gateway_stopped", ms = took, cut = open());
+    }
+}
+
+async fn callers(state: Arc<State>, listener: TcpListener, stop: watch::Receiver<Stop>) {
+    let cfg = ServerCfg { header_bytes: HEADER_BYTES, idle: CALLER_IDLE, silent: CALLER_SILENT };
+    let open = state.callers.clone();
+    h1::serve(listener, cfg, stop, open, move |req, _| serve::call(state.clone(), req)).await;
+}
+
+/// Answers the balancer and whoever reads metrics.
+async fn internal(state: Arc<State>, listener: TcpListener, stop: watch::Receiver<Stop>) {
+    let cfg = ServerCfg { header_bytes: HEADER_BYTES, idle: CALLER_IDLE, silent: CALLER_SILENT };
+    let answer = move |req: Request<Incoming>, _| {
+        let state = state.clone();
+        async move { answer_internal(&state, req.uri().path()) }
+    };
+    h1::serve(listener, cfg, stop, Arc::default(), answer).await;
+}
+
+fn answer_internal(state: &State, path: &str) -> Response<AnyBody> {
+    if path == state.cfg.ready_path.as_str() {
+        return match state.is_ready() {
+            true => reply(StatusCode::OK, "ok\n"),
+            false => reply(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        };
+    }
+    if path != "/metrics" {
+        return reply(StatusCode::NOT_FOUND, "");
+    }
+    state.metrics.callers.set(state.callers.load(Ordering::Relaxed) as i64);
+    match state.metrics.text() {
+        Ok(text) => reply(StatusCode::OK, text),
+        Err(err) => reply(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
+    }
+}
+
+fn reply<B>(status: StatusCode, body: B) -> Response<AnyBody>
+where
+    B: Into<bytes::Bytes>,
+{
+    let mut response = Response::new(whole(body));
+    *response.status_mut() = status;
+    response
+}
+
+async fn tidy(state: Arc<State>) {
+    loop {
+        tokio::time::sleep(TIDY.into()).await;
+        state.metrics.idle.set(state.connections.expire() as i64);
+    }
+}
--- /dev/null
+++ b/daemons/gateway/src/dialect.rs
@@ -0,0 +1,84 @@
+//! How calls and answers carry what the entry instance needs to know.
+
+use std::fmt::Debug;
+
+use http::request::Parts;
+use http::{HeaderMap, StatusCode};
+use sill_base::{Millis, Name};
+use sill_dispatch::Prompt;
+
+use crate::failure::Failure;
+
+/// What a call says of itself, decoded once.
+#[derive(Debug, Default, Clone, PartialEq)]
+pub struct CallHead {
+    /// The caller's name for this attempt; empty if it gave none.
+    pub attempt: Name,
+    /// The host that it asks for.
+    pub host: Name,
+    /// How long the caller waits.
+    pub deadline: Option<Millis>,
+    /// The caller's key.
+    pub key: Option<Name>,
+    /// What is known of its prompt; none for a call without one.
+    pub prompt: Option<Prompt>,
+}
+
+/// What goes along to an endpoint.
+#[derive(Debug, Clone)]
+pub struct Forward<'a> {
+    /// The time that is left.
+    pub left: Millis,
+    /// The endpoint that is meant.
+    pub endpoint: &'a Name,
+    /// The caller's account.
+    pub account: Option<&'a Name>,
+    /// Its rank; 0 goes first.
+    pub urgency: u8,
+    /// The last event that the caller has, if a stream is resumed.
+    pub last_event: Option<&'a str>,
+}
+
+/// What the head of an endpoint's answer says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Word {
+    /// It is the endpoint's answer to this call.
+    Answer,
+    /// The endpoint failed at the call.
+    Failed,
+    /// The endpoint is full and has not run the call.
+    Full,
+    /// The endpoint has not run the call for another reason.
+    NotRun,
+    /// The address is another endpoint's, which has not run the call.
+    WrongEndpoint,
+    /// It is no proper answer to this call.
+    Improper,
+}
+
+/// The load that an endpoint reports with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+}
+
+/// A way of writing all this in headers.
+pub trait Dialect: Debug + Send + Sync {
+    /// Reads what a call says.
+    fn read(&self, parts: &Parts) -> CallHead;
+
+    /// Turns a caller's headers into those for an endpoint.
+    fn forward(&self, headers: &mut HeaderMap, forward: &Forward<'_>);
+
+    /// Reads the head of an answer to the attempt.
+    fn word(&self, attempt: &Name, status: StatusCode, headers: &HeaderMap) -> Word;
+
+    /// Reads the load that comes with an answer.
+    fn load(&self, headers: &HeaderMap) -> Option<ReportedLoad>;
+
+    /// Writes what callers are to know of a failure of ours.
+    fn failure(&self, headers: &mut HeaderMap, failure: &Failure);
+}
--- /dev/null
+++ b/daemons/gateway/src/dispatch.rs
@@ -0,0 +1,414 @@
+//! Finds an endpoint for a call and makes the attempts.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Request, Response, header};
+use http_body_util::Full;
+use sill_base::{Millis, Name, event};
+use sill_dispatch::{AttemptOutcome, Next, Place, PlaceAsk, Placed, Progress};
+use sill_net::h1::{Answer, AnyBody, SendFailure, strip_hop_by_hop};
+use sill_route::{Outcome, RefusalReason};
+use sill_tree::RouteKind;
+use sill_wire::ErrorCode;
+
+use crate::dialect::{Forward, Word};
+use crate::failure::Failure;
+use crate::relay;
+use crate::serve::Call;
+use crate::state::State;
+
+/// Time for which a connection may have been unused before a call is sent on it that must not run
+/// twice. The longer it was unused, the likelier the endpoint closes it just now, and whether the
+/// call was run could then not be told.
+const SURELY_ALIVE: Millis = Millis(1500);
+
+/// When to come back after a refusal that names no time itself.
+const COME_BACK: Millis = Millis(500);
+
+/// An attempt that runs; it is counted at its endpoint until it is over.
+#[derive(Debug)]
+pub struct Attempt {
+    /// Where it runs.
+    pub place: Place,
+    state: Arc<State>,
+    call: Arc<Call>,
+    name: Name,
+    is_over: bool,
+}
+
+/// What is logged of a call when it is over.
+#[derive(Debug)]
+pub struct Summary {
+    state: Arc<State>,
+    call: Arc<Call>,
+    /// How it ended; a caller that leaves is not there to be told.
+    outcome: &'static str,
+    status: u16,
+    endpoint: Name,
+    why: String,
+    sent: u32,
+    first_part: Option<Millis>,
+    bytes: u64,
+}
+
+// There is one for each call at a time, so its size doesn't matter.
+#[allow(clippy::large_enum_variant)]
+/// What came of one attempt before its answer is passed on.
+pub enum Attempted {
+    /// An answer to pass on.
+    Answer(Attempt, Answer),
+    /// None.
+    Failed(AttemptOutcome),
+}
+
+/// Makes attempts until one is answered or nothing more can be done.
+pub async fn run(state: Arc<State>, call: Arc<Call>) -> Response<AnyBody> {
+    let mut summary = Summary::new(state.clone(), call.clone());
+    let route = &call.route.route;
+    let mut progress = Progress::new(route.kind, route.max_attempts, call.due - call.arrived);
+    let mut exclude = Vec::new();
+    state.earn_retry(&call.pool.service);
+    loop {
+        let now = state.clock.now();
+        progress.left = call.due - now;
+        let attempt = match place(&state, &call, now, &exclude, progress.sends()) {
+            Ok(attempt) => attempt,
+            Err((reason, wait)) => {
+                return summary.refuse(&progress, reason, wait);
+            }
+        };
+        summary.sends_to(&attempt.place, now);
+        exclude.push(attempt.place.endpoint.clone());
+        let outcome = match make(attempt, &progress, None).await {
+            Attempted::Answer(attempt, answer) => {
+                return relay::pass_on(summary, attempt, answer, progress);
+            }
+            Attempted::Failed(outcome) => outcome,
+        };
+        let mut next = progress.after(outcome);
+        let takes_budget = next == Next::Retry && outcome != AttemptOutcome::NotSent;
+        if takes_budget && !state.may_retry(&call.pool.service) {
+            next = progress.without_retry(outcome);
+        }
+        progress.count(outcome);
+        if let Some(response) = summary.after(next, outcome) {
+            return response;
+        }
+    }
+}
+
+/// Chooses an endpoint and counts the call there.
+pub fn place(
+    state: &Arc<State>,
+    call: &Arc<Call>,
+    now: Millis,
+    exclude: &[Name],
+    sends: u32,
+) -> Result<Attempt, (RefusalReason, Millis)> {
+    // The router tells attempts of one call apart.
+    let name: Name = match sends {
+        0 => call.head.attempt.clone(),
+        sends => format!("{}/{sends}", call.head.attempt).into(),
+    };
+    let ask = PlaceAsk {
+        attempt: name.clone(),
+        prompt: call.prompt.clone(),
+        urgency: call.urgency,
+        deadline: call.due,
+        exclude: exclude.to_vec(),
+    };
+    let placed = call.pool.pool.lock().place(now, &ask);
+    match placed {
+        Placed::Endpoint(place) => {
+            call.pool.count_fresh(now, place.fresh_tokens);
+            let (state, call) = (state.clone(), call.clone());
+            Ok(Attempt { place, state, call, name, is_over: false })
+        }
+        Placed::Refused { reason, retry_after } => {
+            call.pool.count_refused(now);
+            Err((reason, retry_after))
+        }
+    }
+}
+
+/// Sends the call to the attempt's endpoint and reads the head of the answer.
+pub async fn make(
+    mut attempt: Attempt,
+    progress: &Progress,
+    last_event: Option<&str>,
+) -> Attempted {
+    let (state, call) = (attempt.state.clone(), attempt.call.clone());
+    let left = call.due - state.clock.now();
+    let req = request(&state, &call, &attempt.place, left, last_event);
+    let max_idle = if call.route.route.kind.may_repeat() { Millis::MAX } else { SURELY_ALIVE };
+    let sending = state.connections.send(attempt.place.address, req, max_idle);
+    let outcome = match tokio::time::timeout(left.into(), sending).await {
+        Ok(Ok(answer)) => match attempt.judge(&answer, progress) {
+            None => return Attempted::Answer(attempt, answer),
+            Some(outcome) => outcome,
+        },
+        Ok(Err(SendFailure::NotSent(err))) => attempt.failed(AttemptOutcome::NotSent, &err),
+        Ok(Err(SendFailure::Unknown(err))) => attempt.failed(AttemptOutcome::Unknown, &err),
+        Err(_) => attempt.failed(AttemptOutcome::TimedOut, "no answer in time"),
+    };
+    attempt.over(match outcome {
+        AttemptOutcome::NotSent | AttemptOutcome::Unknown | AttemptOutcome::Failed => {
+            Outcome::Failed
+        }
+        _ => Outcome::Cancelled,
+    });
+    Attempted::Failed(outcome)
+}
+
+fn request(
+    state: &State,
+    call: &Call,
+    place: &Place,
+    left: Millis,
+    last_event: Option<&str>,
+) -> Request<Full<Bytes>> {
+    let mut headers = call.headers.clone();
+    strip_hop_by_hop(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    let account = call.account.as_ref().map(|account| &account.name);
+    let forward =
+        Forward { left, endpoint: &place.endpoint, account, urgency: call.urgency, last_event };
+    state.cfg.dialect.forward(&mut headers, &forward);
+    let mut req = Request::new(Full::new(call.body.clone()));
+    *req.method_mut() = call.method.clone();
+    *req.uri_mut() = call.uri.clone();
+    *req.headers_mut() = headers;
+    req
+}
+
+impl Attempt {
+    /// Reads the head of an answer. Returns the outcome if the answer is not to be passed on.
+    fn judge(&mut self, answer: &Answer, progress: &Progress) -> Option<AttemptOutcome> {
+        let dialect = &self.state.cfg.dialect;
+        let (status, headers) = (answer.response.status(), answer.response.headers());
+        if answer.is_new {
+            let service = [self.call.pool.service.as_str()];
+            self.state.metrics.connects.with_label_values(&service).inc();
+        }
+        let now = self.state.clock.now();
+        if let Some(load) = dialect.load(headers) {
+            let endpoint = &self.place.endpoint;
+            self.call.pool.pool.lock().load(now, endpoint, load.running, load.queued);
+        }
+        let said = status.as_str();
+        match dialect.word(&self.call.head.attempt, status, headers) {
+            Word::Answer => None,
+            Word::Failed => {
+                self.count_usage();
+                match progress.after(AttemptOutcome::Failed) {
+                    Next::Retry if self.state.may_retry(&self.call.pool.service) => {
+                        Some(self.failed(AttemptOutcome::Failed, said))
+                    }
+                    _ => None,
+                }
+            }
+            Word::Full => {
+                self.call.pool.pool.lock().full(now, &self.place.endpoint);
+                Some(self.failed(AttemptOutcome::Full, said))
+            }
+            Word::NotRun => Some(self.failed(AttemptOutcome::NotRun, said)),
+            Word::WrongEndpoint => {
+                self.call.pool.pool.lock().ended(now, &self.place.endpoint);
+                self.state.connections.forget(self.place.address);
+                Some(self.failed(AttemptOutcome::WrongEndpoint, said))
+            }
+            Word::Improper => Some(self.failed(AttemptOutcome::Unknown, "improper answer")),
+        }
+    }
+
+    fn failed(&self, outcome: AttemptOutcome, why: &str) -> AttemptOutcome {
+        let name = format!("{outcome:?}");
+        self.state.metrics.attempts.with_label_values(&[&name]).inc();
+        event!(
+            Warn,
+            "attempt_failed",
+            id = self.name,
+            endpoint = self.place.endpoint,
+            address = self.place.address,
+            outcome = name,
+            why = why,
+            ms = self.state.clock.now() - self.call.arrived
+        );
+        outcome
+    }
+
+    /// Returns the state of the entry instance.
+    pub fn state(&self) -> &Arc<State> {
+        &self.state
+    }
+
+    /// Returns the call.
+    pub fn call(&self) -> &Arc<Call> {
+        &self.call
+    }
+
+    /// Takes in that the first part of the answer came.
+    pub fn began(&self, now: Millis) {
+        self.call.pool.pool.lock().began(now, &self.place.endpoint, &self.name);
+    }
+
+    /// Counts that the call began to run for its account.
+    pub fn count_usage(&self) {
+        if let Some(account) = &self.call.account {
+            self.state.count_usage(&account.name);
+        }
+    }
+
+    /// Ends the attempt.
+    pub fn over(&mut self, outcome: Outcome) {
+        if !std::mem::replace(&mut self.is_over, true) {
+            let now = self.state.clock.now();
+            self.call.pool.pool.lock().over(now, &self.place.endpoint, &self.name, outcome);
+        }
+    }
+}
+
+impl Drop for Attempt {
+    /// A caller that leaves ends the attempt wherever it stands.
+    fn drop(&mut self) {
+        self.over(Outcome::Cancelled);
+    }
+}
+
+impl Summary {
+    fn new(state: Arc<State>, call: Arc<Call>) -> Self {
+        Self {
+            state,
+            call,
+            outcome: "caller_left",
+            status: 0,
+            endpoint: Name::default(),
+            why: String::new(),
+            sent: 0,
+            first_part: None,
+            bytes: 0,
+        }
+    }
+
+    fn sends_to(&mut self, place: &Place, now: Millis) {
+        if self.sent == 0 {
+            let waited = (now - self.call.arrived).as_secs_f64();
+            self.state.metrics.before_send.observe(waited);
+        }
+        self.sent += 1;
+        self.endpoint = place.endpoint.clone();
+        self.why.clone_from(&place.why);
+    }
+
+    /// Notes another endpoint that goes on with the answer.
+    pub fn resumed_at(&mut self, place: &Place) {
+        self.sent += 1;
+        self.endpoint = place.endpoint.clone();
+    }
+
+    /// Notes the status that the caller gets.
+    pub fn answers(&mut self, status: u16) {
+        self.status = status;
+    }
+
+    /// Notes a part of the answer.
+    pub fn passes(&mut self, now: Millis, bytes: usize) {
+        self.first_part.get_or_insert(now);
+        self.bytes += bytes as u64;
+    }
+
+    /// Notes how the call ended.
+    pub fn ends(&mut self, outcome: &'static str) {
+        self.outcome = outcome;
+    }
+
+    fn refuse(
+        mut self,
+        progress: &Progress,
+        reason: RefusalReason,
+        wait: Millis,
+    ) -> Response<AnyBody> {
+        self.why = format!("{reason:?}");
+        // After an attempt that may have run, a refusal must not say that the call has not run.
+        let failure = match progress.ran {
+            0 => Failure::back_in(ErrorCode::NoCapacity, wait),
+            _ => Failure::new(ErrorCode::UpstreamFailed),
+        };
+        self.fail(failure)
+    }
+
+    fn after(&mut self, next: Next, outcome: AttemptOutcome) -> Option<Response<AnyBody>> {
+        let failure = match next {
+            Next::Retry => return None,
+            Next::RefuseNotRun => Failure::back_in(ErrorCode::NoCapacity, COME_BACK),
+            Next::TimedOut => Failure::new(ErrorCode::DeadlinePassed),
+            Next::PassOn | Next::OutcomeUnknown => Failure::new(ErrorCode::UpstreamFailed),
+        };
+        self.why = format!("{outcome:?}");
+        Some(self.fail(failure))
+    }
+
+    fn fail(&mut self, failure: Failure) -> Response<AnyBody> {
+        if failure.is_not_run()
+            && let Some(account) = &self.call.account
+        {
+            self.state.give_back(&account.name, self.call.amount);
+        }
+        self.status = failure.status().as_u16();
+        self.outcome = if failure.is_not_run() { "refused" } else { "failed" };
+        failure.response(&*self.state.cfg.dialect, &self.call.head.attempt)
+    }
+}
+
+impl Drop for Summary {
+    /// Logs the call however it ended, a caller that left included.
+    fn drop(&mut self) {
+        let (state, call) = (&self.state, &self.call);
+        let now = state.clock.now();
+        state.metrics.calls.with_label_values(&[self.outcome]).inc();
+        let first = self.first_part.map(|first| first - call.arrived);
+        if self.outcome == "answered" {
+            state.metrics.whole_answer.observe((now - call.arrived).as_secs_f64());
+            if let Some(first) = first {
+                state.metrics.first_part.observe(first.as_secs_f64());
+            }
+        }
+        let level = match self.outcome {
+            "answered" => log::Level::Info,
+            _ => log::Level::Warn,
+        };
+        if !log::log_enabled!(level) {
+            return;
+        }
+        let account = call.account.as_ref().map(|account| account.name.clone());
+        let mut line = String::from("event=call");
+        let mut pair = |key: &str, value: &dyn std::fmt::Display| {
+            sill_base::event::push_pair(&mut line, key, value);
+        };
+        pair("id", &call.head.attempt);
+        pair("outcome", &self.outcome);
+        pair("status", &self.status);
+        pair("route", &call.route.name);
+        pair("kind", &kind_name(call.route.route.kind));
+        pair("account", &account.unwrap_or_default());
+        pair("service", &call.pool.service);
+        pair("endpoint", &self.endpoint);
+        pair("sends", &self.sent);
+        pair("prompt", &call.prompt.tokens);
+        pair("output", &call.prompt.output);
+        pair("urgency", &call.urgency);
+        pair("why", &self.why);
+        pair("first_ms", &first.unwrap_or_default());
+        pair("ms", &(now - call.arrived));
+        pair("left_ms", &(call.due - now));
+        pair("bytes", &self.bytes);
+        log::log!(target: "sill_gateway", level, "{line}");
+    }
+}
+
+fn kind_name(kind: RouteKind) -> &'static str {
+    let known = RouteKind::NAMES.iter().find(|(known, _)| *known == kind);
+    known.map_or("", |(_, name)| name)
+}
--- /dev/null
+++ b/daemons/gateway/src/lib.rs
@@ -0,0 +1,21 @@
+//! The entry instance for routes: takes callers' requests, sends them to endpoints of the route's
+//! service, and passes the answers on byte for byte as they come.
+//!
+//! Data goes one way: [`serve`] reads and admits a call, [`dispatch`] finds an endpoint and makes the
+//! attempts, [`relay`] passes the answer on. [`link`] keeps up with the control instances.
+
+pub mod cfg;
+pub mod daemon;
+pub mod dialect;
+pub mod dispatch;
+pub mod failure;
+pub mod link;
+pub mod metrics;
+pub mod relay;
+pub mod serve;
+pub mod state;
+
+pub use cfg::GatewayCfg;
+pub use daemon::Gateway;
+pub use dialect::{CallHead, Dialect, Forward, Word};
+pub use failure::Failure;
--- /dev/null
+++ b/daemons/gateway/src/metrics.rs
@@ -0,0 +1,84 @@
+//! Numbers for the metrics address.
+
+use eyre::Result;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    exponential_buckets,
+};
+
+/// The metrics of an entry instance for routes.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Calls by outcome.
+    pub calls: IntCounterVec,
+    /// Attempts by outcome.
+    pub attempts: IntCounterVec,
+    /// Connections to endpoints that were opened.
+    pub connects: IntCounterVec,
+    /// Time to the first part of an answer.
+    pub first_part: Histogram,
+    /// Time to the end of an answer.
+    pub whole_answer: Histogram,
+    /// Time before the first send.
+    pub before_send: Histogram,
+    /// The revision of the settings in force.
+    pub revision: IntGauge,
+    /// Open connections of callers.
+    pub callers: IntGauge,
+    /// Unused connections to endpoints.
+    pub idle: IntGauge,
+}
+
+impl Metrics {
+    /// Makes the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails when two have the same name.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, label: &str| -> Result<IntCounterVec> {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok(counters)
+        };
+        let histogram = |name: &str, help: &str| -> Result<Histogram> {
+            let buckets = exponential_buckets(0.001, 2.0, 15)?;
+            let histogram = Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets))?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
+        let gauge = |name: &str, help: &str| -> Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        Ok(Self {
+            calls: counters("sill_gateway_calls_total", "calls by outcome", "outcome")?,
+            attempts: counters("sill_gateway_attempts_total", "attempts by outcome", "outcome")?,
+            connects: counters("sill_gateway_connects_total", "connections opened", "service")?,
+            first_part: histogram("sill_gateway_first_part_seconds", "time to the first part")?,
+            whole_answer: histogram("sill_gateway_answer_seconds", "time to the whole answer")?,
+            before_send: histogram(
+                "sill_gateway_before_send_seconds",
+                "time before the first send",
+            )?,
+            revision: gauge("sill_gateway_revision", "revision of the settings in force")?,
+            callers: gauge("sill_gateway_caller_connections", "open connections of callers")?,
+            idle: gauge("sill_gateway_idle_connections", "unused connections to endpoints")?,
+            registry,
+        })
+    }
+
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails when they can't be encoded.
+    pub fn text(&self) -> Result<Vec<u8>> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(buf)
+    }
+}
--- /dev/null
+++ b/daemons/gateway/src/serve.rs
@@ -0,0 +1,206 @@
+//! Reads and admits calls.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, Method, Request, Response, Uri};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use sill_base::{Millis, Name, event};
+use sill_dispatch::{AccountEntry, Prompt, RouteEntry, RouteTable};
+use sill_net::h1::AnyBody;
+use sill_wire::ErrorCode;
+
+use crate::dialect::CallHead;
+use crate::dispatch;
+use crate::failure::Failure;
+use crate::state::{PoolState, State};
+
+/// Bytes of a body where settings name no bound.
+const MAX_BODY: usize = 4 << 20;
+
+/// When to come back to an instance that knows no settings yet; it learns them in half a second.
+const UNTIL_SETTINGS: Millis = Millis(1000);
+
+/// When to come back for a service that has no endpoint yet.
+const UNTIL_ENDPOINT: Millis = Millis(1000);
+
+/// An admitted call.
+#[derive(Debug)]
+pub struct Call {
+    /// What it says of itself.
+    pub head: CallHead,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Arc<RouteEntry>,
+    /// Its account.
+    pub account: Option<Arc<AccountEntry>>,
+    /// What it takes of the account's limit.
+    pub amount: f64,
+    /// The endpoints of its service.
+    pub pool: Arc<PoolState>,
+    /// Its prompt; empty for a call without one.
+    pub prompt: Arc<Prompt>,
+    /// Its rank; 0 goes first.
+    pub urgency: u8,
+    /// When its head had been read.
+    pub arrived: Millis,
+    /// When its answer must be whole.
+    pub due: Millis,
+}
+
+/// Answers a caller.
+pub async fn call(state: Arc<State>, req: Request<Incoming>) -> Response<AnyBody> {
+    let arrived = state.clock.now();
+    let (parts, body) = req.into_parts();
+    let mut head = state.cfg.dialect.read(&parts);
+    if head.attempt.is_empty() {
+        head.attempt = format!("{:016x}", rand::random::<u64>()).into();
+    }
+    let attempt = head.attempt.clone();
+    match admit(&state, head, parts, body, arrived).await {
+        Ok(call) => dispatch::run(state, Arc::new(call)).await,
+        Err(refused) => refused.answer(&state, &attempt, arrived),
+    }
+}
+
+/// A call that was not admitted, with what decided it.
+struct Refused {
+    failure: Failure,
+    route: Name,
+    account: Name,
+    why: &'static str,
+}
+
+impl Refused {
+    fn new(code: ErrorCode, why: &'static str) -> Self {
+        let none = Name::default();
+        Self { failure: Failure::new(code), route: none.clone(), account: none, why }
+    }
+
+    fn answer(&self, state: &State, attempt: &Name, arrived: Millis) -> Response<AnyBody> {
+        state.metrics.calls.with_label_values(&[self.why]).inc();
+        event!(
+            Warn,
+            "call_refused",
+            id = attempt,
+            route = self.route,
+            account = self.account,
+            status = self.failure.status().as_u16(),
+            why = self.why,
+            retry_after_ms = self.failure.retry_after.unwrap_or_default(),
+            revision = state.metrics.revision.get(),
+            ms = state.clock.now() - arrived
+        );
+        self.failure.response(&*state.cfg.dialect, attempt)
+    }
+}
+
+async fn admit(
+    state: &Arc<State>,
+    head: CallHead,
+    parts: Parts,
+    body: Incoming,
+    arrived: Millis,
+) -> Result<Call, Refused> {
+    let Some(table) = state.table() else {
+        let failure = Failure::back_in(ErrorCode::NoCapacity, UNTIL_SETTINGS);
+        return Err(Refused { failure, ..Refused::new(ErrorCode::NoCapacity, "no_settings") });
+    };
+    let Some(route) = find(&table, &head, &parts) else {
+        return Err(Refused::new(ErrorCode::NotFound, "no_route"));
+    };
+    let account = account_of(&table, &head, &route)?;
+    let body = read(&table, body).await?;
+    let service = route.service(rand::random::<f64>()).clone();
+    let Some(pool) = state.pool(&service) else {
+        let failure = Failure::back_in(ErrorCode::NoCapacity, UNTIL_ENDPOINT);
+        let refused = Refused::new(ErrorCode::NoCapacity, "no_pool");
+        return Err(Refused { failure, route: route.name.clone(), ..refused });
+    };
+    let amount = amount(&head, account.as_deref());
+    if let Some(account) = &account
+        && let Err(wait) = state.admit(&account.name, amount)
+    {
+        return Err(Refused {
+            failure: Failure::back_in(ErrorCode::LimitReached, wait),
+            route: route.name.clone(),
+            account: account.name.clone(),
+            why: "over_limit",
+        });
+    }
+    let urgency = account.as_ref().and_then(|account| account.account.urgency);
+    let timeout = route.route.timeout_ms;
+    let left = head.deadline.map_or(timeout, |deadline| deadline.min(timeout));
+    Ok(Call {
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        urgency: urgency.unwrap_or(route.route.urgency),
+        account,
+        amount,
+        pool,
+        prompt: Arc::new(head.prompt.clone().unwrap_or_default()),
+        route,
+        head,
+        arrived,
+        due: arrived + left,
+    })
+}
+
+/// Finds the route by host, with or without its port, and path.
+fn find(table: &RouteTable, head: &CallHead, parts: &Parts) -> Option<Arc<RouteEntry>> {
+    let path = parts.uri.path();
+    let bare = head.host.split_once(':').map(|(host, _)| host);
+    let route = table.find(&head.host, path).or_else(|| table.find(bare?, path));
+    route.cloned()
+}
+
+fn account_of(
+    table: &RouteTable,
+    head: &CallHead,
+    route: &RouteEntry,
+) -> Result<Option<Arc<AccountEntry>>, Refused> {
+    let known = head.key.as_ref().and_then(|key| table.account_of(key)).cloned();
+    if known.is_none() && table.has_accounts() && !route.route.anonymous {
+        let refused = Refused::new(ErrorCode::Unauthorized, "unknown_key");
+        return Err(Refused { route: route.name.clone(), ..refused });
+    }
+    Ok(known)
+}
+
+async fn read(table: &RouteTable, body: Incoming) -> Result<Bytes, Refused> {
+    let limit = table.bounds.body_bytes.map_or(MAX_BODY, |bytes| bytes as usize);
+    if body.size_hint().lower() > limit as u64 {
+        return Err(Refused::new(ErrorCode::TooLarge, "body_too_large"));
+    }
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(err) if err.is::<LengthLimitError>() => {
+            Err(Refused::new(ErrorCode::TooLarge, "body_too_large"))
+        }
+        Err(_) => Err(Refused::new(ErrorCode::BadRequest, "body_not_whole")),
+    }
+}
+
+/// Returns what a call takes of its account's limit.
+fn amount(head: &CallHead, account: Option<&AccountEntry>) -> f64 {
+    let Some(account) = account else { return 0.0 };
+    let limit = account.account.limit.unwrap_or_default();
+    if limit.tokens_per_s.is_none() {
+        return 1.0;
+    }
+    match &head.prompt {
+        Some(prompt) => (prompt.tokens + u64::from(prompt.output)) as f64,
+        None => account.account.default_tokens.unwrap_or_default() as f64,
+    }
+}
--- /dev/null
+++ b/daemons/gateway/src/state.rs
@@ -0,0 +1,364 @@
+//! What the parts of an entry instance share, each under its own lock.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+
+use parking_lot::{Mutex, RwLock};
+use sill_base::{Clock, Map, Millis, Name, event};
+use sill_dispatch::usage::window_of;
+use sill_dispatch::{Pool, PoolCfg, RouteTable, Shares, UsageCounter};
+use sill_net::h1::{Connections, ConnectionsCfg};
+use sill_route::{RetryBudget, RetryCfg, Target};
+use sill_tree::Document;
+use sill_wire::Incarnation;
+use sill_wire::link::{EndpointFact, EndpointState, LinkReply, ServiceReport};
+
+use crate::cfg::GatewayCfg;
+use crate::metrics::Metrics;
+
+/// Time that a new connection to an endpoint may take. Between failure domains it takes 3 ms; a
+/// first packet that was lost is sent again after a second, which is too late for most calls.
+const CONNECT: Millis = Millis(400);
+
+/// Time after which a connection is given up that no longer acknowledges.
+const SILENT: Millis = Millis(3000);
+
+/// Time for which an unused connection is kept to an endpoint that names none.
+const IDLE: Millis = Millis(10_000);
+
+/// Part of the time that an endpoint names which is not used.
+const IDLE_MARGIN: Millis = Millis(1000);
+
+/// Part of the retries that entry instances use of what they may together, since their numbers are
+/// not equal and each rounds up.
+const RETRY_PART: f64 = 0.6;
+
+/// Retries that one entry instance may always make, however many there are.
+const LEAST_RESERVE: f64 = 1.0;
+
+/// Entry instances that are presumed until their number is known.
+const PRESUMED_ENTRIES: u32 = 16;
+
+/// Span over which rates for the leader are averaged.
+const RATE_SPAN: Millis = Millis(2000);
+
+/// An entry instance's own state.
+#[derive(Debug)]
+pub struct State {
+    /// Its settings.
+    pub cfg: GatewayCfg,
+    /// Its clock.
+    pub clock: Clock,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its metrics.
+    pub metrics: Metrics,
+    /// Connections to endpoints.
+    pub connections: Connections,
+    /// Open connections of callers.
+    pub callers: Arc<AtomicUsize>,
+    table: RwLock<Option<Arc<RouteTable>>>,
+    pools: RwLock<Map<Name, Arc<PoolState>>>,
+    shares: Mutex<Shares>,
+    budget: Mutex<Budget>,
+    usage: Mutex<UsageCounter>,
+    /// True time of day less the steady clock, in milliseconds.
+    time_offset: AtomicU64,
+    is_stopping: AtomicBool,
+}
+
+/// The endpoints of a service, and what is counted of its calls.
+#[derive(Debug)]
+pub struct PoolState {
+    /// The service.
+    pub service: Name,
+    /// The endpoints.
+    pub pool: Mutex<Pool>,
+    /// Whether they are model engines.
+    pub is_engine: bool,
+    rates: Mutex<Rates>,
+}
+
+#[derive(Debug, Default)]
+struct Rates {
+    fresh_tokens: Rate,
+    refused: Rate,
+}
+
+#[derive(Debug, Default)]
+struct Rate {
+    per_s: f64,
+    at: Millis,
+}
+
+#[derive(Debug)]
+struct Budget {
+    budget: RetryBudget,
+    entries: u32,
+}
+
+impl State {
+    /// Makes the state of an instance that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when two metrics have the same name.
+    pub fn new(cfg: GatewayCfg) -> eyre::Result<Self> {
+        let clock = Clock::start();
+        let connections =
+            ConnectionsCfg { connect: CONNECT, silent: SILENT, idle: IDLE, margin: IDLE_MARGIN };
+        let wall = Millis::wall();
+        Ok(Self {
+            metrics: Metrics::new()?,
+            connections: Connections::new(connections, clock),
+            callers: Arc::default(),
+            table: RwLock::default(),
+            pools: RwLock::default(),
+            shares: Mutex::new(Shares::new(cfg.limits)),
+            budget: Mutex::new(Budget::new(&cfg, PRESUMED_ENTRIES)),
+            usage: Mutex::default(),
+            time_offset: AtomicU64::new((wall - clock.now()).0),
+            is_stopping: AtomicBool::new(false),
+            incarnation: Incarnation(wall.0),
+            clock,
+            cfg,
+        })
+    }
+
+    /// Returns the settings in force, if any are known.
+    pub fn table(&self) -> Option<Arc<RouteTable>> {
+        self.table.read().clone()
+    }
+
+    /// Returns the endpoints of a service.
+    pub fn pool(&self, service: &Name) -> Option<Arc<PoolState>> {
+        self.pools.read().get(service).cloned()
+    }
+
+    /// Returns whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        let has_endpoints = || self.pools.read().values().any(|pool| pool.pool.lock().ready() > 0);
+        !self.is_stopping() && self.table.read().is_some() && has_endpoints()
+    }
+
+    /// Returns whether it is about to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Has the balancer send callers elsewhere.
+    pub fn begin_to_stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns true time of day.
+    pub fn true_time(&self) -> Millis {
+        self.clock.now() + Millis(self.time_offset.load(Ordering::Relaxed))
+    }
+
+    /// Takes in what a control instance tells.
+    pub fn learn(&self, reply: &LinkReply) {
+        let now = self.clock.now();
+        self.time_offset.store((reply.true_time - now).0, Ordering::Relaxed);
+        if let Some(settings) = &reply.settings {
+            self.take_settings(now, settings.revision.0, &settings.document);
+        }
+        for fact in &reply.endpoints {
+            // Without a leader it may be cut off, and hears less than others.
+            if fact.state != EndpointState::Silent || reply.is_led {
+                self.take_endpoint(now, fact);
+            }
+        }
+        if let Some(totals) = &reply.totals {
+            self.shares.lock().set_totals(now, totals);
+            self.budget.lock().set_entries(&self.cfg, totals.entries);
+        }
+    }
+
+    fn take_settings(&self, now: Millis, revision: u64, document: &serde_json::Value) {
+        let held = self.table().map_or(0, |table| table.revision);
+        if revision <= held {
+            return;
+        }
+        let document: Document = match serde_json::from_value(document.clone()) {
+            Ok(document) => document,
+            Err(err) => {
+                event!(Error, "settings_unreadable", revision = revision, error = err);
+                return;
+            }
+        };
+        let table = Arc::new(RouteTable::of(revision, &document));
+        self.shares.lock().set_limits(now, &table);
+        for (name, pool) in &table.pools {
+            let engine = pool.engine.as_ref();
+            self.open_pool(name, engine.is_some(), engine.map_or(0, |e| e.cache_tokens));
+        }
+        let before = self.table.write().replace(table);
+        let before = before.map_or(0, |table| table.revision);
+        self.metrics.revision.set(revision as i64);
+        event!(Info, "settings_in_force", revision = revision, before = before);
+    }
+
+    fn open_pool(&self, service: &Name, is_engine: bool, cache_tokens: u64) -> Arc<PoolState> {
+        let mut pools = self.pools.write();
+        let known = pools.get(service);
+        // What endpoints say comes before settings do, and doesn't tell whether they are engines.
+        if let Some(known) = known.filter(|known| known.is_engine || !is_engine) {
+            return known.clone();
+        }
+        let cfg = PoolCfg {
+            service: service.clone(),
+            domain: self.cfg.domain.clone(),
+            is_engine,
+            cache_tokens,
+            seed: self.incarnation.0,
+        };
+        let mut pool = Pool::new(cfg);
+        if let Some(known) = known {
+            let now = self.clock.now();
+            known.pool.lock().facts().for_each(|fact| {
+                pool.heard(now, fact);
+            });
+        }
+        let state = Arc::new(PoolState {
+            service: service.clone(),
+            pool: Mutex::new(pool),
+            is_engine,
+            rates: Mutex::default(),
+        });
+        pools.insert(service.clone(), state.clone());
+        state
+    }
+
+    fn take_endpoint(&self, now: Millis, fact: &EndpointFact) {
+        let pool = self.pool(&fact.service);
+        let pool = pool.unwrap_or_else(|| self.open_pool(&fact.service, false, 0));
+        let is_news = pool.pool.lock().heard(now, fact);
+        if !is_news {
+            return;
+        }
+        if fact.state >= EndpointState::Silent {
+            self.connections.forget(fact.address);
+        }
+        event!(
+            Info,
+            "endpoint",
+            endpoint = fact.endpoint,
+            service = fact.service,
+            domain = fact.domain,
+            address = fact.address,
+            state = format!("{:?}", fact.state),
+            sequence = fact.sequence,
+            age_ms = fact.age
+        );
+    }
+
+    /// Admits a call of an account, or tells when to come back.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time to wait where the account is over its limit.
+    pub fn admit(&self, account: &Name, amount: f64) -> Result<(), Millis> {
+        self.shares.lock().admit(self.clock.now(), account, amount)
+    }
+
+    /// Gives back what a call took that did not run.
+    pub fn give_back(&self, account: &Name, amount: f64) {
+        self.shares.lock().give_back(self.clock.now(), account, amount);
+    }
+
+    /// Counts a request that begins to run now.
+    pub fn count_usage(&self, account: &Name) {
+        let window = window_of(self.true_time(), self.cfg.usage_window);
+        self.usage.lock().count(window, account);
+    }
+
+    /// Earns a part of a retry for a service.
+    pub fn earn_retry(&self, service: &Name) {
+        self.budget.lock().earn(service);
+    }
+
+    /// Returns whether a retry may be sent to a service, and counts it if so.
+    pub fn may_retry(&self, service: &Name) -> bool {
+        self.budget.lock().may_retry(service)
+    }
+
+    /// Reports usage, demand and work for the control instances.
+    pub fn report(&self, sequence: u64) -> sill_wire::link::EntryReport {
+        let now = self.clock.now();
+        let window = window_of(self.true_time(), self.cfg.usage_window);
+        let services = self.pools.read().values().map(|pool| pool.report(now)).collect();
+        sill_wire::link::EntryReport {
+            entry: self.cfg.name.clone(),
+            incarnation: self.incarnation,
+            domain: self.cfg.domain.clone(),
+            sequence,
+            wall: Millis::wall(),
+            usage: self.usage.lock().report(window),
+            accounts: self.shares.lock().report(now),
+            services,
+        }
+    }
+}
+
+impl PoolState {
+    /// Counts prompt tokens that an endpoint has to compute.
+    pub fn count_fresh(&self, now: Millis, tokens: u64) {
+        self.rates.lock().fresh_tokens.add(now, tokens as f64);
+    }
+
+    /// Counts a request that was refused for want of room.
+    pub fn count_refused(&self, now: Millis) {
+        self.rates.lock().refused.add(now, 1.0);
+    }
+
+    fn report(&self, now: Millis) -> ServiceReport {
+        let mut rates = self.rates.lock();
+        ServiceReport {
+            service: self.service.clone(),
+            running: self.pool.lock().running(),
+            fresh_tokens_per_s: rates.fresh_tokens.at(now),
+            refused_per_s: rates.refused.at(now),
+        }
+    }
+}
+
+impl Rate {
+    fn add(&mut self, now: Millis, amount: f64) {
+        self.per_s = self.at(now) + amount / RATE_SPAN.as_secs_f64();
+    }
+
+    fn at(&mut self, now: Millis) -> f64 {
+        let passed = (now - self.at).as_secs_f64() / RATE_SPAN.as_secs_f64();
+        self.per_s *= (-passed).exp();
+        self.at = self.at.max(now);
+        self.per_s
+    }
+}
+
+impl Budget {
+    fn new(cfg: &GatewayCfg, entries: u32) -> Self {
+        let bounds = cfg.retries;
+        let reserve = bounds.allowance * RETRY_PART / f64::from(entries.max(1));
+        let retry_cfg = RetryCfg {
+            share: bounds.share * RETRY_PART,
+            reserve: reserve.max(LEAST_RESERVE),
+            ..RetryCfg::default()
+        };
+        Self { budget: RetryBudget::new(retry_cfg), entries }
+    }
+
+    fn set_entries(&mut self, cfg: &GatewayCfg, entries: u32) {
+        if entries > 0 && entries != self.entries {
+            *self = Self::new(cfg, entries);
+        }
+    }
+
+    fn earn(&mut self, service: &Name) {
+        self.budget.succeeded(&Name::default(), &Target::Service(service.clone()));
+    }
+
+    fn may_retry(&mut self, service: &Name) -> bool {
+        self.budget.may_retry(&Name::default(), &Target::Service(service.clone()))
+    }
+}
--- a/daemons/setup/src/lib.rs
+++ b/daemons/setup/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod flags;
 pub mod logs;
+pub mod queue;
 pub mod signal;
 
 pub use flags::{Flag, Kind, Outcome, Program, Values, Variables};
--- a/daemons/setup/src/logs.rs
+++ b/daemons/setup/src/logs.rs
@@ -1,4 +1,4 @@
-//! Logs on standard error, one key=value line for each event.
+//! Logs, one key=value line for each event.
 
 use std::panic::{self, PanicHookInfo};
 use std::{io, process, thread};
@@ -8,15 +8,31 @@
 use sill_base::event::push_pair;
 use sill_base::{Millis, event};
 
+use crate::queue::Queue;
+
 /// The exit code of a process that found a promise broken.
 const EXIT_BROKEN_PROMISE: i32 = 3;
 
-/// Starts logging. From now on a broken promise ends the process.
+/// Starts logging on standard error. From now on a broken promise ends the process.
 ///
 /// # Errors
 ///
 /// Fails when a logger was set before.
 pub fn start(level: LevelFilter) -> Result<()> {
+    start_to(level, fern::Output::stderr("\n"))
+}
+
+/// Starts logging on standard output, through a bounded queue that never holds up the caller.
+///
+/// # Errors
+///
+/// Fails when a logger was set before or the writer can't be started.
+pub fn start_daemon(level: LevelFilter) -> Result<()> {
+    let queue = Queue::start(io::stdout())?;
+    start_to(level, fern::Output::call(move |record| queue.add(record)))
+}
+
+fn start_to(level: LevelFilter, output: fern::Output) -> Result<()> {
     fern::Dispatch::new()
         .format(|out, message, record| {
             let text = message.to_string();
@@ -38,11 +54,13 @@
         .level_for("sill_base", level)
         .level_for("sill_entry", level)
         .level_for("sill_control", level)
+        .level_for("sill_gateway", level)
+        .level_for("sill_platform", level)
         .level_for("sill_net", level)
         .level_for("sill_standin", level)
         .level_for("sill_load", level)
         .level_for("sill", level)
-        .chain(io::stderr())
+        .chain(output)
         .apply()?;
     panic::set_hook(Box::new(|info| {
         log_panic(info);
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod handoff;
 pub mod header;
 pub mod limits;
+pub mod link;
 pub mod member;
 pub mod prefix;
 pub mod priority;
--- /dev/null
+++ b/protocol/wire/src/link.rs
@@ -0,0 +1,230 @@
+//! What entry instances that serve routes and control instances say to each other.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use sill_base::{Millis, Name};
+
+use crate::announce::Incarnation;
+use crate::call::Call;
+use crate::control::Revision;
+
+/// Where an endpoint is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum EndpointState {
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has.
+    Leaving,
+    /// It has not been heard of for several heartbeats.
+    Silent,
+    /// It has said that it ends.
+    Gone,
+}
+
+/// What is known of one life of an endpoint, from its newest heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointFact {
+    /// Names this life; a restart takes another name.
+    pub endpoint: Name,
+    /// The service that it belongs to.
+    pub service: Name,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Requests that it runs side by side.
+    pub slots: u32,
+    /// Grows with each heartbeat.
+    pub sequence: u64,
+    /// Where it is in its life.
+    pub state: EndpointState,
+    /// Whether the platform may take it back.
+    pub reclaimable: bool,
+    /// Time left when the heartbeat came, where the platform told it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leaves_in: Option<Millis>,
+    /// How long ago the heartbeat came.
+    pub age: Millis,
+}
+
+/// Where a control instance is reached.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlPlace {
+    /// Its name.
+    pub name: Name,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Where our own processes reach it.
+    pub peer: SocketAddr,
+    /// Where operators and endpoints reach it.
+    pub address: SocketAddr,
+}
+
+/// A place in the sequence of endpoint changes of one control instance.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cursor {
+    /// The life of the control instance.
+    pub life: Incarnation,
+    /// The last change that was taken in.
+    pub change: u64,
+}
+
+/// Requests that began to run in one window of time, by client account.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WindowUsage {
+    /// The number of the window.
+    pub window: u64,
+    /// Requests by account.
+    pub counts: BTreeMap<Name, u64>,
+}
+
+/// What one client account asks for at an entry instance, in the unit of its limit.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AccountReport {
+    /// The account.
+    pub account: Name,
+    /// Asked for in a second, admitted or not.
+    pub asked_per_s: f64,
+    /// Admitted in the last [`LIMIT_WINDOW`].
+    pub admitted: f64,
+}
+
+/// The work of one service at an entry instance.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServiceReport {
+    /// The service.
+    pub service: Name,
+    /// Requests at its endpoints.
+    pub running: u32,
+    /// Prompt tokens sent in a second that were not thought to be cached.
+    pub fresh_tokens_per_s: f64,
+    /// Requests refused in a second for want of room.
+    pub refused_per_s: f64,
+}
+
+/// What an entry instance tells of itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EntryReport {
+    /// The entry instance.
+    pub entry: Name,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Grows with each report.
+    pub sequence: u64,
+    /// Its time of day.
+    pub wall: Millis,
+    /// Usage of the newest windows, counted from the start of each.
+    pub usage: Vec<WindowUsage>,
+    /// Demand by account.
+    pub accounts: Vec<AccountReport>,
+    /// Work by service.
+    pub services: Vec<ServiceReport>,
+}
+
+/// A waiting call by which an entry instance gets what is new.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LinkPoll {
+    /// The revision of the served subtree that it runs.
+    pub have: Revision,
+    /// Up to where it knows this control instance's endpoint changes.
+    pub cursor: Cursor,
+    /// How long the call may wait for something new.
+    pub wait: Millis,
+    /// What it tells.
+    pub report: EntryReport,
+}
+
+/// The subtree that holds routes, as it is served.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServedSettings {
+    /// The revision of its last change.
+    pub revision: Revision,
+    /// Its document.
+    pub document: Value,
+}
+
+/// The demand for one account over all entry instances.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AccountTotal {
+    /// The account.
+    pub account: Name,
+    /// Asked for in a second.
+    pub asked_per_s: f64,
+    /// Admitted in the last [`LIMIT_WINDOW`].
+    pub admitted: f64,
+}
+
+/// The demand over all entry instances, as the leader adds it up.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Totals {
+    /// How old the figures are.
+    pub age: Millis,
+    /// Entry instances that are alive.
+    pub entries: u32,
+    /// Demand by account.
+    pub accounts: Vec<AccountTotal>,
+}
+
+/// What is new for an entry instance.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LinkReply {
+    /// Newer settings, if there are any.
+    pub settings: Option<ServedSettings>,
+    /// Up to where the changes go.
+    pub cursor: Cursor,
+    /// Endpoints that changed.
+    pub endpoints: Vec<EndpointFact>,
+    /// All control instances that are known.
+    pub controls: Vec<ControlPlace>,
+    /// The demand over all entry instances, if a leader is known.
+    pub totals: Option<Totals>,
+    /// True time of day, as the median of all clocks.
+    pub true_time: Millis,
+    /// Whether this control instance hears a leader; without one its settings may be old.
+    pub is_led: bool,
+}
+
+/// What a control instance passes on to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ControlSync {
+    /// Who tells.
+    pub from: ControlPlace,
+    /// Its life.
+    pub life: Incarnation,
+    /// Its time of day.
+    pub wall: Millis,
+    /// Endpoints that it heard since the last call.
+    pub endpoints: Vec<EndpointFact>,
+    /// Reports of entry instances, for the leader.
+    pub reports: Vec<EntryReport>,
+    /// Demand over all entry instances, from the leader.
+    pub totals: Option<Totals>,
+}
+
+/// The answer to a [`ControlSync`].
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ControlSyncReply {
+    /// The life of who answers; another one than before lacks all that was told.
+    pub life: Incarnation,
+}
+
+/// The span over which admitted amounts are summed.
+pub const LIMIT_WINDOW: Millis = Millis(8000);
+
+impl Call for LinkPoll {
+    type Reply = LinkReply;
+
+    const METHOD: &'static str = "link_poll";
+}
+
+impl Call for ControlSync {
+    type Reply = ControlSyncReply;
+
+    const METHOD: &'static str = "control_sync";
+}
--- a/state/base/src/clock.rs
+++ b/state/base/src/clock.rs
@@ -2,8 +2,9 @@
 
 use std::fmt::{self, Display, Formatter};
 use std::ops::{Add, Mul, Sub};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A point in time or a span, in milliseconds.
@@ -16,10 +17,14 @@
 #[serde(transparent)]
 pub struct Millis(pub u64);
 
-/// The monotonic clock of one process.
+/// The steady clock of one process.
+///
+/// It counts the time for which the instance was suspended. The usual monotonic clock stands still
+/// meanwhile: a control instance that wakes up would hold a lease that ended seconds ago, and an
+/// operator would read an old value from it.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Millis {
@@ -96,15 +101,19 @@
 impl Clock {
     /// Starts a clock that reads zero now.
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self { start: since_boot() }
     }
 
     /// Returns the time since the clock was started.
     pub fn now(&self) -> Millis {
-        self.start.elapsed().into()
+        since_boot().saturating_sub(self.start).into()
     }
 }
 
+fn since_boot() -> Duration {
+    clock_gettime(ClockId::CLOCK_BOOTTIME).expect("Linux has had this clock since 2.6.39").into()
+}
+
 impl Default for Clock {
     fn default() -> Self {
         Self::start()
--- a/state/tree/src/check.rs
+++ b/state/tree/src/check.rs
@@ -23,8 +23,10 @@
         old.into_iter().chain(new).map(|(p, d)| (*p, *d)).collect();
     check_service_names(&in_turn, &mut findings);
     check_keys(&in_turn, &mut findings);
+    check_route_places(&in_turn, &mut findings);
     for (path, document) in documents {
         check_references(documents, path, document, &mut findings);
+        check_splits(documents, path, document, &mut findings);
         check_limit(documents, path, document, &mut findings);
         check_price_cap(documents, path, document, &mut findings);
         check_placement(documents, path, document, &mut findings);
@@ -68,6 +70,47 @@
     }
 }
 
+/// Two routes of one host and path could not be told apart.
+fn check_route_places(documents: &[(&str, &Document)], findings: &mut Findings) {
+    let mut first: Map<(&Name, &Name), String> = Map::default();
+    for (path, document) in documents {
+        for (name, route) in &document.routes {
+            let place = Place::top(path).field("routes").field(name).text();
+            if let Some(other) = first.insert((&route.host, &route.path), place.clone()) {
+                findings.add(place, format!("same host and path as {other}"));
+            }
+        }
+    }
+}
+
+/// Returns whether a service stands in a subtree or above it.
+fn is_reachable(documents: &Documents<'_>, path: &str, service: &Name) -> bool {
+    let mut above = documents.iter().filter(|(upper, _)| is_at_or_above(upper, path));
+    above.any(|(_, document)| document.services.contains_key(service))
+}
+
+/// A route leads to services of its own subtree and of those above.
+fn check_splits(
+    documents: &Documents<'_>,
+    path: &str,
+    document: &Document,
+    findings: &mut Findings,
+) {
+    for (name, route) in &document.routes {
+        let place = Place::top(path).field("routes").field(name).field("split");
+        for (i, share) in route.split.iter().enumerate() {
+            if !is_reachable(documents, path, &share.service) {
+                let reason = unreachable_service(&share.service);
+                findings.add(place.element(i).text(), reason);
+            }
+        }
+    }
+}
+
+fn unreachable_service(service: &Name) -> String {
+    format!("{service:?} is no service of this subtree or one above")
+}
+
 /// An account may use services of its own subtree and of those above.
 fn check_references(
     documents: &Documents<'_>,
@@ -75,16 +118,11 @@
     document: &Document,
     findings: &mut Findings,
 ) {
-    let is_reachable = |service: &Name| {
-        let above = documents.iter().filter(|(upper, _)| is_at_or_above(upper, path));
-        above.into_iter().any(|(_, document)| document.services.contains_key(service))
-    };
     for (name, account) in &document.accounts {
         let place = Place::top(path).field("accounts").field(name).field("services");
         for (i, service) in account.services.iter().enumerate() {
-            if !is_reachable(service) {
-                let reason = format!("{service:?} is no service of this subtree or one above");
-                findings.add(place.element(i).text(), reason);
+            if !is_reachable(documents, path, service) {
+                findings.add(place.element(i).text(), unreachable_service(service));
             }
         }
     }
--- a/state/tree/src/document.rs
+++ b/state/tree/src/document.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use sill_base::{Millis, Name};
 
+use crate::route::{CallerBounds, Pool, Route};
+
 /// The hash of a key or token, as `blake3:` and 64 hexadecimal digits. Settings never hold the
 /// secret itself.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -39,6 +41,12 @@
     /// Client accounts by name.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub accounts: BTreeMap<Name, Account>,
+    /// Routes by name.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub routes: BTreeMap<Name, Route>,
+    /// Bounds on what callers of the routes send.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub caller_bounds: Option<CallerBounds>,
 }
 
 /// A language-model pool or a plain service.
@@ -69,6 +77,8 @@
         #[serde(default, skip_serializing_if = "is_default")]
         min_endpoints: u32,
     },
+    /// Endpoints that are reached by routes.
+    Pool(Pool),
 }
 
 /// Marks calls of a plain service.
@@ -103,6 +113,15 @@
     /// Models and services that it may use; all of its subtree when empty.
     #[serde(skip_serializing_if = "is_default")]
     pub services: Vec<Name>,
+    /// The rank of its calls on routes, in place of the route's; 0 goes first.
+    #[serde(skip_serializing_if = "is_default")]
+    pub urgency: Option<u8>,
+    /// What it may use at once on routes beyond its limit, in the limit's unit.
+    #[serde(skip_serializing_if = "is_default")]
+    pub burst: Option<f64>,
+    /// Tokens that a call on a route counts with when it names none.
+    #[serde(skip_serializing_if = "is_default")]
+    pub default_tokens: Option<u64>,
 }
 
 /// A limit, over all entry instances.
--- a/state/tree/src/effective.rs
+++ b/state/tree/src/effective.rs
@@ -59,7 +59,7 @@
             for (name, service) in &subtree.document.services {
                 let own_latency = match service {
                     Service::Model { latency, .. } => *latency,
-                    Service::Plain { .. } => None,
+                    Service::Plain { .. } | Service::Pool(_) => None,
                 };
                 let service = EffectiveService {
                     name: name.clone(),
--- a/state/tree/src/lib.rs
+++ b/state/tree/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod object;
 pub mod owner;
 pub mod read;
+mod read_route;
+pub mod route;
 pub mod tree;
 
 pub use document::{
@@ -15,4 +17,5 @@
 pub use effective::{Effective, EffectiveAccount, EffectiveService};
 pub use json::read_json;
 pub use owner::{Operator, redacted};
+pub use route::{CallerBounds, CapacityRange, Engine, Pool, Route, RouteKind, Share};
 pub use tree::{Subtree, Tree};
--- a/state/tree/src/read.rs
+++ b/state/tree/src/read.rs
@@ -7,6 +7,7 @@
     Account, CallRule, Document, KeyHash, LatencyTarget, Limit, Placement, Service,
 };
 use crate::object::{self, Object, Place};
+use crate::read_route;
 
 /// Priorities, from the lowest.
 pub const PRIORITIES: [&str; 3] = ["low", "normal", "high"];
@@ -43,6 +44,8 @@
         Some(service(value, place, findings).unwrap_or(unreadable))
     }));
     read.accounts.extend(fields.by_name("accounts", findings, account));
+    read.routes.extend(fields.by_name("routes", findings, read_route::route));
+    read.caller_bounds = fields.read("caller_bounds", findings, read_route::caller_bounds);
     fields.close(findings);
     read
 }
@@ -65,8 +68,9 @@
                 .read("min_endpoints", findings, object::whole_u32)
                 .unwrap_or_default(),
         },
+        "pool" => Service::Pool(read_route::pool(&mut fields, findings)),
         other => {
-            let reason = format!("expected `model` or `plain`, found {other:?}");
+            let reason = format!("expected `model`, `plain` or `pool`, found {other:?}");
             findings.add(fields.place("kind").text(), reason);
             return None;
         }
@@ -84,6 +88,9 @@
         priority: fields.read("priority", findings, priority),
         max_priority: fields.read("max_priority", findings, priority),
         services: distinct(&mut fields, "services", findings, object::name),
+        urgency: fields.read("urgency", findings, read_route::urgency),
+        burst: fields.read("burst", findings, read_route::amount),
+        default_tokens: fields.read("default_tokens", findings, object::whole),
     };
     let rank = |name: &Option<Name>| PRIORITIES.iter().position(|p| Some(*p) == name.as_deref());
     if let (Some(usual), Some(highest)) = (rank(&account.priority), rank(&account.max_priority))
--- /dev/null
+++ b/state/tree/src/read_route.rs
@@ -0,0 +1,145 @@
+//! Reads routes and pools out of JSON and notes every fault.
+
+use serde_json::Value;
+use sill_base::{Findings, Millis, Name};
+
+use crate::object::{self, Object, Place};
+use crate::route::{CallerBounds, CapacityRange, Engine, Pool, Route, RouteKind, Share};
+
+/// Attempts of a route that names none.
+const DEFAULT_ATTEMPTS: u32 = 1;
+
+/// Reads a route.
+pub fn route(value: &Value, place: Place, findings: &mut Findings) -> Option<Route> {
+    let mut fields = Object::open(value, place, findings)?;
+    let route = Route {
+        host: fields.required("host", findings, text).unwrap_or_default(),
+        path: fields.required("path", findings, path).unwrap_or_default(),
+        kind: fields.required("kind", findings, kind).unwrap_or_default(),
+        timeout_ms: fields.required("timeout_ms", findings, object::millis).unwrap_or_default(),
+        target_ms: fields.read("target_ms", findings, object::millis),
+        interval_ms: fields.read("interval_ms", findings, object::millis),
+        urgency: fields.read("urgency", findings, urgency).unwrap_or_default(),
+        split: fields.list("split", findings, share),
+        max_attempts: fields
+            .read("max_attempts", findings, object::whole_u32)
+            .unwrap_or(DEFAULT_ATTEMPTS),
+        anonymous: fields.read("anonymous", findings, object::switch).unwrap_or_default(),
+    };
+    if route.split.iter().all(|share| share.weight == 0) {
+        findings.add(fields.place("split").text(), "the weights add up to 0");
+    }
+    fields.close(findings);
+    Some(route)
+}
+
+/// Reads the fields of a pool; its `kind` was read before.
+pub fn pool(fields: &mut Object<'_>, findings: &mut Findings) -> Pool {
+    Pool {
+        health_path: fields.read("health_path", findings, text),
+        max_connections: fields.read("max_connections", findings, object::whole_u32),
+        engine: fields.read("engine", findings, engine),
+        capacity: fields.read("capacity", findings, capacity),
+    }
+}
+
+/// Reads the bounds on what callers send.
+pub fn caller_bounds(
+    value: &Value,
+    place: &Place,
+    findings: &mut Findings,
+) -> Option<CallerBounds> {
+    let mut fields = Object::open(value, place.clone(), findings)?;
+    let bounds = CallerBounds {
+        header_bytes: fields.read("header_bytes", findings, object::whole),
+        body_bytes: fields.read("body_bytes", findings, object::whole),
+        idle_ms: fields.read("idle_ms", findings, object::millis),
+    };
+    fields.close(findings);
+    Some(bounds)
+}
+
+/// Reads the rank of an account or a route.
+pub fn urgency(value: &Value, place: &Place, findings: &mut Findings) -> Option<u8> {
+    let number = object::whole(value, place, findings)?;
+    let fitting = u8::try_from(number).ok();
+    if fitting.is_none() {
+        findings.add(place.text(), format!("{number} is more than {}", u8::MAX));
+    }
+    fitting
+}
+
+/// Reads a number that is not below zero.
+pub fn amount(value: &Value, place: &Place, findings: &mut Findings) -> Option<f64> {
+    let number = value.as_f64().filter(|number| *number >= 0.0);
+    if number.is_none() {
+        findings.add(place.text(), "expected a number of at least 0");
+    }
+    number
+}
+
+fn engine(value: &Value, place: &Place, findings: &mut Findings) -> Option<Engine> {
+    let mut fields = Object::open(value, place.clone(), findings)?;
+    let engine = Engine {
+        slots: fields.read("slots", findings, object::whole_u32).unwrap_or_default(),
+        cache_tokens: fields.read("cache_tokens", findings, object::whole).unwrap_or_default(),
+        moves: fields.read("moves", findings, object::switch).unwrap_or_default(),
+        backups: fields.read("backups", findings, object::switch).unwrap_or_default(),
+    };
+    fields.close(findings);
+    Some(engine)
+}
+
+fn capacity(value: &Value, place: &Place, findings: &mut Findings) -> Option<CapacityRange> {
+    let mut fields = Object::open(value, place.clone(), findings)?;
+    let range = CapacityRange {
+        min: fields.read("min", findings, object::whole_u32).unwrap_or_default(),
+        max: fields.required("max", findings, object::whole_u32).unwrap_or_default(),
+        boot_ms: fields.read("boot_ms", findings, whole_millis).unwrap_or_default(),
+        reclaimable_price: fields.read("reclaimable_price", findings, amount),
+        prices: fields
+            .by_name("prices", findings, |value, place, findings| amount(value, &place, findings))
+            .into_iter()
+            .collect(),
+    };
+    if range.min > range.max {
+        findings.add(fields.place("min").text(), "more than max");
+    }
+    fields.close(findings);
+    Some(range)
+}
+
+fn whole_millis(value: &Value, place: &Place, findings: &mut Findings) -> Option<Millis> {
+    object::whole(value, place, findings).map(Millis)
+}
+
+fn share(value: &Value, place: &Place, findings: &mut Findings) -> Option<Share> {
+    let mut fields = Object::open(value, place.clone(), findings)?;
+    let service = fields.required("service", findings, text);
+    let weight = fields.required("weight", findings, object::whole_u32);
+    fields.close(findings);
+    Some(Share { service: service?, weight: weight? })
+}
+
+fn kind(value: &Value, place: &Place, findings: &mut Findings) -> Option<RouteKind> {
+    let text = object::text(value, place, findings)?;
+    let known = RouteKind::NAMES.iter().find(|(_, name)| *name == text);
+    if known.is_none() {
+        let names: Vec<&str> = RouteKind::NAMES.iter().map(|(_, name)| *name).collect();
+        let reason = format!("unknown kind {text:?}; expected one of {}", names.join(", "));
+        findings.add(place.text(), reason);
+    }
+    known.map(|(kind, _)| *kind)
+}
+
+fn text(value: &Value, place: &Place, findings: &mut Findings) -> Option<Name> {
+    object::text(value, place, findings).map(Name::from)
+}
+
+fn path(value: &Value, place: &Place, findings: &mut Findings) -> Option<Name> {
+    let path = text(value, place, findings)?;
+    if !path.starts_with('/') || !path.ends_with('/') {
+        findings.add(place.text(), "expected a path that begins and ends with `/`");
+    }
+    Some(path)
+}
--- a/transport/net/src/lib.rs
+++ b/transport/net/src/lib.rs
@@ -1,6 +1,8 @@
-//! HTTP towards the outside by ntex, and JSON-RPC between our own processes by jsonrpsee.
+//! HTTP towards the outside by ntex, relayed HTTP by hyper, and JSON-RPC between our own processes by
+//! jsonrpsee.
 
 pub mod client;
+pub mod h1;
 pub mod http;
 pub mod peer;
 
