A lost voter is replaced two seconds after it was last heard of

Of three voters one was left. Ruled out: the acknowledgement itself, which lay on two disks. Change: the decision is a pure function with its own test, lost after 2 s, only for a learner that has everything; the promotion follows the removal at once. Hello every 300 ms.

--- a/coordination/quorum/src/lib.rs
+++ b/coordination/quorum/src/lib.rs
@@ -12,6 +12,7 @@
 mod members;
 mod message;
 mod replica;
+pub mod standby;
 mod weakening;
 
 pub use cfg::Cfg;
--- a/coordination/quorum/src/members.rs
+++ b/coordination/quorum/src/members.rs
@@ -128,6 +128,12 @@
         self.log.members().voters.contains(&self.id) || open && before.voters.contains(&self.id)
     }
 
+    /// Returns the learners that have everything, as far as this replica knows as the leader.
+    pub fn caught_up_learners(&self) -> Vec<ReplicaId> {
+        let learners = self.log.members().learners.iter();
+        learners.filter(|id| self.is_caught_up(id)).cloned().collect()
+    }
+
     fn is_caught_up(&self, id: &ReplicaId) -> bool {
         let Role::Leader(leading) = &self.role else { return false };
         leading.progress.get(id).is_some_and(|progress| progress.matched >= self.commit)
--- a/daemons/control/src/directory.rs
+++ b/daemons/control/src/directory.rs
@@ -7,6 +7,7 @@
 use sill_base::{Map, Millis, Name, Secret, event};
 use sill_net::PeerClient;
 use sill_quorum::ReplicaId;
+use sill_quorum::standby::Presence;
 use sill_wire::link::ControlPlace;
 use tokio::runtime::Handle;
 
@@ -27,13 +28,7 @@
     pub quick: PeerClient,
     /// For calls that wait for a commit.
     pub patient: PeerClient,
-    heard: Mutex<Option<Heard>>,
-}
-
-#[derive(Debug, Clone)]
-struct Heard {
-    id: ReplicaId,
-    at: Millis,
+    heard: Mutex<Option<Presence>>,
 }
 
 /// All control instances but the own one.
@@ -103,7 +98,7 @@
         let name = place.name.clone();
         self.add(place);
         if let Some(peer) = self.get(&name) {
-            *peer.heard.lock() = Some(Heard { id, at: now });
+            *peer.heard.lock() = Some(Presence { id, at: now });
         }
     }
 
@@ -129,10 +124,9 @@
         self.peers.read().is_empty()
     }
 
-    /// Returns the ids of those that made themselves heard since a point in time.
-    pub fn heard_since(&self, since: Millis) -> Vec<ReplicaId> {
+    /// Returns when each other made itself heard last.
+    pub fn presences(&self) -> Vec<Presence> {
         let peers = self.peers.read();
-        let heard = peers.values().filter_map(|peer| peer.heard.lock().clone());
-        heard.filter(|heard| heard.at >= since).map(|heard| heard.id).collect()
+        peers.values().filter_map(|peer| peer.heard.lock().clone()).collect()
     }
 }
--- a/daemons/control/src/log/driver.rs
+++ b/daemons/control/src/log/driver.rs
@@ -363,6 +363,7 @@
                 status.is_new = replica.is_new();
                 status.is_voter = replica.members().voters.contains(replica.id());
                 status.voters = replica.members().voters.iter().cloned().collect();
+                status.ready_learners = replica.caught_up_learners();
                 let lease = replica.lease_until(now).filter(|_| replica.can_read(now));
                 status.reads_until = lease.unwrap_or_default();
             }
--- a/daemons/control/src/log/handle.rs
+++ b/daemons/control/src/log/handle.rs
@@ -57,6 +57,8 @@
     pub is_voter: bool,
     /// The voters of the newest members.
     pub voters: Vec<ReplicaId>,
+    /// The learners that have everything, as the leader knows.
+    pub ready_learners: Vec<ReplicaId>,
     /// Why it can't write, if it can't.
     pub disk_fault: Option<String>,
 }
@@ -151,6 +153,7 @@
             is_new: true,
             is_voter: false,
             voters: Vec::new(),
+            ready_learners: Vec::new(),
             disk_fault: None,
         }
     }
--- a/daemons/control/src/log/hello.rs
+++ b/daemons/control/src/log/hello.rs
@@ -5,21 +5,22 @@
 
 use sill_base::{Map, Millis, event};
 use sill_net::PeerClient;
+use sill_quorum::standby::{self, Replacement};
 use sill_quorum::{Event, MemberChange, Members, ReplicaId, RoleName};
 
 use crate::cfg::Seeds;
 use crate::daemon::Shared;
 use crate::rpc::{Hello, HelloReply};
 
-/// Pause between two tries.
-const PAUSE: Millis = Millis(500);
+/// Pause between two tries. A voter that lost its disk takes three of them until it votes again, and
+/// the next disk may be lost four seconds after it is back.
+const PAUSE: Millis = Millis(300);
 
-/// A voter that was not heard of for this long is replaced by one that stands by. Cuts and restarts
-/// last for up to six seconds, and moving the log costs more than waiting for them.
-const LOST: Millis = Millis(8000);
+/// Pause between two tries to have the one that stands by vote, once the lost voter was taken out.
+const AT_ONCE: Millis = Millis(20);
 
-/// One that stands by must have been heard of within this time to take a voter's place.
-const PRESENT: Millis = Millis(1500);
+/// Tries to have it vote before the next look at all.
+const TRIES: usize = 10;
 
 /// Makes this instance known to all others.
 ///
@@ -43,7 +44,7 @@
             _ => None,
         };
         if let (Some(seeds), Some(since)) = (seeds, leads_since) {
-            replace_lost(&shared, seeds, &status.voters, since);
+            replace_lost(&shared, seeds, since).await;
         }
         tokio::time::sleep(PAUSE.into()).await;
     }
@@ -94,19 +95,30 @@
     }
 }
 
-/// Takes out a voter that was lost for good, once another can take its place.
-fn replace_lost(shared: &Shared, seeds: &Seeds, voters: &[ReplicaId], since: Millis) {
-    let now = shared.clock.now();
-    if voters.len() < seeds.voters || now - since < LOST {
+/// Replaces a voter that was lost by one that stands by.
+///
+/// The lost one goes first: promoted before, the new one would have to be there for each entry as
+/// well. Between the two steps all voters left are needed, so the second follows at once.
+async fn replace_lost(shared: &Shared, seeds: &Seeds, since: Millis) {
+    let (now, status) = (shared.clock.now(), shared.log.status());
+    if status.voters.len() < seeds.voters || now - since < standby::LOST {
         return;
     }
-    let present = shared.directory.heard_since(now - PRESENT);
-    let stands_by = present.iter().any(|id| !voters.contains(id));
-    let lately = shared.directory.heard_since(now - LOST);
-    let is_lost = |id: &&ReplicaId| **id != shared.id && !lately.contains(id);
-    if let (true, Some(lost)) = (stands_by, voters.iter().find(is_lost)) {
-        event!(Warn, "voter_lost", name = lost.name, unheard_ms = LOST);
-        shared.log.event(Event::Change(MemberChange::Remove(lost.clone())));
+    let presences = shared.directory.presences();
+    let due =
+        standby::replacement(now, &shared.id, &status.voters, &presences, &status.ready_learners);
+    let Some(Replacement { lost, by }) = due else { return };
+    event!(Warn, "voter_replaced", lost = lost.name, by = by.name);
+    shared.log.event(Event::Change(MemberChange::Remove(lost)));
+    for _ in 0..TRIES {
+        tokio::time::sleep(AT_ONCE.into()).await;
+        let voters = shared.log.status().voters;
+        if voters.contains(&by) {
+            return;
+        }
+        if voters.len() < seeds.voters {
+            shared.log.event(Event::Join { id: by.clone(), as_voter: true });
+        }
     }
 }
 
