Fleet: what stands at the start is kept until its load has been known for a while

Before the first call there is no demand, so the planner gave up eight of twelve endpoints; the load then took two boots, and the leader was killed in between. Test: counts.rs, failed before with 4 endpoints of 12.

--- a/coordination/fleet/src/counts.rs
+++ b/coordination/fleet/src/counts.rs
@@ -83,7 +83,15 @@
 pub struct CountPlanner {
     cfg: CountCfg,
     cells: Map<Cell, Ordered>,
-    needs: Map<Name, Vec<Need>>,
+    needs: Map<Name, Needs>,
+}
+
+/// What a service was seen to need.
+#[derive(Debug, Default)]
+struct Needs {
+    /// What stood when it was first looked at, until its load has been known for a while.
+    first: Option<Need>,
+    highest: Vec<Need>,
 }
 
 /// What is ordered as one number.
@@ -107,6 +115,16 @@
     at: Millis,
 }
 
+impl Needs {
+    /// Presumes that what stands is needed, less the failure domain that may be lost.
+    fn of(now: Millis, view: &PoolView<'_>) -> Self {
+        let domains = view.range.prices.len().max(1) as u32;
+        let stands = view.live.iter().filter(|endpoint| !endpoint.is_leaving).count() as u32;
+        let endpoints = stands * (domains - 1) / domains;
+        Self { first: Some(Need { endpoints, at: now }), highest: Vec::new() }
+    }
+}
+
 /// Endpoints of one failure domain that stay.
 #[derive(Debug, Default, Clone, Copy)]
 struct Staying {
@@ -175,14 +193,22 @@
         if refused_per_s > 1.0 {
             endpoints += 1;
         }
-        let needs = self.needs.entry(view.service.clone()).or_default();
-        needs.retain(|need| now - need.at < cfg.hold);
+        let needs = self.needs.entry(view.service.clone()).or_insert_with(|| Needs::of(now, view));
+        // Without any load, nothing is known of what is needed.
+        if running == 0
+            && let Some(first) = &mut needs.first
+        {
+            first.at = now;
+        }
+        needs.first.take_if(|first| now - first.at >= cfg.hold);
+        needs.highest.retain(|need| now - need.at < cfg.hold);
         // Only a rising need is worth keeping beside the newest one.
-        while needs.last().is_some_and(|need| need.endpoints <= endpoints) {
-            needs.pop();
+        while needs.highest.last().is_some_and(|need| need.endpoints <= endpoints) {
+            needs.highest.pop();
         }
-        needs.push(Need { endpoints, at: now });
-        needs.first().map_or(endpoints, |need| need.endpoints)
+        needs.highest.push(Need { endpoints, at: now });
+        let first = needs.first.map_or(0, |first| first.endpoints);
+        needs.highest.first().map_or(endpoints, |need| need.endpoints).max(first)
     }
 
     /// Returns what is wanted in each failure domain.
--- /dev/null
+++ b/coordination/fleet/tests/counts.rs
@@ -0,0 +1,127 @@
+//! How many endpoints are ordered, where the platform takes orders by count.
+
+use sill_base::{Millis, Name};
+use sill_fleet::{CountCfg, CountOrder, CountPlanner, Demand, LiveEndpoint, PoolView};
+use sill_tree::CapacityRange;
+
+const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
+
+struct World {
+    planner: CountPlanner,
+    range: CapacityRange,
+    live: Vec<LiveEndpoint>,
+    now: Millis,
+}
+
+fn endpoint(domain: &str, reclaimable: bool) -> LiveEndpoint {
+    LiveEndpoint { domain: domain.into(), reclaimable, is_leaving: false }
+}
+
+impl World {
+    /// Three on-demand endpoints in each failure domain, as they stand at the start.
+    fn new() -> Self {
+        let prices = [1.0, 0.8, 1.25, 0.9];
+        let prices = DOMAINS.iter().zip(prices).map(|(d, price)| (Name::from(*d), price));
+        let range = CapacityRange {
+            min: 1,
+            max: 6,
+            boot_ms: Millis(4000),
+            reclaimable_price: Some(0.2),
+            prices: prices.collect(),
+        };
+        let live = DOMAINS.iter().flat_map(|domain| vec![endpoint(domain, false); 3]).collect();
+        let planner = CountPlanner::new(CountCfg::default());
+        Self { planner, range, live, now: Millis(10_000) }
+    }
+
+    fn plan(&mut self, demand: Demand) -> Vec<CountOrder> {
+        let service = Name::from("desk");
+        let view =
+            PoolView { service: &service, range: &self.range, slots: 64, live: &self.live, demand };
+        self.planner.plan(self.now, &view)
+    }
+
+    /// Plans for a while; orders are met after a boot unless `refuses` says otherwise.
+    fn run(&mut self, span: Millis, demand: Demand, refuses: fn(&CountOrder) -> bool) {
+        let end = self.now + span;
+        while self.now < end {
+            for order in self.plan(demand) {
+                if refuses(&order) {
+                    self.planner.refused(self.now, &order);
+                } else {
+                    self.meet(&order);
+                }
+            }
+            self.now = self.now + Millis(500);
+        }
+    }
+
+    fn meet(&mut self, order: &CountOrder) {
+        let is_meant = |e: &LiveEndpoint| {
+            e.domain == order.domain && e.reclaimable == order.reclaimable && !e.is_leaving
+        };
+        let have = self.live.iter().filter(|e| is_meant(e)).count();
+        for _ in have..order.count as usize {
+            self.live.push(endpoint(&order.domain, order.reclaimable));
+        }
+        for _ in order.count as usize..have {
+            let at = self.live.iter().position(is_meant).expect("it was counted");
+            self.live.remove(at);
+        }
+    }
+
+    fn count(&self, reclaimable: bool) -> usize {
+        self.live.iter().filter(|e| e.reclaimable == reclaimable).count()
+    }
+}
+
+fn grant(_: &CountOrder) -> bool {
+    false
+}
+
+fn no_reclaimable(order: &CountOrder) -> bool {
+    order.reclaimable
+}
+
+/// Before the first callers come there is no demand. Were capacity given up for that, the first calls
+/// would meet a third of what the operators had set up, and wait for two boots of four seconds.
+#[test]
+fn what_stands_at_the_start_is_kept_until_demand_is_known() {
+    let mut world = World::new();
+    world.run(Millis(8000), Demand::default(), grant);
+    assert!(world.live.len() >= 12, "{} endpoints before the first call", world.live.len());
+    assert_eq!(world.count(false), 0, "on-demand endpoints cost five times as much");
+    let demand = Demand { running: 60, fresh_tokens_per_s: 60_000.0, refused_per_s: 0.0 };
+    world.run(Millis(60_000), demand, grant);
+    assert!(world.live.len() <= 8, "{} endpoints for a load of two", world.live.len());
+}
+
+/// A new leader knows nothing of the load before it. Were that no demand, each change of the leader
+/// would cost most of the endpoints.
+#[test]
+fn a_new_leader_keeps_what_stands() {
+    let mut world = World::new();
+    world.live = DOMAINS.iter().flat_map(|domain| vec![endpoint(domain, true); 3]).collect();
+    world.run(Millis(3000), Demand::default(), grant);
+    assert_eq!(world.live.len(), 12);
+}
+
+/// The platform takes back all reclaimable endpoints of a failure domain and has no new ones for a
+/// while. What is left must carry the load, or on-demand endpoints stand in.
+#[test]
+fn on_demand_endpoints_stand_in_while_no_reclaimable_ones_are_to_be_had() {
+    let demand = Demand { running: 250, fresh_tokens_per_s: 150_000.0, refused_per_s: 0.0 };
+    let mut world = World::new();
+    world.run(Millis(60_000), demand, grant);
+    let before = world.live.len();
+    world.live.retain(|e| e.domain != "a".into() && e.domain != "b".into());
+    world.run(Millis(6000), demand, no_reclaimable);
+    assert!(world.count(false) > 0, "nothing stands in for {} endpoints", before);
+    assert!(world.live.len() >= 8, "{} endpoints for a load of eight", world.live.len());
+    world.run(Millis(30_000), demand, grant);
+    assert_eq!(
+        world.count(false),
+        0,
+        "on-demand endpoints stay after the reclaimable ones are back"
+    );
+}
