--- a/coordination/fleet/src/counts.rs
+++ b/coordination/fleet/src/counts.rs
@@ -116,11 +116,18 @@
 }
 
 impl Needs {
-    /// Presumes that what stands is needed, less the failure domain that may be lost.
+    /// Presumes that what stands is needed.
+    ///
+    /// Orders are the same for all failure domains, so the fullest one shows what was ordered: others
+    /// may just have lost theirs, and on-demand endpoints may stand in for them.
     fn of(now: Millis, view: &PoolView<'_>) -> Self {
-        let domains = view.range.prices.len().max(1) as u32;
-        let stands = view.live.iter().filter(|endpoint| !endpoint.is_leaving).count() as u32;
-        let endpoints = stands * (domains - 1) / domains;
+        let staying = staying(view);
+        let most = |count: fn(&Staying) -> u32| staying.values().map(count).max().unwrap_or(0);
+        let each = match most(|staying| staying.reclaimable) {
+            0 => most(|staying| staying.on_demand),
+            reclaimable => reclaimable,
+        };
+        let endpoints = each * other_domains(view);
         Self { first: Some(Need { endpoints, at: now }), highest: Vec::new() }
     }
 }
@@ -220,8 +227,8 @@
         staying: &BTreeMap<Name, Staying>,
     ) -> BTreeMap<Name, Staying> {
         let domains: Vec<&Name> = view.range.prices.keys().collect();
-        let others = domains.len().saturating_sub(1).max(1) as u32;
-        let each = need.div_ceil(others).clamp(view.range.min.max(1), view.range.max.max(1));
+        let each =
+            need.div_ceil(other_domains(view)).clamp(view.range.min.max(1), view.range.max.max(1));
         let has_reclaimable = view.range.reclaimable_price.is_some();
         let mut wanted: BTreeMap<Name, Staying> = BTreeMap::new();
         for domain in &domains {
@@ -296,6 +303,11 @@
     }
 }
 
+/// Returns how many failure domains are left when one is lost.
+fn other_domains(view: &PoolView<'_>) -> u32 {
+    view.range.prices.len().saturating_sub(1).max(1) as u32
+}
+
 fn staying(view: &PoolView<'_>) -> BTreeMap<Name, Staying> {
     let mut staying: BTreeMap<Name, Staying> = BTreeMap::new();
     for endpoint in view.live.iter().filter(|endpoint| !endpoint.is_leaving) {
--- a/coordination/fleet/tests/counts.rs
+++ b/coordination/fleet/tests/counts.rs
@@ -106,6 +106,17 @@
     assert_eq!(world.live.len(), 12);
 }
 
+/// The leader is lost while one failure domain has just lost its endpoints, and on-demand ones stand in
+/// for them elsewhere. The next leader must neither take that for less load nor for more.
+#[test]
+fn a_new_leader_orders_what_was_ordered_before_a_loss() {
+    let mut world = World::new();
+    world.live = ["b", "c", "d"].iter().flat_map(|d| vec![endpoint(d, true); 3]).collect();
+    world.live.extend(vec![endpoint("b", false); 2]);
+    world.run(Millis(3000), Demand::default(), grant);
+    assert_eq!((world.count(true), world.count(false)), (12, 0));
+}
+
 /// The platform takes back all reclaimable endpoints of a failure domain and has no new ones for a
 /// while. What is left must carry the load, or on-demand endpoints stand in.
 #[test]
--- a/daemons/control/src/duty.rs
+++ b/daemons/control/src/duty.rs
@@ -84,9 +84,9 @@
     pub usage_window: Option<Millis>,
     /// Whether endpoints are to be ordered.
     pub orders_endpoints: bool,
-    /// Time for which a new leader waits before its first call, so that the one before it has
-    /// certainly stopped and two that take turns never act within this time of each other.
-    pub takeover_wait: Millis,
+    /// Time for which an instance that leads again waits after its last call of an earlier term, so
+    /// that with another one between them its calls never fall into one lease of the platform's.
+    pub turn_wait: Millis,
     /// Figures for the number of endpoints.
     pub counts: CountCfg,
 }
@@ -107,7 +107,7 @@
 /// Carries out the duties while this instance leads.
 pub async fn run(shared: Arc<Shared>, platform: Arc<dyn Platform>, cfg: DutyCfg) {
     let mut duties: Option<Duties> = None;
-    let mut leads_since = Millis::ZERO;
+    let mut acted_at = None;
     loop {
         tokio::time::sleep(TICK.into()).await;
         let (now, status) = (shared.clock.now(), shared.log.status());
@@ -116,29 +116,25 @@
             if let Some(lost) = duties.take() {
                 event!(Info, "duties_lost", term = lost.fence.token);
             }
-            leads_since = now;
             continue;
         }
-        if !may_act || now - leads_since < wait(&shared, &cfg) {
+        let is_taken = duties.as_ref().is_some_and(|duties| duties.fence.token == status.term);
+        let must_wait = acted_at.is_some_and(|acted_at| now - acted_at < cfg.turn_wait);
+        if !may_act || !is_taken && must_wait {
             continue;
         }
-        if duties.as_ref().is_none_or(|duties| duties.fence.token != status.term) {
+        if !is_taken {
             event!(Info, "duties_taken", term = status.term);
             let fence = Fence { holder: shared.cfg.name.clone(), token: status.term };
             duties = Some(Duties::new(shared.clone(), platform.clone(), cfg.clone(), fence));
         }
         if let Some(duties) = &mut duties {
             duties.act(now).await;
+            acted_at = Some(shared.clock.now());
         }
     }
 }
 
-/// The first leader of a log has none before it to wait for.
-fn wait(shared: &Shared, cfg: &DutyCfg) -> Millis {
-    let is_first = shared.log.app().read().stated_windows().next().is_none();
-    if is_first { Millis::ZERO } else { cfg.takeover_wait }
-}
-
 impl Duties {
     fn new(shared: Arc<Shared>, platform: Arc<dyn Platform>, cfg: DutyCfg, fence: Fence) -> Self {
         let planner = CountPlanner::new(cfg.counts.clone());
