Fleet: on-demand endpoints that stand in stay until reclaimable ones serve

While reclaimable endpoints were refused, each new try counted as if it were met, so the on-demand endpoints that booted meanwhile were cancelled every four seconds and never served: 8 live for a need of 18. Test: counts.rs boots in four seconds now; it failed with nothing that stands in.

--- a/coordination/fleet/src/counts.rs
+++ b/coordination/fleet/src/counts.rs
@@ -107,6 +107,8 @@
     count: Option<u32>,
     at: Millis,
     refused_until: Millis,
+    /// Whether the last answer was a refusal.
+    is_unmet: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -182,6 +184,12 @@
         let ordered = self.cells.entry(cell_of(order)).or_default();
         ordered.refused_until = now + self.cfg.refused_for;
         ordered.count = None;
+        ordered.is_unmet = true;
+    }
+
+    /// Takes in that the platform took an order.
+    pub fn granted(&mut self, order: &CountOrder) {
+        self.cells.entry(cell_of(order)).or_default().is_unmet = false;
     }
 
     /// Takes in that it is unknown whether an order was heard.
@@ -226,60 +234,73 @@
         need: u32,
         staying: &BTreeMap<Name, Staying>,
     ) -> BTreeMap<Name, Staying> {
-        let domains: Vec<&Name> = view.range.prices.keys().collect();
-        let each =
-            need.div_ceil(other_domains(view)).clamp(view.range.min.max(1), view.range.max.max(1));
-        let has_reclaimable = view.range.reclaimable_price.is_some();
+        let each = need.div_ceil(other_domains(view));
+        let each = each.clamp(view.range.min.max(1), view.range.max.max(1));
         let mut wanted: BTreeMap<Name, Staying> = BTreeMap::new();
-        for domain in &domains {
-            let have = staying.get(*domain).copied().unwrap_or_default();
-            let is_refused = self.is_refused(now, view.service, domain, true);
-            let mut want = Staying::default();
-            if has_reclaimable {
-                want.reclaimable = if is_refused { have.reclaimable.min(each) } else { each };
-            }
-            // On-demand endpoints go once reclaimable ones have taken their place.
-            let missing = each.saturating_sub(have.reclaimable);
-            want.on_demand = have.on_demand.min(missing);
-            wanted.insert((*domain).clone(), want);
+        let mut expected = 0;
+        for domain in view.range.prices.keys() {
+            let have = staying.get(domain).copied().unwrap_or_default();
+            let reclaimable = match view.range.reclaimable_price {
+                None => 0,
+                Some(_) if self.is_refused(now, view.service, domain, true) => {
+                    have.reclaimable.min(each)
+                }
+                Some(_) => each,
+            };
+            // An order that was refused the last time is tried again, but not relied on.
+            let is_unmet = self.is_unmet(view.service, domain) || reclaimable == 0;
+            expected += if is_unmet { have.reclaimable } else { reclaimable };
+            wanted.insert(domain.clone(), Staying { reclaimable, on_demand: 0 });
         }
-        self.fill_up(now, view, need, staying, &mut wanted);
+        let stand_ins = stand_ins(need, expected, staying);
+        self.place_stand_ins(now, view, stand_ins, staying, &mut wanted);
         wanted
     }
 
-    /// Orders on-demand endpoints where reclaimable ones are refused and the rest falls short.
-    fn fill_up(
+    /// Spreads on-demand endpoints: first over those that run, then over the cheapest domains.
+    fn place_stand_ins(
         &self,
         now: Millis,
         view: &PoolView<'_>,
-        need: u32,
+        stand_ins: u32,
         staying: &BTreeMap<Name, Staying>,
         wanted: &mut BTreeMap<Name, Staying>,
     ) {
         let mut by_price: Vec<(&Name, f64)> =
             view.range.prices.iter().map(|(domain, price)| (domain, *price)).collect();
         by_price.sort_by(|a, b| a.1.total_cmp(&b.1));
-        for (domain, want) in wanted.iter_mut() {
-            let have = staying.get(domain).copied().unwrap_or_default();
-            let least = view.range.min.saturating_sub(have.reclaimable.min(want.reclaimable));
-            if self.is_refused(now, view.service, domain, true)
-                || view.range.reclaimable_price.is_none()
-            {
-                want.on_demand = want.on_demand.max(least);
-            }
+        let mut left = stand_ins;
+        for (domain, _) in &by_price {
+            let (Some(want), have) = (wanted.get_mut(*domain), staying.get(*domain)) else {
+                continue;
+            };
+            let have = have.copied().unwrap_or_default();
+            // The platform holds to the least number of both kinds; ordered less, it would refuse.
+            let is_short = self.is_unmet(view.service, domain) || want.reclaimable == 0;
+            let coming = if is_short { have.reclaimable } else { want.reclaimable };
+            let least = view.range.min.saturating_sub(coming);
+            want.on_demand = have.on_demand.min(left).max(least);
+            left = left.saturating_sub(want.on_demand);
         }
-        let expected: u32 = wanted.values().map(|want| want.reclaimable + want.on_demand).sum();
-        let mut short = need.saturating_sub(expected);
         for (domain, _) in by_price {
             let Some(want) = wanted.get_mut(domain) else { continue };
             let is_refused = self.is_refused(now, view.service, domain, false);
-            let room = view.range.max.saturating_sub(want.reclaimable + want.on_demand);
-            let more = if is_refused { 0 } else { short.min(room) };
+            let have = staying.get(domain).copied().unwrap_or_default();
+            let is_unmet = self.is_unmet(view.service, domain);
+            let reclaimable = if is_unmet { have.reclaimable } else { want.reclaimable };
+            let room = view.range.max.saturating_sub(reclaimable + want.on_demand);
+            let more = if is_refused { 0 } else { left.min(room) };
             want.on_demand += more;
-            short -= more;
+            left -= more;
         }
     }
 
+    /// Returns whether the last order of reclaimable endpoints there was refused.
+    fn is_unmet(&self, service: &Name, domain: &Name) -> bool {
+        let cell = Cell { service: service.clone(), domain: domain.clone(), reclaimable: true };
+        self.cells.get(&cell).is_some_and(|ordered| ordered.is_unmet)
+    }
+
     fn is_refused(&self, now: Millis, service: &Name, domain: &Name, reclaimable: bool) -> bool {
         let cell = Cell { service: service.clone(), domain: domain.clone(), reclaimable };
         self.cells.get(&cell).is_some_and(|ordered| now < ordered.refused_until)
@@ -295,6 +316,17 @@
     }
 }
 
+/// Returns how many on-demand endpoints are wanted.
+///
+/// Those that run stay until reclaimable ones serve in their place, not only until these are ordered:
+/// a boot takes seconds, in which the load would be refused.
+fn stand_ins(need: u32, expected: u32, staying: &BTreeMap<Name, Staying>) -> u32 {
+    let live: u32 = staying.values().map(|have| have.reclaimable).sum();
+    let running: u32 = staying.values().map(|have| have.on_demand).sum();
+    let short = need.saturating_sub(expected);
+    short.max(running.min(need.saturating_sub(live)))
+}
+
 fn cell_of(order: &CountOrder) -> Cell {
     Cell {
         service: order.service.clone(),
--- a/coordination/fleet/tests/counts.rs
+++ b/coordination/fleet/tests/counts.rs
@@ -10,6 +10,8 @@
     planner: CountPlanner,
     range: CapacityRange,
     live: Vec<LiveEndpoint>,
+    /// Endpoints that start, with the time from which they serve.
+    booting: Vec<(Millis, LiveEndpoint)>,
     now: Millis,
 }
 
@@ -31,7 +33,7 @@
         };
         let live = DOMAINS.iter().flat_map(|domain| vec![endpoint(domain, false); 3]).collect();
         let planner = CountPlanner::new(CountCfg::default());
-        Self { planner, range, live, now: Millis(10_000) }
+        Self { planner, range, live, booting: Vec::new(), now: Millis(10_000) }
     }
 
     fn plan(&mut self, demand: Demand) -> Vec<CountOrder> {
@@ -41,14 +43,20 @@
         self.planner.plan(self.now, &view)
     }
 
-    /// Plans for a while; orders are met after a boot unless `refuses` says otherwise.
+    /// Plans for a while; orders are met after a boot of four seconds unless `refuses` says otherwise.
     fn run(&mut self, span: Millis, demand: Demand, refuses: fn(&CountOrder) -> bool) {
         let end = self.now + span;
         while self.now < end {
+            let now = self.now;
+            let (up, booting) = self.booting.drain(..).partition(|(at, _)| *at <= now);
+            self.booting = booting;
+            let up: Vec<(Millis, LiveEndpoint)> = up;
+            self.live.extend(up.into_iter().map(|(_, endpoint)| endpoint));
             for order in self.plan(demand) {
                 if refuses(&order) {
                     self.planner.refused(self.now, &order);
                 } else {
+                    self.planner.granted(&order);
                     self.meet(&order);
                 }
             }
@@ -60,13 +68,22 @@
         let is_meant = |e: &LiveEndpoint| {
             e.domain == order.domain && e.reclaimable == order.reclaimable && !e.is_leaving
         };
-        let have = self.live.iter().filter(|e| is_meant(e)).count();
-        for _ in have..order.count as usize {
-            self.live.push(endpoint(&order.domain, order.reclaimable));
+        let wanted = order.count as usize;
+        let live = self.live.iter().filter(|e| is_meant(e)).count();
+        let booting = self.booting.iter().filter(|(_, e)| is_meant(e)).count();
+        for _ in live + booting..wanted {
+            let new = endpoint(&order.domain, order.reclaimable);
+            self.booting.push((self.now + self.range.boot_ms, new));
         }
-        for _ in order.count as usize..have {
-            let at = self.live.iter().position(is_meant).expect("it was counted");
-            self.live.remove(at);
+        for _ in wanted..live + booting {
+            // Those that do not serve yet go first.
+            match self.booting.iter().position(|(_, e)| is_meant(e)) {
+                Some(at) => drop(self.booting.remove(at)),
+                None => {
+                    let at = self.live.iter().position(is_meant).expect("it was counted");
+                    self.live.remove(at);
+                }
+            }
         }
     }
 
@@ -113,7 +130,7 @@
     let mut world = World::new();
     world.live = ["b", "c", "d"].iter().flat_map(|d| vec![endpoint(d, true); 3]).collect();
     world.live.extend(vec![endpoint("b", false); 2]);
-    world.run(Millis(3000), Demand::default(), grant);
+    world.run(Millis(6000), Demand::default(), grant);
     assert_eq!((world.count(true), world.count(false)), (12, 0));
 }
 
@@ -128,7 +145,10 @@
     world.live.retain(|e| e.domain != "a".into() && e.domain != "b".into());
     world.run(Millis(6000), demand, no_reclaimable);
     assert!(world.count(false) > 0, "nothing stands in for {} endpoints", before);
-    assert!(world.live.len() >= 8, "{} endpoints for a load of eight", world.live.len());
+    for _ in 0..8 {
+        world.run(Millis(1000), demand, no_reclaimable);
+        assert!(world.live.len() >= 8, "{} endpoints for a load of eight", world.live.len());
+    }
     world.run(Millis(30_000), demand, grant);
     assert_eq!(
         world.count(false),
--- a/daemons/control/src/duty.rs
+++ b/daemons/control/src/duty.rs
@@ -236,7 +236,7 @@
             outcome = format!("{outcome:?}")
         );
         match outcome {
-            CallOutcome::Done => {}
+            CallOutcome::Done => self.planner.granted(&order),
             CallOutcome::NoneLeft => self.planner.refused(now, &order),
             CallOutcome::Fenced => self.is_over = true,
             CallOutcome::Unanswered(_) => self.planner.unanswered(&order),
