--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -23,6 +23,14 @@
 /// When to come back to an instance that knows no settings yet; it learns them in half a second.
 const UNTIL_SETTINGS: Millis = Millis(1000);
 
+/// Time that a call waits for the first settings: control instances that start together with this one
+/// need as long until they have elected a leader.
+const START_WAIT: Millis = Millis(1200);
+
+/// The part of a caller's time that it waits at most for the first settings, so that there is enough
+/// left to be served.
+const START_PART: u64 = 4;
+
 /// When to come back for a service that has no endpoint yet.
 const UNTIL_ENDPOINT: Millis = Millis(1000);
 
@@ -111,7 +119,7 @@
     body: Incoming,
     arrived: Millis,
 ) -> Result<Call, Refused> {
-    let Some(table) = state.table() else {
+    let Some(table) = settings(state, &head).await else {
         let failure = Failure::back_in(ErrorCode::NoCapacity, UNTIL_SETTINGS);
         return Err(Refused { failure, ..Refused::new(ErrorCode::NoCapacity, "no_settings") });
     };
@@ -157,6 +165,16 @@
     })
 }
 
+/// Returns the settings in force. An instance that has just started knows none for half a second;
+/// a caller that it refused would come back a second later, when it could long have been served.
+async fn settings(state: &State, head: &CallHead) -> Option<Arc<RouteTable>> {
+    if let Some(table) = state.table() {
+        return Some(table);
+    }
+    let left = head.deadline.unwrap_or(Millis::MAX);
+    state.first_table(Millis(left.0 / START_PART).min(START_WAIT)).await
+}
+
 /// Finds the route by host, with or without its port, and path.
 fn find(table: &RouteTable, head: &CallHead, parts: &Parts) -> Option<Arc<RouteEntry>> {
     let path = parts.uri.path();
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -13,6 +13,8 @@
 use sill_wire::Incarnation;
 use sill_wire::link::{EndpointFact, EndpointState, LinkReply, ServiceReport};
 
+use tokio::sync::watch;
+
 use crate::cfg::GatewayCfg;
 use crate::metrics::Metrics;
 
@@ -57,7 +59,7 @@
     pub connections: Connections,
     /// Open connections of callers.
     pub callers: Arc<AtomicUsize>,
-    table: RwLock<Option<Arc<RouteTable>>>,
+    table: watch::Sender<Option<Arc<RouteTable>>>,
     pools: RwLock<Map<Name, Arc<PoolState>>>,
     shares: Mutex<Shares>,
     budget: Mutex<Budget>,
@@ -112,7 +114,7 @@
             metrics: Metrics::new()?,
             connections: Connections::new(connections, clock),
             callers: Arc::default(),
-            table: RwLock::default(),
+            table: watch::Sender::new(None),
             pools: RwLock::default(),
             shares: Mutex::new(Shares::new(cfg.limits)),
             budget: Mutex::new(Budget::new(&cfg, PRESUMED_ENTRIES)),
@@ -127,7 +129,15 @@
 
     /// Returns the settings in force, if any are known.
     pub fn table(&self) -> Option<Arc<RouteTable>> {
-        self.table.read().clone()
+        self.table.borrow().clone()
+    }
+
+    /// Returns the settings in force, once any are known.
+    pub async fn first_table(&self, patience: Millis) -> Option<Arc<RouteTable>> {
+        let mut tables = self.table.subscribe();
+        let known = tables.wait_for(|table| table.is_some());
+        let known = tokio::time::timeout(patience.into(), known).await;
+        known.ok()?.ok()?.clone()
     }
 
     /// Returns the endpoints of a service.
@@ -138,7 +148,7 @@
     /// Returns whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         let has_endpoints = || self.pools.read().values().any(|pool| pool.pool.lock().ready() > 0);
-        !self.is_stopping() && self.table.read().is_some() && has_endpoints()
+        !self.is_stopping() && self.table.borrow().is_some() && has_endpoints()
     }
 
     /// Returns whether it is about to stop.
@@ -193,10 +203,9 @@
             let engine = pool.engine.as_ref();
             self.open_pool(name, engine.is_some(), engine.map_or(0, |e| e.cache_tokens));
         }
-        let before = self.table.write().replace(table);
-        let before = before.map_or(0, |table| table.revision);
+        self.table.send_replace(Some(table));
         self.metrics.revision.set(revision as i64);
-        event!(Info, "settings_in_force", revision = revision, before = before);
+        event!(Info, "settings_in_force", revision = revision, before = held);
     }
 
     fn open_pool(&self, service: &Name, is_engine: bool, cache_tokens: u64) -> Arc<PoolState> {
--- a/transport/net/src/peer.rs
+++ b/transport/net/src/peer.rs
@@ -25,6 +25,10 @@
 /// Connections that a process takes from peers at once.
 const MAX_CONNECTIONS: u32 = 4096;
 
+/// Time that a connection may take. Between failure domains it takes a few milliseconds; an instance
+/// that is down answers nothing, and whoever waited for it a second asked no other one meanwhile.
+const CONNECT: Millis = Millis(300);
+
 /// Why a call had no reply.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PeerError {
@@ -139,7 +143,7 @@
             .set_headers(headers)
             .set_tcp_no_delay(true)
             .request_timeout(timeout.into())
-            .connect_timeout(Duration::from(timeout).min(Duration::from_secs(1)))
+            .connect_timeout(Duration::from(timeout.min(CONNECT)))
             .max_request_size(MAX_MESSAGE)
             .max_response_size(MAX_MESSAGE)
             .build(format!("http://{address}"))
