--- a/coordination/dispatch/src/registry.rs
+++ b/coordination/dispatch/src/registry.rs
@@ -1,6 +1,7 @@
 //! The endpoints that are known at a control instance, from heartbeats.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use sill_base::{Map, Millis, Name};
 use sill_wire::Incarnation;
@@ -61,12 +62,14 @@
 
     /// Takes in that an endpoint says it ends, which it may do without a heartbeat before.
     pub fn ended(&mut self, now: Millis, endpoint: &Name) -> bool {
-        let Some(known) = self.known.get(endpoint) else { return false };
+        // Its heartbeats may have gone to another control instance, from which nothing came yet.
+        let known = self.known.get(endpoint);
+        let known = known.map_or_else(|| bare(endpoint), |known| known.fact.clone());
         let fact = EndpointFact {
             state: EndpointState::Gone,
-            sequence: known.fact.sequence.saturating_add(1),
+            sequence: known.sequence.saturating_add(1),
             age: Millis::ZERO,
-            ..known.fact.clone()
+            ..known
         };
         self.heard(now, fact)
     }
@@ -82,9 +85,15 @@
             self.note(fact, heard);
             return true;
         };
-        if fact.sequence <= known.fact.sequence && fact.state <= known.fact.state {
+        let is_older = fact.sequence <= known.fact.sequence && fact.state <= known.fact.state;
+        let completes = is_bare(&known.fact) && !is_bare(&fact);
+        if is_older && !completes {
             return false;
         }
+        if is_bare(&fact) {
+            let (state, sequence) = (fact.state, fact.sequence);
+            fact = EndpointFact { state, sequence, ..known.fact.clone() };
+        }
         // An endpoint that said it leaves never comes back under this name; a late or reordered
         // heartbeat must not bring it back, or it would get requests while it ends.
         let is_back = known.fact.state == EndpointState::Silent;
@@ -137,7 +146,8 @@
     pub fn newer_than(&self, now: Millis, cursor: Cursor) -> Vec<EndpointFact> {
         let from = if cursor.life == self.life { cursor.change + 1 } else { 0 };
         let names = self.by_change.range(from..).map(|(_, name)| name);
-        names.filter_map(|name| self.fact(now, name)).collect()
+        let facts = names.filter_map(|name| self.fact(now, name));
+        facts.filter(|fact| !is_bare(fact)).collect()
     }
 
     /// Returns the endpoints that were heard here since the last call.
@@ -176,6 +186,27 @@
     }
 }
 
+/// Makes the fact of an endpoint of which nothing is known but its name. It is passed on to other control
+/// instances only; one that knows more puts the two together.
+fn bare(endpoint: &Name) -> EndpointFact {
+    EndpointFact {
+        endpoint: endpoint.clone(),
+        service: Name::default(),
+        domain: Name::default(),
+        address: SocketAddr::from(([0, 0, 0, 0], 0)),
+        slots: 0,
+        sequence: 0,
+        state: EndpointState::Gone,
+        reclaimable: false,
+        leaves_in: None,
+        age: Millis::ZERO,
+    }
+}
+
+fn is_bare(fact: &EndpointFact) -> bool {
+    fact.service.is_empty()
+}
+
 fn is_alike(a: &EndpointFact, b: &EndpointFact) -> bool {
     a.state == b.state
         && a.address == b.address
--- /dev/null
+++ b/coordination/dispatch/tests/registry.rs
@@ -0,0 +1,134 @@
+//! What control instances know of endpoints, and what they tell each other.
+
+use std::net::SocketAddr;
+
+use sill_base::{Millis, Name};
+use sill_dispatch::Registry;
+use sill_wire::Incarnation;
+use sill_wire::link::{Cursor, EndpointFact, EndpointState};
+
+/// How often endpoints make themselves heard.
+const HEARTBEAT: Millis = Millis(1200);
+
+fn fact(sequence: u64, state: EndpointState) -> EndpointFact {
+    EndpointFact {
+        endpoint: "e1".into(),
+        service: "desk".into(),
+        domain: "a".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        slots: 8,
+        sequence,
+        state,
+        reclaimable: false,
+        leaves_in: None,
+        age: Millis::ZERO,
+    }
+}
+
+fn registry(life: u64) -> Registry {
+    Registry::new(Incarnation(life), HEARTBEAT)
+}
+
+/// Passes on what one heard, as control instances do.
+fn pass_on(from: &mut Registry, to: &mut Registry, now: Millis) {
+    for fact in from.fresh(now) {
+        to.take(now, fact);
+    }
+}
+
+/// Returns what an entry instance that knows nothing would be told.
+fn told(registry: &Registry, now: Millis) -> Vec<(Name, EndpointState)> {
+    let facts = registry.newer_than(now, Cursor::default());
+    facts.into_iter().map(|fact| (fact.endpoint, fact.state)).collect()
+}
+
+/// An endpoint tells one control instance that it is ready, and a moment later another one that it
+/// ends. The second has not heard of it yet. Were its word dropped, entry instances would send it
+/// requests until it falls silent; each waits for its deadline in vain.
+#[test]
+fn an_end_that_comes_before_the_beginning_is_kept() {
+    let (mut a, mut b) = (registry(1), registry(2));
+    a.heard(Millis(1000), fact(1, EndpointState::Ready));
+    assert!(b.ended(Millis(1100), &"e1".into()), "it is news to the others");
+    pass_on(&mut b, &mut a, Millis(1150));
+    pass_on(&mut a, &mut b, Millis(1200));
+    for registry in [&a, &b] {
+        assert_eq!(told(registry, Millis(1200)), [("e1".into(), EndpointState::Gone)]);
+    }
+}
+
+/// Heartbeats are late or overtake each other. One from before the endpoint said that it leaves must
+/// not bring it back.
+#[test]
+fn an_endpoint_that_leaves_never_comes_back() {
+    struct Case {
+        name: &'static str,
+        then: EndpointFact,
+        expected: EndpointState,
+    }
+    let cases = [
+        Case {
+            name: "an older heartbeat",
+            then: fact(1, EndpointState::Ready),
+            expected: EndpointState::Leaving,
+        },
+        Case {
+            name: "a newer one that says ready",
+            then: fact(9, EndpointState::Ready),
+            expected: EndpointState::Leaving,
+        },
+        Case {
+            name: "that it ends",
+            then: fact(3, EndpointState::Gone),
+            expected: EndpointState::Gone,
+        },
+    ];
+    for case in cases {
+        let mut registry = registry(1);
+        registry.heard(Millis(1000), fact(1, EndpointState::Ready));
+        registry.heard(Millis(2000), fact(2, EndpointState::Leaving));
+        registry.heard(Millis(2100), case.then);
+        assert_eq!(told(&registry, Millis(2100)), [("e1".into(), case.expected)], "{}", case.name);
+    }
+}
+
+/// An endpoint behind a cut is not heard of for a while. It counts as silent, so that requests go
+/// elsewhere, and is back with its first heartbeat after the cut.
+#[test]
+fn a_silent_endpoint_is_back_once_it_is_heard_of() {
+    let mut registry = registry(1);
+    registry.heard(Millis(1000), fact(1, EndpointState::Ready));
+    assert!(!registry.expire(Millis(4000)));
+    assert!(registry.expire(Millis(5000)));
+    assert_eq!(told(&registry, Millis(5000)), [("e1".into(), EndpointState::Silent)]);
+    assert!(registry.heard(Millis(6000), fact(5, EndpointState::Ready)));
+    assert_eq!(told(&registry, Millis(6000)), [("e1".into(), EndpointState::Ready)]);
+}
+
+/// A control instance that is cut off from an endpoint's failure domain must not have others believe
+/// that the endpoint is silent.
+#[test]
+fn silence_is_not_passed_on() {
+    let (mut a, mut b) = (registry(1), registry(2));
+    for registry in [&mut a, &mut b] {
+        registry.heard(Millis(1000), fact(1, EndpointState::Ready));
+    }
+    a.expire(Millis(6000));
+    a.all(Millis(6000)).into_iter().for_each(|fact| {
+        b.take(Millis(6000), fact);
+    });
+    assert_eq!(told(&b, Millis(6000)), [("e1".into(), EndpointState::Ready)]);
+}
+
+/// An entry instance that follows another life of a control instance gets everything; one that is up
+/// to date gets nothing.
+#[test]
+fn only_what_changed_is_told() {
+    let mut registry = registry(1);
+    registry.heard(Millis(1000), fact(1, EndpointState::Ready));
+    let cursor = registry.cursor();
+    registry.heard(Millis(2200), fact(2, EndpointState::Ready));
+    assert!(registry.newer_than(Millis(2200), cursor).is_empty());
+    let of_other_life = Cursor { life: Incarnation(7), ..cursor };
+    assert_eq!(registry.newer_than(Millis(2200), of_other_life).len(), 1);
+}
