Gateway: tests with scripted endpoints, and the product's own headers

Twelve tests over loopback, without the kit: cut, reset, late and extra answers, what may have run and what has not, resumed streams, callers who leave, planned stops, no settings.

--- /dev/null
+++ b/daemons/gateway/tests/relay.rs
@@ -0,0 +1,228 @@
+//! What callers get of answers that are whole, cut, late or someone else's.
+
+mod support;
+
+use std::thread;
+use std::time::Duration;
+
+use support::{Act, World, answer_of, exchange, head, not_run, request};
+
+/// An endpoint breaks off in the middle of an answer. An entry instance that ended its own answer in
+/// good order would have the caller take half of a report for the whole of it.
+#[test]
+fn a_cut_answer_is_cut_for_the_caller_too() {
+    struct Case {
+        name: &'static str,
+        act: Act,
+    }
+    let cases = [
+        Case {
+            name: "shorter than its length",
+            act: Act::AnswerAndClose(format!("{}half", head("content-length: 8\r\n"))),
+        },
+        Case {
+            name: "chunks without the last one",
+            act: Act::AnswerAndClose(format!(
+                "{}4\r\nhalf\r\n",
+                head("transfer-encoding: chunked\r\n")
+            )),
+        },
+        Case {
+            name: "no length, and reset",
+            act: Act::AnswerAndReset(format!("{}half", head(""))),
+        },
+    ];
+    for case in cases {
+        let world = World::start(vec![vec![case.act]]);
+        let got = world.call("/stream/x");
+        assert_eq!(got.status, 200, "{}", case.name);
+        assert_eq!(got.body, b"half", "{}", case.name);
+        assert!(!got.is_whole, "{}: the caller takes it for whole: {}", case.name, got.head);
+    }
+}
+
+/// An answer without a length ends with its connection. Ended in good order it is whole.
+#[test]
+fn an_answer_without_a_length_is_whole_when_its_connection_ends_in_order() {
+    let world = World::start(vec![vec![Act::AnswerAndClose(format!("{}whole", head("")))]]);
+    let got = world.call("/stream/x");
+    assert_eq!((got.status, got.body.as_slice(), got.is_whole), (200, b"whole".as_slice(), true));
+}
+
+/// What callers send and endpoints answer goes through unchanged, on connections that are used again;
+/// the caller's key stays here.
+#[test]
+fn calls_and_answers_go_through_unchanged() {
+    let acts = (0..3).map(|i| Act::Answer(answer_of(&format!("answer {i}")))).collect();
+    let world = World::start(vec![acts]);
+    for i in 0..3 {
+        let got = world.call("/idempotent/a?b=c");
+        assert_eq!(got.body, format!("answer {i}").into_bytes());
+        // The connection goes back to the others once the end of the answer was seen.
+        thread::sleep(Duration::from_millis(50));
+    }
+    let seen = world.endpoints[0].seen.lock().clone();
+    for request in &seen {
+        assert_eq!(request.line, "POST /idempotent/a?b=c HTTP/1.1");
+        assert_eq!(request.body, b"body");
+        assert!(request.headers.contains(&"sill-account: clerks".to_owned()), "{request:?}");
+        assert!(!request.headers.iter().any(|h| h.starts_with("authorization")), "{request:?}");
+        assert_eq!(request.connection, seen[0].connection, "a new connection for each call");
+    }
+}
+
+/// An endpoint sends a second answer after the first. The next call on that connection would get it,
+/// and a clerk the report of another case.
+#[test]
+fn an_answer_to_another_call_is_never_passed_on() {
+    let twice = format!("{}{}", answer_of("mine"), answer_of("not mine"));
+    let foreign = answer_of("not mine").replace("{id}", "r-0");
+    for (name, first) in [("extra", twice), ("late", foreign)] {
+        let mine = || vec![Act::Answer(answer_of("mine")); 4];
+        let acts = [vec![Act::Answer(first)], mine()].concat();
+        let world = World::start(vec![acts, mine()]);
+        for _ in 0..3 {
+            let got = world.call("/idempotent/x");
+            assert_eq!((got.status, got.body.as_slice()), (200, b"mine".as_slice()), "{name}");
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
+/// The connection to an endpoint ends after the call was sent. The call may have run; run a second time
+/// it would send the same notice twice, and refused as not run the caller would send it again itself.
+#[test]
+fn what_may_have_run_is_neither_repeated_nor_called_not_run() {
+    struct Case {
+        path: &'static str,
+        status: u16,
+        runs: usize,
+    }
+    let cases = [
+        Case { path: "/non_idempotent/x", status: 502, runs: 1 },
+        Case { path: "/stream/x", status: 502, runs: 1 },
+        Case { path: "/idempotent/x", status: 200, runs: 2 },
+        Case { path: "/resumable_stream/x", status: 200, runs: 2 },
+    ];
+    for case in cases {
+        let answers = vec![Act::Answer(answer_of("whole")); 20];
+        let world = World::start(vec![vec![Act::AnswerAndClose(String::new())], answers]);
+        let all_runs = || world.endpoints.iter().map(|e| e.requests()).sum::<usize>();
+        // Which of the two is asked is left to the choice; sooner or later it is the one that fails.
+        let (got, runs) = loop {
+            let before = all_runs();
+            let got = world.call(case.path);
+            if world.endpoints[0].requests() > 0 {
+                break (got, all_runs() - before);
+            }
+        };
+        assert_eq!((got.status, runs), (case.status, case.runs), "{}", case.path);
+        assert!(!got.head.contains("sill-not-run"), "{}: {}", case.path, got.head);
+    }
+}
+
+/// An endpoint is full, or another one has its address by now. It says that the call has not run, so
+/// another endpoint gets it, whatever its kind.
+#[test]
+fn a_call_that_has_not_run_goes_to_another_endpoint() {
+    for status in ["503 Service Unavailable", "421 Misdirected Request"] {
+        for path in ["/non_idempotent/x", "/stream/x", "/idempotent/x"] {
+            let refuse = vec![Act::Answer(not_run(status)); 4];
+            let world = World::start(vec![refuse, vec![Act::Answer(answer_of("whole")); 4]]);
+            for _ in 0..2 {
+                let got = world.call(path);
+                assert_eq!((got.status, got.body.as_slice()), (200, b"whole".as_slice()), "{path}");
+            }
+        }
+    }
+}
+
+/// All endpoints are full. The caller is told at once that its call has not run and when to come back.
+#[test]
+fn a_refusal_says_that_the_call_has_not_run_and_when_to_come_back() {
+    let refuse = || vec![Act::Answer(not_run("503 Service Unavailable")); 4];
+    let world = World::start(vec![refuse(), refuse(), refuse()]);
+    let got = world.call("/non_idempotent/x");
+    assert_eq!(got.status, 503);
+    assert!(got.head.contains("sill-not-run: true"), "{}", got.head);
+    assert!(got.head.contains("retry-after: "), "{}", got.head);
+}
+
+/// An endpoint crashes in the middle of an event of a stream that may be resumed. Another endpoint goes
+/// on after the last whole event; the caller sees one stream without a gap or a repeat.
+#[test]
+fn a_resumable_stream_goes_on_at_another_endpoint() {
+    let stream = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+    let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+    let first = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\nid: 3\nda"].map(chunk).concat();
+    let rest = ["id: 3\ndata: c\n\n", "id: 4\ndata: d\n\n", ""].map(chunk).concat();
+    let crash = || Act::AnswerAndClose(format!("{}{first}", head(stream)));
+    let go_on = || Act::Answer(format!("{}{rest}", head(stream)));
+    let world = World::start(vec![vec![crash(), go_on()], vec![crash(), go_on()]]);
+    // Whichever endpoint is asked first crashes; the other one must go on, so it is told to by hand.
+    let got = world.call("/resumable_stream/x");
+    let resumed: Vec<_> = world.endpoints.iter().flat_map(|e| e.seen.lock().clone()).collect();
+    let is_resumed = resumed.iter().any(|r| r.headers.contains(&"last-event-id: 2".to_owned()));
+    assert!(is_resumed, "{resumed:?}");
+    let text = String::from_utf8(got.body).expect("text");
+    let begins = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    assert!(text.starts_with(begins) && !text.contains("da\n"), "{text:?}");
+}
+
+/// A caller closes its connection while an endpoint works on its call. The endpoint must stop: nobody
+/// waits for the answer, and others wait for the place.
+#[test]
+fn the_endpoint_is_told_when_the_caller_leaves() {
+    let world = World::start(vec![vec![Act::Hang]]);
+    world.call_and_leave("/stream/x");
+    for _ in 0..500 {
+        if *world.endpoints[0].left.lock() == 1 {
+            return;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    panic!("the endpoint still works on a call whose caller left");
+}
+
+/// Calls that no settings allow are refused here; none of them reaches an endpoint.
+#[test]
+fn what_settings_do_not_allow_reaches_no_endpoint() {
+    let world = World::start(vec![vec![Act::Answer(answer_of("x"))]]);
+    let no_key = request("/idempotent/x", "").replace("caller-key", "other-key");
+    let cases = [
+        (request("/elsewhere/x", ""), 404),
+        (request("/idempotent/x", "").replace("desk.example", "other.example"), 404),
+        (no_key, 401),
+    ];
+    for (text, status) in cases {
+        assert_eq!(exchange(world.address, &text).status, status, "{text}");
+    }
+    assert_eq!(world.endpoints[0].requests(), 0);
+}
+
+/// An entry instance that has just started knows no settings. It must not answer 404 for routes that
+/// exist; it says that the call has not run and when to come back.
+#[test]
+fn without_settings_calls_are_refused_as_not_run() {
+    let world = World::without_settings();
+    let got = world.call("/idempotent/x");
+    assert_eq!(got.status, 503);
+    assert!(got.head.contains("retry-after: "), "{}", got.head);
+}
+
+/// A planned stop comes while an answer is on its way. The answer is passed on to its end, and the
+/// caller is told that the connection ends after it.
+#[test]
+fn a_planned_stop_cuts_no_answer() {
+    let slow = Act::AnswerLater(answer_of("whole"), Duration::from_millis(800));
+    let mut world = World::start(vec![vec![slow]]);
+    let address = world.address;
+    let caller = thread::spawn(move || exchange(address, &request("/idempotent/x", "")));
+    while world.endpoints[0].requests() == 0 {
+        thread::sleep(Duration::from_millis(10));
+    }
+    world.stop();
+    let got = caller.join().expect("an answer");
+    assert!(got.is_whole && got.body == b"whole");
+    assert!(got.head.to_lowercase().contains("connection: close"), "{}", got.head);
+}
--- /dev/null
+++ b/daemons/gateway/tests/support/mod.rs
@@ -0,0 +1,385 @@
+//! An entry instance between scripted endpoints and a stand-in for a control instance.
+
+use std::collections::VecDeque;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use sill_base::{Millis, Name, Secret};
+use sill_dispatch::LimitBounds;
+use sill_gateway::cfg::{RetryBounds, StopCfg};
+use sill_gateway::{Gateway, GatewayCfg, SillDialect};
+use sill_net::{PeerServer, PeerServerBuilder};
+use sill_standin::loopback::free_addresses;
+use sill_tree::{Account, Document, KeyHash, Pool, Route, RouteKind, Service, Share};
+use sill_wire::control::Revision;
+use sill_wire::link::{Cursor, EndpointFact, EndpointState, LinkPoll, LinkReply, ServedSettings};
+use tokio::runtime::Runtime;
+
+/// The key that our own processes share.
+const CLUSTER_KEY: &str = "test";
+
+/// A caller's key.
+pub const KEY: &str = "caller-key";
+
+/// How long a test waits for bytes before it counts as hung.
+const HUNG: Duration = Duration::from_secs(20);
+
+/// What an endpoint does with one request.
+#[derive(Clone)]
+pub enum Act {
+    /// Sends these bytes and keeps the connection. `{id}` stands for the request's id.
+    Answer(String),
+    /// Sends these bytes after a while and keeps the connection.
+    AnswerLater(String, Duration),
+    /// Sends these bytes and ends the connection.
+    AnswerAndClose(String),
+    /// Sends these bytes and resets the connection.
+    AnswerAndReset(String),
+    /// Sends nothing until the connection is closed from the other side.
+    Hang,
+}
+
+/// A request as an endpoint got it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seen {
+    pub line: String,
+    pub headers: Vec<String>,
+    pub body: Vec<u8>,
+    /// Which connection it came on.
+    pub connection: usize,
+}
+
+/// An endpoint that does as it is told, one act for each request.
+pub struct Endpoint {
+    pub address: SocketAddr,
+    pub seen: Arc<Mutex<Vec<Seen>>>,
+    /// Connections that the other side closed while the endpoint hung.
+    pub left: Arc<Mutex<usize>>,
+}
+
+/// An entry instance with all that it needs.
+pub struct World {
+    pub endpoints: Vec<Endpoint>,
+    pub address: SocketAddr,
+    runtime: Runtime,
+    gateway: Option<Gateway>,
+    _control: PeerServer,
+}
+
+/// An answer as a caller gets it.
+#[derive(Debug)]
+pub struct Got {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+    /// Whether the body came to the end that its framing names.
+    pub is_whole: bool,
+}
+
+impl Endpoint {
+    fn start(acts: Vec<Act>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let acts = Arc::new(Mutex::new(VecDeque::from(acts)));
+        let (seen, left) = (Arc::default(), Arc::default());
+        let endpoint = Self { address, seen: Arc::clone(&seen), left: Arc::clone(&left) };
+        thread::spawn(move || {
+            for (number, stream) in listener.incoming().enumerate() {
+                let (acts, seen, left) = (acts.clone(), seen.clone(), left.clone());
+                let stream: TcpStream = stream.expect("a connection");
+                thread::spawn(move || serve(stream, number, &acts, &seen, &left));
+            }
+        });
+        endpoint
+    }
+
+    pub fn requests(&self) -> usize {
+        self.seen.lock().len()
+    }
+}
+
+fn serve(
+    stream: TcpStream,
+    number: usize,
+    acts: &Mutex<VecDeque<Act>>,
+    seen: &Mutex<Vec<Seen>>,
+    left: &Mutex<usize>,
+) {
+    let mut reader = BufReader::new(stream.try_clone().expect("it can be cloned"));
+    let mut stream = stream;
+    while let Some(request) = read_request(&mut reader, number) {
+        let id = request.headers.iter().find_map(|h| h.strip_prefix("sill-request-id: "));
+        let id = id.unwrap_or_default().to_owned();
+        seen.lock().push(request);
+        let act = acts.lock().pop_front().unwrap_or(Act::Hang);
+        match act {
+            Act::Answer(text) => {
+                stream.write_all(text.replace("{id}", &id).as_bytes()).expect("it is read");
+            }
+            Act::AnswerLater(text, pause) => {
+                thread::sleep(pause);
+                stream.write_all(text.replace("{id}", &id).as_bytes()).expect("it is read");
+            }
+            Act::AnswerAndClose(text) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
+                return;
+            }
+            Act::AnswerAndReset(text) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
+                // What was written is to arrive before the reset does.
+                thread::sleep(Duration::from_millis(200));
+                let socket = socket2::SockRef::from(&stream);
+                socket.set_linger(Some(Duration::ZERO)).expect("it is a socket");
+                return;
+            }
+            Act::Hang => {
+                let mut rest = Vec::new();
+                let _ = reader.read_to_end(&mut rest);
+                *left.lock() += 1;
+                return;
+            }
+        }
+    }
+}
+
+fn read_request(reader: &mut BufReader<TcpStream>, connection: usize) -> Option<Seen> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim_end().to_owned();
+        if line.is_empty() {
+            break;
+        }
+        lines.push(line);
+    }
+    let length = lines.iter().find_map(|line| line.strip_prefix("content-length: "));
+    let mut body = vec![0; length.map_or(0, |length| length.parse().expect("a number"))];
+    reader.read_exact(&mut body).ok()?;
+    let line = lines.remove(0);
+    Some(Seen { line, headers: lines, body, connection })
+}
+
+impl World {
+    /// Starts an entry instance with one route for each kind, and endpoints with their acts.
+    pub fn start(acts: Vec<Vec<Act>>) -> Self {
+        Self::start_with(acts, true)
+    }
+
+    /// Starts one whose control instance knows no settings yet.
+    pub fn without_settings() -> Self {
+        Self::start_with(Vec::new(), false)
+    }
+
+    fn start_with(acts: Vec<Vec<Act>>, has_settings: bool) -> Self {
+        let endpoints: Vec<Endpoint> = acts.into_iter().map(Endpoint::start).collect();
+        let runtime = Runtime::new().expect("a runtime");
+        let _guard = runtime.enter();
+        let facts: Vec<EndpointFact> =
+            endpoints.iter().enumerate().map(|(i, e)| fact(i, e.address)).collect();
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let mut peers = PeerServerBuilder::new(Secret::new(CLUSTER_KEY));
+        peers.answer(move |poll: LinkPoll| answer(poll, facts.clone(), has_settings));
+        let control = peers.start(listener).expect("it starts");
+        let addresses = free_addresses(3).expect("ports are free");
+        let gateway = Gateway::start(cfg(&addresses, control.address())).expect("it starts");
+        let address = gateway.address;
+        let world = Self { endpoints, address, gateway: Some(gateway), _control: control, runtime };
+        if has_settings {
+            world.wait_until_ready(addresses[1]);
+        }
+        world
+    }
+
+    fn wait_until_ready(&self, address: SocketAddr) {
+        loop {
+            let got = exchange(address, "GET /readyz HTTP/1.1\r\nhost: h\r\n\r\n");
+            if got.status == 200 {
+                return;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Sends a call on a connection of its own.
+    pub fn call(&self, path: &str) -> Got {
+        exchange(self.address, &request(path, ""))
+    }
+
+    /// Sends a call and leaves before the answer.
+    pub fn call_and_leave(&self, path: &str) {
+        let mut stream = TcpStream::connect(self.address).expect("it listens");
+        stream.write_all(request(path, "").as_bytes()).expect("it is read");
+        let runs = || self.endpoints.iter().map(Endpoint::requests).sum::<usize>();
+        while runs() == 0 {
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Stops the entry instance.
+    pub fn stop(&mut self) {
+        if let Some(gateway) = self.gateway.take() {
+            self.runtime.block_on(gateway.stop());
+        }
+    }
+}
+
+/// Writes a call.
+pub fn request(path: &str, extra: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: desk.example\r\nauthorization: Bearer {KEY}\r\n\
+         sill-request-id: r-1\r\ncontent-length: 4\r\n{extra}\r\nbody"
+    )
+}
+
+/// Writes the head of an endpoint's answer.
+pub fn head(extra: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nsill-request-id: {{id}}\r\n{extra}\r\n")
+}
+
+/// Writes a whole answer.
+pub fn answer_of(body: &str) -> String {
+    format!("{}{body}", head(&format!("content-length: {}\r\n", body.len())))
+}
+
+/// Writes an answer that says that the call has not run.
+pub fn not_run(status: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nsill-request-id: {{id}}\r\nsill-not-run: true\r\n\
+         content-length: 0\r\n\r\n"
+    )
+}
+
+/// Sends bytes on a new connection and reads one answer.
+pub fn exchange(address: SocketAddr, text: &str) -> Got {
+    let mut stream = TcpStream::connect(address).expect("it listens");
+    stream.set_read_timeout(Some(HUNG)).expect("it is a socket");
+    stream.write_all(text.as_bytes()).expect("it is read");
+    read_answer(&mut BufReader::new(stream))
+}
+
+fn read_answer(reader: &mut BufReader<TcpStream>) -> Got {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        let read = reader.read_line(&mut head).expect("an answer in time");
+        assert!(read > 0, "the connection ended before an answer: {head:?}");
+    }
+    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
+    let lower = head.to_lowercase();
+    let length = lower.split("\r\n").find_map(|line| line.strip_prefix("content-length: "));
+    let (body, is_whole) = match length {
+        Some(length) => read_length(reader, length.parse().expect("a number")),
+        None => read_chunks(reader),
+    };
+    Got { status, head, body, is_whole }
+}
+
+fn read_length(reader: &mut BufReader<TcpStream>, length: usize) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    let read = reader.take(length as u64).read_to_end(&mut body);
+    let is_whole = read.is_ok() && body.len() == length;
+    (body, is_whole)
+}
+
+fn read_chunks(reader: &mut BufReader<TcpStream>) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    loop {
+        let mut size = String::new();
+        if reader.read_line(&mut size).unwrap_or(0) == 0 {
+            return (body, false);
+        }
+        let Ok(size) = usize::from_str_radix(size.trim(), 16) else { return (body, false) };
+        let mut chunk = vec![0; size + 2];
+        if reader.read_exact(&mut chunk).is_err() {
+            return (body, false);
+        }
+        if size == 0 {
+            return (body, true);
+        }
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
+
+fn cfg(addresses: &[SocketAddr], control: SocketAddr) -> GatewayCfg {
+    GatewayCfg {
+        name: "entry-1".into(),
+        domain: "a".into(),
+        listen: addresses[0],
+        listen_ready: addresses[1],
+        ready_path: "/readyz".into(),
+        listen_metrics: addresses[2],
+        seeds: vec![control],
+        cluster_key: Secret::new(CLUSTER_KEY),
+        dialect: Arc::new(SillDialect),
+        limits: LimitBounds { slack: 0.0 },
+        retries: RetryBounds { share: 0.2, allowance: 1000.0 },
+        usage_window: Millis(5000),
+        stop: StopCfg { notice: Millis(100), limit: Millis(5000) },
+        threads: 1,
+    }
+}
+
+fn fact(number: usize, address: SocketAddr) -> EndpointFact {
+    EndpointFact {
+        endpoint: format!("e{number}").into(),
+        service: "desk".into(),
+        domain: "a".into(),
+        address,
+        slots: 8,
+        sequence: 1,
+        state: EndpointState::Ready,
+        reclaimable: false,
+        leaves_in: None,
+        age: Millis::ZERO,
+    }
+}
+
+fn document() -> Document {
+    let mut document = Document::default();
+    document.services.insert("desk".into(), Service::Pool(Pool::default()));
+    let account = Account { keys: vec![KeyHash::of(KEY)], ..Account::default() };
+    document.accounts.insert("clerks".into(), account);
+    for (kind, name) in RouteKind::NAMES {
+        let route = Route {
+            host: "desk.example".into(),
+            path: format!("/{name}/").into(),
+            kind,
+            timeout_ms: Millis(10_000),
+            split: vec![Share { service: "desk".into(), weight: 1 }],
+            max_attempts: 2,
+            ..Route::default()
+        };
+        document.routes.insert(Name::from(name), route);
+    }
+    document
+}
+
+async fn answer(
+    poll: LinkPoll,
+    facts: Vec<EndpointFact>,
+    has_settings: bool,
+) -> Result<LinkReply, sill_net::PeerError> {
+    let is_known = poll.have >= Revision(1);
+    if is_known {
+        tokio::time::sleep(poll.wait.into()).await;
+    }
+    let settings = ServedSettings {
+        revision: Revision(1),
+        document: serde_json::to_value(document()).expect("it can be written"),
+    };
+    Ok(LinkReply {
+        settings: (has_settings && !is_known).then_some(settings),
+        cursor: Cursor::default(),
+        endpoints: facts,
+        controls: Vec::new(),
+        totals: None,
+        true_time: Millis::wall(),
+        is_led: true,
+    })
+}
--- a/protocol/wire/src/header.rs
+++ b/protocol/wire/src/header.rs
@@ -35,3 +35,9 @@
 
 /// The id of the last event that a caller who came back has got.
 pub const LAST_EVENT_ID: &str = "last-event-id";
+
+/// Names the endpoint that a request is meant for; any other refuses it without running it.
+pub const ENDPOINT: &str = "sill-endpoint";
+
+/// Names the caller's account, for endpoints.
+pub const ACCOUNT: &str = "sill-account";
