Runs are moved away before their engine is taken back

Engines copy the memory of a run while it goes on, then stop it and copy the rest; the other engine goes on after the last event that the caller has. Also: events are tracked only in event streams, and an error waits until what came before is written. Tests: a_run_is_moved…, a_resumable_stream… by real connections.

--- a/daemons/gateway/src/cfg.rs
+++ b/daemons/gateway/src/cfg.rs
@@ -33,6 +33,8 @@
     pub limits: LimitBounds,
     /// Bounds on retries.
     pub retries: RetryBounds,
+    /// How long an endpoint serves after it has said that it leaves, where it names no time.
+    pub endpoint_notice: Millis,
     /// The length of a window of usage.
     pub usage_window: Millis,
     /// How a planned stop goes.
--- a/daemons/gateway/src/dialect.rs
+++ b/daemons/gateway/src/dialect.rs
@@ -1,9 +1,12 @@
 //! How calls and answers carry what the entry instance needs to know.
 
 use std::fmt::Debug;
+use std::net::SocketAddr;
 
+use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::Full;
 use sill_base::{Millis, Name};
 use sill_dispatch::Prompt;
 
@@ -37,6 +40,17 @@
     pub urgency: u8,
     /// The last event that the caller has, if a stream is resumed.
     pub last_event: Option<&'a str>,
+    /// Where the memory of the run comes from, if it was moved.
+    pub memory: Option<&'a MovedMemory>,
+}
+
+/// The memory of a run that an engine has stopped, copied to another one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MovedMemory {
+    /// The engine that ran it.
+    pub source: SocketAddr,
+    /// Names the memory there.
+    pub handle: Name,
 }
 
 /// What the head of an endpoint's answer says.
@@ -79,6 +93,22 @@
     /// Reads the load that comes with an answer.
     fn load(&self, headers: &HeaderMap) -> Option<ReportedLoad>;
 
+    /// Makes the request that has an engine copy the memory of a run to another engine, or what is new
+    /// of it since the last time, and stop the run if it is to; none where engines can't.
+    fn copy_run(
+        &self,
+        _attempt: &Name,
+        _to: SocketAddr,
+        _stops: bool,
+    ) -> Option<Request<Full<Bytes>>> {
+        None
+    }
+
+    /// Reads the name of the memory out of the answer to it.
+    fn copied(&self, _status: StatusCode, _body: &[u8]) -> Option<Name> {
+        None
+    }
+
     /// Writes what callers are to know of a failure of ours.
     fn failure(&self, headers: &mut HeaderMap, failure: &Failure);
 }
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -12,7 +12,7 @@
 use sill_tree::RouteKind;
 use sill_wire::ErrorCode;
 
-use crate::dialect::{Forward, Word};
+use crate::dialect::{Forward, MovedMemory, Word};
 use crate::failure::Failure;
 use crate::relay;
 use crate::serve::Call;
@@ -37,6 +37,15 @@
     is_over: bool,
 }
 
+/// Where a stream goes on.
+#[derive(Debug, Default, Clone)]
+pub struct Resumption {
+    /// The last event that the caller has.
+    pub last_event: Option<String>,
+    /// The memory of the run, if it was moved.
+    pub memory: Option<MovedMemory>,
+}
+
 /// What is logged of a call when it is over.
 #[derive(Debug)]
 pub struct Summary {
@@ -136,11 +145,11 @@
 pub async fn make(
     mut attempt: Attempt,
     progress: &Progress,
-    last_event: Option<&str>,
+    from: Option<&Resumption>,
 ) -> Attempted {
     let (state, call) = (attempt.state.clone(), attempt.call.clone());
     let left = call.due - state.clock.now();
-    let req = request(&state, &call, &attempt.place, left, last_event);
+    let req = request(&state, &call, &attempt.place, left, from);
     let max_idle = if call.route.route.kind.may_repeat() { Millis::MAX } else { SURELY_ALIVE };
     let sending = state.connections.send(attempt.place.address, req, max_idle);
     let outcome = match tokio::time::timeout(left.into(), sending).await {
@@ -166,15 +175,21 @@
     call: &Call,
     place: &Place,
     left: Millis,
-    last_event: Option<&str>,
+    from: Option<&Resumption>,
 ) -> Request<Full<Bytes>> {
     let mut headers = call.headers.clone();
     strip_hop_by_hop(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
     let account = call.account.as_ref().map(|account| &account.name);
-    let forward =
-        Forward { left, endpoint: &place.endpoint, account, urgency: call.urgency, last_event };
+    let forward = Forward {
+        left,
+        endpoint: &place.endpoint,
+        account,
+        urgency: call.urgency,
+        last_event: from.and_then(|from| from.last_event.as_deref()),
+        memory: from.and_then(|from| from.memory.as_ref()),
+    };
     state.cfg.dialect.forward(&mut headers, &forward);
     let mut req = Request::new(Full::new(call.body.clone()));
     *req.method_mut() = call.method.clone();
--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod failure;
 pub mod link;
 pub mod metrics;
+pub mod moves;
 pub mod own;
 pub mod relay;
 pub mod serve;
@@ -18,6 +19,6 @@
 
 pub use cfg::GatewayCfg;
 pub use daemon::Gateway;
-pub use dialect::{CallHead, Dialect, Forward, Word};
+pub use dialect::{CallHead, Dialect, Forward, MovedMemory, Word};
 pub use failure::Failure;
 pub use own::SillDialect;
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -6,18 +6,20 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use http::{Response, header};
+use http::{HeaderMap, Response, header};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sill_base::Name;
-use sill_dispatch::{AttemptOutcome, EventTracker, Next, Progress};
+use sill_dispatch::{AttemptOutcome, EventTracker, Next, Place, Progress};
 use sill_net::h1::{AnyBody, BodyError, Returnable, strip_hop_by_hop};
 use sill_route::Outcome;
 use sill_tree::RouteKind;
+use sill_wire::header::EVENT_STREAM;
 use tokio::time::Sleep;
 
-use crate::dispatch::{self, Attempt, Attempted, Summary};
+use crate::dispatch::{self, Attempt, Attempted, Resumption, Summary};
+use crate::moves::{self, Moved};
 use crate::serve::Call;
 use crate::state::State;
 
@@ -31,7 +33,13 @@
     /// Set for streams that may go on at another endpoint.
     events: Option<EventTracker>,
     due: Pin<Box<Sleep>>,
+    /// Done when the run has to be moved away from its engine.
+    move_due: Option<BoxFuture<'static, ()>>,
+    /// The move of the run, while the rest of its old stream comes in.
+    moving: Option<Moving>,
     has_begun: bool,
+    /// Why the answer ends, once what came before is on its way to the caller.
+    broken: Option<BodyError>,
 }
 
 // There is one for each call, so its size doesn't matter.
@@ -46,6 +54,14 @@
     Ended,
 }
 
+/// A move of a run.
+enum Moving {
+    /// Its memory is being copied.
+    Copying(BoxFuture<'static, Option<Moved>>),
+    /// It is copied; the old stream is still to end.
+    Copied(Box<Moved>),
+}
+
 struct Running {
     body: Incoming,
     attempt: Attempt,
@@ -64,8 +80,11 @@
     strip_hop_by_hop(&mut parts.headers);
     let (state, call) = (attempt.state().clone(), attempt.call().clone());
     summary.answers(parts.status.as_u16());
-    let is_resumable = call.route.route.kind == RouteKind::ResumableStream;
-    let may_resume = is_resumable && parts.status.is_success();
+    let is_stream = call.route.route.kind.is_stream()
+        && parts.status.is_success()
+        && is_event_stream(&parts.headers);
+    let may_move = is_stream && call.route.route.kind == RouteKind::Stream && call.pool.can_move;
+    let may_resume = is_stream && call.route.route.kind == RouteKind::ResumableStream || may_move;
     if may_resume {
         // What comes from another endpoint may be longer.
         parts.headers.remove(header::CONTENT_LENGTH);
@@ -74,20 +93,75 @@
         attempt.count_usage();
     }
     let left = call.due - state.clock.now();
+    let endpoint = attempt.place.endpoint.clone();
     let relay = Relay {
+        move_due: may_move.then(|| move_due(&state, &call, endpoint)),
+        moving: None,
         summary,
         progress,
         source: Source::Running(Running { body, attempt, connection }),
         events: may_resume.then(EventTracker::default),
         due: Box::pin(tokio::time::sleep(left.into())),
         has_begun: false,
+        broken: None,
         state,
         call,
     };
     Response::from_parts(parts, relay.boxed_unsync())
 }
 
+/// Only events tell where a stream can go on.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM))
+}
+
+fn move_due(state: &Arc<State>, call: &Arc<Call>, endpoint: Name) -> BoxFuture<'static, ()> {
+    Box::pin(moves::due(state.clone(), call.clone(), endpoint))
+}
+
 impl Relay {
+    /// Starts to move the run once that is due.
+    fn poll_move(&mut self, cx: &mut Context<'_>) {
+        let is_due = self.move_due.as_mut().is_some_and(|due| due.as_mut().poll(cx).is_ready());
+        if is_due && let Source::Running(running) = &self.source {
+            self.move_due = None;
+            let Place { endpoint, address, .. } = running.attempt.place.clone();
+            let (state, call) = (self.state.clone(), self.call.clone());
+            // Attempts of one call differ by number; this one is none that the caller asked for.
+            let sends = self.progress.sends() + 1;
+            let moved = moves::run(state, call, address, endpoint, sends);
+            self.moving = Some(Moving::Copying(Box::pin(moved)));
+        }
+        if let Some(Moving::Copying(copying)) = &mut self.moving
+            && let Poll::Ready(moved) = copying.as_mut().poll(cx)
+        {
+            self.moving = moved.map(|moved| Moving::Copied(Box::new(moved)));
+        }
+    }
+
+    /// The old stream of a run that is being moved broke off. Goes on with the run where its memory is.
+    fn go_on_after_move(&mut self) -> bool {
+        let Some(moving) = self.moving.take() else { return false };
+        let old = std::mem::replace(&mut self.source, Source::Ended);
+        if let Source::Running(mut running) = old {
+            running.attempt.over(Outcome::Cancelled);
+        }
+        let Some(events) = &mut self.events else { return false };
+        events.drop_rest();
+        let last_event = events.last_id().map(str::to_owned);
+        let progress = self.progress;
+        self.source = Source::Resuming(Box::pin(async move {
+            let moved = match moving {
+                Moving::Copying(copying) => copying.await?,
+                Moving::Copied(moved) => *moved,
+            };
+            let from = Resumption { last_event, memory: Some(moved.memory) };
+            running_from(moved.attempt, progress, from).await
+        }));
+        true
+    }
+
     fn passes(&mut self, data: &Bytes) {
         let now = self.state.clock.now();
         self.summary.passes(now, data.len());
@@ -124,17 +198,19 @@
         let (id, endpoint) = (&self.call.head.attempt, &running.attempt.place.endpoint);
         sill_base::event!(Warn, "answer_cut", id = id, endpoint = endpoint, why = err);
         self.progress.left = self.call.due - self.state.clock.now();
+        let is_resumable = self.call.route.route.kind.may_repeat();
         let next = self.progress.after(AttemptOutcome::Unknown);
         self.progress.count(AttemptOutcome::Unknown);
         let Some(events) = &mut self.events else { return false };
         events.drop_rest();
-        if next != Next::Retry || !self.state.may_retry(&self.call.pool.service) {
+        if !is_resumable || next != Next::Retry || !self.state.may_retry(&self.call.pool.service) {
             return false;
         }
         let last_event = events.last_id().map(str::to_owned);
         let (state, call) = (self.state.clone(), self.call.clone());
         let (progress, failed) = (self.progress, endpoint.clone());
-        let resumed = resume(state, call, progress, failed, last_event);
+        let from = Resumption { last_event, memory: None };
+        let resumed = resume(state, call, progress, failed, from);
         self.source = Source::Resuming(Box::pin(resumed));
         true
     }
@@ -156,10 +232,13 @@
                     return Poll::Ready(Some(Ok(data)));
                 }
                 Some(Err(err)) => {
-                    if self.broke_off(&err) {
+                    if self.go_on_after_move() || self.broke_off(&err) {
                         return Poll::Pending;
                     }
-                    return Poll::Ready(Some(Err(err.into())));
+                    // Told at once, the server would drop the parts that it has not written yet.
+                    self.broken = Some(err.into());
+                    cx.waker().wake_by_ref();
+                    return Poll::Pending;
                 }
                 None => {
                     self.ended();
@@ -176,6 +255,10 @@
         match ready!(resuming.as_mut().poll(cx)) {
             Some(running) => {
                 self.summary.resumed_at(&running.attempt.place);
+                if self.call.pool.can_move && self.call.route.route.kind == RouteKind::Stream {
+                    let endpoint = running.attempt.place.endpoint.clone();
+                    self.move_due = Some(move_due(&self.state, &self.call, endpoint));
+                }
                 self.source = Source::Running(running);
                 Poll::Ready(Ok(()))
             }
@@ -193,11 +276,15 @@
     call: Arc<Call>,
     progress: Progress,
     failed: Name,
-    last_event: Option<String>,
+    from: Resumption,
 ) -> Option<Running> {
     let now = state.clock.now();
     let attempt = dispatch::place(&state, &call, now, &[failed], progress.sends()).ok()?;
-    match dispatch::make(attempt, &progress, last_event.as_deref()).await {
+    running_from(attempt, progress, from).await
+}
+
+async fn running_from(attempt: Attempt, progress: Progress, from: Resumption) -> Option<Running> {
+    match dispatch::make(attempt, &progress, Some(&from)).await {
         Attempted::Answer(attempt, answer) if answer.response.status().is_success() => {
             let (response, connection) = answer.into_parts();
             Some(Running { body: response.into_body(), attempt, connection })
@@ -215,6 +302,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let this = &mut *self;
+        if let Some(err) = this.broken.take() {
+            return Poll::Ready(Some(Err(err)));
+        }
         if matches!(this.source, Source::Ended) {
             return Poll::Ready(None);
         }
@@ -223,6 +313,7 @@
             this.summary.ends("out_of_time");
             return Poll::Ready(Some(Err("the time of the call is up".into())));
         }
+        this.poll_move(cx);
         loop {
             if matches!(this.source, Source::Resuming(_))
                 && let Err(err) = ready!(this.poll_resuming(cx))
@@ -241,7 +332,7 @@
         match &self.source {
             Source::Running(running) => self.events.is_none() && running.body.is_end_stream(),
             Source::Resuming(_) => false,
-            Source::Ended => true,
+            Source::Ended => self.broken.is_none(),
         }
     }
 
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -9,7 +9,7 @@
 use sill_dispatch::{Pool, PoolCfg, RouteTable, Shares, UsageCounter};
 use sill_net::h1::{Connections, ConnectionsCfg};
 use sill_route::{RetryBudget, RetryCfg, Target};
-use sill_tree::Document;
+use sill_tree::{Document, Engine};
 use sill_wire::Incarnation;
 use sill_wire::link::{EndpointFact, EndpointState, LinkReply, ServiceReport};
 
@@ -41,6 +41,9 @@
 /// Entry instances that are presumed until their number is known.
 const PRESUMED_ENTRIES: u32 = 16;
 
+/// Time for which the departure of an endpoint is remembered.
+const DEPARTED: Millis = Millis(60_000);
+
 /// Span over which rates for the leader are averaged.
 const RATE_SPAN: Millis = Millis(2000);
 
@@ -78,7 +81,12 @@
     pub pool: Mutex<Pool>,
     /// Whether they are model engines.
     pub is_engine: bool,
+    /// Whether runs can be moved between them.
+    pub can_move: bool,
     rates: Mutex<Rates>,
+    /// When endpoints that leave are gone.
+    departures: Mutex<Map<Name, Millis>>,
+    departed: watch::Sender<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -201,14 +209,15 @@
         self.shares.lock().set_limits(now, &table);
         for (name, pool) in &table.pools {
             let engine = pool.engine.as_ref();
-            self.open_pool(name, engine.is_some(), engine.map_or(0, |e| e.cache_tokens));
+            self.open_pool(name, engine);
         }
         self.table.send_replace(Some(table));
         self.metrics.revision.set(revision as i64);
         event!(Info, "settings_in_force", revision = revision, before = held);
     }
 
-    fn open_pool(&self, service: &Name, is_engine: bool, cache_tokens: u64) -> Arc<PoolState> {
+    fn open_pool(&self, service: &Name, engine: Option<&Engine>) -> Arc<PoolState> {
+        let is_engine = engine.is_some();
         let mut pools = self.pools.write();
         let known = pools.get(service);
         // What endpoints say comes before settings do, and doesn't tell whether they are engines.
@@ -219,7 +228,7 @@
             service: service.clone(),
             domain: self.cfg.domain.clone(),
             is_engine,
-            cache_tokens,
+            cache_tokens: engine.map_or(0, |engine| engine.cache_tokens),
             seed: self.incarnation.0,
         };
         let mut pool = Pool::new(cfg);
@@ -233,7 +242,10 @@
             service: service.clone(),
             pool: Mutex::new(pool),
             is_engine,
+            can_move: engine.is_some_and(|engine| engine.moves),
             rates: Mutex::default(),
+            departures: Mutex::default(),
+            departed: watch::Sender::new(0),
         });
         pools.insert(service.clone(), state.clone());
         state
@@ -241,7 +253,7 @@
 
     fn take_endpoint(&self, now: Millis, fact: &EndpointFact) {
         let pool = self.pool(&fact.service);
-        let pool = pool.unwrap_or_else(|| self.open_pool(&fact.service, false, 0));
+        let pool = pool.unwrap_or_else(|| self.open_pool(&fact.service, None));
         let is_news = pool.pool.lock().heard(now, fact);
         if !is_news {
             return;
@@ -249,6 +261,10 @@
         if fact.state >= EndpointState::Silent {
             self.connections.forget(fact.address);
         }
+        if matches!(fact.state, EndpointState::Leaving | EndpointState::Gone) {
+            let left = fact.leaves_in.unwrap_or(self.cfg.endpoint_notice);
+            pool.departs(now, &fact.endpoint, now - fact.age + left);
+        }
         event!(
             Info,
             "endpoint",
@@ -311,6 +327,28 @@
 }
 
 impl PoolState {
+    /// Takes in when an endpoint that leaves is gone.
+    fn departs(&self, now: Millis, endpoint: &Name, at: Millis) {
+        let mut departures = self.departures.lock();
+        departures.retain(|_, at| now - *at < DEPARTED);
+        departures.entry(endpoint.clone()).or_insert(at);
+        drop(departures);
+        self.departed.send_modify(|count| *count += 1);
+    }
+
+    /// Waits until an endpoint has said that it leaves, and returns when it is gone.
+    pub async fn departure(&self, endpoint: &Name) -> Millis {
+        let mut departed = self.departed.subscribe();
+        loop {
+            if let Some(at) = self.departures.lock().get(endpoint) {
+                return *at;
+            }
+            if departed.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
     /// Counts prompt tokens that an endpoint has to compute.
     pub fn count_fresh(&self, now: Millis, tokens: u64) {
         self.rates.lock().fresh_tokens.add(now, tokens as f64);
--- a/daemons/gateway/tests/relay.rs
+++ b/daemons/gateway/tests/relay.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
+use sill_base::Millis;
 use support::{Act, World, answer_of, exchange, head, not_run, request};
 
 /// An endpoint breaks off in the middle of an answer. An entry instance that ended its own answer in
@@ -155,18 +156,56 @@
     let stream = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
     let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
     let first = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\nid: 3\nda"].map(chunk).concat();
-    let rest = ["id: 3\ndata: c\n\n", "id: 4\ndata: d\n\n", ""].map(chunk).concat();
-    let crash = || Act::AnswerAndClose(format!("{}{first}", head(stream)));
-    let go_on = || Act::Answer(format!("{}{rest}", head(stream)));
-    let world = World::start(vec![vec![crash(), go_on()], vec![crash(), go_on()]]);
-    // Whichever endpoint is asked first crashes; the other one must go on, so it is told to by hand.
-    let got = world.call("/resumable_stream/x");
-    let resumed: Vec<_> = world.endpoints.iter().flat_map(|e| e.seen.lock().clone()).collect();
-    let is_resumed = resumed.iter().any(|r| r.headers.contains(&"last-event-id: 2".to_owned()));
-    assert!(is_resumed, "{resumed:?}");
+    let rest = ["id: 3\ndata: c\n\n", "id: 4\ndata: d\n\n"].map(chunk).concat();
+    let crash = format!("{}{first}", head(stream));
+    let crashes = vec![Act::AnswerAndCloseLater(crash, Duration::from_millis(600))];
+    let goes_on = vec![Act::Answer(format!("{}{rest}0\r\n\r\n", head(stream)))];
+    let world = World::start_with_hidden(vec![crashes, goes_on]);
+    let address = world.address;
+    let path = "/resumable_stream/x";
+    let caller = thread::spawn(move || exchange(address, &request(path, "")));
+    while world.endpoints[0].requests() == 0 {
+        thread::sleep(Duration::from_millis(10));
+    }
+    world.first_leaves_and_last_appears(Millis(10_000));
+    let got = caller.join().expect("an answer");
+    let text = String::from_utf8(got.body).expect("text");
+    let events = ["id: 1\ndata: a", "id: 2\ndata: b", "id: 3\ndata: c", "id: 4\ndata: d", ""];
+    assert_eq!(text, events.join("\n\n"));
+    assert!(got.is_whole);
+    let resumed = world.endpoints[1].seen.lock()[0].headers.clone();
+    assert!(resumed.contains(&"last-event-id: 2".to_owned()), "{resumed:?}");
+}
+
+/// The platform takes back the engine that a stream comes from. The stream may not be resumed, so it
+/// would be lost with a prompt of thousands of tokens, although two seconds are left to move it.
+#[test]
+fn a_run_is_moved_before_its_engine_is_taken_back() {
+    let stream = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+    let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+    let first = ["id: 1\ndata: a\n\n", "id: 2\nda"].map(chunk).concat();
+    let rest = ["id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"].map(chunk).concat();
+    let copied = || Act::Answer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh1".to_owned());
+    let runs = format!("{}{first}", head(stream));
+    let old = vec![Act::AnswerAndCloseLater(runs, Duration::from_millis(1500)), copied(), copied()];
+    let new = vec![Act::Answer(format!("{}{rest}0\r\n\r\n", head(stream)))];
+    let world = World::start_with_hidden(vec![old, new]);
+    let address = world.address;
+    let caller = thread::spawn(move || exchange(address, &request("/stream/x", "")));
+    while world.endpoints[0].requests() == 0 {
+        thread::sleep(Duration::from_millis(10));
+    }
+    world.first_leaves_and_last_appears(Millis(1300));
+    let got = caller.join().expect("an answer");
     let text = String::from_utf8(got.body).expect("text");
-    let begins = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
-    assert!(text.starts_with(begins) && !text.contains("da\n"), "{text:?}");
+    assert_eq!(text, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    assert!(got.is_whole, "the stream was cut");
+    let old: Vec<String> =
+        world.endpoints[0].seen.lock().iter().map(|seen| seen.line.clone()).collect();
+    assert!(old[1].contains("stops=false") && old[2].contains("stops=true"), "{old:?}");
+    let new = world.endpoints[1].seen.lock()[0].headers.clone();
+    let memory = format!("memory: {}/h1", world.endpoints[0].address);
+    assert!(new.contains(&memory) && new.contains(&"last-event-id: 1".to_owned()), "{new:?}");
 }
 
 /// A caller closes its connection while an endpoint works on its call. The endpoint must stop: nobody
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -7,14 +7,18 @@
 use std::thread;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::Full;
 use parking_lot::Mutex;
 use sill_base::{Millis, Name, Secret};
 use sill_dispatch::LimitBounds;
 use sill_gateway::cfg::{RetryBounds, StopCfg};
-use sill_gateway::{Gateway, GatewayCfg, SillDialect};
+use sill_gateway::dialect::ReportedLoad;
+use sill_gateway::{CallHead, Dialect, Failure, Forward, Gateway, GatewayCfg, SillDialect, Word};
 use sill_net::{PeerServer, PeerServerBuilder};
 use sill_standin::loopback::free_addresses;
-use sill_tree::{Account, Document, KeyHash, Pool, Route, RouteKind, Service, Share};
+use sill_tree::{Account, Document, Engine, KeyHash, Pool, Route, RouteKind, Service, Share};
 use sill_wire::control::Revision;
 use sill_wire::link::{Cursor, EndpointFact, EndpointState, LinkPoll, LinkReply, ServedSettings};
 use tokio::runtime::Runtime;
@@ -37,6 +41,8 @@
     AnswerLater(String, Duration),
     /// Sends these bytes and ends the connection.
     AnswerAndClose(String),
+    /// Sends these bytes, and ends the connection after a while.
+    AnswerAndCloseLater(String, Duration),
     /// Sends these bytes and resets the connection.
     AnswerAndReset(String),
     /// Sends nothing until the connection is closed from the other side.
@@ -65,6 +71,8 @@
 pub struct World {
     pub endpoints: Vec<Endpoint>,
     pub address: SocketAddr,
+    /// What the control instance tells of endpoints.
+    pub facts: Arc<Mutex<Vec<EndpointFact>>>,
     runtime: Runtime,
     gateway: Option<Gateway>,
     _control: PeerServer,
@@ -128,6 +136,11 @@
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
                 return;
             }
+            Act::AnswerAndCloseLater(text, pause) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
+                thread::sleep(pause);
+                return;
+            }
             Act::AnswerAndReset(text) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
                 // What was written is to arrive before the reset does.
@@ -169,28 +182,39 @@
 impl World {
     /// Starts an entry instance with one route for each kind, and endpoints with their acts.
     pub fn start(acts: Vec<Vec<Act>>) -> Self {
-        Self::start_with(acts, true)
+        Self::start_with(acts, true, false)
+    }
+
+    /// Starts one that does not know the last endpoint yet.
+    pub fn start_with_hidden(acts: Vec<Vec<Act>>) -> Self {
+        Self::start_with(acts, true, true)
     }
 
     /// Starts one whose control instance knows no settings yet.
     pub fn without_settings() -> Self {
-        Self::start_with(Vec::new(), false)
+        Self::start_with(Vec::new(), false, false)
     }
 
-    fn start_with(acts: Vec<Vec<Act>>, has_settings: bool) -> Self {
+    fn start_with(acts: Vec<Vec<Act>>, has_settings: bool, hides_last: bool) -> Self {
         let endpoints: Vec<Endpoint> = acts.into_iter().map(Endpoint::start).collect();
         let runtime = Runtime::new().expect("a runtime");
         let _guard = runtime.enter();
-        let facts: Vec<EndpointFact> =
+        let mut facts: Vec<EndpointFact> =
             endpoints.iter().enumerate().map(|(i, e)| fact(i, e.address)).collect();
+        if hides_last {
+            facts.pop();
+        }
+        let facts = Arc::new(Mutex::new(facts));
+        let told = facts.clone();
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let mut peers = PeerServerBuilder::new(Secret::new(CLUSTER_KEY));
-        peers.answer(move |poll: LinkPoll| answer(poll, facts.clone(), has_settings));
+        peers.answer(move |poll: LinkPoll| answer(poll, told.lock().clone(), has_settings));
         let control = peers.start(listener).expect("it starts");
         let addresses = free_addresses(3).expect("ports are free");
         let gateway = Gateway::start(cfg(&addresses, control.address())).expect("it starts");
         let address = gateway.address;
-        let world = Self { endpoints, address, gateway: Some(gateway), _control: control, runtime };
+        let world =
+            Self { endpoints, address, facts, gateway: Some(gateway), _control: control, runtime };
         if has_settings {
             world.wait_until_ready(addresses[1]);
         }
@@ -222,6 +246,18 @@
         }
     }
 
+    /// Tells that the first endpoint leaves, and of the last one.
+    pub fn first_leaves_and_last_appears(&self, leaves_in: Millis) {
+        let last = self.endpoints.len() - 1;
+        let leaving = EndpointFact {
+            sequence: 2,
+            state: EndpointState::Leaving,
+            leaves_in: Some(leaves_in),
+            ..fact(0, self.endpoints[0].address)
+        };
+        *self.facts.lock() = vec![leaving, fact(last, self.endpoints[last].address)];
+    }
+
     /// Stops the entry instance.
     pub fn stop(&mut self) {
         if let Some(gateway) = self.gateway.take() {
@@ -316,9 +352,10 @@
         listen_metrics: addresses[2],
         seeds: vec![control],
         cluster_key: Secret::new(CLUSTER_KEY),
-        dialect: Arc::new(SillDialect),
+        dialect: Arc::new(MovingDialect),
         limits: LimitBounds { slack: 0.0 },
         retries: RetryBounds { share: 0.2, allowance: 1000.0 },
+        endpoint_notice: Millis(2000),
         usage_window: Millis(5000),
         stop: StopCfg { notice: Millis(100), limit: Millis(5000) },
         threads: 1,
@@ -342,7 +379,9 @@
 
 fn document() -> Document {
     let mut document = Document::default();
-    document.services.insert("desk".into(), Service::Pool(Pool::default()));
+    let engine = Engine { slots: 8, moves: true, ..Engine::default() };
+    let pool = Pool { engine: Some(engine), ..Pool::default() };
+    document.services.insert("desk".into(), Service::Pool(pool));
     let account = Account { keys: vec![KeyHash::of(KEY)], ..Account::default() };
     document.accounts.insert("clerks".into(), account);
     for (kind, name) in RouteKind::NAMES {
@@ -383,3 +422,51 @@
         is_led: true,
     })
 }
+
+/// The product's own headers, and engines whose runs can be moved.
+#[derive(Debug)]
+struct MovingDialect;
+
+impl Dialect for MovingDialect {
+    fn read(&self, parts: &http::request::Parts) -> CallHead {
+        SillDialect.read(parts)
+    }
+
+    fn forward(&self, headers: &mut HeaderMap, forward: &Forward<'_>) {
+        SillDialect.forward(headers, forward);
+        if let Some(memory) = forward.memory {
+            let value = format!("{}/{}", memory.source, memory.handle);
+            headers.insert("memory", value.parse().expect("a value"));
+        }
+    }
+
+    fn word(&self, attempt: &Name, status: StatusCode, headers: &HeaderMap) -> Word {
+        SillDialect.word(attempt, status, headers)
+    }
+
+    fn load(&self, headers: &HeaderMap) -> Option<ReportedLoad> {
+        SillDialect.load(headers)
+    }
+
+    fn copy_run(
+        &self,
+        attempt: &Name,
+        to: SocketAddr,
+        stops: bool,
+    ) -> Option<Request<Full<Bytes>>> {
+        let path = format!("/copy/{attempt}?to={to}&stops={stops}");
+        let mut req = Request::new(Full::new(Bytes::new()));
+        *req.uri_mut() = path.parse().expect("a path");
+        req.headers_mut().insert("host", "h".parse().expect("a value"));
+        Some(req)
+    }
+
+    fn copied(&self, status: StatusCode, body: &[u8]) -> Option<Name> {
+        let handle = std::str::from_utf8(body).ok()?;
+        status.is_success().then(|| handle.into())
+    }
+
+    fn failure(&self, headers: &mut HeaderMap, failure: &Failure) {
+        SillDialect.failure(headers, failure);
+    }
+}
