--- a/daemons/gateway/src/moves.rs
+++ b/daemons/gateway/src/moves.rs
@@ -53,7 +53,8 @@
     sends: u32,
 ) -> Option<Moved> {
     let began = state.clock.now();
-    let attempt = dispatch::place(&state, &call, began, &[endpoint.clone()], sends).ok()?;
+    let attempt =
+        dispatch::place(&state, &call, began, std::slice::from_ref(&endpoint), sends).ok()?;
     let copies = async {
         copy(&state, &call, source, attempt.place.address, false).await?;
         let copied = state.clock.now();
