--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -189,6 +189,7 @@
         address,
     };
     let directory = Directory::new(own, cfg.cluster_key.clone(), runtime.clone(), peers.clone());
+    let directory = if cfg.seeds.is_none() { directory.fixed() } else { directory };
     directory.set_seeds(cfg.seeds.iter().flat_map(|seeds| seeds.peers.clone()).collect());
     for Voter { name, domain, address } in cfg.voters.clone() {
         directory.add(ControlPlace { name, domain, peer: address, address });
--- a/daemons/control/src/directory.rs
+++ b/daemons/control/src/directory.rs
@@ -40,13 +40,21 @@
     log_peers: Peers,
     peers: RwLock<Map<Name, Arc<ControlPeer>>>,
     seeds: RwLock<Vec<SocketAddr>>,
+    /// Whether all are known by their flags; where they say they are then counts for nothing, since
+    /// others may reach them by another way.
+    is_fixed: bool,
 }
 
 impl Directory {
     /// Makes an empty directory.
     pub fn new(own: ControlPlace, key: Secret, runtime: Handle, log_peers: Peers) -> Self {
         let (peers, seeds) = (RwLock::default(), RwLock::default());
-        Self { own, key, runtime, log_peers, peers, seeds }
+        Self { own, key, runtime, log_peers, peers, seeds, is_fixed: false }
+    }
+
+    /// Keeps those that are known, and takes in no others.
+    pub fn fixed(self) -> Self {
+        Self { is_fixed: true, ..self }
     }
 
     /// Takes in where some control instances may be found.
@@ -69,6 +77,13 @@
         PeerClient::new(address, &self.key, QUICK)
     }
 
+    /// Takes in where a control instance says it is, unless that is known for good.
+    pub fn learn(&self, place: ControlPlace) {
+        if !self.is_fixed {
+            self.add(place);
+        }
+    }
+
     /// Takes in where a control instance is.
     pub fn add(&self, place: ControlPlace) {
         if place.name == self.own.name {
@@ -96,7 +111,7 @@
     /// Takes in that a control instance made itself heard.
     pub fn heard(&self, now: Millis, place: ControlPlace, id: ReplicaId) {
         let name = place.name.clone();
-        self.add(place);
+        self.learn(place);
         if let Some(peer) = self.get(&name) {
             *peer.heard.lock() = Some(Presence { id, at: now });
         }
--- a/daemons/control/src/log/hello.rs
+++ b/daemons/control/src/log/hello.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use sill_base::{Map, Millis, event};
+use sill_base::{Map, Millis, Name, event};
 use sill_net::PeerClient;
 use sill_quorum::standby::{self, Replacement};
 use sill_quorum::{Event, MemberChange, Members, ReplicaId, RoleName};
@@ -66,7 +66,7 @@
     let replies = futures_util::future::join_all(calls).await;
     let replies: Vec<HelloReply> = replies.into_iter().flatten().collect();
     for reply in &replies {
-        reply.known.iter().for_each(|place| directory.add(place.clone()));
+        reply.known.iter().for_each(|place| directory.learn(place.clone()));
         directory.heard(shared.clock.now(), reply.place.clone(), reply.id.clone());
     }
     replies
@@ -77,19 +77,24 @@
 /// A majority would not be enough: two voters that lost their disks would start an empty log, and
 /// forget all that the third one still has.
 fn found(shared: &Shared, replies: &[HelloReply]) {
-    let founders = match &shared.cfg.seeds {
+    let new = replies.iter().filter(|reply| reply.is_new);
+    let (is_first, founders, others): (bool, usize, Vec<ReplicaId>) = match &shared.cfg.seeds {
         Some(seeds) if !seeds.may_found => return,
-        Some(seeds) => seeds.peers.clone(),
-        None => shared.cfg.voters.iter().map(|voter| voter.address).collect(),
+        Some(Seeds { peers, .. }) => {
+            let own = shared.directory.own().peer;
+            let new = new.filter(|reply| peers.contains(&reply.place.peer));
+            let others = new.map(|reply| reply.id.clone()).collect();
+            (peers.iter().min() == Some(&own), peers.len(), others)
+        }
+        None => {
+            let names: Vec<&Name> = shared.cfg.voters.iter().map(|voter| &voter.name).collect();
+            let new = new.filter(|reply| names.contains(&&reply.id.name));
+            let others = new.map(|reply| reply.id.clone()).collect();
+            (names.iter().min() == Some(&&shared.cfg.name), names.len(), others)
+        }
     };
-    let own = shared.directory.own().peer;
-    if founders.iter().min() != Some(&own) {
-        return;
-    }
-    let new = replies.iter().filter(|reply| reply.is_new && founders.contains(&reply.place.peer));
-    let others = new.map(|reply| reply.id.clone());
-    let ids: Vec<ReplicaId> = others.chain([shared.id.clone()]).collect();
-    if ids.len() == founders.len() {
+    let ids: Vec<ReplicaId> = others.into_iter().chain([shared.id.clone()]).collect();
+    if is_first && ids.len() == founders {
         event!(Info, "log_started", voters = ids.len());
         shared.log.event(Event::Found(Members::of_voters(ids)));
     }
