--- a/daemons/control/src/api/tree.rs
+++ b/daemons/control/src/api/tree.rs
@@ -13,6 +13,7 @@
 use crate::app::command::{ChangeAsk, Holder};
 use crate::app::{Ask, Outcome, judge};
 use crate::daemon::Shared;
+use crate::running;
 use crate::submit::{self, NoOutcome};
 
 /// How long a watch waits for a newer revision.
@@ -166,6 +167,7 @@
 
 async fn in_force(app: &App, reply: &ChangeReply) -> bool {
     let end = app.clock.now() + IN_FORCE;
+    on_runtime(app, async |shared| running::ask_all(&shared).await).await;
     while app.clock.now() < end {
         if app.running.all_run(app.clock.now(), reply.revision) {
             return true;
--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -21,7 +21,9 @@
 use crate::log::peers::Peers;
 use crate::log::{LogHandle, hello};
 use crate::metrics::Metrics;
-use crate::rpc::{Ack, Hello, QuorumSend, ReadIndex, ReadIndexReply, RunningSync, Submit};
+use crate::rpc::{
+    Ack, Hello, QuorumSend, ReadIndex, ReadIndexReply, RunningAsk, RunningSync, Submit,
+};
 use crate::running::{self, Running};
 use crate::{api, feed, submit};
 
@@ -241,6 +243,11 @@
         async move { Ok(reply) }
     });
     let own = shared.clone();
+    peers.answer(move |_: RunningAsk| {
+        let known = own.running.known(own.clock.now());
+        async move { Ok(known) }
+    });
+    let own = shared.clone();
     peers.answer(move |sync: RunningSync| {
         own.running.told(own.clock.now(), &sync);
         async { Ok(Ack {}) }
--- a/daemons/control/src/rpc.rs
+++ b/daemons/control/src/rpc.rs
@@ -88,6 +88,10 @@
     pub endpoints: Vec<DomainEndpoints>,
 }
 
+/// Asks which entry instances the called instance has heard of, and what they run.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct RunningAsk {}
+
 /// What an entry instance runs.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunningEntry {
@@ -125,6 +129,12 @@
     const METHOD: &'static str = "control_read_index";
 }
 
+impl Call for RunningAsk {
+    type Reply = RunningSync;
+
+    const METHOD: &'static str = "control_running_ask";
+}
+
 impl Call for RunningSync {
     type Reply = Ack;
 
--- a/daemons/control/src/running.rs
+++ b/daemons/control/src/running.rs
@@ -8,7 +8,7 @@
 use sill_wire::feed::{DomainEndpoints, FeedPoll};
 
 use crate::daemon::Shared;
-use crate::rpc::{RunningEntry, RunningSync};
+use crate::rpc::{RunningAsk, RunningEntry, RunningSync};
 
 /// An entry instance not heard of for this long is not waited for.
 pub const LIVE: Millis = Millis(15_000);
@@ -144,6 +144,14 @@
         entries
     }
 
+    /// Returns all that was heard of here, whether or not the others were told.
+    pub fn known(&self, now: Millis) -> RunningSync {
+        let heard = self.heard.lock();
+        let own = heard.iter().filter(|(_, known)| known.is_own && now - known.at < LIVE);
+        let entries = own.map(|(name, known)| running_entry(now, name, known)).collect();
+        RunningSync { entries, endpoints: Vec::new() }
+    }
+
     fn own(&self, now: Millis, everything: bool) -> Vec<RunningEntry> {
         let mut heard = self.heard.lock();
         let told = heard.iter_mut().filter(|(_, known)| {
@@ -151,17 +159,34 @@
         });
         let entries = told.map(|(name, known)| {
             known.is_new = false;
-            RunningEntry {
-                entry: name.clone(),
-                domain: known.domain.clone(),
-                revision: known.revision,
-                age: now - known.at,
-            }
+            running_entry(now, name, known)
         });
         entries.collect()
     }
 }
 
+fn running_entry(now: Millis, name: &Name, known: &Heard) -> RunningEntry {
+    RunningEntry {
+        entry: name.clone(),
+        domain: known.domain.clone(),
+        revision: known.revision,
+        age: now - known.at,
+    }
+}
+
+/// Asks the other control instances which entry instances they have heard of.
+///
+/// They tell it by themselves, but a little later. An operator who waits until a change is in force
+/// everywhere would be told so while an entry instance that has just begun to poll another control
+/// instance, or that stands still, does not run it yet.
+pub async fn ask_all(shared: &Shared) {
+    let peers = shared.directory.peers();
+    let calls = peers.iter().map(|peer| peer.quick.call(&RunningAsk {}));
+    for told in futures_util::future::join_all(calls).await.into_iter().flatten() {
+        shared.running.told(shared.clock.now(), &told);
+    }
+}
+
 /// Passes on to the other control instances what entry instances run.
 pub async fn pass_on(shared: Arc<Shared>) {
     let mut refresh_at = Millis::ZERO;
--- a/daemons/control/tests/cluster.rs
+++ b/daemons/control/tests/cluster.rs
@@ -290,3 +290,19 @@
     stream.read_exact(&mut start).expect("an answer");
     assert_eq!(&start, b"HTTP/1.1 4");
 }
+
+/// An entry instance has just begun to follow one control instance and then stands still; an operator asks
+/// another control instance to wait until a change is in force everywhere. That one was not told of the
+/// entry instance yet. It must not say that the change is in force: a key that was taken away still works.
+#[test]
+fn an_entry_instance_that_only_another_one_heard_of_is_waited_for() {
+    let cluster = Cluster::start();
+    let address = |i: usize| cluster.controls[i].as_ref().expect("it runs").address;
+    wait_until("a leader takes a change", || {
+        http(address(0), "PUT", "/tree/ga", "{}").contains(" 200 ")
+    });
+    cluster.poll(0, 1, Millis::ZERO);
+    let path = "/tree/ga?wait=in_force";
+    let answer = http(address(2), "PUT", path, r#"{"price_cap":1}"#);
+    assert!(answer.contains("\"in_force\":false"), "{answer}");
+}
