Usage of a window waits for entry instances that are cut off

Three entry instances were cut off at its end; it was stated 2.5 s later without them, for good. It now waits until all have reported after its end, 8 s at most. Test: usage.rs.

--- a/coordination/dispatch/src/usage.rs
+++ b/coordination/dispatch/src/usage.rs
@@ -12,6 +12,9 @@
 /// Time after which the report of an entry instance that is gone is forgotten.
 const KEPT: Millis = Millis(60_000);
 
+/// Time for which an entry instance that is not heard of is waited for. Cuts last for some seconds.
+const WAITED_FOR: Millis = Millis(20_000);
+
 /// Time after which an entry instance that is not heard of counts as gone.
 const LIVE: Millis = Millis(3000);
 
@@ -127,6 +130,17 @@
         live.into_values().collect()
     }
 
+    /// Returns whether all entry instances have reported since a point in time. Those that are cut off
+    /// report again in some seconds; one that is not heard of for long, or has restarted, is not waited
+    /// for.
+    pub fn is_complete(&self, now: Millis, since: Millis) -> bool {
+        let newest = self.within(now, WAITED_FOR);
+        newest.iter().all(|report| {
+            let key = LifeKey { entry: report.entry.clone(), incarnation: report.incarnation };
+            self.reports.get(&key).is_some_and(|reported| reported.at >= since)
+        })
+    }
+
     /// Sums a window over all entry instances; none if nobody has reported it or a later one.
     pub fn total(&self, window: u64) -> Option<BTreeMap<Name, u64>> {
         let mut is_reached = false;
--- /dev/null
+++ b/coordination/dispatch/tests/usage.rs
@@ -0,0 +1,107 @@
+//! Usage that is added up from the reports of entry instances.
+
+use std::collections::BTreeMap;
+
+use sill_base::{Millis, Name};
+use sill_dispatch::{Ledger, TrueTime, UsageCounter};
+use sill_wire::Incarnation;
+use sill_wire::link::{EntryReport, WindowUsage};
+
+fn report(entry: &str, life: u64, sequence: u64, counts: &[(u64, u64)]) -> EntryReport {
+    let usage = counts.iter().map(|(window, count)| WindowUsage {
+        window: *window,
+        counts: BTreeMap::from([(Name::from("desk"), *count)]),
+    });
+    EntryReport {
+        entry: entry.into(),
+        incarnation: Incarnation(life),
+        domain: "a".into(),
+        sequence,
+        wall: Millis::ZERO,
+        usage: usage.collect(),
+        accounts: Vec::new(),
+        services: Vec::new(),
+    }
+}
+
+fn total(ledger: &Ledger, window: u64) -> Option<u64> {
+    ledger.total(window).map(|counts| counts.values().sum())
+}
+
+/// Reports come twice and out of order, by way of two control instances. Counted each time, an account
+/// would be charged double.
+#[test]
+fn reports_that_come_twice_or_late_count_once() {
+    let mut ledger = Ledger::default();
+    ledger.take(Millis(1000), report("e1", 1, 2, &[(7, 20)]), true);
+    ledger.take(Millis(1100), report("e1", 1, 2, &[(7, 20)]), false);
+    ledger.take(Millis(1200), report("e1", 1, 1, &[(7, 10)]), false);
+    ledger.take(Millis(1300), report("e2", 1, 1, &[(7, 5)]), true);
+    assert_eq!(total(&ledger, 7), Some(25));
+    assert_eq!(total(&ledger, 8), None, "nobody has reached it");
+}
+
+/// An entry instance restarts in the middle of a window. What it counted in its earlier life ran as well.
+#[test]
+fn both_lives_of_an_entry_instance_count() {
+    let mut ledger = Ledger::default();
+    ledger.take(Millis(1000), report("e1", 1, 9, &[(7, 20)]), true);
+    ledger.take(Millis(2000), report("e1", 2, 1, &[(7, 3)]), true);
+    assert_eq!(total(&ledger, 7), Some(23));
+}
+
+/// Three entry instances are cut off at the end of a window. Stated at once, the window would lack their
+/// requests for good; a few seconds later they report again.
+#[test]
+fn a_window_is_complete_once_every_entry_instance_has_reported_after_its_end() {
+    let mut ledger = Ledger::default();
+    ledger.take(Millis(1000), report("cut", 1, 1, &[(7, 20)]), true);
+    ledger.take(Millis(6000), report("well", 1, 1, &[(7, 30)]), true);
+    let end = Millis(5000);
+    assert!(!ledger.is_complete(Millis(7000), end));
+    ledger.take(Millis(8000), report("cut", 1, 2, &[(7, 25)]), true);
+    assert!(ledger.is_complete(Millis(8000), end));
+    assert_eq!(total(&ledger, 7), Some(55));
+    // One that restarted is not waited for in its earlier life.
+    ledger.take(Millis(9000), report("cut", 2, 1, &[]), true);
+    ledger.take(Millis(9000), report("well", 1, 2, &[]), true);
+    assert!(ledger.is_complete(Millis(9500), Millis(9000)));
+}
+
+/// Only the newest windows are reported, again and again, so that a new leader gets them too.
+#[test]
+fn the_newest_windows_are_reported_again() {
+    let mut counter = UsageCounter::default();
+    for window in 1..=20 {
+        counter.count(window, &"desk".into());
+    }
+    let windows: Vec<u64> = counter.report(20).iter().map(|usage| usage.window).collect();
+    assert_eq!(windows, [16, 17, 18, 19, 20]);
+    assert_eq!(counter.report(20).len(), 5);
+}
+
+/// The time of day jumps on a third of the instances. Windows cut by such a clock would be charged twice
+/// or not at all.
+#[test]
+fn true_time_is_that_of_most_clocks() {
+    struct Case {
+        name: &'static str,
+        /// How far each clock is off, in milliseconds.
+        off: &'static [i64],
+    }
+    let cases = [
+        Case { name: "a third ahead", off: &[0, 5, -5, 10, 3000, 3000] },
+        Case { name: "a third behind", off: &[0, 5, -5, 10, -2400, -2400] },
+        Case { name: "both ways", off: &[0, 5, -5, 10, -2400, 3000] },
+    ];
+    for case in cases {
+        let mut time = TrueTime::default();
+        let (now, truth) = (Millis(10_000), 1_000_000_i64);
+        for (i, off) in case.off.iter().enumerate() {
+            let instance = Name::from(format!("i{i}"));
+            time.read(now, &instance, Millis((truth + off) as u64));
+        }
+        let told = time.at(now + Millis(100)).expect("there are readings").0 as i64;
+        assert!((told - truth - 100).abs() <= 10, "{}: off by {}", case.name, told - truth - 100);
+    }
+}
--- a/daemons/control/src/duty.rs
+++ b/daemons/control/src/duty.rs
@@ -25,8 +25,12 @@
 /// entry instance reports at least every half second, and its control instance every 400 ms.
 const USAGE_DELAY: Millis = Millis(2500);
 
+/// Time after the end of a window at which its usage is stated even without some reports. Entry instances
+/// that are cut off report again when the cut ends; the platform waits for ten seconds.
+const USAGE_LATEST: Millis = Millis(8000);
+
 /// Windows that a new leader still states; the platform takes no older ones.
-const USAGE_WINDOWS: u64 = 2;
+const USAGE_WINDOWS: u64 = 3;
 
 /// How long a commit of usage may take.
 const PATIENCE: Millis = Millis(2000);
@@ -175,6 +179,11 @@
                 continue;
             }
             let Some(counts) = self.shared.link.usage(window) else { continue };
+            let ended = true_now - length * (window + 1);
+            let is_complete = self.shared.link.is_usage_complete(now, now - ended);
+            if !is_complete && ended < USAGE_LATEST {
+                continue;
+            }
             let ask = Ask::Usage(UsageStatement { window, counts });
             let stated = submit::submit_within(&self.shared, &ask, PATIENCE).await;
             let Ok(Outcome::Usage(statement)) = stated else { return };
--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -165,6 +165,11 @@
         self.ledger.lock().total(window)
     }
 
+    /// Returns whether all entry instances have reported since a point in time.
+    pub fn is_usage_complete(&self, now: Millis, since: Millis) -> bool {
+        self.ledger.lock().is_complete(now, since)
+    }
+
     /// Takes in the report of an entry instance.
     fn reported(&self, now: Millis, report: EntryReport) {
         self.time.lock().read(now, &report.entry, report.wall);
