--- a/daemons/control/src/cfg.rs
+++ b/daemons/control/src/cfg.rs
@@ -46,6 +46,8 @@
     pub domain: Name,
     /// Where operators reach it.
     pub listen: SocketAddr,
+    /// Where metrics are served, beside the operators' address.
+    pub listen_metrics: Option<SocketAddr>,
     /// Where our own processes reach it.
     pub listen_peer: SocketAddr,
     /// All voters, itself included; empty with seeds.
@@ -139,6 +141,7 @@
             name: name.expect(checked),
             domain: domain.expect(checked),
             listen: listen.expect(checked),
+            listen_metrics: None,
             listen_peer: listen_peer.expect(checked),
             voters,
             seeds: (!peers.is_empty()).then(|| Seeds {
--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use ::http::StatusCode;
 use eyre::{Result, eyre};
 use ntex::web::types::PayloadConfig;
 use ntex::web::{App, HttpServer, ServiceConfig};
 use sill_base::{Clock, event};
+use sill_net::h1::{Page, serve_pages};
 use sill_net::{PeerServer, PeerServerBuilder, http};
 use sill_quorum::{Event, ReplicaId};
 use sill_wire::link::ControlPlace;
@@ -147,6 +149,9 @@
             runtime.spawn(duty::run(shared.clone(), platform, extension.duty));
         }
         let name = shared.cfg.name.clone();
+        if let Some(address) = shared.cfg.listen_metrics {
+            runtime.spawn(serve_metrics(shared.metrics.clone(), http::bind(address)?));
+        }
         let server = serve(shared.clone(), listener, extension.routes)?;
         let peer_address = peers.address();
         event!(
@@ -255,6 +260,20 @@
     peers
 }
 
+/// Serves metrics alone, where they are read by others than operators.
+async fn serve_metrics(metrics: Arc<Metrics>, listener: std::net::TcpListener) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(err) => return event!(Error, "metrics_not_served", error = err),
+    };
+    let page = move |path: &str| match (path, metrics.text()) {
+        ("/metrics", Ok(text)) => Page::new(StatusCode::OK, text),
+        ("/metrics", Err(err)) => Page::new(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
+        _ => Page::new(StatusCode::NOT_FOUND, ""),
+    };
+    serve_pages(listener, page).await;
+}
+
 fn serve(
     shared: Arc<Shared>,
     listener: std::net::TcpListener,
--- a/daemons/control/tests/cluster.rs
+++ b/daemons/control/tests/cluster.rs
@@ -62,6 +62,7 @@
             name: format!("c{i}").into(),
             domain: "a".into(),
             listen: "127.0.0.1:0".parse().expect("an address"),
+            listen_metrics: None,
             listen_peer: self.peers[i],
             voters: voters.collect(),
             data: self.folder.join(format!("data-{i}")),
--- a/daemons/entry/benches/settings.rs
+++ b/daemons/entry/benches/settings.rs
@@ -84,6 +84,7 @@
         name: "c1".into(),
         domain: "d0".into(),
         listen: free()?,
+        listen_metrics: None,
         listen_peer,
         voters: vec![voter],
         seeds: None,
--- a/daemons/gateway/src/cfg.rs
+++ b/daemons/gateway/src/cfg.rs
@@ -39,8 +39,6 @@
     pub usage_window: Millis,
     /// How a planned stop goes.
     pub stop: StopCfg,
-    /// Threads that serve.
-    pub threads: usize,
 }
 
 /// How a planned stop goes.
--- /dev/null
+++ b/daemons/gateway/src/cli.rs
@@ -0,0 +1,114 @@
+//! The command line of the entry instance for routes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use eyre::Result;
+use sill_base::{Findings, Millis, Secret};
+use sill_dispatch::{LimitBounds, RetryBounds};
+use sill_setup::signal::Stops;
+use sill_setup::{Flag, Program, Values, logs};
+
+use crate::cfg::{GatewayCfg, StopCfg};
+use crate::daemon::Gateway;
+use crate::own::SillDialect;
+
+/// Retries for each request, and beyond that in ten seconds, over all entry instances.
+const RETRIES: RetryBounds = RetryBounds { share: 0.1, allowance: 50.0 };
+
+/// How long endpoints serve after they said that they leave.
+const ENDPOINT_NOTICE: Millis = Millis(2000);
+
+/// The length of a window of usage.
+const USAGE_WINDOW: Millis = Millis(5000);
+
+/// `sill-gateway`.
+pub const GATEWAY: Program = Program {
+    name: "sill-gateway",
+    about: "an entry instance for routes: takes callers' calls and sends them to endpoints",
+    operands: "",
+    flags: &[
+        Flag::one("name", "NAME", "name of this instance"),
+        Flag::one("domain", "NAME", "its failure domain"),
+        Flag::one("listen", "IP:PORT", "where callers reach it"),
+        Flag::one("listen-ready", "IP:PORT", "where the balancer asks for /readyz"),
+        Flag::one("listen-metrics", "IP:PORT", "where /metrics is served"),
+        Flag::many("control", "IP:PORT", "a control instance, where its peers reach it"),
+        Flag::one("cluster-key-file", "FILE", "file with the key our own processes share"),
+        Flag::with_default("limit-slack", "N", "0", "what may come on top of each account's limit"),
+        Flag::with_default(
+            "drain-notice-ms",
+            "N",
+            "3000",
+            "time until the balancer notices a stop",
+        ),
+        Flag::with_default("drain-limit-ms", "N", "30000", "time after which a stop cuts calls"),
+        Flag::with_default("log-level", "LEVEL", "info", "error, warn, info, debug or trace"),
+    ],
+};
+
+impl GatewayCfg {
+    /// Checks flags and variables.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding with its flag and variable.
+    pub fn read(values: &mut Values) -> Result<Self, Findings> {
+        let name = values.name("name");
+        let domain = values.name("domain");
+        let listen = values.required("listen");
+        let listen_ready = values.required("listen-ready");
+        let listen_metrics = values.required("listen-metrics");
+        let seeds: Vec<SocketAddr> = values.many("control");
+        let cluster_key: Option<Secret> = values.secret("cluster-key-file");
+        let slack = values.required("limit-slack");
+        let notice: Option<u64> = values.required("drain-notice-ms");
+        let limit: Option<u64> = values.required("drain-limit-ms");
+        if seeds.is_empty() {
+            values.finding("control", "expected at least one control instance");
+        }
+        values.finish()?;
+        let checked = "present once the check succeeded";
+        Ok(Self {
+            name: name.expect(checked),
+            domain: domain.expect(checked),
+            listen: listen.expect(checked),
+            listen_ready: listen_ready.expect(checked),
+            ready_path: "/readyz".into(),
+            listen_metrics: listen_metrics.expect(checked),
+            seeds,
+            cluster_key: cluster_key.expect(checked),
+            dialect: Arc::new(SillDialect),
+            limits: LimitBounds { slack: slack.expect(checked) },
+            retries: RETRIES,
+            endpoint_notice: ENDPOINT_NOTICE,
+            usage_window: USAGE_WINDOW,
+            stop: StopCfg {
+                notice: Millis(notice.expect(checked)),
+                limit: Millis(limit.expect(checked)),
+            },
+        })
+    }
+}
+
+/// Runs the daemon until it is asked to stop.
+///
+/// # Errors
+///
+/// Fails when a flag is wrong or the daemon can't start.
+pub fn run(words: Vec<String>) -> Result<()> {
+    let Some(mut values) = GATEWAY.values_or_help(words)? else {
+        return Ok(());
+    };
+    let level = values.required("log-level");
+    let cfg = GatewayCfg::read(&mut values)?;
+    logs::start_daemon(level.unwrap_or(log::LevelFilter::Info))?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut stops = Stops::listen()?;
+        let gateway = Gateway::start(cfg)?;
+        stops.next().await;
+        gateway.stop().await;
+        Ok(())
+    })
+}
--- a/daemons/gateway/src/daemon.rs
+++ b/daemons/gateway/src/daemon.rs
@@ -5,10 +5,9 @@
 use std::sync::atomic::Ordering;
 
 use eyre::Result;
-use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
+use http::StatusCode;
 use sill_base::{Millis, event};
-use sill_net::h1::{self, AnyBody, ServerCfg, Stop, whole};
+use sill_net::h1::{self, Page, ServerCfg, Stop};
 use sill_net::http::bind;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -63,8 +62,8 @@
             tokio::spawn(link.clone().follow(turn));
         }
         tokio::spawn(callers(state.clone(), listener, stop.subscribe()));
-        tokio::spawn(internal(state.clone(), ready, stop.subscribe()));
-        tokio::spawn(internal(state.clone(), metrics, stop.subscribe()));
+        tokio::spawn(internal(state.clone(), ready));
+        tokio::spawn(internal(state.clone(), metrics));
         tokio::spawn(tidy(state.clone()));
         event!(
             Info,
@@ -108,41 +107,27 @@
 }
 
 /// Answers the balancer and whoever reads metrics.
-async fn internal(state: Arc<State>, listener: TcpListener, stop: watch::Receiver<Stop>) {
-    let cfg = ServerCfg { header_bytes: HEADER_BYTES, idle: CALLER_IDLE, silent: CALLER_SILENT };
-    let answer = move |req: Request<Incoming>, _| {
-        let state = state.clone();
-        async move { answer_internal(&state, req.uri().path()) }
-    };
-    h1::serve(listener, cfg, stop, Arc::default(), answer).await;
+async fn internal(state: Arc<State>, listener: TcpListener) {
+    h1::serve_pages(listener, move |path| page(&state, path)).await;
 }
 
-fn answer_internal(state: &State, path: &str) -> Response<AnyBody> {
+fn page(state: &State, path: &str) -> Page {
     if path == state.cfg.ready_path.as_str() {
         return match state.is_ready() {
-            true => reply(StatusCode::OK, "ok\n"),
-            false => reply(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            true => Page::new(StatusCode::OK, "ok\n"),
+            false => Page::new(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         };
     }
     if path != "/metrics" {
-        return reply(StatusCode::NOT_FOUND, "");
+        return Page::new(StatusCode::NOT_FOUND, "");
     }
     state.metrics.callers.set(state.callers.load(Ordering::Relaxed) as i64);
     match state.metrics.text() {
-        Ok(text) => reply(StatusCode::OK, text),
-        Err(err) => reply(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
+        Ok(text) => Page::new(StatusCode::OK, text),
+        Err(err) => Page::new(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
     }
 }
 
-fn reply<B>(status: StatusCode, body: B) -> Response<AnyBody>
-where
-    B: Into<bytes::Bytes>,
-{
-    let mut response = Response::new(whole(body));
-    *response.status_mut() = status;
-    response
-}
-
 async fn tidy(state: Arc<State>) {
     loop {
         tokio::time::sleep(TIDY.into()).await;
--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! attempts, [`relay`] passes the answer on. [`link`] keeps up with the control instances.
 
 pub mod cfg;
+pub mod cli;
 pub mod daemon;
 pub mod dialect;
 pub mod dispatch;
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -358,7 +358,6 @@
         endpoint_notice: Millis(2000),
         usage_window: Millis(5000),
         stop: StopCfg { notice: Millis(100), limit: Millis(5000) },
-        threads: 1,
     }
 }
 
--- a/transport/net/src/h1/mod.rs
+++ b/transport/net/src/h1/mod.rs
@@ -5,12 +5,14 @@
 //! caller would take a cut answer for a whole one.
 
 mod client;
+mod pages;
 mod server;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, header};
 
 pub use client::{Answer, Connections, ConnectionsCfg, Returnable, SendFailure};
+pub use pages::{Page, serve_pages};
 pub use server::{ServerCfg, Stop, serve};
 
 /// Any error of a body.
