--- a/coordination/quorum/src/standby.rs
+++ b/coordination/quorum/src/standby.rs
@@ -1,6 +1,6 @@
 //! Which voter is replaced by a replica that stands by.
 
-use sill_base::Millis;
+use sill_base::{Millis, Name};
 
 use crate::members::ReplicaId;
 
@@ -17,6 +17,8 @@
 pub struct Presence {
     /// The replica.
     pub id: ReplicaId,
+    /// Its failure domain.
+    pub domain: Name,
     /// When.
     pub at: Millis,
 }
@@ -45,6 +47,39 @@
         presences.iter().any(|presence| presence.id == *id && now - presence.at <= span)
     };
     let lost = voters.iter().find(|id| *id != own && !heard_within(id, LOST))?;
-    let by = ready.iter().find(|id| heard_within(id, PRESENT))?;
+    let stays: Vec<Name> =
+        voters.iter().filter(|id| *id != lost).filter_map(|id| domain_of(presences, id)).collect();
+    let present = ready.iter().filter(|id| heard_within(id, PRESENT));
+    let by = present.min_by_key(|id| domain_of(presences, id).map(|d| count(&stays, &d)))?;
     Some(Replacement { lost: lost.clone(), by: by.clone() })
 }
+
+/// Returns whether a replica may become a voter, or another that stands by is to go first.
+///
+/// A failure domain is lost as a whole. Voters that stand together in one, while others have none, would
+/// all be lost with it, and with them the quorum.
+pub fn is_next(
+    id: &ReplicaId,
+    own_domain: &Name,
+    voters: &[ReplicaId],
+    presences: &[Presence],
+    ready: &[ReplicaId],
+) -> bool {
+    let others = voters.iter().filter(|voter| voter.name != id.name);
+    let domains = others.map(|voter| domain_of(presences, voter));
+    let domains: Vec<Name> = domains.map(|domain| domain.unwrap_or(own_domain.clone())).collect();
+    let Some(domain) = domain_of(presences, id) else { return true };
+    // One that never gets everything, as on a full disk, must not hold up the others.
+    let stands_by = ready.iter().filter_map(|id| domain_of(presences, id));
+    let fewest = stands_by.map(|domain| count(&domains, &domain)).min();
+    fewest.is_none_or(|fewest| count(&domains, &domain) <= fewest)
+}
+
+fn domain_of(presences: &[Presence], id: &ReplicaId) -> Option<Name> {
+    let presence = presences.iter().find(|presence| presence.id.name == id.name);
+    presence.map(|presence| presence.domain.clone())
+}
+
+fn count(domains: &[Name], domain: &Name) -> usize {
+    domains.iter().filter(|other| *other == domain).count()
+}
--- a/coordination/quorum/tests/standby.rs
+++ b/coordination/quorum/tests/standby.rs
@@ -2,7 +2,7 @@
 
 use sill_base::Millis;
 use sill_quorum::ReplicaId;
-use sill_quorum::standby::{Presence, Replacement, replacement};
+use sill_quorum::standby::{Presence, Replacement, is_next, replacement};
 
 struct Case {
     name: &'static str,
@@ -17,6 +17,71 @@
     ReplicaId { name: name.into(), incarnation: 1 }
 }
 
+fn presence(name: &str, domain: &str, at: u64) -> Presence {
+    Presence { id: id(name), domain: domain.into(), at: Millis(at) }
+}
+
+/// Nine instances in three failure domains, and five of them are to vote. With three voters in one domain
+/// its loss would end the quorum, although six instances are left.
+#[test]
+fn voters_are_spread_over_failure_domains() {
+    struct Case {
+        name: &'static str,
+        voters: &'static [&'static str],
+        candidate: &'static str,
+        /// Those that stand by and have everything.
+        ready: &'static [&'static str],
+        expected: bool,
+    }
+    let names = ["a1", "a2", "a3", "b1", "b2", "b3", "c1", "c2", "c3"];
+    let presences: Vec<Presence> =
+        names.iter().skip(1).map(|name| presence(name, &name[..1], 4000)).collect();
+    let cases = [
+        Case {
+            name: "a second one",
+            voters: &["a1", "b1", "c1"],
+            candidate: "a2",
+            ready: &["a2", "b2"],
+            expected: true,
+        },
+        Case {
+            name: "a third one while others have one",
+            voters: &["a1", "a2", "b1", "c1"],
+            candidate: "a3",
+            ready: &["a3", "b2"],
+            expected: false,
+        },
+        Case {
+            name: "a second one elsewhere",
+            voters: &["a1", "a2", "b1", "c1"],
+            candidate: "c2",
+            ready: &["a3", "c2"],
+            expected: true,
+        },
+        Case {
+            name: "a third one, as nobody else has everything",
+            voters: &["a1", "a2", "b1", "c1"],
+            candidate: "a3",
+            ready: &["a3"],
+            expected: true,
+        },
+        Case {
+            name: "one that lost its disk and votes again",
+            voters: &["a1", "b1", "c1"],
+            candidate: "c1",
+            ready: &["c1"],
+            expected: true,
+        },
+    ];
+    for case in cases {
+        let voters: Vec<ReplicaId> = case.voters.iter().map(|name| id(name)).collect();
+        let candidate = id(case.candidate);
+        let ready: Vec<ReplicaId> = case.ready.iter().map(|name| id(name)).collect();
+        let decided = is_next(&candidate, &"a".into(), &voters, &presences, &ready);
+        assert_eq!(decided, case.expected, "{}", case.name);
+    }
+}
+
 /// An instance that holds a vote goes for good and an empty one comes at another address. The platform
 /// counts the new one four seconds later, and takes the next disk. Was the old vote still in force, the
 /// one voter left has no quorum: operators can change nothing any more, and nobody is told why.
@@ -61,11 +126,8 @@
     ];
     let voters = [id("a"), id("b"), id("c")];
     for case in cases {
-        let presences: Vec<Presence> = case
-            .heard
-            .iter()
-            .map(|(name, at)| Presence { id: id(name), at: Millis(*at) })
-            .collect();
+        let presences: Vec<Presence> =
+            case.heard.iter().map(|(name, at)| presence(name, "x", *at)).collect();
         let ready: Vec<ReplicaId> = case.ready.iter().map(|name| id(name)).collect();
         let decided = replacement(Millis(case.now), &id("a"), &voters, &presences, &ready);
         let expected = case.expected.map(|(lost, by)| Replacement { lost: id(lost), by: id(by) });
--- a/daemons/control/src/log/hello.rs
+++ b/daemons/control/src/log/hello.rs
@@ -10,6 +10,7 @@
 
 use crate::cfg::Seeds;
 use crate::daemon::Shared;
+use crate::log::handle::Status;
 use crate::rpc::{Hello, HelloReply};
 
 /// Pause between two tries. A voter that lost its disk takes three of them until it votes again, and
@@ -131,8 +132,8 @@
 pub fn answer(shared: &Shared, hello: Hello) -> HelloReply {
     let Hello { id, as_voter, place } = hello;
     let status = shared.log.status();
-    let is_wanted = as_voter && wants_voter(shared, &status.voters, &id);
     shared.directory.heard(shared.clock.now(), place, id.clone());
+    let is_wanted = as_voter && wants_voter(shared, &status, &id);
     if !status.voters.contains(&id) {
         shared.log.event(Event::Join { id, as_voter: is_wanted });
     }
@@ -145,9 +146,14 @@
 }
 
 /// Returns whether an instance is to become a voter. An older life of it is no voter any more.
-fn wants_voter(shared: &Shared, voters: &[ReplicaId], id: &ReplicaId) -> bool {
+fn wants_voter(shared: &Shared, status: &Status, id: &ReplicaId) -> bool {
+    let Status { voters, ready_learners, .. } = status;
     match &shared.cfg.seeds {
-        Some(seeds) => voters.iter().filter(|voter| voter.name != id.name).count() < seeds.voters,
+        Some(seeds) => {
+            let others = voters.iter().filter(|voter| voter.name != id.name).count();
+            let (own, presences) = (&shared.cfg.domain, shared.directory.presences());
+            others < seeds.voters && standby::is_next(id, own, voters, &presences, ready_learners)
+        }
         None => shared.cfg.voters.iter().any(|voter| voter.name == id.name),
     }
 }
