Gateway: the line of a call in a module of its own; a stopped run's stream is never whole

A stream whose run an engine has stopped goes on elsewhere also when its connection ended in good order, as one without a length does; and a move that fails is logged as cut, not as a caller that left.

--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod relay;
 pub mod serve;
 pub mod state;
+pub mod summary;
 
 pub use cfg::GatewayCfg;
 pub use daemon::Gateway;
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -18,10 +18,11 @@
 use sill_wire::header::EVENT_STREAM;
 use tokio::time::Sleep;
 
-use crate::dispatch::{self, Attempt, Attempted, Resumption, Summary};
+use crate::dispatch::{self, Attempt, Attempted, Resumption};
 use crate::moves::{self, Moved};
 use crate::serve::Call;
 use crate::state::State;
+use crate::summary::Summary;
 
 /// An answer on its way.
 struct Relay {
@@ -128,7 +129,7 @@
             self.move_due = None;
             let Place { endpoint, address, .. } = running.attempt.place.clone();
             let (state, call) = (self.state.clone(), self.call.clone());
-            // Attempts of one call differ by number; this one is none that the caller asked for.
+            // The router tells attempts of one call apart by their number.
             let sends = self.progress.sends() + 1;
             let moved = moves::run(state, call, address, endpoint, sends);
             self.moving = Some(Moving::Copying(Box::pin(moved)));
@@ -143,6 +144,7 @@
     /// The old stream of a run that is being moved broke off. Goes on with the run where its memory is.
     fn go_on_after_move(&mut self) -> bool {
         let Some(moving) = self.moving.take() else { return false };
+        self.summary.ends("cut");
         let old = std::mem::replace(&mut self.source, Source::Ended);
         if let Source::Running(mut running) = old {
             running.attempt.over(Outcome::Cancelled);
@@ -240,6 +242,11 @@
                     cx.waker().wake_by_ref();
                     return Poll::Pending;
                 }
+                // The engine has stopped the run; ended in good order or not, its stream is not whole.
+                None if matches!(self.moving, Some(Moving::Copied(_))) => {
+                    self.go_on_after_move();
+                    return Poll::Pending;
+                }
                 None => {
                     self.ended();
                     let rest = self.events.as_mut().map(EventTracker::rest).unwrap_or_default();
--- /dev/null
+++ b/daemons/gateway/src/summary.rs
@@ -0,0 +1,173 @@
+//! The line that tells of a call when it is over.
+
+use std::sync::Arc;
+
+use http::Response;
+use sill_base::{Millis, Name};
+use sill_dispatch::{AttemptOutcome, Next, Place, Progress};
+use sill_net::h1::AnyBody;
+use sill_route::RefusalReason;
+use sill_tree::RouteKind;
+use sill_wire::ErrorCode;
+
+use crate::failure::Failure;
+use crate::serve::Call;
+use crate::state::State;
+
+/// When to come back after a refusal that names no time itself.
+const COME_BACK: Millis = Millis(500);
+
+/// What is logged of a call when it is over.
+#[derive(Debug)]
+pub struct Summary {
+    state: Arc<State>,
+    call: Arc<Call>,
+    /// How it ended; a caller that leaves is not there to be told.
+    outcome: &'static str,
+    status: u16,
+    endpoint: Name,
+    why: String,
+    sent: u32,
+    first_part: Option<Millis>,
+    bytes: u64,
+}
+
+impl Summary {
+    /// Begins the line of a call that was admitted.
+    pub fn new(state: Arc<State>, call: Arc<Call>) -> Self {
+        Self {
+            state,
+            call,
+            outcome: "caller_left",
+            status: 0,
+            endpoint: Name::default(),
+            why: String::new(),
+            sent: 0,
+            first_part: None,
+            bytes: 0,
+        }
+    }
+
+    /// Notes where the call is sent.
+    pub fn sends_to(&mut self, place: &Place, now: Millis) {
+        if self.sent == 0 {
+            let waited = (now - self.call.arrived).as_secs_f64();
+            self.state.metrics.before_send.observe(waited);
+        }
+        self.sent += 1;
+        self.endpoint = place.endpoint.clone();
+        self.why.clone_from(&place.why);
+    }
+
+    /// Notes another endpoint that goes on with the answer.
+    pub fn resumed_at(&mut self, place: &Place) {
+        self.sent += 1;
+        self.endpoint = place.endpoint.clone();
+    }
+
+    /// Notes the status that the caller gets.
+    pub fn answers(&mut self, status: u16) {
+        self.status = status;
+    }
+
+    /// Notes a part of the answer.
+    pub fn passes(&mut self, now: Millis, bytes: usize) {
+        self.first_part.get_or_insert(now);
+        self.bytes += bytes as u64;
+    }
+
+    /// Notes how the call ended.
+    pub fn ends(&mut self, outcome: &'static str) {
+        self.outcome = outcome;
+    }
+
+    /// Ends a call that found no endpoint.
+    pub fn refuse(
+        mut self,
+        progress: &Progress,
+        reason: RefusalReason,
+        wait: Millis,
+    ) -> Response<AnyBody> {
+        self.why = format!("{reason:?}");
+        // After an attempt that may have run, a refusal must not say that the call has not run.
+        let failure = match progress.ran {
+            0 => Failure::back_in(ErrorCode::NoCapacity, wait),
+            _ => Failure::new(ErrorCode::UpstreamFailed),
+        };
+        self.fail(failure)
+    }
+
+    /// Ends a call after an attempt, unless another one follows.
+    pub fn after(&mut self, next: Next, outcome: AttemptOutcome) -> Option<Response<AnyBody>> {
+        let failure = match next {
+            Next::Retry => return None,
+            Next::RefuseNotRun => Failure::back_in(ErrorCode::NoCapacity, COME_BACK),
+            Next::TimedOut => Failure::new(ErrorCode::DeadlinePassed),
+            Next::PassOn | Next::OutcomeUnknown => Failure::new(ErrorCode::UpstreamFailed),
+        };
+        self.why = format!("{outcome:?}");
+        Some(self.fail(failure))
+    }
+
+    fn fail(&mut self, failure: Failure) -> Response<AnyBody> {
+        if failure.is_not_run()
+            && let Some(account) = &self.call.account
+        {
+            self.state.give_back(&account.name, self.call.amount);
+        }
+        self.status = failure.status().as_u16();
+        self.outcome = if failure.is_not_run() { "refused" } else { "failed" };
+        failure.response(&*self.state.cfg.dialect, &self.call.head.attempt)
+    }
+}
+
+impl Drop for Summary {
+    /// Logs the call however it ended, a caller that left included.
+    fn drop(&mut self) {
+        let (state, call) = (&self.state, &self.call);
+        let now = state.clock.now();
+        state.metrics.calls.with_label_values(&[self.outcome]).inc();
+        let first = self.first_part.map(|first| first - call.arrived);
+        if self.outcome == "answered" {
+            state.metrics.whole_answer.observe((now - call.arrived).as_secs_f64());
+            if let Some(first) = first {
+                state.metrics.first_part.observe(first.as_secs_f64());
+            }
+        }
+        let level = match self.outcome {
+            "answered" => log::Level::Info,
+            _ => log::Level::Warn,
+        };
+        if !log::log_enabled!(level) {
+            return;
+        }
+        let account = call.account.as_ref().map(|account| account.name.clone());
+        let mut line = String::from("event=call");
+        let mut pair = |key: &str, value: &dyn std::fmt::Display| {
+            sill_base::event::push_pair(&mut line, key, value);
+        };
+        pair("id", &call.head.attempt);
+        pair("outcome", &self.outcome);
+        pair("status", &self.status);
+        pair("route", &call.route.name);
+        pair("kind", &kind_name(call.route.route.kind));
+        pair("account", &account.unwrap_or_default());
+        pair("service", &call.pool.service);
+        pair("endpoint", &self.endpoint);
+        pair("sends", &self.sent);
+        pair("prompt", &call.prompt.tokens);
+        pair("output", &call.prompt.output);
+        pair("urgency", &call.urgency);
+        pair("why", &self.why);
+        pair("first_ms", &first.unwrap_or_default());
+        pair("ms", &(now - call.arrived));
+        pair("left_ms", &(call.due - now));
+        pair("bytes", &self.bytes);
+        log::log!(target: "sill_gateway", level, "{line}");
+    }
+}
+
+fn kind_name(kind: RouteKind) -> &'static str {
+    let known = RouteKind::NAMES.iter().find(|(known, _)| *known == kind);
+    known.map_or("", |(_, name)| name)
+}
