--- a/coordination/route/tests/choice.rs
+++ b/coordination/route/tests/choice.rs
@@ -85,12 +85,21 @@
             expected: Ok("x"),
         },
         Case {
+            // The prompt's home is x; w and y differ by their failure domain only.
             name: "a full endpoint is left alone while the pool has room",
-            endpoints: vec![busy("x", "a", 6), endpoint("y", "a"), endpoint("z", "b")],
+            endpoints: vec![busy("x", "a", 6), endpoint("y", "a"), endpoint("w", "b")],
             cached_at: Some("x"),
             ask: plain(),
             expected: Ok("y"),
         },
+        Case {
+            // The prompt's home is z.
+            name: "a home in another domain goes before a lesser endpoint nearby",
+            endpoints: vec![busy("x", "a", 6), endpoint("y", "a"), endpoint("z", "b")],
+            cached_at: Some("x"),
+            ask: plain(),
+            expected: Ok("z"),
+        },
         Case {
             name: "a deadline that can't be met is refused at once",
             endpoints: vec![endpoint("x", "a")],
