--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -2,6 +2,7 @@
 //! what follows from an attempt, and what is reported of it.
 
 pub mod attempt;
+pub mod average;
 pub mod budget;
 pub mod events;
 pub mod pool;
@@ -12,6 +13,7 @@
 pub mod usage;
 
 pub use attempt::{AttemptOutcome, Next, Progress};
+pub use average::Average;
 pub use budget::{Budgets, RetryBounds};
 pub use events::EventTracker;
 pub use pool::{Place, PlaceAsk, Placed, Pool, PoolCfg, Prompt, PromptPart};
--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -73,8 +73,6 @@
     pub attempt: Name,
     /// Its prompt.
     pub prompt: Arc<Prompt>,
-    /// Its rank; 0 goes first.
-    pub urgency: u8,
     /// When the answer must be whole.
     pub deadline: Millis,
     /// Endpoints that it may not go to.
--- a/coordination/dispatch/src/share.rs
+++ b/coordination/dispatch/src/share.rs
@@ -10,6 +10,7 @@
 use sill_limit::Bucket;
 use sill_wire::link::{AccountReport, LIMIT_WINDOW, Totals};
 
+use crate::average::Average;
 use crate::table::RouteTable;
 
 /// Part of a limit that is spread evenly, so that an account may begin anywhere.
@@ -39,6 +40,9 @@
 /// Span of the moving average of demand. A single large prompt would otherwise take the whole share.
 const AVERAGE: Millis = Millis(4000);
 
+/// Demand in a second below which an account counts as idle.
+const NEGLIGIBLE: f64 = 1e-3;
+
 /// Span of the moving average of what is admitted, by which older sums are brought up to date.
 const RECENT: Millis = Millis(700);
 
@@ -98,12 +102,6 @@
     burst: f64,
 }
 
-#[derive(Debug)]
-struct Average {
-    rate: f64,
-    at: Millis,
-}
-
 #[derive(Debug, Default)]
 struct Window {
     slices: VecDeque<Slice>,
@@ -147,9 +145,9 @@
         Account {
             limit,
             bucket: Bucket::new(now, limit.rate * share, self.saved(limit)),
-            asked: Average { rate: 0.0, at: now },
+            asked: Average::new(now),
             reported: VecDeque::new(),
-            recent: Average { rate: 0.0, at: now },
+            recent: Average::new(now),
             admitted: Window::default(),
             total: 0.0,
             since_total: 0.0,
@@ -241,6 +239,7 @@
 
     fn tell(&mut self, now: Millis) -> f64 {
         let asked_per_s = self.asked.at(now, AVERAGE);
+        let asked_per_s = if asked_per_s < NEGLIGIBLE { 0.0 } else { asked_per_s };
         self.reported.push_back(Reported { asked_per_s, at: now });
         while self.reported.front().is_some_and(|told| now - told.at > KEPT_REPORTS) {
             self.reported.pop_front();
@@ -273,25 +272,6 @@
     Millis((amount / limit.rate.max(1e-9) * 1000.0) as u64)
 }
 
-impl Average {
-    fn add(&mut self, now: Millis, span: Millis, amount: f64) {
-        self.decay(now, span);
-        self.rate += amount / span.as_secs_f64();
-    }
-
-    fn at(&mut self, now: Millis, span: Millis) -> f64 {
-        const NEGLIGIBLE: f64 = 1e-3;
-        self.decay(now, span);
-        if self.rate < NEGLIGIBLE { 0.0 } else { self.rate }
-    }
-
-    fn decay(&mut self, now: Millis, span: Millis) {
-        let passed = (now - self.at).as_secs_f64() / span.as_secs_f64();
-        self.rate *= (-passed).exp();
-        self.at = self.at.max(now);
-    }
-}
-
 impl Window {
     fn add(&mut self, now: Millis, amount: f64) {
         let number = now.0 / SLICE.0;
--- a/coordination/fleet/src/counts.rs
+++ b/coordination/fleet/src/counts.rs
@@ -270,11 +270,9 @@
         staying: &BTreeMap<Name, Staying>,
         wanted: &mut BTreeMap<Name, Staying>,
     ) {
-        let mut by_price: Vec<(&Name, f64)> =
-            view.range.prices.iter().map(|(domain, price)| (domain, *price)).collect();
-        by_price.sort_by(|a, b| a.1.total_cmp(&b.1));
+        let by_price = by_price(view);
         let mut left = stand_ins;
-        for (domain, _) in &by_price {
+        for domain in &by_price {
             let (Some(want), have) = (wanted.get_mut(*domain), staying.get(*domain)) else {
                 continue;
             };
@@ -286,7 +284,7 @@
             want.on_demand = have.on_demand.min(left).max(least);
             left = left.saturating_sub(want.on_demand);
         }
-        for (domain, _) in by_price {
+        for domain in by_price {
             let Some(want) = wanted.get_mut(domain) else { continue };
             let is_refused = self.is_refused(now, view.service, domain, false);
             let have = staying.get(domain).copied().unwrap_or_default();
@@ -320,18 +318,23 @@
     }
 }
 
+/// Returns the failure domains, the cheapest first.
+fn by_price<'a>(view: &PoolView<'a>) -> Vec<&'a Name> {
+    let mut domains: Vec<(&Name, f64)> =
+        view.range.prices.iter().map(|(domain, price)| (domain, *price)).collect();
+    domains.sort_by(|a, b| a.1.total_cmp(&b.1));
+    domains.into_iter().map(|(domain, _)| domain).collect()
+}
+
 /// Returns how many endpoints to have in each failure domain, so that the need is met without any one of
 /// them. Where it is no multiple of the others, the cheapest domains have one more.
 fn spread(need: u32, view: &PoolView<'_>) -> Vec<(Name, u32)> {
     let others = other_domains(view);
     let (each, rest) = (need / others, need % others);
-    let mut by_price: Vec<(&Name, f64)> =
-        view.range.prices.iter().map(|(domain, price)| (domain, *price)).collect();
-    by_price.sort_by(|a, b| a.1.total_cmp(&b.1));
     // The domain that is lost may be one of those with one more.
     let with_more = if rest == 0 { 0 } else { rest as usize + 1 };
     let (least, most) = (view.range.min.max(1), view.range.max.max(1));
-    let counts = by_price.into_iter().enumerate().map(|(i, (domain, _))| {
+    let counts = by_price(view).into_iter().enumerate().map(|(i, domain)| {
         let count = each + u32::from(i < with_more);
         (domain.clone(), count.clamp(least, most))
     });
--- a/daemons/control/src/app/state.rs
+++ b/daemons/control/src/app/state.rs
@@ -272,12 +272,10 @@
             // Another change was committed between the check and this entry. The check may not
             // hold any more, as with a limit that both changes raised by all that was left.
             None if against != self.revision() => return Outcome::Recheck,
-            None if self.overtaken(&ask).is_some() => {
-                self.overtaken(&ask).map_or(Outcome::Recheck, Outcome::Changed)
-            }
-            None => match refused {
-                Some(refusal) => Outcome::Refused(refusal),
-                None => Outcome::Changed(self.put(&ask, author.clone())),
+            None => match (self.overtaken(&ask), refused) {
+                (Some(reply), _) => Outcome::Changed(reply),
+                (None, Some(refusal)) => Outcome::Refused(refusal),
+                (None, None) => Outcome::Changed(self.put(&ask, author.clone())),
             },
         };
         self.note_change(place, &ask, &outcome, author);
--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -114,9 +114,14 @@
     }
 
     fn changed(&self) {
+        self.publish();
+        self.urgent.notify_one();
+    }
+
+    /// Wakes the polls of entry instances.
+    fn publish(&self) {
         let change = self.registry.lock().cursor().change;
         self.changes.send_replace(change);
-        self.urgent.notify_one();
     }
 
     /// Takes in what another control instance passes on.
@@ -137,8 +142,7 @@
             *self.totals.lock() = Some(TotalsHeard { totals, at });
         }
         if is_changed {
-            let change = self.registry.lock().cursor().change;
-            self.changes.send_replace(change);
+            self.publish();
         }
         ControlSyncReply { life: self.life }
     }
--- a/daemons/gateway/src/dialect.rs
+++ b/daemons/gateway/src/dialect.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, Request, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use sill_base::{Millis, Name};
 use sill_dispatch::Prompt;
@@ -112,3 +112,16 @@
     /// Writes what callers are to know of a failure of ours.
     fn failure(&self, headers: &mut HeaderMap, failure: &Failure);
 }
+
+/// Returns the text of a header.
+pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// Sets a header.
+pub fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    // Names and numbers of ours are always fit for a header.
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -103,7 +103,6 @@
     let ask = PlaceAsk {
         attempt: name.clone(),
         prompt: call.prompt.clone(),
-        urgency: call.urgency,
         deadline: call.due,
         exclude: exclude.to_vec(),
     };
--- a/daemons/gateway/src/moves.rs
+++ b/daemons/gateway/src/moves.rs
@@ -7,7 +7,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use http_body_util::BodyExt;
 use sill_base::{Millis, Name, event};
 
 use crate::dialect::MovedMemory;
@@ -86,12 +85,6 @@
 ) -> Result<Name, String> {
     let dialect = &state.cfg.dialect;
     let req = dialect.copy_run(&call.head.attempt, to, stops).ok_or("engines can't")?;
-    let answer = state.connections.send(source, req, MAX_IDLE).await;
-    let (response, connection) = answer.map_err(|err| format!("{err:?}"))?.into_parts();
-    let status = response.status();
-    let body = response.into_body().collect().await.map_err(|err| err.to_string())?;
-    if let Some(connection) = connection {
-        connection.give_back();
-    }
-    dialect.copied(status, &body.to_bytes()).ok_or_else(|| status.to_string())
+    let (status, body) = state.connections.fetch(source, req, MAX_IDLE).await?;
+    dialect.copied(status, &body).ok_or_else(|| status.to_string())
 }
--- a/daemons/gateway/src/own.rs
+++ b/daemons/gateway/src/own.rs
@@ -1,11 +1,11 @@
 //! The product's own headers.
 
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use http::{HeaderMap, HeaderName, StatusCode, header};
 use sill_base::{Millis, Name};
 use sill_wire::header as names;
 
-use crate::dialect::{CallHead, Dialect, Forward, ReportedLoad, Word};
+use crate::dialect::{CallHead, Dialect, Forward, ReportedLoad, Word, set, text};
 use crate::failure::Failure;
 
 /// Reads and writes the headers that docs/operators/routes.md lists.
@@ -15,11 +15,13 @@
 impl Dialect for SillDialect {
     fn read(&self, parts: &Parts) -> CallHead {
         let headers = &parts.headers;
-        let bearer = text(headers, "authorization").and_then(|value| value.strip_prefix("Bearer "));
-        let deadline = text(headers, names::DEADLINE_MS).and_then(|value| value.parse().ok());
+        let bearer =
+            text(headers, &name("authorization")).and_then(|value| value.strip_prefix("Bearer "));
+        let deadline =
+            text(headers, &name(names::DEADLINE_MS)).and_then(|value| value.parse().ok());
         CallHead {
-            attempt: text(headers, names::REQUEST_ID).unwrap_or_default().into(),
-            host: text(headers, "host").unwrap_or_default().into(),
+            attempt: text(headers, &name(names::REQUEST_ID)).unwrap_or_default().into(),
+            host: text(headers, &name("host")).unwrap_or_default().into(),
             deadline: deadline.map(Millis),
             key: bearer.map(|key| key.trim().into()),
             prompt: None,
@@ -29,19 +31,19 @@
     fn forward(&self, headers: &mut HeaderMap, forward: &Forward<'_>) {
         headers.remove(header::AUTHORIZATION);
         headers.remove(names::ACCOUNT);
-        set(headers, names::ENDPOINT, forward.endpoint);
-        set(headers, names::DEADLINE_MS, &forward.left.to_string());
+        set(headers, name(names::ENDPOINT), forward.endpoint);
+        set(headers, name(names::DEADLINE_MS), &forward.left.to_string());
         if let Some(account) = forward.account {
-            set(headers, names::ACCOUNT, account);
+            set(headers, name(names::ACCOUNT), account);
         }
         if let Some(id) = forward.last_event {
-            set(headers, names::LAST_EVENT_ID, id);
+            set(headers, name(names::LAST_EVENT_ID), id);
         }
     }
 
     fn word(&self, attempt: &Name, status: StatusCode, headers: &HeaderMap) -> Word {
-        let is_ours = text(headers, names::REQUEST_ID) == Some(attempt.as_str());
-        let is_not_run = text(headers, names::NOT_RUN) == Some("true");
+        let is_ours = text(headers, &name(names::REQUEST_ID)) == Some(attempt.as_str());
+        let is_not_run = text(headers, &name(names::NOT_RUN)) == Some("true");
         match status.as_u16() {
             _ if !is_ours => Word::Improper,
             421 if is_not_run => Word::WrongEndpoint,
@@ -58,21 +60,14 @@
 
     fn failure(&self, headers: &mut HeaderMap, failure: &Failure) {
         if failure.is_not_run() {
-            set(headers, names::NOT_RUN, "true");
+            set(headers, name(names::NOT_RUN), "true");
         }
         if let Some(wait) = failure.retry_after {
-            set(headers, names::RETRY_AFTER, &wait.0.div_ceil(1000).to_string());
+            set(headers, name(names::RETRY_AFTER), &wait.0.div_ceil(1000).to_string());
         }
     }
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name).and_then(|value| value.to_str().ok())
-}
-
-fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
-    // Names and numbers of ours are always fit for a header.
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(HeaderName::from_static(name), value);
-    }
+const fn name(text: &'static str) -> HeaderName {
+    HeaderName::from_static(text)
 }
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -84,7 +84,7 @@
     let is_stream = call.route.route.kind.is_stream()
         && parts.status.is_success()
         && is_event_stream(&parts.headers);
-    let may_move = is_stream && call.route.route.kind == RouteKind::Stream && call.pool.can_move;
+    let may_move = is_stream && is_movable(&call);
     let may_resume = is_stream && call.route.route.kind == RouteKind::ResumableStream || may_move;
     if may_resume {
         // What comes from another endpoint may be longer.
@@ -111,6 +111,11 @@
     Response::from_parts(parts, relay.boxed_unsync())
 }
 
+/// Returns whether a run is to be moved, as one that can't be resumed from its events alone.
+fn is_movable(call: &Call) -> bool {
+    call.route.route.kind == RouteKind::Stream && call.pool.can_move
+}
+
 /// Only events tell where a stream can go on.
 fn is_event_stream(headers: &HeaderMap) -> bool {
     let kind = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
@@ -262,7 +267,7 @@
         match ready!(resuming.as_mut().poll(cx)) {
             Some(running) => {
                 self.summary.resumed_at(&running.attempt.place);
-                if self.call.pool.can_move && self.call.route.route.kind == RouteKind::Stream {
+                if is_movable(&self.call) {
                     let endpoint = running.attempt.place.endpoint.clone();
                     self.move_due = Some(move_due(&self.state, &self.call, endpoint));
                 }
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -6,7 +6,7 @@
 use parking_lot::{Mutex, RwLock};
 use sill_base::{Clock, Map, Millis, Name, event};
 use sill_dispatch::usage::window_of;
-use sill_dispatch::{Budgets, Pool, PoolCfg, RouteTable, Shares, UsageCounter};
+use sill_dispatch::{Average, Budgets, Pool, PoolCfg, RouteTable, Shares, UsageCounter};
 use sill_net::h1::{Connections, ConnectionsCfg};
 use sill_tree::{Document, Engine};
 use sill_wire::Incarnation;
@@ -80,14 +80,8 @@
 
 #[derive(Debug, Default)]
 struct Rates {
-    fresh_tokens: Rate,
-    refused: Rate,
-}
-
-#[derive(Debug, Default)]
-struct Rate {
-    per_s: f64,
-    at: Millis,
+    fresh_tokens: Average,
+    refused: Average,
 }
 
 impl State {
@@ -334,12 +328,12 @@
 
     /// Counts prompt tokens that an endpoint has to compute.
     pub fn count_fresh(&self, now: Millis, tokens: u64) {
-        self.rates.lock().fresh_tokens.add(now, tokens as f64);
+        self.rates.lock().fresh_tokens.add(now, RATE_SPAN, tokens as f64);
     }
 
     /// Counts a request that was refused for want of room.
     pub fn count_refused(&self, now: Millis) {
-        self.rates.lock().refused.add(now, 1.0);
+        self.rates.lock().refused.add(now, RATE_SPAN, 1.0);
     }
 
     fn report(&self, now: Millis) -> ServiceReport {
@@ -347,21 +341,8 @@
         ServiceReport {
             service: self.service.clone(),
             running: self.pool.lock().running(),
-            fresh_tokens_per_s: rates.fresh_tokens.at(now),
-            refused_per_s: rates.refused.at(now),
+            fresh_tokens_per_s: rates.fresh_tokens.at(now, RATE_SPAN),
+            refused_per_s: rates.refused.at(now, RATE_SPAN),
         }
     }
 }
-
-impl Rate {
-    fn add(&mut self, now: Millis, amount: f64) {
-        self.per_s = self.at(now) + amount / RATE_SPAN.as_secs_f64();
-    }
-
-    fn at(&mut self, now: Millis) -> f64 {
-        let passed = (now - self.at).as_secs_f64() / RATE_SPAN.as_secs_f64();
-        self.per_s *= (-passed).exp();
-        self.at = self.at.max(now);
-        self.per_s
-    }
-}
--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::Full;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -102,6 +102,27 @@
         })
     }
 
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the answer doesn't come whole.
+    pub async fn fetch(
+        &self,
+        address: SocketAddr,
+        req: Request<Full<Bytes>>,
+        max_idle: Millis,
+    ) -> Result<(StatusCode, Bytes), String> {
+        let answer = self.send(address, req, max_idle).await;
+        let (response, connection) = answer.map_err(|err| format!("{err:?}"))?.into_parts();
+        let status = response.status();
+        let body = response.into_body().collect().await.map_err(|err| err.to_string())?;
+        if let Some(connection) = connection {
+            connection.give_back();
+        }
+        Ok((status, body.to_bytes()))
+    }
+
     async fn exchange(
         &self,
         address: SocketAddr,
