Quorum: a leader at once where all replicas were restarted together

Cause: after a loss of power each restarted voter waits an election time (500 ms) before it votes, since it may have promised a leader not to. The wait is vain there: no replica can lead that was itself restarted. Besides, control instances looked for each other only every 300 ms, and one call to an instance without power held the round up for a second.

Ruled out: shorter election times (leaders change on a slow disk or a lost packet); settings from a disk without a leader (may lack the newest change).

Change: a restarted replica says so, with a number drawn for its run; the one with the longest log has all members confirm the list and asks for votes with it. Calls between control instances end after 300 ms, and come every 100 ms while no leader is known.

Test: after_a_loss_of_power_a_leader_is_there_at_once failed first with 1,090 ms; two weakenings are found, one by a directed run, one by a table.

--- a/coordination/quorum/src/append.rs
+++ b/coordination/quorum/src/append.rs
@@ -203,6 +203,7 @@
         self.become_follower(now, msg.term);
         self.leader = Some(msg.from.clone());
         self.quiet_until = now + self.cfg.election;
+        self.restart = None;
         true
     }
 
--- a/coordination/quorum/src/election.rs
+++ b/coordination/quorum/src/election.rs
@@ -9,6 +9,7 @@
 use crate::members::ReplicaId;
 use crate::message::{Body, Message};
 use crate::replica::{HardState, Leading, Replica, Role};
+use crate::restart::Run;
 use crate::weakening::Weakening;
 
 impl Replica {
@@ -43,14 +44,16 @@
         self.count_votes(now);
     }
 
-    fn start_vote(&mut self, now: Millis) {
+    /// Asks for votes; `runs` are those of all replicas, if all were restarted.
+    pub(crate) fn start_vote(&mut self, now: Millis, runs: Vec<Run>) {
         self.wait_for_leader(now);
+        self.restart = None;
         self.hard = HardState { term: self.hard.term + 1, vote: Some(self.id.clone()) };
         self.unsaved.hard = true;
         self.role = Role::Candidate { granted: BTreeSet::from([self.id.clone()]) };
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         for to in self.other_voters() {
-            self.send(to, Body::Vote { last_index, last_term });
+            self.send(to, Body::Vote { last_index, last_term, runs: runs.clone() });
         }
         self.count_votes(now);
     }
@@ -71,7 +74,9 @@
             granted.intersection(&members.voters).count() >= members.quorum()
         };
         match &self.role {
-            Role::PreCandidate { granted } if has_quorum(granted) => self.start_vote(now),
+            Role::PreCandidate { granted } if has_quorum(granted) => {
+                self.start_vote(now, Vec::new())
+            }
             Role::Candidate { granted } if has_quorum(granted) => self.become_leader(now),
             _ => {}
         }
@@ -102,10 +107,10 @@
     }
 
     pub(crate) fn on_vote(&mut self, now: Millis, msg: &Message) {
-        let Body::Vote { last_index, last_term } = msg.body else { return };
+        let Body::Vote { last_index, last_term, ref runs } = msg.body else { return };
         // A leader relies on a quorum that votes for nobody for a while. A vote inside that time
         // would let a second leader commit while the first still answers reads.
-        if self.is_content(now) {
+        if self.is_content(now) && !self.fits(runs) {
             return;
         }
         if msg.term > self.hard.term {
@@ -119,6 +124,7 @@
             msg.term == self.hard.term && is_free && self.is_up_to_date(last_index, last_term);
         if granted {
             self.vote_for(&msg.from);
+            self.restart = None;
             self.wait_for_leader(now);
         }
         let term = self.hard.term;
--- a/coordination/quorum/src/lib.rs
+++ b/coordination/quorum/src/lib.rs
@@ -12,6 +12,7 @@
 mod members;
 mod message;
 mod replica;
+mod restart;
 pub mod standby;
 mod weakening;
 
@@ -21,4 +22,5 @@
 pub use members::{MemberChange, Members, ReplicaId};
 pub use message::{Body, Message, Stamp};
 pub use replica::{HardState, Persisted, Replica, RoleName};
+pub use restart::{Restarted, Run};
 pub use weakening::Weakening;
--- a/coordination/quorum/src/message.rs
+++ b/coordination/quorum/src/message.rs
@@ -5,6 +5,7 @@
 
 use crate::log::{Entry, Snapshot};
 use crate::members::ReplicaId;
+use crate::restart::{Restarted, Run};
 
 /// One message. It may be lost, late, doubled or overtaken.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -50,12 +51,30 @@
         last_index: u64,
         /// That entry's term.
         last_term: u64,
+        /// Where all replicas were restarted, their runs. Voters in these runs that have promised
+        /// nothing since need not wait for a leader.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        runs: Vec<Run>,
     },
     /// Answers a [`Body::Vote`].
     VoteReply {
         /// Whether the vote is given.
         granted: bool,
     },
+    /// Says that the sender has promised nothing since its start, and asks the same.
+    Restarted {
+        /// The sender.
+        own: Restarted,
+        /// The runs of all, to be confirmed, once all have answered.
+        runs: Vec<Run>,
+    },
+    /// Answers a [`Body::Restarted`]; only a replica that has promised nothing since its start does.
+    RestartedToo {
+        /// The sender.
+        own: Restarted,
+        /// The runs that were asked about, if the sender is in the run that they name.
+        confirms: Vec<Run>,
+    },
     /// Entries, or none as a heartbeat.
     Append {
         /// The entry before the first.
--- a/coordination/quorum/src/replica.rs
+++ b/coordination/quorum/src/replica.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::mem;
 
+use rand::Rng as _;
 use serde::{Deserialize, Serialize};
 use sill_base::random::{Rng, seeded};
 use sill_base::{Machine, Millis, Promise, keep};
@@ -12,6 +13,7 @@
 use crate::log::{Entry, Log, Payload, Snapshot};
 use crate::members::{Members, ReplicaId};
 use crate::message::{Body, Message};
+use crate::restart::Restart;
 use crate::weakening::Weakening;
 
 /// What a replica must remember of elections.
@@ -64,6 +66,10 @@
     /// Until when it has promised a leader to vote for nobody.
     pub(crate) quiet_until: Millis,
     pub(crate) election_due: Millis,
+    /// Stands for this run of the process.
+    pub(crate) run: u64,
+    /// Set while it has promised nothing to any leader or candidate since its start.
+    pub(crate) restart: Option<Restart>,
     pub(crate) unsaved: Unsaved,
     pub(crate) outbox: Vec<Message>,
     pub(crate) restored: Option<Snapshot>,
@@ -131,11 +137,13 @@
         let Persisted { hard, snapshot, base_index, base_term, entries } = persisted;
         let commit = snapshot.as_ref().map_or(0, |s| s.index);
         let is_new = hard.term == 0;
+        let mut rng = seeded(seed);
+        let run = rng.random();
         let mut replica = Self {
             log: Log::restore(snapshot, base_index, base_term, entries),
             cfg,
             id,
-            rng: seeded(seed),
+            rng,
             hard,
             commit,
             applied: commit,
@@ -143,6 +151,8 @@
             leader: None,
             quiet_until: Millis::ZERO,
             election_due: Millis::ZERO,
+            run,
+            restart: Some(Restart::default()),
             unsaved: Unsaved::default(),
             outbox: Vec::new(),
             restored: None,
@@ -214,7 +224,7 @@
     pub fn wake_at(&self) -> Millis {
         match &self.role {
             Role::Leader(leading) => leading.heartbeat_due,
-            _ if self.may_lead() => self.election_due,
+            _ if self.may_lead() => self.election_due.min(self.ask_due()),
             _ => Millis::MAX,
         }
     }
@@ -281,6 +291,8 @@
             Body::PreVoteReply { granted } => self.on_pre_vote_reply(now, &msg, *granted),
             Body::Vote { .. } => self.on_vote(now, &msg),
             Body::VoteReply { granted } => self.on_vote_reply(now, &msg, *granted),
+            Body::Restarted { .. } => self.on_restarted(now, &msg),
+            Body::RestartedToo { .. } => self.on_restarted_too(now, &msg),
             Body::Append { .. } => self.on_append(now, msg),
             Body::Install { .. } => self.on_install(now, msg),
             Body::AppendReply { .. } => self.on_append_reply(now, &msg),
@@ -326,6 +338,8 @@
             self.lead(now);
         } else if now >= self.election_due && self.may_lead() {
             self.start_pre_vote(now);
+        } else if self.may_lead() {
+            self.ask_restarted(now);
         }
     }
 
--- a/coordination/quorum/src/weakening.rs
+++ b/coordination/quorum/src/weakening.rs
@@ -9,6 +9,10 @@
     VoteForShorterLog,
     /// Votes at once after a restart, though it may have promised a leader not to.
     VoteRightAfterRestart,
+    /// Takes a quorum of restarted replicas for all of them.
+    ReleaseByQuorum,
+    /// Counts as just restarted, though it has promised something since.
+    ReleaseAfterPromise,
     /// Votes while it hears a leader.
     VoteInsideLease,
     /// Relies on a heartbeat from when its answer came, not from when it was sent.
@@ -37,10 +41,12 @@
 
 impl Weakening {
     /// All of them.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 17] = [
         Self::VoteTwice,
         Self::VoteForShorterLog,
         Self::VoteRightAfterRestart,
+        Self::ReleaseByQuorum,
+        Self::ReleaseAfterPromise,
         Self::VoteInsideLease,
         Self::LeaseFromAnswer,
         Self::LeaseWithoutEnd,
--- a/coordination/quorum/tests/sim/rules.rs
+++ b/coordination/quorum/tests/sim/rules.rs
@@ -4,7 +4,7 @@
 use sill_base::{Machine, Millis};
 use sill_quorum::{
     Action, Body, Cfg, Entry, Event, HardState, Members, Message, Payload, Persisted, Replica,
-    ReplicaId, Stamp, Weakening,
+    ReplicaId, Restarted, Run, Stamp, Weakening,
 };
 
 use crate::runs::{finding, runner};
@@ -90,6 +90,24 @@
             ]
             .concat(),
         },
+        Case {
+            // Nodes 1 and 2 are restarted behind a cut and know of each other that they were. The
+            // leader on the other side was not, and still answers reads.
+            rule: Weakening::ReleaseByQuorum,
+            voters: 3,
+            steps: [
+                cut_off_from_leader(),
+                vec![
+                    step(100, Op::CutOneWay(1, 0)),
+                    step(0, Op::CutOneWay(0, 1)),
+                    step(0, Op::Kill(Target::Node(1), None)),
+                    step(0, Op::Kill(Target::Node(2), None)),
+                    step(1, Op::RestartAll),
+                    step(1500, Op::Heal),
+                ],
+            ]
+            .concat(),
+        },
         Case {
             // Answers of node 1 reach the leader late, when its promise is nearly over.
             rule: Weakening::LeaseFromAnswer,
@@ -152,7 +170,9 @@
         let mut disk =
             Persisted { hard: term(3), entries: vec![members(1)], ..Persisted::default() };
         let mut voter = Replica::restore(cfg.clone(), id("c0"), disk.clone(), 1, Millis(0));
-        let vote = |from: &str| message(from, 4, Body::Vote { last_index: 1, last_term: 1 });
+        let vote = |from: &str| {
+            message(from, 4, Body::Vote { last_index: 1, last_term: 1, runs: Vec::new() })
+        };
         assert!(grants(&step(&mut voter, 5000, vote("c1")), &mut disk), "the first vote");
         let mut voter = Replica::restore(cfg, id("c0"), disk.clone(), 1, Millis(6000));
         let second = grants(&step(&mut voter, 8000, vote("c2")), &mut disk);
@@ -160,6 +180,71 @@
     }
 }
 
+#[test]
+fn a_restarted_voter_is_released_only_in_the_run_that_promised_nothing() {
+    // All instances lose power, and one collects that all were restarted. Before its request for a
+    // vote arrives, the voter has followed another leader, or was restarted once more and forgot it. A
+    // vote now would help a second leader up, and an operator could read an old value from the first.
+    struct Case {
+        name: &'static str,
+        weakening: Option<Weakening>,
+        /// What the voter takes in between.
+        between: Vec<Event>,
+        /// Whether it is restarted in between.
+        is_restarted: bool,
+        is_granted: bool,
+    }
+    let heartbeat = || {
+        let stamp = Stamp { sent_at: Millis(50), round: 0 };
+        let (prev_index, prev_term, commit) = (1, 1, 1);
+        message("c2", 3, Body::Append { prev_index, prev_term, entries: vec![], commit, stamp })
+    };
+    let case = |name, weakening, between, is_restarted, is_granted| Case {
+        name,
+        weakening,
+        between,
+        is_restarted,
+        is_granted,
+    };
+    let after_promise = Some(Weakening::ReleaseAfterPromise);
+    let cases = [
+        case("nothing happened", None, vec![], false, true),
+        case("it followed a leader", None, vec![heartbeat()], false, false),
+        case(
+            "it followed a leader and counts as fresh",
+            after_promise,
+            vec![heartbeat()],
+            false,
+            true,
+        ),
+        case("it was restarted once more", None, vec![], true, false),
+        case("it followed a leader and was restarted", None, vec![heartbeat()], true, false),
+    ];
+    for Case { name, weakening, between, is_restarted, is_granted } in cases {
+        let cfg = Cfg { weakening, ..world::cfg() };
+        let mut disk =
+            Persisted { hard: term(3), entries: vec![members(1)], ..Persisted::default() };
+        let mut voter = Replica::restore(cfg.clone(), id("c0"), disk.clone(), 1, Millis(0));
+        let own = Restarted { run: 7, last_term: 1, last_index: 1 };
+        let asked = step(&mut voter, 10, message("c1", 3, Body::Restarted { own, runs: vec![] }));
+        let run = asked.iter().find_map(|action| match action {
+            Action::Send(Message { body: Body::RestartedToo { own, .. }, .. }) => Some(own.run),
+            _ => None,
+        });
+        let number = run.expect("a voter that has just started says so");
+        for event in between {
+            step(&mut voter, 20, event);
+        }
+        if is_restarted {
+            voter = Replica::restore(cfg, id("c0"), disk.clone(), 2, Millis(30));
+        }
+        let runs = vec![Run { replica: id("c0"), number }];
+        let vote = Body::Vote { last_index: 1, last_term: 1, runs };
+        let actions = step(&mut voter, 40, message("c1", 4, vote));
+        assert_eq!(grants(&actions, &mut disk), is_granted, "{name}");
+    }
+}
+
 #[test]
 fn an_entry_of_an_older_term_is_not_committed_by_its_copies() {
     // A new leader finds an entry of an older term on a quorum. A voter that lacks it but has one
--- a/coordination/quorum/tests/sim/runs.rs
+++ b/coordination/quorum/tests/sim/runs.rs
@@ -62,6 +62,20 @@
     }
 }
 
+#[test]
+fn after_a_loss_of_power_a_leader_is_there_at_once() {
+    // All instances lose power and come back one after the other. Entry instances come back without
+    // settings and get them once there is a leader; callers were refused for the whole election time
+    // that each restarted voter waited, though nobody could lead any more.
+    const FOUND_AND_VOTED: u64 = 250;
+    for voters in [3, 5] {
+        for seed in 0..20 {
+            let span = world::time_to_lead(voters, seed, &world::cfg());
+            assert!(span <= FOUND_AND_VOTED, "{voters} voters, seed {seed}: {span} ms");
+        }
+    }
+}
+
 /// Runs a schedule and returns what was found, if anything.
 pub fn finding(schedule: &Schedule, cfg: &Cfg) -> Option<String> {
     let run = AssertUnwindSafe(|| world::run(schedule, cfg));
--- a/coordination/quorum/tests/sim/schedule.rs
+++ b/coordination/quorum/tests/sim/schedule.rs
@@ -37,6 +37,8 @@
 pub enum Op {
     /// Kills a process; `Some(n)` only after it has carried out `n` more actions.
     Kill(Target, Option<usize>),
+    /// Kills all processes, as a loss of power does.
+    KillAll,
     /// Starts a killed process.
     Restart(usize),
     /// Starts all killed processes.
@@ -89,6 +91,7 @@
     let inside = || prop_oneof![Just(None), (0_usize..6).prop_map(Some)];
     prop_oneof![
         4 => (target(), inside()).prop_map(|(t, n)| Op::Kill(t, n)),
+        1 => Just(Op::KillAll),
         5 => node().prop_map(Op::Restart),
         2 => Just(Op::RestartAll),
         2 => target().prop_map(Op::LoseDisk),
--- a/coordination/quorum/tests/sim/world.rs
+++ b/coordination/quorum/tests/sim/world.rs
@@ -84,6 +84,25 @@
     }
 }
 
+/// Kills all nodes at once, starts them one after the other, and returns the time from the last start
+/// until one of them leads.
+pub fn time_to_lead(voters: usize, seed: u64, cfg: &Cfg) -> u64 {
+    const BETWEEN_STARTS: u64 = 60;
+    const STEP: u64 = 5;
+    let mut world = World::new(&Schedule { seed, voters, steps: Vec::new() }, cfg.clone());
+    world.pass(2000);
+    world.nodes.iter_mut().for_each(Node::kill);
+    for i in 0..voters {
+        world.pass(BETWEEN_STARTS);
+        world.start(i);
+    }
+    let started = world.now;
+    while world.leaders().is_empty() && world.now < started + REPAIR {
+        world.pass(STEP);
+    }
+    world.now - started
+}
+
 impl World {
     fn new(schedule: &Schedule, cfg: Cfg) -> Self {
         let mut rng = seeded(schedule.seed);
@@ -266,6 +285,7 @@
         match *op {
             Op::Kill(target, after) => self.hit(target, after, Fault::Kill),
             Op::Freeze(target, after) => self.hit(target, after, Fault::Freeze),
+            Op::KillAll => self.nodes.iter_mut().for_each(Node::kill),
             Op::Restart(i) => self.start(i % count),
             Op::RestartAll => (0..count).for_each(|i| self.start(i)),
             Op::LoseDisk(target) => self.lose_disk(target),
--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -159,7 +159,9 @@
             "control_started",
             name = name,
             address = address,
-            peer_address = peer_address
+            peer_address = peer_address,
+            commit = shared.log.status().commit,
+            ms = shared.clock.now()
         );
         Ok(Self { address, peer_address, server, peers, shared, runtime })
     }
--- a/daemons/control/src/log/hello.rs
+++ b/daemons/control/src/log/hello.rs
@@ -20,6 +20,14 @@
 /// Pause between two tries to have the one that stands by vote, once the lost voter was taken out.
 const AT_ONCE: Millis = Millis(20);
 
+/// Pause between two tries while no leader is known: after a loss of power all look for each other, and
+/// entry instances have no settings until they have found one.
+const LEADERLESS_PAUSE: Millis = Millis(100);
+
+/// How long one call may take. An instance without power answers nothing, and the others, which start at
+/// the same time, must not be looked for only after it was given up.
+const PATIENCE: Millis = Millis(300);
+
 /// Tries to have it vote before the next look at all.
 const TRIES: usize = 10;
 
@@ -47,7 +55,9 @@
         if let (Some(seeds), Some(since)) = (seeds, leads_since) {
             replace_lost(&shared, seeds, since).await;
         }
-        tokio::time::sleep(PAUSE.into()).await;
+        let is_led = shared.log.status().leader.is_some();
+        let pause = if is_led { PAUSE } else { LEADERLESS_PAUSE };
+        tokio::time::sleep(pause.into()).await;
     }
 }
 
@@ -63,14 +73,17 @@
     strangers.retain(|address, _| !known.contains(address));
     let peers = directory.peers();
     let clients = peers.iter().map(|peer| &peer.quick).chain(strangers.values());
-    let calls = clients.map(|client| client.call(&hello));
+    let calls = clients.map(|client| ask(shared, client, &hello));
     let replies = futures_util::future::join_all(calls).await;
-    let replies: Vec<HelloReply> = replies.into_iter().flatten().collect();
-    for reply in &replies {
-        reply.known.iter().for_each(|place| directory.learn(place.clone()));
-        directory.heard(shared.clock.now(), reply.place.clone(), reply.id.clone());
-    }
-    replies
+    replies.into_iter().flatten().collect()
+}
+
+async fn ask(shared: &Shared, client: &PeerClient, hello: &Hello) -> Option<HelloReply> {
+    let reply = tokio::time::timeout(PATIENCE.into(), client.call(hello)).await.ok()?.ok()?;
+    let directory = &shared.directory;
+    reply.known.iter().for_each(|place| directory.learn(place.clone()));
+    directory.heard(shared.clock.now(), reply.place.clone(), reply.id.clone());
+    Some(reply)
 }
 
 /// Starts the log, if all founders are there, all are new, and this one comes first.
