Limits: entry instances that are not heard of keep their shares; the others divide what is left

Cause: the leader went on counting the demand that a cut-off entry instance had reported last. When an account then sends seven times its usual, the demand of the others dwarfs that figure, so these divide nearly the whole limit while the cut-off ones go on with their shares of before: 137% with three of eight cut off.

Change: a report tells the share that is given out here; totals are made by a core of their own, which holds back the shares of those that are silent for a second, for 15 s. A new leader takes over from the totals before it what it has not heard of, and tells none until all had time to report.

--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod registry;
 pub mod share;
 pub mod table;
+pub mod totals;
 pub mod true_time;
 pub mod usage;
 
@@ -20,5 +21,6 @@
 pub use registry::Registry;
 pub use share::{LimitBounds, Shares};
 pub use table::{AccountEntry, RouteEntry, RouteTable};
+pub use totals::Adder;
 pub use true_time::TrueTime;
 pub use usage::{Ledger, UsageCounter};
--- a/coordination/dispatch/src/share.rs
+++ b/coordination/dispatch/src/share.rs
@@ -166,10 +166,13 @@
             let all = total.asked_per_s.max(own);
             let by_demand = if all > 0.0 { own / all } else { 0.0 };
             let even = EVEN_PART / f64::from(self.entries);
-            account.share = Some((1.0 - EVEN_PART) * by_demand + even);
-            // What was admitted since the reports were made is not in the sum yet.
+            let left = 1.0 - total.held;
+            account.share = Some(left * ((1.0 - EVEN_PART) * by_demand + even));
+            // What was admitted since the reports were made is not in the sum yet, nor what those admit
+            // that are not heard of.
             let unseen = (totals.age + REPORT_AGE).as_secs_f64() * total.admitted_per_s;
-            account.total = total.admitted + unseen;
+            let elsewhere = total.held * account.limit.rate * LIMIT_WINDOW.as_secs_f64();
+            account.total = total.admitted + unseen + elsewhere;
             account.since_total = 0.0;
             account.total_asked_per_s = total.asked_per_s;
         }
@@ -206,11 +209,13 @@
 
     /// Returns the demand here by account.
     pub fn report(&mut self, now: Millis) -> Vec<AccountReport> {
+        let even = 1.0 / f64::from(self.entries);
         let reports = self.accounts.iter_mut().map(|(name, account)| AccountReport {
             account: name.clone(),
             asked_per_s: account.tell(now),
             admitted: account.admitted.sum(now),
             admitted_per_s: account.recent.at(now, RECENT),
+            share: account.share.unwrap_or(even),
         });
         reports.filter(|report| report.asked_per_s > 0.0 || report.admitted > 0.0).collect()
     }
--- a/coordination/dispatch/tests/shares.rs
+++ b/coordination/dispatch/tests/shares.rs
@@ -3,9 +3,10 @@
 use rand::Rng as _;
 use sill_base::random::{Rng, seed, seeded};
 use sill_base::{Millis, Name};
-use sill_dispatch::{LimitBounds, RouteTable, Shares};
+use sill_dispatch::{Adder, Ledger, LimitBounds, RouteTable, Shares};
 use sill_tree::{Account, Document, Limit};
-use sill_wire::link::{AccountTotal, LIMIT_WINDOW, Totals};
+use sill_wire::Incarnation;
+use sill_wire::link::{EntryReport, LIMIT_WINDOW, Totals};
 
 /// What may come on top of a limit, as the users state it.
 const SLACK: f64 = 140_000.0;
@@ -28,6 +29,17 @@
     after: f64,
     /// Whether prompts are of very different sizes, up to 54,000 tokens.
     has_tail: bool,
+    cut: Option<Cut>,
+}
+
+/// Entry instances that neither report nor hear anything for a while.
+#[derive(Debug, Clone, Copy)]
+struct Cut {
+    entries: usize,
+    from: u64,
+    until: u64,
+    /// When another control instance begins to lead, which has never heard of them.
+    new_leader: Option<u64>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -39,7 +51,10 @@
 struct World {
     rng: Rng,
     shares: Vec<Shares>,
-    reports: Vec<(u64, Totals)>,
+    ledger: Ledger,
+    adder: Adder,
+    newest: Option<Totals>,
+    on_the_way: Vec<(u64, Totals)>,
     admitted: Vec<Admitted>,
     asked: usize,
     refused: usize,
@@ -63,7 +78,17 @@
             (0..load.entries).map(|_| Shares::new(LimitBounds { slack: SLACK })).collect();
         shares.iter_mut().for_each(|shares| shares.set_limits(Millis::ZERO, &table(load.rate)));
         let rng = seeded(seed(7));
-        Self { rng, shares, reports: Vec::new(), admitted: Vec::new(), asked: 0, refused: 0 }
+        Self {
+            rng,
+            shares,
+            ledger: Ledger::default(),
+            adder: Adder::default(),
+            newest: None,
+            on_the_way: Vec::new(),
+            admitted: Vec::new(),
+            asked: 0,
+            refused: 0,
+        }
     }
 
     /// Tokens of a call: most have a few thousand, a few have tens of thousands.
@@ -85,7 +110,7 @@
                 self.call(now, load);
             }
             if now % EXCHANGE == 0 {
-                self.exchange(now, load.entries);
+                self.exchange(now, load);
             }
         }
     }
@@ -101,21 +126,38 @@
         }
     }
 
-    fn exchange(&mut self, now: u64, entries: usize) {
-        let reports: Vec<_> =
-            self.shares.iter_mut().flat_map(|shares| shares.report(Millis(now))).collect();
-        let total = AccountTotal {
-            account: account(),
-            asked_per_s: reports.iter().map(|report| report.asked_per_s).sum(),
-            admitted: reports.iter().map(|report| report.admitted).sum(),
-            admitted_per_s: reports.iter().map(|report| report.admitted_per_s).sum(),
-        };
-        let totals =
-            Totals { age: Millis(AGE - 250), entries: entries as u32, accounts: vec![total] };
-        self.reports.push((now + AGE, totals));
-        while self.reports.first().is_some_and(|(due, _)| *due <= now) {
-            let (_, totals) = self.reports.remove(0);
-            self.shares.iter_mut().for_each(|s| s.set_totals(Millis(now), &totals));
+    fn exchange(&mut self, now: u64, load: &Load) {
+        let cut = load.cut.filter(|cut| (cut.from..cut.until).contains(&now));
+        let first_heard = cut.map_or(0, |cut| cut.entries);
+        if load.cut.and_then(|cut| cut.new_leader) == Some(now) {
+            self.ledger = Ledger::default();
+            self.adder = Adder::default();
+            self.adder.begin(Millis(now), self.newest.as_ref());
+        }
+        for entry in first_heard..load.entries {
+            let report = self.report(now, entry);
+            self.ledger.take(Millis(now), report, true);
+        }
+        if let Some(totals) = self.adder.add_up(Millis(now), &self.ledger) {
+            self.newest = Some(totals.clone());
+            self.on_the_way.push((now + AGE, Totals { age: Millis(AGE - 250), ..totals }));
+        }
+        while self.on_the_way.first().is_some_and(|(due, _)| *due <= now) {
+            let (_, totals) = self.on_the_way.remove(0);
+            self.shares[first_heard..].iter_mut().for_each(|s| s.set_totals(Millis(now), &totals));
+        }
+    }
+
+    fn report(&mut self, now: u64, entry: usize) -> EntryReport {
+        EntryReport {
+            entry: format!("e{entry}").into(),
+            incarnation: Incarnation(1),
+            domain: "a".into(),
+            sequence: now + 1,
+            wall: Millis(now),
+            usage: Vec::new(),
+            accounts: self.shares[entry].report(Millis(now)),
+            services: Vec::new(),
         }
     }
 
@@ -144,6 +186,7 @@
             before: 0.55,
             after: 4.2,
             has_tail: true,
+            cut: None,
         },
         Load {
             name: "eight, always",
@@ -152,6 +195,7 @@
             before: 4.2,
             after: 4.2,
             has_tail: true,
+            cut: None,
         },
         Load {
             name: "eighty, jump",
@@ -160,6 +204,7 @@
             before: 0.55,
             after: 4.2,
             has_tail: false,
+            cut: None,
         },
         Load {
             name: "cut to a third",
@@ -168,6 +213,7 @@
             before: 3.0,
             after: 3.0,
             has_tail: true,
+            cut: None,
         },
         Load {
             name: "eight, small",
@@ -176,6 +222,7 @@
             before: 0.55,
             after: 6.0,
             has_tail: false,
+            cut: None,
         },
     ];
     for load in loads {
@@ -191,6 +238,38 @@
     }
 }
 
+/// Three of eight entry instances are cut off when an account begins to send far more than its limit.
+/// They go on with their shares, while the others divided the whole limit among themselves; the engines
+/// then served a third more for the account than its limit, and others waited. It is the same where a
+/// new leader comes meanwhile that has never heard of them.
+#[test]
+fn what_is_cut_off_and_what_is_not_stay_within_a_limit_together() {
+    let cut = Cut { entries: 3, from: 9750, until: 16_750, new_leader: None };
+    let load = |name, cut| Load {
+        name,
+        rate: 112_000.0,
+        entries: 8,
+        before: 0.55,
+        after: 4.2,
+        has_tail: true,
+        cut: Some(cut),
+    };
+    let loads = [
+        load("cut", cut),
+        load("cut, and a new leader", Cut { new_leader: Some(13_000), ..cut }),
+        load("long cut", Cut { until: 24_000, ..cut }),
+    ];
+    for load in loads {
+        let owed = load.rate * LIMIT_WINDOW.as_secs_f64();
+        let allowed = (owed + load.rate) * OVERSHOOT + SLACK;
+        let mut world = World::new(&load);
+        world.run(&load, 40);
+        let busiest = world.busiest_window();
+        println!("{}: {:.2} of what is allowed", load.name, busiest / allowed);
+        assert!(busiest <= allowed, "{}: {busiest:.0} tokens, allowed {allowed:.0}", load.name);
+    }
+}
+
 /// An account that uses half of its limit is spread over entry instances, none of which has a share
 /// as large as one of its prompts. Refused for that, its callers would get 429 although they keep to
 /// what they were promised.
@@ -204,6 +283,7 @@
             before: 0.55,
             after: 0.55,
             has_tail: true,
+            cut: None,
         },
         Load {
             name: "eighty",
@@ -212,6 +292,7 @@
             before: 0.55,
             after: 0.55,
             has_tail: true,
+            cut: None,
         },
     ];
     for load in loads {
--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -5,14 +5,14 @@
 
 use parking_lot::Mutex;
 use sill_base::{Map, Millis, Name, event};
-use sill_dispatch::{Ledger, Registry, TrueTime};
+use sill_dispatch::{Adder, Ledger, Registry, TrueTime};
 use sill_net::PeerError;
 use sill_quorum::RoleName;
 use sill_wire::Incarnation;
 use sill_wire::control::Revision;
 use sill_wire::link::{
-    AccountTotal, ControlSync, ControlSyncReply, Cursor, EndpointFact, EndpointState, EntryReport,
-    LinkPoll, LinkReply, ServedSettings, Totals,
+    ControlSync, ControlSyncReply, Cursor, EndpointFact, EndpointState, EntryReport, LinkPoll,
+    LinkReply, ServedSettings, Totals,
 };
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -37,10 +37,6 @@
 /// The longest time a poll may wait.
 const MAX_WAIT: Millis = Millis(2000);
 
-/// Time for which the demand of an entry instance that fell silent still counts. It may be cut off
-/// and go on with its share of the limits; given to others at once, the limits would be passed.
-const SHARE_HELD: Millis = Millis(15_000);
-
 /// What a control instance knows of endpoints and of entry instances that serve routes.
 #[derive(Debug)]
 pub struct Link {
@@ -50,6 +46,7 @@
     ledger: Mutex<Ledger>,
     time: Mutex<TrueTime>,
     totals: Mutex<Option<TotalsHeard>>,
+    adder: Mutex<Adder>,
     changes: watch::Sender<u64>,
     urgent: tokio::sync::Notify,
 }
@@ -81,6 +78,7 @@
             ledger: Mutex::default(),
             time: Mutex::default(),
             totals: Mutex::default(),
+            adder: Mutex::default(),
             changes: watch::Sender::new(0),
             urgent: tokio::sync::Notify::new(),
         }
@@ -180,25 +178,13 @@
         self.ledger.lock().take(now, report, true);
     }
 
-    /// Adds up the demand, as the leader.
-    fn add_up(&self, now: Millis) -> Totals {
-        let ledger = self.ledger.lock();
-        let mut by_account: Map<Name, AccountTotal> = Map::default();
-        for account in ledger.within(now, SHARE_HELD).iter().flat_map(|report| &report.accounts) {
-            let name = account.account.clone();
-            let none = AccountTotal {
-                account: name.clone(),
-                asked_per_s: 0.0,
-                admitted: 0.0,
-                admitted_per_s: 0.0,
-            };
-            let total = by_account.entry(name).or_insert(none);
-            total.asked_per_s += account.asked_per_s;
-            total.admitted += account.admitted;
-            total.admitted_per_s += account.admitted_per_s;
-        }
-        let entries = ledger.live(now).len() as u32;
-        Totals { age: Millis::ZERO, entries, accounts: by_account.into_values().collect() }
+    /// Begins to add up the demand, as the leader.
+    fn begin_to_lead(&self, now: Millis) {
+        self.adder.lock().begin(now, self.totals(now).as_ref());
+    }
+
+    fn add_up(&self, now: Millis) -> Option<Totals> {
+        self.adder.lock().add_up(now, &self.ledger.lock())
     }
 
     fn totals(&self, now: Millis) -> Option<Totals> {
@@ -275,8 +261,12 @@
         if status.leader != leader {
             leader = status.leader.clone();
             link.ledger.lock().tell_again();
+            if status.role == RoleName::Leader {
+                link.begin_to_lead(now);
+            }
         }
-        let totals = (status.role == RoleName::Leader).then(|| link.add_up(now));
+        let leads = status.role == RoleName::Leader;
+        let totals = if leads { link.add_up(now) } else { None };
         if let Some(totals) = &totals {
             *link.totals.lock() = Some(TotalsHeard { totals: totals.clone(), at: now });
         }
--- a/protocol/wire/src/link.rs
+++ b/protocol/wire/src/link.rs
@@ -93,6 +93,8 @@
     pub admitted: f64,
     /// Admitted in a second, of late.
     pub admitted_per_s: f64,
+    /// The part of the limit that the entry instance gives out, also while it is cut off.
+    pub share: f64,
 }
 
 /// The work of one service at an entry instance.
@@ -162,6 +164,9 @@
     pub admitted: f64,
     /// Admitted in a second, of late.
     pub admitted_per_s: f64,
+    /// The part of the limit that entry instances give out which are not heard of now. The sums above are
+    /// those of the others.
+    pub held: f64,
 }
 
 /// The demand over all entry instances, as the leader adds it up.
@@ -169,7 +174,7 @@
 pub struct Totals {
     /// How old the figures are.
     pub age: Millis,
-    /// Entry instances that are alive.
+    /// Entry instances, with those that may be cut off.
     pub entries: u32,
     /// Demand by account.
     pub accounts: Vec<AccountTotal>,
