Fleet: a high need counts 4 s for on-demand endpoints, 20 s for reclaimable ones

Cause: while no reclaimable endpoints were to be had, on-demand ones stood in for the highest need of 20 s.

Test: on-demand endpoint seconds after a peak of two seconds, 263 before, 151 now.

--- a/coordination/fleet/src/counts.rs
+++ b/coordination/fleet/src/counts.rs
@@ -19,6 +19,8 @@
     pub fresh_tokens_per_s: f64,
     /// How long a high need counts before endpoints are given up.
     pub hold: Millis,
+    /// How long a high need counts for on-demand endpoints, which cost several times as much.
+    pub stand_in_hold: Millis,
     /// How long an order that the platform could not meet is not repeated.
     pub refused_for: Millis,
     /// How long what runs may differ from what was ordered before the order is repeated. It must
@@ -117,6 +119,15 @@
     at: Millis,
 }
 
+/// What the load takes, as the highest need of a longer and of a shorter while.
+#[derive(Debug, Clone, Copy)]
+struct Spans {
+    /// For reclaimable endpoints, whose price is low enough to keep them for the next peak.
+    long: u32,
+    /// For on-demand endpoints.
+    short: u32,
+}
+
 impl Needs {
     /// Presumes that what stands is needed.
     ///
@@ -158,6 +169,7 @@
         let need = self.need(now, view);
         let staying = staying(view);
         let wanted = self.wanted(now, view, need, &staying);
+        let Spans { long, short } = need;
         let mut orders = Vec::new();
         for (domain, want) in &wanted {
             let have = staying.get(domain).copied().unwrap_or_default();
@@ -175,7 +187,7 @@
                 ordered.count = Some(count);
                 ordered.at = now;
                 let why = format!(
-                    "need {need}, running {}, fresh {:.0}/s, refused {:.1}/s, live {live}",
+                    "need {long}, of late {short}, running {}, fresh {:.0}/s, refused {:.1}/s, live {live}",
                     view.demand.running, view.demand.fresh_tokens_per_s, view.demand.refused_per_s
                 );
                 let (service, domain) = (view.service.clone(), domain.clone());
@@ -204,7 +216,7 @@
     }
 
     /// Returns how many endpoints the load takes, as the highest need of the last while.
-    fn need(&mut self, now: Millis, view: &PoolView<'_>) -> u32 {
+    fn need(&mut self, now: Millis, view: &PoolView<'_>) -> Spans {
         let cfg = &self.cfg;
         let Demand { running, fresh_tokens_per_s, refused_per_s } = view.demand;
         let carried = (f64::from(view.slots.max(1)) * cfg.slot_load).max(1.0);
@@ -229,7 +241,11 @@
         }
         needs.highest.push(Need { endpoints, at: now });
         let first = needs.first.map_or(0, |first| first.endpoints);
-        needs.highest.first().map_or(endpoints, |need| need.endpoints).max(first)
+        let highest = |span| {
+            let within = needs.highest.iter().find(|need| now - need.at < span);
+            within.map_or(endpoints, |need| need.endpoints).max(first)
+        };
+        Spans { long: highest(cfg.hold), short: highest(cfg.stand_in_hold) }
     }
 
     /// Returns what is wanted in each failure domain.
@@ -237,12 +253,12 @@
         &self,
         now: Millis,
         view: &PoolView<'_>,
-        need: u32,
+        need: Spans,
         staying: &BTreeMap<Name, Staying>,
     ) -> BTreeMap<Name, Staying> {
         let mut wanted: BTreeMap<Name, Staying> = BTreeMap::new();
         let mut expected = 0;
-        for (domain, each) in spread(need, view) {
+        for (domain, each) in spread(need.long, view) {
             let have = staying.get(&domain).copied().unwrap_or_default();
             let reclaimable = match view.range.reclaimable_price {
                 None => 0,
@@ -256,7 +272,7 @@
             expected += if is_unmet { have.reclaimable } else { reclaimable };
             wanted.insert(domain, Staying { reclaimable, on_demand: 0 });
         }
-        let stand_ins = stand_ins(need, expected, staying);
+        let stand_ins = stand_ins(need.short, expected, staying);
         self.place_stand_ins(now, view, stand_ins, staying, &mut wanted);
         wanted
     }
@@ -383,6 +399,7 @@
             slot_load: 0.5,
             fresh_tokens_per_s: 32_000.0,
             hold: Millis(20_000),
+            stand_in_hold: Millis(4000),
             refused_for: Millis(4000),
             settle: Millis(8000),
         }
--- a/coordination/fleet/tests/counts.rs
+++ b/coordination/fleet/tests/counts.rs
@@ -169,3 +169,23 @@
         "on-demand endpoints stay after the reclaimable ones are back"
     );
 }
+
+/// All reclaimable endpoints are gone, and what they had cached is computed anew for two seconds. A peak
+/// that is over before an endpoint has started must not be paid at the on-demand price for long after;
+/// the operator saw twice the bill for the time in which no reclaimable ones were to be had.
+#[test]
+fn a_peak_that_is_over_is_not_paid_at_the_on_demand_price() {
+    let usual = Demand { running: 100, fresh_tokens_per_s: 150_000.0, refused_per_s: 0.0 };
+    let peak = Demand { fresh_tokens_per_s: 450_000.0, ..usual };
+    let mut world = World::new();
+    world.run(Millis(60_000), usual, grant);
+    world.live.clear();
+    world.run(Millis(2000), peak, no_reclaimable);
+    let mut paid = 0;
+    for _ in 0..20 {
+        world.run(Millis(1000), usual, no_reclaimable);
+        paid += world.count(false);
+    }
+    assert!(world.live.len() >= 5, "{} endpoints for a load of five", world.live.len());
+    assert!(paid <= 170, "{paid} seconds of on-demand endpoints for a load of 100");
+}
