A fault soak of our own; endpoints of routes announce themselves; sill explain reads log files

The product lacked a way for endpoints of routes to make themselves known without the users' platform: sill-control takes POST /announce now, with a join token; each start of an endpoint is another one. sill gateway runs sill-gateway.

bench/soak runs control instances, entry instances for routes, and endpoints as separate processes and tasks with loopback proxies between them, and injects faults on three tracks that overlap: kill, pause, stop, lost disk, all control instances at once; delay, silence, one way, reset; endpoints that hang, lose, cut, refuse, and are replaced at the same address. It holds what callers, endpoints and the operator saw against at_most_once, not_run_is_true, whole_answer, accepted_change_stays, attempts, accounts, recovery, and processes that end by themselves.

--- /dev/null
+++ b/bench/soak/src/backend.rs
@@ -0,0 +1,283 @@
+//! Endpoints that note what they run, and misbehave when told to.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::Result;
+use http::{Request, Response, StatusCode};
+use http_body::{Body, Frame};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use sill_base::{Map, Millis, Name};
+use sill_wire::{Announcement, Incarnation, Load, Role, Served, header};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+use crate::caller::{ACCOUNT, SUM, sum};
+use crate::exchange;
+use crate::plan::Habit;
+
+/// The service that all endpoints serve.
+pub const SERVICE: &str = "cases";
+
+/// How often an endpoint announces itself.
+const ANNOUNCE_EVERY: Millis = Millis(500);
+
+/// How long an announcement may take.
+const ANNOUNCE_PATIENCE: Millis = Millis(700);
+
+/// How long an endpoint serves after it has said that it leaves.
+pub const NOTICE: Millis = Millis(3000);
+
+/// What all endpoints saw.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    runs: Mutex<Map<String, Vec<String>>>,
+    oddities: Mutex<Vec<String>>,
+}
+
+/// An endpoint that can be replaced by another start of it, at the same address.
+#[derive(Debug)]
+pub struct Endpoint {
+    name: String,
+    address: SocketAddr,
+    announced: SocketAddr,
+    controls: Vec<SocketAddr>,
+    ledger: Arc<Ledger>,
+    habit: Arc<Mutex<Option<Habit>>>,
+    is_leaving: Arc<Mutex<bool>>,
+    incarnation: u64,
+    tasks: JoinSet<()>,
+}
+
+/// What one start of an endpoint needs to answer.
+#[derive(Debug)]
+struct Life {
+    id: String,
+    ledger: Arc<Ledger>,
+    habit: Arc<Mutex<Option<Habit>>>,
+}
+
+/// An answer that may break off.
+struct Answer {
+    parts: Vec<Result<Bytes, &'static str>>,
+}
+
+impl Ledger {
+    /// Returns where a request was run, in order.
+    pub fn runs(&self, id: &str) -> Vec<String> {
+        self.runs.lock().get(id).cloned().unwrap_or_default()
+    }
+
+    /// Returns what should never have come.
+    pub fn oddities(&self) -> Vec<String> {
+        self.oddities.lock().clone()
+    }
+
+    fn odd(&self, what: String) {
+        self.oddities.lock().push(what);
+    }
+}
+
+impl Endpoint {
+    /// Starts an endpoint that listens at `address` and says that it is at `announced`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is taken.
+    pub async fn start(
+        name: String,
+        address: SocketAddr,
+        announced: SocketAddr,
+        controls: Vec<SocketAddr>,
+        ledger: Arc<Ledger>,
+    ) -> Result<Self> {
+        let mut endpoint = Self {
+            name,
+            address,
+            announced,
+            controls,
+            ledger,
+            habit: Arc::default(),
+            is_leaving: Arc::default(),
+            incarnation: 0,
+            tasks: JoinSet::new(),
+        };
+        endpoint.begin().await?;
+        Ok(endpoint)
+    }
+
+    /// Gives it a habit, or takes it away.
+    pub fn set_habit(&self, habit: Option<Habit>) {
+        *self.habit.lock() = habit;
+    }
+
+    /// Has it say that it leaves.
+    pub fn leave(&self) {
+        *self.is_leaving.lock() = true;
+    }
+
+    /// Ends it, whatever it does, and starts it anew at the same address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is taken.
+    pub async fn replace(&mut self) -> Result<()> {
+        self.tasks.shutdown().await;
+        self.is_leaving = Arc::default();
+        self.begin().await
+    }
+
+    async fn begin(&mut self) -> Result<()> {
+        self.incarnation += 1;
+        let id = format!("{}.{}", self.name, self.incarnation);
+        let life = Life { id, ledger: self.ledger.clone(), habit: self.habit.clone() };
+        let listener = TcpListener::bind(self.address).await?;
+        self.tasks.spawn(serve(listener, Arc::new(life)));
+        let announcement = self.announcement();
+        let (controls, is_leaving) = (self.controls.clone(), self.is_leaving.clone());
+        self.tasks.spawn(announce(announcement, controls, is_leaving));
+        Ok(())
+    }
+
+    fn announcement(&self) -> Announcement {
+        Announcement {
+            name: self.name.as_str().into(),
+            incarnation: Incarnation(self.incarnation),
+            sequence: 0,
+            address: self.announced.to_string().into(),
+            domain: "a".into(),
+            class: Name::default(),
+            reclaimable: false,
+            price: 0,
+            serves: vec![Served::Service { service: SERVICE.into() }],
+            role: Role::Mixed,
+            slots: 16,
+            prefill_tokens_per_s: 0,
+            decode_ms: 0,
+            cache_tokens: 0,
+            load: Load::default(),
+            leaving: None,
+            checks_fencing: false,
+        }
+    }
+}
+
+async fn serve(listener: TcpListener, life: Arc<Life>) {
+    let mut connections = JoinSet::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let life = life.clone();
+        let service = service_fn(move |req| answer(life.clone(), req));
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        connections.spawn(async {
+            let _ = connection.await;
+        });
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn answer(life: Arc<Life>, req: Request<Incoming>) -> Result<Response<Answer>, &'static str> {
+    let (parts, body) = req.into_parts();
+    let text = |name: &str| parts.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("");
+    let id = text(header::REQUEST_ID).to_owned();
+    let (meant, account) = (text(header::ENDPOINT), text(header::ACCOUNT));
+    if meant != life.id {
+        return Ok(refusal(StatusCode::MISDIRECTED_REQUEST, &id));
+    }
+    let habit = *life.habit.lock();
+    if habit == Some(Habit::Full) {
+        return Ok(refusal(StatusCode::SERVICE_UNAVAILABLE, &id));
+    }
+    let Ok(body) = body.collect().await else { return Err("the request broke off") };
+    let body = body.to_bytes();
+    if text(SUM) != sum(&body) {
+        life.ledger.odd(format!("whole_request: {id} came with another body"));
+    }
+    if account != ACCOUNT || parts.headers.contains_key("authorization") {
+        life.ledger.odd(format!("accounts: {id} came for {account:?}, or with the caller's key"));
+    }
+    life.ledger.runs.lock().entry(id.clone()).or_default().push(life.id.clone());
+    match habit {
+        Some(Habit::Slow) => tokio::time::sleep(Duration::from_millis(400)).await,
+        Some(Habit::Hang) => std::future::pending().await,
+        Some(Habit::LoseAnswer) => return Err("the answer is lost"),
+        _ => tokio::time::sleep(Duration::from_millis(5)).await,
+    }
+    let whole = expected(&id, &body, &life.id);
+    let half = whole.len() / 2;
+    let parts = match habit {
+        Some(Habit::CutAnswer) => vec![Ok(whole.slice(..half)), Err("the answer breaks off")],
+        _ => vec![Ok(whole.slice(..half)), Ok(whole.slice(half..))],
+    };
+    let response = Response::builder()
+        .header(header::REQUEST_ID, id)
+        .header("content-length", whole.len())
+        .body(Answer { parts });
+    Ok(response.expect("a response of fixed parts"))
+}
+
+/// Returns the answer to a request, which anybody can work out.
+pub fn expected(id: &str, body: &[u8], endpoint: &str) -> Bytes {
+    let line = format!("{id} with {} ran at {endpoint}\n", sum(body));
+    line.repeat(8).into()
+}
+
+fn refusal(status: StatusCode, id: &str) -> Response<Answer> {
+    let response = Response::builder()
+        .status(status)
+        .header(header::REQUEST_ID, id)
+        .header(header::NOT_RUN, "true")
+        .body(Answer { parts: Vec::new() });
+    response.expect("a response of fixed parts")
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = &'static str;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, &'static str>>> {
+        if self.parts.is_empty() {
+            return Poll::Ready(None);
+        }
+        Poll::Ready(Some(self.parts.remove(0).map(Frame::data)))
+    }
+}
+
+/// Announces an endpoint again and again, to one control instance after the other if one fails.
+async fn announce(
+    mut announcement: Announcement,
+    controls: Vec<SocketAddr>,
+    is_leaving: Arc<Mutex<bool>>,
+) {
+    let mut turn = announcement.incarnation.0 as usize;
+    loop {
+        announcement.sequence += 1;
+        announcement.leaving = is_leaving.lock().then_some(NOTICE);
+        let body = serde_json::to_vec(&announcement).expect("it can be written");
+        let req = Request::post("/announce")
+            .header("host", "control")
+            .header("authorization", "Bearer soak-join-token")
+            .body(Full::new(Bytes::from(body)))
+            .expect("a request of fixed parts");
+        let sent = exchange::once(controls[turn % controls.len()], req, ANNOUNCE_PATIENCE).await;
+        match sent {
+            Ok(got) if got.status == 200 => tokio::time::sleep(ANNOUNCE_EVERY.into()).await,
+            _ => {
+                turn += 1;
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bench/soak/src/main.rs
@@ -0,0 +1,7 @@
+//! The fault soak.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sill_setup::exit_code(sill_soak::cli::run(std::env::args().skip(1).collect()))
+}
--- /dev/null
+++ b/bench/soak/src/operator.rs
@@ -0,0 +1,190 @@
+//! The operator, who changes settings all the time and reads them back.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{Result, bail};
+use http::Request;
+use http_body_util::Full;
+use parking_lot::Mutex;
+use rand::Rng as _;
+use serde_json::Value;
+use sill_base::random::{Rng, seeded};
+use sill_base::{Millis, Name};
+use sill_tree::{Account, Document, KeyHash, Pool, Route, RouteKind, Service, Share};
+use sill_wire::header;
+use tokio::sync::watch;
+
+use crate::backend::SERVICE;
+use crate::caller::{ACCOUNT, HOST, KEY};
+use crate::exchange::{self, Got};
+
+/// How long a change or a read may take.
+const PATIENCE: Millis = Millis(4000);
+
+/// Times that one change is sent before the next one follows.
+const TRIES: usize = 5;
+
+/// Marks an answer that may be old.
+const STALE: &str = "sill-stale";
+
+/// A change that was acknowledged.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Acknowledged {
+    /// Its revision.
+    pub revision: u64,
+    /// The number that stands in its document.
+    pub number: u64,
+}
+
+/// What the operator saw.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// The newest change that was acknowledged.
+    pub newest: Acknowledged,
+    /// How many were.
+    pub changes: u64,
+    /// Reads that were answered as new.
+    pub reads: u64,
+    /// Answers that break a promise.
+    pub findings: Vec<String>,
+}
+
+/// The operator.
+#[derive(Debug)]
+pub struct Operator {
+    controls: Vec<SocketAddr>,
+    seen: Arc<Mutex<Seen>>,
+    rng: Rng,
+    number: u64,
+}
+
+impl Operator {
+    /// Makes an operator who can reach control instances at these addresses.
+    pub fn new(seed: u64, controls: Vec<SocketAddr>, seen: Arc<Mutex<Seen>>) -> Self {
+        Self { controls, seen, rng: seeded(seed), number: 0 }
+    }
+
+    /// Changes and reads settings until it is told to stop.
+    pub async fn run(mut self, stop: watch::Receiver<bool>) -> Self {
+        while !*stop.borrow() {
+            self.change().await;
+            self.read().await;
+            tokio::time::sleep(Duration::from_millis(self.rng.random_range(50..600))).await;
+        }
+        self
+    }
+
+    /// Makes one change. Where the outcome stays unclear, it may come into force later.
+    ///
+    /// Returns whether it was acknowledged.
+    pub async fn change(&mut self) -> bool {
+        self.number += 1;
+        let number = self.number;
+        let body = serde_json::to_vec(&document(number)).expect("it can be written");
+        for _ in 0..TRIES {
+            let req = Request::put("/tree/serving")
+                .header("host", "control")
+                .header("authorization", "Bearer soak-root-token")
+                .header(header::CHANGE_ID, format!("change-{number}"))
+                .body(Full::new(Bytes::from(body.clone())))
+                .expect("a request of fixed parts");
+            if let Ok(got) = exchange::once(self.pick(), req, PATIENCE).await
+                && self.is_answered(number, &got)
+            {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        false
+    }
+
+    fn is_answered(&self, number: u64, got: &Got) -> bool {
+        let revision = json(got).and_then(|body| body.get("revision").and_then(Value::as_u64));
+        let mut seen = self.seen.lock();
+        match (got.status, revision) {
+            (200, Some(revision)) => {
+                seen.changes += 1;
+                // An earlier change whose answer was lost may be newer than what is repeated here.
+                if revision > seen.newest.revision {
+                    seen.newest = Acknowledged { revision, number };
+                }
+                true
+            }
+            (status, _) if (400..500).contains(&status) && status != 429 => {
+                seen.findings.push(format!("accepted_change_stays: change {number} got {status}"));
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Reads the settings at any control instance, and checks that they are not old.
+    ///
+    /// Returns whether they were read as new.
+    pub async fn read(&mut self) -> bool {
+        let before = self.seen.lock().newest;
+        let Ok((revision, number)) = self.fresh().await else { return false };
+        let mut seen = self.seen.lock();
+        seen.reads += 1;
+        let is_other = revision == before.revision && number != before.number;
+        if revision < before.revision || is_other {
+            let what = format!(
+                "accepted_change_stays: read revision {revision}, number {number}, after {before:?}"
+            );
+            seen.findings.push(what);
+        }
+        true
+    }
+
+    async fn fresh(&mut self) -> Result<(u64, u64)> {
+        let req = Request::get("/tree/serving")
+            .header("host", "control")
+            .header("authorization", "Bearer soak-root-token")
+            .body(Full::default())?;
+        let got = exchange::once(self.pick(), req, PATIENCE).await?;
+        let Some(body) = json(&got).filter(|_| got.status == 200) else { bail!("{}", got.status) };
+        if got.header(STALE).is_some() {
+            bail!("may be old");
+        }
+        let revision = body.get("revision").and_then(Value::as_u64);
+        let number = body.pointer("/document/services/cases/max_connections");
+        match (revision, number.and_then(Value::as_u64)) {
+            (Some(revision), Some(number)) => Ok((revision, number - 1000)),
+            _ => bail!("another shape"),
+        }
+    }
+
+    fn pick(&mut self) -> SocketAddr {
+        self.controls[self.rng.random_range(0..self.controls.len())]
+    }
+}
+
+fn json(got: &Got) -> Option<Value> {
+    serde_json::from_slice(got.body.as_ref()?).ok()
+}
+
+/// Returns the settings of a run, with a number by which changes are told apart.
+fn document(number: u64) -> Document {
+    let mut document = Document::default();
+    let pool = Pool { max_connections: Some(1000 + number as u32), ..Pool::default() };
+    document.services.insert(SERVICE.into(), Service::Pool(pool));
+    let account = Account { keys: vec![KeyHash::of(KEY)], ..Account::default() };
+    document.accounts.insert(ACCOUNT.into(), account);
+    let routes = [("looked-up", RouteKind::Idempotent), ("posted", RouteKind::NonIdempotent)];
+    for (name, kind) in routes {
+        let route = Route {
+            host: HOST.into(),
+            path: format!("/{name}/").into(),
+            kind,
+            timeout_ms: Millis(1500),
+            split: vec![Share { service: SERVICE.into(), weight: 1 }],
+            max_attempts: 2,
+            ..Route::default()
+        };
+        document.routes.insert(Name::from(name), route);
+    }
+    document
+}
--- /dev/null
+++ b/daemons/control/src/api/announce.rs
@@ -0,0 +1,61 @@
+//! `/announce`: endpoints of routes make themselves known.
+
+use std::net::SocketAddr;
+
+use ntex::util::Bytes;
+use ntex::web::{HttpRequest, HttpResponse};
+use sill_base::{Findings, Millis, Name, event};
+use sill_net::http;
+use sill_wire::link::{EndpointFact, EndpointState};
+use sill_wire::{Announcement, Served, announce::AnnounceReply};
+
+use crate::api::{App, caller, refused};
+use crate::app::judge;
+
+pub async fn post(app: App, req: HttpRequest, body: Bytes) -> HttpResponse {
+    let authorization = caller::text(&req, "authorization").unwrap_or_default();
+    let join_token = app.cfg.join_token.as_ref();
+    if !join_token.is_some_and(|token| token.is_bearer(authorization)) {
+        return refused(401, "unauthorized", "wrong join token");
+    }
+    let fact = serde_json::from_slice::<Announcement>(&body)
+        .map_err(|err| Findings::one("body", err.to_string()))
+        .and_then(fact);
+    let fact = match fact {
+        Ok(fact) => fact,
+        Err(findings) => {
+            event!(Warn, "announcement_refused", reason = findings);
+            return http::json(400, &judge::invalid(findings));
+        }
+    };
+    app.link.heartbeat(app.clock.now(), fact);
+    // Endpoints keep to the addresses that they were given; others may be reached by another way.
+    http::json(200, &AnnounceReply { accepted: true, reason: None, entries: Vec::new() })
+}
+
+/// Makes what is known of the endpoint. A start of it is another endpoint, whose name callers' requests
+/// carry, so that none reaches a later one at the same address.
+fn fact(announcement: Announcement) -> Result<EndpointFact, Findings> {
+    let address: Result<SocketAddr, _> = announcement.address.parse();
+    let address = address.map_err(|_| Findings::one("address", "expected IP:PORT"))?;
+    let service: Name = match &announcement.serves[..] {
+        [Served::Service { service }] => service.clone(),
+        _ => return Err(Findings::one("serves", "expected one plain service")),
+    };
+    let state = match announcement.leaving {
+        None => EndpointState::Ready,
+        Some(_) => EndpointState::Leaving,
+    };
+    Ok(EndpointFact {
+        endpoint: format!("{}.{}", announcement.name, announcement.incarnation.0).into(),
+        service,
+        domain: announcement.domain,
+        address,
+        slots: announcement.slots,
+        sequence: announcement.sequence,
+        state,
+        reclaimable: announcement.reclaimable,
+        leaves_in: announcement.leaving,
+        age: Millis::ZERO,
+    })
+}
--- a/daemons/control/src/api/mod.rs
+++ b/daemons/control/src/api/mod.rs
@@ -1,5 +1,6 @@
 //! The operators' API.
 
+mod announce;
 mod audit;
 mod caller;
 mod drain;
@@ -27,6 +28,7 @@
         web::resource("/readyz").route(web::get().to(health::readyz)),
         web::resource("/metrics").route(web::get().to(health::metrics)),
         web::resource("/fleet").route(web::get().to(health::fleet)),
+        web::resource("/announce").route(web::post().to(announce::post)),
         web::resource("/audit").route(web::get().to(audit::get)),
         web::resource("/drain/{name}").route(web::post().to(drain::post)),
         web::resource("/tree")
--- a/daemons/control/src/cfg.rs
+++ b/daemons/control/src/cfg.rs
@@ -33,6 +33,7 @@
         Flag::one("data", "DIR", "data folder"),
         Flag::one("cluster-key-file", "FILE", "file with the key our own processes share"),
         Flag::one("root-token-file", "FILE", "file with the token that owns the whole tree"),
+        Flag::one("join-token-file", "FILE", "file with the token of endpoints of routes, if any"),
         Flag::with_default("log-level", "LEVEL", "info", "error, warn, info, debug or trace"),
     ],
 };
@@ -64,6 +65,8 @@
     pub cluster_key: Secret,
     /// The token that owns the whole tree.
     pub root_token: Secret,
+    /// The token with which endpoints of routes announce themselves; none may without it.
+    pub join_token: Option<Secret>,
 }
 
 /// A few addresses by which control instances find each other.
@@ -132,6 +135,7 @@
         let data: Option<PathBuf> = values.required("data");
         let cluster_key = values.secret("cluster-key-file");
         let root_token = values.secret("root-token-file");
+        let join_token = values.optional_secret("join-token-file");
         if voters.is_empty() == peers.is_empty() {
             values.finding("voter", "expected at least one voter, or else at least one seed");
         }
@@ -154,6 +158,7 @@
             data: data.expect(checked),
             cluster_key: cluster_key.expect(checked),
             root_token: root_token.expect(checked),
+            join_token,
         })
     }
 }
--- a/daemons/control/tests/cluster.rs
+++ b/daemons/control/tests/cluster.rs
@@ -68,6 +68,7 @@
             data: self.folder.join(format!("data-{i}")),
             cluster_key: Secret::new("key"),
             root_token: Secret::new("root"),
+            join_token: None,
         }
     }
 
--- a/daemons/entry/benches/settings.rs
+++ b/daemons/entry/benches/settings.rs
@@ -93,6 +93,7 @@
         data: PathBuf::from(folder),
         cluster_key: Secret::new(KEY),
         root_token: Secret::new(TOKEN),
+        join_token: None,
     })?;
     Ok(control)
 }
--- a/daemons/setup/src/flags.rs
+++ b/daemons/setup/src/flags.rs
@@ -285,6 +285,16 @@
     /// Returns the secret that stands in the file a flag names.
     pub fn secret(&mut self, name: &str) -> Option<Secret> {
         let path: String = self.required(name)?;
+        self.secret_in(name, path)
+    }
+
+    /// Returns the secret that stands in the file a flag names, if it is given.
+    pub fn optional_secret(&mut self, name: &str) -> Option<Secret> {
+        let path: String = self.optional(name)?;
+        self.secret_in(name, path)
+    }
+
+    fn secret_in(&mut self, name: &str, path: String) -> Option<Secret> {
         let place = self.flag(name).place();
         match fs::read_to_string(&path) {
             Ok(text) if !text.trim().is_empty() => Some(Secret::new(text.trim())),
--- a/daemons/sill/src/verbs/explain.rs
+++ b/daemons/sill/src/verbs/explain.rs
@@ -1,8 +1,10 @@
 //! `sill explain`.
 
+use std::fs;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
-use eyre::{Result, bail};
+use eyre::{Result, WrapErr, bail};
 use ntex::http::Method;
 use serde_json::Value;
 use sill_base::{Findings, Millis, Secret};
@@ -11,6 +13,7 @@
 
 use crate::operator::JSON_FLAG;
 use crate::table::Table;
+use crate::verbs::timeline::{Log, timeline};
 
 /// How long an entry instance may take to answer.
 const TIMEOUT: Millis = Millis(5000);
@@ -23,6 +26,11 @@
     flags: &[
         Flag::many("entry", "IP:PORT", "entry instance to ask"),
         Flag::one("key-file", "FILE", "file with the caller's key or the operator's token"),
+        Flag::many(
+            "log",
+            "FILE",
+            "log file to read in place of asking; those of all processes help",
+        ),
         JSON_FLAG,
     ],
 };
@@ -36,11 +44,16 @@
     let Some(id) = values.operands.first().cloned() else {
         bail!("expected ID");
     };
+    let logs: Vec<PathBuf> = values.many("log");
+    if !logs.is_empty() {
+        values.finish()?;
+        return from_logs(&id, &logs);
+    }
     let entries: Vec<SocketAddr> = values.many("entry");
     let key = values.secret("key-file");
     let json = values.switch("json");
     if entries.is_empty() {
-        values.finding("entry", "missing");
+        values.finding("entry", "expected an entry instance, or else --log");
     }
     values.finish()?;
     let key = key.expect("present once the check succeeded");
@@ -55,6 +68,22 @@
     Ok(())
 }
 
+/// Prints what log files tell, in the order of time.
+fn from_logs(id: &str, files: &[PathBuf]) -> Result<()> {
+    let read = |file: &PathBuf| {
+        let text = fs::read(file).wrap_err_with(|| file.display().to_string())?;
+        let name = file.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+        Ok(Log { name, text: String::from_utf8_lossy(&text).into_owned() })
+    };
+    let logs = files.iter().map(read).collect::<Result<Vec<Log>>>()?;
+    let entries = timeline(id, &logs);
+    if entries.is_empty() {
+        bail!("no line names {id}");
+    }
+    entries.iter().for_each(|entry| println!("{entry}"));
+    Ok(())
+}
+
 /// Asks one entry instance after another; each knows the requests that it held itself.
 async fn ask(entries: &[SocketAddr], key: &Secret, id: &str) -> Result<Value> {
     let http = client::streaming(4).await?;
--- a/daemons/sill/src/verbs/mod.rs
+++ b/daemons/sill/src/verbs/mod.rs
@@ -10,6 +10,7 @@
 mod hash;
 mod replay;
 mod status;
+pub mod timeline;
 mod try_it;
 mod watch;
 
@@ -38,7 +39,7 @@
   replay    run recorded traces of decision cores and compare the stated outcomes
   hash      print the hash of a key or token for a settings file
 
-  entry, control, standin, load
+  entry, gateway, control, standin, load
             run what the program of that name runs
 ";
 
@@ -66,6 +67,7 @@
         "watch" => with_values(&watch::PROGRAM, words, watch::run),
         "try" => with_values(&try_it::PROGRAM, words, try_it::run),
         "entry" => sill_entry::cli::run(words),
+        "gateway" => sill_gateway::cli::run(words),
         "control" => sill_control::cli::run(words),
         "standin" => sill_standin::cli::run(words),
         "load" => sill_load::cli::run(words),
