--- a/coordination/route/src/lib.rs
+++ b/coordination/route/src/lib.rs
@@ -4,12 +4,14 @@
 mod endpoint;
 mod holders;
 mod home;
+mod newest;
 pub mod policy;
 pub mod prefix;
 pub mod retry;
 mod risk;
 pub mod router;
 mod score;
+mod survey;
 pub mod weaken;
 
 pub use ask::{Ask, Choice, Chosen, Event, Outcome, Refusal, RefusalReason, Target};
--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -10,10 +10,12 @@
 use crate::ask::{Ask, Choice, Chosen, Event, Refusal, RefusalReason, Target};
 use crate::endpoint::Endpoint;
 use crate::home;
+use crate::newest::Newest;
 use crate::policy::{ByPriority, PolicyCfg};
 use crate::prefix::{Depths, PrefixIndex};
 use crate::risk::Waves;
 use crate::score::{Candidate, Scorer};
+use crate::survey::Survey;
 use crate::weaken::Weakening;
 
 /// Settings of a router.
@@ -32,32 +34,16 @@
     policy: PolicyCfg,
     rng: Rng,
     endpoints: Map<Name, Endpoint>,
-    newest: Map<Name, Word>,
+    newest: Newest,
     prefixes: PrefixIndex,
     free_slots: Vec<usize>,
     slots: usize,
     waves: Waves,
     depths: Depths,
-    reclaimable_left: Map<Name, u32>,
-    dearest: u64,
-    /// What others have at the endpoints for each request of our own.
-    peers: f64,
-    /// Whether any endpoint is past its slow start.
-    any_warm: bool,
-    surveyed: Option<Millis>,
+    survey: Survey,
     weakening: Option<Weakening>,
 }
 
-/// The newest thing heard of an endpoint, kept apart from its state so that the promise is checked
-/// against what was heard and not against what was made of it.
-#[derive(Debug, Clone, Copy)]
-struct Word {
-    incarnation: Incarnation,
-    sequence: u64,
-    leaving: bool,
-    at: Millis,
-}
-
 /// Why an endpoint is not chosen.
 enum Unfit {
     /// It does not serve the target, or may not be given work.
@@ -68,25 +54,6 @@
     Late,
 }
 
-impl Word {
-    /// Returns whether an announcement tells something newer.
-    ///
-    /// Membership learns of a reclaim by a notice of its own and marks an announcement that it has
-    /// passed on before, so what turns a life to leaving counts whatever its number.
-    fn is_older_than(&self, announcement: &Announcement) -> bool {
-        let same_life = self.incarnation == announcement.incarnation;
-        let turns_leaving = same_life && announcement.leaving.is_some() && !self.leaving;
-        let newer =
-            (self.incarnation, self.sequence) < (announcement.incarnation, announcement.sequence);
-        turns_leaving || newer
-    }
-
-    /// Returns whether this life was said to be leaving; it stays so, whatever a stale copy says.
-    fn is_leaving(&self, incarnation: Incarnation) -> bool {
-        self.leaving && self.incarnation == incarnation
-    }
-}
-
 impl Router {
     /// Makes a router that knows no endpoint.
     pub fn new(cfg: RouterCfg) -> Self {
@@ -101,16 +68,12 @@
             cfg,
             policy,
             endpoints: Map::default(),
-            newest: Map::default(),
+            newest: Newest::default(),
             free_slots: Vec::new(),
             slots: 0,
             waves: Waves::default(),
             depths: Depths::default(),
-            reclaimable_left: Map::default(),
-            dearest: 0,
-            peers: 0.0,
-            any_warm: false,
-            surveyed: None,
+            survey: Survey::default(),
             weakening: None,
         }
     }
@@ -159,7 +122,7 @@
     }
 
     fn choose_by(&mut self, now: Millis, ask: &Ask, depths: &Depths) -> Choice {
-        let mut scorer = Scorer::new(&self.policy, ask, self.dearest);
+        let mut scorer = Scorer::new(&self.policy, ask, self.survey.dearest);
         let mut reason = RefusalReason::NoEndpoint;
         let home = self.home(now, ask);
         let mut has_healthy = false;
@@ -215,7 +178,7 @@
     ) -> Candidate<'a> {
         let a = &endpoint.announcement;
         let reclaim_per_s = if a.reclaimable {
-            let left = self.reclaimable_left.get(&a.domain).copied().unwrap_or(0);
+            let left = self.survey.reclaimable_left.get(&a.domain).copied().unwrap_or(0);
             self.waves.chance_per_s(&a.domain, left, now, &self.policy)
         } else {
             0.0
@@ -229,7 +192,7 @@
             is_home: home == Some(endpoint.slot),
             active: if trusts_report { reported } else { endpoint.active() },
             pending_tokens: pending(0.0),
-            presumed_tokens: pending(self.peers),
+            presumed_tokens: pending(self.survey.peers),
             slots: endpoint.slots(),
             usable_slots: self.usable_slots(now, endpoint),
             elsewhere: a.domain != self.cfg.domain,
@@ -241,7 +204,7 @@
     /// Returns the slots that an endpoint may use now. Where all are new, as after a start of the
     /// whole system, slow start would only make waits look longer than they are.
     fn usable_slots(&self, now: Millis, endpoint: &Endpoint) -> f64 {
-        if self.any_warm {
+        if self.survey.any_warm {
             return endpoint.usable_slots(now, &self.policy);
         }
         endpoint.slots()
@@ -295,7 +258,7 @@
     /// not bring back an endpoint that is leaving or gone.
     fn announced(&mut self, now: Millis, mut announcement: Announcement, age: Millis) {
         let incarnation = announcement.incarnation;
-        let newest = self.newest.get(&announcement.name).copied();
+        let newest = self.newest.get(&announcement.name);
         let was_leaving = newest.is_some_and(|w| w.is_leaving(incarnation));
         if was_leaving && self.weakening != Some(Weakening::OldAnnouncementOverrides) {
             announcement.leaving.get_or_insert(Millis::ZERO);
@@ -315,10 +278,7 @@
             self.waves.reclaimed(&announcement.domain, now, &self.policy);
         }
         if is_news {
-            let known = newest.filter(|w| w.incarnation == incarnation);
-            let sequence = known.map_or(0, |w| w.sequence).max(announcement.sequence);
-            let word = Word { incarnation, sequence, leaving, at: now };
-            self.newest.insert(announcement.name.clone(), word);
+            self.newest.note(now, &announcement);
         }
         self.store(now, announcement, age);
         self.survey(now);
@@ -387,35 +347,14 @@
         }
     }
 
-    /// Counts over all endpoints what each choice needs, now and then, since a pass over all of
-    /// them for each announcement would grow with the square of their number.
     fn survey(&mut self, now: Millis) {
-        const EVERY: Millis = Millis(100);
-        if self.surveyed.is_some_and(|last| now.since(last) < EVERY) {
-            return;
-        }
-        self.surveyed = Some(now);
-        self.reclaimable_left.clear();
-        self.dearest = 0;
-        self.any_warm = false;
-        let (mut others, mut own) = (0, 1);
-        for endpoint in self.endpoints.values() {
-            let a = &endpoint.announcement;
-            let shares = endpoint.shares();
-            others += shares.0;
-            own += shares.1;
-            self.dearest = self.dearest.max(a.price);
-            self.any_warm |= now.since(endpoint.first_seen) >= self.policy.slow_start;
-            if a.reclaimable && a.leaving.is_none() {
-                *self.reclaimable_left.entry(a.domain.clone()).or_default() += 1;
-            }
-        }
-        self.peers = f64::from(others) / f64::from(own);
+        self.survey.renew(now, self.endpoints.values(), &self.policy);
     }
 
     fn forget_words(&mut self, now: Millis) {
-        let (endpoints, ttl) = (&self.endpoints, self.policy.tombstone_ttl);
-        self.newest.retain(|name, word| endpoints.contains_key(name) || now.since(word.at) <= ttl);
+        let endpoints = &self.endpoints;
+        let is_known = |name: &Name| endpoints.contains_key(name);
+        self.newest.forget(now, self.policy.tombstone_ttl, is_known);
     }
 
     fn sent(&mut self, now: Millis, name: &Name, ask: &Ask) {
--- /dev/null
+++ b/coordination/route/src/survey.rs
@@ -0,0 +1,50 @@
+//! What each choice needs to know of all endpoints together.
+
+use sill_base::{Map, Millis, Name};
+
+use crate::endpoint::Endpoint;
+use crate::policy::PolicyCfg;
+
+/// Time between two surveys. A pass over all endpoints for each announcement would grow with the square of
+/// their number.
+const EVERY: Millis = Millis(100);
+
+/// Counts over all endpoints, made now and then.
+#[derive(Debug, Default)]
+pub(crate) struct Survey {
+    /// Reclaimable endpoints that stay, by failure domain.
+    pub(crate) reclaimable_left: Map<Name, u32>,
+    /// The highest price.
+    pub(crate) dearest: u64,
+    /// What others have at the endpoints for each request of our own.
+    pub(crate) peers: f64,
+    /// Whether any endpoint is past its slow start.
+    pub(crate) any_warm: bool,
+    at: Option<Millis>,
+}
+
+impl Survey {
+    /// Counts anew, unless that was done just now.
+    pub(crate) fn renew<'a, I>(&mut self, now: Millis, endpoints: I, policy: &PolicyCfg)
+    where
+        I: Iterator<Item = &'a Endpoint>,
+    {
+        if self.at.is_some_and(|last| now.since(last) < EVERY) {
+            return;
+        }
+        *self = Self { at: Some(now), ..Self::default() };
+        let (mut others, mut own) = (0, 1);
+        for endpoint in endpoints {
+            let a = &endpoint.announcement;
+            let shares = endpoint.shares();
+            others += shares.0;
+            own += shares.1;
+            self.dearest = self.dearest.max(a.price);
+            self.any_warm |= now.since(endpoint.first_seen) >= policy.slow_start;
+            if a.reclaimable && a.leaving.is_none() {
+                *self.reclaimable_left.entry(a.domain.clone()).or_default() += 1;
+            }
+        }
+        self.peers = f64::from(others) / f64::from(own);
+    }
+}
