--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -19,7 +19,7 @@
 pub use events::EventTracker;
 pub use pool::{Place, PlaceAsk, Placed, Pool, PoolCfg, Prompt, PromptPart};
 pub use registry::Registry;
-pub use share::{LimitBounds, Shares};
+pub use share::{LimitBounds, OverLimit, Shares};
 pub use table::{AccountEntry, RouteEntry, RouteTable};
 pub use totals::Adder;
 pub use true_time::TrueTime;
--- a/coordination/dispatch/src/share.rs
+++ b/coordination/dispatch/src/share.rs
@@ -5,6 +5,7 @@
 //! of an eighth is less than one large prompt, and the account would be refused within its limit.
 
 use std::collections::VecDeque;
+use std::fmt::{self, Display, Formatter};
 
 use sill_base::{Map, Millis, Name};
 use sill_limit::Bucket;
@@ -65,6 +66,37 @@
     pub slack: f64,
 }
 
+/// A refusal for a limit, with what decided it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct OverLimit {
+    /// When to come back.
+    pub wait: Millis,
+    /// The limit, in a second.
+    pub rate: f64,
+    /// The part of it that is given out here.
+    pub share: f64,
+    /// What is left here; below zero, a large call was admitted before.
+    pub balance: f64,
+    /// What all are presumed to have admitted in [`LIMIT_WINDOW`].
+    pub admitted: f64,
+    /// How old the totals are; none were heard yet.
+    pub age: Option<Millis>,
+}
+
+impl Display for OverLimit {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Self { rate, share, balance, admitted, .. } = self;
+        write!(
+            f,
+            "{share:.3} of {rate:.0}/s, {balance:.0} left, {admitted:.0} admitted everywhere"
+        )?;
+        match self.age {
+            Some(age) => write!(f, " as of {age} ms ago"),
+            None => f.write_str(", no totals heard"),
+        }
+    }
+}
+
 /// The accounts' limits at one entry instance.
 #[derive(Debug)]
 pub struct Shares {
@@ -186,7 +218,8 @@
     /// # Errors
     ///
     /// Fails with the time to wait where the account is over its limit here.
-    pub fn admit(&mut self, now: Millis, name: &Name, amount: f64) -> Result<(), Millis> {
+    pub fn admit(&mut self, now: Millis, name: &Name, amount: f64) -> Result<(), OverLimit> {
+        let even = 1.0 / f64::from(self.entries);
         let is_fresh = self.heard.is_some_and(|heard| now - heard < FRESH);
         let unseen = REPORT_AGE + self.heard.map_or(Millis::ZERO, |heard| now - heard);
         let Some(account) = self.accounts.get_mut(name) else { return Ok(()) };
@@ -197,7 +230,14 @@
         // goes into debt. Were any rest enough, each entry instance could go into debt at once.
         let is_open = account.bucket.covers(now, saved, amount);
         if !(is_open || is_fresh && is_far_below) {
-            return Err(account.bucket.holds_in(amount).max(SHORTEST_WAIT).min(LONGEST_WAIT));
+            return Err(OverLimit {
+                wait: account.bucket.holds_in(amount).max(SHORTEST_WAIT).min(LONGEST_WAIT),
+                rate: account.limit.rate,
+                share: account.share.unwrap_or(even),
+                balance: account.bucket.balance(),
+                admitted: account.presumed_total(unseen),
+                age: self.heard.map(|heard| now - heard),
+            });
         }
         account.spend(now, amount);
         Ok(())
--- a/coordination/limit/src/bucket.rs
+++ b/coordination/limit/src/bucket.rs
@@ -53,6 +53,11 @@
         self.balance >= cost.min(self.rate * burst.as_secs_f64())
     }
 
+    /// Returns what it holds; below zero, it is in debt.
+    pub fn balance(&self) -> f64 {
+        self.balance
+    }
+
     /// Takes what a request costs.
     pub fn take(&mut self, cost: f64) {
         self.balance -= cost;
--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -86,12 +86,15 @@
     route: Name,
     account: Name,
     why: &'static str,
+    /// What decided it, where that is more than the call itself.
+    inputs: String,
 }
 
 impl Refused {
     fn new(code: ErrorCode, why: &'static str) -> Self {
         let none = Name::default();
-        Self { failure: Failure::new(code), route: none.clone(), account: none, why }
+        let inputs = String::new();
+        Self { failure: Failure::new(code), route: none.clone(), account: none, why, inputs }
     }
 
     fn answer(&self, state: &State, attempt: &Name, arrived: Millis) -> Response<AnyBody> {
@@ -104,6 +107,7 @@
             account = self.account,
             status = self.failure.status().as_u16(),
             why = self.why,
+            inputs = self.inputs,
             retry_after_ms = self.failure.retry_after.unwrap_or_default(),
             revision = state.metrics.revision.get(),
             ms = state.clock.now() - arrived
@@ -136,10 +140,11 @@
     };
     let amount = amount(&head, account.as_deref());
     if let Some(account) = &account
-        && let Err(wait) = state.admit(&account.name, amount)
+        && let Err(over) = state.admit(&account.name, amount)
     {
         return Err(Refused {
-            failure: Failure::back_in(ErrorCode::LimitReached, wait),
+            failure: Failure::back_in(ErrorCode::LimitReached, over.wait),
+            inputs: format!("{amount:.0} of {over}"),
             route: route.name.clone(),
             account: account.name.clone(),
             why: "over_limit",
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -6,7 +6,7 @@
 use parking_lot::{Mutex, RwLock};
 use sill_base::{Clock, Map, Millis, Name, event};
 use sill_dispatch::usage::window_of;
-use sill_dispatch::{Average, Budgets, Pool, PoolCfg, RouteTable, Shares, UsageCounter};
+use sill_dispatch::{Average, Budgets, OverLimit, Pool, PoolCfg, RouteTable, Shares, UsageCounter};
 use sill_net::h1::{Connections, ConnectionsCfg};
 use sill_tree::{Document, Engine};
 use sill_wire::Incarnation;
@@ -260,7 +260,7 @@
     /// # Errors
     ///
     /// Fails with the time to wait where the account is over its limit.
-    pub fn admit(&self, account: &Name, amount: f64) -> Result<(), Millis> {
+    pub fn admit(&self, account: &Name, amount: f64) -> Result<(), OverLimit> {
         self.shares.lock().admit(self.clock.now(), account, amount)
     }
 
