Fleet: endpoints that are heard of late count towards what stands at the start

Test: 8 of 12 endpoints were left before the first call, now 12.

A replica's run number is no longer drawn from the time of day, which may go back between two runs. The soak's proxies read simpler.

--- a/bench/soak/src/link.rs
+++ b/bench/soak/src/link.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -81,39 +80,25 @@
     if let Some(Trouble::Reset) = *trouble.borrow() {
         return reset(&near);
     }
-    let is_open = |trouble: &Option<Trouble>| holds_back(*trouble, Way::There).is_none();
-    if trouble.wait_for(is_open).await.is_err() {
+    if trouble.wait_for(|trouble| passes(*trouble, Way::There)).await.is_err() {
         return;
     }
     let Ok(far) = TcpStream::connect(target).await else { return reset(&near) };
-    let (near, far) = (Arc::new(near), Arc::new(far));
-    // Each half closes its side when it ends; a reset is told to both.
-    let reset_both = {
-        let (near, far) = (near.clone(), far.clone());
-        move || {
+    let mut resets = trouble.clone();
+    let both = async {
+        let there = copy(&near, &far, Way::There, trouble.clone());
+        let back = copy(&far, &near, Way::Back, trouble.clone());
+        tokio::join!(there, back)
+    };
+    tokio::select! {
+        _ = both => {},
+        Ok(_) = resets.wait_for(|trouble| *trouble == Some(Trouble::Reset)) => {
             reset(&near);
             reset(&far);
         }
-    };
-    let mut resets = trouble.clone();
-    let is_reset = |trouble: &Option<Trouble>| *trouble == Some(Trouble::Reset);
-    tokio::select! {
-        _ = copy_both(near, far, trouble) => {},
-        Ok(_) = resets.wait_for(is_reset) => reset_both(),
     }
 }
 
-async fn copy_both(
-    near: Arc<TcpStream>,
-    far: Arc<TcpStream>,
-    trouble: watch::Receiver<Option<Trouble>>,
-) {
-    tokio::join!(
-        copy(&near, &far, Way::There, trouble.clone()),
-        copy(&far, &near, Way::Back, trouble)
-    );
-}
-
 /// Takes bytes over until one side ends.
 async fn copy(
     from: &TcpStream,
@@ -124,7 +109,7 @@
     let mut buf = vec![0; CHUNK];
     loop {
         let read = read(from, &mut buf).await;
-        if trouble.wait_for(|trouble| holds_back(*trouble, way).is_none()).await.is_err() {
+        if trouble.wait_for(|trouble| passes(*trouble, way)).await.is_err() {
             return;
         }
         let delay = match *trouble.borrow() {
@@ -172,13 +157,14 @@
     Ok(())
 }
 
-fn holds_back(trouble: Option<Trouble>, way: Way) -> Option<Trouble> {
-    trouble.filter(|trouble| match trouble {
-        Trouble::Silent => true,
-        Trouble::SilentThere => way == Way::There,
-        Trouble::SilentBack => way == Way::Back,
-        Trouble::Delay(_) | Trouble::Reset => false,
-    })
+/// Returns whether bytes pass on a way.
+fn passes(trouble: Option<Trouble>, way: Way) -> bool {
+    match trouble {
+        Some(Trouble::Silent) => false,
+        Some(Trouble::SilentThere) => way != Way::There,
+        Some(Trouble::SilentBack) => way != Way::Back,
+        Some(Trouble::Delay(_) | Trouble::Reset) | None => true,
+    }
 }
 
 /// Has the connection end by a reset once it is dropped.
--- a/bench/soak/src/plan.rs
+++ b/bench/soak/src/plan.rs
@@ -45,7 +45,7 @@
     LoseDisk,
 }
 
-/// Which way a cut goes.
+/// What befalls a way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Trouble {
     /// Bytes come late.
--- a/coordination/fleet/src/counts.rs
+++ b/coordination/fleet/src/counts.rs
@@ -129,25 +129,8 @@
 }
 
 impl Needs {
-    /// Presumes that what stands is needed.
-    ///
-    /// Orders differ by one between failure domains. One that has less than that has just lost its own;
-    /// on-demand endpoints may stand in for them elsewhere.
     fn of(now: Millis, view: &PoolView<'_>) -> Self {
-        let staying = staying(view);
-        let has_reclaimable = staying.values().any(|have| have.reclaimable > 0);
-        let count = |have: &Staying| match has_reclaimable {
-            true => have.reclaimable,
-            false => have.on_demand,
-        };
-        let most = staying.values().map(count).max().unwrap_or(0);
-        let domains = view.range.prices.keys();
-        let ordered = domains.map(|domain| {
-            let have = staying.get(domain).map_or(0, count);
-            if have + 1 < most { most } else { have }
-        });
-        let endpoints = ordered.sum::<u32>().saturating_sub(most);
-        Self { first: Some(Need { endpoints, at: now }), highest: Vec::new() }
+        Self { first: Some(Need { endpoints: standing(view), at: now }), highest: Vec::new() }
     }
 }
 
@@ -227,11 +210,13 @@
             endpoints += 1;
         }
         let needs = self.needs.entry(view.service.clone()).or_insert_with(|| Needs::of(now, view));
-        // Without any load, nothing is known of what is needed.
+        // Without any load, nothing is known of what is needed, and some of what stands may not have
+        // been heard of yet.
         if running == 0
             && let Some(first) = &mut needs.first
         {
             first.at = now;
+            first.endpoints = first.endpoints.max(standing(view));
         }
         needs.first.take_if(|first| now - first.at >= cfg.hold);
         needs.highest.retain(|need| now - need.at < cfg.hold);
@@ -368,6 +353,26 @@
     short.max(running.min(need.saturating_sub(live)))
 }
 
+/// Presumes that what stands is needed, and returns it as a need.
+///
+/// Orders differ by one between failure domains. One that has less than that has just lost its own;
+/// on-demand endpoints may stand in for them elsewhere.
+fn standing(view: &PoolView<'_>) -> u32 {
+    let staying = staying(view);
+    let has_reclaimable = staying.values().any(|have| have.reclaimable > 0);
+    let count = |have: &Staying| match has_reclaimable {
+        true => have.reclaimable,
+        false => have.on_demand,
+    };
+    let most = staying.values().map(count).max().unwrap_or(0);
+    let domains = view.range.prices.keys();
+    let ordered = domains.map(|domain| {
+        let have = staying.get(domain).map_or(0, count);
+        if have + 1 < most { most } else { have }
+    });
+    ordered.sum::<u32>().saturating_sub(most)
+}
+
 fn cell_of(order: &CountOrder) -> Cell {
     Cell {
         service: order.service.clone(),
--- a/coordination/fleet/tests/counts.rs
+++ b/coordination/fleet/tests/counts.rs
@@ -189,3 +189,19 @@
     assert!(world.live.len() >= 5, "{} endpoints for a load of five", world.live.len());
     assert!(paid <= 170, "{paid} seconds of on-demand endpoints for a load of 100");
 }
+
+/// A control instance begins to order a few seconds after its start and has heard of two thirds of the
+/// endpoints by then; the others say so a second later. What it gave up before the first call was missing
+/// when the calls came, and these were refused.
+#[test]
+fn endpoints_that_are_heard_of_late_count_towards_what_stands_at_the_start() {
+    let mut world = World::new();
+    let all = std::mem::take(&mut world.live);
+    let (late, heard): (Vec<_>, Vec<_>) =
+        all.into_iter().enumerate().partition(|(i, _)| i % 3 == 0);
+    world.live = heard.into_iter().map(|(_, endpoint)| endpoint).collect();
+    world.run(Millis(500), Demand::default(), grant);
+    world.live.extend(late.into_iter().map(|(_, endpoint)| endpoint));
+    world.run(Millis(10_000), Demand::default(), grant);
+    assert!(world.live.len() >= 12, "{} endpoints before the first call", world.live.len());
+}
--- a/daemons/control/src/log/driver.rs
+++ b/daemons/control/src/log/driver.rs
@@ -138,7 +138,9 @@
         if let Some(snapshot) = &persisted.snapshot {
             self.restore(snapshot)?;
         }
-        let seed = Millis::wall().0 ^ blake3::hash(self.name.as_bytes()).as_bytes()[0] as u64;
+        // Not drawn from the clock: it tells this run of the replica from all earlier ones, also where
+        // the time of day went back between them.
+        let seed = rand::random();
         let (cfg, id) = (self.cfg.clone(), disk.id().clone());
         self.replica = Some(Replica::restore(cfg, id, persisted, seed, self.clock.now()));
         self.disk = Some(disk);
