--- a/bench/soak/src/backend.rs
+++ b/bench/soak/src/backend.rs
@@ -22,6 +22,7 @@
 use tokio::task::JoinSet;
 
 use crate::caller::{ACCOUNT, SUM, sum};
+use crate::cluster::key;
 use crate::exchange;
 use crate::plan::Habit;
 
@@ -268,7 +269,7 @@
         let body = serde_json::to_vec(&announcement).expect("it can be written");
         let req = Request::post("/announce")
             .header("host", "control")
-            .header("authorization", "Bearer soak-join-token")
+            .header("authorization", format!("Bearer {}", key("join-token")))
             .body(Full::new(Bytes::from(body)))
             .expect("a request of fixed parts");
         let sent = exchange::once(controls[turn % controls.len()], req, ANNOUNCE_PATIENCE).await;
--- a/bench/soak/src/cluster.rs
+++ b/bench/soak/src/cluster.rs
@@ -191,10 +191,15 @@
     folder.join(format!("{name}.txt"))
 }
 
+/// Returns the key or token of a name.
+pub fn key(name: &str) -> String {
+    format!("soak-{name}")
+}
+
 fn write_keys(folder: &Path) -> Result<()> {
     fs::create_dir_all(folder)?;
     for name in ["cluster-key", "root-token", "join-token"] {
-        fs::write(key_file(folder, name), format!("soak-{name}\n"))?;
+        fs::write(key_file(folder, name), key(name))?;
     }
     Ok(())
 }
--- a/bench/soak/src/link.rs
+++ b/bench/soak/src/link.rs
@@ -45,11 +45,6 @@
     pub fn set(&self, trouble: Option<Trouble>) {
         self.trouble.send_replace(trouble);
     }
-
-    /// Returns whether it is in trouble.
-    pub fn is_troubled(&self) -> bool {
-        self.trouble.borrow().is_some()
-    }
 }
 
 async fn accept(
--- a/bench/soak/src/operator.rs
+++ b/bench/soak/src/operator.rs
@@ -19,6 +19,7 @@
 
 use crate::backend::SERVICE;
 use crate::caller::{ACCOUNT, HOST, KEY};
+use crate::cluster::key;
 use crate::exchange::{self, Got};
 
 /// How long a change or a read may take.
@@ -87,7 +88,7 @@
         for _ in 0..TRIES {
             let req = Request::put("/tree/serving")
                 .header("host", "control")
-                .header("authorization", "Bearer soak-root-token")
+                .header("authorization", format!("Bearer {}", key("root-token")))
                 .header(header::CHANGE_ID, format!("change-{number}"))
                 .body(Full::new(Bytes::from(body.clone())))
                 .expect("a request of fixed parts");
@@ -142,7 +143,7 @@
     async fn fresh(&mut self) -> Result<(u64, u64)> {
         let req = Request::get("/tree/serving")
             .header("host", "control")
-            .header("authorization", "Bearer soak-root-token")
+            .header("authorization", format!("Bearer {}", key("root-token")))
             .body(Full::default())?;
         let got = exchange::once(self.pick(), req, PATIENCE).await?;
         let Some(body) = json(&got).filter(|_| got.status == 200) else { bail!("{}", got.status) };
--- a/bench/soak/src/process.rs
+++ b/bench/soak/src/process.rs
@@ -1,7 +1,7 @@
 //! A program that the soak started, and what is done to it from outside.
 
 use std::fs::{self, File};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 
 use eyre::{Result, WrapErr, eyre};
@@ -25,7 +25,7 @@
 
 impl Process {
     /// Describes a program; it isn't started yet.
-    pub fn new(name: String, program: PathBuf, words: Vec<String>, logs: &std::path::Path) -> Self {
+    pub fn new(name: String, program: PathBuf, words: Vec<String>, logs: &Path) -> Self {
         let log = logs.join(format!("{name}.log"));
         Self { name, program, words, log, data: None, child: None, is_stopping: false }
     }
--- a/bench/soak/src/run.rs
+++ b/bench/soak/src/run.rs
@@ -1,7 +1,8 @@
 //! One run: start, faults, recovery, verdict.
 
 use std::fs;
-use std::path::PathBuf;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use crate::exchange;
 use crate::operator::{Operator, Seen};
 use crate::plan::{self, Fault, Hit, Sizes};
+use crate::process::Process;
 use crate::verdict::{self, Verdict};
 
 /// How many there are of each: a few dozen processes and ways in all.
@@ -92,7 +94,7 @@
     Ok(verdict)
 }
 
-async fn soak(cfg: &SoakCfg, folder: &std::path::Path) -> Result<Verdict> {
+async fn soak(cfg: &SoakCfg, folder: &Path) -> Result<Verdict> {
     let ledger = Arc::new(Ledger::default());
     let cluster = Cluster::start(&cfg.sill, folder, SIZES, &ledger).await?;
     let (entries, controls) = (cluster.entry_addresses.clone(), cluster.control_addresses.clone());
@@ -179,7 +181,7 @@
     }
 
     /// Waits until each entry instance answers several requests in a row.
-    async fn wait_until_served(&self, entries: &[std::net::SocketAddr], when: &str) {
+    async fn wait_until_served(&self, entries: &[SocketAddr], when: &str) {
         let began = self.clock.now();
         for (i, entry) in entries.iter().enumerate() {
             let mut in_a_row = 0;
@@ -225,28 +227,16 @@
             cluster.lock().await.controls.iter_mut().try_for_each(|control| control.start())
         }
         Fault::ControlLinks(i, trouble, span) => {
-            cluster.lock().await.trouble_control(i, Some(trouble));
-            tokio::time::sleep(span.into()).await;
-            cluster.lock().await.trouble_control(i, None);
-            Ok(())
+            for_a_while(cluster, span, |c, on| c.trouble_control(i, on.then_some(trouble))).await
         }
         Fault::EntryLinks(i, trouble, span) => {
-            cluster.lock().await.trouble_entry(i, Some(trouble));
-            tokio::time::sleep(span.into()).await;
-            cluster.lock().await.trouble_entry(i, None);
-            Ok(())
+            for_a_while(cluster, span, |c, on| c.trouble_entry(i, on.then_some(trouble))).await
         }
         Fault::EndpointLink(i, trouble, span) => {
-            cluster.lock().await.trouble_endpoint(i, Some(trouble));
-            tokio::time::sleep(span.into()).await;
-            cluster.lock().await.trouble_endpoint(i, None);
-            Ok(())
+            for_a_while(cluster, span, |c, on| c.trouble_endpoint(i, on.then_some(trouble))).await
         }
         Fault::Endpoint(i, habit, span) => {
-            cluster.lock().await.endpoints[i].set_habit(Some(habit));
-            tokio::time::sleep(span.into()).await;
-            cluster.lock().await.endpoints[i].set_habit(None);
-            Ok(())
+            for_a_while(cluster, span, |c, on| c.endpoints[i].set_habit(on.then_some(habit))).await
         }
         Fault::Replace(i) => {
             cluster.lock().await.endpoints[i].leave();
@@ -256,6 +246,17 @@
     }
 }
 
+/// Sets something, and takes it back after a while.
+async fn for_a_while<F>(cluster: &tokio::sync::Mutex<Cluster>, span: Millis, set: F) -> Result<()>
+where
+    F: Fn(&Cluster, bool),
+{
+    set(&*cluster.lock().await, true);
+    tokio::time::sleep(span.into()).await;
+    set(&*cluster.lock().await, false);
+    Ok(())
+}
+
 /// A process by its place.
 #[derive(Debug, Clone, Copy)]
 enum Place {
@@ -264,7 +265,7 @@
 }
 
 impl Place {
-    fn of(self, cluster: &mut Cluster) -> &mut crate::process::Process {
+    fn of(self, cluster: &mut Cluster) -> &mut Process {
         match self {
             Self::Control(i) => &mut cluster.controls[i],
             Self::Entry(i) => &mut cluster.entries[i],
