The life of an endpoint is its name and start; words of other writers name no endpoint

Cause: endpoints may start again under the name that they had. Heartbeats were compared by their number alone, so the new life was ignored until its count passed the old one's, or for good where the old life had left; the router took what became of old requests for the new life's.

Now (name, start) is compared everywhere: registry, pool, router's incarnation, places of calls; connections and planned moves of the old life are dropped. Within one life the service and failure domain can't change. What can't be read is refused with its place and logged.

--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -17,7 +17,7 @@
 pub use average::Average;
 pub use budget::{Budgets, RetryBounds};
 pub use events::EventTracker;
-pub use pool::{Place, PlaceAsk, Placed, Pool, PoolCfg, Prompt, PromptPart};
+pub use pool::{Heard, Place, PlaceAsk, Placed, Pool, PoolCfg, Prompt, PromptPart};
 pub use registry::Registry;
 pub use share::{LimitBounds, OverLimit, Shares};
 pub use table::{AccountEntry, RouteEntry, RouteTable};
--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -96,8 +96,10 @@
 /// Where a call goes.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Place {
-    /// The endpoint's life.
+    /// The endpoint.
     pub endpoint: Name,
+    /// Its life. What comes of the call says nothing about a later one.
+    pub born: Incarnation,
     /// Its address.
     pub address: SocketAddr,
     /// Prompt tokens that are not thought to be cached there.
@@ -106,6 +108,17 @@
     pub why: String,
 }
 
+/// What a fact was worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// It is known, or older than what is.
+    Nothing,
+    /// It is newer.
+    News,
+    /// The endpoint has started again; its old life was at this address.
+    Restart(SocketAddr),
+}
+
 /// The endpoints of one service.
 #[derive(Debug)]
 pub struct Pool {
@@ -138,19 +151,19 @@
         Self { cfg, router, endpoints: Map::default(), sequence: 0 }
     }
 
-    /// Takes in what was heard of an endpoint. Returns whether it is news.
-    pub fn heard(&mut self, now: Millis, fact: &EndpointFact) -> bool {
+    /// Takes in what was heard of an endpoint.
+    pub fn heard(&mut self, now: Millis, fact: &EndpointFact) -> Heard {
         self.forget_gone(now);
-        let is_new = match self.endpoints.get(&fact.endpoint) {
-            // Two control instances tell the same; what is older or said before changes nothing.
-            Some(known) => {
-                let last = (known.fact.sequence, known.fact.state);
-                fact.sequence > last.0 || fact.sequence == last.0 && fact.state > last.1
-            }
-            None => true,
+        let known = self.endpoints.get(&fact.endpoint).map(|known| &known.fact);
+        // Two control instances tell the same; what is older or said before changes nothing.
+        let age = |fact: &EndpointFact| (fact.born, fact.sequence, fact.state);
+        let heard = match known {
+            Some(known) if fact.born > known.born => Heard::Restart(known.address),
+            Some(known) if age(fact) <= age(known) => return Heard::Nothing,
+            _ => Heard::News,
         };
-        if !is_new {
-            return false;
+        if matches!(heard, Heard::Restart(_)) {
+            self.endpoints.remove(&fact.endpoint);
         }
         let fresh = || Known { fact: fact.clone(), load: Load::default(), own: 0, heard: now };
         let known = self.endpoints.entry(fact.endpoint.clone()).or_insert_with(fresh);
@@ -160,17 +173,22 @@
             EndpointState::Gone | EndpointState::Silent => self.drop_from_router(now, fact),
             EndpointState::Ready | EndpointState::Leaving => self.announce(now, &fact.endpoint),
         }
-        true
+        heard
     }
 
     fn drop_from_router(&mut self, now: Millis, fact: &EndpointFact) {
-        let (endpoint, incarnation) = (fact.endpoint.clone(), Incarnation::default());
+        let (endpoint, incarnation) = (fact.endpoint.clone(), fact.born);
         self.step(now, Event::Gone { endpoint, incarnation });
     }
 
+    /// Returns what is known of the life of the endpoint to which a call went, unless another one follows.
+    fn life(&mut self, place: &Place) -> Option<&mut Known> {
+        self.endpoints.get_mut(&place.endpoint).filter(|known| known.fact.born == place.born)
+    }
+
     /// Takes in that another endpoint answered at an address, so this one has ended.
-    pub fn ended(&mut self, now: Millis, endpoint: &Name) {
-        let Some(known) = self.endpoints.get_mut(endpoint) else { return };
+    pub fn ended(&mut self, now: Millis, place: &Place) {
+        let Some(known) = self.life(place) else { return };
         known.fact.state = EndpointState::Gone;
         known.heard = now;
         let fact = known.fact.clone();
@@ -184,18 +202,18 @@
     }
 
     /// Takes in the load that an endpoint reported with an answer.
-    pub fn load(&mut self, now: Millis, endpoint: &Name, running: u32, queued: u32) {
-        if let Some(known) = self.endpoints.get_mut(endpoint).filter(|known| !known.is_gone()) {
+    pub fn load(&mut self, now: Millis, place: &Place, running: u32, queued: u32) {
+        if let Some(known) = self.life(place).filter(|known| !known.is_gone()) {
             known.load = Load { running, queued, ..Load::default() };
-            self.announce(now, endpoint);
+            self.announce(now, &place.endpoint);
         }
     }
 
     /// Takes in that an endpoint has no room.
-    pub fn full(&mut self, now: Millis, endpoint: &Name) {
-        let Some(known) = self.endpoints.get(endpoint) else { return };
+    pub fn full(&mut self, now: Millis, place: &Place) {
+        let Some(known) = self.life(place) else { return };
         let (running, queued) = (known.fact.slots, known.fact.slots);
-        self.load(now, endpoint, running, queued);
+        self.load(now, place, running, queued);
     }
 
     /// Chooses an endpoint for a call and counts it there, or refuses it.
@@ -209,6 +227,7 @@
                 known.own += 1;
                 let place = Place {
                     endpoint: chosen.endpoint.clone(),
+                    born: known.fact.born,
                     address: known.fact.address,
                     fresh_tokens: ask.prompt_tokens.saturating_sub(chosen.cached_tokens),
                     why: chosen.why,
@@ -228,17 +247,19 @@
     }
 
     /// Takes in that the first part of an answer came.
-    pub fn began(&mut self, now: Millis, endpoint: &Name, attempt: &Name) {
-        let (endpoint, request) = (endpoint.clone(), attempt.clone());
+    pub fn began(&mut self, now: Millis, place: &Place, attempt: &Name) {
+        if self.life(place).is_none() {
+            return;
+        }
+        let (endpoint, request) = (place.endpoint.clone(), attempt.clone());
         self.step(now, Event::FirstToken { endpoint, request });
     }
 
     /// Takes in that an attempt is over.
-    pub fn over(&mut self, now: Millis, endpoint: &Name, attempt: &Name, outcome: Outcome) {
-        if let Some(known) = self.endpoints.get_mut(endpoint) {
-            known.own = known.own.saturating_sub(1);
-        }
-        let (endpoint, request) = (endpoint.clone(), attempt.clone());
+    pub fn over(&mut self, now: Millis, place: &Place, attempt: &Name, outcome: Outcome) {
+        let Some(known) = self.life(place) else { return };
+        known.own = known.own.saturating_sub(1);
+        let (endpoint, request) = (place.endpoint.clone(), attempt.clone());
         self.step(now, Event::Ended { endpoint, request, tokens: 0, outcome });
     }
 
@@ -281,7 +302,7 @@
         let is_leaving = known.fact.state == EndpointState::Leaving;
         let announcement = Announcement {
             name: endpoint.clone(),
-            incarnation: Incarnation::default(),
+            incarnation: known.fact.born,
             sequence: self.sequence,
             address: Name::default(),
             domain: known.fact.domain.clone(),
--- a/coordination/dispatch/src/registry.rs
+++ b/coordination/dispatch/src/registry.rs
@@ -1,5 +1,6 @@
 //! The endpoints that are known at a control instance, from heartbeats.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -60,11 +61,14 @@
         is_changed
     }
 
-    /// Takes in that an endpoint says it ends, which it may do without a heartbeat before.
-    pub fn ended(&mut self, now: Millis, endpoint: &Name) -> bool {
+    /// Takes in that an endpoint says it ends, which it may do without a heartbeat before. `born` is none
+    /// where it doesn't tell which of its lives that is.
+    pub fn ended(&mut self, now: Millis, endpoint: &Name, born: Option<Incarnation>) -> bool {
         // Its heartbeats may have gone to another control instance, from which nothing came yet.
-        let known = self.known.get(endpoint);
-        let known = known.map_or_else(|| bare(endpoint), |known| known.fact.clone());
+        let known = self.known.get(endpoint).map(|known| &known.fact);
+        let known = known.filter(|fact| born.is_none_or(|born| born == fact.born)).cloned();
+        let born = born.unwrap_or_default();
+        let known = known.unwrap_or_else(|| EndpointFact { born, ..bare(endpoint) });
         let fact = EndpointFact {
             state: EndpointState::Gone,
             sequence: known.sequence.saturating_add(1),
@@ -85,6 +89,21 @@
             self.note(fact, heard);
             return true;
         };
+        // A name that ends without telling its life is taken to mean the one that is known.
+        let tells_life = !is_bare(&fact) || fact.born != Incarnation::default();
+        match fact.born.cmp(&known.fact.born) {
+            // After a restart under the same name the sequence begins anew. By the sequence alone the new
+            // life would be ignored for as long as the old one had lasted, or for good.
+            Ordering::Greater => {
+                self.restart(fact, heard);
+                return true;
+            }
+            Ordering::Less if tells_life => return false,
+            Ordering::Less | Ordering::Equal => fact.born = known.fact.born,
+        }
+        if contradicts(&known.fact, &fact) {
+            return false;
+        }
         let is_older = fact.sequence <= known.fact.sequence && fact.state <= known.fact.state;
         let completes = is_bare(&known.fact) && !is_bare(&fact);
         if is_older && !completes {
@@ -112,6 +131,14 @@
         true
     }
 
+    /// Returns whether a fact can't be an endpoint's own word: no endpoint moves to another service or
+    /// failure domain within one life. Taken in, the word of another writer would take the endpoint away
+    /// from its service until it falls silent.
+    pub fn is_foreign(&self, fact: &EndpointFact) -> bool {
+        let known = self.known.get(&fact.endpoint).map(|known| &known.fact);
+        known.is_some_and(|known| known.born == fact.born && contradicts(known, fact))
+    }
+
     /// Finds endpoints that fell silent, and forgets those that went long ago. Returns whether any
     /// fell silent.
     pub fn expire(&mut self, now: Millis) -> bool {
@@ -177,6 +204,16 @@
         self.renumber(&name);
     }
 
+    /// Puts a new life in the place of an old one.
+    fn restart(&mut self, fact: EndpointFact, heard: Millis) {
+        if let Some(known) = self.known.get_mut(&fact.endpoint) {
+            known.heard = heard;
+            let name = fact.endpoint.clone();
+            known.fact = fact;
+            self.renumber(&name);
+        }
+    }
+
     fn renumber(&mut self, name: &Name) {
         let Some(known) = self.known.get_mut(name) else { return };
         self.by_change.remove(&known.change);
@@ -191,6 +228,7 @@
 fn bare(endpoint: &Name) -> EndpointFact {
     EndpointFact {
         endpoint: endpoint.clone(),
+        born: Incarnation::default(),
         service: Name::default(),
         domain: Name::default(),
         address: SocketAddr::from(([0, 0, 0, 0], 0)),
@@ -207,6 +245,11 @@
     fact.service.is_empty()
 }
 
+fn contradicts(known: &EndpointFact, fact: &EndpointFact) -> bool {
+    let are_whole = !is_bare(known) && !is_bare(fact);
+    are_whole && (known.service != fact.service || known.domain != fact.domain)
+}
+
 fn is_alike(a: &EndpointFact, b: &EndpointFact) -> bool {
     a.state == b.state
         && a.address == b.address
--- /dev/null
+++ b/coordination/dispatch/tests/pool.rs
@@ -0,0 +1,93 @@
+//! The endpoints of one service at an entry instance.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sill_base::{Millis, Name};
+use sill_dispatch::{Heard, Place, PlaceAsk, Placed, Pool, PoolCfg, Prompt};
+use sill_route::Outcome;
+use sill_wire::Incarnation;
+use sill_wire::link::{EndpointFact, EndpointState};
+
+fn pool() -> Pool {
+    Pool::new(PoolCfg {
+        service: "desk".into(),
+        domain: "a".into(),
+        is_engine: false,
+        cache_tokens: 0,
+        seed: 1,
+    })
+}
+
+fn fact(born: u64, sequence: u64, state: EndpointState) -> EndpointFact {
+    EndpointFact {
+        endpoint: "e1".into(),
+        born: Incarnation(born),
+        service: "desk".into(),
+        domain: "a".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        slots: 8,
+        sequence,
+        state,
+        reclaimable: false,
+        leaves_in: None,
+        age: Millis::ZERO,
+    }
+}
+
+fn place(pool: &mut Pool, now: Millis, attempt: &str) -> Option<Place> {
+    let ask = PlaceAsk {
+        attempt: attempt.into(),
+        prompt: Arc::new(Prompt::default()),
+        deadline: now + Millis(10_000),
+        exclude: Vec::new(),
+    };
+    match pool.place(now, &ask) {
+        Placed::Endpoint(place) => Some(place),
+        Placed::Refused { .. } => None,
+    }
+}
+
+/// An endpoint crashes with requests on it and starts again under its name, at once. What becomes of the
+/// old requests must not count against the new life: passed over as one that just failed, or thought
+/// full of requests that are long gone, it is idle while callers are refused.
+#[test]
+fn what_comes_of_calls_to_an_old_life_says_nothing_about_the_new_one() {
+    let mut pool = pool();
+    pool.heard(Millis(1000), &fact(5, 90, EndpointState::Ready));
+    let names: Vec<Name> = (0..8).map(|i| format!("r{i}").into()).collect();
+    let old: Vec<Place> =
+        names.iter().map(|name| place(&mut pool, Millis(1000), name).expect("room")).collect();
+    assert_eq!(pool.running(), 8);
+    let restarted = pool.heard(Millis(2000), &fact(7, 1, EndpointState::Ready));
+    assert_eq!(restarted, Heard::Restart(SocketAddr::from(([10, 0, 0, 1], 80))));
+    assert_eq!(pool.running(), 0, "the new life holds nothing");
+    let new = place(&mut pool, Millis(2000), "s0").expect("the new life takes requests");
+    for (place, name) in old.iter().zip(&names) {
+        pool.full(Millis(2100), place);
+        pool.ended(Millis(2100), place);
+        pool.over(Millis(2100), place, name, Outcome::Failed);
+    }
+    assert_eq!((pool.running(), new.born), (1, Incarnation(7)));
+    assert!(place(&mut pool, Millis(2200), "s1").is_some(), "it is neither full nor suspect");
+}
+
+/// Two control instances tell of an endpoint that restarted under its name; one of them, cut off, knows only
+/// the old life and tells last.
+#[test]
+fn an_old_life_never_overtakes_a_newer_one() {
+    let mut pool = pool();
+    pool.heard(Millis(1000), &fact(7, 1, EndpointState::Ready));
+    let late = [
+        fact(5, 90, EndpointState::Ready),
+        fact(5, 91, EndpointState::Leaving),
+        fact(5, 92, EndpointState::Silent),
+        fact(5, 93, EndpointState::Gone),
+    ];
+    for word in late {
+        assert_eq!(pool.heard(Millis(1100), &word), Heard::Nothing);
+        assert!(pool.is_ready(&"e1".into()));
+    }
+    pool.heard(Millis(1200), &fact(7, 2, EndpointState::Gone));
+    assert!(!pool.is_ready(&"e1".into()));
+}
--- a/coordination/dispatch/tests/registry.rs
+++ b/coordination/dispatch/tests/registry.rs
@@ -13,6 +13,7 @@
 fn fact(sequence: u64, state: EndpointState) -> EndpointFact {
     EndpointFact {
         endpoint: "e1".into(),
+        born: Incarnation::default(),
         service: "desk".into(),
         domain: "a".into(),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
@@ -49,7 +50,7 @@
 fn an_end_that_comes_before_the_beginning_is_kept() {
     let (mut a, mut b) = (registry(1), registry(2));
     a.heard(Millis(1000), fact(1, EndpointState::Ready));
-    assert!(b.ended(Millis(1100), &"e1".into()), "it is news to the others");
+    assert!(b.ended(Millis(1100), &"e1".into(), None), "it is news to the others");
     pass_on(&mut b, &mut a, Millis(1150));
     pass_on(&mut a, &mut b, Millis(1200));
     for registry in [&a, &b] {
@@ -132,3 +133,96 @@
     let of_other_life = Cursor { life: Incarnation(7), ..cursor };
     assert_eq!(registry.newer_than(Millis(2200), of_other_life).len(), 1);
 }
+
+fn born(at: u64, sequence: u64, state: EndpointState) -> EndpointFact {
+    EndpointFact { born: Incarnation(at), ..fact(sequence, state) }
+}
+
+/// An endpoint crashes and starts again under the name that it had, and counts its heartbeats from one.
+/// Compared by that count alone, the new life is ignored for as long as the old one lasted, and its callers
+/// find one endpoint less; or a heartbeat of the old life that was held up by a cut comes last, and
+/// requests go to an address where nothing listens any more.
+#[test]
+fn a_restart_under_the_same_name_replaces_the_old_life() {
+    struct Case {
+        name: &'static str,
+        words: Vec<EndpointFact>,
+        expected: (u64, EndpointState),
+    }
+    let cases = [
+        Case {
+            name: "the new life counts anew",
+            words: vec![born(5, 90, EndpointState::Ready), born(7, 1, EndpointState::Ready)],
+            expected: (7, EndpointState::Ready),
+        },
+        Case {
+            name: "the old life had left",
+            words: vec![born(5, 90, EndpointState::Leaving), born(7, 1, EndpointState::Ready)],
+            expected: (7, EndpointState::Ready),
+        },
+        Case {
+            name: "the old life is heard last",
+            words: vec![
+                born(5, 1, EndpointState::Ready),
+                born(7, 1, EndpointState::Ready),
+                born(5, 91, EndpointState::Leaving),
+            ],
+            expected: (7, EndpointState::Ready),
+        },
+        Case {
+            name: "the old life ends last",
+            words: vec![born(7, 1, EndpointState::Ready), born(5, 91, EndpointState::Gone)],
+            expected: (7, EndpointState::Ready),
+        },
+        Case {
+            name: "the new life leaves",
+            words: vec![born(5, 90, EndpointState::Ready), born(7, 1, EndpointState::Leaving)],
+            expected: (7, EndpointState::Leaving),
+        },
+    ];
+    for case in cases {
+        let (mut a, mut b) = (registry(1), registry(2));
+        for (i, word) in case.words.into_iter().enumerate() {
+            let now = Millis(1000 + i as u64);
+            a.heard(now, word);
+            // Each change is passed on at once; all of them once more, in the end, by another way.
+            pass_on(&mut a, &mut b, now);
+        }
+        a.all(Millis(1100)).into_iter().for_each(|fact| {
+            b.take(Millis(1100), fact);
+        });
+        for registry in [&a, &b] {
+            let facts = registry.newer_than(Millis(1100), Cursor::default());
+            let got: Vec<_> = facts.iter().map(|fact| (fact.born.0, fact.state)).collect();
+            assert_eq!(got, [case.expected], "{}", case.name);
+        }
+    }
+}
+
+/// An endpoint says that it ends to a control instance that has not heard of it, and doesn't tell which
+/// life that is. Taken for an old one, the end is dropped, and its requests go nowhere.
+#[test]
+fn an_end_without_a_life_means_the_life_that_is_known() {
+    let (mut a, mut b) = (registry(1), registry(2));
+    a.heard(Millis(1000), born(5, 1, EndpointState::Ready));
+    b.ended(Millis(1100), &"e1".into(), None);
+    pass_on(&mut b, &mut a, Millis(1150));
+    assert_eq!(told(&a, Millis(1200)), [("e1".into(), EndpointState::Gone)]);
+}
+
+/// Something else writes heartbeats under the name of an endpoint, for another service. Taken in, they
+/// take the endpoint away from its callers.
+#[test]
+fn an_endpoint_keeps_its_service_and_failure_domain_for_life() {
+    let foreign = [
+        EndpointFact { service: "other".into(), ..born(5, 2, EndpointState::Ready) },
+        EndpointFact { domain: "elsewhere".into(), ..born(5, 2, EndpointState::Gone) },
+    ];
+    for word in foreign {
+        let mut registry = registry(1);
+        registry.heard(Millis(1000), born(5, 1, EndpointState::Ready));
+        assert!(registry.is_foreign(&word));
+        assert!(!registry.take(Millis(1100), word));
+        assert_eq!(told(&registry, Millis(1200)), [("e1".into(), EndpointState::Ready)]);
+    }
+}
--- a/daemons/control/src/api/announce.rs
+++ b/daemons/control/src/api/announce.rs
@@ -21,14 +21,11 @@
     let fact = serde_json::from_slice::<Announcement>(&body)
         .map_err(|err| Findings::one("body", err.to_string()))
         .and_then(fact);
-    let fact = match fact {
-        Ok(fact) => fact,
-        Err(findings) => {
-            event!(Warn, "announcement_refused", reason = findings);
-            return http::json(400, &judge::invalid(findings));
-        }
-    };
-    app.link.heartbeat(app.clock.now(), fact);
+    let taken = fact.and_then(|fact| app.link.heartbeat(app.clock.now(), fact));
+    if let Err(findings) = taken {
+        event!(Warn, "announcement_refused", reason = findings);
+        return http::json(400, &judge::invalid(findings));
+    }
     // Endpoints keep to the addresses that they were given; others may be reached by another way.
     http::json(200, &AnnounceReply { accepted: true, reason: None, entries: Vec::new() })
 }
@@ -48,6 +45,7 @@
     };
     Ok(EndpointFact {
         endpoint: format!("{}.{}", announcement.name, announcement.incarnation.0).into(),
+        born: announcement.incarnation,
         service,
         domain: announcement.domain,
         address,
--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use parking_lot::Mutex;
-use sill_base::{Map, Millis, Name, event};
+use sill_base::{Findings, Map, Millis, Name, event};
 use sill_dispatch::{Adder, Ledger, Registry, TrueTime};
 use sill_net::PeerError;
 use sill_quorum::RoleName;
@@ -85,8 +85,17 @@
     }
 
     /// Takes in a heartbeat of an endpoint.
-    pub fn heartbeat(&self, now: Millis, fact: EndpointFact) {
+    ///
+    /// # Errors
+    ///
+    /// Fails where it contradicts what the endpoint said before in the same life.
+    pub fn heartbeat(&self, now: Millis, fact: EndpointFact) -> Result<(), Findings> {
+        if self.registry.lock().is_foreign(&fact) {
+            let reason = "another service or failure domain than before in the same life";
+            return Err(Findings::one("service", reason));
+        }
         let (endpoint, state, sequence) = (fact.endpoint.clone(), fact.state, fact.sequence);
+        let born = fact.born;
         let (service, domain, address) = (fact.service.clone(), fact.domain.clone(), fact.address);
         if self.registry.lock().heard(now, fact) {
             event!(
@@ -98,14 +107,16 @@
                 service = service,
                 domain = domain,
                 address = address,
+                born = born.0,
             );
             self.changed();
         }
+        Ok(())
     }
 
     /// Takes in that an endpoint says it ends.
-    pub fn ended(&self, now: Millis, endpoint: &Name) {
-        if self.registry.lock().ended(now, endpoint) {
+    pub fn ended(&self, now: Millis, endpoint: &Name, born: Option<Incarnation>) {
+        if self.registry.lock().ended(now, endpoint, born) {
             event!(Info, "endpoint_heard", endpoint = endpoint, state = "Gone");
             self.changed();
         }
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -188,8 +188,7 @@
         }
         let now = self.state.clock.now();
         if let Some(load) = dialect.load(headers) {
-            let endpoint = &self.place.endpoint;
-            self.call.pool.pool.lock().load(now, endpoint, load.running, load.queued);
+            self.call.pool.pool.lock().load(now, &self.place, load.running, load.queued);
         }
         let said = status.as_str();
         match dialect.word(&self.call.head.attempt, status, headers) {
@@ -204,12 +203,12 @@
                 }
             }
             Word::Full => {
-                self.call.pool.pool.lock().full(now, &self.place.endpoint);
+                self.call.pool.pool.lock().full(now, &self.place);
                 Some(self.failed(AttemptOutcome::Full, said))
             }
             Word::NotRun => Some(self.failed(AttemptOutcome::NotRun, said)),
             Word::WrongEndpoint => {
-                self.call.pool.pool.lock().ended(now, &self.place.endpoint);
+                self.call.pool.pool.lock().ended(now, &self.place);
                 self.state.connections.forget(self.place.address);
                 Some(self.failed(AttemptOutcome::WrongEndpoint, said))
             }
@@ -245,7 +244,7 @@
 
     /// Takes in that the first part of the answer came.
     pub fn began(&self, now: Millis) {
-        self.call.pool.pool.lock().began(now, &self.place.endpoint, &self.name);
+        self.call.pool.pool.lock().began(now, &self.place, &self.name);
     }
 
     /// Counts that the call began to run for its account.
@@ -259,7 +258,7 @@
     pub fn over(&mut self, outcome: Outcome) {
         if !std::mem::replace(&mut self.is_over, true) {
             let now = self.state.clock.now();
-            self.call.pool.pool.lock().over(now, &self.place.endpoint, &self.name, outcome);
+            self.call.pool.pool.lock().over(now, &self.place, &self.name, outcome);
         }
     }
 }
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -6,7 +6,9 @@
 use parking_lot::{Mutex, RwLock};
 use sill_base::{Clock, Map, Millis, Name, event};
 use sill_dispatch::usage::window_of;
-use sill_dispatch::{Average, Budgets, OverLimit, Pool, PoolCfg, RouteTable, Shares, UsageCounter};
+use sill_dispatch::{
+    Average, Budgets, Heard, OverLimit, Pool, PoolCfg, RouteTable, Shares, UsageCounter,
+};
 use sill_net::h1::{Connections, ConnectionsCfg};
 use sill_tree::{Document, Engine};
 use sill_wire::Incarnation;
@@ -211,9 +213,9 @@
         let mut pool = Pool::new(cfg);
         if let Some(known) = known {
             let now = self.clock.now();
-            known.pool.lock().facts().for_each(|fact| {
+            for fact in known.pool.lock().facts() {
                 pool.heard(now, fact);
-            });
+            }
         }
         let state = Arc::new(PoolState {
             service: service.clone(),
@@ -231,9 +233,14 @@
     fn take_endpoint(&self, now: Millis, fact: &EndpointFact) {
         let pool = self.pool(&fact.service);
         let pool = pool.unwrap_or_else(|| self.open_pool(&fact.service, None));
-        let is_news = pool.pool.lock().heard(now, fact);
-        if !is_news {
-            return;
+        let heard = pool.pool.lock().heard(now, fact);
+        match heard {
+            Heard::Nothing => return,
+            Heard::News => {}
+            Heard::Restart(old_address) => {
+                self.connections.forget(old_address);
+                pool.departures.lock().remove(&fact.endpoint);
+            }
         }
         if fact.state >= EndpointState::Silent {
             self.connections.forget(fact.address);
@@ -249,6 +256,7 @@
             service = fact.service,
             domain = fact.domain,
             address = fact.address,
+            born = fact.born.0,
             state = format!("{:?}", fact.state),
             sequence = fact.sequence,
             age_ms = fact.age
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -19,6 +19,7 @@
 use sill_net::{PeerServer, PeerServerBuilder};
 use sill_standin::loopback::free_addresses;
 use sill_tree::{Account, Document, Engine, KeyHash, Pool, Route, RouteKind, Service, Share};
+use sill_wire::Incarnation;
 use sill_wire::control::Revision;
 use sill_wire::link::{Cursor, EndpointFact, EndpointState, LinkPoll, LinkReply, ServedSettings};
 use tokio::runtime::Runtime;
@@ -364,6 +365,7 @@
 fn fact(number: usize, address: SocketAddr) -> EndpointFact {
     EndpointFact {
         endpoint: format!("e{number}").into(),
+        born: Incarnation::default(),
         service: "desk".into(),
         domain: "a".into(),
         address,
--- a/protocol/wire/src/link.rs
+++ b/protocol/wire/src/link.rs
@@ -28,8 +28,12 @@
 /// What is known of one life of an endpoint, from its newest heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointFact {
-    /// Names this life; a restart takes another name.
+    /// Its name. An endpoint may start again under the name that it had.
     pub endpoint: Name,
+    /// When it started; the default where it doesn't tell. Name and start together are one life: what is
+    /// known of an earlier one says nothing about this one.
+    #[serde(default)]
+    pub born: Incarnation,
     /// The service that it belongs to.
     pub service: Name,
     /// Its failure domain.
@@ -38,7 +42,7 @@
     pub address: SocketAddr,
     /// Requests that it runs side by side.
     pub slots: u32,
-    /// Grows with each heartbeat.
+    /// Grows with each heartbeat of one life.
     pub sequence: u64,
     /// Where it is in its life.
     pub state: EndpointState,
