A call that can't end before a stopping entry instance does is not begun there

Cause: an entry instance that stops still gets calls, on connections that callers keep and on new ones where the balancer uses all instances of a failure domain because too few are in rotation. Seen: SIGTERM at 3.0 s, a stream taken at 8.5 s, cut at 10.5 s.

Ruled out: closing the listener (the balancer's callers would get resets while no other instance may be in rotation), and refusing everything after the notice (a caller has one retry; a lookup of 60 ms is served up to the last moment).

Change: each route's longest time to the first part and longest time a token of the last 15 to 30 s, a fifth more, decide whether a call ends in time; if not it is refused as not run, with Connection: close and 50 ms to come back. A route never seen here may take all of its caller's time.

The test at the gateway fails without the check (tried).

--- /dev/null
+++ b/coordination/dispatch/src/stopping.rs
@@ -0,0 +1,100 @@
+//! Whether a call can still end before the entry instance that would take it does.
+//!
+//! A balancer goes on sending calls to an instance that stops, for as long as it has not noticed, and
+//! after that where too few others are in rotation. A call that is begun too late is cut off in the middle
+//! of its answer: it has run, its caller has nothing, and may not send it again.
+
+use sill_base::{Map, Millis, Name};
+
+/// Half of the span over which the longest times are kept. A planned stop comes within seconds of a burst
+/// or a reclaim; what those did to the times must still be known then, and be forgotten afterwards.
+const HALF_SPAN: Millis = Millis(15_000);
+
+/// Added to the longest time that was seen, as a part of it. The calls at the end of a stop are mostly
+/// no worse off than the slowest of those before; a fifth covers the batch that fills up meanwhile.
+const MARGIN: f64 = 0.2;
+
+/// What calls of each route took of late.
+#[derive(Debug, Default)]
+pub struct CallTimes(Map<Name, RouteTimes>);
+
+/// How one call went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallTime {
+    /// Time until the first part of its answer; all of its time if there was none.
+    pub first: Millis,
+    /// All of its time.
+    pub whole: Millis,
+    /// Tokens of the answer at most; 0 where it isn't counted in tokens.
+    pub output: u32,
+}
+
+/// Bounds on one call that is about to begin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallBounds {
+    /// Tokens of the answer at most.
+    pub output: u32,
+    /// When its caller has an answer in any case.
+    pub due: Millis,
+}
+
+#[derive(Debug, Default)]
+struct RouteTimes {
+    first_ms: Longest,
+    rest_ms_per_token: Longest,
+}
+
+/// The largest figure of the last one or two half spans.
+#[derive(Debug, Default, Clone, Copy)]
+struct Longest {
+    since: Millis,
+    now: f64,
+    before: f64,
+}
+
+impl CallTimes {
+    /// Takes in how a call went that was run.
+    pub fn took(&mut self, now: Millis, route: &Name, call: CallTime) {
+        let times = self.0.entry(route.clone()).or_default();
+        let rest = (call.whole - call.first).0 as f64;
+        let (first, rest_per_token) = match call.output {
+            0 => (call.whole.0 as f64, 0.0),
+            output => (call.first.0 as f64, rest / f64::from(output)),
+        };
+        times.first_ms.note(now, first);
+        times.rest_ms_per_token.note(now, rest_per_token);
+    }
+
+    /// Returns whether a call that begins now ends before the instance does. One of a route that was not
+    /// seen here may take all of its time.
+    pub fn fits(&self, now: Millis, route: &Name, call: CallBounds, ends_at: Millis) -> bool {
+        let left = call.due - now;
+        let expected = self.expected(now, route, call.output).unwrap_or(Millis::MAX);
+        now + expected.min(left) <= ends_at
+    }
+
+    fn expected(&self, now: Millis, route: &Name, output: u32) -> Option<Millis> {
+        let times = self.0.get(route)?;
+        let first = times.first_ms.at(now)?;
+        let per_token = times.rest_ms_per_token.at(now).unwrap_or_default();
+        let whole = first + per_token * f64::from(output);
+        Some(Millis((whole * (1.0 + MARGIN)) as u64))
+    }
+}
+
+impl Longest {
+    fn note(&mut self, now: Millis, figure: f64) {
+        let age = now - self.since;
+        if age >= HALF_SPAN * 2 {
+            *self = Self { since: now, now: 0.0, before: 0.0 };
+        } else if age >= HALF_SPAN {
+            *self = Self { since: now, now: 0.0, before: self.now };
+        }
+        self.now = self.now.max(figure);
+    }
+
+    /// Returns the largest figure, unless the newest one is too old.
+    fn at(&self, now: Millis) -> Option<f64> {
+        (now - self.since < HALF_SPAN * 2).then(|| self.now.max(self.before))
+    }
+}
--- a/daemons/gateway/src/daemon.rs
+++ b/daemons/gateway/src/daemon.rs
@@ -88,7 +88,7 @@
         let cfg = self.state.cfg.stop;
         let open = || self.state.callers.load(Ordering::Relaxed);
         event!(Info, "gateway_stops", connections = open());
-        self.state.begin_to_stop();
+        self.state.begin_to_stop(began + cfg.limit);
         // New connections still come until the balancer has asked again; refused, they would fail.
         tokio::time::sleep(cfg.notice.into()).await;
         self.stop.send_replace(Stop::Closing);
--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -4,11 +4,11 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, Method, Request, Response, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use sill_base::{Millis, Name, event};
-use sill_dispatch::{AccountEntry, Prompt, RouteEntry, RouteTable};
+use sill_dispatch::{AccountEntry, CallBounds, Prompt, RouteEntry, RouteTable};
 use sill_net::h1::AnyBody;
 use sill_wire::ErrorCode;
 
@@ -34,6 +34,11 @@
 /// When to come back for a service that has no endpoint yet.
 const UNTIL_ENDPOINT: Millis = Millis(1000);
 
+/// When to come back after a refusal by an instance that stops. A new connection goes to another one,
+/// which can serve the caller at once; the pause keeps those that are refused together apart from the
+/// moment at which the balancer notices.
+const ELSEWHERE: Millis = Millis(50);
+
 /// An admitted call.
 #[derive(Debug)]
 pub struct Call {
@@ -112,7 +117,12 @@
             revision = state.metrics.revision.get(),
             ms = state.clock.now() - arrived
         );
-        self.failure.response(&*state.cfg.dialect, attempt)
+        let mut response = self.failure.response(&*state.cfg.dialect, attempt);
+        if state.is_stopping() {
+            // On the same connection, the caller would come back to this instance.
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
     }
 }
 
@@ -138,6 +148,17 @@
         let refused = Refused::new(ErrorCode::NoCapacity, "no_pool");
         return Err(Refused { failure, route: route.name.clone(), ..refused });
     };
+    let timeout = route.route.timeout_ms;
+    let left = head.deadline.map_or(timeout, |deadline| deadline.min(timeout));
+    let due = arrived + left;
+    // Begun too late, the call would be cut off in the middle, and could not be sent again.
+    let output = head.prompt.as_ref().map_or(0, |prompt| prompt.output);
+    if !state.can_end(&route.name, CallBounds { output, due }) {
+        let failure = Failure::back_in(ErrorCode::NoCapacity, ELSEWHERE);
+        let inputs = format!("{} ms until the end", state.ends_at() - state.clock.now());
+        let refused = Refused::new(ErrorCode::NoCapacity, "stopping");
+        return Err(Refused { failure, inputs, route: route.name.clone(), ..refused });
+    }
     let amount = amount(&head, account.as_deref());
     if let Some(account) = &account
         && let Err(over) = state.admit(&account.name, amount)
@@ -151,8 +172,6 @@
         });
     }
     let urgency = account.as_ref().and_then(|account| account.account.urgency);
-    let timeout = route.route.timeout_ms;
-    let left = head.deadline.map_or(timeout, |deadline| deadline.min(timeout));
     Ok(Call {
         method: parts.method,
         uri: parts.uri,
@@ -166,7 +185,7 @@
         route,
         head,
         arrived,
-        due: arrived + left,
+        due,
     })
 }
 
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -1,13 +1,14 @@
 //! What the parts of an entry instance share, each under its own lock.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 use parking_lot::{Mutex, RwLock};
 use sill_base::{Clock, Map, Millis, Name, event};
 use sill_dispatch::usage::window_of;
 use sill_dispatch::{
-    Average, Budgets, Heard, OverLimit, Pool, PoolCfg, RouteTable, Shares, UsageCounter,
+    Average, Budgets, CallBounds, CallTime, CallTimes, Heard, OverLimit, Pool, PoolCfg, RouteTable,
+    Shares, UsageCounter,
 };
 use sill_net::h1::{Connections, ConnectionsCfg};
 use sill_tree::{Document, Engine};
@@ -60,7 +61,9 @@
     usage: Mutex<UsageCounter>,
     /// True time of day less the steady clock, in milliseconds.
     time_offset: AtomicU64,
-    is_stopping: AtomicBool,
+    call_times: Mutex<CallTimes>,
+    /// When what still runs is cut, once the instance stops; [`Millis::MAX`] until then.
+    ends_at: AtomicU64,
 }
 
 /// The endpoints of a service, and what is counted of its calls.
@@ -107,7 +110,8 @@
             budgets: Mutex::new(Budgets::new(cfg.retries)),
             usage: Mutex::default(),
             time_offset: AtomicU64::new((wall - clock.now()).0),
-            is_stopping: AtomicBool::new(false),
+            call_times: Mutex::default(),
+            ends_at: AtomicU64::new(Millis::MAX.0),
             incarnation: Incarnation(wall.0),
             clock,
             cfg,
@@ -140,12 +144,29 @@
 
     /// Returns whether it is about to stop.
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Relaxed)
+        self.ends_at() != Millis::MAX
     }
 
-    /// Has the balancer send callers elsewhere.
-    pub fn begin_to_stop(&self) {
-        self.is_stopping.store(true, Ordering::Relaxed);
+    /// Returns when what still runs is cut.
+    pub fn ends_at(&self) -> Millis {
+        Millis(self.ends_at.load(Ordering::Relaxed))
+    }
+
+    /// Has the balancer send callers elsewhere. What still runs at `ends_at` is cut.
+    pub fn begin_to_stop(&self, ends_at: Millis) {
+        self.ends_at.store(ends_at.0, Ordering::Relaxed);
+    }
+
+    /// Returns whether a call that begins now ends before the instance does.
+    pub fn can_end(&self, route: &Name, call: CallBounds) -> bool {
+        let ends_at = self.ends_at();
+        let fits = || self.call_times.lock().fits(self.clock.now(), route, call, ends_at);
+        ends_at == Millis::MAX || fits()
+    }
+
+    /// Takes in how a call went that was run.
+    pub fn took(&self, route: &Name, call: CallTime) {
+        self.call_times.lock().took(self.clock.now(), route, call);
     }
 
     /// Returns true time of day.
--- a/daemons/gateway/tests/relay.rs
+++ b/daemons/gateway/tests/relay.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use sill_base::Millis;
-use support::{Act, World, answer_of, exchange, head, not_run, request};
+use support::{Act, World, answer_of, exchange, head, not_run, request, wait_until_ready_is};
 
 /// An endpoint breaks off in the middle of an answer. An entry instance that ended its own answer in
 /// good order would have the caller take half of a report for the whole of it.
@@ -265,3 +265,34 @@
     assert!(got.is_whole && got.body == b"whole");
     assert!(got.head.to_lowercase().contains("connection: close"), "{}", got.head);
 }
+
+/// An entry instance that stops still gets calls: callers keep their connections, and the balancer sends
+/// new ones where too few others are in rotation. A call that may last longer than the instance would be
+/// cut in the middle of its answer. It is refused at once, as not run, and its caller goes elsewhere; a
+/// call that ends in time is still served.
+#[test]
+fn a_call_that_would_outlast_a_stopping_instance_is_not_begun() {
+    let answer = || Act::AnswerLater(answer_of("whole"), Duration::from_millis(800));
+    let mut world = World::start(vec![vec![answer(), Act::Answer(answer_of("quick"))]]);
+    let (address, ready_address) = (world.address, world.ready_address);
+    let first = thread::spawn(move || exchange(address, &request("/idempotent/x", "")));
+    while world.endpoints[0].requests() == 0 {
+        thread::sleep(Duration::from_millis(10));
+    }
+    let stop = thread::spawn(move || {
+        world.stop();
+        world
+    });
+    wait_until_ready_is(503, ready_address);
+    let long = exchange(address, &request("/idempotent/x", ""));
+    let short = exchange(address, &request("/idempotent/x", "sill-deadline-ms: 3000\r\n"));
+    let world = stop.join().expect("it stops");
+    assert!(first.join().expect("an answer").is_whole, "what ran before is not cut");
+    assert_eq!(long.status, 503, "its route allows 10 s, the instance ends in 5");
+    let head = long.head.to_lowercase();
+    for part in ["sill-not-run: true", "retry-after: ", "connection: close"] {
+        assert!(head.contains(part), "{part} in {head}");
+    }
+    assert_eq!((short.status, &short.body[..]), (200, &b"quick"[..]));
+    assert_eq!(world.endpoints[0].requests(), 2, "the long one was not sent");
+}
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -72,6 +72,8 @@
 pub struct World {
     pub endpoints: Vec<Endpoint>,
     pub address: SocketAddr,
+    /// Where the balancer asks.
+    pub ready_address: SocketAddr,
     /// What the control instance tells of endpoints.
     pub facts: Arc<Mutex<Vec<EndpointFact>>>,
     runtime: Runtime,
@@ -213,25 +215,15 @@
         let control = peers.start(listener).expect("it starts");
         let addresses = free_addresses(3).expect("ports are free");
         let gateway = Gateway::start(cfg(&addresses, control.address())).expect("it starts");
-        let address = gateway.address;
-        let world =
-            Self { endpoints, address, facts, gateway: Some(gateway), _control: control, runtime };
+        let (address, ready_address) = (gateway.address, gateway.ready_address);
+        let (gateway, _control) = (Some(gateway), control);
+        let world = Self { endpoints, address, ready_address, facts, gateway, _control, runtime };
         if has_settings {
-            world.wait_until_ready(addresses[1]);
+            wait_until_ready_is(200, addresses[1]);
         }
         world
     }
 
-    fn wait_until_ready(&self, address: SocketAddr) {
-        loop {
-            let got = exchange(address, "GET /readyz HTTP/1.1\r\nhost: h\r\n\r\n");
-            if got.status == 200 {
-                return;
-            }
-            thread::sleep(Duration::from_millis(20));
-        }
-    }
-
     /// Sends a call on a connection of its own.
     pub fn call(&self, path: &str) -> Got {
         exchange(self.address, &request(path, ""))
@@ -267,6 +259,14 @@
     }
 }
 
+/// Waits until the balancer gets this answer to its question whether the instance is ready.
+pub fn wait_until_ready_is(status: u16, ready_address: SocketAddr) {
+    let ask = "GET /readyz HTTP/1.1\r\nhost: h\r\n\r\n";
+    while exchange(ready_address, ask).status != status {
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// Writes a call.
 pub fn request(path: &str, extra: &str) -> String {
     format!(
