Fleet: a reclaim of one failure domain prepares for those of the others; counts.rs split by job

Hypothesis: reclaims come in waves; on-demand endpoints ordered at the first one serve when the next comes. Change: from the moment that all reclaimable endpoints of a domain leave or have just ended, on-demand ones carry 0.6 of the need for 12 s.

The parts of counts.rs on needs and on spreading are modules of their own; logic there is unchanged.

--- a/coordination/fleet/src/counts.rs
+++ b/coordination/fleet/src/counts.rs
@@ -10,6 +10,14 @@
 use sill_base::{Map, Millis, Name};
 use sill_tree::CapacityRange;
 
+mod needs;
+mod spread;
+mod waves;
+
+use needs::{Needs, Spans};
+use spread::{Staying, by_price, spread, stand_ins, staying};
+use waves::Waves;
+
 /// Figures of the planner.
 #[derive(Debug, Clone)]
 pub struct CountCfg {
@@ -35,7 +43,7 @@
     pub domain: Name,
     /// Whether the platform may take it back.
     pub reclaimable: bool,
-    /// Whether it is on its way out.
+    /// Whether it is on its way out, or has just ended.
     pub is_leaving: bool,
 }
 
@@ -86,14 +94,7 @@
     cfg: CountCfg,
     cells: Map<Cell, Ordered>,
     needs: Map<Name, Needs>,
-}
-
-/// What a service was seen to need.
-#[derive(Debug, Default)]
-struct Needs {
-    /// What stood when it was first looked at, until its load has been known for a while.
-    first: Option<Need>,
-    highest: Vec<Need>,
+    waves: Waves,
 }
 
 /// What is ordered as one number.
@@ -113,43 +114,17 @@
     is_unmet: bool,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Need {
-    endpoints: u32,
-    at: Millis,
-}
-
-/// What the load takes, as the highest need of a longer and of a shorter while.
-#[derive(Debug, Clone, Copy)]
-struct Spans {
-    /// For reclaimable endpoints, whose price is low enough to keep them for the next peak.
-    long: u32,
-    /// For on-demand endpoints.
-    short: u32,
-}
-
-impl Needs {
-    fn of(now: Millis, view: &PoolView<'_>) -> Self {
-        Self { first: Some(Need { endpoints: standing(view), at: now }), highest: Vec::new() }
-    }
-}
-
-/// Endpoints of one failure domain that stay.
-#[derive(Debug, Default, Clone, Copy)]
-struct Staying {
-    reclaimable: u32,
-    on_demand: u32,
-}
-
 impl CountPlanner {
     /// Makes a planner that has ordered nothing.
     pub fn new(cfg: CountCfg) -> Self {
-        Self { cfg, cells: Map::default(), needs: Map::default() }
+        Self { cfg, cells: Map::default(), needs: Map::default(), waves: Waves::default() }
     }
 
     /// Returns the orders that are due for one service.
     pub fn plan(&mut self, now: Millis, view: &PoolView<'_>) -> Vec<CountOrder> {
-        let need = self.need(now, view);
+        let needs = self.needs.entry(view.service.clone());
+        let need = needs.or_insert_with(|| Needs::of(now, view)).renew(now, view, &self.cfg);
+        self.waves.look(now, view);
         let staying = staying(view);
         let wanted = self.wanted(now, view, need, &staying);
         let Spans { long, short } = need;
@@ -198,41 +173,6 @@
         self.cells.entry(cell_of(order)).or_default().count = None;
     }
 
-    /// Returns how many endpoints the load takes, as the highest need of the last while.
-    fn need(&mut self, now: Millis, view: &PoolView<'_>) -> Spans {
-        let cfg = &self.cfg;
-        let Demand { running, fresh_tokens_per_s, refused_per_s } = view.demand;
-        let carried = (f64::from(view.slots.max(1)) * cfg.slot_load).max(1.0);
-        let by_slots = f64::from(running) / carried;
-        let by_tokens = fresh_tokens_per_s / cfg.fresh_tokens_per_s;
-        let mut endpoints = by_slots.max(by_tokens).ceil().max(1.0) as u32;
-        if refused_per_s > 1.0 {
-            endpoints += 1;
-        }
-        let needs = self.needs.entry(view.service.clone()).or_insert_with(|| Needs::of(now, view));
-        // Without any load, nothing is known of what is needed, and some of what stands may not have
-        // been heard of yet.
-        if running == 0
-            && let Some(first) = &mut needs.first
-        {
-            first.at = now;
-            first.endpoints = first.endpoints.max(standing(view));
-        }
-        needs.first.take_if(|first| now - first.at >= cfg.hold);
-        needs.highest.retain(|need| now - need.at < cfg.hold);
-        // Only a rising need is worth keeping beside the newest one.
-        while needs.highest.last().is_some_and(|need| need.endpoints <= endpoints) {
-            needs.highest.pop();
-        }
-        needs.highest.push(Need { endpoints, at: now });
-        let first = needs.first.map_or(0, |first| first.endpoints);
-        let highest = |span| {
-            let within = needs.highest.iter().find(|need| now - need.at < span);
-            within.map_or(endpoints, |need| need.endpoints).max(first)
-        };
-        Spans { long: highest(cfg.hold), short: highest(cfg.stand_in_hold) }
-    }
-
     /// Returns what is wanted in each failure domain.
     fn wanted(
         &self,
@@ -257,6 +197,12 @@
             expected += if is_unmet { have.reclaimable } else { reclaimable };
             wanted.insert(domain, Staying { reclaimable, on_demand: 0 });
         }
+        // While one failure domain after the other is taken back, what is ordered only then comes too late:
+        // a boot takes longer than the notice. On-demand endpoints that carry the load alone are paid for a
+        // few seconds, and no wave takes them back.
+        if self.waves.is_on(now, view.service) {
+            expected = expected.min(need.short - (need.short * 6).div_ceil(10));
+        }
         let stand_ins = stand_ins(need.short, expected, staying);
         self.place_stand_ins(now, view, stand_ins, staying, &mut wanted);
         wanted
@@ -319,60 +265,6 @@
     }
 }
 
-/// Returns the failure domains, the cheapest first.
-fn by_price<'a>(view: &PoolView<'a>) -> Vec<&'a Name> {
-    let mut domains: Vec<(&Name, f64)> =
-        view.range.prices.iter().map(|(domain, price)| (domain, *price)).collect();
-    domains.sort_by(|a, b| a.1.total_cmp(&b.1));
-    domains.into_iter().map(|(domain, _)| domain).collect()
-}
-
-/// Returns how many endpoints to have in each failure domain, so that the need is met without any one of
-/// them. Where it is no multiple of the others, the cheapest domains have one more.
-fn spread(need: u32, view: &PoolView<'_>) -> Vec<(Name, u32)> {
-    let others = other_domains(view);
-    let (each, rest) = (need / others, need % others);
-    // The domain that is lost may be one of those with one more.
-    let with_more = if rest == 0 { 0 } else { rest as usize + 1 };
-    let (least, most) = (view.range.min.max(1), view.range.max.max(1));
-    let counts = by_price(view).into_iter().enumerate().map(|(i, domain)| {
-        let count = each + u32::from(i < with_more);
-        (domain.clone(), count.clamp(least, most))
-    });
-    counts.collect()
-}
-
-/// Returns how many on-demand endpoints are wanted.
-///
-/// Those that run stay until reclaimable ones serve in their place, not only until these are ordered:
-/// a boot takes seconds, in which the load would be refused.
-fn stand_ins(need: u32, expected: u32, staying: &BTreeMap<Name, Staying>) -> u32 {
-    let live: u32 = staying.values().map(|have| have.reclaimable).sum();
-    let running: u32 = staying.values().map(|have| have.on_demand).sum();
-    let short = need.saturating_sub(expected);
-    short.max(running.min(need.saturating_sub(live)))
-}
-
-/// Presumes that what stands is needed, and returns it as a need.
-///
-/// Orders differ by one between failure domains. One that has less than that has just lost its own;
-/// on-demand endpoints may stand in for them elsewhere.
-fn standing(view: &PoolView<'_>) -> u32 {
-    let staying = staying(view);
-    let has_reclaimable = staying.values().any(|have| have.reclaimable > 0);
-    let count = |have: &Staying| match has_reclaimable {
-        true => have.reclaimable,
-        false => have.on_demand,
-    };
-    let most = staying.values().map(count).max().unwrap_or(0);
-    let domains = view.range.prices.keys();
-    let ordered = domains.map(|domain| {
-        let have = staying.get(domain).map_or(0, count);
-        if have + 1 < most { most } else { have }
-    });
-    ordered.sum::<u32>().saturating_sub(most)
-}
-
 fn cell_of(order: &CountOrder) -> Cell {
     Cell {
         service: order.service.clone(),
@@ -381,23 +273,6 @@
     }
 }
 
-/// Returns how many failure domains are left when one is lost.
-fn other_domains(view: &PoolView<'_>) -> u32 {
-    view.range.prices.len().saturating_sub(1).max(1) as u32
-}
-
-fn staying(view: &PoolView<'_>) -> BTreeMap<Name, Staying> {
-    let mut staying: BTreeMap<Name, Staying> = BTreeMap::new();
-    for endpoint in view.live.iter().filter(|endpoint| !endpoint.is_leaving) {
-        let of_domain = staying.entry(endpoint.domain.clone()).or_default();
-        match endpoint.reclaimable {
-            true => of_domain.reclaimable += 1,
-            false => of_domain.on_demand += 1,
-        }
-    }
-    staying
-}
-
 impl Default for CountCfg {
     fn default() -> Self {
         Self {
--- a/coordination/fleet/tests/counts.rs
+++ b/coordination/fleet/tests/counts.rs
@@ -87,6 +87,14 @@
         }
     }
 
+    /// The platform takes back the reclaimable endpoints of some failure domains.
+    fn notice(&mut self, domains: &[&str]) {
+        let is_meant = |e: &LiveEndpoint| e.reclaimable && domains.contains(&e.domain.as_str());
+        for endpoint in self.live.iter_mut().filter(|endpoint| is_meant(endpoint)) {
+            endpoint.is_leaving = true;
+        }
+    }
+
     fn count(&self, reclaimable: bool) -> usize {
         self.live.iter().filter(|e| e.reclaimable == reclaimable).count()
     }
@@ -205,3 +213,28 @@
     world.run(Millis(10_000), Demand::default(), grant);
     assert!(world.live.len() >= 12, "{} endpoints before the first call", world.live.len());
 }
+
+/// The platform takes back the reclaimable endpoints of one failure domain, and has no new ones there. Five
+/// seconds later it takes back those of all others, with two seconds of notice; a boot takes four. Ordered
+/// only then, endpoints came when every caller of four seconds had been refused.
+#[test]
+fn a_reclaim_of_one_domain_prepares_for_those_of_the_others() {
+    let demand = Demand { running: 100, fresh_tokens_per_s: 180_000.0, refused_per_s: 0.0 };
+    let mut world = World::new();
+    world.run(Millis(60_000), demand, grant);
+    world.notice(&["a"]);
+    world.run(Millis(2000), demand, no_reclaimable);
+    world.live.retain(|endpoint| !endpoint.is_leaving);
+    world.run(Millis(3000), demand, no_reclaimable);
+    world.notice(&["b", "c", "d"]);
+    for _ in 0..8 {
+        let left = world.live.iter().filter(|endpoint| !endpoint.is_leaving).count();
+        assert!(left >= 3, "{left} endpoints are left for a load of six");
+        world.run(Millis(500), demand, no_reclaimable);
+    }
+    world.live.retain(|endpoint| !endpoint.is_leaving);
+    world.run(Millis(3000), demand, no_reclaimable);
+    assert!(world.live.len() >= 6, "{} endpoints for a load of six", world.live.len());
+    world.run(Millis(40_000), demand, grant);
+    assert_eq!(world.count(false), 0, "on-demand endpoints stay after the wave");
+}
--- a/daemons/control/src/duty.rs
+++ b/daemons/control/src/duty.rs
@@ -10,7 +10,7 @@
 use sill_fleet::{CountCfg, CountPlanner, Demand, LiveEndpoint, PoolView};
 use sill_quorum::RoleName;
 use sill_tree::{CapacityRange, Document, Service};
-use sill_wire::link::EndpointState;
+use sill_wire::link::{EndpointFact, EndpointState};
 
 use crate::app::command::UsageStatement;
 use crate::app::{Ask, Outcome};
@@ -42,6 +42,10 @@
 /// How often the number of endpoints is looked at.
 const PLAN_EVERY: Millis = Millis(500);
 
+/// How long an endpoint that said it ends still tells the planner of a reclaim. Some say nothing before; the
+/// planner looks twice a second.
+const JUST_ENDED: Millis = Millis(2000);
+
 /// Who acts, and a number that is higher for each later one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Fence {
@@ -274,7 +278,10 @@
 
     fn live(&self, now: Millis, service: &Name) -> Vec<LiveEndpoint> {
         let facts = self.shared.link.endpoints(now).into_iter();
-        let of_service = facts.filter(|f| f.service == *service && f.state < EndpointState::Silent);
+        let has_just_ended =
+            |f: &EndpointFact| f.state == EndpointState::Gone && f.age < JUST_ENDED;
+        let is_told = |f: &EndpointFact| f.state < EndpointState::Silent || has_just_ended(f);
+        let of_service = facts.filter(|f| f.service == *service && is_told(f));
         let live = of_service.map(|fact| LiveEndpoint {
             is_leaving: fact.state != EndpointState::Ready,
             domain: fact.domain,
--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -95,7 +95,7 @@
             return Err(Findings::one("service", reason));
         }
         let (endpoint, state, sequence) = (fact.endpoint.clone(), fact.state, fact.sequence);
-        let born = fact.born;
+        let (born, leaves_in) = (fact.born, fact.leaves_in);
         let (service, domain, address) = (fact.service.clone(), fact.domain.clone(), fact.address);
         if self.registry.lock().heard(now, fact) {
             event!(
@@ -108,6 +108,7 @@
                 domain = domain,
                 address = address,
                 born = born.0,
+                leaves_ms = leaves_in.map(|left| left.to_string()).unwrap_or_default(),
             );
             self.changed();
         }
