--- a/coordination/dispatch/src/stopping.rs
+++ b/coordination/dispatch/src/stopping.rs
@@ -4,7 +4,7 @@
 //! after that where too few others are in rotation. A call that is begun too late is cut off in the middle
 //! of its answer: it has run, its caller has nothing, and may not send it again.
 
-use sill_base::{Map, Millis, Name};
+use sill_base::{Map, Millis, Name, RecentMax};
 
 /// Half of the span over which the longest times are kept. A planned stop comes within seconds of a burst
 /// or a reclaim; what those did to the times must still be known then, and be forgotten afterwards.
@@ -49,29 +49,25 @@
 
 #[derive(Debug, Default)]
 struct RouteTimes {
-    first_ms: Longest,
-    rest_ms_per_token: Longest,
-}
-
-/// The largest figure of the last one or two half spans.
-#[derive(Debug, Default, Clone, Copy)]
-struct Longest {
-    since: Millis,
-    now: f64,
-    before: f64,
+    first_ms: RecentMax,
+    rest_ms_per_token: RecentMax,
 }
 
 impl CallTimes {
     /// Takes in how a call went that was run.
     pub fn took(&mut self, now: Millis, route: &Name, call: CallTime) {
+        if !self.0.contains_key(route) {
+            // Routes come and go with the settings; those of long ago are not asked for any more.
+            self.0.retain(|_, times| times.first_ms.at(now, HALF_SPAN).is_some());
+        }
         let times = self.0.entry(route.clone()).or_default();
         let rest = (call.whole - call.first).0 as f64;
         let (first, rest_per_token) = match call.output {
             0 => (call.whole.0 as f64, 0.0),
             output => (call.first.0 as f64, rest / f64::from(output)),
         };
-        times.first_ms.note(now, first);
-        times.rest_ms_per_token.note(now, rest_per_token);
+        times.first_ms.note(now, HALF_SPAN, first);
+        times.rest_ms_per_token.note(now, HALF_SPAN, rest_per_token);
     }
 
     /// Returns whether a call that begins now ends before the instance does.
@@ -90,26 +86,9 @@
 
     fn expected(&self, now: Millis, route: &Name, output: u32) -> Option<Millis> {
         let times = self.0.get(route)?;
-        let first = times.first_ms.at(now)?;
-        let per_token = times.rest_ms_per_token.at(now).unwrap_or_default();
+        let first = times.first_ms.at(now, HALF_SPAN)?;
+        let per_token = times.rest_ms_per_token.at(now, HALF_SPAN).unwrap_or_default();
         let whole = first + per_token * f64::from(output);
         Some(Millis((whole * (1.0 + MARGIN)) as u64))
     }
 }
-
-impl Longest {
-    fn note(&mut self, now: Millis, figure: f64) {
-        let age = now - self.since;
-        if age >= HALF_SPAN * 2 {
-            *self = Self { since: now, now: 0.0, before: 0.0 };
-        } else if age >= HALF_SPAN {
-            *self = Self { since: now, now: 0.0, before: self.now };
-        }
-        self.now = self.now.max(figure);
-    }
-
-    /// Returns the largest figure, unless the newest one is too old.
-    fn at(&self, now: Millis) -> Option<f64> {
-        (now - self.since < HALF_SPAN * 2).then(|| self.now.max(self.before))
-    }
-}
--- a/coordination/dispatch/tests/pool.rs
+++ b/coordination/dispatch/tests/pool.rs
@@ -1,5 +1,7 @@
 //! The endpoints of one service at an entry instance.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -7,7 +9,8 @@
 use sill_dispatch::{Heard, Place, PlaceAsk, Placed, Pool, PoolCfg, Prompt};
 use sill_route::Outcome;
 use sill_wire::Incarnation;
-use sill_wire::link::{EndpointFact, EndpointState};
+use sill_wire::link::EndpointState;
+use support::born;
 
 fn pool() -> Pool {
     Pool::new(PoolCfg {
@@ -19,22 +22,6 @@
     })
 }
 
-fn fact(born: u64, sequence: u64, state: EndpointState) -> EndpointFact {
-    EndpointFact {
-        endpoint: "e1".into(),
-        born: Incarnation(born),
-        service: "desk".into(),
-        domain: "a".into(),
-        address: SocketAddr::from(([10, 0, 0, 1], 80)),
-        slots: 8,
-        sequence,
-        state,
-        reclaimable: false,
-        leaves_in: None,
-        age: Millis::ZERO,
-    }
-}
-
 fn place(pool: &mut Pool, now: Millis, attempt: &str) -> Option<Place> {
     let ask = PlaceAsk {
         attempt: attempt.into(),
@@ -54,12 +41,12 @@
 #[test]
 fn what_comes_of_calls_to_an_old_life_says_nothing_about_the_new_one() {
     let mut pool = pool();
-    pool.heard(Millis(1000), &fact(5, 90, EndpointState::Ready));
+    pool.heard(Millis(1000), &born(5, 90, EndpointState::Ready));
     let names: Vec<Name> = (0..8).map(|i| format!("r{i}").into()).collect();
     let old: Vec<Place> =
         names.iter().map(|name| place(&mut pool, Millis(1000), name).expect("room")).collect();
     assert_eq!(pool.running(), 8);
-    let restarted = pool.heard(Millis(2000), &fact(7, 1, EndpointState::Ready));
+    let restarted = pool.heard(Millis(2000), &born(7, 1, EndpointState::Ready));
     assert_eq!(restarted, Heard::Restart(SocketAddr::from(([10, 0, 0, 1], 80))));
     assert_eq!(pool.running(), 0, "the new life holds nothing");
     let new = place(&mut pool, Millis(2000), "s0").expect("the new life takes requests");
@@ -77,17 +64,17 @@
 #[test]
 fn an_old_life_never_overtakes_a_newer_one() {
     let mut pool = pool();
-    pool.heard(Millis(1000), &fact(7, 1, EndpointState::Ready));
+    pool.heard(Millis(1000), &born(7, 1, EndpointState::Ready));
     let late = [
-        fact(5, 90, EndpointState::Ready),
-        fact(5, 91, EndpointState::Leaving),
-        fact(5, 92, EndpointState::Silent),
-        fact(5, 93, EndpointState::Gone),
+        born(5, 90, EndpointState::Ready),
+        born(5, 91, EndpointState::Leaving),
+        born(5, 92, EndpointState::Silent),
+        born(5, 93, EndpointState::Gone),
     ];
     for word in late {
         assert_eq!(pool.heard(Millis(1100), &word), Heard::Nothing);
         assert!(pool.is_ready(&"e1".into()));
     }
-    pool.heard(Millis(1200), &fact(7, 2, EndpointState::Gone));
+    pool.heard(Millis(1200), &born(7, 2, EndpointState::Gone));
     assert!(!pool.is_ready(&"e1".into()));
 }
--- a/coordination/dispatch/tests/registry.rs
+++ b/coordination/dispatch/tests/registry.rs
@@ -1,29 +1,19 @@
 //! What control instances know of endpoints, and what they tell each other.
 
-use std::net::SocketAddr;
+mod support;
 
 use sill_base::{Millis, Name};
 use sill_dispatch::Registry;
 use sill_wire::Incarnation;
 use sill_wire::link::{Cursor, EndpointFact, EndpointState};
+use support::born;
 
 /// How often endpoints make themselves heard.
 const HEARTBEAT: Millis = Millis(1200);
 
+/// Returns a heartbeat of an endpoint that doesn't tell its life.
 fn fact(sequence: u64, state: EndpointState) -> EndpointFact {
-    EndpointFact {
-        endpoint: "e1".into(),
-        born: Incarnation::default(),
-        service: "desk".into(),
-        domain: "a".into(),
-        address: SocketAddr::from(([10, 0, 0, 1], 80)),
-        slots: 8,
-        sequence,
-        state,
-        reclaimable: false,
-        leaves_in: None,
-        age: Millis::ZERO,
-    }
+    born(0, sequence, state)
 }
 
 fn registry(life: u64) -> Registry {
@@ -134,10 +124,6 @@
     assert_eq!(registry.newer_than(Millis(2200), of_other_life).len(), 1);
 }
 
-fn born(at: u64, sequence: u64, state: EndpointState) -> EndpointFact {
-    EndpointFact { born: Incarnation(at), ..fact(sequence, state) }
-}
-
 /// An endpoint crashes and starts again under the name that it had, and counts its heartbeats from one.
 /// Compared by that count alone, the new life is ignored for as long as the old one lasted, and its callers
 /// find one endpoint less; or a heartbeat of the old life that was held up by a cut comes last, and
--- /dev/null
+++ b/coordination/dispatch/tests/support/mod.rs
@@ -0,0 +1,24 @@
+//! What the tests of this crate share.
+
+use std::net::SocketAddr;
+
+use sill_base::Millis;
+use sill_wire::Incarnation;
+use sill_wire::link::{EndpointFact, EndpointState};
+
+/// Returns a heartbeat of one life of the endpoint `e1`.
+pub fn born(at: u64, sequence: u64, state: EndpointState) -> EndpointFact {
+    EndpointFact {
+        endpoint: "e1".into(),
+        born: Incarnation(at),
+        service: "desk".into(),
+        domain: "a".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        slots: 8,
+        sequence,
+        state,
+        reclaimable: false,
+        leaves_in: None,
+        age: Millis::ZERO,
+    }
+}
--- a/coordination/fleet/src/counts/needs.rs
+++ b/coordination/fleet/src/counts/needs.rs
@@ -1,6 +1,6 @@
 //! How many endpoints the load of a service takes, and has taken of late.
 
-use sill_base::Millis;
+use sill_base::{Millis, RecentMax};
 
 use super::spread::{Staying, staying};
 use super::{CountCfg, Demand, PoolView};
@@ -11,19 +11,10 @@
     /// What stood when it was first looked at, until its load has been known for a while.
     first: Option<Need>,
     highest: Vec<Need>,
-    speed: Fastest,
-}
-
-/// The highest speed of the last one or two spans.
-///
-/// The speed of engines is learned from what calls take, and in an overload all calls are slow. Followed down,
-/// it would have more endpoints ordered at the highest price for each second of a wave of reclaims, for a load
-/// that has not changed: 0.025 of the mean worth over five days with such waves.
-#[derive(Debug, Default)]
-struct Fastest {
-    since: Millis,
-    now: f64,
-    before: f64,
+    /// The highest speed of engines. It is learned from what calls take, and in an overload all calls are slow.
+    /// Followed down, it would have more endpoints ordered at the highest price for each second of a wave of
+    /// reclaims, for a load that has not changed: 0.01 of the mean worth over five days with such waves.
+    speed: RecentMax,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -50,8 +41,10 @@
 
     /// Takes in the load of now, and returns what is needed.
     pub(super) fn renew(&mut self, now: Millis, view: &PoolView<'_>, cfg: &CountCfg) -> Spans {
-        let learned = view.prefill_tokens_per_s;
-        let speed = learned.map(|speed| self.speed.renew(now, speed, cfg.speed_hold));
+        let speed = view.prefill_tokens_per_s.and_then(|learned| {
+            self.speed.note(now, cfg.speed_hold, learned);
+            self.speed.at(now, cfg.speed_hold)
+        });
         let endpoints = need_of_now(view, planned_for(speed, cfg), cfg);
         // Without any load, nothing is known of what is needed, and some of what stands may not have
         // been heard of yet.
@@ -77,16 +70,6 @@
     }
 }
 
-impl Fastest {
-    fn renew(&mut self, now: Millis, speed: f64, span: Millis) -> f64 {
-        if now - self.since >= span {
-            *self = Self { since: now, now: speed, before: self.now };
-        }
-        self.now = self.now.max(speed);
-        self.now.max(self.before)
-    }
-}
-
 /// Returns the prompt tokens a second that are planned for an endpoint.
 fn planned_for(learned: Option<f64>, cfg: &CountCfg) -> f64 {
     let ratio = learned.map_or(1.0, |speed| speed / cfg.usual_tokens_per_s);
--- a/daemons/control/src/duty.rs
+++ b/daemons/control/src/duty.rs
@@ -11,7 +11,7 @@
 use sill_fleet::{CountCfg, CountPlanner, Demand, LiveEndpoint, PoolView};
 use sill_quorum::RoleName;
 use sill_tree::{CapacityRange, Document, Service};
-use sill_wire::link::{EndpointFact, EndpointState, EngineSpeed};
+use sill_wire::link::{EndpointFact, EndpointState, EngineSpeed, ServiceReport};
 
 use crate::app::command::UsageStatement;
 use crate::app::{Ask, Outcome};
@@ -224,16 +224,14 @@
             if live.is_empty() {
                 continue;
             }
-            let demand = self.demand(now, &service);
+            let work = self.work(now, &service);
             let view = PoolView {
                 service: &service,
                 range: &range,
                 slots: slots.max(1),
-                prefill_tokens_per_s: self
-                    .speed(now, &service)
-                    .map(|speed| speed.prefill_tokens_per_s),
+                prefill_tokens_per_s: speed(&work).map(|speed| speed.prefill_tokens_per_s),
                 live: &live,
-                demand,
+                demand: demand(&work),
             };
             for order in self.planner.plan(now, &view) {
                 if !self.still_leads() {
@@ -299,23 +297,24 @@
         live.collect()
     }
 
-    /// Returns the speed of a service's engines, as most entry instances have learned it.
-    fn speed(&self, now: Millis, service: &Name) -> Option<EngineSpeed> {
-        let reports = self.shared.link.reports(now);
-        let services = reports.iter().flat_map(|report| &report.services);
-        let learned = services.filter(|s| s.service == *service).filter_map(|s| s.speed);
-        middle_speed(learned)
+    /// Returns what each entry instance reports of a service.
+    fn work(&self, now: Millis, service: &Name) -> Vec<ServiceReport> {
+        let reports = self.shared.link.reports(now).into_iter();
+        reports.flat_map(|report| report.services).filter(|s| s.service == *service).collect()
     }
+}
 
-    fn demand(&self, now: Millis, service: &Name) -> Demand {
-        let mut demand = Demand::default();
-        let reports = self.shared.link.reports(now);
-        let of_service = reports.iter().flat_map(|r| &r.services).filter(|s| s.service == *service);
-        for report in of_service {
-            demand.running += report.running;
-            demand.fresh_tokens_per_s += report.fresh_tokens_per_s;
-            demand.refused_per_s += report.refused_per_s;
-        }
-        demand
+/// Returns the speed of a service's engines, as most entry instances have learned it.
+fn speed(work: &[ServiceReport]) -> Option<EngineSpeed> {
+    middle_speed(work.iter().filter_map(|report| report.speed))
+}
+
+fn demand(work: &[ServiceReport]) -> Demand {
+    let mut demand = Demand::default();
+    for report in work {
+        demand.running += report.running;
+        demand.fresh_tokens_per_s += report.fresh_tokens_per_s;
+        demand.refused_per_s += report.refused_per_s;
     }
+    demand
 }
--- a/state/base/src/lib.rs
+++ b/state/base/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod name;
 pub mod promise;
 pub mod random;
+pub mod recent_max;
 pub mod secret;
 
 pub use clock::{Clock, Millis};
@@ -16,4 +17,5 @@
 pub use map::{Map, Set};
 pub use name::Name;
 pub use promise::Promise;
+pub use recent_max::RecentMax;
 pub use secret::Secret;
