The last lines of a daemon's log are written before its process ends

What on-call saw: no entry instance ever told how its stop had ended.

Cause: daemons log through a queue whose writer is a thread of its own and pauses for 25 ms between two writes; it ends with the process. Ruled out: lines dropped for want of room (no `log_lines_dropped`).

Now the end of a program, and the end over a broken promise, wait up to 200 ms for the writer. A reader that has stopped can't hold up the end for longer; lines are still never waited for while the process serves.

The test runs a daemon's logger in a process of its own; without the two calls it fails with an empty log (tried).

--- a/daemons/setup/src/lib.rs
+++ b/daemons/setup/src/lib.rs
@@ -10,8 +10,10 @@
 /// The exit code for wrong flags, variables or files.
 pub const EXIT_BAD_SETTINGS: u8 = 2;
 
-/// Turns the result of a program into its exit code, and prints what went wrong.
+/// Turns the result of a program into its exit code, prints what went wrong, and has the last lines of the
+/// log written.
 pub fn exit_code(result: eyre::Result<()>) -> std::process::ExitCode {
+    logs::flush();
     match result {
         Ok(()) => std::process::ExitCode::SUCCESS,
         Err(err) => {
--- a/daemons/setup/src/logs.rs
+++ b/daemons/setup/src/logs.rs
@@ -1,6 +1,7 @@
 //! Logs, one key=value line for each event.
 
 use std::panic::{self, PanicHookInfo};
+use std::sync::OnceLock;
 use std::{io, process, thread};
 
 use eyre::Result;
@@ -13,6 +14,13 @@
 /// The exit code of a process that found a promise broken.
 const EXIT_BROKEN_PROMISE: i32 = 3;
 
+/// Time for which the end of a process waits for its last lines. The writer pauses for 25 ms between two
+/// writes; a reader that has stopped must not hold up the end, which a platform enforces within 500 ms.
+const LAST_LINES: Millis = Millis(200);
+
+/// The queue of a daemon.
+static QUEUE: OnceLock<Queue> = OnceLock::new();
+
 /// Starts logging on standard error. From now on a broken promise ends the process.
 ///
 /// # Errors
@@ -29,7 +37,15 @@
 /// Fails when a logger was set before or the writer can't be started.
 pub fn start_daemon(level: LevelFilter) -> Result<()> {
     let queue = Queue::start(io::stdout())?;
-    start_to(level, fern::Output::call(move |record| queue.add(record)))
+    let queue = QUEUE.get_or_init(|| queue);
+    start_to(level, fern::Output::call(|record| queue.add(record)))
+}
+
+/// Has a daemon's last lines written, before its process ends.
+pub fn flush() {
+    if let Some(queue) = QUEUE.get() {
+        queue.flush(LAST_LINES);
+    }
 }
 
 fn start_to(level: LevelFilter, output: fern::Output) -> Result<()> {
@@ -73,6 +89,7 @@
 /// with a state that is wrong, and without membership or settings if it was their task, silently.
 fn end_on_broken_promise(info: &PanicHookInfo<'_>) {
     if text_of(info).is_some_and(|text| text.starts_with("promise=")) {
+        flush();
         process::exit(EXIT_BROKEN_PROMISE);
     }
 }
--- a/daemons/setup/src/queue.rs
+++ b/daemons/setup/src/queue.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{self, Receiver, SyncSender, TrySendError};
 use std::thread;
+use std::time::{Duration, Instant};
 
 use log::{Level, Record};
 use sill_base::Millis;
@@ -23,6 +24,9 @@
 /// time than the line.
 const PAUSE: Millis = Millis(25);
 
+/// How often [`Queue::flush`] looks whether all is written.
+const LOOK: Millis = Millis(5);
+
 /// Takes lines without ever waiting. Clones share it.
 #[derive(Debug, Clone)]
 pub struct Queue {
@@ -34,6 +38,8 @@
 #[derive(Debug, Default)]
 pub struct Counts {
     waiting: AtomicUsize,
+    /// Lines that wait, or that the writer has taken and not written yet.
+    unwritten: AtomicUsize,
     dropped_successes: AtomicU64,
     dropped_failures: AtomicU64,
 }
@@ -71,13 +77,24 @@
         }
         line.push('\n');
         counts.waiting.fetch_add(1, Ordering::Relaxed);
+        counts.unwritten.fetch_add(1, Ordering::Relaxed);
         if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
             self.lines.try_send(line)
         {
             counts.waiting.fetch_sub(1, Ordering::Relaxed);
+            counts.unwritten.fetch_sub(1, Ordering::Relaxed);
             counts.dropped_failures.fetch_add(1, Ordering::Relaxed);
         }
     }
+
+    /// Waits until all lines are written, `patience` at most. The writer ends with the process; without
+    /// this, the lines of a process's last moment, which tell why it ended, would never be seen.
+    pub fn flush(&self, patience: Millis) {
+        let until = Instant::now() + Duration::from(patience);
+        while self.counts.unwritten.load(Ordering::Relaxed) > 0 && Instant::now() < until {
+            thread::sleep(LOOK.into());
+        }
+    }
 }
 
 /// Writes lines until the queue's last sender is gone.
@@ -98,6 +115,7 @@
         }
         // Nobody is left to be told that the output is gone.
         let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+        counts.unwritten.fetch_sub(taken, Ordering::Relaxed);
         thread::sleep(PAUSE.into());
     }
 }
--- a/daemons/setup/tests/panics.rs
+++ b/daemons/setup/tests/panics.rs
@@ -1,4 +1,4 @@
-//! What a log shows of a panic.
+//! What a log shows of a panic and of the end of a process.
 
 use std::process::{Command, Output};
 
@@ -8,9 +8,13 @@
 const CHILD: &str = "SILL_TEST_PANICS";
 
 fn run_again(test: &str) -> Output {
+    run_again_as(test, "1")
+}
+
+fn run_again_as(test: &str, case: &str) -> Output {
     Command::new(std::env::current_exe().expect("this test"))
         .args(["--exact", test, "--nocapture"])
-        .env(CHILD, "1")
+        .env(CHILD, case)
         .output()
         .expect("the test runs again")
 }
@@ -50,3 +54,49 @@
     assert_eq!(child.status.code(), Some(3), "{log}");
     assert!(log.contains("promise=leaving_gets_nothing"), "{log}");
 }
+
+/// An instance ends, as planned or over a broken promise. Its log is written by a thread of its own, which
+/// ended with the process before the last lines were out: nobody could tell how many calls a stop had cut,
+/// or which promise was broken.
+#[test]
+fn the_last_lines_of_a_daemon_are_written() {
+    struct Case {
+        name: &'static str,
+        ends: fn(),
+        code: i32,
+        last: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "planned",
+            ends: || {
+                let _ = sill_setup::exit_code(Ok(()));
+                std::process::exit(0);
+            },
+            code: 0,
+            last: "event=stopped n=100",
+        },
+        Case {
+            name: "promise",
+            ends: || keep!(Promise::LeavingGetsNothing, false, "endpoint m1 was offered"),
+            code: 3,
+            last: "promise=leaving_gets_nothing",
+        },
+    ];
+    if let Ok(name) = std::env::var(CHILD) {
+        sill_setup::logs::start_daemon(log::LevelFilter::Info).expect("the first logger");
+        for n in 1..=100 {
+            sill_base::event!(Warn, "stopped", n = n);
+        }
+        let case = cases.iter().find(|case| case.name == name).expect("a case");
+        return (case.ends)();
+    }
+    for case in cases {
+        let child = run_again_as("the_last_lines_of_a_daemon_are_written", case.name);
+        let log = String::from_utf8_lossy(&child.stdout);
+        assert_eq!(child.status.code(), Some(case.code), "{}: {log}", case.name);
+        for part in ["event=stopped n=1\"", "event=stopped n=100\"", case.last] {
+            assert!(log.contains(part), "{}: no {part} in {log}", case.name);
+        }
+    }
+}
