Test: a new connection to a stopping entry instance gets an answer (red)

Most instances of each failure domain stopped, so the balancer went on sending callers to all of them.

--- /dev/null
+++ b/daemons/gateway/tests/stops.rs
@@ -0,0 +1,86 @@
+//! What callers get of an entry instance that stops.
+
+#[allow(dead_code)] // The tests of stops use a part of it.
+mod support;
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use support::{Act, World, answer_of, exchange, exchange_after, request, wait_until_ready_is};
+
+/// Longer than the notice of the test's instance.
+const UNTIL_NOTICED: Duration = Duration::from_millis(300);
+
+/// A call that keeps the instance waiting until all others of a test are over.
+fn long_call() -> Act {
+    Act::AnswerLater(answer_of("long"), Duration::from_millis(2500))
+}
+
+/// Stops an instance that has one call open, and returns once the balancer has noticed.
+fn stop_behind_a_long_call(mut world: World) -> (SocketAddr, thread::JoinHandle<World>) {
+    let (address, ready_address) = (world.address, world.ready_address);
+    let long = thread::spawn(move || exchange(address, &request("/idempotent/x", "")));
+    while world.endpoints[0].requests() == 0 {
+        thread::sleep(Duration::from_millis(10));
+    }
+    let stop = thread::spawn(move || {
+        world.stop();
+        assert!(long.join().expect("an answer").is_whole, "what ran before is not cut");
+        world
+    });
+    wait_until_ready_is(503, ready_address);
+    thread::sleep(UNTIL_NOTICED);
+    (address, stop)
+}
+
+/// Most entry instances of a failure domain stop at once, so the balancer goes on sending callers to all of
+/// them. A caller connects to one that has closed its unused connections already, and sends its request a
+/// round trip later, or a few. Its connection was ended without an answer; it tried elsewhere, with the same
+/// outcome, although the instance had seconds left to serve it.
+#[test]
+fn a_new_connection_to_a_stopping_instance_gets_an_answer() {
+    struct Case {
+        name: &'static str,
+        pause: Duration,
+        extra: &'static str,
+        status: u16,
+    }
+    let cases = [
+        Case {
+            name: "one that ends in time, at once",
+            pause: Duration::ZERO,
+            extra: "sill-deadline-ms: 1000\r\n",
+            status: 200,
+        },
+        Case {
+            name: "one that ends in time, a round trip later",
+            pause: Duration::from_millis(20),
+            extra: "sill-deadline-ms: 1000\r\n",
+            status: 200,
+        },
+        Case {
+            name: "one that ends in time, much later",
+            pause: Duration::from_millis(300),
+            extra: "sill-deadline-ms: 1000\r\n",
+            status: 200,
+        },
+        Case {
+            name: "one that may not end in time",
+            pause: Duration::from_millis(20),
+            extra: "",
+            status: 503,
+        },
+    ];
+    let answers = cases.iter().map(|_| Act::Answer(answer_of("quick")));
+    let world = World::start(vec![std::iter::once(long_call()).chain(answers).collect()]);
+    let (address, stop) = stop_behind_a_long_call(world);
+    for case in cases {
+        let got = exchange_after(address, case.pause, &request("/idempotent/x", case.extra));
+        assert_eq!(got.status, case.status, "{}: {}", case.name, got.head);
+        let head = got.head.to_lowercase();
+        assert!(head.contains("connection: close"), "{}: {head}", case.name);
+    }
+    let world = stop.join().expect("it stops");
+    assert_eq!(world.endpoints[0].requests(), 4, "the one that may not end was not sent");
+}
