Gateway: a stream without a first event is answered as a failure

A caller of a stream whose endpoint went away, or fell silent, between the head of its answer and its first event got a 200 without content that broke off, and could not tell it from a stream that was cut in the middle.

Cause: the head was passed on as soon as it came, after which no status can be told any more. Ruled out: the resumption of streams; it sees the break, but where a stream may not be resumed, or nobody goes on, only the cut was left.

With the change 502 for a stream that broke, 504 for a silent one at its deadline, and one that may be resumed is run once more: 200, 2 runs. No answer says that the call has not run.

The head of a 2xx event stream is held until the first part is there, inside the relay, so that a run which has no event yet is still moved and resumed as before. Head and first event leave together; the time to the first event was not measured.

--- /dev/null
+++ b/daemons/gateway/src/answer.rs
@@ -0,0 +1,59 @@
+//! Makes the caller's answer of an endpoint's.
+
+use http::response::Parts;
+use http::{HeaderMap, Response, header};
+use http_body_util::BodyExt;
+use sill_dispatch::Progress;
+use sill_net::h1::{Answer, AnyBody, strip_hop_by_hop};
+use sill_tree::RouteKind;
+use sill_wire::header::EVENT_STREAM;
+
+use crate::dispatch::Attempt;
+use crate::relay::{Relay, Running, is_movable};
+use crate::serve::Call;
+use crate::summary::Summary;
+
+/// Passes an answer on.
+///
+/// The head of a stream waits for the first part of its body. An endpoint may begin a stream and be gone
+/// before its first event; with the head on its way, the caller would get a success without content that
+/// breaks off, and nobody could answer any more. The two leave together, so the first event is no later.
+pub async fn pass_on(
+    mut summary: Summary,
+    attempt: Attempt,
+    answer: Answer,
+    progress: Progress,
+) -> Response<AnyBody> {
+    let (response, connection) = answer.into_parts();
+    let (mut parts, body) = response.into_parts();
+    strip_hop_by_hop(&mut parts.headers);
+    summary.answers(parts.status.as_u16());
+    let call = attempt.call().clone();
+    let is_stream = is_stream(&call, &parts);
+    let goes_on =
+        is_stream && (call.route.route.kind == RouteKind::ResumableStream || is_movable(&call));
+    if goes_on {
+        // What comes from another endpoint may be longer.
+        parts.headers.remove(header::CONTENT_LENGTH);
+    }
+    if !call.pool.is_engine && parts.status.is_success() {
+        attempt.count_usage();
+    }
+    let mut relay = Relay::new(summary, Running { body, attempt, connection }, progress, goes_on);
+    if is_stream && relay.hold_first().await.is_err() {
+        return relay.fail();
+    }
+    Response::from_parts(parts, relay.boxed_unsync())
+}
+
+fn is_stream(call: &Call, parts: &Parts) -> bool {
+    call.route.route.kind.is_stream()
+        && parts.status.is_success()
+        && is_event_stream(&parts.headers)
+}
+
+/// Only events tell where a stream can go on.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM))
+}
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -10,8 +10,8 @@
 use sill_net::h1::{Answer, AnyBody, SendFailure, strip_hop_by_hop};
 use sill_route::{Outcome, RefusalReason};
 
+use crate::answer;
 use crate::dialect::{Forward, MovedMemory, Word};
-use crate::relay;
 use crate::serve::Call;
 use crate::state::State;
 use crate::summary::Summary;
@@ -71,7 +71,7 @@
         exclude.push(attempt.place.endpoint.clone());
         let outcome = match make(attempt, &progress, None).await {
             Attempted::Answer(attempt, answer) => {
-                return relay::pass_on(summary, attempt, answer, progress);
+                return answer::pass_on(summary, attempt, answer, progress).await;
             }
             Attempted::Failed(outcome) => outcome,
         };
--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -2,8 +2,9 @@
 //! service, and passes the answers on byte for byte as they come.
 //!
 //! Data goes one way: [`serve`] reads and admits a call, [`dispatch`] finds an endpoint and makes the
-//! attempts, [`relay`] passes the answer on. [`link`] keeps up with the control instances.
+//! attempts, [`answer`] and [`relay`] pass the answer on. [`link`] keeps up with the control instances.
 
+pub mod answer;
 pub mod cfg;
 pub mod cli;
 pub mod daemon;
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -1,32 +1,33 @@
 //! Passes an answer on to the caller as it comes, and goes on elsewhere where a stream may be resumed.
 
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use http::{HeaderMap, Response, header};
+use http::Response;
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sill_base::Name;
 use sill_dispatch::{AttemptOutcome, EventTracker, Next, Place, Progress};
-use sill_net::h1::{AnyBody, BodyError, Returnable, strip_hop_by_hop};
+use sill_net::h1::{AnyBody, BodyError, Returnable};
 use sill_route::Outcome;
 use sill_tree::RouteKind;
-use sill_wire::header::EVENT_STREAM;
+use sill_wire::ErrorCode;
 use tokio::time::Sleep;
 
 use crate::dispatch::{self, Attempt, Attempted, Resumption};
 use crate::ending::Phase;
+use crate::failure::Failure;
 use crate::moves::{self, Moved};
 use crate::serve::Call;
 use crate::state::State;
 use crate::summary::Summary;
 
 /// An answer on its way.
-struct Relay {
+pub struct Relay {
     state: Arc<State>,
     call: Arc<Call>,
     summary: Summary,
@@ -42,6 +43,8 @@
     /// The move of the run, while the rest of its old stream comes in.
     moving: Option<Moving>,
     has_begun: bool,
+    /// The first part, until the head of the answer is on its way.
+    held: Option<Bytes>,
     /// Why the answer ends, once what came before is on its way to the caller.
     broken: Option<BodyError>,
 }
@@ -66,71 +69,69 @@
     Copied(Box<Moved>),
 }
 
-struct Running {
-    body: Incoming,
-    attempt: Attempt,
-    connection: Option<Returnable>,
-}
-
-/// Makes the caller's answer of an endpoint's.
-pub fn pass_on(
-    mut summary: Summary,
-    attempt: Attempt,
-    answer: sill_net::h1::Answer,
-    progress: Progress,
-) -> Response<AnyBody> {
-    let (response, connection) = answer.into_parts();
-    let (mut parts, body) = response.into_parts();
-    strip_hop_by_hop(&mut parts.headers);
-    let (state, call) = (attempt.state().clone(), attempt.call().clone());
-    summary.answers(parts.status.as_u16());
-    let is_stream = call.route.route.kind.is_stream()
-        && parts.status.is_success()
-        && is_event_stream(&parts.headers);
-    let may_move = is_stream && is_movable(&call);
-    let may_resume = is_stream && call.route.route.kind == RouteKind::ResumableStream || may_move;
-    if may_resume {
-        // What comes from another endpoint may be longer.
-        parts.headers.remove(header::CONTENT_LENGTH);
-    }
-    if !call.pool.is_engine && parts.status.is_success() {
-        attempt.count_usage();
-    }
-    let left = call.due - state.clock.now();
-    let endpoint = attempt.place.endpoint.clone();
-    let relay = Relay {
-        move_due: may_move.then(|| move_due(&state, &call, endpoint)),
-        moving: None,
-        summary,
-        progress,
-        source: Source::Running(Running { body, attempt, connection }),
-        events: may_resume.then(EventTracker::default),
-        due: Box::pin(tokio::time::sleep(left.into())),
-        cut: Box::pin(state.ending.begins(Phase::Cut)),
-        has_begun: false,
-        broken: None,
-        state,
-        call,
-    };
-    Response::from_parts(parts, relay.boxed_unsync())
+/// An answer that comes from an endpoint.
+pub struct Running {
+    /// What is still to come.
+    pub body: Incoming,
+    /// The attempt that it answers.
+    pub attempt: Attempt,
+    /// The connection on which it comes.
+    pub connection: Option<Returnable>,
 }
 
 /// Returns whether a run is to be moved, as one that can't be resumed from its events alone.
-fn is_movable(call: &Call) -> bool {
+pub fn is_movable(call: &Call) -> bool {
     call.route.route.kind == RouteKind::Stream && call.pool.can_move
 }
 
-/// Only events tell where a stream can go on.
-fn is_event_stream(headers: &HeaderMap) -> bool {
-    let kind = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
-    kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM))
-}
-
 fn move_due(state: &Arc<State>, call: &Arc<Call>, endpoint: Name) -> BoxFuture<'static, ()> {
     Box::pin(moves::due(state.clone(), call.clone(), endpoint))
 }
 
 impl Relay {
+    /// Makes the body of an answer; `goes_on` is whether it may go on at another endpoint.
+    pub fn new(summary: Summary, running: Running, progress: Progress, goes_on: bool) -> Self {
+        let attempt = &running.attempt;
+        let (state, call) = (attempt.state().clone(), attempt.call().clone());
+        let left = call.due - state.clock.now();
+        let moves = goes_on && is_movable(&call);
+        Self {
+            move_due: moves.then(|| move_due(&state, &call, attempt.place.endpoint.clone())),
+            moving: None,
+            summary,
+            progress,
+            source: Source::Running(running),
+            events: goes_on.then(EventTracker::default),
+            due: Box::pin(tokio::time::sleep(left.into())),
+            cut: Box::pin(state.ending.begins(Phase::Cut)),
+            has_begun: false,
+            held: None,
+            broken: None,
+            state,
+            call,
+        }
+    }
+
+    /// Waits for the first part and holds it until the head of the answer is on its way.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the answer breaks off before.
+    pub async fn hold_first(&mut self) -> Result<(), BodyError> {
+        let first = poll_fn(|cx| Pin::new(&mut *self).poll_frame(cx)).await;
+        self.held = first.transpose()?.and_then(|frame| frame.into_data().ok());
+        Ok(())
+    }
+
+    /// Ends a call none of whose answer was passed on.
+    pub fn fail(&mut self) -> Response<AnyBody> {
+        let code = match self.state.clock.now() < self.call.due {
+            true => ErrorCode::UpstreamFailed,
+            false => ErrorCode::DeadlinePassed,
+        };
+        self.summary.fail(Failure::new(code))
+    }
+
     /// Starts to move the run once that is due.
     fn poll_move(&mut self, cx: &mut Context<'_>) {
         let is_due = self.move_due.as_mut().is_some_and(|due| due.as_mut().poll(cx).is_ready());
@@ -323,6 +324,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let this = &mut *self;
+        if let Some(held) = this.held.take() {
+            return Poll::Ready(Some(Ok(Frame::data(held))));
+        }
         if let Some(err) = this.broken.take() {
             return Poll::Ready(Some(Err(err)));
         }
@@ -356,6 +360,9 @@
     }
 
     fn is_end_stream(&self) -> bool {
+        if self.held.is_some() {
+            return false;
+        }
         match &self.source {
             Source::Running(running) => self.events.is_none() && running.body.is_end_stream(),
             Source::Resuming(_) => false,
@@ -365,7 +372,9 @@
 
     fn size_hint(&self) -> SizeHint {
         match &self.source {
-            Source::Running(running) if self.events.is_none() => running.body.size_hint(),
+            Source::Running(running) if self.events.is_none() && self.held.is_none() => {
+                running.body.size_hint()
+            }
             _ => SizeHint::default(),
         }
     }
@@ -375,6 +384,7 @@
     /// The server stops to ask once it has all bytes that the answer's length names.
     fn drop(&mut self) {
         if let Source::Running(running) = &self.source
+            && self.held.is_none()
             && running.body.is_end_stream()
         {
             self.ended();
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -121,7 +121,8 @@
         Some(self.fail(failure))
     }
 
-    fn fail(&mut self, failure: Failure) -> Response<AnyBody> {
+    /// Ends a call with an answer of the entry instance's own.
+    pub fn fail(&mut self, failure: Failure) -> Response<AnyBody> {
         if failure.is_not_run()
             && let Some(account) = &self.call.account
         {
--- a/daemons/gateway/tests/relay.rs
+++ b/daemons/gateway/tests/relay.rs
@@ -296,3 +296,55 @@
     assert_eq!((short.status, &short.body[..]), (200, &b"quick"[..]));
     assert_eq!(world.endpoints[0].requests(), 2, "the long one was not sent");
 }
+
+/// An endpoint begins a stream and is gone, or falls silent, before its first event. Passed on at once, the
+/// head would promise an answer that never comes: the caller sees a success without content that breaks
+/// off, and can't tell it from one that was cut in the middle.
+#[test]
+fn a_stream_without_a_first_event_is_answered_as_a_failure() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        act: Act,
+        status: u16,
+        runs: usize,
+    }
+    let begun = || head("content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n");
+    let half = || format!("{}6\r\nid: 1\n\r\n", begun());
+    let breaks = || Act::AnswerAndClose(begun());
+    let breaks_in_event = || Act::AnswerAndClose(half());
+    let silent = || Act::AnswerAndCloseLater(begun(), Duration::from_secs(5));
+    let cases = [
+        Case { name: "breaks", path: "/stream/x", act: breaks(), status: 502, runs: 1 },
+        Case { name: "resumed", path: "/resumable_stream/x", act: breaks(), status: 200, runs: 2 },
+        Case {
+            name: "resumed after half of an event",
+            path: "/resumable_stream/x",
+            act: breaks_in_event(),
+            status: 200,
+            runs: 2,
+        },
+        Case { name: "silent", path: "/stream/x", act: silent(), status: 504, runs: 1 },
+    ];
+    for case in cases {
+        let whole = vec![Act::Answer(answer_of("whole")); 20];
+        let world = World::start(vec![vec![case.act], whole]);
+        let all_runs = || world.endpoints.iter().map(|e| e.requests()).sum::<usize>();
+        // Which of the two is asked is left to the choice; sooner or later it is the one that fails.
+        let (got, runs) = loop {
+            let before = all_runs();
+            let text = request(case.path, "sill-deadline-ms: 600\r\n");
+            let got = exchange(world.address, &text);
+            if world.endpoints[0].requests() > 0 {
+                break (got, all_runs() - before);
+            }
+        };
+        assert_eq!(
+            (got.status, runs, got.is_whole),
+            (case.status, case.runs, true),
+            "{}",
+            case.name
+        );
+        assert!(!got.head.contains("sill-not-run"), "{}: {}", case.name, got.head);
+    }
+}
