Gateway: what waits at the end of a stop gets an answer

Callers that still waited for the first part of an answer when the time of a stop was up saw their connection closed, with no answer and nothing that told whether the call had run.

Cause: the end of the process was the only end of such a call. Ruled out: the deadline, which ends a call only when its own time is up, and admission, which a call that came before the signal has passed.

With the change, 200 ms before the limit: 502 that promises nothing, the endpoint told to stop, for plain calls, streams and streams whose head had come; 503 as not run, to come back elsewhere, for a request that isn't read yet. `gateway_stopped` counts refused, failed and cut.

Why it holds: an attempt is awaited in two places only, both race with the end; what waits there may have left, so it is never called not run, also not while its connection is being opened. A call that comes after is refused before it is sent. Calls are admitted against the time of the last answers, so one that is admitted for its deadline has all of its time.

Promises: no answer without a truthful outcome; nothing is sent again. 200 ms of a stop are lost to calls that would have begun to answer just then.

--- a/daemons/gateway/src/answer.rs
+++ b/daemons/gateway/src/answer.rs
@@ -9,6 +9,7 @@
 use sill_wire::header::EVENT_STREAM;
 
 use crate::dispatch::Attempt;
+use crate::ending::Phase;
 use crate::relay::{Relay, Running, is_movable};
 use crate::serve::Call;
 use crate::summary::Summary;
@@ -28,7 +29,7 @@
     let (mut parts, body) = response.into_parts();
     strip_hop_by_hop(&mut parts.headers);
     summary.answers(parts.status.as_u16());
-    let call = attempt.call().clone();
+    let (state, call) = (attempt.state().clone(), attempt.call().clone());
     let is_stream = is_stream(&call, &parts);
     let goes_on =
         is_stream && (call.route.route.kind == RouteKind::ResumableStream || is_movable(&call));
@@ -40,8 +41,15 @@
         attempt.count_usage();
     }
     let mut relay = Relay::new(summary, Running { body, attempt, connection }, progress, goes_on);
-    if is_stream && relay.hold_first().await.is_err() {
-        return relay.fail();
+    if is_stream {
+        let is_held = tokio::select! {
+            biased;
+            held = relay.hold_first() => held.is_ok(),
+            () = state.ending.begins(Phase::LastAnswers) => return relay.fail_by_stop(),
+        };
+        if !is_held {
+            return relay.fail();
+        }
     }
     Response::from_parts(parts, relay.boxed_unsync())
 }
--- a/daemons/gateway/src/daemon.rs
+++ b/daemons/gateway/src/daemon.rs
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 
 use crate::cfg::GatewayCfg;
-use crate::ending::{ByStop, CUT_LINES, Phase};
+use crate::ending::{ByStop, Phase};
 use crate::link::{FOLLOWED, Link};
 use crate::serve;
 use crate::state::State;
@@ -34,6 +34,10 @@
 /// How often a stop looks whether all is done.
 const LOOK: Millis = Millis(50);
 
+/// Time before the end of a stop at which calls that still wait for their answers are answered, so that
+/// these can be written on an instance with a twelfth of a core.
+const LAST_ANSWERS: Millis = Millis(200);
+
 /// Time after the end of a stop in which what is cut may be told; it is used only while connections are
 /// open. 320 streams were cut and told within 52 ms by a debug build on a busy machine; an instance with
 /// a twelfth of a core needs longer.
@@ -94,14 +98,18 @@
         let began = self.state.clock.now();
         let cfg = self.state.cfg.stop;
         event!(Info, "gateway_stops", connections = self.open());
-        let (noticed_at, ends_at) = (began + cfg.notice, began + cfg.limit);
-        self.state.begin_to_stop(StopTimes { noticed_at, ends_at });
+        let (noticed_at, cut_at) = (began + cfg.notice, began + cfg.limit);
+        let answered_at = cut_at - LAST_ANSWERS;
+        // What is admitted has all of its time until it is answered in any case.
+        self.state.begin_to_stop(StopTimes { noticed_at, ends_at: answered_at });
         // New connections still come until the balancer has asked again; refused, they would fail.
         tokio::time::sleep(cfg.notice.into()).await;
         self.stop.send_replace(Stop::Closing);
-        self.done_by(ends_at).await;
+        self.done_by(answered_at).await;
+        self.state.ending.begin(Phase::LastAnswers);
+        self.done_by(cut_at).await;
         self.state.ending.begin(Phase::Cut);
-        self.done_by(ends_at + TELL).await;
+        self.done_by(cut_at + TELL).await;
         self.tell_end(began);
     }
 
@@ -121,14 +129,16 @@
     }
 
     fn tell_end(&self, began: Millis) {
-        let cut = self.state.ending.counted(ByStop::Cut);
+        let ending = &self.state.ending;
         event!(
             Info,
             "gateway_stopped",
             name = self.state.cfg.name,
             ms = self.state.clock.now() - began,
-            cut = cut,
-            cut_without_line = cut.saturating_sub(CUT_LINES),
+            refused = ending.counted(ByStop::Refused),
+            failed = ending.counted(ByStop::Failed),
+            cut = ending.counted(ByStop::Cut),
+            without_line = ending.without_line(),
             connections = self.open()
         );
     }
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -12,6 +12,7 @@
 
 use crate::answer;
 use crate::dialect::{Forward, MovedMemory, Word};
+use crate::ending::Phase;
 use crate::serve::Call;
 use crate::state::State;
 use crate::summary::Summary;
@@ -51,9 +52,29 @@
     Failed(AttemptOutcome),
 }
 
-/// Makes attempts until one is answered or nothing more can be done.
+/// Makes attempts until one is answered, nothing more can be done or the process ends.
 pub async fn run(state: Arc<State>, call: Arc<Call>) -> Response<AnyBody> {
     let mut summary = Summary::new(state.clone(), call.clone());
+    let answered = tokio::select! {
+        biased;
+        answered = attempts(&state, &call, &mut summary) => answered,
+        // Dropped, the attempt ends, and its endpoint is told.
+        () = state.ending.begins(Phase::LastAnswers) => Err(summary.fail_by_stop()),
+    };
+    match answered {
+        Ok((attempt, answer, progress)) => {
+            answer::pass_on(summary, attempt, answer, progress).await
+        }
+        Err(response) => response,
+    }
+}
+
+/// Makes attempts until one is answered; otherwise returns what the caller is told.
+async fn attempts(
+    state: &Arc<State>,
+    call: &Arc<Call>,
+    summary: &mut Summary,
+) -> Result<(Attempt, Answer, Progress), Response<AnyBody>> {
     let route = &call.route.route;
     let mut progress = Progress::new(route.kind, route.max_attempts, call.due - call.arrived);
     let mut exclude = Vec::new();
@@ -61,17 +82,17 @@
     loop {
         let now = state.clock.now();
         progress.left = call.due - now;
-        let attempt = match place(&state, &call, now, &exclude, progress.sends()) {
+        let attempt = match place(state, call, now, &exclude, progress.sends()) {
             Ok(attempt) => attempt,
             Err((reason, wait)) => {
-                return summary.refuse(&progress, reason, wait);
+                return Err(summary.refuse(&progress, reason, wait));
             }
         };
         summary.sends_to(&attempt.place, now);
         exclude.push(attempt.place.endpoint.clone());
         let outcome = match make(attempt, &progress, None).await {
             Attempted::Answer(attempt, answer) => {
-                return answer::pass_on(summary, attempt, answer, progress).await;
+                return Ok((attempt, answer, progress));
             }
             Attempted::Failed(outcome) => outcome,
         };
@@ -82,7 +103,7 @@
         }
         progress.count(outcome);
         if let Some(response) = summary.after(next, outcome) {
-            return response;
+            return Err(response);
         }
     }
 }
--- a/daemons/gateway/src/ending.rs
+++ b/daemons/gateway/src/ending.rs
@@ -5,9 +5,9 @@
 
 use tokio::sync::watch;
 
-/// Lines on calls that were cut. The log must not take the moment that is left from the calls that are
-/// still to be ended; the rest is counted.
-pub const CUT_LINES: usize = 300;
+/// Lines on calls that the stop ended, for each way. The log must not take the moment that is left from the
+/// calls that are still to be ended; the rest is counted.
+pub const LINES_BY_STOP: usize = 300;
 
 /// How near the end of the process is.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -15,6 +15,8 @@
     /// Calls go on.
     #[default]
     Open,
+    /// What waits for the first byte of its answer is answered.
+    LastAnswers,
     /// What still runs is cut.
     Cut,
 }
@@ -22,6 +24,10 @@
 /// How a call was ended by the stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ByStop {
+    /// Told that it has not run.
+    Refused,
+    /// Told that its outcome is unknown.
+    Failed,
     /// In the middle of its answer, or with its caller not reading.
     Cut,
 }
@@ -30,6 +36,8 @@
 #[derive(Debug, Default)]
 pub struct Ending {
     phase: watch::Sender<Phase>,
+    refused: AtomicUsize,
+    failed: AtomicUsize,
     cut: AtomicUsize,
 }
 
@@ -54,9 +62,9 @@
         }
     }
 
-    /// Counts a call that the stop ended; returns how many there were of its kind.
-    pub fn count(&self, by_stop: ByStop) -> usize {
-        self.counter(by_stop).fetch_add(1, Ordering::Relaxed) + 1
+    /// Counts a call that the stop ended; returns whether it gets a line.
+    pub fn count(&self, by_stop: ByStop) -> bool {
+        self.counter(by_stop).fetch_add(1, Ordering::Relaxed) < LINES_BY_STOP
     }
 
     /// Returns how many calls the stop ended so.
@@ -64,8 +72,17 @@
         self.counter(by_stop).load(Ordering::Relaxed)
     }
 
+    /// Returns how many of them have no line.
+    pub fn without_line(&self) -> usize {
+        // Refusals are few, and have lines like all others.
+        let kinds = [ByStop::Failed, ByStop::Cut];
+        kinds.iter().map(|kind| self.counted(*kind).saturating_sub(LINES_BY_STOP)).sum()
+    }
+
     fn counter(&self, by_stop: ByStop) -> &AtomicUsize {
         match by_stop {
+            ByStop::Refused => &self.refused,
+            ByStop::Failed => &self.failed,
             ByStop::Cut => &self.cut,
         }
     }
--- a/daemons/gateway/src/failure.rs
+++ b/daemons/gateway/src/failure.rs
@@ -6,6 +6,7 @@
 use sill_wire::{ErrorBody, ErrorCode, ErrorDetail};
 
 use crate::dialect::Dialect;
+use crate::state::State;
 
 /// Why a call has no answer of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,8 +38,17 @@
         !matches!(self.code, ErrorCode::UpstreamFailed | ErrorCode::DeadlinePassed)
     }
 
-    /// Makes the answer.
-    pub fn response(&self, dialect: &dyn Dialect, attempt: &Name) -> Response<AnyBody> {
+    /// Makes the answer to a call; where the entry instance stops, the last one on its connection. On the
+    /// same connection the caller would come back to this instance.
+    pub fn answer(&self, state: &State, attempt: &Name) -> Response<AnyBody> {
+        let mut response = self.response(&*state.cfg.dialect, attempt);
+        if state.is_stopping() {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    fn response(&self, dialect: &dyn Dialect, attempt: &Name) -> Response<AnyBody> {
         let detail = ErrorDetail {
             code: self.code,
             message: format!("{:?}", self.code),
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -132,6 +132,13 @@
         self.summary.fail(Failure::new(code))
     }
 
+    /// Ends a call none of whose answer was passed on when the process ends.
+    pub fn fail_by_stop(&mut self) -> Response<AnyBody> {
+        // The endpoint is told.
+        self.source = Source::Ended;
+        self.summary.fail_by_stop()
+    }
+
     /// Starts to move the run once that is due.
     fn poll_move(&mut self, cx: &mut Context<'_>) {
         let is_due = self.move_due.as_mut().is_some_and(|due| due.as_mut().poll(cx).is_ready());
--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
+use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use sill_base::{Millis, Name, event};
@@ -14,6 +14,7 @@
 
 use crate::dialect::CallHead;
 use crate::dispatch;
+use crate::ending::{ByStop, Phase};
 use crate::failure::Failure;
 use crate::state::{PoolState, State};
 
@@ -79,7 +80,13 @@
         head.attempt = format!("{:016x}", rand::random::<u64>()).into();
     }
     let attempt = head.attempt.clone();
-    match admit(&state, head, parts, body, arrived).await {
+    let admitted = tokio::select! {
+        // What comes after the last answers began is refused before it is sent anywhere.
+        biased;
+        () = state.ending.begins(Phase::LastAnswers) => Err(Refused::by_end(&state)),
+        admitted = admit(&state, head, parts, body, arrived) => admitted,
+    };
+    match admitted {
         Ok(call) => dispatch::run(state, Arc::new(call)).await,
         Err(refused) => refused.answer(&state, &attempt, arrived),
     }
@@ -102,6 +109,14 @@
         Self { failure: Failure::new(code), route: none.clone(), account: none, why, inputs }
     }
 
+    /// Makes the refusal of a call that is not read yet when the process ends.
+    fn by_end(state: &State) -> Self {
+        state.ending.count(ByStop::Refused);
+        let failure = Failure::back_in(ErrorCode::NoCapacity, ELSEWHERE);
+        let inputs = "not read by the end".to_owned();
+        Self { failure, inputs, ..Self::new(ErrorCode::NoCapacity, "stopping") }
+    }
+
     fn answer(&self, state: &State, attempt: &Name, arrived: Millis) -> Response<AnyBody> {
         state.metrics.calls.with_label_values(&[self.why]).inc();
         event!(
@@ -117,12 +132,7 @@
             revision = state.metrics.revision.get(),
             ms = state.clock.now() - arrived
         );
-        let mut response = self.failure.response(&*state.cfg.dialect, attempt);
-        if state.is_stopping() {
-            // On the same connection, the caller would come back to this instance.
-            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-        }
-        response
+        self.failure.answer(state, attempt)
     }
 }
 
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -10,7 +10,7 @@
 use sill_tree::RouteKind;
 use sill_wire::ErrorCode;
 
-use crate::ending::{ByStop, CUT_LINES, Phase};
+use crate::ending::{ByStop, Phase};
 use crate::failure::Failure;
 use crate::serve::Call;
 use crate::state::State;
@@ -21,9 +21,12 @@
 /// The outcome of a call that nothing else has ended.
 const CALLER_LEFT: &str = "caller_left";
 
-/// The outcome of a call that the end of the process cut.
+/// The outcome of a call whose answer the end of the process cut.
 const CUT_BY_STOP: &str = "cut_by_stop";
 
+/// The outcome of a call that waited for its answer at the end of the process.
+const FAILED_BY_STOP: &str = "failed_by_stop";
+
 /// What is logged of a call when it is over.
 #[derive(Debug)]
 pub struct Summary {
@@ -93,9 +96,19 @@
         self.outcome = CUT_BY_STOP;
     }
 
+    /// Ends a call that waits for the first part of its answer when the process ends.
+    ///
+    /// It is at an endpoint, or on its way there, so nobody can tell whether it runs. Cut, its caller would
+    /// know neither that nor where the fault was.
+    pub fn fail_by_stop(&mut self) -> Response<AnyBody> {
+        let response = self.fail(Failure::new(ErrorCode::UpstreamFailed));
+        self.outcome = FAILED_BY_STOP;
+        response
+    }
+
     /// Ends a call that found no endpoint.
     pub fn refuse(
-        mut self,
+        &mut self,
         progress: &Progress,
         reason: RefusalReason,
         wait: Millis,
@@ -130,7 +143,7 @@
         }
         self.status = failure.status().as_u16();
         self.outcome = if failure.is_not_run() { "refused" } else { "failed" };
-        failure.response(&*self.state.cfg.dialect, &self.call.head.attempt)
+        failure.answer(&self.state, &self.call.head.attempt)
     }
 }
 
@@ -161,9 +174,12 @@
             "answered" => log::Level::Info,
             _ => log::Level::Warn,
         };
-        let is_one_of_many =
-            self.outcome == CUT_BY_STOP && state.ending.count(ByStop::Cut) > CUT_LINES;
-        if is_one_of_many || !log::log_enabled!(level) {
+        let has_line = match self.outcome {
+            CUT_BY_STOP => state.ending.count(ByStop::Cut),
+            FAILED_BY_STOP => state.ending.count(ByStop::Failed),
+            _ => true,
+        };
+        if !has_line || !log::log_enabled!(level) {
             return;
         }
         let account = call.account.as_ref().map(|account| account.name.clone());
