Gateway: no attempt is begun that the process can't see to its end

Callers whose call an endpoint refused, or broke off, while their entry instance stopped had it sent again with seconds left: the new attempt could be cut or end with its outcome unknown, although the call had surely not run before and another entry instance would have taken it.

Cause: only admission asked whether a call can still end before the process does. Ruled out: the deadline alone as a bound; the route allows 10 s, the stop 5.

Before, in the new test: a second send in all five cases. With the change, judged as at admission: 503 as not run with a time to come back where an endpoint had refused, 502 where it may have run or a stream had no first event, the endpoint's own 500 where that is the answer; still sent again where the caller's deadline comes first. The retry budget isn't charged for an attempt that isn't made.

A stream that has begun is resumed as before: without that it is cut at once. A second test shows that it goes on and comes whole; it passed before the change too. The time that endpoints are given is left as it is: an attempt that is dropped at the end closes its connection, which tells the endpoint.

--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -6,7 +6,7 @@
 use http::{Request, Response, header};
 use http_body_util::Full;
 use sill_base::{Millis, Name, event};
-use sill_dispatch::{AttemptOutcome, Next, Place, PlaceAsk, Placed, Progress};
+use sill_dispatch::{AttemptOutcome, CallBounds, Next, Place, PlaceAsk, Placed, Progress};
 use sill_net::h1::{Answer, AnyBody, SendFailure, strip_hop_by_hop};
 use sill_route::{Outcome, RefusalReason};
 
@@ -97,6 +97,10 @@
             Attempted::Failed(outcome) => outcome,
         };
         let mut next = progress.after(outcome);
+        if next == Next::Retry && !lasts_for_another(state, call) {
+            progress.count(outcome);
+            return Err(summary.give_up_by_stop(&progress));
+        }
         let takes_budget = next == Next::Retry && outcome != AttemptOutcome::NotSent;
         if takes_budget && !state.may_retry(&call.pool.service) {
             next = progress.without_retry(outcome);
@@ -108,6 +112,15 @@
     }
 }
 
+/// Returns whether the process lasts for one more attempt at a call.
+///
+/// An attempt that is begun too late is cut, or ends with its outcome unknown, though before it the call may
+/// surely not have run, and another entry instance could have taken it.
+pub fn lasts_for_another(state: &State, call: &Call) -> bool {
+    let bounds = CallBounds { output: call.prompt.output, due: call.due };
+    state.too_short_for(&call.route.name, bounds).is_none()
+}
+
 /// Chooses an endpoint and counts the call there.
 pub fn place(
     state: &Arc<State>,
@@ -217,7 +230,7 @@
             Word::Failed => {
                 self.count_usage();
                 match progress.after(AttemptOutcome::Failed) {
-                    Next::Retry if self.state.may_retry(&self.call.pool.service) => {
+                    Next::Retry if self.may_be_repeated() => {
                         Some(self.failed(AttemptOutcome::Failed, said))
                     }
                     _ => None,
@@ -237,6 +250,10 @@
         }
     }
 
+    fn may_be_repeated(&self) -> bool {
+        lasts_for_another(&self.state, &self.call) && self.state.may_retry(&self.call.pool.service)
+    }
+
     fn failed(&self, outcome: AttemptOutcome, why: &str) -> AttemptOutcome {
         let name = format!("{outcome:?}");
         self.state.metrics.attempts.with_label_values(&[&name]).inc();
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -222,7 +222,11 @@
         self.progress.count(AttemptOutcome::Unknown);
         let Some(events) = &mut self.events else { return false };
         events.drop_rest();
-        if !is_resumable || next != Next::Retry || !self.state.may_retry(&self.call.pool.service) {
+        // A stream that has begun is better off wherever it goes on: without that it is cut now. One without
+        // a first event can still be answered as a failure, which its caller may repeat elsewhere.
+        let has_time = self.has_begun || dispatch::lasts_for_another(&self.state, &self.call);
+        let may_go_on = is_resumable && next == Next::Retry && has_time;
+        if !may_go_on || !self.state.may_retry(&self.call.pool.service) {
             return false;
         }
         let last_event = events.last_id().map(str::to_owned);
--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -38,7 +38,7 @@
 /// When to come back after a refusal by an instance that stops. A new connection goes to another one,
 /// which can serve the caller at once; the pause keeps those that are refused together apart from the
 /// moment at which the balancer notices.
-const ELSEWHERE: Millis = Millis(50);
+pub const ELSEWHERE: Millis = Millis(50);
 
 /// An admitted call.
 #[derive(Debug)]
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -12,7 +12,7 @@
 
 use crate::ending::{ByStop, Phase};
 use crate::failure::Failure;
-use crate::serve::Call;
+use crate::serve::{Call, ELSEWHERE};
 use crate::state::State;
 
 /// When to come back after a refusal that names no time itself.
@@ -106,6 +106,16 @@
         response
     }
 
+    /// Ends a call for which the process doesn't last for another attempt.
+    pub fn give_up_by_stop(&mut self, progress: &Progress) -> Response<AnyBody> {
+        self.why = "stopping".to_owned();
+        if progress.ran > 0 {
+            return self.fail_by_stop();
+        }
+        self.state.ending.count(ByStop::Refused);
+        self.fail(Failure::back_in(ErrorCode::NoCapacity, ELSEWHERE))
+    }
+
     /// Ends a call that found no endpoint.
     pub fn refuse(
         &mut self,
--- a/daemons/gateway/tests/stop.rs
+++ b/daemons/gateway/tests/ending.rs
@@ -1,5 +1,6 @@
-//! What callers get, and an on-call engineer reads, of calls that an entry instance's stop meets.
+//! What callers get, and an on-call engineer reads, of calls that meet the end of an entry instance.
 
+#[allow(dead_code)] // The tests of the end use a part of it.
 mod support;
 
 use std::thread::{self, JoinHandle};
@@ -8,7 +9,7 @@
 use sill_base::Millis;
 use sill_gateway::ending::LINES_BY_STOP;
 use support::lines::{self, value};
-use support::{Act, Got, World, exchange, head, request_as};
+use support::{Act, Got, World, answer_of, exchange, head, not_run, request_as};
 
 /// Time from the signal to the end in these tests.
 const LIMIT: Millis = Millis(700);
@@ -24,8 +25,12 @@
 
 /// Sends a call, and returns once an endpoint has it.
 fn begin(world: &World, path: &str, id: &str) -> JoinHandle<Got> {
+    begin_with(world, path, id, "")
+}
+
+fn begin_with(world: &World, path: &str, id: &str, extra: &str) -> JoinHandle<Got> {
     let runs = || world.endpoints.iter().map(|endpoint| endpoint.requests()).sum::<usize>();
-    let (before, address, text) = (runs(), world.address, request_as(id, path, ""));
+    let (before, address, text) = (runs(), world.address, request_as(id, path, extra));
     let caller = thread::spawn(move || exchange(address, &text));
     while runs() == before {
         assert!(!caller.is_finished(), "refused: {:?}", caller.join());
@@ -119,6 +124,67 @@
     assert_eq!(world.endpoints[0].requests(), 0);
 }
 
+/// An endpoint fails a call while the entry instance stops, and another attempt could outlast the process: its
+/// caller would lose what another entry instance could have done for it, or see a stream cut. It is told
+/// at once how things stand. Where the caller's deadline comes first, the call is still sent again.
+#[test]
+fn an_attempt_that_would_outlast_the_process_is_not_begun() {
+    const PAUSE: Duration = Duration::from_millis(1200);
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        extra: &'static str,
+        act: Act,
+        status: u16,
+        sends: usize,
+    }
+    let case = |name, path, act, status| Case { name, path, extra: "", act, status, sends: 1 };
+    let full = || Act::AnswerLater(not_run("503 Service Unavailable"), PAUSE);
+    let breaks = |text: String| Act::AnswerAndCloseLater(text, PAUSE);
+    let fails =
+        "HTTP/1.1 500 Internal Server Error\r\nsill-request-id: {id}\r\ncontent-length: 0\r\n\r\n";
+    let fails = Act::AnswerLater(fails.to_owned(), PAUSE);
+    let in_time = "sill-deadline-ms: 2000\r\n";
+    let cases = [
+        case("refused by an endpoint", "/non_idempotent/x", full(), 503),
+        case("may have run", "/idempotent/x", breaks(String::new()), 502),
+        case("has failed", "/idempotent/x", fails, 500),
+        case("no first event", "/resumable_stream/x", breaks(head(STREAM)), 502),
+        Case { extra: in_time, sends: 2, ..case("in time", "/idempotent/x", full(), 200) },
+    ];
+    for case in cases {
+        let whole = Act::Answer(answer_of("whole"));
+        let mut world = World::start_with_hidden(vec![vec![case.act], vec![whole]]);
+        let caller = begin_with(&world, case.path, "again", case.extra);
+        world.show_last();
+        world.stop();
+        let got = caller.join().expect("an answer");
+        let sends: usize = world.endpoints.iter().map(|endpoint| endpoint.requests()).sum();
+        assert_eq!((got.status, sends), (case.status, case.sends), "{}: {}", case.name, got.head);
+        let head = got.head.to_lowercase();
+        let is_refused = case.status == 503;
+        assert_eq!(head.contains("sill-not-run: true"), is_refused, "{}: {head}", case.name);
+        assert_eq!(head.contains("retry-after: "), is_refused, "{}: {head}", case.name);
+        assert!(head.contains("connection: close"), "{}: {head}", case.name);
+    }
+}
+
+/// An endpoint crashes in the middle of a stream that may be resumed, at an entry instance that stops. Not
+/// gone on with, the stream would be cut at once; so it goes on, also where it might outlast the process.
+#[test]
+fn a_stream_that_has_begun_is_resumed_during_a_stop() {
+    let first = format!("{}{}", head(STREAM), chunk("id: 1\ndata: a\n\n"));
+    let rest = format!("{}{}0\r\n\r\n", head(STREAM), chunk("id: 2\ndata: b\n\n"));
+    let crashes = Act::AnswerAndCloseLater(first, Duration::from_millis(600));
+    let mut world = World::start_with_hidden(vec![vec![crashes], vec![Act::Answer(rest)]]);
+    let caller = begin(&world, "/resumable_stream/x", "goes-on");
+    world.show_last();
+    world.stop();
+    let got = caller.join().expect("an answer");
+    assert_eq!(String::from_utf8_lossy(&got.body), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    assert!(got.is_whole);
+}
+
 /// An entry instance with hundreds of open streams comes to its end. A line on each would take the moment
 /// that is left from those that are still to be told; the rest is counted.
 #[test]
--- a/daemons/gateway/tests/relay.rs
+++ b/daemons/gateway/tests/relay.rs
@@ -1,5 +1,6 @@
 //! What callers get of answers that are whole, cut, late or someone else's.
 
+#[allow(dead_code)] // The tests of answers use a part of it.
 mod support;
 
 use std::thread;
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -1,7 +1,5 @@
 //! An entry instance between scripted endpoints and a stand-in for a control instance.
 
-#![allow(dead_code, reason = "each test file uses a part of it")]
-
 pub mod lines;
 
 use std::collections::VecDeque;
@@ -284,6 +282,12 @@
         *self.facts.lock() = vec![leaving, fact(last, self.endpoints[last].address)];
     }
 
+    /// Tells of the last endpoint.
+    pub fn show_last(&self) {
+        let last = self.endpoints.len() - 1;
+        self.facts.lock().push(fact(last, self.endpoints[last].address));
+    }
+
     /// Stops the entry instance.
     pub fn stop(&mut self) {
         if let Some(gateway) = self.gateway.take() {
