--- a/daemons/gateway/src/moves.rs
+++ b/daemons/gateway/src/moves.rs
@@ -6,8 +6,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 
+use futures_util::future::BoxFuture;
 use sill_base::{Millis, Name, event};
+use sill_dispatch::Place;
 
 use crate::dialect::MovedMemory;
 use crate::dispatch::{self, Attempt};
@@ -32,8 +35,70 @@
     pub memory: MovedMemory,
 }
 
+/// When a run is moved, and its move.
+#[derive(Default)]
+pub struct Relocation {
+    /// Done when the run has to be moved away from its engine.
+    due: Option<BoxFuture<'static, ()>>,
+    moving: Option<Moving>,
+}
+
+/// A move that has begun.
+pub enum Moving {
+    /// The memory of the run is being copied.
+    Copying(BoxFuture<'static, Option<Moved>>),
+    /// It is copied; the old stream is still to end.
+    Copied(Box<Moved>),
+}
+
+impl Relocation {
+    /// Makes the one of a run that may be moved.
+    pub fn of(attempt: &Attempt) -> Self {
+        let (state, call) = (attempt.state().clone(), attempt.call().clone());
+        let endpoint = attempt.place.endpoint.clone();
+        Self { due: Some(Box::pin(due(state, call, endpoint))), moving: None }
+    }
+
+    /// Starts to move the run once that is due, and goes on with it.
+    pub fn poll(&mut self, cx: &mut Context<'_>, attempt: &Attempt, sends: u32) {
+        if self.due.as_mut().is_some_and(|due| due.as_mut().poll(cx).is_ready()) {
+            self.due = None;
+            let Place { endpoint, address, .. } = attempt.place.clone();
+            let (state, call) = (attempt.state().clone(), attempt.call().clone());
+            // The router tells attempts of one call apart by their number.
+            let moved = run(state, call, address, endpoint, sends + 1);
+            self.moving = Some(Moving::Copying(Box::pin(moved)));
+        }
+        if let Some(Moving::Copying(copying)) = &mut self.moving
+            && let Poll::Ready(moved) = copying.as_mut().poll(cx)
+        {
+            self.moving = moved.map(|moved| Moving::Copied(Box::new(moved)));
+        }
+    }
+
+    /// Returns whether only the end of the old stream is still to come.
+    pub const fn is_copied(&self) -> bool {
+        matches!(self.moving, Some(Moving::Copied(_)))
+    }
+
+    /// Takes the move out, if it has begun.
+    pub fn take(&mut self) -> Option<Moving> {
+        self.moving.take()
+    }
+}
+
+impl Moving {
+    /// Waits for the end of the move.
+    pub async fn moved(self) -> Option<Moved> {
+        match self {
+            Self::Copying(copying) => copying.await,
+            Self::Copied(moved) => Some(*moved),
+        }
+    }
+}
+
 /// Waits until a run has to be moved away from its engine.
-pub async fn due(state: Arc<State>, call: Arc<Call>, endpoint: Name) {
+async fn due(state: Arc<State>, call: Arc<Call>, endpoint: Name) {
     let at = call.pool.departure(&endpoint).await;
     let left = at - AHEAD - state.clock.now();
     tokio::time::sleep(left.into()).await;
@@ -44,7 +109,7 @@
 /// The first copy takes up to 0.8 s behind those of other runs, while the run goes on. The second one
 /// copies what came since, so the stream pauses for some 30 ms; stopped before the first, it paused for
 /// longer than callers of streams accept.
-pub async fn run(
+async fn run(
     state: Arc<State>,
     call: Arc<Call>,
     source: SocketAddr,
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use sill_base::Name;
-use sill_dispatch::{AttemptOutcome, EventTracker, Next, Place, Progress};
+use sill_dispatch::{AttemptOutcome, EventTracker, Next, Progress};
 use sill_net::h1::{AnyBody, BodyError, Returnable};
 use sill_route::Outcome;
 use sill_tree::RouteKind;
@@ -21,7 +21,7 @@
 use crate::dispatch::{self, Attempt, Attempted, Resumption};
 use crate::ending::Phase;
 use crate::failure::Failure;
-use crate::moves::{self, Moved};
+use crate::moves::Relocation;
 use crate::serve::Call;
 use crate::state::State;
 use crate::summary::Summary;
@@ -38,10 +38,8 @@
     due: Pin<Box<Sleep>>,
     /// Done when the end of the process cuts the answer.
     cut: BoxFuture<'static, ()>,
-    /// Done when the run has to be moved away from its engine.
-    move_due: Option<BoxFuture<'static, ()>>,
-    /// The move of the run, while the rest of its old stream comes in.
-    moving: Option<Moving>,
+    /// The move of the run away from its engine, while the rest of its old stream comes in.
+    relocation: Relocation,
     has_begun: bool,
     /// The first part, until the head of the answer is on its way.
     held: Option<Bytes>,
@@ -61,14 +59,6 @@
     Ended,
 }
 
-/// A move of a run.
-enum Moving {
-    /// Its memory is being copied.
-    Copying(BoxFuture<'static, Option<Moved>>),
-    /// It is copied; the old stream is still to end.
-    Copied(Box<Moved>),
-}
-
 /// An answer that comes from an endpoint.
 pub struct Running {
     /// What is still to come.
@@ -84,20 +74,18 @@
     call.route.route.kind == RouteKind::Stream && call.pool.can_move
 }
 
-fn move_due(state: &Arc<State>, call: &Arc<Call>, endpoint: Name) -> BoxFuture<'static, ()> {
-    Box::pin(moves::due(state.clone(), call.clone(), endpoint))
-}
-
 impl Relay {
     /// Makes the body of an answer; `goes_on` is whether it may go on at another endpoint.
     pub fn new(summary: Summary, running: Running, progress: Progress, goes_on: bool) -> Self {
         let attempt = &running.attempt;
         let (state, call) = (attempt.state().clone(), attempt.call().clone());
         let left = call.due - state.clock.now();
-        let moves = goes_on && is_movable(&call);
+        let relocation = match goes_on && is_movable(&call) {
+            true => Relocation::of(attempt),
+            false => Relocation::default(),
+        };
         Self {
-            move_due: moves.then(|| move_due(&state, &call, attempt.place.endpoint.clone())),
-            moving: None,
+            relocation,
             summary,
             progress,
             source: Source::Running(running),
@@ -139,28 +127,15 @@
         self.summary.fail_by_stop()
     }
 
-    /// Starts to move the run once that is due.
     fn poll_move(&mut self, cx: &mut Context<'_>) {
-        let is_due = self.move_due.as_mut().is_some_and(|due| due.as_mut().poll(cx).is_ready());
-        if is_due && let Source::Running(running) = &self.source {
-            self.move_due = None;
-            let Place { endpoint, address, .. } = running.attempt.place.clone();
-            let (state, call) = (self.state.clone(), self.call.clone());
-            // The router tells attempts of one call apart by their number.
-            let sends = self.progress.sends() + 1;
-            let moved = moves::run(state, call, address, endpoint, sends);
-            self.moving = Some(Moving::Copying(Box::pin(moved)));
-        }
-        if let Some(Moving::Copying(copying)) = &mut self.moving
-            && let Poll::Ready(moved) = copying.as_mut().poll(cx)
-        {
-            self.moving = moved.map(|moved| Moving::Copied(Box::new(moved)));
+        if let Source::Running(running) = &self.source {
+            self.relocation.poll(cx, &running.attempt, self.progress.sends());
         }
     }
 
     /// The old stream of a run that is being moved broke off. Goes on with the run where its memory is.
     fn go_on_after_move(&mut self) -> bool {
-        let Some(moving) = self.moving.take() else { return false };
+        let Some(moving) = self.relocation.take() else { return false };
         self.summary.ends("cut");
         let old = std::mem::replace(&mut self.source, Source::Ended);
         if let Source::Running(mut running) = old {
@@ -171,10 +146,7 @@
         let last_event = events.last_id().map(str::to_owned);
         let progress = self.progress;
         self.source = Source::Resuming(Box::pin(async move {
-            let moved = match moving {
-                Moving::Copying(copying) => copying.await?,
-                Moving::Copied(moved) => *moved,
-            };
+            let moved = moving.moved().await?;
             let from = Resumption { last_event, memory: Some(moved.memory) };
             running_from(moved.attempt, progress, from).await
         }));
@@ -269,7 +241,7 @@
                     return Poll::Pending;
                 }
                 // The engine has stopped the run; ended in good order or not, its stream is not whole.
-                None if matches!(self.moving, Some(Moving::Copied(_))) => {
+                None if self.relocation.is_copied() => {
                     self.go_on_after_move();
                     return Poll::Pending;
                 }
@@ -289,8 +261,7 @@
             Some(running) => {
                 self.summary.resumed_at(&running.attempt.place);
                 if is_movable(&self.call) {
-                    let endpoint = running.attempt.place.endpoint.clone();
-                    self.move_due = Some(move_due(&self.state, &self.call, endpoint));
+                    self.relocation = Relocation::of(&running.attempt);
                 }
                 self.source = Source::Running(running);
                 Poll::Ready(Ok(()))
