Gateway: a run that ends with the process is not moved

A run whose engine is taken back was moved also where its entry instance ends before the engine does.

Cause: moves don't ask when the process ends. Ruled out as a loss: a move in the last second harms the stream itself no more than the cut does.

Before: the new test saw three requests at the engine, the call and two copies; now one.

--- a/daemons/gateway/src/moves.rs
+++ b/daemons/gateway/src/moves.rs
@@ -63,6 +63,11 @@
     pub fn poll(&mut self, cx: &mut Context<'_>, attempt: &Attempt, sends: u32) {
         if self.due.as_mut().is_some_and(|due| due.as_mut().poll(cx).is_ready()) {
             self.due = None;
+            // The process ends before the engine does, so a move can't save the stream. The engine copies one
+            // memory after the other, and would have less time for the runs of other entry instances.
+            if attempt.state().ends_within(AHEAD) {
+                return;
+            }
             let Place { endpoint, address, .. } = attempt.place.clone();
             let (state, call) = (attempt.state().clone(), attempt.call().clone());
             // The router tells attempts of one call apart by their number.
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -168,6 +168,11 @@
         (!fits).then(|| stop.ends_at - now)
     }
 
+    /// Returns whether the instance ends within a span.
+    pub fn ends_within(&self, span: Millis) -> bool {
+        self.stop.get().is_some_and(|stop| stop.ends_at <= self.clock.now() + span)
+    }
+
     /// Takes in how a call went that was run.
     pub fn took(&self, route: &Name, call: CallTime) {
         self.call_times.lock().took(self.clock.now(), route, call);
--- a/daemons/gateway/tests/ending.rs
+++ b/daemons/gateway/tests/ending.rs
@@ -185,6 +185,27 @@
     assert!(got.is_whole);
 }
 
+/// The engine of a stream is taken back, but the entry instance ends before it does. A move could not save
+/// the stream; at the engine it would hold up the moves of runs of other entry instances, which it can.
+#[test]
+fn a_run_that_ends_with_the_process_is_not_moved() {
+    let part = format!("{}{}", head(STREAM), chunk("id: 1\ndata: a\n\n"));
+    let copied = || Act::Answer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh1".to_owned());
+    let old = vec![Act::AnswerAndCloseLater(part, LONG), copied(), copied()];
+    lines::keep();
+    let acts = vec![old, vec![Act::Hang]];
+    let mut world = World::stopping_within_with_hidden(Millis(1200), acts);
+    let caller = begin(&world, "/stream/x", "stays");
+    // Heard within half a second, so the engine is gone 2 to 2.5 s from now, and the instance in 1.9 s.
+    world.first_leaves_and_last_appears(Millis(2000));
+    thread::sleep(Duration::from_millis(700));
+    world.stop();
+    let got = caller.join().expect("an answer");
+    assert_eq!((got.status, got.is_whole), (200, false));
+    assert_eq!(world.endpoints[0].requests(), 1, "its memory was copied");
+    assert_eq!(value(&lines::of_call("stays")[0], "outcome"), "cut_by_stop");
+}
+
 /// An entry instance with hundreds of open streams comes to its end. A line on each would take the moment
 /// that is left from those that are still to be told; the rest is counted.
 #[test]
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -225,6 +225,12 @@
         Self::start_with(acts, Start { stop, ..Start::default() })
     }
 
+    /// Starts one whose stop ends after `limit`, and that does not know the last endpoint yet.
+    pub fn stopping_within_with_hidden(limit: Millis, acts: Vec<Vec<Act>>) -> Self {
+        let stop = StopCfg { limit, ..Start::default().stop };
+        Self::start_with(acts, Start { stop, hides_last: true, ..Start::default() })
+    }
+
     fn start_with(acts: Vec<Vec<Act>>, start: Start) -> Self {
         let Start { has_settings, hides_last, stop } = start;
         let endpoints: Vec<Endpoint> = acts.into_iter().map(Endpoint::start).collect();
