Test: an answer that nobody reads is told as cut by the stop

It shows the second way by which the log names a call that the end of a process cuts: a caller that has stopped reading, whose answer is asked for no more. It passes on the code as it is.

--- a/daemons/gateway/tests/ending.rs
+++ b/daemons/gateway/tests/ending.rs
@@ -3,6 +3,8 @@
 #[allow(dead_code)] // The tests of the end use a part of it.
 mod support;
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -224,3 +226,27 @@
     let number = |key: &str| value(&told, key).parse::<usize>().expect("a number");
     assert_eq!((number("cut"), number("without_line")), (count, 20), "{told}");
 }
+
+/// A caller has stopped reading in the middle of a long answer, so the server asks for no more of it and the
+/// answer is not told of the end. Its line comes when it is dropped with the process, and must not say that
+/// the caller left.
+#[test]
+fn an_answer_that_nobody_reads_is_told_as_cut() {
+    lines::keep();
+    let length = 32 << 20;
+    let answer =
+        format!("{}{}", head(&format!("content-length: {length}\r\n")), "x".repeat(length));
+    let mut world =
+        World::stopping_within(LIMIT, vec![vec![Act::AnswerAndCloseLater(answer, LONG)]]);
+    let mut caller = TcpStream::connect(world.address).expect("it listens");
+    let text = request_as("unread", "/idempotent/x", "");
+    caller.write_all(text.as_bytes()).expect("it is read");
+    while world.endpoints[0].requests() == 0 {
+        thread::sleep(Duration::from_millis(2));
+    }
+    world.stop();
+    drop(world);
+    let told = lines::of_call("unread");
+    assert_eq!(told.len(), 1, "{told:?}");
+    assert_eq!(value(&told[0], "outcome"), "cut_by_stop", "{told:?}");
+}
