A caller's connection counts as open from accept until its task is gone

A stop looks at the number of open connections, and a connection was counted only when its own task first ran. Between accept and that moment it waits behind all other ready tasks. One whose handler panicked was never taken off again, so that a stop would wait until its limit for nothing.

The count is a guard, made before the task is spawned and dropped with it, however it ends: also by a panic, or when the runtime drops its tasks.

--- a/transport/net/src/h1/server.rs
+++ b/transport/net/src/h1/server.rs
@@ -48,6 +48,27 @@
     Closing,
 }
 
+/// Counts a connection as open, from when it was accepted until its task is gone.
+///
+/// Counted by its task instead, a connection would be missed until the task first runs, and a process
+/// that stops could end with a call just taken; one whose handler panicked would count for ever, and the
+/// stop would wait for it until its limit.
+#[derive(Debug)]
+struct Open(Arc<AtomicUsize>);
+
+impl Open {
+    fn count(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(open.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Serves until the listener's task is dropped. Counts open connections in `open`.
 pub async fn serve<H, Fut>(
     listener: TcpListener,
@@ -62,13 +83,12 @@
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                let (handler, stop, open) = (handler.clone(), stop.clone(), open.clone());
+                let (handler, stop, open) = (handler.clone(), stop.clone(), Open::count(&open));
                 tokio::spawn(async move {
-                    open.fetch_add(1, Ordering::Relaxed);
+                    let _open = open;
                     if let Err(err) = connection(stream, peer, cfg, stop, handler).await {
                         event!(Debug, "caller_connection_ended", peer = peer, error = err);
                     }
-                    open.fetch_sub(1, Ordering::Relaxed);
                 });
             }
             Err(err) => {
--- /dev/null
+++ b/transport/net/tests/server.rs
@@ -0,0 +1,92 @@
+//! Callers' connections while a server stops.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use futures_util::poll;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use sill_base::Millis;
+use sill_net::h1::{AnyBody, ServerCfg, Stop, serve, whole};
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Handle, Runtime};
+use tokio::sync::watch;
+
+/// How long a test waits for bytes before it counts as hung.
+const HUNG: Duration = Duration::from_secs(20);
+
+const CFG: ServerCfg =
+    ServerCfg { header_bytes: 8 << 10, idle: Millis(20_000), silent: Millis(10_000) };
+
+const REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n";
+
+async fn answer(_req: Request<Incoming>, _peer: SocketAddr) -> Response<AnyBody> {
+    Response::new(whole("served"))
+}
+
+async fn panics(_req: Request<Incoming>, _peer: SocketAddr) -> Response<AnyBody> {
+    panic!("a promise is broken")
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    (listener, address)
+}
+
+fn one_thread() -> Runtime {
+    Builder::new_current_thread().enable_all().build().expect("a runtime")
+}
+
+fn connect(to: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(to).expect("it listens");
+    stream.set_read_timeout(Some(HUNG)).expect("it is a socket");
+    stream
+}
+
+/// A connection has been accepted, and its task waits for its turn behind others. An instance that
+/// stops and sees no open connection ends right then; the caller's call, which may have been read, is
+/// cut.
+#[test]
+fn a_connection_counts_as_open_from_when_it_was_accepted() {
+    one_thread().block_on(async {
+        let (listener, address) = listen().await;
+        let open: Arc<AtomicUsize> = Arc::default();
+        let (_stop, stopped) = watch::channel(Stop::No);
+        let mut server = Box::pin(serve(listener, CFG, stopped, open.clone(), answer));
+        let tasks = || Handle::current().metrics().num_alive_tasks();
+        let _callers: Vec<TcpStream> = (0..3).map(|_| connect(address)).collect();
+        // The server is polled from here, so that no task of a connection runs between it and the look.
+        while tasks() < 3 {
+            let _ = poll!(server.as_mut());
+            assert_eq!(open.load(Ordering::Relaxed), tasks(), "accepted and not counted");
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+}
+
+/// A handler panics, as when a promise is broken. Its connection counted for ever, and a planned stop
+/// would last until its limit, though nothing is left to wait for.
+#[test]
+fn a_connection_whose_handler_panicked_is_not_open() {
+    one_thread().block_on(async {
+        let (listener, address) = listen().await;
+        let open: Arc<AtomicUsize> = Arc::default();
+        let (_stop, stopped) = watch::channel(Stop::No);
+        tokio::spawn(serve(listener, CFG, stopped, open.clone(), panics));
+        let caller = thread::spawn(move || {
+            let mut stream = connect(address);
+            stream.write_all(REQUEST).expect("it is read");
+            stream.read_to_end(&mut Vec::new())
+        });
+        while !caller.is_finished() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(open.load(Ordering::Relaxed), 0);
+    });
+}
