A call on a new connection is answered while the instance stops

What callers saw: an instance that stops goes on accepting, for callers whose balancer has not noticed or has nobody else. The task of such a connection asked at once for a graceful end, and the library ends a connection on which nothing has been read yet. So a caller that connected after the notice found its connection closed or reset with no answer, by chance and whenever its request came a moment after its connection. It could not tell that its call had not run.

A connection may now be asked to end once its first request was read, or after half a second without one; a connection that had a request before is asked at once, as before. An answer that is given during the stop says `Connection: close`, else the caller would send its next call into the close. A stop can last half a second longer for a connection that never says anything; its limit bounds that.

--- a/transport/net/src/h1/server.rs
+++ b/transport/net/src/h1/server.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,7 +17,7 @@
 use sill_base::{Millis, event};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::h1::AnyBody;
 
@@ -27,6 +27,10 @@
 /// Pause after the listener failed, as when descriptors ran out.
 const ACCEPT_PAUSE: Millis = Millis(50);
 
+/// Time for the first request of a connection that comes while the server stops. Callers connect in order
+/// to send at once; between failure domains that takes some milliseconds.
+const FIRST_REQUEST: Millis = Millis(500);
+
 /// Bounds of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerCfg {
@@ -44,7 +48,7 @@
     /// It serves.
     #[default]
     No,
-    /// Connections end after the request that they carry; new ones are still taken.
+    /// Connections end after the request that they carry; new ones are still taken, for one request.
     Closing,
 }
 
@@ -111,9 +115,20 @@
     Fut: Future<Output = Response<AnyBody>> + Send + 'static,
 {
     prepare(&stream, cfg.silent)?;
+    let (asked, stopped) = (Arc::new(Notify::new()), stop.clone());
+    let first_asked = asked.clone();
     let service = service_fn(move |req| {
-        let answer = handler(req, peer);
-        async move { Ok::<_, Infallible>(answer.await) }
+        asked.notify_one();
+        let (answer, stopped) = (handler(req, peer), stopped.clone());
+        async move {
+            let mut response = answer.await;
+            if *stopped.borrow() >= Stop::Closing {
+                response
+                    .headers_mut()
+                    .insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -121,10 +136,15 @@
         .header_read_timeout(Duration::from(cfg.idle))
         .max_buf_size(cfg.header_bytes.max(MIN_BUFFER));
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let is_closing = async { stop.wait_for(|stop| *stop >= Stop::Closing).await.is_ok() };
+    let may_close = async {
+        let _ = stop.wait_for(|stop| *stop >= Stop::Closing).await;
+        // Closed before its first request is read, a caller would have no answer to a request that is
+        // already on its way, and could not tell that it has not run.
+        let _ = tokio::time::timeout(FIRST_REQUEST.into(), first_asked.notified()).await;
+    };
     tokio::select! {
         ended = connection.as_mut() => return ended.map_err(io::Error::other),
-        _ = is_closing => connection.as_mut().graceful_shutdown(),
+        () = may_close => connection.as_mut().graceful_shutdown(),
     }
     connection.await.map_err(io::Error::other)
 }
--- a/transport/net/tests/server.rs
+++ b/transport/net/tests/server.rs
@@ -90,3 +90,33 @@
         assert_eq!(open.load(Ordering::Relaxed), 0);
     });
 }
+
+/// A caller connects to an instance that stops, because its balancer has not noticed or too few others
+/// are in rotation, and sends its call a moment later. Closed meanwhile, the caller has no answer and
+/// can't know whether the call has run; one that may run once only is never sent again.
+#[test]
+fn a_call_on_a_new_connection_is_answered_during_a_stop() {
+    one_thread().block_on(async {
+        for pause in [Duration::ZERO, Duration::from_millis(50)] {
+            for _ in 0..20 {
+                let (listener, address) = listen().await;
+                let (_stop, stopped) = watch::channel(Stop::Closing);
+                let server = tokio::spawn(serve(listener, CFG, stopped, Arc::default(), answer));
+                let caller = thread::spawn(move || {
+                    let mut stream = connect(address);
+                    thread::sleep(pause);
+                    let mut got = String::new();
+                    stream.write_all(REQUEST)?;
+                    stream.read_to_string(&mut got).map(|_| got)
+                });
+                while !caller.is_finished() {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+                let got = caller.join().expect("no panic").expect("the connection is not reset");
+                assert!(got.ends_with("served"), "after {pause:?}: {got:?}");
+                assert!(got.contains("connection: close"), "it would come back here: {got}");
+                server.abort();
+            }
+        }
+    });
+}
