An instance that stops closes its listener before its last look at what is open

Its listener went on accepting on the other threads until the process was gone; a connection taken after that look, its call read and sent to an endpoint, was cut.

The stop now ends the listener's task once nothing is open, waits for that task, and looks again: what was accepted before counts from accept on, and is waited for as far as the limit allows. What was still in the system's queue is reset unread, which a test of the server shows.

--- a/daemons/gateway/src/daemon.rs
+++ b/daemons/gateway/src/daemon.rs
@@ -12,6 +12,7 @@
 use sill_net::http::bind;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 use crate::cfg::GatewayCfg;
 use crate::link::{FOLLOWED, Link};
@@ -43,6 +44,7 @@
     state: Arc<State>,
     link: Arc<Link>,
     stop: watch::Sender<Stop>,
+    listening: JoinHandle<()>,
 }
 
 impl Gateway {
@@ -62,7 +64,7 @@
         for turn in 0..FOLLOWED {
             tokio::spawn(link.clone().follow(turn));
         }
-        tokio::spawn(callers(state.clone(), listener, stop.subscribe()));
+        let listening = tokio::spawn(callers(state.clone(), listener, stop.subscribe()));
         tokio::spawn(internal(state.clone(), ready));
         tokio::spawn(internal(state.clone(), metrics));
         tokio::spawn(tidy(state.clone()));
@@ -74,7 +76,7 @@
             address = address,
             incarnation = state.incarnation.0
         );
-        Ok(Self { address, ready_address, state, link, stop })
+        Ok(Self { address, ready_address, state, link, stop, listening })
     }
 
     /// Takes in other seeds.
@@ -94,9 +96,16 @@
         // New connections still come until the balancer has asked again; refused, they would fail.
         tokio::time::sleep(cfg.notice.into()).await;
         self.stop.send_replace(Stop::Closing);
-        while open() > 0 && self.state.clock.now() - began < cfg.limit {
-            tokio::time::sleep(LOOK.into()).await;
-        }
+        let all_done = async || {
+            while open() > 0 && self.state.clock.now() - began < cfg.limit {
+                tokio::time::sleep(LOOK.into()).await;
+            }
+        };
+        all_done().await;
+        // A connection that comes after the last look would be cut with its call read and sent on.
+        self.stop.send_replace(Stop::Over);
+        let _ = self.listening.await;
+        all_done().await;
         let took = self.state.clock.now() - began;
         event!(Info, "gateway_stopped", ms = took, cut = open());
     }
--- a/daemons/gateway/tests/relay.rs
+++ b/daemons/gateway/tests/relay.rs
@@ -2,6 +2,10 @@
 
 mod support;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -296,3 +300,47 @@
     assert_eq!((short.status, &short.body[..]), (200, &b"quick"[..]));
     assert_eq!(world.endpoints[0].requests(), 2, "the long one was not sent");
 }
+
+/// Callers that connect at the same time.
+const CALLERS: usize = 6;
+
+/// A balancer still sends callers to an instance in the moment in which it has found nothing left to wait
+/// for. A connection that it takes after that look is cut by the end of the process: its call has been
+/// sent on to an endpoint and run, and its caller has no answer.
+#[test]
+fn an_instance_that_has_stopped_takes_no_connection() {
+    let mut world = World::start(vec![vec![Act::Answer(answer_of("whole")); 10_000]]);
+    let (address, over) = (world.address, Arc::new(AtomicBool::new(false)));
+    let served = Arc::new(AtomicUsize::new(0));
+    let callers: Vec<_> = (0..CALLERS).map(|_| (over.clone(), served.clone())).collect();
+    let callers: Vec<_> = callers
+        .into_iter()
+        .map(|(over, served)| {
+            thread::spawn(move || {
+                let call = request("/non_idempotent/x", "sill-deadline-ms: 2000\r\n");
+                while !over.load(Ordering::Relaxed) {
+                    let got = TcpStream::connect(address).and_then(|mut stream| {
+                        stream.set_read_timeout(Some(Duration::from_secs(20)))?;
+                        stream.write_all(call.as_bytes())?;
+                        let mut got = String::new();
+                        stream.read_to_string(&mut got).map(|_| got)
+                    });
+                    if got
+                        .is_ok_and(|got| got.starts_with("HTTP/1.1 200") && got.ends_with("whole"))
+                    {
+                        served.fetch_add(1, Ordering::Relaxed);
+                    }
+                }
+            })
+        })
+        .collect();
+    world.stop();
+    let runs = world.endpoints[0].requests();
+    assert!(TcpStream::connect(address).is_err(), "it still takes connections");
+    thread::sleep(Duration::from_millis(100));
+    over.store(true, Ordering::Relaxed);
+    callers.into_iter().for_each(|caller| caller.join().expect("no panic"));
+    assert!(runs > 0, "calls were served during the stop");
+    assert_eq!(world.endpoints[0].requests(), runs, "a call was sent on after the end");
+    assert_eq!(served.load(Ordering::Relaxed), runs, "a call ran and its caller has no answer");
+}
--- a/transport/net/src/h1/server.rs
+++ b/transport/net/src/h1/server.rs
@@ -50,6 +50,8 @@
     No,
     /// Connections end after the request that they carry; new ones are still taken, for one request.
     Closing,
+    /// The listener is closed.
+    Over,
 }
 
 /// Counts a connection as open, from when it was accepted until its task is gone.
@@ -73,11 +75,14 @@
     }
 }
 
-/// Serves until the listener's task is dropped. Counts open connections in `open`.
+/// Serves until the stop is over or its channel closed, and counts open connections in `open`.
+///
+/// Once it has returned, no further connection is counted. Those that the listener had not accepted are
+/// reset by the system; nothing of them was read.
 pub async fn serve<H, Fut>(
     listener: TcpListener,
     cfg: ServerCfg,
-    stop: watch::Receiver<Stop>,
+    mut stop: watch::Receiver<Stop>,
     open: Arc<AtomicUsize>,
     handler: H,
 ) where
@@ -85,7 +90,12 @@
     Fut: Future<Output = Response<AnyBody>> + Send + 'static,
 {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            _ = stop.wait_for(|stop| *stop >= Stop::Over) => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((stream, peer)) => {
                 let (handler, stop, open) = (handler.clone(), stop.clone(), Open::count(&open));
                 tokio::spawn(async move {
--- a/transport/net/tests/server.rs
+++ b/transport/net/tests/server.rs
@@ -120,3 +120,27 @@
         }
     });
 }
+
+/// The stop of an instance is over while a caller's connection still waits to be accepted, its call sent.
+/// The caller is told by a reset. Were the call read all the same, it might run, and the caller would
+/// have no answer.
+#[test]
+fn a_connection_that_was_not_accepted_is_reset_unread() {
+    one_thread().block_on(async {
+        let (listener, address) = listen().await;
+        let (stop, stopped) = watch::channel(Stop::Closing);
+        let (open, read) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let counted = read.clone();
+        let count = move |req, peer| {
+            counted.fetch_add(1, Ordering::Relaxed);
+            answer(req, peer)
+        };
+        let mut waiting = connect(address);
+        waiting.write_all(REQUEST).expect("the system takes it");
+        stop.send_replace(Stop::Over);
+        serve(listener, CFG, stopped, open.clone(), count).await;
+        assert!(waiting.read_to_end(&mut Vec::new()).is_err(), "a reset says that it was not read");
+        assert!(TcpStream::connect(address).is_err(), "nobody listens");
+        assert_eq!((read.load(Ordering::Relaxed), open.load(Ordering::Relaxed)), (0, 0));
+    });
+}
