Stop signals are listened to before a program sets up anything else

What callers saw: an entry instance or control instance that was stopped within its first moments ended on the spot, by the signal, with whatever it had taken by then; to a supervisor it looks like a crash. sill-entry and sill-control set their handlers only after they listened, the others after they had read their settings.

The test stops each daemon as soon as it listens, and 0 to 200 ms after its start.

Signals are heard on a thread of their own with a small runtime of its own, since the program's is not there yet. What comes while the program starts waits in a channel, and the stop begins once it runs. Each signal is logged as it comes (`event=signal`). What was ruled out: a stop without its notice where an instance was never ready; callers may be sent to it all the same, and would find nobody listening.

--- a/daemons/control/src/cli.rs
+++ b/daemons/control/src/cli.rs
@@ -15,13 +15,13 @@
     let Some(mut values) = CONTROL.values_or_help(words)? else {
         return Ok(());
     };
+    let mut stops = Stops::listen()?;
     let level = values.required("log-level");
     let cfg = ControlCfg::read(&mut values)?;
     logs::start(level.unwrap_or(log::LevelFilter::Info))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let control = Control::start(cfg)?;
     runtime.block_on(async {
-        let mut stops = Stops::listen()?;
         stops.next().await;
         control.stop().await;
         Ok(())
--- a/daemons/entry/src/cli.rs
+++ b/daemons/entry/src/cli.rs
@@ -16,13 +16,13 @@
     let Some(mut values) = ENTRY.values_or_help(words)? else {
         return Ok(());
     };
+    let mut stops = Stops::listen()?;
     let level = values.required("log-level");
     let cfg = EntryCfg::read(&mut values)?;
     logs::start(level.unwrap_or(log::LevelFilter::Info))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let entry = Entry::start(cfg)?;
     runtime.block_on(async {
-        let mut stops = Stops::listen()?;
         stops.next().await;
         let cut = entry.stop_unless(stops.next()).await;
         if cut > 0 {
--- a/daemons/gateway/src/cli.rs
+++ b/daemons/gateway/src/cli.rs
@@ -100,12 +100,12 @@
     let Some(mut values) = GATEWAY.values_or_help(words)? else {
         return Ok(());
     };
+    let mut stops = Stops::listen()?;
     let level = values.required("log-level");
     let cfg = GatewayCfg::read(&mut values)?;
     logs::start_daemon(level.unwrap_or(log::LevelFilter::Info))?;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
-        let mut stops = Stops::listen()?;
         let gateway = Gateway::start(cfg)?;
         stops.next().await;
         gateway.stop().await;
--- a/daemons/setup/src/logs.rs
+++ b/daemons/setup/src/logs.rs
@@ -57,6 +57,7 @@
         .level_for("sill_gateway", level)
         .level_for("sill_platform", level)
         .level_for("sill_net", level)
+        .level_for("sill_setup", level)
         .level_for("sill_standin", level)
         .level_for("sill_load", level)
         .level_for("sill", level)
--- a/daemons/setup/src/signal.rs
+++ b/daemons/setup/src/signal.rs
@@ -1,33 +1,78 @@
 //! Signals that ask a program to stop.
 
+use std::io;
+use std::thread;
+
 use eyre::Result;
+use sill_base::event;
+use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc;
 
-/// The stop signals of a process.
+/// The stop signals of a process, heard on a thread of their own.
+///
+/// A program makes it before anything else. Until the handlers are set, a signal ends the process on the
+/// spot, with whatever it has taken on by then.
 #[derive(Debug)]
 pub struct Stops {
+    heard: mpsc::UnboundedReceiver<()>,
+}
+
+/// The handlers.
+struct Handlers {
     terminate: Signal,
     interrupt: Signal,
 }
 
 impl Stops {
-    /// Starts to listen; must be called inside a tokio runtime.
+    /// Starts to listen.
     ///
     /// # Errors
     ///
-    /// Fails when the handlers can't be set.
+    /// Fails when the handlers can't be set or the thread can't be started.
     pub fn listen() -> Result<Self> {
+        let runtime = Builder::new_current_thread().enable_io().build()?;
+        let handlers = {
+            let _guard = runtime.enter();
+            Handlers::set()?
+        };
+        let (tx, heard) = mpsc::unbounded_channel();
+        thread::Builder::new()
+            .name("signals".into())
+            .spawn(move || hear(&runtime, handlers, &tx))?;
+        Ok(Self { heard })
+    }
+
+    /// Waits for the next SIGTERM or SIGINT.
+    pub async fn next(&mut self) {
+        if self.heard.recv().await.is_none() {
+            std::future::pending().await
+        }
+    }
+}
+
+impl Handlers {
+    fn set() -> io::Result<Self> {
         Ok(Self {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
         })
     }
+}
 
-    /// Waits for the next SIGTERM or SIGINT.
-    pub async fn next(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {},
-            _ = self.interrupt.recv() => {},
+/// Passes signals on until nobody listens any more.
+fn hear(runtime: &Runtime, mut handlers: Handlers, tx: &mpsc::UnboundedSender<()>) {
+    runtime.block_on(async {
+        loop {
+            let name = tokio::select! {
+                _ = handlers.terminate.recv() => "SIGTERM",
+                _ = handlers.interrupt.recv() => "SIGINT",
+                () = tx.closed() => return,
+            };
+            event!(Info, "signal", name = name);
+            if tx.send(()).is_err() {
+                return;
+            }
         }
-    }
+    });
 }
--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -8,5 +8,6 @@
 mod limits;
 mod member;
 mod product;
+mod signals;
 mod thin_path;
 mod verbs;
