A hang-up ends no daemon

What callers saw: a SIGHUP, as it comes when a terminal closes or from a supervisor that wants settings read anew, ended sill-entry, sill-gateway and sill-control on the spot; answers in flight broke off. They had no handler, and the system's default is to end the process.

The handler is set with those of the stop signals, before anything else, and the signal is logged.

--- a/daemons/setup/src/signal.rs
+++ b/daemons/setup/src/signal.rs
@@ -18,10 +18,21 @@
     heard: mpsc::UnboundedReceiver<()>,
 }
 
+/// What a process is told by a signal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Terminate,
+    Interrupt,
+    Hangup,
+}
+
 /// The handlers.
 struct Handlers {
     terminate: Signal,
     interrupt: Signal,
+    /// Without a handler a hang-up ends the process on the spot, and what is in flight is cut. It comes
+    /// when a terminal closes, and from supervisors that want settings read anew.
+    hangup: Signal,
 }
 
 impl Stops {
@@ -56,21 +67,33 @@
         Ok(Self {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
         })
     }
 }
 
+impl Kind {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Terminate => "SIGTERM",
+            Self::Interrupt => "SIGINT",
+            Self::Hangup => "SIGHUP",
+        }
+    }
+}
+
 /// Passes signals on until nobody listens any more.
 fn hear(runtime: &Runtime, mut handlers: Handlers, tx: &mpsc::UnboundedSender<()>) {
     runtime.block_on(async {
         loop {
-            let name = tokio::select! {
-                _ = handlers.terminate.recv() => "SIGTERM",
-                _ = handlers.interrupt.recv() => "SIGINT",
+            let kind = tokio::select! {
+                _ = handlers.terminate.recv() => Kind::Terminate,
+                _ = handlers.interrupt.recv() => Kind::Interrupt,
+                _ = handlers.hangup.recv() => Kind::Hangup,
                 () = tx.closed() => return,
             };
-            event!(Info, "signal", name = name);
-            if tx.send(()).is_err() {
+            event!(Info, "signal", name = kind.name());
+            if kind != Kind::Hangup && tx.send(()).is_err() {
                 return;
             }
         }
--- a/daemons/sill/tests/system/flight.rs
+++ b/daemons/sill/tests/system/flight.rs
@@ -346,6 +346,24 @@
     assert_eq!(status.code(), Some(0));
 }
 
+/// A supervisor sends a hang-up to have settings read anew, and settings change, while an answer runs.
+/// Its caller would see it end in the middle.
+#[test]
+fn a_hang_up_and_new_settings_cut_nothing() {
+    let mut cluster = Cluster::start("hang-up", 1, 1, "10");
+    let body = body(PROMPT, 250, true);
+    let asked = ask(cluster.entries[0].address, &[], &body);
+    cluster.running(10);
+    signal(&cluster.entries[0], "-HUP");
+    let (control, token) = (cluster.control_words[6].clone(), cluster.folder.file("root-token"));
+    cluster.settle(&control, &token);
+    signal(&cluster.entries[0], "-HUP");
+    assert_whole(&body, &asked.join().expect("no panic").expect("an answer"));
+    signal(&cluster.entries[0], "-TERM");
+    let status = cluster.entries[0].program.0.wait().expect("it ends");
+    assert_eq!(status.code(), Some(0));
+}
+
 /// A caller came back through an entry instance that is then stopped, while its answer runs at a
 /// peer. Nothing runs at the stopped one, yet its caller's stream is in flight there.
 #[test]
--- a/daemons/sill/tests/system/signals.rs
+++ b/daemons/sill/tests/system/signals.rs
@@ -12,6 +12,9 @@
 /// The daemons, by the verbs of `sill` that run them.
 const DAEMONS: [&str; 3] = ["entry", "gateway", "control"];
 
+/// Long enough for a signal to have its effect; nothing is measured.
+const SOON: Duration = Duration::from_millis(300);
+
 /// A daemon that runs alone.
 struct Daemon {
     folder: Folder,
@@ -56,6 +59,10 @@
         wait_until("it listens", || TcpStream::connect(self.address).is_ok());
     }
 
+    fn runs(&mut self) -> bool {
+        self.program.0.try_wait().expect("its state").is_none()
+    }
+
     /// Waits for its end, and returns its exit code, or none if a signal ended it, and its log.
     fn ends(mut self) -> (Option<i32>, String) {
         let code = self.program.0.wait().expect("it ends").code();
@@ -89,3 +96,21 @@
         assert!(code == Some(0) || (code.is_none() && !had_begun), "{verb}: {code:?} {log}");
     }
 }
+
+/// A terminal is closed, or a supervisor sends its usual signal to have settings read anew. A daemon
+/// that doesn't expect it ends on the spot, and all that is in flight there is cut.
+#[test]
+fn a_hang_up_ends_no_daemon() {
+    for verb in DAEMONS {
+        let mut daemon = Daemon::start(verb);
+        daemon.wait_until_it_listens();
+        for _ in 0..3 {
+            signal(&daemon.program, "-HUP");
+        }
+        thread::sleep(SOON);
+        assert!(daemon.runs(), "{verb}");
+        signal(&daemon.program, "-TERM");
+        signal(&daemon.program, "-HUP");
+        assert_eq!(daemon.ends().0, Some(0), "{verb}");
+    }
+}
