--- a/daemons/control/src/cli.rs
+++ b/daemons/control/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line of the control daemon.
 
 use eyre::Result;
+use sill_base::event;
 use sill_setup::{logs, signal::Stops};
 
 use crate::cfg::{CONTROL, ControlCfg};
@@ -15,14 +16,15 @@
     let Some(mut values) = CONTROL.values_or_help(words)? else {
         return Ok(());
     };
+    let mut stops = Stops::listen()?;
     let level = values.required("log-level");
     let cfg = ControlCfg::read(&mut values)?;
     logs::start(level.unwrap_or(log::LevelFilter::Info))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let control = Control::start(cfg)?;
     runtime.block_on(async {
-        let mut stops = Stops::listen()?;
-        stops.next().await;
+        let late = stops.next().await;
+        event!(Info, "control_stops", late_ms = late);
         control.stop().await;
         Ok(())
     })
--- a/daemons/gateway/src/daemon.rs
+++ b/daemons/gateway/src/daemon.rs
@@ -2,16 +2,16 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use eyre::Result;
 use http::StatusCode;
 use sill_base::{Millis, event};
-use sill_dispatch::StopTimes;
+use sill_dispatch::{StopPhase, StopPlan, StopTimes};
 use sill_net::h1::{self, Page, ServerCfg, Stop};
 use sill_net::http::bind;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 use crate::cfg::GatewayCfg;
 use crate::ending::{ByStop, Phase};
@@ -53,6 +53,7 @@
     state: Arc<State>,
     link: Arc<Link>,
     stop: watch::Sender<Stop>,
+    listening: JoinHandle<()>,
 }
 
 impl Gateway {
@@ -72,7 +73,7 @@
         for turn in 0..FOLLOWED {
             tokio::spawn(link.clone().follow(turn));
         }
-        tokio::spawn(callers(state.clone(), listener, stop.subscribe()));
+        let listening = tokio::spawn(callers(state.clone(), listener, stop.subscribe()));
         tokio::spawn(internal(state.clone(), ready));
         tokio::spawn(internal(state.clone(), metrics));
         tokio::spawn(tidy(state.clone()));
@@ -84,7 +85,7 @@
             address = address,
             incarnation = state.incarnation.0
         );
-        Ok(Self { address, ready_address, state, link, stop })
+        Ok(Self { address, ready_address, state, link, stop, listening })
     }
 
     /// Takes in other seeds.
@@ -95,31 +96,69 @@
 
     /// Stops without cutting off a call, as long as the limit allows.
     pub async fn stop(self) {
+        self.stop_late(Millis::ZERO).await;
+    }
+
+    /// Does the same for a signal that came a while ago.
+    ///
+    /// Whoever sent it kills the process some time after the signal. Were the limit counted from now, a
+    /// stop that begins late would be ended by the kill, and calls be cut that were begun in the belief that
+    /// there was time for them.
+    pub async fn stop_late(mut self, late: Millis) {
         let began = self.state.clock.now();
         let cfg = self.state.cfg.stop;
-        event!(Info, "gateway_stops", connections = self.open());
-        let (noticed_at, cut_at) = (began + cfg.notice, began + cfg.limit);
-        let answered_at = cut_at - LAST_ANSWERS;
+        let left = cfg.limit - late;
+        // The balancer notices from now on; it could not before.
+        let notice = cfg.notice.min(left);
+        let cut_at = began + left;
         // What is admitted has all of its time until it is answered in any case.
-        self.state.begin_to_stop(StopTimes { noticed_at, ends_at: answered_at });
-        // New connections still come until the balancer has asked again; refused, they would fail.
-        tokio::time::sleep(cfg.notice.into()).await;
-        self.stop.send_replace(Stop::Closing);
-        self.done_by(answered_at).await;
+        let times = StopTimes { noticed_at: began + notice, ends_at: cut_at - LAST_ANSWERS };
+        let open = self.state.open_calls().older;
+        event!(Info, "gateway_stops", connections = open, late_ms = late);
+        self.state.begin_to_stop(times);
+        self.take_what_fits(times).await;
+        self.close().await;
+        // Those that came with the last look.
+        self.done_by(times.ends_at).await;
         self.state.ending.begin(Phase::LastAnswers);
-        self.done_by(cut_at).await;
+        self.done_by(self.state.clock.now() + LAST_ANSWERS).await;
         self.state.ending.begin(Phase::Cut);
         self.done_by(cut_at + TELL).await;
         self.tell_end(began);
     }
 
-    fn open(&self) -> usize {
-        self.state.callers.load(Ordering::Relaxed)
+    /// Takes and ends calls until nothing is open, or the time is up.
+    async fn take_what_fits(&self, times: StopTimes) {
+        let mut plan = StopPlan::new(times);
+        loop {
+            match plan.step(self.state.clock.now(), self.state.open_calls()) {
+                StopPhase::Announcing => {}
+                StopPhase::Finishing => self.tell(Stop::Closing),
+                StopPhase::Leaving => {
+                    self.state.take_no_more();
+                    self.tell(Stop::Leaving);
+                }
+                StopPhase::Over => return,
+            }
+            tokio::time::sleep(LOOK.into()).await;
+        }
+    }
+
+    /// Closes the listener. A connection that comes after the last look would be cut with its call read
+    /// and sent on.
+    async fn close(&mut self) {
+        self.state.take_no_more();
+        self.tell(Stop::Over);
+        let _ = (&mut self.listening).await;
+    }
+
+    fn tell(&self, stop: Stop) {
+        self.stop.send_if_modified(|told| std::mem::replace(told, stop) != stop);
     }
 
     /// Waits until no caller's connection is open, or until `at`.
     async fn done_by(&self, at: Millis) {
-        while self.open() > 0 {
+        while self.state.callers.all() > 0 {
             let left = at - self.state.clock.now();
             if left == Millis::ZERO {
                 return;
@@ -139,7 +178,7 @@
             failed = ending.counted(ByStop::Failed),
             cut = ending.counted(ByStop::Cut),
             without_line = ending.without_line(),
-            connections = self.open()
+            connections = self.state.callers.all()
         );
     }
 }
@@ -165,7 +204,7 @@
     if path != "/metrics" {
         return Page::new(StatusCode::NOT_FOUND, "");
     }
-    state.metrics.callers.set(state.callers.load(Ordering::Relaxed) as i64);
+    state.metrics.callers.set(state.callers.all() as i64);
     match state.metrics.text() {
         Ok(text) => Page::new(StatusCode::OK, text),
         Err(err) => Page::new(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -4,7 +4,7 @@
 
 use http::Response;
 use sill_base::{Millis, Name};
-use sill_dispatch::{AttemptOutcome, CallTime, Next, Place, Progress};
+use sill_dispatch::{AttemptOutcome, Next, Place, Progress};
 use sill_net::h1::AnyBody;
 use sill_route::RefusalReason;
 use sill_tree::RouteKind;
@@ -12,7 +12,7 @@
 
 use crate::ending::{ByStop, Phase};
 use crate::failure::Failure;
-use crate::serve::{Call, ELSEWHERE};
+use crate::serve::Call;
 use crate::state::State;
 
 /// When to come back after a refusal that names no time itself.
@@ -113,7 +113,7 @@
             return self.fail_by_stop();
         }
         self.state.ending.count(ByStop::Refused);
-        self.fail(Failure::back_in(ErrorCode::NoCapacity, ELSEWHERE))
+        self.fail(Failure::back_in(ErrorCode::NoCapacity, self.state.come_back()))
     }
 
     /// Ends a call that found no endpoint.
@@ -169,10 +169,7 @@
         state.metrics.calls.with_label_values(&[self.outcome]).inc();
         let first = self.first_part.map(|first| first - call.arrived);
         if self.sent > 0 && self.outcome != "refused" {
-            let whole = now - call.arrived;
-            let first = first.unwrap_or(whole);
-            let output = call.prompt.output;
-            state.took(&call.route.name, CallTime { first, whole, output });
+            state.took(&call.route.name, now - call.arrived);
         }
         if self.outcome == "answered" {
             state.metrics.whole_answer.observe((now - call.arrived).as_secs_f64());
--- a/transport/net/src/h1/server.rs
+++ b/transport/net/src/h1/server.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,7 +17,7 @@
 use sill_base::{Millis, event};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::h1::AnyBody;
 
@@ -27,6 +27,10 @@
 /// Pause after the listener failed, as when descriptors ran out.
 const ACCEPT_PAUSE: Millis = Millis(50);
 
+/// Time for the first request of a connection that comes while the server stops. Callers connect in order
+/// to send at once; between failure domains that takes some milliseconds.
+const FIRST_REQUEST: Millis = Millis(500);
+
 /// Bounds of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerCfg {
@@ -44,31 +48,98 @@
     /// It serves.
     #[default]
     No,
-    /// Connections end after the request that they carry; new ones are still taken.
+    /// Connections end after the request that they carry; new ones are still taken, for one request.
     Closing,
+    /// New ones are only taken so that their callers can be told to come back.
+    Leaving,
+    /// The listener is closed.
+    Over,
+}
+
+/// Open connections, by how far the server had stopped when it took them.
+#[derive(Debug, Default)]
+pub struct OpenConnections {
+    older: Arc<AtomicUsize>,
+    later: Arc<AtomicUsize>,
+    last: Arc<AtomicUsize>,
+}
+
+impl OpenConnections {
+    /// Returns those that were taken before the server was [`Stop::Closing`].
+    pub fn older(&self) -> usize {
+        self.older.load(Ordering::Relaxed)
+    }
+
+    /// Returns those that were taken since, until it was [`Stop::Leaving`].
+    pub fn later(&self) -> usize {
+        self.later.load(Ordering::Relaxed)
+    }
+
+    /// Returns all of them.
+    pub fn all(&self) -> usize {
+        self.older() + self.later() + self.last.load(Ordering::Relaxed)
+    }
+
+    /// Counts a connection that is taken now.
+    fn count(&self, stop: Stop) -> Open {
+        Open::count(match stop {
+            Stop::No => &self.older,
+            Stop::Closing => &self.later,
+            Stop::Leaving | Stop::Over => &self.last,
+        })
+    }
+}
+
+/// Counts a connection as open, from when it was accepted until its task is gone.
+///
+/// Counted by its task instead, a connection would be missed until the task first runs, and a process
+/// that stops could end with a call just taken; one whose handler panicked would count for ever, and the
+/// stop would wait for it until its limit.
+#[derive(Debug)]
+struct Open(Arc<AtomicUsize>);
+
+impl Open {
+    fn count(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(open.clone())
+    }
 }
 
-/// Serves until the listener's task is dropped. Counts open connections in `open`.
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Serves until the stop is over or its channel closed, and counts open connections in `open`.
+///
+/// Once it has returned, no further connection is counted. Those that the listener had not accepted are
+/// reset by the system; nothing of them was read.
 pub async fn serve<H, Fut>(
     listener: TcpListener,
     cfg: ServerCfg,
-    stop: watch::Receiver<Stop>,
-    open: Arc<AtomicUsize>,
+    mut stop: watch::Receiver<Stop>,
+    open: Arc<OpenConnections>,
     handler: H,
 ) where
     H: Fn(Request<Incoming>, SocketAddr) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Response<AnyBody>> + Send + 'static,
 {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            _ = stop.wait_for(|stop| *stop >= Stop::Over) => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((stream, peer)) => {
-                let (handler, stop, open) = (handler.clone(), stop.clone(), open.clone());
+                let open = open.count(*stop.borrow());
+                let (handler, stop) = (handler.clone(), stop.clone());
                 tokio::spawn(async move {
-                    open.fetch_add(1, Ordering::Relaxed);
+                    let _open = open;
                     if let Err(err) = connection(stream, peer, cfg, stop, handler).await {
                         event!(Debug, "caller_connection_ended", peer = peer, error = err);
                     }
-                    open.fetch_sub(1, Ordering::Relaxed);
                 });
             }
             Err(err) => {
@@ -91,9 +162,20 @@
     Fut: Future<Output = Response<AnyBody>> + Send + 'static,
 {
     prepare(&stream, cfg.silent)?;
+    let (asked, stopped) = (Arc::new(Notify::new()), stop.clone());
+    let first_asked = asked.clone();
     let service = service_fn(move |req| {
-        let answer = handler(req, peer);
-        async move { Ok::<_, Infallible>(answer.await) }
+        asked.notify_one();
+        let (answer, stopped) = (handler(req, peer), stopped.clone());
+        async move {
+            let mut response = answer.await;
+            if *stopped.borrow() >= Stop::Closing {
+                response
+                    .headers_mut()
+                    .insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -101,10 +183,15 @@
         .header_read_timeout(Duration::from(cfg.idle))
         .max_buf_size(cfg.header_bytes.max(MIN_BUFFER));
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let is_closing = async { stop.wait_for(|stop| *stop >= Stop::Closing).await.is_ok() };
+    let may_close = async {
+        let _ = stop.wait_for(|stop| *stop >= Stop::Closing).await;
+        // Closed before its first request is read, a caller would have no answer to a request that is
+        // already on its way, and could not tell that it has not run.
+        let _ = tokio::time::timeout(FIRST_REQUEST.into(), first_asked.notified()).await;
+    };
     tokio::select! {
         ended = connection.as_mut() => return ended.map_err(io::Error::other),
-        _ = is_closing => connection.as_mut().graceful_shutdown(),
+        () = may_close => connection.as_mut().graceful_shutdown(),
     }
     connection.await.map_err(io::Error::other)
 }
