Tests of answers wait for what they rely on, not for a time

Two tests failed once each beside a load of 180 to 320 on 12 cores. Neither shows a fault of the product.

- a_resumable_stream_goes_on_at_another_endpoint: the first endpoint crashed 600 ms after its answer; the entry instance had not heard of the other one by then (it asks every 250 ms), so nobody went on.
- an_instance_that_has_stopped_takes_no_connection: none of the six callers had been served when the stop began and was over 100 ms later.
It begins now once one was.

Both assert what they did.

--- a/daemons/gateway/tests/relay.rs
+++ b/daemons/gateway/tests/relay.rs
@@ -163,7 +163,8 @@
     let first = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\nid: 3\nda"].map(chunk).concat();
     let rest = ["id: 3\ndata: c\n\n", "id: 4\ndata: d\n\n"].map(chunk).concat();
     let crash = format!("{}{first}", head(stream));
-    let crashes = vec![Act::AnswerAndCloseLater(crash, Duration::from_millis(600))];
+    let has_crashed = Arc::<AtomicBool>::default();
+    let crashes = vec![Act::AnswerAndCloseWhen(crash, has_crashed.clone())];
     let goes_on = vec![Act::Answer(format!("{}{rest}0\r\n\r\n", head(stream)))];
     let world = World::start_with_hidden(vec![crashes, goes_on]);
     let address = world.address;
@@ -173,6 +174,8 @@
         thread::sleep(Duration::from_millis(10));
     }
     world.first_leaves_and_last_appears(Millis(10_000));
+    world.wait_until_told();
+    has_crashed.store(true, Ordering::Relaxed);
     let got = caller.join().expect("an answer");
     let text = String::from_utf8(got.body).expect("text");
     let events = ["id: 1\ndata: a", "id: 2\ndata: b", "id: 3\ndata: c", "id: 4\ndata: d", ""];
@@ -335,6 +338,9 @@
             })
         })
         .collect();
+    while served.load(Ordering::Relaxed) == 0 {
+        thread::sleep(Duration::from_millis(10));
+    }
     world.stop();
     let runs = world.endpoints[0].requests();
     assert!(TcpStream::connect(address).is_err(), "it still takes connections");
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -46,6 +47,8 @@
     AnswerAndClose(String),
     /// Sends these bytes, and ends the connection after a while.
     AnswerAndCloseLater(String, Duration),
+    /// Sends these bytes, and ends the connection once that is set.
+    AnswerAndCloseWhen(String, Arc<AtomicBool>),
     /// Sends these bytes and resets the connection.
     AnswerAndReset(String),
     /// Sends nothing until the connection is closed from the other side.
@@ -80,6 +83,8 @@
     pub ready_address: SocketAddr,
     /// What the control instance tells of endpoints.
     pub facts: Arc<Mutex<Vec<EndpointFact>>>,
+    /// How often the entry instance has asked for it.
+    polls: Arc<AtomicUsize>,
     runtime: Runtime,
     gateway: Option<Gateway>,
     _control: PeerServer,
@@ -165,6 +170,13 @@
                 thread::sleep(pause);
                 return;
             }
+            Act::AnswerAndCloseWhen(text, is_over) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
+                while !is_over.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(10));
+                }
+                return;
+            }
             Act::AnswerAndReset(text) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
                 // What was written is to arrive before the reset does.
@@ -245,7 +257,12 @@
         let told = facts.clone();
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let mut peers = PeerServerBuilder::new(Secret::new(CLUSTER_KEY));
-        peers.answer(move |poll: LinkPoll| answer(poll, told.lock().clone(), has_settings));
+        let polls = Arc::<AtomicUsize>::default();
+        let polled = polls.clone();
+        peers.answer(move |poll: LinkPoll| {
+            polled.fetch_add(1, Ordering::Relaxed);
+            answer(poll, told.lock().clone(), has_settings)
+        });
         let control = peers.start(listener).expect("it starts");
         let addresses = free_addresses(3).expect("ports are free");
         let cfg = GatewayCfg { stop, ..cfg(&addresses, control.address()) };
@@ -253,8 +270,17 @@
         let gateway = Gateway::start(cfg).expect("it starts");
         let (address, ready_address) = (gateway.address, gateway.ready_address);
         let (gateway, _control) = (Some(gateway), control);
-        let world =
-            Self { endpoints, address, name, ready_address, facts, gateway, _control, runtime };
+        let world = Self {
+            endpoints,
+            address,
+            name,
+            ready_address,
+            facts,
+            polls,
+            gateway,
+            _control,
+            runtime,
+        };
         if has_settings {
             wait_until_ready_is(200, addresses[1]);
         }
@@ -294,6 +320,15 @@
         self.facts.lock().push(fact(last, self.endpoints[last].address));
     }
 
+    /// Waits until the entry instance has taken in what its control instance tells now: it asks again only
+    /// then, in two turns at most.
+    pub fn wait_until_told(&self) {
+        let told = self.polls.load(Ordering::Relaxed);
+        while self.polls.load(Ordering::Relaxed) < told + 3 {
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     /// Stops the entry instance.
     pub fn stop(&mut self) {
         self.stop_late(Millis::ZERO);
