--- a/daemons/gateway/tests/relay.rs
+++ b/daemons/gateway/tests/relay.rs
@@ -338,7 +338,7 @@
             })
         })
         .collect();
-    while served.load(Ordering::Relaxed) == 0 {
+    while world.endpoints[0].requests() == 0 {
         thread::sleep(Duration::from_millis(10));
     }
     world.stop();
