--- a/state/base/src/recent_times.rs
+++ b/state/base/src/recent_times.rs
@@ -39,16 +39,23 @@
         if now - self.since >= span * 2 {
             return None;
         }
-        let counts = || self.now.iter().zip(&self.before).map(|(now, before)| now + before);
-        let all: u32 = counts().sum();
-        let wanted = (f64::from(all) * part).ceil().max(1.0);
+        let wanted = (f64::from(self.count()) * part).ceil().max(1.0);
         let mut counted = 0;
-        let class = counts().position(|count| {
+        let class = self.counts().position(|count| {
             counted += count;
             f64::from(counted) >= wanted
         });
         class.map(upper_bound)
     }
+
+    /// Returns how many times are counted.
+    pub fn count(&self) -> u32 {
+        self.counts().sum()
+    }
+
+    fn counts(&self) -> impl Iterator<Item = u32> {
+        self.now.iter().zip(&self.before).map(|(now, before)| now + before)
+    }
 }
 
 fn class_of(time: Millis) -> usize {
