Store: a failed sync of the folder no longer leaves a folder that can't be opened

To the quorum that is one disk lost beyond those that it is made for: of three voters the next one lost ends changes for good, and with all others without power what was acknowledged lies only on disks that no quorum can be made of.

Ruled out: an error before the rename (the name isn't there, and the left-overs may go); an error of the rename itself (nothing was renamed).

The log is taken away only while the folder's names are as they were.

--- a/state/store/src/faulty.rs
+++ b/state/store/src/faulty.rs
@@ -22,6 +22,9 @@
     /// A sync fails, and what it should have stored reads well until a crash, but is lost then,
     /// even if later syncs succeed.
     SyncFails,
+    /// The next sync of the folder after a rename fails. A process that is killed between the two leaves
+    /// the same behind: a new name that reads well, and that a loss of power may take away.
+    RenameStaysUnsynced,
 }
 
 #[derive(Debug, Default)]
@@ -29,10 +32,19 @@
     files: Vec<FileContent>,
     names: BTreeMap<String, usize>,
     durable_names: BTreeMap<String, usize>,
+    unsynced_names: Vec<NameChange>,
     faults: Vec<DiskFault>,
     full: bool,
 }
 
+/// A change to the names in the folder; each is on the disk as a whole or not at all.
+#[derive(Debug, Clone)]
+enum NameChange {
+    Create { name: String, file: usize },
+    Rename { from: String, to: String, file: usize },
+    Remove { name: String },
+}
+
 #[derive(Debug, Default, Clone)]
 struct FileContent {
     bytes: Vec<u8>,
@@ -68,7 +80,21 @@
 
     /// Crashes the machine: what was not synced is lost, but for `kept` bytes of each file's tail.
     pub fn crash(&self, kept: usize) {
+        self.crash_keeping_names(kept, |_| false);
+    }
+
+    /// Does the same, but each change to names that was not synced is kept if its number, from the
+    /// oldest, is. A disk writes them in any order.
+    pub fn crash_keeping_names<F>(&self, kept: usize, mut is_kept: F)
+    where
+        F: FnMut(usize) -> bool,
+    {
         let mut content = self.content();
+        let changes = std::mem::take(&mut content.unsynced_names);
+        let changes = changes.into_iter().enumerate().filter(|(i, _)| is_kept(*i));
+        for (_, change) in changes {
+            change.apply(&mut content.durable_names);
+        }
         content.names = content.durable_names.clone();
         for file in &mut content.files {
             let synced = file.durable.len();
@@ -108,7 +134,40 @@
     }
 }
 
+impl NameChange {
+    fn apply(self, names: &mut BTreeMap<String, usize>) {
+        match self {
+            Self::Create { name, file } => {
+                names.insert(name, file);
+            }
+            Self::Rename { from, to, file } => {
+                names.remove(&from);
+                names.insert(to, file);
+            }
+            Self::Remove { name } => {
+                names.remove(&name);
+            }
+        }
+    }
+}
+
 impl Content {
+    fn change_names(&mut self, change: NameChange) {
+        change.clone().apply(&mut self.names);
+        self.unsynced_names.push(change);
+    }
+
+    fn fails_folder_sync(&mut self) -> bool {
+        let is_rename = |change: &NameChange| matches!(change, NameChange::Rename { .. });
+        let has_renamed = self.unsynced_names.iter().any(is_rename);
+        let concerns = |fault: &DiskFault| match fault {
+            DiskFault::SyncFails => true,
+            DiskFault::RenameStaysUnsynced => has_renamed,
+            DiskFault::Full { .. } => false,
+        };
+        self.take_fault(concerns).is_some()
+    }
+
     fn file(&mut self, name: &str) -> Option<&mut FileContent> {
         let index = *self.names.get(name)?;
         self.files.get_mut(index)
@@ -141,7 +200,7 @@
         if content.file(name).is_none() {
             let index = content.files.len();
             content.files.push(FileContent::default());
-            content.names.insert(name.to_owned(), index);
+            content.change_names(NameChange::Create { name: name.to_owned(), file: index });
         }
         let fault = content.take_fault(|fault| matches!(fault, DiskFault::Full { .. }));
         let stored = match fault {
@@ -173,21 +232,25 @@
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
         let mut content = self.content();
-        let index = content.names.remove(from).ok_or(ErrorKind::NotFound)?;
-        content.names.insert(to.to_owned(), index);
+        let file = *content.names.get(from).ok_or(ErrorKind::NotFound)?;
+        content.change_names(NameChange::Rename { from: from.to_owned(), to: to.to_owned(), file });
         Ok(())
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
-        self.content().names.remove(name).map(|_| ()).ok_or_else(|| ErrorKind::NotFound.into())
+        let mut content = self.content();
+        content.existing(name)?;
+        content.change_names(NameChange::Remove { name: name.to_owned() });
+        Ok(())
     }
 
     fn sync_folder(&mut self) -> io::Result<()> {
         let mut content = self.content();
-        if content.take_fault(|fault| *fault == DiskFault::SyncFails).is_some() {
+        if content.fails_folder_sync() {
             return Err(io::Error::other("sync failed"));
         }
         content.durable_names = content.names.clone();
+        content.unsynced_names.clear();
         Ok(())
     }
 }
--- a/state/store/src/store.rs
+++ b/state/store/src/store.rs
@@ -136,8 +136,12 @@
                 Ok(())
             }
             Err(err) => {
-                let _ = self.disk.remove(UNFINISHED);
-                let _ = self.disk.remove(&log_name(next));
+                // Once the new snapshot has its final name, the log that belongs to it must stay: a
+                // restart finds the name, and refuses a folder whose log is missing.
+                if !self.broken {
+                    let _ = self.disk.remove(UNFINISHED);
+                    let _ = self.disk.remove(&log_name(next));
+                }
                 Err(err.into())
             }
         }
--- a/state/store/tests/store.rs
+++ b/state/store/tests/store.rs
@@ -94,6 +94,22 @@
     assert_eq!(open(&disk).1, expected, "what was read and written anew must not vanish later");
 }
 
+#[test]
+fn a_folder_opens_after_the_last_sync_of_a_snapshot_failed() {
+    // A snapshot has got its final name, and the sync of the folder fails. The log that belongs to it was
+    // taken away as if the name weren't there: the instance refused to start from then on, and was lost
+    // to the quorum with all that its disk held.
+    let disk = FaultyDisk::new();
+    let (mut store, _) = open(&disk);
+    store.append(&[b"one"]).expect("written");
+    disk.arm(DiskFault::RenameStaysUnsynced);
+    assert!(store.replace::<Vec<u8>>(b"state", &[]).is_err());
+    assert!(matches!(store.append(&[b"two"]), Err(WriteError::Broken)));
+    drop(store);
+    let (_, recovered) = Store::open(disk).expect("the folder opens");
+    assert_eq!(recovered.snapshot.as_deref(), Some(&b"state"[..]));
+}
+
 #[test]
 fn a_second_process_and_another_format_get_clear_errors() {
     // An operator starts a second instance on the same folder by mistake, or an older program on
