Store: names that a restart finds are synced before anything relies on them

What was lost: a control instance is killed after it renamed a file and before the folder was synced, starts again, acknowledges changes, and loses power. The new name may be gone then, whether or not the removal of the older files is: the disk comes back with an older state, with none (the folder is made anew, and its log with acknowledged records removed), or is refused ("log-0: missing from the data folder"). With other disks lost at the same moment an acknowledged change is on fewer disks than it was acknowledged for. The window is the sync of the folder, seconds long on a disk that hangs.

Cause: a restart synced the log that it read, but not the name that led to it.

Ruled out: the contents (each file is synced before it is renamed); removals that are lost (the highest generation counts, the rest is left over).

The folder is synced when it is opened, before the files of older generations are removed and before any record is read.

--- a/state/store/src/store.rs
+++ b/state/store/src/store.rs
@@ -62,6 +62,11 @@
         let generation = generation(&names);
         if names.iter().any(|name| name == FORMAT_FILE) {
             check_format(&mut disk)?;
+            // A process that was killed between a rename and the sync of the folder leaves a name that
+            // a loss of power may take away. Whatever is acknowledged from here on lies in files that
+            // only this name leads to, and the older files are removed below: an operator would find
+            // an older state, or none.
+            disk.sync_folder()?;
         } else if generation > 0 {
             return Err(OpenError::Missing { file: FORMAT_FILE.to_owned() });
         } else {
--- a/state/store/tests/store.rs
+++ b/state/store/tests/store.rs
@@ -110,6 +110,51 @@
     assert_eq!(recovered.snapshot.as_deref(), Some(&b"state"[..]));
 }
 
+#[test]
+fn a_name_that_a_restart_relies_on_outlasts_a_loss_of_power() {
+    // A process is killed right after it renamed a file, and starts again: the new name is there, but
+    // not yet on the disk for good. What is acknowledged from then on lies in files that a restart
+    // finds by that name. After a loss of power the name is gone, or the older files are: an operator
+    // finds an older state, an empty one, or an instance that refuses to start.
+    struct Case {
+        name: &'static str,
+        /// Which changes to names were on the disk though never synced, from the oldest.
+        kept: fn(usize) -> bool,
+    }
+    let cases = [
+        Case { name: "none", kept: |_| false },
+        Case { name: "the first", kept: |i| i == 0 },
+        Case { name: "all but the first", kept: |i| i > 0 },
+        Case { name: "all", kept: |_| true },
+    ];
+    for Case { name, kept } in cases {
+        let disk = FaultyDisk::new();
+        disk.arm(DiskFault::RenameStaysUnsynced);
+        assert!(Store::open(disk.clone()).is_err(), "killed while it makes the folder");
+        let (mut store, _) = open(&disk);
+        store.append(&[b"one"]).expect("written");
+        drop(store);
+        disk.crash_keeping_names(0, kept);
+        let (mut store, found) = open(&disk);
+        assert_eq!(found, [b"one"], "a new folder, {name} kept");
+
+        disk.arm(DiskFault::RenameStaysUnsynced);
+        assert!(
+            store.replace::<Vec<u8>>(b"state", &[]).is_err(),
+            "killed while it takes a snapshot"
+        );
+        drop(store);
+        let (mut store, _) = open(&disk);
+        store.append(&[b"two"]).expect("written");
+        drop(store);
+        disk.crash_keeping_names(0, kept);
+        let recovered = Store::open(disk.clone());
+        let (_, recovered) = recovered.unwrap_or_else(|err| panic!("{name} kept: {err}"));
+        assert_eq!(recovered.snapshot.as_deref(), Some(&b"state"[..]), "{name} kept");
+        assert_eq!(recovered.records, [b"two"], "a snapshot, {name} kept");
+    }
+}
+
 #[test]
 fn a_second_process_and_another_format_get_clear_errors() {
     // An operator starts a second instance on the same folder by mistake, or an older program on
@@ -137,11 +182,16 @@
         let (mut store, _) = open(&disk);
         let (mut state, mut written) = (0_u64, 0_u64);
         let mut unsure = 0_u64;
+        let mut may_drop_pages = false;
         for _ in 0..60 {
             steps += 1;
-            match rng.random_range(0..10) {
+            match rng.random_range(0..11) {
+                10 => disk.arm(DiskFault::RenameStaysUnsynced),
                 0 => disk.arm(DiskFault::Full { stored: rng.random_range(0..40) }),
-                1 => disk.arm(DiskFault::SyncFails),
+                1 => {
+                    disk.arm(DiskFault::SyncFails);
+                    may_drop_pages = true;
+                }
                 2 => {
                     let snapshot = (state + written).to_le_bytes();
                     if store.replace::<[u8; 8]>(&snapshot, &[]).is_ok() {
@@ -152,7 +202,9 @@
                 3 | 4 => {
                     let is_crash = rng.random_bool(0.5);
                     if is_crash {
-                        disk.crash(rng.random_range(0..30));
+                        let kept = rng.random_range(0..30);
+                        disk.crash_keeping_names(kept, |_| rng.random_bool(0.5));
+                        may_drop_pages = false;
                     }
                     drop(store);
                     let (opened, recovered) = loop {
@@ -172,7 +224,11 @@
                     let acknowledged = state + written;
                     assert!(total >= acknowledged, "case {case}: {total} < {acknowledged}");
                     assert!(total <= acknowledged + unsure, "case {case}: {total}");
-                    (state, written, unsure) = (total, 0, 0);
+                    (state, written, unsure) = (base, total - base, 0);
+                    if !may_drop_pages && rng.random_bool(0.5) {
+                        continue;
+                    }
+                    (state, written) = (total, 0);
                     while store.replace::<[u8; 8]>(&total.to_le_bytes(), &[]).is_err() {
                         store = loop {
                             if let Ok((opened, _)) = Store::open(disk.clone()) {
