Control: a test of disks lost with all others without power, right after an answer

No fault was found. The change is read back through every instance, the next one is taken, and all votes are held again: 3 and 4 instances with 3 voters and one disk lost, 5 and 6 instances with 5 voters and two lost.

--- /dev/null
+++ b/daemons/control/tests/losses.rs
@@ -0,0 +1,173 @@
+//! Control instances that lose power together, some of them with their disks, right after an answer.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+use sill_base::{Clock, Millis, Secret};
+use sill_control::cfg::Seeds;
+use sill_control::{Control, ControlCfg};
+use sill_standin::loopback::free_addresses;
+use sill_store::FaultyDisk;
+use tokio::runtime::Runtime;
+
+/// Instances whose addresses the others are given; they found the log.
+const SEEDS: usize = 3;
+
+/// The longest wait before a test fails for good; no test measures speed by it.
+const PATIENCE: Millis = Millis::from_secs(40);
+
+/// Control instances on disks that are told what a loss of power leaves on them.
+struct Cluster {
+    peers: Vec<SocketAddr>,
+    voters: usize,
+    controls: Vec<Control>,
+    runtime: Runtime,
+}
+
+impl Cluster {
+    fn new(size: usize, voters: usize) -> Self {
+        let peers = free_addresses(size).expect("free ports");
+        Self { peers, voters, controls: Vec::new(), runtime: Runtime::new().expect("a runtime") }
+    }
+
+    /// Starts one instance on each disk; those without content may not found a log.
+    fn run(&mut self, disks: &[FaultyDisk], may_found: bool) {
+        for (i, disk) in disks.iter().enumerate() {
+            let (cfg, disk) = (self.cfg(i, may_found), disk.clone());
+            let control = Control::start_on(cfg, Box::new(move |_| Ok(Box::new(disk.clone()))));
+            self.controls.push(control.expect("it starts"));
+        }
+    }
+
+    fn cfg(&self, i: usize, may_found: bool) -> ControlCfg {
+        let peers = self.peers[..SEEDS].to_vec();
+        ControlCfg {
+            seeds: Some(Seeds { peers, may_found, voters: self.voters }),
+            spans: sill_quorum::Cfg::close_by(),
+            endpoint_heartbeat: Millis(1000),
+            name: format!("c{i}").into(),
+            domain: format!("d{i}").into(),
+            listen: "127.0.0.1:0".parse().expect("an address"),
+            listen_metrics: None,
+            listen_peer: self.peers[i],
+            voters: Vec::new(),
+            data: "unused".into(),
+            cluster_key: Secret::new("key"),
+            root_token: Secret::new("root"),
+            join_token: None,
+        }
+    }
+
+    fn stop(&mut self) {
+        for control in self.controls.drain(..) {
+            self.runtime.block_on(control.stop());
+        }
+    }
+
+    fn put(&self, i: usize, price: u64) -> bool {
+        let document = format!("{{\"price_cap\":{price}}}");
+        http(self.controls[i].address, "PUT", &document).starts_with("HTTP/1.1 200")
+    }
+
+    /// Returns what an instance shows, once it is sure that nothing newer was answered.
+    fn read(&self, i: usize) -> String {
+        let mut answer = String::new();
+        wait_until("it is sure of what it shows", || {
+            answer = http(self.controls[i].address, "GET", "");
+            answer.starts_with("HTTP/1.1 200") && !answer.contains("sill-stale")
+        });
+        answer
+    }
+
+    fn count_voters(&self) -> usize {
+        let is_voter = |control: &&Control| {
+            let text = request(control.address, "GET", "/metrics", "");
+            text.contains("\nsill_control_voter 1\n")
+        };
+        self.controls.iter().filter(is_voter).count()
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn http(to: SocketAddr, method: &str, body: &str) -> String {
+    request(to, method, "/tree/ga", body)
+}
+
+/// Sends one request of the root's operator, and returns the answer as text.
+fn request(to: SocketAddr, method: &str, path: &str, body: &str) -> String {
+    let mut stream = TcpStream::connect(to).expect("a connection");
+    let head = "host: c\r\nconnection: close\r\nauthorization: Bearer root";
+    let len = body.len();
+    let text = format!("{method} {path} HTTP/1.1\r\n{head}\r\ncontent-length: {len}\r\n\r\n{body}");
+    stream.write_all(text.as_bytes()).expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    answer
+}
+
+fn wait_until<F>(what: &str, mut holds: F)
+where
+    F: FnMut() -> bool,
+{
+    let clock = Clock::start();
+    while clock.now() < PATIENCE {
+        if holds() {
+            return;
+        }
+        std::thread::sleep(Millis(25).into());
+    }
+    panic!("never came true: {what}");
+}
+
+#[test]
+fn what_was_answered_outlasts_lost_disks_and_a_loss_of_power() {
+    // An operator's change is answered. At that moment as many control instances as the voters are made
+    // for lose their disks, the one that answered first of all, and all lose power: of what wasn't
+    // synced, nothing or a torn part is there. The change is read back, and the next one is taken.
+    struct Case {
+        size: usize,
+        voters: usize,
+        /// Further from the one that answers, in the order of the instances.
+        lost: &'static [usize],
+        kept: usize,
+    }
+    let cases = [
+        Case { size: 3, voters: 3, lost: &[0], kept: 0 },
+        Case { size: 4, voters: 3, lost: &[1], kept: 7 },
+        Case { size: 5, voters: 5, lost: &[0, 1], kept: 0 },
+        Case { size: 5, voters: 5, lost: &[0, 3], kept: 20 },
+        Case { size: 6, voters: 5, lost: &[1, 2], kept: 3 },
+    ];
+    for Case { size, voters, lost, kept } in cases {
+        let name = format!("{size} instances, {voters} voters, {lost:?} lost");
+        let mut cluster = Cluster::new(size, voters);
+        let disks: Vec<FaultyDisk> = (0..size).map(|_| FaultyDisk::new()).collect();
+        cluster.run(&disks, true);
+        wait_until("all votes are held", || cluster.count_voters() == voters);
+        wait_until("a change is taken", || cluster.put(0, 1));
+        for price in 2..6 {
+            let asked = price as usize % size;
+            wait_until("a change is taken", || cluster.put(asked, price));
+            let mut left: Vec<FaultyDisk> = disks.iter().map(|d| d.after_crash(kept)).collect();
+            for further in lost {
+                left[(asked + further) % size] = FaultyDisk::new();
+            }
+            if price < 5 {
+                continue;
+            }
+            cluster.stop();
+            cluster.run(&left, false);
+            for i in 0..size {
+                let read = cluster.read(i);
+                assert!(read.contains(&format!("\"price_cap\":{price}")), "{name}: {read}");
+            }
+            wait_until("the next change is taken", || cluster.put(0, 9));
+            wait_until("all votes are held again", || cluster.count_voters() == voters);
+        }
+    }
+}
--- a/state/store/src/faulty.rs
+++ b/state/store/src/faulty.rs
@@ -27,7 +27,7 @@
     RenameStaysUnsynced,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 struct Content {
     files: Vec<FileContent>,
     names: BTreeMap<String, usize>,
@@ -107,6 +107,14 @@
         content.faults.clear();
     }
 
+    /// Returns a disk of its own that holds what this one would after a crash at this moment.
+    pub fn after_crash(&self, kept: usize) -> Self {
+        let content = self.content().clone();
+        let disk = Self { content: Arc::new(Mutex::new(content)) };
+        disk.crash(kept);
+        disk
+    }
+
     /// Loses everything, as when the disk is replaced.
     pub fn lose(&self) {
         *self.content() = Content::default();
