Control: an instance that has a log never says that it is new

What could be lost: everything. All instances lose power and two of five their disks; the flag that allows the first start is still set, as in a unit file. The empty ones ask the other founders whether they are new too. A control instance answered that question from a status that its log's thread writes when it first looks, up to 100 ms after the start (for one that stands by; 1 or 2 ms for a voter), and until then the status said "new". The two empty ones are a quorum of three founders: they start a second history, whose leader overwrites the third founder's log.

Found by reading. Where the flag is taken back after the first start, as for an instance that lost its disk on the platform, an empty one doesn't start a log, so this could not strike there.

Ruled out: the founding replica itself looks at its own log, and a founder that really is new has promised nothing; with three voters and one disk lost the others refuse their votes to the second history.

Before: `an_instance_that_has_a_log_never_counts_as_a_new_one` fails for the instance that stands by. After: it holds for both; the status is reported from the opened disk before the thread starts and before any call can be answered.

--- a/daemons/control/src/log/driver.rs
+++ b/daemons/control/src/log/driver.rs
@@ -117,7 +117,11 @@
     /// # Errors
     ///
     /// Fails when the thread can't be started.
-    pub fn start(self) -> io::Result<LogHandle> {
+    pub fn start(mut self) -> io::Result<LogHandle> {
+        // An empty instance that may start the log asks the others whether they are new too. Until the
+        // thread first looked, one whose disk holds the log would say yes; with enough disks lost, a
+        // second history would begin and overwrite this one.
+        self.report();
         let handle = LogHandle {
             input: self.input.clone(),
             status: self.status.clone(),
--- a/daemons/control/tests/losses.rs
+++ b/daemons/control/tests/losses.rs
@@ -5,9 +5,13 @@
 
 use sill_base::{Clock, Millis, Secret};
 use sill_control::cfg::Seeds;
+use sill_control::rpc::{Hello, HelloReply};
 use sill_control::{Control, ControlCfg};
+use sill_net::PeerClient;
+use sill_quorum::ReplicaId;
 use sill_standin::loopback::free_addresses;
 use sill_store::FaultyDisk;
+use sill_wire::link::ControlPlace;
 use tokio::runtime::Runtime;
 
 /// Instances whose addresses the others are given; they found the log.
@@ -30,15 +34,19 @@
         Self { peers, voters, controls: Vec::new(), runtime: Runtime::new().expect("a runtime") }
     }
 
-    /// Starts one instance on each disk; those without content may not found a log.
+    /// Starts one instance on each disk.
     fn run(&mut self, disks: &[FaultyDisk], may_found: bool) {
         for (i, disk) in disks.iter().enumerate() {
-            let (cfg, disk) = (self.cfg(i, may_found), disk.clone());
-            let control = Control::start_on(cfg, Box::new(move |_| Ok(Box::new(disk.clone()))));
-            self.controls.push(control.expect("it starts"));
+            self.run_one(i, disk, may_found);
         }
     }
 
+    fn run_one(&mut self, i: usize, disk: &FaultyDisk, may_found: bool) {
+        let (cfg, disk) = (self.cfg(i, may_found), disk.clone());
+        let control = Control::start_on(cfg, Box::new(move |_| Ok(Box::new(disk.clone()))));
+        self.controls.push(control.expect("it starts"));
+    }
+
     fn cfg(&self, i: usize, may_found: bool) -> ControlCfg {
         let peers = self.peers[..SEEDS].to_vec();
         ControlCfg {
@@ -79,12 +87,24 @@
         answer
     }
 
+    fn is_voter(&self, i: usize) -> bool {
+        let text = request(self.controls[i].address, "GET", "/metrics", "");
+        text.contains("\nsill_control_voter 1\n")
+    }
+
     fn count_voters(&self) -> usize {
-        let is_voter = |control: &&Control| {
-            let text = request(control.address, "GET", "/metrics", "");
-            text.contains("\nsill_control_voter 1\n")
-        };
-        self.controls.iter().filter(is_voter).count()
+        (0..self.controls.len()).filter(|i| self.is_voter(*i)).count()
+    }
+
+    /// Makes itself known to an instance, as an empty one does.
+    fn hello(&self, to: usize) -> HelloReply {
+        let address = self.peers[to];
+        let place =
+            ControlPlace { name: "empty".into(), domain: "d0".into(), peer: address, address };
+        let id = ReplicaId { name: "empty".into(), incarnation: 1 };
+        let hello = Hello { id, as_voter: false, place };
+        let client = PeerClient::new(address, &Secret::new("key"), PATIENCE);
+        self.runtime.block_on(client.call(&hello)).expect("a reply")
     }
 }
 
@@ -171,3 +191,24 @@
         }
     }
 }
+
+#[test]
+fn an_instance_that_has_a_log_never_counts_as_a_new_one() {
+    // All instances lose power and two of them their disks. The empty ones are allowed to start the log,
+    // as at the first start, and ask whether everyone else is new too. One whose disk holds the log said
+    // yes in the first moments after its start, before its thread had looked. Five voters, founded by
+    // three: the two empty ones are a quorum of the founders, start a second history, and overwrite the
+    // third; operators find their settings gone.
+    let mut cluster = Cluster::new(4, 3);
+    let disks: Vec<FaultyDisk> = (0..4).map(|_| FaultyDisk::new()).collect();
+    cluster.run(&disks, true);
+    wait_until("all votes are held", || cluster.count_voters() == 3);
+    wait_until("a change is taken", || cluster.put(0, 1));
+    (0..4).for_each(|i| drop(cluster.read(i)));
+    let stands_by = (0..4).find(|i| !cluster.is_voter(*i)).expect("one stands by");
+    for i in [stands_by, (stands_by + 1) % 4] {
+        cluster.stop();
+        cluster.run_one(i, &disks[i], false);
+        assert!(!cluster.hello(i).is_new, "instance {i}, of which {stands_by} stands by");
+    }
+}
