Control: an instance whose clock went back votes again after it lost its disk

What was lost: a vote, for good. An instance loses its disk and comes back at a time of day before the one at which its first disk was made: a clock that was ahead then, or one that starts at 1970. All other instances ignored it, as learner too. Operators saw one vote missing (`sill_control_voter` 0) for ever; with three voters the next loss ends changes, and what was acknowledged meanwhile lies on just two disks.

Cause: lives are numbered by the time of day, and an id below one that takes part counts as a late message of a life that is over.

Ruled out: letting lower numbers in. A late hello of the older life could then put out the newer one, and two processes of one name would put each other out in turn.

Whoever is asked says which life of the caller takes part; an instance that has never taken part, and so has promised nothing under its number, writes the next one to its disk and goes on by it. One that has taken part never changes its number.

Not mended: an empty disk that gets the very number of the older life, to the millisecond, counts as that life. It would take a clock that goes back by just the time between the two.

--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use ::http::StatusCode;
-use eyre::{Result, eyre};
+use eyre::Result;
 use ntex::web::types::PayloadConfig;
 use ntex::web::{App, HttpServer, ServiceConfig};
 use sill_base::{Clock, event};
@@ -43,8 +43,6 @@
     pub cfg: ControlCfg,
     /// Its clock.
     pub clock: Clock,
-    /// Its id in the replicated log.
-    pub id: ReplicaId,
     /// The replicated log.
     pub log: LogHandle,
     /// What entry instances run.
@@ -92,6 +90,12 @@
 }
 
 impl Shared {
+    /// Returns its id in the replicated log.
+    pub fn id(&self) -> ReplicaId {
+        let incarnation = self.log.status().incarnation;
+        ReplicaId { name: self.cfg.name.clone(), incarnation }
+    }
+
     /// Runs something on the runtime of the peer calls; their clients work only there.
     ///
     /// # Panics
@@ -205,12 +209,11 @@
     }
     let mut driver = Driver::new(&cfg, open_disk, clock, peers, metrics.clone());
     driver.open()?;
-    let id = driver.id().cloned().ok_or_else(|| eyre!("the data folder is not open"))?;
     let log = driver.start()?;
     let running = Running::default();
     let change_turn = tokio::sync::Mutex::new(());
     let link = Link::new(&cfg);
-    Ok(Shared { cfg, clock, id, log, running, directory, link, metrics, change_turn, runtime })
+    Ok(Shared { cfg, clock, log, running, directory, link, metrics, change_turn, runtime })
 }
 
 fn answers(shared: &Arc<Shared>) -> PeerServerBuilder {
--- a/daemons/control/src/log/disk.rs
+++ b/daemons/control/src/log/disk.rs
@@ -72,6 +72,19 @@
         &self.id
     }
 
+    /// Becomes the disk of another life of the instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk is full or broken.
+    pub fn begin_life(&mut self, incarnation: u64) -> Result<(), WriteError> {
+        let id = ReplicaId { name: self.id.name.clone(), incarnation };
+        let record = serde_json::to_vec(&Record::Id(id.clone())).map_err(io::Error::from)?;
+        self.store.append(&[record])?;
+        self.id = id;
+        Ok(())
+    }
+
     /// Makes a write durable.
     ///
     /// # Errors
--- a/daemons/control/src/log/driver.rs
+++ b/daemons/control/src/log/driver.rs
@@ -11,7 +11,7 @@
 use eyre::Result;
 use parking_lot::RwLock;
 use sill_base::{Clock, Machine, Map, Millis, Name, event};
-use sill_quorum::{Action, Cfg, Entry, Event, Replica, ReplicaId, RoleName, Snapshot};
+use sill_quorum::{Action, Cfg, Entry, Event, Persisted, Replica, RoleName, Snapshot};
 use sill_store::WriteError;
 use tokio::sync::oneshot;
 
@@ -107,11 +107,6 @@
         }
     }
 
-    /// Returns the id of the open disk.
-    pub fn id(&self) -> Option<&ReplicaId> {
-        self.disk.as_ref().map(LogDisk::id)
-    }
-
     /// Starts the thread.
     ///
     /// # Errors
@@ -151,6 +146,28 @@
         Ok(())
     }
 
+    /// Begins a life after one that takes part, if the disk is empty and its life counts as the older.
+    ///
+    /// Lives are numbered by the time of day, which may go back between two disks. The others would take
+    /// whatever the empty one says for a late message of a life that is over, and it would never vote
+    /// again. One that has never taken part has promised nothing by its number, so it may take another.
+    fn begin_life_after(&mut self, known: u64) {
+        let is_new = self.replica.as_ref().is_some_and(Replica::is_new);
+        let Some(disk) = self.disk.as_mut().filter(|disk| is_new && disk.id().incarnation < known)
+        else {
+            return;
+        };
+        event!(Warn, "later_life_begun", known = known, own = disk.id().incarnation);
+        let now = self.clock.now();
+        match disk.begin_life(known + 1) {
+            Ok(()) => {
+                let (cfg, id, seed) = (self.cfg.clone(), disk.id().clone(), rand::random());
+                self.replica = Some(Replica::restore(cfg, id, Persisted::default(), seed, now));
+            }
+            Err(err) => self.stop_taking_part(now, &err),
+        }
+    }
+
     /// Runs until the process stops.
     fn run(mut self) {
         loop {
@@ -188,6 +205,7 @@
                     commands.push(text_of(&command));
                     waiters.push(done);
                 }
+                Input::OlderLife(incarnation) => self.begin_life_after(incarnation),
                 Input::Stop => {}
             }
         }
@@ -368,7 +386,9 @@
                 status.commit = replica.commit_index();
                 status.is_new = replica.is_new();
                 status.is_voter = replica.members().voters.contains(replica.id());
+                status.incarnation = replica.id().incarnation;
                 status.voters = replica.members().voters.iter().cloned().collect();
+                status.learners = replica.members().learners.iter().cloned().collect();
                 status.ready_learners = replica.caught_up_learners();
                 let lease = replica.lease_until(now).filter(|_| replica.can_read(now));
                 status.reads_until = lease.unwrap_or_default();
--- a/daemons/control/src/log/handle.rs
+++ b/daemons/control/src/log/handle.rs
@@ -23,6 +23,8 @@
         /// Gets what came of it.
         done: oneshot::Sender<Submitted>,
     },
+    /// A life of this instance takes part, by this number; an empty disk begins a later one.
+    OlderLife(u64),
     /// The process stops.
     Stop,
 }
@@ -55,8 +57,12 @@
     pub is_new: bool,
     /// Whether it is a voter.
     pub is_voter: bool,
+    /// Which life of this instance its disk holds.
+    pub incarnation: u64,
     /// The voters of the newest members.
     pub voters: Vec<ReplicaId>,
+    /// The learners of the newest members.
+    pub learners: Vec<ReplicaId>,
     /// The learners that have everything, as the leader knows.
     pub ready_learners: Vec<ReplicaId>,
     /// Why it can't write, if it can't.
@@ -88,6 +94,11 @@
         let _ = self.input.send(Input::Event(event));
     }
 
+    /// Hands over that a life of this instance takes part, which its disk may not be.
+    pub fn older_life(&self, incarnation: u64) {
+        let _ = self.input.send(Input::OlderLife(incarnation));
+    }
+
     /// Submits a command and waits for what comes of it.
     pub async fn submit(&self, command: Command) -> Submitted {
         let (done, result) = oneshot::channel();
@@ -152,7 +163,9 @@
             reads_until: Millis::ZERO,
             is_new: true,
             is_voter: false,
+            incarnation: 0,
             voters: Vec::new(),
+            learners: Vec::new(),
             ready_learners: Vec::new(),
             disk_fault: None,
         }
--- a/daemons/control/src/log/hello.rs
+++ b/daemons/control/src/log/hello.rs
@@ -45,6 +45,8 @@
             let replies = ask_all(&shared, &mut strangers).await;
             if status.is_new {
                 found(&shared, &replies);
+                let lives = replies.iter().filter_map(|reply| reply.life);
+                lives.max().into_iter().for_each(|life| shared.log.older_life(life));
             }
         }
         leads_since = match (status.role, leads_since) {
@@ -65,7 +67,7 @@
     let directory = &shared.directory;
     let is_named = shared.cfg.voters.iter().any(|voter| voter.name == shared.cfg.name);
     let as_voter = is_named || shared.cfg.seeds.is_some();
-    let hello = Hello { id: shared.id.clone(), as_voter, place: directory.own().clone() };
+    let hello = Hello { id: shared.id(), as_voter, place: directory.own().clone() };
     let known: Vec<SocketAddr> = directory.places().iter().map(|place| place.peer).collect();
     for seed in directory.seeds().into_iter().filter(|seed| !known.contains(seed)) {
         strangers.entry(seed).or_insert_with(|| directory.client(seed));
@@ -107,7 +109,7 @@
             (names.iter().min() == Some(&&shared.cfg.name), names.len(), others)
         }
     };
-    let ids: Vec<ReplicaId> = others.into_iter().chain([shared.id.clone()]).collect();
+    let ids: Vec<ReplicaId> = others.into_iter().chain([shared.id()]).collect();
     if is_first && ids.len() == founders {
         event!(Info, "log_started", voters = ids.len());
         shared.log.event(Event::Found(Members::of_voters(ids)));
@@ -125,7 +127,7 @@
     }
     let presences = shared.directory.presences();
     let due =
-        standby::replacement(now, &shared.id, &status.voters, &presences, &status.ready_learners);
+        standby::replacement(now, &shared.id(), &status.voters, &presences, &status.ready_learners);
     let Some(Replacement { lost, by }) = due else { return };
     event!(Warn, "voter_replaced", lost = lost.name, by = by.name);
     shared.log.event(Event::Change(MemberChange::Remove(lost)));
@@ -147,12 +149,16 @@
     let status = shared.log.status();
     shared.directory.heard(shared.clock.now(), place, id.clone());
     let is_wanted = as_voter && wants_voter(shared, &status, &id);
+    let members = status.voters.iter().chain(&status.learners);
+    let lives = members.filter(|member| member.name == id.name).map(|member| member.incarnation);
+    let life = lives.max();
     if !status.voters.contains(&id) {
         shared.log.event(Event::Join { id, as_voter: is_wanted });
     }
     HelloReply {
-        id: shared.id.clone(),
+        id: shared.id(),
         is_new: status.is_new,
+        life,
         place: shared.directory.own().clone(),
         known: shared.directory.places(),
     }
--- a/daemons/control/src/rpc.rs
+++ b/daemons/control/src/rpc.rs
@@ -39,6 +39,9 @@
     pub id: ReplicaId,
     /// Whether it has never taken part in a log.
     pub is_new: bool,
+    /// The newest life of the caller that takes part, as far as it knows.
+    #[serde(default)]
+    pub life: Option<u64>,
     /// Where it is reached.
     pub place: ControlPlace,
     /// The other control instances that it knows.
--- a/daemons/control/tests/losses.rs
+++ b/daemons/control/tests/losses.rs
@@ -10,7 +10,7 @@
 use sill_net::PeerClient;
 use sill_quorum::ReplicaId;
 use sill_standin::loopback::free_addresses;
-use sill_store::FaultyDisk;
+use sill_store::{FaultyDisk, Store};
 use sill_wire::link::ControlPlace;
 use tokio::runtime::Runtime;
 
@@ -212,3 +212,28 @@
         assert!(!cluster.hello(i).is_new, "instance {i}, of which {stands_by} stands by");
     }
 }
+
+#[test]
+fn an_instance_whose_clock_went_back_votes_again_after_it_lost_its_disk() {
+    // The clock of a machine runs ahead while its first disk is made, or starts anew at 1970 with the next
+    // one. The older life then has the higher number. The new one was taken for a message that came late,
+    // and was never let in again: operators saw one vote missing for good, and the next loss ended changes.
+    let mut cluster = Cluster::new(3, 3);
+    let disks: Vec<FaultyDisk> = (0..3).map(|_| FaultyDisk::new()).collect();
+    let (mut store, _) = Store::open(disks[2].clone()).expect("it opens");
+    let ahead = Millis::wall().0 + 3_600_000;
+    let id = format!(r#"{{"record":"id","name":"c2","incarnation":{ahead}}}"#);
+    store.append(&[id]).expect("written");
+    drop(store);
+    cluster.run(&disks, true);
+    wait_until("all votes are held", || cluster.count_voters() == 3);
+    wait_until("a change is taken", || cluster.put(0, 1));
+    let disks = [disks[0].clone(), disks[1].clone(), FaultyDisk::new()];
+    for what in ["all votes are held again", "all votes are held after a restart"] {
+        cluster.stop();
+        cluster.run(&disks, false);
+        wait_until(what, || cluster.count_voters() == 3);
+        let read = cluster.read(2);
+        assert!(read.contains("\"price_cap\":1"), "{read}");
+    }
+}
