--- a/daemons/sill/tests/system/control.rs
+++ b/daemons/sill/tests/system/control.rs
@@ -173,3 +173,30 @@
     let answer = cluster.put(empty, "ga", &["if-match: 2"], &document(3));
     assert_eq!(answer.status, 200, "{answer:?}");
 }
+
+#[test]
+fn a_disk_lost_while_all_are_killed_takes_no_accepted_change_along() {
+    // Right after a change was answered, all processes are killed and the instance that led, whose copy
+    // was the first, loses its disk. The two others have to agree on a leader that has the change, and
+    // operators read it back.
+    let mut cluster = Cluster::start("wiped");
+    for price in 1..=3 {
+        let leader = cluster.leader();
+        let answer = cluster.put((leader + price as usize) % SIZE, "ga", &[], &document(price));
+        assert_eq!(answer.status, 200, "{answer:?}");
+        (0..SIZE).for_each(|i| cluster.kill(i));
+        let data = cluster.folder.0.join(format!("data-{leader}"));
+        std::fs::remove_dir_all(&data).expect("the folder is there");
+        (0..SIZE).for_each(|i| cluster.run(i));
+        cluster.leader();
+        let read = cluster.get(leader, "ga");
+        assert_eq!(
+            (read.revision(), &read.json()["document"]["price_cap"]),
+            (price, &price.into())
+        );
+        assert!(!read.head.contains("sill-stale"), "{read:?}");
+        wait_until("the empty instance is a voter again", || {
+            cluster.metric(leader, "sill_control_voter") == Some(1.0)
+        });
+    }
+}
