Control: the test of lost disks counts the copies at the moment of the answer

On copies of the disks as a loss of power would leave them, more than may be lost hold the change when it is answered. Disks whose syncs do nothing show that the count sees it: 0 copies at the answer.

--- a/daemons/control/tests/losses.rs
+++ b/daemons/control/tests/losses.rs
@@ -1,6 +1,6 @@
 //! Control instances that lose power together, some of them with their disks, right after an answer.
 
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
 use sill_base::{Clock, Millis, Secret};
@@ -10,7 +10,7 @@
 use sill_net::PeerClient;
 use sill_quorum::ReplicaId;
 use sill_standin::loopback::free_addresses;
-use sill_store::{FaultyDisk, Store};
+use sill_store::{AnyDisk, Disk, FaultyDisk, Store};
 use sill_wire::link::ControlPlace;
 use tokio::runtime::Runtime;
 
@@ -20,6 +20,10 @@
 /// The longest wait before a test fails for good; no test measures speed by it.
 const PATIENCE: Millis = Millis::from_secs(40);
 
+/// A disk that reports each sync of a file as done and does nothing.
+#[derive(Debug)]
+struct Forgetful(FaultyDisk);
+
 /// Control instances on disks that are told what a loss of power leaves on them.
 struct Cluster {
     peers: Vec<SocketAddr>,
@@ -42,8 +46,15 @@
     }
 
     fn run_one(&mut self, i: usize, disk: &FaultyDisk, may_found: bool) {
-        let (cfg, disk) = (self.cfg(i, may_found), disk.clone());
-        let control = Control::start_on(cfg, Box::new(move |_| Ok(Box::new(disk.clone()))));
+        let disk = disk.clone();
+        self.run_on(i, may_found, move || Box::new(disk.clone()));
+    }
+
+    fn run_on<F>(&mut self, i: usize, may_found: bool, open: F)
+    where
+        F: Fn() -> AnyDisk + Send + 'static,
+    {
+        let control = Control::start_on(self.cfg(i, may_found), Box::new(move |_| Ok(open())));
         self.controls.push(control.expect("it starts"));
     }
 
@@ -114,6 +125,50 @@
     }
 }
 
+impl Disk for Forgetful {
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        self.0.list()
+    }
+
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
+        self.0.read(name)
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.0.append(name, bytes)
+    }
+
+    fn sync(&mut self, _: &str) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
+        self.0.truncate(name, len)
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.0.rename(from, to)
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.0.remove(name)
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.0.sync_folder()
+    }
+}
+
+/// Returns how many disks hold a change after a loss of power at this moment.
+fn count_copies(disks: &[FaultyDisk], price: u64) -> usize {
+    let holds = |disk: &&FaultyDisk| {
+        let Ok((_, recovered)) = Store::open(disk.after_crash(0)) else { return false };
+        let text = String::from_utf8(recovered.records.concat()).expect("text");
+        text.contains(&format!("price_cap\\\":{price}"))
+    };
+    disks.iter().filter(holds).count()
+}
+
 fn http(to: SocketAddr, method: &str, body: &str) -> String {
     request(to, method, "/tree/ga", body)
 }
@@ -173,6 +228,8 @@
         for price in 2..6 {
             let asked = price as usize % size;
             wait_until("a change is taken", || cluster.put(asked, price));
+            let copies = count_copies(&disks, price);
+            assert!(copies > lost.len(), "{name}: {copies} copies of what was answered");
             let mut left: Vec<FaultyDisk> = disks.iter().map(|d| d.after_crash(kept)).collect();
             for further in lost {
                 left[(asked + further) % size] = FaultyDisk::new();
@@ -192,6 +249,20 @@
     }
 }
 
+#[test]
+fn an_answer_before_the_sync_is_noticed() {
+    // Disks that put off each sync, as a wrong setting of a volume does. The check of the test above must
+    // see that an answer rests on nothing then.
+    let mut cluster = Cluster::new(3, 3);
+    let disks: Vec<FaultyDisk> = (0..3).map(|_| FaultyDisk::new()).collect();
+    for (i, disk) in disks.iter().enumerate() {
+        let disk = disk.clone();
+        cluster.run_on(i, true, move || Box::new(Forgetful(disk.clone())));
+    }
+    wait_until("a change is taken", || cluster.put(0, 1));
+    assert_eq!(count_copies(&disks, 1), 0);
+}
+
 #[test]
 fn an_instance_that_has_a_log_never_counts_as_a_new_one() {
     // All instances lose power and two of them their disks. The empty ones are allowed to start the log,
