--- a/daemons/sill/tests/system/harness.rs
+++ b/daemons/sill/tests/system/harness.rs
@@ -15,6 +15,9 @@
 /// How long anything may take before a test fails for good; no test measures speed by it.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Lines of each program's log that a failed test shows.
+const SHOWN_LINES: usize = 80;
+
 /// A folder of its own for a test, with the key files in it; removed when dropped.
 pub struct Folder(pub PathBuf);
 
@@ -68,10 +71,30 @@
             .spawn();
         Program(child.expect("sill can be started"))
     }
+
+    /// Prints the end of every log, since the folder goes with the test.
+    fn print_logs(&self) {
+        let entries = fs::read_dir(&self.0).into_iter().flatten().flatten();
+        let mut logs: Vec<PathBuf> = entries.map(|entry| entry.path()).collect();
+        logs.retain(|path| path.extension().is_some_and(|extension| extension == "log"));
+        logs.sort();
+        for path in logs {
+            let text = fs::read_to_string(&path).unwrap_or_default();
+            let lines: Vec<&str> = text.lines().collect();
+            eprintln!("the last lines of {}:", path.display());
+            for line in &lines[lines.len().saturating_sub(SHOWN_LINES)..] {
+                eprintln!("    {line}");
+            }
+        }
+    }
 }
 
 impl Drop for Folder {
     fn drop(&mut self) {
+        // A failure that shows once is not traced again without what the programs said.
+        if thread::panicking() {
+            self.print_logs();
+        }
         let _ = fs::remove_dir_all(&self.0);
     }
 }
