--- a/daemons/entry/src/serve/calls.rs
+++ b/daemons/entry/src/serve/calls.rs
@@ -7,6 +7,7 @@
 use sill_wire::handoff::{FollowReply, FollowRun, ForgetRun, LocateRun};
 
 use super::attach;
+use crate::claims;
 use crate::daemon::Shared;
 use crate::handoff;
 
@@ -26,12 +27,13 @@
     });
     let app = shared.clone();
     peers.answer(move |call: FollowRun| {
-        let run = app.runs.get(&call.key);
+        let app = app.clone();
         async move {
-            match run {
-                Some(run) => Ok(run.follow(call.from, call.wait).await),
-                None => Ok(FollowReply::Unknown),
+            if let Some(run) = app.runs.get(&call.key) {
+                return Ok(run.follow(call.from, call.wait).await);
             }
+            claims::released(&app, &call.key, call.wait).await;
+            Ok(FollowReply::Unknown)
         }
     });
 }
--- a/daemons/entry/tests/kit/mod.rs
+++ b/daemons/entry/tests/kit/mod.rs
@@ -15,7 +15,7 @@
 use sill_net::{PeerServer, PeerServerBuilder};
 use sill_standin::loopback::free_addresses;
 use sill_tree::KeyHash;
-use sill_wire::claim::{ClaimBatch, ClaimReply, ClaimVerdict};
+use sill_wire::claim::{ClaimAsk, ClaimBatch, ClaimReply, ClaimVerdict};
 use sill_wire::control::Revision;
 use sill_wire::feed::{Change, FeedPoll, FeedReply};
 
@@ -31,6 +31,8 @@
     pub quorum: Arc<AtomicBool>,
     /// Whether verdicts are lost on their way back.
     pub loses_verdicts: Arc<AtomicBool>,
+    /// Batches of releases alone that are still lost on their way.
+    pub lost_releases: Arc<AtomicU32>,
     /// Verdicts that still leave an outcome out, as before the log has it.
     pub late_outcomes: Arc<AtomicU32>,
     _server: PeerServer,
@@ -70,6 +72,7 @@
         let quorum = Arc::new(AtomicBool::new(true));
         let loses_verdicts = Arc::new(AtomicBool::new(false));
         let late_outcomes = Arc::new(AtomicU32::new(0));
+        let lost_releases = Arc::new(AtomicU32::new(0));
         let table = Arc::new(Mutex::new(ClaimTable::default()));
         let mut server = PeerServerBuilder::new(Secret::new(CLUSTER_KEY));
         server.answer(|poll: FeedPoll| async move {
@@ -80,20 +83,22 @@
             Ok(FeedReply::Changes { changes: vec![settings()] })
         });
         let (reached, loses) = (quorum.clone(), loses_verdicts.clone());
-        let late = late_outcomes.clone();
+        let (late, lost) = (late_outcomes.clone(), lost_releases.clone());
         server.answer(move |batch: ClaimBatch| {
+            let releases = |ask: &ClaimAsk| matches!(ask, ClaimAsk::Release { .. });
+            // As in the log, a batch is carried out whole or not at all.
+            let is_lost = batch.asks.iter().all(releases) && count_down(&lost);
             let mut verdicts: Vec<ClaimVerdict> = batch
                 .asks
                 .iter()
-                .map(|ask| match reached.load(Ordering::Relaxed) {
+                .map(|ask| match reached.load(Ordering::Relaxed) && !is_lost {
                     true => table.lock().apply(Millis::wall(), ask),
                     false => ClaimVerdict::Unavailable,
                 })
                 .collect();
             for verdict in &mut verdicts {
                 let ClaimVerdict::Taken { outcome, .. } = verdict else { continue };
-                let is_late = |left: u32| left.checked_sub(1);
-                if late.fetch_update(Ordering::Relaxed, Ordering::Relaxed, is_late).is_ok() {
+                if count_down(&late) {
                     *outcome = None;
                 }
             }
@@ -108,10 +113,24 @@
             server.start(listener).expect("it listens")
         };
         let address = server.address();
-        Self { address, quorum, loses_verdicts, late_outcomes, _server: server, _runtime: runtime }
+        Self {
+            address,
+            quorum,
+            loses_verdicts,
+            lost_releases,
+            late_outcomes,
+            _server: server,
+            _runtime: runtime,
+        }
     }
 }
 
+/// Counts down to zero, and returns whether it was above.
+fn count_down(left: &AtomicU32) -> bool {
+    let less = |left: u32| left.checked_sub(1);
+    left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, less).is_ok()
+}
+
 fn settings() -> Change {
     let document = json!({
         "services": {
--- a/daemons/entry/tests/serving.rs
+++ b/daemons/entry/tests/serving.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::time::Duration;
 
 use kit::{
     Answer, FakeControl, Script, Scripted, announce, call, call_routed, entries, metric, wait_until,
@@ -285,6 +286,36 @@
     assert_eq!(sends(&endpoint), 1);
 }
 
+/// A control instance hangs: it takes the claim on a notice, but the verdict comes too late, and so
+/// does the release once the notice was refused. The clerk, told that it was not run, sends it again
+/// before the next release. A claim left by the refusal would make the second answer that nobody
+/// knows whether the notice was sent, and the widow would get no letter.
+#[test]
+fn a_refused_notice_is_sent_when_it_comes_again_before_its_claim_is_released() {
+    for through_peer in [false, true] {
+        let control = FakeControl::start();
+        let entries = entries(&control, 2);
+        let (first, second) = (entries[0].address, entries[usize::from(through_peer)].address);
+        let endpoint = service(first, 1);
+        wait_until("both serve it", || call(second, "/s/notices/warm", &[], "").status == 200);
+        let key = ["idempotency-key: notice-4"];
+        control.loses_verdicts.store(true, Ordering::Relaxed);
+        control.lost_releases.store(2, Ordering::Relaxed);
+        let refused = call(first, SEND, &key, "to the widow");
+        assert!(refused.status == 503 && is_not_run(&refused), "{refused:?}");
+        wait_until("a release is lost", || control.lost_releases.load(Ordering::Relaxed) == 1);
+        control.loses_verdicts.store(false, Ordering::Relaxed);
+        let mut again = call(second, SEND, &key, "to the widow");
+        while again.status == 503 {
+            assert!(again.head.contains("retry-after: "), "{again:?}");
+            thread::sleep(Duration::from_millis(100));
+            again = call(second, SEND, &key, "to the widow");
+        }
+        assert_eq!(again.status, 200, "through a peer: {through_peer}, {again:?}");
+        assert_eq!(sends(&endpoint), 1);
+    }
+}
+
 /// The entry instance is restarted between the claim and the answer, so that nobody knows what came
 /// of the notice. It must not be sent a second time.
 #[test]
