Stand-in: free ports are looked for by connecting, not by listening

A system test waited 60 s for "the settings are accepted" and failed. Its control and entry instances had ended at once: "Address already in use", though no one else has these loopback addresses.

Cause: `free_addresses` listened on each port and closed the listener. A program that another test's thread starts at that moment holds copies of all open sockets until it runs its own code; while it waits for a processor the port is taken, though its owner has closed it.

Seen once in 12 plays of the whole system binary, six at once (load 83 to 113 on 12 cores), with the logs above; another play that failed after 61 s with its log not kept is suspected to be the same.

Why it holds: a connection that is refused leaves nothing on the port that a copy could hold.

--- a/bench/standin/src/loopback.rs
+++ b/bench/standin/src/loopback.rs
@@ -1,7 +1,7 @@
 //! Addresses on loopback for processes that must know each other's before they start.
 
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 
 /// Below the ports that the system gives to the near ends of connections: one to such an address may
@@ -24,8 +24,18 @@
     let [_, _, high, low] = process.to_be_bytes();
     // The first octet after 127 tells calls apart, the others processes.
     let ip = Ipv4Addr::new(127, 1 + (number % 254) as u8, high, low);
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|i| TcpListener::bind((ip, FIRST_PORT + i as u16)))
-        .collect::<io::Result<_>>()?;
-    listeners.iter().map(TcpListener::local_addr).collect()
+    let addresses = (0..count).map(|i| SocketAddr::from((ip, FIRST_PORT + i as u16)));
+    addresses.map(|address| check_free(address).map(|()| address)).collect()
+}
+
+/// Looks with a connection whether someone listens, never with a listener of its own. A program that
+/// another thread starts at that moment holds a copy of each open socket until it runs its own code;
+/// on a busy machine the port was still taken by it, long after the look, and the program meant for
+/// the port ended with "address already in use".
+fn check_free(address: SocketAddr) -> io::Result<()> {
+    match TcpStream::connect(address) {
+        Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => Ok(()),
+        Err(err) => Err(err),
+        Ok(_) => Err(io::Error::new(io::ErrorKind::AddrInUse, address.to_string())),
+    }
 }
