Entry: a handed request can be found before its hand-off is answered

Cause: the peer answered the hand-off once the requests were queued for its worker threads. The leaving instance then cut its callers off. A caller that was back before the worker had taken its request from the queue found nothing and began it; the worker then found the key in use and dropped the handed request with all its tokens. The logs have `taken_over` and `handed_off` 14 ms apart and no failed call.

Why it holds: the request is entered among those that run here before the answer to the hand-off is sent, and a caller is cut off only after that answer. It waits for the worker there, as for any other answer that runs.

--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -213,8 +213,8 @@
     shared.takers.lock().push(tx);
     let (shared, client) = (shared.clone(), client.clone());
     ntex::rt::spawn(async move {
-        while let Some(handed) = rx.recv().await {
-            ntex::rt::spawn(serve::take_over(shared.clone(), client.clone(), handed));
+        while let Some(taken) = rx.recv().await {
+            ntex::rt::spawn(serve::go_on(shared.clone(), client.clone(), taken));
         }
     });
 }
--- a/daemons/entry/src/handoff.rs
+++ b/daemons/entry/src/handoff.rs
@@ -7,7 +7,7 @@
 use ntex::web::{self, HttpRequest, HttpResponse};
 use serde_json::json;
 use sill_base::{Millis, Name, event};
-use sill_flight::handoff::{HandOff, HandOffReply, HandedRun};
+use sill_flight::handoff::{HandOff, HandOffReply};
 use sill_net::PeerError;
 use sill_net::http::{self, Failure};
 use sill_wire::ErrorCode;
@@ -16,6 +16,7 @@
 
 use crate::daemon::Shared;
 use crate::peers;
+use crate::serve::TakenOver;
 use crate::serve::signals::Offer;
 
 /// Time that a hand-off is given at least; with less left it begins at once.
@@ -31,7 +32,7 @@
 const TIMEOUT: Millis = Millis(500);
 
 /// Threads that requests can be handed to.
-pub type Takers = parking_lot::Mutex<Vec<mpsc::UnboundedSender<HandedRun>>>;
+pub type Takers = parking_lot::Mutex<Vec<mpsc::UnboundedSender<TakenOver>>>;
 
 /// `POST /reclaim`.
 pub async fn reclaim(
@@ -139,8 +140,9 @@
         let Some(taker) = takers.get(number % takers.len().max(1)) else {
             break;
         };
-        if taker.send(run).is_ok() {
-            taken.push(request);
+        match taker.send(TakenOver::begin(&app, run)) {
+            Ok(()) => taken.push(request),
+            Err(unsent) => unsent.0.give_back(),
         }
     }
     event!(Info, "taken_over", from = call.from, requests = taken.len());
--- a/daemons/entry/src/serve.rs
+++ b/daemons/entry/src/serve.rs
@@ -21,7 +21,7 @@
 use sill_flight::flight::{Claimant, Kind};
 use sill_flight::handoff::HandedRun;
 use sill_flight::life::{Life, NotRun, Received};
-use sill_flight::{Event, Flight, FlightCfg, Spec, Transcript};
+use sill_flight::{Event, Flight, FlightCfg, Place, Spec, Transcript};
 use sill_limit::{Cost, Verdict};
 use sill_net::http::Failure;
 use sill_wire::claim::{ClaimKey, ClaimOwner};
@@ -155,6 +155,7 @@
 
 /// Counts a request as in flight, from its arrival until its caller has the last word; one that only
 /// follows an answer from elsewhere counts too, else a planned stop would cut it off.
+#[derive(Debug)]
 struct InFlight(Arc<Shared>);
 
 impl InFlight {
@@ -308,32 +309,63 @@
     Task::Drive { home_lost: true }
 }
 
+/// A request that another entry instance handed over, on its way to a thread that goes on with it.
+#[derive(Debug)]
+pub struct TakenOver {
+    in_flight: InFlight,
+    run: Arc<Run>,
+    body: String,
+    from: Option<Place>,
+    /// Whether its caller was back before it came, and has begun it anew.
+    begun_anew: bool,
+}
+
+impl TakenOver {
+    /// Lets a caller who comes back find the request from now on.
+    ///
+    /// The instance that leaves cuts its callers off once it has our answer. One that is back before
+    /// the request can be found would begin it anew: the tokens so far would be thrown away, and the
+    /// prompt computed a second time. So this is done before the answer, not by the busy thread.
+    pub fn begin(app: &Arc<Shared>, handed: HandedRun) -> Self {
+        let in_flight = InFlight::begin(app);
+        let mut handed = handed.arrives(app.clock.now());
+        handed.spec.keyed = true;
+        let run = Arc::new(Run::new(
+            handed.spec,
+            handed.key,
+            handed.body_hash,
+            handed.path,
+            handed.model,
+            handed.transcript,
+        ));
+        open_record(app, &run);
+        let begun_anew = app.runs.open(&run).is_some();
+        Self { in_flight, run, body: handed.body, from: handed.from, begun_anew }
+    }
+
+    /// Forgets the request again, since no thread is there to go on with it.
+    pub fn give_back(self) {
+        let app = &self.in_flight.0;
+        self.run.end(run::RunEnd::Abandoned);
+        app.runs.close(app.clock.now(), &self.run);
+    }
+}
+
 /// Goes on with a request that another entry instance handed over; its caller comes back later.
-pub async fn take_over(app: Arc<Shared>, client: Client, handed: HandedRun) {
-    let _in_flight = InFlight::begin(&app);
-    let mut handed = handed.arrives(app.clock.now());
-    handed.spec.keyed = true;
-    let next = handed.transcript.next();
-    let run = Arc::new(Run::new(
-        handed.spec,
-        handed.key,
-        handed.body_hash,
-        handed.path.clone(),
-        handed.model.clone(),
-        handed.transcript,
-    ));
-    open_record(&app, &run);
-    if app.runs.open(&run).is_some() {
+pub async fn go_on(app: Arc<Shared>, client: Client, taken: TakenOver) {
+    let TakenOver { in_flight: _in_flight, run, body, from, begun_anew } = taken;
+    if begun_anew {
         return;
     }
     attach::note(&app, &run).await;
+    let next = run.with_transcript(|transcript| transcript.next());
     let outgoing = Outgoing {
         method: Method::POST,
-        path: handed.path,
+        path: run.path.clone(),
         request: run.request().clone(),
         key: Some(run.key.key.clone()),
         headers: vec![PassedHeader::new("content-type", "application/json")],
-        body: handed.body.into(),
+        body: body.into(),
     };
     let blocks = Arc::from([]);
     let priority = sill_wire::Priority::High;
@@ -341,7 +373,7 @@
         Order { run: run.clone(), outgoing, blocks, priority, form: Form::Whole, sink: None };
     let flight = Flight::taken_over(FlightCfg::default(), run.spec.clone(), next, seed(&run));
     let driver = Driver::new(app.clone(), client, order, flight);
-    driver.run(Event::TakenOver { from: handed.from }).await;
+    driver.run(Event::TakenOver { from }).await;
 }
 
 /// Differs from request to request, so that pauses do.
--- a/daemons/entry/tests/kit/mod.rs
+++ b/daemons/entry/tests/kit/mod.rs
@@ -19,7 +19,7 @@
 use sill_wire::control::Revision;
 use sill_wire::feed::{Change, FeedPoll, FeedReply};
 
-const CLUSTER_KEY: &str = "test-cluster-key";
+pub const CLUSTER_KEY: &str = "test-cluster-key";
 const JOIN_TOKEN: &str = "test-join-token";
 const CALLER_KEY: &str = "test-caller-key";
 const PATIENCE: Duration = Duration::from_secs(60);
--- a/daemons/entry/tests/serving.rs
+++ b/daemons/entry/tests/serving.rs
@@ -9,15 +9,22 @@
 use std::time::Duration;
 
 use kit::{
-    Answer, FakeControl, Script, Scripted, announce, call, call_routed, entries, metric, wait_until,
+    Answer, CLUSTER_KEY, FakeControl, Script, Scripted, announce, call, call_routed, entries,
+    metric, wait_until,
 };
 use serde_json::{Value, json};
-use sill_base::{Millis, Secret};
+use sill_base::{Millis, Name, Secret};
+use sill_flight::flight::Kind;
+use sill_flight::handoff::{HandOff, HandedRun};
+use sill_flight::{Spec, Transcript};
+use sill_net::PeerClient;
 use sill_standin::answer::Answer as Expected;
 use sill_standin::{Endpoint, EndpointCfg};
 use sill_wire::Served;
 use sill_wire::chat::ChatSummary;
+use sill_wire::claim::{BodyHash, ClaimKey};
 use sill_wire::endpoint::RunEnd;
+use sill_wire::handoff::{FollowReply, FollowRun};
 
 const CHAT: &str = "/v1/chat/completions";
 const SEND: &str = "/s/notices/send";
@@ -421,3 +428,60 @@
         })
         .collect()
 }
+
+/// As many as go in one call.
+const HANDED: usize = 256;
+
+/// Tokens that each caller has.
+const HANDED_TOKENS: u32 = 3;
+
+/// An entry instance that is reclaimed hands its requests over and, once the peer has answered, cuts
+/// its callers off. They come back through the peer at once. One that is there before the peer's
+/// busy thread has begun the handed request would start it anew: the answer so far would be thrown
+/// away, and the long prompt computed a second time.
+#[test]
+fn a_handed_request_is_found_as_soon_as_it_is_taken() {
+    let control = FakeControl::start();
+    let entry = &entries(&control, 1)[0];
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    let runs: Vec<HandedRun> = (0..HANDED).map(handed).collect();
+    let last = runs[HANDED - 1].key.clone();
+    let (taken, found) = runtime.block_on(async {
+        let peer = PeerClient::new(entry.peer_address, &Secret::new(CLUSTER_KEY), Millis(5_000));
+        let taken = peer.call(&HandOff { from: "e9".into(), runs }).await.expect("an answer");
+        let follow = FollowRun { key: last, from: 0, wait: Millis(0) };
+        (taken.taken, peer.call(&follow).await.expect("an answer"))
+    });
+    assert_eq!(taken.len(), HANDED);
+    let FollowReply::More(part) = found else {
+        panic!("it is not known: {found:?}");
+    };
+    assert_eq!(part.escaped.len() as u32, HANDED_TOKENS);
+}
+
+fn handed(number: usize) -> HandedRun {
+    let (account, request): (Name, Name) = ("clerks".into(), format!("e9-1-{number}").into());
+    let mut transcript = Transcript::default();
+    (0..HANDED_TOKENS).for_each(|index| transcript.push(index, "word "));
+    HandedRun {
+        spec: Spec {
+            request: request.clone(),
+            kind: Kind::Model,
+            idempotent: true,
+            claim: None,
+            keyed: true,
+            deadline: Millis(60_000),
+            prompt_tokens: 18,
+            max_tokens: 300,
+        },
+        account: account.clone(),
+        key: ClaimKey { account, key: request },
+        body_hash: BodyHash("hash".into()),
+        path: "/v1/chat/completions".to_owned(),
+        model: "desk-7b".into(),
+        body: "{}".to_owned(),
+        transcript,
+        from: None,
+    }
+}
