--- a/daemons/entry/tests/serving.rs
+++ b/daemons/entry/tests/serving.rs
@@ -6,17 +6,25 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::time::Duration;
 
 use kit::{
-    Answer, FakeControl, Script, Scripted, announce, call, call_routed, entries, metric, wait_until,
+    Answer, CLUSTER_KEY, FakeControl, Script, Scripted, announce, call, call_routed, entries,
+    metric, wait_until,
 };
 use serde_json::{Value, json};
-use sill_base::{Millis, Secret};
+use sill_base::{Millis, Name, Secret};
+use sill_flight::flight::Kind;
+use sill_flight::handoff::{HandOff, HandedRun};
+use sill_flight::{Spec, Transcript};
+use sill_net::PeerClient;
 use sill_standin::answer::Answer as Expected;
 use sill_standin::{Endpoint, EndpointCfg};
 use sill_wire::Served;
 use sill_wire::chat::ChatSummary;
+use sill_wire::claim::{BodyHash, ClaimKey};
 use sill_wire::endpoint::RunEnd;
+use sill_wire::handoff::{FollowReply, FollowRun};
 
 const CHAT: &str = "/v1/chat/completions";
 const SEND: &str = "/s/notices/send";
@@ -285,6 +293,36 @@
     assert_eq!(sends(&endpoint), 1);
 }
 
+/// A control instance hangs: it takes the claim on a notice, but the verdict comes too late, and so
+/// does the release once the notice was refused. The clerk, told that it was not run, sends it again
+/// before the next release. A claim left by the refusal would make the second answer that nobody
+/// knows whether the notice was sent, and the widow would get no letter.
+#[test]
+fn a_refused_notice_is_sent_when_it_comes_again_before_its_claim_is_released() {
+    for through_peer in [false, true] {
+        let control = FakeControl::start();
+        let entries = entries(&control, 2);
+        let (first, second) = (entries[0].address, entries[usize::from(through_peer)].address);
+        let endpoint = service(first, 1);
+        wait_until("both serve it", || call(second, "/s/notices/warm", &[], "").status == 200);
+        let key = ["idempotency-key: notice-4"];
+        control.loses_verdicts.store(true, Ordering::Relaxed);
+        control.lost_releases.store(2, Ordering::Relaxed);
+        let refused = call(first, SEND, &key, "to the widow");
+        assert!(refused.status == 503 && is_not_run(&refused), "{refused:?}");
+        wait_until("a release is lost", || control.lost_releases.load(Ordering::Relaxed) == 1);
+        control.loses_verdicts.store(false, Ordering::Relaxed);
+        let mut again = call(second, SEND, &key, "to the widow");
+        while again.status == 503 {
+            assert!(again.head.contains("retry-after: "), "{again:?}");
+            thread::sleep(Duration::from_millis(100));
+            again = call(second, SEND, &key, "to the widow");
+        }
+        assert_eq!(again.status, 200, "through a peer: {through_peer}, {again:?}");
+        assert_eq!(sends(&endpoint), 1);
+    }
+}
+
 /// The entry instance is restarted between the claim and the answer, so that nobody knows what came
 /// of the notice. It must not be sent a second time.
 #[test]
@@ -390,3 +428,60 @@
         })
         .collect()
 }
+
+/// As many as go in one call.
+const HANDED: usize = 256;
+
+/// Tokens that each caller has.
+const HANDED_TOKENS: u32 = 3;
+
+/// An entry instance that is reclaimed hands its requests over and, once the peer has answered, cuts
+/// its callers off. They come back through the peer at once. One that is there before the peer's
+/// busy thread has begun the handed request would start it anew: the answer so far would be thrown
+/// away, and the long prompt computed a second time.
+#[test]
+fn a_handed_request_is_found_as_soon_as_it_is_taken() {
+    let control = FakeControl::start();
+    let entry = &entries(&control, 1)[0];
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    let runs: Vec<HandedRun> = (0..HANDED).map(handed).collect();
+    let last = runs[HANDED - 1].key.clone();
+    let (taken, found) = runtime.block_on(async {
+        let peer = PeerClient::new(entry.peer_address, &Secret::new(CLUSTER_KEY), Millis(5_000));
+        let taken = peer.call(&HandOff { from: "e9".into(), runs }).await.expect("an answer");
+        let follow = FollowRun { key: last, from: 0, wait: Millis(0) };
+        (taken.taken, peer.call(&follow).await.expect("an answer"))
+    });
+    assert_eq!(taken.len(), HANDED);
+    let FollowReply::More(part) = found else {
+        panic!("it is not known: {found:?}");
+    };
+    assert_eq!(part.escaped.len() as u32, HANDED_TOKENS);
+}
+
+fn handed(number: usize) -> HandedRun {
+    let (account, request): (Name, Name) = ("clerks".into(), format!("e9-1-{number}").into());
+    let mut transcript = Transcript::default();
+    (0..HANDED_TOKENS).for_each(|index| transcript.push(index, "word "));
+    HandedRun {
+        spec: Spec {
+            request: request.clone(),
+            kind: Kind::Model,
+            idempotent: true,
+            claim: None,
+            keyed: true,
+            deadline: Millis(60_000),
+            prompt_tokens: 18,
+            max_tokens: 300,
+        },
+        account: account.clone(),
+        key: ClaimKey { account, key: request },
+        body_hash: BodyHash("hash".into()),
+        path: "/v1/chat/completions".to_owned(),
+        model: "desk-7b".into(),
+        body: "{}".to_owned(),
+        transcript,
+        from: None,
+    }
+}
