--- a/daemons/sill/tests/system/flight.rs
+++ b/daemons/sill/tests/system/flight.rs
@@ -359,7 +359,7 @@
     let asked = ask(cluster.entries[0].address, &[], &body);
     cluster.running(10);
     for _ in 0..10 {
-        signal(&cluster.entries[0], "-TERM");
+        signal(&cluster.entries[0].program, "-TERM");
         thread::sleep(Duration::from_millis(100));
     }
     assert_whole(&body, &asked.join().expect("no panic").expect("an answer"));
@@ -376,7 +376,7 @@
     let asked = ask(cluster.entries[0].address, &[], &body);
     cluster.running(2);
     for name in ["-INT", "-TERM", "-INT"] {
-        signal(&cluster.entries[0], name);
+        signal(&cluster.entries[0].program, name);
         thread::sleep(Duration::from_millis(100));
     }
     let status = cluster.entries[0].program.0.wait().expect("it ends");
@@ -394,12 +394,12 @@
     let body = body(PROMPT, 250, true);
     let asked = ask(cluster.entries[0].address, &[], &body);
     cluster.running(10);
-    signal(&cluster.entries[0], "-HUP");
+    signal(&cluster.entries[0].program, "-HUP");
     let (control, token) = (cluster.control_words[6].clone(), cluster.folder.file("root-token"));
     cluster.settle(&control, &token);
-    signal(&cluster.entries[0], "-HUP");
+    signal(&cluster.entries[0].program, "-HUP");
     assert_whole(&body, &asked.join().expect("no panic").expect("an answer"));
-    signal(&cluster.entries[0], "-TERM");
+    signal(&cluster.entries[0].program, "-TERM");
     let status = cluster.entries[0].program.0.wait().expect("it ends");
     assert_eq!(status.code(), Some(0));
 }
