Entry: a slow caller that goes away no longer hangs its worker thread

A caller was slow, so that parts of its answer waited in the entry instance, and then its connection was lost. From then on the worker thread used a whole processor and served nobody: other callers of that thread had no answer, nor had `/metrics` within 60 s, and the endpoint went on computing.

Cause: the driver of a request waits for room for what it still has to send before it looks whether the caller is gone (the `select!` is biased). Room on a closed channel was reported at once, as an error that was dropped; nothing could be sent, the driver asked for room again, and never gave the thread back.

Why it holds: room is reported only where something can be sent. A channel that is closed for room is closed for `closed` as well, which the same `select!` waits for and which takes the sink away.

Ruled out: the aborted half requests that the test sends before (the backtraces are of the streamed answer). The thin path of the gateway was not looked at.

--- a/daemons/entry/src/serve/driver.rs
+++ b/daemons/entry/src/serve/driver.rs
@@ -439,10 +439,16 @@
     }
 }
 
+/// Waits until the caller takes more. One that is gone never does, and [`closed`] tells of it.
+///
+/// To call that room as well would hang the worker thread: what waits can't be sent, so the driver
+/// would find room again at once, without ever letting the thread's other requests go on.
 async fn room(sink: &Option<Sink>) {
-    match sink {
-        Some(sink) => drop(sink.reserve().await),
-        None => std::future::pending().await,
+    let Some(sink) = sink else {
+        return std::future::pending().await;
+    };
+    if sink.reserve().await.is_err() {
+        std::future::pending().await
     }
 }
 
--- a/daemons/entry/tests/kit/mod.rs
+++ b/daemons/entry/tests/kit/mod.rs
@@ -48,6 +48,8 @@
     CutBody,
     /// Ends a stream properly, but without its end marker.
     NoMarker,
+    /// Streams tokens of many bytes for as long as they are read.
+    Endless,
 }
 
 /// An endpoint on a bare socket.
@@ -55,6 +57,8 @@
     pub address: SocketAddr,
     /// Whole requests that came.
     pub requests: Arc<AtomicU32>,
+    /// Tokens of endless streams that were sent.
+    pub tokens: Arc<AtomicU32>,
 }
 
 /// A whole answer.
@@ -178,15 +182,15 @@
     pub fn start(script: Script) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("its address");
-        let requests = Arc::new(AtomicU32::new(0));
-        let count = requests.clone();
+        let (requests, tokens) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
+        let counts = (requests.clone(), tokens.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let count = count.clone();
-                thread::spawn(move || serve(stream, script, &count));
+                let (requests, tokens) = counts.clone();
+                thread::spawn(move || serve(stream, script, &requests, &tokens));
             }
         });
-        Self { address, requests }
+        Self { address, requests, tokens }
     }
 
     /// Announces itself to an entry instance for a model and a plain service.
@@ -218,25 +222,39 @@
     });
 }
 
-fn serve(mut stream: TcpStream, script: Script, count: &AtomicU32) {
+fn serve(mut stream: TcpStream, script: Script, requests: &AtomicU32, tokens: &AtomicU32) {
     if read_request(&mut stream).is_none() {
         return;
     }
-    count.fetch_add(1, Ordering::Relaxed);
+    requests.fetch_add(1, Ordering::Relaxed);
     let answer = match script {
         Script::Vanish => return,
         Script::CutBody => "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf an ans".to_owned(),
-        Script::NoMarker => {
-            let event =
-                "id: 0\ndata: {\"id\":\"x\",\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
-            let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
-                        transfer-encoding: chunked\r\n\r\n";
-            format!("{head}{:x}\r\n{event}\r\n0\r\n\r\n", event.len())
-        }
+        Script::NoMarker => format!("{STREAM_HEAD}{}0\r\n\r\n", token(0, "a")),
+        Script::Endless => return stream_endless(&mut stream, tokens),
     };
     let _ = stream.write_all(answer.as_bytes());
 }
 
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                           transfer-encoding: chunked\r\n\r\n";
+
+/// Returns a chunk with one token.
+fn token(index: u32, content: &str) -> String {
+    let data = json!({ "id": "x", "choices": [{ "delta": { "content": content } }] });
+    let event = format!("id: {index}\ndata: {data}\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
+fn stream_endless(stream: &mut TcpStream, tokens: &AtomicU32) {
+    let content = "a".repeat(16 << 10);
+    let mut is_read = stream.write_all(STREAM_HEAD.as_bytes()).is_ok();
+    while is_read {
+        let index = tokens.fetch_add(1, Ordering::Relaxed);
+        is_read = stream.write_all(token(index, &content).as_bytes()).is_ok();
+    }
+}
+
 fn read_request(stream: &mut TcpStream) -> Option<()> {
     let mut all = Vec::new();
     let mut buf = [0; 4096];
--- a/daemons/entry/tests/serving.rs
+++ b/daemons/entry/tests/serving.rs
@@ -369,6 +369,42 @@
     }
 }
 
+/// A reader's connection stalls in the middle of a long answer, so that parts of it wait in the entry
+/// instance, and is then lost. The thread that serves it must notice; spinning on what waits, it would
+/// leave all its other callers without a word until the process ends.
+#[test]
+fn a_slow_caller_that_goes_away_holds_up_nobody() {
+    let control = FakeControl::start();
+    let entries = entries(&control, 1);
+    let entry = entries[0].address;
+    let scripted = Scripted::start(Script::Endless);
+    scripted.announce(entry, "a-scripted");
+    let body = body(1000, true);
+    let request = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer test-caller-key\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut start = [0; 12];
+    let mut caller = None;
+    wait_until("the answer begins", || {
+        let mut stream = TcpStream::connect(entry).expect("a connection");
+        stream.write_all(request.as_bytes()).expect("it is sent");
+        stream.read_exact(&mut start).expect("an answer");
+        caller = Some(stream);
+        start == *b"HTTP/1.1 200"
+    });
+    let mut sent = 0;
+    wait_until("nothing more is read", || {
+        thread::sleep(Duration::from_millis(500));
+        let before = std::mem::replace(&mut sent, scripted.tokens.load(Ordering::Relaxed));
+        sent == before
+    });
+    assert_eq!(metric(entry, "sill_requests_in_flight"), 1);
+    drop(caller);
+    wait_until("nothing is in flight", || metric(entry, "sill_requests_in_flight") == 0);
+}
+
 /// A wave takes three of four endpoints, with notices from none to a second, while forty answers
 /// run through two entry instances. Every one of them comes whole, and the text is its own.
 #[test]
