Tests: a frozen entry instance is frozen before the test goes on

`flight::a_hand_off_goes_on_when_a_peer_dies_in_it` failed once in 12 plays of the whole system binary, six at once (load 101 to 120 on 12 cores): its answer was computed twice from the start. The log of the peer that had been sent SIGSTOP has `taken_over` 86 ms after the reclaim: it took the request with it and froze only then. A process stops when one of its threads gets a processor, not when `kill` returns.

So the premise of the test did not hold. It now waits until each thread is stopped; nothing that is asserted changes.

--- a/daemons/sill/tests/system/flight.rs
+++ b/daemons/sill/tests/system/flight.rs
@@ -1,6 +1,7 @@
 //! Requests through failures of endpoints and entries, with real processes, checked against the
 //! stand-ins' ledgers.
 
+use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::Command;
@@ -260,6 +261,16 @@
     let pid = program.0.id().to_string();
     let sent = Command::new("kill").args([name, &pid]).status().expect("kill runs");
     assert!(sent.success());
+    if name == "-STOP" {
+        // Until each of its threads has had a turn to stop, it still answers.
+        wait_until("it is stopped", || is_stopped(&pid));
+    }
+}
+
+fn is_stopped(pid: &str) -> bool {
+    let threads = fs::read_dir(format!("/proc/{pid}/task")).expect("a process").flatten();
+    let stat = |thread: fs::DirEntry| fs::read_to_string(thread.path().join("stat"));
+    threads.filter_map(|thread| stat(thread).ok()).all(|stat| stat.contains(") T "))
 }
 
 enum Failure {
