A control instance that stops waits for the operators' calls that it holds

What callers saw: an operator's change in flight when the leader is stopped for an upgrade broke off with no answer 0.2 s after SIGTERM, though it was made. The stop closed the server of the peer calls first, by which a leader hears that others have a change, and then relied on the HTTP library's graceful stop. That waits for nobody on a server that was ever without a connection: its signal for "no connection is left" is given at the first such moment, and is used up.

The test cuts a leader off for 0.3 s, sends a change and then SIGTERM.

The stop now closes the listener, waits for calls that wait for the log, 5 s at most, then closes the server of the peer calls and ends as before. Watches are not waited for; their callers go on elsewhere.

Found without fault, and kept by a test: three operators make changes while six planned stops and starts go round, each with its SIGTERM repeated. No change got a 4xx, each that was acknowledged is there with its revision, and an entry instance, whose waiting polls end with each stop, runs the newest settings at the end.

Ruled out by a run: closing the peers' server last. The process would leave before its port is free, and an instance started again in the same process found it in use.

--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -2,12 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use ::http::StatusCode;
 use eyre::{Result, eyre};
 use ntex::web::types::PayloadConfig;
 use ntex::web::{App, HttpServer, ServiceConfig};
-use sill_base::{Clock, event};
+use sill_base::{Clock, Millis, event};
 use sill_net::h1::{Page, serve_pages};
 use sill_net::{PeerServer, PeerServerBuilder, http};
 use sill_quorum::{Event, ReplicaId};
@@ -33,8 +34,15 @@
 /// a large team pass.
 const MAX_BODY: usize = 8 << 20;
 
-/// How long a stop waits for calls; a watch waits for longer, and its caller goes on elsewhere.
-const STOP: ntex::time::Seconds = ntex::time::Seconds(5);
+/// How long a stop waits for calls that need the log; a watch is not waited for, its caller goes on
+/// elsewhere.
+const STOP: Millis = Millis(5000);
+
+/// How long the library waits for what is left then.
+const FLUSH: ntex::time::Seconds = ntex::time::Seconds(1);
+
+/// How often a stop looks whether any is left.
+const LOOK: Millis = Millis(20);
 
 /// What the parts of a control instance share.
 #[derive(Debug)]
@@ -59,6 +67,24 @@
     pub change_turn: tokio::sync::Mutex<()>,
     /// Where its tasks run.
     pub runtime: Handle,
+    /// Operators' calls that wait for the log.
+    pub waiting: AtomicUsize,
+}
+
+/// Counts a call as waiting until it is dropped, also by a caller that left.
+struct Waiting<'a>(&'a AtomicUsize);
+
+impl<'a> Waiting<'a> {
+    fn count(waiting: &'a AtomicUsize) -> Self {
+        waiting.fetch_add(1, Ordering::Relaxed);
+        Self(waiting)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// What a program adds to a control instance.
@@ -92,7 +118,8 @@
 }
 
 impl Shared {
-    /// Runs something on the runtime of the peer calls; their clients work only there.
+    /// Runs something on the runtime of the peer calls; their clients work only there. A planned stop
+    /// waits for it.
     ///
     /// # Panics
     ///
@@ -102,6 +129,7 @@
         Fut: Future<Output = T> + Send + 'static,
         T: Send + 'static,
     {
+        let _waiting = Waiting::count(&self.waiting);
         let running = self.runtime.spawn(task);
         running.await.expect("the task neither panics nor is cancelled while the server runs")
     }
@@ -174,6 +202,14 @@
 
     /// Stops it; what was acknowledged lies synced on disk.
     pub async fn stop(self) {
+        self.server.pause().await;
+        // The library's own graceful stop waits for nobody on a server that was ever without connections.
+        // A change in flight would be made, and its call break off before the operator is told.
+        let end = self.shared.clock.now() + STOP;
+        while self.shared.waiting.load(Ordering::Relaxed) > 0 && self.shared.clock.now() < end {
+            tokio::time::sleep(LOOK.into()).await;
+        }
+        // Not before: a leader hears through it that others have a change.
         self.peers.stop();
         self.server.stop(true).await;
         self.shared.log.stop();
@@ -210,7 +246,20 @@
     let running = Running::default();
     let change_turn = tokio::sync::Mutex::new(());
     let link = Link::new(&cfg);
-    Ok(Shared { cfg, clock, id, log, running, directory, link, metrics, change_turn, runtime })
+    let waiting = AtomicUsize::new(0);
+    Ok(Shared {
+        cfg,
+        clock,
+        id,
+        log,
+        running,
+        directory,
+        link,
+        metrics,
+        change_turn,
+        runtime,
+        waiting,
+    })
 }
 
 fn answers(shared: &Arc<Shared>) -> PeerServerBuilder {
@@ -292,7 +341,7 @@
         })
         .workers(1)
         .disable_signals()
-        .shutdown_timeout(STOP)
+        .shutdown_timeout(FLUSH)
         .listen(listener)?
         .run();
         let _ = tx.send(server.clone());
--- a/daemons/sill/tests/system/control.rs
+++ b/daemons/sill/tests/system/control.rs
@@ -1,9 +1,12 @@
 //! Control instances as real processes: killed, stopped, cut off, raced, and without their disk.
 
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
+use std::time::Duration;
 
 use crate::control_cluster::{Cluster, SIZE, signal};
-use crate::harness::wait_until;
+use crate::harness::{Answer, http, wait_until};
 
 fn document(price: u64) -> String {
     format!(r#"{{"price_cap":{price}}}"#)
@@ -173,3 +176,108 @@
     let answer = cluster.put(empty, "ga", &["if-match: 2"], &document(3));
     assert_eq!(answer.status, 200, "{answer:?}");
 }
+
+#[test]
+fn a_change_in_flight_at_a_planned_stop_is_acknowledged() {
+    // An operator's change waits for the other instances, which are hard to reach for a moment, when
+    // the leader is stopped for an upgrade. The change goes through; the operator must be told so, and
+    // not be left with a call that breaks off seconds later.
+    let mut cluster = Cluster::start("stop-change");
+    let leader = cluster.leader();
+    assert_eq!(cluster.put(leader, "ga", &[], &document(1)).status, 200);
+    cluster.cut(leader, true);
+    let answer = thread::scope(|scope| {
+        let put = || cluster.call(leader, "PUT", "/tree/ga", &["change-id: two"], &document(2));
+        let asked = scope.spawn(put);
+        thread::sleep(Duration::from_millis(100));
+        cluster.signal(leader, "-TERM");
+        thread::sleep(Duration::from_millis(200));
+        cluster.cut(leader, false);
+        asked.join().expect("no panic")
+    });
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(cluster.exit_code(leader), Some(0));
+    let other = cluster.leader_without(&[leader]);
+    let read = cluster.get(other, "ga");
+    assert_eq!(read.json()["document"]["price_cap"], 2, "{read:?}");
+}
+
+/// One change of an operator who goes on while instances are stopped.
+struct Sent {
+    id: String,
+    price: u64,
+    answer: Option<Answer>,
+}
+
+#[test]
+fn planned_stops_in_series_refuse_no_change_and_lose_none() {
+    // Three operators go on making changes, each through an instance of their own, while one instance
+    // after the other is stopped and started again. A change may get no clear answer, but never one that
+    // calls it wrong; and each that was acknowledged is there afterwards, made once. The entry instance,
+    // whose waiting polls end with the instances, must still get the newest settings.
+    let mut cluster = Cluster::start("stop-series");
+    let _entry = cluster.run_entry("e1");
+    let over = AtomicBool::new(false);
+    let sent: Vec<Sent> = thread::scope(|scope| {
+        let _over = Over(&over);
+        let operators: Vec<_> = (0..SIZE)
+            .map(|i| {
+                let (api, over) = (cluster.api[i], &over);
+                scope.spawn(move || go_on(i, api, over))
+            })
+            .collect();
+        for i in (0..SIZE).chain(0..SIZE) {
+            thread::sleep(Duration::from_millis(500));
+            let leader = cluster.leader();
+            // The leader and the others in turn.
+            let stopped = if i == 0 { leader } else { i };
+            cluster.signal(stopped, "-TERM");
+            cluster.signal(stopped, "-TERM");
+            assert_eq!(cluster.exit_code(stopped), Some(0));
+            cluster.run(stopped);
+        }
+        cluster.leader();
+        over.store(true, Ordering::Relaxed);
+        operators.into_iter().flat_map(|operator| operator.join().expect("no panic")).collect()
+    });
+    let status = |sent: &Sent| sent.answer.as_ref().map(|answer| answer.status);
+    let refused: Vec<_> =
+        sent.iter().filter_map(status).filter(|s| (400..500).contains(s)).collect();
+    assert_eq!(refused, Vec::<u16>::new());
+    let made: Vec<&Sent> = sent.iter().filter(|sent| status(sent) == Some(200)).collect();
+    assert!(made.len() > 50, "{} of {} were acknowledged", made.len(), sent.len());
+    for Sent { id, price, answer } in made {
+        let revision = answer.as_ref().expect("it was acknowledged").revision();
+        let again = cluster.put(0, "ga", &[&format!("change-id: {id}")], &document(*price));
+        assert_eq!((again.status, again.revision()), (200, revision), "{id}: {again:?}");
+    }
+    let last = cluster.put(1, "ga", &[], &document(0)).revision();
+    wait_until("the entry instance runs the newest settings", || cluster.running(last) == ["e1"]);
+}
+
+/// Has the operators leave when the test fails, which would wait for them without end.
+struct Over<'a>(&'a AtomicBool);
+
+impl Drop for Over<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Sends changes to one instance until told to stop.
+fn go_on(operator: usize, api: SocketAddr, over: &AtomicBool) -> Vec<Sent> {
+    let mut sent = Vec::new();
+    for number in 0.. {
+        if over.load(Ordering::Relaxed) {
+            break;
+        }
+        let (id, price) = (format!("o{operator}-{number}"), 1 + number);
+        let headers = ["authorization: Bearer test-root-token", &format!("change-id: {id}")];
+        let answer = http(api, "PUT", "/tree/ga", &headers, &document(price));
+        let paused = answer.as_ref().is_none_or(|answer| answer.status != 200);
+        sent.push(Sent { id, price, answer });
+        thread::sleep(Duration::from_millis(if paused { 50 } else { 5 }));
+    }
+    sent
+}
--- a/daemons/sill/tests/system/control_cluster.rs
+++ b/daemons/sill/tests/system/control_cluster.rs
@@ -73,6 +73,12 @@
         self.running[i] = None;
     }
 
+    /// Waits for the end of one instance, and returns its exit code.
+    pub fn exit_code(&mut self, i: usize) -> Option<i32> {
+        let mut program = self.running[i].take().expect("it runs");
+        program.0.wait().expect("it ends").code()
+    }
+
     /// Sends a signal to one instance.
     pub fn signal(&self, i: usize, signal_name: &str) {
         signal(self.running[i].as_ref().expect("it runs"), signal_name);
