A planned stop of sill-entry hands over what its limit would cut

What callers saw: an answer that lasted longer than a planned stop may was cut at the limit. Whoever came back with its key, or the name of its request, had it computed from the start: the instance was gone with all that it knew. Requests are admitted all through the notice, whatever their deadline, so that any of them may outlast the stop.

The way of a reclaim is taken, 1.5 s before the limit, which is the time that it needs: each model request in flight is offered to a peer of the domain. From then on new requests are refused; they would have to be handed over at once. Where no peer takes a request it runs on and is cut at the limit, as before.

Weighed: to refuse calls during the notice whose deadline lies beyond the limit. Most callers name none, and have the longest deadline there is; all of them would be sent away for the few that last that long.

--- a/daemons/entry/src/handoff.rs
+++ b/daemons/entry/src/handoff.rs
@@ -1,4 +1,5 @@
-//! The reclaim of this instance: every model request in flight goes to a peer of the domain.
+//! The end of this instance, by a reclaim or at the limit of a planned stop: every model request in flight
+//! goes to a peer of the domain.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -63,6 +64,21 @@
     });
 }
 
+/// Hands over what a planned stop would cut at its limit, shortly before that.
+///
+/// A caller whose answer is cut has half of it, and whoever comes back has the prompt computed again; one
+/// that was handed over finds its answer at a peer.
+pub fn before_limit(app: &Arc<Shared>, limit: Millis) {
+    let leaving = app.clone();
+    app.runtime.spawn(async move {
+        tokio::time::sleep(limit.since(NEEDED).into()).await;
+        // What comes from now on would have to be handed over at once.
+        if !leaving.reclaimed.swap(true, Ordering::Relaxed) {
+            hand_off(&leaving).await;
+        }
+    });
+}
+
 /// Returns how long to let requests run on here.
 fn wait(left: Millis) -> Millis {
     left.since(NEEDED.max(Millis(left.0 / 3)))
--- a/daemons/entry/src/stop.rs
+++ b/daemons/entry/src/stop.rs
@@ -7,6 +7,7 @@
 use sill_flight::drain::{Drain, DrainAction, DrainCfg, DrainEvent};
 
 use crate::daemon::Entry;
+use crate::handoff;
 
 /// Time between two looks at what is in flight during a stop.
 const DRAIN_POLL: Millis = Millis(20);
@@ -36,7 +37,10 @@
             drain.step(shared.clock.now(), event, &mut actions);
             for action in actions.drain(..) {
                 match action {
-                    DrainAction::NotReady => shared.stopping.store(true, Ordering::Relaxed),
+                    DrainAction::NotReady => {
+                        shared.stopping.store(true, Ordering::Relaxed);
+                        handoff::before_limit(shared, limit);
+                    }
                     DrainAction::Close => {
                         shared.closing.store(true, Ordering::Relaxed);
                         self.server.pause().await;
--- a/daemons/sill/tests/system/flight.rs
+++ b/daemons/sill/tests/system/flight.rs
@@ -33,6 +33,17 @@
 
 impl Cluster {
     fn start(test: &str, entries: usize, endpoints: usize, decode_ms: &str) -> Self {
+        Self::start_with_limit(test, entries, endpoints, decode_ms, "600000")
+    }
+
+    /// Starts one whose entry instances stop in so many milliseconds at most.
+    fn start_with_limit(
+        test: &str,
+        entries: usize,
+        endpoints: usize,
+        decode_ms: &str,
+        limit_ms: &str,
+    ) -> Self {
         let folder = Folder::new(test);
         let free = free_addresses(2 + 2 * entries + endpoints + 1);
         let text: Vec<String> = free.iter().map(ToString::to_string).collect();
@@ -89,6 +100,8 @@
                 &join_token,
                 "--drain-notice-ms",
                 "1500",
+                "--drain-limit-ms",
+                limit_ms,
             ];
             for other in (0..entries).filter(|o| *o != i) {
                 words.extend(["--peer", &text[3 + 2 * other]]);
@@ -479,6 +492,42 @@
     assert!(runs.iter().any(|run| run.resumed_at > 0), "{runs:?}, first at {endpoint}");
 }
 
+/// An answer lasts longer than a planned stop may. Cut at the limit, its caller has half of it, and the
+/// whole prompt is computed again when it comes back; handed to a peer before that, the answer goes on.
+#[test]
+fn an_answer_longer_than_a_planned_stop_goes_on_at_a_peer() {
+    thread::scope(|scope| {
+        for keyed in [true, false] {
+            scope.spawn(move || outlasts_a_stop(keyed));
+        }
+    });
+}
+
+fn outlasts_a_stop(keyed: bool) {
+    let mut cluster = Cluster::start_with_limit("outlast", 2, 2, "20", "4000");
+    let body = body(PROMPT, 500, true);
+    let (first, second) = (cluster.entries[0].address, cluster.entries[1].address);
+    let sent = body.clone();
+    let key = if keyed { "idempotency-key: parcel-20\r\n" } else { "" };
+    let reader = thread::spawn(move || read_until_cut(first, key, &sent));
+    cluster.running(30);
+    signal(&cluster.entries[0], "-TERM");
+    let cut = reader.join().expect("no panic");
+    assert!(!cut.contains("[DONE]"), "a cut answer must not look whole");
+    let status = cluster.entries[0].program.0.wait().expect("it ends");
+    assert_eq!(status.code(), Some(0));
+    let name = cut.lines().find_map(|line| line.strip_prefix("sill-request-id: "));
+    let name = if keyed { "parcel-20" } else { name.expect("the request's name") };
+    let key = format!("idempotency-key: {}", name.trim());
+    let answer = call(second, "/v1/chat/completions", &[&key], &body);
+    assert_whole(&body, &answer.expect("an answer"));
+    let runs = cluster.model_runs();
+    let from_the_start = runs.iter().filter(|run| run.resumed_at == 0).count();
+    assert_eq!(from_the_start, 1, "{runs:?}");
+    let log = std::fs::read_to_string(cluster.folder.file("e1.log")).expect("its log");
+    assert!(log.contains("event=stop_ended name=e1 cut=0 forced=false"), "{log}");
+}
+
 /// One of two peers is killed or frozen just as the reclaimed entry instance hands over. Whichever
 /// it asks first, the other one has to take the request; else the caller's answer is lost.
 #[test]
