--- a/bench/soak/src/backend.rs
+++ b/bench/soak/src/backend.rs
@@ -21,7 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
-use crate::caller::{ACCOUNT, SUM, sum};
+use crate::caller::{SENT_FOR, SUM, sum};
 use crate::cluster::key;
 use crate::exchange;
 use crate::plan::Habit;
@@ -224,7 +224,7 @@
     if text(SUM) != sum(&body) {
         life.ledger.odd(format!("whole_request: {id} came with another body"));
     }
-    if account != ACCOUNT || parts.headers.contains_key("authorization") {
+    if account != text(SENT_FOR) || parts.headers.contains_key("authorization") {
         life.ledger.odd(format!("accounts: {id} came for {account:?}, or with the caller's key"));
     }
     life.ledger.note_run(&id, &life.id);
--- a/bench/soak/src/caller.rs
+++ b/bench/soak/src/caller.rs
@@ -19,11 +19,25 @@
 use crate::journal::Journal;
 use crate::stream::{PACE, Pace};
 
-/// The account of all callers.
-pub const ACCOUNT: &str = "clerks";
+/// An account.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Client {
+    /// Its name.
+    pub account: &'static str,
+    /// Its key.
+    pub key: &'static str,
+    /// Requests a second that it may send, over all entry instances.
+    pub limit: Option<u32>,
+}
+
+/// The account of most callers.
+pub static CLERKS: Client = Client { account: "clerks", key: "soak-clerks-key", limit: None };
+
+/// An account whose callers send far more than they may.
+pub static GUESTS: Client = Client { account: "guests", key: "soak-guests-key", limit: Some(20) };
 
-/// Its key.
-pub const KEY: &str = "soak-caller-key";
+/// The header with the account that a request has to arrive for.
+pub const SENT_FOR: &str = "x-soak-account";
 
 /// The host of all routes.
 pub const HOST: &str = "soak.example";
@@ -103,6 +117,8 @@
     pub id: String,
     /// Its kind.
     pub kind: Kind,
+    /// Whose it is.
+    pub client: &'static Client,
     /// How its stream goes, if it is one.
     pub pace: Option<Pace>,
     /// Its body.
@@ -126,6 +142,7 @@
         Self {
             id,
             kind,
+            client: &CLERKS,
             pace: None,
             body: Bytes::new(),
             entry: 0,
@@ -168,6 +185,8 @@
     pub name: String,
     /// The seed of what it sends.
     pub seed: u64,
+    /// Its account.
+    pub client: &'static Client,
     /// Whether it asks for streams.
     pub streams: bool,
     /// The one entry instance that it comes to, also while that one stops, as where a balancer has too few
@@ -208,6 +227,7 @@
             continue;
         }
         let mut record = draw(&mut rng, format!("{name}-{number}"), cfg.streams);
+        record.client = cfg.client;
         record.entry = turn;
         record.is_first = is_first;
         record.sent = journal.now();
@@ -245,10 +265,11 @@
 
 /// Makes the request of a record.
 pub fn request(record: &Record) -> Request<Full<Bytes>> {
-    let Record { id, kind, .. } = record;
+    let Record { id, kind, client, .. } = record;
     let req = Request::post(format!("{}{id}", kind.path()))
         .header("host", HOST)
-        .header("authorization", format!("Bearer {KEY}"))
+        .header("authorization", format!("Bearer {}", client.key))
+        .header(SENT_FOR, client.account)
         .header(header::REQUEST_ID, id)
         .header(header::DEADLINE_MS, kind.deadline().to_string())
         .header(PACE, record.pace.map_or("", Pace::name))
--- a/bench/soak/src/operator.rs
+++ b/bench/soak/src/operator.rs
@@ -13,12 +13,12 @@
 use serde_json::Value;
 use sill_base::random::{Rng, seeded};
 use sill_base::{Millis, Name};
-use sill_tree::{Account, Document, KeyHash, Pool, Route, Service, Share};
+use sill_tree::{Account, Document, KeyHash, Limit, Pool, Route, Service, Share};
 use sill_wire::header;
 use tokio::sync::watch;
 
 use crate::backend::SERVICE;
-use crate::caller::{ACCOUNT, HOST, KEY, Kind};
+use crate::caller::{CLERKS, GUESTS, HOST, Kind};
 use crate::cluster::key;
 use crate::exchange::{self, Got};
 
@@ -172,8 +172,12 @@
     let mut document = Document::default();
     let pool = Pool { max_connections: Some(1000 + number as u32), ..Pool::default() };
     document.services.insert(SERVICE.into(), Service::Pool(pool));
-    let account = Account { keys: vec![KeyHash::of(KEY)], ..Account::default() };
-    document.accounts.insert(ACCOUNT.into(), account);
+    for client in [&CLERKS, &GUESTS] {
+        let requests_per_s = client.limit.map(f64::from);
+        let limit = requests_per_s.map(|_| Limit { requests_per_s, ..Limit::default() });
+        let account = Account { keys: vec![KeyHash::of(client.key)], limit, ..Account::default() };
+        document.accounts.insert(client.account.into(), account);
+    }
     for kind in Kind::ALL {
         let route = Route {
             host: HOST.into(),
--- a/bench/soak/src/run.rs
+++ b/bench/soak/src/run.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinSet;
 
 use crate::backend::Ledger;
-use crate::caller::{self, CallerCfg, Kind, Record};
+use crate::caller::{self, CLERKS, CallerCfg, GUESTS, Kind, Record};
 use crate::cluster::Cluster;
 use crate::exchange;
 use crate::hit::Hits;
@@ -29,6 +29,9 @@
 /// Callers for each entry instance, each with one connection. Half of them ask for streams.
 const CALLERS: usize = 6;
 
+/// One caller in so many has an account with a limit.
+const LIMITED: usize = 6;
+
 /// One caller in so many comes to one entry instance only.
 const FAITHFUL: usize = 3;
 
@@ -140,6 +143,7 @@
         requests: records.len(),
         answered: answers().filter(|a| a.status == 200 && a.body.is_some()).count(),
         refused: answers().filter(|a| verdict::is_refusal(a)).count(),
+        limit_used: verdict::limit_used(&GUESTS, &records, &ledger),
         cut: verdict::count_cuts(&records, &ledger, &journal),
         faults,
         changes: seen.lock().changes,
@@ -151,6 +155,7 @@
     CallerCfg {
         name: format!("r{i}"),
         seed: cfg.seed * 1000 + i as u64,
+        client: if i % LIMITED == 2 { &GUESTS } else { &CLERKS },
         streams: i % 2 == 1,
         only: i.is_multiple_of(FAITHFUL).then_some(i / FAITHFUL % entries.len()),
         entries,
--- a/bench/soak/src/verdict.rs
+++ b/bench/soak/src/verdict.rs
@@ -3,13 +3,17 @@
 use std::fmt::{self, Display, Formatter};
 
 use crate::backend::{Ledger, expected};
-use crate::caller::{Answered, Record};
+use crate::caller::{Answered, Client, GUESTS, Record};
 use crate::journal::{Event, Journal};
 use crate::stream;
 
 /// Endpoints that one call may run at, as the settings of a run say.
 const MAX_ATTEMPTS: usize = 2;
 
+/// By how much a run may pass a limit. Entry instances that restart again and again let through twice as much
+/// as the limit; one that is not held at all lets through six times as much.
+const OVERRUN: f64 = 4.0;
+
 /// What a run came to.
 #[derive(Debug, Default)]
 pub struct Verdict {
@@ -23,6 +27,8 @@
     pub refused: usize,
     /// Those without a whole answer, by why.
     pub cut: Vec<(End, usize)>,
+    /// How much of its limit the limited account used.
+    pub limit_used: f64,
     /// Faults that were brought about.
     pub faults: usize,
     /// Changes that were acknowledged.
@@ -35,13 +41,14 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "seed={} faults={} requests={} answered={} refused={} cut={:?} changes={} findings={}",
+            "seed={} faults={} requests={} answered={} refused={} cut={:?} limit_used={:.2} changes={} findings={}",
             self.seed,
             self.faults,
             self.requests,
             self.answered,
             self.refused,
             self.cut,
+            self.limit_used,
             self.changes,
             self.findings.len()
         )?;
@@ -91,6 +98,7 @@
 /// Checks each request against what the endpoints ran, and when faults were brought about.
 pub fn check(records: &[Record], ledger: &Ledger, journal: &Journal) -> Vec<String> {
     let mut findings = ledger.oddities();
+    findings.extend(check_limit(&GUESTS, limit_used(&GUESTS, records, ledger)));
     for record in records {
         let runs = ledger.runs(&record.id);
         if record.kind.runs_once() && runs.len() > 1 {
@@ -146,6 +154,22 @@
     name.strip_prefix('e')?.parse().ok()
 }
 
+/// Nothing promises how much restarts and cuts let through beyond a limit. That it is held at all is checked.
+fn check_limit(client: &Client, used: f64) -> Option<String> {
+    let is_over = used > OVERRUN;
+    is_over.then(|| format!("account_limit: {} used {used:.2} of their limit", client.account))
+}
+
+/// Returns how much of its limit an account used over the whole run; 1 is all of it.
+pub fn limit_used(client: &Client, records: &[Record], ledger: &Ledger) -> f64 {
+    let sent = records.iter().filter(|record| record.client == client);
+    let ran = sent.filter(|record| !ledger.runs(&record.id).is_empty()).count();
+    let began = records.iter().map(|record| record.sent).min().unwrap_or_default();
+    let ended = records.iter().map(|record| record.ended).max().unwrap_or_default();
+    let allowed = client.limit.map(f64::from).unwrap_or(f64::MAX) * (ended - began).as_secs_f64();
+    ran as f64 / allowed.max(1.0)
+}
+
 /// Returns whether an answer is a refusal that promises that the request has not run.
 pub fn is_refusal(answer: &Answered) -> bool {
     answer.is_not_run || matches!(answer.status, 408 | 421 | 429 | 503)
--- a/bench/soak/tests/verdict.rs
+++ b/bench/soak/tests/verdict.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use sill_base::Millis;
 use sill_soak::backend::{Ledger, expected};
-use sill_soak::caller::{Answered, Kind, Record};
+use sill_soak::caller::{Answered, GUESTS, Kind, Record};
 use sill_soak::journal::{Event, Journal};
 use sill_soak::stream::{Pace, event};
 use sill_soak::verdict::check;
@@ -110,6 +110,31 @@
     }
 }
 
+/// An account that sends far more than it may is served as if it had no limit. Callers of other accounts find
+/// the endpoints full.
+#[test]
+fn a_limit_that_is_not_held_is_a_finding() {
+    let limit = u64::from(GUESTS.limit.expect("it has one"));
+    // Over ten seconds, by parts of what the limit lets through in them.
+    for (parts, is_finding) in [(1, false), (2, false), (6, true)] {
+        let ledger = Ledger::default();
+        let count = parts * limit * 10;
+        let records = (0..count).map(|i| {
+            let id = format!("r0-{i}");
+            ledger.note_run(&id, "e0.1");
+            let at = Millis(i * 10_000 / count);
+            let body = Some(expected(&id, b"", "e0.1"));
+            let answer = Some(Answered { status: 200, is_not_run: false, body });
+            let record = Record::new(id, Kind::Idempotent);
+            Record { client: &GUESTS, sent: at, ended: at, answer, ..record }
+        });
+        let records: Vec<Record> = records.collect();
+        let findings = check(&records, &ledger, &Journal::default());
+        let is_found = findings.iter().any(|finding| finding.starts_with("account_limit"));
+        assert_eq!(is_found, is_finding, "{parts} times the limit: {findings:?}");
+    }
+}
+
 /// A stream that goes on at another endpoint may repeat an event, leave one out, or end early. Its caller
 /// reads a text that nobody wrote.
 #[test]
