--- a/daemons/sill/tests/system/control.rs
+++ b/daemons/sill/tests/system/control.rs
@@ -204,6 +204,7 @@
     }
 }
 
+#[test]
 fn a_change_in_flight_at_a_planned_stop_is_acknowledged() {
     // An operator's change waits for the other instances, which are hard to reach for a moment, when
     // the leader is stopped for an upgrade. The change goes through; the operator must be told so, and
