--- a/coordination/quorum/tests/sim/losses.rs
+++ b/coordination/quorum/tests/sim/losses.rs
@@ -6,8 +6,8 @@
 use sill_quorum::{Cfg, Event, MemberChange, ReplicaId, Weakening};
 
 use crate::node::{Fault, Syncs};
-use crate::runs::caught;
-use crate::schedule::Target;
+use crate::runs::{caught, runner};
+use crate::schedule::{Target, schedules};
 use crate::world::{self, Stats, World};
 
 /// Virtual milliseconds in which a leader that has everything must be there again.
@@ -79,8 +79,7 @@
         self.bring_about(&mut world);
         self.stop_some(&mut world);
         let is_answered = wait_for_answer(&mut world);
-        self.lose(&mut world);
-        restart(&mut world);
+        lose(&mut world, self.disks, self.is_aimed);
         expect_all_there(&mut world);
         world.repair();
         (world.stats(), is_answered)
@@ -135,20 +134,21 @@
             world.nodes[i].fault = Some((after, Fault::Freeze));
         }
     }
+}
 
-    fn lose(&self, world: &mut World) {
-        for node in &mut world.nodes {
-            node.lose_power(&mut world.rng);
-        }
-        let newest = world.history.newest_seen();
-        let mut order: Vec<usize> = (0..world.nodes.len()).collect();
-        order.shuffle(&mut world.rng);
-        if self.is_aimed {
-            order.sort_by_key(|i| !world.nodes[*i].has_on_disk(newest));
-        }
-        for i in order.into_iter().take(self.disks) {
-            world.lose_disk(Target::Node(i));
-        }
+/// All lose power, and some their disks: at most as many as given, and as the voters are made for.
+fn lose(world: &mut World, disks: usize, is_aimed: bool) {
+    for node in &mut world.nodes {
+        node.lose_power(&mut world.rng);
+    }
+    let newest = world.history.newest_seen();
+    let mut order: Vec<usize> = (0..world.nodes.len()).collect();
+    order.shuffle(&mut world.rng);
+    if is_aimed {
+        order.sort_by_key(|i| !world.nodes[*i].has_on_disk(newest));
+    }
+    for i in order.into_iter().take(disks) {
+        world.lose_disk(Target::Node(i));
     }
 }
 
@@ -210,7 +210,10 @@
     }
 }
 
+/// Power is back; somebody must soon lead with all that was answered.
 fn expect_all_there(world: &mut World) {
+    world.calm();
+    restart(world);
     let newest = world.history.newest_seen();
     let end = world.now + RECOVERY;
     let leads = |world: &World| {
@@ -244,6 +247,22 @@
     assert!(answered >= count / 2, "{answered} of {count} losses came right after an answer");
 }
 
+#[test]
+fn what_was_answered_in_any_run_outlasts_lost_disks_and_a_loss_of_power() {
+    // The same at the end of runs in which instances were killed, frozen, cut off and taken out, and
+    // disks lost, in any order.
+    let mut runner = runner(cases(60), 3, 300);
+    let result = runner.run(&schedules(30), |schedule| {
+        let mut world = world::up_to_end(&schedule, &world::cfg());
+        wait_for_answer(&mut world);
+        lose(&mut world, schedule.voters / 2, true);
+        expect_all_there(&mut world);
+        world.repair();
+        Ok(())
+    });
+    result.expect("all runs hold");
+}
+
 #[test]
 fn an_answer_that_rests_on_too_few_disks_is_found() {
     // Each of these answers too early. If the losses above didn't notice, they would prove nothing.
--- a/coordination/quorum/tests/sim/world.rs
+++ b/coordination/quorum/tests/sim/world.rs
@@ -71,14 +71,20 @@
 
 /// Runs a schedule; panics when something that must hold does not.
 pub fn run(schedule: &Schedule, cfg: &Cfg) -> Stats {
+    let mut world = up_to_end(schedule, cfg);
+    world.repair();
+    world.stats()
+}
+
+/// Runs a schedule without the repair at its end.
+pub fn up_to_end(schedule: &Schedule, cfg: &Cfg) -> World {
     let mut world = World::new(schedule, cfg.clone());
     world.pass(1500);
     for step in &schedule.steps {
         world.pass(step.wait);
         world.happen(&step.op);
     }
-    world.repair();
-    world.stats()
+    world
 }
 
 /// Kills all nodes at once, starts them one after the other, and returns the time from the last start
@@ -396,11 +402,16 @@
         members.voters.is_empty() || gone <= (members.voters.len() - 1) / 2
     }
 
-    /// Ends all faults; the cluster must then become whole and take changes in time.
-    pub fn repair(&mut self) {
+    /// Ends all faults of the network.
+    pub fn calm(&mut self) {
         self.cuts.clear();
         self.slow.clear();
         (self.loss, self.doubled, self.delay) = (0, 0, 5);
+    }
+
+    /// Ends all faults; the cluster must then become whole and take changes in time.
+    pub fn repair(&mut self) {
+        self.calm();
         for i in 0..self.nodes.len() {
             self.nodes[i].fault = None;
             self.thaw(i);
