--- a/coordination/quorum/tests/sim/losses.rs
+++ b/coordination/quorum/tests/sim/losses.rs
@@ -45,14 +45,14 @@
     /// All were restarted.
     Restarted,
     /// One lost its disk, and is back or on its way to be a voter again.
-    Wiped,
+    DiskLost,
     /// One is gone for good, and one that stood by has its place or is about to get it.
     Replaced,
 }
 
 impl Before {
     const ALL: [Self; 6] =
-        [Self::Calm, Self::Down, Self::CatchingUp, Self::Restarted, Self::Wiped, Self::Replaced];
+        [Self::Calm, Self::Down, Self::CatchingUp, Self::Restarted, Self::DiskLost, Self::Replaced];
 }
 
 impl Loss {
@@ -106,7 +106,7 @@
                 world.nodes.iter_mut().for_each(|node| node.kill());
                 restart(world);
             }
-            Before::Wiped => {
+            Before::DiskLost => {
                 let i = draw_nodes(world, 1)[0];
                 world.lose_disk(Target::Node(i));
                 pass_up_to(world, 1500);
@@ -229,7 +229,7 @@
 fn what_was_answered_outlasts_lost_disks_and_a_loss_of_power() {
     // A change is answered. At that moment as many instances as the voters are made for lose their disks,
     // and all others lose power: nothing is in memory anywhere, and what wasn't synced may be missing.
-    // Shortly before, voters were down, behind, replaced or wiped. An operator reads the change back.
+    // Shortly before, voters were down, behind, replaced or had lost a disk. An operator reads the change back.
     let mut rng = seeded(seed(31));
     let (mut total, mut answered) = (Stats::default(), 0);
     let count = cases(400);
--- a/daemons/control/src/log/hello.rs
+++ b/daemons/control/src/log/hello.rs
@@ -46,7 +46,9 @@
             if status.is_new {
                 found(&shared, &replies);
                 let lives = replies.iter().filter_map(|reply| reply.life);
-                lives.max().into_iter().for_each(|life| shared.log.older_life(life));
+                if let Some(life) = lives.max() {
+                    shared.log.older_life(life);
+                }
             }
         }
         leads_since = match (status.role, leads_since) {
--- a/daemons/sill/tests/system/control.rs
+++ b/daemons/sill/tests/system/control.rs
@@ -179,7 +179,7 @@
     // Right after a change was answered, all processes are killed and the instance that led, whose copy
     // was the first, loses its disk. The two others have to agree on a leader that has the change, and
     // operators read it back.
-    let mut cluster = Cluster::start("wiped");
+    let mut cluster = Cluster::start("disk-and-kill");
     for price in 1..=3 {
         let leader = cluster.leader();
         let answer = cluster.put((leader + price as usize) % SIZE, "ga", &[], &document(price));
