Store: a process killed after a failed sync counts on nothing that is not on the disk

What could be lost: a sync fails and the kernel drops the pages, which still read well. The same process writes everything anew before it takes part again; one that is killed before that and starts again did not. It told the leader that it had the record, so that an answer could rest on a copy that no disk held. After a loss of power the record is gone, or the folder is refused for the hole before the next record, which is one disk lost more than the voters are made for. Found by reading.

Cause: the record whose sync had failed stayed in the file.

Ruled out: writing everything anew at each start (up to 24 MB and five syncs before the first vote, when entry instances wait for a leader); older records, each of which was synced before the next was written.

Before: `a_process_killed_after_a_failed_sync_counts_on_nothing_that_is_not_on_the_disk` fails with Damaged { file: "log-0", offset: 17, … }; the random test, which after a restart now writes anew only if a cut may have failed, in case 4. The record is cut off: nobody was told of it, so it may go; if it did reach the disk and a loss of power brings it back, it is there for good.

Two tests show what is left when the cut fails too, so they arm that; they ask for the same as before. The disk of the tests no longer drops what is written at a place for the first time after a cut. Going on after a failed sync, leaving the torn tail, answering without sync, keeping a part on a full disk and relying on unsynced names were each broken once more by hand, and the same tests or more failed.

--- a/state/store/src/faulty.rs
+++ b/state/store/src/faulty.rs
@@ -22,6 +22,8 @@
     /// A sync fails, and what it should have stored reads well until a crash, but is lost then,
     /// even if later syncs succeed.
     SyncFails,
+    /// A cut of a file fails.
+    TruncateFails,
     /// The next sync of the folder after a rename fails. A process that is killed between the two leaves
     /// the same behind: a new name that reads well, and that a loss of power may take away.
     RenameStaysUnsynced,
@@ -171,7 +173,7 @@
         let concerns = |fault: &DiskFault| match fault {
             DiskFault::SyncFails => true,
             DiskFault::RenameStaysUnsynced => has_renamed,
-            DiskFault::Full { .. } => false,
+            DiskFault::Full { .. } | DiskFault::TruncateFails => false,
         };
         self.take_fault(concerns).is_some()
     }
@@ -234,7 +236,15 @@
     }
 
     fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
-        self.content().existing(name)?.bytes.truncate(len as usize);
+        let mut content = self.content();
+        if content.take_fault(|fault| *fault == DiskFault::TruncateFails).is_some() {
+            return Err(io::Error::other("cut failed"));
+        }
+        let (file, len) = (content.existing(name)?, len as usize);
+        file.bytes.truncate(len);
+        // What is written there later is written for the first time, and its sync is what it says.
+        let left = file.dropped.take().map(|d| d.start.min(len)..d.end.min(len));
+        file.dropped = left.filter(|dropped| !dropped.is_empty());
         Ok(())
     }
 
--- a/state/store/src/store.rs
+++ b/state/store/src/store.rs
@@ -107,6 +107,10 @@
             // The kernel may drop pages whose write failed and report success on the next sync,
             // so a sync that succeeds later would prove nothing about this frame.
             self.broken = true;
+            // A process that is killed now and starts again must not find the frame: it would count on
+            // what reads well, and others on its word, though a loss of power takes it away. Nobody was
+            // told of the frame, so it may go; on the disk it may still be there, whole or not.
+            let _ = self.disk.truncate(&log, self.log_len);
             return Err(err.into());
         }
         self.log_len += buf.len() as u64;
--- a/state/store/tests/store.rs
+++ b/state/store/tests/store.rs
@@ -31,6 +31,7 @@
         let (mut store, _) = open(&disk);
         store.append(&[b"one", b"two"]).expect(case.name);
         disk.arm(DiskFault::SyncFails);
+        disk.arm(DiskFault::TruncateFails);
         assert!(store.append(&[b"never acknowledged"]).is_err(), "{}", case.name);
         disk.crash(case.kept);
         let (mut store, recovered) = Store::open(disk.clone()).expect(case.name);
@@ -81,6 +82,7 @@
     let disk = FaultyDisk::new();
     let (mut store, _) = open(&disk);
     disk.arm(DiskFault::SyncFails);
+    disk.arm(DiskFault::TruncateFails);
     assert!(matches!(store.append(&[b"x"]), Err(WriteError::Io(_))));
     assert!(matches!(store.append(&[b"y"]), Err(WriteError::Broken)));
     assert!(matches!(store.replace(b"s", &[b"y"]), Err(WriteError::Broken)));
@@ -94,6 +96,26 @@
     assert_eq!(open(&disk).1, expected, "what was read and written anew must not vanish later");
 }
 
+#[test]
+fn a_process_killed_after_a_failed_sync_counts_on_nothing_that_is_not_on_the_disk() {
+    // A sync fails and the kernel drops the pages, and the process is killed before it has written the
+    // folder anew. The one that starts next reads the record well, tells the leader that it has it, and the
+    // change is answered by its word. After a loss of power the record is gone, or the folder is refused
+    // for the hole before the next one.
+    let disk = FaultyDisk::new();
+    let (mut store, _) = open(&disk);
+    store.append(&[b"one"]).expect("written");
+    disk.arm(DiskFault::SyncFails);
+    assert!(store.append(&[b"never acknowledged"]).is_err());
+    drop(store);
+    let (mut store, found) = open(&disk);
+    store.append(&[b"two"]).expect("written");
+    drop(store);
+    disk.crash(0);
+    let recovered = Store::open(disk).expect("the folder opens").1.records;
+    assert_eq!(recovered, [found, vec![b"two".to_vec()]].concat());
+}
+
 #[test]
 fn a_folder_opens_after_the_last_sync_of_a_snapshot_failed() {
     // A snapshot has got its final name, and the sync of the folder fails. The log that belongs to it was
@@ -182,7 +204,8 @@
         let (mut store, _) = open(&disk);
         let (mut state, mut written) = (0_u64, 0_u64);
         let mut unsure = 0_u64;
-        let mut may_drop_pages = false;
+        // Failing syncs that may still hit another file than one whose record is cut off again.
+        let (mut armed, mut may_fail_to_cut) = (0, false);
         for _ in 0..60 {
             steps += 1;
             match rng.random_range(0..11) {
@@ -190,7 +213,11 @@
                 0 => disk.arm(DiskFault::Full { stored: rng.random_range(0..40) }),
                 1 => {
                     disk.arm(DiskFault::SyncFails);
-                    may_drop_pages = true;
+                    armed += 1;
+                    if rng.random_bool(0.3) {
+                        disk.arm(DiskFault::TruncateFails);
+                        may_fail_to_cut = true;
+                    }
                 }
                 2 => {
                     let snapshot = (state + written).to_le_bytes();
@@ -204,7 +231,7 @@
                     if is_crash {
                         let kept = rng.random_range(0..30);
                         disk.crash_keeping_names(kept, |_| rng.random_bool(0.5));
-                        may_drop_pages = false;
+                        (armed, may_fail_to_cut) = (0, false);
                     }
                     drop(store);
                     let (opened, recovered) = loop {
@@ -225,7 +252,7 @@
                     assert!(total >= acknowledged, "case {case}: {total} < {acknowledged}");
                     assert!(total <= acknowledged + unsure, "case {case}: {total}");
                     (state, written, unsure) = (base, total - base, 0);
-                    if !may_drop_pages && rng.random_bool(0.5) {
+                    if armed == 0 && !may_fail_to_cut && rng.random_bool(0.5) {
                         continue;
                     }
                     (state, written) = (total, 0);
@@ -239,7 +266,10 @@
                 }
                 _ => match store.append(&[(state + written + 1).to_le_bytes()]) {
                     Ok(()) => written += 1,
-                    Err(_) => unsure = 1,
+                    Err(err) => {
+                        unsure = 1;
+                        armed -= i32::from(matches!(err, WriteError::Io(_)));
+                    }
                 },
             }
         }
