--- a/daemons/gateway/src/ending.rs
+++ b/daemons/gateway/src/ending.rs
@@ -74,7 +74,7 @@
 
     /// Returns how many of them have no line.
     pub fn without_line(&self) -> usize {
-        // Refusals are few, and have lines like all others.
+        // Each refusal has a line like all others, which the queue of the log bounds.
         let kinds = [ByStop::Failed, ByStop::Cut];
         kinds.iter().map(|kind| self.counted(*kind).saturating_sub(LINES_BY_STOP)).sum()
     }
--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -165,6 +165,7 @@
     let due = arrived + left;
     // Begun too late, the call would be cut off in the middle, and could not be sent again.
     if let Some(left) = state.too_short_for(&route.name, due) {
+        state.ending.count(ByStop::Refused);
         let failure = Failure::back_in(ErrorCode::NoCapacity, ELSEWHERE);
         let inputs = format!("{left} ms until the end, {} ms for the call", due - arrived);
         let refused = Refused::new(ErrorCode::NoCapacity, "stopping");
