After the notice only a call is begun that must be over in time, again

What others of a route took is no bound on a call. So the trial is taken back: after the notice, deadline or timeout must lie before the end. The price: short calls are refused in the last seconds of a stop that lasts to its limit.

Also from the review: a call that its caller left, or that failed, no longer counts as a usual time (endpoints that fail fast would have calls begun that must be cut), and a test at the gateway shows that nothing more is taken once the rest is over; it fails without (tried).

--- a/daemons/gateway/src/answer.rs
+++ b/daemons/gateway/src/answer.rs
@@ -3,7 +3,7 @@
 use http::response::Parts;
 use http::{HeaderMap, Response, header};
 use http_body_util::BodyExt;
-use sill_dispatch::{BegunCall, Progress};
+use sill_dispatch::Progress;
 use sill_net::h1::{Answer, AnyBody, strip_hop_by_hop};
 use sill_tree::RouteKind;
 use sill_wire::header::EVENT_STREAM;
@@ -52,10 +52,6 @@
         if !is_held {
             return relay.fail();
         }
-        let begun = BegunCall { route: &call.route.name, arrived: call.arrived, due: call.due };
-        if !relay.has_all() && !state.may_answer(&begun) {
-            return relay.fail_by_stop();
-        }
     }
     Response::from_parts(parts, relay.boxed_unsync())
 }
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -111,15 +111,6 @@
         Ok(())
     }
 
-    /// Returns whether nothing more of the answer is to come.
-    pub fn has_all(&self) -> bool {
-        match &self.source {
-            Source::Running(running) => running.body.is_end_stream(),
-            Source::Resuming(_) => false,
-            Source::Ended => true,
-        }
-    }
-
     /// Ends a call none of whose answer was passed on.
     pub fn fail(&mut self) -> Response<AnyBody> {
         let code = match self.state.clock.now() < self.call.due {
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -7,8 +7,8 @@
 use sill_base::{Clock, Map, Millis, Name, event};
 use sill_dispatch::usage::window_of;
 use sill_dispatch::{
-    Average, BegunCall, Budgets, CallTime, CallTimes, Heard, OpenCalls, OverLimit, Pool, PoolCfg,
-    RouteTable, Shares, StopTimes, UsageCounter,
+    Average, Budgets, CallTimes, Heard, OpenCalls, OverLimit, Pool, PoolCfg, RouteTable, Shares,
+    StopTimes, UsageCounter,
 };
 use sill_net::h1::{Connections, ConnectionsCfg, OpenConnections};
 use sill_tree::{Document, Engine};
@@ -188,16 +188,9 @@
         self.stop.get().is_none_or(fits)
     }
 
-    /// Returns whether the answer of a call may begin whose first part has come.
-    pub fn may_answer(&self, call: &BegunCall<'_>) -> bool {
-        let now = self.clock.now();
-        let may = |stop: &StopTimes| self.call_times.lock().may_answer(now, call, *stop);
-        self.stop.get().is_none_or(may)
-    }
-
-    /// Takes in how a call went that was run.
-    pub fn took(&self, route: &Name, call: CallTime) {
-        self.call_times.lock().took(self.clock.now(), route, call);
+    /// Takes in the whole time of a call.
+    pub fn took(&self, route: &Name, whole: Millis) {
+        self.call_times.lock().took(self.clock.now(), route, whole);
     }
 
     /// Returns whether the instance ends within a span.
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -4,7 +4,7 @@
 
 use http::Response;
 use sill_base::{Millis, Name};
-use sill_dispatch::{AttemptOutcome, CallTime, Next, Place, Progress};
+use sill_dispatch::{AttemptOutcome, Next, Place, Progress};
 use sill_net::h1::AnyBody;
 use sill_route::RefusalReason;
 use sill_tree::RouteKind;
@@ -168,10 +168,10 @@
         }
         state.metrics.calls.with_label_values(&[self.outcome]).inc();
         let first = self.first_part.map(|first| first - call.arrived);
-        if self.sent > 0 && self.outcome != "refused" {
-            let whole = now - call.arrived;
-            let time = CallTime { first: first.unwrap_or(whole), whole };
-            state.took(&call.route.name, time);
+        // One that its caller left, or that failed, tells nothing of how long an answer takes. Endpoints that
+        // fail fast would have a stopping instance begin calls that it must cut.
+        if matches!(self.outcome, "answered" | "out_of_time") {
+            state.took(&call.route.name, now - call.arrived);
         }
         if self.outcome == "answered" {
             state.metrics.whole_answer.observe((now - call.arrived).as_secs_f64());
--- a/daemons/gateway/tests/stops.rs
+++ b/daemons/gateway/tests/stops.rs
@@ -84,3 +84,35 @@
     let world = stop.join().expect("it stops");
     assert_eq!(world.endpoints[0].requests(), 4, "the one that may not end was not sent");
 }
+
+/// What an instance took before it stopped is over, and callers still come to it. Were it to take them, its
+/// process would go on for as long as they come; restarted at once, it would serve all of them. They are
+/// refused, though their calls would end in time, and the one that it has begun is answered.
+#[test]
+fn an_instance_takes_no_more_once_what_it_took_before_its_stop_is_over() {
+    let later = Act::AnswerLater(answer_of("later"), Duration::from_millis(1800));
+    let quick = vec![Act::Answer(answer_of("quick")); 100];
+    let world = World::start(vec![[vec![long_call(), later], quick].concat()]);
+    let seen = world.endpoints[0].seen.clone();
+    let (address, stop) = stop_behind_a_long_call(world);
+    // The long call has a second left; this one is still open when it is over.
+    thread::sleep(Duration::from_millis(1200));
+    let later = thread::spawn(move || {
+        exchange(address, &request("/idempotent/x", "sill-deadline-ms: 2500\r\n"))
+    });
+    while seen.lock().len() < 2 {
+        thread::sleep(Duration::from_millis(10));
+    }
+    let refused = loop {
+        let got = exchange(address, &request("/idempotent/x", "sill-deadline-ms: 500\r\n"));
+        if got.status != 200 || later.is_finished() {
+            break got;
+        }
+        thread::sleep(Duration::from_millis(50));
+    };
+    assert_eq!(refused.status, 503, "{}", refused.head);
+    let head = refused.head.to_lowercase();
+    assert!(head.contains("sill-not-run: true") && head.contains("connection: close"), "{head}");
+    assert!(later.join().expect("an answer").is_whole, "what it has begun is not cut");
+    stop.join().expect("it stops");
+}
