--- a/daemons/gateway/tests/relay.rs
+++ b/daemons/gateway/tests/relay.rs
@@ -424,3 +424,15 @@
         assert!(!got.head.contains("sill-not-run"), "{}: {}", case.name, got.head);
     }
 }
+
+/// An entry instance without open connections ends its planned stop, and a call comes at that moment. Taken
+/// after the last look at open connections, it was sent on, ran, and was cut by the end of the process. Once
+/// the stop is over, no connection is taken any more.
+#[test]
+fn no_connection_is_taken_once_a_stop_is_over() {
+    let mut world = World::start(vec![vec![Act::Answer(answer_of("late"))]]);
+    world.stop();
+    let taken = std::net::TcpStream::connect(world.address);
+    assert!(taken.is_err(), "a call would run that nobody waits for");
+    assert_eq!(world.endpoints[0].requests(), 0);
+}
