--- a/daemons/gateway/src/daemon.rs
+++ b/daemons/gateway/src/daemon.rs
@@ -1,4 +1,4 @@
-//! Starts the parts of an entry instance for routes, and stops them.
+//! Starts the parts of an entry instance for routes, and stops them; `docs/design/stops.md` has the phases of a stop.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
