Answers of a stopping sill-entry end their connections

What callers saw: a caller with a kept connection went on sending requests to an instance that stops, was refused there once the notice was over, on the same connection again and again, and its last request crossed the end of the process with no answer.

Each answer that is given from SIGTERM on ends its connection; the caller's next one goes to another instance, or, while the balancer has not noticed, to this one's listener. Without this the library ends connections only when its server stops, whether or not a request is on its way.

--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -20,6 +20,7 @@
 
 use crate::cfg::EntryCfg;
 use crate::claims::{Claims, ControlClaims};
+use crate::closing::CloseOnStop;
 use crate::copy::SettingsCopy;
 use crate::errors::OneShape;
 use crate::feed::Feed;
@@ -234,6 +235,7 @@
             take_over_here(&shared, &upstream);
             App::new()
                 .middleware(OneShape)
+                .middleware(CloseOnStop(shared.clone()))
                 .state(shared.clone())
                 .state(upstream)
                 .state(web::types::PayloadConfig::new(max_body))
--- a/daemons/entry/src/lib.rs
+++ b/daemons/entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cfg;
 pub mod claims;
 pub mod cli;
+pub mod closing;
 pub mod copy;
 pub mod daemon;
 pub mod errors;
--- a/daemons/sill/tests/system/flight.rs
+++ b/daemons/sill/tests/system/flight.rs
@@ -359,6 +359,32 @@
     assert_eq!(status.code(), Some(0));
 }
 
+/// A caller keeps its connection to an instance that stops. Unless it is told that the connection ends, it
+/// sends one request after the other there, until one crosses the end of the process and has no answer.
+#[test]
+fn callers_with_kept_connections_are_sent_elsewhere_by_a_stop() {
+    let mut cluster = Cluster::start("kept", 1, 1, "5");
+    let entry = cluster.entries[0].address;
+    let mut stream = TcpStream::connect(entry).expect("a connection");
+    stream.set_read_timeout(Some(Duration::from_secs(60))).expect("a timeout");
+    signal(&cluster.entries[0], "-TERM");
+    wait_until("it turns not ready", || {
+        http(entry, "GET", "/readyz", &[], "").is_some_and(|a| a.status == 503)
+    });
+    let body = body("A request of the notice.", 5, false);
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CALLER_KEY}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).expect("the request is sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("the end in order");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.to_lowercase().contains("connection: close"), "{answer}");
+    assert_eq!(cluster.entries[0].program.0.wait().expect("it ends").code(), Some(0));
+}
+
 /// The platform repeats its SIGTERM while answers run. Taken for an operator's order to end at once, the
 /// second one cuts them all.
 #[test]
