The test of an instance's last look no longer runs its endpoint out of answers

The test failed once in about ten runs, in a quiet minute (10,000 served, 10,006 runs): its callers connected without a pause, so that some connection was always open, the stop went on, and after its 10,000 answers the endpoint hung with the six calls that came then. The fault is the test's; what it demands is unchanged.

--- a/daemons/gateway/tests/relay.rs
+++ b/daemons/gateway/tests/relay.rs
@@ -301,6 +301,10 @@
     assert_eq!(world.endpoints[0].requests(), 2, "the long one was not sent");
 }
 
+/// Pause of a caller between two calls. Without one, some connection is always open, the stop lasts until
+/// its limit, and the endpoint runs out of answers.
+const CALLER_PAUSE: Duration = Duration::from_millis(10);
+
 /// Callers that connect at the same time.
 const CALLERS: usize = 6;
 
@@ -330,6 +334,7 @@
                     {
                         served.fetch_add(1, Ordering::Relaxed);
                     }
+                    thread::sleep(CALLER_PAUSE);
                 }
             })
         })
