--- a/daemons/sill/tests/system/flight.rs
+++ b/daemons/sill/tests/system/flight.rs
@@ -382,7 +382,7 @@
     let entry = cluster.entries[0].address;
     let mut stream = TcpStream::connect(entry).expect("a connection");
     stream.set_read_timeout(Some(Duration::from_secs(60))).expect("a timeout");
-    signal(&cluster.entries[0], "-TERM");
+    signal(&cluster.entries[0].program, "-TERM");
     wait_until("it turns not ready", || {
         http(entry, "GET", "/readyz", &[], "").is_some_and(|a| a.status == 503)
     });
