--- a/bench/soak/src/verdict.rs
+++ b/bench/soak/src/verdict.rs
@@ -121,7 +121,6 @@
 }
 
 /// Returns how a request ended.
-///
 fn end_of(record: &Record, ledger: &Ledger, journal: &Journal) -> End {
     let runs = ledger.runs(&record.id);
     let Record { kind, entry, sent, ended, .. } = record;
--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -87,7 +87,7 @@
     let admitted = tokio::select! {
         // What comes after the last answers began is refused before it is sent anywhere.
         biased;
-        () = state.ending.begins(Phase::LastAnswers) => Err(Refused::by_end(&state)),
+        () = state.ending.begins(Phase::LastAnswers) => Err(Refused::by_stop(&state, "not read by the end".to_owned())),
         admitted = admit(&state, head, parts, body, arrived) => admitted,
     };
     match admitted {
@@ -113,11 +113,10 @@
         Self { failure: Failure::new(code), route: none.clone(), account: none, why, inputs }
     }
 
-    /// Makes the refusal of a call that is not read yet when the process ends.
-    fn by_end(state: &State) -> Self {
+    /// Makes the refusal of a call for which the process doesn't last.
+    fn by_stop(state: &State, inputs: String) -> Self {
         state.ending.count(ByStop::Refused);
         let failure = Failure::back_in(ErrorCode::NoCapacity, ELSEWHERE);
-        let inputs = "not read by the end".to_owned();
         Self { failure, inputs, ..Self::new(ErrorCode::NoCapacity, "stopping") }
     }
 
@@ -167,11 +166,8 @@
     let due = arrived + left;
     // Begun too late, the call would be cut off in the middle, and could not be sent again.
     let begin = state.begin(&route.name, due).map_err(|left| {
-        state.ending.count(ByStop::Refused);
-        let failure = Failure::back_in(ErrorCode::NoCapacity, ELSEWHERE);
         let inputs = format!("{left} ms until the end, {} ms for the call", due - arrived);
-        let refused = Refused::new(ErrorCode::NoCapacity, "stopping");
-        Refused { failure, inputs, route: route.name.clone(), ..refused }
+        Refused { route: route.name.clone(), ..Refused::by_stop(state, inputs) }
     })?;
     let amount = amount(&head, account.as_deref());
     if let Some(account) = &account
--- a/state/base/src/lib.rs
+++ b/state/base/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod recent_max;
 pub mod recent_times;
 pub mod secret;
+mod spans;
 
 pub use clock::{Clock, Millis};
 pub use findings::{Finding, Findings};
--- a/state/base/src/recent_times.rs
+++ b/state/base/src/recent_times.rs
@@ -1,6 +1,7 @@
 //! How long things took in the last while.
 
 use crate::Millis;
+use crate::spans::Spans;
 
 /// Classes of times. With [`STEP`] they reach 268 s, longer than any call may take.
 const CLASSES: usize = 57;
@@ -11,32 +12,23 @@
 
 /// Times of the last one or two spans, counted by class, without a history of them.
 #[derive(Debug, Clone, Copy)]
-pub struct RecentTimes {
-    since: Millis,
-    now: [u32; CLASSES],
-    before: [u32; CLASSES],
-}
+pub struct RecentTimes(Spans<[u32; CLASSES]>);
 
 impl Default for RecentTimes {
     fn default() -> Self {
-        Self { since: Millis::ZERO, now: [0; CLASSES], before: [0; CLASSES] }
+        Self(Spans::new([0; CLASSES]))
     }
 }
 
 impl RecentTimes {
     /// Takes in a time.
     pub fn note(&mut self, now: Millis, span: Millis, time: Millis) {
-        let age = now - self.since;
-        if age >= span {
-            let before = if age < span * 2 { self.now } else { [0; CLASSES] };
-            *self = Self { since: now, now: [0; CLASSES], before };
-        }
-        self.now[class_of(time)] += 1;
+        self.0.newest(now, span, [0; CLASSES])[class_of(time)] += 1;
     }
 
     /// Returns a time that `part` of those noted did not exceed, unless none came for two spans.
     pub fn quantile(&self, now: Millis, span: Millis, part: f64) -> Option<Millis> {
-        if now - self.since >= span * 2 {
+        if !self.0.is_fresh(now, span) {
             return None;
         }
         let wanted = (f64::from(self.count()) * part).ceil().max(1.0);
@@ -54,7 +46,7 @@
     }
 
     fn counts(&self) -> impl Iterator<Item = u32> {
-        self.now.iter().zip(&self.before).map(|(now, before)| now + before)
+        self.0.now.iter().zip(&self.0.before).map(|(now, before)| now + before)
     }
 }
 
