--- a/daemons/control/tests/cluster.rs
+++ b/daemons/control/tests/cluster.rs
@@ -1,5 +1,7 @@
 //! Three control instances in one process: claims, the feed, and what is in force.
 
+mod support;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -17,6 +19,7 @@
 };
 use sill_wire::control::Revision;
 use sill_wire::feed::{FeedPoll, FeedReply};
+use support::http;
 use tokio::runtime::Runtime;
 
 /// Instances of a cluster.
@@ -119,18 +122,6 @@
     }
 }
 
-/// Sends one request of the root's operator, and returns the answer as text.
-fn http(to: SocketAddr, method: &str, path: &str, body: &str) -> String {
-    let mut stream = TcpStream::connect(to).expect("a connection");
-    let head = "host: c\r\nconnection: close\r\nauthorization: Bearer root";
-    let len = body.len();
-    let text = format!("{method} {path} HTTP/1.1\r\n{head}\r\ncontent-length: {len}\r\n\r\n{body}");
-    stream.write_all(text.as_bytes()).expect("sent");
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).expect("an answer");
-    answer
-}
-
 fn wait_until<F>(what: &str, mut holds: F)
 where
     F: FnMut() -> bool,
--- a/daemons/control/tests/losses.rs
+++ b/daemons/control/tests/losses.rs
@@ -1,7 +1,9 @@
 //! Control instances that lose power together, some of them with their disks, right after an answer.
 
-use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+mod support;
+
+use std::io;
+use std::net::SocketAddr;
 
 use sill_base::{Clock, Millis, Secret};
 use sill_control::cfg::Seeds;
@@ -12,6 +14,7 @@
 use sill_standin::loopback::free_addresses;
 use sill_store::{AnyDisk, Disk, FaultyDisk, Store};
 use sill_wire::link::ControlPlace;
+use support::http;
 use tokio::runtime::Runtime;
 
 /// Instances whose addresses the others are given; they found the log.
@@ -85,21 +88,21 @@
 
     fn put(&self, i: usize, price: u64) -> bool {
         let document = format!("{{\"price_cap\":{price}}}");
-        http(self.controls[i].address, "PUT", &document).starts_with("HTTP/1.1 200")
+        http(self.controls[i].address, "PUT", "/tree/ga", &document).starts_with("HTTP/1.1 200")
     }
 
     /// Returns what an instance shows, once it is sure that nothing newer was answered.
     fn read(&self, i: usize) -> String {
         let mut answer = String::new();
         wait_until("it is sure of what it shows", || {
-            answer = http(self.controls[i].address, "GET", "");
+            answer = http(self.controls[i].address, "GET", "/tree/ga", "");
             answer.starts_with("HTTP/1.1 200") && !answer.contains("sill-stale")
         });
         answer
     }
 
     fn is_voter(&self, i: usize) -> bool {
-        let text = request(self.controls[i].address, "GET", "/metrics", "");
+        let text = http(self.controls[i].address, "GET", "/metrics", "");
         text.contains("\nsill_control_voter 1\n")
     }
 
@@ -169,22 +172,6 @@
     disks.iter().filter(holds).count()
 }
 
-fn http(to: SocketAddr, method: &str, body: &str) -> String {
-    request(to, method, "/tree/ga", body)
-}
-
-/// Sends one request of the root's operator, and returns the answer as text.
-fn request(to: SocketAddr, method: &str, path: &str, body: &str) -> String {
-    let mut stream = TcpStream::connect(to).expect("a connection");
-    let head = "host: c\r\nconnection: close\r\nauthorization: Bearer root";
-    let len = body.len();
-    let text = format!("{method} {path} HTTP/1.1\r\n{head}\r\ncontent-length: {len}\r\n\r\n{body}");
-    stream.write_all(text.as_bytes()).expect("sent");
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).expect("an answer");
-    answer
-}
-
 fn wait_until<F>(what: &str, mut holds: F)
 where
     F: FnMut() -> bool,
