--- a/coordination/dispatch/src/table.rs
+++ b/coordination/dispatch/src/table.rs
@@ -39,32 +39,63 @@
     pub account: Account,
 }
 
+/// A part of a table, ready to be joined with the others. Revisions share the parts that are the same.
+#[derive(Debug, Default)]
+pub struct TablePart {
+    bounds: Option<CallerBounds>,
+    pools: Vec<(Name, Pool)>,
+    routes: Vec<Arc<RouteEntry>>,
+    accounts: Vec<Arc<AccountEntry>>,
+}
+
+impl TablePart {
+    /// Makes the part that a document holds.
+    pub fn of(document: Document) -> Self {
+        let pools = document.services.into_iter().filter_map(|(name, service)| match service {
+            Service::Pool(pool) => Some((name, pool)),
+            Service::Model { .. } | Service::Plain { .. } => None,
+        });
+        let routes = document.routes.into_iter();
+        let accounts = document.accounts.into_iter();
+        Self {
+            bounds: document.caller_bounds,
+            pools: pools.collect(),
+            routes: routes.map(|(name, route)| Arc::new(RouteEntry { name, route })).collect(),
+            accounts: accounts
+                .map(|(name, account)| Arc::new(AccountEntry { name, account }))
+                .collect(),
+        }
+    }
+}
+
 impl RouteTable {
     /// Makes the table of a checked document.
     pub fn of(revision: u64, document: &Document) -> Self {
-        let mut table = Self {
-            revision,
-            bounds: document.caller_bounds.unwrap_or_default(),
-            ..Self::default()
-        };
-        for (name, service) in &document.services {
-            if let Service::Pool(pool) = service {
-                table.pools.insert(name.clone(), pool.clone());
-            }
+        Self::join(revision, &[Arc::new(TablePart::of(document.clone()))])
+    }
+
+    /// Joins the parts of a checked document.
+    pub fn join(revision: u64, parts: &[Arc<TablePart>]) -> Self {
+        let mut table = Self { revision, ..Self::default() };
+        for part in parts {
+            table.add(part);
         }
-        for (name, route) in &document.routes {
-            let entry = RouteEntry { name: name.clone(), route: route.clone() };
-            let of_host = table.by_host.entry(route.host.clone()).or_default();
-            of_host.insert(route.path.clone(), Arc::new(entry));
+        table
+    }
+
+    fn add(&mut self, part: &TablePart) {
+        self.bounds = part.bounds.unwrap_or(self.bounds);
+        self.pools.extend(part.pools.iter().cloned());
+        for entry in &part.routes {
+            let of_host = self.by_host.entry(entry.route.host.clone()).or_default();
+            of_host.insert(entry.route.path.clone(), entry.clone());
         }
-        for (name, account) in &document.accounts {
-            let entry = Arc::new(AccountEntry { name: name.clone(), account: account.clone() });
-            for key in &account.keys {
-                table.by_key.insert(key.clone(), entry.clone());
+        for entry in &part.accounts {
+            for key in &entry.account.keys {
+                self.by_key.insert(key.clone(), entry.clone());
             }
-            table.accounts.insert(name.clone(), entry);
+            self.accounts.insert(entry.name.clone(), entry.clone());
         }
-        table
     }
 
     /// Finds the route of a host with the longest path that begins `path`.
--- a/daemons/control/src/api/tree.rs
+++ b/daemons/control/src/api/tree.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 use sill_base::{Millis, Name, event};
 use sill_net::http;
+use sill_tree::DocumentText;
 use sill_wire::control::{ChangeReply, Revision, SubtreeReply};
 
 use crate::api::{App, STALE, caller, refusal_status, refused};
@@ -88,7 +89,7 @@
     };
     let is_owner = state.tree().is_owned_by(&holder.operator(), path);
     let document = match is_owner {
-        true => serde_json::to_value(&subtree.document),
+        true => serde_json::to_value(&*subtree.document),
         false => serde_json::to_value(sill_tree::redacted(&subtree.document)),
     };
     Ok(SubtreeReply {
@@ -132,6 +133,7 @@
     let holder = caller::holder(app, req)?;
     let base = base(req)?;
     let origin = caller::origin(holder, req)?;
+    let document = document.as_ref().map(DocumentText::from);
     let ask = Ask::Change(ChangeAsk { origin, path: path.into(), base, document, edition: None });
     let outcome = on_runtime(app, async move |shared| submit::submit(&shared, &ask).await).await;
     match outcome {
--- a/daemons/control/src/app/command.rs
+++ b/daemons/control/src/app/command.rs
@@ -4,9 +4,8 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 use sill_base::{Millis, Name};
-use sill_tree::{KeyHash, Operator};
+use sill_tree::{DocumentText, KeyHash, Operator};
 use sill_wire::claim::{ClaimAsk, ClaimVerdict};
 use sill_wire::control::{ChangeRefusal, ChangeReply, Revision};
 
@@ -58,7 +57,7 @@
     /// The revision that the subtree must still have.
     pub base: Option<Revision>,
     /// The new document, or none to remove the subtree.
-    pub document: Option<Value>,
+    pub document: Option<DocumentText>,
     /// The edition of an outside system that the document stands for, if it is one's.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub edition: Option<Edition>,
@@ -72,6 +71,7 @@
     /// Its number there.
     pub number: u64,
     /// Its text as it came, to be read back unchanged.
+    #[serde(with = "sill_base::packed::text")]
     pub source: Arc<str>,
 }
 
--- a/daemons/control/src/app/history.rs
+++ b/daemons/control/src/app/history.rs
@@ -51,7 +51,7 @@
         revision: Revision(subtree.revision),
         path: path.clone(),
         author: subtree.author.clone(),
-        document: Some(serde_json::to_value(&subtree.document).unwrap_or_default()),
+        document: Some(serde_json::to_value(&*subtree.document).unwrap_or_default()),
     });
     let mut subtrees: Vec<Change> = changes.collect();
     // Receivers drop what is not newer than what they took before.
--- a/daemons/control/src/app/judge.rs
+++ b/daemons/control/src/app/judge.rs
@@ -61,9 +61,10 @@
             return Err(refusal("forbidden", "the token does not own this subtree"));
         }
         let mut ask = ask.clone();
-        let Some(document) = &mut ask.document else {
+        let Some(text) = &ask.document else {
             return self.check_removal(ask);
         };
+        let mut document = text.value();
         // Teams need not keep the hash of their own token in their files.
         let current = tree.subtrees.get(&ask.path).and_then(|s| s.document.owner.as_ref());
         if let (Some(owner), Some(fields)) = (current, document.as_object_mut())
@@ -71,8 +72,9 @@
             && !fields.contains_key("owner")
         {
             fields.insert("owner".to_owned(), owner.0.as_str().into());
+            ask.document = Some((&document).into());
         }
-        let typed = tree.check_value(&ask.path, document).map_err(invalid)?;
+        let typed = tree.check_value(&ask.path, &document).map_err(invalid)?;
         tree.check_owner(&operator, &ask.path, &typed).map_err(invalid)?;
         Ok(ask)
     }
--- a/daemons/control/src/app/state.rs
+++ b/daemons/control/src/app/state.rs
@@ -7,7 +7,7 @@
 use sill_base::{Millis, Name, Promise, keep};
 use sill_flight::claims::{ClaimBounds, ClaimTable};
 use sill_quorum::{Entry, Payload};
-use sill_tree::{Operator, Tree};
+use sill_tree::{DocumentText, Operator, Tree};
 use sill_wire::claim::ClaimAsk;
 use sill_wire::control::{AuditRecord, ChangeRefusal, ChangeReply, Revision};
 use sill_wire::feed::{Change, FeedReply};
@@ -173,6 +173,20 @@
         Some(Outcome::Refused(refusal("change_id_reused", message)))
     }
 
+    /// Reads the documents that nobody has looked at yet.
+    ///
+    /// # Panics
+    ///
+    /// Panics on one that this version of the program can't read: going on without it would make this
+    /// instance's state differ from the others' for good.
+    pub fn read_documents(&self) {
+        for (path, subtree) in &self.tree.subtrees {
+            if let Err(err) = subtree.document.read() {
+                panic!("{path} is of a newer version of sill-control: {err}");
+            }
+        }
+    }
+
     /// Applies a committed entry.
     ///
     /// # Panics
@@ -299,23 +313,20 @@
 
     fn put(&mut self, ask: &ChangeAsk, author: Name) -> ChangeReply {
         let revision = Revision(self.tree.revision + 1);
-        let (path, document) = (ask.path.clone(), ask.document.clone());
-        match &document {
+        let path = ask.path.clone();
+        match &ask.document {
             None => self.tree.remove(&path, revision.0),
-            Some(document) => {
-                let typed = serde_json::from_value(document.clone()).unwrap_or_else(|err| {
-                    panic!("{path} is of a newer version of sill-control: {err}")
-                });
-                self.tree.put(path.clone(), revision.0, author.clone(), typed);
-            }
+            Some(text) => self.tree.put(path.clone(), revision.0, author.clone(), text.clone()),
         }
         if let Some(edition) = &ask.edition {
             self.editions.insert(path.clone(), edition.clone());
             // It replaces the document as a whole, mostly the largest part of the tree. A thousand
             // of them would take more memory than the instance has.
             self.history = History::default();
+        } else {
+            let document = ask.document.as_ref().map(DocumentText::value);
+            self.history.add(Change { revision, path: path.clone(), author, document });
         }
-        self.history.add(Change { revision, path: path.clone(), author, document });
         ChangeReply { revision, path, in_force: false }
     }
 
@@ -328,7 +339,8 @@
                 match &ask.edition {
                     Some(edition) => entry.reason = format!("edition {}", edition.number),
                     None => {
-                        let detail = ask.document.as_ref().map_or(Value::Null, without_hashes);
+                        let document = ask.document.as_ref().map(DocumentText::value);
+                        let detail = document.as_ref().map_or(Value::Null, without_hashes);
                         entry.detail = Some(detail);
                     }
                 }
--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -28,6 +28,7 @@
     Ack, Hello, QuorumSend, ReadIndex, ReadIndexReply, RunningAsk, RunningSync, Submit,
 };
 use crate::running::{self, Running};
+use crate::served::{self, Served};
 use crate::{api, feed, submit};
 
 /// The largest settings document, in bytes; the library's own limit is 256 kB, which the accounts of
@@ -59,6 +60,8 @@
     pub directory: Directory,
     /// What is known of endpoints, and of entry instances that serve routes.
     pub link: Link,
+    /// The served settings in pieces.
+    pub served: Served,
     /// Its metrics.
     pub metrics: Arc<Metrics>,
     /// Held while a change is checked and committed here.
@@ -250,7 +253,19 @@
     let change_turn = tokio::sync::Mutex::new(());
     let link = Link::new(&cfg);
     let waiting = AtomicUsize::new(0);
-    Ok(Shared { cfg, clock, log, running, directory, link, metrics, change_turn, runtime, waiting })
+    Ok(Shared {
+        cfg,
+        clock,
+        log,
+        running,
+        directory,
+        link,
+        served: Served::default(),
+        metrics,
+        change_turn,
+        runtime,
+        waiting,
+    })
 }
 
 fn answers(shared: &Arc<Shared>) -> PeerServerBuilder {
@@ -285,6 +300,8 @@
     let own = shared.clone();
     peers.answer(move |poll| link::poll(own.clone(), poll));
     let own = shared.clone();
+    peers.answer(move |ask| served::answer(own.clone(), ask));
+    let own = shared.clone();
     peers.answer(move |sync| {
         let reply = own.link.synced(own.clock.now(), sync);
         async move { Ok(reply) }
--- a/daemons/control/src/duty.rs
+++ b/daemons/control/src/duty.rs
@@ -270,7 +270,7 @@
 
     fn ranges(&self) -> Vec<(Name, u32, CapacityRange)> {
         let app = self.shared.log.app().read();
-        let document: Option<&Document> = app.tree().subtrees.get(SERVED).map(|s| &s.document);
+        let document: Option<&Document> = app.tree().subtrees.get(SERVED).map(|s| &*s.document);
         let services = document.into_iter().flat_map(|document| &document.services);
         let pools = services.filter_map(|(name, service)| match service {
             Service::Pool(pool) => Some((name, pool)),
--- a/daemons/control/src/editions.rs
+++ b/daemons/control/src/editions.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use serde_json::Value;
 use sill_base::{Millis, Name, event};
+use sill_tree::DocumentText;
 use sill_wire::control::{ChangeRefusal, Revision};
 
 use crate::app::command::{ChangeAsk, Edition, Holder, Origin};
@@ -32,7 +32,7 @@
     shared: &Arc<Shared>,
     path: &Name,
     edition: Edition,
-    document: Value,
+    document: DocumentText,
 ) -> Result<Revision, ReplaceFailure> {
     let number = edition.number;
     let change_id = format!("{number}-{}", blake3::hash(edition.source.as_bytes()).to_hex());
--- a/daemons/control/src/lib.rs
+++ b/daemons/control/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod metrics;
 pub mod rpc;
 pub mod running;
+pub mod served;
 pub mod submit;
 
 pub use app::command::{Edition, UsageStatement};
--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -9,10 +9,9 @@
 use sill_net::PeerError;
 use sill_quorum::RoleName;
 use sill_wire::Incarnation;
-use sill_wire::control::Revision;
 use sill_wire::link::{
     ControlSync, ControlSyncReply, Cursor, EndpointFact, EndpointState, EntryReport, LinkPoll,
-    LinkReply, ServedSettings, Totals,
+    LinkReply, Totals,
 };
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -20,6 +19,7 @@
 use crate::cfg::ControlCfg;
 use crate::daemon::Shared;
 use crate::directory::ControlPeer;
+use crate::served;
 
 /// The subtree that holds the routes.
 pub const SERVED: &str = "serving";
@@ -225,15 +225,16 @@
     let news = async {
         tokio::select! {
             _ = changes.wait_for(|change| known != Some(*change)) => {},
-            _ = revision.wait_for(|_| served_revision(&shared) > have) => {},
+            _ = revision.wait_for(|_| served::revision(&shared) > have) => {},
         }
     };
     let _ = tokio::time::timeout(wait.min(MAX_WAIT).into(), news).await;
+    let settings = served::newer_than(&shared, have).await;
     let now = shared.clock.now();
     let (cursor, endpoints) = link.news(now, cursor);
     let status = shared.log.status();
     Ok(LinkReply {
-        settings: settings_newer_than(&shared, have),
+        settings,
         cursor,
         endpoints,
         controls: shared.directory.places(),
@@ -243,18 +244,6 @@
     })
 }
 
-fn served_revision(shared: &Shared) -> Revision {
-    let app = shared.log.app().read();
-    Revision(app.tree().subtrees.get(SERVED).map_or(0, |subtree| subtree.revision))
-}
-
-fn settings_newer_than(shared: &Shared, have: Revision) -> Option<ServedSettings> {
-    let app = shared.log.app().read();
-    let subtree = app.tree().subtrees.get(SERVED).filter(|s| s.revision > have.0)?;
-    let document = serde_json::to_value(&subtree.document).ok()?;
-    Some(ServedSettings { revision: Revision(subtree.revision), document })
-}
-
 /// Passes on to the other control instances what was heard here.
 pub async fn run(shared: Arc<Shared>) {
     let mut told: Map<Name, Told> = Map::default();
--- a/daemons/control/src/log/driver.rs
+++ b/daemons/control/src/log/driver.rs
@@ -15,7 +15,7 @@
 use sill_store::WriteError;
 use tokio::sync::oneshot;
 
-use crate::app::{App, Command};
+use crate::app::App;
 use crate::cfg::ControlCfg;
 use crate::log::disk::{LogDisk, OpenDisk};
 use crate::log::handle::{Input, LogHandle, News, Status, Submitted};
@@ -182,6 +182,7 @@
                 return;
             }
             self.take(batch);
+            self.app.read().read_documents();
             self.compact();
             self.report();
         }
@@ -202,7 +203,7 @@
                     self.step(event);
                 }
                 Input::Submit { command, done } => {
-                    commands.push(text_of(&command));
+                    commands.push(command);
                     waiters.push(done);
                 }
                 Input::OlderLife(incarnation) => self.begin_life_after(incarnation),
@@ -414,7 +415,3 @@
         }
     }
 }
-
-fn text_of(command: &Command) -> Arc<str> {
-    serde_json::to_string(command).expect("a command can always be written as JSON").into()
-}
--- a/daemons/control/src/log/handle.rs
+++ b/daemons/control/src/log/handle.rs
@@ -18,8 +18,8 @@
     Event(Event),
     /// A command to write, if this instance leads.
     Submit {
-        /// The command.
-        command: Box<Command>,
+        /// The command, as it is written to the log.
+        command: Arc<str>,
         /// Gets what came of it.
         done: oneshot::Sender<Submitted>,
     },
@@ -29,6 +29,18 @@
     Stop,
 }
 
+/// A command as text. It is written by whoever submits it: on the thread of the log, heartbeats would wait
+/// while a large one is packed.
+#[derive(Debug, Clone)]
+pub struct CommandText(Arc<str>);
+
+impl From<&Command> for CommandText {
+    fn from(command: &Command) -> Self {
+        let text = serde_json::to_string(command);
+        Self(text.expect("a command can always be written as JSON").into())
+    }
+}
+
 /// What came of a command that was submitted.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Submitted {
@@ -100,9 +112,9 @@
     }
 
     /// Submits a command and waits for what comes of it.
-    pub async fn submit(&self, command: Command) -> Submitted {
+    pub async fn submit(&self, command: CommandText) -> Submitted {
         let (done, result) = oneshot::channel();
-        let input = Input::Submit { command: Box::new(command), done };
+        let input = Input::Submit { command: command.0, done };
         if self.input.send(input).is_err() {
             return Submitted::NotLeader;
         }
--- a/daemons/control/src/log/mod.rs
+++ b/daemons/control/src/log/mod.rs
@@ -6,4 +6,4 @@
 pub mod hello;
 pub mod peers;
 
-pub use handle::{LogHandle, Status, Submitted};
+pub use handle::{CommandText, LogHandle, Status, Submitted};
--- a/daemons/control/src/metrics.rs
+++ b/daemons/control/src/metrics.rs
@@ -31,6 +31,8 @@
     pub claim_asks: IntCounter,
     /// Feed polls of entry instances.
     pub polls: IntCounter,
+    /// Pieces of settings that were sent to entry instances.
+    pub pieces: IntCounter,
     /// Time of a synced write to the log.
     pub append_seconds: Histogram,
 }
@@ -70,6 +72,7 @@
             unknown_tokens: counter("sill_control_unknown_tokens_total", "unknown tokens")?,
             claim_asks: counter("sill_control_claim_asks_total", "claims asked for")?,
             polls: counter("sill_control_polls_total", "feed polls of entry instances")?,
+            pieces: counter("sill_control_settings_pieces_total", "pieces of settings sent")?,
             append_seconds,
             registry,
         })
--- a/daemons/control/src/submit.rs
+++ b/daemons/control/src/submit.rs
@@ -9,7 +9,7 @@
 use crate::app::judge::Judged;
 use crate::app::{Ask, Outcome};
 use crate::daemon::Shared;
-use crate::log::Submitted;
+use crate::log::{CommandText, Submitted};
 use crate::rpc::{ReadIndex, Submit, SubmitReply};
 
 /// How long an operator's ask looks for a leader that commits it.
@@ -97,10 +97,9 @@
         Ask::Drain(_) | Ask::Claims { .. } | Ask::Usage(_) => None,
     };
     for _ in 0..RECHECKS {
-        let judged = shared.log.app().read().judge(Millis::wall(), ask);
-        let command = match judged {
-            Judged::Known(outcome) => return SubmitReply::Done { outcome },
-            Judged::Write(command) => command,
+        let command = match judge(shared, ask).await {
+            Ready::Known(outcome) => return SubmitReply::Done { outcome },
+            Ready::Write(command) => command,
         };
         match shared.log.submit(command).await {
             Submitted::Applied(Outcome::Recheck) => {}
@@ -112,6 +111,28 @@
     SubmitReply::NotLeader
 }
 
+/// An ask that was checked.
+enum Ready {
+    Known(Outcome),
+    Write(CommandText),
+}
+
+async fn judge(shared: &Arc<Shared>, ask: &Ask) -> Ready {
+    let judge =
+        |shared: &Shared, ask: &Ask| match shared.log.app().read().judge(Millis::wall(), ask) {
+            Judged::Known(outcome) => Ready::Known(outcome),
+            Judged::Write(command) => Ready::Write((&command).into()),
+        };
+    if !matches!(ask, Ask::Change(_)) {
+        return judge(shared, ask);
+    }
+    // A large document takes long to check and to pack. Heartbeats and votes of other instances come
+    // through the same runtime, and would have to wait.
+    let (own, ask) = (shared.clone(), ask.clone());
+    let judging = tokio::task::spawn_blocking(move || judge(&own, &ask));
+    judging.await.expect("checking doesn't panic")
+}
+
 /// Waits until this instance's state holds everything that was answered before the call, and
 /// returns whether it does. Without a leader it may not, and what is read may be old.
 pub async fn catch_up(shared: &Arc<Shared>) -> bool {
--- a/daemons/control/tests/app.rs
+++ b/daemons/control/tests/app.rs
@@ -7,7 +7,7 @@
 use sill_control::app::judge::Judged;
 use sill_control::app::{App, Ask, Command, Outcome};
 use sill_quorum::{Entry, Payload};
-use sill_tree::{KeyHash, Operator};
+use sill_tree::{Document, DocumentText, KeyHash, Operator};
 use sill_wire::control::Revision;
 use sill_wire::feed::{Change, FeedReply};
 
@@ -20,6 +20,7 @@
 }
 
 fn change(holder: Holder, id: &str, path: &str, document: Option<Value>) -> ChangeAsk {
+    let document = document.as_ref().map(DocumentText::from);
     ChangeAsk { origin: origin(holder, id), path: path.into(), base: None, document, edition: None }
 }
 
@@ -240,7 +241,7 @@
     match change.document {
         None => tree.remove(&path, change.revision.0),
         Some(document) => {
-            let document = serde_json::from_value(document).expect("a document");
+            let document: Document = serde_json::from_value(document).expect("a document");
             tree.put(path, change.revision.0, change.author, document);
         }
     }
--- /dev/null
+++ b/daemons/control/tests/served.rs
@@ -0,0 +1,203 @@
+//! Large settings at a control instance: handed out in pieces, and kept short on disk.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use sill_base::{Millis, Name, Secret};
+use sill_control::cfg::Voter;
+use sill_control::{Control, ControlCfg};
+use sill_dispatch::{Assembly, RouteTable};
+use sill_net::PeerClient;
+use sill_standin::loopback::free_addresses;
+use sill_store::FaultyDisk;
+use sill_tree::{Document, Pool, Route, Service, Share};
+use sill_wire::Incarnation;
+use sill_wire::control::Revision;
+use sill_wire::link::{Cursor, EntryReport, LinkPoll};
+use sill_wire::settings::{Manifest, PiecesAsk};
+use support::http;
+use tokio::runtime::Runtime;
+
+/// Tries before a test fails for good; no test measures speed by it.
+const TRIES: usize = 600;
+
+/// One control instance that founds a log of its own.
+struct World {
+    peer: SocketAddr,
+    disk: FaultyDisk,
+    runtime: Runtime,
+    control: Option<Control>,
+}
+
+impl World {
+    fn start() -> Self {
+        let peer = free_addresses(1).expect("free ports")[0];
+        let runtime = Runtime::new().expect("a runtime");
+        let mut world = Self { peer, disk: FaultyDisk::new(), runtime, control: None };
+        world.run();
+        world
+    }
+
+    fn run(&mut self) {
+        let disk = self.disk.clone();
+        let control = Control::start_on(self.cfg(), Box::new(move |_| Ok(Box::new(disk.clone()))));
+        self.control = Some(control.expect("it starts"));
+    }
+
+    fn stop(&mut self) {
+        let control = self.control.take().expect("it runs");
+        self.runtime.block_on(control.stop());
+    }
+
+    fn cfg(&self) -> ControlCfg {
+        ControlCfg {
+            seeds: None,
+            spans: Default::default(),
+            endpoint_heartbeat: Millis(1000),
+            name: "c".into(),
+            domain: "a".into(),
+            listen: "127.0.0.1:0".parse().expect("an address"),
+            listen_metrics: None,
+            listen_peer: self.peer,
+            voters: vec![Voter { name: "c".into(), domain: "a".into(), address: self.peer }],
+            data: "data".into(),
+            cluster_key: Secret::new("key"),
+            root_token: Secret::new("root"),
+            join_token: None,
+        }
+    }
+
+    /// Puts settings in place, once a leader takes them.
+    fn put(&self, document: &Document) {
+        let address = self.control.as_ref().expect("it runs").address;
+        let body = serde_json::to_string(document).expect("it can be written");
+        for _ in 0..TRIES {
+            let answer = http(address, "PUT", "/tree/serving", &body);
+            if answer.starts_with("HTTP/1.1 200") {
+                return;
+            }
+            assert!(!answer.starts_with("HTTP/1.1 4"), "{answer}");
+            std::thread::sleep(Millis(50).into());
+        }
+        panic!("no leader took the change");
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        if self.control.is_some() {
+            self.stop();
+        }
+    }
+}
+
+fn client(peer: SocketAddr) -> PeerClient {
+    PeerClient::new(peer, &Secret::new("key"), Millis(10_000))
+}
+
+fn route(i: usize, max_attempts: u32) -> (Name, Route) {
+    let route = Route {
+        host: format!("{i:x}.example").into(),
+        path: format!("/path{i}/").into(),
+        timeout_ms: Millis(1000),
+        split: vec![Share { service: "desk".into(), weight: 1 }],
+        max_attempts,
+        ..Route::default()
+    };
+    (format!("route-{i}").into(), route)
+}
+
+fn document(routes: usize, max_attempts: u32) -> Document {
+    let services = BTreeMap::from([("desk".into(), Service::Pool(Pool::default()))]);
+    let routes = (0..routes).map(|i| route(i, max_attempts)).collect();
+    Document { services, routes, ..Document::default() }
+}
+
+async fn manifest(client: &PeerClient, entry: usize, have: u64) -> Manifest {
+    let report = EntryReport {
+        entry: format!("e{entry}").into(),
+        incarnation: Incarnation(1),
+        domain: "a".into(),
+        sequence: 1,
+        wall: Millis::wall(),
+        usage: Vec::new(),
+        accounts: Vec::new(),
+        services: Vec::new(),
+    };
+    let poll =
+        LinkPoll { have: Revision(have), cursor: Cursor::default(), wait: Millis(2000), report };
+    for _ in 0..TRIES {
+        let reply = client.call(&poll).await.expect("a reply");
+        if let Some(manifest) = reply.settings {
+            return manifest;
+        }
+    }
+    panic!("no settings are told");
+}
+
+async fn fetch(client: &PeerClient, manifest: &Manifest) -> RouteTable {
+    let mut assembly = Assembly::default();
+    assembly.told(manifest.clone());
+    loop {
+        if let Some(whole) = assembly.whole() {
+            return RouteTable::join(manifest.revision.0, &whole.parts);
+        }
+        let reply = client.call(&PiecesAsk { pieces: assembly.missing() }).await.expect("a reply");
+        assert!(!reply.pieces.is_empty(), "it has no piece of what it told");
+        let bytes: usize = reply.pieces.iter().map(|piece| piece.text.len()).sum();
+        assert!(bytes <= 32 << 10 || reply.pieces.len() == 1, "{bytes} bytes in one answer");
+        for piece in &reply.pieces {
+            assembly.take(piece).expect("it is whole");
+        }
+    }
+}
+
+fn attempts(table: &RouteTable, i: usize) -> Option<u32> {
+    let found = table.find(&format!("{i:x}.example"), &format!("/path{i}/x"));
+    found.map(|entry| entry.route.max_attempts)
+}
+
+#[test]
+fn a_wave_of_starts_shares_one_cut_of_large_settings() {
+    // All entry instances lose power and come back together. Were the settings made anew for each of them,
+    // the control instance would have no time for heartbeats, lose its lease, and no caller be served.
+    const ENTRIES: usize = 94;
+    const ROUTES: usize = 5000;
+    let world = World::start();
+    world.put(&document(ROUTES, 1));
+    let peer = world.peer;
+    let starts = (0..ENTRIES).map(|entry| {
+        world.runtime.spawn(async move {
+            let client = client(peer);
+            let manifest = manifest(&client, entry, 0).await;
+            let table = fetch(&client, &manifest).await;
+            (manifest, (0..ROUTES).filter(|i| attempts(&table, *i) == Some(1)).count())
+        })
+    });
+    let starts: Vec<_> = starts.collect();
+    let got = starts.into_iter().map(|start| world.runtime.block_on(start).expect("it ends"));
+    let got: Vec<_> = got.collect();
+    assert!(got.iter().all(|(_, routes)| *routes == ROUTES));
+    assert!(got.iter().all(|(manifest, _)| *manifest == got[0].0), "it was cut more than once");
+}
+
+#[test]
+fn a_reader_in_the_middle_of_a_revision_goes_on_while_the_next_is_cut() {
+    // A reader on a slow link has a part of one revision when the next ones come. If the pieces of the
+    // first were gone, a series of changes could keep it from ever getting one whole.
+    let world = World::start();
+    world.put(&document(300, 1));
+    let client = client(world.peer);
+    let first = world.runtime.block_on(manifest(&client, 0, 0));
+    for max_attempts in 2..=3 {
+        world.put(&document(300, max_attempts));
+        world.runtime.block_on(manifest(&client, 0, u64::from(max_attempts) - 1));
+    }
+    let table = world.runtime.block_on(fetch(&client, &first));
+    assert_eq!(attempts(&table, 299), Some(1));
+    let newest = world.runtime.block_on(manifest(&client, 0, first.revision.0));
+    let table = world.runtime.block_on(fetch(&client, &newest));
+    assert_eq!(attempts(&table, 299), Some(3));
+}
--- a/daemons/gateway/src/daemon.rs
+++ b/daemons/gateway/src/daemon.rs
@@ -15,6 +15,7 @@
 
 use crate::cfg::GatewayCfg;
 use crate::ending::{ByStop, Phase};
+use crate::feed::Feed;
 use crate::link::{FOLLOWED, Link};
 use crate::serve;
 use crate::state::State;
@@ -73,6 +74,7 @@
         for turn in 0..FOLLOWED {
             tokio::spawn(link.clone().follow(turn));
         }
+        tokio::spawn(Feed::new(state.clone(), link.clone()).run());
         let listening = tokio::spawn(callers(state.clone(), listener, stop.subscribe()));
         tokio::spawn(internal(state.clone(), ready));
         tokio::spawn(internal(state.clone(), metrics));
--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -2,7 +2,8 @@
 //! service, and passes the answers on byte for byte as they come.
 //!
 //! Data goes one way: [`serve`] reads and admits a call, [`dispatch`] finds an endpoint and makes the
-//! attempts, [`answer`] and [`relay`] pass the answer on. [`link`] keeps up with the control instances.
+//! attempts, [`answer`] and [`relay`] pass the answer on. [`link`] keeps up with the control instances, [`feed`] fetches
+//! settings from them.
 
 pub mod answer;
 pub mod cfg;
@@ -12,6 +13,7 @@
 pub mod dispatch;
 pub mod ending;
 pub mod failure;
+pub mod feed;
 pub mod link;
 pub mod metrics;
 pub mod moves;
--- a/daemons/gateway/src/link.rs
+++ b/daemons/gateway/src/link.rs
@@ -14,6 +14,7 @@
 use sill_wire::control::Revision;
 use sill_wire::link::{ControlPlace, Cursor, LinkPoll, LinkReply};
 
+use crate::feed::Offers;
 use crate::state::State;
 
 /// Control instances that are followed at a time.
@@ -47,6 +48,7 @@
     followed: Mutex<[Option<SocketAddr>; FOLLOWED]>,
     failed: Mutex<Map<SocketAddr, Millis>>,
     sequence: AtomicU64,
+    offers: Offers,
 }
 
 /// Why a control instance is not followed any more.
@@ -67,9 +69,23 @@
             followed: Mutex::default(),
             failed: Mutex::default(),
             sequence: AtomicU64::new(0),
+            offers: Offers::default(),
         }
     }
 
+    /// Returns where settings that control instances have are offered.
+    pub fn offers(&self) -> &Offers {
+        &self.offers
+    }
+
+    /// Returns the control instances, those that are followed first.
+    pub fn sources(&self) -> Vec<SocketAddr> {
+        let followed: Vec<SocketAddr> = self.followed.lock().iter().flatten().copied().collect();
+        let mut all = self.candidates();
+        all.sort_by_key(|address| !followed.contains(address));
+        all
+    }
+
     /// Takes in other seeds.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
         *self.seeds.lock() = seeds;
@@ -100,10 +116,11 @@
         let client = PeerClient::new(address, &self.state.cfg.cluster_key, WAIT + PATIENCE);
         let mut cursor = Cursor::default();
         let mut led_at = None;
+        let mut told = Revision(0);
         let ends = |was_followed, why: String| Unfollowed { was_followed, why };
         loop {
             let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-            let have = Revision(self.state.table().map_or(0, |table| table.revision));
+            let have = told.max(Revision(self.state.table().map_or(0, |table| table.revision)));
             let report = self.state.report(sequence);
             let reply = match client.call(&LinkPoll { have, cursor, wait: WAIT, report }).await {
                 Ok(reply) => reply,
@@ -116,6 +133,10 @@
             cursor = reply.cursor;
             self.learn(reply.controls.clone());
             self.state.learn(&reply);
+            if let Some(manifest) = &reply.settings {
+                told = manifest.revision;
+                self.offers.offer(manifest.clone(), address);
+            }
             let since = led_at.get_or_insert(now);
             if reply.is_led {
                 *since = now;
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -24,6 +24,8 @@
     pub before_send: Histogram,
     /// The revision of the settings in force.
     pub revision: IntGauge,
+    /// Time from when a control instance cut a revision into pieces until it is in force here.
+    pub settings_age: Histogram,
     /// Open connections of callers.
     pub callers: IntGauge,
     /// Unused connections to endpoints.
@@ -65,6 +67,10 @@
                 "time before the first send",
             )?,
             revision: gauge("sill_gateway_revision", "revision of the settings in force")?,
+            settings_age: histogram(
+                "sill_gateway_settings_age_seconds",
+                "time from a revision's cut at control until it is in force",
+            )?,
             callers: gauge("sill_gateway_caller_connections", "open connections of callers")?,
             idle: gauge("sill_gateway_idle_connections", "unused connections to endpoints")?,
             registry,
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -4,14 +4,14 @@
 use std::sync::{Arc, OnceLock};
 
 use parking_lot::{Mutex, RwLock};
-use sill_base::{Clock, Map, Millis, Name, event};
+use sill_base::{Clock, Map, Millis, Name, Promise, event, keep};
 use sill_dispatch::usage::window_of;
 use sill_dispatch::{
     Average, Begin, Budgets, CallTimes, Heard, OpenCalls, OverLimit, Pool, PoolCfg, RouteTable,
     Shares, StopTimes, UsageCounter,
 };
 use sill_net::h1::{Connections, ConnectionsCfg, OpenConnections};
-use sill_tree::{Document, Engine};
+use sill_tree::Engine;
 use sill_wire::Incarnation;
 use sill_wire::link::{EndpointFact, EndpointState, EngineSpeed, LinkReply, ServiceReport};
 
@@ -211,9 +211,6 @@
     pub fn learn(&self, reply: &LinkReply) {
         let now = self.clock.now();
         self.time_offset.store((reply.true_time - now).0, Ordering::Relaxed);
-        if let Some(settings) = &reply.settings {
-            self.take_settings(now, settings.revision.0, &settings.document);
-        }
         for fact in &reply.endpoints {
             // Without a leader it may be cut off, and hears less than others.
             if fact.state != EndpointState::Silent || reply.is_led {
@@ -226,27 +223,22 @@
         }
     }
 
-    fn take_settings(&self, now: Millis, revision: u64, document: &serde_json::Value) {
+    /// Puts newer settings in force.
+    pub fn put_in_force(&self, table: Arc<RouteTable>) {
         let held = self.table().map_or(0, |table| table.revision);
-        if revision <= held {
-            return;
-        }
-        let document: Document = match serde_json::from_value(document.clone()) {
-            Ok(document) => document,
-            Err(err) => {
-                event!(Error, "settings_unreadable", revision = revision, error = err);
-                return;
-            }
-        };
-        let table = Arc::new(RouteTable::of(revision, &document));
-        self.shares.lock().set_limits(now, &table);
+        keep!(
+            Promise::AcceptedChangeStays,
+            table.revision > held,
+            "revision {} over {held}",
+            table.revision
+        );
+        self.shares.lock().set_limits(self.clock.now(), &table);
         for (name, pool) in &table.pools {
             let engine = pool.engine.as_ref();
             self.open_pool(name, engine);
         }
+        self.metrics.revision.set(table.revision as i64);
         self.table.send_replace(Some(table));
-        self.metrics.revision.set(revision as i64);
-        event!(Info, "settings_in_force", revision = revision, before = held);
     }
 
     fn open_pool(&self, service: &Name, engine: Option<&Engine>) -> Arc<PoolState> {
--- /dev/null
+++ b/daemons/gateway/tests/settings.rs
@@ -0,0 +1,290 @@
+//! Settings on their way to an entry instance, over links that are slow, break or garble.
+
+#[allow(dead_code)] // The tests of settings use a part of it.
+mod support;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use sill_base::{Map, Millis, Name, Secret};
+use sill_gateway::{Gateway, GatewayCfg};
+use sill_net::{PeerError, PeerServer, PeerServerBuilder};
+use sill_standin::loopback::free_addresses;
+use sill_tree::{Document, PieceId, Pool, Route, Service, Share};
+use sill_wire::link::{ControlPlace, Cursor, LinkPoll, LinkReply};
+use sill_wire::settings::{Piece, PiecesAsk, PiecesReply};
+use support::cut::Cut;
+use support::{CLUSTER_KEY, cfg, exchange, request};
+use tokio::runtime::Runtime;
+
+/// How long a test waits before it counts as hung.
+const HUNG: Duration = Duration::from_secs(30);
+
+/// Longer than a poll may take, with its wait.
+const LONGER_THAN_A_POLL: Duration = Duration::from_millis(900);
+
+/// What a control instance does about an ask for pieces.
+#[derive(Debug, Clone, Default)]
+struct Way {
+    /// How long each answer takes.
+    slow: Duration,
+    /// Pieces in one answer.
+    pieces: usize,
+    /// Answers after which it refuses all others.
+    breaks_after: Option<usize>,
+    /// Pieces that are garbled when they first go out.
+    garbles: Vec<PieceId>,
+}
+
+/// A stand-in for a control instance.
+#[derive(Debug)]
+struct Source {
+    cut: Mutex<Cut>,
+    way: Mutex<Way>,
+    /// Pieces that it handed out whole.
+    sent: Mutex<Map<PieceId, usize>>,
+    answers: Mutex<usize>,
+    others: Mutex<Vec<ControlPlace>>,
+}
+
+/// An entry instance and control instances.
+struct World {
+    sources: Vec<Arc<Source>>,
+    address: SocketAddr,
+    metrics: SocketAddr,
+    runtime: Runtime,
+    gateway: Option<Gateway>,
+    _servers: Vec<PeerServer>,
+}
+
+impl Source {
+    fn new(document: &Document, way: Way) -> Arc<Self> {
+        Arc::new(Self {
+            cut: Mutex::new(Cut::of(1, document)),
+            way: Mutex::new(way),
+            sent: Mutex::default(),
+            answers: Mutex::default(),
+            others: Mutex::default(),
+        })
+    }
+
+    fn serve(self: &Arc<Self>) -> PeerServer {
+        let mut peers = PeerServerBuilder::new(Secret::new(CLUSTER_KEY));
+        let source = self.clone();
+        peers.answer(move |poll: LinkPoll| source.clone().poll(poll));
+        let source = self.clone();
+        peers.answer(move |ask: PiecesAsk| source.clone().pieces(ask));
+        peers.start(TcpListener::bind("127.0.0.1:0").expect("a port is free")).expect("it starts")
+    }
+
+    async fn poll(self: Arc<Self>, poll: LinkPoll) -> Result<LinkReply, PeerError> {
+        let manifest = self.cut.lock().manifest.clone();
+        let is_known = poll.have >= manifest.revision;
+        if is_known {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        Ok(LinkReply {
+            settings: (!is_known).then_some(manifest),
+            cursor: Cursor::default(),
+            endpoints: Vec::new(),
+            controls: self.others.lock().clone(),
+            totals: None,
+            true_time: Millis::wall(),
+            is_led: true,
+        })
+    }
+
+    async fn pieces(self: Arc<Self>, ask: PiecesAsk) -> Result<PiecesReply, PeerError> {
+        let way = self.way.lock().clone();
+        tokio::time::sleep(way.slow).await;
+        let mut answers = self.answers.lock();
+        *answers += 1;
+        if way.breaks_after.is_some_and(|after| *answers > after) {
+            return Err(PeerError::Refused("the link is cut".to_owned()));
+        }
+        let cut = self.cut.lock().clone();
+        let mut reply = cut.reply(&ask);
+        reply.pieces.truncate(way.pieces.max(1));
+        for piece in &mut reply.pieces {
+            let garbles = &mut self.way.lock().garbles;
+            if let Some(at) = garbles.iter().position(|id| *id == piece.id) {
+                garbles.remove(at);
+                let other = cut.pieces.values().find(|other| other.id != piece.id);
+                piece.text = other.expect("there are more").text.clone();
+            } else {
+                *self.sent.lock().entry(piece.id.clone()).or_default() += 1;
+            }
+        }
+        Ok(reply)
+    }
+
+    /// Tells a newer revision from now on.
+    fn change(&self, revision: u64, document: &Document) {
+        *self.cut.lock() = Cut::of(revision, document);
+    }
+}
+
+impl World {
+    fn start(sources: Vec<Arc<Source>>) -> Self {
+        let runtime = Runtime::new().expect("a runtime");
+        let _guard = runtime.enter();
+        let servers: Vec<PeerServer> = sources.iter().map(Source::serve).collect();
+        let places = servers.iter().enumerate().map(|(i, server)| ControlPlace {
+            name: format!("c{i}").into(),
+            domain: format!("d{i}").into(),
+            peer: server.address(),
+            address: server.address(),
+        });
+        let places: Vec<ControlPlace> = places.collect();
+        sources.iter().for_each(|source| source.others.lock().clone_from(&places));
+        let addresses = free_addresses(3).expect("ports are free");
+        let cfg: GatewayCfg = cfg(&addresses, servers[0].address());
+        let gateway = Gateway::start(cfg).expect("it starts");
+        Self {
+            sources,
+            address: gateway.address,
+            metrics: addresses[2],
+            gateway: Some(gateway),
+            runtime,
+            _servers: servers,
+        }
+    }
+
+    fn in_force(&self) -> u64 {
+        let page = exchange(self.metrics, "GET /metrics HTTP/1.1\r\nhost: h\r\n\r\n");
+        let text = String::from_utf8(page.body).expect("text");
+        let mut lines = text.lines();
+        let value = lines.find_map(|line| line.strip_prefix("sill_gateway_revision "));
+        value.and_then(|value| value.parse().ok()).unwrap_or_default()
+    }
+
+    fn wait_for(&self, revision: u64) {
+        let end = Instant::now() + HUNG;
+        while self.in_force() < revision {
+            assert!(Instant::now() < end, "revision {revision} never came into force");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Returns whether calls of a route are let in; without endpoints they get 503.
+    fn knows(&self, route: usize) -> bool {
+        exchange(self.address, &request(&format!("/p{route}/x"), "")).status == 503
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        if let Some(gateway) = self.gateway.take() {
+            self.runtime.block_on(gateway.stop());
+        }
+    }
+}
+
+fn route(i: usize) -> (Name, Route) {
+    let route = Route {
+        host: "desk.example".into(),
+        path: format!("/p{i}/").into(),
+        timeout_ms: Millis(10_000),
+        split: vec![Share { service: "desk".into(), weight: 1 }],
+        max_attempts: 1,
+        anonymous: true,
+        ..Route::default()
+    };
+    (format!("route-{i}").into(), route)
+}
+
+fn document(routes: usize) -> Document {
+    let services = [("desk".into(), Service::Pool(Pool::default()))].into();
+    Document { services, routes: (0..routes).map(route).collect(), ..Document::default() }
+}
+
+#[test]
+fn settings_that_take_longer_than_a_poll_come_all_the_same() {
+    // Thousands of routes cross a narrow link. If the whole tree has to come before the next poll is due,
+    // it is thrown away and asked for again, and a restarted instance refuses all calls for ever.
+    let document = document(600);
+    let way = Way { slow: Duration::from_millis(250), pieces: 2, ..Way::default() };
+    let source = Source::new(&document, way);
+    let answers = source.cut.lock().pieces.len().div_ceil(2) as u32;
+    assert!(Duration::from_millis(250) * answers > LONGER_THAN_A_POLL, "{answers} answers");
+    let world = World::start(vec![source]);
+    world.wait_for(1);
+    assert!(world.knows(0) && world.knows(599));
+    let sent = world.sources[0].sent.lock().clone();
+    assert!(sent.values().all(|times| *times == 1), "pieces came twice: {sent:?}");
+}
+
+#[test]
+fn a_fetch_that_breaks_in_the_middle_goes_on_elsewhere() {
+    // The control instance that serves the settings is killed after a part of them. What came must not
+    // be fetched again; a caller notices nothing but a little more time.
+    let document = document(600);
+    let first = Way { pieces: 2, breaks_after: Some(2), ..Way::default() };
+    let second = Way { pieces: 100, ..Way::default() };
+    let sources = vec![Source::new(&document, first), Source::new(&document, second)];
+    let world = World::start(sources);
+    world.wait_for(1);
+    assert!(world.knows(0) && world.knows(599));
+    let (first, second) = (world.sources[0].sent.lock(), world.sources[1].sent.lock());
+    assert!(first.keys().all(|id| !second.contains_key(id)), "{first:?} and {second:?}");
+}
+
+#[test]
+fn a_garbled_piece_is_fetched_again_alone() {
+    // One piece comes damaged. Settings that nobody wrote must not be in force, and the other pieces must
+    // not be asked for again.
+    let document = document(600);
+    let source = Source::new(&document, Way { pieces: 100, ..Way::default() });
+    let id = source.cut.lock().manifest.pieces[4].clone();
+    source.way.lock().garbles = vec![id];
+    let world = World::start(vec![source]);
+    world.wait_for(1);
+    assert!(world.knows(0) && world.knows(599));
+    let sent = world.sources[0].sent.lock().clone();
+    assert!(sent.values().all(|times| *times == 1), "pieces came twice: {sent:?}");
+}
+
+#[test]
+fn a_series_of_large_changes_ends_in_the_newest() {
+    // Each change adds hundreds of routes, and the next one comes before the last is fetched. The newest
+    // must be in force in the end, and what the versions share must have come once.
+    let source = Source::new(
+        &document(300),
+        Way { slow: Duration::from_millis(30), pieces: 3, ..Way::default() },
+    );
+    let world = World::start(vec![source]);
+    for revision in 2..=12 {
+        let routes = 300 + 100 * revision as usize;
+        world.sources[0].change(revision, &document(routes));
+        thread::sleep(Duration::from_millis(60));
+    }
+    world.wait_for(12);
+    assert!(world.knows(0) && world.knows(1499));
+    let sent = world.sources[0].sent.lock().clone();
+    assert!(sent.values().all(|times| *times == 1), "pieces came twice: {sent:?}");
+}
+
+#[test]
+fn a_piece_that_is_at_hand_nowhere_leaves_the_settings_in_force() {
+    // A control instance tells of a revision whose pieces it lost with a restart. Calls must go on by the
+    // settings in force until a revision comes that can be had.
+    let source = Source::new(&document(100), Way { pieces: 100, ..Way::default() });
+    let world = World::start(vec![source]);
+    world.wait_for(1);
+    let lost: Piece = {
+        let mut cut = Cut::of(2, &document(200));
+        let id = cut.manifest.pieces[1].clone();
+        let piece = cut.pieces.remove(&id).expect("it is there");
+        *world.sources[0].cut.lock() = cut;
+        piece
+    };
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(world.in_force(), 1);
+    assert!(world.knows(0));
+    world.sources[0].cut.lock().pieces.insert(lost.id.clone(), lost);
+    world.wait_for(2);
+    assert!(world.knows(199));
+}
--- /dev/null
+++ b/daemons/gateway/tests/support/cut.rs
@@ -0,0 +1,36 @@
+//! Settings in pieces, as a stand-in for a control instance tells them.
+
+use sill_base::{Map, Millis, Packed};
+use sill_tree::{Document, PieceId, pieces};
+use sill_wire::control::Revision;
+use sill_wire::settings::{Manifest, Piece, PiecesAsk, PiecesReply};
+
+/// One revision in pieces.
+#[derive(Debug, Clone)]
+pub struct Cut {
+    pub manifest: Manifest,
+    pub pieces: Map<PieceId, Piece>,
+}
+
+impl Cut {
+    /// Cuts a document.
+    pub fn of(revision: u64, document: &Document) -> Self {
+        let texts = pieces::cut(document).into_iter();
+        let pieces = texts.map(|part| {
+            let text = serde_json::to_string(&part).expect("it can be written");
+            Piece { id: PieceId::of(&text), text: Packed::of(&text) }
+        });
+        let pieces: Vec<Piece> = pieces.collect();
+        let ids = pieces.iter().map(|piece| piece.id.clone()).collect();
+        let manifest =
+            Manifest { revision: Revision(revision), cut_at: Millis::wall(), pieces: ids };
+        let pieces = pieces.into_iter().map(|piece| (piece.id.clone(), piece)).collect();
+        Self { manifest, pieces }
+    }
+
+    /// Answers with all pieces that it has.
+    pub fn reply(&self, ask: &PiecesAsk) -> PiecesReply {
+        let found = ask.pieces.iter().filter_map(|id| self.pieces.get(id).cloned());
+        PiecesReply { pieces: found.collect() }
+    }
+}
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! An entry instance between scripted endpoints and a stand-in for a control instance.
 
+pub mod cut;
 pub mod lines;
 
 use std::collections::VecDeque;
@@ -24,11 +25,14 @@
 use sill_tree::{Account, Document, Engine, KeyHash, Pool, Route, RouteKind, Service, Share};
 use sill_wire::Incarnation;
 use sill_wire::control::Revision;
-use sill_wire::link::{Cursor, EndpointFact, EndpointState, LinkPoll, LinkReply, ServedSettings};
+use sill_wire::link::{Cursor, EndpointFact, EndpointState, LinkPoll, LinkReply};
+use sill_wire::settings::PiecesAsk;
 use tokio::runtime::Runtime;
 
+use self::cut::Cut;
+
 /// The key that our own processes share.
-const CLUSTER_KEY: &str = "test";
+pub const CLUSTER_KEY: &str = "test";
 
 /// A caller's key.
 pub const KEY: &str = "caller-key";
@@ -298,6 +302,11 @@
             polled.fetch_add(1, Ordering::Relaxed);
             answer(poll, told.lock().clone(), has_settings)
         });
+        let cut = Cut::of(1, &document());
+        peers.answer(move |ask: PiecesAsk| {
+            let reply = cut.reply(&ask);
+            async move { Ok(reply) }
+        });
         let control = peers.start(listener).expect("it starts");
         let addresses = free_addresses(3).expect("ports are free");
         let cfg = GatewayCfg { stop, ..cfg(&addresses, control.address()) };
@@ -490,7 +499,8 @@
     }
 }
 
-fn cfg(addresses: &[SocketAddr], control: SocketAddr) -> GatewayCfg {
+/// Makes the settings of an entry instance that knows one control instance.
+pub fn cfg(addresses: &[SocketAddr], control: SocketAddr) -> GatewayCfg {
     GatewayCfg {
         name: format!("entry-{}", addresses[0]).into(),
         domain: "a".into(),
@@ -556,12 +566,8 @@
     if is_known {
         tokio::time::sleep(poll.wait.into()).await;
     }
-    let settings = ServedSettings {
-        revision: Revision(1),
-        document: serde_json::to_value(document()).expect("it can be written"),
-    };
     Ok(LinkReply {
-        settings: (has_settings && !is_known).then_some(settings),
+        settings: (has_settings && !is_known).then(|| Cut::of(1, &document()).manifest),
         cursor: Cursor::default(),
         endpoints: facts,
         controls: Vec::new(),
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod member;
 pub mod prefix;
 pub mod priority;
+pub mod settings;
 
 pub use announce::{Announcement, Incarnation, Load, Role, Served};
 pub use call::Call;
--- a/protocol/wire/src/link.rs
+++ b/protocol/wire/src/link.rs
@@ -4,12 +4,12 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 use sill_base::{Millis, Name};
 
 use crate::announce::Incarnation;
 use crate::call::Call;
 use crate::control::Revision;
+use crate::settings::Manifest;
 
 /// Where an endpoint is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -150,7 +150,7 @@
 /// A waiting call by which an entry instance gets what is new.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LinkPoll {
-    /// The revision of the served subtree that it runs.
+    /// The newest revision of the served settings that it runs, or that the called instance told it of.
     pub have: Revision,
     /// Up to where it knows this control instance's endpoint changes.
     pub cursor: Cursor,
@@ -160,15 +160,6 @@
     pub report: EntryReport,
 }
 
-/// The subtree that holds routes, as it is served.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct ServedSettings {
-    /// The revision of its last change.
-    pub revision: Revision,
-    /// Its document.
-    pub document: Value,
-}
-
 /// The demand for one account over all entry instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AccountTotal {
@@ -199,8 +190,9 @@
 /// What is new for an entry instance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LinkReply {
-    /// Newer settings, if there are any.
-    pub settings: Option<ServedSettings>,
+    /// What newer settings are made of, if there are any. Were the settings themselves told here, a slow
+    /// link would hold up totals and departures of endpoints for as long as it takes them.
+    pub settings: Option<Manifest>,
     /// Up to where the changes go.
     pub cursor: Cursor,
     /// Endpoints that changed.
--- a/state/tree/src/lib.rs
+++ b/state/tree/src/lib.rs
@@ -6,9 +6,11 @@
 pub mod json;
 pub mod object;
 pub mod owner;
+pub mod pieces;
 pub mod read;
 mod read_route;
 pub mod route;
+pub mod stored;
 pub mod tree;
 
 pub use document::{
@@ -17,5 +19,7 @@
 pub use effective::{Effective, EffectiveAccount, EffectiveService};
 pub use json::read_json;
 pub use owner::{Operator, redacted};
+pub use pieces::PieceId;
 pub use route::{CallerBounds, CapacityRange, Engine, Pool, Route, RouteKind, Share};
+pub use stored::{DocumentText, StoredDocument};
 pub use tree::{Subtree, Tree};
--- a/state/tree/src/tree.rs
+++ b/state/tree/src/tree.rs
@@ -10,6 +10,7 @@
 use crate::document::Document;
 use crate::object::Place;
 use crate::read;
+use crate::stored::StoredDocument;
 
 /// The longest path, in bytes.
 const MAX_PATH: usize = 512;
@@ -25,7 +26,7 @@
     /// Who made it.
     pub author: Name,
     /// Its document.
-    pub document: Document,
+    pub document: StoredDocument,
 }
 
 /// All subtrees by path; a path is names joined by `/`, and the root's is empty.
@@ -61,7 +62,7 @@
         }
         let document = read::document(path, value, &mut findings);
         let mut documents: Documents<'_> =
-            self.subtrees.iter().map(|(path, subtree)| (&**path, &subtree.document)).collect();
+            self.subtrees.iter().map(|(path, subtree)| (&**path, &*subtree.document)).collect();
         // What the tree has already is not this change's fault and must not hold it up.
         let before = check::whole_tree(&documents, path);
         documents.insert(path, &document);
@@ -74,8 +75,12 @@
     }
 
     /// Puts a checked document in place as `revision`.
-    pub fn put(&mut self, path: Name, revision: u64, author: Name, document: Document) {
+    pub fn put<D>(&mut self, path: Name, revision: u64, author: Name, document: D)
+    where
+        D: Into<StoredDocument>,
+    {
         self.revision = revision;
+        let document = document.into();
         self.subtrees.insert(path, Subtree { revision, author, document });
     }
 
