Committed entries are applied in one go

What a caller could see: an entry instance that restarts beside a control instance runs settings that were replaced long ago, for as long as the control instance replays its log.

Cause: the state was open to readers between two entries of a log that is committed at once after a restart. The test of twelve changes of 1,400 routes got the second of them after the restart. Ruled out: the cut that is kept (a fresh one was made from the state as it stood).

Entries that one step commits are applied under one lock, and documents are read once, after the last of them.

--- a/daemons/control/src/log/driver.rs
+++ b/daemons/control/src/log/driver.rs
@@ -182,7 +182,6 @@
                 return;
             }
             self.take(batch);
-            self.app.read().read_documents();
             self.compact();
             self.report();
         }
@@ -233,12 +232,19 @@
         };
         let mut actions = Vec::new();
         replica.step(now, event, &mut actions);
+        let mut committed = Vec::new();
         for action in actions {
+            if let Action::Apply { index, entry } = action {
+                committed.push((index, entry));
+                continue;
+            }
+            self.apply(std::mem::take(&mut committed));
             if let Err(err) = self.carry_out(action) {
                 self.stop_taking_part(now, &err);
                 return;
             }
         }
+        self.apply(committed);
     }
 
     fn carry_out(&mut self, action: Action) -> Result<(), WriteError> {
@@ -255,7 +261,7 @@
                     panic!("a snapshot of a newer version of sill-control: {err:#}");
                 }
             }
-            Action::Apply { index, entry } => self.apply(index, &entry),
+            Action::Apply { index, entry } => self.apply(vec![(index, entry)]),
             Action::Proposed { tag, first, term } => {
                 let waiters = self.proposed.remove(&tag).unwrap_or_default();
                 for (index, done) in (first..).zip(waiters) {
@@ -273,21 +279,32 @@
         }
     }
 
-    fn apply(&mut self, index: u64, entry: &Entry) {
+    /// Applies entries in one go.
+    ///
+    /// After a restart a whole log is committed at once. Whoever reads the state in between would be told
+    /// settings that were replaced long ago, and entry instances that restart as well would run them.
+    fn apply(&mut self, committed: Vec<(u64, Entry)>) {
+        let mut app = self.app.write();
         // After a disk fault the replica starts again from its disk, behind the state.
-        if index <= self.app.read().index() {
+        let behind = app.index();
+        let new = committed.into_iter().filter(|(index, _)| *index > behind);
+        let applied = new.map(|(index, entry)| (index, entry.term, app.apply(index, &entry)));
+        let applied: Vec<_> = applied.collect();
+        if applied.is_empty() {
             return;
         }
-        let outcome = self.app.write().apply(index, entry);
-        if let Some(waiting) = self.waiting.remove(&index) {
+        app.read_documents();
+        self.news.tell(&app);
+        drop(app);
+        for (index, term, outcome) in applied {
+            let Some(waiting) = self.waiting.remove(&index) else { continue };
             let result = match outcome {
-                Some(outcome) if waiting.term == entry.term => Submitted::Applied(outcome),
+                Some(outcome) if waiting.term == term => Submitted::Applied(outcome),
                 // Another leader's entry stands there; this one will never be committed.
                 _ => Submitted::NotLeader,
             };
             let _ = waiting.done.send(result);
         }
-        self.news.tell(&self.app.read());
     }
 
     fn restore(&mut self, snapshot: &Snapshot) -> Result<()> {
@@ -296,6 +313,7 @@
         }
         let app: App = serde_json::from_str(&snapshot.data)?;
         event!(Info, "snapshot_taken_in", index = snapshot.index, bytes = snapshot.data.len());
+        app.read_documents();
         *self.app.write() = app;
         self.waiting = self.waiting.split_off(&(snapshot.index + 1));
         self.news.tell(&self.app.read());
--- a/daemons/control/tests/served.rs
+++ b/daemons/control/tests/served.rs
@@ -11,7 +11,7 @@
 use sill_dispatch::{Assembly, RouteTable};
 use sill_net::PeerClient;
 use sill_standin::loopback::free_addresses;
-use sill_store::FaultyDisk;
+use sill_store::{FaultyDisk, Store};
 use sill_tree::{Document, Pool, Route, Service, Share};
 use sill_wire::Incarnation;
 use sill_wire::control::Revision;
@@ -201,3 +201,25 @@
     let table = world.runtime.block_on(fetch(&client, &newest));
     assert_eq!(attempts(&table, 299), Some(3));
 }
+
+#[test]
+fn large_changes_take_a_part_of_their_size_on_disk_and_outlast_a_restart() {
+    // Operators add thousands of routes in a series of changes. Each is written to the disks of all voters
+    // and sent to them; as plain text they held up heartbeats, filled the disk, and took seconds to be
+    // read after a restart.
+    const CHANGES: u32 = 12;
+    let mut world = World::start();
+    for max_attempts in 1..=CHANGES {
+        world.put(&document(1400, max_attempts));
+    }
+    world.stop();
+    let (_, recovered) = Store::open(world.disk.clone()).expect("it opens");
+    let largest = recovered.records.iter().map(Vec::len).max().unwrap_or_default();
+    let text = serde_json::to_string(&document(1400, 1)).expect("it can be written");
+    assert!(largest * 5 < text.len(), "{largest} bytes for a document of {}", text.len());
+    world.run();
+    let client = client(world.peer);
+    let newest = world.runtime.block_on(manifest(&client, 0, 0));
+    let table = world.runtime.block_on(fetch(&client, &newest));
+    assert_eq!(attempts(&table, 1399), Some(CHANGES));
+}
