Entry instances hear the loads of endpoints from each other, and compare a few drawn ones

What callers saw: calls that wait beside idle engines.

Cause: an instance hears of an engine's load only with answers of its own, of which it has one from each engine every 17 s. Ruled out: what endpoints tell (4.5 on average where 4.4 ran), homes (they are the same for all).

Reports carry the loads told of late, control instances pass on the newest. Two of the own failure domain and one of all others are compared, beside the home.

--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -7,9 +7,10 @@
 use rustc_hash::FxHasher;
 use sill_base::{Machine, Map, Millis, Name};
 use sill_route::{
-    Ask, ByPriority, Choice, Event, Outcome, PolicyCfg, RefusalReason, Router, RouterCfg, Target,
+    Ask, ByPriority, Choice, Drawn, Event, Outcome, PolicyCfg, RefusalReason, Router, RouterCfg,
+    Target,
 };
-use sill_wire::link::{EndpointFact, EndpointState, EngineSpeed};
+use sill_wire::link::{EndpointFact, EndpointState, EngineSpeed, LoadWord};
 use sill_wire::prefix::BLOCK_TOKENS;
 use sill_wire::{Announcement, Incarnation, Load, Priority, Role, Served};
 
@@ -28,6 +29,9 @@
 /// 10 ms this gained 0.008 of the mean worth where bytes are dear, and nothing was lost elsewhere.
 const ELSEWHERE: Millis = Millis(40);
 
+/// Endpoints that a call is compared at, beside its home.
+const DRAWN: Option<Drawn> = Some(Drawn { here: 2.0, elsewhere: 1.0 });
+
 /// Blocks of prompts that one pool remembers; at 64 tokens a block, 4 million tokens.
 const MAX_BLOCKS: usize = 1 << 16;
 
@@ -138,6 +142,8 @@
 struct Known {
     fact: EndpointFact,
     load: Load,
+    /// When it was that load, if it told one.
+    loaded_at: Option<Millis>,
     own: u32,
     heard: Millis,
 }
@@ -171,7 +177,13 @@
         if matches!(heard, Heard::Restart(_)) {
             self.endpoints.remove(&fact.endpoint);
         }
-        let fresh = || Known { fact: fact.clone(), load: Load::default(), own: 0, heard: now };
+        let fresh = || Known {
+            fact: fact.clone(),
+            load: Load::default(),
+            loaded_at: None,
+            own: 0,
+            heard: now,
+        };
         let known = self.endpoints.entry(fact.endpoint.clone()).or_insert_with(fresh);
         known.fact = fact.clone();
         known.heard = now;
@@ -209,10 +221,47 @@
 
     /// Takes in the load that an endpoint reported with an answer.
     pub fn load(&mut self, now: Millis, place: &Place, running: u32, queued: u32) {
-        if let Some(known) = self.life(place).filter(|known| !known.is_gone()) {
-            known.load = Load { running, queued, ..Load::default() };
-            self.announce(now, &place.endpoint);
-        }
+        self.loaded(
+            now,
+            now,
+            &place.endpoint,
+            place.born,
+            Load { running, queued, ..Load::default() },
+        );
+    }
+
+    /// Takes in the load that an endpoint told another entry instance.
+    ///
+    /// Each of many entry instances has few answers from one endpoint, and what that said of its load is old when
+    /// the next call is placed: with 94 of them some 17 s, and endpoints that ran 6 and 31 calls looked the same.
+    pub fn load_elsewhere(&mut self, now: Millis, word: &LoadWord) {
+        let load = Load { running: word.running, queued: word.queued, ..Load::default() };
+        self.loaded(now, now - word.age, &word.endpoint, word.born, load);
+    }
+
+    fn loaded(&mut self, now: Millis, at: Millis, endpoint: &Name, born: Incarnation, load: Load) {
+        let known = self.endpoints.get_mut(endpoint);
+        let known = known.filter(|known| known.fact.born == born && !known.is_gone());
+        let Some(known) = known.filter(|known| known.loaded_at.is_none_or(|last| at > last)) else {
+            return;
+        };
+        known.load = load;
+        known.loaded_at = Some(at);
+        self.announce(now, endpoint);
+    }
+
+    /// Returns the loads that endpoints told within a span.
+    pub fn loads(&self, now: Millis, span: Millis) -> impl Iterator<Item = LoadWord> {
+        self.endpoints.iter().filter_map(move |(endpoint, known)| {
+            let age = now - known.loaded_at?;
+            (age < span).then(|| LoadWord {
+                endpoint: endpoint.clone(),
+                born: known.fact.born,
+                running: known.load.running,
+                queued: known.load.queued,
+                age,
+            })
+        })
     }
 
     /// Takes in that an endpoint has no room.
@@ -330,7 +379,7 @@
             prefill_tokens_per_s: 0,
             decode_ms: 0,
             cache_tokens: self.cfg.cache_tokens,
-            load: known.load,
+            load: Load { age: known.loaded_at.map_or(Millis::ZERO, |at| now - at), ..known.load },
             leaving: is_leaving.then(|| known.fact.leaves_in.unwrap_or_default()),
             checks_fencing: false,
         };
@@ -370,6 +419,7 @@
         wait_factor: ByPriority::UNBOUNDED,
         slow_start: Millis(500),
         elsewhere: ELSEWHERE,
+        drawn: DRAWN,
         prefill_tokens_per_s: PREFILL_TOKENS_PER_S,
         decode: DECODE,
         ..PolicyCfg::default()
--- a/coordination/dispatch/src/registry.rs
+++ b/coordination/dispatch/src/registry.rs
@@ -166,7 +166,7 @@
 
     /// Returns the newest change.
     pub fn cursor(&self) -> Cursor {
-        Cursor { life: self.life, change: self.change }
+        Cursor { life: self.life, change: self.change, ..Cursor::default() }
     }
 
     /// Returns what changed after a cursor; one of another life gets everything.
--- a/coordination/dispatch/tests/shares.rs
+++ b/coordination/dispatch/tests/shares.rs
@@ -162,6 +162,7 @@
             usage: Vec::new(),
             accounts: self.shares[entry].report(Millis(now)),
             services: Vec::new(),
+            loads: Vec::new(),
         }
     }
 
--- a/coordination/dispatch/tests/usage.rs
+++ b/coordination/dispatch/tests/usage.rs
@@ -21,6 +21,7 @@
         usage: usage.collect(),
         accounts: Vec::new(),
         services: Vec::new(),
+        loads: Vec::new(),
     }
 }
 
--- a/coordination/route/src/lib.rs
+++ b/coordination/route/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod weaken;
 
 pub use ask::{Ask, Choice, Chosen, Event, Outcome, Refusal, RefusalReason, Target};
-pub use policy::{ByPriority, Policy, PolicyCfg};
+pub use policy::{ByPriority, Drawn, Policy, PolicyCfg};
 pub use retry::{RetryBudget, RetryCfg};
 pub use router::{Router, RouterCfg};
 pub use weaken::Weakening;
--- a/coordination/route/src/policy.rs
+++ b/coordination/route/src/policy.rs
@@ -54,6 +54,10 @@
     pub crowding: Millis,
     /// Weight of an endpoint's price against the dearest, on the time that a request takes.
     pub price_weight: f64,
+    /// Endpoints drawn for each request, beside its home and those that hold its prompt; all where it is none.
+    /// Where many entry instances hear of the same loads, all of them would send to the idlest endpoint until
+    /// the next word of it.
+    pub drawn: Option<Drawn>,
     /// Chance in a second that a reclaimable endpoint is reclaimed, while nothing points to it.
     pub reclaim_per_s: f64,
     /// How long one reclaim makes others of its failure domain likely.
@@ -72,6 +76,15 @@
     pub retry_after: Millis,
 }
 
+/// How many endpoints are drawn for a request, on average.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Drawn {
+    /// Of the own failure domain.
+    pub here: f64,
+    /// Of the others together.
+    pub elsewhere: f64,
+}
+
 /// A bound for each priority: low is refused first.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ByPriority {
@@ -115,6 +128,7 @@
             slow_start: Millis(10_000),
             elsewhere: Millis(50),
             crowding: Millis(200),
+            drawn: None,
             price_weight: 0.02,
             reclaim_per_s: 1.0 / 21_600.0,
             wave_window: Millis(30_000),
--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -11,7 +11,7 @@
 use crate::endpoint::Endpoint;
 use crate::home;
 use crate::newest::Newest;
-use crate::policy::{ByPriority, PolicyCfg};
+use crate::policy::{ByPriority, Drawn, PolicyCfg};
 use crate::prefix::{Depths, PrefixIndex};
 use crate::risk::Waves;
 use crate::score::{Candidate, Scorer};
@@ -113,7 +113,11 @@
     pub fn choose(&mut self, now: Millis, ask: &Ask) -> Choice {
         let mut depths = std::mem::take(&mut self.depths);
         self.prefixes.depths(&ask.blocks, self.slots, &mut depths);
-        let choice = self.choose_by(now, ask, &depths);
+        let mut choice = self.choose_by(now, ask, &depths, self.policy.drawn);
+        if matches!(choice, Choice::Refuse(_)) && self.policy.drawn.is_some() {
+            // Those that were not drawn may have room.
+            choice = self.choose_by(now, ask, &depths, None);
+        }
         self.depths = depths;
         if let Choice::Endpoint(chosen) = &choice {
             self.check_choice(now, chosen);
@@ -121,7 +125,13 @@
         choice
     }
 
-    fn choose_by(&mut self, now: Millis, ask: &Ask, depths: &Depths) -> Choice {
+    fn choose_by(
+        &mut self,
+        now: Millis,
+        ask: &Ask,
+        depths: &Depths,
+        drawn: Option<Drawn>,
+    ) -> Choice {
         let mut scorer = Scorer::new(&self.policy, ask, self.survey.dearest);
         let mut reason = RefusalReason::NoEndpoint;
         let home = self.home(now, ask);
@@ -131,7 +141,12 @@
             let candidate = self.candidate(now, ask, endpoint, cached, home);
             let fit = self.check(now, ask, &candidate);
             has_healthy |= !candidate.suspect && !matches!(fit, Err(Unfit::No));
+            let is_drawn = drawn.is_none_or(|drawn| {
+                let chance = self.survey.chance(drawn, candidate.elsewhere);
+                candidate.is_home || cached > 0 || self.rng.random::<f64>() < chance
+            });
             match fit {
+                Ok(()) if !is_drawn => scorer.count(&candidate),
                 Ok(()) => {
                     scorer.offer(candidate, &mut self.rng);
                     reason = RefusalReason::Full;
@@ -348,7 +363,8 @@
     }
 
     fn survey(&mut self, now: Millis) {
-        self.survey.renew(now, self.endpoints.values(), &self.policy);
+        let (domain, policy) = (&self.cfg.domain, &self.policy);
+        self.survey.renew(now, self.endpoints.values(), domain, policy);
     }
 
     fn forget_words(&mut self, now: Millis) {
--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -5,13 +5,13 @@
 
 use parking_lot::Mutex;
 use sill_base::{Findings, Map, Millis, Name, event};
-use sill_dispatch::{Adder, Ledger, Registry, TrueTime};
+use sill_dispatch::{Adder, Ledger, Loads, Registry, TrueTime};
 use sill_net::PeerError;
 use sill_quorum::RoleName;
 use sill_wire::Incarnation;
 use sill_wire::link::{
     ControlSync, ControlSyncReply, Cursor, EndpointFact, EndpointState, EntryReport, LinkPoll,
-    LinkReply, Totals,
+    LinkReply, LoadWord, Totals,
 };
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -45,6 +45,7 @@
     registry: Mutex<Registry>,
     ledger: Mutex<Ledger>,
     time: Mutex<TrueTime>,
+    loads: Mutex<Loads>,
     totals: Mutex<Option<TotalsHeard>>,
     adder: Mutex<Adder>,
     changes: watch::Sender<u64>,
@@ -77,6 +78,7 @@
             registry: Mutex::new(Registry::new(life, cfg.endpoint_heartbeat)),
             ledger: Mutex::default(),
             time: Mutex::default(),
+            loads: Mutex::default(),
             totals: Mutex::default(),
             adder: Mutex::default(),
             changes: watch::Sender::new(0),
@@ -185,7 +187,9 @@
     }
 
     /// Takes in the report of an entry instance.
-    fn reported(&self, now: Millis, report: EntryReport) {
+    fn reported(&self, now: Millis, mut report: EntryReport) {
+        let loads = std::mem::take(&mut report.loads);
+        self.loads.lock().take(now, loads);
         self.time.lock().read(now, &report.entry, report.wall);
         self.ledger.lock().take(now, report, true);
     }
@@ -204,12 +208,24 @@
         Some(Totals { age: now - heard.at, ..heard.totals })
     }
 
-    fn news(&self, now: Millis, cursor: Cursor) -> (Cursor, Vec<EndpointFact>) {
-        let registry = self.registry.lock();
-        (registry.cursor(), registry.newer_than(now, cursor))
+    fn news(&self, now: Millis, cursor: Cursor) -> News {
+        let (newest, endpoints) = {
+            let registry = self.registry.lock();
+            (registry.cursor(), registry.newer_than(now, cursor))
+        };
+        let seen = if cursor.life == self.life { cursor.load } else { 0 };
+        let (load, loads) = self.loads.lock().newer_than(now, seen);
+        News { cursor: Cursor { load, ..newest }, endpoints, loads }
     }
 }
 
+/// What an entry instance has not been told of endpoints.
+struct News {
+    cursor: Cursor,
+    endpoints: Vec<EndpointFact>,
+    loads: Vec<LoadWord>,
+}
+
 /// Answers a poll at once when something is new, else after its wait.
 ///
 /// # Errors
@@ -231,12 +247,13 @@
     let _ = tokio::time::timeout(wait.min(MAX_WAIT).into(), news).await;
     let settings = served::newer_than(&shared, have).await;
     let now = shared.clock.now();
-    let (cursor, endpoints) = link.news(now, cursor);
+    let News { cursor, endpoints, loads } = link.news(now, cursor);
     let status = shared.log.status();
     Ok(LinkReply {
         settings,
         cursor,
         endpoints,
+        loads,
         controls: shared.directory.places(),
         totals: link.totals(now),
         true_time: link.true_time(now),
--- a/daemons/control/tests/served.rs
+++ b/daemons/control/tests/served.rs
@@ -125,6 +125,7 @@
         usage: Vec::new(),
         accounts: Vec::new(),
         services: Vec::new(),
+        loads: Vec::new(),
     };
     let poll =
         LinkPoll { have: Revision(have), cursor: Cursor::default(), wait: Millis(2000), report };
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -40,6 +40,10 @@
 /// Part by which the learned speed of engines moves before it is logged again.
 const SPEED_TOLD: f64 = 0.1;
 
+/// How long the load that an endpoint told is reported. Reports go out four times a second; what one of them
+/// lost on its way is in the next.
+const LOADS_TOLD: Millis = Millis(600);
+
 /// Span over which rates for the leader are averaged.
 const RATE_SPAN: Millis = Millis(2000);
 
@@ -217,6 +221,11 @@
                 self.take_endpoint(now, fact);
             }
         }
+        let pools: Vec<Arc<PoolState>> = self.pools.read().values().cloned().collect();
+        for pool in pools {
+            let mut pool = pool.pool.lock();
+            reply.loads.iter().for_each(|word| pool.load_elsewhere(now, word));
+        }
         if let Some(totals) = &reply.totals {
             self.shares.lock().set_totals(now, totals);
             self.budgets.lock().set_entries(totals.entries);
@@ -344,7 +353,13 @@
     pub fn report(&self, sequence: u64) -> sill_wire::link::EntryReport {
         let now = self.clock.now();
         let window = window_of(self.true_time(), self.cfg.usage_window);
-        let services = self.pools.read().values().map(|pool| pool.report(now)).collect();
+        let pools = self.pools.read();
+        let services = pools.values().map(|pool| pool.report(now)).collect();
+        let mut loads = Vec::new();
+        for pool in pools.values() {
+            loads.extend(pool.pool.lock().loads(now, LOADS_TOLD));
+        }
+        drop(pools);
         sill_wire::link::EntryReport {
             entry: self.cfg.name.clone(),
             incarnation: self.incarnation,
@@ -354,6 +369,7 @@
             usage: self.usage.lock().report(window),
             accounts: self.shares.lock().report(now),
             services,
+            loads,
         }
     }
 }
--- a/daemons/gateway/tests/settings.rs
+++ b/daemons/gateway/tests/settings.rs
@@ -90,6 +90,7 @@
             settings: (!is_known).then_some(manifest),
             cursor: Cursor::default(),
             endpoints: Vec::new(),
+            loads: Vec::new(),
             controls: self.others.lock().clone(),
             totals: None,
             true_time: Millis::wall(),
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -570,6 +570,7 @@
         settings: (has_settings && !is_known).then(|| Cut::of(1, &document()).manifest),
         cursor: Cursor::default(),
         endpoints: facts,
+        loads: Vec::new(),
         controls: Vec::new(),
         totals: None,
         true_time: Millis::wall(),
--- a/protocol/wire/src/link.rs
+++ b/protocol/wire/src/link.rs
@@ -75,6 +75,29 @@
     pub life: Incarnation,
     /// The last change that was taken in.
     pub change: u64,
+    /// The last load of an endpoint that was taken in.
+    #[serde(default)]
+    pub load: u64,
+}
+
+/// The load of an endpoint, as it told it with an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadWord {
+    /// The endpoint.
+    #[serde(rename = "e")]
+    pub endpoint: Name,
+    /// Its life.
+    #[serde(rename = "b", default, skip_serializing_if = "is_default")]
+    pub born: Incarnation,
+    /// Requests that it ran.
+    #[serde(rename = "r")]
+    pub running: u32,
+    /// Requests that waited there.
+    #[serde(rename = "q", default, skip_serializing_if = "is_default")]
+    pub queued: u32,
+    /// How long ago it said so.
+    #[serde(rename = "a")]
+    pub age: Millis,
 }
 
 /// Requests that began to run in one window of time, by client account.
@@ -145,6 +168,9 @@
     pub accounts: Vec<AccountReport>,
     /// Work by service.
     pub services: Vec<ServiceReport>,
+    /// Loads that endpoints told it of late.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub loads: Vec<LoadWord>,
 }
 
 /// A waiting call by which an entry instance gets what is new.
@@ -197,6 +223,9 @@
     pub cursor: Cursor,
     /// Endpoints that changed.
     pub endpoints: Vec<EndpointFact>,
+    /// Loads that endpoints told others of late.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub loads: Vec<LoadWord>,
     /// All control instances that are known.
     pub controls: Vec<ControlPlace>,
     /// The demand over all entry instances, if a leader is known.
@@ -245,3 +274,11 @@
 
     const METHOD: &'static str = "control_sync";
 }
+
+/// Short messages name only what differs from the usual.
+fn is_default<T>(value: &T) -> bool
+where
+    T: Default + PartialEq,
+{
+    *value == T::default()
+}
