Control instances: the circle of fifteen files is gone

Whoever changed one call of a control instance had to know all: what the parts share stood in the file that starts them, and each part's state beside the calls that use everybody's. Shared has a file of its own; the states of link and running lie below it, their calls above it; what the answers to operators have in common is a file; the served settings get the log and the metrics, not all of Shared. No file of daemons/control is in a circle of imports (15 before).

--- a/daemons/control/src/api/announce.rs
+++ b/daemons/control/src/api/announce.rs
@@ -9,7 +9,8 @@
 use sill_wire::link::{EndpointFact, EndpointState};
 use sill_wire::{Announcement, Served, announce::AnnounceReply};
 
-use crate::api::{App, caller, refused};
+use crate::api::caller;
+use crate::api::reply::{App, refused};
 use crate::app::judge;
 
 pub async fn post(app: App, req: HttpRequest, body: Bytes) -> HttpResponse {
--- a/daemons/control/src/api/audit.rs
+++ b/daemons/control/src/api/audit.rs
@@ -4,8 +4,9 @@
 use sill_base::Millis;
 use sill_net::http;
 
+use crate::api::caller;
+use crate::api::reply::{App, refused};
 use crate::api::tree::on_runtime;
-use crate::api::{App, caller, refused};
 use crate::app::audit::AuditFilter;
 use crate::submit;
 
--- a/daemons/control/src/api/caller.rs
+++ b/daemons/control/src/api/caller.rs
@@ -7,7 +7,7 @@
 use sill_wire::header;
 
 use crate::app::command::{Holder, Origin, refusal};
-use crate::daemon::Shared;
+use crate::shared::Shared;
 
 /// The longest `Change-Id` and the longest reason, in bytes.
 const MAX_TEXT: usize = 256;
--- a/daemons/control/src/api/drain.rs
+++ b/daemons/control/src/api/drain.rs
@@ -4,8 +4,9 @@
 use sill_base::event;
 use sill_net::http;
 
+use crate::api::caller;
+use crate::api::reply::{App, refusal_status, refused};
 use crate::api::tree::{no_outcome, on_runtime, subject};
-use crate::api::{App, caller, refusal_status, refused};
 use crate::app::command::DrainAsk;
 use crate::app::{Ask, Outcome};
 use crate::submit;
--- a/daemons/control/src/api/health.rs
+++ b/daemons/control/src/api/health.rs
@@ -4,7 +4,8 @@
 use sill_net::http;
 use sill_wire::control::FleetReply;
 
-use crate::api::{App, caller, refused};
+use crate::api::caller;
+use crate::api::reply::{App, refused};
 
 pub async fn livez() -> HttpResponse {
     HttpResponse::Ok().body("ok\n")
--- a/daemons/control/src/api/mod.rs
+++ b/daemons/control/src/api/mod.rs
@@ -5,21 +5,10 @@
 mod caller;
 mod drain;
 mod health;
+mod reply;
 mod tree;
 
-use std::sync::Arc;
-
-use ntex::web::{self, HttpResponse, ServiceConfig};
-use sill_net::http;
-use sill_wire::control::ChangeRefusal;
-
-use crate::app::command::refusal;
-use crate::daemon::Shared;
-
-/// Tells that an answer comes from an instance that found no leader, and may be old.
-const STALE: &str = "sill-stale";
-
-type App = web::types::State<Arc<Shared>>;
+use ntex::web::{self, ServiceConfig};
 
 /// Adds the routes.
 pub fn routes(cfg: &mut ServiceConfig) {
@@ -40,19 +29,3 @@
             .route(web::delete().to(tree::delete)),
     ));
 }
-
-fn refused(status: u16, code: &str, message: &str) -> HttpResponse {
-    http::json(status, &refusal(code, message))
-}
-
-fn refusal_status(refusal: &ChangeRefusal) -> u16 {
-    match &*refusal.code {
-        "conflict" | "change_id_reused" => 409,
-        "forbidden" => 403,
-        "not_found" => 404,
-        "too_many" => 429,
-        "no_quorum" => 503,
-        "storage_full" => 507,
-        _ => 400,
-    }
-}
--- a/daemons/control/src/api/tree.rs
+++ b/daemons/control/src/api/tree.rs
@@ -10,11 +10,12 @@
 use sill_tree::DocumentText;
 use sill_wire::control::{ChangeReply, Revision, SubtreeReply};
 
-use crate::api::{App, STALE, caller, refusal_status, refused};
+use crate::api::caller;
+use crate::api::reply::{App, STALE, refusal_status, refused};
 use crate::app::command::{ChangeAsk, Holder};
 use crate::app::{Ask, Outcome, judge};
-use crate::daemon::Shared;
 use crate::running;
+use crate::shared::Shared;
 use crate::submit::{self, NoOutcome};
 
 /// How long a watch waits for a newer revision.
@@ -169,7 +170,7 @@
 
 async fn in_force(app: &App, reply: &ChangeReply) -> bool {
     let end = app.clock.now() + IN_FORCE;
-    on_runtime(app, async |shared| running::ask_all(&shared).await).await;
+    on_runtime(app, async |shared| running::calls::ask_all(&shared).await).await;
     while app.clock.now() < end {
         if app.running.all_run(app.clock.now(), reply.revision) {
             return true;
--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -11,7 +11,7 @@
 use sill_base::{Clock, Millis, event};
 use sill_net::h1::{Page, serve_pages};
 use sill_net::{PeerServer, PeerServerBuilder, http};
-use sill_quorum::{Event, ReplicaId};
+use sill_quorum::Event;
 use sill_wire::link::ControlPlace;
 use tokio::runtime::{Handle, Runtime};
 
@@ -21,14 +21,15 @@
 use crate::link::{self, Link};
 use crate::log::disk::{OpenDisk, real_disk};
 use crate::log::driver::Driver;
+use crate::log::hello;
 use crate::log::peers::Peers;
-use crate::log::{LogHandle, hello};
 use crate::metrics::Metrics;
 use crate::rpc::{
     Ack, Hello, QuorumSend, ReadIndex, ReadIndexReply, RunningAsk, RunningSync, Submit,
 };
 use crate::running::{self, Running};
-use crate::served::{self, Served};
+use crate::served::Served;
+use crate::shared::Shared;
 use crate::{api, feed, submit};
 
 /// The largest settings document, in bytes; the library's own limit is 256 kB, which the accounts of
@@ -45,49 +46,6 @@
 /// How often a stop looks whether any is left.
 const LOOK: Millis = Millis(20);
 
-/// What the parts of a control instance share.
-#[derive(Debug)]
-pub struct Shared {
-    /// Its settings.
-    pub cfg: ControlCfg,
-    /// Its clock.
-    pub clock: Clock,
-    /// The replicated log.
-    pub log: LogHandle,
-    /// What entry instances run.
-    pub running: Running,
-    /// The other control instances.
-    pub directory: Directory,
-    /// What is known of endpoints, and of entry instances that serve routes.
-    pub link: Link,
-    /// The served settings in pieces.
-    pub served: Served,
-    /// Its metrics.
-    pub metrics: Arc<Metrics>,
-    /// Held while a change is checked and committed here.
-    pub change_turn: tokio::sync::Mutex<()>,
-    /// Where its tasks run.
-    pub runtime: Handle,
-    /// Operators' calls that wait for the log.
-    pub waiting: AtomicUsize,
-}
-
-/// Counts a call as waiting until it is dropped, also by a caller that left.
-struct Waiting<'a>(&'a AtomicUsize);
-
-impl<'a> Waiting<'a> {
-    fn count(waiting: &'a AtomicUsize) -> Self {
-        waiting.fetch_add(1, Ordering::Relaxed);
-        Self(waiting)
-    }
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// What a program adds to a control instance.
 #[derive(Clone)]
 pub struct Extension {
@@ -118,30 +76,6 @@
     }
 }
 
-impl Shared {
-    /// Returns its id in the replicated log.
-    pub fn id(&self) -> ReplicaId {
-        let incarnation = self.log.status().incarnation;
-        ReplicaId { name: self.cfg.name.clone(), incarnation }
-    }
-
-    /// Runs something on the runtime of the peer calls; their clients work only there. A planned stop
-    /// waits for it.
-    ///
-    /// # Panics
-    ///
-    /// Panics when the task does.
-    pub async fn on_runtime<Fut, T>(&self, task: Fut) -> T
-    where
-        Fut: Future<Output = T> + Send + 'static,
-        T: Send + 'static,
-    {
-        let _waiting = Waiting::count(&self.waiting);
-        let running = self.runtime.spawn(task);
-        running.await.expect("the task neither panics nor is cancelled while the server runs")
-    }
-}
-
 impl Control {
     /// Reads the data folder and starts to serve.
     ///
@@ -178,8 +112,8 @@
             answers(&shared).start(peer_listener)?
         };
         runtime.spawn(hello::run(shared.clone()));
-        runtime.spawn(running::pass_on(shared.clone()));
-        runtime.spawn(link::run(shared.clone()));
+        runtime.spawn(running::calls::pass_on(shared.clone()));
+        runtime.spawn(link::calls::run(shared.clone()));
         if let Some(platform) = extension.platform {
             runtime.spawn(duty::run(shared.clone(), platform, extension.duty));
         }
@@ -253,6 +187,7 @@
     let change_turn = tokio::sync::Mutex::new(());
     let link = Link::new(&cfg);
     let waiting = AtomicUsize::new(0);
+    let served = Served::new(log.clone(), metrics.clone());
     Ok(Shared {
         cfg,
         clock,
@@ -260,7 +195,7 @@
         running,
         directory,
         link,
-        served: Served::default(),
+        served,
         metrics,
         change_turn,
         runtime,
@@ -298,9 +233,12 @@
         async move { Ok(ReadIndexReply { index }) }
     });
     let own = shared.clone();
-    peers.answer(move |poll| link::poll(own.clone(), poll));
-    let own = shared.clone();
-    peers.answer(move |ask| served::answer(own.clone(), ask));
+    peers.answer(move |poll| link::calls::poll(own.clone(), poll));
+    let served = shared.served.clone();
+    peers.answer(move |ask| {
+        let served = served.clone();
+        async move { Ok(served.answer(ask).await) }
+    });
     let own = shared.clone();
     peers.answer(move |sync| {
         let reply = own.link.synced(own.clock.now(), sync);
--- a/daemons/control/src/duty.rs
+++ b/daemons/control/src/duty.rs
@@ -15,8 +15,8 @@
 
 use crate::app::command::UsageStatement;
 use crate::app::{Ask, Outcome};
-use crate::daemon::Shared;
-use crate::link::SERVED;
+use crate::served::SERVED;
+use crate::shared::Shared;
 use crate::submit;
 
 /// How often duties are looked at.
--- a/daemons/control/src/editions.rs
+++ b/daemons/control/src/editions.rs
@@ -8,7 +8,7 @@
 
 use crate::app::command::{ChangeAsk, Edition, Holder, Origin};
 use crate::app::{Ask, Outcome};
-use crate::daemon::Shared;
+use crate::shared::Shared;
 use crate::submit;
 
 /// How long a change looks for a leader. Outside systems give up after a second and ask another.
--- a/daemons/control/src/feed.rs
+++ b/daemons/control/src/feed.rs
@@ -5,7 +5,7 @@
 use sill_net::PeerError;
 use sill_wire::feed::{FeedPoll, FeedReply};
 
-use crate::daemon::Shared;
+use crate::shared::Shared;
 
 /// Answers a poll at once when something is newer, else after its wait or the next change.
 ///
--- a/daemons/control/src/lib.rs
+++ b/daemons/control/src/lib.rs
@@ -16,9 +16,11 @@
 pub mod rpc;
 pub mod running;
 pub mod served;
+pub mod shared;
 pub mod submit;
 
 pub use app::command::{Edition, UsageStatement};
 pub use cfg::ControlCfg;
-pub use daemon::{Control, Extension, Shared};
+pub use daemon::{Control, Extension};
 pub use duty::{CallOutcome, CountOrder, DutyCfg, Fence, Platform};
+pub use shared::Shared;
--- a/daemons/control/src/log/hello.rs
+++ b/daemons/control/src/log/hello.rs
@@ -9,9 +9,9 @@
 use sill_quorum::{Event, MemberChange, Members, ReplicaId, RoleName};
 
 use crate::cfg::Seeds;
-use crate::daemon::Shared;
 use crate::log::handle::Status;
 use crate::rpc::{Hello, HelloReply};
+use crate::shared::Shared;
 
 /// Pause between two tries. A voter that lost its disk takes three of them until it votes again, and
 /// the next disk may be lost four seconds after it is back.
--- a/daemons/control/src/running.rs
+++ b/daemons/control/src/running.rs
@@ -1,14 +1,13 @@
 //! Which revision each entry instance runs.
 
-use std::sync::Arc;
-
 use parking_lot::Mutex;
 use sill_base::{Map, Millis, Name};
 use sill_wire::control::{EndpointStatus, EntryStatus, Revision};
 use sill_wire::feed::{DomainEndpoints, FeedPoll};
 
-use crate::daemon::Shared;
-use crate::rpc::{RunningAsk, RunningEntry, RunningSync};
+use crate::rpc::{RunningEntry, RunningSync};
+
+pub mod calls;
 
 /// An entry instance not heard of for this long is not waited for.
 pub const LIVE: Millis = Millis(15_000);
@@ -19,12 +18,6 @@
 /// A report of a failure domain's endpoints older than this is not shown.
 const REPORTED: Millis = Millis(30_000);
 
-/// How often news are passed on to the other control instances.
-const TICK: Millis = Millis(50);
-
-/// How often everything is passed on, so that they know who is alive.
-const REFRESH: Millis = Millis(4000);
-
 /// What is known of the entry instances, here and by the other control instances.
 #[derive(Debug, Default)]
 pub struct Running {
@@ -173,38 +166,3 @@
         age: now - known.at,
     }
 }
-
-/// Asks the other control instances which entry instances they have heard of.
-///
-/// They tell it by themselves, but a little later. An operator who waits until a change is in force
-/// everywhere would be told so while an entry instance that has just begun to poll another control
-/// instance, or that stands still, does not run it yet.
-pub async fn ask_all(shared: &Shared) {
-    let peers = shared.directory.peers();
-    let calls = peers.iter().map(|peer| peer.quick.call(&RunningAsk {}));
-    for told in futures_util::future::join_all(calls).await.into_iter().flatten() {
-        shared.running.told(shared.clock.now(), &told);
-    }
-}
-
-/// Passes on to the other control instances what entry instances run.
-pub async fn pass_on(shared: Arc<Shared>) {
-    let mut refresh_at = Millis::ZERO;
-    loop {
-        tokio::time::sleep(TICK.into()).await;
-        let now = shared.clock.now();
-        let everything = now >= refresh_at;
-        if everything {
-            refresh_at = now + REFRESH;
-        }
-        let entries = shared.running.own(now, everything);
-        let endpoints = shared.running.new_reports(now);
-        if entries.is_empty() && endpoints.is_empty() {
-            continue;
-        }
-        let sync = RunningSync { entries, endpoints };
-        let peers = shared.directory.peers();
-        let calls = peers.iter().map(|peer| peer.quick.call(&sync));
-        futures_util::future::join_all(calls).await;
-    }
-}
--- a/daemons/control/src/submit.rs
+++ b/daemons/control/src/submit.rs
@@ -8,9 +8,9 @@
 
 use crate::app::judge::Judged;
 use crate::app::{Ask, Outcome};
-use crate::daemon::Shared;
 use crate::log::{CommandText, Submitted};
 use crate::rpc::{ReadIndex, Submit, SubmitReply};
+use crate::shared::Shared;
 
 /// How long an operator's ask looks for a leader that commits it.
 const PATIENCE: Millis = Millis(6000);
