The log's thread wakes those who wait with the state unlocked

Cause: since entries are applied in one go, the thread of the log told of them while it held the state for writing. Telling takes the lock of the value that is told; a poll that is woken holds that lock while it looks whether the state is newer. Each waits for the other, for good: the control instance stands still, its log included. Ruled out: load alone.

--- a/daemons/control/src/log/driver.rs
+++ b/daemons/control/src/log/driver.rs
@@ -294,8 +294,10 @@
             return;
         }
         app.read_documents();
-        self.news.tell(&app);
         drop(app);
+        // Not while the state is locked for writing: whoever is woken looks at the state, and holds what wakes
+        // the others meanwhile.
+        self.news.tell(&self.app.read());
         for (index, term, outcome) in applied {
             let Some(waiting) = self.waiting.remove(&index) else { continue };
             let result = match outcome {
--- a/daemons/control/tests/served.rs
+++ b/daemons/control/tests/served.rs
@@ -224,3 +224,31 @@
     let table = world.runtime.block_on(fetch(&client, &newest));
     assert_eq!(attempts(&table, 1399), Some(CHANGES));
 }
+
+#[test]
+fn polls_that_wait_and_changes_that_are_applied_do_not_wait_for_each_other() {
+    // Entry instances wait for news while one change after the other is applied. A poll that looks at the state while
+    // it is woken, and the log's thread that wakes it while it writes the state, can each hold what the other
+    // waits for. The control instance then stands still for good, and nobody gets settings from it.
+    const READERS: usize = 16;
+    const CHANGES: u32 = 60;
+    let world = World::start();
+    world.put(&document(1, 1));
+    let peer = world.peer;
+    let readers = (0..READERS).map(|entry| {
+        world.runtime.spawn(async move {
+            let client = client(peer);
+            let mut have = 0;
+            while have < u64::from(CHANGES) {
+                have = manifest(&client, entry, have).await.revision.0;
+            }
+        })
+    });
+    let readers: Vec<_> = readers.collect();
+    for max_attempts in 2..=CHANGES {
+        world.put(&document(1, max_attempts));
+    }
+    for reader in readers {
+        world.runtime.block_on(reader).expect("it gets all changes");
+    }
+}
