Settings that are told before anyone fetches them are fetched

Cause: the part that fetches settings began to listen for offers after the first poll could already be answered. It then took the offer for one that it had seen, and a control instance tells of a revision once. It takes a runtime of several threads; that of the platform's small instances has one, where nothing is answered before all parts have started. Ruled out: the stand-in's pieces (never asked for: no connection for them).

What was offered before counts as new. The test offers first and starts the fetching part then: no settings in 30 s on the code before.

--- a/daemons/gateway/src/feed.rs
+++ b/daemons/gateway/src/feed.rs
@@ -87,7 +87,10 @@
 impl Feed {
     /// Makes a feed that has nothing.
     pub fn new(state: Arc<State>, link: Arc<Link>) -> Self {
-        let offers = link.offers().newest.subscribe();
+        let mut offers = link.offers().newest.subscribe();
+        // What was offered before counts as new: it is not offered again, and without it an instance would refuse
+        // all calls until the next change.
+        offers.mark_changed();
         let (assembly, clients) = (Assembly::default(), Map::default());
         Self { state, link, offers, assembly, clients, fetch: Fetch::default() }
     }
--- a/daemons/gateway/tests/settings.rs
+++ b/daemons/gateway/tests/settings.rs
@@ -10,6 +10,9 @@
 
 use parking_lot::Mutex;
 use sill_base::{Map, Millis, Name, Secret};
+use sill_gateway::feed::Feed;
+use sill_gateway::link::Link;
+use sill_gateway::state::State;
 use sill_gateway::{Gateway, GatewayCfg};
 use sill_net::{PeerError, PeerServer, PeerServerBuilder};
 use sill_standin::loopback::free_addresses;
@@ -290,3 +293,22 @@
     world.wait_for(2);
     assert!(world.knows(199));
 }
+
+#[test]
+fn settings_that_are_told_before_anyone_fetches_are_fetched() {
+    // A control instance answers the first poll before the part that fetches settings has started, which takes
+    // several threads and a busy machine. It tells of a revision once; the instance must not miss it, or it
+    // refuses all calls until the next change.
+    let source = Source::new(&document(10), Way { pieces: 100, ..Way::default() });
+    let runtime = Runtime::new().expect("a runtime");
+    let _guard = runtime.enter();
+    let server = source.serve();
+    let addresses = free_addresses(3).expect("ports are free");
+    let state = Arc::new(State::new(cfg(&addresses, server.address())).expect("it starts"));
+    let link = Arc::new(Link::new(state.clone()));
+    let manifest = source.cut.lock().manifest.clone();
+    link.offers().offer(manifest, server.address());
+    runtime.spawn(Feed::new(state.clone(), link).run());
+    let table = runtime.block_on(state.first_table(Millis(30_000)));
+    assert_eq!(table.map(|table| table.revision), Some(1));
+}
