Departures of endpoints: each step of their way has a line, and a metric

An entry instance sent calls to an endpoint seconds after its word that it leaves. The word goes from one control instance to the others and from there to the entry instances; the middle step left no line, and the line of the last one did not say who told it.

Now: endpoint_told at control instances, from= in the endpoint line of entry instances, left= in control_lost, sill_gateway_control_followed and sill_gateway_departure_age_seconds. One line for each change of an endpoint at each control instance.

--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -107,11 +107,8 @@
     pub fn synced(&self, now: Millis, sync: ControlSync) -> ControlSyncReply {
         self.time.lock().read(now, &sync.from.name, sync.wall);
         let mut is_changed = false;
-        {
-            let mut registry = self.registry.lock();
-            for fact in sync.endpoints {
-                is_changed |= registry.take(now, fact);
-            }
+        for fact in sync.endpoints {
+            is_changed |= self.told(now, fact, &sync.from.name);
         }
         for report in sync.reports {
             self.ledger.lock().take(now, report, false);
@@ -126,6 +123,25 @@
         ControlSyncReply { life: self.life }
     }
 
+    /// Takes in what another control instance tells of an endpoint. Returns whether it is news.
+    fn told(&self, now: Millis, fact: EndpointFact, from: &Name) -> bool {
+        let (endpoint, state, sequence) = (fact.endpoint.clone(), fact.state, fact.sequence);
+        let age = fact.age;
+        let is_news = self.registry.lock().take(now, fact);
+        if is_news {
+            event!(
+                Info,
+                "endpoint_told",
+                endpoint = endpoint,
+                state = format!("{state:?}"),
+                sequence = sequence,
+                from = from,
+                age_ms = age
+            );
+        }
+        is_news
+    }
+
     /// Returns true time of day.
     pub fn true_time(&self, now: Millis) -> Millis {
         let mut time = self.time.lock();
--- a/daemons/gateway/src/link.rs
+++ b/daemons/gateway/src/link.rs
@@ -101,7 +101,9 @@
             let Unfollowed { was_followed, why } = self.follow_one(address).await;
             // While this instance is cut off it tries all of them, again and again.
             if was_followed {
-                event!(Warn, "control_lost", address = address, why = why);
+                let followed = &self.state.metrics.followed;
+                followed.dec();
+                event!(Warn, "control_lost", address = address, why = why, left = followed.get());
             } else {
                 event!(Debug, "control_unreachable", address = address, why = why);
             }
@@ -128,11 +130,12 @@
             };
             let now = self.state.clock.now();
             if led_at.is_none() {
+                self.state.metrics.followed.inc();
                 event!(Info, "control_followed", address = address, is_led = reply.is_led);
             }
             cursor = reply.cursor;
             self.learn(reply.controls.clone());
-            self.state.learn(&reply);
+            self.state.learn(address, &reply);
             if let Some(manifest) = &reply.settings {
                 told = manifest.revision;
                 self.offers.offer(manifest.clone(), address);
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -26,6 +26,10 @@
     pub revision: IntGauge,
     /// Time from when a control instance cut a revision into pieces until it is in force here.
     pub settings_age: Histogram,
+    /// Control instances that answer this one's polls.
+    pub followed: IntGauge,
+    /// Time from when an endpoint said that it leaves or ends until it is known here.
+    pub departure_age: Histogram,
     /// Open connections of callers.
     pub callers: IntGauge,
     /// Unused connections to endpoints.
@@ -71,6 +75,14 @@
                 "sill_gateway_settings_age_seconds",
                 "time from a revision's cut at control until it is in force",
             )?,
+            followed: gauge(
+                "sill_gateway_control_followed",
+                "control instances that answer polls",
+            )?,
+            departure_age: histogram(
+                "sill_gateway_departure_age_seconds",
+                "time from the departure of an endpoint until it is known here",
+            )?,
             callers: gauge("sill_gateway_caller_connections", "open connections of callers")?,
             idle: gauge("sill_gateway_idle_connections", "unused connections to endpoints")?,
             registry,
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! What the parts of an entry instance share, each under its own lock.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 
@@ -211,14 +212,14 @@
         self.clock.now() + Millis(self.time_offset.load(Ordering::Relaxed))
     }
 
-    /// Takes in what a control instance tells.
-    pub fn learn(&self, reply: &LinkReply) {
+    /// Takes in what the control instance at an address tells.
+    pub fn learn(&self, from: SocketAddr, reply: &LinkReply) {
         let now = self.clock.now();
         self.time_offset.store((reply.true_time - now).0, Ordering::Relaxed);
         for fact in &reply.endpoints {
             // Without a leader it may be cut off, and hears less than others.
             if fact.state != EndpointState::Silent || reply.is_led {
-                self.take_endpoint(now, fact);
+                self.take_endpoint(now, from, fact);
             }
         }
         let pools: Vec<Arc<PoolState>> = self.pools.read().values().cloned().collect();
@@ -286,7 +287,7 @@
         state
     }
 
-    fn take_endpoint(&self, now: Millis, fact: &EndpointFact) {
+    fn take_endpoint(&self, now: Millis, from: SocketAddr, fact: &EndpointFact) {
         let pool = self.pool(&fact.service);
         let pool = pool.unwrap_or_else(|| self.open_pool(&fact.service, None));
         let heard = pool.pool.lock().heard(now, fact);
@@ -304,6 +305,7 @@
         if matches!(fact.state, EndpointState::Leaving | EndpointState::Gone) {
             let left = fact.leaves_in.unwrap_or(self.cfg.endpoint_notice);
             pool.departs(now, &fact.endpoint, now - fact.age + left);
+            self.metrics.departure_age.observe(fact.age.0 as f64 / 1000.0);
         }
         event!(
             Info,
@@ -315,6 +317,7 @@
             born = fact.born.0,
             state = format!("{:?}", fact.state),
             sequence = fact.sequence,
+            from = from,
             age_ms = fact.age
         );
     }
