--- a/daemons/gateway/tests/settings.rs
+++ b/daemons/gateway/tests/settings.rs
@@ -17,7 +17,8 @@
 use sill_net::{PeerError, PeerServer, PeerServerBuilder};
 use sill_standin::loopback::free_addresses;
 use sill_tree::{Document, PieceId, Pool, Route, Service, Share};
-use sill_wire::link::{ControlPlace, Cursor, LinkPoll, LinkReply};
+use sill_wire::Incarnation;
+use sill_wire::link::{ControlPlace, Cursor, EndpointFact, EndpointState, LinkPoll, LinkReply};
 use sill_wire::settings::{Piece, PiecesAsk, PiecesReply};
 use support::cut::Cut;
 use support::{CLUSTER_KEY, cfg, exchange, request};
@@ -40,6 +41,8 @@
     breaks_after: Option<usize>,
     /// Pieces that are garbled when they first go out.
     garbles: Vec<PieceId>,
+    /// Bytes a millisecond that the link carries, where it is narrow.
+    link: Option<u64>,
 }
 
 /// A stand-in for a control instance.
@@ -51,6 +54,10 @@
     sent: Mutex<Map<PieceId, usize>>,
     answers: Mutex<usize>,
     others: Mutex<Vec<ControlPlace>>,
+    /// What it has heard of endpoints, in order.
+    facts: Mutex<Vec<EndpointFact>>,
+    /// Pieces that were sent when a poll showed that all facts have come.
+    sent_when_known: Mutex<Option<usize>>,
 }
 
 /// An entry instance and control instances.
@@ -71,6 +78,8 @@
             sent: Mutex::default(),
             answers: Mutex::default(),
             others: Mutex::default(),
+            facts: Mutex::default(),
+            sent_when_known: Mutex::default(),
         })
     }
 
@@ -86,27 +95,44 @@
     async fn poll(self: Arc<Self>, poll: LinkPoll) -> Result<LinkReply, PeerError> {
         let manifest = self.cut.lock().manifest.clone();
         let is_known = poll.have >= manifest.revision;
-        if is_known {
+        let facts = self.facts.lock().clone();
+        let seen = poll.cursor.change as usize;
+        if !facts.is_empty() && seen == facts.len() {
+            self.sent_when_known.lock().get_or_insert(self.sent.lock().len());
+        }
+        if is_known && seen == facts.len() {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        Ok(LinkReply {
+        let reply = LinkReply {
             settings: (!is_known).then_some(manifest),
-            cursor: Cursor::default(),
-            endpoints: Vec::new(),
+            cursor: Cursor { change: facts.len() as u64, ..Cursor::default() },
+            endpoints: facts[seen..].to_vec(),
             loads: Vec::new(),
             controls: self.others.lock().clone(),
             totals: None,
             true_time: Millis::wall(),
             is_led: true,
-        })
+        };
+        self.cross(serde_json::to_vec(&reply)).await;
+        Ok(reply)
+    }
+
+    /// Waits for as long as an answer takes on the link.
+    async fn cross(&self, answer: serde_json::Result<Vec<u8>>) {
+        let Some(link) = self.way.lock().link else { return };
+        let bytes = answer.expect("it can be written").len() as u64;
+        tokio::time::sleep(Duration::from_millis(bytes / link)).await;
     }
 
     async fn pieces(self: Arc<Self>, ask: PiecesAsk) -> Result<PiecesReply, PeerError> {
         let way = self.way.lock().clone();
         tokio::time::sleep(way.slow).await;
-        let mut answers = self.answers.lock();
-        *answers += 1;
-        if way.breaks_after.is_some_and(|after| *answers > after) {
+        let answers = {
+            let mut answers = self.answers.lock();
+            *answers += 1;
+            *answers
+        };
+        if way.breaks_after.is_some_and(|after| answers > after) {
             return Err(PeerError::Refused("the link is cut".to_owned()));
         }
         let cut = self.cut.lock().clone();
@@ -122,6 +148,7 @@
                 *self.sent.lock().entry(piece.id.clone()).or_default() += 1;
             }
         }
+        self.cross(serde_json::to_vec(&reply)).await;
         Ok(reply)
     }
 
@@ -205,6 +232,22 @@
     Document { services, routes: (0..routes).map(route).collect(), ..Document::default() }
 }
 
+fn departure() -> EndpointFact {
+    EndpointFact {
+        endpoint: "e".into(),
+        born: Incarnation(1),
+        service: "desk".into(),
+        domain: "a".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        slots: 4,
+        sequence: 2,
+        state: EndpointState::Leaving,
+        reclaimable: false,
+        leaves_in: None,
+        age: Millis::ZERO,
+    }
+}
+
 #[test]
 fn settings_that_take_longer_than_a_poll_come_all_the_same() {
     // Thousands of routes cross a narrow link. If the whole tree has to come before the next poll is due,
@@ -222,6 +265,25 @@
     assert!(sent.values().all(|times| *times == 1), "pieces came twice: {sent:?}");
 }
 
+#[test]
+fn a_departure_is_known_while_large_settings_cross_a_narrow_link() {
+    // An endpoint that has left gets calls for as long as its departure waits behind a large change.
+    let source = Source::new(&document(1), Way { pieces: 1, link: Some(10), ..Way::default() });
+    let world = World::start(vec![source.clone()]);
+    world.wait_for(1);
+    source.change(2, &document(600));
+    source.facts.lock().push(departure());
+    let end = Instant::now() + HUNG;
+    while source.sent_when_known.lock().is_none() {
+        assert!(Instant::now() < end, "the departure never came");
+        thread::sleep(Duration::from_millis(20));
+    }
+    world.wait_for(2);
+    let (before, all) =
+        (source.sent_when_known.lock().unwrap_or_default(), source.sent.lock().len());
+    assert!(before < all, "it came after {before} of {all} pieces");
+}
+
 #[test]
 fn a_fetch_that_breaks_in_the_middle_goes_on_elsewhere() {
     // The control instance that serves the settings is killed after a part of them. What came must not
