Polls tell departures without waiting for settings to be cut

What callers saw: calls go to an endpoint that has left for as long as its departure is on its way. The answer to a poll was made after the newest settings had been cut into pieces, so departures, limits and loads waited for work that grows with the settings; longer than a poll may take, and entry instances take the control instance for lost.

Cutting is a task of its own now, told of by a channel; a poll looks at what is cut and waits for nothing. With it go the look at the state under the lock of what is told, and the lock that all polls took turns on.

--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -28,7 +28,7 @@
     Ack, Hello, QuorumSend, ReadIndex, ReadIndexReply, RunningAsk, RunningSync, Submit,
 };
 use crate::running::{self, Running};
-use crate::served::Served;
+use crate::served::{self, Served};
 use crate::shared::Shared;
 use crate::{api, feed, submit};
 
@@ -114,6 +114,7 @@
         runtime.spawn(hello::run(shared.clone()));
         runtime.spawn(running::calls::pass_on(shared.clone()));
         runtime.spawn(link::calls::run(shared.clone()));
+        runtime.spawn(served::run(shared.clone()));
         if let Some(platform) = extension.platform {
             runtime.spawn(duty::run(shared.clone(), platform, extension.duty));
         }
--- a/daemons/control/src/link/calls.rs
+++ b/daemons/control/src/link/calls.rs
@@ -9,6 +9,7 @@
 use sill_wire::link::{
     ControlSync, ControlSyncReply, EndpointFact, EndpointState, LinkPoll, LinkReply, Totals,
 };
+use sill_wire::settings::Manifest;
 use tokio::task::JoinHandle;
 
 use crate::directory::ControlPeer;
@@ -48,21 +49,24 @@
     let link = &shared.link;
     link.reported(shared.clock.now(), report);
     let mut changes = link.changes.subscribe();
-    let mut revision = shared.log.revision();
+    let mut manifests = shared.served.manifests();
+    let is_newer = |manifest: &Option<Arc<Manifest>>| {
+        manifest.as_ref().is_some_and(|manifest| manifest.revision > have)
+    };
     let known = (cursor.life == link.life).then_some(cursor.change);
     let news = async {
         tokio::select! {
             _ = changes.wait_for(|change| known != Some(*change)) => {},
-            _ = revision.wait_for(|_| shared.served.revision() > have) => {},
+            _ = manifests.wait_for(is_newer) => {},
         }
     };
     let _ = tokio::time::timeout(wait.min(MAX_WAIT).into(), news).await;
-    let settings = shared.served.newer_than(have, link.true_time(shared.clock.now())).await;
+    let settings = manifests.borrow().clone().filter(|manifest| manifest.revision > have);
     let now = shared.clock.now();
     let News { cursor, endpoints, loads } = link.news(now, cursor);
     let status = shared.log.status();
     Ok(LinkReply {
-        settings,
+        settings: settings.map(|manifest| Manifest::clone(&manifest)),
         cursor,
         endpoints,
         loads,
--- a/daemons/control/src/served.rs
+++ b/daemons/control/src/served.rs
@@ -9,10 +9,11 @@
 use sill_tree::{Document, PieceId, pieces};
 use sill_wire::control::Revision;
 use sill_wire::settings::{Manifest, Piece, PiecesAsk, PiecesReply};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 
 use crate::log::LogHandle;
 use crate::metrics::Metrics;
+use crate::shared::Shared;
 
 /// The subtree that holds the routes.
 pub const SERVED: &str = "serving";
@@ -34,8 +35,7 @@
     log: LogHandle,
     metrics: Arc<Metrics>,
     cuts: Mutex<VecDeque<Cut>>,
-    /// Held while a revision is cut: all others who ask wait for that one.
-    turn: tokio::sync::Mutex<()>,
+    newest: watch::Sender<Option<Arc<Manifest>>>,
     answers: Semaphore,
 }
 
@@ -46,50 +46,52 @@
     pieces: Map<PieceId, Packed>,
 }
 
+/// Cuts each revision that is applied here. Polls never wait for it: departures of endpoints would be
+/// told late behind large settings.
+pub async fn run(shared: Arc<Shared>) {
+    let mut revisions = shared.log.revision();
+    loop {
+        let own = shared.clone();
+        let cutting = move || own.served.cut_newest(own.link.true_time(own.clock.now()));
+        // On a thread of its own: heartbeats and votes are not to wait for large settings.
+        if tokio::task::spawn_blocking(cutting).await.is_err() || revisions.changed().await.is_err()
+        {
+            return;
+        }
+    }
+}
+
 impl Served {
     /// Makes one that has cut nothing.
     pub fn new(log: LogHandle, metrics: Arc<Metrics>) -> Arc<Self> {
         let answers = Semaphore::new(ANSWERS_AT_ONCE);
-        let (cuts, turn) = (Mutex::default(), tokio::sync::Mutex::default());
-        Arc::new(Self { log, metrics, cuts, turn, answers })
-    }
-
-    /// Returns the newest revision of the served settings that is applied here.
-    pub fn revision(&self) -> Revision {
-        let app = self.log.app().read();
-        Revision(app.tree().subtrees.get(SERVED).map_or(0, |subtree| subtree.revision))
+        Arc::new(Self {
+            log,
+            metrics,
+            cuts: Mutex::default(),
+            newest: watch::Sender::new(None),
+            answers,
+        })
     }
 
-    /// Returns what the newest revision is made of, if it is newer than `have`.
-    pub async fn newer_than(
-        self: &Arc<Self>,
-        have: Revision,
-        true_time: Millis,
-    ) -> Option<Manifest> {
-        if self.revision() <= have {
-            return None;
-        }
-        let _turn = self.turn.lock().await;
-        let newest = self.revision();
-        let known = self.newest().filter(|manifest| manifest.revision == newest);
-        let manifest = match known {
-            Some(manifest) => manifest,
-            None => {
-                let own = self.clone();
-                // On a thread of its own: heartbeats and votes are not to wait for large settings.
-                let cutting = tokio::task::spawn_blocking(move || own.cut_newest(true_time));
-                cutting.await.ok().flatten()?
-            }
-        };
-        (manifest.revision > have).then(|| Manifest::clone(&manifest))
+    /// Returns a receiver that learns what each newer revision is made of, once it is cut.
+    pub fn manifests(&self) -> watch::Receiver<Option<Arc<Manifest>>> {
+        self.newest.subscribe()
     }
 
-    fn cut_newest(&self, true_time: Millis) -> Option<Arc<Manifest>> {
+    /// Cuts the newest revision of the served settings that is applied here, unless it is cut already.
+    fn cut_newest(&self, true_time: Millis) {
         let began = Instant::now();
-        let (revision, document) = {
+        let known = self.newest.borrow().as_ref().map(|manifest| manifest.revision);
+        let newest = {
             let app = self.log.app().read();
-            let subtree = app.tree().subtrees.get(SERVED)?;
-            (Revision(subtree.revision), subtree.document.clone())
+            let subtree = app.tree().subtrees.get(SERVED);
+            subtree.map(|subtree| (Revision(subtree.revision), subtree.document.clone()))
+        };
+        let Some((revision, document)) =
+            newest.filter(|(newest, _)| known.is_none_or(|known| *newest > known))
+        else {
+            return;
         };
         let cut = self.cut(revision, &document, true_time);
         let manifest = cut.manifest.clone();
@@ -102,7 +104,7 @@
             ms = Millis::from(began.elapsed())
         );
         self.keep(cut);
-        Some(manifest)
+        self.newest.send_replace(Some(manifest));
     }
 
     /// Answers with the pieces that are at hand.
@@ -123,10 +125,6 @@
         PiecesReply { pieces }
     }
 
-    fn newest(&self) -> Option<Arc<Manifest>> {
-        self.cuts.lock().back().map(|cut| cut.manifest.clone())
-    }
-
     /// Returns a piece that one of the kept revisions holds.
     fn piece(&self, id: &PieceId) -> Option<Packed> {
         self.cuts.lock().iter().rev().find_map(|cut| cut.pieces.get(id).cloned())
--- a/daemons/control/tests/served.rs
+++ b/daemons/control/tests/served.rs
@@ -140,8 +140,10 @@
 }
 
 async fn manifest(client: &PeerClient, entry: usize, have: u64) -> Manifest {
+    let mut poll = poll(entry, have);
     for _ in 0..TRIES {
-        let reply = client.call(&poll(entry, have)).await.expect("a reply");
+        let reply = client.call(&poll).await.expect("a reply");
+        poll.cursor = reply.cursor;
         if let Some(manifest) = reply.settings {
             return manifest;
         }
