Documents of operators are read apart from the thread that serves endpoints

What callers saw: an endpoint's word that it leaves was taken in only after the control instance had read and packed an operator's document, and calls went to it until then. The API, the platform's calls included, is served by one thread.

Documents are read on a thread of their own, one after the other as before, also where the caller has left meanwhile.

The platform's call of the same kind has no test of its own; it reads through the same function.

--- a/daemons/control/src/api/tree.rs
+++ b/daemons/control/src/api/tree.rs
@@ -4,8 +4,7 @@
 
 use ntex::util::Bytes;
 use ntex::web::{HttpRequest, HttpResponse, types};
-use serde_json::Value;
-use sill_base::{Millis, Name, event};
+use sill_base::{Findings, Millis, Name, event};
 use sill_net::http;
 use sill_tree::DocumentText;
 use sill_wire::control::{ChangeReply, Revision, SubtreeReply};
@@ -119,9 +118,15 @@
 }
 
 async fn answer_put(app: &App, req: &HttpRequest, path: &str, body: &Bytes) -> Answer {
-    // A name that stands twice is seen in the text alone; the library keeps the last one.
-    let document: Value = sill_tree::read_json(path, body)
-        .map_err(|findings| http::json(400, &judge::invalid(findings)))?;
+    let (name, body) = (path.to_owned(), body.clone());
+    let read = move || {
+        // A name that stands twice is seen in the text alone; the library keeps the last one.
+        let document = sill_tree::read_json(&name, &body)?;
+        Ok(DocumentText::from(&document))
+    };
+    let document = app.read_aside(read).await;
+    let document =
+        document.map_err(|findings: Findings| http::json(400, &judge::invalid(findings)))?;
     answer_change(app, req, path, Some(document)).await
 }
 
@@ -129,12 +134,11 @@
     app: &App,
     req: &HttpRequest,
     path: &str,
-    document: Option<Value>,
+    document: Option<DocumentText>,
 ) -> Answer {
     let holder = caller::holder(app, req)?;
     let base = base(req)?;
     let origin = caller::origin(holder, req)?;
-    let document = document.as_ref().map(DocumentText::from);
     let ask = Ask::Change(ChangeAsk { origin, path: path.into(), base, document, edition: None });
     let outcome = on_runtime(app, async move |shared| submit::submit(&shared, &ask).await).await;
     match outcome {
--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -186,6 +186,7 @@
     let log = driver.start()?;
     let running = Running::default();
     let change_turn = tokio::sync::Mutex::new(());
+    let reading = Arc::default();
     let link = Link::new(&cfg);
     let waiting = AtomicUsize::new(0);
     let served = Served::new(log.clone(), metrics.clone());
@@ -199,6 +200,7 @@
         served,
         metrics,
         change_turn,
+        reading,
         runtime,
         waiting,
     })
--- a/daemons/control/src/shared.rs
+++ b/daemons/control/src/shared.rs
@@ -38,6 +38,8 @@
     pub change_turn: tokio::sync::Mutex<()>,
     /// Where its tasks run.
     pub runtime: Handle,
+    /// Held while a document of an operator is read; large ones take much memory.
+    pub reading: Arc<tokio::sync::Mutex<()>>,
     /// Operators' calls that wait for the log.
     pub waiting: AtomicUsize,
 }
@@ -65,6 +67,27 @@
         ReplicaId { name: self.cfg.name.clone(), incarnation }
     }
 
+    /// Reads an operator's document on a thread of its own, one after the other. On the thread that serves
+    /// the API, endpoints that leave could not say so meanwhile.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the reading does.
+    pub async fn read_aside<F, T>(&self, read: F) -> T
+    where
+        F: FnOnce() -> T + Send + 'static,
+        T: Send + 'static,
+    {
+        let _waiting = Waiting::count(&self.waiting);
+        let turn = self.reading.clone().lock_owned().await;
+        let reading = self.runtime.spawn_blocking(move || {
+            // Held to the end also where the caller has left: it sends the same again.
+            let _turn = turn;
+            read()
+        });
+        reading.await.expect("reading neither panics nor is cancelled while the server runs")
+    }
+
     /// Runs something on the runtime of the peer calls; their clients work only there. A planned stop
     /// waits for it.
     ///
