Pieces of overtaken settings are forgotten

What operators would see: the memory of an entry instance that never gets a large revision whole grows with each change, up to its end. Cause: pieces of all overtaken revisions stayed until one was whole. What stays now are the pieces of the wanted revision and of the one that was whole last.

Evidence: the test (58 changes of 700 routes, the last piece never comes) failed with the first that passed the bound, '35 pieces, 26 at most', and passes; the random series of changes still fetches nothing twice.

--- a/coordination/dispatch/src/settings.rs
+++ b/coordination/dispatch/src/settings.rs
@@ -3,7 +3,7 @@
 use std::fmt::{self, Display, Formatter};
 use std::sync::Arc;
 
-use sill_base::Map;
+use sill_base::{Map, Set};
 use sill_tree::PieceId;
 use sill_wire::control::Revision;
 use sill_wire::settings::{Manifest, Piece};
@@ -12,11 +12,13 @@
 
 /// The pieces that are at hand, and the revision that is wanted.
 ///
-/// Pieces stay until the next revision is whole: whatever came before a connection broke, or for a
-/// revision that was overtaken on its way, need not come again.
+/// Pieces stay while the wanted revision or the one that was whole last has them: whatever came before a
+/// connection broke, or for a revision that was overtaken on its way, need not come again.
 #[derive(Debug, Default)]
 pub struct Assembly {
     held: Revision,
+    /// The pieces of the revision that was whole last.
+    held_ids: Set<PieceId>,
     wanted: Option<Manifest>,
     parts: Map<PieceId, Arc<TablePart>>,
 }
@@ -45,11 +47,24 @@
         let newest = self.wanted.as_ref().map_or(self.held, |wanted| wanted.revision);
         let is_news = manifest.revision > newest.max(self.held);
         if is_news {
+            let wanted: Set<&PieceId> = manifest.pieces.iter().collect();
+            let held = &self.held_ids;
+            self.parts.retain(|id, _| held.contains(id) || wanted.contains(id));
             self.wanted = Some(manifest);
         }
         is_news
     }
 
+    /// Returns the number of pieces that are at hand.
+    pub fn len(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// Returns whether no piece is at hand.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
     /// Returns the revision that is wanted, if any is.
     pub fn wanted(&self) -> Option<Revision> {
         self.wanted.as_ref().map(|wanted| wanted.revision)
@@ -90,6 +105,7 @@
         let ids = manifest.pieces.iter();
         let parts: Vec<_> = ids.map(|id| (id.clone(), self.parts[id].clone())).collect();
         self.held = manifest.revision;
+        self.held_ids = manifest.pieces.iter().cloned().collect();
         self.parts = parts.iter().cloned().collect();
         let parts = parts.into_iter().map(|(_, part)| part).collect();
         Some(Whole { manifest, parts })
--- a/coordination/dispatch/tests/settings.rs
+++ b/coordination/dispatch/tests/settings.rs
@@ -93,6 +93,32 @@
     assert!(assembly.told(manifest(6)));
 }
 
+#[test]
+fn pieces_of_overtaken_revisions_do_not_pile_up() {
+    // A reader that is cut off before the last piece of each large change runs out of memory.
+    const ROUTES: usize = 700;
+    let mut document = document(ROUTES);
+    let (manifest, pieces) = cut(1, &document);
+    let in_force = pieces.len();
+    let mut assembly = Assembly::default();
+    assembly.told(manifest);
+    pieces.values().for_each(|piece| assembly.take(piece).expect("it is whole"));
+    assembly.whole().expect("nothing lacks");
+    for revision in 2..60 {
+        document.routes.values_mut().for_each(|route| route.max_attempts += 1);
+        let (manifest, pieces) = cut(revision, &document);
+        let wanted = manifest.pieces.len();
+        assembly.told(manifest);
+        for id in assembly.missing().iter().skip(1) {
+            assembly.take(&pieces[id]).expect("it is whole");
+        }
+        assert!(assembly.whole().is_none());
+        let bound = in_force + wanted;
+        assert!(assembly.len() <= bound, "{} pieces, {bound} at most", assembly.len());
+    }
+    assert!(!assembly.is_empty(), "what is in force is forgotten");
+}
+
 #[test]
 fn random_series_of_changes_end_in_the_newest_and_fetch_what_changed() {
     // Changes come in quick succession while pieces arrive late, twice, damaged or not at all. Routes of
