A refused account is told when there is room everywhere

What callers saw: refused since all entry instances together had let in too much, they were told to come back after 250 ms, the shortest wait, again and again: the smaller of the two waits counted, and the own bucket's was 0.

Where the own bucket has room, the wait is now until the window of all has room. The decision stands by cases; what is let in is as before.

--- a/coordination/dispatch/src/share.rs
+++ b/coordination/dispatch/src/share.rs
@@ -234,9 +234,18 @@
         // Prompts that no share ever holds go into debt, each entry instance with one of its own; of hundreds
         // of them that alone is more than the limit.
         let is_over = account.presumed_total(unseen) + amount > account.most(self.bounds);
-        if !(is_open && !(is_fresh && is_over) || is_fresh && is_far_below) {
+        let is_let_in = if is_fresh { is_far_below || is_open && !is_over } else { is_open };
+        if !is_let_in {
+            let (here, everywhere) = account.waits(unseen, amount, self.bounds);
+            let wait = match (is_fresh, is_open) {
+                (false, _) => here,
+                (true, true) => everywhere,
+                // The account has room again once what all admitted has left the window, mostly long before a
+                // large debt here is paid.
+                (true, false) => here.min(everywhere),
+            };
             return Err(OverLimit {
-                wait: account.wait(unseen, amount, is_fresh, self.bounds),
+                wait: wait.max(SHORTEST_WAIT).min(LONGEST_WAIT),
                 rate: account.limit.rate,
                 share: account.share.unwrap_or(even),
                 balance: account.bucket.balance(),
@@ -301,14 +310,12 @@
         self.owed() + GUARD_SLACK * bounds.slack
     }
 
-    /// Returns when to come back. What is left here is the matter of this entry instance; the account has room
-    /// again once what all admitted has left the window, mostly long before a large debt here is paid.
-    fn wait(&self, unseen: Millis, amount: f64, is_fresh: bool, bounds: LimitBounds) -> Millis {
+    /// Returns when an amount fits here, into the own share, and when everywhere, into what all may admit.
+    fn waits(&self, unseen: Millis, amount: f64, bounds: LimitBounds) -> (Millis, Millis) {
         let here = self.bucket.holds_in(amount);
         let beyond = (self.presumed_total(unseen) + amount - self.free(bounds)).max(0.0);
         let everywhere = Millis((beyond / self.limit.rate.max(1e-9) * 1000.0) as u64);
-        let wait = if is_fresh { here.min(everywhere) } else { here };
-        wait.max(SHORTEST_WAIT).min(LONGEST_WAIT)
+        (here, everywhere)
     }
 
     /// Returns what all are presumed to have admitted in the last window, of which what came after the
--- a/coordination/dispatch/tests/shares.rs
+++ b/coordination/dispatch/tests/shares.rs
@@ -6,7 +6,7 @@
 use sill_dispatch::{Adder, Ledger, LimitBounds, RouteTable, Shares};
 use sill_tree::{Account, Document, Limit};
 use sill_wire::Incarnation;
-use sill_wire::link::{EntryReport, LIMIT_WINDOW, Totals};
+use sill_wire::link::{AccountTotal, EntryReport, LIMIT_WINDOW, Totals};
 
 /// What may come on top of a limit, as the users state it.
 const SLACK: f64 = 140_000.0;
@@ -368,6 +368,43 @@
 /// An account that uses half of its limit is spread over entry instances, none of which has a share
 /// as large as one of its prompts. Refused for that, its callers would get 429 although they keep to
 /// what they were promised.
+#[test]
+fn a_refused_account_is_told_when_there_is_room_everywhere() {
+    // Callers of an account that all entry instances together let in too much of come back too early, again and
+    // again, while the bucket of the one that refuses them is full.
+    struct Case {
+        name: &'static str,
+        /// What all have let in beyond what the account is owed, in seconds of its rate.
+        beyond_s: f64,
+    }
+    const RATE: f64 = 50_000.0;
+    const COST: f64 = 1000.0;
+    let cases = [
+        Case { name: "by a little", beyond_s: 1.0 },
+        Case { name: "by seconds", beyond_s: 3.0 },
+        Case { name: "by more than is told at most", beyond_s: 30.0 },
+    ];
+    for Case { name, beyond_s } in cases {
+        let mut shares = Shares::new(LimitBounds { slack: SLACK });
+        shares.set_limits(Millis::ZERO, &table(RATE));
+        let owed = RATE * LIMIT_WINDOW.as_secs_f64() + RATE;
+        let total = AccountTotal {
+            account: account(),
+            asked_per_s: RATE,
+            admitted: owed + beyond_s * RATE,
+            admitted_per_s: RATE,
+            held: 0.0,
+        };
+        let totals = Totals { age: Millis::ZERO, entries: 8, accounts: vec![total] };
+        let now = Millis(10_000);
+        shares.set_totals(now, &totals);
+        let over = shares.admit(now, &account(), COST).expect_err(name);
+        assert!(over.balance > COST, "{name}: its own bucket has no room: {over:?}");
+        let room_in = Millis((beyond_s * 1000.0) as u64).min(Millis(5000));
+        assert!(over.wait >= room_in, "{name}: {} ms told, room in {room_in} ms", over.wait);
+    }
+}
+
 #[test]
 fn an_account_far_below_its_limit_is_not_refused() {
     let loads = [
