--- a/daemons/control/src/app/state.rs
+++ b/daemons/control/src/app/state.rs
@@ -1,6 +1,8 @@
 //! The state that all control instances come to.
 
 use std::collections::BTreeMap;
+use std::error::Error;
+use std::fmt::{self, Display, Formatter};
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -60,6 +62,13 @@
     pub at: Millis,
 }
 
+/// A document that a newer version of the program wrote.
+#[derive(Debug)]
+pub struct NewerDocument {
+    path: Name,
+    error: serde_json::Error,
+}
+
 /// Where in the log a command stands.
 #[derive(Debug, Clone, Copy)]
 struct Place {
@@ -68,6 +77,14 @@
     at: Millis,
 }
 
+impl Display for NewerDocument {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{} is of a newer version of sill-control: {}", self.path, self.error)
+    }
+}
+
+impl Error for NewerDocument {}
+
 impl Default for App {
     fn default() -> Self {
         let bounds = ClaimBounds { claims: MAX_CLAIMS, ..ClaimBounds::default() };
@@ -175,16 +192,16 @@
 
     /// Reads the documents that nobody has looked at yet.
     ///
-    /// # Panics
+    /// # Errors
     ///
-    /// Panics on one that this version of the program can't read: going on without it would make this
+    /// Fails on one that this version of the program can't read. Going on without it would make this
     /// instance's state differ from the others' for good.
-    pub fn read_documents(&self) {
+    pub fn read_documents(&self) -> Result<(), NewerDocument> {
         for (path, subtree) in &self.tree.subtrees {
-            if let Err(err) = subtree.document.read() {
-                panic!("{path} is of a newer version of sill-control: {err}");
-            }
+            let read = subtree.document.read();
+            read.map_err(|error| NewerDocument { path: path.clone(), error })?;
         }
+        Ok(())
     }
 
     /// Applies a committed entry.
--- a/daemons/control/src/log/driver.rs
+++ b/daemons/control/src/log/driver.rs
@@ -258,7 +258,7 @@
             Action::Send(msg) => self.peers.send(msg),
             Action::Restore(snapshot) => {
                 if let Err(err) = self.restore(&snapshot) {
-                    panic!("a snapshot of a newer version of sill-control: {err:#}");
+                    panic!("a snapshot that can't be read: {err:#}");
                 }
             }
             Action::Apply { index, entry } => self.apply(vec![(index, entry)]),
@@ -293,7 +293,9 @@
         if applied.is_empty() {
             return;
         }
-        app.read_documents();
+        if let Err(err) = app.read_documents() {
+            panic!("{err}");
+        }
         drop(app);
         // Not while the state is locked for writing: whoever is woken looks at the state, and holds what wakes
         // the others meanwhile.
@@ -315,7 +317,7 @@
         }
         let app: App = serde_json::from_str(&snapshot.data)?;
         event!(Info, "snapshot_taken_in", index = snapshot.index, bytes = snapshot.data.len());
-        app.read_documents();
+        app.read_documents()?;
         *self.app.write() = app;
         self.waiting = self.waiting.split_off(&(snapshot.index + 1));
         self.news.tell(&self.app.read());
--- a/daemons/control/tests/served.rs
+++ b/daemons/control/tests/served.rs
@@ -7,7 +7,10 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use eyre::Result;
+use serde_json::json;
 use sill_base::{Millis, Name, Secret};
+use sill_control::app::App;
 use sill_control::cfg::Voter;
 use sill_control::{Control, ControlCfg};
 use sill_dispatch::{Assembly, RouteTable};
@@ -42,17 +45,24 @@
 
 impl World {
     fn start() -> Self {
-        let peer = free_addresses(1).expect("free ports")[0];
-        let runtime = Runtime::new().expect("a runtime");
-        let mut world = Self { peer, disk: FaultyDisk::new(), runtime, control: None };
+        let mut world = Self::stopped();
         world.run();
         world
     }
 
+    fn stopped() -> Self {
+        let peer = free_addresses(1).expect("free ports")[0];
+        let runtime = Runtime::new().expect("a runtime");
+        Self { peer, disk: FaultyDisk::new(), runtime, control: None }
+    }
+
     fn run(&mut self) {
+        self.control = Some(self.try_to_run().expect("it starts"));
+    }
+
+    fn try_to_run(&self) -> Result<Control> {
         let disk = self.disk.clone();
-        let control = Control::start_on(self.cfg(), Box::new(move |_| Ok(Box::new(disk.clone()))));
-        self.control = Some(control.expect("it starts"));
+        Control::start_on(self.cfg(), Box::new(move |_| Ok(Box::new(disk.clone()))))
     }
 
     fn stop(&mut self) {
@@ -385,3 +395,31 @@
         world.runtime.block_on(reader).expect("it gets all changes");
     }
 }
+
+#[test]
+fn a_start_on_a_snapshot_of_a_newer_version_fails_and_leaves_the_disk() {
+    // An upgrade that is rolled back ends in a panic, or in a disk that the newer version can't use either.
+    let world = World::stopped();
+    let mut app = serde_json::to_value(App::default()).expect("it can be written");
+    app["index"] = json!(7);
+    app["tree"]["revision"] = json!(1);
+    app["tree"]["subtrees"]["serving"] =
+        json!({ "revision": 1, "author": "root", "document": { "field_of_tomorrow": 1 } });
+    let id = json!({ "name": "c", "incarnation": 1 });
+    let snapshot = json!({
+        "index": 7, "term": 1, "members": { "voters": [id], "learners": [] }, "data": "",
+    });
+    let persisted = json!({
+        "hard": { "term": 1, "vote": id }, "snapshot": snapshot,
+        "base_index": 7, "base_term": 1, "entries": [],
+    });
+    let whole = format!("{}\n{app}", json!({ "id": id, "persisted": persisted }));
+    let (mut store, _) = Store::open(world.disk.clone()).expect("it opens");
+    store.replace::<Vec<u8>>(whole.as_bytes(), &[]).expect("it is written");
+    drop(store);
+    let failure = world.try_to_run().expect_err("it can't be read");
+    let text = format!("{failure:#}");
+    assert!(text.contains("newer version") && text.contains("field_of_tomorrow"), "{text}");
+    let (_, recovered) = Store::open(world.disk.clone()).expect("it opens");
+    assert!(recovered.snapshot == Some(whole.into_bytes()) && recovered.records.is_empty());
+}
