Places of findings refer to the place above, and are written out for faults only

What operators saw: a large change takes seconds, or ends undecided while the leader changes. The leader checks each document, and for every field of every route two texts were made that only a fault needs.

The texts are as before; the tests of findings are unchanged.

--- a/state/tree/src/check.rs
+++ b/state/tree/src/check.rs
@@ -40,9 +40,9 @@
     for (path, document) in documents {
         for name in document.services.keys() {
             if let Some(other) = first.insert(name, path) {
-                let place = Place::top(path).field("services").field(name);
+                let place = Place::top(path).field("services").field(name).text();
                 let other = Place::top(other).text();
-                findings.add(place.text(), format!("duplicate name; {other} has it too"));
+                findings.add(place, format!("duplicate name; {other} has it too"));
             }
         }
     }
@@ -50,20 +50,18 @@
 
 /// A key names one client account; a second one would be charged and served by chance.
 fn check_keys(documents: &[(&str, &Document)], findings: &mut Findings) {
-    let mut first: Map<&KeyHash, String> = Map::default();
+    let mut first: Map<&KeyHash, (&str, &Name)> = Map::default();
     for (path, document) in documents {
         for (name, account) in &document.accounts {
-            let account_place = Place::top(path).field("accounts").field(name);
             for (i, key) in account.keys.iter().enumerate() {
-                let place = account_place.field("keys").element(i).text();
-                let owner = account_place.text();
-                match first.get(key) {
-                    Some(other) if *other != owner => {
-                        findings.add(place, "the key of another client account");
-                    }
-                    _ => {
-                        first.insert(key, owner);
-                    }
+                if *first.entry(key).or_insert((*path, name)) != (*path, name) {
+                    let place = Place::top(path)
+                        .field("accounts")
+                        .field(name)
+                        .field("keys")
+                        .element(i)
+                        .text();
+                    findings.add(place, "the key of another client account");
                 }
             }
         }
@@ -72,12 +70,13 @@
 
 /// Two routes of one host and path could not be told apart.
 fn check_route_places(documents: &[(&str, &Document)], findings: &mut Findings) {
-    let mut first: Map<(&Name, &Name), String> = Map::default();
+    let mut first: Map<(&Name, &Name), (&str, &Name)> = Map::default();
+    let text = |path, name| Place::top(path).field("routes").field(name).text();
     for (path, document) in documents {
         for (name, route) in &document.routes {
-            let place = Place::top(path).field("routes").field(name).text();
-            if let Some(other) = first.insert((&route.host, &route.path), place.clone()) {
-                findings.add(place, format!("same host and path as {other}"));
+            if let Some((upper, other)) = first.insert((&route.host, &route.path), (path, name)) {
+                let reason = format!("same host and path as {}", text(upper, other));
+                findings.add(text(path, name), reason);
             }
         }
     }
@@ -97,11 +96,11 @@
     findings: &mut Findings,
 ) {
     for (name, route) in &document.routes {
-        let place = Place::top(path).field("routes").field(name).field("split");
         for (i, share) in route.split.iter().enumerate() {
             if !is_reachable(documents, path, &share.service) {
-                let reason = unreachable_service(&share.service);
-                findings.add(place.element(i).text(), reason);
+                let place =
+                    Place::top(path).field("routes").field(name).field("split").element(i).text();
+                findings.add(place, unreachable_service(&share.service));
             }
         }
     }
@@ -119,10 +118,15 @@
     findings: &mut Findings,
 ) {
     for (name, account) in &document.accounts {
-        let place = Place::top(path).field("accounts").field(name).field("services");
         for (i, service) in account.services.iter().enumerate() {
             if !is_reachable(documents, path, service) {
-                findings.add(place.element(i).text(), unreachable_service(service));
+                let place = Place::top(path)
+                    .field("accounts")
+                    .field(name)
+                    .field("services")
+                    .element(i)
+                    .text();
+                findings.add(place, unreachable_service(service));
             }
         }
     }
@@ -139,7 +143,8 @@
         return;
     };
     let promised = promised_below(documents, path);
-    let place = Place::top(path).field("limit");
+    let top = Place::top(path);
+    let place = top.field("limit");
     let parts = [
         ("requests_per_s", limit.requests_per_s, promised.requests_per_s),
         ("tokens_per_s", limit.tokens_per_s, promised.tokens_per_s),
@@ -227,7 +232,8 @@
     let Some((upper, above)) = nearest(documents, path, |upper| upper.placement.clone()) else {
         return;
     };
-    let place = Place::top(path).field("placement");
+    let top = Place::top(path);
+    let place = top.field("placement");
     let lists = [
         ("domains", &placement.domains, &above.domains),
         ("classes", &placement.classes, &above.classes),
--- a/state/tree/src/json.rs
+++ b/state/tree/src/json.rs
@@ -21,7 +21,7 @@
 pub fn read_json(path: &str, text: &[u8]) -> Result<Value, Findings> {
     let place = Place::top(path);
     let findings = RefCell::new(Findings::new());
-    let reader = Reader { place: place.clone(), findings: &findings };
+    let reader = Reader { place, findings: &findings };
     let mut source = serde_json::Deserializer::from_slice(text);
     let read = reader.deserialize(&mut source).and_then(|value| source.end().map(|()| value));
     let mut findings = findings.into_inner();
@@ -36,7 +36,7 @@
 
 /// Reads one value at its place.
 struct Reader<'a> {
-    place: Place,
+    place: Place<'a>,
     findings: &'a RefCell<Findings>,
 }
 
@@ -110,8 +110,8 @@
             if map.contains_key(&name) {
                 self.findings.borrow_mut().add(place.text(), "the name stands twice");
             }
-            let reader = Reader { place, findings: self.findings };
-            map.insert(name, fields.next_value_seed(reader)?);
+            let value = fields.next_value_seed(Reader { place, findings: self.findings })?;
+            map.insert(name, value);
         }
         Ok(Value::Object(map))
     }
--- a/state/tree/src/object.rs
+++ b/state/tree/src/object.rs
@@ -3,51 +3,56 @@
 use serde_json::{Map, Value};
 use sill_base::{Findings, Millis, Name};
 
-/// Where something stands: the subtree's path and the fields down to it.
-#[derive(Debug, Clone)]
-pub struct Place {
-    path: String,
-    fields: String,
+/// Where something stands: the subtree's path and the fields down to it. It refers to the place above, as
+/// few places are ever written out.
+#[derive(Debug, Clone, Copy)]
+pub enum Place<'a> {
+    /// The top of the document of the subtree with this path.
+    Top(&'a str),
+    /// A field of what stands above.
+    Field(&'a Place<'a>, &'a str),
+    /// An element of what stands above.
+    Element(&'a Place<'a>, usize),
 }
 
 /// An object whose fields are read one after another; those left over are unknown.
 #[derive(Debug)]
 pub struct Object<'a> {
     fields: &'a Map<String, Value>,
-    place: Place,
+    place: Place<'a>,
     known: Vec<&'static str>,
 }
 
-impl Place {
+impl<'a> Place<'a> {
     /// The top of a subtree's document.
-    pub fn top(path: &str) -> Self {
-        let path = if path.is_empty() { "/" } else { path };
-        Self { path: path.to_owned(), fields: String::new() }
+    pub fn top(path: &'a str) -> Self {
+        Self::Top(if path.is_empty() { "/" } else { path })
     }
 
     /// A field below.
-    pub fn field(&self, name: &str) -> Self {
-        let dot = if self.fields.is_empty() { "" } else { "." };
-        Self { path: self.path.clone(), fields: format!("{}{dot}{name}", self.fields) }
+    pub fn field(&'a self, name: &'a str) -> Self {
+        Self::Field(self, name)
     }
 
     /// An element below.
-    pub fn element(&self, index: usize) -> Self {
-        Self { path: self.path.clone(), fields: format!("{}[{index}]", self.fields) }
+    pub fn element(&'a self, index: usize) -> Self {
+        Self::Element(self, index)
     }
 
     /// Returns the text for a finding.
     pub fn text(&self) -> String {
-        if self.fields.is_empty() {
-            return self.path.clone();
+        match self {
+            Self::Top(path) => (*path).to_owned(),
+            Self::Field(Self::Top(path), name) => format!("{path}: {name}"),
+            Self::Field(above, name) => format!("{}.{name}", above.text()),
+            Self::Element(above, index) => format!("{}[{index}]", above.text()),
         }
-        format!("{}: {}", self.path, self.fields)
     }
 }
 
 impl<'a> Object<'a> {
     /// Opens a value that has to be an object.
-    pub fn open(value: &'a Value, place: Place, findings: &mut Findings) -> Option<Self> {
+    pub fn open(value: &'a Value, place: Place<'a>, findings: &mut Findings) -> Option<Self> {
         match value {
             Value::Object(fields) => Some(Self { fields, place, known: Vec::new() }),
             other => {
@@ -58,7 +63,7 @@
     }
 
     /// Returns the place of a field.
-    pub fn place(&self, name: &str) -> Place {
+    pub fn place<'b>(&'b self, name: &'b str) -> Place<'b> {
         self.place.field(name)
     }
 
@@ -76,7 +81,7 @@
         reader: F,
     ) -> Option<T>
     where
-        F: FnOnce(&'a Value, &Place, &mut Findings) -> Option<T>,
+        F: FnOnce(&'a Value, &Place<'_>, &mut Findings) -> Option<T>,
     {
         let value = self.get(name)?;
         reader(value, &self.place(name), findings)
@@ -90,7 +95,7 @@
         reader: F,
     ) -> Option<T>
     where
-        F: FnOnce(&'a Value, &Place, &mut Findings) -> Option<T>,
+        F: FnOnce(&'a Value, &Place<'_>, &mut Findings) -> Option<T>,
     {
         if self.get(name).is_none() {
             findings.add(self.place(name).text(), "missing");
@@ -107,9 +112,10 @@
         mut reader: F,
     ) -> Vec<T>
     where
-        F: FnMut(&'a Value, &Place, &mut Findings) -> Option<T>,
+        F: FnMut(&'a Value, &Place<'_>, &mut Findings) -> Option<T>,
     {
-        let place = self.place(name);
+        let above = self.place;
+        let place = above.field(name);
         let elements = match self.get(name) {
             None => return Vec::new(),
             Some(Value::Array(elements)) => elements,
@@ -130,9 +136,10 @@
         mut reader: F,
     ) -> Vec<(Name, T)>
     where
-        F: FnMut(&'a Value, Place, &mut Findings) -> Option<T>,
+        F: FnMut(&'a Value, Place<'_>, &mut Findings) -> Option<T>,
     {
-        let place = self.place(name);
+        let above = self.place;
+        let place = above.field(name);
         let fields = match self.get(name) {
             None => return Vec::new(),
             Some(Value::Object(fields)) => fields,
@@ -168,7 +175,7 @@
     "not a well-formed name; expected 1 to 64 of letters, digits, `-_.`, the first no sign";
 
 /// Reads any text.
-pub fn text(value: &Value, place: &Place, findings: &mut Findings) -> Option<String> {
+pub fn text(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<String> {
     let text = value.as_str().map(str::to_owned);
     if text.is_none() {
         expected(place, "a text", value, findings);
@@ -177,7 +184,7 @@
 }
 
 /// Reads a well-formed name.
-pub fn name(value: &Value, place: &Place, findings: &mut Findings) -> Option<Name> {
+pub fn name(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<Name> {
     let text = text(value, place, findings)?;
     if !Name::is_well_formed(&text) {
         findings.add(place.text(), WELL_FORMED);
@@ -186,7 +193,7 @@
 }
 
 /// Reads true or false.
-pub fn switch(value: &Value, place: &Place, findings: &mut Findings) -> Option<bool> {
+pub fn switch(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<bool> {
     if value.as_bool().is_none() {
         expected(place, "true or false", value, findings);
     }
@@ -194,7 +201,7 @@
 }
 
 /// Reads a whole number.
-pub fn whole(value: &Value, place: &Place, findings: &mut Findings) -> Option<u64> {
+pub fn whole(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<u64> {
     if value.as_u64().is_none() {
         expected(place, "a whole number", value, findings);
     }
@@ -202,7 +209,7 @@
 }
 
 /// Reads a whole number that fits 32 bits.
-pub fn whole_u32(value: &Value, place: &Place, findings: &mut Findings) -> Option<u32> {
+pub fn whole_u32(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<u32> {
     let number = whole(value, place, findings)?;
     let fitting = u32::try_from(number).ok();
     if fitting.is_none() {
@@ -212,7 +219,7 @@
 }
 
 /// Reads a span of time above zero.
-pub fn millis(value: &Value, place: &Place, findings: &mut Findings) -> Option<Millis> {
+pub fn millis(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<Millis> {
     let Some(number) = value.as_u64() else {
         expected(place, "a whole number of milliseconds", value, findings);
         return None;
@@ -224,7 +231,7 @@
 }
 
 /// Reads a rate above zero.
-pub fn rate(value: &Value, place: &Place, findings: &mut Findings) -> Option<f64> {
+pub fn rate(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<f64> {
     let Some(number) = value.as_f64() else {
         expected(place, "a number a second", value, findings);
         return None;
@@ -236,7 +243,7 @@
 }
 
 /// Notes a value of the wrong type.
-fn expected(place: &Place, what: &str, found: &Value, findings: &mut Findings) {
+fn expected(place: &Place<'_>, what: &str, found: &Value, findings: &mut Findings) {
     let found = match found {
         Value::Null => "null".to_owned(),
         Value::Bool(found) => found.to_string(),
--- a/state/tree/src/read.rs
+++ b/state/tree/src/read.rs
@@ -50,7 +50,7 @@
     read
 }
 
-fn service(value: &Value, place: Place, findings: &mut Findings) -> Option<Service> {
+fn service(value: &Value, place: Place<'_>, findings: &mut Findings) -> Option<Service> {
     let mut fields = Object::open(value, place, findings)?;
     let kind = fields.required("kind", findings, object::text)?;
     let service = match kind.as_str() {
@@ -79,7 +79,7 @@
     Some(service)
 }
 
-fn account(value: &Value, place: Place, findings: &mut Findings) -> Option<Account> {
+fn account(value: &Value, place: Place<'_>, findings: &mut Findings) -> Option<Account> {
     let mut fields = Object::open(value, place, findings)?;
     let account = Account {
         keys: distinct(&mut fields, "keys", findings, key_hash),
@@ -103,14 +103,14 @@
 }
 
 /// The version is empty where none is wanted.
-fn version(value: &Value, place: &Place, findings: &mut Findings) -> Option<Name> {
+fn version(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<Name> {
     match value.as_str() {
         Some("") => Some(Name::default()),
         _ => object::name(value, place, findings),
     }
 }
 
-fn weight(value: &Value, place: &Place, findings: &mut Findings) -> Option<u32> {
+fn weight(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<u32> {
     let weight = object::whole_u32(value, place, findings)?;
     if weight == 0 {
         findings.add(place.text(), "expected at least 1");
@@ -118,7 +118,7 @@
     Some(weight)
 }
 
-fn priority(value: &Value, place: &Place, findings: &mut Findings) -> Option<Name> {
+fn priority(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<Name> {
     let text = object::text(value, place, findings)?;
     if !PRIORITIES.contains(&text.as_str()) {
         let known = PRIORITIES.join(", ");
@@ -127,16 +127,16 @@
     Some(text.into())
 }
 
-fn latency(value: &Value, place: &Place, findings: &mut Findings) -> Option<LatencyTarget> {
-    let mut fields = Object::open(value, place.clone(), findings)?;
+fn latency(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<LatencyTarget> {
+    let mut fields = Object::open(value, *place, findings)?;
     let ttft_ms = fields.required("ttft_ms", findings, object::millis);
     let between_tokens_ms = fields.required("between_tokens_ms", findings, object::millis);
     fields.close(findings);
     Some(LatencyTarget { ttft_ms: ttft_ms?, between_tokens_ms: between_tokens_ms? })
 }
 
-fn limit(value: &Value, place: &Place, findings: &mut Findings) -> Option<Limit> {
-    let mut fields = Object::open(value, place.clone(), findings)?;
+fn limit(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<Limit> {
+    let mut fields = Object::open(value, *place, findings)?;
     let limit = Limit {
         requests_per_s: fields.read("requests_per_s", findings, object::rate),
         tokens_per_s: fields.read("tokens_per_s", findings, object::rate),
@@ -145,8 +145,8 @@
     Some(limit)
 }
 
-fn placement(value: &Value, place: &Place, findings: &mut Findings) -> Option<Placement> {
-    let mut fields = Object::open(value, place.clone(), findings)?;
+fn placement(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<Placement> {
+    let mut fields = Object::open(value, *place, findings)?;
     let placement = Placement {
         domains: distinct(&mut fields, "domains", findings, object::name),
         classes: distinct(&mut fields, "classes", findings, object::name),
@@ -156,15 +156,15 @@
     Some(placement)
 }
 
-fn call_rule(value: &Value, place: &Place, findings: &mut Findings) -> Option<CallRule> {
-    let mut fields = Object::open(value, place.clone(), findings)?;
+fn call_rule(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<CallRule> {
+    let mut fields = Object::open(value, *place, findings)?;
     let method = fields.required("method", findings, method);
     let path = fields.required("path", findings, call_path);
     fields.close(findings);
     Some(CallRule { method: method?, path: path? })
 }
 
-fn method(value: &Value, place: &Place, findings: &mut Findings) -> Option<Name> {
+fn method(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<Name> {
     let text = object::text(value, place, findings)?;
     if !METHODS.contains(&text.as_str()) {
         let known = METHODS.join(", ");
@@ -173,7 +173,7 @@
     Some(text.into())
 }
 
-fn call_path(value: &Value, place: &Place, findings: &mut Findings) -> Option<String> {
+fn call_path(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<String> {
     let text = object::text(value, place, findings)?;
     if !text.starts_with('/') || text.contains(['?', '#']) {
         findings.add(place.text(), "expected a path that starts with `/`, without `?` and `#`");
@@ -182,7 +182,7 @@
 }
 
 /// A key itself in place of its hash must be refused, and must not be repeated in the finding.
-fn key_hash(value: &Value, place: &Place, findings: &mut Findings) -> Option<KeyHash> {
+fn key_hash(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<KeyHash> {
     let text = object::text(value, place, findings)?;
     let hash = KeyHash(text.into());
     if !hash.is_well_formed() {
@@ -201,7 +201,7 @@
 ) -> Vec<T>
 where
     T: PartialEq,
-    F: FnMut(&'a Value, &Place, &mut Findings) -> Option<T>,
+    F: FnMut(&'a Value, &Place<'_>, &mut Findings) -> Option<T>,
 {
     let list = fields.list(name, findings, reader);
     let place = fields.place(name);
--- a/state/tree/src/read_route.rs
+++ b/state/tree/src/read_route.rs
@@ -10,7 +10,7 @@
 const DEFAULT_ATTEMPTS: u32 = 1;
 
 /// Reads a route.
-pub fn route(value: &Value, place: Place, findings: &mut Findings) -> Option<Route> {
+pub fn route(value: &Value, place: Place<'_>, findings: &mut Findings) -> Option<Route> {
     let mut fields = Object::open(value, place, findings)?;
     let route = Route {
         host: fields.required("host", findings, text).unwrap_or_default(),
@@ -46,10 +46,10 @@
 /// Reads the bounds on what callers send.
 pub fn caller_bounds(
     value: &Value,
-    place: &Place,
+    place: &Place<'_>,
     findings: &mut Findings,
 ) -> Option<CallerBounds> {
-    let mut fields = Object::open(value, place.clone(), findings)?;
+    let mut fields = Object::open(value, *place, findings)?;
     let bounds = CallerBounds {
         header_bytes: fields.read("header_bytes", findings, object::whole),
         body_bytes: fields.read("body_bytes", findings, object::whole),
@@ -60,7 +60,7 @@
 }
 
 /// Reads the rank of an account or a route.
-pub fn urgency(value: &Value, place: &Place, findings: &mut Findings) -> Option<u8> {
+pub fn urgency(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<u8> {
     let number = object::whole(value, place, findings)?;
     let fitting = u8::try_from(number).ok();
     if fitting.is_none() {
@@ -70,7 +70,7 @@
 }
 
 /// Reads a number that is not below zero.
-pub fn amount(value: &Value, place: &Place, findings: &mut Findings) -> Option<f64> {
+pub fn amount(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<f64> {
     let number = value.as_f64().filter(|number| *number >= 0.0);
     if number.is_none() {
         findings.add(place.text(), "expected a number of at least 0");
@@ -78,8 +78,8 @@
     number
 }
 
-fn engine(value: &Value, place: &Place, findings: &mut Findings) -> Option<Engine> {
-    let mut fields = Object::open(value, place.clone(), findings)?;
+fn engine(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<Engine> {
+    let mut fields = Object::open(value, *place, findings)?;
     let engine = Engine {
         slots: fields.read("slots", findings, object::whole_u32).unwrap_or_default(),
         cache_tokens: fields.read("cache_tokens", findings, object::whole).unwrap_or_default(),
@@ -90,8 +90,8 @@
     Some(engine)
 }
 
-fn capacity(value: &Value, place: &Place, findings: &mut Findings) -> Option<CapacityRange> {
-    let mut fields = Object::open(value, place.clone(), findings)?;
+fn capacity(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<CapacityRange> {
+    let mut fields = Object::open(value, *place, findings)?;
     let range = CapacityRange {
         min: fields.read("min", findings, object::whole_u32).unwrap_or_default(),
         max: fields.required("max", findings, object::whole_u32).unwrap_or_default(),
@@ -109,19 +109,19 @@
     Some(range)
 }
 
-fn whole_millis(value: &Value, place: &Place, findings: &mut Findings) -> Option<Millis> {
+fn whole_millis(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<Millis> {
     object::whole(value, place, findings).map(Millis)
 }
 
-fn share(value: &Value, place: &Place, findings: &mut Findings) -> Option<Share> {
-    let mut fields = Object::open(value, place.clone(), findings)?;
+fn share(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<Share> {
+    let mut fields = Object::open(value, *place, findings)?;
     let service = fields.required("service", findings, text);
     let weight = fields.required("weight", findings, object::whole_u32);
     fields.close(findings);
     Some(Share { service: service?, weight: weight? })
 }
 
-fn kind(value: &Value, place: &Place, findings: &mut Findings) -> Option<RouteKind> {
+fn kind(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<RouteKind> {
     let text = object::text(value, place, findings)?;
     let known = RouteKind::NAMES.iter().find(|(_, name)| *name == text);
     if known.is_none() {
@@ -132,11 +132,11 @@
     known.map(|(kind, _)| *kind)
 }
 
-fn text(value: &Value, place: &Place, findings: &mut Findings) -> Option<Name> {
+fn text(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<Name> {
     object::text(value, place, findings).map(Name::from)
 }
 
-fn path(value: &Value, place: &Place, findings: &mut Findings) -> Option<Name> {
+fn path(value: &Value, place: &Place<'_>, findings: &mut Findings) -> Option<Name> {
     let path = text(value, place, findings)?;
     if !path.starts_with('/') || !path.ends_with('/') {
         findings.add(place.text(), "expected a path that begins and ends with `/`");
