Pieces have one constructor; who is asked next is listed only when it is needed

Work done twice, as listed after the settings in pieces: three ways from a text to a piece, a sorted list of all control instances for each answer, a maximum that could not matter.

--- a/coordination/dispatch/src/settings.rs
+++ b/coordination/dispatch/src/settings.rs
@@ -45,7 +45,7 @@
     /// Takes in of what a revision is made, and returns whether it is newer than all before.
     pub fn told(&mut self, manifest: Manifest) -> bool {
         let newest = self.wanted.as_ref().map_or(self.held, |wanted| wanted.revision);
-        let is_news = manifest.revision > newest.max(self.held);
+        let is_news = manifest.revision > newest;
         if is_news {
             let wanted: Set<&PieceId> = manifest.pieces.iter().collect();
             let held = &self.held_ids;
--- a/coordination/dispatch/tests/settings.rs
+++ b/coordination/dispatch/tests/settings.rs
@@ -33,7 +33,7 @@
     let texts = pieces::cut(document).into_iter();
     let pieces = texts.map(|part| {
         let text = serde_json::to_string(&part).expect("it can be written");
-        Piece { id: PieceId::of(&text), text: Packed::of(&text) }
+        Piece::of(&text)
     });
     let pieces: Vec<Piece> = pieces.collect();
     let ids = pieces.iter().map(|piece| piece.id.clone()).collect();
@@ -77,7 +77,7 @@
     // A newer control instance knows a field that this program doesn't. The settings in force stay, and
     // the instance must not ask for the same piece for ever.
     let text = "{\"field_of_tomorrow\":1}";
-    let piece = Piece { id: PieceId::of(text), text: Packed::of(text) };
+    let piece = Piece::of(text);
     let manifest = |revision| Manifest {
         revision: Revision(revision),
         cut_at: Millis::ZERO,
--- a/daemons/gateway/src/feed.rs
+++ b/daemons/gateway/src/feed.rs
@@ -153,8 +153,8 @@
     /// Picks who is asked next: who told of the revision or answered last, then who is followed, then
     /// all others.
     fn source(&self, from: Option<SocketAddr>, tried: &[SocketAddr]) -> Option<SocketAddr> {
-        let all = from.into_iter().chain(self.link.sources());
-        all.into_iter().find(|source| !tried.contains(source))
+        let is_untried = |source: &SocketAddr| !tried.contains(source);
+        from.filter(is_untried).or_else(|| self.link.sources().into_iter().find(is_untried))
     }
 
     /// Asks for pieces, and returns whether any came.
--- a/daemons/gateway/tests/support/cut.rs
+++ b/daemons/gateway/tests/support/cut.rs
@@ -1,6 +1,6 @@
 //! Settings in pieces, as a stand-in for a control instance tells them.
 
-use sill_base::{Map, Millis, Packed};
+use sill_base::{Map, Millis};
 use sill_tree::{Document, PieceId, pieces};
 use sill_wire::control::Revision;
 use sill_wire::settings::{Manifest, Piece, PiecesAsk, PiecesReply};
@@ -18,7 +18,7 @@
         let texts = pieces::cut(document).into_iter();
         let pieces = texts.map(|part| {
             let text = serde_json::to_string(&part).expect("it can be written");
-            Piece { id: PieceId::of(&text), text: Packed::of(&text) }
+            Piece::of(&text)
         });
         let pieces: Vec<Piece> = pieces.collect();
         let ids = pieces.iter().map(|piece| piece.id.clone()).collect();
--- a/protocol/wire/src/settings.rs
+++ b/protocol/wire/src/settings.rs
@@ -28,6 +28,13 @@
     pub text: Packed,
 }
 
+impl Piece {
+    /// Makes the piece with a text.
+    pub fn of(text: &str) -> Self {
+        Self { id: PieceId::of(text), text: Packed::of(text) }
+    }
+}
+
 /// Asks for pieces.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PiecesAsk {
