--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -17,16 +17,14 @@
 use crate::speed::{SpeedMeter, TOLD_AFTER};
 
 /// Prompt tokens that an engine is taken to read in a second where endpoints are compared. It only weighs a
-/// prompt's rest against the other costs. The learned speed in its place served 0.861 of the calls, not 0.888,
-/// on a day with the same endpoints: it has the waits in it that crowding stands for already.
+/// prompt's rest against the other costs. The learned speed has the waits in it that crowding stands for already.
 const PREFILL_TOKENS_PER_S: u32 = 64_000;
 
 /// Time that an engine is taken to need for a token there.
 const DECODE: Millis = Millis(5);
 
 /// Added cost of an engine in another failure domain, whose bytes are charged. A short prompt is computed
-/// in 10 ms and belongs to an engine nearby; a case file takes 80 ms and belongs to its home. Against
-/// 10 ms this gained 0.008 of the mean worth where bytes are dear, and nothing was lost elsewhere.
+/// in 10 ms and belongs to an engine nearby; a case file takes 80 ms and belongs to its home.
 const ELSEWHERE: Millis = Millis(40);
 
 /// Endpoints that a call is compared at, beside its home and those that hold its prompt. Of two drawn the idler
--- a/coordination/dispatch/src/stopping.rs
+++ b/coordination/dispatch/src/stopping.rs
@@ -11,13 +11,9 @@
 /// what those did to the times must still be known then, and be forgotten afterwards.
 const HALF_SPAN: Millis = Millis(15_000);
 
-/// The part of the calls of a route that took no longer than what one is expected to take.
-///
-/// Where most instances stop at once, those that are sent away find nobody: judged by the longest time seen,
-/// 3,500 tries were refused on a day with 57 and then 75 of 83 instances stopping, against 46 without a
-/// judgement, and the worst two seconds earned 0.59 in place of 0.75 of their worth. Beside what is done after
-/// the notice it is worth little: with the longest whole time in its place 1.6% and 2.7% fewer were served on
-/// two harder days, and as many on a milder one. What exceeds this part has most of the stop left.
+/// The part of the calls of a route that took no longer than what one is expected to take. Judged by the longest
+/// time seen, callers would be sent away that nobody else can take where most instances stop at once; what
+/// exceeds this part has most of the stop left.
 const USUAL: f64 = 0.9;
 
 /// Factor on the usual time for a call that is begun once the balancer has noticed, and that may outlast the
--- a/coordination/fleet/src/counts.rs
+++ b/coordination/fleet/src/counts.rs
@@ -18,16 +18,15 @@
 use spread::{Staying, by_price, left_by_wave, spread, stand_ins, staying};
 use waves::Waves;
 
-/// Prompt tokens a second that are planned for an endpoint, of engines of the usual speed. Of 22,000, 32,000 and
-/// 42,000 this was the best on two deployments, by 0.012 and 0.014 of the mean worth.
+/// Prompt tokens a second that are planned for an endpoint, of engines of the usual speed.
 const PLANNED_TOKENS_PER_S: f64 = 32_000.0;
 
 /// The learned speed of such engines: prompt tokens that one reads in a second beside its other work.
 const USUAL_TOKENS_PER_S: f64 = 42_000.0;
 
-/// Ratio to the usual speed up to which engines count as usual. The learned speed depends on the load and is off
-/// by up to 1.5 at engines that differ by 1.4. Planned for directly, it cost 0.02 of the mean worth on each of
-/// three deployments; beyond the ratio it counts, or engines of half the speed get half of what they need.
+/// Ratio to the usual speed up to which engines count as usual. The learned speed depends on the load, so that
+/// engines of one speed seem to differ; beyond the ratio it counts, or engines of half the speed get half of
+/// what they need.
 const SPEED_BAND: f64 = 1.6;
 
 /// How long the highest speed of engines counts. A wave of reclaims and what it leaves last for 20 s; engines
@@ -35,8 +34,7 @@
 const SPEED_HOLD: Millis = Millis(20_000);
 
 /// Part of the need that stands on-demand during a wave of reclaims. The need leaves half of the engines' time
-/// free, so half of it carries the load with longer waits. With 0.6, and for 12 s and not 8, days with a wave
-/// differed by up to 0.02 of the worth either way, and a calm day with two reclaims in four domains lost 0.026.
+/// free, so half of it carries the load with longer waits.
 const WAVE_PART: f64 = 0.5;
 
 /// Failure domains that a wave of reclaims is expected to take back yet. A boot outlasts the notices of two. What
--- a/coordination/fleet/src/counts/needs.rs
+++ b/coordination/fleet/src/counts/needs.rs
@@ -13,7 +13,7 @@
     highest: Vec<Need>,
     /// The highest speed of engines. It is learned from what calls take, and in an overload all calls are slow.
     /// Followed down, it would have more endpoints ordered at the highest price for each second of a wave of
-    /// reclaims, for a load that has not changed: 0.01 of the mean worth over five days with such waves.
+    /// reclaims, for a load that has not changed.
     speed: RecentMax,
 }
 
--- a/coordination/quorum/src/cfg.rs
+++ b/coordination/quorum/src/cfg.rs
@@ -31,8 +31,7 @@
     /// disks that sync in a few.
     ///
     /// Callers of a service wait for the leader after each loss: entry instances that restart get
-    /// settings from it, and it alone orders endpoints. Half the usual span halves that; heartbeats
-    /// then cost 0.1% of a core more.
+    /// settings from it, and it alone orders endpoints. Half the usual span halves that.
     pub fn close_by() -> Self {
         Self {
             heartbeat: Millis(120),
--- a/daemons/gateway/src/answer.rs
+++ b/daemons/gateway/src/answer.rs
@@ -23,9 +23,7 @@
 ///
 /// The head of a stream waits for the first part of its body. An endpoint may begin a stream and be gone
 /// before its first event; with the head on its way, the caller would get a success without content that
-/// breaks off, and nobody could answer any more. The two leave together, so the first event is no later:
-/// in 14 pairs of plays of 2,000 streams the median time to it differed by -115 to 185 µs, 0 in the middle
-/// (a trial of a debug build on a busy machine).
+/// breaks off, and nobody could answer any more. The two leave together, so the first event is no later.
 pub async fn pass_on(
     mut summary: Summary,
     attempt: Attempt,
--- a/transport/net/src/h1/server.rs
+++ b/transport/net/src/h1/server.rs
@@ -32,8 +32,8 @@
 const FIRST_REQUEST: Millis = Millis(500);
 
 /// Time for what has already come on a connection that had a request before. The task of a connection may run
-/// before the runtime has seen what came: without the pause, a request that lay in the socket was dropped
-/// unanswered in 40 of 40 trials on a busy thread, and its caller could not know that it had not run.
+/// before the runtime has seen what came: without the pause, a request that lay in the socket is dropped
+/// unanswered, and its caller can't know that it has not run.
 const ARRIVED: Millis = Millis(50);
 
 /// Bounds of a server.
