--- a/coordination/dispatch/tests/shares.rs
+++ b/coordination/dispatch/tests/shares.rs
@@ -370,8 +370,7 @@
 /// what they were promised.
 #[test]
 fn a_refused_account_is_told_when_there_is_room_everywhere() {
-    // Callers of an account that all entry instances together let in too much of come back too early, again and
-    // again, while the bucket of the one that refuses them is full.
+    // Callers come back too early, again and again, while the bucket of the instance that refuses them is full.
     struct Case {
         name: &'static str,
         /// What all have let in beyond what the account is owed, in seconds of its rate.
