A panic while settings are cut ends one cut, not all to come

Found in the reading of the change: the task that cuts ended with the first panic, and its control instance would have told no newer settings any more; before, the next poll tried again. It goes on with the next revision now, and the line settings_not_cut says so.

The metric of departures counts endpoints that took calls: at each start the remembered ones of the last minute would have looked like late departures.

--- a/daemons/control/src/served.rs
+++ b/daemons/control/src/served.rs
@@ -50,13 +50,13 @@
 /// told late behind large settings.
 pub async fn run(shared: Arc<Shared>) {
     let mut revisions = shared.log.revision();
-    loop {
+    revisions.mark_changed();
+    while revisions.changed().await.is_ok() {
         let own = shared.clone();
         let cutting = move || own.served.cut_newest(own.link.true_time(own.clock.now()));
         // On a thread of its own: heartbeats and votes are not to wait for large settings.
-        if tokio::task::spawn_blocking(cutting).await.is_err() || revisions.changed().await.is_err()
-        {
-            return;
+        if let Err(err) = tokio::task::spawn_blocking(cutting).await {
+            event!(Error, "settings_not_cut", error = err);
         }
     }
 }
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -28,7 +28,7 @@
     pub settings_age: Histogram,
     /// Control instances that answer this one's polls.
     pub followed: IntGauge,
-    /// Time from when an endpoint said that it leaves or ends until it is known here.
+    /// Time from when an endpoint that took calls said that it leaves or ends until it is known here.
     pub departure_age: Histogram,
     /// Open connections of callers.
     pub callers: IntGauge,
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -290,7 +290,10 @@
     fn take_endpoint(&self, now: Millis, from: SocketAddr, fact: &EndpointFact) {
         let pool = self.pool(&fact.service);
         let pool = pool.unwrap_or_else(|| self.open_pool(&fact.service, None));
-        let heard = pool.pool.lock().heard(now, fact);
+        let (was_ready, heard) = {
+            let mut pool = pool.pool.lock();
+            (pool.is_ready(&fact.endpoint), pool.heard(now, fact))
+        };
         match heard {
             Heard::Nothing => return,
             Heard::News => {}
@@ -305,7 +308,9 @@
         if matches!(fact.state, EndpointState::Leaving | EndpointState::Gone) {
             let left = fact.leaves_in.unwrap_or(self.cfg.endpoint_notice);
             pool.departs(now, &fact.endpoint, now - fact.age + left);
-            self.metrics.departure_age.observe(fact.age.0 as f64 / 1000.0);
+            if was_ready {
+                self.metrics.departure_age.observe(fact.age.0 as f64 / 1000.0);
+            }
         }
         event!(
             Info,
