Tests: a comment is back at its test, one check of pieces that came once

A new test of shares stood between an older one and its comment, which then described the wrong test. A comment said that a document had been read by then, which the test doesn't ensure.

Assertions, cases and bounds are as they were; no program changes.

--- a/coordination/dispatch/tests/settings.rs
+++ b/coordination/dispatch/tests/settings.rs
@@ -6,7 +6,7 @@
 use sill_base::random::{cases, seed};
 use sill_base::{Map, Millis, Name, Packed};
 use sill_dispatch::{Assembly, PieceFault, RouteTable};
-use sill_tree::{Document, PieceId, Route, Share, pieces};
+use sill_tree::{Document, DocumentText, PieceId, Route, Share, pieces};
 use sill_wire::control::Revision;
 use sill_wire::settings::{Manifest, Piece};
 
@@ -30,11 +30,8 @@
 }
 
 fn cut(revision: u64, document: &Document) -> (Manifest, Map<PieceId, Piece>) {
-    let texts = pieces::cut(document).into_iter();
-    let pieces = texts.map(|part| {
-        let text = serde_json::to_string(&part).expect("it can be written");
-        Piece::of(&text)
-    });
+    let parts = pieces::cut(document).into_iter();
+    let pieces = parts.map(|part| Piece::of(DocumentText::of(&part).as_str()));
     let pieces: Vec<Piece> = pieces.collect();
     let ids = pieces.iter().map(|piece| piece.id.clone()).collect();
     let manifest = Manifest { revision: Revision(revision), cut_at: Millis::ZERO, pieces: ids };
--- a/coordination/dispatch/tests/shares.rs
+++ b/coordination/dispatch/tests/shares.rs
@@ -365,9 +365,6 @@
     assert!(middle <= Millis(1000), "{middle} ms at the middle of {waits:?}");
 }
 
-/// An account that uses half of its limit is spread over entry instances, none of which has a share
-/// as large as one of its prompts. Refused for that, its callers would get 429 although they keep to
-/// what they were promised.
 #[test]
 fn a_refused_account_is_told_when_there_is_room_everywhere() {
     // Callers come back too early, again and again, while the bucket of the instance that refuses them is full.
@@ -404,6 +401,9 @@
     }
 }
 
+/// An account that uses half of its limit is spread over entry instances, none of which has a share
+/// as large as one of its prompts. Refused for that, its callers would get 429 although they keep to
+/// what they were promised.
 #[test]
 fn an_account_far_below_its_limit_is_not_refused() {
     let loads = [
--- a/daemons/control/tests/served.rs
+++ b/daemons/control/tests/served.rs
@@ -285,9 +285,8 @@
     let text = serde_json::to_string(&document(ROUTES, 1)).expect("it can be written");
     let text = text.replace("\"route-1\":", "\"route-0\":");
     let mut change = begin(address, "PUT", "/tree/serving", "root", &text);
-    let leaving = announcement(2);
-    let endpoint = begin(address, "POST", "/announce", "join", &leaving);
-    // All that was sent so far has been read by now.
+    let endpoint = begin(address, "POST", "/announce", "join", &announcement(2));
+    // Between these the instance takes in what was sent of the document.
     for _ in 0..10 {
         let answer = exchange(begin(address, "POST", "/announce", "join", &announcement(1)), "}");
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
--- a/daemons/gateway/tests/settings.rs
+++ b/daemons/gateway/tests/settings.rs
@@ -152,6 +152,12 @@
         Ok(reply)
     }
 
+    /// Checks that no piece was handed out whole more than once.
+    fn check_each_came_once(&self) {
+        let sent = self.sent.lock();
+        assert!(sent.values().all(|times| *times == 1), "pieces came twice: {sent:?}");
+    }
+
     /// Tells a newer revision from now on.
     fn change(&self, revision: u64, document: &Document) {
         *self.cut.lock() = Cut::of(revision, document);
@@ -261,8 +267,7 @@
     let world = World::start(vec![source]);
     world.wait_for(1);
     assert!(world.knows(0) && world.knows(599));
-    let sent = world.sources[0].sent.lock().clone();
-    assert!(sent.values().all(|times| *times == 1), "pieces came twice: {sent:?}");
+    world.sources[0].check_each_came_once();
 }
 
 #[test]
@@ -310,8 +315,7 @@
     let world = World::start(vec![source]);
     world.wait_for(1);
     assert!(world.knows(0) && world.knows(599));
-    let sent = world.sources[0].sent.lock().clone();
-    assert!(sent.values().all(|times| *times == 1), "pieces came twice: {sent:?}");
+    world.sources[0].check_each_came_once();
 }
 
 #[test]
@@ -330,8 +334,7 @@
     }
     world.wait_for(12);
     assert!(world.knows(0) && world.knows(1499));
-    let sent = world.sources[0].sent.lock().clone();
-    assert!(sent.values().all(|times| *times == 1), "pieces came twice: {sent:?}");
+    world.sources[0].check_each_came_once();
 }
 
 #[test]
--- a/daemons/gateway/tests/support/cut.rs
+++ b/daemons/gateway/tests/support/cut.rs
@@ -1,7 +1,7 @@
 //! Settings in pieces, as a stand-in for a control instance tells them.
 
 use sill_base::{Map, Millis};
-use sill_tree::{Document, PieceId, pieces};
+use sill_tree::{Document, DocumentText, PieceId, pieces};
 use sill_wire::control::Revision;
 use sill_wire::settings::{Manifest, Piece, PiecesAsk, PiecesReply};
 
@@ -15,11 +15,8 @@
 impl Cut {
     /// Cuts a document.
     pub fn of(revision: u64, document: &Document) -> Self {
-        let texts = pieces::cut(document).into_iter();
-        let pieces = texts.map(|part| {
-            let text = serde_json::to_string(&part).expect("it can be written");
-            Piece::of(&text)
-        });
+        let parts = pieces::cut(document).into_iter();
+        let pieces = parts.map(|part| Piece::of(DocumentText::of(&part).as_str()));
         let pieces: Vec<Piece> = pieces.collect();
         let ids = pieces.iter().map(|piece| piece.id.clone()).collect();
         let manifest =
