A stopping entry instance begins calls with a margin, and holds answers that may outlast it

What callers saw: an entry instance that had got SIGTERM began a stream before its balancer had noticed, passed on a part of it, and cut it when its time was up. Such a stream may not be sent again.

Cause: a call that may outlast the instance was begun if the usual time of its route was left, that which nine in ten did not exceed. The tenth was cut. Nothing looked at the call again, although a late first event told of it while its caller had nothing yet.

Now: before the notice half as much again as the usual time has to be left. A stream that may outlast the instance is judged again at its first part, which is held until the head of the answer leaves; one that may not fit is held until it is whole or ends as of unknown outcome. Lines call_begun_in_stop and stream_begun_in_stop tell what decided it.

Why it works: what is passed on had one and a half times its usual time, by its own endpoint's pace once that is known; what is held can't be cut.

Tests: the new case of a_call_is_begun_only_if_it_ends_before_the_instance fails on ("a stream that takes most of what is left", Some(Passed)).

--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -27,7 +27,7 @@
 pub use settings::{Assembly, PieceFault, Whole};
 pub use share::{LimitBounds, OverLimit, Shares};
 pub use speed::{SpeedMeter, middle_speed, presumed_speed};
-pub use stopping::{Begin, CallTimes, OpenCalls, StopPhase, StopPlan, StopTimes};
+pub use stopping::{Begin, CallTimes, OpenCalls, Rest, StopPhase, StopPlan, StopTimes};
 pub use table::{AccountEntry, RouteEntry, RouteTable, TablePart};
 pub use totals::Adder;
 pub use true_time::TrueTime;
--- a/coordination/dispatch/src/stopping.rs
+++ b/coordination/dispatch/src/stopping.rs
@@ -16,16 +16,41 @@
 /// exceeds this part has most of the stop left.
 const USUAL: f64 = 0.9;
 
-/// Factor on the usual time for a call that is begun once the balancer has noticed, and that may outlast the
-/// instance. Its answer is held until it is whole; one in ten takes longer than usual, few twice as long.
-const LATE_MARGIN: u64 = 2;
+/// Factor, in percent, on the usual time of a call that is passed on as it comes although it may outlast the
+/// instance. One in ten takes longer than usual, mostly as its endpoint has just become slower; its answer
+/// would be cut in the middle.
+const PASSED_MARGIN: u64 = 150;
+
+/// The same for a call that is begun once the balancer has noticed. Its answer is held until it is whole, so
+/// one that takes longer is not cut, but has run in vain.
+const LATE_MARGIN: u64 = 200;
 
 /// Calls of a route that must have been seen before one is begun so.
 const ENOUGH: u32 = 20;
 
 /// What calls of each route took of late.
 #[derive(Debug, Default)]
-pub struct CallTimes(Map<Name, RecentTimes>);
+pub struct CallTimes(Map<Name, RouteTimes>);
+
+/// What the calls of a route took of late.
+#[derive(Debug, Default)]
+struct RouteTimes {
+    /// Until the answer was whole.
+    whole: RecentTimes,
+    /// Until its first part.
+    first: RecentTimes,
+}
+
+/// What is expected of a stream that has begun at an instance that stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rest {
+    /// What its route's streams usually take until the first part; none if too little is known.
+    pub usual_first: Option<Millis>,
+    /// Time that it may still take; none if too little is known.
+    pub expected: Option<Millis>,
+    /// How its answer goes on.
+    pub begin: Begin,
+}
 
 /// When a stop is how far.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,33 +67,67 @@
     pub fn took(&mut self, now: Millis, route: &Name, whole: Millis) {
         if !self.0.contains_key(route) {
             // Routes come and go with the settings; those of long ago are not asked for any more.
-            self.0.retain(|_, times| times.quantile(now, HALF_SPAN, USUAL).is_some());
+            self.0.retain(|_, times| usual(now, &times.whole).is_some());
         }
-        self.0.entry(route.clone()).or_default().note(now, HALF_SPAN, whole);
+        self.0.entry(route.clone()).or_default().whole.note(now, HALF_SPAN, whole);
+    }
+
+    /// Takes in the time until the first part of a call's answer. A route without a whole answer of late is not
+    /// kept for it.
+    pub fn first_part_took(&mut self, now: Millis, route: &Name, first: Millis) {
+        if let Some(times) = self.0.get_mut(route) {
+            times.first.note(now, HALF_SPAN, first);
+        }
+    }
+
+    /// Returns what calls of a route usually take.
+    pub fn usual(&self, now: Millis, route: &Name) -> Option<Millis> {
+        self.0.get(route).and_then(|times| usual(now, &times.whole))
+    }
+
+    /// Returns what to expect of a stream whose first part took so long, and of which the caller has nothing yet.
+    ///
+    /// An endpoint that took longer than usual until the first part is taken to be slower by as much for the
+    /// rest. Where that may outlast the instance, the answer is held: nobody would get the end of it elsewhere.
+    pub fn rest(&self, now: Millis, route: &Name, first: Millis, stop: StopTimes) -> Rest {
+        let times = self.0.get(route);
+        let usual_first = times.and_then(|times| usual(now, &times.first));
+        let expected = usual_first.zip(self.usual(now, route)).map(|(usual_first, whole)| {
+            let slower = (first.0 as f64 / usual_first.0.max(1) as f64).max(1.0);
+            Millis(((whole - usual_first).0 as f64 * slower) as u64)
+        });
+        let fits = |rest: Millis| now + with_margin(rest, PASSED_MARGIN) <= stop.ends_at;
+        let begin = if expected.is_some_and(fits) { Begin::Passed } else { Begin::Held };
+        Rest { usual_first, expected, begin }
     }
 
     /// Returns how a call may begin now whose caller has an answer by `due` in any case.
     ///
-    /// Until the balancer has noticed, that is judged by what calls usually take: most of the time of the
-    /// stop is left. Afterwards a call is begun that must be over in time. What others of its route took
-    /// doesn't bound it: judged by the longest time seen and a fifth more, one stream was cut in 35 plays of
-    /// a day of rolling stops. So one that only usually is over in time is begun as [`Begin::Held`].
+    /// Until the balancer has noticed, a call that may outlast the instance is begun if what such calls usually take
+    /// fits with a margin. Afterwards a call is begun that must be over in time, and one that only usually is
+    /// as [`Begin::Held`].
     pub fn begin(&self, now: Millis, route: &Name, due: Millis, stop: StopTimes) -> Option<Begin> {
-        let times = self.0.get(route);
-        let usual = times.and_then(|times| times.quantile(now, HALF_SPAN, USUAL));
-        let is_over = |takes: Millis| now + takes <= stop.ends_at;
-        if is_over(due - now) {
+        if due.max(now) <= stop.ends_at {
             return Some(Begin::Passed);
         }
+        let usual = self.usual(now, route)?;
+        let fits = |margin: u64| now + with_margin(usual, margin) <= stop.ends_at;
         if now < stop.noticed_at {
-            return usual.filter(|usual| is_over(*usual)).map(|_| Begin::Passed);
+            return fits(PASSED_MARGIN).then_some(Begin::Passed);
         }
-        let is_known = times.is_some_and(|times| times.count() >= ENOUGH);
-        let late = usual.filter(|usual| is_known && is_over(*usual * LATE_MARGIN));
-        late.map(|_| Begin::Held)
+        let is_known = self.0.get(route).is_some_and(|times| times.whole.count() >= ENOUGH);
+        (is_known && fits(LATE_MARGIN)).then_some(Begin::Held)
     }
 }
 
+fn usual(now: Millis, times: &RecentTimes) -> Option<Millis> {
+    times.quantile(now, HALF_SPAN, USUAL)
+}
+
+fn with_margin(time: Millis, percent: u64) -> Millis {
+    Millis(time.0 * percent / 100)
+}
+
 /// How a call begins at an instance that stops.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Begin {
--- a/coordination/dispatch/tests/stopping.rs
+++ b/coordination/dispatch/tests/stopping.rs
@@ -45,6 +45,7 @@
     let cases = [
         case("a stream, early, although one took longer", "chat", (7500, 15_000), YES),
         case("a stream, as the balancer is about to notice", "chat", (5200, 15_000), YES),
+        case("a stream that takes most of what is left", "chat", (4200, 15_000), NO),
         case("a stream where little is left", "chat", (2300, 15_000), NO),
         case("one with a short timeout", "chat", (2300, 2200), YES),
         case("a short call, late", "lookup", (100, 1500), YES),
@@ -70,6 +71,39 @@
     }
 }
 
+/// A stream is begun as an instance stops, and its endpoint has become slower than it was. Passed on, it is cut in
+/// the middle at the end of the process; held without need, its caller waits for an answer that could be read
+/// meanwhile.
+#[test]
+fn a_stream_is_held_if_its_first_part_tells_that_it_outlasts_the_instance() {
+    struct Case {
+        name: &'static str,
+        route: &'static str,
+        /// Time that the first part took, and that is left.
+        times: (u64, u64),
+        expected: Begin,
+    }
+    let case = |name, times, expected| Case { name, route: "chat", times, expected };
+    let cases = [
+        case("as usual", (400, 6500), Begin::Passed),
+        case("faster than usual", (50, 6500), Begin::Passed),
+        case("late, with time left", (800, 8500), Begin::Passed),
+        case("late", (800, 6500), Begin::Held),
+        case("as usual, and little is left", (400, 3000), Begin::Held),
+        Case { route: "new", ..case("of a route that is not known", (400, 6500), Begin::Held) },
+    ];
+    let mut times = seen();
+    for turn in 0..20 {
+        times.first_part_took(Millis(1000), &"chat".into(), Millis(100 + 15 * turn));
+    }
+    for Case { name, route, times: (first, left), expected } in cases {
+        let now = Millis(5000);
+        let stop = StopTimes { noticed_at: now, ends_at: now + Millis(left) };
+        let rest = times.rest(now, &route.into(), Millis(first), stop);
+        assert_eq!(rest.begin, expected, "{name}: {rest:?}");
+    }
+}
+
 /// A reclaim made streams slow for some seconds. Long after it, calls must not be refused for that.
 #[test]
 fn long_times_of_long_ago_are_forgotten() {
--- a/daemons/gateway/src/answer.rs
+++ b/daemons/gateway/src/answer.rs
@@ -2,6 +2,7 @@
 
 use http::response::Parts;
 use http::{HeaderMap, Response, header};
+use http_body::Body;
 use http_body_util::BodyExt;
 use sill_dispatch::{Begin, Progress};
 use sill_net::h1::{Answer, AnyBody, strip_hop_by_hop, whole};
@@ -46,7 +47,10 @@
         attempt.count_usage();
     }
     let mut relay = Relay::new(summary, Running { body, attempt, connection }, progress, goes_on);
-    if call.begin == Begin::Held {
+    // A plain answer loses nothing by being held, unless it is too long for that.
+    let is_short = relay.size_hint().exact().is_some_and(|size| size <= HELD_BYTES as u64);
+    let is_held = !is_stream && is_short && state.stopping.may_cut(call.due);
+    if call.begin == Begin::Held || is_held {
         return pass_on_whole(parts, relay, &state).await;
     }
     if is_stream {
@@ -58,15 +62,20 @@
         if !is_held {
             return relay.fail();
         }
+        let first = state.clock.now() - call.arrived;
+        let id = &call.head.attempt;
+        if state.stopping.go_on(id, &call.route.name, call.due, first) == Begin::Held {
+            return pass_on_whole(parts, relay, &state).await;
+        }
     }
     Response::from_parts(parts, relay.boxed_unsync())
 }
 
 /// Passes an answer on once it is whole.
 ///
-/// The call came late in a stop, and nothing bounds it but the end of the process. Passed on as it comes, its
-/// answer could be cut in the middle, and its caller might not send it again. So the caller has all of it,
-/// or is told that the outcome is unknown.
+/// Nothing bounds the call but the end of the process. Passed on as it comes, its answer could be cut in the
+/// middle, and its caller might not send it again. So the caller has all of it, or is told that the outcome is
+/// unknown.
 async fn pass_on_whole(parts: Parts, mut relay: Relay, state: &State) -> Response<AnyBody> {
     let body = tokio::select! {
         biased;
--- a/daemons/gateway/src/daemon.rs
+++ b/daemons/gateway/src/daemon.rs
@@ -117,7 +117,7 @@
         let times = StopTimes { noticed_at: began + notice, ends_at: cut_at - LAST_ANSWERS };
         let open = self.state.open_calls().older;
         event!(Info, "gateway_stops", connections = open, late_ms = late);
-        self.state.begin_to_stop(times);
+        self.state.stopping.start(times);
         self.take_what_fits(times).await;
         self.close().await;
         // Those that came with the last look.
@@ -137,7 +137,7 @@
                 StopPhase::Announcing => {}
                 StopPhase::Finishing => self.tell(Stop::Closing),
                 StopPhase::Leaving => {
-                    self.state.take_no_more();
+                    self.state.stopping.take_no_more();
                     self.tell(Stop::Leaving);
                 }
                 StopPhase::Over => return,
@@ -149,7 +149,7 @@
     /// Closes the listener. A connection that comes after the last look would be cut with its call read
     /// and sent on.
     async fn close(&mut self) {
-        self.state.take_no_more();
+        self.state.stopping.take_no_more();
         self.tell(Stop::Over);
         let _ = (&mut self.listening).await;
     }
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -117,7 +117,7 @@
 /// An attempt that is begun too late is cut, or ends with its outcome unknown, though before it the call may
 /// surely not have run, and another entry instance could have taken it.
 pub fn lasts_for_another(state: &State, call: &Call) -> bool {
-    let begin = state.begin_attempt(&call.route.name, call.due);
+    let begin = state.stopping.begin_attempt(&call.route.name, call.due);
     begin.is_some_and(|begin| begin == Begin::Passed || call.begin == Begin::Held)
 }
 
--- a/daemons/gateway/src/failure.rs
+++ b/daemons/gateway/src/failure.rs
@@ -42,7 +42,7 @@
     /// same connection the caller would come back to this instance.
     pub fn answer(&self, state: &State, attempt: &Name) -> Response<AnyBody> {
         let mut response = self.response(&*state.cfg.dialect, attempt);
-        if state.is_stopping() {
+        if state.stopping.has_begun() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod relay;
 pub mod serve;
 pub mod state;
+pub mod stopping;
 pub mod summary;
 
 pub use cfg::GatewayCfg;
--- a/daemons/gateway/src/moves.rs
+++ b/daemons/gateway/src/moves.rs
@@ -65,7 +65,7 @@
             self.due = None;
             // The process ends before the engine does, so a move can't save the stream. The engine copies one
             // memory after the other, and would have less time for the runs of other entry instances.
-            if attempt.state().ends_within(AHEAD) {
+            if attempt.state().stopping.ends_within(AHEAD) {
                 return;
             }
             let Place { endpoint, address, .. } = attempt.place.clone();
--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::ending::{ByStop, Phase};
 use crate::failure::Failure;
 use crate::state::{PoolState, State};
+use crate::stopping::TooLate;
 
 /// Bytes of a body where settings name no bound.
 const MAX_BODY: usize = 4 << 20;
@@ -165,8 +166,10 @@
     let left = head.deadline.map_or(timeout, |deadline| deadline.min(timeout));
     let due = arrived + left;
     // Begun too late, the call would be cut off in the middle, and could not be sent again.
-    let begin = state.begin(&route.name, due).map_err(|left| {
-        let inputs = format!("{left} ms until the end, {} ms for the call", due - arrived);
+    let begin = state.stopping.begin(&head.attempt, &route.name, due).map_err(|late| {
+        let TooLate { left, usual } = late;
+        let (due, usual) = (due - arrived, usual.unwrap_or_default());
+        let inputs = format!("{left} ms until the end, {due} ms for the call, usually {usual}");
         Refused { route: route.name.clone(), ..Refused::by_stop(state, inputs) }
     })?;
     let amount = amount(&head, account.as_deref());
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -1,15 +1,14 @@
 //! What the parts of an entry instance share, each under its own lock.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use parking_lot::{Mutex, RwLock};
 use sill_base::{Clock, Map, Millis, Name, Promise, event, keep};
 use sill_dispatch::usage::window_of;
 use sill_dispatch::{
-    Average, Begin, Budgets, CallTimes, Heard, OpenCalls, OverLimit, Pool, PoolCfg, RouteTable,
-    Shares, StopTimes, UsageCounter,
+    Average, Budgets, Heard, OpenCalls, OverLimit, Pool, PoolCfg, RouteTable, Shares, UsageCounter,
 };
 use sill_net::h1::{Connections, ConnectionsCfg, OpenConnections};
 use sill_tree::Engine;
@@ -21,6 +20,7 @@
 use crate::cfg::GatewayCfg;
 use crate::ending::Ending;
 use crate::metrics::Metrics;
+use crate::stopping::Stopping;
 
 /// Time that a new connection to an endpoint may take. Between failure domains it takes 3 ms; a
 /// first packet that was lost is sent again after a second, which is too late for most calls.
@@ -65,6 +65,8 @@
     pub callers: Arc<OpenConnections>,
     /// How calls end that a stop doesn't wait for.
     pub ending: Ending,
+    /// Its planned stop.
+    pub stopping: Stopping,
     table: watch::Sender<Option<Arc<RouteTable>>>,
     pools: RwLock<Map<Name, Arc<PoolState>>>,
     shares: Mutex<Shares>,
@@ -72,9 +74,6 @@
     usage: Mutex<UsageCounter>,
     /// True time of day less the steady clock, in milliseconds.
     time_offset: AtomicU64,
-    call_times: Mutex<CallTimes>,
-    stop: OnceLock<StopTimes>,
-    takes_no_more: AtomicBool,
 }
 
 /// The endpoints of a service, and what is counted of its calls.
@@ -124,9 +123,7 @@
             budgets: Mutex::new(Budgets::new(cfg.retries)),
             usage: Mutex::default(),
             time_offset: AtomicU64::new((wall - clock.now()).0),
-            call_times: Mutex::default(),
-            stop: OnceLock::new(),
-            takes_no_more: AtomicBool::new(false),
+            stopping: Stopping::new(clock),
             incarnation: Incarnation(wall.0),
             clock,
             cfg,
@@ -154,22 +151,7 @@
     /// Returns whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         let has_endpoints = || self.pools.read().values().any(|pool| pool.pool.lock().ready() > 0);
-        !self.is_stopping() && self.table.borrow().is_some() && has_endpoints()
-    }
-
-    /// Returns whether it is about to stop.
-    pub fn is_stopping(&self) -> bool {
-        self.stop.get().is_some()
-    }
-
-    /// Has the balancer send callers elsewhere. What still runs at the end is cut.
-    pub fn begin_to_stop(&self, stop: StopTimes) {
-        self.stop.get_or_init(|| stop);
-    }
-
-    /// Has all calls refused from now on: those that are open are waited for.
-    pub fn take_no_more(&self) {
-        self.takes_no_more.store(true, Ordering::Relaxed);
+        !self.stopping.has_begun() && self.table.borrow().is_some() && has_endpoints()
     }
 
     /// Returns the open connections of callers.
@@ -177,36 +159,6 @@
         OpenCalls { older: self.callers.older(), later: self.callers.later() }
     }
 
-    /// Returns how a new call that must be over by `due` begins here.
-    ///
-    /// # Errors
-    ///
-    /// Fails with the time until the instance ends, if the call may outlast it.
-    pub fn begin(&self, route: &Name, due: Millis) -> Result<Begin, Millis> {
-        let Some(stop) = self.stop.get() else { return Ok(Begin::Passed) };
-        let begin = match self.takes_no_more.load(Ordering::Relaxed) {
-            true => None,
-            false => self.begin_attempt(route, due),
-        };
-        begin.ok_or_else(|| stop.ends_at - self.clock.now())
-    }
-
-    /// Returns how an attempt at a call that must be over by `due` begins here, if it may.
-    pub fn begin_attempt(&self, route: &Name, due: Millis) -> Option<Begin> {
-        let Some(stop) = self.stop.get() else { return Some(Begin::Passed) };
-        self.call_times.lock().begin(self.clock.now(), route, due, *stop)
-    }
-
-    /// Takes in the whole time of a call.
-    pub fn took(&self, route: &Name, whole: Millis) {
-        self.call_times.lock().took(self.clock.now(), route, whole);
-    }
-
-    /// Returns whether the instance ends within a span.
-    pub fn ends_within(&self, span: Millis) -> bool {
-        self.stop.get().is_some_and(|stop| stop.ends_at <= self.clock.now() + span)
-    }
-
     /// Returns true time of day.
     pub fn true_time(&self) -> Millis {
         self.clock.now() + Millis(self.time_offset.load(Ordering::Relaxed))
--- /dev/null
+++ b/daemons/gateway/src/stopping.rs
@@ -0,0 +1,129 @@
+//! What a planned stop means for calls: which are begun, and how their answers are passed on.
+
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use parking_lot::Mutex;
+use sill_base::{Clock, Millis, Name, event};
+use sill_dispatch::{Begin, CallTimes, StopTimes};
+
+/// The planned stop of this entry instance, if it was asked for, and what calls take.
+#[derive(Debug)]
+pub struct Stopping {
+    clock: Clock,
+    times: OnceLock<StopTimes>,
+    takes_no_more: AtomicBool,
+    call_times: Mutex<CallTimes>,
+}
+
+/// A call that is not begun, as it may outlast the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TooLate {
+    /// Time until the instance ends.
+    pub left: Millis,
+    /// What calls of its route usually take; none if too little is known.
+    pub usual: Option<Millis>,
+}
+
+impl Stopping {
+    /// Makes the one of an instance that goes on.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            times: OnceLock::new(),
+            takes_no_more: AtomicBool::new(false),
+            call_times: Mutex::default(),
+        }
+    }
+
+    /// Returns whether the instance is about to stop.
+    pub fn has_begun(&self) -> bool {
+        self.times.get().is_some()
+    }
+
+    /// Has the balancer send callers elsewhere. What still runs at the end is cut.
+    pub fn start(&self, times: StopTimes) {
+        self.times.get_or_init(|| times);
+    }
+
+    /// Has all calls refused from now on: those that are open are waited for.
+    pub fn take_no_more(&self) {
+        self.takes_no_more.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the instance ends within a span.
+    pub fn ends_within(&self, span: Millis) -> bool {
+        self.times.get().is_some_and(|stop| stop.ends_at <= self.clock.now() + span)
+    }
+
+    /// Returns how a new call that must be over by `due` begins here.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call may outlast the instance.
+    pub fn begin(&self, id: &Name, route: &Name, due: Millis) -> Result<Begin, TooLate> {
+        let Some(stop) = self.times.get() else { return Ok(Begin::Passed) };
+        let begin = match self.takes_no_more.load(Ordering::Relaxed) {
+            true => None,
+            false => self.begin_attempt(route, due),
+        };
+        let now = self.clock.now();
+        let (left, usual) = (stop.ends_at - now, self.call_times.lock().usual(now, route));
+        let Some(begin) = begin else { return Err(TooLate { left, usual }) };
+        if due > stop.ends_at {
+            event!(
+                Info,
+                "call_begun_in_stop",
+                id = id,
+                route = route,
+                begin = format!("{begin:?}"),
+                usual_ms = usual.unwrap_or_default(),
+                left_ms = left,
+                due_ms = due - now
+            );
+        }
+        Ok(begin)
+    }
+
+    /// Returns how an attempt at a call that must be over by `due` begins here, if it may.
+    pub fn begin_attempt(&self, route: &Name, due: Millis) -> Option<Begin> {
+        let Some(stop) = self.times.get() else { return Some(Begin::Passed) };
+        self.call_times.lock().begin(self.clock.now(), route, due, *stop)
+    }
+
+    /// Returns whether a call that must be over by `due` may still run when the instance ends.
+    pub fn may_cut(&self, due: Millis) -> bool {
+        self.times.get().is_some_and(|stop| due > stop.ends_at)
+    }
+
+    /// Returns how a stream goes on of which the caller has nothing yet, once its first part has come.
+    pub fn go_on(&self, id: &Name, route: &Name, due: Millis, first: Millis) -> Begin {
+        let Some(stop) = self.times.get().filter(|stop| due > stop.ends_at) else {
+            return Begin::Passed;
+        };
+        let now = self.clock.now();
+        let rest = self.call_times.lock().rest(now, route, first, *stop);
+        event!(
+            Info,
+            "stream_begun_in_stop",
+            id = id,
+            route = route,
+            begin = format!("{:?}", rest.begin),
+            first_ms = first,
+            usual_first_ms = rest.usual_first.unwrap_or_default(),
+            rest_ms = rest.expected.unwrap_or_default(),
+            left_ms = stop.ends_at - now
+        );
+        rest.begin
+    }
+
+    /// Takes in the whole time of a call.
+    pub fn took(&self, route: &Name, whole: Millis) {
+        self.call_times.lock().took(self.clock.now(), route, whole);
+    }
+
+    /// Takes in the time until the first part of a call's answer.
+    pub fn first_part_took(&self, route: &Name, first: Millis) {
+        self.call_times.lock().first_part_took(self.clock.now(), route, first);
+    }
+}
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -82,6 +82,10 @@
 
     /// Notes a part of the answer.
     pub fn passes(&mut self, now: Millis, bytes: usize) {
+        if self.first_part.is_none() {
+            let first = now - self.call.arrived;
+            self.state.stopping.first_part_took(&self.call.route.name, first);
+        }
         self.first_part.get_or_insert(now);
         self.bytes += bytes as u64;
     }
@@ -171,7 +175,7 @@
         // One that its caller left, or that failed, tells nothing of how long an answer takes. Endpoints that
         // fail fast would have a stopping instance begin calls that it must cut.
         if matches!(self.outcome, "answered" | "out_of_time") {
-            state.took(&call.route.name, now - call.arrived);
+            state.stopping.took(&call.route.name, now - call.arrived);
         }
         if self.outcome == "answered" {
             state.metrics.whole_answer.observe((now - call.arrived).as_secs_f64());
--- a/daemons/gateway/tests/stops.rs
+++ b/daemons/gateway/tests/stops.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
+use sill_base::Millis;
 use support::{
     Act, Got, World, answer_of, exchange, exchange_after, head, request, wait_until_ready_is,
 };
@@ -190,3 +191,58 @@
         assert!(status != 200 || got.body == body, "{name}: {:?}", got.body);
     }
 }
+
+/// Answers calls of a route as usual, and sends one more as a stop begins, which gets `last`.
+fn call_as_a_stop_begins(path: &'static str, usual: Act, last: Act) -> Got {
+    let acts = [vec![usual; SEEN], vec![Act::Hang, last]].concat();
+    let mut world = World::stopping_within(Millis(1500), vec![acts]);
+    for _ in 0..SEEN {
+        assert_eq!(world.call(path).status, 200);
+    }
+    let (address, ready_address) = (world.address, world.ready_address);
+    let older = thread::spawn(move || exchange(address, &request("/idempotent/y", "")));
+    while world.endpoints[0].requests() <= SEEN {
+        thread::sleep(Duration::from_millis(10));
+    }
+    let stop = thread::spawn(move || world.stop());
+    wait_until_ready_is(503, ready_address);
+    let got = exchange(address, &request(path, ""));
+    stop.join().expect("it stops");
+    older.join().expect("an answer");
+    got
+}
+
+/// An instance that has just been asked to stop begins a call whose endpoint has become slow. The answer
+/// outlasts the process; it must not be cut in the middle.
+#[test]
+fn an_answer_of_a_slow_endpoint_is_not_cut_by_a_stop() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        usual: Act,
+        last: Act,
+    }
+    let stream = head("content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n");
+    let event = |id: u32| format!("f\r\nid: {id}\ndata: a\n\n\r\n");
+    let begins = format!("{stream}{}", event(1));
+    let (pause, never) = (Duration::from_millis(40), Duration::from_secs(20));
+    let half = format!("{}half", head("content-length: 10\r\n"));
+    let cases = [
+        Case {
+            name: "a stream with a late first event",
+            path: "/stream/x",
+            usual: Act::AnswerInTwo(begins.clone(), pause, format!("{}0\r\n\r\n", event(2))),
+            last: Act::AnswerInTwo(String::new(), pause * 15, begins),
+        },
+        Case {
+            name: "a plain answer with a slow body",
+            path: "/idempotent/x",
+            usual: Act::Answer(answer_of("whole")),
+            last: Act::AnswerAndCloseLater(half, never),
+        },
+    ];
+    for Case { name, path, usual, last } in cases {
+        let got = call_as_a_stop_begins(path, usual, last);
+        assert_eq!((got.status, got.is_whole), (502, true), "{name}: {}", got.head);
+    }
+}
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -47,6 +47,8 @@
     Answer(String),
     /// Sends these bytes after a while and keeps the connection.
     AnswerLater(String, Duration),
+    /// Sends the first bytes, the others after a while, and keeps the connection.
+    AnswerInTwo(String, Duration, String),
     /// Sends these bytes and ends the connection.
     AnswerAndClose(String),
     /// Sends these bytes, and ends the connection after a while.
@@ -194,6 +196,11 @@
                     return;
                 }
             }
+            Act::AnswerInTwo(first, pause, rest) => {
+                let _ = stream.write_all(first.replace("{id}", &id).as_bytes());
+                thread::sleep(pause);
+                let _ = stream.write_all(rest.replace("{id}", &id).as_bytes());
+            }
             Act::AnswerAndClose(text) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
                 return;
