sill-entry: a refusal has a line on what was believed of the endpoints

For a_wave_of_reclaims_leaves_every_answer_whole the hypotheses were: endpoints that are not heard of in time on a busy machine; a request that was sent to a dying endpoint and is then refused as never sent; loads that count requests twice; a bound that is reached in fact.

route_refused tells reason, priority, endpoints by state, requests believed at them, of these our own, slots and the age of the oldest load. request_refused tells the number of attempts and the time. `PoolView` is made only for a refusal. The entry instance's test kit prints the lines where SILL_TEST_LOG is set.

What they tell: 16 plays of the test beside 24 busy loops on 8 cores, with these lines, 4 failed. Each time the last request_refused has attempts=0 and priority=Normal, some 100 ms before the first reclaim_notice, with reason=Full and ready=4: 42, 34, 29 and 29 requests believed on 32 slots, of these 18, 12, 18 and 16 our own, by loads 0.3 to 2.2 s old. So no reclaim, no silence and no lost send; a bound on the load decides, and 42 is more than the 40 that there are.

--- a/coordination/flight/src/flight.rs
+++ b/coordination/flight/src/flight.rs
@@ -119,6 +119,11 @@
         self.attempt.as_ref().map(|a| &a.place).or(self.kv_from.as_ref())
     }
 
+    /// Returns how many endpoints it was given to.
+    pub fn attempts(&self) -> u32 {
+        self.epoch.0
+    }
+
     /// Returns whether it has come to its end.
     pub fn is_over(&self) -> bool {
         matches!(self.stage, Stage::Over)
--- a/coordination/route/src/endpoint.rs
+++ b/coordination/route/src/endpoint.rs
@@ -94,6 +94,16 @@
         self.others + self.own.len() as u32
     }
 
+    /// Returns our own requests that it holds.
+    pub(crate) fn own(&self) -> u32 {
+        self.own.len() as u32
+    }
+
+    /// Returns when its reported load was true.
+    pub(crate) fn sampled(&self) -> Millis {
+        self.sampled
+    }
+
     /// Returns the prompt tokens that it is thought to have before it: those of others are worked
     /// off since the sample, and what we sent since, others are presumed to have sent too.
     pub(crate) fn pending_tokens(&self, now: Millis, peers: f64, cfg: &PolicyCfg) -> u64 {
--- a/coordination/route/src/lib.rs
+++ b/coordination/route/src/lib.rs
@@ -12,10 +12,12 @@
 pub mod router;
 mod score;
 mod survey;
+pub mod view;
 pub mod weaken;
 
 pub use ask::{Ask, Choice, Chosen, Event, Outcome, Refusal, RefusalReason, Target};
 pub use policy::{ByPriority, Drawn, Policy, PolicyCfg};
 pub use retry::{RetryBudget, RetryCfg};
 pub use router::{Router, RouterCfg};
+pub use view::PoolView;
 pub use weaken::Weakening;
--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -16,6 +16,7 @@
 use crate::risk::Waves;
 use crate::score::{Candidate, Scorer};
 use crate::survey::Survey;
+use crate::view::PoolView;
 use crate::weaken::Weakening;
 
 /// Settings of a router.
@@ -125,6 +126,20 @@
         choice
     }
 
+    /// Returns what is believed of the endpoints that serve a request's target.
+    pub fn view(&self, now: Millis, ask: &Ask) -> PoolView {
+        let mut view = PoolView::default();
+        let serves = |e: &&Endpoint| ask.target.is_served_by(&e.announcement);
+        for endpoint in self.endpoints.values().filter(serves) {
+            let candidate = self.candidate(now, ask, endpoint, 0, None);
+            match self.check(now, ask, &candidate) {
+                Err(Unfit::No) => view.unfit += 1,
+                _ => view.count(now, &candidate, &self.policy),
+            }
+        }
+        view
+    }
+
     fn choose_by(
         &mut self,
         now: Millis,
--- a/daemons/entry/src/record.rs
+++ b/daemons/entry/src/record.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use sill_base::{Machine, Millis, event};
-use sill_route::{Ask, Choice, Event, Router, RouterCfg};
+use sill_route::{Ask, Choice, Event, PoolView, Router, RouterCfg};
 
 /// What a router takes in.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -62,6 +62,11 @@
         choice
     }
 
+    /// Returns what is believed of the endpoints that serve a request's target.
+    pub fn view(&self, now: Millis, ask: &Ask) -> PoolView {
+        self.router.view(now, ask)
+    }
+
     /// Each line is written at once, so that the last one before a crash is there. A full disk ends
     /// the record and not the serving.
     fn write(&mut self, line: &serde_json::Value) {
--- a/daemons/entry/src/routing.rs
+++ b/daemons/entry/src/routing.rs
@@ -7,8 +7,8 @@
 
 use parking_lot::Mutex;
 use rustc_hash::FxHasher;
-use sill_base::{Millis, Name};
-use sill_route::{Ask, Choice, Event, Refusal, RefusalReason, RouterCfg, Target};
+use sill_base::{Millis, Name, event};
+use sill_route::{Ask, Choice, Event, PoolView, Refusal, RefusalReason, RouterCfg, Target};
 use sill_wire::Served;
 
 use crate::cfg::EntryCfg;
@@ -52,13 +52,22 @@
     pub fn choose(&self, now: Millis, ask: &Ask) -> Choice {
         if now.0 > self.trusted_until.load(Ordering::Relaxed) {
             let retry_after = Millis::from_secs(1);
-            return Choice::Refuse(Refusal { reason: RefusalReason::NoEndpoint, retry_after });
+            let refusal = Refusal { reason: RefusalReason::NoEndpoint, retry_after };
+            event!(Warn, "route_refused", request = ask.request, reason = "membership_too_old");
+            return Choice::Refuse(refusal);
         }
         let mut router = self.shard(&ask.target).lock();
         let choice = router.choose(now, ask);
-        if let Choice::Endpoint(chosen) = &choice {
-            let sent = Event::Sent { endpoint: chosen.endpoint.clone(), ask: ask.clone() };
-            router.step(now, sent);
+        match &choice {
+            Choice::Endpoint(chosen) => {
+                let sent = Event::Sent { endpoint: chosen.endpoint.clone(), ask: ask.clone() };
+                router.step(now, sent);
+            }
+            Choice::Refuse(refusal) => {
+                let view = router.view(now, ask);
+                drop(router);
+                log_refusal(ask, refusal, &view);
+            }
         }
         choice
     }
@@ -90,6 +99,26 @@
     }
 }
 
+fn log_refusal(ask: &Ask, refusal: &Refusal, view: &PoolView) {
+    event!(
+        Info,
+        "route_refused",
+        request = ask.request,
+        reason = format!("{:?}", refusal.reason),
+        priority = format!("{:?}", ask.priority),
+        excluded = ask.exclude.len(),
+        ready = view.ready,
+        full = view.full,
+        suspect = view.suspect,
+        unfit = view.unfit,
+        active = view.active,
+        own = view.own,
+        slots = view.slots,
+        load_age_ms = view.oldest,
+        retry_after_ms = refusal.retry_after
+    );
+}
+
 /// Each shard is a core of its own and has its own trace: `FILE.0`, `FILE.1` and so on.
 fn record_of(file: &Path, shard: usize) -> PathBuf {
     let mut name = file.as_os_str().to_owned();
--- a/daemons/entry/src/serve/driver.rs
+++ b/daemons/entry/src/serve/driver.rs
@@ -77,6 +77,7 @@
     timer: Timer,
     pub(super) ended: Option<RunEnd>,
     reply: Option<WholeReply>,
+    pub(super) received: Millis,
     first_at: Option<Millis>,
     accepted: bool,
     pub(super) elsewhere: bool,
@@ -112,6 +113,7 @@
     pub fn new(app: Arc<Shared>, client: Client, order: Order, flight: Flight) -> Self {
         let signals = app.signals.subscribe();
         Self {
+            received: app.clock.now(),
             app,
             order,
             flight,
--- a/daemons/entry/src/serve/ending.rs
+++ b/daemons/entry/src/serve/ending.rs
@@ -123,6 +123,14 @@
             }
             RunEnd::NotRun(refusal) => {
                 metrics.refused.inc();
+                event!(
+                    Info,
+                    "request_refused",
+                    request = refusal.request(),
+                    why = refusal.message(),
+                    attempts = self.flight.attempts(),
+                    ms = self.now() - self.received
+                );
                 format!("refused, not run: {}", refusal.message())
             }
             RunEnd::Moved(peer) => format!("runs at {peer}"),
