Stand-in endpoint: a load report is as old as it says

The stand-in sent its present load with the age of `lag` (200 ms). An entry instance tells its own requests from those of others by that age, so it counted what it had sent in the last 200 ms twice: 42 requests were believed where there were 40 in all (route_refused of a play of a_wave_of_reclaims_leaves_every_answer_whole beside 24 busy loops).

Load is now sampled every 20 ms, and the newest sample that is as old as `lag` is reported with its true age. The doc of `EndpointCfg::lag` said so before.

--- a/bench/standin/src/endpoint.rs
+++ b/bench/standin/src/endpoint.rs
@@ -23,6 +23,7 @@
 use crate::events::{self, Outbox};
 use crate::kv::{self, Exports};
 use crate::ledger::Ledger;
+use crate::load_report::LoadReport;
 use crate::orders::{self, Orders};
 use crate::run;
 
@@ -97,6 +98,7 @@
     queued: AtomicU32,
     queued_tokens: AtomicU64,
     cache: Mutex<PrefixCache>,
+    reported: Mutex<LoadReport>,
     pub(crate) ledger: Ledger,
     pub(crate) exports: Mutex<Exports>,
     pub(crate) outbox: Outbox,
@@ -150,6 +152,7 @@
             queued: AtomicU32::new(0),
             queued_tokens: AtomicU64::new(0),
             cache: Mutex::new(PrefixCache::new(cfg.cache_tokens)),
+            reported: Mutex::new(LoadReport::new(cfg.lag)),
             ledger: Ledger::default(),
             exports: Mutex::new(Exports::default()),
             outbox: Outbox::default(),
@@ -207,18 +210,23 @@
             prefill_tokens_per_s: (1_000_000 / cfg.prefill_us_per_token.max(1)) as u32,
             decode_ms: cfg.decode.0 as u32,
             cache_tokens: cfg.cache_tokens,
-            load: Load {
-                running: self.running.load(Ordering::Relaxed),
-                queued: self.queued.load(Ordering::Relaxed),
-                queued_tokens: self.queued_tokens.load(Ordering::Relaxed),
-                cached_tokens: self.cache.lock().tokens(),
-                age: cfg.lag,
-            },
+            load: self.reported.lock().at(self.clock.now()),
             leaving: dies_at.map(|at| at - self.clock.now()),
             checks_fencing: cfg.checks_fencing,
         }
     }
 
+    fn sample_load(&self) {
+        let load = Load {
+            running: self.running.load(Ordering::Relaxed),
+            queued: self.queued.load(Ordering::Relaxed),
+            queued_tokens: self.queued_tokens.load(Ordering::Relaxed),
+            cached_tokens: self.cache.lock().tokens(),
+            age: Millis::ZERO,
+        };
+        self.reported.lock().sample(self.clock.now(), load);
+    }
+
     /// Waits for a slot and for the prompt to be computed.
     pub(crate) async fn admit(&self, blocks: &[u64], prompt_tokens: u64) -> Option<Admission> {
         self.queued.fetch_add(1, Ordering::Relaxed);
@@ -339,6 +347,7 @@
         // A notice must not wait for the next turn.
         for _ in 0..ANNOUNCE_EVERY.0 / 20 {
             ntex::time::sleep(ntex::time::Millis(20)).await;
+            shared.sample_load();
             if !told_leaving && shared.dies_at.lock().is_some() {
                 break;
             }
--- a/bench/standin/src/lib.rs
+++ b/bench/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod events;
 pub mod kv;
 pub mod ledger;
+pub mod load_report;
 pub mod loopback;
 pub mod orders;
 mod run;
