A full pool takes a request whose first token is expected in time

What callers saw: forty at 32 slots, and one or more got 503 no_capacity with Retry-After of 2 or 3, though the last of them would have had its first token after 0.4 s. Only on a busy machine.

Cause: normal priority is refused once 90% of the slots are believed taken, whatever the length of answers. On an idle machine the callers come between two load reports, and each of two entry instances knows its own half; on a busy one a report comes in the middle of them.

Now: above its bounds the pool takes a request at its best endpoint if the first token is expected within a quarter, three quarters or one and a half times (by priority, as `wait_factor`) of 820 ms, the target of the design size. The bound on each endpoint stays.

Why it works: the bound was there for first tokens in time, and is still in force where they would not be.

--- a/coordination/route/src/policy.rs
+++ b/coordination/route/src/policy.rs
@@ -36,6 +36,11 @@
     /// Load of the pool, in parts of its slots, from which on requests are refused, so that those
     /// which are taken still get their first token in time.
     pub pool_factor: ByPriority,
+    /// Time to the first token that callers want. Above the bounds of `load_factor` and `pool_factor`, a request is
+    /// still taken where a part of it is enough for the first token, in the same parts as `wait_factor`. The bounds
+    /// alone would turn callers away for seconds who could be served in a moment, where answers are short. None has
+    /// the bounds hold in any case.
+    pub first_token: Option<Millis>,
     /// Load of the pool, in parts of its slots, up to which a request goes to a lesser endpoint when
     /// the best has no room for it.
     pub spill_below: f64,
@@ -121,6 +126,7 @@
             max_blocks: 1 << 18,
             load_factor: ByPriority { low: 1.0, normal: 1.25, high: 1.5 },
             pool_factor: ByPriority { low: 0.8, normal: 0.9, high: 1.05 },
+            first_token: Some(Millis(820)),
             spill_below: 0.6,
             wait_factor: ByPriority { low: 0.25, normal: 0.75, high: 1.5 },
             wait_base: Millis(200),
--- a/coordination/route/src/score.rs
+++ b/coordination/route/src/score.rs
@@ -85,7 +85,16 @@
         let whole_ms = self.endpoint.prefill_ms(ask.prompt_tokens, cfg) + cfg.wait_base.0 as f64;
         let wait_ms = self.endpoint.prefill_ms(self.presumed_tokens, cfg);
         let waits = wait_ms > whole_ms * cfg.wait_factor.of(ask.priority);
-        f64::from(self.active) >= slots || (waits && cfg.policy == Policy::Cost)
+        let is_busy = f64::from(self.active) >= slots && !self.is_prompt(cfg, ask);
+        is_busy || (waits && cfg.policy == Policy::Cost)
+    }
+
+    /// Returns whether the first token is expected in the time that a request of this priority may take of a
+    /// loaded pool.
+    fn is_prompt(&self, cfg: &PolicyCfg, ask: &Ask) -> bool {
+        cfg.first_token.is_some_and(|wanted| {
+            self.ttft_ms(cfg, ask) <= wanted.0 as f64 * cfg.wait_factor.of(ask.priority)
+        })
     }
 
     /// Returns the time for the part of the prompt that is not known to be cached.
@@ -175,11 +184,15 @@
     /// the cause has gone. The request is refused then.
     pub(crate) fn best(self) -> Option<Scored<'a>> {
         let load = self.active / self.slots.max(1.0);
-        if load >= self.cfg.pool_factor.of(self.ask.priority) && self.cfg.policy == Policy::Cost {
+        let best = self.best?;
+        let is_loaded = load >= self.cfg.pool_factor.of(self.ask.priority);
+        if is_loaded
+            && self.cfg.policy == Policy::Cost
+            && !best.candidate.is_prompt(self.cfg, self.ask)
+        {
             return None;
         }
         let has_room = load < self.cfg.spill_below;
-        let best = self.best?;
         match self.best_in_time {
             Some(in_time) if has_room || in_time.rank == best.rank => Some(in_time),
             _ => None,
--- a/coordination/route/tests/choice.rs
+++ b/coordination/route/tests/choice.rs
@@ -4,7 +4,7 @@
 
 use sill_base::{Machine, Millis};
 use sill_route::{
-    Ask, Choice, Event, RefusalReason, RetryBudget, RetryCfg, Router, RouterCfg, Target,
+    Ask, Choice, Event, PoolView, RefusalReason, RetryBudget, RetryCfg, Router, RouterCfg, Target,
 };
 use sill_wire::{Announcement, Load, Priority};
 
@@ -156,6 +156,72 @@
     }
 }
 
+/// Callers come together, a few more than the pool has slots. Where answers are short, the last of them would have
+/// their first tokens in a moment; turned away, they are told to come back in seconds. Where answers are long,
+/// they would wait for a slot longer than that.
+#[test]
+fn a_burst_over_the_slots_is_taken_if_it_is_served_in_time() {
+    struct Case {
+        name: &'static str,
+        priority: Priority,
+        decode_ms: u32,
+        taken: u32,
+    }
+    let case = |name, priority, decode_ms, taken| Case { name, priority, decode_ms, taken };
+    let cases = [
+        case("answers of a second", Priority::Normal, 5, 40),
+        case("answers of ten seconds", Priority::Normal, 50, 32),
+        case("answers of a second, low priority", Priority::Low, 5, 36),
+        case("answers of ten seconds, low priority", Priority::Low, 50, 32),
+    ];
+    for Case { name, priority, decode_ms, taken: expected } in cases {
+        let mut router = Router::new(RouterCfg { domain: "a".into(), seed: 1 });
+        for name in ["w", "x", "y", "z"] {
+            let announcement = Announcement { slots: 8, decode_ms, ..endpoint(name, "a") };
+            let age = Millis::ZERO;
+            router.step(NOW, Event::Announced { announcement, age }, &mut Vec::new());
+        }
+        let mut taken = 0;
+        for request in 0..40 {
+            let ask = Ask { prompt_tokens: 8, max_tokens: 200, priority, ..ask(request, 1, 0) };
+            let Choice::Endpoint(chosen) = router.choose(NOW, &ask) else { continue };
+            taken += 1;
+            router.step(NOW, Event::Sent { endpoint: chosen.endpoint, ask }, &mut Vec::new());
+        }
+        assert_eq!(taken, expected, "{name}");
+    }
+}
+
+/// An on-call engineer asks why a caller was refused. The log has to tell a full pool from endpoints that were
+/// not heard of, and how old the loads were that decided.
+#[test]
+fn a_refusal_can_be_explained_by_what_was_believed_of_the_pool() {
+    let mut router = Router::new(RouterCfg { domain: "a".into(), seed: 1 });
+    let load = Load { running: 6, age: Millis(300), ..Load::default() };
+    let heard = [
+        (Announcement { load, ..endpoint("x", "a") }, 200),
+        (Announcement { leaving: Some(Millis(9000)), ..endpoint("y", "a") }, 0),
+        (endpoint("z", "a"), 60_000),
+    ];
+    for (announcement, age) in heard {
+        router.step(NOW, Event::Announced { announcement, age: Millis(age) }, &mut Vec::new());
+    }
+    let sent = Event::Sent { endpoint: "x".into(), ask: ask(1, 1, 1) };
+    router.step(NOW, sent, &mut Vec::new());
+    let view = router.view(NOW, &ask(2, 1, 1));
+    let expected = PoolView {
+        ready: 1,
+        full: 1,
+        unfit: 2,
+        active: 7,
+        own: 1,
+        slots: 4,
+        oldest: Millis(500),
+        ..PoolView::default()
+    };
+    assert_eq!(view, expected);
+}
+
 /// An endpoint starts beside one that runs for long. A burst on its cold cache would queue there, so
 /// it is given its slots step by step; where all have just started, none is held back.
 #[test]
