--- a/daemons/gateway/tests/stops.rs
+++ b/daemons/gateway/tests/stops.rs
@@ -127,13 +127,21 @@
 /// gets `last`. Callers of the others leave before their answers where `leave` is set.
 fn call_late(path: &'static str, act: Act, leave: bool, last: Act) -> Got {
     let others = [vec![act; SEEN], vec![Act::Hang, last]].concat();
-    let mut world = World::start(vec![others]);
+    let world = World::start(vec![others]);
     for number in 0..SEEN {
         match leave {
             true => world.call_and_leave_after(path, number + 1),
             false => assert_eq!(world.call(path).status, 200),
         }
     }
+    let (got, older) = call_in_stop(world, path, UNTIL_NOTICED);
+    assert_eq!(older.status, 502);
+    got
+}
+
+/// Stops an instance behind an older call, and sends one more a while after that has begun. Returns the answers to
+/// this one and to the older one.
+fn call_in_stop(mut world: World, path: &str, after: Duration) -> (Got, Got) {
     let (address, ready_address) = (world.address, world.ready_address);
     let older = thread::spawn(move || exchange(address, &request("/idempotent/y", "")));
     while world.endpoints[0].requests() <= SEEN {
@@ -141,11 +149,10 @@
     }
     let stop = thread::spawn(move || world.stop());
     wait_until_ready_is(503, ready_address);
-    thread::sleep(UNTIL_NOTICED);
+    thread::sleep(after);
     let got = exchange(address, &request(path, ""));
     stop.join().expect("it stops");
-    assert_eq!(older.join().expect("an answer").status, 502);
-    got
+    (got, older.join().expect("an answer"))
 }
 
 /// Late in a stop an instance begins a call of a route whose calls have been short. This one is longer than all
@@ -195,21 +202,11 @@
 /// Answers calls of a route as usual, and sends one more as a stop begins, which gets `last`.
 fn call_as_a_stop_begins(path: &'static str, usual: Act, last: Act) -> Got {
     let acts = [vec![usual; SEEN], vec![Act::Hang, last]].concat();
-    let mut world = World::stopping_within(Millis(1500), vec![acts]);
+    let world = World::stopping_within(Millis(1500), vec![acts]);
     for _ in 0..SEEN {
         assert_eq!(world.call(path).status, 200);
     }
-    let (address, ready_address) = (world.address, world.ready_address);
-    let older = thread::spawn(move || exchange(address, &request("/idempotent/y", "")));
-    while world.endpoints[0].requests() <= SEEN {
-        thread::sleep(Duration::from_millis(10));
-    }
-    let stop = thread::spawn(move || world.stop());
-    wait_until_ready_is(503, ready_address);
-    let got = exchange(address, &request(path, ""));
-    stop.join().expect("it stops");
-    older.join().expect("an answer");
-    got
+    call_in_stop(world, path, Duration::ZERO).0
 }
 
 /// An instance that has just been asked to stop begins a call whose endpoint has become slow. The answer
