Control: one condition for newer settings, one way to write a document as text

A poll held "newer than what the reader has" twice, once inside an Option. Cutting wrote each piece as JSON by hand, with a panic of its own, where DocumentText::of does the same. The bytes of pieces and so their ids are the same: both call serde_json::to_string on the document. Tests of control instances (served, link by its polls) pass as they are.

--- a/daemons/control/src/link/calls.rs
+++ b/daemons/control/src/link/calls.rs
@@ -50,18 +50,16 @@
     link.reported(shared.clock.now(), report);
     let mut changes = link.changes.subscribe();
     let mut manifests = shared.served.manifests();
-    let is_newer = |manifest: &Option<Arc<Manifest>>| {
-        manifest.as_ref().is_some_and(|manifest| manifest.revision > have)
-    };
+    let is_newer = |manifest: &Arc<Manifest>| manifest.revision > have;
     let known = (cursor.life == link.life).then_some(cursor.change);
     let news = async {
         tokio::select! {
             _ = changes.wait_for(|change| known != Some(*change)) => {},
-            _ = manifests.wait_for(is_newer) => {},
+            _ = manifests.wait_for(|newest| newest.as_ref().is_some_and(is_newer)) => {},
         }
     };
     let _ = tokio::time::timeout(wait.min(MAX_WAIT).into(), news).await;
-    let settings = manifests.borrow().clone().filter(|manifest| manifest.revision > have);
+    let settings = manifests.borrow().clone().filter(is_newer);
     let now = shared.clock.now();
     let News { cursor, endpoints, loads } = link.news(now, cursor);
     let status = shared.log.status();
--- a/daemons/control/src/served.rs
+++ b/daemons/control/src/served.rs
@@ -6,7 +6,7 @@
 
 use parking_lot::Mutex;
 use sill_base::{Map, Millis, Packed, event};
-use sill_tree::{Document, PieceId, pieces};
+use sill_tree::{Document, DocumentText, PieceId, pieces};
 use sill_wire::control::Revision;
 use sill_wire::settings::{Manifest, Piece, PiecesAsk, PiecesReply};
 use tokio::sync::{Semaphore, watch};
@@ -140,15 +140,12 @@
 
     /// Cuts a revision; pieces of the kept ones are not packed again.
     fn cut(&self, revision: Revision, document: &Document, cut_at: Millis) -> Cut {
-        let parts = pieces::cut(document);
-        let texts = parts.iter().map(|part| {
-            serde_json::to_string(part).expect("a document can always be written as JSON")
-        });
         let mut pieces = Map::default();
         let mut ids = Vec::new();
-        for text in texts {
-            let id = PieceId::of(&text);
-            let packed = self.piece(&id).unwrap_or_else(|| Packed::of(&text));
+        for part in pieces::cut(document) {
+            let text = DocumentText::of(&part);
+            let id = PieceId::of(text.as_str());
+            let packed = self.piece(&id).unwrap_or_else(|| Packed::of(text.as_str()));
             pieces.insert(id.clone(), packed);
             ids.push(id);
         }
