Stand-in: one place decides which load sample is old enough; router: own requests are counted once

LoadReport asked "as old as the lag" while it dropped samples and again while it looked for one, and had a default for a queue that is never empty. Both now drop what is not needed and take the first. Endpoint::active counts our own requests by own(). The cases of a_report_is_as_old_as_it_says and the router's tests pass as they are.

--- a/bench/standin/src/load_report.rs
+++ b/bench/standin/src/load_report.rs
@@ -24,15 +24,20 @@
     /// Takes a sample.
     pub fn sample(&mut self, now: Millis, load: Load) {
         self.samples.push_back((now, load));
-        while self.samples.get(1).is_some_and(|(at, _)| *at + self.lag <= now) {
-            self.samples.pop_front();
-        }
+        self.forget(now);
     }
 
     /// Returns the newest sample that is old enough, with its age; the oldest one if none is.
-    pub fn at(&self, now: Millis) -> Load {
-        let is_old = |(at, _): &&(Millis, Load)| *at + self.lag <= now;
-        let sample = self.samples.iter().rev().find(is_old).or(self.samples.front());
-        sample.map_or_else(Load::default, |(at, load)| Load { age: now - *at, ..*load })
+    pub fn at(&mut self, now: Millis) -> Load {
+        self.forget(now);
+        let (at, load) = self.samples[0];
+        Load { age: now - at, ..load }
+    }
+
+    /// Forgets samples that have a newer one behind them which is old enough. One is always left.
+    fn forget(&mut self, now: Millis) {
+        while self.samples.get(1).is_some_and(|(at, _)| *at + self.lag <= now) {
+            self.samples.pop_front();
+        }
     }
 }
--- a/coordination/route/src/endpoint.rs
+++ b/coordination/route/src/endpoint.rs
@@ -91,7 +91,7 @@
 
     /// Returns the requests that it is thought to hold now.
     pub(crate) fn active(&self) -> u32 {
-        self.others + self.own.len() as u32
+        self.others + self.own()
     }
 
     /// Returns our own requests that it holds.
