Tests: the entry kit logs as the programs do; a departure is made of the fact that stands

The kit of sill-entry had a logger of its own that printed lines where SILL_TEST_LOG is set; sill_setup::logs::start prints them as the programs do, and is called in its place (checked: a play with the variable prints route_refused lines).

--- a/daemons/entry/tests/kit/mod.rs
+++ b/daemons/entry/tests/kit/mod.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use log::{LevelFilter, Log, Metadata, Record};
+use log::LevelFilter;
 use parking_lot::Mutex;
 use serde_json::json;
 use sill_base::{Millis, Secret};
@@ -151,27 +151,11 @@
     Change { revision: Revision(1), path, author, document: Some(document) }
 }
 
-/// Prints the log lines of a test's process where `SILL_TEST_LOG` is set.
-struct Lines;
-
-impl Log for Lines {
-    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
-        metadata.target().starts_with("sill")
-    }
-
-    fn log(&self, record: &Record<'_>) {
-        if self.enabled(record.metadata()) {
-            eprintln!("at={} {}", Millis::wall(), record.args());
-        }
-    }
-
-    fn flush(&self) {}
-}
-
 /// Starts entry instances of one failure domain that know each other.
 pub fn entries(control: &FakeControl, count: usize) -> Vec<Entry> {
-    if std::env::var_os("SILL_TEST_LOG").is_some() && log::set_logger(&Lines).is_ok() {
-        log::set_max_level(LevelFilter::Info);
+    if std::env::var_os("SILL_TEST_LOG").is_some() {
+        // Another test of the process may have started it.
+        let _ = sill_setup::logs::start(LevelFilter::Info);
     }
     let peers = free_addresses(count).expect("free ports");
     let started = (0..count).map(|i| {
--- a/daemons/gateway/tests/settings.rs
+++ b/daemons/gateway/tests/settings.rs
@@ -21,7 +21,7 @@
 use sill_wire::link::{ControlPlace, Cursor, EndpointFact, EndpointState, LinkPoll, LinkReply};
 use sill_wire::settings::{Piece, PiecesAsk, PiecesReply};
 use support::cut::Cut;
-use support::{CLUSTER_KEY, cfg, exchange, request};
+use support::{CLUSTER_KEY, cfg, exchange, fact, request};
 use tokio::runtime::Runtime;
 
 /// How long a test waits before it counts as hung.
@@ -239,18 +239,13 @@
 }
 
 fn departure() -> EndpointFact {
+    let address = "127.0.0.1:1".parse().expect("an address");
     EndpointFact {
         endpoint: "e".into(),
         born: Incarnation(1),
-        service: "desk".into(),
-        domain: "a".into(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        slots: 4,
         sequence: 2,
         state: EndpointState::Leaving,
-        reclaimable: false,
-        leaves_in: None,
-        age: Millis::ZERO,
+        ..fact(0, address)
     }
 }
 
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -526,7 +526,7 @@
     }
 }
 
-fn fact(number: usize, address: SocketAddr) -> EndpointFact {
+pub fn fact(number: usize, address: SocketAddr) -> EndpointFact {
     EndpointFact {
         endpoint: format!("e{number}").into(),
         born: Incarnation::default(),
