--- /dev/null
+++ b/coordination/dispatch/src/share/account.rs
@@ -0,0 +1,157 @@
+//! What an entry instance knows of one account's limit.
+
+use std::collections::VecDeque;
+
+use sill_base::Millis;
+use sill_limit::Bucket;
+use sill_wire::link::LIMIT_WINDOW;
+
+use crate::average::Average;
+use crate::share::LimitBounds;
+use crate::share::window::Window;
+
+/// Part of what an account is owed in a window, below which nothing is refused.
+const FREE_PART: f64 = 0.96;
+
+/// Part of the slack that is added to it. Small limits are mostly slack.
+const FREE_SLACK: f64 = 0.1;
+
+/// Part of the slack that may be admitted beyond what an account is owed.
+const GUARD_SLACK: f64 = 0.2;
+
+/// Time until an entry instance notices that a limit is reached. What is asked for beyond the limit
+/// meanwhile is kept free below it.
+const REACTION: Millis = Millis(1000);
+
+/// Demand in a second below which an account counts as idle.
+const NEGLIGIBLE: f64 = 1e-3;
+
+/// How long reports are kept to be held against totals.
+const KEPT_REPORTS: Millis = Millis(3000);
+
+/// Span of the moving average of demand. A single large prompt would otherwise take the whole share.
+pub(super) const AVERAGE: Millis = Millis(4000);
+
+/// Span of the moving average of what is admitted, by which older sums are brought up to date.
+pub(super) const RECENT: Millis = Millis(700);
+
+/// The limit of one account at this entry instance.
+#[derive(Debug)]
+pub(super) struct Account {
+    pub(super) limit: Limit,
+    pub(super) bucket: Bucket,
+    pub(super) asked: Average,
+    /// The average demand as it was reported, since totals come back later.
+    reported: VecDeque<Reported>,
+    pub(super) recent: Average,
+    pub(super) admitted: Window,
+    /// Admitted everywhere in the last window, when it was last heard.
+    pub(super) total: f64,
+    /// Admitted everywhere in a second, then.
+    pub(super) total_per_s: f64,
+    pub(super) since_total: f64,
+    pub(super) total_asked_per_s: f64,
+    pub(super) share: Option<f64>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Reported {
+    asked_per_s: f64,
+    at: Millis,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Limit {
+    pub(super) rate: f64,
+    pub(super) burst: f64,
+}
+
+impl Account {
+    /// Opens an account with a full bucket.
+    pub(super) fn open(now: Millis, limit: Limit, share: f64, bounds: LimitBounds) -> Self {
+        Self {
+            limit,
+            bucket: Bucket::new(now, limit.rate * share, saved(limit, bounds)),
+            asked: Average::new(now),
+            reported: VecDeque::new(),
+            recent: Average::new(now),
+            admitted: Window::default(),
+            total: 0.0,
+            total_per_s: 0.0,
+            since_total: 0.0,
+            total_asked_per_s: 0.0,
+            share: None,
+        }
+    }
+
+    /// Returns how much may be admitted everywhere in a window without a look at the own share.
+    pub(super) fn free(&self, bounds: LimitBounds) -> f64 {
+        // What is admitted shows a jump of demand seconds before the average of what is asked for does.
+        let demand = self.total_asked_per_s.max(self.total_per_s);
+        let excess = (demand - self.limit.rate).max(0.0);
+        FREE_PART * self.owed() + FREE_SLACK * bounds.slack - excess * REACTION.as_secs_f64()
+    }
+
+    /// Returns what the account may use in a window.
+    pub(super) fn owed(&self) -> f64 {
+        self.limit.rate * LIMIT_WINDOW.as_secs_f64() + self.limit.burst
+    }
+
+    /// Returns how much may be admitted everywhere in a window at all, as far as is known.
+    pub(super) fn most(&self, bounds: LimitBounds) -> f64 {
+        self.owed() + GUARD_SLACK * bounds.slack
+    }
+
+    /// Returns when an amount fits here, into the own share, and when everywhere, into what all may admit.
+    pub(super) fn waits(
+        &self,
+        unseen: Millis,
+        amount: f64,
+        bounds: LimitBounds,
+    ) -> (Millis, Millis) {
+        let here = self.bucket.holds_in(amount);
+        let beyond = (self.presumed_total(unseen) + amount - self.free(bounds)).max(0.0);
+        let everywhere = Millis((beyond / self.limit.rate.max(1e-9) * 1000.0) as u64);
+        (here, everywhere)
+    }
+
+    /// Returns what all are presumed to have admitted in the last window, of which what came after the
+    /// reports is unseen. While demand jumps, that alone may be a second's worth of the limit.
+    pub(super) fn presumed_total(&self, unseen: Millis) -> f64 {
+        self.total + self.total_per_s * unseen.as_secs_f64() + self.since_total
+    }
+
+    pub(super) fn tell(&mut self, now: Millis) -> f64 {
+        let asked_per_s = self.asked.at(now, AVERAGE);
+        let asked_per_s = if asked_per_s < NEGLIGIBLE { 0.0 } else { asked_per_s };
+        self.reported.push_back(Reported { asked_per_s, at: now });
+        while self.reported.front().is_some_and(|told| now - told.at > KEPT_REPORTS) {
+            self.reported.pop_front();
+        }
+        asked_per_s
+    }
+
+    /// Returns what was reported last at a point in time.
+    ///
+    /// Held against totals that are older, the present demand would give every entry instance too
+    /// large a share while demand grows everywhere, and all shares together more than the limit.
+    pub(super) fn told(&self, at: Millis) -> f64 {
+        let before = self.reported.iter().rev().find(|told| told.at <= at);
+        before.or(self.reported.front()).map_or(0.0, |told| told.asked_per_s)
+    }
+
+    pub(super) fn spend(&mut self, now: Millis, amount: f64) {
+        self.bucket.take(amount);
+        self.recent.add(now, RECENT, amount);
+        self.admitted.add(now, amount);
+        self.since_total += amount;
+    }
+}
+
+/// Returns the time for which unused rate is saved up: the burst, and half of the slack. The other
+/// half is left for calls larger than what a bucket holds, which go into debt.
+pub(super) fn saved(limit: Limit, bounds: LimitBounds) -> Millis {
+    const SLACK_PART: f64 = 0.5;
+    let amount = limit.burst + bounds.slack * SLACK_PART;
+    Millis((amount / limit.rate.max(1e-9) * 1000.0) as u64)
+}
--- /dev/null
+++ b/coordination/dispatch/src/share/window.rs
@@ -0,0 +1,39 @@
+//! What was admitted in the last window, in slices.
+
+use std::collections::VecDeque;
+
+use sill_base::Millis;
+use sill_wire::link::LIMIT_WINDOW;
+
+/// Slices of the window in which admitted amounts are kept.
+const SLICE: Millis = Millis(500);
+
+/// Amounts of the last window.
+#[derive(Debug, Default)]
+pub(super) struct Window {
+    slices: VecDeque<Slice>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Slice {
+    number: u64,
+    amount: f64,
+}
+
+impl Window {
+    pub(super) fn add(&mut self, now: Millis, amount: f64) {
+        let number = now.0 / SLICE.0;
+        match self.slices.back_mut() {
+            Some(slice) if slice.number >= number => slice.amount += amount,
+            _ => self.slices.push_back(Slice { number, amount }),
+        }
+    }
+
+    pub(super) fn sum(&mut self, now: Millis) -> f64 {
+        let oldest = (now - LIMIT_WINDOW).0 / SLICE.0;
+        while self.slices.front().is_some_and(|slice| slice.number < oldest) {
+            self.slices.pop_front();
+        }
+        self.slices.iter().map(|slice| slice.amount).sum::<f64>().max(0.0)
+    }
+}
