Limits: lines and metrics on whom the totals are made of, and by which reason a call is let in

No line told whom the leader adds up, nor why an entry instance lets a call in: hypotheses on a passed limit could not be told apart. adding_begun and entries_counted at the leader, totals_heard and limit_near (at most one a second and account, only near the limit) at entry instances; sill_gateway_admitted_total by reason, sill_control_entries by state. No logic changes.

--- a/coordination/dispatch/src/share.rs
+++ b/coordination/dispatch/src/share.rs
@@ -11,9 +11,11 @@
 use crate::table::RouteTable;
 
 mod account;
+mod belief;
 mod over;
 mod window;
 
+pub use belief::{LetIn, LimitBelief};
 pub use over::OverLimit;
 
 /// Part of a limit that is spread evenly, so that an account may begin anywhere.
@@ -27,7 +29,7 @@
 const REPORT_AGE: Millis = Millis(250);
 
 /// Age of totals from which on only the own share counts.
-const FRESH: Millis = Millis(1500);
+pub const FRESH: Millis = Millis(1500);
 
 /// Shortest time after which a caller over its limit may come back.
 const SHORTEST_WAIT: Millis = Millis(250);
@@ -49,12 +51,19 @@
     accounts: Map<Name, Account>,
     entries: u32,
     heard: Option<Millis>,
+    let_in: LetIn,
 }
 
 impl Shares {
     /// Makes shares of no account.
     pub fn new(bounds: LimitBounds) -> Self {
-        Self { bounds, accounts: Map::default(), entries: PRESUMED_ENTRIES, heard: None }
+        Self {
+            bounds,
+            accounts: Map::default(),
+            entries: PRESUMED_ENTRIES,
+            heard: None,
+            let_in: LetIn::default(),
+        }
     }
 
     /// Takes in the limits in force. Accounts whose limit stays keep their buckets.
@@ -111,7 +120,7 @@
     pub fn admit(&mut self, now: Millis, name: &Name, amount: f64) -> Result<(), OverLimit> {
         let even = 1.0 / f64::from(self.entries);
         let is_fresh = self.heard.is_some_and(|heard| now - heard < FRESH);
-        let unseen = REPORT_AGE + self.heard.map_or(Millis::ZERO, |heard| now - heard);
+        let unseen = self.unseen(now);
         let Some(account) = self.accounts.get_mut(name) else { return Ok(()) };
         account.asked.add(now, AVERAGE, amount);
         let saved = saved(account.limit, self.bounds);
@@ -124,6 +133,7 @@
         let is_over = account.presumed_total(unseen) + amount > account.most(self.bounds);
         let is_let_in = if is_fresh { is_far_below || is_open && !is_over } else { is_open };
         if !is_let_in {
+            account.has_refused = true;
             let (here, everywhere) = account.waits(unseen, amount, self.bounds);
             let wait = match (is_fresh, is_open) {
                 (false, _) => here,
@@ -141,10 +151,41 @@
                 age: self.heard.map(|heard| now - heard),
             });
         }
+        let let_in = match (is_fresh, is_far_below) {
+            (true, true) => LetIn { far_below: amount, ..LetIn::default() },
+            (true, false) => LetIn { share: amount, ..LetIn::default() },
+            (false, _) => LetIn { stale: amount, ..LetIn::default() },
+        };
+        account.let_in.add(let_in);
+        self.let_in.add(let_in);
         account.spend(now, amount);
         Ok(())
     }
 
+    /// Returns what was let in since it was last asked for.
+    pub fn take_let_in(&mut self) -> LetIn {
+        std::mem::take(&mut self.let_in)
+    }
+
+    /// Returns what is believed of the accounts that are near their limits; of each at most once a second.
+    pub fn beliefs(&mut self, now: Millis) -> Vec<(Name, LimitBelief)> {
+        let unseen = self.unseen(now);
+        let accounts = self.accounts.iter_mut();
+        accounts
+            .filter_map(|(name, account)| Some((name.clone(), account.belief(now, unseen)?)))
+            .collect()
+    }
+
+    /// Returns how many entry instances are presumed, and how old the newest totals are, if any were heard.
+    pub fn heard(&self, now: Millis) -> (u32, Option<Millis>) {
+        (self.entries, self.heard.map(|heard| now - heard))
+    }
+
+    /// Returns for how long what is admitted is in no total yet.
+    fn unseen(&self, now: Millis) -> Millis {
+        REPORT_AGE + self.heard.map_or(Millis::ZERO, |heard| now - heard)
+    }
+
     /// Gives back what a call took that did not run.
     pub fn give_back(&mut self, now: Millis, name: &Name, amount: f64) {
         if let Some(account) = self.accounts.get_mut(name) {
--- a/coordination/dispatch/src/share/account.rs
+++ b/coordination/dispatch/src/share/account.rs
@@ -8,6 +8,7 @@
 
 use crate::average::Average;
 use crate::share::LimitBounds;
+use crate::share::belief::{LetIn, LimitBelief};
 use crate::share::window::Window;
 
 /// Part of what an account is owed in a window, below which nothing is refused.
@@ -35,6 +36,12 @@
 /// Span of the moving average of what is admitted, by which older sums are brought up to date.
 pub(super) const RECENT: Millis = Millis(700);
 
+/// Part of what an account is owed from which on its state is told.
+const TOLD_PART: f64 = 0.8;
+
+/// How often it is told.
+const TOLD_EVERY: Millis = Millis(1000);
+
 /// The limit of one account at this entry instance.
 #[derive(Debug)]
 pub(super) struct Account {
@@ -52,6 +59,10 @@
     pub(super) since_total: f64,
     pub(super) total_asked_per_s: f64,
     pub(super) share: Option<f64>,
+    pub(super) let_in: LetIn,
+    pub(super) has_refused: bool,
+    /// When its state was last told.
+    pub(super) told_at: Option<Millis>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -81,6 +92,9 @@
             since_total: 0.0,
             total_asked_per_s: 0.0,
             share: None,
+            let_in: LetIn::default(),
+            has_refused: false,
+            told_at: None,
         }
     }
 
@@ -121,6 +135,22 @@
         self.total + self.total_per_s * unseen.as_secs_f64() + self.since_total
     }
 
+    /// Returns what is believed of the account, if it is near its limit and was not told of late.
+    pub(super) fn belief(&mut self, now: Millis, unseen: Millis) -> Option<LimitBelief> {
+        let admitted = self.presumed_total(unseen);
+        let is_near = self.has_refused || admitted > TOLD_PART * self.owed();
+        let is_due = self.told_at.is_none_or(|told_at| now - told_at >= TOLD_EVERY);
+        if !is_near || !is_due {
+            return None;
+        }
+        self.told_at = Some(now);
+        self.has_refused = false;
+        let let_in = std::mem::take(&mut self.let_in);
+        let (owed, here) = (self.owed(), self.admitted.sum(now));
+        let (share, balance) = (self.share, self.bucket.balance());
+        Some(LimitBelief { admitted, owed, here, let_in, share, balance })
+    }
+
     pub(super) fn tell(&mut self, now: Millis) -> f64 {
         let asked_per_s = self.asked.at(now, AVERAGE);
         let asked_per_s = if asked_per_s < NEGLIGIBLE { 0.0 } else { asked_per_s };
--- a/coordination/dispatch/src/totals.rs
+++ b/coordination/dispatch/src/totals.rs
@@ -27,6 +27,18 @@
 #[derive(Debug, Default)]
 pub struct Adder {
     inherited: Option<Inherited>,
+    counted: Counted,
+}
+
+/// The entry instances that were added up.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Counted {
+    /// Those whose reports are new enough to be summed.
+    pub heard: u32,
+    /// Those that reported a while ago.
+    pub silent: u32,
+    /// Those that only the leader before has heard of.
+    pub unknown: u32,
 }
 
 /// What the leader before knew.
@@ -71,6 +83,8 @@
         let known = all.len() as u32;
         let entries = self.inherited.as_ref().map_or(known, |before| before.entries.max(known));
         let unknown = entries - known;
+        let heard = heard.len() as u32;
+        self.counted = Counted { heard, silent: known.saturating_sub(heard), unknown };
         let accounts = totals.into_values().map(|mut total| {
             total.held = (total.held + self.held_by_unknown(&total.account, unknown)).min(1.0);
             total
@@ -78,6 +92,11 @@
         Some(Totals { age: Millis::ZERO, entries, accounts: accounts.collect() })
     }
 
+    /// Returns whom the last sums are made of.
+    pub fn counted(&self) -> Counted {
+        self.counted
+    }
+
     /// Returns what entry instances hold of a limit that only the leader before has heard of: what it
     /// said of the silent ones, at least an even part for each.
     fn held_by_unknown(&self, account: &Name, unknown: u32) -> f64 {
--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -3,7 +3,7 @@
 
 use parking_lot::Mutex;
 use sill_base::{Findings, Millis, Name, event};
-use sill_dispatch::{Adder, Ledger, Loads, Registry, TrueTime};
+use sill_dispatch::{Adder, Counted, Ledger, Loads, Registry, TrueTime};
 use sill_wire::Incarnation;
 use sill_wire::link::{
     ControlSync, ControlSyncReply, Cursor, EndpointFact, EntryReport, LoadWord, Totals,
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 
 use crate::cfg::ControlCfg;
+use crate::metrics::Metrics;
 
 pub mod calls;
 
@@ -179,11 +180,38 @@
 
     /// Begins to add up the demand, as the leader.
     fn begin_to_lead(&self, now: Millis) {
-        self.adder.lock().begin(now, self.totals(now).as_ref());
-    }
-
-    fn add_up(&self, now: Millis) -> Option<Totals> {
-        self.adder.lock().add_up(now, &self.ledger.lock())
+        let last = self.totals(now);
+        event!(
+            Info,
+            "adding_begun",
+            reports = self.ledger.lock().live(now).len(),
+            entries = last.as_ref().map_or(0, |last| last.entries),
+            age_ms = last.as_ref().map(|last| last.age.to_string()).unwrap_or_default()
+        );
+        self.adder.lock().begin(now, last.as_ref());
+    }
+
+    /// Adds up the demand, and counts in metrics whose it is.
+    fn add_up(&self, now: Millis, metrics: &Metrics) -> Option<Totals> {
+        let mut adder = self.adder.lock();
+        let before = adder.counted();
+        let totals = adder.add_up(now, &self.ledger.lock())?;
+        let counted = adder.counted();
+        if counted != before {
+            let Counted { heard, silent, unknown } = counted;
+            for (state, count) in [("heard", heard), ("silent", silent), ("unknown", unknown)] {
+                metrics.entries.with_label_values(&[state]).set(i64::from(count));
+            }
+            event!(
+                Info,
+                "entries_counted",
+                heard = heard,
+                silent = silent,
+                unknown = unknown,
+                entries = totals.entries
+            );
+        }
+        Some(totals)
     }
 
     fn totals(&self, now: Millis) -> Option<Totals> {
--- a/daemons/control/src/link/calls.rs
+++ b/daemons/control/src/link/calls.rs
@@ -98,7 +98,7 @@
             }
         }
         let leads = status.role == RoleName::Leader;
-        let totals = if leads { link.add_up(now) } else { None };
+        let totals = if leads { link.add_up(now, &shared.metrics) } else { None };
         if let Some(totals) = &totals {
             *link.totals.lock() = Some(TotalsHeard { totals: totals.clone(), at: now });
         }
--- a/daemons/control/src/metrics.rs
+++ b/daemons/control/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use eyre::Result;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntGauge, Opts, Registry, TextEncoder,
-    exponential_buckets,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder, exponential_buckets,
 };
 use sill_quorum::RoleName;
 
@@ -21,6 +21,8 @@
     revision: IntGauge,
     claims: IntGauge,
     disk_fault: IntGauge,
+    /// Entry instances whose demand the leader adds up, by whether they are heard of.
+    pub entries: IntGaugeVec,
     /// Changes that were accepted here.
     pub accepted: IntCounter,
     /// Changes that were refused here.
@@ -58,6 +60,11 @@
         let buckets = exponential_buckets(0.000_05, 2.0, 16)?;
         let append = HistogramOpts::new("sill_control_append_seconds", "synced write to the log");
         let append_seconds = Histogram::with_opts(append.buckets(buckets))?;
+        let entries = IntGaugeVec::new(
+            Opts::new("sill_control_entries", "entry instances whose demand is added up"),
+            &["state"],
+        )?;
+        registry.register(Box::new(entries.clone()))?;
         registry.register(Box::new(append_seconds.clone()))?;
         Ok(Self {
             term: gauge("sill_control_term", "term of the replicated log")?,
@@ -74,6 +81,7 @@
             polls: counter("sill_control_polls_total", "feed polls of entry instances")?,
             pieces: counter("sill_control_settings_pieces_total", "pieces of settings sent")?,
             append_seconds,
+            entries,
             registry,
         })
     }
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use eyre::Result;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
-    exponential_buckets,
+    CounterVec, Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder, exponential_buckets,
 };
 
 /// The metrics of an entry instance for routes.
@@ -14,6 +14,8 @@
     pub calls: IntCounterVec,
     /// Attempts by outcome.
     pub attempts: IntCounterVec,
+    /// Amounts that limits let in, in their units, by the reason.
+    pub admitted: CounterVec,
     /// Connections to endpoints that were opened.
     pub connects: IntCounterVec,
     /// Time to the first part of an answer.
@@ -49,6 +51,11 @@
             registry.register(Box::new(counters.clone()))?;
             Ok(counters)
         };
+        let admitted = CounterVec::new(
+            Opts::new("sill_gateway_admitted_total", "units that limits let in, by the reason"),
+            &["by"],
+        )?;
+        registry.register(Box::new(admitted.clone()))?;
         let histogram = |name: &str, help: &str| -> Result<Histogram> {
             let buckets = exponential_buckets(0.001, 2.0, 15)?;
             let histogram = Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets))?;
@@ -63,6 +70,7 @@
         Ok(Self {
             calls: counters("sill_gateway_calls_total", "calls by outcome", "outcome")?,
             attempts: counters("sill_gateway_attempts_total", "attempts by outcome", "outcome")?,
+            admitted,
             connects: counters("sill_gateway_connects_total", "connections opened", "service")?,
             first_part: histogram("sill_gateway_first_part_seconds", "time to the first part")?,
             whole_answer: histogram("sill_gateway_answer_seconds", "time to the whole answer")?,
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -8,12 +8,13 @@
 use sill_base::{Clock, Map, Millis, Name, Promise, event, keep};
 use sill_dispatch::usage::window_of;
 use sill_dispatch::{
-    Average, Budgets, Heard, OpenCalls, OverLimit, Pool, PoolCfg, RouteTable, Shares, UsageCounter,
+    Average, Budgets, FRESH, Heard, LetIn, LimitBelief, OpenCalls, OverLimit, Pool, PoolCfg,
+    RouteTable, Shares, UsageCounter,
 };
 use sill_net::h1::{Connections, ConnectionsCfg, OpenConnections};
 use sill_tree::Engine;
 use sill_wire::Incarnation;
-use sill_wire::link::{EndpointFact, EndpointState, EngineSpeed, LinkReply, ServiceReport};
+use sill_wire::link::{EndpointFact, EndpointState, EngineSpeed, LinkReply, ServiceReport, Totals};
 
 use tokio::sync::watch;
 
@@ -180,8 +181,59 @@
             reply.loads.iter().for_each(|word| pool.load_elsewhere(now, word));
         }
         if let Some(totals) = &reply.totals {
-            self.shares.lock().set_totals(now, totals);
-            self.budgets.lock().set_entries(totals.entries);
+            self.take_totals(now, from, totals);
+        }
+    }
+
+    fn take_totals(&self, now: Millis, from: SocketAddr, totals: &Totals) {
+        let (entries, age) = {
+            let mut shares = self.shares.lock();
+            let before = shares.heard(now);
+            shares.set_totals(now, totals);
+            before
+        };
+        self.budgets.lock().set_entries(totals.entries);
+        if entries == totals.entries && age.is_some_and(|age| age < FRESH) {
+            return;
+        }
+        event!(
+            Info,
+            "totals_heard",
+            from = from,
+            entries = totals.entries,
+            before = entries,
+            age_ms = totals.age,
+            before_age_ms = age.map(|age| age.to_string()).unwrap_or_default()
+        );
+    }
+
+    /// Logs and counts how limits were applied since the last time.
+    fn tell_limits(&self, now: Millis) {
+        let (beliefs, let_in, (entries, age)) = {
+            let mut shares = self.shares.lock();
+            (shares.beliefs(now), shares.take_let_in(), shares.heard(now))
+        };
+        let LetIn { far_below, share, stale } = let_in;
+        for (by, amount) in [("far_below", far_below), ("share", share), ("stale", stale)] {
+            self.metrics.admitted.with_label_values(&[by]).inc_by(amount);
+        }
+        for (account, belief) in beliefs {
+            let LimitBelief { admitted, owed, here, let_in, share, balance } = belief;
+            event!(
+                Info,
+                "limit_near",
+                account = account,
+                admitted = admitted as u64,
+                owed = owed as u64,
+                here = here as u64,
+                far_below = let_in.far_below as u64,
+                by_share = let_in.share as u64,
+                stale = let_in.stale as u64,
+                share = share.map(|share| format!("{share:.3}")).unwrap_or_default(),
+                balance = balance as i64,
+                entries = entries,
+                age_ms = age.map(|age| age.to_string()).unwrap_or_default()
+            );
         }
     }
 
@@ -312,6 +364,7 @@
     /// Reports usage, demand and work for the control instances.
     pub fn report(&self, sequence: u64) -> sill_wire::link::EntryReport {
         let now = self.clock.now();
+        self.tell_limits(now);
         let window = window_of(self.true_time(), self.cfg.usage_window);
         let pools = self.pools.read();
         let services = pools.values().map(|pool| pool.report(now)).collect();
