Tests that fail: limits and retry budgets of client accounts and services over restarts

What callers see: an account gets more than its limit while instances restart, and the others wait for it at the shared engines.

--- a/coordination/dispatch/tests/budget.rs
+++ b/coordination/dispatch/tests/budget.rs
@@ -14,6 +14,8 @@
     per_s: u64,
     /// The second from which on everything fails.
     fails_from: u64,
+    /// The seconds in which most entry instances restart.
+    restarts: &'static [u64],
 }
 
 /// Plays a load in which, from some second on, every request asks for a retry.
@@ -22,8 +24,16 @@
     let mut budgets: Vec<Budgets> = (0..load.entries).map(|_| Budgets::new(BOUNDS)).collect();
     budgets.iter_mut().for_each(|budgets| budgets.set_entries(load.entries as u32));
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    let restarted = load.entries * 3 / 4;
+    let mut restarts = load.restarts.iter().peekable();
     for i in 0..load.per_s * 60 {
         let now = i * 1000 / load.per_s;
+        if restarts.next_if(|at| now >= **at * 1000).is_some() {
+            for budgets in &mut budgets[..restarted] {
+                *budgets = Budgets::new(BOUNDS);
+                budgets.set_entries(load.entries as u32);
+            }
+        }
         // Callers are not spread evenly: the first entry instance has twice as many.
         let entry = (i as usize * 7 % (load.entries + 1)) % load.entries;
         budgets[entry].requested(Millis(now), &service);
@@ -44,13 +54,39 @@
 #[test]
 fn retries_of_all_entry_instances_stay_within_the_bounds() {
     let loads = [
-        Load { name: "seven", entries: 7, per_s: 70, fails_from: 0 },
-        Load { name: "eight, after a calm while", entries: 8, per_s: 70, fails_from: 30 },
-        Load { name: "eighty", entries: 80, per_s: 700, fails_from: 30 },
-        Load { name: "eighty, hardly any requests", entries: 80, per_s: 10, fails_from: 0 },
+        Load { name: "seven", entries: 7, per_s: 70, fails_from: 0, restarts: &[] },
+        Load {
+            name: "eight, after a calm while",
+            entries: 8,
+            per_s: 70,
+            fails_from: 30,
+            restarts: &[],
+        },
+        Load { name: "eighty", entries: 80, per_s: 700, fails_from: 30, restarts: &[] },
+        Load {
+            name: "eighty, hardly any requests",
+            entries: 80,
+            per_s: 10,
+            fails_from: 0,
+            restarts: &[],
+        },
     ];
+    stay_within_the_bounds(&loads);
+}
+
+/// Entry instances restart while everything fails: each life began with a whole reserve of retries.
+#[test]
+fn restarts_open_no_new_budget_of_retries() {
+    let restarts = &[31, 34, 37];
+    stay_within_the_bounds(&[
+        Load { name: "eight", entries: 8, per_s: 70, fails_from: 30, restarts },
+        Load { name: "eighty", entries: 80, per_s: 700, fails_from: 30, restarts },
+    ]);
+}
+
+fn stay_within_the_bounds(loads: &[Load]) {
     for load in loads {
-        let (requests, retries) = play(&load);
+        let (requests, retries) = play(load);
         for from in (0..50_000).step_by(500) {
             let allowed = BOUNDS.share * within(&requests, from) as f64 + BOUNDS.allowance;
             // Eighty entry instances may each retry once, however few requests there are.
--- /dev/null
+++ b/coordination/dispatch/tests/limit_restarts.rs
@@ -0,0 +1,410 @@
+//! Limits of client accounts while entry instances and control instances restart or are cut off.
+
+use std::collections::VecDeque;
+
+use rand::Rng as _;
+use sill_base::random::{Rng, seed, seeded};
+use sill_base::{Millis, Name};
+use sill_dispatch::{Adder, Ledger, LimitBounds, RouteTable, Shares};
+use sill_tree::{Account, Document, Limit};
+use sill_wire::Incarnation;
+use sill_wire::link::{EntryReport, LIMIT_WINDOW, Totals};
+
+/// What may come on top of a limit, as the users state it.
+const SLACK: f64 = 140_000.0;
+const OVERSHOOT: f64 = 1.1;
+
+/// Tokens that the account may use in a second.
+const RATE: f64 = 116_000.0;
+
+const STEP: u64 = 10;
+const POLL: u64 = 250;
+const ADD_UP: u64 = 100;
+
+/// Time that a report takes by way of another control instance, and totals on their way back.
+const PASSED_ON: u64 = 200;
+
+/// Time for which what is killed is down.
+const DOWN: u64 = 500;
+
+/// Time that new control instances take until one leads.
+const ELECTION: u64 = 200;
+
+/// Time from the first word of a control instance until the settings are in force.
+const SETTINGS: u64 = 20;
+
+/// When the account begins to send more.
+const JUMP: u64 = 12_000;
+
+const END: u64 = 32_000;
+
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    /// A part of the entry instances is killed.
+    Entries { at: u64, share: f64 },
+    /// All control instances are killed.
+    Control { at: u64 },
+    /// The first entry instances are cut off from control.
+    Cut { from: u64, until: u64, entries: usize },
+}
+
+struct Case {
+    name: &'static str,
+    entries: usize,
+    /// What the account asks for from the jump on, in parts of its limit.
+    asked: f64,
+    faults: &'static [Fault],
+}
+
+struct Entry {
+    name: Name,
+    life: u64,
+    sequence: u64,
+    shares: Shares,
+    up_at: u64,
+    /// When its settings are in force; none before its first word of a control instance.
+    ready_at: Option<u64>,
+    has_limits: bool,
+    next_poll: u64,
+}
+
+struct Leader {
+    ledger: Ledger,
+    adder: Adder,
+    leads_at: u64,
+    has_begun: bool,
+    newest: Option<(Totals, u64)>,
+}
+
+struct World {
+    rng: Rng,
+    entries: Vec<Entry>,
+    leader: Leader,
+    passed_on: VecDeque<(u64, EntryReport)>,
+    admitted: Vec<(u64, f64)>,
+    /// Calls from the jump on, and those of them that were refused.
+    asked: usize,
+    refused: usize,
+}
+
+fn account() -> Name {
+    "desk".into()
+}
+
+fn table() -> RouteTable {
+    let limit = Limit { tokens_per_s: Some(RATE), ..Limit::default() };
+    let desk = Account { limit: Some(limit), burst: Some(RATE), ..Account::default() };
+    let accounts = [(account(), desk)].into_iter().collect();
+    RouteTable::of(1, &Document { accounts, ..Document::default() })
+}
+
+fn allowed() -> f64 {
+    RATE * (LIMIT_WINDOW.as_secs_f64() + 1.0) * OVERSHOOT + SLACK
+}
+
+impl Entry {
+    fn new(index: usize, life: u64, up_at: u64) -> Self {
+        Self {
+            name: format!("e{index}").into(),
+            life,
+            sequence: 0,
+            shares: Shares::new(LimitBounds { slack: SLACK }),
+            up_at,
+            ready_at: None,
+            has_limits: false,
+            next_poll: up_at + index as u64 * 37 % POLL,
+        }
+    }
+
+    fn is_ready(&self, now: u64) -> bool {
+        now >= self.up_at && self.ready_at.is_some_and(|at| now >= at)
+    }
+
+    fn report(&mut self, now: u64) -> EntryReport {
+        self.sequence += 1;
+        EntryReport {
+            entry: self.name.clone(),
+            incarnation: Incarnation(self.life),
+            domain: "a".into(),
+            sequence: self.sequence,
+            wall: Millis(now),
+            usage: Vec::new(),
+            accounts: self.shares.report(Millis(now)),
+            services: Vec::new(),
+            loads: Vec::new(),
+        }
+    }
+}
+
+impl Leader {
+    fn new(leads_at: u64) -> Self {
+        let (ledger, adder) = (Ledger::default(), Adder::default());
+        Self { ledger, adder, leads_at, has_begun: false, newest: None }
+    }
+
+    fn step(&mut self, now: u64) {
+        if now < self.leads_at || now % ADD_UP != 0 {
+            return;
+        }
+        if !std::mem::replace(&mut self.has_begun, true) {
+            self.adder.begin(Millis(now), None);
+        }
+        if let Some(totals) = self.adder.add_up(Millis(now), &self.ledger) {
+            self.newest = Some((totals, now));
+        }
+    }
+}
+
+impl World {
+    fn new(entries: usize, run: u64) -> Self {
+        Self {
+            rng: seeded(seed(run)),
+            entries: (0..entries).map(|index| Entry::new(index, 1, 0)).collect(),
+            leader: Leader::new(ELECTION),
+            passed_on: VecDeque::new(),
+            admitted: Vec::new(),
+            asked: 0,
+            refused: 0,
+        }
+    }
+
+    fn run(&mut self, case: &Case) {
+        for now in (0..END).step_by(STEP as usize) {
+            self.strike(now, case);
+            self.leader.step(now);
+            while self.passed_on.front().is_some_and(|(due, _)| *due <= now) {
+                let (_, report) = self.passed_on.pop_front().expect("one is due");
+                self.leader.ledger.take(Millis(now), report, false);
+            }
+            for index in 0..self.entries.len() {
+                self.poll(now, index, case);
+            }
+            // Traffic starts some seconds after the instances do.
+            if now >= 4000 {
+                self.calls(now, case);
+            }
+        }
+    }
+
+    fn strike(&mut self, now: u64, case: &Case) {
+        for fault in case.faults {
+            match *fault {
+                Fault::Entries { at, share } if at == now => {
+                    let killed = (share * self.entries.len() as f64).round() as usize;
+                    for index in 0..killed {
+                        let life = self.entries[index].life + 1;
+                        self.entries[index] = Entry::new(index, life, now + DOWN);
+                    }
+                }
+                Fault::Control { at } if at == now => {
+                    self.leader = Leader::new(now + DOWN + ELECTION);
+                    self.passed_on.clear();
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn poll(&mut self, now: u64, index: usize, case: &Case) {
+        let is_cut = case.faults.iter().any(|fault| match *fault {
+            Fault::Cut { from, until, entries } => index < entries && (from..until).contains(&now),
+            _ => false,
+        });
+        // Control instances that were killed answer nobody until one of them leads.
+        let is_answered = now + ELECTION >= self.leader.leads_at;
+        let entry = &mut self.entries[index];
+        if now >= entry.up_at && !entry.has_limits && entry.ready_at.is_some_and(|at| now >= at) {
+            entry.shares.set_limits(Millis(now), &table());
+            entry.has_limits = true;
+        }
+        if now < entry.up_at || now < entry.next_poll {
+            return;
+        }
+        entry.next_poll = now + POLL;
+        if is_cut || !is_answered {
+            return;
+        }
+        let report = entry.report(now);
+        let is_direct = index % 2 == 0;
+        if is_direct {
+            self.leader.ledger.take(Millis(now), report, true);
+        } else {
+            self.passed_on.push_back((now + PASSED_ON, report));
+        }
+        if let Some((totals, at)) = &self.leader.newest {
+            let late = if is_direct { 0 } else { PASSED_ON };
+            let age = Millis(now - at + late);
+            self.entries[index].shares.set_totals(Millis(now), &Totals { age, ..totals.clone() });
+        }
+        self.entries[index].ready_at.get_or_insert(now + SETTINGS);
+    }
+
+    fn calls(&mut self, now: u64, case: &Case) {
+        const MEAN: f64 = 8400.0;
+        let demand = if now < JUMP { 0.55 } else { case.asked };
+        let calls = demand * RATE / MEAN * STEP as f64 / 1000.0;
+        let whole = calls as usize + usize::from(self.rng.random::<f64>() < calls.fract());
+        for _ in 0..whole {
+            self.call(now);
+        }
+    }
+
+    fn call(&mut self, now: u64) {
+        let draw: f64 = self.rng.random();
+        let tokens = (2500.0 / (1.0 - draw).powf(0.75)).min(54_000.0);
+        let ready: Vec<usize> =
+            (0..self.entries.len()).filter(|index| self.entries[*index].is_ready(now)).collect();
+        if ready.is_empty() {
+            return;
+        }
+        let entry = ready[self.rng.random_range(0..ready.len())];
+        let is_let_in = self.entries[entry].shares.admit(Millis(now), &account(), tokens).is_ok();
+        if is_let_in {
+            self.admitted.push((now, tokens));
+        }
+        if now >= JUMP {
+            self.asked += 1;
+            self.refused += usize::from(!is_let_in);
+        }
+    }
+
+    /// Returns the most tokens admitted in any window.
+    fn busiest_window(&self) -> f64 {
+        let (mut most, mut sum, mut first) = (0.0, 0.0, 0);
+        for (at, tokens) in &self.admitted {
+            sum += tokens;
+            while self.admitted[first].0 + LIMIT_WINDOW.0 <= *at {
+                sum -= self.admitted[first].1;
+                first += 1;
+            }
+            most = f64::max(most, sum);
+        }
+        most
+    }
+
+    /// Returns what was admitted in a span, in parts of what the account is owed in it.
+    fn used(&self, from: u64, until: u64) -> f64 {
+        let within = self.admitted.iter().filter(|(at, _)| (from..until).contains(at));
+        within.map(|(_, tokens)| tokens).sum::<f64>() / (RATE * (until - from) as f64 / 1000.0)
+    }
+}
+
+fn stays_within_its_limit(cases: &[Case]) {
+    let mut broken = Vec::new();
+    for case in cases {
+        let name = case.name;
+        for run in 0..4 {
+            let mut world = World::new(case.entries, run);
+            world.run(case);
+            let (part, used) = (world.busiest_window() / allowed(), world.used(JUMP, END));
+            let line = format!("{name}, run {run}: {part:.3} of what is allowed, uses {used:.2}");
+            println!("{line}");
+            if part > 1.0 || used < 0.8 {
+                broken.push(line);
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+/// Control instances restart beside a demand beyond the limit: the first sums of the new leader are made of a few
+/// reports, and lack those that are cut off.
+#[test]
+fn a_restart_of_control_does_not_raise_a_limit() {
+    const CUT: Fault = Fault::Cut { from: 13_000, until: 20_000, entries: 3 };
+    stays_within_its_limit(&[
+        Case { name: "control", entries: 8, asked: 4.4, faults: &[Fault::Control { at: 14_100 }] },
+        Case { name: "cut", entries: 8, asked: 4.4, faults: &[CUT] },
+        Case {
+            name: "cut and control",
+            entries: 8,
+            asked: 4.4,
+            faults: &[CUT, Fault::Control { at: 14_100 }],
+        },
+        Case {
+            name: "many, cut and control",
+            entries: 94,
+            asked: 4.4,
+            faults: &[
+                Fault::Cut { from: 13_000, until: 20_000, entries: 36 },
+                Fault::Control { at: 14_100 },
+            ],
+        },
+    ]);
+}
+
+/// Entry instances restart beside a demand beyond the limit: each life began its count of what it admitted anew.
+#[test]
+fn restarts_of_entry_instances_do_not_raise_a_limit() {
+    stays_within_its_limit(&[
+        Case {
+            name: "six in ten, twice",
+            entries: 8,
+            asked: 4.4,
+            faults: &[
+                Fault::Entries { at: 17_000, share: 0.6 },
+                Fault::Entries { at: 21_000, share: 0.6 },
+            ],
+        },
+        Case {
+            name: "nine in ten, three times",
+            entries: 8,
+            asked: 4.4,
+            faults: &[
+                Fault::Entries { at: 15_000, share: 0.9 },
+                Fault::Entries { at: 18_000, share: 0.9 },
+                Fault::Entries { at: 21_000, share: 0.9 },
+            ],
+        },
+        Case {
+            name: "many, six in ten, twice",
+            entries: 94,
+            asked: 4.4,
+            faults: &[
+                Fault::Entries { at: 17_000, share: 0.6 },
+                Fault::Entries { at: 21_000, share: 0.6 },
+            ],
+        },
+        Case {
+            name: "all, and control",
+            entries: 8,
+            asked: 4.4,
+            faults: &[Fault::Entries { at: 17_000, share: 1.0 }, Fault::Control { at: 17_000 }],
+        },
+        Case {
+            name: "many, all, and control",
+            entries: 94,
+            asked: 4.4,
+            faults: &[Fault::Entries { at: 17_000, share: 1.0 }, Fault::Control { at: 17_000 }],
+        },
+    ]);
+}
+
+/// Instances restart beside an account that keeps to its limit: counted for more than it used, its callers would get
+/// 429 after each deploy.
+#[test]
+fn restarts_refuse_nobody_who_keeps_to_a_limit() {
+    const ENTRIES: &[Fault] =
+        &[Fault::Entries { at: 17_000, share: 0.6 }, Fault::Entries { at: 21_000, share: 0.6 }];
+    const CONTROL: &[Fault] = &[Fault::Control { at: 17_000 }];
+    const ALL: &[Fault] =
+        &[Fault::Entries { at: 17_000, share: 1.0 }, Fault::Control { at: 17_000 }];
+    let case = |name, entries, faults| Case { name, entries, asked: 0.8, faults };
+    let cases = [
+        case("nothing", 8, &[]),
+        case("entry instances", 8, ENTRIES),
+        case("control", 8, CONTROL),
+        case("all", 8, ALL),
+        case("many, nothing", 94, &[]),
+        case("many, entry instances", 94, ENTRIES),
+        case("many, control", 94, CONTROL),
+        case("many, all", 94, ALL),
+    ];
+    for case in cases {
+        let mut world = World::new(case.entries, 1);
+        world.run(&case);
+        let refused = world.refused as f64 / world.asked as f64;
+        println!("{}, {} entries: {refused:.4} refused", case.name, case.entries);
+        assert!(refused <= 0.01, "{}: {refused:.4} refused of {}", case.name, world.asked);
+    }
+}
--- a/coordination/limit/tests/shares.rs
+++ b/coordination/limit/tests/shares.rs
@@ -62,6 +62,19 @@
     fleet.most_used(Millis(10_000), since) < CUT_BOUND
 }
 
+/// Most entry instances restart at once, again and again, while callers ask for many times the limit.
+fn restarts_of_most_start_at_the_floor(mut fleet: Fleet) -> bool {
+    fleet.demand = skewed(8).iter().map(|d| d * 3.0).collect();
+    fleet.run(Millis(20_000));
+    let since = fleet.admitted.len();
+    for _ in 0..5 {
+        (0..5).for_each(|i| fleet.restart(i));
+        fleet.run(Millis(3_000));
+    }
+    fleet.run(Millis(10_000));
+    fleet.most_used(Millis(10_000), since) < CUT_BOUND
+}
+
 /// Load moves from one failure domain to another within a moment. The new place must not give out a
 /// share before the old place knows that it lost it.
 fn moving_load_stays_within(mut fleet: Fleet) -> bool {
@@ -94,13 +107,18 @@
     fleet.used(Millis(10_000)) < CUT_BOUND
 }
 
-const CASES: [Case; 5] = [
+const CASES: [Case; 6] = [
     Case { name: "cut off", weakening: Weakening::SilentIsIdle, run: cut_keeps_the_last_share },
     Case {
         name: "restart",
         weakening: Weakening::RestartTakesAll,
         run: restart_starts_at_the_floor,
     },
+    Case {
+        name: "restarts of most",
+        weakening: Weakening::RestartTakesAll,
+        run: restarts_of_most_start_at_the_floor,
+    },
     Case {
         name: "moving load",
         weakening: Weakening::UnreportedDemand,
