Limits: a restart of an entry instance begins no new count

Cause, of the same class: the count of a life ended with it.

Now lives that are over stay in the sum until what they admitted has left the window; which life is the newest goes by the reports, as a time of day may go back over a restart; where nothing is known of a life before, the account is presumed to have used what it was owed. Totals are kept for accounts that are opened later, and the first ones empty the bucket. A call of a limited account waits for them, as for the first settings: 1.2 s at most, a quarter of its time.

--- a/coordination/dispatch/src/share.rs
+++ b/coordination/dispatch/src/share.rs
@@ -5,7 +5,7 @@
 //! of an eighth is less than one large prompt, and the account would be refused within its limit.
 
 use sill_base::{Map, Millis, Name};
-use sill_wire::link::{AccountReport, Totals};
+use sill_wire::link::{AccountReport, AccountTotal, Totals};
 
 use crate::share::account::{AVERAGE, Account, Limit, RECENT, saved};
 use crate::table::RouteTable;
@@ -49,6 +49,8 @@
     accounts: Map<Name, Account>,
     entries: u32,
     heard: Option<Millis>,
+    /// The newest totals by account.
+    totals: Map<Name, AccountTotal>,
     let_in: LetIn,
 }
 
@@ -60,6 +62,7 @@
             accounts: Map::default(),
             entries: PRESUMED_ENTRIES,
             heard: None,
+            totals: Map::default(),
             let_in: LetIn::default(),
         }
     }
@@ -77,7 +80,7 @@
                     known.limit = limit;
                     known
                 }
-                None => self.open(now, limit),
+                None => self.open(now, name, limit),
             };
             kept.insert(name.clone(), account);
         }
@@ -85,9 +88,15 @@
         self.set_rates(now);
     }
 
-    fn open(&self, now: Millis, limit: Limit) -> Account {
+    fn open(&self, now: Millis, name: &Name, limit: Limit) -> Account {
         let share = 1.0 / f64::from(self.entries);
-        Account::open(now, limit, share, self.bounds)
+        let mut account = Account::open(now, limit, share, self.bounds);
+        // Totals come before the first settings do. Were they forgotten, an instance that has just started would
+        // take the account for unused.
+        if let Some(heard) = self.heard {
+            account.hear(heard - REPORT_AGE, self.entries, self.totals.get(name));
+        }
+        account
     }
 
     /// Takes in the demand over all entry instances; older totals than those that are known change nothing.
@@ -98,9 +107,9 @@
         }
         self.entries = totals.entries.max(1);
         self.heard = Some(heard);
-        let totals: Map<&Name, _> = totals.accounts.iter().map(|t| (&t.account, t)).collect();
+        self.totals = totals.accounts.iter().map(|t| (t.account.clone(), t.clone())).collect();
         for (name, account) in &mut self.accounts {
-            account.hear(heard - REPORT_AGE, self.entries, totals.get(name).copied());
+            account.hear(heard - REPORT_AGE, self.entries, self.totals.get(name));
         }
         self.set_rates(now);
     }
--- a/coordination/dispatch/src/share/account.rs
+++ b/coordination/dispatch/src/share/account.rs
@@ -62,6 +62,7 @@
     pub(super) since_total: f64,
     pub(super) total_asked_per_s: f64,
     pub(super) share: Option<f64>,
+    has_heard: bool,
     pub(super) let_in: LetIn,
     pub(super) has_refused: bool,
     /// When its state was last told.
@@ -95,6 +96,7 @@
             since_total: 0.0,
             total_asked_per_s: 0.0,
             share: None,
+            has_heard: false,
             let_in: LetIn::default(),
             has_refused: false,
             told_at: None,
@@ -103,6 +105,10 @@
 
     /// Takes in the demand over all entry instances as of a point in time; none tells that nobody asks.
     pub(super) fn hear(&mut self, at: Millis, entries: u32, total: Option<&AccountTotal>) {
+        if !std::mem::replace(&mut self.has_heard, true) {
+            // The burst may have been used by others, or by this instance before a restart.
+            self.bucket.empty();
+        }
         let own = self.told(at);
         let none = AccountTotal::default();
         let total = total.unwrap_or(&none);
--- a/coordination/dispatch/src/totals.rs
+++ b/coordination/dispatch/src/totals.rs
@@ -1,7 +1,8 @@
 //! The demand for each account over all entry instances, and what those may admit that are not heard of.
 //!
 //! What is not known of an entry instance is not taken for nothing. One that is cut off goes on with the
-//! share that it had, and what no report tells is presumed to be an even part of the limit.
+//! share that it had; what a life that is over has admitted stays in the window; and what no report tells
+//! is presumed to be an even part of the limit.
 
 use std::collections::BTreeMap;
 
@@ -23,6 +24,9 @@
 /// between control instances, twice.
 const ALL_HEARD: Millis = Millis(700);
 
+/// Time before the end of a life of which no report told.
+const UNREPORTED: Millis = Millis(250);
+
 /// Length of the slices in which reports tell what was admitted.
 const SECOND: Millis = Millis(1000);
 
@@ -87,7 +91,10 @@
         let mut sums: BTreeMap<&Name, Sum> = BTreeMap::new();
         for lives in &lives {
             add_life(now, lives.newest, &mut sums);
+            lives.earlier.iter().for_each(|earlier| add_earlier_life(now, earlier, &mut sums));
         }
+        let untold_s =
+            lives.iter().map(|lives| untold(now, lives)).sum::<f64>() / f64::from(entries);
         let accounts = sums.into_iter().map(|(account, sum)| {
             let held = self.held_by_unknown(account, unknown, entries);
             AccountTotal {
@@ -96,7 +103,7 @@
                 admitted: sum.admitted,
                 admitted_per_s: sum.admitted_per_s,
                 held: (sum.held + held).min(1.0),
-                untold_s: Some(sum.untold_s + held * LIMIT_WINDOW.as_secs_f64()),
+                untold_s: Some(sum.untold_s + untold_s + held * LIMIT_WINDOW.as_secs_f64()),
             }
         });
         Some(Totals { age: Millis::ZERO, entries, accounts: accounts.collect() })
@@ -154,6 +161,19 @@
     }
 }
 
+/// Adds what a life that is over has admitted.
+fn add_earlier_life<'a>(now: Millis, earlier: &'a Reported, sums: &mut BTreeMap<&'a Name, Sum>) {
+    let age = earlier.age(now);
+    if age >= LIMIT_WINDOW {
+        return;
+    }
+    for account in &earlier.report.accounts {
+        let unreported = account.admitted_per_s * UNREPORTED.as_secs_f64();
+        let sum = sums.entry(&account.account).or_default();
+        sum.admitted += still_in_window(account, age) + unreported;
+    }
+}
+
 /// Returns what an account was admitted that is still in the window some time after the report.
 fn still_in_window(account: &AccountReport, age: Millis) -> f64 {
     if account.by_second.is_empty() {
@@ -162,3 +182,11 @@
     let seconds = (LIMIT_WINDOW - age).0.div_ceil(SECOND.0) as usize;
     account.by_second.iter().take(seconds).sum()
 }
+
+/// Returns for how many seconds of the window nothing is known of an entry instance, neither of its life nor
+/// of one before it. One that doesn't tell when it began counts as old.
+fn untold(now: Millis, lives: &Lives<'_>) -> f64 {
+    let all = lives.earlier.iter().copied().chain([lives.newest]);
+    let up = all.map(|life| life.up(now).unwrap_or(LIMIT_WINDOW)).max();
+    (LIMIT_WINDOW - up.unwrap_or_default()).as_secs_f64()
+}
--- a/coordination/dispatch/src/usage.rs
+++ b/coordination/dispatch/src/usage.rs
@@ -55,6 +55,8 @@
 pub struct Lives<'a> {
     /// Its newest life.
     pub newest: &'a Reported,
+    /// Lives before it that are remembered.
+    pub earlier: Vec<&'a Reported>,
 }
 
 /// Returns the window that a time of day lies in.
@@ -135,9 +137,15 @@
     pub fn lives(&self, now: Millis, span: Millis) -> Vec<Lives<'_>> {
         let mut by_entry: Map<&Name, Lives<'_>> = Map::default();
         for (key, reported) in &self.reports {
-            let lives = by_entry.entry(&key.entry).or_insert(Lives { newest: reported });
-            if lives.newest.report.incarnation < key.incarnation {
-                lives.newest = reported;
+            let lives = by_entry
+                .entry(&key.entry)
+                .or_insert_with(|| Lives { newest: reported, earlier: Vec::new() });
+            // Incarnations are times of day, and may go back with the clock over a restart.
+            let order = |r: &Reported| (r.at, r.report.incarnation);
+            if order(lives.newest) < order(reported) {
+                lives.earlier.push(std::mem::replace(&mut lives.newest, reported));
+            } else if lives.newest.report.incarnation != key.incarnation {
+                lives.earlier.push(reported);
             }
         }
         by_entry.into_values().filter(|lives| now - lives.newest.at < span).collect()
@@ -175,6 +183,11 @@
     pub fn age(&self, now: Millis) -> Millis {
         now - self.at
     }
+
+    /// Returns how long ago the life began, if it tells.
+    pub fn up(&self, now: Millis) -> Option<Millis> {
+        self.report.up.map(|up| up + self.age(now))
+    }
 }
 
 fn merged(old: &[WindowUsage], new: &[WindowUsage]) -> Vec<WindowUsage> {
--- a/coordination/dispatch/tests/limit_restarts.rs
+++ b/coordination/dispatch/tests/limit_restarts.rs
@@ -72,6 +72,7 @@
 }
 
 struct Leader {
+    started: u64,
     ledger: Ledger,
     adder: Adder,
     leads_at: u64,
@@ -121,24 +122,31 @@
         }
     }
 
+    /// Returns the time of its own clock, which begins with it.
+    fn clock(&self, now: u64) -> Millis {
+        Millis(now.saturating_sub(self.up_at))
+    }
+
     fn is_ready(&self, now: u64) -> bool {
         let Some(ready_at) = self.ready_at.filter(|at| now >= *at) else { return false };
-        let has_totals = self.shares.heard(Millis(now)).1.is_some();
+        let has_totals = self.shares.heard(self.clock(now)).1.is_some();
         now >= self.up_at && (has_totals || now >= ready_at + TOTALS_WAIT)
     }
 
     fn report(&mut self, now: u64) -> EntryReport {
         self.sequence += 1;
+        let clock = self.clock(now);
         EntryReport {
             entry: self.name.clone(),
             incarnation: Incarnation(self.life),
             domain: "a".into(),
             sequence: self.sequence,
             wall: Millis(now),
-            entries: self.shares.told_entries(Millis(now)),
+            up: Some(clock),
+            entries: self.shares.told_entries(clock),
             age: Millis::ZERO,
             usage: Vec::new(),
-            accounts: self.shares.report(Millis(now)),
+            accounts: self.shares.report(clock),
             services: Vec::new(),
             loads: Vec::new(),
         }
@@ -146,9 +154,15 @@
 }
 
 impl Leader {
-    fn new(leads_at: u64) -> Self {
+    fn new(started: u64) -> Self {
         let (ledger, adder) = (Ledger::default(), Adder::default());
-        Self { ledger, adder, leads_at, has_begun: false, newest: None }
+        let leads_at = started + ELECTION;
+        Self { started, ledger, adder, leads_at, has_begun: false, newest: None }
+    }
+
+    /// Returns the time of its own clock, which begins with it.
+    fn clock(&self, now: u64) -> Millis {
+        Millis(now.saturating_sub(self.started))
     }
 
     fn step(&mut self, now: u64) {
@@ -156,9 +170,9 @@
             return;
         }
         if !std::mem::replace(&mut self.has_begun, true) {
-            self.adder.begin(Millis(now), None);
+            self.adder.begin(self.clock(now), None);
         }
-        if let Some(totals) = self.adder.add_up(Millis(now), &self.ledger) {
+        if let Some(totals) = self.adder.add_up(self.clock(now), &self.ledger) {
             self.newest = Some((totals, now));
         }
     }
@@ -170,7 +184,7 @@
             rng: seeded(seed(run)),
             rate,
             entries: (0..entries).map(|index| Entry::new(index, 1, 0)).collect(),
-            leader: Leader::new(ELECTION),
+            leader: Leader::new(0),
             passed_on: VecDeque::new(),
             admitted: Vec::new(),
             asked: 0,
@@ -184,7 +198,7 @@
             self.leader.step(now);
             while self.passed_on.front().is_some_and(|(due, _)| *due <= now) {
                 let (_, report) = self.passed_on.pop_front().expect("one is due");
-                self.leader.ledger.take(Millis(now), report, false);
+                self.leader.ledger.take(self.leader.clock(now), report, false);
             }
             for index in 0..self.entries.len() {
                 self.poll(now, index, case);
@@ -207,7 +221,7 @@
                     }
                 }
                 Fault::Control { at } if at == now => {
-                    self.leader = Leader::new(now + DOWN + ELECTION);
+                    self.leader = Leader::new(now + DOWN);
                     self.passed_on.clear();
                 }
                 _ => {}
@@ -224,7 +238,8 @@
         let is_answered = now + ELECTION >= self.leader.leads_at;
         let entry = &mut self.entries[index];
         if now >= entry.up_at && !entry.has_limits && entry.ready_at.is_some_and(|at| now >= at) {
-            entry.shares.set_limits(Millis(now), &table(self.rate));
+            let clock = entry.clock(now);
+            entry.shares.set_limits(clock, &table(self.rate));
             entry.has_limits = true;
         }
         if now < entry.up_at || now < entry.next_poll {
@@ -237,14 +252,16 @@
         let report = entry.report(now);
         let is_direct = index.is_multiple_of(2);
         if is_direct {
-            self.leader.ledger.take(Millis(now), report, true);
+            self.leader.ledger.take(self.leader.clock(now), report, true);
         } else {
             self.passed_on.push_back((now + PASSED_ON, report));
         }
         if let Some((totals, at)) = &self.leader.newest {
             let late = if is_direct { 0 } else { PASSED_ON };
             let age = Millis(now - at + late);
-            self.entries[index].shares.set_totals(Millis(now), &Totals { age, ..totals.clone() });
+            let entry = &mut self.entries[index];
+            let clock = entry.clock(now);
+            entry.shares.set_totals(clock, &Totals { age, ..totals.clone() });
         }
         self.entries[index].ready_at.get_or_insert(now + SETTINGS);
     }
@@ -267,8 +284,9 @@
         if ready.is_empty() {
             return;
         }
-        let entry = ready[self.rng.random_range(0..ready.len())];
-        let is_let_in = self.entries[entry].shares.admit(Millis(now), &account(), tokens).is_ok();
+        let entry = &mut self.entries[ready[self.rng.random_range(0..ready.len())]];
+        let clock = entry.clock(now);
+        let is_let_in = entry.shares.admit(clock, &account(), tokens).is_ok();
         if is_let_in {
             self.admitted.push((now, tokens));
         }
--- a/coordination/dispatch/tests/shares.rs
+++ b/coordination/dispatch/tests/shares.rs
@@ -165,6 +165,7 @@
             domain: "a".into(),
             sequence: now + 1,
             wall: Millis(now),
+            up: None,
             entries: 0,
             age: Millis::ZERO,
             usage: Vec::new(),
--- a/coordination/dispatch/tests/usage.rs
+++ b/coordination/dispatch/tests/usage.rs
@@ -18,6 +18,7 @@
         domain: "a".into(),
         sequence,
         wall: Millis::ZERO,
+        up: None,
         entries: 0,
         age: Millis::ZERO,
         usage: usage.collect(),
--- a/coordination/limit/src/bucket.rs
+++ b/coordination/limit/src/bucket.rs
@@ -58,6 +58,11 @@
         self.balance
     }
 
+    /// Takes all that it holds.
+    pub fn empty(&mut self) {
+        self.balance = self.balance.min(0.0);
+    }
+
     /// Takes what a request costs.
     pub fn take(&mut self, cost: f64) {
         self.balance -= cost;
--- a/daemons/control/tests/served.rs
+++ b/daemons/control/tests/served.rs
@@ -141,6 +141,7 @@
         domain: "a".into(),
         sequence: 1,
         wall: Millis::wall(),
+        up: None,
         entries: 0,
         age: Millis::ZERO,
         usage: Vec::new(),
--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -25,12 +25,12 @@
 /// When to come back to an instance that knows no settings yet; it learns them in half a second.
 const UNTIL_SETTINGS: Millis = Millis(1000);
 
-/// Time that a call waits for the first settings: control instances that start together with this one
+/// Time that a call waits for the first settings, and for the first totals: control instances that start together with this one
 /// need as long until they have elected a leader.
 const START_WAIT: Millis = Millis(1200);
 
-/// The part of a caller's time that it waits at most for the first settings, so that there is enough
-/// left to be served.
+/// The part of a caller's time that it waits at most for either, so that there is enough left to be
+/// served.
 const START_PART: u64 = 4;
 
 /// When to come back for a service that has no endpoint yet.
@@ -173,6 +173,10 @@
         Refused { route: route.name.clone(), ..Refused::by_stop(state, inputs) }
     })?;
     let amount = amount(&head, account.as_deref());
+    if account.as_ref().is_some_and(|account| account.account.limit.is_some()) {
+        // An instance that has just started doesn't know what it admitted before, nor what others do.
+        state.first_totals(start_wait(&head), START_WAIT).await;
+    }
     if let Some(account) = &account
         && let Err(over) = state.admit(&account.name, amount)
     {
@@ -209,8 +213,13 @@
     if let Some(table) = state.table() {
         return Some(table);
     }
+    state.first_table(start_wait(head)).await
+}
+
+/// Returns how long a call waits for what an instance that has just started is not told yet.
+fn start_wait(head: &CallHead) -> Millis {
     let left = head.deadline.unwrap_or(Millis::MAX);
-    state.first_table(Millis(left.0 / START_PART).min(START_WAIT)).await
+    Millis(left.0 / START_PART).min(START_WAIT)
 }
 
 /// Finds the route by host, with or without its port, and path.
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -1,8 +1,8 @@
 //! What the parts of an entry instance share, each under its own lock.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use parking_lot::{Mutex, RwLock};
 use sill_base::{Clock, Map, Millis, Name, Promise, event, keep};
@@ -73,6 +73,9 @@
     table: watch::Sender<Option<Arc<RouteTable>>>,
     pools: RwLock<Map<Name, Arc<PoolState>>>,
     shares: Mutex<Shares>,
+    has_totals: watch::Sender<bool>,
+    /// When the first settings came.
+    settled_at: OnceLock<Millis>,
     budgets: Mutex<Budgets>,
     usage: Mutex<UsageCounter>,
     /// True time of day less the steady clock, in milliseconds.
@@ -123,6 +126,8 @@
             table: watch::Sender::new(None),
             pools: RwLock::default(),
             shares: Mutex::new(Shares::new(cfg.limits)),
+            has_totals: watch::Sender::new(false),
+            settled_at: OnceLock::new(),
             budgets: Mutex::new(Budgets::new(cfg.retries)),
             usage: Mutex::default(),
             time_offset: AtomicU64::new((wall - clock.now()).0),
@@ -146,6 +151,19 @@
         known.ok()?.ok()?.clone()
     }
 
+    /// Waits until it is known what all entry instances admit, and no longer than a time after the first
+    /// settings: while there is no leader nobody tells it.
+    pub async fn first_totals(&self, patience: Millis, after_settings: Millis) {
+        if *self.has_totals.borrow() {
+            return;
+        }
+        let settled_at = self.settled_at.get().copied().unwrap_or_default();
+        let left = (settled_at + after_settings) - self.clock.now();
+        let mut heard = self.has_totals.subscribe();
+        let _ =
+            tokio::time::timeout(left.min(patience).into(), heard.wait_for(|heard| *heard)).await;
+    }
+
     /// Returns the endpoints of a service.
     pub fn pool(&self, service: &Name) -> Option<Arc<PoolState>> {
         self.pools.read().get(service).cloned()
@@ -195,6 +213,7 @@
             before
         };
         self.budgets.lock().set_entries(totals.entries);
+        self.has_totals.send_if_modified(|has_totals| !std::mem::replace(has_totals, true));
         if entries == totals.entries && age.is_some_and(|age| age < FRESH) {
             return;
         }
@@ -249,6 +268,7 @@
             table.revision
         );
         let now = self.clock.now();
+        let _ = self.settled_at.set(now);
         self.shares.lock().set_limits(now, &table);
         for (name, pool) in &table.pools {
             let engine = pool.engine.as_ref();
@@ -386,6 +406,7 @@
             domain: self.cfg.domain.clone(),
             sequence,
             wall: Millis::wall(),
+            up: Some(now),
             entries,
             age: Millis::ZERO,
             usage: self.usage.lock().report(window),
--- /dev/null
+++ b/daemons/gateway/tests/limits.rs
@@ -0,0 +1,101 @@
+//! Limits of client accounts at an entry instance that has just started.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sill_base::{Millis, Name, Secret};
+use sill_dispatch::{LimitBounds, RetryBounds, RouteTable};
+use sill_gateway::cfg::StopCfg;
+use sill_gateway::state::State;
+use sill_gateway::{GatewayCfg, SillDialect};
+use sill_tree::{Account, Document, Limit};
+use sill_wire::link::{AccountTotal, Cursor, LinkReply, Totals};
+
+const RATE: f64 = 1000.0;
+const LONG: Millis = Millis(60_000);
+
+fn account() -> Name {
+    "desk".into()
+}
+
+fn nowhere() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn state() -> Arc<State> {
+    let cfg = GatewayCfg {
+        name: "e1".into(),
+        domain: "a".into(),
+        listen: nowhere(),
+        listen_ready: nowhere(),
+        ready_path: "/readyz".into(),
+        listen_metrics: nowhere(),
+        seeds: Vec::new(),
+        cluster_key: Secret::new("test"),
+        dialect: Arc::new(SillDialect),
+        limits: LimitBounds { slack: 0.0 },
+        retries: RetryBounds { share: 0.2, allowance: 10.0 },
+        endpoint_notice: Millis(2000),
+        usage_window: Millis(5000),
+        stop: StopCfg { notice: Millis(100), limit: Millis(5000) },
+    };
+    Arc::new(State::new(cfg).expect("it is made"))
+}
+
+fn settings() -> Arc<RouteTable> {
+    let limit = Limit { tokens_per_s: Some(RATE), ..Limit::default() };
+    let desk = Account { limit: Some(limit), burst: Some(RATE), ..Account::default() };
+    let accounts = [(account(), desk)].into_iter().collect();
+    Arc::new(RouteTable::of(1, &Document { accounts, ..Document::default() }))
+}
+
+/// Tells that all entry instances have used all that the account is owed.
+fn used_up() -> LinkReply {
+    let admitted = RATE * 9.0;
+    let used = AccountTotal { account: account(), admitted, ..AccountTotal::default() };
+    LinkReply {
+        settings: None,
+        cursor: Cursor::default(),
+        endpoints: Vec::new(),
+        loads: Vec::new(),
+        controls: Vec::new(),
+        totals: Some(Totals { age: Millis::ZERO, entries: 8, accounts: vec![used] }),
+        true_time: Millis::wall(),
+        is_led: true,
+    }
+}
+
+/// An instance that has just started admits out of a full bucket what all others have used up already.
+#[tokio::test]
+async fn a_call_waits_until_it_is_known_what_others_admitted() {
+    let state = state();
+    state.put_in_force(settings());
+    let waiting = tokio::spawn({
+        let state = state.clone();
+        async move { state.first_totals(LONG, LONG).await }
+    });
+    tokio::task::yield_now().await;
+    assert!(!waiting.is_finished(), "nobody has told any totals");
+    state.learn(nowhere(), &used_up());
+    waiting.await.expect("it doesn't panic");
+    state.admit(&account(), 100.0).expect_err("the account is over its limit");
+}
+
+/// Totals come before the first settings do: forgotten, all accounts would count as unused until the next ones.
+#[tokio::test]
+async fn totals_that_come_before_the_settings_count() {
+    let state = state();
+    state.learn(nowhere(), &used_up());
+    state.put_in_force(settings());
+    state.first_totals(LONG, LONG).await;
+    state.admit(&account(), 100.0).expect_err("the account is over its limit");
+}
+
+/// While no control instance leads, nobody tells totals, and callers would wait for them in vain.
+#[tokio::test]
+async fn calls_are_admitted_by_the_share_while_nobody_tells_totals() {
+    let state = state();
+    state.put_in_force(settings());
+    state.first_totals(LONG, Millis::ZERO).await;
+    state.admit(&account(), 10.0).expect("its part of the burst is there");
+}
--- a/protocol/wire/src/link.rs
+++ b/protocol/wire/src/link.rs
@@ -166,6 +166,9 @@
     pub sequence: u64,
     /// Its time of day.
     pub wall: Millis,
+    /// How long its process had been up.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub up: Option<Millis>,
     /// How many entry instances it was told of lately; 0 if it was not. A control instance that begins to lead
     /// without any memory learns of those that are cut off by this alone.
     #[serde(default, skip_serializing_if = "is_default")]
