Retries: a restart opens no new budget

Cause, the class of the limits: what a life retried is counted by the process alone, and each new one had the whole reserve.

--- a/coordination/dispatch/src/budget.rs
+++ b/coordination/dispatch/src/budget.rs
@@ -43,6 +43,7 @@
     /// Requests of a window, as a moving average.
     requests: f64,
     at: Millis,
+    opened: Millis,
 }
 
 impl Budgets {
@@ -63,9 +64,12 @@
         let passed = (now - budget.at).as_secs_f64() / WINDOW.as_secs_f64();
         budget.requests = budget.requests * (-passed).exp() + 1.0;
         budget.at = now;
+        // What an earlier life of this instance retried is still in the window, and nobody knows it.
+        let age = (now - budget.opened).min(WINDOW);
+        let earned = age.as_secs_f64() / WINDOW.as_secs_f64();
         let fixed = bounds.allowance * PART / f64::from(entries);
         let saved = bounds.share * SAVED * budget.requests;
-        budget.budget.set_reserve((fixed + saved).max(LEAST_RESERVE));
+        budget.budget.set_reserve((earned * (fixed + saved)).max(LEAST_RESERVE));
         budget.budget.succeeded(&Name::default(), &Target::Service(service.clone()));
     }
 
@@ -76,15 +80,10 @@
     }
 
     fn open(&mut self, now: Millis, service: &Name) -> &mut Budget {
-        let bounds = self.bounds;
-        let reserve = bounds.allowance * PART / f64::from(self.entries);
+        let share = self.bounds.share * PART;
         self.by_service.entry(service.clone()).or_insert_with(|| {
-            let cfg = RetryCfg {
-                share: bounds.share * PART,
-                reserve: reserve.max(LEAST_RESERVE),
-                ..RetryCfg::default()
-            };
-            Budget { budget: RetryBudget::new(cfg), requests: 0.0, at: now }
+            let cfg = RetryCfg { share, reserve: LEAST_RESERVE, ..RetryCfg::default() };
+            Budget { budget: RetryBudget::new(cfg), requests: 0.0, at: now, opened: now }
         })
     }
 }
