Limits: accounts that no report names, and less in reports

From reading the change again: an account that no entry instance has reported lost its even share, and its burst, though nobody had used them; callers within its limit would have got 429 from an instance that is cut off. It keeps both now. After a restart of all instances it was the other way: its calls wait for the first totals, so that no report names it, and it counted as unused; totals say now what is untold for such accounts as well. Time in which a silent instance went on as before leaves the window when it is over.

an_account_that_nobody_reported_after_a_restart_counts_as_used fails without; the other tests of limits give the same figures.

--- a/coordination/dispatch/src/share.rs
+++ b/coordination/dispatch/src/share.rs
@@ -51,6 +51,8 @@
     heard: Option<Millis>,
     /// The newest totals by account.
     totals: Map<Name, AccountTotal>,
+    /// What they say of all other accounts.
+    untold_s: f64,
     let_in: LetIn,
 }
 
@@ -63,6 +65,7 @@
             entries: PRESUMED_ENTRIES,
             heard: None,
             totals: Map::default(),
+            untold_s: 0.0,
             let_in: LetIn::default(),
         }
     }
@@ -93,8 +96,10 @@
         let mut account = Account::open(now, limit, share, self.bounds);
         // Totals come before the first settings do. Were they forgotten, an instance that has just started would
         // take the account for unused.
-        if let Some(heard) = self.heard {
-            account.hear(heard - REPORT_AGE, self.entries, self.totals.get(name));
+        match (self.heard, self.totals.get(name)) {
+            (Some(heard), Some(total)) => account.hear(heard - REPORT_AGE, self.entries, total),
+            (Some(_), None) => account.hear_nothing(self.untold_s),
+            (None, _) => {}
         }
         account
     }
@@ -108,8 +113,12 @@
         self.entries = totals.entries.max(1);
         self.heard = Some(heard);
         self.totals = totals.accounts.iter().map(|t| (t.account.clone(), t.clone())).collect();
+        self.untold_s = totals.untold_s;
         for (name, account) in &mut self.accounts {
-            account.hear(heard - REPORT_AGE, self.entries, self.totals.get(name));
+            match self.totals.get(name) {
+                Some(total) => account.hear(heard - REPORT_AGE, self.entries, total),
+                None => account.hear_nothing(self.untold_s),
+            }
         }
         self.set_rates(now);
     }
@@ -203,12 +212,12 @@
 
     /// Returns the demand here by account.
     pub fn report(&mut self, now: Millis) -> Vec<AccountReport> {
-        let even = 1.0 / f64::from(self.entries);
+        let (even, unseen) = (1.0 / f64::from(self.entries), self.unseen(now));
         let reports = self.accounts.iter_mut().map(|(name, account)| AccountReport {
             account: name.clone(),
             asked_per_s: account.tell(now),
             admitted: account.admitted.sum(now),
-            by_second: account.admitted.by_second(now),
+            by_second: account.by_second(now, unseen),
             admitted_per_s: account.recent.at(now, RECENT),
             share: account.share.unwrap_or(even),
         });
--- a/coordination/dispatch/src/share/account.rs
+++ b/coordination/dispatch/src/share/account.rs
@@ -39,6 +39,10 @@
 /// Span of the moving average of what is admitted, by which older sums are brought up to date.
 pub(super) const RECENT: Millis = Millis(700);
 
+/// Part of what an account is owed from which on reports tell by seconds what was admitted. Below it, there is
+/// room for what would be kept in the sum for too long.
+const TOLD_BY_SECOND: f64 = 0.4;
+
 /// Part of what an account is owed from which on its state is told.
 const TOLD_PART: f64 = 0.8;
 
@@ -103,29 +107,54 @@
         }
     }
 
-    /// Takes in the demand over all entry instances as of a point in time; none tells that nobody asks.
-    pub(super) fn hear(&mut self, at: Millis, entries: u32, total: Option<&AccountTotal>) {
-        if !std::mem::replace(&mut self.has_heard, true) {
-            // The burst may have been used by others, or by this instance before a restart.
-            self.bucket.empty();
-        }
+    /// Takes in the demand over all entry instances as of a point in time.
+    pub(super) fn hear(&mut self, at: Millis, entries: u32, total: &AccountTotal) {
+        self.drop_burst();
         let own = self.told(at);
-        let none = AccountTotal::default();
-        let total = total.unwrap_or(&none);
         let all = total.asked_per_s.max(own);
         let by_demand = if all > 0.0 { own / all } else { 0.0 };
         let even = EVEN_PART / f64::from(entries);
         let left = 1.0 - total.held;
         self.share = Some(left * ((1.0 - EVEN_PART) * by_demand + even));
-        // Where no report tells what was admitted, it may be all that the account was owed.
-        let window_s = LIMIT_WINDOW.as_secs_f64();
-        let untold_s = total.untold_s.unwrap_or(total.held * window_s);
-        self.total = total.admitted + untold_s / window_s * self.owed();
+        let untold_s = total.untold_s.unwrap_or(total.held * LIMIT_WINDOW.as_secs_f64());
+        self.total = total.admitted + self.presumed(untold_s);
         self.total_per_s = total.admitted_per_s;
         self.since_total = 0.0;
         self.total_asked_per_s = total.asked_per_s;
     }
 
+    /// Takes in that no entry instance has reported the account; its share stays.
+    pub(super) fn hear_nothing(&mut self, untold_s: f64) {
+        if untold_s > 0.0 {
+            self.drop_burst();
+        }
+        self.total = self.presumed(untold_s);
+        self.total_per_s = 0.0;
+        self.since_total = 0.0;
+        self.total_asked_per_s = 0.0;
+    }
+
+    /// Empties the bucket that the process began with. Others may have used the burst, or this instance before
+    /// a restart.
+    fn drop_burst(&mut self) {
+        if !std::mem::replace(&mut self.has_heard, true) {
+            self.bucket.empty();
+        }
+    }
+
+    /// Returns what is presumed to be admitted in a time of which no report tells: all that the account was owed.
+    fn presumed(&self, untold_s: f64) -> f64 {
+        untold_s / LIMIT_WINDOW.as_secs_f64() * self.owed()
+    }
+
+    /// Returns what was admitted here by seconds, unless the account is far below its limit.
+    pub(super) fn by_second(&mut self, now: Millis, unseen: Millis) -> Vec<u64> {
+        if self.presumed_total(unseen) < TOLD_BY_SECOND * self.owed() {
+            return Vec::new();
+        }
+        self.admitted.by_second(now)
+    }
+
     /// Returns how much may be admitted everywhere in a window without a look at the own share.
     pub(super) fn free(&self, bounds: LimitBounds) -> f64 {
         // What is admitted shows a jump of demand seconds before the average of what is asked for does.
--- a/coordination/dispatch/src/share/window.rs
+++ b/coordination/dispatch/src/share/window.rs
@@ -38,18 +38,18 @@
     }
 
     /// Returns the amounts of the window by seconds, the newest first.
-    pub(super) fn by_second(&mut self, now: Millis) -> Vec<f64> {
+    pub(super) fn by_second(&mut self, now: Millis) -> Vec<u64> {
         const SLICES: u64 = 1000 / SLICE.0;
         self.sum(now);
         let newest = now.0 / SLICE.0;
-        let mut seconds = Vec::new();
+        let mut seconds: Vec<f64> = Vec::new();
         for slice in &self.slices {
             let second = (newest.saturating_sub(slice.number) / SLICES) as usize;
             if seconds.len() <= second {
                 seconds.resize(second + 1, 0.0);
             }
-            seconds[second] += slice.amount.round();
+            seconds[second] += slice.amount;
         }
-        seconds
+        seconds.into_iter().map(|amount| amount.round() as u64).collect()
     }
 }
--- a/coordination/dispatch/src/totals.rs
+++ b/coordination/dispatch/src/totals.rs
@@ -93,8 +93,8 @@
             add_life(now, lives.newest, &mut sums);
             lives.earlier.iter().for_each(|earlier| add_earlier_life(now, earlier, &mut sums));
         }
-        let untold_s =
-            lives.iter().map(|lives| untold(now, lives)).sum::<f64>() / f64::from(entries);
+        let untold_s = lives.iter().map(|lives| untold(now, lives)).sum::<f64>();
+        let untold_s = untold_s / f64::from(entries);
         let accounts = sums.into_iter().map(|(account, sum)| {
             let held = self.held_by_unknown(account, unknown, entries);
             AccountTotal {
@@ -106,7 +106,9 @@
                 untold_s: Some(sum.untold_s + untold_s + held * LIMIT_WINDOW.as_secs_f64()),
             }
         });
-        Some(Totals { age: Millis::ZERO, entries, accounts: accounts.collect() })
+        let accounts = accounts.collect();
+        let unknown_s = LIMIT_WINDOW.as_secs_f64() * f64::from(unknown) / f64::from(entries);
+        Some(Totals { age: Millis::ZERO, entries, untold_s: untold_s + unknown_s, accounts })
     }
 
     /// Returns whom the last sums are made of.
@@ -152,7 +154,8 @@
             sum.admitted_per_s += account.admitted_per_s;
         } else {
             // For as long as it takes its totals for fresh, it goes on as before.
-            let (as_before, by_share) = (age.min(FRESH), age.min(LIMIT_WINDOW) - FRESH);
+            let as_before = age.min(FRESH) - (age - LIMIT_WINDOW);
+            let by_share = (age - FRESH).min(LIMIT_WINDOW);
             sum.admitted +=
                 still_in_window(account, age) + account.admitted_per_s * as_before.as_secs_f64();
             sum.held += account.share;
@@ -180,7 +183,7 @@
         return if age < LIMIT_WINDOW { account.admitted } else { 0.0 };
     }
     let seconds = (LIMIT_WINDOW - age).0.div_ceil(SECOND.0) as usize;
-    account.by_second.iter().take(seconds).sum()
+    account.by_second.iter().take(seconds).sum::<u64>() as f64
 }
 
 /// Returns for how many seconds of the window nothing is known of an entry instance, neither of its life nor
--- a/coordination/dispatch/tests/shares.rs
+++ b/coordination/dispatch/tests/shares.rs
@@ -395,7 +395,7 @@
             held: 0.0,
             untold_s: None,
         };
-        let totals = Totals { age: Millis::ZERO, entries: 8, accounts: vec![total] };
+        let totals = Totals { age: Millis::ZERO, entries: 8, untold_s: 0.0, accounts: vec![total] };
         let now = Millis(10_000);
         shares.set_totals(now, &totals);
         let over = shares.admit(now, &account(), COST).expect_err(name);
--- a/coordination/dispatch/tests/totals.rs
+++ b/coordination/dispatch/tests/totals.rs
@@ -13,7 +13,7 @@
     up: Option<u64>,
     entries: u32,
     /// Admitted by seconds, the newest first.
-    by_second: &'static [f64],
+    by_second: &'static [u64],
     share: f64,
 }
 
@@ -28,7 +28,7 @@
     let demand = AccountReport {
         account: account(),
         asked_per_s: 0.0,
-        admitted: told.by_second.iter().sum(),
+        admitted: told.by_second.iter().sum::<u64>() as f64,
         admitted_per_s: 0.0,
         by_second: told.by_second.to_vec(),
         share: told.share,
@@ -75,7 +75,7 @@
     let cases = [
         Case {
             name: "heard",
-            told: &[Told { at: 20_000, by_second: &[5.0, 3.0], share: 0.2, ..QUIET }],
+            told: &[Told { at: 20_000, by_second: &[5, 3], share: 0.2, ..QUIET }],
             now: 20_500,
             entries: 1,
             admitted: 8.0,
@@ -84,7 +84,7 @@
         },
         Case {
             name: "silent: what it admitted leaves the window, its share is used",
-            told: &[Told { at: 20_000, by_second: &[5.0, 3.0, 0.0, 4.0], share: 0.2, ..QUIET }],
+            told: &[Told { at: 20_000, by_second: &[5, 3, 0, 4], share: 0.2, ..QUIET }],
             now: 26_500,
             entries: 1,
             admitted: 8.0,
@@ -94,8 +94,8 @@
         Case {
             name: "restarted: the life before stays in the window",
             told: &[
-                Told { at: 20_000, by_second: &[5.0, 3.0, 0.0, 4.0], share: 0.2, ..QUIET },
-                Told { at: 25_900, life: 2, up: Some(5000), by_second: &[1.0], ..QUIET },
+                Told { at: 20_000, by_second: &[5, 3, 0, 4], share: 0.2, ..QUIET },
+                Told { at: 25_900, life: 2, up: Some(5000), by_second: &[1], ..QUIET },
             ],
             now: 26_500,
             entries: 1,
@@ -106,8 +106,8 @@
         Case {
             name: "restarted, with its clock set back",
             told: &[
-                Told { at: 20_000, life: 9, by_second: &[5.0], share: 0.2, ..QUIET },
-                Told { at: 21_900, life: 2, by_second: &[1.0], ..QUIET },
+                Told { at: 20_000, life: 9, by_second: &[5], share: 0.2, ..QUIET },
+                Told { at: 21_900, life: 2, by_second: &[1], ..QUIET },
             ],
             now: 22_000,
             entries: 1,
@@ -117,7 +117,7 @@
         },
         Case {
             name: "young: nothing is known of a life before it",
-            told: &[Told { at: 20_000, up: Some(2000), by_second: &[1.0], ..QUIET }],
+            told: &[Told { at: 20_000, up: Some(2000), by_second: &[1], ..QUIET }],
             now: 20_000,
             entries: 1,
             admitted: 1.0,
@@ -126,7 +126,7 @@
         },
         Case {
             name: "told of: one that was never heard of",
-            told: &[Told { at: 20_000, entries: 4, by_second: &[1.0], ..QUIET }],
+            told: &[Told { at: 20_000, entries: 4, by_second: &[1], ..QUIET }],
             now: 20_000,
             entries: 4,
             admitted: 1.0,
@@ -179,7 +179,7 @@
 /// for alive.
 #[test]
 fn a_report_that_is_passed_on_keeps_its_age() {
-    let told = Told { at: 20_000, by_second: &[5.0], share: 0.2, ..QUIET };
+    let told = Told { at: 20_000, by_second: &[5], share: 0.2, ..QUIET };
     let mut first = ledger(&[told]);
     let passed_on = first.untold(Millis(24_000));
     assert_eq!(passed_on.iter().map(|report| report.age).collect::<Vec<_>>(), [Millis(4000)]);
--- a/daemons/gateway/tests/limits.rs
+++ b/daemons/gateway/tests/limits.rs
@@ -59,7 +59,7 @@
         endpoints: Vec::new(),
         loads: Vec::new(),
         controls: Vec::new(),
-        totals: Some(Totals { age: Millis::ZERO, entries: 8, accounts: vec![used] }),
+        totals: Some(Totals { age: Millis::ZERO, entries: 8, untold_s: 0.0, accounts: vec![used] }),
         true_time: Millis::wall(),
         is_led: true,
     }
@@ -91,6 +91,16 @@
     state.admit(&account(), 100.0).expect_err("the account is over its limit");
 }
 
+/// After a restart of all instances no report names an account whose calls all wait: it would count as unused.
+#[tokio::test]
+async fn an_account_that_nobody_reported_after_a_restart_counts_as_used() {
+    let state = state();
+    let totals = Totals { age: Millis::ZERO, entries: 8, untold_s: 8.0, accounts: Vec::new() };
+    state.learn(nowhere(), &LinkReply { totals: Some(totals), ..used_up() });
+    state.put_in_force(settings());
+    state.admit(&account(), 100.0).expect_err("it may have used all that it is owed");
+}
+
 /// While no control instance leads, nobody tells totals, and callers would wait for them in vain.
 #[tokio::test]
 async fn calls_are_admitted_by_the_share_while_nobody_tells_totals() {
--- a/protocol/wire/src/link.rs
+++ b/protocol/wire/src/link.rs
@@ -120,10 +120,10 @@
     pub admitted: f64,
     /// Admitted in a second, of late.
     pub admitted_per_s: f64,
-    /// The same by seconds, the newest first. It tells what is left in the window some time later, when the
-    /// entry instance may be gone.
+    /// The same by seconds, the newest first, of an account that is not far below its limit. It tells what is
+    /// left in the window some time later, when the entry instance may be gone.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub by_second: Vec<f64>,
+    pub by_second: Vec<u64>,
     /// The part of the limit that the entry instance gives out, also while it is cut off.
     pub share: f64,
 }
@@ -227,6 +227,10 @@
     pub age: Millis,
     /// Entry instances, with those that may be cut off.
     pub entries: u32,
+    /// What may have been admitted in the last [`LIMIT_WINDOW`] for an account that no report names, in
+    /// seconds of its limit.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub untold_s: f64,
     /// Demand by account.
     pub accounts: Vec<AccountTotal>,
 }
