Limits: each part of the fix has a test that fails without it

Nine parts were taken out one at a time. Six were noticed by tests that stand. Not noticed were: the wait for the first totals (the test looked before a timer could end), what is asked for as a measure of what others let in, and what a silent instance admits before it notices. No program changes.

--- a/coordination/dispatch/tests/shares.rs
+++ b/coordination/dispatch/tests/shares.rs
@@ -405,6 +405,45 @@
     }
 }
 
+/// Totals stop for a while: each entry instance took the room that they tell of for itself.
+#[test]
+fn room_that_older_totals_tell_of_is_not_taken_by_each() {
+    const RATE: f64 = 280_000.0;
+    const COST: f64 = 2000.0;
+    const ENTRIES: usize = 5;
+    // What callers ask for since, which the average in the totals does not show yet.
+    const ASKED_PER_S: f64 = 3.5 * RATE;
+    let total = AccountTotal {
+        account: account(),
+        asked_per_s: 1.3 * RATE,
+        admitted: 7.2 * RATE,
+        admitted_per_s: 0.1 * RATE,
+        ..AccountTotal::default()
+    };
+    let entries = ENTRIES as u32;
+    let totals =
+        Totals { age: Millis::ZERO, entries, untold_s: 0.0, accounts: vec![total.clone()] };
+    let mut all: Vec<Shares> = (0..ENTRIES)
+        .map(|_| {
+            let mut shares = Shares::new(LimitBounds { slack: SLACK });
+            shares.set_limits(Millis::ZERO, &table(RATE));
+            shares.set_totals(Millis(10_000), &totals);
+            shares
+        })
+        .collect();
+    let calls = (ASKED_PER_S * 1.25 / COST) as u64;
+    let mut admitted = total.admitted;
+    for call in 0..calls {
+        let now = Millis(10_000 + call * 1250 / calls);
+        let entry = call as usize % ENTRIES;
+        if all[entry].admit(now, &account(), COST).is_ok() {
+            admitted += COST;
+        }
+    }
+    let allowed = RATE * (LIMIT_WINDOW.as_secs_f64() + 1.0) * OVERSHOOT + SLACK;
+    assert!(admitted <= allowed, "{admitted:.0} tokens, allowed {allowed:.0}");
+}
+
 /// An account that uses half of its limit is spread over entry instances, none of which has a share
 /// as large as one of its prompts. Refused for that, its callers would get 429 although they keep to
 /// what they were promised.
--- a/coordination/dispatch/tests/totals.rs
+++ b/coordination/dispatch/tests/totals.rs
@@ -14,11 +14,21 @@
     entries: u32,
     /// Admitted by seconds, the newest first.
     by_second: &'static [u64],
+    /// Admitted in a second, of late.
+    per_s: f64,
     share: f64,
 }
 
-const QUIET: Told =
-    Told { entry: "e1", life: 1, at: 0, up: None, entries: 0, by_second: &[], share: 0.0 };
+const QUIET: Told = Told {
+    entry: "e1",
+    life: 1,
+    at: 0,
+    up: None,
+    entries: 0,
+    by_second: &[],
+    per_s: 0.0,
+    share: 0.0,
+};
 
 fn account() -> Name {
     "desk".into()
@@ -29,7 +39,7 @@
         account: account(),
         asked_per_s: 0.0,
         admitted: told.by_second.iter().sum::<u64>() as f64,
-        admitted_per_s: 0.0,
+        admitted_per_s: told.per_s,
         by_second: told.by_second.to_vec(),
         share: told.share,
     };
@@ -91,6 +101,15 @@
             held: 0.2,
             untold_s: 0.2 * 5.0,
         },
+        Case {
+            name: "silent for a moment: it goes on as before",
+            told: &[Told { at: 20_000, by_second: &[5, 3], per_s: 2.0, share: 0.2, ..QUIET }],
+            now: 21_200,
+            entries: 1,
+            admitted: 8.0 + 2.0 * 1.2,
+            held: 0.2,
+            untold_s: 0.0,
+        },
         Case {
             name: "restarted: the life before stays in the window",
             told: &[
--- a/daemons/gateway/tests/limits.rs
+++ b/daemons/gateway/tests/limits.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sill_base::{Millis, Name, Secret};
 use sill_dispatch::{LimitBounds, RetryBounds, RouteTable};
@@ -74,7 +75,7 @@
         let state = state.clone();
         async move { state.first_totals(LONG, LONG).await }
     });
-    tokio::task::yield_now().await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
     assert!(!waiting.is_finished(), "nobody has told any totals");
     state.learn(nowhere(), &used_up());
     waiting.await.expect("it doesn't panic");
