Limits: only calls that need the first totals wait for them

Cause: after such a restart totals come 0.7 s after the leader, and each call of a limited account waited for them.

Now a call waits only if the part of the limit that an instance presumes doesn't hold it, where it would have been refused or let in on credit. Of the burst a half is presumed used in time of which no report tells. What is asked for counts as let in elsewhere only beyond the 0.5 s for which totals always lack something.

--- a/coordination/dispatch/src/share.rs
+++ b/coordination/dispatch/src/share.rs
@@ -203,6 +203,13 @@
         REPORT_AGE + self.heard.map_or(Millis::ZERO, |heard| now - heard)
     }
 
+    /// Returns whether a call needs the totals, and none were heard yet: the part of the limit that is presumed
+    /// here does not cover it.
+    pub fn needs_totals(&self, name: &Name, amount: f64) -> bool {
+        let account = self.accounts.get(name).filter(|_| self.heard.is_none());
+        account.is_some_and(|account| !account.holds(amount))
+    }
+
     /// Gives back what a call took that did not run.
     pub fn give_back(&mut self, now: Millis, name: &Name, amount: f64) {
         if let Some(account) = self.accounts.get_mut(name) {
--- a/coordination/dispatch/src/share/account.rs
+++ b/coordination/dispatch/src/share/account.rs
@@ -27,6 +27,12 @@
 /// meanwhile is kept free below it.
 const REACTION: Millis = Millis(1000);
 
+/// Part of the burst that is presumed to be used, beside the rate, where no report tells.
+const PRESUMED_BURST: f64 = 0.5;
+
+/// Time for which what is admitted is mostly in no total yet.
+const UNSEEN: Millis = Millis(500);
+
 /// Demand in a second below which an account counts as idle.
 const NEGLIGIBLE: f64 = 1e-3;
 
@@ -142,9 +148,10 @@
         }
     }
 
-    /// Returns what is presumed to be admitted in a time of which no report tells: all that the account was owed.
+    /// Returns what is presumed to be admitted in a time of which no report tells.
     fn presumed(&self, untold_s: f64) -> f64 {
-        untold_s / LIMIT_WINDOW.as_secs_f64() * self.owed()
+        let Limit { rate, burst } = self.limit;
+        untold_s * (rate + PRESUMED_BURST * burst / LIMIT_WINDOW.as_secs_f64())
     }
 
     /// Returns what was admitted here by seconds, unless the account is far below its limit.
@@ -155,6 +162,11 @@
         self.admitted.by_second(now)
     }
 
+    /// Returns whether the bucket holds an amount.
+    pub(super) fn holds(&self, amount: f64) -> bool {
+        self.bucket.balance() >= amount
+    }
+
     /// Returns how much may be admitted everywhere in a window without a look at the own share.
     pub(super) fn free(&self, bounds: LimitBounds) -> f64 {
         // What is admitted shows a jump of demand seconds before the average of what is asked for does.
@@ -188,9 +200,9 @@
 
     /// Returns whether all together stay far below the limit with one more call.
     pub(super) fn is_far_below(&self, unseen: Millis, amount: f64, bounds: LimitBounds) -> bool {
-        // Far below, all that is asked for is let in, also by those that are told nothing newer.
-        let per_s = self.total_per_s.max(self.total_asked_per_s);
-        let presumed = self.total + per_s * unseen.as_secs_f64() + self.since_total;
+        // While nothing newer is told, all that is asked for may be let in, by others that believe the same.
+        let per_s = (self.total_asked_per_s - self.total_per_s).max(0.0);
+        let presumed = self.presumed_total(unseen) + per_s * (unseen - UNSEEN).as_secs_f64();
         presumed + amount < self.free(bounds)
     }
 
--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -173,9 +173,9 @@
         Refused { route: route.name.clone(), ..Refused::by_stop(state, inputs) }
     })?;
     let amount = amount(&head, account.as_deref());
-    if account.as_ref().is_some_and(|account| account.account.limit.is_some()) {
+    if let Some(account) = &account {
         // An instance that has just started doesn't know what it admitted before, nor what others do.
-        state.first_totals(start_wait(&head), START_WAIT).await;
+        state.first_totals(&account.name, amount, start_wait(&head), START_WAIT).await;
     }
     if let Some(account) = &account
         && let Err(over) = state.admit(&account.name, amount)
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -151,17 +151,23 @@
         known.ok()?.ok()?.clone()
     }
 
-    /// Waits until it is known what all entry instances admit, and no longer than a time after the first
-    /// settings: while there is no leader nobody tells it.
-    pub async fn first_totals(&self, patience: Millis, after_settings: Millis) {
-        if *self.has_totals.borrow() {
+    /// Waits until it is known what all entry instances admit, if a call needs that, and no longer than a time
+    /// after the first settings: while there is no leader nobody tells it.
+    pub async fn first_totals(
+        &self,
+        account: &Name,
+        amount: f64,
+        patience: Millis,
+        after_settings: Millis,
+    ) {
+        if *self.has_totals.borrow() || !self.shares.lock().needs_totals(account, amount) {
             return;
         }
         let settled_at = self.settled_at.get().copied().unwrap_or_default();
         let left = (settled_at + after_settings) - self.clock.now();
         let mut heard = self.has_totals.subscribe();
-        let _ =
-            tokio::time::timeout(left.min(patience).into(), heard.wait_for(|heard| *heard)).await;
+        let heard = heard.wait_for(|heard| *heard);
+        let _ = tokio::time::timeout(left.min(patience).into(), heard).await;
     }
 
     /// Returns the endpoints of a service.
