Log how an endpoint's answer was framed, and where in its events a stream ended

Whether the endpoint marked the end of its answer, and whether it ended inside an event, stood nowhere, so an answer that broke off with an orderly close couldn't be told from one whose reset was overlooked. The line of a call now has framing= and end=.

Nothing is decided by it yet: an incomplete event at the end is forwarded as before.

--- a/daemons/gateway/src/answer.rs
+++ b/daemons/gateway/src/answer.rs
@@ -4,7 +4,7 @@
 use http::{HeaderMap, Response, header};
 use http_body::Body;
 use http_body_util::BodyExt;
-use sill_dispatch::{AnswerMode, CallProgress};
+use sill_dispatch::{AnswerMode, CallProgress, EventTracker};
 use sill_net::h1::{Answer, AnyBody, full_body, strip_hop_by_hop};
 use sill_tree::RouteKind;
 use sill_wire::header::EVENT_STREAM;
@@ -33,6 +33,7 @@
     answer: Answer,
     progress: CallProgress,
 ) -> Response<AnyBody> {
+    let framing = answer.framing();
     let (response, connection) = answer.into_parts();
     let (mut parts, body) = response.into_parts();
     strip_hop_by_hop(&mut parts.headers);
@@ -48,8 +49,12 @@
     if !call.pool.is_engine && parts.status.is_success() {
         attempt.count_usage();
     }
-    let mut relay =
-        Relay::new(summary, EndpointAnswer { body, attempt, connection }, progress, may_resume);
+    let events = is_stream.then(|| match may_resume {
+        true => EventTracker::resumable(),
+        false => EventTracker::pass_through(),
+    });
+    let answer = EndpointAnswer { body, framing, attempt, connection };
+    let mut relay = Relay::new(summary, answer, progress, events, may_resume);
     let mut mode = call.answer_mode;
     if !is_stream && may_be_cut(&relay, &call, &state) {
         mode = AnswerMode::Held;
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use sill_base::Name;
 use sill_dispatch::{AttemptOutcome, CallProgress, EventTracker, NextStep};
-use sill_net::h1::{AnyBody, BodyError, ReusableConnection};
+use sill_net::h1::{AnyBody, BodyError, Framing, ReusableConnection};
 use sill_route::Outcome;
 use sill_tree::RouteKind;
 use sill_wire::ErrorCode;
@@ -24,7 +24,7 @@
 use crate::migration::RunMigration;
 use crate::serve::Call;
 use crate::state::State;
-use crate::summary::CallSummary;
+use crate::summary::{CallSummary, StreamEnd};
 use crate::termination::FinalPhase;
 
 /// The body of an answer while it is relayed to the caller.
@@ -34,8 +34,10 @@
     summary: CallSummary,
     progress: CallProgress,
     source: Source,
-    /// Tracks the last complete event; set for streams that may be resumed at another endpoint.
+    /// Tracks the events of a stream; none for other answers.
     events: Option<EventTracker>,
+    /// Whether another endpoint may continue the answer.
+    may_resume: bool,
     due: Pin<Box<Sleep>>,
     /// Resolves when the end of the process cuts the answer.
     cut_by_stop: BoxFuture<'static, ()>,
@@ -64,6 +66,8 @@
 pub struct EndpointAnswer {
     /// The parts that have not been read yet.
     pub body: Incoming,
+    /// How the end of the body is marked.
+    pub framing: Framing,
     /// The attempt that produced the answer.
     pub attempt: Attempt,
     /// The connection that carries the answer; it is reused after a complete answer.
@@ -78,11 +82,13 @@
 impl Relay {
     /// Creates the body of an answer; `may_resume` is whether another endpoint may continue it.
     pub fn new(
-        summary: CallSummary,
+        mut summary: CallSummary,
         answer: EndpointAnswer,
         progress: CallProgress,
+        events: Option<EventTracker>,
         may_resume: bool,
     ) -> Self {
+        summary.set_framing(answer.framing);
         let attempt = &answer.attempt;
         let (state, call) = (attempt.state().clone(), attempt.call().clone());
         let time_left = call.due - state.clock.now();
@@ -95,7 +101,8 @@
             summary,
             progress,
             source: Source::Endpoint(answer),
-            events: may_resume.then(EventTracker::default),
+            events,
+            may_resume,
             due: Box::pin(tokio::time::sleep(time_left.into())),
             cut_by_stop: Box::pin(state.termination.wait_for(FinalPhase::Cut)),
             has_begun: false,
@@ -166,8 +173,8 @@
         if let Source::Endpoint(mut answer) = previous {
             answer.attempt.finish(Outcome::Cancelled);
         }
-        let Some(events) = &mut self.events else { return false };
-        events.drop_partial();
+        let Some(events) = self.events.as_mut().filter(|_| self.may_resume) else { return false };
+        events.restart();
         let last_event = events.last_id().map(str::to_owned);
         let progress = self.progress;
         self.source = Source::Resuming(Box::pin(async move {
@@ -211,6 +218,7 @@
             return false;
         };
         answer.attempt.finish(Outcome::Failed);
+        self.record_stream_end();
         self.summary.set_outcome("cut");
         let (id, endpoint) = (&self.call.head.attempt, &answer.attempt.placement.endpoint);
         sill_base::event!(Warn, "answer_cut", id = id, endpoint = endpoint, why = err);
@@ -218,8 +226,8 @@
         let is_resumable = self.call.route.route.kind.may_repeat();
         let next = self.progress.next_step(AttemptOutcome::Unknown);
         self.progress.record(AttemptOutcome::Unknown);
-        let Some(events) = &mut self.events else { return false };
-        events.drop_partial();
+        let Some(events) = self.events.as_mut().filter(|_| self.may_resume) else { return false };
+        events.restart();
         // A stream that has started is resumed even if it may outlast the process: otherwise it
         // would be cut now. One without a first event can still be answered with a failure, and its
         // caller may retry elsewhere.
@@ -245,6 +253,15 @@
         cx.waker().wake_by_ref();
     }
 
+    fn record_stream_end(&mut self) {
+        let Some(events) = &self.events else { return };
+        self.summary.set_stream_end(match (events.is_between_events(), events.has_events()) {
+            (false, _) => StreamEnd::InsideEvent,
+            (true, false) => StreamEnd::NoEvent,
+            (true, true) => StreamEnd::AfterEvent,
+        });
+    }
+
     fn poll_running(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         loop {
             let Source::Endpoint(answer) = &mut self.source else { return Poll::Ready(None) };
@@ -275,6 +292,7 @@
                     return Poll::Pending;
                 }
                 None => {
+                    self.record_stream_end();
                     self.finish();
                     let partial =
                         self.events.as_mut().map(EventTracker::take_partial).unwrap_or_default();
@@ -290,6 +308,7 @@
         match ready!(resuming.as_mut().poll(cx)) {
             Some(answer) => {
                 self.summary.record_resume(&answer.attempt.placement);
+                self.summary.set_framing(answer.framing);
                 if is_movable(&self.call) {
                     self.migration = RunMigration::of(&answer.attempt);
                 }
@@ -326,8 +345,9 @@
 ) -> Option<EndpointAnswer> {
     match dispatch::send_attempt(attempt, &progress, Some(&resumption)).await {
         AttemptResult::Answer(attempt, answer) if answer.response.status().is_success() => {
+            let framing = answer.framing();
             let (response, connection) = answer.into_parts();
-            Some(EndpointAnswer { body: response.into_body(), attempt, connection })
+            Some(EndpointAnswer { body: response.into_body(), framing, attempt, connection })
         }
         _ => None,
     }
@@ -382,7 +402,7 @@
             return false;
         }
         match &self.source {
-            Source::Endpoint(answer) => self.events.is_none() && answer.body.is_end_stream(),
+            Source::Endpoint(answer) => !self.may_resume && answer.body.is_end_stream(),
             Source::Resuming(_) => false,
             Source::Ended => self.pending_error.is_none(),
         }
@@ -390,7 +410,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match &self.source {
-            Source::Endpoint(answer) if self.events.is_none() && self.buffered_part.is_none() => {
+            Source::Endpoint(answer) if !self.may_resume && self.buffered_part.is_none() => {
                 answer.body.size_hint()
             }
             _ => SizeHint::default(),
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -5,7 +5,7 @@
 use http::Response;
 use sill_base::{Millis, Name};
 use sill_dispatch::{AttemptOutcome, CallProgress, NextStep, Placement};
-use sill_net::h1::AnyBody;
+use sill_net::h1::{AnyBody, Framing};
 use sill_route::RefusalReason;
 use sill_tree::RouteKind;
 use sill_wire::ErrorCode;
@@ -41,6 +41,19 @@
     send_count: u32,
     first_part: Option<Millis>,
     bytes: u64,
+    framing: Option<Framing>,
+    stream_end: Option<StreamEnd>,
+}
+
+/// Where the stream of an endpoint ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// After a complete event.
+    AfterEvent,
+    /// Inside an event.
+    InsideEvent,
+    /// Before the first event.
+    NoEvent,
 }
 
 impl CallSummary {
@@ -56,6 +69,8 @@
             send_count: 0,
             first_part: None,
             bytes: 0,
+            framing: None,
+            stream_end: None,
         }
     }
 
@@ -76,6 +91,17 @@
         self.endpoint = placement.endpoint.clone();
     }
 
+    /// Records how the endpoint that now answers marks the end of its answer.
+    pub fn set_framing(&mut self, framing: Framing) {
+        self.framing = Some(framing);
+        self.stream_end = None;
+    }
+
+    /// Records where the endpoint's stream ended.
+    pub fn set_stream_end(&mut self, end: StreamEnd) {
+        self.stream_end = Some(end);
+    }
+
     /// Sets the HTTP status that the caller gets.
     pub fn set_status(&mut self, status: u16) {
         self.status = status;
@@ -226,10 +252,22 @@
         pair("ms", &(now - call.received_at));
         pair("left_ms", &(call.due - now));
         pair("bytes", &self.bytes);
+        pair("framing", &self.framing.map_or("", Framing::name));
+        pair("end", &self.stream_end.map_or("", StreamEnd::name));
         log::log!(target: "sill_gateway", level, "{line}");
     }
 }
 
+impl StreamEnd {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::AfterEvent => "after_event",
+            Self::InsideEvent => "inside_event",
+            Self::NoEvent => "no_event",
+        }
+    }
+}
+
 fn kind_name(kind: RouteKind) -> &'static str {
     let entry = RouteKind::NAMES.iter().find(|(named, _)| *named == kind);
     entry.map_or("", |(_, name)| name)
--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -63,6 +63,20 @@
     connection: Option<BorrowedConnection>,
 }
 
+/// How the end of a response's body is marked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// The response has no body.
+    Empty,
+    /// The body has a length.
+    Length,
+    /// The body is sent in chunks, of which the last is marked.
+    Chunked,
+    /// The body ends with its connection. An endpoint that fails may close the connection in the
+    /// same way, so the end is no proof that the body is complete.
+    Close,
+}
+
 #[derive(Debug)]
 struct BorrowedConnection {
     sender: SendRequest<Full<Bytes>>,
@@ -197,6 +211,21 @@
 }
 
 impl Answer {
+    /// Returns how the end of the body is marked.
+    pub fn framing(&self) -> Framing {
+        let body = self.response.body();
+        if body.is_end_stream() {
+            return Framing::Empty;
+        }
+        if is_chunked(self.response.headers()) {
+            return Framing::Chunked;
+        }
+        match body.size_hint().exact() {
+            Some(_) => Framing::Length,
+            None => Framing::Close,
+        }
+    }
+
     /// Splits the answer into the response and its connection, which must be released once the body
     /// has been read completely. There is none if the connection can't be reused.
     pub fn into_parts(self) -> (Response<Incoming>, Option<ReusableConnection>) {
@@ -228,11 +257,29 @@
     reason: String,
 }
 
+impl Framing {
+    /// Returns the name for log lines.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Empty => "empty",
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::Close => "close",
+        }
+    }
+}
+
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let mut encodings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let last = encodings.next_back().and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|encoding| encoding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// Returns how long a connection may be kept idle after a response, or `None` if it can't be
 /// reused.
 fn keep_alive(response: &Response<Incoming>, cfg: ConnectionPoolCfg) -> Option<Millis> {
     let text = |name: http::HeaderName| response.headers().get(name).and_then(|v| v.to_str().ok());
-    if text(http::header::CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+    if text(header::CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
         return None;
     }
     let header = response.headers().get("keep-alive").and_then(|value| value.to_str().ok());
--- a/transport/net/src/h1/mod.rs
+++ b/transport/net/src/h1/mod.rs
@@ -11,7 +11,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, header};
 
-pub use client::{Answer, ConnectionPool, ConnectionPoolCfg, ReusableConnection, SendFailure};
+pub use client::{
+    Answer, ConnectionPool, ConnectionPoolCfg, Framing, ReusableConnection, SendFailure,
+};
 pub use pages::{Page, serve_pages};
 pub use server::{OpenConnections, ServerCfg, ServerPhase, serve};
 
