Gateway: a stream that ends inside an event is truncated, however its end is marked

What callers saw: a stream that an endpoint had broken off came as a complete answer with status 200, in chunks with a last chunk. On a route that may be resumed nobody resumed it, and the log line said outcome=answered.

Cause: an answer may have neither a length nor chunks and end with its connection. A run that crashes closes it in the same way as one that is done, and Relay took every body that ended without an error for a complete one, forwarded the half event that it held back, and let the server write the last chunk. The class: an end that proves nothing is passed on as a proof.

Now the events decide, for all streams and framings, after a resumption too: a stream that ends inside an event, or with its connection before the first event, is treated like one whose connection broke (endpoint's failure, resumption where allowed, end as incomplete otherwise, connection not reused). Since a caller that has all bytes of a length can't be told so, streams are sent without the endpoint's length. The same for an engine that was asked to stop a run for its migration and closes the stream before the copy is complete: it counted as complete as soon as the close came first. If no other endpoint resumes the stream, the events not yet written reach the caller before the answer breaks off, as on the other paths.

Ruled out: a reset that the client overlooks (the case 'no length, and reset' of tests/relay.rs passed before), a resumption or migration (sends=1, no run_moved), an error that the server frames as complete (no answer_cut at the reported ids).

--- a/coordination/dispatch/src/events.rs
+++ b/coordination/dispatch/src/events.rs
@@ -66,11 +66,6 @@
         events
     }
 
-    /// Returns the incomplete event that is held back.
-    pub fn take_partial(&mut self) -> Bytes {
-        self.partial.split().freeze()
-    }
-
     /// Discards an incomplete event; the next bytes are those of a resumed stream.
     pub fn restart(&mut self) {
         self.partial.clear();
--- a/daemons/gateway/src/answer.rs
+++ b/daemons/gateway/src/answer.rs
@@ -5,7 +5,7 @@
 use http_body::Body;
 use http_body_util::BodyExt;
 use sill_dispatch::{AnswerMode, CallProgress, EventTracker};
-use sill_net::h1::{Answer, AnyBody, full_body, strip_hop_by_hop};
+use sill_net::h1::{Answer, AnyBody, Framing, full_body, strip_hop_by_hop};
 use sill_tree::RouteKind;
 use sill_wire::header::EVENT_STREAM;
 
@@ -39,11 +39,12 @@
     strip_hop_by_hop(&mut parts.headers);
     summary.set_status(parts.status.as_u16());
     let (state, call) = (attempt.state().clone(), attempt.call().clone());
-    let is_stream = is_stream(&call, &parts);
+    let is_stream = framing != Framing::Empty && is_stream(&call, &parts);
     let may_resume =
         is_stream && (call.route.route.kind == RouteKind::ResumableStream || is_movable(&call));
-    if may_resume {
-        // A continuation from another endpoint may have a different length.
+    if is_stream {
+        // A continuation from another endpoint may have a different length, and a caller that has
+        // received all bytes of a length can't be told that the stream is truncated.
         parts.headers.remove(header::CONTENT_LENGTH);
     }
     if !call.pool.is_engine && parts.status.is_success() {
--- a/daemons/gateway/src/migration.rs
+++ b/daemons/gateway/src/migration.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
 use futures_util::future::BoxFuture;
@@ -42,6 +43,8 @@
     /// Resolves when the run has to leave its engine; none once that has happened.
     due: Option<BoxFuture<'static, ()>>,
     transfer: Option<MemoryTransfer>,
+    /// Whether the engine was asked to stop the run.
+    stop_requested: Arc<AtomicBool>,
 }
 
 /// A migration that was started.
@@ -57,7 +60,7 @@
     pub fn of(attempt: &Attempt) -> Self {
         let (state, call) = (attempt.state().clone(), attempt.call().clone());
         let endpoint = attempt.placement.endpoint.clone();
-        Self { due: Some(Box::pin(due(state, call, endpoint))), transfer: None }
+        Self { due: Some(Box::pin(due(state, call, endpoint))), ..Self::default() }
     }
 
     /// Starts the migration once it is due, and drives it.
@@ -73,7 +76,8 @@
             let Placement { endpoint, address, .. } = attempt.placement.clone();
             let (state, call) = (attempt.state().clone(), attempt.call().clone());
             // The router tells attempts of one call apart by their number.
-            let migrated = migrate(state, call, address, endpoint, sends + 1);
+            let stop_requested = self.stop_requested.clone();
+            let migrated = migrate(state, call, address, endpoint, sends + 1, stop_requested);
             self.transfer = Some(MemoryTransfer::Copying(Box::pin(migrated)));
         }
         if let Some(MemoryTransfer::Copying(copying)) = &mut self.transfer
@@ -88,6 +92,11 @@
         matches!(self.transfer, Some(MemoryTransfer::Copied(_)))
     }
 
+    /// Returns whether the engine was asked to stop the run, so its stream may end anywhere.
+    pub fn has_stopped_run(&self) -> bool {
+        self.stop_requested.load(Ordering::Relaxed)
+    }
+
     /// Takes the migration out, if it was started.
     pub fn take(&mut self) -> Option<MemoryTransfer> {
         self.transfer.take()
@@ -122,6 +131,7 @@
     source: SocketAddr,
     endpoint: Name,
     sends: u32,
+    stop_requested: Arc<AtomicBool>,
 ) -> Option<MigratedRun> {
     let started_at = state.clock.now();
     let attempt =
@@ -130,6 +140,7 @@
     let copies = async {
         copy(&state, &call, source, attempt.placement.address, false).await?;
         let copied_at = state.clock.now();
+        stop_requested.store(true, Ordering::Relaxed);
         let handle = copy(&state, &call, source, attempt.placement.address, true).await?;
         Ok::<_, String>((handle, state.clock.now() - copied_at))
     };
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! Relays an answer to the caller as it arrives, and resumes a stream at another endpoint where
 //! possible.
 
+use std::fmt::Display;
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -212,7 +213,7 @@
 
     /// Ends an attempt whose answer broke off, and resumes the stream elsewhere if allowed. Returns
     /// whether it does.
-    fn try_resume(&mut self, err: &hyper::Error) -> bool {
+    fn try_resume(&mut self, reason: &dyn Display) -> bool {
         let Source::Endpoint(mut answer) = std::mem::replace(&mut self.source, Source::Ended)
         else {
             return false;
@@ -221,7 +222,7 @@
         self.record_stream_end();
         self.summary.set_outcome("cut");
         let (id, endpoint) = (&self.call.head.attempt, &answer.attempt.placement.endpoint);
-        sill_base::event!(Warn, "answer_cut", id = id, endpoint = endpoint, why = err);
+        sill_base::event!(Warn, "answer_cut", id = id, endpoint = endpoint, why = reason);
         self.progress.time_left = self.call.due - self.state.clock.now();
         let is_resumable = self.call.route.route.kind.may_repeat();
         let next = self.progress.next_step(AttemptOutcome::Unknown);
@@ -253,6 +254,33 @@
         cx.waker().wake_by_ref();
     }
 
+    /// Continues a truncated answer elsewhere, or ends it as incomplete.
+    fn end_truncated(&mut self, cx: &Context<'_>, reason: &dyn Display, err: BodyError) {
+        if !self.resume_after_migration() && !self.try_resume(reason) {
+            self.fail_with(cx, err);
+        }
+    }
+
+    /// Returns why the stream is incomplete although its body ended without an error.
+    ///
+    /// An endpoint that fails may close its connection in order, and some mark the end of every
+    /// body in that way. Then only the events tell a truncated stream from a complete one.
+    fn truncation(&self) -> Option<&'static str> {
+        let (Source::Endpoint(answer), Some(events)) = (&self.source, &self.events) else {
+            return None;
+        };
+        let is_unmarked = answer.framing == Framing::Close;
+        if !events.is_between_events() {
+            Some("the stream ended inside an event")
+        } else if is_unmarked && !events.has_events() {
+            Some("the stream ended with its connection before the first event")
+        } else if is_unmarked && self.migration.has_stopped_run() {
+            Some("the engine has stopped the run")
+        } else {
+            None
+        }
+    }
+
     fn record_stream_end(&mut self) {
         let Some(events) = &self.events else { return };
         self.summary.set_stream_end(match (events.is_between_events(), events.has_events()) {
@@ -279,10 +307,8 @@
                     return Poll::Ready(Some(Ok(data)));
                 }
                 Some(Err(err)) => {
-                    if self.resume_after_migration() || self.try_resume(&err) {
-                        return Poll::Pending;
-                    }
-                    self.fail_with(cx, err.into());
+                    let reason = err.to_string();
+                    self.end_truncated(cx, &reason, err.into());
                     return Poll::Pending;
                 }
                 // The engine has stopped the run, so its stream is incomplete even if it ended
@@ -293,11 +319,12 @@
                 }
                 None => {
                     self.record_stream_end();
-                    self.finish();
-                    let partial =
-                        self.events.as_mut().map(EventTracker::take_partial).unwrap_or_default();
-                    let partial = (!partial.is_empty()).then_some(Ok(partial));
-                    return Poll::Ready(partial);
+                    let Some(reason) = self.truncation() else {
+                        self.finish();
+                        return Poll::Ready(None);
+                    };
+                    self.end_truncated(cx, &reason, reason.into());
+                    return Poll::Pending;
                 }
             }
         }
@@ -387,7 +414,8 @@
             if matches!(this.source, Source::Resuming(_))
                 && let Err(err) = ready!(this.poll_resuming(cx))
             {
-                return Poll::Ready(Some(Err(err)));
+                this.fail_with(cx, err);
+                return Poll::Pending;
             }
             match this.poll_running(cx) {
                 Poll::Pending if matches!(this.source, Source::Resuming(_)) => {}
@@ -402,7 +430,7 @@
             return false;
         }
         match &self.source {
-            Source::Endpoint(answer) => !self.may_resume && answer.body.is_end_stream(),
+            Source::Endpoint(answer) => self.events.is_none() && answer.body.is_end_stream(),
             Source::Resuming(_) => false,
             Source::Ended => self.pending_error.is_none(),
         }
@@ -410,7 +438,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match &self.source {
-            Source::Endpoint(answer) if !self.may_resume && self.buffered_part.is_none() => {
+            Source::Endpoint(answer) if self.events.is_none() && self.buffered_part.is_none() => {
                 answer.body.size_hint()
             }
             _ => SizeHint::default(),
@@ -425,6 +453,7 @@
         if let Source::Endpoint(answer) = &self.source
             && self.buffered_part.is_none()
             && answer.body.is_end_stream()
+            && self.truncation().is_none()
         {
             self.finish();
         }
--- a/daemons/gateway/tests/relay.rs
+++ b/daemons/gateway/tests/relay.rs
@@ -454,7 +454,12 @@
         Case { name: "silent", path: "/stream/x", action: silent(), status: 504, runs: 1 },
     ];
     for case in cases {
-        let whole = vec![Action::Answer(answer_of("whole")); 20];
+        // The endpoint that resumes a stream answers with a stream.
+        let events = "id: 1\ndata: whole\n\n";
+        let length = events.len();
+        let head =
+            head(&format!("content-type: text/event-stream\r\ncontent-length: {length}\r\n"));
+        let whole = vec![Action::Answer(format!("{head}{events}")); 20];
         let harness = Harness::start(vec![vec![case.action], whole]);
         let all_runs = || harness.endpoints.iter().map(|e| e.requests()).sum::<usize>();
         // Placement chooses one of the two; calls are repeated until it is the failing one.
