--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -269,6 +269,7 @@
             id = self.name,
             endpoint = self.placement.endpoint,
             address = self.placement.address,
+            request = self.call.request_key(),
             outcome = name,
             why = reason,
             ms = self.state.clock.now() - self.call.received_at
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -222,7 +222,15 @@
         self.record_stream_end();
         self.summary.set_outcome("cut");
         let (id, endpoint) = (&self.call.head.attempt, &answer.attempt.placement.endpoint);
-        sill_base::event!(Warn, "answer_cut", id = id, endpoint = endpoint, why = reason);
+        let request = self.call.request_key();
+        sill_base::event!(
+            Warn,
+            "answer_cut",
+            id = id,
+            endpoint = endpoint,
+            request = request,
+            why = reason
+        );
         self.progress.time_left = self.call.due - self.state.clock.now();
         let is_resumable = self.call.route.route.kind.may_repeat();
         let next = self.progress.next_step(AttemptOutcome::Unknown);
--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -1,6 +1,6 @@
 //! Reads and admits calls.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use http::request::Parts;
@@ -10,7 +10,7 @@
 use sill_base::{Millis, Name, event};
 use sill_dispatch::{AccountEntry, AnswerMode, Prompt, RouteEntry, RouteTable};
 use sill_net::h1::AnyBody;
-use sill_wire::ErrorCode;
+use sill_wire::{ErrorCode, RequestKey};
 
 use crate::dialect::CallHead;
 use crate::dispatch;
@@ -75,6 +75,30 @@
     pub due: Millis,
     /// Whether the answer is relayed as it arrives or once it is complete.
     pub answer_mode: AnswerMode,
+    request_key: OnceLock<RequestKey>,
+}
+
+impl Call {
+    /// Returns the key that the call shares with equal ones.
+    pub fn request_key(&self) -> RequestKey {
+        *self.request_key.get_or_init(|| {
+            let account = self.account.as_deref();
+            request_key(account, &self.head, &self.method, &self.uri, &self.body)
+        })
+    }
+}
+
+fn request_key(
+    account: Option<&AccountEntry>,
+    head: &CallHead,
+    method: &Method,
+    uri: &Uri,
+    body: &Bytes,
+) -> RequestKey {
+    let account = account.map_or("", |account| account.name.as_str());
+    let path = uri.path_and_query().map_or("", |path| path.as_str());
+    let parts = [account, head.host.as_str(), method.as_str(), path].map(str::as_bytes);
+    RequestKey::of(&[parts[0], parts[1], parts[2], parts[3], body])
 }
 
 /// Reads, admits and serves one call, and returns the response.
@@ -209,6 +233,7 @@
         received_at,
         due,
         answer_mode,
+        request_key: OnceLock::new(),
     })
 }
 
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -252,6 +252,9 @@
         pair("ms", &(now - call.received_at));
         pair("left_ms", &(call.due - now));
         pair("bytes", &self.bytes);
+        if self.outcome != "answered" {
+            pair("request", &call.request_key());
+        }
         pair("framing", &self.framing.map_or("", Framing::name));
         pair("end", &self.stream_end.map_or("", StreamEnd::name));
         log::log!(target: "sill_gateway", level, "{line}");
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -15,9 +15,11 @@
 pub mod member;
 pub mod prefix;
 pub mod priority;
+pub mod request_key;
 pub mod settings;
 
 pub use announce::{Announcement, Incarnation, Load, Role, Servable};
 pub use call::Call;
 pub use error::{ErrorBody, ErrorCode, ErrorDetail};
 pub use priority::Priority;
+pub use request_key::RequestKey;
