Block a request under which endpoints crash one after another

Cause: an entry instance blames a crash on the endpoint alone. The request is forgotten with its answer, is known to no other instance, and comes back with a new id. The class: whatever is repeated because its failure is taken for the endpoint's.

Now entry instances record which requests were running when an endpoint crashed. A crash is an answer that broke off, confirmed by the endpoint refusing connections, falling silent, restarting or being replaced at its address; an answer that breaks off alone, a reset or a departure is none. A request is known by a hash of account, host, method, path and body. Crashes go by the polls to two control instances, from these to the others, and to all entry instances, in bounded messages; an instance that has just started has them before its first settings, and nothing of it needs a leader. A request is blamed for a crash if it was running in more crashes than any that ran beside it, and blocked after three. A complete answer anywhere clears it. It is then refused at once as not run, with the time until the block ends, neither retried nor resumed; the block ends after ten minutes.

A crash counts from an age of a second, so that others have reported what ran beside and what was answered: without that, three reports that arrive together would block a request that everybody sends.

--- /dev/null
+++ b/coordination/dispatch/src/crashes.rs
@@ -0,0 +1,396 @@
+//! Finds requests under which endpoints crash, so that they are not sent to further endpoints.
+//!
+//! An endpoint that crashes takes down all requests that it runs, and only one of them may be the
+//! cause. A request is blamed for a crash if it was running in more crashes than any other request
+//! that ran beside it. A complete answer proves that a request does not crash its endpoint.
+
+use sill_base::{Map, Millis, Name, Set};
+use sill_wire::{CompletedRequest, CrashUpdate, EndpointCrash, Incarnation, RequestKey};
+
+/// Number of crashes for which a request is blamed before it is blocked.
+const MAX_BLAMED_CRASHES: usize = 3;
+
+/// How long a crash counts.
+const CRASH_TTL: Millis = Millis(600_000);
+
+/// Age from which a crash counts. By then other entry instances have reported the requests that ran
+/// beside, and complete answers; without the delay, a request that many callers send could be
+/// blocked by a few reports that arrive together.
+const SETTLE_TIME: Millis = Millis(1000);
+
+/// How long a complete answer is kept for a crash that is reported late.
+const COMPLETED_TTL: Millis = Millis(10_000);
+
+/// Upper bound on the crashes that are kept.
+const MAX_CRASHES: usize = 256;
+
+/// Upper bound on the requests that are kept for one crash.
+const MAX_REQUESTS: usize = 128;
+
+/// Upper bound on the complete answers that are kept.
+const MAX_COMPLETED: usize = 1024;
+
+/// Upper bound on the crashes, and on the complete answers, in one update.
+const MAX_UPDATE_ENTRIES: usize = 32;
+
+/// Identifies an incarnation of an endpoint.
+type IncarnationKey = (Name, Incarnation);
+
+/// Known crashes of endpoints and the requests that are blocked because of them.
+#[derive(Debug, Default)]
+pub struct CrashLog {
+    crashes: Map<IncarnationKey, Crash>,
+    completed: Map<RequestKey, Completion>,
+    /// Number of crashes since its last complete answer in which a request was running.
+    counts: Map<RequestKey, usize>,
+    blocked: Map<RequestKey, Millis>,
+    sequence: u64,
+    /// When blocks have to be determined again.
+    review_at: Option<Millis>,
+}
+
+#[derive(Debug)]
+struct Crash {
+    at: Millis,
+    settles_at: Millis,
+    expires_at: Millis,
+    requests: Vec<RequestKey>,
+    sequence: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Completion {
+    at: Millis,
+    sequence: u64,
+}
+
+/// A change of the blocked requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BlockChange {
+    /// The request is blocked until a point in time.
+    Blocked(RequestKey, Millis),
+    /// The request is no longer blocked.
+    Lifted(RequestKey),
+}
+
+impl CrashLog {
+    /// Returns whether no crash is known.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
+    /// Records a crash, and returns whether anything in it is new.
+    pub fn record(&mut self, now: Millis, crash: &EndpointCrash) -> bool {
+        if crash.age >= CRASH_TTL {
+            return false;
+        }
+        let key = (crash.endpoint.clone(), crash.incarnation);
+        let is_known = self.crashes.contains_key(&key);
+        let (completed, counts) = (&self.completed, &mut self.counts);
+        let known = self.crashes.entry(key).or_insert_with(|| Crash {
+            at: now - crash.age,
+            settles_at: now + (SETTLE_TIME - crash.age),
+            expires_at: now + (CRASH_TTL - crash.age),
+            requests: Vec::new(),
+            sequence: 0,
+        });
+        let before = known.requests.len();
+        for request in &crash.requests {
+            if known.requests.len() < MAX_REQUESTS && !known.requests.contains(request) {
+                known.requests.push(*request);
+                if !is_completed_after(completed, *request, known.at) {
+                    *counts.entry(*request).or_insert(0) += 1;
+                }
+            }
+        }
+        if is_known && known.requests.len() == before {
+            return false;
+        }
+        self.sequence += 1;
+        known.sequence = self.sequence;
+        if self.crashes.len() > MAX_CRASHES {
+            self.evict();
+        }
+        self.review_at = Some(now);
+        true
+    }
+
+    /// Records a complete answer to a request, and returns whether it matters.
+    pub fn record_completed(&mut self, now: Millis, completed: CompletedRequest) -> bool {
+        let at = now - completed.age;
+        let known = self.completed.get(&completed.request).map(|known| known.at);
+        let is_late = completed.age >= COMPLETED_TTL && !self.is_suspect(completed.request);
+        if is_late || known.is_some_and(|known| known >= at) {
+            return false;
+        }
+        self.sequence += 1;
+        self.completed.insert(completed.request, Completion { at, sequence: self.sequence });
+        if self.completed.len() > MAX_COMPLETED {
+            let oldest = self.completed.iter().min_by_key(|(_, known)| known.at);
+            if let Some(oldest) = oldest.map(|(request, _)| *request) {
+                self.completed.remove(&oldest);
+            }
+        }
+        let crashes = self.crashes.values().filter(|crash| crash.at > at);
+        match crashes.filter(|crash| crash.requests.contains(&completed.request)).count() {
+            0 => _ = self.counts.remove(&completed.request),
+            count => _ = self.counts.insert(completed.request, count),
+        }
+        self.review_at = Some(now);
+        true
+    }
+
+    /// Returns whether a request was running in a crash since its last complete answer.
+    pub fn is_suspect(&self, request: RequestKey) -> bool {
+        self.counts.contains_key(&request)
+    }
+
+    /// Returns the time for which a request is still blocked.
+    ///
+    /// [`CrashLog::review`] determines which requests are blocked.
+    pub fn blocked_for(&self, now: Millis, request: RequestKey) -> Option<Millis> {
+        self.blocked.get(&request).map(|until| *until - now)
+    }
+
+    /// Returns the number of blocked requests.
+    pub fn blocked_count(&self) -> usize {
+        self.blocked.len()
+    }
+
+    /// Returns the number of crashes in which a request was running since its last complete answer.
+    pub fn crash_count(&self, request: RequestKey) -> usize {
+        self.counts.get(&request).copied().unwrap_or_default()
+    }
+
+    /// Determines which requests are blocked, if that may have changed, and returns the changes.
+    pub fn review(&mut self, now: Millis) -> Vec<BlockChange> {
+        if self.review_at.is_none_or(|at| now < at) {
+            return Vec::new();
+        }
+        self.expire(now);
+        let blocked = self.blocked_requests(now);
+        let is_new = |(request, _): &(&RequestKey, &Millis)| !self.blocked.contains_key(request);
+        let lifted = self.blocked.keys().filter(|request| !blocked.contains_key(request));
+        let mut changes: Vec<BlockChange> =
+            lifted.map(|request| BlockChange::Lifted(*request)).collect();
+        let new = blocked.iter().filter(is_new);
+        changes.extend(new.map(|(request, until)| BlockChange::Blocked(*request, *until)));
+        self.blocked = blocked;
+        self.review_at = self.next_review(now);
+        changes
+    }
+
+    /// Returns the crashes and complete answers after the sequence number `seen`, and the sequence
+    /// number to pass the next time.
+    pub fn newer_than(&self, now: Millis, seen: u64) -> (u64, CrashUpdate) {
+        let mut crashes: Vec<(&IncarnationKey, &Crash)> =
+            self.crashes.iter().filter(|(_, crash)| crash.sequence > seen).collect();
+        let mut completed: Vec<(&RequestKey, &Completion)> =
+            self.completed.iter().filter(|(_, known)| known.sequence > seen).collect();
+        crashes.sort_unstable_by_key(|(_, crash)| crash.sequence);
+        completed.sort_unstable_by_key(|(_, known)| known.sequence);
+        // What is left out is sent the next time.
+        let first_left_out = [
+            crashes.get(MAX_UPDATE_ENTRIES).map(|(_, crash)| crash.sequence),
+            completed.get(MAX_UPDATE_ENTRIES).map(|(_, known)| known.sequence),
+        ];
+        let last = first_left_out.into_iter().flatten().min().map_or(self.sequence, |at| at - 1);
+        let crashes = crashes.into_iter().filter(|(_, crash)| crash.sequence <= last);
+        let completed = completed.into_iter().filter(|(_, known)| known.sequence <= last);
+        let update = CrashUpdate {
+            crashes: crashes
+                .map(|((endpoint, incarnation), crash)| EndpointCrash {
+                    endpoint: endpoint.clone(),
+                    incarnation: *incarnation,
+                    requests: crash.requests.clone(),
+                    age: CRASH_TTL - (crash.expires_at - now),
+                })
+                .collect(),
+            completed: completed
+                .map(|(request, known)| CompletedRequest { request: *request, age: now - known.at })
+                .collect(),
+        };
+        (last, update)
+    }
+
+    /// Removes crashes and complete answers that are too old.
+    pub fn expire(&mut self, now: Millis) {
+        let expired: Vec<IncarnationKey> = self
+            .crashes
+            .iter()
+            .filter(|(_, crash)| now >= crash.expires_at)
+            .map(|(key, _)| key.clone())
+            .collect();
+        expired.iter().for_each(|key| self.remove(key));
+        let needed: Set<RequestKey> =
+            self.crashes.values().flat_map(|crash| crash.requests.iter().copied()).collect();
+        self.completed
+            .retain(|request, known| now - known.at < COMPLETED_TTL || needed.contains(request));
+    }
+
+    fn remove(&mut self, key: &IncarnationKey) {
+        let Some(crash) = self.crashes.remove(key) else { return };
+        for request in &crash.requests {
+            if is_completed_after(&self.completed, *request, crash.at) {
+                continue;
+            }
+            if let Some(count) = self.counts.get_mut(request) {
+                *count -= 1;
+                if *count == 0 {
+                    self.counts.remove(request);
+                }
+            }
+        }
+    }
+
+    /// Returns the requests of a crash that had no complete answer after it.
+    fn suspects(&self, crash: &Crash) -> impl Iterator<Item = RequestKey> {
+        let at = crash.at;
+        let is_suspect =
+            move |request: &RequestKey| !is_completed_after(&self.completed, *request, at);
+        crash.requests.iter().copied().filter(is_suspect)
+    }
+
+    /// Returns the request that was running in more crashes than all that ran beside it.
+    fn blamed(&self, crash: &Crash) -> Option<RequestKey> {
+        let mut blamed = None;
+        let mut most = 0;
+        for request in self.suspects(crash) {
+            let count = self.crash_count(request);
+            if count > most {
+                (blamed, most) = (Some(request), count);
+            } else if count == most {
+                blamed = None;
+            }
+        }
+        blamed
+    }
+
+    fn blocked_requests(&self, now: Millis) -> Map<RequestKey, Millis> {
+        let mut blamed: Map<RequestKey, Vec<Millis>> = Map::default();
+        for crash in self.crashes.values().filter(|crash| now >= crash.settles_at) {
+            if let Some(request) = self.blamed(crash) {
+                blamed.entry(request).or_default().push(crash.expires_at);
+            }
+        }
+        let blocked = blamed.into_iter().filter_map(|(request, mut crashes)| {
+            crashes.sort_unstable_by(|a, b| b.cmp(a));
+            let until = crashes.get(MAX_BLAMED_CRASHES - 1)?;
+            Some((request, *until))
+        });
+        blocked.collect()
+    }
+
+    fn next_review(&self, now: Millis) -> Option<Millis> {
+        let times = self.crashes.values().map(|crash| match now < crash.settles_at {
+            true => crash.settles_at,
+            false => crash.expires_at,
+        });
+        times.min()
+    }
+
+    /// Removes the oldest crash, preferably one without a blocked request.
+    fn evict(&mut self) {
+        let is_decisive =
+            |crash: &Crash| crash.requests.iter().any(|r| self.blocked.contains_key(r));
+        let oldest = self.crashes.iter().min_by_key(|(_, crash)| (is_decisive(crash), crash.at));
+        if let Some(oldest) = oldest.map(|(key, _)| key.clone()) {
+            self.remove(&oldest);
+        }
+    }
+}
+
+fn is_completed_after(
+    completed: &Map<RequestKey, Completion>,
+    request: RequestKey,
+    at: Millis,
+) -> bool {
+    completed.get(&request).is_some_and(|known| known.at >= at)
+}
+
+/// How long a broken answer waits for the confirmation that its endpoint has crashed.
+const CONFIRMATION_TTL: Millis = Millis(10_000);
+
+/// Answers that break off within this time of the last one broke off in the same crash.
+const CRASH_SPAN: Millis = Millis(1000);
+
+/// Broken answers of endpoints of which it is unknown whether they have crashed.
+///
+/// A connection may also break because of the network, or because an endpoint breaks off a single
+/// answer.
+#[derive(Debug, Default)]
+pub struct BrokenAnswers {
+    endpoints: Map<IncarnationKey, BrokenEndpoint>,
+}
+
+#[derive(Debug, Default)]
+struct BrokenEndpoint {
+    last_at: Millis,
+    is_checked: bool,
+    has_crashed: bool,
+    requests: Vec<(RequestKey, Millis)>,
+}
+
+/// What follows from a broken answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BrokenAnswer {
+    /// The endpoint has to be checked.
+    Check,
+    /// The endpoint is being checked.
+    Pending,
+    /// The endpoint is known to have crashed.
+    Crash(EndpointCrash),
+}
+
+impl BrokenAnswers {
+    /// Records that an answer broke off.
+    pub fn record(
+        &mut self,
+        now: Millis,
+        endpoint: &Name,
+        incarnation: Incarnation,
+        request: RequestKey,
+    ) -> BrokenAnswer {
+        self.endpoints.retain(|_, broken| now - broken.last_at < CONFIRMATION_TTL);
+        let broken = self.endpoints.entry((endpoint.clone(), incarnation)).or_default();
+        broken.last_at = now;
+        if broken.has_crashed {
+            let (endpoint, requests, age) = (endpoint.clone(), vec![request], Millis::ZERO);
+            return BrokenAnswer::Crash(EndpointCrash { endpoint, incarnation, requests, age });
+        }
+        broken.requests.retain(|(_, at)| now - *at < CRASH_SPAN);
+        if broken.requests.len() < MAX_REQUESTS {
+            broken.requests.push((request, now));
+        }
+        match std::mem::replace(&mut broken.is_checked, true) {
+            false => BrokenAnswer::Check,
+            true => BrokenAnswer::Pending,
+        }
+    }
+
+    /// Records that a check has found the endpoint alive.
+    pub fn finish_check(&mut self, endpoint: &Name, incarnation: Incarnation) {
+        if let Some(broken) = self.endpoints.get_mut(&(endpoint.clone(), incarnation)) {
+            broken.is_checked = false;
+        }
+    }
+
+    /// Records that an endpoint has crashed; returns the crash if answers had broken off before.
+    pub fn confirm(
+        &mut self,
+        now: Millis,
+        endpoint: &Name,
+        incarnation: Incarnation,
+    ) -> Option<EndpointCrash> {
+        let broken = self.endpoints.get_mut(&(endpoint.clone(), incarnation))?;
+        let age = now - broken.last_at;
+        if age >= CONFIRMATION_TTL || std::mem::replace(&mut broken.has_crashed, true) {
+            return None;
+        }
+        let requests = std::mem::take(&mut broken.requests);
+        let mut requests: Vec<RequestKey> = requests.into_iter().map(|(key, _)| key).collect();
+        requests.sort_unstable();
+        requests.dedup();
+        Some(EndpointCrash { endpoint: endpoint.clone(), incarnation, requests, age })
+    }
+}
--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod attempt;
 pub mod average;
 pub mod budget;
+pub mod crashes;
 pub mod events;
 pub mod loads;
 pub mod pool;
@@ -20,6 +21,7 @@
 pub use attempt::{AttemptOutcome, CallProgress, NextStep};
 pub use average::MovingAverage;
 pub use budget::{RetryBounds, RetryBudgets};
+pub use crashes::{BlockChange, BrokenAnswer, BrokenAnswers, CrashLog};
 pub use events::EventTracker;
 pub use loads::EndpointLoads;
 pub use pool::{
--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -353,6 +353,22 @@
         self.endpoints.values().filter(|k| k.fact.state == EndpointState::Ready).count()
     }
 
+    /// Returns the ready endpoints at the address of another one, which has replaced them.
+    pub fn replaced_by(&self, fact: &EndpointFact) -> Vec<(Name, Incarnation)> {
+        let is_replaced = |known: &&EndpointFact| {
+            known.address == fact.address
+                && known.endpoint != fact.endpoint
+                && known.state == EndpointState::Ready
+        };
+        let replaced = self.facts().filter(is_replaced);
+        replaced.map(|known| (known.endpoint.clone(), known.incarnation)).collect()
+    }
+
+    /// Returns the newest known incarnation of an endpoint.
+    pub fn incarnation(&self, endpoint: &Name) -> Option<Incarnation> {
+        self.endpoints.get(endpoint).map(|known| known.fact.incarnation)
+    }
+
     /// Returns whether an endpoint is known to accept requests.
     pub fn is_ready(&self, endpoint: &Name) -> bool {
         self.endpoints.get(endpoint).is_some_and(|k| k.fact.state == EndpointState::Ready)
--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -5,12 +5,12 @@
 use parking_lot::Mutex;
 use sill_base::{Findings, Millis, Name, event};
 use sill_dispatch::{
-    EndpointLoads, EntryCounts, Registry, ReportStore, TotalsAggregator, TrueTime,
+    CrashLog, EndpointLoads, EntryCounts, Registry, ReportStore, TotalsAggregator, TrueTime,
 };
-use sill_wire::Incarnation;
 use sill_wire::link::{
     ControlSync, ControlSyncReply, Cursor, EndpointFact, EndpointLoad, EntryReport, Totals,
 };
+use sill_wire::{CrashUpdate, Incarnation};
 use tokio::sync::watch;
 
 use crate::cfg::ControlCfg;
@@ -27,6 +27,7 @@
     report_store: Mutex<ReportStore>,
     time: Mutex<TrueTime>,
     loads: Mutex<EndpointLoads>,
+    crash_log: Mutex<CrashLog>,
     totals: Mutex<Option<ReceivedTotals>>,
     aggregator: Mutex<TotalsAggregator>,
     changes: watch::Sender<u64>,
@@ -50,6 +51,7 @@
             report_store: Mutex::default(),
             time: Mutex::default(),
             loads: Mutex::default(),
+            crash_log: Mutex::default(),
             totals: Mutex::default(),
             aggregator: Mutex::default(),
             changes: watch::Sender::new(0),
@@ -116,6 +118,7 @@
         for fact in sync.endpoints {
             is_changed |= self.merge_fact(now, fact, &sync.from.name);
         }
+        self.record_crashes(now, &sync.crashes, &sync.from.name);
         for report in sync.reports {
             self.report_store.lock().record(now, report, false);
         }
@@ -185,6 +188,27 @@
         self.report_store.lock().record(now, report, true);
     }
 
+    /// Records crashes of endpoints that an entry instance or another control instance reported.
+    fn record_crashes(&self, now: Millis, update: &CrashUpdate, from: &Name) {
+        let mut crash_log = self.crash_log.lock();
+        for crash in &update.crashes {
+            if crash_log.record(now, crash) {
+                event!(
+                    Info,
+                    "endpoint_crash_heard",
+                    endpoint = crash.endpoint,
+                    born = crash.incarnation.0,
+                    requests = crash.requests.len(),
+                    from = from,
+                    age_ms = crash.age
+                );
+            }
+        }
+        for completed in &update.completed {
+            crash_log.record_completed(now, *completed);
+        }
+    }
+
     /// Starts to aggregate demand as the new leader, from the last totals received.
     fn begin_aggregation(&self, now: Millis) {
         let last = self.totals(now);
@@ -227,7 +251,7 @@
         Some(Totals { age: now - received.at, ..received.totals })
     }
 
-    /// Returns the endpoint facts and loads that are newer than a cursor.
+    /// Returns the endpoint facts, loads and crashes that are newer than a cursor.
     fn updates_since(&self, now: Millis, cursor: Cursor) -> Updates {
         let (newest, endpoints) = {
             let registry = self.registry.lock();
@@ -235,7 +259,9 @@
         };
         let seen = if cursor.incarnation == self.incarnation { cursor.load } else { 0 };
         let (load, loads) = self.loads.lock().newer_than(now, seen);
-        Updates { cursor: Cursor { load, ..newest }, endpoints, loads }
+        let seen = if cursor.incarnation == self.incarnation { cursor.crash } else { 0 };
+        let (crash, crashes) = self.crash_log.lock().newer_than(now, seen);
+        Updates { cursor: Cursor { load, crash, ..newest }, endpoints, loads, crashes }
     }
 }
 
@@ -244,4 +270,5 @@
     cursor: Cursor,
     endpoints: Vec<EndpointFact>,
     loads: Vec<EndpointLoad>,
+    crashes: CrashUpdate,
 }
--- a/daemons/control/src/link/calls.rs
+++ b/daemons/control/src/link/calls.rs
@@ -37,6 +37,10 @@
     last_sync: Millis,
     pending: Vec<EndpointFact>,
     is_urgent: bool,
+    /// Sequence number of the last crash that the peer has received.
+    crash_received: u64,
+    /// Sequence number of the last crash in the running call.
+    crash_sent: u64,
     call: Option<JoinHandle<Option<ControlSyncReply>>>,
 }
 
@@ -46,8 +50,9 @@
 ///
 /// Never fails; peer calls require the type.
 pub async fn poll(shared: Arc<Shared>, poll: LinkPoll) -> Result<LinkReply, PeerError> {
-    let LinkPoll { have, cursor, wait, report } = poll;
+    let LinkPoll { have, cursor, wait, report, crashes } = poll;
     let link = &shared.link;
+    link.record_crashes(shared.clock.now(), &crashes, &report.entry);
     link.record_report(shared.clock.now(), report);
     let mut changes = link.changes.subscribe();
     let mut manifests = shared.settings_pieces.manifests();
@@ -62,13 +67,14 @@
     let _ = tokio::time::timeout(wait.min(MAX_POLL_WAIT).into(), update).await;
     let settings = manifests.borrow().clone().filter(is_newer);
     let now = shared.clock.now();
-    let Updates { cursor, endpoints, loads } = link.updates_since(now, cursor);
+    let Updates { cursor, endpoints, loads, crashes } = link.updates_since(now, cursor);
     let status = shared.log.status();
     Ok(LinkReply {
         settings: settings.map(|manifest| Manifest::clone(&manifest)),
         cursor,
         endpoints,
         loads,
+        crashes,
         controls: shared.directory.infos(),
         totals: link.totals(now),
         true_time: link.true_time(now),
@@ -91,6 +97,7 @@
         }
         link.time.lock().expire(now);
         link.report_store.lock().expire(now);
+        link.crash_log.lock().expire(now);
         let status = shared.log.status();
         if status.leader != leader {
             leader = status.leader.clone();
@@ -128,9 +135,10 @@
             state.record_reply(shared, call.await.ok().flatten());
         }
         let to_leader = leader == Some(&peer.info.name);
+        let (crash_sent, crashes) = link.crash_log.lock().newer_than(now, state.crash_received);
         let interval =
             if to_leader || totals.is_some() { LEADER_SYNC_INTERVAL } else { REFRESH_INTERVAL };
-        let is_due = state.is_urgent || now - state.last_sync >= interval;
+        let is_due = state.is_urgent || !crashes.is_empty() || now - state.last_sync >= interval;
         if !is_due || state.call.is_some() {
             continue;
         }
@@ -143,7 +151,9 @@
             endpoints: std::mem::take(&mut state.pending),
             reports,
             totals: totals.clone(),
+            crashes,
         };
+        state.crash_sent = crash_sent;
         state.last_sync = now;
         state.is_urgent = false;
         state.call = Some(tokio::spawn(send_sync(peer, sync)));
@@ -162,6 +172,9 @@
             // carried.
             self.pending = shared.link.registry.lock().all(shared.clock.now());
             self.is_urgent = true;
+            self.crash_received = 0;
+        } else {
+            self.crash_received = self.crash_sent;
         }
         self.incarnation = incarnation;
     }
--- a/daemons/control/tests/settings_pieces.rs
+++ b/daemons/control/tests/settings_pieces.rs
@@ -25,7 +25,7 @@
     ControlInfo, ControlSync, Cursor, EndpointFact, EndpointState, EntryReport, LinkPoll, LinkReply,
 };
 use sill_wire::settings::{Manifest, PiecesRequest};
-use sill_wire::{Announcement, Incarnation, Servable};
+use sill_wire::{Announcement, CrashUpdate, Incarnation, Servable};
 use support::http;
 use tokio::runtime::Runtime;
 
@@ -149,7 +149,14 @@
         services: Vec::new(),
         loads: Vec::new(),
     };
-    LinkPoll { have: Revision(have), cursor: Cursor::default(), wait: Millis(2000), report }
+    let crashes = CrashUpdate::default();
+    LinkPoll {
+        have: Revision(have),
+        cursor: Cursor::default(),
+        wait: Millis(2000),
+        report,
+        crashes,
+    }
 }
 
 async fn manifest(client: &PeerClient, entry: usize, have: u64) -> Manifest {
@@ -212,6 +219,7 @@
         endpoints: vec![fact],
         reports: Vec::new(),
         totals: None,
+        crashes: CrashUpdate::default(),
     }
 }
 
--- /dev/null
+++ b/daemons/gateway/src/crashes.rs
@@ -0,0 +1,189 @@
+//! Records crashes of endpoints, and blocks requests under which endpoints crash.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use prometheus::{IntCounter, IntGauge};
+use sill_base::{Clock, Millis, Name, event};
+use sill_dispatch::{BlockChange, BrokenAnswer, BrokenAnswers, CrashLog, Placement};
+use sill_wire::{CompletedRequest, CrashUpdate, EndpointCrash, Incarnation, RequestKey};
+
+use crate::metrics::Metrics;
+use crate::state::State;
+
+/// Pauses before the checks whether an endpoint has crashed, after an answer of it broke off. A
+/// process may close its connections before its listener.
+const CHECK_PAUSES: [Millis; 3] = [Millis(5), Millis(60), Millis(400)];
+
+/// Crashes of endpoints that this instance has noticed or heard of.
+#[derive(Debug)]
+pub struct Crashes {
+    clock: Clock,
+    log: Mutex<CrashLog>,
+    broken: Mutex<BrokenAnswers>,
+    crash_count: IntCounter,
+    blocked_requests: IntGauge,
+}
+
+/// A blocked request.
+#[derive(Debug, Clone, Copy)]
+pub struct Block {
+    /// The time until the block ends.
+    pub time_left: Millis,
+    /// The number of endpoints that crashed while they ran the request.
+    pub crashes: usize,
+}
+
+impl Crashes {
+    /// Creates an empty record.
+    pub fn new(clock: Clock, metrics: &Metrics) -> Self {
+        Self {
+            clock,
+            log: Mutex::default(),
+            broken: Mutex::default(),
+            crash_count: metrics.endpoint_crashes.clone(),
+            blocked_requests: metrics.blocked_requests.clone(),
+        }
+    }
+
+    /// Returns what was recorded after the sequence number `seen`, and the sequence number to pass
+    /// the next time.
+    pub fn newer_than(&self, seen: u64) -> (u64, CrashUpdate) {
+        self.log.lock().newer_than(self.clock.now(), seen)
+    }
+
+    /// Records what a control instance has reported.
+    pub fn apply(&self, from: SocketAddr, update: &CrashUpdate) {
+        if update.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut log = self.log.lock();
+        for crash in &update.crashes {
+            if log.record(now, crash) {
+                event!(
+                    Info,
+                    "endpoint_crash_heard",
+                    endpoint = crash.endpoint,
+                    born = crash.incarnation.0,
+                    requests = crash.requests.len(),
+                    from = from,
+                    age_ms = crash.age
+                );
+            }
+        }
+        for completed in &update.completed {
+            log.record_completed(now, *completed);
+        }
+        self.review(&mut log);
+    }
+
+    /// Returns the block of a request, if it is blocked. The key is computed only if any request
+    /// is.
+    pub fn block_of<F>(&self, key: F) -> Option<Block>
+    where
+        F: FnOnce() -> RequestKey,
+    {
+        let mut log = self.log.lock();
+        if log.is_empty() {
+            return None;
+        }
+        self.review(&mut log);
+        if log.blocked_count() == 0 {
+            return None;
+        }
+        let key = key();
+        let time_left = log.blocked_for(self.clock.now(), key)?;
+        Some(Block { time_left, crashes: log.crash_count(key) })
+    }
+
+    /// Records a complete answer to a request, which proves that it does not crash its endpoint.
+    pub fn record_completed<F>(&self, key: F)
+    where
+        F: FnOnce() -> RequestKey,
+    {
+        let mut log = self.log.lock();
+        if log.is_empty() {
+            return;
+        }
+        let request = key();
+        if log.is_suspect(request) {
+            let completed = CompletedRequest { request, age: Millis::ZERO };
+            log.record_completed(self.clock.now(), completed);
+            self.review(&mut log);
+        }
+    }
+
+    /// Records that an endpoint has ended without notice; answers that broke off before then count
+    /// as broken off by the crash.
+    pub fn confirm(&self, endpoint: &Name, incarnation: Incarnation) {
+        let crash = self.broken.lock().confirm(self.clock.now(), endpoint, incarnation);
+        if let Some(crash) = crash {
+            self.crash_count.inc();
+            self.record(&crash);
+        }
+    }
+
+    fn record(&self, crash: &EndpointCrash) {
+        event!(
+            Warn,
+            "endpoint_crashed",
+            endpoint = crash.endpoint,
+            born = crash.incarnation.0,
+            requests = crash.requests.len(),
+            age_ms = crash.age
+        );
+        let mut log = self.log.lock();
+        log.record(self.clock.now(), crash);
+        self.review(&mut log);
+    }
+
+    fn review(&self, log: &mut CrashLog) {
+        let now = self.clock.now();
+        for change in log.review(now) {
+            match change {
+                BlockChange::Blocked(request, until) => event!(
+                    Warn,
+                    "request_blocked",
+                    request = request,
+                    crashes = log.crash_count(request),
+                    for_ms = until - now
+                ),
+                BlockChange::Lifted(request) => event!(
+                    Info,
+                    "request_unblocked",
+                    request = request,
+                    crashes = log.crash_count(request)
+                ),
+            }
+        }
+        self.blocked_requests.set(log.blocked_count() as i64);
+    }
+}
+
+/// Records that an answer of an endpoint broke off, and checks whether the endpoint has crashed.
+pub fn record_broken_answer(state: &Arc<State>, placement: &Placement, request: RequestKey) {
+    let crashes = &state.crashes;
+    let Placement { endpoint, incarnation, address, .. } = placement;
+    let broken = crashes.broken.lock().record(crashes.clock.now(), endpoint, *incarnation, request);
+    match broken {
+        BrokenAnswer::Pending => {}
+        BrokenAnswer::Crash(crash) => crashes.record(&crash),
+        BrokenAnswer::Check => {
+            let check = check(state.clone(), endpoint.clone(), *incarnation, *address);
+            tokio::spawn(check);
+        }
+    }
+}
+
+async fn check(state: Arc<State>, endpoint: Name, incarnation: Incarnation, address: SocketAddr) {
+    for pause in CHECK_PAUSES {
+        tokio::time::sleep(pause.into()).await;
+        if state.connections.is_refused(address).await {
+            state.crashes.confirm(&endpoint, incarnation);
+            return;
+        }
+    }
+    state.crashes.broken.lock().finish_check(&endpoint, incarnation);
+}
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -14,6 +14,7 @@
 use sill_route::{Outcome, RefusalReason};
 
 use crate::answer;
+use crate::crashes;
 use crate::dialect::{AnswerClass, Forward, MigratedMemory};
 use crate::serve::Call;
 use crate::state::State;
@@ -101,6 +102,9 @@
             AttemptResult::Failed(outcome) => outcome,
         };
         let mut next = progress.next_step(outcome);
+        if next == NextStep::Retry && is_blocked(state, call) {
+            next = progress.next_step_without_retry(outcome);
+        }
         if next == NextStep::Retry && !has_time_for_attempt(state, call) {
             progress.record(outcome);
             return Err(summary.end_without_retry(&progress));
@@ -116,6 +120,11 @@
     }
 }
 
+/// Returns whether endpoints have crashed under equal calls, so this one is not sent again.
+pub fn is_blocked(state: &State, call: &Call) -> bool {
+    state.crashes.block_of(|| call.request_key()).is_some()
+}
+
 /// Returns whether the process lasts long enough for one more attempt at a call.
 ///
 /// An attempt that is started too late is cut or ends with an unknown outcome. Before it, the call
@@ -176,7 +185,10 @@
             Some(outcome) => outcome,
         },
         Ok(Err(SendFailure::NotSent(err))) => attempt.failed(AttemptOutcome::NotSent, &err),
-        Ok(Err(SendFailure::Unknown(err))) => attempt.failed(AttemptOutcome::Unknown, &err),
+        Ok(Err(SendFailure::Unknown(err))) => {
+            attempt.record_broken_answer();
+            attempt.failed(AttemptOutcome::Unknown, &err)
+        }
         Err(_) => attempt.failed(AttemptOutcome::TimedOut, "no answer before the deadline"),
     };
     attempt.finish(match outcome {
@@ -249,6 +261,8 @@
             AnswerClass::WrongEndpoint => {
                 self.call.pool.pool.lock().mark_gone(now, &self.placement);
                 self.state.connections.close_idle(self.placement.address);
+                let Placement { endpoint, incarnation, .. } = &self.placement;
+                self.state.crashes.confirm(endpoint, *incarnation);
                 Some(self.failed(AttemptOutcome::WrongEndpoint, status_text))
             }
             AnswerClass::Improper => Some(self.failed(AttemptOutcome::Unknown, "invalid answer")),
@@ -287,6 +301,15 @@
         &self.call
     }
 
+    /// Records that the answer broke off, because the endpoint may have crashed.
+    pub fn record_broken_answer(&self) {
+        // An endpoint that leaves ends anyway.
+        if self.call.pool.pool.lock().is_ready(&self.placement.endpoint) {
+            let request = self.call.request_key();
+            crashes::record_broken_answer(&self.state, &self.placement, request);
+        }
+    }
+
     /// Records that the first part of the answer arrived.
     pub fn record_first_part(&self, now: Millis) {
         self.call.pool.pool.lock().record_first_part(now, &self.placement, &self.name);
--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -4,11 +4,12 @@
 //! [`serve`] reads and admits a call, [`dispatch`] chooses an endpoint and sends the attempts, and
 //! [`answer`] and [`relay`] relay the answer. [`migration`] moves runs off reclaimed engines.
 //! [`link`] polls the control instances, and [`settings_fetcher`] fetches settings from them.
-//! [`planned_stop`] and [`termination`] bound calls during a stop.
+//! [`crashes`] blocks requests under which endpoints crash. [`planned_stop`] and [`termination`] bound calls during a stop.
 
 pub mod answer;
 pub mod cfg;
 pub mod cli;
+pub mod crashes;
 pub mod daemon;
 pub mod dialect;
 pub mod dispatch;
--- a/daemons/gateway/src/link.rs
+++ b/daemons/gateway/src/link.rs
@@ -129,14 +129,16 @@
         let mut cursor = Cursor::default();
         let mut led_at = None;
         let mut offered_revision = Revision(0);
+        let mut crash_sent = 0;
         let end = |was_followed, reason: String| FollowEnd { was_followed, reason };
         loop {
             let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
             let have = offered_revision
                 .max(Revision(self.state.table().map_or(0, |table| table.revision)));
             let report = self.state.report(sequence);
-            let reply = match client.call(&LinkPoll { have, cursor, wait: POLL_WAIT, report }).await
-            {
+            let (last_crash, crashes) = self.state.crashes.newer_than(crash_sent);
+            let poll = LinkPoll { have, cursor, wait: POLL_WAIT, report, crashes };
+            let reply = match client.call(&poll).await {
                 Ok(reply) => reply,
                 Err(err) => return end(led_at.is_some(), err.to_string()),
             };
@@ -145,6 +147,7 @@
                 self.state.metrics.followed_controls.inc();
                 event!(Info, "control_followed", address = address, is_led = reply.has_leader);
             }
+            crash_sent = last_crash;
             cursor = reply.cursor;
             self.record_controls(reply.controls.clone());
             self.state.apply_reply(address, &reply);
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use eyre::Result;
 use prometheus::{
-    CounterVec, Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder, exponential_buckets,
+    CounterVec, Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder, exponential_buckets,
 };
 
 /// The metrics of an entry instance for routes.
@@ -37,6 +37,10 @@
     pub caller_connections: IntGauge,
     /// Number of idle connections to endpoints.
     pub idle_connections: IntGauge,
+    /// Number of endpoints that crashed while they ran calls of this instance.
+    pub endpoint_crashes: IntCounter,
+    /// Number of requests that are blocked because endpoints crashed under them.
+    pub blocked_requests: IntGauge,
 }
 
 impl Metrics {
@@ -68,6 +72,11 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
+        let endpoint_crashes = IntCounter::new(
+            "sill_gateway_endpoint_crashes_total",
+            "endpoints that crashed while they ran calls",
+        )?;
+        registry.register(Box::new(endpoint_crashes.clone()))?;
         Ok(Self {
             calls: counters("sill_gateway_calls_total", "calls by outcome", "outcome")?,
             attempts: counters("sill_gateway_attempts_total", "attempts by outcome", "outcome")?,
@@ -100,6 +109,11 @@
                 "sill_gateway_idle_connections",
                 "unused connections to endpoints",
             )?,
+            endpoint_crashes,
+            blocked_requests: gauge(
+                "sill_gateway_blocked_requests",
+                "requests that are blocked because endpoints crashed under them",
+            )?,
             registry,
         })
     }
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -204,6 +204,7 @@
     fn finish(&mut self) {
         if let Source::Endpoint(mut answer) = std::mem::replace(&mut self.source, Source::Ended) {
             answer.attempt.finish(Outcome::Finished);
+            self.state.crashes.record_completed(|| self.call.request_key());
             if let Some(connection) = answer.connection.take() {
                 connection.release();
             }
@@ -219,6 +220,7 @@
             return false;
         };
         answer.attempt.finish(Outcome::Failed);
+        answer.attempt.record_broken_answer();
         self.record_stream_end();
         self.summary.set_outcome("cut");
         let (id, endpoint) = (&self.call.head.attempt, &answer.attempt.placement.endpoint);
@@ -241,7 +243,9 @@
         // would be cut now. One without a first event can still be answered with a failure, and its
         // caller may retry elsewhere.
         let has_time = self.has_begun || dispatch::has_time_for_attempt(&self.state, &self.call);
-        let may_retry_elsewhere = is_resumable && next == NextStep::Retry && has_time;
+        let is_blocked = dispatch::is_blocked(&self.state, &self.call);
+        let may_retry_elsewhere =
+            is_resumable && next == NextStep::Retry && has_time && !is_blocked;
         if !may_retry_elsewhere || !self.state.may_retry(&self.call.pool.service) {
             return false;
         }
--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -182,6 +182,15 @@
     };
     let account = account_of(&table, &head, &route)?;
     let body = read_body(&table, body).await?;
+    let key = || request_key(account.as_deref(), &head, &parts.method, &parts.uri, &body);
+    if let Some(block) = state.crashes.block_of(key) {
+        return Err(Refusal {
+            failure: Failure::with_retry_after(ErrorCode::RequestBlocked, block.time_left),
+            inputs: format!("{}, {} endpoints crashed under it", key(), block.crashes),
+            route: route.name.clone(),
+            ..Refusal::new(ErrorCode::RequestBlocked, "request_blocked")
+        });
+    }
     let service = route.service(rand::random::<f64>()).clone();
     let Some(pool) = state.pool(&service) else {
         let failure = Failure::with_retry_after(ErrorCode::NoCapacity, RETRY_WITHOUT_ENDPOINT);
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use tokio::sync::watch;
 
 use crate::cfg::GatewayCfg;
+use crate::crashes::Crashes;
 use crate::metrics::Metrics;
 use crate::planned_stop::PlannedStop;
 use crate::termination::Termination;
@@ -68,6 +69,8 @@
     pub callers: Arc<OpenConnections>,
     /// Ends the calls that a stop doesn't wait for.
     pub termination: Termination,
+    /// Crashes of endpoints, and the requests that are blocked because of them.
+    pub crashes: Crashes,
     /// The planned stop, and the call durations it depends on.
     pub planned_stop: PlannedStop,
     table: watch::Sender<Option<Arc<RouteTable>>>,
@@ -122,8 +125,10 @@
             keep_alive_margin: IDLE_MARGIN,
         };
         let wall = Millis::wall();
+        let metrics = Metrics::new()?;
         Ok(Self {
-            metrics: Metrics::new()?,
+            crashes: Crashes::new(clock, &metrics),
+            metrics,
             connections: ConnectionPool::new(connections, clock),
             callers: Arc::default(),
             termination: Termination::default(),
@@ -215,6 +220,7 @@
             let mut pool = pool.pool.lock();
             reply.loads.iter().for_each(|load| pool.record_remote_load(now, load));
         }
+        self.crashes.apply(from, &reply.crashes);
         if let Some(totals) = &reply.totals {
             self.apply_totals(now, from, totals);
         }
@@ -339,9 +345,10 @@
     fn apply_fact(&self, now: Millis, from: SocketAddr, fact: &EndpointFact) {
         let pool = self.pool(&fact.service);
         let pool = pool.unwrap_or_else(|| self.open_pool(&fact.service, None));
-        let (was_ready, update) = {
+        let (was_ready, ended, update) = {
             let mut pool = pool.pool.lock();
-            (pool.is_ready(&fact.endpoint), pool.update_endpoint(now, fact))
+            let was_ready = pool.is_ready(&fact.endpoint);
+            (was_ready, ended_without_notice(&pool, fact), pool.update_endpoint(now, fact))
         };
         match update {
             FactUpdate::Stale => return,
@@ -351,6 +358,9 @@
                 pool.departures.lock().remove(&fact.endpoint);
             }
         }
+        for (endpoint, incarnation) in ended {
+            self.crashes.confirm(&endpoint, incarnation);
+        }
         if fact.state >= EndpointState::Silent {
             self.connections.close_idle(fact.address);
         }
@@ -439,6 +449,20 @@
     }
 }
 
+/// Returns the ready endpoints that a fact shows to have ended: the endpoint itself if it is silent
+/// or has restarted, and those whose address it has now.
+fn ended_without_notice(pool: &Pool, fact: &EndpointFact) -> Vec<(Name, Incarnation)> {
+    if fact.state == EndpointState::Silent {
+        return vec![(fact.endpoint.clone(), fact.incarnation)];
+    }
+    let mut ended = pool.replaced_by(fact);
+    let before = pool.incarnation(&fact.endpoint).filter(|known| *known < fact.incarnation);
+    if let Some(incarnation) = before.filter(|_| pool.is_ready(&fact.endpoint)) {
+        ended.push((fact.endpoint.clone(), incarnation));
+    }
+    ended
+}
+
 impl PoolState {
     /// Records when a leaving endpoint will be gone.
     fn record_departure(&self, now: Millis, endpoint: &Name, at: Millis) {
--- a/daemons/gateway/tests/limits.rs
+++ b/daemons/gateway/tests/limits.rs
@@ -10,6 +10,7 @@
 use sill_gateway::state::State;
 use sill_gateway::{GatewayCfg, SillDialect};
 use sill_tree::{Account, Document, Limit};
+use sill_wire::CrashUpdate;
 use sill_wire::link::{AccountTotal, Cursor, LinkReply, Totals};
 
 const RATE: f64 = 1000.0;
@@ -61,6 +62,7 @@
         cursor: Cursor::default(),
         endpoints: Vec::new(),
         loads: Vec::new(),
+        crashes: CrashUpdate::default(),
         controls: Vec::new(),
         totals: Some(Totals {
             age: Millis::ZERO,
--- a/daemons/gateway/tests/settings.rs
+++ b/daemons/gateway/tests/settings.rs
@@ -17,9 +17,9 @@
 use sill_net::{PeerError, PeerServer, PeerServerBuilder};
 use sill_standin::loopback::free_addresses;
 use sill_tree::{Document, PieceId, Pool, Route, Service, Share};
-use sill_wire::Incarnation;
 use sill_wire::link::{ControlInfo, Cursor, EndpointFact, EndpointState, LinkPoll, LinkReply};
 use sill_wire::settings::{Piece, PiecesReply, PiecesRequest};
+use sill_wire::{CrashUpdate, Incarnation};
 use support::settings_pieces::SettingsPieces;
 use support::{CLUSTER_KEY, cfg, exchange, fact, request};
 use tokio::runtime::Runtime;
@@ -110,6 +110,7 @@
             cursor: Cursor { change: facts.len() as u64, ..Cursor::default() },
             endpoints: facts[acknowledged..].to_vec(),
             loads: Vec::new(),
+            crashes: CrashUpdate::default(),
             controls: self.controls.lock().clone(),
             totals: None,
             true_time: Millis::wall(),
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -25,10 +25,10 @@
 use sill_net::{PeerServer, PeerServerBuilder};
 use sill_standin::loopback::free_addresses;
 use sill_tree::{Account, Document, Engine, KeyHash, Pool, Route, RouteKind, Service, Share};
-use sill_wire::Incarnation;
 use sill_wire::control::Revision;
 use sill_wire::link::{Cursor, EndpointFact, EndpointState, LinkPoll, LinkReply};
 use sill_wire::settings::PiecesRequest;
+use sill_wire::{CrashUpdate, Incarnation};
 use tokio::runtime::Runtime;
 
 use self::settings_pieces::SettingsPieces;
@@ -594,6 +594,7 @@
         cursor: Cursor::default(),
         endpoints: facts,
         loads: Vec::new(),
+        crashes: CrashUpdate::default(),
         controls: Vec::new(),
         totals: None,
         true_time: Millis::wall(),
--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod control;
 mod control_cluster;
+mod crashes;
 mod end_to_end;
 mod flight;
 mod harness;
--- /dev/null
+++ b/protocol/wire/src/crash.rs
@@ -0,0 +1,47 @@
+//! Crashes of endpoints, and the requests that were running there.
+
+use serde::{Deserialize, Serialize};
+use sill_base::{Millis, Name};
+
+use crate::announce::Incarnation;
+use crate::request_key::RequestKey;
+
+/// The crash of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointCrash {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// The incarnation that crashed.
+    pub incarnation: Incarnation,
+    /// Requests that had not been answered completely, from one or more entry instances.
+    pub requests: Vec<RequestKey>,
+    /// Time since the crash.
+    pub age: Millis,
+}
+
+/// A request that an endpoint has answered completely.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CompletedRequest {
+    /// The request.
+    pub request: RequestKey,
+    /// Time since the end of the answer.
+    pub age: Millis,
+}
+
+/// Crashes, and answers to requests that had been running during one.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashUpdate {
+    /// Crashes of endpoints.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<EndpointCrash>,
+    /// Complete answers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub completed: Vec<CompletedRequest>,
+}
+
+impl CrashUpdate {
+    /// Returns whether it contains nothing.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.completed.is_empty()
+    }
+}
--- a/protocol/wire/src/error.rs
+++ b/protocol/wire/src/error.rs
@@ -27,6 +27,8 @@
     LimitReached,
     /// No endpoint has capacity for the request at present.
     NoCapacity,
+    /// Endpoints have crashed under this request, so it is not sent to any.
+    RequestBlocked,
     /// The deadline can't be met.
     DeadlineUnmeetable,
     /// No quorum of control instances can be reached, and the request must not run without one.
@@ -77,7 +79,11 @@
             Self::LimitReached => 429,
             Self::Internal => 500,
             Self::UpstreamFailed => 502,
-            Self::NoCapacity | Self::DeadlineUnmeetable | Self::NoQuorum | Self::Stopping => 503,
+            Self::NoCapacity
+            | Self::RequestBlocked
+            | Self::DeadlineUnmeetable
+            | Self::NoQuorum
+            | Self::Stopping => 503,
             Self::DeadlinePassed => 504,
         }
     }
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod chat;
 pub mod claim;
 pub mod control;
+pub mod crash;
 pub mod endpoint;
 pub mod error;
 pub mod feed;
@@ -20,6 +21,7 @@
 
 pub use announce::{Announcement, Incarnation, Load, Role, Servable};
 pub use call::Call;
+pub use crash::{CompletedRequest, CrashUpdate, EndpointCrash};
 pub use error::{ErrorBody, ErrorCode, ErrorDetail};
 pub use priority::Priority;
 pub use request_key::RequestKey;
--- a/protocol/wire/src/link.rs
+++ b/protocol/wire/src/link.rs
@@ -9,6 +9,7 @@
 use crate::announce::Incarnation;
 use crate::call::Call;
 use crate::control::Revision;
+use crate::crash::CrashUpdate;
 use crate::settings::Manifest;
 
 /// The lifecycle state of an endpoint.
@@ -80,6 +81,9 @@
     /// The number of the last endpoint load that was received.
     #[serde(default)]
     pub load: u64,
+    /// The number of the last crash that was received.
+    #[serde(default)]
+    pub crash: u64,
 }
 
 /// The load of an endpoint, as the endpoint reported it with an answer.
@@ -205,6 +209,9 @@
     pub wait: Millis,
     /// The entry instance's current report.
     pub report: EntryReport,
+    /// Crashes that the entry instance has not sent to this control instance yet.
+    #[serde(default, skip_serializing_if = "CrashUpdate::is_empty")]
+    pub crashes: CrashUpdate,
 }
 
 /// The demand of one client account, summed over all entry instances.
@@ -257,6 +264,9 @@
     /// Loads that endpoints have recently reported to other entry instances.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<EndpointLoad>,
+    /// Crashes of endpoints after the poll's cursor.
+    #[serde(default, skip_serializing_if = "CrashUpdate::is_empty")]
+    pub crashes: CrashUpdate,
     /// All known control instances.
     pub controls: Vec<ControlInfo>,
     /// The demand over all entry instances, if a leader is known.
@@ -285,6 +295,9 @@
     pub reports: Vec<EntryReport>,
     /// The demand over all entry instances, sent by the leader.
     pub totals: Option<Totals>,
+    /// Crashes of endpoints that were not sent to the called instance yet.
+    #[serde(default, skip_serializing_if = "CrashUpdate::is_empty")]
+    pub crashes: CrashUpdate,
 }
 
 /// The reply to a [`ControlSync`].
--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -1,5 +1,6 @@
 //! A pool of client connections that are kept open between requests.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -110,13 +111,32 @@
                 Err(failure) => return Err(SendFailure::Unknown(failure.reason)),
             }
         }
-        let sender = self.connect(address).await.map_err(SendFailure::NotSent)?;
+        let sender = self.connect(address).await;
+        let sender = sender.map_err(|err| SendFailure::NotSent(err.reason))?;
         self.exchange(address, sender, req, true).await.map_err(|failure| match failure.unsent {
             Some(_) => SendFailure::NotSent(failure.reason),
             None => SendFailure::Unknown(failure.reason),
         })
     }
 
+    /// Returns whether the host at an address refuses connections, as after the end of the process
+    /// that listened there. A connection that is opened is kept for the next request.
+    pub async fn is_refused(&self, address: SocketAddr) -> bool {
+        match self.connect(address).await {
+            Ok(sender) => {
+                self.keep(address, sender, self.cfg.idle_timeout - self.cfg.keep_alive_margin);
+                false
+            }
+            Err(err) => err.is_refused,
+        }
+    }
+
+    fn keep(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>, keep_alive: Millis) {
+        let idle_since = self.clock.now();
+        let idle = IdleConnection { sender, idle_since, expires_at: idle_since + keep_alive };
+        self.idle.lock().entry(address).or_default().push(idle);
+    }
+
     /// Sends a request and reads the complete response.
     ///
     /// # Errors
@@ -161,18 +181,24 @@
         Ok(Answer { response, is_new, connection })
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, String> {
+    async fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> Result<SendRequest<Full<Bytes>>, ConnectFailure> {
         let connecting =
             tokio::time::timeout(self.cfg.connect_timeout.into(), TcpStream::connect(address));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(err)) => return Err(err.to_string()),
-            Err(_) => return Err(format!("no connection within {} ms", self.cfg.connect_timeout)),
+            Ok(Err(err)) => return Err(err.into()),
+            Err(_) => {
+                let reason = format!("no connection within {} ms", self.cfg.connect_timeout);
+                return Err(ConnectFailure { is_refused: false, reason });
+            }
         };
-        set_socket_options(&stream, self.cfg.unacknowledged_timeout)
-            .map_err(|err| err.to_string())?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|err| err.to_string())?;
+        set_socket_options(&stream, self.cfg.unacknowledged_timeout)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|err| ConnectFailure { is_refused: false, reason: err.to_string() })?;
         tokio::spawn(async move {
             if let Err(err) = connection.await {
                 event!(Debug, "endpoint_connection_ended", address = address, error = err);
@@ -244,9 +270,21 @@
     /// Returns the connection to its pool.
     pub fn release(self) {
         let BorrowedConnection { sender, address, keep_alive, pool } = self.0;
-        let idle_since = pool.clock.now();
-        let idle = IdleConnection { sender, idle_since, expires_at: idle_since + keep_alive };
-        pool.idle.lock().entry(address).or_default().push(idle);
+        pool.keep(address, sender, keep_alive);
+    }
+}
+
+/// Why there is no connection.
+struct ConnectFailure {
+    /// Whether the host has refused the connection.
+    is_refused: bool,
+    reason: String,
+}
+
+impl From<io::Error> for ConnectFailure {
+    fn from(err: io::Error) -> Self {
+        let is_refused = err.kind() == io::ErrorKind::ConnectionRefused;
+        Self { is_refused, reason: err.to_string() }
     }
 }
 
