Gateway: answer callers in HTTP/1.1 whatever version the endpoint speaks

What callers saw: a truncated answer of an endpoint that speaks HTTP/1.0 looked complete: the answer to the caller had version 1.0 too, so it had no chunks, and its abort closed the connection as a complete answer does.

Cause: the head of an endpoint's answer was passed on with its version, which applies to one connection only.

--- a/daemons/gateway/src/answer.rs
+++ b/daemons/gateway/src/answer.rs
@@ -1,7 +1,7 @@
 //! Turns an endpoint's answer into the caller's response.
 
 use http::response::Parts;
-use http::{HeaderMap, Response, header};
+use http::{HeaderMap, Response, Version, header};
 use http_body::Body;
 use http_body_util::BodyExt;
 use sill_dispatch::{AnswerMode, CallProgress, EventTracker};
@@ -37,6 +37,9 @@
     let (response, connection) = answer.into_parts();
     let (mut parts, body) = response.into_parts();
     strip_hop_by_hop(&mut parts.headers);
+    // The endpoint's version applies to its own connection. With HTTP/1.0 the caller's answer would
+    // have no chunks, and a truncated one would look complete.
+    parts.version = Version::HTTP_11;
     summary.set_status(parts.status.as_u16());
     let (state, call) = (attempt.state().clone(), attempt.call().clone());
     let is_stream = framing != Framing::Empty && is_stream(&call, &parts);
--- a/daemons/gateway/tests/relay.rs
+++ b/daemons/gateway/tests/relay.rs
@@ -37,6 +37,12 @@
             name: "no length, and reset",
             action: Action::AnswerAndReset(format!("{}half", head(""))),
         },
+        Case {
+            name: "HTTP/1.0, and reset",
+            action: Action::AnswerAndReset(
+                format!("{}half", head("")).replace("HTTP/1.1", "HTTP/1.0"),
+            ),
+        },
     ];
     for case in cases {
         let harness = Harness::start(vec![vec![case.action]]);
--- a/daemons/gateway/tests/stream_ends.rs
+++ b/daemons/gateway/tests/stream_ends.rs
@@ -34,6 +34,12 @@
     Action::AnswerAndClose(format!("{}{}0\r\n\r\n", head(CHUNKED), chunk(events)))
 }
 
+/// A stream of an endpoint that speaks HTTP/1.0 and ends all answers with their connections.
+fn of_old_version(events: &str) -> Action {
+    let head = head(EVENT_STREAM).replace("HTTP/1.1", "HTTP/1.0");
+    Action::AnswerAndClose(format!("{head}{events}"))
+}
+
 /// Returns whether the caller can take the answer for a complete one.
 fn looks_complete(got: &CallerResponse) -> bool {
     got.status == 200 && got.is_complete
@@ -69,7 +75,7 @@
         Case { name: "within the first event", stream: "id: 1\ndata: a", events: "" },
     ];
     for case in cases {
-        for frame in [unframed, with_length, chunked] {
+        for frame in [unframed, with_length, chunked, of_old_version] {
             for path in ["/stream/x", "/resumable_stream/x"] {
                 let harness = Harness::start(vec![vec![frame(case.stream)]]);
                 let got = harness.call(path);
@@ -109,7 +115,7 @@
         "\u{feff}: alive\nid: 1\ndata: a\n\n: bye\n",
     ];
     for stream in streams {
-        for frame in [unframed, with_length, chunked] {
+        for frame in [unframed, with_length, chunked, of_old_version] {
             for path in ["/stream/x", "/resumable_stream/x"] {
                 let harness = Harness::start(vec![vec![frame(stream)]]);
                 let got = harness.call(path);
