Server: reset the connection of a caller without chunks if its answer is truncated

What callers saw: a caller that speaks HTTP/1.0 got a truncated answer followed by an orderly close, by which HTTP/1.0 marks the end of a complete one.

Cause: an answer that breaks off is shown by a missing last chunk, and HTTP/1.0 has none. The connection of such a caller is now closed with a reset if its answer ended in an error; with chunks a close is enough, and a reset could discard events that the caller has not read.

Evidence: a_truncated_answer_is_reset_for_a_caller_without_chunks failed before (126 bytes, read to the end without an error) and passes now; a complete answer still ends with an orderly close.

--- a/daemons/gateway/tests/stream_ends.rs
+++ b/daemons/gateway/tests/stream_ends.rs
@@ -3,6 +3,8 @@
 #[allow(dead_code)] // The tests of streams use a part of it.
 mod support;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -92,6 +94,23 @@
     }
 }
 
+/// A caller that speaks HTTP/1.0 takes an orderly close for the end of its answer, as there are no
+/// chunks. A truncated answer must end with a reset.
+#[test]
+fn a_truncated_answer_is_reset_for_a_caller_without_chunks() {
+    let cut = format!("{}id: 1\ndata: a\n\nid: 2\nda", head(EVENT_STREAM));
+    let whole = "id: 1\ndata: a\n\n";
+    for (action, is_complete) in [(Action::AnswerAndClose(cut), false), (unframed(whole), true)] {
+        let harness = Harness::start(vec![vec![action]]);
+        let mut stream = TcpStream::connect(harness.address).expect("the instance accepts");
+        let text = request("/stream/x", "").replace("HTTP/1.1", "HTTP/1.0");
+        stream.write_all(text.as_bytes()).expect("the peer reads the bytes");
+        let mut answer = Vec::new();
+        let read = stream.read_to_end(&mut answer);
+        assert_eq!(read.is_ok(), is_complete, "{read:?}: {}", String::from_utf8_lossy(&answer));
+    }
+}
+
 /// An endpoint ends after the head of a stream. An empty answer with status 200 would tell the
 /// caller that the model had nothing to say.
 #[test]
--- a/transport/net/src/h1/server.rs
+++ b/transport/net/src/h1/server.rs
@@ -4,12 +4,11 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, Version, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -175,8 +174,11 @@
     set_socket_options(&stream, cfg.unacknowledged_timeout)?;
     let (request_notify, service_phase) = (Arc::new(Notify::new()), phase.clone());
     let first_request = request_notify.clone();
-    let service = service_fn(move |req| {
+    let lacks_chunks = Arc::<AtomicBool>::default();
+    let lacks_chunks_tx = lacks_chunks.clone();
+    let service = service_fn(move |req: Request<Incoming>| {
         request_notify.notify_one();
+        lacks_chunks_tx.store(req.version() == Version::HTTP_10, Ordering::Relaxed);
         let (answer, current_phase) = (handler(req, peer), service_phase.clone());
         async move {
             let mut response = answer.await;
@@ -193,7 +195,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from(cfg.idle_timeout))
         .max_buf_size(cfg.max_header_bytes.max(MIN_BUFFER_BYTES));
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut connection = builder.serve_connection(TokioIo::new(stream), service);
     let close_allowed = async {
         let _ = phase.wait_for(|phase| *phase >= ServerPhase::Draining).await;
         // If the connection were closed before its first request is read, the caller of a request
@@ -201,11 +203,19 @@
         let _ = tokio::time::timeout(FIRST_REQUEST_TIMEOUT.into(), first_request.notified()).await;
         tokio::time::sleep(PENDING_REQUEST_PAUSE.into()).await;
     };
-    tokio::select! {
-        result = connection.as_mut() => return result.map_err(io::Error::other),
-        () = close_allowed => connection.as_mut().graceful_shutdown(),
+    let result = tokio::select! {
+        result = &mut connection => result,
+        () = close_allowed => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    if result.is_err() && lacks_chunks.load(Ordering::Relaxed) {
+        // The caller takes an orderly close for the end of the answer.
+        let stream = connection.into_parts().io.into_inner();
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
     }
-    connection.await.map_err(io::Error::other)
+    result.map_err(io::Error::other)
 }
 
 /// Sets the options of a connection; it fails once its peer has acknowledged nothing for the given
