Soak: a request that crashes endpoints, and answers that end with their connections

One request, equal but for its id, is sent to any entry instance and crashes each endpoint that runs it; endpoints end answers with their connections, and some streams inside an event. Checked: no other request is blocked, no truncated stream looks complete, and after the faults at most three more runs of the request.

--- a/bench/soak/src/backend.rs
+++ b/bench/soak/src/backend.rs
@@ -2,12 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use eyre::Result;
 use futures_util::{StreamExt, stream};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Version};
 use http_body::Frame;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -19,9 +20,10 @@
 use sill_base::{Map, Millis, Name, Set};
 use sill_wire::{Announcement, Incarnation, Load, Role, Servable, header};
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 
-use crate::caller::{ACCOUNT_HEADER, CHECKSUM_HEADER, checksum};
+use crate::caller::{ACCOUNT_HEADER, CHECKSUM_HEADER, CRASHING_BODY, checksum};
 use crate::cluster::key;
 use crate::exchange;
 use crate::plan::Misbehavior;
@@ -49,6 +51,7 @@
     runs: Mutex<Map<String, Vec<String>>>,
     withheld: Mutex<Set<String>>,
     anomalies: Mutex<Vec<String>>,
+    crashing_runs: AtomicUsize,
 }
 
 /// An endpoint that can be replaced by a new incarnation at the same address.
@@ -62,6 +65,9 @@
     misbehavior: Arc<Mutex<Option<Misbehavior>>>,
     is_leaving: Arc<Mutex<bool>>,
     incarnation: u64,
+    /// Notified when the endpoint runs a request that crashes it.
+    crash: Arc<Notify>,
+    is_down: bool,
     tasks: JoinSet<()>,
 }
 
@@ -71,6 +77,7 @@
     id: String,
     ledger: Arc<Ledger>,
     misbehavior: Arc<Mutex<Option<Misbehavior>>>,
+    crash: Arc<Notify>,
 }
 
 /// A part of an answer, or the error with which it breaks off.
@@ -90,6 +97,11 @@
         self.withheld.lock().contains(id)
     }
 
+    /// Returns how often endpoints ran a request that crashes them.
+    pub fn crashing_runs(&self) -> usize {
+        self.crashing_runs.load(Ordering::Relaxed)
+    }
+
     /// Notes that an endpoint incarnation runs a request.
     pub fn note_run(&self, id: &str, endpoint: &str) {
         self.runs.lock().entry(id.to_owned()).or_default().push(endpoint.to_owned());
@@ -132,6 +144,8 @@
             misbehavior: Arc::default(),
             is_leaving: Arc::default(),
             incarnation: 0,
+            crash: Arc::default(),
+            is_down: false,
             tasks: JoinSet::new(),
         };
         endpoint.start_incarnation().await?;
@@ -148,6 +162,30 @@
         *self.is_leaving.lock() = true;
     }
 
+    /// Returns what is notified when the endpoint runs a request that crashes it.
+    pub fn crash_signal(&self) -> Arc<Notify> {
+        self.crash.clone()
+    }
+
+    /// Aborts all tasks of the endpoint.
+    pub async fn crash(&mut self) {
+        self.is_down = true;
+        self.tasks.shutdown().await;
+    }
+
+    /// Starts a new incarnation after a crash, unless the endpoint was replaced meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is in use.
+    pub async fn restart(&mut self) -> Result<()> {
+        if !self.is_down {
+            return Ok(());
+        }
+        self.is_leaving = Arc::default();
+        self.start_incarnation().await
+    }
+
     /// Aborts all tasks of the endpoint and starts a new incarnation at the same address.
     ///
     /// # Errors
@@ -161,11 +199,13 @@
 
     async fn start_incarnation(&mut self) -> Result<()> {
         self.incarnation += 1;
+        self.is_down = false;
         let id = format!("{}.{}", self.name, self.incarnation);
         let state = EndpointState {
             id,
             ledger: self.ledger.clone(),
             misbehavior: self.misbehavior.clone(),
+            crash: self.crash.clone(),
         };
         let listener = TcpListener::bind(self.address).await?;
         self.tasks.spawn(serve(listener, Arc::new(state)));
@@ -240,6 +280,11 @@
         ));
     }
     state.ledger.note_run(&id, &state.id);
+    if body == CRASHING_BODY {
+        state.ledger.crashing_runs.fetch_add(1, Ordering::Relaxed);
+        state.crash.notify_one();
+        return std::future::pending().await;
+    }
     if matches!(
         misbehavior,
         Some(Misbehavior::LoseAnswer | Misbehavior::CutAnswer | Misbehavior::Hang)
@@ -252,7 +297,10 @@
         Some(Misbehavior::LoseAnswer) => return Err("the endpoint drops the answer"),
         _ => tokio::time::sleep(Duration::from_millis(5)).await,
     }
-    let response = Response::builder().header(header::REQUEST_ID, &id);
+    let is_unframed = matches!(misbehavior, Some(Misbehavior::Unframed | Misbehavior::UnframedCut));
+    // With this version the end of a body without a length is marked by closing the connection.
+    let version = if is_unframed { Version::HTTP_10 } else { Version::HTTP_11 };
+    let response = Response::builder().version(version).header(header::REQUEST_ID, &id);
     let response = match Pace::from_name(text(PACE_HEADER)) {
         Some(pace) => {
             let after = text(header::LAST_EVENT_ID).parse().unwrap_or(0);
@@ -262,28 +310,37 @@
             } else {
                 1.0
             });
+            if misbehavior == Some(Misbehavior::UnframedCut) {
+                state.ledger.note_withheld(&id);
+            }
             let answer = answer_body(events.collect(), gap, misbehavior);
             response.header("content-type", header::EVENT_STREAM).body(answer)
         }
         None => {
             let whole = expected(&id, &body, &state.id);
             let halves = vec![whole.slice(..whole.len() / 2), whole.slice(whole.len() / 2..)];
+            // The end of a plain answer without a length can't be told from a cut.
+            let misbehavior = misbehavior.filter(|kind| *kind != Misbehavior::UnframedCut);
             let answer = answer_body(halves, Duration::ZERO, misbehavior);
-            response.header("content-length", whole.len()).body(answer)
+            let response = match is_unframed {
+                true => response,
+                false => response.header("content-length", whole.len()),
+            };
+            response.body(answer)
         }
     };
     Ok(response.expect("a response with valid headers"))
 }
 
-/// Builds an answer that sends each part after a pause. With `CutAnswer` it breaks off within a
-/// part.
+/// Builds an answer that sends each part after a pause. With `CutAnswer` and `UnframedCut` it ends
+/// within a part.
 fn answer_body(
     mut parts: Vec<Bytes>,
     gap: Duration,
     misbehavior: Option<Misbehavior>,
 ) -> AnswerBody {
     let breaks_off = misbehavior == Some(Misbehavior::CutAnswer);
-    if breaks_off {
+    if breaks_off || misbehavior == Some(Misbehavior::UnframedCut) {
         parts.truncate(parts.len() / 2 + 1);
         if let Some(last) = parts.last_mut() {
             last.truncate(last.len() / 2);
--- a/bench/soak/src/caller.rs
+++ b/bench/soak/src/caller.rs
@@ -15,7 +15,7 @@
 use sill_wire::header;
 use tokio::sync::watch;
 
-use crate::exchange::Connection;
+use crate::exchange::{self, Connection};
 use crate::journal::Journal;
 use crate::stream::{PACE_HEADER, Pace};
 
@@ -36,6 +36,12 @@
 /// An account whose callers send far more than its rate limit.
 pub static GUESTS: Client = Client { account: "guests", key: "soak-guests-key", limit: Some(20) };
 
+/// The body of the request that crashes each endpoint that runs it.
+pub const CRASHING_BODY: &str = "crash";
+
+/// Part of the answer to a blocked request.
+const BLOCKED_CODE: &[u8] = b"request_blocked";
+
 /// The request header with the account that the endpoint must see.
 pub const ACCOUNT_HEADER: &str = "x-soak-account";
 
@@ -265,6 +271,24 @@
     Record { pace: is_streaming.then_some(pace), body: body.into(), ..Record::new(id, kind) }
 }
 
+/// Returns whether an entry instance has refused a request because endpoints crash under it.
+pub fn is_blocked(answer: &CallerAnswer) -> bool {
+    let body = answer.body.as_deref().unwrap_or_default();
+    answer.status == 503 && body.windows(BLOCKED_CODE.len()).any(|part| part == BLOCKED_CODE)
+}
+
+/// Sends the request that crashes endpoints to an entry instance, with a new id but equal in all
+/// else. Returns the answer, if there is one.
+pub async fn send_crashing(entry: SocketAddr, number: usize) -> Option<CallerAnswer> {
+    let id = format!("crash-{number}");
+    let record = Record { body: CRASHING_BODY.into(), ..Record::new(id, Kind::Idempotent) };
+    let mut req = request(&record);
+    *req.uri_mut() = http::Uri::from_static("/looked-up/crash");
+    let response = exchange::send_once(entry, req, DEADLINE).await.ok()?;
+    let is_not_run = response.header(header::NOT_RUN) == Some("true");
+    Some(CallerAnswer { status: response.status, is_not_run, body: response.body })
+}
+
 /// Builds the HTTP request of a record.
 pub fn request(record: &Record) -> Request<Full<Bytes>> {
     let Record { id, kind, client, .. } = record;
--- a/bench/soak/src/cli.rs
+++ b/bench/soak/src/cli.rs
@@ -23,6 +23,12 @@
         Flag::with_default("runs", "N", "1", "number of runs"),
         Flag::with_default("seconds", "S", "20", "seconds during which each run injects faults"),
         Flag::with_default("entries", "N", "3", "number of entry instances"),
+        Flag::with_default(
+            "crashes",
+            "BOOL",
+            "true",
+            "whether endpoints also crash under one request, and end answers with their connections",
+        ),
         Flag::with_default(
             "logs",
             "DIR",
@@ -44,16 +50,18 @@
     let runs: Option<u64> = values.required("runs");
     let seconds: Option<u64> = values.required("seconds");
     let entries: Option<usize> = values.required("entries");
+    let crashes: Option<bool> = values.required("crashes");
     let logs: Option<PathBuf> = values.required("logs");
     values.finish()?;
     let checked = "present once the check succeeded";
     let (sill, logs) = (sill.expect(checked), logs.expect(checked));
     let (first, runs, seconds) =
         (seed.expect(checked), runs.expect(checked), seconds.expect(checked));
-    let entries = entries.expect(checked);
+    let (entries, crashes) = (entries.expect(checked), crashes.expect(checked));
     let mut failed = Vec::new();
     for seed in first..first + runs {
-        let cfg = SoakCfg { sill: sill.clone(), seed, seconds, entries, logs: logs.clone() };
+        let (sill, logs) = (sill.clone(), logs.clone());
+        let cfg = SoakCfg { sill, seed, seconds, entries, crashes, logs };
         let verdict = run::run_once(&cfg)?;
         println!("{verdict}");
         if !verdict.findings.is_empty() {
--- a/bench/soak/src/plan.rs
+++ b/bench/soak/src/plan.rs
@@ -79,6 +79,10 @@
     Slow,
     /// Runs the request and never answers.
     Hang,
+    /// Marks the end of an answer only by closing the connection.
+    Unframed,
+    /// Does the same, and ends streams inside an event.
+    UnframedCut,
 }
 
 /// A fault with its target and, where it has one, its duration.
@@ -140,6 +144,21 @@
     faults
 }
 
+/// Generates the faults of answers that end with their connection. They have a generator of their
+/// own, so that the other faults of a seed don't depend on them.
+pub fn unframed_plan(seed: u64, span: Millis, sizes: Sizes) -> Vec<ScheduledFault> {
+    let mut rng = seeded(!seed);
+    let mut faults = Vec::new();
+    fill_track(&mut rng, span, &mut faults, |rng| {
+        let i = rng.random_range(0..sizes.endpoints);
+        let span = rng.random_range(200..2500);
+        let is_cut = rng.random_bool(0.7);
+        let misbehavior = if is_cut { Misbehavior::UnframedCut } else { Misbehavior::Unframed };
+        (Fault::Endpoint(i, misbehavior, Millis(span)), span)
+    });
+    faults
+}
+
 /// Fills the span with successive faults. `draw` returns a fault and the time that it occupies.
 fn fill_track<F>(rng: &mut Rng, span: Millis, faults: &mut Vec<ScheduledFault>, mut draw: F)
 where
--- a/bench/soak/src/run.rs
+++ b/bench/soak/src/run.rs
@@ -8,7 +8,9 @@
 
 use eyre::{Result, bail};
 use parking_lot::Mutex;
+use rand::Rng as _;
 use sill_base::Millis;
+use sill_base::random::seeded;
 use tokio::runtime;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -18,7 +20,7 @@
 use crate::cluster::Cluster;
 use crate::exchange;
 use crate::injector::FaultInjector;
-use crate::journal::Journal;
+use crate::journal::{Event, Journal};
 use crate::operator::{Observations, Operator};
 use crate::plan::{self, Sizes};
 use crate::verdict::{self, Verdict};
@@ -50,6 +52,16 @@
 /// rest of a pause of a process.
 const SETTLE_TIME: Duration = Duration::from_millis(4500);
 
+/// How long an endpoint is down after a crash.
+const DOWN_TIME: Duration = Duration::from_millis(700);
+
+/// Longest time between a crash and its detection on a busy machine.
+const CRASH_DETECTION_DELAY: Millis = Millis(300);
+
+/// How often a request may still reach endpoints once all entry instances can know of three
+/// crashes, as the requirements state it.
+const MAX_LATE_RUNS: usize = 3;
+
 /// Settings of a run.
 #[derive(Debug, Clone)]
 pub struct SoakCfg {
@@ -61,6 +73,8 @@
     pub seconds: u64,
     /// Number of entry instances.
     pub entries: usize,
+    /// Whether endpoints also crash under one request, and end answers with their connections.
+    pub crashes: bool,
     /// Folder that keeps the logs of runs with findings.
     pub logs: PathBuf,
 }
@@ -77,6 +91,9 @@
 /// The run in CI, which is short and still has a fault for each guarantee.
 pub const SHORT_RUN: ShortRun = ShortRun { seed: 163, seconds: 10 };
 
+/// The run in CI in which endpoints crash.
+pub const SHORT_CRASH_RUN: ShortRun = ShortRun { seed: 4301, seconds: 10 };
+
 /// The fault injector of a run and the findings collected so far.
 struct Run {
     injector: FaultInjector,
@@ -133,6 +150,10 @@
         let caller = caller_cfg(cfg, i, entries.clone());
         callers.spawn(caller::run(caller, journal.clone(), records.clone(), stopped.clone()));
     }
+    if cfg.crashes {
+        run.watch_crashes(sizes.endpoints).await;
+        callers.spawn(send_crashing(cfg.seed, entries.clone(), stopped.clone()));
+    }
     let operating = tokio::spawn(operator.run(stopped));
     let faults = run.inject_faults(cfg).await;
     run.wait_until_served(&entries, "end").await;
@@ -140,6 +161,9 @@
     while callers.join_next().await.is_some() {}
     let mut operator = operating.await?;
     tokio::time::sleep(SETTLE_TIME).await;
+    if cfg.crashes {
+        run.check_blocked(&entries, &ledger).await;
+    }
     run.wait_until_read(&mut operator).await;
     run.note_exits().await;
     let records = records.lock();
@@ -181,7 +205,12 @@
 impl Run {
     /// Injects all faults of the plan and waits until they are over. Returns the number of faults.
     async fn inject_faults(&self, cfg: &SoakCfg) -> usize {
-        let plan = plan::plan(cfg.seed, Millis::from_secs(cfg.seconds), cfg.sizes());
+        let span = Millis::from_secs(cfg.seconds);
+        let mut plan = plan::plan(cfg.seed, span, cfg.sizes());
+        if cfg.crashes {
+            plan.extend(plan::unframed_plan(cfg.seed, span, cfg.sizes()));
+            plan.sort_by_key(|scheduled| scheduled.at);
+        }
         let journal = &self.injector.journal;
         let (count, began) = (plan.len(), journal.now());
         let mut tasks = JoinSet::new();
@@ -201,6 +230,44 @@
         count
     }
 
+    /// Crashes each endpoint that runs the request that crashes them, and restarts it.
+    async fn watch_crashes(&self, endpoints: usize) {
+        for i in 0..endpoints {
+            let FaultInjector { cluster, journal } = self.injector.clone();
+            let signal = cluster.lock().await.endpoints[i].crash_signal();
+            let findings = self.findings.clone();
+            tokio::spawn(async move {
+                loop {
+                    signal.notified().await;
+                    let from = journal.now() - CRASH_DETECTION_DELAY;
+                    cluster.lock().await.endpoints[i].crash().await;
+                    tokio::time::sleep(DOWN_TIME).await;
+                    if let Err(err) = cluster.lock().await.endpoints[i].restart().await {
+                        findings.lock().push(format!("soak: {err:#}"));
+                    }
+                    journal.note_since(from, Event::EndpointOutage(i));
+                }
+            });
+        }
+    }
+
+    /// Checks, after all faults, that the request that crashes endpoints is sent to no more than
+    /// [`MAX_LATE_RUNS`] once all entry instances can know of three crashes.
+    async fn check_blocked(&self, entries: &[SocketAddr], ledger: &Ledger) {
+        let before = ledger.crashing_runs();
+        if before < 3 {
+            return;
+        }
+        for number in 0..4 * entries.len() {
+            caller::send_crashing(entries[number % entries.len()], number).await;
+        }
+        let late = ledger.crashing_runs() - before;
+        if late > MAX_LATE_RUNS {
+            let what = format!("blocked: {late} runs of a request after {before} crashes");
+            self.findings.lock().push(what);
+        }
+    }
+
     /// Adds a finding for each program that exited on its own, for example after a failed
     /// assertion.
     async fn note_exits(&self) {
@@ -255,6 +322,19 @@
     }
 }
 
+/// Sends the request that crashes endpoints to any entry instance, again and again.
+async fn send_crashing(seed: u64, entries: Vec<SocketAddr>, stop: watch::Receiver<bool>) {
+    let mut rng = seeded(seed);
+    for number in 0.. {
+        if *stop.borrow() {
+            return;
+        }
+        let entry = entries[rng.random_range(0..entries.len())];
+        caller::send_crashing(entry, number).await;
+        tokio::time::sleep(Duration::from_millis(rng.random_range(100..600))).await;
+    }
+}
+
 /// Returns once an entry instance has answered `REQUIRED_ANSWERS` consecutive requests.
 async fn wait_until_serving(entry: SocketAddr, name: String) {
     let mut in_a_row = 0;
--- a/bench/soak/src/verdict.rs
+++ b/bench/soak/src/verdict.rs
@@ -6,7 +6,7 @@
 use sill_wire::link::LIMIT_WINDOW;
 
 use crate::backend::{Ledger, expected};
-use crate::caller::{CallerAnswer, Client, GUESTS, Record};
+use crate::caller::{CallerAnswer, Client, GUESTS, Record, is_blocked};
 use crate::journal::{Event, Journal};
 use crate::stream;
 
@@ -117,6 +117,9 @@
         }
         if let Some(answer) = &record.answer {
             findings.extend(check_answer(record, answer, &runs));
+            if is_blocked(answer) {
+                findings.push(format!("blocked: {} crashes no endpoint", record.id));
+            }
         }
         let rule = match outcome(record, ledger, journal) {
             Outcome::CutByStop | Outcome::TurnedAway => "graceful_stop",
--- a/daemons/sill/tests/soak.rs
+++ b/daemons/sill/tests/soak.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use sill_soak::run::{SHORT_RUN, SIZES, ShortRun, SoakCfg, run_once};
+use sill_soak::run::{SHORT_CRASH_RUN, SHORT_RUN, SIZES, ShortRun, SoakCfg, run_once};
 
 /// Duration of the faults, in seconds, in runs that repeat a failed seed.
 const RERUN_SECONDS: u64 = 15;
@@ -13,7 +13,15 @@
 /// to another request, or settings that revert to an older revision.
 #[test]
 fn promises_hold_under_faults_from_outside() {
-    run_soak(SHORT_RUN);
+    run_soak(SHORT_RUN, false);
+}
+
+/// One request crashes each endpoint that runs it, and answers end with their connections, some
+/// streams inside an event, beside all other faults. No other request may be blocked, no truncated
+/// stream may look complete, and after the faults the request must reach no more endpoints.
+#[test]
+fn promises_hold_while_endpoints_crash_under_one_request() {
+    run_soak(SHORT_CRASH_RUN, true);
 }
 
 /// A seed that has failed, and the cause. It fails occasionally at most, because the seed does not
@@ -47,16 +55,17 @@
 fn run_failed_seeds(cases: &[FailedSeed]) {
     for FailedSeed { seed, cause } in cases {
         println!("seed={seed} cause={cause:?}");
-        run_soak(ShortRun { seed: *seed, seconds: RERUN_SECONDS });
+        run_soak(ShortRun { seed: *seed, seconds: RERUN_SECONDS }, false);
     }
 }
 
-fn run_soak(ShortRun { seed, seconds }: ShortRun) {
+fn run_soak(ShortRun { seed, seconds }: ShortRun, crashes: bool) {
     let cfg = SoakCfg {
         sill: PathBuf::from(env!("CARGO_BIN_EXE_sill")),
         seed,
         seconds,
         entries: SIZES.entries,
+        crashes,
         logs: std::env::temp_dir().join(format!("sill-soak-{}", std::process::id())),
     };
     let verdict = run_once(&cfg).expect("the processes can be started");
