Client: a connection that is closed at once counts as refused when an endpoint is checked

Evidence: tests/client.rs has the three peers (nobody, a proxy without a target, a server); the second was not refused before.

--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -16,6 +16,9 @@
 
 use crate::h1::server::set_socket_options;
 
+/// Time within which a proxy closes a connection that it can't forward.
+const REFUSAL_TIME: Millis = Millis(20);
+
 /// Settings of a [`ConnectionPool`].
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectionPoolCfg {
@@ -119,11 +122,16 @@
         })
     }
 
-    /// Returns whether the host at an address refuses connections, as after the end of the process
-    /// that listened there. A connection that is opened is kept for the next request.
+    /// Returns whether connections to an address are refused or closed at once, as after the end of
+    /// the process that listened there. A connection that stays open is kept for the next request.
     pub async fn is_refused(&self, address: SocketAddr) -> bool {
         match self.connect(address).await {
             Ok(sender) => {
+                // A proxy in front of a process that has ended accepts connections and closes them.
+                tokio::time::sleep(REFUSAL_TIME.into()).await;
+                if sender.is_closed() {
+                    return true;
+                }
                 self.keep(address, sender, self.cfg.idle_timeout - self.cfg.keep_alive_margin);
                 false
             }
--- /dev/null
+++ b/transport/net/tests/client.rs
@@ -0,0 +1,59 @@
+//! The pool of client connections.
+
+use std::net::SocketAddr;
+
+use sill_base::{Clock, Millis};
+use sill_net::h1::{ConnectionPool, ConnectionPoolCfg};
+use tokio::net::TcpListener;
+
+/// What listens at an address.
+#[derive(Debug, Clone, Copy)]
+enum Peer {
+    Nobody,
+    ProxyWithoutTarget,
+    Server,
+}
+
+async fn start(peer: Peer) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port can be bound");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    if !matches!(peer, Peer::Nobody) {
+        tokio::spawn(async move {
+            let mut open = Vec::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                if matches!(peer, Peer::Server) {
+                    open.push(stream);
+                }
+            }
+        });
+    }
+    address
+}
+
+/// A process that has ended must be told from one that has broken off a single answer: its address
+/// refuses connections, or a proxy in front of it closes them at once.
+#[tokio::test]
+async fn an_address_without_a_process_refuses_connections() {
+    struct Case {
+        peer: Peer,
+        is_refused: bool,
+    }
+    let cases = [
+        Case { peer: Peer::Nobody, is_refused: true },
+        Case { peer: Peer::ProxyWithoutTarget, is_refused: true },
+        Case { peer: Peer::Server, is_refused: false },
+    ];
+    let cfg = ConnectionPoolCfg {
+        connect_timeout: Millis(5000),
+        unacknowledged_timeout: Millis(5000),
+        idle_timeout: Millis(10_000),
+        keep_alive_margin: Millis(1000),
+    };
+    for Case { peer, is_refused } in cases {
+        let pool = ConnectionPool::new(cfg, Clock::start());
+        let address = start(peer).await;
+        assert_eq!(pool.is_refused(address).await, is_refused, "{peer:?}");
+        let kept = if is_refused { 0 } else { 1 };
+        assert_eq!(pool.expire(), kept, "idle connections, {peer:?}");
+    }
+}
