sill-entry: forward plain answers that end with their connection

What callers saw: an answer of a plain service that has neither a length nor chunks came as 200 with a length of 0, whole or broken off alike; a notice that may have been lost counted as sent.

Cause: the HTTP client of sill-entry takes such a body for an empty one, and a reset for its end. Attempts at plain services now use the client that relays answers of routes, which tells an orderly close from a reset; streams of models, which have an end marker, stay with the other.

--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -13,6 +13,7 @@
 use sill_base::{Clock, Millis, Name, event};
 use sill_flight::home::RunDirectory;
 use sill_flight::journal::Journal;
+use sill_net::h1::ConnectionPool;
 use sill_net::{PeerServer, client, http};
 use sill_wire::Incarnation;
 use tokio::runtime::{Handle, Runtime};
@@ -30,9 +31,9 @@
 use crate::metrics::Metrics;
 use crate::peers::PeerClients;
 use crate::routing::Routing;
-use crate::serve;
 use crate::serve::run::Runs;
 use crate::serve::signals::{self, Signals};
+use crate::serve::{self, plain};
 use crate::settings::Settings;
 use crate::{api, feed, limits, peer_server};
 
@@ -79,6 +80,8 @@
     pub journal: Mutex<Journal>,
     /// Notifications to all requests in flight.
     pub signals: Signals,
+    /// Connections to endpoints of plain services, shared by all threads.
+    pub plain_connections: ConnectionPool,
     /// Clients for calls to peers, shared by all threads.
     pub peer_clients: PeerClients,
     /// Channels to the worker threads, over which they accept requests handed off by peers.
@@ -142,6 +145,7 @@
             directory: Mutex::new(RunDirectory::new(MAX_DIRECTORY_KEYS, KEY_RETENTION)),
             journal: Mutex::new(Journal::new(MAX_JOURNAL_RECORDS)),
             signals: Signals::new(),
+            plain_connections: plain::connections(clock),
             peer_clients: PeerClients::default(),
             handoff_workers: WorkerSenders::default(),
             runtime,
--- a/daemons/entry/src/request.rs
+++ b/daemons/entry/src/request.rs
@@ -134,7 +134,8 @@
         path.push('?');
         path.push_str(req.query_string());
     }
-    let headers = forwardable_headers(req.headers());
+    let headers = req.headers().iter().map(|(name, value)| (name.as_str(), value.to_str().ok()));
+    let headers = forwardable_headers(headers);
     let method = req.method().clone();
     Ok(PlainRequest { meta, method, service: name.clone(), path, headers, body })
 }
--- a/daemons/entry/src/serve.rs
+++ b/daemons/entry/src/serve.rs
@@ -7,6 +7,7 @@
 pub mod driver;
 mod finish;
 pub mod headers;
+pub mod plain;
 pub mod run;
 pub mod signals;
 mod tokens;
--- a/daemons/entry/src/serve/driver.rs
+++ b/daemons/entry/src/serve/driver.rs
@@ -333,15 +333,22 @@
         let is_model = self.job.run.spec.kind == ServiceKind::Model;
         self.upstream = Some(self.job.run.with_transcript(|transcript| {
             let upstream_request = &self.job.upstream_request;
-            Upstream::send(
-                &self.client,
-                upstream_request,
-                epoch,
-                place,
-                resume.as_ref(),
-                transcript,
-                is_model,
-            )
+            match is_model {
+                true => Upstream::send_to_model(
+                    &self.client,
+                    upstream_request,
+                    epoch,
+                    place,
+                    resume.as_ref(),
+                    transcript,
+                ),
+                false => Upstream::send_to_service(
+                    &self.app.plain_connections,
+                    upstream_request,
+                    epoch,
+                    place,
+                ),
+            }
         }));
         // The endpoint may have received a reclaim notice that the router has not seen yet.
         self.check_notice();
--- a/daemons/entry/src/serve/headers.rs
+++ b/daemons/entry/src/serve/headers.rs
@@ -1,6 +1,5 @@
 //! Headers that are forwarded with calls and answers of plain services.
 
-use ntex::http::HeaderMap;
 use sill_wire::handoff::ReplyHeader;
 
 /// Headers that are not forwarded: they concern one connection, or entry instances set them.
@@ -25,13 +24,17 @@
     "accept-encoding",
 ];
 
-/// Returns the headers that are forwarded. `sill-` headers are set anew for each hop.
-pub fn forwardable_headers(headers: &HeaderMap) -> Vec<ReplyHeader> {
-    let forwardable = headers.iter().filter_map(|(name, value)| {
-        let name = name.as_str().to_ascii_lowercase();
+/// Returns the headers that are forwarded, from names and the values that are text. `sill-` headers
+/// are set anew for each hop.
+pub fn forwardable_headers<'a, I>(headers: I) -> Vec<ReplyHeader>
+where
+    I: Iterator<Item = (&'a str, Option<&'a str>)>,
+{
+    let forwardable = headers.filter_map(|(name, value)| {
+        let name = name.to_ascii_lowercase();
         let is_own = OWN.contains(&name.as_str()) || name.starts_with("sill-");
-        let value = value.to_str().ok()?;
-        (!is_own && name != "content-encoding").then(|| ReplyHeader::new(&name, value))
+        let value = value.filter(|_| !is_own && name != "content-encoding")?;
+        Some(ReplyHeader::new(&name, value))
     });
     forwardable.collect()
 }
--- a/daemons/entry/src/serve/upstream.rs
+++ b/daemons/entry/src/serve/upstream.rs
@@ -13,14 +13,16 @@
 use sill_base::Name;
 use sill_flight::flight::{Epoch, ResumePoint};
 use sill_flight::{Placement, Transcript};
+use sill_net::h1::ConnectionPool;
 use sill_wire::endpoint::{KvSource, Resume};
 use sill_wire::handoff::{HttpReply, ReplyBody, ReplyHeader};
 use sill_wire::header;
 
 use super::headers::forwardable_headers;
+use super::plain::{self, PlainRequest};
 
 /// Maximum size in bytes of a complete answer: of a plain service, or an endpoint's error.
-const MAX_REPLY_BYTES: usize = 16 << 20;
+pub(super) const MAX_REPLY_BYTES: usize = 16 << 20;
 
 /// The request that is sent to endpoints, the same for all attempts.
 #[derive(Debug, Clone)]
@@ -65,7 +67,7 @@
 type Collecting = Pin<Box<dyn Future<Output = UpstreamEvent>>>;
 
 enum State {
-    Sending { sending: Sending, is_model: bool },
+    Sending(Sending),
     Streaming(Payload),
     Collecting(Collecting),
     Done,
@@ -96,15 +98,15 @@
 }
 
 impl Upstream {
-    /// Starts an attempt; `resume` is set if the transcript's tokens must not be generated again.
-    pub fn send(
+    /// Starts an attempt at a model; `resume` is set if the transcript's tokens must not be generated
+    /// again.
+    pub fn send_to_model(
         client: &Client,
         outgoing: &UpstreamRequest,
         epoch: Epoch,
         place: &Placement,
         resume: Option<&ResumePoint>,
         transcript: &Transcript,
-        is_model: bool,
     ) -> Self {
         let url = format!("http://{}{}", place.address, outgoing.path);
         let mut req = client
@@ -122,27 +124,47 @@
             None => outgoing.body.clone(),
         };
         let sending: Sending = Box::pin(async move { req.send_body(body).await });
-        Self { epoch, state: State::Sending { sending, is_model } }
+        Self { epoch, state: State::Sending(sending) }
+    }
+
+    /// Starts an attempt at a plain service.
+    pub fn send_to_service(
+        connections: &ConnectionPool,
+        outgoing: &UpstreamRequest,
+        epoch: Epoch,
+        place: &Placement,
+    ) -> Self {
+        let mut headers = outgoing.headers.clone();
+        headers.push(ReplyHeader::new(header::REQUEST_ID, &outgoing.request));
+        headers.push(ReplyHeader::new(header::ATTEMPT, &epoch.0.to_string()));
+        let key = outgoing.key.iter();
+        headers.extend(key.map(|key| ReplyHeader::new(header::IDEMPOTENCY_KEY, key)));
+        let request = PlainRequest {
+            address: place.address.to_string(),
+            method: outgoing.method.to_string(),
+            path: outgoing.path.clone(),
+            headers,
+            body: outgoing.body.to_vec(),
+        };
+        let exchange = plain::exchange(connections.clone(), request);
+        Self { epoch, state: State::Collecting(Box::pin(exchange)) }
     }
 
     /// Waits for the next event. Cancel safe.
     pub async fn next_event(&mut self) -> UpstreamEvent {
         loop {
             match &mut self.state {
-                State::Sending { sending, is_model } => {
-                    let is_model = *is_model;
-                    match sending.await {
-                        Ok(res) if is_model && res.status().is_success() => {
-                            self.state = State::Streaming(res.take_payload());
-                            return UpstreamEvent::Head;
-                        }
-                        Ok(res) => self.state = State::Collecting(Box::pin(collect(res))),
-                        Err(err) => {
-                            self.state = State::Done;
-                            return classify_error(&err);
-                        }
+                State::Sending(sending) => match sending.await {
+                    Ok(res) if res.status().is_success() => {
+                        self.state = State::Streaming(res.take_payload());
+                        return UpstreamEvent::Head;
                     }
-                }
+                    Ok(res) => self.state = State::Collecting(Box::pin(collect(res))),
+                    Err(err) => {
+                        self.state = State::Done;
+                        return classify_error(&err);
+                    }
+                },
                 State::Streaming(payload) => match payload.next().await {
                     Some(Ok(part)) => return UpstreamEvent::Part(part),
                     Some(Err(err)) => {
@@ -183,7 +205,8 @@
 
 async fn collect(res: ClientResponse) -> UpstreamEvent {
     let status = res.status().as_u16();
-    let headers = forwardable_headers(res.headers());
+    let headers = res.headers().iter().map(|(name, value)| (name.as_str(), value.to_str().ok()));
+    let headers = forwardable_headers(headers);
     match res.body().limit(MAX_REPLY_BYTES).await {
         Ok(body) => {
             UpstreamEvent::Reply(HttpReply { status, headers, body: ReplyBody::new(&body) })
@@ -194,7 +217,7 @@
     }
 }
 
-fn too_large_reply() -> HttpReply {
+pub(super) fn too_large_reply() -> HttpReply {
     const STATUS: u16 = 500;
     let message = format!("the answer is larger than {MAX_REPLY_BYTES} bytes");
     let error = json!({ "code": "upstream_failed", "message": message, "not_run": false });
--- a/daemons/entry/tests/kit/mod.rs
+++ b/daemons/entry/tests/kit/mod.rs
@@ -47,6 +47,10 @@
     CloseWithoutReply,
     /// Announces a longer body than it sends.
     TruncatedBody,
+    /// Sends a part of a body without a length and resets the connection.
+    UnframedReset,
+    /// Sends a body without a length and closes the connection.
+    UnframedBody,
     /// Sends one token and ends the chunked encoding correctly, but without the end marker.
     NoEndMarker,
     /// Streams tokens of many bytes as long as they are read.
@@ -237,6 +241,8 @@
         Script::TruncatedBody => {
             "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf an ans".to_owned()
         }
+        Script::UnframedReset => return send_and_reset(&mut stream),
+        Script::UnframedBody => "HTTP/1.1 200 OK\r\n\r\nwhole".to_owned(),
         Script::NoEndMarker => format!("{STREAM_HEAD}{}0\r\n\r\n", token(0, "a")),
         Script::EndlessStream => return send_endless_stream(&mut stream, tokens),
     };
@@ -253,6 +259,14 @@
     format!("{:x}\r\n{event}\r\n", event.len())
 }
 
+fn send_and_reset(stream: &mut TcpStream) {
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf an ans");
+    // The bytes must arrive before the reset does.
+    thread::sleep(Duration::from_millis(200));
+    let socket = socket2::SockRef::from(&*stream);
+    socket.set_linger(Some(Duration::ZERO)).expect("set the socket option");
+}
+
 fn send_endless_stream(stream: &mut TcpStream, tokens: &AtomicU32) {
     let content = "a".repeat(16 << 10);
     let mut is_read = stream.write_all(STREAM_HEAD.as_bytes()).is_ok();
--- a/daemons/entry/tests/serving.rs
+++ b/daemons/entry/tests/serving.rs
@@ -160,6 +160,15 @@
             not_run: false,
             requests: 1,
         },
+        Case {
+            name: "reset body without a length",
+            script: Some(Script::UnframedReset),
+            path: SEND,
+            headers: &[],
+            status: 409,
+            not_run: false,
+            requests: 1,
+        },
         Case {
             name: "keyed",
             script: Some(Script::TruncatedBody),
@@ -205,6 +214,17 @@
     }
 }
 
+/// A plain answer without a length or chunks is complete after an orderly close.
+#[test]
+fn an_answer_that_ends_with_its_connection_is_forwarded() {
+    let control = FakeControl::start();
+    let entries = start_entries(&control, 1);
+    let scripted = ScriptedEndpoint::start(Script::UnframedBody);
+    scripted.announce(entries[0].address, "scripted");
+    let answer = call_until_routed(entries[0].address, SEND, &[], &body(3, false));
+    assert_eq!((answer.status, answer.body.as_str()), (200, "whole"), "{answer:?}");
+}
+
 /// An endpoint ends its stream without the end marker. If that counted as a complete answer, the
 /// caller would use a truncated one; so it has to be resumed at another endpoint.
 #[test]
