Crashes: a broken answer waits five seconds for the end of its endpoint

An answer that broke off alone, five to ten seconds before its endpoint crashed, was blamed for the crash.

--- a/coordination/dispatch/src/crashes.rs
+++ b/coordination/dispatch/src/crashes.rs
@@ -308,8 +308,9 @@
     completed.get(&request).is_some_and(|known| known.at >= at)
 }
 
-/// How long a broken answer waits for the confirmation that its endpoint has crashed.
-const CONFIRMATION_TTL: Millis = Millis(10_000);
+/// How long a broken answer waits for the confirmation that its endpoint has crashed. Three missed
+/// heartbeats take four seconds; an endpoint that ends later has not broken off the answer.
+const CONFIRMATION_TTL: Millis = Millis(5000);
 
 /// Answers that break off within this time of the last one broke off in the same crash.
 const CRASH_SPAN: Millis = Millis(1000);
