Gateway: an answer without a marked end is truncated if its endpoint has ended

What callers saw: an endpoint crashed between two events of a stream that ends with its connection, and the stream looked complete.

Cause: the connections of a process that ends are closed as in order. If connections are refused or closed at once, the answer is truncated; one of an endpoint that has announced that it leaves is believed.

Evidence: a_stream_without_a_marked_end_is_incomplete_if_its_endpoint_has_ended failed before and passes now, for a plain answer too.

--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -369,6 +369,11 @@
         self.endpoints.get(endpoint).map(|known| known.fact.incarnation)
     }
 
+    /// Returns whether an endpoint has announced that it leaves.
+    pub fn is_leaving(&self, endpoint: &Name) -> bool {
+        self.endpoints.get(endpoint).is_some_and(|k| k.fact.state == EndpointState::Leaving)
+    }
+
     /// Returns whether an endpoint is known to accept requests.
     pub fn is_ready(&self, endpoint: &Name) -> bool {
         self.endpoints.get(endpoint).is_some_and(|k| k.fact.state == EndpointState::Ready)
--- a/daemons/gateway/src/answer.rs
+++ b/daemons/gateway/src/answer.rs
@@ -57,7 +57,7 @@
         true => EventTracker::resumable(),
         false => EventTracker::pass_through(),
     });
-    let answer = EndpointAnswer { body, framing, attempt, connection };
+    let answer = EndpointAnswer::new(attempt, framing, body, connection);
     let mut relay = Relay::new(summary, answer, progress, events, may_resume);
     let mut mode = call.answer_mode;
     if !is_stream && may_be_cut(&relay, &call, &state) {
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -301,6 +301,11 @@
         &self.call
     }
 
+    /// Returns whether the endpoint has announced that it leaves.
+    pub fn is_endpoint_leaving(&self) -> bool {
+        self.call.pool.pool.lock().is_leaving(&self.placement.endpoint)
+    }
+
     /// Records that the answer broke off, because the endpoint may have crashed.
     pub fn record_broken_answer(&self) {
         // An endpoint that leaves ends anyway.
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -73,6 +73,32 @@
     pub attempt: Attempt,
     /// The connection that carries the answer; it is reused after a complete answer.
     pub connection: Option<ReusableConnection>,
+    /// Resolves to whether the endpoint has ended, once the body has ended without a mark.
+    end_check: Option<BoxFuture<'static, bool>>,
+}
+
+impl EndpointAnswer {
+    /// Creates the answer to an attempt, of which only the head was read.
+    pub fn new(
+        attempt: Attempt,
+        framing: Framing,
+        body: Incoming,
+        connection: Option<ReusableConnection>,
+    ) -> Self {
+        Self { body, framing, attempt, connection, end_check: None }
+    }
+
+    /// Starts to check whether the endpoint has ended, if the end of its answer has no mark.
+    fn start_end_check(&mut self) -> bool {
+        // An endpoint that leaves completes its answers before it ends.
+        if self.framing != Framing::Close || self.attempt.is_endpoint_leaving() {
+            return false;
+        }
+        let (state, address) = (self.attempt.state().clone(), self.attempt.placement.address);
+        let check = async move { state.connections.is_refused(address).await };
+        self.end_check = Some(Box::pin(check));
+        true
+    }
 }
 
 /// Returns whether a run is migrated, because it can't be resumed from its events alone.
@@ -293,6 +319,22 @@
         }
     }
 
+    /// Ends an answer whose end has no mark. If its endpoint has ended, it may have crashed before
+    /// the end of the answer.
+    fn end_unmarked(
+        &mut self,
+        cx: &Context<'_>,
+        has_ended: bool,
+    ) -> Poll<Option<Result<Bytes, BodyError>>> {
+        if !has_ended {
+            self.finish();
+            return Poll::Ready(None);
+        }
+        let reason = "the endpoint has ended, and its answer had no marked end";
+        self.end_truncated(cx, &reason, reason.into());
+        Poll::Pending
+    }
+
     fn record_stream_end(&mut self) {
         let Some(events) = &self.events else { return };
         self.summary.set_stream_end(match (events.is_between_events(), events.has_events()) {
@@ -305,6 +347,10 @@
     fn poll_running(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         loop {
             let Source::Endpoint(answer) = &mut self.source else { return Poll::Ready(None) };
+            if let Some(check) = &mut answer.end_check {
+                let has_ended = ready!(check.as_mut().poll(cx));
+                return self.end_unmarked(cx, has_ended);
+            }
             match ready!(Pin::new(&mut answer.body).poll_frame(cx)) {
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
@@ -331,12 +377,18 @@
                 }
                 None => {
                     self.record_stream_end();
-                    let Some(reason) = self.truncation() else {
+                    if let Some(reason) = self.truncation() {
+                        self.end_truncated(cx, &reason, reason.into());
+                        return Poll::Pending;
+                    }
+                    let is_checked = match &mut self.source {
+                        Source::Endpoint(answer) => answer.start_end_check(),
+                        _ => false,
+                    };
+                    if !is_checked {
                         self.finish();
                         return Poll::Ready(None);
-                    };
-                    self.end_truncated(cx, &reason, reason.into());
-                    return Poll::Pending;
+                    }
                 }
             }
         }
@@ -386,7 +438,7 @@
         AttemptResult::Answer(attempt, answer) if answer.response.status().is_success() => {
             let framing = answer.framing();
             let (response, connection) = answer.into_parts();
-            Some(EndpointAnswer { body: response.into_body(), framing, attempt, connection })
+            Some(EndpointAnswer::new(attempt, framing, response.into_body(), connection))
         }
         _ => None,
     }
--- a/daemons/gateway/tests/stream_ends.rs
+++ b/daemons/gateway/tests/stream_ends.rs
@@ -188,6 +188,22 @@
     }
 }
 
+/// An endpoint crashes between two events of a stream whose end only the close of its connection
+/// marks. The close looks like that of a complete stream; that the endpoint is gone tells it apart.
+#[test]
+fn a_stream_without_a_marked_end_is_incomplete_if_its_endpoint_has_ended() {
+    let event = "id: 1\ndata: a\n\n";
+    for answer in [EVENT_STREAM, "content-type: text/plain\r\n"] {
+        for path in ["/stream/x", "/resumable_stream/x"] {
+            let ends = Action::AnswerAndEnd(format!("{}{event}", head(answer)));
+            let harness = Harness::start(vec![vec![ends]]);
+            let got = harness.call(path);
+            assert!(!looks_complete(&got), "{answer:?} at {path}: {}", got.head);
+            assert_eq!(String::from_utf8_lossy(&got.body), event, "{answer:?} at {path}");
+        }
+    }
+}
+
 /// An engine stops a run to migrate it, and closes the stream in order between two events before
 /// the copy is complete. The caller must get the rest from the other engine.
 #[test]
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -53,6 +53,8 @@
     AnswerInTwo(String, Duration, String),
     /// Sends these bytes and closes the connection.
     AnswerAndClose(String),
+    /// Sends these bytes, stops to listen and closes the connection, like a process that ends.
+    AnswerAndEnd(String),
     /// Sends these bytes, and closes the connection after a delay.
     AnswerAndCloseLater(String, Duration),
     /// Sends these bytes, and closes the connection once the flag is set.
@@ -157,9 +159,11 @@
             for (number, stream) in listener.incoming().enumerate() {
                 let (actions, request_log) = (actions.clone(), request_log.clone());
                 let (run_ids, disconnects) = (run_ids.clone(), disconnects.clone());
-                let stream: TcpStream = stream.expect("a connection is accepted");
+                let Ok(stream) = stream else { return };
+                let listener = listener.try_clone().expect("the socket can be cloned");
                 thread::spawn(move || {
-                    serve(stream, number, &actions, &request_log, &run_ids, &disconnects)
+                    let logs = (&*request_log, &*run_ids);
+                    serve(stream, number, &listener, &actions, logs, &disconnects)
                 });
             }
         });
@@ -174,9 +178,9 @@
 fn serve(
     stream: TcpStream,
     number: usize,
+    listener: &TcpListener,
     actions: &Mutex<VecDeque<Action>>,
-    request_log: &Mutex<Vec<ReceivedRequest>>,
-    run_ids: &Mutex<Vec<String>>,
+    (request_log, run_ids): (&Mutex<Vec<ReceivedRequest>>, &Mutex<Vec<String>>),
     disconnects: &Mutex<usize>,
 ) {
     let mut reader = BufReader::new(stream.try_clone().expect("the socket can be cloned"));
@@ -211,6 +215,12 @@
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
                 return;
             }
+            Action::AnswerAndEnd(text) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
+                let socket = socket2::SockRef::from(listener);
+                let _ = socket.shutdown(std::net::Shutdown::Both);
+                return;
+            }
             Action::AnswerAndCloseLater(text, pause) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
                 thread::sleep(pause);
