Gateway: wait longer for the close of a connection behind a stream without a marked end

No event is held back by the wait, only the end, so streams wait 100 ms; plain answers, which are late by what they wait, stay at 20 ms.

It is a race that can be narrowed, not closed.

--- a/daemons/gateway/src/crashes.rs
+++ b/daemons/gateway/src/crashes.rs
@@ -16,6 +16,9 @@
 /// process may close its connections before its listener.
 const CHECK_PAUSES: [Millis; 3] = [Millis(5), Millis(60), Millis(400)];
 
+/// Time within which a proxy in front of an endpoint that has ended closes a connection.
+pub const REFUSAL_TIME: Millis = Millis(20);
+
 /// Crashes of endpoints that this instance has noticed or heard of.
 #[derive(Debug)]
 pub struct Crashes {
@@ -180,7 +183,7 @@
 async fn check(state: Arc<State>, endpoint: Name, incarnation: Incarnation, address: SocketAddr) {
     for pause in CHECK_PAUSES {
         tokio::time::sleep(pause.into()).await;
-        if state.connections.is_refused(address).await {
+        if state.connections.is_refused(address, REFUSAL_TIME).await {
             state.crashes.confirm(&endpoint, incarnation);
             return;
         }
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use http::Response;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use sill_base::Name;
+use sill_base::{Millis, Name};
 use sill_dispatch::{AttemptOutcome, CallProgress, EventTracker, NextStep};
 use sill_net::h1::{AnyBody, BodyError, Framing, ReusableConnection};
 use sill_route::Outcome;
@@ -20,6 +20,7 @@
 use sill_wire::ErrorCode;
 use tokio::time::Sleep;
 
+use crate::crashes::REFUSAL_TIME;
 use crate::dispatch::{self, Attempt, AttemptResult, Resumption};
 use crate::failure::Failure;
 use crate::migration::RunMigration;
@@ -28,6 +29,11 @@
 use crate::summary::{CallSummary, StreamEnd};
 use crate::termination::FinalPhase;
 
+/// Wait for the close of a new connection before a stream without a marked end is taken for
+/// complete. A process that ends may close its listener after its connections, and no event of the
+/// stream is held back meanwhile.
+const STREAM_END_WAIT: Millis = Millis(100);
+
 /// The body of an answer while it is relayed to the caller.
 pub struct Relay {
     state: Arc<State>,
@@ -89,13 +95,13 @@
     }
 
     /// Starts to check whether the endpoint has ended, if the end of its answer has no mark.
-    fn start_end_check(&mut self) -> bool {
+    fn start_end_check(&mut self, wait: Millis) -> bool {
         // An endpoint that leaves completes its answers before it ends.
         if self.framing != Framing::Close || self.attempt.is_endpoint_leaving() {
             return false;
         }
         let (state, address) = (self.attempt.state().clone(), self.attempt.placement.address);
-        let check = async move { state.connections.is_refused(address).await };
+        let check = async move { state.connections.is_refused(address, wait).await };
         self.end_check = Some(Box::pin(check));
         true
     }
@@ -381,8 +387,12 @@
                         self.end_truncated(cx, &reason, reason.into());
                         return Poll::Pending;
                     }
+                    let wait = match &self.events {
+                        Some(_) => STREAM_END_WAIT,
+                        None => REFUSAL_TIME,
+                    };
                     let is_checked = match &mut self.source {
-                        Source::Endpoint(answer) => answer.start_end_check(),
+                        Source::Endpoint(answer) => answer.start_end_check(wait),
                         _ => false,
                     };
                     if !is_checked {
--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -16,9 +16,6 @@
 
 use crate::h1::server::set_socket_options;
 
-/// Time within which a proxy closes a connection that it can't forward.
-const REFUSAL_TIME: Millis = Millis(20);
-
 /// Settings of a [`ConnectionPool`].
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectionPoolCfg {
@@ -122,13 +119,14 @@
         })
     }
 
-    /// Returns whether connections to an address are refused or closed at once, as after the end of
-    /// the process that listened there. A connection that stays open is kept for the next request.
-    pub async fn is_refused(&self, address: SocketAddr) -> bool {
+    /// Returns whether connections to an address are refused or closed within `wait`, as after the
+    /// end of the process that listened there. A connection that stays open is kept for the next
+    /// request.
+    pub async fn is_refused(&self, address: SocketAddr, wait: Millis) -> bool {
         match self.connect(address).await {
             Ok(sender) => {
                 // A proxy in front of a process that has ended accepts connections and closes them.
-                tokio::time::sleep(REFUSAL_TIME.into()).await;
+                tokio::time::sleep(wait.into()).await;
                 if sender.is_closed() {
                     return true;
                 }
--- a/transport/net/tests/client.rs
+++ b/transport/net/tests/client.rs
@@ -52,7 +52,7 @@
     for Case { peer, is_refused } in cases {
         let pool = ConnectionPool::new(cfg, Clock::start());
         let address = start(peer).await;
-        assert_eq!(pool.is_refused(address).await, is_refused, "{peer:?}");
+        assert_eq!(pool.is_refused(address, Millis(500)).await, is_refused, "{peer:?}");
         let kept = if is_refused { 0 } else { 1 };
         assert_eq!(pool.expire(), kept, "idle connections, {peer:?}");
     }
