--- a/daemons/gateway/tests/stream_ends.rs
+++ b/daemons/gateway/tests/stream_ends.rs
@@ -124,6 +124,25 @@
     }
 }
 
+/// An answer without a body has no events. If it were judged as a stream, it would never be complete.
+#[test]
+fn an_answer_without_a_body_is_not_judged_as_a_stream() {
+    let no_content = head(EVENT_STREAM).replace("200 OK", "204 No Content");
+    let zero_length = head(&format!("{EVENT_STREAM}content-length: 0\r\n"));
+    for (answer, status) in [(no_content, "204"), (zero_length, "200")] {
+        for path in ["/stream/x", "/resumable_stream/x"] {
+            let harness = Harness::start(vec![vec![Action::AnswerAndClose(answer.clone())]]);
+            let mut stream = TcpStream::connect(harness.address).expect("the instance accepts");
+            let text = request(path, "connection: close\r\n");
+            stream.write_all(text.as_bytes()).expect("the peer reads the bytes");
+            let mut got = String::new();
+            stream.read_to_string(&mut got).expect("an answer");
+            assert!(got.starts_with(&format!("HTTP/1.1 {status}")), "{path}: {got}");
+            assert!(got.ends_with("\r\n\r\n"), "{path}: {got}");
+        }
+    }
+}
+
 /// A stream without a length or chunks is whole if it ends between two events; none may be lost.
 #[test]
 fn a_whole_stream_is_whole_for_the_caller_whatever_its_framing() {
