--- a/bench/soak/src/cli.rs
+++ b/bench/soak/src/cli.rs
@@ -29,6 +29,12 @@
             "true",
             "whether endpoints also crash under one request, and end answers with their connections",
         ),
+        Flag::with_default(
+            "cuts",
+            "BOOL",
+            "true",
+            "whether entry instances also lose their connections to endpoints",
+        ),
         Flag::with_default(
             "logs",
             "DIR",
@@ -51,17 +57,19 @@
     let seconds: Option<u64> = values.required("seconds");
     let entries: Option<usize> = values.required("entries");
     let crashes: Option<bool> = values.required("crashes");
+    let cuts: Option<bool> = values.required("cuts");
     let logs: Option<PathBuf> = values.required("logs");
     values.finish()?;
     let checked = "present once the check succeeded";
     let (sill, logs) = (sill.expect(checked), logs.expect(checked));
     let (first, runs, seconds) =
         (seed.expect(checked), runs.expect(checked), seconds.expect(checked));
-    let (entries, crashes) = (entries.expect(checked), crashes.expect(checked));
+    let entries = entries.expect(checked);
+    let (crashes, cuts) = (crashes.expect(checked), cuts.expect(checked));
     let mut failed = Vec::new();
     for seed in first..first + runs {
         let (sill, logs) = (sill.clone(), logs.clone());
-        let cfg = SoakCfg { sill, seed, seconds, entries, crashes, logs };
+        let cfg = SoakCfg { sill, seed, seconds, entries, crashes, cuts, logs };
         let verdict = run::run_once(&cfg)?;
         println!("{verdict}");
         if !verdict.findings.is_empty() {
--- a/bench/soak/src/cluster.rs
+++ b/bench/soak/src/cluster.rs
@@ -1,7 +1,7 @@
 //! All processes of a run and the proxied links between them.
 
 use std::fs;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
@@ -10,7 +10,7 @@
 use sill_standin::loopback::free_addresses;
 
 use crate::backend::{Endpoint, Ledger};
-use crate::link::Link;
+use crate::link::{Link, SourceCut};
 use crate::plan::{LinkFault, Sizes};
 use crate::process::Process;
 
@@ -130,6 +130,18 @@
         self.entry_links[i].iter().for_each(|link| link.set_fault(fault));
     }
 
+    /// Cuts an entry instance off from the first `count` endpoints. Returns the cut.
+    pub fn cut_entry_off(&self, i: usize, count: usize, fault: LinkFault) -> SourceCut {
+        let cut = SourceCut { source: entry_source(i), fault };
+        self.endpoint_links.iter().take(count).for_each(|link| link.cut_source(cut));
+        cut
+    }
+
+    /// Ends a cut of an entry instance.
+    pub fn reconnect_entry(&self, cut: SourceCut) {
+        self.endpoint_links.iter().for_each(|link| link.reconnect_source(cut));
+    }
+
     /// Sets or clears a fault on the link to an endpoint.
     pub fn set_endpoint_link(&self, i: usize, fault: Option<LinkFault>) {
         self.endpoint_links[i].set_fault(fault);
@@ -182,6 +194,7 @@
         for link in links {
             args.extend(["--control".to_owned(), link.address.to_string()]);
         }
+        args.extend(["--connect-from".to_owned(), entry_source(i).to_string()]);
         args.extend(self.key("cluster-key"));
         args.extend(["--drain-notice-ms".to_owned(), STOP_NOTICE.to_string()]);
         args.extend(["--drain-limit-ms".to_owned(), STOP_LIMIT.to_string()]);
@@ -202,6 +215,13 @@
     format!("d{i}")
 }
 
+/// Returns the address from which an entry instance connects to endpoints, by which their links tell
+/// its connections from those of others.
+fn entry_source(i: usize) -> IpAddr {
+    let [high, low] = (i as u16).to_be_bytes();
+    IpAddr::from([127, 250, high, low])
+}
+
 fn key_file(folder: &Path, name: &str) -> PathBuf {
     folder.join(format!("{name}.txt"))
 }
--- a/bench/soak/src/injector.rs
+++ b/bench/soak/src/injector.rs
@@ -74,6 +74,15 @@
             Fault::EntryLinks(i, fault, span) => {
                 self.set_for(span, |c, on| c.set_entry_links(i, on.then_some(fault))).await
             }
+            Fault::EntryCutOff(i, count, fault, span) => {
+                let from = self.journal.now();
+                let cut = self.cluster.lock().await.cut_entry_off(i, count, fault);
+                tokio::time::sleep(span.into()).await;
+                self.cluster.lock().await.reconnect_entry(cut);
+                // Answers that were held back may still be late at the entry instance.
+                self.note_disruption(Target::Entry(i), from, self.journal.now() + CUT_GRACE);
+                Ok(())
+            }
             Fault::EndpointLink(i, fault, span) => {
                 let from = self.journal.now();
                 self.set_for(span, |c, on| c.set_endpoint_link(i, on.then_some(fault))).await?;
--- a/bench/soak/src/link.rs
+++ b/bench/soak/src/link.rs
@@ -1,7 +1,7 @@
 //! A loopback TCP proxy that can inject faults.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -19,6 +19,23 @@
     /// Address on which the proxy accepts connections.
     pub address: SocketAddr,
     fault: watch::Sender<Option<LinkFault>>,
+    cuts: watch::Sender<Vec<SourceCut>>,
+}
+
+/// A fault of the connections that come from one address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SourceCut {
+    /// The address.
+    pub source: IpAddr,
+    /// The fault of its connections.
+    pub fault: LinkFault,
+}
+
+/// The faults of a link.
+#[derive(Debug, Clone)]
+struct Faults {
+    fault: watch::Receiver<Option<LinkFault>>,
+    cuts: watch::Receiver<Vec<SourceCut>>,
 }
 
 /// A direction of a proxied connection.
@@ -36,23 +53,53 @@
     /// Fails when the address is in use.
     pub async fn open(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
-        let fault = watch::Sender::new(None);
-        tokio::spawn(accept(listener, target, fault.subscribe()));
-        Ok(Self { address, fault })
+        let (fault, cuts) = (watch::Sender::new(None), watch::Sender::default());
+        let faults = Faults { fault: fault.subscribe(), cuts: cuts.subscribe() };
+        tokio::spawn(accept(listener, target, faults));
+        Ok(Self { address, fault, cuts })
     }
 
     /// Sets or clears the fault of this link.
     pub fn set_fault(&self, fault: Option<LinkFault>) {
         self.fault.send_replace(fault);
     }
+
+    /// Adds a fault of the connections from one address.
+    pub fn cut_source(&self, cut: SourceCut) {
+        self.cuts.send_modify(|cuts| cuts.push(cut));
+    }
+
+    /// Removes a fault that [`Link::cut_source`] has added.
+    pub fn reconnect_source(&self, cut: SourceCut) {
+        self.cuts.send_modify(|cuts| cuts.retain(|other| *other != cut));
+    }
 }
 
-async fn accept(
-    listener: TcpListener,
-    target: SocketAddr,
-    fault: watch::Receiver<Option<LinkFault>>,
-) {
-    let mut ended = fault.clone();
+impl Faults {
+    /// Returns the fault of a connection from `peer`.
+    fn of(&self, peer: SocketAddr) -> Option<LinkFault> {
+        let cuts = self.cuts.borrow();
+        let cut = cuts.iter().find(|cut| cut.source == peer.ip());
+        cut.map(|cut| cut.fault).or(*self.fault.borrow())
+    }
+
+    /// Tells the fault of a connection from `peer` until the link is gone.
+    async fn follow(mut self, peer: SocketAddr, fault: watch::Sender<Option<LinkFault>>) {
+        loop {
+            let changed = tokio::select! {
+                changed = self.fault.changed() => changed,
+                changed = self.cuts.changed() => changed,
+            };
+            if changed.is_err() {
+                return;
+            }
+            fault.send_replace(self.of(peer));
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, faults: Faults) {
+    let mut ended = faults.fault.clone();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -61,8 +108,16 @@
                 Err(_) => return,
             },
         };
-        if let Ok((inbound, _)) = accepted {
-            tokio::spawn(connect(inbound, target, fault.clone()));
+        if let Ok((inbound, peer)) = accepted {
+            let faults = faults.clone();
+            tokio::spawn(async move {
+                let fault = watch::Sender::new(faults.of(peer));
+                let connection = connect(inbound, target, fault.subscribe());
+                tokio::select! {
+                    () = connection => {}
+                    () = faults.follow(peer, fault) => {}
+                }
+            });
         }
     }
 }
--- a/bench/soak/src/plan.rs
+++ b/bench/soak/src/plan.rs
@@ -98,6 +98,8 @@
     ControlLinks(usize, LinkFault, Millis),
     /// A fault of the links from one entry instance to all control instances.
     EntryLinks(usize, LinkFault, Millis),
+    /// A fault of the links from one entry instance to the first of the endpoints, as many as given.
+    EntryCutOff(usize, usize, LinkFault, Millis),
     /// A fault of the link to one endpoint.
     EndpointLink(usize, LinkFault, Millis),
     /// Incorrect or slow answers from one endpoint.
@@ -159,6 +161,24 @@
     faults
 }
 
+/// Generates the faults by which entry instances lose their links to endpoints, with a generator of
+/// their own. The cuts of two tracks overlap.
+pub fn cut_off_plan(seed: u64, span: Millis, sizes: Sizes) -> Vec<ScheduledFault> {
+    const SEED_MASK: u64 = 0x6375_7473;
+    let mut rng = seeded(seed ^ SEED_MASK);
+    let mut faults = Vec::new();
+    for _ in 0..2 {
+        fill_track(&mut rng, span, &mut faults, |rng| {
+            let i = rng.random_range(0..sizes.entries);
+            let is_whole = rng.random_bool(0.7);
+            let count = if is_whole { sizes.endpoints } else { sizes.endpoints / 2 };
+            let span = rng.random_range(500..6000);
+            (Fault::EntryCutOff(i, count, link_fault(rng), Millis(span)), span)
+        });
+    }
+    faults
+}
+
 /// Fills the span with successive faults. `draw` returns a fault and the time that it occupies.
 fn fill_track<F>(rng: &mut Rng, span: Millis, faults: &mut Vec<ScheduledFault>, mut draw: F)
 where
--- a/bench/soak/src/process.rs
+++ b/bench/soak/src/process.rs
@@ -59,6 +59,11 @@
         Ok(())
     }
 
+    /// Returns the process id of the child, if there is one.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Kills the process with SIGKILL and waits for its exit.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/bench/soak/src/run.rs
+++ b/bench/soak/src/run.rs
@@ -75,6 +75,8 @@
     pub entries: usize,
     /// Whether endpoints also crash under one request, and end answers with their connections.
     pub crashes: bool,
+    /// Whether entry instances also lose their links to endpoints.
+    pub cuts: bool,
     /// Folder that keeps the logs of runs with findings.
     pub logs: PathBuf,
 }
@@ -94,6 +96,9 @@
 /// The run in CI in which endpoints crash.
 pub const SHORT_CRASH_RUN: ShortRun = ShortRun { seed: 4301, seconds: 10 };
 
+/// The run in CI in which entry instances lose their links to endpoints.
+pub const SHORT_CUT_RUN: ShortRun = ShortRun { seed: 4701, seconds: 12 };
+
 /// The fault injector of a run and the findings collected so far.
 struct Run {
     injector: FaultInjector,
@@ -209,8 +214,11 @@
         let mut plan = plan::plan(cfg.seed, span, cfg.sizes());
         if cfg.crashes {
             plan.extend(plan::unframed_plan(cfg.seed, span, cfg.sizes()));
-            plan.sort_by_key(|scheduled| scheduled.at);
         }
+        if cfg.cuts {
+            plan.extend(plan::cut_off_plan(cfg.seed, span, cfg.sizes()));
+        }
+        plan.sort_by_key(|scheduled| scheduled.at);
         let journal = &self.injector.journal;
         let (count, began) = (plan.len(), journal.now());
         let mut tasks = JoinSet::new();
--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod crashes;
 pub mod events;
 pub mod loads;
+pub mod paths;
 pub mod pool;
 pub mod registry;
+pub mod relays;
 pub mod settings;
 pub mod share;
 pub mod speed;
@@ -24,10 +26,12 @@
 pub use crashes::{BlockChange, BrokenAnswer, BrokenAnswers, CrashLog};
 pub use events::EventTracker;
 pub use loads::EndpointLoads;
+pub use paths::{Doubt, Path, PathChange, PathRequest, Paths, TICK};
 pub use pool::{
     FactUpdate, Placement, PlacementDecision, PlacementRequest, Pool, PoolCfg, Prompt, PromptPart,
 };
 pub use registry::Registry;
+pub use relays::{RelayList, RelayLoad};
 pub use settings::{CompleteSettings, PieceError, SettingsAssembly};
 pub use share::{
     AdmittedByReason, LimitBounds, LimitEstimate, LimitShares, MAX_TOTALS_AGE, OverLimit,
--- /dev/null
+++ b/coordination/dispatch/src/paths.rs
@@ -0,0 +1,517 @@
+//! The network paths from an entry instance to endpoints: its own connections, or tunnels through
+//! other entry instances.
+//!
+//! A partition is not announced. Connections hang, are reset or live on while new ones are refused,
+//! and an endpoint that has ended or is slow looks the same from here. Two things tell them apart:
+//! whether another entry instance reaches the endpoint at the same time, and whether any endpoint
+//! answers at all.
+
+use std::net::SocketAddr;
+
+use sill_base::{Map, Millis};
+
+/// Length of a tick. Silence is counted in ticks and not by the clock: after a pause of the process
+/// its endpoints have not been silent.
+pub const TICK: Millis = Millis(100);
+
+/// Ticks without a byte from an endpoint that has requests in flight until its path is checked.
+const QUIET_TICKS: u32 = 4;
+
+/// Ticks of silence until new requests take another path although the endpoint accepts connections.
+/// An engine that computes a long prompt is as silent.
+const LONG_QUIET_TICKS: u32 = 8;
+
+/// Largest number of ticks between two checks of an endpoint that is silent but accepts connections.
+const MAX_CHECK_TICKS: u32 = 64;
+
+/// Interval at which lost paths are checked.
+const CHECK_INTERVAL: Millis = Millis(500);
+
+/// Interval at which requests that may be repeated try a path on which connections open but requests
+/// got no answer. Each failure takes a retry.
+const TRIAL_INTERVAL: Millis = Millis(1000);
+
+/// Number of lost paths that are checked per interval, as partitions separate from many endpoints.
+const CHECKS_PER_INTERVAL: usize = 2;
+
+/// Time after which a request that must not run twice tries a path that fails only after connecting;
+/// doubled with each failure.
+const MIN_RISKY_INTERVAL: Millis = Millis(4000);
+
+/// Upper bound for the time between such trials.
+const MAX_RISKY_INTERVAL: Millis = Millis(8000);
+
+/// How long tunnels to an endpoint are not tried after none reached it.
+const TUNNEL_BACKOFF: Millis = Millis(1000);
+
+/// Time without an answer on any path until requests are refused without an attempt.
+const UNREACHABLE_AFTER: Millis = Millis(2000);
+
+/// Number of failures to connect from which on requests in flight are given up.
+const MIN_FAILURES: u32 = 2;
+
+/// Number of endpoints whose paths must be in doubt until the other paths are as well.
+const MIN_DOUBTED: usize = 2;
+
+/// Why a path is in doubt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Doubt {
+    /// Connecting fails.
+    Connect,
+    /// The endpoint accepts a connection and resets it before it answers.
+    Reset,
+    /// The endpoint does not answer requests in flight.
+    Silence,
+}
+
+/// The path that a request takes to its endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Path {
+    /// The own connections; kept ones may be used.
+    Direct,
+    /// A new connection of its own, to find out whether the path works again.
+    Trial,
+    /// A tunnel, or else the own connections.
+    Tunnel,
+    /// No path works, so the request is not sent.
+    None,
+}
+
+/// What a request allows when its path is chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct PathRequest {
+    /// The endpoint's address.
+    pub address: SocketAddr,
+    /// Whether the request may be sent again if it gets no answer.
+    pub may_repeat: bool,
+    /// Whether another entry instance offers tunnels.
+    pub has_relay: bool,
+}
+
+/// A change of what is believed of the paths.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PathChange {
+    /// The path is in doubt.
+    Doubted(SocketAddr, Doubt),
+    /// Another entry instance reaches the endpoint, and this one does not.
+    Lost(SocketAddr, Doubt),
+    /// The endpoint answers on the own connections again.
+    Restored(SocketAddr),
+    /// No endpoint is reached on the own connections.
+    CutOff,
+    /// Endpoints are reached on the own connections again.
+    Reconnected,
+}
+
+/// The state of the path to one endpoint.
+#[derive(Debug, Default, Clone, Copy)]
+struct EndpointPath {
+    /// Requests in flight on own connections.
+    waiting: u32,
+    is_engine: bool,
+    /// Ticks without a byte while requests were in flight.
+    quiet: u32,
+    /// Ticks of silence at which the path is checked next.
+    check_at_quiet: u32,
+    fault: Option<Fault>,
+    /// No tunnel is tried before this time.
+    no_tunnel_until: Millis,
+}
+
+/// A path that is in doubt or lost.
+#[derive(Debug, Clone, Copy)]
+struct Fault {
+    doubt: Doubt,
+    since: Millis,
+    /// Whether another entry instance has reached the endpoint since.
+    is_lost: bool,
+    /// How often connecting has failed; a refusal counts for several time-outs.
+    failures: u32,
+    /// When a new connection is opened next, to find out whether that works again.
+    next_check: Millis,
+    /// Whether a request may find out whether the path works again.
+    may_try: bool,
+}
+
+/// What an entry instance believes of its paths to endpoints.
+#[derive(Debug)]
+pub struct Paths {
+    endpoints: Map<SocketAddr, EndpointPath>,
+    fault_count: usize,
+    /// Ticks without a byte on any own connection.
+    quiet: u32,
+    /// When an endpoint was last heard on an own connection.
+    heard_at: Millis,
+    /// When an endpoint was last heard on any path.
+    answered_at: Millis,
+    next_check: Millis,
+    next_trial: Millis,
+    next_risky_trial: Millis,
+    risky_interval: Millis,
+    /// The endpoint that [`Paths::next_presumed`] returned last.
+    last_presumed: Option<SocketAddr>,
+    is_cut_off: bool,
+    changes: Vec<PathChange>,
+}
+
+impl Default for Paths {
+    fn default() -> Self {
+        Self {
+            endpoints: Map::default(),
+            fault_count: 0,
+            quiet: 0,
+            heard_at: Millis::ZERO,
+            answered_at: Millis::ZERO,
+            next_check: Millis::ZERO,
+            next_trial: Millis::ZERO,
+            next_risky_trial: Millis::ZERO,
+            risky_interval: MIN_RISKY_INTERVAL,
+            last_presumed: None,
+            is_cut_off: false,
+            changes: Vec::new(),
+        }
+    }
+}
+
+impl Paths {
+    /// Chooses the path of a request.
+    pub fn choose(&mut self, now: Millis, req: PathRequest) -> Path {
+        let path = self.endpoints.entry(req.address).or_default();
+        let (fault, may_tunnel) = (path.fault, path.no_tunnel_until <= now);
+        if fault.is_none() && !self.is_cut_off {
+            return Path::Direct;
+        }
+        // Without a fault of its own, a path is only presumed to be broken like the others.
+        let may_try = fault.is_none_or(|fault| fault.may_try && fault.is_lost);
+        if may_try && self.take_trial(now, req.may_repeat) {
+            self.record_trial(req.address);
+            return Path::Trial;
+        }
+        let has_tunnel = req.has_relay && may_tunnel;
+        if self.is_unreachable(now, has_tunnel) {
+            return if self.take_trial(now, req.may_repeat) { Path::Trial } else { Path::None };
+        }
+        if has_tunnel { Path::Tunnel } else { Path::Direct }
+    }
+
+    /// Returns whether requests are sent on no path because none has worked for a while.
+    fn is_unreachable(&self, now: Millis, has_tunnel: bool) -> bool {
+        let faults = self.endpoints.values().filter_map(|path| path.fault);
+        let oldest = faults.map(|fault| fault.since).min();
+        let is_old = oldest.is_some_and(|since| now - since > UNREACHABLE_AFTER);
+        let is_silent = now - self.answered_at > UNREACHABLE_AFTER;
+        self.is_cut_off && is_silent && (!has_tunnel || is_old)
+    }
+
+    /// A connection that was reset is checked again before the next request tries it.
+    fn record_trial(&mut self, address: SocketAddr) {
+        let path = self.endpoints.get_mut(&address);
+        if let Some(fault) = path.and_then(|path| path.fault.as_mut()) {
+            fault.may_try = fault.doubt == Doubt::Silence;
+        }
+    }
+
+    /// Returns whether a request is to try its own connection although that failed before.
+    fn take_trial(&mut self, now: Millis, may_repeat: bool) -> bool {
+        if may_repeat {
+            let is_due = self.next_trial <= now;
+            if is_due {
+                self.next_trial = now + TRIAL_INTERVAL;
+                self.next_risky_trial = self.next_risky_trial.max(now + MIN_RISKY_INTERVAL);
+            }
+            return is_due;
+        }
+        let is_due = self.next_risky_trial <= now;
+        if is_due {
+            self.risky_interval =
+                (self.risky_interval + self.risky_interval).min(MAX_RISKY_INTERVAL);
+            self.next_risky_trial = now + self.risky_interval;
+        }
+        is_due
+    }
+
+    /// Returns whether tunnels to an endpoint may be tried.
+    pub fn may_tunnel(&self, now: Millis, address: SocketAddr) -> bool {
+        self.endpoints.get(&address).is_none_or(|path| path.no_tunnel_until <= now)
+    }
+
+    /// Returns whether no endpoint is reached on the own connections.
+    pub const fn is_cut_off(&self) -> bool {
+        self.is_cut_off
+    }
+
+    /// Returns whether the own connections to an endpoint are not in doubt.
+    pub fn is_sound(&self, address: SocketAddr) -> bool {
+        !self.is_cut_off && self.endpoints.get(&address).is_none_or(|path| path.fault.is_none())
+    }
+
+    /// Returns whether only other entry instances reach an endpoint.
+    pub fn is_lost(&self, address: SocketAddr) -> bool {
+        let fault = self.endpoints.get(&address).and_then(|path| path.fault);
+        fault.is_some_and(|fault| fault.is_lost)
+    }
+
+    /// Returns the number of endpoints that only other entry instances reach.
+    pub fn lost_count(&self) -> usize {
+        let faults = self.endpoints.values().filter_map(|path| path.fault);
+        faults.filter(|fault| fault.is_lost).count()
+    }
+
+    /// Returns whether a request in flight on an own connection can't be expected to be answered.
+    ///
+    /// A silent engine that accepts connections may compute a long prompt, so for engines only
+    /// failures to connect count, or that others reach several endpoints and all are silent here.
+    pub fn is_stuck(&self, address: SocketAddr) -> bool {
+        let Some(path) = self.endpoints.get(&address) else { return false };
+        let Some(fault) = path.fault.filter(|_| path.quiet >= QUIET_TICKS) else { return false };
+        if self.is_cut_off && path.quiet >= LONG_QUIET_TICKS {
+            return !path.is_engine || self.lost_count() >= MIN_DOUBTED;
+        }
+        match fault.doubt {
+            // One connection may have failed because its first packet was lost.
+            Doubt::Connect => fault.is_lost && (fault.failures >= MIN_FAILURES || self.is_cut_off),
+            Doubt::Reset | Doubt::Silence => fault.is_lost && !path.is_engine,
+        }
+    }
+
+    /// Returns whether any requests may be stuck.
+    pub const fn has_faults(&self) -> bool {
+        self.fault_count > 0
+    }
+
+    /// Records that a request is sent on an own connection; `is_engine` is whether the endpoint is a
+    /// model engine.
+    pub fn record_sent(&mut self, address: SocketAddr, is_engine: bool) {
+        let path = self.endpoints.entry(address).or_default();
+        path.waiting += 1;
+        path.is_engine = is_engine;
+    }
+
+    /// Records that a request on an own connection has ended in any way.
+    pub fn record_end(&mut self, address: SocketAddr) {
+        let Some(path) = self.endpoints.get_mut(&address) else { return };
+        path.waiting = path.waiting.saturating_sub(1);
+        if path.waiting == 0 {
+            path.quiet = 0;
+            path.check_at_quiet = QUIET_TICKS;
+        }
+    }
+
+    /// Records bytes that an endpoint sent on an own connection, which was opened at `opened_at`.
+    pub fn record_heard(&mut self, now: Millis, address: SocketAddr, opened_at: Millis) {
+        (self.heard_at, self.answered_at) = (now, now);
+        self.quiet = 0;
+        let Some(path) = self.endpoints.get_mut(&address) else { return };
+        path.quiet = 0;
+        path.check_at_quiet = QUIET_TICKS;
+        // A connection that lives on says nothing about new ones.
+        let is_over = |fault: Fault| fault.doubt == Doubt::Silence || opened_at >= fault.since;
+        if path.fault.is_some_and(is_over) {
+            self.restore(now, address);
+        }
+        self.update_cut_off();
+    }
+
+    /// Records that a new connection was opened to an endpoint.
+    pub fn record_connected(&mut self, now: Millis, address: SocketAddr) {
+        let path = self.endpoints.get_mut(&address);
+        let fault = path.and_then(|path| path.fault.as_mut());
+        let doubt = fault.map(|fault| {
+            fault.may_try = true;
+            fault.doubt
+        });
+        match doubt {
+            Some(Doubt::Connect) => {
+                self.heard_at = now;
+                self.restore(now, address);
+            }
+            Some(_) => {}
+            None if self.is_cut_off && self.only_connecting_fails() => {
+                self.heard_at = now;
+                self.update_cut_off();
+            }
+            None => {}
+        }
+    }
+
+    fn only_connecting_fails(&self) -> bool {
+        let mut faults = self.endpoints.values().filter_map(|path| path.fault);
+        faults.all(|fault| fault.doubt == Doubt::Connect)
+    }
+
+    /// Records that connecting to an endpoint was refused, or took too long.
+    pub fn record_connect_failed(&mut self, now: Millis, address: SocketAddr, is_refused: bool) {
+        self.doubt(now, address, Doubt::Connect);
+        let path = self.endpoints.get_mut(&address);
+        if let Some(fault) = path.and_then(|path| path.fault.as_mut()) {
+            fault.failures += if is_refused { MIN_FAILURES } else { 1 };
+        }
+    }
+
+    /// Records that an endpoint did not answer a request on a new connection in time.
+    pub fn record_unanswered(&mut self, now: Millis, address: SocketAddr) {
+        self.doubt(now, address, Doubt::Silence);
+    }
+
+    /// Records that a new connection was reset before the endpoint answered on it.
+    pub fn record_reset(&mut self, now: Millis, address: SocketAddr) {
+        self.doubt(now, address, Doubt::Reset);
+    }
+
+    /// Records that another entry instance has reached an endpoint: it has connected, or
+    /// `has_answered`.
+    pub fn record_tunnel(&mut self, now: Millis, address: SocketAddr, has_answered: bool) {
+        if has_answered {
+            self.answered_at = now;
+        }
+        let path = self.endpoints.entry(address).or_default();
+        path.no_tunnel_until = Millis::ZERO;
+        let Some(fault) = &mut path.fault else { return };
+        if !fault.is_lost && (has_answered || fault.doubt == Doubt::Connect) {
+            fault.is_lost = true;
+            self.changes.push(PathChange::Lost(address, fault.doubt));
+        }
+    }
+
+    /// Records that no other entry instance reaches an endpoint either, so the path is not at fault.
+    pub fn record_no_tunnel(&mut self, now: Millis, address: SocketAddr) {
+        self.endpoints.entry(address).or_default().no_tunnel_until = now + TUNNEL_BACKOFF;
+    }
+
+    /// Forgets an endpoint that has ended.
+    pub fn forget(&mut self, address: SocketAddr) {
+        if let Some(path) = self.endpoints.get_mut(&address) {
+            let had_fault = path.fault.take().is_some();
+            self.fault_count -= usize::from(had_fault);
+            if path.waiting == 0 {
+                self.endpoints.remove(&address);
+            }
+        }
+        self.update_cut_off();
+    }
+
+    /// Counts silence; called once in a [`TICK`]. Returns the endpoints to be connected to.
+    pub fn tick(&mut self, now: Millis) -> Vec<SocketAddr> {
+        let mut checks = Vec::new();
+        let mut silent = Vec::new();
+        self.quiet += 1;
+        for (address, path) in &mut self.endpoints {
+            if path.waiting == 0 {
+                continue;
+            }
+            path.quiet += 1;
+            if path.quiet >= path.check_at_quiet.max(QUIET_TICKS) {
+                path.check_at_quiet = path.quiet + path.quiet.min(MAX_CHECK_TICKS);
+                checks.push(*address);
+            }
+            // An engine may be silent for long, but not all endpoints at once.
+            let is_silent = !path.is_engine || self.quiet >= LONG_QUIET_TICKS;
+            if path.quiet >= LONG_QUIET_TICKS && is_silent && path.fault.is_none() {
+                silent.push(*address);
+            }
+        }
+        for address in silent {
+            self.doubt(now, address, Doubt::Silence);
+        }
+        self.check_faults(now, &mut checks);
+        checks
+    }
+
+    /// Adds paths that could not be connected on, if their check is due.
+    fn check_faults(&mut self, now: Millis, checks: &mut Vec<SocketAddr>) {
+        if self.fault_count == 0 || now < self.next_check {
+            return;
+        }
+        let is_due = |fault: &Fault| fault.doubt != Doubt::Silence && fault.next_check <= now;
+        let faults = self.endpoints.iter().filter_map(|(address, path)| {
+            path.fault.filter(is_due).map(|fault| (fault.next_check, *address))
+        });
+        let mut due: Vec<(Millis, SocketAddr)> = faults.collect();
+        due.sort_unstable();
+        for (_, address) in due.into_iter().take(CHECKS_PER_INTERVAL) {
+            if let Some(path) = self.endpoints.get_mut(&address)
+                && let Some(fault) = &mut path.fault
+            {
+                fault.next_check = now + CHECK_INTERVAL;
+            }
+            self.next_check = now + CHECK_INTERVAL;
+            checks.push(address);
+        }
+        if self.is_cut_off {
+            self.next_check = now + CHECK_INTERVAL;
+            checks.extend(self.next_presumed());
+        }
+    }
+
+    /// Returns an endpoint whose path is only presumed to be broken, another one each time.
+    fn next_presumed(&mut self) -> Option<SocketAddr> {
+        let presumed = self.endpoints.iter().filter(|(_, path)| path.fault.is_none());
+        let (later, earlier): (Vec<SocketAddr>, Vec<SocketAddr>) =
+            presumed.map(|(address, _)| *address).partition(|at| Some(*at) > self.last_presumed);
+        self.last_presumed = later.into_iter().min().or(earlier.into_iter().min());
+        self.last_presumed
+    }
+
+    /// Returns the changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<PathChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn doubt(&mut self, now: Millis, address: SocketAddr, doubt: Doubt) {
+        let path = self.endpoints.entry(address).or_default();
+        match &mut path.fault {
+            // Whether connecting works again can be found out without a request.
+            Some(fault) if doubt == Doubt::Connect => {
+                fault.doubt = doubt;
+                fault.may_try = false;
+            }
+            Some(_) => return,
+            None => {
+                let next_check = now + CHECK_INTERVAL;
+                let may_try = doubt == Doubt::Silence;
+                path.fault = Some(Fault {
+                    doubt,
+                    since: now,
+                    is_lost: false,
+                    failures: 0,
+                    next_check,
+                    may_try,
+                });
+                self.fault_count += 1;
+                if self.fault_count == 1 {
+                    self.next_trial = now + TRIAL_INTERVAL;
+                    self.risky_interval = MIN_RISKY_INTERVAL;
+                    self.next_risky_trial = now + MIN_RISKY_INTERVAL;
+                }
+                self.changes.push(PathChange::Doubted(address, doubt));
+            }
+        }
+        self.update_cut_off();
+    }
+
+    /// Takes a path for sound again. The partition may be over, so the others are tried soon.
+    fn restore(&mut self, now: Millis, address: SocketAddr) {
+        let Some(path) = self.endpoints.get_mut(&address) else { return };
+        path.fault = None;
+        path.quiet = 0;
+        self.fault_count -= 1;
+        self.changes.push(PathChange::Restored(address));
+        let faults = self.endpoints.values_mut().filter_map(|path| path.fault.as_mut());
+        faults.for_each(|fault| fault.next_check = now);
+        (self.next_check, self.next_trial, self.next_risky_trial) = (now, now, now);
+        self.risky_interval = MIN_RISKY_INTERVAL;
+        self.update_cut_off();
+    }
+
+    /// Takes all paths for broken once several are in doubt and nothing was heard since.
+    fn update_cut_off(&mut self) {
+        let is_cut_off = self.fault_count >= MIN_DOUBTED && {
+            let faults = self.endpoints.values().filter_map(|path| path.fault);
+            faults.filter(|fault| fault.since >= self.heard_at).count() >= MIN_DOUBTED
+        };
+        if std::mem::replace(&mut self.is_cut_off, is_cut_off) != is_cut_off {
+            let change = if is_cut_off { PathChange::CutOff } else { PathChange::Reconnected };
+            self.changes.push(change);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/dispatch/src/relays.rs
@@ -0,0 +1,147 @@
+//! Entry instances that offer tunnels to endpoints: which of them are told of, which one is asked,
+//! and when a tunnel is granted.
+
+use std::cmp::Reverse;
+use std::hash::{BuildHasher, BuildHasherDefault};
+use std::net::SocketAddr;
+
+use rustc_hash::FxHasher;
+use sill_base::{Map, Millis, Name};
+use sill_wire::link::RelayOffer;
+
+/// Number of offers from the own failure domain, and from all others, that an entry instance is
+/// told of. Some fail together with it.
+const TOLD_PER_KIND: usize = 6;
+
+/// How long a relay that has failed or declined is asked only if there is no other.
+const RELAY_BACKOFF: Millis = Millis(1500);
+
+/// Largest number of tunnels that an entry instance carries. Each takes two file descriptors and
+/// the buffers of two sockets.
+const MAX_TUNNELS: usize = 512;
+
+/// Delay of timers from which on an entry instance is too busy to carry more for others.
+const MAX_TIMER_DELAY: Millis = Millis(60);
+
+/// Weight of the newest timer delay in the average.
+const DELAY_WEIGHT: f64 = 0.25;
+
+/// Returns the offers that an entry instance is told of, in a stable order.
+///
+/// Each entry instance gets others, so that those of a whole failure domain do not all turn to the
+/// same relay.
+pub fn select_offers(entry: &Name, domain: &Name, offers: &[RelayOffer]) -> Vec<RelayOffer> {
+    let mut others: Vec<&RelayOffer> =
+        offers.iter().filter(|offer| offer.entry != *entry).collect();
+    others.sort_by_key(|offer| rank(&[entry, &offer.entry]));
+    let (local, remote): (Vec<&RelayOffer>, Vec<&RelayOffer>) =
+        others.into_iter().partition(|offer| offer.domain == *domain);
+    let mut selected: Vec<RelayOffer> = local.into_iter().take(TOLD_PER_KIND).cloned().collect();
+    selected.extend(remote.into_iter().take(TOLD_PER_KIND).cloned());
+    selected.sort();
+    selected
+}
+
+/// Returns at most `count` offers, with as many of each failure domain as possible.
+pub fn limit_offers(mut offers: Vec<RelayOffer>, count: usize) -> Vec<RelayOffer> {
+    let mut seen: Map<Name, usize> = Map::default();
+    offers.sort();
+    let place = |offer: &RelayOffer| {
+        let place = seen.entry(offer.domain.clone()).or_default();
+        *place += 1;
+        *place
+    };
+    let places: Vec<usize> = offers.iter().map(place).collect();
+    let mut placed: Vec<(usize, RelayOffer)> = places.into_iter().zip(offers).collect();
+    placed.sort();
+    placed.into_iter().take(count).map(|(_, offer)| offer).collect()
+}
+
+/// Returns a number that differs between different lists of offers, and is never 0.
+pub fn fingerprint(offers: &[RelayOffer]) -> u64 {
+    BuildHasherDefault::<FxHasher>::default().hash_one(offers) | 1
+}
+
+fn rank(names: &[&Name]) -> u64 {
+    BuildHasherDefault::<FxHasher>::default().hash_one(names)
+}
+
+/// The offers that an entry instance knows of, and which of them have failed lately.
+#[derive(Debug, Default)]
+pub struct RelayList {
+    offers: Vec<RelayOffer>,
+    failed: Map<SocketAddr, Millis>,
+}
+
+impl RelayList {
+    /// Replaces the offers; returns the addresses of those that no longer stand.
+    pub fn set_offers(&mut self, offers: Vec<RelayOffer>) -> Vec<SocketAddr> {
+        let before = std::mem::replace(&mut self.offers, offers);
+        let stands = |address: &SocketAddr| self.offers.iter().any(|o| o.address == *address);
+        let withdrawn: Vec<SocketAddr> =
+            before.iter().map(|offer| offer.address).filter(|address| !stands(address)).collect();
+        self.failed.retain(|address, _| !withdrawn.contains(address));
+        withdrawn
+    }
+
+    /// Returns whether any relay is offered that has not failed lately.
+    pub fn has_usable(&self, now: Millis) -> bool {
+        self.offers.iter().any(|offer| !self.has_failed(now, offer.address))
+    }
+
+    /// Returns whether a relay is still offered.
+    pub fn is_offered(&self, address: SocketAddr) -> bool {
+        self.offers.iter().any(|offer| offer.address == address)
+    }
+
+    /// Returns the relays to ask for a tunnel, in order: those that have not failed lately, then
+    /// those of the failure domain `domain`, spread over relays by `endpoint`.
+    pub fn candidates(
+        &self,
+        now: Millis,
+        domain: &Name,
+        endpoint: &Name,
+        count: usize,
+    ) -> Vec<RelayOffer> {
+        let mut offers: Vec<&RelayOffer> = self.offers.iter().collect();
+        offers.sort_by_cached_key(|offer| {
+            let has_failed = self.has_failed(now, offer.address);
+            let is_local = offer.domain == *domain;
+            (has_failed, Reverse(is_local), rank(&[endpoint, &offer.entry]))
+        });
+        offers.into_iter().take(count).cloned().collect()
+    }
+
+    /// Records that a relay has failed, or declined a tunnel for a reason of its own.
+    pub fn record_failure(&mut self, now: Millis, address: SocketAddr) {
+        self.failed.insert(address, now);
+    }
+
+    /// Records that a relay works.
+    pub fn record_success(&mut self, address: SocketAddr) {
+        self.failed.remove(&address);
+    }
+
+    fn has_failed(&self, now: Millis, address: SocketAddr) -> bool {
+        self.failed.get(&address).is_some_and(|at| now - *at < RELAY_BACKOFF)
+    }
+}
+
+/// Whether an entry instance has the means to carry tunnels of others; its own calls come first.
+#[derive(Debug, Default)]
+pub struct RelayLoad {
+    /// Average delay of timers in milliseconds, which grows as processor time runs short.
+    timer_delay: f64,
+}
+
+impl RelayLoad {
+    /// Records by how much a timer was late.
+    pub fn record_delay(&mut self, delay: Millis) {
+        self.timer_delay += (delay.0 as f64 - self.timer_delay) * DELAY_WEIGHT;
+    }
+
+    /// Returns whether one more tunnel may be carried beside `open` ones.
+    pub fn may_accept(&self, open: usize) -> bool {
+        open < MAX_TUNNELS && self.timer_delay < MAX_TIMER_DELAY.0 as f64
+    }
+}
--- a/coordination/dispatch/tests/limit_restarts.rs
+++ b/coordination/dispatch/tests/limit_restarts.rs
@@ -157,6 +157,7 @@
             accounts: self.shares.report(clock),
             services: Vec::new(),
             loads: Vec::new(),
+            relay: None,
         }
     }
 }
--- /dev/null
+++ b/coordination/dispatch/tests/paths.rs
@@ -0,0 +1,389 @@
+//! The paths to endpoints, in virtual time.
+
+use std::net::SocketAddr;
+
+use sill_base::Millis;
+use sill_dispatch::{Doubt, Path, PathChange, PathRequest, Paths, TICK};
+
+/// Time from the start of a cut within which requests take a path that works.
+const LEARNING_TIME: Millis = Millis(1200);
+
+/// Time from the end of a cut within which own connections are used again.
+const RETURN_TIME: Millis = Millis(2500);
+
+fn address(endpoint: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 8000 + endpoint as u16))
+}
+
+/// What happens to requests on own connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cut {
+    /// They are answered.
+    None,
+    /// Kept connections are silent, new ones are not accepted.
+    Hang,
+    /// All connections are accepted, and silent.
+    AcceptAndHang,
+    /// Connections are refused.
+    Refuse,
+    /// Connections are accepted and reset.
+    AcceptAndReset,
+}
+
+impl Cut {
+    fn accepts(self) -> bool {
+        matches!(self, Self::None | Self::AcceptAndHang | Self::AcceptAndReset)
+    }
+}
+
+/// An entry instance with endpoints, some of which are cut off.
+struct World {
+    now: Millis,
+    paths: Paths,
+    cut: Cut,
+    cut_endpoints: usize,
+    endpoints: usize,
+    /// Whether another entry instance reaches the endpoints.
+    has_relay: bool,
+    /// Requests that wait for an answer: the endpoint, and when they are given up.
+    waiting: Vec<(usize, Millis)>,
+    changes: Vec<PathChange>,
+}
+
+/// How a request went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sent {
+    Answered,
+    InTunnel,
+    Lost,
+    Refused,
+}
+
+impl World {
+    fn new(endpoints: usize) -> Self {
+        Self {
+            now: Millis(60_000),
+            paths: Paths::default(),
+            cut: Cut::None,
+            cut_endpoints: endpoints,
+            endpoints,
+            has_relay: true,
+            waiting: Vec::new(),
+            changes: Vec::new(),
+        }
+    }
+
+    fn cut_of(&self, endpoint: usize) -> Cut {
+        if endpoint < self.cut_endpoints { self.cut } else { Cut::None }
+    }
+
+    /// Sends one request; kept connections are used if the path is direct.
+    fn send(&mut self, endpoint: usize, may_repeat: bool) -> Sent {
+        let (address, cut) = (address(endpoint), self.cut_of(endpoint));
+        let req = PathRequest { address, may_repeat, has_relay: self.has_relay };
+        match self.paths.choose(self.now, req) {
+            Path::None => Sent::Refused,
+            Path::Tunnel => self.send_in_tunnel(endpoint),
+            Path::Trial if !cut.accepts() => {
+                self.paths.record_connect_failed(self.now, address, self.cut == Cut::Refuse);
+                self.send_in_tunnel(endpoint)
+            }
+            Path::Trial if may_repeat && cut != Cut::None => {
+                match cut {
+                    Cut::AcceptAndReset => self.paths.record_reset(self.now, address),
+                    _ => self.paths.record_unanswered(self.now, address),
+                }
+                self.send_in_tunnel(endpoint)
+            }
+            Path::Direct | Path::Trial => self.send_direct(endpoint),
+        }
+    }
+
+    fn send_in_tunnel(&mut self, endpoint: usize) -> Sent {
+        if !self.has_relay {
+            self.paths.record_no_tunnel(self.now, address(endpoint));
+            return Sent::Refused;
+        }
+        self.paths.record_tunnel(self.now, address(endpoint), true);
+        Sent::InTunnel
+    }
+
+    fn send_direct(&mut self, endpoint: usize) -> Sent {
+        let (address, now) = (address(endpoint), self.now);
+        match self.cut_of(endpoint) {
+            Cut::None => {
+                self.paths.record_sent(address, false);
+                self.paths.record_heard(now, address, now);
+                self.paths.record_end(address);
+                Sent::Answered
+            }
+            Cut::Hang | Cut::AcceptAndHang => {
+                self.paths.record_sent(address, false);
+                self.waiting.push((endpoint, now + Millis(1500)));
+                Sent::Lost
+            }
+            Cut::Refuse => {
+                self.paths.record_connect_failed(now, address, self.cut == Cut::Refuse);
+                self.send_in_tunnel(endpoint)
+            }
+            Cut::AcceptAndReset => {
+                self.paths.record_reset(now, address);
+                Sent::Lost
+            }
+        }
+    }
+
+    /// Lets one tick pass, and carries out the checks that are due.
+    fn tick(&mut self) {
+        self.now = self.now + TICK;
+        for (endpoint, until) in std::mem::take(&mut self.waiting) {
+            let address = address(endpoint);
+            if !matches!(self.cut_of(endpoint), Cut::Hang | Cut::AcceptAndHang) {
+                self.paths.record_heard(self.now, address, self.now);
+                self.paths.record_end(address);
+            } else if self.now >= until || self.paths.is_stuck(address) {
+                self.paths.record_end(address);
+            } else {
+                self.waiting.push((endpoint, until));
+            }
+        }
+        for address in self.paths.tick(self.now) {
+            let endpoint = usize::from(address.port()) - 8000;
+            let cut = self.cut_of(endpoint);
+            match cut {
+                Cut::AcceptAndReset => self.paths.record_reset(self.now, address),
+                _ if cut.accepts() => self.paths.record_connected(self.now, address),
+                _ => {
+                    self.paths.record_connect_failed(self.now, address, self.cut == Cut::Refuse);
+                    if self.has_relay {
+                        self.paths.record_tunnel(self.now, address, false);
+                    }
+                }
+            }
+        }
+        self.changes.extend(self.paths.take_changes());
+    }
+
+    /// Sends a request to each endpoint in turn for a while, one in a tick; returns how they went.
+    fn run(&mut self, span: Millis, may_repeat: bool) -> Vec<Sent> {
+        let until = self.now + span;
+        let mut sent = Vec::new();
+        while self.now < until {
+            let endpoint = (self.now.0 / TICK.0) as usize % self.endpoints;
+            sent.push(self.send(endpoint, may_repeat));
+            self.tick();
+        }
+        sent
+    }
+}
+
+fn count(sent: &[Sent], which: Sent) -> usize {
+    sent.iter().filter(|one| **one == which).count()
+}
+
+/// An instance whose connections fail does not notice it, and its requests are lost.
+#[test]
+fn requests_take_tunnels_soon_after_a_cut_and_own_connections_soon_after_its_end() {
+    struct Case {
+        cut: Cut,
+        cut_endpoints: usize,
+        may_repeat: bool,
+        /// Requests that may be lost in twelve seconds of the cut, as they try whether it is over.
+        lost: usize,
+        return_time: Millis,
+    }
+    let cases = [
+        Case {
+            cut: Cut::Hang,
+            cut_endpoints: 6,
+            may_repeat: true,
+            lost: 0,
+            return_time: RETURN_TIME,
+        },
+        Case {
+            cut: Cut::Hang,
+            cut_endpoints: 6,
+            may_repeat: false,
+            lost: 0,
+            return_time: RETURN_TIME,
+        },
+        Case {
+            cut: Cut::Refuse,
+            cut_endpoints: 6,
+            may_repeat: false,
+            lost: 0,
+            return_time: RETURN_TIME,
+        },
+        Case {
+            cut: Cut::Refuse,
+            cut_endpoints: 3,
+            may_repeat: true,
+            lost: 0,
+            return_time: RETURN_TIME,
+        },
+        Case {
+            cut: Cut::AcceptAndHang,
+            cut_endpoints: 6,
+            may_repeat: true,
+            lost: 0,
+            return_time: RETURN_TIME,
+        },
+        Case {
+            cut: Cut::AcceptAndHang,
+            cut_endpoints: 6,
+            may_repeat: false,
+            lost: 2,
+            return_time: Millis(9000),
+        },
+        Case {
+            cut: Cut::AcceptAndReset,
+            cut_endpoints: 6,
+            may_repeat: true,
+            lost: 0,
+            return_time: RETURN_TIME,
+        },
+        Case {
+            cut: Cut::AcceptAndReset,
+            cut_endpoints: 6,
+            may_repeat: false,
+            lost: 0,
+            return_time: Millis(9000),
+        },
+    ];
+    for Case { cut, cut_endpoints, may_repeat, lost, return_time } in cases {
+        let name = format!("{cut:?} of {cut_endpoints}, may_repeat={may_repeat}");
+        let mut world = World::new(6);
+        world.run(Millis(2000), may_repeat);
+        (world.cut, world.cut_endpoints) = (cut, cut_endpoints);
+        world.run(LEARNING_TIME, may_repeat);
+        // Endpoints that are asked for the first time are learned of meanwhile.
+        world.run(LEARNING_TIME, may_repeat);
+        let sent = world.run(Millis(12_000), may_repeat);
+        assert!(count(&sent, Sent::Lost) <= lost, "{name}: {sent:?}");
+        assert!(count(&sent, Sent::InTunnel) >= sent.len() * cut_endpoints / 6 - lost, "{name}");
+        assert_eq!(world.paths.is_cut_off(), cut_endpoints == 6, "{name}");
+        world.cut = Cut::None;
+        world.run(return_time, may_repeat);
+        let sent = world.run(Millis(2000), may_repeat);
+        assert_eq!(count(&sent, Sent::Answered), sent.len(), "{name}: {:?}", world.changes);
+        assert_eq!(world.paths.lost_count(), 0, "{name}");
+        assert!(!world.paths.is_cut_off(), "{name}");
+    }
+}
+
+/// Requests wait for their whole deadlines although no entry instance reaches an endpoint.
+#[test]
+fn requests_are_refused_once_no_path_has_worked_for_a_while() {
+    for cut in [Cut::Hang, Cut::AcceptAndHang, Cut::Refuse] {
+        let mut world = World::new(4);
+        world.run(Millis(1000), true);
+        (world.cut, world.has_relay) = (cut, false);
+        world.run(Millis(3000), true);
+        let sent = world.run(Millis(5000), true);
+        assert!(count(&sent, Sent::Refused) >= sent.len() * 8 / 10, "{cut:?}: {sent:?}");
+        world.cut = Cut::None;
+        world.run(RETURN_TIME, true);
+        let sent = world.run(Millis(1000), true);
+        assert_eq!(count(&sent, Sent::Answered), sent.len(), "{cut:?}: {:?}", world.changes);
+    }
+}
+
+/// One endpoint that is silent for a second must not be taken for a cut, nor requests to others
+/// be moved.
+#[test]
+fn a_silent_endpoint_does_not_make_the_other_paths_doubtful() {
+    let mut world = World::new(4);
+    world.run(Millis(1000), true);
+    (world.cut, world.cut_endpoints) = (Cut::AcceptAndHang, 1);
+    let sent = world.run(Millis(1000), true);
+    assert_eq!(count(&sent, Sent::Lost) + count(&sent, Sent::Answered), sent.len(), "{sent:?}");
+    world.cut = Cut::None;
+    world.run(TICK + TICK, true);
+    let sent = world.run(Millis(1000), true);
+    assert_eq!(count(&sent, Sent::Answered), sent.len(), "{:?}", world.changes);
+    assert!(!world.changes.contains(&PathChange::CutOff), "{:?}", world.changes);
+}
+
+/// After a pause of the process its requests have waited for long by the clock, but their endpoints
+/// were not silent.
+#[test]
+fn a_pause_of_the_process_is_not_taken_for_silence() {
+    let mut paths = Paths::default();
+    (0..4).for_each(|endpoint| paths.record_sent(address(endpoint), endpoint > 1));
+    let checks = paths.tick(Millis(1000));
+    assert!(checks.is_empty());
+    // The process was paused for 20 s.
+    let checks = paths.tick(Millis(21_000));
+    assert!(checks.is_empty(), "{checks:?}");
+    assert!(!paths.is_cut_off());
+    (0..4).for_each(|endpoint| paths.record_heard(Millis(21_001), address(endpoint), Millis(1)));
+    assert!(paths.take_changes().is_empty());
+}
+
+/// Endpoints that have ended are not reached by others either. Requests to them must not be sent
+/// through other entry instances again and again.
+#[test]
+fn an_endpoint_that_nobody_reaches_is_not_asked_for_in_tunnels() {
+    let mut paths = Paths::default();
+    let (now, address) = (Millis(5000), address(0));
+    paths.record_connect_failed(now, address, true);
+    paths.record_no_tunnel(now, address);
+    let req = PathRequest { address, may_repeat: true, has_relay: true };
+    assert_eq!(paths.choose(now + TICK, req), Path::Direct);
+    assert_eq!(paths.lost_count(), 0);
+    assert_eq!(paths.take_changes(), [PathChange::Doubted(address, Doubt::Connect)]);
+    paths.forget(address);
+    assert_eq!(paths.choose(now + TICK, req), Path::Direct);
+}
+
+/// A model engine that computes long prompts is silent; its requests must not be broken off, nor new
+/// ones take tunnels, while other endpoints are heard.
+#[test]
+fn requests_at_a_silent_engine_are_kept_while_others_answer() {
+    let mut paths = Paths::default();
+    let (engine, plain, other) = (address(0), address(1), address(2));
+    paths.record_sent(engine, true);
+    paths.record_sent(plain, false);
+    let req = |address| PathRequest { address, may_repeat: true, has_relay: true };
+    for number in 1..30 {
+        let now = Millis(number * TICK.0);
+        paths.record_heard(now, other, now);
+        paths.tick(now);
+        if number > 10 {
+            paths.record_tunnel(now, engine, true);
+            paths.record_tunnel(now, plain, true);
+        }
+        assert!(!paths.is_stuck(engine), "after {now} ms");
+        assert_eq!(paths.is_stuck(plain), number > 10, "after {now} ms");
+        assert_eq!(paths.choose(now, req(engine)), Path::Direct, "after {now} ms");
+    }
+}
+
+/// All engines fall silent at once and accept connections: their requests would hang.
+#[test]
+fn requests_at_silent_engines_are_given_up_if_others_reach_them_and_none_is_heard() {
+    let mut paths = Paths::default();
+    let engines = [address(0), address(1), address(2)];
+    engines.iter().for_each(|engine| paths.record_sent(*engine, true));
+    (1..10).for_each(|number| _ = paths.tick(Millis(number * TICK.0)));
+    assert!(paths.is_cut_off());
+    assert!(!paths.is_stuck(engines[0]));
+    for engine in &engines[1..] {
+        paths.record_tunnel(Millis(1000), *engine, true);
+    }
+    assert!(paths.is_stuck(engines[0]));
+}
+
+/// The first packet of a connection is lost now and then; requests in flight must not be broken off
+/// for it.
+#[test]
+fn one_connection_that_is_not_accepted_breaks_off_no_request() {
+    let (mut paths, address) = (Paths::default(), address(0));
+    paths.record_sent(address, true);
+    (1..6).for_each(|number| _ = paths.tick(Millis(number * TICK.0)));
+    paths.record_connect_failed(Millis(600), address, false);
+    paths.record_tunnel(Millis(610), address, false);
+    assert!(!paths.is_stuck(address));
+    paths.record_connect_failed(Millis(900), address, false);
+    assert!(paths.is_stuck(address));
+}
--- a/coordination/dispatch/tests/shares.rs
+++ b/coordination/dispatch/tests/shares.rs
@@ -175,6 +175,7 @@
             accounts: self.shares[entry].report(Millis(now)),
             services: Vec::new(),
             loads: Vec::new(),
+            relay: None,
         }
     }
 
--- a/coordination/dispatch/tests/totals.rs
+++ b/coordination/dispatch/tests/totals.rs
@@ -56,6 +56,7 @@
         accounts: vec![demand],
         services: Vec::new(),
         loads: Vec::new(),
+        relay: None,
     }
 }
 
--- a/coordination/dispatch/tests/usage.rs
+++ b/coordination/dispatch/tests/usage.rs
@@ -25,6 +25,7 @@
         accounts: Vec::new(),
         services: Vec::new(),
         loads: Vec::new(),
+        relay: None,
     }
 }
 
--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -4,11 +4,13 @@
 
 use parking_lot::Mutex;
 use sill_base::{Findings, Millis, Name, event};
+use sill_dispatch::relays::{fingerprint, limit_offers, select_offers};
 use sill_dispatch::{
     CrashLog, EndpointLoads, EntryCounts, Registry, ReportStore, TotalsAggregator, TrueTime,
 };
 use sill_wire::link::{
-    ControlSync, ControlSyncReply, Cursor, EndpointFact, EndpointLoad, EntryReport, Totals,
+    ControlSync, ControlSyncReply, Cursor, EndpointFact, EndpointLoad, EntryReport, RelayOffer,
+    Totals,
 };
 use sill_wire::{CrashUpdate, Incarnation};
 use tokio::sync::watch;
@@ -18,6 +20,12 @@
 
 pub mod calls;
 
+/// Age up to which a report shows that an entry instance still offers tunnels.
+const OFFER_TTL: Millis = Millis(1500);
+
+/// Number of offers of tunnels that are passed on between control instances, some 4 kB.
+const MAX_OFFERS: usize = 64;
+
 /// The state a control instance holds about endpoints and about entry instances that serve routes.
 #[derive(Debug)]
 pub struct Link {
@@ -29,6 +37,8 @@
     loads: Mutex<EndpointLoads>,
     crash_log: Mutex<CrashLog>,
     totals: Mutex<Option<ReceivedTotals>>,
+    /// Offers of tunnels that the leader has sent.
+    relays: Mutex<Vec<RelayOffer>>,
     aggregator: Mutex<TotalsAggregator>,
     changes: watch::Sender<u64>,
     urgent_sync: tokio::sync::Notify,
@@ -53,6 +63,7 @@
             loads: Mutex::default(),
             crash_log: Mutex::default(),
             totals: Mutex::default(),
+            relays: Mutex::default(),
             aggregator: Mutex::default(),
             changes: watch::Sender::new(0),
             urgent_sync: tokio::sync::Notify::new(),
@@ -122,6 +133,9 @@
         for report in sync.reports {
             self.report_store.lock().record(now, report, false);
         }
+        if let Some(relays) = sync.relays {
+            *self.relays.lock() = relays;
+        }
         if let Some(totals) = sync.totals {
             let at = now - totals.age;
             *self.totals.lock() = Some(ReceivedTotals { totals, at });
@@ -251,6 +265,27 @@
         Some(Totals { age: now - received.at, ..received.totals })
     }
 
+    /// Returns the entry instances that offer tunnels. What one reports here goes before what the
+    /// leader has sent.
+    fn relay_offers(&self, now: Millis) -> Vec<RelayOffer> {
+        let report_store = self.report_store.lock();
+        let reports = report_store.reported_within(now, OFFER_TTL);
+        let is_reporting = |entry: &Name| reports.iter().any(|report| report.entry == *entry);
+        let mut offers = self.relays.lock().clone();
+        offers.retain(|offer| !is_reporting(&offer.entry));
+        offers.extend(reports.iter().filter_map(|report| {
+            let (entry, domain) = (report.entry.clone(), report.domain.clone());
+            Some(RelayOffer { entry, domain, address: report.relay? })
+        }));
+        limit_offers(offers, MAX_OFFERS)
+    }
+
+    /// Returns the offers of tunnels for an entry instance with their fingerprint.
+    fn relays_for(&self, now: Millis, entry: &Name, domain: &Name) -> (u64, Vec<RelayOffer>) {
+        let offers = select_offers(entry, domain, &self.relay_offers(now));
+        (fingerprint(&offers), offers)
+    }
+
     /// Returns the endpoint facts, loads and crashes that are newer than a cursor.
     fn updates_since(&self, now: Millis, cursor: Cursor) -> Updates {
         let (newest, endpoints) = {
--- a/daemons/control/src/link/calls.rs
+++ b/daemons/control/src/link/calls.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 
 use sill_base::{Map, Millis, Name, event};
+use sill_dispatch::relays::fingerprint;
 use sill_net::PeerError;
 use sill_quorum::RoleName;
 use sill_wire::Incarnation;
 use sill_wire::link::{
-    ControlSync, ControlSyncReply, EndpointFact, EndpointState, LinkPoll, LinkReply, Totals,
+    ControlSync, ControlSyncReply, Cursor, EndpointFact, EndpointState, LinkPoll, LinkReply,
+    RelayOffer, Totals,
 };
 use sill_wire::settings::Manifest;
 use tokio::task::JoinHandle;
@@ -41,6 +43,8 @@
     crash_received: u64,
     /// Sequence number of the last crash in the running call.
     crash_sent: u64,
+    /// The fingerprint of the offers of tunnels that the peer has received, or 0.
+    relays_sent: u64,
     call: Option<JoinHandle<Option<ControlSyncReply>>>,
 }
 
@@ -53,6 +57,7 @@
     let LinkPoll { have, cursor, wait, report, crashes } = poll;
     let link = &shared.link;
     link.record_crashes(shared.clock.now(), &crashes, &report.entry);
+    let (entry, domain) = (report.entry.clone(), report.domain.clone());
     link.record_report(shared.clock.now(), report);
     let mut changes = link.changes.subscribe();
     let mut manifests = shared.settings_pieces.manifests();
@@ -67,7 +72,10 @@
     let _ = tokio::time::timeout(wait.min(MAX_POLL_WAIT).into(), update).await;
     let settings = manifests.borrow().clone().filter(is_newer);
     let now = shared.clock.now();
+    let (relays_version, relays) = link.relays_for(now, &entry, &domain);
+    let has_relays = seen.is_some() && cursor.relays == relays_version;
     let Updates { cursor, endpoints, loads, crashes } = link.updates_since(now, cursor);
+    let cursor = Cursor { relays: relays_version, ..cursor };
     let status = shared.log.status();
     Ok(LinkReply {
         settings: settings.map(|manifest| Manifest::clone(&manifest)),
@@ -75,6 +83,7 @@
         endpoints,
         loads,
         crashes,
+        relays: (!has_relays).then_some(relays),
         controls: shared.directory.infos(),
         totals: link.totals(now),
         true_time: link.true_time(now),
@@ -111,7 +120,8 @@
         if let Some(totals) = &totals {
             *link.totals.lock() = Some(ReceivedTotals { totals: totals.clone(), at: now });
         }
-        sync_peers(&shared, &mut states, totals, leader.as_ref()).await;
+        let relays = is_leader.then(|| link.relay_offers(now));
+        sync_peers(&shared, &mut states, totals, relays, leader.as_ref()).await;
     }
 }
 
@@ -122,10 +132,12 @@
     shared: &Arc<Shared>,
     states: &mut Map<Name, PeerSyncState>,
     totals: Option<Totals>,
+    relays: Option<Vec<RelayOffer>>,
     leader: Option<&Name>,
 ) {
     let (now, link) = (shared.clock.now(), &shared.link);
     let direct = link.registry.lock().take_direct(now);
+    let relays_version = relays.as_deref().map_or(0, fingerprint);
     let is_urgent = direct.iter().any(|fact| fact.state != EndpointState::Ready);
     for peer in shared.directory.peers() {
         let state = states.entry(peer.info.name.clone()).or_default();
@@ -144,6 +156,8 @@
         }
         let reports =
             if to_leader { link.report_store.lock().take_unforwarded(now) } else { Vec::new() };
+        let relays = relays.clone().filter(|_| state.relays_sent != relays_version);
+        state.relays_sent = relays_version;
         let sync = ControlSync {
             from: shared.directory.own_info().clone(),
             incarnation: link.incarnation,
@@ -152,6 +166,7 @@
             reports,
             totals: totals.clone(),
             crashes,
+            relays,
         };
         state.crash_sent = crash_sent;
         state.last_sync = now;
@@ -165,6 +180,9 @@
     /// changed its incarnation, or failed the previous call, is sent all endpoints.
     fn record_reply(&mut self, shared: &Shared, reply: Option<ControlSyncReply>) {
         let incarnation = reply.map(|reply| reply.incarnation);
+        if incarnation.is_none() || incarnation != self.incarnation {
+            self.relays_sent = 0;
+        }
         if incarnation.is_none() {
             shared.link.report_store.lock().mark_unforwarded();
         } else if incarnation != self.incarnation {
--- a/daemons/control/tests/settings_pieces.rs
+++ b/daemons/control/tests/settings_pieces.rs
@@ -148,6 +148,7 @@
         accounts: Vec::new(),
         services: Vec::new(),
         loads: Vec::new(),
+        relay: None,
     };
     let crashes = CrashUpdate::default();
     LinkPoll {
@@ -220,6 +221,7 @@
         reports: Vec::new(),
         totals: None,
         crashes: CrashUpdate::default(),
+        relays: None,
     }
 }
 
--- a/daemons/entry/src/serve/plain.rs
+++ b/daemons/entry/src/serve/plain.rs
@@ -17,6 +17,7 @@
 
 /// Bounds of connections to plain services.
 const CONNECTIONS: ConnectionPoolCfg = ConnectionPoolCfg {
+    source: None,
     connect_timeout: Millis(1000),
     unacknowledged_timeout: Millis(3000),
     idle_timeout: Millis(10_000),
--- a/daemons/gateway/src/cfg.rs
+++ b/daemons/gateway/src/cfg.rs
@@ -1,6 +1,6 @@
 //! Settings of an entry instance for routes.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use sill_base::{Millis, Name, Secret};
@@ -24,6 +24,10 @@
     pub ready_path: Name,
     /// The address at which metrics are served.
     pub listen_metrics: SocketAddr,
+    /// The address at which other entry instances ask for tunnels to endpoints.
+    pub listen_peer: SocketAddr,
+    /// The address from which connections to endpoints are opened; the system's choice if none.
+    pub connect_from: Option<IpAddr>,
     /// Peer addresses of control instances that are contacted first.
     pub seeds: Vec<SocketAddr>,
     /// The key shared by all processes of the system.
--- a/daemons/gateway/src/cli.rs
+++ b/daemons/gateway/src/cli.rs
@@ -33,6 +33,16 @@
         Flag::one("listen", "IP:PORT", "address for callers"),
         Flag::one("listen-ready", "IP:PORT", "address of the balancer's /readyz checks"),
         Flag::one("listen-metrics", "IP:PORT", "address at which /metrics is served"),
+        Flag::one(
+            "listen-peer",
+            "IP:PORT",
+            "address for other entry instances; a free port at the address for callers if not given",
+        ),
+        Flag::one(
+            "connect-from",
+            "IP",
+            "address from which connections to endpoints are opened; the system's choice if not given",
+        ),
         Flag::many("control", "IP:PORT", "peer address of a control instance"),
         Flag::one("cluster-key-file", "FILE", "file with the key shared by all processes"),
         Flag::with_default("limit-slack", "N", "0", "amount allowed beyond each account's limit"),
@@ -64,6 +74,8 @@
         let listen = values.required("listen");
         let listen_ready = values.required("listen-ready");
         let listen_metrics = values.required("listen-metrics");
+        let listen_peer = values.optional("listen-peer");
+        let connect_from = values.optional("connect-from");
         let seeds: Vec<SocketAddr> = values.many("control");
         let cluster_key: Option<Secret> = values.secret("cluster-key-file");
         let slack = values.required("limit-slack");
@@ -74,13 +86,16 @@
         }
         values.finish()?;
         let present = "present once the check succeeded";
+        let listen: SocketAddr = listen.expect(present);
         Ok(Self {
             name: name.expect(present),
             domain: domain.expect(present),
-            listen: listen.expect(present),
+            listen,
             listen_ready: listen_ready.expect(present),
             ready_path: "/readyz".into(),
             listen_metrics: listen_metrics.expect(present),
+            connect_from,
+            listen_peer: listen_peer.unwrap_or(SocketAddr::new(listen.ip(), 0)),
             seeds,
             cluster_key: cluster_key.expect(present),
             dialect: Arc::new(SillDialect),
--- a/daemons/gateway/src/crashes.rs
+++ b/daemons/gateway/src/crashes.rs
@@ -9,6 +9,7 @@
 use sill_dispatch::{BlockChange, BrokenAnswer, BrokenAnswers, CrashLog, Placement};
 use sill_wire::{CompletedRequest, CrashUpdate, EndpointCrash, Incarnation, RequestKey};
 
+use crate::egress::Destination;
 use crate::metrics::Metrics;
 use crate::state::State;
 
@@ -168,25 +169,24 @@
 /// Records that an answer of an endpoint broke off, and checks whether the endpoint has crashed.
 pub fn record_broken_answer(state: &Arc<State>, placement: &Placement, request: RequestKey) {
     let crashes = &state.crashes;
-    let Placement { endpoint, incarnation, address, .. } = placement;
+    let Placement { endpoint, incarnation, .. } = placement;
     let broken = crashes.broken.lock().record(crashes.clock.now(), endpoint, *incarnation, request);
     match broken {
         BrokenAnswer::Pending => {}
         BrokenAnswer::Crash(crash) => crashes.record(&crash),
         BrokenAnswer::Check => {
-            let check = check(state.clone(), endpoint.clone(), *incarnation, *address);
-            tokio::spawn(check);
+            tokio::spawn(check(state.clone(), Destination::from(placement)));
         }
     }
 }
 
-async fn check(state: Arc<State>, endpoint: Name, incarnation: Incarnation, address: SocketAddr) {
+async fn check(state: Arc<State>, to: Destination) {
     for pause in CHECK_PAUSES {
         tokio::time::sleep(pause.into()).await;
-        if state.connections.is_refused(address, REFUSAL_TIME).await {
-            state.crashes.confirm(&endpoint, incarnation);
+        if state.egress.has_ended(&to, REFUSAL_TIME).await {
+            state.crashes.confirm(&to.endpoint, to.incarnation);
             return;
         }
     }
-    state.crashes.broken.lock().finish_check(&endpoint, incarnation);
+    state.crashes.broken.lock().finish_check(&to.endpoint, to.incarnation);
 }
--- a/daemons/gateway/src/daemon.rs
+++ b/daemons/gateway/src/daemon.rs
@@ -20,6 +20,7 @@
 use crate::settings_fetcher::SettingsFetcher;
 use crate::state::State;
 use crate::termination::{FinalPhase, StopOutcome};
+use crate::tunnels;
 
 /// Size limit of a caller's headers in bytes. Settings may ask for less, but the HTTP
 /// library can't change the limit later.
@@ -54,6 +55,8 @@
     pub address: SocketAddr,
     /// The address of the balancer's readiness checks.
     pub ready_address: SocketAddr,
+    /// The address at which other entry instances ask for tunnels.
+    pub peer_address: SocketAddr,
     state: Arc<State>,
     link: Arc<Link>,
     stop: watch::Sender<ServerPhase>,
@@ -70,6 +73,8 @@
         let listener = TcpListener::from_std(bind(cfg.listen)?)?;
         let ready = TcpListener::from_std(bind(cfg.listen_ready)?)?;
         let metrics = TcpListener::from_std(bind(cfg.listen_metrics)?)?;
+        let peers = TcpListener::from_std(bind(cfg.listen_peer)?)?;
+        let peer_address = peers.local_addr()?;
         let (address, ready_address) = (listener.local_addr()?, ready.local_addr()?);
         let state = Arc::new(State::new(cfg)?);
         let link = Arc::new(Link::new(state.clone()));
@@ -82,15 +87,19 @@
         tokio::spawn(serve_internal(state.clone(), ready));
         tokio::spawn(serve_internal(state.clone(), metrics));
         tokio::spawn(expire_connections(state.clone()));
+        tokio::spawn(tunnels::serve(state.clone(), peers));
+        let watching = state.clone();
+        tokio::spawn(state.egress.clone().watch(move |delay| watching.tunnels.record_delay(delay)));
         event!(
             Info,
             "gateway_started",
             name = state.cfg.name,
             domain = state.cfg.domain,
             address = address,
+            peer = peer_address,
             incarnation = state.incarnation.0
         );
-        Ok(Self { address, ready_address, state, link, stop, accept_task })
+        Ok(Self { address, ready_address, peer_address, state, link, stop, accept_task })
     }
 
     /// Replaces the seed addresses of control instances.
@@ -123,6 +132,7 @@
         event!(Info, "gateway_stops", connections = open, late_ms = delay);
         self.state.planned_stop.start(times);
         self.drain_calls(times).await;
+        self.drain_tunnels(times).await;
         self.close_listener().await;
         // Waits for connections that were accepted since the last check.
         self.wait_until_closed(times.ends_at).await;
@@ -150,6 +160,16 @@
         }
     }
 
+    /// Waits until no tunnel of another entry instance is open or the time is up. New callers are
+    /// still told to retry elsewhere: with the listener closed they would not get an answer.
+    async fn drain_tunnels(&self, times: StopTimes) {
+        self.state.planned_stop.refuse_all();
+        self.set_stop(ServerPhase::Refusing);
+        while self.state.tunnels.open_count() > 0 && self.state.clock.now() < times.ends_at {
+            tokio::time::sleep(STOP_POLL_INTERVAL.into()).await;
+        }
+    }
+
     /// Closes the listener. A connection accepted after the last check would be cut after its call
     /// was read and sent to an endpoint.
     async fn close_listener(&mut self) {
@@ -228,6 +248,6 @@
 async fn expire_connections(state: Arc<State>) {
     loop {
         tokio::time::sleep(IDLE_CLEANUP_INTERVAL.into()).await;
-        state.metrics.idle_connections.set(state.connections.expire() as i64);
+        state.metrics.idle_connections.set(state.egress.expire() as i64);
     }
 }
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use http::{Request, Response, header};
 use http_body_util::Full;
 use sill_base::{Millis, Name, event};
@@ -16,6 +17,7 @@
 use crate::answer;
 use crate::crashes;
 use crate::dialect::{AnswerClass, Forward, MigratedMemory};
+use crate::egress::{Destination, Exchange, SendOptions, Via};
 use crate::serve::Call;
 use crate::state::State;
 use crate::summary::CallSummary;
@@ -34,6 +36,8 @@
     state: Arc<State>,
     call: Arc<Call>,
     name: Name,
+    /// The request in flight, from the head of its answer on.
+    exchange: Option<Exchange>,
     is_over: bool,
 }
 
@@ -158,7 +162,7 @@
         PlacementDecision::Endpoint(placement) => {
             call.pool.count_fresh_tokens(now, placement.fresh_tokens);
             let (state, call) = (state.clone(), call.clone());
-            Ok(Attempt { placement, state, call, name, is_over: false })
+            Ok(Attempt { placement, state, call, name, exchange: None, is_over: false })
         }
         PlacementDecision::Refused { reason, retry_after } => {
             call.pool.count_refusal(now);
@@ -178,12 +182,23 @@
     let req = request(&state, &call, &attempt.placement, time_left, resumption);
     let max_idle =
         if call.route.route.kind.may_repeat() { Millis::MAX } else { MAX_IDLE_NON_REPEATABLE };
-    let sending = state.connections.send(attempt.placement.address, req, max_idle);
+    let take_retry = || state.may_retry(&call.pool.service);
+    let options = SendOptions {
+        max_idle,
+        take_retry: &take_retry,
+        may_repeat: progress.next_step(AttemptOutcome::Unknown) == NextStep::Retry,
+        is_engine: call.pool.is_engine,
+    };
+    let destination = Destination::from(&attempt.placement);
+    let sending = state.egress.send(&destination, req, options);
     let outcome = match tokio::time::timeout(time_left.into(), sending).await {
-        Ok(Ok(answer)) => match attempt.check_answer(&answer, progress) {
-            None => return AttemptResult::Answer(attempt, answer),
-            Some(outcome) => outcome,
-        },
+        Ok(Ok((answer, exchange))) => {
+            attempt.exchange = Some(exchange);
+            match attempt.check_answer(&answer, progress) {
+                None => return AttemptResult::Answer(attempt, answer),
+                Some(outcome) => outcome,
+            }
+        }
         Ok(Err(SendFailure::NotSent(err))) => attempt.failed(AttemptOutcome::NotSent, &err),
         Ok(Err(SendFailure::Unknown(err))) => {
             attempt.record_broken_answer();
@@ -192,6 +207,7 @@
         Err(_) => attempt.failed(AttemptOutcome::TimedOut, "no answer before the deadline"),
     };
     attempt.finish(match outcome {
+        _ if state.egress.is_path_lost(destination.address) => Outcome::Cancelled,
         AttemptOutcome::NotSent | AttemptOutcome::Unknown | AttemptOutcome::Failed => {
             Outcome::Failed
         }
@@ -260,7 +276,7 @@
             AnswerClass::NotRun => Some(self.failed(AttemptOutcome::NotRun, status_text)),
             AnswerClass::WrongEndpoint => {
                 self.call.pool.pool.lock().mark_gone(now, &self.placement);
-                self.state.connections.close_idle(self.placement.address);
+                self.state.egress.forget(self.placement.address);
                 let Placement { endpoint, incarnation, .. } = &self.placement;
                 self.state.crashes.confirm(endpoint, *incarnation);
                 Some(self.failed(AttemptOutcome::WrongEndpoint, status_text))
@@ -301,6 +317,24 @@
         &self.call
     }
 
+    /// Returns the tunnel that carries the answer.
+    pub fn via(&self) -> Option<&Via> {
+        self.exchange.as_ref()?.via()
+    }
+
+    /// Records that a part of the answer arrived, which shows that the path to the endpoint works.
+    pub fn record_heard(&self) {
+        self.exchange.iter().for_each(Exchange::record_heard);
+    }
+
+    /// Waits until the path is lost on which the answer arrives.
+    pub fn wait_until_stuck(&self) -> BoxFuture<'static, ()> {
+        match &self.exchange {
+            Some(exchange) => exchange.wait_until_stuck(),
+            None => Box::pin(std::future::pending()),
+        }
+    }
+
     /// Returns whether the endpoint has announced that it leaves.
     pub fn is_endpoint_leaving(&self) -> bool {
         self.call.pool.pool.lock().is_leaving(&self.placement.endpoint)
--- /dev/null
+++ b/daemons/gateway/src/egress.rs
@@ -0,0 +1,733 @@
+//! Sends requests to endpoints, on own connections or in tunnels through other entry instances.
+//!
+//! `docs/design/reachability.md` describes how a lost path is noticed. Admission, limits, deadlines
+//! and retries stay with the entry instance that a call came to; the other one only passes bytes on.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
+use futures_util::stream::FuturesUnordered;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use parking_lot::Mutex;
+use sill_base::{Clock, Map, Millis, Name, Secret, event};
+use sill_dispatch::{Path, PathChange, PathRequest, Paths, Placement, RelayList, TICK};
+use sill_net::h1::{
+    Answer, Connection, ConnectionPool, KeptOutcome, Probe, SendFailure, Target, TunnelFailure,
+    TunnelRequest,
+};
+use sill_wire::Incarnation;
+use sill_wire::link::RelayOffer;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::cfg::GatewayCfg;
+use crate::metrics::Metrics;
+
+/// Time after which a tunnel is tried beside a connection that has not opened yet. Between failure
+/// domains one opens in 3 ms.
+const STAGGER: Millis = Millis(60);
+
+/// Time for another entry instance to open a tunnel.
+const TUNNEL_TIMEOUT: Millis = Millis(400);
+
+/// Number of entry instances that are asked for a tunnel to one endpoint.
+const MAX_RELAYS: usize = 3;
+
+/// Time for an answer on a path that failed before.
+const TRIAL_TIMEOUT: Millis = Millis(300);
+
+/// Time within which a proxy in front of an endpoint that can't be reached closes a connection.
+const CLOSE_TIME: Millis = Millis(20);
+
+/// An incarnation of an endpoint and its address.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Destination {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+impl From<&Placement> for Destination {
+    fn from(placement: &Placement) -> Self {
+        let Placement { endpoint, incarnation, address, .. } = placement;
+        Self { endpoint: endpoint.clone(), incarnation: *incarnation, address: *address }
+    }
+}
+
+/// How a request may be sent.
+#[derive(Clone, Copy)]
+pub struct SendOptions<'a> {
+    /// Longest time that a connection may have been idle.
+    pub max_idle: Millis,
+    /// Whether the request can be sent again if it gets no answer.
+    pub may_repeat: bool,
+    /// Whether the endpoint is a model engine, which may be silent for long.
+    pub is_engine: bool,
+    /// Takes a retry from the budget of the service; returns false if it is used up.
+    pub take_retry: &'a (dyn Fn() -> bool + Sync),
+}
+
+/// The tunnel that carries a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Via {
+    /// The entry instance that carries the tunnel.
+    pub entry: Name,
+    /// The address at which it accepts tunnels.
+    pub address: SocketAddr,
+}
+
+/// A request in flight. On an own connection it counts towards the endpoint's silence until dropped.
+#[derive(Debug)]
+pub struct Exchange {
+    egress: Arc<Egress>,
+    address: SocketAddr,
+    via: Option<Via>,
+    /// When the connection was opened, in milliseconds.
+    opened_at: u64,
+    heard: Arc<AtomicU64>,
+}
+
+/// What was last known of the endpoint at an address.
+#[derive(Debug)]
+struct Contact {
+    destination: Destination,
+    /// One more than the time at which the newest connection was opened on which bytes arrived
+    /// since the last tick; 0 for none.
+    heard: Arc<AtomicU64>,
+}
+
+/// The connections of an entry instance to endpoints.
+#[derive(Debug)]
+pub struct Egress {
+    name: Name,
+    domain: Name,
+    key: Secret,
+    clock: Clock,
+    pool: ConnectionPool,
+    paths: Mutex<Paths>,
+    relays: Mutex<Relays>,
+    contacts: Mutex<Map<SocketAddr, Contact>>,
+    /// Changes while paths are in doubt or lost.
+    lost: watch::Sender<()>,
+    tunnel_count: AtomicU64,
+    metrics: Metrics,
+}
+
+/// Offers of tunnels, by the control instance that sent them.
+#[derive(Debug, Default)]
+struct Relays {
+    by_control: Map<SocketAddr, Vec<RelayOffer>>,
+    list: RelayList,
+}
+
+/// A connection that was opened, and the tunnel if it is one.
+type Opened = (Connection, Option<Via>);
+
+impl Egress {
+    /// Creates an egress without connections.
+    pub fn new(cfg: &GatewayCfg, pool: ConnectionPool, clock: Clock, metrics: Metrics) -> Self {
+        Self {
+            name: cfg.name.clone(),
+            domain: cfg.domain.clone(),
+            key: cfg.cluster_key.clone(),
+            clock,
+            pool,
+            paths: Mutex::default(),
+            relays: Mutex::default(),
+            contacts: Mutex::default(),
+            lost: watch::Sender::default(),
+            tunnel_count: AtomicU64::new(0),
+            metrics,
+        }
+    }
+
+    /// Replaces the offers of tunnels that a control instance has sent.
+    pub fn set_offers(&self, from: SocketAddr, offers: Vec<RelayOffer>) {
+        let mut relays = self.relays.lock();
+        relays.by_control.insert(from, offers);
+        self.apply_offers(&mut relays);
+    }
+
+    /// Drops the offers of a control instance that is no longer followed, if there are others.
+    pub fn drop_offers(&self, from: SocketAddr) {
+        let mut relays = self.relays.lock();
+        if relays.by_control.iter().any(|(other, offers)| *other != from && !offers.is_empty()) {
+            relays.by_control.remove(&from);
+            self.apply_offers(&mut relays);
+        }
+    }
+
+    fn apply_offers(&self, relays: &mut Relays) {
+        let mut offers: Vec<RelayOffer> = relays.by_control.values().flatten().cloned().collect();
+        offers.retain(|offer| offer.entry != self.name);
+        offers.sort();
+        offers.dedup();
+        for withdrawn in relays.list.set_offers(offers) {
+            self.pool.close_tunnels(withdrawn);
+        }
+    }
+
+    /// Returns whether an endpoint is reached on own connections, as far as known.
+    pub fn is_sound(&self, address: SocketAddr) -> bool {
+        self.paths.lock().is_sound(address)
+    }
+
+    /// Returns whether no endpoint is reached on own connections.
+    pub fn is_cut_off(&self) -> bool {
+        self.paths.lock().is_cut_off()
+    }
+
+    /// Returns whether a failure at an endpoint is one of the path to it.
+    pub fn is_path_lost(&self, address: SocketAddr) -> bool {
+        let paths = self.paths.lock();
+        paths.is_cut_off() || paths.is_lost(address)
+    }
+
+    /// Drops idle connections that have expired; returns how many remain.
+    pub fn expire(&self) -> usize {
+        self.pool.expire()
+    }
+
+    /// Drops idle connections to an address.
+    pub fn close_idle(&self, address: SocketAddr) {
+        self.pool.close_idle(address);
+    }
+
+    /// Forgets an endpoint that has ended.
+    pub fn forget(&self, address: SocketAddr) {
+        self.pool.close_idle(address);
+        self.contacts.lock().remove(&address);
+        self.paths.lock().forget(address);
+    }
+
+    /// Sends a request and returns once the head of the answer has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the endpoint is reached on no path or the head does not arrive.
+    pub async fn send(
+        self: &Arc<Self>,
+        to: &Destination,
+        req: Request<Full<Bytes>>,
+        options: SendOptions<'_>,
+    ) -> Result<(Answer, Exchange), SendFailure> {
+        let now = self.clock.now();
+        let has_relay = self.relays.lock().list.has_usable(now);
+        let path_req =
+            PathRequest { address: to.address, may_repeat: options.may_repeat, has_relay };
+        let path = self.paths.lock().choose(now, path_req);
+        match path {
+            Path::Direct => self.send_direct(to, req, options).await,
+            Path::Trial if !options.may_repeat => self.send_trial(to, req, options).await,
+            Path::Trial if !(options.take_retry)() => self.send_in_tunnel(to, req, options).await,
+            Path::Trial => match self.send_trial(to, copy_of(&req), options).await {
+                Err(_) if has_relay => self.send_in_tunnel(to, req, options).await,
+                sent => sent,
+            },
+            Path::Tunnel => self.send_in_tunnel(to, req, options).await,
+            Path::None => Err(SendFailure::NotSent("no path to the endpoint works".to_owned())),
+        }
+    }
+
+    async fn send_direct(
+        self: &Arc<Self>,
+        to: &Destination,
+        req: Request<Full<Bytes>>,
+        options: SendOptions<'_>,
+    ) -> Result<(Answer, Exchange), SendFailure> {
+        let exchange = self.begin(to, options.is_engine, None);
+        let target = Target { address: to.address, via: None };
+        let sending = self.pool.send_kept(target, req, options.max_idle);
+        let req = match self.unless_stuck(to, options, sending).await? {
+            KeptOutcome::Answered(answer) => return Ok(exchange.answered(answer)),
+            KeptOutcome::Unknown(reason) => return Err(SendFailure::Unknown(reason)),
+            KeptOutcome::NoConnection(req) => req,
+        };
+        drop(exchange);
+        let opened = self.open(to, true).await?;
+        self.send_on(to, opened, req, options).await
+    }
+
+    /// Sends a request on a new connection of its own, to find out whether the path works again.
+    async fn send_trial(
+        self: &Arc<Self>,
+        to: &Destination,
+        req: Request<Full<Bytes>>,
+        options: SendOptions<'_>,
+    ) -> Result<(Answer, Exchange), SendFailure> {
+        let connection =
+            self.clone().connect_direct(to.clone()).await.map_err(SendFailure::NotSent)?;
+        let exchange = self.begin(to, options.is_engine, None);
+        let sending = self.pool.send_on(connection, req);
+        let sent = match options.may_repeat {
+            true => tokio::time::timeout(TRIAL_TIMEOUT.into(), sending).await,
+            false => Ok(sending.await),
+        };
+        let now = self.clock.now();
+        let sent = match sent {
+            Ok(Err(SendFailure::Unknown(reason))) => {
+                self.paths.lock().record_reset(now, to.address);
+                Err(SendFailure::Unknown(reason))
+            }
+            Ok(sent) => sent,
+            Err(_) => {
+                self.paths.lock().record_unanswered(now, to.address);
+                Err(SendFailure::Unknown(format!("no answer within {TRIAL_TIMEOUT} ms")))
+            }
+        };
+        sent.map(|answer| exchange.answered(answer))
+    }
+
+    async fn send_in_tunnel(
+        self: &Arc<Self>,
+        to: &Destination,
+        mut req: Request<Full<Bytes>>,
+        options: SendOptions<'_>,
+    ) -> Result<(Answer, Exchange), SendFailure> {
+        for offer in self.candidates(to) {
+            let via = Via { entry: offer.entry, address: offer.address };
+            let target = Target { address: to.address, via: Some(via.address) };
+            let exchange = self.begin(to, options.is_engine, Some(via));
+            match self.pool.send_kept(target, req, options.max_idle).await {
+                KeptOutcome::Answered(answer) => return Ok(exchange.answered(answer)),
+                KeptOutcome::Unknown(reason) => return Err(SendFailure::Unknown(reason)),
+                KeptOutcome::NoConnection(unsent) => req = unsent,
+            }
+        }
+        let opened = self.open(to, false).await?;
+        self.send_on(to, opened, req, options).await
+    }
+
+    async fn send_on(
+        self: &Arc<Self>,
+        to: &Destination,
+        (connection, via): Opened,
+        req: Request<Full<Bytes>>,
+        options: SendOptions<'_>,
+    ) -> Result<(Answer, Exchange), SendFailure> {
+        let is_direct = via.is_none();
+        let exchange = self.begin(to, options.is_engine, via);
+        let sending = self.pool.send_on(connection, req);
+        if !is_direct {
+            return sending.await.map(|answer| exchange.answered(answer));
+        }
+        match self.unless_stuck(to, options, sending).await? {
+            Ok(answer) => Ok(exchange.answered(answer)),
+            Err(failure) => {
+                if matches!(failure, SendFailure::Unknown(_)) {
+                    self.paths.lock().record_reset(self.clock.now(), to.address);
+                }
+                Err(failure)
+            }
+        }
+    }
+
+    /// Waits for an answer unless the path is lost and the request can be sent again.
+    async fn unless_stuck<F>(
+        &self,
+        to: &Destination,
+        options: SendOptions<'_>,
+        sending: F,
+    ) -> Result<F::Output, SendFailure>
+    where
+        F: Future,
+    {
+        if !options.may_repeat {
+            return Ok(sending.await);
+        }
+        tokio::select! {
+            biased;
+            sent = sending => Ok(sent),
+            () = self.wait_until_stuck(to.address) => {
+                Err(SendFailure::Unknown("the network path to the endpoint is lost".to_owned()))
+            }
+        }
+    }
+
+    async fn wait_until_stuck(&self, address: SocketAddr) {
+        let mut lost = self.lost.subscribe();
+        while !self.paths.lock().is_stuck(address) {
+            if lost.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
+    fn begin(self: &Arc<Self>, to: &Destination, is_engine: bool, via: Option<Via>) -> Exchange {
+        let heard = {
+            let mut contacts = self.contacts.lock();
+            let contact = contacts
+                .entry(to.address)
+                .or_insert_with(|| Contact { destination: to.clone(), heard: Arc::default() });
+            if contact.destination != *to {
+                contact.destination = to.clone();
+            }
+            contact.heard.clone()
+        };
+        if via.is_none() {
+            self.paths.lock().record_sent(to.address, is_engine);
+        }
+        Exchange { egress: self.clone(), address: to.address, via, opened_at: 0, heard }
+    }
+
+    fn candidates(&self, to: &Destination) -> Vec<RelayOffer> {
+        let now = self.clock.now();
+        if !self.paths.lock().may_tunnel(now, to.address) {
+            return Vec::new();
+        }
+        self.relays.lock().list.candidates(now, &self.domain, &to.endpoint, MAX_RELAYS)
+    }
+
+    /// Opens a connection to an endpoint, on whichever path accepts one first. The next path is
+    /// tried once the last has failed or is slow; `direct_first` says where to begin.
+    async fn open(
+        self: &Arc<Self>,
+        to: &Destination,
+        direct_first: bool,
+    ) -> Result<Opened, SendFailure> {
+        let direct = |egress: &Arc<Self>| -> BoxFuture<'static, Result<Opened, String>> {
+            let connecting = egress.clone().connect_direct(to.clone());
+            Box::pin(async { connecting.await.map(|connection| (connection, None)) })
+        };
+        let mut waiting: Vec<BoxFuture<'static, Result<Opened, String>>> = Vec::new();
+        if !direct_first {
+            waiting.push(direct(self));
+        }
+        for offer in self.candidates(to).into_iter().rev() {
+            let connecting = self.clone().connect_tunnel(to.clone(), offer);
+            waiting.push(Box::pin(async {
+                connecting.await.map_err(|failure| format!("{failure:?}"))
+            }));
+        }
+        if direct_first {
+            waiting.push(direct(self));
+        }
+        let mut running = FuturesUnordered::new();
+        let mut reason = String::new();
+        loop {
+            running.extend(waiting.pop());
+            if running.is_empty() {
+                return Err(SendFailure::NotSent(reason));
+            }
+            tokio::select! {
+                biased;
+                Some(opened) = running.next() => match opened {
+                    Ok(opened) => {
+                        self.finish_opening(running);
+                        return Ok(opened);
+                    }
+                    Err(err) if reason.is_empty() => reason = err,
+                    Err(_) => {}
+                },
+                () = tokio::time::sleep(STAGGER.into()), if !waiting.is_empty() => {}
+            }
+        }
+    }
+
+    /// Lets the other attempts end by themselves: whether they succeed says which paths work.
+    fn finish_opening(
+        self: &Arc<Self>,
+        mut running: FuturesUnordered<BoxFuture<'static, Result<Opened, String>>>,
+    ) {
+        if running.is_empty() {
+            return;
+        }
+        let egress = self.clone();
+        tokio::spawn(async move {
+            while let Some(opened) = running.next().await {
+                if let Ok((connection, _)) = opened {
+                    egress.pool.keep_unused(connection);
+                }
+            }
+        });
+    }
+
+    async fn connect_direct(self: Arc<Self>, to: Destination) -> Result<Connection, String> {
+        let connected = self.pool.connect(to.address).await;
+        let (now, mut paths) = (self.clock.now(), self.paths.lock());
+        match connected {
+            Ok(connection) => {
+                paths.record_connected(now, to.address);
+                Ok(connection)
+            }
+            Err(err) => {
+                paths.record_connect_failed(now, to.address, err.is_refused);
+                Err(err.reason)
+            }
+        }
+    }
+
+    async fn connect_tunnel(
+        self: Arc<Self>,
+        to: Destination,
+        offer: RelayOffer,
+    ) -> Result<Opened, TunnelFailure> {
+        let number = self.tunnel_count.fetch_add(1, Ordering::Relaxed) + 1;
+        let req = TunnelRequest {
+            tunnel: format!("{}-{number}", self.name).into(),
+            entry: self.name.clone(),
+            endpoint: to.endpoint.clone(),
+            incarnation: to.incarnation,
+            address: to.address,
+            key: self.key.clone(),
+        };
+        let opened = self.pool.connect_through(offer.address, &req, TUNNEL_TIMEOUT).await;
+        let now = self.clock.now();
+        let result = match &opened {
+            Ok(_) => "opened",
+            Err(TunnelFailure::Endpoint) => "endpoint_unreachable",
+            Err(TunnelFailure::Declined(_)) => "declined",
+            Err(TunnelFailure::Relay(_)) => "relay_unreachable",
+        };
+        self.metrics.tunnels.with_label_values(&[result]).inc();
+        event!(
+            Debug,
+            "tunnel_asked",
+            tunnel = req.tunnel,
+            via = offer.entry,
+            endpoint = to.endpoint,
+            address = to.address,
+            result = result
+        );
+        match &opened {
+            Ok(_) => {
+                self.relays.lock().list.record_success(offer.address);
+                self.paths.lock().record_tunnel(now, to.address, false);
+            }
+            Err(TunnelFailure::Endpoint) => self.paths.lock().record_no_tunnel(now, to.address),
+            Err(TunnelFailure::Declined(StatusCode::NOT_FOUND)) => {}
+            Err(_) => self.relays.lock().list.record_failure(now, offer.address),
+        }
+        let via = Via { entry: offer.entry, address: offer.address };
+        opened.map(|connection| (connection, Some(via)))
+    }
+
+    /// Sends a request and reads the complete answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer does not arrive completely.
+    pub async fn fetch(
+        self: &Arc<Self>,
+        to: &Destination,
+        req: Request<Full<Bytes>>,
+        max_idle: Millis,
+    ) -> Result<(StatusCode, Bytes), String> {
+        let options =
+            SendOptions { max_idle, may_repeat: false, is_engine: true, take_retry: &|| false };
+        let sent = self.send(to, req, options).await;
+        let (answer, exchange) = sent.map_err(|err| format!("{err:?}"))?;
+        let (response, connection) = answer.into_parts();
+        let status = response.status();
+        let body = response.into_body().collect().await.map_err(|err| err.to_string())?;
+        exchange.record_heard();
+        if let Some(connection) = connection {
+            connection.release();
+        }
+        Ok((status, body.to_bytes()))
+    }
+
+    /// Returns whether an endpoint has ended: connections to it are refused, or closed within
+    /// `wait`, here and at all other entry instances that are asked.
+    ///
+    /// A lost path looks like the end of an endpoint from here, and calls would be blamed for it.
+    pub async fn has_ended(self: &Arc<Self>, to: &Destination, wait: Millis) -> bool {
+        if matches!(self.probe(to, wait).await, Probe::Open | Probe::Failed) {
+            return false;
+        }
+        let candidates = self.candidates(to);
+        let mut is_confirmed = candidates.is_empty();
+        for offer in candidates {
+            match self.clone().connect_tunnel(to.clone(), offer).await {
+                Ok((connection, _)) => {
+                    tokio::time::sleep(wait.into()).await;
+                    if !connection.is_closed() {
+                        self.pool.keep_unused(connection);
+                        return false;
+                    }
+                    is_confirmed = true;
+                }
+                Err(TunnelFailure::Endpoint) => is_confirmed = true,
+                Err(_) => {}
+            }
+        }
+        // A partition shows at several endpoints, and others that it separates from them as well may
+        // not have noticed yet.
+        tokio::time::sleep(TICK.into()).await;
+        is_confirmed && !self.is_cut_off()
+    }
+
+    /// Watches the paths until the task is dropped; calls `on_tick` with the delay of the timer.
+    pub async fn watch<F>(self: Arc<Self>, on_tick: F)
+    where
+        F: Fn(Millis),
+    {
+        loop {
+            let due = Instant::now() + TICK.into();
+            tokio::time::sleep_until(due).await;
+            on_tick(Millis(due.elapsed().as_millis() as u64));
+            for address in self.tick() {
+                tokio::spawn(self.clone().check(address));
+            }
+        }
+    }
+
+    fn tick(&self) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let heard: Vec<(SocketAddr, u64)> = {
+            let contacts = self.contacts.lock();
+            let heard = contacts
+                .iter()
+                .map(|(at, contact)| (*at, contact.heard.swap(0, Ordering::Relaxed)));
+            heard.filter(|(_, opened)| *opened > 0).collect()
+        };
+        let (checks, changes, lost, is_cut_off, has_faults) = {
+            let mut paths = self.paths.lock();
+            for (address, opened) in heard {
+                paths.record_heard(now, address, Millis(opened - 1));
+            }
+            let checks = paths.tick(now);
+            let (lost, is_cut_off) = (paths.lost_count(), paths.is_cut_off());
+            (checks, paths.take_changes(), lost, is_cut_off, paths.has_faults())
+        };
+        self.metrics.lost_paths.set(lost as i64);
+        self.metrics.cut_off.set(i64::from(is_cut_off));
+        for change in changes {
+            self.log(change);
+        }
+        if has_faults {
+            self.lost.send_replace(());
+        }
+        checks
+    }
+
+    fn log(&self, change: PathChange) {
+        let endpoint_of = |address: SocketAddr| {
+            let contacts = self.contacts.lock();
+            let contact = contacts.get(&address);
+            contact.map(|contact| contact.destination.endpoint.clone()).unwrap_or_default()
+        };
+        match change {
+            PathChange::Doubted(address, doubt) => event!(
+                Info,
+                "path_doubted",
+                endpoint = endpoint_of(address),
+                address = address,
+                why = format!("{doubt:?}")
+            ),
+            PathChange::Lost(address, doubt) => {
+                self.pool.close_direct(address);
+                event!(
+                    Warn,
+                    "path_lost",
+                    endpoint = endpoint_of(address),
+                    address = address,
+                    why = format!("{doubt:?}")
+                );
+            }
+            PathChange::Restored(address) => {
+                event!(Info, "path_restored", endpoint = endpoint_of(address), address = address);
+            }
+            PathChange::CutOff => {
+                let has_relay = self.relays.lock().list.has_usable(self.clock.now());
+                event!(Warn, "cut_off_from_endpoints", has_relay = has_relay);
+            }
+            PathChange::Reconnected => event!(Info, "reconnected_to_endpoints"),
+        }
+    }
+
+    /// Opens a connection to an endpoint and waits whether it is closed within `wait`.
+    async fn probe(&self, to: &Destination, wait: Millis) -> Probe {
+        let probe = self.pool.probe(to.address, wait).await;
+        let (now, mut paths) = (self.clock.now(), self.paths.lock());
+        match probe {
+            Probe::Open => paths.record_connected(now, to.address),
+            Probe::Closed => paths.record_reset(now, to.address),
+            Probe::Refused => paths.record_connect_failed(now, to.address, true),
+            Probe::Failed => paths.record_connect_failed(now, to.address, false),
+        }
+        probe
+    }
+
+    /// Connects to an endpoint that is silent or was unreachable, and if that fails, asks another
+    /// entry instance whether it reaches it.
+    async fn check(self: Arc<Self>, address: SocketAddr) {
+        let destination = {
+            let contacts = self.contacts.lock();
+            contacts.get(&address).map(|contact| contact.destination.clone())
+        };
+        let Some(to) = destination else { return };
+        let mut probe = self.probe(&to, CLOSE_TIME).await;
+        if probe == Probe::Failed {
+            probe = self.probe(&to, CLOSE_TIME).await;
+        }
+        if probe == Probe::Open {
+            return;
+        }
+        for offer in self.candidates(&to) {
+            if let Ok((connection, _)) = self.clone().connect_tunnel(to.clone(), offer).await {
+                return self.pool.keep_unused(connection);
+            }
+        }
+    }
+}
+
+fn copy_of(req: &Request<Full<Bytes>>) -> Request<Full<Bytes>> {
+    let mut copy = Request::new(req.body().clone());
+    *copy.method_mut() = req.method().clone();
+    *copy.uri_mut() = req.uri().clone();
+    *copy.headers_mut() = req.headers().clone();
+    copy
+}
+
+impl Exchange {
+    /// Records the head of the answer.
+    fn answered(mut self, answer: Answer) -> (Answer, Self) {
+        self.opened_at = answer.opened_at.0;
+        let (now, mut paths) = (self.egress.clock.now(), self.egress.paths.lock());
+        match &self.via {
+            Some(_) => paths.record_tunnel(now, self.address, true),
+            None => paths.record_heard(now, self.address, answer.opened_at),
+        }
+        drop(paths);
+        (answer, self)
+    }
+
+    /// Records that a part of the answer arrived.
+    pub fn record_heard(&self) {
+        // What arrives in a tunnel says nothing about the own connections.
+        if self.via.is_none() {
+            self.heard.fetch_max(self.opened_at + 1, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the tunnel that carries the request.
+    pub const fn via(&self) -> Option<&Via> {
+        self.via.as_ref()
+    }
+
+    /// Waits until the path is lost on which the answer arrives.
+    pub fn wait_until_stuck(&self) -> BoxFuture<'static, ()> {
+        if self.via.is_some() {
+            return Box::pin(std::future::pending());
+        }
+        let (egress, address) = (self.egress.clone(), self.address);
+        Box::pin(async move { egress.wait_until_stuck(address).await })
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if self.via.is_none() {
+            self.egress.paths.lock().record_end(self.address);
+        }
+    }
+}
--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`serve`] reads and admits a call, [`dispatch`] chooses an endpoint and sends the attempts, and
 //! [`answer`] and [`relay`] relay the answer. [`migration`] moves runs off reclaimed engines.
 //! [`link`] polls the control instances, and [`settings_fetcher`] fetches settings from them.
+//! [`egress`] sends requests to endpoints, and [`tunnels`] carries those of entry instances that do not reach them.
 //! [`crashes`] blocks requests under which endpoints crash. [`planned_stop`] and [`termination`] bound calls during a stop.
 
 pub mod answer;
@@ -13,6 +14,7 @@
 pub mod daemon;
 pub mod dialect;
 pub mod dispatch;
+pub mod egress;
 pub mod failure;
 pub mod link;
 pub mod metrics;
@@ -25,6 +27,7 @@
 pub mod state;
 pub mod summary;
 pub mod termination;
+pub mod tunnels;
 
 pub use cfg::GatewayCfg;
 pub use daemon::Gateway;
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -6,8 +6,8 @@
     Registry, TextEncoder, exponential_buckets,
 };
 
-/// The metrics of an entry instance for routes.
-#[derive(Debug)]
+/// The metrics of an entry instance for routes. Clones share the figures.
+#[derive(Debug, Clone)]
 pub struct Metrics {
     registry: Registry,
     /// Number of calls by outcome.
@@ -41,6 +41,16 @@
     pub endpoint_crashes: IntCounter,
     /// Number of requests that are blocked because endpoints crashed under them.
     pub blocked_requests: IntGauge,
+    /// Number of endpoints that only other entry instances reach.
+    pub lost_paths: IntGauge,
+    /// 1 while no endpoint is reached on own connections.
+    pub cut_off: IntGauge,
+    /// Tunnels asked for at other entry instances, by result.
+    pub tunnels: IntCounterVec,
+    /// Tunnels of other entry instances that are open here.
+    pub carried_tunnels: IntGauge,
+    /// Tunnels of other entry instances by whether they were granted.
+    pub tunnel_requests: IntCounterVec,
 }
 
 impl Metrics {
@@ -110,6 +120,24 @@
                 "unused connections to endpoints",
             )?,
             endpoint_crashes,
+            lost_paths: gauge(
+                "sill_gateway_lost_paths",
+                "endpoints that only other entry instances reach",
+            )?,
+            cut_off: gauge(
+                "sill_gateway_cut_off",
+                "1 while no endpoint is reached on own connections",
+            )?,
+            tunnels: counters("sill_gateway_tunnels_total", "tunnels asked for", "result")?,
+            carried_tunnels: gauge(
+                "sill_gateway_carried_tunnels",
+                "open tunnels of other entry instances",
+            )?,
+            tunnel_requests: counters(
+                "sill_gateway_tunnel_requests_total",
+                "tunnels asked for by other entry instances",
+                "answer",
+            )?,
             blocked_requests: gauge(
                 "sill_gateway_blocked_requests",
                 "requests that are blocked because endpoints crashed under them",
--- a/daemons/gateway/src/migration.rs
+++ b/daemons/gateway/src/migration.rs
@@ -11,10 +11,10 @@
 
 use futures_util::future::BoxFuture;
 use sill_base::{Millis, Name, event};
-use sill_dispatch::Placement;
 
 use crate::dialect::MigratedMemory;
 use crate::dispatch::{self, Attempt};
+use crate::egress::Destination;
 use crate::serve::Call;
 use crate::state::State;
 
@@ -73,11 +73,11 @@
             if attempt.state().planned_stop.ends_within(MIGRATION_LEAD) {
                 return;
             }
-            let Placement { endpoint, address, .. } = attempt.placement.clone();
+            let source = Destination::from(&attempt.placement);
             let (state, call) = (attempt.state().clone(), attempt.call().clone());
             // The router tells attempts of one call apart by their number.
             let stop_requested = self.stop_requested.clone();
-            let migrated = migrate(state, call, address, endpoint, sends + 1, stop_requested);
+            let migrated = migrate(state, call, source, sends + 1, stop_requested);
             self.transfer = Some(MemoryTransfer::Copying(Box::pin(migrated)));
         }
         if let Some(MemoryTransfer::Copying(copying)) = &mut self.transfer
@@ -128,31 +128,36 @@
 async fn migrate(
     state: Arc<State>,
     call: Arc<Call>,
-    source: SocketAddr,
-    endpoint: Name,
+    source: Destination,
     sends: u32,
     stop_requested: Arc<AtomicBool>,
 ) -> Option<MigratedRun> {
     let started_at = state.clock.now();
-    let attempt =
-        dispatch::place_attempt(&state, &call, started_at, std::slice::from_ref(&endpoint), sends)
-            .ok()?;
+    let attempt = dispatch::place_attempt(
+        &state,
+        &call,
+        started_at,
+        std::slice::from_ref(&source.endpoint),
+        sends,
+    )
+    .ok()?;
     let copies = async {
-        copy(&state, &call, source, attempt.placement.address, false).await?;
+        copy(&state, &call, &source, attempt.placement.address, false).await?;
         let copied_at = state.clock.now();
         stop_requested.store(true, Ordering::Relaxed);
-        let handle = copy(&state, &call, source, attempt.placement.address, true).await?;
+        let handle = copy(&state, &call, &source, attempt.placement.address, true).await?;
         Ok::<_, String>((handle, state.clock.now() - copied_at))
     };
     let copies = tokio::time::timeout(MIGRATION_TIMEOUT.into(), copies).await;
     let copies =
         copies.unwrap_or_else(|_| Err("copy not complete within the time limit".to_owned()));
     let (id, to) = (&call.head.attempt, &attempt.placement.endpoint);
+    let Destination { endpoint, address, .. } = &source;
     let ms = state.clock.now() - started_at;
     match copies {
         Ok((handle, pause)) => {
             event!(Info, "run_moved", id = id, from = endpoint, to = to, ms = ms, paused = pause);
-            Some(MigratedRun { attempt, memory: MigratedMemory { source, handle } })
+            Some(MigratedRun { attempt, memory: MigratedMemory { source: *address, handle } })
         }
         Err(why) => {
             event!(Warn, "run_not_moved", id = id, from = endpoint, to = to, why = why, ms = ms);
@@ -164,13 +169,13 @@
 async fn copy(
     state: &State,
     call: &Call,
-    source: SocketAddr,
+    source: &Destination,
     to: SocketAddr,
     stop_run: bool,
 ) -> Result<Name, String> {
     let dialect = &state.cfg.dialect;
     let req =
         dialect.copy_run(&call.head.attempt, to, stop_run).ok_or("engines can't copy runs")?;
-    let (status, body) = state.connections.fetch(source, req, MAX_CONNECTION_IDLE).await?;
+    let (status, body) = state.egress.fetch(source, req, MAX_CONNECTION_IDLE).await?;
     dialect.memory_handle(status, &body).ok_or_else(|| status.to_string())
 }
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -22,6 +22,7 @@
 
 use crate::crashes::REFUSAL_TIME;
 use crate::dispatch::{self, Attempt, AttemptResult, Resumption};
+use crate::egress::Destination;
 use crate::failure::Failure;
 use crate::migration::RunMigration;
 use crate::serve::Call;
@@ -81,6 +82,8 @@
     pub connection: Option<ReusableConnection>,
     /// Resolves to whether the endpoint has ended, once the body has ended without a mark.
     end_check: Option<BoxFuture<'static, bool>>,
+    /// Resolves once the rest of the body can't be expected to arrive.
+    stuck: BoxFuture<'static, ()>,
 }
 
 impl EndpointAnswer {
@@ -91,7 +94,8 @@
         body: Incoming,
         connection: Option<ReusableConnection>,
     ) -> Self {
-        Self { body, framing, attempt, connection, end_check: None }
+        let stuck = attempt.wait_until_stuck();
+        Self { body, framing, attempt, connection, end_check: None, stuck }
     }
 
     /// Starts to check whether the endpoint has ended, if the end of its answer has no mark.
@@ -100,8 +104,9 @@
         if self.framing != Framing::Close || self.attempt.is_endpoint_leaving() {
             return false;
         }
-        let (state, address) = (self.attempt.state().clone(), self.attempt.placement.address);
-        let check = async move { state.connections.is_refused(address, wait).await };
+        let egress = self.attempt.state().egress.clone();
+        let endpoint = Destination::from(&self.attempt.placement);
+        let check = async move { egress.has_ended(&endpoint, wait).await };
         self.end_check = Some(Box::pin(check));
         true
     }
@@ -123,6 +128,7 @@
     ) -> Self {
         summary.set_framing(answer.framing);
         let attempt = &answer.attempt;
+        summary.set_via(attempt.via());
         let (state, call) = (attempt.state().clone(), attempt.call().clone());
         let time_left = call.due - state.clock.now();
         let migration = match may_resume && is_movable(&call) {
@@ -357,9 +363,22 @@
                 let has_ended = ready!(check.as_mut().poll(cx));
                 return self.end_unmarked(cx, has_ended);
             }
-            match ready!(Pin::new(&mut answer.body).poll_frame(cx)) {
+            let frame = match Pin::new(&mut answer.body).poll_frame(cx) {
+                Poll::Ready(frame) => frame,
+                Poll::Pending => {
+                    let is_stuck = self.may_resume && answer.stuck.as_mut().poll(cx).is_ready();
+                    if !is_stuck || !self.call.route.route.kind.may_repeat() {
+                        return Poll::Pending;
+                    }
+                    let reason = "the network path to the endpoint is lost";
+                    self.end_truncated(cx, &reason, reason.into());
+                    return Poll::Pending;
+                }
+            };
+            match frame {
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
+                    answer.attempt.record_heard();
                     let data = match &mut self.events {
                         Some(events) => events.push(data),
                         None => data,
@@ -410,6 +429,7 @@
             Some(answer) => {
                 self.summary.record_resume(&answer.attempt.placement);
                 self.summary.set_framing(answer.framing);
+                self.summary.set_via(answer.attempt.via());
                 if is_movable(&self.call) {
                     self.migration = RunMigration::of(&answer.attempt);
                 }
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -22,9 +22,11 @@
 
 use crate::cfg::GatewayCfg;
 use crate::crashes::Crashes;
+use crate::egress::Egress;
 use crate::metrics::Metrics;
 use crate::planned_stop::PlannedStop;
 use crate::termination::Termination;
+use crate::tunnels::Tunnels;
 
 /// Timeout for connecting to an endpoint. A connection between failure domains takes 3 ms. A lost
 /// first packet is sent again after a second, which is too late for most calls.
@@ -63,8 +65,10 @@
     pub incarnation: Incarnation,
     /// The metrics served to operators.
     pub metrics: Metrics,
-    /// The pool of connections to endpoints.
-    pub connections: ConnectionPool,
+    /// The connections to endpoints.
+    pub egress: Arc<Egress>,
+    /// The tunnels that this instance carries for others.
+    pub tunnels: Tunnels,
     /// Counts open connections of callers.
     pub callers: Arc<OpenConnections>,
     /// Ends the calls that a stop doesn't wait for.
@@ -119,6 +123,7 @@
     pub fn new(cfg: GatewayCfg) -> eyre::Result<Self> {
         let clock = Clock::start();
         let connections = ConnectionPoolCfg {
+            source: cfg.connect_from,
             connect_timeout: CONNECT_TIMEOUT,
             unacknowledged_timeout: UNACKNOWLEDGED_TIMEOUT,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
@@ -128,8 +133,14 @@
         let metrics = Metrics::new()?;
         Ok(Self {
             crashes: Crashes::new(clock, &metrics),
+            egress: Arc::new(Egress::new(
+                &cfg,
+                ConnectionPool::new(connections, clock),
+                clock,
+                metrics.clone(),
+            )),
+            tunnels: Tunnels::new(&metrics),
             metrics,
-            connections: ConnectionPool::new(connections, clock),
             callers: Arc::default(),
             termination: Termination::default(),
             table: watch::Sender::new(None),
@@ -221,6 +232,9 @@
             reply.loads.iter().for_each(|load| pool.record_remote_load(now, load));
         }
         self.crashes.apply(from, &reply.crashes);
+        if let Some(relays) = &reply.relays {
+            self.egress.set_offers(from, relays.clone());
+        }
         if let Some(totals) = &reply.totals {
             self.apply_totals(now, from, totals);
         }
@@ -354,7 +368,7 @@
             FactUpdate::Stale => return,
             FactUpdate::Newer => {}
             FactUpdate::Restart(old_address) => {
-                self.connections.close_idle(old_address);
+                self.egress.forget(old_address);
                 pool.departures.lock().remove(&fact.endpoint);
             }
         }
@@ -362,7 +376,7 @@
             self.crashes.confirm(&endpoint, incarnation);
         }
         if fact.state >= EndpointState::Silent {
-            self.connections.close_idle(fact.address);
+            self.egress.forget(fact.address);
         }
         if matches!(fact.state, EndpointState::Leaving | EndpointState::Gone) {
             let time_left = fact.leaves_in.unwrap_or(self.cfg.endpoint_notice);
@@ -445,8 +459,19 @@
             accounts,
             services,
             loads,
+            relay: self.tunnels.offer(self),
         }
     }
+
+    /// Returns the address of an incarnation of an endpoint that is alive.
+    pub fn address_of(&self, endpoint: &Name, incarnation: Incarnation) -> Option<SocketAddr> {
+        self.pools.read().values().find_map(|pool| {
+            let pool = pool.pool.lock();
+            let fact = pool.facts().find(|fact| fact.endpoint == *endpoint)?;
+            let is_alive = fact.state < EndpointState::Silent && fact.incarnation == incarnation;
+            is_alive.then_some(fact.address)
+        })
+    }
 }
 
 /// Returns the ready endpoints that a fact shows to have ended: the endpoint itself if it is silent
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -10,6 +10,7 @@
 use sill_tree::RouteKind;
 use sill_wire::ErrorCode;
 
+use crate::egress::Via;
 use crate::failure::Failure;
 use crate::serve::{Call, RETRY_ELSEWHERE_AFTER};
 use crate::state::State;
@@ -39,6 +40,8 @@
     endpoint: Name,
     reason: String,
     send_count: u32,
+    /// The entry instance through which the endpoint answered, if the path to it was lost.
+    via: Name,
     first_part: Option<Millis>,
     bytes: u64,
     framing: Option<Framing>,
@@ -67,6 +70,7 @@
             endpoint: Name::default(),
             reason: String::new(),
             send_count: 0,
+            via: Name::default(),
             first_part: None,
             bytes: 0,
             framing: None,
@@ -91,6 +95,11 @@
         self.endpoint = placement.endpoint.clone();
     }
 
+    /// Records the tunnel in which the answer arrives.
+    pub fn set_via(&mut self, via: Option<&Via>) {
+        self.via = via.map(|via| via.entry.clone()).unwrap_or_default();
+    }
+
     /// Records how the endpoint that now answers marks the end of its answer.
     pub fn set_framing(&mut self, framing: Framing) {
         self.framing = Some(framing);
@@ -244,6 +253,7 @@
         pair("service", &call.pool.service);
         pair("endpoint", &self.endpoint);
         pair("sends", &self.send_count);
+        pair("via", &self.via);
         pair("prompt", &call.prompt.tokens);
         pair("output", &call.prompt.max_output_tokens);
         pair("urgency", &call.urgency);
--- a/daemons/gateway/tests/limits.rs
+++ b/daemons/gateway/tests/limits.rs
@@ -34,6 +34,8 @@
         listen_ready: nowhere(),
         ready_path: "/readyz".into(),
         listen_metrics: nowhere(),
+        connect_from: None,
+        listen_peer: nowhere(),
         seeds: Vec::new(),
         cluster_key: Secret::new("test"),
         dialect: Arc::new(SillDialect),
@@ -63,6 +65,7 @@
         endpoints: Vec::new(),
         loads: Vec::new(),
         crashes: CrashUpdate::default(),
+        relays: None,
         controls: Vec::new(),
         totals: Some(Totals {
             age: Millis::ZERO,
--- a/daemons/gateway/tests/settings.rs
+++ b/daemons/gateway/tests/settings.rs
@@ -111,6 +111,7 @@
             endpoints: facts[acknowledged..].to_vec(),
             loads: Vec::new(),
             crashes: CrashUpdate::default(),
+            relays: None,
             controls: self.controls.lock().clone(),
             totals: None,
             true_time: Millis::wall(),
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -26,7 +26,7 @@
 use sill_standin::loopback::free_addresses;
 use sill_tree::{Account, Document, Engine, KeyHash, Pool, Route, RouteKind, Service, Share};
 use sill_wire::control::Revision;
-use sill_wire::link::{Cursor, EndpointFact, EndpointState, LinkPoll, LinkReply};
+use sill_wire::link::{Cursor, EndpointFact, EndpointState, LinkPoll, LinkReply, RelayOffer};
 use sill_wire::settings::PiecesRequest;
 use sill_wire::{CrashUpdate, Incarnation};
 use tokio::runtime::Runtime;
@@ -63,6 +63,8 @@
     AnswerWhen(String, Arc<AtomicBool>),
     /// Sends these bytes and resets the connection.
     AnswerAndReset(String),
+    /// Sends these bytes, stops to listen and goes silent, like an endpoint behind a partition.
+    AnswerAndFallSilent(String),
     /// Sends nothing until the other side closes the connection.
     Hang,
 }
@@ -107,8 +109,12 @@
     pub name: Name,
     /// The address of the readiness checks.
     pub ready_address: SocketAddr,
+    /// The address at which other entry instances ask for tunnels.
+    pub peer_address: SocketAddr,
     /// The endpoint facts that the control instance sends.
     pub facts: Arc<Mutex<Vec<EndpointFact>>>,
+    /// The offers of tunnels that the control instance sends.
+    pub relays: Arc<Mutex<Vec<RelayOffer>>>,
     /// Number of polls of the entry instance.
     polls: Arc<AtomicUsize>,
     runtime: Runtime,
@@ -249,6 +255,13 @@
                 socket.set_linger(Some(Duration::ZERO)).expect("the socket option can be set");
                 return;
             }
+            Action::AnswerAndFallSilent(text) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
+                let socket = socket2::SockRef::from(listener);
+                let _ = socket.shutdown(std::net::Shutdown::Both);
+                let _ = reader.read_to_end(&mut Vec::new());
+                return;
+            }
             Action::Hang => {
                 let mut ignored = Vec::new();
                 let _ = reader.read_to_end(&mut ignored);
@@ -326,13 +339,16 @@
         }
         let facts = Arc::new(Mutex::new(facts));
         let facts_sent = facts.clone();
+        let relays = Arc::<Mutex<Vec<RelayOffer>>>::default();
+        let relays_sent = relays.clone();
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port can be bound");
         let mut peers = PeerServerBuilder::new(Secret::new(CLUSTER_KEY));
         let polls = Arc::<AtomicUsize>::default();
         let poll_counter = polls.clone();
         peers.answer(move |poll: LinkPoll| {
             poll_counter.fetch_add(1, Ordering::Relaxed);
-            answer(poll, facts_sent.lock().clone(), has_settings)
+            let relays = relays_sent.lock().clone();
+            answer(poll, facts_sent.lock().clone(), relays, has_settings)
         });
         let pieces = SettingsPieces::of(1, &document());
         peers.answer(move |req: PiecesRequest| {
@@ -345,13 +361,16 @@
         let name = cfg.name.clone();
         let gateway = Gateway::start(cfg).expect("the server starts");
         let (address, ready_address) = (gateway.address, gateway.ready_address);
+        let peer_address = gateway.peer_address;
         let (gateway, _control) = (Some(gateway), control);
         let harness = Self {
             endpoints,
             address,
             name,
             ready_address,
+            peer_address,
             facts,
+            relays,
             polls,
             gateway,
             _control,
@@ -541,6 +560,8 @@
         listen_ready: addresses[1],
         ready_path: "/readyz".into(),
         listen_metrics: addresses[2],
+        connect_from: None,
+        listen_peer: free_addresses(1).expect("a free port")[0],
         seeds: vec![control],
         cluster_key: Secret::new(CLUSTER_KEY),
         dialect: Arc::new(MigrationDialect),
@@ -593,6 +614,7 @@
 async fn answer(
     poll: LinkPoll,
     facts: Vec<EndpointFact>,
+    relays: Vec<RelayOffer>,
     has_settings: bool,
 ) -> Result<LinkReply, sill_net::PeerError> {
     let is_known = poll.have >= Revision(1);
@@ -605,6 +627,7 @@
         endpoints: facts,
         loads: Vec::new(),
         crashes: CrashUpdate::default(),
+        relays: Some(relays),
         controls: Vec::new(),
         totals: None,
         true_time: Millis::wall(),
--- /dev/null
+++ b/daemons/gateway/tests/tunnels.rs
@@ -0,0 +1,201 @@
+//! Calls at an entry instance that reaches endpoints only through another one.
+
+#[allow(dead_code)] // The tests of tunnels use a part of it.
+mod support;
+
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use sill_base::Millis;
+use sill_wire::link::{EndpointFact, RelayOffer};
+use support::{Action, Harness, answer_of, exchange, fact, head, request};
+
+const EVENT_STREAM: &str = "content-type: text/event-stream\r\n";
+
+/// How connections to the endpoints fail at one of the entry instances.
+#[derive(Debug, Clone, Copy)]
+enum Failure {
+    /// They are refused.
+    Refused,
+    /// They are not accepted.
+    Hanging,
+}
+
+/// An address at which connections fail in one of these ways while it exists.
+struct DeadAddress {
+    address: SocketAddr,
+    _listener: Option<TcpListener>,
+    _queued: Vec<TcpStream>,
+}
+
+impl DeadAddress {
+    fn new(failure: Failure) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port can be bound");
+        let address = listener.local_addr().expect("a bound listener has an address");
+        match failure {
+            Failure::Refused => Self { address, _listener: None, _queued: Vec::new() },
+            Failure::Hanging => {
+                // A full queue of connections that nobody accepts.
+                let socket = socket2::SockRef::from(&listener);
+                socket.listen(0).expect("the queue can be shortened");
+                let connect =
+                    || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
+                let queued = std::iter::from_fn(connect).take(16).collect();
+                Self { address, _listener: Some(listener), _queued: queued }
+            }
+        }
+    }
+}
+
+/// An entry instance without connections to endpoints, and one that reaches them.
+struct Pair {
+    cut_off: Harness,
+    helper: Harness,
+    _dead: DeadAddress,
+}
+
+impl Pair {
+    fn start(failure: Failure, actions: Vec<Action>) -> Self {
+        let helper = Harness::start(vec![actions]);
+        let cut_off = Harness::start(vec![Vec::new()]);
+        let dead = DeadAddress::new(failure);
+        offer(&cut_off, &helper);
+        // The endpoints of the helper have this name at another address.
+        *cut_off.facts.lock() = vec![EndpointFact { sequence: 2, ..fact(0, dead.address) }];
+        cut_off.wait_until_facts_applied();
+        Self { cut_off, helper, _dead: dead }
+    }
+}
+
+/// Tells an entry instance that another one offers tunnels.
+fn offer(to: &Harness, by: &Harness) {
+    let offer = RelayOffer { entry: by.name.clone(), domain: "a".into(), address: by.peer_address };
+    *to.relays.lock() = vec![offer];
+}
+
+/// Calls fail at an entry instance that can't connect to endpoints, although another one can.
+#[test]
+fn calls_are_served_through_another_entry_instance() {
+    struct Case {
+        path: &'static str,
+        failure: Failure,
+    }
+    let cases = [
+        Case { path: "/idempotent/x", failure: Failure::Refused },
+        Case { path: "/idempotent/x", failure: Failure::Hanging },
+        Case { path: "/non_idempotent/x", failure: Failure::Refused },
+        Case { path: "/non_idempotent/x", failure: Failure::Hanging },
+    ];
+    for Case { path, failure } in cases {
+        let pair = Pair::start(failure, vec![Action::Answer(answer_of("hello")); 3]);
+        for _ in 0..3 {
+            let got = pair.cut_off.call(path);
+            assert_eq!(
+                (got.status, got.body.as_slice()),
+                (200, &b"hello"[..]),
+                "{path} {failure:?}"
+            );
+        }
+        assert_eq!(pair.helper.endpoints[0].requests(), 3, "{path} {failure:?}");
+    }
+}
+
+/// A call whose tunnel breaks may have run. Sent again, it would run twice.
+#[test]
+fn a_call_whose_tunnel_breaks_is_not_repeated_if_it_must_not_run_twice() {
+    let pair = Pair::start(Failure::Refused, vec![Action::AnswerAndClose(String::new()); 3]);
+    let got = pair.cut_off.call("/non_idempotent/x");
+    assert_eq!(got.status, 502);
+    assert!(!got.head.contains("sill-not-run"), "{}", got.head);
+    assert_eq!(pair.helper.endpoints[0].requests(), 1);
+}
+
+/// An answer that breaks off behind a tunnel would look complete to its caller.
+#[test]
+fn a_stream_is_as_whole_as_its_endpoint_sent_it() {
+    struct Case {
+        name: &'static str,
+        action: Action,
+        is_complete: bool,
+    }
+    let stream = |events: &str| format!("{}{events}", head(EVENT_STREAM));
+    let cases = [
+        Case {
+            name: "closed after an event",
+            action: Action::AnswerAndClose(stream("id: 1\ndata: a\n\n")),
+            is_complete: true,
+        },
+        Case {
+            name: "closed inside an event",
+            action: Action::AnswerAndClose(stream("id: 1\ndata: a\n\nid: 2\nda")),
+            is_complete: false,
+        },
+        Case {
+            name: "reset after an event",
+            action: Action::AnswerAndReset(stream("id: 1\ndata: a\n\n")),
+            is_complete: false,
+        },
+    ];
+    for Case { name, action, is_complete } in cases {
+        let pair = Pair::start(Failure::Refused, vec![action]);
+        let got = pair.cut_off.call("/stream/x");
+        assert_eq!((got.status, got.is_complete), (200, is_complete), "{name}");
+        assert!(got.body.starts_with(b"id: 1\ndata: a\n\n"), "{name}");
+    }
+}
+
+/// A stream that hangs in the middle because the path to its endpoint is lost waits for its deadline
+/// although another endpoint could resume it.
+#[test]
+fn a_stream_on_a_lost_path_is_resumed_at_another_endpoint() {
+    let helper = Harness::start(vec![Vec::new()]);
+    let first = format!("{}id: 1\ndata: a\n\n", head(EVENT_STREAM));
+    let rest = format!("{}id: 2\ndata: b\n\n", head(EVENT_STREAM));
+    let cut_off = Harness::start(vec![
+        vec![Action::AnswerAndFallSilent(first)],
+        vec![Action::AnswerAndClose(rest); 20],
+    ]);
+    offer(&cut_off, &helper);
+    cut_off.wait_until_facts_applied();
+    // Placement chooses one of the two; calls are repeated until it is the failing one.
+    let got = loop {
+        let got = cut_off.call("/resumable_stream/x");
+        if cut_off.endpoints[0].requests() > 0 {
+            break got;
+        }
+    };
+    assert_eq!(got.status, 200);
+    assert_eq!(got.body, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    assert!(got.is_complete);
+    let resumed = cut_off.endpoints[1].request_log.lock().last().map(|req| req.headers.clone());
+    let resumed = resumed.unwrap_or_default();
+    assert!(resumed.iter().any(|header| header == "last-event-id: 1"), "{resumed:?}");
+}
+
+/// A call that is carried for another entry instance is cut when the one that carries it stops.
+#[test]
+fn a_stopping_entry_instance_finishes_the_calls_that_it_carries() {
+    let later = Action::AnswerLater(answer_of("hello"), Duration::from_millis(1500));
+    let mut pair = Pair::start(Failure::Refused, vec![later]);
+    let address = pair.cut_off.address;
+    let caller = thread::spawn(move || exchange(address, &request("/idempotent/x", "")));
+    while pair.helper.endpoints[0].requests() == 0 {
+        thread::sleep(Duration::from_millis(5));
+    }
+    pair.helper.stop();
+    let got = caller.join().expect("the caller gets an answer");
+    assert_eq!((got.status, got.body.as_slice()), (200, &b"hello"[..]));
+}
+
+/// When the other entry instance does not reach the endpoint either, the call has not run, and its
+/// caller waits for nothing.
+#[test]
+fn a_call_that_nobody_can_serve_is_refused_as_not_run() {
+    let mut pair = Pair::start(Failure::Refused, Vec::new());
+    pair.helper.stop_late(Millis::ZERO);
+    let got = pair.cut_off.call("/non_idempotent/x");
+    assert_eq!(got.status, 503);
+    assert!(got.head.to_lowercase().contains("sill-not-run: true"), "{}", got.head);
+    assert!(got.head.to_lowercase().contains("retry-after: "), "{}", got.head);
+}
--- a/daemons/sill/tests/soak.rs
+++ b/daemons/sill/tests/soak.rs
@@ -2,7 +2,9 @@
 
 use std::path::PathBuf;
 
-use sill_soak::run::{SHORT_CRASH_RUN, SHORT_RUN, SIZES, ShortRun, SoakCfg, run_once};
+use sill_soak::run::{
+    SHORT_CRASH_RUN, SHORT_CUT_RUN, SHORT_RUN, SIZES, ShortRun, SoakCfg, run_once,
+};
 
 /// Duration of the faults, in seconds, in runs that repeat a failed seed.
 const RERUN_SECONDS: u64 = 15;
@@ -13,7 +15,14 @@
 /// to another request, or settings that revert to an older revision.
 #[test]
 fn promises_hold_under_faults_from_outside() {
-    run_soak(SHORT_RUN, false);
+    run_soak(SHORT_RUN, false, false);
+}
+
+/// Entry instances lose their links to endpoints, overlapping and beside all other faults. No
+/// request may run twice because it takes another way, nor an answer look whole that is not.
+#[test]
+fn promises_hold_while_entry_instances_lose_their_endpoints() {
+    run_soak(SHORT_CUT_RUN, false, true);
 }
 
 /// One request crashes each endpoint that runs it, and answers end with their connections, some
@@ -21,7 +30,7 @@
 /// stream may look complete, and after the faults the request must reach no more endpoints.
 #[test]
 fn promises_hold_while_endpoints_crash_under_one_request() {
-    run_soak(SHORT_CRASH_RUN, true);
+    run_soak(SHORT_CRASH_RUN, true, false);
 }
 
 /// A seed that has failed, and the cause. It fails occasionally at most, because the seed does not
@@ -55,17 +64,18 @@
 fn run_failed_seeds(cases: &[FailedSeed]) {
     for FailedSeed { seed, cause } in cases {
         println!("seed={seed} cause={cause:?}");
-        run_soak(ShortRun { seed: *seed, seconds: RERUN_SECONDS }, false);
+        run_soak(ShortRun { seed: *seed, seconds: RERUN_SECONDS }, false, false);
     }
 }
 
-fn run_soak(ShortRun { seed, seconds }: ShortRun, crashes: bool) {
+fn run_soak(ShortRun { seed, seconds }: ShortRun, crashes: bool, cuts: bool) {
     let cfg = SoakCfg {
         sill: PathBuf::from(env!("CARGO_BIN_EXE_sill")),
         seed,
         seconds,
         entries: SIZES.entries,
         crashes,
+        cuts,
         logs: std::env::temp_dir().join(format!("sill-soak-{}", std::process::id())),
     };
     let verdict = run_once(&cfg).expect("the processes can be started");
--- a/daemons/sill/tests/system/crashes.rs
+++ b/daemons/sill/tests/system/crashes.rs
@@ -7,16 +7,9 @@
 use std::thread;
 use std::time::Duration;
 
-use sill_base::Millis;
-use sill_tree::{Account, Document, KeyHash, Pool, Route, RouteKind, Service, Share};
-use sill_wire::{Announcement, Incarnation, Load, Role, Servable};
+use crate::harness::{Answer, CALLER_KEY, read_answer, wait_until};
+use crate::serving::{HOST, Serving, announce, read_request};
 
-use crate::harness::{
-    Answer, CALLER_KEY, Folder, Program, free_addresses, http, read_answer, wait_until,
-};
-
-const HOST: &str = "desk.example";
-const SERVICE: &str = "desk";
 const GATEWAYS: usize = 3;
 const ENDPOINTS: usize = 8;
 
@@ -38,71 +31,27 @@
     is_over: AtomicBool,
 }
 
-/// A control instance, entry instances for routes, and endpoints that may crash.
+/// Entry instances for routes, and endpoints that may crash.
 struct System {
-    gateways: Vec<Program>,
-    _control: Program,
-    addresses: Vec<SocketAddr>,
+    serving: Serving,
     endpoints: Arc<Endpoints>,
-    folder: Folder,
 }
 
 impl System {
     fn start(test: &str) -> Self {
-        let folder = Folder::new(test);
-        let addresses = free_addresses(2 + 3 * GATEWAYS + ENDPOINTS);
-        let control = start_control(&folder, &addresses);
+        let mut serving = Serving::start(test, GATEWAYS, ENDPOINTS);
         let endpoints = Arc::<Endpoints>::default();
-        let mut system =
-            Self { gateways: Vec::new(), _control: control, addresses, endpoints, folder };
-        system.put_settings();
         for i in 0..ENDPOINTS {
-            let (address, control) = (system.addresses[2 + 3 * GATEWAYS + i], system.addresses[0]);
-            let endpoints = system.endpoints.clone();
+            let (address, control) = (serving.endpoint(i), serving.control());
+            let endpoints = endpoints.clone();
             thread::spawn(move || run_endpoint(i, address, control, &endpoints));
         }
-        system.gateways = (0..GATEWAYS).map(|i| system.start_gateway(i)).collect();
-        (0..GATEWAYS).for_each(|i| system.wait_until_ready(i));
-        system
-    }
-
-    fn start_gateway(&self, i: usize) -> Program {
-        let own = &self.addresses[2 + 3 * i..5 + 3 * i];
-        let (listen, ready, metrics) = (own[0].to_string(), own[1].to_string(), own[2].to_string());
-        let (name, key) = (format!("g{i}"), self.folder.file("cluster-key"));
-        let control = self.addresses[1].to_string();
-        let args = ["gateway", "--name", &name, "--domain", "a", "--listen", &listen];
-        let more = ["--listen-ready", &ready, "--listen-metrics", &metrics];
-        let keys = ["--control", &control, "--cluster-key-file", &key];
-        self.folder.start(&format!("{name}.log"), &[&args[..], &more[..], &keys[..]].concat())
-    }
-
-    fn put_settings(&self) {
-        let body = serde_json::to_string(&document()).expect("a document can be serialised");
-        let headers = ["authorization: Bearer test-root-token", "change-id: first"];
-        wait_until("the settings are accepted", || {
-            let put = http(self.addresses[0], "PUT", "/tree/serving", &headers, &body);
-            put.is_some_and(|answer| answer.status == 200)
-        });
+        serving.start_gateways();
+        Self { serving, endpoints }
     }
 
     fn gateway(&self, i: usize) -> SocketAddr {
-        self.addresses[2 + 3 * (i % GATEWAYS)]
-    }
-
-    fn wait_until_ready(&self, i: usize) {
-        wait_until("the entry instance is ready", || {
-            let ready = http(self.addresses[3 + 3 * i], "GET", "/readyz", &[], "");
-            ready.is_some_and(|answer| answer.status == 200)
-        });
-    }
-
-    /// Kills an entry instance and starts it again.
-    fn restart_gateway(&mut self, i: usize) {
-        let _ = self.gateways[i].0.kill();
-        let _ = self.gateways[i].0.wait();
-        self.gateways[i] = self.start_gateway(i);
-        self.wait_until_ready(i);
+        self.serving.gateway(i)
     }
 
     fn crashing_runs(&self) -> usize {
@@ -116,36 +65,6 @@
     }
 }
 
-fn start_control(folder: &Folder, addresses: &[SocketAddr]) -> Program {
-    let (listen, peer) = (addresses[0].to_string(), addresses[1].to_string());
-    let (voter, data) = (format!("c0@a@{peer}"), folder.file("data"));
-    let key = |name: &str| folder.file(name);
-    let (cluster, root, join) = (key("cluster-key"), key("root-token"), key("join-token"));
-    let args = ["control", "--name", "c0", "--domain", "a", "--listen", &listen];
-    let more = ["--listen-peer", &peer, "--voter", &voter, "--data", &data];
-    let keys = ["--cluster-key-file", &cluster, "--root-token-file", &root];
-    let join = ["--join-token-file", &join];
-    folder.start("control.log", &[&args[..], &more[..], &keys[..], &join[..]].concat())
-}
-
-fn document() -> Document {
-    let mut document = Document::default();
-    document.services.insert(SERVICE.into(), Service::Pool(Pool::default()));
-    let account = Account { keys: vec![KeyHash::of(CALLER_KEY)], ..Account::default() };
-    document.accounts.insert("clerks".into(), account);
-    let route = Route {
-        host: HOST.into(),
-        path: "/looked-up/".into(),
-        kind: RouteKind::Idempotent,
-        timeout_ms: Millis(5000),
-        split: vec![Share { service: SERVICE.into(), weight: 1 }],
-        max_attempts: 2,
-        ..Route::default()
-    };
-    document.routes.insert("looked-up".into(), route);
-    document
-}
-
 /// Sends a request with a new id.
 fn call(to: SocketAddr, body: &str) -> Option<Answer> {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
@@ -178,7 +97,7 @@
         let has_crashed = Arc::<AtomicBool>::default();
         let announced = (has_crashed.clone(), endpoints.clone());
         thread::spawn(move || {
-            announce(i, incarnation, address, control, &announced.0, &announced.1)
+            announce_until_crash(i, incarnation, address, control, &announced.0, &announced.1)
         });
         let mut streams = Vec::new();
         while !has_crashed.load(Ordering::Relaxed) {
@@ -226,23 +145,7 @@
     }
 }
 
-/// Returns the id and the body of the next request.
-fn read_request(stream: &mut TcpStream) -> Option<(String, String)> {
-    let mut text = String::new();
-    let mut buf = [0; 4096];
-    loop {
-        let n = stream.read(&mut buf).ok().filter(|n| *n > 0)?;
-        text.push_str(&String::from_utf8_lossy(&buf[..n]));
-        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
-        let header = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
-        let length = header("content-length: ").and_then(|length| length.parse().ok()).unwrap_or(0);
-        if body.len() >= length {
-            return Some((header("sill-request-id: ")?.to_owned(), body.to_owned()));
-        }
-    }
-}
-
-fn announce(
+fn announce_until_crash(
     i: usize,
     incarnation: u64,
     address: SocketAddr,
@@ -254,28 +157,7 @@
         if has_crashed.load(Ordering::Relaxed) || endpoints.is_over.load(Ordering::Relaxed) {
             return;
         }
-        let announcement = Announcement {
-            name: format!("e{i}").into(),
-            incarnation: Incarnation(incarnation),
-            sequence,
-            address: address.to_string().into(),
-            domain: "a".into(),
-            class: Default::default(),
-            reclaimable: false,
-            price: 0,
-            serves: vec![Servable::Service { service: SERVICE.into() }],
-            role: Role::Mixed,
-            slots: 16,
-            prefill_tokens_per_s: 0,
-            decode_ms: 0,
-            cache_tokens: 0,
-            load: Load::default(),
-            leaving: None,
-            checks_fencing: false,
-        };
-        let body = serde_json::to_string(&announcement).expect("it can be serialised");
-        let headers = ["authorization: Bearer test-join-token"];
-        let _ = http(control, "POST", "/announce", &headers, &body);
+        announce(control, i, incarnation, sequence, address);
         thread::sleep(Duration::from_millis(300));
     }
 }
@@ -353,7 +235,7 @@
         assert!(served > 0 && failed == 0, "{served} answered, {failed} not");
     }
     for i in 0..GATEWAYS {
-        system.restart_gateway(i);
+        system.serving.restart_gateway(i);
         let answer = call(system.gateway(i), CRASHING_BODY).expect("an answer");
         assert!(is_blocked(&answer), "by an instance that has just started: {answer:?}");
     }
--- a/daemons/sill/tests/system/harness.rs
+++ b/daemons/sill/tests/system/harness.rs
@@ -26,7 +26,7 @@
 pub struct Program(pub Child);
 
 /// A complete HTTP answer as text.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Answer {
     /// The HTTP status code.
     pub status: u16,
@@ -64,14 +64,18 @@
 
     /// Starts `sill` with these arguments; its standard error goes to a log file in this folder.
     pub fn start(&self, log: &str, args: &[&str]) -> Program {
-        let log = fs::File::create(self.0.join(log)).expect("the log file can be created");
-        let child = Command::new(env!("CARGO_BIN_EXE_sill"))
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn();
-        Program(child.expect("sill can be started"))
+        spawn(self.create(log), Stdio::null(), args)
+    }
+
+    /// Starts `sill` with these arguments; all that it prints goes to a log file in this folder.
+    pub fn start_logged(&self, log: &str, args: &[&str]) -> Program {
+        let log = self.create(log);
+        let output = log.try_clone().expect("the log file can be opened twice");
+        spawn(log, Stdio::from(output), args)
+    }
+
+    fn create(&self, log: &str) -> fs::File {
+        fs::File::create(self.0.join(log)).expect("the log file can be created")
     }
 
     /// Prints the end of every log, because the folder is removed with the test.
@@ -108,6 +112,16 @@
     }
 }
 
+fn spawn(log: fs::File, output: Stdio, args: &[&str]) -> Program {
+    let child = Command::new(env!("CARGO_BIN_EXE_sill"))
+        .args(args)
+        .stdin(Stdio::null())
+        .stdout(output)
+        .stderr(log)
+        .spawn();
+    Program(child.expect("sill can be started"))
+}
+
 /// Runs `sill` with these arguments and this standard input until it exits.
 pub fn run_sill(args: &[&str], input: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_sill"))
--- /dev/null
+++ b/daemons/sill/tests/system/serving.rs
@@ -0,0 +1,199 @@
+//! A control instance and entry instances for routes, for endpoints that a test runs itself.
+
+use std::io::Read;
+use std::net::{IpAddr, SocketAddr, TcpStream};
+
+use sill_base::Millis;
+use sill_tree::{Account, Document, KeyHash, Pool, Route, RouteKind, Service, Share};
+use sill_wire::{Announcement, Incarnation, Load, Role, Servable};
+
+use crate::harness::{CALLER_KEY, Folder, Program, free_addresses, http, wait_until};
+
+/// The host of all routes.
+pub const HOST: &str = "desk.example";
+
+const SERVICE: &str = "desk";
+
+/// Addresses of the control instance: for operators and endpoints, and for peers.
+const CONTROL_ADDRESSES: usize = 2;
+
+/// Addresses of an entry instance: for callers, for readiness checks and for metrics.
+const GATEWAY_ADDRESSES: usize = 3;
+
+/// A control instance and entry instances for routes.
+pub struct Serving {
+    pub gateways: Vec<Program>,
+    _control: Program,
+    addresses: Vec<SocketAddr>,
+    gateway_count: usize,
+    pub folder: Folder,
+}
+
+impl Serving {
+    /// Starts the control instance and puts the settings in force; no entry instance runs yet.
+    pub fn start(test: &str, gateways: usize, endpoints: usize) -> Self {
+        let folder = Folder::new(test);
+        let addresses =
+            free_addresses(CONTROL_ADDRESSES + GATEWAY_ADDRESSES * gateways + endpoints);
+        let _control = start_control(&folder, &addresses);
+        let serving =
+            Self { gateways: Vec::new(), _control, addresses, gateway_count: gateways, folder };
+        serving.put_settings();
+        serving
+    }
+
+    /// Starts all entry instances and waits until they are ready.
+    pub fn start_gateways(&mut self) {
+        self.gateways = (0..self.gateway_count).map(|i| self.start_gateway(i)).collect();
+        (0..self.gateway_count).for_each(|i| self.wait_until_ready(i));
+    }
+
+    fn start_gateway(&self, i: usize) -> Program {
+        let first = CONTROL_ADDRESSES + GATEWAY_ADDRESSES * i;
+        let own = &self.addresses[first..first + GATEWAY_ADDRESSES];
+        let (listen, ready, metrics) = (own[0].to_string(), own[1].to_string(), own[2].to_string());
+        let (name, key) = (format!("g{i}"), self.folder.file("cluster-key"));
+        let control = self.addresses[1].to_string();
+        let args = ["gateway", "--name", &name, "--domain", "a", "--listen", &listen];
+        let more = ["--listen-ready", &ready, "--listen-metrics", &metrics];
+        let source = gateway_source(i).to_string();
+        let keys = ["--connect-from", &source, "--control", &control, "--cluster-key-file", &key];
+        self.folder
+            .start_logged(&format!("{name}.log"), &[&args[..], &more[..], &keys[..]].concat())
+    }
+
+    fn put_settings(&self) {
+        let body = serde_json::to_string(&document()).expect("a document can be serialised");
+        let headers = ["authorization: Bearer test-root-token", "change-id: first"];
+        wait_until("the settings are accepted", || {
+            let put = http(self.control(), "PUT", "/tree/serving", &headers, &body);
+            put.is_some_and(|answer| answer.status == 200)
+        });
+    }
+
+    /// Returns the address at which endpoints announce themselves.
+    pub fn control(&self) -> SocketAddr {
+        self.addresses[0]
+    }
+
+    /// Returns the address of an entry instance for callers.
+    pub fn gateway(&self, i: usize) -> SocketAddr {
+        self.gateway_address(i, 0)
+    }
+
+    /// Returns the address at which an entry instance serves its metrics.
+    pub fn metrics(&self, i: usize) -> SocketAddr {
+        self.gateway_address(i, 2)
+    }
+
+    fn gateway_address(&self, i: usize, which: usize) -> SocketAddr {
+        self.addresses[CONTROL_ADDRESSES + GATEWAY_ADDRESSES * (i % self.gateway_count) + which]
+    }
+
+    /// Returns the address reserved for an endpoint.
+    pub fn endpoint(&self, i: usize) -> SocketAddr {
+        self.addresses[CONTROL_ADDRESSES + GATEWAY_ADDRESSES * self.gateway_count + i]
+    }
+
+    fn wait_until_ready(&self, i: usize) {
+        wait_until("the entry instance is ready", || {
+            let ready = http(self.gateway_address(i, 1), "GET", "/readyz", &[], "");
+            ready.is_some_and(|answer| answer.status == 200)
+        });
+    }
+
+    /// Kills an entry instance and starts it again.
+    pub fn restart_gateway(&mut self, i: usize) {
+        let _ = self.gateways[i].0.kill();
+        let _ = self.gateways[i].0.wait();
+        self.gateways[i] = self.start_gateway(i);
+        self.wait_until_ready(i);
+    }
+}
+
+/// Returns the address from which an entry instance connects to endpoints.
+pub fn gateway_source(i: usize) -> IpAddr {
+    IpAddr::from([127, 250, 0, i as u8])
+}
+
+fn start_control(folder: &Folder, addresses: &[SocketAddr]) -> Program {
+    let (listen, peer) = (addresses[0].to_string(), addresses[1].to_string());
+    let (voter, data) = (format!("c0@a@{peer}"), folder.file("data"));
+    let key = |name: &str| folder.file(name);
+    let (cluster, root, join) = (key("cluster-key"), key("root-token"), key("join-token"));
+    let args = ["control", "--name", "c0", "--domain", "a", "--listen", &listen];
+    let more = ["--listen-peer", &peer, "--voter", &voter, "--data", &data];
+    let keys = ["--cluster-key-file", &cluster, "--root-token-file", &root];
+    let join = ["--join-token-file", &join];
+    folder.start("control.log", &[&args[..], &more[..], &keys[..], &join[..]].concat())
+}
+
+/// Returns settings with a route for calls that may be repeated and one for those that must not.
+fn document() -> Document {
+    let mut document = Document::default();
+    document.services.insert(SERVICE.into(), Service::Pool(Pool::default()));
+    let account = Account { keys: vec![KeyHash::of(CALLER_KEY)], ..Account::default() };
+    document.accounts.insert("clerks".into(), account);
+    for (name, kind) in [("looked-up", RouteKind::Idempotent), ("booked", RouteKind::NonIdempotent)]
+    {
+        let route = Route {
+            host: HOST.into(),
+            path: format!("/{name}/").into(),
+            kind,
+            timeout_ms: Millis(5000),
+            split: vec![Share { service: SERVICE.into(), weight: 1 }],
+            max_attempts: 2,
+            ..Route::default()
+        };
+        document.routes.insert(name.into(), route);
+    }
+    document
+}
+
+/// Announces an endpoint once.
+pub fn announce(
+    control: SocketAddr,
+    i: usize,
+    incarnation: u64,
+    sequence: u64,
+    address: SocketAddr,
+) {
+    let announcement = Announcement {
+        name: format!("e{i}").into(),
+        incarnation: Incarnation(incarnation),
+        sequence,
+        address: address.to_string().into(),
+        domain: "a".into(),
+        class: Default::default(),
+        reclaimable: false,
+        price: 0,
+        serves: vec![Servable::Service { service: SERVICE.into() }],
+        role: Role::Mixed,
+        slots: 16,
+        prefill_tokens_per_s: 0,
+        decode_ms: 0,
+        cache_tokens: 0,
+        load: Load::default(),
+        leaving: None,
+        checks_fencing: false,
+    };
+    let body = serde_json::to_string(&announcement).expect("it can be serialised");
+    let headers = ["authorization: Bearer test-join-token"];
+    let _ = http(control, "POST", "/announce", &headers, &body);
+}
+
+/// Returns the id and the body of the next request on a connection to an endpoint.
+pub fn read_request(stream: &mut TcpStream) -> Option<(String, String)> {
+    let mut text = String::new();
+    let mut buf = [0; 4096];
+    loop {
+        let n = stream.read(&mut buf).ok().filter(|n| *n > 0)?;
+        text.push_str(&String::from_utf8_lossy(&buf[..n]));
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+        let header = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
+        let length = header("content-length: ").and_then(|length| length.parse().ok()).unwrap_or(0);
+        if body.len() >= length {
+            return Some((header("sill-request-id: ")?.to_owned(), body.to_owned()));
+        }
+    }
+}
--- a/protocol/wire/src/header.rs
+++ b/protocol/wire/src/header.rs
@@ -42,3 +42,13 @@
 
 /// The caller's client account, sent to endpoints.
 pub const ACCOUNT: &str = "sill-account";
+
+/// The start time of the endpoint that a tunnel is asked for; with [`ENDPOINT`] it names an
+/// incarnation.
+pub const INCARNATION: &str = "sill-incarnation";
+
+/// The number of a tunnel, which names it in the logs of both entry instances.
+pub const TUNNEL: &str = "sill-tunnel";
+
+/// The entry instance that asks for a tunnel.
+pub const ENTRY: &str = "sill-entry";
--- a/protocol/wire/src/link.rs
+++ b/protocol/wire/src/link.rs
@@ -84,6 +84,20 @@
     /// The number of the last crash that was received.
     #[serde(default)]
     pub crash: u64,
+    /// The fingerprint of the tunnel offers that were received last.
+    #[serde(default)]
+    pub relays: u64,
+}
+
+/// An entry instance that offers tunnels to endpoints.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RelayOffer {
+    /// The entry instance.
+    pub entry: Name,
+    /// Its failure domain.
+    pub domain: Name,
+    /// The address at which it accepts tunnels.
+    pub address: SocketAddr,
 }
 
 /// The load of an endpoint, as the endpoint reported it with an answer.
@@ -195,6 +209,10 @@
     /// Loads that endpoints have recently reported to it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<EndpointLoad>,
+    /// The address at which it accepts tunnels to endpoints; absent while it offers none, because
+    /// it stops or doesn't reach endpoints itself.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub relay: Option<SocketAddr>,
 }
 
 /// A long poll by which an entry instance receives updates from a control instance.
@@ -267,6 +285,9 @@
     /// Crashes of endpoints after the poll's cursor.
     #[serde(default, skip_serializing_if = "CrashUpdate::is_empty")]
     pub crashes: CrashUpdate,
+    /// Entry instances that offer tunnels, unless the poll's cursor names this list already.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub relays: Option<Vec<RelayOffer>>,
     /// All known control instances.
     pub controls: Vec<ControlInfo>,
     /// The demand over all entry instances, if a leader is known.
@@ -298,6 +319,9 @@
     /// Crashes of endpoints that were not sent to the called instance yet.
     #[serde(default, skip_serializing_if = "CrashUpdate::is_empty")]
     pub crashes: CrashUpdate,
+    /// Entry instances that offer tunnels, sent by the leader when they have changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub relays: Option<Vec<RelayOffer>>,
 }
 
 /// The reply to a [`ControlSync`].
--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -1,7 +1,7 @@
 //! A pool of client connections that are kept open between requests.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -9,16 +9,20 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::rt::{Read, Write};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use sill_base::{Clock, Map, Millis, event};
 use tokio::net::TcpStream;
 
-use crate::h1::server::set_socket_options;
+use crate::h1::server::{connect, set_socket_options};
+use crate::h1::tunnel::{self, TunnelFailure, TunnelRequest};
 
 /// Settings of a [`ConnectionPool`].
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectionPoolCfg {
+    /// Address from which connections are opened; the system's choice if there is none.
+    pub source: Option<IpAddr>,
     /// Time-out for opening a connection.
     pub connect_timeout: Millis,
     /// Time for which sent data may remain unacknowledged by the peer before the connection fails.
@@ -44,16 +48,59 @@
 pub struct ConnectionPool {
     cfg: ConnectionPoolCfg,
     clock: Clock,
-    idle: Arc<Mutex<Map<SocketAddr, Vec<IdleConnection>>>>,
+    idle: Arc<Mutex<Map<Target, Vec<IdleConnection>>>>,
 }
 
+/// Where a connection leads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Target {
+    /// The address of the endpoint.
+    pub address: SocketAddr,
+    /// The address of the process that carries the connection as a tunnel, if it is one.
+    pub via: Option<SocketAddr>,
+}
+
+/// An open connection that carries no request.
 #[derive(Debug)]
-struct IdleConnection {
+pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    target: Target,
+    opened_at: Millis,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
     expires_at: Millis,
     idle_since: Millis,
 }
 
+/// What a new connection shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// It stays open.
+    Open,
+    /// It was accepted and closed, as by a proxy in front of a process that has ended.
+    Closed,
+    /// It was refused, as after the end of the process that listened there.
+    Refused,
+    /// It was not accepted in time, or failed otherwise.
+    Failed,
+}
+
+/// The outcome of a request that is only sent on a kept connection.
+#[derive(Debug)]
+// One exists per request, so its size doesn't matter.
+#[allow(clippy::large_enum_variant)]
+pub enum KeptOutcome {
+    /// The head of the response has arrived.
+    Answered(Answer),
+    /// The request may have been run.
+    Unknown(String),
+    /// There is no usable connection; no byte of the request was sent.
+    NoConnection(Request<Full<Bytes>>),
+}
+
 /// A response whose body has not been read yet, with its connection.
 #[derive(Debug)]
 pub struct Answer {
@@ -61,6 +108,8 @@
     pub response: Response<Incoming>,
     /// Whether the connection was opened for this request.
     pub is_new: bool,
+    /// When the connection was opened.
+    pub opened_at: Millis,
     connection: Option<BorrowedConnection>,
 }
 
@@ -80,8 +129,7 @@
 
 #[derive(Debug)]
 struct BorrowedConnection {
-    sender: SendRequest<Full<Bytes>>,
-    address: SocketAddr,
+    connection: Connection,
     keep_alive: Millis,
     pool: ConnectionPool,
 }
@@ -101,46 +149,86 @@
     pub async fn send(
         &self,
         address: SocketAddr,
-        mut req: Request<Full<Bytes>>,
+        req: Request<Full<Bytes>>,
         max_idle: Millis,
     ) -> Result<Answer, SendFailure> {
-        while let Some(sender) = self.take_idle(address, max_idle) {
-            match self.exchange(address, sender, req, false).await {
-                Ok(answer) => return Ok(answer),
+        let target = Target { address, via: None };
+        let req = match self.send_kept(target, req, max_idle).await {
+            KeptOutcome::Answered(answer) => return Ok(answer),
+            KeptOutcome::Unknown(reason) => return Err(SendFailure::Unknown(reason)),
+            KeptOutcome::NoConnection(req) => req,
+        };
+        let connection = self.connect(address).await;
+        let connection = connection.map_err(|err| SendFailure::NotSent(err.reason))?;
+        self.send_on(connection, req).await
+    }
+
+    /// Sends a request on a connection that has been idle for at most `max_idle`, if there is one,
+    /// and returns once the response's head has arrived.
+    pub async fn send_kept(
+        &self,
+        target: Target,
+        mut req: Request<Full<Bytes>>,
+        max_idle: Millis,
+    ) -> KeptOutcome {
+        while let Some(connection) = self.take_idle(target, max_idle) {
+            match self.exchange(connection, req, false).await {
+                Ok(answer) => return KeptOutcome::Answered(answer),
                 Err(ExchangeFailure { unsent: Some(unsent), .. }) => req = *unsent,
-                Err(failure) => return Err(SendFailure::Unknown(failure.reason)),
+                Err(failure) => return KeptOutcome::Unknown(failure.reason),
             }
         }
-        let sender = self.connect(address).await;
-        let sender = sender.map_err(|err| SendFailure::NotSent(err.reason))?;
-        self.exchange(address, sender, req, true).await.map_err(|failure| match failure.unsent {
+        KeptOutcome::NoConnection(req)
+    }
+
+    /// Sends a request on a new connection and returns once the response's head has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the response's head does not arrive.
+    pub async fn send_on(
+        &self,
+        connection: Connection,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Answer, SendFailure> {
+        self.exchange(connection, req, true).await.map_err(|failure| match failure.unsent {
             Some(_) => SendFailure::NotSent(failure.reason),
             None => SendFailure::Unknown(failure.reason),
         })
     }
 
-    /// Returns whether connections to an address are refused or closed within `wait`, as after the
-    /// end of the process that listened there. A connection that stays open is kept for the next
-    /// request.
-    pub async fn is_refused(&self, address: SocketAddr, wait: Millis) -> bool {
+    /// Opens a connection and waits whether it is closed within `wait`. One that stays open is kept
+    /// for the next request.
+    pub async fn probe(&self, address: SocketAddr, wait: Millis) -> Probe {
         match self.connect(address).await {
-            Ok(sender) => {
+            Ok(connection) => {
                 // A proxy in front of a process that has ended accepts connections and closes them.
                 tokio::time::sleep(wait.into()).await;
-                if sender.is_closed() {
-                    return true;
+                if connection.is_closed() {
+                    return Probe::Closed;
                 }
-                self.keep(address, sender, self.cfg.idle_timeout - self.cfg.keep_alive_margin);
-                false
+                self.keep_unused(connection);
+                Probe::Open
             }
-            Err(err) => err.is_refused,
+            Err(err) if err.is_refused => Probe::Refused,
+            Err(_) => Probe::Failed,
+        }
+    }
+
+    /// Keeps a connection on which no request was sent for a later one, unless there is another:
+    /// connections that were opened to find out something must not add up at an endpoint.
+    pub fn keep_unused(&self, connection: Connection) {
+        let has_other =
+            self.idle.lock().get(&connection.target).is_some_and(|idle| !idle.is_empty());
+        if !has_other {
+            self.keep(connection, self.cfg.idle_timeout - self.cfg.keep_alive_margin);
         }
     }
 
-    fn keep(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>, keep_alive: Millis) {
-        let idle_since = self.clock.now();
-        let idle = IdleConnection { sender, idle_since, expires_at: idle_since + keep_alive };
-        self.idle.lock().entry(address).or_default().push(idle);
+    fn keep(&self, connection: Connection, keep_alive: Millis) {
+        let (target, idle_since) = (connection.target, self.clock.now());
+        let idle = IdleConnection { connection, idle_since, expires_at: idle_since + keep_alive };
+        self.idle.lock().entry(target).or_default().push(idle);
     }
 
     /// Sends a request and reads the complete response.
@@ -166,33 +254,62 @@
 
     async fn exchange(
         &self,
-        address: SocketAddr,
-        mut sender: SendRequest<Full<Bytes>>,
+        mut connection: Connection,
         req: Request<Full<Bytes>>,
         is_new: bool,
     ) -> Result<Answer, ExchangeFailure> {
-        let response = match sender.try_send_request(req).await {
+        let response = match connection.sender.try_send_request(req).await {
             Ok(response) => response,
             Err(mut err) => {
                 let unsent = err.take_message().map(Box::new);
                 return Err(ExchangeFailure { unsent, reason: error_text(err.error()) });
             }
         };
+        let opened_at = connection.opened_at;
         let connection = keep_alive(&response, self.cfg).map(|keep_alive| BorrowedConnection {
-            sender,
-            address,
+            connection,
             keep_alive,
             pool: self.clone(),
         });
-        Ok(Answer { response, is_new, connection })
+        Ok(Answer { response, is_new, opened_at, connection })
     }
 
-    async fn connect(
+    /// Opens a connection to an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address refuses it or does not accept it in time.
+    pub async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectFailure> {
+        let stream = self.open(address).await?;
+        self.start(TokioIo::new(stream), Target { address, via: None }).await
+    }
+
+    /// Opens a tunnel to an endpoint through the process at `relay`, which has `timeout` to reach
+    /// the endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be reached, declines or does not reach the endpoint.
+    pub async fn connect_through(
         &self,
-        address: SocketAddr,
-    ) -> Result<SendRequest<Full<Bytes>>, ConnectFailure> {
-        let connecting =
-            tokio::time::timeout(self.cfg.connect_timeout.into(), TcpStream::connect(address));
+        relay: SocketAddr,
+        req: &TunnelRequest,
+        timeout: Millis,
+    ) -> Result<Connection, TunnelFailure> {
+        let stream = self.open(relay).await.map_err(|err| TunnelFailure::Relay(err.reason))?;
+        let tunnel = tokio::time::timeout(timeout.into(), tunnel::open(stream, req));
+        let tunnel = tunnel.await.unwrap_or_else(|_| {
+            Err(TunnelFailure::Relay(format!("no answer within {timeout} ms")))
+        })?;
+        let target = Target { address: req.address, via: Some(relay) };
+        self.start(tunnel, target).await.map_err(|err| TunnelFailure::Relay(err.reason))
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<TcpStream, ConnectFailure> {
+        let connecting = tokio::time::timeout(
+            self.cfg.connect_timeout.into(),
+            connect(self.cfg.source, address),
+        );
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(err)) => return Err(err.into()),
@@ -202,27 +319,35 @@
             }
         };
         set_socket_options(&stream, self.cfg.unacknowledged_timeout)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        Ok(stream)
+    }
+
+    /// Prepares an open connection for requests.
+    async fn start<T>(&self, io: T, target: Target) -> Result<Connection, ConnectFailure>
+    where
+        T: Read + Write + Unpin + Send + 'static,
+    {
+        let (sender, connection) = http1::handshake(io)
             .await
             .map_err(|err| ConnectFailure { is_refused: false, reason: err.to_string() })?;
         tokio::spawn(async move {
             if let Err(err) = connection.await {
-                event!(Debug, "endpoint_connection_ended", address = address, error = err);
+                event!(Debug, "endpoint_connection_ended", address = target.address, error = err);
             }
         });
-        Ok(sender)
+        Ok(Connection { sender, target, opened_at: self.clock.now() })
     }
 
     /// Takes the most recently used connection, so that surplus connections stay idle and expire.
-    fn take_idle(&self, address: SocketAddr, max_idle: Millis) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, target: Target, max_idle: Millis) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.idle.lock();
-        let connections = idle.get_mut(&address)?;
-        connections.retain(|idle| now < idle.expires_at && !idle.sender.is_closed());
-        let index = connections
-            .iter()
-            .rposition(|idle| now - idle.idle_since <= max_idle && idle.sender.is_ready())?;
-        Some(connections.remove(index).sender)
+        let connections = idle.get_mut(&target)?;
+        connections.retain(|idle| now < idle.expires_at && !idle.connection.is_closed());
+        let index = connections.iter().rposition(|idle| {
+            now - idle.idle_since <= max_idle && idle.connection.sender.is_ready()
+        })?;
+        Some(connections.remove(index).connection)
     }
 
     /// Drops idle connections that have expired or were closed; returns how many remain.
@@ -230,15 +355,32 @@
         let now = self.clock.now();
         let mut idle = self.idle.lock();
         idle.retain(|_, connections| {
-            connections.retain(|idle| now < idle.expires_at && !idle.sender.is_closed());
+            connections.retain(|idle| now < idle.expires_at && !idle.connection.is_closed());
             !connections.is_empty()
         });
         idle.values().map(Vec::len).sum()
     }
 
-    /// Drops the idle connections to an address.
+    /// Drops the idle connections to an address, and tunnels to it.
     pub fn close_idle(&self, address: SocketAddr) {
-        self.idle.lock().remove(&address);
+        self.idle.lock().retain(|target, _| target.address != address);
+    }
+
+    /// Drops the idle connections to an address, but not tunnels to it.
+    pub fn close_direct(&self, address: SocketAddr) {
+        self.idle.lock().remove(&Target { address, via: None });
+    }
+
+    /// Drops the idle tunnels through a process.
+    pub fn close_tunnels(&self, relay: SocketAddr) {
+        self.idle.lock().retain(|target, _| target.via != Some(relay));
+    }
+}
+
+impl Connection {
+    /// Returns whether the other side has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
     }
 }
 
@@ -275,16 +417,18 @@
 impl ReusableConnection {
     /// Returns the connection to its pool.
     pub fn release(self) {
-        let BorrowedConnection { sender, address, keep_alive, pool } = self.0;
-        pool.keep(address, sender, keep_alive);
+        let BorrowedConnection { connection, keep_alive, pool } = self.0;
+        pool.keep(connection, keep_alive);
     }
 }
 
 /// Why there is no connection.
-struct ConnectFailure {
+#[derive(Debug)]
+pub struct ConnectFailure {
     /// Whether the host has refused the connection.
-    is_refused: bool,
-    reason: String,
+    pub is_refused: bool,
+    /// The error, for people.
+    pub reason: String,
 }
 
 impl From<io::Error> for ConnectFailure {
--- a/transport/net/src/h1/mod.rs
+++ b/transport/net/src/h1/mod.rs
@@ -7,15 +7,20 @@
 mod client;
 mod pages;
 mod server;
+mod tunnel;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, header};
 
 pub use client::{
-    Answer, ConnectionPool, ConnectionPoolCfg, Framing, ReusableConnection, SendFailure,
+    Answer, ConnectFailure, Connection, ConnectionPool, ConnectionPoolCfg, Framing, KeptOutcome,
+    Probe, ReusableConnection, SendFailure, Target,
 };
 pub use pages::{Page, serve_pages};
 pub use server::{OpenConnections, ServerCfg, ServerPhase, serve};
+pub use tunnel::{
+    TunnelDenial, TunnelEnd, TunnelFailure, TunnelRequest, TunnelServer, serve_tunnels,
+};
 
 /// An error while a body is read or produced.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
--- a/transport/net/src/h1/server.rs
+++ b/transport/net/src/h1/server.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -15,7 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sill_base::{Millis, event};
 use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, watch};
 
 use crate::h1::AnyBody;
@@ -218,6 +218,17 @@
     result.map_err(io::Error::other)
 }
 
+/// Opens a connection from the address `source`, or from that of the system's choice.
+pub(super) async fn connect(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else { return TcpStream::connect(address).await };
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Sets the options of a connection; it fails once its peer has acknowledged nothing for the given
 /// time. After a network partition or on a dead link nothing else would ever end it.
 pub(super) fn set_socket_options(
--- a/transport/net/tests/client.rs
+++ b/transport/net/tests/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use sill_base::{Clock, Millis};
-use sill_net::h1::{ConnectionPool, ConnectionPoolCfg};
+use sill_net::h1::{ConnectionPool, ConnectionPoolCfg, Probe};
 use tokio::net::TcpListener;
 
 /// What listens at an address.
@@ -44,6 +44,7 @@
         Case { peer: Peer::Server, is_refused: false },
     ];
     let cfg = ConnectionPoolCfg {
+        source: None,
         connect_timeout: Millis(5000),
         unacknowledged_timeout: Millis(5000),
         idle_timeout: Millis(10_000),
@@ -52,7 +53,8 @@
     for Case { peer, is_refused } in cases {
         let pool = ConnectionPool::new(cfg, Clock::start());
         let address = start(peer).await;
-        assert_eq!(pool.is_refused(address, Millis(500)).await, is_refused, "{peer:?}");
+        let probe = pool.probe(address, Millis(500)).await;
+        assert_eq!(matches!(probe, Probe::Refused | Probe::Closed), is_refused, "{peer:?}");
         let kept = if is_refused { 0 } else { 1 };
         assert_eq!(pool.expire(), kept, "idle connections, {peer:?}");
     }
