Tunnels: an entry instance that does not reach one endpoint still carries to others

What callers would see: where one endpoint hangs for everybody, every other entry instance declined tunnels to it as if for a reason of its own; the one that is cut off then took all of them for failed for 1.5 s and tried its own broken paths. Found in reading the change, not seen in a run.

Cause: one denial for "cut off" and for "not this endpoint". The second is answered 502 now, which holds for the endpoint alone, and silence is no reason to deny: a connection opens. net/tests/tunnel.rs has a case for each.

--- a/coordination/dispatch/src/paths.rs
+++ b/coordination/dispatch/src/paths.rs
@@ -240,9 +240,10 @@
         self.is_cut_off
     }
 
-    /// Returns whether the own connections to an endpoint are not in doubt.
-    pub fn is_sound(&self, address: SocketAddr) -> bool {
-        !self.is_cut_off && self.endpoints.get(&address).is_none_or(|path| path.fault.is_none())
+    /// Returns whether own connections to an endpoint open and are not reset, as far as known.
+    pub fn is_connectable(&self, address: SocketAddr) -> bool {
+        let fault = self.endpoints.get(&address).and_then(|path| path.fault);
+        fault.is_none_or(|fault| fault.doubt == Doubt::Silence)
     }
 
     /// Returns whether only other entry instances reach an endpoint.
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -175,9 +175,9 @@
         }
     }
 
-    /// Returns whether an endpoint is reached on own connections, as far as known.
-    pub fn is_sound(&self, address: SocketAddr) -> bool {
-        self.paths.lock().is_sound(address)
+    /// Returns whether own connections to an endpoint open and are not reset, as far as known.
+    pub fn is_connectable(&self, address: SocketAddr) -> bool {
+        self.paths.lock().is_connectable(address)
     }
 
     /// Returns whether no endpoint is reached on own connections.
--- a/daemons/gateway/src/tunnels.rs
+++ b/daemons/gateway/src/tunnels.rs
@@ -71,6 +71,7 @@
         let answer = match granted {
             Ok(_) => "granted",
             Err(TunnelDenial::UnknownEndpoint) => "unknown_endpoint",
+            Err(TunnelDenial::CutOff) => "cut_off",
             Err(TunnelDenial::Unreachable) => "unreachable",
             Err(TunnelDenial::Busy) => "busy",
         };
@@ -82,9 +83,12 @@
         if state.planned_stop.has_begun() || !self.has_room() {
             return Err(TunnelDenial::Busy);
         }
+        if state.egress.is_cut_off() {
+            return Err(TunnelDenial::CutOff);
+        }
         let address = state.address_of(&req.endpoint, req.incarnation);
         let address = address.ok_or(TunnelDenial::UnknownEndpoint)?;
-        match state.egress.is_sound(address) {
+        match state.egress.is_connectable(address) {
             true => Ok(address),
             false => Err(TunnelDenial::Unreachable),
         }
--- a/transport/net/src/h1/tunnel.rs
+++ b/transport/net/src/h1/tunnel.rs
@@ -75,7 +75,9 @@
 pub enum TunnelDenial {
     /// The endpoint is not known here.
     UnknownEndpoint,
-    /// This process does not reach the endpoint at present.
+    /// This process reaches no endpoint at present.
+    CutOff,
+    /// This process does not reach this endpoint at present, but others.
     Unreachable,
     /// This process carries no more tunnels.
     Busy,
@@ -347,7 +349,8 @@
     const fn status(self) -> StatusCode {
         match self {
             Self::UnknownEndpoint => StatusCode::NOT_FOUND,
-            Self::Unreachable | Self::Busy => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unreachable => StatusCode::BAD_GATEWAY,
+            Self::CutOff | Self::Busy => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/transport/net/tests/tunnel.rs
+++ b/transport/net/tests/tunnel.rs
@@ -171,10 +171,16 @@
         },
         Case {
             name: "cut off itself",
-            grant: |_| Err(TunnelDenial::Unreachable),
+            grant: |_| Err(TunnelDenial::CutOff),
             key: KEY,
             failure: declined(StatusCode::SERVICE_UNAVAILABLE),
         },
+        Case {
+            name: "does not reach it either",
+            grant: |_| Err(TunnelDenial::Unreachable),
+            key: KEY,
+            failure: TunnelFailure::Endpoint,
+        },
         Case {
             name: "wrong key",
             grant: |req| Ok(req.address),
