Log the software version of endpoints, of attempts and of streams that are taken up

Heartbeats name one; the adapter dropped it. It is now part of an endpoint's facts (an endpoint that reports two in one incarnation has an ambiguous one), and stands in the lines `endpoint`, `endpoint_heard` and `call`. New lines: `stream_resumed` for each resumption within an answer, `stream_taken_up` for each call that takes up an earlier stream. No decision depends on it.

--- a/bench/load/src/experiment/model.rs
+++ b/bench/load/src/experiment/model.rs
@@ -243,6 +243,7 @@
             load,
             leaving: self.leaves_at.map(|at| Millis(at.saturating_sub(now) / 1000)),
             checks_fencing: true,
+            software: Default::default(),
         }
     }
 
--- a/bench/soak/src/backend.rs
+++ b/bench/soak/src/backend.rs
@@ -234,6 +234,7 @@
             load: Load::default(),
             leaving: None,
             checks_fencing: false,
+            software: Default::default(),
         }
     }
 }
--- a/bench/standin/src/endpoint.rs
+++ b/bench/standin/src/endpoint.rs
@@ -214,6 +214,7 @@
             load: self.load_report.lock().report_at(self.clock.now()),
             leaving: terminates_at.map(|at| at - self.clock.now()),
             checks_fencing: cfg.checks_fencing,
+            software: Default::default(),
         }
     }
 
--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -12,7 +12,7 @@
 };
 use sill_wire::link::{EndpointFact, EndpointLoad, EndpointState, EngineSpeed};
 use sill_wire::prefix::BLOCK_TOKENS;
-use sill_wire::{Announcement, Incarnation, Load, Priority, Role, Servable};
+use sill_wire::{Announcement, Incarnation, Load, Priority, Role, Servable, Software};
 
 use crate::speed::{MIN_REPORTED_FITS, SpeedMeter};
 
@@ -111,6 +111,8 @@
     pub incarnation: Incarnation,
     /// Address of the endpoint.
     pub address: SocketAddr,
+    /// Version of the endpoint's software.
+    pub software: Software,
     /// Prompt tokens that are presumably not cached at the endpoint.
     pub fresh_tokens: u64,
     /// Time at which the endpoint was chosen.
@@ -190,7 +192,8 @@
             updated_at: now,
         };
         let entry = self.endpoints.entry(fact.endpoint.clone()).or_insert_with(new_entry);
-        entry.fact = fact.clone();
+        let software = entry.fact.software.combine(&fact.software);
+        entry.fact = EndpointFact { software, ..fact.clone() };
         entry.updated_at = now;
         match fact.state {
             EndpointState::Gone | EndpointState::Silent => self.drop_from_router(now, fact),
@@ -288,6 +291,7 @@
                     endpoint: chosen.endpoint.clone(),
                     incarnation: entry.fact.incarnation,
                     address: entry.fact.address,
+                    software: entry.fact.software.clone(),
                     fresh_tokens: ask.prompt_tokens.saturating_sub(chosen.cached_tokens),
                     sent_at: now,
                     reason: chosen.why,
@@ -414,6 +418,7 @@
             load: Load { age: entry.load_at.map_or(Millis::ZERO, |at| now - at), ..entry.load },
             leaving: is_leaving.then(|| entry.fact.leaves_in.unwrap_or_default()),
             checks_fencing: false,
+            software: entry.fact.software.clone(),
         };
         self.step(now, Event::Announced { announcement, age: Millis::ZERO });
     }
--- a/coordination/dispatch/src/registry.rs
+++ b/coordination/dispatch/src/registry.rs
@@ -122,6 +122,7 @@
             let (state, sequence) = (fact.state, fact.sequence);
             fact = EndpointFact { state, sequence, ..known.fact.clone() };
         }
+        fact.software = known.fact.software.combine(&fact.software);
         // An endpoint that has reported that it is leaving never returns in this incarnation. A
         // late or reordered heartbeat must not make it ready again, or it would receive requests
         // while it shuts down.
@@ -255,6 +256,7 @@
         reclaimable: false,
         leaves_in: None,
         age: Millis::ZERO,
+        software: Default::default(),
     }
 }
 
@@ -272,5 +274,6 @@
         && a.address == b.address
         && a.slots == b.slots
         && a.service == b.service
+        && a.software == b.software
         && a.leaves_in.is_some() == b.leaves_in.is_some()
 }
--- a/coordination/dispatch/tests/loads.rs
+++ b/coordination/dispatch/tests/loads.rs
@@ -35,6 +35,7 @@
         reclaimable: false,
         leaves_in: None,
         age: Millis::ZERO,
+        software: Default::default(),
     }
 }
 
@@ -46,6 +47,7 @@
 /// Returns the placement of a call that `e1` answered.
 fn place() -> Placement {
     Placement {
+        software: Default::default(),
         endpoint: "e1".into(),
         incarnation: Incarnation(3),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
--- a/coordination/dispatch/tests/support/mod.rs
+++ b/coordination/dispatch/tests/support/mod.rs
@@ -20,5 +20,6 @@
         reclaimable: false,
         leaves_in: None,
         age: Millis::ZERO,
+        software: Default::default(),
     }
 }
--- a/coordination/member/benches/scale.rs
+++ b/coordination/member/benches/scale.rs
@@ -253,6 +253,7 @@
 
 fn announcement(n: usize, domain: usize, model_number: usize) -> Announcement {
     Announcement {
+        software: Default::default(),
         name: format!("engine-{n:03}").into(),
         incarnation: Incarnation(1_764_000_000_000 + n as u64),
         sequence: 50_000,
--- a/coordination/member/tests/sim/mod.rs
+++ b/coordination/member/tests/sim/mod.rs
@@ -660,5 +660,6 @@
         load: Load::default(),
         leaving: None,
         checks_fencing: true,
+        software: Default::default(),
     }
 }
--- a/coordination/route/benches/common/mod.rs
+++ b/coordination/route/benches/common/mod.rs
@@ -27,5 +27,6 @@
         load: Load::default(),
         leaving: None,
         checks_fencing: true,
+        software: Default::default(),
     }
 }
--- a/coordination/route/tests/homes.rs
+++ b/coordination/route/tests/homes.rs
@@ -26,6 +26,7 @@
         load: Load::default(),
         leaving: None,
         checks_fencing: false,
+        software: Default::default(),
     }
 }
 
--- a/coordination/route/tests/support/mod.rs
+++ b/coordination/route/tests/support/mod.rs
@@ -31,6 +31,7 @@
         load: Load::default(),
         leaving: None,
         checks_fencing: true,
+        software: Default::default(),
     }
 }
 
--- a/daemons/control/src/api/announce.rs
+++ b/daemons/control/src/api/announce.rs
@@ -56,6 +56,7 @@
         state,
         reclaimable: announcement.reclaimable,
         leaves_in: announcement.leaving,
+        software: announcement.software,
         age: Millis::ZERO,
     })
 }
--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -84,6 +84,7 @@
         let (endpoint, state, sequence) = (fact.endpoint.clone(), fact.state, fact.sequence);
         let (born, leaves_in) = (fact.incarnation, fact.leaves_in);
         let (service, domain, address) = (fact.service.clone(), fact.domain.clone(), fact.address);
+        let software = fact.software.clone();
         if self.registry.lock().record_heartbeat(now, fact) {
             event!(
                 Info,
@@ -95,6 +96,7 @@
                 domain = domain,
                 address = address,
                 born = born.0,
+                software = software,
                 leaves_ms = leaves_in.map(|left| left.to_string()).unwrap_or_default(),
             );
             self.publish_urgently();
--- a/daemons/control/tests/settings_pieces.rs
+++ b/daemons/control/tests/settings_pieces.rs
@@ -212,6 +212,7 @@
         reclaimable: false,
         leaves_in: None,
         age: Millis::ZERO,
+        software: Default::default(),
     };
     ControlSync {
         from,
@@ -297,6 +298,7 @@
         load: Load::default(),
         leaving: (sequence > 1).then_some(Millis(2000)),
         checks_fencing: false,
+        software: Default::default(),
     };
     serde_json::to_string(&announcement).expect("it can be serialised")
 }
--- a/daemons/gateway/src/dialect.rs
+++ b/daemons/gateway/src/dialect.rs
@@ -25,6 +25,10 @@
     pub key: Option<Name>,
     /// The size and prefix of the prompt; none for a call without a prompt.
     pub prompt: Option<Prompt>,
+    /// The id of the last event that the caller received of the stream that it takes up.
+    pub last_event: Option<Name>,
+    /// The caller's id of the attempt that brought the first event of the stream that it takes up.
+    pub resumes: Option<Name>,
 }
 
 /// What an endpoint is sent along with a call.
--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -191,6 +191,16 @@
             ..Refusal::new(ErrorCode::RequestBlocked, "request_blocked")
         });
     }
+    if head.last_event.is_some() || head.resumes.is_some() {
+        event!(
+            Info,
+            "stream_taken_up",
+            id = head.attempt,
+            resumes = head.resumes.as_ref().map(Name::as_str).unwrap_or_default(),
+            last_event = head.last_event.as_ref().map(Name::as_str).unwrap_or_default(),
+            route = route.name
+        );
+    }
     let service = route.service(rand::random::<f64>()).clone();
     let Some(pool) = state.pool(&service) else {
         let failure = Failure::with_retry_after(ErrorCode::NoCapacity, RETRY_WITHOUT_ENDPOINT);
--- a/daemons/gateway/src/sill_dialect.rs
+++ b/daemons/gateway/src/sill_dialect.rs
@@ -25,6 +25,8 @@
             deadline: deadline.map(Millis),
             key: bearer.map(|key| key.trim().into()),
             prompt: None,
+            last_event: text(headers, &name(names::LAST_EVENT_ID)).map(Name::from),
+            resumes: text(headers, &name(names::RESUMES)).map(Name::from),
         }
     }
 
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -393,6 +393,7 @@
             domain = fact.domain,
             address = fact.address,
             born = fact.incarnation.0,
+            software = fact.software,
             state = format!("{:?}", fact.state),
             sequence = fact.sequence,
             from = from,
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -8,7 +8,7 @@
 use sill_net::h1::{AnyBody, Framing};
 use sill_route::RefusalReason;
 use sill_tree::RouteKind;
-use sill_wire::ErrorCode;
+use sill_wire::{ErrorCode, Software};
 
 use crate::egress::Via;
 use crate::failure::Failure;
@@ -38,6 +38,8 @@
     outcome: &'static str,
     status: u16,
     endpoint: Name,
+    /// The version of that endpoint's software.
+    software: Software,
     reason: String,
     send_count: u32,
     /// The entry instance through which the endpoint answered, if the path to it was lost.
@@ -68,6 +70,7 @@
             outcome: CALLER_LEFT,
             status: 0,
             endpoint: Name::default(),
+            software: Software::default(),
             reason: String::new(),
             send_count: 0,
             via: Name::default(),
@@ -86,13 +89,24 @@
         }
         self.send_count += 1;
         self.endpoint = placement.endpoint.clone();
+        self.software = placement.software.clone();
         self.reason.clone_from(&placement.reason);
     }
 
     /// Records that another endpoint continues the answer.
     pub fn record_resume(&mut self, placement: &Placement) {
         self.send_count += 1;
+        sill_base::event!(
+            Info,
+            "stream_resumed",
+            id = self.call.head.attempt,
+            from = self.endpoint,
+            from_software = self.software,
+            endpoint = placement.endpoint,
+            software = placement.software
+        );
         self.endpoint = placement.endpoint.clone();
+        self.software = placement.software.clone();
     }
 
     /// Records the tunnel in which the answer arrives.
@@ -252,6 +266,7 @@
         pair("account", &account.unwrap_or_default());
         pair("service", &call.pool.service);
         pair("endpoint", &self.endpoint);
+        pair("software", &self.software);
         pair("sends", &self.send_count);
         pair("via", &self.via);
         pair("prompt", &call.prompt.tokens);
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -586,6 +586,7 @@
         reclaimable: false,
         leaves_in: None,
         age: Millis::ZERO,
+        software: Default::default(),
     }
 }
 
--- a/daemons/sill/tests/system/serving.rs
+++ b/daemons/sill/tests/system/serving.rs
@@ -176,6 +176,7 @@
         load: Load::default(),
         leaving: None,
         checks_fencing: false,
+        software: Default::default(),
     };
     let body = serde_json::to_string(&announcement).expect("it can be serialised");
     let headers = ["authorization: Bearer test-join-token"];
--- a/protocol/wire/src/announce.rs
+++ b/protocol/wire/src/announce.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 use sill_base::{Millis, Name};
 
+use crate::software::Software;
+
 /// The incarnation of an instance or endpoint; each restart takes a larger number.
 #[derive(
     Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -110,6 +112,9 @@
     /// Whether it refuses orders with an outdated fencing token.
     #[serde(default)]
     pub checks_fencing: bool,
+    /// The version of its software.
+    #[serde(default, skip_serializing_if = "Software::is_unnamed")]
+    pub software: Software,
 }
 
 /// The entry instance's reply to an announcement.
--- a/protocol/wire/src/header.rs
+++ b/protocol/wire/src/header.rs
@@ -37,6 +37,9 @@
 /// The id of the last event that a reconnecting caller has received.
 pub const LAST_EVENT_ID: &str = "last-event-id";
 
+/// The id of the attempt that brought the first event of a stream which the caller takes up.
+pub const RESUMES: &str = "sill-resumes";
+
 /// The endpoint that a request is addressed to; any other endpoint refuses it without running it.
 pub const ENDPOINT: &str = "sill-endpoint";
 
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod priority;
 pub mod request_key;
 pub mod settings;
+pub mod software;
 
 pub use announce::{Announcement, Incarnation, Load, Role, Servable};
 pub use call::Call;
@@ -25,3 +26,4 @@
 pub use error::{ErrorBody, ErrorCode, ErrorDetail};
 pub use priority::Priority;
 pub use request_key::RequestKey;
+pub use software::Software;
--- a/protocol/wire/src/link.rs
+++ b/protocol/wire/src/link.rs
@@ -11,6 +11,7 @@
 use crate::control::Revision;
 use crate::crash::CrashUpdate;
 use crate::settings::Manifest;
+use crate::software::Software;
 
 /// The lifecycle state of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -53,6 +54,9 @@
     /// platform has announced it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub leaves_in: Option<Millis>,
+    /// The version of its software.
+    #[serde(default, skip_serializing_if = "Software::is_unnamed")]
+    pub software: Software,
     /// Time since the heartbeat arrived.
     pub age: Millis,
 }
