Gateway: continue a stream within an answer only at the version of its first event

Callers saw: streams whose events came from endpoints of two software versions, which don't fit together, with status 200 and complete. Cause: a resumption after a crash, and the migration of a run with its KV cache, chose among all endpoints of the service; the entry instance did not know what had begun the stream.

The version is part of a placement now: the router offers no endpoint of another one. The relay takes it from the endpoint whose first event it forwarded; until then any version may answer. A migration needs the version of its source, whether or not an event was sent. An endpoint that reported two versions in one incarnation continues nothing. So that new calls don't fill the last endpoints of a version, its streams may exceed the load bounds by a quarter, and once there was no room for one, new calls leave the version's endpoints to them for 2 s as long as others have room. New line: stream_not_resumed, with the reason.

--- a/bench/load/src/experiment/pool.rs
+++ b/bench/load/src/experiment/pool.rs
@@ -313,6 +313,8 @@
             priority: if *is_moved { Priority::High } else { spec.priority },
             deadline: Millis::MAX,
             exclude: Vec::new(),
+            software: None,
+            reserved: Vec::new(),
         }
     }
 
--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -40,6 +40,10 @@
 /// How long the tombstone of an endpoint is kept.
 const TOMBSTONE_TTL: Millis = Millis(60_000);
 
+/// Time for which the endpoints of a version are left to streams that need it, after there was no
+/// room for one.
+const RESERVATION_TIME: Millis = Millis(2000);
+
 /// Settings of a pool.
 #[derive(Debug, Clone)]
 pub struct PoolCfg {
@@ -86,6 +90,8 @@
     pub deadline: Millis,
     /// Endpoints that must not be chosen.
     pub exclude: Vec<Name>,
+    /// The version that began the call's stream; none if any version may serve the call.
+    pub software: Option<Software>,
 }
 
 /// The result of choosing an endpoint.
@@ -140,6 +146,11 @@
     endpoints: Map<Name, EndpointEntry>,
     meter: SpeedMeter,
     sequence: u64,
+    /// Versions of former incarnations, and when they ended.
+    former_versions: Map<Software, Millis>,
+    /// Versions that had no room for a stream that needs them, with the time until which their
+    /// endpoints are left to such streams.
+    reserved: Map<Software, Millis>,
 }
 
 #[derive(Debug)]
@@ -164,7 +175,15 @@
         let router_cfg = RouterCfg { domain: cfg.domain.clone(), seed: cfg.seed };
         let policy = if cfg.is_engine { engine_policy() } else { plain_policy() };
         let router = Router::with_policy(router_cfg, policy);
-        Self { cfg, router, endpoints: Map::default(), meter: SpeedMeter::default(), sequence: 0 }
+        Self {
+            cfg,
+            router,
+            endpoints: Map::default(),
+            meter: SpeedMeter::default(),
+            sequence: 0,
+            former_versions: Map::default(),
+            reserved: Map::default(),
+        }
     }
 
     /// Updates an endpoint with a fact that a control instance reported.
@@ -181,8 +200,10 @@
             Some(known) if version(fact) <= version(known) => return FactUpdate::Stale,
             _ => FactUpdate::Newer,
         };
-        if matches!(update, FactUpdate::Restart(_)) {
-            self.endpoints.remove(&fact.endpoint);
+        if matches!(update, FactUpdate::Restart(_))
+            && let Some(former) = self.endpoints.remove(&fact.endpoint)
+        {
+            self.former_versions.insert(former.fact.software, now);
         }
         let new_entry = || EndpointEntry {
             fact: fact.clone(),
@@ -228,6 +249,24 @@
     fn expire_tombstones(&mut self, now: Millis) {
         self.endpoints
             .retain(|_, entry| !entry.is_gone() || now - entry.updated_at < TOMBSTONE_TTL);
+        self.former_versions.retain(|_, ended_at| now - *ended_at < TOMBSTONE_TTL);
+    }
+
+    /// Returns the versions of all endpoints that were there within [`TOMBSTONE_TTL`], each once.
+    pub fn versions(&mut self, now: Millis) -> Vec<Software> {
+        self.expire_tombstones(now);
+        let present = self.endpoints.values().map(|entry| &entry.fact.software);
+        let mut versions: Vec<Software> =
+            present.chain(self.former_versions.keys()).cloned().collect();
+        versions.sort_unstable();
+        versions.dedup();
+        versions
+    }
+
+    /// Returns whether an endpoint of a version accepts requests.
+    pub fn is_served_by(&self, software: &Software) -> bool {
+        let is_ready = |fact: &EndpointFact| fact.state == EndpointState::Ready;
+        self.facts().any(|fact| is_ready(fact) && fact.software.is_compatible(software))
     }
 
     /// Records the load that an endpoint reported with an answer.
@@ -280,7 +319,7 @@
 
     /// Chooses an endpoint for a call and counts the call there, or refuses it.
     pub fn place(&mut self, now: Millis, ask: &PlacementRequest) -> PlacementDecision {
-        let ask = self.routing_request(ask);
+        let ask = self.routing_request(now, ask);
         match self.router.choose(now, &ask) {
             Choice::Endpoint(chosen) => {
                 let Some(entry) = self.endpoints.get_mut(&chosen.endpoint) else {
@@ -299,10 +338,17 @@
                 self.step(now, Event::Sent { endpoint: chosen.endpoint, ask });
                 PlacementDecision::Endpoint(place)
             }
-            Choice::Refuse(refusal) => PlacementDecision::Refused {
-                reason: refusal.reason,
-                retry_after: refusal.retry_after,
-            },
+            Choice::Refuse(refusal) => {
+                if let Some(software) =
+                    ask.software.filter(|_| refusal.reason == RefusalReason::Full)
+                {
+                    self.reserved.insert(software, now + RESERVATION_TIME);
+                }
+                PlacementDecision::Refused {
+                    reason: refusal.reason,
+                    retry_after: refusal.retry_after,
+                }
+            }
         }
     }
 
@@ -383,8 +429,15 @@
         self.endpoints.get(endpoint).is_some_and(|k| k.fact.state == EndpointState::Ready)
     }
 
-    fn routing_request(&self, ask: &PlacementRequest) -> RouteRequest {
+    fn routing_request(&mut self, now: Millis, ask: &PlacementRequest) -> RouteRequest {
+        self.reserved.retain(|_, until| now < *until);
+        let reserved = match ask.software {
+            Some(_) => Vec::new(),
+            None => self.reserved.keys().cloned().collect(),
+        };
         RouteRequest {
+            software: ask.software.clone(),
+            reserved,
             request: ask.attempt.clone(),
             target: Target::Service(self.cfg.service.clone()),
             blocks: prefix_blocks(&ask.prompt),
--- a/coordination/dispatch/tests/loads.rs
+++ b/coordination/dispatch/tests/loads.rs
@@ -172,6 +172,7 @@
             prompt: Arc::new(Prompt { parts, tokens: 1200, max_output_tokens: 100 }),
             deadline: now + Millis(15_000),
             exclude: Vec::new(),
+            software: None,
         };
         let PlacementDecision::Endpoint(place) = self.entries[i].place(now, &ask) else { return };
         let running = self.running.get_mut(&place.endpoint).expect("the endpoint exists");
--- a/coordination/dispatch/tests/pool.rs
+++ b/coordination/dispatch/tests/pool.rs
@@ -10,8 +10,8 @@
     FactUpdate, Placement, PlacementDecision, PlacementRequest, Pool, PoolCfg, Prompt,
 };
 use sill_route::Outcome;
-use sill_wire::Incarnation;
-use sill_wire::link::EndpointState;
+use sill_wire::link::{EndpointFact, EndpointState};
+use sill_wire::{Incarnation, Software};
 use support::heartbeat;
 
 fn pool() -> Pool {
@@ -25,11 +25,21 @@
 }
 
 fn place(pool: &mut Pool, now: Millis, attempt: &str) -> Option<Placement> {
+    place_at(pool, now, attempt, None)
+}
+
+fn place_at(
+    pool: &mut Pool,
+    now: Millis,
+    attempt: &str,
+    software: Option<&str>,
+) -> Option<Placement> {
     let ask = PlacementRequest {
         attempt: attempt.into(),
         prompt: Arc::new(Prompt::default()),
         deadline: now + Millis(10_000),
         exclude: Vec::new(),
+        software: software.map(Software::from),
     };
     match pool.place(now, &ask) {
         PlacementDecision::Endpoint(place) => Some(place),
@@ -85,3 +95,89 @@
     pool.update_endpoint(Millis(1200), &heartbeat(7, 2, EndpointState::Gone));
     assert!(!pool.is_ready(&"e1".into()));
 }
+
+fn endpoint(number: u8, software: &str, state: EndpointState) -> EndpointFact {
+    EndpointFact {
+        endpoint: format!("e{number}").into(),
+        address: SocketAddr::from(([10, 0, 0, number], 80)),
+        software: software.into(),
+        ..heartbeat(1, 1, state)
+    }
+}
+
+/// A stream continues at an endpoint of another version, or nowhere although its version serves.
+#[test]
+fn a_call_that_needs_a_version_is_placed_at_its_endpoints_only() {
+    let mut pool = pool();
+    let endpoints = [(1, "v1"), (2, "v2"), (3, "v2"), (4, "v2"), (5, "")];
+    for (number, software) in endpoints {
+        pool.update_endpoint(Millis(1000), &endpoint(number, software, EndpointState::Ready));
+    }
+    for (software, chosen) in [("v1", "e1"), ("", "e5")] {
+        let place = place_at(&mut pool, Millis(1100), software, Some(software));
+        assert_eq!(
+            place.expect("an endpoint of the version").endpoint,
+            chosen.into(),
+            "{software}"
+        );
+    }
+    assert_eq!(place_at(&mut pool, Millis(1100), "r", Some("v3")), None);
+    assert!(!pool.is_served_by(&"v3".into()));
+    assert!(!pool.is_served_by(&Software::AMBIGUOUS));
+    pool.update_endpoint(
+        Millis(1200),
+        &EndpointFact { sequence: 2, ..endpoint(1, "v1", EndpointState::Leaving) },
+    );
+    assert!(!pool.is_served_by(&"v1".into()), "it leaves");
+    assert_eq!(place_at(&mut pool, Millis(1300), "s", Some("v1")), None);
+}
+
+/// New streams fill the last endpoints of a version, so that none of its streams can continue.
+#[test]
+fn endpoints_of_a_version_without_room_are_left_to_its_streams() {
+    let mut pool = pool();
+    for (number, software) in [(1, "v1"), (2, "v2"), (3, "v2")] {
+        pool.update_endpoint(Millis(1000), &endpoint(number, software, EndpointState::Ready));
+    }
+    let name = |i: usize| format!("r{i}");
+    let running: Vec<Placement> =
+        (0..100).map_while(|i| place_at(&mut pool, Millis(1100), &name(i), Some("v1"))).collect();
+    assert!(running.len() < 100, "the endpoint has no bound");
+    for (i, placed) in running.iter().enumerate().take(16) {
+        pool.finish_attempt(Millis(1200), placed, &name(i).into(), Outcome::Finished);
+    }
+    for i in 0..24 {
+        let name = format!("n{i}");
+        let placed = place(&mut pool, Millis(1300), &name).expect("others have room");
+        assert_ne!(placed.endpoint, "e1".into(), "new call {i}");
+    }
+    for i in 0..8 {
+        let name = format!("s{i}");
+        assert!(place_at(&mut pool, Millis(1300), &name, Some("v1")).is_some(), "stream {i}");
+    }
+    for (i, placed) in running.iter().enumerate().skip(16) {
+        pool.finish_attempt(Millis(1400), placed, &name(i).into(), Outcome::Finished);
+    }
+    let later = Millis(3400);
+    let used = (0..40).filter_map(|i| place(&mut pool, later, &format!("l{i}")));
+    assert!(used.into_iter().any(|placed| placed.endpoint == "e1".into()), "it is used again");
+}
+
+/// A version of an endpoint that is gone is forgotten while streams that it began are taken up.
+#[test]
+fn versions_of_endpoints_that_are_gone_are_remembered() {
+    let mut pool = pool();
+    let names = |versions: Vec<Software>| {
+        versions.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
+    };
+    pool.update_endpoint(Millis(1000), &endpoint(1, "v1", EndpointState::Ready));
+    assert_eq!(names(pool.versions(Millis(1000))), "v1");
+    pool.update_endpoint(
+        Millis(2000),
+        &EndpointFact { incarnation: Incarnation(2), ..endpoint(1, "v2", EndpointState::Ready) },
+    );
+    pool.update_endpoint(Millis(3000), &endpoint(2, "v3", EndpointState::Gone));
+    assert_eq!(names(pool.versions(Millis(61_000))), "v1,v2,v3");
+    assert_eq!(names(pool.versions(Millis(62_500))), "v2,v3");
+    assert_eq!(names(pool.versions(Millis(63_500))), "v2");
+}
--- a/coordination/dispatch/tests/registry.rs
+++ b/coordination/dispatch/tests/registry.rs
@@ -4,8 +4,8 @@
 
 use sill_base::{Millis, Name};
 use sill_dispatch::Registry;
-use sill_wire::Incarnation;
 use sill_wire::link::{Cursor, EndpointFact, EndpointState};
+use sill_wire::{Incarnation, Software};
 use support::heartbeat;
 
 /// Interval between the heartbeats of an endpoint.
@@ -213,6 +213,39 @@
     assert_eq!(sent_states(&a, Millis(1200)), [("e1".into(), EndpointState::Gone)]);
 }
 
+/// An endpoint reports two versions in one incarnation, or a control instance of an older build
+/// passes its facts on without one. A stream that it began could continue at another version.
+#[test]
+fn an_incarnation_with_two_versions_has_an_ambiguous_one() {
+    struct Case {
+        reports: &'static [&'static str],
+        software: Software,
+    }
+    let cases = [
+        Case { reports: &["v1", "v1"], software: "v1".into() },
+        Case { reports: &["v1", "", "v1"], software: "v1".into() },
+        Case { reports: &["", "v1"], software: "v1".into() },
+        Case { reports: &["v1", "v2"], software: Software::AMBIGUOUS },
+        Case { reports: &["v1", "v2", "v1"], software: Software::AMBIGUOUS },
+        Case { reports: &["v1", "v2", "", "v2"], software: Software::AMBIGUOUS },
+    ];
+    for Case { reports, software } in cases {
+        let mut registry = registry(1);
+        for (sequence, report) in (1..).zip(reports) {
+            let fact = heartbeat(5, sequence, EndpointState::Ready);
+            let fact = EndpointFact { software: (*report).into(), ..fact };
+            registry.record_heartbeat(Millis(1000), fact);
+        }
+        let sent = registry.newer_than(Millis(1100), Cursor::default());
+        assert_eq!(sent[0].software, software, "{reports:?}");
+        let restart =
+            EndpointFact { software: "v3".into(), ..heartbeat(6, 1, EndpointState::Ready) };
+        registry.record_heartbeat(Millis(1200), restart);
+        let sent = registry.newer_than(Millis(1300), Cursor::default());
+        assert_eq!(sent[0].software, "v3".into(), "{reports:?}");
+    }
+}
+
 /// Another sender uses the name of an endpoint in heartbeats for another service. If these were
 /// merged, the endpoint would be lost to its callers.
 #[test]
--- a/coordination/route/benches/choose.rs
+++ b/coordination/route/benches/choose.rs
@@ -26,6 +26,8 @@
 fn request(number: u64) -> RouteRequest {
     let prefix = number % PREFIXES;
     RouteRequest {
+        software: None,
+        reserved: Vec::new(),
         request: format!("r-{number}").into(),
         target: Target::Model("m".into()),
         blocks: (0..BLOCKS).map(|b| prefix << 32 | b).chain([number << 40]).collect(),
--- a/coordination/route/benches/state.rs
+++ b/coordination/route/benches/state.rs
@@ -15,6 +15,8 @@
 
 fn request(number: u64, prompt: u64, blocks: u64) -> RouteRequest {
     RouteRequest {
+        software: None,
+        reserved: Vec::new(),
         request: format!("r-{number}").into(),
         target: Target::Model("m".into()),
         blocks: (0..blocks).map(|b| prompt << 20 | b).collect(),
--- a/coordination/route/src/request.rs
+++ b/coordination/route/src/request.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sill_base::{Millis, Name};
 use sill_wire::endpoint::CacheEvents;
-use sill_wire::{Announcement, Incarnation, Priority};
+use sill_wire::{Announcement, Incarnation, Priority, Software};
 
 /// The model or service that a request is for.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -36,6 +36,12 @@
     pub deadline: Millis,
     /// Endpoints that must not be chosen, such as those at which the request just failed.
     pub exclude: Vec<Name>,
+    /// The version that has to serve it because it began the request's answer; none if any may.
+    #[serde(default)]
+    pub software: Option<Software>,
+    /// Versions whose endpoints are left to requests that need them, as long as others have room.
+    #[serde(default)]
+    pub reserved: Vec<Software>,
 }
 
 /// The router's answer.
--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -166,6 +166,8 @@
                 let chance = self.stats.sample_chance(size, candidate.is_remote);
                 candidate.is_home || cached > 0 || self.rng.random::<f64>() < chance
             });
+            // The second pass considers endpoints that are reserved, after all others.
+            let is_sampled = is_sampled && !(candidate.is_reserved && sample_size.is_some());
             match eligibility {
                 Ok(()) if !is_sampled => scorer.add_load(&candidate),
                 Ok(()) => {
@@ -234,6 +236,7 @@
             usable_slots: self.usable_slots(now, endpoint),
             is_remote: a.domain != self.cfg.domain,
             is_suspect: endpoint.is_suspect(now),
+            is_reserved: req.reserved.contains(&a.software),
             reclaim_per_s,
         }
     }
@@ -263,10 +266,12 @@
         if leaving || expired || !accepts_role || req.exclude.contains(&a.name) {
             return Err(Rejection::Unusable);
         }
-        if !req.target.is_served_by(a) {
+        let is_other_version =
+            req.software.as_ref().is_some_and(|software| !a.software.is_compatible(software));
+        if is_other_version || !req.target.is_served_by(a) {
             return Err(Rejection::Unusable);
         }
-        if candidate.is_full(&self.policy) {
+        if candidate.is_full_for(&self.policy, req) {
             return Err(Rejection::Full);
         }
         if req.deadline != Millis::MAX {
--- a/coordination/route/src/score.rs
+++ b/coordination/route/src/score.rs
@@ -8,6 +8,9 @@
 use crate::policy::{Policy, PolicyCfg};
 use crate::request::{ChosenEndpoint, RouteRequest};
 
+/// Factor on the load bounds for requests that need a version.
+const VERSION_HEADROOM: f64 = 1.25;
+
 /// An endpoint considered for a request, with the inputs to its cost.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Candidate<'a> {
@@ -34,6 +37,8 @@
     pub(crate) is_remote: bool,
     /// Whether it is in backoff after a failure.
     pub(crate) is_suspect: bool,
+    /// Whether it is left to requests that need its version.
+    pub(crate) is_reserved: bool,
     /// Chance per second that it is reclaimed.
     pub(crate) reclaim_per_s: f64,
 }
@@ -61,10 +66,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 struct Rank {
     is_suspect: bool,
+    is_reserved: bool,
     cost: f64,
     tie_break: u64,
 }
 
+/// Returns the factor by which the load bounds are raised for a request. One that needs a version can
+/// go to few endpoints, which others also fill.
+fn headroom(req: &RouteRequest) -> f64 {
+    if req.software.is_some() { VERSION_HEADROOM } else { 1.0 }
+}
+
 impl Candidate<'_> {
     /// Returns the expected time until a slot is free and the queued prompts are prefilled.
     fn queue_ms(&self, cfg: &PolicyCfg, req: &RouteRequest) -> f64 {
@@ -77,13 +89,23 @@
     /// Returns whether the endpoint has reached the load bound of high priority. Nothing more is
     /// sent there, whatever it has cached.
     pub(crate) fn is_full(&self, cfg: &PolicyCfg) -> bool {
-        f64::from(self.active) >= (self.slots * cfg.load_factor.high).max(1.0)
+        self.is_full_with(cfg, 1.0)
+    }
+
+    /// Returns whether the endpoint has reached the load bound for a request.
+    pub(crate) fn is_full_for(&self, cfg: &PolicyCfg, req: &RouteRequest) -> bool {
+        self.is_full_with(cfg, headroom(req))
+    }
+
+    fn is_full_with(&self, cfg: &PolicyCfg, headroom: f64) -> bool {
+        f64::from(self.active) >= (self.slots * cfg.load_factor.high * headroom).max(1.0)
     }
 
     /// Returns whether the endpoint exceeds the load bound or the waiting bound of the request's
     /// priority.
     fn is_overloaded(&self, cfg: &PolicyCfg, req: &RouteRequest) -> bool {
-        let slots = (self.slots * cfg.load_factor.bound(req.priority)).max(1.0);
+        let slots = self.slots * cfg.load_factor.bound(req.priority) * headroom(req);
+        let slots = slots.max(1.0);
         let prompt_ms = self.endpoint.prefill_ms(req.prompt_tokens, cfg) + cfg.wait_base.0 as f64;
         let wait_ms = self.endpoint.prefill_ms(self.assumed_pending_tokens, cfg);
         let waits_too_long = wait_ms > prompt_ms * cfg.wait_factor.bound(req.priority);
@@ -190,14 +212,14 @@
     pub(crate) fn best(self) -> Option<ScoredCandidate<'a>> {
         let load = self.active / self.slots.max(1.0);
         let best = self.best?;
-        let is_loaded = load >= self.cfg.pool_factor.bound(self.req.priority);
+        let is_loaded = load >= self.cfg.pool_factor.bound(self.req.priority) * headroom(self.req);
         if is_loaded
             && self.cfg.policy == Policy::Cost
             && !best.candidate.meets_ttft_target(self.cfg, self.req)
         {
             return None;
         }
-        let has_room = load < self.cfg.spill_below;
+        let has_room = load < self.cfg.spill_below * headroom(self.req);
         match self.best_with_room {
             Some(with_room) if has_room || with_room.rank == best.rank => Some(with_room),
             _ => None,
@@ -213,7 +235,8 @@
             Policy::PrefixOnly => -(candidate.cached as f64),
         };
         let tie_break = rng.random();
-        Rank { is_suspect: candidate.is_suspect, cost, tie_break }
+        let Candidate { is_suspect, is_reserved, .. } = *candidate;
+        Rank { is_suspect, is_reserved, cost, tie_break }
     }
 }
 
--- a/coordination/route/tests/homes.rs
+++ b/coordination/route/tests/homes.rs
@@ -40,6 +40,8 @@
         priority: Priority::High,
         deadline: Millis::MAX,
         exclude: Vec::new(),
+        software: None,
+        reserved: Vec::new(),
     }
 }
 
--- a/coordination/route/tests/support/mod.rs
+++ b/coordination/route/tests/support/mod.rs
@@ -38,6 +38,8 @@
 /// A request with `length` blocks of a prompt. Requests with the same `prompt` share their prefix.
 pub fn request(number: u64, prompt: u64, length: u64) -> RouteRequest {
     RouteRequest {
+        software: None,
+        reserved: Vec::new(),
         request: format!("r-{number}").into(),
         target: Target::Model("m".into()),
         blocks: (0..length).map(|b| prompt << 32 | b).collect(),
--- a/daemons/entry/src/serve/driver.rs
+++ b/daemons/entry/src/serve/driver.rs
@@ -299,6 +299,8 @@
             priority: if self.is_accepted { Priority::High } else { self.job.priority },
             deadline: self.job.run.spec.deadline,
             exclude,
+            software: None,
+            reserved: Vec::new(),
         };
         let event = match self.app.routing.choose(self.now(), &request) {
             Choice::Endpoint(chosen) => {
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -13,6 +13,7 @@
 };
 use sill_net::h1::{Answer, AnyBody, SendFailure, strip_hop_by_hop};
 use sill_route::{Outcome, RefusalReason};
+use sill_wire::Software;
 
 use crate::answer;
 use crate::crashes;
@@ -91,7 +92,8 @@
     loop {
         let now = state.clock.now();
         progress.time_left = call.due - now;
-        let attempt = match place_attempt(state, call, now, &exclude, progress.attempts()) {
+        let placed = place_attempt(state, call, now, &exclude, progress.attempts(), None);
+        let attempt = match placed {
             Ok(attempt) => attempt,
             Err((reason, wait)) => {
                 return Err(summary.refuse(&progress, reason, wait));
@@ -138,13 +140,14 @@
     mode.is_some_and(|mode| mode == AnswerMode::Passed || call.answer_mode == AnswerMode::Held)
 }
 
-/// Chooses an endpoint and counts the attempt towards its load.
+/// Chooses an endpoint, of the version that is needed, and counts the attempt towards its load.
 pub fn place_attempt(
     state: &Arc<State>,
     call: &Arc<Call>,
     now: Millis,
     exclude: &[Name],
     sends: u32,
+    software: Option<Software>,
 ) -> Result<Attempt, (RefusalReason, Millis)> {
     // The router needs a distinct id for each attempt of a call.
     let name: Name = match sends {
@@ -156,6 +159,7 @@
         prompt: call.prompt.clone(),
         deadline: call.due,
         exclude: exclude.to_vec(),
+        software,
     };
     let decision = call.pool.pool.lock().place(now, &placement_request);
     match decision {
--- a/daemons/gateway/src/migration.rs
+++ b/daemons/gateway/src/migration.rs
@@ -12,6 +12,8 @@
 use futures_util::future::BoxFuture;
 use sill_base::{Millis, Name, event};
 
+use sill_wire::Software;
+
 use crate::dialect::MigratedMemory;
 use crate::dispatch::{self, Attempt};
 use crate::egress::Destination;
@@ -77,7 +79,8 @@
             let (state, call) = (attempt.state().clone(), attempt.call().clone());
             // The router tells attempts of one call apart by their number.
             let stop_requested = self.stop_requested.clone();
-            let migrated = migrate(state, call, source, sends + 1, stop_requested);
+            let software = attempt.placement.software.clone();
+            let migrated = migrate(state, call, source, software, sends + 1, stop_requested);
             self.transfer = Some(MemoryTransfer::Copying(Box::pin(migrated)));
         }
         if let Some(MemoryTransfer::Copying(copying)) = &mut self.transfer
@@ -120,7 +123,7 @@
     tokio::time::sleep(time_left.into()).await;
 }
 
-/// Has the engine copy the run's KV cache to another engine, and then stop the run.
+/// Has the engine copy the run's KV cache to another engine of its version, and then stop the run.
 ///
 /// The first copy takes up to 0.8 s behind those of other runs, while the run continues. The second
 /// one copies what was added since, so the stream pauses for some 30 ms. Stopping the run before
@@ -129,6 +132,7 @@
     state: Arc<State>,
     call: Arc<Call>,
     source: Destination,
+    software: Software,
     sends: u32,
     stop_requested: Arc<AtomicBool>,
 ) -> Option<MigratedRun> {
@@ -139,6 +143,7 @@
         started_at,
         std::slice::from_ref(&source.endpoint),
         sends,
+        Some(software),
     )
     .ok()?;
     let copies = async {
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -12,12 +12,12 @@
 use http::Response;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use sill_base::{Millis, Name};
+use sill_base::{Millis, Name, event};
 use sill_dispatch::{AttemptOutcome, CallProgress, EventTracker, NextStep};
 use sill_net::h1::{AnyBody, BodyError, Framing, ReusableConnection};
 use sill_route::Outcome;
 use sill_tree::RouteKind;
-use sill_wire::ErrorCode;
+use sill_wire::{ErrorCode, Software};
 use tokio::time::Sleep;
 
 use crate::crashes::REFUSAL_TIME;
@@ -46,12 +46,15 @@
     events: Option<EventTracker>,
     /// Whether another endpoint may continue the answer.
     may_resume: bool,
+    /// The version whose endpoints may continue the answer; none before the first event.
+    software: Option<Software>,
     due: Pin<Box<Sleep>>,
     /// Resolves when the end of the process cuts the answer.
     cut_by_stop: BoxFuture<'static, ()>,
     /// The migration of the run off its engine, while its old stream still arrives.
     migration: RunMigration,
     has_begun: bool,
+    has_first_event: bool,
     /// The first part, until the head of the answer is sent.
     buffered_part: Option<Bytes>,
     /// The error that ends the answer once all earlier parts are sent to the caller.
@@ -142,9 +145,11 @@
             source: Source::Endpoint(answer),
             events,
             may_resume,
+            software: None,
             due: Box::pin(tokio::time::sleep(time_left.into())),
             cut_by_stop: Box::pin(state.termination.wait_for(FinalPhase::Cut)),
             has_begun: false,
+            has_first_event: false,
             buffered_part: None,
             pending_error: None,
             state,
@@ -227,6 +232,7 @@
     fn record_part(&mut self, data: &Bytes) {
         let now = self.state.clock.now();
         self.summary.record_part(now, data.len());
+        self.record_first_event();
         if std::mem::replace(&mut self.has_begun, true) {
             return;
         }
@@ -238,6 +244,18 @@
         }
     }
 
+    /// Records which version has begun the stream.
+    fn record_first_event(&mut self) {
+        let has_events = self.events.as_ref().is_some_and(EventTracker::has_events);
+        if self.has_first_event || !has_events {
+            return;
+        }
+        self.has_first_event = true;
+        let Source::Endpoint(answer) = &self.source else { return };
+        let placement = &answer.attempt.placement;
+        self.software.get_or_insert_with(|| placement.software.clone());
+    }
+
     /// Completes the call: the endpoint's answer is complete.
     fn finish(&mut self) {
         if let Source::Endpoint(mut answer) = std::mem::replace(&mut self.source, Source::Ended) {
@@ -263,14 +281,7 @@
         self.summary.set_outcome("cut");
         let (id, endpoint) = (&self.call.head.attempt, &answer.attempt.placement.endpoint);
         let request = self.call.request_key();
-        sill_base::event!(
-            Warn,
-            "answer_cut",
-            id = id,
-            endpoint = endpoint,
-            request = request,
-            why = reason
-        );
+        event!(Warn, "answer_cut", id = id, endpoint = endpoint, request = request, why = reason);
         self.progress.time_left = self.call.due - self.state.clock.now();
         let is_resumable = self.call.route.route.kind.may_repeat();
         let next = self.progress.next_step(AttemptOutcome::Unknown);
@@ -284,14 +295,21 @@
         let is_blocked = dispatch::is_blocked(&self.state, &self.call);
         let may_retry_elsewhere =
             is_resumable && next == NextStep::Retry && has_time && !is_blocked;
-        if !may_retry_elsewhere || !self.state.may_retry(&self.call.pool.service) {
+        let refusal = match may_retry_elsewhere {
+            false => Some("it may not be repeated"),
+            true if !self.state.may_retry(&self.call.pool.service) => Some("retry budget used up"),
+            true => None,
+        };
+        if let Some(why) = refusal {
+            event!(Warn, "stream_not_resumed", id = id, why = why);
             return false;
         }
         let last_event = events.last_id().map(str::to_owned);
         let (state, call) = (self.state.clone(), self.call.clone());
         let (progress, failed_endpoint) = (self.progress, endpoint.clone());
         let resumption = Resumption { last_event, memory: None };
-        let resume_future = resume(state, call, progress, failed_endpoint, resumption);
+        let software = self.software.clone();
+        let resume_future = resume(state, call, progress, failed_endpoint, software, resumption);
         self.source = Source::Resuming(Box::pin(resume_future));
         true
     }
@@ -444,18 +462,29 @@
     }
 }
 
-/// Has another endpoint continue a stream after the last event that the caller received.
+/// Has another endpoint, of the version that began the stream, continue it after the last event that
+/// the caller received.
 async fn resume(
     state: Arc<State>,
     call: Arc<Call>,
     progress: CallProgress,
     failed_endpoint: Name,
+    software: Option<Software>,
     resumption: Resumption,
 ) -> Option<EndpointAnswer> {
     let now = state.clock.now();
-    let attempt =
-        dispatch::place_attempt(&state, &call, now, &[failed_endpoint], progress.attempts())
-            .ok()?;
+    let exclude = [failed_endpoint];
+    let needed = software.as_ref().map(ToString::to_string).unwrap_or_default();
+    let placed =
+        dispatch::place_attempt(&state, &call, now, &exclude, progress.attempts(), software);
+    let attempt = match placed {
+        Ok(attempt) => attempt,
+        Err((reason, _)) => {
+            let (id, why) = (&call.head.attempt, format!("{reason:?}"));
+            event!(Warn, "stream_not_resumed", id = id, software = needed, why = why);
+            return None;
+        }
+    };
     resume_at(attempt, progress, resumption).await
 }
 
--- /dev/null
+++ b/daemons/gateway/tests/versions.rs
@@ -0,0 +1,129 @@
+//! Streams over scripted endpoints of several software versions.
+
+#[allow(dead_code)] // The tests of versions use a part of it.
+mod support;
+
+use std::thread;
+use std::time::Duration;
+
+use sill_base::Millis;
+use sill_wire::link::{EndpointFact, EndpointState};
+use support::{Action, CallerResponse, Harness, exchange, fact, head, request_as};
+
+const CHUNKED: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+
+/// The path of streams that may be resumed.
+const RESUMABLE: &str = "/resumable_stream/x";
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// A stream that breaks off after these events.
+fn cut(events: &str) -> Action {
+    let events = if events.is_empty() { String::new() } else { chunk(events) };
+    Action::AnswerAndClose(format!("{}{events}", head(CHUNKED)))
+}
+
+fn whole(events: &str) -> Action {
+    Action::Answer(format!("{}{}0\r\n\r\n", head(CHUNKED), chunk(events)))
+}
+
+/// Starts an entry instance with an endpoint of each version.
+fn start(versions: &[&str], actions: Vec<Vec<Action>>) -> Harness {
+    let harness = Harness::start(actions);
+    announce(&harness, versions, &[]);
+    harness
+}
+
+/// Announces endpoints of these versions; those listed as leaving do leave.
+fn announce(harness: &Harness, versions: &[&str], leaving: &[usize]) {
+    let facts = versions.iter().enumerate().map(|(i, version)| {
+        let state = match leaving.contains(&i) {
+            true => EndpointState::Leaving,
+            false => EndpointState::Ready,
+        };
+        let known = fact(i, harness.endpoints[i].address);
+        let sequence = 2 + leaving.len() as u64;
+        let leaves_in = leaving.contains(&i).then_some(Millis(1300));
+        EndpointFact { software: (*version).into(), sequence, state, leaves_in, ..known }
+    });
+    *harness.facts.lock() = facts.collect();
+    harness.wait_until_facts_applied();
+}
+
+fn call(harness: &Harness, id: &str, path: &str, headers: &str) -> CallerResponse {
+    exchange(harness.address, &request_as(id, path, headers))
+}
+
+/// Returns the endpoints that got the request with an id.
+fn endpoints_of(harness: &Harness, id: &str) -> Vec<usize> {
+    let runs =
+        |i: &usize| harness.endpoints[*i].run_ids.lock().iter().filter(|of| *of == id).count();
+    (0..harness.endpoints.len()).flat_map(|i| std::iter::repeat_n(i, runs(&i))).collect()
+}
+
+/// An endpoint crashes within its stream, and the entry instance continues the answer at one of
+/// another version.
+#[test]
+fn an_answer_continues_at_the_version_of_its_first_event() {
+    let versions = ["v1", "v2", "v1", "v2", "v1", "v2"];
+    // The retry budget of a new instance is enough for one resumption.
+    for i in 0..8 {
+        let cuts = versions.iter().map(|_| vec![cut("id: 1\ndata: a\n\n"); 2]);
+        let harness = start(&versions, cuts.collect());
+        call(&harness, "r-1", RESUMABLE, "");
+        let used = endpoints_of(&harness, "r-1");
+        assert_eq!(used.len(), 2, "instance {i} resumed it once: {used:?}");
+        assert_eq!(versions[used[0]], versions[used[1]], "instance {i} used {used:?}");
+    }
+}
+
+/// The only other endpoint has another version. The caller must not get its events, and learns that
+/// the answer is incomplete.
+#[test]
+fn an_answer_without_an_endpoint_of_its_version_is_incomplete() {
+    for _ in 0..4 {
+        let actions = || vec![cut("id: 1\ndata: a\n\n"); 2];
+        let harness = start(&["v1", "v2"], vec![actions(), actions()]);
+        let got = call(&harness, "r-1", RESUMABLE, "");
+        assert_eq!((got.status, got.is_complete), (200, false), "{}", got.head);
+        assert_eq!(endpoints_of(&harness, "r-1").len(), 1);
+    }
+}
+
+/// Until the first event, any version may answer: a caller whose first endpoint fails before it would
+/// get an error although others serve.
+#[test]
+fn an_answer_without_an_event_is_begun_anew_at_any_version() {
+    let mut failed = 0;
+    for i in 0..8 {
+        let (fails, serves) = (vec![cut(""); 2], vec![whole("id: 1\ndata: a\n\n"); 2]);
+        let harness = start(&["v1", "v2"], vec![fails, serves]);
+        let got = call(&harness, "r-1", RESUMABLE, "");
+        assert_eq!((got.status, got.is_complete), (200, true), "instance {i}: {}", got.head);
+        failed += harness.endpoints[0].requests();
+    }
+    assert!(failed > 0, "the failing endpoint was never tried");
+}
+
+/// A run's KV cache is copied to an engine of another version.
+#[test]
+fn a_run_is_not_migrated_to_another_version() {
+    let events = format!("{}{}", head(CHUNKED), chunk("id: 1\ndata: a\n\n"));
+    let run = Action::AnswerAndCloseLater(events, Duration::from_millis(1500));
+    let harness = Harness::start_with_hidden(vec![vec![run, Action::Hang], vec![Action::Hang]]);
+    announce(&harness, &["v1"], &[]);
+    let address = harness.address;
+    let caller = thread::spawn(move || exchange(address, &request_as("r-1", "/stream/x", "")));
+    while harness.endpoints[0].requests() == 0 {
+        thread::sleep(Duration::from_millis(10));
+    }
+    announce(&harness, &["v1", "v2"], &[0]);
+    let got = caller.join().expect("the caller gets an answer");
+    assert!(!got.is_complete, "{got:?}");
+    let lines: Vec<String> =
+        harness.endpoints[0].request_log.lock().iter().map(|r| r.line.clone()).collect();
+    assert!(!lines.iter().any(|line| line.contains("/copy/")), "{lines:?}");
+    assert_eq!(harness.endpoints[1].requests(), 0);
+}
