Gateway: a stream that a caller takes up continues only at the version that began it

Callers saw: events of two software versions in one stream, after they had lost their connection and taken the stream up at another entry instance. Cause: that instance did not know what had begun the stream, and chose among all endpoints.

An entry instance records the version of the first event under the account, host, path and id of the attempt. While the service has, or may have, several versions, it tells three entry instances, drawn by the stream's key and if possible in different failure domains, beside the first event. The instance that a take-up comes to asks four, for at most 40 ms. If nobody knows, the stream continues only if one version alone can have begun it: no other was there for 60 s by the word of a control instance that leads or follows, not older than 1.5 s, and by all that replied. Otherwise the call is refused as not run (stream_unknown, 100 ms). If the version has no endpoint left: version_unavailable, 10 s. Records are told again to instances that restart, and handed on by those that stop. Control instances list the entry instances to them all, and how far back they know the endpoints; one that has seen the system's beginning knows all. A caller that uses one id for two streams can take up neither.

--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod share;
 pub mod speed;
 pub mod stopping;
+pub mod streams;
 pub mod table;
 pub mod totals;
 pub mod true_time;
--- a/coordination/dispatch/src/relays.rs
+++ b/coordination/dispatch/src/relays.rs
@@ -2,7 +2,7 @@
 //! and when a tunnel is granted.
 
 use std::cmp::Reverse;
-use std::hash::{BuildHasher, BuildHasherDefault};
+use std::hash::{BuildHasher, BuildHasherDefault, Hash};
 use std::net::SocketAddr;
 
 use rustc_hash::FxHasher;
@@ -57,9 +57,12 @@
     placed.into_iter().take(count).map(|(_, offer)| offer).collect()
 }
 
-/// Returns a number that differs between different lists of offers, and is never 0.
-pub fn fingerprint(offers: &[RelayOffer]) -> u64 {
-    BuildHasherDefault::<FxHasher>::default().hash_one(offers) | 1
+/// Returns a number that differs between different lists, and is never 0.
+pub fn fingerprint<T>(list: &[T]) -> u64
+where
+    T: Hash,
+{
+    BuildHasherDefault::<FxHasher>::default().hash_one(list) | 1
 }
 
 fn rank(names: &[&Name]) -> u64 {
--- a/coordination/dispatch/tests/limit_restarts.rs
+++ b/coordination/dispatch/tests/limit_restarts.rs
@@ -158,6 +158,7 @@
             services: Vec::new(),
             loads: Vec::new(),
             relay: None,
+            peer: None,
         }
     }
 }
--- a/coordination/dispatch/tests/relays.rs
+++ b/coordination/dispatch/tests/relays.rs
@@ -68,7 +68,7 @@
         );
     }
     assert_ne!(fingerprint(&kept), fingerprint(&kept[1..]));
-    assert_ne!(fingerprint(&[]), 0);
+    assert_ne!(fingerprint::<RelayOffer>(&[]), 0);
 }
 
 /// A relay that fails would be asked again by each request.
--- a/coordination/dispatch/tests/shares.rs
+++ b/coordination/dispatch/tests/shares.rs
@@ -176,6 +176,7 @@
             services: Vec::new(),
             loads: Vec::new(),
             relay: None,
+            peer: None,
         }
     }
 
--- a/coordination/dispatch/tests/totals.rs
+++ b/coordination/dispatch/tests/totals.rs
@@ -57,6 +57,7 @@
         services: Vec::new(),
         loads: Vec::new(),
         relay: None,
+        peer: None,
     }
 }
 
--- a/coordination/dispatch/tests/usage.rs
+++ b/coordination/dispatch/tests/usage.rs
@@ -26,6 +26,7 @@
         services: Vec::new(),
         loads: Vec::new(),
         relay: None,
+        peer: None,
     }
 }
 
--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -12,6 +12,7 @@
     ControlSync, ControlSyncReply, Cursor, EndpointFact, EndpointLoad, EntryReport, RelayOffer,
     Totals,
 };
+use sill_wire::streams::EntryPeer;
 use sill_wire::{CrashUpdate, Incarnation};
 use tokio::sync::watch;
 
@@ -23,6 +24,13 @@
 /// Age up to which a report shows that an entry instance still offers tunnels.
 const OFFER_TTL: Millis = Millis(1500);
 
+/// Age up to which a report shows that an entry instance is alive. What others have recorded there is
+/// asked for until then.
+const ENTRY_TTL: Millis = Millis(5000);
+
+/// The history of a control instance that has seen the beginning of the system.
+const UNLIMITED_HISTORY: Millis = Millis::from_secs(1 << 32);
+
 /// Number of offers of tunnels that are passed on between control instances, some 4 kB.
 const MAX_OFFERS: usize = 64;
 
@@ -39,6 +47,10 @@
     totals: Mutex<Option<ReceivedTotals>>,
     /// Offers of tunnels that the leader has sent.
     relays: Mutex<Vec<RelayOffer>>,
+    /// Entry instances that the leader knows of.
+    entries: Mutex<Vec<EntryPeer>>,
+    /// The time before the start of this process for which it knows all endpoints.
+    history: Mutex<Millis>,
     aggregator: Mutex<TotalsAggregator>,
     changes: watch::Sender<u64>,
     urgent_sync: tokio::sync::Notify,
@@ -64,6 +76,8 @@
             crash_log: Mutex::default(),
             totals: Mutex::default(),
             relays: Mutex::default(),
+            entries: Mutex::default(),
+            history: Mutex::default(),
             aggregator: Mutex::default(),
             changes: watch::Sender::new(0),
             urgent_sync: tokio::sync::Notify::new(),
@@ -138,6 +152,12 @@
         if let Some(relays) = sync.relays {
             *self.relays.lock() = relays;
         }
+        if let Some(entries) = sync.entries {
+            *self.entries.lock() = entries;
+        }
+        if let Some(history) = sync.history {
+            self.extend_history(now, history);
+        }
         if let Some(totals) = sync.totals {
             let at = now - totals.age;
             *self.totals.lock() = Some(ReceivedTotals { totals, at });
@@ -282,6 +302,39 @@
         limit_offers(offers, MAX_OFFERS)
     }
 
+    /// Returns the entry instances that are alive. What one reports here goes before what the leader
+    /// has sent.
+    fn entry_peers(&self, now: Millis) -> Vec<EntryPeer> {
+        let report_store = self.report_store.lock();
+        let reports = report_store.reported_within(now, ENTRY_TTL);
+        let is_reporting = |entry: &Name| reports.iter().any(|report| report.entry == *entry);
+        let mut peers = self.entries.lock().clone();
+        peers.retain(|peer| !is_reporting(&peer.entry));
+        peers.extend(reports.iter().filter_map(|report| {
+            let (entry, domain) = (report.entry.clone(), report.domain.clone());
+            let incarnation = report.incarnation;
+            Some(EntryPeer { entry, domain, address: report.peer?, incarnation })
+        }));
+        peers.sort();
+        peers
+    }
+
+    /// Returns the time for which facts about endpoints have been recorded without a gap.
+    fn history(&self, now: Millis) -> Millis {
+        now + *self.history.lock()
+    }
+
+    /// Records that the system is new, so that no endpoint was there before.
+    pub fn record_bootstrap(&self) {
+        *self.history.lock() = UNLIMITED_HISTORY;
+    }
+
+    /// Takes over the history of another control instance that has sent all of its facts.
+    fn extend_history(&self, now: Millis, history: Millis) {
+        let mut own = self.history.lock();
+        *own = (*own).max(history - now);
+    }
+
     /// Returns the offers of tunnels for an entry instance with their fingerprint.
     fn relays_for(&self, now: Millis, entry: &Name, domain: &Name) -> (u64, Vec<RelayOffer>) {
         let offers = select_offers(entry, domain, &self.relay_offers(now));
--- a/daemons/control/src/link/calls.rs
+++ b/daemons/control/src/link/calls.rs
@@ -13,10 +13,11 @@
     RelayOffer, Totals,
 };
 use sill_wire::settings::Manifest;
+use sill_wire::streams::EntryPeer;
 use tokio::task::JoinHandle;
 
 use crate::directory::ControlPeer;
-use crate::link::{ReceivedTotals, Updates};
+use crate::link::{Link, ReceivedTotals, Updates};
 use crate::shared::Shared;
 
 /// How often changes are sent to the other control instances.
@@ -45,6 +46,10 @@
     crash_sent: u64,
     /// The fingerprint of the offers of tunnels that the peer has received, or 0.
     relays_sent: u64,
+    /// The fingerprint of the list of entry instances that the peer has received, or 0.
+    entries_sent: u64,
+    /// Whether `pending` holds all endpoints.
+    is_full: bool,
     call: Option<JoinHandle<Option<ControlSyncReply>>>,
 }
 
@@ -74,8 +79,11 @@
     let now = shared.clock.now();
     let (relays_version, relays) = link.relays_for(now, &entry, &domain);
     let has_relays = seen.is_some() && cursor.relays == relays_version;
+    let entries = link.entry_peers(now);
+    let entries_version = fingerprint(&entries);
+    let has_entries = seen.is_some() && cursor.entries == entries_version;
     let Updates { cursor, endpoints, loads, crashes } = link.updates_since(now, cursor);
-    let cursor = Cursor { relays: relays_version, ..cursor };
+    let cursor = Cursor { relays: relays_version, entries: entries_version, ..cursor };
     let status = shared.log.status();
     Ok(LinkReply {
         settings: settings.map(|manifest| Manifest::clone(&manifest)),
@@ -84,10 +92,12 @@
         loads,
         crashes,
         relays: (!has_relays).then_some(relays),
+        entries: (!has_entries).then_some(entries),
         controls: shared.directory.infos(),
         totals: link.totals(now),
         true_time: link.true_time(now),
         has_leader: status.leader.is_some(),
+        history: link.history(now),
     })
 }
 
@@ -120,8 +130,8 @@
         if let Some(totals) = &totals {
             *link.totals.lock() = Some(ReceivedTotals { totals: totals.clone(), at: now });
         }
-        let relays = is_leader.then(|| link.relay_offers(now));
-        sync_peers(&shared, &mut states, totals, relays, leader.as_ref()).await;
+        let lists = is_leader.then(|| EntryLists::of(link, now));
+        sync_peers(&shared, &mut states, totals, lists, leader.as_ref()).await;
     }
 }
 
@@ -132,12 +142,14 @@
     shared: &Arc<Shared>,
     states: &mut Map<Name, PeerSyncState>,
     totals: Option<Totals>,
-    relays: Option<Vec<RelayOffer>>,
+    lists: Option<EntryLists>,
     leader: Option<&Name>,
 ) {
     let (now, link) = (shared.clock.now(), &shared.link);
     let direct = link.registry.lock().take_direct(now);
+    let EntryLists { relays, entries } = lists.unwrap_or_default();
     let relays_version = relays.as_deref().map_or(0, fingerprint);
+    let entries_version = entries.as_deref().map_or(0, fingerprint);
     let is_urgent = direct.iter().any(|fact| fact.state != EndpointState::Ready);
     for peer in shared.directory.peers() {
         let state = states.entry(peer.info.name.clone()).or_default();
@@ -158,6 +170,9 @@
             if to_leader { link.report_store.lock().take_unforwarded(now) } else { Vec::new() };
         let relays = relays.clone().filter(|_| state.relays_sent != relays_version);
         state.relays_sent = relays_version;
+        let entries = entries.clone().filter(|_| state.entries_sent != entries_version);
+        state.entries_sent = entries_version;
+        let is_full = std::mem::take(&mut state.is_full);
         let sync = ControlSync {
             from: shared.directory.own_info().clone(),
             incarnation: link.incarnation,
@@ -167,6 +182,8 @@
             totals: totals.clone(),
             crashes,
             relays,
+            entries,
+            history: is_full.then(|| link.history(now)),
         };
         state.crash_sent = crash_sent;
         state.last_sync = now;
@@ -175,6 +192,21 @@
     }
 }
 
+/// Lists of entry instances that the leader sends to the other control instances.
+#[derive(Debug, Default)]
+struct EntryLists {
+    /// Those that offer tunnels.
+    relays: Option<Vec<RelayOffer>>,
+    /// All of them.
+    entries: Option<Vec<EntryPeer>>,
+}
+
+impl EntryLists {
+    fn of(link: &Link, now: Millis) -> Self {
+        Self { relays: Some(link.relay_offers(now)), entries: Some(link.entry_peers(now)) }
+    }
+}
+
 impl PeerSyncState {
     /// Records the outcome of a sync call. After a failure, reports are sent again; a peer that
     /// changed its incarnation, or failed the previous call, is sent all endpoints.
@@ -182,6 +214,7 @@
         let incarnation = reply.map(|reply| reply.incarnation);
         if incarnation.is_none() || incarnation != self.incarnation {
             self.relays_sent = 0;
+            self.entries_sent = 0;
         }
         if incarnation.is_none() {
             shared.link.report_store.lock().mark_unforwarded();
@@ -189,6 +222,7 @@
             // The peer lacks what was sent to its earlier incarnation, or what a failed call
             // carried.
             self.pending = shared.link.registry.lock().all(shared.clock.now());
+            self.is_full = true;
             self.is_urgent = true;
             self.crash_received = 0;
         } else {
--- a/daemons/control/src/log/hello.rs
+++ b/daemons/control/src/log/hello.rs
@@ -118,6 +118,7 @@
     let ids: Vec<ReplicaId> = others.into_iter().chain([shared.id()]).collect();
     if is_first && ids.len() == founders {
         event!(Info, "log_started", voters = ids.len());
+        shared.link.record_bootstrap();
         shared.log.event(Event::Bootstrap(Members::from_voters(ids)));
     }
 }
--- a/daemons/control/tests/settings_pieces.rs
+++ b/daemons/control/tests/settings_pieces.rs
@@ -149,6 +149,7 @@
         services: Vec::new(),
         loads: Vec::new(),
         relay: None,
+        peer: None,
     };
     let crashes = CrashUpdate::default();
     LinkPoll {
@@ -223,6 +224,8 @@
         totals: None,
         crashes: CrashUpdate::default(),
         relays: None,
+        entries: None,
+        history: None,
     }
 }
 
--- a/daemons/gateway/src/daemon.rs
+++ b/daemons/gateway/src/daemon.rs
@@ -20,7 +20,7 @@
 use crate::settings_fetcher::SettingsFetcher;
 use crate::state::State;
 use crate::termination::{FinalPhase, StopOutcome};
-use crate::tunnels;
+use crate::{streams, tunnels};
 
 /// Size limit of a caller's headers in bytes. Settings may ask for less, but the HTTP
 /// library can't change the limit later.
@@ -55,7 +55,7 @@
     pub address: SocketAddr,
     /// The address of the balancer's readiness checks.
     pub ready_address: SocketAddr,
-    /// The address at which other entry instances ask for tunnels.
+    /// The address at which other entry instances ask for tunnels and streams.
     pub peer_address: SocketAddr,
     state: Arc<State>,
     link: Arc<Link>,
@@ -88,6 +88,7 @@
         tokio::spawn(serve_internal(state.clone(), metrics));
         tokio::spawn(expire_connections(state.clone()));
         tokio::spawn(tunnels::serve(state.clone(), peers));
+        tokio::spawn(streams::run(state.clone()));
         let watching = state.clone();
         tokio::spawn(state.egress.clone().watch(move |delay| watching.tunnels.record_delay(delay)));
         event!(
@@ -131,6 +132,7 @@
         let open = self.state.open_calls().older;
         event!(Info, "gateway_stops", connections = open, late_ms = delay);
         self.state.planned_stop.start(times);
+        streams::hand_over(&self.state);
         self.drain_calls(times).await;
         self.drain_tunnels(times).await;
         self.close_listener().await;
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -92,7 +92,8 @@
     loop {
         let now = state.clock.now();
         progress.time_left = call.due - now;
-        let placed = place_attempt(state, call, now, &exclude, progress.attempts(), None);
+        let software = call.software.clone();
+        let placed = place_attempt(state, call, now, &exclude, progress.attempts(), software);
         let attempt = match placed {
             Ok(attempt) => attempt,
             Err((reason, wait)) => {
--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`answer`] and [`relay`] relay the answer. [`migration`] moves runs off reclaimed engines.
 //! [`link`] polls the control instances, and [`settings_fetcher`] fetches settings from them.
 //! [`egress`] sends requests to endpoints, and [`tunnels`] carries those of entry instances that do not reach them.
+//! [`streams`] remembers which version began each stream, for callers that take theirs up elsewhere.
 //! [`crashes`] blocks requests under which endpoints crash. [`planned_stop`] and [`termination`] bound calls during a stop.
 
 pub mod answer;
@@ -25,6 +26,7 @@
 pub mod settings_fetcher;
 pub mod sill_dialect;
 pub mod state;
+pub mod streams;
 pub mod summary;
 pub mod termination;
 pub mod tunnels;
--- a/daemons/gateway/src/link.rs
+++ b/daemons/gateway/src/link.rs
@@ -117,6 +117,7 @@
                 event!(Debug, "control_unreachable", address = address, why = reason);
             }
             self.state.egress.drop_offers(address);
+            self.state.streams.drop_peers(address);
             self.failures.lock().insert(address, self.state.clock.now());
             self.followed_controls.lock()[slot] = None;
             tokio::time::sleep(RETRY_PAUSE.into()).await;
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -41,6 +41,14 @@
     pub endpoint_crashes: IntCounter,
     /// Number of requests that are blocked because endpoints crashed under them.
     pub blocked_requests: IntGauge,
+    /// Calls that take up an earlier stream, by what is known of its version.
+    pub take_ups: IntCounterVec,
+    /// Records of streams sent to other entry instances, by result.
+    pub streams_told: IntCounterVec,
+    /// Streams that other entry instances told of.
+    pub streams_received: IntCounter,
+    /// Number of streams whose versions are known.
+    pub streams_known: IntGauge,
     /// Number of endpoints that only other entry instances reach.
     pub lost_paths: IntGauge,
     /// 1 while no endpoint is reached on own connections.
@@ -87,6 +95,11 @@
             "endpoints that crashed while they ran calls",
         )?;
         registry.register(Box::new(endpoint_crashes.clone()))?;
+        let streams_received = IntCounter::new(
+            "sill_gateway_streams_received_total",
+            "streams that other entry instances told of",
+        )?;
+        registry.register(Box::new(streams_received.clone()))?;
         Ok(Self {
             calls: counters("sill_gateway_calls_total", "calls by outcome", "outcome")?,
             attempts: counters("sill_gateway_attempts_total", "attempts by outcome", "outcome")?,
@@ -120,6 +133,21 @@
                 "unused connections to endpoints",
             )?,
             endpoint_crashes,
+            take_ups: counters(
+                "sill_gateway_take_ups_total",
+                "calls that take up an earlier stream, by what is known of its version",
+                "result",
+            )?,
+            streams_told: counters(
+                "sill_gateway_streams_told_total",
+                "records of streams sent to other entry instances",
+                "result",
+            )?,
+            streams_received,
+            streams_known: gauge(
+                "sill_gateway_streams_known",
+                "streams whose software version is known",
+            )?,
             lost_paths: gauge(
                 "sill_gateway_lost_paths",
                 "endpoints that only other entry instances reach",
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -145,7 +145,7 @@
             source: Source::Endpoint(answer),
             events,
             may_resume,
-            software: None,
+            software: call.software.clone(),
             due: Box::pin(tokio::time::sleep(time_left.into())),
             cut_by_stop: Box::pin(state.termination.wait_for(FinalPhase::Cut)),
             has_begun: false,
@@ -244,7 +244,7 @@
         }
     }
 
-    /// Records which version has begun the stream.
+    /// Records which version has begun the stream, or continues it here for a caller that took it up.
     fn record_first_event(&mut self) {
         let has_events = self.events.as_ref().is_some_and(EventTracker::has_events);
         if self.has_first_event || !has_events {
@@ -254,6 +254,9 @@
         let Source::Endpoint(answer) = &self.source else { return };
         let placement = &answer.attempt.placement;
         self.software.get_or_insert_with(|| placement.software.clone());
+        if self.call.route.route.kind == RouteKind::ResumableStream {
+            self.state.record_stream(&self.call, placement);
+        }
     }
 
     /// Completes the call: the endpoint's answer is complete.
--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -8,9 +8,11 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use sill_base::{Millis, Name, event};
+use sill_dispatch::streams::{KnownStream, TakeUp};
 use sill_dispatch::{AccountEntry, AnswerMode, Prompt, RouteEntry, RouteTable};
 use sill_net::h1::AnyBody;
-use sill_wire::{ErrorCode, RequestKey};
+use sill_tree::RouteKind;
+use sill_wire::{ErrorCode, RequestKey, Software};
 
 use crate::dialect::CallHead;
 use crate::dispatch;
@@ -36,6 +38,13 @@
 /// Retry time for a service that has no endpoint yet.
 const RETRY_WITHOUT_ENDPOINT: Millis = Millis(1000);
 
+/// Retry time for a stream that no instance knows yet. Another instance may know it.
+const RETRY_UNKNOWN_STREAM: Millis = Millis(100);
+
+/// Retry time for a stream whose version has no endpoint. It may be back once failed endpoints have
+/// been replaced, or a rollout is undone.
+const RETRY_WITHOUT_VERSION: Millis = Millis(10_000);
+
 /// Retry time after a refusal by a stopping instance. A new connection usually reaches another one.
 ///
 /// When callers were told to wait until this instance is back, they lost fewer requests but more
@@ -75,6 +84,8 @@
     pub due: Millis,
     /// Whether the answer is relayed as it arrives or once it is complete.
     pub answer_mode: AnswerMode,
+    /// The version that began the stream that the call takes up; none if any version may serve it.
+    pub software: Option<Software>,
     request_key: OnceLock<RequestKey>,
 }
 
@@ -191,22 +202,27 @@
             ..Refusal::new(ErrorCode::RequestBlocked, "request_blocked")
         });
     }
-    if head.last_event.is_some() || head.resumes.is_some() {
-        event!(
-            Info,
-            "stream_taken_up",
-            id = head.attempt,
-            resumes = head.resumes.as_ref().map(Name::as_str).unwrap_or_default(),
-            last_event = head.last_event.as_ref().map(Name::as_str).unwrap_or_default(),
-            route = route.name
-        );
-    }
-    let service = route.service(rand::random::<f64>()).clone();
+    let (service, software) = resumption(state, account.as_deref(), &head, &route, &parts).await?;
+    let service = service.unwrap_or_else(|| route.service(rand::random::<f64>()).clone());
     let Some(pool) = state.pool(&service) else {
         let failure = Failure::with_retry_after(ErrorCode::NoCapacity, RETRY_WITHOUT_ENDPOINT);
         let refusal = Refusal::new(ErrorCode::NoCapacity, "no_pool");
         return Err(Refusal { failure, route: route.name.clone(), ..refusal });
     };
+    if let Some(software) = &software
+        && !pool.pool.lock().is_served_by(software)
+    {
+        state.record_unavailable_version();
+        return Err(Refusal {
+            failure: Failure::with_retry_after(
+                ErrorCode::VersionUnavailable,
+                RETRY_WITHOUT_VERSION,
+            ),
+            inputs: format!("no ready endpoint of {service} has version {software}"),
+            route: route.name.clone(),
+            ..Refusal::new(ErrorCode::VersionUnavailable, "version_unavailable")
+        });
+    }
     let timeout = route.route.timeout_ms;
     let time_left = head.deadline.map_or(timeout, |deadline| deadline.min(timeout));
     let due = received_at + time_left;
@@ -252,10 +268,39 @@
         received_at,
         due,
         answer_mode,
+        software,
         request_key: OnceLock::new(),
     })
 }
 
+/// Returns the service and the version at which a stream continues that the call takes up; none for
+/// other calls. The service is none if the route draws it.
+async fn resumption(
+    state: &State,
+    account: Option<&AccountEntry>,
+    head: &CallHead,
+    route: &RouteEntry,
+    parts: &Parts,
+) -> Result<(Option<Name>, Option<Software>), Refusal> {
+    let is_take_up = head.last_event.is_some() || head.resumes.is_some();
+    if !is_take_up || route.route.kind != RouteKind::ResumableStream {
+        return Ok((None, None));
+    }
+    match state.take_up(account, head, route, parts.uri.path()).await {
+        TakeUp::Known(KnownStream { origin, .. }) => {
+            let split = &route.route.split;
+            let is_drawn = split.iter().any(|s| s.weight > 0 && s.service == origin.service);
+            Ok((is_drawn.then_some(origin.service), Some(origin.software)))
+        }
+        TakeUp::Single(software) => Ok((None, Some(software))),
+        TakeUp::Unknown => Err(Refusal {
+            failure: Failure::with_retry_after(ErrorCode::StreamUnknown, RETRY_UNKNOWN_STREAM),
+            route: route.name.clone(),
+            ..Refusal::new(ErrorCode::StreamUnknown, "stream_unknown")
+        }),
+    }
+}
+
 /// Returns the settings in force. An instance that has just started has none for half a second. A
 /// caller that it refused would retry a second later, although it could have been served long
 /// before.
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -25,6 +25,7 @@
 use crate::egress::Egress;
 use crate::metrics::Metrics;
 use crate::planned_stop::PlannedStop;
+use crate::streams::Streams;
 use crate::termination::Termination;
 use crate::tunnels::Tunnels;
 
@@ -75,6 +76,8 @@
     pub termination: Termination,
     /// Crashes of endpoints, and the requests that are blocked because of them.
     pub crashes: Crashes,
+    /// Which software versions began the streams that callers may take up.
+    pub streams: Arc<Streams>,
     /// The planned stop, and the call durations it depends on.
     pub planned_stop: PlannedStop,
     table: watch::Sender<Option<Arc<RouteTable>>>,
@@ -133,6 +136,7 @@
         let metrics = Metrics::new()?;
         Ok(Self {
             crashes: Crashes::new(clock, &metrics),
+            streams: Arc::new(Streams::new(&cfg, clock, &metrics)),
             egress: Arc::new(Egress::new(
                 &cfg,
                 ConnectionPool::new(connections, clock),
@@ -235,6 +239,12 @@
         if let Some(relays) = &reply.relays {
             self.egress.set_offers(from, relays.clone());
         }
+        if let Some(entries) = &reply.entries {
+            self.streams.set_peers(from, entries.clone());
+        }
+        if reply.has_leader {
+            self.streams.record_control_reply(reply.history);
+        }
         if let Some(totals) = &reply.totals {
             self.apply_totals(now, from, totals);
         }
@@ -372,6 +382,7 @@
                 pool.departures.lock().remove(&fact.endpoint);
             }
         }
+        self.streams.review();
         for (endpoint, incarnation) in ended {
             self.crashes.confirm(&endpoint, incarnation);
         }
@@ -461,6 +472,7 @@
             services,
             loads,
             relay: self.tunnels.offer(self),
+            peer: self.tunnels.address().filter(|_| !self.planned_stop.has_begun()),
         }
     }
 
--- a/daemons/gateway/src/tunnels.rs
+++ b/daemons/gateway/src/tunnels.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpListener;
 
 use crate::state::State;
+use crate::streams;
 
 /// Time-out for connecting to an endpoint on behalf of another entry instance, which tries others
 /// meanwhile.
@@ -53,10 +54,15 @@
         self.carried.set(self.open_count() as i64);
     }
 
+    /// Returns the address at which other entry instances call this one.
+    pub fn address(&self) -> Option<SocketAddr> {
+        *self.address.lock()
+    }
+
     /// Returns the address at which tunnels are offered to other entry instances; none while this
     /// one stops, is busy or reaches no endpoint itself.
     pub fn offer(&self, state: &State) -> Option<SocketAddr> {
-        let address = *self.address.lock();
+        let address = self.address();
         let is_able = !state.planned_stop.has_begun() && !state.egress.is_cut_off();
         address.filter(|_| is_able && self.has_room())
     }
@@ -95,7 +101,7 @@
     }
 }
 
-/// Serves tunnels to other entry instances.
+/// Serves tunnels to other entry instances, and answers their calls.
 pub async fn serve(state: Arc<State>, listener: TcpListener) {
     // Without an address of its own, other instances could not be told where to ask.
     let address = listener.local_addr().ok().filter(|address| !address.ip().is_unspecified());
@@ -107,6 +113,7 @@
         connect_timeout: CONNECT_TIMEOUT,
         unacknowledged_timeout: UNACKNOWLEDGED_TIMEOUT,
         open: state.tunnels.open.clone(),
+        methods: streams::methods(&state),
     };
     serve_tunnels(listener, cfg, move |req| state.tunnels.grant(&state, req)).await;
 }
--- a/daemons/gateway/tests/limits.rs
+++ b/daemons/gateway/tests/limits.rs
@@ -75,6 +75,8 @@
         }),
         true_time: Millis::wall(),
         has_leader: true,
+        entries: None,
+        history: Millis::ZERO,
     }
 }
 
--- a/daemons/gateway/tests/settings.rs
+++ b/daemons/gateway/tests/settings.rs
@@ -106,6 +106,8 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
         let reply = LinkReply {
+            entries: None,
+            history: Millis::ZERO,
             settings: (!is_current).then_some(manifest),
             cursor: Cursor { change: facts.len() as u64, ..Cursor::default() },
             endpoints: facts[acknowledged..].to_vec(),
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -633,6 +633,8 @@
         totals: None,
         true_time: Millis::wall(),
         has_leader: true,
+        entries: None,
+        history: Millis::from_secs(3600),
     })
 }
 
--- a/daemons/gateway/tests/versions.rs
+++ b/daemons/gateway/tests/versions.rs
@@ -8,7 +8,7 @@
 
 use sill_base::Millis;
 use sill_wire::link::{EndpointFact, EndpointState};
-use support::{Action, CallerResponse, Harness, exchange, fact, head, request_as};
+use support::{Action, CallerResponse, Harness, answer_of, exchange, fact, head, request_as};
 
 const CHUNKED: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
 
@@ -127,3 +127,109 @@
     assert!(!lines.iter().any(|line| line.contains("/copy/")), "{lines:?}");
     assert_eq!(harness.endpoints[1].requests(), 0);
 }
+
+/// What a caller names with a call, and what becomes of it.
+struct Case {
+    name: &'static str,
+    headers: String,
+    path: &'static str,
+    status: u16,
+    /// The version that serves it; none if any may.
+    version: Option<&'static str>,
+}
+
+fn check(harness: &Harness, versions: &[&str], cases: &[Case]) {
+    for (i, Case { name, headers, path, status, version }) in cases.iter().enumerate() {
+        let id = format!("t-{i}");
+        let began = std::time::Instant::now();
+        let got = call(harness, &id, path, headers);
+        assert_eq!(got.status, *status, "{name}: {}", got.head);
+        let used = endpoints_of(harness, &id);
+        if *status == 503 {
+            assert!(began.elapsed() < Duration::from_millis(500), "{name}: refused late");
+            assert!(used.is_empty(), "{name}: {used:?}");
+            assert!(got.head.contains("sill-not-run: true"), "{name}: {}", got.head);
+            assert!(got.head.contains("retry-after: "), "{name}: {}", got.head);
+        }
+        if let Some(version) = version {
+            assert!(used.iter().all(|i| versions[*i] == *version), "{name}: {used:?}");
+        }
+    }
+}
+
+/// With two versions, a caller's names lead to another version, or to another caller's stream.
+#[test]
+fn take_ups_are_served_by_the_version_that_their_names_lead_to() {
+    let serves = || vec![whole("id: 1\ndata: a\n\n"); 80];
+    let versions = ["v1", "v2", "v1", "v2"];
+    let harness = start(&versions, vec![serves(), serves(), serves(), serves()]);
+    assert_eq!(call(&harness, "known", RESUMABLE, "").status, 200);
+    let began = Some(versions[endpoints_of(&harness, "known")[0]]);
+    let case = |name, headers: &str, status| Case {
+        name,
+        headers: headers.to_owned(),
+        path: RESUMABLE,
+        status,
+        version: began,
+    };
+    let too_long = format!("last-event-id: 1\r\nsill-resumes: {}\r\n", "x".repeat(4000));
+    let repeated = case("both names", "last-event-id: 1\r\nsill-resumes: known\r\n", 200);
+    let cases = [
+        case("both names", "last-event-id: 1\r\nsill-resumes: known\r\n", 200),
+        case("again", "last-event-id: 1\r\nsill-resumes: known\r\n", 200),
+        case("only the attempt", "sill-resumes: known\r\n", 200),
+        case("only the event", "last-event-id: 1\r\n", 503),
+        case("made up", "last-event-id: 1\r\nsill-resumes: made-up\r\n", 503),
+        case("empty", "last-event-id: 1\r\nsill-resumes: \r\n", 503),
+        case("too long", &too_long, 503),
+        Case { path: "/resumable_stream/y", status: 503, ..repeated },
+        Case {
+            path: "/idempotent/x",
+            version: None,
+            ..case("not a stream", "last-event-id: 1\r\nsill-resumes: made-up\r\n", 200)
+        },
+    ];
+    check(&harness, &versions, &cases);
+}
+
+/// With a single version, a take-up is refused because its caller names nothing that is known.
+#[test]
+fn take_ups_of_a_single_version_are_served_whatever_they_name() {
+    let serves = || vec![whole("id: 1\ndata: a\n\n"); 40];
+    for version in ["v1", ""] {
+        let versions = [version; 2];
+        let harness = start(&versions, vec![serves(), serves()]);
+        let case = |name, headers: &str| Case {
+            name,
+            headers: headers.to_owned(),
+            path: RESUMABLE,
+            status: 200,
+            version: None,
+        };
+        let cases = [
+            case("only the event", "last-event-id: 1\r\n"),
+            case("made up", "last-event-id: 1\r\nsill-resumes: made-up\r\n"),
+        ];
+        check(&harness, &versions, &cases);
+    }
+}
+
+/// A caller waits in vain for a version whose last endpoint leaves, or is sent there.
+#[test]
+fn take_ups_of_a_version_that_leaves_are_refused_at_once() {
+    let serves = || vec![Action::Answer(answer_of("x")), whole("id: 1\ndata: a\n\n")];
+    let versions = ["v1", "v2"];
+    let harness = start(&versions, vec![vec![whole("id: 1\ndata: a\n\n")], serves()]);
+    let mut id = String::new();
+    for i in 0.. {
+        id = format!("begun-{i}");
+        call(&harness, &id, RESUMABLE, "");
+        if endpoints_of(&harness, &id) == [0] {
+            break;
+        }
+    }
+    announce(&harness, &versions, &[0]);
+    let headers = format!("last-event-id: 1\r\nsill-resumes: {id}\r\n");
+    let case = Case { name: "gone", headers, path: RESUMABLE, status: 503, version: None };
+    check(&harness, &versions, &[case]);
+}
--- a/daemons/sill/tests/system/harness.rs
+++ b/daemons/sill/tests/system/harness.rs
@@ -74,8 +74,10 @@
         spawn(log, Stdio::from(output), args)
     }
 
+    /// Opens a log file, in which a restarted program continues.
     fn create(&self, log: &str) -> fs::File {
-        fs::File::create(self.0.join(log)).expect("the log file can be created")
+        let log = fs::File::options().create(true).append(true).open(self.0.join(log));
+        log.expect("the log file can be created")
     }
 
     /// Prints the end of every log, because the folder is removed with the test.
--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -14,3 +14,4 @@
 mod serving;
 mod signals;
 mod verbs;
+mod versions;
--- a/daemons/sill/tests/system/serving.rs
+++ b/daemons/sill/tests/system/serving.rs
@@ -23,7 +23,7 @@
 /// A control instance and entry instances for routes.
 pub struct Serving {
     pub gateways: Vec<Program>,
-    _control: Program,
+    control: Program,
     addresses: Vec<SocketAddr>,
     gateway_count: usize,
     pub folder: Folder,
@@ -35,9 +35,9 @@
         let folder = Folder::new(test);
         let addresses =
             free_addresses(CONTROL_ADDRESSES + GATEWAY_ADDRESSES * gateways + endpoints);
-        let _control = start_control(&folder, &addresses);
+        let control = start_control(&folder, &addresses);
         let serving =
-            Self { gateways: Vec::new(), _control, addresses, gateway_count: gateways, folder };
+            Self { gateways: Vec::new(), control, addresses, gateway_count: gateways, folder };
         serving.put_settings();
         serving
     }
@@ -71,6 +71,13 @@
         });
     }
 
+    /// Sends the control instance a signal.
+    pub fn signal_control(&self, signal: &str) {
+        let pid = self.control.0.id().to_string();
+        let sent = std::process::Command::new("kill").args([&format!("-{signal}"), &pid]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "{signal} can be sent to {pid}");
+    }
+
     /// Returns the address at which endpoints announce themselves.
     pub fn control(&self) -> SocketAddr {
         self.addresses[0]
@@ -128,14 +135,19 @@
     folder.start("control.log", &[&args[..], &more[..], &keys[..], &join[..]].concat())
 }
 
-/// Returns settings with a route for calls that may be repeated and one for those that must not.
+/// Returns settings with a route for calls that may be repeated, one for those that must not, and one
+/// for streams that may be resumed.
 fn document() -> Document {
     let mut document = Document::default();
     document.services.insert(SERVICE.into(), Service::Pool(Pool::default()));
     let account = Account { keys: vec![KeyHash::of(CALLER_KEY)], ..Account::default() };
     document.accounts.insert("clerks".into(), account);
-    for (name, kind) in [("looked-up", RouteKind::Idempotent), ("booked", RouteKind::NonIdempotent)]
-    {
+    let routes = [
+        ("looked-up", RouteKind::Idempotent),
+        ("booked", RouteKind::NonIdempotent),
+        ("told", RouteKind::ResumableStream),
+    ];
+    for (name, kind) in routes {
         let route = Route {
             host: HOST.into(),
             path: format!("/{name}/").into(),
@@ -157,6 +169,18 @@
     incarnation: u64,
     sequence: u64,
     address: SocketAddr,
+) {
+    announce_version(control, i, incarnation, sequence, address, "");
+}
+
+/// Announces an endpoint with the version of its software once.
+pub fn announce_version(
+    control: SocketAddr,
+    i: usize,
+    incarnation: u64,
+    sequence: u64,
+    address: SocketAddr,
+    version: &str,
 ) {
     let announcement = Announcement {
         name: format!("e{i}").into(),
@@ -176,7 +200,7 @@
         load: Load::default(),
         leaving: None,
         checks_fencing: false,
-        software: Default::default(),
+        software: version.into(),
     };
     let body = serde_json::to_string(&announcement).expect("it can be serialised");
     let headers = ["authorization: Bearer test-join-token"];
--- a/protocol/wire/src/error.rs
+++ b/protocol/wire/src/error.rs
@@ -29,6 +29,11 @@
     NoCapacity,
     /// Endpoints have crashed under this request, so it is not sent to any.
     RequestBlocked,
+    /// No instance that was asked knows which software version began the stream that the request
+    /// takes up.
+    StreamUnknown,
+    /// No endpoint of the software version that began the stream is available.
+    VersionUnavailable,
     /// The deadline can't be met.
     DeadlineUnmeetable,
     /// No quorum of control instances can be reached, and the request must not run without one.
@@ -81,6 +86,8 @@
             Self::UpstreamFailed => 502,
             Self::NoCapacity
             | Self::RequestBlocked
+            | Self::StreamUnknown
+            | Self::VersionUnavailable
             | Self::DeadlineUnmeetable
             | Self::NoQuorum
             | Self::Stopping => 503,
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod request_key;
 pub mod settings;
 pub mod software;
+pub mod streams;
 
 pub use announce::{Announcement, Incarnation, Load, Role, Servable};
 pub use call::Call;
--- a/protocol/wire/src/link.rs
+++ b/protocol/wire/src/link.rs
@@ -12,6 +12,7 @@
 use crate::crash::CrashUpdate;
 use crate::settings::Manifest;
 use crate::software::Software;
+use crate::streams::EntryPeer;
 
 /// The lifecycle state of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -91,6 +92,9 @@
     /// The fingerprint of the tunnel offers that were received last.
     #[serde(default)]
     pub relays: u64,
+    /// The fingerprint of the list of entry instances that was received last.
+    #[serde(default)]
+    pub entries: u64,
 }
 
 /// An entry instance that offers tunnels to endpoints.
@@ -217,6 +221,9 @@
     /// it stops or doesn't reach endpoints itself.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub relay: Option<SocketAddr>,
+    /// The address at which it accepts calls of other entry instances; absent while it stops.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<SocketAddr>,
 }
 
 /// A long poll by which an entry instance receives updates from a control instance.
@@ -292,6 +299,9 @@
     /// Entry instances that offer tunnels, unless the poll's cursor names this list already.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub relays: Option<Vec<RelayOffer>>,
+    /// All entry instances, unless the poll's cursor names this list already.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub entries: Option<Vec<EntryPeer>>,
     /// All known control instances.
     pub controls: Vec<ControlInfo>,
     /// The demand over all entry instances, if a leader is known.
@@ -302,6 +312,10 @@
     /// outdated.
     #[serde(rename = "is_led")]
     pub has_leader: bool,
+    /// The time for which this control instance, or others that it heard from, has recorded
+    /// endpoints without a gap.
+    #[serde(default)]
+    pub history: Millis,
 }
 
 /// The updates that a control instance relays to another.
@@ -326,6 +340,13 @@
     /// Entry instances that offer tunnels, sent by the leader when they have changed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub relays: Option<Vec<RelayOffer>>,
+    /// All entry instances, sent by the leader when the list has changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub entries: Option<Vec<EntryPeer>>,
+    /// The time for which the sender has recorded endpoints without a gap; set if `endpoints` are
+    /// all of them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub history: Option<Millis>,
 }
 
 /// The reply to a [`ControlSync`].
--- a/transport/net/src/h1/tunnel.rs
+++ b/transport/net/src/h1/tunnel.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
-use http_body_util::Empty;
+use http_body_util::{BodyExt, Empty, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1 as client;
 use hyper::server::conn::http1 as server;
@@ -29,6 +29,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::h1::server::{connect, set_socket_options};
+use crate::peer::PeerMethods;
 
 /// Time in which a process that connects must ask for its tunnel.
 const REQUEST_TIMEOUT: Millis = Millis(2000);
@@ -39,6 +40,9 @@
 /// Size of the buffer for requests on their way to an endpoint.
 const BUFFER_BYTES: usize = 8 << 10;
 
+/// Upper bound on the body of a call.
+const MAX_CALL_BYTES: usize = 256 << 10;
+
 /// Pause after a failure to accept a connection, for example when file descriptors ran out.
 const ACCEPT_PAUSE: Millis = Millis(50);
 
@@ -109,6 +113,8 @@
     pub unacknowledged_timeout: Millis,
     /// The number of open tunnels.
     pub open: Arc<AtomicUsize>,
+    /// Methods that other processes call at the same address.
+    pub methods: PeerMethods,
 }
 
 /// Counts a tunnel as open.
@@ -194,18 +200,24 @@
     }
 }
 
-async fn answer<F>(req: Request<Incoming>, cfg: TunnelServer, grant: F) -> Response<Empty<Bytes>>
+async fn answer<F>(req: Request<Incoming>, cfg: TunnelServer, grant: F) -> Response<Full<Bytes>>
 where
     F: Fn(&TunnelRequest) -> Result<SocketAddr, TunnelDenial>,
 {
     let status = |status: StatusCode| {
-        let mut response = Response::new(Empty::new());
+        let mut response = Response::new(Full::default());
         *response.status_mut() = status;
         response
     };
     if !is_authorized(req.headers(), &cfg.key) {
         return status(StatusCode::UNAUTHORIZED);
     }
+    if req.method() == Method::POST {
+        return match answer_call(req, &cfg.methods).await {
+            Some(reply) => Response::new(Full::from(reply)),
+            None => status(StatusCode::BAD_REQUEST),
+        };
+    }
     let Some(tunnel) = read_request(&req, &cfg) else { return status(StatusCode::BAD_REQUEST) };
     let denied = |why: &dyn std::fmt::Debug| {
         event!(
@@ -239,6 +251,12 @@
     status(StatusCode::OK)
 }
 
+async fn answer_call(req: Request<Incoming>, methods: &PeerMethods) -> Option<String> {
+    let body = Limited::new(req.into_body(), MAX_CALL_BYTES).collect();
+    let body = tokio::time::timeout(REQUEST_TIMEOUT.into(), body).await.ok()?.ok()?;
+    methods.answer(&body.to_bytes()).await
+}
+
 fn is_authorized(headers: &HeaderMap, key: &Secret) -> bool {
     let header = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
     header.is_some_and(|header| key.is_bearer(header))
--- a/transport/net/src/lib.rs
+++ b/transport/net/src/lib.rs
@@ -7,4 +7,4 @@
 pub mod peer;
 
 pub use client::Reply;
-pub use peer::{PeerClient, PeerError, PeerServer, PeerServerBuilder};
+pub use peer::{PeerClient, PeerError, PeerMethods, PeerServer, PeerServerBuilder};
--- a/transport/net/src/peer.rs
+++ b/transport/net/src/peer.rs
@@ -46,6 +46,12 @@
     key: Secret,
 }
 
+/// The methods of a [`PeerServerBuilder`], for a server that has other uses for its listener as well.
+#[derive(Clone)]
+pub struct PeerMethods {
+    module: RpcModule<()>,
+}
+
 /// A running RPC server; it stops when dropped.
 #[derive(Debug)]
 pub struct PeerServer {
@@ -89,6 +95,11 @@
         self
     }
 
+    /// Returns the methods without a server. Whoever passes calls to them checks the cluster key.
+    pub fn into_methods(self) -> PeerMethods {
+        PeerMethods { module: self.module }
+    }
+
     /// Starts to serve on a listener; must be called inside a tokio runtime.
     ///
     /// # Errors
@@ -116,6 +127,21 @@
     }
 }
 
+impl PeerMethods {
+    /// Answers the body of a call; none if it is no call.
+    pub async fn answer(&self, body: &[u8]) -> Option<String> {
+        let request = std::str::from_utf8(body).ok()?;
+        let (reply, _) = self.module.raw_json_request(request, 1).await.ok()?;
+        Some(reply.get().to_owned())
+    }
+}
+
+impl fmt::Debug for PeerMethods {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_list().entries(self.module.method_names()).finish()
+    }
+}
+
 impl PeerServer {
     /// Returns the address that the server listens on.
     pub fn address(&self) -> SocketAddr {
--- a/transport/net/tests/tunnel.rs
+++ b/transport/net/tests/tunnel.rs
@@ -9,6 +9,7 @@
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use sill_base::{Clock, Millis, Secret};
+use sill_net::PeerServerBuilder;
 use sill_net::h1::{
     ConnectionPool, ConnectionPoolCfg, Framing, TunnelDenial, TunnelFailure, TunnelRequest,
     TunnelServer, serve_tunnels,
@@ -79,6 +80,7 @@
         connect_timeout: Millis(2000),
         unacknowledged_timeout: Millis(5000),
         open: open.clone(),
+        methods: PeerServerBuilder::new(Secret::new(KEY)).into_methods(),
     };
     tokio::spawn(serve_tunnels(listener, cfg, grant));
     (address, open)
