sill-entry: continue an answer only at the software version that began it

Announcements of our own dialect have `software` now; the version of the first token is part of the transcript, so that it travels with a hand-off and with what a follower has when the instance it followed is lost. The request asks the router for that version. Until the first token any may answer.

flight/tests/cases.rs `an_answer_that_has_begun_needs_the_version_that_began_it`: fails with the version left out of Action::Route. No system test with two versions: the stand-in endpoints announce none. A transcript of an older build has no version and is continued anywhere, as before. An answer whose version is gone ends with no_capacity after the route time-out.

--- a/coordination/flight/src/flight.rs
+++ b/coordination/flight/src/flight.rs
@@ -8,8 +8,8 @@
 
 use sill_base::random::{Rng, seeded};
 use sill_base::{Machine, Millis, Name, Promise, assert_promise};
-use sill_wire::ErrorCode;
 use sill_wire::claim::{ClaimAsk, ClaimOutcome, ClaimVerdict};
+use sill_wire::{ErrorCode, Software};
 
 pub use self::cfg::{RequestCfg, Weakening};
 pub use self::event::{
@@ -37,6 +37,8 @@
     excluded_endpoints: Vec<Name>,
     consecutive_failures: u32,
     kv_source: Option<Placement>,
+    /// The version that generated the first token.
+    software: Option<Software>,
     is_caller_disconnected: bool,
     rng: Rng,
 }
@@ -110,6 +112,7 @@
             excluded_endpoints: Vec::new(),
             consecutive_failures: 0,
             kv_source: None,
+            software: None,
             is_caller_disconnected: false,
             rng: seeded(seed),
         }
@@ -130,6 +133,16 @@
         self.attempt.as_ref().map(|a| &a.placement).or(self.kv_source.as_ref())
     }
 
+    /// Sets the version that generated the first token of a request that was handed over.
+    pub fn continue_at(&mut self, software: Option<Software>) {
+        self.software = software;
+    }
+
+    /// Returns the version that generated the first token.
+    pub fn software(&self) -> Option<&Software> {
+        self.software.as_ref()
+    }
+
     /// Returns the number of attempts dispatched so far.
     pub fn attempts(&self) -> u32 {
         self.epoch.0
@@ -263,6 +276,7 @@
             attempt.last_token_at = now;
             attempt.first_token_at.get_or_insert(now);
             attempt.tokens += 1;
+            self.software.get_or_insert_with(|| attempt.placement.software.clone());
         }
         self.consecutive_failures = 0;
         self.next_index = index + 1;
--- a/coordination/flight/src/flight/event.rs
+++ b/coordination/flight/src/flight/event.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 use sill_base::{Millis, Name};
-use sill_wire::Incarnation;
 use sill_wire::claim::{BodyHash, ClaimAsk, ClaimKey, ClaimOutcome, ClaimOwner, ClaimVerdict};
+use sill_wire::{Incarnation, Software};
 
 use crate::lifecycle::{NotRunRefusal, RequestFailure};
 
@@ -64,6 +64,9 @@
     pub address: Name,
     /// Estimated number of prompt tokens in its prefix cache.
     pub cached_tokens: u64,
+    /// The version of its software.
+    #[serde(default, skip_serializing_if = "Software::is_unnamed")]
+    pub software: Software,
 }
 
 /// The number of an attempt, counted from 1 for each request.
@@ -166,6 +169,8 @@
         prompt_tokens: u64,
         /// Maximum number of tokens still to generate.
         max_tokens: u32,
+        /// The version that has to generate them, if the caller has tokens already.
+        software: Option<Software>,
     },
     /// Send the request to an endpoint.
     Dispatch {
--- a/coordination/flight/src/flight/search.rs
+++ b/coordination/flight/src/flight/search.rs
@@ -41,6 +41,7 @@
             exclude: self.excluded_endpoints.clone(),
             prompt_tokens: self.spec.prompt_tokens + u64::from(self.next_index),
             max_tokens: self.spec.max_tokens.saturating_sub(self.next_index),
+            software: self.software.clone(),
         });
     }
 
--- a/coordination/flight/src/transcript.rs
+++ b/coordination/flight/src/transcript.rs
@@ -3,6 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 use sill_base::{Promise, assert_promise};
+use sill_wire::Software;
 
 /// The tokens of one answer, in order and without a gap.
 ///
@@ -22,6 +23,9 @@
     /// Whether the end marker arrived.
     #[serde(rename = "whole")]
     pub is_complete: bool,
+    /// The software version that generated the first token, which has to generate the others.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<Software>,
     escaped: String,
     /// End of each token in `escaped`, in bytes.
     ends: Vec<u32>,
--- a/coordination/flight/tests/cases.rs
+++ b/coordination/flight/tests/cases.rs
@@ -12,7 +12,7 @@
 use sill_flight::{Action, Event, InFlightRequest, Placement, RequestCfg, RequestSpec, Transcript};
 use sill_wire::claim::{BodyHash, ClaimKey};
 use sill_wire::handoff::{LocateReply, RunLocation};
-use sill_wire::{ErrorCode, Incarnation};
+use sill_wire::{ErrorCode, Incarnation, Software};
 
 fn spec(is_idempotent: bool) -> RequestSpec {
     RequestSpec {
@@ -29,7 +29,13 @@
 
 fn placement(name: &str) -> Placement {
     let incarnation = Incarnation(1);
-    Placement { endpoint: name.into(), incarnation, address: name.into(), cached_tokens: 0 }
+    Placement {
+        endpoint: name.into(),
+        incarnation,
+        address: name.into(),
+        cached_tokens: 0,
+        software: "v1".into(),
+    }
 }
 
 fn apply_events(request: &mut InFlightRequest, events: Vec<Event>) -> Vec<Action> {
@@ -99,6 +105,47 @@
     assert_eq!(failed.code, ErrorCode::OutcomeUnknown);
 }
 
+/// An answer whose endpoint is lost is continued by an endpoint of another version, at the same entry
+/// instance or at the peer that takes the request over.
+#[test]
+fn an_answer_that_has_begun_needs_the_version_that_began_it() {
+    struct Case {
+        name: &'static str,
+        is_begun: bool,
+        after: Event,
+        software: Option<&'static str>,
+    }
+    let epoch = Epoch(1);
+    let leaving = Event::EndpointLeaving {
+        endpoint: "m1".into(),
+        incarnation: Incarnation(1),
+        time_left: Millis(400),
+    };
+    let cut = || Event::StreamCut { epoch };
+    let cases = [
+        Case { name: "cut before a token", is_begun: false, after: cut(), software: None },
+        Case { name: "cut", is_begun: true, after: cut(), software: Some("v1") },
+        Case { name: "reclaim", is_begun: true, after: leaving, software: Some("v1") },
+    ];
+    for Case { name, is_begun, after, software } in cases {
+        let mut request = InFlightRequest::new(RequestCfg::default(), spec(true), 1);
+        apply_events(&mut request, vec![Event::Admitted, Event::Routed(placement("m1"))]);
+        if is_begun {
+            apply_events(&mut request, vec![Event::Token { epoch, index: 0 }]);
+        }
+        let out = apply_events(&mut request, vec![after]);
+        let Some(Action::Route { software: needed, .. }) = out.last() else {
+            panic!("{name}: {out:?}")
+        };
+        assert_eq!(*needed, software.map(Software::from), "{name}");
+    }
+    let mut request = InFlightRequest::from_hand_off(RequestCfg::default(), spec(true), 5, 1);
+    request.continue_at(Some("v1".into()));
+    let out = apply_events(&mut request, vec![Event::TakenOver { from: None }]);
+    let Some(Action::Route { software, .. }) = out.last() else { panic!("{out:?}") };
+    assert_eq!(*software, Some("v1".into()));
+}
+
 struct StopCase {
     name: &'static str,
     in_flight: [u64; 4],
--- a/coordination/flight/tests/sim/mod.rs
+++ b/coordination/flight/tests/sim/mod.rs
@@ -170,8 +170,13 @@
     fn add_endpoint(&mut self, is_permanent: bool) {
         let name: Name = format!("m{}", self.endpoints.len()).into();
         let incarnation = Incarnation(1);
-        let placement =
-            Placement { endpoint: name.clone(), incarnation, address: name, cached_tokens: 0 };
+        let placement = Placement {
+            endpoint: name.clone(),
+            incarnation,
+            address: name,
+            cached_tokens: 0,
+            software: Default::default(),
+        };
         let endpoint = SimEndpoint {
             placement,
             is_alive: true,
--- a/coordination/route/src/request.rs
+++ b/coordination/route/src/request.rs
@@ -64,6 +64,9 @@
     pub address: Name,
     /// Estimated number of leading prompt tokens that it has cached.
     pub cached_tokens: u64,
+    /// Version of its software.
+    #[serde(default)]
+    pub software: Software,
     /// Expected time to the first token.
     pub expected_ttft: Millis,
     /// The figures behind the choice, as text for people.
--- a/coordination/route/src/score.rs
+++ b/coordination/route/src/score.rs
@@ -259,6 +259,7 @@
             incarnation: a.incarnation,
             address: a.address.clone(),
             cached_tokens: cached,
+            software: a.software.clone(),
             expected_ttft: Millis(self.candidate.ttft_ms(cfg, req) as u64),
             why,
         }
--- a/daemons/entry/src/serve.rs
+++ b/daemons/entry/src/serve.rs
@@ -303,8 +303,9 @@
     // A non-idempotent request is not resumed: it is admitted again, and the claims' log decides by
     // the owner of its claim.
     let (flight, first) = if next_index > 0 && run.spec.is_idempotent {
-        let flight =
+        let mut flight =
             InFlightRequest::from_hand_off(cfg, run.spec.clone(), next_index, jitter_seed(run));
+        flight.continue_at(transcript.software.clone());
         (flight, Event::TakenOver { from: None })
     } else {
         run.with_transcript(|transcript| *transcript = Transcript::default());
@@ -384,7 +385,8 @@
         return;
     }
     attach::report_run(&app, &run).await;
-    let next_index = run.with_transcript(|transcript| transcript.next_index());
+    let (next_index, software) =
+        run.with_transcript(|transcript| (transcript.next_index(), transcript.software.clone()));
     let upstream_request = UpstreamRequest {
         method: Method::POST,
         path: run.path.clone(),
@@ -403,12 +405,13 @@
         mode: ResponseMode::Full,
         sender: None,
     };
-    let flight = InFlightRequest::from_hand_off(
+    let mut flight = InFlightRequest::from_hand_off(
         RequestCfg::default(),
         run.spec.clone(),
         next_index,
         jitter_seed(&run),
     );
+    flight.continue_at(software);
     let driver = Driver::new(app.clone(), client, job, flight);
     driver.run(Event::TakenOver { from }).await;
 }
--- a/daemons/entry/src/serve/attach.rs
+++ b/daemons/entry/src/serve/attach.rs
@@ -235,6 +235,7 @@
         transcript.created = part.created;
         transcript.finish_reason = part.finish.clone();
         transcript.prompt_tokens = part.prompt_tokens;
+        transcript.software.clone_from(&part.software);
         let id = part.id.clone().unwrap_or_else(|| completion_id(self.run.request()));
         let template = self.template(&id, part.created);
         let mut out = Vec::new();
@@ -307,6 +308,7 @@
             finish: whole["choices"][0]["finish_reason"].as_str().map(str::to_owned),
             prompt_tokens: whole["usage"]["prompt_tokens"].as_u64().map(|n| n as u32),
             whole: true,
+            software: None,
         };
         self.forward_part(&mut Transcript::default(), &part).await;
         self.send_end(ResponseEnd::Complete).await;
--- a/daemons/entry/src/serve/driver.rs
+++ b/daemons/entry/src/serve/driver.rs
@@ -12,9 +12,9 @@
 use sill_flight::sse::EventSplitter;
 use sill_flight::{Action, Event, InFlightRequest, Placement};
 use sill_route::{Choice, Outcome, RefusalReason, RouteRequest, Target};
-use sill_wire::Priority;
 use sill_wire::claim::ClaimVerdict;
 use sill_wire::handoff::HttpReply;
+use sill_wire::{Priority, Software};
 use tokio::sync::{oneshot, watch};
 
 use super::attach::{self, AnswerSource};
@@ -229,6 +229,8 @@
     fn record_first_token(&mut self) {
         let now = self.now();
         self.first_token_at = Some(now);
+        let software = self.flight.software().cloned();
+        self.job.run.with_transcript(|transcript| transcript.software = software);
         if let Some(place) = self.flight.placement() {
             let endpoint = place.endpoint.clone();
             let request = self.job.run.request().clone();
@@ -248,8 +250,8 @@
         match action {
             Action::TakeClaim(ask) => self.claim_verdict = Some(claims::submit(&self.app, ask)),
             Action::SettleClaim(ask) => self.app.claims.settle(ask),
-            Action::Route { exclude, prompt_tokens, max_tokens } => {
-                self.route(exclude, prompt_tokens, max_tokens);
+            Action::Route { exclude, prompt_tokens, max_tokens, software } => {
+                self.route(exclude, prompt_tokens, max_tokens, software);
             }
             Action::Dispatch { epoch, placement, resume } => {
                 self.dispatch(epoch, &placement, resume)
@@ -288,7 +290,14 @@
         }
     }
 
-    fn route(&mut self, exclude: Vec<Name>, prompt_tokens: u64, max_tokens: u32) {
+    fn route(
+        &mut self,
+        exclude: Vec<Name>,
+        prompt_tokens: u64,
+        max_tokens: u32,
+        software: Option<Software>,
+    ) {
+        let version = software.as_ref().map(|software| format!(" of version {software}"));
         let request = RouteRequest {
             request: self.job.run.request().clone(),
             target: self.target(),
@@ -299,7 +308,7 @@
             priority: if self.is_accepted { Priority::High } else { self.job.priority },
             deadline: self.job.run.spec.deadline,
             exclude,
-            software: None,
+            software,
             reserved: Vec::new(),
         };
         let event = match self.app.routing.choose(self.now(), &request) {
@@ -310,10 +319,12 @@
                     incarnation: chosen.incarnation,
                     address: chosen.address,
                     cached_tokens: chosen.cached_tokens,
+                    software: chosen.software,
                 })
             }
             Choice::Refuse(refusal) => {
-                self.note(format!("no endpoint: {:?}", refusal.reason));
+                let version = version.unwrap_or_default();
+                self.note(format!("no endpoint{version}: {:?}", refusal.reason));
                 let deadline = refusal.reason == RefusalReason::Deadline;
                 Event::NoRoute { deadline, retry_after: refusal.retry_after }
             }
--- a/daemons/entry/src/serve/run.rs
+++ b/daemons/entry/src/serve/run.rs
@@ -169,6 +169,7 @@
         finish: transcript.finish_reason.clone(),
         prompt_tokens: transcript.prompt_tokens,
         whole: transcript.is_complete,
+        software: transcript.software.clone(),
     }
 }
 
--- a/protocol/wire/src/handoff.rs
+++ b/protocol/wire/src/handoff.rs
@@ -6,6 +6,7 @@
 use crate::call::Call;
 use crate::claim::{BodyHash, ClaimKey};
 use crate::error::ErrorCode;
+use crate::software::Software;
 
 /// The entry instance at which a request with an idempotency key runs or has run.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -97,6 +98,9 @@
     pub prompt_tokens: Option<u32>,
     /// Whether these tokens complete the answer.
     pub whole: bool,
+    /// The software version that generated the first token.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<Software>,
 }
 
 /// A complete HTTP answer.
