Streams of an endpoint with two versions are not continued; explain shows all tries at a stream

An endpoint that reports a second version in the same incarnation leaves open which of them began its streams, also those recorded before. Neither the relay nor a take-up continues them now. `streams_of_an_endpoint_with_two_versions_are_not_taken_up`.

`sill explain` on log files: a caller takes its stream up under another id, so the lines of one id told nothing of the versions of the other tries. All ids that name the same first attempt are shown together.

--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -263,6 +263,11 @@
         versions
     }
 
+    /// Returns whether an endpoint has reported several versions in its present incarnation.
+    pub fn is_ambiguous(&self, endpoint: &Name) -> bool {
+        self.endpoints.get(endpoint).is_some_and(|k| k.fact.software.is_ambiguous())
+    }
+
     /// Returns whether an endpoint of a version accepts requests.
     pub fn is_served_by(&self, software: &Software) -> bool {
         let is_ready = |fact: &EndpointFact| fact.state == EndpointState::Ready;
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -311,7 +311,10 @@
         let (state, call) = (self.state.clone(), self.call.clone());
         let (progress, failed_endpoint) = (self.progress, endpoint.clone());
         let resumption = Resumption { last_event, memory: None };
-        let software = self.software.clone();
+        let software = match call.pool.pool.lock().is_ambiguous(&failed_endpoint) {
+            true => Some(Software::AMBIGUOUS),
+            false => self.software.clone(),
+        };
         let resume_future = resume(state, call, progress, failed_endpoint, software, resumption);
         self.source = Source::Resuming(Box::pin(resume_future));
         true
--- a/daemons/gateway/src/streams.rs
+++ b/daemons/gateway/src/streams.rs
@@ -324,10 +324,21 @@
                 Lookup { decision: decide(known, [own.clone()]), asked: 0, replied: 0, view: own }
             }
         };
+        let lookup = Lookup { decision: self.doubt_ambiguous(lookup.decision), ..lookup };
         self.log_take_up(head, route, &lookup);
         lookup.decision
     }
 
+    /// Rejects the record of a stream whose endpoint has reported another version since.
+    fn doubt_ambiguous(&self, decision: TakeUp) -> TakeUp {
+        let TakeUp::Known(KnownStream { origin, .. }) = &decision else { return decision };
+        let pool = self.pool(&origin.service);
+        match pool.is_some_and(|pool| pool.pool.lock().is_ambiguous(&origin.endpoint)) {
+            true => TakeUp::Unknown,
+            false => decision,
+        }
+    }
+
     fn log_take_up(&self, head: &CallHead, route: &RouteEntry, lookup: &Lookup) {
         let Lookup { decision, asked, replied, view } = lookup;
         let (result, software, known) = match decision {
--- a/daemons/gateway/tests/versions.rs
+++ b/daemons/gateway/tests/versions.rs
@@ -214,6 +214,25 @@
     }
 }
 
+/// The endpoint that began a stream reports another version afterwards, so that nobody knows which one
+/// began it.
+#[test]
+fn streams_of_an_endpoint_with_two_versions_are_not_taken_up() {
+    let serves = || vec![whole("id: 1\ndata: a\n\n"); 20];
+    let versions = ["v1", "v1"];
+    let harness = start(&versions, vec![serves(), serves()]);
+    assert_eq!(call(&harness, "begun", RESUMABLE, "").status, 200);
+    let began = endpoints_of(&harness, "begun")[0];
+    let mut facts = harness.facts.lock().clone();
+    facts[began].software = "v2".into();
+    facts[began].sequence += 1;
+    *harness.facts.lock() = facts;
+    harness.wait_until_facts_applied();
+    let headers = "last-event-id: 1\r\nsill-resumes: begun\r\n".to_owned();
+    let case = Case { name: "doubtful", headers, path: RESUMABLE, status: 503, version: None };
+    check(&harness, &versions, &[case]);
+}
+
 /// A caller waits in vain for a version whose last endpoint leaves, or is sent there.
 #[test]
 fn take_ups_of_a_version_that_leaves_are_refused_at_once() {
--- a/daemons/sill/src/verbs/timeline.rs
+++ b/daemons/sill/src/verbs/timeline.rs
@@ -41,11 +41,14 @@
     }
 }
 
-/// Returns the lines that name the request, and those on the endpoints that it was sent to, about the time
-/// at which it ran.
+/// Returns the lines that name the request or another try at the same stream, and those on the endpoints
+/// that they were sent to, about the time at which they ran.
 pub fn timeline(id: &str, logs: &[Log]) -> Vec<Entry> {
     let lines: Vec<Line<'_>> = logs.iter().flat_map(lines_of).collect();
-    let is_own = |line: &&Line<'_>| value(line.text, "id").is_some_and(|other| names(other, id));
+    let tries = tries_of_stream(id, &lines);
+    let is_own = |line: &&Line<'_>| {
+        value(line.text, "id").is_some_and(|other| tries.iter().any(|id| names(other, id)))
+    };
     let own: Vec<&Line<'_>> = lines.iter().filter(is_own).collect();
     let (Some(first), Some(last)) =
         (own.iter().map(|line| line.at).min(), own.iter().map(|line| line.at).max())
@@ -66,6 +69,16 @@
     entries
 }
 
+/// Returns the ids of all tries at the stream to which a request belongs, the request itself among them.
+fn tries_of_stream<'a>(id: &'a str, lines: &[Line<'a>]) -> Vec<&'a str> {
+    let resumes = |line: &Line<'a>| value(line.text, "resumes").filter(|first| !first.is_empty());
+    let is_own = |line: &&Line<'a>| value(line.text, "id") == Some(id);
+    let first = lines.iter().filter(is_own).find_map(resumes).unwrap_or(id);
+    let is_later = |line: &&Line<'a>| resumes(line) == Some(first);
+    let later = lines.iter().filter(is_later).filter_map(|line| value(line.text, "id"));
+    [id, first].into_iter().chain(later).collect()
+}
+
 fn lines_of(log: &Log) -> impl Iterator<Item = Line<'_>> {
     log.text.lines().filter_map(|line| {
         // Whatever stands before belongs to who collected the log.
--- a/daemons/sill/tests/timeline.rs
+++ b/daemons/sill/tests/timeline.rs
@@ -44,3 +44,18 @@
         assert_eq!(sources, expected, "{id}: {lines:#?}");
     }
 }
+
+/// A caller takes its stream up at another instance under another id, and the versions of its tries
+/// can't be compared.
+#[test]
+fn all_tries_at_a_stream_are_shown_for_each_of_them() {
+    let first = "at=1 level=INFO event=call id=a endpoint=e1 software=v1 outcome=cut";
+    let second = "at=5 level=INFO event=stream_taken_up id=b resumes=a result=known software=v1";
+    let third = "at=9 level=WARN event=stream_taken_up id=c resumes=a result=unknown software=\"\"";
+    let other = "at=6 level=INFO event=stream_taken_up id=d resumes=x result=known software=v2";
+    let logs = [log("g0", &[first]), log("g1", &[second, other]), log("g2", &[third])];
+    for id in ["a", "b", "c"] {
+        let shown: Vec<u64> = timeline(id, &logs).iter().map(|entry| entry.at.0).collect();
+        assert_eq!(shown, [1, 5, 9], "{id}");
+    }
+}
