Soak: endpoints of two software versions, and a check that no answer joins them

Neighbours and successive incarnations of an endpoint differ in their version; a stream whose events come from two is a finding (one_version). Callers of the soak do not take up streams; the system tests do.

--- a/bench/soak/src/backend.rs
+++ b/bench/soak/src/backend.rs
@@ -234,7 +234,7 @@
             load: Load::default(),
             leaving: None,
             checks_fencing: false,
-            software: Default::default(),
+            software: software_of(&format!("{}.{}", self.name, self.incarnation)).into(),
         }
     }
 }
@@ -358,6 +358,14 @@
     StreamBody::new(frames).boxed_unsync()
 }
 
+/// Returns the software version of an endpoint incarnation. It differs between neighbours, and between
+/// an incarnation and the next one.
+pub fn software_of(incarnation: &str) -> &'static str {
+    let digits = incarnation.bytes().filter(u8::is_ascii_digit);
+    let sum: u32 = digits.map(|digit| u32::from(digit - b'0')).sum();
+    if sum.is_multiple_of(2) { "even" } else { "odd" }
+}
+
 /// Returns the complete answer to a request, which follows from the arguments alone.
 pub fn expected(id: &str, body: &[u8], endpoint: &str) -> Bytes {
     let line = format!("{id} with {} ran at {endpoint}\n", checksum(body));
--- a/bench/soak/src/stream.rs
+++ b/bench/soak/src/stream.rs
@@ -55,14 +55,21 @@
     format!("id: {number}\ndata: {id} with {} ran at {endpoint}\n\n", checksum(body)).into()
 }
 
-/// Returns whether a body has all events once and in order, each from an endpoint that ran the
-/// request.
-pub fn is_complete(pace: Pace, id: &str, body: &[u8], endpoints: &[String], got: &[u8]) -> bool {
-    let mut rest = got;
+/// Returns the endpoint that sent each event of a stream; none unless the stream has all events once
+/// and in order, each from an endpoint that ran the request.
+pub fn senders<'a>(
+    pace: Pace,
+    id: &str,
+    body: &[u8],
+    endpoints: &'a [String],
+    got: &[u8],
+) -> Option<Vec<&'a String>> {
+    let (mut rest, mut senders) = (got, Vec::new());
     for number in 1..=pace.events() {
-        let after = |endpoint: &String| rest.strip_prefix(&event(number, id, body, endpoint)[..]);
-        let Some(after) = endpoints.iter().find_map(after) else { return false };
-        rest = after;
+        let sent = |endpoint: &&String| rest.starts_with(&event(number, id, body, endpoint)[..]);
+        let sender = endpoints.iter().find(sent)?;
+        rest = &rest[event(number, id, body, sender).len()..];
+        senders.push(sender);
     }
-    rest.is_empty()
+    rest.is_empty().then_some(senders)
 }
--- a/bench/soak/src/verdict.rs
+++ b/bench/soak/src/verdict.rs
@@ -5,7 +5,7 @@
 use sill_base::Millis;
 use sill_wire::link::LIMIT_WINDOW;
 
-use crate::backend::{Ledger, expected};
+use crate::backend::{Ledger, expected, software_of};
 use crate::caller::{CallerAnswer, Client, GUESTS, Record, is_blocked};
 use crate::journal::{Event, Journal};
 use crate::stream;
@@ -204,8 +204,14 @@
     }
     if answer.status == 200 {
         let got = answer.body.as_ref()?;
-        let is_own = match record.pace {
-            Some(pace) => stream::is_complete(pace, id, body, runs, got),
+        let senders = record.pace.map(|pace| stream::senders(pace, id, body, runs, got));
+        if let Some(Some(senders)) = &senders
+            && senders.iter().any(|sender| software_of(sender) != software_of(senders[0]))
+        {
+            return Some(format!("one_version: {id} got events of {senders:?}"));
+        }
+        let is_own = match senders {
+            Some(senders) => senders.is_some(),
             None => runs.iter().any(|endpoint| expected(id, body, endpoint) == *got),
         };
         return (!is_own).then(|| format!("whole_answer: {id} got {got:?}, ran at {runs:?}"));
