Streams: draw the instances that keep records evenly

The keyed hasher of the standard library with its default key draws evenly: `streams_are_spread_over_instances` (20% around the mean), which failed before.

Records are compared with a changed list of instances only if one is new, and the choice of a record's instances no longer sorts the list.

--- a/coordination/dispatch/src/streams.rs
+++ b/coordination/dispatch/src/streams.rs
@@ -2,14 +2,13 @@
 //! its caller takes it up.
 //!
 //! An entry instance remembers the streams that it carries. While a service has, or may have, several
-//! versions, it also tells a few other instances, which are drawn by the stream's key, so that any
-//! instance knows whom to ask.
+//! versions, it also replicates their records to a few other instances, which are drawn by the
+//! stream's key, so that any instance knows which ones to ask.
 
 use std::collections::VecDeque;
-use std::hash::{BuildHasher, BuildHasherDefault};
+use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
 use std::sync::Arc;
 
-use rustc_hash::FxHasher;
 use sill_base::{Map, Millis, Name};
 use sill_wire::streams::{EntryPeer, StreamOrigin, VersionView};
 use sill_wire::{RequestKey, Software};
@@ -18,7 +17,7 @@
 /// gone count for as long.
 pub const STREAM_LIFETIME: Millis = Millis(60_000);
 
-/// Number of instances that are told of a stream.
+/// Number of instances to which the record of a stream is replicated.
 pub const HOLDERS: usize = 3;
 
 /// Number of instances that are asked for a stream. The lists of the two instances may differ.
@@ -28,7 +27,7 @@
 const MAX_STREAMS: usize = 16_384;
 
 /// Upper bound on the streams in one message.
-pub const MAX_TOLD: usize = 512;
+pub const MAX_BATCH: usize = 512;
 
 /// Age of the last word of a control instance up to which a version can't have been missed. A new
 /// endpoint is known to all entry instances within a second.
@@ -37,14 +36,18 @@
 /// Returns the instances that keep a stream, in order. As far as possible they are of different
 /// failure domains.
 pub fn holders(stream: RequestKey, entries: &[EntryPeer], count: usize) -> Vec<&EntryPeer> {
-    let hasher = BuildHasherDefault::<FxHasher>::default();
-    let mut ranked: Vec<&EntryPeer> = entries.iter().collect();
-    ranked.sort_by_cached_key(|peer| hasher.hash_one((stream, &peer.entry)));
+    // The fast hasher gives similar names weights that differ alike for all streams.
+    let hasher = BuildHasherDefault::<DefaultHasher>::default();
+    let rank = |peer: &EntryPeer| hasher.hash_one((stream, &peer.entry));
+    let mut others: Vec<(u64, &EntryPeer)> =
+        entries.iter().map(|peer| (rank(peer), peer)).collect();
     let mut chosen: Vec<&EntryPeer> = Vec::with_capacity(count);
-    while chosen.len() < count && !ranked.is_empty() {
-        let is_new = |peer: &&EntryPeer| chosen.iter().all(|other| other.domain != peer.domain);
-        let next = ranked.iter().position(is_new).unwrap_or(0);
-        chosen.push(ranked.remove(next));
+    while chosen.len() < count {
+        let has_peer = |domain: &Name| chosen.iter().any(|other| other.domain == *domain);
+        let order =
+            |(_, (rank, peer)): &(usize, &(u64, &EntryPeer))| (has_peer(&peer.domain), *rank);
+        let Some((next, _)) = others.iter().enumerate().min_by_key(order) else { break };
+        chosen.push(others.swap_remove(next).1);
     }
     chosen
 }
@@ -54,7 +57,7 @@
 pub struct KnownStream {
     /// The endpoint that began it.
     pub origin: StreamOrigin,
-    /// The entry instance that told of it; none if this instance carries it.
+    /// The entry instance that sent the record; none if this instance carries the stream.
     pub from: Option<Name>,
 }
 
@@ -66,16 +69,16 @@
     expires_at: Millis,
     /// The services of its route, if this instance carries it.
     services: Arc<[Name]>,
-    is_untold: bool,
+    is_unreplicated: bool,
 }
 
-/// The streams that an entry instance carries or was told of.
+/// The streams that an entry instance carries, and replicas of the records of other instances.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
     streams: Map<RequestKey, Entry>,
     /// Keys in the order in which they were recorded; some may have been recorded again since.
     order: VecDeque<(Millis, RequestKey)>,
-    untold: VecDeque<RequestKey>,
+    unreplicated: VecDeque<RequestKey>,
 }
 
 impl StreamOrigins {
@@ -84,13 +87,13 @@
         self.record(now, origin, None);
         let Some(entry) = self.streams.get_mut(&origin.stream) else { return };
         entry.services = services;
-        if !std::mem::replace(&mut entry.is_untold, true) {
-            self.untold.push_back(origin.stream);
+        if !std::mem::replace(&mut entry.is_unreplicated, true) {
+            self.unreplicated.push_back(origin.stream);
         }
     }
 
-    /// Records a stream that another instance told of. Returns whether it is new.
-    pub fn record_told(&mut self, now: Millis, origin: &StreamOrigin, from: &Name) -> bool {
+    /// Records a stream that another instance carries. Returns whether it is new.
+    pub fn record_replica(&mut self, now: Millis, origin: &StreamOrigin, from: &Name) -> bool {
         self.record(now, origin, Some(from))
     }
 
@@ -119,7 +122,7 @@
                 recorded_at: now - origin.age,
                 expires_at,
                 services: Arc::default(),
-                is_untold: false,
+                is_unreplicated: false,
             };
             self.streams.insert(origin.stream, entry);
         }
@@ -136,34 +139,34 @@
         Some(KnownStream { origin: entry.origin_at(now), from: entry.from.clone() })
     }
 
-    /// Takes the carried streams out that no other instance was told of and that `is_due` selects by
-    /// the services of their routes, at most [`MAX_TOLD`].
-    pub fn take_untold<F>(&mut self, now: Millis, mut is_due: F) -> Vec<StreamOrigin>
+    /// Takes the carried streams out that are not replicated yet and that `is_due` selects by the
+    /// services of their routes, at most [`MAX_BATCH`].
+    pub fn take_unreplicated<F>(&mut self, now: Millis, mut is_due: F) -> Vec<StreamOrigin>
     where
         F: FnMut(&[Name]) -> bool,
     {
         let mut taken = Vec::new();
         let streams = &mut self.streams;
-        self.untold.retain(|stream| {
+        self.unreplicated.retain(|stream| {
             let Some(entry) = streams.get_mut(stream) else { return false };
             if now >= entry.expires_at {
-                entry.is_untold = false;
+                entry.is_unreplicated = false;
                 return false;
             }
-            if taken.len() >= MAX_TOLD || !is_due(&entry.services) {
+            if taken.len() >= MAX_BATCH || !is_due(&entry.services) {
                 return true;
             }
-            entry.is_untold = false;
+            entry.is_unreplicated = false;
             taken.push(entry.origin_at(now));
             false
         });
         taken
     }
 
-    /// Returns the streams that other instances were told of, or told this one of.
-    pub fn told(&self, now: Millis) -> Vec<StreamOrigin> {
-        let is_told = |entry: &&Entry| !entry.is_untold && now < entry.expires_at;
-        self.streams.values().filter(is_told).map(|entry| entry.origin_at(now)).collect()
+    /// Returns the streams that are replicated, from here or by other instances.
+    pub fn replicated(&self, now: Millis) -> Vec<StreamOrigin> {
+        let is_replicated = |entry: &&Entry| !entry.is_unreplicated && now < entry.expires_at;
+        self.streams.values().filter(is_replicated).map(|entry| entry.origin_at(now)).collect()
     }
 
     /// Returns the number of streams.
--- a/coordination/dispatch/tests/streams.rs
+++ b/coordination/dispatch/tests/streams.rs
@@ -7,7 +7,7 @@
 use sill_base::random::{cases, seed};
 use sill_base::{Millis, Name};
 use sill_dispatch::streams::{
-    ASKED, HOLDERS, KnownStream, MAX_TOLD, STREAM_LIFETIME, StreamOrigins, TakeUp, VersionHistory,
+    ASKED, HOLDERS, KnownStream, MAX_BATCH, STREAM_LIFETIME, StreamOrigins, TakeUp, VersionHistory,
     decide, holders,
 };
 use sill_wire::streams::{EntryPeer, StreamOrigin, VersionView};
@@ -45,13 +45,13 @@
     Some(origins.find(now, key(number))?.origin.software)
 }
 
-/// A stream is known for as long as its caller may take it up, with its age and who told of it.
+/// A stream is known for as long as its caller may take it up, with its age and who sent the record.
 #[test]
 fn a_stream_is_known_until_its_time_is_over() {
     let mut origins = StreamOrigins::default();
     origins.record_own(Millis(1000), &origin(1, "v1"), services());
-    let told = StreamOrigin { age: Millis(400), time_left: Millis(20_000), ..origin(2, "v2") };
-    assert!(origins.record_told(Millis(1000), &told, &"g1".into()));
+    let replica = StreamOrigin { age: Millis(400), time_left: Millis(20_000), ..origin(2, "v2") };
+    assert!(origins.record_replica(Millis(1000), &replica, &"g1".into()));
     let own = origins.find(Millis(1500), key(1)).expect("it is known");
     assert_eq!((own.origin.age, own.from), (Millis(500), None));
     let other = origins.find(Millis(1500), key(2)).expect("it is known");
@@ -88,31 +88,32 @@
     for Case { name, second, is_continued } in cases {
         let mut origins = StreamOrigins::default();
         origins.record_own(Millis(1000), &origin(1, "v1"), services());
-        origins.record_told(Millis(1100), &second, &"g1".into());
+        origins.record_replica(Millis(1100), &second, &"g1".into());
         let known = origins.find(Millis(1200), key(1));
         let decision = decide(known, []);
         assert_eq!(matches!(decision, TakeUp::Known(_)), is_continued, "{name}: {decision:?}");
     }
 }
 
-/// Streams are told once, as soon as their service has several versions, in messages of bounded size.
+/// Streams are replicated once, as soon as their service has several versions, in messages of bounded
+/// size.
 #[test]
-fn streams_are_told_once_when_their_service_has_several_versions() {
+fn streams_are_replicated_once_when_their_service_has_several_versions() {
     let mut origins = StreamOrigins::default();
-    for i in 0..MAX_TOLD + 10 {
+    for i in 0..MAX_BATCH + 10 {
         origins.record_own(Millis(1000), &origin(i, "v1"), services());
     }
-    origins.record_told(Millis(1000), &origin(9999, "v1"), &"g1".into());
+    origins.record_replica(Millis(1000), &origin(9999, "v1"), &"g1".into());
     let now = Millis(2000);
-    assert!(origins.take_untold(now, |_| false).is_empty());
-    assert_eq!(origins.told(now).len(), 1, "what others told of");
+    assert!(origins.take_unreplicated(now, |_| false).is_empty());
+    assert_eq!(origins.replicated(now).len(), 1, "the replica");
     assert_eq!(
-        origins.take_untold(now, |services| services == [Name::from("desk")]).len(),
-        MAX_TOLD
+        origins.take_unreplicated(now, |services| services == [Name::from("desk")]).len(),
+        MAX_BATCH
     );
-    assert_eq!(origins.take_untold(now, |_| true).len(), 10);
-    assert!(origins.take_untold(now, |_| true).is_empty());
-    assert_eq!(origins.told(now).len(), MAX_TOLD + 11);
+    assert_eq!(origins.take_unreplicated(now, |_| true).len(), 10);
+    assert!(origins.take_unreplicated(now, |_| true).is_empty());
+    assert_eq!(origins.replicated(now).len(), MAX_BATCH + 11);
 }
 
 /// Callers name made-up streams, and others end without being taken up: memory must not grow.
@@ -129,8 +130,8 @@
     assert_eq!(origins.len(), 1, "the others have expired");
 }
 
-/// The instances that are told of a stream and those that are asked for it have an instance in common,
-/// although their lists differ by instances that came and went, and one of those told is lost.
+/// The instances that keep a stream and those that are asked for it have one in common, although their
+/// lists differ by instances that came and went, and one that keeps it is lost.
 #[test]
 fn instances_with_different_lists_find_a_stream() {
     let entries = prop::collection::vec(0..5_usize, 3..40);
@@ -145,27 +146,50 @@
         let all: Vec<EntryPeer> =
             domains.iter().enumerate().map(|(i, domain)| peer(i, *domain)).collect();
         let stream = key(number as usize);
-        let told = holders(stream, &all, HOLDERS);
-        prop_assert_eq!(told.len(), HOLDERS);
-        let mut told_domains: Vec<&Name> = told.iter().map(|peer| &peer.domain).collect();
-        told_domains.sort();
-        told_domains.dedup();
+        let kept = holders(stream, &all, HOLDERS);
+        prop_assert_eq!(kept.len(), HOLDERS);
+        let mut kept_domains: Vec<&Name> = kept.iter().map(|peer| &peer.domain).collect();
+        kept_domains.sort();
+        kept_domains.dedup();
         let mut all_domains = domains.clone();
         all_domains.sort_unstable();
         all_domains.dedup();
-        prop_assert_eq!(told_domains.len(), all_domains.len().min(HOLDERS));
+        prop_assert_eq!(kept_domains.len(), all_domains.len().min(HOLDERS));
         let mut other = all.clone();
         other.remove(gone.index(all.len()));
         other.push(peer(100, 9));
         let asked = holders(stream, &other, ASKED);
-        let lost = told[lost.index(HOLDERS)];
-        let found = told.iter().filter(|peer| **peer != lost && asked.contains(peer)).count();
-        prop_assert!(found > 0, "told {:?}, asked {:?}", told, asked);
+        let lost = kept[lost.index(HOLDERS)];
+        let found = kept.iter().filter(|peer| **peer != lost && asked.contains(peer)).count();
+        prop_assert!(found > 0, "kept at {:?}, asked {:?}", kept, asked);
         Ok(())
     });
     result.unwrap_or_else(|err| panic!("{err}"));
 }
 
+/// The names of instances differ in a few letters only. With a weak hash a few instances keep most
+/// streams.
+#[test]
+fn streams_are_spread_over_instances() {
+    let names: [&[&str]; 2] = [
+        &["edge-macon-hall-1", "edge-macon-hall-2", "edge-perry-hall-1", "edge-perry-hall-2"],
+        &["g0", "g1", "g2", "g3", "g4", "g5", "g6", "g7"],
+    ];
+    for names in names {
+        let entries: Vec<EntryPeer> =
+            names.iter().map(|name| EntryPeer { entry: (*name).into(), ..peer(0, 0) }).collect();
+        let mut counts = vec![0_usize; names.len()];
+        for number in 0..8000 {
+            let first = holders(key(number), &entries, 1)[0];
+            let kept_at = entries.iter().position(|peer| peer == first);
+            counts[kept_at.expect("it is one of them")] += 1;
+        }
+        let even = 8000 / names.len();
+        let is_even = |count: &usize| *count > even * 8 / 10 && *count < even * 12 / 10;
+        assert!(counts.iter().all(is_even), "{counts:?} for {names:?}");
+    }
+}
+
 /// An instance that has just started, or hears no control instance, takes the version that it knows
 /// for the only one.
 #[test]
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -44,8 +44,8 @@
     /// Calls that take up an earlier stream, by what is known of its version.
     pub take_ups: IntCounterVec,
     /// Records of streams sent to other entry instances, by result.
-    pub streams_told: IntCounterVec,
-    /// Streams that other entry instances told of.
+    pub streams_replicated: IntCounterVec,
+    /// Records of streams that were new here.
     pub streams_received: IntCounter,
     /// Number of streams whose versions are known.
     pub streams_known: IntGauge,
@@ -97,7 +97,7 @@
         registry.register(Box::new(endpoint_crashes.clone()))?;
         let streams_received = IntCounter::new(
             "sill_gateway_streams_received_total",
-            "streams that other entry instances told of",
+            "records of streams received from other entry instances",
         )?;
         registry.register(Box::new(streams_received.clone()))?;
         Ok(Self {
@@ -138,8 +138,8 @@
                 "calls that take up an earlier stream, by what is known of its version",
                 "result",
             )?,
-            streams_told: counters(
-                "sill_gateway_streams_told_total",
+            streams_replicated: counters(
+                "sill_gateway_streams_replicated_total",
                 "records of streams sent to other entry instances",
                 "result",
             )?,
--- a/daemons/gateway/src/streams.rs
+++ b/daemons/gateway/src/streams.rs
@@ -1,5 +1,5 @@
-//! Remembers which software version began each stream, tells other entry instances, and finds out
-//! where a stream may continue that a caller takes up here.
+//! Remembers which software version began each stream, replicates that to other entry instances, and
+//! finds out where a stream may continue that a caller takes up here.
 //!
 //! `docs/design/streams.md` describes what is weighed. [`sill_dispatch::streams`] decides; this
 //! module sends and answers the calls between entry instances.
@@ -13,7 +13,7 @@
 use prometheus::{IntCounter, IntCounterVec, IntGauge};
 use sill_base::{Clock, Map, Millis, Name, Secret, event};
 use sill_dispatch::streams::{
-    ASKED, HOLDERS, KnownStream, MAX_TOLD, StreamOrigins, TakeUp, VersionHistory, combine_views,
+    ASKED, HOLDERS, KnownStream, MAX_BATCH, StreamOrigins, TakeUp, VersionHistory, combine_views,
     decide, holders, is_single,
 };
 use sill_dispatch::{AccountEntry, Placement, RouteEntry};
@@ -31,19 +31,19 @@
 use crate::serve::Call;
 use crate::state::State;
 
-/// Time for other instances to tell what they know of a stream. A caller is refused after it.
+/// Time for other instances to answer what they know of a stream. A caller is refused after it.
 const LOOKUP_TIMEOUT: Millis = Millis(40);
 
 /// Time for another instance to take a record.
 const RECORD_TIMEOUT: Millis = Millis(500);
 
-/// Pause before an instance that did not take a record is told once more.
+/// Pause before a record is sent once more to an instance that did not take it.
 const RECORD_PAUSE: Millis = Millis(100);
 
 /// Number of streams that are looked up at once. Callers may take up any number of made-up streams.
 const MAX_LOOKUPS: usize = 64;
 
-/// Interval at which streams are told whose services have no longer a single version.
+/// Interval at which streams are replicated whose services no longer have a single version.
 const CHECK_INTERVAL: Millis = Millis(250);
 
 /// Time beyond a call's deadline for which its stream is remembered.
@@ -53,7 +53,7 @@
 /// call.
 const MIN_REMEMBERED: Millis = Millis(60_000);
 
-/// The streams that an entry instance carries or was told of.
+/// The streams that an entry instance carries, and replicas of the records of other instances.
 #[derive(Debug)]
 pub struct Streams {
     clock: Clock,
@@ -63,10 +63,10 @@
     history: Mutex<VersionHistory>,
     peers: Mutex<Peers>,
     lookups: Semaphore,
-    /// Wakes [`run`] when there may be streams to tell.
-    untold: Notify,
+    /// Wakes [`run`] when there may be streams to replicate.
+    unreplicated: Notify,
     take_ups: IntCounterVec,
-    told: IntCounterVec,
+    replicated: IntCounterVec,
     known: IntGauge,
     received: IntCounter,
 }
@@ -126,9 +126,9 @@
             history: Mutex::default(),
             peers: Mutex::default(),
             lookups: Semaphore::new(MAX_LOOKUPS),
-            untold: Notify::new(),
+            unreplicated: Notify::new(),
             take_ups: metrics.take_ups.clone(),
-            told: metrics.streams_told.clone(),
+            replicated: metrics.streams_replicated.clone(),
             known: metrics.streams_known.clone(),
             received: metrics.streams_received.clone(),
         }
@@ -146,13 +146,16 @@
             peers.by_control.insert(from, list);
             peers.rebuild(from)
         };
+        self.unreplicated.notify_one();
+        if new.is_empty() {
+            return;
+        }
         // An instance that has restarted has lost what it kept.
         let is_new = |peer: &EntryPeer| new.contains(peer);
-        let streams = self.origins.lock().told(self.clock.now());
-        for part in streams.chunks(MAX_TOLD) {
-            self.tell(part, HOLDERS, is_new);
+        let streams = self.origins.lock().replicated(self.clock.now());
+        for part in streams.chunks(MAX_BATCH) {
+            self.replicate(part, HOLDERS, is_new);
         }
-        self.untold.notify_one();
     }
 
     /// Drops the list of a control instance that is no longer followed, if there are others.
@@ -166,16 +169,16 @@
         }
     }
 
-    /// Has streams told again whose services may have another version from now on.
+    /// Has streams replicated whose services may have another version from now on.
     pub fn review(&self) {
-        self.untold.notify_one();
+        self.unreplicated.notify_one();
     }
 
-    fn record_told(&self, call: &RecordStreams) -> RecordStreamsReply {
+    fn record_replica(&self, call: &RecordStreams) -> RecordStreamsReply {
         let now = self.clock.now();
         let mut origins = self.origins.lock();
-        let streams = call.streams.iter().take(MAX_TOLD);
-        let new = streams.filter(|origin| origins.record_told(now, origin, &call.from)).count();
+        let streams = call.streams.iter().take(MAX_BATCH);
+        let new = streams.filter(|origin| origins.record_replica(now, origin, &call.from)).count();
         self.known.set(origins.len() as i64);
         self.received.inc_by(new as u64);
         RecordStreamsReply { new }
@@ -187,15 +190,16 @@
         chosen.filter(|peer| peer.entry != self.name).cloned().collect()
     }
 
-    /// Tells the first `count` instances that keep each stream, as far as `is_told` selects them.
-    fn tell<F>(self: &Arc<Self>, streams: &[StreamOrigin], count: usize, is_told: F)
+    /// Sends records of streams to the first `count` instances that keep each of them, as far as
+    /// `is_target` selects these.
+    fn replicate<F>(self: &Arc<Self>, streams: &[StreamOrigin], count: usize, is_target: F)
     where
         F: Fn(&EntryPeer) -> bool,
     {
         let mut by_holder: Map<EntryPeer, Vec<StreamOrigin>> = Map::default();
         for origin in streams {
             let holders = self.holders(origin.stream, count);
-            for peer in holders.into_iter().filter(|peer| is_told(peer)) {
+            for peer in holders.into_iter().filter(|peer| is_target(peer)) {
                 by_holder.entry(peer).or_default().push(origin.clone());
             }
         }
@@ -217,12 +221,12 @@
             tokio::time::sleep(RECORD_PAUSE.into()).await;
             result = client.call(&call).await;
         }
-        let label = if result.is_ok() { "told" } else { "failed" };
-        self.told.with_label_values(&[label]).inc_by(call.streams.len() as u64);
+        let label = if result.is_ok() { "replicated" } else { "failed" };
+        self.replicated.with_label_values(&[label]).inc_by(call.streams.len() as u64);
         if let Err(err) = result {
             event!(
                 Debug,
-                "streams_not_told",
+                "streams_not_replicated",
                 entry = peer.entry,
                 streams = call.streams.len(),
                 why = err
@@ -260,7 +264,7 @@
         }
         drop(replies);
         if let Some(KnownStream { origin, from: Some(from) }) = &known {
-            self.origins.lock().record_told(self.clock.now(), origin, from);
+            self.origins.lock().record_replica(self.clock.now(), origin, from);
         }
         lookup.decision = decide(known, [lookup.view.clone()]);
         lookup
@@ -301,7 +305,7 @@
         streams.known.set(origins.len() as i64);
         drop(origins);
         if !is_single(&self.version_view(&services)) {
-            streams.untold.notify_one();
+            streams.unreplicated.notify_one();
         }
     }
 
@@ -406,7 +410,7 @@
     let mut builder = PeerServerBuilder::new(state.cfg.cluster_key.clone());
     let recording = state.clone();
     builder.answer(move |call: RecordStreams| {
-        let reply = recording.streams.record_told(&call);
+        let reply = recording.streams.record_replica(&call);
         async move { Ok::<_, PeerError>(reply) }
     });
     let finding = state.clone();
@@ -420,8 +424,8 @@
 /// Tells other instances of streams whose services have several versions, or may have.
 pub async fn run(state: Arc<State>) {
     loop {
-        let untold = state.streams.untold.notified();
-        let _ = tokio::time::timeout(CHECK_INTERVAL.into(), untold).await;
+        let unreplicated = state.streams.unreplicated.notified();
+        let _ = tokio::time::timeout(CHECK_INTERVAL.into(), unreplicated).await;
         if state.streams.peers.lock().all.is_empty() {
             continue;
         }
@@ -432,19 +436,19 @@
                 *is_due.or_insert_with(|| !is_single(&state.version_view(services)))
             };
             let now = state.clock.now();
-            let streams = state.streams.origins.lock().take_untold(now, is_due);
+            let streams = state.streams.origins.lock().take_unreplicated(now, is_due);
             if streams.is_empty() {
                 break;
             }
-            state.streams.tell(&streams, HOLDERS, |_| true);
+            state.streams.replicate(&streams, HOLDERS, |_| true);
         }
     }
 }
 
 /// Hands everything that is known of streams on, because this instance stops.
 pub fn hand_over(state: &State) {
-    let streams = state.streams.origins.lock().told(state.clock.now());
-    for part in streams.chunks(MAX_TOLD) {
-        state.streams.tell(part, ASKED, |_| true);
+    let streams = state.streams.origins.lock().replicated(state.clock.now());
+    for part in streams.chunks(MAX_BATCH) {
+        state.streams.replicate(part, ASKED, |_| true);
     }
 }
