Control: send the list of entry instances once a second at most

Each restart of an entry instance changed the list and sent it to all: 94 instances that restart within seconds would have got some 10 kB four times a second from two control instances each (worked out from the messages). A control instance keeps the list for a second now and doesn't build it for each poll.

--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -2,6 +2,8 @@
 //! settings are sent to them, usage and load reports are received from them. Control instances
 //! replicate both among each other.
 
+use std::sync::Arc;
+
 use parking_lot::Mutex;
 use sill_base::{Findings, Millis, Name, event};
 use sill_dispatch::relays::{fingerprint, limit_offers, select_offers};
@@ -28,6 +30,10 @@
 /// asked for until then.
 const ENTRY_TTL: Millis = Millis(5000);
 
+/// Shortest time between two lists of entry instances that are sent. A list names hundreds of
+/// instances, and many restart at once.
+const ENTRY_LIST_INTERVAL: Millis = Millis(1000);
+
 /// The history of a control instance that has seen the beginning of the system.
 const UNLIMITED_HISTORY: Millis = Millis::from_secs(1 << 32);
 
@@ -49,6 +55,8 @@
     relays: Mutex<Vec<RelayOffer>>,
     /// Entry instances that the leader knows of.
     entries: Mutex<Vec<EntryPeer>>,
+    /// The list of entry instances that was sent last.
+    entry_list: Mutex<EntryList>,
     /// The time before the start of this process for which it knows all endpoints.
     history: Mutex<Millis>,
     aggregator: Mutex<TotalsAggregator>,
@@ -77,6 +85,7 @@
             totals: Mutex::default(),
             relays: Mutex::default(),
             entries: Mutex::default(),
+            entry_list: Mutex::default(),
             history: Mutex::default(),
             aggregator: Mutex::default(),
             changes: watch::Sender::new(0),
@@ -319,6 +328,20 @@
         peers
     }
 
+    /// Returns the list of entry instances to send, which is a second old at most.
+    fn entry_list(&self, now: Millis) -> EntryList {
+        let mut list = self.entry_list.lock();
+        if list.fingerprint == 0 || now - list.made_at >= ENTRY_LIST_INTERVAL {
+            let entries = self.entry_peers(now);
+            *list = EntryList {
+                fingerprint: fingerprint(&entries),
+                entries: entries.into(),
+                made_at: now,
+            };
+        }
+        list.clone()
+    }
+
     /// Returns the time for which facts about endpoints have been recorded without a gap.
     fn history(&self, now: Millis) -> Millis {
         now + *self.history.lock()
@@ -355,6 +378,15 @@
     }
 }
 
+/// A list of entry instances.
+#[derive(Debug, Default, Clone)]
+struct EntryList {
+    entries: Arc<[EntryPeer]>,
+    /// Tells lists apart; 0 before the first.
+    fingerprint: u64,
+    made_at: Millis,
+}
+
 /// Endpoint changes that an entry instance has not received yet.
 struct Updates {
     cursor: Cursor,
--- a/daemons/control/src/link/calls.rs
+++ b/daemons/control/src/link/calls.rs
@@ -13,11 +13,10 @@
     RelayOffer, Totals,
 };
 use sill_wire::settings::Manifest;
-use sill_wire::streams::EntryPeer;
 use tokio::task::JoinHandle;
 
 use crate::directory::ControlPeer;
-use crate::link::{Link, ReceivedTotals, Updates};
+use crate::link::{EntryList, Link, ReceivedTotals, Updates};
 use crate::shared::Shared;
 
 /// How often changes are sent to the other control instances.
@@ -79,8 +78,7 @@
     let now = shared.clock.now();
     let (relays_version, relays) = link.relays_for(now, &entry, &domain);
     let has_relays = seen.is_some() && cursor.relays == relays_version;
-    let entries = link.entry_peers(now);
-    let entries_version = fingerprint(&entries);
+    let EntryList { entries, fingerprint: entries_version, .. } = link.entry_list(now);
     let has_entries = seen.is_some() && cursor.entries == entries_version;
     let Updates { cursor, endpoints, loads, crashes } = link.updates_since(now, cursor);
     let cursor = Cursor { relays: relays_version, entries: entries_version, ..cursor };
@@ -92,7 +90,7 @@
         loads,
         crashes,
         relays: (!has_relays).then_some(relays),
-        entries: (!has_entries).then_some(entries),
+        entries: (!has_entries).then(|| entries.to_vec()),
         controls: shared.directory.infos(),
         totals: link.totals(now),
         true_time: link.true_time(now),
@@ -130,7 +128,7 @@
         if let Some(totals) = &totals {
             *link.totals.lock() = Some(ReceivedTotals { totals: totals.clone(), at: now });
         }
-        let lists = is_leader.then(|| EntryLists::of(link, now));
+        let lists = is_leader.then(|| LeaderLists::of(link, now));
         sync_peers(&shared, &mut states, totals, lists, leader.as_ref()).await;
     }
 }
@@ -142,14 +140,14 @@
     shared: &Arc<Shared>,
     states: &mut Map<Name, PeerSyncState>,
     totals: Option<Totals>,
-    lists: Option<EntryLists>,
+    lists: Option<LeaderLists>,
     leader: Option<&Name>,
 ) {
     let (now, link) = (shared.clock.now(), &shared.link);
     let direct = link.registry.lock().take_direct(now);
-    let EntryLists { relays, entries } = lists.unwrap_or_default();
+    let LeaderLists { relays, entries } = lists.unwrap_or_default();
     let relays_version = relays.as_deref().map_or(0, fingerprint);
-    let entries_version = entries.as_deref().map_or(0, fingerprint);
+    let entries_version = entries.as_ref().map_or(0, |list| list.fingerprint);
     let is_urgent = direct.iter().any(|fact| fact.state != EndpointState::Ready);
     for peer in shared.directory.peers() {
         let state = states.entry(peer.info.name.clone()).or_default();
@@ -170,7 +168,7 @@
             if to_leader { link.report_store.lock().take_unforwarded(now) } else { Vec::new() };
         let relays = relays.clone().filter(|_| state.relays_sent != relays_version);
         state.relays_sent = relays_version;
-        let entries = entries.clone().filter(|_| state.entries_sent != entries_version);
+        let entries = entries.as_ref().filter(|_| state.entries_sent != entries_version);
         state.entries_sent = entries_version;
         let is_full = std::mem::take(&mut state.is_full);
         let sync = ControlSync {
@@ -182,7 +180,7 @@
             totals: totals.clone(),
             crashes,
             relays,
-            entries,
+            entries: entries.map(|list| list.entries.to_vec()),
             history: is_full.then(|| link.history(now)),
         };
         state.crash_sent = crash_sent;
@@ -194,16 +192,16 @@
 
 /// Lists of entry instances that the leader sends to the other control instances.
 #[derive(Debug, Default)]
-struct EntryLists {
+struct LeaderLists {
     /// Those that offer tunnels.
     relays: Option<Vec<RelayOffer>>,
     /// All of them.
-    entries: Option<Vec<EntryPeer>>,
+    entries: Option<EntryList>,
 }
 
-impl EntryLists {
+impl LeaderLists {
     fn of(link: &Link, now: Millis) -> Self {
-        Self { relays: Some(link.relay_offers(now)), entries: Some(link.entry_peers(now)) }
+        Self { relays: Some(link.relay_offers(now)), entries: Some(link.entry_list(now)) }
     }
 }
 
