--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -252,7 +252,8 @@
         self.former_versions.retain(|_, ended_at| now - *ended_at < TOMBSTONE_TTL);
     }
 
-    /// Returns the versions of all endpoints that were there within [`TOMBSTONE_TTL`], each once.
+    /// Returns the versions of all endpoints that were there within
+    /// [`STREAM_LIFETIME`](crate::streams::STREAM_LIFETIME), each once.
     pub fn versions(&mut self, now: Millis) -> Vec<Software> {
         self.expire_tombstones(now);
         let present = self.endpoints.values().map(|entry| &entry.fact.software);
