Crashes: an endpoint has ended only if all asked entry instances connect in vain

What callers saw: nothing yet, but an entry instance that had lost its connections counted crashes of endpoints that ran on, and requests that are in three such "crashes" are refused for ten minutes.

Ruled out: that the instance should have known that it is cut off: one endpoint answered after the others had failed.

Now instances ask each other by a call of its own (probe_endpoint) to connect, three of different failure domains, and an endpoint has ended only if each of them is refused. A time-out, no reply, or an instance that is cut off say nothing. The own word is enough only if for three seconds no list has named another instance. Otherwise the crash is counted once the endpoint is heard to be silent or restarted, as before. An answer without a marked end is complete only if its endpoint is shown to run: not knowing was taken for complete.

Old builds don't know the call, which counts as no reply.

--- a/coordination/dispatch/src/crashes.rs
+++ b/coordination/dispatch/src/crashes.rs
@@ -369,7 +369,7 @@
         }
     }
 
-    /// Records that a check has found the endpoint alive.
+    /// Records that a check has not shown that the endpoint has crashed.
     pub fn finish_check(&mut self, endpoint: &Name, incarnation: Incarnation) {
         if let Some(broken) = self.endpoints.get_mut(&(endpoint.clone(), incarnation)) {
             broken.is_checked = false;
--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod attempt;
 pub mod average;
 pub mod budget;
+pub mod check;
 pub mod crashes;
 pub mod events;
 pub mod loads;
@@ -24,6 +25,7 @@
 pub use attempt::{AttemptOutcome, CallProgress, NextStep};
 pub use average::MovingAverage;
 pub use budget::{RetryBounds, RetryBudgets};
+pub use check::EndpointCheck;
 pub use crashes::{BlockChange, BrokenAnswer, BrokenAnswers, CrashLog};
 pub use events::EventTracker;
 pub use loads::EndpointLoads;
--- a/coordination/dispatch/src/relays.rs
+++ b/coordination/dispatch/src/relays.rs
@@ -92,6 +92,11 @@
         self.offers.iter().any(|offer| !self.has_failed(now, offer.address))
     }
 
+    /// Returns the addresses of all relays.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.offers.iter().map(|offer| offer.address).collect()
+    }
+
     /// Returns whether a relay is still offered.
     pub fn is_offered(&self, address: SocketAddr) -> bool {
         self.offers.iter().any(|offer| offer.address == address)
--- a/daemons/gateway/src/crashes.rs
+++ b/daemons/gateway/src/crashes.rs
@@ -6,7 +6,7 @@
 use parking_lot::Mutex;
 use prometheus::{IntCounter, IntGauge};
 use sill_base::{Clock, Millis, Name, event};
-use sill_dispatch::{BlockChange, BrokenAnswer, BrokenAnswers, CrashLog, Placement};
+use sill_dispatch::{BlockChange, BrokenAnswer, BrokenAnswers, CrashLog, EndpointCheck, Placement};
 use sill_wire::{CompletedRequest, CrashUpdate, EndpointCrash, Incarnation, RequestKey};
 
 use crate::egress::Destination;
@@ -183,7 +183,7 @@
 async fn check(state: Arc<State>, to: Destination) {
     for pause in CHECK_PAUSES {
         tokio::time::sleep(pause.into()).await;
-        if state.egress.has_ended(&to, REFUSAL_TIME).await {
+        if state.check_endpoint(&to, REFUSAL_TIME).await == EndpointCheck::Ended {
             state.crashes.confirm(&to.endpoint, to.incarnation);
             return;
         }
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -22,6 +22,7 @@
 };
 use sill_wire::Incarnation;
 use sill_wire::link::RelayOffer;
+use sill_wire::probe::EndpointProbe;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -175,6 +176,11 @@
         }
     }
 
+    /// Returns the addresses of the entry instances that offer tunnels.
+    pub fn relay_addresses(&self) -> Vec<SocketAddr> {
+        self.relays.lock().list.addresses()
+    }
+
     /// Returns whether own connections to an endpoint open and are not reset, as far as known.
     pub fn is_connectable(&self, address: SocketAddr) -> bool {
         self.paths.lock().is_connectable(address)
@@ -535,34 +541,12 @@
         Ok((status, body.to_bytes()))
     }
 
-    /// Returns whether an endpoint has ended: connections to it are refused, or closed within
-    /// `wait`, here and at all other entry instances that are asked.
-    ///
-    /// A lost path looks like the end of an endpoint from here, and calls would be blamed for it.
-    pub async fn has_ended(self: &Arc<Self>, to: &Destination, wait: Millis) -> bool {
-        if matches!(self.probe(to, wait).await, Probe::Open | Probe::Failed) {
-            return false;
-        }
-        let candidates = self.candidates(to);
-        let mut is_confirmed = candidates.is_empty();
-        for offer in candidates {
-            match self.clone().connect_tunnel(to.clone(), offer).await {
-                Ok((connection, _)) => {
-                    tokio::time::sleep(wait.into()).await;
-                    if !connection.is_closed() {
-                        self.pool.keep_unused(connection);
-                        return false;
-                    }
-                    is_confirmed = true;
-                }
-                Err(TunnelFailure::Endpoint) => is_confirmed = true,
-                Err(_) => {}
-            }
+    /// Records what other entry instances saw when they connected to an endpoint.
+    pub fn record_probes(&self, address: SocketAddr, probes: &[EndpointProbe]) {
+        let (now, mut paths) = (self.clock.now(), self.paths.lock());
+        if probes.contains(&EndpointProbe::Open) {
+            paths.record_tunnel(now, address, false);
         }
-        // A partition shows at several endpoints, and others that it separates from them as well may
-        // not have noticed yet.
-        tokio::time::sleep(TICK.into()).await;
-        is_confirmed && !self.is_cut_off()
     }
 
     /// Watches the paths until the task is dropped; calls `on_tick` with the delay of the timer.
@@ -645,7 +629,7 @@
     }
 
     /// Opens a connection to an endpoint and waits whether it is closed within `wait`.
-    async fn probe(&self, to: &Destination, wait: Millis) -> Probe {
+    pub async fn probe(&self, to: &Destination, wait: Millis) -> Probe {
         let probe = self.pool.probe(to.address, wait).await;
         let (now, mut paths) = (self.clock.now(), self.paths.lock());
         match probe {
--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod dialect;
 pub mod dispatch;
 pub mod egress;
+pub mod endpoint_check;
 pub mod failure;
 pub mod link;
 pub mod metrics;
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -39,6 +39,8 @@
     pub idle_connections: IntGauge,
     /// Number of endpoints that crashed while they ran calls of this instance.
     pub endpoint_crashes: IntCounter,
+    /// Checks whether an endpoint has ended, by result.
+    pub endpoint_checks: IntCounterVec,
     /// Number of requests that are blocked because endpoints crashed under them.
     pub blocked_requests: IntGauge,
     /// Calls that take up an earlier stream, by what is known of its version.
@@ -133,6 +135,11 @@
                 "unused connections to endpoints",
             )?,
             endpoint_crashes,
+            endpoint_checks: counters(
+                "sill_gateway_endpoint_checks_total",
+                "checks whether an endpoint has ended, by result",
+                "result",
+            )?,
             take_ups: counters(
                 "sill_gateway_take_ups_total",
                 "calls that take up an earlier stream, by what is known of its version",
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -13,7 +13,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use sill_base::{Millis, Name, event};
-use sill_dispatch::{AttemptOutcome, CallProgress, EventTracker, NextStep};
+use sill_dispatch::{AttemptOutcome, CallProgress, EndpointCheck, EventTracker, NextStep};
 use sill_net::h1::{AnyBody, BodyError, Framing, ReusableConnection};
 use sill_route::Outcome;
 use sill_tree::RouteKind;
@@ -84,7 +84,7 @@
     /// The connection that carries the answer; it is reused after a complete answer.
     pub connection: Option<ReusableConnection>,
     /// Resolves to whether the endpoint has ended, once the body has ended without a mark.
-    end_check: Option<BoxFuture<'static, bool>>,
+    end_check: Option<BoxFuture<'static, EndpointCheck>>,
     /// Resolves once the rest of the body can't be expected to arrive.
     stuck: BoxFuture<'static, ()>,
 }
@@ -107,9 +107,9 @@
         if self.framing != Framing::Close || self.attempt.is_endpoint_leaving() {
             return false;
         }
-        let egress = self.attempt.state().egress.clone();
+        let state = self.attempt.state().clone();
         let endpoint = Destination::from(&self.attempt.placement);
-        let check = async move { egress.has_ended(&endpoint, wait).await };
+        let check = async move { state.check_endpoint(&endpoint, wait).await };
         self.end_check = Some(Box::pin(check));
         true
     }
@@ -355,18 +355,18 @@
         }
     }
 
-    /// Ends an answer whose end has no mark. If its endpoint has ended, it may have crashed before
-    /// the end of the answer.
+    /// Ends an answer whose end has no mark. If its endpoint can't be shown to run, it may have
+    /// crashed before the end of the answer.
     fn end_unmarked(
         &mut self,
         cx: &Context<'_>,
-        has_ended: bool,
+        check: EndpointCheck,
     ) -> Poll<Option<Result<Bytes, BodyError>>> {
-        if !has_ended {
+        if check == EndpointCheck::Running {
             self.finish();
             return Poll::Ready(None);
         }
-        let reason = "the endpoint has ended, and its answer had no marked end";
+        let reason = "the endpoint accepts no connections, and its answer had no marked end";
         self.end_truncated(cx, &reason, reason.into());
         Poll::Pending
     }
@@ -384,8 +384,8 @@
         loop {
             let Source::Endpoint(answer) = &mut self.source else { return Poll::Ready(None) };
             if let Some(check) = &mut answer.end_check {
-                let has_ended = ready!(check.as_mut().poll(cx));
-                return self.end_unmarked(cx, has_ended);
+                let check = ready!(check.as_mut().poll(cx));
+                return self.end_unmarked(cx, check);
             }
             let frame = match Pin::new(&mut answer.body).poll_frame(cx) {
                 Poll::Ready(frame) => frame,
--- a/daemons/gateway/src/streams.rs
+++ b/daemons/gateway/src/streams.rs
@@ -17,7 +17,7 @@
     decide, holders, is_single,
 };
 use sill_dispatch::{AccountEntry, Placement, RouteEntry};
-use sill_net::{PeerClient, PeerError, PeerMethods, PeerServerBuilder};
+use sill_net::{PeerClient, PeerError, PeerServerBuilder};
 use sill_wire::RequestKey;
 use sill_wire::streams::{
     EntryPeer, FindStream, FindStreamReply, RecordStreams, RecordStreamsReply, StreamOrigin,
@@ -53,6 +53,10 @@
 /// call.
 const MIN_REMEMBERED: Millis = Millis(60_000);
 
+/// Time after the first list of entry instances in which others may not be listed yet. Those that
+/// start at the same time are listed one after the other.
+pub const LIST_SETTLE_TIME: Millis = Millis(3000);
+
 /// The streams that an entry instance carries, and replicas of the records of other instances.
 #[derive(Debug)]
 pub struct Streams {
@@ -77,6 +81,8 @@
     by_control: Map<SocketAddr, Vec<EntryPeer>>,
     all: Vec<EntryPeer>,
     clients: Map<SocketAddr, PeerClient>,
+    /// When the first list arrived.
+    listed_at: Option<Millis>,
 }
 
 impl Peers {
@@ -143,6 +149,7 @@
     pub fn set_peers(self: &Arc<Self>, from: SocketAddr, list: Vec<EntryPeer>) {
         let new = {
             let mut peers = self.peers.lock();
+            peers.listed_at.get_or_insert(self.clock.now());
             peers.by_control.insert(from, list);
             peers.rebuild(from)
         };
@@ -190,6 +197,27 @@
         chosen.filter(|peer| peer.entry != self.name).cloned().collect()
     }
 
+    /// Returns clients of other entry instances, which are drawn by a key, and as far as possible of
+    /// different failure domains. If fewer than `count` are known, those at the addresses `more`
+    /// follow.
+    pub fn clients(&self, key: RequestKey, count: usize, more: &[SocketAddr]) -> Vec<PeerClient> {
+        let holders = self.holders(key, count);
+        let mut chosen: Vec<SocketAddr> = holders.iter().map(|peer| peer.address).collect();
+        let unknown = more.iter().filter(|address| !chosen.contains(address));
+        let unknown: Vec<SocketAddr> = unknown.copied().collect();
+        chosen.extend(unknown);
+        chosen.truncate(count);
+        let mut peers = self.peers.lock();
+        chosen.into_iter().map(|address| peers.client(address, &self.key)).collect()
+    }
+
+    /// Returns whether it is known that there is no other entry instance.
+    pub fn is_alone(&self) -> bool {
+        let (now, peers) = (self.clock.now(), self.peers.lock());
+        let is_settled = peers.listed_at.is_some_and(|at| now - at >= LIST_SETTLE_TIME);
+        is_settled && peers.all.iter().all(|peer| peer.entry == self.name)
+    }
+
     /// Sends records of streams to the first `count` instances that keep each of them, as far as
     /// `is_target` selects these.
     fn replicate<F>(self: &Arc<Self>, streams: &[StreamOrigin], count: usize, is_target: F)
@@ -405,9 +433,8 @@
     RequestKey::of(&[account, host, path, attempt.as_str()].map(str::as_bytes))
 }
 
-/// Returns the methods that other entry instances call.
-pub fn methods(state: &Arc<State>) -> PeerMethods {
-    let mut builder = PeerServerBuilder::new(state.cfg.cluster_key.clone());
+/// Adds the methods that other entry instances call.
+pub fn add_methods(builder: &mut PeerServerBuilder, state: &Arc<State>) {
     let recording = state.clone();
     builder.answer(move |call: RecordStreams| {
         let reply = recording.streams.record_replica(&call);
@@ -418,7 +445,6 @@
         let reply = finding.find_stream(&call);
         async move { Ok::<_, PeerError>(reply) }
     });
-    builder.into_methods()
 }
 
 /// Tells other instances of streams whose services have several versions, or may have.
--- a/daemons/gateway/src/tunnels.rs
+++ b/daemons/gateway/src/tunnels.rs
@@ -9,10 +9,11 @@
 use sill_base::Millis;
 use sill_dispatch::RelayLoad;
 use sill_net::h1::{TunnelDenial, TunnelRequest, TunnelServer, serve_tunnels};
+use sill_net::{PeerMethods, PeerServerBuilder};
 use tokio::net::TcpListener;
 
 use crate::state::State;
-use crate::streams;
+use crate::{endpoint_check, streams};
 
 /// Time-out for connecting to an endpoint on behalf of another entry instance, which tries others
 /// meanwhile.
@@ -101,6 +102,13 @@
     }
 }
 
+fn methods(state: &Arc<State>) -> PeerMethods {
+    let mut builder = PeerServerBuilder::new(state.cfg.cluster_key.clone());
+    streams::add_methods(&mut builder, state);
+    endpoint_check::add_method(&mut builder, state);
+    builder.into_methods()
+}
+
 /// Serves tunnels to other entry instances, and answers their calls.
 pub async fn serve(state: Arc<State>, listener: TcpListener) {
     // Without an address of its own, other instances could not be told where to ask.
@@ -113,7 +121,7 @@
         connect_timeout: CONNECT_TIMEOUT,
         unacknowledged_timeout: UNACKNOWLEDGED_TIMEOUT,
         open: state.tunnels.open.clone(),
-        methods: streams::methods(&state),
+        methods: methods(&state),
     };
     serve_tunnels(listener, cfg, move |req| state.tunnels.grant(&state, req)).await;
 }
--- /dev/null
+++ b/daemons/gateway/tests/endpoint_checks.rs
@@ -0,0 +1,158 @@
+//! Endpoints that this entry instance does not reach after an answer of them has ended.
+
+#[allow(dead_code)] // The tests of endpoint checks use a part of it.
+mod support;
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use sill_gateway::streams::LIST_SETTLE_TIME;
+use sill_wire::Incarnation;
+use sill_wire::link::{EndpointFact, RelayOffer};
+use sill_wire::streams::EntryPeer;
+use support::{Action, CallerResponse, ConnectFailure, DeadAddress, Harness, fact, head};
+
+/// Number of checks after a broken answer, unless one shows a crash.
+const CHECKS: u64 = 3;
+
+/// What another entry instance sees of the endpoint.
+#[derive(Debug, Clone, Copy)]
+enum Other {
+    /// It connects.
+    Reaches,
+    /// Its connections are refused.
+    Refused,
+    /// Its connections are not accepted in time.
+    Hanging,
+    /// It does not reply.
+    Down,
+    /// It connects, and is known only as an offer of tunnels.
+    Offers,
+}
+
+/// An entry instance that doesn't reach its endpoint any more, and others that it can ask.
+struct System {
+    harness: Harness,
+    _others: Vec<Harness>,
+    _dead: Vec<DeadAddress>,
+}
+
+impl System {
+    fn start(answer: String, others: &[Other]) -> Self {
+        let mut system = Self {
+            harness: Harness::start(vec![vec![Action::AnswerAndEnd(answer)]]),
+            _others: Vec::new(),
+            _dead: Vec::new(),
+        };
+        for (i, other) in others.iter().enumerate() {
+            let peer = system.start_other(i, *other);
+            match other {
+                Other::Offers => system.harness.relays.lock().push(offer_of(peer)),
+                _ => system.harness.entries.lock().push(peer),
+            }
+        }
+        system.harness.wait_until_facts_applied();
+        system
+    }
+
+    fn start_other(&mut self, i: usize, other: Other) -> EntryPeer {
+        let failure = match other {
+            Other::Hanging => ConnectFailure::Hanging,
+            _ => ConnectFailure::Refused,
+        };
+        let dead = DeadAddress::new(failure);
+        let at = |address: SocketAddr| EntryPeer {
+            entry: format!("other-{i}").into(),
+            domain: format!("d{i}").into(),
+            address,
+            incarnation: Incarnation(1),
+        };
+        if matches!(other, Other::Down) {
+            return at(dead.address);
+        }
+        let instance = Harness::start(vec![Vec::new()]);
+        if matches!(other, Other::Refused | Other::Hanging) {
+            // The endpoint has this name at another address.
+            *instance.facts.lock() = vec![EndpointFact { sequence: 2, ..fact(0, dead.address) }];
+            instance.wait_until_facts_applied();
+        }
+        let peer = at(instance.peer_address);
+        self._others.push(instance);
+        self._dead.push(dead);
+        peer
+    }
+
+    /// Waits until all checks after a broken answer have ended, and returns the number of crashes.
+    fn crashes(&self) -> u64 {
+        loop {
+            let crashes = self.harness.metric("sill_gateway_endpoint_crashes_total");
+            let results = ["running", "unclear"];
+            let name =
+                |result| format!("sill_gateway_endpoint_checks_total{{result=\"{result}\"}}");
+            let checks: u64 = results.iter().map(|result| self.harness.metric(&name(result))).sum();
+            if crashes > 0 || checks >= CHECKS {
+                return crashes;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+fn offer_of(peer: EntryPeer) -> RelayOffer {
+    RelayOffer { entry: peer.entry, domain: peer.domain, address: peer.address }
+}
+
+/// A lost path looks like a crash of the endpoint, and the requests that ran there are blocked. The
+/// same if another entry instance is too busy to connect in time.
+#[test]
+fn an_endpoint_has_crashed_only_if_all_other_entry_instances_confirm_it() {
+    struct Case {
+        others: &'static [Other],
+        crashes: u64,
+    }
+    let cases = [
+        Case { others: &[], crashes: 1 },
+        Case { others: &[Other::Refused], crashes: 1 },
+        Case { others: &[Other::Refused, Other::Refused], crashes: 1 },
+        Case { others: &[Other::Reaches], crashes: 0 },
+        Case { others: &[Other::Refused, Other::Reaches], crashes: 0 },
+        Case { others: &[Other::Hanging], crashes: 0 },
+        Case { others: &[Other::Refused, Other::Hanging], crashes: 0 },
+        Case { others: &[Other::Down], crashes: 0 },
+        Case { others: &[Other::Refused, Other::Down], crashes: 0 },
+        Case { others: &[Other::Offers], crashes: 0 },
+    ];
+    for Case { others, crashes } in cases {
+        let broken = format!("{}part", head("content-length: 100\r\n"));
+        let system = System::start(broken, others);
+        if others.is_empty() {
+            thread::sleep(LIST_SETTLE_TIME.into());
+        }
+        let _ = system.harness.call("/non_idempotent/x");
+        assert_eq!(system.crashes(), crashes, "{others:?}");
+    }
+}
+
+/// An answer without a marked end whose endpoint crashed is taken for complete while no other entry
+/// instance can tell whether the endpoint runs.
+#[test]
+fn an_unmarked_end_is_complete_only_if_the_endpoint_is_shown_to_run() {
+    struct Case {
+        others: &'static [Other],
+        is_complete: bool,
+    }
+    let cases = [
+        Case { others: &[Other::Reaches], is_complete: true },
+        Case { others: &[Other::Hanging, Other::Reaches], is_complete: true },
+        Case { others: &[Other::Refused], is_complete: false },
+        Case { others: &[Other::Hanging], is_complete: false },
+        Case { others: &[Other::Down], is_complete: false },
+    ];
+    for Case { others, is_complete } in cases {
+        let stream = format!("{}id: 1\ndata: a\n\n", head("content-type: text/event-stream\r\n"));
+        let system = System::start(stream, others);
+        let got: CallerResponse = system.harness.call("/stream/x");
+        assert_eq!(got.is_complete, is_complete, "{others:?}: {}", got.head);
+    }
+}
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -28,6 +28,7 @@
 use sill_wire::control::Revision;
 use sill_wire::link::{Cursor, EndpointFact, EndpointState, LinkPoll, LinkReply, RelayOffer};
 use sill_wire::settings::PiecesRequest;
+use sill_wire::streams::EntryPeer;
 use sill_wire::{CrashUpdate, Incarnation};
 use tokio::runtime::Runtime;
 
@@ -115,6 +116,10 @@
     pub facts: Arc<Mutex<Vec<EndpointFact>>>,
     /// The offers of tunnels that the control instance sends.
     pub relays: Arc<Mutex<Vec<RelayOffer>>>,
+    /// The other entry instances that the control instance names.
+    pub entries: Arc<Mutex<Vec<EntryPeer>>>,
+    /// The address of the metrics.
+    pub metrics_address: SocketAddr,
     /// Number of polls of the entry instance.
     polls: Arc<AtomicUsize>,
     runtime: Runtime,
@@ -122,6 +127,41 @@
     _control: PeerServer,
 }
 
+/// How connections to the endpoints fail.
+#[derive(Debug, Clone, Copy)]
+pub enum ConnectFailure {
+    /// They are refused.
+    Refused,
+    /// They are not accepted.
+    Hanging,
+}
+
+/// An address at which connections fail in one of these ways while it exists.
+pub struct DeadAddress {
+    pub address: SocketAddr,
+    _listener: Option<TcpListener>,
+    _queued: Vec<TcpStream>,
+}
+
+impl DeadAddress {
+    pub fn new(failure: ConnectFailure) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port can be bound");
+        let address = listener.local_addr().expect("a bound listener has an address");
+        match failure {
+            ConnectFailure::Refused => Self { address, _listener: None, _queued: Vec::new() },
+            ConnectFailure::Hanging => {
+                // A full queue of connections that nobody accepts.
+                let socket = socket2::SockRef::from(&listener);
+                socket.listen(0).expect("the queue can be shortened");
+                let connect =
+                    || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
+                let queued = std::iter::from_fn(connect).take(16).collect();
+                Self { address, _listener: Some(listener), _queued: queued }
+            }
+        }
+    }
+}
+
 /// An answer as received by a caller.
 #[derive(Debug)]
 pub struct CallerResponse {
@@ -341,6 +381,8 @@
         let facts_sent = facts.clone();
         let relays = Arc::<Mutex<Vec<RelayOffer>>>::default();
         let relays_sent = relays.clone();
+        let entries = Arc::<Mutex<Vec<EntryPeer>>>::default();
+        let entries_sent = entries.clone();
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port can be bound");
         let mut peers = PeerServerBuilder::new(Secret::new(CLUSTER_KEY));
         let polls = Arc::<AtomicUsize>::default();
@@ -348,7 +390,8 @@
         peers.answer(move |poll: LinkPoll| {
             poll_counter.fetch_add(1, Ordering::Relaxed);
             let relays = relays_sent.lock().clone();
-            answer(poll, facts_sent.lock().clone(), relays, has_settings)
+            let entries = entries_sent.lock().clone();
+            answer(poll, facts_sent.lock().clone(), relays, entries, has_settings)
         });
         let pieces = SettingsPieces::of(1, &document());
         peers.answer(move |req: PiecesRequest| {
@@ -371,6 +414,8 @@
             peer_address,
             facts,
             relays,
+            entries,
+            metrics_address: addresses[2],
             polls,
             gateway,
             _control,
@@ -382,6 +427,14 @@
         harness
     }
 
+    /// Returns the value of a metric; 0 if it has none yet.
+    pub fn metric(&self, name: &str) -> u64 {
+        let text = exchange(self.metrics_address, "GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n").body;
+        let text = String::from_utf8_lossy(&text).into_owned();
+        let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        value.map_or(0, |value| value.parse().expect("the metric is a whole number"))
+    }
+
     /// Sends a call on a new connection, and reads the answer.
     pub fn call(&self, path: &str) -> CallerResponse {
         exchange(self.address, &request(path, ""))
@@ -616,6 +669,7 @@
     poll: LinkPoll,
     facts: Vec<EndpointFact>,
     relays: Vec<RelayOffer>,
+    entries: Vec<EntryPeer>,
     has_settings: bool,
 ) -> Result<LinkReply, sill_net::PeerError> {
     let is_known = poll.have >= Revision(1);
@@ -633,7 +687,7 @@
         totals: None,
         true_time: Millis::wall(),
         has_leader: true,
-        entries: None,
+        entries: Some(entries),
         history: Millis::from_secs(3600),
     })
 }
--- a/daemons/gateway/tests/tunnels.rs
+++ b/daemons/gateway/tests/tunnels.rs
@@ -3,51 +3,17 @@
 #[allow(dead_code)] // The tests of tunnels use a part of it.
 mod support;
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::Duration;
 
 use sill_base::Millis;
 use sill_wire::link::{EndpointFact, RelayOffer};
-use support::{Action, Harness, answer_of, exchange, fact, head, request};
+use support::{
+    Action, ConnectFailure, DeadAddress, Harness, answer_of, exchange, fact, head, request,
+};
 
 const EVENT_STREAM: &str = "content-type: text/event-stream\r\n";
 
-/// How connections to the endpoints fail at one of the entry instances.
-#[derive(Debug, Clone, Copy)]
-enum Failure {
-    /// They are refused.
-    Refused,
-    /// They are not accepted.
-    Hanging,
-}
-
-/// An address at which connections fail in one of these ways while it exists.
-struct DeadAddress {
-    address: SocketAddr,
-    _listener: Option<TcpListener>,
-    _queued: Vec<TcpStream>,
-}
-
-impl DeadAddress {
-    fn new(failure: Failure) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port can be bound");
-        let address = listener.local_addr().expect("a bound listener has an address");
-        match failure {
-            Failure::Refused => Self { address, _listener: None, _queued: Vec::new() },
-            Failure::Hanging => {
-                // A full queue of connections that nobody accepts.
-                let socket = socket2::SockRef::from(&listener);
-                socket.listen(0).expect("the queue can be shortened");
-                let connect =
-                    || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
-                let queued = std::iter::from_fn(connect).take(16).collect();
-                Self { address, _listener: Some(listener), _queued: queued }
-            }
-        }
-    }
-}
-
 /// An entry instance without connections to endpoints, and one that reaches them.
 struct Pair {
     cut_off: Harness,
@@ -56,7 +22,7 @@
 }
 
 impl Pair {
-    fn start(failure: Failure, actions: Vec<Action>) -> Self {
+    fn start(failure: ConnectFailure, actions: Vec<Action>) -> Self {
         let helper = Harness::start(vec![actions]);
         let cut_off = Harness::start(vec![Vec::new()]);
         let dead = DeadAddress::new(failure);
@@ -79,13 +45,13 @@
 fn calls_are_served_through_another_entry_instance() {
     struct Case {
         path: &'static str,
-        failure: Failure,
+        failure: ConnectFailure,
     }
     let cases = [
-        Case { path: "/idempotent/x", failure: Failure::Refused },
-        Case { path: "/idempotent/x", failure: Failure::Hanging },
-        Case { path: "/non_idempotent/x", failure: Failure::Refused },
-        Case { path: "/non_idempotent/x", failure: Failure::Hanging },
+        Case { path: "/idempotent/x", failure: ConnectFailure::Refused },
+        Case { path: "/idempotent/x", failure: ConnectFailure::Hanging },
+        Case { path: "/non_idempotent/x", failure: ConnectFailure::Refused },
+        Case { path: "/non_idempotent/x", failure: ConnectFailure::Hanging },
     ];
     for Case { path, failure } in cases {
         let pair = Pair::start(failure, vec![Action::Answer(answer_of("hello")); 3]);
@@ -104,7 +70,7 @@
 /// A call whose tunnel breaks may have run. Sent again, it would run twice.
 #[test]
 fn a_call_whose_tunnel_breaks_is_not_repeated_if_it_must_not_run_twice() {
-    let pair = Pair::start(Failure::Refused, vec![Action::AnswerAndClose(String::new()); 3]);
+    let pair = Pair::start(ConnectFailure::Refused, vec![Action::AnswerAndClose(String::new()); 3]);
     let got = pair.cut_off.call("/non_idempotent/x");
     assert_eq!(got.status, 502);
     assert!(!got.head.contains("sill-not-run"), "{}", got.head);
@@ -138,7 +104,7 @@
         },
     ];
     for Case { name, action, is_complete } in cases {
-        let pair = Pair::start(Failure::Refused, vec![action]);
+        let pair = Pair::start(ConnectFailure::Refused, vec![action]);
         let got = pair.cut_off.call("/stream/x");
         assert_eq!((got.status, got.is_complete), (200, is_complete), "{name}");
         assert!(got.body.starts_with(b"id: 1\ndata: a\n\n"), "{name}");
@@ -177,7 +143,7 @@
 #[test]
 fn a_stopping_entry_instance_finishes_the_calls_that_it_carries() {
     let later = Action::AnswerLater(answer_of("hello"), Duration::from_millis(1500));
-    let mut pair = Pair::start(Failure::Refused, vec![later]);
+    let mut pair = Pair::start(ConnectFailure::Refused, vec![later]);
     let address = pair.cut_off.address;
     let caller = thread::spawn(move || exchange(address, &request("/idempotent/x", "")));
     while pair.helper.endpoints[0].requests() == 0 {
@@ -192,7 +158,7 @@
 /// caller waits for nothing.
 #[test]
 fn a_call_that_nobody_can_serve_is_refused_as_not_run() {
-    let mut pair = Pair::start(Failure::Refused, Vec::new());
+    let mut pair = Pair::start(ConnectFailure::Refused, Vec::new());
     pair.helper.stop_late(Millis::ZERO);
     let got = pair.cut_off.call("/non_idempotent/x");
     assert_eq!(got.status, 503);
--- a/daemons/sill/tests/system/cut_off.rs
+++ b/daemons/sill/tests/system/cut_off.rs
@@ -203,9 +203,19 @@
         for i in 0..GATEWAYS {
             let metrics = http(self.serving.metrics(i), "GET", "/metrics", &[], "");
             let metrics = metrics.expect("an entry instance serves its metrics").body;
-            assert!(metrics.contains("sill_gateway_endpoint_crashes_total 0\n"), "g{i}: {metrics}");
+            let has_none = metrics.contains("sill_gateway_endpoint_crashes_total 0\n");
+            assert!(has_none, "g{i}: {}", self.log_of_paths(i));
         }
     }
+
+    /// Returns what an entry instance has logged of endpoints and the paths to them.
+    fn log_of_paths(&self, gateway: usize) -> String {
+        let path = self.serving.folder.file(&format!("g{gateway}.log"));
+        let log = std::fs::read_to_string(path).unwrap_or_default();
+        let events = ["event=endpoint_", "event=path_", "event=cut_off", "event=reconnected"];
+        let is_told = |line: &&str| events.iter().any(|event| line.contains(event));
+        log.lines().filter(is_told).collect::<Vec<_>>().join("\n")
+    }
 }
 
 impl Drop for System {
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod member;
 pub mod prefix;
 pub mod priority;
+pub mod probe;
 pub mod request_key;
 pub mod settings;
 pub mod software;
--- /dev/null
+++ b/protocol/wire/src/probe.rs
@@ -0,0 +1,43 @@
+//! How entry instances ask each other whether an endpoint has ended.
+
+use serde::{Deserialize, Serialize};
+use sill_base::{Millis, Name};
+
+use crate::announce::Incarnation;
+use crate::call::Call;
+
+/// Asks an entry instance to connect to an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbeEndpoint {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Time for which the connection has to stay open.
+    pub wait: Millis,
+}
+
+/// What connecting to an endpoint has shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EndpointProbe {
+    /// The connection stays open.
+    Open,
+    /// The connection was refused, or accepted and closed.
+    Closed,
+    /// Neither: the endpoint is unknown, the connection was not accepted in time, or the instance
+    /// reaches no endpoint at all.
+    Unclear,
+}
+
+/// The reply to [`ProbeEndpoint`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbeEndpointReply {
+    /// What connecting has shown.
+    pub probe: EndpointProbe,
+}
+
+impl Call for ProbeEndpoint {
+    type Reply = ProbeEndpointReply;
+
+    const METHOD: &'static str = "probe_endpoint";
+}
