Paths: a request that tries a path out counts as an attempt of its call

Cause: Egress::send sent a trial, waited 300 ms, and sent a copy in a tunnel within the same attempt. Where only the way back is cut both run. The retry budget paid for it; CallProgress and the line's sends counted one.

Now a trial that is not answered ends its attempt with unknown outcome: the next attempt is placed anew, may go to the same endpoint in a tunnel, takes no second retry from the budget, and is made only if max_attempts leaves one. A resumption tries no path out: with its last attempt it waited for an answer that couldn't come. A failed resumption counts in sends. max_attempts bounds how often a call is sent so that it may run (docs/operators/routes.md); the users' pages bound servers, which is weaker. With max_attempts 1 a call was sent once before as well.

--- a/coordination/dispatch/src/attempt.rs
+++ b/coordination/dispatch/src/attempt.rs
@@ -30,9 +30,9 @@
 pub struct CallProgress {
     /// Kind of the route, which decides whether a call that may have run may be repeated.
     pub kind: RouteKind,
-    /// Upper bound on the endpoints that may run the call.
+    /// Maximum number of times that the call may be sent so that it may run.
     pub max_attempts: u32,
-    /// Endpoints that may have run the call.
+    /// Number of times that it was sent and may have run.
     pub possible_runs: u32,
     /// Endpoints that refused the call.
     pub rejected: u32,
--- a/coordination/dispatch/src/paths.rs
+++ b/coordination/dispatch/src/paths.rs
@@ -84,6 +84,8 @@
     pub address: SocketAddr,
     /// Whether the request may be sent again if it gets no answer.
     pub may_repeat: bool,
+    /// Whether the request may find out whether a path works again.
+    pub may_try: bool,
     /// Whether another entry instance offers tunnels.
     pub has_relay: bool,
 }
@@ -183,13 +185,13 @@
         }
         // Without a fault of its own, a path is only presumed to be broken like the others.
         let may_try = fault.is_none_or(|fault| fault.may_try && fault.is_lost);
-        if may_try && self.take_trial(now, req.may_repeat) {
+        if may_try && self.take_trial(now, req) {
             self.record_trial(req.address);
             return Path::Trial;
         }
         let has_tunnel = req.has_relay && may_tunnel;
         if self.is_unreachable(now, has_tunnel) {
-            return if self.take_trial(now, req.may_repeat) { Path::Trial } else { Path::None };
+            return if self.take_trial(now, req) { Path::Trial } else { Path::None };
         }
         if has_tunnel { Path::Tunnel } else { Path::Direct }
     }
@@ -212,8 +214,11 @@
     }
 
     /// Returns whether a request is to try its own connection although that failed before.
-    fn take_trial(&mut self, now: Millis, may_repeat: bool) -> bool {
-        if may_repeat {
+    fn take_trial(&mut self, now: Millis, req: PathRequest) -> bool {
+        if !req.may_try {
+            return false;
+        }
+        if req.may_repeat {
             let is_due = self.next_trial <= now;
             if is_due {
                 self.next_trial = now + TRIAL_INTERVAL;
--- a/coordination/dispatch/tests/paths.rs
+++ b/coordination/dispatch/tests/paths.rs
@@ -80,7 +80,7 @@
     /// Sends one request; kept connections are used if the path is direct.
     fn send(&mut self, endpoint: usize, may_repeat: bool) -> Sent {
         let (address, cut) = (address(endpoint), self.cut_of(endpoint));
-        let req = PathRequest { address, may_repeat, has_relay: self.has_relay };
+        let req = PathRequest { address, may_repeat, may_try: true, has_relay: self.has_relay };
         match self.paths.choose(self.now, req) {
             Path::None => Sent::Refused,
             Path::Tunnel => self.send_in_tunnel(endpoint),
@@ -328,7 +328,7 @@
     let (now, address) = (Millis(5000), address(0));
     paths.record_connect_failed(now, address, true);
     paths.record_no_tunnel(now, address);
-    let req = PathRequest { address, may_repeat: true, has_relay: true };
+    let req = PathRequest { address, may_repeat: true, may_try: true, has_relay: true };
     assert_eq!(paths.choose(now + TICK, req), Path::Direct);
     assert_eq!(paths.lost_count(), 0);
     assert_eq!(paths.take_changes(), [PathChange::Doubted(address, Doubt::Connect)]);
@@ -336,6 +336,22 @@
     assert_eq!(paths.choose(now + TICK, req), Path::Direct);
 }
 
+/// The resumption of a stream tries out a path that is at fault, fails, and the stream is cut.
+#[test]
+fn a_resumption_does_not_try_out_paths() {
+    for may_repeat in [true, false] {
+        let (mut paths, address) = (Paths::default(), address(0));
+        paths.record_unanswered(Millis(5000), address);
+        paths.record_tunnel(Millis(5000), address, true);
+        let choose = |paths: &mut Paths, may_try| {
+            let req = PathRequest { address, may_repeat, may_try, has_relay: true };
+            paths.choose(Millis(60_000), req)
+        };
+        assert_eq!(choose(&mut paths, false), Path::Tunnel);
+        assert_eq!(choose(&mut paths, true), Path::Trial);
+    }
+}
+
 /// A model engine that computes long prompts is silent; its requests must not be broken off, nor new
 /// ones take tunnels, while other endpoints are heard.
 #[test]
@@ -344,7 +360,7 @@
     let (engine, plain, other) = (address(0), address(1), address(2));
     paths.record_sent(engine, true);
     paths.record_sent(plain, false);
-    let req = |address| PathRequest { address, may_repeat: true, has_relay: true };
+    let req = |address| PathRequest { address, may_repeat: true, may_try: true, has_relay: true };
     for number in 1..30 {
         let now = Millis(number * TICK.0);
         paths.record_heard(now, other, now);
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -11,14 +11,14 @@
     AnswerMode, AttemptOutcome, CallProgress, NextStep, Placement, PlacementDecision,
     PlacementRequest,
 };
-use sill_net::h1::{Answer, AnyBody, SendFailure, strip_hop_by_hop};
+use sill_net::h1::{Answer, AnyBody, strip_hop_by_hop};
 use sill_route::{Outcome, RefusalReason};
 use sill_wire::Software;
 
 use crate::answer;
 use crate::crashes;
 use crate::dialect::{AnswerClass, Forward, MigratedMemory};
-use crate::egress::{Destination, Exchange, SendOptions, Via};
+use crate::egress::{Destination, Exchange, SendError, SendOptions, Via};
 use crate::serve::Call;
 use crate::state::State;
 use crate::summary::CallSummary;
@@ -59,6 +59,9 @@
     Answer(Attempt, Answer),
     /// No answer to relay; the attempt is finished.
     Failed(AttemptOutcome),
+    /// The same, with unknown outcome, on a path that failed before. The endpoint itself may not be
+    /// at fault, and a retry is taken from the budget already.
+    TrialFailed,
 }
 
 /// Sends attempts until one is answered, no further attempt is possible or the process ends.
@@ -102,12 +105,16 @@
         };
         summary.record_send(&attempt.placement, now);
         exclude.push(attempt.placement.endpoint.clone());
-        let outcome = match send_attempt(attempt, &progress, None).await {
+        let (outcome, is_trial) = match send_attempt(attempt, &progress, None).await {
             AttemptResult::Answer(attempt, answer) => {
                 return Ok((attempt, answer, progress));
             }
-            AttemptResult::Failed(outcome) => outcome,
+            AttemptResult::Failed(outcome) => (outcome, false),
+            AttemptResult::TrialFailed => (AttemptOutcome::Unknown, true),
         };
+        if is_trial {
+            exclude.pop();
+        }
         let mut next = progress.next_step(outcome);
         if next == NextStep::Retry && is_blocked(state, call) {
             next = progress.next_step_without_retry(outcome);
@@ -116,7 +123,8 @@
             progress.record(outcome);
             return Err(summary.end_without_retry(&progress));
         }
-        let takes_budget = next == NextStep::Retry && outcome != AttemptOutcome::NotSent;
+        let is_free = is_trial || outcome == AttemptOutcome::NotSent;
+        let takes_budget = next == NextStep::Retry && !is_free;
         if takes_budget && !state.may_retry(&call.pool.service) {
             next = progress.next_step_without_retry(outcome);
         }
@@ -192,6 +200,8 @@
         max_idle,
         take_retry: &take_retry,
         may_repeat: progress.next_step(AttemptOutcome::Unknown) == NextStep::Retry,
+        // A stream that can't be resumed at once is cut.
+        may_try: resumption.is_none(),
         is_engine: call.pool.is_engine,
     };
     let destination = Destination::from(&attempt.placement);
@@ -204,8 +214,13 @@
                 Some(outcome) => outcome,
             }
         }
-        Ok(Err(SendFailure::NotSent(err))) => attempt.failed(AttemptOutcome::NotSent, &err),
-        Ok(Err(SendFailure::Unknown(err))) => {
+        Ok(Err(SendError::TrialFailed(err))) => {
+            attempt.failed(AttemptOutcome::Unknown, &err);
+            attempt.finish(Outcome::Cancelled);
+            return AttemptResult::TrialFailed;
+        }
+        Ok(Err(SendError::NotSent(err))) => attempt.failed(AttemptOutcome::NotSent, &err),
+        Ok(Err(SendError::Unknown(err))) => {
             attempt.record_broken_answer();
             attempt.failed(AttemptOutcome::Unknown, &err)
         }
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -70,12 +70,35 @@
     pub max_idle: Millis,
     /// Whether the request can be sent again if it gets no answer.
     pub may_repeat: bool,
+    /// Whether the request may find out whether a path works again.
+    pub may_try: bool,
     /// Whether the endpoint is a model engine, which may be silent for long.
     pub is_engine: bool,
     /// Takes a retry from the budget of the service; returns false if it is used up.
     pub take_retry: &'a (dyn Fn() -> bool + Sync),
 }
 
+/// Why a request has no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SendError {
+    /// No byte of the request was sent.
+    NotSent(String),
+    /// The request may have been run.
+    Unknown(String),
+    /// The request may have been run. It was sent to find out whether a path works again, and the
+    /// retry is taken from the budget already; the endpoint may be reached in a tunnel.
+    TrialFailed(String),
+}
+
+impl From<SendFailure> for SendError {
+    fn from(failure: SendFailure) -> Self {
+        match failure {
+            SendFailure::NotSent(reason) => Self::NotSent(reason),
+            SendFailure::Unknown(reason) => Self::Unknown(reason),
+        }
+    }
+}
+
 /// The tunnel that carries a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Via {
@@ -214,7 +237,7 @@
         self.paths.lock().forget(address);
     }
 
-    /// Sends a request and returns once the head of the answer has arrived.
+    /// Sends a request, at most once, and returns once the head of the answer has arrived.
     ///
     /// # Errors
     ///
@@ -224,23 +247,22 @@
         to: &Destination,
         req: Request<Full<Bytes>>,
         options: SendOptions<'_>,
-    ) -> Result<(Answer, Exchange), SendFailure> {
+    ) -> Result<(Answer, Exchange), SendError> {
         let now = self.clock.now();
         let has_relay = self.relays.lock().list.has_usable(now);
-        let path_req =
-            PathRequest { address: to.address, may_repeat: options.may_repeat, has_relay };
+        let SendOptions { may_repeat, may_try, .. } = options;
+        let path_req = PathRequest { address: to.address, may_repeat, may_try, has_relay };
         let path = self.paths.lock().choose(now, path_req);
-        match path {
+        let sent = match path {
             Path::Direct => self.send_direct(to, req, options).await,
-            Path::Trial if !options.may_repeat => self.send_trial(to, req, options).await,
-            Path::Trial if !(options.take_retry)() => self.send_in_tunnel(to, req, options).await,
-            Path::Trial => match self.send_trial(to, copy_of(&req), options).await {
-                Err(_) if has_relay => self.send_in_tunnel(to, req, options).await,
-                sent => sent,
-            },
+            Path::Trial if may_repeat && !(options.take_retry)() => {
+                self.send_in_tunnel(to, req, options).await
+            }
+            Path::Trial => return self.send_trial(to, req, options, has_relay).await,
             Path::Tunnel => self.send_in_tunnel(to, req, options).await,
             Path::None => Err(SendFailure::NotSent("no path to the endpoint works".to_owned())),
-        }
+        };
+        sent.map_err(SendError::from)
     }
 
     async fn send_direct(
@@ -268,9 +290,15 @@
         to: &Destination,
         req: Request<Full<Bytes>>,
         options: SendOptions<'_>,
-    ) -> Result<(Answer, Exchange), SendFailure> {
-        let connection =
-            self.clone().connect_direct(to.clone()).await.map_err(SendFailure::NotSent)?;
+        has_relay: bool,
+    ) -> Result<(Answer, Exchange), SendError> {
+        let connection = match self.clone().connect_direct(to.clone()).await {
+            Ok(connection) => connection,
+            Err(_) if options.may_repeat && has_relay => {
+                return Ok(self.send_in_tunnel(to, req, options).await?);
+            }
+            Err(reason) => return Err(SendError::NotSent(reason)),
+        };
         let exchange = self.begin(to, options.is_engine, None);
         let sending = self.pool.send_on(connection, req);
         let sent = match options.may_repeat {
@@ -278,18 +306,21 @@
             false => Ok(sending.await),
         };
         let now = self.clock.now();
-        let sent = match sent {
+        match sent {
+            Ok(Ok(answer)) => Ok(exchange.answered(answer)),
+            Ok(Err(SendFailure::NotSent(reason))) => Err(SendError::NotSent(reason)),
             Ok(Err(SendFailure::Unknown(reason))) => {
                 self.paths.lock().record_reset(now, to.address);
-                Err(SendFailure::Unknown(reason))
+                Err(match options.may_repeat {
+                    true => SendError::TrialFailed(reason),
+                    false => SendError::Unknown(reason),
+                })
             }
-            Ok(sent) => sent,
             Err(_) => {
                 self.paths.lock().record_unanswered(now, to.address);
-                Err(SendFailure::Unknown(format!("no answer within {TRIAL_TIMEOUT} ms")))
+                Err(SendError::TrialFailed(format!("no answer within {TRIAL_TIMEOUT} ms")))
             }
-        };
-        sent.map(|answer| exchange.answered(answer))
+        }
     }
 
     async fn send_in_tunnel(
@@ -527,8 +558,13 @@
         req: Request<Full<Bytes>>,
         max_idle: Millis,
     ) -> Result<(StatusCode, Bytes), String> {
-        let options =
-            SendOptions { max_idle, may_repeat: false, is_engine: true, take_retry: &|| false };
+        let options = SendOptions {
+            max_idle,
+            may_repeat: false,
+            may_try: true,
+            is_engine: true,
+            take_retry: &|| false,
+        };
         let sent = self.send(to, req, options).await;
         let (answer, exchange) = sent.map_err(|err| format!("{err:?}"))?;
         let (response, connection) = answer.into_parts();
@@ -664,14 +700,6 @@
     }
 }
 
-fn copy_of(req: &Request<Full<Bytes>>) -> Request<Full<Bytes>> {
-    let mut copy = Request::new(req.body().clone());
-    *copy.method_mut() = req.method().clone();
-    *copy.uri_mut() = req.uri().clone();
-    *copy.headers_mut() = req.headers().clone();
-    copy
-}
-
 impl Exchange {
     /// Records the head of the answer.
     fn answered(mut self, answer: Answer) -> (Answer, Self) {
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -68,11 +68,20 @@
     /// The answer of an endpoint.
     Endpoint(EndpointAnswer),
     /// A resumed stream, whose endpoint has not answered yet.
-    Resuming(BoxFuture<'static, Option<EndpointAnswer>>),
+    Resuming(BoxFuture<'static, Result<EndpointAnswer, NotResumed>>),
     /// No more parts follow.
     Ended,
 }
 
+/// Why a stream was not resumed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NotResumed {
+    /// The call was sent to no endpoint.
+    NotSent,
+    /// An endpoint that the call was sent to did not continue the stream.
+    Sent,
+}
+
 /// An answer that arrives from an endpoint.
 pub struct EndpointAnswer {
     /// The parts that have not been read yet.
@@ -222,7 +231,7 @@
         let last_event = events.last_id().map(str::to_owned);
         let progress = self.progress;
         self.source = Source::Resuming(Box::pin(async move {
-            let run = transfer.finish().await?;
+            let run = transfer.finish().await.ok_or(NotResumed::NotSent)?;
             let resumption = Resumption { last_event, memory: Some(run.memory) };
             resume_at(run.attempt, progress, resumption).await
         }));
@@ -450,7 +459,7 @@
     fn poll_resuming(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), BodyError>> {
         let Source::Resuming(resuming) = &mut self.source else { return Poll::Ready(Ok(())) };
         match ready!(resuming.as_mut().poll(cx)) {
-            Some(answer) => {
+            Ok(answer) => {
                 self.summary.record_resume(&answer.attempt.placement);
                 self.summary.set_framing(answer.framing);
                 self.summary.set_via(answer.attempt.via());
@@ -460,7 +469,10 @@
                 self.source = Source::Endpoint(answer);
                 Poll::Ready(Ok(()))
             }
-            None => {
+            Err(failure) => {
+                if failure == NotResumed::Sent {
+                    self.summary.record_failed_resume();
+                }
                 self.source = Source::Ended;
                 Poll::Ready(Err("no other endpoint resumed the stream".into()))
             }
@@ -477,7 +489,7 @@
     failed_endpoint: Name,
     software: Option<Software>,
     resumption: Resumption,
-) -> Option<EndpointAnswer> {
+) -> Result<EndpointAnswer, NotResumed> {
     let now = state.clock.now();
     let exclude = [failed_endpoint];
     let needed = software.as_ref().map(ToString::to_string).unwrap_or_default();
@@ -488,7 +500,7 @@
         Err((reason, _)) => {
             let (id, why) = (&call.head.attempt, format!("{reason:?}"));
             event!(Warn, "stream_not_resumed", id = id, software = needed, why = why);
-            return None;
+            return Err(NotResumed::NotSent);
         }
     };
     resume_at(attempt, progress, resumption).await
@@ -498,14 +510,15 @@
     attempt: Attempt,
     progress: CallProgress,
     resumption: Resumption,
-) -> Option<EndpointAnswer> {
+) -> Result<EndpointAnswer, NotResumed> {
     match dispatch::send_attempt(attempt, &progress, Some(&resumption)).await {
         AttemptResult::Answer(attempt, answer) if answer.response.status().is_success() => {
             let framing = answer.framing();
             let (response, connection) = answer.into_parts();
-            Some(EndpointAnswer::new(attempt, framing, response.into_body(), connection))
+            Ok(EndpointAnswer::new(attempt, framing, response.into_body(), connection))
         }
-        _ => None,
+        AttemptResult::Failed(AttemptOutcome::NotSent) => Err(NotResumed::NotSent),
+        _ => Err(NotResumed::Sent),
     }
 }
 
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -109,6 +109,11 @@
         self.software = placement.software.clone();
     }
 
+    /// Records that the call was sent to an endpoint that did not continue the answer.
+    pub fn record_failed_resume(&mut self) {
+        self.send_count += 1;
+    }
+
     /// Records the tunnel in which the answer arrives.
     pub fn set_via(&mut self, via: Option<&Via>) {
         self.via = via.map(|via| via.entry.clone()).unwrap_or_default();
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -662,6 +662,9 @@
         };
         document.routes.insert(Name::from(name), route);
     }
+    let idempotent = document.routes["idempotent"].clone();
+    let once = Route { path: "/once/".into(), max_attempts: 1, ..idempotent };
+    document.routes.insert("once".into(), once);
     document
 }
 
--- a/state/tree/src/route.rs
+++ b/state/tree/src/route.rs
@@ -43,7 +43,7 @@
     pub urgency: u8,
     /// Services that its calls are split among by weight.
     pub split: Vec<Share>,
-    /// Maximum number of endpoints that one call may be sent to.
+    /// Maximum number of times that one call may be sent so that it may run.
     pub max_attempts: u32,
     /// Whether calls without a key are accepted.
     pub anonymous: bool,
