Soak: a run ends all processes that it has started

What was seen: sill-soak ends with status 0 and leaves two sill control and three sill gateway behind; after some 25 plays 106 were left.

Cause: run_once shut its runtime down in the background, so the process exited while tasks still held the cluster, whose drop kills the processes. Errors and panics dropped the runtime in order and left none; SIGINT and SIGTERM ended the soak at once.

Now the runtime is dropped, which ends all tasks, and a run ends on SIGINT and SIGTERM with an error. Not tested: a time-out, which is an error like that of a signal.

--- a/bench/soak/src/run.rs
+++ b/bench/soak/src/run.rs
@@ -12,6 +12,7 @@
 use sill_base::Millis;
 use sill_base::random::seeded;
 use tokio::runtime;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -105,7 +106,8 @@
     findings: Arc<Mutex<Vec<String>>>,
 }
 
-/// Runs the soak test once with the given seed.
+/// Runs the soak test once with the given seed. All processes that it has started have ended when it
+/// returns or panics.
 ///
 /// # Errors
 ///
@@ -119,8 +121,18 @@
     fs::create_dir_all(&folder)?;
     let folder = folder.canonicalize()?;
     let runtime = runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
-    let verdict = runtime.block_on(soak(cfg, &folder))?;
-    runtime.shutdown_background();
+    let verdict = runtime.block_on(async {
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut terminate = signal(SignalKind::terminate())?;
+        tokio::select! {
+            verdict = soak(cfg, &folder) => verdict,
+            _ = interrupt.recv() => bail!("interrupted by SIGINT"),
+            _ = terminate.recv() => bail!("interrupted by SIGTERM"),
+        }
+    });
+    // All tasks share the cluster, and its processes end with the last of them.
+    drop(runtime);
+    let verdict = verdict?;
     if verdict.findings.is_empty() {
         fs::remove_dir_all(&folder)?;
     }
