Streams: the end of a tunnel is the end of an answer only if its entry instance says so

Cause: both came through a tunnel of g2 (via=g2), both ended in the millisecond in which g2 was killed. The kernel closes a killed process's connections in order if nothing is unread, and the tunnel's user took that for the endpoint's end. It then asked only whether it reaches the endpoint itself: endpoint_checked own=Open, by a proxy that accepts and is silent. Own time-outs led to the same. Ruled out: a crash of the endpoint (e0.3 ran on until 13 s later).

Now the instance that carried the tunnel is asked to connect to the endpoint (probe_endpoint); only if it does is the answer complete. One that was killed doesn't reply, and one that has just started again knows no endpoint yet. It is asked twice, since its end of an idle connection may just have closed. An instance of an older build knows no such call: during a rollout unmarked answers in its tunnels count as incomplete.

Test: tunnels.rs, a_stream_whose_tunnel_ends_with_its_entry_instance_is_incomplete: before (200, complete), now incomplete.

--- a/daemons/gateway/src/endpoint_check.rs
+++ b/daemons/gateway/src/endpoint_check.rs
@@ -11,7 +11,7 @@
 use sill_wire::RequestKey;
 use sill_wire::probe::{EndpointProbe, ProbeEndpoint, ProbeEndpointReply};
 
-use crate::egress::Destination;
+use crate::egress::{Destination, Via};
 use crate::state::State;
 
 /// Number of other entry instances that are asked.
@@ -45,6 +45,7 @@
             endpoint = to.endpoint,
             address = to.address,
             born = to.incarnation.0,
+            via = "",
             own = format!("{own:?}"),
             asked = asked,
             replies = format!("{replies:?}"),
@@ -53,6 +54,44 @@
         check
     }
 
+    /// Finds out whether an endpoint runs at which an answer in a tunnel has ended. If the instance
+    /// that carried the tunnel has ended, so has the answer.
+    pub async fn check_endpoint_via(
+        &self,
+        via: &Via,
+        to: &Destination,
+        wait: Millis,
+    ) -> EndpointCheck {
+        let call =
+            ProbeEndpoint { endpoint: to.endpoint.clone(), incarnation: to.incarnation, wait };
+        let client = self.streams.client(via.address);
+        let mut reply = client.call(&call).await;
+        if reply.is_err() {
+            // The other instance may just have closed a connection that was idle.
+            reply = client.call(&call).await;
+        }
+        let (check, label) = match &reply {
+            Ok(ProbeEndpointReply { probe: EndpointProbe::Open }) => {
+                (EndpointCheck::Running, "running")
+            }
+            Ok(_) | Err(_) => (EndpointCheck::Unclear, "unclear"),
+        };
+        self.metrics.endpoint_checks.with_label_values(&[label]).inc();
+        event!(
+            Info,
+            "endpoint_checked",
+            endpoint = to.endpoint,
+            address = to.address,
+            born = to.incarnation.0,
+            via = via.entry,
+            own = "",
+            asked = 1,
+            replies = format!("{reply:?}"),
+            result = label
+        );
+        check
+    }
+
     /// Returns the number of instances that were asked or are not known yet, and the replies of those
     /// that answered.
     async fn ask_others(&self, to: &Destination, wait: Millis) -> (usize, Vec<EndpointProbe>) {
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -118,8 +118,13 @@
         }
         let state = self.attempt.state().clone();
         let endpoint = Destination::from(&self.attempt.placement);
-        let check = async move { state.check_endpoint(&endpoint, wait).await };
-        self.end_check = Some(Box::pin(check));
+        let via = self.attempt.via().cloned();
+        self.end_check = Some(Box::pin(async move {
+            match via {
+                Some(via) => state.check_endpoint_via(&via, &endpoint, wait).await,
+                None => state.check_endpoint(&endpoint, wait).await,
+            }
+        }));
         true
     }
 }
--- a/daemons/gateway/src/streams.rs
+++ b/daemons/gateway/src/streams.rs
@@ -211,6 +211,11 @@
         chosen.into_iter().map(|address| peers.client(address, &self.key)).collect()
     }
 
+    /// Returns a client of the entry instance at an address.
+    pub fn client(&self, address: SocketAddr) -> PeerClient {
+        self.peers.lock().client(address, &self.key)
+    }
+
     /// Returns whether it is known that there is no other entry instance.
     pub fn is_alone(&self) -> bool {
         let (now, peers) = (self.clock.now(), self.peers.lock());
--- a/daemons/gateway/tests/tunnels.rs
+++ b/daemons/gateway/tests/tunnels.rs
@@ -3,6 +3,8 @@
 #[allow(dead_code)] // The tests of tunnels use a part of it.
 mod support;
 
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::Duration;
 
@@ -111,6 +113,52 @@
     }
 }
 
+/// Carries one tunnel in which it sends an answer, and is killed: its connection is closed in order,
+/// and new ones are refused.
+fn run_killed_relay(listener: TcpListener, answer: &str) {
+    let (mut stream, _) = listener.accept().expect("a tunnel is asked for");
+    let _ = read_head(&mut stream);
+    stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").expect("the peer reads the bytes");
+    let head = read_head(&mut stream);
+    let id = head.lines().find_map(|line| line.strip_prefix("sill-request-id: "));
+    let answer = answer.replace("{id}", id.expect("the request has an id"));
+    // Unread bytes would reset the connection.
+    stream.read_exact(&mut [0; "body".len()]).expect("the request is complete");
+    drop(listener);
+    stream.write_all(answer.as_bytes()).expect("the peer reads the bytes");
+}
+
+fn read_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("the head is complete");
+        head.push(byte[0]);
+    }
+    String::from_utf8_lossy(&head).into_owned()
+}
+
+/// An entry instance that carries a stream is killed between two events. Its connection is closed
+/// like that of an endpoint that has sent the whole stream.
+#[test]
+fn a_stream_whose_tunnel_ends_with_its_entry_instance_is_incomplete() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port can be bound");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    let event = "id: 1\ndata: a\n\n";
+    let answer = format!("{}{event}", head(EVENT_STREAM));
+    let relay = thread::spawn(move || run_killed_relay(listener, &answer));
+    let cut_off = Harness::start(vec![Vec::new()]);
+    let dead = DeadAddress::new(ConnectFailure::Hanging);
+    let offer = RelayOffer { entry: "killed".into(), domain: "a".into(), address };
+    *cut_off.relays.lock() = vec![offer];
+    *cut_off.facts.lock() = vec![EndpointFact { sequence: 2, ..fact(0, dead.address) }];
+    cut_off.wait_until_facts_applied();
+    let got = cut_off.call("/stream/x");
+    relay.join().expect("the tunnel is used");
+    assert_eq!((got.status, got.is_complete), (200, false), "{}", got.head);
+    assert_eq!(String::from_utf8_lossy(&got.body), event);
+}
+
 /// A stream that hangs in the middle because the path to its endpoint is lost waits for its deadline
 /// although another endpoint could resume it.
 #[test]
