Paths: a stream that pauses is not taken for a silent endpoint

Cause: silence counted whatever was in flight. An instance with few calls left has streams that pause for longer than 800 ms; two endpoints whose streams pause at the same time made two doubts, two doubts made the instance cut off (path_doubted Silence e2.1 and e0.2, then cut_off_from_endpoints, all in one millisecond), and what is in flight when cut off is given up.

Now only a request whose answer has not begun makes silence doubtful. Streams are still checked by connecting, and once the instance is cut off their silence counts as before, so that they are given up.

Test: paths.rs, pauses_of_streams_are_not_taken_for_silence; before: cut off with nothing but pausing streams. A stream on a path that hangs while connections open, with no other request in flight at two endpoints, is now found out only with those.

--- a/coordination/dispatch/src/paths.rs
+++ b/coordination/dispatch/src/paths.rs
@@ -110,6 +110,10 @@
 struct EndpointPath {
     /// Requests in flight on own connections.
     waiting: u32,
+    /// Those of them whose answers have not begun. A stream may pause for long.
+    unanswered: u32,
+    /// Ticks without a byte while there were any of these.
+    unanswered_ticks: u32,
     is_engine: bool,
     /// Ticks without a byte while requests were in flight.
     quiet: u32,
@@ -135,6 +139,15 @@
     may_try: bool,
 }
 
+impl EndpointPath {
+    fn end_unanswered(&mut self) {
+        self.unanswered = self.unanswered.saturating_sub(1);
+        if self.unanswered == 0 {
+            self.unanswered_ticks = 0;
+        }
+    }
+}
+
 /// What an entry instance believes of its paths to endpoints.
 #[derive(Debug)]
 pub struct Paths {
@@ -290,13 +303,27 @@
     pub fn record_sent(&mut self, address: SocketAddr, is_engine: bool) {
         let path = self.endpoints.entry(address).or_default();
         path.waiting += 1;
+        path.unanswered += 1;
         path.is_engine = is_engine;
     }
 
-    /// Records that a request on an own connection has ended in any way.
-    pub fn record_end(&mut self, address: SocketAddr) {
+    /// Records that the answer to a request has begun on an own connection, which was opened at
+    /// `opened_at`.
+    pub fn record_answered(&mut self, now: Millis, address: SocketAddr, opened_at: Millis) {
+        self.record_heard(now, address, opened_at);
+        if let Some(path) = self.endpoints.get_mut(&address) {
+            path.end_unanswered();
+        }
+    }
+
+    /// Records that a request on an own connection has ended in any way; `is_answered` is whether
+    /// its answer had begun.
+    pub fn record_end(&mut self, address: SocketAddr, is_answered: bool) {
         let Some(path) = self.endpoints.get_mut(&address) else { return };
         path.waiting = path.waiting.saturating_sub(1);
+        if !is_answered {
+            path.end_unanswered();
+        }
         if path.waiting == 0 {
             path.quiet = 0;
             path.check_at_quiet = QUIET_TICKS;
@@ -308,7 +335,7 @@
         (self.heard_at, self.answered_at) = (now, now);
         self.quiet = 0;
         let Some(path) = self.endpoints.get_mut(&address) else { return };
-        path.quiet = 0;
+        (path.quiet, path.unanswered_ticks) = (0, 0);
         path.check_at_quiet = QUIET_TICKS;
         // A connection that lives on says nothing about new ones.
         let is_over = |fault: Fault| fault.doubt == Doubt::Silence || opened_at >= fault.since;
@@ -406,13 +433,16 @@
                 continue;
             }
             path.quiet += 1;
+            path.unanswered_ticks += u32::from(path.unanswered > 0);
             if path.quiet >= path.check_at_quiet.max(QUIET_TICKS) {
                 path.check_at_quiet = path.quiet + path.quiet.min(MAX_CHECK_TICKS);
                 checks.push(*address);
             }
             // An engine may be silent for long, but not all endpoints at once.
             let is_silent = !path.is_engine || self.quiet >= LONG_QUIET_TICKS;
-            if path.quiet >= LONG_QUIET_TICKS && is_silent && path.fault.is_none() {
+            let ticks = if self.is_cut_off { path.quiet } else { path.unanswered_ticks };
+            let is_long = ticks >= LONG_QUIET_TICKS;
+            if is_long && is_silent && path.fault.is_none() {
                 silent.push(*address);
             }
         }
@@ -499,7 +529,7 @@
     fn restore(&mut self, now: Millis, address: SocketAddr) {
         let Some(path) = self.endpoints.get_mut(&address) else { return };
         path.fault = None;
-        path.quiet = 0;
+        (path.quiet, path.unanswered_ticks) = (0, 0);
         self.fault_count -= 1;
         self.changes.push(PathChange::Restored(address));
         let faults = self.endpoints.values_mut().filter_map(|path| path.fault.as_mut());
--- a/coordination/dispatch/tests/paths.rs
+++ b/coordination/dispatch/tests/paths.rs
@@ -113,8 +113,8 @@
         match self.cut_of(endpoint) {
             Cut::None => {
                 self.paths.record_sent(address, false);
-                self.paths.record_heard(now, address, now);
-                self.paths.record_end(address);
+                self.paths.record_answered(now, address, now);
+                self.paths.record_end(address, true);
                 Sent::Answered
             }
             Cut::Hang | Cut::AcceptAndHang => {
@@ -139,10 +139,10 @@
         for (endpoint, until) in std::mem::take(&mut self.waiting) {
             let address = address(endpoint);
             if !matches!(self.cut_of(endpoint), Cut::Hang | Cut::AcceptAndHang) {
-                self.paths.record_heard(self.now, address, self.now);
-                self.paths.record_end(address);
+                self.paths.record_answered(self.now, address, self.now);
+                self.paths.record_end(address, true);
             } else if self.now >= until || self.paths.is_stuck(address) {
-                self.paths.record_end(address);
+                self.paths.record_end(address, false);
             } else {
                 self.waiting.push((endpoint, until));
             }
@@ -352,6 +352,33 @@
     }
 }
 
+/// Streams that pause at several endpoints are broken off as if the entry instance were cut off.
+#[test]
+fn pauses_of_streams_are_not_taken_for_silence() {
+    struct Case {
+        /// Endpoints with a request whose answer has not begun.
+        unanswered: &'static [usize],
+        is_cut_off: bool,
+    }
+    let cases = [
+        Case { unanswered: &[], is_cut_off: false },
+        Case { unanswered: &[1], is_cut_off: false },
+        Case { unanswered: &[0, 1], is_cut_off: true },
+    ];
+    for Case { unanswered, is_cut_off } in cases {
+        let mut paths = Paths::default();
+        for endpoint in 0..3 {
+            paths.record_sent(address(endpoint), false);
+            paths.record_answered(Millis(1000), address(endpoint), Millis(1000));
+        }
+        (1..20).for_each(|number| _ = paths.tick(Millis(1000 + number * TICK.0)));
+        unanswered.iter().for_each(|endpoint| paths.record_sent(address(*endpoint), false));
+        (20..40).for_each(|number| _ = paths.tick(Millis(1000 + number * TICK.0)));
+        assert_eq!(paths.is_cut_off(), is_cut_off, "{unanswered:?}");
+        assert_eq!(paths.is_stuck(address(2)), is_cut_off, "{unanswered:?}");
+    }
+}
+
 /// A model engine that computes long prompts is silent; its requests must not be broken off, nor new
 /// ones take tunnels, while other endpoints are heard.
 #[test]
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -116,6 +116,7 @@
     via: Option<Via>,
     /// When the connection was opened, in milliseconds.
     opened_at: u64,
+    is_answered: bool,
     heard: Arc<AtomicU64>,
 }
 
@@ -412,7 +413,14 @@
         if via.is_none() {
             self.paths.lock().record_sent(to.address, is_engine);
         }
-        Exchange { egress: self.clone(), address: to.address, via, opened_at: 0, heard }
+        Exchange {
+            egress: self.clone(),
+            address: to.address,
+            via,
+            opened_at: 0,
+            is_answered: false,
+            heard,
+        }
     }
 
     fn candidates(&self, to: &Destination) -> Vec<RelayOffer> {
@@ -703,11 +711,11 @@
 impl Exchange {
     /// Records the head of the answer.
     fn answered(mut self, answer: Answer) -> (Answer, Self) {
-        self.opened_at = answer.opened_at.0;
+        (self.opened_at, self.is_answered) = (answer.opened_at.0, true);
         let (now, mut paths) = (self.egress.clock.now(), self.egress.paths.lock());
         match &self.via {
             Some(_) => paths.record_tunnel(now, self.address, true),
-            None => paths.record_heard(now, self.address, answer.opened_at),
+            None => paths.record_answered(now, self.address, answer.opened_at),
         }
         drop(paths);
         (answer, self)
@@ -739,7 +747,7 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         if self.via.is_none() {
-            self.egress.paths.lock().record_end(self.address);
+            self.egress.paths.lock().record_end(self.address, self.is_answered);
         }
     }
 }
