Streams: an unmarked end is incomplete if the endpoint is known to have crashed

Cause: the endpoint had crashed 1.5 s before (endpoint_crashed e2.3 born=3 at three instances; control found it silent 380 ms later). Its bytes and the end of its connection were held by a proxy whose way back was silent and arrived late; the check then connected to the same proxy, which accepts connections (endpoint_checked own=Open). What this instance knew of the crash was not asked.

Now an answer without a marked end is complete only if no crash of the endpoint's incarnation is known. Test: endpoint_checks.rs, an_unmarked_end_is_incomplete_if_the_endpoint_is_known_to_have_crashed; failed before. What stays: the same with a crash that nobody has noticed yet.

--- a/coordination/dispatch/src/crashes.rs
+++ b/coordination/dispatch/src/crashes.rs
@@ -79,6 +79,11 @@
         self.crashes.is_empty()
     }
 
+    /// Returns whether an incarnation of an endpoint is known to have crashed.
+    pub fn has_crashed(&self, endpoint: &Name, incarnation: Incarnation) -> bool {
+        self.crashes.contains_key(&(endpoint.clone(), incarnation))
+    }
+
     /// Records a crash, and returns whether anything in it is new.
     pub fn record(&mut self, now: Millis, crash: &EndpointCrash) -> bool {
         if crash.age >= CRASH_TTL {
--- a/daemons/gateway/src/crashes.rs
+++ b/daemons/gateway/src/crashes.rs
@@ -119,6 +119,11 @@
         }
     }
 
+    /// Returns whether an incarnation of an endpoint is known to have crashed.
+    pub fn has_crashed(&self, endpoint: &Name, incarnation: Incarnation) -> bool {
+        self.log.lock().has_crashed(endpoint, incarnation)
+    }
+
     /// Records that an endpoint has ended without notice; answers that broke off before then count
     /// as broken off by the crash.
     pub fn confirm(&self, endpoint: &Name, incarnation: Incarnation) {
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -120,9 +120,14 @@
         let endpoint = Destination::from(&self.attempt.placement);
         let via = self.attempt.via().cloned();
         self.end_check = Some(Box::pin(async move {
-            match via {
+            let check = match via {
                 Some(via) => state.check_endpoint_via(&via, &endpoint, wait).await,
                 None => state.check_endpoint(&endpoint, wait).await,
+            };
+            // Its answer may arrive late, when a proxy accepts connections again.
+            match state.crashes.has_crashed(&endpoint.endpoint, endpoint.incarnation) {
+                true => EndpointCheck::Ended,
+                false => check,
             }
         }));
         true
--- a/daemons/gateway/tests/endpoint_checks.rs
+++ b/daemons/gateway/tests/endpoint_checks.rs
@@ -4,14 +4,19 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
+use sill_base::Millis;
 use sill_gateway::streams::LIST_SETTLE_TIME;
-use sill_wire::Incarnation;
 use sill_wire::link::{EndpointFact, RelayOffer};
 use sill_wire::streams::EntryPeer;
-use support::{Action, CallerResponse, ConnectFailure, DeadAddress, Harness, fact, head};
+use sill_wire::{EndpointCrash, Incarnation};
+use support::{
+    Action, CallerResponse, ConnectFailure, DeadAddress, Harness, exchange, fact, head, request,
+};
 
 /// Number of checks after a broken answer, unless one shows a crash.
 const CHECKS: u64 = 3;
@@ -156,3 +161,30 @@
         assert_eq!(got.is_complete, is_complete, "{others:?}: {}", got.head);
     }
 }
+
+/// An endpoint crashed behind a proxy that accepts connections and is silent; what it had sent, and
+/// the end of its connection, arrive when the proxy passes bytes on again.
+#[test]
+fn an_unmarked_end_is_incomplete_if_the_endpoint_is_known_to_have_crashed() {
+    for has_crashed in [false, true] {
+        let may_close = Arc::<AtomicBool>::default();
+        let stream = format!("{}id: 1\ndata: a\n\n", head("content-type: text/event-stream\r\n"));
+        let action = Action::AnswerAndCloseWhen(stream, may_close.clone());
+        let harness = Harness::start(vec![vec![action]]);
+        let address = harness.address;
+        let caller = thread::spawn(move || exchange(address, &request("/stream/x", "")));
+        while harness.endpoints[0].requests() == 0 {
+            thread::sleep(Duration::from_millis(10));
+        }
+        if has_crashed {
+            let EndpointFact { endpoint, incarnation, .. } = fact(0, harness.endpoints[0].address);
+            let (requests, age) = (Vec::new(), Millis::ZERO);
+            let crash = EndpointCrash { endpoint, incarnation, requests, age };
+            harness.crashes.lock().crashes.push(crash);
+            harness.wait_until_facts_applied();
+        }
+        may_close.store(true, Ordering::Relaxed);
+        let got = caller.join().expect("the caller gets an answer");
+        assert_eq!(got.is_complete, !has_crashed, "{}", got.head);
+    }
+}
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -118,6 +118,8 @@
     pub relays: Arc<Mutex<Vec<RelayOffer>>>,
     /// The other entry instances that the control instance names.
     pub entries: Arc<Mutex<Vec<EntryPeer>>>,
+    /// The crashes of endpoints that the control instance sends.
+    pub crashes: Arc<Mutex<CrashUpdate>>,
     /// The address of the metrics.
     pub metrics_address: SocketAddr,
     /// Number of polls of the entry instance.
@@ -383,15 +385,22 @@
         let relays_sent = relays.clone();
         let entries = Arc::<Mutex<Vec<EntryPeer>>>::default();
         let entries_sent = entries.clone();
+        let crashes = Arc::<Mutex<CrashUpdate>>::default();
+        let crashes_sent = crashes.clone();
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port can be bound");
         let mut peers = PeerServerBuilder::new(Secret::new(CLUSTER_KEY));
         let polls = Arc::<AtomicUsize>::default();
         let poll_counter = polls.clone();
         peers.answer(move |poll: LinkPoll| {
             poll_counter.fetch_add(1, Ordering::Relaxed);
-            let relays = relays_sent.lock().clone();
-            let entries = entries_sent.lock().clone();
-            answer(poll, facts_sent.lock().clone(), relays, entries, has_settings)
+            let reply = LinkReply {
+                endpoints: facts_sent.lock().clone(),
+                relays: Some(relays_sent.lock().clone()),
+                entries: Some(entries_sent.lock().clone()),
+                crashes: crashes_sent.lock().clone(),
+                ..empty_reply()
+            };
+            answer(poll, reply, has_settings)
         });
         let pieces = SettingsPieces::of(1, &document());
         peers.answer(move |req: PiecesRequest| {
@@ -415,6 +424,7 @@
             facts,
             relays,
             entries,
+            crashes,
             metrics_address: addresses[2],
             polls,
             gateway,
@@ -670,29 +680,32 @@
 
 async fn answer(
     poll: LinkPoll,
-    facts: Vec<EndpointFact>,
-    relays: Vec<RelayOffer>,
-    entries: Vec<EntryPeer>,
+    reply: LinkReply,
     has_settings: bool,
 ) -> Result<LinkReply, sill_net::PeerError> {
     let is_known = poll.have >= Revision(1);
     if is_known {
         tokio::time::sleep(poll.wait.into()).await;
     }
-    Ok(LinkReply {
-        settings: (has_settings && !is_known).then(|| SettingsPieces::of(1, &document()).manifest),
+    let settings = (has_settings && !is_known).then(|| SettingsPieces::of(1, &document()).manifest);
+    Ok(LinkReply { settings, true_time: Millis::wall(), ..reply })
+}
+
+fn empty_reply() -> LinkReply {
+    LinkReply {
+        settings: None,
         cursor: Cursor::default(),
-        endpoints: facts,
+        endpoints: Vec::new(),
         loads: Vec::new(),
         crashes: CrashUpdate::default(),
-        relays: Some(relays),
+        relays: None,
         controls: Vec::new(),
         totals: None,
         true_time: Millis::wall(),
         has_leader: true,
-        entries: Some(entries),
+        entries: None,
         history: Millis::from_secs(3600),
-    })
+    }
 }
 
 /// The product's own headers, with engines whose runs can be migrated.
