--- a/coordination/dispatch/src/crashes.rs
+++ b/coordination/dispatch/src/crashes.rs
@@ -79,9 +79,16 @@
         self.crashes.is_empty()
     }
 
-    /// Returns whether an incarnation of an endpoint is known to have crashed.
-    pub fn has_crashed(&self, endpoint: &Name, incarnation: Incarnation) -> bool {
-        self.crashes.contains_key(&(endpoint.clone(), incarnation))
+    /// Returns whether an incarnation of an endpoint is known to have crashed after `since`. One that
+    /// has restarted may keep its incarnation.
+    pub fn has_crashed_since(
+        &self,
+        since: Millis,
+        endpoint: &Name,
+        incarnation: Incarnation,
+    ) -> bool {
+        let crash = self.crashes.get(&(endpoint.clone(), incarnation));
+        crash.is_some_and(|crash| crash.at > since)
     }
 
     /// Records a crash, and returns whether anything in it is new.
--- a/daemons/gateway/src/crashes.rs
+++ b/daemons/gateway/src/crashes.rs
@@ -119,9 +119,14 @@
         }
     }
 
-    /// Returns whether an incarnation of an endpoint is known to have crashed.
-    pub fn has_crashed(&self, endpoint: &Name, incarnation: Incarnation) -> bool {
-        self.log.lock().has_crashed(endpoint, incarnation)
+    /// Returns whether an incarnation of an endpoint is known to have crashed after `since`.
+    pub fn has_crashed_since(
+        &self,
+        since: Millis,
+        endpoint: &Name,
+        incarnation: Incarnation,
+    ) -> bool {
+        self.log.lock().has_crashed_since(since, endpoint, incarnation)
     }
 
     /// Records that an endpoint has ended without notice; answers that broke off before then count
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -34,6 +34,8 @@
 pub struct Attempt {
     /// The endpoint chosen for the attempt, and why.
     pub placement: Placement,
+    /// When it was chosen.
+    pub placed_at: Millis,
     state: Arc<State>,
     call: Arc<Call>,
     name: Name,
@@ -175,7 +177,8 @@
         PlacementDecision::Endpoint(placement) => {
             call.pool.count_fresh_tokens(now, placement.fresh_tokens);
             let (state, call) = (state.clone(), call.clone());
-            Ok(Attempt { placement, state, call, name, exchange: None, is_over: false })
+            let (placed_at, exchange) = (now, None);
+            Ok(Attempt { placement, placed_at, state, call, name, exchange, is_over: false })
         }
         PlacementDecision::Refused { reason, retry_after } => {
             call.pool.count_refusal(now);
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -118,14 +118,16 @@
         }
         let state = self.attempt.state().clone();
         let endpoint = Destination::from(&self.attempt.placement);
-        let via = self.attempt.via().cloned();
+        let (via, placed_at) = (self.attempt.via().cloned(), self.attempt.placed_at);
         self.end_check = Some(Box::pin(async move {
             let check = match via {
                 Some(via) => state.check_endpoint_via(&via, &endpoint, wait).await,
                 None => state.check_endpoint(&endpoint, wait).await,
             };
-            // Its answer may arrive late, when a proxy accepts connections again.
-            match state.crashes.has_crashed(&endpoint.endpoint, endpoint.incarnation) {
+            // The answer may arrive late, when the endpoint has restarted or a proxy accepts
+            // connections again.
+            let Destination { endpoint, incarnation, .. } = &endpoint;
+            match state.crashes.has_crashed_since(placed_at, endpoint, *incarnation) {
                 true => EndpointCheck::Ended,
                 false => check,
             }
