Crashes: a connection that is reset while it opens shows that its endpoint has ended

Cause: the proxy in front of an ended endpoint accepts and resets at once, and connecting itself fails (NotSent "Connection reset by peer (os error 104)"). A probe took that for a connection that was not accepted in time, which shows nothing: endpoint_checked own=Unclear result=running. For the same reason the crash was not confirmed: replies="[Closed, Unclear]" result=unclear, three times at three instances; before such a connection didn't count at other instances either.

Now it counts as closed. If the own connection shows nothing, others are asked too, and their word counts: none reaches it and one is refused, then an unmarked end is incomplete; all are refused, then the endpoint has ended.

--- a/coordination/dispatch/src/check.rs
+++ b/coordination/dispatch/src/check.rs
@@ -23,10 +23,14 @@
     replies: &[EndpointProbe],
 ) -> EndpointCheck {
     let closed = replies.iter().filter(|reply| **reply == EndpointProbe::Closed).count();
-    match own {
-        EndpointProbe::Closed if replies.contains(&EndpointProbe::Open) => EndpointCheck::Running,
-        EndpointProbe::Closed if closed == asked => EndpointCheck::Ended,
-        EndpointProbe::Closed => EndpointCheck::Unclear,
-        EndpointProbe::Open | EndpointProbe::Unclear => EndpointCheck::Running,
+    if own == EndpointProbe::Open || replies.contains(&EndpointProbe::Open) {
+        return EndpointCheck::Running;
+    }
+    // One connection that is not accepted in time shows nothing.
+    let is_shown = own == EndpointProbe::Closed || closed > 0;
+    match closed == asked {
+        _ if !is_shown => EndpointCheck::Running,
+        true => EndpointCheck::Ended,
+        false => EndpointCheck::Unclear,
     }
 }
--- a/daemons/gateway/src/endpoint_check.rs
+++ b/daemons/gateway/src/endpoint_check.rs
@@ -26,7 +26,7 @@
     pub async fn check_endpoint(&self, to: &Destination, wait: Millis) -> EndpointCheck {
         let own = read_probe(self.egress.probe(to, wait).await);
         let (mut asked, mut replies) = (0, Vec::new());
-        if own == EndpointProbe::Closed {
+        if own != EndpointProbe::Open {
             (asked, replies) = self.ask_others(to, wait).await;
         }
         let mut check = check_endpoint(own, asked, &replies);
--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -211,6 +211,7 @@
                 Probe::Open
             }
             Err(err) if err.is_refused => Probe::Refused,
+            Err(err) if err.is_reset => Probe::Closed,
             Err(_) => Probe::Failed,
         }
     }
@@ -315,7 +316,7 @@
             Ok(Err(err)) => return Err(err.into()),
             Err(_) => {
                 let reason = format!("no connection within {} ms", self.cfg.connect_timeout);
-                return Err(ConnectFailure { is_refused: false, reason });
+                return Err(ConnectFailure { is_refused: false, is_reset: false, reason });
             }
         };
         set_socket_options(&stream, self.cfg.unacknowledged_timeout)?;
@@ -327,9 +328,11 @@
     where
         T: Read + Write + Unpin + Send + 'static,
     {
-        let (sender, connection) = http1::handshake(io)
-            .await
-            .map_err(|err| ConnectFailure { is_refused: false, reason: err.to_string() })?;
+        let (sender, connection) = http1::handshake(io).await.map_err(|err| ConnectFailure {
+            is_refused: false,
+            is_reset: false,
+            reason: err.to_string(),
+        })?;
         tokio::spawn(async move {
             if let Err(err) = connection.await {
                 event!(Debug, "endpoint_connection_ended", address = target.address, error = err);
@@ -427,6 +430,8 @@
 pub struct ConnectFailure {
     /// Whether the host has refused the connection.
     pub is_refused: bool,
+    /// Whether the host has accepted the connection and reset it before it could be used.
+    pub is_reset: bool,
     /// The error, for people.
     pub reason: String,
 }
@@ -434,7 +439,8 @@
 impl From<io::Error> for ConnectFailure {
     fn from(err: io::Error) -> Self {
         let is_refused = err.kind() == io::ErrorKind::ConnectionRefused;
-        Self { is_refused, reason: err.to_string() }
+        let is_reset = err.kind() == io::ErrorKind::ConnectionReset;
+        Self { is_refused, is_reset, reason: err.to_string() }
     }
 }
 
--- a/transport/net/tests/client.rs
+++ b/transport/net/tests/client.rs
@@ -1,9 +1,10 @@
 //! The pool of client connections.
 
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
 use sill_base::{Clock, Millis};
-use sill_net::h1::{ConnectionPool, ConnectionPoolCfg, Probe};
+use sill_net::h1::{ConnectFailure, ConnectionPool, ConnectionPoolCfg, Probe};
 use tokio::net::TcpListener;
 
 /// What listens at an address.
@@ -59,3 +60,23 @@
         assert_eq!(pool.expire(), kept, "idle connections, {peer:?}");
     }
 }
+
+/// A connection that is accepted and reset at once may fail while it is opened. Taken for one that
+/// was not accepted in time, it shows nothing about its endpoint.
+#[test]
+fn a_connection_that_is_reset_while_it_opens_is_told_from_a_time_out() {
+    struct Case {
+        kind: ErrorKind,
+        is_refused: bool,
+        is_reset: bool,
+    }
+    let cases = [
+        Case { kind: ErrorKind::ConnectionRefused, is_refused: true, is_reset: false },
+        Case { kind: ErrorKind::ConnectionReset, is_refused: false, is_reset: true },
+        Case { kind: ErrorKind::TimedOut, is_refused: false, is_reset: false },
+    ];
+    for Case { kind, is_refused, is_reset } in cases {
+        let failure = ConnectFailure::from(io::Error::from(kind));
+        assert_eq!((failure.is_refused, failure.is_reset), (is_refused, is_reset), "{kind:?}");
+    }
+}
