Gateway: a refused call's line tells what was believed of the endpoints

A `call` line with why=Full said neither how many endpoints were taken for full nor how old the loads were on which that rested. New key `endpoints` there and in `stream_not_resumed`, the load that a rejecting endpoint reported in `attempt_failed`, and the metric sill_gateway_rejections_total. No decision is changed.

--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -7,8 +7,8 @@
 use rustc_hash::FxHasher;
 use sill_base::{Machine, Map, Millis, Name};
 use sill_route::{
-    Choice, Event, Outcome, PolicyCfg, PriorityBounds, RefusalReason, RouteRequest, Router,
-    RouterCfg, SampleSize, Target,
+    Choice, Event, Outcome, PolicyCfg, PoolView, PriorityBounds, RefusalReason, RouteRequest,
+    Router, RouterCfg, SampleSize, Target,
 };
 use sill_wire::link::{EndpointFact, EndpointLoad, EndpointState, EngineSpeed};
 use sill_wire::prefix::BLOCK_TOKENS;
@@ -105,6 +105,8 @@
         reason: RefusalReason,
         /// Time after which the caller should retry.
         retry_after: Millis,
+        /// What was believed of the endpoints, for the log.
+        view: PoolView,
     },
 }
 
@@ -329,7 +331,7 @@
         match self.router.choose(now, &ask) {
             Choice::Endpoint(chosen) => {
                 let Some(entry) = self.endpoints.get_mut(&chosen.endpoint) else {
-                    return self.no_endpoint();
+                    return Self::no_endpoint();
                 };
                 entry.own_requests += 1;
                 let place = Placement {
@@ -345,6 +347,7 @@
                 PlacementDecision::Endpoint(place)
             }
             Choice::Refuse(refusal) => {
+                let view = self.router.view(now, &ask);
                 if let Some(software) =
                     ask.software.filter(|_| refusal.reason == RefusalReason::Full)
                 {
@@ -353,14 +356,19 @@
                 PlacementDecision::Refused {
                     reason: refusal.reason,
                     retry_after: refusal.retry_after,
+                    view,
                 }
             }
         }
     }
 
-    fn no_endpoint(&self) -> PlacementDecision {
+    fn no_endpoint() -> PlacementDecision {
         const RETRY_AFTER: Millis = Millis(1000);
-        PlacementDecision::Refused { reason: RefusalReason::NoEndpoint, retry_after: RETRY_AFTER }
+        PlacementDecision::Refused {
+            reason: RefusalReason::NoEndpoint,
+            retry_after: RETRY_AFTER,
+            view: PoolView::default(),
+        }
     }
 
     /// Records that the first part of an answer was received.
--- a/coordination/route/src/view.rs
+++ b/coordination/route/src/view.rs
@@ -1,5 +1,7 @@
 //! The state of a pool as a router sees it when it refuses a request, for the log.
 
+use std::fmt::{self, Display, Formatter};
+
 use sill_base::Millis;
 
 use crate::policy::PolicyCfg;
@@ -39,3 +41,15 @@
         self.oldest_load_age = self.oldest_load_age.max(now - endpoint.sampled_at());
     }
 }
+
+impl Display for PoolView {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Self { ready, full, suspect, ineligible, active, own_active, slots, oldest_load_age } =
+            self;
+        write!(
+            f,
+            "{ready} ready, {full} full, {suspect} suspect, {ineligible} unfit, {active} active \
+             ({own_active} own) on {slots} slots, loads up to {oldest_load_age} ms old"
+        )
+    }
+}
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use http::{Request, Response, header};
+use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
 use sill_base::{Millis, Name, event};
 use sill_dispatch::{
@@ -12,12 +12,12 @@
     PlacementRequest,
 };
 use sill_net::h1::{Answer, AnyBody, strip_hop_by_hop};
-use sill_route::{Outcome, RefusalReason};
+use sill_route::{Outcome, PoolView, RefusalReason};
 use sill_wire::Software;
 
 use crate::answer;
 use crate::crashes;
-use crate::dialect::{AnswerClass, Forward, MigratedMemory};
+use crate::dialect::{AnswerClass, Forward, MigratedMemory, ReportedLoad};
 use crate::egress::{Destination, Exchange, SendError, SendOptions, Via};
 use crate::serve::Call;
 use crate::state::State;
@@ -44,6 +44,17 @@
     is_over: bool,
 }
 
+/// Why no endpoint was chosen for a call.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementRefusal {
+    /// The reason.
+    pub reason: RefusalReason,
+    /// Time after which the caller should retry.
+    pub retry_after: Millis,
+    /// What was believed of the endpoints.
+    pub view: PoolView,
+}
+
 /// The point at which a stream is resumed.
 #[derive(Debug, Default, Clone)]
 pub struct Resumption {
@@ -101,9 +112,7 @@
         let placed = place_attempt(state, call, now, &exclude, progress.attempts(), software);
         let attempt = match placed {
             Ok(attempt) => attempt,
-            Err((reason, wait)) => {
-                return Err(summary.refuse(&progress, reason, wait));
-            }
+            Err(refusal) => return Err(summary.refuse(&progress, &refusal)),
         };
         summary.record_send(&attempt.placement, now);
         exclude.push(attempt.placement.endpoint.clone());
@@ -159,7 +168,7 @@
     exclude: &[Name],
     sends: u32,
     software: Option<Software>,
-) -> Result<Attempt, (RefusalReason, Millis)> {
+) -> Result<Attempt, PlacementRefusal> {
     // The router needs a distinct id for each attempt of a call.
     let name: Name = match sends {
         0 => call.head.attempt.clone(),
@@ -180,9 +189,9 @@
             let (placed_at, exchange) = (now, None);
             Ok(Attempt { placement, placed_at, state, call, name, exchange, is_over: false })
         }
-        PlacementDecision::Refused { reason, retry_after } => {
+        PlacementDecision::Refused { reason, retry_after, view } => {
             call.pool.count_refusal(now);
-            Err((reason, retry_after))
+            Err(PlacementRefusal { reason, retry_after, view })
         }
     }
 }
@@ -267,6 +276,16 @@
     req
 }
 
+/// Describes the answer of an endpoint that is full, with the load that it reported.
+fn rejection_text(status: StatusCode, load: Option<ReportedLoad>) -> String {
+    match load {
+        Some(ReportedLoad { running, queued }) => {
+            format!("{}, {running} running, {queued} queued", status.as_u16())
+        }
+        None => format!("{}, no load reported", status.as_u16()),
+    }
+}
+
 impl Attempt {
     /// Checks the head of an answer. Returns the outcome if the answer must not be relayed.
     fn check_answer(&mut self, answer: &Answer, progress: &CallProgress) -> Option<AttemptOutcome> {
@@ -294,7 +313,14 @@
             }
             AnswerClass::Full => {
                 self.call.pool.pool.lock().mark_full(now, &self.placement);
-                Some(self.failed(AttemptOutcome::Full, status_text))
+                let service = [self.call.pool.service.as_str()];
+                self.state.metrics.rejections.with_label_values(&service).inc();
+                Some(
+                    self.failed(
+                        AttemptOutcome::Full,
+                        &rejection_text(status, dialect.load(headers)),
+                    ),
+                )
             }
             AnswerClass::NotRun => Some(self.failed(AttemptOutcome::NotRun, status_text)),
             AnswerClass::WrongEndpoint => {
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -14,6 +14,8 @@
     pub calls: IntCounterVec,
     /// Number of failed attempts by outcome.
     pub attempts: IntCounterVec,
+    /// Requests that endpoints rejected because they were full, by service.
+    pub rejections: IntCounterVec,
     /// Units admitted under limits, by the reason for admission.
     pub admitted_units: CounterVec,
     /// Connections opened to endpoints, by service.
@@ -105,6 +107,11 @@
         Ok(Self {
             calls: counters("sill_gateway_calls_total", "calls by outcome", "outcome")?,
             attempts: counters("sill_gateway_attempts_total", "attempts by outcome", "outcome")?,
+            rejections: counters(
+                "sill_gateway_rejections_total",
+                "requests rejected by full endpoints",
+                "service",
+            )?,
             admitted_units,
             connects: counters("sill_gateway_connects_total", "connections opened", "service")?,
             first_part: histogram("sill_gateway_first_part_seconds", "time to the first part")?,
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -21,7 +21,7 @@
 use tokio::time::Sleep;
 
 use crate::crashes::REFUSAL_TIME;
-use crate::dispatch::{self, Attempt, AttemptResult, Resumption};
+use crate::dispatch::{self, Attempt, AttemptResult, PlacementRefusal, Resumption};
 use crate::egress::Destination;
 use crate::failure::Failure;
 use crate::migration::RunMigration;
@@ -509,9 +509,16 @@
         dispatch::place_attempt(&state, &call, now, &exclude, progress.attempts(), software);
     let attempt = match placed {
         Ok(attempt) => attempt,
-        Err((reason, _)) => {
+        Err(PlacementRefusal { reason, view, .. }) => {
             let (id, why) = (&call.head.attempt, format!("{reason:?}"));
-            event!(Warn, "stream_not_resumed", id = id, software = needed, why = why);
+            event!(
+                Warn,
+                "stream_not_resumed",
+                id = id,
+                software = needed,
+                why = why,
+                endpoints = view
+            );
             return Err(NotResumed::NotSent);
         }
     };
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -6,10 +6,11 @@
 use sill_base::{Millis, Name};
 use sill_dispatch::{AttemptOutcome, CallProgress, NextStep, Placement};
 use sill_net::h1::{AnyBody, Framing};
-use sill_route::RefusalReason;
+use sill_route::PoolView;
 use sill_tree::RouteKind;
 use sill_wire::{ErrorCode, Software};
 
+use crate::dispatch::PlacementRefusal;
 use crate::egress::Via;
 use crate::failure::Failure;
 use crate::serve::{Call, RETRY_ELSEWHERE_AFTER};
@@ -41,6 +42,8 @@
     /// The version of that endpoint's software.
     software: Software,
     reason: String,
+    /// What was believed of the endpoints when none was chosen.
+    view: Option<PoolView>,
     send_count: u32,
     /// The entry instance through which the endpoint answered, if the path to it was lost.
     via: Name,
@@ -72,6 +75,7 @@
             endpoint: Name::default(),
             software: Software::default(),
             reason: String::new(),
+            view: None,
             send_count: 0,
             via: Name::default(),
             first_part: None,
@@ -179,13 +183,13 @@
     pub fn refuse(
         &mut self,
         progress: &CallProgress,
-        reason: RefusalReason,
-        wait: Millis,
+        refusal: &PlacementRefusal,
     ) -> Response<AnyBody> {
-        self.reason = format!("{reason:?}");
+        self.reason = format!("{:?}", refusal.reason);
+        self.view = Some(refusal.view);
         // After an attempt that may have run, the response must not say that the call has not run.
         let failure = match progress.possible_runs {
-            0 => Failure::with_retry_after(ErrorCode::NoCapacity, wait),
+            0 => Failure::with_retry_after(ErrorCode::NoCapacity, refusal.retry_after),
             _ => Failure::new(ErrorCode::UpstreamFailed),
         };
         self.fail(failure)
@@ -278,6 +282,9 @@
         pair("output", &call.prompt.max_output_tokens);
         pair("urgency", &call.urgency);
         pair("why", &self.reason);
+        if let Some(view) = &self.view {
+            pair("endpoints", &view);
+        }
         pair("first_ms", &first.unwrap_or_default());
         pair("ms", &(now - call.received_at));
         pair("left_ms", &(call.due - now));
