Pools: an endpoint that rejected a request is asked again after a while

What callers saw: after a burst that all endpoints reject, every call is refused (503, why=Full, sends=0) although the endpoints are idle; 0 of 794 in 40 s. It needs no overload: each chance rejection took one endpoint from one entry instance until another instance told of an answer.

Cause: a rejection was recorded as a load of twice the slots, which only an answer of that endpoint could end, and nothing was sent that could be answered. Class: a belief that only an answer can end keeps away the requests that would bring the answer. The same held for loads heard from others.

Now a rejection says how many requests the endpoint holds (`room.rs`: the load that it reported with it, or the own requests there). Below that it is used as before; beyond it one request is sent after 100 ms or more to find out, the rarer the fewer of these succeed, so that their number doesn't grow with that of the entry instances. What an endpoint is seen to hold raises the limit at once. The load in a report is presumed to end between 2 and 4 s after it. Other entry instances are told of a rejection with the load (a new field, which old builds ignore; they see the load alone).

Evidence: tests/overload failed before (0 of 178 answered after the burst; 259 of 755 at half the load), passes now; possible() is what one instance that knows all endpoints could answer of the same load, and 0.9 of it is asked for.

--- a/coordination/dispatch/src/loads.rs
+++ b/coordination/dispatch/src/loads.rs
@@ -25,6 +25,7 @@
     incarnation: Incarnation,
     running: u32,
     queued: u32,
+    is_full: bool,
     measured_at: Millis,
     sequence: u64,
 }
@@ -44,11 +45,12 @@
                 continue;
             }
             self.last_sequence += 1;
-            let EndpointLoad { endpoint, incarnation, running, queued, .. } = load;
+            let EndpointLoad { endpoint, incarnation, running, queued, is_full, .. } = load;
             let entry = LoadEntry {
                 incarnation,
                 running,
                 queued,
+                is_full,
                 measured_at,
                 sequence: self.last_sequence,
             };
@@ -68,6 +70,7 @@
             incarnation: entry.incarnation,
             running: entry.running,
             queued: entry.queued,
+            is_full: entry.is_full,
             age: now - entry.measured_at,
         });
         (self.last_sequence, loads.collect())
--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -161,6 +161,8 @@
     load: Load,
     /// Time of the load, if the endpoint has reported one.
     load_at: Option<Millis>,
+    /// Whether the endpoint rejected a request with that load.
+    is_full: bool,
     own_requests: u32,
     updated_at: Millis,
 }
@@ -211,6 +213,7 @@
             fact: fact.clone(),
             load: Load::default(),
             load_at: None,
+            is_full: false,
             own_requests: 0,
             updated_at: now,
         };
@@ -283,6 +286,7 @@
         if let Some(entry) = self.entry_of(place).filter(|entry| !entry.is_gone()) {
             entry.load = load;
             entry.load_at = Some(now);
+            entry.is_full = false;
             self.announce(now, &place.endpoint);
         }
     }
@@ -301,7 +305,12 @@
         };
         entry.load = Load { running: load.running, queued: load.queued, ..Load::default() };
         entry.load_at = Some(at);
+        entry.is_full = load.is_full;
         self.announce(now, &load.endpoint);
+        if load.is_full {
+            let (endpoint, age) = (load.endpoint.clone(), load.age);
+            self.step(now, Event::RejectedElsewhere { endpoint, age });
+        }
     }
 
     /// Returns the loads that endpoints reported within the last `span`.
@@ -313,16 +322,29 @@
                 incarnation: entry.fact.incarnation,
                 running: entry.load.running,
                 queued: entry.load.queued,
+                is_full: entry.is_full,
                 age,
             })
         })
     }
 
-    /// Records that an endpoint refused a call because it is full.
-    pub fn mark_full(&mut self, now: Millis, place: &Placement) {
+    /// Records that an endpoint rejected an attempt because it is full, with the load that it
+    /// reported, and removes the attempt from the endpoint.
+    pub fn record_rejection(
+        &mut self,
+        now: Millis,
+        place: &Placement,
+        attempt: &Name,
+        load: Option<Load>,
+    ) {
         let Some(entry) = self.entry_of(place) else { return };
-        let (running, queued) = (entry.fact.slots, entry.fact.slots);
-        self.record_load(now, place, running, queued);
+        entry.own_requests = entry.own_requests.saturating_sub(1);
+        if let Some(load) = load {
+            (entry.load, entry.load_at) = (load, Some(now));
+        }
+        entry.is_full = true;
+        let (endpoint, request) = (place.endpoint.clone(), attempt.clone());
+        self.step(now, Event::Rejected { endpoint, request, load });
     }
 
     /// Chooses an endpoint for a call and counts the call there, or refuses it.
@@ -512,10 +534,14 @@
     blocks.into()
 }
 
+/// Age of a load from which on the requests of other entry instances in it are presumed to end.
+const LOAD_TTL: Millis = Millis(2000);
+
 /// Returns the policy for model engines, which queue by priority and answer in batches.
 fn engine_policy() -> PolicyCfg {
     PolicyCfg {
         announcement_ttl: Millis::MAX,
+        load_ttl: LOAD_TTL,
         max_blocks: MAX_BLOCKS,
         load_factor: PriorityBounds { low: 1.5, normal: 1.5, high: 1.5 },
         pool_factor: PriorityBounds { low: 1.4, normal: 1.4, high: 1.4 },
@@ -535,6 +561,7 @@
 fn plain_policy() -> PolicyCfg {
     PolicyCfg {
         announcement_ttl: Millis::MAX,
+        load_ttl: LOAD_TTL,
         load_factor: PriorityBounds { low: 4.0, normal: 4.0, high: 4.0 },
         pool_factor: PriorityBounds { low: 4.0, normal: 4.0, high: 4.0 },
         ttft_target: None,
--- /dev/null
+++ b/coordination/dispatch/tests/overload/sim.rs
@@ -0,0 +1,376 @@
+//! Entry instances, endpoints and callers in virtual time.
+//!
+//! Each entry instance knows the load of an endpoint by its own answers and, through a control
+//! instance that it polls, by those of others.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::Rng as _;
+use sill_base::random::{self, Rng};
+use sill_base::{Millis, Name};
+use sill_dispatch::{
+    EndpointLoads, Placement, PlacementDecision, PlacementRequest, Pool, PoolCfg, Prompt,
+};
+use sill_route::Outcome;
+use sill_wire::link::{EndpointFact, EndpointState};
+use sill_wire::{Incarnation, Load};
+
+/// Time for a request or an answer to arrive.
+const LATENCY: Millis = Millis(2);
+
+/// Time between two polls of an entry instance.
+const POLL_INTERVAL: Millis = Millis(250);
+
+/// Age up to which an entry instance reports a load.
+const REPORT_AGE: Millis = Millis(600);
+
+/// Endpoints that may reject a call before its caller is refused.
+const MAX_REJECTIONS: u32 = 3;
+
+/// A system and its load.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Number of entry instances.
+    pub entries: usize,
+    /// Number of endpoints.
+    pub endpoints: usize,
+    /// Requests that an endpoint says that it runs concurrently.
+    pub slots: u32,
+    /// Requests that it holds from a time on; it rejects others.
+    pub room: Vec<(Millis, u32)>,
+    /// Time that a request takes.
+    pub service_time: Millis,
+    /// Part of that time until the head of the answer is sent.
+    pub head_part: f64,
+    /// Whether endpoints tell their load with each answer.
+    pub reports_load: bool,
+    /// Whether entry instances reach the control instance.
+    pub has_control: bool,
+    /// Calls per second from a time on, over all entry instances.
+    pub calls_per_s: Vec<(Millis, f64)>,
+    /// When the last call is made.
+    pub end: Millis,
+    pub seed: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            entries: 3,
+            endpoints: 6,
+            slots: 12,
+            room: vec![(Millis::ZERO, 4)],
+            service_time: Millis(300),
+            head_part: 0.3,
+            reports_load: true,
+            has_control: true,
+            calls_per_s: vec![(Millis::ZERO, 40.0)],
+            end: Millis(10_000),
+            seed: 1,
+        }
+    }
+}
+
+/// What became of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// It was answered.
+    Answered,
+    /// Its caller was refused.
+    Refused,
+}
+
+/// The outcome of a plan.
+#[derive(Debug, Default)]
+pub struct Record {
+    /// The calls by the time at which they were made.
+    pub calls: Vec<(Millis, End)>,
+    /// When endpoints rejected requests, with the endpoint.
+    pub rejections: Vec<(Millis, usize)>,
+}
+
+impl Record {
+    /// Returns the number of calls that were answered, and of all, of those made from `from` to
+    /// `until`.
+    pub fn answered(&self, from: Millis, until: Millis) -> (usize, usize) {
+        let calls = self.calls.iter().filter(|(at, _)| (from..until).contains(at));
+        let answered = calls.clone().filter(|(_, end)| *end == End::Answered).count();
+        (answered, calls.count())
+    }
+}
+
+/// Plays a plan.
+pub fn play(plan: &Plan) -> Record {
+    let mut world = World::new(plan.clone());
+    world.play();
+    world.record
+}
+
+/// Plays a plan with one entry instance that knows all endpoints at any time, and returns the number
+/// of calls that are answered, of those made from `from` on.
+pub fn possible(plan: &Plan, from: Millis) -> usize {
+    let mut rng = random::seeded(plan.seed);
+    let mut running: BinaryHeap<Reverse<Millis>> = BinaryHeap::new();
+    let (mut now, mut answered) = (Millis::ZERO, 0);
+    while now < plan.end {
+        now = now + pause(&mut rng, value_at(&plan.calls_per_s, now));
+        while running.peek().is_some_and(|Reverse(end)| *end <= now) {
+            running.pop();
+        }
+        let room = value_at(&plan.room, now) as usize * plan.endpoints;
+        if now < plan.end && running.len() < room {
+            answered += usize::from(now >= from);
+            let took = plan.service_time.0 as f64 * rng.random_range(0.8..1.2);
+            running.push(Reverse(now + Millis(took as u64)));
+        }
+    }
+    answered
+}
+
+fn pause(rng: &mut Rng, rate: f64) -> Millis {
+    Millis((-rng.random::<f64>().max(1e-9).ln() * 1000.0 / rate).round() as u64)
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Call,
+    Poll(usize),
+    Arrival(Attempt),
+    Head(Attempt),
+    End(Attempt),
+    Rejection(Attempt, u32),
+}
+
+/// An attempt at a call, by its number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Attempt {
+    call: usize,
+    number: u32,
+}
+
+impl Attempt {
+    fn name(self) -> Name {
+        format!("r{}/{}", self.call, self.number).into()
+    }
+}
+
+struct Call {
+    at: Millis,
+    entry: usize,
+    tried: Vec<Name>,
+    placement: Option<Placement>,
+}
+
+struct Endpoint {
+    running: u32,
+}
+
+struct World {
+    plan: Plan,
+    rng: Rng,
+    now: Millis,
+    events: BinaryHeap<Reverse<(Millis, u64, Event)>>,
+    event_count: u64,
+    pools: Vec<Pool>,
+    /// The newest load that each entry instance has heard of.
+    cursors: Vec<u64>,
+    control: EndpointLoads,
+    endpoints: Vec<Endpoint>,
+    calls: Vec<Call>,
+    /// What ended, to hold the record in the order of calls.
+    ends: BTreeMap<usize, End>,
+    record: Record,
+}
+
+fn endpoint_name(i: usize) -> Name {
+    format!("e{i}").into()
+}
+
+fn value_at<T>(steps: &[(Millis, T)], now: Millis) -> T
+where
+    T: Copy,
+{
+    let step = steps.iter().rev().find(|(from, _)| *from <= now);
+    step.expect("the first step begins at the start").1
+}
+
+impl World {
+    fn new(plan: Plan) -> Self {
+        let pools = (0..plan.entries).map(|i| {
+            let mut pool = Pool::new(PoolCfg {
+                service: "desk".into(),
+                domain: "a".into(),
+                is_engine: true,
+                cache_tokens: 0,
+                seed: plan.seed * 1000 + i as u64,
+            });
+            (0..plan.endpoints).for_each(|e| {
+                pool.update_endpoint(Millis::ZERO, &fact(e, plan.slots));
+            });
+            pool
+        });
+        let mut world = Self {
+            pools: pools.collect(),
+            cursors: vec![0; plan.entries],
+            control: EndpointLoads::default(),
+            endpoints: (0..plan.endpoints).map(|_| Endpoint { running: 0 }).collect(),
+            rng: random::seeded(plan.seed),
+            now: Millis::ZERO,
+            events: BinaryHeap::new(),
+            event_count: 0,
+            calls: Vec::new(),
+            ends: BTreeMap::new(),
+            record: Record::default(),
+            plan,
+        };
+        // Long enough for the slow start of endpoints to be over.
+        world.push(Millis(1000), Event::Call);
+        if world.plan.has_control {
+            for entry in 0..world.plan.entries {
+                let at = world.rng.random_range(0..POLL_INTERVAL.0);
+                world.push(Millis(at), Event::Poll(entry));
+            }
+        }
+        world
+    }
+
+    fn push(&mut self, after: Millis, event: Event) {
+        self.event_count += 1;
+        self.events.push(Reverse((self.now + after, self.event_count, event)));
+    }
+
+    fn play(&mut self) {
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            self.now = at;
+            match event {
+                Event::Call => self.call(),
+                Event::Poll(entry) => self.poll(entry),
+                Event::Arrival(attempt) => self.arrive(attempt),
+                Event::Head(attempt) => self.receive_head(attempt),
+                Event::End(attempt) => self.end(attempt),
+                Event::Rejection(attempt, running) => self.receive_rejection(attempt, running),
+            }
+        }
+        let ends = std::mem::take(&mut self.ends);
+        self.record.calls = ends.into_iter().map(|(i, end)| (self.calls[i].at, end)).collect();
+    }
+
+    fn call(&mut self) {
+        if self.now >= self.plan.end {
+            return;
+        }
+        let rate = value_at(&self.plan.calls_per_s, self.now);
+        let pause = pause(&mut self.rng, rate);
+        self.push(pause, Event::Call);
+        let entry = self.rng.random_range(0..self.plan.entries);
+        self.calls.push(Call { at: self.now, entry, tried: Vec::new(), placement: None });
+        self.place(Attempt { call: self.calls.len() - 1, number: 0 });
+    }
+
+    fn place(&mut self, attempt: Attempt) {
+        let call = &mut self.calls[attempt.call];
+        let request = PlacementRequest {
+            attempt: attempt.name(),
+            prompt: Arc::new(Prompt::default()),
+            deadline: Millis::MAX,
+            exclude: call.tried.clone(),
+            software: None,
+        };
+        match self.pools[call.entry].place(self.now, &request) {
+            PlacementDecision::Endpoint(placement) => {
+                call.tried.push(placement.endpoint.clone());
+                call.placement = Some(placement);
+                self.push(LATENCY, Event::Arrival(attempt));
+            }
+            PlacementDecision::Refused { .. } => _ = self.ends.insert(attempt.call, End::Refused),
+        }
+    }
+
+    fn poll(&mut self, entry: usize) {
+        if self.now >= self.plan.end {
+            return;
+        }
+        let loads = self.pools[entry].recent_loads(self.now, REPORT_AGE).collect();
+        self.control.record(self.now, loads);
+        let (seen, loads) = self.control.newer_than(self.now, self.cursors[entry]);
+        self.cursors[entry] = seen;
+        loads.iter().for_each(|load| self.pools[entry].record_remote_load(self.now, load));
+        self.push(POLL_INTERVAL, Event::Poll(entry));
+    }
+
+    fn placement(&self, attempt: Attempt) -> (usize, Placement) {
+        let call = &self.calls[attempt.call];
+        (call.entry, call.placement.clone().expect("the attempt was placed"))
+    }
+
+    fn endpoint_of(&self, attempt: Attempt) -> usize {
+        let (_, placement) = self.placement(attempt);
+        placement.endpoint[1..].parse().expect("names are numbered")
+    }
+
+    fn arrive(&mut self, attempt: Attempt) {
+        let i = self.endpoint_of(attempt);
+        let room = value_at(&self.plan.room, self.now);
+        let endpoint = &mut self.endpoints[i];
+        if endpoint.running >= room {
+            let running = endpoint.running;
+            self.record.rejections.push((self.now, i));
+            return self.push(LATENCY, Event::Rejection(attempt, running));
+        }
+        endpoint.running += 1;
+        let spread = self.rng.random_range(0.8..1.2);
+        let took = self.plan.service_time.0 as f64 * spread;
+        let head = Millis((took * self.plan.head_part) as u64);
+        self.push(head, Event::Head(attempt));
+        self.push(Millis(took as u64), Event::End(attempt));
+    }
+
+    fn receive_head(&mut self, attempt: Attempt) {
+        let running = self.endpoints[self.endpoint_of(attempt)].running;
+        let (entry, placement) = self.placement(attempt);
+        let pool = &mut self.pools[entry];
+        if self.plan.reports_load {
+            pool.record_load(self.now, &placement, running, 0);
+        }
+        pool.record_first_part(self.now, &placement, &attempt.name());
+    }
+
+    fn end(&mut self, attempt: Attempt) {
+        let i = self.endpoint_of(attempt);
+        self.endpoints[i].running -= 1;
+        let (entry, placement) = self.placement(attempt);
+        let name = attempt.name();
+        self.pools[entry].finish_attempt(self.now, &placement, &name, Outcome::Finished);
+        self.ends.insert(attempt.call, End::Answered);
+    }
+
+    fn receive_rejection(&mut self, attempt: Attempt, running: u32) {
+        let (entry, placement) = self.placement(attempt);
+        let load = self.plan.reports_load.then_some(Load { running, ..Load::default() });
+        self.pools[entry].record_rejection(self.now, &placement, &attempt.name(), load);
+        if attempt.number + 1 < MAX_REJECTIONS {
+            return self.place(Attempt { number: attempt.number + 1, ..attempt });
+        }
+        self.ends.insert(attempt.call, End::Refused);
+    }
+}
+
+fn fact(i: usize, slots: u32) -> EndpointFact {
+    EndpointFact {
+        endpoint: endpoint_name(i),
+        incarnation: Incarnation::default(),
+        service: "desk".into(),
+        domain: "a".into(),
+        address: SocketAddr::from(([10, 0, 0, i as u8], 80)),
+        slots,
+        sequence: 1,
+        state: EndpointState::Ready,
+        reclaimable: false,
+        leaves_in: None,
+        age: Millis::ZERO,
+        software: Default::default(),
+    }
+}
--- a/coordination/route/src/endpoint.rs
+++ b/coordination/route/src/endpoint.rs
@@ -3,11 +3,12 @@
 use std::collections::VecDeque;
 
 use sill_base::{Map, Millis, Name};
-use sill_wire::{Announcement, Incarnation};
+use sill_wire::{Announcement, Incarnation, Load};
 
 use crate::home;
 use crate::policy::PolicyCfg;
 use crate::request::Outcome;
+use crate::room::Room;
 
 /// Highest number of ended requests kept to correct lagging load reports.
 const MAX_ENDED_DISPATCHES: usize = 1024;
@@ -42,6 +43,8 @@
     sampled_at: Millis,
     /// Prefill tokens that we sent since the load sample.
     own_tokens_since_sample: u64,
+    /// What was learned from the last rejection.
+    room: Option<Room>,
     consecutive_failures: u32,
     suspect_until: Millis,
 }
@@ -52,6 +55,8 @@
     sent_at: Millis,
     prefill_tokens: u64,
     first_token_at: Option<Millis>,
+    /// Whether the endpoint was presumed to be full.
+    is_trial: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -77,6 +82,7 @@
             own_at_sample: 0,
             sampled_at: Millis::ZERO,
             own_tokens_since_sample: 0,
+            room: None,
             consecutive_failures: 0,
             suspect_until: Millis::ZERO,
         };
@@ -89,6 +95,7 @@
         self.announcement = announcement;
         self.announced_at = now - age;
         self.correct_load();
+        self.record_held(now);
     }
 
     pub(crate) fn incarnation(&self) -> Incarnation {
@@ -96,10 +103,32 @@
     }
 
     /// Returns the estimated number of requests at the endpoint now.
-    pub(crate) fn active(&self) -> u32 {
+    pub(crate) fn active(&self, now: Millis, cfg: &PolicyCfg) -> u32 {
+        let age = now.since(self.sampled_at);
+        let past_ttl = (age - cfg.load_ttl).as_secs_f64() / cfg.load_ttl.as_secs_f64().max(0.001);
+        let present = (1.0 - past_ttl).clamp(0.0, 1.0);
+        (f64::from(self.other_active) * present).ceil() as u32 + self.own_active()
+    }
+
+    /// Returns whether the endpoint is presumed to have room for one more request, by the requests
+    /// that it has rejected.
+    pub(crate) fn has_room(&self, now: Millis, active: u32) -> bool {
+        self.room.is_none_or(|room| room.admits(now, active))
+    }
+
+    /// Returns the number of requests at the endpoint as of the last sample and the own requests
+    /// since.
+    fn sampled_active(&self) -> u32 {
         self.other_active + self.own_active()
     }
 
+    fn record_held(&mut self, now: Millis) {
+        let active = self.sampled_active();
+        if let Some(room) = &mut self.room {
+            room.record_held(now, active);
+        }
+    }
+
     /// Returns the number of our own requests in flight at the endpoint.
     pub(crate) fn own_active(&self) -> u32 {
         self.own_dispatches.len() as u32
@@ -167,8 +196,20 @@
         }
     }
 
-    pub(crate) fn record_sent(&mut self, now: Millis, request: Name, prefill_tokens: u64) {
-        let dispatch = Dispatch { sent_at: now, prefill_tokens, first_token_at: None };
+    pub(crate) fn record_sent(
+        &mut self,
+        now: Millis,
+        request: Name,
+        prefill_tokens: u64,
+        trial_interval: Millis,
+    ) {
+        let active = self.sampled_active();
+        let trial = self.room.as_mut().filter(|room| room.is_full(active));
+        let is_trial = trial.is_some();
+        if let Some(room) = trial {
+            room.record_trial(now, trial_interval);
+        }
+        let dispatch = Dispatch { sent_at: now, prefill_tokens, first_token_at: None, is_trial };
         self.own_pending_tokens += prefill_tokens;
         self.own_tokens_since_sample += prefill_tokens;
         if let Some(replaced) = self.own_dispatches.insert(request, dispatch) {
@@ -176,11 +217,40 @@
         }
     }
 
-    pub(crate) fn record_first_token(&mut self, now: Millis, request: &Name) {
-        if let Some(dispatch) = self.own_dispatches.get_mut(request) {
+    /// Records that the endpoint rejected a request, with the load that it reported.
+    pub(crate) fn record_rejected(
+        &mut self,
+        now: Millis,
+        request: &Name,
+        load: Option<Load>,
+        trial_interval: Millis,
+    ) {
+        if let Some(dispatch) = self.own_dispatches.remove(request) {
             self.own_pending_tokens -= dispatch.pending_tokens();
-            dispatch.first_token_at.get_or_insert(now);
         }
+        if let Some(load) = load {
+            self.announcement.load = load;
+            self.announced_at = now;
+            self.correct_load();
+        }
+        self.room = Some(Room::learn(self.sampled_active(), now, trial_interval));
+    }
+
+    /// Records that the endpoint rejected a request of another entry instance.
+    pub(crate) fn record_rejected_elsewhere(&mut self, at: Millis, trial_interval: Millis) {
+        if self.room.is_none_or(|room| room.learned_at() < at) {
+            self.room = Some(Room::learn(self.sampled_active(), at, trial_interval));
+        }
+    }
+
+    /// Records the first token of an answer. Returns whether the request was a trial.
+    pub(crate) fn record_first_token(&mut self, now: Millis, request: &Name) -> bool {
+        let Some(dispatch) = self.own_dispatches.get_mut(request) else { return false };
+        self.own_pending_tokens -= dispatch.pending_tokens();
+        dispatch.first_token_at.get_or_insert(now);
+        let is_trial = std::mem::take(&mut dispatch.is_trial);
+        self.record_held(now);
+        is_trial
     }
 
     pub(crate) fn record_end(
--- a/coordination/route/src/lib.rs
+++ b/coordination/route/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod request;
 pub mod retry;
 mod risk;
+mod room;
 pub mod router;
 mod score;
 mod versions;
--- a/coordination/route/src/policy.rs
+++ b/coordination/route/src/policy.rs
@@ -24,6 +24,10 @@
     pub policy: Policy,
     /// Time after which an announcement expires, counted from when it was sent.
     pub announcement_ttl: Millis,
+    /// Age of a load report from which on the requests of other entry instances in it are presumed
+    /// to end; all of them have ended at twice this age. An endpoint that nobody sends requests to
+    /// reports no load, so it would otherwise stay as busy as it was.
+    pub load_ttl: Millis,
     /// Retention of the latest version of a removed endpoint, against late copies of its
     /// announcements.
     pub tombstone_ttl: Millis,
@@ -126,6 +130,7 @@
         Self {
             policy: Policy::Cost,
             announcement_ttl: Millis(5_000),
+            load_ttl: Millis(5_000),
             tombstone_ttl: Millis(600_000),
             block_ttl: Millis(600_000),
             max_blocks: 1 << 18,
--- a/coordination/route/src/request.rs
+++ b/coordination/route/src/request.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sill_base::{Millis, Name};
 use sill_wire::endpoint::CacheEvents;
-use sill_wire::{Announcement, Incarnation, Priority, Software};
+use sill_wire::{Announcement, Incarnation, Load, Priority, Software};
 
 /// The model or service that a request is for.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -126,6 +126,22 @@
         /// The request.
         request: Name,
     },
+    /// An endpoint rejected a request because it is full.
+    Rejected {
+        /// The endpoint.
+        endpoint: Name,
+        /// The request.
+        request: Name,
+        /// The load that the endpoint reported with the rejection.
+        load: Option<Load>,
+    },
+    /// An endpoint rejected a request of another entry instance while it had its announced load.
+    RejectedElsewhere {
+        /// The endpoint.
+        endpoint: Name,
+        /// Time since the rejection.
+        age: Millis,
+    },
     /// A request is no longer at an endpoint.
     Ended {
         /// The endpoint.
--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -14,6 +14,7 @@
 use crate::prefix::{Depths, PrefixIndex};
 use crate::request::{Choice, ChosenEndpoint, Event, Refusal, RefusalReason, RouteRequest, Target};
 use crate::risk::ReclaimWaves;
+use crate::room::TrialPace;
 use crate::score::{Candidate, Scorer};
 use crate::versions::Versions;
 use crate::view::PoolView;
@@ -45,6 +46,7 @@
     /// Kept between choices to save allocations.
     depths: Depths,
     stats: PoolStats,
+    trial_pace: TrialPace,
     weakening: Option<Weakening>,
 }
 
@@ -78,6 +80,7 @@
             waves: ReclaimWaves::default(),
             depths: Depths::default(),
             stats: PoolStats::default(),
+            trial_pace: TrialPace::default(),
             weakening: None,
         }
     }
@@ -224,16 +227,18 @@
         };
         let reported = a.load.running + a.load.queued;
         let uses_report = self.weakening == Some(Weakening::TrustLaggingLoad);
+        let active = if uses_report { reported } else { endpoint.active(now, &self.policy) };
         let pending = |ratio| endpoint.pending_tokens(now, ratio, &self.policy);
         Candidate {
             endpoint,
             cached: cached.min(req.prompt_tokens),
             is_home: home == Some(endpoint.index),
-            active: if uses_report { reported } else { endpoint.active() },
+            active,
             pending_tokens: pending(0.0),
             assumed_pending_tokens: pending(self.stats.peer_load_ratio),
             slots: endpoint.slots(),
             usable_slots: self.usable_slots(now, endpoint),
+            has_room: endpoint.has_room(now, active),
             is_remote: a.domain != self.cfg.domain,
             is_suspect: endpoint.is_suspect(now),
             is_reserved: req.reserved.contains(&a.software),
@@ -418,7 +423,8 @@
             return;
         };
         let prefill = req.prompt_tokens.saturating_sub(cached);
-        endpoint.record_sent(now, req.request.clone(), prefill);
+        let trial_interval = self.trial_pace.next_interval(&mut self.rng);
+        endpoint.record_sent(now, req.request.clone(), prefill, trial_interval);
         self.prefixes.insert(endpoint.index, &req.blocks, now);
     }
 
@@ -469,8 +475,22 @@
             Event::Cache(batch) => self.apply_cache_events(now, batch),
             Event::Sent { endpoint, ask } => self.record_sent(now, &endpoint, &ask),
             Event::FirstToken { endpoint, request } => {
+                let endpoint = self.endpoints.get_mut(&endpoint);
+                if endpoint.is_some_and(|e| e.record_first_token(now, &request)) {
+                    self.trial_pace.record(true);
+                }
+            }
+            Event::Rejected { endpoint, request, load } => {
+                self.trial_pace.record(false);
+                let trial_interval = self.trial_pace.next_interval(&mut self.rng);
+                if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
+                    endpoint.record_rejected(now, &request, load, trial_interval);
+                }
+            }
+            Event::RejectedElsewhere { endpoint, age } => {
+                let trial_interval = self.trial_pace.next_interval(&mut self.rng);
                 if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
-                    endpoint.record_first_token(now, &request);
+                    endpoint.record_rejected_elsewhere(now - age, trial_interval);
                 }
             }
             Event::Ended { endpoint, request, outcome, .. } => {
--- a/coordination/route/src/score.rs
+++ b/coordination/route/src/score.rs
@@ -33,6 +33,8 @@
     /// filled at once. But if the others are full, or all are new to an entry instance that has
     /// just started, refusing requests because of the slow start would leave capacity unused.
     pub(crate) usable_slots: f64,
+    /// Whether it is presumed to have room, by the requests that it has rejected.
+    pub(crate) has_room: bool,
     /// Whether it is in another failure domain than the entry instance.
     pub(crate) is_remote: bool,
     /// Whether it is in backoff after a failure.
@@ -98,7 +100,8 @@
     }
 
     fn is_full_with(&self, cfg: &PolicyCfg, headroom: f64) -> bool {
-        f64::from(self.active) >= (self.slots * cfg.load_factor.high * headroom).max(1.0)
+        !self.has_room
+            || f64::from(self.active) >= (self.slots * cfg.load_factor.high * headroom).max(1.0)
     }
 
     /// Returns whether the endpoint exceeds the load bound or the waiting bound of the request's
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -13,7 +13,7 @@
 };
 use sill_net::h1::{Answer, AnyBody, strip_hop_by_hop};
 use sill_route::{Outcome, PoolView, RefusalReason};
-use sill_wire::Software;
+use sill_wire::{Load, Software};
 
 use crate::answer;
 use crate::crashes;
@@ -296,11 +296,13 @@
             self.state.metrics.connects.with_label_values(&service).inc();
         }
         let now = self.state.clock.now();
-        if let Some(load) = dialect.load(headers) {
+        let load = dialect.load(headers);
+        let class = dialect.classify(&self.call.head.attempt, status, headers);
+        if let Some(load) = load.filter(|_| class != AnswerClass::Full) {
             self.call.pool.pool.lock().record_load(now, &self.placement, load.running, load.queued);
         }
         let status_text = status.as_str();
-        match dialect.classify(&self.call.head.attempt, status, headers) {
+        match class {
             AnswerClass::Answer => None,
             AnswerClass::Failed => {
                 self.count_usage();
@@ -312,15 +314,8 @@
                 }
             }
             AnswerClass::Full => {
-                self.call.pool.pool.lock().mark_full(now, &self.placement);
-                let service = [self.call.pool.service.as_str()];
-                self.state.metrics.rejections.with_label_values(&service).inc();
-                Some(
-                    self.failed(
-                        AttemptOutcome::Full,
-                        &rejection_text(status, dialect.load(headers)),
-                    ),
-                )
+                self.record_rejection(now, load);
+                Some(self.failed(AttemptOutcome::Full, &rejection_text(status, load)))
             }
             AnswerClass::NotRun => Some(self.failed(AttemptOutcome::NotRun, status_text)),
             AnswerClass::WrongEndpoint => {
@@ -334,6 +329,20 @@
         }
     }
 
+    fn record_rejection(&mut self, now: Millis, load: Option<ReportedLoad>) {
+        let service = [self.call.pool.service.as_str()];
+        self.state.metrics.rejections.with_label_values(&service).inc();
+        if !std::mem::replace(&mut self.is_over, true) {
+            let load = load.map(|load| Load {
+                running: load.running,
+                queued: load.queued,
+                ..Load::default()
+            });
+            let mut pool = self.call.pool.pool.lock();
+            pool.record_rejection(now, &self.placement, &self.name, load);
+        }
+    }
+
     fn may_be_repeated(&self) -> bool {
         has_time_for_attempt(&self.state, &self.call)
             && self.state.may_retry(&self.call.pool.service)
--- a/protocol/wire/src/link.rs
+++ b/protocol/wire/src/link.rs
@@ -123,6 +123,9 @@
     /// Number of requests that were queued.
     #[serde(rename = "q", default, skip_serializing_if = "is_default")]
     pub queued: u32,
+    /// Whether it rejected a request because it was full.
+    #[serde(rename = "f", default, skip_serializing_if = "is_default")]
+    pub is_full: bool,
     /// Time since the endpoint reported it.
     #[serde(rename = "a")]
     pub age: Millis,
