Pools: brittle endpoints are not made to fall by requests that they have to reject

Cause: nothing read the statement. Each entry instance sent up to one and a half times the slots, by a view that is a quarter of a second old, and found out by a rejection of its own that there was no room; with three or eighty entry instances these fall into one second. Class: a bound over all entry instances that each of them takes for its own.

Now N entry instances use such an endpoint. All know which ones from the lists of endpoints and entry instances that they have anyway, without a message. Each of them causes one rejection a second at most: after one it sends nothing there for 1.1 s, unless the request was sent to find out, which it does every 1.5 to 3 s. It takes as many at a time as had room (a place that it has left is its own for the next request), and sends 10 ms apart, so that it knows of the first rejection before it sends again. Calls wait for their turn, 100 ms or a tenth of their time at most.

--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -1,8 +1,10 @@
 //! Dispatch decisions for calls on routes: route and account lookup, admission, endpoint choice,
 //! retries, and the reports that control instances aggregate.
 
+pub mod assignment;
 pub mod attempt;
 pub mod average;
+mod brittle;
 pub mod budget;
 pub mod check;
 pub mod crashes;
@@ -22,6 +24,7 @@
 pub mod true_time;
 pub mod usage;
 
+pub use assignment::{RestrictedEndpoint, assigned};
 pub use attempt::{AttemptOutcome, CallProgress, NextStep};
 pub use average::MovingAverage;
 pub use budget::{RetryBounds, RetryBudgets};
@@ -31,7 +34,8 @@
 pub use loads::EndpointLoads;
 pub use paths::{Doubt, Path, PathChange, PathRequest, Paths, TICK};
 pub use pool::{
-    FactUpdate, Placement, PlacementDecision, PlacementRequest, Pool, PoolCfg, Prompt, PromptPart,
+    BrittleCounts, FactUpdate, Placement, PlacementDecision, PlacementRequest, Pool, PoolCfg,
+    Prompt, PromptPart,
 };
 pub use registry::Registry;
 pub use relays::{RelayList, RelayLoad};
--- a/coordination/dispatch/src/loads.rs
+++ b/coordination/dispatch/src/loads.rs
@@ -26,6 +26,7 @@
     running: u32,
     queued: u32,
     is_full: bool,
+    rejection_bound: Option<u32>,
     measured_at: Millis,
     sequence: u64,
 }
@@ -45,12 +46,21 @@
                 continue;
             }
             self.last_sequence += 1;
-            let EndpointLoad { endpoint, incarnation, running, queued, is_full, .. } = load;
+            let EndpointLoad {
+                endpoint,
+                incarnation,
+                running,
+                queued,
+                is_full,
+                rejection_bound,
+                ..
+            } = load;
             let entry = LoadEntry {
                 incarnation,
                 running,
                 queued,
                 is_full,
+                rejection_bound,
                 measured_at,
                 sequence: self.last_sequence,
             };
@@ -71,6 +81,7 @@
             running: entry.running,
             queued: entry.queued,
             is_full: entry.is_full,
+            rejection_bound: entry.rejection_bound,
             age: now - entry.measured_at,
         });
         (self.last_sequence, loads.collect())
--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -7,13 +7,15 @@
 use rustc_hash::FxHasher;
 use sill_base::{Machine, Map, Millis, Name};
 use sill_route::{
-    Choice, Event, Outcome, PolicyCfg, PoolView, PriorityBounds, RefusalReason, RouteRequest,
-    Router, RouterCfg, SampleSize, Target,
+    Choice, Event, Guard, Outcome, PolicyCfg, PoolView, PriorityBounds, RefusalReason,
+    RouteRequest, Router, RouterCfg, SampleSize, Target,
 };
 use sill_wire::link::{EndpointFact, EndpointLoad, EndpointState, EngineSpeed};
 use sill_wire::prefix::BLOCK_TOKENS;
 use sill_wire::{Announcement, Incarnation, Load, Priority, Role, Servable, Software};
 
+use crate::assignment::{RestrictedEndpoint, assigned};
+use crate::brittle::RejectionBounds;
 use crate::speed::{MIN_REPORTED_FITS, SpeedMeter};
 
 /// Prefill speed, in prompt tokens per second, by which endpoints are compared. It only weighs the
@@ -44,6 +46,9 @@
 /// room for one.
 const RESERVATION_TIME: Millis = Millis(2000);
 
+/// Interval at which brittle endpoints are shared out anew.
+const GUARD_INTERVAL: Millis = Millis(200);
+
 /// Settings of a pool.
 #[derive(Debug, Clone)]
 pub struct PoolCfg {
@@ -105,6 +110,9 @@
         reason: RefusalReason,
         /// Time after which the caller should retry.
         retry_after: Millis,
+        /// Whether the call may be placed within moments. Requests to brittle endpoints are sent one
+        /// by one, so calls that come at the same time have to wait for each other.
+        may_wait: bool,
         /// What was believed of the endpoints, for the log.
         view: PoolView,
     },
@@ -140,6 +148,17 @@
     Restart(SocketAddr),
 }
 
+/// Numbers of brittle endpoints.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct BrittleCounts {
+    /// Endpoints that end if they have to reject too many requests.
+    pub brittle: usize,
+    /// Those of them that this entry instance may use.
+    pub assigned: usize,
+    /// Entry instances among which they are shared out; 0 if no list of them is known.
+    pub entries: usize,
+}
+
 /// The endpoints of one service at an entry instance.
 #[derive(Debug)]
 pub struct Pool {
@@ -153,6 +172,14 @@
     /// Versions that had no room for a stream that needs them, with the time until which their
     /// endpoints are left to such streams.
     reserved: Map<Software, Millis>,
+    bounds: RejectionBounds,
+    /// This entry instance and all that are alive; none if no list is known.
+    entries: (Name, Arc<[Name]>),
+    /// The endpoints that are brittle, sorted.
+    brittle: Vec<RestrictedEndpoint>,
+    /// The endpoints that are brittle, with whether this entry instance may use each.
+    guards: Map<Name, Guard>,
+    guarded_at: Millis,
 }
 
 #[derive(Debug)]
@@ -187,6 +214,67 @@
             sequence: 0,
             former_versions: Map::default(),
             reserved: Map::default(),
+            bounds: RejectionBounds::default(),
+            entries: (Name::default(), Arc::default()),
+            brittle: Vec::new(),
+            guards: Map::default(),
+            guarded_at: Millis::ZERO,
+        }
+    }
+
+    /// Sets the name of this entry instance and the names of all that are alive, among which brittle
+    /// endpoints are shared out.
+    pub fn set_entries(&mut self, own: &Name, entries: &Arc<[Name]>) {
+        if self.entries.1 != *entries {
+            self.entries = (own.clone(), entries.clone());
+            self.brittle.clear();
+            self.guarded_at = Millis::ZERO;
+        }
+    }
+
+    /// Records whether an endpoint said with an answer that it ends if it has to reject more than
+    /// `bound` requests in a second.
+    pub fn record_rejection_bound(&mut self, now: Millis, place: &Placement, bound: Option<u32>) {
+        if self.entry_of(place).is_some() {
+            self.bounds.record(&place.endpoint, bound, now);
+        }
+    }
+
+    /// Returns how many endpoints are presumed to be brittle, for the log.
+    pub fn brittle_counts(&self) -> BrittleCounts {
+        let assigned = self.guards.values().filter(|guard| guard.is_assigned).count();
+        BrittleCounts { brittle: self.guards.len(), assigned, entries: self.entries.1.len() }
+    }
+
+    /// Updates which endpoints are brittle and which of these this entry instance may use.
+    fn update_guards(&mut self, now: Millis) {
+        let is_active = self.bounds.is_active(now);
+        let is_due = now - self.guarded_at >= GUARD_INTERVAL || self.guarded_at == Millis::ZERO;
+        if !is_due || !is_active && self.guards.is_empty() {
+            return;
+        }
+        self.guarded_at = now;
+        let ready = self.endpoints.iter().filter(|(_, e)| e.fact.state == EndpointState::Ready);
+        let mut brittle: Vec<RestrictedEndpoint> = ready
+            .filter_map(|(endpoint, _)| {
+                let bound = self.bounds.bound_of(now, endpoint)?;
+                let users = (bound as usize).max(1);
+                Some(RestrictedEndpoint { endpoint: endpoint.clone(), users })
+            })
+            .collect();
+        brittle.sort_unstable();
+        if brittle != self.brittle {
+            let own = assigned(&self.entries.0, &self.entries.1, &brittle);
+            let guard = |e: &RestrictedEndpoint| Guard { is_assigned: own.contains(&e.endpoint) };
+            let guards = brittle.iter().map(|e| (e.endpoint.clone(), guard(e))).collect();
+            let before = std::mem::replace(&mut self.guards, guards);
+            self.brittle = brittle;
+            for (endpoint, _) in before {
+                self.step(now, Event::Guarded { endpoint, guard: None });
+            }
+        }
+        for (endpoint, guard) in self.guards.clone() {
+            self.step(now, Event::Guarded { endpoint, guard: Some(guard) });
         }
     }
 
@@ -204,6 +292,9 @@
             Some(known) if version(fact) <= version(known) => return FactUpdate::Stale,
             _ => FactUpdate::Newer,
         };
+        if matches!(update, FactUpdate::Restart(_)) {
+            self.bounds.forget(&fact.endpoint);
+        }
         if matches!(update, FactUpdate::Restart(_))
             && let Some(former) = self.endpoints.remove(&fact.endpoint)
         {
@@ -306,6 +397,9 @@
         entry.load = Load { running: load.running, queued: load.queued, ..Load::default() };
         entry.load_at = Some(at);
         entry.is_full = load.is_full;
+        if load.rejection_bound.is_some() {
+            self.bounds.record(&load.endpoint, load.rejection_bound, at);
+        }
         self.announce(now, &load.endpoint);
         if load.is_full {
             let (endpoint, age) = (load.endpoint.clone(), load.age);
@@ -323,6 +417,7 @@
                 running: entry.load.running,
                 queued: entry.load.queued,
                 is_full: entry.is_full,
+                rejection_bound: self.bounds.named_by(now, endpoint),
                 age,
             })
         })
@@ -349,6 +444,7 @@
 
     /// Chooses an endpoint for a call and counts the call there, or refuses it.
     pub fn place(&mut self, now: Millis, ask: &PlacementRequest) -> PlacementDecision {
+        self.update_guards(now);
         let ask = self.routing_request(now, ask);
         match self.router.choose(now, &ask) {
             Choice::Endpoint(chosen) => {
@@ -378,6 +474,8 @@
                 PlacementDecision::Refused {
                     reason: refusal.reason,
                     retry_after: refusal.retry_after,
+                    may_wait: refusal.reason == RefusalReason::Full
+                        && self.guards.values().any(|guard| guard.is_assigned),
                     view,
                 }
             }
@@ -389,6 +487,7 @@
         PlacementDecision::Refused {
             reason: RefusalReason::NoEndpoint,
             retry_after: RETRY_AFTER,
+            may_wait: false,
             view: PoolView::default(),
         }
     }
--- a/coordination/dispatch/tests/loads.rs
+++ b/coordination/dispatch/tests/loads.rs
@@ -20,7 +20,16 @@
 fn load(endpoint: &str, incarnation: u64, running: u32, age: u64) -> EndpointLoad {
     let incarnation = Incarnation(incarnation);
     let endpoint = endpoint.into();
-    EndpointLoad { endpoint, incarnation, running, queued: 0, is_full: false, age: Millis(age) }
+    let age = Millis(age);
+    EndpointLoad {
+        endpoint,
+        incarnation,
+        running,
+        queued: 0,
+        is_full: false,
+        rejection_bound: None,
+        age,
+    }
 }
 
 fn fact(endpoint: &Name, incarnation: u64) -> EndpointFact {
--- a/coordination/dispatch/tests/overload/main.rs
+++ b/coordination/dispatch/tests/overload/main.rs
@@ -3,7 +3,7 @@
 mod sim;
 
 use sill_base::Millis;
-use sim::{Plan, play, possible};
+use sim::{Brittle, Plan, play, possible};
 
 /// Part of the calls that endpoints have room for that is to be answered.
 const SERVED: f64 = 0.9;
@@ -71,3 +71,87 @@
         }
     }
 }
+
+/// A system whose endpoints hold less while they are brittle, at twice what they then hold. They say so
+/// for three seconds before.
+fn brittle() -> Plan {
+    Plan {
+        room: vec![(Millis::ZERO, 12), (Millis(9000), 4)],
+        calls_per_s: vec![(Millis::ZERO, 2.0 * CAPACITY_PER_S)],
+        brittle: Some(Brittle { from: Millis(6000), until: Millis(22_000), bound: 3 }),
+        end: Millis(22_000),
+        ..Plan::default()
+    }
+}
+
+struct BrittleCase {
+    name: &'static str,
+    plan: Plan,
+    /// Part of the calls that endpoints have room for that is to be answered.
+    served: f64,
+}
+
+fn check_brittle(case: &BrittleCase) {
+    let BrittleCase { name, plan, served } = case;
+    let from = Millis(12_000);
+    let record = play(plan);
+    let (answered, all) = record.answered(from, plan.end);
+    let possible = possible(plan, from);
+    let line = format!(
+        "{name}: {answered} of {all}, {possible} possible, {} falls, {} rejections",
+        record.falls.len(),
+        record.rejections.len()
+    );
+    println!("{line}");
+    assert!(10 * record.falls.len() <= 20 + plan.endpoints, "{line}");
+    assert!(answered as f64 >= served * possible as f64, "{line}");
+}
+
+/// Brittle endpoints end again and again under the requests that they have to reject, or are hardly
+/// used for fear of that.
+#[test]
+fn brittle_endpoints_are_used_and_do_not_fall() {
+    let case = |name, plan| BrittleCase { name, plan, served: SERVED };
+    let cases = [
+        case("three entry instances", brittle()),
+        case(
+            "30 entry instances, 60 endpoints",
+            Plan {
+                entries: 30,
+                endpoints: 60,
+                calls_per_s: vec![(Millis::ZERO, 20.0 * CAPACITY_PER_S)],
+                ..brittle()
+            },
+        ),
+        case(
+            "83 entry instances, 112 endpoints without a queue, answers of 2 s",
+            Plan {
+                entries: 83,
+                endpoints: 112,
+                room: vec![(Millis::ZERO, 18), (Millis(9000), 12)],
+                service_time: Millis(2000),
+                calls_per_s: vec![(Millis::ZERO, 1000.0)],
+                ..brittle()
+            },
+        ),
+        case(
+            "half of the load",
+            Plan { calls_per_s: vec![(Millis::ZERO, 0.5 * CAPACITY_PER_S)], ..brittle() },
+        ),
+        case("no loads told", Plan { reports_load: false, ..brittle() }),
+        // Nobody knows how many others there are, so each takes little.
+        BrittleCase {
+            name: "no control instance",
+            plan: Plan { has_control: false, ..brittle() },
+            served: 0.0,
+        },
+    ];
+    cases.iter().for_each(check_brittle);
+}
+
+/// More entry instances than brittle endpoints bear rejections: some get no endpoint at all.
+#[test]
+fn few_brittle_endpoints_serve_many_entry_instances() {
+    let plan = Plan { entries: 30, ..brittle() };
+    check_brittle(&BrittleCase { name: "30 entry instances", plan, served: SERVED });
+}
--- a/coordination/dispatch/tests/overload/sim.rs
+++ b/coordination/dispatch/tests/overload/sim.rs
@@ -4,7 +4,7 @@
 //! instance that it polls, by those of others.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -27,9 +27,29 @@
 /// Age up to which an entry instance reports a load.
 const REPORT_AGE: Millis = Millis(600);
 
+/// Longest time that a call waits for an endpoint, and how often it looks for one.
+const MAX_WAIT: Millis = Millis(100);
+const WAIT_STEP: Millis = Millis(10);
+
 /// Endpoints that may reject a call before its caller is refused.
 const MAX_REJECTIONS: u32 = 3;
 
+/// How long an endpoint is away that has rejected too many requests.
+const FALL_TIME: Millis = Millis(3000);
+
+/// Endpoints that are out of reach before a caller is refused.
+const MAX_UNREACHABLE: u32 = 4;
+
+/// Endpoints that end if they have to reject too many requests, and say so.
+#[derive(Debug, Clone, Copy)]
+pub struct Brittle {
+    /// When they say so.
+    pub from: Millis,
+    pub until: Millis,
+    /// Rejections in a second that they bear.
+    pub bound: u32,
+}
+
 /// A system and its load.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -51,6 +71,8 @@
     pub has_control: bool,
     /// Calls per second from a time on, over all entry instances.
     pub calls_per_s: Vec<(Millis, f64)>,
+    /// When endpoints are brittle, if they are.
+    pub brittle: Option<Brittle>,
     /// When the last call is made.
     pub end: Millis,
     pub seed: u64,
@@ -68,6 +90,7 @@
             reports_load: true,
             has_control: true,
             calls_per_s: vec![(Millis::ZERO, 40.0)],
+            brittle: None,
             end: Millis(10_000),
             seed: 1,
         }
@@ -81,6 +104,8 @@
     Answered,
     /// Its caller was refused.
     Refused,
+    /// Its endpoint ended.
+    Failed,
 }
 
 /// The outcome of a plan.
@@ -90,6 +115,8 @@
     pub calls: Vec<(Millis, End)>,
     /// When endpoints rejected requests, with the endpoint.
     pub rejections: Vec<(Millis, usize)>,
+    /// When endpoints ended because they had to reject too many requests, with the endpoint.
+    pub falls: Vec<(Millis, usize)>,
 }
 
 impl Record {
@@ -138,10 +165,12 @@
 enum Event {
     Call,
     Poll(usize),
+    Place(Attempt),
     Arrival(Attempt),
     Head(Attempt),
     End(Attempt),
     Rejection(Attempt, u32),
+    Unreachable(Attempt),
 }
 
 /// An attempt at a call, by its number.
@@ -164,8 +193,12 @@
     placement: Option<Placement>,
 }
 
+#[derive(Default)]
 struct Endpoint {
-    running: u32,
+    running: Vec<Attempt>,
+    /// When it rejected requests in the last second.
+    rejections: VecDeque<Millis>,
+    down_until: Millis,
 }
 
 struct World {
@@ -189,6 +222,10 @@
     format!("e{i}").into()
 }
 
+fn entry_name(i: usize) -> Name {
+    format!("entry-{i}").into()
+}
+
 fn value_at<T>(steps: &[(Millis, T)], now: Millis) -> T
 where
     T: Copy,
@@ -199,6 +236,7 @@
 
 impl World {
     fn new(plan: Plan) -> Self {
+        let names: Arc<[Name]> = (0..plan.entries).map(entry_name).collect();
         let pools = (0..plan.entries).map(|i| {
             let mut pool = Pool::new(PoolCfg {
                 service: "desk".into(),
@@ -210,13 +248,16 @@
             (0..plan.endpoints).for_each(|e| {
                 pool.update_endpoint(Millis::ZERO, &fact(e, plan.slots));
             });
+            if plan.has_control {
+                pool.set_entries(&names[i], &names);
+            }
             pool
         });
         let mut world = Self {
             pools: pools.collect(),
             cursors: vec![0; plan.entries],
             control: EndpointLoads::default(),
-            endpoints: (0..plan.endpoints).map(|_| Endpoint { running: 0 }).collect(),
+            endpoints: (0..plan.endpoints).map(|_| Endpoint::default()).collect(),
             rng: random::seeded(plan.seed),
             now: Millis::ZERO,
             events: BinaryHeap::new(),
@@ -248,10 +289,12 @@
             match event {
                 Event::Call => self.call(),
                 Event::Poll(entry) => self.poll(entry),
+                Event::Place(attempt) => self.place(attempt),
                 Event::Arrival(attempt) => self.arrive(attempt),
                 Event::Head(attempt) => self.receive_head(attempt),
                 Event::End(attempt) => self.end(attempt),
                 Event::Rejection(attempt, running) => self.receive_rejection(attempt, running),
+                Event::Unreachable(attempt) => self.fail(attempt),
             }
         }
         let ends = std::mem::take(&mut self.ends);
@@ -285,7 +328,12 @@
                 call.placement = Some(placement);
                 self.push(LATENCY, Event::Arrival(attempt));
             }
-            PlacementDecision::Refused { .. } => _ = self.ends.insert(attempt.call, End::Refused),
+            PlacementDecision::Refused { may_wait, .. } => {
+                if may_wait && self.now - self.calls[attempt.call].at < MAX_WAIT {
+                    return self.push(WAIT_STEP, Event::Place(attempt));
+                }
+                self.ends.insert(attempt.call, End::Refused);
+            }
         }
     }
 
@@ -311,16 +359,25 @@
         placement.endpoint[1..].parse().expect("names are numbered")
     }
 
+    /// Returns what endpoints say of the rejections that they bear.
+    fn rejection_bound(&self) -> Option<u32> {
+        let brittle = self.plan.brittle?;
+        (brittle.from..brittle.until).contains(&self.now).then_some(brittle.bound)
+    }
+
     fn arrive(&mut self, attempt: Attempt) {
         let i = self.endpoint_of(attempt);
         let room = value_at(&self.plan.room, self.now);
         let endpoint = &mut self.endpoints[i];
-        if endpoint.running >= room {
-            let running = endpoint.running;
-            self.record.rejections.push((self.now, i));
+        if self.now < endpoint.down_until {
+            return self.push(LATENCY, Event::Unreachable(attempt));
+        }
+        let running = endpoint.running.len() as u32;
+        if running >= room {
+            self.reject(i);
             return self.push(LATENCY, Event::Rejection(attempt, running));
         }
-        endpoint.running += 1;
+        endpoint.running.push(attempt);
         let spread = self.rng.random_range(0.8..1.2);
         let took = self.plan.service_time.0 as f64 * spread;
         let head = Millis((took * self.plan.head_part) as u64);
@@ -328,10 +385,37 @@
         self.push(Millis(took as u64), Event::End(attempt));
     }
 
+    fn reject(&mut self, i: usize) {
+        self.record.rejections.push((self.now, i));
+        let Some(bound) = self.rejection_bound() else { return };
+        let endpoint = &mut self.endpoints[i];
+        endpoint.rejections.push_back(self.now);
+        while endpoint.rejections.front().is_some_and(|at| self.now - *at >= Millis(1000)) {
+            endpoint.rejections.pop_front();
+        }
+        if endpoint.rejections.len() as u32 <= bound {
+            return;
+        }
+        endpoint.down_until = self.now + FALL_TIME;
+        endpoint.rejections.clear();
+        self.record.falls.push((self.now, i));
+        for attempt in std::mem::take(&mut self.endpoints[i].running) {
+            self.ends.insert(attempt.call, End::Failed);
+            let (entry, placement) = self.placement(attempt);
+            let name = attempt.name();
+            self.pools[entry].finish_attempt(self.now, &placement, &name, Outcome::Failed);
+        }
+    }
+
     fn receive_head(&mut self, attempt: Attempt) {
-        let running = self.endpoints[self.endpoint_of(attempt)].running;
+        let endpoint = &self.endpoints[self.endpoint_of(attempt)];
+        if !endpoint.running.contains(&attempt) {
+            return;
+        }
+        let (running, bound) = (endpoint.running.len() as u32, self.rejection_bound());
         let (entry, placement) = self.placement(attempt);
         let pool = &mut self.pools[entry];
+        pool.record_rejection_bound(self.now, &placement, bound);
         if self.plan.reports_load {
             pool.record_load(self.now, &placement, running, 0);
         }
@@ -340,7 +424,9 @@
 
     fn end(&mut self, attempt: Attempt) {
         let i = self.endpoint_of(attempt);
-        self.endpoints[i].running -= 1;
+        let running = &mut self.endpoints[i].running;
+        let Some(place) = running.iter().position(|other| *other == attempt) else { return };
+        running.swap_remove(place);
         let (entry, placement) = self.placement(attempt);
         let name = attempt.name();
         self.pools[entry].finish_attempt(self.now, &placement, &name, Outcome::Finished);
@@ -348,10 +434,24 @@
     }
 
     fn receive_rejection(&mut self, attempt: Attempt, running: u32) {
+        let bound = self.rejection_bound();
         let (entry, placement) = self.placement(attempt);
         let load = self.plan.reports_load.then_some(Load { running, ..Load::default() });
-        self.pools[entry].record_rejection(self.now, &placement, &attempt.name(), load);
-        if attempt.number + 1 < MAX_REJECTIONS {
+        let pool = &mut self.pools[entry];
+        pool.record_rejection_bound(self.now, &placement, bound);
+        pool.record_rejection(self.now, &placement, &attempt.name(), load);
+        self.retry(attempt, MAX_REJECTIONS);
+    }
+
+    fn fail(&mut self, attempt: Attempt) {
+        let (entry, placement) = self.placement(attempt);
+        let name = attempt.name();
+        self.pools[entry].finish_attempt(self.now, &placement, &name, Outcome::Failed);
+        self.retry(attempt, MAX_UNREACHABLE);
+    }
+
+    fn retry(&mut self, attempt: Attempt, most: u32) {
+        if attempt.number + 1 < most {
             return self.place(Attempt { number: attempt.number + 1, ..attempt });
         }
         self.ends.insert(attempt.call, End::Refused);
--- a/coordination/route/src/endpoint.rs
+++ b/coordination/route/src/endpoint.rs
@@ -7,12 +7,16 @@
 
 use crate::home;
 use crate::policy::PolicyCfg;
-use crate::request::Outcome;
-use crate::room::Room;
+use crate::request::{Guard, Outcome};
+use crate::room::{Held, Room};
 
 /// Highest number of ended requests kept to correct lagging load reports.
 const MAX_ENDED_DISPATCHES: usize = 1024;
 
+/// Shortest time between two requests to a brittle endpoint. A rejection of the first is then known
+/// before the second is sent.
+const BRITTLE_SEND_INTERVAL: Millis = Millis(10);
+
 /// An endpoint, with its reported load corrected by this router's own dispatches.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
@@ -45,6 +49,10 @@
     own_tokens_since_sample: u64,
     /// What was learned from the last rejection.
     room: Option<Room>,
+    /// How it may be used if it is brittle.
+    guard: Option<Guard>,
+    /// When a request was last sent to it.
+    sent_at: Option<Millis>,
     consecutive_failures: u32,
     suspect_until: Millis,
 }
@@ -83,6 +91,8 @@
             sampled_at: Millis::ZERO,
             own_tokens_since_sample: 0,
             room: None,
+            guard: None,
+            sent_at: None,
             consecutive_failures: 0,
             suspect_until: Millis::ZERO,
         };
@@ -110,22 +120,37 @@
         (f64::from(self.other_active) * present).ceil() as u32 + self.own_active()
     }
 
-    /// Returns whether the endpoint is presumed to have room for one more request, by the requests
-    /// that it has rejected.
+    /// Returns whether the endpoint is presumed to have room for one more request.
     pub(crate) fn has_room(&self, now: Millis, active: u32) -> bool {
-        self.room.is_none_or(|room| room.admits(now, active))
+        let held = Held { all: active, own: self.own_active() };
+        // Nothing may wait at a brittle endpoint: it may reject what it can't run at once.
+        let is_paced = || self.sent_at.is_none_or(|at| now - at >= BRITTLE_SEND_INTERVAL);
+        let may_use = self.guard.is_none_or(|guard| {
+            guard.is_assigned && f64::from(active) < self.slots() && is_paced()
+        });
+        may_use && self.room.is_none_or(|room| room.admits(now, held, self.is_brittle()))
+    }
+
+    pub(crate) fn is_brittle(&self) -> bool {
+        self.guard.is_some()
     }
 
-    /// Returns the number of requests at the endpoint as of the last sample and the own requests
+    /// Sets how the endpoint may be used if it is brittle.
+    pub(crate) fn set_guard(&mut self, guard: Option<Guard>) {
+        self.guard = guard;
+    }
+
+    /// Returns the number of requests at the endpoint as of the last sample, with the own requests
     /// since.
-    fn sampled_active(&self) -> u32 {
-        self.other_active + self.own_active()
+    fn sampled(&self) -> Held {
+        let own = self.own_active();
+        Held { all: self.other_active + own, own }
     }
 
     fn record_held(&mut self, now: Millis) {
-        let active = self.sampled_active();
+        let (held, is_brittle) = (self.sampled(), self.is_brittle());
         if let Some(room) = &mut self.room {
-            room.record_held(now, active);
+            room.record_held(now, held, is_brittle);
         }
     }
 
@@ -203,12 +228,13 @@
         prefill_tokens: u64,
         trial_interval: Millis,
     ) {
-        let active = self.sampled_active();
-        let trial = self.room.as_mut().filter(|room| room.is_full(active));
+        let (held, is_brittle) = (self.sampled(), self.is_brittle());
+        let trial = self.room.as_mut().filter(|room| room.is_full(held, is_brittle));
         let is_trial = trial.is_some();
         if let Some(room) = trial {
             room.record_trial(now, trial_interval);
         }
+        self.sent_at = Some(now);
         let dispatch = Dispatch { sent_at: now, prefill_tokens, first_token_at: None, is_trial };
         self.own_pending_tokens += prefill_tokens;
         self.own_tokens_since_sample += prefill_tokens;
@@ -225,7 +251,8 @@
         load: Option<Load>,
         trial_interval: Millis,
     ) {
-        if let Some(dispatch) = self.own_dispatches.remove(request) {
+        let dispatch = self.own_dispatches.remove(request);
+        if let Some(dispatch) = &dispatch {
             self.own_pending_tokens -= dispatch.pending_tokens();
         }
         if let Some(load) = load {
@@ -233,13 +260,15 @@
             self.announced_at = now;
             self.correct_load();
         }
-        self.room = Some(Room::learn(self.sampled_active(), now, trial_interval));
+        let was_trial = dispatch.is_some_and(|dispatch| dispatch.is_trial);
+        self.room = Some(Room::learn(self.sampled(), now, trial_interval, was_trial));
     }
 
     /// Records that the endpoint rejected a request of another entry instance.
     pub(crate) fn record_rejected_elsewhere(&mut self, at: Millis, trial_interval: Millis) {
         if self.room.is_none_or(|room| room.learned_at() < at) {
-            self.room = Some(Room::learn(self.sampled_active(), at, trial_interval));
+            let limit = self.sampled().all;
+            self.room = Some(Room::learn_elsewhere(self.room, limit, at, trial_interval));
         }
     }
 
--- a/coordination/route/src/lib.rs
+++ b/coordination/route/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use policy::{Policy, PolicyCfg, PriorityBounds, SampleSize};
 pub use request::{
-    Choice, ChosenEndpoint, Event, Outcome, Refusal, RefusalReason, RouteRequest, Target,
+    Choice, ChosenEndpoint, Event, Guard, Outcome, Refusal, RefusalReason, RouteRequest, Target,
 };
 pub use retry::{RetryBudget, RetryCfg};
 pub use router::{Router, RouterCfg};
--- a/coordination/route/src/request.rs
+++ b/coordination/route/src/request.rs
@@ -142,6 +142,13 @@
         /// Time since the rejection.
         age: Millis,
     },
+    /// Whether an endpoint is brittle has changed.
+    Guarded {
+        /// The endpoint.
+        endpoint: Name,
+        /// How it may be used; none if it is not brittle.
+        guard: Option<Guard>,
+    },
     /// A request is no longer at an endpoint.
     Ended {
         /// The endpoint.
@@ -155,6 +162,13 @@
     },
 }
 
+/// How an endpoint may be used that ends if it has to reject too many requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Guard {
+    /// Whether this entry instance may send requests there.
+    pub is_assigned: bool,
+}
+
 /// How a request ended at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Outcome {
--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -14,7 +14,7 @@
 use crate::prefix::{Depths, PrefixIndex};
 use crate::request::{Choice, ChosenEndpoint, Event, Refusal, RefusalReason, RouteRequest, Target};
 use crate::risk::ReclaimWaves;
-use crate::room::TrialPace;
+use crate::room::{TrialPace, brittle_trial_interval};
 use crate::score::{Candidate, Scorer};
 use crate::versions::Versions;
 use crate::view::PoolView;
@@ -423,7 +423,7 @@
             return;
         };
         let prefill = req.prompt_tokens.saturating_sub(cached);
-        let trial_interval = self.trial_pace.next_interval(&mut self.rng);
+        let trial_interval = trial_interval(&self.trial_pace, &mut self.rng, endpoint);
         endpoint.record_sent(now, req.request.clone(), prefill, trial_interval);
         self.prefixes.insert(endpoint.index, &req.blocks, now);
     }
@@ -482,17 +482,22 @@
             }
             Event::Rejected { endpoint, request, load } => {
                 self.trial_pace.record(false);
-                let trial_interval = self.trial_pace.next_interval(&mut self.rng);
                 if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
+                    let trial_interval = trial_interval(&self.trial_pace, &mut self.rng, endpoint);
                     endpoint.record_rejected(now, &request, load, trial_interval);
                 }
             }
             Event::RejectedElsewhere { endpoint, age } => {
-                let trial_interval = self.trial_pace.next_interval(&mut self.rng);
                 if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
+                    let trial_interval = trial_interval(&self.trial_pace, &mut self.rng, endpoint);
                     endpoint.record_rejected_elsewhere(now - age, trial_interval);
                 }
             }
+            Event::Guarded { endpoint, guard } => {
+                if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
+                    endpoint.set_guard(guard);
+                }
+            }
             Event::Ended { endpoint, request, outcome, .. } => {
                 if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
                     endpoint.record_end(now, &request, outcome, &self.policy);
@@ -512,6 +517,14 @@
     }
 }
 
+/// Returns the time until the next request to an endpoint that is presumed to be full.
+fn trial_interval(pace: &TrialPace, rng: &mut Rng, endpoint: &Endpoint) -> Millis {
+    match endpoint.is_brittle() {
+        true => brittle_trial_interval(rng),
+        false => pace.next_interval(rng),
+    }
+}
+
 /// Returns whether an endpoint of a role serves a whole request. An answer of one token needs no
 /// decoding, so prefill endpoints serve it.
 fn role_accepts(role: Role, req: &RouteRequest) -> bool {
--- a/daemons/gateway/src/dialect.rs
+++ b/daemons/gateway/src/dialect.rs
@@ -97,6 +97,10 @@
     /// Returns the load that the endpoint reported with an answer.
     fn load(&self, headers: &HeaderMap) -> Option<ReportedLoad>;
 
+    /// Returns how many requests the endpoint may reject in a second, if it says with the answer that
+    /// it ends when it has to reject more.
+    fn rejection_bound(&self, headers: &HeaderMap) -> Option<u32>;
+
     /// Builds the request by which an engine copies a run's KV cache to another engine, or what was
     /// added since the last copy. With `stop_run` the engine stops the run first. Returns none if
     /// engines don't support it.
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -29,6 +29,12 @@
 /// at this moment, and then it is unknown whether the call ran.
 const MAX_IDLE_NON_REPEATABLE: Millis = Millis(1500);
 
+/// Longest time that a call waits for an endpoint that may have room within moments.
+const MAX_PLACEMENT_WAIT: Millis = Millis(100);
+
+/// How often such a call looks for an endpoint.
+const PLACEMENT_RETRY_INTERVAL: Millis = Millis(10);
+
 /// A running attempt. It counts towards its endpoint's load until it is finished or dropped.
 #[derive(Debug)]
 pub struct Attempt {
@@ -51,6 +57,8 @@
     pub reason: RefusalReason,
     /// Time after which the caller should retry.
     pub retry_after: Millis,
+    /// Whether the call may be placed within moments.
+    pub may_wait: bool,
     /// What was believed of the endpoints.
     pub view: PoolView,
 }
@@ -108,13 +116,12 @@
     loop {
         let now = state.clock.now();
         progress.time_left = call.due - now;
-        let software = call.software.clone();
-        let placed = place_attempt(state, call, now, &exclude, progress.attempts(), software);
+        let placed = place_or_wait(state, call, &exclude, progress.attempts()).await;
         let attempt = match placed {
             Ok(attempt) => attempt,
             Err(refusal) => return Err(summary.refuse(&progress, &refusal)),
         };
-        summary.record_send(&attempt.placement, now);
+        summary.record_send(&attempt.placement, state.clock.now());
         exclude.push(attempt.placement.endpoint.clone());
         let (outcome, is_trial) = match send_attempt(attempt, &progress, None).await {
             AttemptResult::Answer(attempt, answer) => {
@@ -146,6 +153,33 @@
     }
 }
 
+/// Chooses an endpoint for a call. If there is none but may be one within moments, the call waits for
+/// it, at most for [`MAX_PLACEMENT_WAIT`] and a tenth of the time that it has left.
+async fn place_or_wait(
+    state: &Arc<State>,
+    call: &Arc<Call>,
+    exclude: &[Name],
+    sends: u32,
+) -> Result<Attempt, PlacementRefusal> {
+    let started_at = state.clock.now();
+    let max_wait = MAX_PLACEMENT_WAIT.min(Millis((call.due - started_at).0 / 10));
+    loop {
+        let (now, software) = (state.clock.now(), call.software.clone());
+        let refusal = match place_attempt(state, call, now, exclude, sends, software) {
+            Ok(attempt) => return Ok(attempt),
+            Err(refusal) => refusal,
+        };
+        if !refusal.may_wait {
+            return Err(refusal);
+        }
+        if now - started_at >= max_wait {
+            call.pool.count_refusal(now);
+            return Err(refusal);
+        }
+        tokio::time::sleep(PLACEMENT_RETRY_INTERVAL.into()).await;
+    }
+}
+
 /// Returns whether endpoints have crashed under equal calls, so this one is not sent again.
 pub fn is_blocked(state: &State, call: &Call) -> bool {
     state.crashes.block_of(|| call.request_key()).is_some()
@@ -189,9 +223,11 @@
             let (placed_at, exchange) = (now, None);
             Ok(Attempt { placement, placed_at, state, call, name, exchange, is_over: false })
         }
-        PlacementDecision::Refused { reason, retry_after, view } => {
-            call.pool.count_refusal(now);
-            Err(PlacementRefusal { reason, retry_after, view })
+        PlacementDecision::Refused { reason, retry_after, may_wait, view } => {
+            if !may_wait {
+                call.pool.count_refusal(now);
+            }
+            Err(PlacementRefusal { reason, retry_after, may_wait, view })
         }
     }
 }
@@ -298,6 +334,10 @@
         let now = self.state.clock.now();
         let load = dialect.load(headers);
         let class = dialect.classify(&self.call.head.attempt, status, headers);
+        if !matches!(class, AnswerClass::Improper | AnswerClass::WrongEndpoint) {
+            let bound = dialect.rejection_bound(headers);
+            self.call.pool.pool.lock().record_rejection_bound(now, &self.placement, bound);
+        }
         if let Some(load) = load.filter(|_| class != AnswerClass::Full) {
             self.call.pool.pool.lock().record_load(now, &self.placement, load.running, load.queued);
         }
--- a/daemons/gateway/src/sill_dialect.rs
+++ b/daemons/gateway/src/sill_dialect.rs
@@ -60,6 +60,10 @@
         None
     }
 
+    fn rejection_bound(&self, headers: &HeaderMap) -> Option<u32> {
+        text(headers, &name(names::REJECTION_BOUND))?.parse().ok()
+    }
+
     fn failure(&self, headers: &mut HeaderMap, failure: &Failure) {
         if failure.is_not_run() {
             set(headers, name(names::NOT_RUN), "true");
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -8,8 +8,8 @@
 use sill_base::{Clock, Map, Millis, Name, Promise, assert_promise, event};
 use sill_dispatch::usage::window_of;
 use sill_dispatch::{
-    AdmittedByReason, FactUpdate, LimitEstimate, LimitShares, MAX_TOTALS_AGE, MovingAverage,
-    OpenCalls, OverLimit, Pool, PoolCfg, RetryBudgets, RouteTable, UsageCounter,
+    AdmittedByReason, BrittleCounts, FactUpdate, LimitEstimate, LimitShares, MAX_TOTALS_AGE,
+    MovingAverage, OpenCalls, OverLimit, Pool, PoolCfg, RetryBudgets, RouteTable, UsageCounter,
 };
 use sill_net::h1::{ConnectionPool, ConnectionPoolCfg, OpenConnections};
 use sill_tree::Engine;
@@ -106,6 +106,8 @@
     rates: Mutex<Rates>,
     /// Prefill speed of an engine in tokens per second as last logged.
     logged_speed: Mutex<f64>,
+    /// What was last logged of the brittle endpoints.
+    logged_brittle: Mutex<BrittleCounts>,
     /// When leaving endpoints will be gone.
     departures: Mutex<Map<Name, Millis>>,
     departure_count: watch::Sender<u64>,
@@ -241,6 +243,10 @@
         }
         if let Some(entries) = &reply.entries {
             self.streams.set_peers(from, entries.clone());
+            let names = self.streams.entry_names();
+            for pool in self.pools.read().values() {
+                pool.pool.lock().set_entries(&self.cfg.name, &names);
+            }
         }
         if reply.has_leader {
             self.streams.record_control_reply(reply.history);
@@ -346,6 +352,7 @@
             seed: self.incarnation.0,
         };
         let mut pool = Pool::new(cfg);
+        pool.set_entries(&self.cfg.name, &self.streams.entry_names());
         if let Some(existing) = existing {
             let now = self.clock.now();
             for fact in existing.pool.lock().facts() {
@@ -359,6 +366,7 @@
             can_move: engine.is_some_and(|engine| engine.moves),
             rates: Mutex::default(),
             logged_speed: Mutex::default(),
+            logged_brittle: Mutex::default(),
             departures: Mutex::default(),
             departure_count: watch::Sender::new(0),
         });
@@ -553,11 +561,32 @@
         );
     }
 
+    /// Logs how many endpoints are brittle, and how many of these this instance may use, once that
+    /// has changed.
+    fn log_brittle(&self, counts: BrittleCounts) {
+        let before = std::mem::replace(&mut *self.logged_brittle.lock(), counts);
+        if before == counts {
+            return;
+        }
+        let BrittleCounts { brittle, assigned, entries } = counts;
+        event!(
+            Info,
+            "endpoints_brittle",
+            service = self.service,
+            brittle = brittle,
+            assigned = assigned,
+            before = before.brittle,
+            entries = entries
+        );
+    }
+
     fn report(&self, now: Millis) -> ServiceReport {
         let mut rates = self.rates.lock();
         let pool = self.pool.lock();
         let (running, speed) = (pool.running(), pool.learned_speed());
+        let brittle = pool.brittle_counts();
         drop(pool);
+        self.log_brittle(brittle);
         if let Some(speed) = speed {
             self.log_speed(speed);
         }
--- a/daemons/gateway/src/streams.rs
+++ b/daemons/gateway/src/streams.rs
@@ -165,6 +165,11 @@
         }
     }
 
+    /// Returns the names of all entry instances that control instances know of.
+    pub fn entry_names(&self) -> Arc<[Name]> {
+        self.peers.lock().all.iter().map(|peer| peer.entry.clone()).collect()
+    }
+
     /// Drops the list of a control instance that is no longer followed, if there are others.
     pub fn drop_peers(&self, from: SocketAddr) {
         let mut peers = self.peers.lock();
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -733,6 +733,10 @@
         SillDialect.load(headers)
     }
 
+    fn rejection_bound(&self, headers: &HeaderMap) -> Option<u32> {
+        SillDialect.rejection_bound(headers)
+    }
+
     fn copy_run(
         &self,
         attempt: &Name,
--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the whole system: `sill` processes on loopback, with stand-ins as endpoints.
 
 mod bad_input;
+mod brittle;
 mod control;
 mod control_cluster;
 mod crashes;
--- a/protocol/wire/src/header.rs
+++ b/protocol/wire/src/header.rs
@@ -25,6 +25,10 @@
 /// same.
 pub const LEAVING: &str = "sill-leaving";
 
+/// The number of requests that an endpoint may reject in a second for lack of room; it ends if it
+/// has to reject more.
+pub const REJECTION_BOUND: &str = "sill-rejection-bound";
+
 /// The number of whole seconds after which to retry.
 pub const RETRY_AFTER: &str = "retry-after";
 
--- a/protocol/wire/src/link.rs
+++ b/protocol/wire/src/link.rs
@@ -126,6 +126,9 @@
     /// Whether it rejected a request because it was full.
     #[serde(rename = "f", default, skip_serializing_if = "is_default")]
     pub is_full: bool,
+    /// Rejections per second that it bears before it ends, if it named a bound.
+    #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
+    pub rejection_bound: Option<u32>,
     /// Time since the endpoint reported it.
     #[serde(rename = "a")]
     pub age: Millis,
