Tests: brittle endpoints end from the time on at which they may hold less

The simulated endpoints of tests/overload fell over from their first statement on; the users' page says that they do so from `contact_ms` later, which is when they may let fewer wait.

--- a/coordination/dispatch/tests/overload/sim.rs
+++ b/coordination/dispatch/tests/overload/sim.rs
@@ -46,6 +46,8 @@
     /// When they say so.
     pub from: Millis,
     pub until: Millis,
+    /// From when on they end.
+    pub falls_from: Millis,
     /// Rejections in a second that they bear.
     pub bound: u32,
 }
@@ -388,6 +390,9 @@
     fn reject(&mut self, i: usize) {
         self.record.rejections.push((self.now, i));
         let Some(bound) = self.rejection_bound() else { return };
+        if self.plan.brittle.is_some_and(|brittle| self.now < brittle.falls_from) {
+            return;
+        }
         let endpoint = &mut self.endpoints[i];
         endpoint.rejections.push_back(self.now);
         while endpoint.rejections.front().is_some_and(|at| self.now - *at >= Millis(1000)) {
