--- a/coordination/route/src/room.rs
+++ b/coordination/route/src/room.rs
@@ -20,7 +20,7 @@
 
 /// Shortest time between two trials of an entry instance at one brittle endpoint, in milliseconds.
 /// Twice that is the longest.
-const BRITTLE_TRIAL_INTERVAL_MS: f64 = 1500.0;
+const BRITTLE_TRIAL_INTERVAL_MS: f64 = 1200.0;
 
 /// How long an entry instance sends nothing to a brittle endpoint that rejected a request although
 /// the one before it had had room: it holds fewer requests than before.
