Pools: limits that endpoints name for all entry instances together hold

Cause: nothing read the statement. Class: as with brittle endpoints, a bound over all entry instances that each of them takes for its own, or nobody for his.

Now N + 1 entry instances use an endpoint with a limit of N, with equal parts; all know which ones from the lists that they have (`assigned`, as for brittle endpoints). Each has a bucket for the endpoint that begins empty, and whatever is placed there takes a token. The limit goes to the others with the loads, as a new field that old builds ignore, and 0 once an answer names none. What makes no sense (no positive decimal number up to a million, two headers) is no limit; a line says so once. Weighed: parts by demand as for accounts (some 45 KB/s for each instance with 112 limited endpoints, and what is saved up comes at once), even parts for all (the same burst).

--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod pool;
 pub mod registry;
 pub mod relays;
+mod request_limits;
 pub mod settings;
 pub mod share;
 pub mod speed;
--- a/coordination/dispatch/src/loads.rs
+++ b/coordination/dispatch/src/loads.rs
@@ -27,6 +27,7 @@
     queued: u32,
     is_full: bool,
     rejection_bound: Option<u32>,
+    request_limit: Option<f64>,
     measured_at: Millis,
     sequence: u64,
 }
@@ -53,6 +54,7 @@
                 queued,
                 is_full,
                 rejection_bound,
+                request_limit,
                 ..
             } = load;
             let entry = LoadEntry {
@@ -61,6 +63,7 @@
                 queued,
                 is_full,
                 rejection_bound,
+                request_limit,
                 measured_at,
                 sequence: self.last_sequence,
             };
@@ -82,6 +85,7 @@
             queued: entry.queued,
             is_full: entry.is_full,
             rejection_bound: entry.rejection_bound,
+            request_limit: entry.request_limit,
             age: now - entry.measured_at,
         });
         (self.last_sequence, loads.collect())
--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -8,7 +8,7 @@
 use sill_base::{Machine, Map, Millis, Name};
 use sill_route::{
     Choice, Event, Guard, Outcome, PolicyCfg, PoolView, PriorityBounds, RefusalReason,
-    RouteRequest, Router, RouterCfg, SampleSize, Target,
+    RouteRequest, Router, RouterCfg, SampleSize, SendRate, Target,
 };
 use sill_wire::link::{EndpointFact, EndpointLoad, EndpointState, EngineSpeed};
 use sill_wire::prefix::BLOCK_TOKENS;
@@ -16,6 +16,7 @@
 
 use crate::assignment::{RestrictedEndpoint, assigned};
 use crate::brittle::RejectionBounds;
+use crate::request_limits::{self, RequestLimits};
 use crate::speed::{MIN_REPORTED_FITS, SpeedMeter};
 
 /// Prefill speed, in prompt tokens per second, by which endpoints are compared. It only weighs the
@@ -180,6 +181,11 @@
     /// The endpoints that are brittle, with whether this entry instance may use each.
     guards: Map<Name, Guard>,
     guarded_at: Millis,
+    limits: RequestLimits,
+    /// The endpoints whose limits stand, sorted, with the limits in requests per second.
+    limited: Vec<(Name, f64)>,
+    /// The part of this entry instance in each of these limits.
+    rates: Map<Name, SendRate>,
 }
 
 #[derive(Debug)]
@@ -219,6 +225,9 @@
             brittle: Vec::new(),
             guards: Map::default(),
             guarded_at: Millis::ZERO,
+            limits: RequestLimits::default(),
+            limited: Vec::new(),
+            rates: Map::default(),
         }
     }
 
@@ -228,6 +237,7 @@
         if self.entries.1 != *entries {
             self.entries = (own.clone(), entries.clone());
             self.brittle.clear();
+            self.limited.clear();
             self.guarded_at = Millis::ZERO;
         }
     }
@@ -240,6 +250,65 @@
         }
     }
 
+    /// Records which limit an endpoint named with an answer, in requests per second of all entry
+    /// instances together.
+    pub fn record_request_limit(&mut self, now: Millis, place: &Placement, per_s: Option<f64>) {
+        if self.entry_of(place).is_some() {
+            self.limits.record(&place.endpoint, per_s, now);
+            self.update_rates(now);
+        }
+    }
+
+    /// Returns the endpoints that have named limits, with the part of this entry instance.
+    pub fn send_rates(&self) -> impl Iterator<Item = (&Name, SendRate)> {
+        self.rates.iter().map(|(endpoint, rate)| (endpoint, *rate))
+    }
+
+    /// Updates this entry instance's parts of the limits that endpoints have named.
+    fn update_rates(&mut self, now: Millis) {
+        let is_ready = |name: &Name| {
+            self.endpoints.get(name).is_some_and(|e| e.fact.state == EndpointState::Ready)
+        };
+        let limits = self.limits.standing(now).filter(|(endpoint, _)| is_ready(endpoint));
+        let mut limits: Vec<(Name, f64)> =
+            limits.map(|(name, per_s)| (name.clone(), per_s)).collect();
+        limits.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+        if limits == self.limited && limits.len() == self.rates.len() {
+            return;
+        }
+        let restricted: Vec<RestrictedEndpoint> = limits
+            .iter()
+            .map(|(endpoint, per_s)| RestrictedEndpoint {
+                endpoint: endpoint.clone(),
+                users: request_limits::users(*per_s),
+            })
+            .collect();
+        let own = assigned(&self.entries.0, &self.entries.1, &restricted);
+        let entries = match self.entries.1.len() {
+            0 => usize::MAX,
+            known => known,
+        };
+        let mut rates = Map::default();
+        for (endpoint, per_s) in &limits {
+            let users = request_limits::users(*per_s).min(entries);
+            let rate = match own.contains(endpoint) {
+                true => request_limits::part(*per_s, users),
+                false => SendRate { per_s: 0.0, burst: 0.0 },
+            };
+            rates.insert(endpoint.clone(), rate);
+        }
+        self.limited = limits;
+        let before = std::mem::replace(&mut self.rates, rates);
+        for endpoint in before.keys().filter(|name| !self.rates.contains_key(*name)) {
+            let paced = Event::Paced { endpoint: endpoint.clone(), rate: None };
+            self.router.step(now, paced, &mut Vec::new());
+        }
+        for (endpoint, rate) in self.rates.iter().filter(|(e, r)| before.get(*e) != Some(*r)) {
+            let paced = Event::Paced { endpoint: endpoint.clone(), rate: Some(*rate) };
+            self.router.step(now, paced, &mut Vec::new());
+        }
+    }
+
     /// Returns how many endpoints are presumed to be brittle, for the log.
     pub fn brittle_counts(&self) -> BrittleCounts {
         let assigned = self.guards.values().filter(|guard| guard.is_assigned).count();
@@ -250,10 +319,14 @@
     fn update_guards(&mut self, now: Millis) {
         let is_active = self.bounds.is_active(now);
         let is_due = now - self.guarded_at >= GUARD_INTERVAL || self.guarded_at == Millis::ZERO;
-        if !is_due || !is_active && self.guards.is_empty() {
+        if !is_due {
             return;
         }
         self.guarded_at = now;
+        self.update_rates(now);
+        if !is_active && self.guards.is_empty() {
+            return;
+        }
         let ready = self.endpoints.iter().filter(|(_, e)| e.fact.state == EndpointState::Ready);
         let mut brittle: Vec<RestrictedEndpoint> = ready
             .filter_map(|(endpoint, _)| {
@@ -294,6 +367,7 @@
         };
         if matches!(update, FactUpdate::Restart(_)) {
             self.bounds.forget(&fact.endpoint);
+            self.limits.forget(&fact.endpoint);
         }
         if matches!(update, FactUpdate::Restart(_))
             && let Some(former) = self.endpoints.remove(&fact.endpoint)
@@ -397,6 +471,9 @@
         entry.load = Load { running: load.running, queued: load.queued, ..Load::default() };
         entry.load_at = Some(at);
         entry.is_full = load.is_full;
+        if let Some(per_s) = load.request_limit {
+            self.limits.record(&load.endpoint, (per_s > 0.0).then_some(per_s), at);
+        }
         if load.rejection_bound.is_some() {
             self.bounds.record(&load.endpoint, load.rejection_bound, at);
         }
@@ -418,6 +495,7 @@
                 queued: entry.load.queued,
                 is_full: entry.is_full,
                 rejection_bound: self.bounds.named_by(now, endpoint),
+                request_limit: self.limits.named_by(now, endpoint),
                 age,
             })
         })
--- a/coordination/dispatch/tests/loads.rs
+++ b/coordination/dispatch/tests/loads.rs
@@ -28,6 +28,7 @@
         queued: 0,
         is_full: false,
         rejection_bound: None,
+        request_limit: None,
         age,
     }
 }
--- a/coordination/dispatch/tests/overload/main.rs
+++ b/coordination/dispatch/tests/overload/main.rs
@@ -3,7 +3,7 @@
 mod sim;
 
 use sill_base::Millis;
-use sim::{Brittle, Plan, play, possible};
+use sim::{Brittle, Limited, Plan, play, possible};
 
 /// Part of the calls that endpoints have room for that is to be answered.
 const SERVED: f64 = 0.9;
@@ -160,3 +160,68 @@
     let plan = Plan { entries: 30, ..brittle() };
     check_brittle(&BrittleCase { name: "30 entry instances", plan, served: SERVED });
 }
+
+/// Endpoints that take few requests from all entry instances together get as many as each of these may
+/// send, or hardly any.
+#[test]
+fn limits_that_endpoints_name_hold_over_all_entry_instances() {
+    struct Case {
+        name: &'static str,
+        entries: usize,
+        endpoints: usize,
+        limited: usize,
+        per_s: f64,
+        calls_per_s: f64,
+        /// Whether callers ask for more than the limits.
+        is_short: bool,
+    }
+    let case = |name, entries, endpoints, limited, per_s, calls_per_s, is_short| Case {
+        name,
+        entries,
+        endpoints,
+        limited,
+        per_s,
+        calls_per_s,
+        is_short,
+    };
+    let cases = [
+        case("two of six name 2", 3, 6, 2, 2.0, 60.0, false),
+        case("all six name 2.5", 3, 6, 6, 2.5, 60.0, true),
+        case("two of six name 0.4", 3, 6, 2, 0.4, 60.0, false),
+        case("two of twelve name 1.7, eight entry instances", 8, 12, 2, 1.7, 90.0, false),
+        case("all of twelve name 1.7, eight entry instances", 8, 12, 12, 1.7, 90.0, true),
+        case("all of 112 name 2, 83 entry instances", 83, 112, 112, 2.0, 600.0, true),
+        case("all of 112 name 0.4, 90 entry instances", 90, 112, 112, 0.4, 600.0, true),
+        case("one names 40", 8, 12, 1, 40.0, 400.0, false),
+    ];
+    for Case { name, entries, endpoints, limited, per_s, calls_per_s, is_short } in cases {
+        let (from, until) = (Millis(5000), Millis(25_000));
+        let plan = Plan {
+            entries,
+            endpoints,
+            room: vec![(Millis::ZERO, 12)],
+            calls_per_s: vec![(Millis::ZERO, calls_per_s)],
+            limited: Some(Limited { from, until, per_s, endpoints: limited }),
+            end: Millis(35_000),
+            ..Plan::default()
+        };
+        let record = play(&plan);
+        let judged = from + Millis(3000);
+        let span = Millis(4000);
+        let allowed = 1.5 * per_s * span.as_secs_f64() + 5.0;
+        let most = (0..limited).map(|i| record.most_arrivals(i, judged, until, span)).max();
+        let got = record.arrivals(limited, judged, until) as f64;
+        let owed = per_s * limited as f64 * (until - judged).as_secs_f64();
+        let after = record.arrivals(limited, until + Millis(5000), plan.end) as f64 / 5.0;
+        let before = record.arrivals(limited, Millis(2000), from) as f64 / 3.0;
+        let line = format!(
+            "{name}: most {} of {allowed:.1} allowed, {got} of {owed:.0} in all, \
+             {before:.0} a second before and {after:.0} after",
+            most.unwrap_or_default()
+        );
+        println!("{line}");
+        assert!(most.unwrap_or_default() as f64 <= allowed, "{line}");
+        assert!(!is_short || got >= SERVED * owed, "{line}");
+        assert!(after >= 0.8 * before, "{line}");
+    }
+}
--- a/coordination/dispatch/tests/overload/sim.rs
+++ b/coordination/dispatch/tests/overload/sim.rs
@@ -52,6 +52,18 @@
     pub bound: u32,
 }
 
+/// Endpoints that take few requests from all entry instances together, and say so.
+#[derive(Debug, Clone, Copy)]
+pub struct Limited {
+    /// When they say so.
+    pub from: Millis,
+    pub until: Millis,
+    /// Requests per second that each of them takes.
+    pub per_s: f64,
+    /// Number of such endpoints.
+    pub endpoints: usize,
+}
+
 /// A system and its load.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -75,6 +87,8 @@
     pub calls_per_s: Vec<(Millis, f64)>,
     /// When endpoints are brittle, if they are.
     pub brittle: Option<Brittle>,
+    /// The endpoints that name limits, if any.
+    pub limited: Option<Limited>,
     /// When the last call is made.
     pub end: Millis,
     pub seed: u64,
@@ -93,6 +107,7 @@
             has_control: true,
             calls_per_s: vec![(Millis::ZERO, 40.0)],
             brittle: None,
+            limited: None,
             end: Millis(10_000),
             seed: 1,
         }
@@ -119,9 +134,35 @@
     pub rejections: Vec<(Millis, usize)>,
     /// When endpoints ended because they had to reject too many requests, with the endpoint.
     pub falls: Vec<(Millis, usize)>,
+    /// When requests arrived at endpoints, with the endpoint.
+    pub arrivals: Vec<(Millis, usize)>,
 }
 
 impl Record {
+    /// Returns the largest number of requests that arrived at an endpoint within `span`, of those that
+    /// arrived from `from` to `until`.
+    pub fn most_arrivals(
+        &self,
+        endpoint: usize,
+        from: Millis,
+        until: Millis,
+        span: Millis,
+    ) -> usize {
+        let arrivals =
+            self.arrivals.iter().filter(|(at, i)| *i == endpoint && (from..until).contains(at));
+        let times: Vec<Millis> = arrivals.map(|(at, _)| *at).collect();
+        let in_span = |first: &Millis| {
+            times.iter().filter(|at| (*first..*first + span).contains(*at)).count()
+        };
+        times.iter().map(in_span).max().unwrap_or_default()
+    }
+
+    /// Returns the number of requests that arrived at the first endpoints from `from` to `until`.
+    pub fn arrivals(&self, endpoints: usize, from: Millis, until: Millis) -> usize {
+        let arrivals = self.arrivals.iter();
+        arrivals.filter(|(at, i)| *i < endpoints && (from..until).contains(at)).count()
+    }
+
     /// Returns the number of calls that were answered, and of all, of those made from `from` to
     /// `until`.
     pub fn answered(&self, from: Millis, until: Millis) -> (usize, usize) {
@@ -367,9 +408,16 @@
         (brittle.from..brittle.until).contains(&self.now).then_some(brittle.bound)
     }
 
+    /// Returns the limit that an endpoint names.
+    fn request_limit(&self, i: usize) -> Option<f64> {
+        let limited = self.plan.limited.filter(|limited| i < limited.endpoints)?;
+        (limited.from..limited.until).contains(&self.now).then_some(limited.per_s)
+    }
+
     fn arrive(&mut self, attempt: Attempt) {
         let i = self.endpoint_of(attempt);
         let room = value_at(&self.plan.room, self.now);
+        self.record.arrivals.push((self.now, i));
         let endpoint = &mut self.endpoints[i];
         if self.now < endpoint.down_until {
             return self.push(LATENCY, Event::Unreachable(attempt));
@@ -418,9 +466,11 @@
             return;
         }
         let (running, bound) = (endpoint.running.len() as u32, self.rejection_bound());
+        let limit = self.request_limit(self.endpoint_of(attempt));
         let (entry, placement) = self.placement(attempt);
         let pool = &mut self.pools[entry];
         pool.record_rejection_bound(self.now, &placement, bound);
+        pool.record_request_limit(self.now, &placement, limit);
         if self.plan.reports_load {
             pool.record_load(self.now, &placement, running, 0);
         }
@@ -440,10 +490,12 @@
 
     fn receive_rejection(&mut self, attempt: Attempt, running: u32) {
         let bound = self.rejection_bound();
+        let limit = self.request_limit(self.endpoint_of(attempt));
         let (entry, placement) = self.placement(attempt);
         let load = self.plan.reports_load.then_some(Load { running, ..Load::default() });
         let pool = &mut self.pools[entry];
         pool.record_rejection_bound(self.now, &placement, bound);
+        pool.record_request_limit(self.now, &placement, limit);
         pool.record_rejection(self.now, &placement, &attempt.name(), load);
         self.retry(attempt, MAX_REJECTIONS);
     }
--- a/coordination/route/src/endpoint.rs
+++ b/coordination/route/src/endpoint.rs
@@ -6,8 +6,9 @@
 use sill_wire::{Announcement, Incarnation, Load};
 
 use crate::home;
+use crate::pace::Pace;
 use crate::policy::PolicyCfg;
-use crate::request::{Guard, Outcome};
+use crate::request::{Guard, Outcome, SendRate};
 use crate::room::{Held, Room};
 
 /// Highest number of ended requests kept to correct lagging load reports.
@@ -51,6 +52,8 @@
     room: Option<Room>,
     /// How it may be used if it is brittle.
     guard: Option<Guard>,
+    /// How many requests it may be sent, if it has named a limit.
+    pace: Option<Pace>,
     /// When a request was last sent to it.
     sent_at: Option<Millis>,
     consecutive_failures: u32,
@@ -92,6 +95,7 @@
             own_tokens_since_sample: 0,
             room: None,
             guard: None,
+            pace: None,
             sent_at: None,
             consecutive_failures: 0,
             suspect_until: Millis::ZERO,
@@ -128,7 +132,9 @@
         let may_use = self.guard.is_none_or(|guard| {
             guard.is_assigned && f64::from(active) < self.slots() && is_paced()
         });
-        may_use && self.room.is_none_or(|room| room.admits(now, held, self.is_brittle()))
+        may_use
+            && self.pace.is_none_or(|pace| pace.may_send(now))
+            && self.room.is_none_or(|room| room.admits(now, held, self.is_brittle()))
     }
 
     pub(crate) fn is_brittle(&self) -> bool {
@@ -140,6 +146,14 @@
         self.guard = guard;
     }
 
+    /// Sets how many requests it may be sent.
+    pub(crate) fn set_rate(&mut self, now: Millis, rate: Option<SendRate>) {
+        match (&mut self.pace, rate) {
+            (Some(pace), Some(rate)) => pace.set_rate(now, rate),
+            (_, rate) => self.pace = rate.map(|rate| Pace::new(now, rate)),
+        }
+    }
+
     /// Returns the number of requests at the endpoint as of the last sample, with the own requests
     /// since.
     fn sampled(&self) -> Held {
@@ -235,6 +249,9 @@
             room.record_trial(now, trial_interval);
         }
         self.sent_at = Some(now);
+        if let Some(pace) = &mut self.pace {
+            pace.record_sent(now);
+        }
         let dispatch = Dispatch { sent_at: now, prefill_tokens, first_token_at: None, is_trial };
         self.own_pending_tokens += prefill_tokens;
         self.own_tokens_since_sample += prefill_tokens;
--- a/coordination/route/src/lib.rs
+++ b/coordination/route/src/lib.rs
@@ -3,6 +3,7 @@
 mod endpoint;
 mod holders;
 mod home;
+mod pace;
 pub mod policy;
 mod pool_stats;
 pub mod prefix;
@@ -18,7 +19,8 @@
 
 pub use policy::{Policy, PolicyCfg, PriorityBounds, SampleSize};
 pub use request::{
-    Choice, ChosenEndpoint, Event, Guard, Outcome, Refusal, RefusalReason, RouteRequest, Target,
+    Choice, ChosenEndpoint, Event, Guard, Outcome, Refusal, RefusalReason, RouteRequest, SendRate,
+    Target,
 };
 pub use retry::{RetryBudget, RetryCfg};
 pub use router::{Router, RouterCfg};
--- a/coordination/route/src/request.rs
+++ b/coordination/route/src/request.rs
@@ -149,6 +149,13 @@
         /// How it may be used; none if it is not brittle.
         guard: Option<Guard>,
     },
+    /// How many requests this entry instance may send to an endpoint has changed.
+    Paced {
+        /// The endpoint.
+        endpoint: Name,
+        /// The rate; none if there is no limit.
+        rate: Option<SendRate>,
+    },
     /// A request is no longer at an endpoint.
     Ended {
         /// The endpoint.
@@ -169,6 +176,15 @@
     pub is_assigned: bool,
 }
 
+/// The requests that this entry instance may send to an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct SendRate {
+    /// Requests per second.
+    pub per_s: f64,
+    /// Requests that may be sent at once after a pause.
+    pub burst: f64,
+}
+
 /// How a request ended at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Outcome {
--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -498,6 +498,11 @@
                     endpoint.set_guard(guard);
                 }
             }
+            Event::Paced { endpoint, rate } => {
+                if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
+                    endpoint.set_rate(now, rate);
+                }
+            }
             Event::Ended { endpoint, request, outcome, .. } => {
                 if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
                     endpoint.record_end(now, &request, outcome, &self.policy);
--- a/daemons/gateway/src/dialect.rs
+++ b/daemons/gateway/src/dialect.rs
@@ -83,6 +83,13 @@
     pub queued: u32,
 }
 
+/// A limit on requests that makes no sense.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InvalidLimit(
+    /// What the endpoint named.
+    pub String,
+);
+
 /// Encodes and decodes routing information in HTTP headers.
 pub trait Dialect: Debug + Send + Sync {
     /// Decodes the head of a call.
@@ -101,6 +108,14 @@
     /// it ends when it has to reject more.
     fn rejection_bound(&self, headers: &HeaderMap) -> Option<u32>;
 
+    /// Returns the requests per second that the endpoint takes from all entry instances together, if it
+    /// names such a limit with the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if what it names makes no sense as a limit.
+    fn request_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, InvalidLimit>;
+
     /// Builds the request by which an engine copies a run's KV cache to another engine, or what was
     /// added since the last copy. With `stop_run` the engine stops the run first. Returns none if
     /// engines don't support it.
@@ -134,3 +149,21 @@
         headers.insert(name, value);
     }
 }
+
+/// Returns the limit on requests per second that a header names.
+///
+/// # Errors
+///
+/// Fails if the header is there twice, or isn't a positive decimal number within reason.
+pub fn request_limit(headers: &HeaderMap, name: &HeaderName) -> Result<Option<f64>, InvalidLimit> {
+    const MAX_PER_S: f64 = 1e6;
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    let text = value.to_str().unwrap_or_default().trim();
+    let is_decimal = text.chars().all(|c| c.is_ascii_digit() || c == '.');
+    let limit = text.parse::<f64>().ok().filter(|limit| *limit > 0.0 && *limit <= MAX_PER_S);
+    match limit {
+        Some(limit) if is_decimal && values.next().is_none() => Ok(Some(limit)),
+        _ => Err(InvalidLimit(headers.get_all(name).iter().map(|v| format!("{v:?} ")).collect())),
+    }
+}
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -17,7 +17,7 @@
 
 use crate::answer;
 use crate::crashes;
-use crate::dialect::{AnswerClass, Forward, MigratedMemory, ReportedLoad};
+use crate::dialect::{AnswerClass, Forward, InvalidLimit, MigratedMemory, ReportedLoad};
 use crate::egress::{Destination, Exchange, SendError, SendOptions, Via};
 use crate::serve::Call;
 use crate::state::State;
@@ -335,8 +335,16 @@
         let load = dialect.load(headers);
         let class = dialect.classify(&self.call.head.attempt, status, headers);
         if !matches!(class, AnswerClass::Improper | AnswerClass::WrongEndpoint) {
-            let bound = dialect.rejection_bound(headers);
-            self.call.pool.pool.lock().record_rejection_bound(now, &self.placement, bound);
+            let (bound, limit) = (dialect.rejection_bound(headers), dialect.request_limit(headers));
+            let mut pool = self.call.pool.pool.lock();
+            pool.record_rejection_bound(now, &self.placement, bound);
+            match limit {
+                Ok(limit) => pool.record_request_limit(now, &self.placement, limit),
+                Err(InvalidLimit(named)) => {
+                    drop(pool);
+                    self.call.pool.log_invalid_limit(&self.placement.endpoint, &named);
+                }
+            }
         }
         if let Some(load) = load.filter(|_| class != AnswerClass::Full) {
             self.call.pool.pool.lock().record_load(now, &self.placement, load.running, load.queued);
--- a/daemons/gateway/src/sill_dialect.rs
+++ b/daemons/gateway/src/sill_dialect.rs
@@ -5,7 +5,9 @@
 use sill_base::{Millis, Name};
 use sill_wire::header as names;
 
-use crate::dialect::{AnswerClass, CallHead, Dialect, Forward, ReportedLoad, set, text};
+use crate::dialect::{
+    AnswerClass, CallHead, Dialect, Forward, InvalidLimit, ReportedLoad, request_limit, set, text,
+};
 use crate::failure::Failure;
 
 /// Reads and writes the headers that docs/operators/routes.md lists.
@@ -64,6 +66,10 @@
         text(headers, &name(names::REJECTION_BOUND))?.parse().ok()
     }
 
+    fn request_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, InvalidLimit> {
+        request_limit(headers, &name(names::REQUEST_LIMIT))
+    }
+
     fn failure(&self, headers: &mut HeaderMap, failure: &Failure) {
         if failure.is_not_run() {
             set(headers, name(names::NOT_RUN), "true");
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -5,13 +5,14 @@
 use std::sync::{Arc, OnceLock};
 
 use parking_lot::{Mutex, RwLock};
-use sill_base::{Clock, Map, Millis, Name, Promise, assert_promise, event};
+use sill_base::{Clock, Map, Millis, Name, Promise, Set, assert_promise, event};
 use sill_dispatch::usage::window_of;
 use sill_dispatch::{
     AdmittedByReason, BrittleCounts, FactUpdate, LimitEstimate, LimitShares, MAX_TOTALS_AGE,
     MovingAverage, OpenCalls, OverLimit, Pool, PoolCfg, RetryBudgets, RouteTable, UsageCounter,
 };
 use sill_net::h1::{ConnectionPool, ConnectionPoolCfg, OpenConnections};
+use sill_route::SendRate;
 use sill_tree::Engine;
 use sill_wire::Incarnation;
 use sill_wire::link::{
@@ -48,6 +49,9 @@
 /// Relative change of the learned engine speed after which it is logged again.
 const SPEED_LOG_CHANGE: f64 = 0.1;
 
+/// Number of endpoints of a service with a limit that makes no sense that are logged.
+const MAX_INVALID_LIMITS: usize = 1000;
+
 /// Age up to which a load reported by an endpoint is sent to control instances. Reports are sent
 /// four times a second, so a load lost with one report is in the next.
 const LOAD_REPORT_AGE: Millis = Millis(600);
@@ -106,6 +110,10 @@
     rates: Mutex<Rates>,
     /// Prefill speed of an engine in tokens per second as last logged.
     logged_speed: Mutex<f64>,
+    /// Endpoints that have named limits that make no sense.
+    invalid_limits: Mutex<Set<Name>>,
+    /// The parts of endpoints' limits as last logged.
+    logged_rates: Mutex<Map<Name, SendRate>>,
     /// What was last logged of the brittle endpoints.
     logged_brittle: Mutex<BrittleCounts>,
     /// When leaving endpoints will be gone.
@@ -366,6 +374,8 @@
             can_move: engine.is_some_and(|engine| engine.moves),
             rates: Mutex::default(),
             logged_speed: Mutex::default(),
+            invalid_limits: Mutex::default(),
+            logged_rates: Mutex::default(),
             logged_brittle: Mutex::default(),
             departures: Mutex::default(),
             departure_count: watch::Sender::new(0),
@@ -561,6 +571,38 @@
         );
     }
 
+    /// Logs that an endpoint named a limit that makes no sense, once for each endpoint.
+    pub fn log_invalid_limit(&self, endpoint: &Name, named: &str) {
+        let mut invalid = self.invalid_limits.lock();
+        if invalid.len() < MAX_INVALID_LIMITS && invalid.insert(endpoint.clone()) {
+            event!(
+                Warn,
+                "endpoint_limit_invalid",
+                service = self.service,
+                endpoint = endpoint,
+                named = named
+            );
+        }
+    }
+
+    /// Logs this instance's parts of the limits that endpoints name, once they have changed.
+    fn log_rates(&self, rates: Map<Name, SendRate>) {
+        let before = std::mem::replace(&mut *self.logged_rates.lock(), rates.clone());
+        for (endpoint, rate) in rates.iter().filter(|(e, rate)| before.get(*e) != Some(*rate)) {
+            event!(
+                Info,
+                "endpoint_limited",
+                service = self.service,
+                endpoint = endpoint,
+                per_s = format!("{:.3}", rate.per_s),
+                burst = format!("{:.1}", rate.burst)
+            );
+        }
+        for endpoint in before.keys().filter(|endpoint| !rates.contains_key(*endpoint)) {
+            event!(Info, "endpoint_unlimited", service = self.service, endpoint = endpoint);
+        }
+    }
+
     /// Logs how many endpoints are brittle, and how many of these this instance may use, once that
     /// has changed.
     fn log_brittle(&self, counts: BrittleCounts) {
@@ -585,8 +627,10 @@
         let pool = self.pool.lock();
         let (running, speed) = (pool.running(), pool.learned_speed());
         let brittle = pool.brittle_counts();
+        let send_rates = pool.send_rates().map(|(name, rate)| (name.clone(), rate)).collect();
         drop(pool);
         self.log_brittle(brittle);
+        self.log_rates(send_rates);
         if let Some(speed) = speed {
             self.log_speed(speed);
         }
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -18,7 +18,7 @@
 use sill_base::{Millis, Name, Secret};
 use sill_dispatch::{LimitBounds, RetryBounds};
 use sill_gateway::cfg::StopCfg;
-use sill_gateway::dialect::ReportedLoad;
+use sill_gateway::dialect::{InvalidLimit, ReportedLoad};
 use sill_gateway::{
     AnswerClass, CallHead, Dialect, Failure, Forward, Gateway, GatewayCfg, SillDialect,
 };
@@ -733,6 +733,10 @@
         SillDialect.load(headers)
     }
 
+    fn request_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, InvalidLimit> {
+        SillDialect.request_limit(headers)
+    }
+
     fn rejection_bound(&self, headers: &HeaderMap) -> Option<u32> {
         SillDialect.rejection_bound(headers)
     }
--- a/protocol/wire/src/header.rs
+++ b/protocol/wire/src/header.rs
@@ -29,6 +29,10 @@
 /// has to reject more.
 pub const REJECTION_BOUND: &str = "sill-rejection-bound";
 
+/// The requests per second, as a decimal number, that an endpoint takes from all entry instances
+/// together.
+pub const REQUEST_LIMIT: &str = "sill-request-limit";
+
 /// The number of whole seconds after which to retry.
 pub const RETRY_AFTER: &str = "retry-after";
 
--- a/protocol/wire/src/link.rs
+++ b/protocol/wire/src/link.rs
@@ -109,7 +109,7 @@
 }
 
 /// The load of an endpoint, as the endpoint reported it with an answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EndpointLoad {
     /// The endpoint.
     #[serde(rename = "e")]
@@ -129,6 +129,10 @@
     /// Rejections per second that it bears before it ends, if it named a bound.
     #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
     pub rejection_bound: Option<u32>,
+    /// Requests per second that it takes from all entry instances together; 0 if it has named a limit
+    /// before and does so no longer.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub request_limit: Option<f64>,
     /// Time since the endpoint reported it.
     #[serde(rename = "a")]
     pub age: Millis,
