sill-entry: an instance without a worker thread is not ready

What callers saw: nothing, as far as known; a peer that is taken back and hands its requests over keeps those that nobody takes. Cause, by reading: `accept` takes no run while `handoff_workers` is empty (a send to a worker fails only once it has ended), worker threads enter that list as they start, and `is_ready` didn't ask for one; on a busy machine settings come before the first worker has run. Now an instance is ready once it has a worker. Not reproduced: 0 of 48 plays of the test failed before, 0 of 48 after, sixteen at once beside a load of 22.

--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -164,9 +164,11 @@
         format!("{}-{:x}-{number:x}", self.cfg.name, self.incarnation.0).into()
     }
 
-    /// Returns whether this instance accepts requests: it has settings and is not stopping.
+    /// Returns whether this instance accepts requests: it has settings and a worker thread, and is not
+    /// stopping.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping.load(Ordering::Relaxed) && self.settings.revision().0 > 0
+        let has_worker = !self.handoff_workers.lock().is_empty();
+        !self.is_stopping.load(Ordering::Relaxed) && self.settings.revision().0 > 0 && has_worker
     }
 }
 
