Pools: the fate of a request to a brittle endpoint is known before the next is sent

Cause: the next request followed after 10 ms, in the belief that a rejection of the first is known by then. There it was known after up to 58 ms, so two requests of one instance were rejected in one second. Class: a time taken for an event.

Now the next request waits until the last was answered or rejected, or 100 ms if neither, as an engine may compute for long before its answer begins. Calls wait for their turn for 150 in place of 100 ms.

--- a/coordination/route/src/endpoint.rs
+++ b/coordination/route/src/endpoint.rs
@@ -14,9 +14,9 @@
 /// Highest number of ended requests kept to correct lagging load reports.
 const MAX_ENDED_DISPATCHES: usize = 1024;
 
-/// Shortest time between two requests to a brittle endpoint. A rejection of the first is then known
-/// before the second is sent.
-const BRITTLE_SEND_INTERVAL: Millis = Millis(10);
+/// Time after which a request to a brittle endpoint that was neither answered nor rejected counts as
+/// accepted. Until then no other is sent there, as both might be rejected.
+const REJECTION_TIME: Millis = Millis(100);
 
 /// An endpoint, with its reported load corrected by this router's own dispatches.
 #[derive(Debug)]
@@ -54,8 +54,8 @@
     guard: Option<Guard>,
     /// How many requests it may be sent, if it has named a limit.
     pace: Option<Pace>,
-    /// When a request was last sent to it.
-    sent_at: Option<Millis>,
+    /// The last request sent to it, and when, if it was neither answered nor rejected yet.
+    unconfirmed: Option<(Name, Millis)>,
     consecutive_failures: u32,
     suspect_until: Millis,
 }
@@ -96,7 +96,7 @@
             room: None,
             guard: None,
             pace: None,
-            sent_at: None,
+            unconfirmed: None,
             consecutive_failures: 0,
             suspect_until: Millis::ZERO,
         };
@@ -128,15 +128,23 @@
     pub(crate) fn has_room(&self, now: Millis, active: u32) -> bool {
         let held = Held { all: active, own: self.own_active() };
         // Nothing may wait at a brittle endpoint: it may reject what it can't run at once.
-        let is_paced = || self.sent_at.is_none_or(|at| now - at >= BRITTLE_SEND_INTERVAL);
+        let is_confirmed =
+            || self.unconfirmed.as_ref().is_none_or(|(_, at)| now - *at >= REJECTION_TIME);
         let may_use = self.guard.is_none_or(|guard| {
-            guard.is_assigned && f64::from(active) < self.slots() && is_paced()
+            guard.is_assigned && f64::from(active) < self.slots() && is_confirmed()
         });
         may_use
             && self.pace.is_none_or(|pace| pace.may_send(now))
             && self.room.is_none_or(|room| room.admits(now, held, self.is_brittle()))
     }
 
+    /// Records that it is known what became of a request.
+    fn confirm(&mut self, request: &Name) {
+        if self.unconfirmed.as_ref().is_some_and(|(last, _)| last == request) {
+            self.unconfirmed = None;
+        }
+    }
+
     pub(crate) fn is_brittle(&self) -> bool {
         self.guard.is_some()
     }
@@ -248,7 +256,7 @@
         if let Some(room) = trial {
             room.record_trial(now, trial_interval);
         }
-        self.sent_at = Some(now);
+        self.unconfirmed = Some((request.clone(), now));
         if let Some(pace) = &mut self.pace {
             pace.record_sent(now);
         }
@@ -268,6 +276,7 @@
         load: Option<Load>,
         trial_interval: Millis,
     ) {
+        self.confirm(request);
         let dispatch = self.own_dispatches.remove(request);
         if let Some(dispatch) = &dispatch {
             self.own_pending_tokens -= dispatch.pending_tokens();
@@ -291,6 +300,7 @@
 
     /// Records the first token of an answer. Returns whether the request was a trial.
     pub(crate) fn record_first_token(&mut self, now: Millis, request: &Name) -> bool {
+        self.confirm(request);
         let Some(dispatch) = self.own_dispatches.get_mut(request) else { return false };
         self.own_pending_tokens -= dispatch.pending_tokens();
         dispatch.first_token_at.get_or_insert(now);
@@ -306,6 +316,7 @@
         outcome: Outcome,
         cfg: &PolicyCfg,
     ) {
+        self.confirm(request);
         if let Some(dispatch) = self.own_dispatches.remove(request) {
             self.own_pending_tokens -= dispatch.pending_tokens();
             self.ended_dispatches.push_back(EndedDispatch { dispatch, ended_at: now });
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -30,7 +30,7 @@
 const MAX_IDLE_NON_REPEATABLE: Millis = Millis(1500);
 
 /// Longest time that a call waits for an endpoint that may have room within moments.
-const MAX_PLACEMENT_WAIT: Millis = Millis(100);
+const MAX_PLACEMENT_WAIT: Millis = Millis(150);
 
 /// How often such a call looks for an endpoint.
 const PLACEMENT_RETRY_INTERVAL: Millis = Millis(10);
