--- a/coordination/dispatch/tests/loads.rs
+++ b/coordination/dispatch/tests/loads.rs
@@ -258,3 +258,27 @@
     );
     assert!(together < 0.02, "{together:.3} of the calls met an endpoint without a free slot");
 }
+
+/// Another entry instance reports an endpoint as full, and then nobody sends to it. Without an answer no
+/// newer load is reported, and the endpoint would count as full for ever.
+#[test]
+fn a_full_endpoint_that_nobody_sends_to_is_used_again() {
+    struct Case {
+        name: &'static str,
+        is_engine: bool,
+        running: u32,
+    }
+    let cases = [
+        Case { name: "engine", is_engine: true, running: 2 * SLOTS },
+        Case { name: "plain service", is_engine: false, running: 5 * SLOTS },
+    ];
+    for Case { name, is_engine, running } in cases {
+        let (service, domain) = ("desk".into(), "a".into());
+        let mut pool =
+            Pool::new(PoolCfg { service, domain, is_engine, cache_tokens: 500_000, seed: 1 });
+        pool.update_endpoint(Millis(1000), &fact(&"e1".into(), 3));
+        pool.record_remote_load(Millis(1200), &load("e1", 3, running, 0));
+        assert_eq!(placed(&mut pool, Millis(1300), "r1"), None, "{name}: it is full");
+        assert!(placed(&mut pool, Millis(5300), "r2").is_some(), "{name}: never sent to again");
+    }
+}
