Tests: a moment without answers shuts instances that are cut off until the cut ends

Two of three entry instances lose all endpoints, and 0.7 s later the endpoints answer nobody for 2.2 s.

--- a/daemons/sill/tests/system/cut_off.rs
+++ b/daemons/sill/tests/system/cut_off.rs
@@ -24,6 +24,9 @@
 /// Time after the start of a cut from which on its callers are to be served by other ways.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
+/// Time after which calls are served again by an entry instance that helps and has stood still.
+const RETURN_TIME: Duration = Duration::from_millis(500);
+
 /// How long each cut lasts.
 const CUT_TIME: Duration = Duration::from_secs(7);
 
@@ -175,6 +178,26 @@
         records.iter().filter(is_judged).cloned().collect()
     }
 
+    /// Cuts the first two entry instances off from all endpoints, which then stand still for the
+    /// third as well for a while. Returns the calls that were sent after [`RETURN_TIME`] from its end
+    /// on and had to end before the cut did.
+    fn cut_with_standstill(&self, cut: Cut, from: Duration, to: Duration) -> Vec<Record> {
+        let began = Instant::now();
+        self.endpoints.set_cuts(&[0, 1], ENDPOINTS, cut);
+        thread::sleep(from);
+        self.endpoints.set_cuts(&[2], ENDPOINTS, Cut::Hang);
+        thread::sleep(to - from);
+        self.endpoints.set_cuts(&[2], ENDPOINTS, Cut::None);
+        thread::sleep(CUT_TIME - to);
+        let ended = Instant::now();
+        self.endpoints.set_cuts(&[0, 1], ENDPOINTS, Cut::None);
+        thread::sleep(DEADLINE);
+        let records = self.records.lock().expect(UNPOISONED);
+        let from = began + CONTACT_TIME.max(to + RETURN_TIME);
+        let is_judged = |r: &&Record| r.at >= from && r.at + DEADLINE <= ended;
+        records.iter().filter(is_judged).cloned().collect()
+    }
+
     /// Returns the number of runs that a connection of an entry instance brought to endpoints.
     fn runs_from(&self, gateway: usize) -> usize {
         let runs = self.endpoints.runs.lock().expect(UNPOISONED);
@@ -387,6 +410,48 @@
     cases.iter().for_each(check);
 }
 
+/// Nothing is served for a moment while entry instances are cut off, and they refuse all calls until
+/// the cut is over.
+#[test]
+fn calls_at_entry_instances_cut_off_are_served_after_all_endpoints_stood_still() {
+    struct Standstill {
+        name: &'static str,
+        path: &'static str,
+        cut: Cut,
+        from_ms: u64,
+        to_ms: u64,
+    }
+    let cases = [
+        Standstill { name: "still", path: "looked-up", cut: Cut::Hang, from_ms: 700, to_ms: 2900 },
+        Standstill { name: "once", path: "booked", cut: Cut::Hang, from_ms: 700, to_ms: 2900 },
+        Standstill { name: "reset", path: "booked", cut: Cut::Reset, from_ms: 700, to_ms: 2900 },
+    ];
+    let mut failures = Vec::new();
+    for Standstill { name, path, cut, from_ms, to_ms } in cases {
+        let system = System::start(name, path);
+        let (from, to) = (Duration::from_millis(from_ms), Duration::from_millis(to_ms));
+        let records = system.cut_with_standstill(cut, from, to);
+        let (cut_off, others): (Vec<_>, Vec<_>) = records.into_iter().partition(|r| r.gateway < 2);
+        let served = |records: &[Record]| records.iter().filter(|r| r.is_served()).count();
+        let counts = format!(
+            "{name}: {} of {} answered at the instances cut off, {} of {} at the other",
+            served(&cut_off),
+            cut_off.len(),
+            served(&others),
+            others.len()
+        );
+        println!("{counts}");
+        let is_met = |records: &[Record]| served(records) as f64 >= SERVED * records.len() as f64;
+        if !is_met(&cut_off) || !is_met(&others) || cut_off.len() < 40 {
+            failures.push(format!("{counts}\n{}", system.log_of_paths(0)));
+        }
+        if path == "booked" {
+            system.check_runs();
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
 /// A call that must not run twice is lost or run twice when the connections of its entry instance
 /// fail.
 #[test]
