Paths: an instance that is cut off finds out when tunnels work again

Cause: after two seconds without an answer on any path, requests were sent on no path but one a second on the own connection, which hangs. Only an answer ended that belief, and what it stopped was all that could bring one. Silence was counted by the clock.

Tunnels now count as silent by ticks in which requests wait in them; in that state, and when no carrier is usable, a tunnel is opened every 200 ms without a request, and calls that try take turns between both paths. Withdrawn offers are remembered for these checks, as a new one takes two polls.

Why it works: the belief rests on what was asked and not answered, and is tested without what it stops.

--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod table;
 pub mod totals;
 pub mod true_time;
+mod tunnel_health;
 pub mod usage;
 
 pub use assignment::{RestrictedEndpoint, assigned, is_assigned};
--- a/coordination/dispatch/src/paths.rs
+++ b/coordination/dispatch/src/paths.rs
@@ -10,6 +10,8 @@
 
 use sill_base::{Map, Millis};
 
+use crate::tunnel_health::TunnelHealth;
+
 /// Length of a tick. Silence is counted in ticks and not by the clock: after a pause of the process
 /// its endpoints have not been silent.
 pub const TICK: Millis = Millis(100);
@@ -103,6 +105,10 @@
     CutOff,
     /// Endpoints are reached on the own connections again.
     Reconnected,
+    /// Requests in tunnels are not answered, so no more are sent.
+    TunnelsSilent,
+    /// Requests are sent in tunnels again.
+    TunnelsUsable,
 }
 
 /// The state of the path to one endpoint.
@@ -165,7 +171,10 @@
     risky_interval: Millis,
     /// The endpoint that [`Paths::next_presumed`] returned last.
     last_presumed: Option<SocketAddr>,
+    /// The endpoint that [`Paths::next_tunnel_check`] returned last.
+    last_tunnel_check: Option<SocketAddr>,
     is_cut_off: bool,
+    tunnels: TunnelHealth,
     changes: Vec<PathChange>,
 }
 
@@ -182,7 +191,9 @@
             next_risky_trial: Millis::ZERO,
             risky_interval: MIN_RISKY_INTERVAL,
             last_presumed: None,
+            last_tunnel_check: None,
             is_cut_off: false,
+            tunnels: TunnelHealth::default(),
             changes: Vec::new(),
         }
     }
@@ -203,19 +214,23 @@
             return Path::Trial;
         }
         let has_tunnel = req.has_relay && may_tunnel;
-        if self.is_unreachable(now, has_tunnel) {
-            return if self.take_trial(now, req) { Path::Trial } else { Path::None };
+        if has_tunnel && !self.tunnels.are_silent() {
+            return Path::Tunnel;
+        }
+        if self.is_unreachable(now) {
+            if !self.take_trial(now, req) {
+                return Path::None;
+            }
+            let is_in_tunnel = has_tunnel && self.tunnels.take_trial();
+            return if is_in_tunnel { Path::Tunnel } else { Path::Trial };
         }
         if has_tunnel { Path::Tunnel } else { Path::Direct }
     }
 
-    /// Returns whether requests are sent on no path because none has worked for a while.
-    fn is_unreachable(&self, now: Millis, has_tunnel: bool) -> bool {
-        let faults = self.endpoints.values().filter_map(|path| path.fault);
-        let oldest = faults.map(|fault| fault.since).min();
-        let is_old = oldest.is_some_and(|since| now - since > UNREACHABLE_AFTER);
-        let is_silent = now - self.answered_at > UNREACHABLE_AFTER;
-        self.is_cut_off && is_silent && (!has_tunnel || is_old)
+    /// Returns whether requests for which no tunnel can be used are not sent, because no path has
+    /// worked for a while.
+    fn is_unreachable(&self, now: Millis) -> bool {
+        self.is_cut_off && now - self.answered_at > UNREACHABLE_AFTER
     }
 
     /// A connection that was reset is checked again before the next request tries it.
@@ -394,8 +409,15 @@
     /// Records that another entry instance has reached an endpoint: it has connected, or
     /// `has_answered`.
     pub fn record_tunnel(&mut self, now: Millis, address: SocketAddr, has_answered: bool) {
-        if has_answered {
-            self.answered_at = now;
+        let is_usable_again = match has_answered {
+            true => {
+                self.answered_at = now;
+                self.tunnels.record_heard()
+            }
+            false => self.tunnels.record_opened(now),
+        };
+        if is_usable_again {
+            self.changes.push(PathChange::TunnelsUsable);
         }
         let path = self.endpoints.entry(address).or_default();
         path.no_tunnel_until = Millis::ZERO;
@@ -406,6 +428,39 @@
         }
     }
 
+    /// Records that a request is sent in a tunnel.
+    pub const fn record_tunnel_sent(&mut self) {
+        self.tunnels.record_sent();
+    }
+
+    /// Records that the answer to a request in a tunnel has begun, or that the request has ended
+    /// without one.
+    pub const fn record_tunnel_end(&mut self) {
+        self.tunnels.record_end();
+    }
+
+    /// Records bytes that arrived in a tunnel.
+    pub fn record_tunnel_heard(&mut self, now: Millis) {
+        self.answered_at = now;
+        if self.tunnels.record_heard() {
+            self.changes.push(PathChange::TunnelsUsable);
+        }
+    }
+
+    /// Returns an endpoint to which a tunnel is to be opened without a request, to find out whether
+    /// tunnels work again; `has_relay` is whether another entry instance offers tunnels that has not
+    /// failed lately.
+    pub fn next_tunnel_check(&mut self, now: Millis, has_relay: bool) -> Option<SocketAddr> {
+        if !self.is_cut_off || !self.tunnels.take_check(now, has_relay) {
+            return None;
+        }
+        let endpoints = self.endpoints.iter().filter(|(_, path)| path.no_tunnel_until <= now);
+        let addresses = endpoints.map(|(address, _)| *address);
+        let checked = next_after(self.last_tunnel_check, addresses)?;
+        self.last_tunnel_check = Some(checked);
+        Some(checked)
+    }
+
     /// Records that no other entry instance reaches an endpoint either, so the path is not at fault.
     pub fn record_no_tunnel(&mut self, now: Millis, address: SocketAddr) {
         self.endpoints.entry(address).or_default().no_tunnel_until = now + TUNNEL_BACKOFF;
@@ -428,6 +483,9 @@
         let mut checks = Vec::new();
         let mut silent = Vec::new();
         self.quiet += 1;
+        if self.tunnels.tick() {
+            self.changes.push(PathChange::TunnelsSilent);
+        }
         for (address, path) in &mut self.endpoints {
             if path.waiting == 0 {
                 continue;
@@ -482,9 +540,8 @@
     /// Returns an endpoint whose path is only presumed to be broken, another one each time.
     fn next_presumed(&mut self) -> Option<SocketAddr> {
         let presumed = self.endpoints.iter().filter(|(_, path)| path.fault.is_none());
-        let (later, earlier): (Vec<SocketAddr>, Vec<SocketAddr>) =
-            presumed.map(|(address, _)| *address).partition(|at| Some(*at) > self.last_presumed);
-        self.last_presumed = later.into_iter().min().or(earlier.into_iter().min());
+        let addresses = presumed.map(|(address, _)| *address);
+        self.last_presumed = next_after(self.last_presumed, addresses);
         self.last_presumed
     }
 
@@ -551,3 +608,13 @@
         }
     }
 }
+
+/// Returns the address that follows `last` in the order of addresses, or else the first one.
+fn next_after<I>(last: Option<SocketAddr>, addresses: I) -> Option<SocketAddr>
+where
+    I: Iterator<Item = SocketAddr>,
+{
+    let (later, earlier): (Vec<SocketAddr>, Vec<SocketAddr>) =
+        addresses.partition(|at| Some(*at) > last);
+    later.into_iter().min().or(earlier.into_iter().min())
+}
--- a/coordination/dispatch/src/relays.rs
+++ b/coordination/dispatch/src/relays.rs
@@ -16,6 +16,9 @@
 /// How long a relay that has failed or declined is asked only if there is no other.
 const RELAY_BACKOFF: Millis = Millis(1500);
 
+/// Number of withdrawn offers that are remembered.
+const MAX_WITHDRAWN: usize = 12;
+
 /// Largest number of tunnels that an entry instance carries. Each takes two file descriptors and
 /// the buffers of two sockets.
 const MAX_TUNNELS: usize = 512;
@@ -73,6 +76,9 @@
 #[derive(Debug, Default)]
 pub struct RelayList {
     offers: Vec<RelayOffer>,
+    /// Offers that no longer stand, the latest last. They are made again later than a relay works
+    /// again.
+    withdrawn: Vec<RelayOffer>,
     failed: Map<SocketAddr, Millis>,
 }
 
@@ -80,11 +86,15 @@
     /// Replaces the offers; returns the addresses of those that no longer stand.
     pub fn set_offers(&mut self, offers: Vec<RelayOffer>) -> Vec<SocketAddr> {
         let before = std::mem::replace(&mut self.offers, offers);
-        let stands = |address: &SocketAddr| self.offers.iter().any(|o| o.address == *address);
-        let withdrawn: Vec<SocketAddr> =
-            before.iter().map(|offer| offer.address).filter(|address| !stands(address)).collect();
-        self.failed.retain(|address, _| !withdrawn.contains(address));
-        withdrawn
+        let stands = |offer: &RelayOffer| self.offers.iter().any(|o| o.address == offer.address);
+        let withdrawn: Vec<RelayOffer> = before.into_iter().filter(|o| !stands(o)).collect();
+        let addresses: Vec<SocketAddr> = withdrawn.iter().map(|offer| offer.address).collect();
+        self.failed.retain(|address, _| !addresses.contains(address));
+        self.withdrawn.retain(|offer| !stands(offer) && !addresses.contains(&offer.address));
+        self.withdrawn.extend(withdrawn);
+        let excess = self.withdrawn.len().saturating_sub(MAX_WITHDRAWN);
+        self.withdrawn.drain(..excess);
+        addresses
     }
 
     /// Returns whether any relay is offered that has not failed lately.
@@ -120,14 +130,28 @@
         offers.into_iter().take(count).cloned().collect()
     }
 
+    /// Returns the relays to ask, in order, while no path works: those that have not failed lately,
+    /// then all others, also those whose offers no longer stand. Which of these come first differs
+    /// between endpoints.
+    pub fn check_candidates(&self, now: Millis, endpoint: &Name, count: usize) -> Vec<RelayOffer> {
+        let offers = self.offers.iter().map(|offer| (self.has_failed(now, offer.address), offer));
+        let withdrawn = self.withdrawn.iter().map(|offer| (true, offer));
+        let mut all: Vec<(bool, &RelayOffer)> = offers.chain(withdrawn).collect();
+        all.sort_by_cached_key(|(is_last, offer)| (*is_last, rank(&[endpoint, &offer.entry])));
+        all.into_iter().take(count).map(|(_, offer)| offer.clone()).collect()
+    }
+
     /// Records that a relay has failed, or declined a tunnel for a reason of its own.
     pub fn record_failure(&mut self, now: Millis, address: SocketAddr) {
         self.failed.insert(address, now);
     }
 
-    /// Records that a relay works.
+    /// Records that a relay works. If its offer was withdrawn, it stands until the next list.
     pub fn record_success(&mut self, address: SocketAddr) {
         self.failed.remove(&address);
+        if let Some(at) = self.withdrawn.iter().position(|offer| offer.address == address) {
+            self.offers.push(self.withdrawn.remove(at));
+        }
     }
 
     fn has_failed(&self, now: Millis, address: SocketAddr) -> bool {
--- a/coordination/dispatch/tests/relays.rs
+++ b/coordination/dispatch/tests/relays.rs
@@ -95,6 +95,26 @@
     assert!(!list.is_offered(before[0].address));
 }
 
+/// A relay that works again is asked only once control instances have passed its offer on.
+#[test]
+fn a_relay_whose_offer_was_withdrawn_is_used_once_it_works_again() {
+    let mut list = RelayList::default();
+    let (all, now) = (offers(&["a", "b"], 2), Millis(1000));
+    list.set_offers(all.clone());
+    list.set_offers(Vec::new());
+    assert!(!list.has_usable(now));
+    assert!(list.candidates(now, &"a".into(), &"e1".into(), 4).is_empty());
+    assert_eq!(list.check_candidates(now, &"e1".into(), 9).len(), 4);
+    list.record_success(all[2].address);
+    assert_eq!(list.candidates(now, &"a".into(), &"e1".into(), 4), [all[2].clone()]);
+    assert_eq!(list.check_candidates(now, &"e1".into(), 9)[0], all[2]);
+    list.set_offers(all[..2].to_vec());
+    assert_eq!(list.candidates(now, &"a".into(), &"e1".into(), 4).len(), 2);
+    assert_eq!(list.check_candidates(now, &"e1".into(), 9).len(), 4);
+    (0..40).for_each(|number| _ = list.set_offers(vec![offer("c", number)]));
+    assert!(list.check_candidates(now, &"e1".into(), 99).len() <= 13);
+}
+
 /// An entry instance that carries too much for others fails its own callers.
 #[test]
 fn a_busy_entry_instance_accepts_no_tunnels() {
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -143,6 +143,8 @@
     /// Changes while paths are in doubt or lost.
     lost: watch::Sender<()>,
     tunnel_count: AtomicU64,
+    /// Whether parts of answers have arrived in tunnels since the last tick.
+    is_tunnel_heard: AtomicBool,
     metrics: Metrics,
 }
 
@@ -153,6 +155,14 @@
     list: RelayList,
 }
 
+/// Endpoints to which connections are opened without a request, to find out which paths work.
+struct Checks {
+    /// Those to which the own path is checked.
+    direct: Vec<SocketAddr>,
+    /// One to which a tunnel is opened.
+    tunnel: Option<SocketAddr>,
+}
+
 /// A connection that was opened, and the tunnel if it is one.
 type Opened = (Connection, Option<Via>);
 
@@ -170,6 +180,7 @@
             contacts: Mutex::default(),
             lost: watch::Sender::default(),
             tunnel_count: AtomicU64::new(0),
+            is_tunnel_heard: AtomicBool::new(false),
             metrics,
         }
     }
@@ -415,8 +426,12 @@
             }
             contact.heard.clone()
         };
-        if via.is_none() {
-            self.paths.lock().record_sent(to.address, is_engine);
+        {
+            let mut paths = self.paths.lock();
+            match via {
+                Some(_) => paths.record_tunnel_sent(),
+                None => paths.record_sent(to.address, is_engine),
+            }
         }
         Exchange {
             egress: self.clone(),
@@ -607,14 +622,19 @@
             let due = Instant::now() + TICK.into();
             tokio::time::sleep_until(due).await;
             on_tick(Millis(due.elapsed().as_millis() as u64));
-            for address in self.tick() {
+            let Checks { direct, tunnel } = self.tick();
+            for address in direct {
                 tokio::spawn(self.clone().check(address));
             }
+            if let Some(address) = tunnel {
+                tokio::spawn(self.clone().check_tunnel(address));
+            }
         }
     }
 
-    fn tick(&self) -> Vec<SocketAddr> {
+    fn tick(&self) -> Checks {
         let now = self.clock.now();
+        let has_relay = self.relays.lock().list.has_usable(now);
         let heard: Vec<(SocketAddr, u64)> = {
             let contacts = self.contacts.lock();
             let heard = contacts
@@ -627,7 +647,11 @@
             for (address, opened) in heard {
                 paths.record_heard(now, address, Millis(opened - 1));
             }
-            let checks = paths.tick(now);
+            if self.is_tunnel_heard.swap(false, Ordering::Relaxed) {
+                paths.record_tunnel_heard(now);
+            }
+            let direct = paths.tick(now);
+            let checks = Checks { direct, tunnel: paths.next_tunnel_check(now, has_relay) };
             let (lost, is_cut_off) = (paths.lost_count(), paths.is_cut_off());
             (checks, paths.take_changes(), lost, is_cut_off, paths.has_faults())
         };
@@ -674,6 +698,11 @@
                 event!(Warn, "cut_off_from_endpoints", has_relay = has_relay);
             }
             PathChange::Reconnected => event!(Info, "reconnected_to_endpoints"),
+            PathChange::TunnelsSilent => {
+                let has_relay = self.relays.lock().list.has_usable(self.clock.now());
+                event!(Warn, "tunnels_silent", has_relay = has_relay);
+            }
+            PathChange::TunnelsUsable => event!(Info, "tunnels_usable"),
         }
     }
 
@@ -702,10 +731,29 @@
         if probe == Probe::Failed {
             probe = self.probe(&to, CLOSE_TIME).await;
         }
-        if probe == Probe::Open {
+        if probe != Probe::Open {
+            self.open_unused_tunnel(&to).await;
+        }
+    }
+
+    /// Opens a tunnel to an endpoint without a request.
+    async fn check_tunnel(self: Arc<Self>, address: SocketAddr) {
+        let destination = {
+            let contacts = self.contacts.lock();
+            contacts.get(&address).map(|contact| contact.destination.clone())
+        };
+        if let Some(to) = destination {
+            self.open_unused_tunnel(&to).await;
+        }
+    }
+
+    async fn open_unused_tunnel(self: &Arc<Self>, to: &Destination) {
+        let now = self.clock.now();
+        if !self.paths.lock().may_tunnel(now, to.address) {
             return;
         }
-        for offer in self.candidates(&to) {
+        let relays = self.relays.lock().list.check_candidates(now, &to.endpoint, MAX_RELAYS);
+        for offer in relays {
             if let Ok((connection, _)) = self.clone().connect_tunnel(to.clone(), offer).await {
                 return self.pool.keep_unused(connection);
             }
@@ -719,7 +767,10 @@
         (self.opened_at, self.is_answered) = (answer.opened_at.0, true);
         let (now, mut paths) = (self.egress.clock.now(), self.egress.paths.lock());
         match &self.via {
-            Some(_) => paths.record_tunnel(now, self.address, true),
+            Some(_) => {
+                paths.record_tunnel(now, self.address, true);
+                paths.record_tunnel_end();
+            }
             None => paths.record_answered(now, self.address, answer.opened_at),
         }
         drop(paths);
@@ -729,8 +780,9 @@
     /// Records that a part of the answer arrived.
     pub fn record_heard(&self) {
         // What arrives in a tunnel says nothing about the own connections.
-        if self.via.is_none() {
-            self.heard.fetch_max(self.opened_at + 1, Ordering::Relaxed);
+        match &self.via {
+            Some(_) => self.egress.is_tunnel_heard.store(true, Ordering::Relaxed),
+            None => _ = self.heard.fetch_max(self.opened_at + 1, Ordering::Relaxed),
         }
     }
 
@@ -751,8 +803,10 @@
 
 impl Drop for Exchange {
     fn drop(&mut self) {
-        if self.via.is_none() {
-            self.egress.paths.lock().record_end(self.address, self.is_answered);
+        match &self.via {
+            None => self.egress.paths.lock().record_end(self.address, self.is_answered),
+            Some(_) if !self.is_answered => self.egress.paths.lock().record_tunnel_end(),
+            Some(_) => {}
         }
     }
 }
--- a/daemons/sill/tests/system/cut_off.rs
+++ b/daemons/sill/tests/system/cut_off.rs
@@ -443,7 +443,12 @@
         println!("{counts}");
         let is_met = |records: &[Record]| served(records) as f64 >= SERVED * records.len() as f64;
         if !is_met(&cut_off) || !is_met(&others) || cut_off.len() < 40 {
-            failures.push(format!("{counts}\n{}", system.log_of_paths(0)));
+            let failed: Vec<&Record> = cut_off.iter().filter(|r| !r.is_served()).take(10).collect();
+            failures.push(format!(
+                "{counts}; {failed:?}\n{}\n{}",
+                system.log_of_paths(0),
+                system.log_of_paths(2)
+            ));
         }
         if path == "booked" {
             system.check_runs();
