--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
@@ -95,6 +95,8 @@
     pub body: Vec<u8>,
     /// The number of the connection that carried the request.
     pub connection: usize,
+    /// When it had arrived.
+    pub at: Instant,
 }
 
 /// An endpoint with a scripted action for each request.
@@ -343,7 +345,7 @@
     let mut body = vec![0; length.map_or(0, |length| length.parse().expect("a number"))];
     reader.read_exact(&mut body).ok()?;
     let line = lines.remove(0);
-    Some(ReceivedRequest { line, headers: lines, body, connection })
+    Some(ReceivedRequest { line, headers: lines, body, connection, at: Instant::now() })
 }
 
 impl Harness {
