Pauses: endpoints that ask for one get nothing from this instance until it is over

After a rejection an instance goes by how many requests the endpoint held, sends when it holds fewer, and one more from time to time.

The dialect reads the pause, the pool keeps it by endpoint and incarnation, the router sends nothing there and then one request first. A request whose connection was opened meanwhile is not sent, nor is a copy of a run. The instance that carries a request in a tunnel is told, as to the endpoint it is the sender. If all endpoints pause, calls are refused at once with the first end (why=Paused).

--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod loads;
 pub mod part_blame;
 pub mod paths;
+mod pauses;
 pub mod pool;
 pub mod registry;
 pub mod relays;
--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -21,6 +21,7 @@
 
 use crate::assignment::{RestrictedEndpoint, assigned};
 use crate::brittle::RejectionBounds;
+use crate::pauses::Pauses;
 use crate::request_limits::{self, RequestLimits};
 use crate::speed::{MIN_REPORTED_FITS, SpeedMeter};
 
@@ -52,6 +53,9 @@
 /// room for one.
 const RESERVATION_TIME: Millis = Millis(2000);
 
+/// Rest of a pause for which a call may wait.
+const SHORT_PAUSE: Millis = Millis(100);
+
 /// Interval at which brittle endpoints are shared out anew.
 const GUARD_INTERVAL: Millis = Millis(200);
 
@@ -130,8 +134,9 @@
         reason: RefusalReason,
         /// Time after which the caller should retry.
         retry_after: Millis,
-        /// Whether the call may be placed within moments. Requests to brittle endpoints are sent one
-        /// by one, so calls that come at the same time have to wait for each other.
+        /// Whether the call may be placed within moments: a pause of an endpoint is nearly over, or
+        /// endpoints are brittle. Requests to these are sent one by one, so calls that come at the
+        /// same time have to wait for each other.
         may_wait: bool,
         /// What was believed of the endpoints, for the log.
         view: PoolView,
@@ -202,6 +207,7 @@
     /// The endpoints that are brittle, with whether this entry instance may use each.
     guards: Map<Name, Guard>,
     guarded_at: Millis,
+    pauses: Pauses,
     limits: RequestLimits,
     /// The endpoints whose limits stand, sorted, with the limits in requests per second.
     limited: Vec<(Name, f64)>,
@@ -255,6 +261,7 @@
             brittle: Vec::new(),
             guards: Map::default(),
             guarded_at: Millis::ZERO,
+            pauses: Pauses::default(),
             limits: RequestLimits::default(),
             limited: Vec::new(),
             prefers_connected: false,
@@ -290,6 +297,30 @@
         }
     }
 
+    /// Records that an endpoint rejected a request of this entry instance and asked it for a pause.
+    /// Returns whether the pause has begun or is longer now.
+    pub fn record_pause(
+        &mut self,
+        now: Millis,
+        endpoint: &Name,
+        incarnation: Incarnation,
+        span: Millis,
+    ) -> bool {
+        if self.incarnation(endpoint) != Some(incarnation) {
+            return false;
+        }
+        let is_longer = self.pauses.record(now, endpoint, incarnation, now + span);
+        if is_longer {
+            self.step(now, Event::Paused { endpoint: endpoint.clone(), span });
+        }
+        is_longer
+    }
+
+    /// Returns whether an endpoint has asked for a pause that is not over.
+    pub fn is_paused(&self, now: Millis, endpoint: &Name, incarnation: Incarnation) -> bool {
+        self.pauses.left(now, endpoint, incarnation).is_some()
+    }
+
     /// Returns the endpoints that have named limits, with the part of this entry instance.
     pub fn send_rates(&self) -> impl Iterator<Item = (&Name, SendRate)> {
         self.rates.iter().map(|(endpoint, rate)| (endpoint, *rate))
@@ -429,6 +460,7 @@
                 self.announce(now, &fact.endpoint);
                 if is_back {
                     self.reset_restrictions(&fact.endpoint);
+                    self.restore_pause(now, fact);
                 }
             }
         }
@@ -440,6 +472,14 @@
         self.step(now, Event::Gone { endpoint, incarnation });
     }
 
+    /// Applies the pause of an endpoint again, as the router starts without it.
+    fn restore_pause(&mut self, now: Millis, fact: &EndpointFact) {
+        let endpoint = fact.endpoint.clone();
+        if let Some(span) = self.pauses.left(now, &endpoint, fact.incarnation) {
+            self.step(now, Event::Paused { endpoint, span });
+        }
+    }
+
     /// Has the restrictions of an endpoint determined anew before the next call is placed, as the
     /// router starts without them.
     fn reset_restrictions(&mut self, endpoint: &Name) {
@@ -657,8 +697,11 @@
                 PlacementDecision::Refused {
                     reason: refusal.reason,
                     retry_after: refusal.retry_after,
-                    may_wait: refusal.reason == RefusalReason::Full
-                        && self.guards.values().any(|guard| guard.is_assigned),
+                    may_wait: match refusal.reason {
+                        RefusalReason::Full => self.guards.values().any(|g| g.is_assigned),
+                        RefusalReason::Paused => view.paused_for <= SHORT_PAUSE,
+                        RefusalReason::NoEndpoint | RefusalReason::Deadline => false,
+                    },
                     view,
                 }
             }
--- a/coordination/route/src/endpoint.rs
+++ b/coordination/route/src/endpoint.rs
@@ -63,6 +63,10 @@
     unconfirmed: Option<(Name, Millis)>,
     consecutive_failures: u32,
     suspect_until: Millis,
+    /// Until when nothing is sent, because it asked for a pause.
+    paused_until: Millis,
+    /// Whether no request was accepted since the pause.
+    is_resuming: bool,
 }
 
 /// A request that we sent to the endpoint.
@@ -108,6 +112,8 @@
             unconfirmed: None,
             consecutive_failures: 0,
             suspect_until: Millis::ZERO,
+            paused_until: Millis::ZERO,
+            is_resuming: false,
         };
         endpoint.correct_load();
         endpoint
@@ -143,10 +149,34 @@
             guard.is_assigned && f64::from(active) < self.slots() && is_confirmed()
         });
         may_use
+            && !self.is_paused(now)
+            // All that waited for the end of the pause would come at once.
+            && (!self.is_resuming || is_confirmed())
             && self.pace.is_none_or(|pace| pace.may_send(now))
             && self.room.is_none_or(|room| room.admits(now, held, self.is_brittle()))
     }
 
+    /// Returns whether the endpoint has asked for a pause that is not over.
+    pub(crate) fn is_paused(&self, now: Millis) -> bool {
+        now < self.paused_until
+    }
+
+    /// Returns when the pause that it asked for is over.
+    pub(crate) fn paused_until(&self) -> Millis {
+        self.paused_until
+    }
+
+    /// Records that it asked for a pause. A later request for a shorter one doesn't end it earlier.
+    pub(crate) fn pause(&mut self, until: Millis) {
+        self.paused_until = self.paused_until.max(until);
+        self.is_resuming = true;
+    }
+
+    /// Records that the endpoint accepted a request that was sent at `sent_at`.
+    fn record_accepted(&mut self, sent_at: Millis) {
+        self.is_resuming &= sent_at < self.paused_until;
+    }
+
     /// Records that it is known what became of a request.
     fn confirm(&mut self, request: &Name) {
         if self.unconfirmed.as_ref().is_some_and(|(last, _)| last == request) {
@@ -323,6 +353,8 @@
         self.own_pending_tokens -= dispatch.pending_tokens();
         dispatch.first_token_at.get_or_insert(now);
         let is_trial = std::mem::take(&mut dispatch.is_trial);
+        let sent_at = dispatch.sent_at;
+        self.record_accepted(sent_at);
         self.record_held(now);
         is_trial
     }
@@ -337,6 +369,9 @@
         self.confirm(request);
         if let Some(dispatch) = self.own_dispatches.remove(request) {
             self.own_pending_tokens -= dispatch.pending_tokens();
+            if outcome == Outcome::Finished {
+                self.record_accepted(dispatch.sent_at);
+            }
             self.ended_dispatches.push_back(EndedDispatch { dispatch, ended_at: now });
             if self.ended_dispatches.len() > MAX_ENDED_DISPATCHES {
                 self.ended_dispatches.pop_front();
--- a/coordination/route/src/request.rs
+++ b/coordination/route/src/request.rs
@@ -119,6 +119,8 @@
     Full,
     /// No endpoint is expected to answer before the deadline.
     Deadline,
+    /// Every endpoint that may be sent requests has asked for a pause.
+    Paused,
 }
 
 /// An input that updates the router's state.
@@ -170,6 +172,13 @@
         /// Time since the rejection.
         age: Millis,
     },
+    /// An endpoint rejected a request and asked for a pause.
+    Paused {
+        /// The endpoint.
+        endpoint: Name,
+        /// Time for which it is to be sent nothing.
+        span: Millis,
+    },
     /// Whether an endpoint is brittle has changed.
     Guarded {
         /// The endpoint.
--- a/coordination/route/src/router.rs
+++ b/coordination/route/src/router.rs
@@ -195,6 +195,7 @@
         let home = self.home_index(now, req);
         let admitted_share = self.admitted_share(req);
         let mut has_healthy = false;
+        let (mut has_unpaused, mut first_end) = (false, Millis::MAX);
         for endpoint in self.endpoints.values() {
             let cached = u64::from(depths.get(endpoint.index)) * BLOCK_TOKENS as u64;
             let candidate = self.candidate(now, req, endpoint, cached, home);
@@ -212,13 +213,22 @@
             // The second pass considers endpoints that are reserved, after all others.
             let is_sampled = is_sampled && !(candidate.is_reserved && sample_size.is_some());
             match eligibility {
-                Ok(()) if !is_sampled => scorer.add_load(&candidate),
+                Ok(()) if !is_sampled => {
+                    has_unpaused = true;
+                    scorer.add_load(&candidate);
+                }
                 Ok(()) => {
+                    has_unpaused = true;
                     scorer.offer(candidate, &mut self.rng);
                     reason = RefusalReason::Full;
                 }
                 Err(Rejection::Unusable) => {}
                 Err(Rejection::Full) => {
+                    if endpoint.is_paused(now) {
+                        first_end = first_end.min(endpoint.paused_until());
+                    } else {
+                        has_unpaused = true;
+                    }
                     scorer.add_load(&candidate);
                     reason = RefusalReason::Full;
                 }
@@ -235,6 +245,9 @@
                 Choice::Refuse(self.refusal(RefusalReason::Full))
             }
             Some(best) => Choice::Endpoint(best.chosen_endpoint(&self.policy, req)),
+            None if reason == RefusalReason::Full && !has_unpaused => {
+                Choice::Refuse(self.refusal_until(now, first_end))
+            }
             None => Choice::Refuse(self.refusal(reason)),
         }
     }
@@ -359,6 +372,13 @@
         Refusal { reason, retry_after: Millis(base + self.rng.random_range(0..2 * base)) }
     }
 
+    /// Returns the refusal of a request for which all endpoints pause, the first of them until
+    /// `first_end`.
+    fn refusal_until(&mut self, now: Millis, first_end: Millis) -> Refusal {
+        let spread = Millis(self.rng.random_range(0..=self.policy.retry_after.0));
+        Refusal { reason: RefusalReason::Paused, retry_after: first_end - now + spread }
+    }
+
     fn check_choice(&self, now: Millis, chosen: &ChosenEndpoint) {
         let Some(latest) = self.versions.get(&chosen.endpoint) else {
             return;
@@ -583,6 +603,11 @@
                     endpoint.record_rejected_elsewhere(now - age, trial_interval);
                 }
             }
+            Event::Paused { endpoint, span } => {
+                if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
+                    endpoint.pause(now + span);
+                }
+            }
             Event::Guarded { endpoint, guard } => {
                 if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
                     endpoint.set_guard(guard);
--- a/coordination/route/src/view.rs
+++ b/coordination/route/src/view.rs
@@ -14,6 +14,10 @@
     pub ready: u32,
     /// Ready endpoints that have reached the load bound of high priority.
     pub full: u32,
+    /// Those of them that have asked for a pause.
+    pub paused: u32,
+    /// Time until the first of these may be sent requests again.
+    pub paused_for: Millis,
     /// Ready endpoints that are in backoff after a failure.
     pub suspect: u32,
     /// Endpoints that must not be sent requests: leaving, expired, excluded or in another role.
@@ -34,6 +38,11 @@
         let endpoint = candidate.endpoint;
         self.ready += 1;
         self.full += u32::from(candidate.is_full(cfg));
+        if endpoint.is_paused(now) {
+            let left = endpoint.paused_until() - now;
+            self.paused_for = if self.paused == 0 { left } else { self.paused_for.min(left) };
+            self.paused += 1;
+        }
         self.suspect += u32::from(candidate.is_suspect);
         self.active += candidate.active;
         self.own_active += endpoint.own_active();
@@ -44,11 +53,21 @@
 
 impl Display for PoolView {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let Self { ready, full, suspect, ineligible, active, own_active, slots, oldest_load_age } =
-            self;
+        let Self {
+            ready,
+            full,
+            paused,
+            paused_for,
+            suspect,
+            ineligible,
+            active,
+            own_active,
+            slots,
+            oldest_load_age,
+        } = self;
         write!(
             f,
-            "{ready} ready, {full} full, {suspect} suspect, {ineligible} unfit, {active} active \
+            "{ready} ready, {full} full, {paused} paused for {paused_for} ms or longer, {suspect} suspect, {ineligible} unfit, {active} active \
              ({own_active} own) on {slots} slots, loads up to {oldest_load_age} ms old"
         )
     }
--- a/daemons/gateway/src/dialect.rs
+++ b/daemons/gateway/src/dialect.rs
@@ -2,10 +2,11 @@
 
 use std::fmt::Debug;
 use std::net::SocketAddr;
+use std::time::SystemTime;
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
 use sill_base::{Millis, Name};
 use sill_dispatch::Prompt;
@@ -104,6 +105,13 @@
     pub String,
 );
 
+/// A requested pause that makes no sense.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InvalidPause(
+    /// The beginning of what the endpoint sent.
+    pub String,
+);
+
 /// Encodes and decodes routing information in HTTP headers.
 pub trait Dialect: Debug + Send + Sync {
     /// Decodes the head of a call.
@@ -131,6 +139,23 @@
     /// Fails if what it names makes no sense as a limit.
     fn request_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, InvalidLimit>;
 
+    /// Returns for how long the endpoint, which rejects a request with this answer, wants no other from
+    /// this entry instance; none if it asks for no pause.
+    ///
+    /// # Errors
+    ///
+    /// Fails if what it asks for makes no sense.
+    fn requested_pause(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<Option<Millis>, InvalidPause> {
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE => requested_pause(headers),
+            _ => Ok(None),
+        }
+    }
+
     /// Builds the request by which an engine copies a run's KV cache to another engine, or what was
     /// added since the last copy. With `stop_run` the engine stops the run first. Returns none if
     /// engines don't support it.
@@ -183,6 +208,44 @@
     }
 }
 
+/// Returns the longest pause that the headers of an answer ask for.
+///
+/// # Errors
+///
+/// Fails if there are such headers and none is a decimal number of seconds within reason or a date.
+fn requested_pause(headers: &HeaderMap) -> Result<Option<Millis>, InvalidPause> {
+    const MAX_LOGGED_BYTES: usize = 80;
+    let values = headers.get_all(header::RETRY_AFTER);
+    let now = || text(headers, &header::DATE).and_then(|date| httpdate::parse_http_date(date).ok());
+    let pauses = values.iter().filter_map(|value| {
+        let text = value.to_str().ok()?.trim();
+        seconds(text).or_else(|| {
+            let end = httpdate::parse_http_date(text).ok()?;
+            let now = now().unwrap_or_else(SystemTime::now);
+            let pause = end.duration_since(now).unwrap_or_default();
+            Some(Millis(pause.as_millis() as u64))
+        })
+    });
+    match pauses.max() {
+        Some(pause) => Ok(Some(pause).filter(|pause| *pause > Millis::ZERO)),
+        None if values.iter().next().is_none() => Ok(None),
+        None => {
+            let text = values_text(headers, &header::RETRY_AFTER);
+            Err(InvalidPause(text.chars().take(MAX_LOGGED_BYTES).collect()))
+        }
+    }
+}
+
+/// Returns a time that is written as a decimal number of seconds without sign or exponent.
+fn seconds(text: &str) -> Option<Millis> {
+    const MAX_S: f64 = 1e9;
+    if !text.chars().all(|c| c.is_ascii_digit() || c == '.') {
+        return None;
+    }
+    let seconds = text.parse::<f64>().ok().filter(|seconds| *seconds <= MAX_S)?;
+    Some(Millis((seconds * 1000.0).ceil() as u64))
+}
+
 /// Returns the load that a header reports as `running,queued`, optionally followed by the number of
 /// slots and the pace.
 ///
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use http::{Request, Response, StatusCode, header};
+use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use sill_base::{Millis, Name, event};
 use sill_dispatch::{
@@ -19,9 +19,10 @@
 use crate::answer;
 use crate::crashes::{self, PROVEN_AFTER};
 use crate::dialect::{
-    AnswerClass, Forward, InvalidLimit, LoadReport, MigratedMemory, ReportedLoad,
+    AnswerClass, Forward, InvalidLimit, InvalidPause, LoadReport, MigratedMemory, ReportedLoad,
 };
 use crate::egress::{Destination, Exchange, SendError, SendOptions, Via};
+use crate::pause_notice;
 use crate::rollouts::AnswerWatch;
 use crate::serve::Call;
 use crate::state::State;
@@ -309,8 +310,12 @@
     let time_left = call.due - state.clock.now();
     let req = request(&state, &call, &attempt.placement, time_left, resumption);
     let take_retry = || state.may_retry(&call.pool.service);
+    let Placement { endpoint, incarnation, .. } = attempt.placement.clone();
+    let is_paused = || call.pool.pool.lock().is_paused(state.clock.now(), &endpoint, incarnation);
+    let may_send = || !is_paused();
     let options = SendOptions {
         max_idle: max_idle(&call),
+        may_send: &may_send,
         take_retry: &take_retry,
         may_repeat: progress.next_step(AttemptOutcome::Unknown) == NextStep::Retry,
         // A stream that can't be resumed at once is cut.
@@ -345,6 +350,7 @@
     };
     attempt.finish(match outcome {
         _ if state.egress.is_path_lost(destination.address) => Outcome::Cancelled,
+        AttemptOutcome::NotSent if is_paused() => Outcome::Cancelled,
         AttemptOutcome::NotSent | AttemptOutcome::Unknown | AttemptOutcome::Failed => {
             Outcome::Failed
         }
@@ -415,6 +421,9 @@
                 }
             }
         }
+        if class != AnswerClass::WrongEndpoint {
+            self.record_pause(status, headers);
+        }
         if let Some(reported) = invalid {
             self.call.pool.log_invalid_load(&self.placement.endpoint, &reported);
         }
@@ -457,6 +466,24 @@
         }
     }
 
+    /// Records the pause for which the endpoint asks with an answer, also at the entry instance that
+    /// carried the request.
+    fn record_pause(&self, status: StatusCode, headers: &HeaderMap) {
+        let Placement { endpoint, incarnation, .. } = &self.placement;
+        let span = match self.state.cfg.dialect.requested_pause(status, headers) {
+            Ok(Some(span)) => span,
+            Ok(None) => return,
+            Err(InvalidPause(named)) => return self.call.pool.log_invalid_pause(endpoint, &named),
+        };
+        let via = self.via();
+        let id = &self.call.head.attempt;
+        let via_name = via.map(|via| via.entry.as_str()).unwrap_or_default();
+        self.state.record_pause(endpoint, *incarnation, span, (id, via_name));
+        if let Some(via) = via {
+            pause_notice::send(&self.state, via, endpoint, *incarnation, span);
+        }
+    }
+
     fn record_rejection(&mut self, now: Millis, load: Option<ReportedLoad>) {
         let service = [self.call.pool.service.as_str()];
         self.state.metrics.rejections.with_label_values(&service).inc();
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -45,6 +45,9 @@
 /// Time within which a proxy in front of an endpoint that can't be reached closes a connection.
 const CLOSE_TIME: Millis = Millis(20);
 
+/// Why a request is not sent on a connection that was opened for it.
+const PAUSED: &str = "the endpoint has asked for a pause";
+
 /// An incarnation of an endpoint and its address.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Destination {
@@ -74,6 +77,9 @@
     pub may_try: bool,
     /// Whether the endpoint is a model engine, which may be silent for long.
     pub is_engine: bool,
+    /// Returns whether the endpoint still takes requests. It may have asked for a pause while a
+    /// connection was opened.
+    pub may_send: &'a (dyn Fn() -> bool + Sync),
     /// Takes a retry from the budget of the service; returns false if it is used up.
     pub take_retry: &'a (dyn Fn() -> bool + Sync),
 }
@@ -316,6 +322,10 @@
             }
             Err(reason) => return Err(SendError::NotSent(reason)),
         };
+        if !(options.may_send)() {
+            self.pool.keep_unused(connection);
+            return Err(SendError::NotSent(PAUSED.to_owned()));
+        }
         let exchange = self.begin(to, options.is_engine, None);
         let sending = self.pool.send_on(connection, req);
         let sent = match options.may_repeat {
@@ -367,6 +377,10 @@
         req: Request<Full<Bytes>>,
         options: SendOptions<'_>,
     ) -> Result<(Answer, Exchange), SendFailure> {
+        if !(options.may_send)() {
+            self.pool.keep_unused(connection);
+            return Err(SendFailure::NotSent(PAUSED.to_owned()));
+        }
         let is_direct = via.is_none();
         let exchange = self.begin(to, options.is_engine, via);
         let sending = self.pool.send_on(connection, req);
@@ -591,6 +605,7 @@
             may_repeat: false,
             may_try: true,
             is_engine: true,
+            may_send: &|| true,
             take_retry: &|| false,
         };
         let sent = self.send(to, req, options).await;
--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod link;
 pub mod metrics;
 pub mod migration;
+mod pause_notice;
 pub mod planned_stop;
 pub mod relay;
 pub mod rollouts;
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -16,6 +16,8 @@
     pub attempts: IntCounterVec,
     /// Requests that endpoints rejected because they were full, by service.
     pub rejections: IntCounterVec,
+    /// Pauses that endpoints asked for, by service.
+    pub pauses: IntCounterVec,
     /// Requests sent to endpoints of any version where roll-outs are enabled, by service.
     pub sent: IntCounterVec,
     /// Those sent to endpoints of a version that is being rolled out.
@@ -141,6 +143,11 @@
                 "requests rejected by full endpoints",
                 "service",
             )?,
+            pauses: counters(
+                "sill_gateway_pauses_total",
+                "pauses that endpoints asked for with a rejection",
+                "service",
+            )?,
             sent: counters(
                 "sill_gateway_sent_total",
                 "requests sent to endpoints, where roll-outs are enabled",
--- a/daemons/gateway/src/migration.rs
+++ b/daemons/gateway/src/migration.rs
@@ -178,6 +178,9 @@
     to: SocketAddr,
     stop_run: bool,
 ) -> Result<Name, String> {
+    if state.is_paused(&source.endpoint, source.incarnation) {
+        return Err("the engine has asked for a pause".to_owned());
+    }
     let dialect = &state.cfg.dialect;
     let req =
         dialect.copy_run(&call.head.attempt, to, stop_run).ok_or("engines can't copy runs")?;
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -122,6 +122,8 @@
     logged_speed: Mutex<f64>,
     /// Endpoints that have named limits that make no sense.
     invalid_limits: Mutex<Set<Name>>,
+    /// Endpoints that have asked for pauses that make no sense.
+    invalid_pauses: Mutex<Set<Name>>,
     /// Endpoints that have reported loads that make no sense.
     invalid_loads: Mutex<Set<Name>>,
     /// The parts of endpoints' limits as last logged.
@@ -410,6 +412,7 @@
             rates: Mutex::default(),
             logged_speed: Mutex::default(),
             invalid_limits: Mutex::default(),
+            invalid_pauses: Mutex::default(),
             invalid_loads: Mutex::default(),
             logged_rates: Mutex::default(),
             logged_homes: Mutex::default(),
@@ -545,6 +548,41 @@
         self.pools.read().values().for_each(|pool| pool.waiting.close());
     }
 
+    /// Records that an endpoint has rejected a request of this entry instance, or one that it carried,
+    /// and asked for a pause. `id` is the request's, and `via` the tunnel that carried it.
+    pub fn record_pause(
+        &self,
+        endpoint: &Name,
+        incarnation: Incarnation,
+        span: Millis,
+        (id, via): (&Name, &str),
+    ) {
+        let now = self.clock.now();
+        let pools: Vec<Arc<PoolState>> = self.pools.read().values().cloned().collect();
+        for pool in pools {
+            if !pool.pool.lock().record_pause(now, endpoint, incarnation, span) {
+                continue;
+            }
+            self.metrics.pauses.with_label_values(&[pool.service.as_str()]).inc();
+            event!(
+                Info,
+                "endpoint_paused",
+                service = pool.service,
+                endpoint = endpoint,
+                id = id,
+                via = via,
+                for_ms = span
+            );
+        }
+    }
+
+    /// Returns whether an endpoint has asked for a pause that is not over.
+    pub fn is_paused(&self, endpoint: &Name, incarnation: Incarnation) -> bool {
+        let now = self.clock.now();
+        let pools = self.pools.read();
+        pools.values().any(|pool| pool.pool.lock().is_paused(now, endpoint, incarnation))
+    }
+
     /// Returns the address of an incarnation of an endpoint that is alive.
     pub fn address_of(&self, endpoint: &Name, incarnation: Incarnation) -> Option<SocketAddr> {
         self.pools.read().values().find_map(|pool| {
@@ -642,6 +680,20 @@
         }
     }
 
+    /// Logs that an endpoint asked for a pause that makes no sense, once for each endpoint.
+    pub fn log_invalid_pause(&self, endpoint: &Name, named: &str) {
+        let mut invalid = self.invalid_pauses.lock();
+        if invalid.len() < MAX_INVALID_REPORTS && invalid.insert(endpoint.clone()) {
+            event!(
+                Warn,
+                "endpoint_pause_invalid",
+                service = self.service,
+                endpoint = endpoint,
+                named = named
+            );
+        }
+    }
+
     /// Logs that an endpoint reported a load that makes no sense, once for each endpoint.
     pub fn log_invalid_load(&self, endpoint: &Name, reported: &str) {
         let mut invalid = self.invalid_loads.lock();
--- a/daemons/gateway/src/tunnels.rs
+++ b/daemons/gateway/src/tunnels.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 
 use crate::state::State;
-use crate::{endpoint_check, streams};
+use crate::{endpoint_check, pause_notice, streams};
 
 /// Time-out for connecting to an endpoint on behalf of another entry instance, which tries others
 /// meanwhile.
@@ -95,7 +95,8 @@
         }
         let address = state.address_of(&req.endpoint, req.incarnation);
         let address = address.ok_or(TunnelDenial::UnknownEndpoint)?;
-        match state.egress.is_connectable(address) {
+        let is_paused = state.is_paused(&req.endpoint, req.incarnation);
+        match state.egress.is_connectable(address) && !is_paused {
             true => Ok(address),
             false => Err(TunnelDenial::Unreachable),
         }
@@ -106,6 +107,7 @@
     let mut builder = PeerServerBuilder::new(state.cfg.cluster_key.clone());
     streams::add_methods(&mut builder, state);
     endpoint_check::add_method(&mut builder, state);
+    pause_notice::add_method(&mut builder, state);
     builder.into_methods()
 }
 
--- a/daemons/gateway/src/waiting.rs
+++ b/daemons/gateway/src/waiting.rs
@@ -352,7 +352,7 @@
                 waiting.inner.lock().queue.record_direct_start(now, &ask);
                 return Ok(attempt);
             }
-            Err(refusal) if refusal.reason != RefusalReason::Full => {
+            Err(refusal) if !may_have_room(now, &refusal, ask.latest_start) => {
                 call.pool.count_refusal(now);
                 return Err(refusal);
             }
@@ -387,7 +387,7 @@
                 attempt.waited = ticket.start();
                 return Ok(attempt);
             }
-            Err(refusal) if refusal.reason != RefusalReason::Full => {
+            Err(refusal) if !may_have_room(now, &refusal, ticket.latest_start) => {
                 call.pool.count_refusal(now);
                 return Err(refusal);
             }
@@ -396,6 +396,15 @@
     }
 }
 
+/// Returns whether endpoints may have room for a refused call before its latest start.
+fn may_have_room(now: Millis, refusal: &PlacementRefusal, latest_start: Millis) -> bool {
+    match refusal.reason {
+        RefusalReason::Full => true,
+        RefusalReason::Paused => now + refusal.view.paused_for < latest_start,
+        RefusalReason::NoEndpoint | RefusalReason::Deadline => false,
+    }
+}
+
 fn refuse(
     state: &State,
     call: &Call,
--- a/daemons/gateway/tests/tunnels.rs
+++ b/daemons/gateway/tests/tunnels.rs
@@ -202,6 +202,32 @@
     assert_eq!((got.status, got.body.as_slice()), (200, &b"hello"[..]));
 }
 
+/// An endpoint asks for a pause with its answer to a call that is carried for another entry instance.
+/// The one that carries it does not read the answer, and goes on sending to the endpoint.
+#[test]
+fn the_entry_instance_that_carries_a_call_keeps_the_pause_that_its_endpoint_asks_for() {
+    let pause = Duration::from_millis(1500);
+    let rejection = "HTTP/1.1 503 Service Unavailable\r\nsill-request-id: {id}\r\n\
+                     sill-not-run: true\r\nretry-after: 1.5\r\ncontent-length: 0\r\n\r\n";
+    let mut actions = vec![Action::Answer(rejection.to_owned())];
+    actions.extend(vec![Action::Answer(answer_of("hello")); 200]);
+    let pair = Pair::start(ConnectFailure::Refused, actions);
+    assert_eq!(pair.cut_off.call("/idempotent/x").status, 503);
+    let endpoint = &pair.helper.endpoints[0];
+    let asked_at = endpoint.request_log.lock()[0].at;
+    // The notice is on its way.
+    thread::sleep(Duration::from_millis(200));
+    while asked_at.elapsed() < pause + pause {
+        let _ = pair.helper.call("/idempotent/x");
+        let _ = pair.cut_off.call("/idempotent/x");
+        thread::sleep(Duration::from_millis(20));
+    }
+    let log = endpoint.request_log.lock();
+    let during = log[1..].iter().filter(|req| req.at - asked_at < pause).count();
+    assert_eq!(during, 0, "of {} requests", log.len());
+    assert!(log.len() > 2, "no request after the pause");
+}
+
 /// When the other entry instance does not reach the endpoint either, the call has not run, and its
 /// caller waits for nothing.
 #[test]
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod limits;
 pub mod link;
 pub mod member;
+pub mod pause;
 pub mod prefix;
 pub mod priority;
 pub mod probe;
