Leaving: an endpoint that says so in an answer gets nothing more

An endpoint whose word reaches no control instance got requests from entry instances that it had told with each answer. The same class as the pauses before: what an endpoint says of itself in an answer is not read.

The dialect reads the header, and the pool takes the endpoint for leaving at once. A later heartbeat that says ready doesn't take that back; its restart does.

--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -220,6 +220,8 @@
 #[derive(Debug)]
 struct EndpointEntry {
     fact: EndpointFact,
+    /// Whether it said with an answer that it leaves. Control instances may hear of it later.
+    says_it_leaves: bool,
     load: Load,
     /// Time of the load, if the endpoint has reported one.
     load_at: Option<Millis>,
@@ -438,6 +440,7 @@
         }
         let new_entry = || EndpointEntry {
             fact: fact.clone(),
+            says_it_leaves: false,
             load: Load::default(),
             load_at: None,
             is_full: false,
@@ -451,6 +454,9 @@
         let entry = self.endpoints.entry(fact.endpoint.clone()).or_insert_with(new_entry);
         let software = entry.fact.software.combine(&fact.software);
         entry.fact = EndpointFact { software, ..fact.clone() };
+        if entry.says_it_leaves {
+            entry.fact.state = entry.fact.state.max(EndpointState::Leaving);
+        }
         entry.cold_until = fact.cold_for.map_or(Millis::ZERO, |time| now - fact.age + time);
         entry.updated_at = now;
         self.ready_versions = None;
@@ -497,6 +503,19 @@
             .filter(|entry| entry.fact.incarnation == place.incarnation)
     }
 
+    /// Records that an endpoint said with an answer that it leaves. Returns whether that is news.
+    pub fn record_leaving(&mut self, now: Millis, place: &Placement) -> bool {
+        let Some(entry) = self.entry_of(place) else { return false };
+        entry.says_it_leaves = true;
+        if entry.fact.state != EndpointState::Ready {
+            return false;
+        }
+        entry.fact.state = EndpointState::Leaving;
+        self.ready_versions = None;
+        self.announce(now, &place.endpoint);
+        true
+    }
+
     /// Marks an endpoint as gone because another one answers at its address.
     pub fn mark_gone(&mut self, now: Millis, place: &Placement) {
         let Some(entry) = self.entry_of(place) else { return };
--- a/daemons/gateway/src/dialect.rs
+++ b/daemons/gateway/src/dialect.rs
@@ -139,6 +139,9 @@
     /// Fails if what it names makes no sense as a limit.
     fn request_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, InvalidLimit>;
 
+    /// Returns whether the endpoint says with an answer that it leaves.
+    fn is_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// Returns for how long the endpoint, which rejects a request with this answer, wants no other from
     /// this entry instance; none if it asks for no pause.
     ///
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -423,6 +423,7 @@
         }
         if class != AnswerClass::WrongEndpoint {
             self.record_pause(status, headers);
+            self.record_leaving(headers);
         }
         if let Some(reported) = invalid {
             self.call.pool.log_invalid_load(&self.placement.endpoint, &reported);
@@ -466,6 +467,25 @@
         }
     }
 
+    /// Records whether the endpoint says with an answer that it leaves.
+    fn record_leaving(&self, headers: &HeaderMap) {
+        if !self.state.cfg.dialect.is_leaving(headers) {
+            return;
+        }
+        let now = self.state.clock.now();
+        if self.call.pool.pool.lock().record_leaving(now, &self.placement) {
+            let service = [self.call.pool.service.as_str()];
+            self.state.metrics.leaving_answers.with_label_values(&service).inc();
+            event!(
+                Info,
+                "endpoint_says_it_leaves",
+                service = self.call.pool.service,
+                endpoint = self.placement.endpoint,
+                id = self.call.head.attempt
+            );
+        }
+    }
+
     /// Records the pause for which the endpoint asks with an answer, also at the entry instance that
     /// carried the request.
     fn record_pause(&self, status: StatusCode, headers: &HeaderMap) {
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -16,6 +16,8 @@
     pub attempts: IntCounterVec,
     /// Requests that endpoints rejected because they were full, by service.
     pub rejections: IntCounterVec,
+    /// Endpoints that were first heard to leave by an answer, by service.
+    pub leaving_answers: IntCounterVec,
     /// Pauses that endpoints asked for, by service.
     pub pauses: IntCounterVec,
     /// Requests sent to endpoints of any version where roll-outs are enabled, by service.
@@ -143,6 +145,11 @@
                 "requests rejected by full endpoints",
                 "service",
             )?,
+            leaving_answers: counters(
+                "sill_gateway_leaving_answers_total",
+                "endpoints that were first heard to leave by an answer",
+                "service",
+            )?,
             pauses: counters(
                 "sill_gateway_pauses_total",
                 "pauses that endpoints asked for with a rejection",
--- a/daemons/gateway/src/sill_dialect.rs
+++ b/daemons/gateway/src/sill_dialect.rs
@@ -71,6 +71,10 @@
         request_limit(headers, &name(names::REQUEST_LIMIT))
     }
 
+    fn is_leaving(&self, headers: &HeaderMap) -> bool {
+        text(headers, &name(names::LEAVING)) == Some("true")
+    }
+
     fn failure(&self, headers: &mut HeaderMap, failure: &Failure) {
         if failure.is_not_run() {
             set(headers, name(names::NOT_RUN), "true");
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -809,6 +809,10 @@
         SillDialect.request_limit(headers)
     }
 
+    fn is_leaving(&self, headers: &HeaderMap) -> bool {
+        SillDialect.is_leaving(headers)
+    }
+
     fn rejection_bound(&self, headers: &HeaderMap) -> Option<u32> {
         SillDialect.rejection_bound(headers)
     }
--- a/protocol/wire/src/header.rs
+++ b/protocol/wire/src/header.rs
@@ -21,8 +21,8 @@
 /// `true` on a refusal that guarantees that the request has not run.
 pub const NOT_RUN: &str = "sill-not-run";
 
-/// Set by an endpoint that ends a stream early because it is leaving; a trailer event may say the
-/// same.
+/// `true` on all answers of an endpoint that is leaving, also on a stream that it ends early for it; a
+/// trailer event may say the same.
 pub const LEAVING: &str = "sill-leaving";
 
 /// The number of requests that an endpoint may reject in a second for lack of room; it ends if it
