Crashes: what silence counted against requests goes with the endpoint's return

What callers saw: after endpoints had stood still for longer than their heartbeats, while an entry instance was cut off, all equal calls were refused at all instances as requests that crash endpoints, for ten minutes. None had ended.

Cause: an endpoint that falls silent with requests in flight counts as crashed, and its return changed nothing.

A crash now says whether silence alone speaks for it. Entry and control instances withdraw such a crash when the same incarnation is there again, and ignore reports of it from before the return. What refused connections or a restart have confirmed stands.

--- a/coordination/dispatch/src/crashes.rs
+++ b/coordination/dispatch/src/crashes.rs
@@ -65,6 +65,8 @@
     /// Expiry of the last crash under a prompt with a part.
     part_crashes: Map<PartId, Millis>,
     part_blocks: Vec<PartBlock>,
+    /// Incarnations that were silent and have returned, with the expiry of a crash at that time.
+    returned: Map<IncarnationKey, Millis>,
     sequence: u64,
     /// When blocks have to be determined again.
     review_at: Option<Millis>,
@@ -77,6 +79,8 @@
     settles_at: Millis,
     requests: Vec<RequestKey>,
     prompts: Vec<SharedParts>,
+    /// Whether only silence speaks for it.
+    is_presumed: bool,
     sequence: u64,
 }
 
@@ -124,6 +128,11 @@
             return false;
         }
         let key = (crash.endpoint.clone(), crash.incarnation);
+        let has_returned =
+            self.returned.get(&key).is_some_and(|returned| expiry(now, crash.age) <= *returned);
+        if crash.is_presumed && has_returned {
+            return false;
+        }
         let is_known = self.crashes.contains_key(&key);
         let (completed, counts) = (&self.completed, &mut self.counts);
         let known = self.crashes.entry(key).or_insert_with(|| Crash {
@@ -131,9 +140,11 @@
             settles_at: now + (SETTLE_TIME - crash.age),
             requests: Vec::new(),
             prompts: Vec::new(),
+            is_presumed: crash.is_presumed,
             sequence: 0,
         });
-        let before = (known.requests.len(), known.prompts.len());
+        let before = (known.requests.len(), known.prompts.len(), known.is_presumed);
+        known.is_presumed &= crash.is_presumed;
         for request in &crash.requests {
             if known.requests.len() < MAX_REQUESTS && !known.requests.contains(request) {
                 known.requests.push(*request);
@@ -150,7 +161,7 @@
             }
         }
         let expires_at = known.expires_at;
-        if is_known && (known.requests.len(), known.prompts.len()) == before {
+        if is_known && (known.requests.len(), known.prompts.len(), known.is_presumed) == before {
             return false;
         }
         self.sequence += 1;
@@ -169,6 +180,33 @@
         true
     }
 
+    /// Records that an incarnation of an endpoint that was silent has returned, so it has not crashed.
+    /// Returns whether a crash is withdrawn for it.
+    pub fn record_return(
+        &mut self,
+        now: Millis,
+        endpoint: &Name,
+        incarnation: Incarnation,
+    ) -> bool {
+        let key = (endpoint.clone(), incarnation);
+        self.returned.retain(|_, expires_at| now < *expires_at);
+        // Others may still report the crash.
+        self.returned.insert(key.clone(), expiry(now, Millis::ZERO));
+        if !self.crashes.get(&key).is_some_and(|crash| crash.is_presumed) {
+            return false;
+        }
+        self.remove(&key);
+        self.part_crashes.clear();
+        for crash in self.crashes.values() {
+            for part in crash.prompts.iter().flat_map(SharedParts::iter) {
+                let last = self.part_crashes.entry(part.clone()).or_default();
+                *last = crash.expires_at.max(*last);
+            }
+        }
+        self.review_at = Some(now);
+        true
+    }
+
     /// Records a complete answer to a request, and returns whether it matters.
     pub fn record_completed(&mut self, now: Millis, completed: CompletedRequest) -> bool {
         let expires_at = expiry(now, completed.age);
@@ -350,6 +388,7 @@
                     requests: crash.requests.clone(),
                     prompts: crash.prompts.clone(),
                     age: age(now, crash.expires_at),
+                    is_presumed: crash.is_presumed,
                 })
                 .collect(),
             completed: completed
@@ -501,6 +540,8 @@
     last_at: Millis,
     is_checked: bool,
     has_crashed: bool,
+    /// Whether that is concluded from its silence alone.
+    is_presumed: bool,
     requests: Vec<(BrokenRequest, Millis)>,
 }
 
@@ -543,6 +584,7 @@
                 requests: vec![request.request],
                 prompts: request.prompt.into_iter().collect(),
                 age: Millis::ZERO,
+                is_presumed: broken.is_presumed,
             });
         }
         broken.requests.retain(|(_, at)| now - *at < CRASH_SPAN);
@@ -562,18 +604,30 @@
         }
     }
 
-    /// Records that an endpoint has crashed; returns the crash if answers had broken off before.
+    /// Records that an endpoint that was silent has returned.
+    pub fn record_return(&mut self, endpoint: &Name, incarnation: Incarnation) {
+        let broken = self.endpoints.get_mut(&(endpoint.clone(), incarnation));
+        if let Some(broken) = broken.filter(|broken| broken.is_presumed) {
+            *broken = BrokenEndpoint { last_at: broken.last_at, ..BrokenEndpoint::default() };
+        }
+    }
+
+    /// Records that an endpoint has crashed, or that its silence makes that likely if `is_presumed`;
+    /// returns the crash if answers had broken off before.
     pub fn confirm(
         &mut self,
         now: Millis,
         endpoint: &Name,
         incarnation: Incarnation,
+        is_presumed: bool,
     ) -> Option<EndpointCrash> {
         let broken = self.endpoints.get_mut(&(endpoint.clone(), incarnation))?;
         let age = now - broken.last_at;
-        if age >= CONFIRMATION_TTL || std::mem::replace(&mut broken.has_crashed, true) {
+        let is_known = broken.has_crashed && (is_presumed || !broken.is_presumed);
+        if age >= CONFIRMATION_TTL || is_known {
             return None;
         }
+        (broken.has_crashed, broken.is_presumed) = (true, is_presumed);
         let broken = std::mem::take(&mut broken.requests);
         let mut requests: Vec<RequestKey> = broken.iter().map(|(b, _)| b.request).collect();
         requests.sort_unstable();
@@ -582,6 +636,7 @@
             broken.into_iter().filter_map(|(b, _)| b.prompt).collect();
         prompts.sort_unstable();
         prompts.dedup();
-        Some(EndpointCrash { endpoint: endpoint.clone(), incarnation, requests, prompts, age })
+        let endpoint = endpoint.clone();
+        Some(EndpointCrash { endpoint, incarnation, requests, prompts, age, is_presumed })
     }
 }
--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -799,6 +799,15 @@
         self.endpoints.get(endpoint).map(|known| known.fact.incarnation)
     }
 
+    /// Returns whether a fact says that an incarnation of an endpoint that was silent is there.
+    pub fn returns_with(&self, fact: &EndpointFact) -> bool {
+        let known = self.endpoints.get(&fact.endpoint).map(|known| &known.fact);
+        let was_silent = known.is_some_and(|known| {
+            known.state == EndpointState::Silent && known.incarnation == fact.incarnation
+        });
+        was_silent && fact.state < EndpointState::Silent
+    }
+
     /// Returns whether an endpoint has announced that it leaves.
     pub fn is_leaving(&self, endpoint: &Name) -> bool {
         self.endpoints.get(endpoint).is_some_and(|k| k.fact.state == EndpointState::Leaving)
--- a/coordination/dispatch/src/registry.rs
+++ b/coordination/dispatch/src/registry.rs
@@ -32,6 +32,9 @@
     /// Endpoints whose heartbeats were received here since the last call to
     /// [`Registry::take_direct`].
     pending: Vec<Name>,
+    /// Incarnations that have returned after a silence since the last call to
+    /// [`Registry::take_returned`].
+    returned: Vec<(Name, Incarnation)>,
 }
 
 #[derive(Debug)]
@@ -63,6 +66,7 @@
             by_change: BTreeMap::new(),
             change: 0,
             pending: Vec::new(),
+            returned: Vec::new(),
         }
     }
 
@@ -152,6 +156,9 @@
         known.heartbeat_at = known.heartbeat_at.max(heartbeat_at);
         let is_unchanged = is_equivalent(&known.fact, &fact);
         known.fact = fact;
+        if was_silent && known.fact.state < EndpointState::Silent {
+            self.returned.push((known.fact.endpoint.clone(), known.fact.incarnation));
+        }
         if is_unchanged {
             return false;
         }
@@ -160,6 +167,11 @@
         true
     }
 
+    /// Returns the incarnations that were silent and have returned since the last call.
+    pub fn take_returned(&mut self) -> Vec<(Name, Incarnation)> {
+        std::mem::take(&mut self.returned)
+    }
+
     /// Returns whether a fact contradicts the known one, and so can't come from the endpoint
     /// itself: no endpoint moves to another service or failure domain within one incarnation. If
     /// such a fact of another sender were merged, the endpoint would be lost to its service until
--- a/coordination/dispatch/tests/crashes.rs
+++ b/coordination/dispatch/tests/crashes.rs
@@ -18,6 +18,7 @@
         requests: requests.iter().map(|name| key(name)).collect(),
         prompts: Vec::new(),
         age: Millis::ZERO,
+        is_presumed: false,
     }
 }
 
@@ -267,14 +268,92 @@
     broken.finish_check(&endpoint, incarnation);
     assert_eq!(record(&mut broken, 5000, "p"), BrokenAnswer::Check);
     assert_eq!(record(&mut broken, 5001, "c"), BrokenAnswer::Pending);
-    let crash = broken.confirm(Millis(5100), &endpoint, incarnation).expect("a crash");
+    let crash = broken.confirm(Millis(5100), &endpoint, incarnation, false).expect("a crash");
     let mut expected = vec![key("p"), key("c")];
     expected.sort_unstable();
     assert_eq!((crash.requests, crash.age), (expected, Millis(99)));
-    assert_eq!(broken.confirm(Millis(5200), &endpoint, incarnation), None);
+    assert_eq!(broken.confirm(Millis(5200), &endpoint, incarnation, false), None);
     let later = record(&mut broken, 5300, "d");
     assert!(matches!(later, BrokenAnswer::Crash(crash) if crash.requests == [key("d")]));
-    assert_eq!(broken.confirm(Millis(5400), &endpoint, Incarnation(2)), None);
+    assert_eq!(broken.confirm(Millis(5400), &endpoint, Incarnation(2), false), None);
     record(&mut broken, 6000, "x");
-    assert_eq!(broken.confirm(Millis(11_001), &endpoint, incarnation), None);
+    assert_eq!(broken.confirm(Millis(11_001), &endpoint, incarnation, false), None);
+}
+
+/// Endpoints stand still, and the requests that wait there are blocked as if they had crashed them,
+/// although the endpoints return.
+#[test]
+fn what_the_silence_of_an_endpoint_counted_against_requests_goes_with_its_return() {
+    struct Case {
+        name: &'static str,
+        /// Whether connections to the endpoints are refused as well.
+        is_refused: bool,
+        is_blocked: bool,
+    }
+    let cases = [
+        Case { name: "silent", is_refused: false, is_blocked: false },
+        Case { name: "refused", is_refused: true, is_blocked: true },
+    ];
+    for Case { name, is_refused, is_blocked } in cases {
+        let mut log = CrashLog::default();
+        let presumed = |i| EndpointCrash { is_presumed: true, ..crash(i, &["a"]) };
+        (0..4).for_each(|i| _ = log.record(Millis(1000), &presumed(i)));
+        if is_refused {
+            (0..4).for_each(|i| _ = log.record(Millis(1500), &crash(i, &["a"])));
+        }
+        assert_eq!(log.review(Millis(4000)).len(), 1, "{name}: blocked while they are silent");
+        for i in 0..4 {
+            let endpoint: Name = format!("e{i}").into();
+            let is_withdrawn = log.record_return(Millis(4500), &endpoint, Incarnation(1));
+            assert_eq!(is_withdrawn, !is_refused, "{name}");
+        }
+        log.review(Millis(4500));
+        let is_still = log.blocked_for(Millis(4500), key("a")).is_some();
+        assert_eq!(is_still, is_blocked, "{name}");
+        // Another instance reports what it had concluded before the return.
+        let late = |i| EndpointCrash { age: Millis(3000), ..presumed(i) };
+        (0..4).for_each(|i| _ = log.record(Millis(5000), &late(i)));
+        log.review(Millis(9000));
+        let is_still = log.blocked_for(Millis(9000), key("a")).is_some();
+        assert_eq!(is_still, is_blocked, "{name}: reported late");
+        assert_eq!(log.crash_count(key("a")), if is_refused { 4 } else { 0 }, "{name}");
+    }
+}
+
+/// An endpoint that was silent returns and then crashes.
+#[test]
+fn an_endpoint_that_returned_may_crash() {
+    let (mut broken, endpoint): (BrokenAnswers, Name) = (BrokenAnswers::default(), "e1".into());
+    let request = |name| BrokenRequest { request: key(name), prompt: None };
+    let incarnation = Incarnation(1);
+    broken.record(Millis(1000), &endpoint, incarnation, request("a"));
+    let crash = broken.confirm(Millis(3000), &endpoint, incarnation, true).expect("a crash");
+    assert!(crash.is_presumed);
+    assert_eq!(broken.confirm(Millis(3100), &endpoint, incarnation, true), None);
+    broken.record_return(&endpoint, incarnation);
+    let later = broken.record(Millis(3500), &endpoint, incarnation, request("b"));
+    assert_eq!(later, BrokenAnswer::Check);
+    let crash = broken.confirm(Millis(3600), &endpoint, incarnation, false).expect("a crash");
+    assert_eq!((crash.requests, crash.is_presumed), (vec![key("b")], false));
+    let mut log = CrashLog::default();
+    log.record_return(Millis(3200), &endpoint, incarnation);
+    let later = EndpointCrash { endpoint, is_presumed: true, ..self::crash(1, &["b"]) };
+    assert!(log.record(Millis(9000), &later));
+}
+
+/// An endpoint that is silent and whose connections are then refused has crashed, and its return
+/// changes nothing.
+#[test]
+fn a_crash_that_was_presumed_may_be_confirmed() {
+    let (mut broken, endpoint): (BrokenAnswers, Name) = (BrokenAnswers::default(), "e1".into());
+    let incarnation = Incarnation(1);
+    let request = BrokenRequest { request: key("a"), prompt: None };
+    broken.record(Millis(1000), &endpoint, incarnation, request);
+    let presumed = broken.confirm(Millis(3000), &endpoint, incarnation, true).expect("a crash");
+    let confirmed = broken.confirm(Millis(3100), &endpoint, incarnation, false).expect("a crash");
+    let mut log = CrashLog::default();
+    log.record(Millis(3000), &presumed);
+    assert!(log.record(Millis(3100), &confirmed));
+    assert!(!log.record_return(Millis(3200), &endpoint, incarnation));
+    assert_eq!(log.crash_count(key("a")), 1);
 }
--- a/coordination/dispatch/tests/part_blocks.rs
+++ b/coordination/dispatch/tests/part_blocks.rs
@@ -19,6 +19,7 @@
         requests: Vec::new(),
         prompts: prompts.iter().map(|names| parts(names)).collect(),
         age: Millis::ZERO,
+        is_presumed: false,
     }
 }
 
--- a/coordination/dispatch/tests/prompt_parts/sim.rs
+++ b/coordination/dispatch/tests/prompt_parts/sim.rs
@@ -298,6 +298,7 @@
                 requests: Vec::<RequestKey>::new(),
                 prompts: pending.prompts,
                 age: now - pending.crashed_at,
+                is_presumed: false,
             };
             let clock = self.clock(pending.entry);
             self.entries[pending.entry].log.record(clock, &crash);
--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -113,7 +113,9 @@
         let (born, leaves_in) = (fact.incarnation, fact.leaves_in);
         let (service, domain, address) = (fact.service.clone(), fact.domain.clone(), fact.address);
         let software = fact.software.clone();
-        if self.registry.lock().record_heartbeat(now, fact) {
+        let is_newer = self.registry.lock().record_heartbeat(now, fact);
+        self.record_returns(now);
+        if is_newer {
             event!(
                 Info,
                 "endpoint_heard",
@@ -132,6 +134,16 @@
         Ok(())
     }
 
+    /// Withdraws crashes of endpoints that were only silent.
+    fn record_returns(&self, now: Millis) {
+        let returned = self.registry.lock().take_returned();
+        for (endpoint, born) in returned {
+            if self.crash_log.lock().record_return(now, &endpoint, born) {
+                event!(Info, "endpoint_crash_withdrawn", endpoint = endpoint, born = born.0);
+            }
+        }
+    }
+
     /// Records that an endpoint reported its own end.
     pub fn record_end(&self, now: Millis, endpoint: &Name, born: Option<Incarnation>) {
         if self.registry.lock().record_end(now, endpoint, born) {
@@ -188,6 +200,7 @@
         let (endpoint, state, sequence) = (fact.endpoint.clone(), fact.state, fact.sequence);
         let age = fact.age;
         let is_newer = self.registry.lock().merge(now, fact);
+        self.record_returns(now);
         if is_newer {
             event!(
                 Info,
--- a/daemons/gateway/src/crashes.rs
+++ b/daemons/gateway/src/crashes.rs
@@ -188,10 +188,22 @@
         self.log.lock().has_crashed_since(since, endpoint, incarnation)
     }
 
-    /// Records that an endpoint has ended without notice; answers that broke off before then count
-    /// as broken off by the crash.
-    pub fn confirm(&self, endpoint: &Name, incarnation: Incarnation) {
-        let crash = self.broken.lock().confirm(self.clock.now(), endpoint, incarnation);
+    /// Records that an endpoint that was silent has returned as the same incarnation. What was counted
+    /// against requests because of its silence is withdrawn.
+    pub fn record_return(&self, endpoint: &Name, incarnation: Incarnation) {
+        self.broken.lock().record_return(endpoint, incarnation);
+        let mut log = self.log.lock();
+        if log.record_return(self.clock.now(), endpoint, incarnation) {
+            event!(Info, "endpoint_crash_withdrawn", endpoint = endpoint, born = incarnation.0);
+            self.review(&mut log);
+        }
+    }
+
+    /// Records that an endpoint has ended without notice, which is concluded from its silence alone if
+    /// `is_presumed`; answers that broke off before then count as broken off by the crash.
+    pub fn confirm(&self, endpoint: &Name, incarnation: Incarnation, is_presumed: bool) {
+        let now = self.clock.now();
+        let crash = self.broken.lock().confirm(now, endpoint, incarnation, is_presumed);
         if let Some(crash) = crash {
             self.crash_count.inc();
             self.record(&crash);
@@ -206,6 +218,7 @@
             born = crash.incarnation.0,
             requests = crash.requests.len(),
             prompts = crash.prompts.len(),
+            presumed = crash.is_presumed,
             age_ms = crash.age
         );
         let mut log = self.log.lock();
@@ -264,7 +277,7 @@
     for pause in CHECK_PAUSES {
         tokio::time::sleep(pause.into()).await;
         if state.check_endpoint(&to, REFUSAL_TIME).await == EndpointCheck::Ended {
-            state.crashes.confirm(&to.endpoint, to.incarnation);
+            state.crashes.confirm(&to.endpoint, to.incarnation, false);
             return;
         }
     }
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -457,7 +457,7 @@
                 self.call.pool.pool.lock().mark_gone(now, &self.placement);
                 self.state.egress.forget(self.placement.address);
                 let Placement { endpoint, incarnation, .. } = &self.placement;
-                self.state.crashes.confirm(endpoint, *incarnation);
+                self.state.crashes.confirm(endpoint, *incarnation, false);
                 Some(self.failed(AttemptOutcome::WrongEndpoint, status_text))
             }
             AnswerClass::Improper => {
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -427,10 +427,11 @@
     fn apply_fact(&self, now: Millis, from: SocketAddr, fact: &EndpointFact) {
         let pool = self.pool(&fact.service);
         let pool = pool.unwrap_or_else(|| self.open_pool(&fact.service, None));
-        let (was_ready, ended, update) = {
+        let (was_ready, returns, ended, update) = {
             let mut pool = pool.pool.lock();
             let was_ready = pool.is_ready(&fact.endpoint);
-            (was_ready, ended_without_notice(&pool, fact), pool.update_endpoint(now, fact))
+            let returns = pool.returns_with(fact);
+            (was_ready, returns, ended_without_notice(&pool, fact), pool.update_endpoint(now, fact))
         };
         match update {
             FactUpdate::Stale => return,
@@ -448,8 +449,12 @@
         }
         drop(others);
         self.streams.review();
+        let is_presumed = fact.state == EndpointState::Silent;
         for (endpoint, incarnation) in ended {
-            self.crashes.confirm(&endpoint, incarnation);
+            self.crashes.confirm(&endpoint, incarnation, is_presumed);
+        }
+        if returns {
+            self.crashes.record_return(&fact.endpoint, fact.incarnation);
         }
         if fact.state >= EndpointState::Silent {
             self.egress.forget(fact.address);
--- a/daemons/gateway/tests/endpoint_checks.rs
+++ b/daemons/gateway/tests/endpoint_checks.rs
@@ -218,7 +218,8 @@
             let EndpointFact { endpoint, incarnation, .. } = fact(0, harness.endpoints[0].address);
             let requests = Vec::new();
             let prompts = Vec::new();
-            let crash = EndpointCrash { endpoint, incarnation, requests, prompts, age };
+            let crash =
+                EndpointCrash { endpoint, incarnation, requests, prompts, age, is_presumed: false };
             harness.crashes.lock().crashes.push(crash);
             harness.wait_until_facts_applied();
         }
--- a/daemons/sill/tests/system/cut_off.rs
+++ b/daemons/sill/tests/system/cut_off.rs
@@ -27,6 +27,9 @@
 /// Time after which calls are served again by an entry instance that helps and has stood still.
 const RETURN_TIME: Duration = Duration::from_millis(500);
 
+/// Time without heartbeats after which endpoints count as ended, and more.
+const SILENCE: Duration = Duration::from_millis(4500);
+
 /// How long each cut lasts.
 const CUT_TIME: Duration = Duration::from_secs(7);
 
@@ -60,6 +63,8 @@
     open: Mutex<Vec<(usize, usize, TcpStream)>>,
     /// The ids of requests that were run, with the entry instance whose connection carried each.
     runs: Mutex<Vec<(String, usize)>>,
+    /// Whether they announce nothing.
+    is_silent: AtomicBool,
     is_over: AtomicBool,
 }
 
@@ -255,7 +260,9 @@
             if announced.is_over() {
                 return;
             }
-            announce(control, i, 1, sequence, address);
+            if !announced.is_silent.load(Ordering::Relaxed) {
+                announce(control, i, 1, sequence, address);
+            }
             thread::sleep(Duration::from_millis(300));
         }
     });
@@ -509,3 +516,36 @@
     let twice = records.iter().filter(|r| r.answer.is_none()).map(|r| &r.id).collect::<Vec<_>>();
     assert!(twice.is_empty(), "closed without an answer: {twice:?}");
 }
+
+/// Endpoints stand still so long that they count as ended, and the requests that wait there are refused
+/// for ten minutes as if they had crashed them.
+#[test]
+fn calls_are_served_after_endpoints_stood_still_longer_than_their_heartbeats() {
+    let system = System::start("silent", "looked-up");
+    let still = |is_still: bool| {
+        system.endpoints.is_silent.store(is_still, Ordering::Relaxed);
+        let cut = if is_still { Cut::Hang } else { Cut::None };
+        system.endpoints.set_cuts(&[1, 2], ENDPOINTS, cut);
+    };
+    system.endpoints.set_cuts(&[0], ENDPOINTS, Cut::Hang);
+    thread::sleep(Duration::from_millis(900));
+    still(true);
+    thread::sleep(SILENCE);
+    still(false);
+    let is_noticed = |i| system.log_of_paths(i).contains("event=endpoint_crashed");
+    assert!((0..GATEWAYS).any(is_noticed), "no endpoint counts as ended");
+    thread::sleep(CONTACT_TIME);
+    let from = Instant::now();
+    thread::sleep(Duration::from_secs(2));
+    system.endpoints.set_cuts(&[0], ENDPOINTS, Cut::None);
+    let records = system.records.lock().expect(UNPOISONED).clone();
+    let later: Vec<Record> = records.into_iter().filter(|r| r.at >= from).collect();
+    let served = later.iter().filter(|r| r.is_served()).count();
+    println!("silent: {served} of {} served", later.len());
+    let blocked = |r: &&Record| {
+        r.answer.as_ref().is_some_and(|answer| answer.body.contains("request_blocked"))
+    };
+    assert_eq!(later.iter().filter(blocked).count(), 0, "of {}", later.len());
+    assert!(served as f64 >= SERVED * later.len() as f64, "{served} of {}", later.len());
+    assert!(later.len() > 100, "too few calls: {}", later.len());
+}
--- a/protocol/wire/src/crash.rs
+++ b/protocol/wire/src/crash.rs
@@ -22,6 +22,9 @@
     pub prompts: Vec<SharedParts>,
     /// Time since the crash.
     pub age: Millis,
+    /// Whether it is concluded from the endpoint's silence alone. The endpoint may return.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_presumed: bool,
 }
 
 /// A request that an endpoint has answered completely.
