Paths: the silence of tunnels in an earlier cut is not held against a later one

Tunnels that became silent stayed so until one was answered. If nobody used one since, an instance that is cut off later refused calls until its first check of a tunnel. Found while reading the diff; no caller has seen it. The belief now starts anew when the instance notices that it is cut off.

paths.rs: chose no path before, a tunnel now. The text of what was believed of endpoints is also split at the width of the other lines.

--- a/coordination/dispatch/src/paths.rs
+++ b/coordination/dispatch/src/paths.rs
@@ -603,6 +603,9 @@
             faults.filter(|fault| fault.since >= self.heard_at).count() >= MIN_DOUBTED
         };
         if std::mem::replace(&mut self.is_cut_off, is_cut_off) != is_cut_off {
+            if is_cut_off {
+                self.tunnels.forget_silence();
+            }
             let change = if is_cut_off { PathChange::CutOff } else { PathChange::Reconnected };
             self.changes.push(change);
         }
--- a/coordination/dispatch/src/tunnel_health.rs
+++ b/coordination/dispatch/src/tunnel_health.rs
@@ -74,6 +74,11 @@
         self.quiet == SILENT_TUNNEL_TICKS
     }
 
+    /// Forgets an earlier silence, which may be long over.
+    pub const fn forget_silence(&mut self) {
+        self.record_heard();
+    }
+
     /// Records bytes that arrived in a tunnel; returns whether tunnels were silent.
     pub const fn record_heard(&mut self) -> bool {
         (self.next_reopen, self.reopen_interval) = (Millis::ZERO, MIN_REOPEN_INTERVAL);
--- a/coordination/dispatch/tests/paths.rs
+++ b/coordination/dispatch/tests/paths.rs
@@ -288,6 +288,22 @@
     }
 }
 
+/// A request in a tunnel once waited for long, and much later an instance that is cut off refuses calls.
+#[test]
+fn an_earlier_silence_of_tunnels_is_not_held_against_them() {
+    let mut paths = Paths::default();
+    paths.record_tunnel_sent();
+    (1..40).for_each(|number| _ = paths.tick(Millis(number * TICK.0)));
+    paths.record_tunnel_end();
+    assert_eq!(paths.take_changes(), [PathChange::TunnelsSilent]);
+    let now = Millis(600_000);
+    (0..2).for_each(|endpoint| paths.record_connect_failed(now, address(endpoint), true));
+    assert!(paths.is_cut_off());
+    let req =
+        PathRequest { address: address(0), may_repeat: false, may_try: false, has_relay: true };
+    assert_eq!(paths.choose(now, req), Path::Tunnel);
+}
+
 /// One endpoint that is silent for a second must not be taken for a cut, nor requests to others
 /// be moved.
 #[test]
--- a/coordination/route/src/view.rs
+++ b/coordination/route/src/view.rs
@@ -67,7 +67,8 @@
         } = self;
         write!(
             f,
-            "{ready} ready, {full} full, {paused} paused for {paused_for} ms or longer, {suspect} suspect, {ineligible} unfit, {active} active \
+            "{ready} ready, {full} full, {paused} paused for {paused_for} ms or longer, \
+             {suspect} suspect, {ineligible} unfit, {active} active \
              ({own_active} own) on {slots} slots, loads up to {oldest_load_age} ms old"
         )
     }
