--- a/daemons/gateway/tests/tunnels.rs
+++ b/daemons/gateway/tests/tunnels.rs
@@ -228,6 +228,33 @@
     assert!(log.len() > 2, "no request after the pause");
 }
 
+/// A call waits for its connection when its endpoint asks for a pause, and is sent there all the same.
+#[test]
+fn a_call_whose_connection_opens_after_its_endpoint_asked_for_a_pause_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port can be bound");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    let cut_off = Harness::start(vec![Vec::new()]);
+    let dead = DeadAddress::new(ConnectFailure::Hanging);
+    let offer = RelayOffer { entry: "slow".into(), domain: "a".into(), address };
+    *cut_off.relays.lock() = vec![offer];
+    *cut_off.facts.lock() = vec![EndpointFact { sequence: 2, ..fact(0, dead.address) }];
+    cut_off.wait_until_facts_applied();
+    let caller_address = cut_off.address;
+    let caller = thread::spawn(move || exchange(caller_address, &request("/idempotent/x", "")));
+    let (mut stream, _) = listener.accept().expect("a tunnel is asked for");
+    let _ = read_head(&mut stream);
+    let known = fact(0, dead.address);
+    let (id, pause) = ("other".into(), Millis(60_000));
+    cut_off.state().record_pause(&known.endpoint, known.incarnation, pause, (&id, ""));
+    stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").expect("the peer reads the bytes");
+    let got = caller.join().expect("the caller gets an answer");
+    assert_eq!(got.status, 503);
+    assert!(got.head.to_lowercase().contains("sill-not-run: true"), "{}", got.head);
+    stream.set_read_timeout(Some(Duration::from_millis(100))).expect("the option can be set");
+    let sent = stream.read(&mut [0; 64]).unwrap_or(0);
+    assert_eq!(sent, 0, "bytes of the request are sent");
+}
+
 /// When the other entry instance does not reach the endpoint either, the call has not run, and its
 /// caller waits for nothing.
 #[test]
