Soak: full endpoints ask for a pause, and what reaches them meanwhile is checked

The promise of pauses was checked by tests with one entry instance only. A full endpoint of the soak asks for 2 s; more than two requests of calls at the same entry instance from half a second later on are a finding, unless that instance was disrupted, stopped or cut off, or the endpoint was.

--- a/bench/soak/src/backend.rs
+++ b/bench/soak/src/backend.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use eyre::Result;
 use futures_util::{StreamExt, stream};
-use http::{Request, Response, StatusCode, Version};
+use http::{HeaderValue, Request, Response, StatusCode, Version};
 use http_body::Frame;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -27,6 +27,7 @@
 use crate::cluster::key;
 use crate::exchange;
 use crate::journal::Journal;
+use crate::pauses::{PAUSE, Pauses};
 use crate::plan::Misbehavior;
 use crate::rollouts::Versions;
 use crate::stream::{PACE_HEADER, Pace, event};
@@ -56,6 +57,8 @@
     crashing_runs: AtomicUsize,
     /// Requests that reached endpoints of the versions of roll-outs.
     pub versions: Versions,
+    /// Requests that reached endpoints, and the pauses that these asked for.
+    pub pauses: Pauses,
 }
 
 /// An endpoint that can be replaced by a new incarnation at the same address.
@@ -95,7 +98,8 @@
 impl Ledger {
     /// Creates a ledger that times requests by the clock of a journal.
     pub fn new(journal: Arc<Journal>) -> Self {
-        Self { versions: Versions::new(journal), ..Self::default() }
+        let pauses = Pauses::new(journal.clone());
+        Self { versions: Versions::new(journal), pauses, ..Self::default() }
     }
 
     /// Returns the endpoint incarnations that ran a request, in order.
@@ -291,8 +295,13 @@
     }
     let misbehavior = state.ledger.versions.note(software_of(&state.id), parts.uri.path());
     let misbehavior = misbehavior.or(*state.misbehavior.lock());
-    if misbehavior == Some(Misbehavior::Full) {
-        return Ok(refusal(StatusCode::SERVICE_UNAVAILABLE, &id));
+    let is_full = misbehavior == Some(Misbehavior::Full);
+    state.ledger.pauses.note(&state.id, &id, is_full);
+    if is_full {
+        let mut rejection = refusal(StatusCode::SERVICE_UNAVAILABLE, &id);
+        let seconds = HeaderValue::from(PAUSE.0 / 1000);
+        rejection.headers_mut().insert(header::RETRY_AFTER, seconds);
+        return Ok(rejection);
     }
     let Ok(body) = body.collect().await else { return Err("the request body ended early") };
     let body = body.to_bytes();
--- a/bench/soak/src/lib.rs
+++ b/bench/soak/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod journal;
 pub mod link;
 pub mod operator;
+pub mod pauses;
 pub mod plan;
 pub mod process;
 pub mod rollouts;
--- a/bench/soak/src/plan.rs
+++ b/bench/soak/src/plan.rs
@@ -73,7 +73,7 @@
     LoseAnswer,
     /// Runs the request and truncates the answer.
     CutAnswer,
-    /// Refuses requests with status 503.
+    /// Rejects requests with status 503, and asks for a pause.
     Full,
     /// Answers slowly.
     Slow,
--- a/bench/soak/src/run.rs
+++ b/bench/soak/src/run.rs
@@ -196,6 +196,7 @@
     run.note_exits().await;
     let records = records.lock();
     let mut findings = verdict::check(&records, &ledger, &journal);
+    findings.extend(ledger.pauses.check(&records, &journal));
     let arrivals = ledger.versions.arrivals();
     findings.extend(rollout_findings);
     findings.extend(rollouts::check(&orders, &arrivals, &journal));
@@ -209,6 +210,7 @@
         refused: answers().filter(|a| verdict::is_refusal(a)).count(),
         limit_used: verdict::limit_used(&GUESTS, &records, &ledger),
         limit_most: verdict::limit_most(&GUESTS, &records, &ledger),
+        pauses: ledger.pauses.count(),
         cut: verdict::count_cuts(&records, &ledger, &journal),
         faults,
         changes: observations.lock().changes,
--- a/bench/soak/src/verdict.rs
+++ b/bench/soak/src/verdict.rs
@@ -33,6 +33,8 @@
     pub limit_used: f64,
     /// Largest share of its limit that the limited account used in any window.
     pub limit_most: f64,
+    /// Number of times that endpoints asked for a pause.
+    pub pauses: usize,
     /// Number of faults injected.
     pub faults: usize,
     /// Number of settings changes that were acknowledged.
@@ -47,7 +49,7 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "seed={} faults={} requests={} answered={} refused={} cut={:?} limit_used={:.2} limit_most={:.2} changes={} findings={}",
+            "seed={} faults={} requests={} answered={} refused={} cut={:?} limit_used={:.2} limit_most={:.2} pauses={} changes={} findings={}",
             self.seed,
             self.faults,
             self.requests,
@@ -56,6 +58,7 @@
             self.cut,
             self.limit_used,
             self.limit_most,
+            self.pauses,
             self.changes,
             self.findings.len()
         )?;
