Gateway: the return of an endpoint has the name of a question, and a placement is not cloned

Found while reading the change as a newcomer: 'returns_with' did not say what it answers, and each attempt copied its whole placement for two fields of it. No change of what is decided.

--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -800,7 +800,7 @@
     }
 
     /// Returns whether a fact says that an incarnation of an endpoint that was silent is there.
-    pub fn returns_with(&self, fact: &EndpointFact) -> bool {
+    pub fn is_return(&self, fact: &EndpointFact) -> bool {
         let known = self.endpoints.get(&fact.endpoint).map(|known| &known.fact);
         let was_silent = known.is_some_and(|known| {
             known.state == EndpointState::Silent && known.incarnation == fact.incarnation
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -310,7 +310,8 @@
     let time_left = call.due - state.clock.now();
     let req = request(&state, &call, &attempt.placement, time_left, resumption);
     let take_retry = || state.may_retry(&call.pool.service);
-    let Placement { endpoint, incarnation, .. } = attempt.placement.clone();
+    let Placement { endpoint, incarnation, .. } = &attempt.placement;
+    let (endpoint, incarnation) = (endpoint.clone(), *incarnation);
     let is_paused = || call.pool.pool.lock().is_paused(state.clock.now(), &endpoint, incarnation);
     let may_send = || !is_paused();
     let options = SendOptions {
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -427,11 +427,16 @@
     fn apply_fact(&self, now: Millis, from: SocketAddr, fact: &EndpointFact) {
         let pool = self.pool(&fact.service);
         let pool = pool.unwrap_or_else(|| self.open_pool(&fact.service, None));
-        let (was_ready, returns, ended, update) = {
+        let (was_ready, is_return, ended, update) = {
             let mut pool = pool.pool.lock();
             let was_ready = pool.is_ready(&fact.endpoint);
-            let returns = pool.returns_with(fact);
-            (was_ready, returns, ended_without_notice(&pool, fact), pool.update_endpoint(now, fact))
+            let is_return = pool.is_return(fact);
+            (
+                was_ready,
+                is_return,
+                ended_without_notice(&pool, fact),
+                pool.update_endpoint(now, fact),
+            )
         };
         match update {
             FactUpdate::Stale => return,
@@ -453,7 +458,7 @@
         for (endpoint, incarnation) in ended {
             self.crashes.confirm(&endpoint, incarnation, is_presumed);
         }
-        if returns {
+        if is_return {
             self.crashes.record_return(&fact.endpoint, fact.incarnation);
         }
         if fact.state >= EndpointState::Silent {
