--- a/coordination/dispatch/tests/standstills.rs
+++ b/coordination/dispatch/tests/standstills.rs
@@ -516,6 +516,14 @@
     check(&repeatable);
 }
 
+/// The same for calls that must not be repeated, few of which find out that endpoints answer again.
+#[test]
+fn calls_that_must_not_be_repeated_are_served_by_an_idle_helper_after_endpoints_stood_still() {
+    let cases = cases_of(Still::Endpoints, Quiet::Never, false);
+    let (_, once): (Vec<Case>, Vec<Case>) = cases.into_iter().partition(|c| c.may_repeat);
+    check(&once);
+}
+
 /// The entry instance that carries tunnels stands still, and no other tunnel is asked for until the
 /// cut is over.
 #[test]
