--- a/coordination/dispatch/src/crashes.rs
+++ b/coordination/dispatch/src/crashes.rs
@@ -79,7 +79,7 @@
     settles_at: Millis,
     requests: Vec<RequestKey>,
     prompts: Vec<SharedParts>,
-    /// Whether only silence speaks for it.
+    /// Whether it is concluded from silence alone.
     is_presumed: bool,
     sequence: u64,
 }
