Relay: a stream that can't be sent again goes on arriving on a lost path

Cause: the relay polls the wait for the loss of a path before it looks whether the answer may be sent again. For streams of engines that migrate runs (may_resume, but not may_repeat) it went on waiting after the wait had ended, and polled it again: 'async fn resumed after completion'. The panic took the task and with it the caller's connection. Class: a future that is polled after its end. The wait is fused now, and only polled where its end leads to something. The other futures of the relay end the source that they belong to, or are timers; those of a migration are replaced as they end.

Test: an endpoint whose open connection lives on while new ones are refused pauses for 2.5 s in a stream.

--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -8,7 +8,8 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::{Bytes, BytesMut};
-use futures_util::future::BoxFuture;
+use futures_util::FutureExt;
+use futures_util::future::{BoxFuture, Fuse};
 use http::Response;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
@@ -96,7 +97,7 @@
     /// Resolves to whether the endpoint has ended, once the body has ended without a mark.
     end_check: Option<BoxFuture<'static, EndpointCheck>>,
     /// Resolves once the rest of the body can't be expected to arrive.
-    stuck: BoxFuture<'static, ()>,
+    stuck: Fuse<BoxFuture<'static, ()>>,
     /// When the first part arrived.
     began_at: Option<Millis>,
     /// Whether it is recorded that the prompt does not crash the endpoint.
@@ -111,7 +112,7 @@
         body: Incoming,
         connection: Option<ReusableConnection>,
     ) -> Self {
-        let stuck = attempt.wait_until_stuck();
+        let stuck = attempt.wait_until_stuck().fuse();
         Self {
             body,
             framing,
@@ -452,8 +453,9 @@
             let frame = match Pin::new(&mut answer.body).poll_frame(cx) {
                 Poll::Ready(frame) => frame,
                 Poll::Pending => {
-                    let is_stuck = self.may_resume && answer.stuck.as_mut().poll(cx).is_ready();
-                    if !is_stuck || !self.call.route.route.kind.may_repeat() {
+                    // An answer that can't be sent again may still arrive.
+                    let may_repeat = self.may_resume && self.call.route.route.kind.may_repeat();
+                    if !may_repeat || Pin::new(&mut answer.stuck).poll(cx).is_pending() {
                         return Poll::Pending;
                     }
                     let reason = "the network path to the endpoint is lost";
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -71,6 +71,9 @@
     AnswerAndReset(String),
     /// Sends these bytes, stops to listen and goes silent, like an endpoint behind a partition.
     AnswerAndFallSilent(String),
+    /// Sends the first bytes and stops to listen, like an endpoint to which only open connections
+    /// work; sends the others after a delay.
+    AnswerInTwoAndRefuseOthers(String, Duration, String),
     /// Sends nothing until the other side closes the connection.
     Hang,
 }
@@ -273,6 +276,13 @@
                 thread::sleep(pause);
                 let _ = stream.write_all(remainder.replace("{id}", &id).as_bytes());
             }
+            Action::AnswerInTwoAndRefuseOthers(first, pause, remainder) => {
+                let _ = stream.write_all(first.replace("{id}", &id).as_bytes());
+                let socket = socket2::SockRef::from(listener);
+                let _ = socket.shutdown(std::net::Shutdown::Both);
+                thread::sleep(pause);
+                let _ = stream.write_all(remainder.replace("{id}", &id).as_bytes());
+            }
             Action::AnswerAndClose(text) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
                 return;
--- a/daemons/gateway/tests/tunnels.rs
+++ b/daemons/gateway/tests/tunnels.rs
@@ -15,6 +15,7 @@
 };
 
 const EVENT_STREAM: &str = "content-type: text/event-stream\r\n";
+const CHUNKED: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
 
 /// An entry instance without connections to endpoints, and one that reaches them.
 struct Pair {
@@ -187,6 +188,24 @@
     assert!(resumed.iter().any(|header| header == "last-event-id: 1"), "{resumed:?}");
 }
 
+/// New connections to an endpoint fail while a stream that can't be sent again still arrives on an open
+/// one, and its caller's connection breaks off at the next pause.
+#[test]
+fn a_stream_that_may_not_be_repeated_is_not_broken_off_on_a_lost_path() {
+    let first = format!("{}8\r\nid: 1\n\n\n\r\n", head(CHUNKED));
+    let rest = "8\r\nid: 2\n\n\n\r\n0\r\n\r\n";
+    let helper = Harness::start(vec![Vec::new()]);
+    let pause = Duration::from_millis(2500);
+    let action = Action::AnswerInTwoAndRefuseOthers(first, pause, rest.to_owned());
+    let cut_off = Harness::start(vec![vec![action]]);
+    offer(&cut_off, &helper);
+    cut_off.wait_until_facts_applied();
+    let got = cut_off.call("/stream/x");
+    assert_eq!(cut_off.metric("sill_gateway_lost_paths"), 1);
+    assert_eq!((got.status, got.is_complete), (200, true), "{}", got.head);
+    assert_eq!(String::from_utf8_lossy(&got.body), "id: 1\n\n\nid: 2\n\n\n");
+}
+
 /// A call that is carried for another entry instance is cut when the one that carries it stops.
 #[test]
 fn a_stopping_entry_instance_finishes_the_calls_that_it_carries() {
