--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -37,7 +37,7 @@
 pub use events::EventTracker;
 pub use loads::EndpointLoads;
 pub use part_blame::PartBlock;
-pub use paths::{Doubt, Path, PathChange, PathRequest, Paths, TICK};
+pub use paths::{Doubt, Path, PathChange, PathRequest, Paths, Reconnection, TICK};
 pub use pool::{
     BrittleCounts, FactUpdate, Placement, PlacementDecision, PlacementRequest, Pool, PoolCfg,
     Prompt, PromptPart,
--- a/coordination/dispatch/src/paths.rs
+++ b/coordination/dispatch/src/paths.rs
@@ -92,6 +92,15 @@
     pub has_relay: bool,
 }
 
+/// Why an instance no longer takes itself for cut off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reconnection {
+    /// An endpoint was heard on an own connection, or one opened where connecting had failed.
+    Heard,
+    /// The endpoints have ended to which paths were in doubt.
+    EndpointsEnded,
+}
+
 /// A change of what is believed of the paths.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PathChange {
@@ -103,8 +112,8 @@
     Restored(SocketAddr),
     /// No endpoint is reached on the own connections.
     CutOff,
-    /// Endpoints are reached on the own connections again.
-    Reconnected,
+    /// The instance no longer takes itself for cut off.
+    Reconnected(Reconnection),
     /// Requests in tunnels are not answered, so no more are sent.
     TunnelsSilent,
     /// Requests are sent in tunnels again.
@@ -357,7 +366,7 @@
         if path.fault.is_some_and(is_over) {
             self.restore(now, address);
         }
-        self.update_cut_off();
+        self.update_cut_off(Reconnection::Heard);
     }
 
     /// Records that a new connection was opened to an endpoint.
@@ -376,7 +385,7 @@
             Some(_) => {}
             None if self.is_cut_off && self.only_connecting_fails() => {
                 self.heard_at = now;
-                self.update_cut_off();
+                self.update_cut_off(Reconnection::Heard);
             }
             None => {}
         }
@@ -475,7 +484,7 @@
                 self.endpoints.remove(&address);
             }
         }
-        self.update_cut_off();
+        self.update_cut_off(Reconnection::EndpointsEnded);
     }
 
     /// Counts silence; called once in a [`TICK`]. Returns the endpoints to be connected to.
@@ -579,7 +588,7 @@
                 self.changes.push(PathChange::Doubted(address, doubt));
             }
         }
-        self.update_cut_off();
+        self.update_cut_off(Reconnection::Heard);
     }
 
     /// Takes a path for sound again. The partition may be over, so the others are tried soon.
@@ -593,11 +602,11 @@
         faults.for_each(|fault| fault.next_check = now);
         (self.next_check, self.next_trial, self.next_risky_trial) = (now, now, now);
         self.risky_interval = MIN_RISKY_INTERVAL;
-        self.update_cut_off();
+        self.update_cut_off(Reconnection::Heard);
     }
 
     /// Takes all paths for broken once several are in doubt and nothing was heard since.
-    fn update_cut_off(&mut self) {
+    fn update_cut_off(&mut self, why: Reconnection) {
         let is_cut_off = self.fault_count >= MIN_DOUBTED && {
             let faults = self.endpoints.values().filter_map(|path| path.fault);
             faults.filter(|fault| fault.since >= self.heard_at).count() >= MIN_DOUBTED
@@ -606,7 +615,10 @@
             if is_cut_off {
                 self.tunnels.forget_silence();
             }
-            let change = if is_cut_off { PathChange::CutOff } else { PathChange::Reconnected };
+            let change = match is_cut_off {
+                true => PathChange::CutOff,
+                false => PathChange::Reconnected(why),
+            };
             self.changes.push(change);
         }
     }
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -314,7 +314,9 @@
     let (endpoint, incarnation) = (endpoint.clone(), *incarnation);
     let is_paused = || call.pool.pool.lock().is_paused(state.clock.now(), &endpoint, incarnation);
     let may_send = || !is_paused();
+    let id = attempt.name.clone();
     let options = SendOptions {
+        id: &id,
         max_idle: max_idle(&call),
         may_send: &may_send,
         take_retry: &take_retry,
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -69,6 +69,8 @@
 /// How a request may be sent.
 #[derive(Clone, Copy)]
 pub struct SendOptions<'a> {
+    /// The id of the request in log lines.
+    pub id: &'a Name,
     /// Longest time that a connection may have been idle.
     pub max_idle: Millis,
     /// Whether the request can be sent again if it gets no answer.
@@ -120,8 +122,12 @@
     egress: Arc<Egress>,
     address: SocketAddr,
     via: Option<Via>,
+    /// The id of the request.
+    id: Name,
+    sent_at: Millis,
     /// When the connection was opened, in milliseconds.
     opened_at: u64,
+    is_sent: bool,
     is_answered: bool,
     heard: Arc<AtomicU64>,
 }
@@ -294,7 +300,7 @@
         req: Request<Full<Bytes>>,
         options: SendOptions<'_>,
     ) -> Result<(Answer, Exchange), SendFailure> {
-        let exchange = self.begin(to, options.is_engine, None);
+        let exchange = self.begin(to, options, None);
         let target = Target { address: to.address, via: None };
         let sending = self.pool.send_kept(target, req, options.max_idle);
         let req = match self.unless_stuck(to, options, sending).await? {
@@ -326,7 +332,7 @@
             self.pool.keep_unused(connection);
             return Err(SendError::NotSent(PAUSED.to_owned()));
         }
-        let exchange = self.begin(to, options.is_engine, None);
+        let exchange = self.begin(to, options, None);
         let sending = self.pool.send_on(connection, req);
         let sent = match options.may_repeat {
             true => tokio::time::timeout(TRIAL_TIMEOUT.into(), sending).await,
@@ -359,11 +365,14 @@
         for offer in self.candidates(to) {
             let via = Via { entry: offer.entry, address: offer.address };
             let target = Target { address: to.address, via: Some(via.address) };
-            let exchange = self.begin(to, options.is_engine, Some(via));
+            let exchange = self.begin(to, options, Some(via));
             match self.pool.send_kept(target, req, options.max_idle).await {
                 KeptOutcome::Answered(answer) => return Ok(exchange.answered(answer)),
                 KeptOutcome::Unknown(reason) => return Err(SendFailure::Unknown(reason)),
-                KeptOutcome::NoConnection(unsent) => req = unsent,
+                KeptOutcome::NoConnection(unsent) => {
+                    exchange.withdraw();
+                    req = unsent;
+                }
             }
         }
         let opened = self.open(to, false).await?;
@@ -382,10 +391,18 @@
             return Err(SendFailure::NotSent(PAUSED.to_owned()));
         }
         let is_direct = via.is_none();
-        let exchange = self.begin(to, options.is_engine, via);
+        let exchange = self.begin(to, options, via);
         let sending = self.pool.send_on(connection, req);
         if !is_direct {
-            return sending.await.map(|answer| exchange.answered(answer));
+            return match sending.await {
+                Ok(answer) => Ok(exchange.answered(answer)),
+                Err(failure) => {
+                    if matches!(failure, SendFailure::NotSent(_)) {
+                        exchange.withdraw();
+                    }
+                    Err(failure)
+                }
+            };
         }
         match self.unless_stuck(to, options, sending).await? {
             Ok(answer) => Ok(exchange.answered(answer)),
@@ -429,7 +446,12 @@
         }
     }
 
-    fn begin(self: &Arc<Self>, to: &Destination, is_engine: bool, via: Option<Via>) -> Exchange {
+    fn begin(
+        self: &Arc<Self>,
+        to: &Destination,
+        options: SendOptions<'_>,
+        via: Option<Via>,
+    ) -> Exchange {
         let heard = {
             let mut contacts = self.contacts.lock();
             let contact = contacts
@@ -444,14 +466,17 @@
             let mut paths = self.paths.lock();
             match via {
                 Some(_) => paths.record_tunnel_sent(),
-                None => paths.record_sent(to.address, is_engine),
+                None => paths.record_sent(to.address, options.is_engine),
             }
         }
         Exchange {
             egress: self.clone(),
             address: to.address,
             via,
+            id: options.id.clone(),
+            sent_at: self.clock.now(),
             opened_at: 0,
+            is_sent: true,
             is_answered: false,
             heard,
         }
@@ -598,9 +623,11 @@
         self: &Arc<Self>,
         to: &Destination,
         req: Request<Full<Bytes>>,
+        id: &Name,
         max_idle: Millis,
     ) -> Result<(StatusCode, Bytes), String> {
         let options = SendOptions {
+            id,
             max_idle,
             may_repeat: false,
             may_try: true,
@@ -712,7 +739,9 @@
                 let has_relay = self.relays.lock().list.has_usable(self.clock.now());
                 event!(Warn, "cut_off_from_endpoints", has_relay = has_relay);
             }
-            PathChange::Reconnected => event!(Info, "reconnected_to_endpoints"),
+            PathChange::Reconnected(why) => {
+                event!(Info, "reconnected_to_endpoints", why = format!("{why:?}"));
+            }
             PathChange::TunnelsSilent => {
                 let has_relay = self.relays.lock().list.has_usable(self.clock.now());
                 event!(Warn, "tunnels_silent", has_relay = has_relay);
@@ -785,6 +814,7 @@
             Some(_) => {
                 paths.record_tunnel(now, self.address, true);
                 paths.record_tunnel_end();
+                self.egress.metrics.tunnel_answers.with_label_values(&["answered"]).inc();
             }
             None => paths.record_answered(now, self.address, answer.opened_at),
         }
@@ -792,6 +822,11 @@
         (answer, self)
     }
 
+    /// Ends an exchange of which no byte was sent.
+    fn withdraw(mut self) {
+        self.is_sent = false;
+    }
+
     /// Records that a part of the answer arrived.
     pub fn record_heard(&self) {
         // What arrives in a tunnel says nothing about the own connections.
@@ -801,6 +836,23 @@
         }
     }
 
+    /// Records that a request in a tunnel has ended without an answer.
+    fn record_unanswered(&self, via: &Via) {
+        self.egress.paths.lock().record_tunnel_end();
+        if !self.is_sent {
+            return;
+        }
+        self.egress.metrics.tunnel_answers.with_label_values(&["unanswered"]).inc();
+        event!(
+            Info,
+            "tunnel_unanswered",
+            id = self.id,
+            via = via.entry,
+            address = self.address,
+            ms = self.egress.clock.now() - self.sent_at
+        );
+    }
+
     /// Returns the tunnel that carries the request.
     pub const fn via(&self) -> Option<&Via> {
         self.via.as_ref()
@@ -820,7 +872,7 @@
     fn drop(&mut self) {
         match &self.via {
             None => self.egress.paths.lock().record_end(self.address, self.is_answered),
-            Some(_) if !self.is_answered => self.egress.paths.lock().record_tunnel_end(),
+            Some(via) if !self.is_answered => self.record_unanswered(via),
             Some(_) => {}
         }
     }
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -74,6 +74,8 @@
     pub cut_off: IntGauge,
     /// Tunnels asked for at other entry instances, by result.
     pub tunnels: IntCounterVec,
+    /// Requests in tunnels, by whether they were answered.
+    pub tunnel_answers: IntCounterVec,
     /// Tunnels of other entry instances that are open here.
     pub carried_tunnels: IntGauge,
     /// Tunnels of other entry instances by whether they were granted.
@@ -226,6 +228,11 @@
                 "1 while no endpoint is reached on own connections",
             )?,
             tunnels: counters("sill_gateway_tunnels_total", "tunnels asked for", "result")?,
+            tunnel_answers: counters(
+                "sill_gateway_tunnel_answers_total",
+                "requests sent in tunnels",
+                "result",
+            )?,
             carried_tunnels: gauge(
                 "sill_gateway_carried_tunnels",
                 "open tunnels of other entry instances",
--- a/daemons/gateway/src/migration.rs
+++ b/daemons/gateway/src/migration.rs
@@ -184,6 +184,7 @@
     let dialect = &state.cfg.dialect;
     let req =
         dialect.copy_run(&call.head.attempt, to, stop_run).ok_or("engines can't copy runs")?;
-    let (status, body) = state.egress.fetch(source, req, MAX_CONNECTION_IDLE).await?;
+    let (status, body) =
+        state.egress.fetch(source, req, &call.head.attempt, MAX_CONNECTION_IDLE).await?;
     dialect.memory_handle(status, &body).ok_or_else(|| status.to_string())
 }
