--- a/daemons/sill/tests/system/serving.rs
+++ b/daemons/sill/tests/system/serving.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, SocketAddr, TcpStream};
 
 use sill_base::Millis;
-use sill_tree::{Account, Document, KeyHash, Pool, Route, RouteKind, Service, Share};
+use sill_tree::{Account, Document, Engine, KeyHash, Pool, Route, RouteKind, Service, Share};
 use sill_wire::{Announcement, Incarnation, Load, Role, Servable};
 
 use crate::harness::{CALLER_KEY, Folder, Program, free_addresses, http, wait_until};
@@ -26,19 +26,46 @@
     control: Program,
     addresses: Vec<SocketAddr>,
     gateway_count: usize,
+    per_domain: usize,
     pub folder: Folder,
 }
 
+/// What is served, and by how many processes.
+#[derive(Debug, Clone, Copy)]
+pub struct ServingCfg {
+    /// Number of entry instances.
+    pub gateways: usize,
+    /// Number of entry instances in each failure domain.
+    pub per_domain: usize,
+    /// Number of addresses for endpoints.
+    pub endpoints: usize,
+    /// Whether endpoints are model engines.
+    pub is_engine: bool,
+}
+
 impl Serving {
     /// Starts the control instance and puts the settings in force; no entry instance runs yet.
     pub fn start(test: &str, gateways: usize, endpoints: usize) -> Self {
+        let cfg = ServingCfg { gateways, per_domain: gateways, endpoints, is_engine: false };
+        Self::start_with(test, cfg)
+    }
+
+    /// Starts the control instance for entry instances in several failure domains.
+    pub fn start_with(test: &str, cfg: ServingCfg) -> Self {
+        let ServingCfg { gateways, per_domain, endpoints, is_engine } = cfg;
         let folder = Folder::new(test);
         let addresses =
             free_addresses(CONTROL_ADDRESSES + GATEWAY_ADDRESSES * gateways + endpoints);
         let control = start_control(&folder, &addresses);
-        let serving =
-            Self { gateways: Vec::new(), control, addresses, gateway_count: gateways, folder };
-        serving.put_settings();
+        let serving = Self {
+            gateways: Vec::new(),
+            control,
+            addresses,
+            gateway_count: gateways,
+            per_domain,
+            folder,
+        };
+        serving.put_settings(&document(is_engine));
         serving
     }
 
@@ -54,7 +81,8 @@
         let (listen, ready, metrics) = (own[0].to_string(), own[1].to_string(), own[2].to_string());
         let (name, key) = (format!("g{i}"), self.folder.file("cluster-key"));
         let control = self.addresses[1].to_string();
-        let args = ["gateway", "--name", &name, "--domain", "a", "--listen", &listen];
+        let domain = ["a", "b", "c"][i / self.per_domain];
+        let args = ["gateway", "--name", &name, "--domain", domain, "--listen", &listen];
         let more = ["--listen-ready", &ready, "--listen-metrics", &metrics];
         let source = gateway_source(i).to_string();
         let keys = ["--connect-from", &source, "--control", &control, "--cluster-key-file", &key];
@@ -62,8 +90,8 @@
             .start_logged(&format!("{name}.log"), &[&args[..], &more[..], &keys[..]].concat())
     }
 
-    fn put_settings(&self) {
-        let body = serde_json::to_string(&document()).expect("a document can be serialised");
+    fn put_settings(&self, document: &Document) {
+        let body = serde_json::to_string(document).expect("a document can be serialised");
         let headers = ["authorization: Bearer test-root-token", "change-id: first"];
         wait_until("the settings are accepted", || {
             let put = http(self.control(), "PUT", "/tree/serving", &headers, &body);
@@ -123,6 +151,11 @@
     IpAddr::from([127, 250, 0, i as u8])
 }
 
+/// Returns the entry instance that connects from an address.
+pub fn gateway_of(source: IpAddr) -> Option<usize> {
+    (0..=u8::MAX.into()).find(|i| gateway_source(*i) == source)
+}
+
 fn start_control(folder: &Folder, addresses: &[SocketAddr]) -> Program {
     let (listen, peer) = (addresses[0].to_string(), addresses[1].to_string());
     let (voter, data) = (format!("c0@a@{peer}"), folder.file("data"));
@@ -137,9 +170,10 @@
 
 /// Returns settings with a route for calls that may be repeated, one for those that must not, and one
 /// for streams that may be resumed.
-fn document() -> Document {
+fn document(is_engine: bool) -> Document {
     let mut document = Document::default();
-    document.services.insert(SERVICE.into(), Service::Pool(Pool::default()));
+    let engine = is_engine.then(|| Engine { slots: 16, ..Engine::default() });
+    document.services.insert(SERVICE.into(), Service::Pool(Pool { engine, ..Pool::default() }));
     let account = Account { keys: vec![KeyHash::of(CALLER_KEY)], ..Account::default() };
     document.accounts.insert("clerks".into(), account);
     let routes = [
