Tunnels: entry instances that answer nothing, or may have lost their paths, are asked last

Cause: an instance without calls doesn't notice that it has lost its paths, and goes on granting tunnels; connections open there, and what is sent in them is not answered. Whoever asks took a tunnel that opens for one that works, and the own failure domain comes first. Class: opening is taken for working.

Now an instance that grants a tunnel says how long ago an endpoint was heard on its own connections; after more than a second others are preferred. What is sent through each one is watched like an own path: after 0.8 s without a byte, after a break before the answer, or where another one reaches an endpoint that it does not, others come first for 1.5 s, then 3 s, up to 12 s; then one call that may be repeated tries. A call that may be repeated is sent again if others are answered meanwhile (engines: if two are silent). No tunnel is tried to an endpoint for a second only if none of those asked reached it. Which instances may be asked at all is as before, so one that is the only one is still used.

--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 mod pauses;
 pub mod pool;
 pub mod registry;
+mod relay_health;
 pub mod relays;
 mod request_limits;
 pub mod settings;
@@ -43,7 +44,8 @@
     Prompt, PromptPart,
 };
 pub use registry::Registry;
-pub use relays::{RelayList, RelayLoad};
+pub use relay_health::RelayHealth;
+pub use relays::{RelayList, RelayLoad, RelayStanding};
 pub use settings::{CompleteSettings, PieceError, SettingsAssembly};
 pub use share::{
     AdmittedByReason, LimitBounds, LimitEstimate, LimitShares, MAX_TOTALS_AGE, OverLimit,
--- a/coordination/dispatch/src/paths.rs
+++ b/coordination/dispatch/src/paths.rs
@@ -282,6 +282,11 @@
         self.is_cut_off
     }
 
+    /// Returns the time since an endpoint was last heard on an own connection.
+    pub fn heard_age(&self, now: Millis) -> Millis {
+        now - self.heard_at
+    }
+
     /// Returns whether own connections to an endpoint open and are not reset, as far as known.
     pub fn is_connectable(&self, address: SocketAddr) -> bool {
         let fault = self.endpoints.get(&address).and_then(|path| path.fault);
--- a/coordination/dispatch/src/relays.rs
+++ b/coordination/dispatch/src/relays.rs
@@ -9,6 +9,8 @@
 use sill_base::{Map, Millis, Name};
 use sill_wire::link::RelayOffer;
 
+use crate::relay_health::RelayHealth;
+
 /// Number of offers from the own failure domain, and from all others, that an entry instance is
 /// told of. Some fail together with it.
 const TOLD_PER_KIND: usize = 6;
@@ -72,6 +74,19 @@
     BuildHasherDefault::<FxHasher>::default().hash_one(names)
 }
 
+/// What speaks for a relay.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RelayStanding {
+    /// Nothing speaks against it.
+    Usable,
+    /// It has heard no endpoint for a while.
+    Unproven,
+    /// Requests in tunnels through it were not answered.
+    Unanswered,
+    /// It can't be reached, or has declined.
+    Failed,
+}
+
 /// The offers that an entry instance knows of, and which of them have failed lately.
 #[derive(Debug, Default)]
 pub struct RelayList {
@@ -80,6 +95,8 @@
     /// again.
     withdrawn: Vec<RelayOffer>,
     failed: Map<SocketAddr, Millis>,
+    /// Whether requests in tunnels through each relay are answered.
+    pub health: RelayHealth,
 }
 
 impl RelayList {
@@ -90,6 +107,7 @@
         let withdrawn: Vec<RelayOffer> = before.into_iter().filter(|o| !stands(o)).collect();
         let addresses: Vec<SocketAddr> = withdrawn.iter().map(|offer| offer.address).collect();
         self.failed.retain(|address, _| !addresses.contains(address));
+        addresses.iter().for_each(|address| self.health.forget(*address));
         self.withdrawn.retain(|offer| !stands(offer) && !addresses.contains(&offer.address));
         self.withdrawn.extend(withdrawn);
         let excess = self.withdrawn.len().saturating_sub(MAX_WITHDRAWN);
@@ -112,24 +130,39 @@
         self.offers.iter().any(|offer| offer.address == address)
     }
 
-    /// Returns the relays to ask for a tunnel, in order: those that have not failed lately, then
-    /// those of the failure domain `domain`, spread over relays by `endpoint`.
+    /// Returns the relays to ask for a tunnel, in order: those that have not failed lately, of these
+    /// the ones through which requests are answered, then those of the failure domain `domain`,
+    /// spread over relays by `endpoint`. `may_repeat` is whether the request may be sent again.
     pub fn candidates(
         &self,
         now: Millis,
         domain: &Name,
         endpoint: &Name,
+        may_repeat: bool,
         count: usize,
     ) -> Vec<RelayOffer> {
         let mut offers: Vec<&RelayOffer> = self.offers.iter().collect();
         offers.sort_by_cached_key(|offer| {
-            let has_failed = self.has_failed(now, offer.address);
+            let standing = self.standing(now, offer.address, may_repeat);
             let is_local = offer.domain == *domain;
-            (has_failed, Reverse(is_local), rank(&[endpoint, &offer.entry]))
+            (standing, Reverse(is_local), rank(&[endpoint, &offer.entry]))
         });
         offers.into_iter().take(count).cloned().collect()
     }
 
+    /// Returns what speaks for a relay; the lowest is asked first.
+    pub fn standing(&self, now: Millis, relay: SocketAddr, may_repeat: bool) -> RelayStanding {
+        if self.has_failed(now, relay) {
+            RelayStanding::Failed
+        } else if self.health.is_doubted(now, relay, may_repeat) {
+            RelayStanding::Unanswered
+        } else if self.health.is_unproven(now, relay) {
+            RelayStanding::Unproven
+        } else {
+            RelayStanding::Usable
+        }
+    }
+
     /// Returns the relays to ask, in order, while no path works: those that have not failed lately,
     /// then all others, also those whose offers no longer stand. Which of these come first differs
     /// between endpoints.
--- a/coordination/dispatch/tests/relays.rs
+++ b/coordination/dispatch/tests/relays.rs
@@ -77,7 +77,7 @@
     let mut list = RelayList::default();
     list.set_offers(offers(&["a", "b"], 2));
     let (now, own): (Millis, Name) = (Millis(1000), "a".into());
-    let first = |list: &RelayList, now| list.candidates(now, &own, &"e1".into(), 4);
+    let first = |list: &RelayList, now| list.candidates(now, &own, &"e1".into(), true, 4);
     let before = first(&list, now);
     assert_eq!(before[0].domain, own);
     assert_eq!(before[1].domain, own);
@@ -103,13 +103,13 @@
     list.set_offers(all.clone());
     list.set_offers(Vec::new());
     assert!(!list.has_usable(now));
-    assert!(list.candidates(now, &"a".into(), &"e1".into(), 4).is_empty());
+    assert!(list.candidates(now, &"a".into(), &"e1".into(), true, 4).is_empty());
     assert_eq!(list.check_candidates(now, &"e1".into(), 9).len(), 4);
     list.record_success(all[2].address);
-    assert_eq!(list.candidates(now, &"a".into(), &"e1".into(), 4), [all[2].clone()]);
+    assert_eq!(list.candidates(now, &"a".into(), &"e1".into(), true, 4), [all[2].clone()]);
     assert_eq!(list.check_candidates(now, &"e1".into(), 9)[0], all[2]);
     list.set_offers(all[..2].to_vec());
-    assert_eq!(list.candidates(now, &"a".into(), &"e1".into(), 4).len(), 2);
+    assert_eq!(list.candidates(now, &"a".into(), &"e1".into(), true, 4).len(), 2);
     assert_eq!(list.check_candidates(now, &"e1".into(), 9).len(), 4);
     (0..40).for_each(|number| _ = list.set_offers(vec![offer("c", number)]));
     assert!(list.check_candidates(now, &"e1".into(), 99).len() <= 13);
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -129,6 +129,7 @@
     opened_at: u64,
     is_sent: bool,
     is_answered: bool,
+    /// Set when bytes arrive, for the own path or for the tunnel's relay.
     heard: Arc<AtomicU64>,
 }
 
@@ -165,6 +166,28 @@
 struct Relays {
     by_control: Map<SocketAddr, Vec<RelayOffer>>,
     list: RelayList,
+    /// 1 for each relay through which bytes have arrived since the last tick, else 0.
+    heard: Map<SocketAddr, Arc<AtomicU64>>,
+}
+
+impl Relays {
+    /// Records that a request is sent through a relay; returns what is set when bytes arrive.
+    fn record_sent(&mut self, relay: SocketAddr, endpoint: SocketAddr) -> Arc<AtomicU64> {
+        self.list.health.record_sent(relay, endpoint);
+        self.heard.entry(relay).or_default().clone()
+    }
+
+    /// Counts a tick; returns the relays that have become silent.
+    fn tick(&mut self, now: Millis) -> Vec<SocketAddr> {
+        for (relay, heard) in &self.heard {
+            if heard.swap(0, Ordering::Relaxed) > 0 {
+                self.list.health.record_heard(*relay);
+            }
+        }
+        // Only requests in flight hold others of these.
+        self.heard.retain(|_, heard| Arc::strong_count(heard) > 1);
+        self.list.health.tick(now)
+    }
 }
 
 /// Endpoints to which connections are opened without a request, to find out which paths work.
@@ -178,6 +201,16 @@
 /// A connection that was opened, and the tunnel if it is one.
 type Opened = (Connection, Option<Via>);
 
+/// An attempt to open a connection.
+type Opening = BoxFuture<'static, Result<Opened, OpenFailure>>;
+
+/// Why a connection was not opened.
+struct OpenFailure {
+    reason: String,
+    /// The relay that was asked and does not reach the endpoint.
+    unreached_by: Option<SocketAddr>,
+}
+
 impl Egress {
     /// Creates an egress without connections.
     pub fn new(cfg: &GatewayCfg, pool: ConnectionPool, clock: Clock, metrics: Metrics) -> Self {
@@ -233,6 +266,11 @@
         self.paths.lock().is_connectable(address)
     }
 
+    /// Returns the time since an endpoint was last heard on an own connection.
+    pub fn answered_age(&self) -> Millis {
+        self.paths.lock().heard_age(self.clock.now())
+    }
+
     /// Returns whether no endpoint is reached on own connections.
     pub fn is_cut_off(&self) -> bool {
         self.paths.lock().is_cut_off()
@@ -309,7 +347,7 @@
             KeptOutcome::NoConnection(req) => req,
         };
         drop(exchange);
-        let opened = self.open(to, true).await?;
+        let opened = self.open(to, true, options.may_repeat).await?;
         self.send_on(to, opened, req, options).await
     }
 
@@ -362,20 +400,25 @@
         mut req: Request<Full<Bytes>>,
         options: SendOptions<'_>,
     ) -> Result<(Answer, Exchange), SendFailure> {
-        for offer in self.candidates(to) {
-            let via = Via { entry: offer.entry, address: offer.address };
-            let target = Target { address: to.address, via: Some(via.address) };
+        for offer in self.best_candidates(to, options.may_repeat) {
+            let relay = offer.address;
+            let via = Via { entry: offer.entry, address: relay };
+            let target = Target { address: to.address, via: Some(relay) };
             let exchange = self.begin(to, options, Some(via));
-            match self.pool.send_kept(target, req, options.max_idle).await {
+            let sending = self.pool.send_kept(target, req, options.max_idle);
+            match self.unless_relay_stuck(relay, options, sending).await? {
                 KeptOutcome::Answered(answer) => return Ok(exchange.answered(answer)),
-                KeptOutcome::Unknown(reason) => return Err(SendFailure::Unknown(reason)),
+                KeptOutcome::Unknown(reason) => {
+                    self.record_broken_tunnel(relay);
+                    return Err(SendFailure::Unknown(reason));
+                }
                 KeptOutcome::NoConnection(unsent) => {
                     exchange.withdraw();
                     req = unsent;
                 }
             }
         }
-        let opened = self.open(to, false).await?;
+        let opened = self.open(to, false, options.may_repeat).await?;
         self.send_on(to, opened, req, options).await
     }
 
@@ -390,17 +433,19 @@
             self.pool.keep_unused(connection);
             return Err(SendFailure::NotSent(PAUSED.to_owned()));
         }
-        let is_direct = via.is_none();
+        let relay = via.as_ref().map(|via| via.address);
         let exchange = self.begin(to, options, via);
         let sending = self.pool.send_on(connection, req);
-        if !is_direct {
-            return match sending.await {
+        if let Some(relay) = relay {
+            return match self.unless_relay_stuck(relay, options, sending).await? {
                 Ok(answer) => Ok(exchange.answered(answer)),
-                Err(failure) => {
-                    if matches!(failure, SendFailure::NotSent(_)) {
-                        exchange.withdraw();
-                    }
-                    Err(failure)
+                Err(SendFailure::NotSent(reason)) => {
+                    exchange.withdraw();
+                    Err(SendFailure::NotSent(reason))
+                }
+                Err(SendFailure::Unknown(reason)) => {
+                    self.record_broken_tunnel(relay);
+                    Err(SendFailure::Unknown(reason))
                 }
             };
         }
@@ -438,14 +483,51 @@
     }
 
     async fn wait_until_stuck(&self, address: SocketAddr) {
+        self.wait_until(|| self.paths.lock().is_stuck(address)).await;
+    }
+
+    /// Waits for an answer in a tunnel unless requests are answered through other relays only, and
+    /// this one can be sent again.
+    async fn unless_relay_stuck<F>(
+        &self,
+        relay: SocketAddr,
+        options: SendOptions<'_>,
+        sending: F,
+    ) -> Result<F::Output, SendFailure>
+    where
+        F: Future,
+    {
+        if !options.may_repeat {
+            return Ok(sending.await);
+        }
+        let is_stuck = || self.relays.lock().list.health.is_stuck(relay, options.is_engine);
+        tokio::select! {
+            biased;
+            sent = sending => Ok(sent),
+            () = self.wait_until(is_stuck) => {
+                Err(SendFailure::Unknown("requests in the tunnel are not answered".to_owned()))
+            }
+        }
+    }
+
+    /// Waits for a condition that changes only in a tick during which paths are in doubt.
+    async fn wait_until<F>(&self, is_met: F)
+    where
+        F: Fn() -> bool,
+    {
         let mut lost = self.lost.subscribe();
-        while !self.paths.lock().is_stuck(address) {
+        while !is_met() {
             if lost.changed().await.is_err() {
                 return std::future::pending().await;
             }
         }
     }
 
+    /// Records that a tunnel broke off before the answer to a request in it.
+    fn record_broken_tunnel(&self, relay: SocketAddr) {
+        self.relays.lock().list.health.record_failure(self.clock.now(), relay);
+    }
+
     fn begin(
         self: &Arc<Self>,
         to: &Destination,
@@ -462,13 +544,16 @@
             }
             contact.heard.clone()
         };
-        {
-            let mut paths = self.paths.lock();
-            match via {
-                Some(_) => paths.record_tunnel_sent(),
-                None => paths.record_sent(to.address, options.is_engine),
+        let heard = match &via {
+            Some(via) => {
+                self.paths.lock().record_tunnel_sent();
+                self.relays.lock().record_sent(via.address, to.address)
             }
-        }
+            None => {
+                self.paths.lock().record_sent(to.address, options.is_engine);
+                heard
+            }
+        };
         Exchange {
             egress: self.clone(),
             address: to.address,
@@ -482,12 +567,23 @@
         }
     }
 
-    fn candidates(&self, to: &Destination) -> Vec<RelayOffer> {
+    fn candidates(&self, to: &Destination, may_repeat: bool) -> Vec<RelayOffer> {
         let now = self.clock.now();
         if !self.paths.lock().may_tunnel(now, to.address) {
             return Vec::new();
         }
-        self.relays.lock().list.candidates(now, &self.domain, &to.endpoint, MAX_RELAYS)
+        let relays = self.relays.lock();
+        relays.list.candidates(now, &self.domain, &to.endpoint, may_repeat, MAX_RELAYS)
+    }
+
+    /// Returns the relays of the best standing: kept tunnels through the others are not used.
+    fn best_candidates(&self, to: &Destination, may_repeat: bool) -> Vec<RelayOffer> {
+        let mut offers = self.candidates(to, may_repeat);
+        let (now, relays) = (self.clock.now(), self.relays.lock());
+        let standing = |offer: &RelayOffer| relays.list.standing(now, offer.address, may_repeat);
+        let best = offers.first().map(standing);
+        offers.retain(|offer| Some(standing(offer)) == best);
+        offers
     }
 
     /// Opens a connection to an endpoint, on whichever path accepts one first. The next path is
@@ -496,64 +592,117 @@
         self: &Arc<Self>,
         to: &Destination,
         direct_first: bool,
+        may_repeat: bool,
     ) -> Result<Opened, SendFailure> {
-        let direct = |egress: &Arc<Self>| -> BoxFuture<'static, Result<Opened, String>> {
+        let direct = |egress: &Arc<Self>| -> Opening {
             let connecting = egress.clone().connect_direct(to.clone());
-            Box::pin(async { connecting.await.map(|connection| (connection, None)) })
+            Box::pin(async {
+                let connected = connecting.await.map(|connection| (connection, None));
+                connected.map_err(|reason| OpenFailure { reason, unreached_by: None })
+            })
         };
-        let mut waiting: Vec<BoxFuture<'static, Result<Opened, String>>> = Vec::new();
+        let mut waiting: Vec<Opening> = Vec::new();
         if !direct_first {
             waiting.push(direct(self));
         }
-        for offer in self.candidates(to).into_iter().rev() {
-            let connecting = self.clone().connect_tunnel(to.clone(), offer);
-            waiting.push(Box::pin(async {
-                connecting.await.map_err(|failure| format!("{failure:?}"))
-            }));
+        for offer in self.candidates(to, may_repeat).into_iter().rev() {
+            waiting.push(self.open_through(to, offer));
         }
         if direct_first {
             waiting.push(direct(self));
         }
         let mut running = FuturesUnordered::new();
-        let mut reason = String::new();
+        let mut failures: Vec<OpenFailure> = Vec::new();
+        // Opened through a relay that may have lost its paths: used if no other one opens.
+        let mut unproven: Option<Opened> = None;
+        let after_tunnels = usize::from(!direct_first);
         loop {
+            if running.is_empty()
+                && waiting.len() <= after_tunnels
+                && let Some(opened) = unproven.take()
+            {
+                self.finish_opening(running, failures);
+                return Ok(opened);
+            }
             running.extend(waiting.pop());
             if running.is_empty() {
+                if failures.iter().any(|failure| failure.unreached_by.is_some()) {
+                    self.paths.lock().record_no_tunnel(self.clock.now(), to.address);
+                }
+                let first = failures.into_iter().next();
+                let reason = first.map(|failure| failure.reason).unwrap_or_default();
                 return Err(SendFailure::NotSent(reason));
             }
             tokio::select! {
                 biased;
                 Some(opened) = running.next() => match opened {
+                    Ok(opened) if self.is_unproven(&opened) => {
+                        let surplus = unproven.replace(opened);
+                        surplus.into_iter().for_each(|(other, _)| self.pool.keep_unused(other));
+                    }
                     Ok(opened) => {
-                        self.finish_opening(running);
-                        return Ok(opened);
+                        // The own path is tried after tunnels only if it is in doubt.
+                        let is_last_resort = opened.1.is_none() && !direct_first;
+                        let (chosen, other) = match unproven {
+                            Some(tunnel) if is_last_resort => (tunnel, Some(opened)),
+                            other => (opened, other),
+                        };
+                        other.into_iter().for_each(|(other, _)| self.pool.keep_unused(other));
+                        self.finish_opening(running, failures);
+                        return Ok(chosen);
                     }
-                    Err(err) if reason.is_empty() => reason = err,
-                    Err(_) => {}
+                    Err(failure) => failures.push(failure),
                 },
                 () = tokio::time::sleep(STAGGER.into()), if !waiting.is_empty() => {}
             }
         }
     }
 
-    /// Lets the other attempts end by themselves: whether they succeed says which paths work.
+    fn is_unproven(&self, (_, via): &Opened) -> bool {
+        let (now, relays) = (self.clock.now(), self.relays.lock());
+        via.as_ref().is_some_and(|via| relays.list.health.is_unproven(now, via.address))
+    }
+
+    fn open_through(self: &Arc<Self>, to: &Destination, offer: RelayOffer) -> Opening {
+        let relay = offer.address;
+        let connecting = self.clone().connect_tunnel(to.clone(), offer);
+        Box::pin(async move {
+            connecting.await.map_err(|failure| OpenFailure {
+                unreached_by: (failure == TunnelFailure::Endpoint).then_some(relay),
+                reason: format!("{failure:?}"),
+            })
+        })
+    }
+
+    /// Lets the other attempts end by themselves: whether they succeed says which paths work. Other
+    /// relays are preferred from now on to those that did not reach the endpoint.
     fn finish_opening(
         self: &Arc<Self>,
-        mut running: FuturesUnordered<BoxFuture<'static, Result<Opened, String>>>,
+        mut running: FuturesUnordered<Opening>,
+        failures: Vec<OpenFailure>,
     ) {
+        failures.iter().for_each(|failure| self.record_unreached(failure));
         if running.is_empty() {
             return;
         }
         let egress = self.clone();
         tokio::spawn(async move {
             while let Some(opened) = running.next().await {
-                if let Ok((connection, _)) = opened {
-                    egress.pool.keep_unused(connection);
+                match opened {
+                    Ok((connection, _)) => egress.pool.keep_unused(connection),
+                    Err(failure) => egress.record_unreached(&failure),
                 }
             }
         });
     }
 
+    /// Records that a relay did not reach an endpoint that is reached on another path.
+    fn record_unreached(&self, failure: &OpenFailure) {
+        if let Some(relay) = failure.unreached_by {
+            self.relays.lock().list.health.record_failure(self.clock.now(), relay);
+        }
+    }
+
     async fn connect_direct(self: Arc<Self>, to: Destination) -> Result<Connection, String> {
         let connected = self.pool.connect(to.address).await;
         let (now, mut paths) = (self.clock.now(), self.paths.lock());
@@ -602,16 +751,19 @@
             result = result
         );
         match &opened {
-            Ok(_) => {
-                self.relays.lock().list.record_success(offer.address);
+            Ok(tunnel) => {
+                let mut relays = self.relays.lock();
+                relays.list.record_success(offer.address);
+                let age = tunnel.answered_age.unwrap_or_default();
+                relays.list.health.record_opened(now, offer.address, age);
+                drop(relays);
                 self.paths.lock().record_tunnel(now, to.address, false);
             }
-            Err(TunnelFailure::Endpoint) => self.paths.lock().record_no_tunnel(now, to.address),
-            Err(TunnelFailure::Declined(StatusCode::NOT_FOUND)) => {}
+            Err(TunnelFailure::Endpoint | TunnelFailure::Declined(StatusCode::NOT_FOUND)) => {}
             Err(_) => self.relays.lock().list.record_failure(now, offer.address),
         }
         let via = Via { entry: offer.entry, address: offer.address };
-        opened.map(|connection| (connection, Some(via)))
+        opened.map(|tunnel| (tunnel.connection, Some(via)))
     }
 
     /// Sends a request and reads the complete answer.
@@ -676,7 +828,11 @@
 
     fn tick(&self) -> Checks {
         let now = self.clock.now();
-        let has_relay = self.relays.lock().list.has_usable(now);
+        let (has_relay, silent_relays) = {
+            let mut relays = self.relays.lock();
+            let silent = relays.tick(now);
+            (relays.list.has_usable(now), silent)
+        };
         let heard: Vec<(SocketAddr, u64)> = {
             let contacts = self.contacts.lock();
             let heard = contacts
@@ -702,7 +858,10 @@
         for change in changes {
             self.log(change);
         }
-        if has_faults {
+        for relay in silent_relays {
+            event!(Info, "relay_silent", relay = relay);
+        }
+        if has_faults || is_cut_off {
             self.lost.send_replace(());
         }
         checks
@@ -797,11 +956,16 @@
             return;
         }
         let relays = self.relays.lock().list.check_candidates(now, &to.endpoint, MAX_RELAYS);
+        let mut is_unreached = false;
         for offer in relays {
-            if let Ok((connection, _)) = self.clone().connect_tunnel(to.clone(), offer).await {
-                return self.pool.keep_unused(connection);
+            match self.clone().connect_tunnel(to.clone(), offer).await {
+                Ok((connection, _)) => return self.pool.keep_unused(connection),
+                Err(failure) => is_unreached |= failure == TunnelFailure::Endpoint,
             }
         }
+        if is_unreached {
+            self.paths.lock().record_no_tunnel(self.clock.now(), to.address);
+        }
     }
 }
 
@@ -819,6 +983,11 @@
             None => paths.record_answered(now, self.address, answer.opened_at),
         }
         drop(paths);
+        if let Some(via) = &self.via {
+            let mut relays = self.egress.relays.lock();
+            relays.list.health.record_heard(via.address);
+            relays.list.health.record_end(via.address, self.address);
+        }
         (answer, self)
     }
 
@@ -830,15 +999,16 @@
     /// Records that a part of the answer arrived.
     pub fn record_heard(&self) {
         // What arrives in a tunnel says nothing about the own connections.
-        match &self.via {
-            Some(_) => self.egress.is_tunnel_heard.store(true, Ordering::Relaxed),
-            None => _ = self.heard.fetch_max(self.opened_at + 1, Ordering::Relaxed),
+        if self.via.is_some() {
+            self.egress.is_tunnel_heard.store(true, Ordering::Relaxed);
         }
+        self.heard.fetch_max(self.opened_at + 1, Ordering::Relaxed);
     }
 
     /// Records that a request in a tunnel has ended without an answer.
     fn record_unanswered(&self, via: &Via) {
         self.egress.paths.lock().record_tunnel_end();
+        self.egress.relays.lock().list.health.record_end(via.address, self.address);
         if !self.is_sent {
             return;
         }
--- a/daemons/gateway/src/tunnels.rs
+++ b/daemons/gateway/src/tunnels.rs
@@ -8,7 +8,7 @@
 use prometheus::{IntCounterVec, IntGauge};
 use sill_base::Millis;
 use sill_dispatch::RelayLoad;
-use sill_net::h1::{TunnelDenial, TunnelRequest, TunnelServer, serve_tunnels};
+use sill_net::h1::{TunnelDenial, TunnelGrant, TunnelRequest, TunnelServer, serve_tunnels};
 use sill_net::{PeerMethods, PeerServerBuilder};
 use tokio::net::TcpListener;
 
@@ -72,8 +72,8 @@
         self.load.lock().may_accept(self.open_count())
     }
 
-    /// Decides on a request for a tunnel; returns the address of the endpoint.
-    fn grant(&self, state: &State, req: &TunnelRequest) -> Result<SocketAddr, TunnelDenial> {
+    /// Decides on a request for a tunnel.
+    fn grant(&self, state: &State, req: &TunnelRequest) -> Result<TunnelGrant, TunnelDenial> {
         let granted = self.decide(state, req);
         let answer = match granted {
             Ok(_) => "granted",
@@ -86,7 +86,7 @@
         granted
     }
 
-    fn decide(&self, state: &State, req: &TunnelRequest) -> Result<SocketAddr, TunnelDenial> {
+    fn decide(&self, state: &State, req: &TunnelRequest) -> Result<TunnelGrant, TunnelDenial> {
         if state.planned_stop.has_begun() || !self.has_room() {
             return Err(TunnelDenial::Busy);
         }
@@ -97,7 +97,7 @@
         let address = address.ok_or(TunnelDenial::UnknownEndpoint)?;
         let is_paused = state.is_paused(&req.endpoint, req.incarnation);
         match state.egress.is_connectable(address) && !is_paused {
-            true => Ok(address),
+            true => Ok(TunnelGrant { address, answered_age: state.egress.answered_age() }),
             false => Err(TunnelDenial::Unreachable),
         }
     }
--- a/protocol/wire/src/header.rs
+++ b/protocol/wire/src/header.rs
@@ -66,5 +66,8 @@
 /// The number of a tunnel, which names it in the logs of both entry instances.
 pub const TUNNEL: &str = "sill-tunnel";
 
+/// Milliseconds since the entry instance that opens a tunnel was last answered by an endpoint.
+pub const ANSWERED_AGE: &str = "sill-answered-age-ms";
+
 /// The entry instance that asks for a tunnel.
 pub const ENTRY: &str = "sill-entry";
--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -68,6 +68,15 @@
     opened_at: Millis,
 }
 
+/// A connection through another process.
+#[derive(Debug)]
+pub struct Tunnel {
+    /// The connection.
+    pub connection: Connection,
+    /// Time since any endpoint was heard by that process; none if it doesn't say so.
+    pub answered_age: Option<Millis>,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
@@ -296,14 +305,16 @@
         relay: SocketAddr,
         req: &TunnelRequest,
         timeout: Millis,
-    ) -> Result<Connection, TunnelFailure> {
+    ) -> Result<Tunnel, TunnelFailure> {
         let stream = self.open(relay).await.map_err(|err| TunnelFailure::Relay(err.reason))?;
         let tunnel = tokio::time::timeout(timeout.into(), tunnel::open(stream, req));
-        let tunnel = tunnel.await.unwrap_or_else(|_| {
+        let (io, answered_age) = tunnel.await.unwrap_or_else(|_| {
             Err(TunnelFailure::Relay(format!("no answer within {timeout} ms")))
         })?;
         let target = Target { address: req.address, via: Some(relay) };
-        self.start(tunnel, target).await.map_err(|err| TunnelFailure::Relay(err.reason))
+        let connection = self.start(io, target).await;
+        let connection = connection.map_err(|err| TunnelFailure::Relay(err.reason))?;
+        Ok(Tunnel { connection, answered_age })
     }
 
     async fn open(&self, address: SocketAddr) -> Result<TcpStream, ConnectFailure> {
--- a/transport/net/src/h1/mod.rs
+++ b/transport/net/src/h1/mod.rs
@@ -14,12 +14,12 @@
 
 pub use client::{
     Answer, ConnectFailure, Connection, ConnectionPool, ConnectionPoolCfg, Framing, KeptOutcome,
-    Probe, ReusableConnection, SendFailure, Target,
+    Probe, ReusableConnection, SendFailure, Target, Tunnel,
 };
 pub use pages::{Page, serve_pages};
 pub use server::{OpenConnections, ServerCfg, ServerPhase, serve};
 pub use tunnel::{
-    TunnelDenial, TunnelEnd, TunnelFailure, TunnelRequest, TunnelServer, serve_tunnels,
+    TunnelDenial, TunnelEnd, TunnelFailure, TunnelGrant, TunnelRequest, TunnelServer, serve_tunnels,
 };
 
 /// An error while a body is read or produced.
--- a/transport/net/src/h1/tunnel.rs
+++ b/transport/net/src/h1/tunnel.rs
@@ -87,6 +87,15 @@
     Busy,
 }
 
+/// What a process grants a tunnel to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TunnelGrant {
+    /// The address of the endpoint.
+    pub address: SocketAddr,
+    /// Time since any endpoint was last heard on a connection of this process.
+    pub answered_age: Millis,
+}
+
 /// How a tunnel ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TunnelEnd {
@@ -133,18 +142,23 @@
     }
 }
 
-/// Asks the process at the other end of a connection for a tunnel.
+/// Asks the process at the other end of a connection for a tunnel. Returns also how long ago an
+/// endpoint was heard there, if the process says so.
 pub(super) async fn open(
     stream: TcpStream,
     req: &TunnelRequest,
-) -> Result<Upgraded, TunnelFailure> {
+) -> Result<(Upgraded, Option<Millis>), TunnelFailure> {
     let failed = |err: hyper::Error| TunnelFailure::Relay(err.to_string());
     let (mut sender, connection) =
         client::handshake::<_, Empty<Bytes>>(TokioIo::new(stream)).await.map_err(failed)?;
     tokio::spawn(connection.with_upgrades());
     let response = sender.send_request(connect_request(req)).await.map_err(failed)?;
     match response.status() {
-        StatusCode::OK => hyper::upgrade::on(response).await.map_err(failed),
+        StatusCode::OK => {
+            let age = response.headers().get(names::ANSWERED_AGE);
+            let age = age.and_then(|age| age.to_str().ok()?.parse().ok()).map(Millis);
+            Ok((hyper::upgrade::on(response).await.map_err(failed)?, age))
+        }
         StatusCode::BAD_GATEWAY => Err(TunnelFailure::Endpoint),
         status => Err(TunnelFailure::Declined(status)),
     }
@@ -162,11 +176,11 @@
         .expect("names of processes and the cluster key are printable")
 }
 
-/// Carries tunnels until the task is dropped. `grant` returns the address of the endpoint that a
-/// tunnel leads to, or why there is none.
+/// Carries tunnels until the task is dropped. `grant` returns where a tunnel leads to, or why there
+/// is none.
 pub async fn serve_tunnels<F>(listener: TcpListener, cfg: TunnelServer, grant: F)
 where
-    F: Fn(&TunnelRequest) -> Result<SocketAddr, TunnelDenial> + Clone + Send + Sync + 'static,
+    F: Fn(&TunnelRequest) -> Result<TunnelGrant, TunnelDenial> + Clone + Send + Sync + 'static,
 {
     loop {
         match listener.accept().await {
@@ -183,7 +197,7 @@
 
 async fn serve_connection<F>(stream: TcpStream, cfg: TunnelServer, grant: F)
 where
-    F: Fn(&TunnelRequest) -> Result<SocketAddr, TunnelDenial> + Clone + Send + Sync + 'static,
+    F: Fn(&TunnelRequest) -> Result<TunnelGrant, TunnelDenial> + Clone + Send + Sync + 'static,
 {
     if set_socket_options(&stream, cfg.unacknowledged_timeout).is_err() {
         return;
@@ -202,7 +216,7 @@
 
 async fn answer<F>(req: Request<Incoming>, cfg: TunnelServer, grant: F) -> Response<Full<Bytes>>
 where
-    F: Fn(&TunnelRequest) -> Result<SocketAddr, TunnelDenial>,
+    F: Fn(&TunnelRequest) -> Result<TunnelGrant, TunnelDenial>,
 {
     let status = |status: StatusCode| {
         let mut response = Response::new(Full::default());
@@ -229,8 +243,8 @@
             why = format!("{why:?}")
         );
     };
-    let address = match grant(&tunnel) {
-        Ok(address) => address,
+    let TunnelGrant { address, answered_age } = match grant(&tunnel) {
+        Ok(granted) => granted,
         Err(denial) => {
             denied(&denial);
             return status(denial.status());
@@ -248,7 +262,9 @@
         let _open = open;
         carry(req, endpoint, &tunnel, cfg.clock).await;
     });
-    status(StatusCode::OK)
+    let mut opened = status(StatusCode::OK);
+    opened.headers_mut().insert(names::ANSWERED_AGE, answered_age.0.into());
+    opened
 }
 
 async fn answer_call(req: Request<Incoming>, methods: &PeerMethods) -> Option<String> {
--- a/transport/net/tests/tunnel.rs
+++ b/transport/net/tests/tunnel.rs
@@ -11,8 +11,8 @@
 use sill_base::{Clock, Millis, Secret};
 use sill_net::PeerServerBuilder;
 use sill_net::h1::{
-    ConnectionPool, ConnectionPoolCfg, Framing, TunnelDenial, TunnelFailure, TunnelRequest,
-    TunnelServer, serve_tunnels,
+    ConnectionPool, ConnectionPoolCfg, Framing, TunnelDenial, TunnelFailure, TunnelGrant,
+    TunnelRequest, TunnelServer, serve_tunnels,
 };
 use sill_wire::Incarnation;
 use socket2::SockRef;
@@ -67,9 +67,16 @@
     }
 }
 
+/// How long ago an endpoint was heard by a process that carries tunnels.
+const ANSWERED_AGE: Millis = Millis(1234);
+
+fn granted(req: &TunnelRequest) -> TunnelGrant {
+    TunnelGrant { address: req.address, answered_age: ANSWERED_AGE }
+}
+
 /// Starts a process that carries tunnels to the address that is asked for.
 async fn start_relay(
-    grant: fn(&TunnelRequest) -> Result<SocketAddr, TunnelDenial>,
+    grant: fn(&TunnelRequest) -> Result<TunnelGrant, TunnelDenial>,
 ) -> (SocketAddr, Arc<AtomicUsize>) {
     let (listener, address) = listen().await;
     let open = Arc::<AtomicUsize>::default();
@@ -126,11 +133,13 @@
         Case { end: End::Close, framing: Framing::Close, is_whole: true },
         Case { end: End::Reset, framing: Framing::Close, is_whole: false },
     ];
-    let (relay, _) = start_relay(|req| Ok(req.address)).await;
+    let (relay, _) = start_relay(|req| Ok(granted(req))).await;
     for Case { end, framing, is_whole } in cases {
         let (pool, address) = (pool(), start_endpoint(end).await);
         let opened = pool.connect_through(relay, &tunnel_request(address, KEY), Millis(5000)).await;
-        let answer = pool.send_on(opened.expect("a tunnel"), request()).await;
+        let opened = opened.expect("a tunnel");
+        assert_eq!(opened.answered_age, Some(ANSWERED_AGE), "{end:?}");
+        let answer = pool.send_on(opened.connection, request()).await;
         let answer = answer.expect("the head of an answer");
         assert_eq!(answer.framing(), framing, "{end:?}");
         let body = answer.into_parts().0.into_body().collect().await;
@@ -147,7 +156,7 @@
 async fn a_tunnel_that_is_denied_says_whose_fault_it_is() {
     struct Case {
         name: &'static str,
-        grant: fn(&TunnelRequest) -> Result<SocketAddr, TunnelDenial>,
+        grant: fn(&TunnelRequest) -> Result<TunnelGrant, TunnelDenial>,
         key: &'static str,
         failure: TunnelFailure,
     }
@@ -155,7 +164,7 @@
     let cases = [
         Case {
             name: "nobody listens",
-            grant: |req| Ok(req.address),
+            grant: |req| Ok(granted(req)),
             key: KEY,
             failure: TunnelFailure::Endpoint,
         },
@@ -185,7 +194,7 @@
         },
         Case {
             name: "wrong key",
-            grant: |req| Ok(req.address),
+            grant: |req| Ok(granted(req)),
             key: "other",
             failure: declined(StatusCode::UNAUTHORIZED),
         },
@@ -203,7 +212,7 @@
 /// A tunnel whose entry instance has gone holds a connection to the endpoint forever.
 #[tokio::test]
 async fn a_tunnel_ends_with_the_connection_of_its_entry_instance() {
-    let (relay, open) = start_relay(|req| Ok(req.address)).await;
+    let (relay, open) = start_relay(|req| Ok(granted(req))).await;
     let (pool, address) = (pool(), start_endpoint(End::Length).await);
     let opened = pool.connect_through(relay, &tunnel_request(address, KEY), Millis(5000)).await;
     let opened = opened.expect("a tunnel");
