Tests: streams are taken up after their route was moved to another service

Two services of four endpoints each, 24 callers who lose their connection once in each stream and take it up at the next entry instance, real processes.

--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -13,6 +13,7 @@
 mod harness;
 mod limits;
 mod member;
+mod moved_routes;
 mod product;
 mod serving;
 mod signals;
--- a/daemons/sill/tests/system/serving.rs
+++ b/daemons/sill/tests/system/serving.rs
@@ -12,7 +12,11 @@
 /// The host of all routes.
 pub const HOST: &str = "desk.example";
 
-const SERVICE: &str = "desk";
+/// The service of all routes, unless a test moves them.
+pub const SERVICE: &str = "desk";
+
+/// Another service, to which a test may move the routes.
+pub const OTHER_SERVICE: &str = "annex";
 
 /// Addresses of the control instance: for operators and endpoints, and for peers.
 const CONTROL_ADDRESSES: usize = 2;
@@ -65,7 +69,7 @@
             per_domain,
             folder,
         };
-        serving.put_settings(&document(is_engine));
+        serving.put_settings("first", &document(is_engine, &[SERVICE]));
         serving
     }
 
@@ -90,9 +94,15 @@
             .start_logged(&format!("{name}.log"), &[&args[..], &more[..], &keys[..]].concat())
     }
 
-    fn put_settings(&self, document: &Document) {
+    /// Has the routes draw from these services only; `change` is different for each call.
+    pub fn move_routes(&self, change: &str, services: &[&str]) {
+        self.put_settings(change, &document(false, services));
+    }
+
+    fn put_settings(&self, change: &str, document: &Document) {
         let body = serde_json::to_string(document).expect("a document can be serialised");
-        let headers = ["authorization: Bearer test-root-token", "change-id: first"];
+        let change = format!("change-id: {change}");
+        let headers = ["authorization: Bearer test-root-token", &change];
         wait_until("the settings are accepted", || {
             let put = http(self.control(), "PUT", "/tree/serving", &headers, &body);
             put.is_some_and(|answer| answer.status == 200)
@@ -137,6 +147,11 @@
         });
     }
 
+    /// Kills all entry instances.
+    pub fn kill_gateways(&mut self) {
+        self.gateways.clear();
+    }
+
     /// Kills an entry instance and starts it again.
     pub fn restart_gateway(&mut self, i: usize) {
         let _ = self.gateways[i].0.kill();
@@ -170,10 +185,13 @@
 
 /// Returns settings with a route for calls that may be repeated, one for those that must not, and one
 /// for streams that may be resumed.
-fn document(is_engine: bool) -> Document {
+fn document(is_engine: bool, services: &[&str]) -> Document {
     let mut document = Document::default();
     let engine = is_engine.then(|| Engine { slots: 16, ..Engine::default() });
-    document.services.insert(SERVICE.into(), Service::Pool(Pool { engine, ..Pool::default() }));
+    for service in [SERVICE, OTHER_SERVICE] {
+        let pool = Pool { engine: engine.clone(), ..Pool::default() };
+        document.services.insert(service.into(), Service::Pool(pool));
+    }
     let account = Account { keys: vec![KeyHash::of(CALLER_KEY)], ..Account::default() };
     document.accounts.insert("clerks".into(), account);
     let routes = [
@@ -187,7 +205,10 @@
             path: format!("/{name}/").into(),
             kind,
             timeout_ms: Millis(5000),
-            split: vec![Share { service: SERVICE.into(), weight: 1 }],
+            split: services
+                .iter()
+                .map(|name| Share { service: (*name).into(), weight: 1 })
+                .collect(),
             max_attempts: 2,
             ..Route::default()
         };
@@ -215,9 +236,21 @@
     sequence: u64,
     address: SocketAddr,
     version: &str,
+) {
+    announce_as(control, SERVICE, &format!("e{i}"), (incarnation, sequence), address, version);
+}
+
+/// Announces an endpoint of a service once.
+pub fn announce_as(
+    control: SocketAddr,
+    service: &str,
+    name: &str,
+    (incarnation, sequence): (u64, u64),
+    address: SocketAddr,
+    version: &str,
 ) {
     let announcement = Announcement {
-        name: format!("e{i}").into(),
+        name: name.into(),
         incarnation: Incarnation(incarnation),
         sequence,
         address: address.to_string().into(),
@@ -225,7 +258,7 @@
         class: Default::default(),
         reclaimable: false,
         price: 0,
-        serves: vec![Servable::Service { service: SERVICE.into() }],
+        serves: vec![Servable::Service { service: service.into() }],
         role: Role::Mixed,
         slots: 16,
         prefill_tokens_per_s: 0,
--- a/daemons/sill/tests/system/versions.rs
+++ b/daemons/sill/tests/system/versions.rs
@@ -49,22 +49,22 @@
 
 /// One stream as its caller saw it, over all tries.
 #[derive(Debug, Default, Clone)]
-struct Stream {
+pub struct Stream {
     /// The ids of its tries; the first one brought the first event.
     tries: Vec<String>,
     /// The number and the version of each event.
-    events: Vec<(usize, String)>,
+    pub events: Vec<(usize, String)>,
     /// How often it was taken up.
-    taken_up: usize,
+    pub taken_up: usize,
     /// Take-ups after which another event arrived.
     went_on: usize,
     /// Take-ups that were refused, with the time that it took.
-    refusals: Vec<Duration>,
-    is_complete: bool,
+    pub refusals: Vec<Duration>,
+    pub is_complete: bool,
 }
 
 impl Stream {
-    fn is_mixed(&self) -> bool {
+    pub fn is_mixed(&self) -> bool {
         self.events.iter().any(|(_, version)| *version != self.events[0].1)
     }
 
@@ -198,7 +198,7 @@
 }
 
 /// Serves one request on a connection; none once the connection has ended.
-fn serve(mut stream: &TcpStream, name: &str, version: &str) -> Option<()> {
+pub fn serve(mut stream: &TcpStream, name: &str, version: &str) -> Option<()> {
     let head = read_head(&mut stream)?;
     let header = |name: &str| {
         head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": ")).map(str::to_owned)
@@ -237,10 +237,11 @@
 }
 
 /// Begins a stream, loses its connection `losses` times, and takes it up at another instance.
-fn run_stream(gateways: &[SocketAddr], first: usize, losses: usize) -> Stream {
+pub fn run_stream(gateways: &[SocketAddr], first: usize, losses: usize) -> Stream {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let (mut stream, due) = (Stream::default(), Instant::now() + DEADLINE);
+    let gateway_count = gateways.len();
     for attempt in 0.. {
         // Without the end of its answer, a caller still knows from its last event that it has all.
         stream.is_complete |= stream.events.len() == EVENTS;
@@ -257,7 +258,7 @@
         let id = format!("s{number}-{attempt}");
         let began = Instant::now();
         let status =
-            read_stream(gateways[(first + attempt) % GATEWAYS], &id, &mut stream, lost_after);
+            read_stream(gateways[(first + attempt) % gateway_count], &id, &mut stream, lost_after);
         if is_take_up && stream.events.len() > before {
             stream.went_on += 1;
         } else if is_take_up && status == Some(503) {
