Streams: one that nobody knows continues only if one service can have begun it

Cause: 'one version alone can have begun it' was concluded from the services that the route has now, at the instances asked; a carrier told others only while its service had several versions; and a known stream whose service the route had lost went to another one at the same version name. Class: what was true when a stream began is concluded from what is true when it is taken up.

Now an instance remembers for 60 s which services calls at each path were drawn from, and whether it has seen each revision. A control instance says for how long no route has changed its services, so that an instance that has just started may conclude something. Without that, and while any route has changed, a stream that nobody knows is refused, and carriers tell others of their streams. A known stream is refused once its route no longer leads to its service.

--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod relay_health;
 pub mod relays;
 mod request_limits;
+mod route_history;
 pub mod settings;
 pub mod share;
 pub mod speed;
@@ -46,6 +47,7 @@
 pub use registry::Registry;
 pub use relay_health::RelayHealth;
 pub use relays::{RelayList, RelayLoad, RelayStanding};
+pub use route_history::{OriginServices, RouteHistory};
 pub use settings::{CompleteSettings, PieceError, SettingsAssembly};
 pub use share::{
     AdmittedByReason, LimitBounds, LimitEstimate, LimitShares, MAX_TOTALS_AGE, OverLimit,
--- a/coordination/dispatch/src/streams.rs
+++ b/coordination/dispatch/src/streams.rs
@@ -13,6 +13,8 @@
 use sill_wire::streams::{EntryPeer, StreamOrigin, VersionView};
 use sill_wire::{RequestKey, Software};
 
+use crate::route_history::OriginServices;
+
 /// Longest time over which a stream is expected to be taken up. The versions of endpoints that are
 /// gone count for as long.
 pub const STREAM_LIFETIME: Millis = Millis(60_000);
@@ -248,8 +250,9 @@
     Unknown,
 }
 
-/// Decides where a stream continues by what the instances know of it that were asked.
-pub fn decide<I>(known: Option<KnownStream>, views: I) -> TakeUp
+/// Decides where a stream continues by what the instances know of it that were asked, and by the
+/// services that may have begun it.
+pub fn decide<I>(known: Option<KnownStream>, origins: &OriginServices, views: I) -> TakeUp
 where
     I: IntoIterator<Item = VersionView>,
 {
@@ -260,7 +263,9 @@
     }
     let view = combine_views(views);
     match &view.versions[..] {
-        [single] if view.is_complete && !single.is_ambiguous() => TakeUp::Single(single.clone()),
+        [single] if view.is_complete && origins.is_single() && !single.is_ambiguous() => {
+            TakeUp::Single(single.clone())
+        }
         _ => TakeUp::Unknown,
     }
 }
--- a/coordination/dispatch/src/table.rs
+++ b/coordination/dispatch/src/table.rs
@@ -105,6 +105,11 @@
         ends.filter_map(|end| of_host.get(&path[..end])).next()
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<RouteEntry>> {
+        self.by_host.values().flat_map(Map::values)
+    }
+
     /// Returns whether callers must present a key.
     pub fn has_accounts(&self) -> bool {
         !self.accounts.is_empty()
@@ -117,6 +122,15 @@
 }
 
 impl RouteEntry {
+    /// Returns the services that calls may be drawn from, in order.
+    pub fn services(&self) -> Vec<Name> {
+        let drawn = self.route.split.iter().filter(|share| share.weight > 0);
+        let mut services: Vec<Name> = drawn.map(|share| share.service.clone()).collect();
+        services.sort();
+        services.dedup();
+        services
+    }
+
     /// Returns the service for a random `draw` between 0 and 1.
     ///
     /// The weights apply even if a service has no endpoint at the moment: the operator set them to
--- a/coordination/dispatch/tests/streams.rs
+++ b/coordination/dispatch/tests/streams.rs
@@ -6,6 +6,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use sill_base::random::{cases, seed};
 use sill_base::{Millis, Name};
+use sill_dispatch::OriginServices;
 use sill_dispatch::streams::{
     ASKED, HOLDERS, KnownStream, MAX_BATCH, STREAM_LIFETIME, StreamOrigins, TakeUp, VersionHistory,
     decide, holders,
@@ -13,6 +14,11 @@
 use sill_wire::streams::{EntryPeer, StreamOrigin, VersionView};
 use sill_wire::{Incarnation, RequestKey, Software};
 
+/// The services of a route that has had a single one for long.
+fn one_service() -> OriginServices {
+    OriginServices { services: vec!["desk".into()], is_complete: true }
+}
+
 fn key(number: usize) -> RequestKey {
     RequestKey::of(&[&number.to_le_bytes()])
 }
@@ -90,7 +96,7 @@
         origins.record_own(Millis(1000), &origin(1, "v1"), services());
         origins.record_replica(Millis(1100), &second, &"g1".into());
         let known = origins.find(Millis(1200), key(1));
-        let decision = decide(known, []);
+        let decision = decide(known, &one_service(), []);
         assert_eq!(matches!(decision, TakeUp::Known(_)), is_continued, "{name}: {decision:?}");
     }
 }
@@ -281,7 +287,7 @@
             versions: versions.iter().map(|version| Software::from(*version)).collect(),
             is_complete,
         });
-        let software = match decide(known, views) {
+        let software = match decide(known, &one_service(), views) {
             TakeUp::Known(known) => Some(known.origin.software),
             TakeUp::Single(software) => Some(software),
             TakeUp::Unknown => None,
@@ -289,5 +295,28 @@
         assert_eq!(software, expected.map(Software::from), "{name}");
     }
     let ambiguous = VersionView { versions: vec![Software::AMBIGUOUS], is_complete: true };
-    assert_eq!(decide(None, [ambiguous]), TakeUp::Unknown);
+    assert_eq!(decide(None, &one_service(), [ambiguous]), TakeUp::Unknown);
+}
+
+/// The route was moved, or may have been, and a stream of its former service continues at the new one.
+#[test]
+fn a_stream_of_several_services_is_not_continued_by_a_guess() {
+    struct Case {
+        services: &'static [&'static str],
+        is_complete: bool,
+        continues: bool,
+    }
+    let cases = [
+        Case { services: &["desk"], is_complete: true, continues: true },
+        Case { services: &["desk"], is_complete: false, continues: false },
+        Case { services: &["annex", "desk"], is_complete: true, continues: false },
+    ];
+    for Case { services, is_complete, continues } in cases {
+        let names = services.iter().map(|name| (*name).into()).collect();
+        let origins = OriginServices { services: names, is_complete };
+        let view = VersionView { versions: vec!["v1".into()], is_complete: true };
+        let decision = decide(None, &origins, [view]);
+        let expected = if continues { TakeUp::Single("v1".into()) } else { TakeUp::Unknown };
+        assert_eq!(decision, expected, "{origins:?}");
+    }
 }
--- a/daemons/control/src/link/calls.rs
+++ b/daemons/control/src/link/calls.rs
@@ -108,6 +108,7 @@
         true_time: link.true_time(now),
         has_leader: status.leader.is_some(),
         history: link.history(now),
+        routes: shared.settings_pieces.unchanged_routes(now),
     })
 }
 
--- a/daemons/control/src/settings_pieces.rs
+++ b/daemons/control/src/settings_pieces.rs
@@ -5,9 +5,11 @@
 use std::time::Instant;
 
 use parking_lot::Mutex;
-use sill_base::{CompressedText, Map, Millis, event};
+use sill_base::{CompressedText, Map, Millis, Name, event};
+use sill_dispatch::relays::fingerprint;
 use sill_tree::{Document, DocumentText, PieceId, pieces};
 use sill_wire::control::Revision;
+use sill_wire::link::UnchangedRoutes;
 use sill_wire::settings::{Manifest, Piece, PiecesReply, PiecesRequest};
 use tokio::sync::{Semaphore, watch};
 
@@ -31,6 +33,9 @@
 /// while newer ones are cut.
 const RETAINED_REVISIONS: usize = 3;
 
+/// The first revision of the settings, before which there were no routes.
+const FIRST_REVISION: Revision = Revision(1);
+
 /// The newest revisions of the serving settings, in pieces.
 #[derive(Debug)]
 pub struct SettingsPieces {
@@ -38,9 +43,19 @@
     metrics: Arc<Metrics>,
     revisions: Mutex<VecDeque<CutRevision>>,
     newest: watch::Sender<Option<Arc<Manifest>>>,
+    routes: Mutex<Option<RouteRecord>>,
     reply_permits: Semaphore,
 }
 
+/// The services of all routes in the newest revision, and since when they are the same.
+#[derive(Debug)]
+struct RouteRecord {
+    revision: Revision,
+    digest: u64,
+    /// None if there were no routes before.
+    since: Option<Millis>,
+}
+
 /// One revision, cut into compressed pieces.
 #[derive(Debug)]
 struct CutRevision {
@@ -55,7 +70,10 @@
     revisions.mark_changed();
     while revisions.changed().await.is_ok() {
         let own = shared.clone();
-        let cut = move || own.settings_pieces.cut_newest(own.link.true_time(own.clock.now()));
+        let cut = move || {
+            let now = own.clock.now();
+            own.settings_pieces.cut_newest(now, own.link.true_time(now));
+        };
         // On a blocking thread, so that large settings don't delay heartbeats and votes.
         if let Err(err) = tokio::task::spawn_blocking(cut).await {
             event!(Error, "settings_not_cut", error = err);
@@ -72,6 +90,7 @@
             metrics,
             revisions: Mutex::default(),
             newest: watch::Sender::new(None),
+            routes: Mutex::default(),
             reply_permits,
         })
     }
@@ -83,7 +102,7 @@
     }
 
     /// Cuts the newest applied revision of the serving settings, unless it is cut already.
-    fn cut_newest(&self, true_time: Millis) {
+    fn cut_newest(&self, now: Millis, true_time: Millis) {
         let started = Instant::now();
         let cut_revision = self.newest.borrow().as_ref().map(|manifest| manifest.revision);
         let newest = {
@@ -96,6 +115,7 @@
         else {
             return;
         };
+        self.record_routes(now, revision, &document);
         let cut = self.cut(revision, &document, true_time);
         let manifest = cut.manifest.clone();
         event!(
@@ -110,6 +130,27 @@
         self.newest.send_replace(Some(manifest));
     }
 
+    /// Records whether a newer revision changes the services of a route. Of a revision that was not
+    /// seen, nothing is known.
+    fn record_routes(&self, now: Millis, revision: Revision, document: &Document) {
+        let digest = route_digest(document);
+        let mut routes = self.routes.lock();
+        let since = match routes.as_ref() {
+            Some(last) if last.digest == digest && last.revision.0 + 1 == revision.0 => last.since,
+            None if revision == FIRST_REVISION => None,
+            _ => Some(now),
+        };
+        *routes = Some(RouteRecord { revision, digest, since });
+    }
+
+    /// Returns for how long no route has changed its services.
+    pub fn unchanged_routes(&self, now: Millis) -> Option<UnchangedRoutes> {
+        let routes = self.routes.lock();
+        let RouteRecord { revision, since, .. } = routes.as_ref()?;
+        let age = since.map_or(Millis::MAX, |since| now - since);
+        Some(UnchangedRoutes { revision: *revision, age })
+    }
+
     /// Returns those requested pieces that are retained, up to the size limit of a reply.
     pub async fn answer(&self, request: PiecesRequest) -> PiecesReply {
         let _permit = self.reply_permits.acquire().await;
@@ -156,3 +197,17 @@
         CutRevision { manifest: Arc::new(Manifest { revision, cut_at, pieces: ids }), pieces }
     }
 }
+
+/// Returns a number that differs between documents whose routes draw from different services.
+fn route_digest(document: &Document) -> u64 {
+    let mut routes: Vec<(&Name, &Name, Vec<&Name>)> = Vec::new();
+    for route in document.routes.values() {
+        let drawn = route.split.iter().filter(|share| share.weight > 0);
+        let mut services: Vec<&Name> = drawn.map(|share| &share.service).collect();
+        services.sort_unstable();
+        services.dedup();
+        routes.push((&route.host, &route.path, services));
+    }
+    routes.sort_unstable();
+    fingerprint(&routes)
+}
--- a/daemons/control/tests/settings_pieces.rs
+++ b/daemons/control/tests/settings_pieces.rs
@@ -22,7 +22,8 @@
 use sill_wire::announce::{Load, Role};
 use sill_wire::control::Revision;
 use sill_wire::link::{
-    ControlInfo, ControlSync, Cursor, EndpointFact, EndpointState, EntryReport, LinkPoll, LinkReply,
+    ControlInfo, ControlSync, Cursor, EndpointFact, EndpointState, EntryReport, LinkPoll,
+    LinkReply, UnchangedRoutes,
 };
 use sill_wire::settings::{Manifest, PiecesRequest};
 use sill_wire::{Announcement, CrashUpdate, Incarnation, Servable};
@@ -468,3 +469,30 @@
     let (_, recovered) = Store::open(instance.disk.clone()).expect("the store opens");
     assert!(recovered.snapshot == Some(record.into_bytes()) && recovered.records.is_empty());
 }
+
+/// An entry instance that has just started takes the services that routes have now for all that they
+/// had.
+#[test]
+fn a_control_instance_says_for_how_long_routes_are_unchanged() {
+    let mut instance = TestInstance::start();
+    let client = client(instance.peer);
+    let unchanged = |instance: &TestInstance, revision: u64| {
+        instance.runtime.block_on(manifest(&client, 0, revision - 1));
+        let reply = instance.runtime.block_on(client.call(&poll(0, revision - 1)));
+        let routes: UnchangedRoutes = reply.expect("a reply").routes.expect("it has settings");
+        assert_eq!(routes.revision, Revision(revision));
+        routes.age
+    };
+    let long = Millis::from_secs(60);
+    instance.put(&document(2, 1));
+    assert!(unchanged(&instance, 1) > long, "there was nothing before");
+    instance.put(&document(2, 2));
+    assert!(unchanged(&instance, 2) > long, "the routes draw from the same services");
+    instance.put(&document(3, 2));
+    assert!(unchanged(&instance, 3) < long, "a route was added");
+    instance.put(&document(3, 1));
+    assert!(unchanged(&instance, 4) < long, "a route was added lately");
+    instance.stop();
+    instance.run();
+    assert!(unchanged(&instance, 4) < long, "it has just started");
+}
--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -316,9 +316,19 @@
     }
     match state.take_up(account, head, route, parts.uri.path()).await {
         TakeUp::Known(KnownStream { origin, .. }) => {
-            let split = &route.route.split;
-            let is_drawn = split.iter().any(|s| s.weight > 0 && s.service == origin.service);
-            Ok((is_drawn.then_some(origin.service), Some(origin.software)))
+            if route.services().contains(&origin.service) {
+                return Ok((Some(origin.service), Some(origin.software)));
+            }
+            state.record_unavailable_version();
+            Err(Refusal {
+                failure: Failure::with_retry_after(
+                    ErrorCode::VersionUnavailable,
+                    RETRY_WITHOUT_VERSION,
+                ),
+                inputs: format!("the route no longer leads to service {}", origin.service),
+                route: route.name.clone(),
+                ..Refusal::new(ErrorCode::VersionUnavailable, "version_unavailable")
+            })
         }
         TakeUp::Single(software) => Ok((None, Some(software))),
         TakeUp::Unknown => Err(Refusal {
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -283,6 +283,9 @@
         }
         if reply.has_leader {
             self.streams.record_control_reply(reply.history);
+            if let (Some(table), Some(unchanged)) = (self.table(), reply.routes) {
+                self.streams.record_unchanged_routes(table.revision, unchanged);
+            }
         }
         if let Some(totals) = &reply.totals {
             self.apply_totals(now, from, totals);
@@ -361,7 +364,8 @@
 
     /// Puts newer settings in force.
     pub fn apply_settings(&self, table: Arc<RouteTable>) {
-        let current = self.table().map_or(0, |table| table.revision);
+        let before = self.table();
+        let current = before.as_ref().map_or(0, |table| table.revision);
         assert_promise!(
             Promise::AcceptedChangeStays,
             table.revision > current,
@@ -376,6 +380,7 @@
             self.open_pool(name, engine);
         }
         self.metrics.revision.set(table.revision as i64);
+        self.streams.record_settings(before.as_deref(), &table);
         self.table.send_replace(Some(table));
     }
 
--- a/daemons/gateway/src/streams.rs
+++ b/daemons/gateway/src/streams.rs
@@ -16,9 +16,13 @@
     ASKED, HOLDERS, KnownStream, MAX_BATCH, StreamOrigins, TakeUp, VersionHistory, combine_views,
     decide, holders, is_single,
 };
-use sill_dispatch::{AccountEntry, Placement, RouteEntry};
+use sill_dispatch::{
+    AccountEntry, OriginServices, Placement, RouteEntry, RouteHistory, RouteTable,
+};
 use sill_net::{PeerClient, PeerError, PeerServerBuilder};
 use sill_wire::RequestKey;
+use sill_wire::control::Revision;
+use sill_wire::link::UnchangedRoutes;
 use sill_wire::streams::{
     EntryPeer, FindStream, FindStreamReply, RecordStreams, RecordStreamsReply, StreamOrigin,
     VersionView,
@@ -65,6 +69,7 @@
     key: Secret,
     origins: Mutex<StreamOrigins>,
     history: Mutex<VersionHistory>,
+    routes: Mutex<RouteHistory>,
     peers: Mutex<Peers>,
     lookups: Semaphore,
     /// Wakes [`run`] when there may be streams to replicate.
@@ -130,6 +135,7 @@
             key: cfg.cluster_key.clone(),
             origins: Mutex::default(),
             history: Mutex::default(),
+            routes: Mutex::default(),
             peers: Mutex::default(),
             lookups: Semaphore::new(MAX_LOOKUPS),
             unreplicated: Notify::new(),
@@ -145,6 +151,20 @@
         self.history.lock().record_reply(self.clock.now(), history);
     }
 
+    /// Records that newer settings are put in force in place of `before`.
+    pub fn record_settings(&self, before: Option<&RouteTable>, after: &RouteTable) {
+        self.routes.lock().record_settings(self.clock.now(), before, after);
+        self.unreplicated.notify_one();
+    }
+
+    /// Records for how long no route has changed, as a control instance says that is in contact with a
+    /// leader; `revision` is in force here.
+    pub fn record_unchanged_routes(&self, revision: u64, unchanged: UnchangedRoutes) {
+        if unchanged.revision == Revision(revision) {
+            self.routes.lock().record_unchanged(self.clock.now(), unchanged.age);
+        }
+    }
+
     /// Replaces the entry instances that a control instance knows of.
     pub fn set_peers(self: &Arc<Self>, from: SocketAddr, list: Vec<EntryPeer>) {
         let new = {
@@ -272,10 +292,15 @@
     }
 
     /// Asks other instances for a stream.
-    async fn look_up(&self, stream: RequestKey, services: &[Name], own: VersionView) -> Lookup {
+    async fn look_up(
+        &self,
+        stream: RequestKey,
+        origins: &OriginServices,
+        own: VersionView,
+    ) -> Lookup {
         let mut lookup = Lookup { decision: TakeUp::Unknown, asked: 0, replied: 0, view: own };
         let Ok(_permit) = self.lookups.try_acquire() else { return lookup };
-        let call = FindStream { stream, services: services.to_vec() };
+        let call = FindStream { stream, services: origins.services.clone() };
         let mut replies = FuturesUnordered::new();
         for peer in self.holders(stream, ASKED) {
             let client = self.peers.lock().client(peer.address, &self.key);
@@ -303,7 +328,7 @@
         if let Some(KnownStream { origin, from: Some(from) }) = &known {
             self.origins.lock().record_replica(self.clock.now(), origin, from);
         }
-        lookup.decision = decide(known, [lookup.view.clone()]);
+        lookup.decision = decide(known, origins, [lookup.view.clone()]);
         lookup
     }
 }
@@ -319,15 +344,21 @@
         combine_views(views)
     }
 
+    /// Returns the services that may have begun a stream at a path of a route.
+    fn origin_services(&self, route: &RouteEntry, path: &str) -> OriginServices {
+        self.streams.routes.lock().origins(self.clock.now(), route, path)
+    }
+
     /// Records that an endpoint has begun the stream of a call, or continued one that the call took
     /// up.
     pub fn record_stream(&self, call: &Call, placement: &Placement) {
         let now = self.clock.now();
         let time_left = (call.due - now + TAKE_UP_MARGIN).max(MIN_REMEMBERED);
-        let services: Arc<[Name]> = services_of(&call.route).into();
+        let origins = self.origin_services(&call.route, call.uri.path());
+        let services: Arc<[Name]> = call.route.services().into();
         let attempts = [Some(&call.head.attempt), call.head.resumes.as_ref()];
         let streams = &self.streams;
-        let mut origins = streams.origins.lock();
+        let mut known = streams.origins.lock();
         for attempt in attempts.into_iter().flatten() {
             let origin = StreamOrigin {
                 stream: stream_key(call.account.as_deref(), &call.head, call.uri.path(), attempt),
@@ -337,11 +368,11 @@
                 age: Millis::ZERO,
                 time_left,
             };
-            origins.record_own(now, &origin, services.clone());
+            known.record_own(now, &origin, services.clone());
         }
-        streams.known.set(origins.len() as i64);
-        drop(origins);
-        if !is_single(&self.version_view(&services)) {
+        streams.known.set(known.len() as i64);
+        drop(known);
+        if !origins.is_single() || !is_single(&self.version_view(&services)) {
             streams.unreplicated.notify_one();
         }
     }
@@ -354,19 +385,20 @@
         route: &RouteEntry,
         path: &str,
     ) -> TakeUp {
-        let services = services_of(route);
-        let own = self.version_view(&services);
+        let origins = self.origin_services(route, path);
+        let own = self.version_view(&origins.services);
         let stream = head.resumes.as_ref().map(|first| stream_key(account, head, path, first));
         let known =
             stream.and_then(|stream| self.streams.origins.lock().find(self.clock.now(), stream));
         let lookup = match (stream, known) {
-            (Some(stream), None) => self.streams.look_up(stream, &services, own).await,
+            (Some(stream), None) => self.streams.look_up(stream, &origins, own).await,
             (_, known) => {
-                Lookup { decision: decide(known, [own.clone()]), asked: 0, replied: 0, view: own }
+                let decision = decide(known, &origins, [own.clone()]);
+                Lookup { decision, asked: 0, replied: 0, view: own }
             }
         };
         let lookup = Lookup { decision: self.doubt_ambiguous(lookup.decision), ..lookup };
-        self.log_take_up(head, route, &lookup);
+        self.log_take_up(head, route, &origins, &lookup);
         lookup.decision
     }
 
@@ -380,7 +412,13 @@
         }
     }
 
-    fn log_take_up(&self, head: &CallHead, route: &RouteEntry, lookup: &Lookup) {
+    fn log_take_up(
+        &self,
+        head: &CallHead,
+        route: &RouteEntry,
+        origins: &OriginServices,
+        lookup: &Lookup,
+    ) {
         let Lookup { decision, asked, replied, view } = lookup;
         let (result, software, known) = match decision {
             TakeUp::Known(known) => ("known", Some(&known.origin.software), Some(known)),
@@ -399,6 +437,9 @@
             route = route.name,
             result = result,
             software = software.map(ToString::to_string).unwrap_or_default(),
+            service = known.map(|known| known.origin.service.as_str()).unwrap_or_default(),
+            services = origins.services.join(","),
+            are_services_known = origins.is_complete,
             endpoint = known.map(|known| known.origin.endpoint.as_str()).unwrap_or_default(),
             from = from.map(Name::as_str).unwrap_or_default(),
             age_ms = known.map(|known| known.origin.age.to_string()).unwrap_or_default(),
@@ -423,12 +464,6 @@
     }
 }
 
-/// Returns the services that a route may draw.
-fn services_of(route: &RouteEntry) -> Vec<Name> {
-    let split = route.route.split.iter().filter(|share| share.weight > 0);
-    split.map(|share| share.service.clone()).collect()
-}
-
 /// Returns the key of the stream that an attempt began. Other accounts, hosts and paths have other
 /// keys, so that no caller can name the stream of another one.
 fn stream_key(
@@ -456,7 +491,8 @@
     });
 }
 
-/// Tells other instances of streams whose services have several versions, or may have.
+/// Tells other instances of streams whose services have several versions, or whose routes several
+/// services, or may have.
 pub async fn run(state: Arc<State>) {
     loop {
         let unreplicated = state.streams.unreplicated.notified();
@@ -465,12 +501,16 @@
             continue;
         }
         loop {
+            let now = state.clock.now();
+            let may_have_moved = state.streams.routes.lock().may_have_changed(now);
             let mut views: Map<Vec<Name>, bool> = Map::default();
             let is_due = |services: &[Name]| {
                 let is_due = views.entry(services.to_vec());
-                *is_due.or_insert_with(|| !is_single(&state.version_view(services)))
+                let view = || state.version_view(services);
+                may_have_moved
+                    || services.len() > 1
+                    || *is_due.or_insert_with(|| !is_single(&view()))
             };
-            let now = state.clock.now();
             let streams = state.streams.origins.lock().take_unreplicated(now, is_due);
             if streams.is_empty() {
                 break;
--- a/daemons/gateway/tests/limits.rs
+++ b/daemons/gateway/tests/limits.rs
@@ -80,6 +80,7 @@
         has_leader: true,
         entries: None,
         history: Millis::ZERO,
+        routes: None,
     }
 }
 
--- a/daemons/gateway/tests/settings.rs
+++ b/daemons/gateway/tests/settings.rs
@@ -108,6 +108,7 @@
         let reply = LinkReply {
             entries: None,
             history: Millis::ZERO,
+            routes: None,
             settings: (!is_current).then_some(manifest),
             cursor: Cursor { change: facts.len() as u64, ..Cursor::default() },
             endpoints: facts[acknowledged..].to_vec(),
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -30,6 +30,7 @@
 use sill_wire::control::Revision;
 use sill_wire::link::{
     Cursor, EndpointFact, EndpointState, EntryReport, LinkPoll, LinkReply, RelayOffer, Totals,
+    UnchangedRoutes,
 };
 use sill_wire::rollout::ServiceVersions;
 use sill_wire::settings::PiecesRequest;
@@ -787,6 +788,7 @@
         has_leader: true,
         entries: None,
         history: Millis::from_secs(3600),
+        routes: Some(UnchangedRoutes { revision: Revision(1), age: Millis::from_secs(3600) }),
     }
 }
 
--- a/protocol/wire/src/link.rs
+++ b/protocol/wire/src/link.rs
@@ -374,6 +374,19 @@
     /// endpoints without a gap.
     #[serde(default)]
     pub history: Millis,
+    /// For how long no route has changed its services.
+    #[serde(default)]
+    pub routes: Option<UnchangedRoutes>,
+}
+
+/// For how long no route has changed the services that it draws from, as far as a control instance has
+/// seen each revision of the settings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnchangedRoutes {
+    /// The newest revision.
+    pub revision: Revision,
+    /// The time, up to that revision and since.
+    pub age: Millis,
 }
 
 /// The updates that a control instance relays to another.
