Paths: an instance stays cut off when the endpoints end that it knew

While all endpoints were replaced 2.2 to 3.5 s after a failure domain had been cut off, its callers got 179 and 164 of 195 and 181 answers to calls that must not be repeated, from 3 s on (382 of 389 where they may be), the others all.

Cause: that an instance is cut off was concluded from the paths of the endpoints that it knew, and went with them (reconnected_to_endpoints why=EndpointsEnded, and with only a part of the mend why=Heard: an endpoint that had ended refused connections, its doubt became one of connecting, and the next connection that opened to a new one ended the cut, though nothing is answered there). Class: a belief about the instance that is kept in facts about others, and goes with them.

Now the end of an endpoint that others reached while this instance did not still counts until an endpoint is heard. A path on which connections opened and nothing was answered makes an opening prove nothing, for all paths. The end of endpoints that nobody reached is forgotten as before.

Virtual time: two tests in paths.rs, the first fails before.

--- a/coordination/dispatch/src/paths.rs
+++ b/coordination/dispatch/src/paths.rs
@@ -172,6 +172,10 @@
     quiet: u32,
     /// When an endpoint was last heard on an own connection.
     heard_at: Millis,
+    /// Number of endpoints that have ended since, while only other entry instances reached them.
+    ended_lost: usize,
+    /// Whether a path was doubted since on which connections open. Then one that opens shows nothing.
+    has_unanswered: bool,
     /// When an endpoint was last heard on any path.
     answered_at: Millis,
     next_check: Millis,
@@ -194,6 +198,8 @@
             fault_count: 0,
             quiet: 0,
             heard_at: Millis::ZERO,
+            ended_lost: 0,
+            has_unanswered: false,
             answered_at: Millis::ZERO,
             next_check: Millis::ZERO,
             next_trial: Millis::ZERO,
@@ -361,7 +367,8 @@
 
     /// Records bytes that an endpoint sent on an own connection, which was opened at `opened_at`.
     pub fn record_heard(&mut self, now: Millis, address: SocketAddr, opened_at: Millis) {
-        (self.heard_at, self.answered_at) = (now, now);
+        self.answered_at = now;
+        self.mark_heard(now);
         self.quiet = 0;
         let Some(path) = self.endpoints.get_mut(&address) else { return };
         (path.quiet, path.unanswered_ticks) = (0, 0);
@@ -376,29 +383,38 @@
 
     /// Records that a new connection was opened to an endpoint.
     pub fn record_connected(&mut self, now: Millis, address: SocketAddr) {
+        let proves_nothing = self.is_cut_off && self.has_unanswered;
         let path = self.endpoints.get_mut(&address);
         let fault = path.and_then(|path| path.fault.as_mut());
         let doubt = fault.map(|fault| {
             fault.may_try = true;
+            if proves_nothing && fault.doubt == Doubt::Connect {
+                fault.doubt = Doubt::Silence;
+            }
             fault.doubt
         });
         match doubt {
             Some(Doubt::Connect) => {
-                self.heard_at = now;
+                self.mark_heard(now);
                 self.restore(now, address);
             }
             Some(_) => {}
             None if self.is_cut_off && self.only_connecting_fails() => {
-                self.heard_at = now;
+                self.mark_heard(now);
                 self.update_cut_off(Reconnection::Heard);
             }
             None => {}
         }
     }
 
+    const fn mark_heard(&mut self, now: Millis) {
+        self.heard_at = now;
+        (self.ended_lost, self.has_unanswered) = (0, false);
+    }
+
     fn only_connecting_fails(&self) -> bool {
         let mut faults = self.endpoints.values().filter_map(|path| path.fault);
-        faults.all(|fault| fault.doubt == Doubt::Connect)
+        !self.has_unanswered && faults.all(|fault| fault.doubt == Doubt::Connect)
     }
 
     /// Records that connecting to an endpoint was refused, or took too long.
@@ -480,11 +496,15 @@
         self.endpoints.entry(address).or_default().no_tunnel_until = now + TUNNEL_BACKOFF;
     }
 
-    /// Forgets an endpoint that has ended.
+    /// Forgets an endpoint that has ended. If others reached it until then and this instance did not,
+    /// that says something of this instance, and stays known until an endpoint is heard.
     pub fn forget(&mut self, address: SocketAddr) {
         if let Some(path) = self.endpoints.get_mut(&address) {
-            let had_fault = path.fault.take().is_some();
-            self.fault_count -= usize::from(had_fault);
+            let fault = path.fault.take();
+            self.fault_count -= usize::from(fault.is_some());
+            let heard_at = self.heard_at;
+            let was_lost = fault.is_some_and(|fault| fault.is_lost && fault.since >= heard_at);
+            self.ended_lost += usize::from(was_lost);
             if path.waiting == 0 {
                 self.endpoints.remove(&address);
             }
@@ -527,7 +547,7 @@
 
     /// Adds paths that could not be connected on, if their check is due.
     fn check_faults(&mut self, now: Millis, checks: &mut Vec<SocketAddr>) {
-        if self.fault_count == 0 || now < self.next_check {
+        if (self.fault_count == 0 && !self.is_cut_off) || now < self.next_check {
             return;
         }
         let is_due = |fault: &Fault| fault.doubt != Doubt::Silence && fault.next_check <= now;
@@ -585,6 +605,7 @@
                     may_try,
                 });
                 self.fault_count += 1;
+                self.has_unanswered |= doubt != Doubt::Connect;
                 if self.fault_count == 1 {
                     self.next_trial = now + TRIAL_INTERVAL;
                     self.risky_interval = MIN_RISKY_INTERVAL;
@@ -612,9 +633,10 @@
 
     /// Takes all paths for broken once several are in doubt and nothing was heard since.
     fn update_cut_off(&mut self, why: Reconnection) {
-        let is_cut_off = self.fault_count >= MIN_DOUBTED && {
+        let is_cut_off = self.fault_count + self.ended_lost >= MIN_DOUBTED && {
             let faults = self.endpoints.values().filter_map(|path| path.fault);
-            faults.filter(|fault| fault.since >= self.heard_at).count() >= MIN_DOUBTED
+            let doubted = faults.filter(|fault| fault.since >= self.heard_at).count();
+            doubted + self.ended_lost >= MIN_DOUBTED
         };
         if std::mem::replace(&mut self.is_cut_off, is_cut_off) != is_cut_off {
             if is_cut_off {
--- a/coordination/dispatch/tests/paths.rs
+++ b/coordination/dispatch/tests/paths.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use sill_base::Millis;
-use sill_dispatch::{Doubt, Path, PathChange, PathRequest, Paths, TICK};
+use sill_dispatch::{Doubt, Path, PathChange, PathRequest, Paths, Reconnection, TICK};
 
 /// Time from the start of a cut within which requests take a path that works.
 const LEARNING_TIME: Millis = Millis(1200);
@@ -43,6 +43,8 @@
     cut: Cut,
     cut_endpoints: usize,
     endpoints: usize,
+    /// The number of the first endpoint; earlier ones have ended.
+    first: usize,
     /// Whether another entry instance reaches the endpoints.
     has_relay: bool,
     /// Requests that wait for an answer: the endpoint, and when they are given up.
@@ -67,6 +69,7 @@
             cut: Cut::None,
             cut_endpoints: endpoints,
             endpoints,
+            first: 0,
             has_relay: true,
             waiting: Vec::new(),
             changes: Vec::new(),
@@ -169,7 +172,7 @@
         let until = self.now + span;
         let mut sent = Vec::new();
         while self.now < until {
-            let endpoint = (self.now.0 / TICK.0) as usize % self.endpoints;
+            let endpoint = self.first + (self.now.0 / TICK.0) as usize % self.endpoints;
             sent.push(self.send(endpoint, may_repeat));
             self.tick();
         }
@@ -271,6 +274,69 @@
     }
 }
 
+/// All endpoints are replaced during a cut. An instance that concludes from the end of those it knew that
+/// it is connected again loses requests to the new ones.
+#[test]
+fn an_instance_stays_cut_off_when_the_endpoints_end_that_it_knew() {
+    struct Case {
+        cut: Cut,
+        may_repeat: bool,
+        /// Requests that may be lost, as they try whether the cut is over.
+        lost: usize,
+        return_time: Millis,
+    }
+    let case = |cut, may_repeat, lost, return_time| Case { cut, may_repeat, lost, return_time };
+    let cases = [
+        case(Cut::Hang, true, 0, RETURN_TIME),
+        case(Cut::Hang, false, 0, RETURN_TIME),
+        case(Cut::Refuse, true, 0, RETURN_TIME),
+        case(Cut::Refuse, false, 0, RETURN_TIME),
+        case(Cut::AcceptAndHang, true, 0, RETURN_TIME),
+        case(Cut::AcceptAndHang, false, 1, Millis(9000)),
+        case(Cut::AcceptAndReset, true, 0, RETURN_TIME),
+        case(Cut::AcceptAndReset, false, 1, Millis(9000)),
+    ];
+    for Case { cut, may_repeat, lost, return_time } in cases {
+        let name = format!("{cut:?}, may_repeat={may_repeat}");
+        let mut world = World::new(6);
+        world.run(Millis(2000), may_repeat);
+        (world.cut, world.cut_endpoints) = (cut, usize::MAX);
+        world.run(LEARNING_TIME + LEARNING_TIME, may_repeat);
+        world.changes.clear();
+        for _ in 0..6 {
+            world.paths.forget(address(world.first));
+            world.first += 1;
+            world.run(Millis(200), may_repeat);
+        }
+        assert!(world.paths.is_cut_off(), "{name}: {:?}", world.changes);
+        let sent = world.run(Millis(6000), may_repeat);
+        assert!(count(&sent, Sent::Lost) <= lost, "{name}: {sent:?}");
+        assert!(world.paths.is_cut_off(), "{name}");
+        let is_end = |change: &PathChange| matches!(change, PathChange::Reconnected(_));
+        assert!(!world.changes.iter().any(is_end), "{name}: {:?}", world.changes);
+        world.cut = Cut::None;
+        world.run(return_time, may_repeat);
+        let sent = world.run(Millis(2000), may_repeat);
+        assert_eq!(count(&sent, Sent::Answered), sent.len(), "{name}: {:?}", world.changes);
+        assert!(!world.paths.is_cut_off(), "{name}");
+    }
+}
+
+/// Endpoints that nobody reaches have ended; what is believed of this instance must not outlive them.
+#[test]
+fn an_instance_is_not_cut_off_by_the_end_of_endpoints_that_nobody_reaches() {
+    let mut paths = Paths::default();
+    let now = Millis(60_000);
+    (0..2).for_each(|endpoint| paths.record_connect_failed(now, address(endpoint), true));
+    assert!(paths.is_cut_off());
+    (0..2).for_each(|endpoint| paths.forget(address(endpoint)));
+    assert!(!paths.is_cut_off());
+    assert_eq!(
+        paths.take_changes().last(),
+        Some(&PathChange::Reconnected(Reconnection::EndpointsEnded))
+    );
+}
+
 /// Requests wait for their whole deadlines although no entry instance reaches an endpoint.
 #[test]
 fn requests_are_refused_once_no_path_has_worked_for_a_while() {
