Paths: what is believed of the paths to endpoints that have ended is forgotten

Callers saw no failed call that was traced to it.

Cause: a path is forgotten when its endpoint ends. Copies of runs, and requests that were in flight there, fail after that and doubt the path again, which nothing ends: it is checked each half second, the two checks that an instance makes at a time go there, and three others are asked each time. Now paths and contacts are kept for endpoints only that are alive, by a comparison each second.

Virtual time: a test in paths.rs.

--- a/coordination/dispatch/src/paths.rs
+++ b/coordination/dispatch/src/paths.rs
@@ -8,7 +8,7 @@
 
 use std::net::SocketAddr;
 
-use sill_base::{Map, Millis};
+use sill_base::{Map, Millis, Set};
 
 use crate::tunnel_health::TunnelHealth;
 
@@ -512,6 +512,15 @@
         self.update_cut_off(Reconnection::EndpointsEnded);
     }
 
+    /// Forgets the endpoints that are not among `alive`. Requests that end after their endpoint has
+    /// ended may have doubted its path again. Returns the addresses of those that were known.
+    pub fn retain(&mut self, alive: &Set<SocketAddr>) -> Vec<SocketAddr> {
+        let known = self.endpoints.keys().copied();
+        let ended: Vec<SocketAddr> = known.filter(|address| !alive.contains(address)).collect();
+        ended.iter().for_each(|address| self.forget(*address));
+        ended
+    }
+
     /// Counts silence; called once in a [`TICK`]. Returns the endpoints to be connected to.
     pub fn tick(&mut self, now: Millis) -> Vec<SocketAddr> {
         let mut checks = Vec::new();
--- a/coordination/dispatch/tests/paths.rs
+++ b/coordination/dispatch/tests/paths.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use sill_base::Millis;
+use sill_base::{Millis, Set};
 use sill_dispatch::{Doubt, Path, PathChange, PathRequest, Paths, Reconnection, TICK};
 
 /// Time from the start of a cut within which requests take a path that works.
@@ -337,6 +337,27 @@
     );
 }
 
+/// A request at an endpoint that has ended fails late, and its path is checked for good.
+#[test]
+fn paths_to_endpoints_that_have_ended_are_not_checked_for_good() {
+    let mut paths = Paths::default();
+    let now = Millis(60_000);
+    let alive: Set<SocketAddr> = [address(1)].into_iter().collect();
+    paths.record_sent(address(0), true);
+    paths.record_sent(address(1), true);
+    paths.forget(address(0));
+    paths.record_connect_failed(now, address(0), true);
+    paths.record_connect_failed(now, address(2), true);
+    paths.record_connect_failed(now, address(1), true);
+    paths.record_end(address(0), false);
+    paths.record_end(address(1), false);
+    paths.retain(&alive);
+    let checked: Vec<SocketAddr> =
+        (1..100).flat_map(|tick| paths.tick(now + Millis(tick * TICK.0))).collect();
+    assert!(checked.iter().all(|at| *at == address(1)), "{checked:?}");
+    assert!(checked.len() > 10, "the other one is checked: {checked:?}");
+}
+
 /// Requests wait for their whole deadlines although no entry instance reaches an endpoint.
 #[test]
 fn requests_are_refused_once_no_path_has_worked_for_a_while() {
--- a/daemons/gateway/src/daemon.rs
+++ b/daemons/gateway/src/daemon.rs
@@ -257,5 +257,6 @@
     loop {
         tokio::time::sleep(IDLE_CLEANUP_INTERVAL.into()).await;
         state.metrics.idle_connections.set(state.egress.expire() as i64);
+        state.egress.retain(&state.alive_addresses());
     }
 }
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -304,6 +304,12 @@
         self.paths.lock().forget(address);
     }
 
+    /// Forgets the endpoints that are not among `alive`.
+    pub fn retain(&self, alive: &Set<SocketAddr>) {
+        self.paths.lock().retain(alive);
+        self.contacts.lock().retain(|address, _| alive.contains(address));
+    }
+
     /// Sends a request, at most once, and returns once the head of the answer has arrived.
     ///
     /// # Errors
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -598,6 +598,17 @@
         pools.values().any(|pool| pool.pool.lock().is_paused(now, endpoint, incarnation))
     }
 
+    /// Returns the addresses of all endpoints that are alive.
+    pub fn alive_addresses(&self) -> Set<SocketAddr> {
+        let mut alive = Set::default();
+        for pool in self.pools.read().values() {
+            let pool = pool.pool.lock();
+            let facts = pool.facts().filter(|fact| fact.state < EndpointState::Silent);
+            alive.extend(facts.map(|fact| fact.address));
+        }
+        alive
+    }
+
     /// Returns the address of an incarnation of an endpoint that is alive.
     pub fn address_of(&self, endpoint: &Name, incarnation: Incarnation) -> Option<SocketAddr> {
         self.pools.read().values().find_map(|pool| {
--- a/daemons/sill/tests/system/cut_domains.rs
+++ b/daemons/sill/tests/system/cut_domains.rs
@@ -3,6 +3,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use sill_base::Map;
+
 use crate::cuts::{CONTACT_TIME, CUT_TIME, Cut, DEADLINE, ENDPOINTS, Layout, Record, System};
 
 /// Part of the calls that is to be answered, at instances that are cut off from endpoints.
@@ -54,8 +56,14 @@
     let (cut, others): (Vec<&Record>, Vec<&Record>) =
         records.iter().filter(is_judged).partition(|r| cut_off.contains(&r.gateway));
     let served = |records: &[&Record]| records.iter().filter(|r| r.is_served()).count();
+    let mut failures: Map<Option<(u16, &str)>, usize> = Map::default();
+    for record in cut.iter().filter(|r| !r.is_served()) {
+        let answer = record.answer.as_ref().map(|answer| (answer.status, answer.body.as_str()));
+        let code = answer.map(|(status, body)| (status, body.split('"').nth(5).unwrap_or(body)));
+        *failures.entry(code).or_default() += 1;
+    }
     let counts = format!(
-        "{name}: {} of {} answered at the instances cut off, {} of {} at the others",
+        "{name}: {} of {} answered at the instances cut off, {} of {} at the others; {failures:?}",
         served(&cut),
         cut.len(),
         served(&others),
