--- a/coordination/dispatch/src/route_history.rs
+++ b/coordination/dispatch/src/route_history.rs
@@ -70,14 +70,18 @@
         };
         for entry in before.routes().chain(after.routes().filter(is_new)) {
             let (host, path) = (&entry.route.host, &entry.route.path);
-            let services = |table: &RouteTable| table.find(host, path).map(|of| of.services());
-            let (former, current) = (services(before), services(after));
-            if former == current {
+            let (former, current) = (before.find(host, path), after.find(host, path));
+            // Revisions share the routes that they have in common.
+            if former.zip(current).is_some_and(|(a, b)| Arc::ptr_eq(a, b)) {
                 continue;
             }
-            let (host, path) = (host.clone(), path.clone());
-            let services = former.unwrap_or_default();
-            self.changes.push_back(RouteChange { at: now, host, path, services });
+            let services = |of: Option<&Arc<RouteEntry>>| of.map(|entry| entry.services());
+            let (former, current) = (services(former), services(current));
+            if former != current {
+                let (host, path) = (host.clone(), path.clone());
+                let services = former.unwrap_or_default();
+                self.changes.push_back(RouteChange { at: now, host, path, services });
+            }
         }
         while self.changes.len() > MAX_CHANGES {
             let forgotten = self.changes.pop_front();
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -476,20 +476,8 @@
     where
         F: Future,
     {
-        if !options.may_repeat {
-            return Ok(sending.await);
-        }
-        tokio::select! {
-            biased;
-            sent = sending => Ok(sent),
-            () = self.wait_until_stuck(to.address) => {
-                Err(SendFailure::Unknown("the network path to the endpoint is lost".to_owned()))
-            }
-        }
-    }
-
-    async fn wait_until_stuck(&self, address: SocketAddr) {
-        self.wait_until(|| self.paths.lock().is_stuck(address)).await;
+        let lost = self.wait_until_stuck(to.address);
+        answered_before(sending, options, lost, "the network path to the endpoint is lost").await
     }
 
     /// Waits for an answer in a tunnel unless requests are answered through other relays only, and
@@ -503,17 +491,13 @@
     where
         F: Future,
     {
-        if !options.may_repeat {
-            return Ok(sending.await);
-        }
         let is_stuck = || self.relays.lock().list.health.is_stuck(relay, options.is_engine);
-        tokio::select! {
-            biased;
-            sent = sending => Ok(sent),
-            () = self.wait_until(is_stuck) => {
-                Err(SendFailure::Unknown("requests in the tunnel are not answered".to_owned()))
-            }
-        }
+        let lost = self.wait_until(is_stuck);
+        answered_before(sending, options, lost, "requests in the tunnel are not answered").await
+    }
+
+    async fn wait_until_stuck(&self, address: SocketAddr) {
+        self.wait_until(|| self.paths.lock().is_stuck(address)).await;
     }
 
     /// Waits for a condition that changes only in a tick during which paths are in doubt.
@@ -975,6 +959,27 @@
     }
 }
 
+/// Waits for an answer, or until it can't be expected if the request can be sent again.
+async fn answered_before<F, S>(
+    sending: F,
+    options: SendOptions<'_>,
+    lost: S,
+    reason: &str,
+) -> Result<F::Output, SendFailure>
+where
+    F: Future,
+    S: Future<Output = ()>,
+{
+    if !options.may_repeat {
+        return Ok(sending.await);
+    }
+    tokio::select! {
+        biased;
+        sent = sending => Ok(sent),
+        () = lost => Err(SendFailure::Unknown(reason.to_owned())),
+    }
+}
+
 impl Exchange {
     /// Records the head of the answer.
     fn answered(mut self, answer: Answer) -> (Answer, Self) {
