Every test with real processes, and the soak, find panics and processes that end by themselves

Operators saw processes that had ended by themselves, and callers saw connections closed, which may be one event: a broken promise ends a process with all its requests. No test and no soak looked for either. Tests killed their processes on drop without a look at how they had ended, and a panic ended a task while the test went on. In the soak, a fault that restarted, killed or stopped a process hid that it had ended by itself just before.

Tests start processes by `Program` (bench/standin), which fails the test on drop if a process that the test neither killed nor stopped has ended, if one that was stopped ended otherwise than with 0 or by the signal itself, or if its log has `event=panic`. Tests that run a gateway or control instance inside their own process hold a `PanicCheck`, a hook that records panics outside the code of tests. The soak notes an own end before each restart, kill and signal (`process`), and reads all logs at the end of a run, also of one that breaks off (`panic`). A process that dies by another signal in its stop was passed over; it is a finding now.

Changes to existing tests: none is weaker. `sill try` prints its keys, so its output stays apart from its log; a test that has an instance reclaimed says that its end is expected; the tests of signals write the output of processes through `Program`.

--- a/bench/soak/src/injector.rs
+++ b/bench/soak/src/injector.rs
@@ -4,6 +4,7 @@
 
 use eyre::{Result, bail};
 use sill_base::Millis;
+use sill_standin::program::is_stop_signal;
 use tokio::task::JoinSet;
 
 use crate::backend::LEAVE_NOTICE;
@@ -228,7 +229,7 @@
         match process.take_exit_status() {
             // A signal that arrives before the handlers are installed terminates the process at
             // once, which is no failure: it has accepted no request by then.
-            Some(status) if !status.success() && status.code().is_some() => {
+            Some(status) if !status.success() && !is_stop_signal(status) => {
                 bail!("{} exited with {status} after SIGTERM", process.name)
             }
             _ => Ok(()),
--- a/bench/soak/src/process.rs
+++ b/bench/soak/src/process.rs
@@ -20,13 +20,24 @@
     child: Option<Child>,
     /// Whether SIGTERM was sent since the last start.
     is_stopping: bool,
+    /// The times at which it ended by itself, as findings.
+    own_ends: Vec<String>,
 }
 
 impl Process {
     /// Creates a process that is not started yet.
     pub fn new(name: String, program: PathBuf, args: Vec<String>, logs: &Path) -> Self {
         let log = logs.join(format!("{name}.log"));
-        Self { name, program, args, log, data: None, child: None, is_stopping: false }
+        Self {
+            name,
+            program,
+            args,
+            log,
+            data: None,
+            child: None,
+            is_stopping: false,
+            own_ends: Vec::new(),
+        }
     }
 
     /// Sets the data folder, which `lose_disk` removes.
@@ -42,6 +53,7 @@
     ///
     /// Fails when the log can't be opened or the program can't be started.
     pub fn start(&mut self) -> Result<()> {
+        self.note_own_end();
         let is_running =
             self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)));
         if is_running {
@@ -66,6 +78,7 @@
 
     /// Kills the process with SIGKILL and waits for its exit.
     pub fn kill(&mut self) {
+        self.note_own_end();
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
@@ -95,6 +108,7 @@
 
     /// Sends SIGTERM. Returns the process id of the child, if there is one.
     pub fn ask_to_stop(&mut self) -> Option<u32> {
+        self.note_own_end();
         self.is_stopping = true;
         self.signal(Signal::SIGTERM);
         self.child.as_ref().map(Child::id)
@@ -111,9 +125,20 @@
         child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
-    /// Returns whether the process was started, and neither killed nor sent SIGTERM since.
-    pub fn is_expected_running(&self) -> bool {
-        self.child.is_some() && !self.is_stopping
+    /// Returns a finding for each time that the process ended without a kill or SIGTERM, for
+    /// example after a broken promise.
+    pub fn take_own_ends(&mut self) -> Vec<String> {
+        self.note_own_end();
+        std::mem::take(&mut self.own_ends)
+    }
+
+    /// Notes an end before a restart, a kill or a signal hides it.
+    fn note_own_end(&mut self) {
+        if !self.is_stopping
+            && let Some(status) = self.take_exit_status()
+        {
+            self.own_ends.push(format!("process: {} exited unexpectedly with {status}", self.name));
+        }
     }
 
     /// Returns the exit status if the child has exited, and forgets that child.
--- a/bench/soak/src/run.rs
+++ b/bench/soak/src/run.rs
@@ -11,6 +11,7 @@
 use rand::Rng as _;
 use sill_base::Millis;
 use sill_base::random::seeded;
+use sill_standin::program;
 use tokio::runtime;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -138,13 +139,33 @@
     });
     // All tasks share the cluster, and its processes end with the last of them.
     drop(runtime);
-    let verdict = verdict?;
+    let panics = find_panics(&folder)?;
+    let mut verdict = match verdict {
+        Ok(verdict) => verdict,
+        Err(err) if panics.is_empty() => return Err(err),
+        Err(err) => return Err(err.wrap_err(panics.join("\n"))),
+    };
+    verdict.findings.extend(panics);
     if verdict.findings.is_empty() {
         fs::remove_dir_all(&folder)?;
     }
     Ok(verdict)
 }
 
+/// Returns a finding for each panic in the logs of a folder.
+fn find_panics(folder: &Path) -> Result<Vec<String>> {
+    let mut findings = Vec::new();
+    for entry in fs::read_dir(folder)? {
+        let entry = entry?;
+        if entry.path().extension().is_some_and(|extension| extension == "log") {
+            let lines = program::panics(&fs::read(entry.path())?);
+            let log = entry.file_name();
+            findings.extend(lines.iter().map(|line| format!("panic: {}: {line}", log.display())));
+        }
+    }
+    Ok(findings)
+}
+
 async fn soak(cfg: &SoakCfg, folder: &Path) -> Result<Verdict> {
     let journal: Arc<Journal> = Arc::default();
     let ledger = Arc::new(Ledger::new(journal.clone()));
@@ -159,9 +180,12 @@
     let began = journal.now();
     while !operator.change().await {
         if journal.now() - began > HANG_TIMEOUT {
+            run.note_exits().await;
             bail!(
-                "no settings change was acknowledged within {HANG_TIMEOUT} ms; see the logs in {}",
-                folder.display()
+                "no settings change was acknowledged within {HANG_TIMEOUT} ms; see the logs in {}; \
+                 findings: {:?}",
+                folder.display(),
+                run.findings.lock()
             );
         }
     }
@@ -306,19 +330,12 @@
         }
     }
 
-    /// Adds a finding for each program that exited on its own, for example after a failed
-    /// assertion.
+    /// Adds a finding for each process that ended by itself.
     async fn note_exits(&self) {
         let mut cluster = self.injector.cluster.lock().await;
         let Cluster { controls, entries, .. } = &mut *cluster;
         for process in controls.iter_mut().chain(entries) {
-            if process.is_expected_running()
-                && let Some(status) = process.take_exit_status()
-            {
-                self.findings
-                    .lock()
-                    .push(format!("process: {} exited unexpectedly with {status}", process.name));
-            }
+            self.findings.lock().extend(process.take_own_ends());
         }
     }
 
--- a/bench/standin/src/lib.rs
+++ b/bench/standin/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod load_report;
 pub mod loopback;
 pub mod orders;
+pub mod panics;
+pub mod program;
 mod run;
 pub mod weights;
 
--- a/daemons/control/tests/cluster.rs
+++ b/daemons/control/tests/cluster.rs
@@ -11,6 +11,7 @@
 use sill_control::{Control, ControlCfg};
 use sill_net::PeerClient;
 use sill_standin::loopback::free_addresses;
+use sill_standin::panics::PanicCheck;
 use sill_store::faulty_disk::DiskFault;
 use sill_store::{FaultyDisk, Store};
 use sill_wire::Incarnation;
@@ -33,6 +34,7 @@
     peers: Vec<SocketAddr>,
     controls: Vec<Option<Control>>,
     runtime: Runtime,
+    _panic_check: PanicCheck,
 }
 
 impl Cluster {
@@ -42,8 +44,9 @@
         let folder = std::env::temp_dir().join(format!("sill-control-{unique}"));
         let peers = free_addresses(SIZE).expect("free ports");
         let runtime = Runtime::new().expect("a runtime");
-        let mut cluster =
-            Self { folder, peers, controls: (0..SIZE).map(|_| None).collect(), runtime };
+        let controls = (0..SIZE).map(|_| None).collect();
+        let _panic_check = PanicCheck::start();
+        let mut cluster = Self { folder, peers, controls, runtime, _panic_check };
         (0..SIZE).for_each(|i| cluster.run(i));
         cluster
     }
--- a/daemons/control/tests/losses.rs
+++ b/daemons/control/tests/losses.rs
@@ -12,6 +12,7 @@
 use sill_net::PeerClient;
 use sill_quorum::ReplicaId;
 use sill_standin::loopback::free_addresses;
+use sill_standin::panics::PanicCheck;
 use sill_store::{AnyDisk, Disk, FaultyDisk, Store};
 use sill_wire::link::ControlInfo;
 use support::http;
@@ -33,12 +34,15 @@
     voters: usize,
     controls: Vec<Control>,
     runtime: Runtime,
+    _panic_check: PanicCheck,
 }
 
 impl Cluster {
     fn new(size: usize, voters: usize) -> Self {
         let peers = free_addresses(size).expect("free ports");
-        Self { peers, voters, controls: Vec::new(), runtime: Runtime::new().expect("a runtime") }
+        let runtime = Runtime::new().expect("a runtime");
+        let _panic_check = PanicCheck::start();
+        Self { peers, voters, controls: Vec::new(), runtime, _panic_check }
     }
 
     /// Starts one instance on each disk.
--- a/daemons/control/tests/settings_pieces.rs
+++ b/daemons/control/tests/settings_pieces.rs
@@ -17,6 +17,7 @@
 use sill_dispatch::{RouteTable, SettingsAssembly};
 use sill_net::PeerClient;
 use sill_standin::loopback::free_addresses;
+use sill_standin::panics::PanicCheck;
 use sill_store::{FaultyDisk, Store};
 use sill_tree::{Document, Pool, Route, Service, Share};
 use sill_wire::announce::{Load, Role};
@@ -42,6 +43,7 @@
     disk: FaultyDisk,
     runtime: Runtime,
     control: Option<Control>,
+    _panic_check: PanicCheck,
 }
 
 impl TestInstance {
@@ -54,7 +56,8 @@
     fn stopped() -> Self {
         let peer = free_addresses(1).expect("free ports")[0];
         let runtime = Runtime::new().expect("a runtime");
-        Self { peer, disk: FaultyDisk::new(), runtime, control: None }
+        let _panic_check = PanicCheck::start();
+        Self { peer, disk: FaultyDisk::new(), runtime, control: None, _panic_check }
     }
 
     fn run(&mut self) {
--- a/daemons/gateway/tests/settings.rs
+++ b/daemons/gateway/tests/settings.rs
@@ -16,6 +16,7 @@
 use sill_gateway::{Gateway, GatewayCfg};
 use sill_net::{PeerError, PeerServer, PeerServerBuilder};
 use sill_standin::loopback::free_addresses;
+use sill_standin::panics::PanicCheck;
 use sill_tree::{Document, PieceId, Pool, Route, Service, Share};
 use sill_wire::link::{ControlInfo, Cursor, EndpointFact, EndpointState, LinkPoll, LinkReply};
 use sill_wire::settings::{Piece, PiecesReply, PiecesRequest};
@@ -68,6 +69,7 @@
     runtime: Runtime,
     gateway: Option<Gateway>,
     _servers: Vec<PeerServer>,
+    _panic_check: PanicCheck,
 }
 
 impl ControlStub {
@@ -190,6 +192,7 @@
         sources.iter().for_each(|source| source.controls.lock().clone_from(&controls));
         let addresses = free_addresses(3).expect("three ports are free");
         let cfg: GatewayCfg = cfg(&addresses, servers[0].address());
+        let _panic_check = PanicCheck::start();
         let gateway = Gateway::start(cfg).expect("the server starts");
         Self {
             sources,
@@ -198,6 +201,7 @@
             gateway: Some(gateway),
             runtime,
             _servers: servers,
+            _panic_check,
         }
     }
 
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -26,6 +26,7 @@
 use sill_net::{PeerServer, PeerServerBuilder};
 use sill_rollout::RolloutBounds;
 use sill_standin::loopback::free_addresses;
+use sill_standin::panics::PanicCheck;
 use sill_tree::{Account, Document, Engine, KeyHash, Pool, Route, RouteKind, Service, Share};
 use sill_wire::control::Revision;
 use sill_wire::link::{
@@ -144,6 +145,7 @@
     runtime: Runtime,
     gateway: Option<Gateway>,
     _control: PeerServer,
+    _panic_check: PanicCheck,
 }
 
 /// How connections to the endpoints fail.
@@ -454,6 +456,7 @@
         let addresses = free_addresses(3).expect("three ports are free");
         let cfg = GatewayCfg { stop, rollouts, ..cfg(&addresses, control.address()) };
         let name = cfg.name.clone();
+        let _panic_check = PanicCheck::start();
         let gateway = Gateway::start(cfg).expect("the server starts");
         let (address, ready_address) = (gateway.address, gateway.ready_address);
         let peer_address = gateway.peer_address;
@@ -476,6 +479,7 @@
             gateway,
             _control,
             runtime,
+            _panic_check,
         };
         if has_settings {
             wait_until_ready_is(200, addresses[1]);
--- a/daemons/sill/tests/soak_processes.rs
+++ b/daemons/sill/tests/soak_processes.rs
@@ -1,6 +1,8 @@
-//! Soak runs that end in different ways: each must end the processes that it has started.
+//! Processes of soak runs: each run must end those that it has started, and find those that end by
+//! themselves or panic.
 
 use std::fs;
+use std::os::unix::fs::PermissionsExt;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
 
@@ -45,3 +47,34 @@
     // There is no entry instance to draw.
     assert_eq!(processes_left("panic", SoakCfg { entries: 0, ..cfg }), 0);
 }
+
+/// A control instance ends by itself and a task of an entry instance panics, while the others keep
+/// every promise to callers. Both must be findings.
+#[test]
+fn a_panic_and_an_own_end_are_findings() {
+    let logs = std::env::temp_dir().join(format!("sill-own-ends-{}", std::process::id()));
+    fs::create_dir_all(&logs).expect("the folder can be created");
+    let script = format!(
+        "#!/bin/sh\ncase \"$*\" in\n*'--name c2 '*) (sleep 3; kill -ABRT $$) &;;\n*'--name g0 '*) echo level=ERROR \
+         event=panic thread=t;;\nesac\nexec {} \"$@\"\n",
+        env!("CARGO_BIN_EXE_sill")
+    );
+    let sill = logs.join("sill");
+    fs::write(&sill, script).expect("the script can be written");
+    fs::set_permissions(&sill, fs::Permissions::from_mode(0o755)).expect("it can be run");
+    let cfg = SoakCfg {
+        sill,
+        seed: 912_020,
+        seconds: 2,
+        entries: SIZES.entries,
+        crashes: false,
+        cuts: false,
+        rollouts: false,
+        logs: logs.clone(),
+    };
+    let verdict = run_once(&cfg).expect("the others serve");
+    for finding in ["process: c2 exited unexpectedly with signal: 6", "panic: g0.log: "] {
+        assert!(verdict.findings.iter().any(|found| found.starts_with(finding)), "{verdict}");
+    }
+    let _ = fs::remove_dir_all(&logs);
+}
--- a/daemons/sill/tests/system/control.rs
+++ b/daemons/sill/tests/system/control.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::control_cluster::{Cluster, SIZE, signal};
+use crate::control_cluster::{Cluster, SIZE};
 use crate::harness::{Answer, http, wait_until};
 
 fn document(price: u64) -> String {
@@ -127,10 +127,10 @@
     wait_until("both entry instances run revision 2", || {
         cluster.entries_at_revision(2) == ["e1", "e2"]
     });
-    signal(&entries[1], "-STOP");
+    entries[1].signal("-STOP");
     let answer = cluster.put(2, "ga?wait=in_force", &[], &document(3));
     assert_eq!((answer.status, &answer.json()["in_force"]), (200, &false.into()), "{answer:?}");
-    signal(&entries[1], "-CONT");
+    entries[1].signal("-CONT");
     wait_until("the resumed entry instance runs the third change", || {
         cluster.entries_at_revision(3) == ["e1", "e2"]
     });
--- a/daemons/sill/tests/system/control_cluster.rs
+++ b/daemons/sill/tests/system/control_cluster.rs
@@ -3,7 +3,6 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -82,15 +81,13 @@
     /// killed it.
     pub fn exit_code(&mut self, i: usize) -> Option<i32> {
         let mut program = self.programs[i].take().expect("the control instance has been started");
-        program.0.wait().expect("the control instance exits").code()
+        program.wait().code()
     }
 
     /// Sends a signal to one control instance.
     pub fn signal(&self, i: usize, signal_name: &str) {
-        signal(
-            self.programs[i].as_ref().expect("the control instance has been started"),
-            signal_name,
-        );
+        let program = self.programs[i].as_ref().expect("the control instance has been started");
+        program.signal(signal_name);
     }
 
     /// Starts an entry instance with the addresses of all control instances.
@@ -211,13 +208,6 @@
     }
 }
 
-/// Sends a signal to a process with `kill`, whose option is the name (`-TERM`).
-pub fn signal(program: &Program, name: &str) {
-    let pid = program.0.id().to_string();
-    let sent = Command::new("kill").args([name, &pid]).status().expect("kill can be run");
-    assert!(sent.success());
-}
-
 /// Relays a connection in both directions. While the relay is blocked, bytes and new connections
 /// wait and nothing is refused, as with a failed switch. A connection that had bytes to pass
 /// meanwhile is closed when the block ends.
--- a/daemons/sill/tests/system/flight.rs
+++ b/daemons/sill/tests/system/flight.rs
@@ -4,7 +4,6 @@
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::process::Command;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -211,8 +210,7 @@
     }
 
     fn restart_control(&mut self) {
-        let _ = self.control.0.kill();
-        let _ = self.control.0.wait();
+        self.control.kill();
         let args: Vec<&str> = self.control_args.iter().map(String::as_str).collect();
         self.control = self.folder.start("control-again.log", &args);
     }
@@ -222,6 +220,9 @@
         let notice = json!({ "in_ms": in_ms }).to_string();
         let answer = http(address, "POST", "/reclaim", &headers, &notice).expect("an answer");
         assert_eq!(answer.status, 200, "{answer:?}");
+        let mut instances = self.entries.iter().chain(&self.endpoints);
+        let reclaimed = instances.find(|instance| instance.address == address);
+        reclaimed.expect("an instance of this cluster").program.allow_end();
     }
 }
 
@@ -278,9 +279,8 @@
 }
 
 fn signal(program: &Program, name: &str) {
-    let pid = program.0.id().to_string();
-    let sent = Command::new("kill").args([name, &pid]).status().expect("kill can be run");
-    assert!(sent.success());
+    let pid = program.id().to_string();
+    program.signal(name);
     if name == "-STOP" {
         // The process answers until each of its threads has been scheduled and has stopped.
         wait_until("the process is stopped", || is_stopped(&pid));
@@ -341,7 +341,7 @@
                 cluster.reclaim(cluster.endpoints[endpoint].address, *in_ms);
             }
             Failure::Kill => {
-                let _ = cluster.endpoints[endpoint].program.0.kill();
+                cluster.endpoints[endpoint].program.kill();
             }
             Failure::Freeze => signal(&cluster.endpoints[endpoint].program, "-STOP"),
         }
@@ -378,7 +378,7 @@
     let answer = call(entry, "/v1/chat/completions", &[], &late).expect("an answer");
     assert_complete(&late, &answer);
     assert_complete(&long, &pending.join().expect("the thread does not panic").expect("an answer"));
-    let status = cluster.entries[0].program.0.wait().expect("the entry exits");
+    let status = cluster.entries[0].program.wait();
     assert_eq!(status.code(), Some(0));
 }
 
@@ -405,7 +405,7 @@
     stream.read_to_string(&mut answer).expect("the connection is closed in order");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert!(answer.to_lowercase().contains("connection: close"), "{answer}");
-    assert_eq!(cluster.entries[0].program.0.wait().expect("the entry exits").code(), Some(0));
+    assert_eq!(cluster.entries[0].program.wait().code(), Some(0));
 }
 
 /// The platform repeats its SIGTERM while answers are in flight. If the second one counts as an
@@ -421,7 +421,7 @@
         thread::sleep(Duration::from_millis(100));
     }
     assert_complete(&body, &pending.join().expect("the thread does not panic").expect("an answer"));
-    let status = cluster.entries[0].program.0.wait().expect("the entry exits");
+    let status = cluster.entries[0].program.wait();
     assert_eq!(status.code(), Some(0));
 }
 
@@ -437,7 +437,7 @@
         signal(&cluster.entries[0].program, name);
         thread::sleep(Duration::from_millis(100));
     }
-    let status = cluster.entries[0].program.0.wait().expect("the entry exits");
+    let status = cluster.entries[0].program.wait();
     assert_eq!(status.code(), Some(0));
     assert!(
         pending
@@ -463,7 +463,7 @@
     signal(&cluster.entries[0].program, "-HUP");
     assert_complete(&body, &pending.join().expect("the thread does not panic").expect("an answer"));
     signal(&cluster.entries[0].program, "-TERM");
-    let status = cluster.entries[0].program.0.wait().expect("the entry exits");
+    let status = cluster.entries[0].program.wait();
     assert_eq!(status.code(), Some(0));
 }
 
@@ -484,7 +484,7 @@
         &follower.join().expect("the thread does not panic").expect("an answer"),
     );
     assert_complete(&body, &owner.join().expect("the thread does not panic").expect("an answer"));
-    let status = cluster.entries[1].program.0.wait().expect("the entry exits");
+    let status = cluster.entries[1].program.wait();
     assert_eq!(status.code(), Some(0));
     assert_eq!(cluster.model_runs().len(), 1);
 }
@@ -575,7 +575,7 @@
     signal(&cluster.entries[0].program, "-TERM");
     let cut = reader.join().expect("the thread does not panic");
     assert!(!cut.contains("[DONE]"), "a cut answer ends with the end marker");
-    let status = cluster.entries[0].program.0.wait().expect("the entry exits");
+    let status = cluster.entries[0].program.wait();
     assert_eq!(status.code(), Some(0));
     let name = cut.lines().find_map(|line| line.strip_prefix("sill-request-id: "));
     let name = if has_key { "parcel-20" } else { name.expect("the answer has a request id") };
@@ -710,7 +710,7 @@
         "the notice was answered before the kill: {:?}",
         killed_request.join()
     );
-    let _ = cluster.entries[0].program.0.kill();
+    cluster.entries[0].program.kill();
     assert!(
         killed_request.join().expect("the thread does not panic").is_none(),
         "the caller of the killed entry got an answer"
--- a/daemons/sill/tests/system/harness.rs
+++ b/daemons/sill/tests/system/harness.rs
@@ -4,11 +4,13 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
+pub use sill_standin::program::Program;
+
 /// The caller's key in every test.
 pub const CALLER_KEY: &str = "test-caller-key";
 
@@ -22,9 +24,6 @@
 /// The temporary folder of one test, with the key files in it; removed on drop.
 pub struct Folder(pub PathBuf);
 
-/// A child process, killed on drop.
-pub struct Program(pub Child);
-
 /// A complete HTTP answer as text.
 #[derive(Debug, Clone)]
 pub struct Answer {
@@ -62,22 +61,19 @@
         self.file(name)
     }
 
-    /// Starts `sill` with these arguments; its standard error goes to a log file in this folder.
+    /// Starts `sill` with these arguments; all that it prints goes to a log file in this folder, in
+    /// which a restarted program continues.
     pub fn start(&self, log: &str, args: &[&str]) -> Program {
-        spawn(self.create(log), Stdio::null(), args)
-    }
-
-    /// Starts `sill` with these arguments; all that it prints goes to a log file in this folder.
-    pub fn start_logged(&self, log: &str, args: &[&str]) -> Program {
-        let log = self.create(log);
-        let output = log.try_clone().expect("the log file can be opened twice");
-        spawn(log, Stdio::from(output), args)
+        let mut sill = Command::new(env!("CARGO_BIN_EXE_sill"));
+        Program::start(sill.args(args), &self.0.join(log)).expect("sill can be started")
     }
 
-    /// Opens a log file, in which a restarted program continues.
-    fn create(&self, log: &str) -> fs::File {
-        let log = fs::File::options().create(true).append(true).open(self.0.join(log));
-        log.expect("the log file can be created")
+    /// Starts `sill try`, whose output has the keys, which its log must not have.
+    pub fn start_try(&self, args: &[&str]) -> Program {
+        let mut sill = Command::new(env!("CARGO_BIN_EXE_sill"));
+        let (output, log) = (self.0.join("try.out"), self.0.join("try.log"));
+        Program::start_with_output(sill.arg("try").args(args), &output, &log)
+            .expect("sill can be started")
     }
 
     /// Prints the end of every log, because the folder is removed with the test.
@@ -107,23 +103,6 @@
     }
 }
 
-impl Drop for Program {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-fn spawn(log: fs::File, output: Stdio, args: &[&str]) -> Program {
-    let child = Command::new(env!("CARGO_BIN_EXE_sill"))
-        .args(args)
-        .stdin(Stdio::null())
-        .stdout(output)
-        .stderr(log)
-        .spawn();
-    Program(child.expect("sill can be started"))
-}
-
 /// Runs `sill` with these arguments and this standard input until it exits.
 pub fn run_sill(args: &[&str], input: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_sill"))
--- a/daemons/sill/tests/system/member.rs
+++ b/daemons/sill/tests/system/member.rs
@@ -2,7 +2,6 @@
 //! instance that has been killed.
 
 use std::net::SocketAddr;
-use std::process::Command;
 
 use crate::harness::{
     Answer, CALLER_KEY, Folder, Program, call, free_addresses, hash_key, http, run_sill, wait_until,
@@ -100,12 +99,6 @@
     }
 }
 
-fn signal(program: &Program, name: &str) {
-    let pid = program.0.id().to_string();
-    let sent = Command::new("kill").args([name, &pid]).status();
-    assert!(sent.expect("kill can be run").success());
-}
-
 /// Returns the number of runs in an endpoint's ledger, or 0 if it doesn't answer.
 fn run_count(endpoint: SocketAddr) -> usize {
     let ledger = http(endpoint, "GET", "/ledger", &[], "");
@@ -209,7 +202,7 @@
     system.apply_settings();
     let _leaving = system.start_endpoint("m1", addresses[0], "join-token");
     wait_until("both entries use the endpoint", || system.is_served(0) && system.is_served(1));
-    signal(&second, "-STOP");
+    second.signal("-STOP");
     let body = r#"{"in_ms":600000}"#;
     http(addresses[0], "POST", "/reclaim", &["content-type: application/json"], body);
     let log = system.folder.file("e0.log");
@@ -220,7 +213,7 @@
     std::thread::sleep(std::time::Duration::from_millis(2500));
     let before = run_count(addresses[0]);
     assert!(before > 0, "the leaving endpoint got no request before its notice");
-    signal(&second, "-CONT");
+    second.signal("-CONT");
     for _ in 0..20 {
         let answer = system.send_request(1).expect("an answer");
         assert_eq!(answer.status, 503, "{answer:?}");
--- a/daemons/sill/tests/system/product.rs
+++ b/daemons/sill/tests/system/product.rs
@@ -1,7 +1,6 @@
 //! `sill try` and the errors of start-up, as a new user sees them.
 
 use std::net::SocketAddr;
-use std::process::Command;
 
 use serde_json::Value;
 
@@ -20,11 +19,11 @@
     pub fn start(test: &str) -> Self {
         let folder = Folder::new(test);
         let (file, data) = (folder.file("ready.json"), folder.file("data"));
-        let mut program = folder.start("try.log", &["try", "--ready-file", &file, "--data", &data]);
+        let mut program = folder.start_try(&["--ready-file", &file, "--data", &data]);
         let read = || std::fs::read_to_string(&file);
         let log = folder.file("try.log");
         wait_until("the ready file exists", || {
-            let ended = program.0.try_wait().expect("the state of the process").is_some();
+            let ended = program.try_wait().is_some();
             assert!(
                 !ended,
                 "`sill try` exited before it was ready: {}",
@@ -50,9 +49,8 @@
 
     /// Sends SIGTERM and returns the exit code.
     fn stop(mut self) -> Option<i32> {
-        let pid = self.program.0.id().to_string();
-        Command::new("kill").args(["-TERM", &pid]).status().expect("the signal is sent");
-        self.program.0.wait().expect("`sill try` exits").code()
+        self.program.signal("-TERM");
+        self.program.wait().code()
     }
 }
 
--- a/daemons/sill/tests/system/serving.rs
+++ b/daemons/sill/tests/system/serving.rs
@@ -90,8 +90,7 @@
         let more = ["--listen-ready", &ready, "--listen-metrics", &metrics];
         let source = gateway_source(i).to_string();
         let keys = ["--connect-from", &source, "--control", &control, "--cluster-key-file", &key];
-        self.folder
-            .start_logged(&format!("{name}.log"), &[&args[..], &more[..], &keys[..]].concat())
+        self.folder.start(&format!("{name}.log"), &[&args[..], &more[..], &keys[..]].concat())
     }
 
     /// Has the routes draw from these services only; `change` is different for each call.
@@ -111,9 +110,7 @@
 
     /// Sends the control instance a signal.
     pub fn signal_control(&self, signal: &str) {
-        let pid = self.control.0.id().to_string();
-        let sent = std::process::Command::new("kill").args([&format!("-{signal}"), &pid]).status();
-        assert!(sent.is_ok_and(|status| status.success()), "{signal} can be sent to {pid}");
+        self.control.signal(&format!("-{signal}"));
     }
 
     /// Returns the address at which endpoints announce themselves.
@@ -154,8 +151,7 @@
 
     /// Kills an entry instance and starts it again.
     pub fn restart_gateway(&mut self, i: usize) {
-        let _ = self.gateways[i].0.kill();
-        let _ = self.gateways[i].0.wait();
+        self.gateways[i].kill();
         self.gateways[i] = self.start_gateway(i);
         self.wait_until_ready(i);
     }
--- a/daemons/sill/tests/system/signals.rs
+++ b/daemons/sill/tests/system/signals.rs
@@ -1,12 +1,10 @@
 //! Signals to daemons: during start-up, repeated, and SIGHUP.
 
-use std::fs::{self, File};
+use std::fs;
 use std::net::{SocketAddr, TcpStream};
-use std::process::{Command, Stdio};
 use std::thread;
 use std::time::Duration;
 
-use crate::control_cluster::signal;
 use crate::harness::{Folder, Program, free_addresses, http, wait_until};
 
 /// The verbs of `sill` that run a daemon.
@@ -43,15 +41,7 @@
             "entry" => vec!["--join-token-file", &join, "--drain-notice-ms", "500"],
             _ => vec!["--listen-metrics", &address_texts[3], "--drain-notice-ms", "500"],
         });
-        // Some daemons log to standard output, and some to standard error.
-        let log = File::create(folder.file("log")).expect("the log file can be created");
-        let child = Command::new(env!("CARGO_BIN_EXE_sill"))
-            .args(&args)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().expect("the log file can be cloned"))
-            .stderr(log)
-            .spawn();
-        let program = Program(child.expect("sill can be started"));
+        let program = folder.start("log", &args);
         Self { folder, address: addresses[0], program }
     }
 
@@ -60,13 +50,13 @@
     }
 
     fn is_running(&mut self) -> bool {
-        self.program.0.try_wait().expect("the state of the process").is_none()
+        self.program.try_wait().is_none()
     }
 
     /// Waits until the daemon exits. Returns its exit code, or `None` if a signal killed it, and
     /// its log.
     fn wait_for_exit(mut self) -> (Option<i32>, String) {
-        let code = self.program.0.wait().expect("the daemon exits").code();
+        let code = self.program.wait().code();
         (code, fs::read_to_string(self.folder.file("log")).expect("the log can be read"))
     }
 }
@@ -86,12 +76,12 @@
 fn check_early_stop(verb: &str) {
     let daemon = Daemon::start(verb);
     daemon.wait_until_listening();
-    signal(&daemon.program, "-TERM");
+    daemon.program.signal("-TERM");
     assert_eq!(daemon.wait_for_exit().0, Some(0), "{verb}: stopped as soon as it listened");
     for after_ms in [0, 2, 5, 10, 20, 50, 100, 200] {
         let daemon = Daemon::start(verb);
         thread::sleep(Duration::from_millis(after_ms));
-        signal(&daemon.program, "-TERM");
+        daemon.program.signal("-TERM");
         let (code, log) = daemon.wait_for_exit();
         // A process that has logged nothing has not run its first own step, and accepted nothing.
         let has_started = !log.is_empty();
@@ -110,12 +100,12 @@
         let mut daemon = Daemon::start(verb);
         daemon.wait_until_listening();
         for _ in 0..3 {
-            signal(&daemon.program, "-HUP");
+            daemon.program.signal("-HUP");
         }
         thread::sleep(EFFECT_TIME);
         assert!(daemon.is_running(), "{verb}: ended by SIGHUP");
-        signal(&daemon.program, "-TERM");
-        signal(&daemon.program, "-HUP");
+        daemon.program.signal("-TERM");
+        daemon.program.signal("-HUP");
         assert_eq!(daemon.wait_for_exit().0, Some(0), "{verb}: SIGHUP after SIGTERM");
     }
 }
@@ -131,7 +121,7 @@
     let pending = thread::spawn(move || http(address, "POST", "/x", &[], "body"));
     thread::sleep(EFFECT_TIME);
     for name in ["-HUP", "-TERM", "-TERM", "-HUP", "-INT", "-INT", "-TERM"] {
-        signal(&daemon.program, name);
+        daemon.program.signal(name);
         thread::sleep(Duration::from_millis(20));
     }
     let answer = pending.join().expect("the thread does not panic").expect("an answer");
