Streams: one that nobody knows continues only if others confirm it now

Callers got streams joined from two versions, or from two services of a route that had moved, answered 200 and run to the end, where they took them up at an entry instance that was cut off from the others and from control while the version joined or the route moved.

Cause: the instance took a word of control of up to 1.5 s for what is true now, and the silence of all that it asked for agreement (asked=4 replied=0). Instances of a failure domain that was cut off as a whole confirmed each other, as did those that had stood still together; a control instance that is cut off says for a second longer that it has a leader; and a route's services had no age at all. Class: a belief that was true when it was heard is used as if it were true now; an absence of replies is read as agreement.

Now such a stream continues only if (a) an instance replies that keeps its record if there is one, outside the own failure domain where there are others (or all of them have ended: their hosts refuse connections), and (c) a control instance that is asked after the call arrived says, with a leader that has confirmed to it since, that there is no other version and that the settings here are the newest; (b) a word of control counts from when it was asked for. Otherwise it is refused at once, not run. An instance that is out of step reaches no holder outside, or no leader.

The stand-in control instance of the gateway's tests answers the new call.

--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod stopping;
 pub mod streams;
 pub mod table;
+mod take_up;
 pub mod totals;
 pub mod true_time;
 mod tunnel_health;
@@ -57,6 +58,7 @@
     AnswerMode, CallTimes, OpenCalls, StopPhase, StopPlan, StopTimes, StreamForecast,
 };
 pub use table::{AccountEntry, RouteEntry, RouteTable, TablePart};
+pub use take_up::Inquiry;
 pub use totals::{EntryCounts, TotalsAggregator};
 pub use true_time::TrueTime;
 pub use usage::{ReportStore, UsageCounter};
--- a/coordination/dispatch/src/streams.rs
+++ b/coordination/dispatch/src/streams.rs
@@ -31,8 +31,8 @@
 /// Upper bound on the streams in one message.
 pub const MAX_BATCH: usize = 512;
 
-/// Age of the last word of a control instance up to which a version can't have been missed. A new
-/// endpoint is known to all entry instances within a second.
+/// Age of the last word of a control instance, since it was asked for, up to which the versions before
+/// are known without a gap. A new endpoint is known to all entry instances within a second.
 const MAX_SILENCE: Millis = Millis(1500);
 
 /// Returns the instances that keep a stream, in order. As far as possible they are of different
@@ -212,27 +212,35 @@
 /// For how long an entry instance has known of all endpoints.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct VersionHistory {
-    /// When a control instance replied last.
-    heard_at: Option<Millis>,
+    /// When the last reply of a control instance was asked for. It may have been read much later.
+    asked_at: Option<Millis>,
     /// The time before that for which no endpoint was missed.
     span: Millis,
 }
 
 impl VersionHistory {
-    /// Records a reply of a control instance that is in contact with a leader and whose records go
-    /// back for `history`.
-    pub fn record_reply(&mut self, now: Millis, history: Millis) {
-        let gap = self.heard_at.map(|at| now - at);
+    /// Records a reply, asked for at `asked_at`, of a control instance that is in contact with a
+    /// leader and whose records went back for `history` then.
+    pub fn record_reply(&mut self, asked_at: Millis, history: Millis) {
+        let last = self.asked_at.unwrap_or_default();
+        // Replies may arrive in another order.
+        let (asked_at, history) = (asked_at.max(last), history + (last - asked_at));
+        let gap = self.asked_at.map(|at| asked_at - at);
         self.span = match gap {
             Some(gap) if gap < MAX_SILENCE || gap <= history => history.max(self.span + gap),
             _ => history,
         };
-        self.heard_at = Some(now);
+        self.asked_at = Some(asked_at);
+    }
+
+    /// Returns the time since the last reply of a control instance was asked for.
+    pub fn age(&self, now: Millis) -> Option<Millis> {
+        self.asked_at.map(|at| now - at)
     }
 
     /// Returns whether no version can have been missed over the life of a stream.
     pub fn is_complete(&self, now: Millis) -> bool {
-        self.heard_at.is_some_and(|at| {
+        self.asked_at.is_some_and(|at| {
             let silence = now - at;
             silence < MAX_SILENCE && self.span + silence >= STREAM_LIFETIME
         })
--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -241,6 +241,8 @@
     });
     let own = shared.clone();
     peers.answer(move |poll| link::calls::poll(own.clone(), poll));
+    let own = shared.clone();
+    peers.answer(move |call| link::calls::confirm_versions(own.clone(), call));
     let settings_pieces = shared.settings_pieces.clone();
     peers.answer(move |request| {
         let settings_pieces = settings_pieces.clone();
--- a/daemons/control/src/link/calls.rs
+++ b/daemons/control/src/link/calls.rs
@@ -7,18 +7,22 @@
 use sill_dispatch::relays::fingerprint;
 use sill_net::PeerError;
 use sill_quorum::RoleName;
-use sill_wire::Incarnation;
+use sill_wire::control::Revision;
 use sill_wire::link::{
     ControlSync, ControlSyncReply, Cursor, EndpointFact, EndpointState, LinkPoll, LinkReply,
     RelayOffer, Totals,
 };
 use sill_wire::rollout::ServiceVersions;
 use sill_wire::settings::Manifest;
+use sill_wire::streams::{ConfirmVersions, ConfirmVersionsReply};
+use sill_wire::{Incarnation, Software};
 use tokio::task::JoinHandle;
 
 use crate::directory::ControlPeer;
 use crate::link::{EntryList, Link, ReceivedTotals, Updates};
+use crate::settings_pieces::SERVING_SUBTREE;
 use crate::shared::Shared;
+use crate::submit;
 
 /// How often changes are sent to the other control instances.
 const SYNC_INTERVAL: Millis = Millis(100);
@@ -30,6 +34,9 @@
 /// these totals; the older the totals, the more a limit can be exceeded.
 const LEADER_SYNC_INTERVAL: Millis = Millis(200);
 
+/// Time for a leader to confirm that it leads. The entry instance that asks waits little longer.
+const CONFIRM_TIMEOUT: Millis = Millis(100);
+
 /// Upper bound for the time a poll may wait.
 const MAX_POLL_WAIT: Millis = Millis(2000);
 
@@ -112,6 +119,29 @@
     })
 }
 
+/// Confirms the software versions of services and the newest revision of the settings, after a leader
+/// has confirmed that it leads: without it, others may have had news that this instance hasn't.
+///
+/// # Errors
+///
+/// Never fails; peer calls require the type.
+pub async fn confirm_versions(
+    shared: Arc<Shared>,
+    call: ConfirmVersions,
+) -> Result<ConfirmVersionsReply, PeerError> {
+    let caught_up = submit::catch_up_within(&shared, CONFIRM_TIMEOUT);
+    let has_leader = tokio::time::timeout(CONFIRM_TIMEOUT.into(), caught_up).await.unwrap_or(false);
+    let facts = shared.link.endpoints(shared.clock.now()).into_iter();
+    let mut versions: Vec<Software> =
+        facts.filter(|fact| call.services.contains(&fact.service)).map(|f| f.software).collect();
+    versions.sort_unstable();
+    versions.dedup();
+    let app = shared.log.app().read();
+    let settings = app.tree().subtrees.get(SERVING_SUBTREE);
+    let revision = settings.map(|subtree| Revision(subtree.revision));
+    Ok(ConfirmVersionsReply { has_leader, versions, revision })
+}
+
 /// Returns the software versions of services, and the index of the newest decision on them.
 fn versions(shared: &Shared) -> (u64, Vec<ServiceVersions>) {
     let app = shared.log.app().read();
--- a/daemons/gateway/src/link.rs
+++ b/daemons/gateway/src/link.rs
@@ -139,6 +139,7 @@
                 .max(Revision(self.state.table().map_or(0, |table| table.revision)));
             let report = self.state.report(sequence);
             let (last_crash, crashes) = self.state.crashes.newer_than(crash_sent);
+            let asked_at = self.state.clock.now();
             let poll = LinkPoll { have, cursor, wait: POLL_WAIT, report, crashes };
             let reply = match client.call(&poll).await {
                 Ok(reply) => reply,
@@ -153,6 +154,9 @@
             cursor = reply.cursor;
             self.record_controls(reply.controls.clone());
             self.state.apply_reply(address, &reply);
+            if reply.has_leader {
+                self.state.streams.record_control_reply(asked_at, reply.history);
+            }
             if let Some(manifest) = &reply.settings {
                 offered_revision = manifest.revision;
                 self.offers.offer(manifest.clone(), address);
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -281,11 +281,10 @@
                 pool.pool.lock().set_entries(&self.cfg.name, &names);
             }
         }
-        if reply.has_leader {
-            self.streams.record_control_reply(reply.history);
-            if let (Some(table), Some(unchanged)) = (self.table(), reply.routes) {
-                self.streams.record_unchanged_routes(table.revision, unchanged);
-            }
+        if reply.has_leader
+            && let (Some(table), Some(unchanged)) = (self.table(), reply.routes)
+        {
+            self.streams.record_unchanged_routes(table.revision, unchanged);
         }
         if let Some(totals) = &reply.totals {
             self.apply_totals(now, from, totals);
--- a/daemons/gateway/src/streams.rs
+++ b/daemons/gateway/src/streams.rs
@@ -4,11 +4,12 @@
 //! `docs/design/streams.md` describes what is weighed. [`sill_dispatch::streams`] decides; this
 //! module sends and answers the calls between entry instances.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use futures_util::{FutureExt, StreamExt};
 use parking_lot::Mutex;
 use prometheus::{IntCounter, IntCounterVec, IntGauge};
 use sill_base::{Clock, Map, Millis, Name, Secret, event};
@@ -17,16 +18,17 @@
     decide, holders, is_single,
 };
 use sill_dispatch::{
-    AccountEntry, OriginServices, Placement, RouteEntry, RouteHistory, RouteTable,
+    AccountEntry, Inquiry, OriginServices, Placement, RouteEntry, RouteHistory, RouteTable,
 };
 use sill_net::{PeerClient, PeerError, PeerServerBuilder};
 use sill_wire::RequestKey;
 use sill_wire::control::Revision;
 use sill_wire::link::UnchangedRoutes;
 use sill_wire::streams::{
-    EntryPeer, FindStream, FindStreamReply, RecordStreams, RecordStreamsReply, StreamOrigin,
-    VersionView,
+    ConfirmVersions, ConfirmVersionsReply, EntryPeer, FindStream, FindStreamReply, RecordStreams,
+    RecordStreamsReply, StreamOrigin, VersionView,
 };
+use tokio::net::TcpStream;
 use tokio::sync::{Notify, Semaphore};
 
 use crate::cfg::GatewayCfg;
@@ -66,6 +68,7 @@
 pub struct Streams {
     clock: Clock,
     name: Name,
+    domain: Name,
     key: Secret,
     origins: Mutex<StreamOrigins>,
     history: Mutex<VersionHistory>,
@@ -100,7 +103,10 @@
         lists.flatten().for_each(|peer| _ = by_name.insert(&peer.entry, peer));
         let mut all: Vec<EntryPeer> = by_name.into_values().cloned().collect();
         all.sort();
-        self.clients.retain(|address, _| all.iter().any(|peer| peer.address == *address));
+        let by_control = &self.by_control;
+        self.clients.retain(|address, _| {
+            by_control.contains_key(address) || all.iter().any(|peer| peer.address == *address)
+        });
         let before = std::mem::replace(&mut self.all, all);
         let is_known = |peer: &&EntryPeer| {
             let is_same = |other: &EntryPeer| {
@@ -123,15 +129,27 @@
     /// Number of instances that were asked, and that replied.
     asked: usize,
     replied: usize,
+    /// Whether one replied that would know the stream, and a control instance confirmed the versions.
+    has_holder_replied: bool,
+    is_confirmed: bool,
     view: VersionView,
 }
 
+/// The reply of another instance about a stream.
+enum Reply {
+    Entry(Name, Result<FindStreamReply, PeerError>),
+    /// The entry instance's process has ended.
+    Ended(Name),
+    Control(Result<ConfirmVersionsReply, PeerError>),
+}
+
 impl Streams {
     /// Creates the record of an instance that carries no streams yet.
     pub fn new(cfg: &GatewayCfg, clock: Clock, metrics: &Metrics) -> Self {
         Self {
             clock,
             name: cfg.name.clone(),
+            domain: cfg.domain.clone(),
             key: cfg.cluster_key.clone(),
             origins: Mutex::default(),
             history: Mutex::default(),
@@ -146,9 +164,12 @@
         }
     }
 
-    /// Records a reply of a control instance that is in contact with a leader.
-    pub fn record_control_reply(&self, history: Millis) {
-        self.history.lock().record_reply(self.clock.now(), history);
+    /// Records a reply, asked for at `asked_at`, of a control instance that is in contact with a
+    /// leader.
+    pub fn record_control_reply(&self, asked_at: Millis, history: Millis) {
+        // The instance may have stood still between the reply and now.
+        let history = history - (self.clock.now() - asked_at);
+        self.history.lock().record_reply(asked_at, history);
     }
 
     /// Records that newer settings are put in force in place of `before`.
@@ -216,10 +237,15 @@
         RecordStreamsReply { new }
     }
 
+    /// Returns the instances that keep a stream, this one among them.
+    fn holders_with_own(&self, stream: RequestKey, count: usize) -> Vec<EntryPeer> {
+        holders(stream, &self.peers.lock().all, count).into_iter().cloned().collect()
+    }
+
     fn holders(&self, stream: RequestKey, count: usize) -> Vec<EntryPeer> {
-        let peers = self.peers.lock();
-        let chosen = holders(stream, &peers.all, count).into_iter();
-        chosen.filter(|peer| peer.entry != self.name).cloned().collect()
+        let mut chosen = self.holders_with_own(stream, count);
+        chosen.retain(|peer| peer.entry != self.name);
+        chosen
     }
 
     /// Returns clients of other entry instances, which are drawn by a key, and as far as possible of
@@ -291,45 +317,80 @@
         }
     }
 
-    /// Asks other instances for a stream.
+    /// Asks other instances for a stream, and control instances whether its services and versions are
+    /// still those that are known here. `is_named` is unset if the caller hasn't named the stream.
     async fn look_up(
         &self,
-        stream: RequestKey,
+        (stream, is_named): (RequestKey, bool),
         origins: &OriginServices,
-        own: VersionView,
+        (revision, own): (u64, VersionView),
     ) -> Lookup {
-        let mut lookup = Lookup { decision: TakeUp::Unknown, asked: 0, replied: 0, view: own };
-        let Ok(_permit) = self.lookups.try_acquire() else { return lookup };
-        let call = FindStream { stream, services: origins.services.clone() };
-        let mut replies = FuturesUnordered::new();
-        for peer in self.holders(stream, ASKED) {
-            let client = self.peers.lock().client(peer.address, &self.key);
-            let call = &call;
-            replies.push(async move { (peer.entry, client.call(call).await) });
-        }
-        lookup.asked = replies.len();
-        let mut known = None;
-        let deadline = tokio::time::sleep(LOOKUP_TIMEOUT.into());
-        tokio::pin!(deadline);
-        while known.is_none() {
-            let (from, reply) = tokio::select! {
-                reply = replies.next() => match reply {
-                    Some(reply) => reply,
+        let asked = self.holders_with_own(stream, ASKED);
+        let may_conclude = origins.is_single() && own.versions.len() == 1;
+        let mut inquiry = Inquiry::new(&self.name, &self.domain, &asked, own);
+        let (mut asked_count, mut replied) = (0, 0);
+        if let Ok(_permit) = self.lookups.try_acquire() {
+            let find = FindStream { stream, services: origins.services.clone() };
+            let confirm = ConfirmVersions { services: origins.services.clone() };
+            let (find, confirm) = (&find, &confirm);
+            let mut replies = FuturesUnordered::new();
+            for peer in asked.into_iter().filter(|peer| peer.entry != self.name) {
+                let client = self.peers.lock().client(peer.address, &self.key);
+                let reply = async move {
+                    let reply = client.call(find).await;
+                    let is_unreachable = matches!(reply, Err(PeerError::Unreachable(_)));
+                    match is_unreachable && refuses_connections(peer.address).await {
+                        true => Reply::Ended(peer.entry),
+                        false => Reply::Entry(peer.entry, reply),
+                    }
+                };
+                replies.push(reply.boxed());
+            }
+            asked_count = replies.len();
+            let controls: Vec<PeerClient> = if may_conclude { self.controls() } else { Vec::new() };
+            for client in controls {
+                let reply = async move { Reply::Control(client.call(confirm).await) };
+                replies.push(reply.boxed());
+            }
+            let deadline = tokio::time::sleep(LOOKUP_TIMEOUT.into());
+            tokio::pin!(deadline);
+            while inquiry.known().is_none() {
+                let reply = tokio::select! {
+                    reply = replies.next() => reply,
+                    () = &mut deadline => None,
+                };
+                match reply {
                     None => break,
-                },
-                () = &mut deadline => break,
-            };
-            let Ok(FindStreamReply { origin, view }) = reply else { continue };
-            lookup.replied += 1;
-            lookup.view = combine_views([lookup.view, view]);
-            known = origin.map(|origin| KnownStream { origin, from: Some(from) });
+                    Some(Reply::Entry(from, Ok(mut reply))) => {
+                        replied += 1;
+                        reply.origin = reply.origin.filter(|_| is_named);
+                        inquiry.record_reply(&from, reply);
+                    }
+                    Some(Reply::Ended(of)) => inquiry.record_end(&of),
+                    Some(Reply::Control(Ok(reply))) => inquiry.record_confirmation(revision, reply),
+                    Some(Reply::Entry(_, Err(_)) | Reply::Control(Err(_))) => {}
+                }
+            }
         }
-        drop(replies);
-        if let Some(KnownStream { origin, from: Some(from) }) = &known {
+        let decision = inquiry.decide(origins);
+        if let TakeUp::Known(KnownStream { origin, from: Some(from) }) = &decision {
             self.origins.lock().record_replica(self.clock.now(), origin, from);
         }
-        lookup.decision = decide(known, origins, [lookup.view.clone()]);
-        lookup
+        Lookup {
+            decision,
+            asked: asked_count,
+            replied,
+            has_holder_replied: inquiry.has_holder_replied(),
+            is_confirmed: inquiry.is_confirmed(),
+            view: inquiry.view().clone(),
+        }
+    }
+
+    /// Returns clients of the control instances that are followed.
+    fn controls(&self) -> Vec<PeerClient> {
+        let mut peers = self.peers.lock();
+        let addresses: Vec<SocketAddr> = peers.by_control.keys().copied().collect();
+        addresses.into_iter().map(|address| peers.client(address, &self.key)).collect()
     }
 }
 
@@ -385,17 +446,22 @@
         route: &RouteEntry,
         path: &str,
     ) -> TakeUp {
+        let revision = self.table().map_or(0, |table| table.revision);
         let origins = self.origin_services(route, path);
         let own = self.version_view(&origins.services);
-        let stream = head.resumes.as_ref().map(|first| stream_key(account, head, path, first));
+        let named = head.resumes.as_ref().map(|first| stream_key(account, head, path, first));
         let known =
-            stream.and_then(|stream| self.streams.origins.lock().find(self.clock.now(), stream));
-        let lookup = match (stream, known) {
-            (Some(stream), None) => self.streams.look_up(stream, &origins, own).await,
-            (_, known) => {
-                let decision = decide(known, &origins, [own.clone()]);
-                Lookup { decision, asked: 0, replied: 0, view: own }
-            }
+            named.and_then(|stream| self.streams.origins.lock().find(self.clock.now(), stream));
+        let lookup = if known.is_some() {
+            let decision = decide(known, &origins, [own.clone()]);
+            let (asked, replied) = (0, 0);
+            let (has_holder_replied, is_confirmed) = (false, false);
+            Lookup { decision, asked, replied, has_holder_replied, is_confirmed, view: own }
+        } else {
+            // Without a name, others still tell of versions.
+            let of_call = || stream_key(account, head, path, &head.attempt);
+            let stream = (named.unwrap_or_else(of_call), named.is_some());
+            self.streams.look_up(stream, &origins, (revision, own)).await
         };
         let lookup = Lookup { decision: self.doubt_ambiguous(lookup.decision), ..lookup };
         self.log_take_up(head, route, &origins, &lookup);
@@ -419,7 +485,8 @@
         origins: &OriginServices,
         lookup: &Lookup,
     ) {
-        let Lookup { decision, asked, replied, view } = lookup;
+        let Lookup { decision, asked, replied, has_holder_replied, is_confirmed, view } = lookup;
+        let control_age = self.streams.history.lock().age(self.clock.now());
         let (result, software, known) = match decision {
             TakeUp::Known(known) => ("known", Some(&known.origin.software), Some(known)),
             TakeUp::Single(software) => ("single", Some(software), None),
@@ -446,7 +513,10 @@
             versions = versions.join(","),
             is_complete = view.is_complete,
             asked = asked,
-            replied = replied
+            replied = replied,
+            has_holder_replied = has_holder_replied,
+            is_confirmed = is_confirmed,
+            control_age_ms = control_age.map(|age| age.to_string()).unwrap_or_default()
         );
     }
 
@@ -464,6 +534,13 @@
     }
 }
 
+/// Returns whether the host of an address lives and no process listens there. A cut, or a process that
+/// stands still, refuses nothing.
+async fn refuses_connections(address: SocketAddr) -> bool {
+    let connection = TcpStream::connect(address).await;
+    connection.is_err_and(|err| err.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Returns the key of the stream that an attempt began. Other accounts, hosts and paths have other
 /// keys, so that no caller can name the stream of another one.
 fn stream_key(
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -34,7 +34,7 @@
 };
 use sill_wire::rollout::ServiceVersions;
 use sill_wire::settings::PiecesRequest;
-use sill_wire::streams::EntryPeer;
+use sill_wire::streams::{ConfirmVersions, ConfirmVersionsReply, EntryPeer};
 use sill_wire::{CrashUpdate, Incarnation};
 use tokio::runtime::Runtime;
 
@@ -445,6 +445,17 @@
             };
             answer(poll, reply, has_settings)
         });
+        let (facts_confirmed, has_leader_confirmed) = (facts.clone(), has_leader.clone());
+        peers.answer(move |call: ConfirmVersions| {
+            let facts = facts_confirmed.lock();
+            let of_call = facts.iter().filter(|fact| call.services.contains(&fact.service));
+            let reply = ConfirmVersionsReply {
+                has_leader: has_leader_confirmed.load(Ordering::Relaxed),
+                versions: of_call.map(|fact| fact.software.clone()).collect(),
+                revision: Some(Revision(1)),
+            };
+            async move { Ok(reply) }
+        });
         let pieces = SettingsPieces::of(1, &document());
         peers.answer(move |req: PiecesRequest| {
             let reply = pieces.reply(&req);
--- a/daemons/sill/tests/system/serving.rs
+++ b/daemons/sill/tests/system/serving.rs
@@ -8,6 +8,7 @@
 use sill_wire::{Announcement, Incarnation, Load, Role, Servable};
 
 use crate::harness::{CALLER_KEY, Folder, Program, free_addresses, http, wait_until};
+use crate::links::Links;
 
 /// The host of all routes.
 pub const HOST: &str = "desk.example";
@@ -31,6 +32,8 @@
     addresses: Vec<SocketAddr>,
     gateway_count: usize,
     per_domain: usize,
+    /// Proxies between the processes, if the test cuts them.
+    pub links: Option<Links>,
     pub folder: Folder,
 }
 
@@ -67,12 +70,20 @@
             addresses,
             gateway_count: gateways,
             per_domain,
+            links: None,
             folder,
         };
         serving.put_settings("first", &document(is_engine, &[SERVICE]));
         serving
     }
 
+    /// Puts proxies between entry instances, and from them to the control instance. No entry instance
+    /// runs yet.
+    pub fn add_links(&mut self) {
+        let peers = free_addresses(self.gateway_count);
+        self.links = Some(Links::start(self.addresses[1], &peers));
+    }
+
     /// Starts all entry instances and waits until they are ready.
     pub fn start_gateways(&mut self) {
         self.gateways = (0..self.gateway_count).map(|i| self.start_gateway(i)).collect();
@@ -84,14 +95,19 @@
         let own = &self.addresses[first..first + GATEWAY_ADDRESSES];
         let (listen, ready, metrics) = (own[0].to_string(), own[1].to_string(), own[2].to_string());
         let (name, key) = (format!("g{i}"), self.folder.file("cluster-key"));
-        let control = self.addresses[1].to_string();
+        let links = self.links.as_ref();
+        let control = links.map_or(self.addresses[1], |links| links.control(i)).to_string();
+        let peer = links.map(|links| links.peer(i).to_string());
+        let listen_peer = peer.as_ref().map_or(vec![], |peer| vec!["--listen-peer", peer]);
         let domain = ["a", "b", "c"][i / self.per_domain];
         let args = ["gateway", "--name", &name, "--domain", domain, "--listen", &listen];
         let more = ["--listen-ready", &ready, "--listen-metrics", &metrics];
         let source = gateway_source(i).to_string();
         let keys = ["--connect-from", &source, "--control", &control, "--cluster-key-file", &key];
-        self.folder
-            .start_logged(&format!("{name}.log"), &[&args[..], &more[..], &keys[..]].concat())
+        self.folder.start_logged(
+            &format!("{name}.log"),
+            &[&args[..], &more[..], &keys[..], &listen_peer[..]].concat(),
+        )
     }
 
     /// Has the routes draw from these services only; `change` is different for each call.
--- a/protocol/wire/src/streams.rs
+++ b/protocol/wire/src/streams.rs
@@ -8,6 +8,7 @@
 
 use crate::announce::Incarnation;
 use crate::call::Call;
+use crate::control::Revision;
 use crate::request_key::RequestKey;
 use crate::software::Software;
 
@@ -90,6 +91,27 @@
     pub view: VersionView,
 }
 
+/// Asks a control instance for the software versions of services, before a stream of theirs that nobody
+/// knows is continued.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfirmVersions {
+    /// The services.
+    pub services: Vec<Name>,
+}
+
+/// The reply to [`ConfirmVersions`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfirmVersionsReply {
+    /// Whether a leader has confirmed since the call that it leads.
+    #[serde(rename = "is_led")]
+    pub has_leader: bool,
+    /// The versions of the services' endpoints, as far as they are registered, each once.
+    pub versions: Vec<Software>,
+    /// The newest revision of the served settings.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<Revision>,
+}
+
 impl Call for RecordStreams {
     type Reply = RecordStreamsReply;
 
@@ -101,3 +123,9 @@
 
     const METHOD: &'static str = "find_stream";
 }
+
+impl Call for ConfirmVersions {
+    type Reply = ConfirmVersionsReply;
+
+    const METHOD: &'static str = "confirm_versions";
+}
