--- a/coordination/dispatch/tests/take_ups_in_cuts.rs
+++ b/coordination/dispatch/tests/take_ups_in_cuts.rs
@@ -93,6 +93,8 @@
     IntoFault,
     /// From any instance, that may be dead, to one in step.
     InStep,
+    /// From an instance that is out of step, which alone hears the news, to one in step.
+    OutOfFault,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -264,14 +266,15 @@
             if self.round_trip(own, leader) {
                 self.led_at[k] = self.now;
             }
+            let first = if self.case.way == Way::OutOfFault { 0 } else { 2 };
             let lag = match k {
-                2 => Millis::ZERO,
+                _ if k == first => Millis::ZERO,
                 LEADER => NEWS_TO_LEADER,
                 _ => NEWS_TO_OTHERS,
             };
             let is_due = self.case.change != Change::None && self.now >= self.case.changes_at + lag;
             if is_due && !self.control_knows[k] {
-                self.control_knows[k] = self.round_trip(Node::Control(2), own);
+                self.control_knows[k] = self.round_trip(Node::Control(first), own);
             }
         }
     }
@@ -347,6 +350,7 @@
         let may_begin = |i: &usize| match self.case.way {
             Way::IntoFault => !self.is_out(Node::Entry(*i)) && self.entries[*i].knows_change,
             Way::InStep => !is_new,
+            Way::OutOfFault => self.is_out(Node::Entry(*i)) && self.entries[*i].knows_change,
         };
         let able: Vec<usize> = (0..self.case.entries).filter(may_begin).collect();
         let ends: Vec<usize> = (0..self.case.entries)
@@ -533,13 +537,13 @@
 const SIZES: [usize; 3] = [3, 14, 90];
 
 /// Plays a fault with all numbers of entry instances; returns the cases with joined streams.
-fn joined(change: Change, fault: Fault, out: Out, lasts: u64) -> Vec<String> {
+fn joined(change: Change, fault: Fault, (out, way): (Out, Way), lasts: u64) -> Vec<String> {
     let cases = SIZES.map(|entries| Case {
         entries,
         change,
         fault,
         out,
-        way: Way::IntoFault,
+        way,
         changes_at: Millis::ZERO,
         fault_ends_at: CUT_AT + Millis(lasts),
     });
@@ -555,24 +559,27 @@
     assert!(joined.is_empty(), "{}", joined.join("\n"));
 }
 
+const ONE: (Out, Way) = (Out::One, Way::IntoFault);
+const DOMAIN: (Out, Way) = (Out::Domain, Way::IntoFault);
+
 const CUTS: [Fault; 4] = [Fault::Both, Fault::Outbound, Fault::Inbound, Fault::Lossy];
 
 /// An instance is cut off, and takes what it heard last for what is true.
 #[test]
 fn streams_of_a_new_version_are_not_joined_at_an_instance_that_is_cut_off() {
-    check(CUTS.iter().flat_map(|cut| joined(Change::Version, *cut, Out::One, 3000)).collect());
+    check(CUTS.iter().flat_map(|cut| joined(Change::Version, *cut, ONE, 3000)).collect());
 }
 
 /// The same with a route that moves.
 #[test]
 fn streams_of_a_new_service_are_not_joined_at_an_instance_that_is_cut_off() {
-    check(CUTS.iter().flat_map(|cut| joined(Change::Service, *cut, Out::One, 3000)).collect());
+    check(CUTS.iter().flat_map(|cut| joined(Change::Service, *cut, ONE, 3000)).collect());
 }
 
 /// Instances that are cut off together, with a control instance, confirm each other's belief.
 #[test]
 fn streams_are_not_joined_in_a_failure_domain_that_is_cut_off() {
-    let of = |change| CUTS.iter().flat_map(move |cut| joined(change, *cut, Out::Domain, 3000));
+    let of = |change| CUTS.iter().flat_map(move |cut| joined(change, *cut, DOMAIN, 3000));
     check([Change::Version, Change::Service].into_iter().flat_map(of).collect());
 }
 
@@ -581,7 +588,7 @@
 fn streams_are_not_joined_at_instances_that_stood_still() {
     let mut all = Vec::new();
     for change in [Change::Version, Change::Service] {
-        for out in [Out::One, Out::Half, Out::Domain] {
+        for out in [ONE, (Out::Half, Way::IntoFault), DOMAIN] {
             for lasts in [600, 1300, 2500] {
                 all.extend(joined(change, Fault::Standstill, out, lasts));
             }
@@ -590,6 +597,12 @@
     check(all);
 }
 
+/// A version joins in a failure domain that is cut off, and nobody outside knows it.
+#[test]
+fn streams_of_a_version_that_joins_in_a_cut_domain_are_not_joined_outside() {
+    check(joined(Change::Version, Fault::Both, (Out::Domain, Way::OutOfFault), 3000));
+}
+
 /// With nothing new, take-ups are refused although only one version can have begun them.
 #[test]
 fn streams_of_a_single_version_go_on_at_instances_in_step() {
