Gateway: a stream is read on while another endpoint is tried on a lost path

Callers saw streams that end in the middle after a 200. A stream that may be resumed was given up as soon as the path to its endpoint was taken for lost: its connection was closed, and if no other endpoint continued it (none left, silent, refused, broke off) it was cut, also if its next event was on the way.

The old connection is now read on while another endpoint is asked. Whichever sends an event first goes on, from the last event that the caller has; the other connection is closed, so no event comes twice and no two runs are joined. A try that fails leaves the stream as it was; the next one is a second later, takes a retry from the budget and counts towards the route's attempts.

--- a/coordination/dispatch/src/events.rs
+++ b/coordination/dispatch/src/events.rs
@@ -11,7 +11,7 @@
 /// An endpoint may fail in the middle of an event. A part that was already forwarded cannot be
 /// taken back, and the next endpoint resumes with a complete event, so the caller would read two
 /// halves as one event.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct EventTracker {
     scanner: EventScanner,
     holds_back: bool,
@@ -102,7 +102,7 @@
 ///
 /// Lines end with LF, CR LF or CR. A line that starts with a colon is a comment; any other line
 /// that is not blank is a field of an event, and a blank line ends the event.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 struct EventScanner {
     line: Line,
     in_event: bool,
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -574,6 +574,14 @@
         }
     }
 
+    /// Waits for `pause`, and then until that path is lost.
+    pub fn wait_until_still_stuck(&self, pause: Millis) -> BoxFuture<'static, ()> {
+        match &self.exchange {
+            Some(exchange) => exchange.wait_until_still_stuck(pause),
+            None => Box::pin(std::future::pending()),
+        }
+    }
+
     /// Returns whether the endpoint has announced that it leaves.
     pub fn is_endpoint_leaving(&self) -> bool {
         self.call.pool.pool.lock().is_leaving(&self.placement.endpoint)
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -1047,6 +1047,15 @@
         let (egress, address) = (self.egress.clone(), self.address);
         Box::pin(async move { egress.wait_until_stuck(address).await })
     }
+
+    /// Waits for `pause`, and then until the path is lost.
+    pub fn wait_until_still_stuck(&self, pause: Millis) -> BoxFuture<'static, ()> {
+        let stuck = self.wait_until_stuck();
+        Box::pin(async move {
+            tokio::time::sleep(pause.into()).await;
+            stuck.await;
+        })
+    }
 }
 
 impl Drop for Exchange {
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -27,6 +27,7 @@
 use crate::egress::Destination;
 use crate::failure::Failure;
 use crate::migration::RunMigration;
+use crate::rival::{Rival, RivalEnd};
 use crate::serve::Call;
 use crate::state::State;
 use crate::summary::{CallSummary, StreamEnd};
@@ -37,6 +38,9 @@
 /// stream is held back meanwhile.
 const STREAM_END_WAIT: Millis = Millis(100);
 
+/// Least time between two tries of other endpoints while a path is lost.
+const RIVAL_INTERVAL: Millis = Millis(1000);
+
 /// The body of an answer while it is relayed to the caller.
 pub struct Relay {
     state: Arc<State>,
@@ -44,6 +48,8 @@
     summary: CallSummary,
     progress: CallProgress,
     source: Source,
+    /// Another endpoint that is tried while the path to the present one is lost.
+    rival: Option<Rival>,
     /// Tracks the events of a stream; none for other answers.
     events: Option<EventTracker>,
     /// Whether another endpoint may continue the answer.
@@ -63,6 +69,9 @@
     pending_error: Option<BodyError>,
 }
 
+/// A stream that another endpoint is asked to continue.
+pub type Continuation = BoxFuture<'static, Result<EndpointAnswer, NotResumed>>;
+
 // One exists per call, so its size doesn't matter.
 #[allow(clippy::large_enum_variant)]
 /// Where the next part of the answer comes from.
@@ -70,14 +79,14 @@
     /// The answer of an endpoint.
     Endpoint(EndpointAnswer),
     /// A resumed stream, whose endpoint has not answered yet.
-    Resuming(BoxFuture<'static, Result<EndpointAnswer, NotResumed>>),
+    Resuming(Continuation),
     /// No more parts follow.
     Ended,
 }
 
 /// Why a stream was not resumed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum NotResumed {
+pub enum NotResumed {
     /// The call was sent to no endpoint.
     NotSent,
     /// An endpoint that the call was sent to did not continue the stream.
@@ -187,6 +196,7 @@
             summary,
             progress,
             source: Source::Endpoint(answer),
+            rival: None,
             events,
             may_resume,
             software: call.software.clone(),
@@ -311,6 +321,7 @@
 
     /// Completes the call: the endpoint's answer is complete.
     fn finish(&mut self) {
+        self.rival = None;
         if let Source::Endpoint(mut answer) = std::mem::replace(&mut self.source, Source::Ended) {
             answer.attempt.finish(Outcome::Finished);
             answer.attempt.end_answer(AnswerEnd::Whole);
@@ -328,59 +339,151 @@
     /// Ends an attempt whose answer broke off, and resumes the stream elsewhere if allowed. Returns
     /// whether it does.
     fn try_resume(&mut self, reason: &dyn Display) -> bool {
-        let Source::Endpoint(mut answer) = std::mem::replace(&mut self.source, Source::Ended)
-        else {
+        let Source::Endpoint(answer) = std::mem::replace(&mut self.source, Source::Ended) else {
             return false;
         };
+        let endpoint = answer.attempt.placement.endpoint.clone();
+        self.abandon(answer, reason);
+        if let Some(rival) = self.rival.take() {
+            self.follow(rival);
+            return true;
+        }
+        self.progress.time_left = self.call.due - self.state.clock.now();
+        let refusal = self.refusal();
+        self.progress.record(AttemptOutcome::Unknown);
+        if !self.may_resume {
+            return false;
+        }
+        let Some(events) = &mut self.events else { return false };
+        events.restart();
+        if let Some(why) = refusal {
+            event!(Warn, "stream_not_resumed", id = self.call.head.attempt, why = why);
+            return false;
+        }
+        self.source = Source::Resuming(self.continuation(&endpoint));
+        true
+    }
+
+    /// Ends an attempt whose answer broke off.
+    fn abandon(&mut self, mut answer: EndpointAnswer, reason: &dyn Display) {
         answer.attempt.finish(Outcome::Failed);
         answer.attempt.record_broken_answer(answer.began_at);
         answer.attempt.end_broken();
         self.record_stream_end();
         self.summary.set_outcome("cut");
-        let (id, endpoint) = (&self.call.head.attempt, &answer.attempt.placement.endpoint);
-        let request = self.call.request_key();
         event!(
             Warn,
             "answer_cut",
-            id = id,
-            endpoint = endpoint,
-            request = request,
+            id = self.call.head.attempt,
+            endpoint = answer.attempt.placement.endpoint,
+            request = self.call.request_key(),
             parts = self.call.shared_parts,
             why = reason
         );
-        self.progress.time_left = self.call.due - self.state.clock.now();
+    }
+
+    /// Returns why the stream must not be sent to another endpoint; takes a retry if it may be.
+    fn refusal(&self) -> Option<&'static str> {
         let is_resumable = self.call.route.route.kind.may_repeat();
         let next = self.progress.next_step(AttemptOutcome::Unknown);
-        self.progress.record(AttemptOutcome::Unknown);
-        let Some(events) = self.events.as_mut().filter(|_| self.may_resume) else { return false };
-        events.restart();
         // A stream that has started is resumed even if it may outlast the process: otherwise it
         // would be cut now. One without a first event can still be answered with a failure, and its
         // caller may retry elsewhere.
         let has_time = self.has_begun || dispatch::has_time_for_attempt(&self.state, &self.call);
         let is_blocked = dispatch::is_blocked(&self.state, &self.call);
-        let may_retry_elsewhere =
-            is_resumable && next == NextStep::Retry && has_time && !is_blocked;
-        let refusal = match may_retry_elsewhere {
-            false => Some("it may not be repeated"),
-            true if !self.state.may_retry(&self.call.pool.service) => Some("retry budget used up"),
-            true => None,
-        };
-        if let Some(why) = refusal {
-            event!(Warn, "stream_not_resumed", id = id, why = why);
-            return false;
+        if !self.may_resume || !is_resumable || next != NextStep::Retry || !has_time || is_blocked {
+            return Some("it may not be repeated");
         }
-        let last_event = events.last_id().map(str::to_owned);
-        let (state, call) = (self.state.clone(), self.call.clone());
-        let (progress, failed_endpoint) = (self.progress, endpoint.clone());
-        let resumption = Resumption { last_event, memory: None };
-        let software = match call.pool.pool.lock().is_ambiguous(&failed_endpoint) {
+        (!self.state.may_retry(&self.call.pool.service)).then_some("retry budget used up")
+    }
+
+    /// Has another endpoint continue the stream after the events that the caller has.
+    fn continuation(&self, failed_endpoint: &Name) -> Continuation {
+        let events = self.events.as_ref();
+        let last_event = events.and_then(|events| events.last_id().map(str::to_owned));
+        let software = match self.call.pool.pool.lock().is_ambiguous(failed_endpoint) {
             true => Some(Software::AMBIGUOUS),
             false => self.software.clone(),
         };
-        let resume_future = resume(state, call, progress, failed_endpoint, software, resumption);
-        self.source = Source::Resuming(Box::pin(resume_future));
-        true
+        Box::pin(resume(
+            self.state.clone(),
+            self.call.clone(),
+            self.progress,
+            failed_endpoint.clone(),
+            software,
+            Resumption { last_event, memory: None },
+        ))
+    }
+
+    /// Tries another endpoint while the connection to the present one is read on.
+    fn start_rival(&mut self) {
+        let Source::Endpoint(answer) = &self.source else { return };
+        let endpoint = answer.attempt.placement.endpoint.clone();
+        self.progress.time_left = self.call.due - self.state.clock.now();
+        if self.refusal().is_some() {
+            return;
+        }
+        let Some(mut events) = self.events.clone() else { return };
+        events.restart();
+        self.progress.record(AttemptOutcome::Unknown);
+        event!(Info, "stream_tried_elsewhere", id = self.call.head.attempt, endpoint = endpoint);
+        self.rival = Some(Rival::new(self.continuation(&endpoint), events));
+    }
+
+    /// Lets another endpoint continue the stream, which has not sent an event yet.
+    fn follow(&mut self, rival: Rival) {
+        let (continuation, events) = rival.into_parts();
+        self.events = Some(events);
+        match continuation {
+            Ok(answer) => self.begin_continuation(answer),
+            Err(continuation) => self.source = Source::Resuming(continuation),
+        }
+    }
+
+    fn begin_continuation(&mut self, answer: EndpointAnswer) {
+        self.summary.record_resume(&answer.attempt.placement);
+        self.summary.set_framing(answer.framing);
+        self.summary.set_via(answer.attempt.via());
+        if is_movable(&self.call) {
+            self.migration = RunMigration::of(&answer.attempt);
+        }
+        self.source = Source::Endpoint(answer);
+    }
+
+    /// Tries other endpoints while the path to the present one is lost, and goes on at one that sends
+    /// an event first. A silence ends no answer: its connection may be sound.
+    fn poll_rival(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+        loop {
+            if let Some(rival) = &mut self.rival {
+                match ready!(rival.poll(cx)) {
+                    RivalEnd::Continued(data) => {
+                        let previous = std::mem::replace(&mut self.source, Source::Ended);
+                        if let Source::Endpoint(answer) = previous {
+                            self.abandon(answer, &"the network path to the endpoint is lost");
+                        }
+                        if let Some(rival) = self.rival.take() {
+                            self.follow(rival);
+                        }
+                        self.record_part(&data);
+                        return Poll::Ready(Some(Ok(data)));
+                    }
+                    RivalEnd::Failed(NotResumed::Sent) => self.summary.record_failed_resume(),
+                    RivalEnd::Failed(NotResumed::NotSent) => {
+                        self.progress.possible_runs -= 1;
+                        self.progress.record(AttemptOutcome::NotSent);
+                    }
+                }
+                self.rival = None;
+            }
+            let Source::Endpoint(answer) = &mut self.source else { return Poll::Pending };
+            ready!(Pin::new(&mut answer.stuck).poll(cx));
+            answer.stuck = answer.attempt.wait_until_still_stuck(RIVAL_INTERVAL).fuse();
+            if self.migration.is_copied() {
+                self.resume_after_migration();
+            } else if !self.migration.is_copying() {
+                self.start_rival();
+            }
+        }
     }
 
     /// Ends the answer as incomplete, with an error after the parts sent so far.
@@ -455,12 +558,7 @@
                 Poll::Pending => {
                     // An answer that can't be sent again may still arrive.
                     let may_repeat = self.may_resume && self.call.route.route.kind.may_repeat();
-                    if !may_repeat || Pin::new(&mut answer.stuck).poll(cx).is_pending() {
-                        return Poll::Pending;
-                    }
-                    let reason = "the network path to the endpoint is lost";
-                    self.end_truncated(cx, &reason, reason.into());
-                    return Poll::Pending;
+                    return if may_repeat { self.poll_rival(cx) } else { Poll::Pending };
                 }
             };
             match frame {
@@ -474,6 +572,7 @@
                     if data.is_empty() {
                         continue;
                     }
+                    self.rival = None;
                     self.record_part(&data);
                     return Poll::Ready(Some(Ok(data)));
                 }
@@ -515,13 +614,7 @@
         let Source::Resuming(resuming) = &mut self.source else { return Poll::Ready(Ok(())) };
         match ready!(resuming.as_mut().poll(cx)) {
             Ok(answer) => {
-                self.summary.record_resume(&answer.attempt.placement);
-                self.summary.set_framing(answer.framing);
-                self.summary.set_via(answer.attempt.via());
-                if is_movable(&self.call) {
-                    self.migration = RunMigration::of(&answer.attempt);
-                }
-                self.source = Source::Endpoint(answer);
+                self.begin_continuation(answer);
                 Poll::Ready(Ok(()))
             }
             Err(failure) => {
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -75,6 +75,9 @@
     /// Sends the first bytes and stops to listen, like an endpoint to which only open connections
     /// work; sends the others after a delay.
     AnswerInTwoAndRefuseOthers(String, Duration, String),
+    /// Sends the first bytes, and stops to listen once the flag is set; sends the others after a
+    /// delay.
+    AnswerInTwoAndRefuseOthersWhen(String, Arc<AtomicBool>, Duration, String),
     /// Sends nothing until the other side closes the connection.
     Hang,
 }
@@ -284,6 +287,16 @@
                 thread::sleep(pause);
                 let _ = stream.write_all(remainder.replace("{id}", &id).as_bytes());
             }
+            Action::AnswerInTwoAndRefuseOthersWhen(first, may_refuse, pause, remainder) => {
+                let _ = stream.write_all(first.replace("{id}", &id).as_bytes());
+                while !may_refuse.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(2));
+                }
+                let socket = socket2::SockRef::from(listener);
+                let _ = socket.shutdown(std::net::Shutdown::Both);
+                thread::sleep(pause);
+                let _ = stream.write_all(remainder.replace("{id}", &id).as_bytes());
+            }
             Action::AnswerAndClose(text) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
                 return;
