Gateway: an attempt on a lost path is waited for beside the next one

Callers of calls that may be repeated got 502, or 504 at their deadline, although the answer was on its way. A request in flight was dropped as soon as the path to its endpoint (or the instance that carries its tunnel) was taken for lost; if no other endpoint took the call, or that one was silent too, nothing was left to wait for. In a stop, where nothing is sent again that may outlast it, that was always so.

Such an attempt is now kept. The next one is made as before, within the same budget and number of attempts, and the caller gets the answer that begins first. A failure is sent once no attempt is left. The request of a resumption is waited for in the same way. What remains: a trial of a path that failed before is still given up after 300 ms, and retried in a tunnel.

Evidence: an_answer_is_waited_for_while_another_endpoint_is_tried, 20 cases (five kinds of other endpoint, silences of 1.2 and 2.6 s, in a stop and not).

--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -15,6 +15,7 @@
 use sill_rollout::AnswerEnd;
 use sill_route::{AdmittedEndpoints, Outcome, PoolView, RefusalReason};
 use sill_wire::{Load, Software};
+use tokio::sync::Notify;
 
 use crate::answer;
 use crate::crashes::{self, PROVEN_AFTER};
@@ -22,6 +23,7 @@
     AnswerClass, Forward, InvalidLimit, InvalidPause, LoadReport, MigratedMemory, ReportedLoad,
 };
 use crate::egress::{Destination, Exchange, SendError, SendOptions, Via};
+use crate::kept::KeptAttempts;
 use crate::pause_notice;
 use crate::rollouts::AnswerWatch;
 use crate::serve::Call;
@@ -62,6 +64,8 @@
     exchange: Option<Exchange>,
     /// Counts the answer for its version; none without a roll-out.
     watch: Option<AnswerWatch>,
+    /// Notified if its path is lost before the answer has begun.
+    stuck: Arc<Notify>,
     is_over: bool,
 }
 
@@ -129,45 +133,75 @@
     let mut progress =
         CallProgress::new(route.kind, route.max_attempts, call.due - call.received_at);
     let mut exclude = Vec::new();
+    let mut kept = KeptAttempts::default();
     state.count_request(&call.pool.service);
     loop {
         let now = state.clock.now();
         progress.time_left = call.due - now;
-        let placed = place_or_wait(state, call, &exclude, progress.attempts()).await;
+        let placed = tokio::select! {
+            biased;
+            Some(found) = kept.answer() => return Ok(summary.begin_answer(found, progress)),
+            placed = place_or_wait(state, call, &exclude, progress.attempts()) => placed,
+        };
         let attempt = match placed {
             Ok(attempt) => attempt,
-            Err(refusal) => return Err(summary.refuse(&progress, &refusal)),
+            Err(refusal) => match kept.answer().await {
+                Some(found) => return Ok(summary.begin_answer(found, progress)),
+                None => return Err(summary.refuse(&progress, &refusal)),
+            },
         };
         summary.record_send(&attempt.placement, state.clock.now());
         summary.add_wait(attempt.waited);
         exclude.push(attempt.placement.endpoint.clone());
-        let (outcome, is_trial) = match send_attempt(attempt, &progress, None).await {
-            AttemptResult::Answer(attempt, answer) => {
-                attempt.watch.iter().for_each(AnswerWatch::record_begun);
-                return Ok((attempt, answer, progress));
+        let stuck = attempt.stuck.clone();
+        let mut sending: BoxFuture<'static, AttemptResult> =
+            Box::pin(async move { send_attempt(attempt, &progress, None).await });
+        let result = tokio::select! {
+            biased;
+            Some(found) = kept.answer() => return Ok(summary.begin_answer(found, progress)),
+            result = &mut sending => Some(result),
+            () = stuck.notified() => None,
+        };
+        let (outcome, is_trial) = match result {
+            Some(AttemptResult::Answer(attempt, answer)) => {
+                return Ok(summary.begin_answer((attempt, answer), progress));
+            }
+            Some(AttemptResult::Failed(outcome)) => (outcome, false),
+            Some(AttemptResult::TrialFailed) => (AttemptOutcome::Unknown, true),
+            None => {
+                kept.push(&call.head.attempt, sending);
+                (AttemptOutcome::Unknown, false)
             }
-            AttemptResult::Failed(outcome) => (outcome, false),
-            AttemptResult::TrialFailed => (AttemptOutcome::Unknown, true),
         };
         if is_trial {
             exclude.pop();
         }
+        progress.time_left = call.due - state.clock.now();
         let mut next = progress.next_step(outcome);
         if next == NextStep::Retry && is_blocked(state, call) {
             next = progress.next_step_without_retry(outcome);
         }
-        if next == NextStep::Retry && !has_time_for_attempt(state, call) {
-            progress.record(outcome);
-            return Err(summary.end_without_retry(&progress));
-        }
+        let has_time = next != NextStep::Retry || has_time_for_attempt(state, call);
         // For an endpoint's own failure, the retry was taken when its answer was not relayed.
         let is_free =
             is_trial || matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Failed);
-        let takes_budget = next == NextStep::Retry && !is_free;
+        let takes_budget = has_time && next == NextStep::Retry && !is_free;
         if takes_budget && !state.may_retry(&call.pool.service) {
             next = progress.next_step_without_retry(outcome);
         }
         progress.record(outcome);
+        if next == NextStep::Retry && has_time {
+            continue;
+        }
+        if let Some(found) = kept.answer().await {
+            return Ok(summary.begin_answer(found, progress));
+        }
+        if next == NextStep::Retry {
+            return Err(summary.end_without_retry(&progress));
+        }
+        if kept.is_out_of_time() {
+            next = NextStep::TimedOut;
+        }
         if let Some(response) = summary.response_after(next, outcome) {
             return Err(response);
         }
@@ -286,6 +320,7 @@
                 name,
                 exchange,
                 watch,
+                stuck: Arc::default(),
                 is_over,
             })
         }
@@ -315,11 +350,14 @@
     let is_paused = || call.pool.pool.lock().is_paused(state.clock.now(), &endpoint, incarnation);
     let may_send = || !is_paused();
     let id = attempt.name.clone();
+    let stuck = attempt.stuck.clone();
+    let on_stuck = || stuck.notify_one();
     let options = SendOptions {
         id: &id,
         max_idle: max_idle(&call),
         may_send: &may_send,
         take_retry: &take_retry,
+        on_stuck: &on_stuck,
         may_repeat: progress.next_step(AttemptOutcome::Unknown) == NextStep::Retry,
         // A stream that can't be resumed at once is cut.
         may_try: resumption.is_none(),
@@ -546,6 +584,11 @@
         outcome
     }
 
+    /// Records that its answer is the one that the caller gets.
+    pub fn record_chosen(&self) {
+        self.watch.iter().for_each(AnswerWatch::record_begun);
+    }
+
     /// The shared state of the entry instance.
     pub fn state(&self) -> &Arc<State> {
         &self.state
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -4,6 +4,7 @@
 //! and retries stay with the entry instance that a call came to; the other one only passes bytes on.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
@@ -84,6 +85,8 @@
     pub may_send: &'a (dyn Fn() -> bool + Sync),
     /// Takes a retry from the budget of the service; returns false if it is used up.
     pub take_retry: &'a (dyn Fn() -> bool + Sync),
+    /// Called if the request can be sent again and its path is lost. Its answer is still waited for.
+    pub on_stuck: &'a (dyn Fn() + Sync),
 }
 
 /// Why a request has no answer.
@@ -347,7 +350,7 @@
         let exchange = self.begin(to, options, None);
         let target = Target { address: to.address, via: None };
         let sending = self.pool.send_kept(target, req, options.max_idle);
-        let req = match self.unless_stuck(to, options, sending).await? {
+        let req = match self.answered(to, options, sending).await {
             KeptOutcome::Answered(answer) => return Ok(exchange.answered(answer)),
             KeptOutcome::Unknown(reason) => return Err(SendFailure::Unknown(reason)),
             KeptOutcome::NoConnection(req) => req,
@@ -412,7 +415,7 @@
             let target = Target { address: to.address, via: Some(relay) };
             let exchange = self.begin(to, options, Some(via));
             let sending = self.pool.send_kept(target, req, options.max_idle);
-            match self.unless_relay_stuck(relay, options, sending).await? {
+            match self.answered_through(relay, options, sending).await {
                 KeptOutcome::Answered(answer) => return Ok(exchange.answered(answer)),
                 KeptOutcome::Unknown(reason) => {
                     self.record_broken_tunnel(relay);
@@ -443,7 +446,7 @@
         let exchange = self.begin(to, options, via);
         let sending = self.pool.send_on(connection, req);
         if let Some(relay) = relay {
-            return match self.unless_relay_stuck(relay, options, sending).await? {
+            return match self.answered_through(relay, options, sending).await {
                 Ok(answer) => Ok(exchange.answered(answer)),
                 Err(SendFailure::NotSent(reason)) => {
                     exchange.withdraw();
@@ -455,7 +458,7 @@
                 }
             };
         }
-        match self.unless_stuck(to, options, sending).await? {
+        match self.answered(to, options, sending).await {
             Ok(answer) => Ok(exchange.answered(answer)),
             Err(failure) => {
                 if matches!(failure, SendFailure::Unknown(_)) {
@@ -466,34 +469,27 @@
         }
     }
 
-    /// Waits for an answer unless the path is lost and the request can be sent again.
-    async fn unless_stuck<F>(
-        &self,
-        to: &Destination,
-        options: SendOptions<'_>,
-        sending: F,
-    ) -> Result<F::Output, SendFailure>
+    /// Waits for an answer, and says once if the path is lost.
+    async fn answered<F>(&self, to: &Destination, options: SendOptions<'_>, sending: F) -> F::Output
     where
         F: Future,
     {
-        let lost = self.wait_until_stuck(to.address);
-        answered_before(sending, options, lost, "the network path to the endpoint is lost").await
+        watched(sending, options, self.wait_until_stuck(to.address)).await
     }
 
-    /// Waits for an answer in a tunnel unless requests are answered through other relays only, and
-    /// this one can be sent again.
-    async fn unless_relay_stuck<F>(
+    /// Waits for an answer in a tunnel, and says once if requests are answered through other relays
+    /// only.
+    async fn answered_through<F>(
         &self,
         relay: SocketAddr,
         options: SendOptions<'_>,
         sending: F,
-    ) -> Result<F::Output, SendFailure>
+    ) -> F::Output
     where
         F: Future,
     {
         let is_stuck = || self.relays.lock().list.health.is_stuck(relay, options.is_engine);
-        let lost = self.wait_until(is_stuck);
-        answered_before(sending, options, lost, "requests in the tunnel are not answered").await
+        watched(sending, options, self.wait_until(is_stuck)).await
     }
 
     async fn wait_until_stuck(&self, address: SocketAddr) {
@@ -776,6 +772,7 @@
             is_engine: true,
             may_send: &|| true,
             take_retry: &|| false,
+            on_stuck: &|| {},
         };
         let sent = self.send(to, req, options).await;
         let (answer, exchange) = sent.map_err(|err| format!("{err:?}"))?;
@@ -959,25 +956,21 @@
     }
 }
 
-/// Waits for an answer, or until it can't be expected if the request can be sent again.
-async fn answered_before<F, S>(
-    sending: F,
-    options: SendOptions<'_>,
-    lost: S,
-    reason: &str,
-) -> Result<F::Output, SendFailure>
+/// Waits for an answer; calls `on_stuck` once `lost` resolves if the request can be sent again.
+async fn watched<F, S>(sending: F, options: SendOptions<'_>, lost: S) -> F::Output
 where
     F: Future,
     S: Future<Output = ()>,
 {
-    if !options.may_repeat {
-        return Ok(sending.await);
-    }
-    tokio::select! {
-        biased;
-        sent = sending => Ok(sent),
-        () = lost => Err(SendFailure::Unknown(reason.to_owned())),
+    let mut sending = pin!(sending);
+    if options.may_repeat {
+        tokio::select! {
+            biased;
+            sent = &mut sending => return sent,
+            () = lost => (options.on_stuck)(),
+        }
     }
+    sending.await
 }
 
 impl Exchange {
--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! The entry instance for routes: accepts callers' requests, sends them to endpoints of the route's
 //! service, and relays the answers byte for byte as they arrive.
 //!
-//! [`serve`] reads and admits a call, [`dispatch`] chooses an endpoint and sends the attempts, and
+//! [`serve`] reads and admits a call, [`dispatch`] chooses an endpoint and sends the attempts, `kept` holds those whose paths are lost, and
 //! [`answer`] and [`relay`] relay the answer, `rival` tries another endpoint beside it. [`migration`] moves runs off reclaimed engines.
 //! [`link`] polls the control instances, and [`settings_fetcher`] fetches settings from them.
 //! [`egress`] sends requests to endpoints, and [`tunnels`] carries those of entry instances that do not reach them.
@@ -20,6 +20,7 @@
 pub mod egress;
 pub mod endpoint_check;
 pub mod failure;
+mod kept;
 pub mod link;
 pub mod metrics;
 pub mod migration;
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -5,12 +5,12 @@
 use http::Response;
 use sill_base::{Millis, Name};
 use sill_dispatch::{AttemptOutcome, CallProgress, NextStep, Placement};
-use sill_net::h1::{AnyBody, Framing};
+use sill_net::h1::{Answer, AnyBody, Framing};
 use sill_route::PoolView;
 use sill_tree::RouteKind;
 use sill_wire::{ErrorCode, Software};
 
-use crate::dispatch::PlacementRefusal;
+use crate::dispatch::{Attempt, PlacementRefusal};
 use crate::egress::Via;
 use crate::failure::Failure;
 use crate::serve::{Call, RETRY_ELSEWHERE_AFTER};
@@ -104,6 +104,18 @@
         self.reason.clone_from(&placement.reason);
     }
 
+    /// Records the attempt whose answer the caller gets.
+    pub fn begin_answer(
+        &mut self,
+        (attempt, answer): (Attempt, Answer),
+        progress: CallProgress,
+    ) -> (Attempt, Answer, CallProgress) {
+        attempt.record_chosen();
+        let Placement { endpoint, software, .. } = &attempt.placement;
+        (self.endpoint, self.software) = (endpoint.clone(), software.clone());
+        (attempt, answer, progress)
+    }
+
     /// Adds time for which the call waited for capacity before it was sent.
     pub fn add_wait(&mut self, waited: Millis) {
         self.waited = self.waited + waited;
--- a/daemons/gateway/tests/lost_paths.rs
+++ b/daemons/gateway/tests/lost_paths.rs
@@ -10,7 +10,8 @@
 
 use sill_wire::link::RelayOffer;
 use support::{
-    Action, CallerResponse, Harness, exchange, head, not_run, request, wait_until_ready_is,
+    Action, CallerResponse, Harness, answer_of, exchange, head, not_run, request,
+    wait_until_ready_is,
 };
 
 const STREAM: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
@@ -150,3 +151,50 @@
     }
     assert!(failures.is_empty(), "{} cases: {failures:#?}", failures.len());
 }
+
+/// A call that may be repeated is failed if no other endpoint takes it, although its answer is on the
+/// way.
+#[test]
+fn an_answer_is_waited_for_while_another_endpoint_is_tried() {
+    let cases = || {
+        [
+            Case::new("no other endpoint", None),
+            Case::new("silent", Some(Action::Hang)),
+            Case::new("refuses", Some(Action::Answer(not_run("503 Service Unavailable")))),
+            Case::new("closes unanswered", Some(Action::AnswerAndClose(String::new()))),
+            Case {
+                is_other_first: true,
+                ..Case::new("answers", Some(Action::Answer(answer_of("other"))))
+            },
+        ]
+    };
+    let mut failures = Vec::new();
+    for silence in SILENCES {
+        for stops in [false, true] {
+            let runs: Vec<_> = cases()
+                .into_iter()
+                .map(|case| {
+                    let action = (String::new(), silence, answer_of("first"));
+                    thread::spawn(move || {
+                        let Case { name, other, is_other_first } = case;
+                        let (got, sends) = call_on_lost_path("/idempotent/x", action, other, stops);
+                        (name, is_other_first, got, sends)
+                    })
+                })
+                .collect();
+            for run in runs {
+                let (name, is_other_first, got, sends) = run.join().expect("the case runs");
+                // A stopping instance sends no call again that may outlast it.
+                let expected = if is_other_first && !stops { "other" } else { "first" };
+                let body = String::from_utf8_lossy(&got.body).into_owned();
+                if (got.status, body.as_str()) != (200, expected) || sends > 1 {
+                    let status = got.status;
+                    failures.push(format!(
+                        "{name}, {silence:?}, stops={stops}: {status} sends={sends} {body:?}"
+                    ));
+                }
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{} cases: {failures:#?}", failures.len());
+}
