Gateway: the line of a call whose task ended with a panic says so

A call whose task panicked was logged and counted as caller_left, like one whose caller had closed its connection, so a fault of ours looked like the caller's choice, in the record of a stop above all.

Its outcome is task_ended now, as the line is written while the task unwinds. Every call that isn't answered after the signal to stop has in_stop=true. A caller that closes, one that acknowledges nothing for ten seconds and a connection that breaks between the two still look alike; a runtime that is shut down without a stop logs caller_left too, and a process that is killed or aborts logs nothing.

Evidence: the_log_tells_a_caller_that_left_from_a_task_that_ended.

--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -24,6 +24,9 @@
 /// The outcome of a call unless another one is set.
 const CALLER_LEFT: &str = "caller_left";
 
+/// The outcome of a call whose task ended with a panic.
+const TASK_ENDED: &str = "task_ended";
+
 /// The outcome of a call whose answer was cut by the end of the process.
 const CUT_BY_STOP: &str = "cut_by_stop";
 
@@ -269,6 +272,9 @@
             // polled and never saw the end.
             self.outcome = CUT_BY_STOP;
         }
+        if std::thread::panicking() {
+            self.outcome = TASK_ENDED;
+        }
         state.metrics.calls.with_label_values(&[self.outcome]).inc();
         let first = self.first_part.map(|first| first - call.received_at);
         // A call that failed or whose caller left says nothing about how long an answer takes. If
@@ -334,6 +340,9 @@
         pair("bytes", &self.bytes);
         if self.outcome != "answered" {
             pair("request", &call.request_key());
+            if state.planned_stop.has_begun() {
+                pair("in_stop", &true);
+            }
         }
         pair("framing", &self.framing.map_or("", Framing::name));
         pair("end", &self.stream_end.map_or("", StreamEnd::name));
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -46,6 +46,9 @@
 /// The API key of a caller.
 pub const KEY: &str = "caller-key";
 
+/// Header of an answer whose reading ends in a panic.
+pub const PANICS: &str = "x-panics";
+
 /// Time that a test waits for bytes before it fails as hung.
 const HANG_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -823,6 +826,7 @@
     }
 
     fn classify(&self, attempt: &Name, status: StatusCode, headers: &HeaderMap) -> AnswerClass {
+        assert!(!headers.contains_key(PANICS), "the test asks for a panic");
         SillDialect.classify(attempt, status, headers)
     }
 
