Dispatch: a stopping instance counts the silence of its endpoints

Streams that were begun in the notice of a stop were cut at its limit. They were begun by the usual time of their route, which is taken from calls that are over: while all endpoints are silent none ends, so the time of before goes on to count, and the new call waits the silence out as well.

The time for which no endpoint has sent a byte though requests were in flight now counts, beyond the usual time until a first part, as a delay of new calls and attempts. One that then doesn't fit is refused as not run, and its caller comes back elsewhere; one that ends in time in any case is begun as before. A silence that begins after the call, or that is younger than the usual time until a first part, can't be foreseen.

Evidence: a_call_is_not_begun_by_the_usual_time_while_all_endpoints_are_silent in virtual time: without the silence the call after 2.6 s of it is begun, now eight of eight cases hold.

--- a/coordination/dispatch/src/paths.rs
+++ b/coordination/dispatch/src/paths.rs
@@ -170,6 +170,8 @@
     fault_count: usize,
     /// Ticks without a byte on any own connection.
     quiet: u32,
+    /// Those of them in which requests were in flight, without one in which none was.
+    silent_ticks: u32,
     /// When an endpoint was last heard on an own connection.
     heard_at: Millis,
     /// Number of endpoints that have ended since, while only other entry instances reached them.
@@ -197,6 +199,7 @@
             endpoints: Map::default(),
             fault_count: 0,
             quiet: 0,
+            silent_ticks: 0,
             heard_at: Millis::ZERO,
             ended_lost: 0,
             has_unanswered: false,
@@ -293,6 +296,12 @@
         now - self.heard_at
     }
 
+    /// Returns for how long no endpoint has sent anything on an own connection although requests were
+    /// in flight.
+    pub const fn silence(&self) -> Millis {
+        Millis(TICK.0 * self.silent_ticks as u64)
+    }
+
     /// Returns whether own connections to an endpoint open and are not reset, as far as known.
     pub fn is_connectable(&self, address: SocketAddr) -> bool {
         let fault = self.endpoints.get(&address).and_then(|path| path.fault);
@@ -369,7 +378,7 @@
     pub fn record_heard(&mut self, now: Millis, address: SocketAddr, opened_at: Millis) {
         self.answered_at = now;
         self.mark_heard(now);
-        self.quiet = 0;
+        (self.quiet, self.silent_ticks) = (0, 0);
         let Some(path) = self.endpoints.get_mut(&address) else { return };
         (path.quiet, path.unanswered_ticks) = (0, 0);
         path.check_at_quiet = QUIET_TICKS;
@@ -526,6 +535,8 @@
         let mut checks = Vec::new();
         let mut silent = Vec::new();
         self.quiet += 1;
+        let is_waiting = self.endpoints.values().any(|path| path.waiting > 0);
+        self.silent_ticks = if is_waiting { self.silent_ticks + 1 } else { 0 };
         if self.tunnels.tick() {
             self.changes.push(PathChange::TunnelsSilent);
         }
--- a/coordination/dispatch/src/stopping.rs
+++ b/coordination/dispatch/src/stopping.rs
@@ -32,7 +32,11 @@
 
 /// Recent call times by route.
 #[derive(Debug, Default)]
-pub struct CallTimes(Map<Name, RouteTimes>);
+pub struct CallTimes {
+    routes: Map<Name, RouteTimes>,
+    /// For how long no endpoint has sent anything although requests were in flight.
+    silence: Millis,
+}
 
 /// Recent call times of one route.
 #[derive(Debug, Default)]
@@ -67,24 +71,36 @@
 impl CallTimes {
     /// Records the time until the complete answer of a call.
     pub fn record_call(&mut self, now: Millis, route: &Name, total: Millis) {
-        if !self.0.contains_key(route) {
+        if !self.routes.contains_key(route) {
             // Routes come and go with the settings; those without recent calls are dropped.
-            self.0.retain(|_, times| usual_time(now, &times.total).is_some());
+            self.routes.retain(|_, times| usual_time(now, &times.total).is_some());
         }
-        self.0.entry(route.clone()).or_default().total.record(now, HALF_SPAN, total);
+        self.routes.entry(route.clone()).or_default().total.record(now, HALF_SPAN, total);
     }
 
     /// Records the time until the first part of a call's answer. Routes without a recent complete
     /// answer are ignored.
     pub fn record_first_part(&mut self, now: Millis, route: &Name, first: Millis) {
-        if let Some(times) = self.0.get_mut(route) {
+        if let Some(times) = self.routes.get_mut(route) {
             times.first_part.record(now, HALF_SPAN, first);
         }
     }
 
+    /// Records for how long no endpoint has sent anything although requests were in flight.
+    pub const fn record_silence(&mut self, silence: Millis) {
+        self.silence = silence;
+    }
+
+    /// Returns the expected time of a call that begins now; `None` without recent calls.
+    fn expected_duration(&self, now: Millis, route: &Name) -> Option<Millis> {
+        let times = self.routes.get(route)?;
+        let usual_first = usual_time(now, &times.first_part).unwrap_or_default();
+        Some(usual_time(now, &times.total)? + (self.silence - usual_first))
+    }
+
     /// Returns the usual time of a route's calls; `None` without recent calls.
     pub fn usual_duration(&self, now: Millis, route: &Name) -> Option<Millis> {
-        self.0.get(route).and_then(|times| usual_time(now, &times.total))
+        self.routes.get(route).and_then(|times| usual_time(now, &times.total))
     }
 
     /// Returns the forecast for a stream whose first part took `first`, and of which nothing was
@@ -101,7 +117,7 @@
         first: Millis,
         stop: StopTimes,
     ) -> StreamForecast {
-        let times = self.0.get(route);
+        let times = self.routes.get(route);
         let usual_first = times.and_then(|times| usual_time(now, &times.first_part));
         let remaining =
             usual_first.zip(self.usual_duration(now, route)).map(|(usual_first, total)| {
@@ -118,7 +134,8 @@
     /// latest, or `None` to refuse it.
     ///
     /// Until the balancer has noticed, a call that may outlast the instance is begun if the route's
-    /// usual time fits with a margin. Afterwards, a call that ends in time for certain is begun as
+    /// usual time fits with a margin. While all endpoints are silent, the call is expected to take
+    /// longer by as long as they have been. Afterwards, a call that ends in time for certain is begun as
     /// before, and one that usually does is begun as [`AnswerMode::Held`].
     pub fn answer_mode(
         &self,
@@ -130,13 +147,13 @@
         if due.max(now) <= stop.ends_at {
             return Some(AnswerMode::Passed);
         }
-        let usual_time = self.usual_duration(now, route)?;
-        let fits = |margin: u64| now + with_margin(usual_time, margin) <= stop.ends_at;
+        let expected = self.expected_duration(now, route)?;
+        let fits = |margin: u64| now + with_margin(expected, margin) <= stop.ends_at;
         if now < stop.noticed_at {
             return fits(PASSED_MARGIN_PERCENT).then_some(AnswerMode::Passed);
         }
         let has_enough_calls =
-            self.0.get(route).is_some_and(|times| times.total.count() >= MIN_CALLS);
+            self.routes.get(route).is_some_and(|times| times.total.count() >= MIN_CALLS);
         (has_enough_calls && fits(HELD_MARGIN_PERCENT)).then_some(AnswerMode::Held)
     }
 }
--- a/coordination/dispatch/tests/paths.rs
+++ b/coordination/dispatch/tests/paths.rs
@@ -533,3 +533,25 @@
     paths.record_connect_failed(Millis(900), address, false);
     assert!(paths.is_stuck(address));
 }
+
+/// A service without calls hears nothing, and a single endpoint may compute a long prompt: neither says
+/// that all endpoints are silent.
+#[test]
+fn silence_is_counted_while_requests_are_in_flight_and_until_any_endpoint_is_heard() {
+    let mut paths = Paths::default();
+    let ticks = |paths: &mut Paths, count| (0..count).for_each(|_| _ = paths.tick(Millis(1000)));
+    ticks(&mut paths, 10);
+    assert_eq!(paths.silence(), Millis::ZERO, "no request");
+    paths.record_sent(address(0), true);
+    ticks(&mut paths, 10);
+    paths.record_sent(address(1), true);
+    ticks(&mut paths, 2);
+    assert_eq!(paths.silence(), Millis(12 * TICK.0), "a later request does not end it");
+    paths.record_heard(Millis(2200), address(1), Millis::ZERO);
+    assert_eq!(paths.silence(), Millis::ZERO, "one of two is heard");
+    ticks(&mut paths, 3);
+    paths.record_end(address(0), false);
+    paths.record_end(address(1), true);
+    ticks(&mut paths, 1);
+    assert_eq!(paths.silence(), Millis::ZERO, "all requests have ended");
+}
--- a/coordination/dispatch/tests/stopping.rs
+++ b/coordination/dispatch/tests/stopping.rs
@@ -108,6 +108,58 @@
     }
 }
 
+/// All endpoints have fallen silent, and calls that wait for them have no time yet from which the usual
+/// one would grow. A stream that is begun by it in a stop waits the silence out as well, and is cut.
+#[test]
+fn a_call_is_not_begun_by_the_usual_time_while_all_endpoints_are_silent() {
+    struct Case {
+        name: &'static str,
+        route: &'static str,
+        silence: u64,
+        /// Time until the instance ends, and until the call ends at the latest, in ms.
+        left: (u64, u64),
+        is_noticed: bool,
+        expected: Option<AnswerMode>,
+    }
+    let case = |name, silence, left, expected| Case {
+        name,
+        route: "chat",
+        silence,
+        left,
+        is_noticed: false,
+        expected,
+    };
+    const YES: Option<AnswerMode> = Some(AnswerMode::Passed);
+    const HELD: Option<AnswerMode> = Some(AnswerMode::Held);
+    let cases = [
+        case("endpoints answer", 0, (5200, 15_000), YES),
+        case("no longer than until a first part", 300, (5200, 15_000), YES),
+        case("silent for long", 2600, (5200, 15_000), None),
+        case("silent, but much time is left", 1200, (7500, 15_000), YES),
+        case("silent, and the call ends in time", 2600, (5200, 5000), YES),
+        Case { is_noticed: true, ..case("noticed, endpoints answer", 0, (7000, 15_000), HELD) },
+        Case { is_noticed: true, ..case("noticed, silent", 2600, (7000, 15_000), None) },
+        Case { route: "lookup", ..case("a short call, silent", 1200, (1500, 15_000), None) },
+    ];
+    for case in cases {
+        let mut times = recorded_times();
+        for turn in 0..20 {
+            times.record_first_part(Millis(1000), &"chat".into(), Millis(100 + 15 * turn));
+        }
+        times.record_silence(Millis(case.silence));
+        let now = Millis(5000);
+        let noticed_at = if case.is_noticed { now } else { now + Millis(1) };
+        let stop = StopTimes { noticed_at, ends_at: now + Millis(case.left.0) };
+        let due = now + Millis(case.left.1);
+        assert_eq!(
+            times.answer_mode(now, &case.route.into(), due, stop),
+            case.expected,
+            "{}",
+            case.name
+        );
+    }
+}
+
 /// A reclaim made streams slow for some seconds. Long after it, calls must not be refused for that.
 #[test]
 fn old_call_times_are_forgotten() {
--- a/daemons/gateway/src/daemon.rs
+++ b/daemons/gateway/src/daemon.rs
@@ -90,7 +90,10 @@
         tokio::spawn(tunnels::serve(state.clone(), peers));
         tokio::spawn(streams::run(state.clone()));
         let watching = state.clone();
-        tokio::spawn(state.egress.clone().watch(move |delay| watching.tunnels.record_delay(delay)));
+        tokio::spawn(state.egress.clone().watch(move |delay| {
+            watching.tunnels.record_delay(delay);
+            watching.planned_stop.record_silence(watching.egress.silence());
+        }));
         event!(
             Info,
             "gateway_started",
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -274,6 +274,11 @@
         self.paths.lock().heard_age(self.clock.now())
     }
 
+    /// Returns for how long no endpoint has sent anything although requests were in flight.
+    pub fn silence(&self) -> Millis {
+        self.paths.lock().silence()
+    }
+
     /// Returns whether no endpoint is reached on own connections.
     pub fn is_cut_off(&self) -> bool {
         self.paths.lock().is_cut_off()
--- a/daemons/gateway/src/planned_stop.rs
+++ b/daemons/gateway/src/planned_stop.rs
@@ -131,6 +131,11 @@
         forecast.mode
     }
 
+    /// Records for how long no endpoint has sent anything although requests were in flight.
+    pub fn record_silence(&self, silence: Millis) {
+        self.call_times.lock().record_silence(silence);
+    }
+
     /// Records the duration of a call, up to the end of its answer.
     pub fn record_call(&self, route: &Name, whole: Millis) {
         self.call_times.lock().record_call(self.clock.now(), route, whole);
