--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -5,12 +5,12 @@
 use http::Response;
 use sill_base::{Millis, Name};
 use sill_dispatch::{AttemptOutcome, CallProgress, NextStep, Placement};
-use sill_net::h1::{AnyBody, Framing};
+use sill_net::h1::{Answer, AnyBody, Framing};
 use sill_route::PoolView;
 use sill_tree::RouteKind;
 use sill_wire::{ErrorCode, Software};
 
-use crate::dispatch::PlacementRefusal;
+use crate::dispatch::{Attempt, PlacementRefusal};
 use crate::egress::Via;
 use crate::failure::Failure;
 use crate::serve::{Call, RETRY_ELSEWHERE_AFTER};
@@ -24,6 +24,9 @@
 /// The outcome of a call unless another one is set.
 const CALLER_LEFT: &str = "caller_left";
 
+/// The outcome of a call whose task ended with a panic.
+const TASK_ENDED: &str = "task_ended";
+
 /// The outcome of a call whose answer was cut by the end of the process.
 const CUT_BY_STOP: &str = "cut_by_stop";
 
@@ -104,6 +107,18 @@
         self.reason.clone_from(&placement.reason);
     }
 
+    /// Records the attempt whose answer the caller gets.
+    pub fn begin_answer(
+        &mut self,
+        (attempt, answer): (Attempt, Answer),
+        progress: CallProgress,
+    ) -> (Attempt, Answer, CallProgress) {
+        attempt.record_chosen();
+        let Placement { endpoint, software, .. } = &attempt.placement;
+        (self.endpoint, self.software) = (endpoint.clone(), software.clone());
+        (attempt, answer, progress)
+    }
+
     /// Adds time for which the call waited for capacity before it was sent.
     pub fn add_wait(&mut self, waited: Millis) {
         self.waited = self.waited + waited;
@@ -257,6 +272,9 @@
             // polled and never saw the end.
             self.outcome = CUT_BY_STOP;
         }
+        if std::thread::panicking() {
+            self.outcome = TASK_ENDED;
+        }
         state.metrics.calls.with_label_values(&[self.outcome]).inc();
         let first = self.first_part.map(|first| first - call.received_at);
         // A call that failed or whose caller left says nothing about how long an answer takes. If
@@ -322,6 +340,9 @@
         pair("bytes", &self.bytes);
         if self.outcome != "answered" {
             pair("request", &call.request_key());
+            if state.planned_stop.has_begun() {
+                pair("in_stop", &true);
+            }
         }
         pair("framing", &self.framing.map_or("", Framing::name));
         pair("end", &self.stream_end.map_or("", StreamEnd::name));
