Gateway: a line for each answer that ended without a mark

`endpoint_checked` names the endpoint but no call, and `call` doesn't say whether its end had a mark to go by, how long it was held and what the check said.

--- a/coordination/dispatch/src/check.rs
+++ b/coordination/dispatch/src/check.rs
@@ -16,6 +16,17 @@
     Unclear,
 }
 
+impl EndpointCheck {
+    /// Returns the name for log lines.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Running => "running",
+            Self::Ended => "ended",
+            Self::Unclear => "unclear",
+        }
+    }
+}
+
 /// Decides from what this instance has seen, and from the replies of `asked` others.
 pub fn check_endpoint(
     own: EndpointProbe,
--- a/daemons/gateway/src/endpoint_check.rs
+++ b/daemons/gateway/src/endpoint_check.rs
@@ -33,11 +33,7 @@
         if check == EndpointCheck::Ended && self.is_cut_off_after_tick().await {
             check = EndpointCheck::Unclear;
         }
-        let label = match check {
-            EndpointCheck::Running => "running",
-            EndpointCheck::Ended => "ended",
-            EndpointCheck::Unclear => "unclear",
-        };
+        let label = check.name();
         self.metrics.endpoint_checks.with_label_values(&[label]).inc();
         event!(
             Info,
@@ -70,12 +66,11 @@
             // The other instance may just have closed a connection that was idle.
             reply = client.call(&call).await;
         }
-        let (check, label) = match &reply {
-            Ok(ProbeEndpointReply { probe: EndpointProbe::Open }) => {
-                (EndpointCheck::Running, "running")
-            }
-            Ok(_) | Err(_) => (EndpointCheck::Unclear, "unclear"),
+        let check = match &reply {
+            Ok(ProbeEndpointReply { probe: EndpointProbe::Open }) => EndpointCheck::Running,
+            Ok(_) | Err(_) => EndpointCheck::Unclear,
         };
+        let label = check.name();
         self.metrics.endpoint_checks.with_label_values(&[label]).inc();
         event!(
             Info,
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -14,7 +14,9 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use sill_base::{Millis, Name, event};
-use sill_dispatch::{AttemptOutcome, CallProgress, EndpointCheck, EventTracker, NextStep};
+use sill_dispatch::{
+    AttemptOutcome, CallProgress, EndpointCheck, EventTracker, NextStep, Placement,
+};
 use sill_net::h1::{AnyBody, BodyError, Framing, ReusableConnection};
 use sill_rollout::AnswerEnd;
 use sill_route::Outcome;
@@ -102,6 +104,8 @@
     began_at: Option<Millis>,
     /// Whether it is recorded that the prompt does not crash the endpoint.
     is_proven: bool,
+    /// When the body ended without a mark.
+    ended_at: Option<Millis>,
 }
 
 impl EndpointAnswer {
@@ -122,6 +126,7 @@
             stuck,
             began_at: None,
             is_proven: false,
+            ended_at: None,
         }
     }
 
@@ -142,6 +147,7 @@
         let state = self.attempt.state().clone();
         let endpoint = Destination::from(&self.attempt.placement);
         let (via, placed_at) = (self.attempt.via().cloned(), self.attempt.placed_at);
+        self.ended_at = Some(state.clock.now());
         self.end_check = Some(Box::pin(async move {
             let check = match via {
                 Some(via) => state.check_endpoint_via(&via, &endpoint, wait).await,
@@ -425,6 +431,7 @@
         cx: &Context<'_>,
         check: EndpointCheck,
     ) -> Poll<Option<Result<Bytes, BodyError>>> {
+        self.log_unmarked_end(check);
         if check == EndpointCheck::Running {
             self.finish();
             return Poll::Ready(None);
@@ -434,6 +441,23 @@
         Poll::Pending
     }
 
+    fn log_unmarked_end(&self, check: EndpointCheck) {
+        let Source::Endpoint(answer) = &self.source else { return };
+        let Placement { endpoint, incarnation, .. } = &answer.attempt.placement;
+        let held = answer.ended_at.map(|ended_at| self.state.clock.now() - ended_at);
+        event!(
+            Info,
+            "unmarked_end",
+            id = self.call.head.attempt,
+            endpoint = endpoint,
+            born = incarnation.0,
+            stream = self.events.is_some(),
+            last_event = self.events.as_ref().and_then(EventTracker::last_id).unwrap_or_default(),
+            held_ms = held.unwrap_or_default(),
+            endpoint_is = check.name()
+        );
+    }
+
     fn record_stream_end(&mut self) {
         let Some(events) = &self.events else { return };
         self.summary.set_stream_end(match (events.is_between_events(), events.has_events()) {
