Gateway: hold an unmarked end until the endpoint has run on, and resume it if allowed

What callers saw: streams without a length or chunks that ended short and were framed as complete, as their endpoint closed its connections between two events and its listener 5 to 300 ms later, or closed one connection alone.

Cause: an end that proves nothing was passed on as a proof. One connection that opened right after the close and stayed open for 100 ms counted as proof that the endpoint runs, and a running endpoint as proof that the stream is whole.

Now the end (all events have been passed on) is held until a check that began a heartbeat of the endpoint (`heartbeat_ms`, 0.8 s at most, as callers leave after 2 s of silence) after the close finds it running. Four checks in this time end the wait early, as does a crash that is heard of. All ends at an endpoint share its checks. A stream that may be resumed is resumed at once at another endpoint of its version, within the retry budget and `max_attempts`: events with a later id continue it, a marked answer without events confirms that it is whole, anything else leaves it to the checks. Where resumptions show nothing, the pauses between them double, up to 63 ends. It isn't resumed at the endpoint that closed it, which would take the only repeat along.

--- a/coordination/dispatch/src/events.rs
+++ b/coordination/dispatch/src/events.rs
@@ -98,6 +98,21 @@
     }
 }
 
+/// Returns whether the first of these events may follow the one with the id `last`. An endpoint that
+/// begins a stream anew repeats ids, or goes back if they are numbers.
+pub fn may_follow(last: &str, events: &[u8]) -> bool {
+    let events = events.strip_prefix(BYTE_ORDER_MARK).unwrap_or(events);
+    let lines = events.split(|byte| matches!(byte, b'\n' | b'\r'));
+    let first = lines.filter_map(|line| line.strip_prefix(b"id:")).next();
+    let Some(first) = first.and_then(|id| std::str::from_utf8(id).ok()).map(str::trim) else {
+        return false;
+    };
+    match (last.parse::<u64>(), first.parse::<u64>()) {
+        (Ok(last), Ok(first)) => first > last,
+        _ => first != last,
+    }
+}
+
 /// Reads an event stream byte by byte and tracks whether it is inside an event.
 ///
 /// Lines end with LF, CR LF or CR. A line that starts with a colon is a comment; any other line
--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod share;
 pub mod speed;
 pub mod stopping;
+pub mod stream_end;
 pub mod streams;
 pub mod table;
 pub mod totals;
@@ -56,6 +57,7 @@
 pub use stopping::{
     AnswerMode, CallTimes, OpenCalls, StopPhase, StopPlan, StopTimes, StreamForecast,
 };
+pub use stream_end::{EndChecks, EndStep, ResumeChecks};
 pub use table::{AccountEntry, RouteEntry, RouteTable, TablePart};
 pub use totals::{EntryCounts, TotalsAggregator};
 pub use true_time::TrueTime;
--- a/daemons/gateway/src/cfg.rs
+++ b/daemons/gateway/src/cfg.rs
@@ -41,6 +41,8 @@
     pub retries: RetryBounds,
     /// How long a leaving endpoint keeps serving, unless it announces another time.
     pub endpoint_notice: Millis,
+    /// Interval at which endpoints announce themselves to control instances.
+    pub endpoint_heartbeat: Millis,
     /// The length of a usage window.
     pub usage_window: Millis,
     /// Timing of a planned stop.
--- a/daemons/gateway/src/cli.rs
+++ b/daemons/gateway/src/cli.rs
@@ -19,6 +19,9 @@
 /// How long endpoints keep serving after they announced that they leave.
 const ENDPOINT_NOTICE: Millis = Millis(2000);
 
+/// Interval at which endpoints announce themselves.
+const ENDPOINT_HEARTBEAT: Millis = Millis(1000);
+
 /// The length of a usage window.
 const USAGE_WINDOW: Millis = Millis(5000);
 
@@ -106,6 +109,7 @@
             limits: LimitBounds { slack: slack.expect(present) },
             retries: RETRIES,
             endpoint_notice: ENDPOINT_NOTICE,
+            endpoint_heartbeat: ENDPOINT_HEARTBEAT,
             usage_window: USAGE_WINDOW,
             rollouts,
             stop: StopCfg {
--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //! service, and relays the answers byte for byte as they arrive.
 //!
 //! [`serve`] reads and admits a call, [`dispatch`] chooses an endpoint and sends the attempts, and
-//! [`answer`] and [`relay`] relay the answer. [`migration`] moves runs off reclaimed engines.
+//! [`answer`] and [`relay`] relay the answer, and [`stream_end`] judges ends without a mark. [`migration`] moves runs off reclaimed engines.
 //! [`link`] polls the control instances, and [`settings_fetcher`] fetches settings from them.
 //! [`egress`] sends requests to endpoints, and [`tunnels`] carries those of entry instances that do not reach them.
 //! [`streams`] remembers which version began each stream, for callers that take theirs up elsewhere.
@@ -26,11 +26,13 @@
 mod pause_notice;
 pub mod planned_stop;
 pub mod relay;
+mod resume;
 pub mod rollouts;
 pub mod serve;
 pub mod settings_fetcher;
 pub mod sill_dialect;
 pub mod state;
+pub mod stream_end;
 pub mod streams;
 pub mod summary;
 pub mod termination;
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -56,6 +56,8 @@
     pub endpoint_crashes: IntCounter,
     /// Checks whether an endpoint has ended, by result.
     pub endpoint_checks: IntCounterVec,
+    /// Answers that ended without a mark, by what the end turned out to be.
+    pub unmarked_ends: IntCounterVec,
     /// Number of requests that are blocked because endpoints crashed under them.
     pub blocked_requests: IntGauge,
     /// Number of blocks of parts of prompts under which endpoints crashed.
@@ -204,6 +206,11 @@
                 "checks whether an endpoint has ended, by result",
                 "result",
             )?,
+            unmarked_ends: counters(
+                "sill_gateway_unmarked_ends_total",
+                "answers that ended without a mark, by what the end turned out to be",
+                "result",
+            )?,
             take_ups: counters(
                 "sill_gateway_take_ups_total",
                 "calls that take up an earlier stream, by what is known of its version",
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -1,6 +1,8 @@
 //! Relays an answer to the caller as it arrives, and resumes a stream at another endpoint where
 //! possible.
 
+mod unmarked;
+
 use std::fmt::Display;
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -14,9 +16,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use sill_base::{Millis, Name, event};
-use sill_dispatch::{
-    AttemptOutcome, CallProgress, EndpointCheck, EventTracker, NextStep, Placement,
-};
+use sill_dispatch::{AttemptOutcome, CallProgress, EventTracker, NextStep};
 use sill_net::h1::{AnyBody, BodyError, Framing, ReusableConnection};
 use sill_rollout::AnswerEnd;
 use sill_route::Outcome;
@@ -24,21 +24,17 @@
 use sill_wire::{ErrorCode, Software};
 use tokio::time::Sleep;
 
-use crate::crashes::{PROVEN_AFTER, REFUSAL_TIME};
-use crate::dispatch::{self, Attempt, AttemptResult, PlacementRefusal, Resumption};
-use crate::egress::Destination;
+use crate::crashes::PROVEN_AFTER;
+use crate::dispatch::{self, Attempt, Resumption};
 use crate::failure::Failure;
 use crate::migration::RunMigration;
+use crate::resume::{self, NotResumed};
 use crate::serve::Call;
 use crate::state::State;
+use crate::stream_end::UnmarkedEnd;
 use crate::summary::{CallSummary, StreamEnd};
 use crate::termination::FinalPhase;
 
-/// Wait for the close of a new connection before a stream without a marked end is taken for
-/// complete. A process that ends may close its listener after its connections, and no event of the
-/// stream is held back meanwhile.
-const STREAM_END_WAIT: Millis = Millis(100);
-
 /// The body of an answer while it is relayed to the caller.
 pub struct Relay {
     state: Arc<State>,
@@ -65,6 +61,9 @@
     pending_error: Option<BodyError>,
 }
 
+/// The answer to a resumption.
+type Resuming<T> = BoxFuture<'static, Result<T, NotResumed>>;
+
 // One exists per call, so its size doesn't matter.
 #[allow(clippy::large_enum_variant)]
 /// Where the next part of the answer comes from.
@@ -72,20 +71,11 @@
     /// The answer of an endpoint.
     Endpoint(EndpointAnswer),
     /// A resumed stream, whose endpoint has not answered yet.
-    Resuming(BoxFuture<'static, Result<EndpointAnswer, NotResumed>>),
+    Resuming(Resuming<EndpointAnswer>),
     /// No more parts follow.
     Ended,
 }
 
-/// Why a stream was not resumed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum NotResumed {
-    /// The call was sent to no endpoint.
-    NotSent,
-    /// An endpoint that the call was sent to did not continue the stream.
-    Sent,
-}
-
 /// An answer that arrives from an endpoint.
 pub struct EndpointAnswer {
     /// The parts that have not been read yet.
@@ -96,8 +86,10 @@
     pub attempt: Attempt,
     /// The connection that carries the answer; it is reused after a complete answer.
     pub connection: Option<ReusableConnection>,
-    /// Resolves to whether the endpoint has ended, once the body has ended without a mark.
-    end_check: Option<BoxFuture<'static, EndpointCheck>>,
+    /// The beginning of the body, if it was read already.
+    pub first: Option<Bytes>,
+    /// Resolves to whether the answer is whole, once the body has ended without a mark.
+    end_check: Option<BoxFuture<'static, UnmarkedEnd>>,
     /// Resolves once the rest of the body can't be expected to arrive.
     stuck: Fuse<BoxFuture<'static, ()>>,
     /// When the first part arrived.
@@ -122,6 +114,7 @@
             framing,
             attempt,
             connection,
+            first: None,
             end_check: None,
             stuck,
             began_at: None,
@@ -137,32 +130,6 @@
         let is_proven = now - began_at >= PROVEN_AFTER;
         is_proven && !std::mem::replace(&mut self.is_proven, true)
     }
-
-    /// Starts to check whether the endpoint has ended, if the end of its answer has no mark.
-    fn start_end_check(&mut self, wait: Millis) -> bool {
-        // An endpoint that leaves completes its answers before it ends.
-        if self.framing != Framing::Close || self.attempt.is_endpoint_leaving() {
-            return false;
-        }
-        let state = self.attempt.state().clone();
-        let endpoint = Destination::from(&self.attempt.placement);
-        let (via, placed_at) = (self.attempt.via().cloned(), self.attempt.placed_at);
-        self.ended_at = Some(state.clock.now());
-        self.end_check = Some(Box::pin(async move {
-            let check = match via {
-                Some(via) => state.check_endpoint_via(&via, &endpoint, wait).await,
-                None => state.check_endpoint(&endpoint, wait).await,
-            };
-            // The answer may arrive late, when the endpoint has restarted or a proxy accepts
-            // connections again.
-            let Destination { endpoint, incarnation, .. } = &endpoint;
-            match state.crashes.has_crashed_since(placed_at, endpoint, *incarnation) {
-                true => EndpointCheck::Ended,
-                false => check,
-            }
-        }));
-        true
-    }
 }
 
 /// Returns whether a run is migrated, because it can't be resumed from its events alone.
@@ -253,7 +220,9 @@
     }
 
     fn poll_migration(&mut self, cx: &mut Context<'_>) {
-        if let Source::Endpoint(answer) = &self.source {
+        if let Source::Endpoint(answer) = &self.source
+            && answer.end_check.is_none()
+        {
             self.migration.poll(cx, &answer.attempt, self.progress.attempts());
         }
     }
@@ -274,7 +243,7 @@
         self.source = Source::Resuming(Box::pin(async move {
             let run = transfer.finish().await.ok_or(NotResumed::NotSent)?;
             let resumption = Resumption { last_event, memory: Some(run.memory) };
-            resume_at(run.attempt, progress, resumption).await
+            resume::resume_at(run.attempt, progress, resumption).await
         }));
         true
     }
@@ -331,12 +300,11 @@
         }
     }
 
-    /// Ends an attempt whose answer broke off, and resumes the stream elsewhere if allowed. Returns
-    /// whether it does.
-    fn try_resume(&mut self, reason: &dyn Display) -> bool {
+    /// Ends an attempt whose answer broke off, and returns its endpoint.
+    fn end_broken(&mut self, reason: &dyn Display) -> Option<Name> {
         let Source::Endpoint(mut answer) = std::mem::replace(&mut self.source, Source::Ended)
         else {
-            return false;
+            return None;
         };
         answer.attempt.finish(Outcome::Failed);
         answer.attempt.record_broken_answer(answer.began_at);
@@ -354,6 +322,14 @@
             parts = self.call.shared_parts,
             why = reason
         );
+        Some(answer.attempt.placement.endpoint.clone())
+    }
+
+    /// Ends an attempt whose answer broke off, and resumes the stream elsewhere if allowed. Returns
+    /// whether it does.
+    fn try_resume(&mut self, reason: &dyn Display) -> bool {
+        let Some(endpoint) = self.end_broken(reason) else { return false };
+        let id = &self.call.head.attempt;
         self.progress.time_left = self.call.due - self.state.clock.now();
         let is_resumable = self.call.route.route.kind.may_repeat();
         let next = self.progress.next_step(AttemptOutcome::Unknown);
@@ -376,16 +352,7 @@
             event!(Warn, "stream_not_resumed", id = id, why = why);
             return false;
         }
-        let last_event = events.last_id().map(str::to_owned);
-        let (state, call) = (self.state.clone(), self.call.clone());
-        let (progress, failed_endpoint) = (self.progress, endpoint.clone());
-        let resumption = Resumption { last_event, memory: None };
-        let software = match call.pool.pool.lock().is_ambiguous(&failed_endpoint) {
-            true => Some(Software::AMBIGUOUS),
-            false => self.software.clone(),
-        };
-        let resume_future = resume(state, call, progress, failed_endpoint, software, resumption);
-        self.source = Source::Resuming(Box::pin(resume_future));
+        self.source = Source::Resuming(self.resume_elsewhere(self.progress, endpoint));
         true
     }
 
@@ -424,38 +391,15 @@
         }
     }
 
-    /// Ends an answer whose end has no mark. If its endpoint can't be shown to run, it may have
-    /// crashed before the end of the answer.
-    fn end_unmarked(
-        &mut self,
-        cx: &Context<'_>,
-        check: EndpointCheck,
-    ) -> Poll<Option<Result<Bytes, BodyError>>> {
-        self.log_unmarked_end(check);
-        if check == EndpointCheck::Running {
-            self.finish();
-            return Poll::Ready(None);
-        }
-        let reason = "the endpoint accepts no connections, and its answer had no marked end";
-        self.end_truncated(cx, &reason, reason.into());
-        Poll::Pending
-    }
-
-    fn log_unmarked_end(&self, check: EndpointCheck) {
-        let Source::Endpoint(answer) = &self.source else { return };
-        let Placement { endpoint, incarnation, .. } = &answer.attempt.placement;
-        let held = answer.ended_at.map(|ended_at| self.state.clock.now() - ended_at);
-        event!(
-            Info,
-            "unmarked_end",
-            id = self.call.head.attempt,
-            endpoint = endpoint,
-            born = incarnation.0,
-            stream = self.events.is_some(),
-            last_event = self.events.as_ref().and_then(EventTracker::last_id).unwrap_or_default(),
-            held_ms = held.unwrap_or_default(),
-            endpoint_is = check.name()
-        );
+    /// Has another endpoint of the version that began the stream continue it.
+    fn resume_elsewhere(&self, progress: CallProgress, from: Name) -> Resuming<EndpointAnswer> {
+        let last_event = self.events.as_ref().and_then(EventTracker::last_id).map(str::to_owned);
+        let software = match self.call.pool.pool.lock().is_ambiguous(&from) {
+            true => Some(Software::AMBIGUOUS),
+            false => self.software.clone(),
+        };
+        let parts = (self.state.clone(), self.call.clone());
+        Box::pin(resume::resume(parts, progress, from, software, last_event))
     }
 
     fn record_stream_end(&mut self) {
@@ -471,10 +415,14 @@
         loop {
             let Source::Endpoint(answer) = &mut self.source else { return Poll::Ready(None) };
             if let Some(check) = &mut answer.end_check {
-                let check = ready!(check.as_mut().poll(cx));
-                return self.end_unmarked(cx, check);
+                let end = ready!(check.as_mut().poll(cx));
+                return self.end_unmarked(cx, end);
             }
-            let frame = match Pin::new(&mut answer.body).poll_frame(cx) {
+            let frame = match answer.first.take() {
+                Some(first) => Poll::Ready(Some(Ok(Frame::data(first)))),
+                None => Pin::new(&mut answer.body).poll_frame(cx),
+            };
+            let frame = match frame {
                 Poll::Ready(frame) => frame,
                 Poll::Pending => {
                     // An answer that can't be sent again may still arrive.
@@ -518,14 +466,7 @@
                         self.end_truncated(cx, &reason, reason.into());
                         return Poll::Pending;
                     }
-                    let wait = match &self.events {
-                        Some(_) => STREAM_END_WAIT,
-                        None => REFUSAL_TIME,
-                    };
-                    let is_checked = match &mut self.source {
-                        Source::Endpoint(answer) => answer.start_end_check(wait),
-                        _ => false,
-                    };
+                    let is_checked = self.start_end_check();
                     if !is_checked {
                         self.finish();
                         return Poll::Ready(None);
@@ -559,55 +500,6 @@
     }
 }
 
-/// Has another endpoint, of the version that began the stream, continue it after the last event that
-/// the caller received.
-async fn resume(
-    state: Arc<State>,
-    call: Arc<Call>,
-    progress: CallProgress,
-    failed_endpoint: Name,
-    software: Option<Software>,
-    resumption: Resumption,
-) -> Result<EndpointAnswer, NotResumed> {
-    let now = state.clock.now();
-    let exclude = [failed_endpoint];
-    let needed = software.as_ref().map(ToString::to_string).unwrap_or_default();
-    let placed =
-        dispatch::place_attempt(&state, &call, now, &exclude, progress.attempts(), software);
-    let attempt = match placed {
-        Ok(attempt) => attempt,
-        Err(PlacementRefusal { reason, view, .. }) => {
-            let (id, why) = (&call.head.attempt, format!("{reason:?}"));
-            event!(
-                Warn,
-                "stream_not_resumed",
-                id = id,
-                software = needed,
-                why = why,
-                endpoints = view
-            );
-            return Err(NotResumed::NotSent);
-        }
-    };
-    resume_at(attempt, progress, resumption).await
-}
-
-async fn resume_at(
-    attempt: Attempt,
-    progress: CallProgress,
-    resumption: Resumption,
-) -> Result<EndpointAnswer, NotResumed> {
-    match dispatch::send_attempt(attempt, &progress, Some(&resumption)).await {
-        AttemptResult::Answer(attempt, answer) if answer.response.status().is_success() => {
-            let framing = answer.framing();
-            let (response, connection) = answer.into_parts();
-            Ok(EndpointAnswer::new(attempt, framing, response.into_body(), connection))
-        }
-        AttemptResult::Failed(AttemptOutcome::NotSent) => Err(NotResumed::NotSent),
-        _ => Err(NotResumed::Sent),
-    }
-}
-
 impl Body for Relay {
     type Data = Bytes;
     type Error = BodyError;
--- /dev/null
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -0,0 +1,143 @@
+//! Ends of answers that have no mark.
+
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use futures_util::future::{self, BoxFuture};
+use sill_base::event;
+use sill_dispatch::{AttemptOutcome, EndpointCheck, EventTracker, NextStep, Placement};
+use sill_net::h1::{BodyError, Framing};
+
+use super::{EndpointAnswer, Relay, Resuming, Source};
+use crate::crashes::REFUSAL_TIME;
+use crate::dispatch;
+use crate::egress::Destination;
+use crate::resume::{self, ResumedEnd};
+use crate::stream_end::{self, EndDecision, EndedAnswer, UnmarkedEnd};
+
+impl EndpointAnswer {
+    /// Returns what there is to check, if the end of the answer has no mark.
+    fn unmarked_end(&mut self) -> Option<EndedAnswer> {
+        // An endpoint that leaves completes its answers before it ends.
+        if self.framing != Framing::Close || self.attempt.is_endpoint_leaving() {
+            return None;
+        }
+        let ended_at = self.attempt.state().clock.now();
+        self.ended_at = Some(ended_at);
+        Some(EndedAnswer {
+            to: Destination::from(&self.attempt.placement),
+            via: self.attempt.via().cloned(),
+            placed_at: self.attempt.placed_at,
+            ended_at,
+        })
+    }
+}
+
+impl Relay {
+    /// Starts to check whether the answer is whole, if its end has no mark. A stream's end may be late,
+    /// as all events were passed on; the end of a plain answer completes it for its caller.
+    pub(super) fn start_end_check(&mut self) -> bool {
+        let Source::Endpoint(answer) = &mut self.source else { return false };
+        let Some(ended) = answer.unmarked_end() else { return false };
+        let state = self.state.clone();
+        let check: BoxFuture<'static, UnmarkedEnd> = match self.events.is_some() {
+            true => {
+                let resumption = self.end_resumption(&ended);
+                let endpoint = Box::pin(state.wait_until_proven(ended));
+                Box::pin(stream_end::decide(endpoint, resumption))
+            }
+            false => Box::pin(async move {
+                let check = state.check_ended(&ended, REFUSAL_TIME).await;
+                UnmarkedEnd { decision: EndDecision::Endpoint(check), has_asked_other: false }
+            }),
+        };
+        if let Source::Endpoint(answer) = &mut self.source {
+            answer.end_check = Some(check);
+        }
+        true
+    }
+
+    /// Resumes a stream that may be whole, if a resumption can show it. It isn't sent to the endpoint
+    /// that closed the stream, which would take the only repeat along if it ends.
+    fn end_resumption(&self, ended: &EndedAnswer) -> Option<Resuming<ResumedEnd>> {
+        let last_event = self.events.as_ref()?.last_id()?.to_owned();
+        let mut progress = self.progress;
+        progress.time_left = self.call.due - self.state.clock.now();
+        let may_repeat = self.may_resume
+            && self.call.route.route.kind.may_repeat()
+            && progress.next_step(AttemptOutcome::Unknown) == NextStep::Retry
+            && !dispatch::is_blocked(&self.state, &self.call);
+        let service = &self.call.pool.service;
+        if !may_repeat
+            || !self.state.stream_ends.may_resume(service)
+            || !self.state.may_retry(service)
+        {
+            return None;
+        }
+        progress.record(AttemptOutcome::Unknown);
+        let resuming = self.resume_elsewhere(progress, ended.to.endpoint.clone());
+        Some(Box::pin(async move { resume::check_end(resuming, &last_event).await }))
+    }
+
+    /// Ends an answer whose end has no mark. If its endpoint can't be shown to run, it may have
+    /// crashed before the end of the answer.
+    pub(super) fn end_unmarked(
+        &mut self,
+        cx: &Context<'_>,
+        end: UnmarkedEnd,
+    ) -> Poll<Option<Result<Bytes, BodyError>>> {
+        let UnmarkedEnd { decision, has_asked_other } = end;
+        self.record_unmarked_end(&decision);
+        if has_asked_other {
+            self.summary.record_failed_resume();
+        }
+        let service = self.call.pool.service.clone();
+        match decision {
+            EndDecision::Endpoint(EndpointCheck::Running) | EndDecision::Whole => {
+                if has_asked_other {
+                    self.state.stream_ends.record_resumed(&service, false);
+                }
+                self.finish();
+                Poll::Ready(None)
+            }
+            EndDecision::Endpoint(_) => {
+                if has_asked_other {
+                    self.progress.record(AttemptOutcome::Unknown);
+                }
+                let reason =
+                    "the endpoint accepts no connections, and its answer had no marked end";
+                self.end_truncated(cx, &reason, reason.into());
+                Poll::Pending
+            }
+            EndDecision::Continued(answer) => {
+                self.state.stream_ends.record_resumed(&service, true);
+                self.end_broken(
+                    &"its answer had no marked end, and another endpoint goes on with it",
+                );
+                self.progress.record(AttemptOutcome::Unknown);
+                self.events.iter_mut().for_each(EventTracker::restart);
+                self.source = Source::Resuming(Box::pin(future::ready(Ok(answer))));
+                Poll::Pending
+            }
+        }
+    }
+
+    fn record_unmarked_end(&self, decision: &EndDecision) {
+        let Source::Endpoint(answer) = &self.source else { return };
+        let Placement { endpoint, incarnation, .. } = &answer.attempt.placement;
+        let held = answer.ended_at.map(|ended_at| self.state.clock.now() - ended_at);
+        let result = decision.name();
+        self.state.metrics.unmarked_ends.with_label_values(&[result]).inc();
+        event!(
+            Info,
+            "unmarked_end",
+            id = self.call.head.attempt,
+            endpoint = endpoint,
+            born = incarnation.0,
+            stream = self.events.is_some(),
+            last_event = self.events.as_ref().and_then(EventTracker::last_id).unwrap_or_default(),
+            held_ms = held.unwrap_or_default(),
+            result = result
+        );
+    }
+}
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -29,6 +29,7 @@
 use crate::metrics::Metrics;
 use crate::planned_stop::PlannedStop;
 use crate::rollouts::{Rollouts, ServiceGate};
+use crate::stream_end::StreamEnds;
 use crate::streams::Streams;
 use crate::termination::Termination;
 use crate::tunnels::Tunnels;
@@ -84,6 +85,8 @@
     pub termination: Termination,
     /// Crashes of endpoints, and the requests that are blocked because of them.
     pub crashes: Crashes,
+    /// Checks of the endpoints whose streams ended without a mark.
+    pub stream_ends: StreamEnds,
     /// Which software versions began the streams that callers may take up.
     pub streams: Arc<Streams>,
     /// Which versions of services calls may use.
@@ -162,6 +165,7 @@
         let metrics = Metrics::new()?;
         Ok(Self {
             crashes: Crashes::new(clock, &metrics),
+            stream_ends: StreamEnds::new(cfg.endpoint_heartbeat),
             streams: Arc::new(Streams::new(&cfg, clock, &metrics)),
             egress: Arc::new(Egress::new(
                 &cfg,
--- /dev/null
+++ b/daemons/gateway/src/stream_end.rs
@@ -0,0 +1,181 @@
+//! Finds out whether a stream is whole whose end has no mark, from whether its endpoint runs on, and
+//! from what another endpoint adds to it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures_util::future::{self, BoxFuture, Either};
+use parking_lot::Mutex;
+use sill_base::{Millis, Name};
+use sill_dispatch::{EndChecks, EndStep, EndpointCheck, ResumeChecks, TICK};
+use sill_wire::Incarnation;
+use tokio::sync::Notify;
+
+use crate::egress::{Destination, Via};
+use crate::relay::EndpointAnswer;
+use crate::resume::{NotResumed, ResumedEnd};
+use crate::state::State;
+
+/// Time for which each connection to the endpoint has to stay open. A busy proxy in front of one that
+/// has ended closes it late.
+const OPEN_TIME: Millis = Millis(200);
+
+/// An endpoint, and the entry instance that carries the answer if it is one in a tunnel.
+type CheckedEndpoint = (Name, Incarnation, Option<SocketAddr>);
+
+/// Checks of endpoints at which streams have ended without a mark.
+#[derive(Debug)]
+pub struct StreamEnds {
+    checks: Mutex<EndChecks<CheckedEndpoint>>,
+    resumptions: Mutex<ResumeChecks>,
+    has_changed: Notify,
+}
+
+/// The answer whose end is checked.
+#[derive(Debug, Clone)]
+pub struct EndedAnswer {
+    /// The endpoint.
+    pub to: Destination,
+    /// The tunnel in which the answer arrived.
+    pub via: Option<Via>,
+    /// When the endpoint was chosen.
+    pub placed_at: Millis,
+    /// When the answer ended.
+    pub ended_at: Millis,
+}
+
+/// What an unmarked end turns out to be.
+pub struct UnmarkedEnd {
+    /// The decision.
+    pub decision: EndDecision,
+    /// Whether another endpoint was asked to go on, and did not.
+    pub has_asked_other: bool,
+}
+
+// One exists per end, so its size doesn't matter.
+#[allow(clippy::large_enum_variant)]
+/// Whether an answer is whole.
+pub enum EndDecision {
+    /// It is whole if its endpoint runs.
+    Endpoint(EndpointCheck),
+    /// Another endpoint has confirmed that nothing follows.
+    Whole,
+    /// Another endpoint goes on with it.
+    Continued(EndpointAnswer),
+}
+
+impl EndDecision {
+    /// Returns the name for log lines.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Endpoint(check) => check.name(),
+            Self::Whole => "whole",
+            Self::Continued(_) => "continued",
+        }
+    }
+}
+
+impl StreamEnds {
+    /// Creates an empty record. Endpoints announce themselves at this interval.
+    pub fn new(heartbeat: Millis) -> Self {
+        Self {
+            checks: Mutex::new(EndChecks::new(heartbeat)),
+            resumptions: Mutex::default(),
+            has_changed: Notify::new(),
+        }
+    }
+
+    /// Returns whether an end is checked by resuming its stream.
+    pub fn may_resume(&self, service: &Name) -> bool {
+        self.resumptions.lock().may_check(service)
+    }
+
+    /// Records whether a resumption has shown that a stream was short.
+    pub fn record_resumed(&self, service: &Name, was_short: bool) {
+        self.resumptions.lock().record(service, was_short);
+    }
+}
+
+impl State {
+    /// Waits until the endpoint of a stream is shown to run long enough after its end, or not to run.
+    pub async fn wait_until_proven(self: Arc<Self>, ended: EndedAnswer) -> EndpointCheck {
+        let EndedAnswer { to, via, placed_at, ended_at } = &ended;
+        let key = (to.endpoint.clone(), to.incarnation, via.as_ref().map(|via| via.address));
+        loop {
+            let has_changed = self.stream_ends.has_changed.notified();
+            tokio::pin!(has_changed);
+            has_changed.as_mut().enable();
+            // The answer may arrive late, when the endpoint has restarted or a proxy accepts
+            // connections again.
+            if self.crashes.has_crashed_since(*placed_at, &to.endpoint, to.incarnation) {
+                return EndpointCheck::Ended;
+            }
+            let now = self.clock.now();
+            let step = self.stream_ends.checks.lock().step(now, &key, *ended_at);
+            match step {
+                EndStep::Decided(check) => return check,
+                EndStep::Check => {
+                    // Other ends wait for it too, whether or not this caller leaves.
+                    tokio::spawn(self.clone().check_for_ends(ended.clone(), key.clone()));
+                }
+                EndStep::Wait(until) => {
+                    // Crashes are heard of from others.
+                    let pause = (until - now).min(TICK);
+                    tokio::select! {
+                        () = has_changed => {}
+                        () = tokio::time::sleep(pause.into()) => {}
+                    }
+                }
+            }
+        }
+    }
+
+    async fn check_for_ends(self: Arc<Self>, ended: EndedAnswer, key: CheckedEndpoint) {
+        let check = self.check_ended(&ended, OPEN_TIME).await;
+        self.stream_ends.checks.lock().record(self.clock.now(), &key, check);
+        self.stream_ends.has_changed.notify_waiters();
+    }
+
+    /// Checks once whether the endpoint of an answer runs.
+    pub async fn check_ended(&self, ended: &EndedAnswer, wait: Millis) -> EndpointCheck {
+        let EndedAnswer { to, via, placed_at, .. } = ended;
+        let check = match via {
+            Some(via) => self.check_endpoint_via(via, to, wait).await,
+            None => self.check_endpoint(to, wait).await,
+        };
+        match self.crashes.has_crashed_since(*placed_at, &to.endpoint, to.incarnation) {
+            true => EndpointCheck::Ended,
+            false => check,
+        }
+    }
+}
+
+/// Decides about an end from its endpoint, and from its resumption if there is one. Where that shows
+/// nothing in time, the endpoint decides.
+pub async fn decide(
+    endpoint: BoxFuture<'static, EndpointCheck>,
+    resumption: Option<BoxFuture<'static, Result<ResumedEnd, NotResumed>>>,
+) -> UnmarkedEnd {
+    let Some(resumption) = resumption else {
+        let decision = EndDecision::Endpoint(endpoint.await);
+        return UnmarkedEnd { decision, has_asked_other: false };
+    };
+    let (check, resumed) = match future::select(endpoint, resumption).await {
+        Either::Left((EndpointCheck::Running, _)) => {
+            let decision = EndDecision::Endpoint(EndpointCheck::Running);
+            return UnmarkedEnd { decision, has_asked_other: true };
+        }
+        Either::Left((check, resumption)) => (check, resumption.await),
+        Either::Right((resumed @ (Ok(ResumedEnd::Unclear) | Err(_)), endpoint)) => {
+            (endpoint.await, resumed)
+        }
+        Either::Right((resumed, _)) => (EndpointCheck::Unclear, resumed),
+    };
+    let (decision, has_asked_other) = match resumed {
+        Ok(ResumedEnd::Continued(answer)) => (EndDecision::Continued(answer), false),
+        Ok(ResumedEnd::Whole) => (EndDecision::Whole, true),
+        Ok(ResumedEnd::Unclear) | Err(NotResumed::Sent) => (EndDecision::Endpoint(check), true),
+        Err(NotResumed::NotSent) => (EndDecision::Endpoint(check), false),
+    };
+    UnmarkedEnd { decision, has_asked_other }
+}
--- a/daemons/gateway/tests/limits.rs
+++ b/daemons/gateway/tests/limits.rs
@@ -42,6 +42,7 @@
         limits: LimitBounds { slack: 0.0 },
         retries: RetryBounds { share: 0.2, allowance: 10.0 },
         endpoint_notice: Millis(2000),
+        endpoint_heartbeat: Millis(1000),
         usage_window: Millis(5000),
         stop: StopCfg { notice: Millis(100), limit: Millis(5000) },
         rollouts: None,
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -62,6 +62,9 @@
     AnswerAndClose(String),
     /// Sends these bytes, stops to listen and closes the connection, like a process that ends.
     AnswerAndEnd(String),
+    /// Sends these bytes, closes the connection once the flag is set, and stops to listen after a
+    /// delay, like a process that ends bit by bit.
+    AnswerAndEndBitByBit(String, Arc<AtomicBool>, Duration),
     /// Sends these bytes, and closes the connection after a delay.
     AnswerAndCloseLater(String, Duration),
     /// Sends these bytes, and closes the connection once the flag is set.
@@ -294,6 +297,17 @@
                 let _ = socket.shutdown(std::net::Shutdown::Both);
                 return;
             }
+            Action::AnswerAndEndBitByBit(text, may_close, pause) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
+                while !may_close.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(1));
+                }
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+                thread::sleep(pause);
+                let socket = socket2::SockRef::from(listener);
+                let _ = socket.shutdown(std::net::Shutdown::Both);
+                return;
+            }
             Action::AnswerAndCloseLater(text, pause) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
                 thread::sleep(pause);
@@ -698,6 +712,7 @@
         limits: LimitBounds { slack: 0.0 },
         retries: RetryBounds { share: 0.2, allowance: 1000.0 },
         endpoint_notice: Millis(2000),
+        endpoint_heartbeat: Millis(1000),
         usage_window: Millis(5000),
         stop: StartOptions::default().stop,
         rollouts: None,
