Gateway: check the mark of a stream whose connection is closed with it

Cause: the last chunk was a proof of the end, whatever followed. Of a whole stream the connection is kept, unless the endpoint has said otherwise; one that ends closes it right after.

If the connection is closed by then, the endpoint is checked as after an end without a mark; nothing is resumed for it. If the endpoint doesn't outlive the end and hasn't announced that it leaves by then, the stream is truncated. An endpoint that finishes its streams and ends at once without any notice has its last ones truncated too, also if they were whole.

--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -813,6 +813,12 @@
         self.endpoints.get(endpoint).is_some_and(|k| k.fact.state == EndpointState::Leaving)
     }
 
+    /// Returns whether an endpoint has announced that it leaves or has ended.
+    pub fn has_announced_end(&self, endpoint: &Name) -> bool {
+        let state = self.endpoints.get(endpoint).map(|known| known.fact.state);
+        matches!(state, Some(EndpointState::Leaving | EndpointState::Gone))
+    }
+
     /// Returns whether an endpoint is known to accept requests.
     pub fn is_ready(&self, endpoint: &Name) -> bool {
         self.endpoints.get(endpoint).is_some_and(|k| k.fact.state == EndpointState::Ready)
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -16,10 +16,9 @@
 use crate::stream_end::{self, EndDecision, EndedAnswer, UnmarkedEnd};
 
 impl EndpointAnswer {
-    /// Returns what there is to check, if the end of the answer has no mark.
-    fn unmarked_end(&mut self) -> Option<EndedAnswer> {
-        // An endpoint that leaves completes its answers before it ends.
-        if self.framing != Framing::Close || self.attempt.is_endpoint_leaving() {
+    /// Returns the end of the answer, unless its endpoint leaves: it completes its answers before.
+    fn end(&mut self) -> Option<EndedAnswer> {
+        if self.attempt.is_endpoint_leaving() {
             return None;
         }
         let ended_at = self.attempt.state().clock.now();
@@ -34,19 +33,33 @@
 }
 
 impl Relay {
-    /// Starts to check whether the answer is whole, if its end has no mark. A stream's end may be late,
-    /// as all events were passed on; the end of a plain answer completes it for its caller.
+    /// Starts to check whether the answer is whole, if its end proves nothing. A stream's end may be
+    /// late, as all events were passed on; the end of a plain answer completes it for its caller.
     pub(super) fn start_end_check(&mut self) -> bool {
         let Source::Endpoint(answer) = &mut self.source else { return false };
-        let Some(ended) = answer.unmarked_end() else { return false };
+        let (framing, is_stream) = (answer.framing, self.events.is_some());
+        let connection = match (framing, is_stream) {
+            (Framing::Close, _) => None,
+            // A process that ends may mark the ends of what it is sending.
+            (Framing::Chunked, true) if answer.connection.is_some() => answer.connection.take(),
+            _ => return false,
+        };
+        let Some(ended) = answer.end() else {
+            answer.connection = connection;
+            return false;
+        };
         let state = self.state.clone();
-        let check: BoxFuture<'static, UnmarkedEnd> = match self.events.is_some() {
-            true => {
+        let check: BoxFuture<'static, UnmarkedEnd> = match (connection, is_stream) {
+            (Some(connection), _) => {
+                let pool = self.call.pool.clone();
+                Box::pin(stream_end::check_mark(state, pool, ended, connection))
+            }
+            (None, true) => {
                 let resumption = self.end_resumption(&ended);
                 let endpoint = Box::pin(state.wait_until_proven(ended));
                 Box::pin(stream_end::decide(endpoint, resumption))
             }
-            false => Box::pin(async move {
+            (None, false) => Box::pin(async move {
                 let check = state.check_ended(&ended, REFUSAL_TIME).await;
                 UnmarkedEnd { decision: EndDecision::Endpoint(check), has_asked_other: false }
             }),
@@ -93,7 +106,9 @@
         }
         let service = self.call.pool.service.clone();
         match decision {
-            EndDecision::Endpoint(EndpointCheck::Running) | EndDecision::Whole => {
+            EndDecision::Endpoint(EndpointCheck::Running)
+            | EndDecision::Whole
+            | EndDecision::Marked => {
                 if has_asked_other {
                     self.state.stream_ends.record_resumed(&service, false);
                 }
@@ -124,6 +139,9 @@
 
     fn record_unmarked_end(&self, decision: &EndDecision) {
         let Source::Endpoint(answer) = &self.source else { return };
+        if matches!(decision, EndDecision::Marked) {
+            return;
+        }
         let Placement { endpoint, incarnation, .. } = &answer.attempt.placement;
         let held = answer.ended_at.map(|ended_at| self.state.clock.now() - ended_at);
         let result = decision.name();
@@ -135,6 +153,7 @@
             endpoint = endpoint,
             born = incarnation.0,
             stream = self.events.is_some(),
+            framing = answer.framing.name(),
             last_event = self.events.as_ref().and_then(EventTracker::last_id).unwrap_or_default(),
             held_ms = held.unwrap_or_default(),
             result = result
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -8,13 +8,15 @@
 use parking_lot::Mutex;
 use sill_base::{Millis, Name};
 use sill_dispatch::{EndChecks, EndStep, EndpointCheck, ResumeChecks, TICK};
+use sill_net::h1::ReusableConnection;
 use sill_wire::Incarnation;
 use tokio::sync::Notify;
 
+use crate::crashes::REFUSAL_TIME;
 use crate::egress::{Destination, Via};
 use crate::relay::EndpointAnswer;
 use crate::resume::{NotResumed, ResumedEnd};
-use crate::state::State;
+use crate::state::{PoolState, State};
 
 /// Time for which each connection to the endpoint has to stay open. A busy proxy in front of one that
 /// has ended closes it late.
@@ -58,6 +60,8 @@
 pub enum EndDecision {
     /// It is whole if its endpoint runs.
     Endpoint(EndpointCheck),
+    /// It is whole: its end is marked, and its connection is still open or its endpoint leaves.
+    Marked,
     /// Another endpoint has confirmed that nothing follows.
     Whole,
     /// Another endpoint goes on with it.
@@ -69,6 +73,7 @@
     pub const fn name(&self) -> &'static str {
         match self {
             Self::Endpoint(check) => check.name(),
+            Self::Marked => "marked",
             Self::Whole => "whole",
             Self::Continued(_) => "continued",
         }
@@ -150,6 +155,28 @@
     }
 }
 
+/// Decides about a marked end of a stream whose connection was to be kept. If it is closed with the
+/// mark nevertheless, its endpoint may be ending, and has written the mark as it stopped.
+pub async fn check_mark(
+    state: Arc<State>,
+    pool: Arc<PoolState>,
+    ended: EndedAnswer,
+    connection: ReusableConnection,
+) -> UnmarkedEnd {
+    let decision = if connection.is_closed_within(REFUSAL_TIME).await {
+        let endpoint = ended.to.endpoint.clone();
+        match state.wait_until_proven(ended).await {
+            // It has ended in order; its announcement may come later than its last answer.
+            _ if pool.pool.lock().has_announced_end(&endpoint) => EndDecision::Marked,
+            check => EndDecision::Endpoint(check),
+        }
+    } else {
+        connection.release();
+        EndDecision::Marked
+    };
+    UnmarkedEnd { decision, has_asked_other: false }
+}
+
 /// Decides about an end from its endpoint, and from its resumption if there is one. Where that shows
 /// nothing in time, the endpoint decides.
 pub async fn decide(
--- a/daemons/gateway/tests/short_streams.rs
+++ b/daemons/gateway/tests/short_streams.rs
@@ -8,7 +8,8 @@
 use std::thread;
 use std::time::Duration;
 
-use support::{Action, CallerResponse, Harness, exchange, head, not_run, request_as};
+use sill_wire::link::{EndpointFact, EndpointState};
+use support::{Action, CallerResponse, Harness, exchange, fact, head, not_run, request_as};
 
 const EVENT_STREAM: &str = "content-type: text/event-stream\r\n";
 const CHUNKED: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
@@ -23,6 +24,8 @@
     Unmarked,
     /// In chunks, and closed without the last one.
     NoLastChunk,
+    /// In chunks, and closed with the last one, which comes too early.
+    EarlyLastChunk,
 }
 
 fn chunk(text: &str) -> String {
@@ -33,6 +36,7 @@
     match frame {
         Frame::Unmarked => format!("{}{FIRST}", head(EVENT_STREAM)),
         Frame::NoLastChunk => format!("{}{}", head(CHUNKED), chunk(FIRST)),
+        Frame::EarlyLastChunk => begun(Frame::NoLastChunk),
     }
 }
 
@@ -91,7 +95,7 @@
     }
     let mut cases = Vec::new();
     for millis in [5, 15, 40, 100, 300] {
-        for frame in [Frame::Unmarked, Frame::NoLastChunk] {
+        for frame in [Frame::Unmarked, Frame::NoLastChunk, Frame::EarlyLastChunk] {
             let case = |path, has_other, body, is_complete| {
                 let outlives = Duration::from_millis(millis);
                 Case { outlives, frame, path, has_other, body, is_complete }
@@ -104,7 +108,9 @@
     let check = |case: Case| {
         let Case { outlives, frame, path, has_other, body, is_complete } = case;
         let ends = Arc::<AtomicBool>::default();
-        let first = vec![Action::AnswerAndEndBitByBit(begun(frame), ends.clone(), outlives)];
+        let end = if frame == Frame::EarlyLastChunk { "0\r\n\r\n" } else { "" };
+        let first = Action::AnswerAndEndBitByBit(begun(frame), ends.clone(), end.into(), outlives);
+        let first = vec![first];
         let other = vec![whole_in_chunks("id: 2\ndata: b\n\n")];
         let system = match has_other {
             true => System::start_with_other(first, other),
@@ -185,3 +191,36 @@
     assert!(sent > calls, "no stream was checked");
     assert!(sent <= calls + 4, "{sent} requests for {calls} streams");
 }
+
+/// An endpoint that leaves in order completes its streams, and its announcement may come late. Its
+/// callers would get whole streams as broken ones.
+#[test]
+fn a_marked_stream_is_whole_if_its_endpoint_announces_its_end_meanwhile() {
+    struct Case {
+        state: EndpointState,
+        is_complete: bool,
+    }
+    let cases = [
+        Case { state: EndpointState::Leaving, is_complete: true },
+        Case { state: EndpointState::Gone, is_complete: true },
+        Case { state: EndpointState::Ready, is_complete: false },
+    ];
+    for Case { state, is_complete } in cases {
+        let ends = Arc::<AtomicBool>::default();
+        let (text, end) = (begun(Frame::EarlyLastChunk), "0\r\n\r\n".to_owned());
+        let outlives = Duration::from_millis(500);
+        let first = Action::AnswerAndEndBitByBit(text, ends.clone(), end, outlives);
+        let harness = Harness::start(vec![vec![first]]);
+        let address = harness.address;
+        let caller = thread::spawn(move || exchange(address, &request_as("r-1", "/stream/x", "")));
+        while harness.endpoints[0].requests() == 0 {
+            thread::sleep(Duration::from_millis(1));
+        }
+        ends.store(true, Ordering::Relaxed);
+        thread::sleep(Duration::from_millis(100));
+        let known = fact(0, harness.endpoints[0].address);
+        *harness.facts.lock() = vec![EndpointFact { sequence: 2, state, ..known }];
+        let got = caller.join().expect("the caller gets an answer");
+        assert_eq!(looks_complete(&got), is_complete, "{state:?}: {}", got.head);
+    }
+}
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -62,9 +62,9 @@
     AnswerAndClose(String),
     /// Sends these bytes, stops to listen and closes the connection, like a process that ends.
     AnswerAndEnd(String),
-    /// Sends these bytes, closes the connection once the flag is set, and stops to listen after a
-    /// delay, like a process that ends bit by bit.
-    AnswerAndEndBitByBit(String, Arc<AtomicBool>, Duration),
+    /// Sends the first bytes; once the flag is set, sends the others and closes the connection, and
+    /// stops to listen after a delay, like a process that ends bit by bit.
+    AnswerAndEndBitByBit(String, Arc<AtomicBool>, String, Duration),
     /// Sends these bytes, and closes the connection after a delay.
     AnswerAndCloseLater(String, Duration),
     /// Sends these bytes, and closes the connection once the flag is set.
@@ -297,11 +297,12 @@
                 let _ = socket.shutdown(std::net::Shutdown::Both);
                 return;
             }
-            Action::AnswerAndEndBitByBit(text, may_close, pause) => {
+            Action::AnswerAndEndBitByBit(text, may_close, end, pause) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
                 while !may_close.load(Ordering::Relaxed) {
                     thread::sleep(Duration::from_millis(1));
                 }
+                let _ = stream.write_all(end.as_bytes());
                 let _ = stream.shutdown(std::net::Shutdown::Both);
                 thread::sleep(pause);
                 let socket = socket2::SockRef::from(listener);
--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -445,6 +445,12 @@
 pub struct ReusableConnection(BorrowedConnection);
 
 impl ReusableConnection {
+    /// Waits whether the other side closes the connection within `wait`, and returns whether it does.
+    pub async fn is_closed_within(&self, wait: Millis) -> bool {
+        tokio::time::sleep(wait.into()).await;
+        self.0.connection.is_closed()
+    }
+
     /// Returns the connection to its pool.
     pub fn release(self) {
         let BorrowedConnection { connection, keep_alive, pool } = self.0;
