--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -1,8 +1,9 @@
 //! The entry instance for routes: accepts callers' requests, sends them to endpoints of the route's
 //! service, and relays the answers byte for byte as they arrive.
 //!
-//! [`serve`] reads and admits a call, [`dispatch`] chooses an endpoint and sends the attempts, `kept` holds those whose paths are lost, and
-//! [`answer`] and [`relay`] relay the answer, `rival` tries another endpoint beside it. [`migration`] moves runs off reclaimed engines.
+//! [`serve`] reads and admits a call, [`dispatch`] chooses an endpoint and sends the attempts, and `kept` holds those whose paths are lost.
+//! [`answer`] and [`relay`] relay the answer, `rival` tries another endpoint beside it, `resume` continues it there, and [`stream_end`]
+//! judges ends without a mark. [`migration`] moves runs off reclaimed engines.
 //! [`link`] polls the control instances, and [`settings_fetcher`] fetches settings from them.
 //! [`egress`] sends requests to endpoints, and [`tunnels`] carries those of entry instances that do not reach them.
 //! [`streams`] remembers which version began each stream, for callers that take theirs up elsewhere.
@@ -27,12 +28,14 @@
 mod pause_notice;
 pub mod planned_stop;
 pub mod relay;
+mod resume;
 mod rival;
 pub mod rollouts;
 pub mod serve;
 pub mod settings_fetcher;
 pub mod sill_dialect;
 pub mod state;
+pub mod stream_end;
 pub mod streams;
 pub mod summary;
 pub mod termination;
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -1,6 +1,8 @@
 //! Relays an answer to the caller as it arrives, and resumes a stream at another endpoint where
 //! possible.
 
+mod unmarked;
+
 use std::fmt::Display;
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -14,7 +16,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use sill_base::{Millis, Name, event};
-use sill_dispatch::{AttemptOutcome, CallProgress, EndpointCheck, EventTracker, NextStep};
+use sill_dispatch::{AttemptOutcome, CallProgress, EventTracker, NextStep};
 use sill_net::h1::{AnyBody, BodyError, Framing, ReusableConnection};
 use sill_rollout::AnswerEnd;
 use sill_route::Outcome;
@@ -22,22 +24,18 @@
 use sill_wire::{ErrorCode, Software};
 use tokio::time::Sleep;
 
-use crate::crashes::{PROVEN_AFTER, REFUSAL_TIME};
-use crate::dispatch::{self, Attempt, AttemptResult, PlacementRefusal, Resumption};
-use crate::egress::Destination;
+use crate::crashes::PROVEN_AFTER;
+use crate::dispatch::{self, Attempt, Resumption};
 use crate::failure::Failure;
 use crate::migration::RunMigration;
+use crate::resume::{self, NotResumed};
 use crate::rival::{Rival, RivalEnd};
 use crate::serve::Call;
 use crate::state::State;
+use crate::stream_end::UnmarkedEnd;
 use crate::summary::{CallSummary, StreamEnd};
 use crate::termination::FinalPhase;
 
-/// Wait for the close of a new connection before a stream without a marked end is taken for
-/// complete. A process that ends may close its listener after its connections, and no event of the
-/// stream is held back meanwhile.
-const STREAM_END_WAIT: Millis = Millis(100);
-
 /// Least time between two tries of other endpoints while a path is lost.
 const RIVAL_INTERVAL: Millis = Millis(1000);
 
@@ -69,8 +67,8 @@
     pending_error: Option<BodyError>,
 }
 
-/// A stream that another endpoint is asked to continue.
-pub type Continuation = BoxFuture<'static, Result<EndpointAnswer, NotResumed>>;
+/// The answer to a resumption.
+pub type Resuming<T> = BoxFuture<'static, Result<T, NotResumed>>;
 
 // One exists per call, so its size doesn't matter.
 #[allow(clippy::large_enum_variant)]
@@ -79,20 +77,11 @@
     /// The answer of an endpoint.
     Endpoint(EndpointAnswer),
     /// A resumed stream, whose endpoint has not answered yet.
-    Resuming(Continuation),
+    Resuming(Resuming<EndpointAnswer>),
     /// No more parts follow.
     Ended,
 }
 
-/// Why a stream was not resumed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NotResumed {
-    /// The call was sent to no endpoint.
-    NotSent,
-    /// An endpoint that the call was sent to did not continue the stream.
-    Sent,
-}
-
 /// An answer that arrives from an endpoint.
 pub struct EndpointAnswer {
     /// The parts that have not been read yet.
@@ -103,14 +92,18 @@
     pub attempt: Attempt,
     /// The connection that carries the answer; it is reused after a complete answer.
     pub connection: Option<ReusableConnection>,
-    /// Resolves to whether the endpoint has ended, once the body has ended without a mark.
-    end_check: Option<BoxFuture<'static, EndpointCheck>>,
+    /// The beginning of the body, if it was read already.
+    pub first: Option<Bytes>,
+    /// Resolves to whether the answer is whole, once the body has ended without a mark.
+    end_check: Option<BoxFuture<'static, UnmarkedEnd>>,
     /// Resolves once the rest of the body can't be expected to arrive.
     stuck: Fuse<BoxFuture<'static, ()>>,
     /// When the first part arrived.
     began_at: Option<Millis>,
     /// Whether it is recorded that the prompt does not crash the endpoint.
     is_proven: bool,
+    /// When the body ended without a mark.
+    ended_at: Option<Millis>,
 }
 
 impl EndpointAnswer {
@@ -127,10 +120,12 @@
             framing,
             attempt,
             connection,
+            first: None,
             end_check: None,
             stuck,
             began_at: None,
             is_proven: false,
+            ended_at: None,
         }
     }
 
@@ -141,31 +136,6 @@
         let is_proven = now - began_at >= PROVEN_AFTER;
         is_proven && !std::mem::replace(&mut self.is_proven, true)
     }
-
-    /// Starts to check whether the endpoint has ended, if the end of its answer has no mark.
-    fn start_end_check(&mut self, wait: Millis) -> bool {
-        // An endpoint that leaves completes its answers before it ends.
-        if self.framing != Framing::Close || self.attempt.is_endpoint_leaving() {
-            return false;
-        }
-        let state = self.attempt.state().clone();
-        let endpoint = Destination::from(&self.attempt.placement);
-        let (via, placed_at) = (self.attempt.via().cloned(), self.attempt.placed_at);
-        self.end_check = Some(Box::pin(async move {
-            let check = match via {
-                Some(via) => state.check_endpoint_via(&via, &endpoint, wait).await,
-                None => state.check_endpoint(&endpoint, wait).await,
-            };
-            // The answer may arrive late, when the endpoint has restarted or a proxy accepts
-            // connections again.
-            let Destination { endpoint, incarnation, .. } = &endpoint;
-            match state.crashes.has_crashed_since(placed_at, endpoint, *incarnation) {
-                true => EndpointCheck::Ended,
-                false => check,
-            }
-        }));
-        true
-    }
 }
 
 /// Returns whether a run is migrated, because it can't be resumed from its events alone.
@@ -257,7 +227,9 @@
     }
 
     fn poll_migration(&mut self, cx: &mut Context<'_>) {
-        if let Source::Endpoint(answer) = &self.source {
+        if let Source::Endpoint(answer) = &self.source
+            && answer.end_check.is_none()
+        {
             self.migration.poll(cx, &answer.attempt, self.progress.attempts());
         }
     }
@@ -278,7 +250,7 @@
         self.source = Source::Resuming(Box::pin(async move {
             let run = transfer.finish().await.ok_or(NotResumed::NotSent)?;
             let resumption = Resumption { last_event, memory: Some(run.memory) };
-            resume_at(run.attempt, progress, resumption).await
+            resume::resume_at(run.attempt, progress, resumption).await
         }));
         true
     }
@@ -339,11 +311,7 @@
     /// Ends an attempt whose answer broke off, and resumes the stream elsewhere if allowed. Returns
     /// whether it does.
     fn try_resume(&mut self, reason: &dyn Display) -> bool {
-        let Source::Endpoint(answer) = std::mem::replace(&mut self.source, Source::Ended) else {
-            return false;
-        };
-        let endpoint = answer.attempt.placement.endpoint.clone();
-        self.abandon(answer, reason);
+        let Some(endpoint) = self.end_broken(reason) else { return false };
         if let Some(rival) = self.rival.take() {
             self.follow(rival);
             return true;
@@ -360,12 +328,16 @@
             event!(Warn, "stream_not_resumed", id = self.call.head.attempt, why = why);
             return false;
         }
-        self.source = Source::Resuming(self.continuation(&endpoint));
+        self.source = Source::Resuming(self.resume_elsewhere(self.progress, endpoint));
         true
     }
 
-    /// Ends an attempt whose answer broke off.
-    fn abandon(&mut self, mut answer: EndpointAnswer, reason: &dyn Display) {
+    /// Ends an attempt whose answer broke off, and returns its endpoint.
+    fn end_broken(&mut self, reason: &dyn Display) -> Option<Name> {
+        let Source::Endpoint(mut answer) = std::mem::replace(&mut self.source, Source::Ended)
+        else {
+            return None;
+        };
         answer.attempt.finish(Outcome::Failed);
         answer.attempt.record_broken_answer(answer.began_at);
         answer.attempt.end_broken();
@@ -380,6 +352,7 @@
             parts = self.call.shared_parts,
             why = reason
         );
+        Some(answer.attempt.placement.endpoint.clone())
     }
 
     /// Returns why the stream must not be sent to another endpoint; takes a retry if it may be.
@@ -397,24 +370,6 @@
         (!self.state.may_retry(&self.call.pool.service)).then_some("retry budget used up")
     }
 
-    /// Has another endpoint continue the stream after the events that the caller has.
-    fn continuation(&self, failed_endpoint: &Name) -> Continuation {
-        let events = self.events.as_ref();
-        let last_event = events.and_then(|events| events.last_id().map(str::to_owned));
-        let software = match self.call.pool.pool.lock().is_ambiguous(failed_endpoint) {
-            true => Some(Software::AMBIGUOUS),
-            false => self.software.clone(),
-        };
-        Box::pin(resume(
-            self.state.clone(),
-            self.call.clone(),
-            self.progress,
-            failed_endpoint.clone(),
-            software,
-            Resumption { last_event, memory: None },
-        ))
-    }
-
     /// Tries another endpoint while the connection to the present one is read on.
     fn start_rival(&mut self) {
         let Source::Endpoint(answer) = &self.source else { return };
@@ -427,7 +382,8 @@
         events.restart();
         self.progress.record(AttemptOutcome::Unknown);
         event!(Info, "stream_tried_elsewhere", id = self.call.head.attempt, endpoint = endpoint);
-        self.rival = Some(Rival::new(self.continuation(&endpoint), events));
+        let resuming = self.resume_elsewhere(self.progress, endpoint);
+        self.rival = Some(Rival::new(resuming, events));
     }
 
     /// Lets another endpoint continue the stream, which has not sent an event yet.
@@ -457,10 +413,7 @@
             if let Some(rival) = &mut self.rival {
                 match ready!(rival.poll(cx)) {
                     RivalEnd::Continued(data) => {
-                        let previous = std::mem::replace(&mut self.source, Source::Ended);
-                        if let Source::Endpoint(answer) = previous {
-                            self.abandon(answer, &"the network path to the endpoint is lost");
-                        }
+                        self.end_broken(&"the network path to the endpoint is lost");
                         if let Some(rival) = self.rival.take() {
                             self.follow(rival);
                         }
@@ -521,20 +474,15 @@
         }
     }
 
-    /// Ends an answer whose end has no mark. If its endpoint can't be shown to run, it may have
-    /// crashed before the end of the answer.
-    fn end_unmarked(
-        &mut self,
-        cx: &Context<'_>,
-        check: EndpointCheck,
-    ) -> Poll<Option<Result<Bytes, BodyError>>> {
-        if check == EndpointCheck::Running {
-            self.finish();
-            return Poll::Ready(None);
-        }
-        let reason = "the endpoint accepts no connections, and its answer had no marked end";
-        self.end_truncated(cx, &reason, reason.into());
-        Poll::Pending
+    /// Has another endpoint of the version that began the stream continue it.
+    fn resume_elsewhere(&self, progress: CallProgress, from: Name) -> Resuming<EndpointAnswer> {
+        let last_event = self.events.as_ref().and_then(EventTracker::last_id).map(str::to_owned);
+        let software = match self.call.pool.pool.lock().is_ambiguous(&from) {
+            true => Some(Software::AMBIGUOUS),
+            false => self.software.clone(),
+        };
+        let parts = (self.state.clone(), self.call.clone());
+        Box::pin(resume::resume(parts, progress, from, software, last_event))
     }
 
     fn record_stream_end(&mut self) {
@@ -550,10 +498,14 @@
         loop {
             let Source::Endpoint(answer) = &mut self.source else { return Poll::Ready(None) };
             if let Some(check) = &mut answer.end_check {
-                let check = ready!(check.as_mut().poll(cx));
-                return self.end_unmarked(cx, check);
+                let end = ready!(check.as_mut().poll(cx));
+                return self.end_unmarked(cx, end);
             }
-            let frame = match Pin::new(&mut answer.body).poll_frame(cx) {
+            let frame = match answer.first.take() {
+                Some(first) => Poll::Ready(Some(Ok(Frame::data(first)))),
+                None => Pin::new(&mut answer.body).poll_frame(cx),
+            };
+            let frame = match frame {
                 Poll::Ready(frame) => frame,
                 Poll::Pending => {
                     // An answer that can't be sent again may still arrive.
@@ -593,14 +545,7 @@
                         self.end_truncated(cx, &reason, reason.into());
                         return Poll::Pending;
                     }
-                    let wait = match &self.events {
-                        Some(_) => STREAM_END_WAIT,
-                        None => REFUSAL_TIME,
-                    };
-                    let is_checked = match &mut self.source {
-                        Source::Endpoint(answer) => answer.start_end_check(wait),
-                        _ => false,
-                    };
+                    let is_checked = self.start_end_check();
                     if !is_checked {
                         self.finish();
                         return Poll::Ready(None);
@@ -628,55 +573,6 @@
     }
 }
 
-/// Has another endpoint, of the version that began the stream, continue it after the last event that
-/// the caller received.
-async fn resume(
-    state: Arc<State>,
-    call: Arc<Call>,
-    progress: CallProgress,
-    failed_endpoint: Name,
-    software: Option<Software>,
-    resumption: Resumption,
-) -> Result<EndpointAnswer, NotResumed> {
-    let now = state.clock.now();
-    let exclude = [failed_endpoint];
-    let needed = software.as_ref().map(ToString::to_string).unwrap_or_default();
-    let placed =
-        dispatch::place_attempt(&state, &call, now, &exclude, progress.attempts(), software);
-    let attempt = match placed {
-        Ok(attempt) => attempt,
-        Err(PlacementRefusal { reason, view, .. }) => {
-            let (id, why) = (&call.head.attempt, format!("{reason:?}"));
-            event!(
-                Warn,
-                "stream_not_resumed",
-                id = id,
-                software = needed,
-                why = why,
-                endpoints = view
-            );
-            return Err(NotResumed::NotSent);
-        }
-    };
-    resume_at(attempt, progress, resumption).await
-}
-
-async fn resume_at(
-    attempt: Attempt,
-    progress: CallProgress,
-    resumption: Resumption,
-) -> Result<EndpointAnswer, NotResumed> {
-    match dispatch::send_attempt(attempt, &progress, Some(&resumption)).await {
-        AttemptResult::Answer(attempt, answer) if answer.response.status().is_success() => {
-            let framing = answer.framing();
-            let (response, connection) = answer.into_parts();
-            Ok(EndpointAnswer::new(attempt, framing, response.into_body(), connection))
-        }
-        AttemptResult::Failed(AttemptOutcome::NotSent) => Err(NotResumed::NotSent),
-        _ => Err(NotResumed::Sent),
-    }
-}
-
 impl Body for Relay {
     type Data = Bytes;
     type Error = BodyError;
--- a/daemons/gateway/src/rival.rs
+++ b/daemons/gateway/src/rival.rs
@@ -8,7 +8,8 @@
 use sill_dispatch::EventTracker;
 use sill_route::Outcome;
 
-use crate::relay::{Continuation, EndpointAnswer, NotResumed};
+use crate::relay::{EndpointAnswer, Resuming};
+use crate::resume::NotResumed;
 
 /// An endpoint that is asked to continue a stream after the last event that its caller has.
 pub struct Rival {
@@ -20,7 +21,7 @@
 // At most one exists per call, so its size doesn't matter.
 #[allow(clippy::large_enum_variant)]
 enum Stage {
-    Asked(Continuation),
+    Asked(Resuming<EndpointAnswer>),
     Answering(EndpointAnswer),
 }
 
@@ -35,15 +36,15 @@
 
 impl Rival {
     /// Creates the try of another endpoint; `events` tracks what would follow.
-    pub const fn new(continuation: Continuation, events: EventTracker) -> Self {
-        Self { stage: Stage::Asked(continuation), events }
+    pub const fn new(resuming: Resuming<EndpointAnswer>, events: EventTracker) -> Self {
+        Self { stage: Stage::Asked(resuming), events }
     }
 
     /// Waits for the first event.
     pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<RivalEnd> {
         loop {
             let answer = match &mut self.stage {
-                Stage::Asked(continuation) => match ready!(continuation.as_mut().poll(cx)) {
+                Stage::Asked(resuming) => match ready!(resuming.as_mut().poll(cx)) {
                     Ok(answer) => {
                         self.stage = Stage::Answering(answer);
                         continue;
@@ -68,11 +69,11 @@
     }
 
     /// Returns the answer, or the wait for its head, and what tracks its events.
-    pub fn into_parts(self) -> (Result<EndpointAnswer, Continuation>, EventTracker) {
-        let continuation = match self.stage {
-            Stage::Asked(continuation) => Err(continuation),
+    pub fn into_parts(self) -> (Result<EndpointAnswer, Resuming<EndpointAnswer>>, EventTracker) {
+        let resuming = match self.stage {
+            Stage::Asked(resuming) => Err(resuming),
             Stage::Answering(answer) => Ok(answer),
         };
-        (continuation, self.events)
+        (resuming, self.events)
     }
 }
