A control instance's stop returns once its data folder is free

An instance that was started right after its stop failed with 'the data folder is in use by another process' (once in 5 runs of an existing test at a load of 11). `LogHandle::stop` only sent the thread of the log a message. While a write was under way, the stop returned with the folder still locked, and the stop of a process could end it in the middle of that write.

The stop now waits until the thread has ended and its disk is closed, for 2 s at most, since a disk that hangs must not hold the process. A watch whose sender the thread drops last, also in a panic, tells so.

--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -158,7 +158,7 @@
         // Not earlier: through this server the leader learns that other replicas have a change.
         self.peers.stop();
         self.server.stop(true).await;
-        self.shared.log.stop();
+        self.shared.log.stop().await;
         // Dropping the runtime would block, which panics if the caller is inside another runtime.
         self.runtime.shutdown_background();
     }
--- a/daemons/control/src/log/driver.rs
+++ b/daemons/control/src/log/driver.rs
@@ -13,7 +13,7 @@
 use sill_base::{Clock, Machine, Map, Millis, Name, event};
 use sill_quorum::{Action, Cfg, Entry, Event, PersistentState, Replica, RoleName, Snapshot};
 use sill_store::WriteError;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use crate::app::App;
 use crate::cfg::ControlCfg;
@@ -120,13 +120,20 @@
         // an instance whose disk holds the log would answer yes; with enough disks lost, a second
         // history would then start and overwrite this one.
         self.publish_status();
+        let (end, ended) = watch::channel(());
         let handle = LogHandle {
             input: self.input.clone(),
             status: self.status.clone(),
             app: self.app.clone(),
             notifier: self.notifier.clone(),
+            ended,
         };
-        thread::Builder::new().name("log".to_owned()).spawn(move || self.run())?;
+        let run = move || {
+            // Dropped last, also in a panic.
+            let _end = end;
+            self.run();
+        };
+        thread::Builder::new().name("log".to_owned()).spawn(run)?;
         Ok(handle)
     }
 
--- a/daemons/control/src/log/handle.rs
+++ b/daemons/control/src/log/handle.rs
@@ -4,13 +4,16 @@
 use std::sync::mpsc::Sender;
 
 use parking_lot::RwLock;
-use sill_base::{Millis, Name};
+use sill_base::{Millis, Name, event};
 use sill_quorum::{Event, ReplicaId, RoleName};
 use sill_wire::control::Revision;
 use tokio::sync::{oneshot, watch};
 
 use crate::app::{App, Command, Outcome};
 
+/// Longest time that a stop waits for a write to the disk.
+const STOP_TIMEOUT: Millis = Millis(2000);
+
 /// A message to the log thread.
 #[derive(Debug)]
 pub enum Input {
@@ -100,6 +103,8 @@
     pub(crate) status: Arc<RwLock<Status>>,
     pub(crate) app: Arc<RwLock<App>>,
     pub(crate) notifier: Notifier,
+    /// Closed when the thread has ended and its data folder is free.
+    pub(crate) ended: watch::Receiver<()>,
 }
 
 impl LogHandle {
@@ -150,9 +155,16 @@
         self.notifier.rollout_step.subscribe()
     }
 
-    /// Stops the log thread.
-    pub fn stop(&self) {
+    /// Stops the log thread, and waits until its data folder is free.
+    ///
+    /// Only a disk that hangs holds it up for longer than [`STOP_TIMEOUT`].
+    pub async fn stop(&self) {
         let _ = self.input.send(Input::Stop);
+        let mut ended = self.ended.clone();
+        let wait = async { while ended.changed().await.is_ok() {} };
+        if tokio::time::timeout(STOP_TIMEOUT.into(), wait).await.is_err() {
+            event!(Warn, "data_folder_not_released", ms = STOP_TIMEOUT);
+        }
     }
 }
 
