A control instance that can't use its data folder says why, and doesn't panic

On the users' platform, a control instance whose data folder was in use, damaged or unreadable ended with exit code 101 and the line `event=panic … "Cannot drop a runtime in a context where blocking is not allowed"`. The reason was never printed. `buckthornsill-control` starts its instance inside its own runtime, and a start that failed dropped the instance's runtime there.

A start that fails now ends its runtime in the background, as a stop does. Found by the test with a data folder in use: exit code 101 before, 1 and 'the data folder is in use by another process' now. The check for panics fails it too. `sill control` starts outside of a runtime and was not affected.

--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -106,7 +106,15 @@
         let address = listener.local_addr()?;
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
-        let shared = Arc::new(build_shared(cfg, open_disk, runtime.handle().clone(), address)?);
+        let shared = match build_shared(cfg, open_disk, runtime.handle().clone(), address) {
+            Ok(shared) => Arc::new(shared),
+            Err(err) => {
+                // Dropping the runtime would block, which panics if the caller is inside another
+                // runtime.
+                runtime.shutdown_background();
+                return Err(err);
+            }
+        };
         let peers = {
             let _guard = runtime.enter();
             peer_server(&shared).start(peer_listener)?
@@ -159,7 +167,7 @@
         self.peers.stop();
         self.server.stop(true).await;
         self.shared.log.stop().await;
-        // Dropping the runtime would block, which panics if the caller is inside another runtime.
+        // Not dropped, as in a start that fails.
         self.runtime.shutdown_background();
     }
 }
