An instance that starts while its predecessor still stops waits for it

A supervisor that starts an instance before the process before has ended got exit code 1: 'Address already in use' from entry instances, 'the data folder is in use by another process' from control instances. With no supervisor that tries again, the instance stayed away.

A start now tries again for 10 s, longer than a planned stop on the users' platform, as long as an address or the data folder is in use, and ends with 0 if SIGTERM or SIGINT comes meanwhile (`start_waits`). All listeners are bound before the log's thread starts. The address for callers is bound last, since an attempt that fails after it would reset their connections.

Evidence: restarts in series, three control and three entry instances at once, as real processes.

--- a/daemons/control/src/cli.rs
+++ b/daemons/control/src/cli.rs
@@ -2,6 +2,7 @@
 
 use eyre::Result;
 use sill_base::event;
+use sill_setup::start::start_when_free;
 use sill_setup::{logs, signal::StopSignals};
 
 use crate::cfg::{CONTROL, ControlCfg};
@@ -21,8 +22,9 @@
     let cfg = ControlCfg::read(&mut values)?;
     logs::start(level.unwrap_or(log::LevelFilter::Info))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let control = Control::start(cfg)?;
     runtime.block_on(async {
+        let started = start_when_free(&mut stops, || Control::start(cfg.clone())).await?;
+        let Some(control) = started else { return Ok(()) };
         let delay = stops.next().await;
         event!(Info, "control_stops", late_ms = delay);
         control.stop().await;
--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -103,6 +103,7 @@
     pub fn start_with(cfg: ControlCfg, open_disk: OpenDisk, extension: Extension) -> Result<Self> {
         let listener = http::bind(cfg.listen)?;
         let peer_listener = http::bind(cfg.listen_peer)?;
+        let metrics_listener = cfg.listen_metrics.map(http::bind).transpose()?;
         let address = listener.local_addr()?;
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
@@ -130,8 +131,8 @@
             runtime.spawn(duty::run(shared.clone(), platform, extension.duty));
         }
         let name = shared.cfg.name.clone();
-        if let Some(address) = shared.cfg.listen_metrics {
-            runtime.spawn(serve_metrics(shared.metrics.clone(), http::bind(address)?));
+        if let Some(listener) = metrics_listener {
+            runtime.spawn(serve_metrics(shared.metrics.clone(), listener));
         }
         let server = serve_api(shared.clone(), listener, extension.routes)?;
         let peer_address = peers.address();
--- a/daemons/control/src/log/disk.rs
+++ b/daemons/control/src/log/disk.rs
@@ -3,11 +3,11 @@
 use std::io;
 use std::path::Path;
 
-use eyre::{Result, WrapErr, bail};
+use eyre::{Report, Result, WrapErr, bail};
 use serde::{Deserialize, Serialize};
 use sill_base::{Millis, Name, event};
 use sill_quorum::{PersistentState, ReplicaId, Write};
-use sill_store::{AnyDisk, FolderDisk, RecoveredState, Store, WriteError};
+use sill_store::{AnyDisk, FolderDisk, OpenError, RecoveredState, Store, WriteError};
 
 /// Opens the disk that holds a data folder. Tests pass one that injects faults.
 pub type OpenDisk = Box<dyn Fn(&Path) -> io::Result<AnyDisk> + Send>;
@@ -54,8 +54,13 @@
         name: &Name,
     ) -> Result<(Self, PersistentState)> {
         let place = || folder.display().to_string();
-        let disk = open_disk(folder).map_err(sill_store::OpenError::from);
-        let (mut store, recovered) = disk.and_then(Store::open).wrap_err_with(place)?;
+        let disk = open_disk(folder).map_err(OpenError::from);
+        let opened = disk.and_then(Store::open).map_err(|err| match err {
+            // As an I/O error, by which the program tells that it may try again.
+            OpenError::InUse => Report::from(io::Error::new(io::ErrorKind::ResourceBusy, err)),
+            err => Report::from(err),
+        });
+        let (mut store, recovered) = opened.wrap_err_with(place)?;
         report(&recovered);
         let (id, persisted) = match replay(recovered).wrap_err_with(place)? {
             (Some(id), persisted) => (id, persisted),
--- a/daemons/entry/src/cli.rs
+++ b/daemons/entry/src/cli.rs
@@ -2,6 +2,7 @@
 
 use eyre::Result;
 use sill_base::event;
+use sill_setup::start::start_when_free;
 use sill_setup::{logs, signal::StopSignals};
 
 use crate::cfg::{ENTRY, EntryCfg};
@@ -21,8 +22,9 @@
     let cfg = EntryCfg::read(&mut values)?;
     logs::start(level.unwrap_or(log::LevelFilter::Info))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let entry = Entry::start(cfg)?;
     runtime.block_on(async {
+        let started = start_when_free(&mut stops, || Entry::start(cfg.clone())).await?;
+        let Some(entry) = started else { return Ok(()) };
         let signal_delay = stops.next().await;
         let aborted = entry.stop_unless_forced(signal_delay, stops.interrupted()).await;
         if aborted > 0 {
--- a/daemons/entry/src/daemon.rs
+++ b/daemons/entry/src/daemon.rs
@@ -180,13 +180,14 @@
     /// Fails when an address cannot be bound, the data folder or a record file cannot be created,
     /// or a thread cannot be started.
     pub fn start(cfg: EntryCfg) -> Result<Self> {
-        let listener = http::bind(cfg.listen)?;
         let peer_listener = http::bind(cfg.listen_peer)?;
+        let copy = cfg.data.as_deref().map(SettingsCopy::open).transpose()?;
+        // Last, as a start that fails after it would reset the connections of callers.
+        let listener = http::bind(cfg.listen)?;
         let address = listener.local_addr()?;
         let peer_address = peer_listener.local_addr()?;
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
-        let copy = cfg.data.as_deref().map(SettingsCopy::open).transpose()?;
         let settings = Settings::new(feed::read_copy(copy.as_ref()));
         let handle = runtime.handle().clone();
         let shared = Arc::new(Shared::new(cfg, settings, address, peer_address, handle)?);
--- a/daemons/gateway/src/cli.rs
+++ b/daemons/gateway/src/cli.rs
@@ -7,6 +7,7 @@
 use sill_base::{Findings, Millis, Secret};
 use sill_dispatch::{LimitBounds, RetryBounds};
 use sill_setup::signal::StopSignals;
+use sill_setup::start::start_when_free;
 use sill_setup::{Flag, Program, Values, logs, rollout_flags};
 
 use crate::cfg::{GatewayCfg, StopCfg};
@@ -131,7 +132,8 @@
     logs::start_daemon(level.unwrap_or(log::LevelFilter::Info))?;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
-        let gateway = Gateway::start(cfg)?;
+        let started = start_when_free(&mut stop_signals, || Gateway::start(cfg.clone())).await?;
+        let Some(gateway) = started else { return Ok(()) };
         let delay = stop_signals.next().await;
         gateway.stop_late(delay).await;
         Ok(())
--- a/daemons/gateway/src/daemon.rs
+++ b/daemons/gateway/src/daemon.rs
@@ -70,10 +70,11 @@
     ///
     /// Fails when an address can't be bound.
     pub fn start(cfg: GatewayCfg) -> Result<Self> {
-        let listener = TcpListener::from_std(bind(cfg.listen)?)?;
         let ready = TcpListener::from_std(bind(cfg.listen_ready)?)?;
         let metrics = TcpListener::from_std(bind(cfg.listen_metrics)?)?;
         let peers = TcpListener::from_std(bind(cfg.listen_peer)?)?;
+        // Last, as a start that fails after it would reset the connections of callers.
+        let listener = TcpListener::from_std(bind(cfg.listen)?)?;
         let peer_address = peers.local_addr()?;
         let (address, ready_address) = (listener.local_addr()?, ready.local_addr()?);
         let state = Arc::new(State::new(cfg)?);
--- a/daemons/setup/src/lib.rs
+++ b/daemons/setup/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod queue;
 pub mod rollout_flags;
 pub mod signal;
+pub mod start;
 
 pub use flags::{Flag, FlagKind, Outcome, Program, Values, Variables};
 
--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -15,6 +15,7 @@
 mod member;
 mod moved_routes;
 mod product;
+mod restarts;
 mod serving;
 mod signals;
 mod verbs;
