--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -103,10 +103,19 @@
     pub fn start_with(cfg: ControlCfg, open_disk: OpenDisk, extension: Extension) -> Result<Self> {
         let listener = http::bind(cfg.listen)?;
         let peer_listener = http::bind(cfg.listen_peer)?;
+        let metrics_listener = cfg.listen_metrics.map(http::bind).transpose()?;
         let address = listener.local_addr()?;
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
-        let shared = Arc::new(build_shared(cfg, open_disk, runtime.handle().clone(), address)?);
+        let shared = match build_shared(cfg, open_disk, runtime.handle().clone(), address) {
+            Ok(shared) => Arc::new(shared),
+            Err(err) => {
+                // Dropping the runtime would block, which panics if the caller is inside another
+                // runtime.
+                runtime.shutdown_background();
+                return Err(err);
+            }
+        };
         let peers = {
             let _guard = runtime.enter();
             peer_server(&shared).start(peer_listener)?
@@ -122,8 +131,8 @@
             runtime.spawn(duty::run(shared.clone(), platform, extension.duty));
         }
         let name = shared.cfg.name.clone();
-        if let Some(address) = shared.cfg.listen_metrics {
-            runtime.spawn(serve_metrics(shared.metrics.clone(), http::bind(address)?));
+        if let Some(listener) = metrics_listener {
+            runtime.spawn(serve_metrics(shared.metrics.clone(), listener));
         }
         let server = serve_api(shared.clone(), listener, extension.routes)?;
         let peer_address = peers.address();
@@ -158,8 +167,8 @@
         // Not earlier: through this server the leader learns that other replicas have a change.
         self.peers.stop();
         self.server.stop(true).await;
-        self.shared.log.stop();
-        // Dropping the runtime would block, which panics if the caller is inside another runtime.
+        self.shared.log.stop().await;
+        // Not dropped, as in a start that fails.
         self.runtime.shutdown_background();
     }
 }
--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -17,6 +17,7 @@
 mod moved_routes;
 mod product;
 mod release_cuts;
+mod restarts;
 mod serving;
 mod signals;
 mod verbs;
