Streams: a conclusion waits 100 ms for the replies that it needs

Cause: a conclusion needs the replies of a holder and a control instance since the last commit but one, and both had 40 ms, which was meant for replies that only add to what is known. Now these two have 100 ms: a caller that is refused comes back after as long. Take-ups that can't be concluded or lack nothing still end after 40 ms.

Where an instance is cut off, a refusal takes 60 ms longer.

--- a/coordination/dispatch/src/take_up.rs
+++ b/coordination/dispatch/src/take_up.rs
@@ -85,10 +85,14 @@
         self.is_confirmed
     }
 
+    /// Returns whether those have replied without whom nothing is concluded.
+    pub fn may_conclude(&self) -> bool {
+        self.has_holder_replied && self.is_confirmed
+    }
+
     /// Decides where the stream continues, by the services that may have begun it.
     pub fn decide(&self, origins: &OriginServices) -> TakeUp {
-        let may_conclude = self.has_holder_replied && self.is_confirmed;
-        let is_complete = self.view.is_complete && may_conclude;
+        let is_complete = self.view.is_complete && self.may_conclude();
         let view = VersionView { is_complete, ..self.view.clone() };
         decide(self.known.clone(), origins, [view])
     }
--- a/daemons/gateway/src/streams.rs
+++ b/daemons/gateway/src/streams.rs
@@ -30,6 +30,7 @@
 };
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, Semaphore};
+use tokio::time::Instant;
 
 use crate::cfg::GatewayCfg;
 use crate::dialect::CallHead;
@@ -40,6 +41,10 @@
 /// Time for other instances to answer what they know of a stream. A caller is refused after it.
 const LOOKUP_TIMEOUT: Millis = Millis(40);
 
+/// Time for the replies without which a stream that nobody knows is refused, although a single version
+/// may have begun it. A refused caller would come back as late.
+const CONCLUSION_TIMEOUT: Millis = Millis(100);
+
 /// Time for another instance to take a record.
 const RECORD_TIMEOUT: Millis = Millis(500);
 
@@ -352,14 +357,12 @@
                 let reply = async move { Reply::Control(client.call(confirm).await) };
                 replies.push(reply.boxed());
             }
-            let deadline = tokio::time::sleep(LOOKUP_TIMEOUT.into());
-            tokio::pin!(deadline);
+            let began = Instant::now();
             while inquiry.known().is_none() {
-                let reply = tokio::select! {
-                    reply = replies.next() => reply,
-                    () = &mut deadline => None,
-                };
-                match reply {
+                let lacks_replies = may_conclude && !inquiry.may_conclude();
+                let timeout = if lacks_replies { CONCLUSION_TIMEOUT } else { LOOKUP_TIMEOUT };
+                let reply = tokio::time::timeout_at(began + timeout.into(), replies.next()).await;
+                match reply.ok().flatten() {
                     None => break,
                     Some(Reply::Entry(from, Ok(mut reply))) => {
                         replied += 1;
