Gateway: a stream whose end is held counts as ended at its endpoint

What callers would have seen since the ends of streams are held: refusals of calls for which the endpoint had room, as streams that it had closed counted as running there for up to a second.

Now an attempt is finished, and its exchange dropped, as the end is held; the latter by reading, so that the endpoint doesn't count as silent.

--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -561,6 +561,11 @@
         self.exchange.as_ref()?.via()
     }
 
+    /// Ends the request in flight: no more of the answer is awaited from the endpoint.
+    pub fn end_exchange(&mut self) {
+        self.exchange = None;
+    }
+
     /// Records that a part of the answer arrived, which shows that the path to the endpoint works.
     pub fn record_heard(&self) {
         self.exchange.iter().for_each(Exchange::record_heard);
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -7,6 +7,7 @@
 use sill_base::event;
 use sill_dispatch::{AttemptOutcome, EndpointCheck, EventTracker, NextStep, Placement};
 use sill_net::h1::{BodyError, Framing};
+use sill_route::Outcome;
 
 use super::{EndpointAnswer, Relay, Resuming, Source};
 use crate::crashes::REFUSAL_TIME;
@@ -23,12 +24,15 @@
         }
         let ended_at = self.attempt.state().clock.now();
         self.ended_at = Some(ended_at);
-        Some(EndedAnswer {
+        let ended = EndedAnswer {
             to: Destination::from(&self.attempt.placement),
             via: self.attempt.via().cloned(),
             placed_at: self.attempt.placed_at,
             ended_at,
-        })
+        };
+        // The endpoint isn't silent while the end is held.
+        self.attempt.end_exchange();
+        Some(ended)
     }
 }
 
@@ -48,6 +52,10 @@
             answer.connection = connection;
             return false;
         };
+        if is_stream {
+            // The endpoint has room for another call while the end is held.
+            answer.attempt.finish(Outcome::Finished);
+        }
         let state = self.state.clone();
         let check: BoxFuture<'static, UnmarkedEnd> = match (connection, is_stream) {
             (Some(connection), _) => {
--- a/daemons/gateway/tests/short_streams.rs
+++ b/daemons/gateway/tests/short_streams.rs
@@ -129,6 +129,18 @@
     assert!(failures.is_empty(), "{} cases: {failures:#?}", failures.len());
 }
 
+/// A proxy in front of an endpoint that has ended accepts connections, and is busy when it closes them.
+#[test]
+fn a_stream_of_an_endpoint_that_ended_behind_a_proxy_is_not_whole() {
+    for delay in [0, 30, 110, 150] {
+        let delay = Duration::from_millis(delay);
+        let ends = Action::AnswerAndEndBehindProxy(begun(Frame::Unmarked), delay);
+        let harness = Harness::start(vec![vec![ends]]);
+        let got = harness.call("/stream/x");
+        assert_eq!((text(&got), looks_complete(&got)), (FIRST.to_owned(), false), "{delay:?}");
+    }
+}
+
 /// An endpoint closes one connection between two events and goes on. Only what another endpoint adds
 /// tells such a stream from a whole one; what it repeats must not reach the caller.
 #[test]
@@ -224,3 +236,28 @@
         assert_eq!(looks_complete(&got), is_complete, "{state:?}: {}", got.head);
     }
 }
+
+/// Ends are held while their endpoint is checked. If the streams counted as running meanwhile, the
+/// endpoint would seem full, and calls that it has room for would be refused.
+#[test]
+fn a_stream_that_has_ended_takes_no_place_at_its_endpoint() {
+    let calls = 40;
+    let unmarked = Action::AnswerAndClose(format!("{}{WHOLE}", head(EVENT_STREAM)));
+    let harness = Harness::start(vec![vec![unmarked; calls]]);
+    let address = harness.address;
+    let got: Vec<CallerResponse> = thread::scope(|scope| {
+        let start = |number: usize| {
+            let text = request_as(&format!("r-{number}"), "/stream/x", "");
+            let caller = scope.spawn(move || exchange(address, &text));
+            while harness.endpoints[0].requests() <= number && !caller.is_finished() {
+                thread::sleep(Duration::from_millis(1));
+            }
+            thread::sleep(Duration::from_millis(10));
+            caller
+        };
+        let callers: Vec<_> = (0..calls).map(start).collect();
+        callers.into_iter().map(|caller| caller.join().expect("an answer")).collect()
+    });
+    let whole = got.iter().filter(|got| looks_complete(got) && text(got) == WHOLE).count();
+    assert_eq!(whole, calls);
+}
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -65,6 +65,9 @@
     /// Sends the first bytes; once the flag is set, sends the others and closes the connection, and
     /// stops to listen after a delay, like a process that ends bit by bit.
     AnswerAndEndBitByBit(String, Arc<AtomicBool>, String, Duration),
+    /// Sends these bytes and closes the connection, like a process that ends behind a proxy: further
+    /// connections are accepted, and closed after a delay.
+    AnswerAndEndBehindProxy(String, Duration),
     /// Sends these bytes, and closes the connection after a delay.
     AnswerAndCloseLater(String, Duration),
     /// Sends these bytes, and closes the connection once the flag is set.
@@ -224,15 +227,22 @@
             run_ids: Arc::clone(&run_ids),
             disconnects: Arc::clone(&disconnects),
         };
+        let proxy_delay = Arc::<Mutex<Option<Duration>>>::default();
         thread::spawn(move || {
             for (number, stream) in listener.incoming().enumerate() {
+                let proxy_delay = proxy_delay.clone();
                 let (actions, request_log) = (actions.clone(), request_log.clone());
                 let (run_ids, disconnects) = (run_ids.clone(), disconnects.clone());
                 let Ok(stream) = stream else { return };
                 let listener = listener.try_clone().expect("the socket can be cloned");
                 thread::spawn(move || {
+                    let delay = *proxy_delay.lock();
+                    if let Some(delay) = delay {
+                        return thread::sleep(delay);
+                    }
                     let logs = (&*request_log, &*run_ids);
-                    serve(stream, number, &listener, &actions, logs, &disconnects)
+                    let ending = (&listener, &*proxy_delay);
+                    serve(stream, number, ending, &actions, logs, &disconnects)
                 });
             }
         });
@@ -247,7 +257,7 @@
 fn serve(
     stream: TcpStream,
     number: usize,
-    listener: &TcpListener,
+    (listener, proxy_delay): (&TcpListener, &Mutex<Option<Duration>>),
     actions: &Mutex<VecDeque<Action>>,
     (request_log, run_ids): (&Mutex<Vec<ReceivedRequest>>, &Mutex<Vec<String>>),
     disconnects: &Mutex<usize>,
@@ -309,6 +319,11 @@
                 let _ = socket.shutdown(std::net::Shutdown::Both);
                 return;
             }
+            Action::AnswerAndEndBehindProxy(text, delay) => {
+                *proxy_delay.lock() = Some(delay);
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
+                return;
+            }
             Action::AnswerAndCloseLater(text, pause) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
                 thread::sleep(pause);
