Gateway: a second attempt at a stream counts for what it proves

Found by review of the second attempts that run beside a stream on a lost path. Callers would have seen: - a whole stream, of which only the last chunk was lost with its path, cut at its deadline, as the complete answer of the other endpoint without events counted as a failure of it; - a stream cut, as a comment of the other endpoint counted as an event and closed the sound first connection; - by reading, a stream that waits for its deadline: if the first connection broke while its end was checked, what the other had sent meanwhile was not read. The followed attempt is now polled at once. A retry was also taken, once a second, where no other endpoint could be asked; now the endpoint is chosen first.

Cause: a second attempt was judged by other rules than the check of an unmarked end. It now ends the stream if it is complete without an event, and goes on only with an event.

Evidence: a_second_attempt_continues_a_stream_only_with_what_it_proves: two of its three cases failed before (whole stream: cut; comment: cut), none now; the third, a connection that breaks after the other's head, passed before as well.

Renamed from rival to hedge. The branches for migrations go: a run that is migrated is never sent twice.

--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //! service, and relays the answers byte for byte as they arrive.
 //!
 //! [`serve`] reads and admits a call, [`dispatch`] chooses an endpoint and sends the attempts, and `kept` holds those whose paths are lost.
-//! [`answer`] and [`relay`] relay the answer, `rival` tries another endpoint beside it, `resume` continues it there, and [`stream_end`]
+//! [`answer`] and [`relay`] relay the answer, `hedge` makes a second attempt beside it, `resume` continues it there, and [`stream_end`]
 //! judges ends without a mark. [`migration`] moves runs off reclaimed engines.
 //! [`link`] polls the control instances, and [`settings_fetcher`] fetches settings from them.
 //! [`egress`] sends requests to endpoints, and [`tunnels`] carries those of entry instances that do not reach them.
@@ -21,6 +21,7 @@
 pub mod egress;
 pub mod endpoint_check;
 pub mod failure;
+mod hedge;
 mod kept;
 pub mod link;
 pub mod metrics;
@@ -29,7 +30,6 @@
 pub mod planned_stop;
 pub mod relay;
 mod resume;
-mod rival;
 pub mod rollouts;
 pub mod serve;
 pub mod settings_fetcher;
--- a/daemons/gateway/src/migration.rs
+++ b/daemons/gateway/src/migration.rs
@@ -95,11 +95,6 @@
         matches!(self.transfer, Some(MemoryTransfer::Copied(_)))
     }
 
-    /// Returns whether the KV cache is being copied.
-    pub const fn is_copying(&self) -> bool {
-        matches!(self.transfer, Some(MemoryTransfer::Copying(_)))
-    }
-
     /// Returns whether the engine was asked to stop the run, so its stream may end anywhere.
     pub fn has_stopped_run(&self) -> bool {
         self.stop_requested.load(Ordering::Relaxed)
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -27,17 +27,17 @@
 use crate::crashes::PROVEN_AFTER;
 use crate::dispatch::{self, Attempt, Resumption};
 use crate::failure::Failure;
+use crate::hedge::{Hedge, HedgeEnd};
 use crate::migration::RunMigration;
 use crate::resume::{self, NotResumed};
-use crate::rival::{Rival, RivalEnd};
 use crate::serve::Call;
 use crate::state::State;
 use crate::stream_end::UnmarkedEnd;
 use crate::summary::{CallSummary, StreamEnd};
 use crate::termination::FinalPhase;
 
-/// Least time between two tries of other endpoints while a path is lost.
-const RIVAL_INTERVAL: Millis = Millis(1000);
+/// Least time between two attempts at other endpoints while a path is lost.
+const HEDGE_INTERVAL: Millis = Millis(1000);
 
 /// The body of an answer while it is relayed to the caller.
 pub struct Relay {
@@ -47,7 +47,7 @@
     progress: CallProgress,
     source: Source,
     /// Another endpoint that is tried while the path to the present one is lost.
-    rival: Option<Rival>,
+    hedge: Option<Hedge>,
     /// Tracks the events of a stream; none for other answers.
     events: Option<EventTracker>,
     /// Whether another endpoint may continue the answer.
@@ -166,7 +166,7 @@
             summary,
             progress,
             source: Source::Endpoint(answer),
-            rival: None,
+            hedge: None,
             events,
             may_resume,
             software: call.software.clone(),
@@ -293,7 +293,7 @@
 
     /// Completes the call: the endpoint's answer is complete.
     fn finish(&mut self) {
-        self.rival = None;
+        self.hedge = None;
         if let Source::Endpoint(mut answer) = std::mem::replace(&mut self.source, Source::Ended) {
             answer.attempt.finish(Outcome::Finished);
             answer.attempt.end_answer(AnswerEnd::Whole);
@@ -312,8 +312,8 @@
     /// whether it does.
     fn try_resume(&mut self, reason: &dyn Display) -> bool {
         let Some(endpoint) = self.end_broken(reason) else { return false };
-        if let Some(rival) = self.rival.take() {
-            self.follow(rival);
+        if let Some(hedge) = self.hedge.take() {
+            self.follow(hedge);
             return true;
         }
         self.progress.time_left = self.call.due - self.state.clock.now();
@@ -357,43 +357,61 @@
 
     /// Returns why the stream must not be sent to another endpoint; takes a retry if it may be.
     fn refusal(&self) -> Option<&'static str> {
-        let is_resumable = self.call.route.route.kind.may_repeat();
-        let next = self.progress.next_step(AttemptOutcome::Unknown);
+        if !self.may_send_elsewhere() {
+            return Some("it may not be repeated");
+        }
+        (!self.state.may_retry(&self.call.pool.service)).then_some("retry budget used up")
+    }
+
+    fn may_send_elsewhere(&self) -> bool {
         // A stream that has started is resumed even if it may outlast the process: otherwise it
         // would be cut now. One without a first event can still be answered with a failure, and its
         // caller may retry elsewhere.
         let has_time = self.has_begun || dispatch::has_time_for_attempt(&self.state, &self.call);
-        let is_blocked = dispatch::is_blocked(&self.state, &self.call);
-        if !self.may_resume || !is_resumable || next != NextStep::Retry || !has_time || is_blocked {
-            return Some("it may not be repeated");
-        }
-        (!self.state.may_retry(&self.call.pool.service)).then_some("retry budget used up")
+        self.may_resume
+            && self.call.route.route.kind.may_repeat()
+            && self.progress.next_step(AttemptOutcome::Unknown) == NextStep::Retry
+            && has_time
+            && !dispatch::is_blocked(&self.state, &self.call)
     }
 
-    /// Tries another endpoint while the connection to the present one is read on.
-    fn start_rival(&mut self) {
+    /// Makes an attempt at another endpoint while the connection to the present one is read on.
+    fn start_hedge(&mut self) {
         let Source::Endpoint(answer) = &self.source else { return };
         let endpoint = answer.attempt.placement.endpoint.clone();
-        self.progress.time_left = self.call.due - self.state.clock.now();
-        if self.refusal().is_some() {
+        let now = self.state.clock.now();
+        self.progress.time_left = self.call.due - now;
+        let Some(mut events) = self.events.clone().filter(|_| self.may_send_elsewhere()) else {
             return;
-        }
-        let Some(mut events) = self.events.clone() else { return };
+        };
         events.restart();
-        self.progress.record(AttemptOutcome::Unknown);
-        event!(Info, "stream_tried_elsewhere", id = self.call.head.attempt, endpoint = endpoint);
-        let resuming = self.resume_elsewhere(self.progress, endpoint);
-        self.rival = Some(Rival::new(resuming, events));
+        let mut progress = self.progress;
+        progress.record(AttemptOutcome::Unknown);
+        let (exclude, software) = ([endpoint.clone()], self.needed_software(&endpoint));
+        let (state, call) = (&self.state, &self.call);
+        let attempts = progress.attempts();
+        // A retry is taken only if it can be sent.
+        let Ok(attempt) = dispatch::try_to_place(state, call, now, &exclude, attempts, software)
+        else {
+            return;
+        };
+        if !state.may_retry(&call.pool.service) {
+            return;
+        }
+        self.progress = progress;
+        event!(Info, "stream_tried_elsewhere", id = call.head.attempt, endpoint = endpoint);
+        let last_event = events.last_id().map(str::to_owned);
+        let resumption = Resumption { last_event, memory: None };
+        let resuming =
+            Box::pin(async move { resume::resume_at(attempt, progress, resumption).await });
+        self.hedge = Some(Hedge::new(resuming, events));
     }
 
-    /// Lets another endpoint continue the stream, which has not sent an event yet.
-    fn follow(&mut self, rival: Rival) {
-        let (continuation, events) = rival.into_parts();
+    /// Lets another endpoint continue the stream.
+    fn follow(&mut self, hedge: Hedge) {
+        let (resuming, events) = hedge.into_parts();
         self.events = Some(events);
-        match continuation {
-            Ok(answer) => self.begin_continuation(answer),
-            Err(continuation) => self.source = Source::Resuming(continuation),
-        }
+        self.source = Source::Resuming(resuming);
     }
 
     fn begin_continuation(&mut self, answer: EndpointAnswer) {
@@ -408,34 +426,41 @@
 
     /// Tries other endpoints while the path to the present one is lost, and goes on at one that sends
     /// an event first. A silence ends no answer: its connection may be sound.
-    fn poll_rival(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+    fn poll_hedge(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         loop {
-            if let Some(rival) = &mut self.rival {
-                match ready!(rival.poll(cx)) {
-                    RivalEnd::Continued(data) => {
-                        self.end_broken(&"the network path to the endpoint is lost");
-                        if let Some(rival) = self.rival.take() {
-                            self.follow(rival);
-                        }
+            if let Some(hedge) = &mut self.hedge {
+                match ready!(hedge.poll(cx)) {
+                    HedgeEnd::Continued(data) => {
+                        self.switch_to_hedge(cx);
                         self.record_part(&data);
                         return Poll::Ready(Some(Ok(data)));
                     }
-                    RivalEnd::Failed(NotResumed::Sent) => self.summary.record_failed_resume(),
-                    RivalEnd::Failed(NotResumed::NotSent) => {
+                    HedgeEnd::Whole => {
+                        self.switch_to_hedge(cx);
+                        self.finish();
+                        return Poll::Ready(None);
+                    }
+                    HedgeEnd::Failed(NotResumed::Sent) => self.summary.record_failed_resume(),
+                    HedgeEnd::Failed(NotResumed::NotSent) => {
                         self.progress.possible_runs -= 1;
                         self.progress.record(AttemptOutcome::NotSent);
                     }
                 }
-                self.rival = None;
+                self.hedge = None;
             }
             let Source::Endpoint(answer) = &mut self.source else { return Poll::Pending };
             ready!(Pin::new(&mut answer.stuck).poll(cx));
-            answer.stuck = answer.attempt.wait_until_still_stuck(RIVAL_INTERVAL).fuse();
-            if self.migration.is_copied() {
-                self.resume_after_migration();
-            } else if !self.migration.is_copying() {
-                self.start_rival();
-            }
+            answer.stuck = answer.attempt.wait_until_still_stuck(HEDGE_INTERVAL).fuse();
+            self.start_hedge();
+        }
+    }
+
+    /// Goes on with the answer of the second attempt, whose head has arrived.
+    fn switch_to_hedge(&mut self, cx: &mut Context<'_>) {
+        self.end_broken(&"the network path to the endpoint is lost");
+        if let Some(hedge) = self.hedge.take() {
+            self.follow(hedge);
+            let _ = self.poll_resuming(cx);
         }
     }
 
@@ -477,14 +502,19 @@
     /// Has another endpoint of the version that began the stream continue it.
     fn resume_elsewhere(&self, progress: CallProgress, from: Name) -> Resuming<EndpointAnswer> {
         let last_event = self.events.as_ref().and_then(EventTracker::last_id).map(str::to_owned);
-        let software = match self.call.pool.pool.lock().is_ambiguous(&from) {
-            true => Some(Software::AMBIGUOUS),
-            false => self.software.clone(),
-        };
+        let software = self.needed_software(&from);
         let parts = (self.state.clone(), self.call.clone());
         Box::pin(resume::resume(parts, progress, from, software, last_event))
     }
 
+    /// Returns the version whose endpoints may go on with the stream of an endpoint.
+    fn needed_software(&self, from: &Name) -> Option<Software> {
+        match self.call.pool.pool.lock().is_ambiguous(from) {
+            true => Some(Software::AMBIGUOUS),
+            false => self.software.clone(),
+        }
+    }
+
     fn record_stream_end(&mut self) {
         let Some(events) = &self.events else { return };
         self.summary.set_stream_end(match (events.is_between_events(), events.has_events()) {
@@ -510,7 +540,7 @@
                 Poll::Pending => {
                     // An answer that can't be sent again may still arrive.
                     let may_repeat = self.may_resume && self.call.route.route.kind.may_repeat();
-                    return if may_repeat { self.poll_rival(cx) } else { Poll::Pending };
+                    return if may_repeat { self.poll_hedge(cx) } else { Poll::Pending };
                 }
             };
             match frame {
@@ -524,7 +554,7 @@
                     if data.is_empty() {
                         continue;
                     }
-                    self.rival = None;
+                    self.hedge = None;
                     self.record_part(&data);
                     return Poll::Ready(Some(Ok(data)));
                 }
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -81,8 +81,8 @@
     /// Resumes a stream that may be whole, if a resumption can show it. It isn't sent to the endpoint
     /// that closed the stream, which would take the only repeat along if it ends.
     fn end_resumption(&self, ended: &EndedAnswer) -> Option<Resuming<ResumedEnd>> {
-        // One that is being tried goes on if the stream turns out to be short.
-        if self.rival.is_some() {
+        // The attempt that runs goes on if the stream turns out to be short.
+        if self.hedge.is_some() {
             return None;
         }
         let last_event = self.events.as_ref()?.last_id()?.to_owned();
--- a/daemons/gateway/src/resume.rs
+++ b/daemons/gateway/src/resume.rs
@@ -16,8 +16,8 @@
 use crate::serve::Call;
 use crate::state::State;
 
-/// Upper bound in bytes on what may precede the first event of a resumption that checks an end.
-const MAX_COMMENTS: usize = 64 << 10;
+/// Upper bound in bytes on what may precede the first event of a resumption beside another answer.
+pub const MAX_COMMENTS: usize = 64 << 10;
 
 /// Why a stream was not resumed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/daemons/gateway/tests/lost_paths.rs
+++ b/daemons/gateway/tests/lost_paths.rs
@@ -152,6 +152,56 @@
     assert!(failures.is_empty(), "{} cases: {failures:#?}", failures.len());
 }
 
+/// A second attempt is misread: a complete answer without events as a failure, a comment as an event, or
+/// what it sends once the first connection has broken is not read.
+#[test]
+fn a_second_attempt_continues_a_stream_only_with_what_it_proves() {
+    struct Case {
+        name: &'static str,
+        /// What the first endpoint sends after its first event, and when.
+        rest: (Duration, String),
+        other: Action,
+        events: &'static str,
+    }
+    let comment = format!("{}8\r\n: ping\n\n\r\n", head(STREAM));
+    let other_event = format!("{}0\r\n\r\n", event(2, "other"));
+    let cases = [
+        Case {
+            name: "nothing follows",
+            rest: (LONG, String::new()),
+            other: Action::Answer(format!("{}0\r\n\r\n", head(STREAM))),
+            events: "id: 1\ndata: a\n\n",
+        },
+        Case {
+            name: "a comment, then silence",
+            rest: (SILENCES[1], format!("{}0\r\n\r\n", event(2, "b"))),
+            other: Action::AnswerAndCloseLater(comment, LONG),
+            events: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+        },
+        Case {
+            name: "its head, and the first connection breaks",
+            rest: (SILENCES[1], "no chunk\r\n".to_owned()),
+            other: Action::AnswerInTwo(head(STREAM), Duration::from_secs(4), other_event),
+            events: "id: 1\ndata: a\n\nid: 2\ndata: other\n\n",
+        },
+    ];
+    let run = |case: Case| {
+        thread::spawn(move || {
+            let Case { name, rest: (silence, rest), other, events } = case;
+            let begins = format!("{}{}", head(STREAM), event(1, "a"));
+            let action = (begins, silence, rest);
+            let (got, _) = call_on_lost_path("/resumable_stream/x", action, Some(other), false);
+            let body = String::from_utf8_lossy(&got.body).into_owned();
+            (!got.is_complete || body != events)
+                .then(|| format!("{name}: whole={} {body:?}", got.is_complete))
+        })
+    };
+    let runs: Vec<_> = cases.into_iter().map(run).collect();
+    let failures: Vec<String> =
+        runs.into_iter().filter_map(|run| run.join().expect("the case runs")).collect();
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 /// A call that may be repeated is failed if no other endpoint takes it, although its answer is on the
 /// way.
 #[test]
