Gateway: a retry for the check of an end is taken only if an endpoint can be asked

Callers of a service with one endpoint, or one of the stream's version, whose streams end without a mark would have lost resumptions that they need: each whole stream took a retry from the budget, logged stream_not_resumed and counted as unmet demand, although no request could be sent.

Cause: the retry was taken before the endpoint was chosen, and a choice that fails was not counted as a check that shows nothing. Now the endpoint is chosen first, without counting a refusal, as for a second attempt on a lost path.

Evidence: an_end_is_not_resumed_where_no_other_endpoint_serves: before, the first stream has a line stream_not_resumed; now none has. short_streams.rs 7 of 7 and lost_paths.rs 3 of 3 pass.

--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -379,27 +379,20 @@
     fn start_hedge(&mut self) {
         let Source::Endpoint(answer) = &self.source else { return };
         let endpoint = answer.attempt.placement.endpoint.clone();
-        let now = self.state.clock.now();
-        self.progress.time_left = self.call.due - now;
+        self.progress.time_left = self.call.due - self.state.clock.now();
         let Some(mut events) = self.events.clone().filter(|_| self.may_send_elsewhere()) else {
             return;
         };
         events.restart();
         let mut progress = self.progress;
         progress.record(AttemptOutcome::Unknown);
-        let (exclude, software) = ([endpoint.clone()], self.needed_software(&endpoint));
-        let (state, call) = (&self.state, &self.call);
-        let attempts = progress.attempts();
         // A retry is taken only if it can be sent.
-        let Ok(attempt) = dispatch::try_to_place(state, call, now, &exclude, attempts, software)
-        else {
-            return;
-        };
-        if !state.may_retry(&call.pool.service) {
+        let Some(attempt) = self.place_elsewhere(progress, &endpoint) else { return };
+        if !self.state.may_retry(&self.call.pool.service) {
             return;
         }
         self.progress = progress;
-        event!(Info, "stream_tried_elsewhere", id = call.head.attempt, endpoint = endpoint);
+        event!(Info, "stream_tried_elsewhere", id = self.call.head.attempt, endpoint = endpoint);
         let last_event = events.last_id().map(str::to_owned);
         let resumption = Resumption { last_event, memory: None };
         let resuming =
@@ -407,6 +400,14 @@
         self.hedge = Some(Hedge::new(resuming, events));
     }
 
+    /// Chooses another endpoint that may go on with the stream, if there is one with room.
+    fn place_elsewhere(&self, progress: CallProgress, from: &Name) -> Option<Attempt> {
+        let (state, call) = (&self.state, &self.call);
+        let (now, software) = (state.clock.now(), self.needed_software(from));
+        let (exclude, attempts) = ([from.clone()], progress.attempts());
+        dispatch::try_to_place(state, call, now, &exclude, attempts, software).ok()
+    }
+
     /// Lets another endpoint continue the stream.
     fn follow(&mut self, hedge: Hedge) {
         let (resuming, events) = hedge.into_parts();
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -11,7 +11,7 @@
 
 use super::{EndpointAnswer, Relay, Resuming, Source};
 use crate::crashes::REFUSAL_TIME;
-use crate::dispatch;
+use crate::dispatch::{self, Resumption};
 use crate::egress::Destination;
 use crate::resume::{self, ResumedEnd};
 use crate::stream_end::{self, EndDecision, EndedAnswer, UnmarkedEnd};
@@ -92,15 +92,18 @@
             && self.call.route.route.kind.may_repeat()
             && progress.next_step(AttemptOutcome::Unknown) == NextStep::Retry
             && !dispatch::is_blocked(&self.state, &self.call);
-        let service = &self.call.pool.service;
-        if !may_repeat
-            || !self.state.stream_ends.may_resume(service)
-            || !self.state.may_retry(service)
-        {
+        if !may_repeat {
             return None;
         }
         progress.record(AttemptOutcome::Unknown);
-        let resuming = self.resume_elsewhere(progress, ended.to.endpoint.clone());
+        // A retry is taken only if it can be sent.
+        let attempt = self.place_elsewhere(progress, &ended.to.endpoint)?;
+        let service = &self.call.pool.service;
+        if !self.state.stream_ends.may_resume(service) || !self.state.may_retry(service) {
+            return None;
+        }
+        let resumption = Resumption { last_event: Some(last_event.clone()), memory: None };
+        let resuming = resume::resume_at(attempt, progress, resumption);
         Some(Box::pin(async move { resume::check_end(resuming, &last_event).await }))
     }
 
--- a/daemons/gateway/tests/short_streams.rs
+++ b/daemons/gateway/tests/short_streams.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use sill_wire::link::{EndpointFact, EndpointState};
+use support::lines;
 use support::{Action, CallerResponse, Harness, exchange, fact, head, not_run, request_as};
 
 const EVENT_STREAM: &str = "content-type: text/event-stream\r\n";
@@ -204,6 +205,22 @@
     assert!(sent <= calls + 4, "{sent} requests for {calls} streams");
 }
 
+/// A retry is taken from the budget for each whole stream, although no other endpoint can be asked.
+#[test]
+fn an_end_is_not_resumed_where_no_other_endpoint_serves() {
+    lines::capture();
+    let unmarked = Action::AnswerAndClose(format!("{}{WHOLE}", head(EVENT_STREAM)));
+    let harness = Harness::start(vec![vec![unmarked; 3]]);
+    for i in 0..3 {
+        let id = format!("alone-{i}");
+        let got = exchange(harness.address, &request_as(&id, "/resumable_stream/x", ""));
+        assert!(looks_complete(&got), "{}", got.head);
+        let lines = lines::of_call(&id);
+        assert!(lines.iter().any(|line| line.contains("event=unmarked_end")), "{lines:?}");
+        assert!(!lines.iter().any(|line| line.contains("event=stream_not_resumed")), "{lines:?}");
+    }
+}
+
 /// An endpoint that leaves in order completes its streams, and its announcement may come late. Its
 /// callers would get whole streams as broken ones.
 #[test]
