Gateway: an attempt on a lost path counts as broken off; stops beside silence

With the wait for attempts on lost paths, a call that ends with its caller no longer counted as broken off at its endpoint, so one that had ended silently was not concluded to have. calls_are_served_after_endpoints_stood_still_longer (process test) failed in three of three runs, "no endpoint counts as ended". The attempt counts from the moment in which its path is lost, as before, once; a conclusion from silence is withdrawn when the endpoint is heard.

--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Chooses an endpoint for a call and sends the attempts.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -350,8 +351,13 @@
     let is_paused = || call.pool.pool.lock().is_paused(state.clock.now(), &endpoint, incarnation);
     let may_send = || !is_paused();
     let id = attempt.name.clone();
-    let stuck = attempt.stuck.clone();
-    let on_stuck = || stuck.notify_one();
+    let is_stuck = AtomicBool::new(false);
+    let on_stuck = || {
+        // The endpoint may have ended; the silence of one that has not is taken back.
+        attempt.record_broken_answer(None);
+        is_stuck.store(true, Ordering::Relaxed);
+        attempt.stuck.notify_one();
+    };
     let options = SendOptions {
         id: &id,
         max_idle: max_idle(&call),
@@ -380,7 +386,9 @@
         }
         Ok(Err(SendError::NotSent(err))) => attempt.failed(AttemptOutcome::NotSent, &err),
         Ok(Err(SendError::Unknown(err))) => {
-            attempt.record_broken_answer(None);
+            if !is_stuck.load(Ordering::Relaxed) {
+                attempt.record_broken_answer(None);
+            }
             attempt.end_broken();
             attempt.failed(AttemptOutcome::Unknown, &err)
         }
--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -17,5 +17,6 @@
 mod product;
 mod serving;
 mod signals;
+mod silent_stops;
 mod verbs;
 mod versions;
