--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -20,5 +20,6 @@
 mod restarts;
 mod serving;
 mod signals;
+mod silent_stops;
 mod verbs;
 mod versions;
