--- a/bench/standin/src/program.rs
+++ b/bench/standin/src/program.rs
@@ -161,8 +161,11 @@
     matches!(status.signal(), Some(2 | 15))
 }
 
-/// Returns the lines of a log that report a panic.
+/// Returns the lines of a log that report a panic, as an event or, before logging has started, by the
+/// default report.
 pub fn panics(log: &[u8]) -> Vec<String> {
     let text = String::from_utf8_lossy(log);
-    text.lines().filter(|line| line.contains(PANIC_EVENT)).map(str::to_owned).collect()
+    let is_default = |line: &str| line.starts_with("thread '") && line.contains(" panicked at ");
+    let lines = text.lines().filter(|line| line.contains(PANIC_EVENT) || is_default(line));
+    lines.map(str::to_owned).collect()
 }
--- a/bench/standin/tests/program.rs
+++ b/bench/standin/tests/program.rs
@@ -46,6 +46,12 @@
             End::Kill,
             true,
         ),
+        case(
+            "panic before logging",
+            "echo ready; echo \"thread 'main' (7) panicked at x.rs:1:\"; exec sleep 600",
+            End::Drop,
+            true,
+        ),
         case("runs", "echo ready; exec sleep 600", End::Drop, false),
         case("killed", "echo ready; exec sleep 600", End::Kill, false),
         case("stopped by the signal", "echo ready; exec sleep 600", End::Stop, false),
--- a/daemons/sill/tests/system/harness.rs
+++ b/daemons/sill/tests/system/harness.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 pub use sill_standin::program::Program;
+use sill_standin::program::panics;
 
 /// The caller's key in every test.
 pub const CALLER_KEY: &str = "test-caller-key";
@@ -118,7 +119,10 @@
         .expect("its input is a pipe")
         .write_all(input.as_bytes())
         .expect("sill reads its input");
-    child.wait_with_output().expect("sill exits")
+    let output = child.wait_with_output().expect("sill exits");
+    let panics = panics(&output.stderr);
+    assert!(panics.is_empty(), "{}", panics.join("\n"));
+    output
 }
 
 /// Returns the hash of a key as `sill hash` prints it.
