--- a/daemons/sill/tests/system/silent_stops.rs
+++ b/daemons/sill/tests/system/silent_stops.rs
@@ -2,7 +2,6 @@
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -244,10 +243,8 @@
             });
             thread::sleep(before);
             serving.move_routes(&format!("{name}-{stopped}"), &[SERVICE]);
-            let pid = serving.gateways[stopped].0.id().to_string();
-            let sent = Command::new("kill").args(["-TERM", &pid]).status();
-            assert!(sent.is_ok_and(|status| status.success()), "SIGTERM can be sent to {pid}");
-            let exit = serving.gateways[stopped].0.wait().expect("the process ends");
+            serving.gateways[stopped].signal("-TERM");
+            let exit = serving.gateways[stopped].wait();
             silence.join().expect("the silence ends");
             if !exit.success() {
                 failures.push(format!("{name}: g{stopped} ended with {exit}"));
