--- a/daemons/control/src/log/handle.rs
+++ b/daemons/control/src/log/handle.rs
@@ -157,7 +157,7 @@
 
     /// Stops the log thread, and waits until its data folder is free.
     ///
-    /// Only a disk that hangs holds it up for longer than [`STOP_TIMEOUT`].
+    /// Waits for 2 s at most, as a disk may hang.
     pub async fn stop(&self) {
         let _ = self.input.send(Input::Stop);
         let mut ended = self.ended.clone();
