--- a/daemons/sill/tests/soak.rs
+++ b/daemons/sill/tests/soak.rs
@@ -80,6 +80,13 @@
     }
 }
 
+/// An entry instance takes itself for cut off although it reaches some endpoints, and sends a stream that
+/// must not be repeated in a tunnel. The instance that carries it is killed.
+#[test]
+fn seeds_in_which_a_killed_carrier_broke_a_stream() {
+    play(ShortRun { seed: 731_116, seconds: 15 }, true, true, false);
+}
+
 fn run_failed_seeds(cases: &[FailedSeed]) {
     for FailedSeed { seed, cause } in cases {
         println!("seed={seed} cause={cause:?}");
