Review: a stream without end takes an entry instance down

A script with real processes shows that bytes without end in a stream's body, from one model server, are held back without a bound until the entry instance is over its memory limit.

--- /dev/null
+++ b/review/standin/src/main.rs
@@ -0,0 +1,30 @@
+//! Stand-ins for the cases of the review: `review-standin CASE FOLDER`. The variable TROUBLE=0 leaves
+//! the disruption out. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+
+mod clients;
+mod endless;
+mod hold;
+mod http;
+mod servers;
+mod world;
+
+use std::path::PathBuf;
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let (Some(case), Some(folder)) = (args.get(1), args.get(2)) else {
+        eprintln!("usage: review-standin CASE FOLDER");
+        std::process::exit(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = world::Record::new(&PathBuf::from(folder).join("record.txt"));
+    let code = match case.as_str() {
+        "endless" => endless::run(record, has_trouble),
+        "hold" => hold::run(record),
+        _ => {
+            eprintln!("no case {case}");
+            2
+        }
+    };
+    std::process::exit(code);
+}
