Review: a request with a very large prompt ends the entry process that reads it

A script with real processes shows that the tokens stated in the prefix header are expanded into a list without a bound.

--- a/review/standin/src/endless.rs
+++ b/review/standin/src/endless.rs
@@ -12,7 +12,7 @@
 use crate::world::{Plan, Record, World};
 
 /// Length of the traffic.
-const DAY: Duration = Duration::from_secs(40);
+pub const DAY: Duration = Duration::from_secs(40);
 /// When the server gets into trouble, and for how long.
 const TROUBLE_AT: Duration = Duration::from_secs(8);
 const TROUBLE_FOR: Duration = Duration::from_secs(15);
@@ -20,11 +20,13 @@
 const LINK_BYTES_PER_S: u64 = 1_000_000_000 / 8;
 /// How long a client waits for the next event: the longest of two seconds, four times the objective
 /// (500 ms) and eight times the longest pause (400 ms).
-const GAP: Duration = Duration::from_millis(3200);
+pub const GAP: Duration = Duration::from_millis(3200);
 /// "more than three times".
 const MAX_LOST: usize = 3;
 
-const KEY: &str = "i9n73hh2b9wu3fexd9dn";
+pub const KEY: &str = "i9n73hh2b9wu3fexd9dn";
+/// The key of a tenant without a limit.
+pub const FREE_KEY: &str = "n2ctnfzs989anu6wsjnb";
 
 pub fn config(version: u64) -> String {
     format!(
@@ -35,7 +37,7 @@
 {{"name":"clerk-model","health_path":"/healthz","max_connections":370,"protocol":"h1","tls":false,"engine":{{"slots":64,"kv_cache_tokens":602252,"kv_bytes":163840,"link_mbps":1100000.0,"migrations":true,"backups":true,"stride":4,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_ttl_s":5.0,"models":[{{"name":"m"}}]}}}},
 {{"name":"case-desk","health_path":"/healthz","max_connections":110,"protocol":"h1","tls":false}}],
 "limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},
-"tenants":[{{"name":"desk","api_keys":["{KEY}"],"priority":1,"unit":"tokens","uncached_tokens":200,"rate_per_s":10000000,"burst":10000000}}]}}"#
+"tenants":[{{"name":"desk","api_keys":["{KEY}"],"priority":1,"unit":"tokens","uncached_tokens":200,"rate_per_s":10000000,"burst":10000000}},{{"name":"archive","api_keys":["{FREE_KEY}"],"priority":1}}]}}"#
     )
 }
 
@@ -57,7 +59,7 @@
 }
 
 /// Writes a stream of ten events.
-fn write_stream(server: &Server, req: &Message, conn: &mut Conn) -> io::Result<After> {
+pub fn write_stream(server: &Server, req: &Message, conn: &mut Conn) -> io::Result<After> {
     let head = server.head(req, "200 OK");
     conn.write(format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").as_bytes())?;
     for i in 0..10 {
@@ -157,7 +159,7 @@
 }
 
 /// Posts notices one after the other on a kept connection.
-fn post_notices(machine: &str, address: std::net::SocketAddr, ledger: &Ledger, start: Instant) {
+pub fn post_notices(machine: &str, address: std::net::SocketAddr, ledger: &Ledger, start: Instant) {
     let mut conn = None;
     while start.elapsed() < DAY {
         let id = ledger.new_id();
@@ -183,7 +185,7 @@
     }
 }
 
-fn ask_for_streams(machine: &str, address: std::net::SocketAddr, ledger: &Ledger, start: Instant) {
+pub fn ask_for_streams(machine: &str, address: std::net::SocketAddr, ledger: &Ledger, start: Instant) {
     let mut subject = 0;
     while start.elapsed() < DAY {
         let id = ledger.new_id();
@@ -213,7 +215,7 @@
 
 /// LOST: a machine passes a request from a kept connection on to a sound server and closes that
 /// connection without an answer, more than three times.
-fn judge(world: &World, ledger: &Ledger) -> i32 {
+pub fn judge(world: &World, ledger: &Ledger) -> i32 {
     let fates = ledger.fates.lock().unwrap();
     let is_lost = |fate: &&Fate| {
         fate.kind == "notice" && fate.on_kept && !fate.runs.is_empty() && fate.is_done && fate.status == 0 && !fate.gave_up
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod endless;
 mod hold;
+mod large;
 mod http;
 mod servers;
 mod world;
@@ -20,6 +21,7 @@
     let record = world::Record::new(&PathBuf::from(folder).join("record.txt"));
     let code = match case.as_str() {
         "endless" => endless::run(record, has_trouble),
+        "large" => large::run(record, has_trouble),
         "hold" => hold::run(record),
         _ => {
             eprintln!("no case {case}");
