--- a/review/standin/src/clients.rs
+++ b/review/standin/src/clients.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -31,11 +31,21 @@
     pub fates: Mutex<BTreeMap<String, Fate>>,
     pub record: Arc<Record>,
     next: AtomicU64,
+    is_over: AtomicBool,
 }
 
 impl Ledger {
     pub fn new(record: Arc<Record>) -> Arc<Self> {
-        Arc::new(Self { fates: Mutex::default(), record, next: AtomicU64::new(1) })
+        Arc::new(Self { fates: Mutex::default(), record, next: AtomicU64::new(1), is_over: AtomicBool::new(false) })
+    }
+
+    /// Has the clients end before the day does.
+    pub fn end(&self) {
+        self.is_over.store(true, Ordering::Relaxed);
+    }
+
+    pub fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::Relaxed)
     }
 
     pub fn new_id(&self) -> String {
--- a/review/standin/src/endless.rs
+++ b/review/standin/src/endless.rs
@@ -161,7 +161,7 @@
 /// Posts notices one after the other on a kept connection.
 pub fn post_notices(machine: &str, address: std::net::SocketAddr, ledger: &Ledger, start: Instant) {
     let mut conn = None;
-    while start.elapsed() < DAY {
+    while start.elapsed() < DAY && !ledger.is_over() {
         let id = ledger.new_id();
         let headers = [
             ("Host", "desk.example".to_owned()),
@@ -241,3 +241,11 @@
         _ => 0,
     }
 }
+
+/// Returns how many notices were sent, and how many were answered with a success.
+pub fn judge_notices(ledger: &Ledger) -> (usize, usize) {
+    let fates = ledger.fates.lock().unwrap();
+    let notices = fates.values().filter(|fate| fate.kind == "notice");
+    let (sent, answered) = notices.fold((0, 0), |(sent, answered), fate| (sent + 1, answered + usize::from(fate.status == 200)));
+    (sent, answered)
+}
