--- a/review/standin/src/clients.rs
+++ b/review/standin/src/clients.rs
@@ -1,6 +1,6 @@
 //! Stand-ins of clients, and what they and the servers have seen of each request.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -32,11 +32,17 @@
     pub record: Arc<Record>,
     next: AtomicU64,
     is_over: AtomicBool,
+    /// Attempts that a case has to tell from the others.
+    pub marked: Mutex<BTreeSet<String>>,
 }
 
 impl Ledger {
     pub fn new(record: Arc<Record>) -> Arc<Self> {
-        Arc::new(Self { fates: Mutex::default(), record, next: AtomicU64::new(1), is_over: AtomicBool::new(false) })
+        Arc::new(Self { fates: Mutex::default(), record, next: AtomicU64::new(1), is_over: AtomicBool::new(false), marked: Mutex::default() })
+    }
+
+    pub fn mark(&self, id: &str) {
+        self.marked.lock().unwrap().insert(id.to_owned());
     }
 
     /// Has the clients end before the day does.
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -8,6 +8,7 @@
 mod large;
 mod http;
 mod servers;
+mod unframed;
 mod world;
 
 use std::path::PathBuf;
@@ -23,6 +24,7 @@
     let code = match case.as_str() {
         "endless" => endless::run(record, has_trouble),
         "badconfig" => badconfig::run(record, has_trouble),
+        "unframed" => unframed::run(record, has_trouble),
         "large" => large::run(record, has_trouble),
         "hold" => hold::run(record),
         _ => {
--- a/review/standin/src/servers.rs
+++ b/review/standin/src/servers.rs
@@ -1,7 +1,7 @@
 //! Stand-ins of servers and of the platform's API.
 
 use std::io;
-use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -19,6 +19,9 @@
 
 pub type Handler = Arc<dyn Fn(&Server, &Message, &mut Conn) -> io::Result<After> + Send + Sync>;
 
+/// Decides whether a new connection is served; otherwise it is closed.
+pub type Gate = Arc<dyn Fn(&TcpStream) -> bool + Send + Sync>;
+
 pub struct Server {
     pub id: String,
     pub service: String,
@@ -78,6 +81,21 @@
 
 /// Starts a server that announces itself until the world is over.
 pub fn start(world: &Arc<World>, id: &str, service: &str, zone: &str, last: u8, slots: u32, handler: Handler) -> Arc<Server> {
+    start_gated(world, id, service, zone, last, slots, handler, None)
+}
+
+/// Starts a server that serves only the connections that `gate` lets in.
+#[allow(clippy::too_many_arguments)]
+pub fn start_gated(
+    world: &Arc<World>,
+    id: &str,
+    service: &str,
+    zone: &str,
+    last: u8,
+    slots: u32,
+    handler: Handler,
+    gate: Option<Gate>,
+) -> Arc<Server> {
     let listener = TcpListener::bind(SocketAddr::new(world.other_ip(last), 8080)).expect("a free address");
     let server = Arc::new(Server {
         id: id.into(),
@@ -95,6 +113,9 @@
     let accepting = server.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if gate.as_ref().is_some_and(|gate| !gate(&stream)) {
+                continue;
+            }
             let (server, handler) = (accepting.clone(), handler.clone());
             thread::spawn(move || serve(&server, &handler, Conn::new(stream)));
         }
