Review: whole streams are cut off as their servers exit after a release

A script with real processes replaces eight servers, one each 4 s; each reports its end first, serves on, finishes and exits, and its streams end with their connections.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -7,6 +7,7 @@
 mod hold;
 mod large;
 mod http;
+mod release;
 mod servers;
 mod unframed;
 mod world;
@@ -25,6 +26,7 @@
         "endless" => endless::run(record, has_trouble),
         "badconfig" => badconfig::run(record, has_trouble),
         "unframed" => unframed::run(record, has_trouble),
+        "release" => release::run(record, has_trouble),
         "large" => large::run(record, has_trouble),
         "hold" => hold::run(record),
         _ => {
--- a/review/standin/src/servers.rs
+++ b/review/standin/src/servers.rs
@@ -1,7 +1,7 @@
 //! Stand-ins of servers and of the platform's API.
 
 use std::io;
-use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -34,6 +34,8 @@
     pub is_silent: AtomicBool,
     pub leaves_ms: AtomicU64,
     seq: AtomicU64,
+    has_ended: AtomicBool,
+    conns: Mutex<Vec<TcpStream>>,
 }
 
 impl Server {
@@ -63,6 +65,33 @@
         )
     }
 
+    /// Reports its end, until a node acknowledges it.
+    pub fn deregister(&self, world: &World, first: usize) {
+        self.is_silent.store(true, Ordering::SeqCst);
+        let body = format!("{{\"born\":{}}}", self.born);
+        let cores = world.cores();
+        for i in 0..cores.len() {
+            let to = cores[(first + i) % cores.len()].control();
+            let path = format!("/-/instances/{}/deregister", self.id);
+            let headers = [("Host", to.to_string()), ("Content-Type", "application/json".into())];
+            let answer = call(to, "POST", &path, &headers, body.as_bytes(), Duration::from_secs(1));
+            if answer.is_ok_and(|answer| answer.status() / 100 == 2) {
+                return;
+            }
+        }
+    }
+
+    /// Ends as a process does: it listens no more, and its connections are closed.
+    pub fn exit(&self) {
+        self.is_silent.store(true, Ordering::SeqCst);
+        self.has_ended.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts.
+        let _ = TcpStream::connect(self.address);
+        for conn in self.conns.lock().unwrap().drain(..) {
+            let _ = conn.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Sends one heartbeat, to the next node until one acknowledges.
     pub fn beat(&self, world: &World, first: usize) {
         let body = self.heartbeat();
@@ -109,10 +138,18 @@
         is_silent: AtomicBool::new(false),
         leaves_ms: AtomicU64::new(0),
         seq: AtomicU64::new(0),
+        has_ended: AtomicBool::new(false),
+        conns: Mutex::default(),
     });
     let accepting = server.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if accepting.has_ended.load(Ordering::SeqCst) {
+                break;
+            }
+            if let Ok(stream) = stream.try_clone() {
+                accepting.conns.lock().unwrap().push(stream);
+            }
             if gate.as_ref().is_some_and(|gate| !gate(&stream)) {
                 continue;
             }
