Review: a stop cuts whole streams that end with their connections

A script with real processes sends SIGTERM to five machines in turn while streams of four to ten seconds are under way. The stand-in of a server closes its connections again although it keeps a second handle of each.

--- a/review/standin/src/endless.rs
+++ b/review/standin/src/endless.rs
@@ -41,6 +41,15 @@
     )
 }
 
+/// The same with a route of streams that may not be resumed.
+pub fn config_with_reports() -> String {
+    config(3).replace(
+        r#"{"name":"r-notice""#,
+        r#"{"name":"r-report","host":"desk.example","path_prefix":"/report/","kind":"streaming","timeout_ms":15000,"target_latency_ms":1200,"priority":1,"service":"clerk-model","max_attempts":1,"anonymous":false,"sticky_sessions":true,"resumable":false,"target_interval_ms":400},
+{"name":"r-notice""#,
+    )
+}
+
 /// Shares the link of the server in trouble between its connections.
 struct Link {
     start: Instant,
--- a/review/standin/src/servers.rs
+++ b/review/standin/src/servers.rs
@@ -147,12 +147,12 @@
             if accepting.has_ended.load(Ordering::SeqCst) {
                 break;
             }
-            if let Ok(stream) = stream.try_clone() {
-                accepting.conns.lock().unwrap().push(stream);
-            }
             if gate.as_ref().is_some_and(|gate| !gate(&stream)) {
                 continue;
             }
+            if let Ok(stream) = stream.try_clone() {
+                accepting.conns.lock().unwrap().push(stream);
+            }
             let (server, handler) = (accepting.clone(), handler.clone());
             thread::spawn(move || serve(&server, &handler, Conn::new(stream)));
         }
@@ -172,6 +172,14 @@
 }
 
 fn serve(server: &Server, handler: &Handler, mut conn: Conn) {
+    serve_until_closed(server, handler, &mut conn);
+    // The list of connections holds another handle of it.
+    let _ = conn.stream.shutdown(Shutdown::Both);
+    let own = conn.stream.peer_addr().ok();
+    server.conns.lock().unwrap().retain(|other| own.is_none() || other.peer_addr().ok() != own);
+}
+
+fn serve_until_closed(server: &Server, handler: &Handler, conn: &mut Conn) {
     while let Ok(Some(mut req)) = conn.read_head() {
         if conn.read_body(&mut req, false).is_err() {
             return;
@@ -184,7 +192,7 @@
             }
             continue;
         }
-        match handler(server, &req, &mut conn) {
+        match handler(server, &req, conn) {
             Ok(After::Keep) => {}
             _ => return,
         }
