--- a/review/standin/src/stop.rs
+++ b/review/standin/src/stop.rs
@@ -28,10 +28,10 @@
 /// A request counts if its server ended before the last sixth of that, 6.667 s; with a margin.
 const COUNTED_UNTIL: Duration = Duration::from_millis(6640);
 /// Clients of a machine.
-const CLIENTS: usize = 70;
-/// Time between two events, and how many there are: four to ten seconds in all.
+const CLIENTS: usize = 90;
+/// Time between two events, and how many there are: six and a half to ten seconds in all.
 const EVENT_GAP: Duration = Duration::from_millis(100);
-const EVENTS: (u64, u64) = (40, 100);
+const EVENTS: (u64, u64) = (65, 100);
 /// How long a client waits for the next event: four times the objective of 1,200 ms.
 const GAP: Duration = Duration::from_millis(4800);
 
@@ -85,7 +85,7 @@
         for n in 0..CLIENTS {
             let (edge, ledger) = (edge.clone(), ledger.clone());
             clients.push(thread::spawn(move || {
-                thread::sleep(Duration::from_millis(100 * n as u64));
+                thread::sleep(Duration::from_millis(75 * n as u64));
                 ask(&edge, &ledger, start);
             }));
         }
