--- a/review/standin/src/release.rs
+++ b/review/standin/src/release.rs
@@ -25,7 +25,7 @@
 /// How long a server serves on after its report is acknowledged: `drain_ms` and a little longer.
 const SERVES_ON: Duration = Duration::from_millis(2500);
 /// Clients of a machine.
-const CLIENTS: usize = 32;
+const CLIENTS: usize = 44;
 /// Time between two events, and how many there are.
 const EVENT_GAP: Duration = Duration::from_millis(40);
 const EVENTS: (u64, u64) = (60, 115);
@@ -88,7 +88,7 @@
         for n in 0..CLIENTS {
             let (edge, ledger, subject) = (edge.clone(), ledger.clone(), subject.clone());
             clients.push(thread::spawn(move || {
-                thread::sleep(Duration::from_millis(80 * n as u64));
+                thread::sleep(Duration::from_millis(60 * n as u64));
                 ask(&edge.name, edge.frontend(), &ledger, start, &subject);
             }));
         }
