Review: answers that end early look complete after a crash

A script with real processes crashes servers behind a proxy that closes connections to them 60 ms late.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,8 +2,8 @@
 //! the disruption out. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod clients;
+mod crash;
 mod endless;
-mod large;
 mod http;
 mod release;
 mod servers;
@@ -26,7 +26,7 @@
         "unframed" => unframed::run(record, has_trouble),
         "release" => release::run(record, has_trouble),
         "stop" => stop::run(record, has_trouble),
-        "large" => large::run(record, has_trouble),
+        "crash" => crash::run(record, has_trouble),
         _ => {
             eprintln!("no case {case}");
             2
