--- a/review/standin/src/clients.rs
+++ b/review/standin/src/clients.rs
@@ -37,7 +37,12 @@
 
 impl Ledger {
     pub fn new(record: Arc<Record>) -> Arc<Self> {
-        Arc::new(Self { fates: Mutex::default(), record, next: AtomicU64::new(1), marked: Mutex::default() })
+        Arc::new(Self {
+            fates: Mutex::default(),
+            record,
+            next: AtomicU64::new(1),
+            marked: Mutex::default(),
+        })
     }
 
     pub fn mark(&self, id: &str) {
@@ -118,7 +123,14 @@
 
 /// Sends a request for a stream on a new connection, and reads it. `gap` is how long the client waits
 /// for the next part.
-pub fn stream(address: SocketAddr, path: &str, headers: &[(&str, String)], body: &[u8], gap: Duration, limit: Duration) -> StreamEnd {
+pub fn stream(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, String)],
+    body: &[u8],
+    gap: Duration,
+    limit: Duration,
+) -> StreamEnd {
     let started = Instant::now();
     let broken = |err: io::Error| match err.kind() {
         io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => StreamEnd::GaveUp,
@@ -149,7 +161,9 @@
         }
         match conn.read_some(1 << 16) {
             Ok(part) => raw.extend(part),
-            Err(err) if err.kind() == io::ErrorKind::UnexpectedEof && !is_chunked => return StreamEnd::Whole(raw),
+            Err(err) if err.kind() == io::ErrorKind::UnexpectedEof && !is_chunked => {
+                return StreamEnd::Whole(raw)
+            }
             Err(err) => return broken(err),
         }
         if is_chunked && raw.ends_with(b"0\r\n\r\n") {
--- a/review/standin/src/crash.rs
+++ b/review/standin/src/crash.rs
@@ -65,18 +65,40 @@
         let handler: servers::Handler = Arc::new(move |server, req, conn| {
             let id = req.header("x-buckthornsill-attempt-id").unwrap_or("").to_owned();
             ledger.ran(&id, &server.id);
-            conn.write(format!("{}Connection: close\r\n\r\n", server.head(req, "200 OK")).as_bytes())?;
+            conn.write(
+                format!("{}Connection: close\r\n\r\n", server.head(req, "200 OK")).as_bytes(),
+            )?;
             for i in 0..LINES {
                 conn.write(format!("line {i} of {id}\n").as_bytes())?;
                 thread::sleep(Duration::from_millis(5));
             }
             Ok(After::Close)
         });
-        servers::start_gated(&world, &format!("i-desk-{i}"), "case-desk", zone, 40 + i as u8, 6, handler, Some(gate));
-        let model: servers::Handler = Arc::new(|server, req, conn| crate::endless::write_stream(server, req, conn));
-        servers::start(&world, &format!("i-model-{i}"), "clerk-model", zone, 30 + i as u8, 64, model);
+        servers::start_gated(
+            &world,
+            &format!("i-desk-{i}"),
+            "case-desk",
+            zone,
+            40 + i as u8,
+            6,
+            handler,
+            Some(gate),
+        );
+        let model: servers::Handler =
+            Arc::new(|server, req, conn| crate::endless::write_stream(server, req, conn));
+        servers::start(
+            &world,
+            &format!("i-model-{i}"),
+            "clerk-model",
+            zone,
+            30 + i as u8,
+            64,
+            model,
+        );
     }
-    if !world.put_config(&config(3), Duration::from_secs(15)) || !world.wait_ready(Duration::from_secs(15)) {
+    if !world.put_config(&config(3), Duration::from_secs(15))
+        || !world.wait_ready(Duration::from_secs(15))
+    {
         world.stop();
         return 2;
     }
@@ -132,7 +154,15 @@
             ("X-Api-Key", KEY.into()),
         ];
         ledger.sent(&id, "notice", machine, conn.is_some());
-        match exchange(&mut conn, address, "POST", "/notice/1", &headers, b"notice", Duration::from_millis(1500)) {
+        match exchange(
+            &mut conn,
+            address,
+            "POST",
+            "/notice/1",
+            &headers,
+            b"notice",
+            Duration::from_millis(1500),
+        ) {
             Ok(answer) => {
                 let is_short = answer.status() == 200 && answer.body != body_of(&id).as_bytes();
                 ledger.ended(&id, answer.status(), if is_short { "short" } else { "" });
--- a/review/standin/src/endless.rs
+++ b/review/standin/src/endless.rs
@@ -71,7 +71,10 @@
 /// Writes a stream of ten events.
 pub fn write_stream(server: &Server, req: &Message, conn: &mut Conn) -> io::Result<After> {
     let head = server.head(req, "200 OK");
-    conn.write(format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").as_bytes())?;
+    conn.write(
+        format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+            .as_bytes(),
+    )?;
     for i in 0..10 {
         thread::sleep(Duration::from_millis(60));
         write_chunk(conn, format!("id: {i}\ndata: tokens-{i}\n\n").as_bytes())?;
@@ -88,9 +91,17 @@
 }
 
 /// Begins a stream and goes on with bytes that are no event, until the caller closes.
-fn write_without_end(server: &Server, req: &Message, conn: &mut Conn, link: &Link) -> io::Result<After> {
+fn write_without_end(
+    server: &Server,
+    req: &Message,
+    conn: &mut Conn,
+    link: &Link,
+) -> io::Result<After> {
     let head = server.head(req, "200 OK");
-    conn.write(format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").as_bytes())?;
+    conn.write(
+        format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+            .as_bytes(),
+    )?;
     write_chunk(conn, b"id: 0\ndata: tokens-0\n\n")?;
     let noise = vec![0xa5u8; 32 << 10];
     loop {
@@ -115,7 +126,9 @@
             ledger_m.ran(&id, &server.id);
             match can_be_troubled && trouble.load(Ordering::Relaxed) {
                 true => {
-                    ledger_m.record.say(&format!("server: {id} gets bytes without end from {}", server.id));
+                    ledger_m
+                        .record
+                        .say(&format!("server: {id} gets bytes without end from {}", server.id));
                     let end = write_without_end(server, req, conn, &link);
                     ledger_m.record.say(&format!("server: the caller of {id} has closed"));
                     end
@@ -123,19 +136,36 @@
                 false => write_stream(server, req, conn),
             }
         });
-        servers::start(&world, &format!("i-model-{i}"), "clerk-model", zone, 30 + i as u8, 64, model);
+        servers::start(
+            &world,
+            &format!("i-model-{i}"),
+            "clerk-model",
+            zone,
+            30 + i as u8,
+            64,
+            model,
+        );
         let ledger_d = ledger.clone();
         let desk: servers::Handler = Arc::new(move |server, req, conn| {
             let id = req.header("x-buckthornsill-attempt-id").unwrap_or("").to_owned();
             ledger_d.ran(&id, &server.id);
             thread::sleep(Duration::from_millis(30));
             let body = format!("posted {id}");
-            conn.write(format!("{}Content-Length: {}\r\n\r\n{body}", server.head(req, "200 OK"), body.len()).as_bytes())?;
+            conn.write(
+                format!(
+                    "{}Content-Length: {}\r\n\r\n{body}",
+                    server.head(req, "200 OK"),
+                    body.len()
+                )
+                .as_bytes(),
+            )?;
             Ok(After::Keep)
         });
         servers::start(&world, &format!("i-desk-{i}"), "case-desk", zone, 40 + i as u8, 6, desk);
     }
-    if !world.put_config(&config(3), Duration::from_secs(15)) || !world.wait_ready(Duration::from_secs(15)) {
+    if !world.put_config(&config(3), Duration::from_secs(15))
+        || !world.wait_ready(Duration::from_secs(15))
+    {
         eprintln!("the deployment does not get ready");
         world.stop();
         return 2;
@@ -146,11 +176,15 @@
     for edge in world.edges() {
         for _ in 0..4 {
             let (edge, ledger) = (edge.clone(), ledger.clone());
-            clients.push(thread::spawn(move || post_notices(&edge.name, edge.frontend(), &ledger, start)));
+            clients.push(thread::spawn(move || {
+                post_notices(&edge.name, edge.frontend(), &ledger, start)
+            }));
         }
         for _ in 0..3 {
             let (edge, ledger) = (edge.clone(), ledger.clone());
-            clients.push(thread::spawn(move || ask_for_streams(&edge.name, edge.frontend(), &ledger, start)));
+            clients.push(thread::spawn(move || {
+                ask_for_streams(&edge.name, edge.frontend(), &ledger, start)
+            }));
         }
     }
     thread::sleep(TROUBLE_AT);
@@ -195,7 +229,12 @@
     }
 }
 
-pub fn ask_for_streams(machine: &str, address: std::net::SocketAddr, ledger: &Ledger, start: Instant) {
+pub fn ask_for_streams(
+    machine: &str,
+    address: std::net::SocketAddr,
+    ledger: &Ledger,
+    start: Instant,
+) {
     let mut subject = 0;
     while start.elapsed() < DAY {
         let id = ledger.new_id();
@@ -206,7 +245,10 @@
             ("X-Buckthornsill-Deadline-Ms", "15000".into()),
             ("X-Buckthornsill-Model", "m".into()),
             ("X-Buckthornsill-Token-Usage", "628,40".into()),
-            ("X-Buckthornsill-Prompt-Prefix", format!("5c1e07a2:120,{:x}:80,{id}:428", 0x1000 + subject % 40)),
+            (
+                "X-Buckthornsill-Prompt-Prefix",
+                format!("5c1e07a2:120,{:x}:80,{id}:428", 0x1000 + subject % 40),
+            ),
             ("X-Api-Key", KEY.into()),
         ];
         ledger.sent(&id, "guess", machine, false);
@@ -228,10 +270,16 @@
 pub fn judge(world: &World, ledger: &Ledger) -> i32 {
     let fates = ledger.fates.lock().unwrap();
     let is_lost = |fate: &&Fate| {
-        fate.kind == "notice" && fate.on_kept && !fate.runs.is_empty() && fate.is_done && fate.status == 0 && !fate.gave_up
+        fate.kind == "notice"
+            && fate.on_kept
+            && !fate.runs.is_empty()
+            && fate.is_done
+            && fate.status == 0
+            && !fate.gave_up
     };
     let notices = fates.values().filter(|fate| fate.kind == "notice").count();
-    let answered = fates.values().filter(|fate| fate.kind == "notice" && fate.status == 200).count();
+    let answered =
+        fates.values().filter(|fate| fate.kind == "notice" && fate.status == 200).count();
     let mut lost: BTreeMap<String, usize> = BTreeMap::new();
     for fate in fates.values().filter(is_lost) {
         *lost.entry(fate.machine.clone()).or_default() += 1;
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -22,7 +22,6 @@
         self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
     }
 
-
     pub fn path(&self) -> &str {
         self.line.split(' ').nth(1).unwrap_or("")
     }
@@ -113,7 +112,8 @@
             loop {
                 let line = self.read_line()?;
                 let size = line.split(';').next().unwrap_or("").trim();
-                let size = usize::from_str_radix(size, 16).map_err(|_| io::ErrorKind::InvalidData)?;
+                let size =
+                    usize::from_str_radix(size, 16).map_err(|_| io::ErrorKind::InvalidData)?;
                 let part = self.read_exact(size)?;
                 message.body.extend(part);
                 self.read_exact(2)?;
--- a/review/standin/src/release.rs
+++ b/review/standin/src/release.rs
@@ -35,13 +35,24 @@
 const MAX_LOST: usize = 3;
 
 /// Writes a stream whose end is that of its connection.
-fn write_report(server: &Server, ledger: &Ledger, req: &Message, conn: &mut Conn) -> io::Result<After> {
+fn write_report(
+    server: &Server,
+    ledger: &Ledger,
+    req: &Message,
+    conn: &mut Conn,
+) -> io::Result<After> {
     let id = req.header("x-buckthornsill-attempt-id").unwrap_or("").to_owned();
     ledger.ran(&id, &server.id);
     let draw = RandomState::new().build_hasher().finish();
     let events = EVENTS.0 + draw % (EVENTS.1 - EVENTS.0);
     let written = (|| {
-        conn.write(format!("{}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n", server.head(req, "200 OK")).as_bytes())?;
+        conn.write(
+            format!(
+                "{}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n",
+                server.head(req, "200 OK")
+            )
+            .as_bytes(),
+        )?;
         for i in 0..events {
             conn.write(format!("id: {i}\ndata: tokens-{i}\n\n").as_bytes())?;
             thread::sleep(EVENT_GAP);
@@ -49,7 +60,9 @@
         Ok(After::Close)
     })();
     if written.is_ok() {
-        ledger.record.say(&format!("server: {id} is answered whole by {}, {events} events", server.id));
+        ledger
+            .record
+            .say(&format!("server: {id} is answered whole by {}, {events} events", server.id));
         ledger.mark(&id);
         // In order, before the process can exit.
         let _ = conn.stream.shutdown(std::net::Shutdown::Write);
@@ -65,7 +78,15 @@
         server.running.fetch_sub(1, Ordering::SeqCst);
         after
     });
-    servers::start(world, &format!("i-model-{n}"), "clerk-model", ZONES[n % 4], 60 + n as u8, 64, handler)
+    servers::start(
+        world,
+        &format!("i-model-{n}"),
+        "clerk-model",
+        ZONES[n % 4],
+        60 + n as u8,
+        64,
+        handler,
+    )
 }
 
 pub fn run(record: Arc<Record>, has_trouble: bool) -> i32 {
@@ -75,7 +96,9 @@
         servers::start_platform(ip, platform_record)
     });
     let models: Vec<Arc<Server>> = (0..8).map(|n| start_model(&world, &ledger, n)).collect();
-    if !world.put_config(&config_with_reports(), Duration::from_secs(15)) || !world.wait_ready(Duration::from_secs(15)) {
+    if !world.put_config(&config_with_reports(), Duration::from_secs(15))
+        || !world.wait_ready(Duration::from_secs(15))
+    {
         eprintln!("the deployment does not get ready");
         world.stop();
         return 2;
@@ -131,7 +154,10 @@
             ("X-Buckthornsill-Deadline-Ms", "15000".into()),
             ("X-Buckthornsill-Model", "m".into()),
             ("X-Buckthornsill-Token-Usage", "628,400".into()),
-            ("X-Buckthornsill-Prompt-Prefix", format!("5c1e07a2:120,{:x}:80,{id}:428", 0x1000 + n % 148)),
+            (
+                "X-Buckthornsill-Prompt-Prefix",
+                format!("5c1e07a2:120,{:x}:80,{id}:428", 0x1000 + n % 148),
+            ),
             ("X-Api-Key", KEY.into()),
         ];
         ledger.sent(&id, "report", machine, conn.is_some());
@@ -156,7 +182,9 @@
     let marked = ledger.marked.lock().unwrap();
     let mut lost: BTreeMap<String, usize> = BTreeMap::new();
     let (mut lost_whole, mut lost_any) = (0, 0);
-    for (id, fate) in fates.iter().filter(|(_, fate)| fate.is_done && fate.status == 0 && !fate.gave_up && !fate.runs.is_empty()) {
+    for (id, fate) in fates.iter().filter(|(_, fate)| {
+        fate.is_done && fate.status == 0 && !fate.gave_up && !fate.runs.is_empty()
+    }) {
         lost_any += 1;
         if marked.contains(id) {
             lost_whole += 1;
--- a/review/standin/src/servers.rs
+++ b/review/standin/src/servers.rs
@@ -109,7 +109,15 @@
 }
 
 /// Starts a server that announces itself until the world is over.
-pub fn start(world: &Arc<World>, id: &str, service: &str, zone: &str, last: u8, slots: u32, handler: Handler) -> Arc<Server> {
+pub fn start(
+    world: &Arc<World>,
+    id: &str,
+    service: &str,
+    zone: &str,
+    last: u8,
+    slots: u32,
+    handler: Handler,
+) -> Arc<Server> {
     start_gated(world, id, service, zone, last, slots, handler, None)
 }
 
@@ -125,7 +133,8 @@
     handler: Handler,
     gate: Option<Gate>,
 ) -> Arc<Server> {
-    let listener = TcpListener::bind(SocketAddr::new(world.other_ip(last), 8080)).expect("a free address");
+    let listener =
+        TcpListener::bind(SocketAddr::new(world.other_ip(last), 8080)).expect("a free address");
     let server = Arc::new(Server {
         id: id.into(),
         service: service.into(),
@@ -215,9 +224,13 @@
                     }
                     *calls.lock().unwrap() += 1;
                     let holder = req.header("x-buckthornsill-duty-holder").unwrap_or("").to_owned();
-                    let token = req.header("x-buckthornsill-fencing-token").unwrap_or("").to_owned();
+                    let token =
+                        req.header("x-buckthornsill-fencing-token").unwrap_or("").to_owned();
                     let body = String::from_utf8_lossy(&req.body).into_owned();
-                    record.say(&format!("platform: {} holder={holder} token={token} {body}", req.path()));
+                    record.say(&format!(
+                        "platform: {} holder={holder} token={token} {body}",
+                        req.path()
+                    ));
                     if conn.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}").is_err() {
                         return;
                     }
--- a/review/standin/src/stop.rs
+++ b/review/standin/src/stop.rs
@@ -38,13 +38,25 @@
 type Times = Arc<Mutex<BTreeMap<String, Instant>>>;
 
 /// Writes a stream whose end is that of its connection.
-fn write_report(server: &Server, ledger: &Ledger, ends: &Times, req: &Message, conn: &mut Conn) -> io::Result<After> {
+fn write_report(
+    server: &Server,
+    ledger: &Ledger,
+    ends: &Times,
+    req: &Message,
+    conn: &mut Conn,
+) -> io::Result<After> {
     let id = req.header("x-buckthornsill-attempt-id").unwrap_or("").to_owned();
     ledger.ran(&id, &server.id);
     let draw = RandomState::new().build_hasher().finish();
     let last = (EVENTS.0 * 100 + draw % ((EVENTS.1 - EVENTS.0) * 100)) as u64;
     let end = Instant::now() + Duration::from_millis(last);
-    conn.write(format!("{}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n", server.head(req, "200 OK")).as_bytes())?;
+    conn.write(
+        format!(
+            "{}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n",
+            server.head(req, "200 OK")
+        )
+        .as_bytes(),
+    )?;
     let mut i = 0;
     while Instant::now() < end {
         conn.write(format!("id: {i}\ndata: tokens-{i}\n\n").as_bytes())?;
@@ -71,9 +83,19 @@
             server.running.fetch_sub(1, Ordering::SeqCst);
             after
         });
-        servers::start(&world, &format!("i-model-{n}"), "clerk-model", ZONES[n % 4], 60 + n as u8, 64, handler);
+        servers::start(
+            &world,
+            &format!("i-model-{n}"),
+            "clerk-model",
+            ZONES[n % 4],
+            60 + n as u8,
+            64,
+            handler,
+        );
     }
-    if !world.put_config(&config_with_reports(), Duration::from_secs(15)) || !world.wait_ready(Duration::from_secs(15)) {
+    if !world.put_config(&config_with_reports(), Duration::from_secs(15))
+        || !world.wait_ready(Duration::from_secs(15))
+    {
         eprintln!("the deployment does not get ready");
         world.stop();
         return 2;
@@ -102,7 +124,8 @@
             let before = world.ends.lock().unwrap().len();
             thread::spawn(move || {
                 thread::sleep(GRACE);
-                let has_ended = world.ends.lock().unwrap()[before..].iter().any(|end| end.machine == killed);
+                let has_ended =
+                    world.ends.lock().unwrap()[before..].iter().any(|end| end.machine == killed);
                 if !has_ended {
                     world.signal(&killed, "KILL");
                 }
@@ -155,12 +178,18 @@
 fn judge(ledger: &Ledger, stops: &[(String, Instant)], ends: &BTreeMap<String, Instant>) -> i32 {
     let fates = ledger.fates.lock().unwrap();
     let (mut lost, mut lost_late, mut lost_outside) = (0, 0, 0);
-    for (id, fate) in fates.iter().filter(|(_, fate)| fate.is_done && fate.status == 0 && !fate.gave_up && !fate.runs.is_empty()) {
+    for (id, fate) in fates.iter().filter(|(_, fate)| {
+        fate.is_done && fate.status == 0 && !fate.gave_up && !fate.runs.is_empty()
+    }) {
         let Some(end) = ends.get(id) else {
             lost_late += 1;
             continue;
         };
-        let since = stops.iter().filter(|(name, at)| *name == fate.machine && at <= end).map(|(_, at)| *end - *at).min();
+        let since = stops
+            .iter()
+            .filter(|(name, at)| *name == fate.machine && at <= end)
+            .map(|(_, at)| *end - *at)
+            .min();
         match since {
             Some(since) if since <= COUNTED_UNTIL => {
                 lost += 1;
--- a/review/standin/src/unframed.rs
+++ b/review/standin/src/unframed.rs
@@ -78,15 +78,31 @@
     }
 }
 
-fn answer(desk: &Desk, ledger: &Ledger, server: &Server, req: &Message, conn: &mut Conn, unframed: bool) -> io::Result<After> {
+fn answer(
+    desk: &Desk,
+    ledger: &Ledger,
+    server: &Server,
+    req: &Message,
+    conn: &mut Conn,
+    unframed: bool,
+) -> io::Result<After> {
     let id = req.header("x-buckthornsill-attempt-id").unwrap_or("").to_owned();
     let load = |desk: &Desk| {
         let running = *desk.running.lock().unwrap();
-        format!("X-Buckthornsill-Server-Load: {running},{},{SLOTS}\r\n", desk.waiting.load(Ordering::SeqCst))
+        format!(
+            "X-Buckthornsill-Server-Load: {running},{},{SLOTS}\r\n",
+            desk.waiting.load(Ordering::SeqCst)
+        )
     };
     if !desk.enter() {
-        let head = format!("HTTP/1.1 503 Service Unavailable\r\nX-Buckthornsill-Attempt-Id: {id}\r\n{}", load(desk));
-        conn.write(format!("{head}X-Buckthornsill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n").as_bytes())?;
+        let head = format!(
+            "HTTP/1.1 503 Service Unavailable\r\nX-Buckthornsill-Attempt-Id: {id}\r\n{}",
+            load(desk)
+        );
+        conn.write(
+            format!("{head}X-Buckthornsill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+                .as_bytes(),
+        )?;
         return Ok(After::Keep);
     }
     ledger.ran(&id, &server.id);
@@ -99,7 +115,9 @@
     );
     let body = format!("posted {id}");
     if unframed && desk.answers.fetch_add(1, Ordering::SeqCst) % UNFRAMED_EVERY == 0 {
-        ledger.record.say(&format!("server: {id} is answered whole, its end is that of the connection"));
+        ledger
+            .record
+            .say(&format!("server: {id} is answered whole, its end is that of the connection"));
         ledger.mark(&id);
         conn.write(format!("{head}Connection: close\r\n\r\n{body}").as_bytes())?;
         return Ok(After::Close);
@@ -123,18 +141,39 @@
             if gated.waiting.load(Ordering::SeqCst) < LONG_QUEUE {
                 return true;
             }
-            gate_record.say(&format!("server: {name} has a long queue and resets a new connection"));
+            gate_record
+                .say(&format!("server: {name} has a long queue and resets a new connection"));
             reset_on_close(stream);
             false
         });
         let ledger = ledger.clone();
         let handler: servers::Handler =
             Arc::new(move |server, req, conn| answer(&desk, &ledger, server, req, conn, true));
-        servers::start_gated(&world, &id, "case-desk", zone, 40 + i as u8, SLOTS as u32, handler, Some(gate));
-        let model: servers::Handler = Arc::new(|server, req, conn| crate::endless::write_stream(server, req, conn));
-        servers::start(&world, &format!("i-model-{i}"), "clerk-model", zone, 30 + i as u8, 64, model);
+        servers::start_gated(
+            &world,
+            &id,
+            "case-desk",
+            zone,
+            40 + i as u8,
+            SLOTS as u32,
+            handler,
+            Some(gate),
+        );
+        let model: servers::Handler =
+            Arc::new(|server, req, conn| crate::endless::write_stream(server, req, conn));
+        servers::start(
+            &world,
+            &format!("i-model-{i}"),
+            "clerk-model",
+            zone,
+            30 + i as u8,
+            64,
+            model,
+        );
     }
-    if !world.put_config(&config(3), Duration::from_secs(15)) || !world.wait_ready(Duration::from_secs(15)) {
+    if !world.put_config(&config(3), Duration::from_secs(15))
+        || !world.wait_ready(Duration::from_secs(15))
+    {
         eprintln!("the deployment does not get ready");
         world.stop();
         return 2;
@@ -170,7 +209,13 @@
     judge(&world, &ledger)
 }
 
-fn post(machine: &str, address: SocketAddr, ledger: &Ledger, start: Instant, may_send: &dyn Fn() -> bool) {
+fn post(
+    machine: &str,
+    address: SocketAddr,
+    ledger: &Ledger,
+    start: Instant,
+    may_send: &dyn Fn() -> bool,
+) {
     let mut conn = None;
     while start.elapsed() < DAY {
         if !may_send() {
@@ -186,7 +231,15 @@
             ("X-Api-Key", KEY.into()),
         ];
         ledger.sent(&id, "notice", machine, conn.is_some());
-        match exchange(&mut conn, address, "POST", "/notice/1", &headers, b"notice", Duration::from_millis(1500)) {
+        match exchange(
+            &mut conn,
+            address,
+            "POST",
+            "/notice/1",
+            &headers,
+            b"notice",
+            Duration::from_millis(1500),
+        ) {
             Ok(answer) => ledger.ended(&id, answer.status(), ""),
             Err(err) => {
                 if matches!(err.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) {
@@ -207,7 +260,9 @@
     let marked = ledger.marked.lock().unwrap();
     let mut by_machine = std::collections::BTreeMap::new();
     let (mut lost, mut lost_any) = (0, 0);
-    for (id, fate) in fates.iter().filter(|(_, fate)| fate.is_done && fate.status == 0 && !fate.gave_up && !fate.runs.is_empty()) {
+    for (id, fate) in fates.iter().filter(|(_, fate)| {
+        fate.is_done && fate.status == 0 && !fate.gave_up && !fate.runs.is_empty()
+    }) {
         lost_any += 1;
         if marked.contains(id) && fate.on_kept {
             lost += 1;
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -106,21 +106,38 @@
 }
 
 impl World {
-    pub fn start(plan: Plan, record: Arc<Record>, platform: impl FnOnce(IpAddr) -> SocketAddr) -> Arc<Self> {
+    pub fn start(
+        plan: Plan,
+        record: Arc<Record>,
+        platform: impl FnOnce(IpAddr) -> SocketAddr,
+    ) -> Arc<Self> {
         let (a, b) = free_prefix();
         let ip = |last: usize| IpAddr::V4(Ipv4Addr::new(127, a, b, last as u8));
         let mut machines = Vec::new();
         for i in 0..plan.cores {
             let zone = ZONES[i % 4];
             let name = format!("core-{zone}-{}", i / 4 + 1);
-            machines.push(Machine { name, zone: zone.into(), ip: ip(1 + i), is_edge: false, memory_mb: 256 });
+            machines.push(Machine {
+                name,
+                zone: zone.into(),
+                ip: ip(1 + i),
+                is_edge: false,
+                memory_mb: 256,
+            });
         }
         for i in 0..plan.edges {
             let zone = ZONES[i % 4];
             let name = format!("edge-{zone}-{}", i / 4 + 1);
-            machines.push(Machine { name, zone: zone.into(), ip: ip(1 + plan.cores + i), is_edge: true, memory_mb: 260 });
+            machines.push(Machine {
+                name,
+                zone: zone.into(),
+                ip: ip(1 + plan.cores + i),
+                is_edge: true,
+                memory_mb: 260,
+            });
         }
-        let folder = std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), wall_ms()));
+        let folder =
+            std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), wall_ms()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let world = Arc::new(Self {
             machines,
@@ -163,7 +180,8 @@
     fn write_settings(&self, machine: &Machine, bootstrap: bool) {
         let seeds: Vec<String> =
             self.cores().iter().take(3).map(|core| core.control().to_string()).collect();
-        let (class, serves) = if machine.is_edge { ("edge", "edge") } else { ("core", "control_plane") };
+        let (class, serves) =
+            if machine.is_edge { ("edge", "edge") } else { ("core", "control_plane") };
         let mut text = format!(
             "node={}\nrole={class}\nmachine_class={class}\nserves={serves}\nip={}\nzone={}\nregion=ga-central\n",
             machine.name, machine.ip, machine.zone
@@ -172,7 +190,11 @@
             text += &format!("zones.{zone}=ga-central\n");
         }
         text += &match machine.is_edge {
-            true => format!("listen.frontend={}\nlisten.ready_address={}\n", machine.frontend(), machine.ready()),
+            true => format!(
+                "listen.frontend={}\nlisten.ready_address={}\n",
+                machine.frontend(),
+                machine.ready()
+            ),
             false => format!(
                 "listen.control_plane={}\ndata_dir={}\n",
                 machine.control(),
@@ -208,7 +230,8 @@
 
     fn spawn(&self, machine: &Machine) {
         let folder = self.folder.join(&machine.name);
-        let log = File::options().create(true).append(true).open(folder.join("log")).expect("a log file");
+        let log =
+            File::options().create(true).append(true).open(folder.join("log")).expect("a log file");
         let program = if machine.is_edge { "buckthornsill-entry" } else { "buckthornsill-control" };
         let mut command = Command::new(format!("target/release/{program}"));
         command.env_clear();
@@ -221,7 +244,11 @@
         command.stdin(Stdio::null()).stdout(log.try_clone().expect("a log file")).stderr(log);
         match command.spawn() {
             Ok(child) => {
-                self.record.say(&format!("platform: {} started, process {}", machine.name, child.id()));
+                self.record.say(&format!(
+                    "platform: {} started, process {}",
+                    machine.name,
+                    child.id()
+                ));
                 self.children.lock().unwrap().insert(machine.name.clone(), child);
             }
             Err(err) => {
@@ -250,7 +277,10 @@
                     if kb > machine.memory_mb * 1024 {
                         let _ = child.kill();
                         let _ = child.wait();
-                        why = Some(format!("killed: {kb} kB resident, more than memory_mb={}", machine.memory_mb));
+                        why = Some(format!(
+                            "killed: {kb} kB resident, more than memory_mb={}",
+                            machine.memory_mb
+                        ));
                     }
                 }
                 let Some(why) = why else { continue };
@@ -263,7 +293,8 @@
                 self.ends.lock().unwrap().push(End { machine: machine.name.clone(), why });
                 restarts.push((Instant::now() + Duration::from_millis(500), machine.clone()));
             }
-            let (due, later): (Vec<_>, Vec<_>) = restarts.into_iter().partition(|(at, _)| *at <= Instant::now());
+            let (due, later): (Vec<_>, Vec<_>) =
+                restarts.into_iter().partition(|(at, _)| *at <= Instant::now());
             restarts = later;
             for (_, machine) in due {
                 self.write_settings(&machine, false);
@@ -288,8 +319,16 @@
         let is_done = wait_until(limit, || {
             i += 1;
             let address = cores[i % cores.len()].control();
-            let headers = [("Host", address.to_string()), ("Content-Type", "application/json".into())];
-            let answer = call(address, "POST", "/-/configuration/replace", &headers, body.as_bytes(), Duration::from_secs(1));
+            let headers =
+                [("Host", address.to_string()), ("Content-Type", "application/json".into())];
+            let answer = call(
+                address,
+                "POST",
+                "/-/configuration/replace",
+                &headers,
+                body.as_bytes(),
+                Duration::from_secs(1),
+            );
             if let Ok(answer) = &answer {
                 self.record.say(&format!("operator: {} at {address}", answer.line));
             }
