--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,8 @@
 for file in "$program" target/release/buckthornsill-entry target/release/buckthornsill-control; do
     [ -x "$file" ] || { echo "$file is missing: build first" >&2; exit 2; }
 done
-exec "$program" stop review/5
+"$program" stop review/5 &
+main=$!
+# Ended by a signal, the script ends what it started.
+trap 'kill -STOP $main; kill -KILL $(ps -o pid= --ppid $main) $main; exit 2' HUP INT TERM
+wait $main
