Gateway: an event without end is held back up to a bound

Cause: EventTracker kept the incomplete event of such a stream however long it became, and nothing bounded what all streams of an instance keep together.

Ruled out: slow callers and read-ahead as the main cause; an endless header or chunk size took 13 MB from outside.

Why it works: nothing of the incomplete event was passed on, so another endpoint can continue after the last event. What can't go elsewhere is passed on as it arrives, so a sound stream with a large event goes through.

--- a/daemons/gateway/src/answer.rs
+++ b/daemons/gateway/src/answer.rs
@@ -54,7 +54,7 @@
         attempt.count_usage();
     }
     let events = is_stream.then(|| match may_resume {
-        true => EventTracker::resumable(),
+        true => EventTracker::resumable(&state.buffers, state.max_body_bytes()),
         false => EventTracker::pass_through(),
     });
     let answer = EndpointAnswer::new(attempt, framing, body, connection);
@@ -105,7 +105,7 @@
         () = state.termination.wait_for(FinalPhase::LastAnswers) => return relay.fail_by_stop(),
     };
     match body {
-        Ok(body) => Response::from_parts(parts, full_body(body.freeze())),
+        Ok(body) => Response::from_parts(parts, full_body(body)),
         Err(_) => relay.fail(),
     }
 }
--- a/daemons/gateway/src/cfg.rs
+++ b/daemons/gateway/src/cfg.rs
@@ -47,6 +47,9 @@
     pub usage_window: Millis,
     /// Timing of a planned stop.
     pub stop: StopCfg,
+    /// Memory for what can't be passed on yet: incomplete events, answers that are held in a stop, and
+    /// bodies of calls, beyond the first 16 KiB of each.
+    pub buffer_bytes: usize,
     /// Bounds on roll-outs of software versions; none if this deployment has no roll-outs.
     pub rollouts: Option<RolloutBounds>,
 }
--- a/daemons/gateway/src/cli.rs
+++ b/daemons/gateway/src/cli.rs
@@ -62,6 +62,12 @@
             "30000",
             "time after which a stop cuts running calls",
         ),
+        Flag::with_default(
+            "buffer-mb",
+            "N",
+            "64",
+            "memory for events, answers and bodies that can't be passed on yet, in MiB",
+        ),
         rollout_flags::SHARE,
         rollout_flags::SLACK,
         rollout_flags::ROLLBACK,
@@ -88,6 +94,7 @@
         let slack = values.required("limit-slack");
         let notice: Option<u64> = values.required("drain-notice-ms");
         let limit: Option<u64> = values.required("drain-limit-ms");
+        let buffer_mb: Option<usize> = values.required("buffer-mb");
         let rollouts = rollout_flags::read(values);
         if seeds.is_empty() {
             values.add_finding("control", "expected at least one control instance");
@@ -113,6 +120,7 @@
             endpoint_heartbeat: ENDPOINT_HEARTBEAT,
             usage_window: USAGE_WINDOW,
             rollouts,
+            buffer_bytes: buffer_mb.expect(present).saturating_mul(1 << 20),
             stop: StopCfg {
                 notice: Millis(notice.expect(present)),
                 limit: Millis(limit.expect(present)),
--- a/daemons/gateway/src/hedge.rs
+++ b/daemons/gateway/src/hedge.rs
@@ -79,7 +79,9 @@
                 let events = std::mem::take(&mut self.comments).freeze();
                 return Poll::Ready(HedgeEnd::Continued(events));
             }
-            if self.comments.len() > MAX_COMMENTS {
+            if self.comments.len() > MAX_COMMENTS || self.events.hold_end().is_some() {
+                answer.attempt.finish(Outcome::Failed);
+                answer.attempt.end_broken();
                 return Poll::Ready(HedgeEnd::Failed(NotResumed::Sent));
             }
         }
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -58,6 +58,9 @@
     pub endpoint_checks: IntCounterVec,
     /// Answers that ended without a mark, by what the end turned out to be.
     pub unmarked_ends: IntCounterVec,
+    /// Incomplete events that could not be held back any longer, by reason and by what became of
+    /// their streams.
+    pub ended_holds: IntCounterVec,
     /// Number of requests that are blocked because endpoints crashed under them.
     pub blocked_requests: IntGauge,
     /// Number of blocks of parts of prompts under which endpoints crashed.
@@ -131,6 +134,14 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
+        let ended_holds = IntCounterVec::new(
+            Opts::new(
+                "sill_gateway_ended_holds_total",
+                "incomplete events that could not be held back any longer",
+            ),
+            &["why", "next"],
+        )?;
+        registry.register(Box::new(ended_holds.clone()))?;
         let endpoint_crashes = IntCounter::new(
             "sill_gateway_endpoint_crashes_total",
             "endpoints that crashed while they ran calls",
@@ -206,6 +217,7 @@
                 "checks whether an endpoint has ended, by result",
                 "result",
             )?,
+            ended_holds,
             unmarked_ends: counters(
                 "sill_gateway_unmarked_ends_total",
                 "answers that ended without a mark, by what the end turned out to be",
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -16,7 +16,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use sill_base::{Millis, Name, event};
-use sill_dispatch::{AttemptOutcome, CallProgress, EventTracker, NextStep};
+use sill_dispatch::{AttemptOutcome, CallProgress, EventTracker, HoldEnd, NextStep, Reservation};
 use sill_net::h1::{AnyBody, BodyError, Framing, ReusableConnection};
 use sill_rollout::AnswerEnd;
 use sill_route::Outcome;
@@ -196,18 +196,19 @@
     ///
     /// # Errors
     ///
-    /// Fails when the answer breaks off or is longer.
-    pub async fn buffer_all(&mut self, limit: usize) -> Result<BytesMut, BodyError> {
+    /// Fails when the answer breaks off or is longer, or when what is buffered takes up the memory for it.
+    pub async fn buffer_all(&mut self, limit: usize) -> Result<Bytes, BodyError> {
         let mut body = BytesMut::new();
+        let mut reservation = Reservation::new(self.state.buffers.clone());
         while let Some(frame) = poll_fn(|cx| Pin::new(&mut *self).poll_frame(cx)).await {
             let Ok(data) = frame?.into_data() else { continue };
             body.extend_from_slice(&data);
-            if body.len() > limit {
+            if body.len() > limit || !reservation.grow_to(body.len()) {
                 self.source = Source::Ended;
                 return Err("answer too long to be buffered".into());
             }
         }
-        Ok(body)
+        Ok(reservation.attach(body.freeze()))
     }
 
     /// Fails a call of whose answer nothing was sent to the caller.
@@ -243,7 +244,9 @@
         if let Source::Endpoint(mut answer) = previous {
             answer.attempt.finish(Outcome::Cancelled);
         }
-        let Some(events) = self.events.as_mut().filter(|_| self.may_resume) else { return false };
+        let may_resume = self.may_resume;
+        let events = self.events.as_mut().filter(|events| may_resume && events.can_resume());
+        let Some(events) = events else { return false };
         events.restart();
         let last_event = events.last_id().map(str::to_owned);
         let progress = self.progress;
@@ -369,6 +372,7 @@
         // caller may retry elsewhere.
         let has_time = self.has_begun || dispatch::has_time_for_attempt(&self.state, &self.call);
         self.may_resume
+            && self.events.as_ref().is_some_and(EventTracker::can_resume)
             && self.call.route.route.kind.may_repeat()
             && self.progress.next_step(AttemptOutcome::Unknown) == NextStep::Retry
             && has_time
@@ -379,25 +383,29 @@
     fn start_hedge(&mut self) {
         let Source::Endpoint(answer) = &self.source else { return };
         let endpoint = answer.attempt.placement.endpoint.clone();
+        let Some(resuming) = self.send_elsewhere(&endpoint) else { return };
+        let Some(events) = self.events.as_ref().map(EventTracker::of_continuation) else { return };
+        event!(Info, "stream_tried_elsewhere", id = self.call.head.attempt, endpoint = endpoint);
+        self.hedge = Some(Hedge::new(resuming, events));
+    }
+
+    /// Sends the stream to an endpoint other than `from`, to continue it after its last event, if it may
+    /// be sent again and there is one with room. Takes a retry only if it can be sent.
+    fn send_elsewhere(&mut self, from: &Name) -> Option<Resuming<EndpointAnswer>> {
         self.progress.time_left = self.call.due - self.state.clock.now();
-        let Some(mut events) = self.events.clone().filter(|_| self.may_send_elsewhere()) else {
-            return;
-        };
-        events.restart();
+        if !self.may_send_elsewhere() {
+            return None;
+        }
         let mut progress = self.progress;
         progress.record(AttemptOutcome::Unknown);
-        // A retry is taken only if it can be sent.
-        let Some(attempt) = self.place_elsewhere(progress, &endpoint) else { return };
+        let attempt = self.place_elsewhere(progress, from)?;
         if !self.state.may_retry(&self.call.pool.service) {
-            return;
+            return None;
         }
         self.progress = progress;
-        event!(Info, "stream_tried_elsewhere", id = self.call.head.attempt, endpoint = endpoint);
-        let last_event = events.last_id().map(str::to_owned);
+        let last_event = self.events.as_ref().and_then(EventTracker::last_id).map(str::to_owned);
         let resumption = Resumption { last_event, memory: None };
-        let resuming =
-            Box::pin(async move { resume::resume_at(attempt, progress, resumption).await });
-        self.hedge = Some(Hedge::new(resuming, events));
+        Some(Box::pin(async move { resume::resume_at(attempt, progress, resumption).await }))
     }
 
     /// Chooses another endpoint that may go on with the stream, if there is one with room.
@@ -532,6 +540,12 @@
                 let end = ready!(check.as_mut().poll(cx));
                 return self.end_unmarked(cx, end);
             }
+            if let Some(end) = self.events.as_ref().and_then(EventTracker::hold_end) {
+                match self.end_hold(end) {
+                    Some(data) => return Poll::Ready(Some(Ok(data))),
+                    None => return Poll::Pending,
+                }
+            }
             let frame = match answer.first.take() {
                 Some(first) => Poll::Ready(Some(Ok(Frame::data(first)))),
                 None => Pin::new(&mut answer.body).poll_frame(cx),
@@ -586,6 +600,51 @@
         }
     }
 
+    /// Has another endpoint continue a stream whose present event can't be held back any longer, of
+    /// which its caller has nothing yet. Where none can, the caller gets what is held: the event may be
+    /// sound.
+    fn end_hold(&mut self, end: HoldEnd) -> Option<Bytes> {
+        let Source::Endpoint(answer) = &self.source else { return None };
+        let endpoint = answer.attempt.placement.endpoint.clone();
+        let held = self.events.as_ref().map_or(0, EventTracker::held_bytes);
+        let is_moved = end == HoldEnd::TooLong && self.take_elsewhere(&endpoint);
+        let next = if is_moved { "other_endpoint" } else { "passed_on" };
+        self.state.metrics.ended_holds.with_label_values(&[end.name(), next]).inc();
+        event!(
+            Warn,
+            "event_not_held",
+            id = self.call.head.attempt,
+            endpoint = endpoint,
+            why = end.name(),
+            held_bytes = held,
+            budget_used = self.state.buffers.used(),
+            next = next
+        );
+        if is_moved {
+            return None;
+        }
+        let data = self.events.as_mut().map(EventTracker::release)?;
+        self.record_part(&data);
+        Some(data)
+    }
+
+    /// Gives up the present endpoint for another one that continues the stream; returns false if there
+    /// is none.
+    fn take_elsewhere(&mut self, endpoint: &Name) -> bool {
+        let continuation = match self.hedge.take() {
+            Some(hedge) => Some(hedge.into_parts()),
+            None => self.send_elsewhere(endpoint).map(|resuming| {
+                let events = self.events.as_ref().map(EventTracker::of_continuation);
+                (resuming, events.unwrap_or_else(EventTracker::pass_through))
+            }),
+        };
+        let Some((resuming, events)) = continuation else { return false };
+        self.end_broken(&"an event of the stream is too long");
+        self.events = Some(events);
+        self.source = Source::Resuming(resuming);
+        true
+    }
+
     fn poll_resuming(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), BodyError>> {
         let Source::Resuming(resuming) = &mut self.source else { return Poll::Ready(Ok(())) };
         match ready!(resuming.as_mut().poll(cx)) {
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -89,6 +89,7 @@
         let mut progress = self.progress;
         progress.time_left = self.call.due - self.state.clock.now();
         let may_repeat = self.may_resume
+            && self.events.as_ref()?.can_resume()
             && self.call.route.route.kind.may_repeat()
             && progress.next_step(AttemptOutcome::Unknown) == NextStep::Retry
             && !dispatch::is_blocked(&self.state, &self.call);
--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -22,7 +22,7 @@
 use crate::termination::{FinalPhase, StopOutcome};
 
 /// Size limit of a body in bytes if the settings name none.
-const MAX_BODY: usize = 4 << 20;
+pub const MAX_BODY: usize = 4 << 20;
 
 /// Retry time of an instance that has no settings yet; it receives them within half a second.
 const RETRY_WITHOUT_SETTINGS: Millis = Millis(1000);
@@ -376,8 +376,13 @@
     Ok(account)
 }
 
+/// Returns the largest body that a caller may send.
+pub fn max_body_bytes(table: &RouteTable) -> usize {
+    table.bounds.body_bytes.map_or(MAX_BODY, |bytes| bytes as usize)
+}
+
 async fn read_body(table: &RouteTable, body: Incoming) -> Result<Bytes, Refusal> {
-    let limit = table.bounds.body_bytes.map_or(MAX_BODY, |bytes| bytes as usize);
+    let limit = max_body_bytes(table);
     if body.size_hint().lower() > limit as u64 {
         return Err(Refusal::new(ErrorCode::TooLarge, "body_too_large"));
     }
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -8,9 +8,9 @@
 use sill_base::{Clock, Map, Millis, Name, Promise, Set, assert_promise, event};
 use sill_dispatch::usage::window_of;
 use sill_dispatch::{
-    AdmittedByReason, BrittleCounts, FactUpdate, LimitEstimate, LimitShares, MAX_TOTALS_AGE,
-    MovingAverage, OpenCalls, OverLimit, PartBlock, Pool, PoolCfg, RetryBudgets, RouteTable,
-    UsageCounter,
+    AdmittedByReason, BrittleCounts, BufferBudget, FactUpdate, LimitEstimate, LimitShares,
+    MAX_TOTALS_AGE, MovingAverage, OpenCalls, OverLimit, PartBlock, Pool, PoolCfg, RetryBudgets,
+    RouteTable, UsageCounter,
 };
 use sill_net::h1::{ConnectionPool, ConnectionPoolCfg, OpenConnections};
 use sill_route::{EndpointWeights, SendRate};
@@ -29,6 +29,7 @@
 use crate::metrics::Metrics;
 use crate::planned_stop::PlannedStop;
 use crate::rollouts::{Rollouts, ServiceGate};
+use crate::serve::{MAX_BODY, max_body_bytes};
 use crate::stream_end::StreamEnds;
 use crate::streams::Streams;
 use crate::termination::Termination;
@@ -83,6 +84,8 @@
     pub callers: Arc<OpenConnections>,
     /// Ends the calls that a stop doesn't wait for.
     pub termination: Termination,
+    /// The memory for what can't be passed on yet.
+    pub buffers: Arc<BufferBudget>,
     /// Crashes of endpoints, and the requests that are blocked because of them.
     pub crashes: Crashes,
     /// Checks of the endpoints whose streams ended without a mark.
@@ -164,6 +167,7 @@
         let wall = Millis::wall();
         let metrics = Metrics::new()?;
         Ok(Self {
+            buffers: BufferBudget::new(cfg.buffer_bytes),
             crashes: Crashes::new(clock, &metrics),
             stream_ends: StreamEnds::new(cfg.endpoint_heartbeat),
             streams: Arc::new(Streams::new(&cfg, clock, &metrics)),
@@ -198,6 +202,11 @@
         self.table.borrow().clone()
     }
 
+    /// Returns the largest body that a caller may send. Events of streams have the same bound.
+    pub fn max_body_bytes(&self) -> usize {
+        self.table().map_or(MAX_BODY, |table| max_body_bytes(&table))
+    }
+
     /// Waits for the first settings, at most for `timeout`, and returns the settings in force.
     pub async fn first_table(&self, timeout: Millis) -> Option<Arc<RouteTable>> {
         let mut tables = self.table.subscribe();
--- a/daemons/gateway/tests/limits.rs
+++ b/daemons/gateway/tests/limits.rs
@@ -46,6 +46,7 @@
         usage_window: Millis(5000),
         stop: StopCfg { notice: Millis(100), limit: Millis(5000) },
         rollouts: None,
+        buffer_bytes: 64 << 20,
     };
     Arc::new(State::new(cfg).expect("the state can be created"))
 }
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -76,6 +76,9 @@
     AnswerAndCloseLater(String, Duration),
     /// Sends these bytes, and closes the connection once the flag is set.
     AnswerAndCloseWhen(String, Arc<AtomicBool>),
+    /// Sends the first bytes; once the flag is set, repeats the others until the other side closes the
+    /// connection, at some 32 MB/s.
+    AnswerWithoutEnd(String, Arc<AtomicBool>, String),
     /// Sends these bytes once the flag is set, and keeps the connection.
     AnswerWhen(String, Arc<AtomicBool>),
     /// Sends these bytes and resets the connection.
@@ -214,12 +217,19 @@
     is_last_hidden: bool,
     stop: StopCfg,
     rollouts: Option<RolloutBounds>,
+    buffer_bytes: usize,
 }
 
 impl Default for StartOptions {
     fn default() -> Self {
         let stop = StopCfg { notice: Millis(100), limit: Millis(5000) };
-        Self { has_settings: true, is_last_hidden: false, stop, rollouts: None }
+        Self {
+            has_settings: true,
+            is_last_hidden: false,
+            stop,
+            rollouts: None,
+            buffer_bytes: 64 << 20,
+        }
     }
 }
 
@@ -354,6 +364,17 @@
                 }
                 return;
             }
+            Action::AnswerWithoutEnd(first, may_go_on, part) => {
+                let _ = stream.write_all(first.replace("{id}", &id).as_bytes());
+                while !may_go_on.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(1));
+                }
+                while stream.write_all(part.as_bytes()).is_ok() {
+                    thread::sleep(Duration::from_millis(1) * (part.len() / (32 << 10)) as u32);
+                }
+                *disconnects.lock() += 1;
+                return;
+            }
             Action::AnswerWhen(text, may_answer) => {
                 while !may_answer.load(Ordering::Relaxed) {
                     thread::sleep(Duration::from_millis(10));
@@ -413,6 +434,11 @@
         Self::start_with(actions, StartOptions::default())
     }
 
+    /// Starts one with this memory for what can't be passed on yet.
+    pub fn start_with_buffer(buffer_bytes: usize, actions: Vec<Vec<Action>>) -> Self {
+        Self::start_with(actions, StartOptions { buffer_bytes, ..StartOptions::default() })
+    }
+
     /// Starts one to which the last endpoint is not announced yet.
     pub fn start_with_hidden(actions: Vec<Vec<Action>>) -> Self {
         Self::start_with(actions, StartOptions { is_last_hidden: true, ..StartOptions::default() })
@@ -452,7 +478,7 @@
     }
 
     fn start_with(actions: Vec<Vec<Action>>, options: StartOptions) -> Self {
-        let StartOptions { has_settings, is_last_hidden, stop, rollouts } = options;
+        let StartOptions { has_settings, is_last_hidden, stop, rollouts, buffer_bytes } = options;
         let endpoints: Vec<Endpoint> = actions.into_iter().map(Endpoint::start).collect();
         let runtime = Runtime::new().expect("a runtime can be created");
         let _guard = runtime.enter();
@@ -511,7 +537,7 @@
         });
         let control = peers.start(listener).expect("the server starts");
         let addresses = free_addresses(3).expect("three ports are free");
-        let cfg = GatewayCfg { stop, rollouts, ..cfg(&addresses, control.address()) };
+        let cfg = GatewayCfg { stop, rollouts, buffer_bytes, ..cfg(&addresses, control.address()) };
         let name = cfg.name.clone();
         let _panic_check = PanicCheck::start();
         let gateway = Gateway::start(cfg).expect("the server starts");
@@ -763,6 +789,7 @@
         usage_window: Millis(5000),
         stop: StartOptions::default().stop,
         rollouts: None,
+        buffer_bytes: 64 << 20,
     }
 }
 
--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -18,6 +18,9 @@
 use crate::h1::server::{connect, set_socket_options};
 use crate::h1::tunnel::{self, TunnelFailure, TunnelRequest};
 
+/// Upper bound on the bytes that are read ahead on a connection, and so on the head of a response.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// Settings of a [`ConnectionPool`].
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectionPoolCfg {
@@ -339,7 +342,10 @@
     where
         T: Read + Write + Unpin + Send + 'static,
     {
-        let (sender, connection) = http1::handshake(io).await.map_err(|err| ConnectFailure {
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(READ_BUFFER_BYTES);
+        let handshake = builder.handshake(io).await;
+        let (sender, connection) = handshake.map_err(|err| ConnectFailure {
             is_refused: false,
             is_reset: false,
             reason: err.to_string(),
