Net: the reply to a call of our own is read up to 64 KiB

Cause: ConnectionPool::fetch and Egress::fetch collected the whole body, however long.

Evidence: a_response_without_end_is_not_read_on (transport/net) ends with "memory allocation of 65536 bytes failed" without the bound, under ulimit -v 6000000, and passes with it.

Why it works: these replies have a few hundred bytes; the read fails beyond 64 KiB and the connection is closed with it.

--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -13,13 +13,13 @@
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use parking_lot::Mutex;
 use sill_base::{Clock, Map, Millis, Name, Secret, Set, event};
 use sill_dispatch::{Path, PathChange, PathRequest, Paths, Placement, RelayList, TICK};
 use sill_net::h1::{
-    Answer, Connection, ConnectionPool, KeptOutcome, Probe, SendFailure, Target, TunnelFailure,
-    TunnelRequest,
+    Answer, Connection, ConnectionPool, KeptOutcome, MAX_FETCHED_BYTES, Probe, SendFailure, Target,
+    TunnelFailure, TunnelRequest,
 };
 use sill_wire::Incarnation;
 use sill_wire::link::RelayOffer;
@@ -761,7 +761,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the answer does not arrive completely.
+    /// Fails if the answer does not arrive completely or is longer than 64 KiB.
     pub async fn fetch(
         self: &Arc<Self>,
         to: &Destination,
@@ -783,7 +783,8 @@
         let (answer, exchange) = sent.map_err(|err| format!("{err:?}"))?;
         let (response, connection) = answer.into_parts();
         let status = response.status();
-        let body = response.into_body().collect().await.map_err(|err| err.to_string())?;
+        let body = Limited::new(response.into_body(), MAX_FETCHED_BYTES).collect().await;
+        let body = body.map_err(|err| err.to_string())?;
         exchange.record_heard();
         if let Some(connection) = connection {
             connection.release();
--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::rt::{Read, Write};
@@ -18,6 +18,10 @@
 use crate::h1::server::{connect, set_socket_options};
 use crate::h1::tunnel::{self, TunnelFailure, TunnelRequest};
 
+/// Longest body of a response that is read as a whole, in bytes. These are short messages of a few
+/// hundred bytes, not answers for callers.
+pub const MAX_FETCHED_BYTES: usize = 64 << 10;
+
 /// Upper bound on the bytes that are read ahead on a connection, and so on the head of a response.
 const READ_BUFFER_BYTES: usize = 64 << 10;
 
@@ -248,7 +252,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the response does not arrive completely.
+    /// Fails if the response does not arrive completely or is longer than [`MAX_FETCHED_BYTES`].
     pub async fn fetch(
         &self,
         address: SocketAddr,
@@ -258,7 +262,8 @@
         let answer = self.send(address, req, max_idle).await;
         let (response, connection) = answer.map_err(|err| format!("{err:?}"))?.into_parts();
         let status = response.status();
-        let body = response.into_body().collect().await.map_err(|err| err.to_string())?;
+        let body = Limited::new(response.into_body(), MAX_FETCHED_BYTES).collect().await;
+        let body = body.map_err(|err| err.to_string())?;
         if let Some(connection) = connection {
             connection.release();
         }
--- a/transport/net/tests/client.rs
+++ b/transport/net/tests/client.rs
@@ -3,8 +3,12 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
 use sill_base::{Clock, Millis};
-use sill_net::h1::{ConnectFailure, ConnectionPool, ConnectionPoolCfg, Probe};
+use sill_net::h1::{ConnectFailure, ConnectionPool, ConnectionPoolCfg, MAX_FETCHED_BYTES, Probe};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
 /// What listens at an address.
@@ -15,6 +19,16 @@
     Server,
 }
 
+fn cfg() -> ConnectionPoolCfg {
+    ConnectionPoolCfg {
+        source: None,
+        connect_timeout: Millis(5000),
+        unacknowledged_timeout: Millis(5000),
+        idle_timeout: Millis(10_000),
+        keep_alive_margin: Millis(1000),
+    }
+}
+
 async fn start(peer: Peer) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port can be bound");
     let address = listener.local_addr().expect("a bound listener has an address");
@@ -44,13 +58,7 @@
         Case { peer: Peer::ProxyWithoutTarget, is_refused: true },
         Case { peer: Peer::Server, is_refused: false },
     ];
-    let cfg = ConnectionPoolCfg {
-        source: None,
-        connect_timeout: Millis(5000),
-        unacknowledged_timeout: Millis(5000),
-        idle_timeout: Millis(10_000),
-        keep_alive_margin: Millis(1000),
-    };
+    let cfg = cfg();
     for Case { peer, is_refused } in cases {
         let pool = ConnectionPool::new(cfg, Clock::start());
         let address = start(peer).await;
@@ -80,3 +88,26 @@
         assert_eq!((failure.is_refused, failure.is_reset), (is_refused, is_reset), "{kind:?}");
     }
 }
+
+/// A peer answers a short call with bytes without end. The caller kept all of them until it ran out of
+/// memory.
+#[tokio::test]
+async fn a_response_without_end_is_not_read_on() {
+    let head = "HTTP/1.1 200 OK\r\n\r\n";
+    for has_end in [true, false] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port can be bound");
+        let address = listener.local_addr().expect("a bound listener has an address");
+        let server = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let _ = stream.read(&mut [0; 1024]).await;
+            let _ = stream.write_all(head.as_bytes()).await;
+            let part = vec![b'x'; MAX_FETCHED_BYTES];
+            while stream.write_all(&part).await.is_ok() && !has_end {}
+        });
+        let pool = ConnectionPool::new(cfg(), Clock::start());
+        let got = pool.fetch(address, Request::new(Full::new(Bytes::new())), Millis::ZERO).await;
+        assert_eq!(got.is_ok(), has_end, "{got:?}");
+        // It ends once its connection is closed.
+        server.await.expect("the server doesn't panic");
+    }
+}
