Gateway: bodies for which there is no memory are refused as not run

Cause: each body had a bound, all of them together had none. Parts were kept as a list, so a body in very small chunks took many times its length.

Evidence: bodies_for_which_there_is_no_memory_are_refused_as_not_run gets 200 in place of 503 without the budget.

--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -2,14 +2,16 @@
 
 use std::sync::{Arc, OnceLock};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use sill_base::{Millis, Name, event};
 use sill_dispatch::streams::{KnownStream, TakeUp};
-use sill_dispatch::{AccountEntry, AnswerMode, PartBlock, Prompt, RouteEntry, RouteTable};
+use sill_dispatch::{
+    AccountEntry, AnswerMode, PartBlock, Prompt, Reservation, RouteEntry, RouteTable,
+};
 use sill_net::h1::AnyBody;
 use sill_tree::RouteKind;
 use sill_wire::{ErrorCode, RequestKey, SharedParts, Software};
@@ -38,6 +40,9 @@
 /// Retry time for a service that has no endpoint yet.
 const RETRY_WITHOUT_ENDPOINT: Millis = Millis(1000);
 
+/// Retry time if the bodies of other calls take up the memory for them.
+const RETRY_WITHOUT_MEMORY: Millis = Millis(1000);
+
 /// Retry time for a stream that no instance knows yet. Another instance may know it.
 const RETRY_UNKNOWN_STREAM: Millis = Millis(100);
 
@@ -163,6 +168,13 @@
         Self { failure, inputs, ..Self::new(ErrorCode::NoCapacity, "stopping") }
     }
 
+    /// Creates the refusal of a call for whose body there is no memory.
+    fn without_memory(state: &State) -> Self {
+        let failure = Failure::with_retry_after(ErrorCode::NoCapacity, RETRY_WITHOUT_MEMORY);
+        let inputs = format!("{} bytes are held back already", state.buffers.used());
+        Self { failure, inputs, ..Self::new(ErrorCode::NoCapacity, "no_memory") }
+    }
+
     fn answer(&self, state: &State, attempt: &Name, received_at: Millis) -> Response<AnyBody> {
         state.metrics.calls.with_label_values(&[self.reason]).inc();
         event!(
@@ -197,7 +209,7 @@
         return Err(Refusal::new(ErrorCode::NotFound, "no_route"));
     };
     let account = account_of(&table, &head, &route)?;
-    let body = read_body(&table, body).await?;
+    let body = read_body(state, &table, body).await?;
     let key = || request_key(account.as_deref(), &head, &parts.method, &parts.uri, &body);
     if let Some(block) = state.crashes.block_of(key) {
         return Err(Refusal {
@@ -381,17 +393,37 @@
     table.bounds.body_bytes.map_or(MAX_BODY, |bytes| bytes as usize)
 }
 
-async fn read_body(table: &RouteTable, body: Incoming) -> Result<Bytes, Refusal> {
+async fn read_body(state: &State, table: &RouteTable, body: Incoming) -> Result<Bytes, Refusal> {
     let limit = max_body_bytes(table);
     if body.size_hint().lower() > limit as u64 {
         return Err(Refusal::new(ErrorCode::TooLarge, "body_too_large"));
     }
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(err) if err.is::<LengthLimitError>() => {
-            Err(Refusal::new(ErrorCode::TooLarge, "body_too_large"))
+    let mut body = Limited::new(body, limit);
+    let mut reservation = Reservation::new(state.buffers.clone());
+    // Parts are copied together: a list of very small ones would take many times their size.
+    let (mut first, mut whole) = (Bytes::new(), BytesMut::new());
+    while let Some(frame) = body.frame().await {
+        let data = match frame {
+            Ok(frame) => frame.into_data().unwrap_or_default(),
+            Err(err) if err.is::<LengthLimitError>() => {
+                return Err(Refusal::new(ErrorCode::TooLarge, "body_too_large"));
+            }
+            Err(_) => return Err(Refusal::new(ErrorCode::BadRequest, "body_not_whole")),
+        };
+        if first.is_empty() && whole.is_empty() {
+            first = data;
+            continue;
+        }
+        if !reservation.grow_to(first.len() + whole.len() + data.len()) {
+            return Err(Refusal::without_memory(state));
         }
-        Err(_) => Err(Refusal::new(ErrorCode::BadRequest, "body_not_whole")),
+        whole.extend_from_slice(&std::mem::take(&mut first));
+        whole.extend_from_slice(&data);
+    }
+    let whole = if first.is_empty() { whole.freeze() } else { first };
+    match reservation.grow_to(whole.len()) {
+        true => Ok(reservation.attach(whole)),
+        false => Err(Refusal::without_memory(state)),
     }
 }
 
--- a/daemons/gateway/tests/endless_answers.rs
+++ b/daemons/gateway/tests/endless_answers.rs
@@ -1,14 +1,18 @@
-//! Answers that go on without end.
+//! Answers that go on without end, and memory that peers command.
 
 #[allow(dead_code)] // The tests of endless answers use a part of it.
 mod support;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
-use support::{Action, CallerResponse, Harness, exchange, head, lines, request_as};
+use support::{
+    Action, CallerResponse, Endpoint, Harness, KEY, answer_of, exchange, head, lines, request_as,
+};
 
 const EVENT_STREAM: &str = "content-type: text/event-stream\r\n";
 const CHUNKED: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
@@ -139,3 +143,33 @@
     let text = String::from_utf8_lossy(&got.body);
     assert_eq!(text.matches("id: ").count(), 2, "an event follows the part of another");
 }
+
+/// Many callers send large bodies at once. Together they take the instance over its memory.
+#[test]
+fn bodies_for_which_there_is_no_memory_are_refused_as_not_run() {
+    let answers = vec![Action::Answer(answer_of("ok")); 4];
+    let harness = Harness::start_with_buffer(1 << 20, vec![answers]);
+    let send = |bytes: usize| {
+        let head = format!(
+            "POST /idempotent/x HTTP/1.1\r\nhost: desk.example\r\nauthorization: Bearer {KEY}\r\n\
+             sill-request-id: b-{bytes}\r\ncontent-length: {bytes}\r\nconnection: close\r\n\r\n"
+        );
+        let mut stream = TcpStream::connect(harness.address).expect("the instance accepts");
+        let _ = stream.write_all(head.as_bytes());
+        let _ = stream.write_all(&vec![b'x'; bytes]);
+        let mut got = Vec::new();
+        let _ = stream.read_to_end(&mut got);
+        String::from_utf8_lossy(&got).to_lowercase()
+    };
+    let refused = send(3 << 20);
+    assert!(refused.starts_with("http/1.1 503"), "{refused}");
+    assert!(
+        refused.contains("sill-not-run: true") && refused.contains("retry-after: "),
+        "{refused}"
+    );
+    for bytes in [512 << 10, 16 << 10] {
+        assert!(send(bytes).starts_with("http/1.1 200"), "{bytes} bytes");
+    }
+    assert_eq!(harness.endpoints.iter().map(Endpoint::requests).sum::<usize>(), 2);
+    assert_eq!(harness.state().buffers.used(), 0);
+}
