Dispatch: a stated prompt takes no more memory than a cache holds

Cause: prefix_blocks made an entry for each 64 stated tokens, under the pool's lock.

Why it works: no endpoint can have more of a prompt in its cache than the cache holds, so what lies beyond changes no choice.

--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -104,6 +104,27 @@
         let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
         shared.iter().map(|part| PartId::new(&part.id)).collect()
     }
+
+    /// Splits the shared parts into prefix blocks, each identified by everything before it, of which
+    /// the first `max` are returned: the lengths of the parts are what the caller states.
+    ///
+    /// The last part belongs to this call alone and is cached nowhere.
+    pub fn prefix_blocks(&self, max: usize) -> Arc<[u64]> {
+        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let mut blocks = Vec::new();
+        let mut hasher = FxHasher::default();
+        for part in shared {
+            part.id.hash(&mut hasher);
+            for i in 0..part.tokens.div_ceil(BLOCK_TOKENS as u64) {
+                if blocks.len() == max {
+                    return blocks.into();
+                }
+                i.hash(&mut hasher);
+                blocks.push(hasher.finish());
+            }
+        }
+        blocks.into()
+    }
 }
 
 /// A request to choose an endpoint for one attempt of a call.
@@ -835,7 +856,7 @@
             reserved,
             request: ask.attempt.clone(),
             target: Target::Service(self.cfg.service.clone()),
-            blocks: prefix_blocks(&ask.prompt),
+            blocks: ask.prompt.prefix_blocks(self.max_prefix_blocks()),
             prompt_tokens: ask.prompt.tokens,
             max_tokens: ask.prompt.max_output_tokens,
             priority: Priority::High,
@@ -845,6 +866,15 @@
         }
     }
 
+    /// Returns the number of blocks of a prompt that an endpoint can have in its cache.
+    const fn max_prefix_blocks(&self) -> usize {
+        match self.cfg.cache_tokens as usize / BLOCK_TOKENS {
+            0 => MAX_BLOCKS,
+            blocks if blocks > MAX_BLOCKS => MAX_BLOCKS,
+            blocks => blocks,
+        }
+    }
+
     fn announce(&mut self, now: Millis, endpoint: &Name) {
         let Some(entry) = self.endpoints.get(endpoint) else { return };
         self.sequence += 1;
@@ -877,23 +907,6 @@
     }
 }
 
-/// Splits the shared parts of a prompt into prefix blocks, each identified by everything before it.
-///
-/// The last part belongs to this call alone and is cached nowhere.
-fn prefix_blocks(prompt: &Prompt) -> Arc<[u64]> {
-    let shared = prompt.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    let mut blocks = Vec::new();
-    let mut hasher = FxHasher::default();
-    for part in shared {
-        part.id.hash(&mut hasher);
-        for i in 0..part.tokens.div_ceil(BLOCK_TOKENS as u64) {
-            i.hash(&mut hasher);
-            blocks.push(hasher.finish());
-        }
-    }
-    blocks.into()
-}
-
 /// Age of a load from which on the requests of other entry instances in it are presumed to end.
 const LOAD_TTL: Millis = Millis(2000);
 
--- a/coordination/dispatch/tests/pool.rs
+++ b/coordination/dispatch/tests/pool.rs
@@ -7,7 +7,7 @@
 
 use sill_base::{Millis, Name};
 use sill_dispatch::{
-    FactUpdate, Placement, PlacementDecision, PlacementRequest, Pool, PoolCfg, Prompt,
+    FactUpdate, Placement, PlacementDecision, PlacementRequest, Pool, PoolCfg, Prompt, PromptPart,
 };
 use sill_route::Outcome;
 use sill_wire::link::{EndpointFact, EndpointState};
@@ -307,3 +307,46 @@
     }
     assert!(!exceeded);
 }
+
+/// A caller states a prompt of four thousand million tokens. An entry for each block of it took the
+/// instance over its memory, and the next one that the caller tried.
+#[test]
+fn a_stated_prompt_takes_no_more_memory_than_a_cache_holds() {
+    struct Case {
+        cache_tokens: u64,
+        tokens: u64,
+        max_blocks: usize,
+        blocks: usize,
+    }
+    let cases = [
+        Case { cache_tokens: 602_252, tokens: 4_000_000_000, max_blocks: 9410, blocks: 9410 },
+        Case { cache_tokens: 0, tokens: u64::MAX, max_blocks: 1 << 16, blocks: 1 << 16 },
+        Case { cache_tokens: 602_252, tokens: 6400, max_blocks: 9410, blocks: 200 },
+        Case { cache_tokens: 10, tokens: 6400, max_blocks: 0, blocks: 0 },
+    ];
+    for Case { cache_tokens, tokens, max_blocks, blocks } in cases {
+        let part = |id: &str, tokens| PromptPart { id: id.into(), tokens };
+        let parts = vec![part("a", tokens), part("b", tokens), part("own", 1)];
+        let prompt = Prompt { parts, tokens, max_output_tokens: 80 };
+        assert_eq!(prompt.prefix_blocks(max_blocks).len(), blocks);
+        let mut pool = Pool::new(PoolCfg {
+            service: "desk".into(),
+            domain: "a".into(),
+            is_engine: true,
+            cache_tokens,
+            seed: 1,
+        });
+        pool.update_endpoint(Millis(1000), &heartbeat(5, 90, EndpointState::Ready));
+        let ask = PlacementRequest {
+            attempt: "r1".into(),
+            prompt: Arc::new(prompt),
+            deadline: Millis(10_000),
+            exclude: Vec::new(),
+            software: None,
+            admitted: Default::default(),
+        };
+        let decision = pool.place(Millis(1000), &ask);
+        let is_placed = matches!(decision, PlacementDecision::Endpoint(_));
+        assert_eq!(is_placed, tokens == 6400, "{decision:?}");
+    }
+}
