Gateway: an end in doubt is decided before the call or the process ends

Cause: the end of a stream without a mark is held until its endpoint is shown to run 0.8 s later, which takes another 0.2 s, and the wait knew neither the end of the stop nor the deadline.

The test a_whole_stream_is_not_cut_while_its_end_is_in_doubt fails without the bound, a_short_stream_is_not_whole_because_the_process_or_the_call_ends passes on both. Ruled out: failing checks at a stopping instance, which would cut streams one by one.

Why it works: the last check begins so early that it is over in time, beside one that runs if need be, and an endpoint has to outlive the end by 0.3 s at least, the longest by which listeners were seen to outlive the connections of a process that ends. With less time left nothing is shown, and the stream is cut or goes on elsewhere, as a part of an answer must not look whole.

--- a/daemons/gateway/src/daemon.rs
+++ b/daemons/gateway/src/daemon.rs
@@ -41,7 +41,7 @@
 
 /// Time before the end of a stop at which calls that still wait for their answers get an error
 /// response. It suffices to write these on an instance with a twelfth of a core.
-const LAST_ANSWERS_TIME: Millis = Millis(200);
+pub const LAST_ANSWERS_TIME: Millis = Millis(200);
 
 /// Time after the end of a stop in which cut connections are closed with an error; it is used only
 /// while connections are open. A debug build on a busy machine cut 320 streams within 54 ms; an
--- a/daemons/gateway/src/planned_stop.rs
+++ b/daemons/gateway/src/planned_stop.rs
@@ -47,6 +47,11 @@
         self.times.get_or_init(|| times);
     }
 
+    /// Returns when calls that still wait are answered without a definite outcome; none before a stop.
+    pub fn ends_at(&self) -> Option<Millis> {
+        self.times.get().map(|stop| stop.ends_at)
+    }
+
     /// Refuses all new calls from now on. Open calls are still completed.
     pub fn refuse_all(&self) {
         self.refuses_all.store(true, Ordering::Relaxed);
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -60,6 +60,8 @@
     /// The migration of the run off its engine, while its old stream still arrives.
     migration: RunMigration,
     has_begun: bool,
+    /// Whether the caller gets nothing before the answer is complete.
+    is_held: bool,
     has_first_event: bool,
     /// The first part, until the head of the answer is sent.
     buffered_part: Option<Bytes>,
@@ -173,6 +175,7 @@
             due: Box::pin(tokio::time::sleep(time_left.into())),
             cut_by_stop: Box::pin(state.termination.wait_for(FinalPhase::Cut)),
             has_begun: false,
+            is_held: false,
             has_first_event: false,
             buffered_part: None,
             pending_error: None,
@@ -198,6 +201,7 @@
     ///
     /// Fails when the answer breaks off or is longer, or when what is buffered takes up the memory for it.
     pub async fn buffer_all(&mut self, limit: usize) -> Result<Bytes, BodyError> {
+        self.is_held = true;
         let mut body = BytesMut::new();
         let mut reservation = Reservation::new(self.state.buffers.clone());
         while let Some(frame) = poll_fn(|cx| Pin::new(&mut *self).poll_frame(cx)).await {
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -7,6 +7,7 @@
 use sill_base::event;
 use sill_dispatch::{AttemptOutcome, EndpointCheck, EventTracker, NextStep, Placement};
 use sill_net::h1::{BodyError, Framing};
+use sill_rollout::AnswerEnd;
 use sill_route::Outcome;
 
 use super::{EndpointAnswer, Relay, Resuming, Source};
@@ -18,7 +19,7 @@
 
 impl EndpointAnswer {
     /// Returns the end of the answer, unless its endpoint leaves: it completes its answers before.
-    fn end(&mut self) -> Option<EndedAnswer> {
+    fn end(&mut self, is_held: bool) -> Option<EndedAnswer> {
         if self.attempt.is_endpoint_leaving() {
             return None;
         }
@@ -29,6 +30,8 @@
             via: self.attempt.via().cloned(),
             placed_at: self.attempt.placed_at,
             ended_at,
+            due: self.attempt.call().due,
+            is_held,
         };
         // The endpoint isn't silent while the end is held.
         self.attempt.end_exchange();
@@ -48,7 +51,7 @@
             (Framing::Chunked, true) if answer.connection.is_some() => answer.connection.take(),
             _ => return false,
         };
-        let Some(ended) = answer.end() else {
+        let Some(ended) = answer.end(self.is_held) else {
             answer.connection = connection;
             return false;
         };
@@ -140,6 +143,18 @@
                 self.end_truncated(cx, &reason, reason.into());
                 Poll::Pending
             }
+            EndDecision::NoTime => {
+                if has_asked_other {
+                    self.progress.record(AttemptOutcome::Unknown);
+                }
+                // Neither the endpoint nor its version has failed.
+                if let Source::Endpoint(answer) = &mut self.source {
+                    answer.attempt.end_answer(AnswerEnd::Abandoned);
+                }
+                let reason = "the end of its answer had no mark and could not be checked in time";
+                self.end_truncated(cx, &reason, reason.into());
+                Poll::Pending
+            }
             EndDecision::Continued(answer) => {
                 self.state.stream_ends.record_resumed(&service, true);
                 self.end_broken(
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::crashes::REFUSAL_TIME;
+use crate::daemon::LAST_ANSWERS_TIME;
 use crate::egress::{Destination, Via};
 use crate::relay::EndpointAnswer;
 use crate::resume::{NotResumed, ResumedEnd};
@@ -22,6 +23,9 @@
 /// has ended closes it late.
 const OPEN_TIME: Millis = Millis(200);
 
+/// Time that a check takes at most, unless it finds connections refused or closed.
+const CHECK_TIME: Millis = Millis(OPEN_TIME.0 + 50);
+
 /// An endpoint, and the entry instance that carries the answer if it is one in a tunnel.
 type CheckedEndpoint = (Name, Incarnation, Option<SocketAddr>);
 
@@ -44,6 +48,10 @@
     pub placed_at: Millis,
     /// When the answer ended.
     pub ended_at: Millis,
+    /// The deadline of the call.
+    pub due: Millis,
+    /// Whether its caller gets nothing before it is complete.
+    pub is_held: bool,
 }
 
 /// What an unmarked end turns out to be.
@@ -60,6 +68,8 @@
 pub enum EndDecision {
     /// It is whole if its endpoint runs.
     Endpoint(EndpointCheck),
+    /// The call or the process ends before anything can be shown.
+    NoTime,
     /// It is whole: its end is marked, and its connection is still open or its endpoint leaves.
     Marked,
     /// Another endpoint has confirmed that nothing follows.
@@ -73,6 +83,7 @@
     pub const fn name(&self) -> &'static str {
         match self {
             Self::Endpoint(check) => check.name(),
+            Self::NoTime => "no_time",
             Self::Marked => "marked",
             Self::Whole => "whole",
             Self::Continued(_) => "continued",
@@ -80,11 +91,17 @@
     }
 }
 
+impl From<Option<EndpointCheck>> for EndDecision {
+    fn from(check: Option<EndpointCheck>) -> Self {
+        check.map_or(Self::NoTime, Self::Endpoint)
+    }
+}
+
 impl StreamEnds {
     /// Creates an empty record. Endpoints announce themselves at this interval.
     pub fn new(heartbeat: Millis) -> Self {
         Self {
-            checks: Mutex::new(EndChecks::new(heartbeat)),
+            checks: Mutex::new(EndChecks::new(heartbeat, CHECK_TIME)),
             resumptions: Mutex::default(),
             has_changed: Notify::new(),
         }
@@ -103,8 +120,9 @@
 
 impl State {
     /// Waits until the endpoint of a stream is shown to run long enough after its end, or not to run.
-    pub async fn wait_until_proven(self: Arc<Self>, ended: EndedAnswer) -> EndpointCheck {
-        let EndedAnswer { to, via, placed_at, ended_at } = &ended;
+    /// Returns none if the call or the process ends before.
+    pub async fn wait_until_proven(self: Arc<Self>, ended: EndedAnswer) -> Option<EndpointCheck> {
+        let EndedAnswer { to, via, placed_at, ended_at, .. } = &ended;
         let key = (to.endpoint.clone(), to.incarnation, via.as_ref().map(|via| via.address));
         loop {
             let has_changed = self.stream_ends.has_changed.notified();
@@ -113,15 +131,18 @@
             // The answer may arrive late, when the endpoint has restarted or a proxy accepts
             // connections again.
             if self.crashes.has_crashed_since(*placed_at, &to.endpoint, to.incarnation) {
-                return EndpointCheck::Ended;
+                return Some(EndpointCheck::Ended);
             }
             let now = self.clock.now();
-            let step = self.stream_ends.checks.lock().step(now, &key, *ended_at);
+            // A stop may begin while the end is in doubt.
+            let decide_by = self.decide_by(&ended);
+            let step = self.stream_ends.checks.lock().step(now, &key, *ended_at, decide_by);
             match step {
-                EndStep::Decided(check) => return check,
+                EndStep::Decided(check) => return Some(check),
+                EndStep::NoTime => return None,
                 EndStep::Check => {
                     // Other ends wait for it too, whether or not this caller leaves.
-                    tokio::spawn(self.clone().check_for_ends(ended.clone(), key.clone()));
+                    tokio::spawn(self.clone().check_for_ends(ended.clone(), key.clone(), now));
                 }
                 EndStep::Wait(until) => {
                     // Crashes are heard of from others.
@@ -135,9 +156,23 @@
         }
     }
 
-    async fn check_for_ends(self: Arc<Self>, ended: EndedAnswer, key: CheckedEndpoint) {
+    /// Returns the time by which must be decided about an end, so that its caller can still be told.
+    fn decide_by(&self, ended: &EndedAnswer) -> Millis {
+        // What is forwarded is cut later than what waits.
+        let forward_time =
+            if ended.is_held { Millis::ZERO } else { Millis(LAST_ANSWERS_TIME.0 / 2) };
+        let stop = self.planned_stop.ends_at().map_or(Millis::MAX, |at| at + forward_time);
+        stop.min(ended.due)
+    }
+
+    async fn check_for_ends(
+        self: Arc<Self>,
+        ended: EndedAnswer,
+        key: CheckedEndpoint,
+        began_at: Millis,
+    ) {
         let check = self.check_ended(&ended, OPEN_TIME).await;
-        self.stream_ends.checks.lock().record(self.clock.now(), &key, check);
+        self.stream_ends.checks.lock().record(self.clock.now(), &key, began_at, check);
         self.stream_ends.has_changed.notify_waiters();
     }
 
@@ -168,7 +203,7 @@
         match state.wait_until_proven(ended).await {
             // It has ended in order; its announcement may come later than its last answer.
             _ if pool.pool.lock().has_announced_end(&endpoint) => EndDecision::Marked,
-            check => EndDecision::Endpoint(check),
+            check => check.into(),
         }
     } else {
         connection.release();
@@ -180,15 +215,15 @@
 /// Decides about an end from its endpoint, and from its resumption if there is one. Where that shows
 /// nothing in time, the endpoint decides.
 pub async fn decide(
-    endpoint: BoxFuture<'static, EndpointCheck>,
+    endpoint: BoxFuture<'static, Option<EndpointCheck>>,
     resumption: Option<BoxFuture<'static, Result<ResumedEnd, NotResumed>>>,
 ) -> UnmarkedEnd {
     let Some(resumption) = resumption else {
-        let decision = EndDecision::Endpoint(endpoint.await);
+        let decision = endpoint.await.into();
         return UnmarkedEnd { decision, has_asked_other: false };
     };
     let (check, resumed) = match future::select(endpoint, resumption).await {
-        Either::Left((EndpointCheck::Running, _)) => {
+        Either::Left((Some(EndpointCheck::Running), _)) => {
             let decision = EndDecision::Endpoint(EndpointCheck::Running);
             return UnmarkedEnd { decision, has_asked_other: true };
         }
@@ -196,13 +231,13 @@
         Either::Right((resumed @ (Ok(ResumedEnd::Unclear) | Err(_)), endpoint)) => {
             (endpoint.await, resumed)
         }
-        Either::Right((resumed, _)) => (EndpointCheck::Unclear, resumed),
+        Either::Right((resumed, _)) => (Some(EndpointCheck::Unclear), resumed),
     };
     let (decision, has_asked_other) = match resumed {
         Ok(ResumedEnd::Continued(answer)) => (EndDecision::Continued(answer), false),
         Ok(ResumedEnd::Whole) => (EndDecision::Whole, true),
-        Ok(ResumedEnd::Unclear) | Err(NotResumed::Sent) => (EndDecision::Endpoint(check), true),
-        Err(NotResumed::NotSent) => (EndDecision::Endpoint(check), false),
+        Ok(ResumedEnd::Unclear) | Err(NotResumed::Sent) => (check.into(), true),
+        Err(NotResumed::NotSent) => (check.into(), false),
     };
     UnmarkedEnd { decision, has_asked_other }
 }
--- /dev/null
+++ b/daemons/gateway/tests/held_ends.rs
@@ -0,0 +1,127 @@
+//! Ends of streams that are still in doubt when the process or the call ends.
+
+#[allow(dead_code)] // The tests of held ends use a part of it.
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use sill_base::Millis;
+use support::{Action, CallerResponse, Harness, exchange, head, lines, request_as};
+
+const EVENT_STREAM: &str = "content-type: text/event-stream\r\n";
+
+const WHOLE: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+/// Number of times that a case is played until the machine is fast enough for its times.
+const MAX_PLAYS: usize = 20;
+
+fn looks_complete(got: &CallerResponse) -> bool {
+    got.status == 200 && got.is_complete && got.body == WHOLE.as_bytes()
+}
+
+/// What cuts a call.
+#[derive(Debug, Clone, Copy)]
+enum Cut {
+    /// A planned stop that lasts for 2 s.
+    Stop,
+    /// The deadline of the call, of 2 s.
+    Deadline,
+}
+
+/// Sends a call, and lets its endpoint end the stream `after` the stop or the start of the call.
+/// Returns the answer, and when the endpoint ended the stream.
+fn play(
+    cut: Cut,
+    id: &str,
+    action: Action,
+    may_end: &AtomicBool,
+    after: Duration,
+) -> (CallerResponse, Duration) {
+    let mut harness = Harness::start_with_stop_limit(Millis(2000), vec![vec![action]]);
+    let extra = match cut {
+        Cut::Stop => "",
+        Cut::Deadline => "sill-deadline-ms: 2000\r\n",
+    };
+    let (address, text) = (harness.address, request_as(id, "/stream/x", extra));
+    let mut began_at = Instant::now();
+    let caller = thread::spawn(move || exchange(address, &text));
+    while harness.endpoints[0].requests() == 0 {
+        thread::sleep(Duration::from_millis(1));
+    }
+    let stop = match cut {
+        Cut::Stop => {
+            began_at = Instant::now();
+            Some(thread::spawn(move || harness.stop()))
+        }
+        Cut::Deadline => None,
+    };
+    thread::sleep(after.saturating_sub(began_at.elapsed()));
+    may_end.store(true, Ordering::Relaxed);
+    let ended_at = began_at.elapsed();
+    let got = caller.join().expect("the caller gets an answer");
+    stop.into_iter().for_each(|stop| stop.join().expect("the entry instance stops"));
+    (got, ended_at)
+}
+
+/// The end of a stream has no mark, and takes up to a second to be shown. A planned stop, or the deadline
+/// of the call, cut whole streams of which every event had arrived.
+#[test]
+fn a_whole_stream_is_not_cut_while_its_end_is_in_doubt() {
+    struct Case {
+        cut: Cut,
+        /// When the stream ends: too late for the usual check, and early enough for a shorter one.
+        ends: [u64; 2],
+    }
+    lines::capture();
+    let cases = [
+        Case { cut: Cut::Stop, ends: [1050, 1240] },
+        Case { cut: Cut::Deadline, ends: [1050, 1440] },
+    ];
+    for Case { cut, ends: [first, last] } in cases {
+        let mut plays = 0;
+        let got = loop {
+            let may_end = Arc::<AtomicBool>::default();
+            let whole = format!("{}{WHOLE}", head(EVENT_STREAM));
+            let action = Action::AnswerAndCloseWhen(whole, may_end.clone());
+            let id = format!("held-{cut:?}-{plays}");
+            let (got, ended_at) = play(cut, &id, action, &may_end, Duration::from_millis(first));
+            plays += 1;
+            // The endpoint looks at the flag every 10 ms.
+            let is_in_time = ended_at + Duration::from_millis(30) <= Duration::from_millis(last);
+            if is_in_time || plays == MAX_PLAYS {
+                break (got, lines::of_call(&id));
+            }
+        };
+        assert!(looks_complete(&got.0), "{cut:?}: {} {:?}", got.0.head, got.1);
+    }
+}
+
+/// An endpoint ends in the last second of a stop or of a call, and its listener outlives its
+/// connections. A check that is cut short must not pass a short stream as a whole one.
+#[test]
+fn a_short_stream_is_not_whole_because_the_process_or_the_call_ends() {
+    for cut in [Cut::Stop, Cut::Deadline] {
+        thread::scope(|scope| {
+            for after in [1100, 1300, 1500, 1700] {
+                for outlives in [15, 100, 300] {
+                    scope.spawn(move || {
+                        let may_end = Arc::<AtomicBool>::default();
+                        let action = Action::AnswerAndEndBitByBit(
+                            format!("{}{WHOLE}", head(EVENT_STREAM)),
+                            may_end.clone(),
+                            String::new(),
+                            Duration::from_millis(outlives),
+                        );
+                        let id = format!("short-{cut:?}-{after}-{outlives}");
+                        let after = Duration::from_millis(after);
+                        let (got, _) = play(cut, &id, action, &may_end, after);
+                        assert!(!looks_complete(&got), "{id}: {}", got.head);
+                    });
+                }
+            }
+        });
+    }
+}
