Gateway: answers of endpoints that end in order are whole without a mark

Cause: an endpoint that deregisters first and serves on is Gone, not Leaving, and the end of an unmarked stream was doubted unless it was Leaving; one that has announced its end doesn't run 0.8 s later. The end of a marked stream asked another question.

Why it works: one question, has_announced_end, for the incarnation that the call was sent to; only announcements count, so an endpoint that another has replaced at its address, or that is silent, is doubted as before. It is asked again when nothing has shown the answer to be whole, as announcements may come late. What it doesn't tell: an endpoint that crashes after its announcement is believed, as before.

--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -243,6 +243,8 @@
     fact: EndpointFact,
     /// Whether it said with an answer that it leaves. Control instances may hear of it later.
     says_it_leaves: bool,
+    /// Whether it has announced, in any way, that it leaves or has ended.
+    has_announced_end: bool,
     load: Load,
     /// Time of the load, if the endpoint has reported one.
     load_at: Option<Millis>,
@@ -462,6 +464,7 @@
         let new_entry = || EndpointEntry {
             fact: fact.clone(),
             says_it_leaves: false,
+            has_announced_end: false,
             load: Load::default(),
             load_at: None,
             is_full: false,
@@ -475,6 +478,8 @@
         let entry = self.endpoints.entry(fact.endpoint.clone()).or_insert_with(new_entry);
         let software = entry.fact.software.combine(&fact.software);
         entry.fact = EndpointFact { software, ..fact.clone() };
+        entry.has_announced_end |=
+            matches!(fact.state, EndpointState::Leaving | EndpointState::Gone);
         if entry.says_it_leaves {
             entry.fact.state = entry.fact.state.max(EndpointState::Leaving);
         }
@@ -527,7 +532,7 @@
     /// Records that an endpoint said with an answer that it leaves. Returns whether that is news.
     pub fn record_leaving(&mut self, now: Millis, place: &Placement) -> bool {
         let Some(entry) = self.entry_of(place) else { return false };
-        entry.says_it_leaves = true;
+        (entry.says_it_leaves, entry.has_announced_end) = (true, true);
         if entry.fact.state != EndpointState::Ready {
             return false;
         }
@@ -829,15 +834,12 @@
         was_silent && fact.state < EndpointState::Silent
     }
 
-    /// Returns whether an endpoint has announced that it leaves.
-    pub fn is_leaving(&self, endpoint: &Name) -> bool {
-        self.endpoints.get(endpoint).is_some_and(|k| k.fact.state == EndpointState::Leaving)
-    }
-
-    /// Returns whether an endpoint has announced that it leaves or has ended.
-    pub fn has_announced_end(&self, endpoint: &Name) -> bool {
-        let state = self.endpoints.get(endpoint).map(|known| known.fact.state);
-        matches!(state, Some(EndpointState::Leaving | EndpointState::Gone))
+    /// Returns whether the endpoint of a call has announced that it leaves or has ended: it completes its
+    /// answers before it ends.
+    pub fn has_announced_end(&self, place: &Placement) -> bool {
+        self.endpoints.get(&place.endpoint).is_some_and(|entry| {
+            entry.fact.incarnation == place.incarnation && entry.has_announced_end
+        })
     }
 
     /// Returns whether an endpoint is known to accept requests.
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -638,9 +638,9 @@
         }
     }
 
-    /// Returns whether the endpoint has announced that it leaves.
-    pub fn is_endpoint_leaving(&self) -> bool {
-        self.call.pool.pool.lock().is_leaving(&self.placement.endpoint)
+    /// Returns whether the endpoint has announced that it leaves or has ended.
+    pub fn has_announced_end(&self) -> bool {
+        self.call.pool.pool.lock().has_announced_end(&self.placement)
     }
 
     /// Records that the answer broke off, because the endpoint may have crashed. `began_at` is when
@@ -675,7 +675,7 @@
     /// endpoint had announced that it leaves.
     pub fn end_broken(&mut self) {
         let is_excused =
-            self.state.egress.is_path_lost(self.placement.address) || self.is_endpoint_leaving();
+            self.state.egress.is_path_lost(self.placement.address) || self.has_announced_end();
         self.end_answer(if is_excused { AnswerEnd::Abandoned } else { AnswerEnd::Failed });
     }
 
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -18,9 +18,9 @@
 use crate::stream_end::{self, EndDecision, EndedAnswer, UnmarkedEnd};
 
 impl EndpointAnswer {
-    /// Returns the end of the answer, unless its endpoint leaves: it completes its answers before.
+    /// Returns the end of the answer, unless its endpoint ends in order: it completes its answers before.
     fn end(&mut self, is_held: bool) -> Option<EndedAnswer> {
-        if self.attempt.is_endpoint_leaving() {
+        if self.attempt.has_announced_end() {
             return None;
         }
         let ended_at = self.attempt.state().clock.now();
@@ -61,10 +61,7 @@
         }
         let state = self.state.clone();
         let check: BoxFuture<'static, UnmarkedEnd> = match (connection, is_stream) {
-            (Some(connection), _) => {
-                let pool = self.call.pool.clone();
-                Box::pin(stream_end::check_mark(state, pool, ended, connection))
-            }
+            (Some(connection), _) => Box::pin(stream_end::check_mark(state, ended, connection)),
             (None, true) => {
                 let resumption = self.end_resumption(&ended);
                 let endpoint = Box::pin(state.wait_until_proven(ended));
@@ -118,7 +115,14 @@
         cx: &Context<'_>,
         end: UnmarkedEnd,
     ) -> Poll<Option<Result<Bytes, BodyError>>> {
-        let UnmarkedEnd { decision, has_asked_other } = end;
+        let UnmarkedEnd { mut decision, has_asked_other } = end;
+        // The announcement may come later than the last answer.
+        if decision.is_doubt()
+            && let Source::Endpoint(answer) = &self.source
+            && answer.attempt.has_announced_end()
+        {
+            decision = EndDecision::Announced;
+        }
         self.record_unmarked_end(&decision);
         if has_asked_other {
             self.summary.record_failed_resume();
@@ -127,7 +131,8 @@
         match decision {
             EndDecision::Endpoint(EndpointCheck::Running)
             | EndDecision::Whole
-            | EndDecision::Marked => {
+            | EndDecision::Marked
+            | EndDecision::Announced => {
                 if has_asked_other {
                     self.state.stream_ends.record_resumed(&service, false);
                 }
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -17,7 +17,7 @@
 use crate::egress::{Destination, Via};
 use crate::relay::EndpointAnswer;
 use crate::resume::{NotResumed, ResumedEnd};
-use crate::state::{PoolState, State};
+use crate::state::State;
 
 /// Time for which each connection to the endpoint has to stay open. A busy proxy in front of one that
 /// has ended closes it late.
@@ -70,8 +70,10 @@
     Endpoint(EndpointCheck),
     /// The call or the process ends before anything can be shown.
     NoTime,
-    /// It is whole: its end is marked, and its connection is still open or its endpoint leaves.
+    /// It is whole: its end is marked, and its connection is still open.
     Marked,
+    /// It is whole: its endpoint completes its answers before it ends in order.
+    Announced,
     /// Another endpoint has confirmed that nothing follows.
     Whole,
     /// Another endpoint goes on with it.
@@ -85,10 +87,20 @@
             Self::Endpoint(check) => check.name(),
             Self::NoTime => "no_time",
             Self::Marked => "marked",
+            Self::Announced => "announced",
             Self::Whole => "whole",
             Self::Continued(_) => "continued",
         }
     }
+
+    /// Returns whether nothing shows that the answer is whole.
+    pub const fn is_doubt(&self) -> bool {
+        match self {
+            Self::Endpoint(check) => !matches!(check, EndpointCheck::Running),
+            Self::NoTime => true,
+            Self::Marked | Self::Announced | Self::Whole | Self::Continued(_) => false,
+        }
+    }
 }
 
 impl From<Option<EndpointCheck>> for EndDecision {
@@ -194,17 +206,11 @@
 /// mark nevertheless, its endpoint may be ending, and has written the mark as it stopped.
 pub async fn check_mark(
     state: Arc<State>,
-    pool: Arc<PoolState>,
     ended: EndedAnswer,
     connection: ReusableConnection,
 ) -> UnmarkedEnd {
     let decision = if connection.is_closed_within(REFUSAL_TIME).await {
-        let endpoint = ended.to.endpoint.clone();
-        match state.wait_until_proven(ended).await {
-            // It has ended in order; its announcement may come later than its last answer.
-            _ if pool.pool.lock().has_announced_end(&endpoint) => EndDecision::Marked,
-            check => check.into(),
-        }
+        state.wait_until_proven(ended).await.into()
     } else {
         connection.release();
         EndDecision::Marked
--- a/daemons/gateway/tests/short_streams.rs
+++ b/daemons/gateway/tests/short_streams.rs
@@ -254,6 +254,75 @@
     }
 }
 
+/// An endpoint that ends in order completes its answers first, and may have announced its end seconds
+/// before, or too late for the last answer. Its whole answers without a mark were cut, because it
+/// doesn't outlive them for long.
+#[test]
+fn an_unmarked_answer_is_whole_if_its_endpoint_ends_in_order() {
+    #[derive(Debug, Clone, Copy)]
+    enum Announced {
+        Before,
+        After,
+        Never,
+    }
+    struct Case {
+        state: EndpointState,
+        announced: Announced,
+        is_complete: bool,
+    }
+    use EndpointState::{Gone, Leaving, Ready, Silent};
+    let case = |state, announced, is_complete| Case { state, announced, is_complete };
+    let cases = [
+        case(Leaving, Announced::Before, true),
+        case(Gone, Announced::Before, true),
+        case(Gone, Announced::After, true),
+        case(Silent, Announced::Before, false),
+        case(Ready, Announced::Never, false),
+    ];
+    for Case { state, announced, is_complete } in cases {
+        for (kind, path) in [(EVENT_STREAM, "/stream/x"), ("", "/non_idempotent/x")] {
+            let is_stream = !kind.is_empty();
+            if !is_stream && !matches!(announced, Announced::Before) {
+                // A plain answer is checked only once.
+                continue;
+            }
+            let ends = Arc::<AtomicBool>::default();
+            let first = Action::AnswerAndEndBitByBit(
+                format!("{}{WHOLE}", head(kind)),
+                ends.clone(),
+                String::new(),
+                match (announced, is_stream) {
+                    (Announced::After, _) => Duration::from_millis(750),
+                    (_, true) => Duration::from_millis(300),
+                    (_, false) => Duration::ZERO,
+                },
+            );
+            let harness = Harness::start(vec![vec![first]]);
+            let address = harness.address;
+            let caller = thread::spawn(move || exchange(address, &request_as("r-1", path, "")));
+            while harness.endpoints[0].requests() == 0 {
+                thread::sleep(Duration::from_millis(1));
+            }
+            let known = fact(0, harness.endpoints[0].address);
+            let announce = || {
+                *harness.facts.lock() = vec![EndpointFact { sequence: 2, state, ..known.clone() }];
+            };
+            if matches!(announced, Announced::Before) {
+                announce();
+                harness.wait_until_facts_applied();
+            }
+            ends.store(true, Ordering::Relaxed);
+            if matches!(announced, Announced::After) {
+                thread::sleep(Duration::from_millis(50));
+                announce();
+            }
+            let got = caller.join().expect("the caller gets an answer");
+            let name = format!("{path}, {state:?} {announced:?}: {}", got.head);
+            assert_eq!(looks_complete(&got), is_complete, "{name}");
+        }
+    }
+}
+
 /// Ends are held while their endpoint is checked. If the streams counted as running meanwhile, the
 /// endpoint would seem full, and calls that it has room for would be refused.
 #[test]
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -508,13 +508,17 @@
         peers.answer(move |poll: LinkPoll| {
             poll_counter.fetch_add(1, Ordering::Relaxed);
             *last_report.lock() = Some(poll.report.clone());
-            let reply = LinkReply {
-                endpoints: facts_sent.lock().clone(),
-                relays: Some(relays_sent.lock().clone()),
-                entries: Some(entries_sent.lock().clone()),
-                crashes: crashes_sent.lock().clone(),
-                versions: versions_sent.lock().clone(),
-                has_leader: has_leader_sent.load(Ordering::Relaxed),
+            let (facts, relays) = (facts_sent.clone(), relays_sent.clone());
+            let (entries, crashes) = (entries_sent.clone(), crashes_sent.clone());
+            let (versions, has_leader) = (versions_sent.clone(), has_leader_sent.clone());
+            // What changes while the poll waits is in the reply.
+            let reply = move || LinkReply {
+                endpoints: facts.lock().clone(),
+                relays: Some(relays.lock().clone()),
+                entries: Some(entries.lock().clone()),
+                crashes: crashes.lock().clone(),
+                versions: versions.lock().clone(),
+                has_leader: has_leader.load(Ordering::Relaxed),
                 ..empty_reply()
             };
             answer(poll, reply, has_settings)
@@ -836,17 +840,20 @@
     document
 }
 
-async fn answer(
+async fn answer<F>(
     poll: LinkPoll,
-    reply: LinkReply,
+    reply: F,
     has_settings: bool,
-) -> Result<LinkReply, sill_net::PeerError> {
+) -> Result<LinkReply, sill_net::PeerError>
+where
+    F: FnOnce() -> LinkReply,
+{
     let is_known = poll.have >= Revision(1);
     if is_known {
         tokio::time::sleep(poll.wait.into()).await;
     }
     let settings = (has_settings && !is_known).then(|| SettingsPieces::of(1, &document()).manifest);
-    Ok(LinkReply { settings, true_time: Millis::wall(), ..reply })
+    Ok(LinkReply { settings, true_time: Millis::wall(), ..reply() })
 }
 
 /// Returns a placement at an endpoint, for what an answer from there reports.
