--- a/coordination/dispatch/src/events.rs
+++ b/coordination/dispatch/src/events.rs
@@ -66,14 +66,7 @@
     /// Creates a tracker of a stream that may be resumed: it holds back incomplete events of at most
     /// `limit` bytes each, within the budget of all streams.
     pub fn resumable(budget: &Arc<BufferBudget>, limit: usize) -> Self {
-        let hold = Hold {
-            partial: BytesMut::new(),
-            reservation: Reservation::new(budget.clone()),
-            budget: budget.clone(),
-            limit,
-            end: None,
-        };
-        Self { hold: Some(hold), ..Self::pass_through() }
+        Self { hold: Some(Hold::new(budget, limit)), ..Self::pass_through() }
     }
 
     /// Creates a tracker of a stream that is forwarded as it arrives.
@@ -90,16 +83,9 @@
 
     /// Creates a tracker of the same stream as another endpoint would continue it.
     pub fn of_continuation(&self) -> Self {
-        let hold = self.hold.as_ref().map(|hold| Hold {
-            partial: BytesMut::new(),
-            reservation: Reservation::new(hold.budget.clone()),
-            budget: hold.budget.clone(),
-            limit: hold.limit,
-            end: None,
-        });
         Self {
             scanner: EventScanner::default(),
-            hold,
+            hold: self.hold.as_ref().map(|hold| Hold::new(&hold.budget, hold.limit)),
             last_id: self.last_id.clone(),
             has_unusable_id: self.has_unusable_id,
             is_split: self.is_split,
@@ -204,6 +190,16 @@
 }
 
 impl Hold {
+    fn new(budget: &Arc<BufferBudget>, limit: usize) -> Self {
+        Self {
+            partial: BytesMut::new(),
+            reservation: Reservation::new(budget.clone()),
+            budget: budget.clone(),
+            limit,
+            end: None,
+        }
+    }
+
     /// Adds a part of an incomplete event. One more part is kept when the bound is reached, as it has
     /// been read already.
     fn add(&mut self, part: &[u8]) {
