--- a/coordination/dispatch/src/registry.rs
+++ b/coordination/dispatch/src/registry.rs
@@ -5,10 +5,14 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use sill_base::{Map, Millis, Name};
+use sill_base::{Findings, Map, Millis, Name};
 use sill_wire::Incarnation;
 use sill_wire::link::{Cursor, EndpointFact, EndpointState};
 
+/// Longest name of an endpoint, service, failure domain or version, in bytes. Facts are kept for a minute
+/// and sent to all instances.
+const MAX_NAME_BYTES: usize = 256;
+
 /// Consecutive heartbeats that may be missed before an endpoint counts as silent. Heartbeats of an
 /// endpoint that is cut off arrive late or at another control instance; missing three is seldom
 /// chance.
@@ -278,6 +282,30 @@
     }
 }
 
+/// Checks the length of a name that an endpoint states.
+///
+/// # Errors
+///
+/// Returns a finding if it is longer than 256 bytes.
+pub fn check_name(field: &str, name: &str) -> Result<(), Findings> {
+    match name.len() <= MAX_NAME_BYTES {
+        true => Ok(()),
+        false => Err(Findings::one(field, format!("longer than {MAX_NAME_BYTES} bytes"))),
+    }
+}
+
+/// Checks the names that an endpoint states of itself.
+///
+/// # Errors
+///
+/// Returns a finding for the first that is too long.
+pub fn check_names(fact: &EndpointFact) -> Result<(), Findings> {
+    check_name("name", &fact.endpoint)?;
+    check_name("service", &fact.service)?;
+    check_name("domain", &fact.domain)?;
+    check_name("version", &fact.software.to_string())
+}
+
 /// Returns a fact for an endpoint of which only the name is known. It is sent to other control
 /// instances only; one that knows the rest combines the two.
 fn name_only(endpoint: &Name) -> EndpointFact {
--- a/daemons/control/src/api/announce.rs
+++ b/daemons/control/src/api/announce.rs
@@ -5,6 +5,7 @@
 use ntex::util::Bytes;
 use ntex::web::{HttpRequest, HttpResponse};
 use sill_base::{Findings, Millis, Name, event};
+use sill_dispatch::registry::check_names;
 use sill_net::http;
 use sill_wire::link::{EndpointFact, EndpointState};
 use sill_wire::{Announcement, Servable, announce::AnnounceReply};
@@ -45,7 +46,7 @@
         None => EndpointState::Ready,
         Some(_) => EndpointState::Leaving,
     };
-    Ok(EndpointFact {
+    let fact = EndpointFact {
         endpoint: format!("{}.{}", announcement.name, announcement.incarnation.0).into(),
         incarnation: announcement.incarnation,
         service,
@@ -59,5 +60,7 @@
         software: announcement.software,
         cold_for: None,
         age: Millis::ZERO,
-    })
+    };
+    check_names(&fact)?;
+    Ok(fact)
 }
--- a/daemons/control/tests/settings_pieces.rs
+++ b/daemons/control/tests/settings_pieces.rs
@@ -499,3 +499,21 @@
     instance.run();
     assert!(unchanged(&instance, 4) < long, "it has just started");
 }
+
+/// What an endpoint announces is kept for a minute and sent to all instances; long names would take up
+/// their memory.
+#[test]
+fn an_announcement_with_a_long_name_is_refused() {
+    let instance = TestInstance::start();
+    let address = instance.control.as_ref().expect("the control instance is running").address;
+    for (field, old) in [("name", "\"e\""), ("service", "\"desk\""), ("domain", "\"b\"")] {
+        for (len, status) in [(200, 200), (300, 400)] {
+            // One life of an endpoint has one service and one failure domain.
+            let text = announcement(1).replace(old, &format!("\"{}\"", "v".repeat(len)));
+            let text = text.replace("\"e\"", &format!("\"{field}-{len}\""));
+            let request = send_partial_request(address, "POST", "/announce", "join", &text);
+            let answer = finish_request(request, "}");
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{field}, {len}: {answer}");
+        }
+    }
+}
