--- a/coordination/dispatch/tests/events.rs
+++ b/coordination/dispatch/tests/events.rs
@@ -148,7 +148,7 @@
     }
 }
 
-/// A caller that reads slowly keeps a large event in a queue, after its stream has gone on.
+/// Large events in the queues of callers that read slowly would exceed the budget.
 #[test]
 fn a_large_event_counts_until_it_is_written() {
     let budget = BufferBudget::new(1 << 20);
@@ -164,8 +164,7 @@
     assert_eq!(budget.used(), 0);
 }
 
-/// An id goes into a header of the next request and into the log. After one that can't be sent, a
-/// resumption after an older id would repeat events.
+/// After an id that can't be sent, a resumption after an older one would repeat events.
 #[test]
 fn a_stream_is_not_resumed_after_an_id_that_can_not_be_sent() {
     let long = "7".repeat(1 << 12);
--- a/coordination/dispatch/tests/pool.rs
+++ b/coordination/dispatch/tests/pool.rs
@@ -308,8 +308,7 @@
     assert!(!exceeded);
 }
 
-/// A caller states a prompt of four thousand million tokens. An entry for each block of it took the
-/// instance over its memory, and the next one that the caller tried.
+/// An entry for each block of a prompt that its caller only states would take up the memory.
 #[test]
 fn a_stated_prompt_takes_no_more_memory_than_a_cache_holds() {
     struct Case {
@@ -351,8 +350,7 @@
     }
 }
 
-/// An endpoint that crashes while it leaves falls silent. If its announcement counted for that, short
-/// answers would pass as whole.
+/// Short answers of an endpoint that crashes while it leaves would pass as whole.
 #[test]
 fn only_an_endpoint_that_ends_in_order_has_announced_its_end() {
     use EndpointState::{Gone, Leaving, Ready, Silent};
--- a/coordination/dispatch/tests/stream_end.rs
+++ b/coordination/dispatch/tests/stream_end.rs
@@ -138,8 +138,7 @@
     (decided.into_iter().map(|decided| decided.expect("a decision")).collect(), count)
 }
 
-/// A planned stop or a deadline comes before an end is proven in the usual time. Whole streams were cut,
-/// although all of their events had reached their callers.
+/// Whole streams would be cut whose ends can't be shown in the usual time.
 #[test]
 fn ends_are_decided_before_the_call_or_the_process_ends() {
     let decide_by = Millis(1000);
@@ -154,7 +153,7 @@
     assert!(count <= 12, "{count} checks for {} ends", ends.len());
 }
 
-/// A check that runs when the last one has to begin shows too little, and the next one is too late.
+/// The last check would come too late if it waited for one that runs.
 #[test]
 fn the_last_check_does_not_wait_for_one_that_runs() {
     for first in (300..900).map(Millis) {
@@ -167,8 +166,7 @@
     }
 }
 
-/// An endpoint that ends closes its listener up to 0.3 s after its connections. If less time sufficed
-/// because a call or the process ends, its short streams would look whole.
+/// Short streams would look whole if less time sufficed because a call or the process ends.
 #[test]
 fn an_end_shortly_before_the_last_moment_is_no_proof() {
     let ends: Vec<Millis> = (0..1000).step_by(7).map(Millis).collect();
--- a/daemons/control/tests/settings_pieces.rs
+++ b/daemons/control/tests/settings_pieces.rs
@@ -500,8 +500,7 @@
     assert!(unchanged(&instance, 4) < long, "it has just started");
 }
 
-/// What an endpoint announces is kept for a minute and sent to all instances; long names would take up
-/// their memory.
+/// What an endpoint announces is kept and sent to all instances; long names would take up their memory.
 #[test]
 fn an_announcement_with_a_long_name_is_refused() {
     let instance = TestInstance::start();
--- a/daemons/gateway/tests/endless_answers.rs
+++ b/daemons/gateway/tests/endless_answers.rs
@@ -1,4 +1,4 @@
-//! Answers that go on without end, and memory that peers command.
+//! Answers that go on without end, and large bodies.
 
 #[allow(dead_code)] // The tests of endless answers use a part of it.
 mod support;
@@ -10,6 +10,7 @@
 use std::thread;
 use std::time::Duration;
 
+use sill_base::Millis;
 use support::{
     Action, CallerResponse, Endpoint, Harness, KEY, answer_of, exchange, head, lines, request_as,
 };
@@ -51,8 +52,7 @@
     caller.join().expect("the caller gets an answer")
 }
 
-/// An endpoint writes into a stream without ever ending an event. The instance held all of it back,
-/// ran out of memory and took the calls of all its other callers along; or the caller waited in vain.
+/// An event without end would take up the memory of the instance, or its caller would wait in vain.
 #[test]
 fn a_stream_whose_event_has_no_end_goes_on_at_another_endpoint() {
     struct Case {
@@ -98,7 +98,7 @@
     }
 }
 
-/// A bound on what is held back must cost no sound stream its end.
+/// A bound on what is held back would cut sound streams with larger events.
 #[test]
 fn a_stream_with_a_large_event_goes_through() {
     struct Case {
@@ -125,8 +125,7 @@
     }
 }
 
-/// A part of a large event has reached the caller when its endpoint fails. Another endpoint would
-/// repeat the event, or join it with the next one.
+/// Another endpoint would repeat an event of which the caller has a part, or join it with the next.
 #[test]
 fn a_stream_is_not_resumed_inside_an_event_that_was_forwarded_in_part() {
     let part = format!("{}{FIRST}id: 2\ndata: {}", head(EVENT_STREAM), "b".repeat(1 << 20));
@@ -144,7 +143,7 @@
     assert_eq!(text.matches("id: ").count(), 2, "an event follows the part of another");
 }
 
-/// Many callers send large bodies at once. Together they take the instance over its memory.
+/// Large bodies of many callers would take the instance over its memory.
 #[test]
 fn bodies_for_which_there_is_no_memory_are_refused_as_not_run() {
     let answers = vec![Action::Answer(answer_of("ok")); 4];
@@ -173,3 +172,28 @@
     assert_eq!(harness.endpoints.iter().map(Endpoint::requests).sum::<usize>(), 2);
     assert_eq!(harness.state().buffers.used(), 0);
 }
+
+/// The reply of an engine that is asked to copy a run would take up the memory of the instance.
+#[test]
+fn a_reply_without_end_to_a_copy_request_is_not_read_on() {
+    lines::capture();
+    let runs = format!("{}{}", head(CHUNKED), chunk(FIRST));
+    let endless = Action::AnswerWithoutEnd(
+        "HTTP/1.1 200 OK\r\n\r\n".to_owned(),
+        Arc::new(AtomicBool::new(true)),
+        "x".repeat(32 << 10),
+    );
+    let old_engine = vec![Action::AnswerAndCloseLater(runs, Duration::from_millis(1500)), endless];
+    let harness = Harness::start_with_hidden(vec![old_engine, Vec::new()]);
+    let (address, text) = (harness.address, request_as("copied", "/stream/x", ""));
+    let caller = thread::spawn(move || exchange(address, &text));
+    while harness.endpoints[0].requests() == 0 {
+        thread::sleep(Duration::from_millis(1));
+    }
+    harness.announce_departure_and_last(Millis(1300));
+    caller.join().expect("the caller gets an answer");
+    let lines = lines::of_call("copied");
+    let not_moved = lines.iter().find(|line| line.starts_with("event=run_not_moved "));
+    let line = not_moved.expect("the copy is given up");
+    assert!(line.contains("length limit exceeded"), "{line}");
+}
--- a/daemons/gateway/tests/held_ends.rs
+++ b/daemons/gateway/tests/held_ends.rs
@@ -66,8 +66,7 @@
     (got, ended_at)
 }
 
-/// The end of a stream has no mark, and takes up to a second to be shown. A planned stop, or the deadline
-/// of the call, cut whole streams of which every event had arrived.
+/// A planned stop, or the deadline of a call, would cut streams whose events have all arrived.
 #[test]
 fn a_whole_stream_is_not_cut_while_its_end_is_in_doubt() {
     struct Case {
@@ -99,8 +98,7 @@
     }
 }
 
-/// An endpoint ends in the last second of a stop or of a call, and its listener outlives its
-/// connections. A check that is cut short must not pass a short stream as a whole one.
+/// A check that is cut short would pass streams of an endpoint whose listener outlives its connections.
 #[test]
 fn a_short_stream_is_not_whole_because_the_process_or_the_call_ends() {
     for cut in [Cut::Stop, Cut::Deadline] {
--- a/daemons/gateway/tests/late_calls.rs
+++ b/daemons/gateway/tests/late_calls.rs
@@ -179,8 +179,7 @@
     }
 }
 
-/// Calls come late in the time of a stop, are passed on and have run, and are cut at its end without an
-/// answer: their callers may not send them again.
+/// A late call that has run and is cut without an answer may not be sent again by its caller.
 #[test]
 fn no_late_call_in_a_stop_runs_without_an_answer() {
     let ms = Duration::from_millis;
--- a/daemons/gateway/tests/short_streams.rs
+++ b/daemons/gateway/tests/short_streams.rs
@@ -254,9 +254,7 @@
     }
 }
 
-/// An endpoint that ends in order completes its answers first, and may have announced its end seconds
-/// before, or too late for the last answer. Its whole answers without a mark were cut, because it
-/// doesn't outlive them for long.
+/// Whole answers would be cut, as an endpoint that ends in order doesn't outlive the last ones for long.
 #[test]
 fn an_unmarked_answer_is_whole_if_its_endpoint_ends_in_order() {
     #[derive(Debug, Clone, Copy)]
--- a/transport/net/tests/client.rs
+++ b/transport/net/tests/client.rs
@@ -89,8 +89,7 @@
     }
 }
 
-/// A peer answers a short call with bytes without end. The caller kept all of them until it ran out of
-/// memory.
+/// A response without end would take up the memory of the process that reads it.
 #[tokio::test]
 async fn a_response_without_end_is_not_read_on() {
     let head = "HTTP/1.1 200 OK\r\n\r\n";
