--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -1,48 +1,30 @@
 //! The endpoints of one service as an entry instance sees them, and the choice among them.
 
+mod policy;
+mod prompt;
 mod versions;
 
-use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use rustc_hash::FxHasher;
 use sill_base::{Machine, Map, Millis, Name, Set};
 use sill_rollout::ReadyVersion;
 use sill_route::{
-    AdmittedEndpoints, Choice, EndpointWeights, Event, Guard, Outcome, PolicyCfg, PoolView,
-    PriorityBounds, RefusalReason, RouteRequest, Router, RouterCfg, SampleSize, SendRate, Target,
+    AdmittedEndpoints, Choice, EndpointWeights, Event, Guard, Outcome, PoolView, RefusalReason,
+    RouteRequest, Router, RouterCfg, SendRate, Target,
 };
 use sill_wire::link::{EndpointFact, EndpointLoad, EndpointState, EngineSpeed, is_valid_pace};
 use sill_wire::prefix::BLOCK_TOKENS;
-use sill_wire::{
-    Announcement, Incarnation, Load, PartId, Priority, Role, Servable, SharedParts, Software,
-};
+use sill_wire::{Announcement, Incarnation, Load, Priority, Role, Servable, Software};
 
+use self::policy::{engine_policy, plain_policy};
+pub use self::prompt::{Prompt, PromptPart};
 use crate::assignment::{RestrictedEndpoint, assigned};
 use crate::brittle::RejectionBounds;
 use crate::pauses::Pauses;
 use crate::request_limits::{self, RequestLimits};
 use crate::speed::{MIN_REPORTED_FITS, SpeedMeter};
 
-/// Prefill speed, in prompt tokens per second, by which endpoints are compared. It only weighs the
-/// uncached part of a prompt against the other costs. The learned speed is not used here, as it
-/// includes queueing, which the load already accounts for.
-const PREFILL_TOKENS_PER_S: u32 = 64_000;
-
-/// Decode time per token by which endpoints are compared.
-const DECODE_PER_TOKEN: Millis = Millis(5);
-
-/// Added cost of an engine in another failure domain, where traffic is charged. A short prompt is
-/// computed in 10 ms and should stay in the own failure domain; a case file takes 80 ms and should
-/// go to the engine that caches it.
-const REMOTE_DOMAIN_COST: Millis = Millis(40);
-
-/// Number of endpoints that are sampled for a call, in addition to its preferred endpoint and those
-/// that cache its prompt. The less loaded of two samples is nearly as good as the least loaded
-/// endpoint, and not every entry instance chooses it until its next load report.
-const SAMPLED_ENDPOINTS: Option<SampleSize> = Some(SampleSize { local: 2.0, remote: 1.0 });
-
 /// Prefix blocks that one pool tracks; at 64 tokens per block, 4 million tokens.
 const MAX_BLOCKS: usize = 1 << 16;
 
@@ -78,55 +60,6 @@
     pub seed: u64,
 }
 
-/// A part of a prompt that other prompts may share.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PromptPart {
-    /// Identifies the content of the part.
-    pub id: Name,
-    /// Length in tokens.
-    pub tokens: u64,
-}
-
-/// Size and parts of a call's prompt, as its headers declare them.
-#[derive(Debug, Default, Clone, PartialEq, Eq)]
-pub struct Prompt {
-    /// Parts in order; the last one belongs to this call alone.
-    pub parts: Vec<PromptPart>,
-    /// Length of the whole prompt in tokens.
-    pub tokens: u64,
-    /// Upper bound on the tokens of the answer.
-    pub max_output_tokens: u32,
-}
-
-impl Prompt {
-    /// Returns the parts that it shares with other prompts.
-    pub fn shared_parts(&self) -> SharedParts {
-        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        shared.iter().map(|part| PartId::new(&part.id)).collect()
-    }
-
-    /// Splits the shared parts into prefix blocks, each identified by everything before it, of which
-    /// the first `max` are returned: the lengths of the parts are what the caller states.
-    ///
-    /// The last part belongs to this call alone and is cached nowhere.
-    pub fn prefix_blocks(&self, max: usize) -> Arc<[u64]> {
-        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        let mut blocks = Vec::new();
-        let mut hasher = FxHasher::default();
-        for part in shared {
-            part.id.hash(&mut hasher);
-            for i in 0..part.tokens.div_ceil(BLOCK_TOKENS as u64) {
-                if blocks.len() == max {
-                    return blocks.into();
-                }
-                i.hash(&mut hasher);
-                blocks.push(hasher.finish());
-            }
-        }
-        blocks.into()
-    }
-}
-
 /// A request to choose an endpoint for one attempt of a call.
 #[derive(Debug, Clone)]
 pub struct PlacementRequest {
@@ -910,42 +843,3 @@
         self.router.step(now, event, &mut Vec::new());
     }
 }
-
-/// Age of a load from which on the requests of other entry instances in it are presumed to end.
-const LOAD_TTL: Millis = Millis(2000);
-
-/// Returns the policy for model engines, which queue by priority and answer in batches.
-fn engine_policy() -> PolicyCfg {
-    PolicyCfg {
-        announcement_ttl: Millis::MAX,
-        load_ttl: LOAD_TTL,
-        max_blocks: MAX_BLOCKS,
-        load_factor: PriorityBounds { low: 1.5, normal: 1.5, high: 1.5 },
-        pool_factor: PriorityBounds { low: 1.4, normal: 1.4, high: 1.4 },
-        ttft_target: None,
-        spill_below: 1.4,
-        wait_factor: PriorityBounds::UNBOUNDED,
-        slow_start: Millis(500),
-        cross_domain_cost: REMOTE_DOMAIN_COST,
-        sample_size: SAMPLED_ENDPOINTS,
-        prefill_tokens_per_s: PREFILL_TOKENS_PER_S,
-        decode_per_token: DECODE_PER_TOKEN,
-        ..PolicyCfg::default()
-    }
-}
-
-/// Returns the policy for plain services: calls of some 30 ms, of which a few may be queued.
-fn plain_policy() -> PolicyCfg {
-    PolicyCfg {
-        announcement_ttl: Millis::MAX,
-        load_ttl: LOAD_TTL,
-        load_factor: PriorityBounds { low: 4.0, normal: 4.0, high: 4.0 },
-        pool_factor: PriorityBounds { low: 4.0, normal: 4.0, high: 4.0 },
-        ttft_target: None,
-        spill_below: 4.0,
-        wait_factor: PriorityBounds::UNBOUNDED,
-        slow_start: Millis(500),
-        cross_domain_cost: Millis(10),
-        ..PolicyCfg::default()
-    }
-}
