Gateway: the line of a whole stream says what shows that it is whole

The record has three streams that were short and framed as complete, and no line tells by which way their ends were believed: the call's line had the framing only, and an end at an endpoint that had announced that it leaves had no line at all. Now `call` has `proof=`, `unmarked_end` has `announced=` and `proof=`, also for an end that is believed because of an announcement, and a metric counts whole streams by proof. No decision is changed.

--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -58,6 +58,8 @@
     pub endpoint_checks: IntCounterVec,
     /// Answers that ended without a mark, by what the end turned out to be.
     pub unmarked_ends: IntCounterVec,
+    /// Streams that count as whole, by what shows it.
+    pub whole_streams: IntCounterVec,
     /// Incomplete events that could not be held back any longer, by reason and by what became of
     /// their streams.
     pub ended_holds: IntCounterVec,
@@ -223,6 +225,11 @@
                 "answers that ended without a mark, by what the end turned out to be",
                 "result",
             )?,
+            whole_streams: counters(
+                "sill_gateway_whole_streams_total",
+                "streams that count as whole, by what shows it",
+                "proof",
+            )?,
             take_ups: counters(
                 "sill_gateway_take_ups_total",
                 "calls that take up an earlier stream, by what is known of its version",
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -53,6 +53,7 @@
         };
         let Some(ended) = answer.end(self.is_held) else {
             answer.connection = connection;
+            self.record_unmarked_end(&EndDecision::Announced);
             return false;
         };
         if is_stream {
@@ -173,12 +174,16 @@
         }
     }
 
-    fn record_unmarked_end(&self, decision: &EndDecision) {
+    fn record_unmarked_end(&mut self, decision: &EndDecision) {
+        if let Some(proof) = decision.proof() {
+            self.summary.set_proof(proof, None);
+        }
         let Source::Endpoint(answer) = &self.source else { return };
         if matches!(decision, EndDecision::Marked) {
             return;
         }
-        let Placement { endpoint, incarnation, .. } = &answer.attempt.placement;
+        let attempt = &answer.attempt;
+        let Placement { endpoint, incarnation, .. } = &attempt.placement;
         let held = answer.ended_at.map(|ended_at| self.state.clock.now() - ended_at);
         let result = decision.name();
         self.state.metrics.unmarked_ends.with_label_values(&[result]).inc();
@@ -192,6 +197,8 @@
             framing = answer.framing.name(),
             last_event = self.events.as_ref().and_then(EventTracker::last_id).unwrap_or_default(),
             held_ms = held.unwrap_or_default(),
+            announced = attempt.has_announced_end(),
+            proof = decision.proof().unwrap_or_default(),
             result = result
         );
     }
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -93,6 +93,17 @@
         }
     }
 
+    /// Returns the name of what shows that the answer is whole; none if it isn't.
+    pub const fn proof(&self) -> Option<&'static str> {
+        match self {
+            Self::Endpoint(EndpointCheck::Running) | Self::Marked | Self::Announced => {
+                Some(self.name())
+            }
+            Self::Whole => Some("resumed"),
+            Self::Endpoint(_) | Self::NoTime | Self::Continued(_) => None,
+        }
+    }
+
     /// Returns whether nothing shows that the answer is whole.
     pub const fn is_doubt(&self) -> bool {
         match self {
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -59,6 +59,9 @@
     bytes: u64,
     framing: Option<Framing>,
     stream_end: Option<StreamEnd>,
+    /// What has shown that the answer is whole, and how long after its end that was, if its end alone
+    /// didn't.
+    proof: Option<(&'static str, Option<Millis>)>,
 }
 
 /// Where the stream of an endpoint ended.
@@ -92,6 +95,7 @@
             bytes: 0,
             framing: None,
             stream_end: None,
+            proof: None,
         }
     }
 
@@ -153,7 +157,7 @@
     /// Records how the endpoint that now answers marks the end of its answer.
     pub fn set_framing(&mut self, framing: Framing) {
         self.framing = Some(framing);
-        self.stream_end = None;
+        (self.stream_end, self.proof) = (None, None);
     }
 
     /// Records where the endpoint's stream ended.
@@ -161,6 +165,11 @@
         self.stream_end = Some(end);
     }
 
+    /// Records what has shown that the answer is whole, and how long after its end that was.
+    pub fn set_proof(&mut self, proof: &'static str, after: Option<Millis>) {
+        self.proof = Some((proof, after));
+    }
+
     /// Sets the HTTP status that the caller gets.
     pub fn set_status(&mut self, status: u16) {
         self.status = status;
@@ -289,6 +298,11 @@
                 state.metrics.first_part.observe(first.as_secs_f64());
             }
         }
+        if self.outcome == "answered" && self.stream_end.is_some() {
+            let by_framing = self.framing.map_or("", Framing::name);
+            let proof = self.proof.map_or(by_framing, |(proof, _)| proof);
+            state.metrics.whole_streams.with_label_values(&[proof]).inc();
+        }
         let level = match self.outcome {
             "answered" => log::Level::Info,
             _ => log::Level::Warn,
@@ -346,6 +360,12 @@
         }
         pair("framing", &self.framing.map_or("", Framing::name));
         pair("end", &self.stream_end.map_or("", StreamEnd::name));
+        if let Some((proof, after)) = self.proof {
+            pair("proof", &proof);
+            if let Some(after) = after {
+                pair("proof_ms", &after);
+            }
+        }
         log::log!(target: "sill_gateway", level, "{line}");
     }
 }
