--- a/coordination/dispatch/src/check.rs
+++ b/coordination/dispatch/src/check.rs
@@ -1,26 +1,65 @@
-//! Decides whether an endpoint has ended, from what several entry instances see of it.
+//! Decides whether an endpoint runs or has ended, from what several entry instances see of it.
 //!
 //! To one instance a partition looks like the end of an endpoint, and a busy instance connects too
-//! late.
+//! late. A connection that opens is no sign of the process: its host or a proxy may accept it.
 
-use sill_wire::probe::EndpointProbe;
+use sill_wire::probe::{EndpointProbe, ProbeEndpointReply};
+
+/// What one entry instance sees of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointSign {
+    /// Its process has sent something.
+    Heard,
+    /// A connection stays open.
+    Open,
+    /// Connections are refused, or accepted and closed.
+    Closed,
+    /// None of these.
+    Unclear,
+}
 
 /// What is known of an endpoint of which an answer has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointCheck {
-    /// An instance reaches it, or nothing shows that it has ended.
+    /// Its process is shown to run.
     Running,
+    /// Nothing shows that it runs or that it has ended.
+    Silent,
     /// It accepts no connections, at this instance and at all others that were asked.
     Ended,
     /// It accepts no connections here, and the others don't know.
     Unclear,
 }
 
+impl EndpointSign {
+    /// Returns the name for log lines.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Heard => "Heard",
+            Self::Open => "Open",
+            Self::Closed => "Closed",
+            Self::Unclear => "Unclear",
+        }
+    }
+}
+
+impl From<ProbeEndpointReply> for EndpointSign {
+    fn from(reply: ProbeEndpointReply) -> Self {
+        match reply.probe {
+            _ if reply.is_heard => Self::Heard,
+            EndpointProbe::Open => Self::Open,
+            EndpointProbe::Closed => Self::Closed,
+            EndpointProbe::Unclear => Self::Unclear,
+        }
+    }
+}
+
 impl EndpointCheck {
     /// Returns the name for log lines.
     pub const fn name(self) -> &'static str {
         match self {
             Self::Running => "running",
+            Self::Silent => "silent",
             Self::Ended => "ended",
             Self::Unclear => "unclear",
         }
@@ -28,20 +67,17 @@
 }
 
 /// Decides from what this instance has seen, and from the replies of `asked` others.
-pub fn check_endpoint(
-    own: EndpointProbe,
-    asked: usize,
-    replies: &[EndpointProbe],
-) -> EndpointCheck {
-    let closed = replies.iter().filter(|reply| **reply == EndpointProbe::Closed).count();
-    if own == EndpointProbe::Open || replies.contains(&EndpointProbe::Open) {
-        return EndpointCheck::Running;
-    }
-    // One connection that is not accepted in time shows nothing.
-    let is_shown = own == EndpointProbe::Closed || closed > 0;
-    match closed == asked {
-        _ if !is_shown => EndpointCheck::Running,
-        true => EndpointCheck::Ended,
-        false => EndpointCheck::Unclear,
+pub fn check_endpoint(own: EndpointSign, asked: usize, replies: &[EndpointSign]) -> EndpointCheck {
+    let is_seen = |sign: EndpointSign| own == sign || replies.contains(&sign);
+    let closed = replies.iter().filter(|reply| **reply == EndpointSign::Closed).count();
+    if is_seen(EndpointSign::Heard) {
+        EndpointCheck::Running
+    } else if is_seen(EndpointSign::Open) || !is_seen(EndpointSign::Closed) {
+        // One connection that is not accepted in time shows nothing.
+        EndpointCheck::Silent
+    } else if closed == asked {
+        EndpointCheck::Ended
+    } else {
+        EndpointCheck::Unclear
     }
 }
--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -38,7 +38,7 @@
 pub use average::MovingAverage;
 pub use budget::{RetryBounds, RetryBudgets};
 pub use buffers::{BufferBudget, Reservation};
-pub use check::EndpointCheck;
+pub use check::{EndpointCheck, EndpointSign};
 pub use crashes::{BlockChange, BrokenAnswer, BrokenAnswers, BrokenRequest, CrashLog};
 pub use events::{EventTracker, HoldEnd};
 pub use loads::EndpointLoads;
@@ -60,7 +60,10 @@
 pub use stopping::{
     AnswerMode, CallTimes, OpenCalls, StopPhase, StopPlan, StopTimes, StreamForecast,
 };
-pub use stream_end::{EndChecks, EndStep, ResumeChecks};
+pub use stream_end::{
+    EndChecks, EndInDoubt, EndKind, EndStep, EndVerdict, EndpointSigns, Proof, ProofKind,
+    ResumeChecks,
+};
 pub use table::{AccountEntry, RouteEntry, RouteTable, TablePart};
 pub use take_up::Inquiry;
 pub use totals::{EntryCounts, TotalsAggregator};
--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -777,6 +777,13 @@
         })
     }
 
+    /// Returns whether an endpoint takes a request that it doesn't run. Those that have asked for a pause or
+    /// named a limit want as few as possible.
+    pub fn may_ping(&self, now: Millis, endpoint: &Name, incarnation: Incarnation) -> bool {
+        let is_limited = self.limited.iter().any(|(limited, _)| limited == endpoint);
+        !is_limited && !self.is_paused(now, endpoint, incarnation)
+    }
+
     /// Returns whether an endpoint is known to accept requests.
     pub fn is_ready(&self, endpoint: &Name) -> bool {
         self.endpoints.get(endpoint).is_some_and(|k| k.fact.state == EndpointState::Ready)
--- a/coordination/dispatch/src/stream_end.rs
+++ b/coordination/dispatch/src/stream_end.rs
@@ -1,8 +1,8 @@
-//! Decides whether streams are whole whose ends have no mark.
+//! Decides whether answers are whole whose ends prove nothing.
 //!
-//! An endpoint that ends closes its connections and its listener one after the other, so a connection
-//! that opens right after an end proves nothing. A stream counts as whole once its endpoint is shown to
-//! run later than its end by the interval at which endpoints announce themselves, 0.8 s at most.
+//! An endpoint that ends closes its connections and its listener one after the other, and its host may
+//! accept connections when it is gone. So an end counts as whole only once the process of the endpoint
+//! is shown to run later than it: by bytes that it sends on another connection, or by a reply.
 
 use std::hash::Hash;
 
@@ -10,17 +10,29 @@
 
 use crate::check::EndpointCheck;
 
-/// Upper bound on the time by which an endpoint has to outlive an end. Callers leave after 2 s of
-/// silence.
+/// Upper bound on the time by which an endpoint has to outlive the end of a stream.
 const MAX_SPAN: Millis = Millis(800);
 
-/// Lower bound on that time, where less is left than the usual one. Listeners outlive the connections
-/// of a process that ends by up to this long.
+/// Lower bound on that time, where less is left than the usual one. Parts of a process that ends outlive
+/// its connections by up to this long.
 const MIN_SPAN: Millis = Millis(300);
 
-/// Number of checks of an endpoint in that time.
+/// Time within which the endpoint of a stream has to be shown to run. Callers leave after 2 s of
+/// silence.
+const STREAM_WAIT: Millis = Millis(1600);
+
+/// Time by which an endpoint has to outlive the end of a plain answer. Its caller waits for the end.
+const PLAIN_SPAN: Millis = Millis(20);
+
+/// Time within which the endpoint of a plain answer has to be shown to run.
+const PLAIN_WAIT: Millis = Millis(400);
+
+/// Number of checks of an endpoint in the time that it has to outlive an end.
 const CHECKS: u64 = 4;
 
+/// Least time between two checks of an endpoint.
+const MIN_INTERVAL: Millis = Millis(100);
+
 /// Upper bound on the checks of an endpoint that run at the same time. A second one is needed only for
 /// an end that can't wait for the first.
 const MAX_RUNNING: usize = 3;
@@ -28,10 +40,79 @@
 /// Upper bound on the ends that are not resumed after one whose resumption showed nothing new.
 const MAX_SKIPPED: u32 = 63;
 
-/// Checks of the endpoints at which streams have ended. All ends at an endpoint share its checks.
+/// What ends an answer in doubt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndKind {
+    /// A stream.
+    Stream,
+    /// A plain answer.
+    Plain,
+}
+
+/// The end of an answer that has to be decided about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndInDoubt {
+    /// What has ended.
+    pub kind: EndKind,
+    /// When it ended.
+    pub at: Millis,
+    /// The time by which must be decided.
+    pub decide_by: Millis,
+}
+
+/// What is known of an endpoint without a check.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct EndpointSigns {
+    /// When its process was last heard.
+    pub heard_at: Option<Millis>,
+    /// Whether other answers of it are awaited. If it runs, they go on.
+    pub is_awaited: bool,
+}
+
+/// The proof that an endpoint has outlived an end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Proof {
+    /// How it was shown to run.
+    pub kind: ProofKind,
+    /// When it ran.
+    pub at: Millis,
+}
+
+/// How a process was shown to run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProofKind {
+    /// It has sent a part of another answer.
+    Heard,
+    /// It has replied to a check, here or at another entry instance.
+    Replied,
+}
+
+/// What an end turned out to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndVerdict {
+    /// The endpoint ran on, so the answer is whole.
+    Proven(Proof),
+    /// The endpoint was not shown to run on.
+    NotShown(EndpointCheck),
+}
+
+/// What to do next about an end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndStep {
+    /// Check the endpoint, and record the result.
+    Check,
+    /// Ask again at this time, or once a check has ended.
+    Wait(Millis),
+    /// It is decided.
+    Decided(EndVerdict),
+    /// Too little time is left to show anything.
+    NoTime,
+}
+
+/// Checks of the endpoints at which answers have ended. All ends at an endpoint share its checks.
 #[derive(Debug)]
 pub struct EndChecks<K> {
-    span: Millis,
+    heartbeat: Millis,
     /// Time that a check takes.
     check_time: Millis,
     by_endpoint: Map<K, Checks>,
@@ -44,21 +125,64 @@
     running: usize,
     /// When the newest check began that found the endpoint running.
     shown_at: Option<Millis>,
-    /// When the newest check ended that did not, and its result.
-    not_shown: Option<(Millis, EndpointCheck)>,
+    /// When the newest check ended that found that the endpoint has ended, and its result.
+    refuted: Option<(Millis, EndpointCheck)>,
 }
 
-/// What to do next about an end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EndStep {
-    /// Check the endpoint, and record the result.
-    Check,
-    /// Ask again at this time, or once a check has ended.
-    Wait(Millis),
-    /// The stream is whole if the endpoint runs, and otherwise not.
-    Decided(EndpointCheck),
-    /// Too little time is left to show anything.
-    NoTime,
+/// The times that hold for an end.
+#[derive(Debug, Clone, Copy)]
+struct Bounds {
+    /// The endpoint is to be shown to run at this time or later.
+    proven_from: Millis,
+    /// When the wait for a proof ends, unless a check is running.
+    until: Millis,
+    /// When it ends in any case.
+    expires_at: Millis,
+    /// When the last check may begin.
+    last_check_at: Millis,
+    has_time: bool,
+    /// The time between two checks.
+    interval: Millis,
+}
+
+impl ProofKind {
+    /// Returns the name for log lines.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Heard => "heard",
+            Self::Replied => "replied",
+        }
+    }
+}
+
+impl EndVerdict {
+    /// Returns the result of a check that decides at once.
+    pub const fn of(check: EndpointCheck, at: Millis) -> Self {
+        match check {
+            EndpointCheck::Running => Self::Proven(Proof { kind: ProofKind::Replied, at }),
+            _ => Self::NotShown(check),
+        }
+    }
+}
+
+impl EndInDoubt {
+    fn bounds(&self, heartbeat: Millis, check_time: Millis) -> Bounds {
+        let (span, wait) = match self.kind {
+            EndKind::Stream => (heartbeat.min(MAX_SPAN), STREAM_WAIT),
+            EndKind::Plain => (PLAIN_SPAN, PLAIN_WAIT),
+        };
+        let last_check_at = self.decide_by - check_time;
+        let proven_from = (self.at + span).min(last_check_at);
+        let until = (self.at + wait).min(self.decide_by);
+        Bounds {
+            proven_from,
+            until,
+            expires_at: (until + check_time).min(self.decide_by),
+            last_check_at,
+            has_time: proven_from >= self.at + span.min(MIN_SPAN),
+            interval: Millis(span.0 / CHECKS).max(MIN_INTERVAL),
+        }
+    }
 }
 
 impl<K> EndChecks<K>
@@ -68,53 +192,29 @@
     /// Creates a record without checks. Endpoints announce themselves at the interval `heartbeat`, and a
     /// check takes at most `check_time`.
     pub fn new(heartbeat: Millis, check_time: Millis) -> Self {
-        Self { span: heartbeat.min(MAX_SPAN), check_time, by_endpoint: Map::default() }
+        Self { heartbeat, check_time, by_endpoint: Map::default() }
     }
 
-    /// Returns what to do about a stream of an endpoint that ended at `ended_at`, and about which must
-    /// be decided by `decide_by`. A check that it asks for counts as begun now.
+    /// Returns what to do about an end at an endpoint. A check that it asks for counts as begun now.
     pub fn step(
         &mut self,
         now: Millis,
         endpoint: &K,
-        ended_at: Millis,
-        decide_by: Millis,
+        end: EndInDoubt,
+        signs: EndpointSigns,
     ) -> EndStep {
-        let last_check_at = decide_by - self.check_time;
-        let proven_from = (ended_at + self.span).min(last_check_at);
-        let has_time = proven_from >= ended_at + self.span.min(MIN_SPAN);
+        let bounds = end.bounds(self.heartbeat, self.check_time);
         let checks = self.by_endpoint.entry(endpoint.clone()).or_default();
-        if let Some((at, check)) = checks.not_shown
-            && at >= ended_at
-        {
-            return EndStep::Decided(check);
+        if let Some(verdict) = checks.verdict(now, &end, bounds, signs) {
+            return EndStep::Decided(verdict);
         }
-        if !has_time {
+        if !bounds.has_time {
             return EndStep::NoTime;
         }
-        if checks.shown_at.is_some_and(|at| at >= proven_from) {
-            return EndStep::Decided(EndpointCheck::Running);
-        }
-        if let Some(began_at) = checks.began_at
-            && checks.running > 0
+        if let Some(at) = checks.next_check(now, &end, bounds, self.check_time)
+            && now < at
         {
-            let can_wait = began_at >= proven_from || began_at + self.check_time <= last_check_at;
-            if can_wait || checks.running == MAX_RUNNING {
-                return EndStep::Wait(now + self.span);
-            }
-            if now < proven_from {
-                return EndStep::Wait(proven_from);
-            }
-        } else {
-            let due = match checks.began_at {
-                Some(began_at) if began_at >= ended_at => {
-                    proven_from.min(began_at + Millis(self.span.0 / CHECKS))
-                }
-                _ => now,
-            };
-            if now < due {
-                return EndStep::Wait(due);
-            }
+            return EndStep::Wait(at);
         }
         checks.began_at = Some(now);
         checks.running += 1;
@@ -127,16 +227,71 @@
         checks.running = checks.running.saturating_sub(1);
         match check {
             EndpointCheck::Running => checks.shown_at = checks.shown_at.max(Some(began_at)),
-            _ => checks.not_shown = Some((now, check)),
+            EndpointCheck::Silent => {}
+            EndpointCheck::Ended | EndpointCheck::Unclear => checks.refuted = Some((now, check)),
         }
         // The end that asked for the oldest check has been decided, or its caller has left.
-        let kept = self.span + self.span;
+        let kept = STREAM_WAIT + self.check_time;
         self.by_endpoint.retain(|_, checks| {
             checks.running > 0 || checks.began_at.is_some_and(|at| now - at < kept)
         });
     }
 }
 
+impl Checks {
+    fn verdict(
+        &self,
+        now: Millis,
+        end: &EndInDoubt,
+        bounds: Bounds,
+        signs: EndpointSigns,
+    ) -> Option<EndVerdict> {
+        let proof = |kind, at: Option<Millis>| {
+            let at = at.filter(|at| *at >= bounds.proven_from && bounds.has_time)?;
+            Some(EndVerdict::Proven(Proof { kind, at }))
+        };
+        if let Some(verdict) = proof(ProofKind::Heard, signs.heard_at)
+            .or_else(|| proof(ProofKind::Replied, self.shown_at))
+        {
+            return Some(verdict);
+        }
+        let is_over = now >= bounds.until;
+        let refuted = self.refuted.filter(|(at, _)| *at >= end.at).map(|(_, check)| check);
+        if let Some(check) = refuted {
+            return (!signs.is_awaited || is_over).then_some(EndVerdict::NotShown(check));
+        }
+        // A check that runs may still show it.
+        let is_silent = (is_over && self.running == 0) || now >= bounds.expires_at;
+        (is_silent && bounds.has_time).then_some(EndVerdict::NotShown(EndpointCheck::Silent))
+    }
+
+    /// Returns when to begin the next check; none if it is due.
+    fn next_check(
+        &self,
+        now: Millis,
+        end: &EndInDoubt,
+        bounds: Bounds,
+        check_time: Millis,
+    ) -> Option<Millis> {
+        let Bounds { proven_from, last_check_at, interval, .. } = bounds;
+        // An early check can only refute, which isn't worth it for a caller that waits for the end.
+        let first = (end.kind == EndKind::Plain).then_some(proven_from);
+        let Some(began_at) = self.began_at else { return first };
+        if self.running > 0 {
+            let can_wait = began_at >= proven_from || began_at + check_time <= last_check_at;
+            if can_wait || self.running == MAX_RUNNING {
+                return Some(now + interval);
+            }
+            return Some(proven_from);
+        }
+        match began_at {
+            at if at < end.at => first,
+            at if at < proven_from => Some(proven_from.min(at + interval)),
+            at => Some(at + interval),
+        }
+    }
+}
+
 /// Decides which ends are checked by resuming their streams, for each service.
 ///
 /// Where all streams end without a mark, most are whole, and each resumption would take a retry from
--- a/coordination/dispatch/tests/stream_end.rs
+++ b/coordination/dispatch/tests/stream_end.rs
@@ -1,82 +1,232 @@
-//! When streams without a marked end count as whole.
+//! When answers count as whole whose ends prove nothing.
 
 use sill_base::Millis;
 use sill_dispatch::events::may_follow;
-use sill_dispatch::{EndChecks, EndStep, EndpointCheck, ResumeChecks};
+use sill_dispatch::{
+    EndChecks, EndInDoubt, EndKind, EndStep, EndVerdict, EndpointCheck, EndpointSigns, Proof,
+    ProofKind, ResumeChecks,
+};
 
 const HEARTBEAT: Millis = Millis(600);
 
 /// Time that a check takes.
 const CHECK_TIME: Millis = Millis(100);
 
-/// Plays an end at 0 in virtual time, at an endpoint that a check finds only if it begins before
-/// `ends_at`. Returns the decision, its time and the number of checks.
-fn play(ends_at: Millis) -> (EndpointCheck, Millis, usize) {
+/// An endpoint in virtual time.
+#[derive(Debug, Clone, Copy)]
+struct Endpoint {
+    /// It replies to checks that begin before.
+    replies_until: Millis,
+    /// What checks find from then on, and how long they take.
+    after: (EndpointCheck, Millis),
+    /// Parts of other answers arrive every 10 ms until then.
+    heard_until: Millis,
+    /// Other answers are awaited until then.
+    awaited_until: Millis,
+}
+
+/// One whose host refuses connections once it has ended.
+const fn ends_at(at: Millis) -> Endpoint {
+    Endpoint {
+        replies_until: at,
+        after: (EndpointCheck::Ended, Millis(1)),
+        heard_until: Millis::ZERO,
+        awaited_until: Millis::ZERO,
+    }
+}
+
+/// One whose host shows nothing once it has ended.
+const fn silent_from(at: Millis) -> Endpoint {
+    Endpoint { after: (EndpointCheck::Silent, CHECK_TIME), ..ends_at(at) }
+}
+
+impl Endpoint {
+    fn check(&self, began_at: Millis) -> (EndpointCheck, Millis) {
+        match began_at < self.replies_until {
+            true => (EndpointCheck::Running, CHECK_TIME),
+            false => self.after,
+        }
+    }
+
+    fn signs(&self, now: Millis) -> EndpointSigns {
+        let heard_at = Millis(now.min(self.heard_until).0 / 10 * 10);
+        EndpointSigns {
+            heard_at: (self.heard_until > Millis::ZERO).then_some(heard_at),
+            is_awaited: now < self.awaited_until,
+        }
+    }
+}
+
+/// Plays ends at these times in virtual time, all of them to be decided by `decide_by`. Returns the decisions
+/// with their times, and the number of checks.
+fn play_all(
+    kind: EndKind,
+    ends: &[Millis],
+    decide_by: Millis,
+    endpoint: Endpoint,
+) -> (Vec<(EndStep, Millis)>, usize) {
     let mut checks = EndChecks::new(HEARTBEAT, CHECK_TIME);
-    let (mut now, mut count) = (Millis::ZERO, 0);
-    loop {
-        match checks.step(now, &"e1", Millis::ZERO, Millis::MAX) {
-            EndStep::Decided(check) => return (check, now, count),
-            EndStep::NoTime => panic!("there is time"),
-            EndStep::Wait(until) => now = until,
-            EndStep::Check => {
-                count += 1;
-                let is_found = now < ends_at;
-                let check = if is_found { EndpointCheck::Running } else { EndpointCheck::Ended };
-                let began_at = now;
-                now = now + if is_found { CHECK_TIME } else { Millis(1) };
-                checks.record(now, &"e1", began_at, check);
+    let mut running: Vec<(Millis, Millis, EndpointCheck)> = Vec::new();
+    let mut decided = vec![None; ends.len()];
+    let mut count = 0;
+    for now in (0..4000).map(Millis) {
+        running.retain(|(began_at, over_at, check)| {
+            if now >= *over_at {
+                checks.record(now, &"e1", *began_at, *check);
+            }
+            now < *over_at
+        });
+        for (ended_at, decided) in ends.iter().zip(&mut decided) {
+            if now < *ended_at || decided.is_some() {
+                continue;
+            }
+            let end = EndInDoubt { kind, at: *ended_at, decide_by };
+            match checks.step(now, &"e1", end, endpoint.signs(now)) {
+                EndStep::Wait(_) => {}
+                EndStep::Check => {
+                    let (check, time) = endpoint.check(now);
+                    running.push((now, now + time, check));
+                    count += 1;
+                }
+                step => *decided = Some((step, now)),
             }
         }
     }
+    (decided.into_iter().map(|decided| decided.expect("a decision")).collect(), count)
+}
+
+/// Plays an end at 1000, without a deadline.
+fn play(kind: EndKind, endpoint: Endpoint) -> (EndStep, Millis, usize) {
+    let (decided, count) = play_all(kind, &[Millis(1000)], Millis(100_000), endpoint);
+    let (step, at) = decided[0];
+    (step, at - Millis(1000), count)
+}
+
+const fn is_proven(step: EndStep) -> bool {
+    matches!(step, EndStep::Decided(EndVerdict::Proven(_)))
 }
 
-/// If one check right after the end decided, an endpoint whose listener closes last would pass it.
+const fn not_shown(check: EndpointCheck) -> EndStep {
+    EndStep::Decided(EndVerdict::NotShown(check))
+}
+
+/// If one reply right after the end decided, parts of a process that ends would pass for all of it.
 #[test]
 fn an_endpoint_has_to_outlive_the_end_by_a_heartbeat() {
-    struct Case {
-        ends_at: Millis,
-        check: EndpointCheck,
-        latest: Millis,
+    for outlives in [0, 5, 15, 40, 100, 300, 599] {
+        let endpoint = ends_at(Millis(1000 + outlives));
+        let (step, at, count) = play(EndKind::Stream, endpoint);
+        assert_eq!(step, not_shown(EndpointCheck::Ended), "outlives it by {outlives} ms");
+        assert!(at <= Millis(outlives + 251), "outlives it by {outlives} ms, decided at {at:?}");
+        assert!(count <= 5, "{count} checks");
+    }
+    let (step, at, count) = play(EndKind::Stream, ends_at(Millis::MAX));
+    assert!(is_proven(step), "{step:?}");
+    assert!(at <= HEARTBEAT + CHECK_TIME, "decided at {at:?}");
+    assert!(count <= 5, "{count} checks");
+}
+
+/// A host that drops what arrives, or accepts connections that nobody reads, would pass for its endpoint.
+#[test]
+fn the_lack_of_a_refutation_is_no_proof() {
+    for kind in [EndKind::Stream, EndKind::Plain] {
+        for outlives in [0, 15] {
+            let (step, at, count) = play(kind, silent_from(Millis(1000 + outlives)));
+            assert_eq!(step, not_shown(EndpointCheck::Silent), "{kind:?}, {outlives} ms");
+            // Callers leave after 2 s of silence.
+            assert!(at < Millis(1800), "{kind:?}, {outlives} ms: decided at {at:?}");
+            assert!(count <= 12, "{count} checks");
+        }
     }
-    let ended = |ends_at: u64| Case {
-        ends_at: Millis(ends_at),
-        check: EndpointCheck::Ended,
-        latest: Millis(ends_at + 251),
+}
+
+/// Whole streams of an endpoint that pauses for a second would be cut.
+#[test]
+fn an_endpoint_that_replies_again_in_time_has_outlived_the_end() {
+    let pause = Endpoint { replies_until: Millis::ZERO, ..silent_from(Millis::ZERO) };
+    let mut checks = EndChecks::new(HEARTBEAT, CHECK_TIME);
+    let end = EndInDoubt { kind: EndKind::Stream, at: Millis::ZERO, decide_by: Millis(10_000) };
+    let (mut now, mut began_at) = (Millis::ZERO, None);
+    let step = loop {
+        if let Some(at) = began_at.take() {
+            now = now + CHECK_TIME;
+            let check = if at >= Millis(1200) { EndpointCheck::Running } else { pause.check(at).0 };
+            checks.record(now, &"e1", at, check);
+        }
+        match checks.step(now, &"e1", end, EndpointSigns::default()) {
+            EndStep::Check => began_at = Some(now),
+            EndStep::Wait(until) => now = until,
+            step => break step,
+        }
     };
-    let running = Case {
-        ends_at: Millis::MAX,
-        check: EndpointCheck::Running,
-        latest: HEARTBEAT + CHECK_TIME,
+    assert!(is_proven(step), "{step:?}");
+    assert!(now < Millis(1700), "{now:?}");
+}
+
+/// An endpoint that is full resets new connections; it would pass for one that has ended.
+#[test]
+fn parts_of_other_answers_show_that_an_endpoint_runs_that_refuses_connections() {
+    struct Case {
+        kind: EndKind,
+        heard_until: Millis,
+        awaited_until: Millis,
+        is_proven: bool,
+    }
+    let case = |kind, heard: u64, awaited: u64, is_proven| Case {
+        kind,
+        heard_until: Millis(heard),
+        awaited_until: Millis(awaited),
+        is_proven,
     };
-    for case in [0, 5, 15, 40, 100, 300, 599].map(ended).into_iter().chain([running]) {
-        let (check, at, count) = play(case.ends_at);
-        assert_eq!(check, case.check, "ends at {:?}", case.ends_at);
-        assert!(at <= case.latest, "ends at {:?}, decided at {at:?}", case.ends_at);
-        assert!(count <= 5, "{count} checks");
+    let cases = [
+        case(EndKind::Stream, 3000, 3000, true),
+        case(EndKind::Stream, 1000 + 650, 1000 + 650, true),
+        // The others end as well.
+        case(EndKind::Stream, 1000 + 10, 1000 + 20, false),
+        // They are never heard again.
+        case(EndKind::Stream, 1000, 3000, false),
+        case(EndKind::Plain, 3000, 3000, true),
+        case(EndKind::Plain, 1000 + 10, 1000 + 10, false),
+    ];
+    for Case { kind, heard_until, awaited_until, is_proven: expected } in cases {
+        let endpoint = Endpoint { heard_until, awaited_until, ..ends_at(Millis::ZERO) };
+        let (step, at, _) = play(kind, endpoint);
+        let name = format!("{kind:?}, heard until {heard_until:?}: {step:?}");
+        assert_eq!(is_proven(step), expected, "{name}");
+        assert!(at < Millis(1800), "{name} at {at:?}");
     }
 }
 
+/// Its caller gets a plain answer only with its end.
+#[test]
+fn a_plain_answer_is_decided_about_at_once() {
+    let (step, at, count) = play(EndKind::Plain, ends_at(Millis::MAX));
+    assert!(is_proven(step), "{step:?}");
+    assert!(at <= Millis(20) + CHECK_TIME, "decided at {at:?}");
+    assert_eq!(count, 1);
+    let (step, at, _) = play(EndKind::Plain, ends_at(Millis::ZERO));
+    assert_eq!(step, not_shown(EndpointCheck::Ended));
+    assert!(at <= Millis(25), "decided at {at:?}");
+}
+
 /// Callers leave after 2 s of silence.
 #[test]
 fn an_end_is_held_for_less_than_callers_wait() {
     let mut checks = EndChecks::new(Millis(60_000), CHECK_TIME);
-    assert_eq!(checks.step(Millis::ZERO, &"e1", Millis::ZERO, Millis::MAX), EndStep::Check);
-    checks.record(CHECK_TIME, &"e1", Millis::ZERO, EndpointCheck::Running);
-    let mut now = CHECK_TIME;
+    let end = EndInDoubt { kind: EndKind::Stream, at: Millis::ZERO, decide_by: Millis::MAX };
+    let mut now = Millis::ZERO;
     let decided = loop {
-        match checks.step(now, &"e1", Millis::ZERO, Millis::MAX) {
+        match checks.step(now, &"e1", end, EndpointSigns::default()) {
             EndStep::Wait(until) => now = until,
             EndStep::Check => {
                 let began_at = now;
                 now = now + CHECK_TIME;
                 checks.record(now, &"e1", began_at, EndpointCheck::Running);
             }
-            EndStep::Decided(check) => break check,
-            EndStep::NoTime => panic!("there is time"),
+            step => break step,
         }
     };
-    assert_eq!(decided, EndpointCheck::Running);
+    assert!(is_proven(decided), "{decided:?}");
     assert!(now < Millis(1000), "{now:?}");
 }
 
@@ -84,58 +234,22 @@
 #[test]
 fn ends_at_one_endpoint_share_its_checks() {
     let mut checks = EndChecks::new(HEARTBEAT, CHECK_TIME);
-    assert_eq!(checks.step(Millis(10), &"e1", Millis(10), Millis::MAX), EndStep::Check);
+    let step = |checks: &mut EndChecks<&'static str>, now: u64, endpoint, at: u64| {
+        let end = EndInDoubt { kind: EndKind::Stream, at: Millis(at), decide_by: Millis::MAX };
+        checks.step(Millis(now), &endpoint, end, EndpointSigns::default())
+    };
+    assert_eq!(step(&mut checks, 10, "e1", 10), EndStep::Check);
     for end in 11..50 {
-        let step = checks.step(Millis(end), &"e1", Millis(end), Millis::MAX);
+        let step = step(&mut checks, end, "e1", end);
         assert!(matches!(step, EndStep::Wait(_)), "{step:?}");
     }
-    assert_eq!(
-        checks.step(Millis(50), &"e2", Millis(50), Millis::MAX),
-        EndStep::Check,
-        "another endpoint"
-    );
+    assert_eq!(step(&mut checks, 50, "e2", 50), EndStep::Check, "another endpoint");
     checks.record(Millis(60), &"e1", Millis(10), EndpointCheck::Ended);
     for end in 10..50 {
-        let step = checks.step(Millis(60), &"e1", Millis(end), Millis::MAX);
-        assert_eq!(step, EndStep::Decided(EndpointCheck::Ended));
+        assert_eq!(step(&mut checks, 60, "e1", end), not_shown(EndpointCheck::Ended));
     }
     // The endpoint runs again.
-    assert_eq!(checks.step(Millis(70), &"e1", Millis(70), Millis::MAX), EndStep::Check);
-}
-
-/// Plays ends at these times, all of them to be decided by `decide_by`, at an endpoint that checks find
-/// if they begin before `ends_at`. Returns the decisions with their times, and the number of checks.
-fn play_all(
-    ends: &[Millis],
-    decide_by: Millis,
-    ends_at: Millis,
-) -> (Vec<(EndStep, Millis)>, usize) {
-    let mut checks = EndChecks::new(HEARTBEAT, CHECK_TIME);
-    let mut running: Vec<Millis> = Vec::new();
-    let mut decided = vec![None; ends.len()];
-    let mut count = 0;
-    for now in (0..2000).map(Millis) {
-        while let Some(began_at) = running.first().copied().filter(|at| now >= *at + CHECK_TIME) {
-            running.remove(0);
-            let is_found = began_at < ends_at;
-            let check = if is_found { EndpointCheck::Running } else { EndpointCheck::Ended };
-            checks.record(now, &"e1", began_at, check);
-        }
-        for (ended_at, decided) in ends.iter().zip(&mut decided) {
-            if now < *ended_at || decided.is_some() {
-                continue;
-            }
-            match checks.step(now, &"e1", *ended_at, decide_by) {
-                EndStep::Wait(_) => {}
-                EndStep::Check => {
-                    running.push(now);
-                    count += 1;
-                }
-                step => *decided = Some((step, now)),
-            }
-        }
-    }
-    (decided.into_iter().map(|decided| decided.expect("a decision")).collect(), count)
+    assert_eq!(step(&mut checks, 70, "e1", 70), EndStep::Check);
 }
 
 /// Whole streams would be cut whose ends can't be shown in the usual time.
@@ -144,9 +258,9 @@
     let decide_by = Millis(1000);
     // The last check begins at 900, and an endpoint must have outlived the end by 300 then.
     let ends: Vec<Millis> = (0..=600).step_by(10).map(Millis).collect();
-    let (decided, count) = play_all(&ends, decide_by, Millis::MAX);
+    let (decided, count) = play_all(EndKind::Stream, &ends, decide_by, ends_at(Millis::MAX));
     for (ended_at, (step, at)) in ends.iter().zip(decided) {
-        assert_eq!(step, EndStep::Decided(EndpointCheck::Running), "ended at {ended_at:?}");
+        assert!(is_proven(step), "ended at {ended_at:?}");
         assert!(at <= decide_by, "ended at {ended_at:?}, decided at {at:?}");
         assert!(at >= *ended_at + Millis(300) + CHECK_TIME, "ended at {ended_at:?}: {at:?}");
     }
@@ -156,12 +270,14 @@
 /// The last check would come too late if it waited for one that runs.
 #[test]
 fn the_last_check_does_not_wait_for_one_that_runs() {
+    let play =
+        |ends: &[Millis]| play_all(EndKind::Stream, ends, Millis(1000), ends_at(Millis::MAX)).0;
     for first in (300..900).map(Millis) {
         let ends = [first, Millis(600)];
-        let (decided, _) = play_all(&ends[1..], Millis(1000), Millis::MAX);
+        let decided = play(&ends[1..]);
         assert!(decided[0].1 <= Millis(1000), "{first:?}: {decided:?}");
-        let (decided, _) = play_all(&ends, Millis(1000), Millis::MAX);
-        assert_eq!(decided[1].0, EndStep::Decided(EndpointCheck::Running), "{first:?}");
+        let decided = play(&ends);
+        assert!(is_proven(decided[1].0), "{first:?}");
         assert!(decided[1].1 <= Millis(1000), "{first:?}: {decided:?}");
     }
 }
@@ -172,17 +288,33 @@
     let ends: Vec<Millis> = (0..1000).step_by(7).map(Millis).collect();
     for outlives in [0, 15, 100, 300] {
         for ended_at in &ends {
-            let ends_at = *ended_at + Millis(outlives);
-            let (decided, _) = play_all(&[*ended_at], Millis(1000), ends_at);
-            let (step, _) = decided[0];
-            let is_whole = step == EndStep::Decided(EndpointCheck::Running);
-            assert!(!is_whole, "ended at {ended_at:?}, the listener {outlives} ms later");
+            for endpoint in [ends_at, silent_from] {
+                let endpoint = endpoint(*ended_at + Millis(outlives));
+                let (decided, _) = play_all(EndKind::Stream, &[*ended_at], Millis(1000), endpoint);
+                let (step, _) = decided[0];
+                let name = format!("ended at {ended_at:?}, the listener {outlives} ms later");
+                assert!(!is_proven(step), "{name}");
+            }
         }
     }
-    let (decided, count) = play_all(&[Millis(601)], Millis(1000), Millis::MAX);
+    let (decided, count) =
+        play_all(EndKind::Stream, &[Millis(601)], Millis(1000), ends_at(Millis::MAX));
     assert_eq!((decided[0], count), ((EndStep::NoTime, Millis(601)), 0));
 }
 
+/// Of a whole stream nobody could tell later what showed it.
+#[test]
+fn a_proof_says_when_the_endpoint_ran_and_how_that_was_shown() {
+    let proof = |endpoint| match play(EndKind::Stream, endpoint).0 {
+        EndStep::Decided(EndVerdict::Proven(Proof { kind, at })) => (kind, at - Millis(1000)),
+        step => panic!("{step:?}"),
+    };
+    let heard = Endpoint { heard_until: Millis(3000), ..ends_at(Millis::ZERO) };
+    let heard = Endpoint { awaited_until: Millis(3000), ..heard };
+    assert_eq!(proof(heard), (ProofKind::Heard, HEARTBEAT));
+    assert_eq!(proof(ends_at(Millis::MAX)), (ProofKind::Replied, HEARTBEAT));
+}
+
 /// Resumptions that show nothing would use up the retries of a service.
 #[test]
 fn fewer_ends_are_resumed_the_more_were_whole() {
--- a/daemons/gateway/src/dialect.rs
+++ b/daemons/gateway/src/dialect.rs
@@ -159,6 +159,9 @@
         }
     }
 
+    /// Builds a request that no endpoint runs, and to which each replies at once, for the path `path`.
+    fn ping(&self, path: &str, time_left: Millis) -> Option<Request<Full<Bytes>>>;
+
     /// Builds the request by which an engine copies a run's KV cache to another engine, or what was
     /// added since the last copy. With `stop_run` the engine stops the run first. Returns none if
     /// engines don't support it.
@@ -180,6 +183,11 @@
     fn failure(&self, headers: &mut HeaderMap, failure: &Failure);
 }
 
+/// Builds a request without a body for an endpoint.
+pub fn get(path: &str, host: &str) -> Option<Request<Full<Bytes>>> {
+    Request::get(path).header(header::HOST, host).body(Full::default()).ok()
+}
+
 /// Returns the value of a header, if it is present and valid text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -5,6 +5,8 @@
 
 mod exchange;
 mod monitor;
+mod ping;
+mod signs;
 
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -19,7 +21,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use parking_lot::Mutex;
 use sill_base::{Clock, Map, Millis, Name, Secret, Set, event};
-use sill_dispatch::{Path, PathRequest, Paths, Placement, RelayList};
+use sill_dispatch::{EndpointSigns, Path, PathRequest, Paths, Placement, RelayList};
 use sill_net::h1::{
     Answer, Connection, ConnectionPool, KeptOutcome, MAX_FETCHED_BYTES, SendFailure, Target,
     TunnelFailure, TunnelRequest,
@@ -28,6 +30,7 @@
 use sill_wire::link::RelayOffer;
 use tokio::sync::watch;
 
+use self::signs::{LifeSign, LifeSigns};
 use crate::cfg::GatewayCfg;
 use crate::metrics::Metrics;
 
@@ -135,6 +138,7 @@
     is_answered: bool,
     /// Set when bytes arrive, for the own path or for the tunnel's relay.
     heard: Arc<AtomicU64>,
+    sign: LifeSign,
 }
 
 /// What was last known of the endpoint at an address.
@@ -157,6 +161,7 @@
     paths: Mutex<Paths>,
     relays: Mutex<Relays>,
     contacts: Mutex<Map<SocketAddr, Contact>>,
+    signs: LifeSigns,
     /// Changes while paths are in doubt or lost.
     lost: watch::Sender<()>,
     tunnel_count: AtomicU64,
@@ -227,6 +232,7 @@
             paths: Mutex::default(),
             relays: Mutex::default(),
             contacts: Mutex::default(),
+            signs: LifeSigns::default(),
             lost: watch::Sender::default(),
             tunnel_count: AtomicU64::new(0),
             is_tunnel_heard: AtomicBool::new(false),
@@ -280,6 +286,11 @@
         self.paths.lock().silence()
     }
 
+    /// Returns what is known of an endpoint without a check.
+    pub fn signs_of(&self, to: &Destination) -> EndpointSigns {
+        self.signs.of(to)
+    }
+
     /// Returns whether no endpoint is reached on own connections.
     pub fn is_cut_off(&self) -> bool {
         self.paths.lock().is_cut_off()
@@ -556,6 +567,7 @@
             is_sent: true,
             is_answered: false,
             heard,
+            sign: self.signs.begin(to),
         }
     }
 
--- a/daemons/gateway/src/egress/monitor.rs
+++ b/daemons/gateway/src/egress/monitor.rs
@@ -5,18 +5,17 @@
 use std::sync::atomic::Ordering;
 
 use sill_base::{Millis, event};
-use sill_dispatch::{PathChange, TICK};
+use sill_dispatch::{EndpointSign, PathChange, TICK};
 use sill_net::h1::{Probe, TunnelFailure};
-use sill_wire::probe::EndpointProbe;
 use tokio::time::Instant;
 
 use super::{CLOSE_TIME, Checks, Destination, Egress, MAX_RELAYS};
 
 impl Egress {
     /// Records what other entry instances saw when they connected to an endpoint.
-    pub fn record_probes(&self, address: SocketAddr, probes: &[EndpointProbe]) {
+    pub fn record_probes(&self, address: SocketAddr, signs: &[EndpointSign]) {
         let (now, mut paths) = (self.clock.now(), self.paths.lock());
-        if probes.contains(&EndpointProbe::Open) {
+        if signs.iter().any(|sign| matches!(sign, EndpointSign::Open | EndpointSign::Heard)) {
             paths.record_tunnel(now, address, false);
         }
     }
@@ -42,6 +41,7 @@
 
     fn tick(&self) -> Checks {
         let now = self.clock.now();
+        self.signs.expire(now);
         let (has_relay, silent_relays) = {
             let mut relays = self.relays.lock();
             let silent = relays.tick(now);
@@ -126,6 +126,12 @@
     /// Opens a connection to an endpoint and waits whether it is closed within `wait`.
     pub async fn probe(&self, to: &Destination, wait: Millis) -> Probe {
         let probe = self.pool.probe(to.address, wait).await;
+        self.record_probe(to, probe);
+        probe
+    }
+
+    /// Records what a new connection to an endpoint has shown of its path.
+    pub(super) fn record_probe(&self, to: &Destination, probe: Probe) {
         let (now, mut paths) = (self.clock.now(), self.paths.lock());
         match probe {
             Probe::Open => paths.record_connected(now, to.address),
@@ -133,7 +139,6 @@
             Probe::Refused => paths.record_connect_failed(now, to.address, true),
             Probe::Failed => paths.record_connect_failed(now, to.address, false),
         }
-        probe
     }
 
     /// Connects to an endpoint that is silent or was unreachable, and if that fails, asks another
--- /dev/null
+++ b/daemons/gateway/src/egress/ping.rs
@@ -0,0 +1,85 @@
+//! Has the process of an endpoint reply to a request that it doesn't run.
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full, Limited};
+use sill_base::Millis;
+use sill_dispatch::EndpointSign;
+use sill_net::h1::{Answer, KeptOutcome, Probe, Target};
+
+use super::{Destination, Egress};
+
+/// Longest time that a connection may have been idle if a ping is sent on it.
+const MAX_IDLE: Millis = Millis(2000);
+
+/// Upper bound in bytes on the reply to a ping that is read. Its head is the proof; a connection is kept if
+/// the rest is short.
+const MAX_REPLY: usize = 4 << 10;
+
+impl Egress {
+    /// Sends a request that the endpoint doesn't run, on a kept connection if there is one, and waits at
+    /// most `wait` for a reply. An endpoint that is full resets new connections.
+    pub async fn ping(
+        &self,
+        to: &Destination,
+        req: &Request<Full<Bytes>>,
+        wait: Millis,
+    ) -> EndpointSign {
+        let mut sign = EndpointSign::Unclear;
+        let pinging = self.ping_on_any(to, req, &mut sign);
+        // What was seen until then counts.
+        let _ = tokio::time::timeout(wait.into(), pinging).await;
+        sign
+    }
+
+    async fn ping_on_any(
+        &self,
+        to: &Destination,
+        req: &Request<Full<Bytes>>,
+        sign: &mut EndpointSign,
+    ) {
+        let target = Target { address: to.address, via: None };
+        if let KeptOutcome::Answered(answer) =
+            self.pool.send_kept(target, req.clone(), MAX_IDLE).await
+        {
+            *sign = EndpointSign::Heard;
+            return finish(answer).await;
+        }
+        let connection = match self.pool.connect(to.address).await {
+            Ok(connection) => connection,
+            Err(err) => {
+                let probe = match (err.is_refused, err.is_reset) {
+                    (true, _) => Probe::Refused,
+                    (false, true) => Probe::Closed,
+                    (false, false) => Probe::Failed,
+                };
+                self.record_probe(to, probe);
+                if probe != Probe::Failed {
+                    *sign = EndpointSign::Closed;
+                }
+                return;
+            }
+        };
+        *sign = EndpointSign::Open;
+        match self.pool.send_on(connection, req.clone()).await {
+            Ok(answer) => {
+                self.record_probe(to, Probe::Open);
+                *sign = EndpointSign::Heard;
+                finish(answer).await;
+            }
+            Err(_) => {
+                self.record_probe(to, Probe::Closed);
+                *sign = EndpointSign::Closed;
+            }
+        }
+    }
+}
+
+/// Reads the rest of a reply, so that its connection can be used again.
+async fn finish(answer: Answer) {
+    let (response, connection) = answer.into_parts();
+    let body = Limited::new(response.into_body(), MAX_REPLY).collect().await;
+    if let (Ok(_), Some(connection)) = (body, connection) {
+        connection.release();
+    }
+}
--- a/daemons/gateway/src/endpoint_check.rs
+++ b/daemons/gateway/src/endpoint_check.rs
@@ -1,13 +1,14 @@
-//! Finds out whether an endpoint has ended, with the help of other entry instances.
+//! Finds out whether an endpoint runs or has ended, with the help of other entry instances.
 
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 
 use futures_util::future;
-use sill_base::{Millis, event};
+use sill_base::{Millis, Name, event};
 use sill_dispatch::check::check_endpoint;
-use sill_dispatch::{EndpointCheck, TICK};
+use sill_dispatch::{EndpointCheck, EndpointSign, TICK};
 use sill_net::h1::Probe;
-use sill_net::{PeerError, PeerServerBuilder};
+use sill_net::{PeerClient, PeerError, PeerServerBuilder};
 use sill_wire::RequestKey;
 use sill_wire::probe::{EndpointProbe, ProbeEndpoint, ProbeEndpointReply};
 
@@ -17,19 +18,60 @@
 /// Number of other entry instances that are asked.
 const ASKED: usize = 3;
 
-/// Upper bound on the time for which another instance keeps a connection open.
+/// Time for an endpoint to reply to this instance.
+const REPLY_TIME: Millis = Millis(150);
+
+/// Upper bound on the time for which another instance keeps a connection open, or waits for a reply.
 const MAX_WAIT: Millis = Millis(100);
 
+/// Time for another instance to answer.
+const CALL_TIME: Millis = Millis(MAX_WAIT.0 + 50);
+
+/// Time that [`State::check_process`] takes at most.
+pub const CHECK_TIME: Millis = Millis(REPLY_TIME.0 + CALL_TIME.0);
+
+/// The address of an endpoint that is not known.
+const NO_ADDRESS: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
+
 impl State {
     /// Finds out whether an endpoint has ended: whether connections to it are refused, or closed
     /// within `wait`, here and at other entry instances.
     pub async fn check_endpoint(&self, to: &Destination, wait: Millis) -> EndpointCheck {
-        let own = read_probe(self.egress.probe(to, wait).await);
+        let own = sign_of(self.egress.probe(to, wait).await);
         let (mut asked, mut replies) = (0, Vec::new());
-        if own != EndpointProbe::Open {
-            (asked, replies) = self.ask_others(to, wait).await;
+        if own != EndpointSign::Open {
+            let (clients, is_complete) = self.others(&to.endpoint, None);
+            asked = clients.len() + usize::from(!is_complete);
+            replies = self.ask(to, &clients, wait, false).await;
         }
-        let mut check = check_endpoint(own, asked, &replies);
+        self.decide_check(to, None, own, asked, &replies).await
+    }
+
+    /// Finds out whether the process of an endpoint runs, here and then at other entry instances: first
+    /// at the one that carried its answer, if it was in a tunnel.
+    pub async fn check_process(&self, to: &Destination, via: Option<&Via>) -> EndpointCheck {
+        let own = match via {
+            Some(_) => self.heard_since(to, self.clock.now(), EndpointSign::Unclear),
+            None => self.ping(to, REPLY_TIME).await,
+        };
+        let (mut asked, mut replies) = (0, Vec::new());
+        if own != EndpointSign::Heard {
+            let (clients, is_complete) = self.others(&to.endpoint, via);
+            asked = clients.len() + usize::from(!is_complete);
+            replies = self.ask(to, &clients, MAX_WAIT, true).await;
+        }
+        self.decide_check(to, via, own, asked, &replies).await
+    }
+
+    async fn decide_check(
+        &self,
+        to: &Destination,
+        via: Option<&Via>,
+        own: EndpointSign,
+        asked: usize,
+        replies: &[EndpointSign],
+    ) -> EndpointCheck {
+        let mut check = check_endpoint(own, asked, replies);
         if check == EndpointCheck::Ended && self.is_cut_off_after_tick().await {
             check = EndpointCheck::Unclear;
         }
@@ -41,8 +83,8 @@
             endpoint = to.endpoint,
             address = to.address,
             born = to.incarnation.0,
-            via = "",
-            own = format!("{own:?}"),
+            via = via.map(|via| via.entry.clone()).unwrap_or_default(),
+            own = own.name(),
             asked = asked,
             replies = format!("{replies:?}"),
             result = label
@@ -50,58 +92,61 @@
         check
     }
 
-    /// Finds out whether an endpoint runs at which an answer in a tunnel has ended. If the instance
-    /// that carried the tunnel has ended, so has the answer.
-    pub async fn check_endpoint_via(
+    /// Has the process of an endpoint reply within `wait`. If it wants no requests, a connection shows
+    /// whether its host refuses it.
+    async fn ping(&self, to: &Destination, wait: Millis) -> EndpointSign {
+        let began_at = self.clock.now();
+        let sign = match self.ping_of(&to.endpoint, to.incarnation, wait) {
+            Some(req) => self.egress.ping(to, &req, wait).await,
+            None => sign_of(self.egress.probe(to, wait).await),
+        };
+        self.heard_since(to, began_at, sign)
+    }
+
+    /// Returns that the endpoint was heard if it was, and else `sign`.
+    fn heard_since(&self, to: &Destination, since: Millis, sign: EndpointSign) -> EndpointSign {
+        match self.egress.signs_of(to).heard_at {
+            Some(at) if at > since => EndpointSign::Heard,
+            _ => sign,
+        }
+    }
+
+    /// Returns what other instances see of an endpoint, if they answer.
+    async fn ask(
         &self,
-        via: &Via,
         to: &Destination,
+        clients: &[PeerClient],
         wait: Millis,
-    ) -> EndpointCheck {
-        let call =
-            ProbeEndpoint { endpoint: to.endpoint.clone(), incarnation: to.incarnation, wait };
-        let client = self.streams.client(via.address);
-        let mut reply = client.call(&call).await;
-        if reply.is_err() {
-            // The other instance may just have closed a connection that was idle.
-            reply = client.call(&call).await;
-        }
-        let check = match &reply {
-            Ok(ProbeEndpointReply { probe: EndpointProbe::Open }) => EndpointCheck::Running,
-            Ok(_) | Err(_) => EndpointCheck::Unclear,
+        needs_reply: bool,
+    ) -> Vec<EndpointSign> {
+        let call = ProbeEndpoint {
+            endpoint: to.endpoint.clone(),
+            incarnation: to.incarnation,
+            wait,
+            needs_reply,
         };
-        let label = check.name();
-        self.metrics.endpoint_checks.with_label_values(&[label]).inc();
-        event!(
-            Info,
-            "endpoint_checked",
-            endpoint = to.endpoint,
-            address = to.address,
-            born = to.incarnation.0,
-            via = via.entry,
-            own = "",
-            asked = 1,
-            replies = format!("{reply:?}"),
-            result = label
-        );
-        check
+        let calls = clients.iter().map(|client| client.call(&call));
+        let replies: Vec<_> = match needs_reply {
+            true => answered_in_time(calls).await,
+            false => future::join_all(calls).await.into_iter().flatten().collect(),
+        };
+        let replies: Vec<EndpointSign> = replies.into_iter().map(EndpointSign::from).collect();
+        self.egress.record_probes(to.address, &replies);
+        replies
     }
 
-    /// Returns the number of instances that were asked or are not known yet, and the replies of those
-    /// that answered.
-    async fn ask_others(&self, to: &Destination, wait: Millis) -> (usize, Vec<EndpointProbe>) {
-        let key = RequestKey::of(&[to.endpoint.as_str().as_bytes()]);
+    /// Returns clients of the entry instances that are asked about an endpoint, and whether these are all:
+    /// one that is not known yet may reach the endpoint.
+    fn others(&self, endpoint: &Name, via: Option<&Via>) -> (Vec<PeerClient>, bool) {
+        let key = RequestKey::of(&[endpoint.as_str().as_bytes()]);
         // A new entry instance hears of tunnels before it hears of all other instances.
-        let clients = self.streams.clients(key, ASKED, &self.egress.relay_addresses());
-        let call =
-            ProbeEndpoint { endpoint: to.endpoint.clone(), incarnation: to.incarnation, wait };
-        let replies = future::join_all(clients.iter().map(|client| client.call(&call))).await;
-        let replies: Vec<EndpointProbe> =
-            replies.into_iter().flatten().map(|reply| reply.probe).collect();
-        self.egress.record_probes(to.address, &replies);
-        // One that is not known yet may reach the endpoint.
-        let is_incomplete = clients.len() < ASKED && !self.streams.is_list_settled();
-        (clients.len() + usize::from(is_incomplete), replies)
+        let mut clients = self.streams.clients(key, ASKED, &self.egress.relay_addresses());
+        let is_complete = clients.len() >= ASKED || self.streams.is_list_settled();
+        if let Some(via) = via {
+            clients.retain(|client| client.address() != via.address);
+            clients.insert(0, self.streams.client(via.address));
+        }
+        (clients, is_complete)
     }
 
     /// Returns whether no endpoint is reached, once other connections had the time to fail as well.
@@ -110,18 +155,26 @@
         self.egress.is_cut_off()
     }
 
-    /// Connects to an endpoint for another entry instance.
+    /// Connects to an endpoint, or has it reply, for another entry instance.
     async fn answer_probe(&self, call: ProbeEndpoint) -> ProbeEndpointReply {
-        let ProbeEndpoint { endpoint, incarnation, wait } = call;
-        let Some(address) = self.address_of(&endpoint, incarnation) else {
-            return ProbeEndpointReply { probe: EndpointProbe::Unclear };
+        let ProbeEndpoint { endpoint, incarnation, wait, needs_reply } = call;
+        let began_at = self.clock.now();
+        let address = self.address_of(&endpoint, incarnation);
+        // It may be heard although it counts as ended.
+        let to = Destination { endpoint, incarnation, address: address.unwrap_or(NO_ADDRESS) };
+        let wait = wait.min(MAX_WAIT);
+        let sign = match address {
+            Some(_) if needs_reply => self.ping(&to, wait).await,
+            Some(_) => sign_of(self.egress.probe(&to, wait).await),
+            None => self.heard_since(&to, began_at, EndpointSign::Unclear),
         };
-        let to = Destination { endpoint, incarnation, address };
-        let probe = read_probe(self.egress.probe(&to, wait.min(MAX_WAIT)).await);
-        if probe == EndpointProbe::Closed && self.is_cut_off_after_tick().await {
-            return ProbeEndpointReply { probe: EndpointProbe::Unclear };
-        }
-        ProbeEndpointReply { probe }
+        let probe = match sign {
+            EndpointSign::Heard | EndpointSign::Open => EndpointProbe::Open,
+            EndpointSign::Closed if self.is_cut_off_after_tick().await => EndpointProbe::Unclear,
+            EndpointSign::Closed => EndpointProbe::Closed,
+            EndpointSign::Unclear => EndpointProbe::Unclear,
+        };
+        ProbeEndpointReply { probe, is_heard: sign == EndpointSign::Heard }
     }
 }
 
@@ -134,10 +187,20 @@
     });
 }
 
-fn read_probe(probe: Probe) -> EndpointProbe {
+/// Returns the replies that arrive within [`CALL_TIME`].
+async fn answered_in_time<I, F, T, E>(calls: I) -> Vec<T>
+where
+    I: Iterator<Item = F>,
+    F: Future<Output = Result<T, E>>,
+{
+    let calls = calls.map(|call| tokio::time::timeout(CALL_TIME.into(), call));
+    future::join_all(calls).await.into_iter().flatten().flatten().collect()
+}
+
+fn sign_of(probe: Probe) -> EndpointSign {
     match probe {
-        Probe::Open => EndpointProbe::Open,
-        Probe::Closed | Probe::Refused => EndpointProbe::Closed,
-        Probe::Failed => EndpointProbe::Unclear,
+        Probe::Open => EndpointSign::Open,
+        Probe::Closed | Probe::Refused => EndpointSign::Closed,
+        Probe::Failed => EndpointSign::Unclear,
     }
 }
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -97,7 +97,7 @@
     pub connection: Option<ReusableConnection>,
     /// The beginning of the body, if it was read already.
     pub first: Option<Bytes>,
-    /// Resolves to whether the answer is whole, once the body has ended without a mark.
+    /// Resolves to whether the answer is whole, once the body has ended without a proof.
     end_check: Option<BoxFuture<'static, UnmarkedEnd>>,
     /// Resolves once the rest of the body can't be expected to arrive.
     stuck: Fuse<BoxFuture<'static, ()>>,
@@ -105,7 +105,7 @@
     began_at: Option<Millis>,
     /// Whether it is recorded that the prompt does not crash the endpoint.
     is_proven: bool,
-    /// When the body ended without a mark.
+    /// When the body ended, if its end proves nothing.
     ended_at: Option<Millis>,
 }
 
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -1,41 +1,41 @@
-//! Ends of answers that have no mark.
+//! Ends of answers that prove nothing.
 
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use futures_util::future::{self, BoxFuture};
-use sill_base::event;
-use sill_dispatch::{AttemptOutcome, EndpointCheck, EventTracker, NextStep, Placement};
+use sill_base::{Name, event};
+use sill_dispatch::{AttemptOutcome, EndKind, EventTracker, NextStep, Placement};
 use sill_net::h1::{BodyError, Framing};
 use sill_rollout::AnswerEnd;
 use sill_route::Outcome;
 
 use super::{EndpointAnswer, Relay, Resuming, Source};
-use crate::crashes::REFUSAL_TIME;
 use crate::dispatch::{self, Resumption};
 use crate::egress::Destination;
 use crate::resume::{self, ResumedEnd};
 use crate::stream_end::{self, EndDecision, EndedAnswer, UnmarkedEnd};
 
 impl EndpointAnswer {
-    /// Returns the end of the answer, unless its endpoint ends in order: it completes its answers before.
-    fn end(&mut self, is_held: bool) -> Option<EndedAnswer> {
+    /// Ends the exchange, and returns the end of the answer, unless its endpoint ends in order: it completes
+    /// its answers before.
+    fn end(&mut self, is_stream: bool, is_held: bool) -> Option<EndedAnswer> {
         if self.attempt.has_announced_end() {
             return None;
         }
         let ended_at = self.attempt.state().clock.now();
         self.ended_at = Some(ended_at);
-        let ended = EndedAnswer {
+        // The endpoint isn't silent while the end is held.
+        self.attempt.end_exchange();
+        Some(EndedAnswer {
             to: Destination::from(&self.attempt.placement),
             via: self.attempt.via().cloned(),
+            kind: if is_stream { EndKind::Stream } else { EndKind::Plain },
             placed_at: self.attempt.placed_at,
             ended_at,
             due: self.attempt.call().due,
             is_held,
-        };
-        // The endpoint isn't silent while the end is held.
-        self.attempt.end_exchange();
-        Some(ended)
+        })
     }
 }
 
@@ -51,7 +51,7 @@
             (Framing::Chunked, true) if answer.connection.is_some() => answer.connection.take(),
             _ => return false,
         };
-        let Some(ended) = answer.end(self.is_held) else {
+        let Some(ended) = answer.end(is_stream, self.is_held) else {
             answer.connection = connection;
             self.record_unmarked_end(&EndDecision::Announced);
             return false;
@@ -64,14 +64,10 @@
         let check: BoxFuture<'static, UnmarkedEnd> = match (connection, is_stream) {
             (Some(connection), _) => Box::pin(stream_end::check_mark(state, ended, connection)),
             (None, true) => {
-                let resumption = self.end_resumption(&ended);
-                let endpoint = Box::pin(state.wait_until_proven(ended));
-                Box::pin(stream_end::decide(endpoint, resumption))
+                let resumption = self.end_resumption(&ended.to.endpoint);
+                Box::pin(stream_end::decide(state, ended, resumption))
             }
-            (None, false) => Box::pin(async move {
-                let check = state.check_ended(&ended, REFUSAL_TIME).await;
-                UnmarkedEnd { decision: EndDecision::Endpoint(check), has_asked_other: false }
-            }),
+            (None, false) => Box::pin(stream_end::check_once(state, ended)),
         };
         if let Source::Endpoint(answer) = &mut self.source {
             answer.end_check = Some(check);
@@ -81,7 +77,7 @@
 
     /// Resumes a stream that may be whole, if a resumption can show it. It isn't sent to the endpoint
     /// that closed the stream, which would take the only repeat along if it ends.
-    fn end_resumption(&self, ended: &EndedAnswer) -> Option<Resuming<ResumedEnd>> {
+    fn end_resumption(&self, endpoint: &Name) -> Option<Resuming<ResumedEnd>> {
         // The attempt that runs goes on if the stream turns out to be short.
         if self.hedge.is_some() {
             return None;
@@ -99,7 +95,7 @@
         }
         progress.record(AttemptOutcome::Unknown);
         // A retry is taken only if it can be sent.
-        let attempt = self.place_elsewhere(progress, &ended.to.endpoint)?;
+        let attempt = self.place_elsewhere(progress, endpoint)?;
         let service = &self.call.pool.service;
         if !self.state.stream_ends.may_resume(service) || !self.state.may_retry(service) {
             return None;
@@ -109,7 +105,7 @@
         Some(Box::pin(async move { resume::check_end(resuming, &last_event).await }))
     }
 
-    /// Ends an answer whose end has no mark. If its endpoint can't be shown to run, it may have
+    /// Ends an answer whose end proves nothing. If its endpoint isn't shown to run on, it may have
     /// crashed before the end of the answer.
     pub(super) fn end_unmarked(
         &mut self,
@@ -130,7 +126,7 @@
         }
         let service = self.call.pool.service.clone();
         match decision {
-            EndDecision::Endpoint(EndpointCheck::Running)
+            EndDecision::Proven(_)
             | EndDecision::Whole
             | EndDecision::Marked
             | EndDecision::Announced => {
@@ -140,12 +136,12 @@
                 self.finish();
                 Poll::Ready(None)
             }
-            EndDecision::Endpoint(_) => {
+            EndDecision::NotShown(_) => {
                 if has_asked_other {
                     self.progress.record(AttemptOutcome::Unknown);
                 }
                 let reason =
-                    "the endpoint accepts no connections, and its answer had no marked end";
+                    "its answer ended with its connection, and the endpoint was not shown to run";
                 self.end_truncated(cx, &reason, reason.into());
                 Poll::Pending
             }
@@ -175,16 +171,21 @@
     }
 
     fn record_unmarked_end(&mut self, decision: &EndDecision) {
+        let Source::Endpoint(answer) = &self.source else { return };
+        let ended_at = answer.ended_at.unwrap_or_default();
         if let Some(proof) = decision.proof() {
-            self.summary.set_proof(proof, None);
+            let after = match decision {
+                EndDecision::Proven(proof) => Some(proof.at - ended_at),
+                _ => None,
+            };
+            self.summary.set_proof(proof, after);
         }
-        let Source::Endpoint(answer) = &self.source else { return };
         if matches!(decision, EndDecision::Marked) {
             return;
         }
         let attempt = &answer.attempt;
         let Placement { endpoint, incarnation, .. } = &attempt.placement;
-        let held = answer.ended_at.map(|ended_at| self.state.clock.now() - ended_at);
+        let held = self.state.clock.now() - ended_at;
         let result = decision.name();
         self.state.metrics.unmarked_ends.with_label_values(&[result]).inc();
         event!(
@@ -196,7 +197,7 @@
             stream = self.events.is_some(),
             framing = answer.framing.name(),
             last_event = self.events.as_ref().and_then(EventTracker::last_id).unwrap_or_default(),
-            held_ms = held.unwrap_or_default(),
+            held_ms = held,
             announced = attempt.has_announced_end(),
             proof = decision.proof().unwrap_or_default(),
             result = result
--- a/daemons/gateway/src/sill_dialect.rs
+++ b/daemons/gateway/src/sill_dialect.rs
@@ -1,16 +1,21 @@
 //! The product's own header format.
 
+use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, StatusCode, header};
+use http::{HeaderMap, HeaderName, Request, StatusCode, header};
+use http_body_util::Full;
 use sill_base::{Millis, Name};
 use sill_wire::header as names;
 
 use crate::dialect::{
-    AnswerClass, CallHead, Dialect, Forward, InvalidLimit, LoadReport, load_report, request_limit,
-    set, text,
+    AnswerClass, CallHead, Dialect, Forward, InvalidLimit, LoadReport, get, load_report,
+    request_limit, set, text,
 };
 use crate::failure::Failure;
 
+/// A name that no endpoint has.
+const NO_ENDPOINT: &str = "-";
+
 /// Reads and writes the headers that docs/operators/routes.md lists.
 #[derive(Debug, Clone, Copy)]
 pub struct SillDialect;
@@ -75,6 +80,13 @@
         text(headers, &name(names::LEAVING)) == Some("true")
     }
 
+    fn ping(&self, path: &str, time_left: Millis) -> Option<Request<Full<Bytes>>> {
+        let mut req = get(path, "endpoint")?;
+        set(req.headers_mut(), name(names::ENDPOINT), NO_ENDPOINT);
+        set(req.headers_mut(), name(names::DEADLINE_MS), &time_left.to_string());
+        Some(req)
+    }
+
     fn failure(&self, headers: &mut HeaderMap, failure: &Failure) {
         if failure.is_not_run() {
             set(headers, name(names::NOT_RUN), "true");
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -4,6 +4,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
 use parking_lot::{Mutex, RwLock};
 use sill_base::{Clock, Map, Millis, Name, Promise, Set, assert_promise, event};
 use sill_dispatch::usage::window_of;
@@ -630,6 +633,26 @@
             is_alive.then_some(fact.address)
         })
     }
+
+    /// Builds a request to which an endpoint replies without running it; none if it wants no requests.
+    pub fn ping_of(
+        &self,
+        endpoint: &Name,
+        incarnation: Incarnation,
+        time_left: Millis,
+    ) -> Option<Request<Full<Bytes>>> {
+        let now = self.clock.now();
+        let pools = self.pools.read();
+        let pool = pools.values().find(|pool| {
+            let pool = pool.pool.lock();
+            pool.incarnation(endpoint) == Some(incarnation)
+                && pool.may_ping(now, endpoint, incarnation)
+        })?;
+        let table = self.table.borrow();
+        let settings = table.as_ref().and_then(|table| table.pools.get(&pool.service));
+        let path = settings.and_then(|pool| pool.health_path.as_deref()).unwrap_or("/");
+        self.cfg.dialect.ping(path, time_left)
+    }
 }
 
 /// Returns the ready endpoints that a fact shows to have ended: the endpoint itself if it is silent
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -1,4 +1,4 @@
-//! Finds out whether a stream is whole whose end has no mark, from whether its endpoint runs on, and
+//! Finds out whether an answer is whole whose end proves nothing, from whether its endpoint runs on, and
 //! from what another endpoint adds to it.
 
 use std::net::SocketAddr;
@@ -7,7 +7,9 @@
 use futures_util::future::{self, BoxFuture, Either};
 use parking_lot::Mutex;
 use sill_base::{Millis, Name};
-use sill_dispatch::{EndChecks, EndStep, EndpointCheck, ResumeChecks, TICK};
+use sill_dispatch::{
+    EndChecks, EndInDoubt, EndKind, EndStep, EndVerdict, EndpointCheck, Proof, ResumeChecks, TICK,
+};
 use sill_net::h1::ReusableConnection;
 use sill_wire::Incarnation;
 use tokio::sync::Notify;
@@ -15,21 +17,18 @@
 use crate::crashes::REFUSAL_TIME;
 use crate::daemon::LAST_ANSWERS_TIME;
 use crate::egress::{Destination, Via};
+use crate::endpoint_check::CHECK_TIME;
 use crate::relay::EndpointAnswer;
 use crate::resume::{NotResumed, ResumedEnd};
 use crate::state::State;
 
-/// Time for which each connection to the endpoint has to stay open. A busy proxy in front of one that
-/// has ended closes it late.
-const OPEN_TIME: Millis = Millis(200);
-
-/// Time that a check takes at most, unless it finds connections refused or closed.
-const CHECK_TIME: Millis = Millis(OPEN_TIME.0 + 50);
+/// Time for a resumption whose answer is no longer needed to show that the endpoint runs.
+const RESUME_TIME: Millis = Millis(400);
 
 /// An endpoint, and the entry instance that carries the answer if it is one in a tunnel.
 type CheckedEndpoint = (Name, Incarnation, Option<SocketAddr>);
 
-/// Checks of endpoints at which streams have ended without a mark.
+/// Checks of endpoints at which answers have ended.
 #[derive(Debug)]
 pub struct StreamEnds {
     checks: Mutex<EndChecks<CheckedEndpoint>>,
@@ -44,6 +43,8 @@
     pub to: Destination,
     /// The tunnel in which the answer arrived.
     pub via: Option<Via>,
+    /// What has ended.
+    pub kind: EndKind,
     /// When the endpoint was chosen.
     pub placed_at: Millis,
     /// When the answer ended.
@@ -54,7 +55,7 @@
     pub is_held: bool,
 }
 
-/// What an unmarked end turns out to be.
+/// What an end that proves nothing turns out to be.
 pub struct UnmarkedEnd {
     /// The decision.
     pub decision: EndDecision,
@@ -66,8 +67,10 @@
 #[allow(clippy::large_enum_variant)]
 /// Whether an answer is whole.
 pub enum EndDecision {
-    /// It is whole if its endpoint runs.
-    Endpoint(EndpointCheck),
+    /// It is whole: its endpoint has outlived its end.
+    Proven(Proof),
+    /// The endpoint was not shown to run on.
+    NotShown(EndpointCheck),
     /// The call or the process ends before anything can be shown.
     NoTime,
     /// It is whole: its end is marked, and its connection is still open.
@@ -84,7 +87,8 @@
     /// Returns the name for log lines.
     pub const fn name(&self) -> &'static str {
         match self {
-            Self::Endpoint(check) => check.name(),
+            Self::Proven(_) => EndpointCheck::Running.name(),
+            Self::NotShown(check) => check.name(),
             Self::NoTime => "no_time",
             Self::Marked => "marked",
             Self::Announced => "announced",
@@ -96,27 +100,32 @@
     /// Returns the name of what shows that the answer is whole; none if it isn't.
     pub const fn proof(&self) -> Option<&'static str> {
         match self {
-            Self::Endpoint(EndpointCheck::Running) | Self::Marked | Self::Announced => {
-                Some(self.name())
-            }
+            Self::Proven(Proof { kind, .. }) => Some(kind.name()),
+            Self::Marked | Self::Announced => Some(self.name()),
             Self::Whole => Some("resumed"),
-            Self::Endpoint(_) | Self::NoTime | Self::Continued(_) => None,
+            Self::NotShown(_) | Self::NoTime | Self::Continued(_) => None,
         }
     }
 
     /// Returns whether nothing shows that the answer is whole.
     pub const fn is_doubt(&self) -> bool {
-        match self {
-            Self::Endpoint(check) => !matches!(check, EndpointCheck::Running),
-            Self::NoTime => true,
-            Self::Marked | Self::Announced | Self::Whole | Self::Continued(_) => false,
+        matches!(self, Self::NotShown(_) | Self::NoTime)
+    }
+}
+
+impl From<Option<EndVerdict>> for EndDecision {
+    fn from(verdict: Option<EndVerdict>) -> Self {
+        match verdict {
+            Some(EndVerdict::Proven(proof)) => Self::Proven(proof),
+            Some(EndVerdict::NotShown(check)) => Self::NotShown(check),
+            None => Self::NoTime,
         }
     }
 }
 
-impl From<Option<EndpointCheck>> for EndDecision {
-    fn from(check: Option<EndpointCheck>) -> Self {
-        check.map_or(Self::NoTime, Self::Endpoint)
+impl UnmarkedEnd {
+    const fn of(decision: EndDecision) -> Self {
+        Self { decision, has_asked_other: false }
     }
 }
 
@@ -142,10 +151,10 @@
 }
 
 impl State {
-    /// Waits until the endpoint of a stream is shown to run long enough after its end, or not to run.
+    /// Waits until the endpoint of an answer is shown to run long enough after its end, or not to run.
     /// Returns none if the call or the process ends before.
-    pub async fn wait_until_proven(self: Arc<Self>, ended: EndedAnswer) -> Option<EndpointCheck> {
-        let EndedAnswer { to, via, placed_at, ended_at, .. } = &ended;
+    pub async fn wait_until_proven(self: Arc<Self>, ended: EndedAnswer) -> Option<EndVerdict> {
+        let EndedAnswer { to, via, kind, placed_at, ended_at, .. } = &ended;
         let key = (to.endpoint.clone(), to.incarnation, via.as_ref().map(|via| via.address));
         loop {
             let has_changed = self.stream_ends.has_changed.notified();
@@ -154,21 +163,23 @@
             // The answer may arrive late, when the endpoint has restarted or a proxy accepts
             // connections again.
             if self.crashes.has_crashed_since(*placed_at, &to.endpoint, to.incarnation) {
-                return Some(EndpointCheck::Ended);
+                return Some(EndVerdict::NotShown(EndpointCheck::Ended));
             }
             let now = self.clock.now();
             // A stop may begin while the end is in doubt.
             let decide_by = self.decide_by(&ended);
-            let step = self.stream_ends.checks.lock().step(now, &key, *ended_at, decide_by);
+            let end = EndInDoubt { kind: *kind, at: *ended_at, decide_by };
+            let signs = self.egress.signs_of(to);
+            let step = self.stream_ends.checks.lock().step(now, &key, end, signs);
             match step {
-                EndStep::Decided(check) => return Some(check),
+                EndStep::Decided(verdict) => return Some(verdict),
                 EndStep::NoTime => return None,
                 EndStep::Check => {
                     // Other ends wait for it too, whether or not this caller leaves.
                     tokio::spawn(self.clone().check_for_ends(ended.clone(), key.clone(), now));
                 }
                 EndStep::Wait(until) => {
-                    // Crashes are heard of from others.
+                    // Crashes are heard of from others, and other answers may go on.
                     let pause = (until - now).min(TICK);
                     tokio::select! {
                         () = has_changed => {}
@@ -194,23 +205,10 @@
         key: CheckedEndpoint,
         began_at: Millis,
     ) {
-        let check = self.check_ended(&ended, OPEN_TIME).await;
+        let check = self.check_process(&ended.to, ended.via.as_ref()).await;
         self.stream_ends.checks.lock().record(self.clock.now(), &key, began_at, check);
         self.stream_ends.has_changed.notify_waiters();
     }
-
-    /// Checks once whether the endpoint of an answer runs.
-    pub async fn check_ended(&self, ended: &EndedAnswer, wait: Millis) -> EndpointCheck {
-        let EndedAnswer { to, via, placed_at, .. } = ended;
-        let check = match via {
-            Some(via) => self.check_endpoint_via(via, to, wait).await,
-            None => self.check_endpoint(to, wait).await,
-        };
-        match self.crashes.has_crashed_since(*placed_at, &to.endpoint, to.incarnation) {
-            true => EndpointCheck::Ended,
-            false => check,
-        }
-    }
 }
 
 /// Decides about a marked end of a stream whose connection was to be kept. If it is closed with the
@@ -226,35 +224,51 @@
         connection.release();
         EndDecision::Marked
     };
-    UnmarkedEnd { decision, has_asked_other: false }
+    UnmarkedEnd::of(decision)
+}
+
+/// Decides about the end of a plain answer from one connection to its endpoint.
+pub async fn check_once(state: Arc<State>, ended: EndedAnswer) -> UnmarkedEnd {
+    let mut check = match &ended.via {
+        Some(via) => state.check_process(&ended.to, Some(via)).await,
+        None => state.check_endpoint(&ended.to, REFUSAL_TIME).await,
+    };
+    if state.crashes.has_crashed_since(ended.placed_at, &ended.to.endpoint, ended.to.incarnation) {
+        check = EndpointCheck::Ended;
+    } else if check == EndpointCheck::Silent && ended.via.is_none() {
+        check = EndpointCheck::Running;
+    }
+    UnmarkedEnd::of(Some(EndVerdict::of(check, state.clock.now())).into())
 }
 
 /// Decides about an end from its endpoint, and from its resumption if there is one. Where that shows
 /// nothing in time, the endpoint decides.
 pub async fn decide(
-    endpoint: BoxFuture<'static, Option<EndpointCheck>>,
+    state: Arc<State>,
+    ended: EndedAnswer,
     resumption: Option<BoxFuture<'static, Result<ResumedEnd, NotResumed>>>,
 ) -> UnmarkedEnd {
-    let Some(resumption) = resumption else {
-        let decision = endpoint.await.into();
-        return UnmarkedEnd { decision, has_asked_other: false };
-    };
-    let (check, resumed) = match future::select(endpoint, resumption).await {
-        Either::Left((Some(EndpointCheck::Running), _)) => {
-            let decision = EndDecision::Endpoint(EndpointCheck::Running);
-            return UnmarkedEnd { decision, has_asked_other: true };
+    let endpoint: BoxFuture<'static, UnmarkedEnd> =
+        Box::pin(async move { UnmarkedEnd::of(state.wait_until_proven(ended).await.into()) });
+    let Some(resumption) = resumption else { return endpoint.await };
+    let (end, resumed) = match future::select(endpoint, resumption).await {
+        Either::Left((end, resumption)) if !end.decision.is_doubt() => {
+            // An endpoint that runs may have closed the connection of a stream that is not whole.
+            let resumed = tokio::time::timeout(RESUME_TIME.into(), resumption).await;
+            (end, resumed.unwrap_or(Ok(ResumedEnd::Unclear)))
         }
-        Either::Left((check, resumption)) => (check, resumption.await),
+        Either::Left((end, resumption)) => (end, resumption.await),
         Either::Right((resumed @ (Ok(ResumedEnd::Unclear) | Err(_)), endpoint)) => {
             (endpoint.await, resumed)
         }
-        Either::Right((resumed, _)) => (Some(EndpointCheck::Unclear), resumed),
+        Either::Right((resumed, _)) => (UnmarkedEnd::of(EndDecision::NoTime), resumed),
     };
+    let UnmarkedEnd { decision, .. } = end;
     let (decision, has_asked_other) = match resumed {
         Ok(ResumedEnd::Continued(answer)) => (EndDecision::Continued(answer), false),
         Ok(ResumedEnd::Whole) => (EndDecision::Whole, true),
-        Ok(ResumedEnd::Unclear) | Err(NotResumed::Sent) => (check.into(), true),
-        Err(NotResumed::NotSent) => (check.into(), false),
+        Ok(ResumedEnd::Unclear) | Err(NotResumed::Sent) => (decision, true),
+        Err(NotResumed::NotSent) => (decision, false),
     };
     UnmarkedEnd { decision, has_asked_other }
 }
--- a/daemons/gateway/tests/endpoint_checks.rs
+++ b/daemons/gateway/tests/endpoint_checks.rs
@@ -92,7 +92,7 @@
     fn crashes(&self) -> u64 {
         loop {
             let crashes = self.harness.metric("sill_gateway_endpoint_crashes_total");
-            let results = ["running", "unclear"];
+            let results = ["running", "silent", "unclear"];
             let name =
                 |result| format!("sill_gateway_endpoint_checks_total{{result=\"{result}\"}}");
             let checks: u64 = results.iter().map(|result| self.harness.metric(&name(result))).sum();
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -50,6 +50,9 @@
 /// Header of an answer whose reading ends in a panic.
 pub const PANICS: &str = "x-panics";
 
+/// Header of a request for another endpoint, to which each replies at once.
+const PING: &str = "sill-endpoint: -";
+
 /// Time that a test waits for bytes before it fails as hung.
 const HANG_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -233,6 +236,31 @@
     }
 }
 
+/// How the process of an endpoint ends.
+#[derive(Default)]
+struct Ending {
+    /// Whether it does nothing any more, also on other connections.
+    has_ended: AtomicBool,
+    /// The time after which a proxy in front of it closes connections, once it has ended.
+    proxy_delay: Mutex<Option<Duration>>,
+    connections: Mutex<Vec<TcpStream>>,
+}
+
+impl Ending {
+    fn has_ended(&self) -> bool {
+        self.has_ended.load(Ordering::Relaxed)
+    }
+
+    /// Closes the listener and all connections.
+    fn end(&self, listener: &TcpListener) {
+        self.has_ended.store(true, Ordering::Relaxed);
+        let _ = socket2::SockRef::from(listener).shutdown(std::net::Shutdown::Both);
+        for connection in self.connections.lock().drain(..) {
+            let _ = connection.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
 impl Endpoint {
     fn start(actions: Vec<Action>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port can be bound");
@@ -245,22 +273,27 @@
             run_ids: Arc::clone(&run_ids),
             disconnects: Arc::clone(&disconnects),
         };
-        let proxy_delay = Arc::<Mutex<Option<Duration>>>::default();
+        let ending = Arc::<Ending>::default();
         thread::spawn(move || {
             for (number, stream) in listener.incoming().enumerate() {
-                let proxy_delay = proxy_delay.clone();
+                let ending = ending.clone();
                 let (actions, request_log) = (actions.clone(), request_log.clone());
                 let (run_ids, disconnects) = (run_ids.clone(), disconnects.clone());
                 let Ok(stream) = stream else { return };
+                let other = stream.try_clone().expect("the socket can be cloned");
+                ending.connections.lock().push(other);
                 let listener = listener.try_clone().expect("the socket can be cloned");
                 thread::spawn(move || {
-                    let delay = *proxy_delay.lock();
+                    let delay = *ending.proxy_delay.lock();
                     if let Some(delay) = delay {
-                        return thread::sleep(delay);
+                        thread::sleep(delay);
+                        let _ = stream.shutdown(std::net::Shutdown::Both);
+                        return;
                     }
-                    let logs = (&*request_log, &*run_ids);
-                    let ending = (&listener, &*proxy_delay);
-                    serve(stream, number, ending, &actions, logs, &disconnects)
+                    let (logs, peer) = ((&*request_log, &*run_ids), stream.peer_addr().ok());
+                    serve(&stream, number, (&listener, &ending), &actions, logs, &disconnects);
+                    // All handles have to go before the connection is closed.
+                    ending.connections.lock().retain(|other| other.peer_addr().ok() != peer);
                 });
             }
         });
@@ -273,16 +306,23 @@
 }
 
 fn serve(
-    stream: TcpStream,
+    mut stream: &TcpStream,
     number: usize,
-    (listener, proxy_delay): (&TcpListener, &Mutex<Option<Duration>>),
+    (listener, ending): (&TcpListener, &Ending),
     actions: &Mutex<VecDeque<Action>>,
     (request_log, run_ids): (&Mutex<Vec<ReceivedRequest>>, &Mutex<Vec<String>>),
     disconnects: &Mutex<usize>,
 ) {
     let mut reader = BufReader::new(stream.try_clone().expect("the socket can be cloned"));
-    let mut stream = stream;
     while let Some(request) = read_request(&mut reader, number) {
+        if ending.has_ended() {
+            let _ = reader.read_to_end(&mut Vec::new());
+            return;
+        }
+        if request.headers.contains(&PING.to_owned()) {
+            let _ = stream.write_all(not_run("421 Misdirected Request").as_bytes());
+            continue;
+        }
         let id = request.headers.iter().find_map(|h| h.strip_prefix("sill-request-id: "));
         let id = id.unwrap_or_default().to_owned();
         request_log.lock().push(request);
@@ -331,24 +371,22 @@
             }
             Action::AnswerAndEnd(text) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
-                let socket = socket2::SockRef::from(listener);
-                let _ = socket.shutdown(std::net::Shutdown::Both);
-                return;
+                return ending.end(listener);
             }
             Action::AnswerAndEndBitByBit(text, may_close, end, pause) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
                 while !may_close.load(Ordering::Relaxed) {
                     thread::sleep(Duration::from_millis(1));
                 }
+                ending.has_ended.store(true, Ordering::Relaxed);
                 let _ = stream.write_all(end.as_bytes());
                 let _ = stream.shutdown(std::net::Shutdown::Both);
                 thread::sleep(pause);
-                let socket = socket2::SockRef::from(listener);
-                let _ = socket.shutdown(std::net::Shutdown::Both);
-                return;
+                return ending.end(listener);
             }
             Action::AnswerAndEndBehindProxy(text, delay) => {
-                *proxy_delay.lock() = Some(delay);
+                *ending.proxy_delay.lock() = Some(delay);
+                ending.has_ended.store(true, Ordering::Relaxed);
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
                 return;
             }
@@ -387,12 +425,13 @@
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
                 // The written bytes must arrive before the reset does.
                 thread::sleep(Duration::from_millis(200));
-                let socket = socket2::SockRef::from(&stream);
+                let socket = socket2::SockRef::from(stream);
                 socket.set_linger(Some(Duration::ZERO)).expect("the socket option can be set");
                 return;
             }
             Action::AnswerAndFallSilent(text) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
+                ending.has_ended.store(true, Ordering::Relaxed);
                 let socket = socket2::SockRef::from(listener);
                 let _ = socket.shutdown(std::net::Shutdown::Both);
                 let _ = reader.read_to_end(&mut Vec::new());
@@ -926,6 +965,10 @@
         SillDialect.rejection_bound(headers)
     }
 
+    fn ping(&self, path: &str, time_left: Millis) -> Option<Request<Full<Bytes>>> {
+        SillDialect.ping(path, time_left)
+    }
+
     fn copy_run(
         &self,
         attempt: &Name,
--- a/protocol/wire/src/probe.rs
+++ b/protocol/wire/src/probe.rs
@@ -1,4 +1,4 @@
-//! How entry instances ask each other whether an endpoint has ended.
+//! How entry instances ask each other whether an endpoint runs or has ended.
 
 use serde::{Deserialize, Serialize};
 use sill_base::{Millis, Name};
@@ -6,7 +6,7 @@
 use crate::announce::Incarnation;
 use crate::call::Call;
 
-/// Asks an entry instance to connect to an endpoint.
+/// Asks an entry instance to connect to an endpoint, or to find out whether its process runs.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProbeEndpoint {
     /// The endpoint.
@@ -15,6 +15,10 @@
     pub incarnation: Incarnation,
     /// Time for which the connection has to stay open.
     pub wait: Millis,
+    /// Whether the process of the endpoint has to reply; a connection that opens shows only that its
+    /// host accepts connections.
+    #[serde(default)]
+    pub needs_reply: bool,
 }
 
 /// What connecting to an endpoint has shown.
@@ -34,6 +38,9 @@
 pub struct ProbeEndpointReply {
     /// What connecting has shown.
     pub probe: EndpointProbe,
+    /// Whether the process of the endpoint has sent anything since the call.
+    #[serde(default)]
+    pub is_heard: bool,
 }
 
 impl Call for ProbeEndpoint {
