Gateway, dispatch: an announcement proves no end that comes with others, or when the endpoint is gone

Cause: an endpoint that had announced an end was believed whatever came after, without a check or a line. A stream that may be resumed is asked about elsewhere first. A WARN line names each end that is believed so.

--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -60,6 +60,10 @@
     pub seed: u64,
 }
 
+/// How much earlier than the last answer of an endpoint its end, which it announces after that, may seem to
+/// be. An entry instance reads the end of an answer late.
+const END_ORDER_MARGIN: Millis = Millis(50);
+
 /// A request to choose an endpoint for one attempt of a call.
 #[derive(Debug, Clone)]
 pub struct PlacementRequest {
@@ -178,6 +182,10 @@
     says_it_leaves: bool,
     /// Whether it has announced, in any way, that it leaves or has ended.
     has_announced_end: bool,
+    /// When it has announced its end.
+    gone_at: Option<Millis>,
+    /// When it will be gone, if it has said so.
+    leaves_at: Option<Millis>,
     load: Load,
     /// Time of the load, if the endpoint has reported one.
     load_at: Option<Millis>,
@@ -398,6 +406,8 @@
             fact: fact.clone(),
             says_it_leaves: false,
             has_announced_end: false,
+            gone_at: None,
+            leaves_at: None,
             load: Load::default(),
             load_at: None,
             is_full: false,
@@ -413,6 +423,12 @@
         entry.fact = EndpointFact { software, ..fact.clone() };
         entry.has_announced_end |=
             matches!(fact.state, EndpointState::Leaving | EndpointState::Gone);
+        let said_at = now - fact.age;
+        if fact.state == EndpointState::Gone {
+            entry.gone_at.get_or_insert(said_at);
+        }
+        let leaves_at = fact.leaves_in.map(|time| said_at + time);
+        entry.leaves_at = entry.leaves_at.into_iter().chain(leaves_at).min();
         if entry.says_it_leaves {
             entry.fact.state = entry.fact.state.max(EndpointState::Leaving);
         }
@@ -777,6 +793,18 @@
         })
     }
 
+    /// Returns when the endpoint of a call will be gone, if it has said so.
+    pub fn leaves_at(&self, place: &Placement) -> Option<Millis> {
+        let entry = self.endpoints.get(&place.endpoint)?;
+        entry.leaves_at.filter(|_| entry.fact.incarnation == place.incarnation)
+    }
+
+    /// Returns whether the endpoint of a call has announced its end after its answer ended at `ended_at`.
+    pub fn has_confirmed_end(&self, place: &Placement, ended_at: Millis) -> bool {
+        let gone_at = self.endpoints.get(&place.endpoint).and_then(|entry| entry.gone_at);
+        self.has_announced_end(place) && gone_at.is_some_and(|at| at + END_ORDER_MARGIN > ended_at)
+    }
+
     /// Returns whether an endpoint takes a request that it doesn't run. Those that have asked for a pause or
     /// named a limit want as few as possible.
     pub fn may_ping(&self, now: Millis, endpoint: &Name, incarnation: Incarnation) -> bool {
--- a/coordination/dispatch/src/stream_end.rs
+++ b/coordination/dispatch/src/stream_end.rs
@@ -21,6 +21,12 @@
 /// silence.
 const STREAM_WAIT: Millis = Millis(1600);
 
+/// Time for the news that an endpoint which leaves has ended in order.
+const NEWS_TIME: Millis = Millis(500);
+
+/// Time within which an endpoint that leaves has to be shown to run.
+const LEAVING_WAIT: Millis = Millis(800);
+
 /// Time by which an endpoint has to outlive the end of a plain answer. Its caller waits for the end.
 const PLAIN_SPAN: Millis = Millis(20);
 
@@ -43,8 +49,10 @@
 /// What ends an answer in doubt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndKind {
-    /// A stream.
+    /// A stream of an endpoint that is not known to leave.
     Stream,
+    /// A stream of an endpoint that has announced that it leaves or has ended.
+    LeavingStream,
     /// A plain answer.
     Plain,
 }
@@ -134,6 +142,8 @@
 struct Bounds {
     /// The endpoint is to be shown to run at this time or later.
     proven_from: Millis,
+    /// A refutation that nothing contradicts counts from then on.
+    settled_from: Millis,
     /// When the wait for a proof ends, unless a check is running.
     until: Millis,
     /// When it ends in any case.
@@ -167,15 +177,17 @@
 
 impl EndInDoubt {
     fn bounds(&self, heartbeat: Millis, check_time: Millis) -> Bounds {
-        let (span, wait) = match self.kind {
-            EndKind::Stream => (heartbeat.min(MAX_SPAN), STREAM_WAIT),
-            EndKind::Plain => (PLAIN_SPAN, PLAIN_WAIT),
+        let (span, settle, wait) = match self.kind {
+            EndKind::Stream => (heartbeat.min(MAX_SPAN), Millis::ZERO, STREAM_WAIT),
+            EndKind::LeavingStream => (heartbeat.min(MIN_SPAN), NEWS_TIME, LEAVING_WAIT),
+            EndKind::Plain => (PLAIN_SPAN, Millis::ZERO, PLAIN_WAIT),
         };
         let last_check_at = self.decide_by - check_time;
         let proven_from = (self.at + span).min(last_check_at);
         let until = (self.at + wait).min(self.decide_by);
         Bounds {
             proven_from,
+            settled_from: (self.at + settle).min(self.decide_by),
             until,
             expires_at: (until + check_time).min(self.decide_by),
             last_check_at,
@@ -258,7 +270,8 @@
         let is_over = now >= bounds.until;
         let refuted = self.refuted.filter(|(at, _)| *at >= end.at).map(|(_, check)| check);
         if let Some(check) = refuted {
-            return (!signs.is_awaited || is_over).then_some(EndVerdict::NotShown(check));
+            let is_settled = now >= bounds.settled_from && !signs.is_awaited;
+            return (is_settled || is_over).then_some(EndVerdict::NotShown(check));
         }
         // A check that runs may still show it.
         let is_silent = (is_over && self.running == 0) || now >= bounds.expires_at;
--- a/coordination/dispatch/tests/stream_end.rs
+++ b/coordination/dispatch/tests/stream_end.rs
@@ -1,10 +1,11 @@
 //! When answers count as whole whose ends prove nothing.
 
-use sill_base::Millis;
+use sill_base::{Millis, Name};
+use sill_dispatch::end_log::may_be_gone;
 use sill_dispatch::events::may_follow;
 use sill_dispatch::{
-    EndChecks, EndInDoubt, EndKind, EndStep, EndVerdict, EndpointCheck, EndpointSigns, Proof,
-    ProofKind, ResumeChecks,
+    EndChecks, EndInDoubt, EndKind, EndLog, EndStep, EndVerdict, EndpointCheck, EndpointSigns,
+    Proof, ProofKind, ResumeChecks,
 };
 
 const HEARTBEAT: Millis = Millis(600);
@@ -129,7 +130,7 @@
 /// A host that drops what arrives, or accepts connections that nobody reads, would pass for its endpoint.
 #[test]
 fn the_lack_of_a_refutation_is_no_proof() {
-    for kind in [EndKind::Stream, EndKind::Plain] {
+    for kind in [EndKind::Stream, EndKind::LeavingStream, EndKind::Plain] {
         for outlives in [0, 15] {
             let (step, at, count) = play(kind, silent_from(Millis(1000 + outlives)));
             assert_eq!(step, not_shown(EndpointCheck::Silent), "{kind:?}, {outlives} ms");
@@ -185,6 +186,8 @@
         case(EndKind::Stream, 1000 + 10, 1000 + 20, false),
         // They are never heard again.
         case(EndKind::Stream, 1000, 3000, false),
+        case(EndKind::LeavingStream, 1000 + 350, 1000 + 350, true),
+        case(EndKind::LeavingStream, 1000 + 10, 1000 + 20, false),
         case(EndKind::Plain, 3000, 3000, true),
         case(EndKind::Plain, 1000 + 10, 1000 + 10, false),
     ];
@@ -209,6 +212,14 @@
     assert!(at <= Millis(25), "decided at {at:?}");
 }
 
+/// The news that an endpoint has ended in order comes later than the refusal of its host.
+#[test]
+fn a_refusal_of_an_endpoint_that_leaves_waits_for_the_news() {
+    let (step, at, _) = play(EndKind::LeavingStream, ends_at(Millis::ZERO));
+    assert_eq!(step, not_shown(EndpointCheck::Ended));
+    assert!(at >= Millis(500) && at < Millis(600), "decided at {at:?}");
+}
+
 /// Callers leave after 2 s of silence.
 #[test]
 fn an_end_is_held_for_less_than_callers_wait() {
@@ -315,6 +326,44 @@
     assert_eq!(proof(ends_at(Millis::MAX)), (ProofKind::Replied, HEARTBEAT));
 }
 
+/// A process that ends closes all its connections at once, whatever it has announced.
+#[test]
+fn answers_that_end_together_are_known_as_such() {
+    struct Case {
+        name: &'static str,
+        other: (&'static str, u64, u64),
+        has_other: bool,
+    }
+    let case = |name, other, has_other| Case { name, other, has_other };
+    let cases = [
+        case("the same answer", ("e1", 1, 1000), false),
+        case("together", ("e1", 2, 1000), true),
+        case("read a little later", ("e1", 2, 1015), true),
+        case("read a little earlier", ("e1", 2, 985), true),
+        case("one after the other", ("e1", 2, 1100), false),
+        case("another endpoint", ("e2", 2, 1000), false),
+    ];
+    let answer = |number: u64| Name::from(format!("a{number}"));
+    for Case { name, other: (endpoint, number, at), has_other } in cases {
+        let mut log = EndLog::default();
+        log.record(Millis(1200), "e1", &answer(1), Millis(1000));
+        log.record(Millis(1200), endpoint, &answer(number), Millis(at));
+        assert_eq!(log.has_other(&"e1", &answer(1), Millis(1000)), has_other, "{name}");
+        // Ends are forgotten.
+        log.record(Millis(9000), "e3", &answer(3), Millis(9000));
+        assert!(!log.has_other(&"e1", &answer(1), Millis(1000)), "{name}");
+    }
+}
+
+/// An endpoint that is taken away at the time that it has announced cuts what it runs then.
+#[test]
+fn an_endpoint_may_be_gone_from_the_time_that_it_has_announced() {
+    assert!(!may_be_gone(None, Millis(1000)));
+    assert!(!may_be_gone(Some(Millis(2000)), Millis(1000)));
+    assert!(may_be_gone(Some(Millis(1050)), Millis(1000)));
+    assert!(may_be_gone(Some(Millis(900)), Millis(1000)));
+}
+
 /// Resumptions that show nothing would use up the retries of a service.
 #[test]
 fn fewer_ends_are_resumed_the_more_were_whole() {
--- a/daemons/gateway/src/dispatch/attempt.rs
+++ b/daemons/gateway/src/dispatch/attempt.rs
@@ -14,7 +14,7 @@
 use super::{Attempt, LATE_PART, has_time_for_attempt};
 use crate::crashes::{self, PROVEN_AFTER};
 use crate::dialect::{AnswerClass, InvalidLimit, InvalidPause, LoadReport, ReportedLoad};
-use crate::egress::{Exchange, Via};
+use crate::egress::{Destination, Exchange, Via};
 use crate::pause_notice;
 use crate::rollouts::AnswerWatch;
 use crate::serve::Call;
@@ -232,6 +232,30 @@
         self.call.pool.pool.lock().has_announced_end(&self.placement)
     }
 
+    /// Returns whether the endpoint has announced its end after its answer ended.
+    pub fn has_confirmed_end(&self, ended_at: Millis) -> bool {
+        self.call.pool.pool.lock().has_confirmed_end(&self.placement, ended_at)
+    }
+
+    /// Returns when the endpoint will be gone, if it has said so.
+    pub fn leaves_at(&self) -> Option<Millis> {
+        self.call.pool.pool.lock().leaves_at(&self.placement)
+    }
+
+    /// Records that the answer has ended with its connection, at `ended_at` or now. Ends at the same
+    /// time show that the process of the endpoint has ended.
+    pub fn record_closed_answer(&self, ended_at: Option<Millis>) {
+        let now = self.state.clock.now();
+        let (to, ended_at) = (Destination::from(&self.placement), ended_at.unwrap_or(now));
+        let answer = self.call.head.attempt.clone();
+        let key = (to.endpoint.clone(), to.incarnation);
+        self.state.stream_ends.record_end(now, key, &answer, ended_at);
+        if self.has_announced_end() {
+            let state = self.state.clone();
+            tokio::spawn(async move { state.report_end(&to, &answer, ended_at).await });
+        }
+    }
+
     /// Records that the answer broke off, because the endpoint may have crashed. `began_at` is when
     /// its first part arrived, if one did.
     pub fn record_broken_answer(&self, began_at: Option<Millis>) {
--- a/daemons/gateway/src/endpoint_check.rs
+++ b/daemons/gateway/src/endpoint_check.rs
@@ -10,7 +10,9 @@
 use sill_net::h1::Probe;
 use sill_net::{PeerClient, PeerError, PeerServerBuilder};
 use sill_wire::RequestKey;
-use sill_wire::probe::{EndpointProbe, ProbeEndpoint, ProbeEndpointReply};
+use sill_wire::probe::{
+    EndpointProbe, ProbeEndpoint, ProbeEndpointReply, ReportEnd, ReportEndReply,
+};
 
 use crate::egress::{Destination, Via};
 use crate::state::State;
@@ -149,6 +151,23 @@
         (clients, is_complete)
     }
 
+    /// Tells others that an answer of an endpoint has ended `age` ago with its connection, and returns
+    /// whether other answers are known to have ended with it.
+    pub async fn report_end(&self, to: &Destination, answer: &Name, ended_at: Millis) -> bool {
+        let key = (to.endpoint.clone(), to.incarnation);
+        self.stream_ends.record_end(self.clock.now(), key.clone(), answer, ended_at);
+        let (clients, _) = self.others(&to.endpoint, None);
+        let call = ReportEnd {
+            endpoint: to.endpoint.clone(),
+            incarnation: to.incarnation,
+            answer: answer.clone(),
+            age: self.clock.now() - ended_at,
+        };
+        let replies = answered_in_time(clients.iter().map(|client| client.call(&call))).await;
+        replies.iter().any(|reply| reply.has_other)
+            || self.stream_ends.has_other_end(&key, answer, ended_at)
+    }
+
     /// Returns whether no endpoint is reached, once other connections had the time to fail as well.
     async fn is_cut_off_after_tick(&self) -> bool {
         tokio::time::sleep(TICK.into()).await;
@@ -176,15 +195,29 @@
         };
         ProbeEndpointReply { probe, is_heard: sign == EndpointSign::Heard }
     }
+
+    /// Records the end of an answer at another entry instance.
+    fn answer_report(&self, call: ReportEnd) -> ReportEndReply {
+        let ReportEnd { endpoint, incarnation, answer, age } = call;
+        let now = self.clock.now();
+        let (key, ended_at) = ((endpoint, incarnation), now - age);
+        self.stream_ends.record_end(now, key.clone(), &answer, ended_at);
+        ReportEndReply { has_other: self.stream_ends.has_other_end(&key, &answer, ended_at) }
+    }
 }
 
-/// Adds the method that other entry instances call.
+/// Adds the methods that other entry instances call.
 pub fn add_method(builder: &mut PeerServerBuilder, state: &Arc<State>) {
-    let state = state.clone();
+    let probed = state.clone();
     builder.answer(move |call: ProbeEndpoint| {
-        let state = state.clone();
+        let state = probed.clone();
         async move { Ok::<_, PeerError>(state.answer_probe(call).await) }
     });
+    let state = state.clone();
+    builder.answer(move |call: ReportEnd| {
+        let state = state.clone();
+        async move { Ok::<_, PeerError>(state.answer_report(call)) }
+    });
 }
 
 /// Returns the replies that arrive within [`CALL_TIME`].
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -107,6 +107,8 @@
     is_proven: bool,
     /// When the body ended, if its end proves nothing.
     ended_at: Option<Millis>,
+    /// Whether it was tried to resume the stream at its end.
+    is_resumed_at_end: bool,
 }
 
 impl EndpointAnswer {
@@ -129,6 +131,7 @@
             began_at: None,
             is_proven: false,
             ended_at: None,
+            is_resumed_at_end: false,
         }
     }
 
@@ -300,6 +303,7 @@
             return None;
         };
         answer.attempt.finish(Outcome::Failed);
+        answer.attempt.record_closed_answer(answer.ended_at);
         answer.attempt.record_broken_answer(answer.began_at);
         answer.attempt.end_broken();
         self.record_stream_end();
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use futures_util::future::{self, BoxFuture};
 use sill_base::{Name, event};
+use sill_dispatch::end_log::may_be_gone;
 use sill_dispatch::{AttemptOutcome, EndKind, EventTracker, NextStep, Placement};
 use sill_net::h1::{BodyError, Framing};
 use sill_rollout::AnswerEnd;
@@ -17,25 +18,41 @@
 use crate::stream_end::{self, EndDecision, EndedAnswer, UnmarkedEnd};
 
 impl EndpointAnswer {
-    /// Ends the exchange, and returns the end of the answer, unless its endpoint ends in order: it completes
-    /// its answers before.
-    fn end(&mut self, is_stream: bool, is_held: bool) -> Option<EndedAnswer> {
-        if self.attempt.has_announced_end() {
-            return None;
-        }
+    /// Ends the exchange, and returns the end of the answer.
+    fn end(&mut self, is_stream: bool, is_held: bool) -> EndedAnswer {
         let ended_at = self.attempt.state().clock.now();
         self.ended_at = Some(ended_at);
         // The endpoint isn't silent while the end is held.
         self.attempt.end_exchange();
-        Some(EndedAnswer {
+        EndedAnswer {
             to: Destination::from(&self.attempt.placement),
             via: self.attempt.via().cloned(),
-            kind: if is_stream { EndKind::Stream } else { EndKind::Plain },
+            answer: self.attempt.call().head.attempt.clone(),
+            kind: match (is_stream, self.attempt.has_announced_end()) {
+                (true, true) => EndKind::LeavingStream,
+                (true, false) => EndKind::Stream,
+                (false, _) => EndKind::Plain,
+            },
             placed_at: self.attempt.placed_at,
             ended_at,
             due: self.attempt.call().due,
             is_held,
-        })
+        }
+    }
+
+    /// Returns the decision about an end that nothing proves, if the endpoint had announced that it leaves: it
+    /// completes its answers, unless it is gone by then or other answers ended at the same time.
+    fn announced_end(&self, has_other_end: bool) -> Option<EndDecision> {
+        let ended_at = self.ended_at?;
+        if !self.attempt.has_announced_end() {
+            None
+        } else if self.attempt.has_confirmed_end(ended_at) {
+            Some(EndDecision::Confirmed)
+        } else if has_other_end || may_be_gone(self.attempt.leaves_at(), ended_at) {
+            None
+        } else {
+            Some(EndDecision::Announced)
+        }
     }
 }
 
@@ -51,11 +68,7 @@
             (Framing::Chunked, true) if answer.connection.is_some() => answer.connection.take(),
             _ => return false,
         };
-        let Some(ended) = answer.end(is_stream, self.is_held) else {
-            answer.connection = connection;
-            self.record_unmarked_end(&EndDecision::Announced);
-            return false;
-        };
+        let ended = answer.end(is_stream, self.is_held);
         if is_stream {
             // The endpoint has room for another call while the end is held.
             answer.attempt.finish(Outcome::Finished);
@@ -64,7 +77,7 @@
         let check: BoxFuture<'static, UnmarkedEnd> = match (connection, is_stream) {
             (Some(connection), _) => Box::pin(stream_end::check_mark(state, ended, connection)),
             (None, true) => {
-                let resumption = self.end_resumption(&ended.to.endpoint);
+                let resumption = self.end_resumption(&ended.to.endpoint, true);
                 Box::pin(stream_end::decide(state, ended, resumption))
             }
             (None, false) => Box::pin(stream_end::check_once(state, ended)),
@@ -76,8 +89,9 @@
     }
 
     /// Resumes a stream that may be whole, if a resumption can show it. It isn't sent to the endpoint
-    /// that closed the stream, which would take the only repeat along if it ends.
-    fn end_resumption(&self, endpoint: &Name) -> Option<Resuming<ResumedEnd>> {
+    /// that closed the stream, which would take the only repeat along if it ends. With `may_skip`, few are
+    /// resumed while resumptions show nothing new.
+    fn end_resumption(&self, endpoint: &Name, may_skip: bool) -> Option<Resuming<ResumedEnd>> {
         // The attempt that runs goes on if the stream turns out to be short.
         if self.hedge.is_some() {
             return None;
@@ -97,7 +111,9 @@
         // A retry is taken only if it can be sent.
         let attempt = self.place_elsewhere(progress, endpoint)?;
         let service = &self.call.pool.service;
-        if !self.state.stream_ends.may_resume(service) || !self.state.may_retry(service) {
+        if (may_skip && !self.state.stream_ends.may_resume(service))
+            || !self.state.may_retry(service)
+        {
             return None;
         }
         let resumption = Resumption { last_event: Some(last_event.clone()), memory: None };
@@ -112,15 +128,20 @@
         cx: &Context<'_>,
         end: UnmarkedEnd,
     ) -> Poll<Option<Result<Bytes, BodyError>>> {
-        let UnmarkedEnd { mut decision, has_asked_other } = end;
-        // The announcement may come later than the last answer.
+        let UnmarkedEnd { mut decision, has_asked_other, has_other_end } = end;
         if decision.is_doubt()
             && let Source::Endpoint(answer) = &self.source
-            && answer.attempt.has_announced_end()
+            && let Some(announced) = answer.announced_end(has_other_end)
+        {
+            decision = announced;
+        }
+        if matches!(decision, EndDecision::Announced)
+            && !has_asked_other
+            && self.resume_announced(cx, has_other_end)
         {
-            decision = EndDecision::Announced;
+            return Poll::Pending;
         }
-        self.record_unmarked_end(&decision);
+        self.record_unmarked_end(&decision, has_other_end);
         if has_asked_other {
             self.summary.record_failed_resume();
         }
@@ -129,6 +150,7 @@
             EndDecision::Proven(_)
             | EndDecision::Whole
             | EndDecision::Marked
+            | EndDecision::Confirmed
             | EndDecision::Announced => {
                 if has_asked_other {
                     self.state.stream_ends.record_resumed(&service, false);
@@ -170,7 +192,24 @@
         }
     }
 
-    fn record_unmarked_end(&mut self, decision: &EndDecision) {
+    /// Resumes a stream whose endpoint had announced that it leaves, before its end counts as whole without
+    /// a proof. Returns whether it does.
+    fn resume_announced(&mut self, cx: &Context<'_>, has_other_end: bool) -> bool {
+        let Source::Endpoint(answer) = &mut self.source else { return false };
+        if std::mem::replace(&mut answer.is_resumed_at_end, true) {
+            return false;
+        }
+        let endpoint = answer.attempt.placement.endpoint.clone();
+        let Some(resumption) = self.end_resumption(&endpoint, false) else { return false };
+        let check = stream_end::resume_announced(resumption, has_other_end);
+        if let Source::Endpoint(answer) = &mut self.source {
+            answer.end_check = Some(Box::pin(check));
+        }
+        cx.waker().wake_by_ref();
+        true
+    }
+
+    fn record_unmarked_end(&mut self, decision: &EndDecision, has_other_end: bool) {
         let Source::Endpoint(answer) = &self.source else { return };
         let ended_at = answer.ended_at.unwrap_or_default();
         if let Some(proof) = decision.proof() {
@@ -186,6 +225,8 @@
         let attempt = &answer.attempt;
         let Placement { endpoint, incarnation, .. } = &attempt.placement;
         let held = self.state.clock.now() - ended_at;
+        let leaves = attempt.leaves_at().map(|at| at.0 as i64 - ended_at.0 as i64);
+        let leaves = leaves.map(|left| left.to_string()).unwrap_or_default();
         let result = decision.name();
         self.state.metrics.unmarked_ends.with_label_values(&[result]).inc();
         event!(
@@ -199,8 +240,22 @@
             last_event = self.events.as_ref().and_then(EventTracker::last_id).unwrap_or_default(),
             held_ms = held,
             announced = attempt.has_announced_end(),
+            leaves_ms = leaves,
+            other_end = has_other_end,
             proof = decision.proof().unwrap_or_default(),
             result = result
         );
+        if matches!(decision, EndDecision::Announced) {
+            event!(
+                Warn,
+                "end_unproven",
+                id = self.call.head.attempt,
+                endpoint = endpoint,
+                born = incarnation.0,
+                framing = answer.framing.name(),
+                held_ms = held,
+                leaves_ms = leaves
+            );
+        }
     }
 }
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -8,7 +8,8 @@
 use parking_lot::Mutex;
 use sill_base::{Millis, Name};
 use sill_dispatch::{
-    EndChecks, EndInDoubt, EndKind, EndStep, EndVerdict, EndpointCheck, Proof, ResumeChecks, TICK,
+    EndChecks, EndInDoubt, EndKind, EndLog, EndStep, EndVerdict, EndpointCheck, Proof,
+    ResumeChecks, TICK,
 };
 use sill_net::h1::ReusableConnection;
 use sill_wire::Incarnation;
@@ -22,17 +23,25 @@
 use crate::resume::{NotResumed, ResumedEnd};
 use crate::state::State;
 
+/// Time for the resumption of a stream whose endpoint had announced that it leaves.
+const ANNOUNCED_RESUME_TIME: Millis = Millis(900);
+
 /// Time for a resumption whose answer is no longer needed to show that the endpoint runs.
 const RESUME_TIME: Millis = Millis(400);
 
 /// An endpoint, and the entry instance that carries the answer if it is one in a tunnel.
 type CheckedEndpoint = (Name, Incarnation, Option<SocketAddr>);
 
+/// An incarnation of an endpoint.
+type EndpointKey = (Name, Incarnation);
+
 /// Checks of endpoints at which answers have ended.
 #[derive(Debug)]
 pub struct StreamEnds {
     checks: Mutex<EndChecks<CheckedEndpoint>>,
     resumptions: Mutex<ResumeChecks>,
+    /// The ends that are known here, also those at other entry instances.
+    log: Mutex<EndLog<EndpointKey>>,
     has_changed: Notify,
 }
 
@@ -43,6 +52,8 @@
     pub to: Destination,
     /// The tunnel in which the answer arrived.
     pub via: Option<Via>,
+    /// The id of the call's attempt.
+    pub answer: Name,
     /// What has ended.
     pub kind: EndKind,
     /// When the endpoint was chosen.
@@ -61,6 +72,8 @@
     pub decision: EndDecision,
     /// Whether another endpoint was asked to go on, and did not.
     pub has_asked_other: bool,
+    /// Whether another answer of the endpoint ended at the same time.
+    pub has_other_end: bool,
 }
 
 // One exists per end, so its size doesn't matter.
@@ -75,7 +88,10 @@
     NoTime,
     /// It is whole: its end is marked, and its connection is still open.
     Marked,
-    /// It is whole: its endpoint completes its answers before it ends in order.
+    /// It is whole: its endpoint has announced after the end that it has ended in order.
+    Confirmed,
+    /// It counts as whole: its endpoint had announced that it leaves, and nothing shows another cause of
+    /// the end.
     Announced,
     /// Another endpoint has confirmed that nothing follows.
     Whole,
@@ -91,6 +107,7 @@
             Self::NotShown(check) => check.name(),
             Self::NoTime => "no_time",
             Self::Marked => "marked",
+            Self::Confirmed => "confirmed",
             Self::Announced => "announced",
             Self::Whole => "whole",
             Self::Continued(_) => "continued",
@@ -101,7 +118,7 @@
     pub const fn proof(&self) -> Option<&'static str> {
         match self {
             Self::Proven(Proof { kind, .. }) => Some(kind.name()),
-            Self::Marked | Self::Announced => Some(self.name()),
+            Self::Marked | Self::Confirmed | Self::Announced => Some(self.name()),
             Self::Whole => Some("resumed"),
             Self::NotShown(_) | Self::NoTime | Self::Continued(_) => None,
         }
@@ -125,7 +142,13 @@
 
 impl UnmarkedEnd {
     const fn of(decision: EndDecision) -> Self {
-        Self { decision, has_asked_other: false }
+        Self { decision, has_asked_other: false, has_other_end: false }
+    }
+}
+
+impl EndedAnswer {
+    fn key(&self) -> EndpointKey {
+        (self.to.endpoint.clone(), self.to.incarnation)
     }
 }
 
@@ -135,10 +158,21 @@
         Self {
             checks: Mutex::new(EndChecks::new(heartbeat, CHECK_TIME)),
             resumptions: Mutex::default(),
+            log: Mutex::default(),
             has_changed: Notify::new(),
         }
     }
 
+    /// Records that an answer of an endpoint ended with its connection.
+    pub fn record_end(&self, now: Millis, endpoint: EndpointKey, answer: &Name, ended_at: Millis) {
+        self.log.lock().record(now, endpoint, answer, ended_at);
+    }
+
+    /// Returns whether another answer of the endpoint is known to have ended at the same time.
+    pub fn has_other_end(&self, endpoint: &EndpointKey, answer: &Name, ended_at: Millis) -> bool {
+        self.log.lock().has_other(endpoint, answer, ended_at)
+    }
+
     /// Returns whether an end is checked by resuming its stream.
     pub fn may_resume(&self, service: &Name) -> bool {
         self.resumptions.lock().may_check(service)
@@ -209,6 +243,24 @@
         self.stream_ends.checks.lock().record(self.clock.now(), &key, began_at, check);
         self.stream_ends.has_changed.notify_waiters();
     }
+
+    /// Decides about an end from its endpoint alone.
+    async fn decide_end(self: Arc<Self>, ended: EndedAnswer) -> UnmarkedEnd {
+        let key = ended.key();
+        self.stream_ends.record_end(self.clock.now(), key, &ended.answer, ended.ended_at);
+        if ended.kind == EndKind::LeavingStream {
+            // Others learn of it at once, as they may have to decide about ends that came with it.
+            let (state, ended) = (self.clone(), ended.clone());
+            tokio::spawn(async move {
+                state.report_end(&ended.to, &ended.answer, ended.ended_at).await;
+            });
+        }
+        let mut end = UnmarkedEnd::of(self.clone().wait_until_proven(ended.clone()).await.into());
+        if end.decision.is_doubt() {
+            end.has_other_end = self.report_end(&ended.to, &ended.answer, ended.ended_at).await;
+        }
+        end
+    }
 }
 
 /// Decides about a marked end of a stream whose connection was to be kept. If it is closed with the
@@ -218,13 +270,11 @@
     ended: EndedAnswer,
     connection: ReusableConnection,
 ) -> UnmarkedEnd {
-    let decision = if connection.is_closed_within(REFUSAL_TIME).await {
-        state.wait_until_proven(ended).await.into()
-    } else {
-        connection.release();
-        EndDecision::Marked
-    };
-    UnmarkedEnd::of(decision)
+    if connection.is_closed_within(REFUSAL_TIME).await {
+        return state.decide_end(ended).await;
+    }
+    connection.release();
+    UnmarkedEnd::of(EndDecision::Marked)
 }
 
 /// Decides about the end of a plain answer from one connection to its endpoint.
@@ -241,6 +291,21 @@
     UnmarkedEnd::of(Some(EndVerdict::of(check, state.clock.now())).into())
 }
 
+/// Decides about the end of a stream that would count as whole without a proof, from its resumption.
+pub async fn resume_announced(
+    resumption: BoxFuture<'static, Result<ResumedEnd, NotResumed>>,
+    has_other_end: bool,
+) -> UnmarkedEnd {
+    let resumed = tokio::time::timeout(ANNOUNCED_RESUME_TIME.into(), resumption).await;
+    let (decision, has_asked_other) = match resumed {
+        Ok(Ok(ResumedEnd::Continued(answer))) => (EndDecision::Continued(answer), false),
+        Ok(Ok(ResumedEnd::Whole)) => (EndDecision::Whole, true),
+        Ok(Err(NotResumed::NotSent)) => (EndDecision::Announced, false),
+        Ok(_) | Err(_) => (EndDecision::Announced, true),
+    };
+    UnmarkedEnd { decision, has_asked_other, has_other_end }
+}
+
 /// Decides about an end from its endpoint, and from its resumption if there is one. Where that shows
 /// nothing in time, the endpoint decides.
 pub async fn decide(
@@ -248,8 +313,7 @@
     ended: EndedAnswer,
     resumption: Option<BoxFuture<'static, Result<ResumedEnd, NotResumed>>>,
 ) -> UnmarkedEnd {
-    let endpoint: BoxFuture<'static, UnmarkedEnd> =
-        Box::pin(async move { UnmarkedEnd::of(state.wait_until_proven(ended).await.into()) });
+    let endpoint: BoxFuture<'static, UnmarkedEnd> = Box::pin(state.decide_end(ended));
     let Some(resumption) = resumption else { return endpoint.await };
     let (end, resumed) = match future::select(endpoint, resumption).await {
         Either::Left((end, resumption)) if !end.decision.is_doubt() => {
@@ -263,12 +327,12 @@
         }
         Either::Right((resumed, _)) => (UnmarkedEnd::of(EndDecision::NoTime), resumed),
     };
-    let UnmarkedEnd { decision, .. } = end;
+    let UnmarkedEnd { decision, has_other_end, .. } = end;
     let (decision, has_asked_other) = match resumed {
         Ok(ResumedEnd::Continued(answer)) => (EndDecision::Continued(answer), false),
         Ok(ResumedEnd::Whole) => (EndDecision::Whole, true),
         Ok(ResumedEnd::Unclear) | Err(NotResumed::Sent) => (decision, true),
         Err(NotResumed::NotSent) => (decision, false),
     };
-    UnmarkedEnd { decision, has_asked_other }
+    UnmarkedEnd { decision, has_asked_other, has_other_end }
 }
--- a/protocol/wire/src/probe.rs
+++ b/protocol/wire/src/probe.rs
@@ -48,3 +48,30 @@
 
     const METHOD: &'static str = "probe_endpoint";
 }
+
+/// Tells an entry instance that an answer of an endpoint has ended with its connection, and asks
+/// whether others have ended with it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportEnd {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// The id of the call's attempt, which tells this answer from others.
+    pub answer: Name,
+    /// The time since the end.
+    pub age: Millis,
+}
+
+/// The reply to [`ReportEnd`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportEndReply {
+    /// Whether another answer of the endpoint is known to have ended at the same time.
+    pub has_other: bool,
+}
+
+impl Call for ReportEnd {
+    type Reply = ReportEndReply;
+
+    const METHOD: &'static str = "report_end";
+}
