Gateway: a last chunk that comes with Connection: close is no proof of the end

An endpoint that stops writes the last chunks of what it is sending, and closes. Such an end is judged like one without a mark; so is one on a connection that stays open, if another answer of the endpoint ended within 20 ms.

--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -62,25 +62,26 @@
     pub(super) fn start_end_check(&mut self) -> bool {
         let Source::Endpoint(answer) = &mut self.source else { return false };
         let (framing, is_stream) = (answer.framing, self.events.is_some());
-        let connection = match (framing, is_stream) {
-            (Framing::Close, _) => None,
+        let is_marked = match (framing, is_stream) {
+            (Framing::Close, _) => false,
             // A process that ends may mark the ends of what it is sending.
-            (Framing::Chunked, true) if answer.connection.is_some() => answer.connection.take(),
+            (Framing::Chunked, true) => true,
             _ => return false,
         };
+        let connection = answer.connection.take();
         let ended = answer.end(is_stream, self.is_held);
         if is_stream {
             // The endpoint has room for another call while the end is held.
             answer.attempt.finish(Outcome::Finished);
         }
         let state = self.state.clone();
-        let check: BoxFuture<'static, UnmarkedEnd> = match (connection, is_stream) {
-            (Some(connection), _) => Box::pin(stream_end::check_mark(state, ended, connection)),
-            (None, true) => {
+        let check: BoxFuture<'static, UnmarkedEnd> = match (is_marked, is_stream) {
+            (true, _) => Box::pin(stream_end::check_mark(state, ended, connection)),
+            (false, true) => {
                 let resumption = self.end_resumption(&ended.to.endpoint, true);
                 Box::pin(stream_end::decide(state, ended, resumption))
             }
-            (None, false) => Box::pin(stream_end::check_once(state, ended)),
+            (false, false) => Box::pin(stream_end::check_once(state, ended)),
         };
         if let Source::Endpoint(answer) = &mut self.source {
             answer.end_check = Some(check);
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -263,14 +263,21 @@
     }
 }
 
-/// Decides about a marked end of a stream whose connection was to be kept. If it is closed with the
-/// mark nevertheless, its endpoint may be ending, and has written the mark as it stopped.
+/// Decides about a marked end of a stream. `connection` is the one that was to be kept: if it is closed
+/// with the mark nevertheless, its endpoint may be ending, and has written the mark as it stopped. The
+/// same if other streams have ended at the same time.
 pub async fn check_mark(
     state: Arc<State>,
     ended: EndedAnswer,
-    connection: ReusableConnection,
+    connection: Option<ReusableConnection>,
 ) -> UnmarkedEnd {
-    if connection.is_closed_within(REFUSAL_TIME).await {
+    let Some(connection) = connection else {
+        return state.decide_end(ended).await;
+    };
+    let key = ended.key();
+    state.stream_ends.record_end(state.clock.now(), key.clone(), &ended.answer, ended.ended_at);
+    let is_closed = connection.is_closed_within(REFUSAL_TIME).await;
+    if is_closed || state.stream_ends.has_other_end(&key, &ended.answer, ended.ended_at) {
         return state.decide_end(ended).await;
     }
     connection.release();
