Gateway: plain answers are proven like streams, 20 ms after their end

Both asked one connection: that it opens was a proof, that it is reset a refutation. The rule for streams holds for both, with 20 ms in place of a heartbeat and 0.4 s to wait.

--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -75,13 +75,12 @@
             answer.attempt.finish(Outcome::Finished);
         }
         let state = self.state.clone();
-        let check: BoxFuture<'static, UnmarkedEnd> = match (is_marked, is_stream) {
-            (true, _) => Box::pin(stream_end::check_mark(state, ended, connection)),
-            (false, true) => {
+        let check: BoxFuture<'static, UnmarkedEnd> = match is_marked {
+            true => Box::pin(stream_end::check_mark(state, ended, connection)),
+            false => {
                 let resumption = self.end_resumption(&ended.to.endpoint, true);
                 Box::pin(stream_end::decide(state, ended, resumption))
             }
-            (false, false) => Box::pin(stream_end::check_once(state, ended)),
         };
         if let Source::Endpoint(answer) = &mut self.source {
             answer.end_check = Some(check);
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -284,20 +284,6 @@
     UnmarkedEnd::of(EndDecision::Marked)
 }
 
-/// Decides about the end of a plain answer from one connection to its endpoint.
-pub async fn check_once(state: Arc<State>, ended: EndedAnswer) -> UnmarkedEnd {
-    let mut check = match &ended.via {
-        Some(via) => state.check_process(&ended.to, Some(via)).await,
-        None => state.check_endpoint(&ended.to, REFUSAL_TIME).await,
-    };
-    if state.crashes.has_crashed_since(ended.placed_at, &ended.to.endpoint, ended.to.incarnation) {
-        check = EndpointCheck::Ended;
-    } else if check == EndpointCheck::Silent && ended.via.is_none() {
-        check = EndpointCheck::Running;
-    }
-    UnmarkedEnd::of(Some(EndVerdict::of(check, state.clock.now())).into())
-}
-
 /// Decides about the end of a stream that would count as whole without a proof, from its resumption.
 pub async fn resume_announced(
     resumption: BoxFuture<'static, Result<ResumedEnd, NotResumed>>,
