--- a/coordination/dispatch/src/stream_end.rs
+++ b/coordination/dispatch/src/stream_end.rs
@@ -165,16 +165,6 @@
     }
 }
 
-impl EndVerdict {
-    /// Returns the result of a check that decides at once.
-    pub const fn of(check: EndpointCheck, at: Millis) -> Self {
-        match check {
-            EndpointCheck::Running => Self::Proven(Proof { kind: ProofKind::Replied, at }),
-            _ => Self::NotShown(check),
-        }
-    }
-}
-
 impl EndInDoubt {
     fn bounds(&self, heartbeat: Millis, check_time: Millis) -> Bounds {
         let (span, settle, wait) = match self.kind {
@@ -223,7 +213,7 @@
         if !bounds.has_time {
             return EndStep::NoTime;
         }
-        if let Some(at) = checks.next_check(now, &end, bounds, self.check_time)
+        if let Some(at) = checks.next_check(now, &end, bounds, self.check_time, signs)
             && now < at
         {
             return EndStep::Wait(at);
@@ -285,10 +275,13 @@
         end: &EndInDoubt,
         bounds: Bounds,
         check_time: Millis,
+        signs: EndpointSigns,
     ) -> Option<Millis> {
         let Bounds { proven_from, last_check_at, interval, .. } = bounds;
-        // An early check can only refute, which isn't worth it for a caller that waits for the end.
-        let first = (end.kind == EndKind::Plain).then_some(proven_from);
+        // An early check can only refute. That isn't worth it for a caller that waits for the end, or if
+        // the endpoint is heard.
+        let is_heard = signs.heard_at > Some(end.at);
+        let first = (end.kind == EndKind::Plain || is_heard).then_some(proven_from);
         let Some(began_at) = self.began_at else { return first };
         if self.running > 0 {
             let can_wait = began_at >= proven_from || began_at + check_time <= last_check_at;
@@ -299,6 +292,7 @@
         }
         match began_at {
             at if at < end.at => first,
+            at if at < proven_from && is_heard => Some(proven_from),
             at if at < proven_from => Some(proven_from.min(at + interval)),
             at => Some(at + interval),
         }
