Gateway: a stream in a tunnel is whole only if its carrier runs later than its end

An entry instance that carries a stream and is killed closes the tunnel in order, like an endpoint that has sent all. Any instance that reached the endpoint then showed that it ran, and the short stream was ended as complete; the same if the endpoint had announced that it leaves. The check didn't even know of the tunnel: the end of the exchange forgot it before it was read.

The carrier is now told of the end (`report_end`), up to four times; its reply shows that its process runs. A process that is killed runs nothing once its first connection has closed, so a reply at any time after the end is enough. Marks come from the endpoint itself, and need no carrier.

Whole streams are complete while their carrier runs, stops in order or knows the endpoint as gone.

--- a/daemons/gateway/src/endpoint_check.rs
+++ b/daemons/gateway/src/endpoint_check.rs
@@ -16,6 +16,7 @@
 
 use crate::egress::{Destination, Via};
 use crate::state::State;
+use crate::stream_end::EndedAnswer;
 
 /// Number of other entry instances that are asked.
 const ASKED: usize = 3;
@@ -32,6 +33,10 @@
 /// Time that [`State::check_process`] takes at most.
 pub const CHECK_TIME: Millis = Millis(REPLY_TIME.0 + CALL_TIME.0);
 
+/// Number of calls to the instance that carried an answer, until one is answered. It may have closed an idle
+/// connection, or be busy.
+const CARRIER_CALLS: usize = 4;
+
 /// The address of an endpoint that is not known.
 const NO_ADDRESS: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
 
@@ -65,6 +70,29 @@
         self.decide_check(to, via, own, asked, &replies).await
     }
 
+    /// Returns whether the process that has carried an answer runs later than its end. One that is killed
+    /// closes its tunnels like endpoints that have sent all.
+    pub async fn is_carrier_running(&self, ended: &EndedAnswer) -> bool {
+        let Some(via) = &ended.via else { return true };
+        let client = self.streams.client(via.address);
+        let call = self.end_report(&ended.to, &ended.answer, ended.ended_at);
+        for _ in 0..CARRIER_CALLS {
+            match tokio::time::timeout(CALL_TIME.into(), client.call(&call)).await {
+                Ok(Ok(_) | Err(PeerError::Refused(_))) => return true,
+                Ok(Err(PeerError::Unreachable(_))) => tokio::time::sleep(TICK.into()).await,
+                Err(_) => {}
+            }
+        }
+        event!(
+            Info,
+            "carrier_not_shown",
+            endpoint = ended.to.endpoint,
+            id = ended.answer,
+            via = via.entry
+        );
+        false
+    }
+
     async fn decide_check(
         &self,
         to: &Destination,
@@ -157,15 +185,19 @@
         let key = (to.endpoint.clone(), to.incarnation);
         self.stream_ends.record_end(self.clock.now(), key.clone(), answer, ended_at);
         let (clients, _) = self.others(&to.endpoint, None);
-        let call = ReportEnd {
+        let call = self.end_report(to, answer, ended_at);
+        let replies = answered_in_time(clients.iter().map(|client| client.call(&call))).await;
+        replies.iter().any(|reply| reply.has_other)
+            || self.stream_ends.has_other_end(&key, answer, ended_at)
+    }
+
+    fn end_report(&self, to: &Destination, answer: &Name, ended_at: Millis) -> ReportEnd {
+        ReportEnd {
             endpoint: to.endpoint.clone(),
             incarnation: to.incarnation,
             answer: answer.clone(),
             age: self.clock.now() - ended_at,
-        };
-        let replies = answered_in_time(clients.iter().map(|client| client.call(&call))).await;
-        replies.iter().any(|reply| reply.has_other)
-            || self.stream_ends.has_other_end(&key, answer, ended_at)
+        }
     }
 
     /// Returns whether no endpoint is reached, once other connections had the time to fail as well.
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -22,11 +22,12 @@
     fn end(&mut self, is_stream: bool, is_held: bool) -> EndedAnswer {
         let ended_at = self.attempt.state().clock.now();
         self.ended_at = Some(ended_at);
+        let via = self.attempt.via().cloned();
         // The endpoint isn't silent while the end is held.
         self.attempt.end_exchange();
         EndedAnswer {
             to: Destination::from(&self.attempt.placement),
-            via: self.attempt.via().cloned(),
+            via,
             answer: self.attempt.call().head.attempt.clone(),
             kind: match (is_stream, self.attempt.has_announced_end()) {
                 (true, true) => EndKind::LeavingStream,
@@ -130,6 +131,7 @@
     ) -> Poll<Option<Result<Bytes, BodyError>>> {
         let UnmarkedEnd { mut decision, has_asked_other, has_other_end } = end;
         if decision.is_doubt()
+            && !matches!(decision, EndDecision::CarrierNotShown)
             && let Source::Endpoint(answer) = &self.source
             && let Some(announced) = answer.announced_end(has_other_end)
         {
@@ -167,7 +169,7 @@
                 self.end_truncated(cx, &reason, reason.into());
                 Poll::Pending
             }
-            EndDecision::NoTime => {
+            EndDecision::CarrierNotShown | EndDecision::NoTime => {
                 if has_asked_other {
                     self.progress.record(AttemptOutcome::Unknown);
                 }
@@ -175,7 +177,12 @@
                 if let Source::Endpoint(answer) = &mut self.source {
                     answer.attempt.end_answer(AnswerEnd::Abandoned);
                 }
-                let reason = "the end of its answer had no mark and could not be checked in time";
+                let reason = match decision {
+                    EndDecision::CarrierNotShown => {
+                        "the instance that carried its answer was not shown to run"
+                    }
+                    _ => "the end of its answer had no mark and could not be checked in time",
+                };
                 self.end_truncated(cx, &reason, reason.into());
                 Poll::Pending
             }
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -84,6 +84,8 @@
     Proven(Proof),
     /// The endpoint was not shown to run on.
     NotShown(EndpointCheck),
+    /// The instance that carried it in a tunnel was not shown to run on.
+    CarrierNotShown,
     /// The call or the process ends before anything can be shown.
     NoTime,
     /// It is whole: its end is marked, and its connection is still open.
@@ -105,6 +107,7 @@
         match self {
             Self::Proven(_) => EndpointCheck::Running.name(),
             Self::NotShown(check) => check.name(),
+            Self::CarrierNotShown => "carrier_not_shown",
             Self::NoTime => "no_time",
             Self::Marked => "marked",
             Self::Confirmed => "confirmed",
@@ -120,13 +123,13 @@
             Self::Proven(Proof { kind, .. }) => Some(kind.name()),
             Self::Marked | Self::Confirmed | Self::Announced => Some(self.name()),
             Self::Whole => Some("resumed"),
-            Self::NotShown(_) | Self::NoTime | Self::Continued(_) => None,
+            Self::NotShown(_) | Self::CarrierNotShown | Self::NoTime | Self::Continued(_) => None,
         }
     }
 
     /// Returns whether nothing shows that the answer is whole.
     pub const fn is_doubt(&self) -> bool {
-        matches!(self, Self::NotShown(_) | Self::NoTime)
+        matches!(self, Self::NotShown(_) | Self::CarrierNotShown | Self::NoTime)
     }
 }
 
@@ -261,6 +264,18 @@
         }
         end
     }
+
+    /// Decides about an end without a mark from its endpoint, and from the instance that carried it. What
+    /// the endpoint has announced shows nothing of that one.
+    async fn decide_unmarked(self: Arc<Self>, ended: EndedAnswer) -> UnmarkedEnd {
+        let endpoint = self.clone().decide_end(ended.clone());
+        let (end, is_carrier_running) =
+            future::join(endpoint, self.is_carrier_running(&ended)).await;
+        match is_carrier_running {
+            true => end,
+            false => UnmarkedEnd::of(EndDecision::CarrierNotShown),
+        }
+    }
 }
 
 /// Decides about a marked end of a stream. `connection` is the one that was to be kept: if it is closed
@@ -306,7 +321,7 @@
     ended: EndedAnswer,
     resumption: Option<BoxFuture<'static, Result<ResumedEnd, NotResumed>>>,
 ) -> UnmarkedEnd {
-    let endpoint: BoxFuture<'static, UnmarkedEnd> = Box::pin(state.decide_end(ended));
+    let endpoint: BoxFuture<'static, UnmarkedEnd> = Box::pin(state.decide_unmarked(ended));
     let Some(resumption) = resumption else { return endpoint.await };
     let (end, resumed) = match future::select(endpoint, resumption).await {
         Either::Left((end, resumption)) if !end.decision.is_doubt() => {
