Gateway: a marked resumption without events confirms a stream only if its endpoint runs on

A stream that may be resumed is asked about at another endpoint. An empty answer in chunks with the last one counted as the confirmation that nothing follows, also if that endpoint ended at this moment and marked what it was sending: a short stream was then ended as complete, whatever was known of the first endpoint.

The end of the resumption is now checked like any marked end of a stream: its connection has to stay open, or its endpoint to run later than it. Without that the resumption shows nothing.

--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -7,7 +7,7 @@
 use sill_base::{Name, event};
 use sill_dispatch::end_log::may_be_gone;
 use sill_dispatch::{AttemptOutcome, EndKind, EventTracker, NextStep, Placement};
-use sill_net::h1::{BodyError, Framing};
+use sill_net::h1::{BodyError, Framing, ReusableConnection};
 use sill_rollout::AnswerEnd;
 use sill_route::Outcome;
 
@@ -41,6 +41,20 @@
         }
     }
 
+    /// Finds out whether the marked end of a resumption is the one that its endpoint meant: a process that
+    /// ends may mark the ends of what it is sending.
+    pub fn check_marked_end(&mut self) -> BoxFuture<'static, bool> {
+        let connection = self.connection.take();
+        if self.framing != Framing::Chunked {
+            connection.into_iter().for_each(ReusableConnection::release);
+            return Box::pin(future::ready(true));
+        }
+        let (state, ended) = (self.attempt.state().clone(), self.end(true, false));
+        Box::pin(async move {
+            !stream_end::check_mark(state, ended, connection).await.decision.is_doubt()
+        })
+    }
+
     /// Returns the decision about an end that nothing proves, if the endpoint had announced that it leaves: it
     /// completes its answers, unless it is gone by then or other answers ended at the same time.
     fn announced_end(&self, has_other_end: bool) -> Option<EndDecision> {
--- a/daemons/gateway/src/resume.rs
+++ b/daemons/gateway/src/resume.rs
@@ -7,7 +7,7 @@
 use sill_base::{Name, event};
 use sill_dispatch::events::may_follow;
 use sill_dispatch::{AttemptOutcome, CallProgress, EventTracker};
-use sill_net::h1::{Framing, ReusableConnection};
+use sill_net::h1::Framing;
 use sill_route::Outcome;
 use sill_wire::Software;
 
@@ -120,6 +120,8 @@
         return Ok(ResumedEnd::Unclear);
     }
     answer.attempt.finish(Outcome::Finished);
-    answer.connection.take().into_iter().for_each(ReusableConnection::release);
-    Ok(ResumedEnd::Whole)
+    match answer.check_marked_end().await {
+        true => Ok(ResumedEnd::Whole),
+        false => Ok(ResumedEnd::Unclear),
+    }
 }
