Gateway: a second attempt completes a stream only if its endpoint runs later than its end

While the path to an endpoint is lost, another one is asked to continue the stream. An empty answer in chunks with the last one completed the stream at once, also if that endpoint ended at this moment and marked what it was sending; and the connection to the first endpoint was given up for it. Its end is now checked first, and the first connection is read on meanwhile.

resumption_ends.rs: the case fails without the check.

--- a/daemons/gateway/src/hedge.rs
+++ b/daemons/gateway/src/hedge.rs
@@ -4,7 +4,7 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::{Bytes, BytesMut};
-use futures_util::future;
+use futures_util::future::{self, BoxFuture};
 use http_body::Body;
 use sill_dispatch::EventTracker;
 use sill_net::h1::Framing;
@@ -20,6 +20,8 @@
     events: EventTracker,
     /// Comments that precede the first of them.
     comments: BytesMut,
+    /// Resolves to whether the stream is whole, once the answer has ended without another event.
+    end_check: Option<BoxFuture<'static, bool>>,
 }
 
 // At most one exists per call, so its size doesn't matter.
@@ -43,7 +45,7 @@
 impl Hedge {
     /// Creates an attempt; `events` tracks what would follow.
     pub fn new(resuming: Resuming<EndpointAnswer>, events: EventTracker) -> Self {
-        Self { stage: Stage::Asked(resuming), events, comments: BytesMut::new() }
+        Self { stage: Stage::Asked(resuming), events, comments: BytesMut::new(), end_check: None }
     }
 
     /// Waits for the first event.
@@ -59,12 +61,19 @@
                 },
                 Stage::Answering(answer) => answer,
             };
+            if let Some(check) = &mut self.end_check {
+                return Poll::Ready(match ready!(check.as_mut().poll(cx)) {
+                    true => HedgeEnd::Whole,
+                    false => HedgeEnd::Failed(NotResumed::Sent),
+                });
+            }
             let frame = ready!(Pin::new(&mut answer.body).poll_frame(cx));
             let is_whole = answer.framing != Framing::Close
                 && self.events.is_between_events()
                 && self.events.last_id().is_some();
             if frame.is_none() && is_whole {
-                return Poll::Ready(HedgeEnd::Whole);
+                self.end_check = Some(answer.check_marked_end());
+                continue;
             }
             let Some(Ok(frame)) = frame else {
                 answer.attempt.finish(Outcome::Failed);
--- a/daemons/gateway/tests/resumption_ends.rs
+++ b/daemons/gateway/tests/resumption_ends.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
+use sill_wire::link::RelayOffer;
 use support::{Action, CallerResponse, Harness, exchange, head, request};
 
 const EVENT_STREAM: &str = "content-type: text/event-stream\r\n";
@@ -76,3 +77,38 @@
         assert_eq!(got.is_complete, is_complete, "{name}");
     }
 }
+
+/// The same for a stream whose path is lost, which another endpoint is asked to continue meanwhile.
+#[test]
+fn a_second_attempt_that_ends_with_its_endpoint_completes_no_stream() {
+    struct Case {
+        name: &'static str,
+        other: Action,
+        is_complete: bool,
+    }
+    let cases = [
+        Case {
+            name: "the other endpoint ends as well",
+            other: Action::AnswerAndEnd(empty_in_chunks()),
+            is_complete: false,
+        },
+        Case { name: "it runs on", other: Action::Answer(empty_in_chunks()), is_complete: true },
+    ];
+    for Case { name, other, is_complete } in cases {
+        let helper = Harness::start(vec![Vec::new()]);
+        let first = Action::AnswerAndFallSilent(format!("{}{FIRST}", head(EVENT_STREAM)));
+        let harness = Harness::start_with_hidden(vec![vec![first], vec![other]]);
+        *harness.relays.lock() = vec![RelayOffer {
+            entry: helper.name.clone(),
+            domain: "a".into(),
+            address: helper.peer_address,
+        }];
+        harness.wait_until_facts_applied();
+        let got = call_and(&harness, "/resumable_stream/x", "sill-deadline-ms: 6000\r\n", || {
+            harness.announce_last();
+        });
+        assert_eq!((got.status, text(&got).as_str()), (200, FIRST), "{name}");
+        assert_eq!(harness.endpoints[1].requests(), 1, "{name}");
+        assert_eq!(got.is_complete, is_complete, "{name}");
+    }
+}
