Gateway: a run that is being stopped for its migration is not complete because its end is marked

An engine stops a run, ends its stream with a last chunk, and then replies with the handle of the copy. If the end came before the reply, the stream was ended as complete: only ends without a mark were held against a stop. The end now waits for the engine's reply, which shows whether the run was stopped or had finished before.

resumption_ends.rs: the case fails without the wait. A run that had finished before is whole.

--- a/daemons/gateway/src/migration.rs
+++ b/daemons/gateway/src/migration.rs
@@ -95,6 +95,11 @@
         matches!(self.transfer, Some(MemoryTransfer::Copied(_)))
     }
 
+    /// Returns whether the engine was asked to stop the run and has not replied yet.
+    pub fn is_stopping_run(&self) -> bool {
+        matches!(self.transfer, Some(MemoryTransfer::Copying(_))) && self.has_stopped_run()
+    }
+
     /// Returns whether the engine was asked to stop the run, so its stream may end anywhere.
     pub fn has_stopped_run(&self) -> bool {
         self.stop_requested.load(Ordering::Relaxed)
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -409,6 +409,9 @@
                     self.end_truncated(cx, &reason, err.into());
                     return Poll::Pending;
                 }
+                // The engine's reply shows whether the run had finished before. Until then its stream may
+                // end anywhere, also with a mark.
+                None if self.migration.is_stopping_run() => return Poll::Pending,
                 // The engine has stopped the run, so its stream is incomplete even if it ended
                 // cleanly.
                 None if self.migration.is_copied() => {
--- a/daemons/gateway/tests/resumption_ends.rs
+++ b/daemons/gateway/tests/resumption_ends.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
+use sill_base::Millis;
 use sill_wire::link::RelayOffer;
 use support::{Action, CallerResponse, Harness, exchange, head, request};
 
@@ -15,6 +16,11 @@
 const CHUNKED: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
 
 const FIRST: &str = "id: 1\ndata: a\n\n";
+const WHOLE: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
 
 /// An answer in chunks with the last one and no event.
 fn empty_in_chunks() -> String {
@@ -112,3 +118,41 @@
         assert_eq!(got.is_complete, is_complete, "{name}");
     }
 }
+
+/// An engine stops a run to migrate it, and marks the end of its stream before its reply arrives. The
+/// caller must get the rest from the other engine, and nothing else if the run had finished before.
+#[test]
+fn a_run_that_was_stopped_is_not_complete_although_its_end_is_marked() {
+    struct Case {
+        name: &'static str,
+        reply: &'static str,
+        body: &'static str,
+    }
+    const COPIED: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh1";
+    const UNKNOWN: &str = "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+    let cases = [
+        Case { name: "stopped", reply: COPIED, body: WHOLE },
+        Case { name: "finished before", reply: UNKNOWN, body: FIRST },
+    ];
+    for Case { name, reply, body } in cases {
+        let begun = format!("{}{}", head(CHUNKED), chunk(FIRST));
+        let (stopped, end) = (Arc::<AtomicBool>::default(), "0\r\n\r\n".to_owned());
+        let old_engine = vec![
+            Action::AnswerInTwoAndRefuseOthersWhen(begun, stopped.clone(), Duration::ZERO, end),
+            Action::Answer(COPIED.to_owned()),
+            Action::AnswerLater(reply.to_owned(), Duration::from_millis(300)),
+        ];
+        let rest = format!("{}{}0\r\n\r\n", head(CHUNKED), chunk("id: 2\ndata: b\n\n"));
+        let harness = Harness::start_with_hidden(vec![old_engine, vec![Action::Answer(rest)]]);
+        let got = call_and(&harness, "/stream/x", "", || {
+            harness.announce_departure_and_last(Millis(1300));
+            // The second copy stops the run.
+            while harness.endpoints[0].requests() < 3 {
+                thread::sleep(Duration::from_millis(2));
+            }
+            stopped.store(true, Ordering::Relaxed);
+        });
+        assert!(got.status == 200 && got.is_complete, "{name}: {}", got.head);
+        assert_eq!(text(&got), body, "{name}");
+    }
+}
