Gateway: tests of ends that prove nothing

An endpoint ends between two events and closes its connections in order; what its host shows afterwards, what it had announced, the marks that it writes as it stops and ends at the same time at other entry instances must not make a part look whole. A sound endpoint that resets new connections, closes with its marks or leaves in order must keep its whole answers.

--- a/daemons/gateway/tests/support/lines.rs
+++ b/daemons/gateway/tests/support/lines.rs
@@ -1,18 +1,30 @@
 //! Captures the log lines of the test process.
 
-use log::{LevelFilter, Log, Metadata, Record};
+use log::{Level, LevelFilter, Log, Metadata, Record};
 use parking_lot::Mutex;
 
 static LINES: Lines = Lines(Mutex::new(Vec::new()));
+static WARNINGS: Lines = Lines(Mutex::new(Vec::new()));
 
 struct Lines(Mutex<Vec<String>>);
 
+impl Lines {
+    fn of_call(&self, id: &str) -> Vec<String> {
+        let pair = format!("id={id}");
+        let has_id = |line: &&String| line.split(' ').any(|word| word == pair);
+        self.0.lock().iter().filter(has_id).cloned().collect()
+    }
+}
+
 impl Log for Lines {
     fn enabled(&self, _: &Metadata<'_>) -> bool {
         true
     }
 
     fn log(&self, record: &Record<'_>) {
+        if record.level() == Level::Warn {
+            WARNINGS.0.lock().push(record.args().to_string());
+        }
         self.0.lock().push(record.args().to_string());
     }
 
@@ -28,9 +40,12 @@
 
 /// Returns the lines with the id of a call.
 pub fn of_call(id: &str) -> Vec<String> {
-    let pair = format!("id={id}");
-    let has_id = |line: &&String| line.split(' ').any(|word| word == pair);
-    LINES.0.lock().iter().filter(has_id).cloned().collect()
+    LINES.of_call(id)
+}
+
+/// Returns the warnings with the id of a call.
+pub fn warnings_of_call(id: &str) -> Vec<String> {
+    WARNINGS.of_call(id)
 }
 
 /// Returns the number of lines that contain a pair.
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -82,6 +82,9 @@
     /// Sends the first bytes; once the flag is set, repeats the others until the other side closes the
     /// connection, at some 32 MB/s.
     AnswerWithoutEnd(String, Arc<AtomicBool>, String),
+    /// Sends the first bytes; repeats the second ones every 50 ms until the flag is set, sends the last
+    /// ones and keeps the connection.
+    AnswerSteadily(String, String, Arc<AtomicBool>, String),
     /// Sends these bytes once the flag is set, and keeps the connection.
     AnswerWhen(String, Arc<AtomicBool>),
     /// Sends these bytes and resets the connection.
@@ -130,6 +133,22 @@
     pub run_ids: Arc<Mutex<Vec<String>>>,
     /// Number of connections that the other side closed while the endpoint hung.
     pub disconnects: Arc<Mutex<usize>>,
+    listener: TcpListener,
+    ending: Arc<Ending>,
+    /// Connections that fill the queue of its listener.
+    queued: Mutex<Vec<TcpStream>>,
+}
+
+/// What becomes of new connections to an endpoint.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum NewConnections {
+    /// They are served.
+    #[default]
+    Served,
+    /// They are reset.
+    Reset,
+    /// They are not accepted.
+    Queued,
 }
 
 /// An entry instance with its endpoints and control instance.
@@ -189,18 +208,21 @@
         match failure {
             ConnectFailure::Refused => Self { address, _listener: None, _queued: Vec::new() },
             ConnectFailure::Hanging => {
-                // A full queue of connections that nobody accepts.
-                let socket = socket2::SockRef::from(&listener);
-                socket.listen(0).expect("the queue can be shortened");
-                let connect =
-                    || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
-                let queued = std::iter::from_fn(connect).take(16).collect();
+                let queued = fill_queue(&listener, address);
                 Self { address, _listener: Some(listener), _queued: queued }
             }
         }
     }
 }
 
+/// Fills the queue of a listener with connections that nobody accepts.
+fn fill_queue(listener: &TcpListener, address: SocketAddr) -> Vec<TcpStream> {
+    let socket = socket2::SockRef::from(listener);
+    socket.listen(0).expect("the queue can be shortened");
+    let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
+    std::iter::from_fn(connect).take(16).collect()
+}
+
 /// An answer as received by a caller.
 #[derive(Debug)]
 pub struct CallerResponse {
@@ -243,6 +265,7 @@
     has_ended: AtomicBool,
     /// The time after which a proxy in front of it closes connections, once it has ended.
     proxy_delay: Mutex<Option<Duration>>,
+    new_connections: Mutex<NewConnections>,
     connections: Mutex<Vec<TcpStream>>,
 }
 
@@ -267,19 +290,34 @@
         let address = listener.local_addr().expect("a bound listener has an address");
         let actions = Arc::new(Mutex::new(VecDeque::from(actions)));
         let (request_log, run_ids, disconnects) = (Arc::default(), Arc::default(), Arc::default());
+        let ending = Arc::<Ending>::default();
         let endpoint = Self {
+            listener: listener.try_clone().expect("the socket can be cloned"),
+            ending: ending.clone(),
+            queued: Mutex::default(),
             address,
             request_log: Arc::clone(&request_log),
             run_ids: Arc::clone(&run_ids),
             disconnects: Arc::clone(&disconnects),
         };
-        let ending = Arc::<Ending>::default();
         thread::spawn(move || {
             for (number, stream) in listener.incoming().enumerate() {
                 let ending = ending.clone();
                 let (actions, request_log) = (actions.clone(), request_log.clone());
                 let (run_ids, disconnects) = (run_ids.clone(), disconnects.clone());
                 let Ok(stream) = stream else { return };
+                let new_connections = *ending.new_connections.lock();
+                match new_connections {
+                    NewConnections::Served => {}
+                    NewConnections::Reset => {
+                        let socket = socket2::SockRef::from(&stream);
+                        socket.set_linger(Some(Duration::ZERO)).expect("the option can be set");
+                        continue;
+                    }
+                    NewConnections::Queued => loop {
+                        thread::park();
+                    },
+                }
                 let other = stream.try_clone().expect("the socket can be cloned");
                 ending.connections.lock().push(other);
                 let listener = listener.try_clone().expect("the socket can be cloned");
@@ -303,6 +341,23 @@
     pub fn requests(&self) -> usize {
         self.request_log.lock().len()
     }
+
+    /// Has it do nothing any more: requests on open and on new connections stay unanswered.
+    pub fn fall_silent(&self) {
+        self.ending.has_ended.store(true, Ordering::Relaxed);
+    }
+
+    /// Has it do nothing any more, and accept no connections: its queue of connections is full.
+    pub fn fill_queue(&self) {
+        self.fall_silent();
+        *self.ending.new_connections.lock() = NewConnections::Queued;
+        *self.queued.lock() = fill_queue(&self.listener, self.address);
+    }
+
+    /// Has it reset new connections, like an endpoint that is full. Those that are open are served.
+    pub fn reset_new_connections(&self) {
+        *self.ending.new_connections.lock() = NewConnections::Reset;
+    }
 }
 
 fn serve(
@@ -413,9 +468,17 @@
                 *disconnects.lock() += 1;
                 return;
             }
+            Action::AnswerSteadily(first, part, may_end, end) => {
+                let _ = stream.write_all(first.replace("{id}", &id).as_bytes());
+                while !may_end.load(Ordering::Relaxed) {
+                    let _ = stream.write_all(part.as_bytes());
+                    thread::sleep(Duration::from_millis(50));
+                }
+                let _ = stream.write_all(end.as_bytes());
+            }
             Action::AnswerWhen(text, may_answer) => {
                 while !may_answer.load(Ordering::Relaxed) {
-                    thread::sleep(Duration::from_millis(10));
+                    thread::sleep(Duration::from_millis(1));
                 }
                 stream
                     .write_all(text.replace("{id}", &id).as_bytes())
