Dispatch: an endpoint that deregisters before its streams end doesn't confirm them

Found by review. An endpoint that leaves sends its deregistration and exits a few milliseconds later, with streams still running: their ends came within the margin of 50 ms after the announcement, counted as confirmed by it, and reached callers short and framed as complete, without a line that says so. The age of an announcement is never too small, so no margin is needed: only one that comes after the end confirms it; the others are judged like any announcement before. The third case of the table (announced 10 ms before the end) is confirmed with the margin.

--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -60,10 +60,6 @@
     pub seed: u64,
 }
 
-/// How much earlier than the last answer of an endpoint its end, which it announces after that, may seem to
-/// be. An entry instance reads the end of an answer late.
-const END_ORDER_MARGIN: Millis = Millis(50);
-
 /// A request to choose an endpoint for one attempt of a call.
 #[derive(Debug, Clone)]
 pub struct PlacementRequest {
@@ -802,7 +798,7 @@
     /// Returns whether the endpoint of a call has announced its end after its answer ended at `ended_at`.
     pub fn has_confirmed_end(&self, place: &Placement, ended_at: Millis) -> bool {
         let gone_at = self.endpoints.get(&place.endpoint).and_then(|entry| entry.gone_at);
-        self.has_announced_end(place) && gone_at.is_some_and(|at| at + END_ORDER_MARGIN > ended_at)
+        self.has_announced_end(place) && gone_at.is_some_and(|at| at >= ended_at)
     }
 
     /// Returns whether an endpoint takes a request that it doesn't run. Those that have asked for a pause or
--- a/coordination/dispatch/tests/pool.rs
+++ b/coordination/dispatch/tests/pool.rs
@@ -387,3 +387,33 @@
         assert!(!pool.has_announced_end(&placed), "a later incarnation, {name}");
     }
 }
+
+/// Streams that an endpoint cuts as it exits right after its announcement would pass as whole.
+#[test]
+fn only_an_announcement_after_the_end_confirms_it() {
+    use EndpointState::{Gone, Leaving, Ready};
+    struct Case {
+        states: &'static [(EndpointState, u64)],
+        ended_at: u64,
+        is_confirmed: bool,
+    }
+    let case = |states, ended_at, is_confirmed| Case { states, ended_at, is_confirmed };
+    let cases = [
+        case(&[(Ready, 1000), (Leaving, 1500)], 2000, false),
+        case(&[(Ready, 1000), (Leaving, 1500), (Gone, 2100)], 2000, true),
+        case(&[(Ready, 1000), (Leaving, 1500), (Gone, 1990)], 2000, false),
+        // Only the first announcement counts.
+        case(&[(Ready, 1000), (Gone, 1500), (Gone, 2100)], 2000, false),
+    ];
+    for Case { states, ended_at, is_confirmed } in cases {
+        let mut pool = pool();
+        let mut placed = None;
+        for (sequence, (state, at)) in (1..).zip(states) {
+            pool.update_endpoint(Millis(*at), &heartbeat(5, sequence, *state));
+            placed = placed.or_else(|| place(&mut pool, Millis(*at), "r1"));
+        }
+        let placed = placed.expect("the endpoint was ready");
+        let got = pool.has_confirmed_end(&placed, Millis(ended_at));
+        assert_eq!(got, is_confirmed, "{states:?}");
+    }
+}
