Dispatch: the newest ends at an endpoint are kept, not the oldest

Found by review, not seen by callers. 256 ends of an endpoint are kept for 4 s; where more answers ended, those of its crash were dropped, so streams that ended together were not known to have. The test has 1,000 ends before a crash.

--- a/coordination/dispatch/src/end_log.rs
+++ b/coordination/dispatch/src/end_log.rs
@@ -4,6 +4,7 @@
 //! An endpoint that ends in order completes its answers one after the other. If it ends otherwise, all
 //! its connections close at once, whatever it has announced.
 
+use std::collections::VecDeque;
 use std::hash::Hash;
 
 use sill_base::{Map, Millis, Name};
@@ -18,13 +19,13 @@
 /// How long ends are kept.
 const KEPT: Millis = Millis(4000);
 
-/// Upper bound on the ends that are kept of one endpoint.
+/// Upper bound on the ends that are kept of one endpoint, the newest ones.
 const MAX_ENDS: usize = 256;
 
 /// Ends of answers whose connections closed with them, by endpoint.
 #[derive(Debug)]
 pub struct EndLog<K> {
-    by_endpoint: Map<K, Vec<(Name, Millis)>>,
+    by_endpoint: Map<K, VecDeque<(Name, Millis)>>,
 }
 
 impl<K> Default for EndLog<K> {
@@ -44,9 +45,13 @@
             !ends.is_empty()
         });
         let ends = self.by_endpoint.entry(endpoint).or_default();
-        if ends.len() < MAX_ENDS && ends.iter().all(|(other, _)| other != answer) {
-            ends.push((answer.clone(), at));
+        if ends.iter().any(|(other, _)| other == answer) {
+            return;
         }
+        if ends.len() == MAX_ENDS {
+            ends.pop_front();
+        }
+        ends.push_back((answer.clone(), at));
     }
 
     /// Returns whether another answer of the endpoint ended together with one that ended at `at`.
--- a/coordination/dispatch/tests/stream_end.rs
+++ b/coordination/dispatch/tests/stream_end.rs
@@ -355,6 +355,19 @@
     }
 }
 
+/// The ends of a crash would not be known where many answers have ended before.
+#[test]
+fn the_newest_ends_are_kept() {
+    let mut log = EndLog::default();
+    let answer = |number: u64| Name::from(format!("a{number}"));
+    for number in 0..1000 {
+        log.record(Millis(2000), "e1", &answer(number), Millis(1000 + number));
+    }
+    log.record(Millis(2500), "e1", &answer(2001), Millis(2500));
+    log.record(Millis(2500), "e1", &answer(2002), Millis(2500));
+    assert!(log.has_other(&"e1", &answer(2001), Millis(2500)));
+}
+
 /// An endpoint that is taken away at the time that it has announced cuts what it runs then.
 #[test]
 fn an_endpoint_may_be_gone_from_the_time_that_it_has_announced() {
