Gateway, dispatch: a sign of an endpoint comes from its process, and from that time

Only a reply that endpoints give counts (421, not run, a success), and a head only once it is known to be an answer of that endpoint. - A part counted as sent when its caller took it, so one that was buffered for a slow caller proved an end that came after it. It counts only if it was awaited for 10 ms. - After connections were refused everywhere, a reply could be that of another process at the address: only other answers of the endpoint count then. - A reset of a new connection counted as its end, which an endpoint that is full sends: only a refusal does. A connection that was to be kept is used for the ping. - Answers of endpoints that asked for a pause, named a limit or are brittle were cut, as these are not pinged: a connection that opens later than the end counts there (proof=open, with the line end_unproven). - Plain answers in the last 320 ms before their deadline were cut unasked. - Answers that a lost path or an event without end gave up counted as ended with their connection. - A resumption without an answer in time counted as one that showed nothing new, and reports of ends were waited for beyond the time by which must be decided. The tables in coordination/dispatch/tests have a case for each decision.

--- a/coordination/dispatch/src/check.rs
+++ b/coordination/dispatch/src/check.rs
@@ -23,11 +23,13 @@
 pub enum EndpointCheck {
     /// Its process is shown to run.
     Running,
+    /// It accepts connections, and must not be asked for a reply.
+    Open,
     /// Nothing shows that it runs or that it has ended.
     Silent,
     /// It accepts no connections, at this instance and at all others that were asked.
     Ended,
-    /// It accepts no connections here, and the others don't know.
+    /// Some instances see that it accepts no connections, and the others don't know.
     Unclear,
 }
 
@@ -59,6 +61,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Running => "running",
+            Self::Open => "open",
             Self::Silent => "silent",
             Self::Ended => "ended",
             Self::Unclear => "unclear",
--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -801,11 +801,12 @@
         self.has_announced_end(place) && gone_at.is_some_and(|at| at >= ended_at)
     }
 
-    /// Returns whether an endpoint takes a request that it doesn't run. Those that have asked for a pause or
-    /// named a limit want as few as possible.
+    /// Returns whether an endpoint takes a request that it doesn't run. Those that have asked for a pause,
+    /// named a limit or are brittle want as few as possible.
     pub fn may_ping(&self, now: Millis, endpoint: &Name, incarnation: Incarnation) -> bool {
-        let is_limited = self.limited.iter().any(|(limited, _)| limited == endpoint);
-        !is_limited && !self.is_paused(now, endpoint, incarnation)
+        let is_limited = self.limits.named_by(now, endpoint).is_some_and(|per_s| per_s > 0.0);
+        let is_brittle = self.bounds.bound_of(now, endpoint).is_some();
+        !is_limited && !is_brittle && !self.is_paused(now, endpoint, incarnation)
     }
 
     /// Returns whether an endpoint is known to accept requests.
--- a/coordination/dispatch/src/stream_end.rs
+++ b/coordination/dispatch/src/stream_end.rs
@@ -93,6 +93,8 @@
     Heard,
     /// It has replied to a check, here or at another entry instance.
     Replied,
+    /// It accepted a connection, and must not be asked for more.
+    Open,
 }
 
 /// What an end turned out to be.
@@ -133,6 +135,8 @@
     running: usize,
     /// When the newest check began that found the endpoint running.
     shown_at: Option<Millis>,
+    /// When the newest check began that found that it accepts connections, and must not be asked for more.
+    open_at: Option<Millis>,
     /// When the newest check ended that found that the endpoint has ended, and its result.
     refuted: Option<(Millis, EndpointCheck)>,
 }
@@ -161,6 +165,7 @@
         match self {
             Self::Heard => "heard",
             Self::Replied => "replied",
+            Self::Open => "open",
         }
     }
 }
@@ -173,7 +178,14 @@
             EndKind::Plain => (PLAIN_SPAN, Millis::ZERO, PLAIN_WAIT),
         };
         let last_check_at = self.decide_by - check_time;
-        let proven_from = (self.at + span).min(last_check_at);
+        // A check of a plain answer begins soon enough, and what it shows in time counts.
+        let (proven_from, has_time) = match self.kind {
+            EndKind::Plain => (self.at + span, self.decide_by > self.at + span),
+            EndKind::Stream | EndKind::LeavingStream => {
+                let proven_from = (self.at + span).min(last_check_at);
+                (proven_from, proven_from >= self.at + span.min(MIN_SPAN))
+            }
+        };
         let until = (self.at + wait).min(self.decide_by);
         Bounds {
             proven_from,
@@ -181,7 +193,7 @@
             until,
             expires_at: (until + check_time).min(self.decide_by),
             last_check_at,
-            has_time: proven_from >= self.at + span.min(MIN_SPAN),
+            has_time,
             interval: Millis(span.0 / CHECKS).max(MIN_INTERVAL),
         }
     }
@@ -229,6 +241,7 @@
         checks.running = checks.running.saturating_sub(1);
         match check {
             EndpointCheck::Running => checks.shown_at = checks.shown_at.max(Some(began_at)),
+            EndpointCheck::Open => checks.open_at = checks.open_at.max(Some(began_at)),
             EndpointCheck::Silent => {}
             EndpointCheck::Ended | EndpointCheck::Unclear => checks.refuted = Some((now, check)),
         }
@@ -252,13 +265,18 @@
             let at = at.filter(|at| *at >= bounds.proven_from && bounds.has_time)?;
             Some(EndVerdict::Proven(Proof { kind, at }))
         };
-        if let Some(verdict) = proof(ProofKind::Heard, signs.heard_at)
-            .or_else(|| proof(ProofKind::Replied, self.shown_at))
-        {
-            return Some(verdict);
-        }
         let is_over = now >= bounds.until;
         let refuted = self.refuted.filter(|(at, _)| *at >= end.at).map(|(_, check)| check);
+        let mut proven = proof(ProofKind::Heard, signs.heard_at);
+        // After its end another process may reply at its address.
+        if refuted != Some(EndpointCheck::Ended) {
+            proven = proven
+                .or_else(|| proof(ProofKind::Replied, self.shown_at))
+                .or_else(|| proof(ProofKind::Open, self.open_at));
+        }
+        if proven.is_some() {
+            return proven;
+        }
         if let Some(check) = refuted {
             let is_settled = now >= bounds.settled_from && !signs.is_awaited;
             return (is_settled || is_over).then_some(EndVerdict::NotShown(check));
@@ -283,6 +301,7 @@
         let is_heard = signs.heard_at > Some(end.at);
         let first = (end.kind == EndKind::Plain || is_heard).then_some(proven_from);
         let Some(began_at) = self.began_at else { return first };
+        let first = first.map(|at| at.max(began_at + PLAIN_SPAN));
         if self.running > 0 {
             let can_wait = began_at >= proven_from || began_at + check_time <= last_check_at;
             if can_wait || self.running == MAX_RUNNING {
--- a/coordination/dispatch/tests/pool.rs
+++ b/coordination/dispatch/tests/pool.rs
@@ -417,3 +417,68 @@
         assert_eq!(got, is_confirmed, "{states:?}");
     }
 }
+
+/// A later announcement would put off the end of an endpoint that is taken away.
+#[test]
+fn an_endpoint_leaves_at_the_earliest_time_that_it_has_named() {
+    let mut pool = pool();
+    pool.update_endpoint(Millis(1000), &heartbeat(5, 1, EndpointState::Ready));
+    let placed = place(&mut pool, Millis(1000), "r1").expect("the endpoint is ready");
+    assert_eq!(pool.leaves_at(&placed), None);
+    let leaving = |sequence, leaves_in: u64, age: u64| EndpointFact {
+        leaves_in: Some(Millis(leaves_in)),
+        age: Millis(age),
+        ..heartbeat(5, sequence, EndpointState::Leaving)
+    };
+    pool.update_endpoint(Millis(1500), &leaving(2, 1200, 100));
+    assert_eq!(pool.leaves_at(&placed), Some(Millis(2600)));
+    pool.update_endpoint(Millis(2000), &leaving(3, 1200, 0));
+    assert_eq!(pool.leaves_at(&placed), Some(Millis(2600)));
+}
+
+/// An endpoint that has asked for fewer requests would get more.
+#[test]
+fn an_endpoint_that_wants_few_requests_is_not_pinged() {
+    struct Case {
+        name: &'static str,
+        restrict: fn(&mut Pool, &Placement),
+        may_ping: bool,
+    }
+    const AT: Millis = Millis(1000);
+    let cases = [
+        Case { name: "none", restrict: |_, _| {}, may_ping: true },
+        Case {
+            name: "a pause",
+            restrict: |pool, place| {
+                pool.record_pause(AT, &place.endpoint, place.incarnation, Millis(500));
+            },
+            may_ping: false,
+        },
+        Case {
+            name: "a limit",
+            restrict: |pool, place| pool.record_request_limit(AT, place, Some(3.0)),
+            may_ping: false,
+        },
+        Case {
+            name: "a limit that is withdrawn",
+            restrict: |pool, place| {
+                pool.record_request_limit(AT, place, Some(3.0));
+                pool.record_request_limit(AT, place, None);
+            },
+            may_ping: true,
+        },
+        Case {
+            name: "brittle",
+            restrict: |pool, place| pool.record_rejection_bound(AT, place, Some(2)),
+            may_ping: false,
+        },
+    ];
+    for Case { name, restrict, may_ping } in cases {
+        let mut pool = pool();
+        pool.update_endpoint(AT, &heartbeat(5, 1, EndpointState::Ready));
+        let placed = place(&mut pool, AT, "r1").expect("the endpoint is ready");
+        restrict(&mut pool, &placed);
+        let got = pool.may_ping(Millis(1100), &placed.endpoint, placed.incarnation);
+        assert_eq!(got, may_ping, "{name}");
+    }
+}
--- a/coordination/dispatch/tests/stream_end.rs
+++ b/coordination/dispatch/tests/stream_end.rs
@@ -313,6 +313,72 @@
     assert_eq!((decided[0], count), ((EndStep::NoTime, Millis(601)), 0));
 }
 
+/// A process that starts at the address of one that has ended would reply for it.
+#[test]
+fn a_reply_after_a_refusal_by_all_is_no_proof() {
+    struct Case {
+        name: &'static str,
+        refuted: Option<EndpointCheck>,
+        signs: EndpointSigns,
+        is_proven: bool,
+    }
+    let heard = EndpointSigns { heard_at: Some(Millis(400)), is_awaited: true };
+    let awaited = EndpointSigns { heard_at: None, is_awaited: true };
+    let case = |name, refuted, signs, is_proven| Case { name, refuted, signs, is_proven };
+    let cases = [
+        case("no refusal", None, awaited, true),
+        case("refused by all", Some(EndpointCheck::Ended), awaited, false),
+        case("refused by some", Some(EndpointCheck::Unclear), awaited, true),
+        case("refused by all, and heard", Some(EndpointCheck::Ended), heard, true),
+    ];
+    for Case { name, refuted, signs, is_proven: expected } in cases {
+        let mut checks = EndChecks::new(HEARTBEAT, CHECK_TIME);
+        let end =
+            EndInDoubt { kind: EndKind::LeavingStream, at: Millis::ZERO, decide_by: Millis::MAX };
+        let none = EndpointSigns::default();
+        assert_eq!(checks.step(Millis::ZERO, &"e1", end, none), EndStep::Check, "{name}");
+        if let Some(check) = refuted {
+            checks.record(Millis(1), &"e1", Millis::ZERO, check);
+        }
+        checks.record(Millis(410), &"e1", Millis(400), EndpointCheck::Running);
+        let step = checks.step(Millis(410), &"e1", end, signs);
+        assert_eq!(is_proven(step), expected, "{name}: {step:?}");
+    }
+}
+
+/// All answers of an endpoint would be cut that must not be asked for a reply.
+#[test]
+fn an_endpoint_that_must_not_be_asked_is_believed_if_it_accepts_connections_later() {
+    let open = Endpoint { after: (EndpointCheck::Open, CHECK_TIME), ..ends_at(Millis::ZERO) };
+    for kind in [EndKind::Stream, EndKind::LeavingStream, EndKind::Plain] {
+        let (step, at, _) = play(kind, open);
+        let EndStep::Decided(EndVerdict::Proven(proof)) = step else {
+            panic!("{kind:?}: {step:?}");
+        };
+        assert_eq!(proof.kind, ProofKind::Open, "{kind:?}");
+        assert!(at <= HEARTBEAT + CHECK_TIME, "{kind:?}: {at:?}");
+    }
+}
+
+/// Whole plain answers would be cut that end shortly before the deadline of their call.
+#[test]
+fn a_plain_answer_shortly_before_its_deadline_is_checked() {
+    let play = |left: u64, endpoint| {
+        let decide_by = Millis(1000 + left);
+        play_all(EndKind::Plain, &[Millis(1000)], decide_by, endpoint).0[0]
+    };
+    for left in [130, 200, 350] {
+        let (step, at) = play(left, ends_at(Millis::MAX));
+        assert!(is_proven(step) && at <= Millis(1000 + left), "{left} ms left: {step:?} at {at:?}");
+        let (step, at) = play(left, silent_from(Millis::ZERO));
+        assert!(
+            !is_proven(step) && at <= Millis(1000 + left),
+            "{left} ms left: {step:?} at {at:?}"
+        );
+    }
+    assert_eq!(play(20, ends_at(Millis::MAX)).0, EndStep::NoTime);
+}
+
 /// Of a whole stream nobody could tell later what showed it.
 #[test]
 fn a_proof_says_when_the_endpoint_ran_and_how_that_was_shown() {
--- a/daemons/gateway/src/dialect.rs
+++ b/daemons/gateway/src/dialect.rs
@@ -162,6 +162,9 @@
     /// Builds a request that no endpoint runs, and to which each replies at once, for the path `path`.
     fn ping(&self, path: &str, time_left: Millis) -> Option<Request<Full<Bytes>>>;
 
+    /// Returns whether an endpoint has sent a reply to a ping, rather than a proxy whose endpoint has ended.
+    fn is_ping_reply(&self, status: StatusCode, headers: &HeaderMap) -> bool;
+
     /// Builds the request by which an engine copies a run's KV cache to another engine, or what was
     /// added since the last copy. With `stop_run` the engine stops the run first. Returns none if
     /// engines don't support it.
--- a/daemons/gateway/src/dispatch/attempt.rs
+++ b/daemons/gateway/src/dispatch/attempt.rs
@@ -48,6 +48,7 @@
         let LoadReport { load, invalid } = dialect.load(headers);
         let class = dialect.classify(&self.call.head.attempt, status, headers);
         if !matches!(class, AnswerClass::Improper | AnswerClass::WrongEndpoint) {
+            self.record_sign(now);
             let (bound, limit) = (dialect.rejection_bound(headers), dialect.request_limit(headers));
             let mut pool = self.call.pool.pool.lock();
             pool.record_rejection_bound(now, &self.placement, bound);
@@ -211,6 +212,11 @@
         self.exchange.iter().for_each(Exchange::record_heard);
     }
 
+    /// Records that the process of the endpoint sent a part of the answer at `at` or later.
+    pub fn record_sign(&self, at: Millis) {
+        self.exchange.iter().for_each(|exchange| exchange.record_sign(at));
+    }
+
     /// Waits until the path is lost on which the answer arrives.
     pub fn wait_until_stuck(&self) -> BoxFuture<'static, ()> {
         match &self.exchange {
@@ -242,17 +248,17 @@
         self.call.pool.pool.lock().leaves_at(&self.placement)
     }
 
-    /// Records that the answer has ended with its connection, at `ended_at` or now. Ends at the same
-    /// time show that the process of the endpoint has ended.
-    pub fn record_closed_answer(&self, ended_at: Option<Millis>) {
+    /// Records that the answer has broken off with its connection. Ends at the same time show that the
+    /// process of the endpoint has ended.
+    pub fn record_closed_answer(&self) {
         let now = self.state.clock.now();
-        let (to, ended_at) = (Destination::from(&self.placement), ended_at.unwrap_or(now));
+        let to = Destination::from(&self.placement);
         let answer = self.call.head.attempt.clone();
         let key = (to.endpoint.clone(), to.incarnation);
-        self.state.stream_ends.record_end(now, key, &answer, ended_at);
+        self.state.stream_ends.record_end(now, key, &answer, now);
         if self.has_announced_end() {
             let state = self.state.clone();
-            tokio::spawn(async move { state.report_end(&to, &answer, ended_at).await });
+            tokio::spawn(async move { state.report_end(&to, &answer, now).await });
         }
     }
 
--- a/daemons/gateway/src/egress/exchange.rs
+++ b/daemons/gateway/src/egress/exchange.rs
@@ -13,7 +13,6 @@
     pub(super) fn answered(mut self, answer: Answer) -> (Answer, Self) {
         (self.opened_at, self.is_answered) = (answer.opened_at.0, true);
         let (now, mut paths) = (self.egress.clock.now(), self.egress.paths.lock());
-        self.sign.record(now);
         match &self.via {
             Some(_) => {
                 paths.record_tunnel(now, self.address, true);
@@ -43,7 +42,11 @@
             self.egress.is_tunnel_heard.store(true, Ordering::Relaxed);
         }
         self.heard.fetch_max(self.opened_at + 1, Ordering::Relaxed);
-        self.sign.record(self.egress.clock.now());
+    }
+
+    /// Records that the process of the endpoint sent something at `at` or later.
+    pub fn record_sign(&self, at: Millis) {
+        self.sign.record(at);
     }
 
     /// Records that a request in a tunnel has ended without an answer.
--- a/daemons/gateway/src/egress/ping.rs
+++ b/daemons/gateway/src/egress/ping.rs
@@ -1,8 +1,9 @@
 //! Has the process of an endpoint reply to a request that it doesn't run.
 
 use bytes::Bytes;
-use http::Request;
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use sill_base::Millis;
 use sill_dispatch::EndpointSign;
 use sill_net::h1::{Answer, KeptOutcome, Probe, Target};
@@ -18,29 +19,38 @@
 
 impl Egress {
     /// Sends a request that the endpoint doesn't run, on a kept connection if there is one, and waits at
-    /// most `wait` for a reply. An endpoint that is full resets new connections.
-    pub async fn ping(
+    /// most `wait` for a reply that counts by `is_reply`. An endpoint that is full resets new connections, so only
+    /// refused ones show that it has ended.
+    pub async fn ping<F>(
         &self,
         to: &Destination,
         req: &Request<Full<Bytes>>,
         wait: Millis,
-    ) -> EndpointSign {
+        is_reply: F,
+    ) -> EndpointSign
+    where
+        F: Fn(&Response<Incoming>) -> bool,
+    {
         let mut sign = EndpointSign::Unclear;
-        let pinging = self.ping_on_any(to, req, &mut sign);
+        let pinging = self.ping_on_any(to, req, &is_reply, &mut sign);
         // What was seen until then counts.
         let _ = tokio::time::timeout(wait.into(), pinging).await;
         sign
     }
 
-    async fn ping_on_any(
+    async fn ping_on_any<F>(
         &self,
         to: &Destination,
         req: &Request<Full<Bytes>>,
+        is_reply: &F,
         sign: &mut EndpointSign,
-    ) {
+    ) where
+        F: Fn(&Response<Incoming>) -> bool,
+    {
         let target = Target { address: to.address, via: None };
         if let KeptOutcome::Answered(answer) =
             self.pool.send_kept(target, req.clone(), MAX_IDLE).await
+            && is_reply(&answer.response)
         {
             *sign = EndpointSign::Heard;
             return finish(answer).await;
@@ -54,23 +64,23 @@
                     (false, false) => Probe::Failed,
                 };
                 self.record_probe(to, probe);
-                if probe != Probe::Failed {
-                    *sign = EndpointSign::Closed;
-                }
+                *sign = match probe {
+                    Probe::Refused => EndpointSign::Closed,
+                    Probe::Closed => EndpointSign::Open,
+                    _ => EndpointSign::Unclear,
+                };
                 return;
             }
         };
         *sign = EndpointSign::Open;
         match self.pool.send_on(connection, req.clone()).await {
-            Ok(answer) => {
+            Ok(answer) if is_reply(&answer.response) => {
                 self.record_probe(to, Probe::Open);
                 *sign = EndpointSign::Heard;
                 finish(answer).await;
             }
-            Err(_) => {
-                self.record_probe(to, Probe::Closed);
-                *sign = EndpointSign::Closed;
-            }
+            Ok(_) => self.record_probe(to, Probe::Open),
+            Err(_) => self.record_probe(to, Probe::Closed),
         }
     }
 }
--- a/daemons/gateway/src/endpoint_check.rs
+++ b/daemons/gateway/src/endpoint_check.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use futures_util::future;
+use http::Response;
 use sill_base::{Millis, Name, event};
 use sill_dispatch::check::check_endpoint;
 use sill_dispatch::{EndpointCheck, EndpointSign, TICK};
@@ -58,7 +59,7 @@
     /// at the one that carried its answer, if it was in a tunnel.
     pub async fn check_process(&self, to: &Destination, via: Option<&Via>) -> EndpointCheck {
         let own = match via {
-            Some(_) => self.heard_since(to, self.clock.now(), EndpointSign::Unclear),
+            Some(_) => EndpointSign::Unclear,
             None => self.ping(to, REPLY_TIME).await,
         };
         let (mut asked, mut replies) = (0, Vec::new());
@@ -102,6 +103,9 @@
         replies: &[EndpointSign],
     ) -> EndpointCheck {
         let mut check = check_endpoint(own, asked, replies);
+        if check == EndpointCheck::Silent && own == EndpointSign::Open && !self.may_ping(to) {
+            check = EndpointCheck::Open;
+        }
         if check == EndpointCheck::Ended && self.is_cut_off_after_tick().await {
             check = EndpointCheck::Unclear;
         }
@@ -127,12 +131,21 @@
     async fn ping(&self, to: &Destination, wait: Millis) -> EndpointSign {
         let began_at = self.clock.now();
         let sign = match self.ping_of(&to.endpoint, to.incarnation, wait) {
-            Some(req) => self.egress.ping(to, &req, wait).await,
+            Some(req) => {
+                let dialect = &self.cfg.dialect;
+                let is_reply =
+                    |reply: &Response<_>| dialect.is_ping_reply(reply.status(), reply.headers());
+                self.egress.ping(to, &req, wait, is_reply).await
+            }
             None => sign_of(self.egress.probe(to, wait).await),
         };
         self.heard_since(to, began_at, sign)
     }
 
+    fn may_ping(&self, to: &Destination) -> bool {
+        self.ping_of(&to.endpoint, to.incarnation, Millis::ZERO).is_some()
+    }
+
     /// Returns that the endpoint was heard if it was, and else `sign`.
     fn heard_since(&self, to: &Destination, since: Millis, sign: EndpointSign) -> EndpointSign {
         match self.egress.signs_of(to).heard_at {
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -37,6 +37,9 @@
 use crate::summary::{CallSummary, StreamEnd};
 use crate::termination::FinalPhase;
 
+/// Time within which a part that has arrived is read if it is awaited.
+const READ_TIME: Millis = Millis(10);
+
 /// Least time between two attempts at other endpoints while a path is lost.
 const HEDGE_INTERVAL: Millis = Millis(1000);
 
@@ -107,6 +110,8 @@
     is_proven: bool,
     /// When the body ended, if its end proves nothing.
     ended_at: Option<Millis>,
+    /// Since when the next part is awaited.
+    pending_since: Option<Millis>,
     /// Whether it was tried to resume the stream at its end.
     is_resumed_at_end: bool,
 }
@@ -131,10 +136,27 @@
             began_at: None,
             is_proven: false,
             ended_at: None,
+            pending_since: None,
             is_resumed_at_end: false,
         }
     }
 
+    /// Records that the next part has not arrived yet.
+    fn record_pending(&mut self) {
+        let now = self.attempt.state().clock.now();
+        self.pending_since.get_or_insert(now);
+    }
+
+    /// Records that the next part is there. The endpoint sent it just now only if it was awaited: if the
+    /// caller reads slowly, parts are buffered that may be older than the end of the endpoint.
+    fn record_arrival(&mut self) {
+        let Some(since) = self.pending_since.take() else { return };
+        let sent_from = self.attempt.state().clock.now() - READ_TIME;
+        if since <= sent_from {
+            self.attempt.record_sign(sent_from);
+        }
+    }
+
     /// Records that a part of the answer arrived. Returns whether the answer has been written for
     /// [`PROVEN_AFTER`] for the first time.
     fn record_part(&mut self, now: Millis) -> bool {
@@ -303,7 +325,6 @@
             return None;
         };
         answer.attempt.finish(Outcome::Failed);
-        answer.attempt.record_closed_answer(answer.ended_at);
         answer.attempt.record_broken_answer(answer.began_at);
         answer.attempt.end_broken();
         self.record_stream_end();
@@ -382,8 +403,12 @@
                 None => Pin::new(&mut answer.body).poll_frame(cx),
             };
             let frame = match frame {
-                Poll::Ready(frame) => frame,
+                Poll::Ready(frame) => {
+                    answer.record_arrival();
+                    frame
+                }
                 Poll::Pending => {
+                    answer.record_pending();
                     // An answer that can't be sent again may still arrive.
                     let may_repeat = self.may_resume && self.call.route.route.kind.may_repeat();
                     return if may_repeat { self.poll_hedge(cx) } else { Poll::Pending };
@@ -405,6 +430,7 @@
                     return Poll::Ready(Some(Ok(data)));
                 }
                 Some(Err(err)) => {
+                    answer.attempt.record_closed_answer();
                     let reason = err.to_string();
                     self.end_truncated(cx, &reason, err.into());
                     return Poll::Pending;
@@ -421,6 +447,9 @@
                 None => {
                     self.record_stream_end();
                     if let Some(reason) = self.truncation() {
+                        if let Source::Endpoint(answer) = &self.source {
+                            answer.attempt.record_closed_answer();
+                        }
                         self.end_truncated(cx, &reason, reason.into());
                         return Poll::Pending;
                     }
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -143,7 +143,8 @@
         cx: &Context<'_>,
         end: UnmarkedEnd,
     ) -> Poll<Option<Result<Bytes, BodyError>>> {
-        let UnmarkedEnd { mut decision, has_asked_other, has_other_end } = end;
+        let was_resumed_in_vain = end.was_resumed_in_vain();
+        let UnmarkedEnd { mut decision, has_asked_other, has_other_end, .. } = end;
         if decision.is_doubt()
             && !matches!(decision, EndDecision::CarrierNotShown)
             && let Source::Endpoint(answer) = &self.source
@@ -168,7 +169,7 @@
             | EndDecision::Marked
             | EndDecision::Confirmed
             | EndDecision::Announced => {
-                if has_asked_other {
+                if was_resumed_in_vain {
                     self.state.stream_ends.record_resumed(&service, false);
                 }
                 self.finish();
@@ -266,7 +267,7 @@
             proof = decision.proof().unwrap_or_default(),
             result = result
         );
-        if matches!(decision, EndDecision::Announced) {
+        if decision.is_unproven() {
             event!(
                 Warn,
                 "end_unproven",
@@ -275,7 +276,8 @@
                 born = incarnation.0,
                 framing = answer.framing.name(),
                 held_ms = held,
-                leaves_ms = leaves
+                leaves_ms = leaves,
+                proof = decision.proof().unwrap_or_default()
             );
         }
     }
--- a/daemons/gateway/src/sill_dialect.rs
+++ b/daemons/gateway/src/sill_dialect.rs
@@ -87,6 +87,11 @@
         Some(req)
     }
 
+    fn is_ping_reply(&self, status: StatusCode, headers: &HeaderMap) -> bool {
+        let is_not_run = text(headers, &name(names::NOT_RUN)) == Some("true");
+        is_not_run || status == StatusCode::MISDIRECTED_REQUEST || status.is_success()
+    }
+
     fn failure(&self, headers: &mut HeaderMap, failure: &Failure) {
         if failure.is_not_run() {
             set(headers, name(names::NOT_RUN), "true");
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use sill_base::{Millis, Name};
 use sill_dispatch::{
-    EndChecks, EndInDoubt, EndKind, EndLog, EndStep, EndVerdict, EndpointCheck, Proof,
+    EndChecks, EndInDoubt, EndKind, EndLog, EndStep, EndVerdict, EndpointCheck, Proof, ProofKind,
     ResumeChecks, TICK,
 };
 use sill_net::h1::ReusableConnection;
@@ -24,7 +24,7 @@
 use crate::state::State;
 
 /// Time for the resumption of a stream whose endpoint had announced that it leaves.
-const ANNOUNCED_RESUME_TIME: Millis = Millis(900);
+const ANNOUNCED_RESUME_TIME: Millis = Millis(700);
 
 /// Time for a resumption whose answer is no longer needed to show that the endpoint runs.
 const RESUME_TIME: Millis = Millis(400);
@@ -72,6 +72,8 @@
     pub decision: EndDecision,
     /// Whether another endpoint was asked to go on, and did not.
     pub has_asked_other: bool,
+    /// Whether that one had no time to answer.
+    is_other_late: bool,
     /// Whether another answer of the endpoint ended at the same time.
     pub has_other_end: bool,
 }
@@ -127,6 +129,11 @@
         }
     }
 
+    /// Returns whether the answer counts as whole though its endpoint was not shown to run.
+    pub const fn is_unproven(&self) -> bool {
+        matches!(self, Self::Announced | Self::Proven(Proof { kind: ProofKind::Open, .. }))
+    }
+
     /// Returns whether nothing shows that the answer is whole.
     pub const fn is_doubt(&self) -> bool {
         matches!(self, Self::NotShown(_) | Self::CarrierNotShown | Self::NoTime)
@@ -145,7 +152,12 @@
 
 impl UnmarkedEnd {
     const fn of(decision: EndDecision) -> Self {
-        Self { decision, has_asked_other: false, has_other_end: false }
+        Self { decision, has_asked_other: false, is_other_late: false, has_other_end: false }
+    }
+
+    /// Returns whether another endpoint has shown nothing new.
+    pub const fn was_resumed_in_vain(&self) -> bool {
+        self.has_asked_other && !self.is_other_late
     }
 }
 
@@ -260,11 +272,21 @@
         }
         let mut end = UnmarkedEnd::of(self.clone().wait_until_proven(ended.clone()).await.into());
         if end.decision.is_doubt() {
-            end.has_other_end = self.report_end(&ended.to, &ended.answer, ended.ended_at).await;
+            end.has_other_end = self.has_other_end(&ended).await;
         }
         end
     }
 
+    /// Returns whether another answer ended at the same time, as far as that is known in time.
+    async fn has_other_end(&self, ended: &EndedAnswer) -> bool {
+        let time_left = self.decide_by(ended) - self.clock.now();
+        let report = self.report_end(&ended.to, &ended.answer, ended.ended_at);
+        let known = tokio::time::timeout(time_left.into(), report).await;
+        known.unwrap_or_else(|_| {
+            self.stream_ends.has_other_end(&ended.key(), &ended.answer, ended.ended_at)
+        })
+    }
+
     /// Decides about an end without a mark from its endpoint, and from the instance that carried it. What
     /// the endpoint has announced shows nothing of that one.
     async fn decide_unmarked(self: Arc<Self>, ended: EndedAnswer) -> UnmarkedEnd {
@@ -292,11 +314,15 @@
     let key = ended.key();
     state.stream_ends.record_end(state.clock.now(), key.clone(), &ended.answer, ended.ended_at);
     let is_closed = connection.is_closed_within(REFUSAL_TIME).await;
-    if is_closed || state.stream_ends.has_other_end(&key, &ended.answer, ended.ended_at) {
-        return state.decide_end(ended).await;
+    let has_other_end = state.stream_ends.has_other_end(&key, &ended.answer, ended.ended_at);
+    if !is_closed {
+        // The endpoint can reply on it.
+        connection.release();
+    }
+    match is_closed || has_other_end {
+        true => state.decide_end(ended).await,
+        false => UnmarkedEnd::of(EndDecision::Marked),
     }
-    connection.release();
-    UnmarkedEnd::of(EndDecision::Marked)
 }
 
 /// Decides about the end of a stream that would count as whole without a proof, from its resumption.
@@ -305,13 +331,14 @@
     has_other_end: bool,
 ) -> UnmarkedEnd {
     let resumed = tokio::time::timeout(ANNOUNCED_RESUME_TIME.into(), resumption).await;
+    let is_other_late = resumed.is_err();
     let (decision, has_asked_other) = match resumed {
         Ok(Ok(ResumedEnd::Continued(answer))) => (EndDecision::Continued(answer), false),
         Ok(Ok(ResumedEnd::Whole)) => (EndDecision::Whole, true),
         Ok(Err(NotResumed::NotSent)) => (EndDecision::Announced, false),
         Ok(_) | Err(_) => (EndDecision::Announced, true),
     };
-    UnmarkedEnd { decision, has_asked_other, has_other_end }
+    UnmarkedEnd { decision, has_asked_other, is_other_late, has_other_end }
 }
 
 /// Decides about an end from its endpoint, and from its resumption if there is one. Where that shows
@@ -323,10 +350,12 @@
 ) -> UnmarkedEnd {
     let endpoint: BoxFuture<'static, UnmarkedEnd> = Box::pin(state.decide_unmarked(ended));
     let Some(resumption) = resumption else { return endpoint.await };
+    let mut is_other_late = false;
     let (end, resumed) = match future::select(endpoint, resumption).await {
         Either::Left((end, resumption)) if !end.decision.is_doubt() => {
             // An endpoint that runs may have closed the connection of a stream that is not whole.
             let resumed = tokio::time::timeout(RESUME_TIME.into(), resumption).await;
+            is_other_late = resumed.is_err();
             (end, resumed.unwrap_or(Ok(ResumedEnd::Unclear)))
         }
         Either::Left((end, resumption)) => (end, resumption.await),
@@ -342,5 +371,5 @@
         Ok(ResumedEnd::Unclear) | Err(NotResumed::Sent) => (decision, true),
         Err(NotResumed::NotSent) => (decision, false),
     };
-    UnmarkedEnd { decision, has_asked_other, has_other_end }
+    UnmarkedEnd { decision, has_asked_other, is_other_late, has_other_end }
 }
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -1032,6 +1032,10 @@
         SillDialect.ping(path, time_left)
     }
 
+    fn is_ping_reply(&self, status: StatusCode, headers: &HeaderMap) -> bool {
+        SillDialect.is_ping_reply(status, headers)
+    }
+
     fn copy_run(
         &self,
         attempt: &Name,
