Tests: ends of streams by what shows of an endpoint afterwards

An endpoint ends each 0.35 s between two events; the test knows of each stream whether it was sent to its end. For each way and for unmarked, kept and closing ends it prints the streams, the short ones that look complete and the whole ones that are cut, with the entry instance's log lines of the first of them.

Way 5, where one connection closes and the endpoint goes on, is reported and has no bound. In ways 3 and 4 a stream that may not be resumed can be short only if no other stream of its endpoint ended with it: nothing tells it from one that was complete.

The product's own API has no deregistration: the control instance of ways 10a and 12 is part of the test's process, with one more route. SILL_SECONDS, SILL_PLAYS and SILL_WAYS ("3 10b") set what is played by hand.

--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -16,6 +16,7 @@
 mod member;
 mod moved_routes;
 mod product;
+mod proof_of_end;
 mod release_cuts;
 mod restarts;
 mod serving;
--- a/daemons/sill/tests/system/serving.rs
+++ b/daemons/sill/tests/system/serving.rs
@@ -2,8 +2,12 @@
 
 use std::io::Read;
 use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::sync::Mutex;
 
-use sill_base::Millis;
+use sill_base::{Millis, Secret};
+use sill_control::cfg::Voter;
+use sill_control::log::disk::real_disk;
+use sill_control::{Control, ControlCfg, Extension};
 use sill_tree::{Account, Document, Engine, KeyHash, Pool, Route, RouteKind, Service, Share};
 use sill_wire::{Announcement, Incarnation, Load, Role, Servable};
 
@@ -28,7 +32,7 @@
 /// A control instance and entry instances for routes.
 pub struct Serving {
     pub gateways: Vec<Program>,
-    control: Program,
+    control: ControlInstance,
     addresses: Vec<SocketAddr>,
     gateway_count: usize,
     per_domain: usize,
@@ -37,6 +41,13 @@
     pub folder: Folder,
 }
 
+/// The control instance.
+enum ControlInstance {
+    Process(Program),
+    /// Part of the test's process, which adds routes to it.
+    Extended(Mutex<Option<Control>>),
+}
+
 /// What is served, and by how many processes.
 #[derive(Debug, Clone, Copy)]
 pub struct ServingCfg {
@@ -59,6 +70,25 @@
 
     /// Starts the control instance for entry instances in several failure domains.
     pub fn start_with(test: &str, cfg: ServingCfg) -> Self {
+        Self::start_at(test, cfg, |folder, addresses| {
+            ControlInstance::Process(start_control(folder, addresses))
+        })
+    }
+
+    /// Starts the control instance within this process, with further routes.
+    pub fn start_extended(test: &str, cfg: ServingCfg, extension: Extension) -> Self {
+        Self::start_at(test, cfg, |folder, addresses| {
+            let cfg = control_cfg(folder, addresses);
+            let control = Control::start_with(cfg, real_disk(), extension);
+            let control = control.expect("the control instance starts");
+            ControlInstance::Extended(Mutex::new(Some(control)))
+        })
+    }
+
+    fn start_at<F>(test: &str, cfg: ServingCfg, start_control: F) -> Self
+    where
+        F: FnOnce(&Folder, &[SocketAddr]) -> ControlInstance,
+    {
         let ServingCfg { gateways, per_domain, endpoints, is_engine } = cfg;
         let folder = Folder::new(test);
         let addresses =
@@ -127,7 +157,10 @@
 
     /// Sends the control instance a signal.
     pub fn signal_control(&self, signal: &str) {
-        self.control.signal(&format!("-{signal}"));
+        match &self.control {
+            ControlInstance::Process(control) => control.signal(&format!("-{signal}")),
+            ControlInstance::Extended(_) => panic!("it is part of this process"),
+        }
     }
 
     /// Returns the address at which endpoints announce themselves.
@@ -174,6 +207,17 @@
     }
 }
 
+impl Drop for ControlInstance {
+    fn drop(&mut self) {
+        if let Self::Extended(control) = self
+            && let Some(control) = control.get_mut().ok().and_then(Option::take)
+        {
+            let runtime = tokio::runtime::Runtime::new().expect("a runtime can be started");
+            runtime.block_on(control.stop());
+        }
+    }
+}
+
 /// Returns the address from which an entry instance connects to endpoints.
 pub fn gateway_source(i: usize) -> IpAddr {
     IpAddr::from([127, 250, 0, i as u8])
@@ -196,8 +240,29 @@
     folder.start("control.log", &[&args[..], &more[..], &keys[..], &join[..]].concat())
 }
 
-/// Returns settings with a route for calls that may be repeated, one for those that must not, and one
-/// for streams that may be resumed.
+/// Returns the settings that [`start_control`] gives to a process.
+fn control_cfg(folder: &Folder, addresses: &[SocketAddr]) -> ControlCfg {
+    let voter = Voter { name: "c0".into(), domain: "a".into(), address: addresses[1] };
+    ControlCfg {
+        name: "c0".into(),
+        domain: "a".into(),
+        listen: addresses[0],
+        listen_metrics: None,
+        listen_peer: addresses[1],
+        voters: vec![voter],
+        seeds: None,
+        quorum: Default::default(),
+        endpoint_heartbeat: Millis(1000),
+        data: folder.file("data").into(),
+        cluster_key: Secret::new("test-cluster-key"),
+        root_token: Secret::new("test-root-token"),
+        join_token: Some(Secret::new("test-join-token")),
+        rollouts: None,
+    }
+}
+
+/// Returns settings with a route for calls that may be repeated, one for those that must not, one for
+/// streams that may be resumed, and one for streams that may not.
 fn document(is_engine: bool, services: &[&str]) -> Document {
     let mut document = Document::default();
     let engine = is_engine.then(|| Engine { slots: 16, ..Engine::default() });
@@ -211,6 +276,7 @@
         ("looked-up", RouteKind::Idempotent),
         ("booked", RouteKind::NonIdempotent),
         ("told", RouteKind::ResumableStream),
+        ("dictated", RouteKind::Stream),
     ];
     for (name, kind) in routes {
         let route = Route {
@@ -262,7 +328,21 @@
     address: SocketAddr,
     version: &str,
 ) {
-    let announcement = Announcement {
+    send_announcement(
+        control,
+        &announcement(service, name, (incarnation, sequence), address, version),
+    );
+}
+
+/// Returns the announcement of an endpoint of a service that is ready.
+pub fn announcement(
+    service: &str,
+    name: &str,
+    (incarnation, sequence): (u64, u64),
+    address: SocketAddr,
+    version: &str,
+) -> Announcement {
+    Announcement {
         name: name.into(),
         incarnation: Incarnation(incarnation),
         sequence,
@@ -281,8 +361,12 @@
         leaving: None,
         checks_fencing: false,
         software: version.into(),
-    };
-    let body = serde_json::to_string(&announcement).expect("it can be serialised");
+    }
+}
+
+/// Sends an announcement to a control instance.
+pub fn send_announcement(control: SocketAddr, announcement: &Announcement) {
+    let body = serde_json::to_string(announcement).expect("it can be serialised");
     let headers = ["authorization: Bearer test-join-token"];
     let _ = http(control, "POST", "/announce", &headers, &body);
 }
