Soak: crashes of endpoints in the middle of streams

The soak's crashes aborted an endpoint behind a proxy that refuses at once, and showed none of these.

--- a/bench/soak/src/backend.rs
+++ b/bench/soak/src/backend.rs
@@ -7,11 +7,11 @@
 
 use bytes::Bytes;
 use eyre::Result;
-use futures_util::{StreamExt, stream};
+use futures_util::{FutureExt, StreamExt, future, stream};
 use http::{HeaderValue, Request, Response, StatusCode, Version};
 use http_body::Frame;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, StreamBody};
+use http_body_util::{BodyExt, BodyStream, Full, StreamBody};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -20,7 +20,7 @@
 use sill_base::{Map, Millis, Name, Set};
 use sill_wire::{Announcement, Incarnation, Load, Role, Servable, header};
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
 use crate::caller::{ACCOUNT_HEADER, CHECKSUM_HEADER, CRASHING_BODY, checksum};
@@ -28,7 +28,7 @@
 use crate::exchange;
 use crate::journal::Journal;
 use crate::pauses::{PAUSE, Pauses};
-use crate::plan::Misbehavior;
+use crate::plan::{Misbehavior, Remains};
 use crate::rollouts::Versions;
 use crate::stream::{PACE_HEADER, Pace, event};
 
@@ -48,6 +48,9 @@
 /// caller's deadline.
 const SLOW_FACTOR: f64 = 1.4;
 
+/// Time for which an endpoint still runs after it has begun to end streams for a crash.
+const LAST_CHUNKS_TIME: Duration = Duration::from_millis(2);
+
 /// Runs and anomalies that all endpoints have noted.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -70,7 +73,10 @@
     controls: Vec<SocketAddr>,
     ledger: Arc<Ledger>,
     misbehavior: Arc<Mutex<Option<Misbehavior>>>,
-    is_leaving: Arc<Mutex<bool>>,
+    is_leaving: watch::Sender<bool>,
+    phase: watch::Sender<Phase>,
+    /// Keeps the address open after a crash.
+    remnant: Option<TcpListener>,
     incarnation: u64,
     /// Notified when the endpoint runs a request that crashes it.
     crash: Arc<Notify>,
@@ -86,9 +92,42 @@
     id: String,
     ledger: Arc<Ledger>,
     misbehavior: Arc<Mutex<Option<Misbehavior>>>,
+    phase: watch::Receiver<Phase>,
     crash: Arc<Notify>,
 }
 
+/// How an incarnation ends its streams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// With the last chunk, once they are complete.
+    Regular,
+    /// A part of them, by [`Framing::of`], by closing the connection.
+    Varied,
+    /// A part of them early, as the process ends.
+    Crashing,
+}
+
+/// How a stream of a crashing endpoint ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    /// It has no chunks and ends with its connection.
+    Unframed,
+    /// Its last chunk comes early.
+    EarlyLastChunk,
+    /// Its connection closes without the last chunk.
+    Chunked,
+}
+
+impl Framing {
+    fn of(id: &str) -> Self {
+        match id.bytes().map(u32::from).sum::<u32>() % 3 {
+            0 => Self::Unframed,
+            1 => Self::EarlyLastChunk,
+            _ => Self::Chunked,
+        }
+    }
+}
+
 /// A part of an answer, or the error with which it breaks off.
 type Chunk = Result<Bytes, &'static str>;
 
@@ -153,7 +192,9 @@
             controls,
             ledger,
             misbehavior: Arc::default(),
-            is_leaving: Arc::default(),
+            is_leaving: watch::Sender::default(),
+            phase: watch::Sender::new(Phase::Regular),
+            remnant: None,
             incarnation: 0,
             crash: Arc::default(),
             is_down: false,
@@ -175,6 +216,7 @@
     /// Ends the endpoint for good, without draining.
     pub async fn end(&mut self) {
         self.is_ended = true;
+        self.remnant = None;
         self.tasks.shutdown().await;
     }
 
@@ -183,9 +225,14 @@
         *self.misbehavior.lock() = misbehavior;
     }
 
-    /// Makes further announcements say that the endpoint is leaving.
+    /// Announces that the endpoint is leaving.
     pub fn start_leaving(&self) {
-        *self.is_leaving.lock() = true;
+        self.is_leaving.send_replace(true);
+    }
+
+    /// Begins a part of the further streams without chunks.
+    pub fn vary_framing(&self) {
+        self.phase.send_replace(Phase::Varied);
     }
 
     /// Returns what is notified when the endpoint runs a request that crashes it.
@@ -199,6 +246,24 @@
         self.tasks.shutdown().await;
     }
 
+    /// Crashes in the middle of streams, a part of which get their last chunk early.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be kept open.
+    pub async fn crash_in_streams(&mut self, remains: Remains) -> Result<()> {
+        if self.is_down || self.is_ended {
+            return Ok(());
+        }
+        self.phase.send_replace(Phase::Crashing);
+        tokio::time::sleep(LAST_CHUNKS_TIME).await;
+        self.crash().await;
+        if remains == Remains::Listener {
+            self.remnant = Some(TcpListener::bind(self.address).await?);
+        }
+        Ok(())
+    }
+
     /// Starts a new incarnation after a crash, unless the endpoint was replaced meanwhile.
     ///
     /// # Errors
@@ -208,7 +273,6 @@
         if !self.is_down || self.is_ended {
             return Ok(());
         }
-        self.is_leaving = Arc::default();
         self.start_incarnation().await
     }
 
@@ -222,24 +286,27 @@
             return Ok(());
         }
         self.tasks.shutdown().await;
-        self.is_leaving = Arc::default();
         self.start_incarnation().await
     }
 
     async fn start_incarnation(&mut self) -> Result<()> {
         self.incarnation += 1;
         self.is_down = false;
+        self.remnant = None;
+        self.is_leaving = watch::Sender::default();
+        self.phase = watch::Sender::new(Phase::Regular);
         let id = format!("{}.{}", self.name, self.incarnation);
         let state = EndpointState {
             id,
             ledger: self.ledger.clone(),
             misbehavior: self.misbehavior.clone(),
+            phase: self.phase.subscribe(),
             crash: self.crash.clone(),
         };
         let listener = TcpListener::bind(self.address).await?;
         self.tasks.spawn(serve(listener, Arc::new(state)));
         let announcement = self.announcement();
-        let (controls, is_leaving) = (self.controls.clone(), self.is_leaving.clone());
+        let (controls, is_leaving) = (self.controls.clone(), self.is_leaving.subscribe());
         self.tasks.spawn(announce(announcement, controls, is_leaving));
         Ok(())
     }
@@ -333,11 +400,14 @@
         Some(Misbehavior::LoseAnswer) => return Err("the endpoint drops the answer"),
         _ => tokio::time::sleep(Duration::from_millis(5)).await,
     }
-    let is_unframed = matches!(misbehavior, Some(Misbehavior::Unframed | Misbehavior::UnframedCut));
+    let (pace, framing) = (Pace::from_name(text(PACE_HEADER)), Framing::of(&id));
+    let is_varied = pace.is_some() && *state.phase.borrow() != Phase::Regular;
+    let is_unframed = matches!(misbehavior, Some(Misbehavior::Unframed | Misbehavior::UnframedCut))
+        || is_varied && framing == Framing::Unframed;
     // With this version the end of a body without a length is marked by closing the connection.
     let version = if is_unframed { Version::HTTP_10 } else { Version::HTTP_11 };
     let response = Response::builder().version(version).header(header::REQUEST_ID, &id);
-    let response = match Pace::from_name(text(PACE_HEADER)) {
+    let response = match pace {
         Some(pace) => {
             let after = text(header::LAST_EVENT_ID).parse().unwrap_or(0);
             let events = (after + 1..=pace.events()).map(|n| event(n, &id, &body, &state.id));
@@ -350,6 +420,10 @@
                 state.ledger.note_withheld(&id);
             }
             let answer = answer_body(events.collect(), gap, misbehavior);
+            let answer = match framing {
+                Framing::EarlyLastChunk => end_early(answer, state.phase.clone()),
+                Framing::Unframed | Framing::Chunked => answer,
+            };
             response.header("content-type", header::EVENT_STREAM).body(answer)
         }
         None => {
@@ -393,6 +467,17 @@
     StreamBody::new(frames).boxed_unsync()
 }
 
+/// Ends an answer as if it were complete once its endpoint crashes.
+fn end_early(answer: AnswerBody, mut phase: watch::Receiver<Phase>) -> AnswerBody {
+    let crash = async move {
+        if phase.wait_for(|phase| *phase == Phase::Crashing).await.is_err() {
+            future::pending().await
+        }
+    };
+    let frames = BodyStream::new(answer).take_until(crash.boxed());
+    StreamBody::new(frames).boxed_unsync()
+}
+
 /// Returns the software version of an endpoint incarnation. Names such as `e4-v2` of roll-outs contain
 /// it. Otherwise it differs between neighbours, and between an incarnation and the next one.
 pub fn software_of(incarnation: &str) -> &str {
@@ -423,12 +508,12 @@
 async fn announce(
     mut announcement: Announcement,
     controls: Vec<SocketAddr>,
-    is_leaving: Arc<Mutex<bool>>,
+    mut is_leaving: watch::Receiver<bool>,
 ) {
     let mut control = announcement.incarnation.0 as usize;
     loop {
         announcement.sequence += 1;
-        announcement.leaving = is_leaving.lock().then_some(LEAVE_NOTICE);
+        announcement.leaving = is_leaving.borrow_and_update().then_some(LEAVE_NOTICE);
         let body = serde_json::to_vec(&announcement).expect("an announcement can be serialised");
         let req = Request::post("/announce")
             .header("host", "control")
@@ -438,7 +523,10 @@
         let sent =
             exchange::send_once(controls[control % controls.len()], req, ANNOUNCE_TIMEOUT).await;
         match sent {
-            Ok(got) if got.status == 200 => tokio::time::sleep(ANNOUNCE_INTERVAL.into()).await,
+            Ok(got) if got.status == 200 => {
+                let changed = is_leaving.changed();
+                let _ = tokio::time::timeout(ANNOUNCE_INTERVAL.into(), changed).await;
+            }
             _ => {
                 control += 1;
                 tokio::time::sleep(Duration::from_millis(50)).await;
--- a/bench/soak/src/cli.rs
+++ b/bench/soak/src/cli.rs
@@ -27,7 +27,7 @@
             "crashes",
             "BOOL",
             "true",
-            "whether endpoints also crash under one request, and end answers with their connections",
+            "whether endpoints also crash, and end answers with their connections",
         ),
         Flag::with_default(
             "cuts",
--- a/bench/soak/src/cluster.rs
+++ b/bench/soak/src/cluster.rs
@@ -152,6 +152,11 @@
     pub fn set_endpoint_link(&self, i: usize, fault: Option<LinkFault>) {
         self.endpoint_links[i].set_fault(fault);
     }
+
+    /// Sets whether new connections to an endpoint time out.
+    pub fn set_endpoint_full(&self, i: usize, is_full: bool) {
+        self.endpoint_links[i].set_full(is_full);
+    }
 }
 
 /// Builds the command lines of programs.
--- a/bench/soak/src/injector.rs
+++ b/bench/soak/src/injector.rs
@@ -10,7 +10,7 @@
 use crate::backend::LEAVE_NOTICE;
 use crate::cluster::{Cluster, STOP_LIMIT};
 use crate::journal::{Event, Journal};
-use crate::plan::{Fault, LinkFault, ProcessFault, Series};
+use crate::plan::{Crash, Fault, LinkFault, ProcessFault, Remains, Series};
 use crate::process::Process;
 
 /// Time that a program may take to exit after SIGTERM before it is killed.
@@ -25,6 +25,9 @@
 /// How long after a link fault held-back bytes may still break a request.
 const CUT_GRACE: Millis = Millis(1000);
 
+/// Time between the announcement of an endpoint that it is leaving and its crash.
+const ANNOUNCED_BEFORE: Millis = Millis(300);
+
 /// Injects faults into a cluster and notes them in the journal.
 #[derive(Debug, Clone)]
 pub struct FaultInjector {
@@ -123,6 +126,7 @@
                 self.journal.note_since(from, Event::EndpointOutage(i));
                 replaced
             }
+            Fault::Crash(i, crash) => self.crash_endpoint(i, crash).await,
             Fault::Stops(series) => self.stop_in_series(series).await,
         }
     }
@@ -138,6 +142,26 @@
         Ok(())
     }
 
+    async fn crash_endpoint(&self, i: usize, crash: Crash) -> Result<()> {
+        self.cluster.lock().await.endpoints[i].vary_framing();
+        tokio::time::sleep(crash.lead.into()).await;
+        if crash.is_announced {
+            self.cluster.lock().await.endpoints[i].start_leaving();
+            tokio::time::sleep(ANNOUNCED_BEFORE.into()).await;
+        }
+        let mut cluster = self.cluster.lock().await;
+        let from = self.journal.now();
+        let crashed = cluster.endpoints[i].crash_in_streams(crash.remains).await;
+        cluster.set_endpoint_full(i, crash.remains == Remains::FullQueue);
+        drop(cluster);
+        tokio::time::sleep(crash.down.into()).await;
+        let mut cluster = self.cluster.lock().await;
+        cluster.set_endpoint_full(i, false);
+        let restarted = cluster.endpoints[i].restart().await;
+        self.journal.note(Event::EndpointOutage(i), from, self.journal.now() + CUT_GRACE);
+        crashed.and(restarted)
+    }
+
     async fn inject_into_process(
         &self,
         target: Target,
--- a/bench/soak/src/link.rs
+++ b/bench/soak/src/link.rs
@@ -13,6 +13,9 @@
 /// Largest number of bytes forwarded at a time.
 const CHUNK: usize = 16 << 10;
 
+/// Length of the accept queue of a proxy.
+const BACKLOG: i32 = 1024;
+
 /// A proxy for one target address. Its background task ends when this is dropped.
 #[derive(Debug)]
 pub struct Link {
@@ -20,6 +23,7 @@
     pub address: SocketAddr,
     fault: watch::Sender<Option<LinkFault>>,
     cuts: watch::Sender<Vec<SourceCut>>,
+    full: watch::Sender<bool>,
 }
 
 /// A fault of the connections that come from one address.
@@ -55,8 +59,9 @@
         let listener = TcpListener::bind(address).await?;
         let (fault, cuts) = (watch::Sender::new(None), watch::Sender::default());
         let faults = Faults { fault: fault.subscribe(), cuts: cuts.subscribe() };
-        tokio::spawn(accept(listener, target, faults));
-        Ok(Self { address, fault, cuts })
+        let full = watch::Sender::new(false);
+        tokio::spawn(accept(listener, target, faults, full.subscribe()));
+        Ok(Self { address, fault, cuts, full })
     }
 
     /// Sets or clears the fault of this link.
@@ -64,6 +69,11 @@
         self.fault.send_replace(fault);
     }
 
+    /// Sets whether new connections time out, as they do when the accept queue is full.
+    pub fn set_full(&self, is_full: bool) {
+        self.full.send_replace(is_full);
+    }
+
     /// Adds a fault of the connections from one address.
     pub fn cut_source(&self, cut: SourceCut) {
         self.cuts.send_modify(|cuts| cuts.push(cut));
@@ -98,13 +108,20 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, faults: Faults) {
-    let mut ended = faults.fault.clone();
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    faults: Faults,
+    mut full: watch::Receiver<bool>,
+) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            changed = ended.changed() => match changed {
-                Ok(()) => continue,
+            changed = full.changed() => match changed {
+                Ok(()) => {
+                    let _ = keep_full(&listener, &mut full).await;
+                    continue;
+                }
                 Err(_) => return,
             },
         };
@@ -122,6 +139,22 @@
     }
 }
 
+/// Fills the accept queue, and empties it once it may be used again.
+async fn keep_full(listener: &TcpListener, full: &mut watch::Receiver<bool>) -> io::Result<()> {
+    let (socket, address) = (SockRef::from(listener), listener.local_addr()?);
+    socket.listen(0)?;
+    // A queue of length 0 holds one connection.
+    let fill = async {
+        let _filler = TcpStream::connect(address).await;
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        () = fill => {}
+        _ = full.wait_for(|is_full| !is_full) => {}
+    }
+    socket.listen(BACKLOG)
+}
+
 async fn connect(
     inbound: TcpStream,
     target: SocketAddr,
--- a/bench/soak/src/plan.rs
+++ b/bench/soak/src/plan.rs
@@ -85,6 +85,30 @@
     UnframedCut,
 }
 
+/// What the address of an endpoint shows after a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Remains {
+    /// Connections are refused.
+    Refusal,
+    /// The kernel accepts connections, and nobody reads from them.
+    Listener,
+    /// The accept queue is full, so that connections time out.
+    FullQueue,
+}
+
+/// A crash of an endpoint in the middle of its streams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Crash {
+    /// Time before the crash in which a part of the streams begin without chunks.
+    pub lead: Millis,
+    /// Whether the endpoint announces shortly before the crash that it is leaving.
+    pub is_announced: bool,
+    /// What its address shows afterwards.
+    pub remains: Remains,
+    /// Time until it is restarted.
+    pub down: Millis,
+}
+
 /// A fault with its target and, where it has one, its duration.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Fault {
@@ -106,6 +130,8 @@
     Endpoint(usize, Misbehavior, Millis),
     /// One endpoint announces that it is leaving, ends, and is replaced by a new incarnation.
     Replace(usize),
+    /// One endpoint crashes, and is restarted as a new incarnation.
+    Crash(usize, Crash),
     /// Sends SIGTERM to several entry instances in turn.
     Stops(Series),
 }
@@ -161,6 +187,28 @@
     faults
 }
 
+/// Generates crashes of endpoints, with a generator of their own.
+pub fn crash_plan(seed: u64, span: Millis, sizes: Sizes) -> Vec<ScheduledFault> {
+    const SEED_MASK: u64 = 0x656e_6473;
+    let mut rng = seeded(seed ^ SEED_MASK);
+    let mut faults = Vec::new();
+    fill_track(&mut rng, span, &mut faults, |rng| {
+        let i = rng.random_range(0..sizes.endpoints);
+        let crash = Crash {
+            lead: Millis(rng.random_range(200..1500)),
+            is_announced: rng.random_bool(0.3),
+            remains: match rng.random_range(0..3) {
+                0 => Remains::Refusal,
+                1 => Remains::Listener,
+                _ => Remains::FullQueue,
+            },
+            down: Millis(rng.random_range(300..2000)),
+        };
+        (Fault::Crash(i, crash), crash.lead.0 + crash.down.0)
+    });
+    faults
+}
+
 /// Generates the faults by which entry instances lose their links to endpoints, with a generator of
 /// their own. The cuts of two tracks overlap.
 pub fn cut_off_plan(seed: u64, span: Millis, sizes: Sizes) -> Vec<ScheduledFault> {
--- a/bench/soak/src/run.rs
+++ b/bench/soak/src/run.rs
@@ -76,7 +76,8 @@
     pub seconds: u64,
     /// Number of entry instances.
     pub entries: usize,
-    /// Whether endpoints also crash under one request, and end answers with their connections.
+    /// Whether endpoints also crash, alone and under one request, and end answers with their
+    /// connections.
     pub crashes: bool,
     /// Whether entry instances also lose their links to endpoints.
     pub cuts: bool,
@@ -268,6 +269,7 @@
         let mut plan = plan::plan(cfg.seed, span, cfg.sizes());
         if cfg.crashes {
             plan.extend(plan::unframed_plan(cfg.seed, span, cfg.sizes()));
+            plan.extend(plan::crash_plan(cfg.seed, span, cfg.sizes()));
         }
         if cfg.cuts {
             plan.extend(plan::cut_off_plan(cfg.seed, span, cfg.sizes()));
--- a/bench/soak/tests/plan.rs
+++ b/bench/soak/tests/plan.rs
@@ -3,7 +3,8 @@
 use sill_base::Millis;
 use sill_soak::cluster::STOP_LIMIT;
 use sill_soak::plan::{
-    Fault, LinkFault, Misbehavior, ProcessFault, ScheduledFault, Series, Sizes, plan,
+    Crash, Fault, LinkFault, Misbehavior, ProcessFault, Remains, ScheduledFault, Series, Sizes,
+    crash_plan, plan,
 };
 
 const SIZES: Sizes = Sizes { controls: 3, entries: 3, endpoints: 4 };
@@ -92,3 +93,24 @@
         |f| matches!(f, Fault::Stops(series) if series.count > 1 && series.gap < STOP_LIMIT)
     ));
 }
+
+/// A proof that is right for one kind of crash is wrong for another. Plans must have all of them:
+/// what the address shows afterwards, with an announcement and without.
+#[test]
+fn crashes_are_of_all_kinds() {
+    let crashes = (0..20).flat_map(|seed| crash_plan(seed, Millis(15_000), SIZES));
+    let crashes: Vec<Crash> = crashes
+        .map(|scheduled| match scheduled.fault {
+            Fault::Crash(_, crash) => crash,
+            other => panic!("{other:?} is no crash"),
+        })
+        .collect();
+    for remains in [Remains::Refusal, Remains::Listener, Remains::FullQueue] {
+        for is_announced in [false, true] {
+            let is_kind = |c: &&Crash| c.remains == remains && c.is_announced == is_announced;
+            let count = crashes.iter().filter(is_kind).count();
+            assert!(count >= 5, "{count} crashes of {remains:?}, announced: {is_announced}");
+        }
+    }
+    assert!(crashes.iter().all(|crash| crash.down <= Millis(2000)));
+}
