Gateway: no reply to a report of an end shows that no other stream ended

The traced ones have endpoint_checked with replies=[]: no other instance replied within 150 ms, which counted as "no other end". Whether the reports were lost as well isn't logged, so the cause is likely, not shown. Cost: a whole stream is cut if all three instances that were asked are silent.

--- a/daemons/gateway/src/endpoint_check.rs
+++ b/daemons/gateway/src/endpoint_check.rs
@@ -192,15 +192,18 @@
         (clients, is_complete)
     }
 
-    /// Tells others that an answer of an endpoint has ended `age` ago with its connection, and returns
-    /// whether other answers are known to have ended with it.
+    /// Tells others that an answer of an endpoint has ended with its connection, and returns whether
+    /// others may have ended with it: they are known to, or no other instance replies.
     pub async fn report_end(&self, to: &Destination, answer: &Name, ended_at: Millis) -> bool {
         let key = (to.endpoint.clone(), to.incarnation);
         self.stream_ends.record_end(self.clock.now(), key.clone(), answer, ended_at);
         let (clients, _) = self.others(&to.endpoint, None);
         let call = self.end_report(to, answer, ended_at);
         let replies = answered_in_time(clients.iter().map(|client| client.call(&call))).await;
-        replies.iter().any(|reply| reply.has_other)
+        // All ends are reported to the same instances, so one reply is enough, but no reply shows nothing.
+        let is_unknown = replies.is_empty() && !clients.is_empty();
+        is_unknown
+            || replies.iter().any(|reply| reply.has_other)
             || self.stream_ends.has_other_end(&key, answer, ended_at)
     }
 
