--- a/daemons/sill/tests/system/proof_of_end.rs
+++ b/daemons/sill/tests/system/proof_of_end.rs
@@ -432,7 +432,8 @@
     /// Ends one stream with its connection, in turns one of each kind; the endpoint runs on.
     fn close_one(&self, number: usize) {
         let mut process = self.process();
-        let is_wanted = |answering: &Answering| answering.is_resumable == (number % 2 == 0);
+        let is_wanted =
+            |answering: &Answering| answering.is_resumable == (number.is_multiple_of(2));
         let Some(i) = process.streams.iter().position(|(_, answering)| is_wanted(answering)) else {
             return;
         };
@@ -523,7 +524,7 @@
             return;
         }
         let id = format!("p{}", NEXT.fetch_add(1, Ordering::Relaxed));
-        let is_resumable = number % 2 == 0;
+        let is_resumable = number.is_multiple_of(2);
         let mut stream = Stream { id, is_resumable, end: End::Refused, events: 0, has_gap: false };
         let to = gateways[(round / 2) % gateways.len()];
         if let Some(end) = read_stream(to, &mut stream) {
