Tests: streams of an ended endpoint end at the same time on busy machines

Each stream's thread closed its own connection, and the news that the endpoint had ended came with a poll. Now one thread ends all streams with a flag, and the fact arrives 100 ms after the end.

--- a/daemons/gateway/tests/proof_of_end.rs
+++ b/daemons/gateway/tests/proof_of_end.rs
@@ -288,7 +288,7 @@
             if case.is_confirmed {
                 thread::sleep(Duration::from_millis(100));
                 let gone = announcement(&harness, Gone, None);
-                *harness.facts.lock() = vec![EndpointFact { sequence: 3, ..gone }];
+                harness.apply_fact(EndpointFact { sequence: 3, ..gone });
             }
         });
         let wrong: Vec<_> = got
@@ -316,7 +316,10 @@
     };
     let cases = FRAMES.into_iter().flat_map(case).collect();
     check_all(cases, |Case { frame, between, is_complete }| {
-        let ends = [(); 2].map(|()| Arc::<AtomicBool>::default());
+        let mut ends = [(); 2].map(|()| Arc::<AtomicBool>::default());
+        if between.is_zero() {
+            ends[1] = ends[0].clone();
+        }
         let actions = ends.iter().map(|ends| frame.ends(FIRST, ends)).collect();
         let (one, other) = (Harness::start(vec![actions]), Harness::start(vec![Vec::new()]));
         for (at, peer) in [(&one, &other), (&other, &one)] {
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -266,6 +266,8 @@
     /// The time after which a proxy in front of it closes connections, once it has ended.
     proxy_delay: Mutex<Option<Duration>>,
     new_connections: Mutex<NewConnections>,
+    /// The streams that end once their flag is set.
+    streams: Mutex<Vec<(Arc<AtomicBool>, TcpStream)>>,
     connections: Mutex<Vec<TcpStream>>,
 }
 
@@ -274,6 +276,19 @@
         self.has_ended.load(Ordering::Relaxed)
     }
 
+    /// Ends all streams with this flag: at the same time, however busy the machine is.
+    fn end_streams(&self, flag: &Arc<AtomicBool>, end: &str) {
+        self.has_ended.store(true, Ordering::Relaxed);
+        self.streams.lock().retain_mut(|(may_close, stream)| {
+            let is_other = !Arc::ptr_eq(may_close, flag);
+            if !is_other {
+                let _ = stream.write_all(end.as_bytes());
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
+            is_other
+        });
+    }
+
     /// Closes the listener and all connections.
     fn end(&self, listener: &TcpListener) {
         self.has_ended.store(true, Ordering::Relaxed);
@@ -430,12 +445,12 @@
             }
             Action::AnswerAndEndBitByBit(text, may_close, end, pause) => {
                 let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
+                let other = stream.try_clone().expect("the socket can be cloned");
+                ending.streams.lock().push((may_close.clone(), other));
                 while !may_close.load(Ordering::Relaxed) {
                     thread::sleep(Duration::from_millis(1));
                 }
-                ending.has_ended.store(true, Ordering::Relaxed);
-                let _ = stream.write_all(end.as_bytes());
-                let _ = stream.shutdown(std::net::Shutdown::Both);
+                ending.end_streams(&may_close, &end);
                 thread::sleep(pause);
                 return ending.end(listener);
             }
@@ -687,6 +702,12 @@
         self.state().apply_reply(self.address, &reply);
     }
 
+    /// Has the entry instance receive a fact at once.
+    pub fn apply_fact(&self, fact: EndpointFact) {
+        let reply = LinkReply { endpoints: vec![fact], ..empty_reply() };
+        self.state().apply_reply(self.address, &reply);
+    }
+
     /// Has the service's endpoints count as reporting the pace of their machines, which its wait
     /// queue requires.
     pub fn enable_wait_queue(&self) {
