Gateway, dispatch: a reply proves an endpoint only on a connection from before its end

Nothing in a reply names who sent it, but a process can't reply on a connection that was opened before its start. So a reply, and a part of another answer, count only on a connection that was opened at most 150 ms after the end. The first check comes with the end, and opens it; it is kept for the next pings alone, as other requests would close it. Other entry instances tell the age of theirs.

--- a/coordination/dispatch/src/end_log.rs
+++ b/coordination/dispatch/src/end_log.rs
@@ -38,14 +38,16 @@
 where
     K: Eq + Hash,
 {
-    /// Records that an answer of an endpoint ended at `at`. Only its first end counts.
+    /// Records that an answer of an endpoint ended at `at`. Of several reports the earliest counts.
     pub fn record(&mut self, now: Millis, endpoint: K, answer: &Name, at: Millis) {
         self.by_endpoint.retain(|_, ends| {
             ends.retain(|(_, at)| now - *at < KEPT);
             !ends.is_empty()
         });
         let ends = self.by_endpoint.entry(endpoint).or_default();
-        if ends.iter().any(|(other, _)| other == answer) {
+        if let Some((_, known)) = ends.iter_mut().find(|(other, _)| other == answer) {
+            // A report only adds to the time.
+            *known = at.min(*known);
             return;
         }
         if ends.len() == MAX_ENDS {
--- a/coordination/dispatch/src/stream_end.rs
+++ b/coordination/dispatch/src/stream_end.rs
@@ -33,6 +33,13 @@
 /// Time within which the endpoint of a plain answer has to be shown to run.
 const PLAIN_WAIT: Millis = Millis(400);
 
+/// How much later than an end a connection may be opened that shows whose process replies on it. Another
+/// process at the address starts later.
+const OPENED_MARGIN: Millis = Millis(150);
+
+/// Time by which an endpoint has to outlive a mark whose connection is still open.
+const MARK_SPAN: Millis = Millis(100);
+
 /// Number of checks of an endpoint in the time that it has to outlive an end.
 const CHECKS: u64 = 4;
 
@@ -53,6 +60,8 @@
     Stream,
     /// A stream of an endpoint that has announced that it leaves or has ended.
     LeavingStream,
+    /// A stream with a mark, whose connection is still open.
+    OpenMark,
     /// A plain answer.
     Plain,
 }
@@ -71,7 +80,7 @@
 /// What is known of an endpoint without a check.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct EndpointSigns {
-    /// When its process was last heard.
+    /// When its process was last heard, on a connection that was opened in time.
     pub heard_at: Option<Millis>,
     /// Whether other answers of it are awaited. If it runs, they go on.
     pub is_awaited: bool,
@@ -133,8 +142,9 @@
     /// When the newest check began.
     began_at: Option<Millis>,
     running: usize,
-    /// When the newest check began that found the endpoint running.
-    shown_at: Option<Millis>,
+    /// When the newest check began that found the endpoint running, and when the connection was opened
+    /// on which it replied.
+    shown: Option<(Millis, Millis)>,
     /// When the newest check began that found that it accepts connections, and must not be asked for more.
     open_at: Option<Millis>,
     /// When the newest check ended that found that the endpoint has ended, and its result.
@@ -171,17 +181,23 @@
 }
 
 impl EndInDoubt {
+    /// Returns by when a connection must have been opened on which the process is heard.
+    pub fn opened_by(&self) -> Millis {
+        self.at + OPENED_MARGIN
+    }
+
     fn bounds(&self, heartbeat: Millis, check_time: Millis) -> Bounds {
         let (span, settle, wait) = match self.kind {
             EndKind::Stream => (heartbeat.min(MAX_SPAN), Millis::ZERO, STREAM_WAIT),
             EndKind::LeavingStream => (heartbeat.min(MIN_SPAN), NEWS_TIME, LEAVING_WAIT),
+            EndKind::OpenMark => (MARK_SPAN, Millis::ZERO, STREAM_WAIT),
             EndKind::Plain => (PLAIN_SPAN, Millis::ZERO, PLAIN_WAIT),
         };
         let last_check_at = self.decide_by - check_time;
         // A check of a plain answer begins soon enough, and what it shows in time counts.
         let (proven_from, has_time) = match self.kind {
             EndKind::Plain => (self.at + span, self.decide_by > self.at + span),
-            EndKind::Stream | EndKind::LeavingStream => {
+            EndKind::Stream | EndKind::LeavingStream | EndKind::OpenMark => {
                 let proven_from = (self.at + span).min(last_check_at);
                 (proven_from, proven_from >= self.at + span.min(MIN_SPAN))
             }
@@ -225,7 +241,7 @@
         if !bounds.has_time {
             return EndStep::NoTime;
         }
-        if let Some(at) = checks.next_check(now, &end, bounds, self.check_time, signs)
+        if let Some(at) = checks.next_check(now, &end, bounds, self.check_time)
             && now < at
         {
             return EndStep::Wait(at);
@@ -235,12 +251,23 @@
         EndStep::Check
     }
 
-    /// Records the result of a check that began at `began_at`.
-    pub fn record(&mut self, now: Millis, endpoint: &K, began_at: Millis, check: EndpointCheck) {
+    /// Records the result of a check that began at `began_at`, and when the connection was opened on which
+    /// the process was heard.
+    pub fn record(
+        &mut self,
+        now: Millis,
+        endpoint: &K,
+        began_at: Millis,
+        check: EndpointCheck,
+        opened_at: Option<Millis>,
+    ) {
         let checks = self.by_endpoint.entry(endpoint.clone()).or_default();
         checks.running = checks.running.saturating_sub(1);
         match check {
-            EndpointCheck::Running => checks.shown_at = checks.shown_at.max(Some(began_at)),
+            EndpointCheck::Running => {
+                let shown = opened_at.map(|opened_at| (began_at, opened_at));
+                checks.shown = checks.shown.max(shown);
+            }
             EndpointCheck::Open => checks.open_at = checks.open_at.max(Some(began_at)),
             EndpointCheck::Silent => {}
             EndpointCheck::Ended | EndpointCheck::Unclear => checks.refuted = Some((now, check)),
@@ -268,10 +295,12 @@
         let is_over = now >= bounds.until;
         let refuted = self.refuted.filter(|(at, _)| *at >= end.at).map(|(_, check)| check);
         let mut proven = proof(ProofKind::Heard, signs.heard_at);
+        let shown = self.shown.filter(|(_, opened_at)| *opened_at <= end.opened_by());
+        let shown_at = shown.map(|(at, _)| at);
         // After its end another process may reply at its address.
         if refuted != Some(EndpointCheck::Ended) {
             proven = proven
-                .or_else(|| proof(ProofKind::Replied, self.shown_at))
+                .or_else(|| proof(ProofKind::Replied, shown_at))
                 .or_else(|| proof(ProofKind::Open, self.open_at));
         }
         if proven.is_some() {
@@ -293,13 +322,11 @@
         end: &EndInDoubt,
         bounds: Bounds,
         check_time: Millis,
-        signs: EndpointSigns,
     ) -> Option<Millis> {
         let Bounds { proven_from, last_check_at, interval, .. } = bounds;
-        // An early check can only refute. That isn't worth it for a caller that waits for the end, or if
-        // the endpoint is heard.
-        let is_heard = signs.heard_at > Some(end.at);
-        let first = (end.kind == EndKind::Plain || is_heard).then_some(proven_from);
+        // An early check can only refute, and open the connection for the next ones. That isn't worth it for
+        // a caller that waits for the end.
+        let first = (end.kind == EndKind::Plain).then_some(proven_from);
         let Some(began_at) = self.began_at else { return first };
         let first = first.map(|at| at.max(began_at + PLAIN_SPAN));
         if self.running > 0 {
@@ -311,7 +338,6 @@
         }
         match began_at {
             at if at < end.at => first,
-            at if at < proven_from && is_heard => Some(proven_from),
             at if at < proven_from => Some(proven_from.min(at + interval)),
             at => Some(at + interval),
         }
--- a/coordination/dispatch/tests/stream_end.rs
+++ b/coordination/dispatch/tests/stream_end.rs
@@ -73,7 +73,7 @@
     for now in (0..4000).map(Millis) {
         running.retain(|(began_at, over_at, check)| {
             if now >= *over_at {
-                checks.record(now, &"e1", *began_at, *check);
+                checks.record(now, &"e1", *began_at, *check, Some(Millis::ZERO));
             }
             now < *over_at
         });
@@ -152,7 +152,7 @@
         if let Some(at) = began_at.take() {
             now = now + CHECK_TIME;
             let check = if at >= Millis(1200) { EndpointCheck::Running } else { pause.check(at).0 };
-            checks.record(now, &"e1", at, check);
+            checks.record(now, &"e1", at, check, Some(Millis::ZERO));
         }
         match checks.step(now, &"e1", end, EndpointSigns::default()) {
             EndStep::Check => began_at = Some(now),
@@ -232,7 +232,7 @@
             EndStep::Check => {
                 let began_at = now;
                 now = now + CHECK_TIME;
-                checks.record(now, &"e1", began_at, EndpointCheck::Running);
+                checks.record(now, &"e1", began_at, EndpointCheck::Running, Some(Millis::ZERO));
             }
             step => break step,
         }
@@ -255,7 +255,7 @@
         assert!(matches!(step, EndStep::Wait(_)), "{step:?}");
     }
     assert_eq!(step(&mut checks, 50, "e2", 50), EndStep::Check, "another endpoint");
-    checks.record(Millis(60), &"e1", Millis(10), EndpointCheck::Ended);
+    checks.record(Millis(60), &"e1", Millis(10), EndpointCheck::Ended, None);
     for end in 10..50 {
         assert_eq!(step(&mut checks, 60, "e1", end), not_shown(EndpointCheck::Ended));
     }
@@ -338,14 +338,37 @@
         let none = EndpointSigns::default();
         assert_eq!(checks.step(Millis::ZERO, &"e1", end, none), EndStep::Check, "{name}");
         if let Some(check) = refuted {
-            checks.record(Millis(1), &"e1", Millis::ZERO, check);
+            checks.record(Millis(1), &"e1", Millis::ZERO, check, None);
         }
-        checks.record(Millis(410), &"e1", Millis(400), EndpointCheck::Running);
+        let opened_at = Some(Millis::ZERO);
+        checks.record(Millis(410), &"e1", Millis(400), EndpointCheck::Running, opened_at);
         let step = checks.step(Millis(410), &"e1", end, signs);
         assert_eq!(is_proven(step), expected, "{name}: {step:?}");
     }
 }
 
+/// The next process at the address of an endpoint would reply for it.
+#[test]
+fn a_reply_on_a_connection_that_was_opened_late_is_no_proof() {
+    struct Case {
+        opened_at: Option<Millis>,
+        is_proven: bool,
+    }
+    let case =
+        |opened_at: Option<u64>, is_proven| Case { opened_at: opened_at.map(Millis), is_proven };
+    let cases =
+        [case(Some(500), true), case(Some(1100), true), case(Some(1400), false), case(None, false)];
+    for Case { opened_at, is_proven: expected } in cases {
+        let mut checks = EndChecks::new(HEARTBEAT, CHECK_TIME);
+        let end = EndInDoubt { kind: EndKind::Stream, at: Millis(1000), decide_by: Millis::MAX };
+        let none = EndpointSigns::default();
+        assert_eq!(checks.step(Millis(1700), &"e1", end, none), EndStep::Check, "{opened_at:?}");
+        checks.record(Millis(1710), &"e1", Millis(1700), EndpointCheck::Running, opened_at);
+        let step = checks.step(Millis(1710), &"e1", end, none);
+        assert_eq!(is_proven(step), expected, "{opened_at:?}: {step:?}");
+    }
+}
+
 /// All answers of an endpoint would be cut that must not be asked for a reply.
 #[test]
 fn an_endpoint_that_must_not_be_asked_is_believed_if_it_accepts_connections_later() {
@@ -415,6 +438,9 @@
         log.record(Millis(1200), "e1", &answer(1), Millis(1000));
         log.record(Millis(1200), endpoint, &answer(number), Millis(at));
         assert_eq!(log.has_other(&"e1", &answer(1), Millis(1000)), has_other, "{name}");
+        // A later report of the same end counts from the earlier one.
+        log.record(Millis(1200), "e1", &answer(1), Millis(1100));
+        assert_eq!(log.has_other(&"e1", &answer(1), Millis(1000)), has_other, "{name}, again");
         // Ends are forgotten.
         log.record(Millis(9000), "e3", &answer(3), Millis(9000));
         assert!(!log.has_other(&"e1", &answer(1), Millis(1000)), "{name}");
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -386,6 +386,7 @@
             if !is_stuck.load(Ordering::Relaxed) {
                 attempt.record_broken_answer(None);
             }
+            attempt.record_closed_answer();
             attempt.end_broken();
             attempt.failed(AttemptOutcome::Unknown, &err)
         }
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -162,6 +162,9 @@
     relays: Mutex<Relays>,
     contacts: Mutex<Map<SocketAddr, Contact>>,
     signs: LifeSigns,
+    /// Connections for pings, with the time of the last one. No other request is sent on them, as it could
+    /// close them.
+    pings: Mutex<Map<(Name, Incarnation), (Connection, Millis)>>,
     /// Changes while paths are in doubt or lost.
     lost: watch::Sender<()>,
     tunnel_count: AtomicU64,
@@ -233,6 +236,7 @@
             relays: Mutex::default(),
             contacts: Mutex::default(),
             signs: LifeSigns::default(),
+            pings: Mutex::default(),
             lost: watch::Sender::default(),
             tunnel_count: AtomicU64::new(0),
             is_tunnel_heard: AtomicBool::new(false),
@@ -286,9 +290,15 @@
         self.paths.lock().silence()
     }
 
-    /// Returns what is known of an endpoint without a check.
-    pub fn signs_of(&self, to: &Destination) -> EndpointSigns {
-        self.signs.of(to)
+    /// Returns what is known of an endpoint without a check, from connections that were opened by
+    /// `opened_by`.
+    pub fn signs_of(&self, to: &Destination, opened_by: Millis) -> EndpointSigns {
+        self.signs.of(to, opened_by)
+    }
+
+    /// Returns when the oldest connection was opened on which an endpoint was heard later than `since`.
+    pub fn heard_on(&self, to: &Destination, since: Millis) -> Option<Millis> {
+        self.signs.heard_on(to, since)
     }
 
     /// Returns whether no endpoint is reached on own connections.
--- a/daemons/gateway/src/egress/exchange.rs
+++ b/daemons/gateway/src/egress/exchange.rs
@@ -46,7 +46,7 @@
 
     /// Records that the process of the endpoint sent something at `at` or later.
     pub fn record_sign(&self, at: Millis) {
-        self.sign.record(at);
+        self.sign.record(Millis(self.opened_at), at);
     }
 
     /// Records that a request in a tunnel has ended without an answer.
--- a/daemons/gateway/src/egress/monitor.rs
+++ b/daemons/gateway/src/egress/monitor.rs
@@ -15,7 +15,7 @@
     /// Records what other entry instances saw when they connected to an endpoint.
     pub fn record_probes(&self, address: SocketAddr, signs: &[EndpointSign]) {
         let (now, mut paths) = (self.clock.now(), self.paths.lock());
-        if signs.iter().any(|sign| matches!(sign, EndpointSign::Open | EndpointSign::Heard)) {
+        if signs.iter().any(|sign| matches!(sign, EndpointSign::Open | EndpointSign::Heard(_))) {
             paths.record_tunnel(now, address, false);
         }
     }
@@ -42,6 +42,7 @@
     fn tick(&self) -> Checks {
         let now = self.clock.now();
         self.signs.expire(now);
+        self.expire_pings(now);
         let (has_relay, silent_relays) = {
             let mut relays = self.relays.lock();
             let silent = relays.tick(now);
--- a/daemons/gateway/src/egress/ping.rs
+++ b/daemons/gateway/src/egress/ping.rs
@@ -4,15 +4,19 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use sill_base::Millis;
+use sill_base::{Millis, Name};
 use sill_dispatch::EndpointSign;
 use sill_net::h1::{Answer, KeptOutcome, Probe, Target};
+use sill_wire::Incarnation;
 
 use super::{Destination, Egress};
 
 /// Longest time that a connection may have been idle if a ping is sent on it.
 const MAX_IDLE: Millis = Millis(2000);
 
+/// How long a connection is kept for the next ping. Ends are in doubt for less.
+const KEPT: Millis = Millis(2500);
+
 /// Upper bound in bytes on the reply to a ping that is read. Its head is the proof; a connection is kept if
 /// the rest is short.
 const MAX_REPLY: usize = 4 << 10;
@@ -47,13 +51,22 @@
     ) where
         F: Fn(&Response<Incoming>) -> bool,
     {
+        let key = (to.endpoint.clone(), to.incarnation);
+        let kept = self.pings.lock().remove(&key).filter(|(kept, _)| !kept.is_closed());
+        if let Some((connection, _)) = kept
+            && let Ok(answer) = self.pool.send_on(connection, req.clone()).await
+            && is_reply(&answer.response)
+        {
+            *sign = EndpointSign::Heard(answer.opened_at);
+            return self.finish(key, answer).await;
+        }
         let target = Target { address: to.address, via: None };
         if let KeptOutcome::Answered(answer) =
             self.pool.send_kept(target, req.clone(), MAX_IDLE).await
             && is_reply(&answer.response)
         {
-            *sign = EndpointSign::Heard;
-            return finish(answer).await;
+            *sign = EndpointSign::Heard(answer.opened_at);
+            return self.finish(key, answer).await;
         }
         let connection = match self.pool.connect(to.address).await {
             Ok(connection) => connection,
@@ -76,20 +89,26 @@
         match self.pool.send_on(connection, req.clone()).await {
             Ok(answer) if is_reply(&answer.response) => {
                 self.record_probe(to, Probe::Open);
-                *sign = EndpointSign::Heard;
-                finish(answer).await;
+                *sign = EndpointSign::Heard(answer.opened_at);
+                self.finish(key, answer).await;
             }
             Ok(_) => self.record_probe(to, Probe::Open),
             Err(_) => self.record_probe(to, Probe::Closed),
         }
     }
-}
 
-/// Reads the rest of a reply, so that its connection can be used again.
-async fn finish(answer: Answer) {
-    let (response, connection) = answer.into_parts();
-    let body = Limited::new(response.into_body(), MAX_REPLY).collect().await;
-    if let (Ok(_), Some(connection)) = (body, connection) {
-        connection.release();
+    /// Reads the rest of a reply, and keeps its connection for the next pings: a reply on it is of the same
+    /// process.
+    async fn finish(&self, key: (Name, Incarnation), answer: Answer) {
+        let (response, connection) = answer.into_parts();
+        let body = Limited::new(response.into_body(), MAX_REPLY).collect().await;
+        if let (Ok(_), Some(connection)) = (body, connection) {
+            self.pings.lock().insert(key, (connection.into_connection(), self.clock.now()));
+        }
+    }
+
+    /// Closes the connections on which no ping was sent lately.
+    pub(super) fn expire_pings(&self, now: Millis) {
+        self.pings.lock().retain(|_, (kept, used_at)| now - *used_at < KEPT && !kept.is_closed());
     }
 }
--- a/daemons/gateway/src/egress/signs.rs
+++ b/daemons/gateway/src/egress/signs.rs
@@ -1,7 +1,6 @@
 //! When the process of each endpoint was last heard.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use parking_lot::Mutex;
 use sill_base::{Map, Millis, Name};
@@ -10,14 +9,22 @@
 
 use super::Destination;
 
-/// How long a sign is kept after the last request in flight.
+/// How long a sign is kept.
 const KEPT: Millis = Millis(5000);
 
-/// The time at which an endpoint was last heard, on any connection and in any tunnel.
-///
-/// Each request in flight has a clone.
+/// Upper bound on the connections of which signs of one endpoint are kept.
+const MAX_CONNECTIONS: usize = 16;
+
+/// When an endpoint was last heard, on connections and in tunnels. Each request in flight has a clone.
 #[derive(Debug, Default, Clone)]
-pub struct LifeSign(Arc<AtomicU64>);
+pub struct LifeSign(Arc<Mutex<Vec<Sign>>>);
+
+/// What arrived on the connections that were opened at one time.
+#[derive(Debug, Clone, Copy)]
+struct Sign {
+    opened_at: Millis,
+    heard_at: Millis,
+}
 
 /// The signs of all endpoints that were sent requests.
 #[derive(Debug, Default)]
@@ -26,14 +33,20 @@
 }
 
 impl LifeSign {
-    /// Records that bytes of the endpoint arrived.
-    pub fn record(&self, now: Millis) {
-        // 0 is for none.
-        self.0.fetch_max(now.0 + 1, Ordering::Relaxed);
-    }
-
-    fn heard_at(&self) -> Option<Millis> {
-        self.0.load(Ordering::Relaxed).checked_sub(1).map(Millis)
+    /// Records that bytes of the endpoint arrived at `heard_at`, on a connection that was opened at
+    /// `opened_at`.
+    pub fn record(&self, opened_at: Millis, heard_at: Millis) {
+        let mut signs = self.0.lock();
+        match signs.iter_mut().find(|sign| sign.opened_at == opened_at) {
+            Some(sign) => sign.heard_at = sign.heard_at.max(heard_at),
+            None => {
+                if signs.len() == MAX_CONNECTIONS {
+                    signs.sort_unstable_by_key(|sign| sign.heard_at);
+                    signs.remove(0);
+                }
+                signs.push(Sign { opened_at, heard_at });
+            }
+        }
     }
 
     fn is_awaited(&self) -> bool {
@@ -48,19 +61,37 @@
         self.by_endpoint.lock().entry(key).or_default().clone()
     }
 
-    /// Returns what is known of an endpoint.
-    pub fn of(&self, to: &Destination) -> EndpointSigns {
-        let signs = self.by_endpoint.lock();
-        let sign = signs.get(&(to.endpoint.clone(), to.incarnation));
-        sign.map_or_else(EndpointSigns::default, |sign| EndpointSigns {
-            heard_at: sign.heard_at(),
-            is_awaited: sign.is_awaited(),
+    /// Returns what is known of an endpoint from connections that were opened by `opened_by`.
+    pub fn of(&self, to: &Destination, opened_by: Millis) -> EndpointSigns {
+        let by_endpoint = self.by_endpoint.lock();
+        let sign = by_endpoint.get(&(to.endpoint.clone(), to.incarnation));
+        sign.map_or_else(EndpointSigns::default, |sign| {
+            let signs = sign.0.lock();
+            let in_time = signs.iter().filter(|sign| sign.opened_at <= opened_by);
+            EndpointSigns {
+                heard_at: in_time.map(|sign| sign.heard_at).max(),
+                is_awaited: sign.is_awaited(),
+            }
         })
     }
 
-    /// Forgets endpoints without requests in flight that were last heard long ago.
+    /// Returns when the oldest connection was opened on which an endpoint was heard later than `since`.
+    pub fn heard_on(&self, to: &Destination, since: Millis) -> Option<Millis> {
+        let by_endpoint = self.by_endpoint.lock();
+        let sign = by_endpoint.get(&(to.endpoint.clone(), to.incarnation))?;
+        let signs = sign.0.lock();
+        let heard = signs.iter().filter(|sign| sign.heard_at > since);
+        heard.map(|sign| sign.opened_at).min()
+    }
+
+    /// Forgets what was heard long ago, and endpoints without requests in flight.
     pub fn expire(&self, now: Millis) {
-        let is_new = |sign: &LifeSign| sign.heard_at().is_some_and(|at| now - at < KEPT);
-        self.by_endpoint.lock().retain(|_, sign| sign.is_awaited() || is_new(sign));
+        self.by_endpoint.lock().retain(|_, sign| {
+            let mut signs = sign.0.lock();
+            signs.retain(|sign| now - sign.heard_at < KEPT);
+            let is_empty = signs.is_empty();
+            drop(signs);
+            sign.is_awaited() || !is_empty
+        });
     }
 }
--- a/daemons/gateway/src/endpoint_check.rs
+++ b/daemons/gateway/src/endpoint_check.rs
@@ -52,18 +52,23 @@
             asked = clients.len() + usize::from(!is_complete);
             replies = self.ask(to, &clients, wait, false).await;
         }
-        self.decide_check(to, None, own, asked, &replies).await
+        self.decide_check(to, None, own, asked, &replies).await.0
     }
 
     /// Finds out whether the process of an endpoint runs, here and then at other entry instances: first
     /// at the one that carried its answer, if it was in a tunnel.
-    pub async fn check_process(&self, to: &Destination, via: Option<&Via>) -> EndpointCheck {
+    /// Returns the result, and when the oldest connection was opened on which the process was heard.
+    pub async fn check_process(
+        &self,
+        to: &Destination,
+        via: Option<&Via>,
+    ) -> (EndpointCheck, Option<Millis>) {
         let own = match via {
             Some(_) => EndpointSign::Unclear,
             None => self.ping(to, REPLY_TIME).await,
         };
         let (mut asked, mut replies) = (0, Vec::new());
-        if own != EndpointSign::Heard {
+        if own.opened_at().is_none() {
             let (clients, is_complete) = self.others(&to.endpoint, via);
             asked = clients.len() + usize::from(!is_complete);
             replies = self.ask(to, &clients, MAX_WAIT, true).await;
@@ -101,7 +106,7 @@
         own: EndpointSign,
         asked: usize,
         replies: &[EndpointSign],
-    ) -> EndpointCheck {
+    ) -> (EndpointCheck, Option<Millis>) {
         let mut check = check_endpoint(own, asked, replies);
         if check == EndpointCheck::Silent && own == EndpointSign::Open && !self.may_ping(to) {
             check = EndpointCheck::Open;
@@ -123,7 +128,8 @@
             replies = format!("{replies:?}"),
             result = label
         );
-        check
+        let heard = replies.iter().chain([&own]).filter_map(|sign| sign.opened_at());
+        (check, heard.min())
     }
 
     /// Has the process of an endpoint reply within `wait`. If it wants no requests, a connection shows
@@ -148,10 +154,8 @@
 
     /// Returns that the endpoint was heard if it was, and else `sign`.
     fn heard_since(&self, to: &Destination, since: Millis, sign: EndpointSign) -> EndpointSign {
-        match self.egress.signs_of(to).heard_at {
-            Some(at) if at > since => EndpointSign::Heard,
-            _ => sign,
-        }
+        let heard = self.egress.heard_on(to, since).into_iter().chain(sign.opened_at()).min();
+        heard.map_or(sign, EndpointSign::Heard)
     }
 
     /// Returns what other instances see of an endpoint, if they answer.
@@ -173,7 +177,9 @@
             true => answered_in_time(calls).await,
             false => future::join_all(calls).await.into_iter().flatten().collect(),
         };
-        let replies: Vec<EndpointSign> = replies.into_iter().map(EndpointSign::from).collect();
+        let now = self.clock.now();
+        let signs = replies.into_iter().map(|reply| EndpointSign::of_reply(now, reply));
+        let replies: Vec<EndpointSign> = signs.collect();
         self.egress.record_probes(to.address, &replies);
         replies
     }
@@ -236,12 +242,13 @@
             None => self.heard_since(&to, began_at, EndpointSign::Unclear),
         };
         let probe = match sign {
-            EndpointSign::Heard | EndpointSign::Open => EndpointProbe::Open,
+            EndpointSign::Heard(_) | EndpointSign::Open => EndpointProbe::Open,
             EndpointSign::Closed if self.is_cut_off_after_tick().await => EndpointProbe::Unclear,
             EndpointSign::Closed => EndpointProbe::Closed,
             EndpointSign::Unclear => EndpointProbe::Unclear,
         };
-        ProbeEndpointReply { probe, is_heard: sign == EndpointSign::Heard }
+        let now = self.clock.now();
+        ProbeEndpointReply { probe, heard_on: sign.opened_at().map(|at| now - at) }
     }
 
     /// Records the end of an answer at another entry instance.
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -218,7 +218,7 @@
             // A stop may begin while the end is in doubt.
             let decide_by = self.decide_by(&ended);
             let end = EndInDoubt { kind: *kind, at: *ended_at, decide_by };
-            let signs = self.egress.signs_of(to);
+            let signs = self.egress.signs_of(to, end.opened_by());
             let step = self.stream_ends.checks.lock().step(now, &key, end, signs);
             match step {
                 EndStep::Decided(verdict) => return Some(verdict),
@@ -254,8 +254,9 @@
         key: CheckedEndpoint,
         began_at: Millis,
     ) {
-        let check = self.check_process(&ended.to, ended.via.as_ref()).await;
-        self.stream_ends.checks.lock().record(self.clock.now(), &key, began_at, check);
+        let (check, opened_at) = self.check_process(&ended.to, ended.via.as_ref()).await;
+        let now = self.clock.now();
+        self.stream_ends.checks.lock().record(now, &key, began_at, check, opened_at);
         self.stream_ends.has_changed.notify_waiters();
     }
 
@@ -305,7 +306,7 @@
 /// same if other streams have ended at the same time.
 pub async fn check_mark(
     state: Arc<State>,
-    ended: EndedAnswer,
+    mut ended: EndedAnswer,
     connection: Option<ReusableConnection>,
 ) -> UnmarkedEnd {
     let Some(connection) = connection else {
@@ -318,6 +319,7 @@
     if !is_closed {
         // The endpoint can reply on it.
         connection.release();
+        ended.kind = EndKind::OpenMark;
     }
     match is_closed || has_other_end {
         true => state.decide_end(ended).await,
--- a/protocol/wire/src/probe.rs
+++ b/protocol/wire/src/probe.rs
@@ -38,9 +38,9 @@
 pub struct ProbeEndpointReply {
     /// What connecting has shown.
     pub probe: EndpointProbe,
-    /// Whether the process of the endpoint has sent anything since the call.
+    /// The age of the connection on which the process of the endpoint has sent something since the call.
     #[serde(default)]
-    pub is_heard: bool,
+    pub heard_on: Option<Millis>,
 }
 
 impl Call for ProbeEndpoint {
--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -462,6 +462,11 @@
         self.0.connection.is_closed()
     }
 
+    /// Takes the connection out of its pool, for another request of the same caller.
+    pub fn into_connection(self) -> Connection {
+        self.0.connection
+    }
+
     /// Returns the connection to its pool.
     pub fn release(self) {
         let BorrowedConnection { connection, keep_alive, pool } = self.0;
