Gateway, dispatch: replies of an endpoint that leaves count although it closes each connection

Cause, by the lines and by reading: such an endpoint answers 503 at its health path, which isn't a refusal as not run, so no reply counted since; and it closes each connection after its reply, so later replies came on connections that were opened too late. Now a reply with any mark of an endpoint counts, and a connection counts if it is opened at most 250 ms after the last reply of the same process. replies_on_new_connections_without_a_pause_are_of_the_same_process fails without that.

--- a/coordination/dispatch/src/stream_end.rs
+++ b/coordination/dispatch/src/stream_end.rs
@@ -33,9 +33,9 @@
 /// Time within which the endpoint of a plain answer has to be shown to run.
 const PLAIN_WAIT: Millis = Millis(400);
 
-/// How much later than an end a connection may be opened that shows whose process replies on it. Another
+/// How much later than the last sign of a process a connection may be opened on which it replies. Another
 /// process at the address starts later.
-const OPENED_MARGIN: Millis = Millis(150);
+const OPENED_MARGIN: Millis = Millis(250);
 
 /// Time by which an endpoint has to outlive a mark whose connection is still open.
 const MARK_SPAN: Millis = Millis(100);
@@ -142,15 +142,23 @@
     /// When the newest check began.
     began_at: Option<Millis>,
     running: usize,
-    /// When the newest check began that found the endpoint running, and when the connection was opened
-    /// on which it replied.
-    shown: Option<(Millis, Millis)>,
+    /// The newest reply.
+    shown: Option<Shown>,
     /// When the newest check began that found that it accepts connections, and must not be asked for more.
     open_at: Option<Millis>,
     /// When the newest check ended that found that the endpoint has ended, and its result.
     refuted: Option<(Millis, EndpointCheck)>,
 }
 
+/// A reply of the process at the address of an endpoint.
+#[derive(Debug, Clone, Copy)]
+struct Shown {
+    /// When the check began.
+    at: Millis,
+    /// From when on the same process has replied.
+    since: Millis,
+}
+
 /// The times that hold for an end.
 #[derive(Debug, Clone, Copy)]
 struct Bounds {
@@ -265,12 +273,13 @@
         checks.running = checks.running.saturating_sub(1);
         match check {
             EndpointCheck::Running => {
-                let shown = opened_at.map(|opened_at| (began_at, opened_at));
-                checks.shown = checks.shown.max(shown);
+                opened_at.into_iter().for_each(|at| checks.record_shown(began_at, at));
             }
             EndpointCheck::Open => checks.open_at = checks.open_at.max(Some(began_at)),
             EndpointCheck::Silent => {}
-            EndpointCheck::Ended | EndpointCheck::Unclear => checks.refuted = Some((now, check)),
+            EndpointCheck::Ended | EndpointCheck::Unclear => {
+                (checks.refuted, checks.shown) = (Some((now, check)), None);
+            }
         }
         // The end that asked for the oldest check has been decided, or its caller has left.
         let kept = STREAM_WAIT + self.check_time;
@@ -281,6 +290,17 @@
 }
 
 impl Checks {
+    /// Records a reply on a connection that was opened at `opened_at`. An endpoint that leaves closes each
+    /// connection after one reply.
+    fn record_shown(&mut self, at: Millis, opened_at: Millis) {
+        let since = match self.shown {
+            Some(before) if opened_at <= before.at + OPENED_MARGIN => before.since.min(opened_at),
+            _ => opened_at,
+        };
+        let at = self.shown.map_or(at, |before| before.at.max(at));
+        self.shown = Some(Shown { at, since });
+    }
+
     fn verdict(
         &self,
         now: Millis,
@@ -295,8 +315,8 @@
         let is_over = now >= bounds.until;
         let refuted = self.refuted.filter(|(at, _)| *at >= end.at).map(|(_, check)| check);
         let mut proven = proof(ProofKind::Heard, signs.heard_at);
-        let shown = self.shown.filter(|(_, opened_at)| *opened_at <= end.opened_by());
-        let shown_at = shown.map(|(at, _)| at);
+        let shown = self.shown.filter(|shown| shown.since <= end.opened_by());
+        let shown_at = shown.map(|shown| shown.at);
         // After its end another process may reply at its address.
         if refuted != Some(EndpointCheck::Ended) {
             proven = proven
--- a/coordination/dispatch/tests/stream_end.rs
+++ b/coordination/dispatch/tests/stream_end.rs
@@ -369,6 +369,31 @@
     }
 }
 
+/// An endpoint that leaves closes each connection after its reply, so all its whole streams would be cut.
+#[test]
+fn replies_on_new_connections_without_a_pause_are_of_the_same_process() {
+    struct Case {
+        replies: &'static [u64],
+        is_proven: bool,
+    }
+    let cases = [
+        Case { replies: &[1000, 1200, 1400, 1600, 1810], is_proven: true },
+        Case { replies: &[1000, 1200, 1600, 1810], is_proven: false },
+        Case { replies: &[1600, 1810], is_proven: false },
+    ];
+    for Case { replies, is_proven: expected } in cases {
+        let mut checks = EndChecks::new(Millis(1200), CHECK_TIME);
+        let end = EndInDoubt { kind: EndKind::Stream, at: Millis(1000), decide_by: Millis::MAX };
+        let none = EndpointSigns::default();
+        assert_eq!(checks.step(Millis(1000), &"e1", end, none), EndStep::Check);
+        for at in replies.iter().copied().map(Millis) {
+            checks.record(at, &"e1", at, EndpointCheck::Running, Some(at));
+        }
+        let step = checks.step(Millis(1820), &"e1", end, none);
+        assert_eq!(is_proven(step), expected, "{replies:?}: {step:?}");
+    }
+}
+
 /// All answers of an endpoint would be cut that must not be asked for a reply.
 #[test]
 fn an_endpoint_that_must_not_be_asked_is_believed_if_it_accepts_connections_later() {
