Gateway, dispatch: an end in doubt is decided until the deadline, not cut before it

What callers saw: whole answers without length or chunks, and in chunks with Connection: close, that ended within 0.6 s before their deadline or before the end of a planned stop were cut at once, with all events passed on and the endpoint sound.

Cause: EndDecision::NoTime. If the usual proof could not come 0.3 s before the deadline, the end was truncated without a check, although nothing forces a decision until the deadline. Too little time was taken for a refutation.

Change: an end is checked in whatever time is left, and nothing but a refutation, the deadline or the end of the process cuts it. With less than 0.6 s left the endpoint has to be heard later than the end by half of that time, on a connection that was opened before the end. An endpoint that closes its connections one after the other, and whose listener goes on, can't reply on such a connection; a kernel or proxy can't either. As endpoints without marks close each connection with its answer, the entry instance checks them once in the last second of a call or of the process, and keeps that connection.

Evidence: held_ends.rs. On all 12 cases of a_whole_stream_shortly_before_the_last_moment_is_complete fail, and an end in doubt is cut 50 to 110 ms after it, half a second before the deadline. The 24 plays of short streams whose listener outlives them by 15, 100 or 300 ms pass unchanged.

--- a/coordination/dispatch/src/stream_end.rs
+++ b/coordination/dispatch/src/stream_end.rs
@@ -13,8 +13,8 @@
 /// Upper bound on the time by which an endpoint has to outlive the end of a stream.
 const MAX_SPAN: Millis = Millis(800);
 
-/// Lower bound on that time, where less is left than the usual one. Parts of a process that ends outlive
-/// its connections by up to this long.
+/// How long parts of a process that ends outlive its connections. If less time is left, it has to reply on a
+/// connection from before the end.
 const MIN_SPAN: Millis = Millis(300);
 
 /// Time within which the endpoint of a stream has to be shown to run. Callers leave after 2 s of
@@ -46,6 +46,9 @@
 /// Least time between two checks of an endpoint.
 const MIN_INTERVAL: Millis = Millis(100);
 
+/// How long a reply before an end makes another one unnecessary. The connection is kept for longer.
+const PREPARED: Millis = Millis(1000);
+
 /// Upper bound on the checks of an endpoint that run at the same time. A second one is needed only for
 /// an end that can't wait for the first.
 const MAX_RUNNING: usize = 3;
@@ -124,7 +127,7 @@
     Wait(Millis),
     /// It is decided.
     Decided(EndVerdict),
-    /// Too little time is left to show anything.
+    /// The time to decide has come, too early for silence to show anything.
     NoTime,
 }
 
@@ -172,6 +175,9 @@
     expires_at: Millis,
     /// When the last check may begin.
     last_check_at: Millis,
+    /// By when a connection must have been opened on which the process is heard.
+    opened_by: Millis,
+    /// Whether there is time enough for silence to mean that the endpoint has ended.
     has_time: bool,
     /// The time between two checks.
     interval: Millis,
@@ -189,11 +195,6 @@
 }
 
 impl EndInDoubt {
-    /// Returns by when a connection must have been opened on which the process is heard.
-    pub fn opened_by(&self) -> Millis {
-        self.at + OPENED_MARGIN
-    }
-
     fn bounds(&self, heartbeat: Millis, check_time: Millis) -> Bounds {
         let (span, settle, wait) = match self.kind {
             EndKind::Stream => (heartbeat.min(MAX_SPAN), Millis::ZERO, STREAM_WAIT),
@@ -201,22 +202,18 @@
             EndKind::OpenMark => (MARK_SPAN, Millis::ZERO, STREAM_WAIT),
             EndKind::Plain => (PLAIN_SPAN, Millis::ZERO, PLAIN_WAIT),
         };
-        let last_check_at = self.decide_by - check_time;
-        // A check of a plain answer begins soon enough, and what it shows in time counts.
-        let (proven_from, has_time) = match self.kind {
-            EndKind::Plain => (self.at + span, self.decide_by > self.at + span),
-            EndKind::Stream | EndKind::LeavingStream | EndKind::OpenMark => {
-                let proven_from = (self.at + span).min(last_check_at);
-                (proven_from, proven_from >= self.at + span.min(MIN_SPAN))
-            }
-        };
+        let left = self.decide_by - self.at;
+        // Half of the time that is left is for the check itself, if it is less than a check may take.
+        let outlives = span.min((left - check_time).max(Millis(left.0 / 2)));
+        let has_time = outlives >= span.min(MIN_SPAN);
         let until = (self.at + wait).min(self.decide_by);
         Bounds {
-            proven_from,
+            proven_from: self.at + outlives,
             settled_from: (self.at + settle).min(self.decide_by),
             until,
             expires_at: (until + check_time).min(self.decide_by),
-            last_check_at,
+            last_check_at: self.decide_by - check_time,
+            opened_by: if has_time { self.at + OPENED_MARGIN } else { self.at },
             has_time,
             interval: Millis(span.0 / CHECKS).max(MIN_INTERVAL),
         }
@@ -233,6 +230,23 @@
         Self { heartbeat, check_time, by_endpoint: Map::default() }
     }
 
+    /// Returns by when a connection must have been opened on which the process of an endpoint is heard after
+    /// an end.
+    pub fn opened_by(&self, end: EndInDoubt) -> Millis {
+        end.bounds(self.heartbeat, self.check_time).opened_by
+    }
+
+    /// Returns whether to check an endpoint whose answers are about to end, so that it can reply later on a
+    /// connection from before the end. The check counts as begun now.
+    pub fn prepare(&mut self, now: Millis, endpoint: &K) -> bool {
+        let checks = self.by_endpoint.entry(endpoint.clone()).or_default();
+        let is_due = checks.began_at.is_none_or(|at| now - at >= PREPARED);
+        if is_due {
+            checks.begin(now);
+        }
+        is_due
+    }
+
     /// Returns what to do about an end at an endpoint. A check that it asks for counts as begun now.
     pub fn step(
         &mut self,
@@ -246,16 +260,15 @@
         if let Some(verdict) = checks.verdict(now, &end, bounds, signs) {
             return EndStep::Decided(verdict);
         }
-        if !bounds.has_time {
+        if now >= bounds.expires_at {
             return EndStep::NoTime;
         }
         if let Some(at) = checks.next_check(now, &end, bounds, self.check_time)
             && now < at
         {
-            return EndStep::Wait(at);
+            return EndStep::Wait(at.min(bounds.expires_at));
         }
-        checks.began_at = Some(now);
-        checks.running += 1;
+        checks.begin(now);
         EndStep::Check
     }
 
@@ -290,6 +303,11 @@
 }
 
 impl Checks {
+    fn begin(&mut self, now: Millis) {
+        self.began_at = Some(now);
+        self.running += 1;
+    }
+
     /// Records a reply on a connection that was opened at `opened_at`. An endpoint that leaves closes each
     /// connection after one reply.
     fn record_shown(&mut self, at: Millis, opened_at: Millis) {
@@ -309,13 +327,13 @@
         signs: EndpointSigns,
     ) -> Option<EndVerdict> {
         let proof = |kind, at: Option<Millis>| {
-            let at = at.filter(|at| *at >= bounds.proven_from && bounds.has_time)?;
+            let at = at.filter(|at| *at >= bounds.proven_from)?;
             Some(EndVerdict::Proven(Proof { kind, at }))
         };
         let is_over = now >= bounds.until;
         let refuted = self.refuted.filter(|(at, _)| *at >= end.at).map(|(_, check)| check);
         let mut proven = proof(ProofKind::Heard, signs.heard_at);
-        let shown = self.shown.filter(|shown| shown.since <= end.opened_by());
+        let shown = self.shown.filter(|shown| shown.since <= bounds.opened_by);
         let shown_at = shown.map(|shown| shown.at);
         // After its end another process may reply at its address.
         if refuted != Some(EndpointCheck::Ended) {
--- a/daemons/gateway/src/daemon.rs
+++ b/daemons/gateway/src/daemon.rs
@@ -141,6 +141,7 @@
         let open = self.state.open_calls().older;
         event!(Info, "gateway_stops", connections = open, late_ms = delay);
         self.state.planned_stop.start(times);
+        self.state.termination.enter(FinalPhase::Stopping);
         self.state.close_wait_queues();
         streams::hand_over(&self.state);
         self.drain_calls(times).await;
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -59,6 +59,8 @@
     /// The version whose endpoints may continue the answer; none before the first event.
     software: Option<Software>,
     due: Pin<Box<Sleep>>,
+    /// Resolves shortly before the deadline or the end of the process; none once it has.
+    last_second: Option<BoxFuture<'static, ()>>,
     /// Resolves when the end of the process cuts the answer.
     cut_by_stop: BoxFuture<'static, ()>,
     /// The migration of the run off its engine, while its old stream still arrives.
@@ -199,6 +201,7 @@
             may_resume,
             software: call.software.clone(),
             due: Box::pin(tokio::time::sleep(time_left.into())),
+            last_second: Some(Box::pin(unmarked::last_second(state.clone(), time_left))),
             cut_by_stop: Box::pin(state.termination.wait_for(FinalPhase::Cut)),
             has_begun: false,
             is_held: false,
@@ -497,6 +500,7 @@
             return Poll::Pending;
         }
         this.poll_migration(cx);
+        this.poll_preparation(cx);
         loop {
             if matches!(this.source, Source::Resuming(_))
                 && let Err(err) = ready!(this.poll_resuming(cx))
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -1,10 +1,11 @@
 //! Ends of answers that prove nothing.
 
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use futures_util::future::{self, BoxFuture};
-use sill_base::{Name, event};
+use sill_base::{Millis, Name, event};
 use sill_dispatch::end_log::may_be_gone;
 use sill_dispatch::{AttemptOutcome, EndKind, EndpointCheck, EventTracker, NextStep, Placement};
 use sill_net::h1::{BodyError, Framing, ReusableConnection};
@@ -15,7 +16,13 @@
 use crate::dispatch::{self, Resumption};
 use crate::egress::Destination;
 use crate::resume::{self, ResumedEnd};
+use crate::state::State;
 use crate::stream_end::{self, EndDecision, EndedAnswer, UnmarkedEnd};
+use crate::termination::FinalPhase;
+
+/// How long before its deadline, or before the end of the process, a call checks the endpoint of an answer
+/// whose end may be in doubt.
+const PREPARE_TIME: Millis = Millis(1000);
 
 impl EndpointAnswer {
     /// Ends the exchange, and returns the end of the answer.
@@ -72,6 +79,28 @@
 }
 
 impl Relay {
+    /// Checks the endpoint once in the last second, if the end of its answer may be in doubt: later it has to
+    /// reply on a connection from before the end.
+    pub(super) fn poll_preparation(&mut self, cx: &mut Context<'_>) {
+        let Some(last_second) = &mut self.last_second else { return };
+        let Source::Endpoint(answer) = &self.source else { return };
+        if last_second.as_mut().poll(cx).is_pending() {
+            return;
+        }
+        self.last_second = None;
+        let is_in_doubt = match answer.framing {
+            Framing::Close => true,
+            // On a connection that is kept it can reply.
+            Framing::Chunked => self.events.is_some() && answer.connection.is_none(),
+            _ => false,
+        };
+        if is_in_doubt && answer.end_check.is_none() {
+            let (to, via) =
+                (Destination::from(&answer.attempt.placement), answer.attempt.via().cloned());
+            tokio::spawn(self.state.clone().prepare_end_check(to, via));
+        }
+    }
+
     /// Starts to check whether the answer is whole, if its end proves nothing. A stream's end may be
     /// late, as all events were passed on; the end of a plain answer completes it for its caller.
     pub(super) fn start_end_check(&mut self) -> bool {
@@ -187,21 +216,21 @@
                 self.end_truncated(cx, &reason, reason.into());
                 Poll::Pending
             }
-            EndDecision::CarrierNotShown | EndDecision::NoTime => {
+            EndDecision::CarrierNotShown => {
                 if has_asked_other {
                     self.progress.record(AttemptOutcome::Unknown);
                 }
-                // Neither the endpoint nor its version has failed.
+                self.abandon_answer();
+                let reason = "the instance that carried its answer was not shown to run";
+                self.end_truncated(cx, &reason, reason.into());
+                Poll::Pending
+            }
+            EndDecision::NoTime => {
+                self.abandon_answer();
+                // Nothing ends the call before its deadline or the end of the process.
                 if let Source::Endpoint(answer) = &mut self.source {
-                    answer.attempt.end_answer(AnswerEnd::Abandoned);
+                    answer.end_check = Some(Box::pin(future::pending()));
                 }
-                let reason = match decision {
-                    EndDecision::CarrierNotShown => {
-                        "the instance that carried its answer was not shown to run"
-                    }
-                    _ => "the end of its answer had no mark and could not be checked in time",
-                };
-                self.end_truncated(cx, &reason, reason.into());
                 Poll::Pending
             }
             EndDecision::Continued(answer) => {
@@ -217,6 +246,13 @@
         }
     }
 
+    /// Ends an answer of which neither the endpoint nor its version has failed.
+    fn abandon_answer(&mut self) {
+        if let Source::Endpoint(answer) = &mut self.source {
+            answer.attempt.end_answer(AnswerEnd::Abandoned);
+        }
+    }
+
     /// Returns whether the answer is a stream that goes on after the last event that its caller received,
     /// if it is resumed.
     fn is_resumable(&self) -> bool {
@@ -294,3 +330,16 @@
         }
     }
 }
+
+/// Waits until little time is left to a call whose deadline passes after `time_left`, or to the process.
+pub(super) async fn last_second(state: Arc<State>, time_left: Millis) {
+    let stopping = async {
+        state.termination.wait_for(FinalPhase::Stopping).await;
+        let ends_at = state.planned_stop.ends_at().unwrap_or(Millis::MAX);
+        tokio::time::sleep((ends_at - PREPARE_TIME - state.clock.now()).into()).await;
+    };
+    tokio::select! {
+        () = tokio::time::sleep((time_left - PREPARE_TIME).into()) => {}
+        () = stopping => {}
+    }
+}
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -26,9 +26,12 @@
 /// Time for the resumption of a stream whose endpoint had announced that it leaves.
 const ANNOUNCED_RESUME_TIME: Millis = Millis(700);
 
-/// Time for a resumption whose answer is no longer needed to show that the endpoint runs.
+/// Time for the resumption of a stream whose endpoint is shown to run.
 const RESUME_TIME: Millis = Millis(400);
 
+/// Time for the end of an answer to reach its caller.
+const FINISH_TIME: Millis = Millis(20);
+
 /// An endpoint, and the entry instance that carries the answer if it is one in a tunnel.
 type CheckedEndpoint = (Name, Incarnation, Option<SocketAddr>);
 
@@ -204,7 +207,7 @@
     /// Returns none if the call or the process ends before.
     pub async fn wait_until_proven(self: Arc<Self>, ended: EndedAnswer) -> Option<EndVerdict> {
         let EndedAnswer { to, via, kind, placed_at, ended_at, .. } = &ended;
-        let key = (to.endpoint.clone(), to.incarnation, via.as_ref().map(|via| via.address));
+        let key = checked_endpoint(to, via.as_ref());
         loop {
             let has_changed = self.stream_ends.has_changed.notified();
             tokio::pin!(has_changed);
@@ -216,16 +219,20 @@
             }
             let now = self.clock.now();
             // A stop may begin while the end is in doubt.
-            let decide_by = self.decide_by(&ended);
+            let decide_by = self.decide_by(ended.due, ended.is_held);
             let end = EndInDoubt { kind: *kind, at: *ended_at, decide_by };
-            let signs = self.egress.signs_of(to, end.opened_by());
-            let step = self.stream_ends.checks.lock().step(now, &key, end, signs);
+            let step = {
+                let mut checks = self.stream_ends.checks.lock();
+                let signs = self.egress.signs_of(to, checks.opened_by(end));
+                checks.step(now, &key, end, signs)
+            };
             match step {
                 EndStep::Decided(verdict) => return Some(verdict),
                 EndStep::NoTime => return None,
                 EndStep::Check => {
                     // Other ends wait for it too, whether or not this caller leaves.
-                    tokio::spawn(self.clone().check_for_ends(ended.clone(), key.clone(), now));
+                    let (to, via) = (to.clone(), via.clone());
+                    tokio::spawn(self.clone().check_for_ends(to, via, now));
                 }
                 EndStep::Wait(until) => {
                     // Crashes are heard of from others, and other answers may go on.
@@ -239,23 +246,29 @@
         }
     }
 
-    /// Returns the time by which must be decided about an end, so that its caller can still be told.
-    fn decide_by(&self, ended: &EndedAnswer) -> Millis {
+    /// Returns the time by which must be decided about the end of a call with deadline `due`, so that its
+    /// caller can still be told.
+    pub fn decide_by(&self, due: Millis, is_held: bool) -> Millis {
         // What is forwarded is cut later than what waits.
-        let forward_time =
-            if ended.is_held { Millis::ZERO } else { Millis(LAST_ANSWERS_TIME.0 / 2) };
+        let forward_time = if is_held { Millis::ZERO } else { Millis(LAST_ANSWERS_TIME.0 / 2) };
         let stop = self.planned_stop.ends_at().map_or(Millis::MAX, |at| at + forward_time);
-        stop.min(ended.due)
+        stop.min(due - FINISH_TIME)
     }
 
-    async fn check_for_ends(
-        self: Arc<Self>,
-        ended: EndedAnswer,
-        key: CheckedEndpoint,
-        began_at: Millis,
-    ) {
-        let (check, opened_at) = self.check_process(&ended.to, ended.via.as_ref()).await;
+    /// Has an endpoint reply whose answer is about to end, so that it can reply later on a connection from
+    /// before the end.
+    pub async fn prepare_end_check(self: Arc<Self>, to: Destination, via: Option<Via>) {
         let now = self.clock.now();
+        let is_due =
+            self.stream_ends.checks.lock().prepare(now, &checked_endpoint(&to, via.as_ref()));
+        if is_due {
+            self.check_for_ends(to, via, now).await;
+        }
+    }
+
+    async fn check_for_ends(self: Arc<Self>, to: Destination, via: Option<Via>, began_at: Millis) {
+        let (check, opened_at) = self.check_process(&to, via.as_ref()).await;
+        let (now, key) = (self.clock.now(), checked_endpoint(&to, via.as_ref()));
         self.stream_ends.checks.lock().record(now, &key, began_at, check, opened_at);
         self.stream_ends.has_changed.notify_waiters();
     }
@@ -280,7 +293,7 @@
 
     /// Returns whether another answer ended at the same time, as far as that is known in time.
     async fn has_other_end(&self, ended: &EndedAnswer) -> bool {
-        let time_left = self.decide_by(ended) - self.clock.now();
+        let time_left = self.decide_by(ended.due, ended.is_held) - self.clock.now();
         let report = self.report_end(&ended.to, &ended.answer, ended.ended_at);
         let known = tokio::time::timeout(time_left.into(), report).await;
         known.unwrap_or_else(|_| {
@@ -301,6 +314,10 @@
     }
 }
 
+fn checked_endpoint(to: &Destination, via: Option<&Via>) -> CheckedEndpoint {
+    (to.endpoint.clone(), to.incarnation, via.map(|via| via.address))
+}
+
 /// Decides about a marked end of a stream. `connection` is the one that was to be kept: if it is closed
 /// with the mark nevertheless, its endpoint may be ending, and has written the mark as it stopped. The
 /// same if other streams have ended at the same time.
--- a/daemons/gateway/src/termination.rs
+++ b/daemons/gateway/src/termination.rs
@@ -15,6 +15,8 @@
     /// Calls are served.
     #[default]
     Open,
+    /// A planned stop has begun.
+    Stopping,
     /// Calls that wait for the first byte of their answers get an error response.
     LastAnswers,
     /// Calls that are still running are cut.
--- a/daemons/gateway/tests/held_ends.rs
+++ b/daemons/gateway/tests/held_ends.rs
@@ -123,3 +123,78 @@
         });
     }
 }
+
+/// Whole streams that ended within 0.6 s before the deadline or the end of a stop were cut at once.
+#[test]
+fn a_whole_stream_shortly_before_the_last_moment_is_complete() {
+    struct Case {
+        cut: Cut,
+        framing: &'static str,
+        end: &'static str,
+        /// When the stream ends.
+        after: u64,
+    }
+    const CHUNKS: &str = "transfer-encoding: chunked\r\nconnection: close\r\n";
+    lines::capture();
+    let framings = [("", WHOLE.to_owned(), ""), (CHUNKS, chunk(WHOLE), "0\r\n\r\n")];
+    thread::scope(|scope| {
+        for (framing, events, end) in &framings {
+            let times = [(Cut::Stop, [1350, 1500, 1600]), (Cut::Deadline, [1450, 1650, 1800])];
+            let cases = times
+                .into_iter()
+                .flat_map(|(cut, times)| times.map(|after| Case { cut, framing, end, after }));
+            for Case { cut, framing, end, after } in cases {
+                scope.spawn(move || {
+                    let last = Duration::from_millis(after + 60);
+                    for number in 0.. {
+                        let may_end = Arc::<AtomicBool>::default();
+                        let first =
+                            format!("{}{events}", head(&format!("{EVENT_STREAM}{framing}")));
+                        let action = Action::AnswerInTwoAndCloseWhen(
+                            first,
+                            may_end.clone(),
+                            end.to_string(),
+                        );
+                        let id = format!("late-{cut:?}-{after}-{}-{number}", framing.len());
+                        let after = Duration::from_millis(after);
+                        let (got, ended_at) = play(cut, &id, action, &may_end, after);
+                        if ended_at > last && number < MAX_PLAYS {
+                            continue;
+                        }
+                        assert!(
+                            looks_complete(&got),
+                            "{id}: {} {:?}",
+                            got.head,
+                            lines::of_call(&id)
+                        );
+                        return;
+                    }
+                });
+            }
+        }
+    });
+}
+
+/// A stream whose endpoint is silent was cut although its deadline was not near.
+#[test]
+fn an_end_in_doubt_is_not_cut_before_the_deadline() {
+    for after in [1450, 1700] {
+        let may_end = Arc::<AtomicBool>::default();
+        let action = Action::AnswerAndEndBitByBit(
+            format!("{}{WHOLE}", head(EVENT_STREAM)),
+            may_end.clone(),
+            String::new(),
+            Duration::from_secs(5),
+        );
+        let id = format!("silent-{after}");
+        let began_at = Instant::now();
+        let (got, _) = play(Cut::Deadline, &id, action, &may_end, Duration::from_millis(after));
+        let ms = began_at.elapsed().as_millis();
+        assert!(!looks_complete(&got), "{id}: {}", got.head);
+        assert!(ms >= 1950, "{id}: cut after {ms} ms");
+    }
+}
+
+fn chunk(events: &str) -> String {
+    format!("{:x}\r\n{events}\r\n", events.len())
+}
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -79,6 +79,8 @@
     AnswerAndCloseLater(String, Duration),
     /// Sends these bytes, and closes the connection once the flag is set.
     AnswerAndCloseWhen(String, Arc<AtomicBool>),
+    /// Sends the first bytes; once the flag is set, sends the others and closes the connection.
+    AnswerInTwoAndCloseWhen(String, Arc<AtomicBool>, String),
     /// Sends the first bytes; once the flag is set, repeats the others until the other side closes the
     /// connection, at some 32 MB/s.
     AnswerWithoutEnd(String, Arc<AtomicBool>, String),
@@ -472,6 +474,14 @@
                 }
                 return;
             }
+            Action::AnswerInTwoAndCloseWhen(first, may_close, remainder) => {
+                let _ = stream.write_all(first.replace("{id}", &id).as_bytes());
+                while !may_close.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(2));
+                }
+                let _ = stream.write_all(remainder.as_bytes());
+                return;
+            }
             Action::AnswerWithoutEnd(first, may_go_on, part) => {
                 let _ = stream.write_all(first.replace("{id}", &id).as_bytes());
                 while !may_go_on.load(Ordering::Relaxed) {
