Gateway: no wait for a resumption outlasts the time in which an end must be decided

Cause: beside the check of its endpoint, such a stream is resumed elsewhere. That resumption was waited for 0.4 s after a proof, 0.7 s after an announcement, and without a bound while the endpoint wasn't shown to run, whatever time the call had left.

Change: where the end can be decided without it, a resumption gets at most half of the time that is left; with less than 50 ms none is begun for an announcement.

--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -17,13 +17,16 @@
 use crate::egress::Destination;
 use crate::resume::{self, ResumedEnd};
 use crate::state::State;
-use crate::stream_end::{self, EndDecision, EndedAnswer, UnmarkedEnd};
+use crate::stream_end::{self, ANNOUNCED_RESUME_TIME, EndDecision, EndedAnswer, UnmarkedEnd};
 use crate::termination::FinalPhase;
 
 /// How long before its deadline, or before the end of the process, a call checks the endpoint of an answer
 /// whose end may be in doubt.
 const PREPARE_TIME: Millis = Millis(1000);
 
+/// Least time for the resumption of a stream whose endpoint had announced that it leaves.
+const MIN_RESUME_TIME: Millis = Millis(50);
+
 impl EndpointAnswer {
     /// Ends the exchange, and returns the end of the answer.
     fn end(&mut self, is_stream: bool, is_held: bool) -> EndedAnswer {
@@ -265,13 +268,14 @@
     /// Resumes a stream whose endpoint had announced that it leaves, before its end counts as whole without
     /// a proof. Returns whether it does.
     fn resume_announced(&mut self, cx: &Context<'_>, has_other_end: bool) -> bool {
+        let wait = self.state.resume_time(ANNOUNCED_RESUME_TIME, self.call.due, self.is_held);
         let Source::Endpoint(answer) = &mut self.source else { return false };
-        if std::mem::replace(&mut answer.is_resumed_at_end, true) {
+        if std::mem::replace(&mut answer.is_resumed_at_end, true) || wait < MIN_RESUME_TIME {
             return false;
         }
         let endpoint = answer.attempt.placement.endpoint.clone();
         let Some(resumption) = self.end_resumption(&endpoint, false) else { return false };
-        let check = stream_end::resume_announced(resumption, has_other_end);
+        let check = stream_end::resume_announced(resumption, wait, has_other_end);
         if let Source::Endpoint(answer) = &mut self.source {
             answer.end_check = Some(Box::pin(check));
         }
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -24,7 +24,7 @@
 use crate::state::State;
 
 /// Time for the resumption of a stream whose endpoint had announced that it leaves.
-const ANNOUNCED_RESUME_TIME: Millis = Millis(700);
+pub const ANNOUNCED_RESUME_TIME: Millis = Millis(700);
 
 /// Time for the resumption of a stream whose endpoint is shown to run.
 const RESUME_TIME: Millis = Millis(400);
@@ -255,6 +255,13 @@
         stop.min(due - FINISH_TIME)
     }
 
+    /// Returns how long the resumption of a call is waited for that ends without it as well: at most `most`,
+    /// and half of the time in which must be decided.
+    pub fn resume_time(&self, most: Millis, due: Millis, is_held: bool) -> Millis {
+        let left = self.decide_by(due, is_held) - self.clock.now();
+        most.min(Millis(left.0 / 2))
+    }
+
     /// Has an endpoint reply whose answer is about to end, so that it can reply later on a connection from
     /// before the end.
     pub async fn prepare_end_check(self: Arc<Self>, to: Destination, via: Option<Via>) {
@@ -344,12 +351,14 @@
     }
 }
 
-/// Decides about the end of a stream that would count as whole without a proof, from its resumption.
+/// Decides about the end of a stream that would count as whole without a proof, from its resumption if that
+/// answers within `wait`.
 pub async fn resume_announced(
     resumption: BoxFuture<'static, Result<ResumedEnd, NotResumed>>,
+    wait: Millis,
     has_other_end: bool,
 ) -> UnmarkedEnd {
-    let resumed = tokio::time::timeout(ANNOUNCED_RESUME_TIME.into(), resumption).await;
+    let resumed = tokio::time::timeout(wait.into(), resumption).await;
     let is_other_late = resumed.is_err();
     let (decision, has_asked_other) = match resumed {
         Ok(Ok(ResumedEnd::Continued(answer))) => (EndDecision::Continued(answer), false),
@@ -367,17 +376,25 @@
     ended: EndedAnswer,
     resumption: Option<BoxFuture<'static, Result<ResumedEnd, NotResumed>>>,
 ) -> UnmarkedEnd {
-    let endpoint: BoxFuture<'static, UnmarkedEnd> = Box::pin(state.decide_unmarked(ended));
+    let EndedAnswer { kind, due, is_held, .. } = ended;
+    let endpoint: BoxFuture<'static, UnmarkedEnd> = Box::pin(state.clone().decide_unmarked(ended));
     let Some(resumption) = resumption else { return endpoint.await };
     let mut is_other_late = false;
     let (end, resumed) = match future::select(endpoint, resumption).await {
-        Either::Left((end, resumption)) if !end.decision.is_doubt() => {
-            // An endpoint that runs may have closed the connection of a stream that is not whole.
-            let resumed = tokio::time::timeout(RESUME_TIME.into(), resumption).await;
+        Either::Left((end, resumption)) => {
+            let wait = match (end.decision.is_doubt(), kind) {
+                // An endpoint that runs may have closed the connection of a stream that is not whole.
+                (false, _) => state.resume_time(RESUME_TIME, due, is_held),
+                (true, EndKind::LeavingStream) => {
+                    state.resume_time(ANNOUNCED_RESUME_TIME, due, is_held)
+                }
+                // Nothing else can make the answer whole.
+                (true, _) => Millis::MAX,
+            };
+            let resumed = tokio::time::timeout(wait.into(), resumption).await;
             is_other_late = resumed.is_err();
             (end, resumed.unwrap_or(Ok(ResumedEnd::Unclear)))
         }
-        Either::Left((end, resumption)) => (end, resumption.await),
         Either::Right((resumed @ (Ok(ResumedEnd::Unclear) | Err(_)), endpoint)) => {
             (endpoint.await, resumed)
         }
