Gateway: a stream of an endpoint that leaves isn't cut because no other one can be asked

Cause: the lack of somebody to ask was taken for a refutation, as the caller can take such a stream up. Streams that may not be resumed were believed under the same signs.

Change: the same rule for both: if nothing else of that endpoint ended within 20 ms, here or at the instances that are told of ends, and it isn't gone by the time that it announced, the stream is whole, with a line end_unproven.

Evidence: a_whole_stream_of_an_endpoint_that_leaves_is_complete_where_none_can_resume_it fails on the commit before in 3 of 6 cases (one stream alone, in each framing) and passes with it; three streams that end together are cut before and after. The price: a single resumable stream of an endpoint that announces that it leaves and crashes, where none can be asked, looks whole. Where another endpoint has room, it is resumed as before.

--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -7,7 +7,7 @@
 use futures_util::future::{self, BoxFuture};
 use sill_base::{Millis, Name, event};
 use sill_dispatch::end_log::may_be_gone;
-use sill_dispatch::{AttemptOutcome, EndKind, EndpointCheck, EventTracker, NextStep, Placement};
+use sill_dispatch::{AttemptOutcome, EndKind, EventTracker, NextStep, Placement};
 use sill_net::h1::{BodyError, Framing, ReusableConnection};
 use sill_rollout::AnswerEnd;
 use sill_route::Outcome;
@@ -184,14 +184,11 @@
         {
             decision = announced;
         }
-        if matches!(decision, EndDecision::Announced) && !has_asked_other {
-            if self.resume_announced(cx, has_other_end) {
-                return Poll::Pending;
-            }
-            // Its caller can resume it where this instance can't.
-            if self.is_resumable() {
-                decision = EndDecision::NotShown(EndpointCheck::Silent);
-            }
+        if matches!(decision, EndDecision::Announced)
+            && !has_asked_other
+            && self.resume_announced(cx, has_other_end)
+        {
+            return Poll::Pending;
         }
         self.record_unmarked_end(&decision, has_other_end);
         if has_asked_other {
@@ -256,15 +253,6 @@
         }
     }
 
-    /// Returns whether the answer is a stream that goes on after the last event that its caller received,
-    /// if it is resumed.
-    fn is_resumable(&self) -> bool {
-        let can_resume = |events: &EventTracker| events.can_resume() && events.last_id().is_some();
-        self.may_resume
-            && self.call.route.route.kind.may_repeat()
-            && self.events.as_ref().is_some_and(can_resume)
-    }
-
     /// Resumes a stream whose endpoint had announced that it leaves, before its end counts as whole without
     /// a proof. Returns whether it does.
     fn resume_announced(&mut self, cx: &Context<'_>, has_other_end: bool) -> bool {
--- a/daemons/gateway/tests/proof_of_end.rs
+++ b/daemons/gateway/tests/proof_of_end.rs
@@ -367,6 +367,43 @@
     });
 }
 
+/// A whole stream of an endpoint that leaves in order was cut because no other endpoint could be asked
+/// whether anything follows.
+#[test]
+fn a_whole_stream_of_an_endpoint_that_leaves_is_complete_where_none_can_resume_it() {
+    struct Case {
+        frame: Frame,
+        /// Number of streams that end at the same time.
+        streams: usize,
+        is_complete: bool,
+    }
+    let cases = FRAMES.into_iter().flat_map(|frame| {
+        let alone = Case { frame, streams: 1, is_complete: true };
+        [alone, Case { frame, streams: 3, is_complete: false }]
+    });
+    check_all(cases.collect(), |Case { frame, streams, is_complete }| {
+        let ends = Arc::<AtomicBool>::default();
+        let harness = Harness::start(vec![vec![frame.ends(WHOLE, &ends); streams]]);
+        let calls: Vec<Call<'_>> = ["r-1", "r-2", "r-3"][..streams]
+            .iter()
+            .map(|id| Call { at: &harness, id, path: "/resumable_stream/x" })
+            .collect();
+        let got = play(&harness, &calls, || {
+            announce(
+                &harness,
+                announcement(&harness, EndpointState::Leaving, Some(Millis(20_000))),
+            );
+            ends.store(true, Ordering::Relaxed);
+        });
+        let wrong: Vec<_> = got
+            .iter()
+            .filter(|got| looks_complete(got) != is_complete || text(got) != WHOLE)
+            .map(|got| (text(got), looks_complete(got)))
+            .collect();
+        (!wrong.is_empty()).then(|| format!("{frame:?}, {streams}: {wrong:?}"))
+    });
+}
+
 /// A process that stops writes the last chunks of all that it sends, and its connections may outlive it
 /// on its host. Such marks would make short streams look whole; those of a sound endpoint must count.
 #[test]
