Gateway: where an endpoint leaves and time is short, another one is asked at once

What callers could see: a short stream that looks whole, if its endpoint had announced that it leaves and crashed less than 1.5 s before the deadline of the call, though another endpoint could go on with it. Found by review.

Cause: the endpoint had all the time that was left, and the announcement was believed when none was left to ask another one.

Change: with less than 1.5 s left such a stream is resumed as soon as it ends, whether its end is marked or not.

--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -24,6 +24,9 @@
 /// whose end may be in doubt.
 const PREPARE_TIME: Millis = Millis(1000);
 
+/// Time to decide about the end of an endpoint that leaves, and then to ask another one.
+const LEAVING_TIME: Millis = Millis(1500);
+
 /// Least time for the resumption of a stream whose endpoint had announced that it leaves.
 const MIN_RESUME_TIME: Millis = Millis(50);
 
@@ -121,16 +124,22 @@
             // The endpoint has room for another call while the end is held.
             answer.attempt.finish(Outcome::Finished);
         }
+        // What it has announced is believed only if another one has nothing to add, and there is no time to
+        // ask that one later.
+        let time_left = self.state.decide_by(ended.due, ended.is_held) - ended.ended_at;
+        let asks_now = ended.kind == EndKind::LeavingStream && time_left < LEAVING_TIME;
+        let resumption = match is_marked && !asks_now {
+            true => None,
+            false => self.end_resumption(&ended.to.endpoint, !asks_now),
+        };
         let state = self.state.clone();
-        let check: BoxFuture<'static, UnmarkedEnd> = match is_marked {
-            true => Box::pin(stream_end::check_mark(state, ended, connection)),
-            false => {
-                let resumption = self.end_resumption(&ended.to.endpoint, true);
-                Box::pin(stream_end::decide(state, ended, resumption))
-            }
+        let endpoint: BoxFuture<'static, UnmarkedEnd> = match is_marked {
+            true => Box::pin(stream_end::check_mark(state.clone(), ended.clone(), connection)),
+            false => Box::pin(state.clone().decide_unmarked(ended.clone())),
         };
+        let check = stream_end::decide(state, ended, endpoint, resumption);
         if let Source::Endpoint(answer) = &mut self.source {
-            answer.end_check = Some(check);
+            answer.end_check = Some(Box::pin(check));
         }
         true
     }
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -310,7 +310,7 @@
 
     /// Decides about an end without a mark from its endpoint, and from the instance that carried it. What
     /// the endpoint has announced shows nothing of that one.
-    async fn decide_unmarked(self: Arc<Self>, ended: EndedAnswer) -> UnmarkedEnd {
+    pub async fn decide_unmarked(self: Arc<Self>, ended: EndedAnswer) -> UnmarkedEnd {
         let endpoint = self.clone().decide_end(ended.clone());
         let (end, is_carrier_running) =
             future::join(endpoint, self.is_carrier_running(&ended)).await;
@@ -374,22 +374,22 @@
 pub async fn decide(
     state: Arc<State>,
     ended: EndedAnswer,
+    endpoint: BoxFuture<'static, UnmarkedEnd>,
     resumption: Option<BoxFuture<'static, Result<ResumedEnd, NotResumed>>>,
 ) -> UnmarkedEnd {
-    let EndedAnswer { kind, due, is_held, .. } = ended;
-    let endpoint: BoxFuture<'static, UnmarkedEnd> = Box::pin(state.clone().decide_unmarked(ended));
     let Some(resumption) = resumption else { return endpoint.await };
+    let EndedAnswer { kind, due, is_held, .. } = ended;
     let mut is_other_late = false;
     let (end, resumed) = match future::select(endpoint, resumption).await {
         Either::Left((end, resumption)) => {
-            let wait = match (end.decision.is_doubt(), kind) {
+            let wait = if !end.decision.is_doubt() {
                 // An endpoint that runs may have closed the connection of a stream that is not whole.
-                (false, _) => state.resume_time(RESUME_TIME, due, is_held),
-                (true, EndKind::LeavingStream) => {
-                    state.resume_time(ANNOUNCED_RESUME_TIME, due, is_held)
-                }
-                // Nothing else can make the answer whole.
-                (true, _) => Millis::MAX,
+                state.resume_time(RESUME_TIME, due, is_held)
+            } else if kind == EndKind::LeavingStream {
+                state.resume_time(ANNOUNCED_RESUME_TIME, due, is_held)
+            } else {
+                // Nothing else can complete the answer.
+                Millis::MAX
             };
             let resumed = tokio::time::timeout(wait.into(), resumption).await;
             is_other_late = resumed.is_err();
--- a/daemons/gateway/tests/held_ends.rs
+++ b/daemons/gateway/tests/held_ends.rs
@@ -15,6 +15,10 @@
 
 const WHOLE: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
+const CHUNKS: &str = "transfer-encoding: chunked\r\n";
+
+const CHUNKS_AND_CLOSE: &str = "transfer-encoding: chunked\r\nconnection: close\r\n";
+
 /// Number of times that a case is played until the machine is fast enough for its times.
 const MAX_PLAYS: usize = 20;
 
@@ -134,9 +138,8 @@
         /// When the stream ends.
         after: u64,
     }
-    const CHUNKS: &str = "transfer-encoding: chunked\r\nconnection: close\r\n";
     lines::capture();
-    let framings = [("", WHOLE.to_owned(), ""), (CHUNKS, chunk(WHOLE), "0\r\n\r\n")];
+    let framings = [("", WHOLE.to_owned(), ""), (CHUNKS_AND_CLOSE, chunk(WHOLE), "0\r\n\r\n")];
     thread::scope(|scope| {
         for (framing, events, end) in &framings {
             let times = [(Cut::Stop, [1350, 1500, 1600]), (Cut::Deadline, [1450, 1650, 1800])];
@@ -248,6 +251,62 @@
     }
 }
 
+/// With little time left, an announcement was believed without asking another endpoint, so that a short
+/// stream looked whole.
+#[test]
+fn a_short_stream_of_an_endpoint_that_leaves_goes_on_although_its_deadline_is_near() {
+    const FIRST: &str = "id: 1\ndata: a\n\n";
+    const SECOND: &str = "id: 2\ndata: b\n\n";
+    struct Case {
+        framing: &'static str,
+        after: u64,
+    }
+    lines::capture();
+    let framings = ["", CHUNKS, CHUNKS_AND_CLOSE];
+    let cases =
+        framings.iter().flat_map(|framing| [900, 1300, 1500].map(|after| Case { framing, after }));
+    thread::scope(|scope| {
+        for Case { framing, after } in cases {
+            scope.spawn(move || {
+                let stream = |events: &str| {
+                    let events = if framing.is_empty() { events.to_owned() } else { chunk(events) };
+                    format!("{}{events}", head(&format!("{EVENT_STREAM}{framing}")))
+                };
+                let end = if framing.is_empty() { "" } else { "0\r\n\r\n" };
+                let may_end = Arc::<AtomicBool>::default();
+                let first = Action::AnswerAndEndBitByBit(
+                    stream(FIRST),
+                    may_end.clone(),
+                    end.to_owned(),
+                    Duration::from_secs(5),
+                );
+                let rest = format!(
+                    "{}{}0\r\n\r\n",
+                    head(&format!("{EVENT_STREAM}{CHUNKS}")),
+                    chunk(SECOND)
+                );
+                let harness =
+                    Harness::start_with_hidden(vec![vec![first], vec![Action::Answer(rest)]]);
+                let id = format!("leaves-{after}-{}", framing.len());
+                let text = request_as(&id, "/resumable_stream/x", "sill-deadline-ms: 2000\r\n");
+                let (address, began_at) = (harness.address, Instant::now());
+                let caller = thread::spawn(move || exchange(address, &text));
+                while harness.endpoints[0].requests() == 0 {
+                    thread::sleep(Duration::from_millis(1));
+                }
+                harness.announce_departure_and_last(Millis(20_000));
+                harness.wait_until_facts_applied();
+                thread::sleep(Duration::from_millis(after).saturating_sub(began_at.elapsed()));
+                may_end.store(true, Ordering::Relaxed);
+                let got = caller.join().expect("the caller gets an answer");
+                let is_short = got.is_complete && got.body != WHOLE.as_bytes();
+                assert!(!is_short, "{id}: {:?}", lines::of_call(&id));
+                assert_eq!(harness.endpoints[1].requests(), 1, "{id} is resumed");
+            });
+        }
+    });
+}
+
 fn chunk(events: &str) -> String {
     format!("{:x}\r\n{events}\r\n", events.len())
 }
