Gateway: the waits that decide about an end know the time that is left

What callers saw: a whole stream that may be resumed was cut at its deadline as its resumption hung, if its endpoint announced that it leaves only after the end. In a tunnel a proven end was cut too if its carrier took longer to reply than the call had left.

Cause: whether the endpoint leaves was asked once, when the answer ended, and the carrier is asked up to four times, 150 ms each, whatever time is left.

Change: the first is asked again while the resumption is waited for; the second ends with the time to decide, and the end is then undecided, not refuted. An endpoint that must not be pinged isn't checked in advance, as a connection without a reply shows nothing later, and answers with a length have no timer polled for it.

The bound on the carrier is by reading; no test plays a slow carrier near a deadline.

--- a/daemons/gateway/src/endpoint_check.rs
+++ b/daemons/gateway/src/endpoint_check.rs
@@ -148,7 +148,8 @@
         self.heard_since(to, began_at, sign)
     }
 
-    fn may_ping(&self, to: &Destination) -> bool {
+    /// Returns whether an endpoint may be asked for a reply.
+    pub fn may_ping(&self, to: &Destination) -> bool {
         self.ping_of(&to.endpoint, to.incarnation, Millis::ZERO).is_some()
     }
 
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -51,6 +51,8 @@
             ended_at,
             due: self.attempt.call().due,
             is_held,
+            pool: self.attempt.call().pool.clone(),
+            placement: self.attempt.placement.clone(),
         }
     }
 
@@ -90,21 +92,18 @@
     pub(super) fn poll_preparation(&mut self, cx: &mut Context<'_>) {
         let Some(last_second) = &mut self.last_second else { return };
         let Source::Endpoint(answer) = &self.source else { return };
-        if last_second.as_mut().poll(cx).is_pending() {
-            return;
-        }
-        self.last_second = None;
-        let is_in_doubt = match answer.framing {
+        let closes = match answer.framing {
             Framing::Close => true,
-            // On a connection that is kept it can reply.
             Framing::Chunked => self.events.is_some() && answer.connection.is_none(),
             _ => false,
         };
-        if is_in_doubt && answer.end_check.is_none() {
-            let (to, via) =
-                (Destination::from(&answer.attempt.placement), answer.attempt.via().cloned());
-            tokio::spawn(self.state.clone().prepare_end_check(to, via));
+        if !closes || answer.end_check.is_some() || last_second.as_mut().poll(cx).is_pending() {
+            return;
         }
+        self.last_second = None;
+        let to = Destination::from(&answer.attempt.placement);
+        let via = answer.attempt.via().cloned();
+        tokio::spawn(self.state.clone().prepare_end_check(to, via));
     }
 
     /// Starts to check whether the answer is whole, if its end proves nothing. A stream's end may be
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -8,8 +8,8 @@
 use parking_lot::Mutex;
 use sill_base::{Millis, Name};
 use sill_dispatch::{
-    EndChecks, EndInDoubt, EndKind, EndLog, EndStep, EndVerdict, EndpointCheck, Proof, ProofKind,
-    ResumeChecks, TICK,
+    EndChecks, EndInDoubt, EndKind, EndLog, EndStep, EndVerdict, EndpointCheck, Placement, Proof,
+    ProofKind, ResumeChecks, TICK,
 };
 use sill_net::h1::ReusableConnection;
 use sill_wire::Incarnation;
@@ -21,7 +21,7 @@
 use crate::endpoint_check::CHECK_TIME;
 use crate::relay::EndpointAnswer;
 use crate::resume::{NotResumed, ResumedEnd};
-use crate::state::State;
+use crate::state::{PoolState, State};
 
 /// Time for the resumption of a stream whose endpoint had announced that it leaves.
 pub const ANNOUNCED_RESUME_TIME: Millis = Millis(700);
@@ -67,6 +67,10 @@
     pub due: Millis,
     /// Whether its caller gets nothing before it is complete.
     pub is_held: bool,
+    /// The endpoints of the service.
+    pub pool: Arc<PoolState>,
+    /// The endpoint's place in it.
+    pub placement: Placement,
 }
 
 /// What an end that proves nothing turns out to be.
@@ -168,6 +172,11 @@
     fn key(&self) -> EndpointKey {
         (self.to.endpoint.clone(), self.to.incarnation)
     }
+
+    /// Returns whether its endpoint has announced by now that it leaves, or that it has ended.
+    fn has_announced_end(&self) -> bool {
+        self.pool.pool.lock().has_announced_end(&self.placement)
+    }
 }
 
 impl StreamEnds {
@@ -265,6 +274,10 @@
     /// Has an endpoint reply whose answer is about to end, so that it can reply later on a connection from
     /// before the end.
     pub async fn prepare_end_check(self: Arc<Self>, to: Destination, via: Option<Via>) {
+        if !self.may_ping(&to) {
+            // A connection without a reply has no age that counts.
+            return;
+        }
         let now = self.clock.now();
         let is_due =
             self.stream_ends.checks.lock().prepare(now, &checked_endpoint(&to, via.as_ref()));
@@ -312,11 +325,12 @@
     /// the endpoint has announced shows nothing of that one.
     pub async fn decide_unmarked(self: Arc<Self>, ended: EndedAnswer) -> UnmarkedEnd {
         let endpoint = self.clone().decide_end(ended.clone());
-        let (end, is_carrier_running) =
-            future::join(endpoint, self.is_carrier_running(&ended)).await;
-        match is_carrier_running {
-            true => end,
-            false => UnmarkedEnd::of(EndDecision::CarrierNotShown),
+        let time_left = self.decide_by(ended.due, ended.is_held) - self.clock.now();
+        let carrier = tokio::time::timeout(time_left.into(), self.is_carrier_running(&ended));
+        match future::join(endpoint, carrier).await {
+            (end, Ok(true)) => end,
+            (_, Ok(false)) => UnmarkedEnd::of(EndDecision::CarrierNotShown),
+            (_, Err(_)) => UnmarkedEnd::of(EndDecision::NoTime),
         }
     }
 }
@@ -378,21 +392,25 @@
     resumption: Option<BoxFuture<'static, Result<ResumedEnd, NotResumed>>>,
 ) -> UnmarkedEnd {
     let Some(resumption) = resumption else { return endpoint.await };
-    let EndedAnswer { kind, due, is_held, .. } = ended;
+    let EndedAnswer { due, is_held, .. } = ended;
     let mut is_other_late = false;
     let (end, resumed) = match future::select(endpoint, resumption).await {
         Either::Left((end, resumption)) => {
-            let wait = if !end.decision.is_doubt() {
+            let is_doubt = end.decision.is_doubt();
+            let wait = async {
+                // Nothing else can complete the answer until its endpoint announces that it leaves.
+                while is_doubt && !ended.has_announced_end() {
+                    tokio::time::sleep(TICK.into()).await;
+                }
                 // An endpoint that runs may have closed the connection of a stream that is not whole.
-                state.resume_time(RESUME_TIME, due, is_held)
-            } else if kind == EndKind::LeavingStream {
-                state.resume_time(ANNOUNCED_RESUME_TIME, due, is_held)
-            } else {
-                // Nothing else can complete the answer.
-                Millis::MAX
+                let most = if is_doubt { ANNOUNCED_RESUME_TIME } else { RESUME_TIME };
+                tokio::time::sleep(state.resume_time(most, due, is_held).into()).await;
+            };
+            let resumed = tokio::select! {
+                resumed = resumption => Some(resumed),
+                () = wait => None,
             };
-            let resumed = tokio::time::timeout(wait.into(), resumption).await;
-            is_other_late = resumed.is_err();
+            is_other_late = resumed.is_none();
             (end, resumed.unwrap_or(Ok(ResumedEnd::Unclear)))
         }
         Either::Right((resumed @ (Ok(ResumedEnd::Unclear) | Err(_)), endpoint)) => {
--- a/daemons/gateway/tests/held_ends.rs
+++ b/daemons/gateway/tests/held_ends.rs
@@ -201,31 +201,43 @@
 /// A whole stream was cut at its deadline because its resumption, which was no longer needed, hung.
 #[test]
 fn a_resumption_that_hangs_does_not_outlast_the_deadline() {
+    /// When the endpoint announces that it leaves.
+    #[derive(Clone, Copy, PartialEq)]
+    enum Leaves {
+        Never,
+        BeforeTheEnd,
+        AfterTheEnd,
+    }
     struct Case {
         name: &'static str,
-        leaves: bool,
+        leaves: Leaves,
         after: u64,
     }
     lines::capture();
     let cases = [
-        Case { name: "runs", leaves: false, after: 1250 },
-        Case { name: "leaves", leaves: true, after: 900 },
+        Case { name: "runs", leaves: Leaves::Never, after: 1250 },
+        Case { name: "leaves", leaves: Leaves::BeforeTheEnd, after: 900 },
+        Case { name: "leaves later", leaves: Leaves::AfterTheEnd, after: 900 },
     ];
     for Case { name, leaves, after } in cases {
         for number in 0.. {
             let may_end = Arc::<AtomicBool>::default();
             let whole = format!("{}{WHOLE}", head(EVENT_STREAM));
-            let action = match leaves {
+            let action = match leaves != Leaves::Never {
                 true => Action::AnswerAndEndBitByBit(
                     whole,
                     may_end.clone(),
                     String::new(),
-                    Duration::from_secs(5),
+                    if leaves == Leaves::AfterTheEnd {
+                        Duration::ZERO
+                    } else {
+                        Duration::from_secs(5)
+                    },
                 ),
                 false => Action::AnswerAndCloseWhen(whole, may_end.clone()),
             };
             let harness = Harness::start_with_hidden(vec![vec![action], vec![Action::Hang]]);
-            let id = format!("hangs-{name}-{number}");
+            let id = format!("hangs-{}-{number}", name.replace(' ', "-"));
             let text = request_as(&id, "/resumable_stream/x", "sill-deadline-ms: 2000\r\n");
             let (address, began_at) = (harness.address, Instant::now());
             let caller = thread::spawn(move || exchange(address, &text));
@@ -233,13 +245,18 @@
                 thread::sleep(Duration::from_millis(1));
             }
             match leaves {
-                true => harness.announce_departure_and_last(Millis(20_000)),
-                false => harness.announce_last(),
+                Leaves::BeforeTheEnd => harness.announce_departure_and_last(Millis(20_000)),
+                _ => harness.announce_last(),
             }
             harness.wait_until_facts_applied();
             thread::sleep(Duration::from_millis(after).saturating_sub(began_at.elapsed()));
             may_end.store(true, Ordering::Relaxed);
             let ended_at = began_at.elapsed();
+            if leaves == Leaves::AfterTheEnd {
+                // Its host refuses connections meanwhile.
+                thread::sleep(Duration::from_millis(100));
+                harness.announce_departure_and_last(Millis(20_000));
+            }
             let got = caller.join().expect("the caller gets an answer");
             if ended_at > Duration::from_millis(after + 60) && number < MAX_PLAYS {
                 continue;
