--- a/daemons/gateway/tests/held_ends.rs
+++ b/daemons/gateway/tests/held_ends.rs
@@ -198,6 +198,30 @@
     }
 }
 
+/// A process that ends closes its connections one after the other; its replies on new ones would make its
+/// short streams look whole.
+#[test]
+fn a_short_stream_is_not_whole_because_its_endpoint_serves_new_connections_for_a_while() {
+    thread::scope(|scope| {
+        for after in [1450, 1600, 1750, 1850] {
+            for serves in [15, 100, 300] {
+                scope.spawn(move || {
+                    let may_end = Arc::<AtomicBool>::default();
+                    let action = Action::AnswerAndServeNewConnections(
+                        format!("{}{WHOLE}", head(EVENT_STREAM)),
+                        may_end.clone(),
+                        Duration::from_millis(serves),
+                    );
+                    let id = format!("new-{after}-{serves}");
+                    let after = Duration::from_millis(after);
+                    let (got, _) = play(Cut::Deadline, &id, action, &may_end, after);
+                    assert!(!looks_complete(&got), "{id}: {}", got.head);
+                });
+            }
+        }
+    });
+}
+
 /// A whole stream was cut at its deadline because its resumption, which was no longer needed, hung.
 #[test]
 fn a_resumption_that_hangs_does_not_outlast_the_deadline() {
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -72,6 +72,9 @@
     /// Sends the first bytes; once the flag is set, sends the others and closes the connection, and
     /// stops to listen after a delay, like a process that ends bit by bit.
     AnswerAndEndBitByBit(String, Arc<AtomicBool>, String, Duration),
+    /// Sends these bytes and, once the flag is set, closes all connections. It serves new ones until it
+    /// ends after a pause.
+    AnswerAndServeNewConnections(String, Arc<AtomicBool>, Duration),
     /// Sends these bytes and closes the connection, like a process that ends behind a proxy: further
     /// connections are accepted, and closed after a delay.
     AnswerAndEndBehindProxy(String, Duration),
@@ -295,6 +298,10 @@
     fn end(&self, listener: &TcpListener) {
         self.has_ended.store(true, Ordering::Relaxed);
         let _ = socket2::SockRef::from(listener).shutdown(std::net::Shutdown::Both);
+        self.close_connections();
+    }
+
+    fn close_connections(&self) {
         for connection in self.connections.lock().drain(..) {
             let _ = connection.shutdown(std::net::Shutdown::Both);
         }
@@ -456,6 +463,15 @@
                 thread::sleep(pause);
                 return ending.end(listener);
             }
+            Action::AnswerAndServeNewConnections(text, may_close, pause) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
+                while !may_close.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(1));
+                }
+                ending.close_connections();
+                thread::sleep(pause);
+                return ending.end(listener);
+            }
             Action::AnswerAndEndBehindProxy(text, delay) => {
                 *ending.proxy_delay.lock() = Some(delay);
                 ending.has_ended.store(true, Ordering::Relaxed);
