Gateway: each call without a whole answer has one warning with its cause, and a metric

What callers saw: nothing new. Of a call that is cut, the record had `outcome=cut`, `out_of_time` or `cut_by_stop`; whether its endpoint had completed the answer, what was waited for, and why no other endpoint was asked, was in no line or in one at INFO. A call whose stream had gone on elsewhere and whose caller left then, or while it was resumed, stood there as `cut`.

Now the `call` line of each call whose caller got neither a whole answer nor an error response has `cut_by` (11 names), `check` and `not_resumed`; each that was not answered has `last_event`, `ended_ms` if the endpoint had ended the answer, and `stop_left_ms` in a stop. The outcome is `cut` only once no endpoint goes on. `unmarked_end` has `left_ms`, `stop_left_ms` and `not_resumed`, and is a warning if the answer doesn't count as whole. `sill_gateway_incomplete_answers_total{cause}` is exported with 0 for each cause from the start. The bound of 300 lines for each outcome of a stop stays.

--- a/daemons/gateway/src/lib.rs
+++ b/daemons/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod cfg;
 pub mod cli;
 pub mod crashes;
+mod cut;
 pub mod daemon;
 pub mod dialect;
 pub mod dispatch;
--- a/daemons/gateway/src/metrics.rs
+++ b/daemons/gateway/src/metrics.rs
@@ -6,12 +6,16 @@
     IntGaugeVec, Opts, Registry, TextEncoder, exponential_buckets,
 };
 
+use crate::cut::CutCause;
+
 /// The metrics of an entry instance for routes. Clones share the figures.
 #[derive(Debug, Clone)]
 pub struct Metrics {
     registry: Registry,
     /// Number of calls by outcome.
     pub calls: IntCounterVec,
+    /// Number of calls whose callers got neither a whole answer nor an error response, by cause.
+    pub incomplete_answers: IntCounterVec,
     /// Number of failed attempts by outcome.
     pub attempts: IntCounterVec,
     /// Requests that endpoints rejected because they were full, by service.
@@ -144,6 +148,14 @@
             &["why", "next"],
         )?;
         registry.register(Box::new(ended_holds.clone()))?;
+        let incomplete_answers = counters(
+            "sill_gateway_incomplete_answers_total",
+            "calls with neither a whole answer nor an error response, by cause",
+            "cause",
+        )?;
+        for cause in CutCause::ALL {
+            incomplete_answers.with_label_values(&[cause.name()]);
+        }
         let endpoint_crashes = IntCounter::new(
             "sill_gateway_endpoint_crashes_total",
             "endpoints that crashed while they ran calls",
@@ -156,6 +168,7 @@
         registry.register(Box::new(streams_received.clone()))?;
         Ok(Self {
             calls: counters("sill_gateway_calls_total", "calls by outcome", "outcome")?,
+            incomplete_answers,
             attempts: counters("sill_gateway_attempts_total", "attempts by outcome", "outcome")?,
             rejections: counters(
                 "sill_gateway_rejections_total",
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -26,6 +26,7 @@
 use tokio::time::Sleep;
 
 use crate::crashes::PROVEN_AFTER;
+use crate::cut::CutCause;
 use crate::dispatch::Attempt;
 use crate::failure::Failure;
 use crate::hedge::Hedge;
@@ -317,12 +318,12 @@
             if let Some(connection) = answer.connection.take() {
                 connection.release();
             }
-            self.summary.set_outcome("answered");
+            self.summary.mark_answered();
         }
     }
 
     /// Ends an attempt whose answer broke off, and returns its endpoint.
-    fn end_broken(&mut self, reason: &dyn Display) -> Option<Name> {
+    fn end_broken(&mut self, cause: CutCause, reason: &dyn Display) -> Option<Name> {
         let Source::Endpoint(mut answer) = std::mem::replace(&mut self.source, Source::Ended)
         else {
             return None;
@@ -331,7 +332,7 @@
         answer.attempt.record_broken_answer(answer.began_at);
         answer.attempt.end_broken();
         self.record_stream_end();
-        self.summary.set_outcome("cut");
+        self.summary.set_cut_by(cause);
         event!(
             Warn,
             "answer_cut",
@@ -352,10 +353,22 @@
         cx.waker().wake_by_ref();
     }
 
+    /// Ends an answer that no endpoint goes on with.
+    fn cut(&mut self, cx: &Context<'_>, err: BodyError) {
+        self.summary.mark_cut();
+        self.fail_with(cx, err);
+    }
+
     /// Continues a truncated answer elsewhere, or ends it as incomplete.
-    fn end_truncated(&mut self, cx: &Context<'_>, reason: &dyn Display, err: BodyError) {
-        if !self.resume_after_migration() && !self.try_resume(reason) {
-            self.fail_with(cx, err);
+    fn end_truncated(
+        &mut self,
+        cx: &Context<'_>,
+        cause: CutCause,
+        reason: &dyn Display,
+        err: BodyError,
+    ) {
+        if !self.resume_after_migration() && !self.try_resume(cause, reason) {
+            self.cut(cx, err);
         }
     }
 
@@ -435,7 +448,7 @@
                 Some(Err(err)) => {
                     answer.attempt.record_closed_answer();
                     let reason = err.to_string();
-                    self.end_truncated(cx, &reason, err.into());
+                    self.end_truncated(cx, CutCause::BrokenByEndpoint, &reason, err.into());
                     return Poll::Pending;
                 }
                 // The engine's reply shows whether the run had finished before. Until then its stream may
@@ -453,7 +466,8 @@
                         if let Source::Endpoint(answer) = &self.source {
                             answer.attempt.record_closed_answer();
                         }
-                        self.end_truncated(cx, &reason, reason.into());
+                        let cause = CutCause::BrokenByEndpoint;
+                        self.end_truncated(cx, cause, &reason, reason.into());
                         return Poll::Pending;
                     }
                     let is_checked = self.start_end_check();
@@ -490,7 +504,7 @@
                 answer.attempt.end_late();
             }
             this.source = Source::Ended;
-            this.summary.set_outcome("out_of_time");
+            this.summary.mark_out_of_time();
             return Poll::Ready(Some(Err("the deadline of the call has passed".into())));
         }
         if this.cut_by_stop.as_mut().poll(cx).is_ready() {
@@ -505,7 +519,7 @@
             if matches!(this.source, Source::Resuming(_))
                 && let Err(err) = ready!(this.poll_resuming(cx))
             {
-                this.fail_with(cx, err);
+                this.cut(cx, err);
                 return Poll::Pending;
             }
             match this.poll_running(cx) {
@@ -548,5 +562,8 @@
         {
             self.finish();
         }
+        if let Some(id) = self.events.as_ref().and_then(EventTracker::last_id) {
+            self.summary.set_last_event(id);
+        }
     }
 }
--- a/daemons/gateway/src/relay/elsewhere.rs
+++ b/daemons/gateway/src/relay/elsewhere.rs
@@ -13,6 +13,7 @@
 use sill_wire::Software;
 
 use super::{EndpointAnswer, HEDGE_INTERVAL, Relay, Resuming, Source, is_movable};
+use crate::cut::{CutCause, NoResumption};
 use crate::dispatch::{self, Attempt, Resumption};
 use crate::hedge::{Hedge, HedgeEnd};
 use crate::migration::RunMigration;
@@ -23,7 +24,7 @@
     /// whether it does.
     pub(super) fn resume_after_migration(&mut self) -> bool {
         let Some(transfer) = self.migration.take() else { return false };
-        self.summary.set_outcome("cut");
+        self.summary.set_cut_by(CutCause::RunNotMoved);
         let previous = std::mem::replace(&mut self.source, Source::Ended);
         if let Source::Endpoint(mut answer) = previous {
             answer.attempt.finish(Outcome::Cancelled);
@@ -44,8 +45,8 @@
 
     /// Ends an attempt whose answer broke off, and resumes the stream elsewhere if allowed. Returns
     /// whether it does.
-    pub(super) fn try_resume(&mut self, reason: &dyn Display) -> bool {
-        let Some(endpoint) = self.end_broken(reason) else { return false };
+    pub(super) fn try_resume(&mut self, cause: CutCause, reason: &dyn Display) -> bool {
+        let Some(endpoint) = self.end_broken(cause, reason) else { return false };
         if let Some(hedge) = self.hedge.take() {
             self.follow(hedge);
             return true;
@@ -53,13 +54,24 @@
         self.progress.time_left = self.call.due - self.state.clock.now();
         let refusal = self.refusal();
         self.progress.record(AttemptOutcome::Unknown);
+        self.summary.set_not_resumed(refusal);
         if !self.may_resume {
             return false;
         }
         let Some(events) = &mut self.events else { return false };
         events.restart();
-        if let Some(why) = refusal {
-            event!(Warn, "stream_not_resumed", id = self.call.head.attempt, why = why);
+        if let Some(reason) = refusal {
+            let why = match reason {
+                NoResumption::Budget => "retry budget used up",
+                _ => "it may not be repeated",
+            };
+            event!(
+                Warn,
+                "stream_not_resumed",
+                id = self.call.head.attempt,
+                why = why,
+                not_resumed = reason.name()
+            );
             return false;
         }
         self.source = Source::Resuming(self.resume_elsewhere(self.progress, endpoint));
@@ -67,24 +79,35 @@
     }
 
     /// Returns why the stream must not be sent to another endpoint; takes a retry if it may be.
-    fn refusal(&self) -> Option<&'static str> {
-        if !self.may_send_elsewhere() {
-            return Some("it may not be repeated");
-        }
-        (!self.state.may_retry(&self.call.pool.service)).then_some("retry budget used up")
+    fn refusal(&self) -> Option<NoResumption> {
+        let refusal = self.may_send_elsewhere().err();
+        refusal.or_else(|| {
+            (!self.state.may_retry(&self.call.pool.service)).then_some(NoResumption::Budget)
+        })
     }
 
-    fn may_send_elsewhere(&self) -> bool {
+    fn may_send_elsewhere(&self) -> Result<(), NoResumption> {
+        self.may_repeat(&self.progress)?;
         // A stream that has started is resumed even if it may outlast the process: otherwise it
         // would be cut now. One without a first event can still be answered with a failure, and its
         // caller may retry elsewhere.
         let has_time = self.has_begun || dispatch::has_time_for_attempt(&self.state, &self.call);
-        self.may_resume
-            && self.events.as_ref().is_some_and(EventTracker::can_resume)
-            && self.call.route.route.kind.may_repeat()
-            && self.progress.next_step(AttemptOutcome::Unknown) == NextStep::Retry
-            && has_time
-            && !dispatch::is_blocked(&self.state, &self.call)
+        if has_time { Ok(()) } else { Err(NoResumption::NoTime) }
+    }
+
+    /// Returns whether the stream may be sent to one more endpoint after these attempts.
+    pub(super) fn may_repeat(&self, progress: &CallProgress) -> Result<(), NoResumption> {
+        if !self.may_resume || !self.call.route.route.kind.may_repeat() {
+            Err(NoResumption::NotRepeatable)
+        } else if !self.events.as_ref().is_some_and(EventTracker::can_resume) {
+            Err(NoResumption::NoEventId)
+        } else if progress.next_step(AttemptOutcome::Unknown) != NextStep::Retry {
+            Err(NoResumption::AttemptsUsed)
+        } else if dispatch::is_blocked(&self.state, &self.call) {
+            Err(NoResumption::Blocked)
+        } else {
+            Ok(())
+        }
     }
 
     /// Makes an attempt at another endpoint while the connection to the present one is read on.
@@ -101,12 +124,12 @@
     /// be sent again and there is one with room. Takes a retry only if it can be sent.
     fn send_elsewhere(&mut self, from: &Name) -> Option<Resuming<EndpointAnswer>> {
         self.progress.time_left = self.call.due - self.state.clock.now();
-        if !self.may_send_elsewhere() {
+        if self.may_send_elsewhere().is_err() {
             return None;
         }
         let mut progress = self.progress;
         progress.record(AttemptOutcome::Unknown);
-        let attempt = self.place_elsewhere(progress, from)?;
+        let attempt = self.place_elsewhere(progress, from).ok()?;
         if !self.state.may_retry(&self.call.pool.service) {
             return None;
         }
@@ -117,11 +140,16 @@
     }
 
     /// Chooses another endpoint that may go on with the stream, if there is one with room.
-    pub(super) fn place_elsewhere(&self, progress: CallProgress, from: &Name) -> Option<Attempt> {
+    pub(super) fn place_elsewhere(
+        &self,
+        progress: CallProgress,
+        from: &Name,
+    ) -> Result<Attempt, NoResumption> {
         let (state, call) = (&self.state, &self.call);
         let (now, software) = (state.clock.now(), self.needed_software(from));
         let (exclude, attempts) = ([from.clone()], progress.attempts());
-        dispatch::try_to_place(state, call, now, &exclude, attempts, software).ok()
+        let placed = dispatch::try_to_place(state, call, now, &exclude, attempts, software);
+        placed.map_err(|refusal| NoResumption::Refused(refusal.reason))
     }
 
     /// Lets another endpoint continue the stream.
@@ -177,7 +205,7 @@
 
     /// Goes on with the answer of the second attempt, whose head has arrived.
     fn switch_to_hedge(&mut self, cx: &mut Context<'_>) {
-        self.end_broken(&"the network path to the endpoint is lost");
+        self.end_broken(CutCause::PathLost, &"the network path to the endpoint is lost");
         if let Some(hedge) = self.hedge.take() {
             self.follow(hedge);
             let _ = self.poll_resuming(cx);
@@ -223,7 +251,7 @@
             }),
         };
         let Some((resuming, events)) = continuation else { return false };
-        self.end_broken(&"an event of the stream is too long");
+        self.end_broken(CutCause::EventTooLong, &"an event of the stream is too long");
         self.events = Some(events);
         self.source = Source::Resuming(resuming);
         true
@@ -256,6 +284,7 @@
                 if failure == NotResumed::Sent {
                     self.summary.record_failed_resume();
                 }
+                self.summary.set_not_resumed(Some(failure.into()));
                 self.source = Source::Ended;
                 Poll::Ready(Err("no other endpoint resumed the stream".into()))
             }
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -7,13 +7,14 @@
 use futures_util::future::{self, BoxFuture};
 use sill_base::{Millis, Name, event};
 use sill_dispatch::end_log::may_be_gone;
-use sill_dispatch::{AttemptOutcome, EndKind, EventTracker, NextStep, Placement};
+use sill_dispatch::{AttemptOutcome, EndKind, EventTracker, Placement};
 use sill_net::h1::{BodyError, Framing, ReusableConnection};
 use sill_rollout::AnswerEnd;
 use sill_route::Outcome;
 
 use super::{EndpointAnswer, Relay, Resuming, Source};
-use crate::dispatch::{self, Resumption};
+use crate::cut::{CutCause, NoResumption};
+use crate::dispatch::Resumption;
 use crate::egress::Destination;
 use crate::resume::{self, ResumedEnd};
 use crate::state::State;
@@ -117,6 +118,7 @@
         };
         let connection = answer.connection.take();
         let ended = answer.end(is_stream, self.is_held);
+        self.summary.set_ended(ended.ended_at);
         if is_stream {
             // The endpoint has room for another call while the end is held.
             answer.attempt.finish(Outcome::Finished);
@@ -126,7 +128,8 @@
             true => Box::pin(stream_end::check_mark(state, ended, connection)),
             false => {
                 let resumption = self.end_resumption(&ended.to.endpoint, true);
-                Box::pin(stream_end::decide(state, ended, resumption))
+                self.summary.set_not_resumed(resumption.as_ref().err().copied());
+                Box::pin(stream_end::decide(state, ended, resumption.ok()))
             }
         };
         if let Source::Endpoint(answer) = &mut self.source {
@@ -138,34 +141,33 @@
     /// Resumes a stream that may be whole, if a resumption can show it. It isn't sent to the endpoint
     /// that closed the stream, which would take the only repeat along if it ends. With `may_skip`, few are
     /// resumed while resumptions show nothing new.
-    fn end_resumption(&self, endpoint: &Name, may_skip: bool) -> Option<Resuming<ResumedEnd>> {
+    fn end_resumption(
+        &self,
+        endpoint: &Name,
+        may_skip: bool,
+    ) -> Result<Resuming<ResumedEnd>, NoResumption> {
         // The attempt that runs goes on if the stream turns out to be short.
         if self.hedge.is_some() {
-            return None;
+            return Err(NoResumption::TriedElsewhere);
         }
-        let last_event = self.events.as_ref()?.last_id()?.to_owned();
         let mut progress = self.progress;
         progress.time_left = self.call.due - self.state.clock.now();
-        let may_repeat = self.may_resume
-            && self.events.as_ref()?.can_resume()
-            && self.call.route.route.kind.may_repeat()
-            && progress.next_step(AttemptOutcome::Unknown) == NextStep::Retry
-            && !dispatch::is_blocked(&self.state, &self.call);
-        if !may_repeat {
-            return None;
-        }
+        self.may_repeat(&progress)?;
+        let last_event = self.events.as_ref().and_then(EventTracker::last_id);
+        let last_event = last_event.ok_or(NoResumption::NoEventId)?.to_owned();
         progress.record(AttemptOutcome::Unknown);
         // A retry is taken only if it can be sent.
         let attempt = self.place_elsewhere(progress, endpoint)?;
         let service = &self.call.pool.service;
-        if (may_skip && !self.state.stream_ends.may_resume(service))
-            || !self.state.may_retry(service)
-        {
-            return None;
+        if may_skip && !self.state.stream_ends.may_resume(service) {
+            return Err(NoResumption::Skipped);
+        }
+        if !self.state.may_retry(service) {
+            return Err(NoResumption::Budget);
         }
         let resumption = Resumption { last_event: Some(last_event.clone()), memory: None };
         let resuming = resume::resume_at(attempt, progress, resumption);
-        Some(Box::pin(async move { resume::check_end(resuming, &last_event).await }))
+        Ok(Box::pin(async move { resume::check_end(resuming, &last_event).await }))
     }
 
     /// Ends an answer whose end proves nothing. If its endpoint isn't shown to run on, it may have
@@ -190,6 +192,11 @@
         {
             return Poll::Pending;
         }
+        if has_asked_other {
+            let reason =
+                if was_resumed_in_vain { NoResumption::Failed } else { NoResumption::Late };
+            self.summary.set_not_resumed(Some(reason));
+        }
         self.record_unmarked_end(&decision, has_other_end);
         if has_asked_other {
             self.summary.record_failed_resume();
@@ -213,7 +220,7 @@
                 }
                 let reason =
                     "its answer ended with its connection, and the endpoint was not shown to run";
-                self.end_truncated(cx, &reason, reason.into());
+                self.end_truncated(cx, CutCause::EndNotProven, &reason, reason.into());
                 Poll::Pending
             }
             EndDecision::CarrierNotShown => {
@@ -222,11 +229,12 @@
                 }
                 self.abandon_answer();
                 let reason = "the instance that carried its answer was not shown to run";
-                self.end_truncated(cx, &reason, reason.into());
+                self.end_truncated(cx, CutCause::CarrierNotShown, &reason, reason.into());
                 Poll::Pending
             }
             EndDecision::NoTime => {
                 self.abandon_answer();
+                self.summary.set_cut_by(CutCause::NoTime);
                 // Nothing ends the call before its deadline or the end of the process.
                 if let Source::Endpoint(answer) = &mut self.source {
                     answer.end_check = Some(Box::pin(future::pending()));
@@ -236,6 +244,7 @@
             EndDecision::Continued(answer) => {
                 self.state.stream_ends.record_resumed(&service, true);
                 self.end_broken(
+                    CutCause::EndNotProven,
                     &"its answer had no marked end, and another endpoint goes on with it",
                 );
                 self.progress.record(AttemptOutcome::Unknown);
@@ -258,11 +267,16 @@
     fn resume_announced(&mut self, cx: &Context<'_>, has_other_end: bool) -> bool {
         let wait = self.state.resume_time(ANNOUNCED_RESUME_TIME, self.call.due, self.is_held);
         let Source::Endpoint(answer) = &mut self.source else { return false };
-        if std::mem::replace(&mut answer.is_resumed_at_end, true) || wait < MIN_RESUME_TIME {
+        if std::mem::replace(&mut answer.is_resumed_at_end, true) {
             return false;
         }
         let endpoint = answer.attempt.placement.endpoint.clone();
-        let Some(resumption) = self.end_resumption(&endpoint, false) else { return false };
+        let resumption = match wait < MIN_RESUME_TIME {
+            true => Err(NoResumption::NoTime),
+            false => self.end_resumption(&endpoint, false),
+        };
+        self.summary.set_not_resumed(resumption.as_ref().err().copied());
+        let Ok(resumption) = resumption else { return false };
         let check = stream_end::resume_announced(resumption, wait, has_other_end);
         if let Source::Endpoint(answer) = &mut self.source {
             answer.end_check = Some(Box::pin(check));
@@ -286,13 +300,18 @@
         }
         let attempt = &answer.attempt;
         let Placement { endpoint, incarnation, .. } = &attempt.placement;
-        let held = self.state.clock.now() - ended_at;
+        let now = self.state.clock.now();
+        let held = now - ended_at;
         let leaves = attempt.leaves_at().map(|at| at.0 as i64 - ended_at.0 as i64);
         let leaves = leaves.map(|left| left.to_string()).unwrap_or_default();
         let result = decision.name();
+        self.summary.set_end_check(result);
         self.state.metrics.unmarked_ends.with_label_values(&[result]).inc();
+        let level = if decision.is_doubt() { log::Level::Warn } else { log::Level::Info };
+        let stop_left = self.state.planned_stop.ends_at().map(|at| (at - now).to_string());
+        let stop_left = stop_left.unwrap_or_default();
         event!(
-            Info,
+            (level),
             "unmarked_end",
             id = self.call.head.attempt,
             endpoint = endpoint,
@@ -304,6 +323,9 @@
             announced = attempt.has_announced_end(),
             leaves_ms = leaves,
             other_end = has_other_end,
+            left_ms = self.call.due - now,
+            stop_left_ms = stop_left,
+            not_resumed = self.summary.not_resumed(),
             proof = decision.proof().unwrap_or_default(),
             result = result
         );
--- a/daemons/gateway/src/resume.rs
+++ b/daemons/gateway/src/resume.rs
@@ -11,6 +11,7 @@
 use sill_route::Outcome;
 use sill_wire::Software;
 
+use crate::cut::NoResumption;
 use crate::dispatch::{self, Attempt, AttemptResult, PlacementRefusal, Resumption};
 use crate::relay::EndpointAnswer;
 use crate::serve::Call;
@@ -28,6 +29,15 @@
     Sent,
 }
 
+impl From<NotResumed> for NoResumption {
+    fn from(failure: NotResumed) -> Self {
+        match failure {
+            NotResumed::NotSent => Self::NotSent,
+            NotResumed::Sent => Self::Failed,
+        }
+    }
+}
+
 // One exists per end, so its size doesn't matter.
 #[allow(clippy::large_enum_variant)]
 /// What the resumption of a stream that may be whole shows.
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -10,6 +10,7 @@
 use sill_tree::RouteKind;
 use sill_wire::{ErrorCode, Software};
 
+use crate::cut::{CutCause, NoResumption};
 use crate::dispatch::{Attempt, PlacementRefusal};
 use crate::egress::Via;
 use crate::failure::Failure;
@@ -21,12 +22,21 @@
 /// Retry time after a refusal that names none itself.
 const DEFAULT_RETRY_AFTER: Millis = Millis(500);
 
+/// The outcome of a call whose caller got the whole answer.
+const ANSWERED: &str = "answered";
+
 /// The outcome of a call unless another one is set.
 const CALLER_LEFT: &str = "caller_left";
 
 /// The outcome of a call whose task ended with a panic.
 const TASK_ENDED: &str = "task_ended";
 
+/// The outcome of a call whose answer broke off.
+const CUT: &str = "cut";
+
+/// The outcome of a call whose answer was cut by its deadline.
+const OUT_OF_TIME: &str = "out_of_time";
+
 /// The outcome of a call whose answer was cut by the end of the process.
 const CUT_BY_STOP: &str = "cut_by_stop";
 
@@ -62,6 +72,16 @@
     /// What has shown that the answer is whole, and how long after its end that was, if its end alone
     /// didn't.
     proof: Option<(&'static str, Option<Millis>)>,
+    /// When the endpoint ended the answer with a complete part, if that proves nothing.
+    ended_at: Option<Millis>,
+    /// What the check of the endpoint showed after that end.
+    end_check: &'static str,
+    /// Why the answer of the last endpoint is not whole.
+    cut_by: Option<CutCause>,
+    /// Why no other endpoint goes on with it.
+    not_resumed: Option<NoResumption>,
+    /// The id of the last event that the caller got of an answer that is not whole.
+    last_event: String,
 }
 
 /// Where the stream of an endpoint ended.
@@ -96,6 +116,11 @@
             framing: None,
             stream_end: None,
             proof: None,
+            ended_at: None,
+            end_check: "",
+            cut_by: None,
+            not_resumed: None,
+            last_event: String::new(),
         }
     }
 
@@ -158,6 +183,40 @@
     pub fn set_framing(&mut self, framing: Framing) {
         self.framing = Some(framing);
         (self.stream_end, self.proof) = (None, None);
+        (self.ended_at, self.end_check) = (None, "");
+        (self.cut_by, self.not_resumed) = (None, None);
+    }
+
+    /// Records that the endpoint ended the answer, in a way that proves nothing.
+    pub fn set_ended(&mut self, at: Millis) {
+        self.ended_at = Some(at);
+    }
+
+    /// Records what the check of the endpoint showed after the end of its answer.
+    pub fn set_end_check(&mut self, result: &'static str) {
+        self.end_check = result;
+    }
+
+    /// Records why the answer of the present endpoint is not whole.
+    pub fn set_cut_by(&mut self, cause: CutCause) {
+        self.cut_by = Some(cause);
+    }
+
+    /// Records why no other endpoint goes on with the answer; none while one may.
+    pub fn set_not_resumed(&mut self, reason: Option<NoResumption>) {
+        self.not_resumed = reason;
+    }
+
+    /// Returns why no other endpoint goes on with the answer, for log lines.
+    pub fn not_resumed(&self) -> &'static str {
+        self.not_resumed.map_or("", NoResumption::name)
+    }
+
+    /// Records the last event that the caller got, unless its answer is whole.
+    pub fn set_last_event(&mut self, id: &str) {
+        if self.outcome != ANSWERED {
+            id.clone_into(&mut self.last_event);
+        }
     }
 
     /// Records where the endpoint's stream ended.
@@ -190,9 +249,19 @@
         self.bytes += bytes as u64;
     }
 
-    /// Sets how the call ended.
-    pub fn set_outcome(&mut self, outcome: &'static str) {
-        self.outcome = outcome;
+    /// Sets the outcome of an answer that is whole.
+    pub fn mark_answered(&mut self) {
+        self.outcome = ANSWERED;
+    }
+
+    /// Sets the outcome of an answer that broke off.
+    pub fn mark_cut(&mut self) {
+        self.outcome = CUT;
+    }
+
+    /// Sets the outcome of an answer that the deadline cuts.
+    pub fn mark_out_of_time(&mut self) {
+        self.outcome = OUT_OF_TIME;
     }
 
     /// Sets the outcome of an answer that the end of the process cuts.
@@ -269,6 +338,20 @@
         self.outcome = if failure.is_not_run() { "refused" } else { "failed" };
         failure.to_response(&self.state, &self.call.head.attempt)
     }
+
+    /// Returns why the caller got neither a whole answer nor an error response; none if it got one, or
+    /// left.
+    fn incomplete_by(&self) -> Option<CutCause> {
+        let by_outcome = match self.outcome {
+            TASK_ENDED => return Some(CutCause::TaskEnded),
+            OUT_OF_TIME => CutCause::OutOfTime,
+            CUT_BY_STOP => CutCause::CutByStop,
+            CUT => CutCause::BrokenByEndpoint,
+            _ => return None,
+        };
+        let by_end = self.ended_at.map_or(by_outcome, |_| CutCause::EndUndecided);
+        Some(self.cut_by.unwrap_or(by_end))
+    }
 }
 
 impl Drop for CallSummary {
@@ -285,26 +368,30 @@
             self.outcome = TASK_ENDED;
         }
         state.metrics.calls.with_label_values(&[self.outcome]).inc();
+        let incomplete_by = self.incomplete_by();
+        if let Some(cause) = incomplete_by {
+            state.metrics.incomplete_answers.with_label_values(&[cause.name()]).inc();
+        }
         let first = self.first_part.map(|first| first - call.received_at);
         // A call that failed or whose caller left says nothing about how long an answer takes. If
         // endpoints that fail fast counted, a stopping instance would start calls that it then has
         // to cut.
-        if matches!(self.outcome, "answered" | "out_of_time") {
+        if matches!(self.outcome, ANSWERED | OUT_OF_TIME) {
             state.planned_stop.record_call(&call.route.name, now - call.received_at);
         }
-        if self.outcome == "answered" {
+        if self.outcome == ANSWERED {
             state.metrics.whole_answer.observe((now - call.received_at).as_secs_f64());
             if let Some(first) = first {
                 state.metrics.first_part.observe(first.as_secs_f64());
             }
         }
-        if self.outcome == "answered" && self.stream_end.is_some() {
+        if self.outcome == ANSWERED && self.stream_end.is_some() {
             let by_framing = self.framing.map_or("", Framing::name);
             let proof = self.proof.map_or(by_framing, |(proof, _)| proof);
             state.metrics.whole_streams.with_label_values(&[proof]).inc();
         }
         let level = match self.outcome {
-            "answered" => log::Level::Info,
+            ANSWERED => log::Level::Info,
             _ => log::Level::Warn,
         };
         let has_line = match self.outcome {
@@ -352,10 +439,20 @@
         pair("ms", &(now - call.received_at));
         pair("left_ms", &(call.due - now));
         pair("bytes", &self.bytes);
-        if self.outcome != "answered" {
+        if let Some(cause) = incomplete_by {
+            pair("cut_by", &cause.name());
+            pair("check", &self.end_check);
+            pair("not_resumed", &self.not_resumed());
+        }
+        if self.outcome != ANSWERED {
+            if let Some(ended_at) = self.ended_at {
+                pair("ended_ms", &(now - ended_at));
+            }
+            pair("last_event", &self.last_event);
             pair("request", &call.request_key());
-            if state.planned_stop.has_begun() {
+            if let Some(ends_at) = state.planned_stop.ends_at() {
                 pair("in_stop", &true);
+                pair("stop_left_ms", &(ends_at - now));
             }
         }
         pair("framing", &self.framing.map_or("", Framing::name));
--- a/state/base/src/event.rs
+++ b/state/base/src/event.rs
@@ -25,12 +25,15 @@
 /// The values are only evaluated if the level is enabled.
 #[macro_export]
 macro_rules! event {
-    ($level:ident, $name:literal $(, $key:ident = $value:expr)* $(,)?) => {
-        if log::log_enabled!(log::Level::$level) {
+    ($level:ident, $($rest:tt)+) => {
+        $crate::event!((log::Level::$level), $($rest)+)
+    };
+    (($level:expr), $name:literal $(, $key:ident = $value:expr)* $(,)?) => {
+        if log::log_enabled!($level) {
             #[allow(unused_mut)]
             let mut line = String::from(concat!("event=", $name));
             $( $crate::event::push_pair(&mut line, stringify!($key), &$value); )*
-            log::log!(log::Level::$level, "{line}");
+            log::log!($level, "{line}");
         }
     };
 }
