Gateway: a stopped run that can't be continued is not complete for its caller

What callers saw: the stream of a run that its engine has stopped to migrate it, and whose last event has an id that can't be sent on (or which was passed on in parts), ended as if it were whole.

Cause: where the copy is complete when the old stream ends, the answer to `resume_after_migration` was not looked at. It leaves no source, so the next poll returned an end without an error. The call was logged as `cut`, later as `caller_left`.

Now it is cut, with `cut_by=run_not_moved`. The test fails without the fix: 200 and the last chunk.

--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -457,7 +457,9 @@
                 // The engine has stopped the run, so its stream is incomplete even if it ended
                 // cleanly.
                 None if self.migration.is_copied() => {
-                    self.resume_after_migration();
+                    if !self.resume_after_migration() {
+                        self.cut(cx, "the engine has stopped the run".into());
+                    }
                     return Poll::Pending;
                 }
                 None => {
--- a/daemons/gateway/tests/stream_ends.rs
+++ b/daemons/gateway/tests/stream_ends.rs
@@ -253,3 +253,34 @@
     assert!(looks_complete(&got), "{}", got.head);
     assert_eq!(String::from_utf8_lossy(&got.body), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
+
+/// A run with an unusable event id was stopped for its migration, and its stream looked complete.
+#[test]
+fn a_stopped_run_that_can_not_be_continued_is_not_complete() {
+    let runs = format!("{}id: 1\t1\ndata: a\n\n", head(EVENT_STREAM));
+    let copied = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nh1".to_owned();
+    let stopped = Arc::<AtomicBool>::default();
+    let old_engine = vec![
+        Action::AnswerAndCloseWhen(runs, stopped.clone()),
+        Action::Answer(copied.clone()),
+        Action::Answer(copied),
+    ];
+    let mut harness = Harness::start_with_hidden(vec![old_engine, vec![Action::Hang]]);
+    let metrics = harness.state().metrics.clone();
+    let (address, text) = (harness.address, request("/stream/x", "sill-deadline-ms: 3000\r\n"));
+    let caller = thread::spawn(move || exchange(address, &text));
+    while harness.endpoints[0].requests() == 0 {
+        thread::sleep(Duration::from_millis(10));
+    }
+    harness.announce_departure_and_last(Millis(1300));
+    // The second copy stops the run.
+    while harness.endpoints[0].requests() < 3 {
+        thread::sleep(Duration::from_millis(5));
+    }
+    thread::sleep(Duration::from_millis(200));
+    stopped.store(true, Ordering::Relaxed);
+    let got = caller.join().expect("the caller gets an answer");
+    assert!(!looks_complete(&got), "{}", got.head);
+    harness.stop();
+    assert_eq!(metrics.incomplete_answers.with_label_values(&["run_not_moved"]).get(), 1);
+}
