Net: connections that wait as a listener closes are answered, not reset

Callers saw: a new connection on which a whole request was sent is reset when the instance closes its listener at the end of a stop, as late after its last byte as the process had no processor time to accept it.

Cause: the accept loop returned as soon as the server was `Closed`, whatever waited in the kernel's queue.

Why it works: the kernel is asked until nothing waits, and each connection is counted before `serve` returns, so a stop waits for it. At an entry instance all of them are refused as not run by then (`refuse_all` comes before the close), at once, in place of a reset that says nothing.

--- a/transport/net/src/h1/server.rs
+++ b/transport/net/src/h1/server.rs
@@ -26,6 +26,9 @@
 /// Pause after a failure to accept a connection, for example when file descriptors ran out.
 const ACCEPT_PAUSE: Millis = Millis(50);
 
+/// Number of connections that are accepted as the listener closes; the kernel resets further ones.
+const MAX_WAITING_CONNECTIONS: usize = 4096;
+
 /// Time to wait for the first request on a connection that was accepted while the server stops.
 /// Callers send right after they connect; between failure domains the request takes some
 /// milliseconds.
@@ -123,41 +126,57 @@
 /// Serves until the phase is [`ServerPhase::Closed`] or its channel is closed, and counts open
 /// connections in `open`.
 ///
-/// After it has returned, no further connection is counted. The kernel resets connections that the
-/// listener had not accepted; none of their data was read.
+/// Connections that wait to be accepted as the listener closes are served, and counted before it
+/// returns; afterwards no further one is counted.
 pub async fn serve<H, Fut>(
     listener: TcpListener,
     cfg: ServerCfg,
-    mut phase: watch::Receiver<ServerPhase>,
+    phase: watch::Receiver<ServerPhase>,
     open: Arc<OpenConnections>,
     handler: H,
 ) where
     H: Fn(Request<Incoming>, SocketAddr) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Response<AnyBody>> + Send + 'static,
 {
+    let start = |stream, peer| {
+        let open_guard = open.count(*phase.borrow());
+        let (handler, phase) = (handler.clone(), phase.clone());
+        tokio::spawn(async move {
+            let _open = open_guard;
+            if let Err(err) = serve_connection(stream, peer, cfg, phase, handler).await {
+                event!(Debug, "caller_connection_ended", peer = peer, error = err);
+            }
+        });
+    };
+    let mut closed = phase.clone();
     loop {
         let accepted = tokio::select! {
             biased;
-            _ = phase.wait_for(|phase| *phase >= ServerPhase::Closed) => return,
+            _ = closed.wait_for(|phase| *phase >= ServerPhase::Closed) => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, peer)) => {
-                let open_guard = open.count(*phase.borrow());
-                let (handler, phase) = (handler.clone(), phase.clone());
-                tokio::spawn(async move {
-                    let _open = open_guard;
-                    if let Err(err) = serve_connection(stream, peer, cfg, phase, handler).await {
-                        event!(Debug, "caller_connection_ended", peer = peer, error = err);
-                    }
-                });
-            }
+            Ok((stream, peer)) => start(stream, peer),
             Err(err) => {
                 event!(Warn, "accept_failed", error = err);
                 tokio::time::sleep(ACCEPT_PAUSE.into()).await;
             }
         }
     }
+    // A process without processor time may not have accepted them for long.
+    waiting_connections(listener).for_each(|(stream, peer)| start(stream, peer));
+}
+
+/// Closes a listener, and returns the connections that wait to be accepted.
+fn waiting_connections(listener: TcpListener) -> impl Iterator<Item = (TcpStream, SocketAddr)> {
+    // The runtime may not know of them yet, so the kernel is asked.
+    let listener = listener.into_std().ok();
+    let accept = move || {
+        let (stream, peer) = listener.as_ref()?.accept().ok()?;
+        stream.set_nonblocking(true).ok()?;
+        Some((TcpStream::from_std(stream).ok()?, peer))
+    };
+    std::iter::from_fn(accept).take(MAX_WAITING_CONNECTIONS)
 }
 
 async fn serve_connection<H, Fut>(
