--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -16,7 +16,7 @@
 use http_body_util::Full;
 use parking_lot::Mutex;
 use sill_base::{Millis, Name, Secret};
-use sill_dispatch::{LimitBounds, Placement, RetryBounds};
+use sill_dispatch::{LimitBounds, Placement, RetryBounds, RouteTable};
 use sill_gateway::cfg::StopCfg;
 use sill_gateway::dialect::{InvalidLimit, LoadReport};
 use sill_gateway::state::State;
@@ -712,6 +712,11 @@
         self.state().apply_reply(self.address, &reply);
     }
 
+    /// Puts other settings in force at once.
+    pub fn apply_settings(&self, revision: u64, document: &Document) {
+        self.state().apply_settings(Arc::new(RouteTable::of(revision, document)));
+    }
+
     /// Has the entry instance receive a fact at once.
     pub fn apply_fact(&self, fact: EndpointFact) {
         let reply = LinkReply { endpoints: vec![fact], ..empty_reply() };
@@ -948,7 +953,8 @@
     }
 }
 
-fn document() -> Document {
+/// Returns the settings that an entry instance starts with.
+pub fn document() -> Document {
     let mut document = Document::default();
     let engine = Engine { slots: 8, moves: true, ..Engine::default() };
     let pool = Pool { engine: Some(engine), ..Pool::default() };
