Net: a request that follows an answer from before a stop is answered

Callers saw: the next request on a kept connection is closed unread when it is sent right after an answer that began before the stop and ended in it.

Cause: the head of such an answer can't announce the close, and the connection was told to close while the answer was under way, so it closed with its last byte. The wait for requests that have arrived was over by then.

Why it works: the wait begins only once no answer is open on the connection. A request that arrives in it is answered with `Connection: close`, which ends the connection by itself.

--- a/transport/net/src/h1/server.rs
+++ b/transport/net/src/h1/server.rs
@@ -4,21 +4,24 @@
 use std::future::Future;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{HeaderValue, Request, Response, Version, header};
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sill_base::{Millis, event};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 
-use crate::h1::AnyBody;
+use crate::h1::{AnyBody, BodyError};
 
 /// The smallest read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
@@ -195,10 +198,13 @@
     let first_request = request_notify.clone();
     let lacks_chunks = Arc::<AtomicBool>::default();
     let lacks_chunks_tx = lacks_chunks.clone();
+    let open_answer = Arc::new(Semaphore::new(1));
+    let answer_permit = open_answer.clone();
     let service = service_fn(move |req: Request<Incoming>| {
         request_notify.notify_one();
         lacks_chunks_tx.store(req.version() == Version::HTTP_10, Ordering::Relaxed);
         let (answer, current_phase) = (handler(req, peer), service_phase.clone());
+        let permit = answer_permit.clone().try_acquire_owned().ok();
         async move {
             let mut response = answer.await;
             if *current_phase.borrow() >= ServerPhase::Draining {
@@ -206,7 +212,7 @@
                     .headers_mut()
                     .insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| OpenAnswer { body, _permit: permit }))
         }
     });
     let mut builder = http1::Builder::new();
@@ -220,6 +226,9 @@
         // If the connection were closed before its first request is read, the caller of a request
         // in flight would have no answer and could not know that it has not run.
         let _ = tokio::time::timeout(FIRST_REQUEST_TIMEOUT.into(), first_request.notified()).await;
+        // An answer that began earlier doesn't announce the close: its caller may send the next
+        // request as soon as it has ended.
+        drop(open_answer.acquire().await);
         tokio::time::sleep(PENDING_REQUEST_PAUSE.into()).await;
         // The task may run long after the pause is over; the runtime has to look for data again.
         tokio::task::yield_now().await;
@@ -241,6 +250,32 @@
     result.map_err(io::Error::other)
 }
 
+/// The body of an answer. Its permit is returned once the answer has ended.
+struct OpenAnswer {
+    body: AnyBody,
+    _permit: Option<OwnedSemaphorePermit>,
+}
+
+impl Body for OpenAnswer {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Opens a connection from the address `source`, or from that of the system's choice.
 pub(super) async fn connect(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
     let Some(source) = source else { return TcpStream::connect(address).await };
--- a/transport/net/tests/server.rs
+++ b/transport/net/tests/server.rs
@@ -6,11 +6,13 @@
 use std::thread;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::poll;
 use http::{Request, Response};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
 use sill_base::Millis;
-use sill_net::h1::{AnyBody, OpenConnections, ServerCfg, ServerPhase, full_body, serve};
+use sill_net::h1::{AnyBody, BodyError, OpenConnections, ServerCfg, ServerPhase, full_body, serve};
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::sync::watch;
@@ -181,6 +183,47 @@
     }
 }
 
+/// An answer that began before a stop ends in it, and its caller, to whom it announced no close, sends
+/// the next request at once. That one must be answered, not closed unread.
+#[test]
+fn a_request_after_an_answer_from_before_the_stop_is_answered() {
+    const ROUNDS: usize = 20;
+    let runtime = single_thread_runtime();
+    for round in 0..ROUNDS {
+        let (tx, stopped) = watch::channel(ServerPhase::Serving);
+        let (end_tx, may_end) = watch::channel(false);
+        let long_answer = move |_req: Request<Incoming>, _peer: SocketAddr| {
+            let mut may_end = may_end.clone();
+            async move {
+                let rest = async move {
+                    let _ = may_end.wait_for(|may_end| *may_end).await;
+                    Ok::<_, BodyError>(Frame::data(Bytes::from("served")))
+                };
+                let rest = futures_util::stream::once(rest);
+                Response::new(StreamBody::new(rest).boxed_unsync())
+            }
+        };
+        let address = runtime.block_on(async {
+            let (listener, address) = listen().await;
+            tokio::spawn(serve(listener, CFG, stopped, Arc::default(), long_answer));
+            address
+        });
+        let mut caller = connect(address);
+        caller.write_all(REQUEST).expect("the request can be sent");
+        runtime.block_on(async {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            tx.send_replace(ServerPhase::Draining);
+            // Longer than the wait for requests on idle connections.
+            tokio::time::sleep(Duration::from_millis(80)).await;
+            end_tx.send_replace(true);
+        });
+        let is_first_answered = is_answered(caller.try_clone().expect("the socket can be cloned"));
+        assert!(runtime.block_on(is_first_answered), "round {round}: the first request");
+        caller.write_all(REQUEST).expect("the request can be sent");
+        assert!(runtime.block_on(is_answered(caller)), "round {round}: the second request");
+    }
+}
+
 /// When requests arrive on idle connections that are about to be closed.
 struct Arrival {
     name: &'static str,
@@ -252,7 +295,7 @@
 async fn is_answered(mut caller: TcpStream) -> bool {
     let reader = tokio::task::spawn_blocking(move || {
         let (mut answer, mut buf) = (Vec::new(), [0; 4096]);
-        while !answer.ends_with(b"served") {
+        while !answer.ends_with(b"served") && !answer.ends_with(b"served\r\n0\r\n\r\n") {
             match caller.read(&mut buf) {
                 Ok(0) | Err(_) => return false,
                 Ok(len) => answer.extend_from_slice(&buf[..len]),
