--- a/transport/net/src/h1/server.rs
+++ b/transport/net/src/h1/server.rs
@@ -4,21 +4,24 @@
 use std::future::Future;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{HeaderValue, Request, Response, Version, header};
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sill_base::{Millis, event};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 
-use crate::h1::AnyBody;
+use crate::h1::{AnyBody, BodyError};
 
 /// The smallest read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
@@ -26,6 +29,9 @@
 /// Pause after a failure to accept a connection, for example when file descriptors ran out.
 const ACCEPT_PAUSE: Millis = Millis(50);
 
+/// Number of connections that are accepted as the listener closes; the kernel resets further ones.
+const MAX_WAITING_CONNECTIONS: usize = 4096;
+
 /// Time to wait for the first request on a connection that was accepted while the server stops.
 /// Callers send right after they connect; between failure domains the request takes some
 /// milliseconds.
@@ -123,41 +129,57 @@
 /// Serves until the phase is [`ServerPhase::Closed`] or its channel is closed, and counts open
 /// connections in `open`.
 ///
-/// After it has returned, no further connection is counted. The kernel resets connections that the
-/// listener had not accepted; none of their data was read.
+/// Connections that wait to be accepted as the listener closes are served, and counted before it
+/// returns; afterwards no further one is counted.
 pub async fn serve<H, Fut>(
     listener: TcpListener,
     cfg: ServerCfg,
-    mut phase: watch::Receiver<ServerPhase>,
+    phase: watch::Receiver<ServerPhase>,
     open: Arc<OpenConnections>,
     handler: H,
 ) where
     H: Fn(Request<Incoming>, SocketAddr) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Response<AnyBody>> + Send + 'static,
 {
+    let start = |stream, peer| {
+        let open_guard = open.count(*phase.borrow());
+        let (handler, phase) = (handler.clone(), phase.clone());
+        tokio::spawn(async move {
+            let _open = open_guard;
+            if let Err(err) = serve_connection(stream, peer, cfg, phase, handler).await {
+                event!(Debug, "caller_connection_ended", peer = peer, error = err);
+            }
+        });
+    };
+    let mut closed = phase.clone();
     loop {
         let accepted = tokio::select! {
             biased;
-            _ = phase.wait_for(|phase| *phase >= ServerPhase::Closed) => return,
+            _ = closed.wait_for(|phase| *phase >= ServerPhase::Closed) => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, peer)) => {
-                let open_guard = open.count(*phase.borrow());
-                let (handler, phase) = (handler.clone(), phase.clone());
-                tokio::spawn(async move {
-                    let _open = open_guard;
-                    if let Err(err) = serve_connection(stream, peer, cfg, phase, handler).await {
-                        event!(Debug, "caller_connection_ended", peer = peer, error = err);
-                    }
-                });
-            }
+            Ok((stream, peer)) => start(stream, peer),
             Err(err) => {
                 event!(Warn, "accept_failed", error = err);
                 tokio::time::sleep(ACCEPT_PAUSE.into()).await;
             }
         }
     }
+    // A process without processor time may not have accepted them for long.
+    waiting_connections(listener).for_each(|(stream, peer)| start(stream, peer));
+}
+
+/// Closes a listener, and returns the connections that wait to be accepted.
+fn waiting_connections(listener: TcpListener) -> impl Iterator<Item = (TcpStream, SocketAddr)> {
+    // The runtime may not know of them yet, so the kernel is asked.
+    let listener = listener.into_std().ok();
+    let accept = move || {
+        let (stream, peer) = listener.as_ref()?.accept().ok()?;
+        stream.set_nonblocking(true).ok()?;
+        Some((TcpStream::from_std(stream).ok()?, peer))
+    };
+    std::iter::from_fn(accept).take(MAX_WAITING_CONNECTIONS)
 }
 
 async fn serve_connection<H, Fut>(
@@ -176,10 +198,13 @@
     let first_request = request_notify.clone();
     let lacks_chunks = Arc::<AtomicBool>::default();
     let lacks_chunks_tx = lacks_chunks.clone();
+    let open_answer = Arc::new(Semaphore::new(1));
+    let answer_permit = open_answer.clone();
     let service = service_fn(move |req: Request<Incoming>| {
         request_notify.notify_one();
         lacks_chunks_tx.store(req.version() == Version::HTTP_10, Ordering::Relaxed);
         let (answer, current_phase) = (handler(req, peer), service_phase.clone());
+        let permit = answer_permit.clone().try_acquire_owned().ok();
         async move {
             let mut response = answer.await;
             if *current_phase.borrow() >= ServerPhase::Draining {
@@ -187,7 +212,7 @@
                     .headers_mut()
                     .insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| OpenAnswer { body, _permit: permit }))
         }
     });
     let mut builder = http1::Builder::new();
@@ -201,9 +226,16 @@
         // If the connection were closed before its first request is read, the caller of a request
         // in flight would have no answer and could not know that it has not run.
         let _ = tokio::time::timeout(FIRST_REQUEST_TIMEOUT.into(), first_request.notified()).await;
+        // An answer that began earlier doesn't announce the close: its caller may send the next
+        // request as soon as it has ended.
+        drop(open_answer.acquire().await);
         tokio::time::sleep(PENDING_REQUEST_PAUSE.into()).await;
+        // The task may run long after the pause is over; the runtime has to look for data again.
+        tokio::task::yield_now().await;
     };
     let result = tokio::select! {
+        // Requests that have arrived are read before the connection is closed.
+        biased;
         result = &mut connection => result,
         () = close_allowed => {
             Pin::new(&mut connection).graceful_shutdown();
@@ -218,6 +250,32 @@
     result.map_err(io::Error::other)
 }
 
+/// The body of an answer. Its permit is returned once the answer has ended.
+struct OpenAnswer {
+    body: AnyBody,
+    _permit: Option<OwnedSemaphorePermit>,
+}
+
+impl Body for OpenAnswer {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Opens a connection from the address `source`, or from that of the system's choice.
 pub(super) async fn connect(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
     let Some(source) = source else { return TcpStream::connect(address).await };
