Gateway: a call whose connection ends before it is admitted or refused has a line

What callers saw: nothing new. A call that waits for settings, totals or its body, and whose connection is closed then, or whose task panics, left no line at all. It now leaves `call_not_admitted` with its id and `outcome`, and counts as an incomplete answer if its caller isn't the one that left.

--- a/daemons/gateway/src/serve.rs
+++ b/daemons/gateway/src/serve.rs
@@ -16,11 +16,13 @@
 use sill_tree::RouteKind;
 use sill_wire::{ErrorCode, RequestKey, SharedParts, Software};
 
+use crate::cut::CutCause;
 use crate::dialect::CallHead;
 use crate::dispatch;
 use crate::failure::Failure;
 use crate::planned_stop::InsufficientTime;
 use crate::state::{PoolState, State};
+use crate::summary::CALLER_LEFT;
 use crate::termination::{FinalPhase, StopOutcome};
 
 /// Size limit of a body in bytes if the settings name none.
@@ -131,6 +133,7 @@
         head.attempt = format!("{:016x}", rand::random::<u64>()).into();
     }
     let attempt = head.attempt.clone();
+    let mut arrival = Arrival { state: &state, attempt: &attempt, received_at, is_over: false };
     let admitted = tokio::select! {
         // Once the last answers are being sent, a call is refused before it is sent to an endpoint.
         biased;
@@ -138,12 +141,45 @@
             Err(Refusal::by_stop(&state, "request incomplete at the end of the stop".to_owned())),
         admitted = admit(&state, head, parts, body, received_at) => admitted,
     };
+    arrival.is_over = true;
+    drop(arrival);
     match admitted {
         Ok(call) => dispatch::run(state, Arc::new(call)).await,
         Err(refusal) => refusal.answer(&state, &attempt, received_at),
     }
 }
 
+/// A call that is neither admitted nor refused yet. Its line is written if it ends like that.
+struct Arrival<'a> {
+    state: &'a State,
+    attempt: &'a Name,
+    received_at: Millis,
+    is_over: bool,
+}
+
+impl Drop for Arrival<'_> {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        let cause = if std::thread::panicking() {
+            Some(CutCause::TaskEnded)
+        } else {
+            self.state.termination.has_begun(FinalPhase::Cut).then_some(CutCause::CutByStop)
+        };
+        if let Some(cause) = cause {
+            self.state.metrics.incomplete_answers.with_label_values(&[cause.name()]).inc();
+        }
+        event!(
+            Warn,
+            "call_not_admitted",
+            id = self.attempt,
+            outcome = cause.map_or(CALLER_LEFT, CutCause::name),
+            ms = self.state.clock.now() - self.received_at
+        );
+    }
+}
+
 /// The refusal of a call that was not admitted, with the reason.
 struct Refusal {
     failure: Failure,
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -26,7 +26,7 @@
 const ANSWERED: &str = "answered";
 
 /// The outcome of a call unless another one is set.
-const CALLER_LEFT: &str = "caller_left";
+pub const CALLER_LEFT: &str = "caller_left";
 
 /// The outcome of a call whose task ended with a panic.
 const TASK_ENDED: &str = "task_ended";
--- a/daemons/gateway/tests/call_ends.rs
+++ b/daemons/gateway/tests/call_ends.rs
@@ -62,6 +62,28 @@
     line
 }
 
+/// A call whose connection ended before it was admitted had no line.
+#[test]
+fn a_call_that_is_neither_admitted_nor_refused_has_a_line() {
+    lines::capture();
+    let harness = Harness::without_settings();
+    let mut caller =
+        TcpStream::connect(harness.address).expect("the entry instance accepts connections");
+    caller
+        .write_all(request_as("early", "/idempotent/x", "").as_bytes())
+        .expect("the peer reads the bytes");
+    thread::sleep(Duration::from_millis(200));
+    drop(caller);
+    let line = loop {
+        if let Some(line) = lines::of_call("early").first() {
+            break line.clone();
+        }
+        thread::sleep(Duration::from_millis(5));
+    };
+    assert!(line.starts_with("event=call_not_admitted "), "{line}");
+    assert_eq!(value(&line, "outcome"), "caller_left", "{line}");
+}
+
 /// A call whose task ended with a panic is logged as if its caller had left, so a fault of the entry
 /// instance looks like the caller's choice.
 #[test]
