Tests: plays of ends of streams with deadlines that are near

Callers of a play send deadlines 0 to 0.6 s after the ends of whole streams and, where endpoints break streams, in the middle of them, so that breaks too come shortly before a deadline. Whole streams that are cut are counted by where: before the deadline, at it, or at it because they ended under 50 ms before it. A further way: entry instances stop in series and start again.

--- a/daemons/sill/tests/system/proof_of_end.rs
+++ b/daemons/sill/tests/system/proof_of_end.rs
@@ -1,13 +1,15 @@
 //! Streams of endpoints that end in the middle of them, by what shows of an endpoint after its end, and of
-//! endpoints that leave in order.
+//! endpoints that leave in order, with deadlines far and near.
 
-use std::collections::BTreeSet;
+mod deadlines;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::{self, Display, Formatter};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use std::{env, fs, iter, thread};
 
 use ntex::web::{self, HttpResponse, ServiceConfig, types};
@@ -15,8 +17,9 @@
 use sill_control::{Extension, Shared};
 use sill_wire::Incarnation;
 
-use crate::harness::{CALLER_KEY, http, wait_until};
+use crate::harness::{CALLER_KEY, Program, http, wait_until};
 use crate::serving::{HOST, SERVICE, Serving, ServingCfg, announcement, send_announcement};
+use deadlines::{CutAt, Deadlines, NEAR_TIME};
 
 const GATEWAYS: usize = 4;
 const ENDPOINTS: usize = 16;
@@ -88,6 +91,8 @@
     DeregistersFirst,
     /// None ends.
     None,
+    /// None ends; one entry instance after the other stops in order and starts again.
+    InstancesStop,
 }
 
 /// How answers show their ends.
@@ -107,7 +112,10 @@
     /// Returns whether its endpoints complete all streams.
     fn is_in_order(self) -> bool {
         use Way::*;
-        matches!(self, Leaves | LeavesUnannounced | LeavesLate | DeregistersFirst | None)
+        matches!(
+            self,
+            Leaves | LeavesUnannounced | LeavesLate | DeregistersFirst | None | InstancesStop
+        )
     }
 
     fn deregisters(self) -> bool {
@@ -116,7 +124,12 @@
 
     /// Returns whether an endpoint of another name and address replaces one that ends.
     fn is_replaced(self) -> bool {
-        !matches!(self, Self::OneConnection | Self::OtherName | Self::Restarts | Self::None)
+        !matches!(self, Self::OneConnection | Self::OtherName | Self::Restarts)
+    }
+
+    /// Returns whether endpoints end.
+    fn ends_endpoints(self) -> bool {
+        !matches!(self, Self::None | Self::InstancesStop)
     }
 }
 
@@ -137,6 +150,7 @@
             Self::LeavesLate => "11 leaves in order, exits 1 s later",
             Self::DeregistersFirst => "12 deregisters first",
             Self::None => "13 no end",
+            Self::InstancesStop => "14 entry instances stop in series",
         })
     }
 }
@@ -182,12 +196,19 @@
 /// What endpoints know of the streams of a play.
 #[derive(Debug, Default)]
 struct Shown {
-    /// Streams that were sent to their ends.
-    sent: Mutex<BTreeSet<String>>,
+    /// Streams that were sent to their ends, and when they were first.
+    sent: Mutex<BTreeMap<String, Duration>>,
     /// Streams whose endpoint ended, with the number of streams that it was sending.
     broken: Mutex<Vec<Broken>>,
 }
 
+impl Shown {
+    fn record_sent(&self, id: &str) {
+        let mut sent = self.sent.lock().expect(UNPOISONED);
+        sent.entry(id.to_owned()).or_insert_with(deadlines::now);
+    }
+}
+
 /// A stream that an endpoint didn't complete.
 #[derive(Debug, Clone)]
 struct Broken {
@@ -373,14 +394,14 @@
             }
             if number == EVENTS {
                 process.finish(connection, self.marking);
-                self.shown.sent.lock().expect(UNPOISONED).insert(id.to_owned());
+                self.shown.record_sent(id);
             }
         }
         if last >= EVENTS {
             let mut process = self.process();
             process.write(connection, &head)?;
             process.finish(connection, self.marking);
-            self.shown.sent.lock().expect(UNPOISONED).insert(id.to_owned());
+            self.shown.record_sent(id);
         }
         Ok(())
     }
@@ -419,7 +440,7 @@
     }
 
     fn record_broken(&self, streams: &[(String, Answering)]) {
-        let at = SystemTime::now().duration_since(UNIX_EPOCH).expect("it is later");
+        let at = deadlines::now();
         let broken = streams.iter().map(|(id, _)| Broken {
             id: id.clone(),
             endpoint: self.full_name(),
@@ -501,6 +522,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum End {
     Refused,
+    /// The connection ended after the request and without an answer.
+    Unanswered,
     Complete,
     Cut,
 }
@@ -512,6 +535,9 @@
     end: End,
     events: usize,
     has_gap: bool,
+    /// When its deadline is over, and when it ended.
+    due: Duration,
+    ended_at: Duration,
 }
 
 fn run_caller(number: usize, gateways: &[SocketAddr], play: &Play) {
@@ -524,12 +550,22 @@
         }
         let id = format!("p{}", NEXT.fetch_add(1, Ordering::Relaxed));
         let is_resumable = number.is_multiple_of(2);
-        let mut stream = Stream { id, is_resumable, end: End::Refused, events: 0, has_gap: false };
+        let deadline = play.deadlines.of(number, round, !play.way.is_in_order());
+        let mut stream = Stream {
+            id,
+            is_resumable,
+            end: End::Refused,
+            events: 0,
+            has_gap: false,
+            due: deadlines::due_at(deadline),
+            ended_at: Duration::ZERO,
+        };
         let to = gateways[(round / 2) % gateways.len()];
-        if let Some(end) = read_stream(to, &mut stream) {
+        if let Some(end) = read_stream(to, deadline, &mut stream) {
             stream.end = end;
         }
-        if stream.end == End::Refused {
+        stream.ended_at = deadlines::now();
+        if matches!(stream.end, End::Refused | End::Unanswered) {
             thread::sleep(Duration::from_millis(50));
         }
         play.streams.lock().expect(UNPOISONED).push(stream);
@@ -537,22 +573,23 @@
 }
 
 /// Calls once and reads the answer; none if it wasn't a stream.
-fn read_stream(to: SocketAddr, stream: &mut Stream) -> Option<End> {
+fn read_stream(to: SocketAddr, deadline: Option<Duration>, stream: &mut Stream) -> Option<End> {
     let mut socket = TcpStream::connect(to).ok()?;
     socket.set_read_timeout(Some(PATIENCE)).ok()?;
     let path = if stream.is_resumable { "told" } else { "dictated" };
+    let deadline = deadline.map(|time| format!("sill-deadline-ms: {}\r\n", time.as_millis()));
+    let deadline = deadline.unwrap_or_default();
     let text = format!(
         "POST /{path}/x HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {CALLER_KEY}\r\n\
-         sill-request-id: {}\r\ncontent-length: 4\r\n\r\nbody",
+         sill-request-id: {}\r\n{deadline}content-length: 4\r\n\r\nbody",
         stream.id
     );
     socket.write_all(text.as_bytes()).ok()?;
     let mut reader = BufReader::new(socket);
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
-        let read = reader.read_line(&mut head).ok()?;
-        if read == 0 {
-            return None;
+        if reader.read_line(&mut head).unwrap_or(0) == 0 {
+            return Some(End::Unanswered);
         }
     }
     let is_stream = head.starts_with("HTTP/1.1 200 ")
@@ -579,10 +616,21 @@
     }
 }
 
+/// What is played.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Case {
+    way: Way,
+    marking: Marking,
+    deadlines: Deadlines,
+}
+
 /// A deployment in which endpoints end in one way.
 struct Play {
     way: Way,
     marking: Marking,
+    deadlines: Deadlines,
+    /// The entry instances.
+    programs: Mutex<Vec<Program>>,
     serving: Serving,
     shown: Arc<Shown>,
     streams: Mutex<Vec<Stream>>,
@@ -598,9 +646,14 @@
 struct Counts {
     way: Way,
     marking: Marking,
+    deadlines: Deadlines,
     streams: [usize; 2],
+    /// Streams that an endpoint sent to their ends before their deadlines.
+    whole: [usize; 2],
     /// Streams whose endpoint ended in the middle of them.
     broken: [usize; 2],
+    /// Those of them whose endpoint ended shortly before their deadlines.
+    broken_near: [usize; 2],
     /// Streams that look complete and aren't.
     short: [usize; 2],
     /// Those of them with which no other stream of their endpoint ended.
@@ -609,14 +662,21 @@
     broken_alone: [usize; 2],
     /// Whole streams without a complete end.
     cut: [usize; 2],
+    /// Those of them that were whole before their deadlines, by where they were cut.
+    cut_before: [usize; 2],
+    cut_at_deadline: [usize; 2],
+    cut_too_late: [usize; 2],
     refused: usize,
+    /// Calls whose connection ended without an answer.
+    unanswered: usize,
     gaps: usize,
     traces: Vec<String>,
 }
 
 impl Play {
     /// Starts a deployment with its first endpoints.
-    fn start(way: Way, marking: Marking, play_time: Duration) -> (Self, Vec<Slot>) {
+    fn start(case: Case, play_time: Duration) -> (Self, Vec<Slot>) {
+        let Case { way, marking, deadlines } = case;
         let ends = (play_time.as_millis() / END_INTERVAL.as_millis()) as usize;
         let cfg = ServingCfg {
             gateways: GATEWAYS,
@@ -631,6 +691,8 @@
         let mut play = Self {
             way,
             marking,
+            deadlines,
+            programs: Mutex::default(),
             serving,
             shown: Arc::default(),
             streams: Mutex::default(),
@@ -641,6 +703,7 @@
         let endpoints = (0..ENDPOINTS).map(|_| Mutex::new(Some(play.start_endpoint()))).collect();
         // Without endpoints, they aren't ready.
         play.serving.start_gateways();
+        play.programs = Mutex::new(std::mem::take(&mut play.serving.gateways));
         (play, endpoints)
     }
 
@@ -689,7 +752,7 @@
                 thread::sleep(Duration::from_secs(2) + SERVE_ON_TIME);
                 endpoint.end_when_idle(self.way);
             }
-            Way::OneConnection | Way::None => {}
+            Way::OneConnection | Way::None | Way::InstancesStop => {}
         }
         None
     }
@@ -705,6 +768,9 @@
             // The first streams are under way.
             thread::sleep(Duration::from_secs(1));
             let began = Instant::now();
+            if self.way == Way::InstancesStop {
+                scope.spawn(move || self.stop_instances(began + play_time));
+            }
             for number in 0.. {
                 let due = began + END_INTERVAL * number as u32;
                 if due >= began + play_time {
@@ -717,7 +783,7 @@
                     endpoint.iter().for_each(|endpoint| endpoint.close_one(number));
                     continue;
                 }
-                if self.way == Way::None {
+                if !self.way.ends_endpoints() {
                     continue;
                 }
                 // One that ends is not ended again before the next one has started.
@@ -742,9 +808,23 @@
         self.count()
     }
 
+    /// Stops one entry instance after the other and starts it again.
+    fn stop_instances(&self, until: Instant) {
+        let mut programs = self.programs.lock().expect(UNPOISONED);
+        for i in (0..GATEWAYS).cycle() {
+            if Instant::now() >= until {
+                return;
+            }
+            self.serving.stop_and_start_gateway(i, &mut programs[i]);
+            // Callers that were refused come back.
+            thread::sleep(END_INTERVAL);
+        }
+    }
+
     fn count(&self) -> Counts {
         let mut streams = std::mem::take(&mut *self.streams.lock().expect(UNPOISONED));
         let refused = streams.iter().filter(|stream| stream.events == 0).count();
+        let unanswered = streams.iter().filter(|stream| stream.end == End::Unanswered).count();
         streams.retain(|stream| stream.events > 0);
         let sent = self.shown.sent.lock().expect(UNPOISONED);
         let broken = self.shown.broken.lock().expect(UNPOISONED);
@@ -752,7 +832,16 @@
         let is_alone =
             |stream: &Stream| broken_of(stream).is_some_and(|broken| broken.together == 1);
         let is_short = |stream: &Stream| stream.end == End::Complete && stream.events < EVENTS;
-        let is_cut = |stream: &Stream| stream.end == End::Cut && sent.contains(&stream.id);
+        let is_cut = |stream: &Stream| stream.end == End::Cut && sent.contains_key(&stream.id);
+        let is_whole = |stream: &Stream| sent.get(&stream.id).is_some_and(|at| *at < stream.due);
+        let cut_at = |stream: &Stream| {
+            let sent_at = *sent.get(&stream.id).filter(|_| stream.end == End::Cut)?;
+            deadlines::cut_at(sent_at, stream.ended_at, stream.due)
+        };
+        let is_cut_at = |stream: &Stream, at: CutAt| cut_at(stream) == Some(at);
+        let is_broken_near = |stream: &Stream| {
+            broken_of(stream).is_some_and(|b| b.at < stream.due && b.at + NEAR_TIME > stream.due)
+        };
         let count = |is_counted: &dyn Fn(&Stream) -> bool| {
             [true, false].map(|kind| {
                 streams.iter().filter(|s| s.is_resumable == kind && is_counted(s)).count()
@@ -762,21 +851,40 @@
             .map(|i| fs::read_to_string(self.serving.folder.file(&format!("g{i}.log"))))
             .map(Result::unwrap_or_default)
             .collect();
-        let is_traced = |stream: &&Stream| is_short(stream) || is_cut(stream);
+        let is_traced = |stream: &&Stream| {
+            is_short(stream)
+                || match self.deadlines {
+                    Deadlines::Far => is_cut(stream),
+                    Deadlines::Near => {
+                        matches!(cut_at(stream), Some(CutAt::Before | CutAt::Deadline))
+                    }
+                }
+        };
         let mut traced: Vec<&Stream> = streams.iter().filter(is_traced).collect();
-        traced.sort_by_key(|stream| (is_cut(stream), !stream.is_resumable));
+        traced.sort_by_key(|stream| {
+            (is_cut(stream), is_cut_at(stream, CutAt::Deadline), !stream.is_resumable)
+        });
         let traces = traced.into_iter().take(MAX_TRACES);
-        let traces = traces.map(|stream| trace(stream, broken_of(stream), &logs)).collect();
+        let traces = traces
+            .map(|stream| trace(stream, broken_of(stream), sent.get(&stream.id), &logs))
+            .collect();
         Counts {
             way: self.way,
             marking: self.marking,
+            deadlines: self.deadlines,
             streams: count(&|_| true),
+            whole: count(&is_whole),
             broken: count(&|stream| broken_of(stream).is_some()),
             broken_alone: count(&is_alone),
+            broken_near: count(&is_broken_near),
             short: count(&is_short),
             short_alone: count(&|stream| is_short(stream) && is_alone(stream)),
             cut: count(&is_cut),
+            cut_before: count(&|stream| is_cut_at(stream, CutAt::Before)),
+            cut_at_deadline: count(&|stream| is_cut_at(stream, CutAt::Deadline)),
+            cut_too_late: count(&|stream| is_cut_at(stream, CutAt::TooLate)),
             refused,
+            unanswered,
             gaps: streams.iter().filter(|stream| stream.has_gap).count(),
             traces,
         }
@@ -784,8 +892,18 @@
 }
 
 /// Returns what the entry instances logged of a stream, and of checks of its endpoint.
-fn trace(stream: &Stream, broken: Option<&Broken>, logs: &[String]) -> String {
+fn trace(
+    stream: &Stream,
+    broken: Option<&Broken>,
+    sent_at: Option<&Duration>,
+    logs: &[String],
+) -> String {
     let mut text = format!("  {stream:?}");
+    if let Some(sent_at) = sent_at {
+        let before = |at: Duration| stream.due.as_millis() as i64 - at.as_millis() as i64;
+        let (sent, ended) = (before(*sent_at), before(stream.ended_at));
+        text.push_str(&format!(": sent {sent} ms and ended {ended} ms before its deadline"));
+    }
     if let Some(Broken { endpoint, at, together, .. }) = broken {
         let at = at.as_millis();
         text.push_str(&format!(": {together} streams of {endpoint} ended at={at}"));
@@ -835,21 +953,30 @@
 
 impl Display for Counts {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let Self { streams, broken, broken_alone, short, short_alone, cut, .. } = self;
+        let Self { streams, whole, broken, broken_alone, broken_near, .. } = self;
+        let Self { short, short_alone, cut, cut_before, cut_at_deadline, cut_too_late, .. } = self;
         let pair = |[a, b]: [usize; 2]| format!("{a}+{b}");
         write!(
             f,
-            "{:36} {:9} streams {:8} broken {:7} (alone {:5}) short {:6} (alone {:5}) whole and cut \
-             {:6} refused {} gaps {}",
+            "{:36} {:9} {:4} streams {:8} whole {:8} broken {:7} (alone {:5}, near {:5}) short {:6} \
+             (alone {:5}) whole and cut {:6} (before {:6} at the deadline {:6} too late {:6}) refused {} \
+             unanswered {} gaps {}",
             self.way.to_string(),
             format!("{:?}", self.marking),
+            format!("{:?}", self.deadlines),
             pair(*streams),
+            pair(*whole),
             pair(*broken),
             pair(*broken_alone),
+            pair(*broken_near),
             pair(*short),
             pair(*short_alone),
             pair(*cut),
+            pair(*cut_before),
+            pair(*cut_at_deadline),
+            pair(*cut_too_late),
             self.refused,
+            self.unanswered,
             self.gaps
         )
     }
@@ -861,7 +988,12 @@
 }
 
 /// Plays ways with each marking, several side by side.
-fn play(ways: &[Way]) -> Vec<Counts> {
+fn play(ways: &[Way], deadlines: Deadlines) -> Vec<Counts> {
+    let deadlines = match env::var("SILL_DEADLINES").as_deref() {
+        Ok("far") => Deadlines::Far,
+        Ok("near") => Deadlines::Near,
+        _ => deadlines,
+    };
     let play_time = number_of("SILL_SECONDS").map_or(PLAY_TIME, Duration::from_secs);
     let plays = number_of("SILL_PLAYS").map_or(PLAYS, |plays| plays as usize);
     // A word for each way that is wanted, as in `SILL_WAYS="3 10b"`.
@@ -872,8 +1004,9 @@
         wanted.as_ref().is_none_or(|wanted| wanted.split(' ').any(|word| word == number))
     };
     let ways = ways.iter().filter(is_wanted);
-    let cases: Vec<(Way, Marking)> =
-        ways.flat_map(|way| MARKINGS.map(|marking| (*way, marking))).collect();
+    let cases: Vec<Case> = ways
+        .flat_map(|way| MARKINGS.map(|marking| Case { way: *way, marking, deadlines }))
+        .collect();
     // Each test uses the whole machine.
     static TURN: Mutex<()> = Mutex::new(());
     let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
@@ -881,8 +1014,8 @@
     thread::scope(|scope| {
         for _ in 0..plays {
             scope.spawn(|| {
-                while let Some((way, marking)) = cases.get(next.fetch_add(1, Ordering::Relaxed)) {
-                    let (play, endpoints) = Play::start(*way, *marking, play_time);
+                while let Some(case) = cases.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let (play, endpoints) = Play::start(*case, play_time);
                     let counted = play.run(endpoints, play_time);
                     println!("{counted}");
                     counted.traces.iter().for_each(|trace| println!("{trace}"));
@@ -892,8 +1025,10 @@
         }
     });
     let mut counts = counts.into_inner().expect(UNPOISONED);
-    counts
-        .sort_by_key(|counts| cases.iter().position(|case| *case == (counts.way, counts.marking)));
+    let position = |counts: &Counts| {
+        cases.iter().position(|case| (case.way, case.marking) == (counts.way, counts.marking))
+    };
+    counts.sort_by_key(position);
     println!("\nEnds of streams; numbers of those that may be resumed + the others:");
     counts.iter().for_each(|counts| println!("{counts}"));
     counts
@@ -931,7 +1066,7 @@
         OtherName,
         Restarts,
     ];
-    fail_if(&play(&ways), |counts| {
+    fail_if(&play(&ways, Deadlines::Far), |counts| {
         let [resumable, other] = counts.short;
         let is_other_short = match counts.way {
             // Nothing tells the end of a single stream from that of one which is complete.
@@ -948,8 +1083,33 @@
 fn whole_streams_of_endpoints_that_leave_in_order_are_not_cut() {
     use Way::*;
     let ways = [Leaves, LeavesUnannounced, LeavesLate, DeregistersFirst, None];
-    fail_if(&play(&ways), |counts| {
+    fail_if(&play(&ways, Deadlines::Far), |counts| {
         let is_cut = counts.cut != [0, 0] && counts.way != LeavesUnannounced;
         is_cut || counts.short != [0, 0]
     });
 }
+
+/// A whole stream that ends shortly before its deadline is cut earlier than that, with time left for a proof.
+#[test]
+fn whole_streams_are_not_cut_before_deadlines_that_are_near() {
+    use Way::*;
+    fail_if(&play(&[None, InstancesStop], Deadlines::Near), |counts| {
+        counts.cut_before != [0, 0] || counts.short != [0, 0]
+    });
+}
+
+/// A stream whose endpoint ends shortly before the deadline looks complete, as there is little time for a proof.
+#[test]
+fn streams_of_endpoints_that_end_shortly_before_deadlines_are_not_taken_for_complete() {
+    use Way::*;
+    let ways = [Dropped, Unread, LeavesAndCrashes, Reclaimed];
+    fail_if(&play(&ways, Deadlines::Near), |counts| {
+        // Nothing tells the end of a single stream of an endpoint that leaves from that of one which is
+        // complete.
+        let allowed = match counts.way {
+            LeavesAndCrashes | Reclaimed => counts.short_alone[1],
+            _ => 0,
+        };
+        counts.short[0] > 0 || counts.short[1] > allowed
+    });
+}
--- a/daemons/sill/tests/system/serving.rs
+++ b/daemons/sill/tests/system/serving.rs
@@ -199,6 +199,14 @@
         self.gateways.clear();
     }
 
+    /// Stops an entry instance in order, waits for its end and starts it again.
+    pub fn stop_and_start_gateway(&self, i: usize, program: &mut Program) {
+        program.signal("-TERM");
+        program.wait();
+        *program = self.start_gateway(i);
+        self.wait_until_ready(i);
+    }
+
     /// Kills an entry instance and starts it again.
     pub fn restart_gateway(&mut self, i: usize) {
         self.gateways[i].kill();
