Tests: endpoints of plays forget streams whose callers left

Where a call ends at its deadline, the endpoint's write fails, but the stream stayed in its list: it counted as one that ended together with its endpoint, so those that ended alone were too few, and an endpoint that completes its streams before it exits waited for it for ever.

--- a/daemons/sill/tests/system/proof_of_end.rs
+++ b/daemons/sill/tests/system/proof_of_end.rs
@@ -315,7 +315,10 @@
                     let endpoint = self.clone();
                     thread::spawn(move || {
                         let _ = endpoint.serve(connection, stream);
-                        endpoint.process().connections[connection] = None;
+                        let mut process = endpoint.process();
+                        process.connections[connection] = None;
+                        // A caller may have left in the middle of its stream.
+                        process.streams.retain(|(_, answering)| answering.connection != connection);
                     });
                     continue;
                 }
@@ -829,8 +832,16 @@
         let sent = self.shown.sent.lock().expect(UNPOISONED);
         let broken = self.shown.broken.lock().expect(UNPOISONED);
         let broken_of = |stream: &Stream| broken.iter().find(|broken| broken.id == stream.id);
-        let is_alone =
-            |stream: &Stream| broken_of(stream).is_some_and(|broken| broken.together == 1);
+        // Those that were over by their deadlines did not end with their endpoint.
+        let is_open = |broken: &Broken| {
+            streams.iter().any(|stream| stream.id == broken.id && stream.due > broken.at)
+        };
+        let is_alone = |stream: &Stream| {
+            broken_of(stream).is_some_and(|own| {
+                let ended_with = |b: &&Broken| b.endpoint == own.endpoint && b.at == own.at;
+                broken.iter().filter(ended_with).filter(|b| is_open(b)).count() <= 1
+            })
+        };
         let is_short = |stream: &Stream| stream.end == End::Complete && stream.events < EVENTS;
         let is_cut = |stream: &Stream| stream.end == End::Cut && sent.contains_key(&stream.id);
         let is_whole = |stream: &Stream| sent.get(&stream.id).is_some_and(|at| *at < stream.due);
