Soak: planned work alone, near deadlines, and ends of all kinds

--planned replaces the usual faults by series of stops, SIGHUP and endpoints that leave in order. Endpoints complete each answer, in equal parts without a mark, with Connection: close and on a connection that stays open; half of the deadlines lie 20 to 600 ms after the time that an answer needs. Any answer cut before its caller's deadline is a finding; near=W/N tells how many of those completed in time came whole.

--- a/bench/soak/src/backend.rs
+++ b/bench/soak/src/backend.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -56,6 +57,8 @@
 pub struct Ledger {
     runs: Mutex<Map<String, Vec<String>>>,
     withheld: Mutex<Set<String>>,
+    completed: Mutex<Map<String, Millis>>,
+    journal: Arc<Journal>,
     anomalies: Mutex<Vec<String>>,
     crashing_runs: AtomicUsize,
     /// Requests that reached endpoints of the versions of roll-outs.
@@ -74,6 +77,7 @@
     ledger: Arc<Ledger>,
     misbehavior: Arc<Mutex<Option<Misbehavior>>>,
     is_leaving: watch::Sender<bool>,
+    first_phase: Phase,
     phase: watch::Sender<Phase>,
     /// Keeps the address open after a crash.
     remnant: Option<TcpListener>,
@@ -101,6 +105,9 @@
 enum Phase {
     /// With the last chunk, once they are complete.
     Regular,
+    /// By [`Framing::of`], complete: plain answers and streams without a marked end, with
+    /// `Connection: close`, and on a connection that stays open.
+    Mixed,
     /// A part of them, by [`Framing::of`], by closing the connection.
     Varied,
     /// A part of them early, as the process ends.
@@ -138,7 +145,8 @@
     /// Creates a ledger that times requests by the clock of a journal.
     pub fn new(journal: Arc<Journal>) -> Self {
         let pauses = Pauses::new(journal.clone());
-        Self { versions: Versions::new(journal), pauses, ..Self::default() }
+        let versions = Versions::new(journal.clone());
+        Self { versions, pauses, journal, ..Self::default() }
     }
 
     /// Returns the endpoint incarnations that ran a request, in order.
@@ -166,6 +174,17 @@
         self.withheld.lock().insert(id.to_owned());
     }
 
+    /// Returns when an endpoint first completed the answer to a request.
+    pub fn completed_at(&self, id: &str) -> Option<Millis> {
+        self.completed.lock().get(id).copied()
+    }
+
+    /// Notes that an endpoint has written all of an answer.
+    pub fn note_completed(&self, id: &str) {
+        let now = self.journal.now();
+        self.completed.lock().entry(id.to_owned()).or_insert(now);
+    }
+
     /// Returns the requests that arrived with a wrong body, account or credential.
     pub fn anomalies(&self) -> Vec<String> {
         self.anomalies.lock().clone()
@@ -193,6 +212,7 @@
             ledger,
             misbehavior: Arc::default(),
             is_leaving: watch::Sender::default(),
+            first_phase: Phase::Regular,
             phase: watch::Sender::new(Phase::Regular),
             remnant: None,
             incarnation: 0,
@@ -230,6 +250,12 @@
         self.is_leaving.send_replace(true);
     }
 
+    /// Ends the further answers, also those of later incarnations, in different ways.
+    pub fn mix_framings(&mut self) {
+        self.first_phase = Phase::Mixed;
+        self.phase.send_replace(Phase::Mixed);
+    }
+
     /// Begins a part of the further streams without chunks.
     pub fn vary_framing(&self) {
         self.phase.send_replace(Phase::Varied);
@@ -294,7 +320,7 @@
         self.is_down = false;
         self.remnant = None;
         self.is_leaving = watch::Sender::default();
-        self.phase = watch::Sender::new(Phase::Regular);
+        self.phase = watch::Sender::new(self.first_phase);
         let id = format!("{}.{}", self.name, self.incarnation);
         let state = EndpointState {
             id,
@@ -401,12 +427,16 @@
         _ => tokio::time::sleep(Duration::from_millis(5)).await,
     }
     let (pace, framing) = (Pace::from_name(text(PACE_HEADER)), Framing::of(&id));
-    let is_varied = pace.is_some() && *state.phase.borrow() != Phase::Regular;
+    let phase = *state.phase.borrow();
+    let is_varied = phase == Phase::Mixed || pace.is_some() && phase != Phase::Regular;
     let is_unframed = matches!(misbehavior, Some(Misbehavior::Unframed | Misbehavior::UnframedCut))
         || is_varied && framing == Framing::Unframed;
     // With this version the end of a body without a length is marked by closing the connection.
     let version = if is_unframed { Version::HTTP_10 } else { Version::HTTP_11 };
-    let response = Response::builder().version(version).header(header::REQUEST_ID, &id);
+    let mut response = Response::builder().version(version).header(header::REQUEST_ID, &id);
+    if phase == Phase::Mixed && framing == Framing::EarlyLastChunk {
+        response = response.header("connection", "close");
+    }
     let response = match pace {
         Some(pace) => {
             let after = text(header::LAST_EVENT_ID).parse().unwrap_or(0);
@@ -420,6 +450,7 @@
                 state.ledger.note_withheld(&id);
             }
             let answer = answer_body(events.collect(), gap, misbehavior);
+            let answer = note_end(answer, id, state.ledger.clone());
             let answer = match framing {
                 Framing::EarlyLastChunk => end_early(answer, state.phase.clone()),
                 Framing::Unframed | Framing::Chunked => answer,
@@ -432,6 +463,7 @@
             // The end of a plain answer without a length can't be told from a cut.
             let misbehavior = misbehavior.filter(|kind| *kind != Misbehavior::UnframedCut);
             let answer = answer_body(halves, Duration::ZERO, misbehavior);
+            let answer = note_end(answer, id, state.ledger.clone());
             let response = match is_unframed {
                 true => response,
                 false => response.header("content-length", whole.len()),
@@ -467,6 +499,17 @@
     StreamBody::new(frames).boxed_unsync()
 }
 
+/// Notes when all of an answer was written, unless part of it is withheld.
+fn note_end(answer: AnswerBody, id: String, ledger: Arc<Ledger>) -> AnswerBody {
+    let end = stream::poll_fn(move |_| {
+        if !ledger.is_withheld(&id) {
+            ledger.note_completed(&id);
+        }
+        Poll::Ready(None)
+    });
+    StreamBody::new(BodyStream::new(answer).chain(end)).boxed_unsync()
+}
+
 /// Ends an answer as if it were complete once its endpoint crashes.
 fn end_early(answer: AnswerBody, mut phase: watch::Receiver<Phase>) -> AnswerBody {
     let crash = async move {
--- a/bench/soak/src/caller.rs
+++ b/bench/soak/src/caller.rs
@@ -61,6 +61,12 @@
 /// Timeout after which a caller abandons a connection attempt or a request.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(4000);
 
+/// Time that an endpoint needs for an answer, besides the pauses of a stream.
+const RUN_TIME: Millis = Millis(5);
+
+/// Upper bound of the milliseconds from the end of an answer to a near deadline.
+const MAX_SPARE_MS: u64 = 600;
+
 /// Upper bound of the length of request bodies.
 const MAX_BODY_BYTES: usize = 6000;
 
@@ -129,6 +135,8 @@
     pub pace: Option<Pace>,
     /// Request body.
     pub body: Bytes,
+    /// Deadline that the caller sets.
+    pub deadline: Millis,
     /// Index of the entry instance that the request was sent to.
     pub entry: usize,
     /// Whether the request was the first on its connection.
@@ -151,6 +159,7 @@
             client: &CLERKS,
             pace: None,
             body: Bytes::new(),
+            deadline: kind.deadline(),
             entry: 0,
             is_first: true,
             sent,
@@ -159,6 +168,17 @@
         }
     }
 
+    /// Sets a deadline shortly after the time at which an endpoint completes the answer.
+    fn set_near_deadline(&mut self, rng: &mut Rng) {
+        let needed = RUN_TIME + self.pace.map_or(Millis::ZERO, Pace::duration);
+        self.deadline = needed + Millis(rng.random_range(20..MAX_SPARE_MS));
+    }
+
+    /// Returns whether the deadline is near the time at which an endpoint completes the answer.
+    pub fn is_near(&self) -> bool {
+        self.deadline < self.kind.deadline()
+    }
+
     /// Returns whether there is no complete answer.
     pub fn is_cut(&self) -> bool {
         self.answer.as_ref().is_none_or(|answer| answer.body.is_none())
@@ -195,6 +215,8 @@
     pub client: &'static Client,
     /// Whether it requests streams.
     pub is_streaming: bool,
+    /// Whether a part of its deadlines are near.
+    pub has_near_deadlines: bool,
     /// Index of the only entry instance that it uses, even while that instance stops, as behind a
     /// load balancer with too few others in rotation. Without one, each new connection goes to the
     /// next entry instance.
@@ -234,6 +256,9 @@
             continue;
         }
         let mut record = random_record(&mut rng, format!("{name}-{number}"), cfg.is_streaming);
+        if cfg.has_near_deadlines && rng.random() {
+            record.set_near_deadline(&mut rng);
+        }
         record.client = cfg.client;
         record.entry = entry;
         record.is_first = is_first;
@@ -297,7 +322,7 @@
         .header("authorization", format!("Bearer {}", client.key))
         .header(ACCOUNT_HEADER, client.account)
         .header(header::REQUEST_ID, id)
-        .header(header::DEADLINE_MS, kind.deadline().to_string())
+        .header(header::DEADLINE_MS, record.deadline.to_string())
         .header(PACE_HEADER, record.pace.map_or("", Pace::name))
         .header(CHECKSUM_HEADER, checksum(&record.body))
         .body(Full::new(record.body.clone()));
--- a/bench/soak/src/cli.rs
+++ b/bench/soak/src/cli.rs
@@ -41,6 +41,12 @@
             "false",
             "whether the operator also orders roll-outs to good and bad versions",
         ),
+        Flag::with_default(
+            "planned",
+            "BOOL",
+            "false",
+            "whether planned work, near deadlines and ends of all kinds replace the usual faults",
+        ),
         Flag::with_default(
             "logs",
             "DIR",
@@ -65,6 +71,7 @@
     let crashes: Option<bool> = values.required("crashes");
     let cuts: Option<bool> = values.required("cuts");
     let rollouts: Option<bool> = values.required("rollouts");
+    let planned: Option<bool> = values.required("planned");
     let logs: Option<PathBuf> = values.required("logs");
     values.finish()?;
     let checked = "present once the check succeeded";
@@ -73,11 +80,11 @@
         (seed.expect(checked), runs.expect(checked), seconds.expect(checked));
     let entries = entries.expect(checked);
     let (crashes, cuts) = (crashes.expect(checked), cuts.expect(checked));
-    let rollouts = rollouts.expect(checked);
+    let (rollouts, planned) = (rollouts.expect(checked), planned.expect(checked));
     let mut failed = Vec::new();
     for seed in first..first + runs {
         let (sill, logs) = (sill.clone(), logs.clone());
-        let cfg = SoakCfg { sill, seed, seconds, entries, crashes, cuts, rollouts, logs };
+        let cfg = SoakCfg { sill, seed, seconds, entries, crashes, cuts, rollouts, planned, logs };
         let verdict = run::run_once(&cfg)?;
         println!("{verdict}");
         if !verdict.findings.is_empty() {
--- a/bench/soak/src/injector.rs
+++ b/bench/soak/src/injector.rs
@@ -126,6 +126,11 @@
                 self.journal.note_since(from, Event::EndpointOutage(i));
                 replaced
             }
+            Fault::Leave(i) => {
+                self.cluster.lock().await.endpoints[i].start_leaving();
+                tokio::time::sleep(LEAVE_NOTICE.into()).await;
+                self.cluster.lock().await.endpoints[i].replace().await
+            }
             Fault::Crash(i, crash) => self.crash_endpoint(i, crash).await,
             Fault::Stops(series) => self.stop_in_series(series).await,
         }
--- a/bench/soak/src/plan.rs
+++ b/bench/soak/src/plan.rs
@@ -9,11 +9,14 @@
 use sill_base::Millis;
 use sill_base::random::{Rng, seeded};
 
+use crate::backend::LEAVE_NOTICE;
+
 /// Recovery time of a control instance before the next fault on its track. An instance that lost
 /// its disk fetches all data again and is readmitted as a voter.
 const CATCH_UP_MS: u64 = 5000;
 
-/// Whether processes are sent SIGHUP. Only to be enabled for programs that it does not terminate.
+/// Whether processes are sent SIGHUP beside other faults. Only to be enabled for programs that it does
+/// not terminate.
 const SENDS_SIGHUP: bool = false;
 
 /// Number of processes of each kind in a run.
@@ -130,6 +133,8 @@
     Endpoint(usize, Misbehavior, Millis),
     /// One endpoint announces that it is leaving, ends, and is replaced by a new incarnation.
     Replace(usize),
+    /// The same, as planned work: no answer may be cut by it.
+    Leave(usize),
     /// One endpoint crashes, and is restarted as a new incarnation.
     Crash(usize, Crash),
     /// Sends SIGTERM to several entry instances in turn.
@@ -172,6 +177,29 @@
     faults
 }
 
+/// Generates planned work alone: series of graceful stops, endpoints that leave in order, and SIGHUP.
+pub fn planned_work(seed: u64, span: Millis, sizes: Sizes) -> Vec<ScheduledFault> {
+    const SEED_MASK: u64 = 0x776f_726b;
+    let mut rng = seeded(seed ^ SEED_MASK);
+    let mut work = Vec::new();
+    fill_track(&mut rng, span, &mut work, |rng| stop_series(rng, sizes));
+    fill_track(&mut rng, span, &mut work, |rng| {
+        (Fault::Leave(rng.random_range(0..sizes.endpoints)), LEAVE_NOTICE.0)
+    });
+    fill_track(&mut rng, span, &mut work, |rng| {
+        let span = Millis(rng.random_range(0..1000));
+        let fault = match rng.random() {
+            true => Fault::Entry(rng.random_range(0..sizes.entries), ProcessFault::Hangup, span),
+            false => {
+                Fault::Control(rng.random_range(0..sizes.controls), ProcessFault::Hangup, span)
+            }
+        };
+        (fault, span.0)
+    });
+    work.sort_by_key(|scheduled| scheduled.at);
+    work
+}
+
 /// Generates the faults of answers that end with their connection. They have a generator of their
 /// own, so that the other faults of a seed don't depend on them.
 pub fn unframed_plan(seed: u64, span: Millis, sizes: Sizes) -> Vec<ScheduledFault> {
--- a/bench/soak/src/run.rs
+++ b/bench/soak/src/run.rs
@@ -17,7 +17,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::backend::Ledger;
+use crate::backend::{Endpoint, Ledger};
 use crate::caller::{self, CLERKS, CallerCfg, GUESTS, Kind, Record};
 use crate::cluster::Cluster;
 use crate::exchange;
@@ -83,6 +83,9 @@
     pub cuts: bool,
     /// Whether the operator also orders roll-outs.
     pub rollouts: bool,
+    /// Whether planned work takes the place of the usual faults. Endpoints then end their answers in
+    /// different ways, and a part of the deadlines are near.
+    pub planned: bool,
     /// Folder that keeps the logs of runs with findings.
     pub logs: PathBuf,
 }
@@ -105,6 +108,9 @@
 /// The run in CI in which entry instances lose their links to endpoints.
 pub const SHORT_CUT_RUN: ShortRun = ShortRun { seed: 4701, seconds: 12 };
 
+/// The run in CI with planned work alone.
+pub const SHORT_PLANNED_RUN: ShortRun = ShortRun { seed: 850_001, seconds: 12 };
+
 /// The run in CI with roll-outs.
 pub const SHORT_ROLLOUT_RUN: ShortRun = ShortRun { seed: 7301, seconds: 14 };
 
@@ -171,7 +177,10 @@
     let journal: Arc<Journal> = Arc::default();
     let ledger = Arc::new(Ledger::new(journal.clone()));
     let sizes = cfg.sizes();
-    let cluster = Cluster::start(&cfg.sill, folder, sizes, cfg.rollouts, &ledger).await?;
+    let mut cluster = Cluster::start(&cfg.sill, folder, sizes, cfg.rollouts, &ledger).await?;
+    if cfg.planned {
+        cluster.endpoints.iter_mut().for_each(Endpoint::mix_framings);
+    }
     let (entries, controls) = (cluster.entry_addresses.clone(), cluster.control_addresses.clone());
     let cluster = Arc::new(tokio::sync::Mutex::new(cluster));
     let injector = FaultInjector { cluster, journal: journal.clone() };
@@ -237,6 +246,7 @@
         limit_most: verdict::limit_most(&GUESTS, &records, &ledger),
         pauses: ledger.pauses.count(),
         cut: verdict::count_cuts(&records, &ledger, &journal),
+        near: verdict::count_near(&records, &ledger),
         faults,
         changes: observations.lock().changes,
         rollouts: orders.iter().map(|order| order.summary(&arrivals)).collect(),
@@ -250,6 +260,7 @@
         seed: cfg.seed * 1000 + i as u64,
         client: if i % LIMITED_EVERY == 2 { &GUESTS } else { &CLERKS },
         is_streaming: i % 2 == 1,
+        has_near_deadlines: cfg.planned,
         pinned_entry: i.is_multiple_of(PINNED_EVERY).then_some(i / PINNED_EVERY % entries.len()),
         entries,
     }
@@ -266,7 +277,8 @@
     /// Injects all faults of the plan and waits until they are over. Returns the number of faults.
     async fn inject_faults(&self, cfg: &SoakCfg) -> usize {
         let span = Millis::from_secs(cfg.seconds);
-        let mut plan = plan::plan(cfg.seed, span, cfg.sizes());
+        let base = if cfg.planned { plan::planned_work } else { plan::plan };
+        let mut plan = base(cfg.seed, span, cfg.sizes());
         if cfg.crashes {
             plan.extend(plan::unframed_plan(cfg.seed, span, cfg.sizes()));
             plan.extend(plan::crash_plan(cfg.seed, span, cfg.sizes()));
--- a/bench/soak/src/stream.rs
+++ b/bench/soak/src/stream.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use sill_base::Millis;
 
 use crate::caller::checksum;
 
@@ -41,6 +42,11 @@
         }
     }
 
+    /// Returns how long a complete stream takes.
+    pub fn duration(self) -> Millis {
+        Millis(self.gap().as_millis() as u64 * self.events() as u64)
+    }
+
     /// Returns the pause before each event of a stream.
     pub const fn gap(self) -> Duration {
         match self {
--- a/bench/soak/src/verdict.rs
+++ b/bench/soak/src/verdict.rs
@@ -29,6 +29,8 @@
     pub refused: usize,
     /// Number of requests without a complete answer, by outcome.
     pub cut: Vec<(Outcome, usize)>,
+    /// Requests with a near deadline.
+    pub near: Near,
     /// Share of its limit that the limited account used over the whole run.
     pub limit_used: f64,
     /// Largest share of its limit that the limited account used in any window.
@@ -49,13 +51,15 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "seed={} faults={} requests={} answered={} refused={} cut={:?} limit_used={:.2} limit_most={:.2} pauses={} changes={} findings={}",
+            "seed={} faults={} requests={} answered={} refused={} cut={:?} near={}/{} limit_used={:.2} limit_most={:.2} pauses={} changes={} findings={}",
             self.seed,
             self.faults,
             self.requests,
             self.answered,
             self.refused,
             self.cut,
+            self.near.whole,
+            self.near.whole + self.near.cut,
             self.limit_used,
             self.limit_most,
             self.pauses,
@@ -95,6 +99,27 @@
     CutWithoutReason,
 }
 
+/// Requests whose answers an endpoint completed shortly before their deadline.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Near {
+    /// Number of those whose answer was complete.
+    pub whole: usize,
+    /// Number of those whose answer was cut, at the deadline or before.
+    pub cut: usize,
+}
+
+/// Counts the requests with a near deadline before which an endpoint completed the answer.
+pub fn count_near(records: &[Record], ledger: &Ledger) -> Near {
+    let in_time = |record: &&Record| {
+        let completed = ledger.completed_at(&record.id);
+        record.is_near() && completed.is_some_and(|at| at < record.sent + record.deadline)
+    };
+    records.iter().filter(in_time).fold(Near::default(), |near, record| match record.is_cut() {
+        true => Near { cut: near.cut + 1, ..near },
+        false => Near { whole: near.whole + 1, ..near },
+    })
+}
+
 /// Counts the requests without a complete answer by outcome.
 pub fn count_cuts(records: &[Record], ledger: &Ledger, journal: &Journal) -> Vec<(Outcome, usize)> {
     let mut counts = Vec::new();
@@ -139,11 +164,11 @@
 
 fn outcome(record: &Record, ledger: &Ledger, journal: &Journal) -> Outcome {
     let runs = ledger.runs(&record.id);
-    let Record { kind, entry, sent, ended, .. } = record;
+    let Record { deadline, entry, sent, ended, .. } = record;
     let is_hit = |event| journal.overlaps(event, *sent, *ended);
     if !record.is_cut() {
         Outcome::Whole
-    } else if *ended - *sent >= kind.deadline() {
+    } else if *ended - *sent >= *deadline {
         Outcome::OutOfTime
     } else if is_hit(Event::Disruption(*entry)) {
         Outcome::Struck
@@ -229,7 +254,10 @@
 }
 
 fn describe_cut(record: &Record) -> String {
-    let Record { id, kind, entry, sent, ended, answer, .. } = record;
+    let Record { id, kind, entry, sent, ended, deadline, answer, .. } = record;
     let status = answer.as_ref().map(|answer| answer.status);
-    format!("{kind:?} {id} at g{entry} from {sent} to {ended} was cut after head {status:?}")
+    format!(
+        "{kind:?} {id} at g{entry} from {sent} to {ended} (deadline {}) was cut after head {status:?}",
+        *sent + *deadline
+    )
 }
--- a/bench/soak/tests/plan.rs
+++ b/bench/soak/tests/plan.rs
@@ -1,10 +1,12 @@
 //! Tests of the fault schedule that is generated from a seed.
 
+use std::collections::BTreeSet;
+
 use sill_base::Millis;
 use sill_soak::cluster::STOP_LIMIT;
 use sill_soak::plan::{
     Crash, Fault, LinkFault, Misbehavior, ProcessFault, Remains, ScheduledFault, Series, Sizes,
-    crash_plan, plan,
+    crash_plan, plan, planned_work,
 };
 
 const SIZES: Sizes = Sizes { controls: 3, entries: 3, endpoints: 4 };
@@ -114,3 +116,20 @@
     }
     assert!(crashes.iter().all(|crash| crash.down <= Millis(2000)));
 }
+
+/// Faults beside planned work excuse the answers that it cuts. The plans must have none, and all kinds
+/// of planned work.
+#[test]
+fn planned_work_is_of_all_kinds_and_alone() {
+    let kind = |fault| match fault {
+        Fault::Stops(series) if series.count > 1 && series.gap < STOP_LIMIT => "overlapping stops",
+        Fault::Stops(_) => "stops",
+        Fault::Leave(_) => "leaving endpoint",
+        Fault::Entry(_, ProcessFault::Hangup, _) => "SIGHUP, entry instance",
+        Fault::Control(_, ProcessFault::Hangup, _) => "SIGHUP, control instance",
+        other => panic!("{other:?} is not planned work"),
+    };
+    let work = (0..20).flat_map(|seed| planned_work(seed, Millis(15_000), SIZES));
+    let kinds: BTreeSet<&str> = work.map(|scheduled| kind(scheduled.fault)).collect();
+    assert_eq!(kinds.len(), 5, "{kinds:?}");
+}
--- a/bench/soak/tests/verdict.rs
+++ b/bench/soak/tests/verdict.rs
@@ -21,6 +21,7 @@
     /// Endpoint incarnations that ran the request.
     runs: &'static [&'static str],
     is_withheld: bool,
+    deadline: Millis,
     /// Events during the request.
     events: &'static [Event],
     /// The rule that the verdict must report, if any.
@@ -33,6 +34,7 @@
     has_head: false,
     runs: &[],
     is_withheld: false,
+    deadline: Millis(2900),
     events: &[],
     rule: None,
 };
@@ -109,6 +111,21 @@
             events: stopping,
             ..DEFAULT_CASE
         },
+        CutCase {
+            name: "just before a near deadline",
+            runs: RAN,
+            has_head: true,
+            deadline: Millis(1001),
+            rule: Some("whole_answer"),
+            ..DEFAULT_CASE
+        },
+        CutCase {
+            name: "at a near deadline",
+            runs: RAN,
+            has_head: true,
+            deadline: Millis(1000),
+            ..DEFAULT_CASE
+        },
     ];
     for case in cases {
         let (ledger, journal) = (Ledger::default(), Journal::default());
@@ -121,7 +138,8 @@
             case.has_head.then_some(CallerAnswer { status: 200, is_not_run: false, body: None });
         let (sent, ended, is_first) = (SENT, ENDED, case.is_first);
         let record = Record::new(ID.to_owned(), Kind::Stream);
-        let record = Record { entry: 1, sent, ended, is_first, answer, ..record };
+        let deadline = case.deadline;
+        let record = Record { entry: 1, sent, ended, is_first, deadline, answer, ..record };
         let findings = check(&[record], &ledger, &journal);
         let rules: Vec<&str> = findings.iter().filter_map(|f| f.split(':').next()).collect();
         assert_eq!(rules, Vec::from_iter(case.rule), "{}: {findings:?}", case.name);
--- a/daemons/sill/tests/soak.rs
+++ b/daemons/sill/tests/soak.rs
@@ -3,8 +3,8 @@
 use std::path::PathBuf;
 
 use sill_soak::run::{
-    SHORT_CRASH_RUN, SHORT_CUT_RUN, SHORT_ROLLOUT_RUN, SHORT_RUN, SIZES, ShortRun, SoakCfg,
-    run_once,
+    SHORT_CRASH_RUN, SHORT_CUT_RUN, SHORT_PLANNED_RUN, SHORT_ROLLOUT_RUN, SHORT_RUN, SIZES,
+    ShortRun, SoakCfg, run_once,
 };
 use sill_soak::verdict::Verdict;
 
@@ -39,10 +39,19 @@
 /// its share, a good one be completed without a cut answer, and no acknowledged order be lost.
 #[test]
 fn promises_hold_while_versions_are_rolled_out() {
-    let verdict = play(SHORT_ROLLOUT_RUN, true, true, true);
+    let verdict =
+        play(&SoakCfg { crashes: true, cuts: true, rollouts: true, ..cfg(SHORT_ROLLOUT_RUN) });
     assert!(!verdict.rollouts.is_empty(), "no roll-out was ordered: {verdict}");
 }
 
+/// Guards against whole answers that are cut before their deadline, in planned work alone, as their end
+/// can't be proven in the time that is left.
+#[test]
+fn whole_answers_are_not_cut_before_near_deadlines_in_planned_work() {
+    let verdict = play(&SoakCfg { planned: true, ..cfg(SHORT_PLANNED_RUN) });
+    assert!(verdict.near.whole > 0, "no answer ended near its deadline: {verdict}");
+}
+
 /// A seed that has failed, and the cause. It fails occasionally at most, because the seed does not
 /// determine the order in which processes receive messages.
 struct FailedSeed {
@@ -76,7 +85,7 @@
 #[test]
 fn seeds_in_which_lost_connections_decided_on_a_version() {
     for seed in [7302, 7311, 7319, 7320] {
-        play(ShortRun { seed, seconds: 25 }, false, false, true);
+        play(&SoakCfg { rollouts: true, ..cfg(ShortRun { seed, seconds: 25 }) });
     }
 }
 
@@ -84,7 +93,7 @@
 /// must not be repeated in a tunnel. The instance that carries it is killed.
 #[test]
 fn seeds_in_which_a_killed_carrier_broke_a_stream() {
-    play(ShortRun { seed: 731_116, seconds: 15 }, true, true, false);
+    run_soak(ShortRun { seed: 731_116, seconds: 15 }, true, true);
 }
 
 fn run_failed_seeds(cases: &[FailedSeed]) {
@@ -95,26 +104,25 @@
 }
 
 fn run_soak(short_run: ShortRun, crashes: bool, cuts: bool) {
-    play(short_run, crashes, cuts, false);
+    play(&SoakCfg { crashes, cuts, ..cfg(short_run) });
 }
 
-fn play(
-    ShortRun { seed, seconds }: ShortRun,
-    crashes: bool,
-    cuts: bool,
-    rollouts: bool,
-) -> Verdict {
-    let cfg = SoakCfg {
+fn cfg(ShortRun { seed, seconds }: ShortRun) -> SoakCfg {
+    SoakCfg {
         sill: PathBuf::from(env!("CARGO_BIN_EXE_sill")),
         seed,
         seconds,
         entries: SIZES.entries,
-        crashes,
-        cuts,
-        rollouts,
+        crashes: false,
+        cuts: false,
+        rollouts: false,
+        planned: false,
         logs: std::env::temp_dir().join(format!("sill-soak-{}", std::process::id())),
-    };
-    let verdict = run_once(&cfg).expect("the processes can be started");
+    }
+}
+
+fn play(cfg: &SoakCfg) -> Verdict {
+    let verdict = run_once(cfg).expect("the processes can be started");
     println!("{verdict}");
     assert!(verdict.answered > 0, "no request was answered: {verdict}");
     assert!(verdict.findings.is_empty(), "{verdict}");
--- a/daemons/sill/tests/soak_processes.rs
+++ b/daemons/sill/tests/soak_processes.rs
@@ -41,6 +41,7 @@
         crashes: true,
         cuts: true,
         rollouts: false,
+        planned: false,
         logs: PathBuf::new(),
     };
     assert_eq!(processes_left("whole", cfg.clone()), 0);
@@ -70,6 +71,7 @@
         crashes: false,
         cuts: false,
         rollouts: false,
+        planned: false,
         logs: logs.clone(),
     };
     let verdict = run_once(&cfg).expect("the others serve");
