Gateway: an end that is undecided at the deadline or the stop counts as `no_time`, whoever was waited for

What callers saw: nothing new. On a busy machine the deadline is noticed before the decision that has to come 20 ms earlier; then the call had `cut_by=end_undecided` and no `unmarked_end` line.

The end is now recorded before the call is cut, with its line and its count; `end_undecided` is gone.

--- a/daemons/gateway/src/cut.rs
+++ b/daemons/gateway/src/cut.rs
@@ -13,8 +13,6 @@
     CarrierNotShown,
     /// The deadline or the stop came before anything was shown.
     NoTime,
-    /// The deadline or the stop came while the decision about its end waited for something else.
-    EndUndecided,
     /// One of its events is too long to be held back.
     EventTooLong,
     /// The network path to the endpoint is lost.
@@ -31,12 +29,11 @@
 
 impl CutCause {
     /// All causes.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 10] = [
         Self::BrokenByEndpoint,
         Self::EndNotProven,
         Self::CarrierNotShown,
         Self::NoTime,
-        Self::EndUndecided,
         Self::EventTooLong,
         Self::PathLost,
         Self::RunNotMoved,
@@ -52,7 +49,6 @@
             Self::EndNotProven => "end_not_proven",
             Self::CarrierNotShown => "carrier_not_shown",
             Self::NoTime => "no_time",
-            Self::EndUndecided => "end_undecided",
             Self::EventTooLong => "event_too_long",
             Self::PathLost => "path_lost",
             Self::RunNotMoved => "run_not_moved",
--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -502,6 +502,7 @@
             return Poll::Ready(None);
         }
         if this.due.as_mut().poll(cx).is_ready() {
+            this.end_undecided();
             if let Source::Endpoint(answer) = &mut this.source {
                 answer.attempt.end_late();
             }
@@ -510,6 +511,7 @@
             return Poll::Ready(Some(Err("the deadline of the call has passed".into())));
         }
         if this.cut_by_stop.as_mut().poll(cx).is_ready() {
+            this.end_undecided();
             this.source = Source::Ended;
             this.summary.mark_cut_by_stop();
             this.fail_with(cx, "the entry instance is stopping".into());
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -285,6 +285,14 @@
         true
     }
 
+    /// Records that the call or the process ends before it is decided about the end of the answer.
+    pub(super) fn end_undecided(&mut self) {
+        if self.summary.is_end_undecided() {
+            self.summary.set_cut_by(CutCause::NoTime);
+            self.record_unmarked_end(&EndDecision::NoTime, false);
+        }
+    }
+
     fn record_unmarked_end(&mut self, decision: &EndDecision, has_other_end: bool) {
         let Source::Endpoint(answer) = &self.source else { return };
         let ended_at = answer.ended_at.unwrap_or_default();
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -192,6 +192,11 @@
         self.ended_at = Some(at);
     }
 
+    /// Returns whether the end of the answer is in doubt, and nothing was decided about it.
+    pub const fn is_end_undecided(&self) -> bool {
+        self.ended_at.is_some() && self.end_check.is_empty()
+    }
+
     /// Records what the check of the endpoint showed after the end of its answer.
     pub fn set_end_check(&mut self, result: &'static str) {
         self.end_check = result;
@@ -349,8 +354,7 @@
             CUT => CutCause::BrokenByEndpoint,
             _ => return None,
         };
-        let by_end = self.ended_at.map_or(by_outcome, |_| CutCause::EndUndecided);
-        Some(self.cut_by.unwrap_or(by_end))
+        Some(self.cut_by.unwrap_or(by_outcome))
     }
 }
 
