Gateway: an announcement isn't believed at the deadline because nobody was asked

What callers saw: a short stream of an endpoint that announced that it leaves and crashed looked whole, if its deadline came before other instances had said whether other streams ended with it (end_unproven, left_ms=0, held_ms=23).

Cause: since an end in doubt is decided until the deadline, no time was left for that question, and what wasn't known counted as no other end.

Change: others are asked 50 ms after the end, 50 ms are kept for it before the deadline, and no reply shows nothing. Such a stream is cut at its deadline.

--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -32,6 +32,9 @@
 /// Time for the end of an answer to reach its caller.
 const FINISH_TIME: Millis = Millis(20);
 
+/// Time for others to hear of the ends that came with one, and again to tell of them.
+const REPORT_TIME: Millis = Millis(50);
+
 /// An endpoint, and the entry instance that carries the answer if it is one in a tunnel.
 type CheckedEndpoint = (Name, Incarnation, Option<SocketAddr>);
 
@@ -219,7 +222,11 @@
             }
             let now = self.clock.now();
             // A stop may begin while the end is in doubt.
-            let decide_by = self.decide_by(ended.due, ended.is_held);
+            let report_time = match kind {
+                EndKind::LeavingStream => REPORT_TIME,
+                _ => Millis::ZERO,
+            };
+            let decide_by = self.decide_by(ended.due, ended.is_held) - report_time;
             let end = EndInDoubt { kind: *kind, at: *ended_at, decide_by };
             let step = {
                 let mut checks = self.stream_ends.checks.lock();
@@ -298,13 +305,21 @@
         end
     }
 
-    /// Returns whether another answer ended at the same time, as far as that is known in time.
+    /// Returns whether another answer may have ended at the same time. For a stream, no reply in time shows
+    /// nothing.
     async fn has_other_end(&self, ended: &EndedAnswer) -> bool {
-        let time_left = self.decide_by(ended.due, ended.is_held) - self.clock.now();
+        let decide_by = self.decide_by(ended.due, ended.is_held);
+        let is_stream = ended.kind == EndKind::LeavingStream;
+        if is_stream {
+            // Other ends may be read and reported later.
+            let report_at = (ended.ended_at + REPORT_TIME).min(decide_by);
+            tokio::time::sleep((report_at - self.clock.now()).into()).await;
+        }
+        let time_left = decide_by - self.clock.now();
         let report = self.report_end(&ended.to, &ended.answer, ended.ended_at);
         let known = tokio::time::timeout(time_left.into(), report).await;
         known.unwrap_or_else(|_| {
-            self.stream_ends.has_other_end(&ended.key(), &ended.answer, ended.ended_at)
+            is_stream || self.stream_ends.has_other_end(&ended.key(), &ended.answer, ended.ended_at)
         })
     }
 
