Gateway: a reply to a ping that comes late still counts

Cause: a ping that wasn't replied to within 0.15 s took its connection along. Every later one was on a connection that opened over 0.25 s after the end, so none could show that it was the same process.

Change: the reply is waited for up to 0.8 s beside what the check decides. It counts from when the ping was sent, and its connection is kept for the next one.

--- a/daemons/gateway/src/egress/ping.rs
+++ b/daemons/gateway/src/egress/ping.rs
@@ -1,5 +1,7 @@
 //! Has the process of an endpoint reply to a request that it doesn't run.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -8,6 +10,7 @@
 use sill_dispatch::EndpointSign;
 use sill_net::h1::{Answer, KeptOutcome, Probe, Target};
 use sill_wire::Incarnation;
+use tokio::sync::watch;
 
 use super::{Destination, Egress};
 
@@ -17,6 +20,9 @@
 /// How long a connection is kept for the next ping. Ends are in doubt for less.
 const KEPT: Millis = Millis(2500);
 
+/// Time after which a reply to a ping is no longer waited for at all.
+const LATE_TIME: Millis = Millis(800);
+
 /// Upper bound in bytes on the reply to a ping that is read. Its head is the proof; a connection is kept if
 /// the rest is short.
 const MAX_REPLY: usize = 4 << 10;
@@ -26,20 +32,27 @@
     /// most `wait` for a reply that counts by `is_reply`. An endpoint that is full resets new connections, so only
     /// refused ones show that it has ended.
     pub async fn ping<F>(
-        &self,
+        self: &Arc<Self>,
         to: &Destination,
-        req: &Request<Full<Bytes>>,
+        req: Request<Full<Bytes>>,
         wait: Millis,
         is_reply: F,
     ) -> EndpointSign
     where
-        F: Fn(&Response<Incoming>) -> bool,
+        F: Fn(&Response<Incoming>) -> bool + Send + Sync + 'static,
     {
-        let mut sign = EndpointSign::Unclear;
-        let pinging = self.ping_on_any(to, req, &is_reply, &mut sign);
+        let (tx, mut sign) = watch::channel(EndpointSign::Unclear);
+        let (egress, to) = (self.clone(), to.clone());
+        // The reply of a busy endpoint shows later that it ran, and its connection is kept. The next ping would
+        // open one that is too young.
+        tokio::spawn(async move {
+            let pinging = egress.ping_on_any(&to, &req, &is_reply, &tx);
+            let _ = tokio::time::timeout(LATE_TIME.into(), pinging).await;
+        });
         // What was seen until then counts.
-        let _ = tokio::time::timeout(wait.into(), pinging).await;
-        sign
+        let seen = async { while sign.changed().await.is_ok() {} };
+        let _ = tokio::time::timeout(wait.into(), seen).await;
+        *sign.borrow()
     }
 
     async fn ping_on_any<F>(
@@ -47,17 +60,25 @@
         to: &Destination,
         req: &Request<Full<Bytes>>,
         is_reply: &F,
-        sign: &mut EndpointSign,
+        sign: &watch::Sender<EndpointSign>,
     ) where
         F: Fn(&Response<Incoming>) -> bool,
     {
         let key = (to.endpoint.clone(), to.incarnation);
+        let record_reply = |sent_at: Millis, opened_at: Millis| {
+            sign.send_replace(EndpointSign::Heard(opened_at));
+            if sign.is_closed() {
+                // Nobody waits for the reply any more.
+                self.signs.begin(to).record(opened_at, sent_at);
+            }
+        };
+        let sent_at = self.clock.now();
         let kept = self.pings.lock().remove(&key).filter(|(kept, _)| !kept.is_closed());
         if let Some((connection, _)) = kept
             && let Ok(answer) = self.pool.send_on(connection, req.clone()).await
             && is_reply(&answer.response)
         {
-            *sign = EndpointSign::Heard(answer.opened_at);
+            record_reply(sent_at, answer.opened_at);
             return self.finish(key, answer).await;
         }
         let target = Target { address: to.address, via: None };
@@ -65,7 +86,7 @@
             self.pool.send_kept(target, req.clone(), MAX_IDLE).await
             && is_reply(&answer.response)
         {
-            *sign = EndpointSign::Heard(answer.opened_at);
+            record_reply(sent_at, answer.opened_at);
             return self.finish(key, answer).await;
         }
         let connection = match self.pool.connect(to.address).await {
@@ -77,19 +98,20 @@
                     (false, false) => Probe::Failed,
                 };
                 self.record_probe(to, probe);
-                *sign = match probe {
+                sign.send_replace(match probe {
                     Probe::Refused => EndpointSign::Closed,
                     Probe::Closed => EndpointSign::Open,
                     _ => EndpointSign::Unclear,
-                };
+                });
                 return;
             }
         };
-        *sign = EndpointSign::Open;
+        sign.send_replace(EndpointSign::Open);
+        let sent_at = self.clock.now();
         match self.pool.send_on(connection, req.clone()).await {
             Ok(answer) if is_reply(&answer.response) => {
                 self.record_probe(to, Probe::Open);
-                *sign = EndpointSign::Heard(answer.opened_at);
+                record_reply(sent_at, answer.opened_at);
                 self.finish(key, answer).await;
             }
             Ok(_) => self.record_probe(to, Probe::Open),
--- a/daemons/gateway/src/endpoint_check.rs
+++ b/daemons/gateway/src/endpoint_check.rs
@@ -138,10 +138,11 @@
         let began_at = self.clock.now();
         let sign = match self.ping_of(&to.endpoint, to.incarnation, wait) {
             Some(req) => {
-                let dialect = &self.cfg.dialect;
-                let is_reply =
-                    |reply: &Response<_>| dialect.is_ping_reply(reply.status(), reply.headers());
-                self.egress.ping(to, &req, wait, is_reply).await
+                let dialect = self.cfg.dialect.clone();
+                let is_reply = move |reply: &Response<_>| {
+                    dialect.is_ping_reply(reply.status(), reply.headers())
+                };
+                self.egress.ping(to, req, wait, is_reply).await
             }
             None => sign_of(self.egress.probe(to, wait).await),
         };
--- a/daemons/gateway/tests/proof_of_end.rs
+++ b/daemons/gateway/tests/proof_of_end.rs
@@ -367,6 +367,19 @@
     });
 }
 
+/// Whole streams of a busy endpoint were cut, as each ping gave up its connection before the reply came.
+#[test]
+fn a_stream_of_an_endpoint_that_replies_late_is_whole() {
+    check_all(vec![Frame::Unmarked, Frame::ChunksAndClose], |frame| {
+        let whole = Action::AnswerAndClose(frame.whole(WHOLE));
+        let harness = Harness::start(vec![vec![whole]]);
+        harness.endpoints[0].delay_replies(Duration::from_millis(300));
+        let got = exchange(harness.address, &request_as("r-1", "/stream/x", ""));
+        let got = (text(&got), looks_complete(&got));
+        (got != (WHOLE.into(), true)).then(|| format!("{frame:?}: {got:?}"))
+    });
+}
+
 /// A whole stream of an endpoint that leaves in order was cut because no other endpoint could be asked
 /// whether anything follows.
 #[test]
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -271,6 +271,8 @@
     /// The time after which a proxy in front of it closes connections, once it has ended.
     proxy_delay: Mutex<Option<Duration>>,
     new_connections: Mutex<NewConnections>,
+    /// How long the first reply on a new connection takes.
+    reply_delay: Mutex<Duration>,
     /// The streams that end once their flag is set.
     streams: Mutex<Vec<(Arc<AtomicBool>, TcpStream)>>,
     connections: Mutex<Vec<TcpStream>>,
@@ -378,6 +380,11 @@
         *self.queued.lock() = fill_queue(&self.listener, self.address);
     }
 
+    /// Has it take this long for the first reply to a ping on each connection.
+    pub fn delay_replies(&self, delay: Duration) {
+        *self.ending.reply_delay.lock() = delay;
+    }
+
     /// Has it reset new connections, like an endpoint that is full. Those that are open are served.
     pub fn reset_new_connections(&self) {
         *self.ending.new_connections.lock() = NewConnections::Reset;
@@ -393,12 +400,17 @@
     disconnects: &Mutex<usize>,
 ) {
     let mut reader = BufReader::new(stream.try_clone().expect("the socket can be cloned"));
+    let mut has_replied = false;
     while let Some(request) = read_request(&mut reader, number) {
         if ending.has_ended() {
             let _ = reader.read_to_end(&mut Vec::new());
             return;
         }
         if request.headers.contains(&PING.to_owned()) {
+            if !std::mem::replace(&mut has_replied, true) {
+                let delay = *ending.reply_delay.lock();
+                thread::sleep(delay);
+            }
             let _ = stream.write_all(not_run("421 Misdirected Request").as_bytes());
             continue;
         }
