Gateway: a stream that broke off before isn't whole because its endpoint leaves

Change: a resumable stream that broke off before is cut as on, and its caller can take it up. Where it is the first end, no room, no budget or a single allowed attempt don't cut it.

Evidence: a_stream_that_broke_off_twice_is_not_whole_because_its_endpoint_leaves fails in 3 of 3 framings on the commit before and passes with it, as do the other 11 tests of the file.

--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -7,7 +7,7 @@
 use futures_util::future::{self, BoxFuture};
 use sill_base::{Millis, Name, event};
 use sill_dispatch::end_log::may_be_gone;
-use sill_dispatch::{AttemptOutcome, EndKind, EventTracker, Placement};
+use sill_dispatch::{AttemptOutcome, EndKind, EndpointCheck, EventTracker, Placement};
 use sill_net::h1::{BodyError, Framing, ReusableConnection};
 use sill_rollout::AnswerEnd;
 use sill_route::Outcome;
@@ -197,11 +197,14 @@
         {
             decision = announced;
         }
-        if matches!(decision, EndDecision::Announced)
-            && !has_asked_other
-            && self.resume_announced(cx, has_other_end)
-        {
-            return Poll::Pending;
+        if matches!(decision, EndDecision::Announced) && !has_asked_other {
+            if self.resume_announced(cx, has_other_end) {
+                return Poll::Pending;
+            }
+            // Its endpoints break off, and its caller can resume it where this instance can't.
+            if self.progress.possible_runs > 0 && self.is_resumable() {
+                decision = EndDecision::NotShown(EndpointCheck::Silent);
+            }
         }
         if has_asked_other {
             let reason =
@@ -266,6 +269,15 @@
         }
     }
 
+    /// Returns whether the answer is a stream that goes on after the last event that its caller received,
+    /// if it is resumed.
+    fn is_resumable(&self) -> bool {
+        let can_resume = |events: &EventTracker| events.can_resume() && events.last_id().is_some();
+        self.may_resume
+            && self.call.route.route.kind.may_repeat()
+            && self.events.as_ref().is_some_and(can_resume)
+    }
+
     /// Ends an answer of which neither the endpoint nor its version has failed.
     fn abandon_answer(&mut self) {
         if let Source::Endpoint(answer) = &mut self.source {
--- a/daemons/gateway/tests/proof_of_end.rs
+++ b/daemons/gateway/tests/proof_of_end.rs
@@ -417,6 +417,36 @@
     });
 }
 
+/// A stream that had broken off before looked whole when the endpoint that went on with it announced that it
+/// leaves and crashed, as no attempt was left to ask another one.
+#[test]
+fn a_stream_that_broke_off_twice_is_not_whole_because_its_endpoint_leaves() {
+    check_all(FRAMES.into_iter().collect(), |frame| {
+        let ends = Arc::<AtomicBool>::default();
+        let broken = Action::AnswerAndReset(frame.stream(FIRST));
+        let harness =
+            Harness::start_with_hidden(vec![vec![broken], vec![frame.ends(SECOND, &ends)]]);
+        harness.announce_last();
+        harness.wait_until_facts_applied();
+        let address = harness.address;
+        let text = request_as("r-1", "/resumable_stream/x", "");
+        let got = thread::scope(|scope| {
+            let caller = scope.spawn(move || exchange(address, &text));
+            while harness.endpoints[1].requests() == 0 {
+                thread::sleep(Duration::from_millis(1));
+            }
+            let last = fact(1, harness.endpoints[1].address);
+            let leaves_in = Some(Millis(20_000));
+            let state = EndpointState::Leaving;
+            harness.apply_fact(EndpointFact { sequence: 2, state, leaves_in, ..last });
+            thread::sleep(Duration::from_millis(50));
+            ends.store(true, Ordering::Relaxed);
+            caller.join().expect("the caller gets an answer")
+        });
+        looks_complete(&got).then(|| format!("{frame:?}: {}", self::text(&got)))
+    });
+}
+
 /// A process that stops writes the last chunks of all that it sends, and its connections may outlive it
 /// on its host. Such marks would make short streams look whole; those of a sound endpoint must count.
 #[test]
