Gateway: a stream of an endpoint that leaves is resumed once another one can be asked

Cause: another endpoint was asked once, when the announcement was about to be believed.

Change: where there is no endpoint or no retry just then, it is tried again every 0.1 s until 1.5 s after the end, as callers leave after 2 s of silence, and until the time to decide. A later announcement of the end ends the wait.

Evidence: a_stream_of_an_endpoint_that_leaves_goes_on_once_another_one_can_be_asked fails in 3 of 3 framings on the commit before (short and complete) and passes with it, five runs of the file.

--- a/daemons/gateway/src/cut.rs
+++ b/daemons/gateway/src/cut.rs
@@ -89,6 +89,11 @@
 }
 
 impl NoResumption {
+    /// Returns whether another endpoint may be asked a little later.
+    pub const fn may_pass(self) -> bool {
+        matches!(self, Self::Refused(_) | Self::Budget)
+    }
+
     /// Returns the name for log lines.
     pub const fn name(self) -> &'static str {
         match self {
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -28,6 +28,13 @@
 /// Time to decide about the end of an endpoint that leaves, and then to ask another one.
 const LEAVING_TIME: Millis = Millis(1500);
 
+/// Time within which an end is resumed for which there is no endpoint or retry at first. Callers leave after
+/// 2 s of silence.
+const MAX_RESUME_WAIT: Millis = Millis(1500);
+
+/// Time between two tries to resume it.
+const RESUME_INTERVAL: Millis = Millis(100);
+
 /// Least time for the resumption of a stream whose endpoint had announced that it leaves.
 const MIN_RESUME_TIME: Millis = Millis(50);
 
@@ -286,24 +293,33 @@
     }
 
     /// Resumes a stream whose endpoint had announced that it leaves, before its end counts as whole without
-    /// a proof. Returns whether it does.
+    /// a proof. Returns whether it does, or tries again.
     fn resume_announced(&mut self, cx: &Context<'_>, has_other_end: bool) -> bool {
         let wait = self.state.resume_time(ANNOUNCED_RESUME_TIME, self.call.due, self.is_held);
+        let now = self.state.clock.now();
         let Source::Endpoint(answer) = &mut self.source else { return false };
         if std::mem::replace(&mut answer.is_resumed_at_end, true) {
             return false;
         }
+        let held = now - answer.ended_at.unwrap_or(now);
         let endpoint = answer.attempt.placement.endpoint.clone();
         let resumption = match wait < MIN_RESUME_TIME {
             true => Err(NoResumption::NoTime),
             false => self.end_resumption(&endpoint, false),
         };
         self.summary.set_not_resumed(resumption.as_ref().err().copied());
-        let Ok(resumption) = resumption else { return false };
-        let check = stream_end::resume_announced(resumption, wait, has_other_end);
-        if let Source::Endpoint(answer) = &mut self.source {
-            answer.end_check = Some(Box::pin(check));
-        }
+        let Source::Endpoint(answer) = &mut self.source else { return false };
+        let check: BoxFuture<'static, UnmarkedEnd> = match resumption {
+            Ok(resumption) => {
+                Box::pin(stream_end::resume_announced(resumption, wait, has_other_end))
+            }
+            Err(reason) if reason.may_pass() && held < MAX_RESUME_WAIT => {
+                answer.is_resumed_at_end = false;
+                Box::pin(stream_end::announced_later(RESUME_INTERVAL, has_other_end))
+            }
+            Err(_) => return false,
+        };
+        answer.end_check = Some(check);
         cx.waker().wake_by_ref();
         true
     }
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -398,6 +398,12 @@
     UnmarkedEnd { decision, has_asked_other, is_other_late, has_other_end }
 }
 
+/// Returns after a pause that the end of a stream would count as whole without a proof.
+pub async fn announced_later(pause: Millis, has_other_end: bool) -> UnmarkedEnd {
+    tokio::time::sleep(pause.into()).await;
+    UnmarkedEnd { has_other_end, ..UnmarkedEnd::of(EndDecision::Announced) }
+}
+
 /// Decides about an end from its endpoint, and from its resumption if there is one. Where that shows
 /// nothing in time, the endpoint decides.
 pub async fn decide(
