Gateway: calls that an ending stop finds waiting for a place are refused

Cause: the race with the last answers knew nothing of the attempts and took every call for one that may run. CallProgress now records whether an attempt is under way, and the call ends as any other without time for an attempt: 503 with a time to come back if no attempt may have run, else 502 as before.

The new test failed without the change (502, outcome=failed_by_stop sends=0) and passes with it.

--- a/coordination/dispatch/src/attempt.rs
+++ b/coordination/dispatch/src/attempt.rs
@@ -38,6 +38,8 @@
     pub rejected: u32,
     /// Endpoints that could not be reached.
     pub unsent: u32,
+    /// Whether an attempt is being made.
+    pub is_under_way: bool,
     /// Time left until the call's deadline; the caller updates it before each decision.
     pub time_left: Millis,
 }
@@ -69,7 +71,8 @@
 impl CallProgress {
     /// Creates the progress of a call that has not been sent yet.
     pub const fn new(kind: RouteKind, max_attempts: u32, time_left: Millis) -> Self {
-        Self { kind, max_attempts, possible_runs: 0, rejected: 0, unsent: 0, time_left }
+        let (possible_runs, rejected, unsent, is_under_way) = (0, 0, 0, false);
+        Self { kind, max_attempts, possible_runs, rejected, unsent, is_under_way, time_left }
     }
 
     /// Returns the number of attempts so far, whether or not they reached an endpoint.
@@ -106,8 +109,14 @@
         }
     }
 
+    /// Records that an attempt is made.
+    pub fn begin(&mut self) {
+        self.is_under_way = true;
+    }
+
     /// Records the outcome of an attempt.
     pub fn record(&mut self, outcome: AttemptOutcome) {
+        self.is_under_way = false;
         match outcome {
             AttemptOutcome::NotSent => self.unsent += 1,
             _ if outcome.may_have_run() => self.possible_runs += 1,
@@ -115,6 +124,11 @@
         }
     }
 
+    /// Returns whether an endpoint may have run the call by now.
+    pub const fn may_have_run(&self) -> bool {
+        self.possible_runs > 0 || self.is_under_way
+    }
+
     /// Returns how to answer the caller when the retry budget is exhausted.
     pub fn next_step_without_retry(&self, outcome: AttemptOutcome) -> NextStep {
         let last = Self { max_attempts: 0, rejected: MAX_REJECTED, unsent: MAX_UNSENT, ..*self };
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -107,11 +107,15 @@
 /// Sends attempts until one is answered, no further attempt is possible or the process ends.
 pub async fn run(state: Arc<State>, call: Arc<Call>) -> Response<AnyBody> {
     let mut summary = CallSummary::new(state.clone(), call.clone());
+    let route = &call.route.route;
+    let mut progress =
+        CallProgress::new(route.kind, route.max_attempts, call.due - call.received_at);
     let answered = tokio::select! {
         biased;
-        answered = send_until_answered(&state, &call, &mut summary) => answered,
+        answered = send_until_answered(&state, &call, &mut summary, &mut progress) => answered,
         // Dropping the attempt closes its connection, so the endpoint cancels the call.
-        () = state.termination.wait_for(FinalPhase::LastAnswers) => Err(summary.fail_by_stop()),
+        () = state.termination.wait_for(FinalPhase::LastAnswers) =>
+            Err(summary.end_without_retry(&progress)),
     };
     match answered {
         Ok((attempt, answer, progress)) => {
@@ -126,10 +130,8 @@
     state: &Arc<State>,
     call: &Arc<Call>,
     summary: &mut CallSummary,
+    progress: &mut CallProgress,
 ) -> Result<(Attempt, Answer, CallProgress), Response<AnyBody>> {
-    let route = &call.route.route;
-    let mut progress =
-        CallProgress::new(route.kind, route.max_attempts, call.due - call.received_at);
     let mut exclude = Vec::new();
     let mut kept = KeptAttempts::default();
     state.count_request(&call.pool.service);
@@ -138,31 +140,33 @@
         progress.time_left = call.due - now;
         let placed = tokio::select! {
             biased;
-            Some(found) = kept.answer() => return Ok(summary.begin_answer(found, progress)),
+            Some(found) = kept.answer() => return Ok(summary.begin_answer(found, *progress)),
             placed = place_or_wait(state, call, &exclude, progress.attempts()) => placed,
         };
         let attempt = match placed {
             Ok(attempt) => attempt,
             Err(refusal) => match kept.answer().await {
-                Some(found) => return Ok(summary.begin_answer(found, progress)),
-                None => return Err(summary.refuse(&progress, &refusal)),
+                Some(found) => return Ok(summary.begin_answer(found, *progress)),
+                None => return Err(summary.refuse(progress, &refusal)),
             },
         };
         summary.record_send(&attempt.placement, state.clock.now());
         summary.add_wait(attempt.waited);
         exclude.push(attempt.placement.endpoint.clone());
         let stuck = attempt.stuck.clone();
+        let before = *progress;
+        progress.begin();
         let mut sending: BoxFuture<'static, AttemptResult> =
-            Box::pin(async move { send_attempt(attempt, &progress, None).await });
+            Box::pin(async move { send_attempt(attempt, &before, None).await });
         let result = tokio::select! {
             biased;
-            Some(found) = kept.answer() => return Ok(summary.begin_answer(found, progress)),
+            Some(found) = kept.answer() => return Ok(summary.begin_answer(found, *progress)),
             result = &mut sending => Some(result),
             () = stuck.notified() => None,
         };
         let (outcome, is_trial) = match result {
             Some(AttemptResult::Answer(attempt, answer)) => {
-                return Ok(summary.begin_answer((attempt, answer), progress));
+                return Ok(summary.begin_answer((attempt, answer), *progress));
             }
             Some(AttemptResult::Failed(outcome)) => (outcome, false),
             Some(AttemptResult::TrialFailed) => (AttemptOutcome::Unknown, true),
@@ -192,10 +196,10 @@
             continue;
         }
         if let Some(found) = kept.answer().await {
-            return Ok(summary.begin_answer(found, progress));
+            return Ok(summary.begin_answer(found, *progress));
         }
         if next == NextStep::Retry {
-            return Err(summary.end_without_retry(&progress));
+            return Err(summary.end_without_retry(progress));
         }
         if kept.is_out_of_time() {
             next = NextStep::TimedOut;
--- a/daemons/gateway/src/summary.rs
+++ b/daemons/gateway/src/summary.rs
@@ -284,10 +284,10 @@
         response
     }
 
-    /// Ends a call that the process has no time to attempt again.
+    /// Ends a call that the process has no time to attempt, or to attempt again.
     pub fn end_without_retry(&mut self, progress: &CallProgress) -> Response<AnyBody> {
         self.reason = "stopping".to_owned();
-        if progress.possible_runs > 0 {
+        if progress.may_have_run() {
             return self.fail_by_stop();
         }
         self.state.termination.record(StopOutcome::Refused);
--- a/daemons/gateway/tests/ending.rs
+++ b/daemons/gateway/tests/ending.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use sill_base::Millis;
+use sill_gateway::daemon::LAST_ANSWERS_TIME;
 use sill_gateway::termination::MAX_LINES_PER_OUTCOME;
 use support::lines::{self, value};
 use support::{
@@ -21,6 +22,12 @@
 /// Time from the stop signal to the end in these tests.
 const LIMIT: Millis = Millis(700);
 
+/// Time for an entry instance to admit a call, shorter than the pause for which that call waits.
+const ADMISSION_TIME: Duration = Duration::from_millis(20);
+
+/// Number of times that a call may be sent.
+const MAX_SENDS: usize = 8;
+
 /// Longer than any stop in these tests.
 const LONGER_THAN_ANY_STOP: Duration = Duration::from_secs(20);
 
@@ -183,6 +190,32 @@
     assert_eq!(harness.endpoints[0].requests(), 0);
 }
 
+/// The end of a stop fails calls that wait for an endpoint which has asked for a short pause, though none of
+/// them has run.
+#[test]
+fn a_call_that_waits_for_a_place_at_the_end_of_a_stop_is_refused_as_not_run() {
+    lines::capture();
+    let pause = not_run("503 Service Unavailable\r\nretry-after: 0.1");
+    let limit = LAST_ANSWERS_TIME + Millis(10);
+    let mut harness =
+        Harness::start_with_stop_limit(limit, vec![vec![Action::Answer(pause); MAX_SENDS]]);
+    let rejected = exchange(harness.address, &request_as("rejected", "/idempotent/x", ""));
+    assert_eq!(rejected.status, 503);
+    let (address, text) = (harness.address, request_as("pauses", "/idempotent/x", ""));
+    let caller = thread::spawn(move || exchange(address, &text));
+    thread::sleep(ADMISSION_TIME);
+    harness.stop();
+    let got = caller.join().expect("the caller gets an answer");
+    let head = got.head.to_lowercase();
+    let call_lines = lines::of_call("pauses");
+    assert_eq!(got.status, 503, "{call_lines:?}");
+    for part in ["sill-not-run: true", "retry-after: ", "connection: close"] {
+        assert!(head.contains(part), "{part} in {head}");
+    }
+    assert_eq!(value(&call_lines[0], "outcome"), "refused", "{call_lines:?}");
+    assert_eq!(value(&lines::of_stop(&harness.name), "refused"), "1");
+}
+
 /// An endpoint fails a call while the entry instance stops, and another attempt could outlast the
 /// process: the caller would lose a retry at another entry instance, or see a stream cut. It must
 /// get a response at once that says whether the call may have run. If the caller's deadline is
