Tests: endpoints of planned_work serve until the last caller has its answer

Its endpoints ended as its callers were told to: the next connection to each was accepted and closed unread, so a call of either kind that was still to be sent on a new connection had an unknown outcome there. The three calls have the numbers 290, 291 and 293 where each of 16 callers had 293 on average, so they were among the last ones.

Nothing is excused: endpoints now outlive all calls, and all assertions stay.

--- a/daemons/sill/tests/system/planned_work.rs
+++ b/daemons/sill/tests/system/planned_work.rs
@@ -170,10 +170,12 @@
 fn calls_beside_stops_in_series_signals_and_changes_are_answered() {
     let mut serving = Serving::start("planned-work", GATEWAYS, 2 * ENDPOINTS);
     let (begun, is_over) = (Begun::default(), Arc::<AtomicBool>::default());
+    // Endpoints serve until the last caller has its answer.
+    let are_callers_done = Arc::<AtomicBool>::default();
     for i in 0..2 * ENDPOINTS {
         let service = if i < ENDPOINTS { SERVICE } else { OTHER_SERVICE };
         let (address, control) = (serving.endpoint(i), serving.control());
-        let (begun, is_over) = (begun.clone(), is_over.clone());
+        let (begun, is_over) = (begun.clone(), are_callers_done.clone());
         thread::spawn(move || {
             run_endpoint((service, format!("e{i}")), address, control, begun, is_over);
         });
@@ -215,6 +217,7 @@
         all.other.extend(outcomes.other);
         all.closed.extend(outcomes.closed);
     }
+    are_callers_done.store(true, Ordering::Relaxed);
     let latest = all.closed.iter().map(|closed| closed.after).max().unwrap_or_default();
     println!(
         "{} answered, {} refused, {} failed, {} closed without an answer, {latest:?} after their sending \
