Gateway: late news of an endpoint's predecessor is no crash

Cause: a ready endpoint counts as ended without notice if another one at its address is heard of. The age of the news was not looked at. A control instance that hears late of a replacement still tells of the predecessor, and an entry instance that follows it next took the predecessor for the replacement of the running one. If an answer had broken off there, it recorded a confirmed crash, which all entry instances hear of, and which decides at once that no end in doubt at this endpoint is whole. News that the predecessor is gone had the same effect.

Now the other one has to run, and to have sent its heartbeat later than the last known one of the endpoint. The new test failed without the change (whole stream cut, one crash) and passes with it; its last case guards the crashes that are to be found. A reply that is held back on its way for longer than the restart takes can still mislead; polls last 0.85 s at most.

--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -195,6 +195,8 @@
     /// Until when it is slower than usual after its start.
     cold_until: Millis,
     updated_at: Millis,
+    /// When it sent the newest heartbeat that is known.
+    said_at: Millis,
 }
 
 impl EndpointEntry {
@@ -412,6 +414,7 @@
             own_requests: 0,
             cold_until: Millis::ZERO,
             updated_at: now,
+            said_at: now - fact.age,
         };
         let is_back = self.endpoints.get(&fact.endpoint).is_none_or(EndpointEntry::is_gone);
         let entry = self.endpoints.entry(fact.endpoint.clone()).or_insert_with(new_entry);
@@ -420,6 +423,7 @@
         entry.has_announced_end |=
             matches!(fact.state, EndpointState::Leaving | EndpointState::Gone);
         let said_at = now - fact.age;
+        entry.said_at = said_at;
         if fact.state == EndpointState::Gone {
             entry.gone_at.get_or_insert(said_at);
         }
@@ -754,14 +758,22 @@
         self.endpoints.values().filter(|k| k.fact.state == EndpointState::Ready).count()
     }
 
-    /// Returns the ready endpoints at the address of another one, which has replaced them.
-    pub fn replaced_by(&self, fact: &EndpointFact) -> Vec<(Name, Incarnation)> {
-        let is_replaced = |known: &&EndpointFact| {
+    /// Returns the ready endpoints at the address of another one, which has replaced them: it runs, and has
+    /// sent its heartbeat later. A control instance that hears of a replacement late still tells of the
+    /// predecessor.
+    pub fn replaced_by(&self, now: Millis, fact: &EndpointFact) -> Vec<(Name, Incarnation)> {
+        if fact.state >= EndpointState::Silent {
+            return Vec::new();
+        }
+        let said_at = now - fact.age;
+        let is_replaced = |entry: &&EndpointEntry| {
+            let known = &entry.fact;
             known.address == fact.address
                 && known.endpoint != fact.endpoint
                 && known.state == EndpointState::Ready
+                && entry.said_at < said_at
         };
-        let replaced = self.facts().filter(is_replaced);
+        let replaced = self.endpoints.values().filter(is_replaced).map(|entry| &entry.fact);
         replaced.map(|known| (known.endpoint.clone(), known.incarnation)).collect()
     }
 
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -454,7 +454,7 @@
             (
                 was_ready,
                 is_return,
-                ended_without_notice(&pool, fact),
+                ended_without_notice(&pool, now, fact),
                 pool.update_endpoint(now, fact),
             )
         };
@@ -657,11 +657,11 @@
 
 /// Returns the ready endpoints that a fact shows to have ended: the endpoint itself if it is silent
 /// or has restarted, and those whose address it has now.
-fn ended_without_notice(pool: &Pool, fact: &EndpointFact) -> Vec<(Name, Incarnation)> {
+fn ended_without_notice(pool: &Pool, now: Millis, fact: &EndpointFact) -> Vec<(Name, Incarnation)> {
     if fact.state == EndpointState::Silent {
         return vec![(fact.endpoint.clone(), fact.incarnation)];
     }
-    let mut ended = pool.replaced_by(fact);
+    let mut ended = pool.replaced_by(now, fact);
     let before = pool.incarnation(&fact.endpoint).filter(|known| *known < fact.incarnation);
     if let Some(incarnation) = before.filter(|_| pool.is_ready(&fact.endpoint)) {
         ended.push((fact.endpoint.clone(), incarnation));
--- a/daemons/gateway/tests/endpoint_checks.rs
+++ b/daemons/gateway/tests/endpoint_checks.rs
@@ -11,7 +11,7 @@
 
 use sill_base::Millis;
 use sill_gateway::streams::LIST_SETTLE_TIME;
-use sill_wire::link::{EndpointFact, RelayOffer};
+use sill_wire::link::{EndpointFact, EndpointState, RelayOffer};
 use sill_wire::streams::EntryPeer;
 use sill_wire::{EndpointCrash, Incarnation};
 use support::{
@@ -228,3 +228,46 @@
         assert_eq!(got.is_complete, is_complete, "{age:?}: {}", got.head);
     }
 }
+
+/// A control instance that hears late of an endpoint tells of its predecessor at the same address. The
+/// running endpoint counts as crashed, and whole streams of it are cut.
+#[test]
+fn an_endpoint_has_not_crashed_because_its_predecessor_is_heard_of_later() {
+    struct Case {
+        state: EndpointState,
+        /// Age of the news of the other endpoint at the address.
+        age: Millis,
+        is_whole: bool,
+    }
+    let case = |state, age, is_whole| Case { state, age, is_whole };
+    let cases = [
+        case(EndpointState::Ready, Millis(60_000), true),
+        case(EndpointState::Leaving, Millis(60_000), true),
+        case(EndpointState::Gone, Millis::ZERO, true),
+        // This one has its address now.
+        case(EndpointState::Ready, Millis::ZERO, false),
+    ];
+    for Case { state, age, is_whole } in cases {
+        let may_end = Arc::<AtomicBool>::default();
+        let stream = "content-type: text/event-stream\r\nconnection: close\r\n";
+        let first = format!("{}id: 1\ndata: a\n\n", head(stream));
+        let remainder = "id: 2\ndata: b\n\n".to_owned();
+        let harness = Harness::start(vec![vec![
+            Action::AnswerInTwoAndCloseWhen(first, may_end.clone(), remainder),
+            Action::AnswerAndClose(format!("{}part", head("content-length: 100\r\n"))),
+        ]]);
+        harness.wait_until_facts_applied();
+        let address = harness.address;
+        let caller = thread::spawn(move || exchange(address, &request("/stream/x", "")));
+        while harness.endpoints[0].requests() == 0 {
+            thread::sleep(Duration::from_millis(2));
+        }
+        let _ = harness.call("/non_idempotent/x");
+        harness.apply_fact(EndpointFact { state, age, ..fact(1, harness.endpoints[0].address) });
+        may_end.store(true, Ordering::Relaxed);
+        let got = caller.join().expect("the caller gets an answer");
+        assert_eq!((got.status, got.is_complete), (200, is_whole), "{state:?} {age}: {got:?}");
+        let crashes = harness.metric("sill_gateway_endpoint_crashes_total");
+        assert_eq!(crashes, u64::from(!is_whole), "{state:?} {age}");
+    }
+}
