Gateway: the silence of an endpoint refutes no end

Callers got whole streams cut at their end, of endpoints that run, if control instances got no heartbeats of the endpoint and an answer of it had broken off within the last seconds.

Cause: a crash that is only presumed, from silence, decided about ends like one that is confirmed: nothing was checked.

Now a presumed crash only narrows the proof: another process may run at the address since, with the same incarnation, so a reply or a part of another answer counts on connections only that were opened before the endpoint was chosen, or on the one of the answer. On such a connection only the process that answered can be heard. Confirmed crashes refute at once as before, and refused connections still end the wait.

The new gateway test failed without the change (two marked streams that end together, both cut) and passes with it; the unit test guards the other side: a younger connection, a series of replies that began on an older one, and an accepted connection prove nothing then.

--- a/coordination/dispatch/src/crashes.rs
+++ b/coordination/dispatch/src/crashes.rs
@@ -91,6 +91,15 @@
     sequence: u64,
 }
 
+/// What is known of a crash of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KnownCrash {
+    /// The endpoint is shown to have ended.
+    Confirmed,
+    /// It is silent.
+    Presumed,
+}
+
 /// A change of the blocked requests, or of the blocked parts of prompts.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BlockChange {
@@ -118,8 +127,19 @@
         endpoint: &Name,
         incarnation: Incarnation,
     ) -> bool {
-        let crash = self.crashes.get(&(endpoint.clone(), incarnation));
-        crash.is_some_and(|crash| crash.expires_at > since + CRASH_TTL)
+        self.crash_since(since, endpoint, incarnation).is_some()
+    }
+
+    /// Returns what is known of a crash of an incarnation of an endpoint after `since`, if anything is.
+    pub fn crash_since(
+        &self,
+        since: Millis,
+        endpoint: &Name,
+        incarnation: Incarnation,
+    ) -> Option<KnownCrash> {
+        let crash = self.crashes.get(&(endpoint.clone(), incarnation))?;
+        let known = if crash.is_presumed { KnownCrash::Presumed } else { KnownCrash::Confirmed };
+        (crash.expires_at > since + CRASH_TTL).then_some(known)
     }
 
     /// Records a crash, and returns whether anything in it is new.
--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -40,7 +40,7 @@
 pub use budget::{RetryBounds, RetryBudgets};
 pub use buffers::{BufferBudget, Reservation};
 pub use check::{EndpointCheck, EndpointSign};
-pub use crashes::{BlockChange, BrokenAnswer, BrokenAnswers, BrokenRequest, CrashLog};
+pub use crashes::{BlockChange, BrokenAnswer, BrokenAnswers, BrokenRequest, CrashLog, KnownCrash};
 pub use end_log::EndLog;
 pub use events::{EventTracker, HoldEnd};
 pub use loads::EndpointLoads;
--- a/coordination/dispatch/src/stream_end.rs
+++ b/coordination/dispatch/src/stream_end.rs
@@ -78,6 +78,9 @@
     pub at: Millis,
     /// The time by which must be decided.
     pub decide_by: Millis,
+    /// By when a connection must have been opened on which the process is heard, if another one may run
+    /// at the address since.
+    pub opened_by: Option<Millis>,
 }
 
 /// What is known of an endpoint without a check.
@@ -212,13 +215,14 @@
         let has_time = outlives >= span.min(MIN_SPAN);
         let until = (self.at + wait).min(self.decide_by);
         let is_whole_wait = until == self.at + wait;
+        let opened_by = if has_time { self.at + OPENED_MARGIN } else { self.at - Millis(1) };
         Bounds {
             proven_from: self.at + outlives,
             settled_from: (self.at + settle).min(self.decide_by),
             until,
             expires_at: (until + check_time).min(self.decide_by),
             last_check_at: self.decide_by - check_time,
-            opened_by: if has_time { self.at + OPENED_MARGIN } else { self.at - Millis(1) },
+            opened_by: self.opened_by.map_or(opened_by, |at| at.min(opened_by)),
             has_time,
             is_whole_wait,
             interval: Millis(span.0 / CHECKS).max(MIN_INTERVAL),
@@ -340,16 +344,17 @@
         let refuted = self.refuted.filter(|(at, _)| *at >= end.at).map(|(_, check)| check);
         let mut proven = proof(ProofKind::Heard, signs.heard_at);
         let shown = self.shown.filter(|shown| {
-            // A process that ends may serve new connections for a while.
-            let opened_at = if bounds.has_time { shown.since } else { shown.opened_at };
+            // A process that ends may serve new connections for a while, and one that was restarted for good.
+            let is_any_of_series = bounds.has_time && end.opened_by.is_none();
+            let opened_at = if is_any_of_series { shown.since } else { shown.opened_at };
             opened_at <= bounds.opened_by
         });
         let shown_at = shown.map(|shown| shown.at);
         // After its end another process may reply at its address.
         if refuted != Some(EndpointCheck::Ended) {
-            proven = proven
-                .or_else(|| proof(ProofKind::Replied, shown_at))
-                .or_else(|| proof(ProofKind::Open, self.open_at));
+            proven = proven.or_else(|| proof(ProofKind::Replied, shown_at)).or_else(|| {
+                proof(ProofKind::Open, self.open_at.filter(|_| end.opened_by.is_none()))
+            });
         }
         if proven.is_some() {
             return proven;
--- a/coordination/dispatch/tests/stream_end.rs
+++ b/coordination/dispatch/tests/stream_end.rs
@@ -87,7 +87,7 @@
             if now < *ended_at || decided.is_some() {
                 continue;
             }
-            let end = EndInDoubt { kind, at: *ended_at, decide_by };
+            let end = EndInDoubt { kind, at: *ended_at, decide_by, opened_by: None };
             match checks.step(now, &"e1", end, endpoint.signs(now)) {
                 EndStep::Wait(_) => {}
                 EndStep::Check => {
@@ -152,7 +152,12 @@
 fn an_endpoint_that_replies_again_in_time_has_outlived_the_end() {
     let pause = Endpoint { replies_until: Millis::ZERO, ..silent_from(Millis::ZERO) };
     let mut checks = EndChecks::new(HEARTBEAT, CHECK_TIME);
-    let end = EndInDoubt { kind: EndKind::Stream, at: Millis::ZERO, decide_by: Millis(10_000) };
+    let end = EndInDoubt {
+        kind: EndKind::Stream,
+        at: Millis::ZERO,
+        decide_by: Millis(10_000),
+        opened_by: None,
+    };
     let (mut now, mut began_at) = (Millis::ZERO, None);
     let step = loop {
         if let Some(at) = began_at.take() {
@@ -230,7 +235,12 @@
 #[test]
 fn an_end_is_held_for_less_than_callers_wait() {
     let mut checks = EndChecks::new(Millis(60_000), CHECK_TIME);
-    let end = EndInDoubt { kind: EndKind::Stream, at: Millis::ZERO, decide_by: Millis::MAX };
+    let end = EndInDoubt {
+        kind: EndKind::Stream,
+        at: Millis::ZERO,
+        decide_by: Millis::MAX,
+        opened_by: None,
+    };
     let mut now = Millis::ZERO;
     let decided = loop {
         match checks.step(now, &"e1", end, EndpointSigns::default()) {
@@ -252,7 +262,12 @@
 fn ends_at_one_endpoint_share_its_checks() {
     let mut checks = EndChecks::new(HEARTBEAT, CHECK_TIME);
     let step = |checks: &mut EndChecks<&'static str>, now: u64, endpoint, at: u64| {
-        let end = EndInDoubt { kind: EndKind::Stream, at: Millis(at), decide_by: Millis::MAX };
+        let end = EndInDoubt {
+            kind: EndKind::Stream,
+            at: Millis(at),
+            decide_by: Millis::MAX,
+            opened_by: None,
+        };
         checks.step(Millis(now), &endpoint, end, EndpointSigns::default())
     };
     assert_eq!(step(&mut checks, 10, "e1", 10), EndStep::Check);
@@ -376,7 +391,12 @@
     ];
     for Case { name, replies, is_proven: expected } in cases {
         let mut checks = EndChecks::new(HEARTBEAT, CHECK_TIME);
-        let end = EndInDoubt { kind: EndKind::Stream, at: Millis(1000), decide_by: Millis(1200) };
+        let end = EndInDoubt {
+            kind: EndKind::Stream,
+            at: Millis(1000),
+            decide_by: Millis(1200),
+            opened_by: None,
+        };
         assert!(checks.prepare(Millis(890), &"e1"), "{name}");
         for (at, opened_at) in replies {
             checks.record(
@@ -407,7 +427,12 @@
     }
     assert_eq!(prepared, [0, 1000, 2000].map(Millis));
     // A reply before the end proves nothing.
-    let end = EndInDoubt { kind: EndKind::Stream, at: Millis(3000), decide_by: Millis(3100) };
+    let end = EndInDoubt {
+        kind: EndKind::Stream,
+        at: Millis(3000),
+        decide_by: Millis(3100),
+        opened_by: None,
+    };
     let step = checks.step(Millis(3000), &"e1", end, EndpointSigns::default());
     assert_eq!(step, EndStep::Check);
 }
@@ -432,8 +457,12 @@
     ];
     for Case { name, refuted, signs, is_proven: expected } in cases {
         let mut checks = EndChecks::new(HEARTBEAT, CHECK_TIME);
-        let end =
-            EndInDoubt { kind: EndKind::LeavingStream, at: Millis::ZERO, decide_by: Millis::MAX };
+        let end = EndInDoubt {
+            kind: EndKind::LeavingStream,
+            at: Millis::ZERO,
+            decide_by: Millis::MAX,
+            opened_by: None,
+        };
         let none = EndpointSigns::default();
         assert_eq!(checks.step(Millis::ZERO, &"e1", end, none), EndStep::Check, "{name}");
         if let Some(check) = refuted {
@@ -459,7 +488,12 @@
         [case(Some(500), true), case(Some(1100), true), case(Some(1400), false), case(None, false)];
     for Case { opened_at, is_proven: expected } in cases {
         let mut checks = EndChecks::new(HEARTBEAT, CHECK_TIME);
-        let end = EndInDoubt { kind: EndKind::Stream, at: Millis(1000), decide_by: Millis::MAX };
+        let end = EndInDoubt {
+            kind: EndKind::Stream,
+            at: Millis(1000),
+            decide_by: Millis::MAX,
+            opened_by: None,
+        };
         let none = EndpointSigns::default();
         assert_eq!(checks.step(Millis(1700), &"e1", end, none), EndStep::Check, "{opened_at:?}");
         checks.record(Millis(1710), &"e1", Millis(1700), EndpointCheck::Running, opened_at);
@@ -482,7 +516,12 @@
     ];
     for Case { replies, is_proven: expected } in cases {
         let mut checks = EndChecks::new(Millis(1200), CHECK_TIME);
-        let end = EndInDoubt { kind: EndKind::Stream, at: Millis(1000), decide_by: Millis::MAX };
+        let end = EndInDoubt {
+            kind: EndKind::Stream,
+            at: Millis(1000),
+            decide_by: Millis::MAX,
+            opened_by: None,
+        };
         let none = EndpointSigns::default();
         assert_eq!(checks.step(Millis(1000), &"e1", end, none), EndStep::Check);
         for at in replies.iter().copied().map(Millis) {
@@ -636,3 +675,41 @@
         assert_eq!(may_follow(last, events.as_bytes()), expected, "{last}: {events:?}");
     }
 }
+
+/// Another process may run at the address of an endpoint that fell silent, and replies in its place.
+#[test]
+fn a_process_that_may_be_another_one_is_heard_on_older_connections_only() {
+    struct Case {
+        name: &'static str,
+        opened_by: Option<Millis>,
+        /// When the connections of two replies were opened.
+        opened_at: [u64; 2],
+        is_proven: bool,
+    }
+    let case = |name, opened_by: Option<u64>, opened_at, is_proven| Case {
+        name,
+        opened_by: opened_by.map(Millis),
+        opened_at,
+        is_proven,
+    };
+    let cases = [
+        case("nothing is known against it", None, [1010, 1100], true),
+        case("on a connection from before", Some(400), [400, 400], true),
+        case("on one from after", Some(400), [401, 401], false),
+        case("first on one from before", Some(400), [300, 1100], false),
+    ];
+    for Case { name, opened_by, opened_at, is_proven: expected } in cases {
+        let mut checks = EndChecks::new(HEARTBEAT, CHECK_TIME);
+        let decide_by = Millis::MAX;
+        let end = EndInDoubt { kind: EndKind::Stream, at: Millis(1000), decide_by, opened_by };
+        for (at, opened_at) in [1010, 2500].map(Millis).into_iter().zip(opened_at.map(Millis)) {
+            checks.record(at, &"e1", at, EndpointCheck::Running, Some(opened_at));
+            let is_last = at == Millis(2500);
+            let step = checks.step(at, &"e1", end, EndpointSigns::default());
+            assert_eq!(is_last && expected, is_proven(step), "{name} at {at}: {step:?}");
+        }
+        checks.record(Millis(2600), &"e1", Millis(2550), EndpointCheck::Open, None);
+        let step = checks.step(Millis(2600), &"e1", end, EndpointSigns::default());
+        assert_eq!(expected, is_proven(step), "{name}, open: {step:?}");
+    }
+}
--- a/daemons/gateway/src/crashes.rs
+++ b/daemons/gateway/src/crashes.rs
@@ -8,8 +8,8 @@
 use prometheus::{IntCounter, IntGauge};
 use sill_base::{Clock, Map, Millis, Name, event};
 use sill_dispatch::{
-    BlockChange, BrokenAnswer, BrokenAnswers, BrokenRequest, CrashLog, EndpointCheck, PartBlock,
-    Placement, is_assigned,
+    BlockChange, BrokenAnswer, BrokenAnswers, BrokenRequest, CrashLog, EndpointCheck, KnownCrash,
+    PartBlock, Placement, is_assigned,
 };
 use sill_wire::{
     CompletedRequest, CrashUpdate, EndpointCrash, Incarnation, RequestKey, SharedParts,
@@ -178,14 +178,14 @@
         }
     }
 
-    /// Returns whether an incarnation of an endpoint is known to have crashed after `since`.
-    pub fn has_crashed_since(
+    /// Returns what is known of a crash of an incarnation of an endpoint after `since`, if anything is.
+    pub fn crash_since(
         &self,
         since: Millis,
         endpoint: &Name,
         incarnation: Incarnation,
-    ) -> bool {
-        self.log.lock().has_crashed_since(since, endpoint, incarnation)
+    ) -> Option<KnownCrash> {
+        self.log.lock().crash_since(since, endpoint, incarnation)
     }
 
     /// Records that an endpoint that was silent has returned as the same incarnation. What was counted
--- a/daemons/gateway/src/dispatch/attempt.rs
+++ b/daemons/gateway/src/dispatch/attempt.rs
@@ -202,6 +202,14 @@
         self.exchange.as_ref()?.via()
     }
 
+    /// Returns when its connection to the endpoint was opened, or when the endpoint was chosen if that was
+    /// later.
+    pub fn opened_at(&self) -> Millis {
+        self.exchange
+            .as_ref()
+            .map_or(self.placed_at, |exchange| exchange.opened_at().max(self.placed_at))
+    }
+
     /// Ends the request in flight: no more of the answer is awaited from the endpoint.
     pub fn end_exchange(&mut self) {
         self.exchange = None;
--- a/daemons/gateway/src/egress/exchange.rs
+++ b/daemons/gateway/src/egress/exchange.rs
@@ -67,6 +67,11 @@
         );
     }
 
+    /// Returns when the own connection to the endpoint was opened.
+    pub fn opened_at(&self) -> Millis {
+        if self.via.is_some() { Millis::ZERO } else { Millis(self.opened_at) }
+    }
+
     /// Returns the tunnel that carries the request.
     pub const fn via(&self) -> Option<&Via> {
         self.via.as_ref()
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -8,8 +8,8 @@
 use parking_lot::Mutex;
 use sill_base::{Millis, Name};
 use sill_dispatch::{
-    EndChecks, EndInDoubt, EndKind, EndLog, EndStep, EndVerdict, EndpointCheck, Placement, Proof,
-    ProofKind, ResumeChecks, TICK,
+    EndChecks, EndInDoubt, EndKind, EndLog, EndStep, EndVerdict, EndpointCheck, KnownCrash,
+    Placement, Proof, ProofKind, ResumeChecks, TICK,
 };
 use sill_net::h1::ReusableConnection;
 use sill_wire::Incarnation;
@@ -64,6 +64,9 @@
     pub kind: EndKind,
     /// When the endpoint was chosen.
     pub placed_at: Millis,
+    /// When the connection was opened on which the answer arrived, or the endpoint was chosen if that was
+    /// later or the answer arrived in a tunnel.
+    pub opened_at: Millis,
     /// When the answer ended.
     pub ended_at: Millis,
     /// The deadline of the call.
@@ -218,7 +221,7 @@
     /// Waits until the endpoint of an answer is shown to run long enough after its end, or not to run.
     /// Returns none if the call or the process ends before.
     pub async fn wait_until_proven(self: Arc<Self>, ended: EndedAnswer) -> Option<EndVerdict> {
-        let EndedAnswer { to, via, kind, placed_at, ended_at, .. } = &ended;
+        let EndedAnswer { to, via, kind, placed_at, opened_at, ended_at, .. } = &ended;
         let key = checked_endpoint(to, via.as_ref());
         loop {
             let has_changed = self.stream_ends.has_changed.notified();
@@ -226,9 +229,14 @@
             has_changed.as_mut().enable();
             // The answer may arrive late, when the endpoint has restarted or a proxy accepts
             // connections again.
-            if self.crashes.has_crashed_since(*placed_at, &to.endpoint, to.incarnation) {
-                return Some(EndVerdict::NotShown(EndpointCheck::Ended));
-            }
+            let opened_by = match self.crashes.crash_since(*placed_at, &to.endpoint, to.incarnation)
+            {
+                Some(KnownCrash::Confirmed) => {
+                    return Some(EndVerdict::NotShown(EndpointCheck::Ended));
+                }
+                Some(KnownCrash::Presumed) => Some(*opened_at),
+                None => None,
+            };
             let now = self.clock.now();
             // A stop may begin while the end is in doubt.
             let report_time = match kind {
@@ -236,7 +244,7 @@
                 _ => Millis::ZERO,
             };
             let decide_by = self.decide_by(ended.due, ended.is_held) - report_time;
-            let end = EndInDoubt { kind: *kind, at: *ended_at, decide_by };
+            let end = EndInDoubt { kind: *kind, at: *ended_at, decide_by, opened_by };
             let step = {
                 let mut checks = self.stream_ends.checks.lock();
                 let signs = self.egress.signs_of(to, checks.opened_by(end));
--- a/daemons/gateway/tests/endpoint_checks.rs
+++ b/daemons/gateway/tests/endpoint_checks.rs
@@ -16,6 +16,7 @@
 use sill_wire::{EndpointCrash, Incarnation};
 use support::{
     Action, CallerResponse, ConnectFailure, DeadAddress, Harness, exchange, fact, head, request,
+    request_as,
 };
 
 /// Number of checks after a broken answer, unless one shows a crash.
@@ -271,3 +272,34 @@
         assert_eq!(crashes, u64::from(!is_whole), "{state:?} {age}");
     }
 }
+
+/// Heartbeats of an endpoint are late, and an answer of it has broken off. What it completes meanwhile is cut
+/// as if it had ended.
+#[test]
+fn whole_streams_of_a_silent_endpoint_that_runs_are_not_cut() {
+    let may_end = Arc::<AtomicBool>::default();
+    let stream = head("content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n");
+    let whole = format!("{stream}f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
+    let harness = Harness::start(vec![vec![
+        Action::AnswerWhen(whole.clone(), may_end.clone()),
+        Action::AnswerWhen(whole, may_end.clone()),
+        Action::AnswerAndClose(format!("{}part", head("content-length: 100\r\n"))),
+    ]]);
+    harness.wait_until_facts_applied();
+    let address = harness.address;
+    let call = |id| thread::spawn(move || exchange(address, &request_as(id, "/stream/x", "")));
+    let callers = ["first", "second"].map(call);
+    while harness.endpoints[0].requests() < callers.len() {
+        thread::sleep(Duration::from_millis(2));
+    }
+    let _ = harness.call("/non_idempotent/x");
+    let state = EndpointState::Silent;
+    harness.apply_fact(EndpointFact { state, ..fact(0, harness.endpoints[0].address) });
+    assert_eq!(harness.metric("sill_gateway_endpoint_crashes_total"), 1);
+    // Both end at the same time, so that their marks prove nothing.
+    may_end.store(true, Ordering::Relaxed);
+    for caller in callers {
+        let got = caller.join().expect("the caller gets an answer");
+        assert_eq!((got.status, got.is_complete), (200, true), "{got:?}");
+    }
+}
