Gateway: only a ready endpoint with a clearly later heartbeat replaces one

Callers could still get whole streams cut at their end, of an endpoint that has taken over the address of another one: a predecessor that drains, told of late, has newer heartbeats than the first one of its successor, and news is under way for some hundred milliseconds that its age doesn't include.

Cause: the comparison of heartbeats counted leaving endpoints, which don't take addresses over, and had no margin.

Now the other one has to be ready, and its heartbeat later by a second. Facts come with changes only, so the last known heartbeat is usually old; a crash of an endpoint within a second after its start is no longer recorded this way. The new cases of the test fail without the change.

--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -35,6 +35,10 @@
 /// room for one.
 const RESERVATION_TIME: Millis = Millis(2000);
 
+/// Time that news of endpoints may take between control instances and from there, which their age doesn't
+/// include.
+const NEWS_DELAY: Millis = Millis(1000);
+
 /// Rest of a pause for which a call may wait.
 const SHORT_PAUSE: Millis = Millis(100);
 
@@ -423,7 +427,7 @@
         entry.has_announced_end |=
             matches!(fact.state, EndpointState::Leaving | EndpointState::Gone);
         let said_at = now - fact.age;
-        entry.said_at = said_at;
+        entry.said_at = entry.said_at.max(said_at);
         if fact.state == EndpointState::Gone {
             entry.gone_at.get_or_insert(said_at);
         }
@@ -758,11 +762,11 @@
         self.endpoints.values().filter(|k| k.fact.state == EndpointState::Ready).count()
     }
 
-    /// Returns the ready endpoints at the address of another one, which has replaced them: it runs, and has
-    /// sent its heartbeat later. A control instance that hears of a replacement late still tells of the
+    /// Returns the ready endpoints at the address of another one, which has replaced them: it is ready, and
+    /// has sent its heartbeat later. A control instance that hears of a replacement late still tells of the
     /// predecessor.
     pub fn replaced_by(&self, now: Millis, fact: &EndpointFact) -> Vec<(Name, Incarnation)> {
-        if fact.state >= EndpointState::Silent {
+        if fact.state != EndpointState::Ready {
             return Vec::new();
         }
         let said_at = now - fact.age;
@@ -771,7 +775,7 @@
             known.address == fact.address
                 && known.endpoint != fact.endpoint
                 && known.state == EndpointState::Ready
-                && entry.said_at < said_at
+                && entry.said_at + NEWS_DELAY < said_at
         };
         let replaced = self.endpoints.values().filter(is_replaced).map(|entry| &entry.fact);
         replaced.map(|known| (known.endpoint.clone(), known.incarnation)).collect()
--- a/daemons/gateway/tests/endpoint_checks.rs
+++ b/daemons/gateway/tests/endpoint_checks.rs
@@ -230,25 +230,30 @@
     }
 }
 
-/// A control instance that hears late of an endpoint tells of its predecessor at the same address. The
-/// running endpoint counts as crashed, and whole streams of it are cut.
+/// Guards against a running endpoint that counts as crashed, and whole streams of it that are cut, as a control
+/// instance that hears of it late tells of its predecessor at the same address.
 #[test]
 fn an_endpoint_has_not_crashed_because_its_predecessor_is_heard_of_later() {
     struct Case {
+        name: &'static str,
         state: EndpointState,
-        /// Age of the news of the other endpoint at the address.
+        /// Time from the endpoint's heartbeat to the news of the other one.
+        after: Duration,
+        /// Age of that news.
         age: Millis,
         is_whole: bool,
     }
-    let case = |state, age, is_whole| Case { state, age, is_whole };
+    use EndpointState::{Gone, Leaving, Ready};
+    let late = Duration::from_millis(1200);
+    let case = |name, state, after, age, is_whole| Case { name, state, after, age, is_whole };
     let cases = [
-        case(EndpointState::Ready, Millis(60_000), true),
-        case(EndpointState::Leaving, Millis(60_000), true),
-        case(EndpointState::Gone, Millis::ZERO, true),
-        // This one has its address now.
-        case(EndpointState::Ready, Millis::ZERO, false),
+        case("an old heartbeat", Ready, late, Millis(60_000), true),
+        case("a heartbeat that was under way for long", Ready, Duration::ZERO, Millis::ZERO, true),
+        case("one that drains beside it", Leaving, late, Millis::ZERO, true),
+        case("one that is gone", Gone, late, Millis::ZERO, true),
+        case("the endpoint that has the address now", Ready, late, Millis::ZERO, false),
     ];
-    for Case { state, age, is_whole } in cases {
+    for Case { name, state, after, age, is_whole } in cases {
         let may_end = Arc::<AtomicBool>::default();
         let stream = "content-type: text/event-stream\r\nconnection: close\r\n";
         let first = format!("{}id: 1\ndata: a\n\n", head(stream));
@@ -263,18 +268,19 @@
         while harness.endpoints[0].requests() == 0 {
             thread::sleep(Duration::from_millis(2));
         }
+        thread::sleep(after);
         let _ = harness.call("/non_idempotent/x");
         harness.apply_fact(EndpointFact { state, age, ..fact(1, harness.endpoints[0].address) });
         may_end.store(true, Ordering::Relaxed);
         let got = caller.join().expect("the caller gets an answer");
-        assert_eq!((got.status, got.is_complete), (200, is_whole), "{state:?} {age}: {got:?}");
+        assert_eq!((got.status, got.is_complete), (200, is_whole), "{name}: {got:?}");
         let crashes = harness.metric("sill_gateway_endpoint_crashes_total");
-        assert_eq!(crashes, u64::from(!is_whole), "{state:?} {age}");
+        assert_eq!(crashes, u64::from(!is_whole), "{name}");
     }
 }
 
-/// Heartbeats of an endpoint are late, and an answer of it has broken off. What it completes meanwhile is cut
-/// as if it had ended.
+/// Guards against whole streams that are cut as if their endpoint had ended, as its heartbeats are late and
+/// another answer of it has broken off.
 #[test]
 fn whole_streams_of_a_silent_endpoint_that_runs_are_not_cut() {
     let may_end = Arc::<AtomicBool>::default();
