Gateway: the line of a crash says what shows it

endpoint_crashed had one line for an endpoint that refuses connections, one that started again, one whose address another one has and one that is silent. With that line alone the false crash of a running endpoint could not be told from a real one; now sign= names what it was concluded from. No logic changes.

--- a/daemons/gateway/src/crashes.rs
+++ b/daemons/gateway/src/crashes.rs
@@ -46,6 +46,37 @@
     blocked_parts: IntGauge,
 }
 
+/// What shows that an endpoint has ended without notice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashSign {
+    /// It accepts no connections.
+    Refusal,
+    /// No heartbeat of it has arrived for long.
+    Silence,
+    /// It has started again.
+    Restart,
+    /// Another endpoint has its address, by that one's heartbeats.
+    Replacement,
+    /// Another endpoint has its address, by that one's answer.
+    WrongEndpoint,
+    /// It was known to have ended as another answer of it broke off.
+    Known,
+}
+
+impl CrashSign {
+    /// Returns the name for log lines.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Refusal => "refusal",
+            Self::Silence => "silence",
+            Self::Restart => "restart",
+            Self::Replacement => "replacement",
+            Self::WrongEndpoint => "wrong_endpoint",
+            Self::Known => "known",
+        }
+    }
+}
+
 /// A blocked request.
 #[derive(Debug, Clone, Copy)]
 pub struct Block {
@@ -199,18 +230,18 @@
         }
     }
 
-    /// Records that an endpoint has ended without notice, which is concluded from its silence alone if
-    /// `is_presumed`; answers that broke off before then count as broken off by the crash.
-    pub fn confirm(&self, endpoint: &Name, incarnation: Incarnation, is_presumed: bool) {
-        let now = self.clock.now();
+    /// Records that an endpoint has ended without notice, which its silence alone makes likely only; answers
+    /// that broke off before then count as broken off by the crash.
+    pub fn confirm(&self, endpoint: &Name, incarnation: Incarnation, sign: CrashSign) {
+        let (now, is_presumed) = (self.clock.now(), sign == CrashSign::Silence);
         let crash = self.broken.lock().confirm(now, endpoint, incarnation, is_presumed);
         if let Some(crash) = crash {
             self.crash_count.inc();
-            self.record(&crash);
+            self.record(&crash, sign);
         }
     }
 
-    fn record(&self, crash: &EndpointCrash) {
+    fn record(&self, crash: &EndpointCrash, sign: CrashSign) {
         event!(
             Warn,
             "endpoint_crashed",
@@ -219,6 +250,7 @@
             requests = crash.requests.len(),
             prompts = crash.prompts.len(),
             presumed = crash.is_presumed,
+            sign = sign.name(),
             age_ms = crash.age
         );
         let mut log = self.log.lock();
@@ -266,7 +298,7 @@
     let broken = crashes.broken.lock().record(crashes.clock.now(), endpoint, *incarnation, request);
     match broken {
         BrokenAnswer::Pending => {}
-        BrokenAnswer::Crash(crash) => crashes.record(&crash),
+        BrokenAnswer::Crash(crash) => crashes.record(&crash, CrashSign::Known),
         BrokenAnswer::Check => {
             tokio::spawn(check(state.clone(), Destination::from(placement)));
         }
@@ -277,7 +309,7 @@
     for pause in CHECK_PAUSES {
         tokio::time::sleep(pause.into()).await;
         if state.check_endpoint(&to, REFUSAL_TIME).await == EndpointCheck::Ended {
-            state.crashes.confirm(&to.endpoint, to.incarnation, false);
+            state.crashes.confirm(&to.endpoint, to.incarnation, CrashSign::Refusal);
             return;
         }
     }
--- a/daemons/gateway/src/dispatch/attempt.rs
+++ b/daemons/gateway/src/dispatch/attempt.rs
@@ -12,7 +12,7 @@
 use sill_wire::Load;
 
 use super::{Attempt, LATE_PART, has_time_for_attempt};
-use crate::crashes::{self, PROVEN_AFTER};
+use crate::crashes::{self, CrashSign, PROVEN_AFTER};
 use crate::dialect::{AnswerClass, InvalidLimit, InvalidPause, LoadReport, ReportedLoad};
 use crate::egress::{Destination, Exchange, Via};
 use crate::pause_notice;
@@ -96,7 +96,7 @@
                 self.call.pool.pool.lock().mark_gone(now, &self.placement);
                 self.state.egress.forget(self.placement.address);
                 let Placement { endpoint, incarnation, .. } = &self.placement;
-                self.state.crashes.confirm(endpoint, *incarnation, false);
+                self.state.crashes.confirm(endpoint, *incarnation, CrashSign::WrongEndpoint);
                 Some(self.failed(AttemptOutcome::WrongEndpoint, status_text))
             }
             AnswerClass::Improper => {
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -27,7 +27,7 @@
 use tokio::sync::watch;
 
 use crate::cfg::GatewayCfg;
-use crate::crashes::Crashes;
+use crate::crashes::{CrashSign, Crashes};
 use crate::egress::Egress;
 use crate::metrics::Metrics;
 use crate::planned_stop::PlannedStop;
@@ -474,9 +474,8 @@
         }
         drop(others);
         self.streams.review();
-        let is_presumed = fact.state == EndpointState::Silent;
-        for (endpoint, incarnation) in ended {
-            self.crashes.confirm(&endpoint, incarnation, is_presumed);
+        for (endpoint, incarnation, sign) in ended {
+            self.crashes.confirm(&endpoint, incarnation, sign);
         }
         if is_return {
             self.crashes.record_return(&fact.endpoint, fact.incarnation);
@@ -657,16 +656,20 @@
 
 /// Returns the ready endpoints that a fact shows to have ended: the endpoint itself if it is silent
 /// or has restarted, and those whose address it has now.
-fn ended_without_notice(pool: &Pool, now: Millis, fact: &EndpointFact) -> Vec<(Name, Incarnation)> {
+fn ended_without_notice(
+    pool: &Pool,
+    now: Millis,
+    fact: &EndpointFact,
+) -> Vec<(Name, Incarnation, CrashSign)> {
     if fact.state == EndpointState::Silent {
-        return vec![(fact.endpoint.clone(), fact.incarnation)];
+        return vec![(fact.endpoint.clone(), fact.incarnation, CrashSign::Silence)];
     }
-    let mut ended = pool.replaced_by(now, fact);
+    let replaced = pool.replaced_by(now, fact).into_iter();
+    let replaced = replaced.map(|(name, born)| (name, born, CrashSign::Replacement));
     let before = pool.incarnation(&fact.endpoint).filter(|known| *known < fact.incarnation);
-    if let Some(incarnation) = before.filter(|_| pool.is_ready(&fact.endpoint)) {
-        ended.push((fact.endpoint.clone(), incarnation));
-    }
-    ended
+    let restarted = before.filter(|_| pool.is_ready(&fact.endpoint));
+    let restarted = restarted.map(|born| (fact.endpoint.clone(), born, CrashSign::Restart));
+    replaced.chain(restarted).collect()
 }
 
 impl PoolState {
--- a/daemons/gateway/tests/endpoint_checks.rs
+++ b/daemons/gateway/tests/endpoint_checks.rs
@@ -15,8 +15,8 @@
 use sill_wire::streams::EntryPeer;
 use sill_wire::{EndpointCrash, Incarnation};
 use support::{
-    Action, CallerResponse, ConnectFailure, DeadAddress, Harness, exchange, fact, head, request,
-    request_as,
+    Action, CallerResponse, ConnectFailure, DeadAddress, Harness, exchange, fact, head, lines,
+    request, request_as,
 };
 
 /// Number of checks after a broken answer, unless one shows a crash.
@@ -244,6 +244,7 @@
         is_whole: bool,
     }
     use EndpointState::{Gone, Leaving, Ready};
+    lines::capture();
     let late = Duration::from_millis(1200);
     let case = |name, state, after, age, is_whole| Case { name, state, after, age, is_whole };
     let cases = [
@@ -276,6 +277,7 @@
         assert_eq!((got.status, got.is_complete), (200, is_whole), "{name}: {got:?}");
         let crashes = harness.metric("sill_gateway_endpoint_crashes_total");
         assert_eq!(crashes, u64::from(!is_whole), "{name}");
+        assert_eq!(lines::count("sign=replacement"), usize::from(!is_whole), "{name}");
     }
 }
 
