Gateway: an endpoint that may be another one is known by connections of its time

The time of a new connection is compared as in the usual rule now: a process needs 250 ms and more to take an address over, so one that replies on a connection from within 250 ms after it is known to have run is the same.

--- a/coordination/dispatch/src/stream_end.rs
+++ b/coordination/dispatch/src/stream_end.rs
@@ -78,9 +78,8 @@
     pub at: Millis,
     /// The time by which must be decided.
     pub decide_by: Millis,
-    /// By when a connection must have been opened on which the process is heard, if another one may run
-    /// at the address since.
-    pub opened_by: Option<Millis>,
+    /// When the process is known to have run before the end, if another one may run at the address since.
+    pub ran_at: Option<Millis>,
 }
 
 /// What is known of an endpoint without a check.
@@ -222,7 +221,7 @@
             until,
             expires_at: (until + check_time).min(self.decide_by),
             last_check_at: self.decide_by - check_time,
-            opened_by: self.opened_by.map_or(opened_by, |at| at.min(opened_by)),
+            opened_by: self.ran_at.map_or(opened_by, |at| opened_by.min(at + OPENED_MARGIN)),
             has_time,
             is_whole_wait,
             interval: Millis(span.0 / CHECKS).max(MIN_INTERVAL),
@@ -345,16 +344,16 @@
         let mut proven = proof(ProofKind::Heard, signs.heard_at);
         let shown = self.shown.filter(|shown| {
             // A process that ends may serve new connections for a while, and one that was restarted for good.
-            let is_any_of_series = bounds.has_time && end.opened_by.is_none();
+            let is_any_of_series = bounds.has_time && end.ran_at.is_none();
             let opened_at = if is_any_of_series { shown.since } else { shown.opened_at };
             opened_at <= bounds.opened_by
         });
         let shown_at = shown.map(|shown| shown.at);
         // After its end another process may reply at its address.
         if refuted != Some(EndpointCheck::Ended) {
-            proven = proven.or_else(|| proof(ProofKind::Replied, shown_at)).or_else(|| {
-                proof(ProofKind::Open, self.open_at.filter(|_| end.opened_by.is_none()))
-            });
+            proven = proven
+                .or_else(|| proof(ProofKind::Replied, shown_at))
+                .or_else(|| proof(ProofKind::Open, self.open_at.filter(|_| end.ran_at.is_none())));
         }
         if proven.is_some() {
             return proven;
--- a/daemons/gateway/src/dispatch/attempt.rs
+++ b/daemons/gateway/src/dispatch/attempt.rs
@@ -202,12 +202,11 @@
         self.exchange.as_ref()?.via()
     }
 
-    /// Returns when its connection to the endpoint was opened, or when the endpoint was chosen if that was
-    /// later.
-    pub fn opened_at(&self) -> Millis {
-        self.exchange
-            .as_ref()
-            .map_or(self.placed_at, |exchange| exchange.opened_at().max(self.placed_at))
+    /// Returns when the endpoint is known to have run: when it was chosen, or when the own connection to it
+    /// was opened, if that was later.
+    pub fn ran_at(&self) -> Millis {
+        let opened_at = self.exchange.as_ref().map(Exchange::opened_at);
+        opened_at.unwrap_or_default().max(self.placed_at)
     }
 
     /// Ends the request in flight: no more of the answer is awaited from the endpoint.
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -44,7 +44,7 @@
         let ended_at = self.attempt.state().clock.now();
         self.ended_at = Some(ended_at);
         let via = self.attempt.via().cloned();
-        let opened_at = self.attempt.opened_at();
+        let ran_at = self.attempt.ran_at();
         // The endpoint isn't silent while the end is held.
         self.attempt.end_exchange();
         EndedAnswer {
@@ -57,7 +57,7 @@
                 (false, _) => EndKind::Plain,
             },
             placed_at: self.attempt.placed_at,
-            opened_at,
+            ran_at,
             ended_at,
             due: self.attempt.call().due,
             is_held,
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -64,9 +64,9 @@
     pub kind: EndKind,
     /// When the endpoint was chosen.
     pub placed_at: Millis,
-    /// When the connection was opened on which the answer arrived, or the endpoint was chosen if that was
-    /// later or the answer arrived in a tunnel.
-    pub opened_at: Millis,
+    /// When the endpoint is known to have run: when it was chosen, or when the answer's own connection to it
+    /// was opened, if that was later.
+    pub ran_at: Millis,
     /// When the answer ended.
     pub ended_at: Millis,
     /// The deadline of the call.
@@ -221,7 +221,7 @@
     /// Waits until the endpoint of an answer is shown to run long enough after its end, or not to run.
     /// Returns none if the call or the process ends before.
     pub async fn wait_until_proven(self: Arc<Self>, ended: EndedAnswer) -> Option<EndVerdict> {
-        let EndedAnswer { to, via, kind, placed_at, opened_at, ended_at, .. } = &ended;
+        let EndedAnswer { to, via, kind, placed_at, ran_at, ended_at, .. } = &ended;
         let key = checked_endpoint(to, via.as_ref());
         loop {
             let has_changed = self.stream_ends.has_changed.notified();
@@ -229,12 +229,11 @@
             has_changed.as_mut().enable();
             // The answer may arrive late, when the endpoint has restarted or a proxy accepts
             // connections again.
-            let opened_by = match self.crashes.crash_since(*placed_at, &to.endpoint, to.incarnation)
-            {
+            let ran_at = match self.crashes.crash_since(*placed_at, &to.endpoint, to.incarnation) {
                 Some(KnownCrash::Confirmed) => {
                     return Some(EndVerdict::NotShown(EndpointCheck::Ended));
                 }
-                Some(KnownCrash::Presumed) => Some(*opened_at),
+                Some(KnownCrash::Presumed) => Some(*ran_at),
                 None => None,
             };
             let now = self.clock.now();
@@ -244,7 +243,7 @@
                 _ => Millis::ZERO,
             };
             let decide_by = self.decide_by(ended.due, ended.is_held) - report_time;
-            let end = EndInDoubt { kind: *kind, at: *ended_at, decide_by, opened_by };
+            let end = EndInDoubt { kind: *kind, at: *ended_at, decide_by, ran_at };
             let step = {
                 let mut checks = self.stream_ends.checks.lock();
                 let signs = self.egress.signs_of(to, checks.opened_by(end));
