Soak: planned work has stops of control instances

The soak of planned work left control instances alone but for SIGHUP, so news of endpoints was never late, which is how a running endpoint came to count as crashed. Now one control instance after the other is stopped and started again. The other tracks of each seed stay as they are.

It is listed, not traced.

--- a/bench/soak/src/plan.rs
+++ b/bench/soak/src/plan.rs
@@ -177,7 +177,8 @@
     faults
 }
 
-/// Generates planned work alone: series of graceful stops, endpoints that leave in order, and SIGHUP.
+/// Generates planned work alone: series of graceful stops, endpoints that leave in order, SIGHUP, and graceful
+/// stops of one control instance after the other.
 pub fn planned_work(seed: u64, span: Millis, sizes: Sizes) -> Vec<ScheduledFault> {
     const SEED_MASK: u64 = 0x776f_726b;
     let mut rng = seeded(seed ^ SEED_MASK);
@@ -196,6 +197,10 @@
         };
         (fault, span.0)
     });
+    fill_track(&mut rng, span, &mut work, |rng| {
+        let (i, away) = (rng.random_range(0..sizes.controls), rng.random_range(0..1500));
+        (Fault::Control(i, ProcessFault::Stop, Millis(away)), away + CATCH_UP_MS / 2)
+    });
     work.sort_by_key(|scheduled| scheduled.at);
     work
 }
--- a/bench/soak/tests/plan.rs
+++ b/bench/soak/tests/plan.rs
@@ -127,9 +127,10 @@
         Fault::Leave(_) => "leaving endpoint",
         Fault::Entry(_, ProcessFault::Hangup, _) => "SIGHUP, entry instance",
         Fault::Control(_, ProcessFault::Hangup, _) => "SIGHUP, control instance",
+        Fault::Control(_, ProcessFault::Stop, _) => "stop, control instance",
         other => panic!("{other:?} is not planned work"),
     };
     let work = (0..20).flat_map(|seed| planned_work(seed, Millis(15_000), SIZES));
     let kinds: BTreeSet<&str> = work.map(|scheduled| kind(scheduled.fault)).collect();
-    assert_eq!(kinds.len(), 5, "{kinds:?}");
+    assert_eq!(kinds.len(), 6, "{kinds:?}");
 }
