Gateway: an endpoint that started earlier replaces none

Callers got whole streams cut at their end, of an endpoint that runs.

g1 reaches a control instance again, is told of e1-v1.3 (Ready, age 1488 ms), which had been replaced by e1-v1.4 1.5 s and more before, and logs endpoint_crashed endpoint=e1-v1.4 presumed=false; g2 logs endpoint_crash_heard 0.1 s later; g2 1.2 s later: unmarked_end id=r5-32 held_ms=23 other_end=true result=ended, cut_by=end_not_proven, while its ping of e1-v1.4 gets a reply.

So the cause that names is confirmed, but its rule isn't enough: by its age the heartbeat of e1-v1.3 came 0.95 s after the first one of e1-v1.4 that g1 was told of, as the control instance itself had got it late (its links were silent for 2.1 s), which the age doesn't include. The margin of a second covers that by 47 ms only.

Where both endpoints report when they started, that decides now, and ages only where one doesn't, or both count the same number. What is missed by it: an endpoint with another name and a lower count that takes the address over. Its calls are answered by the wrong endpoint, which shows the crash too. The case with an earlier start fails without the change.

--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -4,6 +4,7 @@
 mod prompt;
 mod versions;
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -35,8 +36,8 @@
 /// room for one.
 const RESERVATION_TIME: Millis = Millis(2000);
 
-/// Time that news of endpoints may take between control instances and from there, which their age doesn't
-/// include.
+/// Time that news of endpoints usually takes at most between control instances and from there, which their age
+/// doesn't include.
 const NEWS_DELAY: Millis = Millis(1000);
 
 /// Rest of a pause for which a call may wait.
@@ -763,19 +764,30 @@
     }
 
     /// Returns the ready endpoints at the address of another one, which has replaced them: it is ready, and
-    /// has sent its heartbeat later. A control instance that hears of a replacement late still tells of the
-    /// predecessor.
+    /// started later. A control instance that hears of a replacement late still tells of the predecessor, and
+    /// how late isn't known.
     pub fn replaced_by(&self, now: Millis, fact: &EndpointFact) -> Vec<(Name, Incarnation)> {
         if fact.state != EndpointState::Ready {
             return Vec::new();
         }
         let said_at = now - fact.age;
+        let is_later = |entry: &EndpointEntry| {
+            let (known, told) = (entry.fact.incarnation, fact.incarnation);
+            let is_heard_later = entry.said_at + NEWS_DELAY < said_at;
+            match known.cmp(&told) {
+                _ if known.min(told) == Incarnation::default() => is_heard_later,
+                Ordering::Less => true,
+                // Endpoints of different names may count their starts.
+                Ordering::Equal => is_heard_later,
+                Ordering::Greater => false,
+            }
+        };
         let is_replaced = |entry: &&EndpointEntry| {
             let known = &entry.fact;
             known.address == fact.address
                 && known.endpoint != fact.endpoint
                 && known.state == EndpointState::Ready
-                && entry.said_at + NEWS_DELAY < said_at
+                && is_later(entry)
         };
         let replaced = self.endpoints.values().filter(is_replaced).map(|entry| &entry.fact);
         replaced.map(|known| (known.endpoint.clone(), known.incarnation)).collect()
