Gateway: calls that the end of a stop fails keep the reason of their place

Since the line of a call that may run at the last answers of a stop said why=stopping in place of what had led to its endpoint.

--- a/coordination/dispatch/src/pool.rs
+++ b/coordination/dispatch/src/pool.rs
@@ -777,7 +777,7 @@
             match known.cmp(&told) {
                 _ if known.min(told) == Incarnation::default() => is_heard_later,
                 Ordering::Less => true,
-                // Endpoints of different names may count their starts.
+                // Some endpoints report a number of starts.
                 Ordering::Equal => is_heard_later,
                 Ordering::Greater => false,
             }
--- a/daemons/gateway/src/crashes.rs
+++ b/daemons/gateway/src/crashes.rs
@@ -59,7 +59,7 @@
     Replacement,
     /// Another endpoint has its address, by that one's answer.
     WrongEndpoint,
-    /// It was known to have ended as another answer of it broke off.
+    /// An earlier one, as another answer of it broke off.
     Known,
 }
 
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -114,8 +114,10 @@
         biased;
         answered = send_until_answered(&state, &call, &mut summary, &mut progress) => answered,
         // Dropping the attempt closes its connection, so the endpoint cancels the call.
-        () = state.termination.wait_for(FinalPhase::LastAnswers) =>
-            Err(summary.end_without_retry(&progress)),
+        () = state.termination.wait_for(FinalPhase::LastAnswers) => Err(match progress.may_have_run() {
+            true => summary.fail_by_stop(),
+            false => summary.end_without_retry(&progress),
+        }),
     };
     match answered {
         Ok((attempt, answer, progress)) => {
