Net: the rest of a request is read before its refusal's connection is closed

Callers whose request was refused by its head (no route, unknown key, body too large, no settings, the end of a stop) while they still sent its body had their connection reset, and gave up in the middle of the upload without an answer.

Cause: hyper closes a connection whose request body nobody reads. A close with unread bytes in the receive buffer makes the kernel send a reset, and drop what it has not sent yet.

The server now ends its side in order, and reads on until the caller closes, or nothing arrives for 1 s, or after 5 s or 16 MiB. Idle connections that a stop closes are closed as before. That works as no byte is unread at the close, so there is no reset; a caller that has its answer and closes ends the wait.

--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -18,6 +18,7 @@
 mod planned_work;
 mod product;
 mod proof_of_end;
+mod refused_uploads;
 mod release_cuts;
 mod restarts;
 mod serving;
--- a/transport/net/src/h1/server.rs
+++ b/transport/net/src/h1/server.rs
@@ -18,6 +18,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sill_base::{Millis, event};
 use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 
@@ -43,6 +44,19 @@
 /// not run.
 const PENDING_REQUEST_PAUSE: Millis = Millis(50);
 
+/// Time for which the rest of a request is read that was answered before it was whole. A close with
+/// unread bytes resets the connection, and the answer may be lost.
+const LINGER_TIMEOUT: Millis = Millis(5000);
+
+/// Time without a further byte after which the rest of a request is no longer read.
+const LINGER_IDLE_TIMEOUT: Millis = Millis(1000);
+
+/// Size of the buffer for the rest of a request.
+const LINGER_BUFFER_BYTES: usize = 4 << 10;
+
+/// Upper bound on the bytes that are read of the rest of a request.
+const MAX_LINGER_BYTES: usize = 16 << 20;
+
 /// Bounds on the connections of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerCfg {
@@ -233,23 +247,51 @@
         // The task may run long after the pause is over; the runtime has to look for data again.
         tokio::task::yield_now().await;
     };
-    let result = tokio::select! {
+    let (result, was_idle) = tokio::select! {
         // Requests that have arrived are read before the connection is closed.
         biased;
-        result = &mut connection => result,
+        result = &mut connection => (result, false),
         () = close_allowed => {
+            let was_idle = open_answer.available_permits() > 0;
             Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+            ((&mut connection).await, was_idle)
         }
     };
-    if result.is_err() && lacks_chunks.load(Ordering::Relaxed) {
+    let stream = connection.into_parts().io.into_inner();
+    match &result {
+        Ok(()) if !was_idle => linger(stream, peer).await,
+        Err(err) if err.is_parse() => linger(stream, peer).await,
         // The caller takes an orderly close for the end of the answer.
-        let stream = connection.into_parts().io.into_inner();
-        SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+        Err(_) if lacks_chunks.load(Ordering::Relaxed) => {
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+        }
+        _ => {}
     }
     result.map_err(io::Error::other)
 }
 
+/// Reads what the caller still sends, until it closes its side or a bound is reached.
+async fn linger(mut stream: TcpStream, peer: SocketAddr) {
+    let mut read = 0;
+    let discard = async {
+        stream.shutdown().await?;
+        let mut buf = [0; LINGER_BUFFER_BYTES];
+        while read < MAX_LINGER_BYTES {
+            let part = stream.read(&mut buf);
+            match tokio::time::timeout(LINGER_IDLE_TIMEOUT.into(), part).await?? {
+                0 => return Ok(true),
+                n => read += n,
+            }
+        }
+        io::Result::Ok(false)
+    };
+    let discarded = tokio::time::timeout(LINGER_TIMEOUT.into(), discard).await;
+    let is_closed = discarded.is_ok_and(|is_closed| is_closed.unwrap_or(false));
+    if read > 0 || !is_closed {
+        event!(Info, "caller_connection_lingered", peer = peer, bytes = read, closed = is_closed);
+    }
+}
+
 /// The body of an answer. Its permit is returned once the answer has ended.
 struct OpenAnswer {
     body: AnyBody,
