Net: a reset that a write notices shows where the answer is read

Two faults of one cause. Callers got a part of an answer without a length as a complete one, as its endpoint answered early and reset the connection while the upload was still being written. And callers got 502 for answers with a length or chunks that had arrived whole, as the endpoint closed with the upload unread.

Cause: on Linux the first system call after a reset takes its error. If that is a write, the next read returns 0, a clean end; tunnels dropped the write's error (pass_requests), and the HTTP client failed the exchange before it read on.

EndpointStream keeps the error for the reader: writes never fail, all that has arrived is read, and then the read fails. The end itself is read only once the request is written and 20 ms have passed since without a reset, or the head of the answer is still awaited, which is a failure in any case.

--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -9,12 +9,12 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::rt::{Read, Write};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use sill_base::{Clock, Map, Millis, Set, event};
 use tokio::net::TcpStream;
 
+use crate::h1::endpoint_stream::{EndpointStream, StreamState};
 use crate::h1::server::{connect, set_socket_options};
 use crate::h1::tunnel::{self, TunnelFailure, TunnelRequest};
 
@@ -73,6 +73,7 @@
     sender: SendRequest<Full<Bytes>>,
     target: Target,
     opened_at: Millis,
+    stream: Arc<StreamState>,
 }
 
 /// A connection through another process.
@@ -276,6 +277,7 @@
         req: Request<Full<Bytes>>,
         is_new: bool,
     ) -> Result<Answer, ExchangeFailure> {
+        connection.stream.begin_request();
         let response = match connection.sender.try_send_request(req).await {
             Ok(response) => response,
             Err(mut err) => {
@@ -299,7 +301,7 @@
     /// Fails if the address refuses it or does not accept it in time.
     pub async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectFailure> {
         let stream = self.open(address).await?;
-        self.start(TokioIo::new(stream), Target { address, via: None }).await
+        self.start(stream, Target { address, via: None }).await
     }
 
     /// Opens a tunnel to an endpoint through the process at `relay`, which has `timeout` to reach
@@ -316,11 +318,11 @@
     ) -> Result<Tunnel, TunnelFailure> {
         let stream = self.open(relay).await.map_err(|err| TunnelFailure::Relay(err.reason))?;
         let tunnel = tokio::time::timeout(timeout.into(), tunnel::open(stream, req));
-        let (io, answered_age) = tunnel.await.unwrap_or_else(|_| {
+        let (stream, answered_age) = tunnel.await.unwrap_or_else(|_| {
             Err(TunnelFailure::Relay(format!("no answer within {timeout} ms")))
         })?;
         let target = Target { address: req.address, via: Some(relay) };
-        let connection = self.start(io, target).await;
+        let connection = self.start(stream, target).await;
         let connection = connection.map_err(|err| TunnelFailure::Relay(err.reason))?;
         Ok(Tunnel { connection, answered_age })
     }
@@ -343,13 +345,12 @@
     }
 
     /// Prepares an open connection for requests.
-    async fn start<T>(&self, io: T, target: Target) -> Result<Connection, ConnectFailure>
-    where
-        T: Read + Write + Unpin + Send + 'static,
-    {
+    async fn start(&self, stream: TcpStream, target: Target) -> Result<Connection, ConnectFailure> {
+        let stream = EndpointStream::new(stream, self.cfg.unacknowledged_timeout);
+        let state = stream.state().clone();
         let mut builder = http1::Builder::new();
         builder.max_buf_size(READ_BUFFER_BYTES);
-        let handshake = builder.handshake(io).await;
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|err| ConnectFailure {
             is_refused: false,
             is_reset: false,
@@ -360,7 +361,7 @@
                 event!(Debug, "endpoint_connection_ended", address = target.address, error = err);
             }
         });
-        Ok(Connection { sender, target, opened_at: self.clock.now() })
+        Ok(Connection { sender, target, opened_at: self.clock.now(), stream: state })
     }
 
     /// Takes the most recently used connection, so that surplus connections stay idle and expire.
@@ -421,7 +422,7 @@
 impl Connection {
     /// Returns whether the other side has closed the connection.
     pub fn is_closed(&self) -> bool {
-        self.sender.is_closed()
+        self.sender.is_closed() || self.stream.is_closed()
     }
 }
 
--- a/transport/net/src/h1/mod.rs
+++ b/transport/net/src/h1/mod.rs
@@ -5,6 +5,7 @@
 //! would take a truncated answer for a complete one.
 
 mod client;
+mod endpoint_stream;
 mod pages;
 mod server;
 mod tunnel;
--- a/transport/net/src/h1/tunnel.rs
+++ b/transport/net/src/h1/tunnel.rs
@@ -18,16 +18,17 @@
 use hyper::client::conn::http1 as client;
 use hyper::server::conn::http1 as server;
 use hyper::service::service_fn;
-use hyper::upgrade::Upgraded;
+use hyper::upgrade::OnUpgrade;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sill_base::{Clock, Millis, Name, Secret, event};
 use sill_wire::Incarnation;
 use sill_wire::header as names;
 use socket2::SockRef;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
+use tokio::net::tcp;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::h1::endpoint_stream::EndpointStream;
 use crate::h1::server::{connect, set_socket_options};
 use crate::peer::PeerMethods;
 
@@ -147,7 +148,7 @@
 pub(super) async fn open(
     stream: TcpStream,
     req: &TunnelRequest,
-) -> Result<(Upgraded, Option<Millis>), TunnelFailure> {
+) -> Result<(TcpStream, Option<Millis>), TunnelFailure> {
     let failed = |err: hyper::Error| TunnelFailure::Relay(err.to_string());
     let (mut sender, connection) =
         client::handshake::<_, Empty<Bytes>>(TokioIo::new(stream)).await.map_err(failed)?;
@@ -157,7 +158,12 @@
         StatusCode::OK => {
             let age = response.headers().get(names::ANSWERED_AGE);
             let age = age.and_then(|age| age.to_str().ok()?.parse().ok()).map(Millis);
-            Ok((hyper::upgrade::on(response).await.map_err(failed)?, age))
+            let (stream, received) =
+                into_stream(hyper::upgrade::on(response)).await.map_err(TunnelFailure::Relay)?;
+            match received.is_empty() {
+                true => Ok((stream, age)),
+                false => Err(TunnelFailure::Relay("bytes before the first request".to_owned())),
+            }
         }
         StatusCode::BAD_GATEWAY => Err(TunnelFailure::Endpoint),
         status => Err(TunnelFailure::Declined(status)),
@@ -260,6 +266,7 @@
     };
     tokio::spawn(async move {
         let _open = open;
+        let endpoint = EndpointStream::new(endpoint, cfg.unacknowledged_timeout);
         carry(req, endpoint, &tunnel, cfg.clock).await;
     });
     let mut opened = status(StatusCode::OK);
@@ -301,9 +308,14 @@
     Ok(stream)
 }
 
-async fn carry(req: Request<Incoming>, endpoint: TcpStream, tunnel: &TunnelRequest, clock: Clock) {
+async fn carry(
+    req: Request<Incoming>,
+    endpoint: EndpointStream,
+    tunnel: &TunnelRequest,
+    clock: Clock,
+) {
     let opened_at = clock.now();
-    let end = match entry_stream(req).await {
+    let end = match into_stream(hyper::upgrade::on(req)).await {
         Ok((entry, received)) => splice(entry, endpoint, &received).await,
         Err(reason) => {
             event!(Warn, "tunnel_failed", tunnel = tunnel.tunnel, why = reason);
@@ -321,19 +333,20 @@
     );
 }
 
-/// Returns the connection of the entry instance, and what it has sent already.
-async fn entry_stream(req: Request<Incoming>) -> Result<(TcpStream, Bytes), String> {
-    let upgraded = hyper::upgrade::on(req).await.map_err(|err| err.to_string())?;
+/// Returns the connection of a tunnel that was opened, and what the other side has sent already.
+async fn into_stream(upgrade: OnUpgrade) -> Result<(TcpStream, Bytes), String> {
+    let upgraded = upgrade.await.map_err(|err| err.to_string())?;
     let parts = upgraded.downcast::<TokioIo<TcpStream>>();
     let parts = parts.map_err(|_| "the connection is of another type".to_owned())?;
     Ok((parts.io.into_inner(), parts.read_buf))
 }
 
 /// Passes bytes on in both directions until one side ends.
-async fn splice(mut entry: TcpStream, mut endpoint: TcpStream, received: &[u8]) -> TunnelEnd {
+async fn splice(mut entry: TcpStream, endpoint: EndpointStream, received: &[u8]) -> TunnelEnd {
+    let state = endpoint.state().clone();
     let end = {
         let (mut entry_rx, mut entry_tx) = entry.split();
-        let (mut endpoint_rx, mut endpoint_tx) = endpoint.split();
+        let (mut endpoint_rx, mut endpoint_tx) = tokio::io::split(endpoint);
         let to_endpoint = pass_requests(&mut entry_rx, &mut endpoint_tx, received);
         let to_entry = pass_answers(&mut endpoint_rx, &mut entry_tx);
         tokio::pin!(to_endpoint, to_entry);
@@ -341,9 +354,10 @@
             is_whole = &mut to_entry => {
                 if is_whole {
                     let _ = tokio::time::timeout(CLOSE_TIMEOUT.into(), to_endpoint).await;
-                    TunnelEnd::ByEndpoint
-                } else {
-                    TunnelEnd::Broken
+                }
+                match is_whole && !state.has_failed() {
+                    true => TunnelEnd::ByEndpoint,
+                    false => TunnelEnd::Broken,
                 }
             }
             () = &mut to_endpoint => TunnelEnd::ByEntry,
@@ -358,20 +372,28 @@
 
 /// Passes bytes on to the endpoint until the entry instance closes its connection. A failure to
 /// write shows in the other direction, after what the endpoint has still sent.
-async fn pass_requests(from: &mut ReadHalf<'_>, to: &mut WriteHalf<'_>, received: &[u8]) {
+async fn pass_requests(
+    from: &mut tcp::ReadHalf<'_>,
+    to: &mut WriteHalf<EndpointStream>,
+    received: &[u8],
+) {
     let mut buf = vec![0; BUFFER_BYTES];
-    let mut is_open = to.write_all(received).await.is_ok();
+    let mut is_open = pass(received, to).await.is_ok();
     while is_open {
-        match from.read(&mut buf).await {
-            Ok(0) | Err(_) => return,
-            Ok(n) => is_open = to.write_all(&buf[..n]).await.is_ok(),
-        }
+        is_open = match from.read(&mut buf).await {
+            Ok(0) | Err(_) => false,
+            Ok(n) => pass(&buf[..n], to).await.is_ok(),
+        };
     }
-    std::future::pending().await
+}
+
+async fn pass(bytes: &[u8], to: &mut WriteHalf<EndpointStream>) -> io::Result<()> {
+    to.write_all(bytes).await?;
+    to.flush().await
 }
 
 /// Passes bytes on to the entry instance; returns whether the endpoint ended them in order.
-async fn pass_answers(from: &mut ReadHalf<'_>, to: &mut WriteHalf<'_>) -> bool {
+async fn pass_answers(from: &mut ReadHalf<EndpointStream>, to: &mut tcp::WriteHalf<'_>) -> bool {
     let is_whole = tokio::io::copy(from, to).await.is_ok();
     if is_whole {
         let _ = to.shutdown().await;
