Net, entry: only a status of 200 to 599 is an answer

Callers got answers with the statuses 600 and 999, and a 101 that nobody had asked for, as an endpoint in trouble sent them. Others (000, 099, 1000) failed already, as they can't be parsed.

Cause: any status that can be parsed passed as final. h1::is_final now decides for both pipelines: the connection pool fails the exchange, as after a reset before the head, so the request may have run and its connection isn't reused; the requests of sill-entry at models, which use another client, end as cut.

Evidence: only_a_final_status_is_an_answer fails on the parent at 600 and passes; requests_that_reached_an_endpoint_are_not_certified_as_not_run got 600 in place of 409 at a plain service, its chat case was not run alone on the parent.

--- a/daemons/entry/src/serve/upstream.rs
+++ b/daemons/entry/src/serve/upstream.rs
@@ -13,7 +13,7 @@
 use sill_base::Name;
 use sill_flight::flight::{Epoch, ResumePoint};
 use sill_flight::{Placement, Transcript};
-use sill_net::h1::ConnectionPool;
+use sill_net::h1::{ConnectionPool, is_final};
 use sill_wire::endpoint::{KvSource, Resume};
 use sill_wire::handoff::{HttpReply, ReplyBody, ReplyHeader};
 use sill_wire::header;
@@ -159,6 +159,11 @@
                         self.state = State::Streaming(res.take_payload());
                         return UpstreamEvent::Head;
                     }
+                    Ok(res) if !is_final(res.status().as_u16()) => {
+                        self.state = State::Done;
+                        let status = res.status().as_u16();
+                        return UpstreamEvent::Cut(format!("status {status} ends no request"));
+                    }
                     Ok(res) => self.state = State::Collecting(Box::pin(collect(res))),
                     Err(err) => {
                         self.state = State::Done;
--- a/daemons/entry/tests/kit/mod.rs
+++ b/daemons/entry/tests/kit/mod.rs
@@ -51,6 +51,8 @@
     UnframedReset,
     /// Sends a body without a length and closes the connection.
     UnframedBody,
+    /// Sends a complete answer whose status is none of HTTP's.
+    UnknownStatus,
     /// Sends one token and ends the chunked encoding correctly, but without the end marker.
     NoEndMarker,
     /// Streams tokens of many bytes as long as they are read.
@@ -243,6 +245,7 @@
         }
         Script::UnframedReset => return send_and_reset(&mut stream),
         Script::UnframedBody => "HTTP/1.1 200 OK\r\n\r\nwhole".to_owned(),
+        Script::UnknownStatus => "HTTP/1.1 600 x\r\ncontent-length: 2\r\n\r\nok".to_owned(),
         Script::NoEndMarker => format!("{STREAM_HEAD}{}0\r\n\r\n", token(0, "a")),
         Script::EndlessStream => return send_endless_stream(&mut stream, tokens),
     };
--- a/daemons/entry/tests/serving.rs
+++ b/daemons/entry/tests/serving.rs
@@ -187,6 +187,24 @@
             not_run: false,
             requests: 1,
         },
+        Case {
+            name: "unknown status",
+            script: Some(Script::UnknownStatus),
+            path: SEND,
+            headers: &[],
+            status: 409,
+            not_run: false,
+            requests: 1,
+        },
+        Case {
+            name: "unknown status, chat",
+            script: Some(Script::UnknownStatus),
+            path: CHAT,
+            headers: ONCE,
+            status: 409,
+            not_run: false,
+            requests: 1,
+        },
     ];
     for case in cases {
         let control = FakeControl::start();
--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -285,6 +285,10 @@
                 return Err(ExchangeFailure { unsent, reason: error_text(err.error()) });
             }
         };
+        if !is_final(response.status().as_u16()) {
+            let reason = format!("status {} ends no request", response.status().as_u16());
+            return Err(ExchangeFailure { unsent: None, reason });
+        }
         let opened_at = connection.opened_at;
         let connection = keep_alive(&response, self.cfg).map(|keep_alive| BorrowedConnection {
             connection,
@@ -513,6 +517,11 @@
     }
 }
 
+/// Returns whether a status is one of a final answer. A switch of protocols is never asked for.
+pub fn is_final(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 fn is_chunked(headers: &HeaderMap) -> bool {
     let mut encodings = headers.get_all(header::TRANSFER_ENCODING).iter();
     let last = encodings.next_back().and_then(|value| value.to_str().ok()?.rsplit(',').next());
--- a/transport/net/src/h1/mod.rs
+++ b/transport/net/src/h1/mod.rs
@@ -15,7 +15,7 @@
 
 pub use client::{
     Answer, ConnectFailure, Connection, ConnectionPool, ConnectionPoolCfg, Framing, KeptOutcome,
-    MAX_FETCHED_BYTES, Probe, ReusableConnection, SendFailure, Target, Tunnel,
+    MAX_FETCHED_BYTES, Probe, ReusableConnection, SendFailure, Target, Tunnel, is_final,
 };
 pub use pages::{Page, serve_pages};
 pub use server::{OpenConnections, ServerCfg, ServerPhase, serve};
--- a/transport/net/tests/client.rs
+++ b/transport/net/tests/client.rs
@@ -7,7 +7,9 @@
 use http::Request;
 use http_body_util::Full;
 use sill_base::{Clock, Millis};
-use sill_net::h1::{ConnectFailure, ConnectionPool, ConnectionPoolCfg, MAX_FETCHED_BYTES, Probe};
+use sill_net::h1::{
+    ConnectFailure, ConnectionPool, ConnectionPoolCfg, MAX_FETCHED_BYTES, Probe, SendFailure,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -89,6 +91,52 @@
     }
 }
 
+/// The first line of an answer, and the status that is passed on, if any.
+struct StatusCase {
+    line: &'static str,
+    status: Option<u16>,
+}
+
+/// An endpoint in trouble sends a status that ends no request, and its caller would take it for an answer.
+#[tokio::test]
+async fn only_a_final_status_is_an_answer() {
+    let cases = [
+        StatusCase { line: "HTTP/1.1 200 OK", status: Some(200) },
+        StatusCase { line: "HTTP/1.1 299 x", status: Some(299) },
+        StatusCase { line: "HTTP/1.1 503 x", status: Some(503) },
+        StatusCase { line: "HTTP/1.1 599 x", status: Some(599) },
+        StatusCase { line: "HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK", status: Some(200) },
+        StatusCase { line: "HTTP/1.1 000 x", status: None },
+        StatusCase { line: "HTTP/1.1 001 x", status: None },
+        StatusCase { line: "HTTP/1.1 099 x", status: None },
+        StatusCase { line: "HTTP/1.1 20 x", status: None },
+        StatusCase { line: "HTTP/1.1 1000 x", status: None },
+        StatusCase { line: "HTTP/1.1 600 x", status: None },
+        StatusCase { line: "HTTP/1.1 999 x", status: None },
+        StatusCase { line: "HTTP/1.1 101 x\r\nconnection: upgrade\r\nupgrade: x", status: None },
+        StatusCase { line: "HTTP/1.1 101 x", status: None },
+    ];
+    for StatusCase { line, status } in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port can be bound");
+        let address = listener.local_addr().expect("a bound listener has an address");
+        let server = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let _ = stream.read(&mut [0; 1024]).await;
+            let answer = format!("{line}\r\ncontent-length: 2\r\n\r\nok");
+            let _ = stream.write_all(answer.as_bytes()).await;
+            let _ = stream.read(&mut [0; 1024]).await;
+        });
+        let pool = ConnectionPool::new(cfg(), Clock::start());
+        let got = pool.send(address, Request::new(Full::new(Bytes::new())), Millis::ZERO).await;
+        let is_unknown = matches!(got, Err(SendFailure::Unknown(_)));
+        let got = got.ok().map(|answer| answer.response.status().as_u16());
+        assert_eq!(got, status, "{line}");
+        assert_eq!(is_unknown, status.is_none(), "{line}: its request may have run");
+        drop(pool);
+        server.abort();
+    }
+}
+
 /// A response without end would take up the memory of the process that reads it.
 #[tokio::test]
 async fn a_response_without_end_is_not_read_on() {
