Net: a request that follows unread doesn't cut the answer before it

Callers that send further requests before they have the first answer, and read slowly, got a reset in the middle of that answer where it ends the connection, as in each planned stop.

The line says only what was read, not which idle caller didn't close.

--- a/transport/net/src/h1/server.rs
+++ b/transport/net/src/h1/server.rs
@@ -252,6 +252,7 @@
         biased;
         result = &mut connection => (result, false),
         () = close_allowed => {
+            // The end of its answer may still be written.
             let was_idle = open_answer.available_permits() > 0;
             Pin::new(&mut connection).graceful_shutdown();
             ((&mut connection).await, was_idle)
@@ -259,8 +260,9 @@
     };
     let stream = connection.into_parts().io.into_inner();
     match &result {
-        Ok(()) if !was_idle => linger(stream, peer).await,
-        Err(err) if err.is_parse() => linger(stream, peer).await,
+        Ok(()) if was_idle => linger(stream, peer, PENDING_REQUEST_PAUSE).await,
+        Ok(()) => linger(stream, peer, LINGER_IDLE_TIMEOUT).await,
+        Err(err) if err.is_parse() => linger(stream, peer, LINGER_IDLE_TIMEOUT).await,
         // The caller takes an orderly close for the end of the answer.
         Err(_) if lacks_chunks.load(Ordering::Relaxed) => {
             SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
@@ -270,15 +272,16 @@
     result.map_err(io::Error::other)
 }
 
-/// Reads what the caller still sends, until it closes its side or a bound is reached.
-async fn linger(mut stream: TcpStream, peer: SocketAddr) {
+/// Reads what the caller still sends, until it closes its side, sends nothing for `idle_timeout`, or a
+/// bound is reached.
+async fn linger(mut stream: TcpStream, peer: SocketAddr, idle_timeout: Millis) {
     let mut read = 0;
     let discard = async {
         stream.shutdown().await?;
         let mut buf = [0; LINGER_BUFFER_BYTES];
         while read < MAX_LINGER_BYTES {
             let part = stream.read(&mut buf);
-            match tokio::time::timeout(LINGER_IDLE_TIMEOUT.into(), part).await?? {
+            match tokio::time::timeout(idle_timeout.into(), part).await?? {
                 0 => return Ok(true),
                 n => read += n,
             }
@@ -287,7 +290,7 @@
     };
     let discarded = tokio::time::timeout(LINGER_TIMEOUT.into(), discard).await;
     let is_closed = discarded.is_ok_and(|is_closed| is_closed.unwrap_or(false));
-    if read > 0 || !is_closed {
+    if read > 0 {
         event!(Info, "caller_connection_lingered", peer = peer, bytes = read, closed = is_closed);
     }
 }
--- a/transport/net/tests/lingering.rs
+++ b/transport/net/tests/lingering.rs
@@ -156,3 +156,45 @@
         }
     }
 }
+
+/// A close with a further request unread would drop the end of the answer before it that the caller, which
+/// reads slowly, has not received yet.
+#[test]
+fn an_answer_is_whole_though_another_request_follows_it_unread() {
+    /// Size of an answer that fits into no buffer on its way.
+    const LARGE: usize = 8 << 20;
+    async fn answer_large(_req: Request<Incoming>, _peer: SocketAddr) -> Response<AnyBody> {
+        Response::new(full_body(vec![b'x'; LARGE]))
+    }
+    let runtime = Runtime::new().expect("the runtime can be built");
+    for phase in [ServerPhase::Serving, ServerPhase::Draining] {
+        let address = runtime.block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let address = listener.local_addr().expect("a bound listener has an address");
+            tokio::spawn(async move {
+                let (_stop, stopped) = watch::channel(phase);
+                serve(listener, CFG, stopped, Arc::default(), answer_large).await;
+            });
+            address
+        });
+        for round in 0..4 {
+            let mut stream = connect(address);
+            let close = "GET /x HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+            stream.write_all(close.as_bytes()).expect("the request can be sent");
+            std::thread::sleep(Duration::from_millis(20));
+            // More than the server reads ahead.
+            let next = close.repeat(1000);
+            stream.write_all(next.as_bytes()).expect("the requests can be sent");
+            let (mut read, mut buf) = (0, vec![0; 64 << 10]);
+            loop {
+                std::thread::sleep(Duration::from_millis(1));
+                match stream.read(&mut buf) {
+                    Ok(0) => break,
+                    Ok(n) => read += n,
+                    Err(err) => panic!("{phase:?}, round {round}: {read} bytes, then {err}"),
+                }
+            }
+            assert!(read > LARGE, "{phase:?}, round {round}: {read} bytes");
+        }
+    }
+}
