Soak: a listener that a starting process inherits isn't a finding

Cause: an endpoint of the soak closes its listener and opens one at the same address, while another thread starts a process. That process has a copy of the listener until it executes its program.

The address is tried for up to 2 s. An address that somebody else holds is reported as before, so the check is as strict.

--- a/bench/soak/src/backend.rs
+++ b/bench/soak/src/backend.rs
@@ -1,10 +1,11 @@
 //! Endpoints that note which requests they run, and misbehave on demand.
 
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::Poll;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use eyre::Result;
@@ -36,6 +37,12 @@
 /// Name of the service that all endpoints serve.
 pub const SERVICE: &str = "cases";
 
+/// Time for which an address may be in use that was closed.
+const CLOSE_TIMEOUT: Millis = Millis(2000);
+
+/// Interval between two tries to listen there.
+const LISTEN_INTERVAL: Millis = Millis(1);
+
 /// Interval between the announcements of an endpoint.
 const ANNOUNCE_INTERVAL: Millis = Millis(500);
 
@@ -285,7 +292,7 @@
         tokio::time::sleep(LAST_CHUNKS_TIME).await;
         self.crash().await;
         if remains == Remains::Listener {
-            self.remnant = Some(TcpListener::bind(self.address).await?);
+            self.remnant = Some(listen_again(self.address).await?);
         }
         Ok(())
     }
@@ -329,7 +336,7 @@
             phase: self.phase.subscribe(),
             crash: self.crash.clone(),
         };
-        let listener = TcpListener::bind(self.address).await?;
+        let listener = listen_again(self.address).await?;
         self.tasks.spawn(serve(listener, Arc::new(state)));
         let announcement = self.announcement();
         let (controls, is_leaving) = (self.controls.clone(), self.is_leaving.subscribe());
@@ -577,3 +584,17 @@
         }
     }
 }
+
+/// Listens at an address. A process that another thread starts inherits the listener that was closed until
+/// it executes its own program.
+async fn listen_again(address: SocketAddr) -> io::Result<TcpListener> {
+    let deadline = Instant::now() + Duration::from(CLOSE_TIMEOUT);
+    loop {
+        match TcpListener::bind(address).await {
+            Err(err) if err.kind() == ErrorKind::AddrInUse && Instant::now() < deadline => {
+                tokio::time::sleep(LISTEN_INTERVAL.into()).await;
+            }
+            listener => return listener,
+        }
+    }
+}
