Tests: early answers that are reset beside their uploads, with real processes

Guards on an entry instance's own connections: 24 calls of 4.1 MB, four kinds of route, endpoints that read 16 KiB and answer.

--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -8,6 +8,7 @@
 mod cut_domains;
 mod cut_off;
 mod cuts;
+mod early_resets;
 mod end_to_end;
 mod flight;
 mod harness;
