--- a/daemons/gateway/src/relay.rs
+++ b/daemons/gateway/src/relay.rs
@@ -18,7 +18,7 @@
 use hyper::body::Incoming;
 use sill_base::{Millis, Name, event};
 use sill_dispatch::{CallProgress, EventTracker, Reservation};
-use sill_net::h1::{AnyBody, BodyError, Framing, ReusableConnection};
+use sill_net::h1::{AnyBody, BodyError, Framing, ReusableConnection, error_text};
 use sill_rollout::AnswerEnd;
 use sill_route::Outcome;
 use sill_tree::RouteKind;
@@ -447,7 +447,7 @@
                 }
                 Some(Err(err)) => {
                     answer.attempt.record_closed_answer();
-                    let reason = err.to_string();
+                    let reason = error_text(&err);
                     self.end_truncated(cx, CutCause::BrokenByEndpoint, &reason, err.into());
                     return Poll::Pending;
                 }
--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -545,7 +545,8 @@
     (keep_alive > Millis::ZERO).then_some(keep_alive)
 }
 
-fn error_text(err: &hyper::Error) -> String {
+/// Returns the text of an error with its cause, which the error itself leaves out.
+pub fn error_text(err: &hyper::Error) -> String {
     use std::error::Error;
     match err.source() {
         Some(source) => format!("{err}: {source}"),
--- a/transport/net/src/h1/mod.rs
+++ b/transport/net/src/h1/mod.rs
@@ -15,7 +15,8 @@
 
 pub use client::{
     Answer, ConnectFailure, Connection, ConnectionPool, ConnectionPoolCfg, Framing, KeptOutcome,
-    MAX_FETCHED_BYTES, Probe, ReusableConnection, SendFailure, Target, Tunnel, is_final,
+    MAX_FETCHED_BYTES, Probe, ReusableConnection, SendFailure, Target, Tunnel, error_text,
+    is_final,
 };
 pub use pages::{Page, serve_pages};
 pub use server::{OpenConnections, ServerCfg, ServerPhase, serve};
