Tests: whole early answers are sent on connections that end with them

Traced: the endpoints had never answered the failed calls. The 4.1 MB of an earlier call had fit into the kernel's buffers, so its connection was idle after its whole answer, the next call was sent on it, and the endpoint's reset 20 ms after the first answer met that one. A call on a kept connection that is reset without an answer may have run, and 502 is right for it.

The two cases with a length now say Connection: close, so each reset meets the call that it is about; the checks and the counts stay.

--- a/daemons/sill/tests/system/early_resets.rs
+++ b/daemons/sill/tests/system/early_resets.rs
@@ -139,7 +139,8 @@
 fn an_answer_that_is_reset_beside_its_upload_is_complete_only_if_its_framing_says_so() {
     let part = Case { name: "", headers: "", reset_after: None, is_whole: false };
     let ms = |ms| Some(Duration::from_millis(ms));
-    let length = "content-length: 15\r\n";
+    // A call that follows on the connection would be reset without an answer.
+    let length = "connection: close\r\ncontent-length: 15\r\n";
     let cases = [
         Case { name: "close, 0 ms", headers: "connection: close\r\n", reset_after: ms(0), ..part },
         Case { name: "no length, 0 ms", reset_after: ms(0), ..part },
