Net: an answer whose head doesn't tell how its body ends is refused

Callers got complete answers with bodies that weren't the endpoint's: the lines of its chunks as parts of the body, the first 20 bytes of 200, and 204, 304 and answers to HEAD with lengths that are none. On an entry instance's own connections, in tunnels, and of plain services of sill-entry.

Cause: the framing of an answer was decided three times, each time by the two fields alone. hyper's client reads any Transfer-Encoding whose last coding isn't `chunked` up to the end of the connection, ignores Content-Length beside it, and neither field of an answer without a body; Answer::framing looked at the last coding again; strip_hop_by_hop took the coding off and passed the length on, by which hyper's server framed the answer of the caller.

framing::declared_end now decides once, in ConnectionPool, for all that is read through it: no coding but `chunked` alone (none other is ever asked for, so nobody could undo it), valid and equal lengths, never both, and the same for answers without a body, as their heads are passed on. What fails it counts as broken off before its head: the request may have run, the connection isn't used again, and `attempt_failed` names the field. What hyper decides on the heads that pass is the same, so all three agree.

--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -14,6 +14,7 @@
 use sill_base::{Clock, Map, Millis, Set, event};
 use tokio::net::TcpStream;
 
+use crate::framing::{DeclaredEnd, declared_end};
 use crate::h1::endpoint_stream::{EndpointStream, StreamState};
 use crate::h1::server::{connect, set_socket_options};
 use crate::h1::tunnel::{self, TunnelFailure, TunnelRequest};
@@ -127,6 +128,7 @@
     pub is_new: bool,
     /// When the connection was opened.
     pub opened_at: Millis,
+    framing: Framing,
     connection: Option<BorrowedConnection>,
 }
 
@@ -285,17 +287,15 @@
                 return Err(ExchangeFailure { unsent, reason: error_text(err.error()) });
             }
         };
-        if !is_final(response.status().as_u16()) {
-            let reason = format!("status {} ends no request", response.status().as_u16());
-            return Err(ExchangeFailure { unsent: None, reason });
-        }
+        let framing = read_framing(&response);
+        let framing = framing.map_err(|reason| ExchangeFailure { unsent: None, reason })?;
         let opened_at = connection.opened_at;
         let connection = keep_alive(&response, self.cfg).map(|keep_alive| BorrowedConnection {
             connection,
             keep_alive,
             pool: self.clone(),
         });
-        Ok(Answer { response, is_new, opened_at, connection })
+        Ok(Answer { response, framing, is_new, opened_at, connection })
     }
 
     /// Opens a connection to an endpoint.
@@ -433,17 +433,7 @@
 impl Answer {
     /// Returns how the end of the body is marked.
     pub fn framing(&self) -> Framing {
-        let body = self.response.body();
-        if body.is_end_stream() {
-            return Framing::Empty;
-        }
-        if is_chunked(self.response.headers()) {
-            return Framing::Chunked;
-        }
-        match body.size_hint().exact() {
-            Some(_) => Framing::Length,
-            None => Framing::Close,
-        }
+        self.framing
     }
 
     /// Splits the answer into the response and its connection, which must be released once the body
@@ -522,10 +512,20 @@
     (200..600).contains(&status)
 }
 
-fn is_chunked(headers: &HeaderMap) -> bool {
-    let mut encodings = headers.get_all(header::TRANSFER_ENCODING).iter();
-    let last = encodings.next_back().and_then(|value| value.to_str().ok()?.rsplit(',').next());
-    last.is_some_and(|encoding| encoding.trim().eq_ignore_ascii_case("chunked"))
+/// Returns how the body of a response is framed, or why the response is no answer.
+fn read_framing(response: &Response<Incoming>) -> Result<Framing, String> {
+    let status = response.status().as_u16();
+    if !is_final(status) {
+        return Err(format!("status {status} ends no request"));
+    }
+    let fields = response.headers().iter().map(|(name, value)| (name.as_str(), value.as_bytes()));
+    let end = declared_end(fields).map_err(|err| err.to_string())?;
+    Ok(match end {
+        _ if response.body().is_end_stream() => Framing::Empty,
+        DeclaredEnd::Chunks => Framing::Chunked,
+        DeclaredEnd::Length(_) => Framing::Length,
+        DeclaredEnd::Connection => Framing::Close,
+    })
 }
 
 /// Returns how long a connection may be kept idle after a response, or `None` if it can't be
--- a/transport/net/src/lib.rs
+++ b/transport/net/src/lib.rs
@@ -2,6 +2,7 @@
 //! jsonrpsee.
 
 pub mod client;
+pub mod framing;
 pub mod h1;
 pub mod http;
 pub mod peer;
