Net: a length that an endpoint sends twice is passed on once

Callers got `content-length: 5, 5` as the endpoint had sent it, which common parsers of a number fail on; of two equal lines the pool kept both.

Cause: both are allowed to be read (RFC 9110, 8.6), but a proxy that passes such a message on has to replace them by the single number. The pool now puts the number that frames the body into the head, so what the caller is told is what was read.

--- a/daemons/gateway/tests/spoilt_heads.rs
+++ b/daemons/gateway/tests/spoilt_heads.rs
@@ -140,3 +140,18 @@
         assert_eq!(harness.endpoints[1].requests(), 1, "{}: it is resumed", case.fields);
     }
 }
+
+/// Some sound servers send their length twice. Its caller must be able to read the answer.
+#[test]
+fn a_length_that_is_sent_twice_is_passed_on_once() {
+    for fields in ["content-length: 5\r\ncontent-length: 5\r\n", "content-length: 5, 5\r\n"] {
+        let answer = format!("{}hello", head(fields));
+        let harness = Harness::start(vec![vec![Action::Answer(answer); 9]]);
+        for path in ["/non_idempotent/x", "/idempotent/x"] {
+            let got = harness.call(path);
+            assert_eq!((got.status, &got.body[..]), (200, &b"hello"[..]), "{fields}: {}", got.head);
+            let lengths = got.head.to_lowercase().matches("content-length: 5\r\n").count();
+            assert_eq!(lengths, 1, "{fields}: {}", got.head);
+        }
+    }
+}
--- a/transport/net/src/h1/client.rs
+++ b/transport/net/src/h1/client.rs
@@ -280,14 +280,14 @@
         is_new: bool,
     ) -> Result<Answer, ExchangeFailure> {
         connection.stream.begin_request();
-        let response = match connection.sender.try_send_request(req).await {
+        let mut response = match connection.sender.try_send_request(req).await {
             Ok(response) => response,
             Err(mut err) => {
                 let unsent = err.take_message().map(Box::new);
                 return Err(ExchangeFailure { unsent, reason: error_text(err.error()) });
             }
         };
-        let framing = read_framing(&response);
+        let framing = read_framing(&mut response);
         let framing = framing.map_err(|reason| ExchangeFailure { unsent: None, reason })?;
         let opened_at = connection.opened_at;
         let connection = keep_alive(&response, self.cfg).map(|keep_alive| BorrowedConnection {
@@ -512,14 +512,18 @@
     (200..600).contains(&status)
 }
 
-/// Returns how the body of a response is framed, or why the response is no answer.
-fn read_framing(response: &Response<Incoming>) -> Result<Framing, String> {
+/// Returns how the body of a response is framed, or why the response is no answer. A length that is
+/// repeated is left in its head once, as the head is passed on.
+fn read_framing(response: &mut Response<Incoming>) -> Result<Framing, String> {
     let status = response.status().as_u16();
     if !is_final(status) {
         return Err(format!("status {status} ends no request"));
     }
     let fields = response.headers().iter().map(|(name, value)| (name.as_str(), value.as_bytes()));
     let end = declared_end(fields).map_err(|err| err.to_string())?;
+    if let DeclaredEnd::Length(length) = end {
+        response.headers_mut().insert(header::CONTENT_LENGTH, length.into());
+    }
     Ok(match end {
         _ if response.body().is_end_stream() => Framing::Empty,
         DeclaredEnd::Chunks => Framing::Chunked,
--- a/transport/net/tests/answer_heads.rs
+++ b/transport/net/tests/answer_heads.rs
@@ -175,8 +175,10 @@
             let got = call(endpoint, via, case.is_head).await;
             let is_expected = match (&case.read, &got) {
                 (None, Got::Refused) => true,
-                (Some((framing, body)), Got::Answer(got, bytes, _)) => {
-                    (framing, body.as_bytes()) == (got, bytes.as_ref())
+                (Some((framing, body)), Got::Answer(got, bytes, lengths)) => {
+                    let is_length = |text: &String| text.bytes().all(|b| b.is_ascii_digit());
+                    let has_one_length = lengths.len() <= 1 && lengths.iter().all(is_length);
+                    (framing, body.as_bytes()) == (got, bytes.as_ref()) && has_one_length
                 }
                 _ => false,
             };
