Entry: a model's answer whose framing is spoilt is not forwarded

Callers of models got a 404 with an empty body, or with the first five bytes of the chunks' lines, for an error that the endpoint had sent in chunks under `Transfer-Encoding: identity`.

Cause: requests at models use ntex's client. Its decoder refuses other codings, but lets `identity` pass, and then reads no body, or as much as Content-Length says. The check of the status stood here by itself.

client::check_head checks the status and, with the rule of the other pipeline, the two fields; an attempt whose head fails it ends as cut, as after a reset before the head: it may have run.

--- a/daemons/entry/src/serve/upstream.rs
+++ b/daemons/entry/src/serve/upstream.rs
@@ -13,7 +13,8 @@
 use sill_base::Name;
 use sill_flight::flight::{Epoch, ResumePoint};
 use sill_flight::{Placement, Transcript};
-use sill_net::h1::{ConnectionPool, is_final};
+use sill_net::client::check_head;
+use sill_net::h1::ConnectionPool;
 use sill_wire::endpoint::{KvSource, Resume};
 use sill_wire::handoff::{HttpReply, ReplyBody, ReplyHeader};
 use sill_wire::header;
@@ -154,22 +155,25 @@
     pub async fn next_event(&mut self) -> UpstreamEvent {
         loop {
             match &mut self.state {
-                State::Sending(sending) => match sending.await {
-                    Ok(res) if res.status().is_success() => {
-                        self.state = State::Streaming(res.take_payload());
-                        return UpstreamEvent::Head;
+                State::Sending(sending) => {
+                    let sent = sending.await;
+                    let checked = sent.map(|res| check_head(&res).map(|()| res));
+                    match checked {
+                        Ok(Ok(res)) if res.status().is_success() => {
+                            self.state = State::Streaming(res.take_payload());
+                            return UpstreamEvent::Head;
+                        }
+                        Ok(Ok(res)) => self.state = State::Collecting(Box::pin(collect(res))),
+                        Ok(Err(reason)) => {
+                            self.state = State::Done;
+                            return UpstreamEvent::Cut(reason.to_string());
+                        }
+                        Err(err) => {
+                            self.state = State::Done;
+                            return classify_error(&err);
+                        }
                     }
-                    Ok(res) if !is_final(res.status().as_u16()) => {
-                        self.state = State::Done;
-                        let status = res.status().as_u16();
-                        return UpstreamEvent::Cut(format!("status {status} ends no request"));
-                    }
-                    Ok(res) => self.state = State::Collecting(Box::pin(collect(res))),
-                    Err(err) => {
-                        self.state = State::Done;
-                        return classify_error(&err);
-                    }
-                },
+                }
                 State::Streaming(payload) => match payload.next().await {
                     Some(Ok(part)) => return UpstreamEvent::Part(part),
                     Some(Err(err)) => {
--- a/daemons/entry/tests/kit/mod.rs
+++ b/daemons/entry/tests/kit/mod.rs
@@ -53,6 +53,9 @@
     UnframedBody,
     /// Sends a complete answer whose status is none of HTTP's.
     UnknownStatus,
+    /// Answers each request with the next of these statuses and fields and an error in chunks, and closes
+    /// the connection.
+    ErrorInChunks(&'static [String]),
     /// Sends one token and ends the chunked encoding correctly, but without the end marker.
     NoEndMarker,
     /// Streams tokens of many bytes as long as they are read.
@@ -237,7 +240,7 @@
     if read_request(&mut stream).is_none() {
         return;
     }
-    requests.fetch_add(1, Ordering::Relaxed);
+    let number = requests.fetch_add(1, Ordering::Relaxed) as usize;
     let answer = match script {
         Script::CloseWithoutReply => return,
         Script::TruncatedBody => {
@@ -246,6 +249,7 @@
         Script::UnframedReset => return send_and_reset(&mut stream),
         Script::UnframedBody => "HTTP/1.1 200 OK\r\n\r\nwhole".to_owned(),
         Script::UnknownStatus => "HTTP/1.1 600 x\r\ncontent-length: 2\r\n\r\nok".to_owned(),
+        Script::ErrorInChunks(heads) => format!("HTTP/1.1 {}\r\n{ERROR_CHUNKS}", heads[number]),
         Script::NoEndMarker => format!("{STREAM_HEAD}{}0\r\n\r\n", token(0, "a")),
         Script::EndlessStream => return send_endless_stream(&mut stream, tokens),
     };
@@ -255,6 +259,9 @@
 const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
                            transfer-encoding: chunked\r\n\r\n";
 
+/// An error of an endpoint, `{"error":{}}`, as one chunk.
+const ERROR_CHUNKS: &str = "c\r\n{\"error\":{}}\r\n0\r\n\r\n";
+
 /// Returns an HTTP chunk with the event of one token.
 fn token(index: u32, content: &str) -> String {
     let data = json!({ "id": "x", "choices": [{ "delta": { "content": content } }] });
--- a/daemons/entry/tests/serving.rs
+++ b/daemons/entry/tests/serving.rs
@@ -232,6 +232,44 @@
     }
 }
 
+/// An endpoint in trouble spoils the fields that frame its answer. The caller would get a body that isn't
+/// the endpoint's, or none, as a complete one.
+#[test]
+fn an_answer_whose_framing_is_spoilt_is_not_forwarded() {
+    const FIELDS: [&str; 8] = [
+        "transfer-encoding: chunkex\r\n",
+        "transfer-encoding: identity\r\n",
+        "transfer-encoding: Identity\r\nconnection: close\r\n",
+        "transfer-encoding: gzip, chunked\r\n",
+        "transfer-encoding: identity\r\ncontent-length: 5\r\n",
+        "content-length: 5\r\ntransfer-encoding: identity\r\n",
+        "content-length: 5\r\ntransfer-encoding: chunked\r\n",
+        "content-length: 2x0\r\n",
+    ];
+    const ONCE: &[&str] = &["sill-idempotent: false"];
+    let heads = ["200 OK", "404 x", "204 x"]
+        .into_iter()
+        .flat_map(|status| FIELDS.into_iter().map(move |fields| format!("{status}\r\n{fields}")));
+    let heads: &[String] = heads.collect::<Vec<String>>().leak();
+    let mut failures = Vec::new();
+    for (path, headers) in [(SEND, &[] as &[&str]), (CHAT, ONCE)] {
+        let control = FakeControl::start();
+        let entries = start_entries(&control, 1);
+        let scripted = ScriptedEndpoint::start(Script::ErrorInChunks(heads));
+        scripted.announce(entries[0].address, "scripted");
+        for (number, head) in heads.iter().enumerate() {
+            let answer = call_until_routed(entries[0].address, path, headers, &body(3, false));
+            let requests = scripted.requests.load(Ordering::Relaxed) as usize;
+            assert_eq!(requests, number + 1, "{path} {head}: {answer:?}");
+            if (answer.status, is_not_run(&answer)) != (409, false) {
+                failures.push(format!("{path} {head}: {answer:?}"));
+            }
+        }
+    }
+    let (failed, played) = (failures.len(), 2 * heads.len());
+    assert!(failures.is_empty(), "{failed} of {played} failed: {failures:#?}");
+}
+
 /// A plain answer without a length or chunks is complete after an orderly close.
 #[test]
 fn an_answer_that_ends_with_its_connection_is_forwarded() {
--- a/transport/net/src/client.rs
+++ b/transport/net/src/client.rs
@@ -2,15 +2,18 @@
 
 use std::time::Duration;
 
-use eyre::{Result, eyre};
+use eyre::{Result, ensure, eyre};
 use ntex::SharedCfg;
-use ntex::client::{Client, Connector};
+use ntex::client::{Client, ClientResponse, Connector};
 use ntex::http::Method;
 use ntex::time::Millis as NtexMillis;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use sill_base::{Millis, Secret};
 
+use crate::framing::declared_end;
+use crate::h1::is_final;
+
 /// Maximum size of a response body; a larger one is an error.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
@@ -76,6 +79,19 @@
         .map_err(|err| eyre!("HTTP client: {err:?}"))
 }
 
+/// Checks that a response is an answer, and that the end of its body is known. The client itself reads
+/// some bodies that have another end as empty.
+///
+/// # Errors
+///
+/// Fails if the status ends no request, or the head doesn't tell how the body ends.
+pub fn check_head(res: &ClientResponse) -> Result<()> {
+    let status = res.status().as_u16();
+    ensure!(is_final(status), "status {status} ends no request");
+    declared_end(res.headers().iter().map(|(name, value)| (name.as_str(), value.as_bytes())))?;
+    Ok(())
+}
+
 /// Sends a request with a JSON body, or with none, and reads the complete response.
 ///
 /// # Errors
