Entry: an error of a model without a length is not forwarded without its body

Callers of models got an error with an empty body, where the endpoint's had neither a length nor chunks, for example as a byte of the field's name was spoilt (`transfer-encodinf: chunked`), or as a sound endpoint closes its connection.

Cause: with HTTP/1.1 ntex's client takes a body without either field for an empty one. Streams were cut already, as their end marker is missing; errors are read as a whole, and were passed on without their body.

client::check_head fails on such heads, so the attempt ends as cut. It can't be read here; with HTTP/1.0 the client does read it. Statuses without a body (204, 304) pass.

--- a/daemons/entry/tests/serving.rs
+++ b/daemons/entry/tests/serving.rs
@@ -270,6 +270,38 @@
     assert!(failures.is_empty(), "{failed} of {played} failed: {failures:#?}");
 }
 
+/// The client of requests at models reads no body up to the end of its connection. The caller would get an
+/// error of the endpoint with an empty body.
+#[test]
+fn an_error_of_a_model_without_a_length_is_not_forwarded_without_its_body() {
+    struct Case {
+        head: &'static str,
+        status: u16,
+        body: &'static str,
+    }
+    const CASES: [Case; 4] = [
+        Case { head: "404 x\r\n", status: 409, body: "outcome_unknown" },
+        Case { head: "404 x\r\nconnection: close\r\n", status: 409, body: "outcome_unknown" },
+        Case {
+            head: "404 x\r\ntransfer-encodinf: chunked\r\n",
+            status: 409,
+            body: "outcome_unknown",
+        },
+        Case { head: "404 x\r\ntransfer-encoding: chunked\r\n", status: 404, body: "error" },
+    ];
+    let heads: &[String] = CASES.map(|case| case.head.to_owned()).to_vec().leak();
+    let control = FakeControl::start();
+    let entries = start_entries(&control, 1);
+    let scripted = ScriptedEndpoint::start(Script::ErrorInChunks(heads));
+    scripted.announce(entries[0].address, "scripted");
+    for Case { head, status, body: text } in CASES {
+        let once = ["sill-idempotent: false"];
+        let answer = call_until_routed(entries[0].address, CHAT, &once, &body(3, false));
+        assert_eq!(answer.status, status, "{head}: {answer:?}");
+        assert!(answer.body.contains(text), "{head}: {answer:?}");
+    }
+}
+
 /// A plain answer without a length or chunks is complete after an orderly close.
 #[test]
 fn an_answer_that_ends_with_its_connection_is_forwarded() {
--- a/transport/net/src/client.rs
+++ b/transport/net/src/client.rs
@@ -5,13 +5,13 @@
 use eyre::{Result, ensure, eyre};
 use ntex::SharedCfg;
 use ntex::client::{Client, ClientResponse, Connector};
-use ntex::http::Method;
+use ntex::http::{Method, StatusCode, Version};
 use ntex::time::Millis as NtexMillis;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use sill_base::{Millis, Secret};
 
-use crate::framing::declared_end;
+use crate::framing::{DeclaredEnd, declared_end};
 use crate::h1::is_final;
 
 /// Maximum size of a response body; a larger one is an error.
@@ -79,8 +79,8 @@
         .map_err(|err| eyre!("HTTP client: {err:?}"))
 }
 
-/// Checks that a response is an answer, and that the end of its body is known. The client itself reads
-/// some bodies that have another end as empty.
+/// Checks that a response is an answer, and that the client reads its body up to its end. It takes a body
+/// in another coding for an empty one, and with HTTP/1.1 one that ends with its connection as well.
 ///
 /// # Errors
 ///
@@ -88,7 +88,11 @@
 pub fn check_head(res: &ClientResponse) -> Result<()> {
     let status = res.status().as_u16();
     ensure!(is_final(status), "status {status} ends no request");
-    declared_end(res.headers().iter().map(|(name, value)| (name.as_str(), value.as_bytes())))?;
+    let fields = res.headers().iter().map(|(name, value)| (name.as_str(), value.as_bytes()));
+    let is_unread = declared_end(fields)? == DeclaredEnd::Connection
+        && res.version() == Version::HTTP_11
+        && !matches!(res.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    ensure!(!is_unread, "neither transfer-encoding nor content-length");
     Ok(())
 }
 
