Net: a JSON call fails if the head of its answer is spoilt

Operators could be told that a change was made, or refused without a reason, by an answer of a control instance that was none: an empty body under `Transfer-Encoding: identity` or without a length, two bytes of the chunks' lines with a Content-Length beside `identity`, or the statuses 600 and 101. The same holds for `sill explain`, `sill try` and the stand-ins, which share the client.

Cause: client::send took what ntex's client lets pass.

Calls between instances need no check: their replies are read by the JSON of a whole reply, which the lines of chunks break. By reading, sill-load needs none: it compares answers with those that it knows beforehand.

--- a/transport/net/src/client.rs
+++ b/transport/net/src/client.rs
@@ -100,7 +100,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the server can't be reached or the response is not complete within `timeout`.
+/// Fails if the server can't be reached, its response is no answer, or it is not complete within
+/// `timeout`.
 pub async fn send<T>(
     client: &Client,
     method: Method,
@@ -126,6 +127,7 @@
             None => req.send().await,
         }
         .map_err(|err| eyre!("{url}: {err}"))?;
+        check_head(&res).map_err(|err| eyre!("{url}: {err}"))?;
         let status = res.status().as_u16();
         let headers = res.headers().iter().map(|(name, value)| Header {
             name: name.as_str().to_owned(),
