sill: a watch goes on after a spoilt answer of a control instance

`sill watch` ended with `status 404: ` and no reason as one control instance sent an answer with a spoilt head, though another one had the tree.

Cause: it reads its answers as streams, past client::send and so past the check of their heads. It now makes the same check, and asks the next control instance.

Evidence: the new test fails on the parent with `status 404: ` and passes.

--- a/daemons/sill/src/verbs/watch.rs
+++ b/daemons/sill/src/verbs/watch.rs
@@ -64,7 +64,7 @@
 
 impl Watch {
     /// Reads one answer line by line, however long the control instance keeps it open; none where
-    /// it can't be reached.
+    /// it can't be reached or its answer is spoilt.
     async fn follow(
         &mut self,
         http: &Client,
@@ -73,7 +73,7 @@
     ) -> Result<Option<()>> {
         let url = format!("http://{control}/tree/{}?watch={}", self.path, self.seen.0);
         let sent = http.get(url).bearer_auth(operator.token().reveal()).send().await;
-        let Ok(mut res) = sent else {
+        let Some(mut res) = sent.ok().filter(|res| client::check_head(res).is_ok()) else {
             return Ok(None);
         };
         let status = res.status().as_u16();
--- a/daemons/sill/tests/system/verbs.rs
+++ b/daemons/sill/tests/system/verbs.rs
@@ -1,6 +1,9 @@
 //! The verbs for operators and callers, run against `sill try`.
 
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::process::Output;
+use std::thread;
 
 use crate::harness::{Folder, http, run_sill, wait_until};
 use crate::product::Try;
@@ -218,3 +221,48 @@
     let full_args: Vec<&str> = full_args.iter().map(String::as_str).collect();
     run_sill(&full_args, "")
 }
+
+/// Starts a control instance that gives the same answer to each request; returns its address.
+fn answer_always(answer: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port can be bound");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    address.to_string()
+}
+
+/// A control instance in trouble spoils the head of its answer. The operator must not take it for a
+/// refusal.
+#[test]
+fn a_watch_goes_on_after_a_spoilt_answer() {
+    let folder = Folder::new("watch-spoilt");
+    let token = folder.write("token", "t");
+    let body = r#"{"path":"ga","revision":7,"author":"ops","document":{}}"#;
+    let sound =
+        answer_always(format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len()));
+    for head in ["404 x\r\ntransfer-encoding: identity", "600 x\r\ncontent-length: 0", "404 x"] {
+        let spoilt = answer_always(format!("HTTP/1.1 {head}\r\n\r\n"));
+        let output = run_sill(
+            &[
+                "watch",
+                "ga",
+                "--count",
+                "1",
+                "--token-file",
+                &token,
+                "--control",
+                &spoilt,
+                "--control",
+                &sound,
+            ],
+            "",
+        );
+        let text = String::from_utf8_lossy(&output.stdout);
+        assert!(output.status.success(), "{head}: {}", String::from_utf8_lossy(&output.stderr));
+        assert!(text.contains("ga: revision 7 by ops"), "{head}: {text}");
+    }
+}
