Soak: an answer whose head contradicts itself counts as broken off

The soak's client, which judges, took the body of an answer with a length and chunks as its chunks say, where another client takes what the length says; a coding spoilt on its way would pass as well if the body looked right.

Cause: it relies on hyper for the framing, as the connection pool did. It now reads no body from a head that fails framing::declared_end, so the verdict sees a broken answer.

Evidence: an_answer_with_a_spoilt_head_has_no_body fails on the parent at a length beside chunks and passes.

--- a/bench/soak/src/exchange.rs
+++ b/bench/soak/src/exchange.rs
@@ -9,6 +9,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use sill_base::Millis;
+use sill_net::framing::declared_end;
 use tokio::net::TcpStream;
 
 /// An HTTP/1 client connection. Its background task ends when this is dropped.
@@ -24,7 +25,7 @@
     pub status: u16,
     /// The response headers.
     pub headers: HeaderMap,
-    /// The body; `None` if it ended before its framing said so.
+    /// The body; `None` if it ended before its framing said so, or the head contradicts itself on it.
     pub body: Option<Bytes>,
 }
 
@@ -62,7 +63,11 @@
         self.sender.ready().await?;
         let response = self.sender.send_request(req).await?;
         let (parts, body) = response.into_parts();
-        let body = body.collect().await.ok().map(|whole| whole.to_bytes());
+        let fields = parts.headers.iter().map(|(name, value)| (name.as_str(), value.as_bytes()));
+        let body = match declared_end(fields) {
+            Ok(_) => body.collect().await.ok().map(|whole| whole.to_bytes()),
+            Err(_) => None,
+        };
         Ok(HttpResponse { status: parts.status.as_u16(), headers: parts.headers, body })
     }
 }
