Tests: malformed heads under that name, connections to endpoints shared

Names and comments say `malformed`, the term of the field. The connections of answer_heads.rs and early_answers.rs, straight and in tunnels, were the same lines twice; they are in transport/net/tests/support now.

--- a/bench/soak/tests/exchange.rs
+++ b/bench/soak/tests/exchange.rs
@@ -18,7 +18,7 @@
 
 /// The verdict compares bodies, and another client may read other ones from a head that contradicts itself.
 #[tokio::test]
-async fn an_answer_with_a_spoilt_head_has_no_body() {
+async fn an_answer_with_a_malformed_head_has_no_body() {
     let cases = [
         Case { fields: "transfer-encoding: chunked\r\n", body: CHUNKS, is_whole: true },
         Case { fields: "content-length: 5\r\n", body: "hello", is_whole: true },
--- a/daemons/entry/tests/serving.rs
+++ b/daemons/entry/tests/serving.rs
@@ -232,10 +232,10 @@
     }
 }
 
-/// An endpoint in trouble spoils the fields that frame its answer. The caller would get a body that isn't
+/// A failing endpoint sends malformed framing fields. The caller would get a body that isn't
 /// the endpoint's, or none, as a complete one.
 #[test]
-fn an_answer_whose_framing_is_spoilt_is_not_forwarded() {
+fn an_answer_whose_framing_is_malformed_is_not_forwarded() {
     const FIELDS: [&str; 8] = [
         "transfer-encoding: chunkex\r\n",
         "transfer-encoding: identity\r\n",
--- a/daemons/gateway/tests/spoilt_heads.rs
+++ b/daemons/gateway/tests/malformed_heads.rs
@@ -1,6 +1,6 @@
 //! What callers receive of answers whose heads don't tell how the body ends.
 
-#[allow(dead_code)] // The tests of spoilt heads use a part of it.
+#[allow(dead_code)] // The tests of malformed heads use a part of it.
 mod support;
 
 use std::sync::Arc;
@@ -22,7 +22,7 @@
 
 const CHUNKS: &str = "8\r\nid: 1\n\n\n\r\n0\r\n\r\n";
 
-/// A spoilt head, and what the log says about it.
+/// A malformed head, and what the log says about it.
 struct Case {
     fields: &'static str,
     why: &'static str,
@@ -45,19 +45,19 @@
     Case { fields: "content-length: 2x0\r\n", why: "" },
 ];
 
-fn spoilt(case: &Case) -> String {
+fn malformed(case: &Case) -> String {
     format!("{}{CHUNKS}", head(&format!("content-type: text/event-stream\r\n{}", case.fields)))
 }
 
-/// An endpoint in trouble spoils the fields that frame its answer. The caller would get a body that isn't
+/// A failing endpoint sends malformed framing fields. The caller would get a body that isn't
 /// the endpoint's as a complete one.
 #[test]
-fn an_answer_whose_framing_is_spoilt_is_a_failure() {
+fn an_answer_whose_framing_is_malformed_is_a_failure() {
     lines::capture();
     for (number, case) in CASES.iter().enumerate() {
         for path in ["/non_idempotent/x", "/idempotent/x", "/stream/x", "/resumable_stream/x"] {
-            let harness = Harness::start(vec![vec![Action::AnswerAndClose(spoilt(case)); 9]]);
-            let id = format!("spoilt-{number}{}", path.replace('/', "-"));
+            let harness = Harness::start(vec![vec![Action::AnswerAndClose(malformed(case)); 9]]);
+            let id = format!("malformed-{number}{}", path.replace('/', "-"));
             let got = exchange(harness.address, &request_as(&id, path, ""));
             assert_eq!(got.status, 502, "{path} {}: {}", case.fields, got.head);
             let lines = lines::of_call(&id);
@@ -69,21 +69,21 @@
     }
 }
 
-/// An answer with a spoilt head doesn't show that its call has not run, so only calls that may run twice are
+/// An answer with a malformed head doesn't show that its call has not run, so only calls that may run twice are
 /// sent to another endpoint.
 #[test]
-fn a_call_is_repeated_after_a_spoilt_head_only_if_it_may_be() {
+fn a_call_is_repeated_after_a_malformed_head_only_if_it_may_be() {
     for case in &CASES {
         for (path, is_repeated) in [("/idempotent/x", true), ("/non_idempotent/x", false)] {
-            let spoilt = vec![Action::AnswerAndClose(spoilt(case)); 9];
+            let malformed = vec![Action::AnswerAndClose(malformed(case)); 9];
             let sound = vec![Action::Answer(answer_of("sound")); MAX_CALLS];
-            let harness = Harness::start(vec![spoilt, sound]);
+            let harness = Harness::start(vec![malformed, sound]);
             let mut calls = 0;
             while harness.endpoints[0].requests() == 0 {
                 let got = harness.call(path);
                 let reaches_sound = got.status == 200 && got.body == b"sound";
-                let is_spoilt = harness.endpoints[0].requests() > 0;
-                assert_eq!(reaches_sound, is_repeated || !is_spoilt, "{path} {}", case.fields);
+                let is_malformed = harness.endpoints[0].requests() > 0;
+                assert_eq!(reaches_sound, is_repeated || !is_malformed, "{path} {}", case.fields);
                 assert!(reaches_sound || got.status == 502, "{path} {}", got.head);
                 calls += 1;
                 assert!(calls < MAX_CALLS, "{path}: the endpoint in trouble is never asked");
@@ -94,9 +94,9 @@
 
 /// The same in a tunnel, which passes the endpoint's bytes on.
 #[test]
-fn an_answer_whose_framing_is_spoilt_is_a_failure_in_a_tunnel() {
+fn an_answer_whose_framing_is_malformed_is_a_failure_in_a_tunnel() {
     for case in &CASES {
-        let helper = Harness::start(vec![vec![Action::AnswerAndClose(spoilt(case)); 9]]);
+        let helper = Harness::start(vec![vec![Action::AnswerAndClose(malformed(case)); 9]]);
         let cut_off = Harness::start(vec![Vec::new()]);
         let dead = DeadAddress::new(ConnectFailure::Refused);
         let (entry, address) = (helper.name.clone(), helper.peer_address);
@@ -118,13 +118,13 @@
 /// The same where another endpoint resumes a stream: what its chunks look like must not follow the part
 /// that the caller has.
 #[test]
-fn a_stream_whose_resumption_has_a_spoilt_head_is_incomplete() {
+fn a_stream_whose_resumption_has_a_malformed_head_is_incomplete() {
     let chunked = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
     let first = format!("{}8\r\nid: 1\n\n\n\r\n", head(chunked));
     for case in &CASES {
         let may_close = Arc::<AtomicBool>::default();
         let begin = vec![Action::AnswerAndCloseWhen(first.clone(), may_close.clone())];
-        let resumption = vec![Action::AnswerAndClose(spoilt(case)); 9];
+        let resumption = vec![Action::AnswerAndClose(malformed(case)); 9];
         let harness = Harness::start_with_hidden(vec![begin, resumption]);
         let address = harness.address;
         let caller = thread::spawn(move || exchange(address, &request("/resumable_stream/x", "")));
@@ -156,7 +156,7 @@
     }
 }
 
-/// A spoilt status that has no body beside a field that tells of one: the caller would get an empty answer,
+/// A corrupted status that has no body beside a field that tells of one: the caller would get an empty answer,
 /// or wait for the body.
 #[test]
 fn an_answer_without_content_that_has_a_body_is_a_failure() {
--- a/daemons/sill/src/verbs/watch.rs
+++ b/daemons/sill/src/verbs/watch.rs
@@ -64,7 +64,7 @@
 
 impl Watch {
     /// Reads one answer line by line, however long the control instance keeps it open; none where
-    /// it can't be reached or its answer is spoilt.
+    /// it can't be reached or its answer is malformed.
     async fn follow(
         &mut self,
         http: &Client,
--- a/daemons/sill/tests/system/verbs.rs
+++ b/daemons/sill/tests/system/verbs.rs
@@ -235,17 +235,17 @@
     address.to_string()
 }
 
-/// A control instance in trouble spoils the head of its answer. The operator must not take it for a
+/// A failing control instance sends a malformed head. The operator must not take it for a
 /// refusal.
 #[test]
-fn a_watch_goes_on_after_a_spoilt_answer() {
-    let folder = Folder::new("watch-spoilt");
+fn a_watch_goes_on_after_a_malformed_answer() {
+    let folder = Folder::new("watch-malformed");
     let token = folder.write("token", "t");
     let body = r#"{"path":"ga","revision":7,"author":"ops","document":{}}"#;
     let sound =
         answer_always(format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len()));
     for head in ["404 x\r\ntransfer-encoding: identity", "600 x\r\ncontent-length: 0", "404 x"] {
-        let spoilt = answer_always(format!("HTTP/1.1 {head}\r\n\r\n"));
+        let malformed = answer_always(format!("HTTP/1.1 {head}\r\n\r\n"));
         let output = run_sill(
             &[
                 "watch",
@@ -255,7 +255,7 @@
                 "--token-file",
                 &token,
                 "--control",
-                &spoilt,
+                &malformed,
                 "--control",
                 &sound,
             ],
--- a/transport/net/tests/answer_heads.rs
+++ b/transport/net/tests/answer_heads.rs
@@ -1,22 +1,15 @@
-//! Answers whose heads are spoilt, and sound ones that look unusual.
+//! Answers whose heads are malformed, and sound ones that look unusual.
+
+mod support;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use bytes::Bytes;
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
-use sill_base::{Clock, Millis, Secret};
-use sill_net::PeerServerBuilder;
-use sill_net::h1::{
-    ConnectionPool, ConnectionPoolCfg, Framing, SendFailure, TunnelGrant, TunnelRequest,
-    TunnelServer, serve_tunnels,
-};
-use sill_wire::Incarnation;
+use sill_net::h1::{Framing, SendFailure};
+use support::{connect, listen, start_relay};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
-
-const KEY: &str = "cluster";
 
 /// A body in chunks. Read by a length or up to the end of its connection, it is another one.
 const CHUNKS: &str = "5\r\nhello\r\n0\r\n\r\n";
@@ -34,14 +27,14 @@
     read: Option<(Framing, &'static str)>,
 }
 
-const SPOILT: Case =
+const MALFORMED: Case =
     Case { is_head: false, status: "200 OK", fields: "", body: CHUNKS, read: None };
 
-const SOUND: Case = Case { read: Some((Framing::Chunked, "hello")), ..SPOILT };
+const SOUND: Case = Case { read: Some((Framing::Chunked, "hello")), ..MALFORMED };
 
-const LENGTH: Case = Case { body: "hello", read: Some((Framing::Length, "hello")), ..SPOILT };
+const LENGTH: Case = Case { body: "hello", read: Some((Framing::Length, "hello")), ..MALFORMED };
 
-const EMPTY: Case = Case { body: "", read: Some((Framing::Empty, "")), ..SPOILT };
+const EMPTY: Case = Case { body: "", read: Some((Framing::Empty, "")), ..MALFORMED };
 
 /// Values of `Transfer-Encoding` that no sound server sends without being asked for.
 const CODINGS: [&str; 28] = [
@@ -75,12 +68,6 @@
     "chunked\r\ntransfer-encoding:",
 ];
 
-async fn listen() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port can be bound");
-    let address = listener.local_addr().expect("a bound listener has an address");
-    (listener, address)
-}
-
 async fn start_endpoint(answer: String) -> SocketAddr {
     let (listener, address) = listen().await;
     tokio::spawn(async move {
@@ -93,23 +80,6 @@
     address
 }
 
-async fn start_relay() -> SocketAddr {
-    let (listener, address) = listen().await;
-    let cfg = TunnelServer {
-        key: Secret::new(KEY),
-        clock: Clock::start(),
-        source: None,
-        connect_timeout: Millis(2000),
-        unacknowledged_timeout: Millis(5000),
-        open: Arc::default(),
-        methods: PeerServerBuilder::new(Secret::new(KEY)).into_methods(),
-    };
-    let grant =
-        |req: &TunnelRequest| Ok(TunnelGrant { address: req.address, answered_age: Millis::ZERO });
-    tokio::spawn(serve_tunnels(listener, cfg, grant));
-    address
-}
-
 /// What a caller got.
 #[derive(Debug, PartialEq, Eq)]
 enum Got {
@@ -122,28 +92,7 @@
 }
 
 async fn call(endpoint: SocketAddr, relay: Option<SocketAddr>, is_head: bool) -> Got {
-    let cfg = ConnectionPoolCfg {
-        source: None,
-        connect_timeout: Millis(5000),
-        unacknowledged_timeout: Millis(5000),
-        idle_timeout: Millis(10_000),
-        keep_alive_margin: Millis(1000),
-    };
-    let pool = ConnectionPool::new(cfg, Clock::start());
-    let connection = match relay {
-        None => pool.connect(endpoint).await.expect("the endpoint listens"),
-        Some(relay) => {
-            let req = TunnelRequest {
-                tunnel: "g0-1".into(),
-                entry: "g0".into(),
-                endpoint: "e1".into(),
-                incarnation: Incarnation(7),
-                address: endpoint,
-                key: Secret::new(KEY),
-            };
-            pool.connect_through(relay, &req, Millis(5000)).await.expect("a tunnel").connection
-        }
-    };
+    let (pool, connection) = connect(endpoint, relay).await;
     let method = if is_head { Method::HEAD } else { Method::GET };
     let req = Request::builder().method(method).uri("/x").header("host", "h");
     let req = req.body(Full::new(Bytes::new())).expect("a valid request");
@@ -192,7 +141,7 @@
     assert!(failures.is_empty(), "{failed} of {played} failed: {failures:#?}");
 }
 
-/// An endpoint in trouble spoils the coding of its answer. Its caller would take the chunks' own lines for
+/// A failing endpoint sends a malformed transfer coding. Its caller would take the chunks' own lines for
 /// parts of the body, or a length that doesn't apply for the end.
 #[tokio::test]
 async fn an_answer_in_an_unknown_coding_is_refused() {
@@ -201,10 +150,10 @@
         let fields = |extra: &str| -> &'static str {
             format!("transfer-encoding: {coding}\r\n{extra}").leak()
         };
-        let alone = Case { fields: fields(""), ..SPOILT };
+        let alone = Case { fields: fields(""), ..MALFORMED };
         cases.push(alone);
         for extra in ["connection: close\r\n", "content-length: 5\r\n"] {
-            cases.push(Case { fields: fields(extra), ..SPOILT });
+            cases.push(Case { fields: fields(extra), ..MALFORMED });
         }
         for status in ["HTTP/1.0 200 OK", "204 x", "304 x", "404 x", "503 x"] {
             cases.push(Case { status, ..alone });
@@ -214,7 +163,7 @@
     play(&cases).await;
 }
 
-/// Of a length and chunks one is spoilt. Whichever decides, a caller may get other bytes than were meant.
+/// Of a length and chunks one is wrong. Whichever decides, a caller may get other bytes than were meant.
 #[tokio::test]
 async fn an_answer_with_a_length_and_chunks_is_refused() {
     let mut cases = Vec::new();
@@ -222,27 +171,27 @@
         let first = format!("content-length: {length}\r\ntransfer-encoding: chunked\r\n").leak();
         let last = format!("transfer-encoding: chunked\r\ncontent-length: {length}\r\n").leak();
         for fields in [&*first, &*last] {
-            cases.push(Case { fields, ..SPOILT });
-            cases.push(Case { fields, is_head: true, body: "", ..SPOILT });
-            cases.push(Case { fields, status: "204 x", body: "", ..SPOILT });
-            cases.push(Case { fields, status: "500 x", ..SPOILT });
+            cases.push(Case { fields, ..MALFORMED });
+            cases.push(Case { fields, is_head: true, body: "", ..MALFORMED });
+            cases.push(Case { fields, status: "204 x", body: "", ..MALFORMED });
+            cases.push(Case { fields, status: "500 x", ..MALFORMED });
         }
     }
     play(&cases).await;
 }
 
-/// A spoilt status that has no body beside a field that tells of one: the caller would get an empty answer.
+/// A corrupted status that has no body beside a field that tells of one: the caller would get an empty answer.
 #[tokio::test]
 async fn an_answer_without_content_that_has_a_body_is_refused() {
     let mut cases = Vec::new();
     for fields in ["content-length: 5\r\n", "content-length: 5, 5\r\n", "content-length: 1\r\n"] {
-        cases.push(Case { status: "204 x", fields, body: "hello", ..SPOILT });
-        cases.push(Case { status: "204 x", fields, body: "", ..SPOILT });
-        cases.push(Case { status: "204 x", fields, body: "", is_head: true, ..SPOILT });
+        cases.push(Case { status: "204 x", fields, body: "hello", ..MALFORMED });
+        cases.push(Case { status: "204 x", fields, body: "", ..MALFORMED });
+        cases.push(Case { status: "204 x", fields, body: "", is_head: true, ..MALFORMED });
     }
     let fields = "transfer-encoding: chunked\r\n";
-    cases.push(Case { status: "204 x", fields, ..SPOILT });
-    cases.push(Case { status: "204 x", fields, body: "", is_head: true, ..SPOILT });
+    cases.push(Case { status: "204 x", fields, ..MALFORMED });
+    cases.push(Case { status: "204 x", fields, body: "", is_head: true, ..MALFORMED });
     play(&cases).await;
 }
 
@@ -275,16 +224,16 @@
     let mut cases = Vec::new();
     for length in LENGTHS {
         let fields = format!("content-length: {length}\r\n").leak();
-        cases.push(Case { fields, body: "hello", ..SPOILT });
-        cases.push(Case { fields, body: "hello", status: "500 x", ..SPOILT });
-        cases.push(Case { fields, body: "", status: "204 x", ..SPOILT });
-        cases.push(Case { fields, body: "", status: "304 x", ..SPOILT });
-        cases.push(Case { fields, body: "", is_head: true, ..SPOILT });
+        cases.push(Case { fields, body: "hello", ..MALFORMED });
+        cases.push(Case { fields, body: "hello", status: "500 x", ..MALFORMED });
+        cases.push(Case { fields, body: "", status: "204 x", ..MALFORMED });
+        cases.push(Case { fields, body: "", status: "304 x", ..MALFORMED });
+        cases.push(Case { fields, body: "", is_head: true, ..MALFORMED });
     }
     play(&cases).await;
 }
 
-/// A line of a head that is no field is a sign of a spoilt answer. Passed on or left out, the body might be
+/// A line of a head that is no field is a sign of a malformed answer. Passed on or left out, the body might be
 /// another one.
 #[tokio::test]
 async fn an_answer_with_a_line_that_is_no_field_is_refused() {
@@ -321,10 +270,10 @@
         let before = format!("{line}\r\ncontent-length: 5\r\n").leak();
         let behind = format!("content-length: 5\r\n{line}\r\n").leak();
         for fields in [&*before, &*behind] {
-            cases.push(Case { fields, body: "hello", ..SPOILT });
+            cases.push(Case { fields, body: "hello", ..MALFORMED });
         }
         let chunked = format!("transfer-encoding: chunked\r\n{line}\r\n").leak();
-        cases.push(Case { fields: chunked, ..SPOILT });
+        cases.push(Case { fields: chunked, ..MALFORMED });
         let interim = format!("103 x\r\n{line}\r\n\r\nHTTP/1.1 200 OK").leak();
         cases.push(Case { status: interim, fields: "content-length: 5\r\n", ..LENGTH });
         cases.last_mut().expect("one was pushed").read = None;
--- a/transport/net/tests/early_answers.rs
+++ b/transport/net/tests/early_answers.rs
@@ -1,23 +1,17 @@
 //! Answers that begin before the endpoint has read the request's body.
 
+mod support;
+
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{BodyExt, Full};
-use sill_base::{Clock, Millis, Secret};
-use sill_net::PeerServerBuilder;
-use sill_net::h1::{
-    ConnectionPool, ConnectionPoolCfg, TunnelGrant, TunnelRequest, TunnelServer, serve_tunnels,
-};
-use sill_wire::Incarnation;
 use socket2::SockRef;
+use support::{connect, listen, start_relay};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-
-const KEY: &str = "cluster";
+use tokio::net::TcpStream;
 
 /// Bytes of the request that an endpoint reads before it answers.
 const READ_BYTES: usize = 16 << 10;
@@ -56,12 +50,6 @@
     is_whole: Option<bool>,
 }
 
-async fn listen() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port can be bound");
-    let address = listener.local_addr().expect("a bound listener has an address");
-    (listener, address)
-}
-
 async fn serve(mut stream: TcpStream, case: Case) {
     let mut buf = vec![0; READ_BYTES];
     let mut read = 0;
@@ -95,47 +83,9 @@
     address
 }
 
-async fn start_relay() -> SocketAddr {
-    let (listener, address) = listen().await;
-    let cfg = TunnelServer {
-        key: Secret::new(KEY),
-        clock: Clock::start(),
-        source: None,
-        connect_timeout: Millis(2000),
-        unacknowledged_timeout: Millis(5000),
-        open: Arc::default(),
-        methods: PeerServerBuilder::new(Secret::new(KEY)).into_methods(),
-    };
-    let grant =
-        |req: &TunnelRequest| Ok(TunnelGrant { address: req.address, answered_age: Millis::ZERO });
-    tokio::spawn(serve_tunnels(listener, cfg, grant));
-    address
-}
-
 /// Sends a request; returns the body of its answer, or none if the answer broke off.
 async fn call(endpoint: SocketAddr, relay: Option<SocketAddr>, bytes: usize) -> Option<Bytes> {
-    let cfg = ConnectionPoolCfg {
-        source: None,
-        connect_timeout: Millis(5000),
-        unacknowledged_timeout: Millis(5000),
-        idle_timeout: Millis(10_000),
-        keep_alive_margin: Millis(1000),
-    };
-    let pool = ConnectionPool::new(cfg, Clock::start());
-    let connection = match relay {
-        None => pool.connect(endpoint).await.expect("the endpoint listens"),
-        Some(relay) => {
-            let req = TunnelRequest {
-                tunnel: "g0-1".into(),
-                entry: "g0".into(),
-                endpoint: "e1".into(),
-                incarnation: Incarnation(7),
-                address: endpoint,
-                key: Secret::new(KEY),
-            };
-            pool.connect_through(relay, &req, Millis(5000)).await.expect("a tunnel").connection
-        }
-    };
+    let (pool, connection) = connect(endpoint, relay).await;
     let req = Request::post("/x").header("host", "h");
     let req = req.body(Full::new(Bytes::from(vec![b'x'; bytes]))).expect("a valid request");
     let answer = pool.send_on(connection, req).await.ok()?;
--- a/transport/net/tests/json_calls.rs
+++ b/transport/net/tests/json_calls.rs
@@ -1,4 +1,4 @@
-//! The client of JSON calls, and of calls between instances, at servers whose answers are spoilt.
+//! The client of JSON calls, and of calls between instances, at servers whose answers are malformed.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -23,38 +23,46 @@
     is_answer: bool,
 }
 
-const SPOILT: Case = Case { head: "", is_chunked: true, is_answer: false };
+const MALFORMED: Case = Case { head: "", is_chunked: true, is_answer: false };
 
 const CASES: [Case; 22] = [
-    Case { head: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunkex\r\n", ..SPOILT },
-    Case { head: "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n", ..SPOILT },
-    Case { head: "HTTP/1.1 404 x\r\ntransfer-encoding: identity\r\n", ..SPOILT },
-    Case { head: "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n", ..SPOILT },
-    Case { head: "HTTP/1.1 200 OK\r\ntransfer-encoding:\r\n", ..SPOILT },
-    Case { head: "HTTP/1.1 200 OK\r\ntransfer-encodinf: chunked\r\n", ..SPOILT },
+    Case { head: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunkex\r\n", ..MALFORMED },
+    Case { head: "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n", ..MALFORMED },
+    Case { head: "HTTP/1.1 404 x\r\ntransfer-encoding: identity\r\n", ..MALFORMED },
+    Case { head: "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n", ..MALFORMED },
+    Case { head: "HTTP/1.1 200 OK\r\ntransfer-encoding:\r\n", ..MALFORMED },
+    Case { head: "HTTP/1.1 200 OK\r\ntransfer-encodinf: chunked\r\n", ..MALFORMED },
     Case {
         head: "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: identity\r\n",
-        ..SPOILT
+        ..MALFORMED
     },
     Case {
         head: "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n",
-        ..SPOILT
+        ..MALFORMED
     },
     Case {
         head: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 2\r\n",
-        ..SPOILT
+        ..MALFORMED
+    },
+    Case { head: "HTTP/1.1 200 OK\r\ncontent-length: 2x0\r\n", ..MALFORMED },
+    Case { head: "HTTP/1.1 200 OK\r\ncontent-length: -2\r\n", ..MALFORMED },
+    Case { head: "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n", ..MALFORMED },
+    Case { head: "HTTP/1.1 200 OK\r\ncontent length: 2\r\n", ..MALFORMED },
+    Case { head: "HTTP/1.1 200 OK\r\nno field\r\ntransfer-encoding: chunked\r\n", ..MALFORMED },
+    Case { head: "HTTP/1.1 200 OK\r\nx\u{7}y: z\r\ntransfer-encoding: chunked\r\n", ..MALFORMED },
+    Case { head: "HTTP/1.1 000 x\r\ntransfer-encoding: chunked\r\n", ..MALFORMED },
+    Case { head: "HTTP/1.1 600 x\r\ntransfer-encoding: chunked\r\n", ..MALFORMED },
+    Case { head: "HTTP/1.1 101 x\r\ntransfer-encoding: chunked\r\n", ..MALFORMED },
+    Case {
+        head: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n",
+        is_answer: true,
+        ..MALFORMED
+    },
+    Case {
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n",
+        is_answer: true,
+        ..MALFORMED
     },
-    Case { head: "HTTP/1.1 200 OK\r\ncontent-length: 2x0\r\n", ..SPOILT },
-    Case { head: "HTTP/1.1 200 OK\r\ncontent-length: -2\r\n", ..SPOILT },
-    Case { head: "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n", ..SPOILT },
-    Case { head: "HTTP/1.1 200 OK\r\ncontent length: 2\r\n", ..SPOILT },
-    Case { head: "HTTP/1.1 200 OK\r\nno field\r\ntransfer-encoding: chunked\r\n", ..SPOILT },
-    Case { head: "HTTP/1.1 200 OK\r\nx\u{7}y: z\r\ntransfer-encoding: chunked\r\n", ..SPOILT },
-    Case { head: "HTTP/1.1 000 x\r\ntransfer-encoding: chunked\r\n", ..SPOILT },
-    Case { head: "HTTP/1.1 600 x\r\ntransfer-encoding: chunked\r\n", ..SPOILT },
-    Case { head: "HTTP/1.1 101 x\r\ntransfer-encoding: chunked\r\n", ..SPOILT },
-    Case { head: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n", is_answer: true, ..SPOILT },
-    Case { head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n", is_answer: true, ..SPOILT },
     Case { head: "HTTP/1.1 200 OK\r\n", is_chunked: false, is_answer: true },
     Case { head: "HTTP/1.0 200 OK\r\n", is_chunked: false, is_answer: true },
 ];
@@ -77,9 +85,9 @@
     address
 }
 
-/// An operator must not take a spoilt answer for the result of a change.
+/// An operator must not take a malformed answer for the result of a change.
 #[test]
-fn a_json_call_fails_if_its_answer_is_spoilt() {
+fn a_json_call_fails_if_its_answer_is_malformed() {
     let mut failures = Vec::new();
     for case in CASES {
         let url = format!("http://{}/tree", start(&case, r#"{"a":1}"#));
