--- a/daemons/gateway/tests/malformed_heads.rs
+++ b/daemons/gateway/tests/malformed_heads.rs
@@ -17,7 +17,7 @@
 
 const INTERVAL: Duration = Duration::from_millis(5);
 
-/// Calls until an endpoint in trouble has been asked.
+/// Calls until a failing endpoint has been asked.
 const MAX_CALLS: usize = 2000;
 
 const CHUNKS: &str = "8\r\nid: 1\n\n\n\r\n0\r\n\r\n";
@@ -69,8 +69,8 @@
     }
 }
 
-/// An answer with a malformed head doesn't show that its call has not run, so only calls that may run twice are
-/// sent to another endpoint.
+/// An answer with a malformed head doesn't show that its call has not run, so only calls that may run
+/// twice are sent to another endpoint.
 #[test]
 fn a_call_is_repeated_after_a_malformed_head_only_if_it_may_be() {
     for case in &CASES {
@@ -86,7 +86,7 @@
                 assert_eq!(reaches_sound, is_repeated || !is_malformed, "{path} {}", case.fields);
                 assert!(reaches_sound || got.status == 502, "{path} {}", got.head);
                 calls += 1;
-                assert!(calls < MAX_CALLS, "{path}: the endpoint in trouble is never asked");
+                assert!(calls < MAX_CALLS, "{path}: the failing endpoint is never asked");
             }
         }
     }
@@ -156,8 +156,8 @@
     }
 }
 
-/// A corrupted status that has no body beside a field that tells of one: the caller would get an empty answer,
-/// or wait for the body.
+/// A corrupted status that has no body beside a field that tells of one: the caller would get an empty
+/// answer.
 #[test]
 fn an_answer_without_content_that_has_a_body_is_a_failure() {
     for fields in ["content-length: 5\r\n", "transfer-encoding: chunked\r\n"] {
--- a/transport/net/tests/json_calls.rs
+++ b/transport/net/tests/json_calls.rs
@@ -1,7 +1,7 @@
 //! The client of JSON calls, and of calls between instances, at servers whose answers are malformed.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::thread;
 
 use ntex::http::Method;
@@ -15,17 +15,25 @@
 
 const TIMEOUT: Millis = Millis(5000);
 
+/// How a server ends its body.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    Chunks,
+    Length,
+    Close,
+}
+
 /// What a server sends, and whether it is an answer.
 #[derive(Debug)]
 struct Case {
     head: &'static str,
-    is_chunked: bool,
+    end: End,
     is_answer: bool,
 }
 
-const MALFORMED: Case = Case { head: "", is_chunked: true, is_answer: false };
+const MALFORMED: Case = Case { head: "", end: End::Chunks, is_answer: false };
 
-const CASES: [Case; 22] = [
+const CASES: [Case; 26] = [
     Case { head: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunkex\r\n", ..MALFORMED },
     Case { head: "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n", ..MALFORMED },
     Case { head: "HTTP/1.1 404 x\r\ntransfer-encoding: identity\r\n", ..MALFORMED },
@@ -53,6 +61,10 @@
     Case { head: "HTTP/1.1 000 x\r\ntransfer-encoding: chunked\r\n", ..MALFORMED },
     Case { head: "HTTP/1.1 600 x\r\ntransfer-encoding: chunked\r\n", ..MALFORMED },
     Case { head: "HTTP/1.1 101 x\r\ntransfer-encoding: chunked\r\n", ..MALFORMED },
+    Case { head: "HTTP/1.1 204 x\r\ntransfer-encoding: chunked\r\n", ..MALFORMED },
+    Case { head: "HTTP/1.1 204 x\r\n", end: End::Length, ..MALFORMED },
+    Case { head: "HTTP/1.1 200 OK\r\nconnection: close\r\n", end: End::Close, ..MALFORMED },
+    Case { head: "HTTP/1.0 200 OK\r\n", end: End::Close, is_answer: true },
     Case {
         head: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n",
         is_answer: true,
@@ -63,23 +75,27 @@
         is_answer: true,
         ..MALFORMED
     },
-    Case { head: "HTTP/1.1 200 OK\r\n", is_chunked: false, is_answer: true },
-    Case { head: "HTTP/1.0 200 OK\r\n", is_chunked: false, is_answer: true },
+    Case { head: "HTTP/1.1 200 OK\r\n", end: End::Length, is_answer: true },
+    Case { head: "HTTP/1.0 200 OK\r\n", end: End::Length, is_answer: true },
 ];
 
 /// Starts a server that answers each request with the head of a case and a body.
 fn start(case: &Case, body: &str) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port can be bound");
     let address = listener.local_addr().expect("a bound listener has an address");
-    let Case { head, is_chunked, .. } = case;
-    let answer = match is_chunked {
-        true => format!("{head}\r\n{:x}\r\n{body}\r\n0\r\n\r\n", body.len()),
-        false => format!("{head}content-length: {}\r\n\r\n{body}", body.len()),
+    let Case { head, end, .. } = case;
+    let answer = match end {
+        End::Chunks => format!("{head}\r\n{:x}\r\n{body}\r\n0\r\n\r\n", body.len()),
+        End::Length => format!("{head}content-length: {}\r\n\r\n{body}", body.len()),
+        End::Close => format!("{head}\r\n{body}"),
     };
     thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
             let _ = stream.read(&mut [0; 4096]);
             let _ = stream.write_all(answer.as_bytes());
+            let _ = stream.shutdown(Shutdown::Write);
+            // A close with a part of the request unread would reset the connection.
+            let _ = stream.read_to_end(&mut Vec::new());
         }
     });
     address
