--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -388,8 +388,9 @@
     def __init__(self, options):
         self.o = options
         self.state, self.seq, self.born = "ready", 0, int(time.time() * 1000)
-        self.running, self.log = 0, open(options["log"], "a")
+        self.running, self.answered, self.log = 0, 0, open(options["log"], "a")
         self.target = None
+        self.pause_next = False
 
     def note(self, *words):
         self.log.write(json.dumps([time.monotonic(), *words]) + "\n")
@@ -447,6 +448,13 @@
             pass
         finally:
             writer.close()
+        if self.pause_next and not self.running and self.answered:
+            # A sound server may fall silent for a second or so: the process stands still.
+            self.pause_next, self.answered = False, 0
+            await asyncio.sleep(0.005)
+            self.say("silent")
+            time.sleep(self.o["silence_s"])
+            self.say("goes on")
 
     async def answer(self, writer, method, path, headers, body):
         attempt = headers.get("x-buckthornsill-attempt-id", "")
@@ -472,6 +480,7 @@
             return await self.reply(writer, attempt, path, headers, echo, leaving)
         finally:
             self.running -= 1
+            self.answered += 1
             self.note("end", attempt)
 
     async def reply(self, writer, attempt, path, headers, echo, leaving):
@@ -525,6 +534,10 @@
                 while not await self.heartbeat():
                     await asyncio.sleep(0.1)
                 self.say("draining acknowledged")
+            elif word == "pause":
+                # After the answers to the requests that come next.
+                self.pause_next, self.answered = True, 0
+                self.say("will pause")
             elif word == "leave":
                 # In order: the requests that run are completed, then the end is announced.
                 while self.running:
