--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -390,7 +390,6 @@
         self.state, self.seq, self.born = "ready", 0, int(time.time() * 1000)
         self.running, self.answered, self.log = 0, 0, open(options["log"], "a")
         self.target = None
-        self.pause_next = False
 
     def note(self, *words):
         self.log.write(json.dumps([time.monotonic(), *words]) + "\n")
@@ -448,13 +447,15 @@
             pass
         finally:
             writer.close()
-        if self.pause_next and not self.running and self.answered:
-            # A sound server may fall silent for a second or so: the process stands still.
-            self.pause_next, self.answered = False, 0
-            await asyncio.sleep(0.005)
-            self.say("silent")
-            time.sleep(self.o["silence_s"])
-            self.say("goes on")
+
+    async def pause(self):
+        """A sound server may fall silent for a second or so: the process stands still."""
+        while self.running or not self.answered:
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(self.o.get("silence_after_s", 0.005))
+        self.say("silent")
+        time.sleep(self.o["silence_s"])
+        self.say("goes on")
 
     async def answer(self, writer, method, path, headers, body):
         attempt = headers.get("x-buckthornsill-attempt-id", "")
@@ -536,18 +537,18 @@
                 self.say("draining acknowledged")
             elif word == "pause":
                 # After the answers to the requests that come next.
-                self.pause_next, self.answered = True, 0
+                self.answered = 0
+                self.pausing = asyncio.create_task(self.pause())
                 self.say("will pause")
             elif word == "leave":
                 # In order: the requests that run are completed, then the end is announced.
                 while self.running:
-                    await asyncio.sleep(0.02)
+                    await asyncio.sleep(0.002)
                 beating.cancel()
                 body = {"born": self.born}
                 await self.tell_control(f"/-/instances/{self.o['name']}/deregister", body)
                 self.say("left")
-                server.close()
-                return
+                os._exit(0)
             elif not word:
                 return
 
