--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -427,6 +427,8 @@
         return False
 
     async def beats(self):
+        # A heartbeat may arrive seconds late.
+        await asyncio.sleep(self.o.get("first_heartbeat_s", 0))
         while True:
             await self.heartbeat()
             await asyncio.sleep(HEARTBEAT_MS / 1000)
@@ -490,7 +492,7 @@
         parts, framing = self.o["parts"], self.o["framing"]
         first = int(headers.get("last-event-id", 0)) if is_stream else 0
         content = [
-            (f"id: {i + 1}\ndata: {attempt} piece {i + 1} of {parts}\n\n" if is_stream
+            (f"id: {i + 1}\ndata: {attempt} piece {i + 1} of {parts} {self.o.get('version', 'v1')}\n\n" if is_stream
              else f"{attempt} part {i + 1} of {parts};" + "." * 300).encode()
             for i in range(first, parts)]
         kind = "text/event-stream" if is_stream else "text/plain"
