Control: the versions that can begin streams are in the replicated log

Cause: an instance that has no record of a stream concludes its version only if a control instance's records of endpoints go back 60 s, and if it knows that the route has kept its services. Control instances kept both in memory (`Link::history`, `SettingsPieces::routes`), so a kill of all of them ended both.

Now the replicated log has the versions of each service, and whether routes have kept their services, with leave of a quorum's disks. A version begins no stream that may be taken up before it is there: a control instance that hears of a new one tells entry instances that it is held, and has it recorded; only streams that may be resumed wait, for the time of one commit. So what the log has holds for all streams after a kill, and `confirm_versions` returns it once a leader has confirmed that it leads. It is used where instances don't know 60 s themselves, so nothing changes while processes run on. The record counts once a leader that knows all endpoints of 60 s says so; versions are forgotten when they have had no endpoint for 60 s more and all voters were heard. No clock is compared with another one. Without a leader a version is held for 3 s at most, as a failure domain that is cut off has to use its endpoints.

--- a/coordination/dispatch/src/registry.rs
+++ b/coordination/dispatch/src/registry.rs
@@ -8,6 +8,7 @@
 use sill_base::{Findings, Map, Millis, Name};
 use sill_wire::Incarnation;
 use sill_wire::link::{Cursor, EndpointFact, EndpointState};
+use sill_wire::streams::ServedVersion;
 
 /// Longest name of an endpoint, service, failure domain or version, in bytes. Facts are kept for a minute
 /// and sent to all instances.
@@ -219,6 +220,14 @@
         !silent.is_empty()
     }
 
+    /// Marks the endpoints of some versions as changed, so that they are sent once more.
+    pub fn mark_versions_changed(&mut self, versions: &[ServedVersion]) {
+        let is_concerned = |known: &&EndpointEntry| versions.contains(&known.fact.served_version());
+        let concerned = self.endpoints.values().filter(is_concerned);
+        let names: Vec<Name> = concerned.map(|known| known.fact.endpoint.clone()).collect();
+        names.iter().for_each(|name| self.mark_changed(name));
+    }
+
     /// Returns the position of the newest change.
     pub fn cursor(&self) -> Cursor {
         Cursor { incarnation: self.incarnation, change: self.change, ..Cursor::default() }
--- a/coordination/dispatch/src/take_up.rs
+++ b/coordination/dispatch/src/take_up.rs
@@ -4,6 +4,7 @@
 //! others. So a stream that nobody knows continues by a conclusion only if others confirm it now.
 
 use sill_base::Name;
+use sill_wire::Software;
 use sill_wire::control::Revision;
 use sill_wire::streams::{
     ConfirmVersionsReply, EntryPeer, FindStreamReply, StreamOrigin, VersionView,
@@ -21,6 +22,8 @@
     holders: Vec<Name>,
     has_holder_replied: bool,
     is_confirmed: bool,
+    /// The versions in the replicated log, if it goes back far enough.
+    recorded: Option<Vec<Software>>,
 }
 
 impl Inquiry {
@@ -35,7 +38,7 @@
         }
         let holders: Vec<Name> = holders.into_iter().map(|peer| peer.entry.clone()).collect();
         let has_holder_replied = holders.is_empty();
-        Self { known: None, view, holders, has_holder_replied, is_confirmed: false }
+        Self { known: None, view, holders, has_holder_replied, is_confirmed: false, recorded: None }
     }
 
     /// Records the reply of an entry instance.
@@ -56,9 +59,12 @@
     /// Records the reply of a control instance, which was asked after the call had arrived; `revision`
     /// of the settings is in force here.
     pub fn record_confirmation(&mut self, revision: u64, reply: ConfirmVersionsReply) {
-        let ConfirmVersionsReply { has_leader, versions, revision: newest } = reply;
+        let ConfirmVersionsReply { has_leader, versions, revision: newest, recorded } = reply;
         self.add_view(VersionView { versions, is_complete: false });
-        self.is_confirmed |= has_leader && newest == Some(Revision(revision));
+        if has_leader && newest == Some(Revision(revision)) {
+            self.is_confirmed = true;
+            self.recorded = self.recorded.take().or(recorded);
+        }
     }
 
     fn add_view(&mut self, view: VersionView) {
@@ -75,6 +81,11 @@
         &self.view
     }
 
+    /// Returns the versions that the replicated log has, if it goes back far enough.
+    pub fn recorded(&self) -> Option<&[Software]> {
+        self.recorded.as_deref()
+    }
+
     /// Returns whether an instance has replied that would know the stream, or none runs.
     pub fn has_holder_replied(&self) -> bool {
         self.has_holder_replied
@@ -92,8 +103,12 @@
 
     /// Decides where the stream continues, by the services that may have begun it.
     pub fn decide(&self, origins: &OriginServices) -> TakeUp {
-        let is_complete = self.view.is_complete && self.may_conclude();
-        let view = VersionView { is_complete, ..self.view.clone() };
+        let mut view = self.view.clone();
+        // Instances that run for long enough have forgotten versions that the log may still have.
+        if let Some(recorded) = self.recorded.clone().filter(|_| !view.is_complete) {
+            view = combine_views([view, VersionView { versions: recorded, is_complete: true }]);
+        }
+        view.is_complete &= self.may_conclude();
         decide(self.known.clone(), origins, [view])
     }
 }
--- a/coordination/dispatch/tests/take_up.rs
+++ b/coordination/dispatch/tests/take_up.rs
@@ -34,6 +34,10 @@
     /// The asked instances in order, with their failure domains.
     peers: &'static [(Peer, &'static str)],
     confirmation: Option<Confirmation>,
+    /// Whether instances have heard of all versions over the life of a stream.
+    has_history: bool,
+    /// The versions in the replicated log.
+    recorded: Option<&'static [&'static str]>,
     /// The version at which the stream continues.
     expected: Option<&'static str>,
 }
@@ -44,9 +48,9 @@
 /// The confirmation of a control instance that is in step.
 const CONFIRMED: Option<Confirmation> = Some((true, Some(REVISION), V1));
 
-fn view(versions: &[&str]) -> VersionView {
+fn view(versions: &[&str], is_complete: bool) -> VersionView {
     let versions = versions.iter().map(|version| (*version).into()).collect();
-    VersionView { versions, is_complete: true }
+    VersionView { versions, is_complete }
 }
 
 fn origin(software: &str) -> StreamOrigin {
@@ -71,6 +75,7 @@
     let asked: Vec<EntryPeer> = asked.collect();
     assert!(asked.len() <= ASKED, "{}", case.name);
     let own = case.peers.iter().position(|(peer, _)| matches!(peer, Own)).unwrap_or(99);
+    let view = |versions| view(versions, case.has_history);
     let mut inquiry = Inquiry::new(&name(own), &"a".into(), &asked, view(V1));
     for (i, (peer, _)) in case.peers.iter().enumerate() {
         let reply = |origin, versions| FindStreamReply { origin, view: view(versions) };
@@ -86,7 +91,8 @@
     if let Some((has_leader, revision, versions)) = case.confirmation {
         let versions = versions.iter().map(|version| (*version).into()).collect();
         let revision = revision.map(Revision);
-        let reply = ConfirmVersionsReply { has_leader, versions, revision };
+        let recorded = case.recorded.map(|of| of.iter().map(|v| (*v).into()).collect());
+        let reply = ConfirmVersionsReply { has_leader, versions, revision, recorded };
         inquiry.record_confirmation(REVISION, reply);
     }
     inquiry.decide(&OriginServices { services: vec!["desk".into()], is_complete: true })
@@ -95,7 +101,14 @@
 /// Silence, or the word of those who are out of step as well, passes for agreement.
 #[test]
 fn a_conclusion_needs_a_holder_in_contact_and_a_control_instance() {
-    let case = |name, peers, confirmation, expected| Case { name, peers, confirmation, expected };
+    let case = |name, peers, confirmation, expected| Case {
+        name,
+        peers,
+        confirmation,
+        has_history: true,
+        recorded: None,
+        expected,
+    };
     let cases = [
         case(
             "all reply",
@@ -181,14 +194,46 @@
             Some("v2"),
         ),
     ];
-    for case in &cases {
-        let software = match decide(case) {
-            TakeUp::Known(known) => Some(known.origin.software),
-            TakeUp::Single(software) => Some(software),
-            TakeUp::Unknown => None,
-        };
-        assert_eq!(software, case.expected.map(Into::into), "{}", case.name);
-    }
+    cases.iter().for_each(check);
+}
+
+fn check(case: &Case) {
+    let software = match decide(case) {
+        TakeUp::Known(known) => Some(known.origin.software),
+        TakeUp::Single(software) => Some(software),
+        TakeUp::Unknown => None,
+    };
+    assert_eq!(software, case.expected.map(Into::into), "{}", case.name);
+}
+
+/// After a kill of all processes, streams can't go on for a minute although there is a single version; or
+/// go on at another one than theirs, as the record is taken for more than it is.
+#[test]
+fn the_replicated_log_tells_the_versions_after_a_kill_of_all_processes() {
+    const PEERS: &[(Peer, &str)] = &[(Replies(V1), "b"), (Own, "a")];
+    let case = |name, confirmation, has_history, recorded, expected| Case {
+        name,
+        peers: PEERS,
+        confirmation,
+        has_history,
+        recorded,
+        expected,
+    };
+    let unled = Some((false, Some(REVISION), V1));
+    let newer = Some((true, Some(REVISION + 1), V1));
+    let cases = [
+        case("not recorded", CONFIRMED, false, None, None),
+        case("one version", CONFIRMED, false, Some(V1), Some("v1")),
+        case("another that is gone", CONFIRMED, false, Some(BOTH), None),
+        case("another that runs", Some((true, Some(REVISION), BOTH)), false, Some(V1), None),
+        case("none of those that run", CONFIRMED, false, Some(&["v2"]), None),
+        case("no leader", unled, false, Some(V1), None),
+        case("newer settings", newer, false, Some(V1), None),
+        case("no control instance", None, false, Some(V1), None),
+        // The log forgets later than those who saw the last endpoint end.
+        case("forgotten elsewhere", CONFIRMED, true, Some(BOTH), Some("v1")),
+    ];
+    cases.iter().for_each(check);
 }
 
 /// After a standstill an instance takes an old reply for new, or one that was read late for newer than
--- a/coordination/dispatch/tests/take_ups_in_cuts.rs
+++ b/coordination/dispatch/tests/take_ups_in_cuts.rs
@@ -462,6 +462,7 @@
             has_leader,
             versions: versions.iter().map(|version| (*version).into()).collect(),
             revision: Some(Revision(revision)),
+            recorded: None,
         }
     }
 
--- a/daemons/control/src/app/command.rs
+++ b/daemons/control/src/app/command.rs
@@ -9,6 +9,7 @@
 use sill_wire::claim::{ClaimAsk, ClaimVerdict};
 use sill_wire::control::{ChangeRefusal, ChangeReply, Revision};
 
+use crate::app::origins::OriginUpdate;
 use crate::app::rollouts::{OrderOutcome, RolloutAsk, RolloutDecision};
 
 /// An ask of an operator or an entry instance, before the leader checks it.
@@ -30,6 +31,8 @@
     Rollout(RolloutAsk),
     /// Records a decision of the leader on the versions of a service.
     RolloutDecision(RolloutDecision),
+    /// Records what can begin streams.
+    Origins(OriginUpdate),
 }
 
 /// Who sent an ask, why, and its idempotency key.
@@ -149,6 +152,8 @@
         /// The decision.
         decision: RolloutDecision,
     },
+    /// Changes the record of what can have begun streams.
+    Origins(OriginUpdate),
 }
 
 /// A change that the leader checked, and the state it was checked against.
@@ -160,6 +165,9 @@
     pub content: Name,
     /// The revision of the tree at the check; at any other one the change must be checked again.
     pub against: Revision,
+    /// Whether all routes draw from the same services as before the change.
+    #[serde(default)]
+    pub keeps_routes: bool,
 }
 
 /// The outcome of a command.
@@ -189,6 +197,8 @@
         /// Whether it had an effect.
         is_applied: bool,
     },
+    /// What can begin streams is recorded.
+    OriginsRecorded,
     /// The tree has changed since the change was checked; it must be checked again.
     Recheck,
 }
--- a/daemons/control/src/app/decision.rs
+++ b/daemons/control/src/app/decision.rs
@@ -1,11 +1,13 @@
 //! The leader's checks of an ask before a command is written to the log.
 
 use sill_base::{Findings, Millis};
+use sill_tree::Document;
 use sill_wire::control::ChangeRefusal;
 
 use crate::app::command::{Ask, ChangeAsk, CheckedChange, Command, Outcome, refusal};
 use crate::app::rollouts::{OrderOutcome, RolloutAsk};
 use crate::app::state::App;
+use crate::settings_pieces::{SERVING_SUBTREE, drawn_services};
 
 /// The leader's decision about an ask.
 #[derive(Debug, Clone, PartialEq)]
@@ -33,6 +35,10 @@
             Ask::RolloutDecision(_) => {
                 Decision::Answer(Outcome::RolloutDecision { is_applied: false })
             }
+            Ask::Origins(update) if self.origins().is_applicable(update) => {
+                Decision::Write(Command::Origins(update.clone()))
+            }
+            Ask::Origins(_) => Decision::Answer(Outcome::OriginsRecorded),
             Ask::Drain(ask) => match self.previous_outcome(&ask.origin, &ask.content()) {
                 Some(outcome) => Decision::Answer(outcome),
                 None => Decision::Write(Command::Drain { at, ask: ask.clone() }),
@@ -59,10 +65,11 @@
     fn decide_change(&self, at: Millis, ask: &ChangeAsk) -> Decision {
         let (content, against) = (ask.content(), self.revision());
         match self.check_change(ask) {
-            Ok(ask) => match self.superseded_reply(&ask) {
+            Ok((ask, document)) => match self.superseded_reply(&ask) {
                 Some(reply) => Decision::Answer(Outcome::Changed(reply)),
                 None => {
-                    let checked = CheckedChange { ask, content, against };
+                    let keeps_routes = self.keeps_routes(&ask.path, document.as_ref());
+                    let checked = CheckedChange { ask, content, against, keeps_routes };
                     Decision::Write(Command::Change { at, checked })
                 }
             },
@@ -70,20 +77,34 @@
             // written, it could fill the log.
             Err(refusal) if ask.edition.is_some() => Decision::Answer(Outcome::Refused(refusal)),
             Err(refusal) => {
-                let checked = CheckedChange { ask: ask.clone(), content, against };
+                let ask = ask.clone();
+                let checked = CheckedChange { ask, content, against, keeps_routes: true };
                 Decision::Write(Command::Refuse { at, checked, refusal })
             }
         }
     }
 
-    fn check_change(&self, ask: &ChangeAsk) -> Result<ChangeAsk, ChangeRefusal> {
+    /// Returns whether all routes draw from the same services after a document replaces that of a subtree.
+    fn keeps_routes(&self, path: &str, document: Option<&Document>) -> bool {
+        if path != SERVING_SUBTREE {
+            return true;
+        }
+        let before = self.tree().subtrees.get(SERVING_SUBTREE).map(|s| &*s.document);
+        before.zip(document).is_some_and(|(a, b)| drawn_services(a) == drawn_services(b))
+    }
+
+    /// Returns the change as it is to be made, with its document if it doesn't remove the subtree.
+    fn check_change(
+        &self,
+        ask: &ChangeAsk,
+    ) -> Result<(ChangeAsk, Option<Document>), ChangeRefusal> {
         let (tree, operator) = (self.tree(), ask.origin.holder.operator());
         if !tree.is_owned_by(&operator, &ask.path) {
             return Err(refusal("forbidden", "the token does not own this subtree"));
         }
         let mut ask = ask.clone();
         let Some(text) = &ask.document else {
-            return self.check_removal(ask);
+            return Ok((self.check_removal(ask)?, None));
         };
         let mut document = text.value();
         // Teams may leave out the hash of their own token from their files.
@@ -97,7 +118,7 @@
         }
         let typed = tree.check_value(&ask.path, &document).map_err(invalid)?;
         tree.check_owner(&operator, &ask.path, &typed).map_err(invalid)?;
-        Ok(ask)
+        Ok((ask, Some(typed)))
     }
 
     fn check_removal(&self, ask: ChangeAsk) -> Result<ChangeAsk, ChangeRefusal> {
--- a/daemons/control/src/app/mod.rs
+++ b/daemons/control/src/app/mod.rs
@@ -9,6 +9,7 @@
 pub mod command;
 pub mod decision;
 pub mod history;
+pub mod origins;
 pub mod rollouts;
 pub mod state;
 
--- a/daemons/control/src/app/state.rs
+++ b/daemons/control/src/app/state.rs
@@ -21,6 +21,7 @@
     refusal,
 };
 use crate::app::history::History;
+use crate::app::origins::OriginRecord;
 use crate::app::rollouts::{OrderOutcome, RolloutAsk, RolloutDecision, Rollouts};
 use crate::settings_pieces::SERVING_SUBTREE;
 
@@ -56,6 +57,9 @@
     /// The software versions of services.
     #[serde(default)]
     rollouts: Rollouts,
+    /// What can have begun streams.
+    #[serde(default)]
+    origins: OriginRecord,
 }
 
 /// The exclusion of an instance from new work.
@@ -109,6 +113,7 @@
             editions: BTreeMap::new(),
             usage: BTreeMap::new(),
             rollouts: Rollouts::default(),
+            origins: OriginRecord::new(),
         }
     }
 }
@@ -159,6 +164,11 @@
         &self.rollouts
     }
 
+    /// Returns what can have begun streams.
+    pub fn origins(&self) -> &OriginRecord {
+        &self.origins
+    }
+
     /// Returns whether the configuration in force for routes names a service.
     pub fn is_served(&self, service: &str) -> bool {
         let serving = self.tree.subtrees.get(SERVING_SUBTREE);
@@ -288,6 +298,10 @@
                 self.claim(at, &asks)
             }
             Command::Usage(statement) => self.record_usage(statement),
+            Command::Origins(update) => {
+                self.origins.apply(index, &update);
+                Outcome::OriginsRecorded
+            }
             Command::Rollout { at, ask } => {
                 let position = self.log_position(index, term, at);
                 self.order_rollout(position, at, ask)
@@ -326,7 +340,7 @@
         checked: CheckedChange,
         refused: Option<ChangeRefusal>,
     ) -> Outcome {
-        let CheckedChange { ask, content, against } = checked;
+        let CheckedChange { ask, content, against, keeps_routes } = checked;
         if let Some(outcome) = self.previous_outcome(&ask.origin, &content) {
             return outcome;
         }
@@ -339,7 +353,15 @@
             None => match (self.superseded_reply(&ask), refused) {
                 (Some(reply), _) => Outcome::Changed(reply),
                 (None, Some(refusal)) => Outcome::Refused(refusal),
-                (None, None) => Outcome::Changed(self.put(&ask, author.clone())),
+                (None, None) => {
+                    let is_first = !self.tree.subtrees.contains_key(SERVING_SUBTREE);
+                    let reply = self.put(&ask, author.clone());
+                    if ask.path.as_str() == SERVING_SUBTREE {
+                        let (index, revision) = (position.index, reply.revision.0);
+                        self.origins.record_routes(index, revision, is_first, keeps_routes);
+                    }
+                    Outcome::Changed(reply)
+                }
             },
         };
         self.audit_change(position, &ask, &outcome, author);
--- a/daemons/control/src/daemon.rs
+++ b/daemons/control/src/daemon.rs
@@ -30,7 +30,7 @@
 };
 use crate::settings_pieces::{self, SettingsPieces};
 use crate::shared::Shared;
-use crate::{api, feed, rollouts, submit};
+use crate::{api, feed, origins, rollouts, submit};
 
 /// Limit for the body of a request. The library's default of 256 kB is exceeded by the accounts of
 /// a large team.
@@ -124,6 +124,8 @@
         runtime.spawn(entry_status::calls::push_to_peers(shared.clone()));
         runtime.spawn(link::calls::run(shared.clone()));
         runtime.spawn(settings_pieces::run(shared.clone()));
+        runtime.spawn(origins::follow_record(shared.clone()));
+        runtime.spawn(origins::run(shared.clone()));
         if let Some(bounds) = shared.cfg.rollouts {
             runtime.spawn(rollouts::driver::run(shared.clone(), bounds));
         }
--- a/daemons/control/src/lib.rs
+++ b/daemons/control/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod link;
 pub mod log;
 pub mod metrics;
+pub mod origins;
 pub mod rollouts;
 pub mod rpc;
 pub mod settings_pieces;
--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 
 use parking_lot::Mutex;
-use sill_base::{Findings, Millis, Name, event};
+use sill_base::{Findings, Map, Millis, Name, Set, event};
 use sill_dispatch::relays::{fingerprint, limit_offers, select_offers};
 use sill_dispatch::{
-    CrashLog, EndpointLoads, EntryCounts, Registry, ReportStore, TotalsAggregator, TrueTime,
+    CrashLog, EndpointLoads, EntryCounts, HeldVersions, Registry, ReportStore, TotalsAggregator,
+    TrueTime,
 };
 use sill_rollout::{EntryView, OrderState};
 use sill_wire::link::{
@@ -16,7 +17,7 @@
     Totals,
 };
 use sill_wire::rollout::RolloutReport;
-use sill_wire::streams::EntryPeer;
+use sill_wire::streams::{EntryPeer, ServedVersion};
 use sill_wire::{CrashUpdate, Incarnation};
 use tokio::sync::watch;
 
@@ -48,6 +49,11 @@
     incarnation: Incarnation,
     name: Name,
     registry: Mutex<Registry>,
+    held_versions: Mutex<HeldVersions>,
+    /// Notified when an endpoint of a version that the replicated log doesn't have was heard here.
+    unrecorded: tokio::sync::Notify,
+    /// When each other control instance was heard last.
+    heard: Mutex<Map<Name, Millis>>,
     report_store: Mutex<ReportStore>,
     time: Mutex<TrueTime>,
     loads: Mutex<EndpointLoads>,
@@ -80,6 +86,9 @@
             incarnation,
             name: cfg.name.clone(),
             registry: Mutex::new(Registry::new(incarnation, cfg.endpoint_heartbeat)),
+            held_versions: Mutex::default(),
+            unrecorded: tokio::sync::Notify::new(),
+            heard: Mutex::default(),
             report_store: Mutex::default(),
             time: Mutex::default(),
             loads: Mutex::default(),
@@ -113,6 +122,9 @@
         let (born, leaves_in) = (fact.incarnation, fact.leaves_in);
         let (service, domain, address) = (fact.service.clone(), fact.domain.clone(), fact.address);
         let software = fact.software.clone();
+        if self.observe_version(now, &fact) {
+            self.unrecorded.notify_one();
+        }
         let is_newer = self.registry.lock().record_heartbeat(now, fact);
         self.record_returns(now);
         if is_newer {
@@ -134,6 +146,54 @@
         Ok(())
     }
 
+    /// Records that an endpoint was heard of, before entry instances are told of it. Returns whether its
+    /// version is held from now on.
+    fn observe_version(&self, now: Millis, fact: &EndpointFact) -> bool {
+        if fact.service.is_empty() {
+            return false;
+        }
+        let version = fact.served_version();
+        let is_held = self.held_versions.lock().observe(now, &version);
+        if is_held {
+            let ServedVersion { service, software } = version;
+            event!(Info, "version_held", service = service, software = software);
+        }
+        is_held
+    }
+
+    /// Replaces the versions that the replicated log has.
+    pub fn set_recorded_versions(&self, recorded: Set<ServedVersion>) {
+        let released = self.held_versions.lock().set_recorded(recorded);
+        self.release_versions(&released, "recorded");
+    }
+
+    /// Lets endpoints begin streams whose versions were held for too long.
+    fn release_overdue_versions(&self, now: Millis) {
+        let released = self.held_versions.lock().expire(now);
+        self.release_versions(&released, "overdue");
+    }
+
+    fn release_versions(&self, released: &[ServedVersion], why: &str) {
+        if released.is_empty() {
+            return;
+        }
+        for ServedVersion { service, software } in released {
+            event!(Info, "version_released", service = service, software = software, why = why);
+        }
+        self.registry.lock().mark_versions_changed(released);
+        self.publish();
+    }
+
+    /// Waits until an endpoint of a version is heard here that the replicated log doesn't have.
+    pub async fn unrecorded_version(&self) {
+        self.unrecorded.notified().await;
+    }
+
+    /// Returns the time since another control instance was heard.
+    pub fn silence_of(&self, now: Millis, control: &Name) -> Option<Millis> {
+        self.heard.lock().get(control).map(|at| now - *at)
+    }
+
     /// Withdraws crashes of endpoints that were only silent.
     fn record_returns(&self, now: Millis) {
         let returned = self.registry.lock().take_returned();
@@ -167,6 +227,7 @@
     /// Merges the endpoint facts, reports and totals that another control instance sent.
     pub fn merge_sync(&self, now: Millis, sync: ControlSync) -> ControlSyncReply {
         self.time.lock().record(now, &sync.from.name, sync.wall);
+        self.heard.lock().insert(sync.from.name.clone(), now);
         let mut is_changed = false;
         for fact in sync.endpoints {
             is_changed |= self.merge_fact(now, fact, &sync.from.name);
@@ -199,6 +260,7 @@
     fn merge_fact(&self, now: Millis, fact: EndpointFact, from: &Name) -> bool {
         let (endpoint, state, sequence) = (fact.endpoint.clone(), fact.state, fact.sequence);
         let age = fact.age;
+        self.observe_version(now, &fact);
         let is_newer = self.registry.lock().merge(now, fact);
         self.record_returns(now);
         if is_newer {
--- a/daemons/control/src/link/calls.rs
+++ b/daemons/control/src/link/calls.rs
@@ -37,6 +37,9 @@
 /// Time for a leader to confirm that it leads. The entry instance that asks waits little longer.
 const CONFIRM_TIMEOUT: Millis = Millis(100);
 
+/// Heartbeats after the start within which each endpoint that runs is heard of.
+const LISTENED_HEARTBEATS: u64 = 2;
+
 /// Upper bound for the time a poll may wait.
 const MAX_POLL_WAIT: Millis = Millis(2000);
 
@@ -100,6 +103,8 @@
         versions: versions_step,
         ..cursor
     };
+    // After the endpoints: a version is held before its first endpoint is known.
+    let held = link.held_versions.lock().held();
     let status = shared.log.status();
     Ok(LinkReply {
         settings: settings.map(|manifest| Manifest::clone(&manifest)),
@@ -116,6 +121,7 @@
         has_leader: status.leader.is_some(),
         history: link.history(now),
         routes: shared.settings_pieces.unchanged_routes(now),
+        held,
     })
 }
 
@@ -131,7 +137,8 @@
 ) -> Result<ConfirmVersionsReply, PeerError> {
     let caught_up = submit::catch_up_within(&shared, CONFIRM_TIMEOUT);
     let has_leader = tokio::time::timeout(CONFIRM_TIMEOUT.into(), caught_up).await.unwrap_or(false);
-    let facts = shared.link.endpoints(shared.clock.now()).into_iter();
+    let now = shared.clock.now();
+    let facts = shared.link.endpoints(now).into_iter();
     let mut versions: Vec<Software> =
         facts.filter(|fact| call.services.contains(&fact.service)).map(|f| f.software).collect();
     versions.sort_unstable();
@@ -139,7 +146,10 @@
     let app = shared.log.app().read();
     let settings = app.tree().subtrees.get(SERVING_SUBTREE);
     let revision = settings.map(|subtree| Revision(subtree.revision));
-    Ok(ConfirmVersionsReply { has_leader, versions, revision })
+    // Endpoints that run may be of a version that was used without a record.
+    let has_heard_all = now >= shared.cfg.endpoint_heartbeat * LISTENED_HEARTBEATS;
+    let recorded = app.origins().versions_of(&call.services).filter(|_| has_heard_all);
+    Ok(ConfirmVersionsReply { has_leader, versions, revision, recorded })
 }
 
 /// Returns the software versions of services, and the index of the newest decision on them.
@@ -161,6 +171,7 @@
             event!(Info, "endpoints_fell_silent");
             link.publish_urgently();
         }
+        link.release_overdue_versions(now);
         link.time.lock().expire(now);
         link.report_store.lock().expire(now);
         link.crash_log.lock().expire(now);
--- a/daemons/control/src/settings_pieces.rs
+++ b/daemons/control/src/settings_pieces.rs
@@ -108,14 +108,16 @@
         let newest = {
             let app = self.log.app().read();
             let subtree = app.tree().subtrees.get(SERVING_SUBTREE);
-            subtree.map(|subtree| (Revision(subtree.revision), subtree.document.clone()))
+            let is_settled = app.origins().are_routes_settled();
+            subtree
+                .map(|subtree| (Revision(subtree.revision), subtree.document.clone(), is_settled))
         };
-        let Some((revision, document)) =
-            newest.filter(|(newest, _)| cut_revision.is_none_or(|cut| *newest > cut))
+        let Some((revision, document, is_settled)) =
+            newest.filter(|(newest, ..)| cut_revision.is_none_or(|cut| *newest > cut))
         else {
             return;
         };
-        self.record_routes(now, revision, &document);
+        self.record_routes(now, revision, &document, is_settled);
         let cut = self.cut(revision, &document, true_time);
         let manifest = cut.manifest.clone();
         event!(
@@ -131,11 +133,18 @@
     }
 
     /// Records whether a newer revision changes the services of a route. Of a revision that was not
-    /// seen, nothing is known.
-    fn record_routes(&self, now: Millis, revision: Revision, document: &Document) {
+    /// seen, nothing is known but by the replicated log.
+    fn record_routes(
+        &self,
+        now: Millis,
+        revision: Revision,
+        document: &Document,
+        is_settled: bool,
+    ) {
         let digest = route_digest(document);
         let mut routes = self.routes.lock();
         let since = match routes.as_ref() {
+            _ if is_settled => None,
             Some(last) if last.digest == digest && last.revision.0 + 1 == revision.0 => last.since,
             None if revision == FIRST_REVISION => None,
             _ => Some(now),
@@ -200,6 +209,11 @@
 
 /// Returns a number that differs between documents whose routes draw from different services.
 fn route_digest(document: &Document) -> u64 {
+    fingerprint(&drawn_services(document))
+}
+
+/// Returns the services that calls are drawn from, by host and path.
+pub fn drawn_services(document: &Document) -> Vec<(&Name, &Name, Vec<&Name>)> {
     let mut routes: Vec<(&Name, &Name, Vec<&Name>)> = Vec::new();
     for route in document.routes.values() {
         let drawn = route.split.iter().filter(|share| share.weight > 0);
@@ -209,5 +223,5 @@
         routes.push((&route.host, &route.path, services));
     }
     routes.sort_unstable();
-    fingerprint(&routes)
+    routes
 }
--- a/daemons/control/src/submit.rs
+++ b/daemons/control/src/submit.rs
@@ -98,7 +98,8 @@
         | Ask::Claims { .. }
         | Ask::Usage(_)
         | Ask::Rollout(_)
-        | Ask::RolloutDecision(_) => None,
+        | Ask::RolloutDecision(_)
+        | Ask::Origins(_) => None,
     };
     for _ in 0..MAX_RECHECKS {
         let command = match prepare(shared, ask).await {
--- a/daemons/gateway/src/dispatch.rs
+++ b/daemons/gateway/src/dispatch.rs
@@ -16,6 +16,7 @@
 };
 use sill_net::h1::{Answer, AnyBody, strip_hop_by_hop};
 use sill_route::{AdmittedEndpoints, Outcome, PoolView, RefusalReason};
+use sill_tree::RouteKind;
 use sill_wire::Software;
 use tokio::sync::Notify;
 
@@ -289,11 +290,15 @@
         0 => call.head.attempt.clone(),
         sends => format!("{}/{sends}", call.head.attempt).into(),
     };
+    let mut exclude = exclude.to_vec();
+    if software.is_none() && call.route.route.kind == RouteKind::ResumableStream {
+        exclude.extend(state.held_endpoints(&call.pool));
+    }
     let placement_request = PlacementRequest {
         attempt: name.clone(),
         prompt: call.prompt.clone(),
         deadline: call.due,
-        exclude: exclude.to_vec(),
+        exclude,
         software,
         admitted: AdmittedEndpoints::default(),
     };
--- a/daemons/gateway/src/state.rs
+++ b/daemons/gateway/src/state.rs
@@ -271,6 +271,7 @@
         if reply.has_leader {
             self.rollouts.record_leader(now);
         }
+        self.streams.record_versions(reply);
         for fact in &reply.endpoints {
             // A control instance without a leader may be partitioned, and miss heartbeats that
             // others receive.
--- a/daemons/gateway/src/streams.rs
+++ b/daemons/gateway/src/streams.rs
@@ -18,16 +18,17 @@
     decide, holders, is_single,
 };
 use sill_dispatch::{
-    AccountEntry, Inquiry, OriginServices, Placement, RouteEntry, RouteHistory, RouteTable,
+    AccountEntry, Inquiry, OriginServices, Placement, ReleasedVersions, RouteEntry, RouteHistory,
+    RouteTable,
 };
 use sill_net::{PeerClient, PeerError, PeerServerBuilder};
-use sill_wire::RequestKey;
 use sill_wire::control::Revision;
-use sill_wire::link::UnchangedRoutes;
+use sill_wire::link::{LinkReply, UnchangedRoutes};
 use sill_wire::streams::{
     ConfirmVersions, ConfirmVersionsReply, EntryPeer, FindStream, FindStreamReply, RecordStreams,
-    RecordStreamsReply, StreamOrigin, VersionView,
+    RecordStreamsReply, ServedVersion, StreamOrigin, VersionView,
 };
+use sill_wire::{RequestKey, Software};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
@@ -36,7 +37,7 @@
 use crate::dialect::CallHead;
 use crate::metrics::Metrics;
 use crate::serve::Call;
-use crate::state::State;
+use crate::state::{PoolState, State};
 
 /// Time for other instances to answer what they know of a stream. A caller is refused after it.
 const LOOKUP_TIMEOUT: Millis = Millis(40);
@@ -78,6 +79,7 @@
     origins: Mutex<StreamOrigins>,
     history: Mutex<VersionHistory>,
     routes: Mutex<RouteHistory>,
+    released: Mutex<ReleasedVersions>,
     peers: Mutex<Peers>,
     lookups: Semaphore,
     /// Wakes [`run`] when there may be streams to replicate.
@@ -138,6 +140,8 @@
     has_holder_replied: bool,
     is_confirmed: bool,
     view: VersionView,
+    /// The versions that the replicated log has, if it goes back far enough.
+    recorded: Option<Vec<Software>>,
 }
 
 /// The reply of another instance about a stream.
@@ -159,6 +163,7 @@
             origins: Mutex::default(),
             history: Mutex::default(),
             routes: Mutex::default(),
+            released: Mutex::default(),
             peers: Mutex::default(),
             lookups: Semaphore::new(MAX_LOOKUPS),
             unreplicated: Notify::new(),
@@ -177,6 +182,13 @@
         self.history.lock().record_reply(asked_at, history);
     }
 
+    /// Records which of the versions that a control instance tells of may begin streams.
+    pub fn record_versions(&self, reply: &LinkReply) {
+        if !reply.endpoints.is_empty() {
+            self.released.lock().record(&reply.endpoints, &reply.held);
+        }
+    }
+
     /// Records that newer settings are put in force in place of `before`.
     pub fn record_settings(&self, before: Option<&RouteTable>, after: &RouteTable) {
         self.routes.lock().record_settings(self.clock.now(), before, after);
@@ -386,6 +398,7 @@
             has_holder_replied: inquiry.has_holder_replied(),
             is_confirmed: inquiry.is_confirmed(),
             view: inquiry.view().clone(),
+            recorded: inquiry.recorded().map(<[Software]>::to_vec),
         }
     }
 
@@ -408,6 +421,25 @@
         combine_views(views)
     }
 
+    /// Returns the endpoints at which no stream may begin that may be taken up, as the replicated log
+    /// doesn't have their versions yet.
+    pub fn held_endpoints(&self, pool: &PoolState) -> Vec<Name> {
+        let released = self.streams.released.lock();
+        let is_held = |software: &Software| {
+            let (service, software) = (pool.service.clone(), software.clone());
+            !released.admits(&ServedVersion { service, software })
+        };
+        let mut endpoints = pool.pool.lock();
+        let versions = endpoints.ready_versions();
+        let held: Vec<&Software> =
+            versions.iter().map(|version| &version.software).filter(|v| is_held(v)).collect();
+        if held.is_empty() {
+            return Vec::new();
+        }
+        let facts = endpoints.facts().filter(|fact| held.contains(&&fact.software));
+        facts.map(|fact| fact.endpoint.clone()).collect()
+    }
+
     /// Returns the services that may have begun a stream at a path of a route.
     fn origin_services(&self, route: &RouteEntry, path: &str) -> OriginServices {
         self.streams.routes.lock().origins(self.clock.now(), route, path)
@@ -459,7 +491,16 @@
             let decision = decide(known, &origins, [own.clone()]);
             let (asked, replied) = (0, 0);
             let (has_holder_replied, is_confirmed) = (false, false);
-            Lookup { decision, asked, replied, has_holder_replied, is_confirmed, view: own }
+            let recorded = None;
+            Lookup {
+                decision,
+                asked,
+                replied,
+                has_holder_replied,
+                is_confirmed,
+                view: own,
+                recorded,
+            }
         } else {
             // Without a name, others still tell of versions.
             let of_call = || stream_key(account, head, path, &head.attempt);
@@ -488,7 +529,8 @@
         origins: &OriginServices,
         lookup: &Lookup,
     ) {
-        let Lookup { decision, asked, replied, has_holder_replied, is_confirmed, view } = lookup;
+        let Lookup { decision, asked, replied, has_holder_replied, is_confirmed, view, recorded } =
+            lookup;
         let control_age = self.streams.history.lock().age(self.clock.now());
         let (result, software, known) = match decision {
             TakeUp::Known(known) => ("known", Some(&known.origin.software), Some(known)),
@@ -497,7 +539,9 @@
         };
         self.streams.take_ups.with_label_values(&[result]).inc();
         let from = known.map(|known| known.from.as_ref().unwrap_or(&self.cfg.name));
-        let versions: Vec<String> = view.versions.iter().map(ToString::to_string).collect();
+        let list = |versions: &[Software]| {
+            versions.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
+        };
         event!(
             Info,
             "stream_taken_up",
@@ -513,8 +557,10 @@
             endpoint = known.map(|known| known.origin.endpoint.as_str()).unwrap_or_default(),
             from = from.map(Name::as_str).unwrap_or_default(),
             age_ms = known.map(|known| known.origin.age.to_string()).unwrap_or_default(),
-            versions = versions.join(","),
+            versions = list(&view.versions),
             is_complete = view.is_complete,
+            recorded = recorded.as_deref().map(list).unwrap_or_default(),
+            is_recorded = recorded.is_some(),
             asked = asked,
             replied = replied,
             has_holder_replied = has_holder_replied,
--- a/daemons/gateway/tests/limits.rs
+++ b/daemons/gateway/tests/limits.rs
@@ -83,6 +83,7 @@
         entries: None,
         history: Millis::ZERO,
         routes: None,
+        held: Vec::new(),
     }
 }
 
--- a/daemons/gateway/tests/settings.rs
+++ b/daemons/gateway/tests/settings.rs
@@ -111,6 +111,7 @@
             entries: None,
             history: Millis::ZERO,
             routes: None,
+            held: Vec::new(),
             settings: (!is_current).then_some(manifest),
             cursor: Cursor { change: facts.len() as u64, ..Cursor::default() },
             endpoints: facts[acknowledged..].to_vec(),
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -35,7 +35,7 @@
 };
 use sill_wire::rollout::ServiceVersions;
 use sill_wire::settings::PiecesRequest;
-use sill_wire::streams::{ConfirmVersions, ConfirmVersionsReply, EntryPeer};
+use sill_wire::streams::{ConfirmVersions, ConfirmVersionsReply, EntryPeer, ServedVersion};
 use sill_wire::{CrashUpdate, Incarnation};
 use tokio::runtime::Runtime;
 
@@ -174,6 +174,8 @@
     pub entries: Arc<Mutex<Vec<EntryPeer>>>,
     /// The versions of services that the control instance sends.
     pub versions: Arc<Mutex<Option<Vec<ServiceVersions>>>>,
+    /// The versions that the control instance holds.
+    pub held: Arc<Mutex<Vec<ServedVersion>>>,
     /// Whether the control instance is in contact with a leader.
     pub has_leader: Arc<AtomicBool>,
     /// The newest report of the entry instance.
@@ -652,6 +654,8 @@
         let versions_sent = versions.clone();
         let has_leader = Arc::new(AtomicBool::new(true));
         let has_leader_sent = has_leader.clone();
+        let held = Arc::<Mutex<Vec<ServedVersion>>>::default();
+        let held_sent = held.clone();
         let report = Arc::<Mutex<Option<EntryReport>>>::default();
         let last_report = report.clone();
         let crashes = Arc::<Mutex<CrashUpdate>>::default();
@@ -666,6 +670,7 @@
             let (facts, relays) = (facts_sent.clone(), relays_sent.clone());
             let (entries, crashes) = (entries_sent.clone(), crashes_sent.clone());
             let (versions, has_leader) = (versions_sent.clone(), has_leader_sent.clone());
+            let held = held_sent.clone();
             // What changes while the poll waits is in the reply.
             let reply = move || LinkReply {
                 endpoints: facts.lock().clone(),
@@ -674,6 +679,7 @@
                 crashes: crashes.lock().clone(),
                 versions: versions.lock().clone(),
                 has_leader: has_leader.load(Ordering::Relaxed),
+                held: held.lock().clone(),
                 ..empty_reply()
             };
             answer(poll, reply, has_settings)
@@ -686,6 +692,7 @@
                 has_leader: has_leader_confirmed.load(Ordering::Relaxed),
                 versions: of_call.map(|fact| fact.software.clone()).collect(),
                 revision: Some(Revision(1)),
+                recorded: None,
             };
             async move { Ok(reply) }
         });
@@ -713,6 +720,7 @@
             relays,
             entries,
             versions,
+            held,
             has_leader,
             report,
             crashes,
@@ -1052,6 +1060,7 @@
         entries: None,
         history: Millis::from_secs(3600),
         routes: Some(UnchangedRoutes { revision: Revision(1), age: Millis::from_secs(3600) }),
+        held: Vec::new(),
     }
 }
 
--- a/daemons/gateway/tests/versions.rs
+++ b/daemons/gateway/tests/versions.rs
@@ -8,6 +8,7 @@
 
 use sill_base::Millis;
 use sill_wire::link::{EndpointFact, EndpointState};
+use sill_wire::streams::ServedVersion;
 use support::{Action, CallerResponse, Harness, answer_of, exchange, fact, head, request_as};
 
 const CHUNKED: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
@@ -259,3 +260,32 @@
     let case = Case { name: "gone", headers, path: RESUMABLE, status: 503, version: None };
     check(&harness, &versions, &[case]);
 }
+
+/// After a kill of all processes, a stream would go on at another version than the one that began it, as
+/// nothing has told of that one.
+#[test]
+fn a_version_that_is_not_recorded_begins_no_stream_that_may_be_taken_up() {
+    let events = "id: 1\ndata: a\n\n";
+    let harness = Harness::start_with_hidden(vec![vec![whole(events); 8], vec![whole(events); 24]]);
+    let v2 = ServedVersion { service: "desk".into(), software: "v2".into() };
+    harness.held.lock().push(v2);
+    announce(&harness, &["v1", "v2"], &[]);
+    for i in 0..8 {
+        let id = format!("held-{i}");
+        let got = call(&harness, &id, RESUMABLE, "");
+        assert_eq!((got.status, got.is_complete), (200, true), "{}", got.head);
+        assert_eq!(endpoints_of(&harness, &id), [0], "a stream that may be taken up");
+    }
+    let used = |path: &str| {
+        let ids = (0..MAX_INSTANCES).map(|i| format!("{path}-{i}"));
+        let mut calls = ids.map(|id| {
+            call(&harness, &id, path, "");
+            endpoints_of(&harness, &id)
+        });
+        calls.any(|used| used.contains(&1))
+    };
+    assert!(used("/stream/x"), "other streams");
+    harness.held.lock().clear();
+    harness.wait_until_facts_applied();
+    assert!(used(RESUMABLE), "once it is recorded");
+}
--- a/daemons/sill/tests/system/main.rs
+++ b/daemons/sill/tests/system/main.rs
@@ -12,6 +12,7 @@
 mod end_to_end;
 mod flight;
 mod harness;
+mod killed_together;
 mod limits;
 mod links;
 mod member;
--- a/daemons/sill/tests/system/serving.rs
+++ b/daemons/sill/tests/system/serving.rs
@@ -163,6 +163,19 @@
         }
     }
 
+    /// Kills the control instance.
+    pub fn kill_control(&mut self) {
+        match &mut self.control {
+            ControlInstance::Process(control) => control.kill(),
+            ControlInstance::Extended(_) => panic!("it is part of this process"),
+        }
+    }
+
+    /// Starts the control instance that was killed, with the data that it had.
+    pub fn start_control_again(&mut self) {
+        self.control = ControlInstance::Process(start_control(&self.folder, &self.addresses));
+    }
+
     /// Returns the address at which endpoints announce themselves.
     pub fn control(&self) -> SocketAddr {
         self.addresses[0]
--- a/daemons/sill/tests/system/versions.rs
+++ b/daemons/sill/tests/system/versions.rs
@@ -51,7 +51,7 @@
 #[derive(Debug, Default, Clone)]
 pub struct Stream {
     /// The ids of its tries; the first one brought the first event.
-    tries: Vec<String>,
+    pub tries: Vec<String>,
     /// The number and the version of each event.
     pub events: Vec<(usize, String)>,
     /// How often it was taken up.
@@ -166,7 +166,6 @@
     let Ok(listener) = TcpListener::bind(address) else {
         return thread::sleep(Duration::from_millis(10));
     };
-    listener.set_nonblocking(true).expect("the socket option can be set");
     let has_ended = Arc::<AtomicBool>::default();
     let announced = has_ended.clone();
     thread::spawn(move || {
@@ -178,9 +177,22 @@
             thread::sleep(Duration::from_millis(200));
         }
     });
+    serve_until(&listener, &format!("e{i}.{incarnation}"), version, || {
+        let is_over = endpoints.is_over.load(Ordering::Relaxed);
+        let ends = endpoints.crashes[i].swap(false, Ordering::Relaxed) || is_over;
+        has_ended.store(ends, Ordering::Relaxed);
+        ends
+    });
+}
+
+/// Serves requests on the connections to a listener until `ends` says so, then closes all of them.
+pub fn serve_until<F>(listener: &TcpListener, name: &str, version: &'static str, ends: F)
+where
+    F: Fn() -> bool,
+{
+    listener.set_nonblocking(true).expect("the socket option can be set");
     let mut open = Vec::new();
-    let is_over = || endpoints.is_over.load(Ordering::Relaxed);
-    while !endpoints.crashes[i].swap(false, Ordering::Relaxed) && !is_over() {
+    while !ends() {
         let Ok((stream, _)) = listener.accept() else {
             thread::sleep(Duration::from_millis(2));
             continue;
@@ -188,10 +200,9 @@
         stream.set_nonblocking(false).expect("the socket option can be set");
         let _ = stream.set_nodelay(true);
         open.push(stream.try_clone().expect("the socket can be cloned"));
-        let name = format!("e{i}.{incarnation}");
+        let name = name.to_owned();
         thread::spawn(move || while serve(&stream, &name, version).is_some() {});
     }
-    has_ended.store(true, Ordering::Relaxed);
     for stream in open {
         let _ = stream.shutdown(Shutdown::Both);
     }
@@ -277,7 +288,12 @@
 }
 
 /// Reads events until the stream ends or has `lost_after` events, and returns the status.
-fn read_stream(to: SocketAddr, id: &str, stream: &mut Stream, lost_after: usize) -> Option<u16> {
+pub fn read_stream(
+    to: SocketAddr,
+    id: &str,
+    stream: &mut Stream,
+    lost_after: usize,
+) -> Option<u16> {
     let mut socket = TcpStream::connect(to).ok()?;
     socket.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
     let resumption = match (stream.events.last(), stream.tries.first()) {
--- a/protocol/wire/src/link.rs
+++ b/protocol/wire/src/link.rs
@@ -13,7 +13,7 @@
 use crate::rollout::{RolloutReport, ServiceVersions};
 use crate::settings::Manifest;
 use crate::software::Software;
-use crate::streams::EntryPeer;
+use crate::streams::{EntryPeer, ServedVersion};
 
 /// The lifecycle state of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -67,6 +67,13 @@
     pub age: Millis,
 }
 
+impl EndpointFact {
+    /// Returns its version as one of its service.
+    pub fn served_version(&self) -> ServedVersion {
+        ServedVersion { service: self.service.clone(), software: self.software.clone() }
+    }
+}
+
 /// The name and addresses of a control instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ControlInfo {
@@ -377,6 +384,10 @@
     /// For how long no route has changed its services.
     #[serde(default)]
     pub routes: Option<UnchangedRoutes>,
+    /// Versions that begin no streams yet that may be taken up, as the replicated log doesn't have
+    /// them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub held: Vec<ServedVersion>,
 }
 
 /// For how long no route has changed the services that it draws from, as far as a control instance has
--- a/protocol/wire/src/streams.rs
+++ b/protocol/wire/src/streams.rs
@@ -57,6 +57,15 @@
     pub is_complete: bool,
 }
 
+/// A software version of the endpoints of a service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ServedVersion {
+    /// The service.
+    pub service: Name,
+    /// The version.
+    pub software: Software,
+}
+
 /// Tells an entry instance of streams, which it keeps for those that ask.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordStreams {
@@ -110,6 +119,10 @@
     /// The newest revision of the served settings.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub revision: Option<Revision>,
+    /// All versions that can have begun streams of the services, by the replicated log; none if it
+    /// doesn't go back far enough.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub recorded: Option<Vec<Software>>,
 }
 
 impl Call for RecordStreams {
