Ends: an end that only its endpoint can prove is held while that is silent

A ping that nothing replied to was given up after 0.8 s, and with it the only connection that was opened in time: after a silence of 0.8 s none was left on which a reply counts. And the wait ended after 1.6 s, whatever time was left, although nothing else can complete a stream that no other endpoint can go on with: cutting it earlier helps nobody. `unmarked_end ... held_ms=1600 result=silent` and the `endpoint_checked ... own=Open result=silent` lines show both.

Now one ping is under way at a time to an endpoint. Its connection is kept until no end can be in doubt; a connection that is opened beside it at 0.15 s waits for the next one, as some endpoints close that of each reply. The late reply shows only that the process ran when the ping was sent, so it has the next check begin at once, on a connection from before any other process can have taken the address over. The end is held until the deadline, the end of a stop, or three heartbeats, after which control instances count an endpoint as silent as well. A stream that another endpoint can go on with is resumed after 1.6 s as before, and an announcement to leave is believed after 0.8 s as before; only where it isn't, as other answers ended with it, is the end held on. A refused connection, a confirmed crash and a reset of the ping's connection end the wait as before.

`the_lack_of_a_refutation_is_no_proof` and others keep their bounds for streams with an alternative. `an_end_is_held_no_longer_than_an_endpoint_counts_as_alive` has the bound for the others. In virtual time, an end is proven within 10 ms of the end of each of nine silences, with seven pings at most (one to an endpoint that stays silent); a process that has taken the address over proves nothing in ten plays.

--- a/coordination/dispatch/src/lib.rs
+++ b/coordination/dispatch/src/lib.rs
@@ -66,7 +66,7 @@
 };
 pub use stream_end::{
     EndChecks, EndInDoubt, EndKind, EndStep, EndVerdict, EndpointSigns, Proof, ProofKind,
-    ResumeChecks,
+    ResumeChecks, longest_wait,
 };
 pub use table::{AccountEntry, RouteEntry, RouteTable, TablePart};
 pub use take_up::Inquiry;
--- a/coordination/dispatch/src/pool/versions.rs
+++ b/coordination/dispatch/src/pool/versions.rs
@@ -34,6 +34,16 @@
         self.facts().any(|fact| is_ready(fact) && fact.software.is_compatible(software))
     }
 
+    /// Returns whether another endpoint than `endpoint` may go on with a stream of a version.
+    pub fn is_served_beside(&self, endpoint: &Name, software: &Software) -> bool {
+        let may_go_on = |fact: &&EndpointFact| {
+            fact.state == EndpointState::Ready
+                && fact.endpoint != *endpoint
+                && fact.software.is_compatible(software)
+        };
+        self.facts().any(|fact| may_go_on(&fact))
+    }
+
     /// Returns the versions with ready endpoints.
     pub fn ready_versions(&mut self) -> Arc<[ReadyVersion]> {
         if let Some(known) = &self.ready_versions {
--- a/coordination/dispatch/src/stream_end.rs
+++ b/coordination/dispatch/src/stream_end.rs
@@ -17,14 +17,18 @@
 /// reply on a connection from before the end.
 const MIN_SPAN: Millis = Millis(300);
 
-/// Time within which the endpoint of a stream has to be shown to run. Callers leave after 2 s of
-/// silence.
+/// Time within which the endpoint of a stream has to be shown to run that can go on at another one. Callers
+/// leave after 2 s of silence.
 const STREAM_WAIT: Millis = Millis(1600);
 
+/// Number of heartbeats after which an endpoint that sends nothing counts as silent. An end that only its
+/// endpoint can prove is held for as long.
+const SILENT_HEARTBEATS: u64 = 3;
+
 /// Time for the news that an endpoint which leaves has ended in order.
 const NEWS_TIME: Millis = Millis(500);
 
-/// Time within which an endpoint that leaves has to be shown to run.
+/// Time within which an endpoint that leaves has to be shown to run, before its announcement decides.
 const LEAVING_WAIT: Millis = Millis(800);
 
 /// Time by which an endpoint has to outlive the end of a plain answer. Its caller waits for the end.
@@ -80,6 +84,9 @@
     pub decide_by: Millis,
     /// When the process is known to have run before the end, if another one may run at the address since.
     pub ran_at: Option<Millis>,
+    /// Whether something else decides if the endpoint stays silent: another one can go on with the
+    /// stream, or its announcement is believed.
+    pub has_alternative: bool,
 }
 
 /// What is known of an endpoint without a check.
@@ -89,6 +96,8 @@
     pub heard_at: Option<Millis>,
     /// Whether other answers of it are awaited. If it runs, they go on.
     pub is_awaited: bool,
+    /// When something last arrived on such a connection. It may have been sent long before.
+    pub arrived_at: Option<Millis>,
 }
 
 /// The proof that an endpoint has outlived an end.
@@ -185,7 +194,7 @@
     has_time: bool,
     /// Whether there is time enough for silence to mean that the endpoint has ended.
     is_whole_wait: bool,
-    /// The time between two checks.
+    /// The least time between two checks.
     interval: Millis,
 }
 
@@ -202,11 +211,17 @@
 
 impl EndInDoubt {
     fn bounds(&self, heartbeat: Millis, check_time: Millis) -> Bounds {
-        let (span, settle, wait) = match self.kind {
-            EndKind::Stream => (heartbeat.min(MAX_SPAN), Millis::ZERO, STREAM_WAIT),
-            EndKind::LeavingStream => (heartbeat.min(MIN_SPAN), NEWS_TIME, LEAVING_WAIT),
-            EndKind::OpenMark => (MARK_SPAN, Millis::ZERO, STREAM_WAIT),
-            EndKind::Plain => (PLAIN_SPAN, Millis::ZERO, PLAIN_WAIT),
+        let (span, settle) = match self.kind {
+            EndKind::Stream => (heartbeat.min(MAX_SPAN), Millis::ZERO),
+            EndKind::LeavingStream => (heartbeat.min(MIN_SPAN), NEWS_TIME),
+            EndKind::OpenMark => (MARK_SPAN, Millis::ZERO),
+            EndKind::Plain => (PLAIN_SPAN, Millis::ZERO),
+        };
+        let wait = match (self.has_alternative, self.kind) {
+            (_, EndKind::Plain) => PLAIN_WAIT,
+            (true, EndKind::LeavingStream) => LEAVING_WAIT,
+            (true, _) => STREAM_WAIT,
+            (false, _) => longest_wait(heartbeat),
         };
         let left = self.decide_by - self.at;
         // Half of the time that is left is for the check itself, if it is less than a check may take.
@@ -229,6 +244,12 @@
     }
 }
 
+/// Returns for how long an end is held at most that only its endpoint can prove, if endpoints announce
+/// themselves at the interval `heartbeat`.
+pub fn longest_wait(heartbeat: Millis) -> Millis {
+    STREAM_WAIT.max(heartbeat * SILENT_HEARTBEATS)
+}
+
 impl<K> EndChecks<K>
 where
     K: Eq + Hash + Clone,
@@ -272,7 +293,7 @@
         if now >= bounds.expires_at {
             return EndStep::NoTime;
         }
-        if let Some(at) = checks.next_check(now, &end, bounds, self.check_time)
+        if let Some(at) = checks.next_check(now, &end, bounds, self.check_time, signs)
             && now < at
         {
             return EndStep::Wait(at.min(bounds.expires_at));
@@ -304,7 +325,7 @@
             }
         }
         // The end that asked for the oldest check has been decided, or its caller has left.
-        let kept = STREAM_WAIT + self.check_time;
+        let kept = longest_wait(self.heartbeat) + self.check_time;
         self.by_endpoint.retain(|_, checks| {
             checks.running > 0 || checks.began_at.is_some_and(|at| now - at < kept)
         });
@@ -374,8 +395,16 @@
         end: &EndInDoubt,
         bounds: Bounds,
         check_time: Millis,
+        signs: EndpointSigns,
     ) -> Option<Millis> {
-        let Bounds { proven_from, last_check_at, interval, .. } = bounds;
+        let Bounds { proven_from, last_check_at, .. } = bounds;
+        // The longer an endpoint is silent, the longer it is likely to be.
+        let interval = bounds.interval.max(Millis((now - end.at).0 / CHECKS));
+        // An endpoint that was silent may have gone on, so the next check is likely to show it.
+        let has_gone_on = signs.arrived_at > self.began_at && self.began_at >= Some(end.at);
+        if has_gone_on && now >= proven_from && self.running < MAX_RUNNING {
+            return None;
+        }
         // An early check can only refute, and open the connection for the next ones. That isn't worth it for
         // a caller that waits for the end.
         let first = (end.kind == EndKind::Plain).then_some(proven_from);
--- a/coordination/dispatch/tests/stream_end.rs
+++ b/coordination/dispatch/tests/stream_end.rs
@@ -5,7 +5,7 @@
 use sill_dispatch::events::may_follow;
 use sill_dispatch::{
     EndChecks, EndInDoubt, EndKind, EndLog, EndStep, EndVerdict, EndpointCheck, EndpointSigns,
-    Proof, ProofKind, ResumeChecks,
+    Proof, ProofKind, ResumeChecks, longest_wait,
 };
 
 const HEARTBEAT: Millis = Millis(600);
@@ -60,6 +60,7 @@
         EndpointSigns {
             heard_at: (self.heard_until > Millis::ZERO).then_some(heard_at),
             is_awaited: now < self.awaited_until,
+            arrived_at: (self.heard_until > Millis::ZERO).then_some(heard_at),
         }
     }
 }
@@ -87,7 +88,8 @@
             if now < *ended_at || decided.is_some() {
                 continue;
             }
-            let end = EndInDoubt { kind, at: *ended_at, decide_by, ran_at: None };
+            let end =
+                EndInDoubt { kind, at: *ended_at, decide_by, ran_at: None, has_alternative: true };
             match checks.step(now, &"e1", end, endpoint.signs(now)) {
                 EndStep::Wait(_) => {}
                 EndStep::Check => {
@@ -157,6 +159,7 @@
         at: Millis::ZERO,
         decide_by: Millis(10_000),
         ran_at: None,
+        has_alternative: true,
     };
     let (mut now, mut began_at) = (Millis::ZERO, None);
     let step = loop {
@@ -231,6 +234,159 @@
     assert!(at >= Millis(500) && at < Millis(600), "decided at {at:?}");
 }
 
+/// A process at the address of an endpoint, in virtual time.
+#[derive(Debug, Clone, Copy)]
+struct Process {
+    /// When it stands still.
+    silences: &'static [(u64, u64)],
+    /// When another process takes its place, on whose host connections of the first one are reset.
+    replaced_at: Option<u64>,
+}
+
+impl Process {
+    /// Returns when it goes on that stands still now.
+    fn goes_on_at(&self, now: Millis) -> Option<Millis> {
+        let is_now = |(from, until): &&(u64, u64)| (*from..*until).contains(&now.0);
+        self.silences.iter().find(is_now).map(|(_, until)| Millis(*until))
+    }
+
+    fn is_replaced(&self, now: Millis) -> bool {
+        self.replaced_at.is_some_and(|at| now.0 >= at)
+    }
+}
+
+/// Plays an end at 1000 that only its endpoint can prove, with one ping at a time. Each reply takes 2 ms.
+/// Returns the decision, its time after the end, and the number of pings.
+fn play_process(kind: EndKind, decide_by: Millis, process: Process) -> (EndStep, Millis, usize) {
+    let ended_at = Millis(1000);
+    let end = EndInDoubt { kind, at: ended_at, decide_by, ran_at: None, has_alternative: false };
+    let mut checks = EndChecks::new(HEARTBEAT, CHECK_TIME);
+    let mut signs = EndpointSigns::default();
+    // When checks that run began, and end; when the ping under way was sent, and on which connection.
+    let (mut running, mut ping, mut pings) = (Vec::new(), None, 0);
+    let mut connection = None;
+    for now in (1000..20_000).map(Millis) {
+        if process.is_replaced(now) {
+            // The connections of the first process are reset.
+            (ping, connection) = (None, connection.filter(|at| process.is_replaced(*at)));
+        }
+        let replies = process.goes_on_at(now).is_none();
+        if let Some((sent_at, opened_at)) = ping
+            && replies
+            && now >= sent_at + Millis(2)
+        {
+            (ping, connection) = (None, Some(opened_at));
+            let is_waited_for = running.iter().any(|(began_at, _)| *began_at == sent_at);
+            if is_waited_for {
+                running.retain(|(began_at, _)| *began_at != sent_at);
+                checks.record(now, &"e1", sent_at, EndpointCheck::Running, Some(opened_at));
+            } else if opened_at <= checks.opened_by(end) {
+                signs.heard_at = signs.heard_at.max(Some(sent_at));
+                signs.arrived_at = Some(now);
+            }
+        }
+        running.retain(|(began_at, over_at)| {
+            if now >= *over_at {
+                checks.record(now, &"e1", *began_at, EndpointCheck::Silent, None);
+            }
+            now < *over_at
+        });
+        match checks.step(now, &"e1", end, signs) {
+            EndStep::Wait(_) => {}
+            EndStep::Check => {
+                running.push((now, now + CHECK_TIME));
+                if ping.is_none() {
+                    ping = Some((now, connection.take().unwrap_or(now)));
+                    pings += 1;
+                }
+            }
+            step => return (step, now - ended_at, pings),
+        }
+    }
+    panic!("no decision");
+}
+
+/// Whole answers of a sound endpoint that falls silent for a second or so were cut.
+#[test]
+fn an_end_is_held_while_its_endpoint_is_silent() {
+    struct Case {
+        name: &'static str,
+        silences: &'static [(u64, u64)],
+        /// When the endpoint has been heard for long enough to prove the end of a stream, after the end.
+        stream: u64,
+        /// The same for a plain answer.
+        plain: u64,
+    }
+    let case = |name, silences, stream, plain| Case { name, silences, stream, plain };
+    let cases = [
+        case("none", &[], 600, 20),
+        case("at once, 0.6 s", &[(1000, 1600)], 600, 600),
+        case("at once, 1 s", &[(1000, 2000)], 1000, 1000),
+        case("at once, 1.3 s", &[(1000, 2300)], 1300, 1300),
+        case("0.1 s later", &[(1100, 2100)], 1100, 20),
+        case("0.3 s later", &[(1300, 2300)], 1300, 20),
+        case("0.6 s later", &[(1600, 2600)], 1600, 20),
+        case("twice 0.7 s", &[(1000, 1700), (1900, 2600)], 700, 700),
+        case("twice, soon after each other", &[(1000, 1500), (1550, 2250)], 1250, 500),
+    ];
+    let kinds = [EndKind::Stream, EndKind::LeavingStream, EndKind::OpenMark];
+    for Case { name, silences, stream, plain } in cases {
+        for kind in kinds {
+            let process = Process { silences, replaced_at: None };
+            let (step, at, pings) = play_process(kind, Millis(100_000), process);
+            assert!(is_proven(step), "{kind:?}, {name}: {step:?} after {at:?}");
+            let latest = if kind == EndKind::Plain { plain } else { stream };
+            assert!(at <= Millis(latest) + Millis(10), "{kind:?}, {name}: {at:?}");
+            assert!(pings <= 7, "{kind:?}, {name}: {pings} pings");
+        }
+    }
+}
+
+/// A process that has taken the address over replies once the silence is over, and a part would look whole.
+#[test]
+fn a_process_that_has_taken_over_a_silent_endpoint_proves_nothing() {
+    struct Case {
+        name: &'static str,
+        silences: &'static [(u64, u64)],
+        replaced_at: u64,
+    }
+    let case = |name, silences, replaced_at| Case { name, silences, replaced_at };
+    let cases = [
+        case("after 0.3 s", &[(1000, 1300)], 1300),
+        case("after 1 s", &[(1000, 2000)], 2000),
+        case("within the silence", &[(1000, 2000)], 1900),
+        case("after a while", &[(1010, 2500)], 2500),
+        case("silent itself", &[(1000, 1500), (1600, 2300)], 1500),
+    ];
+    for Case { name, silences, replaced_at } in cases {
+        for kind in [EndKind::Stream, EndKind::Plain] {
+            let process = Process { silences, replaced_at: Some(replaced_at) };
+            for decide_by in [3000, 100_000].map(Millis) {
+                let (step, at, _) = play_process(kind, decide_by, process);
+                assert!(!is_proven(step), "{kind:?}, {name}: {step:?} after {at:?}");
+            }
+        }
+    }
+}
+
+/// An end whose endpoint never sends anything again would be held until the deadline, which may be far.
+#[test]
+fn an_end_is_held_no_longer_than_an_endpoint_counts_as_alive() {
+    const FOREVER: Process = Process { silences: &[(1000, 1_000_000)], replaced_at: None };
+    let limit = longest_wait(HEARTBEAT) + CHECK_TIME;
+    for kind in [EndKind::Stream, EndKind::OpenMark] {
+        let (step, at, pings) = play_process(kind, Millis(100_000), FOREVER);
+        assert_eq!(step, not_shown(EndpointCheck::Silent), "{kind:?}");
+        assert!(at >= Millis(1700) && at <= limit, "{kind:?}: {at:?}");
+        assert_eq!(pings, 1, "{kind:?}: all of them would come through together");
+        // The deadline comes first, and silence until then shows nothing.
+        let (step, at, _) = play_process(kind, Millis(1900), FOREVER);
+        assert_eq!((step, at), (EndStep::NoTime, Millis(900)), "{kind:?}");
+    }
+    assert_eq!(longest_wait(Millis(1200)), Millis(3600));
+    assert_eq!(longest_wait(Millis(100)), Millis(1600), "heartbeats may come quickly");
+}
+
 /// Callers leave after 2 s of silence.
 #[test]
 fn an_end_is_held_for_less_than_callers_wait() {
@@ -240,6 +396,7 @@
         at: Millis::ZERO,
         decide_by: Millis::MAX,
         ran_at: None,
+        has_alternative: true,
     };
     let mut now = Millis::ZERO;
     let decided = loop {
@@ -267,6 +424,7 @@
             at: Millis(at),
             decide_by: Millis::MAX,
             ran_at: None,
+            has_alternative: true,
         };
         checks.step(Millis(now), &endpoint, end, EndpointSigns::default())
     };
@@ -396,6 +554,7 @@
             at: Millis(1000),
             decide_by: Millis(1200),
             ran_at: None,
+            has_alternative: true,
         };
         assert!(checks.prepare(Millis(890), &"e1"), "{name}");
         for (at, opened_at) in replies {
@@ -432,6 +591,7 @@
         at: Millis(3000),
         decide_by: Millis(3100),
         ran_at: None,
+        has_alternative: true,
     };
     let step = checks.step(Millis(3000), &"e1", end, EndpointSigns::default());
     assert_eq!(step, EndStep::Check);
@@ -446,8 +606,8 @@
         signs: EndpointSigns,
         is_proven: bool,
     }
-    let heard = EndpointSigns { heard_at: Some(Millis(400)), is_awaited: true };
-    let awaited = EndpointSigns { heard_at: None, is_awaited: true };
+    let heard = EndpointSigns { heard_at: Some(Millis(400)), is_awaited: true, arrived_at: None };
+    let awaited = EndpointSigns { is_awaited: true, ..EndpointSigns::default() };
     let case = |name, refuted, signs, is_proven| Case { name, refuted, signs, is_proven };
     let cases = [
         case("no refusal", None, awaited, true),
@@ -462,6 +622,7 @@
             at: Millis::ZERO,
             decide_by: Millis::MAX,
             ran_at: None,
+            has_alternative: true,
         };
         let none = EndpointSigns::default();
         assert_eq!(checks.step(Millis::ZERO, &"e1", end, none), EndStep::Check, "{name}");
@@ -493,6 +654,7 @@
             at: Millis(1000),
             decide_by: Millis::MAX,
             ran_at: None,
+            has_alternative: true,
         };
         let none = EndpointSigns::default();
         assert_eq!(checks.step(Millis(1700), &"e1", end, none), EndStep::Check, "{opened_at:?}");
@@ -521,6 +683,7 @@
             at: Millis(1000),
             decide_by: Millis::MAX,
             ran_at: None,
+            has_alternative: true,
         };
         let none = EndpointSigns::default();
         assert_eq!(checks.step(Millis(1000), &"e1", end, none), EndStep::Check);
@@ -702,7 +865,13 @@
     for Case { name, ran_at, opened_at, is_proven: expected } in cases {
         let mut checks = EndChecks::new(HEARTBEAT, CHECK_TIME);
         let decide_by = Millis::MAX;
-        let end = EndInDoubt { kind: EndKind::Stream, at: Millis(1000), decide_by, ran_at };
+        let end = EndInDoubt {
+            kind: EndKind::Stream,
+            at: Millis(1000),
+            decide_by,
+            ran_at,
+            has_alternative: true,
+        };
         for (at, opened_at) in [1010, 2500].map(Millis).into_iter().zip(opened_at.map(Millis)) {
             checks.record(at, &"e1", at, EndpointCheck::Running, Some(opened_at));
             let is_last = at == Millis(2500);
--- a/daemons/gateway/src/egress.rs
+++ b/daemons/gateway/src/egress.rs
@@ -21,7 +21,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use parking_lot::Mutex;
 use sill_base::{Clock, Map, Millis, Name, Secret, Set, event};
-use sill_dispatch::{EndpointSigns, Path, PathRequest, Paths, Placement, RelayList};
+use sill_dispatch::{EndpointSigns, Path, PathRequest, Paths, Placement, RelayList, longest_wait};
 use sill_net::h1::{
     Answer, Connection, ConnectionPool, KeptOutcome, MAX_FETCHED_BYTES, SendFailure, Target,
     TunnelFailure, TunnelRequest,
@@ -30,6 +30,7 @@
 use sill_wire::link::RelayOffer;
 use tokio::sync::watch;
 
+use self::ping::Pings;
 use self::signs::{LifeSign, LifeSigns};
 use crate::cfg::GatewayCfg;
 use crate::metrics::Metrics;
@@ -162,9 +163,9 @@
     relays: Mutex<Relays>,
     contacts: Mutex<Map<SocketAddr, Contact>>,
     signs: LifeSigns,
-    /// Connections for pings, with the time of the last one. No other request is sent on them, as it could
-    /// close them.
-    pings: Mutex<Map<(Name, Incarnation), (Connection, Millis)>>,
+    pings: Mutex<Map<(Name, Incarnation), Arc<Pings>>>,
+    /// Time for which a reply to a ping is waited for: the longest for which an end is in doubt.
+    late_time: Millis,
     /// Changes while paths are in doubt or lost.
     lost: watch::Sender<()>,
     tunnel_count: AtomicU64,
@@ -237,6 +238,7 @@
             contacts: Mutex::default(),
             signs: LifeSigns::default(),
             pings: Mutex::default(),
+            late_time: longest_wait(cfg.endpoint_heartbeat),
             lost: watch::Sender::default(),
             tunnel_count: AtomicU64::new(0),
             is_tunnel_heard: AtomicBool::new(false),
--- a/daemons/gateway/src/egress/signs.rs
+++ b/daemons/gateway/src/egress/signs.rs
@@ -23,7 +23,10 @@
 #[derive(Debug, Clone, Copy)]
 struct Sign {
     opened_at: Millis,
+    /// Its process has run at this time or later.
     heard_at: Millis,
+    /// When the newest bytes arrived.
+    arrived_at: Millis,
 }
 
 /// The signs of all endpoints that were sent requests.
@@ -33,18 +36,25 @@
 }
 
 impl LifeSign {
-    /// Records that bytes of the endpoint arrived at `heard_at`, on a connection that was opened at
-    /// `opened_at`.
-    pub fn record(&self, opened_at: Millis, heard_at: Millis) {
+    /// Records that bytes of the endpoint arrived now, on a connection that was opened at `opened_at`.
+    pub fn record(&self, opened_at: Millis, now: Millis) {
+        self.record_late(opened_at, now, now);
+    }
+
+    /// Records that bytes arrived now that the endpoint has sent at `heard_at` or later.
+    pub fn record_late(&self, opened_at: Millis, heard_at: Millis, arrived_at: Millis) {
         let mut signs = self.0.lock();
         match signs.iter_mut().find(|sign| sign.opened_at == opened_at) {
-            Some(sign) => sign.heard_at = sign.heard_at.max(heard_at),
+            Some(sign) => {
+                sign.heard_at = sign.heard_at.max(heard_at);
+                sign.arrived_at = sign.arrived_at.max(arrived_at);
+            }
             None => {
                 if signs.len() == MAX_CONNECTIONS {
                     signs.sort_unstable_by_key(|sign| sign.heard_at);
                     signs.remove(0);
                 }
-                signs.push(Sign { opened_at, heard_at });
+                signs.push(Sign { opened_at, heard_at, arrived_at });
             }
         }
     }
@@ -69,8 +79,9 @@
             let signs = sign.0.lock();
             let in_time = signs.iter().filter(|sign| sign.opened_at <= opened_by);
             EndpointSigns {
-                heard_at: in_time.map(|sign| sign.heard_at).max(),
+                heard_at: in_time.clone().map(|sign| sign.heard_at).max(),
                 is_awaited: sign.is_awaited(),
+                arrived_at: in_time.map(|sign| sign.arrived_at).max(),
             }
         })
     }
@@ -88,7 +99,7 @@
     pub fn expire(&self, now: Millis) {
         self.by_endpoint.lock().retain(|_, sign| {
             let mut signs = sign.0.lock();
-            signs.retain(|sign| now - sign.heard_at < KEPT);
+            signs.retain(|sign| now - sign.arrived_at < KEPT);
             let is_empty = signs.is_empty();
             drop(signs);
             sign.is_awaited() || !is_empty
--- a/daemons/gateway/src/relay/unmarked.rs
+++ b/daemons/gateway/src/relay/unmarked.rs
@@ -39,8 +39,9 @@
 const MIN_RESUME_TIME: Millis = Millis(50);
 
 impl EndpointAnswer {
-    /// Ends the exchange, and returns the end of the answer.
-    fn end(&mut self, is_stream: bool, is_held: bool) -> EndedAnswer {
+    /// Ends the exchange, and returns the end of the answer. A stream that `may_resume` can go on at another
+    /// endpoint.
+    fn end(&mut self, is_stream: bool, is_held: bool, may_resume: bool) -> EndedAnswer {
         let ended_at = self.attempt.state().clock.now();
         self.ended_at = Some(ended_at);
         let via = self.attempt.via().cloned();
@@ -61,6 +62,7 @@
             ended_at,
             due: self.attempt.call().due,
             is_held,
+            may_resume,
             pool: self.attempt.call().pool.clone(),
             placement: self.attempt.placement.clone(),
         }
@@ -74,7 +76,7 @@
             connection.into_iter().for_each(ReusableConnection::release);
             return Box::pin(future::ready(true));
         }
-        let (state, ended) = (self.attempt.state().clone(), self.end(true, false));
+        let (state, ended) = (self.attempt.state().clone(), self.end(true, false, false));
         Box::pin(async move {
             !stream_end::check_mark(state, ended, connection).await.decision.is_doubt()
         })
@@ -119,6 +121,7 @@
     /// Starts to check whether the answer is whole, if its end proves nothing. A stream's end may be
     /// late, as all events were passed on; the end of a plain answer completes it for its caller.
     pub(super) fn start_end_check(&mut self) -> bool {
+        let may_resume = self.may_resume_after_end();
         let Source::Endpoint(answer) = &mut self.source else { return false };
         let (framing, is_stream) = (answer.framing, self.events.is_some());
         let is_marked = match (framing, is_stream) {
@@ -128,7 +131,7 @@
             _ => return false,
         };
         let connection = answer.connection.take();
-        let ended = answer.end(is_stream, self.is_held);
+        let ended = answer.end(is_stream, self.is_held, may_resume);
         self.summary.set_ended(ended.ended_at);
         if is_stream {
             // The endpoint has room for another call while the end is held.
@@ -158,6 +161,13 @@
         true
     }
 
+    /// Returns whether the stream may be sent to one more endpoint, now that it has ended at this one.
+    fn may_resume_after_end(&self) -> bool {
+        let mut progress = self.progress;
+        progress.time_left = self.call.due - self.state.clock.now();
+        self.may_repeat(&progress).is_ok()
+    }
+
     /// Resumes a stream that may be whole, if a resumption can show it. It isn't sent to the endpoint
     /// that closed the stream, which would take the only repeat along if it ends. With `may_skip`, few are
     /// resumed while resumptions show nothing new.
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -7,6 +7,7 @@
 use futures_util::future::{self, BoxFuture, Either};
 use parking_lot::Mutex;
 use sill_base::{Millis, Name};
+use sill_dispatch::end_log::may_be_gone;
 use sill_dispatch::{
     EndChecks, EndInDoubt, EndKind, EndLog, EndStep, EndVerdict, EndpointCheck, KnownCrash,
     Placement, Proof, ProofKind, ResumeChecks, TICK,
@@ -73,6 +74,8 @@
     pub due: Millis,
     /// Whether its caller gets nothing before it is complete.
     pub is_held: bool,
+    /// Whether it is a stream that another endpoint can go on with.
+    pub may_resume: bool,
     /// The endpoints of the service.
     pub pool: Arc<PoolState>,
     /// The endpoint's place in it.
@@ -183,6 +186,18 @@
     fn has_announced_end(&self) -> bool {
         self.pool.pool.lock().has_announced_end(&self.placement)
     }
+
+    /// Returns whether something else decides if its endpoint stays silent.
+    fn has_alternative(&self) -> bool {
+        let Placement { endpoint, software, .. } = &self.placement;
+        self.kind == EndKind::LeavingStream
+            || self.may_resume && self.pool.pool.lock().is_served_beside(endpoint, software)
+    }
+
+    /// Returns whether its endpoint may have been gone by the time that it had announced.
+    fn may_be_gone(&self) -> bool {
+        may_be_gone(self.pool.pool.lock().leaves_at(&self.placement), self.ended_at)
+    }
 }
 
 impl StreamEnds {
@@ -243,7 +258,8 @@
                 _ => Millis::ZERO,
             };
             let decide_by = self.decide_by(ended.due, ended.is_held) - report_time;
-            let end = EndInDoubt { kind: *kind, at: *ended_at, decide_by, ran_at };
+            let has_alternative = ended.has_alternative();
+            let end = EndInDoubt { kind: *kind, at: *ended_at, decide_by, ran_at, has_alternative };
             let step = {
                 let mut checks = self.stream_ends.checks.lock();
                 let signs = self.egress.signs_of(to, checks.opened_by(end));
@@ -322,6 +338,13 @@
         if end.decision.is_doubt() {
             end.has_other_end = self.has_other_end(&ended).await;
         }
+        let is_silent = matches!(end.decision, EndDecision::NotShown(EndpointCheck::Silent));
+        let is_leaving = ended.kind == EndKind::LeavingStream;
+        if is_silent && is_leaving && (end.has_other_end || ended.may_be_gone()) {
+            // What it has announced doesn't count, so it alone can still prove its end.
+            let ended = EndedAnswer { kind: EndKind::Stream, ..ended };
+            end.decision = self.wait_until_proven(ended).await.into();
+        }
         end
     }
 
--- a/daemons/gateway/tests/support/mod.rs
+++ b/daemons/gateway/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
@@ -275,6 +276,8 @@
     new_connections: Mutex<NewConnections>,
     /// How long the first reply on a new connection takes.
     reply_delay: Mutex<Duration>,
+    /// When it stands still.
+    silences: Mutex<Vec<Range<Instant>>>,
     /// The streams that end once their flag is set.
     streams: Mutex<Vec<(Arc<AtomicBool>, TcpStream)>>,
     connections: Mutex<Vec<TcpStream>>,
@@ -285,6 +288,16 @@
         self.has_ended.load(Ordering::Relaxed)
     }
 
+    /// Waits while the endpoint stands still.
+    fn wait_out_silence(&self) {
+        loop {
+            let now = Instant::now();
+            let silence = self.silences.lock().iter().find(|time| time.contains(&now)).cloned();
+            let Some(silence) = silence else { return };
+            thread::sleep(silence.end - now);
+        }
+    }
+
     /// Ends all streams with this flag: at the same time, however busy the machine is.
     fn end_streams(&self, flag: &Arc<AtomicBool>, end: &str) {
         self.has_ended.store(true, Ordering::Relaxed);
@@ -375,6 +388,17 @@
         self.ending.has_ended.store(true, Ordering::Relaxed);
     }
 
+    /// Has it stand still for some time, after a while. Its host accepts connections meanwhile.
+    pub fn stand_still(&self, after: Duration, time: Duration) {
+        let from = Instant::now() + after;
+        self.ending.silences.lock().push(from..from + time);
+    }
+
+    /// Has another process take its place: all connections end that were opened before.
+    pub fn restart(&self) {
+        self.ending.close_connections();
+    }
+
     /// Has it do nothing any more, and accept no connections: its queue of connections is full.
     pub fn fill_queue(&self) {
         self.fall_silent();
@@ -404,6 +428,7 @@
     let mut reader = BufReader::new(stream.try_clone().expect("the socket can be cloned"));
     let mut has_replied = false;
     while let Some(request) = read_request(&mut reader, number) {
+        ending.wait_out_silence();
         if ending.has_ended() {
             let _ = reader.read_to_end(&mut Vec::new());
             return;
