Ends: a plain answer whose endpoint falls silent is held until its call ends

Cause: PLAIN_WAIT, 0.4 s and a check of 0.3 s at most, whatever time the call has left. It had its reason in callers that wait for the end; but they wait for it in any case, and what is cut is lost, as the call may not be sent again.

Now plain answers wait like streams that nothing else can complete: until the deadline, the end of a stop, or three heartbeats. The first check comes as early as before, 20 ms after the end, so nothing changes for an endpoint that runs; its late reply is the proof, as the ping was sent late enough. Where the endpoint is known to be gone nothing waits longer.

--- a/coordination/dispatch/src/stream_end.rs
+++ b/coordination/dispatch/src/stream_end.rs
@@ -34,9 +34,6 @@
 /// Time by which an endpoint has to outlive the end of a plain answer. Its caller waits for the end.
 const PLAIN_SPAN: Millis = Millis(20);
 
-/// Time within which the endpoint of a plain answer has to be shown to run.
-const PLAIN_WAIT: Millis = Millis(400);
-
 /// How much later than the last sign of a process a connection may be opened on which it replies. Another
 /// process at the address starts later.
 const OPENED_MARGIN: Millis = Millis(250);
@@ -218,7 +215,6 @@
             EndKind::Plain => (PLAIN_SPAN, Millis::ZERO),
         };
         let wait = match (self.has_alternative, self.kind) {
-            (_, EndKind::Plain) => PLAIN_WAIT,
             (true, EndKind::LeavingStream) => LEAVING_WAIT,
             (true, _) => STREAM_WAIT,
             (false, _) => longest_wait(heartbeat),
--- a/coordination/dispatch/tests/stream_end.rs
+++ b/coordination/dispatch/tests/stream_end.rs
@@ -329,7 +329,7 @@
         case("twice 0.7 s", &[(1000, 1700), (1900, 2600)], 700, 700),
         case("twice, soon after each other", &[(1000, 1500), (1550, 2250)], 1250, 500),
     ];
-    let kinds = [EndKind::Stream, EndKind::LeavingStream, EndKind::OpenMark];
+    let kinds = [EndKind::Stream, EndKind::LeavingStream, EndKind::OpenMark, EndKind::Plain];
     for Case { name, silences, stream, plain } in cases {
         for kind in kinds {
             let process = Process { silences, replaced_at: None };
@@ -374,7 +374,7 @@
 fn an_end_is_held_no_longer_than_an_endpoint_counts_as_alive() {
     const FOREVER: Process = Process { silences: &[(1000, 1_000_000)], replaced_at: None };
     let limit = longest_wait(HEARTBEAT) + CHECK_TIME;
-    for kind in [EndKind::Stream, EndKind::OpenMark] {
+    for kind in [EndKind::Stream, EndKind::OpenMark, EndKind::Plain] {
         let (step, at, pings) = play_process(kind, Millis(100_000), FOREVER);
         assert_eq!(step, not_shown(EndpointCheck::Silent), "{kind:?}");
         assert!(at >= Millis(1700) && at <= limit, "{kind:?}: {at:?}");
--- a/daemons/gateway/tests/silent_endpoints.rs
+++ b/daemons/gateway/tests/silent_endpoints.rs
@@ -135,11 +135,20 @@
     got.status == 200 && got.is_complete
 }
 
-/// Whole streams were cut 1.6 s after their end, whatever time their calls had left.
+/// Whole answers were cut half a second or 1.6 s after their end, whatever time their calls had left.
 #[test]
 fn whole_answers_of_an_endpoint_that_falls_silent_are_not_cut() {
     const AT_ONCE: &[(u64, u64)] = &[(0, 1000)];
-    let mut cases = Vec::new();
+    let plain = Case { answer: Answer::Plain, path: "/non_idempotent/x", ..USUAL };
+    let mut cases = vec![
+        Case { deadline: 1500, silences: AT_ONCE, ..plain },
+        Case { deadline: 1300, silences: AT_ONCE, ..plain },
+        Case { deadline: 3000, silences: &[(0, 600)], ..plain },
+        Case { deadline: 3000, silences: &[(0, 1300)], ..plain },
+        Case { deadline: 4000, silences: &[(0, 700), (900, 700)], ..plain },
+        Case { silences: AT_ONCE, ..plain },
+        Case { path: "/idempotent/x", silences: AT_ONCE, ..plain },
+    ];
     for answer in [Answer::Stream, Answer::Chunked] {
         let stream = Case { answer, ..USUAL };
         cases.extend([
