Ends: a ping under way on a kept connection says nothing of new ones

The change of the pings had the sign `Open` for a kept connection on which a ping waits. Only a new connection shows that the host accepts some; with the sign, refusals that all others see would not count as the end of the endpoint. By reading, no caller was seen to get it. A connection is opened beside the ping in this case too, which shows it.

--- a/daemons/gateway/src/egress/ping.rs
+++ b/daemons/gateway/src/egress/ping.rs
@@ -122,7 +122,7 @@
         let seen = async { while sign.changed().await.is_ok() {} };
         let _ = tokio::time::timeout_at(due, seen).await;
         let sign = *sign.borrow();
-        if matches!(sign, EndpointSign::Open) && !pings.has_kept() {
+        if matches!(sign, EndpointSign::Open | EndpointSign::Unclear) && !pings.has_kept() {
             // Some endpoints close the connection of each reply.
             let (egress, of) = (self.clone(), to.clone());
             tokio::spawn(async move { egress.try_beside(&of, &pings).await });
@@ -148,11 +148,7 @@
             }
         };
         let sent_at = self.clock.now();
-        let kept = pings.take();
-        if kept.is_some() {
-            sign.send_replace(EndpointSign::Open);
-        }
-        if let Some(connection) = kept
+        if let Some(connection) = pings.take()
             && let Ok(answer) = self.pool.send_on(connection, req.clone()).await
             && is_reply(&answer.response)
         {
--- a/daemons/gateway/tests/tunnel_ends.rs
+++ b/daemons/gateway/tests/tunnel_ends.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use sill_wire::Incarnation;
@@ -22,6 +22,9 @@
 const EVENT_STREAM: &str = "content-type: text/event-stream\r\n";
 const CHUNKED: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
 
+/// How long an endpoint stands still.
+const PAUSE: Duration = Duration::from_secs(1);
+
 const EVENT: &str = "id: 1\ndata: a\n\n";
 
 /// How streams are framed.
@@ -38,6 +41,8 @@
 enum After {
     /// It replies.
     Runs,
+    /// It stands still for a second, and replies then.
+    Pauses,
     /// Its host takes connections, and nobody reads them.
     Unread,
     /// Its host drops what arrives.
@@ -71,6 +76,8 @@
     begun: AtomicUsize,
     may_end: AtomicBool,
     has_ended: AtomicBool,
+    /// Until when it stands still.
+    pauses_until: Mutex<Option<Instant>>,
     connections: Mutex<Vec<TcpStream>>,
 }
 
@@ -85,6 +92,7 @@
             begun: AtomicUsize::new(0),
             may_end: AtomicBool::new(false),
             has_ended: AtomicBool::new(false),
+            pauses_until: Mutex::default(),
             connections: Mutex::default(),
         });
         let accepting = endpoint.clone();
@@ -124,6 +132,8 @@
                 return;
             }
             if head.contains("sill-endpoint: -\r\n") {
+                let pauses_until = *self.pauses_until.lock();
+                pauses_until.into_iter().for_each(|at| thread::sleep(at - Instant::now()));
                 let _ = stream.write_all(not_run("421 Misdirected Request").as_bytes());
                 continue;
             }
@@ -135,7 +145,9 @@
                 thread::sleep(Duration::from_millis(1));
             }
             let _ = stream.write_all(self.frame.end().as_bytes());
-            if self.after != After::Runs {
+            if self.after == After::Pauses {
+                *self.pauses_until.lock() = Some(Instant::now() + PAUSE);
+            } else if self.after != After::Runs {
                 self.has_ended.store(true, Ordering::Relaxed);
                 for other in self.connections.lock().drain(..) {
                     let _ = other.shutdown(Shutdown::Both);
@@ -287,6 +299,20 @@
     }
 }
 
+/// A whole stream in a tunnel would be cut if its sound endpoint fell silent after its end, as only other
+/// instances can ask it.
+#[test]
+fn a_whole_stream_in_a_tunnel_is_complete_if_its_endpoint_is_silent_for_a_second() {
+    for frame in Frame::ALL {
+        let endpoint = Endpoint::start(frame, After::Pauses);
+        let system = System::start(&endpoint);
+        let got = play(&system.user, &endpoint, || {});
+        let name = format!("{frame:?}: {}", got.head);
+        assert_eq!((got.status, text(&got).as_str()), (200, EVENT), "{name}");
+        assert!(got.is_complete, "{name}");
+    }
+}
+
 /// Carries one tunnel for an endpoint, and is killed once the stream may end: its connection is closed in
 /// order, and new ones are refused.
 fn run_killed_carrier(listener: TcpListener, endpoint: &Endpoint) {
