--- a/daemons/control/src/metrics.rs
+++ b/daemons/control/src/metrics.rs
@@ -26,6 +26,7 @@
     commit: IntGauge,
     revision: IntGauge,
     claims: IntGauge,
+    recorded_versions: IntGauge,
     disk_fault: IntGauge,
     /// Entry instances whose demand the leader aggregates, by state: `heard`, `silent` or
     /// `unknown`.
@@ -101,6 +102,10 @@
             commit: gauge("sill_control_commit_index", "last committed entry")?,
             revision: gauge("sill_control_revision", "newest revision of the tree")?,
             claims: gauge("sill_control_claims", "claims held")?,
+            recorded_versions: gauge(
+                "sill_control_recorded_versions",
+                "versions that may begin streams, by the log",
+            )?,
             disk_fault: gauge("sill_control_disk_fault", "1 while the disk can't be written")?,
             changes_accepted: counter("sill_control_changes_accepted_total", "changes accepted")?,
             changes_refused: counter("sill_control_changes_refused_total", "changes refused")?,
@@ -123,6 +128,7 @@
         self.commit.set(status.commit as i64);
         self.revision.set(app.revision().0 as i64);
         self.claims.set(app.claims() as i64);
+        self.recorded_versions.set(app.origins().versions().count() as i64);
         self.disk_fault.set(i64::from(status.disk_fault.is_some()));
     }
 
