Control: a new version is recorded as soon as its endpoint is known

A version was held for up to 0.5 s, though its record takes one commit: the task that records versions was woken before the endpoint was in the registry, found nothing, and looked again at its next tick.

--- a/daemons/control/src/link.rs
+++ b/daemons/control/src/link.rs
@@ -122,10 +122,12 @@
         let (born, leaves_in) = (fact.incarnation, fact.leaves_in);
         let (service, domain, address) = (fact.service.clone(), fact.domain.clone(), fact.address);
         let software = fact.software.clone();
-        if self.observe_version(now, &fact) {
+        let is_held = self.observe_version(now, &fact);
+        let is_newer = self.registry.lock().record_heartbeat(now, fact);
+        if is_held {
+            // Not earlier: the endpoint would not be found.
             self.unrecorded.notify_one();
         }
-        let is_newer = self.registry.lock().record_heartbeat(now, fact);
         self.record_returns(now);
         if is_newer {
             event!(
