Ends: a connection that opens late is no proof for an endpoint that must not be pinged

What a caller may have got: a part of an answer as all of it, from an endpoint that asked for a pause, named a limit or is brittle, crashed on a host that shows nothing, and had a successor at its address up to three heartbeats after the end. By reading the longer wait once more; no caller was seen to get it.

Cause: such an endpoint gets no ping, so a connection that opens counts for its end, whatever its age. The wait of 1.6 s for streams, 0.8 s where it leaves and 0.4 s for plain answers was what bounded that, and made it longer for all proofs.

Now a connection counts by itself only if it opens within the former times. The second wait of a stream whose announcement is void is only for endpoints that can reply.

`a_connection_that_opens_late_proves_nothing`: on the code before, a stream with a connection 1.7 s after its end is proven at 1.9 s; with the change none of the six late cases is, and the six early ones are. All 30 tests of stream_end.rs and six test files of the entry instance pass.

--- a/coordination/dispatch/src/stream_end.rs
+++ b/coordination/dispatch/src/stream_end.rs
@@ -34,6 +34,9 @@
 /// Time by which an endpoint has to outlive the end of a plain answer. Its caller waits for the end.
 const PLAIN_SPAN: Millis = Millis(20);
 
+/// Time after the end of a plain answer within which a connection that opens counts.
+const PLAIN_OPEN_TIME: Millis = Millis(400);
+
 /// How much later than the last sign of a process a connection may be opened on which it replies. Another
 /// process at the address starts later.
 const OPENED_MARGIN: Millis = Millis(250);
@@ -187,6 +190,8 @@
     last_check_at: Millis,
     /// By when a connection must have been opened on which the process is heard.
     opened_by: Millis,
+    /// By when one must have opened that counts by itself. Later it may lead to another process.
+    open_by: Millis,
     /// Whether there is time for a proof on a connection from after the end.
     has_time: bool,
     /// Whether there is time enough for silence to mean that the endpoint has ended.
@@ -214,6 +219,11 @@
             EndKind::OpenMark => (MARK_SPAN, Millis::ZERO),
             EndKind::Plain => (PLAIN_SPAN, Millis::ZERO),
         };
+        let open_time = match self.kind {
+            EndKind::Stream | EndKind::OpenMark => STREAM_WAIT,
+            EndKind::LeavingStream => LEAVING_WAIT,
+            EndKind::Plain => PLAIN_OPEN_TIME,
+        };
         let wait = match (self.has_alternative, self.kind) {
             (true, EndKind::LeavingStream) => LEAVING_WAIT,
             (true, _) => STREAM_WAIT,
@@ -233,6 +243,7 @@
             expires_at: (until + check_time).min(self.decide_by),
             last_check_at: self.decide_by - check_time,
             opened_by: self.ran_at.map_or(opened_by, |at| opened_by.min(at + OPENED_MARGIN)),
+            open_by: self.at + open_time,
             has_time,
             is_whole_wait,
             interval: Millis(span.0 / CHECKS).max(MIN_INTERVAL),
@@ -368,9 +379,10 @@
         let shown_at = shown.map(|shown| shown.at);
         // After its end another process may reply at its address.
         if refuted != Some(EndpointCheck::Ended) {
+            let open_at = self.open_at.filter(|at| end.ran_at.is_none() && *at <= bounds.open_by);
             proven = proven
                 .or_else(|| proof(ProofKind::Replied, shown_at))
-                .or_else(|| proof(ProofKind::Open, self.open_at.filter(|_| end.ran_at.is_none())));
+                .or_else(|| proof(ProofKind::Open, open_at));
         }
         if proven.is_some() {
             return proven;
--- a/coordination/dispatch/tests/stream_end.rs
+++ b/coordination/dispatch/tests/stream_end.rs
@@ -369,6 +369,54 @@
     }
 }
 
+/// A connection that opens shows no process. After a crash on a silent host it opens once another process
+/// runs there, and the longer an end is held the likelier a part would look whole.
+#[test]
+fn a_connection_that_opens_late_proves_nothing() {
+    struct Case {
+        kind: EndKind,
+        /// Time after the end from which connections open.
+        opens_after: u64,
+        is_proven: bool,
+    }
+    let case = |kind, opens_after, is_proven| Case { kind, opens_after, is_proven };
+    let cases = [
+        case(EndKind::Stream, 0, true),
+        case(EndKind::Stream, 1000, true),
+        case(EndKind::Stream, 1700, false),
+        case(EndKind::Stream, 3000, false),
+        case(EndKind::OpenMark, 1000, true),
+        case(EndKind::OpenMark, 1700, false),
+        case(EndKind::LeavingStream, 400, true),
+        case(EndKind::LeavingStream, 900, false),
+        case(EndKind::Plain, 0, true),
+        case(EndKind::Plain, 200, true),
+        case(EndKind::Plain, 500, false),
+        case(EndKind::Plain, 3000, false),
+    ];
+    for Case { kind, opens_after, is_proven: expected } in cases {
+        let mut checks = EndChecks::new(Millis(1200), CHECK_TIME);
+        let at = Millis(1000);
+        let decide_by = Millis(100_000);
+        let end = EndInDoubt { kind, at, decide_by, ran_at: None, has_alternative: false };
+        let mut now = at;
+        let step = loop {
+            match checks.step(now, &"e1", end, EndpointSigns::default()) {
+                EndStep::Wait(until) => now = until,
+                EndStep::Check => {
+                    let began_at = now;
+                    let opens = began_at >= at + Millis(opens_after);
+                    let check = if opens { EndpointCheck::Open } else { EndpointCheck::Silent };
+                    now = now + CHECK_TIME;
+                    checks.record(now, &"e1", began_at, check, None);
+                }
+                step => break step,
+            }
+        };
+        assert_eq!(is_proven(step), expected, "{kind:?}, opens after {opens_after} ms: {step:?}");
+    }
+}
+
 /// An end whose endpoint never sends anything again would be held until the deadline, which may be far.
 #[test]
 fn an_end_is_held_no_longer_than_an_endpoint_counts_as_alive() {
--- a/daemons/gateway/src/stream_end.rs
+++ b/daemons/gateway/src/stream_end.rs
@@ -340,8 +340,9 @@
         }
         let is_silent = matches!(end.decision, EndDecision::NotShown(EndpointCheck::Silent));
         let is_leaving = ended.kind == EndKind::LeavingStream;
-        if is_silent && is_leaving && (end.has_other_end || ended.may_be_gone()) {
-            // What it has announced doesn't count, so it alone can still prove its end.
+        let is_announcement_void = end.has_other_end || ended.may_be_gone();
+        if is_silent && is_leaving && is_announcement_void && self.may_ping(&ended.to) {
+            // It alone can still prove its end, by a reply.
             let ended = EndedAnswer { kind: EndKind::Stream, ..ended };
             end.decision = self.wait_until_proven(ended).await.into();
         }
