Control: a version that finds no room makes the record of versions incomplete

What a caller may have got: after a kill of all processes, events of another version than the one that began its stream. It takes 512 recorded versions, which only made-up heartbeats bring about; no caller was seen to get it.

Cause: a full record is marked as incomplete when a version is added to it, but the planner submits none that finds no room. So the record stayed complete, the version was used without a record after 3 s, and the log told less than it said. docs/design/streams.md said otherwise.

Now the planner submits one version more than there is room for while the record is complete, and nothing after.

`a_full_record_counts_for_nothing` handed the update to the log by hand, which passed by the fault. It now submits what the planner returns, which was nothing before the change (`left: []`), and asks that nothing more is submitted after.

--- a/daemons/control/src/origins.rs
+++ b/daemons/control/src/origins.rs
@@ -115,7 +115,9 @@
 where
     F: Fn(&str) -> bool,
 {
-    let mut room = MAX_VERSIONS.saturating_sub(record.versions().count());
+    // One more than there is room for tells the record that it isn't complete any longer.
+    let free = MAX_VERSIONS.saturating_sub(record.versions().count());
+    let mut room = free.max(usize::from(record.is_complete()));
     let mut missing: Vec<&ServedVersion> = known.iter().filter(|v| !record.contains(v)).collect();
     if missing.is_empty() {
         return Vec::new();
--- a/daemons/control/tests/origins.rs
+++ b/daemons/control/tests/origins.rs
@@ -187,13 +187,17 @@
     );
     record.clone_from(app.origins());
     assert!(record.is_full() && record.is_complete());
-    let facts = [fact("e1", "one-more")];
-    let due = plan(&mut OriginPlanner::default(), START, &app, &facts, Some(LEADER));
-    assert!(due.added.is_empty() && !due.is_complete, "{due:?}");
-    let added = vec![version("one-more")];
-    update(&mut app, OriginUpdate { added, ..OriginUpdate::default() });
+    // What an instance submits by itself has to show that there is no room.
+    let (mut planner, facts) = (OriginPlanner::default(), [fact("e1", "one-more")]);
+    let due = plan(&mut planner, START, &app, &facts, None);
+    assert_eq!(due.added, [version("one-more")]);
+    update(&mut app, due);
     assert_eq!(versions_of(&app), None);
     assert_eq!(app.origins().versions().count(), MAX_VERSIONS);
+    for leader in [None, Some(LEADER)] {
+        let due = plan(&mut planner, START, &app, &facts, leader);
+        assert!(due.added.is_empty() && !due.is_complete, "nothing is left to tell: {due:?}");
+    }
 }
 
 /// Heartbeats for services that nobody configured take the room of those that are.
